--- /dev/null
+++ b/Makefile
@@ -0,0 +1,92 @@
+# Builds the libraries, the two programs, the stand-ins and the tests.
+#
+#   make            programs and stand-ins, in build/
+#   make check      packages, everything built, all tests under sanitizers
+#   make demo       one job through separate processes, answers printed
+#   make help       the other targets
+
+BUILD ?= build
+SAN ?=
+CC = gcc
+LIBS := job dispatch share claim view config platform burn http settings wire base
+
+PKGS := glib-2.0 json-c msgpack libxxhash argtable2
+# Recursive on purpose: pkg-config is asked only when something is compiled, after `make setup`.
+PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lcivetweb -lcrypto -lm -lpthread
+WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wvla
+CFLAGS ?= -O2 -g
+ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE $(CFLAGS) $(WARN) -Ilib -I. $(PKG_CFLAGS) -MMD -MP
+LDFLAGS ?=
+ifneq ($(SAN),)
+ALL_CFLAGS += -fsanitize=$(SAN) -fno-omit-frame-pointer -fno-sanitize-recover=all
+LDFLAGS += -fsanitize=$(SAN)
+endif
+
+lib_src = $(filter-out %_example.c,$(wildcard lib/$(1)/*.c))
+ARCHIVES := $(foreach l,$(LIBS),$(if $(call lib_src,$(l)),$(BUILD)/lib$(l).a))
+GROUP = -Wl,--start-group $(ARCHIVES) -Wl,--end-group
+
+DAEMON_SRC := $(wildcard daemon/*.c)
+TOOL_SRC := $(wildcard tool/*.c)
+UNIT_SRC := $(wildcard tests/test_*.c)
+SYS_SRC := $(wildcard tests/system/*.c)
+BENCH_SRC := $(wildcard bench/*.c)
+EXAMPLE_SRC := $(wildcard lib/*/*_example.c)
+# A stand-in is standins/NAME.c with the common parts in standins/common_*.c.
+STANDIN_MAINS := $(wildcard standins/fake_*.c)
+STANDIN_COMMON := $(wildcard standins/common_*.c)
+
+obj = $(patsubst %.c,$(BUILD)/obj/%.o,$(1))
+
+PROGRAMS := $(if $(DAEMON_SRC),$(BUILD)/jaytraild) $(if $(TOOL_SRC),$(BUILD)/jaytrail) \
+            $(patsubst standins/%.c,$(BUILD)/%,$(STANDIN_MAINS))
+UNITS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(UNIT_SRC))
+BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
+EXAMPLES := $(patsubst lib/%.c,$(BUILD)/examples/%,$(EXAMPLE_SRC))
+SYSTEM := $(if $(SYS_SRC),$(BUILD)/tests/system)
+
+.PHONY: all programs units system benches examples clean setup
+all: programs
+programs: $(PROGRAMS)
+units: $(UNITS)
+system: $(SYSTEM)
+benches: $(BENCHES)
+examples: $(EXAMPLES)
+
+$(BUILD)/obj/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -c $< -o $@
+
+define lib_rule
+$(BUILD)/lib$(1).a: $(call obj,$(call lib_src,$(1)))
+	@rm -f $$@
+	ar rcs $$@ $$^
+endef
+$(foreach l,$(LIBS),$(eval $(call lib_rule,$(l))))
+
+$(BUILD)/jaytraild: $(call obj,$(DAEMON_SRC)) $(ARCHIVES)
+	$(CC) $(LDFLAGS) -o $@ $(call obj,$(DAEMON_SRC)) $(GROUP) $(PKG_LIBS)
+$(BUILD)/jaytrail: $(call obj,$(TOOL_SRC)) $(ARCHIVES)
+	$(CC) $(LDFLAGS) -o $@ $(call obj,$(TOOL_SRC)) $(GROUP) $(PKG_LIBS)
+$(BUILD)/fake_%: $(BUILD)/obj/standins/fake_%.o $(call obj,$(STANDIN_COMMON)) $(ARCHIVES)
+	$(CC) $(LDFLAGS) -o $@ $< $(call obj,$(STANDIN_COMMON)) $(GROUP) $(PKG_LIBS)
+$(BUILD)/tests/system: $(call obj,$(SYS_SRC)) $(ARCHIVES)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $(call obj,$(SYS_SRC)) $(GROUP) $(PKG_LIBS) -lcunit
+$(BUILD)/tests/test_%: $(BUILD)/obj/tests/test_%.o $(ARCHIVES)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(PKG_LIBS) -lcunit
+$(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(ARCHIVES)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(PKG_LIBS)
+$(BUILD)/examples/%: $(BUILD)/obj/lib/%.o $(ARCHIVES)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(PKG_LIBS)
+
+clean:
+	rm -rf $(BUILD) build-asan build-tsan
+
+.SECONDARY:
+-include $(shell find $(BUILD)/obj -name '*.d' 2>/dev/null)
+-include mk/*.mk
--- /dev/null
+++ b/daemon/part_claim.h
@@ -0,0 +1,70 @@
+/* part_claim.h -- idempotency keys: at most one start of each submission
+ *
+ * Control thread only.
+ */
+#ifndef DAEMON_PART_CLAIM_H
+#define DAEMON_PART_CLAIM_H
+
+#include "base/hash.h"
+#include "daemon/part.h"
+
+/* VIEW is the view part of this host. */
+part_t *part_claim_new (daemon_t *daemon, part_t *view);
+
+typedef enum
+{
+  CLAIM_GRANTED,     /* this host may start, while part_claim_may_start () says so */
+  CLAIM_HELD,        /* another host claimed it: wait for its answer */
+  CLAIM_REUSED,      /* the key is held with another digest */
+  CLAIM_FREE,        /* answer to a probe or a release: nobody holds the key, confirmed */
+  CLAIM_UNCERTAIN,   /* may have run: replicas lost, or the key is contested */
+  CLAIM_UNREACHABLE, /* not enough replicas answered in time: nothing is known */
+  CLAIM_EXPIRED      /* issued before the window: never starts */
+} claim_result_t;
+
+typedef struct
+{
+  claim_result_t result;
+  const char *claimant; /* CLAIM_HELD: host id */
+  const char *claimant_address;
+  const char *claimant_data_centre;
+  uint64_t claimant_incarnation;
+} claim_outcome_t;
+
+/* Runs once for each request; OUTCOME and its strings are valid during the
+ * call only. */
+typedef void (*claim_done_t) (const claim_outcome_t *outcome, void *data);
+
+/* Claims KEY for this host.  HOME is the data centre that remembers the key.
+ * Answers by DONE within about a second, or by GIVE_UP_AT_MS (boot clock). */
+void part_claim_request (part_t *part,
+                         const char *key,
+                         const char *home,
+                         const hash_digest_t *digest,
+                         int64_t issued_at_ms,
+                         int64_t give_up_at_ms,
+                         claim_done_t done,
+                         void *data);
+
+/* Asks whether anybody holds KEY, without claiming it: CLAIM_FREE only after
+ * two replicas have confirmed it. */
+void part_claim_probe (part_t *part,
+                       const char *key,
+                       const char *home,
+                       int64_t give_up_at_ms,
+                       claim_done_t done,
+                       void *data);
+
+/* Gives back a granted claim under which nothing has started and nothing will.
+ * DONE (may be NULL) gets CLAIM_FREE once it is confirmed, else
+ * CLAIM_UNREACHABLE. */
+void part_claim_release (part_t *part, const char *key, claim_done_t done, void *data);
+
+/* True while the grants of KEY let this host start: before their deadline, and
+ * the process was not frozen since.  Ask right before the first start. */
+bool part_claim_may_start (part_t *part, const char *key, int64_t now_ms);
+
+/* The first task of KEY is about to start: from here on it is never released. */
+void part_claim_started (part_t *part, const char *key);
+
+#endif
