Settings and HTTP server and client over CivetWeb

Cause: the daemon needs checked settings and whole, bounded HTTP bodies. Ruled out: json-glib (refuses comments). Before: nothing.

--- /dev/null
+++ b/lib/http/client.c
@@ -0,0 +1,157 @@
+/* client.c -- HTTP calls over CivetWeb, with reused connections */
+#include "http/client.h"
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "settings/settings.h"
+
+#include <civetweb.h>
+#include <string.h>
+
+#define READ_CHUNK_BYTES 65536
+#define ERROR_TEXT_BYTES 128
+
+struct http_connection_t
+{
+  struct mg_connection *connection;
+  char *host;
+};
+
+int
+http_connect (const char *address, http_connection_t **out)
+{
+  char error[ERROR_TEXT_BYTES];
+  char *ip = NULL;
+  uint16_t port = 0;
+
+  if (settings_split_address (address, &ip, &port) != 0)
+    return ERROR_NOT_CONNECTED;
+  struct mg_connection *connection = mg_connect_client (ip, port, 0, error, sizeof error);
+  g_free (ip);
+  if (connection == NULL)
+    return ERROR_NOT_CONNECTED;
+  *out = g_new0 (http_connection_t, 1);
+  (*out)->connection = connection;
+  (*out)->host = g_strdup (address);
+  return 0;
+}
+
+void
+http_close (http_connection_t *connection)
+{
+  if (connection == NULL)
+    return;
+  mg_close_connection (connection->connection);
+  g_free (connection->host);
+  g_free (connection);
+}
+
+static int
+write_request (http_connection_t *connection, const http_call_t *call)
+{
+  GString *text = g_string_sized_new (256 + call->body_bytes);
+
+  g_string_append_printf (text, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %zu\r\n%s\r\n",
+                          call->method, call->path, connection->host, call->body_bytes,
+                          call->headers != NULL ? call->headers : "");
+  g_string_append_len (text, call->body, (gssize) call->body_bytes);
+  int written = mg_write (connection->connection, text->str, text->len);
+  bool whole = written >= 0 && (gsize) written == text->len;
+  g_string_free (text, TRUE);
+  return whole ? 0 : ERROR_CLOSED;
+}
+
+static bool
+is_chunked (const struct mg_connection *connection)
+{
+  const char *encoding = mg_get_header (connection, "Transfer-Encoding");
+
+  return encoding != NULL && g_ascii_strcasecmp (encoding, "chunked") == 0;
+}
+
+static int
+read_body (http_connection_t *connection, const http_call_t *call, int64_t length, GByteArray *body)
+{
+  guint8 *chunk = g_malloc (READ_CHUNK_BYTES);
+  int got = 0;
+  int result = 0;
+
+  while (result == 0 && (length < 0 || (int64_t) body->len < length))
+    {
+      got = mg_read (connection->connection, chunk, READ_CHUNK_BYTES);
+      if (got <= 0)
+        break;
+      g_byte_array_append (body, chunk, (guint) got);
+      if ((int64_t) body->len > call->max_answer_bytes)
+        result = ERROR_TOO_LARGE;
+    }
+  g_free (chunk);
+  if (result == 0 && (got < 0 || (length >= 0 && (int64_t) body->len < length)))
+    result = ERROR_CLOSED;
+  return result;
+}
+
+static int
+read_answer (http_connection_t *connection, const http_call_t *call, http_answer_t *answer)
+{
+  const struct mg_response_info *info = mg_get_response_info (connection->connection);
+  bool chunked = is_chunked (connection->connection);
+  int64_t length = chunked ? -1 : info->content_length;
+
+  answer->status = info->status_code;
+  if (length < 0 && !chunked)
+    return ERROR_PROTOCOL;
+  if (length > call->max_answer_bytes)
+    return ERROR_TOO_LARGE;
+  if (call->echo_header != NULL)
+    answer->echo = g_strdup (mg_get_header (connection->connection, call->echo_header));
+  const char *close = mg_get_header (connection->connection, "Connection");
+  answer->reusable = strcmp (info->http_version, "1.1") == 0
+                     && (close == NULL || g_ascii_strcasecmp (close, "close") != 0);
+  answer->body = g_byte_array_new ();
+  return read_body (connection, call, length, answer->body);
+}
+
+int
+http_exchange (http_connection_t *connection, const http_call_t *call, http_answer_t *answer)
+{
+  char error[ERROR_TEXT_BYTES];
+
+  memset (answer, 0, sizeof *answer);
+  int result = write_request (connection, call);
+  if (result != 0)
+    return result;
+  int64_t left_ms = call->deadline_at_ms - clock_boot_ms ();
+  if (left_ms <= 0)
+    return ERROR_TIMEOUT;
+  if (mg_get_response (connection->connection, error, sizeof error, (int) MIN (left_ms, INT32_MAX))
+      < 0)
+    return clock_boot_ms () >= call->deadline_at_ms ? ERROR_TIMEOUT : ERROR_CLOSED;
+  result = read_answer (connection, call, answer);
+  if (result != 0)
+    http_answer_clear (answer);
+  return result;
+}
+
+int
+http_call_once (const char *address, const http_call_t *call, http_answer_t *answer)
+{
+  http_connection_t *connection = NULL;
+
+  memset (answer, 0, sizeof *answer);
+  int result = http_connect (address, &connection);
+  if (result != 0)
+    return result;
+  result = http_exchange (connection, call, answer);
+  http_close (connection);
+  return result;
+}
+
+void
+http_answer_clear (http_answer_t *answer)
+{
+  if (answer->body != NULL)
+    g_byte_array_unref (answer->body);
+  g_free (answer->echo);
+  memset (answer, 0, sizeof *answer);
+}
