--- a/standins/fake_endpoint.c
+++ b/standins/fake_endpoint.c
@@ -16,7 +16,10 @@
 #include "standins/common_server.h"
 
 #include <argtable2.h>
+#include <fcntl.h>
+#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define DEFAULT_RUN_MS 50
 #define DEFAULT_SLOTS 8
@@ -29,6 +32,7 @@
   char *kind;
   char *plan;
   int64_t at_ms;
+  int64_t end_at_ms; /* 0 while it runs */
   const char *state;
 } start_t;
 
@@ -61,8 +65,23 @@
   bool hang;
   int64_t delay_ms;
   int64_t speed_percent;
+  int journal;     /* file that every start is written to, or -1 */
   uint32_t resets; /* a task that hangs by its own wish does so until the next one */
-} endpoint = { .run_ms = DEFAULT_RUN_MS, .slots = DEFAULT_SLOTS, .speed_percent = 100 };
+} endpoint = { .run_ms = DEFAULT_RUN_MS,
+               .slots = DEFAULT_SLOTS,
+               .speed_percent = 100,
+               .journal = -1 };
+
+/* One line a start: key, task, kind, plan, time.  Outlives a kill. */
+static void
+journal_write (const start_t *start)
+{
+  char *line = g_strdup_printf ("%s\t%s\t%s\t%s\t%" G_GINT64_FORMAT "\n", start->key, start->task,
+                                start->kind, start->plan, start->at_ms);
+  if (write (endpoint.journal, line, strlen (line)) < 0)
+    fprintf (stderr, "fake_endpoint: the journal cannot be written\n");
+  g_free (line);
+}
 
 static start_t *
 start_record (standin_request_t *request)
@@ -76,6 +95,8 @@
   start->state = "running";
   g_mutex_lock (&endpoint.mutex);
   g_ptr_array_add (endpoint.starts, start);
+  if (endpoint.journal >= 0)
+    journal_write (start);
   if (endpoint.running >= endpoint.slots)
     endpoint.over_slots++;
   endpoint.running++;
@@ -89,6 +110,7 @@
 {
   g_mutex_lock (&endpoint.mutex);
   start->state = state;
+  start->end_at_ms = clock_wall_ms ();
   endpoint.running--;
   g_mutex_unlock (&endpoint.mutex);
 }
@@ -225,6 +247,7 @@
       json_object_object_add (item, "kind", json_object_new_string (start->kind));
       json_object_object_add (item, "plan", json_object_new_string (start->plan));
       json_object_object_add (item, "at_ms", json_object_new_int64 (start->at_ms));
+      json_object_object_add (item, "end_at_ms", json_object_new_int64 (start->end_at_ms));
       json_object_object_add (item, "state", json_object_new_string (start->state));
       json_object_array_add (list, item);
     }
@@ -317,8 +340,9 @@
   struct arg_int *slots = arg_int0 (NULL, "slots", "N", "tasks at once; more are counted");
   struct arg_int *run_ms = arg_int0 (NULL, "ms", "N", "default run time");
   struct arg_int *threads = arg_int0 (NULL, "threads", "N", "connections served at once");
+  struct arg_file *journal = arg_file0 (NULL, "journal", "FILE", "append a line for every start");
   struct arg_end *end = arg_end (8);
-  void *table[] = { listen, slots, run_ms, threads, end };
+  void *table[] = { listen, slots, run_ms, threads, journal, end };
   if (arg_parse (argc, argv, table) > 0)
     {
       arg_print_errors (stderr, end, "fake_endpoint");
@@ -329,6 +353,13 @@
     endpoint.slots = slots->ival[0];
   if (run_ms->count > 0)
     endpoint.run_ms = run_ms->ival[0];
+  if (journal->count > 0)
+    endpoint.journal = open (journal->filename[0], O_WRONLY | O_CREAT | O_APPEND, 0600);
+  if (journal->count > 0 && endpoint.journal < 0)
+    {
+      fprintf (stderr, "fake_endpoint: cannot write %s\n", journal->filename[0]);
+      return 2;
+    }
   return standin_serve (listen->sval[0], threads->count > 0 ? threads->ival[0] : DEFAULT_THREADS,
                         handle);
 }
