Configuration from the log: platform client, fold of edits, relay, daemon part

Cause: the daemon and the tool need one state from the log's records at every reader, and a load on the platform that does not grow with the hosts.

Weighed: one edit a record, each won or lost alone (half of a publication can win, and a reader between two records sees half); all edits of a publication in one record that wins or loses as a whole. The second is here: one append, one outcome, no partial result to explain; its price is that a conflict on one entry loses the others too, and a record of the size of the change.

CivetWeb bounds the time to an answer's headers only: against a server that stops after 5 of 100 body bytes, mg_read () returned after 20 s, when the server closed. So calls run on a worker thread that is abandoned at the deadline.

--- /dev/null
+++ b/daemon/config_poll.c
@@ -0,0 +1,231 @@
+/* config_poll.c -- the threads that talk to the platform for the configuration part */
+#include "daemon/config_poll.h"
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/hash.h"
+#include "settings/settings.h"
+
+#include <string.h>
+
+/* Shorter than what counts as no answer (config/relay.h), so that an idle log
+ * still shows that it is alive. */
+#define POLL_WAIT_MS 700
+#define POLL_HOSTS_MS 500
+/* A list of hosts that takes longer is asked for again, elsewhere. */
+#define POLL_HOSTS_TIMEOUT_MS 4000
+#define APPEND_THREADS 2
+
+typedef enum
+{
+  POLL_IDLE,
+  POLL_WANTED,
+  POLL_RUNNING /* until the result is handled, and a wait before a retry is over */
+} poll_state_t;
+
+struct config_poll_t
+{
+  daemon_t *daemon;
+  char *stream;
+  config_poll_done_t done;
+  void *data;
+  platform_client_t *client;
+  GMutex mutex;
+  GCond changed;
+  poll_state_t state;
+  int64_t from;
+};
+
+/* A result on its way to the control thread. */
+typedef struct
+{
+  config_poll_t *poll;
+  config_poll_result_t result;
+  bool last; /* the thread has nothing more to do for it */
+} delivery_t;
+
+static platform_client_t *
+client_new (daemon_t *daemon, const char *purpose, guint turn)
+{
+  const settings_t *settings = daemon_settings (daemon);
+  char **addresses = g_new0 (char *, settings->platform->len + 1);
+  for (guint i = 0; i < settings->platform->len; i++)
+    addresses[i] = settings->platform->pdata[i];
+  uint32_t seed =
+      (uint32_t) (hash_rendezvous (purpose, daemon_host_id (daemon)) ^ daemon_incarnation (daemon))
+      + turn;
+  platform_client_t *client =
+      platform_client_new ((const char *const *) addresses, daemon_data_centre (daemon), seed);
+  g_free (addresses);
+  return client;
+}
+
+static void
+set_idle (config_poll_t *poll)
+{
+  g_mutex_lock (&poll->mutex);
+  poll->state = POLL_IDLE;
+  g_mutex_unlock (&poll->mutex);
+}
+
+static void
+deliver (void *data)
+{
+  delivery_t *delivery = data;
+  /* The next read of a stream may start as soon as this one is handled. */
+  if (delivery->last)
+    set_idle (delivery->poll);
+  delivery->poll->done (&delivery->result, delivery->poll->data);
+  log_batch_free (delivery->result.batch);
+  if (delivery->result.hosts)
+    g_bytes_unref (delivery->result.hosts);
+  g_free (delivery);
+}
+
+static void
+poll_once (config_poll_t *poll, int64_t from, config_poll_result_t *result)
+{
+  result->sent_at_ms = clock_boot_ms ();
+  if (poll->stream)
+    result->result = platform_read (poll->client, poll->stream, from, POLL_WAIT_MS,
+                                    POLL_WAIT_MS + PLATFORM_TIMEOUT_MS, &result->batch);
+  else
+    result->result = platform_hosts (poll->client, POLL_HOSTS_TIMEOUT_MS, &result->hosts);
+}
+
+static int64_t
+wait_wanted (config_poll_t *poll)
+{
+  g_mutex_lock (&poll->mutex);
+  while (poll->state != POLL_WANTED)
+    g_cond_wait (&poll->changed, &poll->mutex);
+  poll->state = POLL_RUNNING;
+  int64_t from = poll->from;
+  g_mutex_unlock (&poll->mutex);
+  return from;
+}
+
+static gpointer
+poll_main (gpointer data)
+{
+  config_poll_t *poll = data;
+  for (;;)
+    {
+      int64_t from = wait_wanted (poll);
+      delivery_t *delivery = g_new0 (delivery_t, 1);
+      delivery->poll = poll;
+      poll_once (poll, from, &delivery->result);
+      int64_t wait_ms = platform_retry_ms (poll->client);
+      if (poll->stream == NULL)
+        wait_ms = MAX (wait_ms, POLL_HOSTS_MS);
+      delivery->last = wait_ms == 0;
+      daemon_post (poll->daemon, deliver, delivery);
+      if (wait_ms == 0)
+        continue;
+      clock_sleep_ms (wait_ms);
+      set_idle (poll);
+    }
+  return NULL;
+}
+
+config_poll_t *
+config_poll_new (daemon_t *daemon, const char *stream, config_poll_done_t done, void *data)
+{
+  config_poll_t *poll = g_new0 (config_poll_t, 1);
+  poll->daemon = daemon;
+  poll->stream = g_strdup (stream);
+  poll->done = done;
+  poll->data = data;
+  poll->client = client_new (daemon, stream ? stream : "hosts", 0);
+  g_mutex_init (&poll->mutex);
+  g_cond_init (&poll->changed);
+  g_thread_unref (g_thread_new ("poll", poll_main, poll));
+  return poll;
+}
+
+bool
+config_poll_start (config_poll_t *poll, int64_t from)
+{
+  g_mutex_lock (&poll->mutex);
+  bool start = poll->state == POLL_IDLE;
+  if (start)
+    {
+      poll->state = POLL_WANTED;
+      poll->from = from;
+      g_cond_signal (&poll->changed);
+    }
+  g_mutex_unlock (&poll->mutex);
+  return start;
+}
+
+struct config_append_t
+{
+  daemon_t *daemon;
+  GThreadPool *pool;
+  GAsyncQueue *clients; /* idle ones; one for each thread */
+};
+
+typedef struct
+{
+  config_append_t *append;
+  char *stream;
+  GBytes *data;
+  void (*done) (int result, int64_t offset, void *user);
+  void *user;
+  int result;
+  int64_t offset;
+} append_job_t;
+
+static void
+append_done (void *data)
+{
+  append_job_t *job = data;
+  if (job->done)
+    job->done (job->result, job->offset, job->user);
+  g_bytes_unref (job->data);
+  g_free (job->stream);
+  g_free (job);
+}
+
+static void
+append_run (gpointer data, gpointer user)
+{
+  append_job_t *job = data;
+  config_append_t *append = user;
+  platform_client_t *client = g_async_queue_pop (append->clients);
+  gsize size = 0;
+  const void *bytes = g_bytes_get_data (job->data, &size);
+  job->result =
+      platform_append (client, job->stream, bytes, size, PLATFORM_TIMEOUT_MS, &job->offset);
+  g_async_queue_push (append->clients, client);
+  daemon_post (append->daemon, append_done, job);
+}
+
+config_append_t *
+config_append_new (daemon_t *daemon)
+{
+  config_append_t *append = g_new0 (config_append_t, 1);
+  append->daemon = daemon;
+  append->clients = g_async_queue_new ();
+  for (guint i = 0; i < APPEND_THREADS; i++)
+    g_async_queue_push (append->clients, client_new (daemon, "append", i));
+  append->pool = g_thread_pool_new (append_run, append, APPEND_THREADS, FALSE, NULL);
+  return append;
+}
+
+void
+config_append_start (config_append_t *append,
+                     const char *stream,
+                     const void *data,
+                     size_t size,
+                     void (*done) (int result, int64_t offset, void *user),
+                     void *user)
+{
+  append_job_t *job = g_new0 (append_job_t, 1);
+  job->append = append;
+  job->stream = g_strdup (stream);
+  job->data = g_bytes_new (data, size);
+  job->done = done;
+  job->user = user;
+  g_thread_pool_push (append->pool, job, NULL);
+}
--- /dev/null
+++ b/lib/config/config_msg.c
@@ -0,0 +1,223 @@
+/* config_msg.c -- encodes and decodes the messages that relay streams and the list of hosts */
+#include "config/config_msg.h"
+
+int
+hosts_version_compare (const hosts_version_t *a, const hosts_version_t *b)
+{
+  if (a->time != b->time)
+    return a->time < b->time ? -1 : 1;
+  if (a->reader != b->reader)
+    return a->reader < b->reader ? -1 : 1;
+  return 0;
+}
+
+static void
+position_clear (gpointer data)
+{
+  g_free (((config_position_t *) data)->stream);
+}
+
+config_have_t *
+config_have_new (void)
+{
+  config_have_t *have = g_new0 (config_have_t, 1);
+  have->positions = g_array_new (FALSE, FALSE, sizeof (config_position_t));
+  g_array_set_clear_func (have->positions, position_clear);
+  return have;
+}
+
+void
+config_have_free (config_have_t *have)
+{
+  if (have == NULL)
+    return;
+  g_array_unref (have->positions);
+  g_free (have);
+}
+
+void
+config_have_add (config_have_t *have, const char *stream, int64_t next)
+{
+  config_position_t position = { g_strdup (stream), next };
+  g_array_append_val (have->positions, position);
+}
+
+static void
+put_version (frame_writer_t *writer, const hosts_version_t *version)
+{
+  frame_put_int (writer, version->time);
+  frame_put_uint (writer, version->reader);
+}
+
+static void
+get_version (frame_reader_t *reader, hosts_version_t *version)
+{
+  version->time = frame_get_range (reader, 0, INT64_MAX - 1);
+  version->reader = frame_get_uint (reader);
+}
+
+GBytes *
+config_msg_have (config_msg_type_t type, const config_have_t *have)
+{
+  frame_writer_t *writer = frame_begin (type);
+  frame_put_bool (writer, have->answered);
+  frame_put_bool (writer, have->want_state);
+  put_version (writer, &have->hosts);
+  frame_put_uint (writer, have->hosts_digest);
+  frame_put_count (writer, have->positions->len);
+  for (guint i = 0; i < have->positions->len; i++)
+    {
+      const config_position_t *position = &g_array_index (have->positions, config_position_t, i);
+      frame_put_string (writer, position->stream);
+      frame_put_int (writer, position->next);
+    }
+  return frame_finish (writer);
+}
+
+bool
+config_msg_get_have (frame_reader_t *reader, config_have_t **result)
+{
+  config_have_t *have = config_have_new ();
+  have->answered = frame_get_bool (reader);
+  have->want_state = frame_get_bool (reader);
+  get_version (reader, &have->hosts);
+  have->hosts_digest = frame_get_uint (reader);
+  size_t count = frame_get_count (reader, CONFIG_MSG_STREAMS_MAX);
+  for (size_t i = 0; i < count && frame_ok (reader); i++)
+    {
+      char *stream = frame_get_string (reader, CONFIG_MSG_STREAM_MAX_BYTES);
+      int64_t next = frame_get_range (reader, 0, INT64_MAX - 1);
+      if (stream)
+        config_have_add (have, stream, next);
+      g_free (stream);
+    }
+  bool valid = frame_ok (reader) && have->positions->len == count;
+  *result = valid ? have : NULL;
+  if (!valid)
+    config_have_free (have);
+  return valid;
+}
+
+GBytes *
+config_msg_records (const char *stream, const log_batch_t *batch)
+{
+  frame_writer_t *writer = frame_begin (CONFIG_MSG_RECORDS);
+  frame_put_string (writer, stream);
+  frame_put_int (writer, batch->from);
+  frame_put_int (writer, batch->first);
+  frame_put_int (writer, batch->next);
+  frame_put_int (writer, batch->end);
+  frame_put_count (writer, batch->records->len);
+  for (guint i = 0; i < batch->records->len; i++)
+    {
+      const log_record_t *record = &g_array_index (batch->records, log_record_t, i);
+      gsize size = 0;
+      const void *data = g_bytes_get_data (record->data, &size);
+      frame_put_int (writer, record->offset);
+      frame_put_int (writer, record->at_ms);
+      frame_put_bytes (writer, data, size);
+    }
+  return frame_finish (writer);
+}
+
+/* Reads a record with an offset of at least MIN and less than the batch's next. */
+static bool
+get_record (frame_reader_t *reader, int64_t min, log_batch_t *batch)
+{
+  gsize size = 0;
+  int64_t offset = frame_get_range (reader, min, batch->next - 1);
+  int64_t at_ms = frame_get_int (reader);
+  const void *data = frame_get_bytes (reader, FRAME_MAX_BYTES, &size);
+  if (!frame_ok (reader))
+    return false;
+  GBytes *bytes = g_bytes_new (data, size);
+  log_batch_add (batch, offset, at_ms, bytes);
+  g_bytes_unref (bytes);
+  return true;
+}
+
+bool
+config_msg_get_records (frame_reader_t *reader, char **stream, log_batch_t **result)
+{
+  char *name = frame_get_string (reader, CONFIG_MSG_STREAM_MAX_BYTES);
+  int64_t from = frame_get_range (reader, 0, INT64_MAX - 1);
+  int64_t first = frame_get_range (reader, 0, INT64_MAX - 1);
+  int64_t next = frame_get_range (reader, from, INT64_MAX - 1);
+  int64_t end = frame_get_range (reader, 0, INT64_MAX - 1);
+  size_t count = frame_get_count (reader, CONFIG_MSG_RECORDS_MAX);
+  log_batch_t *batch = log_batch_new (from, first, next);
+  batch->end = end;
+  int64_t min = MAX (from, first);
+  bool valid = name != NULL && frame_ok (reader);
+  for (size_t i = 0; i < count && valid; i++)
+    {
+      valid = get_record (reader, min, batch);
+      if (valid)
+        min = g_array_index (batch->records, log_record_t, i).offset + 1;
+    }
+  if (valid)
+    {
+      *stream = name;
+      *result = batch;
+      return true;
+    }
+  g_free (name);
+  log_batch_free (batch);
+  return false;
+}
+
+GBytes *
+config_msg_state (GBytes *checkpoint)
+{
+  gsize size = 0;
+  const void *data = g_bytes_get_data (checkpoint, &size);
+  frame_writer_t *writer = frame_begin (CONFIG_MSG_STATE);
+  frame_put_bytes (writer, data, size);
+  return frame_finish (writer);
+}
+
+bool
+config_msg_get_state (frame_reader_t *reader, const void **data, size_t *size)
+{
+  *data = frame_get_bytes (reader, FRAME_MAX_BYTES, size);
+  return frame_ok (reader) && *data != NULL;
+}
+
+GBytes *
+config_msg_hosts (const hosts_version_t *version, GBytes *body)
+{
+  gsize size = 0;
+  const void *data = g_bytes_get_data (body, &size);
+  frame_writer_t *writer = frame_begin (CONFIG_MSG_HOSTS);
+  put_version (writer, version);
+  frame_put_bytes (writer, data, size);
+  return frame_finish (writer);
+}
+
+bool
+config_msg_get_hosts (frame_reader_t *reader,
+                      hosts_version_t *version,
+                      const void **body,
+                      size_t *size)
+{
+  get_version (reader, version);
+  *body = frame_get_bytes (reader, FRAME_MAX_BYTES, size);
+  return frame_ok (reader) && *body != NULL;
+}
+
+GBytes *
+config_msg_hosts_same (const hosts_version_t *version, uint64_t digest)
+{
+  frame_writer_t *writer = frame_begin (CONFIG_MSG_HOSTS_SAME);
+  put_version (writer, version);
+  frame_put_uint (writer, digest);
+  return frame_finish (writer);
+}
+
+bool
+config_msg_get_hosts_same (frame_reader_t *reader, hosts_version_t *version, uint64_t *digest)
+{
+  get_version (reader, version);
+  *digest = frame_get_uint (reader);
+  return frame_ok (reader);
+}
