Control thread, peer connections, jobs and the two listeners

Cause: the parts need a thread to live on, connections between hosts, and the job's flow from submission to answer.

Ruled out: a main loop of GLib for the control thread (a closure costs more than a queue entry, and ticks would queue up behind a backlog); one connection for both directions between two hosts (simultaneous dials would have to be resolved); keeping idle endpoint connections for seconds (a request that meets a closing connection counts as started).

Before: libraries only.

--- /dev/null
+++ b/daemon/job_table.c
@@ -0,0 +1,241 @@
+/* job_table.c -- entries of the job part, their waiters and kept answers
+ *
+ * Kept answers are bounded by bytes; the oldest go first and leave the key
+ * behind, so that a resubmission learns answer_gone instead of running again.
+ * The keys themselves are bounded by the window.
+ */
+#include "daemon/job_private.h"
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "daemon/part_burn.h"
+#include "settings/settings.h"
+
+#include <string.h>
+
+/* What a key without its answer takes, for the bound on kept bytes. */
+#define ENTRY_BYTES 512
+/* How often keys whose window has passed are looked for. */
+#define FORGET_EVERY_MS 1000
+
+static void
+remote_waiter_free (void *data)
+{
+  remote_waiter_t *remote = data;
+
+  g_free (remote->host);
+  g_free (remote);
+}
+
+entry_t *
+entry_new (job_part_t *part, job_request_t *request)
+{
+  const settings_t *settings = daemon_settings (part->base.daemon);
+  entry_t *entry = g_new0 (entry_t, 1);
+
+  atomic_init (&entry->refs, 1);
+  entry->part = part;
+  entry->key = g_strdup (request->key);
+  entry->home = g_strdup (request->home != NULL ? request->home
+                                                : part_job_home_of (&part->base, request->key));
+  entry->digest = request->digest;
+  entry->request = job_request_ref (request);
+  entry->kind = g_strdup (request->kind);
+  entry->begun_at_ms = daemon_now_ms (part->base.daemon);
+  entry->deadline_at_ms = clock_wall_to_boot_ms (request->deadline_at_ms);
+  entry->forget_at_ms = clock_wall_to_boot_ms (request->issued_at_ms + settings->key_window_ms);
+  entry->waiters = g_ptr_array_new ();
+  entry->remotes = g_ptr_array_new_with_free_func (remote_waiter_free);
+  entry->held = g_ptr_array_new ();
+  g_hash_table_replace (part->entries, entry->key, entry);
+  g_hash_table_add (part->live, entry);
+  return entry;
+}
+
+entry_t *
+entry_ref (entry_t *entry)
+{
+  atomic_fetch_add (&entry->refs, 1);
+  return entry;
+}
+
+void
+entry_unref (entry_t *entry)
+{
+  if (atomic_fetch_sub (&entry->refs, 1) > 1)
+    return;
+  job_free (entry->job);
+  job_request_unref (entry->request);
+  job_answer_unref (entry->answer);
+  g_free (entry->runs);
+  g_ptr_array_unref (entry->waiters);
+  g_ptr_array_unref (entry->remotes);
+  g_ptr_array_unref (entry->held);
+  g_free (entry->key);
+  g_free (entry->home);
+  g_free (entry->plan);
+  g_free (entry->kind);
+  g_free (entry->claimant);
+  g_free (entry->pending_message);
+  g_free (entry);
+}
+
+static int64_t
+answer_bytes (const job_answer_t *answer)
+{
+  return (int64_t) g_bytes_get_size (answer->body) + ENTRY_BYTES;
+}
+
+static void
+drop_answer (job_part_t *part, entry_t *entry)
+{
+  part->kept_bytes -= answer_bytes (entry->answer);
+  g_clear_pointer (&entry->answer, job_answer_unref);
+}
+
+static void
+keep_answer (job_part_t *part, entry_t *entry)
+{
+  int64_t max_bytes = daemon_settings (part->base.daemon)->kept_answers_bytes;
+
+  g_queue_push_tail (&part->kept, entry_ref (entry));
+  part->kept_bytes += answer_bytes (entry->answer);
+  while (part->kept_bytes > max_bytes)
+    {
+      entry_t *oldest = g_queue_pop_head (&part->kept);
+      if (oldest == NULL)
+        break;
+      if (oldest->answer != NULL)
+        drop_answer (part, oldest);
+      entry_unref (oldest);
+    }
+}
+
+static void
+count_end (entry_t *entry, const job_answer_t *answer)
+{
+  job_part_t *part = entry->part;
+  int64_t now_ms = daemon_now_ms (part->base.daemon);
+  char *labels = g_strdup_printf ("kind=\"%s\"", error_name (answer->error));
+
+  counter_add (counter_get ("jaytrail_jobs_total", labels), 1);
+  g_free (labels);
+  /* A host that only waits for another's answer leaves the counting to it. */
+  if (entry->plan != NULL && entry->claimant == NULL && entry->request != NULL)
+    part_burn_record (part->parts.burn, entry->plan, entry->kind, answer->error,
+                      now_ms - entry->begun_at_ms, (int32_t) entry->request->task_count, now_ms);
+}
+
+void
+entry_end (entry_t *entry, job_answer_t *answer, bool keep)
+{
+  job_part_t *part = entry->part;
+
+  if (entry->state == ENTRY_ENDED)
+    {
+      job_answer_unref (answer);
+      return;
+    }
+  count_end (entry, answer);
+  entry->state = ENTRY_ENDED;
+  entry->answer = answer;
+  g_hash_table_remove (part->live, entry);
+  for (guint i = 0; i < entry->waiters->len; i++)
+    waiter_give (entry->waiters->pdata[i], job_answer_ref (answer));
+  g_ptr_array_set_size (entry->waiters, 0);
+  for (guint i = 0; i < entry->remotes->len; i++)
+    {
+      const remote_waiter_t *remote = entry->remotes->pdata[i];
+      job_peer_answer (entry, remote->host, remote->request_id);
+    }
+  g_ptr_array_set_size (entry->remotes, 0);
+  if (entry->request_id != 0)
+    g_hash_table_remove (part->requests, &entry->request_id);
+  g_clear_pointer (&entry->request, job_request_unref);
+  if (keep)
+    keep_answer (part, entry);
+  else if (g_hash_table_lookup (part->entries, entry->key) == entry)
+    g_hash_table_remove (part->entries, entry->key);
+}
+
+job_answer_t *
+entry_answer (entry_t *entry)
+{
+  if (entry->answer != NULL)
+    return job_answer_ref (entry->answer);
+  return job_answer_error (ERROR_ANSWER_GONE, false, 0, NULL);
+}
+
+void
+entries_forget (job_part_t *part, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  if (now_ms < part->forget_next_at_ms)
+    return;
+  part->forget_next_at_ms = now_ms + FORGET_EVERY_MS;
+  g_hash_table_iter_init (&iter, part->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      entry_t *entry = value;
+      if (entry->state != ENTRY_ENDED || now_ms < entry->forget_at_ms)
+        continue;
+      if (entry->answer != NULL)
+        drop_answer (part, entry);
+      if (g_queue_remove (&part->kept, entry))
+        entry_unref (entry);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+/* --- waiters --- */
+
+waiter_t *
+waiter_new (void)
+{
+  waiter_t *waiter = g_new0 (waiter_t, 1);
+
+  atomic_init (&waiter->refs, 2);
+  g_mutex_init (&waiter->lock);
+  g_cond_init (&waiter->done);
+  return waiter;
+}
+
+void
+waiter_unref (waiter_t *waiter)
+{
+  if (atomic_fetch_sub (&waiter->refs, 1) > 1)
+    return;
+  job_answer_unref (waiter->answer);
+  g_mutex_clear (&waiter->lock);
+  g_cond_clear (&waiter->done);
+  g_free (waiter);
+}
+
+void
+waiter_give (waiter_t *waiter, job_answer_t *answer)
+{
+  g_mutex_lock (&waiter->lock);
+  waiter->answer = answer;
+  g_cond_signal (&waiter->done);
+  g_mutex_unlock (&waiter->lock);
+  waiter_unref (waiter);
+}
+
+job_answer_t *
+waiter_take (waiter_t *waiter, int64_t until_ms)
+{
+  gint64 end_us = g_get_monotonic_time () + MAX (until_ms - clock_boot_ms (), 0) * 1000;
+  bool on_time = true;
+
+  g_mutex_lock (&waiter->lock);
+  while (waiter->answer == NULL && on_time)
+    on_time = g_cond_wait_until (&waiter->done, &waiter->lock, end_us);
+  job_answer_t *answer = waiter->answer != NULL
+                             ? job_answer_ref (waiter->answer)
+                             : job_answer_error (ERROR_DEADLINE_PASSED, false, 0, NULL);
+  g_mutex_unlock (&waiter->lock);
+  waiter_unref (waiter);
+  return answer;
+}
--- a/daemon/part.h
+++ b/daemon/part.h
@@ -53,7 +53,8 @@
   daemon_t *daemon;
 };
 
-/* Adds PART, before the daemon runs.  The daemon does not own it. */
+/* Adds PART, before the daemon runs; a part that was added is a no-op.  The
+ * daemon does not own it. */
 void daemon_add_part (daemon_t *daemon, part_t *part);
 
 /* This host, from the settings; constant strings for the process's life. */
--- a/daemon/part_dispatch.h
+++ b/daemon/part_dispatch.h
@@ -23,11 +23,13 @@
 
 typedef enum
 {
-  DISPATCH_DONE,       /* a whole 2xx or 4xx */
-  DISPATCH_FAILED,     /* a whole 5xx */
-  DISPATCH_TIMEOUT,    /* no whole answer in time */
-  DISPATCH_CUT,        /* the connection broke after the request was written */
-  DISPATCH_NOT_STARTED /* no connection: nothing was written */
+  DISPATCH_DONE,        /* a whole 2xx or 4xx */
+  DISPATCH_FAILED,      /* a whole 5xx */
+  DISPATCH_TIMEOUT,     /* no whole answer in time */
+  DISPATCH_CUT,         /* the connection broke after the request was written */
+  DISPATCH_NOT_STARTED, /* no connection: nothing was written */
+  DISPATCH_ABANDONED    /* nothing was written and nothing will be: ends the ticket, says
+                         * nothing about the endpoint */
 } dispatch_outcome_t;
 
 /* Says whether COUNT tasks like TASK are likely to finish in time.  Returns 0,
--- /dev/null
+++ b/daemon/version.h
@@ -0,0 +1,7 @@
+/* version.h -- the version of both programs */
+#ifndef DAEMON_VERSION_H
+#define DAEMON_VERSION_H
+
+#define JAYTRAIL_VERSION "0.1.0"
+
+#endif
