--- a/standins/fake_endpoint.c
+++ b/standins/fake_endpoint.c
@@ -269,7 +269,8 @@
   json_object_put (answer);
 }
 
-/* Members that are absent keep their value; {"reset":true} ends all faults. */
+/* Members that are absent keep their value; {"reset":true} ends all faults, and
+ * {"forget":true} empties the list of starts and the totals. */
 static void
 handle_fault (standin_request_t *request)
 {
@@ -281,7 +282,9 @@
       return;
     }
   bool reset = false;
+  bool forget = false;
   standin_get_bool (fault, "reset", &reset);
+  standin_get_bool (fault, "forget", &forget);
   g_mutex_lock (&endpoint.mutex);
   if (reset)
     {
@@ -291,6 +294,12 @@
       endpoint.speed_percent = 100;
       endpoint.resets++;
     }
+  if (forget)
+    {
+      g_ptr_array_set_size (endpoint.starts, 0);
+      endpoint.max_running = endpoint.running;
+      endpoint.over_slots = 0;
+    }
   standin_get_bool (fault, "freeze", &endpoint.freeze);
   standin_get_bool (fault, "fail_all", &endpoint.fail_all);
   standin_get_bool (fault, "drop", &endpoint.drop);
