--- a/lib/config/fold.c
+++ b/lib/config/fold.c
@@ -193,6 +193,12 @@
   return found != NULL;
 }
 
+bool
+config_fold_is_stale (const config_fold_t *fold, const config_edit_t *edit)
+{
+  return last_change (fold, edit->kind, edit->name) > edit->base;
+}
+
 /* A base at or after the record's own offset was not read by its author. */
 static bool
 edits_win (const config_fold_t *fold, const config_edits_t *edits, int64_t offset)
@@ -200,7 +206,7 @@
   for (guint i = 0; i < edits->edits->len; i++)
     {
       const config_edit_t *edit = &g_array_index (edits->edits, config_edit_t, i);
-      if (edit->base >= offset || last_change (fold, edit->kind, edit->name) > edit->base)
+      if (edit->base >= offset || config_fold_is_stale (fold, edit))
         return false;
     }
   return true;
--- a/lib/config/fold.h
+++ b/lib/config/fold.h
@@ -91,6 +91,9 @@
 /* The base that an edit of this entry must name to win now. */
 int64_t config_fold_base (const config_fold_t *fold, config_kind_t kind, const char *name);
 
+/* True if the entry of EDIT has changed after the edit's base. */
+bool config_fold_is_stale (const config_fold_t *fold, const config_edit_t *edit);
+
 /* How many records had RESULT. */
 int64_t config_fold_count (const config_fold_t *fold, config_fold_result_t result);
 
