--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -164,7 +164,7 @@
 [ "$first" -eq 20 ] && [ "$second" -eq 20 ] || fail "each task should have started once"
 
 echo "status of a1:"
-"$bin/jaytrail" status --host "127.0.0.1:$admin_1" || fail "no status"
+"$bin/jaytrail" status --admin "127.0.0.1:$admin_1" || fail "no status"
 
 echo "stop:"
 for pid in "$host_1" "$host_2"; do
