Dispatch decisions and the policy bench

Cause: one queue in the order of arrival lets one plan delay all others, sends most of the work to an endpoint that fails everything, and collapses when callers retry.

What is here: lib/dispatch (per plan a queue by deadline, between plans start-time fair queueing by service time, refusal at the door by the backlog of latest starts, choice by measured times, ejection by a sequential test), and `make bench-policy`, which runs that code against an oracle and naive policies in simulated time. 50 endpoints x 8 slots, 30 s, seeds 11..53 in bench/policy.c.

--- /dev/null
+++ b/bench/policy.c
@@ -0,0 +1,432 @@
+/* policy.c -- measures the dispatch policy against an oracle and naive policies
+ *
+ *   policy [--csv DIRECTORY] [--variants]
+ *
+ * Prints tables; the same seeds give the same figures on every run, but for the
+ * last table, which is measured time.  With --variants the options of the
+ * policy are compared as well.
+ */
+#include "bench/policy/policies.h"
+
+#include "base/clock.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define END_US 30000000
+#define PLAN_FIRST 0
+
+static const world_case_t cases[] = {
+  { .name = "steady", .load = 0.6, .second_part = 0.3, .slowest = 1.5, .seed = 11 },
+  { .name = "bursts",
+    .load = 0.5,
+    .second_part = 0.3,
+    .slowest = 1.5,
+    .burst = 4,
+    .burst_s = 4,
+    .seed = 12 },
+  { .name = "diurnal",
+    .load = 0.6,
+    .second_part = 0.3,
+    .slowest = 1.5,
+    .burst = 1.6,
+    .burst_s = 15,
+    .seed = 13 },
+  { .name = "heavy tail",
+    .load = 0.5,
+    .second_part = 0.3,
+    .slowest = 1.5,
+    .tail = 1.5,
+    .seed = 14 },
+  { .name = "speeds 10x", .load = 0.6, .second_part = 0.3, .slowest = 10, .seed = 15 },
+  { .name = "speeds 10x, busy", .load = 0.85, .second_part = 0.3, .slowest = 10, .seed = 16 },
+  { .name = "stragglers",
+    .load = 0.4,
+    .second_part = 0.3,
+    .slowest = 2,
+    .straggle = 0.01,
+    .seed = 17 },
+  { .name = "one fails all",
+    .load = 0.6,
+    .second_part = 0.3,
+    .slowest = 2,
+    .fault = FAULT_FAILS,
+    .faulty = 1,
+    .seed = 18 },
+  { .name = "one is mute",
+    .load = 0.6,
+    .second_part = 0.3,
+    .slowest = 2,
+    .fault = FAULT_MUTE,
+    .faulty = 1,
+    .seed = 19 },
+  { .name = "rack lost",
+    .load = 0.6,
+    .second_part = 0.3,
+    .slowest = 2,
+    .fault = FAULT_REFUSES,
+    .faulty = WORLD_RACK_SIZE,
+    .seed = 20 },
+  { .name = "rack mute",
+    .load = 0.6,
+    .second_part = 0.3,
+    .slowest = 2,
+    .fault = FAULT_MUTE,
+    .faulty = WORLD_RACK_SIZE,
+    .seed = 21 },
+  { .name = "half fails all",
+    .load = 0.4,
+    .second_part = 0.3,
+    .slowest = 2,
+    .fault = FAULT_FAILS,
+    .faulty = 25,
+    .seed = 22 },
+  { .name = "half lost",
+    .load = 0.4,
+    .second_part = 0.3,
+    .slowest = 2,
+    .fault = FAULT_REFUSES,
+    .faulty = 25,
+    .seed = 23 },
+};
+
+static const world_case_t fair_alone = { .name = "light plan alone",
+                                         .load = 2.02,
+                                         .second_part = 100.0 / 101,
+                                         .slowest = 2,
+                                         .only_first = true,
+                                         .seed = 31 };
+static const world_case_t fair_crowd = { .name = "beside one at 100x",
+                                         .load = 2.02,
+                                         .second_part = 100.0 / 101,
+                                         .slowest = 2,
+                                         .seed = 31 };
+static const world_case_t full_load = { .name = "load 1",
+                                        .load = 1.0,
+                                        .second_part = 0.3,
+                                        .slowest = 2,
+                                        .retries = true,
+                                        .seed = 41 };
+static const world_case_t over_load = { .name = "load 3, retries",
+                                        .load = 3.0,
+                                        .second_part = 0.3,
+                                        .slowest = 2,
+                                        .retries = true,
+                                        .seed = 41 };
+static const world_case_t host_cases[] = {
+  { .name = "steady", .load = 0.5, .second_part = 0.3, .slowest = 2, .seed = 51 },
+  { .name = "bursts",
+    .load = 0.5,
+    .second_part = 0.3,
+    .slowest = 2,
+    .burst = 4,
+    .burst_s = 4,
+    .seed = 52 },
+  { .name = "busy", .load = 0.8, .second_part = 0.3, .slowest = 2, .seed = 53 },
+};
+
+static const dispatch_options_t defaults = DISPATCH_OPTIONS_DEFAULT;
+
+/* Quantiles of the response over the ideal. */
+typedef struct
+{
+  double median;
+  double p99;
+  double worst;
+  double done; /* part of the jobs that were completed in time */
+} ratios_t;
+
+static int
+compare_doubles (const void *a, const void *b)
+{
+  double x = *(const double *) a;
+  double y = *(const double *) b;
+
+  return (x > y) - (x < y);
+}
+
+static double
+quantile (const GArray *sorted, double q)
+{
+  if (sorted->len == 0)
+    return NAN;
+  return g_array_index (sorted, double, (guint) (q * (sorted->len - 1)));
+}
+
+static ratios_t
+compare_to (const world_t *world, const sim_result_t *result)
+{
+  GArray *ratios = g_array_new (FALSE, FALSE, sizeof (double));
+
+  for (guint job = 0; job < world->jobs->len; job++)
+    {
+      double ratio = result->response_ms[job] / world_ideal_ms (world, (int32_t) job);
+      if (!isnan (ratio))
+        g_array_append_val (ratios, ratio);
+    }
+  g_array_sort (ratios, compare_doubles);
+  ratios_t row = { quantile (ratios, 0.5), quantile (ratios, 0.99), quantile (ratios, 1.0),
+                   (double) result->good / world->jobs->len };
+  g_array_unref (ratios);
+  return row;
+}
+
+static double
+wasted_per_task (const world_t *world, const sim_result_t *result)
+{
+  int64_t wasted = result->messages + 2 * result->wasted_connects;
+
+  return (double) wasted / world->tasks->len;
+}
+
+static void
+print_row (FILE *csv,
+           const char *workload,
+           const char *policy,
+           const world_t *world,
+           const sim_result_t *result)
+{
+  ratios_t row = compare_to (world, result);
+  double wasted = wasted_per_task (world, result);
+
+  printf ("%-18s %-22s %7.2f %7.2f %8.1f %7.2f%% %8" G_GINT64_FORMAT " %7.3f\n", workload, policy,
+          row.median, row.p99, row.worst, 100 * row.done, result->failed_starts, wasted);
+  if (csv != NULL)
+    fprintf (csv, "%s,%s,%.4f,%.4f,%.4f,%.6f,%" G_GINT64_FORMAT ",%.4f\n", workload, policy,
+             row.median, row.p99, row.worst, row.done, result->failed_starts, wasted);
+}
+
+static void
+print_head (const char *title)
+{
+  printf ("\n%s\n%-18s %-22s %7s %7s %8s %8s %8s %7s\n", title, "workload", "policy", "median",
+          "p99", "worst", "in time", "failed", "wasted");
+}
+
+static FILE *
+open_csv (const char *directory, const char *name)
+{
+  if (directory == NULL)
+    return NULL;
+  char *path = g_build_filename (directory, name, NULL);
+  FILE *csv = fopen (path, "w");
+  g_free (path);
+  if (csv != NULL)
+    fputs ("workload,policy,median,p99,worst,in_time,failed,wasted\n", csv);
+  return csv;
+}
+
+static void
+run_one (FILE *csv, const world_t *world, const char *name, policy_t *policy)
+{
+  sim_result_t *result = sim_run (world, policy);
+
+  print_row (csv, world->row->name, name, world, result);
+  sim_result_free (result);
+}
+
+static const struct
+{
+  const char *name;
+  int32_t sample; /* -1 keeps the default */
+  bool no_wait;
+} variants[] = {
+  { "sample 1", 1, false },       { "sample 2", 2, false },
+  { "sample 3", 3, false },       { "sample 3, no waiting", 3, true },
+  { "all, no waiting", 0, true },
+};
+
+static void
+run_variants (FILE *csv, const world_t *world)
+{
+  for (size_t v = 0; v < G_N_ELEMENTS (variants); v++)
+    {
+      dispatch_options_t options = defaults;
+      options.sample = variants[v].sample;
+      options.wait_for_faster = !variants[v].no_wait;
+      run_one (csv, world, variants[v].name, policy_jaytrail (world, &options, 1, HOSTS_ONE));
+    }
+}
+
+static void
+run_workloads (const char *directory, bool with_variants)
+{
+  FILE *csv = open_csv (directory, "policy.csv");
+
+  print_head ("One entry host: response over the ideal, per job");
+  for (size_t c = 0; c < G_N_ELEMENTS (cases); c++)
+    {
+      world_t *world = world_new (&cases[c], END_US, 1);
+      run_one (csv, world, "oracle", policy_oracle (world));
+      run_one (csv, world, "jaytrail", policy_jaytrail (world, &defaults, 1, HOSTS_ONE));
+      if (with_variants)
+        run_variants (csv, world);
+      run_one (csv, world, "least in flight", policy_naive (world, NAIVE_LEAST_IN_FLIGHT));
+      run_one (csv, world, "round robin", policy_naive (world, NAIVE_ROUND_ROBIN));
+      run_one (csv, world, "random", policy_naive (world, NAIVE_RANDOM));
+      world_free (world);
+    }
+  if (csv != NULL)
+    fclose (csv);
+}
+
+static const struct
+{
+  const char *name;
+  hosts_mode_t mode;
+} modes[] = {
+  { "all through one", HOSTS_ONE },     { "fixed parts", HOSTS_LOCAL },
+  { "shares by report", HOSTS_SHARES }, { "shares, ask per job", HOSTS_ASK },
+  { "ask two peers", HOSTS_PEERS },
+};
+
+static void
+run_hosts (const char *directory)
+{
+  FILE *csv = open_csv (directory, "policy-hosts.csv");
+
+  print_head ("Three entry hosts, 70% of the jobs at one of them");
+  for (size_t c = 0; c < G_N_ELEMENTS (host_cases); c++)
+    {
+      world_t *world = world_new (&host_cases[c], END_US, 3);
+      run_one (csv, world, "oracle", policy_oracle (world));
+      for (size_t m = 0; m < G_N_ELEMENTS (modes); m++)
+        run_one (csv, world, modes[m].name, policy_jaytrail (world, &defaults, 3, modes[m].mode));
+      world_free (world);
+    }
+  if (csv != NULL)
+    fclose (csv);
+}
+
+static void
+plan_responses (const world_t *world, const sim_result_t *result, double *median, double *p99)
+{
+  GArray *times = g_array_new (FALSE, FALSE, sizeof (double));
+
+  for (guint job = 0; job < world->jobs->len; job++)
+    if (g_array_index (world->jobs, world_job_t, job).plan == PLAN_FIRST
+        && !isnan (result->response_ms[job]))
+      g_array_append_val (times, result->response_ms[job]);
+  g_array_sort (times, compare_doubles);
+  *median = quantile (times, 0.5);
+  *p99 = quantile (times, 0.99);
+  g_array_unref (times);
+}
+
+static void
+run_fairness (void)
+{
+  const world_case_t *rows[] = { &fair_alone, &fair_crowd };
+
+  printf ("\nA light plan beside one at 100 times its load (seed %u)\n%-20s %-18s %9s %9s\n",
+          fair_alone.seed, "workload", "policy", "median ms", "p99 ms");
+  for (size_t c = 0; c < G_N_ELEMENTS (rows); c++)
+    for (int naive = 0; naive < 2; naive++)
+      {
+        world_t *world = world_new (rows[c], END_US, 1);
+        sim_result_t *result =
+            sim_run (world, naive ? policy_naive (world, NAIVE_LEAST_IN_FLIGHT)
+                                  : policy_jaytrail (world, &defaults, 1, HOSTS_ONE));
+        double median = 0;
+        double p99 = 0;
+        plan_responses (world, result, &median, &p99);
+        printf ("%-20s %-18s %9.1f %9.1f\n", rows[c]->name, naive ? "least in flight" : "jaytrail",
+                median, p99);
+        sim_result_free (result);
+        world_free (world);
+      }
+}
+
+static void
+run_overload (void)
+{
+  const world_case_t *rows[] = { &full_load, &over_load };
+
+  printf ("\nGoodput under retrying callers (seed %u)\n%-18s %-18s %10s %12s %9s %9s %9s\n",
+          full_load.seed, "workload", "policy", "tasks/s", "work ms/ms", "late", "refused",
+          "failed");
+  for (size_t c = 0; c < G_N_ELEMENTS (rows); c++)
+    for (int naive = 0; naive < 2; naive++)
+      {
+        world_t *world = world_new (rows[c], END_US, 1);
+        sim_result_t *result =
+            sim_run (world, naive ? policy_naive (world, NAIVE_LEAST_IN_FLIGHT)
+                                  : policy_jaytrail (world, &defaults, 1, HOSTS_ONE));
+        printf ("%-18s %-18s %10.1f %12.2f %9" G_GINT64_FORMAT " %9" G_GINT64_FORMAT
+                " %9" G_GINT64_FORMAT "\n",
+                rows[c]->name, naive ? "least in flight" : "jaytrail",
+                (double) result->good_tasks * 1e6 / END_US,
+                result->good_work_ms * SIM_US_PER_MS / END_US, result->late, result->refused,
+                result->failed_starts);
+        sim_result_free (result);
+        world_free (world);
+      }
+}
+
+/* The failing endpoint's share after its first 50 failures. */
+static void
+run_black_hole (void)
+{
+  const world_case_t *row = &cases[7];
+  world_t *world = world_new (row, END_US, 1);
+  sim_result_t *result = sim_run (world, policy_jaytrail (world, &defaults, 1, HOSTS_ONE));
+  int64_t beyond = MAX (result->endpoint_failed[0] - 50, 0);
+
+  printf ("\nAn endpoint that fails everything: %" G_GINT64_FORMAT
+          " of its tasks failed, %" G_GINT64_FORMAT " beyond the first 50, of %" G_GINT64_FORMAT
+          " tasks (%.3f%%)\n",
+          result->endpoint_failed[0], beyond, result->starts,
+          100.0 * (double) beyond / (double) result->starts);
+  sim_result_free (result);
+  world_free (world);
+}
+
+static void
+run_cost (void)
+{
+  world_t *world = world_new (&cases[5], END_US, 1);
+  int64_t before_us = clock_boot_us ();
+  sim_result_t *result = sim_run (world, policy_naive (world, NAIVE_ROUND_ROBIN));
+  int64_t naive_us = clock_boot_us () - before_us;
+  int64_t naive_starts = result->starts;
+
+  sim_result_free (result);
+  before_us = clock_boot_us ();
+  result = sim_run (world, policy_jaytrail (world, &defaults, 1, HOSTS_ONE));
+  int64_t own_us = clock_boot_us () - before_us;
+  printf ("\nMeasured time of one run, simulator included: round robin %.0f ns, jaytrail %.0f ns a "
+          "start\n",
+          1e3 * (double) naive_us / (double) naive_starts,
+          1e3 * (double) own_us / (double) result->starts);
+  sim_result_free (result);
+  world_free (world);
+}
+
+int
+main (int argc, char **argv)
+{
+  const char *directory = NULL;
+  bool with_variants = false;
+
+  for (int i = 1; i < argc; i++)
+    {
+      if (strcmp (argv[i], "--variants") == 0)
+        with_variants = true;
+      else if (strcmp (argv[i], "--csv") == 0 && i + 1 < argc)
+        directory = argv[++i];
+      else
+        {
+          fputs ("usage: policy [--csv DIRECTORY] [--variants]\n", stderr);
+          return 2;
+        }
+    }
+  run_workloads (directory, with_variants);
+  run_hosts (directory);
+  run_fairness ();
+  run_overload ();
+  run_black_hole ();
+  run_cost ();
+  return 0;
+}
--- /dev/null
+++ b/lib/dispatch/admit.c
@@ -0,0 +1,91 @@
+/* admit.c -- refusal at the door: would a job end in time if it joined now? */
+#include "dispatch/state.h"
+
+#include "base/error.h"
+
+#include <math.h>
+
+/* Bounds the memory of the queues. */
+#define QUEUED_MAX 100000
+/* Time to come back when the queues themselves are full. */
+#define FULL_RETRY_MS 1000
+/* Deviations of the service time that a job must have to spare. */
+#define MARGIN_DEVIATIONS 1.0
+
+/* Slots that PLAN's limit on running tasks, or on starts, lets it use. */
+static double
+slots_by_limits (dispatch_t *dispatch, const plan_t *plan, double task_ms, int64_t now_ms)
+{
+  const char *name = fair_plan_name (plan->queue);
+  int32_t left = dispatch->limits->ops->left (dispatch->limits, DISPATCH_RUNNING, name, now_ms);
+  double slots = left == INT32_MAX ? INFINITY : (double) left + plan->running;
+
+  if (plan->starts_per_s > 0)
+    slots = fmin (slots, plan->starts_per_s * task_ms / 1000);
+  return slots;
+}
+
+/* Slots that PLAN gets of the fleet while the other plans use theirs. */
+static double
+slots_by_share (const dispatch_t *dispatch, const plan_t *plan)
+{
+  double slots = dispatch->alone ? dispatch->held_slots : dispatch->listed_slots;
+  double weight = fair_plan_weight (plan->queue);
+  double all = (double) fair_active_weight (dispatch->fair);
+
+  if (fair_plan_queued (plan->queue) == 0)
+    all += weight;
+  return slots * weight / fmax (all, weight);
+}
+
+int64_t
+start_by_ms (const kind_t *kind, int64_t deadline_at_ms, int64_t now_ms)
+{
+  if (!timing_is_fresh (&kind->all, now_ms))
+    return deadline_at_ms;
+  return deadline_at_ms
+         - (int64_t) (kind->all.mean_ms + MARGIN_DEVIATIONS * kind->all.deviation_ms);
+}
+
+static int
+verdict_error (backlog_verdict_t verdict, bool by_limits)
+{
+  if (verdict == BACKLOG_FITS)
+    return 0;
+  if (verdict == BACKLOG_TOO_SHORT && !by_limits)
+    return ERROR_DEADLINE_UNREACHABLE;
+  return by_limits ? ERROR_PLAN_LIMIT : ERROR_OVERLOADED;
+}
+
+int
+dispatch_admit (dispatch_t *dispatch,
+                const dispatch_task_t *task,
+                int32_t count,
+                int64_t now_ms,
+                int64_t *retry_at_ms)
+{
+  plan_t *plan = plan_get (dispatch, task->plan);
+  kind_t *kind = kind_get (dispatch, task->kind);
+  int32_t units = least_units (dispatch, task->cores, task->memory_mb);
+  backlog_job_t job = { .count = count, .units = units };
+
+  *retry_at_ms = now_ms + FULL_RETRY_MS;
+  if (dispatch->listed_slots > 0 && units == 0)
+    return ERROR_NEVER_FITS;
+  if (task->deadline_at_ms <= now_ms)
+    return ERROR_DEADLINE_UNREACHABLE;
+  if (fair_queued (dispatch->fair) + (uint32_t) count > QUEUED_MAX)
+    return ERROR_OVERLOADED;
+  if (!dispatch->options.refuse)
+    return 0;
+  refresh_slots (dispatch, now_ms);
+  job.task_ms = timing_is_fresh (&kind->all, now_ms) ? kind->all.mean_ms : 0;
+  job.start_by_ms = start_by_ms (kind, task->deadline_at_ms, now_ms);
+  double by_share = slots_by_share (dispatch, plan);
+  double by_limits = slots_by_limits (dispatch, plan, job.task_ms, now_ms);
+  job.slots = fmax (1.0, fmin (by_share, by_limits));
+  job.free_slots = fmin (dispatch->free_slots, fmax (0, by_limits - plan->running));
+  backlog_advance (&plan->backlog, now_ms);
+  return verdict_error (backlog_judge (&plan->backlog, &job, now_ms, retry_at_ms),
+                        by_limits < by_share);
+}
