End an endpoint's answer at its deadline, probe kept connections

Cause: CivetWeb's client reads a body without a timeout, so an endpoint that sent its head and then stopped held a traffic thread for ever; and it does not tell its socket, so a kept connection that the endpoint had closed could not be told from a live one, and the request on it counted as started.

Ruled out: `request_timeout_ms` (cannot be set on a client's context); mg_get_response () with a short timeout as a probe (a timeout and an end of file look alike); keeping connections for 400 ms only (a connect a task at low load, and still a window).

Before: tests/test_http hung at the case "hanging body". After: 61 assertions pass; the socket is found by its peer address and shut down at the deadline by a watchdog thread; poll () tells whether a kept connection is idle.

Conclusion: one connect at a time for each address, which also bounds the threads that an address can hold that does not answer.

--- a/daemon/endpoints.c
+++ b/daemon/endpoints.c
@@ -1,10 +1,9 @@
 /* endpoints.c -- calls to endpoints on traffic threads
  *
- * A connection is kept for reuse after a whole answer, for a short time only:
- * a request that meets a connection which the endpoint is just closing counts
- * as started.  When a call on any connection to an endpoint fails, its idle
- * connections are dropped as well, since they probably lead to a process that
- * is gone.  HTTP is read without pipelining, so what arrives on a connection
+ * A connection is kept for reuse after a whole answer and is probed before it
+ * is used again: a request that meets a closed connection counts as started.  When a call on any
+ * connection to an endpoint fails, its idle connections are dropped as well, since they probably
+ * lead to a process that is gone.  HTTP is read without pipelining, so what arrives on a connection
  * belongs to its one call.
  *
  * A call's fate is decided once, by an atomic exchange: by its thread when the
@@ -22,8 +21,9 @@
 #include <string.h>
 
 #define PART "endpoint"
-/* Shorter than the keep-alive time of common servers. */
-#define IDLE_MAX_MS 400
+/* A kept connection is probed before each use, so this only bounds how many
+ * are open; the probe cannot see a close that is still on its way. */
+#define IDLE_MAX_MS 5000
 #define ECHO_HEADER "X-Task-Id"
 #define STATUS_OK_FIRST 200
 #define STATUS_OK_LAST 299
@@ -99,28 +99,28 @@
 }
 
 static http_connection_t *
-take_idle (endpoints_t *endpoints, const char *address)
+pop_idle (endpoints_t *endpoints, const char *address)
 {
   http_connection_t *connection = NULL;
-  GQueue stale = G_QUEUE_INIT;
 
   g_mutex_lock (&endpoints->lock);
   GQueue *queue = g_hash_table_lookup (endpoints->idle, address);
   idle_t *idle = queue != NULL ? g_queue_pop_head (queue) : NULL;
-  if (idle != NULL && clock_boot_ms () < idle->idle_until_ms)
-    {
-      connection = idle->connection;
-      g_free (idle);
-    }
-  else if (idle != NULL)
-    {
-      /* The newest has expired, so all have. */
-      g_queue_push_tail (&stale, idle);
-      while ((idle = g_queue_pop_head (queue)) != NULL)
-        g_queue_push_tail (&stale, idle);
-    }
   g_mutex_unlock (&endpoints->lock);
-  g_queue_clear_full (&stale, idle_free);
+  if (idle != NULL)
+    connection = idle->connection;
+  g_free (idle);
+  return connection;
+}
+
+/* A kept connection that the endpoint has not closed, or NULL. */
+static http_connection_t *
+take_idle (endpoints_t *endpoints, const char *address)
+{
+  http_connection_t *connection = NULL;
+
+  while ((connection = pop_idle (endpoints, address)) != NULL && !http_is_idle (connection))
+    http_close (connection);
   return connection;
 }
 
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -3,20 +3,60 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "http/watchdog.h"
 #include "settings/settings.h"
 
 #include <civetweb.h>
+#include <poll.h>
 #include <string.h>
 
 #define READ_CHUNK_BYTES 65536
 #define ERROR_TEXT_BYTES 128
 
+/* How long a connect waits for another one to the same address. */
+#define CONNECT_WAIT_MS 1000
+#define US_PER_MS 1000
+
 struct http_connection_t
 {
   struct mg_connection *connection;
   char *host;
+  int fd; /* CivetWeb's socket, or -1 if it was not found */
 };
 
+/* Addresses to which a thread connects just now: one at a time for each, so
+ * that the new socket can be told from the others; this also keeps an address
+ * that does not answer from taking more than one thread for long. */
+static GMutex connect_lock;
+static GCond connect_done;
+static GHashTable *connecting;
+
+static bool
+enter_connect (const char *address)
+{
+  gint64 end_us = g_get_monotonic_time () + CONNECT_WAIT_MS * US_PER_MS;
+  bool on_time = true;
+
+  g_mutex_lock (&connect_lock);
+  if (connecting == NULL)
+    connecting = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  while (g_hash_table_contains (connecting, address) && on_time)
+    on_time = g_cond_wait_until (&connect_done, &connect_lock, end_us);
+  if (on_time)
+    g_hash_table_add (connecting, g_strdup (address));
+  g_mutex_unlock (&connect_lock);
+  return on_time;
+}
+
+static void
+leave_connect (const char *address)
+{
+  g_mutex_lock (&connect_lock);
+  g_hash_table_remove (connecting, address);
+  g_cond_broadcast (&connect_done);
+  g_mutex_unlock (&connect_lock);
+}
+
 int
 http_connect (const char *address, http_connection_t **out)
 {
@@ -26,21 +66,38 @@
 
   if (settings_split_address (address, &ip, &port) != 0)
     return ERROR_NOT_CONNECTED;
+  if (!enter_connect (address))
+    {
+      g_free (ip);
+      return ERROR_NOT_CONNECTED;
+    }
   struct mg_connection *connection = mg_connect_client (ip, port, 0, error, sizeof error);
+  int fd = connection != NULL ? watchdog_claim_socket (address) : -1;
+  leave_connect (address);
   g_free (ip);
   if (connection == NULL)
     return ERROR_NOT_CONNECTED;
   *out = g_new0 (http_connection_t, 1);
   (*out)->connection = connection;
   (*out)->host = g_strdup (address);
+  (*out)->fd = fd;
   return 0;
 }
 
+bool
+http_is_idle (const http_connection_t *connection)
+{
+  struct pollfd socket = { .fd = connection->fd, .events = POLLIN };
+
+  return connection->fd >= 0 && poll (&socket, 1, 0) == 0;
+}
+
 void
 http_close (http_connection_t *connection)
 {
   if (connection == NULL)
     return;
+  watchdog_release_socket (connection->fd);
   mg_close_connection (connection->connection);
   g_free (connection->host);
   g_free (connection);
@@ -112,12 +169,11 @@
   return read_body (connection, call, length, answer->body);
 }
 
-int
-http_exchange (http_connection_t *connection, const http_call_t *call, http_answer_t *answer)
+static int
+exchange (http_connection_t *connection, const http_call_t *call, http_answer_t *answer)
 {
   char error[ERROR_TEXT_BYTES];
 
-  memset (answer, 0, sizeof *answer);
   int result = write_request (connection, call);
   if (result != 0)
     return result;
@@ -127,7 +183,19 @@
   if (mg_get_response (connection->connection, error, sizeof error, (int) MIN (left_ms, INT32_MAX))
       < 0)
     return clock_boot_ms () >= call->deadline_at_ms ? ERROR_TIMEOUT : ERROR_CLOSED;
-  result = read_answer (connection, call, answer);
+  return read_answer (connection, call, answer);
+}
+
+int
+http_exchange (http_connection_t *connection, const http_call_t *call, http_answer_t *answer)
+{
+  watch_t watch = { .fd = connection->fd, .deadline_at_ms = call->deadline_at_ms };
+
+  memset (answer, 0, sizeof *answer);
+  watchdog_add (&watch);
+  int result = exchange (connection, call, answer);
+  if (watchdog_remove (&watch))
+    result = ERROR_TIMEOUT;
   if (result != 0)
     http_answer_clear (answer);
   return result;
--- a/lib/http/client.h
+++ b/lib/http/client.h
@@ -36,6 +36,10 @@
  * Returns 0 and *CONNECTION, or ERROR_NOT_CONNECTED: nothing was written. */
 int http_connect (const char *address, http_connection_t **connection);
 
+/* True if a kept connection is still open and nothing has arrived on it: it may
+ * carry the next request. */
+bool http_is_idle (const http_connection_t *connection);
+
 void http_close (http_connection_t *connection);
 
 /* Sends CALL and reads the whole answer.  Returns 0 and fills ANSWER;
