--- a/lib/http/watchdog.c
+++ b/lib/http/watchdog.c
@@ -99,7 +99,7 @@
 static bool
 is_connected_to (int fd, const char *address)
 {
-  struct sockaddr_storage peer;
+  struct sockaddr_storage peer = { .ss_family = AF_UNSPEC };
   socklen_t size = sizeof peer;
   char ip[INET6_ADDRSTRLEN];
   char text[ADDRESS_BYTES];
