--- /dev/null
+++ b/lib/view/view.c
@@ -0,0 +1,307 @@
+/* view.c -- immutable views, their seats and codec */
+#include "view/view.h"
+
+#include "base/hash.h"
+
+#include <string.h>
+
+member_t *
+member_new (const char *id, uint64_t incarnation, const char *address, const char *data_centre)
+{
+  member_t *member = g_new0 (member_t, 1);
+
+  member->refs = 1;
+  member->incarnation = incarnation;
+  member->id = g_strdup (id);
+  member->address = g_strdup (address);
+  member->data_centre = g_strdup (data_centre);
+  return member;
+}
+
+member_t *
+member_ref (member_t *member)
+{
+  member->refs++;
+  return member;
+}
+
+void
+member_unref (member_t *member)
+{
+  if (member == NULL || --member->refs > 0)
+    return;
+  g_free (member->id);
+  g_free (member->address);
+  g_free (member->data_centre);
+  g_free (member);
+}
+
+bool
+member_equal (const member_t *a, const member_t *b)
+{
+  return a == b || (a->incarnation == b->incarnation && strcmp (a->id, b->id) == 0);
+}
+
+void
+member_put (frame_writer_t *writer, const member_t *member)
+{
+  frame_put_string (writer, member->id);
+  frame_put_uint (writer, member->incarnation);
+  frame_put_string (writer, member->address);
+  frame_put_string (writer, member->data_centre);
+}
+
+member_t *
+member_get (frame_reader_t *reader)
+{
+  g_autofree char *id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  uint64_t incarnation = frame_get_uint (reader);
+  g_autofree char *address = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  g_autofree char *data_centre = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+
+  if (id == NULL || address == NULL || data_centre == NULL)
+    return NULL;
+  return member_new (id, incarnation, address, data_centre);
+}
+
+static view_t *
+view_alloc (const char *data_centre, int64_t number, int64_t change_at_ms, int32_t count)
+{
+  view_t *view = g_malloc0 (sizeof (*view) + sizeof (seat_t) * (size_t) count);
+
+  view->refs = 1;
+  view->count = count;
+  view->number = number;
+  view->change_at_ms = change_at_ms;
+  view->data_centre = g_strdup (data_centre);
+  return view;
+}
+
+static int
+compare_seats (const void *a, const void *b)
+{
+  return strcmp (((const seat_t *) a)->name, ((const seat_t *) b)->name);
+}
+
+view_t *
+view_new (const char *data_centre, int64_t number, int64_t change_at_ms, const GPtrArray *members)
+{
+  int32_t count = (int32_t) MIN (members->len, VIEW_SEATS_MAX);
+  view_t *view = view_alloc (data_centre, number, change_at_ms, count);
+
+  for (int32_t i = 0; i < count; i++)
+    {
+      member_t *member = g_ptr_array_index (members, i);
+      view->seats[i].name = g_strdup (member->id);
+      view->seats[i].occupant = member_ref (member);
+    }
+  qsort (view->seats, (size_t) count, sizeof (seat_t), compare_seats);
+  return view;
+}
+
+view_t *
+view_ref (view_t *view)
+{
+  view->refs++;
+  return view;
+}
+
+void
+view_unref (view_t *view)
+{
+  if (view == NULL || --view->refs > 0)
+    return;
+  for (int32_t i = 0; i < view->count; i++)
+    {
+      g_free (view->seats[i].name);
+      member_unref (view->seats[i].occupant);
+    }
+  g_free (view->data_centre);
+  g_free (view);
+}
+
+static view_t *
+view_copy (const view_t *view)
+{
+  view_t *copy = view_alloc (view->data_centre, view->number, view->change_at_ms, view->count);
+
+  for (int32_t i = 0; i < view->count; i++)
+    {
+      copy->seats[i].name = g_strdup (view->seats[i].name);
+      copy->seats[i].epoch = view->seats[i].epoch;
+      copy->seats[i].occupant = member_ref (view->seats[i].occupant);
+    }
+  return copy;
+}
+
+static void
+seat_set (seat_t *seat, member_t *occupant, uint32_t epoch)
+{
+  member_t *old = seat->occupant;
+
+  seat->occupant = member_ref (occupant);
+  seat->epoch = epoch;
+  member_unref (old);
+}
+
+view_t *
+view_with_occupant (const view_t *view, int32_t seat, member_t *occupant, uint32_t epoch)
+{
+  view_t *copy = view_copy (view);
+
+  seat_set (&copy->seats[seat], occupant, epoch);
+  return copy;
+}
+
+int32_t
+view_seat_of (const view_t *view, const member_t *member)
+{
+  for (int32_t i = 0; i < view->count; i++)
+    if (member_equal (view->seats[i].occupant, member))
+      return i;
+  return -1;
+}
+
+int32_t
+view_seat_named (const view_t *view, const char *name)
+{
+  for (int32_t i = 0; i < view->count; i++)
+    if (strcmp (view->seats[i].name, name) == 0)
+      return i;
+  return -1;
+}
+
+int32_t
+view_seat_of_host (const view_t *view, const char *id)
+{
+  for (int32_t i = 0; i < view->count; i++)
+    if (strcmp (view->seats[i].occupant->id, id) == 0)
+      return i;
+  return -1;
+}
+
+int32_t
+view_replicas (const view_t *view, const char *key, int32_t seats[VIEW_REPLICAS])
+{
+  uint64_t weights[VIEW_REPLICAS] = { 0 };
+  int32_t found = 0;
+
+  for (int32_t i = 0; i < view->count; i++)
+    {
+      uint64_t weight = hash_rendezvous (key, view->seats[i].name);
+      int32_t at = found;
+      while (at > 0 && weights[at - 1] < weight)
+        at--;
+      if (at >= VIEW_REPLICAS)
+        continue;
+      if (found < VIEW_REPLICAS)
+        found++;
+      for (int32_t j = found - 1; j > at; j--)
+        {
+          weights[j] = weights[j - 1];
+          seats[j] = seats[j - 1];
+        }
+      weights[at] = weight;
+      seats[at] = i;
+    }
+  return found;
+}
+
+int32_t
+view_majority (int32_t count)
+{
+  return count / 2 + 1;
+}
+
+static uint64_t
+epoch_sum (const view_t *view)
+{
+  uint64_t sum = 0;
+
+  for (int32_t i = 0; i < view->count; i++)
+    sum += view->seats[i].epoch;
+  return sum;
+}
+
+int
+view_compare (const view_t *a, const view_t *b)
+{
+  if (a->number != b->number)
+    return a->number < b->number ? -1 : 1;
+  uint64_t epochs_a = epoch_sum (a);
+  uint64_t epochs_b = epoch_sum (b);
+  return epochs_a < epochs_b ? -1 : epochs_a > epochs_b;
+}
+
+view_t *
+view_merge (view_t *a, view_t *b)
+{
+  view_t *merged = NULL;
+
+  if (a->number != b->number || a->count != b->count)
+    return view_ref (a->number >= b->number ? a : b);
+  for (int32_t i = 0; i < a->count; i++)
+    {
+      if (b->seats[i].epoch <= a->seats[i].epoch)
+        continue;
+      if (merged == NULL)
+        merged = view_copy (a);
+      seat_set (&merged->seats[i], b->seats[i].occupant, b->seats[i].epoch);
+    }
+  return merged != NULL ? merged : view_ref (a);
+}
+
+uint64_t
+view_version (const view_t *view)
+{
+  uint64_t version = (uint64_t) view->number;
+
+  for (int32_t i = 0; i < view->count; i++)
+    version = version * 1000003 + view->seats[i].epoch;
+  return version;
+}
+
+void
+view_put (frame_writer_t *writer, const view_t *view)
+{
+  frame_put_string (writer, view->data_centre);
+  frame_put_int (writer, view->number);
+  frame_put_int (writer, view->change_at_ms);
+  frame_put_count (writer, (size_t) view->count);
+  for (int32_t i = 0; i < view->count; i++)
+    {
+      frame_put_string (writer, view->seats[i].name);
+      frame_put_uint (writer, view->seats[i].epoch);
+      member_put (writer, view->seats[i].occupant);
+    }
+}
+
+static bool
+seat_get (frame_reader_t *reader, seat_t *seat)
+{
+  seat->name = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  seat->epoch = (uint32_t) frame_get_range (reader, 0, UINT32_MAX);
+  seat->occupant = member_get (reader);
+  return seat->name != NULL && seat->occupant != NULL;
+}
+
+view_t *
+view_get (frame_reader_t *reader)
+{
+  g_autofree char *data_centre = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  int64_t number = frame_get_range (reader, 0, INT64_MAX);
+  int64_t change_at_ms = frame_get_int (reader);
+  int32_t count = (int32_t) frame_get_count (reader, VIEW_SEATS_MAX);
+
+  if (!frame_ok (reader) || data_centre == NULL)
+    return NULL;
+  view_t *view = view_alloc (data_centre, number, change_at_ms, count);
+  for (int32_t i = 0; i < count; i++)
+    if (!seat_get (reader, &view->seats[i]))
+      {
+        view->count = i + 1;
+        view_unref (view);
+        return NULL;
+      }
+  return view;
+}
--- /dev/null
+++ b/tests/test_claim_random.c
@@ -0,0 +1,784 @@
+/* test_claim_random.c -- random walks of the claim code against one plain table
+ *
+ * Hosts run the replica and coordinator code that the daemon runs.  The world
+ * between them loses, doubles, delays and reorders messages; hosts freeze, die
+ * and are replaced under the same id; clocks step within the allowed skew;
+ * views change with or without their knowledge; hosts are cut from each other
+ * and from the log.  The naive version is one table that grants each key once:
+ * a grant that it would not have given is a violation, and so is a "nobody
+ * holds it" about a key that it has granted.
+ *
+ * Each rule is then switched off alone and must lead to a violation.
+ */
+#include "claim/coordinator.h"
+#include "claim/replica.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SEED 20261204u
+#define HOSTS 6
+#define KEYS 6
+#define WALK_STEPS 600
+#define WALKS_ALL_ON 2000
+#define WALKS_ONE_OFF 20000
+#define IN_FLIGHT_MAX 400
+#define WALL_BASE_MS INT64_C (1000000000)
+#define HOME "dc"
+
+static const claim_limits_t limits = { .window_ms = 2500,
+                                       .skew_ms = 60,
+                                       .start_within_ms = 400,
+                                       .contact_ms = 150,
+                                       .isolation_ms = 600,
+                                       .handover_wait_ms = 150 };
+
+typedef struct
+{
+  member_t *from;
+  int32_t to;
+  GBytes *frame;
+} packet_t;
+
+/* A grant that a coordinator was given and has neither started nor released. */
+typedef struct
+{
+  bool open;
+  int64_t granted_ms;
+  bool denied; /* a probe that began later found nobody */
+} grant_t;
+
+typedef struct
+{
+  bool alive;
+  bool frozen;
+  bool cut_log;
+  int32_t side; /* of a partition between hosts */
+  member_t *member;
+  claim_replica_t *replica;
+  claim_coordinator_t *coordinator;
+  int32_t known; /* views of the log that were read: a count */
+  view_t *view;  /* the newest state that this host knows */
+  int64_t offset_ms;
+  int64_t wide_ms; /* last log read, or contact with all but one */
+  grant_t grants[KEYS];
+} host_sim_t;
+
+/* The naive version's row of a key. */
+typedef struct
+{
+  char name[24];
+  int64_t issued_at_ms;
+  hash_digest_t digest;
+  bool held;
+  uint64_t holder; /* incarnation */
+  int32_t starts;
+} key_sim_t;
+
+/* What a DONE belongs to. */
+typedef struct
+{
+  int32_t host;
+  uint64_t incarnation;
+  int32_t key;
+  uint32_t key_serial;
+  int64_t began_ms;
+  bool release;
+} ticket_t;
+
+typedef struct
+{
+  GRand *random;
+  claim_rules_t rules;
+  int64_t now_ms;
+  host_sim_t hosts[HOSTS];
+  key_sim_t keys[KEYS];
+  uint32_t key_serials[KEYS];
+  uint32_t next_serial;
+  uint64_t next_incarnation;
+  GPtrArray *log; /* view_t, in order */
+  GPtrArray *net; /* packet_t */
+  GPtrArray *tickets;
+  int32_t loss_percent;
+  int32_t fault_permille;
+  const char *violation;
+} world_t;
+
+typedef struct
+{
+  int64_t steps;
+  int64_t results[CLAIM_DONE_EXPIRED + 1];
+  int64_t starts;
+  int64_t seats;
+  int64_t messages;
+  int64_t violations;
+  const char *first;
+} totals_t;
+
+static totals_t totals;
+
+static bool
+chance (world_t *world, int32_t permille)
+{
+  return g_rand_int_range (world->random, 0, 1000) < permille;
+}
+
+static claim_time_t
+host_time (const world_t *world, const host_sim_t *host)
+{
+  return (claim_time_t){ world->now_ms, WALL_BASE_MS + world->now_ms + host->offset_ms };
+}
+
+static view_t *
+view_of (const char *data_centre, void *data)
+{
+  (void) data_centre;
+  return ((host_sim_t *) data)->view;
+}
+
+static void
+packet_free (packet_t *packet)
+{
+  member_unref (packet->from);
+  g_bytes_unref (packet->frame);
+  g_free (packet);
+}
+
+static void
+violate (world_t *world, const char *what)
+{
+  if (world->violation == NULL)
+    world->violation = what;
+}
+
+static int32_t
+host_index (const char *id)
+{
+  return id[1] - '0';
+}
+
+static void
+post (world_t *world, host_sim_t *host, const char *to, const claim_msg_t *msg)
+{
+  int32_t copies = 1;
+
+  totals.messages++;
+  if (chance (world, world->loss_percent * 10))
+    copies = 0;
+  else if (chance (world, 50))
+    copies = 2;
+  for (int32_t i = 0; i < copies && world->net->len < IN_FLIGHT_MAX; i++)
+    {
+      packet_t *packet = g_new0 (packet_t, 1);
+      packet->from = member_ref (host->member);
+      packet->to = host_index (to);
+      packet->frame = claim_msg_encode (msg);
+      g_ptr_array_add (world->net, packet);
+    }
+}
+
+static void
+on_granted (world_t *world, host_sim_t *host, const ticket_t *ticket)
+{
+  key_sim_t *key = &world->keys[ticket->key];
+
+  if (key->held && key->holder != host->member->incarnation)
+    violate (world, "granted to two claimants");
+  if (key->starts > 0)
+    violate (world, "granted after a start");
+  key->held = true;
+  key->holder = host->member->incarnation;
+  host->grants[ticket->key] = (grant_t){ .open = true, .granted_ms = world->now_ms };
+}
+
+/* Nobody holds the key: true of grants made before the probe began. */
+static void
+on_free (world_t *world, const ticket_t *ticket)
+{
+  if (world->keys[ticket->key].starts > 0)
+    violate (world, "not run, said of a started key");
+  for (int32_t i = 0; i < HOSTS; i++)
+    {
+      grant_t *grant = &world->hosts[i].grants[ticket->key];
+      if (world->hosts[i].alive && grant->open && grant->granted_ms < ticket->began_ms)
+        grant->denied = true;
+    }
+}
+
+static void
+on_done (world_t *world, const claim_action_t *action)
+{
+  const ticket_t *ticket = action->user;
+  host_sim_t *host = &world->hosts[ticket->host];
+
+  totals.results[action->result]++;
+  if (world->key_serials[ticket->key] != ticket->key_serial)
+    return;
+  if (action->result == CLAIM_DONE_GRANTED)
+    on_granted (world, host, ticket);
+  if (action->result == CLAIM_DONE_FREE)
+    on_free (world, ticket);
+}
+
+static void learn (world_t *world, host_sim_t *host, view_t *view, view_t *base);
+
+static void
+apply (world_t *world, host_sim_t *host, GPtrArray *actions)
+{
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const claim_action_t *action = g_ptr_array_index (actions, i);
+      switch (action->kind)
+        {
+        case CLAIM_ACTION_SEND:
+          post (world, host, action->to, action->msg);
+          break;
+        case CLAIM_ACTION_DONE:
+          on_done (world, action);
+          break;
+        case CLAIM_ACTION_SEAT_MOVED:
+          totals.seats++;
+          learn (world, host, action->view, NULL);
+          break;
+        }
+    }
+  g_ptr_array_unref (actions);
+}
+
+static void
+replica_event (world_t *world, host_sim_t *host, const replica_event_t *event)
+{
+  GPtrArray *actions = claim_actions_new ();
+
+  claim_replica_step (host->replica, event, host_time (world, host), actions);
+  apply (world, host, actions);
+}
+
+static void
+coordinator_event (world_t *world, host_sim_t *host, const coordinator_event_t *event)
+{
+  GPtrArray *actions = claim_actions_new ();
+
+  claim_coordinator_step (host->coordinator, event, host_time (world, host), actions);
+  apply (world, host, actions);
+}
+
+static void
+learn (world_t *world, host_sim_t *host, view_t *view, view_t *base)
+{
+  if (host->view == NULL || view->number > host->view->number)
+    {
+      view_unref (host->view);
+      host->view = view_ref (view);
+    }
+  else
+    {
+      view_t *merged = view_merge (host->view, view);
+      view_unref (host->view);
+      host->view = merged;
+    }
+  replica_event (world, host,
+                 &(replica_event_t){ .kind = REPLICA_VIEW, .view = view, .base = base });
+}
+
+static void
+set_contact (world_t *world, host_sim_t *host)
+{
+  replica_event (world, host,
+                 &(replica_event_t){ .kind = REPLICA_CONTACT,
+                                     .contact_until_ms = world->now_ms + limits.contact_ms });
+}
+
+static void
+read_log (world_t *world, host_sim_t *host)
+{
+  if (host->cut_log)
+    return;
+  for (; host->known < (int32_t) world->log->len; host->known++)
+    {
+      view_t *base = host->known > 0 ? g_ptr_array_index (world->log, host->known - 1) : NULL;
+      learn (world, host, g_ptr_array_index (world->log, host->known), base);
+    }
+  host->wide_ms = world->now_ms;
+  set_contact (world, host);
+}
+
+/* A peer tells about its view, seats passed on included. */
+static void
+gossip (world_t *world, host_sim_t *host, const host_sim_t *peer)
+{
+  if (!peer->alive || peer->frozen || peer->side != host->side || peer->view == NULL)
+    return;
+  for (; host->known < peer->known; host->known++)
+    {
+      view_t *base = host->known > 0 ? g_ptr_array_index (world->log, host->known - 1) : NULL;
+      learn (world, host, g_ptr_array_index (world->log, host->known), base);
+    }
+  if (peer->view->number == host->view->number)
+    learn (world, host, peer->view, NULL);
+}
+
+/* One round of beats within the view. */
+static void
+hear (world_t *world, host_sim_t *host)
+{
+  int32_t heard = 0;
+
+  if (host->view == NULL)
+    return;
+  for (int32_t i = 0; i < host->view->count; i++)
+    {
+      const member_t *occupant = host->view->seats[i].occupant;
+      const host_sim_t *peer = &world->hosts[host_index (occupant->id)];
+      heard += peer->alive && !peer->frozen && peer->side == host->side && peer->view != NULL
+               && peer->view->number == host->view->number && member_equal (peer->member, occupant);
+    }
+  if (heard >= host->view->count - 1 && heard > 0)
+    host->wide_ms = world->now_ms;
+  if (heard >= view_majority (host->view->count)
+      && world->now_ms <= host->wide_ms + limits.isolation_ms)
+    set_contact (world, host);
+}
+
+static void
+host_stop (host_sim_t *host)
+{
+  if (!host->alive)
+    return;
+  host->alive = false;
+  claim_replica_free (host->replica);
+  claim_coordinator_free (host->coordinator);
+  member_unref (host->member);
+  view_unref (host->view);
+  host->view = NULL;
+}
+
+static void
+host_start (world_t *world, int32_t index)
+{
+  host_sim_t *host = &world->hosts[index];
+  char id[8];
+  char address[16];
+
+  g_snprintf (id, sizeof (id), "h%d", index);
+  g_snprintf (address, sizeof (address), "a%" G_GUINT64_FORMAT, world->next_incarnation);
+  *host = (host_sim_t){ .alive = true,
+                        .member = member_new (id, world->next_incarnation, address, HOME) };
+  world->next_incarnation++;
+  host->replica = claim_replica_new (host->member, &world->rules, &limits);
+  host->coordinator = claim_coordinator_new (host->member, &world->rules, &limits, view_of, host,
+                                             g_rand_int (world->random));
+}
+
+static void
+append_view (world_t *world)
+{
+  g_autoptr (GPtrArray) members = g_ptr_array_new ();
+
+  for (int32_t i = 0; i < HOSTS; i++)
+    if (world->hosts[i].alive && (chance (world, 800) || (world->log->len == 0 && i < 3)))
+      g_ptr_array_add (members, world->hosts[i].member);
+  if (members->len == 0)
+    return;
+  g_ptr_array_add (world->log,
+                   view_new (HOME, world->log->len + 1, WALL_BASE_MS + world->now_ms, members));
+}
+
+static void
+new_key (world_t *world, int32_t index)
+{
+  key_sim_t *key = &world->keys[index];
+
+  world->key_serials[index] = ++world->next_serial;
+  *key = (key_sim_t){ 0 };
+  g_snprintf (key->name, sizeof (key->name), "k%u", world->next_serial);
+  key->issued_at_ms = WALL_BASE_MS + world->now_ms
+                      + g_rand_int_range (world->random, -100, (gint32) limits.skew_ms);
+  for (int32_t i = 0; i < HOSTS; i++)
+    world->hosts[i].grants[index] = (grant_t){ 0 };
+}
+
+static void
+world_init (world_t *world, const claim_rules_t *rules, uint32_t seed)
+{
+  *world = (world_t){ .random = g_rand_new_with_seed (seed), .rules = *rules };
+  world->next_incarnation = 1;
+  world->now_ms = 1000;
+  world->log = g_ptr_array_new_with_free_func ((GDestroyNotify) view_unref);
+  world->net = g_ptr_array_new_with_free_func ((GDestroyNotify) packet_free);
+  world->tickets = g_ptr_array_new_with_free_func (g_free);
+  world->loss_percent = g_rand_int_range (world->random, 0, 15);
+  world->fault_permille = g_rand_int_range (world->random, 0, 60);
+  for (int32_t i = 0; i < HOSTS; i++)
+    host_start (world, i);
+  append_view (world);
+  for (int32_t i = 0; i < HOSTS; i++)
+    read_log (world, &world->hosts[i]);
+  for (int32_t i = 0; i < KEYS; i++)
+    new_key (world, i);
+}
+
+static void
+world_clear (world_t *world)
+{
+  g_ptr_array_unref (world->net);
+  for (int32_t i = 0; i < HOSTS; i++)
+    host_stop (&world->hosts[i]);
+  g_ptr_array_unref (world->log);
+  g_ptr_array_unref (world->tickets);
+  g_rand_free (world->random);
+}
+
+static host_sim_t *
+random_host (world_t *world)
+{
+  return &world->hosts[g_rand_int_range (world->random, 0, HOSTS)];
+}
+
+static void
+deliver (world_t *world)
+{
+  if (world->net->len == 0)
+    return;
+  /* Mostly the oldest, sometimes any. */
+  guint index = chance (world, 700)
+                    ? 0
+                    : (guint) g_rand_int_range (world->random, 0, (gint32) world->net->len);
+  packet_t *packet = g_ptr_array_index (world->net, index);
+  host_sim_t *host = &world->hosts[packet->to];
+  if (host->frozen)
+    return;
+  packet = g_ptr_array_steal_index (world->net, index);
+  const host_sim_t *from = &world->hosts[host_index (packet->from->id)];
+  if (host->alive && host->side == from->side)
+    {
+      gsize size = 0;
+      const char *data = g_bytes_get_data (packet->frame, &size);
+      frame_reader_t *reader = NULL;
+      g_assert (frame_parse (data + FRAME_LENGTH_BYTES, size - FRAME_LENGTH_BYTES, &reader) == 0);
+      claim_msg_t *msg = claim_msg_decode (reader);
+      g_assert (msg != NULL);
+      replica_event (
+          world, host,
+          &(replica_event_t){ .kind = REPLICA_MESSAGE, .from = packet->from, .msg = msg });
+      coordinator_event (
+          world, host,
+          &(coordinator_event_t){ .kind = COORDINATOR_MESSAGE, .from = packet->from, .msg = msg });
+      claim_msg_free (msg);
+      frame_reader_free (reader);
+    }
+  packet_free (packet);
+}
+
+static ticket_t *
+ticket_new (world_t *world, int32_t host, int32_t key)
+{
+  ticket_t *ticket = g_new0 (ticket_t, 1);
+
+  ticket->host = host;
+  ticket->key = key;
+  ticket->key_serial = world->key_serials[key];
+  ticket->began_ms = world->now_ms;
+  g_ptr_array_add (world->tickets, ticket);
+  return ticket;
+}
+
+static void
+request (world_t *world)
+{
+  host_sim_t *host = random_host (world);
+  int32_t index = g_rand_int_range (world->random, 0, KEYS);
+  const key_sim_t *key = &world->keys[index];
+
+  if (!host->alive || host->frozen)
+    return;
+  ticket_t *ticket = ticket_new (world, (int32_t) (host - world->hosts), index);
+  coordinator_event (
+      world, host,
+      &(coordinator_event_t){ .kind = chance (world, 250) ? COORDINATOR_PROBE : COORDINATOR_CLAIM,
+                              .key = key->name,
+                              .home = HOME,
+                              .digest = key->digest,
+                              .issued_at_ms = key->issued_at_ms,
+                              .give_up_ms = world->now_ms + 500,
+                              .user = ticket });
+}
+
+static void
+start (world_t *world, host_sim_t *host, int32_t index)
+{
+  key_sim_t *key = &world->keys[index];
+  grant_t *grant = &host->grants[index];
+
+  if (!claim_coordinator_may_start (host->coordinator, key->name, world->now_ms))
+    return;
+  coordinator_event (world, host,
+                     &(coordinator_event_t){ .kind = COORDINATOR_STARTED, .key = key->name });
+  if (grant->denied)
+    violate (world, "started after not run was said of the grant");
+  if (++key->starts > 1)
+    violate (world, "started twice");
+  totals.starts++;
+  grant->open = false;
+}
+
+static void
+release (world_t *world, host_sim_t *host, int32_t index)
+{
+  key_sim_t *key = &world->keys[index];
+  ticket_t *ticket = ticket_new (world, (int32_t) (host - world->hosts), index);
+
+  key->held = false;
+  host->grants[index].open = false;
+  coordinator_event (world, host,
+                     &(coordinator_event_t){ .kind = COORDINATOR_RELEASE,
+                                             .key = key->name,
+                                             .give_up_ms = world->now_ms + 500,
+                                             .user = ticket });
+}
+
+/* A coordinator goes on with a grant: starts, releases, or takes its time. */
+static void
+follow_up (world_t *world)
+{
+  host_sim_t *host = random_host (world);
+  int32_t index = g_rand_int_range (world->random, 0, KEYS);
+
+  if (!host->alive || host->frozen || !host->grants[index].open)
+    return;
+  if (chance (world, 300))
+    start (world, host, index);
+  else if (chance (world, 500))
+    release (world, host, index);
+}
+
+static void
+cut (world_t *world, host_sim_t *host)
+{
+  if (chance (world, 500))
+    host->cut_log = !host->cut_log;
+  else
+    host->side = !host->side;
+}
+
+static void
+pass_seat (world_t *world, host_sim_t *host)
+{
+  const host_sim_t *successor = random_host (world);
+
+  if (host->alive && !host->frozen && successor->alive && successor != host)
+    replica_event (
+        world, host,
+        &(replica_event_t){ .kind = REPLICA_PASS_SEAT, .successor = successor->member->id });
+}
+
+static void
+fault (world_t *world)
+{
+  host_sim_t *host = random_host (world);
+
+  switch (g_rand_int_range (world->random, 0, 9))
+    {
+    case 0:
+      host_stop (host);
+      break;
+    case 1:
+      host_stop (host);
+      host_start (world, (int32_t) (host - world->hosts));
+      break;
+    case 2:
+    case 3:
+      host->frozen = host->alive && !host->frozen;
+      break;
+    case 4:
+      cut (world, host);
+      break;
+    case 5:
+      host->offset_ms = g_rand_int_range (world->random, 0, (gint32) limits.skew_ms);
+      break;
+    case 6:
+    case 7:
+      append_view (world);
+      break;
+    default:
+      pass_seat (world, host);
+      break;
+    }
+}
+
+static void
+heal (world_t *world)
+{
+  host_sim_t *host = random_host (world);
+
+  host->frozen = false;
+  host->cut_log = false;
+  host->side = 0;
+  if (!host->alive)
+    host_start (world, (int32_t) (host - world->hosts));
+}
+
+static void
+tick (world_t *world)
+{
+  host_sim_t *host = random_host (world);
+
+  if (!host->alive || host->frozen)
+    return;
+  replica_event (world, host, &(replica_event_t){ .kind = REPLICA_TICK });
+  coordinator_event (world, host, &(coordinator_event_t){ .kind = COORDINATOR_TICK });
+}
+
+static void
+learn_something (world_t *world)
+{
+  host_sim_t *host = random_host (world);
+
+  if (!host->alive || host->frozen)
+    return;
+  if (chance (world, 300))
+    read_log (world, host);
+  else if (chance (world, 500))
+    gossip (world, host, random_host (world));
+  else
+    hear (world, host);
+}
+
+/* Steps by their weight, in a thousand. */
+static const struct
+{
+  int32_t weight;
+  void (*run) (world_t *world);
+} moves[] = { { 560, deliver },         { 140, tick }, { 70, request }, { 90, follow_up },
+              { 120, learn_something }, { 20, heal } };
+
+static void
+step (world_t *world)
+{
+  int32_t pick = g_rand_int_range (world->random, 0, 1000);
+
+  world->now_ms += g_rand_int_range (world->random, 0, 6);
+  if (chance (world, 2))
+    world->now_ms += g_rand_int_range (world->random, 0, 400);
+  if (chance (world, 4))
+    new_key (world, g_rand_int_range (world->random, 0, KEYS));
+  if (chance (world, world->fault_permille))
+    fault (world);
+  for (size_t i = 0; i < G_N_ELEMENTS (moves); i++)
+    {
+      if (pick < moves[i].weight)
+        {
+          moves[i].run (world);
+          return;
+        }
+      pick -= moves[i].weight;
+    }
+}
+
+/* Returns what went wrong, or NULL. */
+static const char *
+walk (const claim_rules_t *rules, uint32_t seed)
+{
+  world_t world;
+
+  world_init (&world, rules, seed);
+  for (int32_t i = 0; i < WALK_STEPS && world.violation == NULL; i++)
+    {
+      step (&world);
+      totals.steps++;
+    }
+  const char *violation = world.violation;
+  world_clear (&world);
+  return violation;
+}
+
+static int32_t
+walks_from_environment (int32_t fallback)
+{
+  const char *text = g_getenv ("CLAIM_WALKS");
+
+  return text != NULL ? atoi (text) : fallback;
+}
+
+static void
+test_all_rules (void)
+{
+  claim_rules_t rules = CLAIM_RULES_ALL;
+  int32_t walks = walks_from_environment (WALKS_ALL_ON);
+
+  totals = (totals_t){ 0 };
+  for (int32_t i = 0; i < walks; i++)
+    {
+      const char *violation = walk (&rules, SEED + (uint32_t) i);
+      if (violation == NULL)
+        continue;
+      if (totals.violations++ < 5)
+        printf ("\n  seed %u: %s", SEED + (uint32_t) i, violation);
+    }
+  printf ("\n  seeds %u.., %d walks, %" G_GINT64_FORMAT " steps, %" G_GINT64_FORMAT " messages: ",
+          SEED, walks, totals.steps, totals.messages);
+  printf ("%" G_GINT64_FORMAT " violations; granted %" G_GINT64_FORMAT " held %" G_GINT64_FORMAT
+          " free %" G_GINT64_FORMAT " uncertain %" G_GINT64_FORMAT " unreachable %" G_GINT64_FORMAT
+          " expired %" G_GINT64_FORMAT ", starts %" G_GINT64_FORMAT ", seat moves %" G_GINT64_FORMAT
+          "\n  ",
+          totals.violations, totals.results[CLAIM_DONE_GRANTED], totals.results[CLAIM_DONE_HELD],
+          totals.results[CLAIM_DONE_FREE], totals.results[CLAIM_DONE_UNCERTAIN],
+          totals.results[CLAIM_DONE_UNREACHABLE], totals.results[CLAIM_DONE_EXPIRED], totals.starts,
+          totals.seats);
+  CU_ASSERT_EQUAL (totals.violations, 0);
+  /* The walks must do something. */
+  CU_ASSERT (totals.results[CLAIM_DONE_GRANTED] > walks);
+  CU_ASSERT (totals.results[CLAIM_DONE_FREE] > walks / 4);
+  CU_ASSERT (totals.results[CLAIM_DONE_HELD] > walks / 4);
+  CU_ASSERT (totals.starts > walks / 2);
+}
+
+static const struct
+{
+  const char *name;
+  size_t offset;
+} rule_cases[] = {
+  { "second_grant", offsetof (claim_rules_t, second_grant) },
+  { "seal_first", offsetof (claim_rules_t, seal_first) },
+  { "start_deadline", offsetof (claim_rules_t, start_deadline) },
+  { "reconfirm", offsetof (claim_rules_t, reconfirm) },
+  { "attempt_in_release", offsetof (claim_rules_t, attempt_in_release) },
+  { "contested", offsetof (claim_rules_t, contested) },
+  { "vouch", offsetof (claim_rules_t, vouch) },
+};
+
+static void
+test_each_rule_is_needed (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (rule_cases); i++)
+    {
+      claim_rules_t rules = CLAIM_RULES_ALL;
+      const char *violation = NULL;
+      int32_t walks = 0;
+      *((bool *) &rules + rule_cases[i].offset) = false;
+      while (violation == NULL && walks < WALKS_ONE_OFF)
+        violation = walk (&rules, SEED + (uint32_t) walks++);
+      printf ("\n  without %s: %s after %d walks", rule_cases[i].name,
+              violation != NULL ? violation : "NO VIOLATION", walks);
+      fflush (stdout);
+      CU_ASSERT_PTR_NOT_NULL (violation);
+    }
+  printf ("\n  ");
+}
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("claim_random", NULL, NULL);
+  CU_add_test (suite, "all rules: no violation", test_all_rules);
+  CU_add_test (suite, "each rule is needed", test_each_rule_is_needed);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures > 0;
+}
