Tests of settings, submissions at their bounds, and the job

Cause: every bound of the outside needs a case that names the field. Before: no tests of lib/settings and lib/job. After: 3 + 5 tests pass, among them 20,000 random jobs against a naive version.

--- /dev/null
+++ b/tests/test_job.c
@@ -0,0 +1,294 @@
+/* test_job.c -- lib/job: submissions at their bounds, answers, and the job against a naive version
+ */
+#include "base/error.h"
+#include "job/answer.h"
+#include "job/job.h"
+#include "job/request.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <json-c/json.h>
+#include <string.h>
+
+#define SEED 20261203u
+#define RANDOM_JOBS 20000
+#define HEAD "\"customer\":\"c\",\"kind\":\"k\",\"issued_at_ms\":1,\"deadline_at_ms\":2"
+#define ONE "\"tasks\":[{\"id\":\"0\"}]"
+
+/* FRAGMENT must be in the message of a refusal. */
+static const struct
+{
+  const char *body;
+  int result;
+  const char *fragment;
+} bodies[] = {
+  { "{" HEAD "," ONE "}", 0, NULL },
+  { " {" HEAD "," ONE "}\n", 0, NULL },
+  { "{" HEAD "," ONE ",\"newer\":1}", 0, NULL },
+  { "{" HEAD ",\"home\":null," ONE "}", 0, NULL },
+  { "{" HEAD ",\"repeatable\":true," ONE "}", 0, NULL },
+  { "{" HEAD ",\"tasks\":[{\"id\":\"0\",\"body\":\"\",\"cores\":0,\"memory_mb\":0}]}", 0, NULL },
+  { "", ERROR_BAD_REQUEST, "body" },
+  { "{", ERROR_BAD_REQUEST, "body" },
+  { "[]", ERROR_BAD_REQUEST, "body" },
+  { "null", ERROR_BAD_REQUEST, "body" },
+  { "{" HEAD "," ONE "} {}", ERROR_BAD_REQUEST, "body" },
+  { "{" HEAD "," ONE ",\"x\":\"\xff\"}", ERROR_BAD_REQUEST, "body" },
+  { "{" HEAD "," ONE ",\"x\":[[[[[[[[[[1]]]]]]]]]]}", ERROR_BAD_REQUEST, "body" },
+  { "{" ONE "}", ERROR_BAD_REQUEST, "customer is required" },
+  { "{\"customer\":1}", ERROR_BAD_REQUEST, "customer must be a string" },
+  { "{\"customer\":\"\"}", ERROR_BAD_REQUEST, "customer must be 1 to 128" },
+  { "{\"customer\":\"c\",\"kind\":\"../x\"}", ERROR_BAD_REQUEST, "kind must consist" },
+  { "{\"customer\":\"c\",\"kind\":\"k\",\"issued_at_ms\":\"1\"}", ERROR_BAD_REQUEST,
+    "issued_at_ms must be a whole number" },
+  { "{\"customer\":\"c\",\"kind\":\"k\",\"issued_at_ms\":-1}", ERROR_BAD_REQUEST,
+    "issued_at_ms is out of range" },
+  { "{\"customer\":\"c\",\"kind\":\"k\",\"issued_at_ms\":1.5}", ERROR_BAD_REQUEST,
+    "issued_at_ms must be a whole number" },
+  { "{\"customer\":\"c\",\"kind\":\"k\",\"issued_at_ms\":1}", ERROR_BAD_REQUEST,
+    "deadline_at_ms is required" },
+  { "{" HEAD ",\"repeatable\":\"yes\"," ONE "}", ERROR_BAD_REQUEST, "repeatable must be" },
+  { "{" HEAD ",\"home\":3," ONE "}", ERROR_BAD_REQUEST, "home must be" },
+  { "{" HEAD "}", ERROR_BAD_REQUEST, "tasks is required" },
+  { "{" HEAD ",\"tasks\":{}}", ERROR_BAD_REQUEST, "tasks must be a list" },
+  { "{" HEAD ",\"tasks\":[]}", ERROR_BAD_REQUEST, "at least one task" },
+  { "{" HEAD ",\"tasks\":[1]}", ERROR_BAD_REQUEST, "list of objects" },
+  { "{" HEAD ",\"tasks\":[{}]}", ERROR_BAD_REQUEST, "tasks[].id is required" },
+  { "{" HEAD ",\"tasks\":[{\"id\":\"a b\"}]}", ERROR_BAD_REQUEST, "tasks[].id must be 1 to 128" },
+  { "{" HEAD ",\"tasks\":[{\"id\":\"0\"},{\"id\":\"0\"}]}", ERROR_BAD_REQUEST, "unique" },
+  { "{" HEAD ",\"tasks\":[{\"id\":\"0\",\"body\":{}}]}", ERROR_BAD_REQUEST, "tasks[].body" },
+  { "{" HEAD ",\"tasks\":[{\"id\":\"0\",\"cores\":-1}]}", ERROR_BAD_REQUEST, "tasks[].cores" },
+  { "{" HEAD ",\"tasks\":[{\"id\":\"0\",\"memory_mb\":\"1\"}]}", ERROR_BAD_REQUEST, "memory_mb" },
+};
+
+static void
+check_body (const char *text, int expected, const char *fragment)
+{
+  GBytes *body = g_bytes_new_static (text, strlen (text));
+  job_request_t *request = NULL;
+  char *message = NULL;
+  int result = job_request_parse ("key", body, &request, &message);
+
+  if (result != expected || (fragment != NULL && strstr (message, fragment) == NULL))
+    printf ("\n  %s: %d %s\n", text, result, message);
+  CU_ASSERT_EQUAL (result, expected);
+  if (fragment != NULL)
+    CU_ASSERT_PTR_NOT_NULL (strstr (message, fragment));
+  CU_ASSERT_EQUAL (result == 0, request != NULL);
+  job_request_unref (request);
+  g_free (message);
+  g_bytes_unref (body);
+}
+
+static void
+test_bodies (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    check_body (bodies[i].body, bodies[i].result, bodies[i].fragment);
+}
+
+static char *
+make_body (uint32_t tasks, bool repeatable)
+{
+  GString *text = g_string_new ("{" HEAD ",\"repeatable\":");
+
+  g_string_append_printf (text, "%s,\"tasks\":[", repeatable ? "true" : "false");
+  for (uint32_t i = 0; i < tasks; i++)
+    g_string_append_printf (text, "%s{\"id\":\"%u\"}", i > 0 ? "," : "", i);
+  g_string_append (text, "]}");
+  return g_string_free (text, FALSE);
+}
+
+static void
+test_counts (void)
+{
+  static const struct
+  {
+    uint32_t tasks;
+    int result;
+  } cases[] = { { 1, 0 }, { JOB_TASKS_MAX, 0 }, { JOB_TASKS_MAX + 1, ERROR_TOO_LARGE } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text = make_body (cases[i].tasks, false);
+      check_body (text, cases[i].result, NULL);
+      g_free (text);
+    }
+}
+
+static void
+test_keys (void)
+{
+  char longest[JOB_KEY_MAX_BYTES + 2];
+
+  memset (longest, 'k', sizeof longest);
+  longest[JOB_KEY_MAX_BYTES] = '\0';
+  CU_ASSERT_TRUE (job_key_valid (longest));
+  longest[JOB_KEY_MAX_BYTES] = 'k';
+  longest[JOB_KEY_MAX_BYTES + 1] = '\0';
+  CU_ASSERT_FALSE (job_key_valid (longest));
+  CU_ASSERT_FALSE (job_key_valid (""));
+  CU_ASSERT_FALSE (job_key_valid (NULL));
+  CU_ASSERT_FALSE (job_key_valid ("a b"));
+  CU_ASSERT_FALSE (job_key_valid ("a\x7f"));
+  CU_ASSERT_FALSE (job_key_valid ("\xc3\xa9"));
+  CU_ASSERT_TRUE (job_key_valid ("!~"));
+}
+
+/* Each kind says "not_run" only where its rule allows it. */
+static void
+test_error_answers (void)
+{
+  for (int i = 1; i <= error_count (); i++)
+    for (int confirmed = 0; confirmed <= 1; confirmed++)
+      {
+        const error_row_t *row = error_row (-i);
+        job_answer_t *answer = job_answer_error (-i, confirmed, 7, NULL);
+        gsize size = 0;
+        const char *text = g_bytes_get_data (answer->body, &size);
+        char *copy = g_strndup (text, size);
+        json_object *root = json_tokener_parse (copy);
+        bool not_run = row->run == RUN_NO_KEY || (row->run == RUN_IF_CONFIRMED && confirmed);
+        CU_ASSERT_EQUAL (answer->status, row->status);
+        CU_ASSERT_STRING_EQUAL (json_object_get_string (json_object_object_get (root, "kind")),
+                                row->name);
+        CU_ASSERT_STRING_EQUAL (json_object_get_string (json_object_object_get (root, "run")),
+                                not_run ? "not_run" : "may_have_run");
+        CU_ASSERT_EQUAL (json_object_get_int64 (json_object_object_get (root, "retry_at_ms")), 7);
+        json_object_put (root);
+        g_free (copy);
+        job_answer_unref (answer);
+      }
+}
+
+/* --- the job against a naive version --- */
+
+/* What a naive reader of the contract tracks for one task. */
+typedef struct
+{
+  int starts;
+  bool running;
+  bool whole;
+} naive_task_t;
+
+typedef struct
+{
+  naive_task_t tasks[JOB_TASKS_MAX];
+  uint32_t count;
+  bool repeatable;
+  bool over; /* the job has a verdict */
+} naive_t;
+
+static uint32_t
+naive_whole_count (const naive_t *naive)
+{
+  uint32_t whole = 0;
+
+  for (uint32_t i = 0; i < naive->count; i++)
+    whole += naive->tasks[i].whole;
+  return whole;
+}
+
+static void
+start_random (GRand *rand, job_t *job, naive_t *naive)
+{
+  uint32_t i = g_rand_int_range (rand, 0, (gint32) naive->count);
+  job_task_state_t state = job_task_state (job, i);
+
+  if (naive->over || (state != JOB_TASK_WAITING && state != JOB_TASK_RETRYING))
+    return;
+  CU_ASSERT_FALSE (naive->tasks[i].running);
+  CU_ASSERT_FALSE (naive->tasks[i].whole);
+  job_start_task (job, i);
+  naive->tasks[i].starts++;
+  naive->tasks[i].running = true;
+  CU_ASSERT (naive->tasks[i].starts == 1 || naive->repeatable);
+}
+
+static void
+end_random (GRand *rand, job_t *job, naive_t *naive)
+{
+  uint32_t i = g_rand_int_range (rand, 0, (gint32) naive->count);
+  int roll = g_rand_int_range (rand, 0, 100);
+  job_attempt_t attempt = roll < 80   ? JOB_ATTEMPT_WHOLE
+                          : roll < 90 ? JOB_ATTEMPT_ENDED
+                          : roll < 97 ? JOB_ATTEMPT_NOT_STARTED
+                                      : JOB_ATTEMPT_UNKNOWN;
+
+  if (!naive->tasks[i].running)
+    return;
+  job_verdict_t verdict = job_end_task (job, i, attempt, 200, NULL);
+  naive->tasks[i].running = false;
+  naive->tasks[i].whole = attempt == JOB_ATTEMPT_WHOLE;
+  if (attempt == JOB_ATTEMPT_NOT_STARTED)
+    naive->tasks[i].starts--;
+  bool complete = naive_whole_count (naive) == naive->count;
+  CU_ASSERT_EQUAL (verdict == JOB_COMPLETE, complete && attempt == JOB_ATTEMPT_WHOLE);
+  if (attempt == JOB_ATTEMPT_UNKNOWN || (attempt == JOB_ATTEMPT_ENDED && !naive->repeatable))
+    CU_ASSERT_EQUAL (verdict, JOB_FAIL);
+  if (attempt == JOB_ATTEMPT_NOT_STARTED)
+    CU_ASSERT_EQUAL (verdict, JOB_TRY_AGAIN);
+  naive->over = naive->over || verdict == JOB_FAIL || verdict == JOB_COMPLETE;
+}
+
+static void
+run_random_job (GRand *rand)
+{
+  naive_t naive = { .count = (uint32_t) g_rand_int_range (rand, 1, 12),
+                    .repeatable = g_rand_boolean (rand) };
+  char *text = make_body (naive.count, naive.repeatable);
+  GBytes *body = g_bytes_new_take (text, strlen (text));
+  job_request_t *request = NULL;
+  char *message = NULL;
+
+  CU_ASSERT_EQUAL_FATAL (job_request_parse ("key", body, &request, &message), 0);
+  job_t *job = job_new (request);
+  for (int step = 0; step < 60; step++)
+    if (g_rand_boolean (rand))
+      start_random (rand, job, &naive);
+    else
+      end_random (rand, job, &naive);
+  CU_ASSERT (job_retry_count (job) <= 1 + naive.count / 10);
+  if (naive_whole_count (&naive) == naive.count)
+    job_answer_unref (job_complete_answer (job));
+  job_free (job);
+  job_request_unref (request);
+  g_bytes_unref (body);
+}
+
+static void
+test_random_jobs (void)
+{
+  GRand *rand = g_rand_new_with_seed (SEED);
+
+  printf ("seed %u ", SEED);
+  for (int i = 0; i < RANDOM_JOBS; i++)
+    run_random_job (rand);
+  g_rand_free (rand);
+}
+
+static const struct
+{
+  const char *name;
+  CU_TestFunc run;
+} tests[] = {
+  { "bodies", test_bodies },
+  { "task counts", test_counts },
+  { "keys", test_keys },
+  { "error answers", test_error_answers },
+  { "random jobs against a naive version", test_random_jobs },
+};
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("job", NULL, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
+    CU_add_test (suite, tests[i].name, tests[i].run);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,154 @@
+/* test_settings.c -- lib/settings: each fault gives one line that names it */
+#include "base/error.h"
+#include "settings/settings.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define GOOD                                                                                       \
+  "\"host_id\":\"a1\",\"data_centre\":\"dc\",\"caller_listen\":\"127.0.0.1:1\","                   \
+  "\"admin_listen\":\"127.0.0.1:2\",\"peer_listen\":\"127.0.0.1:3\",\"platform\":[\"127.0.0.1:"    \
+  "4\"]"
+#define CENTRES "\"data_centres\":{\"dc\":[\"127.0.0.1:3\"]}"
+
+/* FRAGMENT must be in the message; NULL stands for a good file. */
+static const struct
+{
+  const char *text;
+  const char *fragment;
+} files[] = {
+  { "{" GOOD "," CENTRES "}", NULL },
+  { "// comment\n{" GOOD ", /* here */ " CENTRES "}\n", NULL },
+  { "{" GOOD "," CENTRES ",\"log_level\":\"debug\"}", NULL },
+  { "{" GOOD "," CENTRES ",\"caller_threads\":3}", "caller_threads: 3: must be a whole number" },
+  { "{" GOOD "," CENTRES ",\"caller_threads\":\"9\"}", "caller_threads: \"9\": must be" },
+  { "{" GOOD "," CENTRES ",\"caller_threads\":9.5}", "caller_threads: 9.5: must be" },
+  { "{" GOOD "," CENTRES ",\"log_level\":\"loud\"}", "must be one of error|warning|info|debug" },
+  { "{" GOOD "," CENTRES ",\"test_faults\":1}", "test_faults: 1: must be true or false" },
+  { "{" GOOD "," CENTRES ",\"colour\":1}", "colour: 1: must be left out: the key is unknown" },
+  { "{" GOOD ",\"data_centres\":{\"other\":[]}}", "data_centre: \"dc\": must be one of the names" },
+  { "{" GOOD ",\"data_centres\":{\"dc\":[\"127.0.0.1:3\",\"127.0.0.1:3\"]}}", "stands only once" },
+  { "{" GOOD ",\"data_centres\":{\"dc\":[\"host:3\"]}}", "must be an address as IP:port" },
+  { "{" GOOD ",\"data_centres\":{\"dc\":[\"127.0.0.1:0\"]}}", "must be an address as IP:port" },
+  { "{" GOOD ",\"data_centres\":[]}", "data_centres: []: must be an object" },
+  { "{" GOOD "}", "data_centres: (absent): must be present" },
+  { "{" CENTRES "}", "host_id: (absent): must be present" },
+  { "{\"host_id\":\"\"}", "host_id: \"\": must be 1 to 128" },
+  { "{\"host_id\":7}", "host_id: 7: must be 1 to 128" },
+  { "", "not valid JSON" },
+  { "[]", "must be one JSON object" },
+  { "{" GOOD "," CENTRES, "not valid JSON" },
+  { "{" GOOD "," CENTRES "} x", "nothing may follow the object" },
+};
+
+static void
+check_file (const char *path, size_t i)
+{
+  settings_t *settings = NULL;
+  char *message = NULL;
+
+  CU_ASSERT_TRUE_FATAL (g_file_set_contents (path, files[i].text, -1, NULL));
+  int result = settings_read (path, &settings, &message);
+  if (files[i].fragment == NULL)
+    {
+      CU_ASSERT_EQUAL (result, 0);
+      CU_ASSERT_PTR_NULL (message);
+    }
+  else
+    {
+      CU_ASSERT_EQUAL (result, ERROR_BAD_FILE);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (message);
+      if (strstr (message, files[i].fragment) == NULL)
+        printf ("\n  got: %s\n", message);
+      CU_ASSERT_PTR_NOT_NULL (strstr (message, files[i].fragment));
+      CU_ASSERT_PTR_NOT_NULL (strstr (message, path));
+      CU_ASSERT_PTR_NULL (strchr (message, '\n'));
+    }
+  settings_free (settings);
+  g_free (message);
+}
+
+static void
+test_files (void)
+{
+  char *path = NULL;
+  int fd = g_file_open_tmp ("settings-XXXXXX", &path, NULL);
+
+  close (fd);
+  for (size_t i = 0; i < G_N_ELEMENTS (files); i++)
+    check_file (path, i);
+  g_unlink (path);
+  g_free (path);
+}
+
+static void
+test_example (void)
+{
+  settings_t *settings = NULL;
+  char *message = NULL;
+
+  CU_ASSERT_EQUAL (settings_read ("examples/settings.json", &settings, &message), 0);
+  CU_ASSERT_PTR_NULL (message);
+  settings_free (settings);
+  CU_ASSERT_EQUAL (settings_read ("examples/absent.json", &settings, &message), ERROR_BAD_FILE);
+  g_free (message);
+}
+
+static const struct
+{
+  const char *address;
+  const char *ip; /* NULL: refused */
+  uint16_t port;
+} addresses[] = {
+  { "127.0.0.1:80", "127.0.0.1", 80 },
+  { "[::1]:65535", "::1", 65535 },
+  { "::1:80", NULL, 0 },
+  { "127.0.0.1", NULL, 0 },
+  { "127.0.0.1:65536", NULL, 0 },
+  { ":80", NULL, 0 },
+  { "127.0.0.1:+8", NULL, 0 },
+  { "localhost:80", NULL, 0 },
+  { "", NULL, 0 },
+};
+
+static void
+test_addresses (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      char *ip = NULL;
+      uint16_t port = 0;
+      int result = settings_split_address (addresses[i].address, &ip, &port);
+      CU_ASSERT_EQUAL (result, addresses[i].ip != NULL ? 0 : ERROR_BAD_REQUEST);
+      CU_ASSERT_EQUAL (g_strcmp0 (ip, addresses[i].ip), 0);
+      CU_ASSERT_EQUAL (port, addresses[i].port);
+      g_free (ip);
+    }
+}
+
+static const struct
+{
+  const char *name;
+  CU_TestFunc run;
+} tests[] = {
+  { "files", test_files },
+  { "the example", test_example },
+  { "addresses", test_addresses },
+};
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("settings", NULL, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
+    CU_add_test (suite, tests[i].name, tests[i].run);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
