--- a/lib/wire/frame.c
+++ b/lib/wire/frame.c
@@ -256,7 +256,8 @@
   if (!next_scalar (reader, MSGPACK_OBJECT_STR))
     return NULL;
   msgpack_object_str text = reader->item.data.via.str;
-  if (text.size > max_bytes || memchr (text.ptr, '\0', text.size) != NULL)
+  bool has_nul = text.size > 0 && memchr (text.ptr, '\0', text.size) != NULL;
+  if (text.size > max_bytes || has_nul)
     {
       reader->failed = true;
       return NULL;
