--- /dev/null
+++ b/daemon/dispatch_limits.h
@@ -0,0 +1,15 @@
+/* dispatch_limits.h -- the limits of lib/dispatch over the shares of this host */
+#ifndef DAEMON_DISPATCH_LIMITS_H
+#define DAEMON_DISPATCH_LIMITS_H
+
+#include "daemon/part.h"
+#include "dispatch/dispatch.h"
+
+/* Limits that take and give units of SHARE.  Free with g_free (). */
+dispatch_limits_t *dispatch_limits_new (part_t *share);
+
+/* Tells SHARE what this host could use of every limit.  SENT remembers the
+ * demands by limit name, so that only changes are told. */
+void dispatch_limits_demand (dispatch_t *dispatch, part_t *share, GHashTable *sent, int64_t now_ms);
+
+#endif
--- a/lib/dispatch/choice.c
+++ b/lib/dispatch/choice.c
@@ -159,8 +159,7 @@
          && (dispatch->options.sample == 0 || sampled < dispatch->options.sample))
     {
       endpoint_t *endpoint = draw (dispatch, from);
-      int32_t left =
-          dispatch->limits->ops->left (dispatch->limits, DISPATCH_SLOTS, endpoint->id, now_ms);
+      int32_t left = slots_left (dispatch, endpoint, now_ms);
       int32_t units = endpoint_units (endpoint, entry->cores, entry->memory_mb);
       if (left <= 0)
         {
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -20,6 +20,7 @@
 #define SET_ASIDE_MAX 8
 /* A task is given up only when half of its best expected time is too long. */
 #define HOPELESS_PART 0.5
+#define MS_PER_S 1000
 
 dispatch_t *
 dispatch_new (const dispatch_options_t *options, dispatch_limits_t *limits)
@@ -230,9 +231,7 @@
       if (!takes_work (endpoint) || endpoint->outlier.state == OUTLIER_OUT
           || endpoint_is_silent (endpoint, now_ms) || !endpoint_is_reachable (endpoint, now_ms))
         continue;
-      int32_t left =
-          dispatch->limits->ops->left (dispatch->limits, DISPATCH_SLOTS, endpoint->id, now_ms);
-      left = MIN (left, endpoint->slots - endpoint->units);
+      int32_t left = slots_left (dispatch, endpoint, now_ms);
       dispatch->free_slots += MAX (left, 0);
       dispatch->held_slots += MAX (left, 0) + endpoint->units;
     }
@@ -376,20 +375,20 @@
   return START_AT_STARTS_MAX;
 }
 
-/* Measures the rate of starts of a plan that is held back by it. */
+/* Counts starts by the second.  A plan that is held back by its limit on starts
+ * in a second gets that second's starts as its rate. */
 static void
-count_start (plan_t *plan, int64_t now_ms)
+roll_second (plan_t *plan, int64_t now_ms)
 {
-  int64_t second_ms = now_ms / 1000 * 1000;
+  int64_t second_ms = now_ms / MS_PER_S * MS_PER_S;
 
-  if (second_ms != plan->second_ms)
-    {
-      bool limited = fair_is_parked (plan->queue, FAIR_AT_STARTS_MAX) && plan->starts > 0;
-      plan->starts_per_s = limited ? plan->starts : 0;
-      plan->starts = 0;
-      plan->second_ms = second_ms;
-    }
-  plan->starts++;
+  if (second_ms == plan->second_ms)
+    return;
+  bool limited = fair_is_parked (plan->queue, FAIR_AT_STARTS_MAX);
+  plan->starts_per_s = limited ? plan->starts : 0;
+  plan->last_starts = second_ms == plan->second_ms + MS_PER_S ? plan->starts : 0;
+  plan->starts = 0;
+  plan->second_ms = second_ms;
 }
 
 static void
@@ -415,7 +414,8 @@
   entry->plan->running++;
   dispatch->running++;
   dispatch->free_slots = MAX (dispatch->free_slots - choice->units, 0);
-  count_start (entry->plan, now_ms);
+  roll_second (entry->plan, now_ms);
+  entry->plan->starts++;
   dispatch_action_t action = { DISPATCH_START, entry->ticket, endpoint->id };
   g_array_append_val (actions, action);
 }
@@ -457,8 +457,7 @@
       if (!takes_work (endpoint) || endpoint->outlier.state == OUTLIER_OUT
           || endpoint_units (endpoint, entry->cores, entry->memory_mb) > endpoint->slots)
         continue;
-      int32_t left =
-          dispatch->limits->ops->left (dispatch->limits, DISPATCH_SLOTS, endpoint->id, now_ms);
+      int32_t left = slots_left (dispatch, endpoint, now_ms);
       if (left > best_left)
         {
           best_left = left;
@@ -574,9 +573,12 @@
 }
 
 static void
-unpark_starts (fair_plan_t *plan, void *data)
+unpark_starts (fair_plan_t *queue, void *data)
 {
-  fair_unpark (((dispatch_t *) data)->fair, plan, FAIR_AT_STARTS_MAX);
+  dispatch_t *dispatch = data;
+
+  roll_second (plan_get (dispatch, fair_plan_name (queue)), dispatch->refreshed_at_ms);
+  fair_unpark (dispatch->fair, queue, FAIR_AT_STARTS_MAX);
 }
 
 static void
@@ -591,9 +593,9 @@
 {
   if (now_ms - dispatch->refreshed_at_ms >= REFRESH_EVERY_MS)
     {
+      refresh_slots (dispatch, now_ms);
       open_add_all (dispatch);
       fair_each_plan (dispatch->fair, unpark_starts, dispatch);
-      refresh_slots (dispatch, now_ms);
     }
   if (dispatch->options.refuse)
     give_up_late (dispatch, now_ms, actions);
@@ -615,6 +617,11 @@
   endpoint_t *endpoint = entry->endpoint;
   outlier_t *outlier = &endpoint->outlier;
 
+  if (event->outcome == DISPATCH_ABANDONED)
+    {
+      outlier->probing &= !entry->probe;
+      return;
+    }
   if (event->outcome == DISPATCH_NOT_STARTED)
     {
       reach_failed (&endpoint->reach, now_ms);
@@ -653,7 +660,8 @@
     return;
   return_units (dispatch, entry, now_ms);
   judge (dispatch, entry, event, now_ms);
-  int64_t used_us = event->outcome == DISPATCH_NOT_STARTED ? 0 : event->elapsed_us * entry->units;
+  bool written = event->outcome != DISPATCH_NOT_STARTED && event->outcome != DISPATCH_ABANDONED;
+  int64_t used_us = written ? event->elapsed_us * entry->units : 0;
   fair_charge (dispatch->fair, entry->plan->queue, used_us - entry->cost_us);
   if (event->outcome != DISPATCH_NOT_STARTED)
     {
--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -34,11 +34,13 @@
 
 typedef enum
 {
-  DISPATCH_DONE,       /* a whole 2xx or 4xx */
-  DISPATCH_FAILED,     /* a whole 5xx */
-  DISPATCH_TIMEOUT,    /* no whole answer in time */
-  DISPATCH_CUT,        /* the connection broke after the request was written */
-  DISPATCH_NOT_STARTED /* no connection: nothing was written */
+  DISPATCH_DONE,        /* a whole 2xx or 4xx */
+  DISPATCH_FAILED,      /* a whole 5xx */
+  DISPATCH_TIMEOUT,     /* no whole answer in time */
+  DISPATCH_CUT,         /* the connection broke after the request was written */
+  DISPATCH_NOT_STARTED, /* no connection: nothing was written */
+  DISPATCH_ABANDONED    /* nothing was written and nothing will be: ends the ticket, says
+                         * nothing about the endpoint */
 } dispatch_outcome_t;
 
 typedef struct
@@ -207,7 +209,8 @@
   const char *plan;
   uint32_t queued;
   uint32_t running;
-  bool at_running_max; /* held back by its limit */
+  uint32_t started_lately; /* starts in the last second, or in this one if more */
+  bool at_running_max;     /* held back by its limit */
   bool at_starts_max;
 } dispatch_plan_state_t;
 
--- a/lib/dispatch/endpoint.c
+++ b/lib/dispatch/endpoint.c
@@ -42,6 +42,15 @@
   return MAX (MAX (by_cores, by_memory), MAX (by_connections, 1));
 }
 
+int32_t
+slots_left (const dispatch_t *dispatch, const endpoint_t *endpoint, int64_t now_ms)
+{
+  int32_t left =
+      dispatch->limits->ops->left (dispatch->limits, DISPATCH_SLOTS, endpoint->id, now_ms);
+
+  return MIN (left, endpoint->slots - endpoint->units);
+}
+
 double
 kind_mean_ms (const kind_t *kind)
 {
--- a/lib/dispatch/report.c
+++ b/lib/dispatch/report.c
@@ -76,6 +76,7 @@
     .plan = fair_plan_name (queue),
     .queued = fair_plan_queued (queue),
     .running = plan->running,
+    .started_lately = MAX (plan->starts, plan->last_starts),
     .at_running_max = fair_is_parked (queue, FAIR_AT_RUNNING_MAX),
     .at_starts_max = fair_is_parked (queue, FAIR_AT_STARTS_MAX),
   };
--- a/lib/dispatch/state.h
+++ b/lib/dispatch/state.h
@@ -29,8 +29,9 @@
   fair_plan_t *queue;
   backlog_t backlog;
   uint32_t running;
-  double starts_per_s; /* measured while at the limit on starts */
-  uint32_t starts;     /* in the running second */
+  double starts_per_s;  /* measured while at the limit on starts */
+  uint32_t starts;      /* in the running second */
+  uint32_t last_starts; /* in the second before it */
   int64_t second_ms;
 } plan_t;
 
@@ -108,6 +109,8 @@
 void endpoint_free (void *endpoint);
 /* Slots that a task of this size takes; more than its slots means never. */
 int32_t endpoint_units (const endpoint_t *endpoint, int32_t cores, int64_t memory_mb);
+/* Free slots of ENDPOINT that this host may take. */
+int32_t slots_left (const dispatch_t *dispatch, const endpoint_t *endpoint, int64_t now_ms);
 double kind_mean_ms (const kind_t *kind);
 double endpoint_expected_ms (const endpoint_t *endpoint, const kind_t *kind, int64_t now_ms);
 bool endpoint_is_silent (const endpoint_t *endpoint, int64_t now_ms);
