Tell an empty string from a null string in a frame

Cause: msgpack gives no pointer for an empty string and g_strndup () of no pointer is none. Before: the new case "frame with empty fields" failed. After: it passes.

--- a/lib/wire/frame.c
+++ b/lib/wire/frame.c
@@ -262,7 +262,7 @@
       reader->failed = true;
       return NULL;
     }
-  return g_strndup (text.ptr, text.size);
+  return text.size > 0 ? g_strndup (text.ptr, text.size) : g_strdup ("");
 }
 
 const void *
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -82,6 +82,33 @@
   g_bytes_unref (frame);
 }
 
+/* An empty string and a null string are two values. */
+static void
+test_frame_empty (void)
+{
+  frame_writer_t *writer = frame_begin (FRAME_PING);
+  frame_put_string (writer, "");
+  frame_put_string (writer, NULL);
+  frame_put_bytes (writer, "", 0);
+  GBytes *frame = frame_finish (writer);
+  gsize size = 0;
+  const char *data = g_bytes_get_data (frame, &size);
+  frame_reader_t *reader = NULL;
+  size_t got = 1;
+  CU_ASSERT_EQUAL_FATAL (
+      frame_parse (data + FRAME_LENGTH_BYTES, size - FRAME_LENGTH_BYTES, &reader), 0);
+  char *empty = frame_get_string (reader, 0);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (empty);
+  CU_ASSERT_STRING_EQUAL (empty, "");
+  CU_ASSERT_PTR_NULL (frame_get_string (reader, 0));
+  frame_get_bytes (reader, 0, &got);
+  CU_ASSERT_EQUAL (got, 0);
+  CU_ASSERT (frame_ok (reader));
+  g_free (empty);
+  frame_reader_free (reader);
+  g_bytes_unref (frame);
+}
+
 static void
 test_counters (void)
 {
@@ -102,6 +129,7 @@
   { "error rows", test_error_rows },
   { "frame integers", test_frame_ints },
   { "frame cut at every length", test_frame_cuts },
+  { "frame with empty fields", test_frame_empty },
   { "counters", test_counters },
 };
 
