--- a/tests/system/rig.h
+++ b/tests/system/rig.h
@@ -109,6 +109,8 @@
 void rig_wait_ready (rig_t *rig, rig_host_t *host);
 /* SIGTERM, then waits; a status other than 0 is a failure. */
 void rig_stop_host (rig_t *rig, rig_host_t *host);
+/* Waits only; the signal has been sent.  A second one would end it at once. */
+void rig_await_stop (rig_t *rig, rig_host_t *host);
 /* kill -9; requests at this host may break. */
 void rig_kill_host (rig_t *rig, rig_host_t *host);
 /* Cuts HOST off from (or joins it to) DATA_CENTRE; "" stands for all peers. */
