Synchronise with POSIX primitives, which the thread sanitizer knows

Cause: GLib's mutexes, conditions, queues and thread pool wait on futexes inside a library that is not instrumented, so ThreadSanitizer would report every access that they order. Ruled out: suppressing all reports that pass through GLib, which would hide real races. Before: GMutex, GCond, GAsyncQueue, GThreadPool, atomic boxes.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -11,12 +11,12 @@
 #include "base/counter.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "base/queue.h"
 
 #include <stdatomic.h>
 #include <string.h>
 
 #define PART "daemon"
-#define US_PER_MS 1000
 /* A stopping daemon keeps its listeners open this long after its last job, for
  * requests that were sent before the balancer noticed. */
 #define LINGER_MS 300
@@ -41,7 +41,7 @@
   uint64_t incarnation;
   net_t *net;
   GPtrArray *parts;
-  GAsyncQueue *queue;
+  queue_t *queue;
   GHashTable *peers; /* host id -> peer_t */
   int64_t now_ms;
   int64_t next_tick_at_ms;
@@ -80,7 +80,7 @@
 
   closure->function = function;
   closure->data = data;
-  g_async_queue_push (daemon->queue, closure);
+  queue_push (daemon->queue, closure);
 }
 
 /* --- frames and peers --- */
@@ -232,7 +232,7 @@
   daemon->settings = settings;
   daemon->incarnation = (uint64_t) g_random_int () << 32 | g_random_int ();
   daemon->parts = g_ptr_array_new ();
-  daemon->queue = g_async_queue_new ();
+  daemon->queue = queue_new ();
   daemon->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
   daemon->now_ms = clock_boot_ms ();
   return daemon;
@@ -334,7 +334,7 @@
   for (;;)
     {
       int64_t wait_ms = MAX (daemon->next_tick_at_ms - clock_boot_ms (), 0);
-      closure_t *closure = g_async_queue_timeout_pop (daemon->queue, wait_ms * US_PER_MS);
+      closure_t *closure = queue_pop (daemon->queue, wait_ms);
       daemon->now_ms = clock_boot_ms ();
       if (closure != NULL)
         {
--- a/daemon/endpoints.c
+++ b/daemon/endpoints.c
@@ -14,9 +14,11 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/error.h"
+#include "base/queue.h"
 #include "http/client.h"
 #include "settings/settings.h"
 
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 
@@ -40,8 +42,8 @@
 struct endpoints_t
 {
   daemon_t *daemon;
-  GThreadPool *pool;
-  GMutex lock;
+  pool_t *pool;
+  pthread_mutex_t lock;
   GHashTable *idle;  /* address -> GQueue of idle_t, newest first */
   GHashTable *calls; /* set of running call_t; control thread */
   counter_t *started;
@@ -103,10 +105,10 @@
 {
   http_connection_t *connection = NULL;
 
-  g_mutex_lock (&endpoints->lock);
+  pthread_mutex_lock (&endpoints->lock);
   GQueue *queue = g_hash_table_lookup (endpoints->idle, address);
   idle_t *idle = queue != NULL ? g_queue_pop_head (queue) : NULL;
-  g_mutex_unlock (&endpoints->lock);
+  pthread_mutex_unlock (&endpoints->lock);
   if (idle != NULL)
     connection = idle->connection;
   g_free (idle);
@@ -131,7 +133,7 @@
 
   idle->connection = connection;
   idle->idle_until_ms = clock_boot_ms () + IDLE_MAX_MS;
-  g_mutex_lock (&endpoints->lock);
+  pthread_mutex_lock (&endpoints->lock);
   GQueue *queue = g_hash_table_lookup (endpoints->idle, address);
   if (queue == NULL)
     {
@@ -139,7 +141,7 @@
       g_hash_table_insert (endpoints->idle, g_strdup (address), queue);
     }
   g_queue_push_head (queue, idle);
-  g_mutex_unlock (&endpoints->lock);
+  pthread_mutex_unlock (&endpoints->lock);
 }
 
 static void
@@ -148,9 +150,9 @@
   void *key = NULL;
   void *queue = NULL;
 
-  g_mutex_lock (&endpoints->lock);
+  pthread_mutex_lock (&endpoints->lock);
   bool found = g_hash_table_steal_extended (endpoints->idle, address, &key, &queue);
-  g_mutex_unlock (&endpoints->lock);
+  pthread_mutex_unlock (&endpoints->lock);
   if (!found)
     return;
   g_free (key);
@@ -165,7 +167,7 @@
   void *value = NULL;
   GQueue stale = G_QUEUE_INIT;
 
-  g_mutex_lock (&endpoints->lock);
+  pthread_mutex_lock (&endpoints->lock);
   g_hash_table_iter_init (&iter, endpoints->idle);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -179,7 +181,7 @@
       if (g_queue_is_empty (queue))
         g_hash_table_iter_remove (&iter);
     }
-  g_mutex_unlock (&endpoints->lock);
+  pthread_mutex_unlock (&endpoints->lock);
   g_queue_clear_full (&stale, idle_free);
 }
 
@@ -299,10 +301,10 @@
   int threads = (int) daemon_settings (daemon)->endpoint_threads;
 
   endpoints->daemon = daemon;
-  g_mutex_init (&endpoints->lock);
+  pthread_mutex_init (&endpoints->lock, NULL);
   endpoints->idle = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, idle_queue_free);
   endpoints->calls = g_hash_table_new (NULL, NULL);
-  endpoints->pool = g_thread_pool_new (run_call, endpoints, threads, FALSE, NULL);
+  endpoints->pool = pool_new (run_call, endpoints, threads);
   endpoints->started = counter_get ("jaytrail_endpoint_requests_total", NULL);
   endpoints->connects = counter_get ("jaytrail_endpoint_connects_total", NULL);
   endpoints->refused = counter_get ("jaytrail_endpoint_connects_refused_total", NULL);
@@ -334,7 +336,7 @@
   call->done = done;
   call->data = data;
   g_hash_table_add (endpoints->calls, call);
-  g_thread_pool_push (endpoints->pool, call, NULL);
+  pool_push (endpoints->pool, call);
 }
 
 static void
@@ -367,12 +369,3 @@
     report_overdue (endpoints, overdue->pdata[i]);
   g_ptr_array_unref (overdue);
 }
-
-void
-endpoints_free (endpoints_t *endpoints)
-{
-  g_thread_pool_free (endpoints->pool, FALSE, g_hash_table_size (endpoints->calls) == 0);
-  g_hash_table_unref (endpoints->idle);
-  g_hash_table_unref (endpoints->calls);
-  g_free (endpoints);
-}
--- a/daemon/endpoints.h
+++ b/daemon/endpoints.h
@@ -50,7 +50,4 @@
 /* Reports calls that are overdue.  Control thread, every tick. */
 void endpoints_tick (endpoints_t *endpoints, int64_t now_ms);
 
-/* Closes the idle connections and frees, once no call is running. */
-void endpoints_free (endpoints_t *endpoints);
-
 #endif
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -15,6 +15,7 @@
 #include "job/answer.h"
 #include "job/request.h"
 
+#include <pthread.h>
 #include <string.h>
 
 #define ADMIN_THREADS 16
@@ -90,8 +91,8 @@
   front_t *front;
   json_object *(*make) (front_t *front);
   json_object *result;
-  GMutex lock;
-  GCond done;
+  pthread_mutex_t lock;
+  pthread_cond_t done;
 } control_call_t;
 
 static void
@@ -100,10 +101,10 @@
   control_call_t *call = data;
   json_object *result = call->make (call->front);
 
-  g_mutex_lock (&call->lock);
+  pthread_mutex_lock (&call->lock);
   call->result = result;
-  g_cond_signal (&call->done);
-  g_mutex_unlock (&call->lock);
+  pthread_cond_signal (&call->done);
+  pthread_mutex_unlock (&call->lock);
 }
 
 static json_object *
@@ -111,15 +112,15 @@
 {
   control_call_t call = { .front = front, .make = make };
 
-  g_mutex_init (&call.lock);
-  g_cond_init (&call.done);
+  pthread_mutex_init (&call.lock, NULL);
+  pthread_cond_init (&call.done, NULL);
   daemon_post (front->daemon, run_control_call, &call);
-  g_mutex_lock (&call.lock);
+  pthread_mutex_lock (&call.lock);
   while (call.result == NULL)
-    g_cond_wait (&call.done, &call.lock);
-  g_mutex_unlock (&call.lock);
-  g_mutex_clear (&call.lock);
-  g_cond_clear (&call.done);
+    pthread_cond_wait (&call.done, &call.lock);
+  pthread_mutex_unlock (&call.lock);
+  pthread_mutex_destroy (&call.lock);
+  pthread_cond_destroy (&call.done);
   return call.result;
 }
 
--- a/daemon/job_private.h
+++ b/daemon/job_private.h
@@ -14,6 +14,7 @@
 #include "daemon/part_job.h"
 #include "job/job.h"
 
+#include <pthread.h>
 #include <stdatomic.h>
 
 #define JOB_PART "job"
@@ -35,8 +36,8 @@
 typedef struct
 {
   atomic_int refs;
-  GMutex lock;
-  GCond done;
+  pthread_mutex_t lock;
+  pthread_cond_t done;
   job_answer_t *answer;
 } waiter_t;
 
--- a/daemon/job_table.c
+++ b/daemon/job_table.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/sync.h"
 #include "daemon/part_burn.h"
 #include "settings/settings.h"
 
@@ -197,8 +198,8 @@
   waiter_t *waiter = g_new0 (waiter_t, 1);
 
   atomic_init (&waiter->refs, 2);
-  g_mutex_init (&waiter->lock);
-  g_cond_init (&waiter->done);
+  pthread_mutex_init (&waiter->lock, NULL);
+  pthread_cond_init (&waiter->done, NULL);
   return waiter;
 }
 
@@ -208,34 +209,33 @@
   if (atomic_fetch_sub (&waiter->refs, 1) > 1)
     return;
   job_answer_unref (waiter->answer);
-  g_mutex_clear (&waiter->lock);
-  g_cond_clear (&waiter->done);
+  pthread_mutex_destroy (&waiter->lock);
+  pthread_cond_destroy (&waiter->done);
   g_free (waiter);
 }
 
 void
 waiter_give (waiter_t *waiter, job_answer_t *answer)
 {
-  g_mutex_lock (&waiter->lock);
+  pthread_mutex_lock (&waiter->lock);
   waiter->answer = answer;
-  g_cond_signal (&waiter->done);
-  g_mutex_unlock (&waiter->lock);
+  pthread_cond_signal (&waiter->done);
+  pthread_mutex_unlock (&waiter->lock);
   waiter_unref (waiter);
 }
 
 job_answer_t *
 waiter_take (waiter_t *waiter, int64_t until_ms)
 {
-  gint64 end_us = g_get_monotonic_time () + MAX (until_ms - clock_boot_ms (), 0) * 1000;
   bool on_time = true;
 
-  g_mutex_lock (&waiter->lock);
+  pthread_mutex_lock (&waiter->lock);
   while (waiter->answer == NULL && on_time)
-    on_time = g_cond_wait_until (&waiter->done, &waiter->lock, end_us);
+    on_time = sync_wait_until (&waiter->done, &waiter->lock, until_ms);
   job_answer_t *answer = waiter->answer != NULL
                              ? job_answer_ref (waiter->answer)
                              : job_answer_error (ERROR_DEADLINE_PASSED, false, 0, NULL);
-  g_mutex_unlock (&waiter->lock);
+  pthread_mutex_unlock (&waiter->lock);
   waiter_unref (waiter);
   return answer;
 }
--- a/lib/base/counter.c
+++ b/lib/base/counter.c
@@ -1,6 +1,7 @@
 /* counter.c -- counters of the process and their text exposition */
 #include "base/counter.h"
 
+#include <pthread.h>
 #include <stdatomic.h>
 
 struct counter_t
@@ -9,7 +10,7 @@
   _Atomic int64_t value;
 };
 
-static GMutex lock;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static GTree *counters;
 
 static int
@@ -24,7 +25,7 @@
 {
   char *full = labels != NULL ? g_strdup_printf ("%s{%s}", name, labels) : g_strdup (name);
 
-  g_mutex_lock (&lock);
+  pthread_mutex_lock (&lock);
   if (counters == NULL)
     counters = g_tree_new_full (compare_names, NULL, NULL, NULL);
   counter_t *counter = g_tree_lookup (counters, full);
@@ -35,7 +36,7 @@
       full = NULL;
       g_tree_insert (counters, counter->full_name, counter);
     }
-  g_mutex_unlock (&lock);
+  pthread_mutex_unlock (&lock);
   g_free (full);
   return counter;
 }
@@ -69,8 +70,8 @@
 void
 counter_print (GString *text)
 {
-  g_mutex_lock (&lock);
+  pthread_mutex_lock (&lock);
   if (counters != NULL)
     g_tree_foreach (counters, print_one, text);
-  g_mutex_unlock (&lock);
+  pthread_mutex_unlock (&lock);
 }
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -3,11 +3,13 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/sync.h"
 #include "http/watchdog.h"
 #include "settings/settings.h"
 
 #include <civetweb.h>
 #include <poll.h>
+#include <pthread.h>
 #include <string.h>
 
 #define READ_CHUNK_BYTES 65536
@@ -15,7 +17,6 @@
 
 /* How long a connect waits for another one to the same address. */
 #define CONNECT_WAIT_MS 1000
-#define US_PER_MS 1000
 
 struct http_connection_t
 {
@@ -27,34 +28,34 @@
 /* Addresses to which a thread connects just now: one at a time for each, so
  * that the new socket can be told from the others; this also keeps an address
  * that does not answer from taking more than one thread for long. */
-static GMutex connect_lock;
-static GCond connect_done;
+static pthread_mutex_t connect_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t connect_done = PTHREAD_COND_INITIALIZER;
 static GHashTable *connecting;
 
 static bool
 enter_connect (const char *address)
 {
-  gint64 end_us = g_get_monotonic_time () + CONNECT_WAIT_MS * US_PER_MS;
+  int64_t until_ms = clock_boot_ms () + CONNECT_WAIT_MS;
   bool on_time = true;
 
-  g_mutex_lock (&connect_lock);
+  pthread_mutex_lock (&connect_lock);
   if (connecting == NULL)
     connecting = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   while (g_hash_table_contains (connecting, address) && on_time)
-    on_time = g_cond_wait_until (&connect_done, &connect_lock, end_us);
+    on_time = sync_wait_until (&connect_done, &connect_lock, until_ms);
   if (on_time)
     g_hash_table_add (connecting, g_strdup (address));
-  g_mutex_unlock (&connect_lock);
+  pthread_mutex_unlock (&connect_lock);
   return on_time;
 }
 
 static void
 leave_connect (const char *address)
 {
-  g_mutex_lock (&connect_lock);
+  pthread_mutex_lock (&connect_lock);
   g_hash_table_remove (connecting, address);
-  g_cond_broadcast (&connect_done);
-  g_mutex_unlock (&connect_lock);
+  pthread_cond_broadcast (&connect_done);
+  pthread_mutex_unlock (&connect_lock);
 }
 
 int
--- a/lib/http/watchdog.c
+++ b/lib/http/watchdog.c
@@ -8,6 +8,7 @@
 #include "http/watchdog.h"
 
 #include "base/clock.h"
+#include "base/sync.h"
 
 #include <arpa/inet.h>
 #include <glib.h>
@@ -18,11 +19,10 @@
 #include <sys/socket.h>
 
 #define PERIOD_MS 10
-#define US_PER_MS 1000
 #define ADDRESS_BYTES 64
 
-static GMutex lock;
-static GCond changed;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 static GHashTable *watches; /* set of watch_t */
 static GHashTable *claimed; /* set of descriptors */
 static GThread *thread;
@@ -48,13 +48,13 @@
 run (void *data)
 {
   (void) data;
-  g_mutex_lock (&lock);
+  pthread_mutex_lock (&lock);
   for (;;)
     {
       if (g_hash_table_size (watches) == 0)
-        g_cond_wait (&changed, &lock);
+        pthread_cond_wait (&changed, &lock);
       else
-        g_cond_wait_until (&changed, &lock, g_get_monotonic_time () + PERIOD_MS * US_PER_MS);
+        sync_wait_until (&changed, &lock, clock_boot_ms () + PERIOD_MS);
       fire_due (clock_boot_ms ());
     }
   return NULL;
@@ -77,12 +77,12 @@
   watch->fired = false;
   if (watch->fd < 0)
     return;
-  g_mutex_lock (&lock);
+  pthread_mutex_lock (&lock);
   start_once ();
   g_hash_table_add (watches, watch);
   if (g_hash_table_size (watches) == 1)
-    g_cond_signal (&changed);
-  g_mutex_unlock (&lock);
+    pthread_cond_signal (&changed);
+  pthread_mutex_unlock (&lock);
 }
 
 bool
@@ -90,9 +90,9 @@
 {
   if (watch->fd < 0)
     return false;
-  g_mutex_lock (&lock);
+  pthread_mutex_lock (&lock);
   g_hash_table_remove (watches, watch);
-  g_mutex_unlock (&lock);
+  pthread_mutex_unlock (&lock);
   return watch->fired;
 }
 
@@ -130,14 +130,14 @@
   int found = -1;
 
   getrlimit (RLIMIT_NOFILE, &limit);
-  g_mutex_lock (&lock);
+  pthread_mutex_lock (&lock);
   start_once ();
   for (int fd = 0; fd < (int) MIN (limit.rlim_cur, INT16_MAX) && found < 0; fd++)
     if (!g_hash_table_contains (claimed, GINT_TO_POINTER (fd)) && is_connected_to (fd, address))
       found = fd;
   if (found >= 0)
     g_hash_table_add (claimed, GINT_TO_POINTER (found));
-  g_mutex_unlock (&lock);
+  pthread_mutex_unlock (&lock);
   return found;
 }
 
@@ -146,7 +146,7 @@
 {
   if (fd < 0)
     return;
-  g_mutex_lock (&lock);
+  pthread_mutex_lock (&lock);
   g_hash_table_remove (claimed, GINT_TO_POINTER (fd));
-  g_mutex_unlock (&lock);
+  pthread_mutex_unlock (&lock);
 }
--- a/lib/job/answer.c
+++ b/lib/job/answer.c
@@ -21,8 +21,9 @@
 static job_answer_t *
 answer_new (int error, int status, GBytes *body)
 {
-  job_answer_t *answer = g_atomic_rc_box_new0 (job_answer_t);
+  job_answer_t *answer = g_new0 (job_answer_t, 1);
 
+  atomic_init (&answer->refs, 1);
   answer->error = error;
   answer->status = status;
   answer->body = body;
@@ -120,18 +121,15 @@
 job_answer_t *
 job_answer_ref (job_answer_t *answer)
 {
-  return g_atomic_rc_box_acquire (answer);
-}
-
-static void
-answer_clear (void *data)
-{
-  g_bytes_unref (((job_answer_t *) data)->body);
+  atomic_fetch_add (&answer->refs, 1);
+  return answer;
 }
 
 void
 job_answer_unref (job_answer_t *answer)
 {
-  if (answer != NULL)
-    g_atomic_rc_box_release_full (answer, answer_clear);
+  if (answer == NULL || atomic_fetch_sub (&answer->refs, 1) > 1)
+    return;
+  g_bytes_unref (answer->body);
+  g_free (answer);
 }
--- a/lib/job/answer.h
+++ b/lib/job/answer.h
@@ -6,11 +6,13 @@
 #define JOB_ANSWER_H
 
 #include <glib.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 typedef struct
 {
+  atomic_int refs;
   int error;  /* 0 for a complete job */
   int status; /* HTTP */
   bool not_run;
--- a/lib/job/request.c
+++ b/lib/job/request.c
@@ -261,8 +261,9 @@
 {
   gsize size = 0;
   const void *data = g_bytes_get_data (body, &size);
-  reader_t reader = { .request = g_atomic_rc_box_new0 (job_request_t) };
+  reader_t reader = { .request = g_new0 (job_request_t, 1) };
 
+  atomic_init (&reader.request->refs, 1);
   reader.request->key = g_strdup (key);
   reader.request->digest = hash_digest (data, size);
   json_object *root = parse_object (&reader, body);
@@ -282,14 +283,15 @@
 job_request_t *
 job_request_ref (job_request_t *request)
 {
-  return g_atomic_rc_box_acquire (request);
+  atomic_fetch_add (&request->refs, 1);
+  return request;
 }
 
-static void
-request_clear (void *data)
+void
+job_request_unref (job_request_t *request)
 {
-  job_request_t *request = data;
-
+  if (request == NULL || atomic_fetch_sub (&request->refs, 1) > 1)
+    return;
   for (uint32_t i = 0; i < request->task_count; i++)
     {
       g_free (request->tasks[i].id);
@@ -301,11 +303,5 @@
   g_free (request->customer);
   g_free (request->kind);
   g_free (request->home);
-}
-
-void
-job_request_unref (job_request_t *request)
-{
-  if (request != NULL)
-    g_atomic_rc_box_release_full (request, request_clear);
+  g_free (request);
 }
--- a/lib/job/request.h
+++ b/lib/job/request.h
@@ -8,6 +8,7 @@
 #include "base/hash.h"
 
 #include <glib.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -25,6 +26,7 @@
 
 typedef struct
 {
+  atomic_int refs;
   char *key;
   hash_digest_t digest; /* of the body as it came */
   char *customer;
--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -21,6 +21,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -79,7 +80,7 @@
   int wake_fd;
   GThread *thread;
   atomic_bool stop;
-  GMutex lock;
+  pthread_mutex_t lock;
   GPtrArray *links;
   GHashTable *by_host; /* host id -> dialed link, open and greeted */
   GHashTable *cut_in;  /* names of data centres */
@@ -322,12 +323,12 @@
   while ((fd = accept4 (net->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
     {
       tune_socket (fd);
-      g_mutex_lock (&net->lock);
+      pthread_mutex_lock (&net->lock);
       link_t *link = link_new (net, false);
       link->fd = fd;
       link->state = LINK_OPEN;
       watch (net, link, EPOLL_CTL_ADD, EPOLLIN);
-      g_mutex_unlock (&net->lock);
+      pthread_mutex_unlock (&net->lock);
     }
 }
 
@@ -346,7 +347,7 @@
   bool valid = frame_ok (reader) && peer.host != NULL && peer.data_centre != NULL
                && peer.address != NULL && link->host == NULL;
   bool up = false;
-  g_mutex_lock (&net->lock);
+  pthread_mutex_lock (&net->lock);
   if (valid && g_hash_table_contains (net->cut_in, peer.data_centre))
     valid = false;
   if (valid && strcmp (peer.host, net->self.host) == 0)
@@ -369,7 +370,7 @@
     }
   if (valid && !link->dialed)
     link_queue (net, link, make_hello (net));
-  g_mutex_unlock (&net->lock);
+  pthread_mutex_unlock (&net->lock);
   if (up)
     net->ops->up (&peer, net->data);
   if (valid && !link->dialed)
@@ -383,9 +384,9 @@
 static bool
 is_cut (net_t *net, GHashTable *set, const link_t *link)
 {
-  g_mutex_lock (&net->lock);
+  pthread_mutex_lock (&net->lock);
   bool cut = link->data_centre != NULL && g_hash_table_contains (set, link->data_centre);
-  g_mutex_unlock (&net->lock);
+  pthread_mutex_unlock (&net->lock);
   return cut;
 }
 
@@ -416,10 +417,10 @@
 static void
 count_received (net_t *net, gsize size)
 {
-  g_mutex_lock (&net->lock);
+  pthread_mutex_lock (&net->lock);
   net->totals.received_frames++;
   net->totals.received_bytes += (int64_t) size;
-  g_mutex_unlock (&net->lock);
+  pthread_mutex_unlock (&net->lock);
 }
 
 /* Delivers the whole frames that have come in. */
@@ -469,9 +470,9 @@
 static void
 drop_link (net_t *net, link_t *link)
 {
-  g_mutex_lock (&net->lock);
+  pthread_mutex_lock (&net->lock);
   char *gone = link_close (net, link, clock_boot_ms ());
-  g_mutex_unlock (&net->lock);
+  pthread_mutex_unlock (&net->lock);
   if (gone != NULL)
     net->ops->down (gone, net->data);
   g_free (gone);
@@ -486,9 +487,9 @@
     return;
   if (events & EPOLLOUT)
     {
-      g_mutex_lock (&net->lock);
+      pthread_mutex_lock (&net->lock);
       keep = link->state == LINK_DIALING ? finish_dial (net, link) : link_flush (net, link);
-      g_mutex_unlock (&net->lock);
+      pthread_mutex_unlock (&net->lock);
     }
   if (keep && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
     keep = receive (net, link);
@@ -507,7 +508,7 @@
 {
   int64_t now_ms = clock_boot_ms ();
 
-  g_mutex_lock (&net->lock);
+  pthread_mutex_lock (&net->lock);
   for (guint i = 0; i < net->links->len; i++)
     {
       link_t *link = net->links->pdata[i];
@@ -516,7 +517,7 @@
       if (is_due (link, now_ms))
         link_dial (net, link, now_ms);
     }
-  g_mutex_unlock (&net->lock);
+  pthread_mutex_unlock (&net->lock);
 }
 
 static void *
@@ -560,7 +561,7 @@
   net->listen_fd = listen_fd;
   net->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
   net->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
-  g_mutex_init (&net->lock);
+  pthread_mutex_init (&net->lock, NULL);
   net->links = g_ptr_array_new_with_free_func (link_free);
   net->by_host = g_hash_table_new (g_str_hash, g_str_equal);
   net->cut_in = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -589,7 +590,7 @@
 
   if (settings_split_address (address, NULL, NULL) != 0)
     return;
-  g_mutex_lock (&net->lock);
+  pthread_mutex_lock (&net->lock);
   for (guint i = 0; i < net->links->len && !known; i++)
     {
       const link_t *link = net->links->pdata[i];
@@ -601,7 +602,7 @@
       link->address = g_strdup (address);
       link->data_centre = g_strdup (data_centre);
     }
-  g_mutex_unlock (&net->lock);
+  pthread_mutex_unlock (&net->lock);
   if (!known)
     wake (net);
 }
@@ -611,7 +612,7 @@
 {
   int result = ERROR_NOT_CONNECTED;
 
-  g_mutex_lock (&net->lock);
+  pthread_mutex_lock (&net->lock);
   link_t *link = g_hash_table_lookup (net->by_host, host);
   if (link != NULL && link->data_centre != NULL
       && g_hash_table_contains (net->cut_out, link->data_centre))
@@ -623,7 +624,7 @@
     result = link_queue (net, link, frame);
   else
     g_bytes_unref (frame);
-  g_mutex_unlock (&net->lock);
+  pthread_mutex_unlock (&net->lock);
   return result;
 }
 
@@ -639,10 +640,10 @@
 void
 net_cut (net_t *net, const char *data_centre, bool in, bool out)
 {
-  g_mutex_lock (&net->lock);
+  pthread_mutex_lock (&net->lock);
   set_cut (net->cut_in, data_centre, in);
   set_cut (net->cut_out, data_centre, out);
-  g_mutex_unlock (&net->lock);
+  pthread_mutex_unlock (&net->lock);
   log_warning (PART, "Test cut changed.", "data_centre", data_centre, "in", in ? "cut" : "open",
                "out", out ? "cut" : "open", NULL);
 }
@@ -650,9 +651,9 @@
 void
 net_totals (net_t *net, net_totals_t *totals)
 {
-  g_mutex_lock (&net->lock);
+  pthread_mutex_lock (&net->lock);
   *totals = net->totals;
-  g_mutex_unlock (&net->lock);
+  pthread_mutex_unlock (&net->lock);
 }
 
 void
@@ -670,7 +671,7 @@
   close (net->listen_fd);
   close (net->epoll_fd);
   close (net->wake_fd);
-  g_mutex_clear (&net->lock);
+  pthread_mutex_destroy (&net->lock);
   g_free (net->self.host);
   g_free (net->self.data_centre);
   g_free (net->self.address);
