--- a/daemon/config_exchange.c
+++ b/daemon/config_exchange.c
@@ -141,8 +141,11 @@
   bool list_behind = config_hosts_beat (config, have, now_ms);
   relay_beat_t beat = { have->answered, list_behind || is_behind (config, have) };
   relay_heard (config->relay, from, &beat, now_ms);
-  if (have->answered && !is_behind (config, have) && config->source != CONFIG_SOURCE_LOG)
-    config->read_at_ms = now_ms;
+  if (have->answered && config->known && !config->actions.read && !is_behind (config, have))
+    {
+      config->source = CONFIG_SOURCE_RELAY;
+      config->read_at_ms = now_ms;
+    }
   config_have_free (have);
 }
 
--- a/lib/config/config.h
+++ b/lib/config/config.h
@@ -28,7 +28,8 @@
 config_t *config_ref (config_t *config);
 void config_unref (config_t *config);
 
-/* Offset in the log of the last edit that was accepted, 0 before the first. */
+/* The position in the log right after the last publication that was accepted:
+ * its offset plus 1; 0 before the first. */
 int64_t config_revision (const config_t *config);
 
 /* The plan of CUSTOMER, or NULL.  Valid while CONFIG is referenced. */
--- a/lib/config/fold.c
+++ b/lib/config/fold.c
@@ -227,7 +227,7 @@
       config_remove (&fold->config, edit->kind, edit->name);
       removed_add (fold, edit->kind, edit->name, offset);
     }
-  config_set_revision (&fold->config, offset);
+  config_set_revision (&fold->config, offset + 1);
   fold->has_state = true;
 }
 
--- a/lib/config/publish.c
+++ b/lib/config/publish.c
@@ -213,7 +213,7 @@
   g_bytes_unref (record);
   if (outcome->result < 0)
     return;
-  outcome->revision = reader->outcome.offset;
+  outcome->revision = reader->outcome.offset + 1;
   if (reader->outcome.accepted)
     return;
   outcome->result = ERROR_LOST_RACE;
