Move the address parser to lib/base; check which library includes which

Cause: wire and http needed the settings library only to split an address. Before: two edges of the picture led to settings.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -1,11 +1,11 @@
 /* client.c -- HTTP calls over CivetWeb, with reused connections */
 #include "http/client.h"
 
+#include "base/address.h"
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/sync.h"
 #include "http/watchdog.h"
-#include "settings/settings.h"
 
 #include <civetweb.h>
 #include <poll.h>
@@ -65,7 +65,7 @@
   char *ip = NULL;
   uint16_t port = 0;
 
-  if (settings_split_address (address, &ip, &port) != 0)
+  if (address_split (address, &ip, &port) != 0)
     return ERROR_NOT_CONNECTED;
   if (!enter_connect (address))
     {
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -6,6 +6,7 @@
  */
 #include "settings/settings.h"
 
+#include "base/address.h"
 #include "base/error.h"
 
 #include <errno.h>
@@ -80,38 +81,11 @@
   return ERROR_BAD_FILE;
 }
 
-int
-settings_split_address (const char *address, char **ip, uint16_t *port)
-{
-  const char *colon = strrchr (address, ':');
-  guint64 number = 0;
-
-  if (colon == NULL || colon == address
-      || !g_ascii_string_to_unsigned (colon + 1, 10, 1, UINT16_MAX, &number, NULL))
-    return ERROR_BAD_REQUEST;
-  size_t length = (size_t) (colon - address);
-  bool bracketed = address[0] == '[' && colon[-1] == ']' && length > 2;
-  char *host = bracketed ? g_strndup (address + 1, length - 2) : g_strndup (address, length);
-  bool valid = g_hostname_is_ip_address (host) && (bracketed || strchr (host, ':') == NULL);
-  if (!valid)
-    {
-      g_free (host);
-      return ERROR_BAD_REQUEST;
-    }
-  if (ip != NULL)
-    *ip = host;
-  else
-    g_free (host);
-  if (port != NULL)
-    *port = (uint16_t) number;
-  return 0;
-}
-
 static bool
 is_address (json_object *value)
 {
   return json_object_is_type (value, json_type_string)
-         && settings_split_address (json_object_get_string (value), NULL, NULL) == 0;
+         && address_split (json_object_get_string (value), NULL, NULL) == 0;
 }
 
 static bool
--- a/lib/settings/settings.h
+++ b/lib/settings/settings.h
@@ -49,10 +49,6 @@
 /* Frees SETTINGS; NULL is a no-op. */
 void settings_free (settings_t *settings);
 
-/* Splits "IP:port" (IPv4, or [IPv6]).  Returns 0 and sets *IP (g_free) and
- * *PORT, or ERROR_BAD_REQUEST. */
-int settings_split_address (const char *address, char **ip, uint16_t *port);
-
 /* Reads a JSON file with comments whole.  Returns 0 and *ROOT
  * (json_object_put), or ERROR_BAD_FILE and *MESSAGE as above. */
 int settings_read_json (const char *file, json_object **root, char **message);
--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -10,10 +10,10 @@
  */
 #include "wire/net.h"
 
+#include "base/address.h"
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
-#include "settings/settings.h"
 #include "wire/frame.h"
 
 #include <arpa/inet.h>
@@ -98,7 +98,7 @@
   socklen_t size = 0;
 
   memset (storage, 0, sizeof *storage);
-  if (settings_split_address (address, &ip, &port) != 0)
+  if (address_split (address, &ip, &port) != 0)
     return 0;
   struct sockaddr_in *v4 = (struct sockaddr_in *) storage;
   struct sockaddr_in6 *v6 = (struct sockaddr_in6 *) storage;
@@ -588,7 +588,7 @@
 {
   bool known = strcmp (address, net->self.address) == 0;
 
-  if (settings_split_address (address, NULL, NULL) != 0)
+  if (address_split (address, NULL, NULL) != 0)
     return;
   pthread_mutex_lock (&net->lock);
   for (guint i = 0; i < net->links->len && !known; i++)
--- a/tests/system/call.c
+++ b/tests/system/call.c
@@ -3,7 +3,7 @@
 
 #include "base/clock.h"
 #include "http/client.h"
-#include "settings/settings.h"
+#include "base/address.h"
 #include "tests/system/process.h"
 
 #include <arpa/inet.h>
@@ -136,7 +136,7 @@
 {
   char *ip = NULL;
   uint16_t port = 0;
-  if (settings_split_address (address, &ip, &port) != 0)
+  if (address_split (address, &ip, &port) != 0)
     return -1;
   struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons (port) };
   inet_pton (AF_INET, ip, &to.sin_addr);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -1,4 +1,5 @@
 /* test_settings.c -- lib/settings: each fault gives one line that names it */
+#include "base/address.h"
 #include "base/error.h"
 #include "settings/settings.h"
 
@@ -121,7 +122,7 @@
     {
       char *ip = NULL;
       uint16_t port = 0;
-      int result = settings_split_address (addresses[i].address, &ip, &port);
+      int result = address_split (addresses[i].address, &ip, &port);
       CU_ASSERT_EQUAL (result, addresses[i].ip != NULL ? 0 : ERROR_BAD_REQUEST);
       CU_ASSERT_EQUAL (g_strcmp0 (ip, addresses[i].ip), 0);
       CU_ASSERT_EQUAL (port, addresses[i].port);
--- /dev/null
+++ b/tools/layers.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Checks what each library may include: the picture in the README.  Prints each line that breaks it.
+set -u
+cd "$(dirname "$0")/.."
+
+# allowed LIBRARY: the libraries that it may include, besides itself.
+allowed () {
+  case $1 in
+    base) echo "" ;;
+    wire | settings | job | claim | view | share | dispatch | burn | config) echo "base" ;;
+    http) echo "base" ;;
+    platform) echo "base http" ;;
+    *) echo "?" ;;
+  esac
+}
+
+# A *_msg file is the codec of a decision library's messages: it may use wire as well.
+broken=0
+for file in lib/*/*.[ch]; do
+  library=$(basename "$(dirname "$file")")
+  may=" $library $(allowed "$library") "
+  case $file in *_msg.[ch]) may="$may wire " ;; esac
+  case $file in *_example.c) continue ;; esac
+  while read -r target; do
+    case $may in
+      *" $target "*) ;;
+      *) echo "$file: includes $target"; broken=1 ;;
+    esac
+  done < <(sed -n 's|^#include "\([a-z]*\)/.*|\1|p' "$file" | sort -u)
+done
+exit $broken
