--- a/lib/config/list.c
+++ b/lib/config/list.c
@@ -53,6 +53,12 @@
   json_object *root = json_tokener_parse_ex (tokener, text, (int) size);
   enum json_tokener_error error = json_tokener_get_error (tokener);
   size_t end = json_tokener_get_parse_end (tokener);
+  /* A comment on the last line may end without a newline. */
+  if (error == json_tokener_continue)
+    {
+      root = json_tokener_parse_ex (tokener, "\n", 1);
+      error = json_tokener_get_error (tokener);
+    }
   json_tokener_free (tokener);
   const char *fault = NULL;
   if (error == json_tokener_continue)
--- a/tests/test_claim_random.c
+++ b/tests/test_claim_random.c
@@ -22,16 +22,16 @@
 #define SEED 20261204u
 #define HOSTS 6
 #define KEYS 6
-#define WALK_STEPS 600
-#define WALKS_ALL_ON 2000
+#define WALK_STEPS 1000
+#define WALKS_ALL_ON 1000
 #define WALKS_ONE_OFF 20000
 #define IN_FLIGHT_MAX 400
 #define WALL_BASE_MS INT64_C (1000000000)
 #define HOME "dc"
 
-static const claim_limits_t limits = { .window_ms = 2500,
+static const claim_limits_t limits = { .window_ms = 900,
                                        .skew_ms = 60,
-                                       .start_within_ms = 400,
+                                       .start_within_ms = 200,
                                        .contact_ms = 150,
                                        .isolation_ms = 600,
                                        .handover_wait_ms = 150 };
@@ -76,6 +76,7 @@
   bool held;
   uint64_t holder; /* incarnation */
   int32_t starts;
+  int64_t started_ms;
 } key_sim_t;
 
 /* What a DONE belongs to. */
@@ -86,7 +87,8 @@
   int32_t key;
   uint32_t key_serial;
   int64_t began_ms;
-  bool release;
+  bool is_probe; /* tells only of the time before it began */
+  bool is_blind;
 } ticket_t;
 
 typedef struct
@@ -104,6 +106,8 @@
   GPtrArray *tickets;
   int32_t loss_percent;
   int32_t fault_permille;
+  int32_t heal_permille;
+  int32_t key_permille;
   const char *violation;
 } world_t;
 
@@ -194,11 +198,15 @@
   host->grants[ticket->key] = (grant_t){ .open = true, .granted_ms = world->now_ms };
 }
 
-/* Nobody holds the key: true of grants made before the probe began. */
+/* Nobody has started the key.  Of a probe this is true of the time before it
+ * began; grants of that time must not be used any more. */
 static void
 on_free (world_t *world, const ticket_t *ticket)
 {
-  if (world->keys[ticket->key].starts > 0)
+  const key_sim_t *key = &world->keys[ticket->key];
+
+  if (key->starts > 0 && !ticket->is_blind
+      && (!ticket->is_probe || key->started_ms < ticket->began_ms))
     violate (world, "not run, said of a started key");
   for (int32_t i = 0; i < HOSTS; i++)
     {
@@ -374,13 +382,8 @@
 }
 
 static void
-append_view (world_t *world)
+append_members (world_t *world, GPtrArray *members)
 {
-  g_autoptr (GPtrArray) members = g_ptr_array_new ();
-
-  for (int32_t i = 0; i < HOSTS; i++)
-    if (world->hosts[i].alive && (chance (world, 800) || (world->log->len == 0 && i < 3)))
-      g_ptr_array_add (members, world->hosts[i].member);
   if (members->len == 0)
     return;
   g_ptr_array_add (world->log,
@@ -410,8 +413,10 @@
   world->log = g_ptr_array_new_with_free_func ((GDestroyNotify) view_unref);
   world->net = g_ptr_array_new_with_free_func ((GDestroyNotify) packet_free);
   world->tickets = g_ptr_array_new_with_free_func (g_free);
-  world->loss_percent = g_rand_int_range (world->random, 0, 15);
-  world->fault_permille = g_rand_int_range (world->random, 0, 60);
+  world->loss_percent = g_rand_int_range (world->random, 0, 25);
+  world->fault_permille = g_rand_int_range (world->random, 0, 40);
+  world->heal_permille = g_rand_int_range (world->random, 2, 40);
+  world->key_permille = g_rand_int_range (world->random, 2, 20);
   for (int32_t i = 0; i < HOSTS; i++)
     host_start (world, i);
   append_view (world);
@@ -486,25 +491,43 @@
   return ticket;
 }
 
+static const coordinator_event_kind_t request_kinds[8] = { COORDINATOR_PROBE, COORDINATOR_CONFIRM,
+                                                           COORDINATOR_CLAIM, COORDINATOR_CLAIM,
+                                                           COORDINATOR_CLAIM, COORDINATOR_CLAIM,
+                                                           COORDINATOR_CLAIM, COORDINATOR_CLAIM };
+
 static void
-request (world_t *world)
+request_of (world_t *world, host_sim_t *host, int32_t index)
 {
-  host_sim_t *host = random_host (world);
-  int32_t index = g_rand_int_range (world->random, 0, KEYS);
   const key_sim_t *key = &world->keys[index];
 
   if (!host->alive || host->frozen)
     return;
   ticket_t *ticket = ticket_new (world, (int32_t) (host - world->hosts), index);
-  coordinator_event (
-      world, host,
-      &(coordinator_event_t){ .kind = chance (world, 250) ? COORDINATOR_PROBE : COORDINATOR_CLAIM,
-                              .key = key->name,
-                              .home = HOME,
-                              .digest = key->digest,
-                              .issued_at_ms = key->issued_at_ms,
-                              .give_up_ms = world->now_ms + 500,
-                              .user = ticket });
+  coordinator_event_kind_t kind = request_kinds[g_rand_int_range (world->random, 0, 8)];
+  ticket->is_probe = kind == COORDINATOR_PROBE;
+  /* A probe that does not know the issue time tells of grants, not of starts. */
+  ticket->is_blind = ticket->is_probe && chance (world, 500);
+  coordinator_event (world, host,
+                     &(coordinator_event_t){ .kind = kind,
+                                             .key = key->name,
+                                             .home = HOME,
+                                             .digest = key->digest,
+                                             .issued_at_ms = ticket->is_blind ? CLAIM_ISSUED_UNKNOWN
+                                                                              : key->issued_at_ms,
+                                             .give_up_ms = world->now_ms + 500,
+                                             .user = ticket });
+}
+
+/* Often several hosts are asked for the same key at once. */
+static void
+request (world_t *world)
+{
+  int32_t index = g_rand_int_range (world->random, 0, KEYS);
+
+  do
+    request_of (world, random_host (world), index);
+  while (chance (world, 400));
 }
 
 static void
@@ -519,8 +542,12 @@
                      &(coordinator_event_t){ .kind = COORDINATOR_STARTED, .key = key->name });
   if (grant->denied)
     violate (world, "started after not run was said of the grant");
+  if (WALL_BASE_MS + world->now_ms
+      > key->issued_at_ms + limits.window_ms + limits.start_within_ms + 2 * limits.skew_ms)
+    violate (world, "started after its window");
   if (++key->starts > 1)
     violate (world, "started twice");
+  key->started_ms = world->now_ms;
   totals.starts++;
   grant->open = false;
 }
@@ -544,15 +571,34 @@
 static void
 follow_up (world_t *world)
 {
-  host_sim_t *host = random_host (world);
-  int32_t index = g_rand_int_range (world->random, 0, KEYS);
+  int32_t first = g_rand_int_range (world->random, 0, HOSTS * KEYS);
 
-  if (!host->alive || host->frozen || !host->grants[index].open)
-    return;
-  if (chance (world, 300))
-    start (world, host, index);
-  else if (chance (world, 500))
-    release (world, host, index);
+  for (int32_t i = 0; i < HOSTS * KEYS; i++)
+    {
+      host_sim_t *host = &world->hosts[(first + i) % HOSTS];
+      int32_t index = (first + i) / HOSTS % KEYS;
+      if (!host->alive || host->frozen || !host->grants[index].open)
+        continue;
+      if (chance (world, 200))
+        start (world, host, index);
+      else if (chance (world, 300))
+        release (world, host, index);
+      return;
+    }
+}
+
+/* Half of the hosts are cut off, from the log too, and the others may make a
+ * view without them. */
+static void
+split (world_t *world)
+{
+  for (int32_t i = 0; i < HOSTS; i++)
+    {
+      world->hosts[i].side = chance (world, 500);
+      world->hosts[i].cut_log = world->hosts[i].side != 0;
+    }
+  if (chance (world, 700))
+    append_side (world);
 }
 
 static void
@@ -580,7 +626,7 @@
 {
   host_sim_t *host = random_host (world);
 
-  switch (g_rand_int_range (world->random, 0, 9))
+  switch (g_rand_int_range (world->random, 0, 10))
     {
     case 0:
       host_stop (host);
@@ -603,6 +649,9 @@
     case 7:
       append_view (world);
       break;
+    case 8:
+      split (world);
+      break;
     default:
       pass_seat (world, host);
       break;
@@ -652,21 +701,24 @@
 {
   int32_t weight;
   void (*run) (world_t *world);
-} moves[] = { { 560, deliver },         { 140, tick }, { 70, request }, { 90, follow_up },
-              { 120, learn_something }, { 20, heal } };
+} moves[] = {
+  { 560, deliver }, { 140, tick }, { 70, request }, { 90, follow_up }, { 120, learn_something },
+};
 
 static void
 step (world_t *world)
 {
   int32_t pick = g_rand_int_range (world->random, 0, 1000);
 
-  world->now_ms += g_rand_int_range (world->random, 0, 6);
+  world->now_ms += g_rand_int_range (world->random, 0, 4);
   if (chance (world, 2))
     world->now_ms += g_rand_int_range (world->random, 0, 400);
-  if (chance (world, 4))
+  if (chance (world, world->key_permille))
     new_key (world, g_rand_int_range (world->random, 0, KEYS));
   if (chance (world, world->fault_permille))
     fault (world);
+  if (chance (world, world->heal_permille))
+    heal (world);
   for (size_t i = 0; i < G_N_ELEMENTS (moves); i++)
     {
       if (pick < moves[i].weight)
