Configuration library without the wire and without calls that block

The record codec is a *_msg file, and the blocking read and publication moved to the tool, the difference of lists to diff.c. Left: feed and config_msg include platform/batch.h, the type of the log's records.

--- a/tests/test_config_list.c
+++ b/tests/test_config_list.c
@@ -1,9 +1,8 @@
 /* test_config_list.c -- the operators' two lists: what is taken and what is told about the rest */
 #include "base/error.h"
 #include "config/check.h"
-#include "config/keys.h"
+#include "config/diff.h"
 #include "config/list.h"
-#include "config/publish.h"
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
--- a/tool/cmd_publish.c
+++ b/tool/cmd_publish.c
@@ -1,10 +1,10 @@
 /* cmd_publish.c -- jaytrail publish: puts the lists of plans and limits in force */
+#include "tool/publish.h"
 #include "tool/tool.h"
 
 #include "base/clock.h"
 #include "base/error.h"
 #include "config/list.h"
-#include "config/publish.h"
 
 #include <argtable2.h>
 #include <inttypes.h>
--- a/tool/cmd_show.c
+++ b/tool/cmd_show.c
@@ -1,10 +1,10 @@
 /* cmd_show.c -- jaytrail show: prints the configuration in force, as the log has it */
+#include "tool/publish.h"
 #include "tool/tool.h"
 
 #include "base/clock.h"
 #include "base/error.h"
 #include "config/check.h"
-#include "config/publish.h"
 
 #include <argtable2.h>
 #include <inttypes.h>
--- a/lib/config/publish.h
+++ b/tool/publish.h
@@ -1,11 +1,11 @@
 /* publish.h -- reads the configuration from the log and publishes whole lists
  *
- * For the operators' tool: calls block.  One thread.
+ * Calls block.  One thread.
  */
-#ifndef CONFIG_PUBLISH_H
-#define CONFIG_PUBLISH_H
+#ifndef TOOL_PUBLISH_H
+#define TOOL_PUBLISH_H
 
-#include "config/fold.h"
+#include "config/diff.h"
 #include "platform/platform.h"
 
 /* Reads the configuration's stream to its end into FOLD.  Returns 0;
@@ -14,12 +14,6 @@
  * covers. */
 int config_read (platform_client_t *client, config_fold_t *fold, int64_t end_at_ms);
 
-/* The edits that lead from the state of FOLD to LISTS, by config_kind_t; a
- * list that is NULL stays as it is.  The caller frees them. */
-config_edits_t *config_diff (const config_fold_t *fold,
-                             GPtrArray *const lists[CONFIG_KINDS],
-                             const config_id_t *id);
-
 typedef struct
 {
   int result;       /* 0: accepted */
