Move kept answers to another host before a graceful stop

Cause: replicas remember a key's claimant by incarnation, so after a rolling replacement a resubmission of a finished job met a claimant that was gone and was answered claimant_lost, although its whole answer had existed. Ruled out: answers at the replicas (three times the memory and the messages of every job, for the rare stop); answers in the platform's log (several hundred appends a second). Before: an answer lives as long as the process that made it.

--- a/daemon/job_peer.c
+++ b/daemon/job_peer.c
@@ -18,14 +18,6 @@
 
 #include <string.h>
 
-enum
-{
-  FRAME_JOB_WAIT = FRAME_JOB_FIRST,
-  FRAME_JOB_ANSWER,
-  FRAME_JOB_CANCEL,
-  FRAME_JOB_STATE
-};
-
 /* How often a wait message is repeated. */
 #define RESEND_MS 2000
 /* How long a disconnected claimant may take to come back. */
@@ -65,38 +57,62 @@
   entry_end (entry, job_answer_error (ERROR_CLAIMANT_LOST, false, 0, NULL), false);
 }
 
-void
-entry_attach (entry_t *entry, const claim_outcome_t *outcome)
+/* Waits for HOST, whose process must be INCARNATION. */
+static void
+attach_to (entry_t *entry, const char *host, uint64_t incarnation)
 {
   job_part_t *part = entry->part;
   daemon_t *daemon = part->base.daemon;
   daemon_peer_t peer;
-  bool met = daemon_peer (daemon, outcome->claimant, &peer);
+  bool met = daemon_peer (daemon, host, &peer);
+  char *claimant = g_strdup (host);
 
   if (entry->request_id != 0)
     g_hash_table_remove (part->requests, &entry->request_id);
   entry->state = ENTRY_ATTACHED;
   entry->request_id = part->next_request_id++;
   entry->claimant_unknown = false;
-  entry->claimant_incarnation = outcome->claimant_incarnation;
+  entry->claimant_incarnation = incarnation;
   entry->lost_at_ms = 0;
   g_free (entry->claimant);
-  entry->claimant = g_strdup (outcome->claimant);
+  entry->claimant = claimant;
   g_hash_table_insert (part->requests, &entry->request_id, entry);
   counter_add (part->attached, 1);
-  if (met && peer.connected && peer.incarnation != outcome->claimant_incarnation)
+  if (met && peer.connected && peer.incarnation != incarnation)
     {
       lose_claimant (entry);
       return;
     }
   if (!met || !peer.connected)
-    {
-      entry->lost_at_ms = daemon_now_ms (daemon) + LOST_AFTER_MS;
-      daemon_add_address (daemon, outcome->claimant_address, outcome->claimant_data_centre);
-    }
+    entry->lost_at_ms = daemon_now_ms (daemon) + LOST_AFTER_MS;
   send_wait (entry);
 }
 
+void
+entry_attach (entry_t *entry, const claim_outcome_t *outcome)
+{
+  const char *host = outcome->claimant;
+  uint64_t incarnation = outcome->claimant_incarnation;
+
+  if (!job_move_resolve (entry->part, outcome->claimant_incarnation, &host, &incarnation))
+    daemon_add_address (entry->part->base.daemon, outcome->claimant_address,
+                        outcome->claimant_data_centre);
+  attach_to (entry, host, incarnation);
+}
+
+/* The claimant is gone; its answers may have moved. */
+static void
+follow_claimant (entry_t *entry)
+{
+  const char *host = NULL;
+  uint64_t incarnation = 0;
+
+  if (job_move_resolve (entry->part, entry->claimant_incarnation, &host, &incarnation))
+    attach_to (entry, host, incarnation);
+  else
+    lose_claimant (entry);
+}
+
 static void
 take_unknown (entry_t *entry)
 {
@@ -306,6 +322,15 @@
     case FRAME_JOB_STATE:
       take_state (part, from, reader);
       break;
+    case FRAME_JOB_KEPT:
+      job_move_take_kept (part, from, reader);
+      break;
+    case FRAME_JOB_KEPT_CONFIRM:
+      job_move_take_confirm (part, from, reader);
+      break;
+    case FRAME_JOB_MOVED:
+      job_move_take_moved (part, from, reader);
+      break;
     default:
       break;
     }
@@ -399,7 +424,7 @@
 attend (entry_t *entry, int64_t now_ms)
 {
   if (entry->lost_at_ms > 0 && now_ms >= entry->lost_at_ms)
-    lose_claimant (entry);
+    follow_claimant (entry);
   else if (now_ms < entry->resend_at_ms)
     return;
   else if (entry->claimant_unknown)
@@ -429,6 +454,8 @@
 
   (void) now_ms;
   daemon_peer (base->daemon, host, &peer);
+  g_hash_table_remove (part->leaving, host);
+  job_move_tell (part, host);
   for (guint i = 0; i < attached->len; i++)
     {
       entry_t *entry = attached->pdata[i];
@@ -436,7 +463,7 @@
         continue;
       entry->lost_at_ms = 0;
       if (peer.incarnation != entry->claimant_incarnation)
-        lose_claimant (entry);
+        follow_claimant (entry);
       else if (!entry->claimant_unknown)
         send_wait (entry);
     }
@@ -451,7 +478,13 @@
   for (guint i = 0; i < attached->len; i++)
     {
       entry_t *entry = attached->pdata[i];
-      if (strcmp (entry->claimant, host) == 0)
+      const char *moved_to = NULL;
+      uint64_t incarnation = 0;
+      if (strcmp (entry->claimant, host) != 0)
+        continue;
+      if (job_move_resolve (entry->part, entry->claimant_incarnation, &moved_to, &incarnation))
+        attach_to (entry, moved_to, incarnation);
+      else
         entry->lost_at_ms = now_ms + LOST_AFTER_MS;
     }
   g_ptr_array_unref (attached);
--- a/daemon/job_private.h
+++ b/daemon/job_private.h
@@ -19,6 +19,17 @@
 
 #define JOB_PART "job"
 
+enum
+{
+  FRAME_JOB_WAIT = FRAME_JOB_FIRST,
+  FRAME_JOB_ANSWER,
+  FRAME_JOB_CANCEL,
+  FRAME_JOB_STATE,
+  FRAME_JOB_KEPT,
+  FRAME_JOB_KEPT_CONFIRM,
+  FRAME_JOB_MOVED
+};
+
 typedef enum
 {
   ENTRY_CLAIMING,   /* waits for grants */
@@ -118,6 +129,13 @@
   GQueue kept; /* entry_t with a kept answer, oldest first */
   int64_t kept_bytes;
   uint64_t next_request_id;
+  GHashTable *moves;   /* incarnation -> where its answers went */
+  GHashTable *leaving; /* set of hosts that are no successors */
+  char *successor;     /* of this host, while it stops */
+  uint64_t successor_incarnation;
+  uint64_t move_batch;
+  int64_t move_until_ms;
+  bool moved;
   atomic_int waiting;
   atomic_bool ready;
   _Atomic int64_t last_tick_ms;
@@ -137,6 +155,12 @@
 void entry_end (entry_t *entry, job_answer_t *answer, bool keep);
 /* The answer of an ended entry: the kept one, or answer_gone. */
 job_answer_t *entry_answer (entry_t *entry);
+/* Adds an ended entry with a kept answer (taken over) of another host. */
+void entry_inherit (job_part_t *part,
+                    const char *key,
+                    const hash_digest_t *digest,
+                    int64_t forget_at_ms,
+                    job_answer_t *answer);
 /* Forgets ended entries whose window has passed. */
 void entries_forget (job_part_t *part, int64_t now_ms);
 
@@ -171,4 +195,20 @@
  * over and answered. */
 void job_peer_query (query_t *query);
 
+/* --- job_move.c: a stopping host's kept answers --- */
+
+void job_move_init (job_part_t *part);
+/* True once this stopping host's answers are with another host, or there is
+ * none to take them.  Starts the move; call it every tick while stopping. */
+bool job_move_done (job_part_t *part, int64_t now_ms);
+/* Finds the HOST that has the answers of a stopped INCARNATION.  Returns false
+ * if it has not moved. */
+bool job_move_resolve (job_part_t *part, uint64_t incarnation, const char **host, uint64_t *to);
+/* Tells HOST of all moves that are known. */
+void job_move_tell (job_part_t *part, const char *host);
+void job_move_forget (job_part_t *part, int64_t now_ms);
+void job_move_take_kept (job_part_t *part, const char *from, frame_reader_t *reader);
+void job_move_take_confirm (job_part_t *part, const char *from, frame_reader_t *reader);
+void job_move_take_moved (job_part_t *part, const char *from, frame_reader_t *reader);
+
 #endif
--- a/daemon/job_table.c
+++ b/daemon/job_table.c
@@ -112,6 +112,29 @@
     }
 }
 
+void
+entry_inherit (job_part_t *part,
+               const char *key,
+               const hash_digest_t *digest,
+               int64_t forget_at_ms,
+               job_answer_t *answer)
+{
+  entry_t *entry = g_new0 (entry_t, 1);
+
+  atomic_init (&entry->refs, 1);
+  entry->part = part;
+  entry->state = ENTRY_ENDED;
+  entry->key = g_strdup (key);
+  entry->digest = *digest;
+  entry->forget_at_ms = forget_at_ms;
+  entry->waiters = g_ptr_array_new ();
+  entry->remotes = g_ptr_array_new ();
+  entry->held = g_ptr_array_new ();
+  entry->answer = answer;
+  g_hash_table_replace (part->entries, entry->key, entry);
+  keep_answer (part, entry);
+}
+
 static void
 count_end (entry_t *entry, const job_answer_t *answer)
 {
--- a/daemon/part_job.c
+++ b/daemon/part_job.c
@@ -291,10 +291,13 @@
 meet_holder (entry_t *entry, const claim_outcome_t *outcome)
 {
   daemon_t *daemon = entry->part->base.daemon;
+  const char *host = outcome->claimant;
+  uint64_t incarnation = outcome->claimant_incarnation;
 
-  if (strcmp (outcome->claimant, daemon_host_id (daemon)) != 0)
+  job_move_resolve (entry->part, outcome->claimant_incarnation, &host, &incarnation);
+  if (strcmp (host, daemon_host_id (daemon)) != 0)
     entry_attach (entry, outcome);
-  else if (outcome->claimant_incarnation == daemon_incarnation (daemon))
+  else if (incarnation == daemon_incarnation (daemon))
     end_with_error (entry, ERROR_ANSWER_GONE, false);
   else
     end_with_error (entry, ERROR_CLAIMANT_LOST, false);
@@ -564,10 +567,14 @@
 {
   query_t *query = data;
   const char *self = daemon_host_id (query->part->base.daemon);
+  const char *host = outcome->claimant;
+  uint64_t incarnation = outcome->claimant_incarnation;
 
-  if (outcome->result == CLAIM_HELD && strcmp (outcome->claimant, self) != 0)
+  if (outcome->result == CLAIM_HELD)
+    job_move_resolve (query->part, outcome->claimant_incarnation, &host, &incarnation);
+  if (outcome->result == CLAIM_HELD && strcmp (host, self) != 0)
     {
-      query->host = g_strdup (outcome->claimant);
+      query->host = g_strdup (host);
       job_peer_query (query);
       return;
     }
@@ -711,6 +718,7 @@
   atomic_store (&part->last_tick_ms, now_ms);
   end_overdue (part, now_ms);
   job_peer_tick (part, now_ms);
+  job_move_forget (part, now_ms);
   endpoints_tick (part->endpoints, now_ms);
   entries_forget (part, now_ms);
   counter_set (counter_get ("jaytrail_jobs_active", NULL), g_hash_table_size (part->live));
@@ -729,8 +737,8 @@
 {
   job_part_t *part = (job_part_t *) base;
 
-  (void) now_ms;
-  return g_hash_table_size (part->live) == 0 && atomic_load (&part->waiting) == 0;
+  return g_hash_table_size (part->live) == 0 && atomic_load (&part->waiting) == 0
+         && job_move_done (part, now_ms);
 }
 
 static void
@@ -784,6 +792,7 @@
   part->cancels =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_ptr_array_unref);
   g_queue_init (&part->kept);
+  job_move_init (part);
   /* Answers to an earlier process of this host must not match. */
   part->next_request_id = daemon_incarnation (daemon) | 1;
   part->attached = counter_get ("jaytrail_jobs_attached_total", NULL);
