Bound the bytes of submissions held at once; forget hosts that are gone

Cause: the bound on one body times the caller threads was over 1 GB, and each replaced host left an address that was dialed for ever and a peer record. After: the listener refuses a body with `overloaded` when max_total_bytes are held; addresses that are not in the settings and peers are forgotten after ten minutes of silence. Conclusion: state of the transport is bounded by the hosts of ten minutes.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -258,7 +258,7 @@
     {
       const settings_data_centre_t *data_centre = settings->data_centres->pdata[i];
       for (guint j = 0; j < data_centre->addresses->len; j++)
-        net_add_address (daemon->net, data_centre->addresses->pdata[j], data_centre->name);
+        net_add_address (daemon->net, data_centre->addresses->pdata[j], data_centre->name, true);
     }
   return 0;
 }
@@ -278,11 +278,28 @@
                totals.received_bytes);
 }
 
+/* Forgets peers that have been away for as long as their addresses are kept. */
+static void
+forget_peers (daemon_t *daemon)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, daemon->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const peer_t *peer = value;
+      if (!peer->seen.connected && daemon->now_ms - peer->seen.heard_at_ms >= NET_FORGET_MS)
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
 static void
 tick (daemon_t *daemon)
 {
   daemon->next_tick_at_ms = daemon->now_ms + DAEMON_TICK_MS;
   export_totals (daemon);
+  forget_peers (daemon);
   for (guint i = 0; i < daemon->parts->len; i++)
     {
       part_t *part = daemon->parts->pdata[i];
@@ -466,7 +483,7 @@
 void
 daemon_add_address (daemon_t *daemon, const char *address, const char *data_centre)
 {
-  net_add_address (daemon->net, address, data_centre);
+  net_add_address (daemon->net, address, data_centre, false);
 }
 
 int
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -389,10 +389,18 @@
 {
   const settings_t *settings = daemon_settings (daemon);
   front_t *front = g_new0 (front_t, 1);
-  http_server_options_t callers = { settings->caller_listen, settings->caller_threads,
-                                    settings->max_body_bytes, handle_caller, front };
-  http_server_options_t admin = { settings->admin_listen, ADMIN_THREADS, ADMIN_BODY_MAX_BYTES,
-                                  handle_admin, front };
+  http_server_options_t callers = { .address = settings->caller_listen,
+                                    .threads = settings->caller_threads,
+                                    .max_body_bytes = settings->max_body_bytes,
+                                    .max_total_bytes = settings->max_total_bytes,
+                                    .handler = handle_caller,
+                                    .data = front };
+  http_server_options_t admin = { .address = settings->admin_listen,
+                                  .threads = ADMIN_THREADS,
+                                  .max_body_bytes = ADMIN_BODY_MAX_BYTES,
+                                  .max_total_bytes = ADMIN_BODY_MAX_BYTES * ADMIN_THREADS,
+                                  .handler = handle_admin,
+                                  .data = front };
 
   front->base.ops = &front_ops;
   front->daemon = daemon;
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -17,34 +17,62 @@
   struct mg_context *context;
   http_server_options_t options;
   atomic_int active;
+  _Atomic int64_t held_bytes; /* bodies of running requests */
   atomic_bool draining;
 };
 
+/* Takes room for SIZE more bytes of bodies, or returns false. */
+static bool
+reserve (http_server_t *server, int64_t size)
+{
+  int64_t held = atomic_fetch_add (&server->held_bytes, size) + size;
+
+  if (held <= server->options.max_total_bytes)
+    return true;
+  atomic_fetch_sub (&server->held_bytes, size);
+  return false;
+}
+
+/* Appends what comes to BODY; *HELD counts the bytes that were reserved. */
 static int
-read_body (struct mg_connection *connection, int64_t max_bytes, GByteArray *body)
+read_chunks (http_server_t *server,
+             struct mg_connection *connection,
+             GByteArray *body,
+             int64_t *held)
 {
-  const struct mg_request_info *info = mg_get_request_info (connection);
-  int64_t expected = info->content_length;
-  guint8 *chunk = NULL;
+  guint8 *chunk = g_malloc (READ_CHUNK_BYTES);
+  int result = 0;
   int got = 0;
 
-  if (expected > max_bytes)
-    return ERROR_TOO_LARGE;
-  if (expected == 0)
-    return 0;
-  chunk = g_malloc (READ_CHUNK_BYTES);
-  while ((got = mg_read (connection, chunk, READ_CHUNK_BYTES)) > 0)
+  while (result == 0 && (got = mg_read (connection, chunk, READ_CHUNK_BYTES)) > 0)
     {
-      if ((int64_t) body->len + got > max_bytes)
-        break;
-      g_byte_array_append (body, chunk, (guint) got);
+      if ((int64_t) body->len + got > server->options.max_body_bytes)
+        result = ERROR_TOO_LARGE;
+      else if (!reserve (server, got))
+        result = ERROR_OVERLOADED;
+      else
+        {
+          *held += got;
+          g_byte_array_append (body, chunk, (guint) got);
+        }
     }
   g_free (chunk);
-  if (got > 0)
+  return got < 0 && result == 0 ? ERROR_BAD_REQUEST : result;
+}
+
+static int
+read_body (http_server_t *server, struct mg_connection *connection, GByteArray *body, int64_t *held)
+{
+  int64_t expected = mg_get_request_info (connection)->content_length;
+
+  if (expected > server->options.max_body_bytes)
     return ERROR_TOO_LARGE;
-  if (got < 0 || (expected > 0 && (int64_t) body->len < expected))
+  if (expected == 0)
+    return 0;
+  int result = read_chunks (server, connection, body, held);
+  if (result == 0 && expected > 0 && (int64_t) body->len < expected)
     return ERROR_BAD_REQUEST;
-  return 0;
+  return result;
 }
 
 static const char *
@@ -125,7 +153,8 @@
   GByteArray *body = g_byte_array_new ();
 
   atomic_fetch_add (&server->active, 1);
-  int body_error = read_body (connection, server->options.max_body_bytes, body);
+  int64_t held_bytes = 0;
+  int body_error = read_body (server, connection, body, &held_bytes);
   http_request_t request = {
     .method = info->request_method,
     .path = info->local_uri != NULL ? info->local_uri : "",
@@ -141,6 +170,7 @@
   if (response.body != NULL)
     g_bytes_unref (response.body);
   g_bytes_unref (request.body);
+  atomic_fetch_sub (&server->held_bytes, held_bytes);
   atomic_fetch_sub (&server->active, 1);
   return response.status;
 }
--- a/lib/http/server.h
+++ b/lib/http/server.h
@@ -19,7 +19,8 @@
   const char *query; /* undecoded, may be NULL */
   const char *key;   /* Idempotency-Key header, or NULL */
   GBytes *body;      /* whole; empty if there is none */
-  int body_error;    /* 0, ERROR_TOO_LARGE, or ERROR_BAD_REQUEST if it was cut short */
+  int body_error;    /* 0, or why there is no whole body: ERROR_TOO_LARGE, ERROR_OVERLOADED if
+                      * there is no room for it now, ERROR_BAD_REQUEST if it was cut short */
 } http_request_t;
 
 typedef struct
@@ -40,6 +41,7 @@
   const char *address; /* IP:port */
   int64_t threads;     /* connections served at once */
   int64_t max_body_bytes;
+  int64_t max_total_bytes; /* of all bodies held at once */
   http_handler_t handler;
   void *data;
 } http_server_options_t;
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -53,6 +53,7 @@
   { "caller_threads", KEY_INT, AT (caller_threads), false, NULL, NULL, 4, 4096, 192 },
   { "endpoint_threads", KEY_INT, AT (endpoint_threads), false, NULL, NULL, 1, 4096, 512 },
   { "max_body_bytes", KEY_INT, AT (max_body_bytes), false, NULL, NULL, KIB, 32 * MIB, 8 * MIB },
+  { "max_total_bytes", KEY_INT, AT (max_total_bytes), false, NULL, NULL, KIB, 64 * GIB, 512 * MIB },
   { "max_answer_bytes", KEY_INT, AT (max_answer_bytes), false, NULL, NULL, KIB, 8 * MIB, MIB },
   { "kept_answers_bytes", KEY_INT, AT (kept_answers_bytes), false, NULL, NULL, 0, 64 * GIB,
     64 * MIB },
--- a/lib/settings/settings.h
+++ b/lib/settings/settings.h
@@ -34,6 +34,7 @@
   int64_t caller_threads;     /* callers that can wait at once, and a reserve */
   int64_t endpoint_threads;   /* tasks that this host can have at endpoints at once */
   int64_t max_body_bytes;     /* of one submission */
+  int64_t max_total_bytes;    /* of the submissions held at once */
   int64_t max_answer_bytes;   /* of one endpoint's answer to a task */
   int64_t kept_answers_bytes; /* of all answers kept for resubmissions */
   int64_t key_window_ms;      /* how long an idempotency key is remembered */
--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -56,6 +56,7 @@
 {
   int fd;
   bool dialed;
+  bool permanent;
   bool is_self; /* the address is this host's own */
   link_state_t state;
   char *address;     /* dialed: where to */
@@ -68,6 +69,7 @@
   int64_t redial_at_ms;
   int64_t redial_wait_ms;
   int64_t give_up_at_ms;
+  int64_t forget_at_ms; /* of an address that is not permanent */
 } link_t;
 
 struct net_t
@@ -209,6 +211,8 @@
       gone = g_steal_pointer (&link->host);
     }
   g_clear_pointer (&link->host, g_free);
+  if (link->state == LINK_OPEN)
+    link->forget_at_ms = now_ms + NET_FORGET_MS;
   link->state = LINK_IDLE;
   link->redial_at_ms =
       now_ms + link->redial_wait_ms + g_random_int_range (0, (gint32) link->redial_wait_ms + 1);
@@ -374,7 +378,7 @@
   if (up)
     net->ops->up (&peer, net->data);
   if (valid && !link->dialed)
-    net_add_address (net, peer.address, peer.data_centre);
+    net_add_address (net, peer.address, peer.data_centre, false);
   g_free (peer.host);
   g_free (peer.data_centre);
   g_free (peer.address);
@@ -503,6 +507,13 @@
   return link->dialed && !link->is_self && link->state == LINK_IDLE && now_ms >= link->redial_at_ms;
 }
 
+static bool
+is_forgotten (const link_t *link, int64_t now_ms)
+{
+  return link->dialed && !link->permanent && link->state == LINK_IDLE
+         && now_ms >= link->forget_at_ms;
+}
+
 static void
 dial_due (net_t *net)
 {
@@ -516,6 +527,8 @@
         g_free (link_close (net, link, now_ms));
       if (is_due (link, now_ms))
         link_dial (net, link, now_ms);
+      if (is_forgotten (link, now_ms))
+        g_ptr_array_remove_index_fast (net->links, i--);
     }
   pthread_mutex_unlock (&net->lock);
 }
@@ -584,7 +597,7 @@
 }
 
 void
-net_add_address (net_t *net, const char *address, const char *data_centre)
+net_add_address (net_t *net, const char *address, const char *data_centre, bool permanent)
 {
   bool known = strcmp (address, net->self.address) == 0;
 
@@ -601,6 +614,8 @@
       link_t *link = link_new (net, true);
       link->address = g_strdup (address);
       link->data_centre = g_strdup (data_centre);
+      link->permanent = permanent;
+      link->forget_at_ms = clock_boot_ms () + NET_FORGET_MS;
     }
   pthread_mutex_unlock (&net->lock);
   if (!known)
--- a/lib/wire/net.h
+++ b/lib/wire/net.h
@@ -48,8 +48,11 @@
 int net_start (const net_options_t *options, net_t **net);
 
 /* Keeps a connection to ADDRESS from now on.  DATA_CENTRE may be NULL if it is
- * not known.  Any thread. */
-void net_add_address (net_t *net, const char *address, const char *data_centre);
+ * not known.  An address that is not PERMANENT is forgotten when nothing has
+ * answered there for NET_FORGET_MS, so that replaced hosts leave nothing
+ * behind.  Any thread. */
+#define NET_FORGET_MS 600000
+void net_add_address (net_t *net, const char *address, const char *data_centre, bool permanent);
 
 /* Sends FRAME (taken over, with its length prefix) to HOST.  Returns 0,
  * ERROR_NOT_CONNECTED, or ERROR_FULL if too much is queued.  Any thread. */
