Fail a job at once when a queued task can no longer end in time

Cause: the dispatcher gives such tasks up, but the job waited for its deadline. Before: the caller got deadline_passed at the deadline.

--- a/daemon/job_private.h
+++ b/daemon/job_private.h
@@ -19,6 +19,11 @@
 
 #define JOB_PART "job"
 
+/* How long a claim or a probe may take. */
+#define CLAIM_WITHIN_MS 3000
+/* How long past its deadline a caller's thread waits for the control thread. */
+#define WAIT_SLACK_MS 5000
+
 enum
 {
   FRAME_JOB_WAIT = FRAME_JOB_FIRST,
--- a/daemon/part_job.c
+++ b/daemon/part_job.c
@@ -22,12 +22,8 @@
 
 #include <string.h>
 
-/* How long a claim or a probe may take. */
-#define CLAIM_WITHIN_MS 3000
 /* How long a refused caller should wait if nothing better is known. */
 #define RETRY_AFTER_MS 500
-/* How long past its deadline a caller's thread waits for the control thread. */
-#define WAIT_SLACK_MS 5000
 
 static void refuse (entry_t *entry, int error, int64_t retry_at_ms, const char *message);
 
@@ -92,6 +88,19 @@
   part_claim_release (entry->part->parts.claim, entry->key, on_released, entry_ref (entry));
 }
 
+/* A queued task can no longer end in time. */
+static void
+on_given_up (uint64_t ticket, void *data)
+{
+  run_t *run = data;
+  entry_t *entry = run->entry;
+
+  (void) ticket;
+  run->ticket = 0;
+  fail (entry, ERROR_DEADLINE_UNREACHABLE);
+  entry_unref (entry);
+}
+
 static job_attempt_t
 attempt_of (dispatch_outcome_t outcome)
 {
@@ -241,7 +250,8 @@
                             .kind = entry->kind,
                             .cores = task->cores,
                             .memory_mb = task->memory_mb,
-                            .deadline_at_ms = entry->deadline_at_ms };
+                            .deadline_at_ms = entry->deadline_at_ms,
+                            .repeatable = entry->request->repeatable };
 }
 
 /* The dispatcher holds one reference of the entry for each ticket. */
@@ -554,104 +564,6 @@
                            job_started_count (entry->job), job_done_count (entry->job));
 }
 
-static void
-query_free (query_t *query)
-{
-  g_free (query->key);
-  g_free (query->host);
-  g_free (query);
-}
-
-static void
-on_query_probed (const claim_outcome_t *outcome, void *data)
-{
-  query_t *query = data;
-  const char *self = daemon_host_id (query->part->base.daemon);
-  const char *host = outcome->claimant;
-  uint64_t incarnation = outcome->claimant_incarnation;
-
-  if (outcome->result == CLAIM_HELD)
-    job_move_resolve (query->part, outcome->claimant_incarnation, &host, &incarnation);
-  if (outcome->result == CLAIM_HELD && strcmp (host, self) != 0)
-    {
-      query->host = g_strdup (host);
-      job_peer_query (query);
-      return;
-    }
-  int error = outcome->result == CLAIM_FREE   ? ERROR_UNKNOWN_KEY
-              : outcome->result == CLAIM_HELD ? ERROR_CLAIMANT_LOST
-                                              : ERROR_HOME_UNREACHABLE;
-  waiter_give (query->waiter, job_answer_error (error, outcome->result == CLAIM_FREE, 0, NULL));
-  query_free (query);
-}
-
-typedef struct
-{
-  query_t *query;
-  char *home;
-} query_message_t;
-
-static void
-take_query (void *data)
-{
-  query_message_t *message = data;
-  query_t *query = message->query;
-  job_part_t *part = query->part;
-  entry_t *entry = g_hash_table_lookup (part->entries, query->key);
-
-  if (entry == NULL || entry->state == ENTRY_ATTACHED)
-    {
-      query->give_up_at_ms = daemon_now_ms (part->base.daemon) + CLAIM_WITHIN_MS;
-      const char *home =
-          message->home != NULL ? message->home : part_job_home_of (&part->base, query->key);
-      part_claim_probe (part->parts.claim, query->key, home, query->give_up_at_ms, on_query_probed,
-                        query);
-    }
-  else if (query->cancel && entry->state != ENTRY_ENDED)
-    {
-      g_ptr_array_add (entry->waiters, query->waiter);
-      entry_ref (entry);
-      entry_cancel (entry);
-      entry_unref (entry);
-      query_free (query);
-    }
-  else
-    {
-      waiter_give (query->waiter, entry_state (entry));
-      query_free (query);
-    }
-  g_free (message->home);
-  g_free (message);
-}
-
-static job_answer_t *
-run_query (part_t *base, const char *key, const char *home, bool cancel)
-{
-  query_message_t *message = g_new0 (query_message_t, 1);
-  waiter_t *waiter = waiter_new ();
-
-  message->query = g_new0 (query_t, 1);
-  message->query->part = (job_part_t *) base;
-  message->query->key = g_strdup (key);
-  message->query->waiter = waiter;
-  message->query->cancel = cancel;
-  message->home = g_strdup (home);
-  daemon_post (base->daemon, take_query, message);
-  return waiter_take (waiter, clock_boot_ms () + CLAIM_WITHIN_MS + WAIT_SLACK_MS);
-}
-
-job_answer_t *
-part_job_state (part_t *base, const char *key, const char *home)
-{
-  return run_query (base, key, home, false);
-}
-
-job_answer_t *
-part_job_cancel (part_t *base, const char *key, const char *home)
-{
-  return run_query (base, key, home, true);
-}
-
 job_answer_t *
 part_job_refuse (const char *key, int error, const char *message)
 {
@@ -793,6 +705,7 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_ptr_array_unref);
   g_queue_init (&part->kept);
   job_move_init (part);
+  part_dispatch_on_give_up (parts->dispatch, on_given_up);
   /* Answers to an earlier process of this host must not match. */
   part->next_request_id = daemon_incarnation (daemon) | 1;
   part->attached = counter_get ("jaytrail_jobs_attached_total", NULL);
