--- a/lib/dispatch/choice.c
+++ b/lib/dispatch/choice.c
@@ -1,7 +1,8 @@
 /* choice.c -- the choice of an endpoint for one task
  *
- * Each kind has its endpoints ranked by expected time; the ranking is made anew
- * when it is used and older than REFRESH_EVERY_MS.  A task goes to the first in
+ * Each kind has its endpoints ranked by expected time, those that failed lately
+ * behind; the ranking is made anew when it is used and older than
+ * REFRESH_EVERY_MS, or when an endpoint has failed.  A task goes to the first in
  * rank that has a free slot.  An endpoint whose limit turns out to be used up
  * leaves the open set until a slot comes back, so that a busy fleet is not asked
  * again for each task.
@@ -16,9 +17,11 @@
 #include <math.h>
 
 /* How much faster other endpoints must be to be waited for, and the part of the
- * slow endpoint's time that waiting and running there may take.  A plan that
- * shares the fleet with a queue of another plan is served soon, while one that
- * waits alone is overtaken by its own more urgent tasks. */
+ * slow endpoint's time that waiting and running there may take.  A plan beside
+ * others with long queues (CONTENDED_PART of the slots) is served soon, and what
+ * it leaves they take; one that waits alone is overtaken by its own more urgent
+ * tasks while slots are idle. */
+#define CONTENDED_PART 0.5
 static const struct
 {
   double factor;
@@ -72,14 +75,18 @@
   return fmin (queued / share, fair_queued (dispatch->fair));
 }
 
+/* An endpoint that failed lately is chosen only if others would take this much
+ * longer. */
+#define DOUBTED_FACTOR 8
+
 static int
 compare_places (const void *a, const void *b)
 {
   const place_t *x = a;
   const place_t *y = b;
 
-  if (x->expected_ms != y->expected_ms)
-    return x->expected_ms < y->expected_ms ? -1 : 1;
+  if (x->rank_ms != y->rank_ms)
+    return x->rank_ms < y->rank_ms ? -1 : 1;
   return (x->tie > y->tie) - (x->tie < y->tie);
 }
 
@@ -102,6 +109,8 @@
       if (!endpoint->listed || endpoint->leaving)
         continue;
       place.expected_ms = endpoint_expected_ms (endpoint, kind, now_ms);
+      bool doubted = dispatch->options.eject && outlier_is_doubted (&endpoint->outlier, now_ms);
+      place.rank_ms = place.expected_ms * (doubted ? DOUBTED_FACTOR : 1);
       g_array_append_val (kind->order, place);
     }
   g_array_sort (kind->order, compare_places);
@@ -121,7 +130,8 @@
 static bool
 is_better_later (dispatch_t *dispatch, const entry_t *entry, const choice_t *choice, int64_t now_ms)
 {
-  bool contended = fair_queued (dispatch->fair) > fair_plan_queued (entry->plan->queue);
+  double others = fair_queued (dispatch->fair) - fair_plan_queued (entry->plan->queue);
+  bool contended = others > CONTENDED_PART * dispatch->held_slots;
   double limit_ms = choice->expected_ms / waiting[contended].factor;
   const GArray *order = ranked (dispatch, entry->kind, now_ms);
   double running = 0;
@@ -131,9 +141,8 @@
     {
       const place_t *place = &g_array_index (order, place_t, i);
       const endpoint_t *other = place->endpoint;
-      if (place->expected_ms > limit_ms)
-        break;
-      if (other->tasks == 0 || !is_eligible (dispatch, other, entry, now_ms))
+      if (place->expected_ms > limit_ms || other->tasks == 0
+          || !is_eligible (dispatch, other, entry, now_ms))
         continue;
       running += other->tasks;
       ends_per_ms += other->tasks / fmax (place->expected_ms, 1.0);
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -661,9 +661,13 @@
     endpoint_answered (endpoint, now_ms);
   endpoint_measured (endpoint, entry->kind, event->outcome, (double) event->elapsed_us / 1000,
                      now_ms);
-  if (outlier->state == OUTLIER_IN || entry->probe)
-    outlier_outcome (outlier, &dispatch->fleet, &entry->kind->base, is_failure (event->outcome),
-                     now_ms);
+  if (outlier->state != OUTLIER_IN && !entry->probe)
+    return;
+  bool was_doubted = outlier_is_doubted (outlier, now_ms);
+  outlier_outcome (outlier, &dispatch->fleet, &entry->kind->base, is_failure (event->outcome),
+                   now_ms);
+  if (!was_doubted && outlier_is_doubted (outlier, now_ms))
+    dispatch->list_number++;
 }
 
 static void
--- a/lib/dispatch/outlier.c
+++ b/lib/dispatch/outlier.c
@@ -14,11 +14,15 @@
 #define SCORE_MAX 9.2
 /* A readmitted endpoint is ejected again by half the evidence. */
 #define SCORE_READMITTED (SCORE_MAX / 2)
-#define BASE_GAIN (1.0 / 256)
+/* The fleet's rate follows about this many outcomes of each endpoint, within the
+ * bounds below it. */
+#define BASE_OUTCOMES_EACH 4
+#define BASE_OUTCOMES_MIN 32
+#define BASE_OUTCOMES_MAX 256
 /* Bounds of the fleet's rate: below, two failures in a row could eject; above,
  * the test would reverse. */
 #define BASE_RATE_MIN 0.02
-#define BASE_RATE_MAX 0.8
+#define BASE_RATE_MAX BROKEN_RATE
 /* An endpoint that has done well for this long starts from the shortest
  * back-off again. */
 #define FORGIVEN_AFTER_MS 120000
@@ -34,11 +38,14 @@
 }
 
 static void
-update_base (outlier_base_t *base, bool failed)
+update_base (outlier_base_t *base, const outlier_fleet_t *fleet, bool failed)
 {
+  double outcomes =
+      fmin (fmax (BASE_OUTCOMES_EACH * fleet->members, BASE_OUTCOMES_MIN), BASE_OUTCOMES_MAX);
+
   if (!base->known)
     *base = (outlier_base_t){ .rate = BASE_RATE_MIN, .known = true };
-  base->rate += BASE_GAIN * ((failed ? 1.0 : 0.0) - base->rate);
+  base->rate += ((failed ? 1.0 : 0.0) - base->rate) / outcomes;
 }
 
 static bool
@@ -50,10 +57,12 @@
 static void
 eject (outlier_t *outlier, outlier_fleet_t *fleet, int64_t now_ms)
 {
-  if (outlier->backoff_ms == 0 || now_ms - outlier->readmit_at_ms > FORGIVEN_AFTER_MS)
+  bool was_in = outlier->state == OUTLIER_IN;
+  bool forgiven = was_in && now_ms - outlier->readmit_at_ms > FORGIVEN_AFTER_MS;
+
+  if (outlier->backoff_ms == 0 || forgiven)
     outlier->backoff_ms = OUTLIER_BACKOFF_MIN_MS;
-  if (outlier->state == OUTLIER_IN)
-    fleet->ejected++;
+  fleet->ejected += was_in;
   outlier->state = OUTLIER_OUT;
   outlier->probing = false;
   outlier->probe_at_ms = now_ms + outlier->backoff_ms;
@@ -95,7 +104,9 @@
   if (outlier->state == OUTLIER_OUT)
     return judge_probe (outlier, fleet, failed, now_ms);
   outlier->score += evidence (base, failed);
-  update_base (base, failed);
+  update_base (base, fleet, failed);
+  if (failed)
+    outlier->doubted_to_ms = now_ms + OUTLIER_DOUBT_MS;
   if (outlier->score < 0)
     outlier->score = 0;
   if (outlier->score < SCORE_MAX)
@@ -107,6 +118,12 @@
   return true;
 }
 
+bool
+outlier_is_doubted (const outlier_t *outlier, int64_t now_ms)
+{
+  return now_ms < outlier->doubted_to_ms;
+}
+
 bool
 outlier_wants_probe (const outlier_t *outlier, bool repeatable, int64_t now_ms)
 {
--- a/lib/dispatch/outlier.h
+++ b/lib/dispatch/outlier.h
@@ -20,6 +20,7 @@
 
 /* Bound on the ejected part of the fleet. */
 #define OUTLIER_MAX_PERCENT 50
+#define OUTLIER_DOUBT_MS 2000
 #define OUTLIER_BACKOFF_MIN_MS 2000
 #define OUTLIER_BACKOFF_MAX_MS 60000
 
@@ -37,6 +38,7 @@
   int64_t backoff_ms;    /* next back-off */
   int64_t readmit_at_ms; /* IN: when it was last readmitted */
   bool probing;          /* a probe is under way */
+  int64_t doubted_to_ms; /* IN: it failed lately, others go first */
 } outlier_t;
 
 /* How often tasks of one kind fail over the whole fleet. */
@@ -60,6 +62,10 @@
                       bool failed,
                       int64_t now_ms);
 
+/* True for OUTLIER_DOUBT_MS after a failure: other endpoints should go first,
+ * which also shows whether they do better. */
+bool outlier_is_doubted (const outlier_t *outlier, int64_t now_ms);
+
 /* True if an ejected endpoint may get a probe now.  A task that may be repeated
  * is allowed first; any other only after a second back-off has passed, since a
  * probe that fails costs its job. */
--- a/lib/dispatch/state.h
+++ b/lib/dispatch/state.h
@@ -89,7 +89,7 @@
   GHashTable *entries;  /* ticket -> entry_t */
   GPtrArray *endpoints; /* endpoint_t, those that left while running included */
   GHashTable *by_id;    /* id -> endpoint_t */
-  uint64_t list_number; /* changes with the list of endpoints */
+  uint64_t list_number; /* changes when all rankings are out of date */
   GPtrArray *open;      /* endpoint_t that may have a free slot */
   GHashTable *kinds;    /* name -> kind_t */
   GPtrArray *kind_list;
@@ -111,7 +111,8 @@
 {
   endpoint_t *endpoint;
   double expected_ms;
-  uint32_t tie; /* random order among equals */
+  double rank_ms; /* the same, longer for one that failed lately */
+  uint32_t tie;   /* random order among equals */
 } place_t;
 
 /* endpoint.c */
