--- a/tests/test_config_relay.c
+++ b/tests/test_config_relay.c
@@ -291,8 +291,7 @@
   CU_ASSERT_PTR_NULL (actions.pull_from);
   relay_peer_up (relay, "far", "other", START_MS);
   relay_step (relay, true, START_MS + 1, &actions);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (actions.pull_from);
-  CU_ASSERT_STRING_EQUAL (actions.pull_from, "far");
+  CU_ASSERT_EQUAL (g_strcmp0 (actions.pull_from, "far"), 0);
   /* Not again at once. */
   relay_step (relay, true, START_MS + 2, &actions);
   CU_ASSERT_PTR_NULL (actions.pull_from);
@@ -305,8 +304,7 @@
   relay_peer_up (relay, "near", "dc", now_ms);
   relay_heard (relay, "near", &ahead, now_ms);
   relay_step (relay, false, now_ms + 1, &actions);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (actions.pull_from);
-  CU_ASSERT_STRING_EQUAL (actions.pull_from, "near");
+  CU_ASSERT_EQUAL (g_strcmp0 (actions.pull_from, "near"), 0);
   relay_heard (relay, "near", &level, now_ms + 2);
   now_ms += RELAY_PULL_MS + 2;
   relay_answered (relay, now_ms);
