--- a/tests/system/cases_cut.c
+++ b/tests/system/cases_cut.c
@@ -25,7 +25,7 @@
 static void
 expect_own_service (rig_t *rig, const char *prefix)
 {
-  for (int32_t i = 0; i < JOBS; i++)
+  for (int32_t i = 0; i < JOBS && rig->failures == 0; i++)
     {
       char *key = g_strdup_printf ("%s-%d", prefix, i);
       rig_expect_complete (rig, submit_homed (rig, i % 3, i / 3, i % 3, key));
--- a/tests/system/cases_platform.c
+++ b/tests/system/cases_platform.c
@@ -11,7 +11,7 @@
 static void
 expect_service (rig_t *rig, const char *prefix)
 {
-  for (int32_t i = 0; i < JOBS; i++)
+  for (int32_t i = 0; i < JOBS && rig->failures == 0; i++)
     {
       char *key = g_strdup_printf ("%s-%d", prefix, i);
       rig_expect_complete (
@@ -49,7 +49,7 @@
 {
   rig_fault_platform (rig, "{\"outage\":true}");
   rig_kill_host (rig, rig_host (rig, 0, 0));
-  for (int32_t i = 0; i < JOBS; i++)
+  for (int32_t i = 0; i < JOBS && rig->failures == 0; i++)
     {
       char *key = g_strdup_printf ("outage-kill-%d", i);
       rig_expect_complete (rig,
--- a/tests/system/check.c
+++ b/tests/system/check.c
@@ -65,6 +65,28 @@
   return counting.count;
 }
 
+typedef struct
+{
+  const char *key;
+  char *plan;
+} finding_t;
+
+static void
+find_plan (char **columns, void *data)
+{
+  finding_t *finding = data;
+  if (finding->plan == NULL && strcmp (columns[COLUMN_KEY], finding->key) == 0)
+    finding->plan = g_strdup (columns[COLUMN_PLAN]);
+}
+
+char *
+check_plan_of (rig_t *rig, const char *key)
+{
+  finding_t finding = { .key = key };
+  each_start (rig, find_plan, &finding);
+  return finding.plan;
+}
+
 /* "key TAB task" -> number of starts, and "key" -> number of starts. */
 static void
 tally_start (char **columns, void *data)
--- a/tests/system/check.h
+++ b/tests/system/check.h
@@ -11,6 +11,10 @@
 /* Number of starts of KEY (NULL for all keys) so far. */
 int32_t check_count_starts (rig_t *rig, const char *key);
 
+/* The plan with which the first start of KEY reached an endpoint (g_free), or
+ * NULL. */
+char *check_plan_of (rig_t *rig, const char *key);
+
 /* Waits for all answers and for all tasks at endpoints, then checks:
  * - no task of a key started twice, unless the job is repeatable;
  * - each whole answer equals the expected one byte by byte, and each of its
