Service-level counters, their copies at peers, and jaytrail burn

Cause: nothing said which plan burns its error budget, and why; and a host that is replaced takes its counters with it.

What is here: lib/burn counts answers by plan, kind and minute (good, late, refused, failed, excused), judges burn rates over 5 min, 1 h and 6 h, and merges the reports of several hosts; part_burn keeps copies of its counters at two peers, sends what changed every 10 s and passes on copies of gone hosts when it leaves; `jaytrail burn` prints text, JSON or a page with inline plots.

Ruled out: a copy at every peer (11.5 KB a series and host; 8 hosts would hold eight times their own); sending differences (a lost frame would be lost for good: totals of a bucket only grow, so a frame may come late or twice).

Before: a stub. Not yet tried between processes.

--- a/daemon/part_burn.c
+++ b/daemon/part_burn.c
@@ -1,12 +1,47 @@
-/* part_burn.c -- service-level counters of this host and what peers reported */
+/* part_burn.c -- service-level counters of this host and what peers reported
+ *
+ * COPIES peers hold a copy of this host's counters: those with the highest
+ * rendezvous weight among the connected ones, of this data centre first.  Each
+ * gets the buckets that may have changed since its last frame every
+ * SEND_EVERY_MS, and everything when it becomes a holder.  A host that leaves
+ * passes on the copies of hosts that are gone already.
+ */
 #include "daemon/part_burn.h"
 
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/hash.h"
+#include "base/log.h"
+#include "burn/report.h"
+#include "daemon/burn_frame.h"
+#include "daemon/part_config.h"
+
+#include <string.h>
+
+#define COPIES 2
+#define SEND_EVERY_MS 10000
+/* While this host leaves: what is still answered must not be lost with it. */
+#define SEND_DRAINING_MS 200
+#define DEFAULT_TARGET_MS 1000
+
 typedef struct
 {
   part_t base;
   part_t *config;
+  burn_t *burn;
+  GHashTable *sent_minute; /* holder's host id -> minute of its last frame, as a pointer */
+  int64_t send_at_ms;      /* boot clock */
 } burn_part_t;
 
+static int64_t
+target_of (const burn_part_t *part, const char *plan)
+{
+  const config_t *config = part_config_current (part->config);
+  const config_limit_t *limit = config == NULL ? NULL : config_limit_of (config, plan);
+
+  return limit == NULL || limit->target_ms <= 0 ? DEFAULT_TARGET_MS : limit->target_ms;
+}
+
 void
 part_burn_record (part_t *base,
                   const char *plan,
@@ -16,24 +51,222 @@
                   int32_t tasks,
                   int64_t now_ms)
 {
-  (void) base;
-  (void) plan;
-  (void) kind;
-  (void) error;
-  (void) elapsed_ms;
-  (void) tasks;
   (void) now_ms;
+  burn_part_t *part = (burn_part_t *) base;
+
+  if (plan == NULL || kind == NULL || tasks <= 0)
+    return;
+  burn_count (part->burn, plan, kind, error, elapsed_ms > target_of (part, plan), (uint32_t) tasks,
+              clock_wall_ms ());
+}
+
+/* Copies at peers. */
+
+typedef struct
+{
+  burn_part_t *part;
+  char *hosts[COPIES];
+  uint64_t weights[COPIES];
+} holders_t;
+
+static void
+consider (const daemon_peer_t *peer, void *data)
+{
+  holders_t *holders = data;
+  daemon_t *daemon = holders->part->base.daemon;
+  bool near = g_strcmp0 (peer->data_centre, daemon_data_centre (daemon)) == 0;
+  /* The top bit puts this data centre first. */
+  uint64_t weight = hash_rendezvous (daemon_host_id (daemon), peer->host) >> 1;
+  char *host = g_strdup (peer->host);
+
+  weight |= near ? UINT64_C (1) << 63 : 0;
+  for (int i = 0; i < COPIES && peer->connected; i++)
+    {
+      if (holders->hosts[i] != NULL && holders->weights[i] >= weight)
+        continue;
+      char *host_before = holders->hosts[i];
+      uint64_t weight_before = holders->weights[i];
+      holders->hosts[i] = host;
+      holders->weights[i] = weight;
+      host = host_before;
+      weight = weight_before;
+      if (host == NULL)
+        break;
+    }
+  g_free (host);
+}
+
+static void
+holders_clear (holders_t *holders)
+{
+  for (int i = 0; i < COPIES; i++)
+    g_free (holders->hosts[i]);
+}
+
+typedef struct
+{
+  burn_part_t *part;
+  const char *host;
+  int result;
+} send_walk_t;
+
+static void
+send_frame (GBytes *frame, void *data)
+{
+  send_walk_t *walk = data;
+  int result = daemon_send (walk->part->base.daemon, walk->host, frame);
+
+  if (result != 0)
+    walk->result = result;
+}
+
+/* Sends what HOST may lack of the own counters. */
+static void
+send_own (burn_part_t *part, const char *host, int64_t wall_ms)
+{
+  int64_t since = GPOINTER_TO_INT (g_hash_table_lookup (part->sent_minute, host));
+  send_walk_t walk = { part, host, 0 };
+
+  burn_frame_write (burn_own (part->burn), since, wall_ms, send_frame, &walk);
+  if (walk.result != 0)
+    g_hash_table_remove (part->sent_minute, host);
+  else
+    g_hash_table_insert (part->sent_minute, g_strdup (host),
+                         GINT_TO_POINTER ((int) (wall_ms / BURN_MINUTE_MS)));
+}
+
+static void
+send_to_holders (burn_part_t *part)
+{
+  holders_t holders = { .part = part };
+  int64_t wall_ms = clock_wall_ms ();
+
+  daemon_each_peer (part->base.daemon, consider, &holders);
+  for (int i = 0; i < COPIES && holders.hosts[i] != NULL; i++)
+    send_own (part, holders.hosts[i], wall_ms);
+  holders_clear (&holders);
+  burn_prune (part->burn, wall_ms);
+}
+
+static void
+burn_tick (part_t *base, int64_t now_ms)
+{
+  burn_part_t *part = (burn_part_t *) base;
+
+  if (now_ms < part->send_at_ms)
+    return;
+  part->send_at_ms =
+      now_ms + (daemon_is_draining (base->daemon) ? SEND_DRAINING_MS : SEND_EVERY_MS);
+  send_to_holders (part);
+}
+
+/* A holder that was away may have been replaced, or missed a frame. */
+static void
+burn_peer_down (part_t *base, const char *host, int64_t now_ms)
+{
+  (void) now_ms;
+  g_hash_table_remove (((burn_part_t *) base)->sent_minute, host);
+}
+
+static void
+burn_frame (part_t *base, const char *from, frame_reader_t *reader, int64_t now_ms)
+{
+  (void) now_ms;
+  burn_part_t *part = (burn_part_t *) base;
+
+  if (frame_type (reader) != FRAME_BURN_COUNTS)
+    return;
+  int result = burn_frame_read (part->burn, reader, clock_wall_ms ());
+  if (result != 0)
+    log_warning ("burn", "Counters of a peer were not taken.", "peer", from, "error",
+                 error_name (result), NULL);
+}
+
+typedef struct
+{
+  burn_part_t *part;
+  const holders_t *holders;
+} pass_walk_t;
+
+/* Passes a copy on if its host is no longer there to send it itself. */
+static void
+pass_on (burn_source_t *source, void *data)
+{
+  const pass_walk_t *walk = data;
+  burn_source_info_t info = burn_source_info (source);
+  daemon_peer_t peer = { 0 };
+  bool there = daemon_peer (walk->part->base.daemon, info.host, &peer) && peer.connected
+               && peer.incarnation == info.incarnation;
+
+  for (int i = 0; i < COPIES && walk->holders->hosts[i] != NULL && !info.own && !there; i++)
+    {
+      send_walk_t send = { walk->part, walk->holders->hosts[i], 0 };
+      burn_frame_write (source, 0, info.as_of_ms, send_frame, &send);
+    }
+}
+
+static void
+burn_drain (part_t *base, int64_t now_ms)
+{
+  (void) now_ms;
+  burn_part_t *part = (burn_part_t *) base;
+  holders_t holders = { .part = part };
+  pass_walk_t walk = { part, &holders };
+
+  send_to_holders (part);
+  daemon_each_peer (base->daemon, consider, &holders);
+  burn_each_source (part->burn, pass_on, &walk);
+  holders_clear (&holders);
+  part->send_at_ms = 0;
+}
+
+/* GET /v1/burn. */
+
+static void
+add_objective (const config_limit_t *limit, void *data)
+{
+  json_object *row = json_object_new_object ();
+
+  json_object_object_add (row, "target_ms", json_object_new_int64 (limit->target_ms));
+  json_object_object_add (row, "objective_ppm", json_object_new_int64 (limit->objective_ppm));
+  json_object_object_add (data, limit->plan, row);
+}
+
+static void
+add_peer (const daemon_peer_t *peer, void *data)
+{
+  if (peer->connected)
+    json_object_array_add (data, json_object_new_string (peer->host));
 }
 
 void
 part_burn_report (part_t *base, json_object *out)
 {
+  burn_part_t *part = (burn_part_t *) base;
+  const config_t *config = part_config_current (part->config);
+  json_object *plans = json_object_new_object ();
+  json_object *peers = json_object_new_array ();
+
+  if (config != NULL)
+    config_each_limit (config, add_objective, plans);
+  daemon_each_peer (base->daemon, add_peer, peers);
   json_object_object_add (out, "host", json_object_new_string (daemon_host_id (base->daemon)));
+  json_object_object_add (out, "data_centre",
+                          json_object_new_string (daemon_data_centre (base->daemon)));
+  json_object_object_add (out, "revision",
+                          json_object_new_int64 (config == NULL ? 0 : config_revision (config)));
+  json_object_object_add (out, "plans", plans);
+  json_object_object_add (out, "peers", peers);
+  burn_report (part->burn, clock_wall_ms (), out);
 }
 
 static const part_ops_t burn_ops = { .name = "burn",
                                      .frame_first = FRAME_BURN_FIRST,
-                                     .frame_last = FRAME_BURN_LAST };
+                                     .frame_last = FRAME_BURN_LAST,
+                                     .frame = burn_frame,
+                                     .tick = burn_tick,
+                                     .peer_down = burn_peer_down,
+                                     .drain = burn_drain };
 
 part_t *
 part_burn_new (daemon_t *daemon, part_t *config)
@@ -43,6 +276,8 @@
   part->base.ops = &burn_ops;
   part->base.daemon = daemon;
   part->config = config;
+  part->burn = burn_new (daemon_host_id (daemon), daemon_incarnation (daemon), clock_wall_ms ());
+  part->sent_minute = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   daemon_add_part (daemon, &part->base);
   return &part->base;
 }
--- /dev/null
+++ b/tool/cmd_burn.c
@@ -0,0 +1,164 @@
+/* cmd_burn.c -- jaytrail burn: who burns the error budget, and why */
+#include "tool/tool.h"
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "burn/render.h"
+#include "http/client.h"
+
+#include <argtable2.h>
+#include <glib.h>
+#include <string.h>
+
+#define ANSWER_WITHIN_MS 5000
+#define ANSWER_MAX_BYTES (64 * 1024 * 1024)
+#define ADDRESSES_MAX 64
+
+typedef struct
+{
+  struct arg_lit *help;
+  struct arg_str *admin;
+  struct arg_lit *json;
+  struct arg_file *html;
+  struct arg_end *end;
+} args_t;
+
+static const int statuses[] = {
+  [BURN_FINE] = TOOL_OK,
+  [BURN_SLOW] = TOOL_SLOW_BURN,
+  [BURN_FAST] = TOOL_FAST_BURN,
+};
+
+/* Reads /v1/burn of ADDRESS; NULL with *ERROR set if it does not answer. */
+static json_object *
+fetch (const char *address, int *error)
+{
+  http_answer_t answer = { 0 };
+  http_call_t call = {
+    .method = "GET",
+    .path = "/v1/burn",
+    .deadline_at_ms = clock_boot_ms () + ANSWER_WITHIN_MS,
+    .max_answer_bytes = ANSWER_MAX_BYTES,
+  };
+
+  *error = http_call_once (address, &call, &answer);
+  if (*error != 0)
+    return NULL;
+  char *text = g_strndup ((const char *) answer.body->data, answer.body->len);
+  json_object *root = answer.status == 200 ? json_tokener_parse (text) : NULL;
+  g_free (text);
+  http_answer_clear (&answer);
+  if (root == NULL)
+    *error = ERROR_PROTOCOL;
+  return root;
+}
+
+/* Returns true if ADDRESS gave a report. */
+static bool
+ask (merge_t *merge, const char *address)
+{
+  int error = 0;
+  json_object *report = fetch (address, &error);
+
+  if (report == NULL)
+    {
+      merge_missing (merge, address, error_name (error));
+      return false;
+    }
+  bool good = merge_add (merge, address, report) == 0;
+  json_object_put (report);
+  return good;
+}
+
+static int
+ask_all (merge_t *merge, const args_t *args)
+{
+  int answered = 0;
+
+  for (int i = 0; i < args->admin->count; i++)
+    {
+      char **addresses = g_strsplit (args->admin->sval[i], ",", -1);
+      for (char **address = addresses; *address != NULL; address++)
+        answered += ask (merge, *address);
+      g_strfreev (addresses);
+    }
+  return answered;
+}
+
+static int
+write_html (const merge_t *merge, const char *path)
+{
+  GString *page = g_string_new (NULL);
+  GError *error = NULL;
+
+  render_html (merge, page);
+  bool written = g_file_set_contents (path, page->str, (gssize) page->len, &error);
+  g_string_free (page, TRUE);
+  if (written)
+    return TOOL_OK;
+  fprintf (stderr, "jaytrail burn: %s\n", error->message);
+  g_error_free (error);
+  return TOOL_FAILED;
+}
+
+static void
+print (const merge_t *merge, bool as_json)
+{
+  if (as_json)
+    {
+      json_object *root = render_json (merge);
+      printf ("%s\n", json_object_to_json_string_ext (root, JSON_C_TO_STRING_PRETTY));
+      json_object_put (root);
+      return;
+    }
+  GString *text = g_string_new (NULL);
+  render_text (merge, text);
+  fputs (text->str, stdout);
+  g_string_free (text, TRUE);
+}
+
+static int
+run (const args_t *args)
+{
+  merge_t *merge = merge_new ();
+  int status = TOOL_OK;
+  int answered = ask_all (merge, args);
+
+  merge_finish (merge, clock_wall_ms ());
+  print (merge, args->json->count > 0);
+  if (args->html->count > 0)
+    status = write_html (merge, args->html->filename[0]);
+  if (answered == 0)
+    {
+      fputs ("jaytrail burn: no host answered\n", stderr);
+      status = TOOL_FAILED;
+    }
+  if (status == TOOL_OK)
+    status = statuses[merge_alert (merge)];
+  merge_free (merge);
+  return status;
+}
+
+int
+cmd_burn (int argc, char **argv)
+{
+  args_t args = {
+    .help = arg_lit0 ("h", "help", "print this help"),
+    .admin = arg_strn (NULL, "admin", "IP:PORT,...", 1, ADDRESSES_MAX,
+                       "admin addresses of the hosts to ask; may be repeated"),
+    .json = arg_lit0 (NULL, "json", "print as JSON"),
+    .html = arg_file0 (NULL, "html", "FILE", "also write a page with plots"),
+    .end = arg_end (8),
+  };
+  void *table[] = { args.help, args.admin, args.json, args.html, args.end };
+  int status = TOOL_OK;
+
+  if (tool_parse (argc, argv, table, G_N_ELEMENTS (table),
+                  "Reports each plan's error budget, how fast it burns and why, and what is not "
+                  "known.\nExit status: 0 fine, 5 slow burn, 6 fast burn, 1 no host answered, 2 "
+                  "usage.",
+                  &status))
+    status = run (&args);
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return status;
+}
