Membership and replicated keys in the daemon

Views are agreed by the log's stream "views" (first record on a base wins), states spread by beats and summaries, contact is dated by echoes of a host's own beats. Replicas grant only with contact, hand their keys over on a change of the view and pass their seat on when the log is down.

A confirmation now claims the key itself and gives it back one tick later, and a release answers at once, since the host holds the key up to then.

--- a/daemon/part_claim.c
+++ b/daemon/part_claim.c
@@ -1,46 +1,335 @@
-/* part_claim.c -- idempotency keys, granted by this host alone */
+/* part_claim.c -- wires the replica and the coordinator of idempotency keys */
 #include "daemon/part_claim.h"
 
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "claim/coordinator.h"
+#include "claim/replica.h"
+#include "daemon/part_view.h"
+#include "settings/settings.h"
+
 #include <string.h>
 
-/* How long a grant lets this host start. */
-#define CLAIM_START_WITHIN_MS 2000
+/* A leaving replica waits this long for its keys to be pulled once a view
+ * without it is in force, and this long in all. */
+#define HANDOVER_WITHIN_MS 3000
+#define LEAVE_WITHIN_MS 9000
 
 typedef struct
 {
-  hash_digest_t digest;
-  int64_t start_before_ms;
-  bool started;
-} entry_t;
+  part_t part;
+  part_t *view;
+  claim_replica_t *replica;
+  claim_coordinator_t *coordinator;
+  GHashTable *senders; /* host id -> member_t */
+  int64_t drain_ms;    /* 0 while not draining */
+  int64_t left_ms;     /* a view without this host was first seen, while draining */
+  counter_t *messages;
+  counter_t *bytes;
+  counter_t *results[CLAIM_DONE_EXPIRED + 1];
+  counter_t *keys;
+  counter_t *own;
+  counter_t *contested;
+  counter_t *losses;
+} part_claim_t;
 
+/* One request on its way. */
 typedef struct
 {
-  part_t part;
-  GHashTable *keys; /* char * -> entry_t * */
-} part_claim_t;
+  claim_done_t done;
+  void *data;
+} ticket_t;
+
+/* Results of the library and of this header, and their label. */
+static const struct
+{
+  claim_result_t result;
+  const char *label;
+} result_rows[] = {
+  [CLAIM_DONE_GRANTED] = { CLAIM_GRANTED, "result=\"granted\"" },
+  [CLAIM_DONE_HELD] = { CLAIM_HELD, "result=\"held\"" },
+  [CLAIM_DONE_REUSED] = { CLAIM_REUSED, "result=\"reused\"" },
+  [CLAIM_DONE_FREE] = { CLAIM_FREE, "result=\"free\"" },
+  [CLAIM_DONE_UNCERTAIN] = { CLAIM_UNCERTAIN, "result=\"uncertain\"" },
+  [CLAIM_DONE_UNREACHABLE] = { CLAIM_UNREACHABLE, "result=\"unreachable\"" },
+  [CLAIM_DONE_EXPIRED] = { CLAIM_EXPIRED, "result=\"expired\"" },
+};
+
+static void coordinator_step (part_claim_t *claim, const coordinator_event_t *event);
+
+static claim_time_t
+time_now (const part_claim_t *claim)
+{
+  return (claim_time_t){ daemon_now_ms (claim->part.daemon), clock_wall_ms () };
+}
+
+static void
+send_message (part_claim_t *claim, const char *to, const claim_msg_t *msg)
+{
+  GBytes *frame = claim_msg_encode (msg);
+
+  counter_add (claim->messages, 1);
+  counter_add (claim->bytes, (int64_t) g_bytes_get_size (frame));
+  if (daemon_send (claim->part.daemon, to, frame) != 0)
+    coordinator_step (claim, &(coordinator_event_t){ .kind = COORDINATOR_UNREACHED, .to = to });
+}
+
+static void
+finish (part_claim_t *claim, const claim_action_t *action)
+{
+  ticket_t *ticket = action->user;
+  const member_t *holder = action->holder;
+  claim_outcome_t outcome = { .result = result_rows[action->result].result };
+
+  counter_add (claim->results[action->result], 1);
+  if (holder != NULL)
+    {
+      outcome.claimant = holder->id;
+      outcome.claimant_address = holder->address;
+      outcome.claimant_data_centre = holder->data_centre;
+      outcome.claimant_incarnation = holder->incarnation;
+    }
+  if (ticket->done != NULL)
+    ticket->done (&outcome, ticket->data);
+  g_free (ticket);
+}
+
+static void
+run_actions (part_claim_t *claim, const GPtrArray *actions)
+{
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const claim_action_t *action = g_ptr_array_index (actions, i);
+      switch (action->kind)
+        {
+        case CLAIM_ACTION_SEND:
+          send_message (claim, action->to, action->msg);
+          break;
+        case CLAIM_ACTION_DONE:
+          finish (claim, action);
+          break;
+        case CLAIM_ACTION_SEAT_MOVED:
+          log_info ("claim", "A seat was passed on.", NULL);
+          part_view_seat_moved (claim->view, action->view);
+          break;
+        }
+    }
+}
+
+static void
+coordinator_step (part_claim_t *claim, const coordinator_event_t *event)
+{
+  g_autoptr (GPtrArray) actions = claim_actions_new ();
+
+  claim_coordinator_step (claim->coordinator, event, time_now (claim), actions);
+  run_actions (claim, actions);
+}
+
+static void
+replica_step (part_claim_t *claim, const replica_event_t *event)
+{
+  g_autoptr (GPtrArray) actions = claim_actions_new ();
+
+  claim_replica_step (claim->replica, event, time_now (claim), actions);
+  run_actions (claim, actions);
+}
+
+/* The sender of a frame as a member, or NULL if it was never met. */
+static member_t *
+sender_of (part_claim_t *claim, const char *host)
+{
+  daemon_peer_t peer;
+  member_t *member = g_hash_table_lookup (claim->senders, host);
+
+  if (strcmp (host, daemon_host_id (claim->part.daemon)) == 0)
+    return part_view_self (claim->view);
+  if (!daemon_peer (claim->part.daemon, host, &peer))
+    return NULL;
+  if (member != NULL && member->incarnation == peer.incarnation)
+    return member;
+  member = member_new (peer.host, peer.incarnation, peer.address, peer.data_centre);
+  g_hash_table_replace (claim->senders, g_strdup (host), member);
+  return member;
+}
+
+static void
+claim_frame (part_t *part, const char *from, frame_reader_t *reader, int64_t now_ms)
+{
+  part_claim_t *claim = (part_claim_t *) part;
+  member_t *sender = sender_of (claim, from);
+  claim_msg_t *msg = claim_msg_decode (reader);
+
+  (void) now_ms;
+  if (sender == NULL || msg == NULL)
+    log_warning ("claim", "A frame is malformed or from a stranger.", "from", from, NULL);
+  else
+    {
+      member_ref (sender);
+      replica_step (claim,
+                    &(replica_event_t){ .kind = REPLICA_MESSAGE, .from = sender, .msg = msg });
+      coordinator_step (
+          claim, &(coordinator_event_t){ .kind = COORDINATOR_MESSAGE, .from = sender, .msg = msg });
+      member_unref (sender);
+    }
+  claim_msg_free (msg);
+}
+
+static void
+publish_counters (part_claim_t *claim)
+{
+  replica_status_t status;
+
+  claim_replica_status (claim->replica, &status);
+  counter_set (claim->keys, status.keys);
+  counter_set (claim->contested, status.contested);
+  counter_set (claim->losses, status.losses);
+  counter_set (claim->own, claim_coordinator_own (claim->coordinator));
+}
+
+static void
+claim_tick (part_t *part, int64_t now_ms)
+{
+  part_claim_t *claim = (part_claim_t *) part;
+  replica_event_t contact = { .kind = REPLICA_CONTACT,
+                              .contact_until_ms =
+                                  part_view_contact_until_ms (claim->view, now_ms) };
+
+  replica_step (claim, &contact);
+  replica_step (claim, &(replica_event_t){ .kind = REPLICA_TICK });
+  coordinator_step (claim, &(coordinator_event_t){ .kind = COORDINATOR_TICK });
+  publish_counters (claim);
+}
+
+static void
+claim_drain (part_t *part, int64_t now_ms)
+{
+  ((part_claim_t *) part)->drain_ms = now_ms;
+}
+
+/* The replica's part of a graceful stop: the keys are with others. */
+static bool
+has_left (part_claim_t *claim, int64_t now_ms)
+{
+  replica_status_t status;
+
+  claim_replica_status (claim->replica, &status);
+  if (status.seat_given || !part_view_has_peers (claim->view))
+    return true;
+  if (part_view_is_member (claim->view))
+    return false;
+  if (claim->left_ms == 0)
+    claim->left_ms = now_ms;
+  return claim_replica_handed_over (claim->replica)
+         || now_ms >= claim->left_ms + HANDOVER_WITHIN_MS;
+}
+
+static bool
+claim_drained (part_t *part, int64_t now_ms)
+{
+  part_claim_t *claim = (part_claim_t *) part;
+
+  if (claim->drain_ms == 0)
+    return true;
+  return (has_left (claim, now_ms) && claim_coordinator_pending (claim->coordinator) == 0)
+         || now_ms >= claim->drain_ms + LEAVE_WITHIN_MS;
+}
+
+static void
+claim_status (part_t *part, json_object *status)
+{
+  part_claim_t *claim = (part_claim_t *) part;
+  json_object *section = json_object_new_object ();
+  replica_status_t replica;
+  int64_t now_ms = daemon_now_ms (part->daemon);
+  bool contact = now_ms <= part_view_contact_until_ms (claim->view, now_ms);
+
+  claim_replica_status (claim->replica, &replica);
+  json_object_object_add (section, "keys", json_object_new_int64 (replica.keys));
+  json_object_object_add (section, "contested", json_object_new_int64 (replica.contested));
+  json_object_object_add (section, "losses", json_object_new_int64 (replica.losses));
+  json_object_object_add (section, "handovers_due", json_object_new_int64 (replica.handovers_due));
+  json_object_object_add (section, "settled", json_object_new_boolean (replica.settled));
+  json_object_object_add (section, "contact", json_object_new_boolean (contact));
+  json_object_object_add (section, "sealed", json_object_new_boolean (replica.seat_given));
+  json_object_object_add (section, "own",
+                          json_object_new_int64 (claim_coordinator_own (claim->coordinator)));
+  json_object_object_add (status, "claim", section);
+}
 
 static const part_ops_t claim_ops = {
   .name = "claim",
   .frame_first = FRAME_CLAIM_FIRST,
   .frame_last = FRAME_CLAIM_LAST,
+  .frame = claim_frame,
+  .tick = claim_tick,
+  .drain = claim_drain,
+  .drained = claim_drained,
+  .status = claim_status,
 };
 
+static void
+on_view (view_t *view, view_t *base, void *data)
+{
+  replica_step (data, &(replica_event_t){ .kind = REPLICA_VIEW, .view = view, .base = base });
+}
+
+static void
+on_pass_seat (const char *successor, void *data)
+{
+  replica_step (data, &(replica_event_t){ .kind = REPLICA_PASS_SEAT, .successor = successor });
+}
+
+static view_t *
+view_of (const char *data_centre, void *data)
+{
+  return part_view_of (data, data_centre);
+}
+
+static void
+get_counters (part_claim_t *claim)
+{
+  claim->messages = counter_get ("jaytrail_claim_messages_total", NULL);
+  claim->bytes = counter_get ("jaytrail_claim_bytes_total", NULL);
+  claim->keys = counter_get ("jaytrail_keys", NULL);
+  claim->own = counter_get ("jaytrail_keys_own", NULL);
+  claim->contested = counter_get ("jaytrail_keys_contested", NULL);
+  claim->losses = counter_get ("jaytrail_key_losses", NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (result_rows); i++)
+    claim->results[i] = counter_get ("jaytrail_claims_total", result_rows[i].label);
+}
+
 part_t *
 part_claim_new (daemon_t *daemon, part_t *view)
 {
   part_claim_t *claim = g_new0 (part_claim_t, 1);
-  (void) view;
+  const settings_t *settings = daemon_settings (daemon);
+  const claim_rules_t rules = CLAIM_RULES_ALL;
+  claim_limits_t limits = CLAIM_LIMITS_DEFAULT;
+  member_t *self = part_view_self (view);
+
+  limits.window_ms = settings->key_window_ms;
+  limits.skew_ms = settings->clock_skew_ms;
   claim->part = (part_t){ &claim_ops, daemon };
-  claim->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  claim->view = view;
+  claim->replica = claim_replica_new (self, &rules, &limits);
+  claim->coordinator =
+      claim_coordinator_new (self, &rules, &limits, view_of, view, (uint32_t) self->incarnation);
+  claim->senders =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) member_unref);
+  get_counters (claim);
+  part_view_listener_t listener = { on_view, on_pass_seat, claim };
+  part_view_listen (view, &listener);
   return &claim->part;
 }
 
-static claim_outcome_t
-held_here (part_claim_t *claim)
+static ticket_t *
+ticket_new (claim_done_t done, void *data)
 {
-  daemon_t *daemon = claim->part.daemon;
-  return (claim_outcome_t){ CLAIM_HELD, daemon_host_id (daemon), daemon_peer_address (daemon),
-                            daemon_data_centre (daemon), daemon_incarnation (daemon) };
+  ticket_t *ticket = g_new0 (ticket_t, 1);
+
+  *ticket = (ticket_t){ done, data };
+  return ticket;
 }
 
 void
@@ -53,25 +342,14 @@
                     claim_done_t done,
                     void *data)
 {
-  part_claim_t *claim = (part_claim_t *) part;
-  entry_t *entry = g_hash_table_lookup (claim->keys, key);
-  claim_outcome_t outcome = { .result = CLAIM_GRANTED };
-  (void) home;
-  (void) issued_at_ms;
-  (void) give_up_at_ms;
-  if (entry != NULL)
-    {
-      outcome = held_here (claim);
-      if (memcmp (&entry->digest, digest, sizeof (*digest)) != 0)
-        outcome.result = CLAIM_REUSED;
-      done (&outcome, data);
-      return;
-    }
-  entry = g_new0 (entry_t, 1);
-  entry->digest = *digest;
-  entry->start_before_ms = daemon_now_ms (part->daemon) + CLAIM_START_WITHIN_MS;
-  g_hash_table_insert (claim->keys, g_strdup (key), entry);
-  done (&outcome, data);
+  coordinator_step ((part_claim_t *) part,
+                    &(coordinator_event_t){ .kind = COORDINATOR_CLAIM,
+                                            .key = key,
+                                            .home = home,
+                                            .digest = *digest,
+                                            .issued_at_ms = issued_at_ms,
+                                            .give_up_ms = give_up_at_ms,
+                                            .user = ticket_new (done, data) });
 }
 
 void
@@ -82,40 +360,52 @@
                   claim_done_t done,
                   void *data)
 {
-  part_claim_t *claim = (part_claim_t *) part;
-  claim_outcome_t outcome = { .result = CLAIM_FREE };
-  (void) home;
-  (void) give_up_at_ms;
-  if (g_hash_table_contains (claim->keys, key))
-    outcome = held_here (claim);
-  done (&outcome, data);
+  coordinator_step ((part_claim_t *) part,
+                    &(coordinator_event_t){ .kind = COORDINATOR_PROBE,
+                                            .key = key,
+                                            .home = home,
+                                            .issued_at_ms = CLAIM_ISSUED_UNKNOWN,
+                                            .give_up_ms = give_up_at_ms,
+                                            .user = ticket_new (done, data) });
+}
+
+void
+part_claim_confirm (part_t *part,
+                    const char *key,
+                    const char *home,
+                    const hash_digest_t *digest,
+                    int64_t issued_at_ms,
+                    int64_t give_up_at_ms,
+                    claim_done_t done,
+                    void *data)
+{
+  coordinator_step ((part_claim_t *) part,
+                    &(coordinator_event_t){ .kind = COORDINATOR_CONFIRM,
+                                            .key = key,
+                                            .home = home,
+                                            .digest = *digest,
+                                            .issued_at_ms = issued_at_ms,
+                                            .give_up_ms = give_up_at_ms,
+                                            .user = ticket_new (done, data) });
 }
 
 void
 part_claim_release (part_t *part, const char *key, claim_done_t done, void *data)
 {
-  part_claim_t *claim = (part_claim_t *) part;
-  entry_t *entry = g_hash_table_lookup (claim->keys, key);
-  claim_outcome_t outcome = { .result = CLAIM_FREE };
-  if (entry != NULL && entry->started)
-    outcome = held_here (claim);
-  else
-    g_hash_table_remove (claim->keys, key);
-  if (done != NULL)
-    done (&outcome, data);
+  coordinator_step ((part_claim_t *) part,
+                    &(coordinator_event_t){
+                        .kind = COORDINATOR_RELEASE, .key = key, .user = ticket_new (done, data) });
 }
 
 bool
 part_claim_may_start (part_t *part, const char *key, int64_t now_ms)
 {
-  const entry_t *entry = g_hash_table_lookup (((part_claim_t *) part)->keys, key);
-  return entry != NULL && (entry->started || now_ms < entry->start_before_ms);
+  return claim_coordinator_may_start (((part_claim_t *) part)->coordinator, key, now_ms);
 }
 
 void
 part_claim_started (part_t *part, const char *key)
 {
-  entry_t *entry = g_hash_table_lookup (((part_claim_t *) part)->keys, key);
-  if (entry != NULL)
-    entry->started = true;
+  coordinator_step ((part_claim_t *) part,
+                    &(coordinator_event_t){ .kind = COORDINATOR_STARTED, .key = key });
 }
--- a/daemon/part_claim.h
+++ b/daemon/part_claim.h
@@ -31,8 +31,8 @@
   uint64_t claimant_incarnation;
 } claim_outcome_t;
 
-/* Runs once for each request; OUTCOME and its strings are valid during the
- * call only. */
+/* Runs once for each request, possibly before the request returns; OUTCOME and
+ * its strings are valid during the call only. */
 typedef void (*claim_done_t) (const claim_outcome_t *outcome, void *data);
 
 /* Claims KEY for this host.  HOME is the data centre that remembers the key.
@@ -46,8 +46,9 @@
                          claim_done_t done,
                          void *data);
 
-/* Asks whether anybody holds KEY, without claiming it: CLAIM_FREE only after
- * two replicas have confirmed it. */
+/* Asks whether anybody holds KEY, without claiming it.  CLAIM_FREE says that two
+ * replicas have confirmed that nobody did when the probe began; a claim may have
+ * passed since.  A key that was forgotten with its window is free, too. */
 void part_claim_probe (part_t *part,
                        const char *key,
                        const char *home,
@@ -55,9 +56,21 @@
                        claim_done_t done,
                        void *data);
 
+/* Makes sure that no task of KEY has started: CLAIM_FREE is true at the moment
+ * of the answer, since this host holds the key itself then and gives it back one
+ * tick later.  This is what a "not_run" needs. */
+void part_claim_confirm (part_t *part,
+                         const char *key,
+                         const char *home,
+                         const hash_digest_t *digest,
+                         int64_t issued_at_ms,
+                         int64_t give_up_at_ms,
+                         claim_done_t done,
+                         void *data);
+
 /* Gives back a granted claim under which nothing has started and nothing will.
- * DONE (may be NULL) gets CLAIM_FREE once it is confirmed, else
- * CLAIM_UNREACHABLE. */
+ * DONE (may be NULL) gets CLAIM_FREE at once: this host held the key up to then,
+ * so nobody has started it; it is given back one tick later. */
 void part_claim_release (part_t *part, const char *key, claim_done_t done, void *data);
 
 /* True while the grants of KEY let this host start: before their deadline, and
--- a/lib/claim/coordinator.c
+++ b/lib/claim/coordinator.c
@@ -26,12 +26,14 @@
 #define QUERY_MS 300
 /* Without any reply by then, the home counts as unreachable. */
 #define SILENCE_MS 1000
+/* A key that was confirmed or released is given back after this time. */
+#define ERASE_AFTER_MS 1
 /* Own keys are looked through for forgotten ones this often. */
 #define FORGET_EVERY_MS 10000
 
 typedef enum
 {
-  OWN_CLAIMING,
+  OWN_CLAIMING, /* by the operation, which may also be confirming or erasing */
   OWN_GRANTED,
   OWN_STARTED
 } own_state_t;
@@ -40,7 +42,7 @@
 typedef struct
 {
   own_state_t state;
-  uint64_t attempt;
+  operation_t *operation; /* OWN_CLAIMING */
   hash_digest_t digest;
   int64_t issued_at_ms;
   int64_t start_before_ms; /* boot clock */
@@ -170,22 +172,24 @@
     }
 }
 
+/* True if OPERATION places claims at the replicas. */
+static bool
+claims (const operation_t *operation)
+{
+  return operation->kind != OPERATION_PROBE;
+}
+
 static void
-ask (claim_coordinator_t *coordinator,
-     operation_t *operation,
-     asked_replica_t *replica,
-     GPtrArray *actions)
+ask (operation_t *operation, asked_replica_t *replica, GPtrArray *actions)
 {
   int32_t index = (int32_t) (replica - operation->replicas);
   claim_msg_t *msg = NULL;
 
   replica->asked = true;
-  if (operation->kind == OPERATION_CLAIM)
+  if (claims (operation))
     msg = claim_message (operation);
   else
     msg = probe_message (operation, operation->id);
-  if (operation->release_attempt > 0)
-    set_erase (msg, coordinator->self, operation->release_attempt);
   claim_send (actions, replica_host (operation, index), msg);
 }
 
@@ -194,7 +198,7 @@
 static int32_t
 needed (const claim_coordinator_t *coordinator, const operation_t *operation)
 {
-  if (operation->kind == OPERATION_CLAIM && !coordinator->rules.second_grant)
+  if (claims (operation) && !coordinator->rules.second_grant)
     return 1;
   return view_majority (operation->replica_count);
 }
@@ -225,7 +229,7 @@
       asked_replica_t *next = operation_next (operation);
       if (next == NULL)
         return;
-      ask (coordinator, operation, next, actions);
+      ask (operation, next, actions);
       hopeful++;
     }
 }
@@ -257,7 +261,7 @@
         member_t *holder,
         GPtrArray *actions)
 {
-  if (operation->kind == OPERATION_CLAIM && result != CLAIM_DONE_GRANTED)
+  if (claims (operation) && result != CLAIM_DONE_GRANTED)
     {
       erase (operation, coordinator->self, operation->id, actions);
       g_hash_table_remove (coordinator->own, operation->key);
@@ -272,18 +276,43 @@
   own_t *own = g_hash_table_lookup (coordinator->own, operation->key);
 
   own->state = OWN_GRANTED;
-  own->attempt = operation->id;
+  own->operation = NULL;
   own->start_before_ms = operation->attempt_ms + coordinator->limits.start_within_ms;
   finish (coordinator, operation, CLAIM_DONE_GRANTED, NULL, actions);
 }
 
+/* Gives the claim back one tick after the action, so that whoever is told that
+ * the key is free has been told before another host can start it. */
+static void
+erase_later (operation_t *operation, int64_t now_ms)
+{
+  operation->kind = OPERATION_ERASE;
+  wait_until (operation, now_ms + ERASE_AFTER_MS);
+}
+
+static void
+finish_confirmed (operation_t *operation, claim_time_t now, GPtrArray *actions)
+{
+  done (operation->user, CLAIM_DONE_FREE, NULL, actions);
+  erase_later (operation, now.boot_ms);
+}
+
+/* Ends an OPERATION_ERASE, which is freed. */
+static void
+finish_erase (claim_coordinator_t *coordinator, operation_t *operation, GPtrArray *actions)
+{
+  erase (operation, coordinator->self, operation->id, actions);
+  g_hash_table_remove (coordinator->own, operation->key);
+  g_hash_table_remove (coordinator->operations, &operation->id);
+}
+
 static void
 finish_held (claim_coordinator_t *coordinator,
              operation_t *operation,
              const claim_holder_t *holder,
              GPtrArray *actions)
 {
-  bool same = operation->kind == OPERATION_PROBE
+  bool same = operation->kind != OPERATION_CLAIM
               || memcmp (&holder->digest, &operation->digest, sizeof (holder->digest)) == 0;
 
   finish (coordinator, operation, same ? CLAIM_DONE_HELD : CLAIM_DONE_REUSED, holder->member,
@@ -335,8 +364,8 @@
 {
   asked->answered = true;
   asked->holder.attempt = operation->id;
-  asked->result = operation->kind == OPERATION_CLAIM ? CLAIM_ANSWER_NEVER
-                                                     : own_answer (coordinator, operation->key);
+  asked->result =
+      claims (operation) ? CLAIM_ANSWER_NEVER : own_answer (coordinator, operation->key);
 }
 
 static void
@@ -454,12 +483,14 @@
           claim_time_t now,
           GPtrArray *actions)
 {
-  bool is_claim = operation->kind == OPERATION_CLAIM;
+  bool is_claim = claims (operation);
   int32_t need = needed (coordinator, operation);
   int32_t good = operation_count (operation, is_claim ? CLAIM_REPLY_GRANTED : CLAIM_REPLY_FREE);
 
-  if (good >= need && is_claim)
+  if (good >= need && operation->kind == OPERATION_CLAIM)
     finish_granted (coordinator, operation, actions);
+  else if (good >= need && is_claim)
+    finish_confirmed (operation, now, actions);
   else if (good >= need)
     finish (coordinator, operation, CLAIM_DONE_FREE, NULL, actions);
   else if (operation_count (operation, CLAIM_REPLY_EXPIRED) > 0)
@@ -571,27 +602,54 @@
   return now.boot_ms + MAX (left_ms, 0) + 2 * limits->start_within_ms + 4 * limits->skew_ms;
 }
 
+static own_t *
+own_add (claim_coordinator_t *coordinator, const coordinator_event_t *event, claim_time_t now)
+{
+  own_t *own = g_new0 (own_t, 1);
+
+  own->digest = event->digest;
+  own->issued_at_ms = event->issued_at_ms;
+  own->home = g_strdup (event->home);
+  own->forget_at_ms = forget_at_ms (coordinator, event->issued_at_ms, now);
+  g_hash_table_insert (coordinator->own, g_strdup (event->key), own);
+  return own;
+}
+
+/* Ends what stands in the way of a new operation on a key of this host: an
+ * erasure, or a confirmation if PREEMPT. */
+static void
+clear_own (claim_coordinator_t *coordinator, const char *key, bool preempt, GPtrArray *actions)
+{
+  own_t *own = g_hash_table_lookup (coordinator->own, key);
+
+  if (own == NULL || own->operation == NULL)
+    return;
+  if (own->operation->kind == OPERATION_ERASE)
+    finish_erase (coordinator, own->operation, actions);
+  else if (own->operation->kind == OPERATION_CONFIRM && preempt)
+    finish (coordinator, own->operation, CLAIM_DONE_HELD, coordinator->self, actions);
+}
+
 static void
 on_claim (claim_coordinator_t *coordinator,
           const coordinator_event_t *event,
           claim_time_t now,
           GPtrArray *actions)
 {
-  own_t *own = g_hash_table_lookup (coordinator->own, event->key);
+  bool is_claim = event->kind == COORDINATOR_CLAIM;
 
+  clear_own (coordinator, event->key, is_claim, actions);
+  own_t *own = g_hash_table_lookup (coordinator->own, event->key);
   if (own != NULL)
     {
-      bool same = memcmp (&own->digest, &event->digest, sizeof (own->digest)) == 0;
+      bool same = !is_claim || memcmp (&own->digest, &event->digest, sizeof (own->digest)) == 0;
       done (event->user, same ? CLAIM_DONE_HELD : CLAIM_DONE_REUSED, coordinator->self, actions);
       return;
     }
-  own = g_new0 (own_t, 1);
-  own->digest = event->digest;
-  own->issued_at_ms = event->issued_at_ms;
-  own->home = g_strdup (event->home);
-  own->forget_at_ms = forget_at_ms (coordinator, event->issued_at_ms, now);
-  g_hash_table_insert (coordinator->own, g_strdup (event->key), own);
-  operation_t *operation = operation_new (OPERATION_CLAIM, event->key, event->home);
+  own = own_add (coordinator, event, now);
+  operation_t *operation =
+      operation_new (is_claim ? OPERATION_CLAIM : OPERATION_CONFIRM, event->key, event->home);
+  own->operation = operation;
   operation->digest = event->digest;
   operation->issued_at_ms = event->issued_at_ms;
   begin (coordinator, operation, event, now, actions);
@@ -603,6 +661,7 @@
           claim_time_t now,
           GPtrArray *actions)
 {
+  clear_own (coordinator, event->key, false, actions);
   if (g_hash_table_contains (coordinator->own, event->key))
     {
       done (event->user, CLAIM_DONE_HELD, coordinator->self, actions);
@@ -613,6 +672,7 @@
   begin (coordinator, operation, event, now, actions);
 }
 
+/* The host holds the key up to here, so nobody else has started it. */
 static void
 on_release (claim_coordinator_t *coordinator,
             const coordinator_event_t *event,
@@ -631,11 +691,14 @@
       done (event->user, CLAIM_DONE_HELD, coordinator->self, actions);
       return;
     }
-  operation_t *operation = operation_new (OPERATION_PROBE, event->key, own->home);
-  operation->issued_at_ms = own->issued_at_ms;
-  operation->release_attempt = own->attempt;
-  g_hash_table_remove (coordinator->own, event->key);
-  begin (coordinator, operation, event, now, actions);
+  operation_t *operation = operation_new (OPERATION_ERASE, event->key, own->home);
+  view_t *view = coordinator->view_of (own->home, coordinator->view_data);
+  operation_restart (operation, ++coordinator->last_id, view, now.boot_ms);
+  g_hash_table_insert (coordinator->operations, &operation->id, operation);
+  own->state = OWN_CLAIMING;
+  own->operation = operation;
+  erase_later (operation, now.boot_ms);
+  done (event->user, CLAIM_DONE_FREE, NULL, actions);
 }
 
 static void
@@ -684,7 +747,7 @@
     }
   asked_replica_t *next = operation_next (operation);
   if (elapsed_ms >= THIRD_AFTER_MS && next != NULL && coordinator->rules.second_grant)
-    ask (coordinator, operation, next, actions);
+    ask (operation, next, actions);
 }
 
 static void
@@ -695,7 +758,12 @@
 {
   bool silent = !operation->heard && now.boot_ms >= operation->started_ms + SILENCE_MS;
 
-  if (now.boot_ms >= operation->give_up_ms || silent)
+  if (operation->kind == OPERATION_ERASE)
+    {
+      if (now.boot_ms >= operation->again_ms)
+        finish_erase (coordinator, operation, actions);
+    }
+  else if (now.boot_ms >= operation->give_up_ms || silent)
     give_up (coordinator, operation, actions);
   else if (operation->state == OPERATION_ASKING)
     tick_asking (coordinator, operation, now, actions);
@@ -737,6 +805,7 @@
   switch (event->kind)
     {
     case COORDINATOR_CLAIM:
+    case COORDINATOR_CONFIRM:
       on_claim (coordinator, event, now, actions);
       break;
     case COORDINATOR_PROBE:
--- a/lib/claim/coordinator.h
+++ b/lib/claim/coordinator.h
@@ -1,10 +1,16 @@
 /* coordinator.h -- claims of one host on keys of any data centre
  *
- * An operation (claim, probe or release) asks two of the key's replicas at
- * once, and the third only if these do not agree or do not answer.  It ends
- * with exactly one CLAIM_ACTION_DONE.  A refusal that names a claimant is
- * checked with the claimant, which may say that it never started the key; then
- * the stale claim is erased and the operation goes on.
+ * An operation asks two of the key's replicas at once, and the third only if
+ * these do not agree or do not answer.  It ends with exactly one
+ * CLAIM_ACTION_DONE.  A refusal that names a claimant is checked with the
+ * claimant, which may say that it never started the key; then the stale claim
+ * is erased and the operation goes on.
+ *
+ * CLAIM_DONE_FREE means, for a probe, that the key had not been started when
+ * the probe began: two replicas can be asked only one after the other, and a
+ * claim may pass between.  For a confirmation or a release it is true at the
+ * moment of the action: the host holds the key itself then, and gives it back
+ * one tick later.
  *
  * Pure: events and times in, actions out; random numbers come from the seed.
  * One thread.
@@ -23,7 +29,8 @@
 {
   COORDINATOR_CLAIM,     /* KEY, HOME, DIGEST, ISSUED_AT_MS, GIVE_UP_MS, USER */
   COORDINATOR_PROBE,     /* KEY, HOME, ISSUED_AT_MS, GIVE_UP_MS, USER */
-  COORDINATOR_RELEASE,   /* KEY, GIVE_UP_MS, USER: a granted claim, not started */
+  COORDINATOR_CONFIRM,   /* as PROBE: makes sure that nobody has started KEY */
+  COORDINATOR_RELEASE,   /* KEY, USER: a granted claim, not started */
   COORDINATOR_STARTED,   /* KEY: its first task starts now */
   COORDINATOR_MESSAGE,   /* MSG from FROM */
   COORDINATOR_UNREACHED, /* a message to host TO could not be sent */
--- a/lib/claim/operation.h
+++ b/lib/claim/operation.h
@@ -10,7 +10,9 @@
 typedef enum
 {
   OPERATION_CLAIM,
-  OPERATION_PROBE
+  OPERATION_PROBE,
+  OPERATION_CONFIRM, /* a claim that is given back at once */
+  OPERATION_ERASE    /* done but for erasing this host's claim */
 } operation_kind_t;
 
 typedef enum
@@ -51,7 +53,6 @@
   int64_t attempt_ms; /* start of the attempt */
   int64_t again_ms;   /* OPERATION_WAITING */
   int64_t query_until_ms;
-  uint64_t release_attempt; /* probes erase this host's claims up to it; 0 for none */
   void *user;
   view_t *view;
   int32_t replica_count;
