--- a/tests/system/cases_host.c
+++ b/tests/system/cases_host.c
@@ -184,8 +184,10 @@
   for (int32_t i = 0; i < LOAD_JOBS; i++)
     {
       char *key = g_strdup_printf ("stopped-%d", i);
-      rig_wait_starts (rig, key, 1);
+      bool started = rig_wait_starts (rig, key, 1);
       g_free (key);
+      if (!started)
+        return;
     }
   rig_stop_host (rig, host);
   for (int32_t i = 0; i < LOAD_JOBS; i++)
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -18,6 +18,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 static const case_list_t *const lists[] = {
   &cases_basic,    &cases_input,   &cases_resubmit, &cases_host, &cases_endpoint,
@@ -28,6 +29,8 @@
  * process of its own. */
 #define JOBS_DEFAULT 4
 #define JOBS_MAX 16
+/* Ends a case that would go on for ever. */
+#define CASE_GUARD_S 120
 
 /* One chosen case and, once DONE, how its process ended. */
 typedef struct
@@ -50,6 +53,7 @@
 static int
 run_one (const case_t *row)
 {
+  alarm (CASE_GUARD_S);
   rig_t *rig = rig_new (row->name, &row->options);
   if (rig->failures == 0)
     row->run (rig);
--- a/tests/system/process.c
+++ b/tests/system/process.c
@@ -143,8 +143,8 @@
   char *err = NULL;
   int status = 0;
   GError *error = NULL;
-  if (!g_spawn_sync (NULL, (char **) argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, &out, &err, &status,
-                     &error))
+  if (!g_spawn_sync (NULL, (char **) argv, NULL, G_SPAWN_DEFAULT, child_setup, NULL, &out, &err,
+                     &status, &error))
     {
       fprintf (stderr, "%s: %s\n", argv[0], error->message);
       g_error_free (error);
--- a/tests/system/process.h
+++ b/tests/system/process.h
@@ -12,7 +12,7 @@
 #include <sys/types.h>
 
 /* Ends a wait that would go on for ever; no test result depends on it. */
-#define HANG_GUARD_MS 60000
+#define HANG_GUARD_MS 30000
 
 typedef struct
 {
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -1,77 +1,9 @@
 #!/usr/bin/env bash
 # One data centre on the loopback interface: a platform and four endpoints (stand-ins), two hosts.
 # Publishes both lists, submits one job of 20 tasks, submits it again to the other host, and stops everything.
-#
-#   tools/demo.sh             programs come from build/, or from $JAYTRAIL_BUILD
 set -eu
 cd "$(dirname "$0")/.."
-bin=${JAYTRAIL_BUILD:-build}
-dir=$(mktemp -d)
-pids=()
-
-finish () {
-  local pid
-  for pid in "${pids[@]}"; do
-    kill "$pid" 2>/dev/null || true
-  done
-  wait 2>/dev/null || true
-  rm -rf "$dir"
-}
-trap finish EXIT
-
-fail () {
-  echo "demo: $1" >&2
-  tail -n 20 "$dir"/*.log >&2 || true
-  exit 1
-}
-
-# wait_for SECONDS WHAT COMMAND...: runs COMMAND until it succeeds.
-wait_for () {
-  local end=$((SECONDS + $1)) what=$2
-  shift 2
-  until "$@" >/dev/null 2>&1; do
-    [ "$SECONDS" -lt "$end" ] || fail "$what did not happen"
-    sleep 0.1
-  done
-}
-
-# A port below the range of outgoing connections on which nothing listens.
-free_port () {
-  local port
-  while :; do
-    port=$((20000 + RANDOM % 10000))
-    grep -qx "$port" "$dir/ports" 2>/dev/null && continue
-    (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && continue
-    echo "$port" >>"$dir/ports"
-    echo "$port"
-    return
-  done
-}
-
-# standin NAME PROGRAM OPTIONS...: starts a stand-in and sets $address.
-standin () {
-  local name=$1 program=$2
-  shift 2
-  "$bin/$program" --listen 127.0.0.1:0 "$@" >"$dir/$name.out" 2>"$dir/$name.log" &
-  pids+=($!)
-  wait_for 10 "the start of $name" grep -q listening "$dir/$name.out"
-  address=$(sed -n 's/^listening //p' "$dir/$name.out")
-}
-
-# host ID CALLER ADMIN PEER: starts jaytraild and sets $pid.
-host () {
-  cat >"$dir/$1.json" <<SETTINGS
-{
-  "host_id": "$1", "data_centre": "tw-north-a",
-  "caller_listen": "127.0.0.1:$2", "admin_listen": "127.0.0.1:$3", "peer_listen": "127.0.0.1:$4",
-  "platform": ["$platform"],
-  "data_centres": {"tw-north-a": ["127.0.0.1:$peer_1", "127.0.0.1:$peer_2"]}
-}
-SETTINGS
-  "$bin/jaytraild" --settings "$dir/$1.json" >"$dir/$1.out" 2>"$dir/$1.log" &
-  pid=$!
-  pids+=("$pid")
-}
+. tools/deploy.sh
 
 # submit PORT: sends the job and prints the answer.
 submit () {
@@ -92,24 +24,17 @@
 caller_1=$(free_port) admin_1=$(free_port) peer_1=$(free_port)
 caller_2=$(free_port) admin_2=$(free_port) peer_2=$(free_port)
 
+peers="\"127.0.0.1:$peer_1\", \"127.0.0.1:$peer_2\""
+
 endpoints=()
-list=
 for n in 1 2 3 4; do
   standin "endpoint-$n" fake_endpoint --slots 8
   endpoints+=("$address")
-  list="$list${list:+,}{\"id\":\"e$n\",\"role\":\"endpoint\",\"data_centre\":\"tw-north-a\",
-    \"address\":\"$address\",\"slots\":8,\"connections\":60,\"cores\":32,\"memory_mb\":131072,
-    \"rack\":\"r1\",\"state\":\"live\"}"
+  add_endpoint "e$n" "$address" 8
 done
-for n in 1 2; do
-  peer=peer_$n
-  list="$list,{\"id\":\"a$n\",\"role\":\"entry\",\"data_centre\":\"tw-north-a\",
-    \"address\":\"127.0.0.1:${!peer}\",\"slots\":0,\"connections\":0,\"cores\":8,\"memory_mb\":16384,
-    \"rack\":\"r1\",\"state\":\"live\"}"
-done
-echo "{\"hosts\":[$list]}" >"$dir/hosts.json"
-standin platform fake_platform --hosts "$dir/hosts.json"
-platform=$address
+add_entry a1 "127.0.0.1:$peer_1"
+add_entry a2 "127.0.0.1:$peer_2"
+start_platform
 echo "started: a platform at $platform, endpoints at ${endpoints[*]}"
 
 host a1 "$caller_1" "$admin_1" "$peer_1"
@@ -117,27 +42,9 @@
 host a2 "$caller_2" "$admin_2" "$peer_2"
 host_2=$pid
 
-cat >"$dir/plans.json" <<'PLANS'
-{
-  // Which plan each customer holds.
-  "plans": {"lantern": "gold", "compost": "silver"}
-}
-PLANS
-cat >"$dir/limits.json" <<'LIMITS'
-{
-  // What each plan may use, over all hosts and data centres.
-  "limits": {
-    "gold": {"running_max": 64, "starts_per_s_max": 500, "weight": 2},
-    "silver": {"running_max": 16, "starts_per_s_max": 100, "weight": 1}
-  }
-}
-LIMITS
 echo "publish both lists:"
-"$bin/jaytrail" publish --platform "$platform" --plans "$dir/plans.json" --limits "$dir/limits.json" \
-  || fail "publishing failed"
-for port in "$caller_1" "$caller_2"; do
-  wait_for 20 "readiness at port $port" curl -sSf "http://127.0.0.1:$port/readyz"
-done
+publish_lists
+wait_ready "$caller_1" "$caller_2"
 
 now_ms=$(date +%s%3N)
 {
