A cancelled key stays cancelled

Cause: cancelling a job that had not started released its claim, so that a submission still on its way could start the key after "cancelled, not_run" had been said. Ruled out: confirming by a release and then a marker at the replicas (two more messages; the grants that this host holds already say that nobody else starts). Before: system case cancel_queued failed ("not_run", but 2 tasks started). After: it passes; a job that ends by cancellation or at its deadline keeps its claim and its answer, and saves the release.

--- a/daemon/part_job.c
+++ b/daemon/part_job.c
@@ -42,6 +42,14 @@
   entry_end (entry, answer, keep);
 }
 
+/* These end a key for good: it stays claimed by this host, so that a submission
+ * that was on its way can never start it. */
+static bool
+is_final (int error)
+{
+  return error == ERROR_CANCELLED || error == ERROR_DEADLINE_PASSED;
+}
+
 /* --- tasks --- */
 
 static void add_task (entry_t *entry, uint32_t index);
@@ -70,8 +78,9 @@
   entry_unref (entry);
 }
 
-/* Ends an entry that holds the claim.  If nothing has started, the claim is
- * released first, so that the answer may say "not_run". */
+/* Ends an entry that holds the claim.  If nothing has started, its grants are
+ * themselves the confirmation that nobody else can have started; a claim that
+ * a later submission may want is released first. */
 static void
 fail (entry_t *entry, int error)
 {
@@ -83,6 +92,11 @@
       end_with_error (entry, error, false);
       return;
     }
+  if (is_final (error))
+    {
+      entry_end (entry, job_answer_error (error, true, 0, NULL), true);
+      return;
+    }
   entry->state = ENTRY_REFUSING;
   entry->pending_error = error;
   part_claim_release (entry->part->parts.claim, entry->key, on_released, entry_ref (entry));
