Allot limits by demand in the daemon; close holes in lib/share

daemon/part_share.c now wires lib/share to view, configuration, host list and peers. Before: even parts per host.

--- a/daemon/part_share.c
+++ b/daemon/part_share.c
@@ -1,73 +1,134 @@
 /* part_share.c -- limits as shares with deadlines
  *
- * Each host takes its even part of a limit over the members of its view.
+ * Wires lib/share to the view, the configuration, the host list and the peers.
+ * A unit is taken by a clock that is read for the call: the time of this turn
+ * of the loop may have been read before a freeze.
  */
 #include "daemon/part_share.h"
 
-#include "base/error.h"
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
 #include "daemon/part_config.h"
 #include "daemon/part_view.h"
+#include "daemon/share_status.h"
+#include "settings/settings.h"
+#include "share/share.h"
 
 #include <string.h>
 
-#define RATE_WINDOW_MS 1000
+#define REFUSED_KINDS 3
 
-typedef struct
-{
-  int64_t limit;
-  int64_t in_use;
-  bool rate;
-  int64_t window_ends_at_ms;
-} entry_t;
+static const char *const refused_names[REFUSED_KINDS] = { "running/", "starts/", "slots/" };
+static const char *const refused_labels[REFUSED_KINDS] = { "limit=\"running\"", "limit=\"starts\"",
+                                                           "limit=\"slots\"" };
 
 typedef struct
 {
   part_t part;
   part_t *view;
-  GHashTable *entries; /* limit name to entry_t */
+  share_t *share;
+  GHashTable *units; /* limit name to int64_t: what the library was told */
+  GHashTable *seen;  /* names in the list that is being read */
   void (*grown) (void *data);
   void *grown_data;
+  counter_t *messages[2]; /* reports, grants */
+  counter_t *bytes[2];
+  counter_t *refused[REFUSED_KINDS];
 } share_part_t;
 
-static int64_t
-local_part (share_part_t *self, int64_t limit)
+static void
+send_actions (share_part_t *self, const GPtrArray *actions)
+{
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const share_action_t *action = actions->pdata[i];
+      int which = action->message->type == SHARE_FRAME_REPORT ? 0 : 1;
+      GBytes *frame = share_message_encode (action->message);
+      if (strcmp (action->host, daemon_host_id (self->part.daemon)) != 0)
+        {
+          counter_add (self->messages[which], 1);
+          counter_add (self->bytes[which], (int64_t) g_bytes_get_size (frame));
+        }
+      daemon_send (self->part.daemon, action->host, frame);
+    }
+}
+
+static void
+step (share_part_t *self, const share_event_t *event, int64_t now_ms)
 {
-  GPtrArray *members = part_view_members (self->view);
-  int64_t count = members != NULL && members->len > 0 ? members->len : 1;
-  int64_t rank = 0;
+  GPtrArray *actions = share_actions_new ();
 
-  for (guint i = 0; members != NULL && i < members->len; i++)
-    if (strcmp (members->pdata[i], daemon_host_id (self->part.daemon)) == 0)
-      rank = i;
-  return limit * (rank + 1) / count - limit * rank / count;
+  share_step (self->share, event, now_ms, actions);
+  send_actions (self, actions);
+  g_ptr_array_unref (actions);
+  if (share_has_grown (self->share) && self->grown != NULL)
+    self->grown (self->grown_data);
 }
 
 static void
-set_limit (share_part_t *self, char *name, int64_t limit, bool rate)
+set_limit (share_part_t *self, const char *name, int64_t units, int64_t now_ms)
 {
-  entry_t *entry = g_hash_table_lookup (self->entries, name);
+  const int64_t *known = g_hash_table_lookup (self->units, name);
+  share_event_t event = { .kind = SHARE_EVENT_LIMIT, .name = name, .units = units };
 
-  if (limit < 0)
+  g_hash_table_add (self->seen, g_strdup (name));
+  if (known != NULL && *known == units)
+    return;
+  int64_t *copy = g_new (int64_t, 1);
+  *copy = units;
+  g_hash_table_insert (self->units, g_strdup (name), copy);
+  step (self, &event, now_ms);
+}
+
+static void
+set_plan (const config_limit_t *limit, void *data)
+{
+  share_part_t *self = data;
+  int64_t now_ms = clock_boot_ms ();
+  char *running = g_strconcat ("running/", limit->plan, NULL);
+  char *starts = g_strconcat ("starts/", limit->plan, NULL);
+
+  set_limit (self, running,
+             limit->running_max == CONFIG_NO_LIMIT ? SHARE_NO_LIMIT : limit->running_max, now_ms);
+  set_limit (self, starts,
+             limit->starts_per_s_max == CONFIG_NO_LIMIT ? SHARE_NO_LIMIT : limit->starts_per_s_max,
+             now_ms);
+  g_free (running);
+  g_free (starts);
+}
+
+static void
+set_endpoints (share_part_t *self, const GPtrArray *hosts)
+{
+  for (guint i = 0; i < hosts->len; i++)
     {
-      g_hash_table_remove (self->entries, name);
+      const host_t *host = hosts->pdata[i];
+      if (host->role != HOST_ROLE_ENDPOINT
+          || strcmp (host->data_centre, daemon_data_centre (self->part.daemon)) != 0)
+        continue;
+      char *name = g_strconcat ("slots/", host->id, NULL);
+      set_limit (self, name, host->slots, clock_boot_ms ());
       g_free (name);
-      return;
     }
-  if (entry == NULL)
-    {
-      entry = g_new0 (entry_t, 1);
-      entry->rate = rate;
-      g_hash_table_insert (self->entries, g_strdup (name), entry);
-    }
-  entry->limit = limit;
-  g_free (name);
 }
 
+/* An endpoint that is not in the list has no slots; a plan that is not in it
+ * has no limit. */
 static void
-set_plan (const config_limit_t *limit, void *data)
+drop_others (share_part_t *self)
 {
-  set_limit (data, g_strconcat ("running/", limit->plan, NULL), limit->running_max, false);
-  set_limit (data, g_strconcat ("starts/", limit->plan, NULL), limit->starts_per_s_max, true);
+  GList *names = g_hash_table_get_keys (self->units);
+
+  for (GList *item = names; item != NULL; item = item->next)
+    {
+      char *name = g_strdup (item->data);
+      bool slots = g_str_has_prefix (name, "slots/");
+      if (!g_hash_table_contains (self->seen, name))
+        set_limit (self, name, slots ? 0 : SHARE_NO_LIMIT, clock_boot_ms ());
+      g_free (name);
+    }
+  g_list_free (names);
 }
 
 static void
@@ -75,80 +136,120 @@
 {
   share_part_t *self = data;
 
-  if (config != NULL)
-    config_each_limit (config, set_plan, self);
-  for (guint i = 0; hosts != NULL && i < hosts->len; i++)
+  if (config == NULL)
+    return;
+  g_hash_table_remove_all (self->seen);
+  config_each_limit (config, set_plan, self);
+  if (hosts != NULL)
+    set_endpoints (self, hosts);
+  drop_others (self);
+}
+
+static void
+on_frame (part_t *part, const char *from, frame_reader_t *reader, int64_t now_ms)
+{
+  share_part_t *self = (share_part_t *) part;
+  daemon_peer_t peer = { .data_centre = daemon_data_centre (part->daemon) };
+  bool own = strcmp (from, daemon_host_id (part->daemon)) == 0;
+  share_message_t *message = NULL;
+
+  if (!own && !daemon_peer (part->daemon, from, &peer))
+    return;
+  if (share_message_decode (reader, &message) != 0)
     {
-      const host_t *host = hosts->pdata[i];
-      if (host->role == HOST_ROLE_ENDPOINT
-          && strcmp (host->data_centre, daemon_data_centre (self->part.daemon)) == 0)
-        set_limit (self, g_strconcat ("slots/", host->id, NULL), host->slots, false);
+      log_warning ("share", "Message is not valid.", "from", from, NULL);
+      return;
     }
-  if (self->grown != NULL)
-    self->grown (self->grown_data);
+  share_event_t event = {
+    .kind = SHARE_EVENT_MESSAGE, .host = from, .data_centre = peer.data_centre, .message = message
+  };
+  step (self, &event, now_ms);
+  share_message_free (message);
 }
 
 static void
-roll_window (entry_t *entry, int64_t now_ms)
+on_tick (part_t *part, int64_t now_ms)
 {
-  if (!entry->rate || now_ms < entry->window_ends_at_ms)
+  share_part_t *self = (share_part_t *) part;
+  share_event_t view = { .kind = SHARE_EVENT_VIEW,
+                         .number = part_view_number (self->view),
+                         .members = part_view_members (self->view) };
+  share_event_t tick = { .kind = SHARE_EVENT_TICK };
+
+  if (view.number > 0 && view.members != NULL)
+    step (self, &view, now_ms);
+  step (self, &tick, now_ms);
+}
+
+static void
+set_peer (share_part_t *self, const char *host, bool up, int64_t now_ms)
+{
+  daemon_peer_t peer;
+  share_event_t event = { .kind = SHARE_EVENT_PEER, .host = host, .up = up };
+
+  if (!daemon_peer (self->part.daemon, host, &peer))
     return;
-  entry->in_use = 0;
-  entry->window_ends_at_ms = now_ms + RATE_WINDOW_MS;
+  event.data_centre = peer.data_centre;
+  step (self, &event, now_ms);
 }
 
-int32_t
-part_share_free (part_t *part, const char *limit, int64_t now_ms)
+static void
+on_peer_up (part_t *part, const char *host, int64_t now_ms)
 {
-  share_part_t *self = (share_part_t *) part;
-  entry_t *entry = g_hash_table_lookup (self->entries, limit);
+  set_peer ((share_part_t *) part, host, true, now_ms);
+}
 
-  if (entry == NULL)
-    return INT32_MAX;
-  roll_window (entry, now_ms);
-  return (int32_t) CLAMP (local_part (self, entry->limit) - entry->in_use, 0, INT32_MAX);
+static void
+on_peer_down (part_t *part, const char *host, int64_t now_ms)
+{
+  set_peer ((share_part_t *) part, host, false, now_ms);
+}
+
+static void
+on_status (part_t *part, json_object *status)
+{
+  share_status_put (((share_part_t *) part)->share, clock_boot_ms (), status);
 }
 
 int
 part_share_take (part_t *part, const char *limit, int64_t ends_at_ms, int64_t now_ms)
 {
   share_part_t *self = (share_part_t *) part;
-  entry_t *entry = g_hash_table_lookup (self->entries, limit);
+  int result = share_take (self->share, limit, ends_at_ms, clock_boot_ms ());
 
-  (void) ends_at_ms;
-  if (part_share_free (part, limit, now_ms) == 0)
-    return ERROR_FULL;
-  if (entry != NULL)
-    entry->in_use++;
-  return 0;
+  (void) now_ms;
+  for (int i = 0; result != 0 && i < REFUSED_KINDS; i++)
+    if (g_str_has_prefix (limit, refused_names[i]))
+      counter_add (self->refused[i], 1);
+  return result;
 }
 
 void
 part_share_give (part_t *part, const char *limit, int64_t ends_at_ms, int64_t now_ms)
 {
-  share_part_t *self = (share_part_t *) part;
-  entry_t *entry = g_hash_table_lookup (self->entries, limit);
+  share_give (((share_part_t *) part)->share, limit, ends_at_ms, now_ms);
+}
 
-  (void) ends_at_ms;
+int32_t
+part_share_free (part_t *part, const char *limit, int64_t now_ms)
+{
   (void) now_ms;
-  if (entry != NULL && !entry->rate && entry->in_use > 0)
-    entry->in_use--;
+  return share_available (((share_part_t *) part)->share, limit, clock_boot_ms ());
 }
 
 void
 part_share_demand (part_t *part, const char *limit, int32_t wanted, int64_t now_ms)
 {
-  (void) part;
-  (void) limit;
-  (void) wanted;
   (void) now_ms;
+  share_set_demand (((share_part_t *) part)->share, limit, wanted);
 }
 
 void
 part_share_ask (part_t *part, int64_t now_ms)
 {
-  (void) part;
-  (void) now_ms;
+  share_event_t event = { .kind = SHARE_EVENT_ASK };
+
+  step ((share_part_t *) part, &event, now_ms);
 }
 
 void
@@ -162,17 +263,46 @@
 
 static const part_ops_t share_ops = { .name = "share",
                                       .frame_first = FRAME_SHARE_FIRST,
-                                      .frame_last = FRAME_SHARE_LAST };
+                                      .frame_last = FRAME_SHARE_LAST,
+                                      .frame = on_frame,
+                                      .tick = on_tick,
+                                      .peer_up = on_peer_up,
+                                      .peer_down = on_peer_down,
+                                      .status = on_status };
+
+static share_t *
+make_share (daemon_t *daemon)
+{
+  const GPtrArray *list = daemon_settings (daemon)->data_centres;
+  GPtrArray *names = g_ptr_array_new ();
+
+  for (guint i = 0; i < list->len; i++)
+    g_ptr_array_add (names, ((const settings_data_centre_t *) list->pdata[i])->name);
+  share_t *share = share_new (daemon_host_id (daemon), daemon_data_centre (daemon),
+                              daemon_incarnation (daemon), names, &share_rules_all);
+  g_ptr_array_unref (names);
+  return share;
+}
 
 part_t *
 part_share_new (daemon_t *daemon, part_t *view, part_t *config)
 {
+  static const char *const labels[] = { "type=\"report\"", "type=\"grant\"" };
   share_part_t *self = g_new0 (share_part_t, 1);
 
   self->part.ops = &share_ops;
   self->part.daemon = daemon;
   self->view = view;
-  self->entries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  self->share = make_share (daemon);
+  self->units = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  self->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (int i = 0; i < 2; i++)
+    {
+      self->messages[i] = counter_get ("jaytrail_share_messages_total", labels[i]);
+      self->bytes[i] = counter_get ("jaytrail_share_bytes_total", labels[i]);
+    }
+  for (int i = 0; i < REFUSED_KINDS; i++)
+    self->refused[i] = counter_get ("jaytrail_share_refused_total", refused_labels[i]);
   part_config_listen (config, configured, self);
   return &self->part;
 }
--- /dev/null
+++ b/daemon/share_status.h
@@ -0,0 +1,13 @@
+/* share_status.h -- limits in GET /v1/status and in the counters */
+#ifndef DAEMON_SHARE_STATUS_H
+#define DAEMON_SHARE_STATUS_H
+
+#include "share/share.h"
+
+#include <json-c/json.h>
+
+/* Adds "limits": for each plan what it may use, and what this host holds and
+ * uses of it; and "slots", the same for each endpoint. */
+void share_status_put (share_t *share, int64_t now_ms, json_object *status);
+
+#endif
--- a/lib/share/share.c
+++ b/lib/share/share.c
@@ -8,6 +8,8 @@
  */
 #include "share/share_internal.h"
 
+#include "base/hash.h"
+
 #include <string.h>
 
 const share_rules_t share_rules_all = { true, true, true, true };
@@ -69,6 +71,7 @@
   share->by_host = g_hash_table_new (g_str_hash, g_str_equal);
   share->members = g_ptr_array_new_with_free_func (g_free);
   share->self = link_get (share, host, data_centre);
+  share->born_ms = -1;
   return share;
 }
 
@@ -115,9 +118,12 @@
 {
   limit_t *limit = limit_get (share, event->name);
 
+  int64_t part = limit->part;
+
   limit->removed = event->units == SHARE_NO_LIMIT;
   limit->units = MAX (event->units, 0);
   limit->part = loan_part (share, limit, share->data_centre);
+  allot_note_part (share, limit, part, now_ms);
   limit->book.dirty = true;
   share->grown = true;
   if (limit->hold.allotter == NULL)
@@ -133,36 +139,72 @@
   return false;
 }
 
-/* A view in between that was not seen may have lost a member. */
+static int
+compare_names (const void *a, const void *b)
+{
+  return strcmp (*(char *const *) a, *(char *const *) b);
+}
+
+/* The same on every host with the same number and members.  A seat of the view
+ * can pass to another host without a new number. */
+static int64_t
+view_id (int64_t number, const GPtrArray *members)
+{
+  GString *text = g_string_new (NULL);
+
+  g_string_printf (text, "%" G_GINT64_FORMAT, number);
+  for (guint i = 0; i < members->len; i++)
+    g_string_append_printf (text, " %s", (const char *) members->pdata[i]);
+  int64_t id = (int64_t) (hash_string (text->str) >> 2) + 1;
+  g_string_free (text, TRUE);
+  return id;
+}
+
+/* Somebody has left if a member is missing, if a view in between was not seen,
+ * or if a new view has the same names: then a member was replaced. */
 static void
-note_departures (share_t *share, const share_event_t *event, int64_t now_ms)
+note_departures (share_t *share, int64_t number, const GPtrArray *members, int64_t now_ms)
 {
-  bool gap = share->view > 0 && event->number > share->view + 1;
+  bool left = share->view > 0 && number > share->view_number + 1;
 
   if (share->view == 0)
     {
       share->first_view_ms = now_ms;
-      share->departures_known = event->number <= 1;
+      share->departures_known = number <= 1;
     }
-  for (guint i = 0; i < share->members->len && !gap; i++)
-    gap = !has_name (event->members, share->members->pdata[i]);
-  if (gap)
+  else
+    share->has_joined = true;
+  left |= share->view > 0 && members->len == share->members->len;
+  for (guint i = 0; i < share->members->len && !left; i++)
+    left = !has_name (members, share->members->pdata[i]);
+  if (left)
     share->departed_ms = now_ms;
 }
 
 static void
 on_view (share_t *share, const share_event_t *event, int64_t now_ms)
 {
-  if (event->number <= share->view || event->members->len == 0)
+  if (event->number < MAX (share->view_number, 1) || event->members->len == 0)
     return;
-  note_departures (share, event, now_ms);
+  GPtrArray *members = copy_names (event->members);
+  g_ptr_array_sort (members, compare_names);
+  int64_t id = view_id (event->number, members);
+  if (id == share->view)
+    {
+      g_ptr_array_unref (members);
+      return;
+    }
+  note_departures (share, event->number, members, now_ms);
   if (share->last_members != NULL)
     g_ptr_array_unref (share->last_members);
-  share->last_members = share->view > 0 ? share->members : NULL;
-  if (share->view == 0)
+  share->last_members = NULL;
+  if (share->view > 0)
+    share->last_members = share->members;
+  else
     g_ptr_array_unref (share->members);
-  share->members = copy_names (event->members);
-  share->view = event->number;
+  share->members = members;
+  share->view = id;
+  share->view_number = event->number;
   share->view_ms = now_ms;
   for (guint i = 0; i < share->limits->len; i++)
     {
@@ -294,6 +336,11 @@
   return false;
 }
 
+/* A process that was restarted may see a view before the one in which it takes
+ * its predecessor's place: until a view has followed, its predecessor counts as
+ * a host that has left. */
+#define STEADY_AFTER_MS 1000
+
 /* Says in HEADER whether a host that is no member any more may hold units. */
 static void
 put_departures (const share_t *share, share_header_t *header, int64_t now_ms)
@@ -303,8 +350,11 @@
   for (guint i = 0; i < share->limits->len; i++)
     longest_ms = MAX (longest_ms, ((limit_t *) share->limits->pdata[i])->hold.told_ms);
   int64_t since_ms = now_ms - with_margin (SHARE_LOAN_LEASE_MS) - with_margin (longest_ms);
-  header->departed = share->departed_ms > 0 && share->departed_ms > since_ms;
+  bool has_joined = share->has_joined || share->departures_known;
+  header->departed = (share->departed_ms > 0 && share->departed_ms > since_ms)
+                     || (!has_joined && share->first_view_ms > since_ms);
   header->steady = share->view > 0 && !header->departed
+                   && now_ms - share->first_view_ms >= STEADY_AFTER_MS
                    && (share->departures_known || share->first_view_ms < since_ms);
 }
 
@@ -391,6 +441,8 @@
 {
   bool tick = event->kind == SHARE_EVENT_TICK;
 
+  if (share->born_ms < 0)
+    share->born_ms = now_ms;
   switch (event->kind)
     {
     case SHARE_EVENT_TICK:
--- a/lib/share/share_allot.c
+++ b/lib/share/share_allot.c
@@ -278,11 +278,14 @@
   return (entry->votes || link->remote) && !lapsed;
 }
 
-/* A data centre without a part of its own shares like the hosts of this one. */
+/* A data centre without a part of its own shares like the hosts of this one.
+ * Borrowed units are never lent on: the loans' deadlines do not nest. */
 static bool
 is_peer_holder (const share_t *share, const limit_t *limit, const entry_t *entry)
 {
-  return !entry->link->remote || loan_part (share, limit, entry->link->data_centre) == 0;
+  if (!entry->link->remote)
+    return true;
+  return limit->book.pool == limit->part && loan_part (share, limit, entry->link->data_centre) == 0;
 }
 
 static void
@@ -358,18 +361,20 @@
     }
 }
 
-/* Adds units up to the targets while the pool lasts: IDLE also beyond demand. */
+/* Adds units up to the targets while the pool lasts: IDLE also beyond demand.
+ * While charges exceed the pool nothing is added, not even under a charge: it
+ * may be for units that have just ended. */
 static int64_t
 hand_out (share_t *share, limit_t *limit, int64_t spare, bool idle, int64_t now_ms)
 {
   book_t *book = &limit->book;
 
-  for (guint i = 0; i < book->entries->len; i++)
+  for (guint i = 0; i < book->entries->len && spare >= 0; i++)
     {
       entry_t *entry = book->entries->pdata[i];
       int64_t goal = idle ? entry->target : MIN (entry->target, entry->wanted);
       int64_t charge = entry_charge (share, entry, now_ms);
-      int64_t units = MIN (goal, charge + MAX (spare, 0));
+      int64_t units = MIN (goal, charge + spare);
       if (!is_live (entry, now_ms) || units <= entry->units)
         continue;
       spare -= MAX (units - charge, 0);
@@ -446,6 +451,19 @@
     hand_out (share, limit, spare, true, now_ms);
 }
 
+/* Earlier allotters may have granted more than this one took for the limit when
+ * it became active: what is added now may still be out. */
+void
+allot_note_part (const share_t *share, limit_t *limit, int64_t part, int64_t now_ms)
+{
+  book_t *book = &limit->book;
+
+  if (!share->rules.successor_waits || !book->active || now_ms >= book->unknown_until_ms
+      || is_everyone_heard (share, limit, now_ms))
+    return;
+  book->unknown += MAX (limit->part - part, 0);
+}
+
 void
 allot_run (share_t *share, limit_t *limit, int64_t now_ms)
 {
--- a/lib/share/share_book.c
+++ b/lib/share/share_book.c
@@ -213,18 +213,21 @@
 }
 
 /* The holder does not go by what it was granted before it turned away and came
- * back, but may have taken units of it. */
+ * back, but may have taken units of it.  It confirms numbers without adopting
+ * their grants while it is away, so only a grant sent from now on counts as
+ * adopted. */
 static void
 resend_grant (const share_t *share, entry_t *entry, int64_t now_ms)
 {
   entry->changed = true;
-  if (entry->units == 0 || entry->set_number == NOT_SENT)
+  bool sent = entry->set_number != NOT_SENT;
+  entry->set_number = NOT_SENT;
+  if (entry->units == 0 || !sent)
     return;
   if (now_ms >= entry->prior_until_ms)
     entry->prior = 0;
   entry->prior = MAX (entry->prior, entry->units);
   entry->prior_until_ms = MAX (entry->prior_until_ms, grants_end_ms (share, entry));
-  entry->set_number = NOT_SENT;
 }
 
 static void
@@ -242,6 +245,7 @@
       entry->wanted = 0;
       limit->book.active_until_ms = 0;
       entry_set_units (share, entry, 0, now_ms);
+      entry->set_number = NOT_SENT;
       return;
     }
   if (report->fresh)
--- a/lib/share/share_hold.c
+++ b/lib/share/share_hold.c
@@ -75,19 +75,21 @@
 }
 
 static void
-follow (limit_t *limit, link_t *link, int64_t now_ms)
+follow (const share_t *share, limit_t *limit, link_t *link, int64_t now_ms)
 {
   hold_t *hold = &limit->hold;
   link_t *old = hold->allotter;
 
-  hold->vote_ms = MAX (hold->vote_ms, now_ms);
+  /* The predecessor of this process may have voted just before it died. */
+  int64_t first_ms = share->born_ms + with_margin (SHARE_VOTE_MS);
+  hold->vote_ms = MAX (MAX (hold->vote_ms, now_ms), first_ms);
   if (old != NULL && hold->voted)
     {
-      hold->vote_ms = MAX (now_ms, old->granted_ms + with_margin (SHARE_VOTE_MS));
+      hold->vote_ms = MAX (hold->vote_ms, old->granted_ms + with_margin (SHARE_VOTE_MS));
       g_hash_table_insert (old->gone, g_strdup (limit->name), g_new0 (uint64_t, 1));
     }
-  g_hash_table_remove (link->gone, limit->name);
   hold->allotter = link;
+  limit->book.active_until_ms = 0;
   hold->voted = false;
   hold->answered = false;
   hold->granted = false;
@@ -118,7 +120,7 @@
   if (link == hold->allotter)
     hold->active_ms = MAX (hold->active_ms, now_ms);
   else
-    follow (limit, link, now_ms);
+    follow (share, limit, link, now_ms);
 }
 
 static bool
@@ -148,8 +150,7 @@
   return true;
 }
 
-/* Tells an allotter that this holder has turned to another one. */
-static bool
+bool
 report_gone (limit_t *limit, link_t *link, share_message_t *message)
 {
   uint64_t *number = g_hash_table_lookup (link->gone, limit->name);
@@ -179,10 +180,11 @@
 {
   hold_t *hold = &limit->hold;
 
-  if (hold->allotter != link)
+  if (hold->allotter != link || now_ms < hold->vote_ms)
     return report_gone (limit, link, message);
-  if (now_ms < hold->vote_ms || limit->removed)
+  if (limit->removed)
     return false;
+  g_hash_table_remove (link->gone, limit->name);
   hold->voted = true;
   if (!hold->granted)
     hold->report.changed = true;
@@ -195,8 +197,7 @@
                                  .use_ms = hold->use_wanted_ms,
                                  .told_ms = hold->told_ms,
                                  .fresh = !hold->granted,
-                                 .lent =
-                                     limit->book.active ? 0 : book_lent (share, limit, now_ms) };
+                                 .lent = link->self ? 0 : book_lent (share, limit, now_ms) };
   if (entry.in_use > 0)
     entry.ends_in_ms = share_use_last (&hold->use) - now_ms;
   return report_put (&hold->report, limit->name, &entry, &link->up, message);
--- a/lib/share/share_internal.h
+++ b/lib/share/share_internal.h
@@ -175,10 +175,13 @@
   GPtrArray *links; /* of link_t */
   GHashTable *by_host;
   link_t *self;
-  int64_t view;
+  int64_t view; /* identifies number and members; 0 before the first */
+  int64_t view_number;
   int64_t view_ms;
   GPtrArray *members;
   GPtrArray *last_members; /* of the view before; NULL if not known */
+  int64_t born_ms;         /* first event */
+  bool has_joined;         /* a view has followed the first that was seen */
   bool departures_known;   /* every view since the first was seen */
   int64_t first_view_ms;
   int64_t departed_ms; /* last time a member left or was replaced; 0: never */
@@ -234,6 +237,9 @@
                  const share_stream_t *stream,
                  share_message_t *message);
 
+/* Tells an allotter that this host has turned to another one. */
+bool report_gone (limit_t *limit, link_t *link, share_message_t *message);
+
 /* share_book.c */
 void book_init (limit_t *limit);
 void book_clear (book_t *book);
@@ -254,6 +260,8 @@
 
 /* share_allot.c */
 void allot_check_active (share_t *share, limit_t *limit, int64_t now_ms);
+/* The part of this data centre was PART before. */
+void allot_note_part (const share_t *share, limit_t *limit, int64_t part, int64_t now_ms);
 /* Divides the pool anew if anything has changed. */
 void allot_run (share_t *share, limit_t *limit, int64_t now_ms);
 
--- a/lib/share/share_loan.c
+++ b/lib/share/share_loan.c
@@ -102,6 +102,8 @@
   loan->active_ms = now_ms;
   if (link == NULL || link == loan->lender)
     return;
+  if (loan->lender != NULL && loan->report.number > 0)
+    g_hash_table_insert (loan->lender->gone, g_strdup (limit->name), g_new0 (uint64_t, 1));
   loan->lender = link;
   loan->units = 0;
   loan->lease_until_ms = 0;
@@ -235,16 +237,18 @@
   book_t *book = &limit->book;
 
   if (loan == NULL || loan->lender != link)
-    return false;
+    return report_gone (limit, link, message);
   charge_loans (share, limit, now_ms);
   share_report_entry_t entry = { .in_use = loan->in_use,
                                  .wanted = wanted_of (limit, loan, now_ms),
                                  .use_ms = book->told_ms,
-                                 .told_ms = book->told_ms };
+                                 .told_ms = book->told_ms,
+                                 .fresh = !loan->active };
   if (entry.in_use > 0)
     entry.ends_in_ms = with_margin (SHARE_LEASE_MS) + with_margin (book->told_ms);
   if (entry.wanted == 0 && entry.in_use == 0 && loan->report.number == 0)
-    return false;
+    return report_gone (limit, link, message);
+  g_hash_table_remove (link->gone, limit->name);
   return report_put (&loan->report, limit->name, &entry, &link->up, message);
 }
 
--- a/lib/share/share_msg.h
+++ b/lib/share/share_msg.h
@@ -43,7 +43,7 @@
   uint64_t to_incarnation; /* of the receiver as known, or 0 */
   uint64_t number;
   uint64_t confirmed; /* last number received */
-  int64_t view;       /* 0 from a host of another data centre */
+  int64_t view;       /* identifies it; 0 from a host of another data centre */
   bool steady;        /* sender knows that nobody left its view for the longest use */
   bool departed;      /* sender knows that somebody left */
   GArray *entries;    /* share_report_entry_t, or share_grant_entry_t */
--- a/tests/test_share_random.c
+++ b/tests/test_share_random.c
@@ -49,6 +49,7 @@
   int64_t apart_ms[WORLD_HOSTS_MAX];
   int64_t restart_ms[WORLD_HOSTS_MAX];
   int64_t leave_ms[WORLD_HOSTS_MAX];
+  int64_t replace_ms[WORLD_HOSTS_MAX]; /* a restarted process takes its predecessor's place */
 } repair_t;
 
 static int
@@ -70,7 +71,16 @@
       if (world->apart[i] && world->now_ms >= repair->apart_ms[i])
         world->apart[i] = false;
       if (!host->alive && world->now_ms >= repair->restart_ms[i])
-        world_start_host (world, i);
+        {
+          world_start_host (world, i);
+          repair->replace_ms[i] = world->now_ms + draw (world, 0, 1500);
+        }
+      if (host->alive && world->member[i] && repair->replace_ms[i] != 0
+          && world->now_ms >= repair->replace_ms[i])
+        {
+          repair->replace_ms[i] = 0;
+          world_change_view (world, host->centre, VIEW_DELAY_MS);
+        }
       if (!host->alive && world->member[i] && world->now_ms >= repair->leave_ms[i])
         {
           world->member[i] = false;
@@ -79,6 +89,7 @@
       else if (host->alive && !world->member[i] && world->now_ms >= repair->restart_ms[i] + 500)
         {
           world->member[i] = true;
+          repair->replace_ms[i] = 0;
           world_change_view (world, host->centre, VIEW_DELAY_MS);
         }
     }
@@ -211,7 +222,7 @@
     }
   printf (
       "\n  %s, seed %u: %ld steps, %ld s simulated, %ld units taken, %ld violations, most in use",
-      c->what, c->seed, (long) steps, (long) (world->now_ms / 1000), (long) world->takes,
+      c->what, seed, (long) steps, (long) (world->now_ms / 1000), (long) world->takes,
       (long) world->violations);
   for (int i = 0; i < world->limit_count; i++)
     printf (" %ld", (long) world->limits[i].most);
