--- /dev/null
+++ b/bench/slopes_config.c
@@ -0,0 +1,140 @@
+/* slopes_config.c -- what one entry and one edit of the configuration cost
+ *
+ * Folds publications of one edit into states of growing size and prints, for
+ * each size: bytes of memory an entry, processor time a folded edit with a
+ * reader that holds each state, bytes of a checkpoint an entry, and the time to
+ * write and to load one.
+ */
+#include "config/fold.h"
+
+#include <inttypes.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#define SEED 20261207
+#define EDITS 20000
+#define NS_PER_S 1000000000
+#define NS_PER_US 1000.0
+#define NS_PER_MS 1000000.0
+
+static const int sizes[] = { 1000, 10000, 100000 };
+
+static int64_t
+processor_ns (void)
+{
+  struct timespec time;
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &time);
+  return (int64_t) time.tv_sec * NS_PER_S + time.tv_nsec;
+}
+
+/* A publication that gives customer NUMBER a plan. */
+static GBytes *
+edit_of (const config_fold_t *fold, uint32_t edit, int number, int plan)
+{
+  char customer[32];
+  char name[16];
+  config_id_t id = { { 0 } };
+  memcpy (id.bytes, &edit, sizeof edit);
+  g_snprintf (customer, sizeof customer, "customer-%08d", number);
+  g_snprintf (name, sizeof name, "plan-%d", plan);
+  config_edits_t *edits = config_edits_new (&id);
+  config_entry_t *entry = config_entry_plan (customer, name, 0);
+  config_edits_add (edits, CONFIG_PLAN, customer, config_fold_base (fold, CONFIG_PLAN, customer),
+                    entry);
+  GBytes *record = config_edits_encode (edits);
+  config_entry_unref (entry);
+  config_edits_free (edits);
+  return record;
+}
+
+static bool
+fold_one (config_fold_t *fold, GBytes *record)
+{
+  gsize size = 0;
+  const void *data = g_bytes_get_data (record, &size);
+  return config_fold_record (fold, config_fold_next (fold), data, size) == CONFIG_FOLD_ACCEPTED;
+}
+
+static size_t
+heap_bytes (void)
+{
+  return mallinfo2 ().uordblks;
+}
+
+/* Fills FOLD; returns the bytes of memory that this took. */
+static size_t
+fill (config_fold_t *fold, int size, uint32_t *edit)
+{
+  size_t before = heap_bytes ();
+  for (int i = 0; i < size; i++)
+    {
+      GBytes *record = edit_of (fold, ++*edit, i, 0);
+      if (!fold_one (fold, record))
+        printf ("an edit was not accepted\n");
+      g_bytes_unref (record);
+    }
+  return heap_bytes () - before;
+}
+
+/* Processor time of EDITS folds; a reader takes every state, as the daemon's
+ * publication does. */
+static int64_t
+time_edits (config_fold_t *fold, int size, uint32_t *edit, GRand *random)
+{
+  int64_t total_ns = 0;
+  config_t *snapshot = config_ref (config_fold_config (fold));
+  for (int i = 0; i < EDITS; i++)
+    {
+      GBytes *record = edit_of (fold, ++*edit, g_rand_int_range (random, 0, size), 1 + i);
+      int64_t begin_ns = processor_ns ();
+      if (!fold_one (fold, record))
+        printf ("an edit was not accepted\n");
+      config_t *next = config_ref (config_fold_config (fold));
+      config_unref (snapshot);
+      snapshot = next;
+      total_ns += processor_ns () - begin_ns;
+      g_bytes_unref (record);
+    }
+  config_unref (snapshot);
+  return total_ns;
+}
+
+static void
+run (int size, GRand *random)
+{
+  uint32_t edit = 0;
+  config_fold_t *fold = config_fold_new (&config_rules);
+  size_t bytes = fill (fold, size, &edit);
+  int64_t edits_ns = time_edits (fold, size, &edit, random);
+  int64_t begin_ns = processor_ns ();
+  GBytes *checkpoint = config_fold_checkpoint (fold);
+  int64_t write_ns = processor_ns () - begin_ns;
+  gsize checkpoint_size = 0;
+  const void *data = g_bytes_get_data (checkpoint, &checkpoint_size);
+  config_fold_t *copy = config_fold_new (&config_rules);
+  begin_ns = processor_ns ();
+  int loaded = config_fold_load (copy, data, checkpoint_size);
+  int64_t load_ns = processor_ns () - begin_ns;
+  printf ("| %6d | %6.1f | %6.2f | %6.1f | %7.2f | %7.2f |%s\n", size, (double) bytes / size,
+          (double) edits_ns / EDITS / NS_PER_US, (double) checkpoint_size / size,
+          (double) write_ns / NS_PER_MS, (double) load_ns / NS_PER_MS,
+          loaded < 0 ? " NOT LOADED" : "");
+  g_bytes_unref (checkpoint);
+  config_fold_free (copy);
+  config_fold_free (fold);
+}
+
+int
+main (void)
+{
+  GRand *random = g_rand_new_with_seed (SEED);
+  printf ("seed %d, %d edits at each size\n", SEED, EDITS);
+  printf ("| entries | bytes an entry | us a folded edit | checkpoint bytes an entry "
+          "| write a checkpoint, ms | load it, ms |\n|---|---|---|---|---|---|\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    run (sizes[i], random);
+  g_rand_free (random);
+  return 0;
+}
--- a/daemon/part_config.c
+++ b/daemon/part_config.c
@@ -255,7 +255,11 @@
 {
   json_object *section = json_object_new_object ();
   bool any = config->hosts.body != NULL;
+  int64_t leaving = 0;
+  for (guint i = 0; i < config->hosts.list->len; i++)
+    leaving += ((const host_t *) config->hosts.list->pdata[i])->leaving;
   json_object_object_add (section, "count", json_object_new_int64 (config->hosts.list->len));
+  json_object_object_add (section, "leaving", json_object_new_int64 (leaving));
   json_object_object_add (section, "version", json_object_new_int64 (config->hosts.version.time));
   json_object_object_add (section, "age_ms",
                           any ? json_object_new_int64 (now_ms - config->hosts.at_ms) : NULL);
@@ -318,6 +322,7 @@
   config->relay =
       relay_new (daemon_host_id (daemon), daemon_data_centre (daemon), clock_boot_ms ());
   config->append = config_append_new (daemon);
+  config->checkpoint_plan.checkpoint = -1;
   config->state_sent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   config->listeners = g_array_new (FALSE, FALSE, sizeof (listener_entry_t));
   pthread_mutex_init (&config->mutex, NULL);
--- a/lib/config/checkpoint.c
+++ b/lib/config/checkpoint.c
@@ -38,8 +38,10 @@
     }
   if (plan->due_at_ms == 0)
     plan->due_at_ms = now_ms + facts->rank * CHECKPOINT_RANK_MS;
-  if (now_ms < plan->due_at_ms || now_ms < plan->next_at_ms)
+  bool unanswered = facts->checkpoint <= plan->checkpoint && now_ms < plan->next_at_ms;
+  if (now_ms < plan->due_at_ms || unanswered)
     return false;
+  plan->checkpoint = facts->checkpoint;
   plan->next_at_ms = now_ms + CHECKPOINT_RETRY_MS;
   return true;
 }
--- a/lib/config/checkpoint.h
+++ b/lib/config/checkpoint.h
@@ -39,7 +39,8 @@
 typedef struct
 {
   int64_t due_at_ms;  /* boot clock; 0 while not due */
-  int64_t next_at_ms; /* no other attempt before this */
+  int64_t next_at_ms; /* no other attempt before this, but for a new checkpoint */
+  int64_t checkpoint; /* the last one in the log at the last attempt */
 } checkpoint_plan_t;
 
 /* True if this host should append a checkpoint now.  NOW_MS is on the boot
--- a/tests/test_config_relay.c
+++ b/tests/test_config_relay.c
@@ -362,16 +362,21 @@
 {
   for (size_t i = 0; i < G_N_ELEMENTS (checkpoint_cases); i++)
     {
-      checkpoint_plan_t plan = { 0 };
+      checkpoint_plan_t plan = { .checkpoint = -1 };
       bool now = checkpoint_step (&plan, &checkpoint_cases[i].facts, START_MS, START_MS);
       if (now != checkpoint_cases[i].due)
         printf ("\n    %s", checkpoint_cases[i].name);
       CU_ASSERT_EQUAL (now, checkpoint_cases[i].due);
       /* Not again at once; and the next data centre waits. */
       CU_ASSERT_FALSE (checkpoint_step (&plan, &checkpoint_cases[i].facts, START_MS + 1, START_MS));
+      /* But at once where a new checkpoint is in the log and is not enough. */
+      checkpoint_facts_t next = checkpoint_cases[i].facts;
+      next.checkpoint += checkpoint_cases[i].due ? 1 : 0;
+      next.records_since += CHECKPOINT_RECORDS + next.entries;
+      CU_ASSERT_EQUAL (checkpoint_step (&plan, &next, START_MS + 2, START_MS), next.log_next > 0);
       checkpoint_facts_t second = checkpoint_cases[i].facts;
       second.rank = 1;
-      plan = (checkpoint_plan_t){ 0 };
+      plan = (checkpoint_plan_t){ .checkpoint = -1 };
       CU_ASSERT_FALSE (checkpoint_step (&plan, &second, START_MS, START_MS));
       CU_ASSERT_EQUAL (checkpoint_step (&plan, &second, START_MS + CHECKPOINT_RANK_MS, START_MS),
                        checkpoint_cases[i].due);
--- a/tool/publish.c
+++ b/tool/publish.c
@@ -110,19 +110,23 @@
   return end ? 1 : 0;
 }
 
+/* Reads to the log's end, and on until a host has appended the checkpoint that
+ * covers lost records. */
 static int
 read_to_end (reader_t *reader, int64_t end_at_ms)
 {
-  int result = 0;
-  while (result != 1)
+  bool incomplete = false;
+  for (;;)
     {
       if (clock_boot_ms () >= end_at_ms)
-        return ERROR_TIMEOUT;
-      result = read_once (reader, 0, end_at_ms);
+        return incomplete ? ERROR_NOT_FOUND : ERROR_TIMEOUT;
+      int result = read_once (reader, incomplete ? READ_WAIT_MS : 0, end_at_ms);
+      incomplete = config_fold_incomplete (reader->fold);
       if (result < 0)
         wait_retry (reader, end_at_ms);
+      else if (result == 1 && !incomplete)
+        return 0;
     }
-  return config_fold_incomplete (reader->fold) ? ERROR_NOT_FOUND : 0;
 }
 
 int
