--- a/daemon/config_exchange.c
+++ b/daemon/config_exchange.c
@@ -49,7 +49,7 @@
 have_new (config_part_t *config)
 {
   config_have_t *have = config_have_new ();
-  have->hosts = config->hosts.version;
+  have->hosts = config->hosts.clock.current;
   have->hosts_digest = config->hosts.digest;
   for (guint i = 0; i < config->streams->len; i++)
     {
--- a/daemon/config_hosts.c
+++ b/daemon/config_hosts.c
@@ -1,9 +1,6 @@
 /* config_hosts.c -- the list of hosts with its version, read here or relayed
  *
- * A reader gives each list that it reads a version above all versions that it
- * has seen, so that a newer list wins also where the clocks of two readers
- * differ.  Lists are sent on when their bytes change; otherwise beats carry
- * the version.
+ * Lists are sent on when their bytes change; otherwise beats carry the version.
  */
 #include "base/error.h"
 #include "base/clock.h"
@@ -75,8 +72,7 @@
 static void
 take_version (config_part_t *config, const hosts_version_t *version, int64_t now_ms)
 {
-  config->hosts.version = *version;
-  config->hosts.version_seen = MAX (config->hosts.version_seen, version->time);
+  hosts_clock_take (&config->hosts.clock, version);
   config->hosts.at_ms = now_ms;
 }
 
@@ -88,8 +84,8 @@
     return;
   gsize size = 0;
   const void *body = g_bytes_get_data (result->hosts, &size);
-  hosts_version_t version = { MAX (clock_wall_ms (), config->hosts.version_seen + 1),
-                              hash_string (daemon_host_id (config->part.daemon)) };
+  hosts_version_t version = hosts_clock_read (&config->hosts.clock, clock_wall_ms (),
+                                              hash_string (daemon_host_id (config->part.daemon)));
   bool same = config->hosts.body && g_bytes_equal (config->hosts.body, result->hosts);
   if (!same && !take_list (config, body, size))
     return;
@@ -100,21 +96,14 @@
     config_send (config, NULL, config_msg_hosts (&version, config->hosts.body));
 }
 
-/* Returns true if VERSION is news. */
-static bool
-is_newer (config_part_t *config, const hosts_version_t *version)
-{
-  config->hosts.version_seen = MAX (config->hosts.version_seen, version->time);
-  return hosts_version_compare (version, &config->hosts.version) > 0;
-}
-
 void
 config_hosts_relayed (config_part_t *config, frame_reader_t *reader, int64_t now_ms)
 {
   hosts_version_t version;
   const void *body = NULL;
   size_t size = 0;
-  if (!config_msg_get_hosts (reader, &version, &body, &size) || !is_newer (config, &version))
+  if (!config_msg_get_hosts (reader, &version, &body, &size)
+      || !hosts_clock_see (&config->hosts.clock, &version))
     return;
   bool same = config->hosts.body && digest_of (body, size) == config->hosts.digest;
   if (!same && !take_list (config, body, size))
@@ -129,7 +118,8 @@
 {
   hosts_version_t version;
   uint64_t digest = 0;
-  if (!config_msg_get_hosts_same (reader, &version, &digest) || !is_newer (config, &version))
+  if (!config_msg_get_hosts_same (reader, &version, &digest)
+      || !hosts_clock_see (&config->hosts.clock, &version))
     return;
   if (config->hosts.body && digest == config->hosts.digest)
     take_version (config, &version, now_ms);
@@ -138,7 +128,7 @@
 bool
 config_hosts_beat (config_part_t *config, const config_have_t *have, int64_t now_ms)
 {
-  if (!is_newer (config, &have->hosts))
+  if (!hosts_clock_see (&config->hosts.clock, &have->hosts))
     return false;
   if (have->hosts_digest != config->hosts.digest)
     return true;
@@ -150,11 +140,13 @@
 config_hosts_answer (config_part_t *config, const char *host, const config_have_t *have)
 {
   const config_hosts_t *hosts = &config->hosts;
-  config->hosts.version_seen = MAX (hosts->version_seen, have->hosts.time);
-  if (hosts->body == NULL || hosts_version_compare (&have->hosts, &hosts->version) >= 0)
+  const hosts_version_t *version = &hosts->clock.current;
+  /* What this host reads next is newer, whatever the other one's clock says. */
+  hosts_clock_see (&config->hosts.clock, &have->hosts);
+  if (hosts->body == NULL || hosts_version_compare (&have->hosts, version) >= 0)
     return;
   if (have->hosts_digest == hosts->digest)
-    config_send (config, host, config_msg_hosts_same (&hosts->version, hosts->digest));
+    config_send (config, host, config_msg_hosts_same (version, hosts->digest));
   else
-    config_send (config, host, config_msg_hosts (&hosts->version, hosts->body));
+    config_send (config, host, config_msg_hosts (version, hosts->body));
 }
--- a/daemon/config_private.h
+++ b/daemon/config_private.h
@@ -39,8 +39,7 @@
 
 typedef struct
 {
-  hosts_version_t version; /* time 0 before the first list */
-  int64_t version_seen;    /* highest time of any version seen */
+  hosts_clock_t clock;
   GBytes *body;
   uint64_t digest;
   GPtrArray *list; /* of host_t; empty before the first list */
--- a/daemon/part_config.c
+++ b/daemon/part_config.c
@@ -260,7 +260,8 @@
     leaving += ((const host_t *) config->hosts.list->pdata[i])->leaving;
   json_object_object_add (section, "count", json_object_new_int64 (config->hosts.list->len));
   json_object_object_add (section, "leaving", json_object_new_int64 (leaving));
-  json_object_object_add (section, "version", json_object_new_int64 (config->hosts.version.time));
+  json_object_object_add (section, "version",
+                          json_object_new_int64 (config->hosts.clock.current.time));
   json_object_object_add (section, "age_ms",
                           any ? json_object_new_int64 (now_ms - config->hosts.at_ms) : NULL);
   return section;
--- a/lib/config/config_msg.c
+++ b/lib/config/config_msg.c
@@ -1,16 +1,6 @@
 /* config_msg.c -- encodes and decodes the messages that relay streams and the list of hosts */
 #include "config/config_msg.h"
 
-int
-hosts_version_compare (const hosts_version_t *a, const hosts_version_t *b)
-{
-  if (a->time != b->time)
-    return a->time < b->time ? -1 : 1;
-  if (a->reader != b->reader)
-    return a->reader < b->reader ? -1 : 1;
-  return 0;
-}
-
 static void
 position_clear (gpointer data)
 {
--- a/lib/config/config_msg.h
+++ b/lib/config/config_msg.h
@@ -6,6 +6,7 @@
 #ifndef CONFIG_CONFIG_MSG_H
 #define CONFIG_CONFIG_MSG_H
 
+#include "config/hosts_version.h"
 #include "platform/batch.h"
 #include "wire/frame.h"
 
@@ -24,16 +25,6 @@
 #define CONFIG_MSG_STREAM_MAX_BYTES 64
 #define CONFIG_MSG_RECORDS_MAX 100000
 
-/* Version of the list of hosts: a logical clock that follows the wall clock,
- * and the host that read it.  The higher one wins. */
-typedef struct
-{
-  int64_t time;
-  uint64_t reader; /* hash of the host id */
-} hosts_version_t;
-
-int hosts_version_compare (const hosts_version_t *a, const hosts_version_t *b);
-
 typedef struct
 {
   char *stream;
