Give shares back on a graceful stop

A host that stopped left its share out until its deadline and the longest use (8 s and more), so each host of a rolling restart took its part of every plan away for that time. Now it says that it leaves: it gets no idle units, gives back what it does not use, and waits up to 1.5 s for the allotters before it exits.

--- a/daemon/part_share.c
+++ b/daemon/part_share.c
@@ -18,6 +18,8 @@
 #include <string.h>
 
 #define REFUSED_KINDS 3
+/* Bounds how long a stopping host waits for its shares to be taken back. */
+#define DRAIN_MAX_MS 1500
 
 static const char *const refused_names[REFUSED_KINDS] = { "running/", "starts/", "slots/" };
 static const char *const refused_labels[REFUSED_KINDS] = { "limit=\"running\"", "limit=\"starts\"",
@@ -32,6 +34,7 @@
   GHashTable *seen;  /* names in the list that is being read */
   void (*grown) (void *data);
   void *grown_data;
+  int64_t drain_until_ms;
   counter_t *messages[2]; /* reports, grants */
   counter_t *bytes[2];
   counter_t *refused[REFUSED_KINDS];
@@ -205,6 +208,26 @@
   set_peer ((share_part_t *) part, host, false, now_ms);
 }
 
+static void
+on_drain (part_t *part, int64_t now_ms)
+{
+  share_part_t *self = (share_part_t *) part;
+  share_event_t event = { .kind = SHARE_EVENT_LEAVE };
+
+  self->drain_until_ms = now_ms + DRAIN_MAX_MS;
+  step (self, &event, now_ms);
+}
+
+/* A share that is not given back stays out until its deadline and the longest
+ * use: waiting a moment for the allotters is worth it. */
+static bool
+is_drained (part_t *part, int64_t now_ms)
+{
+  const share_part_t *self = (const share_part_t *) part;
+
+  return now_ms >= self->drain_until_ms || share_has_left (self->share, now_ms);
+}
+
 static void
 on_status (part_t *part, json_object *status)
 {
@@ -268,6 +291,8 @@
                                       .tick = on_tick,
                                       .peer_up = on_peer_up,
                                       .peer_down = on_peer_down,
+                                      .drain = on_drain,
+                                      .drained = is_drained,
                                       .status = on_status };
 
 static share_t *
--- a/lib/share/share.c
+++ b/lib/share/share.c
@@ -321,6 +321,30 @@
     }
 }
 
+static void
+on_leave (share_t *share)
+{
+  share->leaving = true;
+  for (guint i = 0; i < share->links->len; i++)
+    ((link_t *) share->links->pdata[i])->up.urgent = true;
+}
+
+bool
+share_has_left (const share_t *share, int64_t now_ms)
+{
+  for (guint i = 0; i < share->limits->len; i++)
+    {
+      const limit_t *limit = share->limits->pdata[i];
+      const hold_t *hold = &limit->hold;
+      if (limit->removed || hold->allotter == NULL)
+        continue;
+      if (hold->use.total > 0 || hold_held (share, hold, now_ms) > 0 || hold->report.changed
+          || hold->report.number > hold->allotter->up.confirmed)
+        return false;
+    }
+  return share->leaving;
+}
+
 /* True if this host follows LINK in a limit that it may vote on now. */
 static bool
 is_followed (const share_t *share, const link_t *link, int64_t now_ms)
@@ -384,6 +408,7 @@
       return;
     }
   message->header.view = link->remote ? 0 : share->view;
+  message->header.leaving = share->leaving;
   put_departures (share, &message->header, now_ms);
   link_send (share, link, &link->up, message, now_ms);
   if (link->unanswered_ms == 0)
@@ -460,6 +485,9 @@
     case SHARE_EVENT_PEER:
       on_peer (share, event, now_ms);
       break;
+    case SHARE_EVENT_LEAVE:
+      on_leave (share);
+      break;
     case SHARE_EVENT_ASK:
       on_ask (share, now_ms);
       break;
--- a/lib/share/share.h
+++ b/lib/share/share.h
@@ -78,6 +78,7 @@
   SHARE_EVENT_VIEW,    /* view NUMBER with MEMBERS is in force */
   SHARE_EVENT_LIMIT,   /* limit NAME is now UNITS, or SHARE_NO_LIMIT */
   SHARE_EVENT_PEER,    /* HOST of DATA_CENTRE became reachable, or not (UP) */
+  SHARE_EVENT_LEAVE,   /* this host stops: it gives back what it does not use */
   SHARE_EVENT_ASK      /* send what the demands lack now */
 } share_event_kind_t;
 
@@ -133,6 +134,10 @@
 /* True if a share has grown since the last call. */
 bool share_has_grown (share_t *share);
 
+/* True once this host, after SHARE_EVENT_LEAVE, holds and uses nothing and the
+ * allotters have confirmed it. */
+bool share_has_left (const share_t *share, int64_t now_ms);
+
 /* What GET /v1/status shows of a limit. */
 typedef struct
 {
--- a/lib/share/share_allot.c
+++ b/lib/share/share_allot.c
@@ -297,12 +297,27 @@
   group->count++;
 }
 
+/* Idle units of a host that leaves go to the first that stays. */
 static void
 group_divide (group_t *group, int64_t units, uint64_t turn)
 {
+  entry_t *stays = NULL;
+  int64_t idle = 0;
+
   share_fair (group->demands, group->count, units, turn);
   for (size_t i = 0; i < group->count; i++)
-    group->entries[i]->target = group->demands[i].target;
+    {
+      entry_t *entry = group->entries[i];
+      entry->target = group->demands[i].target;
+      if (!entry->link->leaving && stays == NULL)
+        stays = entry;
+      if (!entry->link->leaving || entry->target <= entry->wanted)
+        continue;
+      idle += entry->target - entry->wanted;
+      entry->target = entry->wanted;
+    }
+  if (stays != NULL)
+    stays->target += idle;
 }
 
 /* Sets the targets of all live entries; returns units that are with the others. */
@@ -397,6 +412,18 @@
   return units;
 }
 
+/* What a host that leaves does not need is of use to the others at once. */
+static void
+free_leaving (const share_t *share, limit_t *limit, int64_t now_ms)
+{
+  for (guint i = 0; i < limit->book.entries->len; i++)
+    {
+      entry_t *entry = limit->book.entries->pdata[i];
+      if (entry->link->leaving && entry->units > entry->target)
+        entry_set_units (share, entry, entry->target, now_ms);
+    }
+}
+
 /* What an allotment has to mend. */
 typedef struct
 {
@@ -445,6 +472,7 @@
       need = INT64_MAX;
       gap.strict = true;
     }
+  free_leaving (share, limit, now_ms);
   take_back (share, limit, MAX (need, over), gap.strict || over > 0, now_ms);
   spare = hand_out (share, limit, spare, false, now_ms);
   if (gap.missing == 0)
--- a/lib/share/share_book.c
+++ b/lib/share/share_book.c
@@ -288,6 +288,10 @@
   link->view = header->view;
   link->steady = header->steady;
   link->departed = header->departed;
+  if (header->leaving && !link->leaving)
+    for (guint i = 0; i < share->limits->len; i++)
+      ((limit_t *) share->limits->pdata[i])->book.dirty = true;
+  link->leaving = header->leaving;
   if (asked_ms > 0)
     link->vote_until_ms = asked_ms + SHARE_VOTE_MS;
   for (guint i = 0; i < header->entries->len; i++)
--- a/lib/share/share_internal.h
+++ b/lib/share/share_internal.h
@@ -54,6 +54,7 @@
   int64_t view;        /* of its last report */
   bool steady;         /* what its last report says of departures */
   bool departed;
+  bool leaving;
   int64_t vote_until_ms;
   GHashTable *gone; /* limit name to number of the first report that says so */
 } link_t;
@@ -187,6 +188,7 @@
   int64_t departed_ms; /* last time a member left or was replaced; 0: never */
   int64_t tick_ms;     /* last one */
   bool grown;
+  bool leaving; /* this host stops */
 };
 
 /* share_link.c */
--- a/lib/share/share_msg.c
+++ b/lib/share/share_msg.c
@@ -106,6 +106,7 @@
   frame_put_int (writer, header->view);
   frame_put_bool (writer, header->steady);
   frame_put_bool (writer, header->departed);
+  frame_put_bool (writer, header->leaving);
   frame_put_count (writer, header->entries->len);
   for (guint i = 0; i < header->entries->len; i++)
     if (message->type == SHARE_FRAME_REPORT)
@@ -161,6 +162,7 @@
   header->view = frame_get_range (reader, 0, INT64_MAX);
   header->steady = frame_get_bool (reader);
   header->departed = frame_get_bool (reader);
+  header->leaving = frame_get_bool (reader);
   size_t count = frame_get_count (reader, SHARE_ENTRIES_MAX);
   for (size_t i = 0; i < count && frame_ok (reader); i++)
     get_entry (reader, message);
--- a/lib/share/share_msg.h
+++ b/lib/share/share_msg.h
@@ -45,6 +45,7 @@
   uint64_t confirmed; /* last number received */
   int64_t view;       /* identifies it; 0 from a host of another data centre */
   bool steady;        /* sender knows that nobody left its view for the longest use */
+  bool leaving;       /* the sender stops: it wants no idle units */
   bool departed;      /* sender knows that somebody left */
   GArray *entries;    /* share_report_entry_t, or share_grant_entry_t */
 } share_header_t;
--- a/tests/test_share_use.c
+++ b/tests/test_share_use.c
@@ -239,6 +239,32 @@
     }
 }
 
+/* A host that stops gives its share back before it exits. */
+static void
+test_leave (void)
+{
+  world_t *world = world_new (1, 3, &share_rules_all, 15);
+  int64_t held = 0;
+
+  world_add_limit (world, "running/gold", -1, 30);
+  world_run (world, world->now_ms + 3000);
+  share_event_t leave = { .kind = SHARE_EVENT_LEAVE };
+  world_host_step (world, 0, &leave);
+  int64_t start_ms = world->now_ms;
+  while (!share_has_left (world->hosts[0].share, world_local_ms (world, 0))
+         && world->now_ms < start_ms + 1000)
+    world_run (world, world->now_ms + 1);
+  printf ("  a host has given back its share after %ld ms\n", (long) (world->now_ms - start_ms));
+  CU_ASSERT (share_has_left (world->hosts[0].share, world_local_ms (world, 0)));
+  world_kill_host (world, 0);
+  world_run (world, world->now_ms + 1100);
+  for (int i = 1; i < 3; i++)
+    held += share_available (world->hosts[i].share, "running/gold", world_local_ms (world, i));
+  CU_ASSERT_EQUAL (held, 30);
+  CU_ASSERT_EQUAL (world->violations, 0);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -248,6 +274,7 @@
   CU_add_test (suite, "slots", test_slots);
   CU_add_test (suite, "small limits", test_small);
   CU_add_test (suite, "allotter dies", test_gap);
+  CU_add_test (suite, "a host leaves", test_leave);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   int failed = (int) CU_get_number_of_failures ();
