A host whose neighbours all leave does not wait for a successor

Before: when all hosts of a data centre stopped at once, each waited up to 9 s for somebody to take its keys. After: only hosts that stay count; many_jobs, rolling_replacement and rolling_replacement_outage pass.

--- a/daemon/part_claim.c
+++ b/daemon/part_claim.c
@@ -214,7 +214,7 @@
   replica_status_t status;
 
   claim_replica_status (claim->replica, &status);
-  if (status.seat_given || !part_view_has_peers (claim->view))
+  if (status.seat_given || !part_view_others_stay (claim->view))
     return true;
   if (part_view_is_member (claim->view))
     return false;
--- a/daemon/part_view.c
+++ b/daemon/part_view.c
@@ -19,7 +19,6 @@
   GPtrArray *members; /* of char *, from the view in force */
   view_t *listed;     /* the view that MEMBERS names */
   part_view_listener_t listener;
-  bool has_peers;
   counter_t *changes;
   counter_t *proposals;
   counter_t *messages;
@@ -121,8 +120,6 @@
   part_view_t *view = data;
   member_t *member = member_new (peer->host, peer->incarnation, peer->address, peer->data_centre);
 
-  if (peer->connected && strcmp (peer->data_centre, daemon_data_centre (view->part.daemon)) == 0)
-    view->has_peers = true;
   step (view, &(membership_event_t){ .kind = MEMBERSHIP_PEER,
                                      .member = member,
                                      .connected = peer->connected,
@@ -184,7 +181,6 @@
   part_view_t *view = (part_view_t *) part;
 
   (void) now_ms;
-  view->has_peers = false;
   daemon_each_peer (part->daemon, feed_peer, view);
   step (view, &(membership_event_t){ .kind = MEMBERSHIP_TICK });
   list_members (view);
@@ -316,7 +312,7 @@
 }
 
 bool
-part_view_has_peers (part_t *part)
+part_view_others_stay (part_t *part)
 {
-  return ((part_view_t *) part)->has_peers;
+  return membership_others_stay (((part_view_t *) part)->membership);
 }
--- a/daemon/part_view.h
+++ b/daemon/part_view.h
@@ -45,7 +45,7 @@
 /* A seat of this data centre's view was passed on: tells everybody. */
 void part_view_seat_moved (part_t *part, view_t *view);
 
-/* True if another host of this data centre is connected. */
-bool part_view_has_peers (part_t *part);
+/* True if another host of this data centre is connected and stays. */
+bool part_view_others_stay (part_t *part);
 
 #endif
--- a/lib/view/membership.c
+++ b/lib/view/membership.c
@@ -147,6 +147,22 @@
   return now_ms - MAX (heard_ms, membership->floor_ms);
 }
 
+bool
+membership_others_stay (const membership_t *membership)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, membership->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const peer_t *peer = value;
+      if (peer->connected && !peer->leaving && membership_is_local (membership, peer))
+        return true;
+    }
+  return false;
+}
+
 /* --- contact ---------------------------------------------------------------------- */
 
 static int
--- a/lib/view/membership.h
+++ b/lib/view/membership.h
@@ -102,6 +102,9 @@
 /* True if this process is in the newest view of its data centre. */
 bool membership_is_member (const membership_t *membership);
 
+/* True if another host of this data centre is connected and stays. */
+bool membership_others_stay (const membership_t *membership);
+
 /* Grants are allowed up to this boot time. */
 int64_t membership_contact_until_ms (const membership_t *membership, int64_t now_ms);
 
