Relay the list of hosts as differences of typed entries

Cause: a change of one host sent the whole body of the list to every host; with thousands of endpoints that is megabytes for a few bytes of news. Ruled out: compressing the body (still grows with the list). Now a reader sends the ids that are gone and the entries that changed, with the digests of both lists; a host on another base pulls the whole list. 5,000 random changes: difference and whole list lead to the same digest, another base is refused. A long list is read less often, one more ms for 2 KB.

--- a/bench/propagation.c
+++ b/bench/propagation.c
@@ -16,6 +16,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #define DATA_CENTRES 3
@@ -59,6 +60,14 @@
   return text;
 }
 
+/* In the child: it ends with the bench, however that ends. */
+static void
+end_with_parent (gpointer data)
+{
+  (void) data;
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
 static void
 start (bench_t *bench, char **argv)
 {
@@ -66,7 +75,7 @@
   GError *error = NULL;
   GSpawnFlags flags =
       G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL | G_SPAWN_STDERR_TO_DEV_NULL;
-  if (!g_spawn_async (NULL, argv, NULL, flags, NULL, NULL, &process, &error))
+  if (!g_spawn_async (NULL, argv, NULL, flags, end_with_parent, NULL, &process, &error))
     {
       fprintf (stderr, "propagation: %s\n", error->message);
       exit (EXIT_FAILURE);
@@ -218,20 +227,39 @@
   return (left > right) - (left < right);
 }
 
-/* The sum of NAME over all hosts, or the stand-in's number of calls. */
+/* The counter NAME of ADDRESS. */
 static int64_t
-metric_sum (const bench_t *bench, const char *name)
+metric (const char *address, const char *name)
 {
-  int64_t sum = 0;
-  for (guint i = 0; i < bench->admins->len; i++)
+  char *text = call (address, "GET", "/metrics", NULL);
+  const char *line = text ? strstr (text, name) : NULL;
+  int64_t value = line ? g_ascii_strtoll (line + strlen (name), NULL, 10) : 0;
+  g_free (text);
+  return value;
+}
+
+typedef struct
+{
+  int64_t sum;
+  int64_t most;
+} growth_t;
+
+/* Adds to GROWTHS how much the counters NAMES grow in RATE_MS. */
+static void
+measure_growth (const bench_t *bench, const char *const *names, growth_t *growths, size_t count)
+{
+  guint hosts = bench->admins->len;
+  int64_t *before = g_new (int64_t, hosts * count);
+  for (guint i = 0; i < hosts * count; i++)
+    before[i] = metric (bench->admins->pdata[i / count], names[i % count]);
+  clock_sleep_ms (RATE_MS);
+  for (guint i = 0; i < hosts * count; i++)
     {
-      char *text = call (bench->admins->pdata[i], "GET", "/metrics", NULL);
-      const char *line = text ? strstr (text, name) : NULL;
-      if (line)
-        sum += g_ascii_strtoll (line + strlen (name), NULL, 10);
-      g_free (text);
+      int64_t grown = metric (bench->admins->pdata[i / count], names[i % count]) - before[i];
+      growths[i % count].sum += grown;
+      growths[i % count].most = MAX (growths[i % count].most, grown);
     }
-  return sum;
+  g_free (before);
 }
 
 static int64_t
@@ -295,19 +323,20 @@
 static void
 print_rates (const bench_t *bench)
 {
+  static const char *const names[] = { "\njaytrail_relay_bytes_total ",
+                                       "\njaytrail_relay_messages_total " };
+  growth_t growths[G_N_ELEMENTS (names)] = { 0 };
   int64_t calls = platform_calls ();
-  int64_t bytes = metric_sum (bench, "\njaytrail_relay_bytes_total ");
-  int64_t messages = metric_sum (bench, "\njaytrail_relay_messages_total ");
-  clock_sleep_ms (RATE_MS);
-  double seconds = (double) RATE_MS / CLOCK_MS_PER_S;
+  int64_t begin_ms = clock_boot_ms ();
+  measure_growth (bench, names, growths, G_N_ELEMENTS (names));
+  double seconds = (double) (clock_boot_ms () - begin_ms) / CLOCK_MS_PER_S;
   double hosts = bench->admins->len;
   printf (
-      "| %2d | %-32s | rates                    | platform %.1f calls/s, relay %.0f bytes/s and "
-      "%.1f messages/s a host |\n",
+      "| %2d | %-32s | rates                    | platform %.1f calls/s, relay bytes/s sent: mean "
+      "%.0f, most %.0f; messages/s: mean %.1f, most %.1f |\n",
       bench->hosts * DATA_CENTRES, "idle", (double) (platform_calls () - calls) / seconds,
-      (double) (metric_sum (bench, "\njaytrail_relay_bytes_total ") - bytes) / seconds / hosts,
-      (double) (metric_sum (bench, "\njaytrail_relay_messages_total ") - messages) / seconds
-          / hosts);
+      (double) growths[0].sum / seconds / hosts, (double) growths[0].most / seconds,
+      (double) growths[1].sum / seconds / hosts, (double) growths[1].most / seconds);
   fflush (stdout);
 }
 
--- a/daemon/config_hosts.c
+++ b/daemon/config_hosts.c
@@ -1,9 +1,10 @@
 /* config_hosts.c -- the list of hosts with its version, read here or relayed
  *
- * Lists are sent on when their bytes change; otherwise beats carry the version.
+ * A reader sends on what changed; beats carry the version and the digest, so
+ * that a host that missed a change pulls the list.
  */
-#include "base/error.h"
 #include "base/clock.h"
+#include "base/error.h"
 #include "base/hash.h"
 #include "base/log.h"
 #include "daemon/config_private.h"
@@ -11,19 +12,10 @@
 #include <inttypes.h>
 #include <string.h>
 
-static uint64_t
-digest_of (const void *data, size_t size)
-{
-  hash_digest_t digest = hash_digest (data, size);
-  uint64_t short_digest;
-  memcpy (&short_digest, digest.bytes, sizeof short_digest);
-  return short_digest;
-}
-
 void
 config_hosts_init (config_part_t *config)
 {
-  config->hosts.list = g_ptr_array_new ();
+  config->hosts.list = hosts_list_new ();
   config->hosts.poll = config_poll_new (config->part.daemon, NULL, config_hosts_read, config);
 }
 
@@ -41,17 +33,55 @@
     }
 }
 
-/* Puts a list of hosts in force.  Returns false if it is none. */
-static bool
-take_list (config_part_t *config, const void *body, size_t size)
+static hosts_known_t
+known_of (const config_hosts_t *hosts)
 {
-  GPtrArray *list = NULL;
-  int32_t skipped = 0;
-  if (hosts_parse (body, size, &list, &skipped) < 0)
+  hosts_known_t known = { hosts->clock.current, hosts->digest, hosts->list };
+  return known;
+}
+
+static void
+take_version (config_part_t *config, const hosts_version_t *version, int64_t now_ms)
+{
+  hosts_clock_take (&config->hosts.clock, version);
+  config->hosts.at_ms = now_ms;
+}
+
+/* Puts LIST (taken over) in force; a reader sends on the difference. */
+static void
+take_list (config_part_t *config,
+           GPtrArray *list,
+           uint64_t digest,
+           const hosts_version_t *version,
+           int64_t now_ms)
+{
+  config_hosts_t *hosts = &config->hosts;
+  hosts_known_t before = known_of (hosts);
+  GPtrArray *old = hosts->list;
+  hosts->list = list;
+  hosts->digest = digest;
+  take_version (config, version, now_ms);
+  config->changed = true;
+  meet_entry_hosts (config);
+  if (config->actions.read)
     {
-      log_warning ("config", "The list of hosts is malformed.", NULL);
-      return false;
+      hosts_known_t after = known_of (hosts);
+      config_send (config, NULL,
+                   hosts_msg (CONFIG_MSG_HOSTS, before.digest ? &before : NULL, &after));
     }
+  g_ptr_array_unref (old);
+}
+
+/* Parses what was read.  Returns NULL if it is no list. */
+static GPtrArray *
+parse_body (GBytes *body)
+{
+  gsize size = 0;
+  const void *data = g_bytes_get_data (body, &size);
+  GPtrArray *list = NULL;
+  int32_t skipped = 0;
+  if (hosts_parse (data, size, &list, &skipped) < 0)
+    log_warning ("config", "The list of hosts is malformed.", NULL);
   if (skipped > 0)
     {
       char *count = g_strdup_printf ("%" PRId32, skipped);
@@ -59,58 +89,51 @@
                    NULL);
       g_free (count);
     }
-  g_ptr_array_unref (config->hosts.list);
-  config->hosts.list = list;
-  g_clear_pointer (&config->hosts.body, g_bytes_unref);
-  config->hosts.body = g_bytes_new (body, size);
-  config->hosts.digest = digest_of (body, size);
-  config->changed = true;
-  meet_entry_hosts (config);
-  return true;
-}
-
-static void
-take_version (config_part_t *config, const hosts_version_t *version, int64_t now_ms)
-{
-  hosts_clock_take (&config->hosts.clock, version);
-  config->hosts.at_ms = now_ms;
+  return list;
 }
 
 void
 config_hosts_read (const config_poll_result_t *result, void *data)
 {
   config_part_t *config = data;
+  config_hosts_t *hosts = &config->hosts;
   if (result->result < 0)
     return;
-  gsize size = 0;
-  const void *body = g_bytes_get_data (result->hosts, &size);
-  hosts_version_t version = hosts_clock_read (&config->hosts.clock, clock_wall_ms (),
+  hosts_version_t version = hosts_clock_read (&hosts->clock, clock_wall_ms (),
                                               hash_string (daemon_host_id (config->part.daemon)));
-  bool same = config->hosts.body && g_bytes_equal (config->hosts.body, result->hosts);
-  if (!same && !take_list (config, body, size))
+  bool same_body = hosts->body && g_bytes_equal (hosts->body, result->hosts);
+  bool in_force = same_body && hosts->body_digest == hosts->digest;
+  GPtrArray *list = in_force ? NULL : parse_body (result->hosts);
+  if (!in_force && list == NULL)
     return;
   config->hosts_answered_at_ms = daemon_now_ms (config->part.daemon);
   config_answered (config);
-  take_version (config, &version, result->sent_at_ms);
-  if (!same && config->actions.read)
-    config_send (config, NULL, config_msg_hosts (&version, config->hosts.body));
+  if (in_force)
+    {
+      take_version (config, &version, result->sent_at_ms);
+      return;
+    }
+  g_clear_pointer (&hosts->body, g_bytes_unref);
+  hosts->body = g_bytes_ref (result->hosts);
+  hosts->body_digest = hosts_list_digest (list);
+  take_list (config, list, hosts->body_digest, &version, result->sent_at_ms);
 }
 
 void
 config_hosts_relayed (config_part_t *config, frame_reader_t *reader, int64_t now_ms)
 {
+  hosts_known_t own = known_of (&config->hosts);
   hosts_version_t version;
-  const void *body = NULL;
-  size_t size = 0;
-  if (!config_msg_get_hosts (reader, &version, &body, &size)
-      || !hosts_clock_see (&config->hosts.clock, &version))
-    return;
-  bool same = config->hosts.body && digest_of (body, size) == config->hosts.digest;
-  if (!same && !take_list (config, body, size))
+  uint64_t digest = 0;
+  GPtrArray *list = NULL;
+  hosts_msg_result_t result = hosts_msg_get (reader, &own, &version, &digest, &list);
+  if (result == HOSTS_MSG_MALFORMED)
     return;
-  take_version (config, &version, now_ms);
-  if (!same && config->actions.read)
-    config_send (config, NULL, config_msg_hosts (&version, config->hosts.body));
+  /* After a difference to another list, the next beat leads to a pull. */
+  if (result == HOSTS_MSG_LIST && hosts_clock_see (&config->hosts.clock, &version))
+    take_list (config, list, digest, &version, now_ms);
+  else if (list)
+    g_ptr_array_unref (list);
 }
 
 void
@@ -121,7 +144,7 @@
   if (!config_msg_get_hosts_same (reader, &version, &digest)
       || !hosts_clock_see (&config->hosts.clock, &version))
     return;
-  if (config->hosts.body && digest == config->hosts.digest)
+  if (digest == config->hosts.digest)
     take_version (config, &version, now_ms);
 }
 
@@ -140,13 +163,13 @@
 config_hosts_answer (config_part_t *config, const char *host, const config_have_t *have)
 {
   const config_hosts_t *hosts = &config->hosts;
-  const hosts_version_t *version = &hosts->clock.current;
+  hosts_known_t known = known_of (hosts);
   /* What this host reads next is newer, whatever the other one's clock says. */
   hosts_clock_see (&config->hosts.clock, &have->hosts);
-  if (hosts->body == NULL || hosts_version_compare (&have->hosts, version) >= 0)
+  if (hosts_version_compare (&have->hosts, &known.version) >= 0)
     return;
   if (have->hosts_digest == hosts->digest)
-    config_send (config, host, config_msg_hosts_same (version, hosts->digest));
+    config_send (config, host, config_msg_hosts_same (&known.version, hosts->digest));
   else
-    config_send (config, host, config_msg_hosts (version, hosts->body));
+    config_send (config, host, hosts_msg (CONFIG_MSG_HOSTS, NULL, &known));
 }
--- a/daemon/config_poll.c
+++ b/daemon/config_poll.c
@@ -13,6 +13,8 @@
  * still shows that it is alive. */
 #define POLL_WAIT_MS 700
 #define POLL_HOSTS_MS 500
+/* A long list is read less often: one more millisecond for so many bytes. */
+#define POLL_HOSTS_BYTES_PER_MS 2048
 /* A list of hosts that takes longer is asked for again, elsewhere. */
 #define POLL_HOSTS_TIMEOUT_MS 4000
 #define APPEND_THREADS 2
@@ -94,6 +96,13 @@
     result->result = platform_hosts (poll->client, POLL_HOSTS_TIMEOUT_MS, &result->hosts);
 }
 
+static int64_t
+hosts_wait_ms (const config_poll_result_t *result)
+{
+  gsize size = result->hosts ? g_bytes_get_size (result->hosts) : 0;
+  return POLL_HOSTS_MS + (int64_t) size / POLL_HOSTS_BYTES_PER_MS;
+}
+
 static int64_t
 wait_wanted (config_poll_t *poll)
 {
@@ -118,7 +127,7 @@
       poll_once (poll, from, &delivery->result);
       int64_t wait_ms = platform_retry_ms (poll->client);
       if (poll->stream == NULL)
-        wait_ms = MAX (wait_ms, POLL_HOSTS_MS);
+        wait_ms = MAX (wait_ms, hosts_wait_ms (&delivery->result));
       delivery->last = wait_ms == 0;
       daemon_post (poll->daemon, deliver, delivery);
       if (wait_ms == 0)
--- a/daemon/config_private.h
+++ b/daemon/config_private.h
@@ -10,6 +10,7 @@
 #include "config/config_msg.h"
 #include "config/feed.h"
 #include "config/fold.h"
+#include "config/hosts_msg.h"
 #include "config/relay.h"
 #include "daemon/config_poll.h"
 #include "daemon/part_config.h"
@@ -40,11 +41,12 @@
 typedef struct
 {
   hosts_clock_t clock;
-  GBytes *body;
-  uint64_t digest;
   GPtrArray *list; /* of host_t; empty before the first list */
+  uint64_t digest; /* of it; 0 before the first list */
   int64_t at_ms;   /* boot time at which it was last confirmed */
   config_poll_t *poll;
+  GBytes *body; /* what this host read last, whose list has BODY_DIGEST */
+  uint64_t body_digest;
 } config_hosts_t;
 
 struct config_part_t
--- a/daemon/part_config.c
+++ b/daemon/part_config.c
@@ -254,7 +254,7 @@
 status_hosts (const config_part_t *config, int64_t now_ms)
 {
   json_object *section = json_object_new_object ();
-  bool any = config->hosts.body != NULL;
+  bool any = config->hosts.clock.current.time > 0;
   int64_t leaving = 0;
   for (guint i = 0; i < config->hosts.list->len; i++)
     leaving += ((const host_t *) config->hosts.list->pdata[i])->leaving;
--- a/lib/config/config_msg.c
+++ b/lib/config/config_msg.c
@@ -173,28 +173,6 @@
   return frame_ok (reader) && *data != NULL;
 }
 
-GBytes *
-config_msg_hosts (const hosts_version_t *version, GBytes *body)
-{
-  gsize size = 0;
-  const void *data = g_bytes_get_data (body, &size);
-  frame_writer_t *writer = frame_begin (CONFIG_MSG_HOSTS);
-  put_version (writer, version);
-  frame_put_bytes (writer, data, size);
-  return frame_finish (writer);
-}
-
-bool
-config_msg_get_hosts (frame_reader_t *reader,
-                      hosts_version_t *version,
-                      const void **body,
-                      size_t *size)
-{
-  get_version (reader, version);
-  *body = frame_get_bytes (reader, FRAME_MAX_BYTES, size);
-  return frame_ok (reader) && *body != NULL;
-}
-
 GBytes *
 config_msg_hosts_same (const hosts_version_t *version, uint64_t digest)
 {
--- a/lib/config/config_msg.h
+++ b/lib/config/config_msg.h
@@ -38,7 +38,7 @@
   bool answered;         /* BEAT: the platform has answered the sender lately */
   bool want_state;       /* PULL: the sender needs the whole configuration */
   hosts_version_t hosts; /* of the sender's list */
-  uint64_t hosts_digest; /* of its bytes; 0 for none */
+  uint64_t hosts_digest; /* hosts_list_digest (); 0 for none */
   GArray *positions;     /* of config_position_t */
 } config_have_t;
 
@@ -59,13 +59,6 @@
 /* *DATA points into the frame. */
 bool config_msg_get_state (frame_reader_t *reader, const void **data, size_t *size);
 
-/* The list of hosts as the platform gave it. */
-GBytes *config_msg_hosts (const hosts_version_t *version, GBytes *body);
-bool config_msg_get_hosts (frame_reader_t *reader,
-                           hosts_version_t *version,
-                           const void **body,
-                           size_t *size);
-
 /* The list with this digest was read again and is still in force. */
 GBytes *config_msg_hosts_same (const hosts_version_t *version, uint64_t digest);
 bool config_msg_get_hosts_same (frame_reader_t *reader, hosts_version_t *version, uint64_t *digest);
--- a/lib/platform/hosts.c
+++ b/lib/platform/hosts.c
@@ -2,8 +2,10 @@
 #include "platform/hosts.h"
 
 #include "base/error.h"
+#include "base/hash.h"
 #include "platform/json.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #define HOST_NAME_MAX_BYTES 128
@@ -11,10 +13,9 @@
 #define HOST_CORES_MAX 100000
 #define HOST_MEMORY_MAX_MB (1ll << 32)
 
-static void
-host_free (gpointer data)
+void
+host_free (host_t *host)
 {
-  host_t *host = data;
   g_free (host->id);
   g_free (host->data_centre);
   g_free (host->address);
@@ -22,6 +23,41 @@
   g_free (host);
 }
 
+host_t *
+host_copy (const host_t *host)
+{
+  host_t *copy = g_new (host_t, 1);
+  *copy = *host;
+  copy->id = g_strdup (host->id);
+  copy->data_centre = g_strdup (host->data_centre);
+  copy->address = g_strdup (host->address);
+  copy->rack = g_strdup (host->rack);
+  return copy;
+}
+
+GPtrArray *
+hosts_list_new (void)
+{
+  return g_ptr_array_new_with_free_func ((GDestroyNotify) host_free);
+}
+
+uint64_t
+hosts_list_digest (const GPtrArray *list)
+{
+  uint64_t digest = 1;
+  GString *text = g_string_new (NULL);
+  for (guint i = 0; i < list->len; i++)
+    {
+      const host_t *host = list->pdata[i];
+      g_string_printf (text, "%s\n%d\n%s\n%s\n%d\n%d\n%d\n%" PRId64 "\n%s\n%d", host->id,
+                       (int) host->role, host->data_centre, host->address, host->slots,
+                       host->connections, host->cores, host->memory_mb, host->rack, host->leaving);
+      digest += hash_string (text->str);
+    }
+  g_string_free (text, TRUE);
+  return digest;
+}
+
 /* IP:port, the port from 1 to 65535. */
 static bool
 address_valid (const char *address)
@@ -108,6 +144,12 @@
   return strcmp (left->id, right->id);
 }
 
+void
+hosts_list_sort (GPtrArray *list)
+{
+  g_ptr_array_sort (list, compare_ids);
+}
+
 /* Of several entries with one id only the first stays. */
 static void
 remove_repeated (GPtrArray *hosts, int32_t *skipped)
@@ -138,7 +180,7 @@
       json_object_put (root);
       return ERROR_PROTOCOL;
     }
-  *hosts = g_ptr_array_new_with_free_func (host_free);
+  *hosts = hosts_list_new ();
   for (size_t i = 0; i < json_object_array_length (list); i++)
     {
       host_t *host = host_parse (json_object_array_get_idx (list, i));
@@ -148,7 +190,7 @@
         (*skipped)++;
     }
   json_object_put (root);
-  g_ptr_array_sort (*hosts, compare_ids);
+  hosts_list_sort (*hosts);
   remove_repeated (*hosts, skipped);
   return 0;
 }
--- a/lib/platform/hosts.h
+++ b/lib/platform/hosts.h
@@ -36,4 +36,18 @@
  * g_ptr_array_unref (). */
 int hosts_parse (const char *json, size_t size, GPtrArray **hosts, int32_t *skipped);
 
+/* A copy that the caller frees (host_free). */
+host_t *host_copy (const host_t *host);
+void host_free (host_t *host);
+
+/* An empty list that frees its host_t pointers. */
+GPtrArray *hosts_list_new (void);
+
+/* Sorts LIST by id. */
+void hosts_list_sort (GPtrArray *list);
+
+/* Digest of a sorted list: equal lists have equal ones.  Never 0 but by chance
+ * of one in 2^64. */
+uint64_t hosts_list_digest (const GPtrArray *list);
+
 #endif
--- a/tests/test_config_fuzz.c
+++ b/tests/test_config_fuzz.c
@@ -1,6 +1,7 @@
 /* test_config_fuzz.c -- readers of records, messages, answers and lists on damaged input */
 #include "config/config_msg.h"
 #include "config/fold.h"
+#include "config/hosts_msg.h"
 #include "config/list.h"
 #include "platform/batch.h"
 #include "platform/hosts.h"
@@ -38,6 +39,24 @@
   config_fold_free (fold);
 }
 
+static GPtrArray *example_host_list (bool leaving);
+
+static void
+consume_host_list (frame_reader_t *reader)
+{
+  GPtrArray *own = example_host_list (true);
+  hosts_known_t known = { { 1, 1 }, hosts_list_digest (own), own };
+  hosts_version_t version;
+  uint64_t digest = 0;
+  GPtrArray *list = NULL;
+  if (hosts_msg_get (reader, &known, &version, &digest, &list) == HOSTS_MSG_LIST)
+    {
+      CU_ASSERT_EQUAL (hosts_list_digest (list), digest);
+      g_ptr_array_unref (list);
+    }
+  g_ptr_array_unref (own);
+}
+
 static void
 consume_message (const guint8 *data, gsize size)
 {
@@ -70,7 +89,7 @@
       config_msg_get_state (reader, &body, &body_size);
       break;
     case CONFIG_MSG_HOSTS:
-      config_msg_get_hosts (reader, &version, &body, &body_size);
+      consume_host_list (reader);
       break;
     default:
       config_msg_get_hosts_same (reader, &version, &digest);
@@ -200,13 +219,29 @@
   return frame;
 }
 
+static GPtrArray *
+example_host_list (bool leaving)
+{
+  host_t host = { .id = (char *) "e1",
+                  .data_centre = (char *) "tw-north-a",
+                  .rack = (char *) "r1" };
+  host.address = (char *) "127.0.0.1:9001";
+  host.slots = 8;
+  host.leaving = leaving;
+  GPtrArray *list = hosts_list_new ();
+  g_ptr_array_add (list, host_copy (&host));
+  host.id = (char *) "e2";
+  g_ptr_array_add (list, host_copy (&host));
+  return list;
+}
+
 static GBytes *
 example_hosts_message (void)
 {
-  hosts_version_t version = { 1700000000000, 5 };
-  GBytes *body = g_bytes_new_static ("{\"hosts\":[]}", 12);
-  GBytes *frame = config_msg_hosts (&version, body);
-  g_bytes_unref (body);
+  GPtrArray *list = example_host_list (false);
+  hosts_known_t known = { { 1700000000000, 5 }, hosts_list_digest (list), list };
+  GBytes *frame = hosts_msg (CONFIG_MSG_HOSTS, NULL, &known);
+  g_ptr_array_unref (list);
   return frame;
 }
 
--- a/tests/test_config_hosts.c
+++ b/tests/test_config_hosts.c
@@ -4,7 +4,7 @@
  * and out of order.  The naive version knows which lists each reader had heard
  * of: no host may go back to one of them.
  */
-#include "config/hosts_version.h"
+#include "config/hosts_msg.h"
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
@@ -17,6 +17,7 @@
 #define WORLDS 5000
 #define STEPS 200
 #define LISTS_MAX 64
+#define LISTS 5000
 #define NO_LIST (-1)
 #define HOSTS 6
 #define MESSAGES_MAX 32
@@ -149,6 +150,92 @@
   g_rand_free (random);
 }
 
+/* A random list of hosts, in which few entries differ from one to the next. */
+static void
+change_list (GPtrArray *list, GRand *random)
+{
+  for (int changes = g_rand_int_range (random, 0, 4); changes > 0; changes--)
+    {
+      char id[8];
+      guint at = 0;
+      g_snprintf (id, sizeof id, "e%d", g_rand_int_range (random, 0, 40));
+      while (at < list->len && strcmp (((host_t *) list->pdata[at])->id, id) != 0)
+        at++;
+      if (at < list->len && g_rand_boolean (random))
+        {
+          g_ptr_array_remove_index (list, at);
+          continue;
+        }
+      host_t host = { .id = id, .data_centre = (char *) "dc", .address = (char *) "127.0.0.1:9" };
+      host.rack = (char *) "r";
+      host.slots = g_rand_int_range (random, 1, 4);
+      host.leaving = g_rand_boolean (random);
+      if (at < list->len)
+        g_ptr_array_remove_index (list, at);
+      g_ptr_array_add (list, host_copy (&host));
+      hosts_list_sort (list);
+    }
+}
+
+static GPtrArray *
+copy_list (const GPtrArray *list)
+{
+  GPtrArray *copy = hosts_list_new ();
+  for (guint i = 0; i < list->len; i++)
+    g_ptr_array_add (copy, host_copy (list->pdata[i]));
+  return copy;
+}
+
+static hosts_msg_result_t
+pass (GBytes *frame, const hosts_known_t *own, GPtrArray **list)
+{
+  gsize size = 0;
+  const guint8 *data = g_bytes_get_data (frame, &size);
+  frame_reader_t *reader = NULL;
+  hosts_version_t version;
+  uint64_t digest = 0;
+  CU_ASSERT_EQUAL_FATAL (
+      frame_parse (data + FRAME_LENGTH_BYTES, size - FRAME_LENGTH_BYTES, &reader), 0);
+  hosts_msg_result_t result = hosts_msg_get (reader, own, &version, &digest, list);
+  frame_reader_free (reader);
+  return result;
+}
+
+/* A difference leads to the same list as the whole one, and is refused on any
+ * other base. */
+static void
+test_differences (void)
+{
+  GRand *random = g_rand_new_with_seed (SEED);
+  GPtrArray *list = hosts_list_new ();
+  for (int i = 0; i < LISTS; i++)
+    {
+      GPtrArray *before = copy_list (list);
+      change_list (list, random);
+      hosts_known_t base = { { 1, 1 }, hosts_list_digest (before), before };
+      hosts_known_t known = { { 2, 1 }, hosts_list_digest (list), list };
+      hosts_known_t other = { { 1, 1 }, base.digest + 1, before };
+      GBytes *whole = hosts_msg (56, NULL, &known);
+      GBytes *difference = hosts_msg (56, &base, &known);
+      GPtrArray *got = NULL;
+      CU_ASSERT_EQUAL_FATAL (pass (whole, &other, &got), HOSTS_MSG_LIST);
+      CU_ASSERT_EQUAL (hosts_list_digest (got), known.digest);
+      g_ptr_array_unref (got);
+      CU_ASSERT_EQUAL_FATAL (pass (difference, &base, &got), HOSTS_MSG_LIST);
+      CU_ASSERT_EQUAL (hosts_list_digest (got), known.digest);
+      CU_ASSERT_EQUAL (got->len, list->len);
+      g_ptr_array_unref (got);
+      CU_ASSERT_EQUAL (pass (difference, &other, &got), HOSTS_MSG_OTHER_BASE);
+      CU_ASSERT_PTR_NULL (got);
+      CU_ASSERT (list->len < 8 || g_bytes_get_size (difference) < g_bytes_get_size (whole));
+      g_bytes_unref (whole);
+      g_bytes_unref (difference);
+      g_ptr_array_unref (before);
+    }
+  g_ptr_array_unref (list);
+  g_rand_free (random);
+}
+
 /* A reader whose clock is ahead dies; the next one's list wins at once. */
 static void
 test_clock_ahead (void)
@@ -174,6 +261,7 @@
   CU_pSuite suite = CU_add_suite ("config_hosts", NULL, NULL);
   CU_add_test (suite, "random", test_random);
   CU_add_test (suite, "clock ahead", test_clock_ahead);
+  CU_add_test (suite, "differences", test_differences);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
