--- a/lib/burn/render_html.c
+++ b/lib/burn/render_html.c
@@ -41,7 +41,8 @@
   g_string_append_printf (
       out, "</td><td class=\"%s\">%s</td><td>%.2f%% in %" G_GINT64_FORMAT " ms</td><td>%.1f%%</td>",
       styles[plan->alert], burn_alert_name (plan->alert), plan->objective_ppm / PPM_PER_PERCENT,
-      plan->target_ms, PERCENT * burn_budget_left (&plan->sums[BURN_6_HOURS], plan->objective_ppm));
+      plan->target_ms,
+      PERCENT * MAX (burn_budget_left (&plan->sums[BURN_6_HOURS], plan->objective_ppm), 0));
   for (int w = 0; w < BURN_WINDOWS; w++)
     g_string_append_printf (out, "<td>%.2f</td>", burn_rate (&plan->sums[w], plan->objective_ppm));
   g_string_append (out, "<td>");
--- a/lib/dispatch/admit.c
+++ b/lib/dispatch/admit.c
@@ -13,6 +13,8 @@
  * its slack, so that a job with a short deadline still gets in when it need not
  * wait. */
 #define MARGIN_DEVIATIONS 3.0
+/* For round trips and scheduling. */
+#define MARGIN_MIN_MS 20.0
 
 /* Slots that PLAN's limit on running tasks, or on starts, lets it use. */
 static double
@@ -46,8 +48,9 @@
   if (!timing_is_fresh (&kind->all, now_ms))
     return deadline_at_ms;
   double slack_ms = (double) (deadline_at_ms - now_ms) - kind->all.mean_ms;
-  double margin_ms = fmin (MARGIN_DEVIATIONS * kind->all.deviation_ms, slack_ms / 2);
+  double margin_ms = fmax (MARGIN_DEVIATIONS * kind->all.deviation_ms, MARGIN_MIN_MS);
 
+  margin_ms = fmin (margin_ms, slack_ms / 2);
   return now_ms + (int64_t) (slack_ms - fmax (margin_ms, 0));
 }
 
--- a/lib/dispatch/state.h
+++ b/lib/dispatch/state.h
@@ -174,10 +174,35 @@
  * to spare; the deadline itself while KIND was not measured lately. */
 int64_t start_by_ms (const kind_t *kind, int64_t deadline_at_ms, int64_t now_ms);
 
+/* list.c */
+
+bool endpoint_takes_work (const endpoint_t *endpoint);
+/* Counts the slots that this host holds, if the last count is too old. */
+void refresh_slots (dispatch_t *dispatch, int64_t now_ms);
+
 /* dispatch.c */
 
 plan_t *plan_get (dispatch_t *dispatch, const char *name);
 kind_t *kind_get (dispatch_t *dispatch, const char *name);
-void refresh_slots (dispatch_t *dispatch, int64_t now_ms);
+void entry_enqueue (dispatch_t *dispatch, entry_t *entry, int64_t now_ms);
+/* Takes ENTRY out of whatever it waits in; a start has charged its plan. */
+void entry_leave (dispatch_t *dispatch, entry_t *entry);
+/* No endpoint is kept free for ENTRY any longer. */
+void entry_release_hold (dispatch_t *dispatch, const entry_t *entry);
+
+/* round.c */
+
+const char *entry_plan_name (const entry_t *entry);
+void entry_give (dispatch_t *dispatch,
+                 dispatch_limit_t limit,
+                 const char *name,
+                 int32_t units,
+                 const entry_t *entry,
+                 int64_t now_ms);
+void round_run (dispatch_t *dispatch, int64_t now_ms, GArray *actions);
+
+/* ended.c */
+
+void entry_ended (dispatch_t *dispatch, const dispatch_event_t *event, int64_t now_ms);
 
 #endif
