Policy bench: requests for shares at most every 25 ms, cost of a decision

Cause: the bench asked for shares for every job that waits, the daemon at most once in 25 ms; and a start's cost was known only with the simulator's.

--- a/bench/policy.c
+++ b/bench/policy.c
@@ -20,6 +20,7 @@
 #define WARM_UP_US 5000000
 /* The light plan's 99th percentile needs more jobs. */
 #define FAIR_END_US 150000000
+#define COST_STARTS 100000
 #define PLAN_FIRST 0
 /* Runs that are taken together where one is too noisy. */
 #define SEEDS 4
@@ -437,6 +438,117 @@
   world_free (world);
 }
 
+/* Limits that never run out, for the time of the decisions alone. */
+
+static int
+free_take (dispatch_limits_t *limits,
+           dispatch_limit_t limit,
+           const char *name,
+           int32_t units,
+           int64_t ends_at_ms,
+           int64_t now_ms)
+{
+  (void) limits;
+  (void) limit;
+  (void) name;
+  (void) units;
+  (void) ends_at_ms;
+  (void) now_ms;
+  return 0;
+}
+
+static void
+free_give (dispatch_limits_t *limits,
+           dispatch_limit_t limit,
+           const char *name,
+           int32_t units,
+           int64_t ends_at_ms,
+           int64_t now_ms)
+{
+  free_take (limits, limit, name, units, ends_at_ms, now_ms);
+}
+
+static int32_t
+free_left (dispatch_limits_t *limits, dispatch_limit_t limit, const char *name, int64_t now_ms)
+{
+  (void) limits;
+  (void) limit;
+  (void) name;
+  (void) now_ms;
+  return INT32_MAX;
+}
+
+static const dispatch_limits_ops_t free_ops = { free_take, free_give, free_left };
+
+/* A full fleet with a queue: each end frees one slot and a round fills it.
+ * 2,500 starts a second pass in simulated time. */
+static double
+decision_ns (int32_t endpoints, int32_t queued)
+{
+  dispatch_limits_t limits = { &free_ops };
+  dispatch_t *dispatch = dispatch_new (&defaults, &limits);
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (dispatch_endpoint_t));
+  GArray *actions = g_array_new (FALSE, FALSE, sizeof (dispatch_action_t));
+  GQueue *running = g_queue_new ();
+  char (*ids)[16] = g_malloc (sizeof *ids * (size_t) endpoints);
+  uint64_t ticket = 0;
+  int64_t before_us = 0;
+
+  for (int32_t e = 0; e < endpoints; e++)
+    {
+      g_snprintf (ids[e], sizeof ids[e], "e%d", e);
+      dispatch_endpoint_t row = { ids[e], "", WORLD_SLOTS, 60, 32, 131072, false };
+      g_array_append_val (rows, row);
+    }
+  dispatch_set_endpoints (dispatch, (const dispatch_endpoint_t *) (void *) rows->data, rows->len,
+                          0);
+  int32_t fill = endpoints * WORLD_SLOTS + queued;
+  for (int32_t i = -fill; i < COST_STARTS; i++)
+    {
+      int64_t now_ms = MAX (i, 0) * 10 / 25;
+      dispatch_task_t task = {
+        world_plans[i & 1], world_kinds[(i & 15) == 0], 1, 256, now_ms + 1000000, false
+      };
+      dispatch_event_t add = { .kind = DISPATCH_ADD, .ticket = ++ticket, .task = &task };
+      dispatch_event_t run = { .kind = DISPATCH_RUN };
+      if (i == 0)
+        before_us = clock_boot_us ();
+      dispatch_step (dispatch, &add, now_ms, actions);
+      if (i >= 0)
+        {
+          dispatch_event_t end = { .kind = DISPATCH_ENDED,
+                                   .ticket = GPOINTER_TO_SIZE (g_queue_pop_head (running)),
+                                   .elapsed_us = 100000 + (i % 97) * 1000 };
+          dispatch_step (dispatch, &end, now_ms, actions);
+        }
+      dispatch_step (dispatch, &run, now_ms, actions);
+      for (guint a = 0; a < actions->len; a++)
+        g_queue_push_tail (running,
+                           GSIZE_TO_POINTER (g_array_index (actions, dispatch_action_t, a).ticket));
+      g_array_set_size (actions, 0);
+    }
+  double ns = 1e3 * (double) (clock_boot_us () - before_us) / COST_STARTS;
+  dispatch_free (dispatch);
+  g_array_unref (rows);
+  g_array_unref (actions);
+  g_queue_free (running);
+  g_free (ids);
+  return ns;
+}
+
+static void
+run_decision_cost (void)
+{
+  static const int32_t fleets[] = { 17, 50, 500 };
+  static const int32_t queues[] = { 10, 10000 };
+
+  printf ("\nMeasured time of one add, end and round on a full fleet, ns\n");
+  for (size_t f = 0; f < G_N_ELEMENTS (fleets); f++)
+    for (size_t q = 0; q < G_N_ELEMENTS (queues); q++)
+      printf ("%4d endpoints, %5d queued: %8.0f\n", fleets[f], queues[q],
+              decision_ns (fleets[f], queues[q]));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -461,5 +573,6 @@
   run_overload ();
   run_black_hole ();
   run_cost ();
+  run_decision_cost ();
   return 0;
 }
--- a/bench/policy/jaytrail.c
+++ b/bench/policy/jaytrail.c
@@ -15,6 +15,8 @@
 #define HOSTS_MAX 8
 #define REPORT_EVERY_US 200000
 #define ROUND_TRIP_US 2000
+/* As in the daemon: between two requests of one host. */
+#define ASK_EVERY_US 25000
 #define ID_BYTES 8
 
 typedef struct jaytrail_t jaytrail_t;
@@ -26,8 +28,8 @@
   dispatch_t *dispatch;
   int32_t share[WORLD_ENDPOINTS];
   int32_t used[WORLD_ENDPOINTS];
-  bool added; /* a job has come since the last request for slots */
-  bool asking;
+  bool added;        /* a job has come since the last request for slots */
+  int64_t ask_at_us; /* not before */
 } host_state_t;
 
 struct jaytrail_t
@@ -277,10 +279,13 @@
   host_state_t *host = &all->hosts[h];
   bool waits = host->added && dispatch_totals (host->dispatch).queued > 0;
 
-  host->added = false;
-  if (!waits || host->asking || (all->mode != HOSTS_ASK && all->mode != HOSTS_PEERS))
+  if (!waits)
+    host->added = false;
+  if (!waits || sim_now_us (all->base.sim) < host->ask_at_us
+      || (all->mode != HOSTS_ASK && all->mode != HOSTS_PEERS))
     return;
-  host->asking = true;
+  host->added = false;
+  host->ask_at_us = sim_now_us (all->base.sim) + ASK_EVERY_US;
   /* The allotting host asks the other holders; peers answer by themselves. */
   sim_message (all->base.sim, 2L * (all->count - 1));
   sim_wake (all->base.sim, sim_now_us (all->base.sim) + ROUND_TRIP_US, h);
@@ -291,7 +296,6 @@
 {
   jaytrail_t *all = (jaytrail_t *) policy;
 
-  all->hosts[h].asking = false;
   if (all->mode == HOSTS_ASK)
     allot_all (all);
   else
