--- /dev/null
+++ b/tests/test_claim_world.h
@@ -0,0 +1,308 @@
+/* test_claim_world.h -- a few hosts with the claim code, and a net that a test steers
+ *
+ * Messages wait until the test delivers them; links can be blocked.  Used by
+ * the scripted scenarios and by the exhaustive search.
+ */
+#ifndef TESTS_TEST_CLAIM_WORLD_H
+#define TESTS_TEST_CLAIM_WORLD_H
+
+#include "claim/coordinator.h"
+#include "claim/replica.h"
+
+#include <string.h>
+
+#define WORLD_HOSTS 9
+#define WORLD_HOME "dc"
+#define WORLD_WALL_MS INT64_C (1000000000)
+
+typedef struct
+{
+  member_t *member;
+  claim_replica_t *replica;
+  claim_coordinator_t *coordinator;
+  view_t *view;
+  bool granted;
+  bool released;
+  int32_t ends; /* operations that ended */
+  claim_done_result_t last;
+} world_host_t;
+
+typedef struct
+{
+  int32_t from;
+  int32_t to;
+  GBytes *frame;
+} world_packet_t;
+
+typedef struct
+{
+  claim_limits_t limits;
+  int32_t count;
+  int64_t now_ms;
+  int64_t issued_at_ms;
+  int32_t holders; /* hosts that were granted the key and have not given it back */
+  int32_t holders_max;
+  bool blocked[WORLD_HOSTS][WORLD_HOSTS]; /* from, to */
+  char key[32];
+  world_host_t hosts[WORLD_HOSTS];
+  GPtrArray *net; /* world_packet_t, oldest first */
+} world_t;
+
+static view_t *
+world_view_of (const char *data_centre, void *data)
+{
+  (void) data_centre;
+  return ((world_host_t *) data)->view;
+}
+
+static void
+world_packet_free (world_packet_t *packet)
+{
+  g_bytes_unref (packet->frame);
+  g_free (packet);
+}
+
+static void
+world_init (world_t *world, int32_t count, const claim_rules_t *rules)
+{
+  *world = (world_t){ .limits = CLAIM_LIMITS_DEFAULT, .count = count, .now_ms = 1000 };
+  world->issued_at_ms = WORLD_WALL_MS + world->now_ms;
+  world->net = g_ptr_array_new_with_free_func ((GDestroyNotify) world_packet_free);
+  for (int32_t i = 0; i < count; i++)
+    {
+      world_host_t *host = &world->hosts[i];
+      char id[4] = { 'h', (char) ('0' + i), '\0', '\0' };
+      host->member = member_new (id, (uint64_t) i + 1, id, WORLD_HOME);
+      host->replica = claim_replica_new (host->member, rules, &world->limits);
+      host->coordinator = claim_coordinator_new (host->member, rules, &world->limits, world_view_of,
+                                                 host, (uint32_t) i);
+    }
+}
+
+static void
+world_clear (world_t *world)
+{
+  g_ptr_array_unref (world->net);
+  for (int32_t i = 0; i < world->count; i++)
+    {
+      claim_replica_free (world->hosts[i].replica);
+      claim_coordinator_free (world->hosts[i].coordinator);
+      member_unref (world->hosts[i].member);
+      view_unref (world->hosts[i].view);
+    }
+}
+
+static void
+world_done (world_t *world, world_host_t *host, claim_done_result_t result)
+{
+  host->ends++;
+  host->last = result;
+  if (result != CLAIM_DONE_GRANTED)
+    return;
+  host->granted = true;
+  world->holders++;
+  world->holders_max = MAX (world->holders_max, world->holders);
+}
+
+static void world_coordinator (world_t *world, int32_t index, const coordinator_event_t *event);
+
+static void
+world_apply (world_t *world, int32_t index, GPtrArray *actions)
+{
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const claim_action_t *action = g_ptr_array_index (actions, i);
+      if (action->kind == CLAIM_ACTION_DONE && action->user != NULL)
+        world_done (world, &world->hosts[index], action->result);
+      if (action->kind != CLAIM_ACTION_SEND)
+        continue;
+      int32_t to = action->to[1] - '0';
+      if (world->blocked[index][to])
+        {
+          world_coordinator (
+              world, index,
+              &(coordinator_event_t){ .kind = COORDINATOR_UNREACHED, .to = action->to });
+          continue;
+        }
+      world_packet_t *packet = g_new0 (world_packet_t, 1);
+      *packet = (world_packet_t){ index, to, claim_msg_encode (action->msg) };
+      g_ptr_array_add (world->net, packet);
+    }
+  g_ptr_array_unref (actions);
+}
+
+static claim_time_t
+world_time (const world_t *world)
+{
+  return (claim_time_t){ world->now_ms, WORLD_WALL_MS + world->now_ms };
+}
+
+static void
+world_replica (world_t *world, int32_t index, const replica_event_t *event)
+{
+  GPtrArray *actions = claim_actions_new ();
+
+  claim_replica_step (world->hosts[index].replica, event, world_time (world), actions);
+  world_apply (world, index, actions);
+}
+
+static void
+world_coordinator (world_t *world, int32_t index, const coordinator_event_t *event)
+{
+  GPtrArray *actions = claim_actions_new ();
+
+  claim_coordinator_step (world->hosts[index].coordinator, event, world_time (world), actions);
+  world_apply (world, index, actions);
+}
+
+/* The view with the hosts of MASK. */
+static view_t *
+world_view (const world_t *world, int64_t number, uint32_t mask)
+{
+  g_autoptr (GPtrArray) members = g_ptr_array_new ();
+
+  for (int32_t i = 0; i < world->count; i++)
+    if ((mask >> i & 1) != 0)
+      g_ptr_array_add (members, world->hosts[i].member);
+  return view_new (WORLD_HOME, number, WORLD_WALL_MS + world->now_ms, members);
+}
+
+static void
+world_learn (world_t *world, int32_t index, view_t *view, view_t *base)
+{
+  world_host_t *host = &world->hosts[index];
+
+  view_unref (host->view);
+  host->view = view_ref (view);
+  world_replica (world, index,
+                 &(replica_event_t){ .kind = REPLICA_VIEW, .view = view, .base = base });
+}
+
+static void
+world_learn_all (world_t *world, uint32_t hosts, view_t *view, view_t *base)
+{
+  for (int32_t i = 0; i < world->count; i++)
+    if ((hosts >> i & 1) != 0)
+      world_learn (world, i, view, base);
+}
+
+/* Host INDEX may grant for a contact bound from now on. */
+static void
+world_contact (world_t *world, int32_t index)
+{
+  world_replica (
+      world, index,
+      &(replica_event_t){ .kind = REPLICA_CONTACT,
+                          .contact_until_ms = world->now_ms + world->limits.contact_ms });
+}
+
+static void
+world_contact_all (world_t *world, uint32_t hosts)
+{
+  for (int32_t i = 0; i < world->count; i++)
+    if ((hosts >> i & 1) != 0)
+      world_contact (world, i);
+}
+
+static void
+world_tick (world_t *world, uint32_t hosts)
+{
+  for (int32_t i = 0; i < world->count; i++)
+    if ((hosts >> i & 1) != 0)
+      {
+        world_replica (world, i, &(replica_event_t){ .kind = REPLICA_TICK });
+        world_coordinator (world, i, &(coordinator_event_t){ .kind = COORDINATOR_TICK });
+      }
+}
+
+/* Takes packet INDEX off the net; delivers it unless it is LOST. */
+static void
+world_deliver (world_t *world, guint index, bool lost)
+{
+  world_packet_t *packet = g_ptr_array_steal_index (world->net, index);
+
+  if (!lost)
+    {
+      gsize size = 0;
+      const char *data = g_bytes_get_data (packet->frame, &size);
+      frame_reader_t *reader = NULL;
+      int result = frame_parse (data + FRAME_LENGTH_BYTES, size - FRAME_LENGTH_BYTES, &reader);
+      g_assert (result == 0);
+      claim_msg_t *msg = claim_msg_decode (reader);
+      g_assert (msg != NULL);
+      member_t *from = world->hosts[packet->from].member;
+      world_replica (world, packet->to,
+                     &(replica_event_t){ .kind = REPLICA_MESSAGE, .from = from, .msg = msg });
+      world_coordinator (
+          world, packet->to,
+          &(coordinator_event_t){ .kind = COORDINATOR_MESSAGE, .from = from, .msg = msg });
+      claim_msg_free (msg);
+      frame_reader_free (reader);
+    }
+  world_packet_free (packet);
+}
+
+static inline void
+world_deliver_all (world_t *world)
+{
+  while (world->net->len > 0)
+    world_deliver (world, 0, false);
+}
+
+static void
+world_request (world_t *world, int32_t index, coordinator_event_kind_t kind)
+{
+  world_coordinator (world, index,
+                     &(coordinator_event_t){ .kind = kind,
+                                             .key = world->key,
+                                             .home = WORLD_HOME,
+                                             .issued_at_ms = world->issued_at_ms,
+                                             .give_up_ms = world->now_ms + 5000,
+                                             .user = world });
+}
+
+static void
+world_claim (world_t *world, int32_t index)
+{
+  world_request (world, index, COORDINATOR_CLAIM);
+}
+
+/* Gives back what host INDEX was granted. */
+static inline void
+world_release (world_t *world, int32_t index)
+{
+  if (!world->hosts[index].granted || world->hosts[index].released)
+    return;
+  world->hosts[index].released = true;
+  world->hosts[index].granted = false;
+  world->holders--;
+  world_coordinator (world, index,
+                     &(coordinator_event_t){ .kind = COORDINATOR_RELEASE, .key = world->key });
+}
+
+/* Chooses a key whose replicas in VIEW are exactly the hosts of MASK, the first
+ * one being FIRST (or any, if negative). */
+static inline void
+world_choose_key (world_t *world, const view_t *view, uint32_t mask, int32_t first)
+{
+  for (int32_t i = 0;; i++)
+    {
+      int32_t seats[VIEW_REPLICAS];
+      uint32_t found = 0;
+      g_snprintf (world->key, sizeof (world->key), "key-%d", i);
+      int32_t count = view_replicas (view, world->key, seats);
+      for (int32_t j = 0; j < count; j++)
+        found |= 1u << (view->seats[seats[j]].occupant->id[1] - '0');
+      if (found == mask && (first < 0 || view->seats[seats[0]].occupant->id[1] - '0' == first))
+        return;
+    }
+}
+
+static inline void
+world_block (world_t *world, int32_t a, int32_t b, bool blocked)
+{
+  world->blocked[a][b] = blocked;
+  world->blocked[b][a] = blocked;
+}
+
+#endif
