Burn frames in lib/burn, with tests; an overdrawn budget is 0% in the text too

Cause: the frame that carries counters to peers lay in daemon/, where unit tests do not reach it.

Before: no test of the frame; text "-18081.8%".

--- a/daemon/part_burn.c
+++ b/daemon/part_burn.c
@@ -13,7 +13,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "burn/report.h"
-#include "daemon/burn_frame.h"
+#include "burn/burn_msg.h"
 #include "daemon/part_config.h"
 
 #include <string.h>
@@ -127,7 +127,7 @@
   int64_t since = GPOINTER_TO_INT (g_hash_table_lookup (part->sent_minute, host));
   send_walk_t walk = { part, host, 0 };
 
-  burn_frame_write (burn_own (part->burn), since, wall_ms, send_frame, &walk);
+  burn_msg_write (burn_own (part->burn), since, wall_ms, send_frame, &walk);
   if (walk.result != 0)
     g_hash_table_remove (part->sent_minute, host);
   else
@@ -176,7 +176,7 @@
 
   if (frame_type (reader) != FRAME_BURN_COUNTS)
     return;
-  int result = burn_frame_read (part->burn, reader, clock_wall_ms ());
+  int result = burn_msg_read (part->burn, reader, clock_wall_ms ());
   if (result != 0)
     log_warning ("burn", "Counters of a peer were not taken.", "peer", from, "error",
                  error_name (result), NULL);
@@ -201,7 +201,7 @@
   for (int i = 0; i < COPIES && walk->holders->hosts[i] != NULL && !info.own && !there; i++)
     {
       send_walk_t send = { walk->part, walk->holders->hosts[i], 0 };
-      burn_frame_write (source, 0, info.as_of_ms, send_frame, &send);
+      burn_msg_write (source, 0, info.as_of_ms, send_frame, &send);
     }
 }
 
--- a/daemon/burn_frame.c
+++ b/lib/burn/burn_msg.c
@@ -1,9 +1,9 @@
-/* burn_frame.c -- the frame that carries a source's counters to a peer
+/* burn_msg.c -- the frame that carries a source's counters to a peer
  *
  * {host, incarnation, from_ms, as_of_ms, rows, rows x {plan, kind, minute, one
  * count for each class}, errors, errors x {plan, kind, minute, error, count}}
  */
-#include "daemon/burn_frame.h"
+#include "burn/burn_msg.h"
 
 #include "base/error.h"
 
@@ -67,11 +67,11 @@
 }
 
 void
-burn_frame_write (const burn_source_t *source,
-                  int64_t since,
-                  int64_t as_of_ms,
-                  void (*send) (GBytes *frame, void *data),
-                  void *data)
+burn_msg_write (const burn_source_t *source,
+                int64_t since,
+                int64_t as_of_ms,
+                void (*send) (GBytes *frame, void *data),
+                void *data)
 {
   collected_t all = { g_array_new (FALSE, FALSE, sizeof (burn_row_t)),
                       g_array_new (FALSE, FALSE, sizeof (burn_error_row_t)) };
@@ -134,7 +134,7 @@
 }
 
 int
-burn_frame_read (burn_t *burn, frame_reader_t *reader, int64_t now_ms)
+burn_msg_read (burn_t *burn, frame_reader_t *reader, int64_t now_ms)
 {
   char *host = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   uint64_t incarnation = frame_get_uint (reader);
--- a/lib/burn/render.c
+++ b/lib/burn/render.c
@@ -78,11 +78,11 @@
 text_plan (const merge_plan_t *plan, GString *out)
 {
   char *cause = render_cause (plan);
+  double left = burn_budget_left (&plan->sums[BURN_6_HOURS], plan->objective_ppm);
 
   g_string_append_printf (out, "%-16s %-10s %8.2f%% %8.1f%% ", plan->name,
                           burn_alert_name (plan->alert), plan->objective_ppm / PPM_PER_PERCENT,
-                          PERCENT
-                              * burn_budget_left (&plan->sums[BURN_6_HOURS], plan->objective_ppm));
+                          PERCENT * MAX (left, 0));
   for (int w = 0; w < BURN_WINDOWS; w++)
     g_string_append_printf (out, "%8.2f ", burn_rate (&plan->sums[w], plan->objective_ppm));
   g_string_append_printf (out, " %s\n", cause);
--- a/tests/test_burn.c
+++ b/tests/test_burn.c
@@ -1,5 +1,6 @@
 /* test_burn.c -- lib/burn: counters, alerts, the merge of reports, rendering */
 #include "base/error.h"
+#include "burn/burn_msg.h"
 #include "burn/render.h"
 #include "burn/report.h"
 
@@ -255,6 +256,89 @@
   g_rand_free (random);
 }
 
+/* Frames. */
+
+typedef struct
+{
+  burn_t *to;
+  int frames;
+  int cuts_taken; /* frames cut short that were not refused */
+} frame_walk_t;
+
+static int
+read_part (burn_t *burn, const char *data, gsize size)
+{
+  frame_reader_t *reader = NULL;
+  int result = frame_parse (data, size, &reader);
+
+  if (result != 0)
+    return result;
+  result = burn_msg_read (burn, reader, START_MS);
+  frame_reader_free (reader);
+  return result;
+}
+
+static void
+read_cut (GBytes *frame, void *data)
+{
+  frame_walk_t *walk = data;
+  gsize size = 0;
+  const char *bytes = g_bytes_get_data (frame, &size);
+
+  bytes += FRAME_LENGTH_BYTES;
+  size -= FRAME_LENGTH_BYTES;
+  for (gsize cut = 0; cut < size; cut += MAX (size / 200, 1))
+    walk->cuts_taken += read_part (walk->to, bytes, cut) == 0;
+  CU_ASSERT_EQUAL (read_part (walk->to, bytes, size), 0);
+  walk->frames++;
+  g_bytes_unref (frame);
+}
+
+/* More rows than one frame holds; every frame is also read cut short. */
+static void
+test_frames (void)
+{
+  burn_t *from = burn_new ("a1", 1, START_MS - 10 * HOUR_MS);
+  burn_t *to = burn_new ("a2", 2, START_MS);
+  frame_walk_t walk = { .to = to };
+  json_object *sent = json_object_new_object ();
+  json_object *got = json_object_new_object ();
+
+  for (int64_t minute = 300; minute >= 0; minute--)
+    for (int kind = 0; kind < 10; kind++)
+      {
+        char name[8];
+        g_snprintf (name, sizeof name, "k%d", kind);
+        burn_count (from, "gold", name, kind == 3 ? ERROR_TASK_FAILED : 0, kind == 4, 7,
+                    START_MS - minute * BURN_MINUTE_MS);
+      }
+  burn_msg_write (burn_own (from), 0, START_MS, read_cut, &walk);
+  CU_ASSERT_EQUAL (walk.frames, 2);
+  CU_ASSERT_EQUAL (walk.cuts_taken, 0);
+  burn_report (from, START_MS, sent);
+  burn_report (to, START_MS, got);
+  json_object *own = json_object_array_get_idx (json_object_object_get (sent, "sources"), 0);
+  json_object *copy = json_object_array_get_idx (json_object_object_get (got, "sources"), 1);
+  CU_ASSERT_STRING_EQUAL (json_object_to_json_string (json_object_object_get (own, "series")),
+                          json_object_to_json_string (json_object_object_get (copy, "series")));
+  /* A host is not told of itself. */
+  frame_writer_t *writer = frame_begin (FRAME_BURN_COUNTS);
+  frame_put_string (writer, "a1");
+  frame_put_uint (writer, 1);
+  frame_put_int (writer, 0);
+  frame_put_int (writer, START_MS);
+  GBytes *frame = frame_finish (writer);
+  gsize size = 0;
+  const char *bytes = g_bytes_get_data (frame, &size);
+  CU_ASSERT_EQUAL (read_part (from, bytes + FRAME_LENGTH_BYTES, size - FRAME_LENGTH_BYTES),
+                   ERROR_FULL);
+  g_bytes_unref (frame);
+  json_object_put (sent);
+  json_object_put (got);
+  burn_free (from);
+  burn_free (to);
+}
+
 /* Bounds. */
 
 static void
@@ -468,6 +552,9 @@
   CU_ASSERT_PTR_NULL (strstr (html->str, "<i>"));
   CU_ASSERT_PTR_NOT_NULL (strstr (html->str, "<svg "));
   CU_ASSERT_PTR_NOT_NULL (strstr (text->str, "fast burn"));
+  /* An overdrawn budget is no negative percentage. */
+  CU_ASSERT_PTR_NULL (strstr (text->str, "-"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text->str, " 0.0%"));
   CU_ASSERT_STRING_EQUAL (json_object_get_string (json_object_object_get (json, "state")),
                           "fast burn");
   json_object_put (json);
@@ -485,6 +572,7 @@
   { "classes", test_classes },
   { "alerts", test_alerts },
   { "counters against a list", test_counters },
+  { "frames", test_frames },
   { "bounds", test_bounds },
   { "merge", test_merge },
   { "merge with gaps", test_merge_gaps },
