--- a/lib/view/membership.c
+++ b/lib/view/membership.c
@@ -72,6 +72,7 @@
   membership->view_ms = now_ms;
   membership->log_ms = INT64_MIN;
   membership->wide_ms = INT64_MIN;
+  proposal_reset (membership);
   return membership;
 }
 
--- a/lib/view/membership_state.h
+++ b/lib/view/membership_state.h
@@ -75,6 +75,7 @@
 bool suspicion_is_lost (const membership_t *membership, const member_t *member, int64_t now_ms);
 
 /* Changes of the view, in proposal.c. */
+void proposal_reset (membership_t *membership);
 void proposal_tick (membership_t *membership, int64_t now_ms);
 
 #endif
--- a/lib/view/proposal.c
+++ b/lib/view/proposal.c
@@ -107,6 +107,13 @@
   return false;
 }
 
+void
+proposal_reset (membership_t *membership)
+{
+  membership->need_since_ms = 0;
+  membership->stranger_wait_ms = STRANGER_MS + g_rand_int_range (membership->random, 0, JITTER_MS);
+}
+
 /* How long the need must have lasted before this host proposes. */
 static int64_t
 patience_ms (const membership_t *membership, const view_t *view, int64_t now_ms)
@@ -145,9 +152,7 @@
 
   if (!changed || members->len == 0)
     {
-      membership->need_since_ms = 0;
-      membership->stranger_wait_ms =
-          STRANGER_MS + g_rand_int_range (membership->random, 0, JITTER_MS);
+      proposal_reset (membership);
       return;
     }
   if (membership->need_since_ms == 0)
