--- a/tests/test_claim_world.h
+++ b/tests/test_claim_world.h
@@ -178,7 +178,7 @@
                  &(replica_event_t){ .kind = REPLICA_VIEW, .view = view, .base = base });
 }
 
-static void
+static inline void
 world_learn_all (world_t *world, uint32_t hosts, view_t *view, view_t *base)
 {
   for (int32_t i = 0; i < world->count; i++)
@@ -196,7 +196,7 @@
                           .contact_until_ms = world->now_ms + world->limits.contact_ms });
 }
 
-static void
+static inline void
 world_contact_all (world_t *world, uint32_t hosts)
 {
   for (int32_t i = 0; i < world->count; i++)
@@ -204,7 +204,7 @@
       world_contact (world, i);
 }
 
-static void
+static inline void
 world_tick (world_t *world, uint32_t hosts)
 {
   for (int32_t i = 0; i < world->count; i++)
@@ -261,7 +261,7 @@
                                              .user = world });
 }
 
-static void
+static inline void
 world_claim (world_t *world, int32_t index)
 {
   world_request (world, index, COORDINATOR_CLAIM);
