Try plans at their running limit again in each periodic round

Cause: a plan that was refused a running unit was tried again only when one of its tasks ended or shares grew. Shares also refuse a unit that is free while they do not allow uses as long as the task's deadline; nothing runs then, so that nothing ends.

Ruled out, tried and taken back: asking for shares at once after such a refusal.

After: test_dispatch and test_dispatch_random pass as before (41,766 and 753,968 asserts).

--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -300,13 +300,16 @@
     }
 }
 
+/* Units may have come without a word: starts by time, others from a share that
+ * is renewed. */
 static void
-unpark_starts (fair_plan_t *queue, void *data)
+unpark_limits (fair_plan_t *queue, void *data)
 {
   dispatch_t *dispatch = data;
 
   roll_second (plan_get (dispatch, fair_plan_name (queue)), dispatch->refreshed_at_ms);
   fair_unpark (dispatch->fair, queue, FAIR_AT_STARTS_MAX);
+  fair_unpark (dispatch->fair, queue, FAIR_AT_RUNNING_MAX);
 }
 
 void
@@ -316,7 +319,7 @@
     {
       refresh_slots (dispatch, now_ms);
       open_add_all (dispatch);
-      fair_each_plan (dispatch->fair, unpark_starts, dispatch);
+      fair_each_plan (dispatch->fair, unpark_limits, dispatch);
     }
   if (dispatch->options.refuse)
     give_up_late (dispatch, now_ms, actions);
