A reader without answers stays with a peer that has something newer

Cause: half of its pulls went to hosts of its own data centre, which push anyway, and the rest to peers that may be cut off too. Ruled out: two pulls at once (twice the messages for as long as the cut lasts). A log that ends before what was read is now told.

--- a/daemon/config_exchange.c
+++ b/daemon/config_exchange.c
@@ -239,10 +239,9 @@
   log_info ("config", "Configuration taken from a peer.", "host", from, NULL);
 }
 
-void
-config_frame (part_t *part, const char *from, frame_reader_t *reader, int64_t now_ms)
+static void
+take_frame (config_part_t *config, const char *from, frame_reader_t *reader, int64_t now_ms)
 {
-  config_part_t *config = (config_part_t *) part;
   switch (frame_type (reader))
     {
     case CONFIG_MSG_BEAT:
@@ -268,6 +267,19 @@
     }
 }
 
+void
+config_frame (part_t *part, const char *from, frame_reader_t *reader, int64_t now_ms)
+{
+  config_part_t *config = (config_part_t *) part;
+  const config_stream_t *stream = config->streams->pdata[0];
+  int64_t next = feed_next (stream->feed);
+  hosts_version_t version = config->hosts.clock.current;
+  take_frame (config, from, reader, now_ms);
+  if (feed_next (stream->feed) > next
+      || hosts_version_compare (&config->hosts.clock.current, &version) > 0)
+    relay_gave (config->relay, from, now_ms);
+}
+
 bool
 config_is_stateless (const config_part_t *config)
 {
--- a/daemon/config_private.h
+++ b/daemon/config_private.h
@@ -36,6 +36,7 @@
   feed_t *feed;
   config_poll_t *poll;
   part_config_follower_t follower; /* of any other stream */
+  int32_t behind_reads;            /* reads in a row in which the log ended before this feed */
 } config_stream_t;
 
 typedef struct
--- a/daemon/part_config.c
+++ b/daemon/part_config.c
@@ -18,6 +18,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#define BEHIND_READS 10
+
 typedef struct
 {
   part_config_listener_t listener;
@@ -69,12 +71,24 @@
   relay_answered (config->relay, MIN (config->log_answered_at_ms, config->hosts_answered_at_ms));
 }
 
+/* The log never loses its end.  One read may be older than what a peer has sent;
+ * many in a row tell that the platform serves another log. */
+static void
+check_end (config_stream_t *stream, const log_batch_t *batch)
+{
+  stream->behind_reads = batch->end < feed_next (stream->feed) ? stream->behind_reads + 1 : 0;
+  if (stream->behind_reads == BEHIND_READS)
+    log_error ("config", "The platform's log ends before what this host has read; ignored.",
+               "stream", stream->name, NULL);
+}
+
 /* The records are in; what the read says about the log is noted here. */
 static void
 note_log (config_stream_t *stream, const config_poll_result_t *result)
 {
   config_part_t *config = stream->config;
   const log_batch_t *batch = result->batch;
+  check_end (stream, batch);
   bool end = batch->next >= batch->end && feed_next (stream->feed) >= batch->end;
   if (stream->folded)
     {
--- a/lib/config/relay.c
+++ b/lib/config/relay.c
@@ -13,6 +13,7 @@
   uint64_t weight; /* rendezvous; the highest reads */
   int64_t heard_at_ms;
   int64_t answered_at_ms; /* last beat that said so */
+  int64_t gave_at_ms;     /* it last had something newer; 0 for never */
   bool behind;            /* this host is behind it */
 } peer_t;
 
@@ -115,6 +116,14 @@
   relay->answered_at_ms = now_ms;
 }
 
+void
+relay_gave (relay_t *relay, const char *host, int64_t now_ms)
+{
+  peer_t *peer = find (relay, host);
+  if (peer)
+    peer->gave_at_ms = now_ms;
+}
+
 static bool
 is_before (const relay_t *relay, const peer_t *peer)
 {
@@ -179,23 +188,41 @@
   return NULL;
 }
 
-/* The next of all peers in turn; those of this data centre and of others by
- * turns, where there are both. */
+/* The peer whose turn it is, of this data centre or of the others; any if there
+ * is none. */
 static const peer_t *
-peer_in_turn (relay_t *relay)
+peer_in_turn (const relay_t *relay, bool local, guint turn)
 {
-  guint count = relay->peers->len;
-  if (count == 0)
+  guint matching = 0;
+  for (guint i = 0; i < relay->peers->len; i++)
+    matching += ((const peer_t *) relay->peers->pdata[i])->local == local;
+  if (relay->peers->len == 0)
     return NULL;
-  bool want_local = relay->turn % 2 == 0;
-  guint begin = relay->turn++ / 2;
-  for (guint i = 0; i < count; i++)
+  if (matching == 0)
+    return relay->peers->pdata[turn % relay->peers->len];
+  guint skip = turn % matching;
+  for (guint i = 0;; i++)
     {
-      const peer_t *peer = relay->peers->pdata[(begin + i) % count];
-      if (peer->local == want_local)
+      const peer_t *peer = relay->peers->pdata[i];
+      if (peer->local == local && skip-- == 0)
         return peer;
     }
-  return relay->peers->pdata[begin % count];
+}
+
+/* The next peer of another data centre in turn: a pull to one that is cut off
+ * or has nothing newer is lost, so one that had is kept. */
+static const char *
+far_host (relay_t *relay, int64_t now_ms)
+{
+  guint count = relay->peers->len;
+  for (guint i = 0; i < count; i++)
+    {
+      const peer_t *peer = relay->peers->pdata[i];
+      if (!peer->local && peer->gave_at_ms > 0 && now_ms - peer->gave_at_ms <= RELAY_GIVER_MS)
+        return peer->host;
+    }
+  const peer_t *peer = peer_in_turn (relay, false, relay->turn++);
+  return peer ? peer->host : NULL;
 }
 
 static const char *
@@ -203,13 +230,12 @@
 {
   bool answered = now_ms - relay->answered_at_ms <= RELAY_ANSWER_MS;
   const peer_t *ahead = peer_ahead (relay, now_ms);
-  const peer_t *chosen = NULL;
-  if (stateless || (relay->reading && !answered))
-    chosen = ahead && relay->turn % 2 == 0 ? ahead : peer_in_turn (relay);
-  else if (ahead)
-    chosen = ahead;
-  if (chosen == ahead)
-    relay->turn++;
+  const peer_t *chosen = ahead;
+  if (stateless && (ahead == NULL || relay->turn % 2 == 1))
+    chosen = peer_in_turn (relay, relay->turn % 2 == 0, relay->turn / 2);
+  else if (ahead == NULL && relay->reading && !answered)
+    return far_host (relay, now_ms);
+  relay->turn += stateless;
   return chosen ? chosen->host : NULL;
 }
 
--- a/lib/config/relay.h
+++ b/lib/config/relay.h
@@ -8,8 +8,9 @@
  * the platform is down, whatever its number of hosts.
  *
  * A host that is behind its data centre's reader pulls from that one.  A
- * reader without answers, and a host without any state, pull from peers in
- * turn, those of other data centres included.
+ * reader without answers pulls from a peer of another data centre, which it
+ * keeps as long as that one has something newer; a host without any state
+ * pulls from all peers in turn.
  *
  * Pure: time is given, nothing is sent.  Times are on the boot clock.  One
  * thread.
@@ -26,6 +27,8 @@
 /* A reader without an answer for this long gets no answers. */
 #define RELAY_ANSWER_MS 1500
 #define RELAY_PULL_MS 400
+/* A peer that gave something newer within this time is pulled from again. */
+#define RELAY_GIVER_MS 1000
 
 typedef struct relay_t relay_t;
 
@@ -57,6 +60,9 @@
 /* The platform has answered this host: both the log and the list. */
 void relay_answered (relay_t *relay, int64_t now_ms);
 
+/* HOST has sent something newer than what this host had. */
+void relay_gave (relay_t *relay, const char *host, int64_t now_ms);
+
 /* What to do now.  STATELESS says that this host has no state yet, or lacks
  * records that only a peer can replace. */
 void relay_step (relay_t *relay, bool stateless, int64_t now_ms, relay_actions_t *actions);
--- a/tests/test_config_relay.c
+++ b/tests/test_config_relay.c
@@ -313,7 +313,46 @@
   relay_free (relay);
 }
 
-/* A reader without answers asks both its own and the other data centres. */
+/* A reader without answers asks the other data centres in turn, and stays with
+ * the one that has something newer. */
+static void
+test_pull_giver (void)
+{
+  relay_actions_t actions;
+  relay_t *relay = relay_new ("h0", "dc", START_MS);
+  int far[2] = { 0, 0 };
+  relay_peer_up (relay, "near", "dc", START_MS);
+  relay_peer_up (relay, "far1", "b", START_MS);
+  relay_peer_up (relay, "far2", "c", START_MS);
+  int64_t now_ms = START_MS;
+  /* Only far2 has something newer, until it falls silent. */
+  for (int64_t end_ms = now_ms + 20 * RELAY_PULL_MS; now_ms < end_ms; now_ms += TICK_MS)
+    {
+      relay_beat_t beat = { false, false };
+      relay_heard (relay, "near", &beat, now_ms);
+      relay_step (relay, false, now_ms, &actions);
+      if (actions.pull_from == NULL)
+        continue;
+      CU_ASSERT (g_strcmp0 (actions.pull_from, "near") != 0);
+      far[0] += g_strcmp0 (actions.pull_from, "far1") == 0;
+      far[1] += g_strcmp0 (actions.pull_from, "far2") == 0;
+      if (g_strcmp0 (actions.pull_from, "far2") == 0)
+        relay_gave (relay, "far2", now_ms);
+    }
+  /* It may begin to read only when the other host has shown that it has no answers. */
+  CU_ASSERT (far[0] <= 1 && far[1] >= 15);
+  now_ms += RELAY_GIVER_MS;
+  far[0] = 0;
+  for (int64_t end_ms = now_ms + 6 * RELAY_PULL_MS; now_ms < end_ms; now_ms += TICK_MS)
+    {
+      relay_step (relay, false, now_ms, &actions);
+      far[0] += g_strcmp0 (actions.pull_from, "far1") == 0;
+    }
+  CU_ASSERT (far[0] >= 2);
+  relay_free (relay);
+}
+
+/* A host without state asks both its own and the other data centres. */
 static void
 test_pull_turns (void)
 {
@@ -393,6 +432,7 @@
   CU_add_test (suite, "takeover", test_takeover);
   CU_add_test (suite, "pulls", test_pulls);
   CU_add_test (suite, "pull turns", test_pull_turns);
+  CU_add_test (suite, "pull giver", test_pull_giver);
   CU_add_test (suite, "checkpoint cases", test_checkpoint_cases);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
