Look at booked limits only, not at all, for each message of the shares

Cause, from a profile of 64 hosts, 130 plans and 500 endpoints: every message walked all 760 limits, though a host allots few of them. Now it walks those with an entry in this host's book. The random test takes the same decisions (same counts for all seven cases). Adds slopes of whole processes.

--- a/lib/share/share.c
+++ b/lib/share/share.c
@@ -66,6 +66,7 @@
   share->data_centres = copy_names (data_centres);
   share->rules = *rules;
   share->limits = g_ptr_array_new_with_free_func (limit_free);
+  share->booked = g_ptr_array_new ();
   share->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   share->links = g_ptr_array_new_with_free_func (link_free);
   share->by_host = g_hash_table_new (g_str_hash, g_str_equal);
@@ -81,6 +82,7 @@
   if (share == NULL)
     return;
   g_hash_table_unref (share->by_name);
+  g_ptr_array_unref (share->booked);
   g_ptr_array_unref (share->limits);
   g_hash_table_unref (share->by_host);
   g_ptr_array_unref (share->links);
@@ -238,8 +240,8 @@
         }
       bool lapsed = link->down.last_sent_ms > 0
                     && now_ms > link->down.last_sent_ms + with_margin (link_lease_ms (link));
-      for (guint k = 0; lapsed && k < share->limits->len; k++)
-        book_lapse (share, share->limits->pdata[k], link, now_ms);
+      for (guint k = 0; lapsed && k < share->booked->len; k++)
+        book_lapse (share, share->booked->pdata[k], link, now_ms);
     }
 }
 
@@ -422,8 +424,8 @@
   share_message_t *message = share_message_new (SHARE_FRAME_GRANT);
   bool owed = link->down.due;
 
-  for (guint i = 0; i < share->limits->len; i++)
-    book_grant (share, share->limits->pdata[i], link, message, now_ms);
+  for (guint i = 0; i < share->booked->len; i++)
+    book_grant (share, share->booked->pdata[i], link, message, now_ms);
   if (message->header.entries->len == 0 && !owed)
     {
       link->down.urgent = false;
@@ -492,10 +494,10 @@
       on_ask (share, now_ms);
       break;
     }
-  for (guint i = 0; i < share->limits->len; i++)
+  for (guint i = 0; i < share->booked->len; i++)
     {
-      allot_check_active (share, share->limits->pdata[i], now_ms);
-      allot_run (share, share->limits->pdata[i], now_ms);
+      allot_check_active (share, share->booked->pdata[i], now_ms);
+      allot_run (share, share->booked->pdata[i], now_ms);
     }
   flush (share, tick, now_ms, actions);
 }
--- a/lib/share/share_book.c
+++ b/lib/share/share_book.c
@@ -46,7 +46,7 @@
 }
 
 entry_t *
-book_entry (limit_t *limit, link_t *link)
+book_entry (share_t *share, limit_t *limit, link_t *link)
 {
   entry_t *entry = find_entry (limit, link);
 
@@ -57,6 +57,9 @@
   entry->limit = limit;
   entry->set_number = NOT_SENT;
   entry->changed = true;
+  if (!limit->book.listed)
+    g_ptr_array_add (share->booked, limit);
+  limit->book.listed = true;
   g_ptr_array_add (limit->book.entries, entry);
   return entry;
 }
@@ -237,7 +240,7 @@
 
   if (limit == NULL)
     return;
-  entry_t *entry = book_entry (limit, link);
+  entry_t *entry = book_entry (share, limit, link);
   limit->book.dirty = true;
   if (report->gone)
     {
@@ -265,9 +268,9 @@
 static void
 confirm_grants (share_t *share, link_t *link)
 {
-  for (guint i = 0; i < share->limits->len; i++)
+  for (guint i = 0; i < share->booked->len; i++)
     {
-      entry_t *entry = find_entry (share->limits->pdata[i], link);
+      entry_t *entry = find_entry (share->booked->pdata[i], link);
       if (entry == NULL)
         continue;
       if (entry->set_number > link->down.confirmed || entry->prior == 0)
@@ -283,14 +286,14 @@
   int64_t asked_ms = stream_confirmed_ms (&link->down);
 
   if (link->view != header->view)
-    for (guint i = 0; i < share->limits->len; i++)
-      ((limit_t *) share->limits->pdata[i])->book.active_until_ms = 0;
+    for (guint i = 0; i < share->booked->len; i++)
+      ((limit_t *) share->booked->pdata[i])->book.active_until_ms = 0;
   link->view = header->view;
   link->steady = header->steady;
   link->departed = header->departed;
   if (header->leaving && !link->leaving)
-    for (guint i = 0; i < share->limits->len; i++)
-      ((limit_t *) share->limits->pdata[i])->book.dirty = true;
+    for (guint i = 0; i < share->booked->len; i++)
+      ((limit_t *) share->booked->pdata[i])->book.dirty = true;
   link->leaving = header->leaving;
   if (asked_ms > 0)
     link->vote_until_ms = asked_ms + SHARE_VOTE_MS;
--- a/lib/share/share_hold.c
+++ b/lib/share/share_hold.c
@@ -153,8 +153,10 @@
 bool
 report_gone (limit_t *limit, link_t *link, share_message_t *message)
 {
-  uint64_t *number = g_hash_table_lookup (link->gone, limit->name);
+  uint64_t *number = NULL;
 
+  if (g_hash_table_size (link->gone) > 0)
+    number = g_hash_table_lookup (link->gone, limit->name);
   if (number == NULL)
     return false;
   if (*number > 0 && *number <= link->up.confirmed)
--- a/lib/share/share_internal.h
+++ b/lib/share/share_internal.h
@@ -150,6 +150,7 @@
   int64_t spread_ms; /* last time idle units were spread */
   bool is_short;     /* a holder wants more than it has */
   bool dirty;        /* to be allotted again */
+  bool listed;       /* in `booked` of the host */
 } book_t;
 
 struct limit_t
@@ -172,6 +173,7 @@
   GPtrArray *data_centres;
   share_rules_t rules;
   GPtrArray *limits; /* of limit_t */
+  GPtrArray *booked; /* those of `limits` with an entry in their book */
   GHashTable *by_name;
   GPtrArray *links; /* of link_t */
   GHashTable *by_host;
@@ -245,7 +247,8 @@
 /* share_book.c */
 void book_init (limit_t *limit);
 void book_clear (book_t *book);
-entry_t *book_entry (limit_t *limit, link_t *link);
+/* The entry of LINK's host, made on first use. */
+entry_t *book_entry (share_t *share, limit_t *limit, link_t *link);
 int64_t entry_charge (const share_t *share, const entry_t *entry, int64_t now_ms);
 /* Units that are granted or may be in use, of all holders. */
 int64_t book_charge (const share_t *share, limit_t *limit, int64_t now_ms);
--- a/mk/slopes.mk
+++ b/mk/slopes.mk
@@ -4,5 +4,5 @@
 SLOPES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/slopes_*.c))
 
 .PHONY: slopes
-slopes: $(SLOPES)
+slopes: $(SLOPES) programs
 	JAYTRAIL_BUILD=$(BUILD) tools/slopes.sh
--- a/tools/slopes.sh
+++ b/tools/slopes.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs every bench/slopes_* program: what a part costs against its sizes, with linear fits.
+# Runs every bench/slopes_* program and script: what a part or a whole host costs against its sizes, with fits.
 #
 #   tools/slopes.sh             programs from build/bench, or from $JAYTRAIL_BUILD/bench
 set -eu
@@ -14,4 +14,11 @@
     status=1
   }
 done
+for script in bench/slopes_*.sh; do
+  echo "== $(basename "$script" .sh)"
+  "$script" || {
+    echo "$script failed" >&2
+    status=1
+  }
+done
 exit $status
