--- a/tests/system/check.h
+++ b/tests/system/check.h
@@ -21,7 +21,8 @@
  *   tasks has started;
  * - each other answer has a kind of the closed list, its status, a state, a
  *   run and a message;
- * - a key that any answer calls "not_run" has no start;
+ * - an answer that says "not_run" is true: no task had started before its
+ *   request was sent, and another request accounts for each later start;
  * - no request broke, unless its host was killed. */
 void check_all (rig_t *rig);
 
