A message that cannot be sent concerns its own operation only

Before: each unsent message walked all operations of the coordinator, and a duplicate whose claimant was not connected waited 300 ms for its answer. After: the message names its operation, and an unconnected claimant counts as gone at once.

--- a/daemon/part_claim.c
+++ b/daemon/part_claim.c
@@ -72,7 +72,8 @@
   counter_add (claim->messages, 1);
   counter_add (claim->bytes, (int64_t) g_bytes_get_size (frame));
   if (daemon_send (claim->part.daemon, to, frame) != 0)
-    coordinator_step (claim, &(coordinator_event_t){ .kind = COORDINATOR_UNREACHED, .to = to });
+    coordinator_step (
+        claim, &(coordinator_event_t){ .kind = COORDINATOR_UNREACHED, .to = to, .msg = msg });
 }
 
 static void
--- a/lib/claim/coordinator.c
+++ b/lib/claim/coordinator.c
@@ -701,30 +701,60 @@
   done (event->user, CLAIM_DONE_FREE, NULL, actions);
 }
 
+static void
+unreached_replica (claim_coordinator_t *coordinator,
+                   uint64_t id,
+                   const char *host,
+                   claim_time_t now,
+                   GPtrArray *actions)
+{
+  operation_t *operation = g_hash_table_lookup (coordinator->operations, &id);
+
+  if (operation == NULL || operation->state != OPERATION_ASKING)
+    return;
+  for (int32_t i = 0; i < operation->replica_count; i++)
+    if (!operation->replicas[i].replied && strcmp (replica_host (operation, i), host) == 0)
+      operation->replicas[i].failed = true;
+  evaluate (coordinator, operation, now, actions);
+}
+
+/* A claimant that is not connected cannot say that it never started. */
+static void
+unreached_holder (claim_coordinator_t *coordinator,
+                  uint64_t id,
+                  const char *host,
+                  claim_time_t now,
+                  GPtrArray *actions)
+{
+  operation_t *operation = g_hash_table_lookup (coordinator->operations, &id);
+
+  if (operation == NULL || operation->state != OPERATION_QUERYING)
+    return;
+  for (int32_t i = 0; i < operation->holder_count; i++)
+    {
+      asked_holder_t *asked = &operation->holders[i];
+      if (asked->answered || strcmp (asked->holder.member->id, host) != 0)
+        continue;
+      asked->answered = true;
+      asked->result = CLAIM_ANSWER_GONE;
+    }
+  resolve (coordinator, operation, now, actions);
+}
+
 static void
 on_unreached (claim_coordinator_t *coordinator,
-              const char *host,
+              const coordinator_event_t *event,
               claim_time_t now,
               GPtrArray *actions)
 {
-  g_autoptr (GList) all = g_hash_table_get_values (coordinator->operations);
+  const claim_msg_t *msg = event->msg;
 
-  for (GList *item = all; item != NULL; item = item->next)
-    {
-      operation_t *operation = item->data;
-      bool changed = false;
-      for (int32_t i = 0; operation->state == OPERATION_ASKING && i < operation->replica_count; i++)
-        {
-          asked_replica_t *replica = &operation->replicas[i];
-          if (!replica->asked || replica->replied || replica->failed
-              || strcmp (replica_host (operation, i), host) != 0)
-            continue;
-          replica->failed = true;
-          changed = true;
-        }
-      if (changed)
-        evaluate (coordinator, operation, now, actions);
-    }
+  if (msg->type == CLAIM_MSG_CLAIM)
+    unreached_replica (coordinator, msg->u.claim.attempt, event->to, now, actions);
+  else if (msg->type == CLAIM_MSG_PROBE)
+    unreached_replica (coordinator, msg->u.probe.op, event->to, now, actions);
+  else if (msg->type == CLAIM_MSG_QUERY)
+    unreached_holder (coordinator, msg->u.query.op, event->to, now, actions);
 }
 
 static void
@@ -823,7 +853,7 @@
       on_message (coordinator, event->from, event->msg, now, actions);
       break;
     case COORDINATOR_UNREACHED:
-      on_unreached (coordinator, event->to, now, actions);
+      on_unreached (coordinator, event, now, actions);
       break;
     case COORDINATOR_TICK:
       on_tick (coordinator, now, actions);
--- a/lib/claim/coordinator.h
+++ b/lib/claim/coordinator.h
@@ -33,7 +33,7 @@
   COORDINATOR_RELEASE,   /* KEY, USER: a granted claim, not started */
   COORDINATOR_STARTED,   /* KEY: its first task starts now */
   COORDINATOR_MESSAGE,   /* MSG from FROM */
-  COORDINATOR_UNREACHED, /* a message to host TO could not be sent */
+  COORDINATOR_UNREACHED, /* MSG to host TO could not be sent */
   COORDINATOR_TICK
 } coordinator_event_kind_t;
 
--- a/tests/test_claim_world.h
+++ b/tests/test_claim_world.h
@@ -119,9 +119,10 @@
       int32_t to = action->to[1] - '0';
       if (world->blocked[index][to])
         {
-          world_coordinator (
-              world, index,
-              &(coordinator_event_t){ .kind = COORDINATOR_UNREACHED, .to = action->to });
+          world_coordinator (world, index,
+                             &(coordinator_event_t){ .kind = COORDINATOR_UNREACHED,
+                                                     .to = action->to,
+                                                     .msg = action->msg });
           continue;
         }
       world_packet_t *packet = g_new0 (world_packet_t, 1);
