Cases for the rows of the error table that no case reached

Cause: eleven kinds were never seen through the real path. Before: a plan with running_max 0 was refused as deadline_unreachable. After: nine cases compare status, kind, state and run word with the table; such a plan is refused as plan_limit. key_uncertain is reached by two_replicas_killed only by chance, internal by nothing: both are left open.

--- a/daemon/part_job.c
+++ b/daemon/part_job.c
@@ -456,6 +456,12 @@
                               daemon_now_ms (part->base.daemon), retry_at_ms);
 }
 
+static bool
+allows_nothing (const config_limit_t *limit)
+{
+  return limit != NULL && (limit->running_max == 0 || limit->starts_per_s_max == 0);
+}
+
 static int
 check_at_door (entry_t *entry, int64_t *retry_at_ms, const char **message)
 {
@@ -478,6 +484,8 @@
   if (plan == NULL)
     return ERROR_UNKNOWN_CUSTOMER;
   entry->plan = g_strdup (plan);
+  if (allows_nothing (config_limit_of (config, plan)))
+    return ERROR_PLAN_LIMIT;
   return check_room (entry, retry_at_ms);
 }
 
--- a/tests/system/cases.h
+++ b/tests/system/cases.h
@@ -32,6 +32,7 @@
 extern const case_list_t cases_limit;
 extern const case_list_t cases_cut;
 extern const case_list_t cases_cancel;
+extern const case_list_t cases_kinds;
 
 /* Random faults for SECONDS; the seed decides all choices.  Returns the number
  * of failures. */
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -21,8 +21,8 @@
 #include <unistd.h>
 
 static const case_list_t *const lists[] = {
-  &cases_basic,    &cases_input,   &cases_resubmit, &cases_host, &cases_endpoint,
-  &cases_platform, &cases_publish, &cases_limit,    &cases_cut,  &cases_cancel,
+  &cases_basic,   &cases_input, &cases_resubmit, &cases_host,   &cases_endpoint, &cases_platform,
+  &cases_publish, &cases_limit, &cases_cut,      &cases_cancel, &cases_kinds,
 };
 
 /* Cases wait more than they work, so several run side by side, each in a
