--- a/mk/check.mk
+++ b/mk/check.mk
@@ -1,5 +1,7 @@
 # Targets that run things.
-.PHONY: check demo bench help
+#
+#   make fuzz           longer runs of the fuzzers: FUZZ_SEED=7 FUZZ_COUNT=5000000
+.PHONY: check demo help
 setup:
 	tools/setup.sh
 check: setup
@@ -8,8 +10,8 @@
 	$(MAKE) -s -j programs
 	tools/demo.sh
 help:
-	@grep -hE '^#   make' Makefile
-# Longer runs of the fuzzers: make fuzz FUZZ_SEED=7 FUZZ_COUNT=5000000
+	@grep -hE '^#   make' Makefile mk/*.mk
+
 FUZZ_SEED ?= 1
 FUZZ_COUNT ?= 2000000
 .PHONY: fuzz
