Changes of the view never wait for a dead member; successors can grant

Now the newest view decides, an unknown old view counts as a loss after a while, and no change of the view stays open for more than five waits; what is unknown is uncertain.

A host that had taken a seat over in any view but the first refused all keys, since its own hand-over mask was empty. The giver's word now fills it.

Both have a test that failed before.

--- a/lib/claim/handover.c
+++ b/lib/claim/handover.c
@@ -49,12 +49,26 @@
   transition->sealed_at_ms = MAX (transition->sealed_at_ms, now.wall_ms);
 }
 
+/* The old view is not known: any key up to now can have been granted in it. */
+static void
+close_unknown (claim_replica_t *replica, transition_t *transition, claim_time_t now)
+{
+  const claim_limits_t *limits = &replica->limits;
+
+  if (!transition_close_unknown (transition, limits, now.boot_ms))
+    return;
+  claim_loss_t loss = { transition->to, 0,
+                        now.wall_ms + limits->isolation_ms + 2 * limits->skew_ms };
+  add_loss (replica, &loss);
+}
+
 void
 replica_progress (claim_replica_t *replica, claim_time_t now)
 {
   for (guint i = 0; i < replica->transitions->len; i++)
     {
       transition_t *transition = g_ptr_array_index (replica->transitions, i);
+      close_unknown (replica, transition, now);
       if (transition->closed || transition->from == NULL)
         continue;
       add_own_keys (replica, transition, now);
--- a/lib/claim/replica.c
+++ b/lib/claim/replica.c
@@ -96,6 +96,8 @@
     replica_refresh (replica, view);
   if (base != NULL)
     replica_refresh (replica, base);
+  for (guint i = 0; i < replica->transitions->len; i++)
+    transition_note_view (g_ptr_array_index (replica->transitions, i), replica->view, now.boot_ms);
 }
 
 /* This replica's seat among those that remember KEY in the view in force, or
--- a/lib/claim/seat.c
+++ b/lib/claim/seat.c
@@ -198,7 +198,7 @@
     return;
   transition_t *transition = replica_transition (replica, given->view);
   int32_t seat = view_seat_named (replica->view, given->seat);
-  transition->closed = true;
+  transition_take_over (transition);
   taking_clear (taking);
   move_seat (replica, seat, replica->self, given->epoch, actions);
 }
--- a/lib/claim/transition.c
+++ b/lib/claim/transition.c
@@ -3,6 +3,9 @@
 
 #include <string.h>
 
+/* A transition that is still open after so many hand-over waits is closed. */
+#define ABANDON_WAITS 5
+
 transition_t *
 transition_new (view_t *from, view_t *to, claim_time_t now)
 {
@@ -40,25 +43,38 @@
     refresh (&transition->to, view);
   else if (transition->to->number != view->number + 1)
     return;
-  else if (transition->from == NULL)
+  else if (transition->from == NULL && !transition->closed)
     transition->from = view_ref (view);
-  else
+  else if (transition->from != NULL)
     refresh (&transition->from, view);
 }
 
+void
+transition_note_view (transition_t *transition, const view_t *view, int64_t now_ms)
+{
+  uint64_t gone = 0;
+
+  for (int32_t i = 0; transition->from != NULL && i < transition->from->count; i++)
+    if (view_seat_of (view, transition->from->seats[i].occupant) < 0)
+      gone |= UINT64_C (1) << i;
+  if (gone == transition->gone)
+    return;
+  transition->gone = gone;
+  transition->gone_ms = now_ms;
+}
+
 bool
 transition_lost (const transition_t *transition,
                  int32_t seat,
                  const claim_limits_t *limits,
                  int64_t now_ms)
 {
-  const member_t *occupant = transition->from->seats[seat].occupant;
-
   if ((transition->handed >> seat & 1) != 0)
     return false;
-  if (view_seat_of (transition->to, occupant) >= 0)
-    return false;
-  return now_ms >= transition->started_ms + limits->handover_wait_ms;
+  if (transition->closed)
+    return true;
+  return (transition->gone >> seat & 1) != 0
+         && now_ms >= transition->gone_ms + limits->handover_wait_ms;
 }
 
 /* A process whose address another process of TO has bound is certainly dead. */
@@ -133,19 +149,51 @@
   return transition_missing (transition) > replicas - view_majority (replicas);
 }
 
+static bool
+is_abandoned (const transition_t *transition, const claim_limits_t *limits, int64_t now_ms)
+{
+  return now_ms >= transition->started_ms + ABANDON_WAITS * limits->handover_wait_ms;
+}
+
+/* True if every seat has handed over or is lost. */
+static bool
+is_over (const transition_t *transition, const claim_limits_t *limits, int64_t now_ms)
+{
+  for (int32_t i = 0; i < transition->from->count; i++)
+    if ((transition->handed >> i & 1) == 0 && !transition_lost (transition, i, limits, now_ms))
+      return false;
+  return true;
+}
+
 bool
 transition_close (transition_t *transition, const claim_limits_t *limits, int64_t now_ms)
 {
   if (transition->closed || transition->from == NULL)
     return false;
-  if (transition_has_loss (transition))
-    for (int32_t i = 0; i < transition->from->count; i++)
-      if ((transition->handed >> i & 1) == 0 && !transition_lost (transition, i, limits, now_ms))
-        return false;
+  if (transition_has_loss (transition) && !is_over (transition, limits, now_ms)
+      && !is_abandoned (transition, limits, now_ms))
+    return false;
   transition->closed = true;
   return true;
 }
 
+bool
+transition_close_unknown (transition_t *transition, const claim_limits_t *limits, int64_t now_ms)
+{
+  if (transition->closed || transition->from != NULL || !is_abandoned (transition, limits, now_ms))
+    return false;
+  transition->closed = true;
+  return true;
+}
+
+void
+transition_take_over (transition_t *transition)
+{
+  transition->closed = true;
+  for (int32_t i = 0; transition->from != NULL && i < transition->from->count; i++)
+    transition->handed |= UINT64_C (1) << i;
+}
+
 bool
 claim_loss_covers (const claim_loss_t *loss, const char *key, int64_t issued_at_ms)
 {
--- a/lib/claim/transition.h
+++ b/lib/claim/transition.h
@@ -15,6 +15,8 @@
   bool closed;          /* nothing more is pulled; this replica may vouch for TO */
   uint64_t handed;      /* seats of FROM that handed over to this replica */
   uint64_t pulled;      /* seats of TO that have pulled all from this replica */
+  uint64_t gone;        /* seats of FROM whose occupants are not in the newest view */
+  int64_t gone_ms;      /* boot clock: since when GONE is as it is */
   int64_t started_ms;   /* boot clock */
   int64_t sealed_at_ms; /* wall clock: when the last of HANDED sealed FROM */
   int64_t next_pull_ms; /* boot clock */
@@ -35,8 +37,11 @@
 /* A newer state of FROM or TO, with passed seats. */
 void transition_refresh (transition_t *transition, view_t *view);
 
-/* True if seat SEAT of FROM will not hand over: its occupant is not in TO and
- * the wait is over. */
+/* VIEW, which is TO or a later one, is in force. */
+void transition_note_view (transition_t *transition, const view_t *view, int64_t now_ms);
+
+/* True if seat SEAT of FROM will not hand over: its occupant is not in the
+ * newest view and the wait is over, or the transition is closed. */
 bool transition_lost (const transition_t *transition,
                       int32_t seat,
                       const claim_limits_t *limits,
@@ -60,9 +65,18 @@
                             int64_t now_ms);
 
 /* Closes the transition if every key is complete or its missing replicas are
- * lost.  Returns true when it has just been closed. */
+ * lost, or if it has been open for too long: replicas that wait for each other
+ * must not do so for ever.  Returns true when it has just been closed. */
 bool transition_close (transition_t *transition, const claim_limits_t *limits, int64_t now_ms);
 
+/* Closes a transition whose old view stayed unknown for too long.  Returns true
+ * when it has just been closed. */
+bool
+transition_close_unknown (transition_t *transition, const claim_limits_t *limits, int64_t now_ms);
+
+/* The giver of a seat vouches for all that it knew: nothing more is due. */
+void transition_take_over (transition_t *transition);
+
 /* Number of seats that have not handed over. */
 int32_t transition_missing (const transition_t *transition);
 
--- a/tests/test_claim_rules.c
+++ b/tests/test_claim_rules.c
@@ -267,12 +267,110 @@
   printf ("\n  ");
 }
 
+/* Lets TIME_MS pass for HOSTS, with contact for the replicas among them. */
+static void
+pass_time (world_t *world, uint32_t hosts, int64_t time_ms)
+{
+  for (int64_t end_ms = world->now_ms + time_ms; world->now_ms < end_ms; world->now_ms += 50)
+    {
+      world_contact_all (world, hosts);
+      world_tick (world, hosts);
+      world_deliver_all (world);
+    }
+}
+
+static void
+isolate (world_t *world, int32_t host)
+{
+  for (int32_t i = 0; i < world->count; i++)
+    world_block (world, host, i, true);
+}
+
+/* Two members of the middle view die before they have handed anything over; the
+ * last view must not wait for them. */
+static void
+test_members_die_between_views (void)
+{
+  claim_rules_t rules = CLAIM_RULES_ALL;
+  world_t world;
+
+  world_init (&world, 6, &rules);
+  view_t *first = world_view (&world, 1, 0x07);
+  view_t *second = world_view (&world, 2, 0x0e);
+  view_t *third = world_view (&world, 3, 0x19);
+  world_learn_all (&world, 0x07, first, NULL);
+  isolate (&world, 1);
+  isolate (&world, 2);
+  world_learn_all (&world, 0x39, first, NULL);
+  world_learn_all (&world, 0x39, second, first);
+  world_learn_all (&world, 0x39, third, second);
+  pass_time (&world, 0x39, 30000);
+  world.issued_at_ms = WORLD_WALL_MS + world.now_ms;
+  world_choose_key (&world, third, 0x19, -1);
+  world_claim (&world, 5);
+  world_deliver_all (&world);
+  CU_ASSERT (world.hosts[5].granted);
+  view_unref (first);
+  view_unref (second);
+  view_unref (third);
+  world_clear (&world);
+}
+
+/* The successor of a seat grants what the seat's first occupant would have, and
+ * remembers what that one has granted. */
+static void
+test_seat_is_passed (void)
+{
+  claim_rules_t rules = CLAIM_RULES_ALL;
+  world_t world;
+
+  world_init (&world, 7, &rules);
+  view_t *first = world_view (&world, 1, 0x07);
+  view_t *second = world_view (&world, 2, 0x0f);
+  world_learn_all (&world, 0x7f, first, NULL);
+  world_learn_all (&world, 0x7f, second, first);
+  pass_time (&world, 0x7f, 500);
+  world_choose_key (&world, second, 0x07, -1);
+  world_claim (&world, 5);
+  world_deliver_all (&world);
+  CU_ASSERT (world.hosts[5].granted);
+  world_replica (&world, 0, &(replica_event_t){ .kind = REPLICA_PASS_SEAT, .successor = "h4" });
+  pass_time (&world, 0x7f, 1000);
+  replica_status_t status;
+  claim_replica_status (world.hosts[0].replica, &status);
+  CU_ASSERT (status.seat_given);
+  isolate (&world, 0);
+  int32_t seat = view_seat_named (second, "h0");
+  view_t *moved = view_with_occupant (second, seat, world.hosts[4].member, 1);
+  world_learn_all (&world, 0x7e, moved, first);
+  /* Others are gone, too: the successor and host 2 are needed. */
+  isolate (&world, 1);
+  world_claim (&world, 6);
+  world_deliver_all (&world);
+  pass_time (&world, 0x7c, 1000);
+  CU_ASSERT_EQUAL (world.hosts[6].last, CLAIM_DONE_HELD);
+  isolate (&world, 3);
+  world_choose_key (&world, second, 0x0d, -1);
+  world.hosts[6].ends = 0;
+  world_claim (&world, 6);
+  world_deliver_all (&world);
+  pass_time (&world, 0x7c, 1000);
+  CU_ASSERT_EQUAL (world.hosts[6].ends, 1);
+  CU_ASSERT_EQUAL (world.hosts[6].last, CLAIM_DONE_GRANTED);
+  view_unref (first);
+  view_unref (second);
+  view_unref (moved);
+  world_clear (&world);
+}
+
 int
 main (void)
 {
   CU_initialize_registry ();
   CU_pSuite suite = CU_add_suite ("claim_rules", NULL, NULL);
   CU_add_test (suite, "scenarios", test_scenarios);
+  CU_add_test (suite, "members die between views", test_members_die_between_views);
+  CU_add_test (suite, "a seat is passed", test_seat_is_passed);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
