--- a/bench/propagation.c
+++ b/bench/propagation.c
@@ -116,7 +116,8 @@
   char *settings = g_strdup_printf (
       "{\"host_id\":\"h%02d\",\"data_centre\":\"dc-%c\",\"caller_listen\":\"127.0.0.1:%d\","
       "\"admin_listen\":\"127.0.0.1:%d\",\"peer_listen\":\"127.0.0.1:%d\","
-      "\"platform\":[\"" PLATFORM "\"],\"caller_threads\":4,\"endpoint_threads\":4,"
+      "\"platform\":[\"" PLATFORM
+      "\"],\"caller_threads\":4,\"endpoint_threads\":4,\"test_faults\":true,"
       "\"data_centres\":{%s}}",
       index, 'a' + index / bench->hosts, port, port + 1, port + 2, peers);
   char *file = g_strdup_printf ("%s/h%02d.json", bench->folder, index);
@@ -344,12 +345,25 @@
 {
   const char *label;
   const char *fault;
+  bool cut_peers;
 } faults[] = {
-  { "platform answers 2 s late", "{\"delay_ms\":2000}" },
-  { "platform refuses one data centre", "{\"data_centre\":\"dc-a\",\"outage\":true}" },
-  { "platform hangs for one", "{\"data_centre\":\"dc-a\",\"hang\":true}" },
+  { "platform answers 2 s late", "{\"delay_ms\":2000}", false },
+  { "platform refuses one data centre", "{\"data_centre\":\"dc-a\",\"outage\":true}", false },
+  { "platform hangs for one", "{\"data_centre\":\"dc-a\",\"hang\":true}", false },
+  { "platform refuses dc-a, dc-b cut", "{\"data_centre\":\"dc-a\",\"outage\":true}", true },
 };
 
+/* Cuts the hosts of the first data centre from those of the second, or heals. */
+static void
+cut_peers (const bench_t *bench, bool cut)
+{
+  char *body = g_strdup_printf ("{\"data_centre\":\"dc-b\",\"in\":%s,\"out\":%s}",
+                                cut ? "true" : "false", cut ? "true" : "false");
+  for (int i = 0; i < bench->hosts; i++)
+    g_free (call (bench->admins->pdata[i], "POST", "/v1/test/cut", body));
+  g_free (body);
+}
+
 static void
 run_size (bench_t *bench, bool with_faults)
 {
@@ -367,9 +381,13 @@
   for (size_t i = 0; with_faults && i < G_N_ELEMENTS (faults); i++)
     {
       g_free (call (PLATFORM, "POST", "/fault", faults[i].fault));
+      if (faults[i].cut_peers)
+        cut_peers (bench, true);
       print_edits (bench, faults[i].label);
       print_leaving (bench, faults[i].label);
       g_free (call (PLATFORM, "POST", "/fault", "{\"reset\":true}"));
+      if (faults[i].cut_peers)
+        cut_peers (bench, false);
       clock_sleep_ms (SETTLE_MS);
     }
   stop_all (bench);
--- a/daemon/part_config.c
+++ b/daemon/part_config.c
@@ -294,6 +294,8 @@
   json_object_object_add (section, "source", json_object_new_string (source_names[config->source]));
   json_object_object_add (section, "reads_platform",
                           json_object_new_boolean (config->actions.read));
+  const char *relay = config->actions.read ? NULL : relay_source (config->relay, now_ms);
+  json_object_object_add (section, "relayed_by", relay ? json_object_new_string (relay) : NULL);
   json_object_object_add (section, "platform_answers",
                           json_object_new_boolean (config->actions.answered));
   json_object_object_add (section, "next_offset",
