Lost replicas that come back make their keys certain again

Before: once two of three old replicas had been given up, their keys stayed uncertain for the whole window, even if the hosts had only been frozen or cut off. After: a replica goes on asking them once a second, and what they hand over shrinks the loss.

--- a/lib/claim/handover.c
+++ b/lib/claim/handover.c
@@ -10,9 +10,24 @@
 
 /* A pull that is not answered is sent again after this time. */
 #define PULL_AGAIN_MS 200
+/* Lost replicas are asked again so often, in case they come back. */
+#define PULL_LOST_MS 1000
 /* Bounds the work for one batch. */
 #define BATCH_SCAN_KEYS 8192
 
+/* No room: LOSS now covers all keys, as in a view without seats. */
+static void
+widen_loss (claim_loss_t *loss, int64_t late_after_ms)
+{
+  g_autoptr (GPtrArray) nobody = g_ptr_array_new ();
+  view_t *empty = view_new (loss->from->data_centre, 0, 0, nobody);
+
+  view_unref (loss->from);
+  loss->from = empty;
+  loss->handed = 0;
+  loss->late_after_ms = MAX (loss->late_after_ms, late_after_ms);
+}
+
 static void
 add_loss (claim_replica_t *replica, const claim_loss_t *loss)
 {
@@ -26,10 +41,8 @@
     }
   if (replica->losses->len >= CLAIM_LOSSES_MAX)
     {
-      /* No room: widen the last one to all its keys. */
       claim_loss_t *last = &g_array_index (replica->losses, claim_loss_t, replica->losses->len - 1);
-      last->handed = 0;
-      last->late_after_ms = MAX (last->late_after_ms, loss->late_after_ms);
+      widen_loss (last, loss->late_after_ms);
       return;
     }
   claim_loss_t copy = *loss;
@@ -104,16 +117,36 @@
                  actions);
 }
 
+/* A closed transition goes on wanting the keys of its lost replicas, which may
+ * have been frozen or cut off only. */
+static bool
+is_wanting (const transition_t *transition)
+{
+  return transition->from != NULL && (!transition->closed || transition_has_loss (transition));
+}
+
+/* SEAT of view FROM has handed over after all. */
+static void
+shrink_losses (claim_replica_t *replica, const view_t *from, int32_t seat)
+{
+  for (guint i = 0; i < replica->losses->len; i++)
+    {
+      claim_loss_t *loss = &g_array_index (replica->losses, claim_loss_t, i);
+      if (loss->from->number == from->number)
+        loss->handed |= UINT64_C (1) << seat;
+    }
+}
+
 void
 replica_pull (claim_replica_t *replica, claim_time_t now, GPtrArray *actions)
 {
   for (guint i = 0; i < replica->transitions->len; i++)
     {
       transition_t *transition = g_ptr_array_index (replica->transitions, i);
-      if (transition->closed || transition->from == NULL || now.boot_ms < transition->next_pull_ms
+      if (!is_wanting (transition) || now.boot_ms < transition->next_pull_ms
           || view_seat_of (transition->to, replica->self) < 0)
         continue;
-      transition->next_pull_ms = now.boot_ms + PULL_AGAIN_MS;
+      transition->next_pull_ms = now.boot_ms + (transition->closed ? PULL_LOST_MS : PULL_AGAIN_MS);
       pull_missing (replica, transition, actions);
     }
 }
@@ -314,7 +347,7 @@
       return;
     }
   transition_t *transition = replica_transition (replica, batch->to_view);
-  if (transition == NULL || transition->closed || transition->from == NULL)
+  if (transition == NULL || !is_wanting (transition))
     return;
   int32_t seat = view_seat_named (transition->from, batch->from_seat);
   if (seat < 0 || !member_equal (transition->from->seats[seat].occupant, from)
@@ -326,6 +359,7 @@
     {
       transition->handed |= UINT64_C (1) << seat;
       transition->sealed_at_ms = MAX (transition->sealed_at_ms, batch->sealed_at_ms);
+      shrink_losses (replica, transition->from, seat);
       replica_progress (replica, now);
       return;
     }
--- a/tests/test_claim_rules.c
+++ b/tests/test_claim_rules.c
@@ -363,6 +363,39 @@
   world_clear (&world);
 }
 
+/* Two of three old replicas are cut off and come back: what they granted is
+ * known again. */
+static void
+test_lost_replicas_come_back (void)
+{
+  claim_rules_t rules = CLAIM_RULES_ALL;
+  world_t world;
+
+  world_init (&world, 7, &rules);
+  view_t *first = world_view (&world, 1, 0x07);
+  view_t *second = world_view (&world, 2, 0x39);
+  world_learn_all (&world, 0x07, first, NULL);
+  world_learn_all (&world, 0x78, first, NULL);
+  world_choose_key (&world, second, 0x38, -1);
+  world_contact_all (&world, 0x07);
+  isolate (&world, 1);
+  isolate (&world, 2);
+  world_learn_all (&world, 0x79, second, first);
+  pass_time (&world, 0x79, 3000);
+  world_claim (&world, 6);
+  world_deliver_all (&world);
+  CU_ASSERT_EQUAL (world.hosts[6].last, CLAIM_DONE_UNCERTAIN);
+  memset (world.blocked, 0, sizeof (world.blocked));
+  world_learn_all (&world, 0x06, second, first);
+  pass_time (&world, 0x7f, 3000);
+  world_claim (&world, 6);
+  world_deliver_all (&world);
+  CU_ASSERT_EQUAL (world.hosts[6].last, CLAIM_DONE_GRANTED);
+  view_unref (first);
+  view_unref (second);
+  world_clear (&world);
+}
+
 int
 main (void)
 {
@@ -371,6 +404,7 @@
   CU_add_test (suite, "scenarios", test_scenarios);
   CU_add_test (suite, "members die between views", test_members_die_between_views);
   CU_add_test (suite, "a seat is passed", test_seat_is_passed);
+  CU_add_test (suite, "lost replicas come back", test_lost_replicas_come_back);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
