--- a/lib/share/share.c
+++ b/lib/share/share.c
@@ -367,21 +367,35 @@
  * a host that has left. */
 #define STEADY_AFTER_MS 1000
 
-/* Says in HEADER whether a host that is no member any more may hold units. */
-static void
-put_departures (const share_t *share, share_header_t *header, int64_t now_ms)
+/* Since when a host that left cannot use anything any more, if it left then. */
+static int64_t
+departures_since_ms (const share_t *share, int64_t now_ms)
 {
   int64_t longest_ms = SHARE_USE_MS;
 
   for (guint i = 0; i < share->limits->len; i++)
     longest_ms = MAX (longest_ms, ((limit_t *) share->limits->pdata[i])->hold.told_ms);
-  int64_t since_ms = now_ms - with_margin (SHARE_LOAN_LEASE_MS) - with_margin (longest_ms);
+  return now_ms - with_margin (SHARE_LOAN_LEASE_MS) - with_margin (longest_ms);
+}
+
+bool
+share_saw_departure (const share_t *share, int64_t now_ms)
+{
+  int64_t since_ms = departures_since_ms (share, now_ms);
   bool has_joined = share->has_joined || share->departures_known;
-  header->departed = (share->departed_ms > 0 && share->departed_ms > since_ms)
-                     || (!has_joined && share->first_view_ms > since_ms);
-  header->steady = share->view > 0 && !header->departed
-                   && now_ms - share->first_view_ms >= STEADY_AFTER_MS
-                   && (share->departures_known || share->first_view_ms < since_ms);
+
+  return (share->departed_ms > 0 && share->departed_ms > since_ms)
+         || (!has_joined && share->first_view_ms > since_ms);
+}
+
+/* Says in HEADER whether a host that is no member any more may hold units. */
+static void
+put_departures (const share_t *share, share_header_t *header, int64_t now_ms)
+{
+  header->departed = share_saw_departure (share, now_ms);
+  header->steady =
+      share->view > 0 && !header->departed && now_ms - share->first_view_ms >= STEADY_AFTER_MS
+      && (share->departures_known || share->first_view_ms < departures_since_ms (share, now_ms));
 }
 
 static void
--- a/lib/share/share_allot.c
+++ b/lib/share/share_allot.c
@@ -92,6 +92,9 @@
 {
   bool steady = false;
 
+  /* This host's own last report may be older than what it knows now. */
+  if (share_saw_departure (share, now_ms))
+    return false;
   for (guint i = 0; i < share->members->len; i++)
     {
       const entry_t *entry = voter_of (share, limit, share->members->pdata[i], now_ms);
--- a/lib/share/share_internal.h
+++ b/lib/share/share_internal.h
@@ -193,6 +193,11 @@
   bool leaving; /* this host stops */
 };
 
+/* share.c */
+/* True if a host that is no member any more may hold units, as far as this host
+ * knows. */
+bool share_saw_departure (const share_t *share, int64_t now_ms);
+
 /* share_link.c */
 link_t *link_get (share_t *share, const char *host, const char *data_centre);
 void link_free (void *link);
