--- a/daemon/job_private.h
+++ b/daemon/job_private.h
@@ -10,6 +10,7 @@
 #include "base/counter.h"
 #include "daemon/endpoints.h"
 #include "daemon/part_claim.h"
+#include "daemon/part_config.h"
 #include "daemon/part_dispatch.h"
 #include "daemon/part_job.h"
 #include "job/job.h"
@@ -141,6 +142,9 @@
   uint64_t move_batch;
   int64_t move_until_ms;
   bool moved;
+  GPtrArray *hosts; /* host_t of the last host list, or NULL */
+  bool warm;        /* holds slots, or has waited for some long enough */
+  int64_t cold_since_ms;
   atomic_int waiting;
   atomic_bool ready;
   _Atomic int64_t last_tick_ms;
@@ -177,6 +181,21 @@
  * drops one reference.  Never NULL. */
 job_answer_t *waiter_take (waiter_t *waiter, int64_t until_ms);
 
+/* --- job_door.c: checks before the claim --- */
+
+/* What the dispatcher needs to know of TASK. */
+dispatch_task_t entry_describe_task (const entry_t *entry, const job_task_t *task);
+/* Returns 0, or the error kind of a refusal, with *RETRY_AT_MS (wall clock, 0
+ * for none) and *MESSAGE (static, or NULL for the kind's own). */
+int entry_check_at_door (entry_t *entry, int64_t *retry_at_ms, const char **message);
+
+/* --- job_ready.c: readiness --- */
+
+/* Listens to the host list; DATA is the job part. */
+void job_ready_on_hosts (const config_t *config, GPtrArray *hosts, void *data);
+/* Every tick, before the time of the last one is updated. */
+void job_ready_update (job_part_t *part, int64_t now_ms);
+
 /* --- part_job.c: the flow of an entry --- */
 
 /* Starts over with the claim, for example because its claimant released it. */
--- a/daemon/part_job.c
+++ b/daemon/part_job.c
@@ -14,9 +14,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
-#include "base/log.h"
 #include "daemon/job_private.h"
-#include "daemon/part_config.h"
 #include "daemon/part_view.h"
 #include "settings/settings.h"
 
@@ -257,23 +255,12 @@
   call_endpoint (run, endpoint);
 }
 
-static dispatch_task_t
-describe_task (const entry_t *entry, const job_task_t *task)
-{
-  return (dispatch_task_t){ .plan = entry->plan,
-                            .kind = entry->kind,
-                            .cores = task->cores,
-                            .memory_mb = task->memory_mb,
-                            .deadline_at_ms = entry->deadline_at_ms,
-                            .repeatable = entry->request->repeatable };
-}
-
 /* The dispatcher holds one reference of the entry for each ticket. */
 static void
 add_task (entry_t *entry, uint32_t index)
 {
   job_part_t *part = entry->part;
-  dispatch_task_t task = describe_task (entry, &job_request (entry->job)->tasks[index]);
+  dispatch_task_t task = entry_describe_task (entry, &job_request (entry->job)->tasks[index]);
   run_t *run = &entry->runs[index];
 
   entry_ref (entry);
@@ -409,92 +396,12 @@
                     entry_ref (entry));
 }
 
-/* --- checks at the door --- */
-
-static int
-check_times (job_part_t *part, const job_request_t *request)
-{
-  const settings_t *settings = daemon_settings (part->base.daemon);
-  int64_t now_ms = clock_wall_ms ();
-
-  if (request->issued_at_ms > now_ms + settings->clock_skew_ms)
-    return ERROR_CLOCK_AHEAD;
-  if (request->issued_at_ms + settings->key_window_ms <= now_ms)
-    return ERROR_SUBMISSION_EXPIRED;
-  if (request->deadline_at_ms <= now_ms)
-    return ERROR_DEADLINE_PASSED;
-  return 0;
-}
-
-static int
-check_home (job_part_t *part, const entry_t *entry)
-{
-  const settings_t *settings = daemon_settings (part->base.daemon);
-
-  for (guint i = 0; i < settings->data_centres->len; i++)
-    {
-      const settings_data_centre_t *data_centre = settings->data_centres->pdata[i];
-      if (strcmp (data_centre->name, entry->home) == 0)
-        return 0;
-    }
-  return ERROR_BAD_REQUEST;
-}
-
-/* The largest task decides whether the job fits. */
-static int
-check_room (entry_t *entry, int64_t *retry_at_ms)
-{
-  job_part_t *part = entry->part;
-  dispatch_task_t largest = describe_task (entry, &entry->request->tasks[0]);
-
-  for (uint32_t i = 1; i < entry->request->task_count; i++)
-    {
-      largest.cores = MAX (largest.cores, entry->request->tasks[i].cores);
-      largest.memory_mb = MAX (largest.memory_mb, entry->request->tasks[i].memory_mb);
-    }
-  return part_dispatch_admit (part->parts.dispatch, &largest, (int32_t) entry->request->task_count,
-                              daemon_now_ms (part->base.daemon), retry_at_ms);
-}
-
-static bool
-allows_nothing (const config_limit_t *limit)
-{
-  return limit != NULL && (limit->running_max == 0 || limit->starts_per_s_max == 0);
-}
-
-static int
-check_at_door (entry_t *entry, int64_t *retry_at_ms, const char **message)
-{
-  job_part_t *part = entry->part;
-  const config_t *config = part_config_current (part->parts.config);
-
-  if (check_home (part, entry) != 0)
-    {
-      *message = "home is not a known data centre.";
-      return ERROR_BAD_REQUEST;
-    }
-  int error = check_times (part, entry->request);
-  if (error != 0)
-    return error;
-  if (daemon_is_draining (part->base.daemon))
-    return ERROR_DRAINING;
-  if (config == NULL)
-    return ERROR_NOT_READY;
-  const char *plan = config_plan_of (config, entry->request->customer);
-  if (plan == NULL)
-    return ERROR_UNKNOWN_CUSTOMER;
-  entry->plan = g_strdup (plan);
-  if (allows_nothing (config_limit_of (config, plan)))
-    return ERROR_PLAN_LIMIT;
-  return check_room (entry, retry_at_ms);
-}
-
 static void
 begin (entry_t *entry)
 {
   int64_t retry_at_ms = 0;
   const char *message = NULL;
-  int error = check_at_door (entry, &retry_at_ms, &message);
+  int error = entry_check_at_door (entry, &retry_at_ms, &message);
 
   if (error == ERROR_SUBMISSION_EXPIRED)
     end_with_error (entry, error, false);
@@ -645,10 +552,8 @@
 job_tick (part_t *base, int64_t now_ms)
 {
   job_part_t *part = (job_part_t *) base;
-  bool ready = part_config_current (part->parts.config) != NULL
-               && part_view_number (part->parts.view) > 0 && !daemon_is_draining (base->daemon);
 
-  atomic_store (&part->ready, ready);
+  job_ready_update (part, now_ms);
   atomic_store (&part->last_tick_ms, now_ms);
   end_overdue (part, now_ms);
   job_peer_tick (part, now_ms);
@@ -728,6 +633,7 @@
   g_queue_init (&part->kept);
   job_move_init (part);
   part_dispatch_on_give_up (parts->dispatch, on_given_up);
+  part_config_listen (parts->config, job_ready_on_hosts, part);
   /* Answers to an earlier process of this host must not match. */
   part->next_request_id = daemon_incarnation (daemon) | 1;
   part->attached = counter_get ("jaytrail_jobs_attached_total", NULL);
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -12,11 +12,16 @@
 #define KEEP_ALIVE_TIMEOUT_MS "5000"
 #define READ_CHUNK_BYTES 65536
 
+/* Above this share of the threads connections are closed after each answer:
+ * idle ones would keep waiting clients from a thread. */
+#define KEEP_ALIVE_SHARE_PERCENT 50
+
 struct http_server_t
 {
   struct mg_context *context;
   http_server_options_t options;
   atomic_int active;
+  atomic_int connections;
   _Atomic int64_t held_bytes; /* bodies of running requests */
   atomic_bool draining;
 };
@@ -140,6 +145,9 @@
 
   if (atomic_load (&server->draining))
     return true;
+  if (atomic_load (&server->connections) * INT64_C (100)
+      > server->options.threads * KEEP_ALIVE_SHARE_PERCENT)
+    return true;
   if (header != NULL)
     return g_ascii_strcasecmp (header, "close") == 0;
   return strcmp (info->http_version, "1.1") != 0;
@@ -196,12 +204,32 @@
   return 1;
 }
 
+static int
+on_open (const struct mg_connection *connection, void **data)
+{
+  http_server_t *server = mg_get_user_data (mg_get_context (connection));
+
+  (void) data;
+  atomic_fetch_add (&server->connections, 1);
+  return 0;
+}
+
+static void
+on_closed (const struct mg_connection *connection)
+{
+  http_server_t *server = mg_get_user_data (mg_get_context (connection));
+
+  atomic_fetch_sub (&server->connections, 1);
+}
+
 int
 http_server_start (const http_server_options_t *options, http_server_t **out)
 {
   http_server_t *server = g_new0 (http_server_t, 1);
   char threads[16];
-  struct mg_callbacks callbacks = { .log_message = drop_message };
+  struct mg_callbacks callbacks = { .log_message = drop_message,
+                                    .init_connection = on_open,
+                                    .connection_closed = on_closed };
 
   init_once ();
   server->options = *options;
--- a/tools/deploy.sh
+++ b/tools/deploy.sh
@@ -12,7 +12,8 @@
 
 finish () {
   local pid
-  for pid in "${pids[@]}"; do
+  # Only those that still run: the id of a process that has ended may be another's by now.
+  for pid in $(jobs -pr); do
     kill "$pid" 2>/dev/null || true
   done
   wait 2>/dev/null || true
