A task whose connection broke keeps its slot; "not run" is confirmed by a claim

Cause: the units of a task were given back when its connection broke, although it may run on; a refusal was confirmed by a probe, between whose two replies a claim can pass; and an unknown key was called not_run, although it may have been forgotten with its window. Ruled out: giving the units back after a guess at the run time (over the limit when the guess is short). Before: the new system case cut_runs_on saw 6 tasks at an endpoint of 2 slots with all slots taken. After: none; refusals claim the key and give it back (part_claim_confirm); unknown_key is may_have_run.

--- a/daemon/dispatch_limits.c
+++ b/daemon/dispatch_limits.c
@@ -12,6 +12,7 @@
 {
   dispatch_limits_t base;
   part_t *share;
+  bool hold;
 } limits_t;
 
 static const char *const prefixes[] = {
@@ -59,6 +60,8 @@
 {
   char full[LIMIT_NAME_BYTES];
 
+  if (((limits_t *) base)->hold)
+    return;
   limit_name (full, limit, name);
   for (int32_t i = 0; i < units; i++)
     part_share_give (((limits_t *) base)->share, full, ends_at_ms, now_ms);
@@ -84,6 +87,12 @@
   return &limits->base;
 }
 
+void
+dispatch_limits_hold (dispatch_limits_t *limits, bool hold)
+{
+  ((limits_t *) limits)->hold = hold;
+}
+
 typedef struct
 {
   part_t *share;
--- a/daemon/dispatch_limits.h
+++ b/daemon/dispatch_limits.h
@@ -12,4 +12,9 @@
  * demands by limit name, so that only changes are told. */
 void dispatch_limits_demand (dispatch_t *dispatch, part_t *share, GHashTable *sent, int64_t now_ms);
 
+/* While HOLD is true, units of running tasks and slots that are given stay in
+ * use until the deadline of their task: it has lost its connection and may run
+ * on. */
+void dispatch_limits_hold (dispatch_limits_t *limits, bool hold);
+
 #endif
--- a/daemon/part_dispatch.c
+++ b/daemon/part_dispatch.c
@@ -316,7 +316,9 @@
     return;
   dispatch_count_end (record->plan, record->kind, outcome, elapsed_us);
   record->started = false;
+  dispatch_limits_hold (part->limits, outcome == DISPATCH_CUT);
   dispatch_step (part->dispatch, &event, now_ms, NULL);
+  dispatch_limits_hold (part->limits, false);
   if (outcome != DISPATCH_NOT_STARTED)
     g_hash_table_remove (part->records, &ticket);
   post_round (part);
--- a/daemon/part_job.c
+++ b/daemon/part_job.c
@@ -1,8 +1,8 @@
 /* part_job.c -- the flow of a job: checks, claim, dispatch, answer
  *
  * A submission is checked against the local state first; what is refused there
- * is probed at the key's replicas, so that "not_run" is said only when they
- * confirm it, and so that a resubmission of a job that runs elsewhere attaches
+ * is confirmed at the key's replicas, so that "not_run" is said only when it is
+ * true, and so that a resubmission of a job that runs elsewhere attaches
  * to it even if this host would refuse it.  What passes is claimed.  A grant
  * lets the tasks go to the dispatcher; the first start is made only while the
  * grants are valid, else the claim is renewed.
@@ -371,7 +371,7 @@
 }
 
 static void
-on_probed (const claim_outcome_t *outcome, void *data)
+on_confirmed (const claim_outcome_t *outcome, void *data)
 {
   entry_t *entry = data;
 
@@ -382,7 +382,8 @@
   entry_unref (entry);
 }
 
-/* Refuses an entry that holds no claim. */
+/* Refuses an entry that holds no claim, once the replicas have said whether
+ * "not_run" is true. */
 static void
 refuse (entry_t *entry, int error, int64_t retry_at_ms, const char *message)
 {
@@ -392,8 +393,8 @@
   g_free (entry->pending_message);
   entry->pending_message = g_strdup (message);
   int64_t until_ms = daemon_now_ms (entry->part->base.daemon) + CLAIM_WITHIN_MS;
-  part_claim_probe (entry->part->parts.claim, entry->key, entry->home, until_ms, on_probed,
-                    entry_ref (entry));
+  part_claim_confirm (entry->part->parts.claim, entry->key, entry->home, &entry->digest,
+                      entry->request->issued_at_ms, until_ms, on_confirmed, entry_ref (entry));
 }
 
 static void
--- a/lib/base/error.c
+++ b/lib/base/error.c
@@ -47,7 +47,8 @@
   { ERROR_NEVER_FITS, "never_fits", 422, RUN_IF_CONFIRMED, false, REFUSED,
     "No endpoint is large enough for a task." },
   { ERROR_CANCELLED, "cancelled", 409, RUN_IF_CONFIRMED, false, FAILED, "The job was cancelled." },
-  { ERROR_UNKNOWN_KEY, "unknown_key", 404, RUN_IF_CONFIRMED, false, REFUSED,
+  /* It may have been forgotten with its window. */
+  { ERROR_UNKNOWN_KEY, "unknown_key", 404, RUN_MAY_HAVE, false, REFUSED,
     "No job with this key is known." },
   { ERROR_NOT_FOUND, "not_found", 404, RUN_NO_KEY, false, REFUSED, "There is no such resource." },
   { ERROR_METHOD, "method_not_allowed", 405, RUN_NO_KEY, false, REFUSED,
--- a/standins/fake_endpoint.c
+++ b/standins/fake_endpoint.c
@@ -4,9 +4,11 @@
  * duplicates, so GET /starts is the truth that tests compare with.  A task's
  * body may direct its own run, as a JSON object:
  *
- *   {"ms":50, "status":200, "answer":"...", "drop":true, "wrong_id":true, "hang":true}
+ *   {"ms":50, "status":200, "answer":"...", "drop":true, "wrong_id":true, "hang":true,
+ *    "bad_head":true}
  *
- * Any other body runs for the default time and is echoed.  POST /fault changes
+ * With bad_head the head of an answer that nobody can accept goes out before the
+ * run, which goes on.  Any other body runs for the default time and is echoed.  POST /fault changes
  * the whole endpoint: freeze (answers are held), fail_all (500 at once), drop
  * (the connection is cut in the middle of the answer), wrong_id (the answer
  * echoes another task's id), delay_ms, hang (no answer; the connection is cut
@@ -46,6 +48,7 @@
   bool drop;
   bool wrong_id;
   bool hang;
+  bool bad_head;
 } run_t;
 
 static struct
@@ -133,6 +136,7 @@
   standin_get_bool (object, "drop", &run->drop);
   standin_get_bool (object, "wrong_id", &run->wrong_id);
   standin_get_bool (object, "hang", &run->hang);
+  standin_get_bool (object, "bad_head", &run->bad_head);
   json_object *answer;
   if (json_object_object_get_ex (object, "answer", &answer))
     {
@@ -175,6 +179,15 @@
   g_free (header);
 }
 
+/* An answer of a size that is refused unread. */
+static void
+answer_bad_head (standin_request_t *request, const char *task)
+{
+  mg_printf (request->conn, "HTTP/1.1 200 OK\r\nX-Task-Id: %s\r\nContent-Length: %d\r\n\r\n", task,
+             INT32_MAX);
+  standin_close (request);
+}
+
 static void
 handle_run (standin_request_t *request)
 {
@@ -204,14 +217,16 @@
   while (run.hang && endpoint.resets == resets)
     g_cond_wait (&endpoint.changed, &endpoint.mutex);
   g_mutex_unlock (&endpoint.mutex);
+  if (run.bad_head)
+    answer_bad_head (request, start->task);
   run_wait (&run);
   const char *state = "done";
-  if (hang || run.drop)
+  if (hang || run.drop || run.bad_head)
     state = "cut";
   else if (run.status >= 500)
     state = "failed";
   start_end (start, state);
-  if (hang)
+  if (hang || run.bad_head)
     standin_close (request);
   else if (run.drop)
     answer_cut (request, &run, start->task);
--- a/tests/system/cases_limit.c
+++ b/tests/system/cases_limit.c
@@ -144,14 +144,9 @@
   expect_running (rig);
 }
 
-/* Slots of endpoints are shared by all hosts of the data centre. */
 static void
-run_slots (rig_t *rig)
+expect_no_slot_over (rig_t *rig)
 {
-  submission_t *submissions[JOBS];
-  submit_spread (rig, "slots", submissions);
-  for (int32_t i = 0; i < JOBS; i++)
-    rig_expect_complete (rig, submissions[i]);
   for (int32_t n = 0; n < rig->options.endpoints; n++)
     {
       rig_endpoint_t *endpoint = rig_endpoint (rig, 0, n);
@@ -165,6 +160,36 @@
     }
 }
 
+/* Slots of endpoints are shared by all hosts of the data centre. */
+static void
+run_slots (rig_t *rig)
+{
+  submission_t *submissions[JOBS];
+  submit_spread (rig, "slots", submissions);
+  for (int32_t i = 0; i < JOBS; i++)
+    rig_expect_complete (rig, submissions[i]);
+  expect_no_slot_over (rig);
+}
+
+/* A connection that breaks says nothing of the task, which may run on: its slot
+ * stays taken until its deadline. */
+static void
+run_cut_runs_on (rig_t *rig)
+{
+  job_t *broken = job_new ("broken", 3000);
+  for (int32_t i = 0; i < 2; i++)
+    job_add_fault (broken, "\"bad_head\":true,\"ms\":2500");
+  rig_expect_kind (rig, rig_submit (rig, rig_host (rig, 0, 0), broken), "task_failed",
+                   "may_have_run");
+  for (int32_t n = 0; n < 3; n++)
+    {
+      char *key = g_strdup_printf ("behind-%d", n);
+      rig_expect_complete (rig, rig_submit (rig, rig_host (rig, 0, n), job_simple (key, 2, 5)));
+      g_free (key);
+    }
+  expect_no_slot_over (rig);
+}
+
 /* A plan with a long queue does not stop another one. */
 static void
 run_other_plan (rig_t *rig)
@@ -234,6 +259,12 @@
     "no endpoint gets more tasks than slots",
     { .slots = 3 },
     run_slots },
+  { "cut_runs_on",
+    "an answer that cannot be accepted breaks the connection",
+    "while the task runs on at the endpoint",
+    "no endpoint gets more tasks than slots",
+    { .endpoints = 1, .slots = 2 },
+    run_cut_runs_on },
   { "other_plan",
     "one plan floods",
     "another plan submits",
