--- a/standins/common_server.c
+++ b/standins/common_server.c
@@ -1,12 +1,16 @@
 /* common_server.c -- what the stand-ins share: an HTTP server and JSON helpers */
 #include "standins/common_server.h"
 
+#include <errno.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
+#define NS_PER_US 1000
+
 /* Longer than any test, so that the server never closes an idle connection
  * just as a client sends its next request on it. */
 #define IDLE_TIMEOUT_MS "600000"
@@ -180,7 +184,10 @@
 }
 
 bool
-standin_wait (GCond *cond, GMutex *mutex, int64_t end_us)
+standin_wait (pthread_cond_t *cond, pthread_mutex_t *mutex, int64_t end_us)
 {
-  return g_cond_wait_until (cond, mutex, end_us);
+  struct timespec end = { .tv_sec = end_us / G_USEC_PER_SEC,
+                          .tv_nsec = end_us % G_USEC_PER_SEC * NS_PER_US };
+
+  return pthread_cond_clockwait (cond, mutex, CLOCK_MONOTONIC, &end) != ETIMEDOUT;
 }
--- a/standins/common_server.h
+++ b/standins/common_server.h
@@ -10,6 +10,7 @@
 #include <civetweb.h>
 #include <glib.h>
 #include <json-c/json.h>
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -62,6 +63,6 @@
 void standin_get_fraction (json_object *object, const char *name, double *value);
 
 /* Waits on COND until the boot-independent monotonic time END_US. */
-bool standin_wait (GCond *cond, GMutex *mutex, int64_t end_us);
+bool standin_wait (pthread_cond_t *cond, pthread_mutex_t *mutex, int64_t end_us);
 
 #endif
--- a/standins/fake_endpoint.c
+++ b/standins/fake_endpoint.c
@@ -53,8 +53,8 @@
 
 static struct
 {
-  GMutex mutex;
-  GCond changed;
+  pthread_mutex_t mutex;
+  pthread_cond_t changed;
   GPtrArray *starts; /* of start_t */
   int64_t slots;
   int64_t run_ms;
@@ -96,7 +96,7 @@
   start->plan = g_strdup (standin_header (request, "X-Plan"));
   start->at_ms = clock_wall_ms ();
   start->state = "running";
-  g_mutex_lock (&endpoint.mutex);
+  pthread_mutex_lock (&endpoint.mutex);
   g_ptr_array_add (endpoint.starts, start);
   if (endpoint.journal >= 0)
     journal_write (start);
@@ -104,18 +104,18 @@
     endpoint.over_slots++;
   endpoint.running++;
   endpoint.max_running = MAX (endpoint.max_running, endpoint.running);
-  g_mutex_unlock (&endpoint.mutex);
+  pthread_mutex_unlock (&endpoint.mutex);
   return start;
 }
 
 static void
 start_end (start_t *start, const char *state)
 {
-  g_mutex_lock (&endpoint.mutex);
+  pthread_mutex_lock (&endpoint.mutex);
   start->state = state;
   start->end_at_ms = clock_wall_ms ();
   endpoint.running--;
-  g_mutex_unlock (&endpoint.mutex);
+  pthread_mutex_unlock (&endpoint.mutex);
 }
 
 /* Reads the task's wishes out of BODY.  Returns the object that holds the
@@ -150,14 +150,14 @@
 static void
 run_wait (const run_t *run)
 {
-  g_mutex_lock (&endpoint.mutex);
+  pthread_mutex_lock (&endpoint.mutex);
   int64_t run_us = run->run_ms * 1000 * 100 / MAX (endpoint.speed_percent, 1);
   int64_t end_us = g_get_monotonic_time () + run_us + endpoint.delay_ms * 1000;
   while (!endpoint.fail_all && standin_wait (&endpoint.changed, &endpoint.mutex, end_us))
     ;
   while (endpoint.freeze || endpoint.hang)
-    g_cond_wait (&endpoint.changed, &endpoint.mutex);
-  g_mutex_unlock (&endpoint.mutex);
+    pthread_cond_wait (&endpoint.changed, &endpoint.mutex);
+  pthread_mutex_unlock (&endpoint.mutex);
 }
 
 /* Sends the headers and half of the answer, and closes the connection. */
@@ -203,7 +203,7 @@
                 .answer = request->body->str,
                 .answer_bytes = request->body->len };
   json_object *directions = run_directions (request->body, &run);
-  g_mutex_lock (&endpoint.mutex);
+  pthread_mutex_lock (&endpoint.mutex);
   bool fail = endpoint.fail_all;
   bool hang = run.hang || endpoint.hang;
   run.drop = run.drop || endpoint.drop;
@@ -215,8 +215,8 @@
     }
   uint32_t resets = endpoint.resets;
   while (run.hang && endpoint.resets == resets)
-    g_cond_wait (&endpoint.changed, &endpoint.mutex);
-  g_mutex_unlock (&endpoint.mutex);
+    pthread_cond_wait (&endpoint.changed, &endpoint.mutex);
+  pthread_mutex_unlock (&endpoint.mutex);
   if (run.bad_head)
     answer_bad_head (request, start->task);
   run_wait (&run);
@@ -251,7 +251,7 @@
 {
   json_object *list = json_object_new_array ();
   json_object *answer = json_object_new_object ();
-  g_mutex_lock (&endpoint.mutex);
+  pthread_mutex_lock (&endpoint.mutex);
   int64_t from = MAX (standin_query_int (request, "from", 0), 0);
   for (int64_t i = from; i < endpoint.starts->len; i++)
     {
@@ -267,7 +267,7 @@
       json_object_array_add (list, item);
     }
   add_totals (answer);
-  g_mutex_unlock (&endpoint.mutex);
+  pthread_mutex_unlock (&endpoint.mutex);
   json_object_object_add (answer, "starts", list);
   standin_answer_json (request, 200, json_object_to_json_string (answer));
   json_object_put (answer);
@@ -277,9 +277,9 @@
 handle_stats (standin_request_t *request)
 {
   json_object *answer = json_object_new_object ();
-  g_mutex_lock (&endpoint.mutex);
+  pthread_mutex_lock (&endpoint.mutex);
   add_totals (answer);
-  g_mutex_unlock (&endpoint.mutex);
+  pthread_mutex_unlock (&endpoint.mutex);
   standin_answer_json (request, 200, json_object_to_json_string (answer));
   json_object_put (answer);
 }
@@ -300,7 +300,7 @@
   bool forget = false;
   standin_get_bool (fault, "reset", &reset);
   standin_get_bool (fault, "forget", &forget);
-  g_mutex_lock (&endpoint.mutex);
+  pthread_mutex_lock (&endpoint.mutex);
   if (reset)
     {
       endpoint.freeze = endpoint.fail_all = endpoint.drop = false;
@@ -322,8 +322,8 @@
   standin_get_bool (fault, "hang", &endpoint.hang);
   standin_get_int (fault, "delay_ms", &endpoint.delay_ms);
   standin_get_int (fault, "speed", &endpoint.speed_percent);
-  g_cond_broadcast (&endpoint.changed);
-  g_mutex_unlock (&endpoint.mutex);
+  pthread_cond_broadcast (&endpoint.changed);
+  pthread_mutex_unlock (&endpoint.mutex);
   json_object_put (fault);
   standin_answer_json (request, 200, "{}");
 }
--- a/standins/fake_platform.c
+++ b/standins/fake_platform.c
@@ -54,8 +54,8 @@
 
 static struct
 {
-  GMutex mutex;
-  GCond changed;
+  pthread_mutex_t mutex;
+  pthread_cond_t changed;
   GHashTable *streams; /* name -> stream_t */
   GHashTable *faults;  /* data centre -> fault_t; goes before ALL */
   fault_t all;
@@ -120,7 +120,7 @@
       g_ptr_array_remove_index (stream->records, 0);
       stream->first++;
     }
-  g_cond_broadcast (&platform.changed);
+  pthread_cond_broadcast (&platform.changed);
   return stream_next (stream) - 1;
 }
 
@@ -153,7 +153,7 @@
 pass_faults (standin_request_t *request)
 {
   const char *data_centre = standin_header (request, "X-Data-Centre");
-  g_mutex_lock (&platform.mutex);
+  pthread_mutex_lock (&platform.mutex);
   int64_t *calls = g_hash_table_lookup (platform.calls, data_centre);
   if (calls == NULL)
     {
@@ -165,12 +165,12 @@
   while (g_get_monotonic_time () < end_us)
     standin_wait (&platform.changed, &platform.mutex, end_us);
   while (fault_of (data_centre)->hang)
-    g_cond_wait (&platform.changed, &platform.mutex);
+    pthread_cond_wait (&platform.changed, &platform.mutex);
   bool outage = fault_of (data_centre)->outage;
   uint32_t turn = platform.turn;
   if (outage)
     platform.turn++;
-  g_mutex_unlock (&platform.mutex);
+  pthread_mutex_unlock (&platform.mutex);
   if (outage)
     answer_lost (request, 503, turn);
   return !outage;
@@ -185,10 +185,10 @@
       return;
     }
   const char *data_centre = standin_header (request, "X-Data-Centre");
-  g_mutex_lock (&platform.mutex);
+  pthread_mutex_lock (&platform.mutex);
   if (append_rate_exceeded ())
     {
-      g_mutex_unlock (&platform.mutex);
+      pthread_mutex_unlock (&platform.mutex);
       standin_answer_error (request, 503, "too many appends");
       return;
     }
@@ -198,7 +198,7 @@
   uint32_t turn = platform.turn;
   if (lost)
     platform.turn++;
-  g_mutex_unlock (&platform.mutex);
+  pthread_mutex_unlock (&platform.mutex);
   if (lost)
     {
       answer_lost (request, 500, turn);
@@ -237,7 +237,7 @@
   int64_t from = standin_query_int (request, "from", 0);
   int64_t wait_ms = CLAMP (standin_query_int (request, "wait_ms", 0), 0, WAIT_MAX_MS);
   int64_t end_us = g_get_monotonic_time () + wait_ms * US_PER_MS;
-  g_mutex_lock (&platform.mutex);
+  pthread_mutex_lock (&platform.mutex);
   platform.reads++;
   const stream_t *stream = stream_get (request->path + strlen ("/log/"));
   while (stream_next (stream) <= from && !fault_of (data_centre)->outage
@@ -245,10 +245,10 @@
     ;
   /* A fault that came during the wait holds the answer as well. */
   while (fault_of (data_centre)->hang)
-    g_cond_wait (&platform.changed, &platform.mutex);
+    pthread_cond_wait (&platform.changed, &platform.mutex);
   bool outage = fault_of (data_centre)->outage;
   GString *text = stream_print (stream, from);
-  g_mutex_unlock (&platform.mutex);
+  pthread_mutex_unlock (&platform.mutex);
   if (outage)
     answer_lost (request, 503, 0);
   else
@@ -259,7 +259,7 @@
 static void
 handle_hosts (standin_request_t *request)
 {
-  g_mutex_lock (&platform.mutex);
+  pthread_mutex_lock (&platform.mutex);
   platform.host_reads++;
   int64_t now_us = g_get_monotonic_time ();
   while (g_queue_get_length (&platform.hosts) > 1
@@ -270,7 +270,7 @@
       g_free (old);
     }
   char *text = g_strdup (((hosts_t *) g_queue_peek_head (&platform.hosts))->text);
-  g_mutex_unlock (&platform.mutex);
+  pthread_mutex_unlock (&platform.mutex);
   standin_answer_json (request, 200, text);
   g_free (text);
 }
@@ -305,9 +305,9 @@
       standin_answer_error (request, 400, "the body must be {\"hosts\":[...]}");
       return;
     }
-  g_mutex_lock (&platform.mutex);
+  pthread_mutex_lock (&platform.mutex);
   hosts_push (request->body->str);
-  g_mutex_unlock (&platform.mutex);
+  pthread_mutex_unlock (&platform.mutex);
   standin_answer_json (request, 200, "{}");
 }
 
@@ -350,7 +350,7 @@
   json_object *data_centre = NULL;
   standin_get_bool (object, "reset", &reset);
   json_object_object_get_ex (object, "data_centre", &data_centre);
-  g_mutex_lock (&platform.mutex);
+  pthread_mutex_lock (&platform.mutex);
   if (reset)
     {
       platform.all = (fault_t){ 0 };
@@ -361,8 +361,8 @@
   fault_read (object, fault_get (data_centre ? json_object_get_string (data_centre) : NULL));
   standin_get_int (object, "lag_ms", &platform.lag_ms);
   standin_get_int (object, "appends_per_s", &platform.appends_per_s);
-  g_cond_broadcast (&platform.changed);
-  g_mutex_unlock (&platform.mutex);
+  pthread_cond_broadcast (&platform.changed);
+  pthread_mutex_unlock (&platform.mutex);
   json_object_put (object);
   standin_answer_json (request, 200, "{}");
 }
@@ -372,7 +372,7 @@
 {
   json_object *answer = json_object_new_object ();
   json_object *calls = json_object_new_object ();
-  g_mutex_lock (&platform.mutex);
+  pthread_mutex_lock (&platform.mutex);
   json_object_object_add (answer, "appends", json_object_new_int64 (platform.appends));
   json_object_object_add (answer, "reads", json_object_new_int64 (platform.reads));
   json_object_object_add (answer, "host_reads", json_object_new_int64 (platform.host_reads));
@@ -382,7 +382,7 @@
   g_hash_table_iter_init (&iter, platform.calls);
   while (g_hash_table_iter_next (&iter, &name, &count))
     json_object_object_add (calls, name, json_object_new_int64 (*(int64_t *) count));
-  g_mutex_unlock (&platform.mutex);
+  pthread_mutex_unlock (&platform.mutex);
   json_object_object_add (answer, "calls", calls);
   standin_answer_json (request, 200, json_object_to_json_string (answer));
   json_object_put (answer);
