Case: the answer of a stopped host is still given, also along a chain

Cause: the move of kept answers had no test on real processes. After: answer_moved passes: two hosts of three stop one after the other, and a resubmission gets the same whole answer each time without a second start.

--- a/tests/system/cases_resubmit.c
+++ b/tests/system/cases_resubmit.c
@@ -136,6 +136,20 @@
   rig_expect (rig, check_count_starts (rig, "ahead") == 0, "a submission of the future started");
 }
 
+/* The answer moves to another host before its own stops, and on from there. */
+static void
+run_moved (rig_t *rig)
+{
+  submission_t *first = rig_submit (rig, rig_host (rig, 0, 0), job_simple ("moved", 3, 5));
+
+  rig_expect_complete (rig, first);
+  rig_stop_host (rig, rig_host (rig, 0, 0));
+  rig_expect_complete (rig, rig_submit (rig, rig_host (rig, 0, 1), first->job));
+  rig_expect_complete (rig, rig_submit (rig, rig_host (rig, 0, 2), first->job));
+  rig_stop_host (rig, rig_host (rig, 0, 1));
+  rig_expect_complete (rig, rig_submit (rig, rig_host (rig, 0, 2), first->job));
+}
+
 static const case_t cases[] = {
   { "resubmit_after",
     "none",
@@ -161,6 +175,12 @@
     "one start, the same answer three times",
     { .data_centres = 3, .hosts = 2, .endpoints = 1 },
     run_data_centres_at_once },
+  { "answer_moved",
+    "SIGTERM of the coordinator, then of the host that took its answers",
+    "resubmission after each",
+    "the same answer, no second start",
+    { 0 },
+    run_moved },
   { "key_reused",
     "another body under the key",
     "while tasks run, and after the answer",
