Find a job by a key with slashes and dots

Cause: CivetWeb cleans double slashes and dots out of the path that was used. Before: GET of the key `a//../b%20~` said unknown_key.

--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -165,7 +165,8 @@
   int body_error = read_body (server, connection, body, &held_bytes);
   http_request_t request = {
     .method = info->request_method,
-    .path = info->local_uri != NULL ? info->local_uri : "",
+    /* Not cleaned of dots and slashes, which a key may have. */
+    .path = info->local_uri_raw != NULL ? info->local_uri_raw : "",
     .query = info->query_string,
     .key = mg_get_header (connection, "Idempotency-Key"),
     .body = g_byte_array_free_to_bytes (body),
--- a/tests/system/cases_kinds.c
+++ b/tests/system/cases_kinds.c
@@ -100,6 +100,23 @@
               true);
 }
 
+/* A key may have characters that mean something in a path. */
+static void
+run_odd_key (rig_t *rig)
+{
+  submission_t *job = rig_submit (rig, rig_host (rig, 0, 0), job_simple ("a//../b%20?#~", 1, 5));
+
+  rig_expect_complete (rig, job);
+  for (int32_t n = 0; n < 3; n++)
+    {
+      call_t *state = call_now (rig_host (rig, 0, n)->caller, "GET",
+                                "/v1/jobs/a%2F%2F..%2Fb%2520%3F%23~", NULL, NULL);
+      rig_expect (rig, call_wait (state)->status == 200, "the job is not found by its key: %.200s",
+                  call_wait (state)->text);
+      call_free (state);
+    }
+}
+
 static void
 run_paths (rig_t *rig)
 {
@@ -184,6 +201,12 @@
     "the row of unknown_key",
     { 0 },
     run_unknown_key },
+  { "odd_key",
+    "none",
+    "GET of a key with slashes, dots and per cent signs",
+    "the job's state",
+    { 0 },
+    run_odd_key },
   { "kind_paths",
     "wrong path or method",
     "at the door",
