--- a/tools/check.sh
+++ b/tools/check.sh
@@ -2,7 +2,7 @@
 # Formatter, linter, warnings as errors, all tests plain and under sanitizers; one line a step, a count at the end.
 #
 #   tools/check.sh            everything
-#   tools/check.sh STEP...    some of: format lint layers build units examples system asan tsan
+#   tools/check.sh STEP...    some of: format lint layers build units examples system soak asan tsan
 #
 # Tests that KNOWN-RED.txt names are run and reported apart; everything else must pass.
 set -u
@@ -97,6 +97,11 @@
   [ -x build/tests/system ] && run_cases build system $(build/tests/system --list)
 }
 
+# A short fixed part of what `make soak` runs for longer.
+step_soak () {
+  step soak timeout 200 build/tests/system build --soak 5 10
+}
+
 step_asan () {
   step asan/build make -s -j"$jobs" BUILD=build-asan SAN=address,undefined CFLAGS="-O1 -g" all units system
   run_units build-asan asan
@@ -113,7 +118,7 @@
   [ -x build-tsan/tests/system ] && run_cases build-tsan tsan-system $tsan_cases
 }
 
-for name in ${*:-format lint layers build units examples system asan tsan}; do
+for name in ${*:-format lint layers build units examples system soak asan tsan}; do
   "step_$name"
 done
 if [ "${#red[@]}" -gt 0 ]; then
