The row of key_uncertain; fuzz of all readers; progress and job logs

Conclusion: of the table only `internal` is not reached through the real path: nothing known leads to it.

--- a/daemon/job_table.c
+++ b/daemon/job_table.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/log.h"
 #include "base/sync.h"
 #include "daemon/part_burn.h"
 #include "settings/settings.h"
@@ -143,6 +144,8 @@
   char *labels = g_strdup_printf ("kind=\"%s\"", error_name (answer->error));
 
   counter_add (counter_get ("jaytrail_jobs_total", labels), 1);
+  log_debug (JOB_PART, "Job ended.", "key", entry->key, "plan", entry->plan, "kind", entry->kind,
+             "result", error_name (answer->error), NULL);
   g_free (labels);
   /* A host that only waits for another's answer leaves the counting to it. */
   if (entry->plan != NULL && entry->claimant == NULL && entry->request != NULL)
--- a/mk/check.mk
+++ b/mk/check.mk
@@ -1,6 +1,6 @@
 # Targets that run things.
 #
-#   make fuzz           longer runs of the fuzzers: FUZZ_SEED=7 FUZZ_COUNT=5000000
+#   make fuzz       longer runs of the fuzzers: FUZZ_SEED=7 FUZZ_COUNT=5000000
 .PHONY: check demo help
 setup:
 	tools/setup.sh
@@ -18,3 +18,4 @@
 fuzz: setup
 	$(MAKE) -s -j BUILD=build-asan SAN=address,undefined CFLAGS="-O1 -g" units
 	build-asan/tests/test_fuzz $(FUZZ_SEED) $(FUZZ_COUNT)
+	build-asan/tests/test_config_fuzz $(FUZZ_SEED) $(FUZZ_COUNT)
--- a/mk/slopes.mk
+++ b/mk/slopes.mk
@@ -1,6 +1,6 @@
 # The measurements behind docs/CAPACITY.md.
 #
-#   make slopes         what the parts cost against their sizes, with linear fits
+#   make slopes     what the parts cost against their sizes, with linear fits
 SLOPES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/slopes_*.c))
 
 .PHONY: slopes
--- a/tests/system/cases_kinds.c
+++ b/tests/system/cases_kinds.c
@@ -12,6 +12,7 @@
 
 /* The least that the settings take; three threads are kept for refusals. */
 #define FEW_THREADS "\"caller_threads\":4"
+#define STATUS_OK 200
 #define NO_KEPT_ANSWERS "\"kept_answers_bytes\":0"
 
 /* Checks REPLY against the row of ERROR.  CONFIRMED as for job_answer_error (). */
@@ -66,6 +67,60 @@
   expect_row (rig, call_wait (again->call), ERROR_CLAIMANT_LOST, false);
 }
 
+/* Waits until the view in force at HOST has one member. */
+static bool
+is_alone (void *data)
+{
+  json_object *status = rig_status (data);
+  json_object *view = NULL;
+  json_object *members = NULL;
+  bool alone = json_object_object_get_ex (status, "view", &view)
+               && json_object_object_get_ex (view, "members", &members)
+               && json_object_array_length (members) == 1;
+
+  json_object_put (status);
+  return alone;
+}
+
+typedef struct
+{
+  rig_t *rig;
+  int64_t issued_at_ms;
+  int32_t tries;
+} uncertain_t;
+
+/* A fresh key, issued before the hosts were lost.  While the lost replicas are
+ * still waited for, the answer is home_unreachable. */
+static bool
+is_uncertain (void *data)
+{
+  uncertain_t *uncertain = data;
+  char *key = g_strdup_printf ("uncertain-%d", uncertain->tries++);
+  job_t *job = job_simple (key, 1, 5);
+
+  job->issued_at_ms = uncertain->issued_at_ms;
+  submission_t *submission = rig_submit (uncertain->rig, rig_host (uncertain->rig, 0, 2), job);
+  const reply_t *reply = call_wait (submission->call);
+  bool reached = strcmp (reply_string (reply, "kind"), "key_uncertain") == 0;
+  if (reached)
+    expect_row (uncertain->rig, reply, ERROR_KEY_UNCERTAIN, false);
+  else
+    rig_expect (uncertain->rig, reply->status != STATUS_OK, "a key started that may have run");
+  g_free (key);
+  return reached;
+}
+
+static void
+run_key_uncertain (rig_t *rig)
+{
+  uncertain_t uncertain = { .rig = rig, .issued_at_ms = clock_wall_ms () };
+
+  rig_kill_host (rig, rig_host (rig, 0, 0));
+  rig_kill_host (rig, rig_host (rig, 0, 1));
+  rig_until (rig, "the view of one host", is_alone, rig_host (rig, 0, 2));
+  rig_until (rig, "key_uncertain", is_uncertain, &uncertain);
+}
+
 static void
 run_home_unreachable (rig_t *rig)
 {
@@ -188,6 +243,12 @@
     "the row of claimant_lost",
     { 0 },
     run_claimant_lost },
+  { "kind_key_uncertain",
+    "kill -9 of two hosts of three",
+    "keys issued before, submitted after",
+    "the row of key_uncertain; none of them starts",
+    { 0 },
+    run_key_uncertain },
   { "kind_home_unreachable",
     "two data centres are cut off",
     "a key of the other one",
--- a/tests/test_config_fuzz.c
+++ b/tests/test_config_fuzz.c
@@ -1,4 +1,8 @@
-/* test_config_fuzz.c -- readers of records, messages, answers and lists on damaged input */
+/* test_config_fuzz.c -- readers of records, messages, answers and lists on damaged input
+ *
+ *   test_config_fuzz             the fixed seed and count of the checks
+ *   test_config_fuzz SEED COUNT  a longer run
+ */
 #include "config/config_msg.h"
 #include "config/fold.h"
 #include "config/hosts_msg.h"
@@ -11,11 +15,14 @@
 #include <stdio.h>
 #include <string.h>
 
-#define SEED 20261205
-#define ROUNDS 200000
+#define DEFAULT_SEED 20261205
+#define DEFAULT_ROUNDS 200000
 #define CHANGES_MAX 4
 #define GROWTH_MAX_BYTES 8
 
+static guint32 seed = DEFAULT_SEED;
+static gint rounds = DEFAULT_ROUNDS;
+
 typedef void (*consume_t) (const guint8 *data, gsize size);
 
 static void
@@ -334,14 +341,14 @@
 static void
 test_damaged (void)
 {
-  GRand *random = g_rand_new_with_seed (SEED);
+  GRand *random = g_rand_new_with_seed (seed);
   for (size_t i = 0; i < G_N_ELEMENTS (targets); i++)
     {
       GBytes *example = targets[i].example ();
       gsize size = 0;
       const guint8 *data = g_bytes_get_data (example, &size);
       targets[i].consume (data, size);
-      for (int round = 0; round < ROUNDS / (int) G_N_ELEMENTS (targets); round++)
+      for (int round = 0; round < rounds / (int) G_N_ELEMENTS (targets); round++)
         {
           /* An exact allocation, so that the sanitizer sees a read past its end. */
           GByteArray *bytes = g_byte_array_new ();
@@ -354,15 +361,20 @@
         }
       g_bytes_unref (example);
     }
-  printf ("\n    seed %d, %d damaged inputs for %zu readers\n", SEED,
-          ROUNDS / (int) G_N_ELEMENTS (targets) * (int) G_N_ELEMENTS (targets),
+  printf ("\n    seed %u, %d damaged inputs for %zu readers\n", seed,
+          rounds / (int) G_N_ELEMENTS (targets) * (int) G_N_ELEMENTS (targets),
           G_N_ELEMENTS (targets));
   g_rand_free (random);
 }
 
 int
-main (void)
+main (int argc, char **argv)
 {
+  if (argc == 3)
+    {
+      seed = (guint32) g_ascii_strtoull (argv[1], NULL, 10);
+      rounds = (gint) g_ascii_strtoull (argv[2], NULL, 10);
+    }
   CU_initialize_registry ();
   CU_pSuite suite = CU_add_suite ("config_fuzz", NULL, NULL);
   CU_add_test (suite, "damaged", test_damaged);
--- a/tool/cmd_submit.c
+++ b/tool/cmd_submit.c
@@ -13,12 +13,17 @@
 #include <argtable2.h>
 #include <glib.h>
 #include <json-c/json.h>
+#include <stdatomic.h>
 #include <string.h>
+#include <unistd.h>
 
 #define DEFAULT_WITHIN_MS 30000
 #define ANSWER_MAX_BYTES (INT64_C (1) << 30)
 #define WAIT_SLACK_MS 10000
 #define STATUS_OK 200
+/* A wait is shown from this time on, and then so often. */
+#define PROGRESS_AFTER_MS 1000
+#define PROGRESS_EVERY_MS 200
 
 typedef struct
 {
@@ -110,6 +115,50 @@
   g_free (text);
 }
 
+/* Shows on a terminal that the answer is being waited for. */
+typedef struct
+{
+  atomic_bool done;
+  GThread *thread;
+} progress_t;
+
+static void *
+show_progress (void *data)
+{
+  progress_t *progress = data;
+  int64_t begun_ms = clock_boot_ms ();
+  bool shown = false;
+
+  while (!atomic_load (&progress->done))
+    {
+      clock_sleep_ms (PROGRESS_EVERY_MS);
+      int64_t waited_ms = clock_boot_ms () - begun_ms;
+      if (waited_ms < PROGRESS_AFTER_MS || atomic_load (&progress->done))
+        continue;
+      fprintf (stderr, "\rwaiting for the answer: %d s ", (int) (waited_ms / CLOCK_MS_PER_S));
+      shown = true;
+    }
+  if (shown)
+    fprintf (stderr, "\r\033[K");
+  return NULL;
+}
+
+static void
+progress_begin (progress_t *progress)
+{
+  atomic_init (&progress->done, false);
+  progress->thread =
+      isatty (STDERR_FILENO) ? g_thread_new ("progress", show_progress, progress) : NULL;
+}
+
+static void
+progress_end (progress_t *progress)
+{
+  atomic_store (&progress->done, true);
+  if (progress->thread != NULL)
+    g_thread_join (progress->thread);
+}
+
 static int
 submit (const args_t *args, const char *body)
 {
@@ -128,7 +177,11 @@
   };
   int status = TOOL_FAILED;
 
+  progress_t progress;
+
+  progress_begin (&progress);
   int error = http_call_once (args->host->sval[0], &call, &answer);
+  progress_end (&progress);
   if (error != 0)
     fprintf (stderr, "jaytrail submit: %s: %s (key %s)\n", args->host->sval[0], error_name (error),
              key);
