--- a/mk/policy.mk
+++ b/mk/policy.mk
@@ -1,6 +1,6 @@
 # The policy bench: one program of several files.
 #
-#   make bench-policy the dispatch policy against an oracle and naive ones, in simulated time
+#   make bench-policy  the dispatch policy against an oracle and naive ones, in simulated time
 POLICY_OBJ := $(call obj,bench/policy.c $(wildcard bench/policy/*.c))
 POLICY_LIBS := $(BUILD)/libdispatch.a $(BUILD)/libbase.a
 $(BUILD)/bench/policy: $(POLICY_OBJ) $(POLICY_LIBS)
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -11,7 +11,9 @@
 rm -rf "$logs"
 mkdir -p "$logs"
 jobs=$(nproc)
-cases_at_once=6
+cases_at_once=8
+units_at_once=4
+lint_jobs=$(((jobs + 1) / 2))
 passed=0
 failed=0
 red=()
@@ -52,20 +54,31 @@
 
 step_format () { step format bash -c 'git ls-files "*.c" "*.h" | xargs clang-format --dry-run -Werror'; }
 
-# Flags come from compile_flags.txt.
-step_lint () { step lint bash -c "git ls-files '*.c' | xargs -P $jobs -n 4 clang-tidy --quiet"; }
+# Flags come from compile_flags.txt.  The linter is slow and works beside the tests; its result is told last.
+lint_pid=
+step_lint () {
+  bash -c "git ls-files '*.c' | xargs -P $lint_jobs -n 4 clang-tidy --quiet" >"$logs/lint.log" 2>&1 &
+  lint_pid=$!
+}
+finish_lint () {
+  [ -n "$lint_pid" ] || return 0
+  wait "$lint_pid"
+  report lint $? "$logs/lint.log"
+}
 
 step_layers () { step layers tools/layers.sh; }
 
 step_build () { step build make -s -j"$jobs" all units system benches examples; }
 
-# run_units DIRECTORY LABEL: every unit test program, each with its own line.
+# run_units DIRECTORY LABEL: every unit test program, several at once, reported in order.
 run_units () {
-  local test
-  for test in "$1"/tests/test_*; do
-    case "$test" in *.*) continue ;; esac
-    [ -x "$test" ] || continue
-    step "$2/$(basename "$test")" "$test"
+  local dir=$1 label=$2 name names
+  names=$(find "$dir/tests" -maxdepth 1 -type f -perm -u+x -name 'test_*' -printf '%f\n' | sort)
+  # shellcheck disable=SC2016
+  echo "$names" | xargs -P "$units_at_once" -I{} bash -c \
+    '"$1/tests/$3" >"$2-$3.log" 2>&1; echo $? >"$2-$3.status"' -- "$dir" "$logs/$label" {}
+  for name in $names; do
+    report "$label/$name" "$(cat "$logs/$label-$name.status" 2>/dev/null || echo 1)" "$logs/$label-$name.log"
   done
 }
 
@@ -121,6 +134,7 @@
 for name in ${*:-format lint layers build units examples system soak asan tsan}; do
   "step_$name"
 done
+finish_lint
 if [ "${#red[@]}" -gt 0 ]; then
   echo "known red, run and reported apart (KNOWN-RED.txt):"
   printf '  %s\n' "${red[@]}"
