Rolling replacement says why its first job did not complete

Cause: in one of two runs of the whole suite, eight cases at once, 5,899 of 6,101 jobs of rolling_replacement did not complete, and nothing said how they were answered. Twenty runs of the case alone, ten at once, all passed. Before: a count. After: the count and the first answer.

--- a/tests/system/cases_host.c
+++ b/tests/system/cases_host.c
@@ -228,6 +228,7 @@
   gint stop;
   gint next;
   gint incomplete;
+  const reply_t *first; /* of those that are not complete */
   pthread_mutex_t mutex;
   GPtrArray *hosts; /* of rig_host_t: ready ones, with the mutex */
 } balancer_t;
@@ -267,8 +268,9 @@
       submission_t *submission = submit_next (balancer, job, turn);
       while (goes_elsewhere (submission))
         submission = submit_next (balancer, job, ++turn);
-      if (call_wait (submission->call)->status != 200)
-        g_atomic_int_inc (&balancer->incomplete);
+      const reply_t *reply = call_wait (submission->call);
+      if (reply->status != 200 && g_atomic_int_add (&balancer->incomplete, 1) == 0)
+        balancer->first = reply;
       g_free (key);
     }
   return NULL;
@@ -305,8 +307,9 @@
   for (size_t i = 0; i < G_N_ELEMENTS (threads); i++)
     g_thread_join (threads[i]);
   g_ptr_array_unref (balancer.hosts);
-  rig_expect (rig, balancer.incomplete == 0, "%d of %d jobs did not complete", balancer.incomplete,
-              balancer.next);
+  rig_expect (rig, balancer.incomplete == 0, "%d of %d jobs did not complete, first %.150s",
+              balancer.incomplete, balancer.next,
+              balancer.first != NULL ? balancer.first->text : "");
 }
 
 static void
