Not ready before the host list is known

Cause: readiness asks for slots of the listed endpoints, and took "no list yet" for "no endpoints": a new host that had its configuration from a peer was ready before it knew an endpoint. Ruled out: waiting for membership of the view (a host that starts while the log is down never gets it, and can serve). After: rolling_replacement four times at once and the four cases of starts in an outage pass.

--- a/daemon/job_ready.c
+++ b/daemon/job_ready.c
@@ -35,7 +35,10 @@
   bool any = false;
   char limit[LIMIT_NAME_BYTES];
 
-  for (guint i = 0; part->hosts != NULL && i < part->hosts->len; i++)
+  /* Without a list nothing is known of the endpoints. */
+  if (part->hosts == NULL)
+    return false;
+  for (guint i = 0; i < part->hosts->len; i++)
     {
       const host_t *host = part->hosts->pdata[i];
       if (host->role != HOST_ROLE_ENDPOINT || host->leaving
