Remove four functions that nothing calls

Cause: daemon_find_part, daemon_free, queue_free and pool_threads had lost their last caller, or never had one: the process ends by _exit once it is drained. Before: 51 lines that a reader had to follow to find that out. The sanitizer steps were not run again for this removal.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -402,18 +402,6 @@
     g_ptr_array_add (daemon->parts, part);
 }
 
-part_t *
-daemon_find_part (daemon_t *daemon, const char *name)
-{
-  for (guint i = 0; i < daemon->parts->len; i++)
-    {
-      part_t *part = daemon->parts->pdata[i];
-      if (strcmp (part->ops->name, name) == 0)
-        return part;
-    }
-  return NULL;
-}
-
 const char *
 daemon_host_id (const daemon_t *daemon)
 {
@@ -523,12 +511,3 @@
     }
   return status;
 }
-
-void
-daemon_free (daemon_t *daemon)
-{
-  net_stop (daemon->net);
-  g_ptr_array_unref (daemon->parts);
-  g_hash_table_unref (daemon->peers);
-  g_free (daemon);
-}
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -26,16 +26,10 @@
 /* Begins a graceful stop; a second call ends the daemon at once.  Any thread. */
 void daemon_drain (daemon_t *daemon);
 
-/* The part named NAME, or NULL. */
-part_t *daemon_find_part (daemon_t *daemon, const char *name);
-
 /* Builds GET /v1/status.  Control thread. */
 json_object *daemon_status (daemon_t *daemon);
 
 /* Test switch; see net_cut ().  Any thread. */
 void daemon_cut (daemon_t *daemon, const char *data_centre, bool in, bool out);
 
-/* Closes the connections to other hosts and frees the daemon. */
-void daemon_free (daemon_t *daemon);
-
 #endif
--- a/lib/base/queue.c
+++ b/lib/base/queue.c
@@ -45,15 +45,6 @@
   return queue;
 }
 
-void
-queue_free (queue_t *queue)
-{
-  assert (g_queue_is_empty (&queue->items));
-  pthread_mutex_destroy (&queue->lock);
-  pthread_cond_destroy (&queue->changed);
-  g_free (queue);
-}
-
 void
 queue_push (queue_t *queue, void *item)
 {
@@ -138,12 +129,3 @@
   if (start)
     g_thread_unref (g_thread_new ("pool", pool_thread, pool));
 }
-
-int32_t
-pool_threads (pool_t *pool)
-{
-  pthread_mutex_lock (&pool->queue->lock);
-  int32_t threads = pool->threads;
-  pthread_mutex_unlock (&pool->queue->lock);
-  return threads;
-}
--- a/lib/base/queue.h
+++ b/lib/base/queue.h
@@ -13,9 +13,6 @@
 
 queue_t *queue_new (void);
 
-/* Frees an empty queue that no thread uses any more. */
-void queue_free (queue_t *queue);
-
 /* Adds ITEM, which must not be NULL.  Any thread. */
 void queue_push (queue_t *queue, void *item);
 
@@ -30,7 +27,4 @@
 /* Hands ITEM to a thread; it waits in a queue if all are busy.  Any thread. */
 void pool_push (pool_t *pool, void *item);
 
-/* Number of threads at this moment. */
-int32_t pool_threads (pool_t *pool);
-
 #endif
