--- a/Makefile
+++ b/Makefile
@@ -8,12 +8,12 @@
 BUILD ?= build
 SAN ?=
 CC = gcc
-LIBS := job dispatch share claim view config platform burn http settings wire base
+LIBS := flow fleet crew reactor job dispatch share claim view config platform burn http settings wire base
 
-PKGS := glib-2.0 json-c msgpack libxxhash argtable2
+PKGS := glib-2.0 json-c msgpack libxxhash argtable2 libevent_core
 # Recursive on purpose: pkg-config is asked only when something is compiled, after `make setup`.
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
-PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lcivetweb -lcrypto -lm -lpthread
+PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lcivetweb -lhttp_parser -lcrypto -lm -lpthread
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wvla
 CFLAGS ?= -O2 -g
 ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE $(CFLAGS) $(WARN) -Ilib -I. $(PKG_CFLAGS) -MMD -MP
@@ -27,7 +27,7 @@
 ARCHIVES := $(foreach l,$(LIBS),$(if $(call lib_src,$(l)),$(BUILD)/lib$(l).a))
 GROUP = -Wl,--start-group $(ARCHIVES) -Wl,--end-group
 
-DAEMON_SRC := $(wildcard daemon/*.c)
+DAEMON_SRC := $(wildcard daemon/*.c) $(wildcard platform/*.c)
 TOOL_SRC := $(wildcard tool/*.c)
 UNIT_SRC := $(wildcard tests/test_*.c)
 SYS_SRC := $(wildcard tests/system/*.c)
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -10,6 +10,7 @@
 #include "daemon/part_job.h"
 #include "daemon/part_share.h"
 #include "daemon/part_view.h"
+#include "daemon/site.h"
 #include "daemon/version.h"
 
 #include <argtable2.h>
@@ -25,6 +26,7 @@
 typedef struct
 {
   struct arg_file *settings;
+  struct arg_lit *site;
   struct arg_lit *help;
   struct arg_lit *version;
   struct arg_end *end;
@@ -44,15 +46,16 @@
 
 /* Returns the settings file, or NULL with *STATUS set to the exit status. */
 static char *
-parse_args (int argc, char **argv, int *status)
+parse_args (int argc, char **argv, int *status, bool *site)
 {
   args_t args = {
     .settings = arg_file0 ("s", "settings", "FILE", "settings: JSON with comments"),
+    .site = arg_lit0 (NULL, "site", "run on the users' machines, by the file that " PLATFORM_SETTINGS_VARIABLE " names"),
     .help = arg_lit0 ("h", "help", "print this help"),
     .version = arg_lit0 ("V", "version", "print the version"),
     .end = arg_end (4),
   };
-  void *table[] = { args.settings, args.help, args.version, args.end };
+  void *table[] = { args.settings, args.site, args.help, args.version, args.end };
   int errors = arg_parse (argc, argv, table);
   char *file = NULL;
 
@@ -61,6 +64,13 @@
     print_help (table);
   else if (args.version->count > 0)
     printf ("jaytraild %s\n", JAYTRAIL_VERSION);
+  else if (errors == 0 && args.site->count > 0)
+    {
+      const char *path = g_getenv (PLATFORM_SETTINGS_VARIABLE);
+      *site = true;
+      file = args.settings->count > 0 ? g_strdup (args.settings->filename[0])
+                                      : g_strdup (path != NULL ? path : PLATFORM_SETTINGS_DEFAULT);
+    }
   else if (errors > 0 || args.settings->count == 0)
     {
       arg_print_errors (stderr, args.end, "jaytraild");
@@ -159,17 +169,49 @@
   _exit (EXIT_SUCCESS);
 }
 
+/* Runs on the users' machines by the settings in FILE. */
+static int
+run_site (const char *file)
+{
+  platform_settings_t *settings = NULL;
+  char *message = NULL;
+
+  if (platform_settings_read (file, &settings, &message) != 0)
+    {
+      fprintf (stderr, "jaytraild: %s\n", message);
+      g_free (message);
+      return EXIT_USAGE;
+    }
+  log_setup (LOG_LEVEL_INFO, true, settings->host);
+  if (site_run (settings) != 0)
+    {
+      fprintf (stderr, "jaytraild: cannot listen on %s, %s and %s\n", settings->caller_listen,
+               settings->ready_listen, settings->peer_listen);
+      return EXIT_FAILURE;
+    }
+  platform_settings_free (settings);
+  fflush (NULL);
+  _exit (EXIT_SUCCESS);
+}
+
 int
 main (int argc, char **argv)
 {
+  bool site = false;
   int status = EXIT_SUCCESS;
   settings_t *settings = NULL;
   char *message = NULL;
   log_level_t level = LOG_LEVEL_INFO;
-  char *file = parse_args (argc, argv, &status);
+  char *file = parse_args (argc, argv, &status, &site);
 
   if (file == NULL)
     return status;
+  if (site)
+    {
+      status = run_site (file);
+      g_free (file);
+      return status;
+    }
   if (settings_read (file, &settings, &message) != 0)
     {
       fprintf (stderr, "jaytraild: %s\n", message);
--- /dev/null
+++ b/daemon/site.h
@@ -0,0 +1,16 @@
+/* site.h -- jaytraild on the users' machines: one loop that serves callers and owns endpoints
+ *
+ * A site_t wires lib/flow (coordinator), lib/fleet (owner), lib/crew (hosts) and the
+ * adapter in platform/.  All of it runs on one thread; connections to other hosts
+ * have one of their own and post what they read.
+ */
+#ifndef DAEMON_SITE_H
+#define DAEMON_SITE_H
+
+#include "platform/settings.h"
+
+/* Runs until it is stopped by SIGTERM.  Returns 0 after a graceful stop, ERROR_IO if it
+ * cannot listen. */
+int site_run (const platform_settings_t *settings);
+
+#endif
--- /dev/null
+++ b/daemon/site_owner.c
@@ -0,0 +1,279 @@
+/* site_owner.c -- the shards that this host owns: their fleets, orders and offers */
+#include "daemon/site_private.h"
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+
+#include <string.h>
+
+#define PART "owner"
+/* Offers are told no more often than this, and no less often than that. */
+#define OFFER_MIN_MS 15
+#define OFFER_MAX_MS 300
+
+/* Text of a number, for the fields of logs. */
+#define NUMBER(buffer, value)                                                                      \
+  (g_snprintf (buffer, sizeof (buffer), "%" G_GINT64_FORMAT, (int64_t) (value)), (buffer))
+
+static owned_t *
+find_owned (const site_t *site, const char *shard)
+{
+  return g_hash_table_lookup (site->owned, g_intern_string (shard));
+}
+
+/* --- answers to orders --- */
+
+static void
+on_started (uint64_t serial, fleet_answer_t answer, int64_t clock_there_ms, void *user)
+{
+  owned_t *owned = user;
+
+  fleet_started (owned->fleet, serial, answer, clock_there_ms, clock_boot_ms (),
+                 owned->site->fleet_actions);
+  owned->dirty = true;
+  site_pump (owned->site);
+}
+
+static void
+on_stopped (uint64_t serial, fleet_answer_t answer, int64_t clock_there_ms, void *user)
+{
+  owned_t *owned = user;
+
+  fleet_stopped (owned->fleet, serial, answer, clock_there_ms, clock_boot_ms (),
+                 owned->site->fleet_actions);
+  owned->dirty = true;
+  site_pump (owned->site);
+}
+
+static void
+on_looked (uint64_t serial, fleet_answer_t answer, const look_t *look, void *user)
+{
+  owned_t *owned = user;
+
+  fleet_looked (owned->fleet, serial, answer, look, clock_boot_ms (), owned->site->fleet_actions);
+  owned->dirty = true;
+  site_pump (owned->site);
+}
+
+static const orders_ops_t order_ops = { on_started, on_stopped, on_looked };
+
+/* --- shards --- */
+
+static void
+set_endpoint (owned_t *owned, const decode_entry_t *entry, int64_t now_ms)
+{
+  if (strcmp (entry->data_centre, owned->name) == 0)
+    fleet_set_endpoint (owned->fleet, &entry->endpoint, now_ms);
+}
+
+void
+owner_claimed (site_t *site, const char *shard, int64_t token)
+{
+  owned_t *owned = find_owned (site, shard);
+  int64_t now_ms = clock_boot_ms ();
+  GHashTableIter iter;
+  void *value = NULL;
+  char number[32];
+
+  log_info (PART, "Shard claimed.", "shard", shard, "token", NUMBER (number, token), NULL);
+  if (owned == NULL)
+    {
+      fleet_options_t options = { site->settings->lease_ms, site->settings->stop_ms };
+      owned = g_new0 (owned_t, 1);
+      owned->site = site;
+      owned->name = g_intern_string (shard);
+      owned->fleet = fleet_new (&options);
+      owned->orders = orders_new (site->client, &order_ops, owned);
+      g_hash_table_insert (site->owned, (void *) owned->name, owned);
+    }
+  owned->token = token;
+  owned->dirty = true;
+  g_hash_table_iter_init (&iter, site->directory);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const decode_entry_t *entry = value;
+      set_endpoint (owned, entry, now_ms);
+      fleet_renew (owned->fleet, entry->endpoint.id);
+    }
+}
+
+void
+owner_yielded (site_t *site, const char *shard)
+{
+  owned_t *owned = find_owned (site, shard);
+
+  if (owned == NULL)
+    return;
+  log_info (PART, "Shard yielded.", "shard", shard, NULL);
+  /* Orders that are on their way still refer to it: it stays, empty. */
+  fleet_yield_all (owned->fleet);
+  g_hash_table_steal (site->owned, owned->name);
+}
+
+void
+owner_free (void *data)
+{
+  owned_t *owned = data;
+
+  orders_free (owned->orders);
+  fleet_free (owned->fleet);
+  if (owned->told != NULL)
+    g_bytes_unref (owned->told);
+  g_free (owned);
+}
+
+void
+owner_entry (site_t *site, const decode_entry_t *entry)
+{
+  owned_t *owned = find_owned (site, entry->data_centre);
+
+  if (owned == NULL)
+    return;
+  set_endpoint (owned, entry, clock_boot_ms ());
+  owned->dirty = true;
+}
+
+void
+owner_gone (site_t *site, const char *id, const char *data_centre)
+{
+  owned_t *owned = find_owned (site, data_centre);
+
+  if (owned == NULL)
+    return;
+  fleet_drop_endpoint (owned->fleet, id, clock_boot_ms (), site->fleet_actions);
+  owned->dirty = true;
+}
+
+/* --- batches --- */
+
+void
+owner_submit (site_t *site, const char *shard, const fleet_batch_t *batch)
+{
+  owned_t *owned = find_owned (site, shard);
+
+  /* A coordinator that does not know yet learns it from the next beat. */
+  if (owned == NULL)
+    return;
+  fleet_submit (owned->fleet, batch, clock_boot_ms ());
+  owned->dirty = true;
+}
+
+bool
+owner_cancel (site_t *site, const char *coordinator, uint64_t batch)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+  bool never = false;
+
+  g_hash_table_iter_init (&iter, site->owned);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      owned_t *owned = value;
+      never |= fleet_cancel (owned->fleet, coordinator, batch, clock_boot_ms (),
+                             site->fleet_actions);
+      owned->dirty = true;
+    }
+  return never;
+}
+
+void
+owner_drop_coordinator (site_t *site, const char *coordinator)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, site->owned);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      owned_t *owned = value;
+      fleet_drop_coordinator (owned->fleet, coordinator, clock_boot_ms (), site->fleet_actions);
+      owned->dirty = true;
+    }
+}
+
+/* --- rounds --- */
+
+/* Carries out orders; ends are kept until all actions are read, since telling them changes
+ * what actions point to. */
+static void
+run_actions (site_t *site, owned_t *owned, int64_t now_ms)
+{
+  for (guint i = 0; i < site->fleet_actions->len; i++)
+    {
+      const fleet_action_t *action = &g_array_index (site->fleet_actions, fleet_action_t, i);
+      told_end_t told = { action->coordinator, { action->batch, action->index, action->kind } };
+      switch (action->kind)
+        {
+        case FLEET_START:
+        case FLEET_STOP:
+        case FLEET_LOOK:
+          orders_send (owned->orders, action, owned->token, now_ms);
+          break;
+        case FLEET_SHUT_OUT:
+          log_warning (PART, "Shut out by an endpoint.", "endpoint", action->endpoint, "shard",
+                       owned->name, NULL);
+          crew_shut_out (site->crew, owned->name, now_ms, clock_wall_ms (), site->crew_actions);
+          break;
+        default:
+          g_array_append_val (site->ends, told);
+          break;
+        }
+    }
+  g_array_set_size (site->fleet_actions, 0);
+}
+
+bool
+owner_rounds (site_t *site, bool all)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+  bool done = false;
+  int64_t now_ms = clock_boot_ms ();
+
+  g_hash_table_iter_init (&iter, site->owned);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      owned_t *owned = value;
+      if (!owned->dirty && !all)
+        continue;
+      owned->dirty = false;
+      fleet_run (owned->fleet, flow_slots_elsewhere (site->flow, owned->name), now_ms,
+                 site->fleet_actions);
+      done |= site->fleet_actions->len > 0;
+      run_actions (site, owned, now_ms);
+    }
+  return done;
+}
+
+void
+owner_tell_offers (site_t *site, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, site->owned);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      owned_t *owned = value;
+      if (now_ms - owned->told_at_ms < OFFER_MIN_MS)
+        continue;
+      fleet_totals_t totals = fleet_totals (owned->fleet, now_ms);
+      GArray *offers = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
+      fleet_offers (owned->fleet, &totals.usual_need, now_ms, offers);
+      GBytes *offer = fleet_msg_offer (owned->name, totals.waiting, offers);
+      if (owned->told == NULL || !g_bytes_equal (offer, owned->told)
+          || now_ms - owned->told_at_ms > OFFER_MAX_MS)
+        {
+          owned->told_at_ms = now_ms;
+          flow_offer (site->flow, owned->name, site->host,
+                      (const fleet_offer_t *) (void *) offers->data, offers->len, totals.waiting,
+                      now_ms);
+          peers_send_all (site, g_bytes_ref (offer));
+          g_clear_pointer (&owned->told, g_bytes_unref);
+          owned->told = g_bytes_ref (offer);
+        }
+      g_bytes_unref (offer);
+      g_array_unref (offers);
+    }
+}
--- /dev/null
+++ b/daemon/site_peers.c
@@ -0,0 +1,263 @@
+/* site_peers.c -- frames between hosts: beats, tasks, offers, configurations */
+#include "daemon/site_private.h"
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/log.h"
+#include "crew/crew_msg.h"
+
+#define PART "peers"
+/* Hosts are heard this often. */
+#define BEAT_MS 100
+
+typedef struct
+{
+  site_t *site;
+  const char *host; /* interned */
+  GBytes *frame;    /* NULL for a change of the connection */
+  bool up;
+} arrival_t;
+
+/* --- reading --- */
+
+static void
+read_submit (site_t *site, const char *host, frame_reader_t *reader)
+{
+  fleet_submit_t submit;
+
+  if (fleet_msg_read_submit (reader, clock_boot_ms (), &submit) != 0)
+    return;
+  submit.batch.coordinator = host;
+  owner_submit (site, submit.shard, &submit.batch);
+  fleet_submit_clear (&submit);
+}
+
+static void
+read_cancel (site_t *site, const char *host, frame_reader_t *reader)
+{
+  uint64_t batch = 0;
+
+  if (fleet_msg_read_cancel (reader, &batch) != 0)
+    return;
+  bool never = owner_cancel (site, host, batch);
+  peers_send (site, host, fleet_msg_cancelled (batch, never));
+}
+
+static void
+read_cancelled (site_t *site, const char *host, frame_reader_t *reader)
+{
+  uint64_t batch = 0;
+  bool never = false;
+
+  if (fleet_msg_read_cancelled (reader, &batch, &never) != 0)
+    return;
+  flow_cancelled (site->flow, host, batch, never, clock_boot_ms (), site->flow_actions);
+  site_run_flow_actions (site);
+}
+
+static void
+read_ends (site_t *site, const char *host, frame_reader_t *reader)
+{
+  static const flow_task_end_t ends_of[] = {
+    [FLEET_DONE] = FLOW_TASK_DONE,
+    [FLEET_FAILED] = FLOW_TASK_FAILED,
+    [FLEET_RETURNED] = FLOW_TASK_RETURNED,
+    [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
+  };
+  GArray *ends = g_array_new (FALSE, FALSE, sizeof (fleet_end_t));
+
+  if (fleet_msg_read_ends (reader, ends) == 0)
+    for (guint i = 0; i < ends->len; i++)
+      {
+        const fleet_end_t *end = &g_array_index (ends, fleet_end_t, i);
+        flow_task_ended (site->flow, host, end->batch, end->index, ends_of[end->how],
+                         clock_boot_ms (), site->flow_actions);
+        site_run_flow_actions (site);
+      }
+  g_array_unref (ends);
+}
+
+static void
+read_offer (site_t *site, const char *host, frame_reader_t *reader)
+{
+  fleet_offer_msg_t offer;
+
+  if (fleet_msg_read_offer (reader, &offer) != 0)
+    return;
+  flow_offer (site->flow, offer.shard, host, (const fleet_offer_t *) (void *) offer.offers->data,
+              offer.offers->len, offer.waiting, clock_boot_ms ());
+  fleet_offer_msg_clear (&offer);
+}
+
+static void
+read_beat (site_t *site, const char *host, frame_reader_t *reader)
+{
+  crew_beat_t beat;
+
+  (void) host;
+  if (crew_msg_read_beat (reader, &beat) != 0)
+    return;
+  crew_heard (site->crew, &beat, clock_boot_ms (), site->crew_actions);
+  crew_beat_clear (&beat);
+}
+
+static void
+read_config_pull (site_t *site, const char *host, frame_reader_t *reader)
+{
+  gsize size = 0;
+
+  (void) reader;
+  if (site->queues_data == NULL)
+    return;
+  const void *data = g_bytes_get_data (site->queues_data, &size);
+  peers_send (site, host, crew_msg_config (data, size));
+}
+
+static void
+read_config (site_t *site, const char *host, frame_reader_t *reader)
+{
+  const void *data = NULL;
+  size_t size = 0;
+
+  if (crew_msg_read_config (reader, &data, &size) == 0)
+    site_take_config (site, data, size, host);
+}
+
+static const struct
+{
+  int type;
+  void (*read) (site_t *site, const char *host, frame_reader_t *reader);
+} readers[] = {
+  { FLEET_MSG_SUBMIT, read_submit },       { FLEET_MSG_CANCEL, read_cancel },
+  { FLEET_MSG_ENDS, read_ends },           { FLEET_MSG_CANCELLED, read_cancelled },
+  { FLEET_MSG_OFFER, read_offer },         { CREW_MSG_BEAT, read_beat },
+  { CREW_MSG_CONFIG_PULL, read_config_pull }, { CREW_MSG_CONFIG, read_config },
+};
+
+static void
+read_frame (site_t *site, const char *host, GBytes *frame)
+{
+  frame_reader_t *reader = NULL;
+  gsize size = 0;
+  const void *data = g_bytes_get_data (frame, &size);
+
+  if (frame_parse (data, size, &reader) != 0)
+    return;
+  for (gsize i = 0; i < G_N_ELEMENTS (readers); i++)
+    if (readers[i].type == frame_type (reader))
+      readers[i].read (site, host, reader);
+  frame_reader_free (reader);
+}
+
+/* --- from the net's thread to the loop --- */
+
+static void
+on_arrival (void *data)
+{
+  arrival_t *arrival = data;
+  site_t *site = arrival->site;
+
+  if (arrival->frame != NULL)
+    {
+      read_frame (site, arrival->host, arrival->frame);
+      g_bytes_unref (arrival->frame);
+    }
+  else if (arrival->up)
+    {
+      g_hash_table_add (site->connected, (void *) arrival->host);
+      peers_beat (site, clock_boot_ms (), true);
+    }
+  else
+    {
+      g_hash_table_remove (site->connected, arrival->host);
+      crew_broken (site->crew, arrival->host, clock_boot_ms ());
+    }
+  g_free (arrival);
+  site_pump (site);
+}
+
+static void
+post (site_t *site, const char *host, GBytes *frame, bool up)
+{
+  arrival_t *arrival = g_new0 (arrival_t, 1);
+
+  arrival->site = site;
+  arrival->host = g_intern_string (host);
+  arrival->frame = frame != NULL ? g_bytes_ref (frame) : NULL;
+  arrival->up = up;
+  loop_post (site->loop, on_arrival, arrival);
+}
+
+static void
+on_frame (const char *host, GBytes *frame, void *data)
+{
+  post (data, host, frame, false);
+}
+
+static void
+on_up (const net_peer_t *peer, void *data)
+{
+  post (data, peer->host, NULL, true);
+}
+
+static void
+on_down (const char *host, void *data)
+{
+  post (data, host, NULL, false);
+}
+
+static const net_ops_t net_ops = { on_frame, on_up, on_down };
+
+int
+peers_start (site_t *site)
+{
+  const platform_settings_t *settings = site->settings;
+  net_options_t options = {
+    .listen = settings->peer_listen,
+    .self = { (char *) site->host, settings->data_centre, settings->peer_listen,
+              site->incarnation },
+    .ops = &net_ops,
+    .data = site,
+  };
+  int result = net_start (&options, &site->net);
+
+  for (guint i = 0; result == 0 && i < settings->seeds->len; i++)
+    net_add_address (site->net, settings->seeds->pdata[i], NULL, true);
+  return result;
+}
+
+/* --- sending --- */
+
+void
+peers_send (site_t *site, const char *host, GBytes *frame)
+{
+  /* What can't be sent is noticed by silence: the connection is down. */
+  if (net_send (site->net, host, frame) != 0)
+    log_debug (PART, "Frame not sent.", "host", host, NULL);
+}
+
+void
+peers_send_all (site_t *site, GBytes *frame)
+{
+  GHashTableIter iter;
+  void *key = NULL;
+
+  g_hash_table_iter_init (&iter, site->connected);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    peers_send (site, key, g_bytes_ref (frame));
+  g_bytes_unref (frame);
+}
+
+void
+peers_beat (site_t *site, int64_t now_ms, bool at_once)
+{
+  crew_beat_t beat;
+
+  if (now_ms < site->beat_due_ms && !at_once)
+    return;
+  site->beat_due_ms = now_ms + BEAT_MS;
+  crew_own_beat (site->crew, &beat);
+  beat.config_version = site->queues != NULL ? site->queues->version : 0;
+  peers_send_all (site, crew_msg_beat (&beat));
+  g_array_unref (beat.claims);
+}
--- /dev/null
+++ b/daemon/site_private.h
@@ -0,0 +1,96 @@
+/* site_private.h -- what the files of the site share */
+#ifndef DAEMON_SITE_PRIVATE_H
+#define DAEMON_SITE_PRIVATE_H
+
+#include "crew/crew.h"
+#include "fleet/fleet.h"
+#include "fleet/fleet_msg.h"
+#include "flow/flow.h"
+#include "flow/queues.h"
+#include "platform/door.h"
+#include "platform/orders.h"
+#include "platform/settings.h"
+#include "platform/store.h"
+#include "reactor/loop.h"
+#include "reactor/web.h"
+#include "wire/net.h"
+
+typedef struct site_t site_t;
+
+/* A shard that this host owns. */
+typedef struct
+{
+  site_t *site;
+  const char *name; /* interned */
+  int64_t token;
+  fleet_t *fleet;
+  orders_t *orders;
+  bool dirty; /* something happened since its last round */
+  GBytes *told; /* the offer that was sent last */
+  int64_t told_at_ms;
+} owned_t;
+
+/* An end that is to be told to a coordinator. */
+typedef struct
+{
+  const char *coordinator; /* interned */
+  fleet_end_t end;
+} told_end_t;
+
+struct site_t
+{
+  const platform_settings_t *settings;
+  const char *host; /* interned */
+  uint64_t incarnation;
+  loop_t *loop;
+  webclient_t *client;
+  net_t *net;
+  store_t *store;
+  door_t *door;
+  crew_t *crew;
+  flow_t *flow;
+  queues_t *queues;
+  GBytes *queues_data; /* as the platform gave it */
+  GHashTable *owned;   /* interned shard -> owned_t */
+  GHashTable *directory; /* id -> decode_entry_t */
+  GHashTable *connected; /* interned hosts with a connection */
+  GArray *crew_actions;
+  GArray *flow_actions;
+  GArray *fleet_actions;
+  GArray *ends; /* told_end_t */
+  bool pumping;
+  bool store_reachable;
+  bool leaving;
+  int64_t leaving_from_ms;
+  int64_t ticked_at_ms;
+  int64_t beat_due_ms;
+  int64_t pull_due_ms;
+};
+
+/* site.c: carries out all actions that are due, until nothing is left to do. */
+void site_pump (site_t *site);
+void site_run_flow_actions (site_t *site);
+
+/* site_owner.c */
+void owner_claimed (site_t *site, const char *shard, int64_t token);
+void owner_yielded (site_t *site, const char *shard);
+void owner_entry (site_t *site, const decode_entry_t *entry);
+void owner_gone (site_t *site, const char *id, const char *data_centre);
+void owner_submit (site_t *site, const char *shard, const fleet_batch_t *batch);
+/* Ends BATCH of COORDINATOR wherever it is.  Returns true if nothing of it started. */
+bool owner_cancel (site_t *site, const char *coordinator, uint64_t batch);
+void owner_drop_coordinator (site_t *site, const char *coordinator);
+/* Rounds of all fleets.  Returns true if anything was done. */
+bool owner_rounds (site_t *site, bool all);
+void owner_tell_offers (site_t *site, int64_t now_ms);
+void owner_free (void *owned);
+
+/* site_peers.c */
+int peers_start (site_t *site);
+void peers_send (site_t *site, const char *host, GBytes *frame);
+void peers_send_all (site_t *site, GBytes *frame);
+void peers_beat (site_t *site, int64_t now_ms, bool at_once);
+/* Takes over a configuration if it is newer.  Returns true if it was. */
+bool site_take_config (site_t *site, const char *data, size_t size, const char *from);
+
+#endif
--- /dev/null
+++ b/lib/crew/crew.h
@@ -0,0 +1,113 @@
+/* crew.h -- which hosts are there, and which of them owns each shard of the endpoints
+ *
+ * A shard is the endpoints of one data centre.  Its owner is the host with the
+ * highest claim among those that can be heard; hosts of the same data centre go before
+ * others, so that a data centre that is cut off goes on with an owner of its own.  Nothing is
+ * agreed on: a claim carries a token that grows, endpoints obey the highest token, and
+ * whoever hears of a better claim yields.  Two owners at once thus cost time, not
+ * correctness.
+ *
+ * Pure: beats and the time go in, actions come out.  Times are milliseconds of the boot
+ * clock but for the wall clock that tokens follow.  Not thread-safe.
+ */
+#ifndef CREW_CREW_H
+#define CREW_CREW_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct crew_t crew_t;
+
+#define CREW_CLAIMS_MAX 64
+
+typedef struct
+{
+  char *shard;
+  int64_t token;
+} crew_claim_t;
+
+/* What a host says about itself. */
+typedef struct
+{
+  char *host;
+  char *data_centre;
+  uint64_t incarnation;
+  bool ready;   /* may own endpoints and serve callers */
+  bool leaving; /* it is being stopped */
+  int32_t power; /* thousandths of a core */
+  int64_t config_version;
+  uint64_t directory_version;
+  GArray *claims; /* crew_claim_t */
+} crew_beat_t;
+
+void crew_beat_clear (crew_beat_t *beat);
+
+typedef enum
+{
+  CREW_CLAIMED, /* this host owns SHARD from now on, under TOKEN */
+  CREW_YIELDED, /* this host no longer owns SHARD */
+  CREW_OWNER,   /* HOST (NULL: nobody) owns SHARD, this host included */
+  CREW_LOST,    /* HOST can't be heard any more, or has started anew */
+  CREW_FOUND    /* HOST is heard for the first time, or again */
+} crew_action_kind_t;
+
+typedef struct
+{
+  crew_action_kind_t kind;
+  const char *shard; /* interned */
+  const char *host;  /* interned */
+  int64_t token;
+  int64_t heard_at_ms; /* CREW_LOST: when it was last heard */
+  const char *reason;  /* static */
+} crew_action_t;
+
+typedef struct
+{
+  const char *host;
+  const char *data_centre;
+  uint64_t incarnation;
+  int32_t power;
+} crew_options_t;
+
+crew_t *crew_new (const crew_options_t *options, int64_t now_ms);
+void crew_free (crew_t *crew);
+
+/* A beat of another host. */
+void crew_heard (crew_t *crew, const crew_beat_t *beat, int64_t now_ms, GArray *actions);
+
+/* The connection to HOST broke: it is lost soon unless it is heard again. */
+void crew_broken (crew_t *crew, const char *host, int64_t now_ms);
+
+/* There are endpoints in DATA_CENTRE. */
+void crew_add_shard (crew_t *crew, const char *data_centre);
+
+void crew_set_ready (crew_t *crew, bool ready);
+void crew_leave (crew_t *crew);
+
+/* An endpoint of SHARD obeys a higher token than this host's. */
+void crew_shut_out (crew_t *crew,
+                    const char *shard,
+                    int64_t now_ms,
+                    int64_t wall_ms,
+                    GArray *actions);
+
+/* Call every few milliseconds. */
+void crew_step (crew_t *crew, int64_t now_ms, int64_t wall_ms, GArray *actions);
+
+/* Whether this process stood still, by the time since the last step: what it believes is
+ * old.  Forgets all peers' claims. */
+void crew_thawed (crew_t *crew, int64_t now_ms, GArray *actions);
+
+/* Fills BEAT with what this host says; strings belong to the crew, the array is new. */
+void crew_own_beat (const crew_t *crew, crew_beat_t *beat);
+
+bool crew_owns (const crew_t *crew, const char *shard, int64_t *token);
+bool crew_is_alive (const crew_t *crew, const char *host, int64_t now_ms);
+const char *crew_owner (const crew_t *crew, const char *shard);
+int32_t crew_hosts (const crew_t *crew, int64_t now_ms);
+
+/* The host that is heard and has a newer configuration than VERSION, or NULL. */
+const char *crew_with_config (const crew_t *crew, int64_t version, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/lib/fleet/answer.c
@@ -0,0 +1,401 @@
+/* answer.c -- what the answers of endpoints say about their runs
+ *
+ * An answer is matched with its call by serial; an answer to a call that is no
+ * longer of interest says only that the endpoint is alive.  Ends are taken from
+ * looks alone, in the order of their numbers.
+ */
+#include "fleet/table.h"
+
+#include <string.h>
+
+/* How long an endpoint that is full by its own word gets nothing. */
+#define FULL_MS 20
+/* Two looks apart by this much must show progress. */
+#define HANG_MIN_MS 300
+/* Names of ends under another owner that are kept, for tasks that are handed over. */
+#define ENDED_STRANGERS_MAX 512
+/* An endpoint that calls itself unhealthy is asked again after this. */
+#define UNHEALTHY_MS 300
+
+static void
+heard (endpoint_t *endpoint, int64_t clock_there_ms, int64_t now_ms)
+{
+  endpoint->heard_at_ms = now_ms;
+  endpoint->silent_from_ms = 0;
+  if (clock_there_ms == 0)
+    return;
+  /* The answer took some time to come: the clock there shows more by now. */
+  endpoint->clock_ahead_ms = clock_there_ms - now_ms;
+  endpoint->clock_known = true;
+}
+
+static void
+not_heard (endpoint_t *endpoint, int64_t sent_at_ms)
+{
+  if (endpoint->silent_from_ms == 0)
+    endpoint->silent_from_ms = MAX (sent_at_ms, 1);
+}
+
+static void
+shut_out (endpoint_t *endpoint, GArray *actions)
+{
+  if (endpoint->shut_out)
+    return;
+  endpoint->shut_out = true;
+  fleet_action_t *action = action_add (actions, FLEET_SHUT_OUT);
+  action->endpoint = endpoint->id;
+}
+
+static call_t *
+take_call (fleet_t *fleet, uint64_t serial)
+{
+  call_t *call = g_hash_table_lookup (fleet->calls, &serial);
+
+  if (call != NULL)
+    g_hash_table_steal (fleet->calls, &serial);
+  return call;
+}
+
+static void
+free_call (call_t *call)
+{
+  g_free (call->endpoint);
+  g_free (call->task);
+  g_free (call);
+}
+
+/* The task of CALL if its run is still the one that the call was about. */
+static task_t *
+task_of (const fleet_t *fleet, const call_t *call)
+{
+  task_t *task = g_hash_table_lookup (fleet->tasks, call->task);
+  bool same = task != NULL && task->endpoint != NULL && task->attempt == call->attempt
+              && strcmp (task->endpoint->id, call->endpoint) == 0;
+
+  return same ? task : NULL;
+}
+
+/* The order had no effect and never will: as if it had not been given. */
+static void
+unstart (fleet_t *fleet, task_t *task, int64_t now_ms)
+{
+  task_requeue (fleet, task, now_ms);
+}
+
+static void
+judge (fleet_t *fleet, endpoint_t *endpoint, bool failed, int64_t now_ms)
+{
+  outlier_outcome (&endpoint->outlier, &fleet->outliers, &fleet->base, failed, now_ms);
+}
+
+static void
+fail_task (fleet_t *fleet, task_t *task, const char *reason, GArray *actions)
+{
+  tell (actions, FLEET_FAILED, task, reason);
+  task_end (fleet, task);
+}
+
+void
+fleet_started (fleet_t *fleet,
+               uint64_t serial,
+               fleet_answer_t answer,
+               int64_t clock_there_ms,
+               int64_t now_ms,
+               GArray *actions)
+{
+  call_t *call = take_call (fleet, serial);
+
+  if (call == NULL)
+    return;
+  endpoint_t *endpoint = endpoint_find (fleet, call->endpoint);
+  task_t *task = task_of (fleet, call);
+  free_call (call);
+  if (endpoint == NULL)
+    return;
+  if (answer != FLEET_UNKNOWN && answer != FLEET_GONE)
+    heard (endpoint, clock_there_ms, now_ms);
+  if (task == NULL)
+    return;
+  switch (answer)
+    {
+    case FLEET_OK:
+      if (task->state == TASK_STARTING || task->state == TASK_UNSURE)
+        task->state = TASK_RUNNING;
+      if (task->answered_at_ms == 0)
+        {
+          task->answered_at_ms = now_ms;
+          task->percent_at_ms = now_ms;
+        }
+      return;
+    case FLEET_UNKNOWN:
+      not_heard (endpoint, task->sent_at_ms);
+      if (task->state == TASK_STARTING)
+        {
+          task->state = TASK_UNSURE;
+          endpoint->look_due_ms = now_ms;
+        }
+      return;
+    case FLEET_GONE:
+      not_heard (endpoint, task->sent_at_ms);
+      break;
+    case FLEET_NO_ROOM:
+      endpoint->full_until_ms = now_ms + FULL_MS;
+      break;
+    case FLEET_BAD_TOKEN:
+      shut_out (endpoint, actions);
+      break;
+    case FLEET_UNHEALTHY:
+      endpoint->full_until_ms = now_ms + UNHEALTHY_MS;
+      judge (fleet, endpoint, true, now_ms);
+      break;
+    case FLEET_INVALID:
+      fail_task (fleet, task, "endpoint refuses the order as malformed", actions);
+      return;
+    case FLEET_OLD:
+    case FLEET_LATE:
+    default:
+      break;
+    }
+  if (endpoint->outlier.probing)
+    endpoint->outlier.probing = false;
+  unstart (fleet, task, now_ms);
+}
+
+void
+fleet_stopped (fleet_t *fleet,
+               uint64_t serial,
+               fleet_answer_t answer,
+               int64_t clock_there_ms,
+               int64_t now_ms,
+               GArray *actions)
+{
+  call_t *call = take_call (fleet, serial);
+
+  if (call == NULL)
+    return;
+  endpoint_t *endpoint = endpoint_find (fleet, call->endpoint);
+  task_t *task = task_of (fleet, call);
+  free_call (call);
+  if (endpoint == NULL)
+    return;
+  if (answer == FLEET_UNKNOWN || answer == FLEET_GONE)
+    {
+      not_heard (endpoint, now_ms);
+      return;
+    }
+  heard (endpoint, clock_there_ms, now_ms);
+  if (answer == FLEET_BAD_TOKEN)
+    shut_out (endpoint, actions);
+  if (answer == FLEET_OK && task != NULL && task->state == TASK_STOPPING)
+    {
+      task->stop_confirmed = true;
+      task->stop_sent_at_ms = now_ms;
+    }
+  endpoint->look_due_ms = now_ms;
+}
+
+/* --- looks --- */
+
+static task_t *
+run_named (const endpoint_t *endpoint, const char *name, int32_t attempt)
+{
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      task_t *task = endpoint->runs->pdata[i];
+      if (task->attempt == attempt && strcmp (task->name, name) == 0)
+        return task;
+    }
+  return NULL;
+}
+
+static void
+end_run (fleet_t *fleet, task_t *task, run_end_t how, int64_t now_ms, GArray *actions)
+{
+  endpoint_t *endpoint = task->endpoint;
+
+  if (how == RUN_DONE)
+    {
+      int64_t elapsed_ms = now_ms - task->sent_at_ms;
+      judge (fleet, endpoint, false, now_ms);
+      if (task->answered_at_ms != 0)
+        place_learn (fleet, task, elapsed_ms, now_ms);
+      tell (actions, FLEET_DONE, task, NULL);
+      task_end (fleet, task);
+      return;
+    }
+  if (how == RUN_FAILED)
+    {
+      task->failures++;
+      judge (fleet, endpoint, true, now_ms);
+      g_free (task->avoid);
+      task->avoid = g_strdup (endpoint->id);
+      if (task->batch != NULL && task->failures >= task->batch->attempts_max)
+        {
+          fail_task (fleet, task, "failed as often as is allowed", actions);
+          return;
+        }
+    }
+  task_requeue (fleet, task, now_ms);
+}
+
+static void
+note_stranger (endpoint_t *endpoint, const look_active_t *row, int64_t now_ms)
+{
+  for (guint i = 0; i < endpoint->strangers->len; i++)
+    {
+      stranger_t *stranger = endpoint->strangers->pdata[i];
+      if (stranger->attempt == row->attempt && strcmp (stranger->name, row->task) == 0)
+        {
+          stranger->present = true;
+          return;
+        }
+    }
+  stranger_t *stranger = g_new0 (stranger_t, 1);
+  stranger->name = g_strdup (row->task);
+  stranger->attempt = row->attempt;
+  stranger->seen_at_ms = now_ms;
+  stranger->present = true;
+  g_ptr_array_add (endpoint->strangers, stranger);
+}
+
+static void
+note_active (endpoint_t *endpoint, const look_active_t *row, int64_t now_ms)
+{
+  task_t *task = run_named (endpoint, row->task, row->attempt);
+
+  if (task == NULL)
+    {
+      note_stranger (endpoint, row, now_ms);
+      return;
+    }
+  task->percent_at_ms = row->percent > task->percent ? now_ms : task->percent_at_ms;
+  task->percent = row->percent;
+  if (task->state == TASK_STARTING || task->state == TASK_UNSURE)
+    task->state = TASK_RUNNING;
+  if (task->answered_at_ms == 0)
+    {
+      task->answered_at_ms = now_ms;
+      task->percent_at_ms = now_ms;
+    }
+}
+
+static void
+take_ends (fleet_t *fleet, endpoint_t *endpoint, const look_t *look, int64_t now_ms, GArray *actions)
+{
+  for (size_t i = 0; i < look->ended_count; i++)
+    {
+      const look_ended_t *row = &look->ended[i];
+      if (row->number <= endpoint->ack)
+        continue;
+      endpoint->ack = row->number;
+      task_t *task = run_named (endpoint, row->task, row->attempt);
+      if (task != NULL)
+        end_run (fleet, task, row->how, now_ms, actions);
+      else if (row->how == RUN_DONE && endpoint->ended_strangers->len < ENDED_STRANGERS_MAX)
+        g_ptr_array_add (endpoint->ended_strangers, g_strdup (row->task));
+    }
+}
+
+static bool
+is_active (const look_t *look, const task_t *task)
+{
+  for (size_t i = 0; i < look->active_count; i++)
+    if (look->active[i].attempt == task->attempt && strcmp (look->active[i].task, task->name) == 0)
+      return true;
+  return false;
+}
+
+/* True if TASK's run was to be seen in a look that was sent at SENT_AT_MS. */
+static bool
+was_due (const task_t *task, int64_t sent_at_ms)
+{
+  return (task->state == TASK_RUNNING && task->answered_at_ms < sent_at_ms)
+         || (task->state == TASK_STOPPING && task->stop_confirmed
+             && task->stop_sent_at_ms < sent_at_ms);
+}
+
+static void
+check_runs (fleet_t *fleet,
+            endpoint_t *endpoint,
+            const look_t *look,
+            int64_t sent_at_ms,
+            int64_t now_ms)
+{
+  for (guint i = endpoint->runs->len; i-- > 0;)
+    {
+      task_t *task = endpoint->runs->pdata[i];
+      if (is_active (look, task))
+        {
+          int64_t still_ms = now_ms - task->percent_at_ms;
+          int64_t patience_ms = MAX (HANG_MIN_MS, task->expected_ms);
+          if (task->state == TASK_RUNNING && still_ms > patience_ms)
+            {
+              judge (fleet, endpoint, true, now_ms);
+              task_replace (task, now_ms);
+            }
+        }
+      else if (was_due (task, sent_at_ms))
+        task_requeue (fleet, task, now_ms);
+      else if (task->state == TASK_UNSURE && task->sent_at_ms < sent_at_ms)
+        /* It may yet be carried out: only a stop settles it. */
+        task_replace (task, now_ms);
+    }
+}
+
+static void
+drop_absent_strangers (endpoint_t *endpoint)
+{
+  for (guint i = endpoint->strangers->len; i-- > 0;)
+    {
+      stranger_t *stranger = endpoint->strangers->pdata[i];
+      if (!stranger->present)
+        g_ptr_array_remove_index_fast (endpoint->strangers, i);
+      else
+        stranger->present = false;
+    }
+}
+
+void
+fleet_looked (fleet_t *fleet,
+              uint64_t serial,
+              fleet_answer_t answer,
+              const look_t *look,
+              int64_t now_ms,
+              GArray *actions)
+{
+  call_t *call = take_call (fleet, serial);
+
+  if (call == NULL)
+    return;
+  endpoint_t *endpoint = endpoint_find (fleet, call->endpoint);
+  free_call (call);
+  if (endpoint == NULL || endpoint->look_serial != serial)
+    return;
+  int64_t sent_at_ms = endpoint->look_sent_at_ms;
+  endpoint->look_out = false;
+  if (answer == FLEET_BAD_TOKEN)
+    {
+      heard (endpoint, 0, now_ms);
+      shut_out (endpoint, actions);
+      return;
+    }
+  if (answer != FLEET_OK)
+    {
+      not_heard (endpoint, sent_at_ms);
+      return;
+    }
+  if (look->born_at_ms != 0 && endpoint->born_at_ms != 0
+      && look->born_at_ms > endpoint->born_at_ms)
+    {
+      endpoint_reborn (fleet, endpoint, now_ms);
+      endpoint->born_at_ms = look->born_at_ms;
+    }
+  heard (endpoint, look->clock_there_ms, now_ms);
+  endpoint->looked = true;
+  endpoint->look_due_ms = now_ms;
+  for (size_t i = 0; i < look->active_count; i++)
+    note_active (endpoint, &look->active[i], now_ms);
+  drop_absent_strangers (endpoint);
+  take_ends (fleet, endpoint, look, now_ms, actions);
+  check_runs (fleet, endpoint, look, sent_at_ms, now_ms);
+}
--- /dev/null
+++ b/lib/fleet/fleet.c
@@ -0,0 +1,604 @@
+/* fleet.c -- the tables of a fleet: endpoints, batches, tasks and their queue
+ *
+ * A task is in the queue exactly while it is TASK_WAITING, in the set of unclear ones
+ * while it is TASK_MAYBE, and else in the runs of one endpoint, where its room is
+ * taken until its run is surely over.  A cancelled task whose run is not over
+ * stays as a task without a batch.
+ */
+#include "fleet/table.h"
+
+#include <string.h>
+
+/* --- names --- */
+
+static char *
+batch_key (const char *coordinator, uint64_t number)
+{
+  return g_strdup_printf ("%s/%" G_GUINT64_FORMAT, coordinator, number);
+}
+
+static void
+free_endpoint (void *data)
+{
+  endpoint_t *endpoint = data;
+
+  g_free (endpoint->id);
+  g_free (endpoint->address);
+  g_free (endpoint->service);
+  g_free (endpoint->kind);
+  g_free (endpoint->rack);
+  g_ptr_array_unref (endpoint->runs);
+  g_ptr_array_unref (endpoint->strangers);
+  g_ptr_array_unref (endpoint->ended_strangers);
+  g_free (endpoint);
+}
+
+static void
+free_stranger (void *data)
+{
+  stranger_t *stranger = data;
+
+  g_free (stranger->name);
+  g_free (stranger);
+}
+
+static void
+free_task (void *data)
+{
+  task_t *task = data;
+
+  g_free (task->name);
+  g_free (task->avoid);
+  g_free (task);
+}
+
+static void
+free_batch (void *data)
+{
+  batch_t *batch = data;
+
+  g_free (batch->job);
+  g_free (batch->spec);
+  g_free (batch->service);
+  g_free (batch->label);
+  g_free (batch->near_rack);
+  g_ptr_array_unref (batch->tasks);
+  g_free (batch);
+}
+
+static void
+free_call (void *data)
+{
+  call_t *call = data;
+
+  g_free (call->endpoint);
+  g_free (call->task);
+  g_free (call);
+}
+
+static void
+free_kind (void *data)
+{
+  kind_t *kind = data;
+
+  g_free (kind->kind);
+  g_free (kind);
+}
+
+fleet_t *
+fleet_new (const fleet_options_t *options)
+{
+  fleet_t *fleet = g_new0 (fleet_t, 1);
+
+  fleet->options = *options;
+  fleet->endpoints = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_endpoint);
+  fleet->tasks = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_task);
+  fleet->batches = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_batch);
+  fleet->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_call);
+  fleet->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_kind);
+  fleet->maybe = g_hash_table_new (NULL, NULL);
+  g_queue_init (&fleet->queue);
+  return fleet;
+}
+
+void
+fleet_free (fleet_t *fleet)
+{
+  if (fleet == NULL)
+    return;
+  g_hash_table_unref (fleet->maybe);
+  g_hash_table_unref (fleet->calls);
+  g_hash_table_unref (fleet->batches);
+  g_hash_table_unref (fleet->tasks);
+  g_hash_table_unref (fleet->endpoints);
+  g_hash_table_unref (fleet->kinds);
+  g_free (fleet);
+}
+
+/* --- the queue --- */
+
+static bool
+goes_before (const task_t *a, const task_t *b)
+{
+  if (a->batch->priority != b->batch->priority)
+    return a->batch->priority < b->batch->priority;
+  return a->batch->goal_at_ms < b->batch->goal_at_ms;
+}
+
+static void
+queue_add (fleet_t *fleet, task_t *task)
+{
+  GList *at = fleet->queue.tail;
+
+  while (at != NULL && goes_before (task, at->data))
+    at = at->prev;
+  task->link.data = task;
+  if (at == NULL)
+    g_queue_push_head_link (&fleet->queue, &task->link);
+  else
+    g_queue_insert_after_link (&fleet->queue, at, &task->link);
+}
+
+/* --- tasks --- */
+
+void
+task_detach (task_t *task)
+{
+  endpoint_t *endpoint = task->endpoint;
+
+  if (endpoint == NULL)
+    return;
+  g_ptr_array_remove_fast (endpoint->runs, task);
+  room_add (&endpoint->used, &task->need, -1);
+  task->endpoint = NULL;
+}
+
+void
+task_attach (task_t *task, endpoint_t *endpoint)
+{
+  task->endpoint = endpoint;
+  g_ptr_array_add (endpoint->runs, task);
+  room_add (&endpoint->used, &task->need, 1);
+}
+
+static void
+leave_batch (fleet_t *fleet, task_t *task)
+{
+  batch_t *batch = task->batch;
+
+  task->batch = NULL;
+  if (batch == NULL)
+    return;
+  g_ptr_array_remove_fast (batch->tasks, task);
+  if (batch->tasks->len > 0)
+    return;
+  char *key = batch_key (batch->coordinator, batch->number);
+  g_hash_table_remove (fleet->batches, key);
+  g_free (key);
+}
+
+void
+task_end (fleet_t *fleet, task_t *task)
+{
+  if (task->state == TASK_WAITING)
+    g_queue_unlink (&fleet->queue, &task->link);
+  if (task->state == TASK_MAYBE)
+    g_hash_table_remove (fleet->maybe, task);
+  task_detach (task);
+  leave_batch (fleet, task);
+  g_hash_table_remove (fleet->tasks, task->name);
+}
+
+void
+task_requeue (fleet_t *fleet, task_t *task, int64_t now_ms)
+{
+  task_detach (task);
+  if (task->state == TASK_MAYBE)
+    g_hash_table_remove (fleet->maybe, task);
+  if (task->batch == NULL)
+    {
+      g_hash_table_remove (fleet->tasks, task->name);
+      return;
+    }
+  task->state = TASK_WAITING;
+  task->queued_at_ms = now_ms;
+  queue_add (fleet, task);
+}
+
+fleet_action_t *
+action_add (GArray *actions, fleet_action_kind_t kind)
+{
+  fleet_action_t action = { .kind = kind };
+
+  g_array_append_val (actions, action);
+  return &g_array_index (actions, fleet_action_t, actions->len - 1);
+}
+
+void
+tell (GArray *actions, fleet_action_kind_t kind, const task_t *task, const char *reason)
+{
+  if (task->batch == NULL)
+    return;
+  fleet_action_t *action = action_add (actions, kind);
+  action->coordinator = task->batch->coordinator;
+  action->batch = task->batch->number;
+  action->index = task->index;
+  action->attempt = task->attempt;
+  action->reason = reason;
+}
+
+/* Must it end: from now on its run, if there is one, is being stopped. */
+static void
+task_stop (task_t *task, int64_t now_ms)
+{
+  if (task->state == TASK_STOPPING)
+    return;
+  task->state = TASK_STOPPING;
+  task->must_end_at_ms = now_ms;
+  task->stop_sent_at_ms = 0;
+  task->stop_confirmed = false;
+}
+
+void
+task_replace (task_t *task, int64_t now_ms)
+{
+  task_stop (task, now_ms);
+}
+
+/* --- endpoints --- */
+
+endpoint_t *
+endpoint_find (const fleet_t *fleet, const char *id)
+{
+  return g_hash_table_lookup (fleet->endpoints, id);
+}
+
+bool
+fleet_has_endpoint (const fleet_t *fleet, const char *id)
+{
+  return endpoint_find (fleet, id) != NULL;
+}
+
+static void
+set_text (char **text, const char *value)
+{
+  if (g_strcmp0 (*text, value) == 0)
+    return;
+  g_free (*text);
+  *text = g_strdup (value);
+}
+
+void
+endpoint_reborn (fleet_t *fleet, endpoint_t *endpoint, int64_t now_ms)
+{
+  while (endpoint->runs->len > 0)
+    task_requeue (fleet, endpoint->runs->pdata[endpoint->runs->len - 1], now_ms);
+  g_ptr_array_set_size (endpoint->strangers, 0);
+  g_ptr_array_set_size (endpoint->ended_strangers, 0);
+  endpoint->ack = 0;
+  endpoint->ack_sent = 0;
+  endpoint->looked = false;
+  endpoint->clock_known = false;
+  endpoint->lease_end_ms = 0;
+  endpoint->whole = (room_t){ 0 };
+}
+
+void
+fleet_set_endpoint (fleet_t *fleet, const fleet_endpoint_t *info, int64_t now_ms)
+{
+  endpoint_t *endpoint = endpoint_find (fleet, info->id);
+
+  if (endpoint == NULL)
+    {
+      endpoint = g_new0 (endpoint_t, 1);
+      endpoint->id = g_strdup (info->id);
+      endpoint->runs = g_ptr_array_new ();
+      endpoint->strangers = g_ptr_array_new_with_free_func (free_stranger);
+      endpoint->ended_strangers = g_ptr_array_new_with_free_func (g_free);
+      g_hash_table_insert (fleet->endpoints, endpoint->id, endpoint);
+      fleet->outliers.members++;
+    }
+  else if (info->born_at_ms != 0 && endpoint->born_at_ms != 0
+           && info->born_at_ms > endpoint->born_at_ms)
+    endpoint_reborn (fleet, endpoint, now_ms);
+  set_text (&endpoint->address, info->address);
+  set_text (&endpoint->service, info->service);
+  set_text (&endpoint->kind, info->kind);
+  set_text (&endpoint->rack, info->rack);
+  if (info->born_at_ms != 0)
+    endpoint->born_at_ms = info->born_at_ms;
+  endpoint->leaving = info->leaving;
+  endpoint->whole.cores_milli = MAX (endpoint->whole.cores_milli, info->free.cores_milli);
+  endpoint->whole.memory_mb = MAX (endpoint->whole.memory_mb, info->free.memory_mb);
+  endpoint->whole.gpus = MAX (endpoint->whole.gpus, info->free.gpus);
+}
+
+static void
+forget_endpoint (fleet_t *fleet, endpoint_t *endpoint)
+{
+  fleet->outliers.members--;
+  fleet->outliers.ejected -= endpoint->outlier.state == OUTLIER_OUT;
+  g_hash_table_remove (fleet->endpoints, endpoint->id);
+}
+
+void
+fleet_drop_endpoint (fleet_t *fleet, const char *id, int64_t now_ms, GArray *actions)
+{
+  endpoint_t *endpoint = endpoint_find (fleet, id);
+
+  (void) actions;
+  if (endpoint == NULL)
+    return;
+  while (endpoint->runs->len > 0)
+    task_requeue (fleet, endpoint->runs->pdata[endpoint->runs->len - 1], now_ms);
+  forget_endpoint (fleet, endpoint);
+}
+
+void
+fleet_yield_endpoint (fleet_t *fleet, const char *id)
+{
+  endpoint_t *endpoint = endpoint_find (fleet, id);
+
+  if (endpoint == NULL)
+    return;
+  while (endpoint->runs->len > 0)
+    task_end (fleet, endpoint->runs->pdata[endpoint->runs->len - 1]);
+  forget_endpoint (fleet, endpoint);
+}
+
+void
+fleet_renew (fleet_t *fleet, const char *id)
+{
+  endpoint_t *endpoint = endpoint_find (fleet, id);
+
+  if (endpoint == NULL)
+    return;
+  endpoint->looked = false;
+  endpoint->shut_out = false;
+  endpoint->look_due_ms = 0;
+}
+
+/* --- batches --- */
+
+static batch_t *
+batch_new (const fleet_batch_t *info)
+{
+  batch_t *batch = g_new0 (batch_t, 1);
+
+  /* Actions name the coordinator after the batch may be gone. */
+  batch->coordinator = (char *) g_intern_string (info->coordinator);
+  batch->number = info->batch;
+  batch->job = g_strdup (info->job);
+  batch->step = info->step;
+  batch->spec = g_strdup (info->spec);
+  batch->service = g_strdup (info->service);
+  batch->priority = info->priority;
+  batch->need = info->need;
+  batch->estimate_ms = MAX (info->estimate_ms, 1);
+  batch->goal_at_ms = info->goal_at_ms;
+  batch->deadline_at_ms = info->deadline_at_ms;
+  batch->attempts_max = MAX (info->attempts_max, 1);
+  batch->attempt_base = info->attempt_base;
+  batch->label = g_strdup (info->label != NULL ? info->label : "");
+  batch->near_rack = g_strdup (info->near_rack != NULL ? info->near_rack : "");
+  batch->spread_max = info->spread_max;
+  batch->wait_until_ms = info->wait_until_ms;
+  batch->tasks = g_ptr_array_new ();
+  return batch;
+}
+
+/* A task that is here already gets a new coordinator.  What is being stopped is
+ * started anew once its run is over. */
+static void
+hand_over (fleet_t *fleet, task_t *task, batch_t *batch)
+{
+  bool waits = task->state == TASK_WAITING;
+
+  if (waits)
+    g_queue_unlink (&fleet->queue, &task->link);
+  leave_batch (fleet, task);
+  task->batch = batch;
+  task->attempt = MAX (task->attempt, batch->attempt_base);
+  batch->ever_started |= task->ever_started;
+  g_ptr_array_add (batch->tasks, task);
+  if (waits)
+    queue_add (fleet, task);
+}
+
+void
+fleet_submit (fleet_t *fleet, const fleet_batch_t *info, int64_t now_ms)
+{
+  char *key = batch_key (info->coordinator, info->batch);
+
+  if (info->count == 0 || g_hash_table_contains (fleet->batches, key))
+    {
+      g_free (key);
+      return;
+    }
+  batch_t *batch = batch_new (info);
+  g_hash_table_insert (fleet->batches, key, batch);
+  fleet->usual_need = info->need;
+  for (size_t i = 0; i < info->count; i++)
+    {
+      char *name =
+          g_strdup_printf ("%s.0.%d.%d", info->job, (int) info->step, (int) info->indexes[i]);
+      task_t *task = g_hash_table_lookup (fleet->tasks, name);
+      if (task != NULL)
+        {
+          g_free (name);
+          hand_over (fleet, task, batch);
+          continue;
+        }
+      task = g_new0 (task_t, 1);
+      task->name = name;
+      task->index = info->indexes[i];
+      task->batch = batch;
+      task->attempt = info->attempt_base;
+      task->need = info->need;
+      task->queued_at_ms = now_ms;
+      g_hash_table_insert (fleet->tasks, task->name, task);
+      g_ptr_array_add (batch->tasks, task);
+      if (info->maybe_running)
+        {
+          task->state = TASK_MAYBE;
+          g_hash_table_add (fleet->maybe, task);
+        }
+      else
+        {
+          task->state = TASK_WAITING;
+          queue_add (fleet, task);
+        }
+    }
+}
+
+static bool
+cancel_batch (fleet_t *fleet, batch_t *batch, int64_t now_ms)
+{
+  bool never = !batch->ever_started;
+  GPtrArray *tasks = g_ptr_array_copy (batch->tasks, NULL, NULL);
+
+  for (guint i = 0; i < tasks->len; i++)
+    {
+      task_t *task = tasks->pdata[i];
+      never = never && task->state == TASK_WAITING;
+      if (task->state == TASK_WAITING || task->state == TASK_MAYBE)
+        task_end (fleet, task);
+      else
+        {
+          task_stop (task, now_ms);
+          leave_batch (fleet, task);
+        }
+    }
+  g_ptr_array_unref (tasks);
+  return never;
+}
+
+bool
+fleet_cancel (fleet_t *fleet,
+              const char *coordinator,
+              uint64_t number,
+              int64_t now_ms,
+              GArray *actions)
+{
+  char *key = batch_key (coordinator, number);
+  batch_t *batch = g_hash_table_lookup (fleet->batches, key);
+
+  (void) actions;
+  g_free (key);
+  return batch != NULL && cancel_batch (fleet, batch, now_ms);
+}
+
+static GPtrArray *
+batches_of (fleet_t *fleet, const char *coordinator)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, fleet->batches);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (coordinator == NULL || strcmp (((batch_t *) value)->coordinator, coordinator) == 0)
+      g_ptr_array_add (found, value);
+  return found;
+}
+
+void
+fleet_drop_coordinator (fleet_t *fleet, const char *coordinator, int64_t now_ms, GArray *actions)
+{
+  GPtrArray *batches = batches_of (fleet, coordinator);
+
+  (void) actions;
+  for (guint i = 0; i < batches->len; i++)
+    cancel_batch (fleet, batches->pdata[i], now_ms);
+  g_ptr_array_unref (batches);
+}
+
+void
+fleet_yield_all (fleet_t *fleet)
+{
+  GPtrArray *ids = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  void *key = NULL;
+
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    g_ptr_array_add (ids, g_strdup (key));
+  for (guint i = 0; i < ids->len; i++)
+    fleet_yield_endpoint (fleet, ids->pdata[i]);
+  g_ptr_array_unref (ids);
+  GPtrArray *batches = batches_of (fleet, NULL);
+  for (guint i = 0; i < batches->len; i++)
+    cancel_batch (fleet, batches->pdata[i], 0);
+  g_ptr_array_unref (batches);
+}
+
+/* --- reports --- */
+
+static int32_t
+slots_of (const room_t *whole, const room_t *used, const room_t *need)
+{
+  int64_t slots = INT32_MAX;
+
+  if (need->cores_milli > 0)
+    slots = MIN (slots, (whole->cores_milli - used->cores_milli) / need->cores_milli);
+  if (need->memory_mb > 0)
+    slots = MIN (slots, (whole->memory_mb - used->memory_mb) / need->memory_mb);
+  if (need->gpus > 0)
+    slots = MIN (slots, (whole->gpus - used->gpus) / need->gpus);
+  return (int32_t) CLAMP (slots, 0, INT16_MAX);
+}
+
+static fleet_offer_t *
+offer_for (GArray *offers, const endpoint_t *endpoint)
+{
+  for (guint i = 0; i < offers->len; i++)
+    {
+      fleet_offer_t *offer = &g_array_index (offers, fleet_offer_t, i);
+      if (strcmp (offer->service, endpoint->service) == 0
+          && strcmp (offer->kind, endpoint->kind) == 0)
+        return offer;
+    }
+  fleet_offer_t offer = { .service = endpoint->service, .kind = endpoint->kind };
+  g_array_append_val (offers, offer);
+  return &g_array_index (offers, fleet_offer_t, offers->len - 1);
+}
+
+void
+fleet_offers (const fleet_t *fleet, const room_t *need, int64_t now_ms, GArray *offers)
+{
+  static const room_t nothing;
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const endpoint_t *endpoint = value;
+      if (!place_is_usable (endpoint, now_ms))
+        continue;
+      fleet_offer_t *offer = offer_for (offers, endpoint);
+      const kind_t *kind = g_hash_table_lookup (fleet->kinds, endpoint->kind);
+      offer->slots += slots_of (&endpoint->whole, &endpoint->used, need);
+      offer->slots_all += slots_of (&endpoint->whole, &nothing, need);
+      offer->ratio = kind != NULL ? timing_estimate_ms (&kind->ratio, 100.0, now_ms) / 100.0 : 1.0;
+    }
+}
+
+fleet_totals_t
+fleet_totals (const fleet_t *fleet, int64_t now_ms)
+{
+  fleet_totals_t totals = { .usual_need = fleet->usual_need };
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const endpoint_t *endpoint = value;
+      totals.endpoints++;
+      totals.endpoints_ready += place_is_usable (endpoint, now_ms);
+      totals.running += (int32_t) endpoint->runs->len;
+    }
+  totals.waiting = (int32_t) fleet->queue.length;
+  return totals;
+}
--- /dev/null
+++ b/lib/fleet/fleet.h
@@ -0,0 +1,251 @@
+/* fleet.h -- the endpoints that one host owns, their leases and runs, and the tasks that wait
+ *
+ * The owner of an endpoint alone starts tasks on it, renews the lease under which they run,
+ * and takes note of their ends.  What an endpoint obeys is the highest token that it
+ * has seen, so that a new owner shuts out the old one with its first call.
+ *
+ * A fleet_t is pure: events and the time go in, actions (fleet_action_t) come out.  Times are
+ * milliseconds of the boot clock, but for those named `_there_ms`, which are on the endpoint's
+ * own clock.  Not thread-safe.  Strings in events are copied; pointers in actions are valid
+ * until the next call.
+ *
+ * What always holds:
+ * - a task has at most one run that may be alive, on one endpoint;
+ * - a run whose start got no answer is over only when the endpoint has said so, has
+ *   confirmed a stop, or its lease has surely ended;
+ * - an endpoint with a run that must end and has not is held no longer than
+ *   FLEET_UNSTOPPED_MAX_MS, so that everything there ends with the lease;
+ * - nothing starts on an endpoint before the owner has seen what runs there.
+ */
+#ifndef FLEET_FLEET_H
+#define FLEET_FLEET_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct fleet_t fleet_t;
+
+/* What a task needs, or an endpoint has. */
+typedef struct
+{
+  int64_t cores_milli;
+  int64_t memory_mb;
+  int64_t gpus;
+} room_t;
+
+typedef struct
+{
+  const char *id;
+  const char *address;
+  const char *service;
+  const char *kind; /* of the machine: endpoints of one kind are about equally fast */
+  const char *rack;
+  int64_t born_at_ms; /* wall clock; a new life at the same id has another one */
+  room_t free;        /* as it says itself; an idle endpoint's whole room */
+  bool leaving;
+} fleet_endpoint_t;
+
+/* The tasks of one step of a job that one coordinator wants run. */
+typedef struct
+{
+  const char *coordinator; /* host id */
+  uint64_t batch;          /* chosen by the coordinator, unique for it */
+  const char *job;
+  int32_t step;
+  const char *spec; /* what endpoints are told; opaque */
+  const char *service;
+  int32_t priority; /* 0 is the most urgent */
+  room_t need;
+  int64_t estimate_ms;       /* the caller's guess of a task's duration */
+  int64_t goal_at_ms;        /* a job that ends later is late */
+  int64_t deadline_at_ms;    /* a job that ends later is worthless */
+  int32_t attempts_max;      /* failed ends of a task that fail the job */
+  int32_t attempt_base;      /* the first attempt is this plus 1 */
+  const char *label;         /* an endpoint must have it as kind or rack; "" for any */
+  const char *near_rack;     /* runs faster there; "" for none */
+  int32_t spread_max;        /* tasks of the step on one endpoint; 0 for any number */
+  bool maybe_running;        /* another owner may have started them */
+  int64_t wait_until_ms;     /* MAYBE_RUNNING: by then what that owner started is over */
+  const int32_t *indexes;
+  size_t count;
+} fleet_batch_t;
+
+typedef enum
+{
+  FLEET_START,    /* start TASK on the endpoint */
+  FLEET_STOP,     /* stop attempt ATTEMPT of TASK there */
+  FLEET_LOOK,     /* renew the lease (0: don't), acknowledge ends, ask what runs */
+  FLEET_DONE,     /* to the coordinator: task INDEX of BATCH is done */
+  FLEET_FAILED,   /* likewise: it has failed as often as is allowed, or can't run */
+  FLEET_RETURNED, /* likewise: it never started, and is no longer queued here */
+  FLEET_EXPIRED,  /* likewise: it never started, and can't end before its deadline */
+  FLEET_SHUT_OUT  /* the endpoint obeys a higher token */
+} fleet_action_kind_t;
+
+typedef struct
+{
+  fleet_action_kind_t kind;
+  const char *endpoint; /* id */
+  const char *address;
+  const char *task; /* "JOB.0.STEP.INDEX" */
+  int32_t attempt;
+  const char *spec;
+  int64_t lease_until_there_ms;
+  int64_t ack;     /* FLEET_LOOK: ends up to this number are known */
+  int64_t wait_ms; /* FLEET_LOOK: the answer may wait this long for an end */
+  uint64_t serial; /* of this call; comes back with its answer */
+  const char *coordinator;
+  uint64_t batch;
+  int32_t index;
+  const char *reason; /* static; why, for logs */
+} fleet_action_t;
+
+/* How a call to an endpoint ended. */
+typedef enum
+{
+  FLEET_OK,
+  FLEET_NO_ROOM,
+  FLEET_OLD,       /* a run with this attempt or a later one was there */
+  FLEET_LATE,      /* its lease had run out on arrival */
+  FLEET_BAD_TOKEN, /* a higher token was seen there */
+  FLEET_UNHEALTHY, /* nothing was done; may be tried again */
+  FLEET_INVALID,   /* the order is malformed */
+  FLEET_GONE,      /* nothing listens there, or another life of the endpoint */
+  FLEET_UNKNOWN    /* no answer: the order may have been carried out, or may be later */
+} fleet_answer_t;
+
+typedef enum
+{
+  RUN_DONE,
+  RUN_FAILED,
+  RUN_STOPPED,
+  RUN_LAPSED,
+  RUN_OTHER /* ended with other members of its group */
+} run_end_t;
+
+/* What an endpoint says of itself when it is looked at. */
+typedef struct
+{
+  const char *task;
+  int32_t attempt;
+  int32_t percent; /* of its work */
+} look_active_t;
+
+typedef struct
+{
+  int64_t number;
+  const char *task;
+  int32_t attempt;
+  run_end_t how;
+} look_ended_t;
+
+typedef struct
+{
+  int64_t clock_there_ms;
+  int64_t born_at_ms; /* 0 if it does not say */
+  const look_active_t *active;
+  size_t active_count;
+  const look_ended_t *ended;
+  size_t ended_count;
+} look_t;
+
+typedef struct
+{
+  int64_t lease_ms; /* the longest that endpoints grant */
+  int64_t stop_ms;  /* the longest that a stop takes */
+} fleet_options_t;
+
+/* A lease ends this much later at the latest on an endpoint with a slow clock. */
+#define FLEET_CLOCK_SLACK_PERCENT 3
+#define FLEET_UNSTOPPED_MAX_MS 250
+
+fleet_t *fleet_new (const fleet_options_t *options);
+void fleet_free (fleet_t *fleet);
+
+/* Takes over the endpoint, or takes in what it says now. */
+void fleet_set_endpoint (fleet_t *fleet, const fleet_endpoint_t *endpoint, int64_t now_ms);
+
+/* The endpoint is gone: nothing runs there any more.  No-op if it is unknown. */
+void fleet_drop_endpoint (fleet_t *fleet, const char *id, int64_t now_ms, GArray *actions);
+
+/* Another host owns the endpoint: its runs go on without this one, nothing is told
+ * to coordinators, who turn to the new owner. */
+void fleet_yield_endpoint (fleet_t *fleet, const char *id);
+
+bool fleet_has_endpoint (const fleet_t *fleet, const char *id);
+
+/* The token of the endpoint has changed: what runs there must be seen again. */
+void fleet_renew (fleet_t *fleet, const char *id);
+
+/* Queues the tasks of BATCH.  A task that is known already, by another batch, is handed
+ * over to this one with its run. */
+void fleet_submit (fleet_t *fleet, const fleet_batch_t *batch, int64_t now_ms);
+
+/* Ends the tasks of a batch.  Returns true if none of them can ever have started here. */
+bool fleet_cancel (fleet_t *fleet,
+                   const char *coordinator,
+                   uint64_t batch,
+                   int64_t now_ms,
+                   GArray *actions);
+
+/* Ends all batches of a coordinator that is gone. */
+void fleet_drop_coordinator (fleet_t *fleet,
+                             const char *coordinator,
+                             int64_t now_ms,
+                             GArray *actions);
+
+/* Drops what is queued and running without a word: another host owns all. */
+void fleet_yield_all (fleet_t *fleet);
+
+/* Answers to FLEET_START, FLEET_STOP and FLEET_LOOK.  CLOCK_THERE_MS is 0 if the
+ * answer has none. */
+void fleet_started (fleet_t *fleet,
+                    uint64_t serial,
+                    fleet_answer_t answer,
+                    int64_t clock_there_ms,
+                    int64_t now_ms,
+                    GArray *actions);
+void fleet_stopped (fleet_t *fleet,
+                    uint64_t serial,
+                    fleet_answer_t answer,
+                    int64_t clock_there_ms,
+                    int64_t now_ms,
+                    GArray *actions);
+/* LOOK is NULL unless ANSWER is FLEET_OK. */
+void fleet_looked (fleet_t *fleet,
+                   uint64_t serial,
+                   fleet_answer_t answer,
+                   const look_t *look,
+                   int64_t now_ms,
+                   GArray *actions);
+
+/* Starts what can be started, renews leases, gives up what can't end in time.  Call after
+ * other events and every few milliseconds.  Up to ELSEWHERE queued tasks are
+ * returned to their coordinators, since other owners have room for so many. */
+void fleet_run (fleet_t *fleet, int32_t elsewhere, int64_t now_ms, GArray *actions);
+
+/* What coordinators need to know to place tasks. */
+typedef struct
+{
+  const char *service;
+  const char *kind;
+  int32_t slots; /* free, for tasks of the usual size */
+  int32_t slots_all;
+  double ratio; /* duration over estimate */
+} fleet_offer_t;
+
+/* Appends one fleet_offer_t for each service and kind; NEED is the usual size. */
+void fleet_offers (const fleet_t *fleet, const room_t *need, int64_t now_ms, GArray *offers);
+
+typedef struct
+{
+  int32_t endpoints;
+  int32_t endpoints_ready; /* may be given tasks now */
+  int32_t waiting;
+  int32_t running;
+  room_t usual_need; /* of tasks lately */
+} fleet_totals_t;
+fleet_totals_t fleet_totals (const fleet_t *fleet, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/lib/fleet/fleet_msg.c
@@ -0,0 +1,228 @@
+/* fleet_msg.c -- the messages between coordinators and owners of endpoints */
+#include "fleet/fleet_msg.h"
+
+#include "base/error.h"
+
+#define SPEC_BYTES_MAX 8192
+#define TASKS_MAX 1024
+#define ENDS_MAX 65536
+#define OFFERS_MAX 1024
+#define TIME_MAX_MS 3600000
+#define AMOUNT_MAX (INT64_C (1) << 40)
+#define RATIO_SCALE 1000.0
+
+GBytes *
+fleet_msg_submit (const char *shard, const fleet_batch_t *batch, int64_t now_ms)
+{
+  frame_writer_t *writer = frame_begin (FLEET_MSG_SUBMIT);
+
+  frame_put_string (writer, shard);
+  frame_put_uint (writer, batch->batch);
+  frame_put_string (writer, batch->job);
+  frame_put_int (writer, batch->step);
+  frame_put_string (writer, batch->spec);
+  frame_put_string (writer, batch->service);
+  frame_put_int (writer, batch->priority);
+  frame_put_int (writer, batch->need.cores_milli);
+  frame_put_int (writer, batch->need.memory_mb);
+  frame_put_int (writer, batch->need.gpus);
+  frame_put_int (writer, batch->estimate_ms);
+  frame_put_int (writer, batch->goal_at_ms - now_ms);
+  frame_put_int (writer, batch->deadline_at_ms - now_ms);
+  frame_put_int (writer, batch->attempts_max);
+  frame_put_int (writer, batch->attempt_base);
+  frame_put_string (writer, batch->label);
+  frame_put_string (writer, batch->near_rack);
+  frame_put_int (writer, batch->spread_max);
+  frame_put_bool (writer, batch->maybe_running);
+  frame_put_int (writer, batch->maybe_running ? batch->wait_until_ms - now_ms : 0);
+  frame_put_count (writer, batch->count);
+  for (size_t i = 0; i < batch->count; i++)
+    frame_put_int (writer, batch->indexes[i]);
+  return frame_finish (writer);
+}
+
+static int64_t
+get_time (frame_reader_t *reader, int64_t now_ms)
+{
+  return now_ms + frame_get_range (reader, -TIME_MAX_MS, TIME_MAX_MS);
+}
+
+int
+fleet_msg_read_submit (frame_reader_t *reader, int64_t now_ms, fleet_submit_t *submit)
+{
+  fleet_batch_t *batch = &submit->batch;
+
+  *submit = (fleet_submit_t){ 0 };
+  submit->shard = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  batch->batch = frame_get_uint (reader);
+  batch->job = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  batch->step = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+  batch->spec = frame_get_string (reader, SPEC_BYTES_MAX);
+  batch->service = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  batch->priority = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+  batch->need.cores_milli = frame_get_range (reader, 0, AMOUNT_MAX);
+  batch->need.memory_mb = frame_get_range (reader, 0, AMOUNT_MAX);
+  batch->need.gpus = frame_get_range (reader, 0, AMOUNT_MAX);
+  batch->estimate_ms = frame_get_range (reader, 0, INT32_MAX);
+  batch->goal_at_ms = get_time (reader, now_ms);
+  batch->deadline_at_ms = get_time (reader, now_ms);
+  batch->attempts_max = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+  batch->attempt_base = (int32_t) frame_get_range (reader, 0, INT32_MAX / 2);
+  batch->label = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  batch->near_rack = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  batch->spread_max = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+  batch->maybe_running = frame_get_bool (reader);
+  batch->wait_until_ms = get_time (reader, now_ms);
+  batch->count = frame_get_count (reader, TASKS_MAX);
+  submit->indexes = g_array_new (FALSE, FALSE, sizeof (int32_t));
+  for (size_t i = 0; i < batch->count && frame_ok (reader); i++)
+    {
+      int32_t index = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+      g_array_append_val (submit->indexes, index);
+    }
+  batch->indexes = (const int32_t *) (void *) submit->indexes->data;
+  if (frame_ok (reader) && submit->shard != NULL && batch->job != NULL && batch->spec != NULL
+      && batch->service != NULL)
+    return 0;
+  fleet_submit_clear (submit);
+  return ERROR_PROTOCOL;
+}
+
+void
+fleet_submit_clear (fleet_submit_t *submit)
+{
+  g_free (submit->shard);
+  g_free ((char *) submit->batch.job);
+  g_free ((char *) submit->batch.spec);
+  g_free ((char *) submit->batch.service);
+  g_free ((char *) submit->batch.label);
+  g_free ((char *) submit->batch.near_rack);
+  if (submit->indexes != NULL)
+    g_array_unref (submit->indexes);
+  *submit = (fleet_submit_t){ 0 };
+}
+
+GBytes *
+fleet_msg_cancel (uint64_t batch)
+{
+  frame_writer_t *writer = frame_begin (FLEET_MSG_CANCEL);
+
+  frame_put_uint (writer, batch);
+  return frame_finish (writer);
+}
+
+GBytes *
+fleet_msg_cancelled (uint64_t batch, bool never_started)
+{
+  frame_writer_t *writer = frame_begin (FLEET_MSG_CANCELLED);
+
+  frame_put_uint (writer, batch);
+  frame_put_bool (writer, never_started);
+  return frame_finish (writer);
+}
+
+int
+fleet_msg_read_cancel (frame_reader_t *reader, uint64_t *batch)
+{
+  *batch = frame_get_uint (reader);
+  return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
+}
+
+int
+fleet_msg_read_cancelled (frame_reader_t *reader, uint64_t *batch, bool *never_started)
+{
+  *batch = frame_get_uint (reader);
+  *never_started = frame_get_bool (reader);
+  return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
+}
+
+GBytes *
+fleet_msg_ends (const fleet_end_t *ends, size_t count)
+{
+  frame_writer_t *writer = frame_begin (FLEET_MSG_ENDS);
+
+  frame_put_count (writer, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      frame_put_uint (writer, ends[i].batch);
+      frame_put_int (writer, ends[i].index);
+      frame_put_int (writer, ends[i].how);
+    }
+  return frame_finish (writer);
+}
+
+int
+fleet_msg_read_ends (frame_reader_t *reader, GArray *ends)
+{
+  size_t count = frame_get_count (reader, ENDS_MAX);
+
+  for (size_t i = 0; i < count && frame_ok (reader); i++)
+    {
+      fleet_end_t end = { 0 };
+      end.batch = frame_get_uint (reader);
+      end.index = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+      end.how = (fleet_action_kind_t) frame_get_range (reader, FLEET_DONE, FLEET_EXPIRED);
+      g_array_append_val (ends, end);
+    }
+  return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
+}
+
+GBytes *
+fleet_msg_offer (const char *shard, int32_t waiting, const GArray *offers)
+{
+  frame_writer_t *writer = frame_begin (FLEET_MSG_OFFER);
+
+  frame_put_string (writer, shard);
+  frame_put_int (writer, waiting);
+  frame_put_count (writer, offers->len);
+  for (guint i = 0; i < offers->len; i++)
+    {
+      const fleet_offer_t *offer = &g_array_index (offers, fleet_offer_t, i);
+      frame_put_string (writer, offer->service);
+      frame_put_string (writer, offer->kind);
+      frame_put_int (writer, offer->slots);
+      frame_put_int (writer, offer->slots_all);
+      frame_put_int (writer, (int64_t) (offer->ratio * RATIO_SCALE));
+    }
+  return frame_finish (writer);
+}
+
+int
+fleet_msg_read_offer (frame_reader_t *reader, fleet_offer_msg_t *message)
+{
+  *message = (fleet_offer_msg_t){ 0 };
+  message->shard = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  message->waiting = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+  message->offers = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
+  size_t count = frame_get_count (reader, OFFERS_MAX);
+  for (size_t i = 0; i < count && frame_ok (reader); i++)
+    {
+      fleet_offer_t offer = { 0 };
+      offer.service = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+      offer.kind = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+      offer.slots = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+      offer.slots_all = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+      offer.ratio = (double) frame_get_range (reader, 0, INT32_MAX) / RATIO_SCALE;
+      g_array_append_val (message->offers, offer);
+    }
+  if (frame_ok (reader) && message->shard != NULL)
+    return 0;
+  fleet_offer_msg_clear (message);
+  return ERROR_PROTOCOL;
+}
+
+void
+fleet_offer_msg_clear (fleet_offer_msg_t *message)
+{
+  g_free (message->shard);
+  for (guint i = 0; message->offers != NULL && i < message->offers->len; i++)
+    {
+      const fleet_offer_t *offer = &g_array_index (message->offers, fleet_offer_t, i);
+      g_free ((char *) offer->service);
+      g_free ((char *) offer->kind);
+    }
+  if (message->offers != NULL)
+    g_array_unref (message->offers);
+  *message = (fleet_offer_msg_t){ 0 };
+}
--- /dev/null
+++ b/lib/fleet/fleet_msg.h
@@ -0,0 +1,62 @@
+/* fleet_msg.h -- the messages between coordinators and owners of endpoints
+ *
+ * Times cross hosts as milliseconds from now, since boot clocks differ.  A reader returns
+ * ERROR_PROTOCOL for anything but a whole valid message; what it fills is owned by the
+ * caller.
+ */
+#ifndef FLEET_FLEET_MSG_H
+#define FLEET_FLEET_MSG_H
+
+#include "fleet/fleet.h"
+#include "wire/frame.h"
+
+typedef enum
+{
+  FLEET_MSG_SUBMIT = FRAME_FLEET_FIRST,
+  FLEET_MSG_CANCEL,
+  FLEET_MSG_ENDS,
+  FLEET_MSG_CANCELLED,
+  FLEET_MSG_OFFER
+} fleet_msg_t;
+
+/* The owner of SHARD is given BATCH. */
+GBytes *fleet_msg_submit (const char *shard, const fleet_batch_t *batch, int64_t now_ms);
+
+typedef struct
+{
+  char *shard;
+  fleet_batch_t batch; /* without its coordinator: the sender is */
+  GArray *indexes;
+} fleet_submit_t;
+int fleet_msg_read_submit (frame_reader_t *reader, int64_t now_ms, fleet_submit_t *submit);
+void fleet_submit_clear (fleet_submit_t *submit);
+
+/* FLEET_MSG_CANCEL names a batch; FLEET_MSG_CANCELLED says if nothing of it started. */
+GBytes *fleet_msg_cancel (uint64_t batch);
+GBytes *fleet_msg_cancelled (uint64_t batch, bool never_started);
+int fleet_msg_read_cancel (frame_reader_t *reader, uint64_t *batch);
+int fleet_msg_read_cancelled (frame_reader_t *reader, uint64_t *batch, bool *never_started);
+
+/* Tasks that have ended, as far as the owner is concerned. */
+typedef struct
+{
+  uint64_t batch;
+  int32_t index;
+  fleet_action_kind_t how; /* FLEET_DONE, _FAILED, _RETURNED or _EXPIRED */
+} fleet_end_t;
+GBytes *fleet_msg_ends (const fleet_end_t *ends, size_t count);
+/* Appends fleet_end_t. */
+int fleet_msg_read_ends (frame_reader_t *reader, GArray *ends);
+
+/* What the owner of SHARD offers. */
+typedef struct
+{
+  char *shard;
+  int32_t waiting;
+  GArray *offers; /* fleet_offer_t with strings of their own */
+} fleet_offer_msg_t;
+GBytes *fleet_msg_offer (const char *shard, int32_t waiting, const GArray *offers);
+int fleet_msg_read_offer (frame_reader_t *reader, fleet_offer_msg_t *offer);
+void fleet_offer_msg_clear (fleet_offer_msg_t *offer);
+
+#endif
--- /dev/null
+++ b/lib/fleet/round.c
@@ -0,0 +1,366 @@
+/* round.c -- one round: starts, stops, looks, and runs whose lease has ended
+ *
+ * The order matters: what is over frees its room first, then unclear tasks are
+ * settled, then tasks start in the order of the queue, and looks go out last, so
+ * that they cover what was just started.
+ */
+#include "fleet/table.h"
+
+#include <string.h>
+
+/* A look waits this long for an end, well below the lease. */
+#define LOOK_WAIT_MS 400
+/* While a run is overdue, progress is asked for more often. */
+#define LOOK_SHORT_MS 120
+/* While something must be settled. */
+#define LOOK_SOON_MS 25
+/* An endpoint that does not answer is asked again after this. */
+#define LOOK_RETRY_MS 120
+/* A stop without an answer is sent again after this. */
+#define STOP_RETRY_MS 120
+/* A run of another owner may be claimed by its coordinator for this long. */
+#define STRANGER_GRACE_MS 150
+/* After this long in the queue a task may be returned for another owner. */
+#define RETURN_AFTER_MS 4
+/* A task is given up when this part of its usual duration does not fit any more: estimates
+ * are rough. */
+#define HOPELESS_PERCENT 60
+/* The listing of an end may trail the stop's answer by this. */
+#define STOP_SLACK_MS 30
+
+static uint64_t
+remember_call (fleet_t *fleet, const endpoint_t *endpoint, const char *task, int32_t attempt)
+{
+  call_t *call = g_new0 (call_t, 1);
+
+  call->endpoint = g_strdup (endpoint->id);
+  call->task = g_strdup (task);
+  call->attempt = attempt;
+  call->serial = ++fleet->serial;
+  g_hash_table_insert (fleet->calls, &call->serial, call);
+  return call->serial;
+}
+
+/* True if a run there must end and has not for so long that the lease must run
+ * out. */
+static bool
+is_barred (const endpoint_t *endpoint, int64_t now_ms)
+{
+  if (endpoint->strangers->len > 0)
+    return true;
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      const task_t *task = endpoint->runs->pdata[i];
+      if (task->state == TASK_STOPPING && now_ms - task->must_end_at_ms > FLEET_UNSTOPPED_MAX_MS)
+        return true;
+    }
+  return false;
+}
+
+/* Renews the lease by the next order.  Returns its end on the endpoint's clock. */
+static int64_t
+extend_lease (const fleet_t *fleet, endpoint_t *endpoint, int64_t now_ms)
+{
+  int64_t lease_ms = fleet->options.lease_ms;
+  int64_t end_ms = now_ms + lease_ms + lease_ms * FLEET_CLOCK_SLACK_PERCENT / 100;
+
+  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, end_ms);
+  return now_ms + endpoint->clock_ahead_ms + lease_ms;
+}
+
+/* --- what is over --- */
+
+static void
+end_lapsed (fleet_t *fleet, endpoint_t *endpoint, int64_t now_ms)
+{
+  bool lapsed = now_ms > endpoint->lease_end_ms;
+
+  for (guint i = endpoint->runs->len; i-- > 0;)
+    {
+      task_t *task = endpoint->runs->pdata[i];
+      bool stopped =
+          task->state == TASK_STOPPING && task->stop_confirmed
+          && now_ms - task->stop_sent_at_ms > fleet->options.stop_ms + STOP_SLACK_MS;
+      if (lapsed || stopped)
+        task_requeue (fleet, task, now_ms);
+    }
+}
+
+static void
+stop_run (fleet_t *fleet,
+          const endpoint_t *endpoint,
+          const char *name,
+          int32_t attempt,
+          GArray *actions)
+{
+  fleet_action_t *action = action_add (actions, FLEET_STOP);
+
+  action->endpoint = endpoint->id;
+  action->address = endpoint->address;
+  action->task = name;
+  action->attempt = attempt;
+  action->serial = remember_call (fleet, endpoint, name, attempt);
+}
+
+static void
+send_stops (fleet_t *fleet, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
+{
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      task_t *task = endpoint->runs->pdata[i];
+      if (task->state != TASK_STOPPING || task->stop_confirmed
+          || (task->stop_sent_at_ms != 0 && now_ms - task->stop_sent_at_ms < STOP_RETRY_MS))
+        continue;
+      task->stop_sent_at_ms = now_ms;
+      stop_run (fleet, endpoint, task->name, task->attempt, actions);
+    }
+  for (guint i = 0; i < endpoint->strangers->len; i++)
+    {
+      stranger_t *stranger = endpoint->strangers->pdata[i];
+      if (now_ms - stranger->seen_at_ms < STRANGER_GRACE_MS
+          || (stranger->stop_sent_at_ms != 0
+              && now_ms - stranger->stop_sent_at_ms < STOP_RETRY_MS))
+        continue;
+      stranger->stop_sent_at_ms = now_ms;
+      stop_run (fleet, endpoint, stranger->name, stranger->attempt, actions);
+    }
+}
+
+/* --- tasks that another owner may have started --- */
+
+/* Takes over the run of TASK on ENDPOINT, if it is one of the strangers there. */
+static bool
+adopt (fleet_t *fleet, endpoint_t *endpoint, task_t *task, int64_t now_ms)
+{
+  for (guint i = 0; i < endpoint->strangers->len; i++)
+    {
+      const stranger_t *stranger = endpoint->strangers->pdata[i];
+      if (strcmp (stranger->name, task->name) != 0)
+        continue;
+      g_hash_table_remove (fleet->maybe, task);
+      task->state = stranger->stop_sent_at_ms != 0 ? TASK_STOPPING : TASK_RUNNING;
+      task->must_end_at_ms = now_ms;
+      task->attempt = stranger->attempt;
+      task->ever_started = true;
+      task->batch->ever_started = true;
+      task->sent_at_ms = now_ms;
+      task->answered_at_ms = now_ms;
+      task->percent_at_ms = now_ms;
+      task->expected_ms = place_expected_ms (fleet, endpoint, task->batch, now_ms);
+      task_attach (task, endpoint);
+      /* The owner before may have renewed its lease a moment ago. */
+      extend_lease (fleet, endpoint, now_ms);
+      g_ptr_array_remove_index_fast (endpoint->strangers, i);
+      return true;
+    }
+  return false;
+}
+
+static bool
+has_ended_there (const endpoint_t *endpoint, const task_t *task)
+{
+  for (guint i = 0; i < endpoint->ended_strangers->len; i++)
+    if (strcmp (endpoint->ended_strangers->pdata[i], task->name) == 0)
+      return true;
+  return false;
+}
+
+static void
+settle_one (fleet_t *fleet, task_t *task, int64_t now_ms, GArray *actions)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+  bool all_seen = true;
+
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      endpoint_t *endpoint = value;
+      if (adopt (fleet, endpoint, task, now_ms))
+        return;
+      if (has_ended_there (endpoint, task))
+        {
+          tell (actions, FLEET_DONE, task, "ended under another owner");
+          task_end (fleet, task);
+          return;
+        }
+      all_seen = all_seen && endpoint->looked;
+    }
+  if (all_seen || now_ms >= task->batch->wait_until_ms)
+    task_requeue (fleet, task, now_ms);
+}
+
+static void
+settle_maybe (fleet_t *fleet, int64_t now_ms, GArray *actions)
+{
+  if (g_hash_table_size (fleet->maybe) == 0)
+    return;
+  GList *tasks = g_hash_table_get_keys (fleet->maybe);
+  for (GList *at = tasks; at != NULL; at = at->next)
+    settle_one (fleet, at->data, now_ms, actions);
+  g_list_free (tasks);
+}
+
+/* --- starts --- */
+
+static void
+start (fleet_t *fleet, task_t *task, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
+{
+  fleet_action_t *action = action_add (actions, FLEET_START);
+
+  g_queue_unlink (&fleet->queue, &task->link);
+  endpoint->outlier.probing |= endpoint->outlier.state == OUTLIER_OUT;
+  task->state = TASK_STARTING;
+  task->attempt++;
+  task->ever_started = true;
+  task->batch->ever_started = true;
+  task->sent_at_ms = now_ms;
+  task->answered_at_ms = 0;
+  task->percent = 0;
+  task->percent_at_ms = now_ms;
+  task->expected_ms = place_expected_ms (fleet, endpoint, task->batch, now_ms);
+  task_attach (task, endpoint);
+  task->lease_there_ms = extend_lease (fleet, endpoint, now_ms);
+  action->endpoint = endpoint->id;
+  action->address = endpoint->address;
+  action->task = task->name;
+  action->attempt = task->attempt;
+  action->spec = task->batch->spec;
+  action->lease_until_there_ms = task->lease_there_ms;
+  action->coordinator = task->batch->coordinator;
+  action->batch = task->batch->number;
+  action->index = task->index;
+  action->serial = remember_call (fleet, endpoint, task->name, task->attempt);
+}
+
+static bool
+same_need (const task_t *a, const task_t *b)
+{
+  return a != NULL && a->need.cores_milli == b->need.cores_milli
+         && a->need.memory_mb == b->need.memory_mb && a->need.gpus == b->need.gpus
+         && strcmp (a->batch->service, b->batch->service) == 0
+         && strcmp (a->batch->label, b->batch->label) == 0 && a->batch->spread_max == 0
+         && b->batch->spread_max == 0;
+}
+
+/* Even the fastest kind would need most of the time that is left. */
+static bool
+is_hopeless (const fleet_t *fleet, const task_t *task, int64_t now_ms)
+{
+  int64_t least_ms = INT64_MAX;
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, fleet->kinds);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    least_ms = MIN (least_ms, (int64_t) ((double) task->batch->estimate_ms
+                                         * ((kind_t *) value)->ratio.mean_ms / 100.0));
+  if (least_ms == INT64_MAX)
+    least_ms = task->batch->estimate_ms;
+  return now_ms + least_ms * HOPELESS_PERCENT / 100 > task->batch->deadline_at_ms;
+}
+
+static void
+start_tasks (fleet_t *fleet, int32_t elsewhere, int64_t now_ms, GArray *actions)
+{
+  const task_t *stuck = NULL;
+
+  for (GList *at = fleet->queue.head; at != NULL;)
+    {
+      task_t *task = at->data;
+      at = at->next;
+      /* What did not fit for one task does not fit for its like. */
+      endpoint_t *endpoint =
+          same_need (stuck, task) ? NULL : place_choose (fleet, task, now_ms);
+      if (endpoint != NULL)
+        {
+          start (fleet, task, endpoint, now_ms, actions);
+          continue;
+        }
+      if (!task->ever_started && is_hopeless (fleet, task, now_ms))
+        {
+          tell (actions, FLEET_EXPIRED, task, "cannot end before its deadline");
+          task_end (fleet, task);
+          continue;
+        }
+      if (elsewhere > 0 && !task->ever_started && now_ms - task->queued_at_ms >= RETURN_AFTER_MS)
+        {
+          elsewhere--;
+          tell (actions, FLEET_RETURNED, task, "another owner has room");
+          task_end (fleet, task);
+          continue;
+        }
+      stuck = task;
+    }
+}
+
+/* --- looks --- */
+
+static bool
+is_settled (const endpoint_t *endpoint, int64_t now_ms, bool *overdue)
+{
+  *overdue = false;
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      const task_t *task = endpoint->runs->pdata[i];
+      if (task->state == TASK_STOPPING || task->state == TASK_UNSURE)
+        return false;
+      *overdue |= now_ms - task->sent_at_ms > 2 * task->expected_ms;
+    }
+  return endpoint->looked && endpoint->strangers->len == 0;
+}
+
+static void
+look (fleet_t *fleet, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
+{
+  bool overdue = false;
+  bool settled = is_settled (endpoint, now_ms, &overdue);
+  bool hold = endpoint->runs->len > 0 && endpoint->clock_known && !is_barred (endpoint, now_ms);
+  fleet_action_t *action = action_add (actions, FLEET_LOOK);
+
+  action->endpoint = endpoint->id;
+  action->address = endpoint->address;
+  action->ack = endpoint->ack;
+  if (settled && endpoint->runs->len > 0)
+    action->wait_ms = overdue ? LOOK_SHORT_MS : LOOK_WAIT_MS;
+  action->lease_until_there_ms = hold ? extend_lease (fleet, endpoint, now_ms) : 0;
+  action->serial = remember_call (fleet, endpoint, "", 0);
+  endpoint->ack_sent = endpoint->ack;
+  endpoint->look_out = true;
+  endpoint->look_serial = action->serial;
+  endpoint->look_sent_at_ms = now_ms;
+  endpoint->look_due_ms = now_ms + (settled ? 0 : LOOK_SOON_MS);
+}
+
+static bool
+wants_look (const endpoint_t *endpoint, int64_t now_ms)
+{
+  if (endpoint->look_out || endpoint->shut_out || now_ms < endpoint->look_due_ms)
+    return false;
+  if (endpoint->silent_from_ms != 0 && now_ms - endpoint->look_sent_at_ms < LOOK_RETRY_MS)
+    return false;
+  return !endpoint->looked || endpoint->runs->len > 0 || endpoint->strangers->len > 0
+         || endpoint->ack > endpoint->ack_sent || endpoint->silent_from_ms != 0;
+}
+
+void
+fleet_run (fleet_t *fleet, int32_t elsewhere, int64_t now_ms, GArray *actions)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      endpoint_t *endpoint = value;
+      end_lapsed (fleet, endpoint, now_ms);
+      if (!endpoint->shut_out)
+        send_stops (fleet, endpoint, now_ms, actions);
+    }
+  settle_maybe (fleet, now_ms, actions);
+  start_tasks (fleet, elsewhere, now_ms, actions);
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (wants_look (value, now_ms))
+      look (fleet, value, now_ms, actions);
+}
--- /dev/null
+++ b/lib/fleet/state.h
@@ -0,0 +1,164 @@
+/* state.h -- the structs behind fleet_t; private to lib/fleet */
+#ifndef FLEET_STATE_H
+#define FLEET_STATE_H
+
+#include "dispatch/outlier.h"
+#include "dispatch/timing.h"
+#include "fleet/fleet.h"
+
+typedef struct endpoint_t endpoint_t;
+typedef struct batch_t batch_t;
+
+typedef enum
+{
+  TASK_MAYBE,   /* another owner may have started it: not yet known */
+  TASK_WAITING, /* in the queue */
+  TASK_STARTING,
+  TASK_RUNNING,
+  TASK_UNSURE,  /* its start got no answer */
+  TASK_STOPPING /* a stop was sent, or must be */
+} task_state_t;
+
+typedef struct
+{
+  batch_t *batch; /* NULL once its batch was cancelled: only its run is left */
+  char *name;
+  int32_t index;
+  task_state_t state;
+  int32_t attempt;
+  int32_t failures;
+  bool ever_started; /* an order to start it was sent at some time */
+  endpoint_t *endpoint;
+  room_t need;
+  char *avoid; /* id of the endpoint where it last failed, or NULL */
+  int64_t queued_at_ms;
+  int64_t sent_at_ms;     /* of the start order */
+  int64_t answered_at_ms; /* the start was confirmed; 0 before */
+  int64_t expected_ms;
+  int64_t lease_there_ms; /* of the start order */
+  int64_t must_end_at_ms; /* STOPPING: since when */
+  int64_t stop_sent_at_ms;
+  bool stop_confirmed;
+  int32_t percent;
+  int64_t percent_at_ms; /* when PERCENT last grew */
+  GList link;            /* in the queue */
+} task_t;
+
+struct batch_t
+{
+  char *coordinator;
+  uint64_t number;
+  char *job;
+  int32_t step;
+  char *spec;
+  char *service;
+  int32_t priority;
+  room_t need;
+  int64_t estimate_ms;
+  int64_t goal_at_ms;
+  int64_t deadline_at_ms;
+  int32_t attempts_max;
+  int32_t attempt_base;
+  char *label;
+  char *near_rack;
+  int32_t spread_max;
+  int64_t wait_until_ms;
+  GPtrArray *tasks; /* task_t that have not ended */
+  bool ever_started;
+};
+
+/* A run that this owner has not started. */
+typedef struct
+{
+  char *name;
+  int32_t attempt;
+  int64_t seen_at_ms;
+  int64_t stop_sent_at_ms;
+  bool present; /* in the look that is being read */
+} stranger_t;
+
+struct endpoint_t
+{
+  char *id;
+  char *address;
+  char *service;
+  char *kind;
+  char *rack;
+  int64_t born_at_ms;
+  room_t whole; /* the most that was ever seen free */
+  bool leaving;
+  bool looked; /* what runs there is known under the token in force */
+  bool shut_out;
+  bool look_out; /* a look is on its way */
+  uint64_t look_serial;
+  int64_t look_sent_at_ms;
+  int64_t look_due_ms; /* not before */
+  bool clock_known;
+  int64_t clock_ahead_ms; /* its clock less the boot clock, at the most */
+  int64_t lease_end_ms;   /* nothing runs there after this */
+  int64_t ack;
+  int64_t ack_sent;
+  int64_t heard_at_ms;    /* last answer */
+  int64_t silent_from_ms; /* the first call without an answer since then; 0 if none */
+  int64_t full_until_ms;  /* it refused for want of room */
+  GPtrArray *runs;        /* task_t */
+  GPtrArray *strangers;   /* stranger_t */
+  GPtrArray *ended_strangers; /* names of tasks that ended done under another owner */
+  room_t used;
+  outlier_t outlier;
+  timing_t pace; /* duration over what is usual for its kind, in percent */
+};
+
+/* Durations by kind of machine, as a percentage of the caller's estimate. */
+typedef struct
+{
+  char *kind;
+  timing_t ratio;
+} kind_t;
+
+struct fleet_t
+{
+  fleet_options_t options;
+  GHashTable *endpoints; /* id -> endpoint_t */
+  GHashTable *tasks;     /* name -> task_t */
+  GHashTable *batches;   /* "coordinator/number" -> batch_t */
+  GHashTable *calls;     /* serial of a start or stop -> call_t */
+  GHashTable *kinds;     /* kind -> kind_t */
+  GQueue queue;          /* waiting tasks in the order of their turn */
+  GHashTable *maybe;     /* tasks of unknown state: a set */
+  uint64_t serial;
+  outlier_fleet_t outliers;
+  outlier_base_t base;
+  double failure_rate;
+  room_t usual_need;
+};
+
+typedef struct
+{
+  char *endpoint;
+  char *task;
+  int32_t attempt;
+  uint64_t serial;
+} call_t;
+
+/* Placement (place.c). */
+
+/* How long TASK should take on ENDPOINT. */
+int64_t place_expected_ms (const fleet_t *fleet,
+                           const endpoint_t *endpoint,
+                           const batch_t *batch,
+                           int64_t now_ms);
+
+/* True if ENDPOINT may be given any task now. */
+bool place_is_usable (const endpoint_t *endpoint, int64_t now_ms);
+
+/* The endpoint for TASK, or NULL if it has to wait. */
+endpoint_t *place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms);
+
+/* Takes in that a run of TASK took ELAPSED_MS on its endpoint. */
+void place_learn (fleet_t *fleet, const task_t *task, int64_t elapsed_ms, int64_t now_ms);
+
+bool room_fits (const room_t *whole, const room_t *used, const room_t *need);
+void room_add (room_t *room, const room_t *need, int32_t sign);
+
+#endif
--- /dev/null
+++ b/lib/fleet/table.h
@@ -0,0 +1,31 @@
+/* table.h -- what the files of lib/fleet do with its tables; private to lib/fleet */
+#ifndef FLEET_TABLE_H
+#define FLEET_TABLE_H
+
+#include "fleet/state.h"
+
+endpoint_t *endpoint_find (const fleet_t *fleet, const char *id);
+
+/* A new life of the endpoint: what ran there is over and goes back to the queue. */
+void endpoint_reborn (fleet_t *fleet, endpoint_t *endpoint, int64_t now_ms);
+
+/* Gives TASK's run, with its room, to ENDPOINT, or takes it from its endpoint. */
+void task_attach (task_t *task, endpoint_t *endpoint);
+void task_detach (task_t *task);
+
+/* The run of TASK is over, or there was none: queues it again; frees it if it was
+ * cancelled. */
+void task_requeue (fleet_t *fleet, task_t *task, int64_t now_ms);
+
+/* Stops the run of TASK, which is then queued again. */
+void task_replace (task_t *task, int64_t now_ms);
+
+/* Takes TASK out of everything and frees it. */
+void task_end (fleet_t *fleet, task_t *task);
+
+fleet_action_t *action_add (GArray *actions, fleet_action_kind_t kind);
+
+/* Tells TASK's coordinator, if it still has one. */
+void tell (GArray *actions, fleet_action_kind_t kind, const task_t *task, const char *reason);
+
+#endif
--- /dev/null
+++ b/lib/flow/flow.c
@@ -0,0 +1,764 @@
+/* flow.c -- jobs of one coordinator: which owner gets their tasks, and what is answered
+ *
+ * A task is unplaced, at one owner, or done.  A batch is what one owner was given at one
+ * time; when its shard changes hands, the tasks that are left are sent to the new
+ * owner as a new batch of tasks that may be running.  Invariant: a task is sent anew
+ * as "never started" only if its owner returned it.
+ *
+ * An answer that says "not run" needs the word of every owner that was given a part of the
+ * job; who does not answer in time turns it into "given up".
+ */
+#include "flow/flow.h"
+
+#include <string.h>
+
+/* A job that finds no owner is refused after this. */
+#define NO_OWNER_MS 300
+/* What a lost owner was given is given up if no other has taken over by then. */
+#define ORPHAN_MS 700
+/* An owner that has lost its coordinator ends its tasks within this time. */
+#define OWNER_DROPS_MS 900
+/* Owners confirm a cancellation within this time. */
+#define CONFIRM_MS 60
+/* Attempts under one owner stay below this number. */
+#define ATTEMPTS_EACH 32
+/* What is asked of callers that are refused. */
+#define RETRY_AFTER_MS 1000
+/* A remote owner's room counts as this much slower, for the way there and its price. */
+#define FAR_COST 0.03
+/* A part of a job's usual duration that must fit before its deadline. */
+#define HOPELESS 0.6
+
+typedef struct job_t job_t;
+
+typedef struct
+{
+  uint64_t number;
+  job_t *job;
+  const char *host;  /* interned */
+  const char *shard; /* interned */
+  int64_t lost_at_ms; /* when HOST was last heard, if it is lost; else 0 */
+  GArray *open;       /* indexes of tasks that have not ended */
+  bool cancelled;     /* its end was asked for, and is not confirmed */
+} batch_t;
+
+struct job_t
+{
+  uint64_t number;
+  flow_job_t info; /* with strings of its own */
+  int64_t goal_at_ms;
+  GArray *unplaced;   /* int32_t */
+  GPtrArray *batches; /* batch_t */
+  int32_t left;       /* tasks that are not done */
+  int32_t handovers;
+  bool was_sent;
+  bool may_have_run;
+  bool ending; /* waits for confirmations of its end */
+  flow_outcome_t outcome;
+  const char *reason;
+  int64_t confirm_by_ms;
+};
+
+typedef struct
+{
+  const char *service; /* interned */
+  const char *kind;    /* interned */
+  int32_t slots;
+  int32_t slots_all;
+  double ratio;
+} row_t;
+
+typedef struct
+{
+  const char *name;  /* interned */
+  const char *owner; /* interned, or NULL */
+  GArray *rows;      /* row_t */
+  int32_t waiting;
+} shard_t;
+
+struct flow_t
+{
+  const char *host;
+  const char *data_centre;
+  int64_t lease_ms;
+  GHashTable *jobs;    /* number -> job_t */
+  GHashTable *by_id;   /* id -> job_t */
+  GHashTable *batches; /* number -> batch_t */
+  GHashTable *shards;  /* interned name -> shard_t */
+  uint64_t last;
+};
+
+/* --- memory --- */
+
+static void
+free_batch (void *data)
+{
+  batch_t *batch = data;
+
+  g_array_unref (batch->open);
+  g_free (batch);
+}
+
+static void
+free_job (void *data)
+{
+  job_t *job = data;
+
+  g_free ((char *) job->info.id);
+  g_free ((char *) job->info.spec);
+  g_free ((char *) job->info.service);
+  g_free ((char *) job->info.label);
+  g_free ((char *) job->info.near_rack);
+  g_array_unref (job->unplaced);
+  g_ptr_array_unref (job->batches);
+  g_free (job);
+}
+
+static void
+free_shard (void *data)
+{
+  shard_t *shard = data;
+
+  g_array_unref (shard->rows);
+  g_free (shard);
+}
+
+flow_t *
+flow_new (const flow_options_t *options)
+{
+  flow_t *flow = g_new0 (flow_t, 1);
+
+  flow->host = g_intern_string (options->host);
+  flow->data_centre = g_intern_string (options->data_centre);
+  flow->lease_ms = options->lease_ms;
+  flow->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_job);
+  flow->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  flow->batches = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_batch);
+  flow->shards = g_hash_table_new_full (NULL, NULL, NULL, free_shard);
+  return flow;
+}
+
+void
+flow_free (flow_t *flow)
+{
+  if (flow == NULL)
+    return;
+  g_hash_table_unref (flow->by_id);
+  g_hash_table_unref (flow->batches);
+  g_hash_table_unref (flow->jobs);
+  g_hash_table_unref (flow->shards);
+  g_free (flow);
+}
+
+static shard_t *
+find_shard (flow_t *flow, const char *name)
+{
+  const char *interned = g_intern_string (name);
+  shard_t *shard = g_hash_table_lookup (flow->shards, interned);
+
+  if (shard == NULL)
+    {
+      shard = g_new0 (shard_t, 1);
+      shard->name = interned;
+      shard->rows = g_array_new (FALSE, FALSE, sizeof (row_t));
+      g_hash_table_insert (flow->shards, (void *) interned, shard);
+    }
+  return shard;
+}
+
+static flow_action_t *
+add (GArray *actions, flow_action_kind_t kind)
+{
+  flow_action_t action = { .kind = kind };
+
+  g_array_append_val (actions, action);
+  return &g_array_index (actions, flow_action_t, actions->len - 1);
+}
+
+/* --- ends --- */
+
+static void
+drop_batch (flow_t *flow, batch_t *batch)
+{
+  g_ptr_array_remove_fast (batch->job->batches, batch);
+  g_hash_table_remove (flow->batches, &batch->number);
+}
+
+static void
+drop_job (flow_t *flow, job_t *job)
+{
+  while (job->batches->len > 0)
+    drop_batch (flow, job->batches->pdata[job->batches->len - 1]);
+  if (g_hash_table_lookup (flow->by_id, job->info.id) == job)
+    g_hash_table_remove (flow->by_id, job->info.id);
+  g_hash_table_remove (flow->jobs, &job->number);
+}
+
+static void
+answer (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
+{
+  flow_action_t *action = add (actions, FLOW_ANSWER);
+
+  action->outcome = job->outcome;
+  if (job->outcome == FLOW_REFUSED && job->may_have_run)
+    action->outcome = FLOW_GIVEN_UP;
+  action->user = job->info.user;
+  action->reason = job->reason;
+  action->retry_after_ms = RETRY_AFTER_MS;
+  action->elapsed_ms = now_ms - job->info.received_at_ms;
+  action->late_by_ms = now_ms - job->goal_at_ms;
+  drop_job (flow, job);
+}
+
+static void
+cancel_batches (job_t *job, GArray *actions)
+{
+  for (guint i = 0; i < job->batches->len; i++)
+    {
+      batch_t *batch = job->batches->pdata[i];
+      batch->cancelled = true;
+      flow_action_t *action = add (actions, FLOW_CANCEL);
+      action->host = batch->host;
+      action->number = batch->number;
+    }
+}
+
+/* The job has no chance any more.  If it may be that nothing has run, that is confirmed
+ * first. */
+static void
+end_job (flow_t *flow,
+         job_t *job,
+         flow_outcome_t outcome,
+         const char *reason,
+         int64_t now_ms,
+         GArray *actions)
+{
+  if (job->ending)
+    return;
+  job->outcome = outcome;
+  job->reason = reason;
+  cancel_batches (job, actions);
+  if (outcome != FLOW_REFUSED || job->may_have_run || job->batches->len == 0)
+    {
+      answer (flow, job, now_ms, actions);
+      return;
+    }
+  job->ending = true;
+  job->confirm_by_ms = now_ms + CONFIRM_MS;
+}
+
+static void
+refuse (flow_t *flow, job_t *job, const char *reason, int64_t now_ms, GArray *actions)
+{
+  end_job (flow, job, FLOW_REFUSED, reason, now_ms, actions);
+}
+
+/* --- placing --- */
+
+static double
+cost_of (const flow_t *flow, const shard_t *shard, const row_t *row)
+{
+  return row->ratio + (shard->name == flow->data_centre ? 0 : FAR_COST);
+}
+
+typedef struct
+{
+  shard_t *shard;
+  row_t *row;
+} place_t;
+
+static bool
+suits (const row_t *row, const flow_job_t *job)
+{
+  return strcmp (row->service, job->service) == 0;
+}
+
+/* The free slot with the least expected duration. */
+static place_t
+best_place (flow_t *flow, const flow_job_t *job)
+{
+  place_t best = { 0 };
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, flow->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      shard_t *shard = value;
+      for (guint i = 0; shard->owner != NULL && i < shard->rows->len; i++)
+        {
+          row_t *row = &g_array_index (shard->rows, row_t, i);
+          if (row->slots > 0 && suits (row, job)
+              && (best.row == NULL
+                  || cost_of (flow, shard, row) < cost_of (flow, best.shard, best.row)))
+            best = (place_t){ shard, row };
+        }
+    }
+  return best;
+}
+
+static int32_t
+slots_all (const shard_t *shard, const flow_job_t *job)
+{
+  int32_t slots = 0;
+
+  for (guint i = 0; i < shard->rows->len; i++)
+    {
+      const row_t *row = &g_array_index (shard->rows, row_t, i);
+      slots += suits (row, job) ? row->slots_all : 0;
+    }
+  return slots;
+}
+
+/* The shard with the shortest queue for its size. */
+static shard_t *
+shortest_queue (flow_t *flow, const flow_job_t *job)
+{
+  shard_t *best = NULL;
+  double best_length = 0;
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, flow->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      shard_t *shard = value;
+      int32_t slots = slots_all (shard, job);
+      if (shard->owner == NULL || slots == 0)
+        continue;
+      double length = (double) (shard->waiting + 1) / slots;
+      if (best == NULL || length < best_length
+          || (length <= best_length && shard->name == flow->data_centre))
+        {
+          best = shard;
+          best_length = length;
+        }
+    }
+  return best;
+}
+
+static batch_t *
+batch_new (flow_t *flow, job_t *job, const shard_t *shard)
+{
+  batch_t *batch = g_new0 (batch_t, 1);
+
+  batch->number = ++flow->last;
+  batch->job = job;
+  batch->host = shard->owner;
+  batch->shard = shard->name;
+  batch->open = g_array_new (FALSE, FALSE, sizeof (int32_t));
+  g_ptr_array_add (job->batches, batch);
+  g_hash_table_insert (flow->batches, &batch->number, batch);
+  return batch;
+}
+
+static void
+send_batch (const job_t *job,
+            const batch_t *batch,
+            bool maybe_running,
+            int64_t wait_until_ms,
+            GArray *actions)
+{
+  flow_action_t *action = add (actions, FLOW_SUBMIT);
+
+  action->host = batch->host;
+  action->shard = batch->shard;
+  action->number = batch->number;
+  action->indexes = g_array_new (FALSE, FALSE, sizeof (int32_t));
+  g_array_append_vals (action->indexes, batch->open->data, batch->open->len);
+  action->batch = (fleet_batch_t){
+    .batch = batch->number,
+    .job = job->info.id,
+    .spec = job->info.spec,
+    .service = job->info.service,
+    .priority = job->info.priority,
+    .need = job->info.need,
+    .estimate_ms = job->info.estimate_ms,
+    .goal_at_ms = job->goal_at_ms,
+    .deadline_at_ms = job->info.deadline_at_ms,
+    .attempts_max = job->info.attempts_max,
+    .attempt_base = job->handovers * ATTEMPTS_EACH,
+    .label = job->info.label,
+    .near_rack = job->info.near_rack,
+    .spread_max = job->info.spread_max,
+    .maybe_running = maybe_running,
+    .wait_until_ms = wait_until_ms,
+    .indexes = (const int32_t *) (void *) action->indexes->data,
+    .count = action->indexes->len,
+  };
+}
+
+static batch_t *
+batch_for (flow_t *flow, job_t *job, GPtrArray *fresh, const shard_t *shard)
+{
+  for (guint i = 0; i < fresh->len; i++)
+    if (((batch_t *) fresh->pdata[i])->shard == shard->name)
+      return fresh->pdata[i];
+  batch_t *batch = batch_new (flow, job, shard);
+  g_ptr_array_add (fresh, batch);
+  return batch;
+}
+
+static void
+place (flow_t *flow, job_t *job, GArray *actions)
+{
+  GPtrArray *fresh = g_ptr_array_new ();
+
+  while (job->unplaced->len > 0)
+    {
+      place_t place = best_place (flow, &job->info);
+      shard_t *shard = place.row != NULL ? place.shard : shortest_queue (flow, &job->info);
+      if (shard == NULL)
+        break;
+      if (place.row != NULL)
+        place.row->slots--;
+      else
+        shard->waiting++;
+      batch_t *batch = batch_for (flow, job, fresh, shard);
+      guint last = job->unplaced->len - 1;
+      g_array_append_val (batch->open, g_array_index (job->unplaced, int32_t, last));
+      g_array_set_size (job->unplaced, last);
+      job->was_sent = true;
+    }
+  for (guint i = 0; i < fresh->len; i++)
+    send_batch (job, fresh->pdata[i], false, 0, actions);
+  g_ptr_array_unref (fresh);
+}
+
+/* --- jobs --- */
+
+uint64_t
+flow_submit (flow_t *flow, const flow_job_t *info, int64_t now_ms, GArray *actions)
+{
+  job_t *job = g_new0 (job_t, 1);
+
+  (void) now_ms;
+  job->number = ++flow->last;
+  job->info = *info;
+  job->info.id = g_strdup (info->id);
+  job->info.spec = g_strdup (info->spec);
+  job->info.service = g_strdup (info->service);
+  job->info.label = g_strdup (info->label);
+  job->info.near_rack = g_strdup (info->near_rack);
+  job->goal_at_ms = info->received_at_ms + info->target_ms
+                    + (int64_t) (info->stretch * (double) info->estimate_ms);
+  job->left = info->tasks;
+  job->unplaced = g_array_sized_new (FALSE, FALSE, sizeof (int32_t), (guint) info->tasks);
+  for (int32_t i = info->tasks; i-- > 0;)
+    g_array_append_val (job->unplaced, i);
+  job->batches = g_ptr_array_new ();
+  g_hash_table_insert (flow->jobs, &job->number, job);
+  g_hash_table_replace (flow->by_id, (char *) job->info.id, job);
+  place (flow, job, actions);
+  return job->number;
+}
+
+uint64_t
+flow_find (const flow_t *flow, const char *id)
+{
+  const job_t *job = g_hash_table_lookup (flow->by_id, id);
+
+  return job != NULL ? job->number : 0;
+}
+
+void
+flow_abandon (flow_t *flow, uint64_t number, int64_t now_ms, GArray *actions)
+{
+  job_t *job = g_hash_table_lookup (flow->jobs, &number);
+
+  (void) now_ms;
+  if (job == NULL)
+    return;
+  if (!job->ending)
+    cancel_batches (job, actions);
+  drop_job (flow, job);
+}
+
+static batch_t *
+batch_of (const flow_t *flow, const char *host, uint64_t number)
+{
+  batch_t *batch = g_hash_table_lookup (flow->batches, &number);
+
+  return batch != NULL && strcmp (batch->host, host) == 0 ? batch : NULL;
+}
+
+static bool
+take_open (batch_t *batch, int32_t index)
+{
+  for (guint i = 0; i < batch->open->len; i++)
+    if (g_array_index (batch->open, int32_t, i) == index)
+      {
+        g_array_remove_index_fast (batch->open, i);
+        return true;
+      }
+  return false;
+}
+
+void
+flow_task_ended (flow_t *flow,
+                 const char *host,
+                 uint64_t number,
+                 int32_t index,
+                 flow_task_end_t how,
+                 int64_t now_ms,
+                 GArray *actions)
+{
+  batch_t *batch = batch_of (flow, host, number);
+
+  if (batch == NULL || !take_open (batch, index))
+    return;
+  job_t *job = batch->job;
+  job->may_have_run |= how == FLOW_TASK_DONE || how == FLOW_TASK_FAILED;
+  if (batch->open->len == 0 && !batch->cancelled)
+    drop_batch (flow, batch);
+  switch (how)
+    {
+    case FLOW_TASK_DONE:
+      if (--job->left == 0)
+        {
+          job->outcome = FLOW_COMPLETE;
+          answer (flow, job, now_ms, actions);
+        }
+      break;
+    case FLOW_TASK_FAILED:
+      end_job (flow, job, FLOW_FAILED, "a task has failed as often as is allowed", now_ms, actions);
+      break;
+    case FLOW_TASK_RETURNED:
+      if (!job->ending)
+        {
+          g_array_append_val (job->unplaced, index);
+          place (flow, job, actions);
+        }
+      break;
+    case FLOW_TASK_EXPIRED:
+    default:
+      refuse (flow, job, "cannot end before its deadline", now_ms, actions);
+      break;
+    }
+}
+
+void
+flow_cancelled (flow_t *flow,
+                const char *host,
+                uint64_t number,
+                bool never_started,
+                int64_t now_ms,
+                GArray *actions)
+{
+  batch_t *batch = batch_of (flow, host, number);
+
+  if (batch == NULL || !batch->cancelled)
+    return;
+  job_t *job = batch->job;
+  job->may_have_run |= !never_started;
+  drop_batch (flow, batch);
+  if (job->ending && (job->batches->len == 0 || job->may_have_run))
+    answer (flow, job, now_ms, actions);
+}
+
+/* --- owners --- */
+
+void
+flow_offer (flow_t *flow,
+            const char *name,
+            const char *host,
+            const fleet_offer_t *offers,
+            size_t count,
+            int32_t waiting,
+            int64_t now_ms)
+{
+  shard_t *shard = find_shard (flow, name);
+
+  (void) now_ms;
+  if (shard->owner != g_intern_string (host))
+    return;
+  g_array_set_size (shard->rows, 0);
+  for (size_t i = 0; i < count; i++)
+    {
+      row_t row = { g_intern_string (offers[i].service), g_intern_string (offers[i].kind),
+                    offers[i].slots, offers[i].slots_all, offers[i].ratio };
+      g_array_append_val (shard->rows, row);
+    }
+  shard->waiting = waiting;
+}
+
+/* Sends what is left of BATCH to the owner that its shard has now. */
+static void
+move_batch (flow_t *flow, batch_t *batch, const shard_t *shard, int64_t now_ms, GArray *actions)
+{
+  job_t *job = batch->job;
+  int64_t since_ms = batch->lost_at_ms != 0 ? batch->lost_at_ms : now_ms;
+
+  job->handovers++;
+  job->may_have_run = true;
+  batch_t *next = batch_new (flow, job, shard);
+  g_array_append_vals (next->open, batch->open->data, batch->open->len);
+  drop_batch (flow, batch);
+  send_batch (job, next, true, since_ms + OWNER_DROPS_MS + flow->lease_ms, actions);
+}
+
+static GPtrArray *
+open_batches (const flow_t *flow)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, flow->batches);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (!((batch_t *) value)->job->ending)
+      g_ptr_array_add (found, value);
+  return found;
+}
+
+void
+flow_owner (flow_t *flow, const char *name, const char *host, int64_t now_ms, GArray *actions)
+{
+  shard_t *shard = find_shard (flow, name);
+
+  shard->owner = host != NULL ? g_intern_string (host) : NULL;
+  g_array_set_size (shard->rows, 0);
+  shard->waiting = 0;
+  if (shard->owner == NULL)
+    return;
+  GPtrArray *batches = open_batches (flow);
+  for (guint i = 0; i < batches->len; i++)
+    {
+      batch_t *batch = batches->pdata[i];
+      if (batch->shard == shard->name && (batch->host != shard->owner || batch->lost_at_ms != 0))
+        move_batch (flow, batch, shard, now_ms, actions);
+    }
+  g_ptr_array_unref (batches);
+}
+
+void
+flow_host_lost (flow_t *flow,
+                const char *host,
+                int64_t heard_at_ms,
+                int64_t now_ms,
+                GArray *actions)
+{
+  const char *interned = g_intern_string (host);
+  GPtrArray *batches = open_batches (flow);
+
+  for (guint i = 0; i < batches->len; i++)
+    {
+      batch_t *batch = batches->pdata[i];
+      if (batch->host != interned || batch->lost_at_ms != 0)
+        continue;
+      batch->lost_at_ms = heard_at_ms;
+      const shard_t *shard = find_shard (flow, batch->shard);
+      if (shard->owner != NULL && shard->owner != interned)
+        move_batch (flow, batch, shard, now_ms, actions);
+    }
+  g_ptr_array_unref (batches);
+}
+
+void
+flow_give_up_all (flow_t *flow, const char *reason, int64_t now_ms, GArray *actions)
+{
+  GList *jobs = g_hash_table_get_values (flow->jobs);
+
+  for (GList *at = jobs; at != NULL; at = at->next)
+    {
+      job_t *job = at->data;
+      job->may_have_run |= job->was_sent;
+      end_job (flow, job, FLOW_GIVEN_UP, reason, now_ms, actions);
+    }
+  g_list_free (jobs);
+}
+
+/* --- time --- */
+
+static bool
+is_orphaned (const job_t *job, int64_t now_ms)
+{
+  for (guint i = 0; i < job->batches->len; i++)
+    {
+      const batch_t *batch = job->batches->pdata[i];
+      if (batch->lost_at_ms != 0 && now_ms - batch->lost_at_ms > ORPHAN_MS)
+        return true;
+    }
+  return false;
+}
+
+static void
+step_job (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
+{
+  if (job->ending)
+    {
+      if (now_ms < job->confirm_by_ms)
+        return;
+      job->may_have_run = true;
+      answer (flow, job, now_ms, actions);
+      return;
+    }
+  if (now_ms >= job->info.deadline_at_ms)
+    {
+      refuse (flow, job, "its deadline has passed", now_ms, actions);
+      return;
+    }
+  if (is_orphaned (job, now_ms))
+    {
+      end_job (flow, job, FLOW_GIVEN_UP, "the host that ran a part of it is lost", now_ms, actions);
+      return;
+    }
+  if (job->unplaced->len == 0)
+    return;
+  guint before = actions->len;
+  place (flow, job, actions);
+  /* What was just sent names the job, which must not end in the same step. */
+  if (job->unplaced->len == 0 || actions->len > before)
+    return;
+  bool hopeless = now_ms + (int64_t) (HOPELESS * (double) job->info.estimate_ms)
+                  > job->info.deadline_at_ms;
+  if (hopeless || now_ms - job->info.received_at_ms > NO_OWNER_MS)
+    refuse (flow, job, "no owner of endpoints is known", now_ms, actions);
+}
+
+void
+flow_step (flow_t *flow, int64_t now_ms, GArray *actions)
+{
+  GList *jobs = g_hash_table_get_values (flow->jobs);
+
+  for (GList *at = jobs; at != NULL; at = at->next)
+    step_job (flow, at->data, now_ms, actions);
+  g_list_free (jobs);
+}
+
+int32_t
+flow_slots_elsewhere (const flow_t *flow, const char *name)
+{
+  const char *interned = g_intern_string (name);
+  int32_t slots = 0;
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, flow->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const shard_t *shard = value;
+      for (guint i = 0; shard->name != interned && shard->owner != NULL && i < shard->rows->len; i++)
+        slots += g_array_index (shard->rows, row_t, i).slots;
+    }
+  return slots;
+}
+
+int32_t
+flow_jobs (const flow_t *flow)
+{
+  return (int32_t) g_hash_table_size (flow->jobs);
+}
+
+bool
+flow_has_offers (const flow_t *flow)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, flow->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((shard_t *) value)->owner != NULL && ((shard_t *) value)->rows->len > 0)
+      return true;
+  return false;
+}
--- /dev/null
+++ b/lib/flow/flow.h
@@ -0,0 +1,153 @@
+/* flow.h -- jobs of one coordinator: which owner gets their tasks, and what is answered
+ *
+ * The host that has read a job is its coordinator until it is answered.  It splits
+ * the tasks over the owners of shards by the room that they offer, follows them when a shard
+ * changes its owner, and answers as soon as the outcome is certain: complete, failed as
+ * often as is allowed, refused with nothing run, or given up.
+ *
+ * Pure: events and the time go in, actions come out; times are milliseconds of the boot
+ * clock.  Not thread-safe.  Strings in events are copied; pointers in actions are valid
+ * until the next call.
+ */
+#ifndef FLOW_FLOW_H
+#define FLOW_FLOW_H
+
+#include "fleet/fleet.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct flow_t flow_t;
+
+typedef struct
+{
+  const char *id;
+  const char *spec;
+  const char *service;
+  int32_t priority;
+  int32_t tasks;
+  room_t need;
+  int64_t estimate_ms;
+  double stretch;         /* a job is late after this times its estimate .. */
+  int64_t target_ms;      /* .. and this more */
+  int64_t received_at_ms;
+  int64_t deadline_at_ms; /* nobody waits for the answer any longer */
+  int32_t attempts_max;
+  const char *label;
+  const char *near_rack;
+  int32_t spread_max;
+  void *user; /* comes back with the answer */
+} flow_job_t;
+
+typedef enum
+{
+  FLOW_COMPLETE,
+  FLOW_FAILED,  /* a task has failed as often as is allowed */
+  FLOW_REFUSED, /* nothing has run and nothing will */
+  FLOW_GIVEN_UP /* it may have run in part */
+} flow_outcome_t;
+
+typedef enum
+{
+  FLOW_SUBMIT, /* send BATCH to HOST */
+  FLOW_CANCEL, /* tell HOST to end batch NUMBER */
+  FLOW_ANSWER
+} flow_action_kind_t;
+
+typedef struct
+{
+  flow_action_kind_t kind;
+  const char *host;  /* interned */
+  const char *shard; /* FLOW_SUBMIT; interned */
+  uint64_t number;
+  fleet_batch_t batch; /* its strings and indexes belong to the flow */
+  GArray *indexes;     /* FLOW_SUBMIT: int32_t; the receiver of the action unrefs it */
+  flow_outcome_t outcome;
+  void *user;
+  const char *reason;   /* static */
+  int64_t retry_after_ms; /* FLOW_REFUSED */
+  int64_t elapsed_ms;
+  int64_t late_by_ms; /* over the goal; negative if in time */
+} flow_action_t;
+
+typedef struct
+{
+  const char *host; /* this one */
+  const char *data_centre;
+  int64_t lease_ms; /* as in fleet_options_t */
+} flow_options_t;
+
+flow_t *flow_new (const flow_options_t *options);
+void flow_free (flow_t *flow);
+
+/* Takes a job.  Its actions follow at once or from flow_step (). */
+uint64_t flow_submit (flow_t *flow, const flow_job_t *job, int64_t now_ms, GArray *actions);
+
+/* The caller has gone, or has cancelled the job: its tasks end, and there is no answer. */
+void flow_abandon (flow_t *flow, uint64_t job, int64_t now_ms, GArray *actions);
+
+/* Number of the job with ID, or 0. */
+uint64_t flow_find (const flow_t *flow, const char *id);
+
+/* What the owner of SHARD offers: COUNT rows.  WAITING tasks are queued there. */
+void flow_offer (flow_t *flow,
+                 const char *shard,
+                 const char *host,
+                 const fleet_offer_t *offers,
+                 size_t count,
+                 int32_t waiting,
+                 int64_t now_ms);
+
+/* SHARD is owned by HOST (NULL: by nobody). */
+void flow_owner (flow_t *flow, const char *shard, const char *host, int64_t now_ms, GArray *actions);
+
+/* HOST is gone; it was last heard at HEARD_AT_MS. */
+void flow_host_lost (flow_t *flow,
+                     const char *host,
+                     int64_t heard_at_ms,
+                     int64_t now_ms,
+                     GArray *actions);
+
+/* Gives up all jobs: this host stood still for so long that owners have dropped them. */
+void flow_give_up_all (flow_t *flow, const char *reason, int64_t now_ms, GArray *actions);
+
+typedef enum
+{
+  FLOW_TASK_DONE,
+  FLOW_TASK_FAILED,
+  FLOW_TASK_RETURNED,
+  FLOW_TASK_EXPIRED
+} flow_task_end_t;
+
+/* Task INDEX of batch NUMBER at HOST has ended, as far as HOST is concerned. */
+void flow_task_ended (flow_t *flow,
+                      const char *host,
+                      uint64_t number,
+                      int32_t index,
+                      flow_task_end_t how,
+                      int64_t now_ms,
+                      GArray *actions);
+
+/* HOST has ended batch NUMBER; NEVER_STARTED if nothing of it ran there. */
+void flow_cancelled (flow_t *flow,
+                     const char *host,
+                     uint64_t number,
+                     bool never_started,
+                     int64_t now_ms,
+                     GArray *actions);
+
+/* Places tasks, and answers what has no chance or has run out of time.  Call after other
+ * events and every few milliseconds. */
+void flow_step (flow_t *flow, int64_t now_ms, GArray *actions);
+
+/* Free slots that others than SHARD offer for SERVICE's tasks. */
+int32_t flow_slots_elsewhere (const flow_t *flow, const char *shard);
+
+int32_t flow_jobs (const flow_t *flow);
+
+/* Some owner has endpoints for tasks. */
+bool flow_has_offers (const flow_t *flow);
+
+
+#endif
--- a/lib/wire/frame.h
+++ b/lib/wire/frame.h
@@ -47,6 +47,12 @@
   /* 110..129: service-level counters */
   FRAME_BURN_FIRST = 110,
   FRAME_BURN_LAST = 129,
+  /* 130..149: tasks between coordinators and owners of endpoints */
+  FRAME_FLEET_FIRST = 130,
+  FRAME_FLEET_LAST = 149,
+  /* 150..169: hosts and what they own */
+  FRAME_CREW_FIRST = 150,
+  FRAME_CREW_LAST = 169,
   FRAME_TYPE_MAX = 255
 } frame_type_t;
 
