--- a/daemon/site.c
+++ b/daemon/site.c
@@ -22,6 +22,9 @@
 /* A gap between ticks beyond this means that the process stood still. */
 #define STILL_MS 400
 #define PULL_EVERY_MS 150
+/* Shards without an owner are probed this often, at one of so many endpoints. */
+#define PROBE_EVERY_MS 200
+#define PROBE_ONE_OF 8
 /* From the signal to stop: the balancer notices within this time. */
 #define NOTICED_MS 2600
 /* Left for the exit itself before the kill. */
@@ -267,7 +270,7 @@
       log_info (PART, "Owner of a shard.", "shard", action->shard, "host",
                 action->host != NULL ? action->host : "none", "token",
                 NUMBER (number, action->token), NULL);
-      flow_owner (site->flow, action->shard, action->host, now_ms, site->flow_actions);
+      flow_owner (site->flow, action->shard, action->host, action->token, now_ms, site->flow_actions);
       site_run_flow_actions (site);
       break;
     case CREW_LOST:
@@ -383,6 +386,36 @@
     peers_send (site, host, crew_msg_config_pull ());
 }
 
+static void
+on_probed (const char *shard, void *user)
+{
+  site_t *site = user;
+
+  crew_reached (site->crew, shard, clock_boot_ms ());
+}
+
+/* Asks one endpoint of each shard without an owner whether it can be reached. */
+static void
+probe_orphans (site_t *site, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  if (now_ms < site->probe_due_ms)
+    return;
+  site->probe_due_ms = now_ms + PROBE_EVERY_MS;
+  g_hash_table_iter_init (&iter, site->directory);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const decode_entry_t *entry = value;
+      if (!crew_wants_probe (site->crew, entry->data_centre)
+          || g_random_int_range (0, PROBE_ONE_OF) != 0)
+        continue;
+      orders_probe (site->client, entry->endpoint.address,
+                    g_intern_string (entry->data_centre), on_probed, site, now_ms);
+    }
+}
+
 /* Stops once what was taken is answered and the balancer has noticed. */
 static void
 stop_if_done (site_t *site, int64_t now_ms)
@@ -423,6 +456,7 @@
   owner_tell_offers (site, now_ms);
   peers_beat (site, now_ms, false);
   pull_config (site, now_ms);
+  probe_orphans (site, now_ms);
   if (site->leaving)
     stop_if_done (site, now_ms);
 }
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -89,6 +89,7 @@
     }
   owned->token = token;
   owned->dirty = true;
+  g_clear_pointer (&owned->told, g_bytes_unref);
   g_hash_table_iter_init (&iter, site->directory);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -152,9 +153,17 @@
 {
   owned_t *owned = find_owned (site, shard);
 
-  /* A coordinator that does not know yet learns it from the next beat. */
   if (owned == NULL)
-    return;
+    {
+      /* The coordinator places them elsewhere once it has heard who owns the shard. */
+      for (size_t i = 0; i < batch->count; i++)
+        {
+          told_end_t told = { g_intern_string (batch->coordinator),
+                              { batch->batch, batch->indexes[i], FLEET_RETURNED } };
+          g_array_append_val (site->ends, told);
+        }
+      return;
+    }
   fleet_submit (owned->fleet, batch, clock_boot_ms ());
   owned->dirty = true;
 }
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -97,7 +97,9 @@
   (void) host;
   if (crew_msg_read_beat (reader, &beat) != 0)
     return;
-  crew_heard (site->crew, &beat, clock_boot_ms (), site->crew_actions);
+  int64_t now_ms = clock_boot_ms ();
+  crew_heard (site->crew, &beat, now_ms, site->crew_actions);
+  crew_step (site->crew, now_ms, clock_wall_ms (), site->crew_actions);
   crew_beat_clear (&beat);
 }
 
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -65,6 +65,7 @@
   int64_t ticked_at_ms;
   int64_t beat_due_ms;
   int64_t pull_due_ms;
+  int64_t probe_due_ms;
 };
 
 /* site.c: carries out all actions that are due, until nothing is left to do. */
--- a/lib/crew/crew.c
+++ b/lib/crew/crew.c
@@ -27,6 +27,8 @@
  * this long. */
 #define SHUT_OUT_PAUSE_MS 5000
 #define RECLAIM_MIN_MS 250
+/* An endpoint's answer shows for this long that its shard can be reached. */
+#define REACHED_MS 600
 /* A host that has not been heard for this long does not count any more. */
 #define FORGET_MS 20000
 #define TOKEN_NAME_BITS 8
@@ -57,6 +59,8 @@
   int64_t owner_token;
   int64_t vacant_from_ms; /* 0 while there is an owner that stays */
   int64_t pause_until_ms;
+  int64_t reached_at_ms;   /* an endpoint of it has answered this host */
+  int64_t reached_from_ms; /* and has done so since then */
 } shard_t;
 
 struct crew_t
@@ -398,6 +402,26 @@
   add (actions, CREW_YIELDED, reason)->shard = shard->name;
 }
 
+/* A host that hears few of those that it knew is more likely cut off than they all are gone, and
+ * would only shut out their owner.  A data centre whose hosts hear each other goes on by
+ * itself. */
+static bool
+hears_most (const crew_t *crew, bool near)
+{
+  count_t here = count_hosts (crew, crew->data_centre);
+  count_t all = count_hosts (crew, NULL);
+
+  return (near && 2 * here.alive > here.known) || 2 * all.alive > all.known;
+}
+
+/* Long enough for hosts that could not be heard with it to be heard again. */
+static bool
+is_reached (const shard_t *shard, int64_t now_ms)
+{
+  return now_ms - shard->reached_at_ms < REACHED_MS
+         && shard->reached_at_ms - shard->reached_from_ms > VACANT_FAR_MS;
+}
+
 static void
 claim_if_due (crew_t *crew, shard_t *shard, int64_t now_ms, int64_t wall_ms, GArray *actions)
 {
@@ -414,9 +438,7 @@
     }
   if (best != crew->host || now_ms - shard->vacant_from_ms < wait_ms)
     return;
-  count_t hosts = count_hosts (crew, near ? crew->data_centre : NULL);
-  /* A host on its own among others that it knew is more likely cut off than alone. */
-  if (2 * hosts.alive < hosts.known)
+  if (!hears_most (crew, near) || (!near && !is_reached (shard, now_ms)))
     return;
   claim (crew, shard, now_ms, wall_ms, "nobody owns it", actions);
 }
@@ -442,11 +464,9 @@
 static void
 tell_owner (shard_t *shard, const best_t *best, GArray *actions)
 {
-  if (best->host == shard->owner && best->incarnation == shard->owner_incarnation)
-    {
-      shard->owner_token = best->token;
-      return;
-    }
+  if (best->host == shard->owner && best->incarnation == shard->owner_incarnation
+      && best->token == shard->owner_token)
+    return;
   shard->owner = best->host;
   shard->owner_incarnation = best->incarnation;
   shard->owner_token = best->token;
@@ -502,11 +522,10 @@
 {
   shard_t *shard = find_shard (crew, name);
   bool near = strcmp (crew->data_centre, shard->name) == 0;
-  count_t hosts = count_hosts (crew, near ? crew->data_centre : NULL);
 
   if (!shard->own)
     return;
-  if (2 * hosts.alive > hosts.known)
+  if (hears_most (crew, near))
     {
       if (now_ms - shard->claimed_at_ms < RECLAIM_MIN_MS)
         return;
@@ -587,6 +606,24 @@
   return shard != NULL ? shard->owner : NULL;
 }
 
+void
+crew_reached (crew_t *crew, const char *name, int64_t now_ms)
+{
+  shard_t *shard = find_shard (crew, name);
+
+  if (now_ms - shard->reached_at_ms > REACHED_MS)
+    shard->reached_from_ms = now_ms;
+  shard->reached_at_ms = now_ms;
+}
+
+bool
+crew_wants_probe (const crew_t *crew, const char *name)
+{
+  const shard_t *shard = g_hash_table_lookup (crew->shards, g_intern_string (name));
+
+  return shard != NULL && shard->owner == NULL && strcmp (crew->data_centre, name) != 0;
+}
+
 int32_t
 crew_hosts (const crew_t *crew, int64_t now_ms)
 {
--- a/lib/crew/crew.h
+++ b/lib/crew/crew.h
@@ -105,6 +105,12 @@
 bool crew_owns (const crew_t *crew, const char *shard, int64_t *token);
 bool crew_is_alive (const crew_t *crew, const char *host, int64_t now_ms);
 const char *crew_owner (const crew_t *crew, const char *shard);
+
+/* A shard of another data centre without an owner is claimed only by a host that can reach its
+ * endpoints: tells that one has answered, or whether that should be found out. */
+void crew_reached (crew_t *crew, const char *shard, int64_t now_ms);
+bool crew_wants_probe (const crew_t *crew, const char *shard);
+
 int32_t crew_hosts (const crew_t *crew, int64_t now_ms);
 
 /* The host that is heard and has a newer configuration than VERSION, or NULL. */
--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -36,10 +36,11 @@
     endpoint->silent_from_ms = MAX (sent_at_ms, 1);
 }
 
+/* A call under a token that is no longer this owner's says nothing. */
 static void
-shut_out (endpoint_t *endpoint, GArray *actions)
+shut_out (endpoint_t *endpoint, uint32_t term, GArray *actions)
 {
-  if (endpoint->shut_out)
+  if (endpoint->shut_out || term != endpoint->term)
     return;
   endpoint->shut_out = true;
   fleet_action_t *action = action_add (actions, FLEET_SHUT_OUT);
@@ -109,6 +110,7 @@
     return;
   endpoint_t *endpoint = endpoint_find (fleet, call->endpoint);
   task_t *task = task_of (fleet, call);
+  uint32_t term = call->term;
   free_call (call);
   if (endpoint == NULL)
     return;
@@ -142,7 +144,7 @@
       endpoint->full_until_ms = now_ms + FULL_MS;
       break;
     case FLEET_BAD_TOKEN:
-      shut_out (endpoint, actions);
+      shut_out (endpoint, term, actions);
       break;
     case FLEET_UNHEALTHY:
       endpoint->full_until_ms = now_ms + UNHEALTHY_MS;
@@ -175,6 +177,7 @@
     return;
   endpoint_t *endpoint = endpoint_find (fleet, call->endpoint);
   task_t *task = task_of (fleet, call);
+  uint32_t term = call->term;
   free_call (call);
   if (endpoint == NULL)
     return;
@@ -185,7 +188,7 @@
     }
   heard (endpoint, clock_there_ms, now_ms);
   if (answer == FLEET_BAD_TOKEN)
-    shut_out (endpoint, actions);
+    shut_out (endpoint, term, actions);
   if (answer == FLEET_OK && task != NULL && task->state == TASK_STOPPING)
     {
       task->stop_confirmed = true;
@@ -368,6 +371,7 @@
   if (call == NULL)
     return;
   endpoint_t *endpoint = endpoint_find (fleet, call->endpoint);
+  uint32_t term = call->term;
   free_call (call);
   if (endpoint == NULL || endpoint->look_serial != serial)
     return;
@@ -376,7 +380,7 @@
   if (answer == FLEET_BAD_TOKEN)
     {
       heard (endpoint, 0, now_ms);
-      shut_out (endpoint, actions);
+      shut_out (endpoint, term, actions);
       return;
     }
   if (answer != FLEET_OK)
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -355,6 +355,11 @@
     return;
   endpoint->looked = false;
   endpoint->shut_out = false;
+  endpoint->term++;
+  /* A look under the token before shows nothing about what another owner may start
+   * until the new token has arrived. */
+  endpoint->look_out = false;
+  endpoint->look_serial = 0;
   endpoint->look_due_ms = 0;
 }
 
@@ -388,7 +393,7 @@
 }
 
 /* A task that is here already gets a new coordinator.  What is being stopped is
- * started anew once its run is over. */
+ * started anew once its run is over.  Its attempt stays: it names the run. */
 static void
 hand_over (fleet_t *fleet, task_t *task, batch_t *batch)
 {
@@ -398,7 +403,6 @@
     g_queue_unlink (&fleet->queue, &task->link);
   leave_batch (fleet, task);
   task->batch = batch;
-  task->attempt = MAX (task->attempt, batch->attempt_base);
   batch->ever_started |= task->ever_started;
   g_ptr_array_add (batch->tasks, task);
   if (waits)
@@ -548,17 +552,20 @@
   return (int32_t) CLAMP (slots, 0, INT16_MAX);
 }
 
+/* Endpoints whose speeds differ by less than this are offered together. */
+#define ALIKE 1.15
+
 static fleet_offer_t *
-offer_for (GArray *offers, const endpoint_t *endpoint)
+offer_for (GArray *offers, const endpoint_t *endpoint, double ratio)
 {
   for (guint i = 0; i < offers->len; i++)
     {
       fleet_offer_t *offer = &g_array_index (offers, fleet_offer_t, i);
-      if (strcmp (offer->service, endpoint->service) == 0
-          && strcmp (offer->kind, endpoint->kind) == 0)
+      if (strcmp (offer->service, endpoint->service) == 0 && ratio < offer->ratio * ALIKE
+          && ratio > offer->ratio / ALIKE)
         return offer;
     }
-  fleet_offer_t offer = { .service = endpoint->service, .kind = endpoint->kind };
+  fleet_offer_t offer = { .service = endpoint->service, .ratio = ratio };
   g_array_append_val (offers, offer);
   return &g_array_index (offers, fleet_offer_t, offers->len - 1);
 }
@@ -576,11 +583,9 @@
       const endpoint_t *endpoint = value;
       if (!place_is_usable (endpoint, now_ms))
         continue;
-      fleet_offer_t *offer = offer_for (offers, endpoint);
-      const kind_t *kind = g_hash_table_lookup (fleet->kinds, endpoint->kind);
+      fleet_offer_t *offer = offer_for (offers, endpoint, place_ratio (fleet, endpoint, now_ms));
       offer->slots += slots_of (&endpoint->whole, &endpoint->used, need);
       offer->slots_all += slots_of (&endpoint->whole, &nothing, need);
-      offer->ratio = kind != NULL ? timing_estimate_ms (&kind->ratio, 100.0, now_ms) / 100.0 : 1.0;
     }
 }
 
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -225,17 +225,23 @@
  * returned to their coordinators, since other owners have room for so many. */
 void fleet_run (fleet_t *fleet, int32_t elsewhere, int64_t now_ms, GArray *actions);
 
+/* True if a task that should take EXPECTED_MS meets its objective and its deadline with some
+ * margin. */
+bool place_is_in_time (int64_t expected_ms,
+                       int64_t now_ms,
+                       int64_t goal_at_ms,
+                       int64_t deadline_at_ms);
+
 /* What coordinators need to know to place tasks. */
 typedef struct
 {
   const char *service;
-  const char *kind;
   int32_t slots; /* free, for tasks of the usual size */
   int32_t slots_all;
-  double ratio; /* duration over estimate */
+  double ratio; /* duration over the caller's estimate, as measured */
 } fleet_offer_t;
 
-/* Appends one fleet_offer_t for each service and kind; NEED is the usual size. */
+/* Appends one fleet_offer_t for each service and speed; NEED is the usual size. */
 void fleet_offers (const fleet_t *fleet, const room_t *need, int64_t now_ms, GArray *offers);
 
 typedef struct
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -180,7 +180,6 @@
     {
       const fleet_offer_t *offer = &g_array_index (offers, fleet_offer_t, i);
       frame_put_string (writer, offer->service);
-      frame_put_string (writer, offer->kind);
       frame_put_int (writer, offer->slots);
       frame_put_int (writer, offer->slots_all);
       frame_put_int (writer, (int64_t) (offer->ratio * RATIO_SCALE));
@@ -200,7 +199,6 @@
     {
       fleet_offer_t offer = { 0 };
       offer.service = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
-      offer.kind = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
       offer.slots = (int32_t) frame_get_range (reader, 0, INT32_MAX);
       offer.slots_all = (int32_t) frame_get_range (reader, 0, INT32_MAX);
       offer.ratio = (double) frame_get_range (reader, 0, INT32_MAX) / RATIO_SCALE;
@@ -220,7 +218,6 @@
     {
       const fleet_offer_t *offer = &g_array_index (message->offers, fleet_offer_t, i);
       g_free ((char *) offer->service);
-      g_free ((char *) offer->kind);
     }
   if (message->offers != NULL)
     g_array_unref (message->offers);
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -2,9 +2,9 @@
  *
  * A task's duration is the caller's estimate times what estimates were worth on the
  * endpoint's kind of machine, times how the endpoint compares with its kind lately.  Among the
- * endpoints with room the one with the least expected duration is taken; among
- * those that are about equal, the one whose room is then used up best, so that
- * wide holes stay open for large tasks.
+ * endpoints with room the slowest that should meet the task's objective is taken, else the
+ * fastest; among those that are about equal, the one whose room is then used up
+ * best, so that wide holes stay open for large tasks.
  */
 #include "fleet/state.h"
 
@@ -12,6 +12,10 @@
 
 /* Durations that differ by less than this part count as equal. */
 #define ALIKE_PERCENT 10
+/* Estimates are rough: a duration may be over its expectation by this and must still be in
+ * time.  An objective grows with the true work, a deadline does not. */
+#define GOAL_PERCENT 125
+#define DEADLINE_PERCENT 160
 #define PACE_USUAL 100.0
 /* A kind that was never measured is taken to be as the caller says. */
 #define RATIO_PRIOR 100.0
@@ -44,16 +48,21 @@
   return found != NULL ? timing_estimate_ms (&found->ratio, RATIO_PRIOR, now_ms) : RATIO_PRIOR;
 }
 
+double
+place_ratio (const fleet_t *fleet, const endpoint_t *endpoint, int64_t now_ms)
+{
+  double pace = timing_estimate_ms (&endpoint->pace, PACE_USUAL, now_ms);
+
+  return kind_ratio (fleet, endpoint->kind, now_ms) * pace / (RATIO_PRIOR * PACE_USUAL);
+}
+
 int64_t
 place_expected_ms (const fleet_t *fleet,
                    const endpoint_t *endpoint,
                    const batch_t *batch,
                    int64_t now_ms)
 {
-  double pace = timing_estimate_ms (&endpoint->pace, PACE_USUAL, now_ms);
-  double ratio = kind_ratio (fleet, endpoint->kind, now_ms);
-
-  return (int64_t) ((double) batch->estimate_ms * ratio * pace / (RATIO_PRIOR * PACE_USUAL));
+  return (int64_t) ((double) batch->estimate_ms * place_ratio (fleet, endpoint, now_ms));
 }
 
 void
@@ -134,14 +143,41 @@
   return endpoint->whole.cores_milli - endpoint->used.cores_milli - need->cores_milli;
 }
 
+typedef struct
+{
+  endpoint_t *endpoint;
+  int64_t expected_ms;
+  bool doubted;  /* others go first */
+  bool in_time;  /* the task should meet its objective there */
+  int64_t left_over;
+} candidate_t;
+
+/* Among endpoints that are fast enough the slowest is taken, so that the fast ones stay free for
+ * tasks that need them; where none is, the fastest. */
+static bool
+is_better (const candidate_t *a, const candidate_t *b)
+{
+  if (b->endpoint == NULL)
+    return true;
+  if (a->doubted != b->doubted)
+    return b->doubted;
+  if (a->in_time != b->in_time)
+    return a->in_time;
+  int64_t margin_ms = b->expected_ms * ALIKE_PERCENT / 100;
+  if (a->expected_ms < b->expected_ms - margin_ms)
+    return !a->in_time;
+  if (a->expected_ms > b->expected_ms + margin_ms)
+    return a->in_time;
+  return a->left_over < b->left_over;
+}
+
 endpoint_t *
 place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms)
 {
+  const batch_t *batch = task->batch;
   GHashTableIter iter;
   void *value = NULL;
-  endpoint_t *best = NULL;
-  int64_t best_ms = 0;
-  bool best_doubted = false;
+  candidate_t best = { 0 };
 
   g_hash_table_iter_init (&iter, fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -150,24 +186,24 @@
       if (!room_fits (&endpoint->whole, &endpoint->used, &task->need)
           || !place_is_usable (endpoint, now_ms) || !may_run (endpoint, task))
         continue;
-      bool doubted = outlier_is_doubted (&endpoint->outlier, now_ms)
-                     || (task->avoid != NULL && strcmp (task->avoid, endpoint->id) == 0);
-      int64_t expected_ms = place_expected_ms (fleet, endpoint, task->batch, now_ms);
-      bool better = best == NULL || (best_doubted && !doubted);
-      if (!better && best_doubted == doubted)
-        {
-          int64_t margin_ms = best_ms * ALIKE_PERCENT / 100;
-          if (expected_ms < best_ms - margin_ms)
-            better = true;
-          else if (expected_ms <= best_ms + margin_ms)
-            better = left_over (endpoint, &task->need) < left_over (best, &task->need);
-        }
-      if (better)
-        {
-          best = endpoint;
-          best_ms = expected_ms;
-          best_doubted = doubted;
-        }
+      candidate_t one = {
+        .endpoint = endpoint,
+        .expected_ms = place_expected_ms (fleet, endpoint, batch, now_ms),
+        .doubted = outlier_is_doubted (&endpoint->outlier, now_ms)
+                   || (task->avoid != NULL && strcmp (task->avoid, endpoint->id) == 0),
+        .left_over = left_over (endpoint, &task->need),
+      };
+      one.in_time = place_is_in_time (one.expected_ms, now_ms, batch->goal_at_ms,
+                                      batch->deadline_at_ms);
+      if (is_better (&one, &best))
+        best = one;
     }
-  return best;
+  return best.endpoint;
+}
+
+bool
+place_is_in_time (int64_t expected_ms, int64_t now_ms, int64_t goal_at_ms, int64_t deadline_at_ms)
+{
+  return now_ms + expected_ms * GOAL_PERCENT / 100 <= goal_at_ms
+         && now_ms + expected_ms * DEADLINE_PERCENT / 100 <= deadline_at_ms;
 }
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -36,6 +36,7 @@
   call->endpoint = g_strdup (endpoint->id);
   call->task = g_strdup (task);
   call->attempt = attempt;
+  call->term = endpoint->term;
   call->serial = ++fleet->serial;
   g_hash_table_insert (fleet->calls, &call->serial, call);
   return call->serial;
@@ -211,7 +212,7 @@
   g_queue_unlink (&fleet->queue, &task->link);
   endpoint->outlier.probing |= endpoint->outlier.state == OUTLIER_OUT;
   task->state = TASK_STARTING;
-  task->attempt++;
+  task->attempt = MAX (task->attempt, task->batch->attempt_base) + 1;
   task->ever_started = true;
   task->batch->ever_started = true;
   task->sent_at_ms = now_ms;
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -89,6 +89,7 @@
   bool leaving;
   bool looked; /* what runs there is known under the token in force */
   bool shut_out;
+  uint32_t term; /* grows when the token changes */
   bool look_out; /* a look is on its way */
   uint64_t look_serial;
   int64_t look_sent_at_ms;
@@ -138,6 +139,7 @@
   char *endpoint;
   char *task;
   int32_t attempt;
+  uint32_t term; /* of the endpoint when the call was made */
   uint64_t serial;
 } call_t;
 
@@ -152,6 +154,9 @@
 /* True if ENDPOINT may be given any task now. */
 bool place_is_usable (const endpoint_t *endpoint, int64_t now_ms);
 
+/* Its duration over the caller's estimate. */
+double place_ratio (const fleet_t *fleet, const endpoint_t *endpoint, int64_t now_ms);
+
 /* The endpoint for TASK, or NULL if it has to wait. */
 endpoint_t *place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms);
 
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -24,8 +24,8 @@
 #define ATTEMPTS_EACH 32
 /* What is asked of callers that are refused. */
 #define RETRY_AFTER_MS 1000
-/* A remote owner's room counts as this much slower, for the way there and its price. */
-#define FAR_COST 0.03
+/* Speeds that differ by less than this count as equal. */
+#define ALIKE 1.1
 /* A part of a job's usual duration that must fit before its deadline. */
 #define HOPELESS 0.6
 
@@ -37,6 +37,7 @@
   job_t *job;
   const char *host;  /* interned */
   const char *shard; /* interned */
+  int64_t token;     /* of the owner's claim */
   int64_t lost_at_ms; /* when HOST was last heard, if it is lost; else 0 */
   GArray *open;       /* indexes of tasks that have not ended */
   bool cancelled;     /* its end was asked for, and is not confirmed */
@@ -62,7 +63,6 @@
 typedef struct
 {
   const char *service; /* interned */
-  const char *kind;    /* interned */
   int32_t slots;
   int32_t slots_all;
   double ratio;
@@ -72,6 +72,7 @@
 {
   const char *name;  /* interned */
   const char *owner; /* interned, or NULL */
+  int64_t token;     /* of its claim */
   GArray *rows;      /* row_t */
   int32_t waiting;
 } shard_t;
@@ -255,16 +256,11 @@
 
 /* --- placing --- */
 
-static double
-cost_of (const flow_t *flow, const shard_t *shard, const row_t *row)
-{
-  return row->ratio + (shard->name == flow->data_centre ? 0 : FAR_COST);
-}
-
 typedef struct
 {
   shard_t *shard;
   row_t *row;
+  bool in_time;
 } place_t;
 
 static bool
@@ -273,9 +269,23 @@
   return strcmp (row->service, job->service) == 0;
 }
 
-/* The free slot with the least expected duration. */
+/* Like the owner's choice of an endpoint: the slowest that is fast enough, else the fastest; the
+ * own data centre first among equals. */
+static bool
+is_better (const flow_t *flow, const place_t *a, const place_t *b)
+{
+  if (b->row == NULL)
+    return true;
+  if (a->in_time != b->in_time)
+    return a->in_time;
+  bool alike = a->row->ratio < b->row->ratio * ALIKE && b->row->ratio < a->row->ratio * ALIKE;
+  if (alike)
+    return a->shard->name == flow->data_centre && b->shard->name != flow->data_centre;
+  return a->in_time ? a->row->ratio > b->row->ratio : a->row->ratio < b->row->ratio;
+}
+
 static place_t
-best_place (flow_t *flow, const flow_job_t *job)
+best_place (flow_t *flow, const job_t *job, int64_t now_ms)
 {
   place_t best = { 0 };
   GHashTableIter iter;
@@ -288,10 +298,14 @@
       for (guint i = 0; shard->owner != NULL && i < shard->rows->len; i++)
         {
           row_t *row = &g_array_index (shard->rows, row_t, i);
-          if (row->slots > 0 && suits (row, job)
-              && (best.row == NULL
-                  || cost_of (flow, shard, row) < cost_of (flow, best.shard, best.row)))
-            best = (place_t){ shard, row };
+          if (row->slots <= 0 || !suits (row, &job->info))
+            continue;
+          int64_t expected_ms = (int64_t) (row->ratio * (double) job->info.estimate_ms);
+          place_t one = { shard, row,
+                          place_is_in_time (expected_ms, now_ms, job->goal_at_ms,
+                                            job->info.deadline_at_ms) };
+          if (is_better (flow, &one, &best))
+            best = one;
         }
     }
   return best;
@@ -346,6 +360,7 @@
   batch->job = job;
   batch->host = shard->owner;
   batch->shard = shard->name;
+  batch->token = shard->token;
   batch->open = g_array_new (FALSE, FALSE, sizeof (int32_t));
   g_ptr_array_add (job->batches, batch);
   g_hash_table_insert (flow->batches, &batch->number, batch);
@@ -400,13 +415,13 @@
 }
 
 static void
-place (flow_t *flow, job_t *job, GArray *actions)
+place (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
 {
   GPtrArray *fresh = g_ptr_array_new ();
 
   while (job->unplaced->len > 0)
     {
-      place_t place = best_place (flow, &job->info);
+      place_t place = best_place (flow, job, now_ms);
       shard_t *shard = place.row != NULL ? place.shard : shortest_queue (flow, &job->info);
       if (shard == NULL)
         break;
@@ -432,7 +447,6 @@
 {
   job_t *job = g_new0 (job_t, 1);
 
-  (void) now_ms;
   job->number = ++flow->last;
   job->info = *info;
   job->info.id = g_strdup (info->id);
@@ -449,7 +463,7 @@
   job->batches = g_ptr_array_new ();
   g_hash_table_insert (flow->jobs, &job->number, job);
   g_hash_table_replace (flow->by_id, (char *) job->info.id, job);
-  place (flow, job, actions);
+  place (flow, job, now_ms, actions);
   return job->number;
 }
 
@@ -524,11 +538,9 @@
       end_job (flow, job, FLOW_FAILED, "a task has failed as often as is allowed", now_ms, actions);
       break;
     case FLOW_TASK_RETURNED:
+      /* Placed in the next step, with what is known by then. */
       if (!job->ending)
-        {
-          g_array_append_val (job->unplaced, index);
-          place (flow, job, actions);
-        }
+        g_array_append_val (job->unplaced, index);
       break;
     case FLOW_TASK_EXPIRED:
     default:
@@ -575,8 +587,7 @@
   g_array_set_size (shard->rows, 0);
   for (size_t i = 0; i < count; i++)
     {
-      row_t row = { g_intern_string (offers[i].service), g_intern_string (offers[i].kind),
-                    offers[i].slots, offers[i].slots_all, offers[i].ratio };
+      row_t row = { g_intern_string (offers[i].service), offers[i].slots, offers[i].slots_all, offers[i].ratio };
       g_array_append_val (shard->rows, row);
     }
   shard->waiting = waiting;
@@ -612,20 +623,30 @@
 }
 
 void
-flow_owner (flow_t *flow, const char *name, const char *host, int64_t now_ms, GArray *actions)
+flow_owner (flow_t *flow,
+            const char *name,
+            const char *host,
+            int64_t token,
+            int64_t now_ms,
+            GArray *actions)
 {
   shard_t *shard = find_shard (flow, name);
 
+  const char *before = shard->owner;
   shard->owner = host != NULL ? g_intern_string (host) : NULL;
-  g_array_set_size (shard->rows, 0);
-  shard->waiting = 0;
+  shard->token = token;
+  if (shard->owner != before)
+    {
+      g_array_set_size (shard->rows, 0);
+      shard->waiting = 0;
+    }
   if (shard->owner == NULL)
     return;
   GPtrArray *batches = open_batches (flow);
   for (guint i = 0; i < batches->len; i++)
     {
       batch_t *batch = batches->pdata[i];
-      if (batch->shard == shard->name && (batch->host != shard->owner || batch->lost_at_ms != 0))
+      if (batch->shard == shard->name && (batch->host != shard->owner || batch->token != token || batch->lost_at_ms != 0))
         move_batch (flow, batch, shard, now_ms, actions);
     }
   g_ptr_array_unref (batches);
@@ -706,7 +727,7 @@
   if (job->unplaced->len == 0)
     return;
   guint before = actions->len;
-  place (flow, job, actions);
+  place (flow, job, now_ms, actions);
   /* What was just sent names the job, which must not end in the same step. */
   if (job->unplaced->len == 0 || actions->len > before)
     return;
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -99,8 +99,13 @@
                  int32_t waiting,
                  int64_t now_ms);
 
-/* SHARD is owned by HOST (NULL: by nobody). */
-void flow_owner (flow_t *flow, const char *shard, const char *host, int64_t now_ms, GArray *actions);
+/* SHARD is owned by HOST (NULL: by nobody) under TOKEN. */
+void flow_owner (flow_t *flow,
+                 const char *shard,
+                 const char *host,
+                 int64_t token,
+                 int64_t now_ms,
+                 GArray *actions);
 
 /* HOST is gone; it was last heard at HEARD_AT_MS. */
 void flow_host_lost (flow_t *flow,
--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -33,9 +33,9 @@
 #define QUEUE_MAX_BYTES (64 * 1024 * 1024)
 /* Reconnects: the wait doubles from the first to the last bound, with jitter. */
 #define REDIAL_MIN_MS 50
-#define REDIAL_MAX_MS 1000
+#define REDIAL_MAX_MS 400
 /* A connect, or a greeting, that is not answered is given up after this. */
-#define DIAL_MAX_MS 2000
+#define DIAL_MAX_MS 600
 #define LOOP_MS 50
 #define EVENTS_MAX 64
 #define READ_CHUNK_BYTES 65536
