Tasks wait for an endpoint that is fast enough

Change: speed from fading sums over about 40 runs, the last 5 alone once they differ by 1.8; a task waits as long as it may still meet its objective on a fast endpoint; queued tasks go to another owner only if they do as well there. Ruled out: a longer margin alone (the long jobs would still start on slow ones).

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -508,6 +508,7 @@
   site->crew_actions = g_array_new (FALSE, FALSE, sizeof (crew_action_t));
   site->flow_actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
   site->fleet_actions = g_array_new (FALSE, FALSE, sizeof (fleet_action_t));
+  site->elsewhere = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
   site->ends = g_array_new (FALSE, FALSE, sizeof (told_end_t));
   door_options_t door = { settings->caller_listen, settings->ready_listen, &door_ops, site };
   int result = door_open (site->loop, &door, &site->door);
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -247,8 +247,9 @@
       if (!owned->dirty && !all)
         continue;
       owned->dirty = false;
-      fleet_run (owned->fleet, flow_slots_elsewhere (site->flow, owned->name), now_ms,
-                 site->fleet_actions);
+      g_array_set_size (site->elsewhere, 0);
+      flow_offers_elsewhere (site->flow, owned->name, site->elsewhere);
+      fleet_run (owned->fleet, site->elsewhere, now_ms, site->fleet_actions);
       done |= site->fleet_actions->len > 0;
       run_actions (site, owned, now_ms);
     }
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -57,7 +57,8 @@
   GArray *crew_actions;
   GArray *flow_actions;
   GArray *fleet_actions;
-  GArray *ends; /* told_end_t */
+  GArray *elsewhere; /* fleet_offer_t, for one round */
+  GArray *ends;      /* told_end_t */
   bool pumping;
   bool store_reachable;
   bool leaving;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -220,17 +220,17 @@
                    int64_t now_ms,
                    GArray *actions);
 
-/* Starts what can be started, renews leases, gives up what can't end in time.  Call after
- * other events and every few milliseconds.  Up to ELSEWHERE queued tasks are
- * returned to their coordinators, since other owners have room for so many. */
-void fleet_run (fleet_t *fleet, int32_t elsewhere, int64_t now_ms, GArray *actions);
-
-/* True if a task that should take EXPECTED_MS meets its objective and its deadline with some
- * margin. */
-bool place_is_in_time (int64_t expected_ms,
-                       int64_t now_ms,
-                       int64_t goal_at_ms,
-                       int64_t deadline_at_ms);
+/* What may be expected of a task that should take EXPECTED_MS from now on. */
+typedef enum
+{
+  PLACE_HOPELESS,
+  PLACE_LATE,   /* after its objective, but before its deadline */
+  PLACE_IN_TIME /* with some margin */
+} place_tier_t;
+place_tier_t place_tier (int64_t expected_ms,
+                         int64_t now_ms,
+                         int64_t goal_at_ms,
+                         int64_t deadline_at_ms);
 
 /* What coordinators need to know to place tasks. */
 typedef struct
@@ -241,6 +241,12 @@
   double ratio; /* duration over the caller's estimate, as measured */
 } fleet_offer_t;
 
+/* Starts what can be started, renews leases, gives up what can't end in time.  Call after
+ * other events and every few milliseconds.  Queued tasks that would do as well on the free
+ * slots of other owners (ELSEWHERE, fleet_offer_t; slots are taken off) are returned to their
+ * coordinators. */
+void fleet_run (fleet_t *fleet, GArray *elsewhere, int64_t now_ms, GArray *actions);
+
 /* Appends one fleet_offer_t for each service and speed; NEED is the usual size. */
 void fleet_offers (const fleet_t *fleet, const room_t *need, int64_t now_ms, GArray *offers);
 
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -8,21 +8,27 @@
  */
 #include "fleet/state.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Durations that differ by less than this part count as equal. */
-#define ALIKE_PERCENT 10
+#define ALIKE_PERCENT 15
 /* Estimates are rough: a duration may be over its expectation by this and must still be in
  * time.  An objective grows with the true work, a deadline does not. */
 #define GOAL_PERCENT 125
-#define DEADLINE_PERCENT 160
-#define PACE_USUAL 100.0
-/* A kind that was never measured is taken to be as the caller says. */
-#define RATIO_PRIOR 100.0
+#define DEADLINE_PERCENT 150
+/* What is left of the sums of a pace with each run: they reach over about 40 and 5 runs. */
+#define PACE_KEPT 0.975
+#define LATE_KEPT 0.8
+#define LATE_RUNS 5
+/* The last runs count alone once they differ by this factor. */
+#define CHANGED 1.8
+/* What is usual for a kind weighs as much as runs of this length together. */
+#define PRIOR_MS 300.0
+/* Beyond this something hung, which says nothing about speed. */
+#define RATIO_MAX 12.0
 /* An endpoint that has not answered for this long gets nothing. */
 #define SILENT_MAX_MS 100
-/* A sample beyond this says that something hung, not how fast the endpoint is. */
-#define PACE_MAX 1000.0
 
 bool
 room_fits (const room_t *whole, const room_t *used, const room_t *need)
@@ -40,20 +46,44 @@
   room->gpus += sign * need->gpus;
 }
 
+/* --- speeds --- */
+
+static void
+pace_add (pace_t *pace, double elapsed_ms, double estimate_ms)
+{
+  pace->elapsed_ms = pace->elapsed_ms * PACE_KEPT + elapsed_ms;
+  pace->estimate_ms = pace->estimate_ms * PACE_KEPT + estimate_ms;
+  pace->late_elapsed_ms = pace->late_elapsed_ms * LATE_KEPT + elapsed_ms;
+  pace->late_estimate_ms = pace->late_estimate_ms * LATE_KEPT + estimate_ms;
+  pace->count++;
+}
+
+/* Duration over estimate; USUAL stands for PRIOR_MS of work until there are runs. */
+static double
+pace_ratio (const pace_t *pace, double usual, double prior_ms)
+{
+  double steady =
+      (pace->elapsed_ms + usual * prior_ms) / (pace->estimate_ms + prior_ms);
+
+  if (pace->count < LATE_RUNS)
+    return steady;
+  double late = pace->late_elapsed_ms / pace->late_estimate_ms;
+  return late > steady * CHANGED || late < steady / CHANGED ? late : steady;
+}
+
 static double
-kind_ratio (const fleet_t *fleet, const char *kind, int64_t now_ms)
+kind_ratio (const fleet_t *fleet, const char *kind)
 {
   const kind_t *found = g_hash_table_lookup (fleet->kinds, kind);
 
-  return found != NULL ? timing_estimate_ms (&found->ratio, RATIO_PRIOR, now_ms) : RATIO_PRIOR;
+  return found != NULL ? pace_ratio (&found->pace, 1.0, PRIOR_MS) : 1.0;
 }
 
 double
 place_ratio (const fleet_t *fleet, const endpoint_t *endpoint, int64_t now_ms)
 {
-  double pace = timing_estimate_ms (&endpoint->pace, PACE_USUAL, now_ms);
-
-  return kind_ratio (fleet, endpoint->kind, now_ms) * pace / (RATIO_PRIOR * PACE_USUAL);
+  (void) now_ms;
+  return pace_ratio (&endpoint->pace, kind_ratio (fleet, endpoint->kind), PRIOR_MS);
 }
 
 int64_t
@@ -68,10 +98,11 @@
 void
 place_learn (fleet_t *fleet, const task_t *task, int64_t elapsed_ms, int64_t now_ms)
 {
-  const endpoint_t *endpoint = task->endpoint;
+  endpoint_t *endpoint = task->endpoint;
   kind_t *kind = g_hash_table_lookup (fleet->kinds, endpoint->kind);
 
-  if (task->batch == NULL || task->batch->estimate_ms <= 0)
+  (void) now_ms;
+  if (task->batch == NULL)
     return;
   if (kind == NULL)
     {
@@ -79,13 +110,10 @@
       kind->kind = g_strdup (endpoint->kind);
       g_hash_table_insert (fleet->kinds, kind->kind, kind);
     }
-  double sample = 100.0 * (double) elapsed_ms / (double) task->batch->estimate_ms;
-  double usual = timing_estimate_ms (&kind->ratio, RATIO_PRIOR, now_ms);
-  double pace = MIN (PACE_USUAL * sample / usual, PACE_MAX);
-  timing_add (&((endpoint_t *) endpoint)->pace, pace, now_ms);
-  /* An endpoint that is out of line must not make its kind look slow. */
-  if (pace < 3 * PACE_USUAL || kind->ratio.count < 8)
-    timing_add (&kind->ratio, MIN (sample, PACE_MAX), now_ms);
+  double estimate_ms = (double) task->batch->estimate_ms;
+  double most_ms = RATIO_MAX * estimate_ms;
+  pace_add (&endpoint->pace, fmin ((double) elapsed_ms, most_ms), estimate_ms);
+  pace_add (&kind->pace, fmin ((double) elapsed_ms, most_ms), estimate_ms);
 }
 
 bool
@@ -143,12 +171,20 @@
   return endpoint->whole.cores_milli - endpoint->used.cores_milli - need->cores_milli;
 }
 
+place_tier_t
+place_tier (int64_t expected_ms, int64_t now_ms, int64_t goal_at_ms, int64_t deadline_at_ms)
+{
+  if (now_ms + expected_ms * DEADLINE_PERCENT / 100 > deadline_at_ms)
+    return PLACE_HOPELESS;
+  return now_ms + expected_ms * GOAL_PERCENT / 100 <= goal_at_ms ? PLACE_IN_TIME : PLACE_LATE;
+}
+
 typedef struct
 {
   endpoint_t *endpoint;
   int64_t expected_ms;
-  bool doubted;  /* others go first */
-  bool in_time;  /* the task should meet its objective there */
+  bool doubted; /* others go first */
+  place_tier_t tier;
   int64_t left_over;
 } candidate_t;
 
@@ -161,30 +197,33 @@
     return true;
   if (a->doubted != b->doubted)
     return b->doubted;
-  if (a->in_time != b->in_time)
-    return a->in_time;
+  if (a->tier != b->tier)
+    return a->tier > b->tier;
   int64_t margin_ms = b->expected_ms * ALIKE_PERCENT / 100;
+  bool spare = a->tier == PLACE_IN_TIME;
   if (a->expected_ms < b->expected_ms - margin_ms)
-    return !a->in_time;
+    return !spare;
   if (a->expected_ms > b->expected_ms + margin_ms)
-    return a->in_time;
+    return spare;
   return a->left_over < b->left_over;
 }
 
+/* A task does not start where it would be late while an endpoint on which it would be in time
+ * may still get free soon enough. */
 endpoint_t *
-place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms)
+place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_tier_t *best_tier)
 {
   const batch_t *batch = task->batch;
   GHashTableIter iter;
   void *value = NULL;
   candidate_t best = { 0 };
 
+  *best_tier = PLACE_HOPELESS;
   g_hash_table_iter_init (&iter, fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       endpoint_t *endpoint = value;
-      if (!room_fits (&endpoint->whole, &endpoint->used, &task->need)
-          || !place_is_usable (endpoint, now_ms) || !may_run (endpoint, task))
+      if (!place_is_usable (endpoint, now_ms) || !may_run (endpoint, task))
         continue;
       candidate_t one = {
         .endpoint = endpoint,
@@ -193,17 +232,12 @@
                    || (task->avoid != NULL && strcmp (task->avoid, endpoint->id) == 0),
         .left_over = left_over (endpoint, &task->need),
       };
-      one.in_time = place_is_in_time (one.expected_ms, now_ms, batch->goal_at_ms,
-                                      batch->deadline_at_ms);
-      if (is_better (&one, &best))
+      one.tier =
+          place_tier (one.expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms);
+      if (!one.doubted)
+        *best_tier = MAX (*best_tier, one.tier);
+      if (room_fits (&endpoint->whole, &endpoint->used, &task->need) && is_better (&one, &best))
         best = one;
     }
-  return best.endpoint;
-}
-
-bool
-place_is_in_time (int64_t expected_ms, int64_t now_ms, int64_t goal_at_ms, int64_t deadline_at_ms)
-{
-  return now_ms + expected_ms * GOAL_PERCENT / 100 <= goal_at_ms
-         && now_ms + expected_ms * DEADLINE_PERCENT / 100 <= deadline_at_ms;
+  return best.endpoint != NULL && best.tier >= *best_tier ? best.endpoint : NULL;
 }
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -235,16 +235,13 @@
 }
 
 static bool
-same_need (const task_t *a, const task_t *b)
+is_alike (const task_t *a, const task_t *b)
 {
-  return a != NULL && a->need.cores_milli == b->need.cores_milli
-         && a->need.memory_mb == b->need.memory_mb && a->need.gpus == b->need.gpus
-         && strcmp (a->batch->service, b->batch->service) == 0
-         && strcmp (a->batch->label, b->batch->label) == 0 && a->batch->spread_max == 0
-         && b->batch->spread_max == 0;
+  return a != NULL && a->batch == b->batch && a->batch->spread_max == 0 && a->avoid == NULL
+         && b->avoid == NULL;
 }
 
-/* Even the fastest kind would need most of the time that is left. */
+/* Even the fastest endpoint would need most of the time that is left. */
 static bool
 is_hopeless (const fleet_t *fleet, const task_t *task, int64_t now_ms)
 {
@@ -252,46 +249,69 @@
   GHashTableIter iter;
   void *value = NULL;
 
-  g_hash_table_iter_init (&iter, fleet->kinds);
+  g_hash_table_iter_init (&iter, fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    least_ms = MIN (least_ms, (int64_t) ((double) task->batch->estimate_ms
-                                         * ((kind_t *) value)->ratio.mean_ms / 100.0));
+    least_ms = MIN (least_ms, place_expected_ms (fleet, value, task->batch, now_ms));
   if (least_ms == INT64_MAX)
     least_ms = task->batch->estimate_ms;
   return now_ms + least_ms * HOPELESS_PERCENT / 100 > task->batch->deadline_at_ms;
 }
 
+/* True if another owner has a slot on which TASK would do as well as it may hope to do here;
+ * the slot is taken off. */
+static bool
+goes_elsewhere (const task_t *task, place_tier_t here, GArray *elsewhere, int64_t now_ms)
+{
+  const batch_t *batch = task->batch;
+
+  if (task->ever_started || now_ms - task->queued_at_ms < RETURN_AFTER_MS)
+    return false;
+  for (guint i = 0; i < elsewhere->len; i++)
+    {
+      fleet_offer_t *offer = &g_array_index (elsewhere, fleet_offer_t, i);
+      int64_t expected_ms = (int64_t) (offer->ratio * (double) batch->estimate_ms);
+      if (offer->slots > 0 && strcmp (offer->service, batch->service) == 0
+          && place_tier (expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms) >= here)
+        {
+          offer->slots--;
+          return true;
+        }
+    }
+  return false;
+}
+
 static void
-start_tasks (fleet_t *fleet, int32_t elsewhere, int64_t now_ms, GArray *actions)
+start_tasks (fleet_t *fleet, GArray *elsewhere, int64_t now_ms, GArray *actions)
 {
   const task_t *stuck = NULL;
+  place_tier_t stuck_tier = PLACE_HOPELESS;
 
   for (GList *at = fleet->queue.head; at != NULL;)
     {
       task_t *task = at->data;
       at = at->next;
+      place_tier_t tier = stuck_tier;
       /* What did not fit for one task does not fit for its like. */
-      endpoint_t *endpoint =
-          same_need (stuck, task) ? NULL : place_choose (fleet, task, now_ms);
+      endpoint_t *endpoint = NULL;
+      if (!is_alike (stuck, task))
+        endpoint = place_choose (fleet, task, now_ms, &tier);
       if (endpoint != NULL)
-        {
-          start (fleet, task, endpoint, now_ms, actions);
-          continue;
-        }
-      if (!task->ever_started && is_hopeless (fleet, task, now_ms))
+        start (fleet, task, endpoint, now_ms, actions);
+      else if (!task->ever_started && is_hopeless (fleet, task, now_ms))
         {
           tell (actions, FLEET_EXPIRED, task, "cannot end before its deadline");
           task_end (fleet, task);
-          continue;
         }
-      if (elsewhere > 0 && !task->ever_started && now_ms - task->queued_at_ms >= RETURN_AFTER_MS)
+      else if (goes_elsewhere (task, tier, elsewhere, now_ms))
         {
-          elsewhere--;
           tell (actions, FLEET_RETURNED, task, "another owner has room");
           task_end (fleet, task);
-          continue;
         }
-      stuck = task;
+      else
+        {
+          stuck = task;
+          stuck_tier = tier;
+        }
     }
 }
 
@@ -345,7 +365,7 @@
 }
 
 void
-fleet_run (fleet_t *fleet, int32_t elsewhere, int64_t now_ms, GArray *actions)
+fleet_run (fleet_t *fleet, GArray *elsewhere, int64_t now_ms, GArray *actions)
 {
   GHashTableIter iter;
   void *value = NULL;
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -3,7 +3,6 @@
 #define FLEET_STATE_H
 
 #include "dispatch/outlier.h"
-#include "dispatch/timing.h"
 #include "fleet/fleet.h"
 
 typedef struct endpoint_t endpoint_t;
@@ -67,6 +66,18 @@
   bool ever_started;
 };
 
+/* How durations compare with callers' estimates, over many runs and over the last few.
+ * Estimates are rough, so that only the first is steady, and only the second shows at once
+ * that something has changed. */
+typedef struct
+{
+  double elapsed_ms; /* fading sums */
+  double estimate_ms;
+  double late_elapsed_ms;
+  double late_estimate_ms;
+  uint32_t count;
+} pace_t;
+
 /* A run that this owner has not started. */
 typedef struct
 {
@@ -107,14 +118,14 @@
   GPtrArray *ended_strangers; /* names of tasks that ended done under another owner */
   room_t used;
   outlier_t outlier;
-  timing_t pace; /* duration over what is usual for its kind, in percent */
+  pace_t pace;
 };
 
-/* Durations by kind of machine, as a percentage of the caller's estimate. */
+/* Durations by kind of machine. */
 typedef struct
 {
   char *kind;
-  timing_t ratio;
+  pace_t pace;
 } kind_t;
 
 struct fleet_t
@@ -157,8 +168,10 @@
 /* Its duration over the caller's estimate. */
 double place_ratio (const fleet_t *fleet, const endpoint_t *endpoint, int64_t now_ms);
 
-/* The endpoint for TASK, or NULL if it has to wait. */
-endpoint_t *place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms);
+/* The endpoint for TASK, or NULL if it has to wait.  *BEST is set to the best that it may wait
+ * for. */
+endpoint_t *
+place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_tier_t *best);
 
 /* Takes in that a run of TASK took ELAPSED_MS on its endpoint. */
 void place_learn (fleet_t *fleet, const task_t *task, int64_t elapsed_ms, int64_t now_ms);
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -260,7 +260,7 @@
 {
   shard_t *shard;
   row_t *row;
-  bool in_time;
+  place_tier_t tier;
 } place_t;
 
 static bool
@@ -276,21 +276,32 @@
 {
   if (b->row == NULL)
     return true;
-  if (a->in_time != b->in_time)
-    return a->in_time;
+  if (a->tier != b->tier)
+    return a->tier > b->tier;
   bool alike = a->row->ratio < b->row->ratio * ALIKE && b->row->ratio < a->row->ratio * ALIKE;
   if (alike)
     return a->shard->name == flow->data_centre && b->shard->name != flow->data_centre;
-  return a->in_time ? a->row->ratio > b->row->ratio : a->row->ratio < b->row->ratio;
+  return a->tier == PLACE_IN_TIME ? a->row->ratio > b->row->ratio
+                                  : a->row->ratio < b->row->ratio;
 }
 
+static place_tier_t
+tier_of (const row_t *row, const job_t *job, int64_t now_ms)
+{
+  int64_t expected_ms = (int64_t) (row->ratio * (double) job->info.estimate_ms);
+
+  return place_tier (expected_ms, now_ms, job->goal_at_ms, job->info.deadline_at_ms);
+}
+
+/* The best free slot, and in *HOPE what the job may hope for, if it waits. */
 static place_t
-best_place (flow_t *flow, const job_t *job, int64_t now_ms)
+best_place (flow_t *flow, const job_t *job, int64_t now_ms, place_tier_t *hope)
 {
   place_t best = { 0 };
   GHashTableIter iter;
   void *value = NULL;
 
+  *hope = PLACE_HOPELESS;
   g_hash_table_iter_init (&iter, flow->shards);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -298,35 +309,37 @@
       for (guint i = 0; shard->owner != NULL && i < shard->rows->len; i++)
         {
           row_t *row = &g_array_index (shard->rows, row_t, i);
-          if (row->slots <= 0 || !suits (row, &job->info))
+          if (row->slots_all <= 0 || !suits (row, &job->info))
             continue;
-          int64_t expected_ms = (int64_t) (row->ratio * (double) job->info.estimate_ms);
-          place_t one = { shard, row,
-                          place_is_in_time (expected_ms, now_ms, job->goal_at_ms,
-                                            job->info.deadline_at_ms) };
-          if (is_better (flow, &one, &best))
+          place_t one = { shard, row, tier_of (row, job, now_ms) };
+          *hope = MAX (*hope, one.tier);
+          if (row->slots > 0 && is_better (flow, &one, &best))
             best = one;
         }
     }
+  if (best.row != NULL && best.tier < *hope)
+    best = (place_t){ 0 };
   return best;
 }
 
+/* Slots of SHARD, free or not, on which the job would do at least as well as HOPE. */
 static int32_t
-slots_all (const shard_t *shard, const flow_job_t *job)
+slots_all (const shard_t *shard, const job_t *job, place_tier_t hope, int64_t now_ms)
 {
   int32_t slots = 0;
 
   for (guint i = 0; i < shard->rows->len; i++)
     {
       const row_t *row = &g_array_index (shard->rows, row_t, i);
-      slots += suits (row, job) ? row->slots_all : 0;
+      if (suits (row, &job->info) && tier_of (row, job, now_ms) >= hope)
+        slots += row->slots_all;
     }
   return slots;
 }
 
 /* The shard with the shortest queue for its size. */
 static shard_t *
-shortest_queue (flow_t *flow, const flow_job_t *job)
+shortest_queue (flow_t *flow, const job_t *job, place_tier_t hope, int64_t now_ms)
 {
   shard_t *best = NULL;
   double best_length = 0;
@@ -337,7 +350,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       shard_t *shard = value;
-      int32_t slots = slots_all (shard, job);
+      int32_t slots = slots_all (shard, job, hope, now_ms);
       if (shard->owner == NULL || slots == 0)
         continue;
       double length = (double) (shard->waiting + 1) / slots;
@@ -421,8 +434,10 @@
 
   while (job->unplaced->len > 0)
     {
-      place_t place = best_place (flow, job, now_ms);
-      shard_t *shard = place.row != NULL ? place.shard : shortest_queue (flow, &job->info);
+      place_tier_t hope = PLACE_HOPELESS;
+      place_t place = best_place (flow, job, now_ms, &hope);
+      shard_t *shard =
+          place.row != NULL ? place.shard : shortest_queue (flow, job, hope, now_ms);
       if (shard == NULL)
         break;
       if (place.row != NULL)
@@ -747,11 +762,10 @@
   g_list_free (jobs);
 }
 
-int32_t
-flow_slots_elsewhere (const flow_t *flow, const char *name)
+void
+flow_offers_elsewhere (const flow_t *flow, const char *name, GArray *offers)
 {
   const char *interned = g_intern_string (name);
-  int32_t slots = 0;
   GHashTableIter iter;
   void *value = NULL;
 
@@ -759,10 +773,15 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const shard_t *shard = value;
-      for (guint i = 0; shard->name != interned && shard->owner != NULL && i < shard->rows->len; i++)
-        slots += g_array_index (shard->rows, row_t, i).slots;
+      if (shard->name == interned || shard->owner == NULL)
+        continue;
+      for (guint i = 0; i < shard->rows->len; i++)
+        {
+          const row_t *row = &g_array_index (shard->rows, row_t, i);
+          fleet_offer_t offer = { row->service, row->slots, row->slots_all, row->ratio };
+          g_array_append_val (offers, offer);
+        }
     }
-  return slots;
 }
 
 int32_t
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -146,8 +146,8 @@
  * events and every few milliseconds. */
 void flow_step (flow_t *flow, int64_t now_ms, GArray *actions);
 
-/* Free slots that others than SHARD offer for SERVICE's tasks. */
-int32_t flow_slots_elsewhere (const flow_t *flow, const char *shard);
+/* Appends what the owners of other shards than SHARD offer, as fleet_offer_t. */
+void flow_offers_elsewhere (const flow_t *flow, const char *shard, GArray *offers);
 
 int32_t flow_jobs (const flow_t *flow);
 
