--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -224,8 +224,9 @@
 typedef enum
 {
   PLACE_HOPELESS,
-  PLACE_LATE,   /* after its objective, but before its deadline */
-  PLACE_IN_TIME /* with some margin */
+  PLACE_LATE,    /* after its objective, but before its deadline */
+  PLACE_IN_TIME, /* unless its estimate is far off; not worth waiting for better */
+  PLACE_SURE     /* also if its estimate is far off */
 } place_tier_t;
 place_tier_t place_tier (int64_t expected_ms,
                          int64_t now_ms,
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -17,6 +17,7 @@
  * time.  An objective grows with the true work, a deadline does not. */
 #define GOAL_PERCENT 125
 #define DEADLINE_PERCENT 150
+#define DEADLINE_SURE_PERCENT 260
 /* What is left of the sums of a pace with each run: they reach over about 40 and 5 runs. */
 #define PACE_KEPT 0.975
 #define LATE_KEPT 0.8
@@ -176,7 +177,10 @@
 {
   if (now_ms + expected_ms * DEADLINE_PERCENT / 100 > deadline_at_ms)
     return PLACE_HOPELESS;
-  return now_ms + expected_ms * GOAL_PERCENT / 100 <= goal_at_ms ? PLACE_IN_TIME : PLACE_LATE;
+  if (now_ms + expected_ms * GOAL_PERCENT / 100 > goal_at_ms)
+    return PLACE_LATE;
+  return now_ms + expected_ms * DEADLINE_SURE_PERCENT / 100 <= deadline_at_ms ? PLACE_SURE
+                                                                              : PLACE_IN_TIME;
 }
 
 typedef struct
@@ -200,7 +204,7 @@
   if (a->tier != b->tier)
     return a->tier > b->tier;
   int64_t margin_ms = b->expected_ms * ALIKE_PERCENT / 100;
-  bool spare = a->tier == PLACE_IN_TIME;
+  bool spare = a->tier == PLACE_SURE;
   if (a->expected_ms < b->expected_ms - margin_ms)
     return !spare;
   if (a->expected_ms > b->expected_ms + margin_ms)
@@ -239,5 +243,5 @@
       if (room_fits (&endpoint->whole, &endpoint->used, &task->need) && is_better (&one, &best))
         best = one;
     }
-  return best.endpoint != NULL && best.tier >= *best_tier ? best.endpoint : NULL;
+  return best.endpoint != NULL && best.tier >= MIN (*best_tier, PLACE_IN_TIME) ? best.endpoint : NULL;
 }
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -271,7 +271,8 @@
       fleet_offer_t *offer = &g_array_index (elsewhere, fleet_offer_t, i);
       int64_t expected_ms = (int64_t) (offer->ratio * (double) batch->estimate_ms);
       if (offer->slots > 0 && strcmp (offer->service, batch->service) == 0
-          && place_tier (expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms) >= here)
+          && place_tier (expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms)
+                 >= MIN (here, PLACE_IN_TIME))
         {
           offer->slots--;
           return true;
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -281,7 +281,7 @@
   bool alike = a->row->ratio < b->row->ratio * ALIKE && b->row->ratio < a->row->ratio * ALIKE;
   if (alike)
     return a->shard->name == flow->data_centre && b->shard->name != flow->data_centre;
-  return a->tier == PLACE_IN_TIME ? a->row->ratio > b->row->ratio
+  return a->tier == PLACE_SURE ? a->row->ratio > b->row->ratio
                                   : a->row->ratio < b->row->ratio;
 }
 
@@ -317,7 +317,7 @@
             best = one;
         }
     }
-  if (best.row != NULL && best.tier < *hope)
+  if (best.row != NULL && best.tier < MIN (*hope, PLACE_IN_TIME))
     best = (place_t){ 0 };
   return best;
 }
@@ -331,7 +331,7 @@
   for (guint i = 0; i < shard->rows->len; i++)
     {
       const row_t *row = &g_array_index (shard->rows, row_t, i);
-      if (suits (row, &job->info) && tier_of (row, job, now_ms) >= hope)
+      if (suits (row, &job->info) && tier_of (row, job, now_ms) >= MIN (hope, PLACE_IN_TIME))
         slots += row->slots_all;
     }
   return slots;
