A machine of the random worlds is down until its new life begins

The worlds with crashing endpoints showed double runs that were the test's own: between the end of an outage and the next second a machine took orders in its old life.

--- a/tests/test_fleet_random.c
+++ b/tests/test_fleet_random.c
@@ -537,7 +537,7 @@
   order_t *order = data;
   machine_t *machine = order->machine;
 
-  if (!reaches_machine (world, order->node, machine) || machine->down_until_ms > world->now_ms
+  if (!reaches_machine (world, order->node, machine) || machine->down_until_ms != 0
       || machine->born_at_ms != order->machine_born_at_ms)
     return;
   machine_step (world, machine);
