--- a/daemon/main.c
+++ b/daemon/main.c
@@ -50,7 +50,9 @@
 {
   args_t args = {
     .settings = arg_file0 ("s", "settings", "FILE", "settings: JSON with comments"),
-    .site = arg_lit0 (NULL, "site", "run on the users' machines, by the file that " PLATFORM_SETTINGS_VARIABLE " names"),
+    .site = arg_lit0 (NULL, "site",
+                      "run on the users' machines, by the file that " PLATFORM_SETTINGS_VARIABLE
+                      " names"),
     .help = arg_lit0 ("h", "help", "print this help"),
     .version = arg_lit0 ("V", "version", "print the version"),
     .end = arg_end (4),
--- a/daemon/site.c
+++ b/daemon/site.c
@@ -270,7 +270,8 @@
       log_info (PART, "Owner of a shard.", "shard", action->shard, "host",
                 action->host != NULL ? action->host : "none", "token",
                 NUMBER (number, action->token), NULL);
-      flow_owner (site->flow, action->shard, action->host, action->token, now_ms, site->flow_actions);
+      flow_owner (site->flow, action->shard, action->host, action->token, now_ms,
+                  site->flow_actions);
       site_run_flow_actions (site);
       break;
     case CREW_LOST:
@@ -411,8 +412,8 @@
       if (!crew_wants_probe (site->crew, entry->data_centre)
           || g_random_int_range (0, PROBE_ONE_OF) != 0)
         continue;
-      orders_probe (site->client, entry->endpoint.address,
-                    g_intern_string (entry->data_centre), on_probed, site, now_ms);
+      orders_probe (site->client, entry->endpoint.address, g_intern_string (entry->data_centre),
+                    on_probed, site, now_ms);
     }
 }
 
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -179,8 +179,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       owned_t *owned = value;
-      never |= fleet_cancel (owned->fleet, coordinator, batch, clock_boot_ms (),
-                             site->fleet_actions);
+      never |=
+          fleet_cancel (owned->fleet, coordinator, batch, clock_boot_ms (), site->fleet_actions);
       owned->dirty = true;
     }
   return never;
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -130,10 +130,14 @@
   int type;
   void (*read) (site_t *site, const char *host, frame_reader_t *reader);
 } readers[] = {
-  { FLEET_MSG_SUBMIT, read_submit },       { FLEET_MSG_CANCEL, read_cancel },
-  { FLEET_MSG_ENDS, read_ends },           { FLEET_MSG_CANCELLED, read_cancelled },
-  { FLEET_MSG_OFFER, read_offer },         { CREW_MSG_BEAT, read_beat },
-  { CREW_MSG_CONFIG_PULL, read_config_pull }, { CREW_MSG_CONFIG, read_config },
+  { FLEET_MSG_SUBMIT, read_submit },
+  { FLEET_MSG_CANCEL, read_cancel },
+  { FLEET_MSG_ENDS, read_ends },
+  { FLEET_MSG_CANCELLED, read_cancelled },
+  { FLEET_MSG_OFFER, read_offer },
+  { CREW_MSG_BEAT, read_beat },
+  { CREW_MSG_CONFIG_PULL, read_config_pull },
+  { CREW_MSG_CONFIG, read_config },
 };
 
 static void
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -25,7 +25,7 @@
   int64_t token;
   fleet_t *fleet;
   orders_t *orders;
-  bool dirty; /* something happened since its last round */
+  bool dirty;   /* something happened since its last round */
   GBytes *told; /* the offer that was sent last */
   int64_t told_at_ms;
 } owned_t;
@@ -50,8 +50,8 @@
   crew_t *crew;
   flow_t *flow;
   queues_t *queues;
-  GBytes *queues_data; /* as the platform gave it */
-  GHashTable *owned;   /* interned shard -> owned_t */
+  GBytes *queues_data;   /* as the platform gave it */
+  GHashTable *owned;     /* interned shard -> owned_t */
   GHashTable *directory; /* id -> decode_entry_t */
   GHashTable *connected; /* interned hosts with a connection */
   GArray *crew_actions;
--- a/lib/crew/crew.c
+++ b/lib/crew/crew.c
@@ -323,9 +323,9 @@
         {
           const crew_claim_t *claim = &g_array_index (peer->claims, crew_claim_t, i);
           if (claim->shard == shard->name)
-            consider (&best, (best_t){ peer->host, peer->incarnation, claim->token,
-                                       strcmp (peer->data_centre, shard->name) == 0,
-                                       peer->leaving });
+            consider (&best,
+                      (best_t){ peer->host, peer->incarnation, claim->token,
+                                strcmp (peer->data_centre, shard->name) == 0, peer->leaving });
         }
     }
   return best;
@@ -343,8 +343,7 @@
 {
   uint64_t weight = hash_rendezvous (shard->name, host);
 
-  if (best->host == NULL || power > best->power
-      || (power == best->power && weight > best->weight))
+  if (best->host == NULL || power > best->power || (power == best->power && weight > best->weight))
     *best = (candidate_t){ host, power, weight };
 }
 
@@ -514,11 +513,7 @@
 }
 
 void
-crew_shut_out (crew_t *crew,
-               const char *name,
-               int64_t now_ms,
-               int64_t wall_ms,
-               GArray *actions)
+crew_shut_out (crew_t *crew, const char *name, int64_t now_ms, int64_t wall_ms, GArray *actions)
 {
   shard_t *shard = find_shard (crew, name);
   bool near = strcmp (crew->data_centre, shard->name) == 0;
--- a/lib/crew/crew.h
+++ b/lib/crew/crew.h
@@ -33,8 +33,8 @@
   char *host;
   char *data_centre;
   uint64_t incarnation;
-  bool ready;   /* may own endpoints and serve callers */
-  bool leaving; /* it is being stopped */
+  bool ready;    /* may own endpoints and serve callers */
+  bool leaving;  /* it is being stopped */
   int32_t power; /* thousandths of a core */
   int64_t config_version;
   uint64_t directory_version;
@@ -86,11 +86,8 @@
 void crew_leave (crew_t *crew);
 
 /* An endpoint of SHARD obeys a higher token than this host's. */
-void crew_shut_out (crew_t *crew,
-                    const char *shard,
-                    int64_t now_ms,
-                    int64_t wall_ms,
-                    GArray *actions);
+void
+crew_shut_out (crew_t *crew, const char *shard, int64_t now_ms, int64_t wall_ms, GArray *actions);
 
 /* Call every few milliseconds. */
 void crew_step (crew_t *crew, int64_t now_ms, int64_t wall_ms, GArray *actions);
--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -283,7 +283,11 @@
 }
 
 static void
-take_ends (fleet_t *fleet, endpoint_t *endpoint, const look_t *look, int64_t now_ms, GArray *actions)
+take_ends (fleet_t *fleet,
+           endpoint_t *endpoint,
+           const look_t *look,
+           int64_t now_ms,
+           GArray *actions)
 {
   for (size_t i = 0; i < look->ended_count; i++)
     {
@@ -388,8 +392,7 @@
       not_heard (endpoint, sent_at_ms);
       return;
     }
-  if (look->born_at_ms != 0 && endpoint->born_at_ms != 0
-      && look->born_at_ms > endpoint->born_at_ms)
+  if (look->born_at_ms != 0 && endpoint->born_at_ms != 0 && look->born_at_ms > endpoint->born_at_ms)
     {
       endpoint_reborn (fleet, endpoint, now_ms);
       endpoint->born_at_ms = look->born_at_ms;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -57,16 +57,16 @@
   const char *service;
   int32_t priority; /* 0 is the most urgent */
   room_t need;
-  int64_t estimate_ms;       /* the caller's guess of a task's duration */
-  int64_t goal_at_ms;        /* a job that ends later is late */
-  int64_t deadline_at_ms;    /* a job that ends later is worthless */
-  int32_t attempts_max;      /* failed ends of a task that fail the job */
-  int32_t attempt_base;      /* the first attempt is this plus 1 */
-  const char *label;         /* an endpoint must have it as kind or rack; "" for any */
-  const char *near_rack;     /* runs faster there; "" for none */
-  int32_t spread_max;        /* tasks of the step on one endpoint; 0 for any number */
-  bool maybe_running;        /* another owner may have started them */
-  int64_t wait_until_ms;     /* MAYBE_RUNNING: by then what that owner started is over */
+  int64_t estimate_ms;    /* the caller's guess of a task's duration */
+  int64_t goal_at_ms;     /* a job that ends later is late */
+  int64_t deadline_at_ms; /* a job that ends later is worthless */
+  int32_t attempts_max;   /* failed ends of a task that fail the job */
+  int32_t attempt_base;   /* the first attempt is this plus 1 */
+  const char *label;      /* an endpoint must have it as kind or rack; "" for any */
+  const char *near_rack;  /* runs faster there; "" for none */
+  int32_t spread_max;     /* tasks of the step on one endpoint; 0 for any number */
+  bool maybe_running;     /* another owner may have started them */
+  int64_t wait_until_ms;  /* MAYBE_RUNNING: by then what that owner started is over */
   const int32_t *indexes;
   size_t count;
 } fleet_batch_t;
@@ -190,10 +190,8 @@
                    GArray *actions);
 
 /* Ends all batches of a coordinator that is gone. */
-void fleet_drop_coordinator (fleet_t *fleet,
-                             const char *coordinator,
-                             int64_t now_ms,
-                             GArray *actions);
+void
+fleet_drop_coordinator (fleet_t *fleet, const char *coordinator, int64_t now_ms, GArray *actions);
 
 /* Drops what is queued and running without a word: another host owns all. */
 void fleet_yield_all (fleet_t *fleet);
@@ -228,10 +226,8 @@
   PLACE_IN_TIME, /* unless its estimate is far off; not worth waiting for better */
   PLACE_SURE     /* also if its estimate is far off */
 } place_tier_t;
-place_tier_t place_tier (int64_t expected_ms,
-                         int64_t now_ms,
-                         int64_t goal_at_ms,
-                         int64_t deadline_at_ms);
+place_tier_t
+place_tier (int64_t expected_ms, int64_t now_ms, int64_t goal_at_ms, int64_t deadline_at_ms);
 
 /* What coordinators need to know to place tasks. */
 typedef struct
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -63,8 +63,7 @@
 static double
 pace_ratio (const pace_t *pace, double usual, double prior_ms)
 {
-  double steady =
-      (pace->elapsed_ms + usual * prior_ms) / (pace->estimate_ms + prior_ms);
+  double steady = (pace->elapsed_ms + usual * prior_ms) / (pace->estimate_ms + prior_ms);
 
   if (pace->count < LATE_RUNS)
     return steady;
@@ -130,8 +129,7 @@
     {
       const task_t *run = endpoint->runs->pdata[i];
       /* Its lease must not be renewed before that run is over. */
-      if (run->state == TASK_STOPPING
-          && now_ms - run->must_end_at_ms > FLEET_UNSTOPPED_MAX_MS / 2)
+      if (run->state == TASK_STOPPING && now_ms - run->must_end_at_ms > FLEET_UNSTOPPED_MAX_MS / 2)
         return false;
       if (run->state == TASK_UNSURE)
         return false;
@@ -236,12 +234,12 @@
                    || (task->avoid != NULL && strcmp (task->avoid, endpoint->id) == 0),
         .left_over = left_over (endpoint, &task->need),
       };
-      one.tier =
-          place_tier (one.expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms);
+      one.tier = place_tier (one.expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms);
       if (!one.doubted)
         *best_tier = MAX (*best_tier, one.tier);
       if (room_fits (&endpoint->whole, &endpoint->used, &task->need) && is_better (&one, &best))
         best = one;
     }
-  return best.endpoint != NULL && best.tier >= MIN (*best_tier, PLACE_IN_TIME) ? best.endpoint : NULL;
+  return best.endpoint != NULL && best.tier >= MIN (*best_tier, PLACE_IN_TIME) ? best.endpoint
+                                                                               : NULL;
 }
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -79,9 +79,8 @@
   for (guint i = endpoint->runs->len; i-- > 0;)
     {
       task_t *task = endpoint->runs->pdata[i];
-      bool stopped =
-          task->state == TASK_STOPPING && task->stop_confirmed
-          && now_ms - task->stop_sent_at_ms > fleet->options.stop_ms + STOP_SLACK_MS;
+      bool stopped = task->state == TASK_STOPPING && task->stop_confirmed
+                     && now_ms - task->stop_sent_at_ms > fleet->options.stop_ms + STOP_SLACK_MS;
       if (lapsed || stopped)
         task_requeue (fleet, task, now_ms);
     }
@@ -119,8 +118,7 @@
     {
       stranger_t *stranger = endpoint->strangers->pdata[i];
       if (now_ms - stranger->seen_at_ms < STRANGER_GRACE_MS
-          || (stranger->stop_sent_at_ms != 0
-              && now_ms - stranger->stop_sent_at_ms < STOP_RETRY_MS))
+          || (stranger->stop_sent_at_ms != 0 && now_ms - stranger->stop_sent_at_ms < STOP_RETRY_MS))
         continue;
       stranger->stop_sent_at_ms = now_ms;
       stop_run (fleet, endpoint, stranger->name, stranger->attempt, actions);
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -110,11 +110,11 @@
   int64_t lease_end_ms;   /* nothing runs there after this */
   int64_t ack;
   int64_t ack_sent;
-  int64_t heard_at_ms;    /* last answer */
-  int64_t silent_from_ms; /* the first call without an answer since then; 0 if none */
-  int64_t full_until_ms;  /* it refused for want of room */
-  GPtrArray *runs;        /* task_t */
-  GPtrArray *strangers;   /* stranger_t */
+  int64_t heard_at_ms;        /* last answer */
+  int64_t silent_from_ms;     /* the first call without an answer since then; 0 if none */
+  int64_t full_until_ms;      /* it refused for want of room */
+  GPtrArray *runs;            /* task_t */
+  GPtrArray *strangers;       /* stranger_t */
   GPtrArray *ended_strangers; /* names of tasks that ended done under another owner */
   room_t used;
   outlier_t outlier;
@@ -170,8 +170,7 @@
 
 /* The endpoint for TASK, or NULL if it has to wait.  *BEST is set to the best that it may wait
  * for. */
-endpoint_t *
-place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_tier_t *best);
+endpoint_t *place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_tier_t *best);
 
 /* Takes in that a run of TASK took ELAPSED_MS on its endpoint. */
 void place_learn (fleet_t *fleet, const task_t *task, int64_t elapsed_ms, int64_t now_ms);
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -35,9 +35,9 @@
 {
   uint64_t number;
   job_t *job;
-  const char *host;  /* interned */
-  const char *shard; /* interned */
-  int64_t token;     /* of the owner's claim */
+  const char *host;   /* interned */
+  const char *shard;  /* interned */
+  int64_t token;      /* of the owner's claim */
   int64_t lost_at_ms; /* when HOST was last heard, if it is lost; else 0 */
   GArray *open;       /* indexes of tasks that have not ended */
   bool cancelled;     /* its end was asked for, and is not confirmed */
@@ -281,8 +281,7 @@
   bool alike = a->row->ratio < b->row->ratio * ALIKE && b->row->ratio < a->row->ratio * ALIKE;
   if (alike)
     return a->shard->name == flow->data_centre && b->shard->name != flow->data_centre;
-  return a->tier == PLACE_SURE ? a->row->ratio > b->row->ratio
-                                  : a->row->ratio < b->row->ratio;
+  return a->tier == PLACE_SURE ? a->row->ratio > b->row->ratio : a->row->ratio < b->row->ratio;
 }
 
 static place_tier_t
@@ -436,8 +435,7 @@
     {
       place_tier_t hope = PLACE_HOPELESS;
       place_t place = best_place (flow, job, now_ms, &hope);
-      shard_t *shard =
-          place.row != NULL ? place.shard : shortest_queue (flow, job, hope, now_ms);
+      shard_t *shard = place.row != NULL ? place.shard : shortest_queue (flow, job, hope, now_ms);
       if (shard == NULL)
         break;
       if (place.row != NULL)
@@ -602,7 +600,8 @@
   g_array_set_size (shard->rows, 0);
   for (size_t i = 0; i < count; i++)
     {
-      row_t row = { g_intern_string (offers[i].service), offers[i].slots, offers[i].slots_all, offers[i].ratio };
+      row_t row = { g_intern_string (offers[i].service), offers[i].slots, offers[i].slots_all,
+                    offers[i].ratio };
       g_array_append_val (shard->rows, row);
     }
   shard->waiting = waiting;
@@ -661,7 +660,8 @@
   for (guint i = 0; i < batches->len; i++)
     {
       batch_t *batch = batches->pdata[i];
-      if (batch->shard == shard->name && (batch->host != shard->owner || batch->token != token || batch->lost_at_ms != 0))
+      if (batch->shard == shard->name
+          && (batch->host != shard->owner || batch->token != token || batch->lost_at_ms != 0))
         move_batch (flow, batch, shard, now_ms, actions);
     }
   g_ptr_array_unref (batches);
@@ -746,8 +746,8 @@
   /* What was just sent names the job, which must not end in the same step. */
   if (job->unplaced->len == 0 || actions->len > before)
     return;
-  bool hopeless = now_ms + (int64_t) (HOPELESS * (double) job->info.estimate_ms)
-                  > job->info.deadline_at_ms;
+  bool hopeless =
+      now_ms + (int64_t) (HOPELESS * (double) job->info.estimate_ms) > job->info.deadline_at_ms;
   if (hopeless || now_ms - job->info.received_at_ms > NO_OWNER_MS)
     refuse (flow, job, "no owner of endpoints is known", now_ms, actions);
 }
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -29,8 +29,8 @@
   int32_t tasks;
   room_t need;
   int64_t estimate_ms;
-  double stretch;         /* a job is late after this times its estimate .. */
-  int64_t target_ms;      /* .. and this more */
+  double stretch;    /* a job is late after this times its estimate .. */
+  int64_t target_ms; /* .. and this more */
   int64_t received_at_ms;
   int64_t deadline_at_ms; /* nobody waits for the answer any longer */
   int32_t attempts_max;
@@ -65,7 +65,7 @@
   GArray *indexes;     /* FLOW_SUBMIT: int32_t; the receiver of the action unrefs it */
   flow_outcome_t outcome;
   void *user;
-  const char *reason;   /* static */
+  const char *reason;     /* static */
   int64_t retry_after_ms; /* FLOW_REFUSED */
   int64_t elapsed_ms;
   int64_t late_by_ms; /* over the goal; negative if in time */
@@ -154,5 +154,4 @@
 /* Some owner has endpoints for tasks. */
 bool flow_has_offers (const flow_t *flow);
 
-
 #endif
--- a/lib/flow/queues.h
+++ b/lib/flow/queues.h
@@ -13,9 +13,9 @@
 typedef struct
 {
   char *name;
-  char *host;    /* of requests that belong to it */
-  char *prefix;  /* of their paths */
-  char *service; /* whose endpoints run its tasks */
+  char *host;       /* of requests that belong to it */
+  char *prefix;     /* of their paths */
+  char *service;    /* whose endpoints run its tasks */
   int32_t priority; /* 0 is the most urgent */
   int32_t attempts_max;
   double stretch;     /* a job's objective is this times its longest chain of work .. */
--- a/lib/reactor/loop.c
+++ b/lib/reactor/loop.c
@@ -28,9 +28,9 @@
   loop_fn_t tick;
   void *data;
   pthread_mutex_t lock;
-  GArray *posts;  /* post_t, under LOCK */
-  GArray *taken;  /* the posts that are being run */
-  bool woken;     /* the eventfd is set, under LOCK */
+  GArray *posts; /* post_t, under LOCK */
+  GArray *taken; /* the posts that are being run */
+  bool woken;    /* the eventfd is set, under LOCK */
 };
 
 static void
@@ -71,9 +71,8 @@
   struct event_config *config = event_config_new ();
   loop_t *loop = g_new0 (loop_t, 1);
 
-  event_config_set_flag (config,
-                         EVENT_BASE_FLAG_NOLOCK | EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST
-                             | EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_config_set_flag (config, EVENT_BASE_FLAG_NOLOCK | EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST
+                                     | EVENT_BASE_FLAG_PRECISE_TIMER);
   loop->base = event_base_new_with_config (config);
   event_config_free (config);
   loop->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -66,6 +66,11 @@
 /* Answers REQUEST, which is gone afterwards.  HEADERS are whole lines, each ended
  * by CRLF, or NULL. */
 void web_reply (web_request_t *request, int status, const char *headers, const char *body);
+void web_reply_bytes (web_request_t *request,
+                      int status,
+                      const char *headers,
+                      const void *body,
+                      size_t size);
 
 /* From now on every answer closes its connection, and idle ones are closed as
  * soon as they have been quiet for QUIET_MS. */
--- a/lib/reactor/web_client.c
+++ b/lib/reactor/web_client.c
@@ -177,8 +177,8 @@
   if (!channel->busy)
     drop_idle (channel);
   else
-    finish (channel,
-            !channel->open && failure == ECONNREFUSED ? WEBCALL_REFUSED : WEBCALL_BROKEN, false);
+    finish (channel, !channel->open && failure == ECONNREFUSED ? WEBCALL_REFUSED : WEBCALL_BROKEN,
+            false);
 }
 
 static channel_t *
@@ -203,9 +203,9 @@
     {
       bufferevent_setcb (channel->channel, NULL, NULL, NULL, NULL);
       errno = 0;
-      channel->doomed = bufferevent_socket_connect (channel->channel,
-                                                    (struct sockaddr *) &storage, (int) size)
-                        != 0;
+      channel->doomed =
+          bufferevent_socket_connect (channel->channel, (struct sockaddr *) &storage, (int) size)
+          != 0;
       channel->refused = channel->doomed && errno == ECONNREFUSED;
       bufferevent_setcb (channel->channel, on_readable, NULL, on_event, channel);
     }
--- a/lib/reactor/web_server.c
+++ b/lib/reactor/web_server.c
@@ -104,10 +104,13 @@
 }
 
 static void
-send_answer (connection_t *connection, int status, const char *headers, const char *body)
+send_answer (connection_t *connection,
+             int status,
+             const char *headers,
+             const void *body,
+             size_t size)
 {
   struct evbuffer *out = bufferevent_get_output (connection->channel);
-  size_t size = body != NULL ? strlen (body) : 0;
   bool keep = connection->phase != CLOSING && !connection->web->draining
               && http_should_keep_alive (&connection->parser);
 
@@ -254,11 +257,15 @@
 static void
 refuse_input (connection_t *connection)
 {
+  static const char too_large[] = "{\"error\":\"the request exceeds a size limit\"}";
+  static const char invalid[] = "{\"error\":\"the request is not valid HTTP\"}";
+
   connection->phase = CLOSING;
   bufferevent_disable (connection->channel, EV_READ);
-  send_answer (connection, connection->too_large ? 413 : 400, NULL,
-               connection->too_large ? "{\"error\":\"the request exceeds a size limit\"}"
-                                     : "{\"error\":\"the request is not valid HTTP\"}");
+  if (connection->too_large)
+    send_answer (connection, 413, NULL, too_large, sizeof too_large - 1);
+  else
+    send_answer (connection, 400, NULL, invalid, sizeof invalid - 1);
 }
 
 /* Parses what has come, up to the end of one request. */
@@ -336,8 +343,7 @@
   (void) size;
   dial_tune (fd);
   connection->web = web;
-  connection->channel =
-      bufferevent_socket_new (loop_base (web->loop), fd, BEV_OPT_CLOSE_ON_FREE);
+  connection->channel = bufferevent_socket_new (loop_base (web->loop), fd, BEV_OPT_CLOSE_ON_FREE);
   connection->target = g_string_new (NULL);
   connection->host = g_string_new (NULL);
   connection->deadline = g_string_new (NULL);
@@ -363,10 +369,9 @@
   web->loop = loop;
   web->listener = size == 0 ? NULL
                             : evconnlistener_new_bind (
-                                  loop_base (loop), on_accept, web,
-                                  LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE
-                                      | LEV_OPT_CLOSE_ON_EXEC,
-                                  BACKLOG, (struct sockaddr *) &storage, (int) size);
+                                loop_base (loop), on_accept, web,
+                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+                                BACKLOG, (struct sockaddr *) &storage, (int) size);
   if (web->listener == NULL)
     {
       g_free (web);
@@ -390,13 +395,22 @@
 void
 web_reply (web_request_t *request, int status, const char *headers, const char *body)
 {
-  connection_t *connection =
-      (connection_t *) ((char *) request - offsetof (connection_t, request));
+  web_reply_bytes (request, status, headers, body, body != NULL ? strlen (body) : 0);
+}
+
+void
+web_reply_bytes (web_request_t *request,
+                 int status,
+                 const char *headers,
+                 const void *body,
+                 size_t size)
+{
+  connection_t *connection = (connection_t *) ((char *) request - offsetof (connection_t, request));
 
   connection->web->active--;
   connection->phase = READING;
   connection->since_ms = clock_boot_ms ();
-  send_answer (connection, status, headers, body);
+  send_answer (connection, status, headers, body, size);
   take_input (connection);
 }
 
--- a/tests/test_fleet_random.c
+++ b/tests/test_fleet_random.c
@@ -106,7 +106,7 @@
   int64_t leaves_at_ms;
   bool over;
   bool refused;
-  int starts;           /* runs since it was sent last */
+  int starts; /* runs since it was sent last */
   int all_starts;
   int failures[TASKS_MAX];
   bool done[TASKS_MAX];
@@ -354,8 +354,7 @@
   run->task = g_strdup (order->task);
   run->attempt = order->attempt;
   run->started_at_ms = world->now_ms;
-  run->ends_at_ms =
-      happens (world, world->options->hanging) ? INT64_MAX : world->now_ms + work_ms;
+  run->ends_at_ms = happens (world, world->options->hanging) ? INT64_MAX : world->now_ms + work_ms;
   run->fails = happens (world, world->options->failing);
   g_ptr_array_add (machine->runs, run);
   return FLEET_OK;
@@ -554,10 +553,10 @@
         if (((end_t *) machine->ends->pdata[i])->number <= order->order.ack)
           g_ptr_array_remove_index (machine->ends, i);
       if (order->order.lease_until_there_ms > 0)
-        machine->lease_until_ms = MAX (
-            machine->lease_until_ms,
-            MIN (order->order.lease_until_there_ms + machine->born_at_ms - 1,
-                 world->now_ms + WORLD_LEASE_MS));
+        machine->lease_until_ms =
+            MAX (machine->lease_until_ms,
+                 MIN (order->order.lease_until_there_ms + machine->born_at_ms - 1,
+                      world->now_ms + WORLD_LEASE_MS));
       if (order->order.wait_ms > 0 && machine->ends->len == 0)
         {
           /* Waits for an end; asks itself again. */
@@ -758,8 +757,8 @@
           break;
         case MESSAGE_OFFER:
           flow_offer (node->flow, message->shard, message->from->name,
-                      (const fleet_offer_t *) (void *) message->offers->data,
-                      message->offers->len, message->waiting, world->now_ms);
+                      (const fleet_offer_t *) (void *) message->offers->data, message->offers->len,
+                      message->waiting, world->now_ms);
           break;
         case MESSAGE_BEAT:
         default:
@@ -872,8 +871,14 @@
   for (int i = 0; i < WORLD_ENDPOINTS; i++)
     {
       const machine_t *machine = &world->machines[i];
-      fleet_endpoint_t info = { machine->id, machine->id, "s", "a", "r1", machine->born_at_ms,
-                                { WORLD_ROOM * 1000, 1000, 0 }, false };
+      fleet_endpoint_t info = { machine->id,
+                                machine->id,
+                                "s",
+                                "a",
+                                "r1",
+                                machine->born_at_ms,
+                                { WORLD_ROOM * 1000, 1000, 0 },
+                                false };
       if (machine->zone == zone)
         fleet_set_endpoint (node->owned[zone].fleet, &info, world->now_ms);
     }
@@ -1178,9 +1183,8 @@
   job->sent_at_ms = world->now_ms;
   job->deadline_at_ms = world->now_ms + DEADLINE_MS;
   job->host = -1;
-  job->leaves_at_ms = happens (world, world->options->leavers)
-                          ? world->now_ms + draw (world, 200)
-                          : INT64_MAX;
+  job->leaves_at_ms =
+      happens (world, world->options->leavers) ? world->now_ms + draw (world, 200) : INT64_MAX;
   g_ptr_array_add (world->jobs, job);
   world->result.jobs++;
   send_job (world, job);
@@ -1224,8 +1228,8 @@
           && node->frozen_until_ms + 500 < world->now_ms)
         {
           world->result.unanswered++;
-          printf ("  unanswered: seed %u at %d ms: %s\n", world->options->seed,
-                  (int) world->now_ms, job->id);
+          printf ("  unanswered: seed %u at %d ms: %s\n", world->options->seed, (int) world->now_ms,
+                  job->id);
         }
       leave (world, job);
     }
@@ -1387,8 +1391,8 @@
       g_hash_table_unref (world->machines[i].seen);
     }
   /* What is still on its way is freed with its event. */
-  for (GSequenceIter *at = g_sequence_get_begin_iter (world->events);
-       !g_sequence_iter_is_end (at); at = g_sequence_iter_next (at))
+  for (GSequenceIter *at = g_sequence_get_begin_iter (world->events); !g_sequence_iter_is_end (at);
+       at = g_sequence_iter_next (at))
     {
       const event_t *event = g_sequence_get (at);
       if (event->run == message_arrives)
--- a/tests/test_fleet_world.h
+++ b/tests/test_fleet_world.h
@@ -30,15 +30,15 @@
 {
   uint32_t seed;
   int64_t length_ms;
-  int lost;        /* orders that are carried out, and whose answer is lost */
-  int late;        /* orders that are carried out 2 to 12 s later without an answer */
-  int failing;     /* runs that fail */
-  int hanging;     /* runs that never end by themselves */
-  int leavers;     /* callers that hang up early */
-  int crashes;     /* hosts that crash, a second and host */
-  int freezes;     /* hosts that stand still, a second and host */
-  int zone_cuts;   /* data centres that are cut off, a second */
-  int host_cuts;   /* hosts that other hosts can't reach, a second and host */
+  int lost;             /* orders that are carried out, and whose answer is lost */
+  int late;             /* orders that are carried out 2 to 12 s later without an answer */
+  int failing;          /* runs that fail */
+  int hanging;          /* runs that never end by themselves */
+  int leavers;          /* callers that hang up early */
+  int crashes;          /* hosts that crash, a second and host */
+  int freezes;          /* hosts that stand still, a second and host */
+  int zone_cuts;        /* data centres that are cut off, a second */
+  int host_cuts;        /* hosts that other hosts can't reach, a second and host */
   int endpoint_crashes; /* a second and endpoint */
   int endpoint_cuts;    /* endpoints that can't be reached, a second and endpoint */
   int terminations;     /* hosts that are stopped gracefully, a second and host */
@@ -46,7 +46,7 @@
 
 typedef struct
 {
-  int64_t steps;   /* events handled */
+  int64_t steps; /* events handled */
   int32_t jobs;
   int32_t complete;
   int32_t failed;
--- /dev/null
+++ b/tests/test_site.c
@@ -0,0 +1,766 @@
+/* test_site.c -- jaytraild --site as processes, against the stand-in of the users' machines
+ *
+ * Each case starts the stand-in (the log and six endpoints in two data centres) and four hosts,
+ * causes one fault, and checks what callers and endpoints have seen.  Programs are found beside
+ * the test's own directory.
+ */
+#include "base/clock.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define HOSTS 4
+#define ENDPOINTS 6
+#define PORTS_EACH 3
+/* A guard against hanging, not a bound. */
+#define GUARD_MS 20000
+#define CALL_MS 5000
+#define ANSWER_BYTES 8192
+#define LEASE_MS 1000
+#define QUEUE_HOST "q.example"
+
+static char *programs; /* the directory with jaytraild and fake_site */
+static int base_port;
+
+typedef struct
+{
+  pid_t standin;
+  pid_t hosts[HOSTS];
+  char *directory;
+  int port;
+} rig_t;
+
+static int
+caller_port (const rig_t *rig, int host)
+{
+  return rig->port + 100 + host * PORTS_EACH;
+}
+
+/* --- calls --- */
+
+typedef struct
+{
+  int status; /* 0 if there was no whole answer */
+  char body[ANSWER_BYTES];
+} answer_t;
+
+static int
+dial (int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t) port),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  if (connect (fd, (struct sockaddr *) &address, sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+static bool
+is_whole (const char *text)
+{
+  const char *end = strstr (text, "\r\n\r\n");
+  const char *length = strcasestr (text, "content-length:");
+
+  return end != NULL && length != NULL
+         && strlen (end + 4) >= (size_t) atoi (length + strlen ("content-length:"));
+}
+
+static answer_t
+read_answer (int fd, int64_t until_ms)
+{
+  answer_t answer = { 0 };
+  char text[ANSWER_BYTES] = "";
+  size_t size = 0;
+
+  while (!is_whole (text) && size < sizeof text - 1)
+    {
+      struct pollfd wait = { .fd = fd, .events = POLLIN };
+      int64_t left_ms = until_ms - clock_boot_ms ();
+      if (left_ms <= 0 || poll (&wait, 1, (int) left_ms) <= 0)
+        return answer;
+      ssize_t got = recv (fd, text + size, sizeof text - 1 - size, 0);
+      if (got <= 0)
+        return answer;
+      size += (size_t) got;
+      text[size] = '\0';
+    }
+  answer.status = atoi (text + strlen ("HTTP/1.1 "));
+  g_strlcpy (answer.body, strstr (text, "\r\n\r\n") + 4, sizeof answer.body);
+  return answer;
+}
+
+static void
+send_request (int fd, const char *method, const char *target, const char *body)
+{
+  char *text = g_strdup_printf ("%s %s HTTP/1.1\r\nHost: " QUEUE_HOST
+                                "\r\nContent-Type: application/json\r\n"
+                                "Jaytrail-Deadline-Ms: 3000\r\nContent-Length: %zu\r\n\r\n%s",
+                                method, target, strlen (body), body);
+
+  (void) !send (fd, text, strlen (text), MSG_NOSIGNAL);
+  g_free (text);
+}
+
+static answer_t
+call (int port, const char *method, const char *target, const char *body)
+{
+  answer_t answer = { 0 };
+  int fd = dial (port);
+
+  if (fd < 0)
+    return answer;
+  send_request (fd, method, target, body);
+  answer = read_answer (fd, clock_boot_ms () + CALL_MS);
+  close (fd);
+  return answer;
+}
+
+/* A number in the JSON that the stand-in tells. */
+static int
+seen (const rig_t *rig, const char *name)
+{
+  answer_t answer = call (rig->port, "GET", "/seen", "");
+  char *key = g_strdup_printf ("\"%s\":", name);
+  const char *at = strstr (answer.body, key);
+  int value = at != NULL ? atoi (at + strlen (key)) : -1;
+
+  g_free (key);
+  return value;
+}
+
+static bool
+comes_to (const rig_t *rig, const char *name, int value, int64_t within_ms)
+{
+  int64_t until_ms = clock_boot_ms () + within_ms;
+
+  while (clock_boot_ms () < until_ms)
+    {
+      if (seen (rig, name) == value)
+        return true;
+      clock_sleep_ms (10);
+    }
+  return false;
+}
+
+static char *
+job_body (int tasks, int work_ms, const char *more)
+{
+  return g_strdup_printf ("{\"spec\":\"%d\",\"best_effort\":true,\"phases\":[{\"count\":%d,"
+                          "\"cpu_millis\":1000,\"mem_mb\":10,\"estimated_ms\":%d%s}]}",
+                          work_ms, tasks, work_ms, more);
+}
+
+static answer_t
+submit (const rig_t *rig, int host, int job, int tasks, int work_ms)
+{
+  char *target = g_strdup_printf ("/q/%016x", (unsigned) job);
+  char *body = job_body (tasks, work_ms, "");
+  answer_t answer = call (caller_port (rig, host), "POST", target, body);
+
+  g_free (target);
+  g_free (body);
+  return answer;
+}
+
+/* --- processes --- */
+
+static pid_t
+run (char **argv, const char *settings, const char *log)
+{
+  pid_t pid = fork ();
+
+  if (pid != 0)
+    return pid;
+  if (settings != NULL)
+    setenv ("JAYTRAIL_SETTINGS", settings, 1);
+  if (freopen (log, "a", stdout) == NULL || freopen (log, "a", stderr) == NULL)
+    _exit (126);
+  execv (argv[0], argv);
+  _exit (127);
+}
+
+static void
+start_host (rig_t *rig, int host)
+{
+  char *settings = g_strdup_printf ("%s/h%d.conf", rig->directory, host);
+  char *log = g_strdup_printf ("%s/h%d.log", rig->directory, host);
+  int port = caller_port (rig, host);
+  char *text = g_strdup_printf (
+      "node_name=h%d\nzone=%s\nlisten_addrs.frontend=127.0.0.1:%d\nlisten_addrs.ready="
+      "127.0.0.1:%d\nlisten_addrs.control_plane=127.0.0.1:%d\nseed_nodes=127.0.0.1:%d\n"
+      "platform.address=127.0.0.1:%d\nbounds.max_hold_ms=%d\nbounds.stop_timeout_ms=50\n"
+      "bounds.grace_period_s=6\nbounds.retransmit_ms=1300\nbounds.config_apply_ms=2000\n"
+      "limits.cpu_fraction=0.25\nsomething.new=1\n",
+      host, host % 2 == 0 ? "x" : "y", port, port + 1, port + 2, caller_port (rig, 0) + 2,
+      rig->port, LEASE_MS);
+  char *program = g_strdup_printf ("%s/jaytraild", programs);
+  char *argv[] = { program, "--site", NULL };
+
+  g_file_set_contents (settings, text, -1, NULL);
+  rig->hosts[host] = run (argv, settings, log);
+  g_free (program);
+  g_free (text);
+  g_free (log);
+  g_free (settings);
+}
+
+static void
+put_config (const rig_t *rig, int version, const char *prefix)
+{
+  char *body = g_strdup_printf (
+      "{\"version\":%d,\"routes\":[{\"name\":\"r\",\"host\":\"" QUEUE_HOST
+      "\",\"path_prefix\":\"%s\",\"timeout_ms\":3000,\"target_latency_ms\":60,\"priority\":0,"
+      "\"service\":\"s\",\"max_attempts\":3,\"stretch_factor\":1.6}],\"services\":[],"
+      "\"limits\":{}}",
+      version, prefix);
+
+  call (rig->port, "POST", "/config", body);
+  g_free (body);
+}
+
+static bool
+is_ready (const rig_t *rig, int host)
+{
+  return call (caller_port (rig, host) + 1, "GET", "/readyz", "").status == 200;
+}
+
+static bool
+all_ready (const rig_t *rig)
+{
+  int64_t until_ms = clock_boot_ms () + GUARD_MS;
+
+  for (int i = 0; i < HOSTS; i++)
+    while (!is_ready (rig, i))
+      {
+        if (clock_boot_ms () > until_ms)
+          return false;
+        clock_sleep_ms (20);
+      }
+  return true;
+}
+
+static void
+rig_start (rig_t *rig)
+{
+  char *program = g_strdup_printf ("%s/fake_site", programs);
+  char *listen = g_strdup_printf ("127.0.0.1:%d", base_port);
+  char *first = g_strdup_printf ("%d", base_port + 1);
+  char *count = g_strdup_printf ("%d", ENDPOINTS);
+  char *argv[] = { program,        "--listen", listen,           "--endpoints", count,
+                   "--first-port", first,      "--data-centres", "x,y",         NULL };
+
+  *rig = (rig_t){ .port = base_port };
+  base_port += 200;
+  rig->directory = g_dir_make_tmp ("jaytrail-site-XXXXXX", NULL);
+  char *log = g_strdup_printf ("%s/site.log", rig->directory);
+  rig->standin = run (argv, NULL, log);
+  int64_t until_ms = clock_boot_ms () + GUARD_MS;
+  while (call (rig->port, "GET", "/seen", "").status != 200 && clock_boot_ms () < until_ms)
+    clock_sleep_ms (10);
+  put_config (rig, 3, "/q/");
+  for (int i = 0; i < HOSTS; i++)
+    start_host (rig, i);
+  CU_ASSERT_TRUE (all_ready (rig));
+  g_free (log);
+  g_free (count);
+  g_free (first);
+  g_free (listen);
+  g_free (program);
+}
+
+static void
+end_process (pid_t *pid, int signal_number)
+{
+  if (*pid == 0)
+    return;
+  kill (*pid, signal_number);
+  waitpid (*pid, NULL, 0);
+  *pid = 0;
+}
+
+static void
+remove_directory (const char *path)
+{
+  GDir *dir = g_dir_open (path, 0, NULL);
+  const char *name = NULL;
+
+  while (dir != NULL && (name = g_dir_read_name (dir)) != NULL)
+    {
+      char *file = g_build_filename (path, name, NULL);
+      g_unlink (file);
+      g_free (file);
+    }
+  if (dir != NULL)
+    g_dir_close (dir);
+  g_rmdir (path);
+}
+
+/* Checks what must hold after every case. */
+static void
+rig_stop (rig_t *rig)
+{
+  CU_ASSERT_EQUAL (seen (rig, "twice"), 0);
+  CU_ASSERT_EQUAL (seen (rig, "crowded"), 0);
+  for (int i = 0; i < HOSTS; i++)
+    end_process (&rig->hosts[i], SIGKILL);
+  end_process (&rig->standin, SIGKILL);
+  remove_directory (rig->directory);
+  g_free (rig->directory);
+}
+
+/* --- load --- */
+
+typedef struct
+{
+  const rig_t *rig;
+  int first;
+  int count;
+  int host; /* or -1 for all in turn */
+  int tasks;
+  int work_ms;
+  int64_t pause_ms;
+  gint complete;
+  gint broken; /* no whole answer */
+  gint other;
+} load_t;
+
+static void *
+run_load (void *data)
+{
+  load_t *load = data;
+
+  for (int i = 0; i < load->count; i++)
+    {
+      int host = load->host >= 0 ? load->host : (load->first + i) % HOSTS;
+      answer_t answer = submit (load->rig, host, load->first + i, load->tasks, load->work_ms);
+      if (answer.status == 200 && strstr (answer.body, "completed") != NULL)
+        g_atomic_int_inc (&load->complete);
+      else if (answer.status == 0)
+        g_atomic_int_inc (&load->broken);
+      else
+        g_atomic_int_inc (&load->other);
+      clock_sleep_ms (load->pause_ms);
+    }
+  return NULL;
+}
+
+/* --- cases --- */
+
+static void
+test_calm (void)
+{
+  rig_t rig;
+  load_t loads[4];
+  GThread *threads[4];
+
+  rig_start (&rig);
+  for (int i = 0; i < 4; i++)
+    {
+      loads[i] = (load_t){
+        .rig = &rig, .first = 1 + i * 100, .count = 25, .host = -1, .tasks = 3, .work_ms = 20
+      };
+      threads[i] = g_thread_new ("load", run_load, &loads[i]);
+    }
+  for (int i = 0; i < 4; i++)
+    {
+      g_thread_join (threads[i]);
+      CU_ASSERT_EQUAL (loads[i].complete, 25);
+    }
+  CU_ASSERT_EQUAL (seen (&rig, "starts"), 300);
+  CU_ASSERT_TRUE (comes_to (&rig, "unacknowledged", 0, GUARD_MS));
+  rig_stop (&rig);
+}
+
+static const struct
+{
+  const char *method;
+  const char *target;
+  const char *body; /* NULL for a good job */
+  const char *more; /* further members of its step */
+  int status;
+} inputs[] = {
+  { "POST", "/q/00000000000000a1", NULL, "", 200 },
+  { "POST", "/none/00000000000000a2", NULL, "", 404 },
+  { "POST", "/q/short", NULL, "", 400 },
+  { "POST", "/q/00000000000000zz", NULL, "", 400 },
+  { "POST", "/q/00000000000000a3", "{", "", 400 },
+  { "POST", "/q/00000000000000a4", "[]", "", 400 },
+  { "POST", "/q/00000000000000a5", "{\"spec\":1,\"phases\":[{\"count\":1}]}", "", 400 },
+  { "POST", "/q/00000000000000a6", "{\"spec\":\"1\",\"phases\":[]}", "", 400 },
+  { "POST", "/q/00000000000000a7", "{\"spec\":\"1\",\"phases\":[{\"count\":0}]}", "", 400 },
+  { "POST", "/q/00000000000000a8", "{\"spec\":\"1\",\"phases\":[{\"count\":1}]}", "", 503 },
+  { "POST", "/q/00000000000000a9", NULL, ",\"gang\":true", 503 },
+  { "POST", "/q/00000000000000aa", NULL, ",\"long_running\":true", 503 },
+  { "GET", "/q/00000000000000a1", "", "", 410 },
+  { "DELETE", "/q/00000000000000a1", "", "", 410 },
+  { "GET", "/q/", "", "", 200 },
+  { "PUT", "/q/00000000000000a1", "", "", 405 },
+};
+
+static void
+test_inputs (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  for (size_t i = 0; i < G_N_ELEMENTS (inputs); i++)
+    {
+      char *body =
+          inputs[i].body != NULL ? g_strdup (inputs[i].body) : job_body (1, 5, inputs[i].more);
+      answer_t answer = call (caller_port (&rig, 0), inputs[i].method, inputs[i].target, body);
+      if (answer.status != inputs[i].status)
+        printf ("  %s %s: %d\n", inputs[i].method, inputs[i].target, answer.status);
+      CU_ASSERT_EQUAL (answer.status, inputs[i].status);
+      g_free (body);
+    }
+  CU_ASSERT_EQUAL (seen (&rig, "starts"), 1);
+  rig_stop (&rig);
+}
+
+static void
+set_fault (const rig_t *rig, const char *fault)
+{
+  CU_ASSERT_EQUAL (call (rig->port, "POST", "/fault", fault).status, 200);
+}
+
+/* An endpoint that is bad in one way costs time, not jobs. */
+static void
+test_bad_endpoints (void)
+{
+  static const char *const faults[] = {
+    "{\"endpoint\":\"e0\",\"failing\":true}",
+    "{\"endpoint\":\"e1\",\"hanging\":true}",
+    "{\"endpoint\":\"e2\",\"mute\":true}",
+  };
+  rig_t rig;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      rig_start (&rig);
+      set_fault (&rig, faults[i]);
+      load_t load = { .rig = &rig, .first = 1, .count = 20, .host = -1, .tasks = 4, .work_ms = 20 };
+      run_load (&load);
+      CU_ASSERT_EQUAL (load.complete, 20);
+      rig_stop (&rig);
+    }
+}
+
+/* A caller that hangs up takes its tasks with it. */
+static void
+test_caller_leaves (void)
+{
+  rig_t rig;
+  char *body = job_body (6, 2500, "");
+
+  rig_start (&rig);
+  int fd = dial (caller_port (&rig, 1));
+  send_request (fd, "POST", "/q/00000000000000b1", body);
+  CU_ASSERT_TRUE (comes_to (&rig, "running", 6, 2000));
+  close (fd);
+  CU_ASSERT_TRUE (comes_to (&rig, "running", 0, 500));
+  g_free (body);
+  rig_stop (&rig);
+}
+
+/* A job that is submitted again at another host, while the first host does not know yet that its
+ * caller is gone, never runs twice at a time. */
+static void
+test_resubmitted (void)
+{
+  rig_t rig;
+  char *body = job_body (3, 400, "");
+
+  rig_start (&rig);
+  for (int i = 0; i < 4; i++)
+    {
+      char *target = g_strdup_printf ("/q/00000000000000c%d", i);
+      int fd = dial (caller_port (&rig, i % HOSTS));
+      send_request (fd, "POST", target, body);
+      comes_to (&rig, "running", 3, 1000);
+      kill (rig.hosts[i % HOSTS], SIGSTOP);
+      clock_sleep_ms (1300);
+      answer_t answer = call (caller_port (&rig, (i + 1) % HOSTS), "POST", target, body);
+      CU_ASSERT_EQUAL (answer.status, 200);
+      kill (rig.hosts[i % HOSTS], SIGCONT);
+      close (fd);
+      clock_sleep_ms (1000);
+      g_free (target);
+    }
+  g_free (body);
+  rig_stop (&rig);
+}
+
+/* Any host may be killed; the others go on at once, and it serves again once it is back. */
+static void
+test_host_killed (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  for (int i = 0; i < HOSTS; i++)
+    {
+      load_t load = { .rig = &rig,
+                      .first = 1000 + i * 100,
+                      .count = 60,
+                      .host = (i + 1) % HOSTS,
+                      .tasks = 4,
+                      .work_ms = 30 };
+      GThread *thread = g_thread_new ("load", run_load, &load);
+      clock_sleep_ms (200);
+      end_process (&rig.hosts[i], SIGKILL);
+      g_thread_join (thread);
+      CU_ASSERT_EQUAL (load.broken, 0);
+      CU_ASSERT_TRUE (load.complete >= 57);
+      start_host (&rig, i);
+      CU_ASSERT_TRUE (all_ready (&rig));
+    }
+  rig_stop (&rig);
+}
+
+/* A graceful stop cuts nothing, whether the host owns endpoints or not. */
+static void
+test_host_stopped (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  for (int i = 0; i < HOSTS; i++)
+    {
+      load_t own = { .rig = &rig,
+                     .first = 2000 + i * 100,
+                     .count = 30,
+                     .host = i,
+                     .tasks = 2,
+                     .work_ms = 30,
+                     .pause_ms = 5 };
+      load_t other = own;
+      other.first += 50;
+      other.host = (i + 1) % HOSTS;
+      GThread *threads[] = { g_thread_new ("own", run_load, &own),
+                             g_thread_new ("other", run_load, &other) };
+      clock_sleep_ms (300);
+      kill (rig.hosts[i], SIGTERM);
+      g_thread_join (threads[0]);
+      g_thread_join (threads[1]);
+      CU_ASSERT_EQUAL (own.complete, 30);
+      CU_ASSERT_EQUAL (other.complete, 30);
+      int status = -1;
+      waitpid (rig.hosts[i], &status, 0);
+      rig.hosts[i] = 0;
+      CU_ASSERT_EQUAL (status, 0);
+      start_host (&rig, i);
+      CU_ASSERT_TRUE (all_ready (&rig));
+    }
+  rig_stop (&rig);
+}
+
+/* All hosts lose power: service is back within seconds of their return. */
+static void
+test_all_killed (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  CU_ASSERT_EQUAL (submit (&rig, 0, 1, 2, 10).status, 200);
+  for (int i = 0; i < HOSTS; i++)
+    end_process (&rig.hosts[i], SIGKILL);
+  for (int i = 0; i < HOSTS; i++)
+    start_host (&rig, i);
+  int64_t from_ms = clock_boot_ms ();
+  while (submit (&rig, 1, 2, 2, 10).status != 200 && clock_boot_ms () - from_ms < GUARD_MS)
+    clock_sleep_ms (20);
+  CU_ASSERT_TRUE (clock_boot_ms () - from_ms < 3000);
+  rig_stop (&rig);
+}
+
+static int
+status_of (const rig_t *rig, int host, const char *prefix)
+{
+  char *target = g_strdup_printf ("%s00000000000000d1", prefix);
+  int status = call (caller_port (rig, host), "GET", target, "").status;
+
+  g_free (target);
+  return status;
+}
+
+static bool
+in_force (const rig_t *rig, const char *prefix, int64_t within_ms)
+{
+  int64_t until_ms = clock_boot_ms () + within_ms;
+
+  for (int i = 0; i < HOSTS; i++)
+    while (status_of (rig, i, prefix) != 410)
+      {
+        if (clock_boot_ms () > until_ms)
+          return false;
+        clock_sleep_ms (10);
+      }
+  return true;
+}
+
+/* A configuration is in force everywhere in time, older ones never come back, and it outlives
+ * the log's history. */
+static void
+test_configuration (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  put_config (&rig, 7, "/new/");
+  CU_ASSERT_TRUE (in_force (&rig, "/new/", 2000));
+  CU_ASSERT_EQUAL (status_of (&rig, 0, "/q/"), 404);
+  put_config (&rig, 5, "/old/");
+  call (rig.port, "POST", "/forget", "");
+  clock_sleep_ms (1500);
+  for (int i = 0; i < HOSTS; i++)
+    {
+      CU_ASSERT_EQUAL (status_of (&rig, i, "/new/"), 410);
+      CU_ASSERT_EQUAL (status_of (&rig, i, "/old/"), 404);
+    }
+  put_config (&rig, 9, "/q/");
+  CU_ASSERT_TRUE (in_force (&rig, "/q/", 2000));
+  rig_stop (&rig);
+}
+
+/* While the log is down everything goes on as it was seen last. */
+static void
+test_log_down (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  set_fault (&rig, "{\"log_down\":true}");
+  load_t load = { .rig = &rig, .first = 3000, .count = 60, .host = -1, .tasks = 3, .work_ms = 20 };
+  GThread *thread = g_thread_new ("load", run_load, &load);
+  clock_sleep_ms (300);
+  end_process (&rig.hosts[1], SIGKILL);
+  g_thread_join (thread);
+  /* A quarter of the calls went to the host that was killed. */
+  CU_ASSERT_TRUE (load.complete >= 42);
+  CU_ASSERT_EQUAL (load.other, 0);
+  set_fault (&rig, "{\"log_down\":false}");
+  put_config (&rig, 11, "/up/");
+  start_host (&rig, 1);
+  CU_ASSERT_TRUE (in_force (&rig, "/up/", 4000));
+  rig_stop (&rig);
+}
+
+/* An endpoint that leaves gets nothing more. */
+static void
+test_leaving_endpoint (void)
+{
+  rig_t rig;
+  char fault[64];
+
+  rig_start (&rig);
+  for (int i = 1; i < ENDPOINTS; i++)
+    {
+      g_snprintf (fault, sizeof fault, "{\"endpoint\":\"e%d\",\"draining\":true}", i);
+      set_fault (&rig, fault);
+    }
+  clock_sleep_ms (1500);
+  load_t load = { .rig = &rig, .first = 4000, .count = 5, .host = -1, .tasks = 6, .work_ms = 60 };
+  run_load (&load);
+  CU_ASSERT_EQUAL (load.complete, 5);
+  /* Six tasks at three a time: the others got none. */
+  int64_t from_ms = clock_boot_ms ();
+  CU_ASSERT_EQUAL (submit (&rig, 2, 4999, 6, 100).status, 200);
+  CU_ASSERT_TRUE (clock_boot_ms () - from_ms >= 200);
+  rig_stop (&rig);
+}
+
+static const struct
+{
+  const char *file; /* NULL: none */
+  const char *says;
+} bad_settings[] = {
+  { NULL, "No such file" },
+  { "node_name=a\n", "zone: missing" },
+  { "node_name=a\nzone=x\nlisten_addrs.frontend=nowhere\n", "allowed is IP:port" },
+};
+
+static void
+test_settings (void)
+{
+  char *program = g_strdup_printf ("%s/jaytraild", programs);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad_settings); i++)
+    {
+      char *directory = g_dir_make_tmp ("jaytrail-site-XXXXXX", NULL);
+      char *file = g_build_filename (directory, "s.conf", NULL);
+      char *log = g_build_filename (directory, "log", NULL);
+      char *argv[] = { program, "--site", NULL };
+      char *text = NULL;
+      int status = 0;
+      if (bad_settings[i].file != NULL)
+        g_file_set_contents (file, bad_settings[i].file, -1, NULL);
+      waitpid (run (argv, file, log), &status, 0);
+      CU_ASSERT_EQUAL (WEXITSTATUS (status), 2);
+      CU_ASSERT_TRUE (g_file_get_contents (log, &text, NULL, NULL));
+      CU_ASSERT_TRUE (text != NULL && strstr (text, bad_settings[i].says) != NULL);
+      g_free (text);
+      remove_directory (directory);
+      g_free (log);
+      g_free (file);
+      g_free (directory);
+    }
+  g_free (program);
+}
+
+static const struct
+{
+  const char *name;
+  CU_TestFunc run;
+} tests[] = {
+  { "bad settings", test_settings },
+  { "calm", test_calm },
+  { "inputs", test_inputs },
+  { "bad endpoints", test_bad_endpoints },
+  { "caller leaves", test_caller_leaves },
+  { "resubmitted", test_resubmitted },
+  { "host killed", test_host_killed },
+  { "host stopped", test_host_stopped },
+  { "all killed", test_all_killed },
+  { "configuration", test_configuration },
+  { "log down", test_log_down },
+  { "leaving endpoint", test_leaving_endpoint },
+};
+
+int
+main (int argc, char **argv)
+{
+  char *own = g_path_get_dirname (argv[0]);
+
+  signal (SIGPIPE, SIG_IGN);
+  programs = g_build_filename (own, "..", NULL);
+  base_port = 20000 + (getpid () % 90) * 100;
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("site", NULL, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
+    if (argc < 2 || strcmp (argv[1], tests[i].name) == 0)
+      CU_add_test (suite, tests[i].name, tests[i].run);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  g_free (programs);
+  g_free (own);
+  return failures == 0 ? 0 : 1;
+}
