A task that would miss its deadline moves to a faster endpoint

By its progress an endpoint shows where a task will end; one that misses its deadline and would meet it anew elsewhere is stopped and started there, once.

--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -6,12 +6,17 @@
  */
 #include "fleet/table.h"
 
+#include <math.h>
 #include <string.h>
 
 /* How long an endpoint that is full by its own word gets nothing. */
 #define FULL_MS 20
 /* Two looks apart by this much must show progress. */
 #define HANG_MIN_MS 300
+/* Progress below this says little about the whole. */
+#define MOVE_PERCENT_MIN 5
+/* A new start must gain at least this. */
+#define MOVE_SLACK_MS 30
 /* Names of ends under another owner that are kept, for tasks that are handed over. */
 #define ENDED_STRANGERS_MAX 512
 /* An endpoint that calls itself unhealthy is asked again after this. */
@@ -321,6 +326,47 @@
              && task->stop_sent_at_ms < sent_at_ms);
 }
 
+/* The shortest duration that TASK may expect on an endpoint that has room for it now, if it needs
+ * WORK_MS at the speed that estimates are made for. */
+static double
+best_elsewhere_ms (const fleet_t *fleet, const task_t *task, double work_ms, int64_t now_ms)
+{
+  double best_ms = INFINITY;
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const endpoint_t *endpoint = value;
+      if (endpoint != task->endpoint && place_may_run (endpoint, task)
+          && place_is_usable (endpoint, now_ms)
+          && room_fits (&endpoint->whole, &endpoint->used, &task->need))
+        best_ms = fmin (best_ms, work_ms * place_ratio (fleet, endpoint, now_ms));
+    }
+  return best_ms;
+}
+
+/* True if TASK, by its progress, misses its deadline where it is, and would meet it if it were
+ * started anew on a faster endpoint.  A task is moved once only. */
+static bool
+should_move (const fleet_t *fleet, const task_t *task, int64_t now_ms)
+{
+  const batch_t *batch = task->batch;
+
+  if (batch == NULL || task->percent < MOVE_PERCENT_MIN || task->percent >= 100
+      || task->moved)
+    return false;
+  double elapsed_ms = (double) (now_ms - task->sent_at_ms);
+  double whole_ms = 100.0 * elapsed_ms / task->percent;
+  double left_ms = (double) (batch->deadline_at_ms - now_ms);
+  if (whole_ms - elapsed_ms < left_ms)
+    return false;
+  double work_ms = whole_ms / place_ratio (fleet, task->endpoint, now_ms);
+  double again_ms = best_elsewhere_ms (fleet, task, work_ms, now_ms);
+  return again_ms + (double) fleet->options.stop_ms + MOVE_SLACK_MS < left_ms;
+}
+
 static void
 check_runs (fleet_t *fleet,
             endpoint_t *endpoint,
@@ -340,6 +386,11 @@
               judge (fleet, endpoint, true, now_ms);
               task_replace (task, now_ms);
             }
+          else if (task->state == TASK_RUNNING && should_move (fleet, task, now_ms))
+            {
+              task->moved = true;
+              task_replace (task, now_ms);
+            }
         }
       else if (was_due (task, sent_at_ms))
         task_requeue (fleet, task, now_ms);
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -138,8 +138,8 @@
          || outlier_wants_probe (&endpoint->outlier, true, now_ms);
 }
 
-static bool
-may_run (const endpoint_t *endpoint, const task_t *task)
+bool
+place_may_run (const endpoint_t *endpoint, const task_t *task)
 {
   const batch_t *batch = task->batch;
 
@@ -225,7 +225,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       endpoint_t *endpoint = value;
-      if (!place_is_usable (endpoint, now_ms) || !may_run (endpoint, task))
+      if (!place_is_usable (endpoint, now_ms) || !place_may_run (endpoint, task))
         continue;
       candidate_t one = {
         .endpoint = endpoint,
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -38,6 +38,7 @@
   int64_t must_end_at_ms; /* STOPPING: since when */
   int64_t stop_sent_at_ms;
   bool stop_confirmed;
+  bool moved; /* it was stopped once to run on a faster endpoint */
   int32_t percent;
   int64_t percent_at_ms; /* when PERCENT last grew */
   GList link;            /* in the queue */
@@ -162,6 +163,9 @@
                            const batch_t *batch,
                            int64_t now_ms);
 
+/* True if ENDPOINT may run TASK, were there room. */
+bool place_may_run (const endpoint_t *endpoint, const task_t *task);
+
 /* True if ENDPOINT may be given any task now. */
 bool place_is_usable (const endpoint_t *endpoint, int64_t now_ms);
 
