Cancellations are repeated until confirmed; lost messages between hosts are made good

Cancellations are kept until the owner confirms; an owner that drops a coordinator says so; after a reconnect open batches are sent again.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -1,7 +1,7 @@
 /* site.c -- jaytraild on the users' machines: one loop that serves callers and owns endpoints
  *
- * Events change the state of the libraries; site_pump () then carries out what they ask for,
- * until nothing is left.  Actions point into the library that made them, so they are
+ * Events change the state of the libraries; pump_now () then carries out what they ask for,
+ * until nothing is left, once for all events that were ready together.  Actions point into the library that made them, so they are
  * carried out before that library is called again.
  */
 #include "daemon/site.h"
@@ -101,13 +101,11 @@
 {
   site_t *site = user;
 
-  return flow_submit (site->flow, job, clock_boot_ms (), site->flow_actions);
-}
-
-static void
-settle (void *user)
-{
-  site_pump (user);
+  uint64_t number = flow_submit (site->flow, job, clock_boot_ms (), site->flow_actions);
+  /* What is to be sent points into the flow, and must be sent before its next event. */
+  site_run_flow_actions (site);
+  site_pump (site);
+  return number;
 }
 
 static void
@@ -116,6 +114,7 @@
   site_t *site = user;
 
   flow_abandon (site->flow, job, clock_boot_ms (), site->flow_actions);
+  site_run_flow_actions (site);
   site_pump (site);
 }
 
@@ -146,7 +145,7 @@
 }
 
 static const door_ops_t door_ops = {
-  queues_of, submit_job, settle, abandon_job, cancel_job, is_ready, metrics,
+  queues_of, submit_job, abandon_job, cancel_job, is_ready, metrics,
 };
 
 /* --- what the platform tells --- */
@@ -278,6 +277,7 @@
       log_warning (PART, "Host lost.", "host", action->host, "why", action->reason, "silent_ms",
                    NUMBER (number, now_ms - action->heard_at_ms), NULL);
       owner_drop_coordinator (site, action->host);
+      peers_send (site, action->host, fleet_msg_dropped ());
       flow_host_lost (site->flow, action->host, action->heard_at_ms, now_ms, site->flow_actions);
       site_run_flow_actions (site);
       break;
@@ -354,14 +354,12 @@
   return true;
 }
 
-void
-site_pump (site_t *site)
+static void
+pump_now (void *data)
 {
+  site_t *site = data;
   bool more = true;
 
-  if (site->pumping)
-    return;
-  site->pumping = true;
   while (more)
     {
       more = run_crew_actions (site, clock_boot_ms ());
@@ -370,7 +368,12 @@
       more |= owner_rounds (site, false);
       more |= tell_ends (site);
     }
-  site->pumping = false;
+}
+
+void
+site_pump (site_t *site)
+{
+  loop_later (site->loop);
 }
 
 /* --- time --- */
@@ -453,7 +456,7 @@
   flow_step (site->flow, now_ms, site->flow_actions);
   site_run_flow_actions (site);
   owner_rounds (site, true);
-  site_pump (site);
+  pump_now (site);
   owner_tell_offers (site, now_ms);
   peers_beat (site, now_ms, false);
   pull_config (site, now_ms);
@@ -497,6 +500,7 @@
   site->host = g_intern_string (settings->host);
   site->incarnation = (uint64_t) clock_wall_ms () << 16 | g_random_int_range (0, 1 << 16);
   site->loop = loop_new (TICK_MS, on_tick, site);
+  loop_set_later (site->loop, pump_now);
   site->client = webclient_new (site->loop);
   crew_options_t crew = { settings->host, settings->data_centre, site->incarnation,
                           settings->power };
@@ -508,7 +512,6 @@
   site->connected = g_hash_table_new (NULL, NULL);
   site->crew_actions = g_array_new (FALSE, FALSE, sizeof (crew_action_t));
   site->flow_actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
-  site->fleet_actions = g_array_new (FALSE, FALSE, sizeof (fleet_action_t));
   site->elsewhere = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
   site->ends = g_array_new (FALSE, FALSE, sizeof (told_end_t));
   door_options_t door = { settings->caller_listen, settings->ready_listen, &door_ops, site };
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -8,8 +8,10 @@
 #include <string.h>
 
 #define PART "owner"
-/* Offers are told no more often than this, and no less often than that. */
+/* Offers are told no more often than this for each host that hears them, and no less often
+ * than that. */
 #define OFFER_MIN_MS 15
+#define OFFER_EACH_MS 2
 #define OFFER_MAX_MS 300
 
 /* Text of a number, for the fields of logs. */
@@ -22,7 +24,48 @@
   return g_hash_table_lookup (site->owned, g_intern_string (shard));
 }
 
-/* --- answers to orders --- */
+/* --- actions, and answers to orders --- */
+
+/* Carries out orders; ends are kept until all actions are read, since telling them changes
+ * what actions point to. */
+static void
+run_actions (owned_t *owned, int64_t now_ms)
+{
+  site_t *site = owned->site;
+
+  for (guint i = 0; i < owned->actions->len; i++)
+    {
+      const fleet_action_t *action = &g_array_index (owned->actions, fleet_action_t, i);
+      told_end_t told = { action->coordinator, { action->batch, action->index, action->kind } };
+      switch (action->kind)
+        {
+        case FLEET_START:
+        case FLEET_STOP:
+        case FLEET_LOOK:
+          orders_send (owned->orders, action, owned->token, now_ms);
+          break;
+        case FLEET_SHUT_OUT:
+          log_warning (PART, "Shut out by an endpoint.", "endpoint", action->endpoint, "shard",
+                       owned->name, NULL);
+          crew_shut_out (site->crew, owned->name, now_ms, clock_wall_ms (), site->crew_actions);
+          break;
+        default:
+          g_array_append_val (site->ends, told);
+          break;
+        }
+    }
+  g_array_set_size (owned->actions, 0);
+}
+
+/* An answer has come: carries on with what it changed. */
+static void
+carry_on (owned_t *owned, int64_t now_ms)
+{
+  run_actions (owned, now_ms);
+  owned->dirty = true;
+  site_pump (owned->site);
+}
+
 
 static void
 on_started (uint64_t serial, fleet_answer_t answer, int64_t clock_there_ms, void *user)
@@ -30,9 +73,8 @@
   owned_t *owned = user;
 
   fleet_started (owned->fleet, serial, answer, clock_there_ms, clock_boot_ms (),
-                 owned->site->fleet_actions);
-  owned->dirty = true;
-  site_pump (owned->site);
+                 owned->actions);
+  carry_on (owned, clock_boot_ms ());
 }
 
 static void
@@ -41,9 +83,8 @@
   owned_t *owned = user;
 
   fleet_stopped (owned->fleet, serial, answer, clock_there_ms, clock_boot_ms (),
-                 owned->site->fleet_actions);
-  owned->dirty = true;
-  site_pump (owned->site);
+                 owned->actions);
+  carry_on (owned, clock_boot_ms ());
 }
 
 static void
@@ -51,9 +92,8 @@
 {
   owned_t *owned = user;
 
-  fleet_looked (owned->fleet, serial, answer, look, clock_boot_ms (), owned->site->fleet_actions);
-  owned->dirty = true;
-  site_pump (owned->site);
+  fleet_looked (owned->fleet, serial, answer, look, clock_boot_ms (), owned->actions);
+  carry_on (owned, clock_boot_ms ());
 }
 
 static const orders_ops_t order_ops = { on_started, on_stopped, on_looked };
@@ -85,6 +125,7 @@
       owned->name = g_intern_string (shard);
       owned->fleet = fleet_new (&options);
       owned->orders = orders_new (site->client, &order_ops, owned);
+      owned->actions = g_array_new (FALSE, FALSE, sizeof (fleet_action_t));
       g_hash_table_insert (site->owned, (void *) owned->name, owned);
     }
   owned->token = token;
@@ -119,6 +160,7 @@
 
   orders_free (owned->orders);
   fleet_free (owned->fleet);
+  g_array_unref (owned->actions);
   if (owned->told != NULL)
     g_bytes_unref (owned->told);
   g_free (owned);
@@ -142,7 +184,7 @@
 
   if (owned == NULL)
     return;
-  fleet_drop_endpoint (owned->fleet, id, clock_boot_ms (), site->fleet_actions);
+  fleet_drop_endpoint (owned->fleet, id, clock_boot_ms (), owned->actions);
   owned->dirty = true;
 }
 
@@ -180,7 +222,7 @@
     {
       owned_t *owned = value;
       never |=
-          fleet_cancel (owned->fleet, coordinator, batch, clock_boot_ms (), site->fleet_actions);
+          fleet_cancel (owned->fleet, coordinator, batch, clock_boot_ms (), owned->actions);
       owned->dirty = true;
     }
   return never;
@@ -196,42 +238,13 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       owned_t *owned = value;
-      fleet_drop_coordinator (owned->fleet, coordinator, clock_boot_ms (), site->fleet_actions);
+      fleet_drop_coordinator (owned->fleet, coordinator, clock_boot_ms (), owned->actions);
       owned->dirty = true;
     }
 }
 
 /* --- rounds --- */
 
-/* Carries out orders; ends are kept until all actions are read, since telling them changes
- * what actions point to. */
-static void
-run_actions (site_t *site, owned_t *owned, int64_t now_ms)
-{
-  for (guint i = 0; i < site->fleet_actions->len; i++)
-    {
-      const fleet_action_t *action = &g_array_index (site->fleet_actions, fleet_action_t, i);
-      told_end_t told = { action->coordinator, { action->batch, action->index, action->kind } };
-      switch (action->kind)
-        {
-        case FLEET_START:
-        case FLEET_STOP:
-        case FLEET_LOOK:
-          orders_send (owned->orders, action, owned->token, now_ms);
-          break;
-        case FLEET_SHUT_OUT:
-          log_warning (PART, "Shut out by an endpoint.", "endpoint", action->endpoint, "shard",
-                       owned->name, NULL);
-          crew_shut_out (site->crew, owned->name, now_ms, clock_wall_ms (), site->crew_actions);
-          break;
-        default:
-          g_array_append_val (site->ends, told);
-          break;
-        }
-    }
-  g_array_set_size (site->fleet_actions, 0);
-}
-
 bool
 owner_rounds (site_t *site, bool all)
 {
@@ -249,9 +262,9 @@
       owned->dirty = false;
       g_array_set_size (site->elsewhere, 0);
       flow_offers_elsewhere (site->flow, owned->name, site->elsewhere);
-      fleet_run (owned->fleet, site->elsewhere, now_ms, site->fleet_actions);
-      done |= site->fleet_actions->len > 0;
-      run_actions (site, owned, now_ms);
+      fleet_run (owned->fleet, site->elsewhere, now_ms, owned->actions);
+      done |= owned->actions->len > 0;
+      run_actions (owned, now_ms);
     }
   return done;
 }
@@ -261,12 +274,13 @@
 {
   GHashTableIter iter;
   void *value = NULL;
+  int64_t least_ms = MAX (OFFER_MIN_MS, OFFER_EACH_MS * g_hash_table_size (site->connected));
 
   g_hash_table_iter_init (&iter, site->owned);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       owned_t *owned = value;
-      if (now_ms - owned->told_at_ms < OFFER_MIN_MS)
+      if (now_ms - owned->told_at_ms < least_ms)
         continue;
       fleet_totals_t totals = fleet_totals (owned->fleet, now_ms);
       GArray *offers = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -7,14 +7,17 @@
 #include "crew/crew_msg.h"
 
 #define PART "peers"
-/* Hosts are heard this often. */
+/* Hosts are heard this often: those of the own data centre, and others where there are many. */
 #define BEAT_MS 100
+#define BEAT_FAR_MS 250
+#define BEAT_MANY 12
 
 typedef struct
 {
   site_t *site;
   const char *host; /* interned */
   GBytes *frame;    /* NULL for a change of the connection */
+  const char *data_centre; /* interned; with UP */
   bool up;
 } arrival_t;
 
@@ -55,6 +58,21 @@
   site_run_flow_actions (site);
 }
 
+/* What this host has sent or was sent may be lost. */
+static void
+resync (site_t *site, const char *host)
+{
+  flow_resync (site->flow, host, clock_boot_ms (), site->flow_actions);
+  site_run_flow_actions (site);
+}
+
+static void
+read_dropped (site_t *site, const char *host, frame_reader_t *reader)
+{
+  (void) reader;
+  resync (site, host);
+}
+
 static void
 read_ends (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -135,6 +153,7 @@
   { FLEET_MSG_ENDS, read_ends },
   { FLEET_MSG_CANCELLED, read_cancelled },
   { FLEET_MSG_OFFER, read_offer },
+  { FLEET_MSG_DROPPED, read_dropped },
   { CREW_MSG_BEAT, read_beat },
   { CREW_MSG_CONFIG_PULL, read_config_pull },
   { CREW_MSG_CONFIG, read_config },
@@ -170,8 +189,10 @@
     }
   else if (arrival->up)
     {
-      g_hash_table_add (site->connected, (void *) arrival->host);
+      g_hash_table_replace (site->connected, (void *) arrival->host,
+                            (void *) arrival->data_centre);
       peers_beat (site, clock_boot_ms (), true);
+      resync (site, arrival->host);
     }
   else
     {
@@ -183,13 +204,14 @@
 }
 
 static void
-post (site_t *site, const char *host, GBytes *frame, bool up)
+post (site_t *site, const char *host, const char *data_centre, GBytes *frame, bool up)
 {
   arrival_t *arrival = g_new0 (arrival_t, 1);
 
   arrival->site = site;
   arrival->host = g_intern_string (host);
   arrival->frame = frame != NULL ? g_bytes_ref (frame) : NULL;
+  arrival->data_centre = g_intern_string (data_centre);
   arrival->up = up;
   loop_post (site->loop, on_arrival, arrival);
 }
@@ -197,19 +219,19 @@
 static void
 on_frame (const char *host, GBytes *frame, void *data)
 {
-  post (data, host, frame, false);
+  post (data, host, NULL, frame, false);
 }
 
 static void
 on_up (const net_peer_t *peer, void *data)
 {
-  post (data, peer->host, NULL, true);
+  post (data, peer->host, peer->data_centre, NULL, true);
 }
 
 static void
 on_down (const char *host, void *data)
 {
-  post (data, host, NULL, false);
+  post (data, host, NULL, NULL, false);
 }
 
 static const net_ops_t net_ops = { on_frame, on_up, on_down };
@@ -254,16 +276,29 @@
   g_bytes_unref (frame);
 }
 
+/* Beats go to the own data centre each time, to others less often once there are many hosts. */
 void
 peers_beat (site_t *site, int64_t now_ms, bool at_once)
 {
   crew_beat_t beat;
+  GHashTableIter iter;
+  void *host = NULL;
+  void *data_centre = NULL;
 
   if (now_ms < site->beat_due_ms && !at_once)
     return;
+  bool far = at_once || now_ms >= site->beat_far_due_ms;
   site->beat_due_ms = now_ms + BEAT_MS;
+  if (far)
+    site->beat_far_due_ms =
+        now_ms + (g_hash_table_size (site->connected) > BEAT_MANY ? BEAT_FAR_MS : BEAT_MS);
   crew_own_beat (site->crew, &beat);
   beat.config_version = site->queues != NULL ? site->queues->version : 0;
-  peers_send_all (site, crew_msg_beat (&beat));
+  GBytes *frame = crew_msg_beat (&beat);
   g_array_unref (beat.claims);
+  g_hash_table_iter_init (&iter, site->connected);
+  while (g_hash_table_iter_next (&iter, &host, &data_centre))
+    if (far || g_strcmp0 (data_centre, site->settings->data_centre) == 0)
+      peers_send (site, host, g_bytes_ref (frame));
+  g_bytes_unref (frame);
 }
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -25,6 +25,7 @@
   int64_t token;
   fleet_t *fleet;
   orders_t *orders;
+  GArray *actions; /* fleet_action_t */
   bool dirty;   /* something happened since its last round */
   GBytes *told; /* the offer that was sent last */
   int64_t told_at_ms;
@@ -53,23 +54,23 @@
   GBytes *queues_data;   /* as the platform gave it */
   GHashTable *owned;     /* interned shard -> owned_t */
   GHashTable *directory; /* id -> decode_entry_t */
-  GHashTable *connected; /* interned hosts with a connection */
+  GHashTable *connected; /* interned host with a connection -> its data centre */
   GArray *crew_actions;
   GArray *flow_actions;
-  GArray *fleet_actions;
   GArray *elsewhere; /* fleet_offer_t, for one round */
   GArray *ends;      /* told_end_t */
-  bool pumping;
   bool store_reachable;
   bool leaving;
   int64_t leaving_from_ms;
   int64_t ticked_at_ms;
   int64_t beat_due_ms;
+  int64_t beat_far_due_ms;
   int64_t pull_due_ms;
   int64_t probe_due_ms;
 };
 
-/* site.c: carries out all actions that are due, until nothing is left to do. */
+/* site.c: carries out all actions that are due, until nothing is left to do, once the events
+ * that are ready now have been taken in. */
 void site_pump (site_t *site);
 void site_run_flow_actions (site_t *site);
 
--- a/lib/crew/crew.c
+++ b/lib/crew/crew.c
@@ -12,7 +12,7 @@
 
 /* A host that is not heard for this long is lost. */
 #define SILENT_NEAR_MS 450
-#define SILENT_FAR_MS 700
+#define SILENT_FAR_MS 800
 /* After its connection broke, a host has this long to be heard again. */
 #define BROKEN_GRACE_MS 120
 /* A host that has just started listens first. */
--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -226,7 +226,7 @@
       int64_t elapsed_ms = now_ms - task->sent_at_ms;
       judge (fleet, endpoint, false, now_ms);
       if (task->answered_at_ms != 0)
-        place_learn (fleet, task, elapsed_ms, now_ms);
+        place_learn (fleet, task, elapsed_ms);
       tell (actions, FLEET_DONE, task, NULL);
       task_end (fleet, task);
       return;
@@ -342,7 +342,7 @@
       if (endpoint != task->endpoint && place_may_run (endpoint, task)
           && place_is_usable (endpoint, now_ms)
           && room_fits (&endpoint->whole, &endpoint->used, &task->need))
-        best_ms = fmin (best_ms, work_ms * place_ratio (fleet, endpoint, now_ms));
+        best_ms = fmin (best_ms, work_ms * place_ratio (endpoint));
     }
   return best_ms;
 }
@@ -362,7 +362,7 @@
   double left_ms = (double) (batch->deadline_at_ms - now_ms);
   if (whole_ms - elapsed_ms < left_ms)
     return false;
-  double work_ms = whole_ms / place_ratio (fleet, task->endpoint, now_ms);
+  double work_ms = whole_ms / place_ratio (task->endpoint);
   double again_ms = best_elsewhere_ms (fleet, task, work_ms, now_ms);
   return again_ms + (double) fleet->options.stop_ms + MOVE_SLACK_MS < left_ms;
 }
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -97,6 +97,8 @@
   fleet->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_call);
   fleet->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_kind);
   fleet->maybe = g_hash_table_new (NULL, NULL);
+  fleet->usable = g_ptr_array_new ();
+  fleet->open = g_ptr_array_new ();
   g_queue_init (&fleet->queue);
   return fleet;
 }
@@ -107,6 +109,8 @@
   if (fleet == NULL)
     return;
   g_hash_table_unref (fleet->maybe);
+  g_ptr_array_unref (fleet->usable);
+  g_ptr_array_unref (fleet->open);
   g_hash_table_unref (fleet->calls);
   g_hash_table_unref (fleet->batches);
   g_hash_table_unref (fleet->tasks);
@@ -308,6 +312,7 @@
   if (info->born_at_ms != 0)
     endpoint->born_at_ms = info->born_at_ms;
   endpoint->leaving = info->leaving;
+  place_rate (fleet, endpoint);
   endpoint->whole.cores_milli = MAX (endpoint->whole.cores_milli, info->free.cores_milli);
   endpoint->whole.memory_mb = MAX (endpoint->whole.memory_mb, info->free.memory_mb);
   endpoint->whole.gpus = MAX (endpoint->whole.gpus, info->free.gpus);
@@ -583,7 +588,7 @@
       const endpoint_t *endpoint = value;
       if (!place_is_usable (endpoint, now_ms))
         continue;
-      fleet_offer_t *offer = offer_for (offers, endpoint, place_ratio (fleet, endpoint, now_ms));
+      fleet_offer_t *offer = offer_for (offers, endpoint, place_ratio (endpoint));
       offer->slots += slots_of (&endpoint->whole, &endpoint->used, need);
       offer->slots_all += slots_of (&endpoint->whole, &nothing, need);
     }
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -112,6 +112,12 @@
   return frame_finish (writer);
 }
 
+GBytes *
+fleet_msg_dropped (void)
+{
+  return frame_finish (frame_begin (FLEET_MSG_DROPPED));
+}
+
 GBytes *
 fleet_msg_cancelled (uint64_t batch, bool never_started)
 {
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -80,28 +80,60 @@
 }
 
 double
-place_ratio (const fleet_t *fleet, const endpoint_t *endpoint, int64_t now_ms)
+place_ratio (const endpoint_t *endpoint)
 {
-  (void) now_ms;
-  return pace_ratio (&endpoint->pace, kind_ratio (fleet, endpoint->kind), PRIOR_MS);
+  return endpoint->ratio;
+}
+
+void
+place_rate (const fleet_t *fleet, endpoint_t *endpoint)
+{
+  endpoint->ratio = pace_ratio (&endpoint->pace, kind_ratio (fleet, endpoint->kind), PRIOR_MS);
 }
 
 int64_t
-place_expected_ms (const fleet_t *fleet,
-                   const endpoint_t *endpoint,
-                   const batch_t *batch,
-                   int64_t now_ms)
+place_expected_ms (const endpoint_t *endpoint, const batch_t *batch)
 {
-  return (int64_t) ((double) batch->estimate_ms * place_ratio (fleet, endpoint, now_ms));
+  return (int64_t) ((double) batch->estimate_ms * endpoint->ratio);
+}
+
+int64_t
+place_least_ms (const fleet_t *fleet, const batch_t *batch)
+{
+  if (fleet->usable->len == 0)
+    return INT64_MAX;
+  return (int64_t) ((double) batch->estimate_ms * fleet->least_ratio);
 }
 
 void
-place_learn (fleet_t *fleet, const task_t *task, int64_t elapsed_ms, int64_t now_ms)
+place_prepare (fleet_t *fleet, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_ptr_array_set_size (fleet->usable, 0);
+  g_ptr_array_set_size (fleet->open, 0);
+  fleet->least_ratio = 0;
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      endpoint_t *endpoint = value;
+      if (!place_is_usable (endpoint, now_ms))
+        continue;
+      g_ptr_array_add (fleet->usable, endpoint);
+      if (endpoint->used.cores_milli < endpoint->whole.cores_milli)
+        g_ptr_array_add (fleet->open, endpoint);
+      if (fleet->least_ratio <= 0 || endpoint->ratio < fleet->least_ratio)
+        fleet->least_ratio = endpoint->ratio;
+    }
+}
+
+void
+place_learn (fleet_t *fleet, const task_t *task, int64_t elapsed_ms)
 {
   endpoint_t *endpoint = task->endpoint;
   kind_t *kind = g_hash_table_lookup (fleet->kinds, endpoint->kind);
 
-  (void) now_ms;
   if (task->batch == NULL)
     return;
   if (kind == NULL)
@@ -114,6 +146,7 @@
   double most_ms = RATIO_MAX * estimate_ms;
   pace_add (&endpoint->pace, fmin ((double) elapsed_ms, most_ms), estimate_ms);
   pace_add (&kind->pace, fmin ((double) elapsed_ms, most_ms), estimate_ms);
+  place_rate (fleet, endpoint);
 }
 
 bool
@@ -210,36 +243,54 @@
   return a->left_over < b->left_over;
 }
 
+/* A task that may run anywhere is as well off as on the fastest endpoint. */
+static place_tier_t
+hope_of (const fleet_t *fleet, const task_t *task, int64_t now_ms)
+{
+  const batch_t *batch = task->batch;
+  int64_t least_ms = place_least_ms (fleet, batch);
+
+  if (batch->label[0] == '\0')
+    return least_ms == INT64_MAX
+               ? PLACE_HOPELESS
+               : place_tier (least_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms);
+  place_tier_t best = PLACE_HOPELESS;
+  for (guint i = 0; i < fleet->usable->len; i++)
+    {
+      const endpoint_t *endpoint = fleet->usable->pdata[i];
+      if (place_may_run (endpoint, task))
+        best = MAX (best, place_tier (place_expected_ms (endpoint, batch), now_ms,
+                                      batch->goal_at_ms, batch->deadline_at_ms));
+    }
+  return best;
+}
+
 /* A task does not start where it would be late while an endpoint on which it would be in time
  * may still get free soon enough. */
 endpoint_t *
 place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_tier_t *best_tier)
 {
   const batch_t *batch = task->batch;
-  GHashTableIter iter;
-  void *value = NULL;
   candidate_t best = { 0 };
 
-  *best_tier = PLACE_HOPELESS;
-  g_hash_table_iter_init (&iter, fleet->endpoints);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  *best_tier = hope_of (fleet, task, now_ms);
+  for (guint i = 0; i < fleet->open->len; i++)
     {
-      endpoint_t *endpoint = value;
-      if (!place_is_usable (endpoint, now_ms) || !place_may_run (endpoint, task))
+      endpoint_t *endpoint = fleet->open->pdata[i];
+      if (!room_fits (&endpoint->whole, &endpoint->used, &task->need)
+          || !place_may_run (endpoint, task))
         continue;
       candidate_t one = {
         .endpoint = endpoint,
-        .expected_ms = place_expected_ms (fleet, endpoint, batch, now_ms),
+        .expected_ms = place_expected_ms (endpoint, batch),
         .doubted = outlier_is_doubted (&endpoint->outlier, now_ms)
                    || (task->avoid != NULL && strcmp (task->avoid, endpoint->id) == 0),
         .left_over = left_over (endpoint, &task->need),
       };
       one.tier = place_tier (one.expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms);
-      if (!one.doubted)
-        *best_tier = MAX (*best_tier, one.tier);
-      if (room_fits (&endpoint->whole, &endpoint->used, &task->need) && is_better (&one, &best))
+      if (is_better (&one, &best))
         best = one;
     }
   return best.endpoint != NULL && best.tier >= MIN (*best_tier, PLACE_IN_TIME) ? best.endpoint
-                                                                               : NULL;
+                                                                              : NULL;
 }
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -145,7 +145,7 @@
       task->sent_at_ms = now_ms;
       task->answered_at_ms = now_ms;
       task->percent_at_ms = now_ms;
-      task->expected_ms = place_expected_ms (fleet, endpoint, task->batch, now_ms);
+      task->expected_ms = place_expected_ms (endpoint, task->batch);
       task_attach (task, endpoint);
       /* The owner before may have renewed its lease a moment ago. */
       extend_lease (fleet, endpoint, now_ms);
@@ -217,7 +217,7 @@
   task->answered_at_ms = 0;
   task->percent = 0;
   task->percent_at_ms = now_ms;
-  task->expected_ms = place_expected_ms (fleet, endpoint, task->batch, now_ms);
+  task->expected_ms = place_expected_ms (endpoint, task->batch);
   task_attach (task, endpoint);
   task->lease_there_ms = extend_lease (fleet, endpoint, now_ms);
   action->endpoint = endpoint->id;
@@ -243,13 +243,8 @@
 static bool
 is_hopeless (const fleet_t *fleet, const task_t *task, int64_t now_ms)
 {
-  int64_t least_ms = INT64_MAX;
-  GHashTableIter iter;
-  void *value = NULL;
+  int64_t least_ms = place_least_ms (fleet, task->batch);
 
-  g_hash_table_iter_init (&iter, fleet->endpoints);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    least_ms = MIN (least_ms, place_expected_ms (fleet, value, task->batch, now_ms));
   if (least_ms == INT64_MAX)
     least_ms = task->batch->estimate_ms;
   return now_ms + least_ms * HOPELESS_PERCENT / 100 > task->batch->deadline_at_ms;
@@ -378,7 +373,11 @@
         send_stops (fleet, endpoint, now_ms, actions);
     }
   settle_maybe (fleet, now_ms, actions);
-  start_tasks (fleet, elsewhere, now_ms, actions);
+  if (fleet->queue.length > 0)
+    {
+      place_prepare (fleet, now_ms);
+      start_tasks (fleet, elsewhere, now_ms, actions);
+    }
   g_hash_table_iter_init (&iter, fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (wants_look (value, now_ms))
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -120,6 +120,7 @@
   room_t used;
   outlier_t outlier;
   pace_t pace;
+  double ratio; /* what PACE amounts to */
 };
 
 /* Durations by kind of machine. */
@@ -144,6 +145,10 @@
   outlier_base_t base;
   double failure_rate;
   room_t usual_need;
+  /* For one round (place_prepare ()): */
+  GPtrArray *usable;   /* endpoint_t that may be given tasks */
+  GPtrArray *open;     /* those of them with free cores */
+  double least_ratio;  /* of the usable ones; 0 if there is none */
 };
 
 typedef struct
@@ -157,11 +162,17 @@
 
 /* Placement (place.c). */
 
-/* How long TASK should take on ENDPOINT. */
-int64_t place_expected_ms (const fleet_t *fleet,
-                           const endpoint_t *endpoint,
-                           const batch_t *batch,
-                           int64_t now_ms);
+/* Prepares a round: collects the endpoints that may be given tasks. */
+void place_prepare (fleet_t *fleet, int64_t now_ms);
+
+/* Duration over the caller's estimate on ENDPOINT. */
+double place_ratio (const endpoint_t *endpoint);
+
+/* How long a task of BATCH should take on ENDPOINT. */
+int64_t place_expected_ms (const endpoint_t *endpoint, const batch_t *batch);
+
+/* How long it should take on the fastest endpoint of this round; INT64_MAX if there is none. */
+int64_t place_least_ms (const fleet_t *fleet, const batch_t *batch);
 
 /* True if ENDPOINT may run TASK, were there room. */
 bool place_may_run (const endpoint_t *endpoint, const task_t *task);
@@ -169,15 +180,16 @@
 /* True if ENDPOINT may be given any task now. */
 bool place_is_usable (const endpoint_t *endpoint, int64_t now_ms);
 
-/* Its duration over the caller's estimate. */
-double place_ratio (const fleet_t *fleet, const endpoint_t *endpoint, int64_t now_ms);
-
-/* The endpoint for TASK, or NULL if it has to wait.  *BEST is set to the best that it may wait
- * for. */
-endpoint_t *place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_tier_t *best);
+/* The endpoint of this round for TASK, or NULL if it has to wait.  *BEST is set to the best that
+ * it may wait for. */
+endpoint_t *
+place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_tier_t *best);
 
 /* Takes in that a run of TASK took ELAPSED_MS on its endpoint. */
-void place_learn (fleet_t *fleet, const task_t *task, int64_t elapsed_ms, int64_t now_ms);
+void place_learn (fleet_t *fleet, const task_t *task, int64_t elapsed_ms);
+
+/* Sets the ratio of ENDPOINT by its pace and its kind. */
+void place_rate (const fleet_t *fleet, endpoint_t *endpoint);
 
 bool room_fits (const room_t *whole, const room_t *used, const room_t *need);
 void room_add (room_t *room, const room_t *need, int32_t sign);
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -20,6 +20,11 @@
 #define OWNER_DROPS_MS 900
 /* Owners confirm a cancellation within this time. */
 #define CONFIRM_MS 60
+/* A cancellation is repeated until it is confirmed, since an owner that never heard of it
+ * would let a task run on beside its resubmission; after the second time the owner has
+ * dropped the coordinator by itself. */
+#define CANCEL_RETRY_MS 60
+#define CANCEL_GIVE_UP_MS 3000
 /* Attempts under one owner stay below this number. */
 #define ATTEMPTS_EACH 32
 /* What is asked of callers that are refused. */
@@ -77,6 +82,15 @@
   int32_t waiting;
 } shard_t;
 
+/* A batch that HOST must end. */
+typedef struct
+{
+  uint64_t number;
+  const char *host; /* interned */
+  int64_t due_ms;
+  int64_t until_ms;
+} cancel_t;
+
 struct flow_t
 {
   const char *host;
@@ -86,6 +100,7 @@
   GHashTable *by_id;   /* id -> job_t */
   GHashTable *batches; /* number -> batch_t */
   GHashTable *shards;  /* interned name -> shard_t */
+  GHashTable *cancels; /* number -> cancel_t: not confirmed yet */
   uint64_t last;
 };
 
@@ -136,6 +151,7 @@
   flow->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   flow->batches = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_batch);
   flow->shards = g_hash_table_new_full (NULL, NULL, NULL, free_shard);
+  flow->cancels = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   return flow;
 }
 
@@ -148,6 +164,7 @@
   g_hash_table_unref (flow->batches);
   g_hash_table_unref (flow->jobs);
   g_hash_table_unref (flow->shards);
+  g_hash_table_unref (flow->cancels);
   g_free (flow);
 }
 
@@ -212,15 +229,45 @@
 }
 
 static void
-cancel_batches (job_t *job, GArray *actions)
+send_cancel (cancel_t *cancel, int64_t now_ms, GArray *actions)
+{
+  flow_action_t *action = add (actions, FLOW_CANCEL);
+
+  action->host = cancel->host;
+  action->number = cancel->number;
+  cancel->due_ms = now_ms + CANCEL_RETRY_MS;
+}
+
+static void
+cancel_batches (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
 {
   for (guint i = 0; i < job->batches->len; i++)
     {
       batch_t *batch = job->batches->pdata[i];
+      cancel_t *cancel = g_new0 (cancel_t, 1);
       batch->cancelled = true;
-      flow_action_t *action = add (actions, FLOW_CANCEL);
-      action->host = batch->host;
-      action->number = batch->number;
+      cancel->number = batch->number;
+      cancel->host = batch->host;
+      cancel->until_ms = now_ms + CANCEL_GIVE_UP_MS;
+      g_hash_table_replace (flow->cancels, &cancel->number, cancel);
+      send_cancel (cancel, now_ms, actions);
+    }
+}
+
+static void
+repeat_cancels (flow_t *flow, int64_t now_ms, GArray *actions)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, flow->cancels);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      cancel_t *cancel = value;
+      if (now_ms >= cancel->until_ms)
+        g_hash_table_iter_remove (&iter);
+      else if (now_ms >= cancel->due_ms)
+        send_cancel (cancel, now_ms, actions);
     }
 }
 
@@ -238,7 +285,7 @@
     return;
   job->outcome = outcome;
   job->reason = reason;
-  cancel_batches (job, actions);
+  cancel_batches (flow, job, now_ms, actions);
   if (outcome != FLOW_REFUSED || job->may_have_run || job->batches->len == 0)
     {
       answer (flow, job, now_ms, actions);
@@ -493,11 +540,10 @@
 {
   job_t *job = g_hash_table_lookup (flow->jobs, &number);
 
-  (void) now_ms;
   if (job == NULL)
     return;
   if (!job->ending)
-    cancel_batches (job, actions);
+    cancel_batches (flow, job, now_ms, actions);
   drop_job (flow, job);
 }
 
@@ -572,6 +618,7 @@
 {
   batch_t *batch = batch_of (flow, host, number);
 
+  g_hash_table_remove (flow->cancels, &number);
   if (batch == NULL || !batch->cancelled)
     return;
   job_t *job = batch->job;
@@ -667,6 +714,22 @@
   g_ptr_array_unref (batches);
 }
 
+void
+flow_resync (flow_t *flow, const char *host, int64_t now_ms, GArray *actions)
+{
+  const char *interned = g_intern_string (host);
+  GPtrArray *batches = open_batches (flow);
+
+  for (guint i = 0; i < batches->len; i++)
+    {
+      batch_t *batch = batches->pdata[i];
+      const shard_t *shard = find_shard (flow, batch->shard);
+      if (batch->host == interned && shard->owner != NULL)
+        move_batch (flow, batch, shard, now_ms, actions);
+    }
+  g_ptr_array_unref (batches);
+}
+
 void
 flow_host_lost (flow_t *flow,
                 const char *host,
@@ -760,6 +823,7 @@
   for (GList *at = jobs; at != NULL; at = at->next)
     step_job (flow, at->data, now_ms, actions);
   g_list_free (jobs);
+  repeat_cancels (flow, now_ms, actions);
 }
 
 void
--- a/lib/reactor/loop.c
+++ b/lib/reactor/loop.c
@@ -23,6 +23,9 @@
   struct event_base *base;
   struct event *tick_event;
   struct event *wake_event;
+  struct event *later_event;
+  bool later_due;
+  loop_fn_t later;
   GPtrArray *signal_events;
   int wake_fd;
   loop_fn_t tick;
@@ -43,6 +46,17 @@
   loop->tick (loop->data);
 }
 
+static void
+on_later (evutil_socket_t fd, short what, void *data)
+{
+  loop_t *loop = data;
+
+  (void) fd;
+  (void) what;
+  loop->later_due = false;
+  loop->later (loop->data);
+}
+
 static void
 on_wake (evutil_socket_t fd, short what, void *data)
 {
@@ -92,9 +106,27 @@
   event_add (loop->tick_event, &period);
   loop->wake_event = event_new (loop->base, loop->wake_fd, EV_READ | EV_PERSIST, on_wake, loop);
   event_add (loop->wake_event, NULL);
+  loop->later_event = event_new (loop->base, -1, 0, on_later, loop);
   return loop;
 }
 
+void
+loop_set_later (loop_t *loop, loop_fn_t fn)
+{
+  loop->later = fn;
+}
+
+void
+loop_later (loop_t *loop)
+{
+  struct timeval at_once = { 0 };
+
+  if (loop->later_due)
+    return;
+  loop->later_due = true;
+  event_add (loop->later_event, &at_once);
+}
+
 void
 loop_post (loop_t *loop, loop_fn_t fn, void *data)
 {
@@ -164,6 +196,7 @@
     return;
   event_free (loop->tick_event);
   event_free (loop->wake_event);
+  event_free (loop->later_event);
   g_ptr_array_unref (loop->signal_events);
   event_base_free (loop->base);
   close (loop->wake_fd);
--- a/lib/reactor/loop.h
+++ b/lib/reactor/loop.h
@@ -22,6 +22,10 @@
  * thread. */
 void loop_post (loop_t *loop, loop_fn_t fn, void *data);
 
+/* Calls the function of loop_set_later () once, after the events that are ready now. */
+void loop_later (loop_t *loop);
+void loop_set_later (loop_t *loop, loop_fn_t fn);
+
 /* Calls FN with DATA on the loop's thread when SIGNAL_NUMBER arrives. */
 void loop_on_signal (loop_t *loop, int signal_number, loop_fn_t fn, void *data);
 
--- a/lib/wire/socket.c
+++ b/lib/wire/socket.c
@@ -11,7 +11,7 @@
 #include <unistd.h>
 
 /* A peer that does not acknowledge for this long is disconnected. */
-#define UNACKED_MAX_MS 3000
+#define UNACKED_MAX_MS 1000
 #define LISTEN_BACKLOG 128
 
 socklen_t
--- a/tests/test_fleet_random.c
+++ b/tests/test_fleet_random.c
@@ -621,6 +621,7 @@
   MESSAGE_CANCELLED,
   MESSAGE_END,
   MESSAGE_OFFER,
+  MESSAGE_DROPPED,
   MESSAGE_BEAT
 } message_kind_t;
 
@@ -760,6 +761,9 @@
                       (const fleet_offer_t *) (void *) message->offers->data, message->offers->len,
                       message->waiting, world->now_ms);
           break;
+        case MESSAGE_DROPPED:
+          flow_resync (node->flow, message->from->name, world->now_ms, node->flow_actions);
+          break;
         case MESSAGE_BEAT:
         default:
           crew_heard (node->crew, &message->beat, world->now_ms, node->crew_actions);
@@ -939,6 +943,7 @@
             if (node->owned[k].fleet != NULL)
               fleet_drop_coordinator (node->owned[k].fleet, action.host, world->now_ms,
                                       node->fleet_actions);
+          send_message (message_new (MESSAGE_DROPPED, node, node_named (world, action.host)));
           flow_host_lost (node->flow, action.host, action.heard_at_ms, world->now_ms,
                           node->flow_actions);
           run_flow_actions (node);
