--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -133,11 +133,8 @@
   g_clear_pointer (&owned->told, g_bytes_unref);
   g_hash_table_iter_init (&iter, site->directory);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const decode_entry_t *entry = value;
-      set_endpoint (owned, entry, now_ms);
-      fleet_renew (owned->fleet, entry->endpoint.id);
-    }
+    set_endpoint (owned, value, now_ms);
+  fleet_renew (owned->fleet, now_ms);
 }
 
 void
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -9,6 +9,9 @@
 
 #include <string.h>
 
+/* An owner that is not heard has yielded, or has lost its coordinators, within this time. */
+#define CONTESTED_MS 1000
+
 /* --- names --- */
 
 static char *
@@ -193,17 +196,49 @@
   g_hash_table_remove (fleet->tasks, task->name);
 }
 
+/* True if another owner may have started tasks that are here too, and what it started has not
+ * been seen in full. */
+static bool
+is_contested (const fleet_t *fleet, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const endpoint_t *endpoint = value;
+      if (endpoint->strangers->len > 0 || (!endpoint->looked && now_ms < fleet->contested_to_ms))
+        return true;
+    }
+  return false;
+}
+
+static void
+task_doubt (fleet_t *fleet, task_t *task)
+{
+  task->state = TASK_MAYBE;
+  g_hash_table_add (fleet->maybe, task);
+}
+
 void
 task_requeue (fleet_t *fleet, task_t *task, int64_t now_ms)
 {
+  bool was_maybe = task->state == TASK_MAYBE;
+
   task_detach (task);
-  if (task->state == TASK_MAYBE)
+  if (was_maybe)
     g_hash_table_remove (fleet->maybe, task);
   if (task->batch == NULL)
     {
       g_hash_table_remove (fleet->tasks, task->name);
       return;
     }
+  if (!was_maybe && is_contested (fleet, now_ms))
+    {
+      task_doubt (fleet, task);
+      return;
+    }
   task->state = TASK_WAITING;
   task->queued_at_ms = now_ms;
   queue_add (fleet, task);
@@ -351,13 +386,9 @@
   forget_endpoint (fleet, endpoint);
 }
 
-void
-fleet_renew (fleet_t *fleet, const char *id)
+static void
+endpoint_renew (endpoint_t *endpoint)
 {
-  endpoint_t *endpoint = endpoint_find (fleet, id);
-
-  if (endpoint == NULL)
-    return;
   endpoint->looked = false;
   endpoint->shut_out = false;
   endpoint->term++;
@@ -368,6 +399,24 @@
   endpoint->look_due_ms = 0;
 }
 
+void
+fleet_renew (fleet_t *fleet, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    endpoint_renew (value);
+  fleet->contested_to_ms = now_ms + CONTESTED_MS + fleet->options.lease_ms;
+  while (fleet->queue.length > 0)
+    {
+      task_t *task = g_queue_peek_head (&fleet->queue);
+      g_queue_unlink (&fleet->queue, &task->link);
+      task_doubt (fleet, task);
+    }
+}
+
 /* --- batches --- */
 
 static batch_t *
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -175,8 +175,9 @@
 
 bool fleet_has_endpoint (const fleet_t *fleet, const char *id);
 
-/* The token of the endpoint has changed: what runs there must be seen again. */
-void fleet_renew (fleet_t *fleet, const char *id);
+/* The token has changed: another owner may have been there in between, so that what runs must
+ * be seen again, and what waits may run somewhere. */
+void fleet_renew (fleet_t *fleet, int64_t now_ms);
 
 /* Queues the tasks of BATCH.  A task that is known already, by another batch, is handed
  * over to this one with its run. */
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -140,6 +140,7 @@
   GHashTable *kinds;     /* kind -> kind_t */
   GQueue queue;          /* waiting tasks in the order of their turn */
   GHashTable *maybe;     /* tasks of unknown state: a set */
+  int64_t contested_to_ms; /* until then another owner may still run tasks unseen */
   uint64_t serial;
   outlier_fleet_t outliers;
   outlier_base_t base;
--- a/tests/test_fleet_random.c
+++ b/tests/test_fleet_random.c
@@ -903,8 +903,7 @@
   owned->token = token;
   owned->told_at_ms = 0;
   set_machines (node, zone);
-  for (int i = 0; i < WORLD_ENDPOINTS; i++)
-    fleet_renew (owned->fleet, node->world->machines[i].id);
+  fleet_renew (owned->fleet, node->world->now_ms);
 }
 
 static void
