--- a/daemon/main.c
+++ b/daemon/main.c
@@ -184,7 +184,7 @@
       g_free (message);
       return EXIT_USAGE;
     }
-  log_setup (LOG_LEVEL_INFO, true, settings->host);
+  log_setup (LOG_LEVEL_WARNING, true, settings->host);
   if (site_run (settings) != 0)
     {
       fprintf (stderr, "jaytraild: cannot listen on %s, %s and %s\n", settings->caller_listen,
--- a/daemon/site.c
+++ b/daemon/site.c
@@ -1,15 +1,13 @@
 /* site.c -- jaytraild on the users' machines: one loop that serves callers and owns endpoints
  *
  * Events change the state of the libraries; pump_now () then carries out what they ask for,
- * until nothing is left, once for all events that were ready together.  Actions point into the library that made them, so they are
- * carried out before that library is called again.
+ * until nothing is left, once for all events that were ready together.  Actions point into the
+ * library that made them, so they are carried out before that library is called again.
  */
 #include "daemon/site.h"
 
 #include "base/clock.h"
-#include "base/counter.h"
 #include "base/error.h"
-#include "base/log.h"
 #include "crew/crew_msg.h"
 #include "daemon/site_private.h"
 #include "daemon/version.h"
@@ -17,7 +15,6 @@
 #include <signal.h>
 #include <string.h>
 
-#define PART "site"
 #define TICK_MS 5
 /* A gap between ticks beyond this means that the process stood still. */
 #define STILL_MS 400
@@ -30,9 +27,6 @@
 /* Left for the exit itself before the kill. */
 #define EXIT_SLACK_MS 500
 
-#define NUMBER(buffer, value)                                                                      \
-  (g_snprintf (buffer, sizeof (buffer), "%" G_GINT64_FORMAT, (int64_t) (value)), (buffer))
-
 /* --- jobs --- */
 
 static const char *const outcome_names[] = {
@@ -42,17 +36,54 @@
   [FLOW_GIVEN_UP] = "given_up",
 };
 
+static void
+log_answer (const flow_action_t *action)
+{
+  bool missed = action->outcome != FLOW_COMPLETE || action->late_by_ms > 0;
+
+  metrics_job (action);
+  if (!event_begin (missed ? EVENT_JOB_MISSED : EVENT_JOB_ANSWERED))
+    return;
+  event_text ("job", action->job);
+  event_text ("outcome", outcome_names[action->outcome]);
+  event_number ("elapsed_ms", action->elapsed_ms);
+  event_number ("late_by_ms", action->late_by_ms);
+  if (missed)
+    {
+      event_text ("why", action->reason != NULL ? action->reason : "it ended after its objective");
+      event_number ("tasks", action->tasks);
+      event_number ("left", action->left);
+      event_number ("handovers", action->handovers);
+      event_number ("returns", action->returns);
+      event_text ("owners", action->owners);
+    }
+  event_end ();
+}
+
+static void
+log_batch (const flow_action_t *action)
+{
+  if (!event_begin (action->batch.maybe_running ? EVENT_BATCH_MOVED : EVENT_BATCH_SENT))
+    return;
+  event_text ("job", action->batch.job);
+  event_number ("batch", (int64_t) action->number);
+  event_text ("host", action->host);
+  event_text ("shard", action->shard);
+  event_number ("tasks", action->indexes->len);
+  event_end ();
+}
+
 static void
 run_flow_action (site_t *site, flow_action_t *action)
 {
   int64_t now_ms = clock_boot_ms ();
   bool local = action->host == site->host;
-  char labels[64];
 
   switch (action->kind)
     {
     case FLOW_SUBMIT:
       action->batch.coordinator = site->host;
+      log_batch (action);
       if (local)
         owner_submit (site, action->shard, &action->batch);
       else
@@ -71,8 +102,7 @@
       break;
     case FLOW_ANSWER:
     default:
-      g_snprintf (labels, sizeof labels, "outcome=\"%s\"", outcome_names[action->outcome]);
-      counter_add (counter_get ("jaytrail_jobs_total", labels), 1);
+      log_answer (action);
       door_answer (action->user, action);
       break;
     }
@@ -137,11 +167,8 @@
 static char *
 metrics (void *user)
 {
-  GString *text = g_string_new (NULL);
-
-  (void) user;
-  counter_print (text);
-  return g_string_free (text, FALSE);
+  metrics_state (user, clock_boot_ms ());
+  return metrics_text ();
 }
 
 static const door_ops_t door_ops = {
@@ -154,11 +181,14 @@
 site_take_config (site_t *site, const char *data, size_t size, const char *from)
 {
   queues_t *queues = NULL;
-  char number[32];
 
   if (decode_queues (data, size, &queues) != 0)
     {
-      log_warning (PART, "Configuration not understood.", "from", from, NULL);
+      if (event_begin (EVENT_CONFIGURATION_INVALID))
+        {
+          event_text ("from", from);
+          event_end ();
+        }
       return false;
     }
   if (site->queues != NULL && queues->version <= site->queues->version)
@@ -171,8 +201,13 @@
   g_clear_pointer (&site->queues_data, g_bytes_unref);
   site->queues_data = g_bytes_new (data, size);
   door_configured (site->door);
-  log_info (PART, "Configuration in force.", "version", NUMBER (number, queues->version), "from",
-            from, NULL);
+  if (event_begin (EVENT_CONFIGURATION))
+    {
+      event_number ("version", queues->version);
+      event_text ("from", from);
+      event_number ("queues", queues->queues->len);
+      event_end ();
+    }
   return true;
 }
 
@@ -185,6 +220,18 @@
     peers_beat (site, clock_boot_ms (), true);
 }
 
+static void
+log_endpoint (event_t event, const decode_entry_t *entry)
+{
+  if (!event_begin (event))
+    return;
+  event_text ("endpoint", entry->endpoint.id);
+  event_text ("shard", entry->data_centre);
+  if (event == EVENT_ENDPOINT_FOUND)
+    event_text ("kind", entry->endpoint.kind);
+  event_end ();
+}
+
 static void
 on_entry (const decode_entry_t *entry, void *user)
 {
@@ -196,6 +243,10 @@
   if (before != NULL && before->endpoint.born_at_ms == entry->endpoint.born_at_ms
       && before->sequence > entry->sequence)
     return;
+  if (before == NULL)
+    log_endpoint (EVENT_ENDPOINT_FOUND, entry);
+  else if (entry->endpoint.leaving && !before->endpoint.leaving)
+    log_endpoint (EVENT_ENDPOINT_LEAVING, entry);
   decode_entry_t *copy = g_new0 (decode_entry_t, 1);
   decode_entry_copy (copy, entry);
   /* What was free when nothing ran is the whole room. */
@@ -219,7 +270,7 @@
 
   if (entry == NULL)
     return;
-  log_info (PART, "Endpoint gone.", "endpoint", id, NULL);
+  log_endpoint (EVENT_ENDPOINT_GONE, entry);
   owner_gone (site, id, entry->data_centre);
   g_hash_table_remove (site->directory, id);
 }
@@ -236,7 +287,8 @@
   site_t *site = user;
 
   site->store_reachable = reachable;
-  log_warning (PART, reachable ? "Platform's log regained." : "Platform's log lost.", NULL);
+  if (event_begin (reachable ? EVENT_LOG_REGAINED : EVENT_LOG_LOST))
+    event_end ();
 }
 
 static const store_ops_t store_ops = { on_config, on_entry, on_gone, on_peer, on_reachable };
@@ -253,29 +305,36 @@
 static void
 run_crew_action (site_t *site, const crew_action_t *action, int64_t now_ms)
 {
-  char number[32];
-
   switch (action->kind)
     {
     case CREW_CLAIMED:
-      owner_claimed (site, action->shard, action->token);
+      owner_claimed (site, action->shard, action->token, action->reason);
       peers_beat (site, now_ms, true);
       break;
     case CREW_YIELDED:
-      owner_yielded (site, action->shard);
+      owner_yielded (site, action->shard, action->reason);
       peers_beat (site, now_ms, true);
       break;
     case CREW_OWNER:
-      log_info (PART, "Owner of a shard.", "shard", action->shard, "host",
-                action->host != NULL ? action->host : "none", "token",
-                NUMBER (number, action->token), NULL);
+      if (event_begin (EVENT_SHARD_OWNER))
+        {
+          event_text ("shard", action->shard);
+          event_text ("host", action->host != NULL ? action->host : "nobody");
+          event_number ("token", action->token);
+          event_end ();
+        }
       flow_owner (site->flow, action->shard, action->host, action->token, now_ms,
                   site->flow_actions);
       site_run_flow_actions (site);
       break;
     case CREW_LOST:
-      log_warning (PART, "Host lost.", "host", action->host, "why", action->reason, "silent_ms",
-                   NUMBER (number, now_ms - action->heard_at_ms), NULL);
+      if (event_begin (EVENT_HOST_LOST))
+        {
+          event_text ("host", action->host);
+          event_text ("why", action->reason);
+          event_number ("silent_ms", now_ms - action->heard_at_ms);
+          event_end ();
+        }
       owner_drop_coordinator (site, action->host);
       peers_send (site, action->host, fleet_msg_dropped ());
       flow_host_lost (site->flow, action->host, action->heard_at_ms, now_ms, site->flow_actions);
@@ -283,7 +342,11 @@
       break;
     case CREW_FOUND:
     default:
-      log_info (PART, "Host found.", "host", action->host, NULL);
+      if (event_begin (EVENT_HOST_FOUND))
+        {
+          event_text ("host", action->host);
+          event_end ();
+        }
       break;
     }
 }
@@ -440,9 +503,11 @@
 
   if (site->ticked_at_ms != 0 && now_ms - site->ticked_at_ms > STILL_MS)
     {
-      char number[32];
-      log_warning (PART, "Stood still.", "for_ms", NUMBER (number, now_ms - site->ticked_at_ms),
-                   NULL);
+      if (event_begin (EVENT_STOOD_STILL))
+        {
+          event_number ("for_ms", now_ms - site->ticked_at_ms);
+          event_end ();
+        }
       crew_thawed (site->crew, now_ms, site->crew_actions);
       flow_give_up_all (site->flow, "this host stood still", now_ms, site->flow_actions);
       site_run_flow_actions (site);
@@ -461,10 +526,20 @@
   peers_beat (site, now_ms, false);
   pull_config (site, now_ms);
   probe_orphans (site, now_ms);
+  event_flush (now_ms);
   if (site->leaving)
     stop_if_done (site, now_ms);
 }
 
+static void
+log_jobs (event_t event, const site_t *site)
+{
+  if (!event_begin (event))
+    return;
+  event_number ("jobs", flow_jobs (site->flow));
+  event_end ();
+}
+
 static void
 on_terminate (void *data)
 {
@@ -472,7 +547,7 @@
 
   if (site->leaving)
     return;
-  log_info (PART, "Stopping.", NULL);
+  log_jobs (EVENT_STOPPING, site);
   site->leaving = true;
   site->leaving_from_ms = clock_boot_ms ();
   crew_leave (site->crew);
@@ -486,7 +561,11 @@
 on_hangup (void *data)
 {
   (void) data;
-  log_info (PART, "Settings changed; nothing that is in use has to follow.", NULL);
+  if (event_begin (EVENT_RELOADED))
+    {
+      event_text ("why", "a signal; nothing that is in use has to follow");
+      event_end ();
+    }
 }
 
 int
@@ -496,6 +575,7 @@
   int64_t now_ms = clock_boot_ms ();
 
   signal (SIGPIPE, SIG_IGN);
+  event_setup (settings->host);
   site->settings = settings;
   site->host = g_intern_string (settings->host);
   site->incarnation = (uint64_t) clock_wall_ms () << 16 | g_random_int_range (0, 1 << 16);
@@ -526,9 +606,14 @@
   loop_on_signal (site->loop, SIGTERM, on_terminate, site);
   loop_on_signal (site->loop, SIGINT, on_terminate, site);
   loop_on_signal (site->loop, SIGHUP, on_hangup, site);
-  log_info (PART, "Started.", "version", JAYTRAIL_VERSION, "data_centre", settings->data_centre,
-            NULL);
+  if (event_begin (EVENT_STARTED))
+    {
+      event_text ("version", JAYTRAIL_VERSION);
+      event_text ("data_centre", settings->data_centre);
+      event_end ();
+    }
   loop_run (site->loop);
-  log_info (PART, "Stopped.", NULL);
+  log_jobs (EVENT_STOPPED, site);
+  event_flush (INT64_MAX);
   return 0;
 }
--- /dev/null
+++ b/daemon/site_metrics.c
@@ -0,0 +1,168 @@
+/* site_metrics.c -- counters and latency histograms of a site's host, in the usual text format
+ *
+ * Histograms have fixed bounds, counted cumulatively when they are printed.  Counters are
+ * looked up once.
+ */
+#include "base/counter.h"
+#include "daemon/site_private.h"
+
+static const int64_t bounds_ms[] = { 1, 3, 10, 30, 100, 200, 300, 500, 800, 1200, 1600, 3000 };
+#define BOUNDS G_N_ELEMENTS (bounds_ms)
+
+typedef struct
+{
+  const char *name;
+  const char *help;
+  int64_t counts[BOUNDS + 1]; /* the last: beyond all bounds */
+  int64_t sum_ms;
+} histogram_t;
+
+static histogram_t answer_times = { "jaytrail_answer_ms",
+                                    "From a request to its answer",
+                                    { 0 },
+                                    0 };
+static histogram_t run_times = { "jaytrail_run_ms",
+                                 "From a start order to the end of the run",
+                                 { 0 },
+                                 0 };
+static histogram_t wait_times = { "jaytrail_wait_ms",
+                                  "From the queue to the start order",
+                                  { 0 },
+                                  0 };
+
+static void
+histogram_add (histogram_t *histogram, int64_t value_ms)
+{
+  gsize place = 0;
+
+  while (place < BOUNDS && value_ms > bounds_ms[place])
+    place++;
+  histogram->counts[place]++;
+  histogram->sum_ms += value_ms;
+}
+
+static void
+histogram_print (const histogram_t *histogram, GString *text)
+{
+  int64_t count = 0;
+
+  g_string_append_printf (text, "# HELP %s %s\n# TYPE %s histogram\n", histogram->name,
+                          histogram->help, histogram->name);
+  for (gsize i = 0; i < BOUNDS; i++)
+    {
+      count += histogram->counts[i];
+      g_string_append_printf (text, "%s_bucket{le=\"%" G_GINT64_FORMAT "\"} %" G_GINT64_FORMAT "\n",
+                              histogram->name, bounds_ms[i], count);
+    }
+  count += histogram->counts[BOUNDS];
+  g_string_append_printf (text,
+                          "%s_bucket{le=\"+Inf\"} %" G_GINT64_FORMAT "\n%s_sum %" G_GINT64_FORMAT
+                          "\n%s_count %" G_GINT64_FORMAT "\n",
+                          histogram->name, count, histogram->name, histogram->sum_ms,
+                          histogram->name, count);
+}
+
+static counter_t *
+labelled (const char *name, const char *label, const char *value)
+{
+  char *labels = g_strdup_printf ("%s=\"%s\"", label, value);
+  counter_t *counter = counter_get (name, labels);
+
+  g_free (labels);
+  return counter;
+}
+
+void
+metrics_job (const flow_action_t *answer)
+{
+  static const char *const outcomes[] = {
+    [FLOW_COMPLETE] = "complete",
+    [FLOW_FAILED] = "failed",
+    [FLOW_REFUSED] = "refused",
+    [FLOW_GIVEN_UP] = "given_up",
+  };
+  static counter_t *counters[G_N_ELEMENTS (outcomes)];
+  static counter_t *late;
+
+  if (late == NULL)
+    {
+      late = counter_get ("jaytrail_jobs_late_total", NULL);
+      for (gsize i = 0; i < G_N_ELEMENTS (outcomes); i++)
+        counters[i] = labelled ("jaytrail_jobs_total", "outcome", outcomes[i]);
+    }
+  counter_add (counters[answer->outcome], 1);
+  if (answer->outcome == FLOW_COMPLETE && answer->late_by_ms > 0)
+    counter_add (late, 1);
+  histogram_add (&answer_times, answer->elapsed_ms);
+}
+
+void
+metrics_task (event_t event, int64_t elapsed_ms)
+{
+  static counter_t *counters[EVENT_LAST + 1];
+
+  if (counters[event] == NULL)
+    counters[event] = labelled ("jaytrail_events_total", "event", event_row (event)->name);
+  counter_add (counters[event], 1);
+  if (event == EVENT_TASK_DONE)
+    histogram_add (&run_times, elapsed_ms);
+}
+
+void
+metrics_wait (int64_t waited_ms)
+{
+  static counter_t *starts;
+
+  if (starts == NULL)
+    starts = counter_get ("jaytrail_starts_total", NULL);
+  counter_add (starts, 1);
+  histogram_add (&wait_times, waited_ms);
+}
+
+static void
+set (const char *name, int64_t value)
+{
+  counter_set (counter_get (name, NULL), value);
+}
+
+void
+metrics_state (site_t *site, int64_t now_ms)
+{
+  fleet_totals_t sum = { 0 };
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, site->owned);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      fleet_totals_t one = fleet_totals (((owned_t *) value)->fleet, now_ms);
+      sum.endpoints += one.endpoints;
+      sum.endpoints_ready += one.endpoints_ready;
+      sum.running += one.running;
+      sum.waiting += one.waiting;
+    }
+  set ("jaytrail_endpoints_known", g_hash_table_size (site->directory));
+  set ("jaytrail_endpoints_owned", sum.endpoints);
+  set ("jaytrail_endpoints_usable", sum.endpoints_ready);
+  set ("jaytrail_tasks_running", sum.running);
+  set ("jaytrail_tasks_waiting", sum.waiting);
+  set ("jaytrail_shards_owned", g_hash_table_size (site->owned));
+  set ("jaytrail_jobs_open", flow_jobs (site->flow));
+  set ("jaytrail_hosts_heard", crew_hosts (site->crew, now_ms));
+  set ("jaytrail_configuration_version", site->queues != NULL ? site->queues->version : 0);
+  set ("jaytrail_log_reachable", site->store_reachable);
+  set ("jaytrail_lines_written_total", event_written ());
+  set ("jaytrail_lines_left_out_total", event_left_out ());
+}
+
+char *
+metrics_text (void)
+{
+  GString *text = g_string_new (NULL);
+
+  counter_print (text);
+  histogram_print (&answer_times, text);
+  histogram_print (&run_times, text);
+  histogram_print (&wait_times, text);
+  return g_string_free (text, FALSE);
+}
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -3,20 +3,114 @@
 
 #include "base/clock.h"
 #include "base/counter.h"
-#include "base/log.h"
+#include "base/event.h"
 
 #include <string.h>
 
-#define PART "owner"
 /* Offers are told no more often than this for each host that hears them, and no less often
  * than that. */
 #define OFFER_MIN_MS 15
 #define OFFER_EACH_MS 2
 #define OFFER_MAX_MS 300
 
-/* Text of a number, for the fields of logs. */
-#define NUMBER(buffer, value)                                                                      \
-  (g_snprintf (buffer, sizeof (buffer), "%" G_GINT64_FORMAT, (int64_t) (value)), (buffer))
+/* The event of each note of a fleet, and which of its figures are told. */
+static const struct
+{
+  event_t event;
+  bool task;
+  bool elapsed;
+  bool expected;
+  bool percent;
+} notes[] = {
+  [FLEET_NOTE_DONE] = { EVENT_TASK_DONE, true, true, true, false },
+  [FLEET_NOTE_FAILED] = { EVENT_TASK_FAILED, true, true, false, false },
+  [FLEET_NOTE_LAPSED] = { EVENT_TASK_LAPSED, true, true, false, false },
+  [FLEET_NOTE_HUNG] = { EVENT_TASK_HUNG, true, true, false, true },
+  [FLEET_NOTE_MOVED] = { EVENT_TASK_MOVED, true, true, false, true },
+  [FLEET_NOTE_CUT] = { EVENT_TASK_CUT, true, true, true, true },
+  [FLEET_NOTE_ADOPTED] = { EVENT_TASK_ADOPTED, true, false, false, false },
+  [FLEET_NOTE_REFUSED] = { EVENT_ORDER_REFUSED, true, false, false, false },
+  [FLEET_NOTE_UNANSWERED] = { EVENT_ORDER_UNANSWERED, true, false, false, false },
+  [FLEET_NOTE_SILENT] = { EVENT_ENDPOINT_SILENT, false, false, false, false },
+  [FLEET_NOTE_HEARD] = { EVENT_ENDPOINT_HEARD, false, false, false, false },
+  [FLEET_NOTE_REBORN] = { EVENT_ENDPOINT_REBORN, false, false, false, false },
+  [FLEET_NOTE_EJECTED] = { EVENT_ENDPOINT_EJECTED, false, false, false, false },
+  [FLEET_NOTE_READMITTED] = { EVENT_ENDPOINT_READMITTED, false, false, false, false },
+};
+
+static void
+log_note (const fleet_action_t *action)
+{
+  event_t event = notes[action->note].event;
+
+  metrics_task (event, action->elapsed_ms);
+  if (!event_begin (event))
+    return;
+  event_text ("endpoint", action->endpoint);
+  if (notes[action->note].task)
+    {
+      event_text ("task", action->task);
+      event_number ("attempt", action->attempt);
+    }
+  if (notes[action->note].elapsed)
+    event_number ("elapsed_ms", action->elapsed_ms);
+  if (notes[action->note].expected)
+    event_number ("expected_ms", action->expected_ms);
+  if (notes[action->note].percent)
+    event_number ("percent", action->percent);
+  if (event == EVENT_ENDPOINT_SILENT || event == EVENT_ENDPOINT_REBORN)
+    event_number ("runs", action->count);
+  if (event == EVENT_ENDPOINT_HEARD)
+    event_number ("silent_ms", action->elapsed_ms);
+  if (event == EVENT_ORDER_REFUSED)
+    event_text ("why", action->reason);
+  event_end ();
+}
+
+static void
+log_start (const fleet_action_t *action)
+{
+  metrics_wait (action->elapsed_ms);
+  if (!event_begin (EVENT_TASK_STARTED))
+    return;
+  event_text ("task", action->task);
+  event_number ("attempt", action->attempt);
+  event_text ("endpoint", action->endpoint);
+  event_number ("expected_ms", action->expected_ms);
+  event_number ("waited_ms", action->elapsed_ms);
+  event_end ();
+}
+
+static void
+log_queue (const fleet_action_t *action)
+{
+  bool expired = action->kind == FLEET_EXPIRED;
+
+  if ((!expired && action->kind != FLEET_RETURNED)
+      || !event_begin (expired ? EVENT_TASK_EXPIRED : EVENT_TASK_RETURNED))
+    return;
+  event_text ("task", action->task);
+  event_number ("waited_ms", action->elapsed_ms);
+  if (expired)
+    {
+      event_number ("least_ms", action->expected_ms);
+      event_number ("usable", action->count);
+      event_number ("waiting", action->waiting);
+    }
+  event_end ();
+}
+
+static void
+log_shard (event_t event, const char *shard, const char *why, int64_t token)
+{
+  if (!event_begin (event))
+    return;
+  event_text ("shard", shard);
+  event_text ("why", why);
+  if (event == EVENT_SHARD_CLAIMED)
+    event_number ("token", token);
+  event_end ();
+}
 
 static owned_t *
 find_owned (const site_t *site, const char *shard)
@@ -40,16 +134,28 @@
       switch (action->kind)
         {
         case FLEET_START:
+          log_start (action);
+          orders_send (owned->orders, action, owned->token, now_ms);
+          break;
+        case FLEET_NOTE:
+          log_note (action);
+          break;
         case FLEET_STOP:
         case FLEET_LOOK:
           orders_send (owned->orders, action, owned->token, now_ms);
           break;
         case FLEET_SHUT_OUT:
-          log_warning (PART, "Shut out by an endpoint.", "endpoint", action->endpoint, "shard",
-                       owned->name, NULL);
+          if (event_begin (EVENT_ENDPOINT_SHUT_OUT))
+            {
+              event_text ("endpoint", action->endpoint);
+              event_text ("shard", owned->name);
+              event_number ("token", owned->token);
+              event_end ();
+            }
           crew_shut_out (site->crew, owned->name, now_ms, clock_wall_ms (), site->crew_actions);
           break;
         default:
+          log_queue (action);
           g_array_append_val (site->ends, told);
           break;
         }
@@ -66,14 +172,12 @@
   site_pump (owned->site);
 }
 
-
 static void
 on_started (uint64_t serial, fleet_answer_t answer, int64_t clock_there_ms, void *user)
 {
   owned_t *owned = user;
 
-  fleet_started (owned->fleet, serial, answer, clock_there_ms, clock_boot_ms (),
-                 owned->actions);
+  fleet_started (owned->fleet, serial, answer, clock_there_ms, clock_boot_ms (), owned->actions);
   carry_on (owned, clock_boot_ms ());
 }
 
@@ -82,8 +186,7 @@
 {
   owned_t *owned = user;
 
-  fleet_stopped (owned->fleet, serial, answer, clock_there_ms, clock_boot_ms (),
-                 owned->actions);
+  fleet_stopped (owned->fleet, serial, answer, clock_there_ms, clock_boot_ms (), owned->actions);
   carry_on (owned, clock_boot_ms ());
 }
 
@@ -108,15 +211,14 @@
 }
 
 void
-owner_claimed (site_t *site, const char *shard, int64_t token)
+owner_claimed (site_t *site, const char *shard, int64_t token, const char *why)
 {
   owned_t *owned = find_owned (site, shard);
   int64_t now_ms = clock_boot_ms ();
   GHashTableIter iter;
   void *value = NULL;
-  char number[32];
 
-  log_info (PART, "Shard claimed.", "shard", shard, "token", NUMBER (number, token), NULL);
+  log_shard (EVENT_SHARD_CLAIMED, shard, why, token);
   if (owned == NULL)
     {
       fleet_options_t options = { site->settings->lease_ms, site->settings->stop_ms };
@@ -138,13 +240,13 @@
 }
 
 void
-owner_yielded (site_t *site, const char *shard)
+owner_yielded (site_t *site, const char *shard, const char *why)
 {
   owned_t *owned = find_owned (site, shard);
 
   if (owned == NULL)
     return;
-  log_info (PART, "Shard yielded.", "shard", shard, NULL);
+  log_shard (EVENT_SHARD_YIELDED, shard, why, 0);
   /* Orders that are on their way still refer to it: it stays, empty. */
   fleet_yield_all (owned->fleet);
   g_hash_table_steal (site->owned, owned->name);
@@ -182,6 +284,7 @@
   if (owned == NULL)
     return;
   fleet_drop_endpoint (owned->fleet, id, clock_boot_ms (), owned->actions);
+  run_actions (owned, clock_boot_ms ());
   owned->dirty = true;
 }
 
@@ -218,8 +321,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       owned_t *owned = value;
-      never |=
-          fleet_cancel (owned->fleet, coordinator, batch, clock_boot_ms (), owned->actions);
+      never |= fleet_cancel (owned->fleet, coordinator, batch, clock_boot_ms (), owned->actions);
       owned->dirty = true;
     }
   return never;
@@ -235,7 +337,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       owned_t *owned = value;
-      fleet_drop_coordinator (owned->fleet, coordinator, clock_boot_ms (), owned->actions);
+      int64_t now_ms = clock_boot_ms ();
+      fleet_drop_coordinator (owned->fleet, coordinator, now_ms, owned->actions);
+      run_actions (owned, now_ms);
       owned->dirty = true;
     }
 }
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -2,11 +2,9 @@
 #include "daemon/site_private.h"
 
 #include "base/clock.h"
-#include "base/error.h"
-#include "base/log.h"
+#include "base/counter.h"
 #include "crew/crew_msg.h"
 
-#define PART "peers"
 /* Hosts are heard this often: those of the own data centre, and others where there are many. */
 #define BEAT_MS 100
 #define BEAT_FAR_MS 250
@@ -15,8 +13,8 @@
 typedef struct
 {
   site_t *site;
-  const char *host; /* interned */
-  GBytes *frame;    /* NULL for a change of the connection */
+  const char *host;        /* interned */
+  GBytes *frame;           /* NULL for a change of the connection */
   const char *data_centre; /* interned; with UP */
   bool up;
 } arrival_t;
@@ -148,14 +146,10 @@
   int type;
   void (*read) (site_t *site, const char *host, frame_reader_t *reader);
 } readers[] = {
-  { FLEET_MSG_SUBMIT, read_submit },
-  { FLEET_MSG_CANCEL, read_cancel },
-  { FLEET_MSG_ENDS, read_ends },
-  { FLEET_MSG_CANCELLED, read_cancelled },
-  { FLEET_MSG_OFFER, read_offer },
-  { FLEET_MSG_DROPPED, read_dropped },
-  { CREW_MSG_BEAT, read_beat },
-  { CREW_MSG_CONFIG_PULL, read_config_pull },
+  { FLEET_MSG_SUBMIT, read_submit }, { FLEET_MSG_CANCEL, read_cancel },
+  { FLEET_MSG_ENDS, read_ends },     { FLEET_MSG_CANCELLED, read_cancelled },
+  { FLEET_MSG_OFFER, read_offer },   { FLEET_MSG_DROPPED, read_dropped },
+  { CREW_MSG_BEAT, read_beat },      { CREW_MSG_CONFIG_PULL, read_config_pull },
   { CREW_MSG_CONFIG, read_config },
 };
 
@@ -189,8 +183,7 @@
     }
   else if (arrival->up)
     {
-      g_hash_table_replace (site->connected, (void *) arrival->host,
-                            (void *) arrival->data_centre);
+      g_hash_table_replace (site->connected, (void *) arrival->host, (void *) arrival->data_centre);
       peers_beat (site, clock_boot_ms (), true);
       resync (site, arrival->host);
     }
@@ -259,9 +252,9 @@
 void
 peers_send (site_t *site, const char *host, GBytes *frame)
 {
-  /* What can't be sent is noticed by silence: the connection is down. */
+  /* What can't be sent is made good when the connection is back, or the host is lost. */
   if (net_send (site->net, host, frame) != 0)
-    log_debug (PART, "Frame not sent.", "host", host, NULL);
+    counter_add (counter_get ("jaytrail_frames_unsent_total", NULL), 1);
 }
 
 void
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -2,6 +2,7 @@
 #ifndef DAEMON_SITE_PRIVATE_H
 #define DAEMON_SITE_PRIVATE_H
 
+#include "base/event.h"
 #include "crew/crew.h"
 #include "fleet/fleet.h"
 #include "fleet/fleet_msg.h"
@@ -26,8 +27,8 @@
   fleet_t *fleet;
   orders_t *orders;
   GArray *actions; /* fleet_action_t */
-  bool dirty;   /* something happened since its last round */
-  GBytes *told; /* the offer that was sent last */
+  bool dirty;      /* something happened since its last round */
+  GBytes *told;    /* the offer that was sent last */
   int64_t told_at_ms;
 } owned_t;
 
@@ -75,8 +76,8 @@
 void site_run_flow_actions (site_t *site);
 
 /* site_owner.c */
-void owner_claimed (site_t *site, const char *shard, int64_t token);
-void owner_yielded (site_t *site, const char *shard);
+void owner_claimed (site_t *site, const char *shard, int64_t token, const char *why);
+void owner_yielded (site_t *site, const char *shard, const char *why);
 void owner_entry (site_t *site, const decode_entry_t *entry);
 void owner_gone (site_t *site, const char *id, const char *data_centre);
 void owner_submit (site_t *site, const char *shard, const fleet_batch_t *batch);
@@ -88,6 +89,14 @@
 void owner_tell_offers (site_t *site, int64_t now_ms);
 void owner_free (void *owned);
 
+/* site_metrics.c: counters and latency histograms, served in the usual text format. */
+void metrics_job (const flow_action_t *answer);
+void metrics_task (event_t event, int64_t elapsed_ms);
+void metrics_wait (int64_t waited_ms);
+void metrics_state (site_t *site, int64_t now_ms);
+/* Text of all; the caller frees it. */
+char *metrics_text (void);
+
 /* site_peers.c */
 int peers_start (site_t *site);
 void peers_send (site_t *site, const char *host, GBytes *frame);
--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -23,8 +23,15 @@
 #define UNHEALTHY_MS 300
 
 static void
-heard (endpoint_t *endpoint, int64_t clock_there_ms, int64_t now_ms)
+heard (fleet_t *fleet,
+       endpoint_t *endpoint,
+       int64_t clock_there_ms,
+       int64_t now_ms,
+       GArray *actions)
 {
+  if (endpoint->silent_from_ms != 0)
+    note (fleet, actions, FLEET_NOTE_HEARD, endpoint, NULL, now_ms)->elapsed_ms =
+        now_ms - endpoint->silent_from_ms;
   endpoint->heard_at_ms = now_ms;
   endpoint->silent_from_ms = 0;
   if (clock_there_ms == 0)
@@ -35,10 +42,16 @@
 }
 
 static void
-not_heard (endpoint_t *endpoint, int64_t sent_at_ms)
+not_heard (fleet_t *fleet,
+           endpoint_t *endpoint,
+           int64_t sent_at_ms,
+           int64_t now_ms,
+           GArray *actions)
 {
-  if (endpoint->silent_from_ms == 0)
-    endpoint->silent_from_ms = MAX (sent_at_ms, 1);
+  if (endpoint->silent_from_ms != 0)
+    return;
+  endpoint->silent_from_ms = MAX (sent_at_ms, 1);
+  note (fleet, actions, FLEET_NOTE_SILENT, endpoint, NULL, now_ms);
 }
 
 /* A call under a token that is no longer this owner's says nothing. */
@@ -89,18 +102,33 @@
 }
 
 static void
-judge (fleet_t *fleet, endpoint_t *endpoint, bool failed, int64_t now_ms)
+judge (fleet_t *fleet, endpoint_t *endpoint, bool failed, int64_t now_ms, GArray *actions)
 {
-  outlier_outcome (&endpoint->outlier, &fleet->outliers, &fleet->base, failed, now_ms);
+  if (outlier_outcome (&endpoint->outlier, &fleet->outliers, &fleet->base, failed, now_ms))
+    note (fleet, actions,
+          endpoint->outlier.state == OUTLIER_OUT ? FLEET_NOTE_EJECTED : FLEET_NOTE_READMITTED,
+          endpoint, NULL, now_ms);
 }
 
 static void
 fail_task (fleet_t *fleet, task_t *task, const char *reason, GArray *actions)
 {
-  tell (actions, FLEET_FAILED, task, reason);
+  tell (fleet, actions, FLEET_FAILED, task, reason);
   task_end (fleet, task);
 }
 
+static const char *const refusals[] = {
+  [FLEET_OK] = "",
+  [FLEET_NO_ROOM] = "it has no room",
+  [FLEET_OLD] = "a later attempt was there",
+  [FLEET_LATE] = "the lease had run out on arrival",
+  [FLEET_BAD_TOKEN] = "it obeys another owner",
+  [FLEET_UNHEALTHY] = "it can't be reached, or says that it is unhealthy",
+  [FLEET_INVALID] = "the order is malformed",
+  [FLEET_GONE] = "it is another endpoint by now",
+  [FLEET_UNKNOWN] = "no answer",
+};
+
 void
 fleet_started (fleet_t *fleet,
                uint64_t serial,
@@ -111,6 +139,7 @@
 {
   call_t *call = take_call (fleet, serial);
 
+  names_clear (fleet);
   if (call == NULL)
     return;
   endpoint_t *endpoint = endpoint_find (fleet, call->endpoint);
@@ -120,7 +149,7 @@
   if (endpoint == NULL)
     return;
   if (answer != FLEET_UNKNOWN && answer != FLEET_GONE)
-    heard (endpoint, clock_there_ms, now_ms);
+    heard (fleet, endpoint, clock_there_ms, now_ms, actions);
   if (task == NULL)
     return;
   switch (answer)
@@ -135,15 +164,16 @@
         }
       return;
     case FLEET_UNKNOWN:
-      not_heard (endpoint, task->sent_at_ms);
+      not_heard (fleet, endpoint, task->sent_at_ms, now_ms, actions);
       if (task->state == TASK_STARTING)
         {
+          note (fleet, actions, FLEET_NOTE_UNANSWERED, endpoint, task, now_ms);
           task->state = TASK_UNSURE;
           endpoint->look_due_ms = now_ms;
         }
       return;
     case FLEET_GONE:
-      not_heard (endpoint, task->sent_at_ms);
+      not_heard (fleet, endpoint, task->sent_at_ms, now_ms, actions);
       break;
     case FLEET_NO_ROOM:
       endpoint->full_until_ms = now_ms + FULL_MS;
@@ -153,7 +183,7 @@
       break;
     case FLEET_UNHEALTHY:
       endpoint->full_until_ms = now_ms + UNHEALTHY_MS;
-      judge (fleet, endpoint, true, now_ms);
+      judge (fleet, endpoint, true, now_ms, actions);
       break;
     case FLEET_INVALID:
       fail_task (fleet, task, "endpoint refuses the order as malformed", actions);
@@ -163,8 +193,8 @@
     default:
       break;
     }
-  if (endpoint->outlier.probing)
-    endpoint->outlier.probing = false;
+  endpoint->outlier.probing = false;
+  note (fleet, actions, FLEET_NOTE_REFUSED, endpoint, task, now_ms)->reason = refusals[answer];
   unstart (fleet, task, now_ms);
 }
 
@@ -178,6 +208,7 @@
 {
   call_t *call = take_call (fleet, serial);
 
+  names_clear (fleet);
   if (call == NULL)
     return;
   endpoint_t *endpoint = endpoint_find (fleet, call->endpoint);
@@ -188,10 +219,10 @@
     return;
   if (answer == FLEET_UNKNOWN || answer == FLEET_GONE)
     {
-      not_heard (endpoint, now_ms);
+      not_heard (fleet, endpoint, now_ms, now_ms, actions);
       return;
     }
-  heard (endpoint, clock_there_ms, now_ms);
+  heard (fleet, endpoint, clock_there_ms, now_ms, actions);
   if (answer == FLEET_BAD_TOKEN)
     shut_out (endpoint, term, actions);
   if (answer == FLEET_OK && task != NULL && task->state == TASK_STOPPING)
@@ -224,17 +255,21 @@
   if (how == RUN_DONE)
     {
       int64_t elapsed_ms = now_ms - task->sent_at_ms;
-      judge (fleet, endpoint, false, now_ms);
+      judge (fleet, endpoint, false, now_ms, actions);
       if (task->answered_at_ms != 0)
         place_learn (fleet, task, elapsed_ms);
-      tell (actions, FLEET_DONE, task, NULL);
+      note (fleet, actions, FLEET_NOTE_DONE, endpoint, task, now_ms);
+      tell (fleet, actions, FLEET_DONE, task, NULL);
       task_end (fleet, task);
       return;
     }
+  if (how == RUN_LAPSED || how == RUN_OTHER)
+    note (fleet, actions, FLEET_NOTE_LAPSED, endpoint, task, now_ms);
   if (how == RUN_FAILED)
     {
+      note (fleet, actions, FLEET_NOTE_FAILED, endpoint, task, now_ms);
       task->failures++;
-      judge (fleet, endpoint, true, now_ms);
+      judge (fleet, endpoint, true, now_ms, actions);
       g_free (task->avoid);
       task->avoid = g_strdup (endpoint->id);
       if (task->batch != NULL && task->failures >= task->batch->attempts_max)
@@ -354,8 +389,7 @@
 {
   const batch_t *batch = task->batch;
 
-  if (batch == NULL || task->percent < MOVE_PERCENT_MIN || task->percent >= 100
-      || task->moved)
+  if (batch == NULL || task->percent < MOVE_PERCENT_MIN || task->percent >= 100 || task->moved)
     return false;
   double elapsed_ms = (double) (now_ms - task->sent_at_ms);
   double whole_ms = 100.0 * elapsed_ms / task->percent;
@@ -372,7 +406,8 @@
             endpoint_t *endpoint,
             const look_t *look,
             int64_t sent_at_ms,
-            int64_t now_ms)
+            int64_t now_ms,
+            GArray *actions)
 {
   for (guint i = endpoint->runs->len; i-- > 0;)
     {
@@ -383,12 +418,14 @@
           int64_t patience_ms = MAX (HANG_MIN_MS, task->expected_ms);
           if (task->state == TASK_RUNNING && still_ms > patience_ms)
             {
-              judge (fleet, endpoint, true, now_ms);
+              judge (fleet, endpoint, true, now_ms, actions);
+              note (fleet, actions, FLEET_NOTE_HUNG, endpoint, task, now_ms);
               task_replace (task, now_ms);
             }
           else if (task->state == TASK_RUNNING && should_move (fleet, task, now_ms))
             {
               task->moved = true;
+              note (fleet, actions, FLEET_NOTE_MOVED, endpoint, task, now_ms);
               task_replace (task, now_ms);
             }
         }
@@ -423,6 +460,7 @@
 {
   call_t *call = take_call (fleet, serial);
 
+  names_clear (fleet);
   if (call == NULL)
     return;
   endpoint_t *endpoint = endpoint_find (fleet, call->endpoint);
@@ -434,26 +472,27 @@
   endpoint->look_out = false;
   if (answer == FLEET_BAD_TOKEN)
     {
-      heard (endpoint, 0, now_ms);
+      heard (fleet, endpoint, 0, now_ms, actions);
       shut_out (endpoint, term, actions);
       return;
     }
   if (answer != FLEET_OK)
     {
-      not_heard (endpoint, sent_at_ms);
+      not_heard (fleet, endpoint, sent_at_ms, now_ms, actions);
       return;
     }
   if (look->born_at_ms != 0 && endpoint->born_at_ms != 0 && look->born_at_ms > endpoint->born_at_ms)
     {
+      note (fleet, actions, FLEET_NOTE_REBORN, endpoint, NULL, now_ms);
       endpoint_reborn (fleet, endpoint, now_ms);
       endpoint->born_at_ms = look->born_at_ms;
     }
-  heard (endpoint, look->clock_there_ms, now_ms);
+  heard (fleet, endpoint, look->clock_there_ms, now_ms, actions);
   endpoint->looked = true;
   endpoint->look_due_ms = now_ms;
   for (size_t i = 0; i < look->active_count; i++)
     note_active (endpoint, &look->active[i], now_ms);
   drop_absent_strangers (endpoint);
   take_ends (fleet, endpoint, look, now_ms, actions);
-  check_runs (fleet, endpoint, look, sent_at_ms, now_ms);
+  check_runs (fleet, endpoint, look, sent_at_ms, now_ms, actions);
 }
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -12,6 +12,8 @@
 /* An owner that is not heard has yielded, or has lost its coordinators, within this time. */
 #define CONTESTED_MS 1000
 
+#define NAMES_BYTES 4096
+
 /* --- names --- */
 
 static char *
@@ -100,6 +102,7 @@
   fleet->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_call);
   fleet->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_kind);
   fleet->maybe = g_hash_table_new (NULL, NULL);
+  fleet->names = g_string_chunk_new (NAMES_BYTES);
   fleet->usable = g_ptr_array_new ();
   fleet->open = g_ptr_array_new ();
   g_queue_init (&fleet->queue);
@@ -112,6 +115,7 @@
   if (fleet == NULL)
     return;
   g_hash_table_unref (fleet->maybe);
+  g_string_chunk_free (fleet->names);
   g_ptr_array_unref (fleet->usable);
   g_ptr_array_unref (fleet->open);
   g_hash_table_unref (fleet->calls);
@@ -253,17 +257,52 @@
   return &g_array_index (actions, fleet_action_t, actions->len - 1);
 }
 
-void
-tell (GArray *actions, fleet_action_kind_t kind, const task_t *task, const char *reason)
+fleet_action_t *
+tell (fleet_t *fleet,
+      GArray *actions,
+      fleet_action_kind_t kind,
+      const task_t *task,
+      const char *reason)
 {
   if (task->batch == NULL)
-    return;
+    return NULL;
   fleet_action_t *action = action_add (actions, kind);
   action->coordinator = task->batch->coordinator;
   action->batch = task->batch->number;
+  action->task = g_string_chunk_insert (fleet->names, task->name);
   action->index = task->index;
   action->attempt = task->attempt;
   action->reason = reason;
+  return action;
+}
+
+fleet_action_t *
+note (fleet_t *fleet,
+      GArray *actions,
+      fleet_note_t kind,
+      const endpoint_t *endpoint,
+      const task_t *task,
+      int64_t now_ms)
+{
+  fleet_action_t *action = action_add (actions, FLEET_NOTE);
+
+  action->note = kind;
+  action->endpoint = g_string_chunk_insert (fleet->names, endpoint->id);
+  action->count = (int32_t) endpoint->runs->len;
+  if (task == NULL)
+    return action;
+  action->task = g_string_chunk_insert (fleet->names, task->name);
+  action->attempt = task->attempt;
+  action->elapsed_ms = now_ms - task->sent_at_ms;
+  action->expected_ms = task->expected_ms;
+  action->percent = task->percent;
+  return action;
+}
+
+void
+names_clear (fleet_t *fleet)
+{
+  g_string_chunk_clear (fleet->names);
 }
 
 /* Must it end: from now on its run, if there is one, is being stopped. */
@@ -366,9 +405,10 @@
 {
   endpoint_t *endpoint = endpoint_find (fleet, id);
 
-  (void) actions;
   if (endpoint == NULL)
     return;
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    note (fleet, actions, FLEET_NOTE_LAPSED, endpoint, endpoint->runs->pdata[i], now_ms);
   while (endpoint->runs->len > 0)
     task_requeue (fleet, endpoint->runs->pdata[endpoint->runs->len - 1], now_ms);
   forget_endpoint (fleet, endpoint);
@@ -509,8 +549,9 @@
     }
 }
 
+/* ACTIONS may be NULL: nothing is told. */
 static bool
-cancel_batch (fleet_t *fleet, batch_t *batch, int64_t now_ms)
+cancel_batch (fleet_t *fleet, batch_t *batch, int64_t now_ms, GArray *actions)
 {
   bool never = !batch->ever_started;
   GPtrArray *tasks = g_ptr_array_copy (batch->tasks, NULL, NULL);
@@ -523,6 +564,8 @@
         task_end (fleet, task);
       else
         {
+          if (actions != NULL && task->state != TASK_STOPPING)
+            note (fleet, actions, FLEET_NOTE_CUT, task->endpoint, task, now_ms);
           task_stop (task, now_ms);
           leave_batch (fleet, task);
         }
@@ -541,9 +584,8 @@
   char *key = batch_key (coordinator, number);
   batch_t *batch = g_hash_table_lookup (fleet->batches, key);
 
-  (void) actions;
   g_free (key);
-  return batch != NULL && cancel_batch (fleet, batch, now_ms);
+  return batch != NULL && cancel_batch (fleet, batch, now_ms, actions);
 }
 
 static GPtrArray *
@@ -565,9 +607,8 @@
 {
   GPtrArray *batches = batches_of (fleet, coordinator);
 
-  (void) actions;
   for (guint i = 0; i < batches->len; i++)
-    cancel_batch (fleet, batches->pdata[i], now_ms);
+    cancel_batch (fleet, batches->pdata[i], now_ms, actions);
   g_ptr_array_unref (batches);
 }
 
@@ -586,7 +627,7 @@
   g_ptr_array_unref (ids);
   GPtrArray *batches = batches_of (fleet, NULL);
   for (guint i = 0; i < batches->len; i++)
-    cancel_batch (fleet, batches->pdata[i], 0);
+    cancel_batch (fleet, batches->pdata[i], 0, NULL);
   g_ptr_array_unref (batches);
 }
 
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -80,9 +80,29 @@
   FLEET_FAILED,   /* likewise: it has failed as often as is allowed, or can't run */
   FLEET_RETURNED, /* likewise: it never started, and is no longer queued here */
   FLEET_EXPIRED,  /* likewise: it never started, and can't end before its deadline */
-  FLEET_SHUT_OUT  /* the endpoint obeys a higher token */
+  FLEET_SHUT_OUT, /* the endpoint obeys a higher token */
+  FLEET_NOTE      /* for the log: what was decided, and by what */
 } fleet_action_kind_t;
 
+/* What a FLEET_NOTE tells, and which figures go with it. */
+typedef enum
+{
+  FLEET_NOTE_DONE,   /* elapsed, expected */
+  FLEET_NOTE_FAILED, /* elapsed */
+  FLEET_NOTE_LAPSED, /* elapsed */
+  FLEET_NOTE_HUNG,   /* elapsed, percent */
+  FLEET_NOTE_MOVED,  /* elapsed, percent */
+  FLEET_NOTE_CUT,    /* elapsed, expected, percent */
+  FLEET_NOTE_ADOPTED,
+  FLEET_NOTE_REFUSED, /* reason */
+  FLEET_NOTE_UNANSWERED,
+  FLEET_NOTE_SILENT, /* runs, as count */
+  FLEET_NOTE_HEARD,  /* elapsed: how long it was silent */
+  FLEET_NOTE_REBORN, /* runs, as count */
+  FLEET_NOTE_EJECTED,
+  FLEET_NOTE_READMITTED
+} fleet_note_t;
+
 typedef struct
 {
   fleet_action_kind_t kind;
@@ -99,6 +119,15 @@
   uint64_t batch;
   int32_t index;
   const char *reason; /* static; why, for logs */
+  /* For logs; FLEET_START: expected, elapsed since it was queued; FLEET_RETURNED: elapsed
+   * likewise; FLEET_EXPIRED: elapsed, expected at the least, usable endpoints and waiting tasks as
+   * counts. */
+  fleet_note_t note;
+  int64_t elapsed_ms;
+  int64_t expected_ms;
+  int32_t percent;
+  int32_t count;
+  int32_t waiting;
 } fleet_action_t;
 
 /* How a call to an endpoint ended. */
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -292,5 +292,5 @@
         best = one;
     }
   return best.endpoint != NULL && best.tier >= MIN (*best_tier, PLACE_IN_TIME) ? best.endpoint
-                                                                              : NULL;
+                                                                               : NULL;
 }
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -72,7 +72,7 @@
 /* --- what is over --- */
 
 static void
-end_lapsed (fleet_t *fleet, endpoint_t *endpoint, int64_t now_ms)
+end_lapsed (fleet_t *fleet, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
 {
   bool lapsed = now_ms > endpoint->lease_end_ms;
 
@@ -81,8 +81,11 @@
       task_t *task = endpoint->runs->pdata[i];
       bool stopped = task->state == TASK_STOPPING && task->stop_confirmed
                      && now_ms - task->stop_sent_at_ms > fleet->options.stop_ms + STOP_SLACK_MS;
-      if (lapsed || stopped)
-        task_requeue (fleet, task, now_ms);
+      if (!lapsed && !stopped)
+        continue;
+      if (lapsed && task->batch != NULL)
+        note (fleet, actions, FLEET_NOTE_LAPSED, endpoint, task, now_ms);
+      task_requeue (fleet, task, now_ms);
     }
 }
 
@@ -129,7 +132,7 @@
 
 /* Takes over the run of TASK on ENDPOINT, if it is one of the strangers there. */
 static bool
-adopt (fleet_t *fleet, endpoint_t *endpoint, task_t *task, int64_t now_ms)
+adopt (fleet_t *fleet, endpoint_t *endpoint, task_t *task, int64_t now_ms, GArray *actions)
 {
   for (guint i = 0; i < endpoint->strangers->len; i++)
     {
@@ -150,6 +153,7 @@
       /* The owner before may have renewed its lease a moment ago. */
       extend_lease (fleet, endpoint, now_ms);
       g_ptr_array_remove_index_fast (endpoint->strangers, i);
+      note (fleet, actions, FLEET_NOTE_ADOPTED, endpoint, task, now_ms);
       return true;
     }
   return false;
@@ -175,11 +179,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       endpoint_t *endpoint = value;
-      if (adopt (fleet, endpoint, task, now_ms))
+      if (adopt (fleet, endpoint, task, now_ms, actions))
         return;
       if (has_ended_there (endpoint, task))
         {
-          tell (actions, FLEET_DONE, task, "ended under another owner");
+          tell (fleet, actions, FLEET_DONE, task, "ended under another owner");
           task_end (fleet, task);
           return;
         }
@@ -225,6 +229,8 @@
   action->task = task->name;
   action->attempt = task->attempt;
   action->spec = task->batch->spec;
+  action->elapsed_ms = now_ms - task->queued_at_ms;
+  action->expected_ms = task->expected_ms;
   action->lease_until_there_ms = task->lease_there_ms;
   action->coordinator = task->batch->coordinator;
   action->batch = task->batch->number;
@@ -293,12 +299,18 @@
         start (fleet, task, endpoint, now_ms, actions);
       else if (!task->ever_started && is_hopeless (fleet, task, now_ms))
         {
-          tell (actions, FLEET_EXPIRED, task, "cannot end before its deadline");
+          fleet_action_t *told =
+              tell (fleet, actions, FLEET_EXPIRED, task, "cannot end before its deadline");
+          told->elapsed_ms = now_ms - task->queued_at_ms;
+          told->expected_ms = place_least_ms (fleet, task->batch);
+          told->count = (int32_t) fleet->usable->len;
+          told->waiting = (int32_t) fleet->queue.length;
           task_end (fleet, task);
         }
       else if (goes_elsewhere (task, tier, elsewhere, now_ms))
         {
-          tell (actions, FLEET_RETURNED, task, "another owner has room");
+          tell (fleet, actions, FLEET_RETURNED, task, "another owner has room")->elapsed_ms =
+              now_ms - task->queued_at_ms;
           task_end (fleet, task);
         }
       else
@@ -364,11 +376,12 @@
   GHashTableIter iter;
   void *value = NULL;
 
+  names_clear (fleet);
   g_hash_table_iter_init (&iter, fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       endpoint_t *endpoint = value;
-      end_lapsed (fleet, endpoint, now_ms);
+      end_lapsed (fleet, endpoint, now_ms, actions);
       if (!endpoint->shut_out)
         send_stops (fleet, endpoint, now_ms, actions);
     }
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -133,23 +133,24 @@
 struct fleet_t
 {
   fleet_options_t options;
-  GHashTable *endpoints; /* id -> endpoint_t */
-  GHashTable *tasks;     /* name -> task_t */
-  GHashTable *batches;   /* "coordinator/number" -> batch_t */
-  GHashTable *calls;     /* serial of a start or stop -> call_t */
-  GHashTable *kinds;     /* kind -> kind_t */
-  GQueue queue;          /* waiting tasks in the order of their turn */
-  GHashTable *maybe;     /* tasks of unknown state: a set */
+  GHashTable *endpoints;   /* id -> endpoint_t */
+  GHashTable *tasks;       /* name -> task_t */
+  GHashTable *batches;     /* "coordinator/number" -> batch_t */
+  GHashTable *calls;       /* serial of a start or stop -> call_t */
+  GHashTable *kinds;       /* kind -> kind_t */
+  GQueue queue;            /* waiting tasks in the order of their turn */
+  GHashTable *maybe;       /* tasks of unknown state: a set */
   int64_t contested_to_ms; /* until then another owner may still run tasks unseen */
   uint64_t serial;
+  GStringChunk *names; /* that actions of the last call point to */
   outlier_fleet_t outliers;
   outlier_base_t base;
   double failure_rate;
   room_t usual_need;
   /* For one round (place_prepare ()): */
-  GPtrArray *usable;   /* endpoint_t that may be given tasks */
-  GPtrArray *open;     /* those of them with free cores */
-  double least_ratio;  /* of the usable ones; 0 if there is none */
+  GPtrArray *usable;  /* endpoint_t that may be given tasks */
+  GPtrArray *open;    /* those of them with free cores */
+  double least_ratio; /* of the usable ones; 0 if there is none */
 };
 
 typedef struct
@@ -183,8 +184,7 @@
 
 /* The endpoint of this round for TASK, or NULL if it has to wait.  *BEST is set to the best that
  * it may wait for. */
-endpoint_t *
-place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_tier_t *best);
+endpoint_t *place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_tier_t *best);
 
 /* Takes in that a run of TASK took ELAPSED_MS on its endpoint. */
 void place_learn (fleet_t *fleet, const task_t *task, int64_t elapsed_ms);
--- a/lib/fleet/table.h
+++ b/lib/fleet/table.h
@@ -25,7 +25,23 @@
 
 fleet_action_t *action_add (GArray *actions, fleet_action_kind_t kind);
 
-/* Tells TASK's coordinator, if it still has one. */
-void tell (GArray *actions, fleet_action_kind_t kind, const task_t *task, const char *reason);
+/* Tells TASK's coordinator, if it still has one.  Returns the action, or NULL. */
+fleet_action_t *tell (fleet_t *fleet,
+                      GArray *actions,
+                      fleet_action_kind_t kind,
+                      const task_t *task,
+                      const char *reason);
+
+/* A note about ENDPOINT, and about TASK unless it is NULL.  The result may be filled on until the
+ * next action. */
+fleet_action_t *note (fleet_t *fleet,
+                      GArray *actions,
+                      fleet_note_t kind,
+                      const endpoint_t *endpoint,
+                      const task_t *task,
+                      int64_t now_ms);
+
+/* Forgets the names that actions of the last call pointed to. */
+void names_clear (fleet_t *fleet);
 
 #endif
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -33,6 +33,7 @@
 #define ALIKE 1.1
 /* A part of a job's usual duration that must fit before its deadline. */
 #define HOPELESS 0.6
+#define NAMES_BYTES 1024
 
 typedef struct job_t job_t;
 
@@ -57,6 +58,7 @@
   GPtrArray *batches; /* batch_t */
   int32_t left;       /* tasks that are not done */
   int32_t handovers;
+  int32_t returns;
   bool was_sent;
   bool may_have_run;
   bool ending; /* waits for confirmations of its end */
@@ -101,6 +103,7 @@
   GHashTable *batches; /* number -> batch_t */
   GHashTable *shards;  /* interned name -> shard_t */
   GHashTable *cancels; /* number -> cancel_t: not confirmed yet */
+  GStringChunk *names; /* of jobs that were answered in the last call */
   uint64_t last;
 };
 
@@ -151,6 +154,7 @@
   flow->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   flow->batches = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_batch);
   flow->shards = g_hash_table_new_full (NULL, NULL, NULL, free_shard);
+  flow->names = g_string_chunk_new (NAMES_BYTES);
   flow->cancels = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   return flow;
 }
@@ -165,6 +169,7 @@
   g_hash_table_unref (flow->jobs);
   g_hash_table_unref (flow->shards);
   g_hash_table_unref (flow->cancels);
+  g_string_chunk_free (flow->names);
   g_free (flow);
 }
 
@@ -212,6 +217,22 @@
   g_hash_table_remove (flow->jobs, &job->number);
 }
 
+/* "host:tasks" of each owner that still has some. */
+static void
+name_owners (const job_t *job, char *text, size_t size)
+{
+  size_t used = 0;
+
+  text[0] = '\0';
+  for (guint i = 0; i < job->batches->len && used < size; i++)
+    {
+      const batch_t *batch = job->batches->pdata[i];
+      if (batch->open->len > 0)
+        used += (size_t) g_snprintf (text + used, size - used, "%s%s:%u", used > 0 ? " " : "",
+                                     batch->host, batch->open->len);
+    }
+}
+
 static void
 answer (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
 {
@@ -225,6 +246,12 @@
   action->retry_after_ms = RETRY_AFTER_MS;
   action->elapsed_ms = now_ms - job->info.received_at_ms;
   action->late_by_ms = now_ms - job->goal_at_ms;
+  action->job = g_string_chunk_insert (flow->names, job->info.id);
+  action->tasks = job->info.tasks;
+  action->left = job->left;
+  action->handovers = job->handovers;
+  action->returns = job->returns;
+  name_owners (job, action->owners, sizeof action->owners);
   drop_job (flow, job);
 }
 
@@ -598,6 +625,7 @@
       break;
     case FLOW_TASK_RETURNED:
       /* Placed in the next step, with what is known by then. */
+      job->returns++;
       if (!job->ending)
         g_array_append_val (job->unplaced, index);
       break;
@@ -820,6 +848,7 @@
 {
   GList *jobs = g_hash_table_get_values (flow->jobs);
 
+  g_string_chunk_clear (flow->names);
   for (GList *at = jobs; at != NULL; at = at->next)
     step_job (flow, at->data, now_ms, actions);
   g_list_free (jobs);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -48,6 +48,8 @@
   FLOW_GIVEN_UP /* it may have run in part */
 } flow_outcome_t;
 
+#define FLOW_OWNERS_BYTES 128
+
 typedef enum
 {
   FLOW_SUBMIT, /* send BATCH to HOST */
@@ -69,6 +71,13 @@
   int64_t retry_after_ms; /* FLOW_REFUSED */
   int64_t elapsed_ms;
   int64_t late_by_ms; /* over the goal; negative if in time */
+  /* FLOW_ANSWER, for the log: */
+  const char *job; /* valid until the next call */
+  int32_t tasks;
+  int32_t left;                   /* not done */
+  int32_t handovers;              /* of parts of it between owners */
+  int32_t returns;                /* tasks that owners gave back */
+  char owners[FLOW_OWNERS_BYTES]; /* which owners had how many of those left */
 } flow_action_t;
 
 typedef struct
--- a/tests/test_fleet_random.c
+++ b/tests/test_fleet_random.c
@@ -965,6 +965,8 @@
       const fleet_action_t *action = &g_array_index (node->fleet_actions, fleet_action_t, i);
       if (action->kind <= FLEET_LOOK)
         give_order (node, zone, action);
+      else if (action->kind == FLEET_NOTE)
+        continue;
       else if (action->kind == FLEET_SHUT_OUT)
         crew_shut_out (node->crew, zone_name (zone), world->now_ms, world->now_ms,
                        node->crew_actions);
