--- a/Makefile
+++ b/Makefile
@@ -74,9 +74,11 @@
 $(BUILD)/tests/system: $(call obj,$(SYS_SRC)) $(ARCHIVES)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $(call obj,$(SYS_SRC)) $(GROUP) $(PKG_LIBS) -lcunit
-$(BUILD)/tests/test_%: $(BUILD)/obj/tests/test_%.o $(ARCHIVES)
+# What tests use of the programs themselves.
+TESTED := $(call obj,tool/explain.c $(wildcard platform/*.c))
+$(BUILD)/tests/test_%: $(BUILD)/obj/tests/test_%.o $(TESTED) $(ARCHIVES)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(PKG_LIBS) -lcunit
+	$(CC) $(LDFLAGS) -o $@ $< $(TESTED) $(GROUP) $(PKG_LIBS) -lcunit
 $(BUILD)/bench/%: $(BUILD)/obj/bench/%.o $(ARCHIVES)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $< $(GROUP) $(PKG_LIBS)
