--- a/tests/test_event.c
+++ b/tests/test_event.c
@@ -111,6 +111,35 @@
     }
 }
 
+/* The page of events has each with its fields.  Tests run in the root of the repository. */
+static void
+test_page (void)
+{
+  char *page = NULL;
+
+  CU_ASSERT_TRUE (g_file_get_contents ("docs/LOGS.md", &page, NULL, NULL));
+  for (int i = 0; page != NULL && i <= EVENT_LAST; i++)
+    {
+      const event_row_t *row = event_row ((event_t) i);
+      char *start = g_strdup_printf ("| `%s` |", row->name);
+      const char *line = strstr (page, start);
+      CU_ASSERT_PTR_NOT_NULL (line);
+      char *text = line != NULL ? g_strndup (line, strcspn (line, "\n")) : g_strdup ("");
+      char **fields = g_strsplit (row->fields, " ", -1);
+      for (char **field = fields; *field != NULL; field++)
+        if (**field != '\0')
+          {
+            char *quoted = g_strdup_printf ("`%s`", *field);
+            CU_ASSERT_PTR_NOT_NULL (strstr (text, quoted));
+            g_free (quoted);
+          }
+      g_strfreev (fields);
+      g_free (text);
+      g_free (start);
+    }
+  g_free (page);
+}
+
 /* Routine lines give way first; what was left out is told. */
 static void
 test_budget (void)
@@ -215,6 +244,7 @@
   CU_TestFunc run;
 } tests[] = {
   { "every event of the table", test_table },
+  { "the page of events", test_page },
   { "budgets", test_budget },
   { "a reader that stops reading", test_blocked_reader },
   { "explanations", test_explain },
