A lost answer costs 80 ms instead of 300

An order is given up after 80 ms (150), an endpoint counts as silent after the second miss, a run in doubt no longer bars its endpoint, and looks wait only for the next expected end.

--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -29,11 +29,12 @@
        int64_t now_ms,
        GArray *actions)
 {
-  if (endpoint->silent_from_ms != 0)
+  if (endpoint->misses >= SILENT_MISSES)
     note (fleet, actions, FLEET_NOTE_HEARD, endpoint, NULL, now_ms)->elapsed_ms =
         now_ms - endpoint->silent_from_ms;
   endpoint->heard_at_ms = now_ms;
   endpoint->silent_from_ms = 0;
+  endpoint->misses = 0;
   if (clock_there_ms == 0)
     return;
   /* The answer took some time to come: the clock there shows more by now. */
@@ -48,10 +49,10 @@
            int64_t now_ms,
            GArray *actions)
 {
-  if (endpoint->silent_from_ms != 0)
-    return;
-  endpoint->silent_from_ms = MAX (sent_at_ms, 1);
-  note (fleet, actions, FLEET_NOTE_SILENT, endpoint, NULL, now_ms);
+  if (endpoint->silent_from_ms == 0)
+    endpoint->silent_from_ms = MAX (sent_at_ms, 1);
+  if (++endpoint->misses == SILENT_MISSES)
+    note (fleet, actions, FLEET_NOTE_SILENT, endpoint, NULL, now_ms);
 }
 
 /* A call under a token that is no longer this owner's says nothing. */
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -28,8 +28,6 @@
 #define PRIOR_MS 300.0
 /* Beyond this something hung, which says nothing about speed. */
 #define RATIO_MAX 12.0
-/* An endpoint that has not answered for this long gets nothing. */
-#define SILENT_MAX_MS 100
 
 bool
 room_fits (const room_t *whole, const room_t *used, const room_t *need)
@@ -154,7 +152,7 @@
 {
   if (endpoint->leaving || !endpoint->looked || endpoint->shut_out || !endpoint->clock_known)
     return false;
-  if (endpoint->silent_from_ms != 0 && now_ms - endpoint->silent_from_ms > SILENT_MAX_MS)
+  if (endpoint->misses >= SILENT_MISSES)
     return false;
   if (endpoint->strangers->len > 0 || now_ms < endpoint->full_until_ms)
     return false;
@@ -164,8 +162,6 @@
       /* Its lease must not be renewed before that run is over. */
       if (run->state == TASK_STOPPING && now_ms - run->must_end_at_ms > FLEET_UNSTOPPED_MAX_MS / 2)
         return false;
-      if (run->state == TASK_UNSURE)
-        return false;
     }
   return endpoint->outlier.state == OUTLIER_IN
          || outlier_wants_probe (&endpoint->outlier, true, now_ms);
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -8,14 +8,16 @@
 
 #include <string.h>
 
-/* A look waits this long for an end, well below the lease. */
-#define LOOK_WAIT_MS 400
-/* While a run is overdue, progress is asked for more often. */
-#define LOOK_SHORT_MS 120
+/* A look waits for an end, well below the lease, and not much beyond the next end that is
+ * expected: its answer may be lost. */
+#define LOOK_WAIT_MAX_MS 350
+#define LOOK_WAIT_MIN_MS 60
+#define LOOK_WAIT_BEYOND_MS 30
 /* While something must be settled. */
 #define LOOK_SOON_MS 25
-/* An endpoint that does not answer is asked again after this. */
-#define LOOK_RETRY_MS 120
+/* An endpoint that does not answer is asked again after this; the wait doubles. */
+#define LOOK_RETRY_MS 20
+#define LOOK_RETRY_DOUBLINGS 4
 /* A stop without an answer is sent again after this. */
 #define STOP_RETRY_MS 120
 /* A run of another owner may be claimed by its coordinator for this long. */
@@ -323,25 +325,28 @@
 
 /* --- looks --- */
 
+/* Nothing there has to be found out at once.  *WAIT_MS is set to how long a look may wait. */
 static bool
-is_settled (const endpoint_t *endpoint, int64_t now_ms, bool *overdue)
+is_settled (const endpoint_t *endpoint, int64_t now_ms, int64_t *wait_ms)
 {
-  *overdue = false;
+  int64_t next_ms = LOOK_WAIT_MAX_MS;
+
   for (guint i = 0; i < endpoint->runs->len; i++)
     {
       const task_t *task = endpoint->runs->pdata[i];
       if (task->state == TASK_STOPPING || task->state == TASK_UNSURE)
         return false;
-      *overdue |= now_ms - task->sent_at_ms > 2 * task->expected_ms;
+      next_ms = MIN (next_ms, task->sent_at_ms + task->expected_ms - now_ms + LOOK_WAIT_BEYOND_MS);
     }
+  *wait_ms = MAX (next_ms, LOOK_WAIT_MIN_MS);
   return endpoint->looked && endpoint->strangers->len == 0;
 }
 
 static void
 look (fleet_t *fleet, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
 {
-  bool overdue = false;
-  bool settled = is_settled (endpoint, now_ms, &overdue);
+  int64_t wait_ms = 0;
+  bool settled = is_settled (endpoint, now_ms, &wait_ms);
   bool hold = endpoint->runs->len > 0 && endpoint->clock_known && !is_barred (endpoint, now_ms);
   fleet_action_t *action = action_add (actions, FLEET_LOOK);
 
@@ -349,7 +354,7 @@
   action->address = endpoint->address;
   action->ack = endpoint->ack;
   if (settled && endpoint->runs->len > 0)
-    action->wait_ms = overdue ? LOOK_SHORT_MS : LOOK_WAIT_MS;
+    action->wait_ms = wait_ms;
   action->lease_until_there_ms = hold ? extend_lease (fleet, endpoint, now_ms) : 0;
   action->serial = remember_call (fleet, endpoint, "", 0);
   endpoint->ack_sent = endpoint->ack;
@@ -364,7 +369,8 @@
 {
   if (endpoint->look_out || endpoint->shut_out || now_ms < endpoint->look_due_ms)
     return false;
-  if (endpoint->silent_from_ms != 0 && now_ms - endpoint->look_sent_at_ms < LOOK_RETRY_MS)
+  int64_t retry_ms = (int64_t) LOOK_RETRY_MS << MIN (endpoint->misses, LOOK_RETRY_DOUBLINGS);
+  if (endpoint->misses > 0 && now_ms - endpoint->look_sent_at_ms < retry_ms)
     return false;
   return !endpoint->looked || endpoint->runs->len > 0 || endpoint->strangers->len > 0
          || endpoint->ack > endpoint->ack_sent || endpoint->silent_from_ms != 0;
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -112,7 +112,8 @@
   int64_t ack;
   int64_t ack_sent;
   int64_t heard_at_ms;        /* last answer */
-  int64_t silent_from_ms;     /* the first call without an answer since then; 0 if none */
+  int64_t silent_from_ms; /* the first call without an answer since then; 0 if none */
+  int32_t misses;         /* calls without an answer since then */
   int64_t full_until_ms;      /* it refused for want of room */
   GPtrArray *runs;            /* task_t */
   GPtrArray *strangers;       /* stranger_t */
@@ -162,6 +163,9 @@
   uint64_t serial;
 } call_t;
 
+/* So many calls without an answer in a row mean that the endpoint is not there; one may be lost. */
+#define SILENT_MISSES 2
+
 /* Placement (place.c). */
 
 /* Prepares a round: collects the endpoints that may be given tasks. */
--- a/tests/test_fleet_random.c
+++ b/tests/test_fleet_random.c
@@ -13,7 +13,7 @@
 #define BEAT_MS 100
 #define OFFER_MS 15
 #define STILL_MS 400
-#define ORDER_MAX_MS 150
+#define ORDER_MAX_MS 80
 #define TASKS_MAX 6
 #define JOB_EVERY_MS 25
 #define DEADLINE_MS 1500
