--- a/daemon/site.c
+++ b/daemon/site.c
@@ -375,6 +375,7 @@
     [FLEET_FAILED] = FLOW_TASK_FAILED,
     [FLEET_RETURNED] = FLOW_TASK_RETURNED,
     [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
+    [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
   };
 
   flow_task_ended (site->flow, site->host, end->batch, end->index, ends_of[end->how],
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -301,7 +301,7 @@
       for (size_t i = 0; i < batch->count; i++)
         {
           told_end_t told = { g_intern_string (batch->coordinator),
-                              { batch->batch, batch->indexes[i], FLEET_RETURNED } };
+                              { batch->batch, batch->indexes[i], FLEET_NOT_OWNED } };
           g_array_append_val (site->ends, told);
         }
       return;
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -79,6 +79,7 @@
     [FLEET_FAILED] = FLOW_TASK_FAILED,
     [FLEET_RETURNED] = FLOW_TASK_RETURNED,
     [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
+    [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
   };
   GArray *ends = g_array_new (FALSE, FALSE, sizeof (fleet_end_t));
 
--- a/lib/crew/crew.c
+++ b/lib/crew/crew.c
@@ -109,8 +109,8 @@
   crew->incarnation = options->incarnation;
   crew->power = options->power;
   crew->started_at_ms = now_ms;
-  crew->peers = g_hash_table_new_full (NULL, NULL, NULL, free_peer);
-  crew->shards = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  crew->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_peer);
+  crew->shards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   return crew;
 }
 
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -101,7 +101,7 @@
   fleet->batches = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_batch);
   fleet->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_call);
   fleet->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_kind);
-  fleet->maybe = g_hash_table_new (NULL, NULL);
+  fleet->maybe = g_hash_table_new (g_str_hash, g_str_equal);
   fleet->names = g_string_chunk_new (NAMES_BYTES);
   fleet->usable = g_ptr_array_new ();
   fleet->open = g_ptr_array_new ();
@@ -194,7 +194,7 @@
   if (task->state == TASK_WAITING)
     g_queue_unlink (&fleet->queue, &task->link);
   if (task->state == TASK_MAYBE)
-    g_hash_table_remove (fleet->maybe, task);
+    g_hash_table_remove (fleet->maybe, task->name);
   task_detach (task);
   leave_batch (fleet, task);
   g_hash_table_remove (fleet->tasks, task->name);
@@ -222,7 +222,7 @@
 task_doubt (fleet_t *fleet, task_t *task)
 {
   task->state = TASK_MAYBE;
-  g_hash_table_add (fleet->maybe, task);
+  g_hash_table_insert (fleet->maybe, task->name, task);
 }
 
 void
@@ -232,7 +232,7 @@
 
   task_detach (task);
   if (was_maybe)
-    g_hash_table_remove (fleet->maybe, task);
+    g_hash_table_remove (fleet->maybe, task->name);
   if (task->batch == NULL)
     {
       g_hash_table_remove (fleet->tasks, task->name);
@@ -539,7 +539,7 @@
       if (info->maybe_running)
         {
           task->state = TASK_MAYBE;
-          g_hash_table_add (fleet->maybe, task);
+          g_hash_table_insert (fleet->maybe, task->name, task);
         }
       else
         {
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -168,7 +168,7 @@
       fleet_end_t end = { 0 };
       end.batch = frame_get_uint (reader);
       end.index = (int32_t) frame_get_range (reader, 0, INT32_MAX);
-      end.how = (fleet_action_kind_t) frame_get_range (reader, FLEET_DONE, FLEET_EXPIRED);
+      end.how = (fleet_action_kind_t) frame_get_range (reader, FLEET_DONE, FLEET_NOT_OWNED);
       g_array_append_val (ends, end);
     }
   return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
--- a/lib/fleet/fleet_msg.h
+++ b/lib/fleet/fleet_msg.h
@@ -44,7 +44,7 @@
 {
   uint64_t batch;
   int32_t index;
-  fleet_action_kind_t how; /* FLEET_DONE, _FAILED, _RETURNED or _EXPIRED */
+  fleet_action_kind_t how; /* FLEET_DONE to FLEET_NOT_OWNED */
 } fleet_end_t;
 GBytes *fleet_msg_ends (const fleet_end_t *ends, size_t count);
 /* Appends fleet_end_t. */
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -141,7 +141,7 @@
       const stranger_t *stranger = endpoint->strangers->pdata[i];
       if (strcmp (stranger->name, task->name) != 0)
         continue;
-      g_hash_table_remove (fleet->maybe, task);
+      g_hash_table_remove (fleet->maybe, task->name);
       task->state = stranger->stop_sent_at_ms != 0 ? TASK_STOPPING : TASK_RUNNING;
       task->must_end_at_ms = now_ms;
       task->attempt = stranger->attempt;
@@ -200,7 +200,7 @@
 {
   if (g_hash_table_size (fleet->maybe) == 0)
     return;
-  GList *tasks = g_hash_table_get_keys (fleet->maybe);
+  GList *tasks = g_hash_table_get_values (fleet->maybe);
   for (GList *at = tasks; at != NULL; at = at->next)
     settle_one (fleet, at->data, now_ms, actions);
   g_list_free (tasks);
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -46,6 +46,7 @@
   int64_t token;      /* of the owner's claim */
   int64_t lost_at_ms; /* when HOST was last heard, if it is lost; else 0 */
   GArray *open;       /* indexes of tasks that have not ended */
+  bool maybe;         /* an owner before may have started its tasks */
   bool cancelled;     /* its end was asked for, and is not confirmed */
 } batch_t;
 
@@ -153,7 +154,7 @@
   flow->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_job);
   flow->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   flow->batches = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_batch);
-  flow->shards = g_hash_table_new_full (NULL, NULL, NULL, free_shard);
+  flow->shards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_shard);
   flow->names = g_string_chunk_new (NAMES_BYTES);
   flow->cancels = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   return flow;
@@ -605,6 +606,13 @@
 {
   batch_t *batch = batch_of (flow, host, number);
 
+  if (batch != NULL && batch->maybe && how == FLOW_TASK_NOT_OWNED)
+    {
+      /* They may run under another owner of the shard: only that one can tell. */
+      if (batch->lost_at_ms == 0)
+        batch->lost_at_ms = now_ms;
+      return;
+    }
   if (batch == NULL || !take_open (batch, index))
     return;
   job_t *job = batch->job;
@@ -624,6 +632,7 @@
       end_job (flow, job, FLOW_FAILED, "a task has failed as often as is allowed", now_ms, actions);
       break;
     case FLOW_TASK_RETURNED:
+    case FLOW_TASK_NOT_OWNED:
       /* Placed in the next step, with what is known by then. */
       job->returns++;
       if (!job->ending)
@@ -692,6 +701,7 @@
   job->handovers++;
   job->may_have_run = true;
   batch_t *next = batch_new (flow, job, shard);
+  next->maybe = true;
   g_array_append_vals (next->open, batch->open->data, batch->open->len);
   drop_batch (flow, batch);
   send_batch (job, next, true, since_ms + OWNER_DROPS_MS + flow->lease_ms, actions);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -135,7 +135,8 @@
   FLOW_TASK_DONE,
   FLOW_TASK_FAILED,
   FLOW_TASK_RETURNED,
-  FLOW_TASK_EXPIRED
+  FLOW_TASK_EXPIRED,
+  FLOW_TASK_NOT_OWNED /* HOST does not own the shard, and knows nothing of the task */
 } flow_task_end_t;
 
 /* Task INDEX of batch NUMBER at HOST has ended, as far as HOST is concerned. */
--- a/tests/test_fleet_random.c
+++ b/tests/test_fleet_random.c
@@ -5,6 +5,7 @@
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -136,6 +137,25 @@
   world_result_t result;
 };
 
+/* The job whose course is printed, or NULL. */
+static const char *traced;
+
+static void trace (const world_t *world, const char *id, const char *format, ...) G_GNUC_PRINTF (3, 4);
+
+static void
+trace (const world_t *world, const char *id, const char *format, ...)
+{
+  va_list arguments;
+
+  if (traced == NULL || strncmp (id, traced, strlen (traced)) != 0)
+    return;
+  printf ("%6d %s ", (int) world->now_ms, id);
+  va_start (arguments, format);
+  vprintf (format, arguments);
+  va_end (arguments);
+  printf ("\n");
+}
+
 static void pump (node_t *node);
 
 static int
@@ -255,6 +275,7 @@
   end_t *end = g_new0 (end_t, 1);
   job_t *job = job_of (world, run->task);
 
+  trace (world, run->task, "ends on %s, attempt %d, how %d", machine->id, (int) run->attempt, how);
   end->number = ++machine->last_end;
   end->task = g_strdup (run->task);
   end->attempt = run->attempt;
@@ -318,7 +339,11 @@
   job->starts++;
   job->all_starts++;
   if (job->refused)
-    world->result.untrue++;
+    {
+      world->result.untrue++;
+      printf ("  untrue: seed %u at %d ms: %s starts after it was refused\n", world->options->seed,
+              (int) world->now_ms, task);
+    }
 }
 
 /* The clock of a machine starts with its life. */
@@ -347,6 +372,7 @@
       world->result.reused++;
       return FLEET_OLD;
     }
+  trace (world, order->task, "starts on %s, attempt %d", machine->id, (int) order->attempt);
   check_start (world, machine, order->task);
   run_t *run = g_new0 (run_t, 1);
   const job_t *job = job_of (world, order->task);
@@ -607,6 +633,10 @@
     }
   else
     order->mute = happens (world, world->options->lost);
+  trace (world, action->task != NULL ? action->task : "",
+         "%s orders %s on %s, attempt %d, arrives at %d%s", node->name,
+         action->kind == FLEET_START ? "a start" : "a stop", action->endpoint,
+         (int) action->attempt, (int) arrives_ms, order->mute ? ", no answer" : "");
   plan (world, arrives_ms, order_arrives, order);
   plan (world, world->now_ms + limit_ms, order_timeout, order);
   plan (world, last_ms, order_ends, order);
@@ -697,7 +727,7 @@
       message_t *end = message_new (MESSAGE_END, node, message->from);
       end->number = message->batch.batch;
       end->index = g_array_index (message->indexes, int32_t, i);
-      end->how = FLEET_RETURNED;
+      end->how = FLEET_NOT_OWNED;
       send_message (end);
     }
 }
@@ -710,6 +740,7 @@
     [FLEET_FAILED] = FLOW_TASK_FAILED,
     [FLEET_RETURNED] = FLOW_TASK_RETURNED,
     [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
+    [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
   };
 
   flow_task_ended (node->flow, message->from->name, message->number, message->index,
@@ -804,12 +835,19 @@
 
   if (job->over || job->host != node->number || job->incarnation != node->incarnation)
     return;
+  trace (world, job->id, "is answered by %s: outcome %d, %s", node->name, action->outcome,
+         action->reason != NULL ? action->reason : "");
   switch (action->outcome)
     {
     case FLOW_COMPLETE:
       world->result.complete++;
       for (int i = 0; i < job->tasks; i++)
-        world->result.untrue += !job->done[i];
+        if (!job->done[i])
+          {
+            world->result.untrue++;
+            printf ("  untrue: seed %u at %d ms: %s is complete without task %d\n",
+                    world->options->seed, (int) world->now_ms, job->id, i);
+          }
       break;
     case FLOW_FAILED:
       {
@@ -822,7 +860,12 @@
       }
     case FLOW_REFUSED:
       world->result.refused++;
-      world->result.untrue += job->starts > 0;
+      if (job->starts > 0)
+        {
+          world->result.untrue++;
+          printf ("  untrue: seed %u at %d ms: %s is refused after %d starts\n",
+                  world->options->seed, (int) world->now_ms, job->id, job->starts);
+        }
       job->refused = job->all_starts == 0;
       break;
     case FLOW_GIVEN_UP:
@@ -853,6 +896,9 @@
       message->number = action.number;
       if (action.kind == FLOW_SUBMIT)
         {
+          trace (node->world, action.batch.job, "%s gives %d tasks to %s for %s, batch %d%s",
+                 node->name, (int) action.indexes->len, action.host, action.shard,
+                 (int) action.number, action.batch.maybe_running ? ", maybe running" : "");
           message->shard = g_strdup (action.shard);
           message->batch = action.batch;
           message->batch.job = g_strdup (action.batch.job);
@@ -925,10 +971,12 @@
       switch (action.kind)
         {
         case CREW_CLAIMED:
+          trace (world, traced != NULL ? traced : "", "%s claims %s", node->name, action.shard);
           claim (node, action.shard, action.token);
           node->beat_at_ms = 0;
           break;
         case CREW_YIELDED:
+          trace (world, traced != NULL ? traced : "", "%s yields %s", node->name, action.shard);
           yield (node, action.shard);
           node->beat_at_ms = 0;
           break;
@@ -938,6 +986,7 @@
           run_flow_actions (node);
           break;
         case CREW_LOST:
+          trace (world, traced != NULL ? traced : "", "%s loses %s", node->name, action.host);
           for (int k = 0; k < WORLD_ZONES; k++)
             if (node->owned[k].fleet != NULL)
               fleet_drop_coordinator (node->owned[k].fleet, action.host, world->now_ms,
@@ -1154,6 +1203,7 @@
       job->resend_at_ms = world->now_ms + 200;
       return;
     }
+  trace (world, job->id, "is sent to %s", node->name);
   job->host = node->number;
   job->incarnation = node->incarnation;
   job->starts = 0;
@@ -1491,7 +1541,7 @@
   CU_ASSERT_TRUE (all_steps > 1000000);
 }
 
-/* With arguments: the case whose name begins so, from a seed on, so many. */
+/* With arguments: the case whose name begins so, from a seed on, so many, tracing a job. */
 int
 main (int argc, char **argv)
 {
@@ -1501,8 +1551,7 @@
     {
       uint32_t first = (uint32_t) atoi (argv[2]);
       uint32_t count = argc >= 4 ? (uint32_t) atoi (argv[3]) : 1;
-      CU_pTest test = CU_add_test (suite, "one", test_worlds);
-      (void) test;
+      traced = argc >= 5 ? argv[4] : NULL;
       for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
         for (uint32_t seed = first; seed < first + count; seed++)
           if (strncmp (cases[i].name, argv[1], strlen (argv[1])) == 0)
