--- a/daemon/site.c
+++ b/daemon/site.c
@@ -90,6 +90,12 @@
         peers_send (site, action->host, fleet_msg_submit (action->shard, &action->batch, now_ms));
       g_array_unref (action->indexes);
       break;
+    case FLOW_RELEASE:
+      if (local)
+        owner_release (site, site->host, action->number);
+      else
+        peers_send (site, action->host, fleet_msg_release (action->number));
+      break;
     case FLOW_CANCEL:
       if (!local)
         peers_send (site, action->host, fleet_msg_cancel (action->number));
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -327,6 +327,21 @@
   return never;
 }
 
+void
+owner_release (site_t *site, const char *coordinator, uint64_t batch)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, site->owned);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      owned_t *owned = value;
+      fleet_release (owned->fleet, coordinator, batch);
+      owned->dirty = true;
+    }
+}
+
 void
 owner_drop_coordinator (site_t *site, const char *coordinator)
 {
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -44,6 +44,15 @@
   peers_send (site, host, fleet_msg_cancelled (batch, never));
 }
 
+static void
+read_release (site_t *site, const char *host, frame_reader_t *reader)
+{
+  uint64_t batch = 0;
+
+  if (fleet_msg_read_cancel (reader, &batch) == 0)
+    owner_release (site, host, batch);
+}
+
 static void
 read_cancelled (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -150,6 +159,7 @@
   { FLEET_MSG_SUBMIT, read_submit }, { FLEET_MSG_CANCEL, read_cancel },
   { FLEET_MSG_ENDS, read_ends },     { FLEET_MSG_CANCELLED, read_cancelled },
   { FLEET_MSG_OFFER, read_offer },   { FLEET_MSG_DROPPED, read_dropped },
+  { FLEET_MSG_RELEASE, read_release },
   { CREW_MSG_BEAT, read_beat },      { CREW_MSG_CONFIG_PULL, read_config_pull },
   { CREW_MSG_CONFIG, read_config },
 };
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -83,6 +83,7 @@
 void owner_submit (site_t *site, const char *shard, const fleet_batch_t *batch);
 /* Ends BATCH of COORDINATOR wherever it is.  Returns true if nothing of it started. */
 bool owner_cancel (site_t *site, const char *coordinator, uint64_t batch);
+void owner_release (site_t *site, const char *coordinator, uint64_t batch);
 void owner_drop_coordinator (site_t *site, const char *coordinator);
 /* Rounds of all fleets.  Returns true if anything was done. */
 bool owner_rounds (site_t *site, bool all);
--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -490,6 +490,7 @@
     }
   heard (fleet, endpoint, look->clock_there_ms, now_ms, actions);
   endpoint->looked = true;
+  endpoint->looked_at_ms = sent_at_ms;
   endpoint->look_due_ms = now_ms;
   for (size_t i = 0; i < look->active_count; i++)
     note_active (endpoint, &look->active[i], now_ms);
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -218,11 +218,29 @@
   return false;
 }
 
+/* All endpoints are looked at from now on: another owner may have been there since the last
+ * look, unnoticed where there was nothing to do. */
 static void
-task_doubt (fleet_t *fleet, task_t *task)
+task_doubt (fleet_t *fleet, task_t *task, int64_t now_ms)
 {
+  GHashTableIter iter;
+  void *value = NULL;
+
   task->state = TASK_MAYBE;
+  task->doubted_at_ms = now_ms;
   g_hash_table_insert (fleet->maybe, task->name, task);
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      endpoint_t *endpoint = value;
+      if (endpoint->look_out && endpoint->look_sent_at_ms < now_ms)
+        {
+          endpoint->look_out = false;
+          endpoint->look_serial = 0;
+        }
+      if (endpoint->misses == 0)
+        endpoint->look_due_ms = MIN (endpoint->look_due_ms, now_ms);
+    }
 }
 
 void
@@ -240,7 +258,7 @@
     }
   if (!was_maybe && is_contested (fleet, now_ms))
     {
-      task_doubt (fleet, task);
+      task_doubt (fleet, task, now_ms);
       return;
     }
   task->state = TASK_WAITING;
@@ -453,7 +471,7 @@
     {
       task_t *task = g_queue_peek_head (&fleet->queue);
       g_queue_unlink (&fleet->queue, &task->link);
-      task_doubt (fleet, task);
+      task_doubt (fleet, task, now_ms);
     }
 }
 
@@ -537,10 +555,7 @@
       g_hash_table_insert (fleet->tasks, task->name, task);
       g_ptr_array_add (batch->tasks, task);
       if (info->maybe_running)
-        {
-          task->state = TASK_MAYBE;
-          g_hash_table_insert (fleet->maybe, task->name, task);
-        }
+        task_doubt (fleet, task, now_ms);
       else
         {
           task->state = TASK_WAITING;
@@ -602,6 +617,30 @@
   return found;
 }
 
+void
+fleet_release (fleet_t *fleet, const char *coordinator, uint64_t number)
+{
+  char *key = batch_key (coordinator, number);
+  batch_t *batch = g_hash_table_lookup (fleet->batches, key);
+
+  g_free (key);
+  if (batch == NULL)
+    return;
+  GPtrArray *tasks = g_ptr_array_copy (batch->tasks, NULL, NULL);
+  for (guint i = 0; i < tasks->len; i++)
+    {
+      task_t *task = tasks->pdata[i];
+      if (task->endpoint != NULL)
+        {
+          /* Its room is taken until a look shows otherwise. */
+          task->endpoint->looked = false;
+          task->endpoint->look_due_ms = 0;
+        }
+      task_end (fleet, task);
+    }
+  g_ptr_array_unref (tasks);
+}
+
 void
 fleet_drop_coordinator (fleet_t *fleet, const char *coordinator, int64_t now_ms, GArray *actions)
 {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -220,6 +220,10 @@
                    int64_t now_ms,
                    GArray *actions);
 
+/* Another owner has been given the batch: forgets its tasks and leaves their runs alone.  A run
+ * that the other owner does not take over is stopped as any that nobody here knows. */
+void fleet_release (fleet_t *fleet, const char *coordinator, uint64_t batch);
+
 /* Ends all batches of a coordinator that is gone. */
 void
 fleet_drop_coordinator (fleet_t *fleet, const char *coordinator, int64_t now_ms, GArray *actions);
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -103,15 +103,27 @@
   *submit = (fleet_submit_t){ 0 };
 }
 
-GBytes *
-fleet_msg_cancel (uint64_t batch)
+static GBytes *
+name_batch (fleet_msg_t type, uint64_t batch)
 {
-  frame_writer_t *writer = frame_begin (FLEET_MSG_CANCEL);
+  frame_writer_t *writer = frame_begin (type);
 
   frame_put_uint (writer, batch);
   return frame_finish (writer);
 }
 
+GBytes *
+fleet_msg_cancel (uint64_t batch)
+{
+  return name_batch (FLEET_MSG_CANCEL, batch);
+}
+
+GBytes *
+fleet_msg_release (uint64_t batch)
+{
+  return name_batch (FLEET_MSG_RELEASE, batch);
+}
+
 GBytes *
 fleet_msg_dropped (void)
 {
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -189,7 +189,7 @@
           task_end (fleet, task);
           return;
         }
-      all_seen = all_seen && endpoint->looked;
+      all_seen = all_seen && endpoint->looked && endpoint->looked_at_ms >= task->doubted_at_ms;
     }
   if (all_seen || now_ms >= MAX (task->batch->wait_until_ms, fleet->contested_to_ms))
     task_requeue (fleet, task, now_ms);
@@ -346,7 +346,8 @@
 look (fleet_t *fleet, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
 {
   int64_t wait_ms = 0;
-  bool settled = is_settled (endpoint, now_ms, &wait_ms);
+  bool settled =
+      is_settled (endpoint, now_ms, &wait_ms) && g_hash_table_size (fleet->maybe) == 0;
   bool hold = endpoint->runs->len > 0 && endpoint->clock_known && !is_barred (endpoint, now_ms);
   fleet_action_t *action = action_add (actions, FLEET_LOOK);
 
@@ -365,14 +366,14 @@
 }
 
 static bool
-wants_look (const endpoint_t *endpoint, int64_t now_ms)
+wants_look (const fleet_t *fleet, const endpoint_t *endpoint, int64_t now_ms)
 {
   if (endpoint->look_out || endpoint->shut_out || now_ms < endpoint->look_due_ms)
     return false;
   int64_t retry_ms = (int64_t) LOOK_RETRY_MS << MIN (endpoint->misses, LOOK_RETRY_DOUBLINGS);
   if (endpoint->misses > 0 && now_ms - endpoint->look_sent_at_ms < retry_ms)
     return false;
-  return !endpoint->looked || endpoint->runs->len > 0 || endpoint->strangers->len > 0
+  return !endpoint->looked || g_hash_table_size (fleet->maybe) > 0 || endpoint->runs->len > 0 || endpoint->strangers->len > 0
          || endpoint->ack > endpoint->ack_sent || endpoint->silent_from_ms != 0;
 }
 
@@ -399,6 +400,6 @@
     }
   g_hash_table_iter_init (&iter, fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (wants_look (value, now_ms))
+    if (wants_look (fleet, value, now_ms))
       look (fleet, value, now_ms, actions);
 }
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -31,6 +31,7 @@
   room_t need;
   char *avoid; /* id of the endpoint where it last failed, or NULL */
   int64_t queued_at_ms;
+  int64_t doubted_at_ms; /* MAYBE: what was seen before says nothing */
   int64_t sent_at_ms;     /* of the start order */
   int64_t answered_at_ms; /* the start was confirmed; 0 before */
   int64_t expected_ms;
@@ -105,6 +106,7 @@
   bool look_out; /* a look is on its way */
   uint64_t look_serial;
   int64_t look_sent_at_ms;
+  int64_t looked_at_ms; /* when the last look that was answered had been sent */
   int64_t look_due_ms; /* not before */
   bool clock_known;
   int64_t clock_ahead_ms; /* its clock less the boot clock, at the most */
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -703,6 +703,12 @@
   batch_t *next = batch_new (flow, job, shard);
   next->maybe = true;
   g_array_append_vals (next->open, batch->open->data, batch->open->len);
+  if (batch->lost_at_ms == 0 && batch->host != next->host)
+    {
+      flow_action_t *action = add (actions, FLOW_RELEASE);
+      action->host = batch->host;
+      action->number = batch->number;
+    }
   drop_batch (flow, batch);
   send_batch (job, next, true, since_ms + OWNER_DROPS_MS + flow->lease_ms, actions);
 }
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -54,6 +54,7 @@
 {
   FLOW_SUBMIT, /* send BATCH to HOST */
   FLOW_CANCEL, /* tell HOST to end batch NUMBER */
+  FLOW_RELEASE, /* tell HOST that batch NUMBER is another owner's now */
   FLOW_ANSWER
 } flow_action_kind_t;
 
--- a/tests/test_fleet_random.c
+++ b/tests/test_fleet_random.c
@@ -649,6 +649,7 @@
   MESSAGE_SUBMIT,
   MESSAGE_CANCEL,
   MESSAGE_CANCELLED,
+  MESSAGE_RELEASE,
   MESSAGE_END,
   MESSAGE_OFFER,
   MESSAGE_DROPPED,
@@ -780,6 +781,11 @@
         case MESSAGE_CANCEL:
           take_cancel (node, message);
           break;
+        case MESSAGE_RELEASE:
+          for (int i = 0; i < WORLD_ZONES; i++)
+            if (node->owned[i].fleet != NULL)
+              fleet_release (node->owned[i].fleet, message->from->name, message->number);
+          break;
         case MESSAGE_CANCELLED:
           flow_cancelled (node->flow, message->from->name, message->number, message->never,
                           world->now_ms, node->flow_actions);
@@ -890,9 +896,11 @@
           answer_job (node, &action);
           continue;
         }
+      static const message_kind_t kinds[] = { [FLOW_SUBMIT] = MESSAGE_SUBMIT,
+                                              [FLOW_CANCEL] = MESSAGE_CANCEL,
+                                              [FLOW_RELEASE] = MESSAGE_RELEASE };
       message_t *message =
-          message_new (action.kind == FLOW_SUBMIT ? MESSAGE_SUBMIT : MESSAGE_CANCEL, node,
-                       node_named (node->world, action.host));
+          message_new (kinds[action.kind], node, node_named (node->world, action.host));
       message->number = action.number;
       if (action.kind == FLOW_SUBMIT)
         {
