--- a/daemon/site.c
+++ b/daemon/site.c
@@ -18,6 +18,8 @@
 #define TICK_MS 5
 /* A gap between ticks beyond this means that the process stood still. */
 #define STILL_MS 400
+/* Beliefs older than this are brought up to date before anything is started. */
+#define REFRESH_MS 20
 #define PULL_EVERY_MS 150
 /* Shards without an owner are probed this often, at one of so many endpoints. */
 #define PROBE_EVERY_MS 200
@@ -424,12 +426,36 @@
   return true;
 }
 
+/* Brings what this host believes up to date before it acts on it: after it stood still, its
+ * coordinators may be gone and its shards another host's. */
+static void
+refresh (site_t *site, int64_t now_ms)
+{
+  if (site->refreshed_at_ms != 0 && now_ms - site->refreshed_at_ms > STILL_MS)
+    {
+      if (event_begin (EVENT_STOOD_STILL))
+        {
+          event_number ("for_ms", now_ms - site->refreshed_at_ms);
+          event_end ();
+        }
+      crew_thawed (site->crew, now_ms, site->crew_actions);
+      flow_give_up_all (site->flow, "this host stood still", now_ms, site->flow_actions);
+      site_run_flow_actions (site);
+    }
+  site->refreshed_at_ms = now_ms;
+  crew_step (site->crew, now_ms, clock_wall_ms (), site->crew_actions);
+  run_crew_actions (site, now_ms);
+}
+
 static void
 pump_now (void *data)
 {
   site_t *site = data;
+  int64_t now_ms = clock_boot_ms ();
   bool more = true;
 
+  if (now_ms - site->refreshed_at_ms > REFRESH_MS)
+    refresh (site, now_ms);
   while (more)
     {
       more = run_crew_actions (site, clock_boot_ms ());
@@ -508,23 +534,11 @@
   site_t *site = data;
   int64_t now_ms = clock_boot_ms ();
 
-  if (site->ticked_at_ms != 0 && now_ms - site->ticked_at_ms > STILL_MS)
-    {
-      if (event_begin (EVENT_STOOD_STILL))
-        {
-          event_number ("for_ms", now_ms - site->ticked_at_ms);
-          event_end ();
-        }
-      crew_thawed (site->crew, now_ms, site->crew_actions);
-      flow_give_up_all (site->flow, "this host stood still", now_ms, site->flow_actions);
-      site_run_flow_actions (site);
-    }
-  site->ticked_at_ms = now_ms;
+  refresh (site, now_ms);
   crew_set_ready (site->crew, site->queues != NULL && store_is_listed (site->store));
   webclient_tick (site->client, now_ms);
   door_tick (site->door, now_ms);
   store_tick (site->store, now_ms);
-  crew_step (site->crew, now_ms, clock_wall_ms (), site->crew_actions);
   flow_step (site->flow, now_ms, site->flow_actions);
   site_run_flow_actions (site);
   owner_rounds (site, true);
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -63,7 +63,7 @@
   bool store_reachable;
   bool leaving;
   int64_t leaving_from_ms;
-  int64_t ticked_at_ms;
+  int64_t refreshed_at_ms;
   int64_t beat_due_ms;
   int64_t beat_far_due_ms;
   int64_t pull_due_ms;
--- a/tests/test_fleet_random.c
+++ b/tests/test_fleet_random.c
@@ -14,6 +14,7 @@
 #define BEAT_MS 100
 #define OFFER_MS 15
 #define STILL_MS 400
+#define REFRESH_MS 20
 #define ORDER_MAX_MS 80
 #define TASKS_MAX 6
 #define JOB_EVERY_MS 25
@@ -81,7 +82,7 @@
   int64_t frozen_until_ms;
   int64_t cut_until_ms;
   int64_t leaving_from_ms;
-  int64_t ticked_at_ms;
+  int64_t refreshed_at_ms;
   int64_t beat_at_ms;
   crew_t *crew;
   flow_t *flow;
@@ -1040,9 +1041,28 @@
   g_array_set_size (node->fleet_actions, 0);
 }
 
+/* As the daemon: beliefs first, when they are not fresh. */
+static void
+refresh (node_t *node)
+{
+  world_t *world = node->world;
+
+  if (world->now_ms - node->refreshed_at_ms > STILL_MS)
+    {
+      crew_thawed (node->crew, world->now_ms, node->crew_actions);
+      flow_give_up_all (node->flow, "frozen", world->now_ms, node->flow_actions);
+      run_flow_actions (node);
+    }
+  node->refreshed_at_ms = world->now_ms;
+  crew_step (node->crew, world->now_ms, world->now_ms, node->crew_actions);
+  run_crew_actions (node);
+}
+
 static void
 pump (node_t *node)
 {
+  if (node->world->now_ms - node->refreshed_at_ms > REFRESH_MS)
+    refresh (node);
   run_crew_actions (node);
   run_flow_actions (node);
   for (int i = 0; i < WORLD_ZONES; i++)
@@ -1138,7 +1158,7 @@
   for (int i = 0; i < WORLD_ZONES; i++)
     crew_add_shard (node->crew, zone_name (i));
   crew_set_ready (node->crew, true);
-  node->ticked_at_ms = world->now_ms;
+  node->refreshed_at_ms = world->now_ms;
   node->leaving_from_ms = 0;
   node->beat_at_ms = 0;
 }
@@ -1179,15 +1199,8 @@
     }
   if (node->frozen_until_ms > world->now_ms)
     return;
-  if (world->now_ms - node->ticked_at_ms > STILL_MS)
-    {
-      crew_thawed (node->crew, world->now_ms, node->crew_actions);
-      flow_give_up_all (node->flow, "frozen", world->now_ms, node->flow_actions);
-      run_flow_actions (node);
-    }
-  node->ticked_at_ms = world->now_ms;
   probe_orphans (node);
-  crew_step (node->crew, world->now_ms, world->now_ms, node->crew_actions);
+  refresh (node);
   flow_step (node->flow, world->now_ms, node->flow_actions);
   pump (node);
   send_offers (node);
