A greeting from a known address is answered by a redial; listen 200 ms before a claim

Cause: after a restart the others dialed back only when their own wait was over (up to 0.8 s), so that a new host heard no owner in its first 0.3 s and claimed beside it.

--- a/lib/crew/crew.c
+++ b/lib/crew/crew.c
@@ -16,7 +16,7 @@
 /* After its connection broke, a host has this long to be heard again. */
 #define BROKEN_GRACE_MS 120
 /* A host that has just started listens first. */
-#define LISTEN_FIRST_MS 300
+#define LISTEN_FIRST_MS 200
 /* How long a shard has no owner before it is claimed. */
 #define VACANT_NEAR_MS 20
 #define VACANT_FAR_MS 1200
--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -552,14 +552,19 @@
 net_add_address (net_t *net, const char *address, const char *data_centre, bool permanent)
 {
   bool known = strcmp (address, net->self.address) == 0;
+  bool due = false;
 
   if (address_split (address, NULL, NULL) != 0)
     return;
   pthread_mutex_lock (&net->lock);
   for (guint i = 0; i < net->links->len && !known; i++)
     {
-      const link_t *link = net->links->pdata[i];
+      link_t *link = net->links->pdata[i];
       known = link->dialed && strcmp (link->address, address) == 0;
+      /* Whoever tells of it, or greets from there, shows that it may be back. */
+      due = known && link->state == LINK_IDLE;
+      if (due)
+        link->redial_at_ms = 0;
     }
   if (!known)
     {
@@ -570,7 +575,7 @@
       link->forget_at_ms = clock_boot_ms () + NET_FORGET_MS;
     }
   pthread_mutex_unlock (&net->lock);
-  if (!known)
+  if (!known || due)
     wake (net);
 }
 
