Cancellation at any host; settings that change are followed

Cause: DELETE was answered 410 for every job, also for one under way, which went on; SIGHUP and a changed file were only noted. A DELETE ends the job here, or at whichever host has it; a changed file that is valid changes bounds and the log's address, one that is not changes nothing and is told.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -185,7 +185,7 @@
       return EXIT_USAGE;
     }
   log_setup (LOG_LEVEL_WARNING, true, settings->host);
-  if (site_run (settings) != 0)
+  if (site_run (settings, file) != 0)
     {
       fprintf (stderr, "jaytraild: cannot listen on %s, %s and %s\n", settings->caller_listen,
                settings->ready_listen, settings->peer_listen);
--- a/daemon/site.c
+++ b/daemon/site.c
@@ -13,6 +13,7 @@
 #include "daemon/version.h"
 
 #include <signal.h>
+#include <sys/stat.h>
 #include <string.h>
 
 #define TICK_MS 5
@@ -21,6 +22,8 @@
 /* Beliefs older than this are brought up to date before anything is started. */
 #define REFRESH_MS 20
 #define PULL_EVERY_MS 150
+#define WATCH_EVERY_MS 1000
+#define NS_PER_S INT64_C (1000000000)
 /* Shards without an owner are probed this often, at one of so many endpoints. */
 #define PROBE_EVERY_MS 200
 #define PROBE_ONE_OF 8
@@ -36,12 +39,14 @@
   [FLOW_FAILED] = "failed",
   [FLOW_REFUSED] = "refused",
   [FLOW_GIVEN_UP] = "given_up",
+  [FLOW_CANCELLED] = "cancelled",
 };
 
 static void
 log_answer (const flow_action_t *action)
 {
-  bool missed = action->outcome != FLOW_COMPLETE || action->late_by_ms > 0;
+  bool missed = action->outcome != FLOW_CANCELLED
+                && (action->outcome != FLOW_COMPLETE || action->late_by_ms > 0);
 
   metrics_job (action);
   if (!event_begin (missed ? EVENT_JOB_MISSED : EVENT_JOB_ANSWERED))
@@ -156,12 +161,18 @@
   site_pump (site);
 }
 
+/* The job may be under way at any host. */
 static bool
 cancel_job (const char *id, void *user)
 {
-  (void) id;
-  (void) user;
-  return false;
+  site_t *site = user;
+  bool here = flow_cancel (site->flow, id, clock_boot_ms (), site->flow_actions);
+
+  site_run_flow_actions (site);
+  site_pump (site);
+  if (!here)
+    peers_send_all (site, fleet_msg_forget (id));
+  return here;
 }
 
 static bool
@@ -528,6 +539,54 @@
     loop_stop (site->loop);
 }
 
+/* Reads the settings again.  A host's own names and addresses stay as they were at its start; the
+ * bounds and the address of the log follow.  A file that is not valid changes nothing. */
+static void
+reload (site_t *site, const char *why)
+{
+  platform_settings_t *settings = NULL;
+  char *message = NULL;
+  int result = platform_settings_read (site->file, &settings, &message);
+
+  if (event_begin (EVENT_RELOADED))
+    {
+      event_text ("why", result == 0 ? why : message);
+      event_end ();
+    }
+  g_free (message);
+  if (result != 0)
+    return;
+  store_set_address (site->store, settings->store);
+  site->settings->lease_ms = settings->lease_ms;
+  site->settings->stop_ms = settings->stop_ms;
+  site->settings->grace_ms = settings->grace_ms;
+  owner_set_bounds (site);
+  platform_settings_free (settings);
+}
+
+static void
+on_hangup (void *data)
+{
+  reload (data, "a signal");
+}
+
+/* The file may change without a signal. */
+static void
+watch_settings (site_t *site, int64_t now_ms)
+{
+  struct stat state;
+
+  if (now_ms < site->watch_due_ms)
+    return;
+  site->watch_due_ms = now_ms + WATCH_EVERY_MS;
+  if (stat (site->file, &state) != 0)
+    return;
+  int64_t changed_ns = state.st_mtim.tv_sec * NS_PER_S + state.st_mtim.tv_nsec + state.st_size;
+  if (site->file_stamp != 0 && changed_ns != site->file_stamp)
+    reload (site, "the file has changed");
+  site->file_stamp = changed_ns;
+}
+
 static void
 on_tick (void *data)
 {
@@ -547,6 +606,7 @@
   peers_beat (site, now_ms, false);
   pull_config (site, now_ms);
   probe_orphans (site, now_ms);
+  watch_settings (site, now_ms);
   event_flush (now_ms);
   if (site->leaving)
     stop_if_done (site, now_ms);
@@ -576,21 +636,8 @@
   peers_beat (site, site->leaving_from_ms, true);
 }
 
-/* The settings that may change while the process runs are read at its start only; the
- * addresses and names of a host stay. */
-static void
-on_hangup (void *data)
-{
-  (void) data;
-  if (event_begin (EVENT_RELOADED))
-    {
-      event_text ("why", "a signal; nothing that is in use has to follow");
-      event_end ();
-    }
-}
-
 int
-site_run (const platform_settings_t *settings)
+site_run (platform_settings_t *settings, const char *file)
 {
   site_t *site = g_new0 (site_t, 1);
   int64_t now_ms = clock_boot_ms ();
@@ -598,6 +645,7 @@
   signal (SIGPIPE, SIG_IGN);
   event_setup (settings->host);
   site->settings = settings;
+  site->file = file;
   site->host = g_intern_string (settings->host);
   site->incarnation = (uint64_t) clock_wall_ms () << 16 | g_random_int_range (0, 1 << 16);
   site->loop = loop_new (TICK_MS, on_tick, site);
--- a/daemon/site.h
+++ b/daemon/site.h
@@ -9,8 +9,9 @@
 
 #include "platform/settings.h"
 
-/* Runs until it is stopped by SIGTERM.  Returns 0 after a graceful stop, ERROR_IO if it
+/* Runs with SETTINGS, which were read from FILE, until it is stopped by SIGTERM; bounds that change
+ * in the file are followed.  Returns 0 after a graceful stop, ERROR_IO if it
  * cannot listen. */
-int site_run (const platform_settings_t *settings);
+int site_run (platform_settings_t *settings, const char *file);
 
 #endif
--- a/daemon/site_metrics.c
+++ b/daemon/site_metrics.c
@@ -80,6 +80,7 @@
     [FLOW_FAILED] = "failed",
     [FLOW_REFUSED] = "refused",
     [FLOW_GIVEN_UP] = "given_up",
+    [FLOW_CANCELLED] = "cancelled",
   };
   static counter_t *counters[G_N_ELEMENTS (outcomes)];
   static counter_t *late;
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -327,6 +327,24 @@
   return never;
 }
 
+static fleet_options_t
+bounds_of (const site_t *site)
+{
+  return (fleet_options_t){ site->settings->lease_ms, site->settings->stop_ms };
+}
+
+void
+owner_set_bounds (site_t *site)
+{
+  fleet_options_t options = bounds_of (site);
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, site->owned);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    fleet_set_options (((owned_t *) value)->fleet, &options);
+}
+
 void
 owner_release (site_t *site, const char *coordinator, uint64_t batch)
 {
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -53,6 +53,19 @@
     owner_release (site, host, batch);
 }
 
+static void
+read_forget (site_t *site, const char *host, frame_reader_t *reader)
+{
+  char *job = NULL;
+
+  (void) host;
+  if (fleet_msg_read_forget (reader, &job) != 0)
+    return;
+  flow_cancel (site->flow, job, clock_boot_ms (), site->flow_actions);
+  site_run_flow_actions (site);
+  g_free (job);
+}
+
 static void
 read_cancelled (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -160,6 +173,7 @@
   { FLEET_MSG_ENDS, read_ends },     { FLEET_MSG_CANCELLED, read_cancelled },
   { FLEET_MSG_OFFER, read_offer },   { FLEET_MSG_DROPPED, read_dropped },
   { FLEET_MSG_RELEASE, read_release },
+  { FLEET_MSG_FORGET, read_forget },
   { CREW_MSG_BEAT, read_beat },      { CREW_MSG_CONFIG_PULL, read_config_pull },
   { CREW_MSG_CONFIG, read_config },
 };
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -41,7 +41,9 @@
 
 struct site_t
 {
-  const platform_settings_t *settings;
+  platform_settings_t *settings;
+  const char *file; /* of the settings */
+  int64_t file_stamp;
   const char *host; /* interned */
   uint64_t incarnation;
   loop_t *loop;
@@ -68,6 +70,7 @@
   int64_t beat_far_due_ms;
   int64_t pull_due_ms;
   int64_t probe_due_ms;
+  int64_t watch_due_ms;
 };
 
 /* site.c: carries out all actions that are due, until nothing is left to do, once the events
@@ -83,6 +86,7 @@
 void owner_submit (site_t *site, const char *shard, const fleet_batch_t *batch);
 /* Ends BATCH of COORDINATOR wherever it is.  Returns true if nothing of it started. */
 bool owner_cancel (site_t *site, const char *coordinator, uint64_t batch);
+void owner_set_bounds (site_t *site);
 void owner_release (site_t *site, const char *coordinator, uint64_t batch);
 void owner_drop_coordinator (site_t *site, const char *coordinator);
 /* Rounds of all fleets.  Returns true if anything was done. */
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -126,6 +126,12 @@
   g_free (fleet);
 }
 
+void
+fleet_set_options (fleet_t *fleet, const fleet_options_t *options)
+{
+  fleet->options = *options;
+}
+
 /* --- the queue --- */
 
 static bool
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -192,6 +192,7 @@
 
 fleet_t *fleet_new (const fleet_options_t *options);
 void fleet_free (fleet_t *fleet);
+void fleet_set_options (fleet_t *fleet, const fleet_options_t *options);
 
 /* Takes over the endpoint, or takes in what it says now. */
 void fleet_set_endpoint (fleet_t *fleet, const fleet_endpoint_t *endpoint, int64_t now_ms);
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -124,6 +124,22 @@
   return name_batch (FLEET_MSG_RELEASE, batch);
 }
 
+GBytes *
+fleet_msg_forget (const char *job)
+{
+  frame_writer_t *writer = frame_begin (FLEET_MSG_FORGET);
+
+  frame_put_string (writer, job);
+  return frame_finish (writer);
+}
+
+int
+fleet_msg_read_forget (frame_reader_t *reader, char **job)
+{
+  *job = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  return *job != NULL ? 0 : ERROR_PROTOCOL;
+}
+
 GBytes *
 fleet_msg_dropped (void)
 {
--- a/lib/fleet/fleet_msg.h
+++ b/lib/fleet/fleet_msg.h
@@ -18,6 +18,7 @@
   FLEET_MSG_CANCELLED,
   FLEET_MSG_OFFER,
   FLEET_MSG_RELEASE, /* a batch is another owner's now; as FLEET_MSG_CANCEL */
+  FLEET_MSG_FORGET,  /* a job's caller has cancelled it, at another host */
   FLEET_MSG_DROPPED  /* the owner has ended all that this coordinator gave it */
 } fleet_msg_t;
 
@@ -36,6 +37,9 @@
 /* FLEET_MSG_CANCEL names a batch; FLEET_MSG_CANCELLED says if nothing of it started. */
 GBytes *fleet_msg_cancel (uint64_t batch);
 GBytes *fleet_msg_release (uint64_t batch);
+GBytes *fleet_msg_forget (const char *job);
+/* *JOB is the caller's (g_free). */
+int fleet_msg_read_forget (frame_reader_t *reader, char **job);
 GBytes *fleet_msg_dropped (void);
 GBytes *fleet_msg_cancelled (uint64_t batch, bool never_started);
 int fleet_msg_read_cancel (frame_reader_t *reader, uint64_t *batch);
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -555,12 +555,16 @@
   return job->number;
 }
 
-uint64_t
-flow_find (const flow_t *flow, const char *id)
+bool
+flow_cancel (flow_t *flow, const char *id, int64_t now_ms, GArray *actions)
 {
-  const job_t *job = g_hash_table_lookup (flow->by_id, id);
+  job_t *job = g_hash_table_lookup (flow->by_id, id);
 
-  return job != NULL ? job->number : 0;
+  if (job == NULL)
+    return false;
+  job->ending = false;
+  end_job (flow, job, FLOW_CANCELLED, "it was cancelled", now_ms, actions);
+  return true;
 }
 
 void
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -45,7 +45,8 @@
   FLOW_COMPLETE,
   FLOW_FAILED,  /* a task has failed as often as is allowed */
   FLOW_REFUSED, /* nothing has run and nothing will */
-  FLOW_GIVEN_UP /* it may have run in part */
+  FLOW_GIVEN_UP, /* it may have run in part */
+  FLOW_CANCELLED /* its caller wants it no more; it may have run in part */
 } flow_outcome_t;
 
 #define FLOW_OWNERS_BYTES 128
@@ -97,8 +98,8 @@
 /* The caller has gone, or has cancelled the job: its tasks end, and there is no answer. */
 void flow_abandon (flow_t *flow, uint64_t job, int64_t now_ms, GArray *actions);
 
-/* Number of the job with ID, or 0. */
-uint64_t flow_find (const flow_t *flow, const char *id);
+/* Ends the job with ID, which is answered as cancelled.  Returns false if it is not here. */
+bool flow_cancel (flow_t *flow, const char *id, int64_t now_ms, GArray *actions);
 
 /* What the owner of SHARD offers: COUNT rows.  WAITING tasks are queued there. */
 void flow_offer (flow_t *flow,
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -479,6 +479,68 @@
   rig_stop (&rig);
 }
 
+/* A job ends when it is cancelled, at its own host or at another, and is answered so. */
+static void
+test_cancelled (void)
+{
+  rig_t rig;
+  char *body = job_body (3, 2500, "");
+
+  rig_start (&rig);
+  for (int i = 0; i < 2; i++)
+    {
+      char *target = g_strdup_printf ("/q/00000000000000e%d", i);
+      int fd = dial (caller_port (&rig, 0));
+      send_request (fd, "POST", target, body);
+      CU_ASSERT_TRUE (comes_to (&rig, "running", 3, 2000));
+      CU_ASSERT_EQUAL (call (caller_port (&rig, i), "DELETE", target, "").status,
+                       i == 0 ? 200 : 410);
+      answer_t answer = read_answer (fd, clock_boot_ms () + 1000);
+      CU_ASSERT_EQUAL (answer.status, 200);
+      CU_ASSERT_PTR_NOT_NULL (strstr (answer.body, "cancelled"));
+      CU_ASSERT_TRUE (comes_to (&rig, "running", 0, 500));
+      close (fd);
+      g_free (target);
+    }
+  g_free (body);
+  rig_stop (&rig);
+}
+
+/* Settings that change, with or without a signal, cut nothing. */
+static void
+test_settings_change (void)
+{
+  rig_t rig;
+  char *text = NULL;
+
+  rig_start (&rig);
+  load_t load = { .rig = &rig, .first = 5000, .count = 60, .host = 0, .tasks = 2, .work_ms = 30 };
+  GThread *thread = g_thread_new ("load", run_load, &load);
+  char *file = g_strdup_printf ("%s/h0.conf", rig.directory);
+  char *log = g_strdup_printf ("%s/h0.log", rig.directory);
+  CU_ASSERT_TRUE (g_file_get_contents (file, &text, NULL, NULL));
+  char *more = g_strdup_printf ("%sanother.new=2\n", text);
+  clock_sleep_ms (300);
+  kill (rig.hosts[0], SIGHUP);
+  clock_sleep_ms (300);
+  g_file_set_contents (file, more, -1, NULL);
+  clock_sleep_ms (1200);
+  g_file_set_contents (file, "node_name=\n", -1, NULL);
+  clock_sleep_ms (1200);
+  g_thread_join (thread);
+  CU_ASSERT_EQUAL (load.complete, 60);
+  g_free (text);
+  CU_ASSERT_TRUE (g_file_get_contents (log, &text, NULL, NULL));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "a signal"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "the file has changed"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "allowed is text that is not empty"));
+  g_free (text);
+  g_free (more);
+  g_free (log);
+  g_free (file);
+  rig_stop (&rig);
+}
+
 /* A job that is submitted again at another host, while the first host does not know yet that its
  * caller is gone, never runs twice at a time. */
 static void
@@ -734,6 +796,8 @@
   { "inputs", test_inputs },
   { "bad endpoints", test_bad_endpoints },
   { "caller leaves", test_caller_leaves },
+  { "cancelled", test_cancelled },
+  { "settings change", test_settings_change },
   { "resubmitted", test_resubmitted },
   { "host killed", test_host_killed },
   { "host stopped", test_host_stopped },
