--- /dev/null
+++ b/tests/test_site_fuzz.c
@@ -0,0 +1,300 @@
+/* test_site_fuzz.c -- readers of what the platform, endpoints, callers and peers send, on damaged input
+ *
+ * Good documents are cut, changed and joined at random; readers must take anything. Under the
+ * sanitizers this shows reads out of bounds and leaks.  With arguments: seed and count.
+ */
+#include "crew/crew_msg.h"
+#include "fleet/fleet_msg.h"
+#include "platform/decode.h"
+#include "platform/settings.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <glib/gstdio.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+static uint32_t seed = 20261204;
+static int count = 40000;
+
+/* --- readers --- */
+
+static void
+read_entry (const char *data, size_t size)
+{
+  decode_entry_t entry;
+
+  if (decode_entry ("i-1", data, size, &entry) == 0)
+    {
+      CU_ASSERT_PTR_NOT_NULL (entry.endpoint.address);
+      CU_ASSERT_TRUE (entry.endpoint.free.cores_milli >= 0);
+      decode_entry_clear (&entry);
+    }
+}
+
+static void
+read_queues (const char *data, size_t size)
+{
+  queues_t *queues = NULL;
+  const char *rest = NULL;
+
+  if (decode_queues (data, size, &queues) == 0)
+    {
+      queues_find (queues, "h.example:80", "/p/00", &rest);
+      queues_free (queues);
+    }
+}
+
+static void
+read_job (const char *data, size_t size)
+{
+  decode_job_t job;
+  const char *message = NULL;
+
+  if (decode_job (data, size, &job, &message) == 0)
+    {
+      CU_ASSERT_TRUE (job.tasks >= 1 && job.tasks <= 510);
+      decode_job_clear (&job);
+    }
+  else
+    CU_ASSERT_PTR_NOT_NULL (message);
+}
+
+static void
+read_look (const char *data, size_t size)
+{
+  decode_look_t look;
+
+  if (decode_look (data, size, &look) == 0)
+    decode_look_clear (&look);
+}
+
+static void
+read_answer (const char *data, size_t size)
+{
+  int64_t clock_there_ms = 0;
+
+  decode_answer (409, data, size, &clock_there_ms);
+}
+
+static void
+read_frame (const char *data, size_t size)
+{
+  frame_reader_t *reader = NULL;
+  fleet_submit_t submit;
+  fleet_offer_msg_t offer;
+  crew_beat_t beat;
+  GArray *ends = g_array_new (FALSE, FALSE, sizeof (fleet_end_t));
+
+  if (frame_parse (data, size, &reader) == 0)
+    {
+      switch (frame_type (reader))
+        {
+        case FLEET_MSG_SUBMIT:
+          if (fleet_msg_read_submit (reader, 0, &submit) == 0)
+            fleet_submit_clear (&submit);
+          break;
+        case FLEET_MSG_OFFER:
+          if (fleet_msg_read_offer (reader, &offer) == 0)
+            fleet_offer_msg_clear (&offer);
+          break;
+        case FLEET_MSG_ENDS:
+          fleet_msg_read_ends (reader, ends);
+          break;
+        default:
+          if (crew_msg_read_beat (reader, &beat) == 0)
+            crew_beat_clear (&beat);
+          break;
+        }
+      frame_reader_free (reader);
+    }
+  g_array_unref (ends);
+}
+
+/* --- good documents --- */
+
+static const struct
+{
+  void (*read) (const char *data, size_t size);
+  const char *text;
+} documents[] = {
+  { read_entry,
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\","
+    "\"free_capacity\":{\"cpu_millis\":16000,\"mem_mb\":32768,\"gpus\":0},\"labels\":[\"a\","
+    "\"r1-3\"],\"clock_ms\":482113,\"sequence\":4,\"born\":1700000000000}" },
+  { read_queues,
+    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"path_prefix\":\"/p/\","
+    "\"timeout_ms\":1500,\"target_latency_ms\":60,\"priority\":2,\"service\":\"s\","
+    "\"max_attempts\":3,\"stretch_factor\":1.6}],\"limits\":{\"max_header_bytes\":16384}}" },
+  { read_job,
+    "{\"spec\":\"text\",\"best_effort\":true,\"phases\":[{\"count\":4,\"cpu_millis\":500,"
+    "\"mem_mb\":256,\"estimated_ms\":900,\"affinity\":\"r1-3\"}]}" },
+  { read_look,
+    "{\"clock_ms\":482113,\"active\":[[\"5c0e7a21d94b36f8.0.1.17\",2,\"00\",41]],\"finished\":"
+    "[[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"]],\"born\":5}" },
+  { read_answer, "{\"clock_ms\":482113,\"reason\":\"fence\"}" },
+};
+
+static GString *
+damage (GRand *rand, const char *data, size_t size)
+{
+  GString *text = g_string_new_len (data, (gssize) size);
+  int changes = g_rand_int_range (rand, 0, 6);
+
+  for (int i = 0; i < changes && text->len > 0; i++)
+    {
+      gsize at = (gsize) g_rand_int_range (rand, 0, (gint32) text->len);
+      switch (g_rand_int_range (rand, 0, 5))
+        {
+        case 0:
+          text->str[at] = (char) g_rand_int_range (rand, 0, 256);
+          break;
+        case 1:
+          g_string_truncate (text, at);
+          break;
+        case 2:
+          g_string_erase (text, (gssize) at, 1);
+          break;
+        case 3:
+          g_string_insert (text, (gssize) at, "99999999999999999999");
+          break;
+        default:
+          g_string_insert_len (text, (gssize) at, text->str, (gssize) MIN (at, 20));
+          break;
+        }
+    }
+  return text;
+}
+
+static void
+test_documents (void)
+{
+  GRand *rand = g_rand_new_with_seed (seed);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (documents); i++)
+    for (int k = 0; k < count; k++)
+      {
+        GString *text = damage (rand, documents[i].text, strlen (documents[i].text));
+        documents[i].read (text->str, text->len);
+        g_string_free (text, TRUE);
+      }
+  g_rand_free (rand);
+}
+
+static GBytes *
+good_frame (int kind)
+{
+  static const int32_t indexes[] = { 0, 1, 2 };
+  static const fleet_end_t ends[] = { { 3, 1, FLEET_DONE }, { 4, 0, FLEET_RETURNED } };
+  fleet_batch_t batch = { .batch = 7, .job = "j", .spec = "s", .service = "x", .label = "",
+                          .near_rack = "", .indexes = indexes, .count = 3 };
+  crew_claim_t claim = { (char *) "z", 1234567 };
+  crew_beat_t beat = { .host = (char *) "h", .data_centre = (char *) "z", .incarnation = 9 };
+  GArray *offers = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
+  fleet_offer_t offer = { "x", 3, 9, 1.2 };
+  GBytes *frame = NULL;
+
+  g_array_append_val (offers, offer);
+  beat.claims = g_array_new (FALSE, FALSE, sizeof (crew_claim_t));
+  g_array_append_val (beat.claims, claim);
+  if (kind == 0)
+    frame = fleet_msg_submit ("z", &batch, 0);
+  else if (kind == 1)
+    frame = fleet_msg_ends (ends, G_N_ELEMENTS (ends));
+  else if (kind == 2)
+    frame = fleet_msg_offer ("z", 4, offers);
+  else
+    frame = crew_msg_beat (&beat);
+  g_array_unref (beat.claims);
+  g_array_unref (offers);
+  return frame;
+}
+
+static void
+test_frames (void)
+{
+  GRand *rand = g_rand_new_with_seed (seed);
+
+  for (int kind = 0; kind < 4; kind++)
+    {
+      GBytes *frame = good_frame (kind);
+      gsize size = 0;
+      const char *data = g_bytes_get_data (frame, &size);
+      for (int k = 0; k < count; k++)
+        {
+          GString *text = damage (rand, data + FRAME_LENGTH_BYTES, size - FRAME_LENGTH_BYTES);
+          read_frame (text->str, text->len);
+          g_string_free (text, TRUE);
+        }
+      g_bytes_unref (frame);
+    }
+  g_rand_free (rand);
+}
+
+/* Settings: what is read is valid, what is not valid is told in one line. */
+static void
+test_settings (void)
+{
+  static const char good[] =
+      "node_name=a\nzone=z\nlisten_addrs.frontend=10.0.0.1:80\nlisten_addrs.ready=10.0.0.1:81\n"
+      "listen_addrs.control_plane=10.0.0.1:82\nseed_nodes=10.0.0.2:82,x\nplatform.address="
+      "10.0.0.9:1\nbounds.max_hold_ms=1000\nbounds.stop_timeout_ms=50\nbounds.grace_period_s=6\n"
+      "bounds.retransmit_ms=1300\nbounds.config_apply_ms=2000\nlimits.cpu_fraction=0.25\n";
+  GRand *rand = g_rand_new_with_seed (seed);
+  char *directory = g_dir_make_tmp ("jaytrail-fuzz-XXXXXX", NULL);
+  char *file = g_build_filename (directory, "s.conf", NULL);
+
+  for (int i = 0; i < 2000; i++)
+    {
+      platform_settings_t *settings = NULL;
+      char *message = NULL;
+      GString *text = damage (rand, good, sizeof good - 1);
+      g_file_set_contents (file, text->str, (gssize) text->len, NULL);
+      if (platform_settings_read (file, &settings, &message) == 0)
+        {
+          CU_ASSERT_TRUE (settings->lease_ms >= 0 && settings->power >= 0);
+          platform_settings_free (settings);
+        }
+      else
+        CU_ASSERT_PTR_NOT_NULL (message);
+      g_free (message);
+      g_string_free (text, TRUE);
+    }
+  g_unlink (file);
+  g_rmdir (directory);
+  g_free (file);
+  g_free (directory);
+  g_rand_free (rand);
+}
+
+static const struct
+{
+  const char *name;
+  CU_TestFunc run;
+} tests[] = {
+  { "documents", test_documents },
+  { "frames", test_frames },
+  { "settings", test_settings },
+};
+
+int
+main (int argc, char **argv)
+{
+  if (argc > 2)
+    {
+      seed = (uint32_t) strtoul (argv[1], NULL, 10);
+      count = atoi (argv[2]);
+    }
+  printf ("seed %u, %d of each\n", seed, count);
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("readers of a site", NULL, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
+    CU_add_test (suite, tests[i].name, tests[i].run);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
