--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -321,7 +321,10 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       owned_t *owned = value;
-      never |= fleet_cancel (owned->fleet, coordinator, batch, clock_boot_ms (), owned->actions);
+      int64_t now_ms = clock_boot_ms ();
+      never |= fleet_cancel (owned->fleet, coordinator, batch, now_ms, owned->actions);
+      /* Its notes are read before the next call makes them invalid. */
+      run_actions (owned, now_ms);
       owned->dirty = true;
     }
   return never;
