Neighbours tell each other which endpoints there are

Hosts of a data centre tell each other the endpoints that they know when they meet, and for 3 s after its first listing an owner waits for tasks that it does not find.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -240,22 +240,21 @@
 }
 
 static void
-log_endpoint (event_t event, const decode_entry_t *entry)
+log_endpoint (event_t event, const fleet_entry_t *entry)
 {
   if (!event_begin (event))
     return;
   event_text ("endpoint", entry->endpoint.id);
-  event_text ("shard", entry->data_centre);
+  event_text ("shard", entry->shard);
   if (event == EVENT_ENDPOINT_FOUND)
     event_text ("kind", entry->endpoint.kind);
   event_end ();
 }
 
-static void
-on_entry (const decode_entry_t *entry, void *user)
+void
+site_take_entry (site_t *site, const fleet_entry_t *entry)
 {
-  site_t *site = user;
-  const decode_entry_t *before = g_hash_table_lookup (site->directory, entry->endpoint.id);
+  const fleet_entry_t *before = g_hash_table_lookup (site->directory, entry->endpoint.id);
 
   if (before != NULL && before->endpoint.born_at_ms > entry->endpoint.born_at_ms)
     return;
@@ -266,8 +265,8 @@
     log_endpoint (EVENT_ENDPOINT_FOUND, entry);
   else if (entry->endpoint.leaving && !before->endpoint.leaving)
     log_endpoint (EVENT_ENDPOINT_LEAVING, entry);
-  decode_entry_t *copy = g_new0 (decode_entry_t, 1);
-  decode_entry_copy (copy, entry);
+  fleet_entry_t *copy = g_new0 (fleet_entry_t, 1);
+  fleet_entry_copy (copy, entry);
   /* What was free when nothing ran is the whole room. */
   if (before != NULL && before->endpoint.born_at_ms == entry->endpoint.born_at_ms)
     {
@@ -277,20 +276,26 @@
       free->gpus = MAX (free->gpus, before->endpoint.free.gpus);
     }
   g_hash_table_replace (site->directory, (void *) copy->endpoint.id, copy);
-  crew_add_shard (site->crew, copy->data_centre);
+  crew_add_shard (site->crew, copy->shard);
   owner_entry (site, copy);
 }
 
+static void
+on_entry (const fleet_entry_t *entry, void *user)
+{
+  site_take_entry (user, entry);
+}
+
 static void
 on_gone (const char *id, void *user)
 {
   site_t *site = user;
-  const decode_entry_t *entry = g_hash_table_lookup (site->directory, id);
+  const fleet_entry_t *entry = g_hash_table_lookup (site->directory, id);
 
   if (entry == NULL)
     return;
   log_endpoint (EVENT_ENDPOINT_GONE, entry);
-  owner_gone (site, id, entry->data_centre);
+  owner_gone (site, id, entry->shard);
   g_hash_table_remove (site->directory, id);
 }
 
@@ -315,7 +320,7 @@
 static void
 free_entry (void *data)
 {
-  decode_entry_clear (data);
+  fleet_entry_clear (data);
   g_free (data);
 }
 
@@ -366,6 +371,7 @@
           event_text ("host", action->host);
           event_end ();
         }
+      peers_tell_directory (site, action->host);
       break;
     }
 }
@@ -518,11 +524,11 @@
   g_hash_table_iter_init (&iter, site->directory);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const decode_entry_t *entry = value;
-      if (!crew_wants_probe (site->crew, entry->data_centre)
+      const fleet_entry_t *entry = value;
+      if (!crew_wants_probe (site->crew, entry->shard)
           || g_random_int_range (0, PROBE_ONE_OF) != 0)
         continue;
-      orders_probe (site->client, entry->endpoint.address, g_intern_string (entry->data_centre),
+      orders_probe (site->client, entry->endpoint.address, g_intern_string (entry->shard),
                     on_probed, site, now_ms);
     }
 }
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -7,6 +7,8 @@
 
 #include <string.h>
 
+/* The directory may lack endpoints for this long after it was first listed. */
+#define SETTLED_AFTER_MS 3000
 /* Offers are told no more often than this for each host that hears them, and no less often
  * than that. */
 #define OFFER_MIN_MS 15
@@ -204,9 +206,9 @@
 /* --- shards --- */
 
 static void
-set_endpoint (owned_t *owned, const decode_entry_t *entry, int64_t now_ms)
+set_endpoint (owned_t *owned, const fleet_entry_t *entry, int64_t now_ms)
 {
-  if (strcmp (entry->data_centre, owned->name) == 0)
+  if (strcmp (entry->shard, owned->name) == 0)
     fleet_set_endpoint (owned->fleet, &entry->endpoint, now_ms);
 }
 
@@ -236,6 +238,9 @@
   g_hash_table_iter_init (&iter, site->directory);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     set_endpoint (owned, value, now_ms);
+  /* Entries that lapsed while the log was away are back by then. */
+  if (store_listed_at_ms (site->store) != 0)
+    fleet_set_unsettled (owned->fleet, store_listed_at_ms (site->store) + SETTLED_AFTER_MS);
   fleet_renew (owned->fleet, now_ms);
 }
 
@@ -266,9 +271,9 @@
 }
 
 void
-owner_entry (site_t *site, const decode_entry_t *entry)
+owner_entry (site_t *site, const fleet_entry_t *entry)
 {
-  owned_t *owned = find_owned (site, entry->data_centre);
+  owned_t *owned = find_owned (site, entry->shard);
 
   if (owned == NULL)
     return;
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -5,6 +5,8 @@
 #include "base/counter.h"
 #include "crew/crew_msg.h"
 
+#include <string.h>
+
 /* Hosts are heard this often: those of the own data centre, and others where there are many. */
 #define BEAT_MS 100
 #define BEAT_FAR_MS 250
@@ -53,6 +55,38 @@
     owner_release (site, host, batch);
 }
 
+/* An endpoint that a neighbour knows of may be missing in the directory, while it can't reach the
+ * platform or has just come back. */
+static void
+read_endpoint (site_t *site, const char *host, frame_reader_t *reader)
+{
+  fleet_entry_t entry;
+
+  (void) host;
+  if (fleet_msg_read_endpoint (reader, &entry) != 0)
+    return;
+  if (!g_hash_table_contains (site->directory, entry.endpoint.id))
+    {
+      site_take_entry (site, &entry);
+      store_expect (site->store, entry.endpoint.id, clock_boot_ms ());
+    }
+  fleet_entry_clear (&entry);
+}
+
+void
+peers_tell_directory (site_t *site, const char *host)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  if (g_strcmp0 (g_hash_table_lookup (site->connected, host), site->settings->data_centre) != 0)
+    return;
+  g_hash_table_iter_init (&iter, site->directory);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (strcmp (((const fleet_entry_t *) value)->shard, site->settings->data_centre) == 0)
+      peers_send (site, host, fleet_msg_endpoint (value));
+}
+
 static void
 read_forget (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -174,6 +208,7 @@
   { FLEET_MSG_OFFER, read_offer },   { FLEET_MSG_DROPPED, read_dropped },
   { FLEET_MSG_RELEASE, read_release },
   { FLEET_MSG_FORGET, read_forget },
+  { FLEET_MSG_ENDPOINT, read_endpoint },
   { CREW_MSG_BEAT, read_beat },      { CREW_MSG_CONFIG_PULL, read_config_pull },
   { CREW_MSG_CONFIG, read_config },
 };
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -56,7 +56,7 @@
   queues_t *queues;
   GBytes *queues_data;   /* as the platform gave it */
   GHashTable *owned;     /* interned shard -> owned_t */
-  GHashTable *directory; /* id -> decode_entry_t */
+  GHashTable *directory; /* id -> fleet_entry_t */
   GHashTable *connected; /* interned host with a connection -> its data centre */
   GArray *crew_actions;
   GArray *flow_actions;
@@ -81,7 +81,7 @@
 /* site_owner.c */
 void owner_claimed (site_t *site, const char *shard, int64_t token, const char *why);
 void owner_yielded (site_t *site, const char *shard, const char *why);
-void owner_entry (site_t *site, const decode_entry_t *entry);
+void owner_entry (site_t *site, const fleet_entry_t *entry);
 void owner_gone (site_t *site, const char *id, const char *data_centre);
 void owner_submit (site_t *site, const char *shard, const fleet_batch_t *batch);
 /* Ends BATCH of COORDINATOR wherever it is.  Returns true if nothing of it started. */
@@ -106,6 +106,10 @@
 int peers_start (site_t *site);
 void peers_send (site_t *site, const char *host, GBytes *frame);
 void peers_send_all (site_t *site, GBytes *frame);
+/* Tells a host of the own data centre which endpoints are there. */
+void peers_tell_directory (site_t *site, const char *host);
+/* Takes in an entry of the directory. */
+void site_take_entry (site_t *site, const fleet_entry_t *entry);
 void peers_beat (site_t *site, int64_t now_ms, bool at_once);
 /* Takes over a configuration if it is newer.  Returns true if it was. */
 bool site_take_config (site_t *site, const char *data, size_t size, const char *from);
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -463,6 +463,12 @@
   endpoint->look_due_ms = 0;
 }
 
+void
+fleet_set_unsettled (fleet_t *fleet, int64_t at_ms)
+{
+  fleet->unsettled_to_ms = at_ms;
+}
+
 void
 fleet_renew (fleet_t *fleet, int64_t now_ms)
 {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -206,6 +206,10 @@
 
 bool fleet_has_endpoint (const fleet_t *fleet, const char *id);
 
+/* Until AT_MS there may be endpoints that this owner does not know of yet: a task that may be running
+ * and is not found waits for as long as it may run. */
+void fleet_set_unsettled (fleet_t *fleet, int64_t at_ms);
+
 /* The token has changed: another owner may have been there in between, so that what runs must
  * be seen again, and what waits may run somewhere. */
 void fleet_renew (fleet_t *fleet, int64_t now_ms);
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -140,6 +140,76 @@
   return *job != NULL ? 0 : ERROR_PROTOCOL;
 }
 
+GBytes *
+fleet_msg_endpoint (const fleet_entry_t *entry)
+{
+  frame_writer_t *writer = frame_begin (FLEET_MSG_ENDPOINT);
+
+  frame_put_string (writer, entry->shard);
+  frame_put_int (writer, entry->sequence);
+  frame_put_string (writer, entry->endpoint.id);
+  frame_put_string (writer, entry->endpoint.address);
+  frame_put_string (writer, entry->endpoint.service);
+  frame_put_string (writer, entry->endpoint.kind);
+  frame_put_string (writer, entry->endpoint.rack);
+  frame_put_int (writer, entry->endpoint.born_at_ms);
+  frame_put_int (writer, entry->endpoint.free.cores_milli);
+  frame_put_int (writer, entry->endpoint.free.memory_mb);
+  frame_put_int (writer, entry->endpoint.free.gpus);
+  frame_put_bool (writer, entry->endpoint.leaving);
+  return frame_finish (writer);
+}
+
+int
+fleet_msg_read_endpoint (frame_reader_t *reader, fleet_entry_t *entry)
+{
+  fleet_endpoint_t *endpoint = &entry->endpoint;
+
+  *entry = (fleet_entry_t){ 0 };
+  entry->shard = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  entry->sequence = frame_get_int (reader);
+  endpoint->id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  endpoint->address = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  endpoint->service = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  endpoint->kind = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  endpoint->rack = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  endpoint->born_at_ms = frame_get_int (reader);
+  endpoint->free.cores_milli = frame_get_range (reader, 0, AMOUNT_MAX);
+  endpoint->free.memory_mb = frame_get_range (reader, 0, AMOUNT_MAX);
+  endpoint->free.gpus = frame_get_range (reader, 0, AMOUNT_MAX);
+  endpoint->leaving = frame_get_bool (reader);
+  if (frame_ok (reader) && entry->shard != NULL && endpoint->id != NULL
+      && endpoint->address != NULL && endpoint->service != NULL && endpoint->kind != NULL
+      && endpoint->rack != NULL)
+    return 0;
+  fleet_entry_clear (entry);
+  return ERROR_PROTOCOL;
+}
+
+void
+fleet_entry_clear (fleet_entry_t *entry)
+{
+  g_free (entry->shard);
+  g_free ((char *) entry->endpoint.id);
+  g_free ((char *) entry->endpoint.address);
+  g_free ((char *) entry->endpoint.service);
+  g_free ((char *) entry->endpoint.kind);
+  g_free ((char *) entry->endpoint.rack);
+  *entry = (fleet_entry_t){ 0 };
+}
+
+void
+fleet_entry_copy (fleet_entry_t *to, const fleet_entry_t *from)
+{
+  *to = *from;
+  to->shard = g_strdup (from->shard);
+  to->endpoint.id = g_strdup (from->endpoint.id);
+  to->endpoint.address = g_strdup (from->endpoint.address);
+  to->endpoint.service = g_strdup (from->endpoint.service);
+  to->endpoint.kind = g_strdup (from->endpoint.kind);
+  to->endpoint.rack = g_strdup (from->endpoint.rack);
+}
+
 GBytes *
 fleet_msg_dropped (void)
 {
--- a/lib/fleet/fleet_msg.h
+++ b/lib/fleet/fleet_msg.h
@@ -19,6 +19,7 @@
   FLEET_MSG_OFFER,
   FLEET_MSG_RELEASE, /* a batch is another owner's now; as FLEET_MSG_CANCEL */
   FLEET_MSG_FORGET,  /* a job's caller has cancelled it, at another host */
+  FLEET_MSG_ENDPOINT, /* an endpoint that the sender knows of */
   FLEET_MSG_DROPPED  /* the owner has ended all that this coordinator gave it */
 } fleet_msg_t;
 
@@ -40,6 +41,19 @@
 GBytes *fleet_msg_forget (const char *job);
 /* *JOB is the caller's (g_free). */
 int fleet_msg_read_forget (frame_reader_t *reader, char **job);
+/* An endpoint of SHARD, with the number of the entry that told of it. */
+typedef struct
+{
+  fleet_endpoint_t endpoint;
+  char *shard;
+  int64_t sequence;
+} fleet_entry_t;
+GBytes *fleet_msg_endpoint (const fleet_entry_t *entry);
+/* Clear ENTRY with fleet_entry_clear (). */
+int fleet_msg_read_endpoint (frame_reader_t *reader, fleet_entry_t *entry);
+void fleet_entry_clear (fleet_entry_t *entry);
+void fleet_entry_copy (fleet_entry_t *to, const fleet_entry_t *from);
+
 GBytes *fleet_msg_dropped (void);
 GBytes *fleet_msg_cancelled (uint64_t batch, bool never_started);
 int fleet_msg_read_cancel (frame_reader_t *reader, uint64_t *batch);
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -191,7 +191,8 @@
         }
       all_seen = all_seen && endpoint->looked && endpoint->looked_at_ms >= task->doubted_at_ms;
     }
-  if (all_seen || now_ms >= MAX (task->batch->wait_until_ms, fleet->contested_to_ms))
+  if ((all_seen && now_ms >= fleet->unsettled_to_ms)
+      || now_ms >= MAX (task->batch->wait_until_ms, fleet->contested_to_ms))
     task_requeue (fleet, task, now_ms);
 }
 
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -143,6 +143,7 @@
   GHashTable *kinds;       /* kind -> kind_t */
   GQueue queue;            /* waiting tasks in the order of their turn */
   GHashTable *maybe;       /* tasks of unknown state: a set */
+  int64_t unsettled_to_ms; /* until then endpoints may be unknown */
   int64_t contested_to_ms; /* until then another owner may still run tasks unseen */
   uint64_t serial;
   GStringChunk *names; /* that actions of the last call point to */
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -24,13 +24,13 @@
 static void
 read_entry (const char *data, size_t size)
 {
-  decode_entry_t entry;
+  fleet_entry_t entry;
 
   if (decode_entry ("i-1", data, size, &entry) == 0)
     {
       CU_ASSERT_PTR_NOT_NULL (entry.endpoint.address);
       CU_ASSERT_TRUE (entry.endpoint.free.cores_milli >= 0);
-      decode_entry_clear (&entry);
+      fleet_entry_clear (&entry);
     }
 }
 
