--- a/daemon/site.c
+++ b/daemon/site.c
@@ -35,11 +35,8 @@
 /* --- jobs --- */
 
 static const char *const outcome_names[] = {
-  [FLOW_COMPLETE] = "complete",
-  [FLOW_FAILED] = "failed",
-  [FLOW_REFUSED] = "refused",
-  [FLOW_GIVEN_UP] = "given_up",
-  [FLOW_CANCELLED] = "cancelled",
+  [FLOW_COMPLETE] = "complete", [FLOW_FAILED] = "failed",       [FLOW_REFUSED] = "refused",
+  [FLOW_GIVEN_UP] = "given_up", [FLOW_CANCELLED] = "cancelled",
 };
 
 static void
@@ -396,10 +393,8 @@
 tell_local (site_t *site, const fleet_end_t *end)
 {
   static const flow_task_end_t ends_of[] = {
-    [FLEET_DONE] = FLOW_TASK_DONE,
-    [FLEET_FAILED] = FLOW_TASK_FAILED,
-    [FLEET_RETURNED] = FLOW_TASK_RETURNED,
-    [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
+    [FLEET_DONE] = FLOW_TASK_DONE,           [FLEET_FAILED] = FLOW_TASK_FAILED,
+    [FLEET_RETURNED] = FLOW_TASK_RETURNED,   [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
     [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
   };
 
@@ -525,8 +520,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const fleet_entry_t *entry = value;
-      if (!crew_wants_probe (site->crew, entry->shard)
-          || g_random_int_range (0, PROBE_ONE_OF) != 0)
+      if (!crew_wants_probe (site->crew, entry->shard) || g_random_int_range (0, PROBE_ONE_OF) != 0)
         continue;
       orders_probe (site->client, entry->endpoint.address, g_intern_string (entry->shard),
                     on_probed, site, now_ms);
--- a/daemon/site_metrics.c
+++ b/daemon/site_metrics.c
@@ -76,11 +76,8 @@
 metrics_job (const flow_action_t *answer)
 {
   static const char *const outcomes[] = {
-    [FLOW_COMPLETE] = "complete",
-    [FLOW_FAILED] = "failed",
-    [FLOW_REFUSED] = "refused",
-    [FLOW_GIVEN_UP] = "given_up",
-    [FLOW_CANCELLED] = "cancelled",
+    [FLOW_COMPLETE] = "complete", [FLOW_FAILED] = "failed",       [FLOW_REFUSED] = "refused",
+    [FLOW_GIVEN_UP] = "given_up", [FLOW_CANCELLED] = "cancelled",
   };
   static counter_t *counters[G_N_ELEMENTS (outcomes)];
   static counter_t *late;
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -131,10 +131,8 @@
 read_ends (site_t *site, const char *host, frame_reader_t *reader)
 {
   static const flow_task_end_t ends_of[] = {
-    [FLEET_DONE] = FLOW_TASK_DONE,
-    [FLEET_FAILED] = FLOW_TASK_FAILED,
-    [FLEET_RETURNED] = FLOW_TASK_RETURNED,
-    [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
+    [FLEET_DONE] = FLOW_TASK_DONE,           [FLEET_FAILED] = FLOW_TASK_FAILED,
+    [FLEET_RETURNED] = FLOW_TASK_RETURNED,   [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
     [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
   };
   GArray *ends = g_array_new (FALSE, FALSE, sizeof (fleet_end_t));
@@ -203,13 +201,17 @@
   int type;
   void (*read) (site_t *site, const char *host, frame_reader_t *reader);
 } readers[] = {
-  { FLEET_MSG_SUBMIT, read_submit }, { FLEET_MSG_CANCEL, read_cancel },
-  { FLEET_MSG_ENDS, read_ends },     { FLEET_MSG_CANCELLED, read_cancelled },
-  { FLEET_MSG_OFFER, read_offer },   { FLEET_MSG_DROPPED, read_dropped },
+  { FLEET_MSG_SUBMIT, read_submit },
+  { FLEET_MSG_CANCEL, read_cancel },
+  { FLEET_MSG_ENDS, read_ends },
+  { FLEET_MSG_CANCELLED, read_cancelled },
+  { FLEET_MSG_OFFER, read_offer },
+  { FLEET_MSG_DROPPED, read_dropped },
   { FLEET_MSG_RELEASE, read_release },
   { FLEET_MSG_FORGET, read_forget },
   { FLEET_MSG_ENDPOINT, read_endpoint },
-  { CREW_MSG_BEAT, read_beat },      { CREW_MSG_CONFIG_PULL, read_config_pull },
+  { CREW_MSG_BEAT, read_beat },
+  { CREW_MSG_CONFIG_PULL, read_config_pull },
   { CREW_MSG_CONFIG, read_config },
 };
 
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -73,16 +73,16 @@
 
 typedef enum
 {
-  FLEET_START,    /* start TASK on the endpoint */
-  FLEET_STOP,     /* stop attempt ATTEMPT of TASK there */
-  FLEET_LOOK,     /* renew the lease (0: don't), acknowledge ends, ask what runs */
-  FLEET_DONE,     /* to the coordinator: task INDEX of BATCH is done */
-  FLEET_FAILED,   /* likewise: it has failed as often as is allowed, or can't run */
-  FLEET_RETURNED, /* likewise: it never started, and is no longer queued here */
-  FLEET_EXPIRED,  /* likewise: it never started, and can't end before its deadline */
+  FLEET_START,     /* start TASK on the endpoint */
+  FLEET_STOP,      /* stop attempt ATTEMPT of TASK there */
+  FLEET_LOOK,      /* renew the lease (0: don't), acknowledge ends, ask what runs */
+  FLEET_DONE,      /* to the coordinator: task INDEX of BATCH is done */
+  FLEET_FAILED,    /* likewise: it has failed as often as is allowed, or can't run */
+  FLEET_RETURNED,  /* likewise: it never started, and is no longer queued here */
+  FLEET_EXPIRED,   /* likewise: it never started, and can't end before its deadline */
   FLEET_NOT_OWNED, /* likewise, from a host that does not own the shard: it knows nothing of it */
-  FLEET_SHUT_OUT, /* the endpoint obeys a higher token */
-  FLEET_NOTE      /* for the log: what was decided, and by what */
+  FLEET_SHUT_OUT,  /* the endpoint obeys a higher token */
+  FLEET_NOTE       /* for the log: what was decided, and by what */
 } fleet_action_kind_t;
 
 /* What a FLEET_NOTE tells, and which figures go with it. */
@@ -206,8 +206,8 @@
 
 bool fleet_has_endpoint (const fleet_t *fleet, const char *id);
 
-/* Until AT_MS there may be endpoints that this owner does not know of yet: a task that may be running
- * and is not found waits for as long as it may run. */
+/* Until AT_MS there may be endpoints that this owner does not know of yet: a task that may be
+ * running and is not found waits for as long as it may run. */
 void fleet_set_unsettled (fleet_t *fleet, int64_t at_ms);
 
 /* The token has changed: another owner may have been there in between, so that what runs must
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -178,9 +178,8 @@
   endpoint->free.memory_mb = frame_get_range (reader, 0, AMOUNT_MAX);
   endpoint->free.gpus = frame_get_range (reader, 0, AMOUNT_MAX);
   endpoint->leaving = frame_get_bool (reader);
-  if (frame_ok (reader) && entry->shard != NULL && endpoint->id != NULL
-      && endpoint->address != NULL && endpoint->service != NULL && endpoint->kind != NULL
-      && endpoint->rack != NULL)
+  if (frame_ok (reader) && entry->shard != NULL && endpoint->id != NULL && endpoint->address != NULL
+      && endpoint->service != NULL && endpoint->kind != NULL && endpoint->rack != NULL)
     return 0;
   fleet_entry_clear (entry);
   return ERROR_PROTOCOL;
--- a/lib/fleet/fleet_msg.h
+++ b/lib/fleet/fleet_msg.h
@@ -17,10 +17,10 @@
   FLEET_MSG_ENDS,
   FLEET_MSG_CANCELLED,
   FLEET_MSG_OFFER,
-  FLEET_MSG_RELEASE, /* a batch is another owner's now; as FLEET_MSG_CANCEL */
-  FLEET_MSG_FORGET,  /* a job's caller has cancelled it, at another host */
+  FLEET_MSG_RELEASE,  /* a batch is another owner's now; as FLEET_MSG_CANCEL */
+  FLEET_MSG_FORGET,   /* a job's caller has cancelled it, at another host */
   FLEET_MSG_ENDPOINT, /* an endpoint that the sender knows of */
-  FLEET_MSG_DROPPED  /* the owner has ended all that this coordinator gave it */
+  FLEET_MSG_DROPPED   /* the owner has ended all that this coordinator gave it */
 } fleet_msg_t;
 
 /* The owner of SHARD is given BATCH. */
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -347,8 +347,7 @@
 look (fleet_t *fleet, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
 {
   int64_t wait_ms = 0;
-  bool settled =
-      is_settled (endpoint, now_ms, &wait_ms) && g_hash_table_size (fleet->maybe) == 0;
+  bool settled = is_settled (endpoint, now_ms, &wait_ms) && g_hash_table_size (fleet->maybe) == 0;
   bool hold = endpoint->runs->len > 0 && endpoint->clock_known && !is_barred (endpoint, now_ms);
   fleet_action_t *action = action_add (actions, FLEET_LOOK);
 
@@ -374,8 +373,9 @@
   int64_t retry_ms = (int64_t) LOOK_RETRY_MS << MIN (endpoint->misses, LOOK_RETRY_DOUBLINGS);
   if (endpoint->misses > 0 && now_ms - endpoint->look_sent_at_ms < retry_ms)
     return false;
-  return !endpoint->looked || g_hash_table_size (fleet->maybe) > 0 || endpoint->runs->len > 0 || endpoint->strangers->len > 0
-         || endpoint->ack > endpoint->ack_sent || endpoint->silent_from_ms != 0;
+  return !endpoint->looked || g_hash_table_size (fleet->maybe) > 0 || endpoint->runs->len > 0
+         || endpoint->strangers->len > 0 || endpoint->ack > endpoint->ack_sent
+         || endpoint->silent_from_ms != 0;
 }
 
 void
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -31,7 +31,7 @@
   room_t need;
   char *avoid; /* id of the endpoint where it last failed, or NULL */
   int64_t queued_at_ms;
-  int64_t doubted_at_ms; /* MAYBE: what was seen before says nothing */
+  int64_t doubted_at_ms;  /* MAYBE: what was seen before says nothing */
   int64_t sent_at_ms;     /* of the start order */
   int64_t answered_at_ms; /* the start was confirmed; 0 before */
   int64_t expected_ms;
@@ -107,15 +107,15 @@
   uint64_t look_serial;
   int64_t look_sent_at_ms;
   int64_t looked_at_ms; /* when the last look that was answered had been sent */
-  int64_t look_due_ms; /* not before */
+  int64_t look_due_ms;  /* not before */
   bool clock_known;
   int64_t clock_ahead_ms; /* its clock less the boot clock, at the most */
   int64_t lease_end_ms;   /* nothing runs there after this */
   int64_t ack;
   int64_t ack_sent;
   int64_t heard_at_ms;        /* last answer */
-  int64_t silent_from_ms; /* the first call without an answer since then; 0 if none */
-  int32_t misses;         /* calls without an answer since then */
+  int64_t silent_from_ms;     /* the first call without an answer since then; 0 if none */
+  int32_t misses;             /* calls without an answer since then */
   int64_t full_until_ms;      /* it refused for want of room */
   GPtrArray *runs;            /* task_t */
   GPtrArray *strangers;       /* stranger_t */
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -43,8 +43,8 @@
 typedef enum
 {
   FLOW_COMPLETE,
-  FLOW_FAILED,  /* a task has failed as often as is allowed */
-  FLOW_REFUSED, /* nothing has run and nothing will */
+  FLOW_FAILED,   /* a task has failed as often as is allowed */
+  FLOW_REFUSED,  /* nothing has run and nothing will */
   FLOW_GIVEN_UP, /* it may have run in part */
   FLOW_CANCELLED /* its caller wants it no more; it may have run in part */
 } flow_outcome_t;
@@ -53,8 +53,8 @@
 
 typedef enum
 {
-  FLOW_SUBMIT, /* send BATCH to HOST */
-  FLOW_CANCEL, /* tell HOST to end batch NUMBER */
+  FLOW_SUBMIT,  /* send BATCH to HOST */
+  FLOW_CANCEL,  /* tell HOST to end batch NUMBER */
   FLOW_RELEASE, /* tell HOST that batch NUMBER is another owner's now */
   FLOW_ANSWER
 } flow_action_kind_t;
--- a/tests/test_event.c
+++ b/tests/test_event.c
@@ -205,7 +205,8 @@
     "\"host\":\"b\"}\n"
     "{\"at\":\"2026-01-01T00:00:01.000Z\",\"host_id\":\"a\",\"event\":\"host_lost\",\"host\":\"b\","
     "\"why\":\"it is silent\"}\n"
-    "{\"at\":\"2026-01-01T00:00:01.000Z\",\"host_id\":\"x\",\"event\":\"host_lost\",\"host\":\"y\"}\n"
+    "{\"at\":\"2026-01-01T00:00:01.000Z\",\"host_id\":\"x\",\"event\":\"host_lost\",\"host\":\"y\"}"
+    "\n"
     "{\"at\":\"2026-01-01T00:00:02.000Z\",\"host_id\":\"a\",\"event\":\"job_missed\",\"job\":"
     "\"j\"}\n",
     "A host that it met was lost.", 2 },
--- a/tests/test_fleet_random.c
+++ b/tests/test_fleet_random.c
@@ -144,7 +144,8 @@
 /* The job whose course is printed, or NULL. */
 static const char *traced;
 
-static void trace (const world_t *world, const char *id, const char *format, ...) G_GNUC_PRINTF (3, 4);
+static void trace (const world_t *world, const char *id, const char *format, ...)
+    G_GNUC_PRINTF (3, 4);
 
 static void
 trace (const world_t *world, const char *id, const char *format, ...)
@@ -741,10 +742,8 @@
 take_end (node_t *node, const message_t *message)
 {
   static const flow_task_end_t ends_of[] = {
-    [FLEET_DONE] = FLOW_TASK_DONE,
-    [FLEET_FAILED] = FLOW_TASK_FAILED,
-    [FLEET_RETURNED] = FLOW_TASK_RETURNED,
-    [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
+    [FLEET_DONE] = FLOW_TASK_DONE,           [FLEET_FAILED] = FLOW_TASK_FAILED,
+    [FLEET_RETURNED] = FLOW_TASK_RETURNED,   [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
     [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
   };
 
--- a/tests/test_fleet_world.h
+++ b/tests/test_fleet_world.h
@@ -41,7 +41,7 @@
   int host_cuts;        /* hosts that other hosts can't reach, a second and host */
   int endpoint_crashes; /* a second and endpoint */
   int endpoint_cuts;    /* endpoints that can't be reached, a second and endpoint */
-  bool blind;          /* hosts do not know half of the endpoints for a while after a start */
+  bool blind;           /* hosts do not know half of the endpoints for a while after a start */
   int terminations;     /* hosts that are stopped gracefully, a second and host */
 } world_options_t;
 
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -1,4 +1,5 @@
-/* test_site_fuzz.c -- readers of what the platform, endpoints, callers and peers send, on damaged input
+/* test_site_fuzz.c -- readers of what the platform, endpoints, callers and peers send, on damaged
+ * input
  *
  * Good documents are cut, changed and joined at random; readers must take anything. Under the
  * sanitizers this shows reads out of bounds and leaks.  With arguments: seed and count.
@@ -128,9 +129,8 @@
     "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"path_prefix\":\"/p/\","
     "\"timeout_ms\":1500,\"target_latency_ms\":60,\"priority\":2,\"service\":\"s\","
     "\"max_attempts\":3,\"stretch_factor\":1.6}],\"limits\":{\"max_header_bytes\":16384}}" },
-  { read_job,
-    "{\"spec\":\"text\",\"best_effort\":true,\"phases\":[{\"count\":4,\"cpu_millis\":500,"
-    "\"mem_mb\":256,\"estimated_ms\":900,\"affinity\":\"r1-3\"}]}" },
+  { read_job, "{\"spec\":\"text\",\"best_effort\":true,\"phases\":[{\"count\":4,\"cpu_millis\":500,"
+              "\"mem_mb\":256,\"estimated_ms\":900,\"affinity\":\"r1-3\"}]}" },
   { read_look,
     "{\"clock_ms\":482113,\"active\":[[\"5c0e7a21d94b36f8.0.1.17\",2,\"00\",41]],\"finished\":"
     "[[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"]],\"born\":5}" },
@@ -188,8 +188,14 @@
 {
   static const int32_t indexes[] = { 0, 1, 2 };
   static const fleet_end_t ends[] = { { 3, 1, FLEET_DONE }, { 4, 0, FLEET_RETURNED } };
-  fleet_batch_t batch = { .batch = 7, .job = "j", .spec = "s", .service = "x", .label = "",
-                          .near_rack = "", .indexes = indexes, .count = 3 };
+  fleet_batch_t batch = { .batch = 7,
+                          .job = "j",
+                          .spec = "s",
+                          .service = "x",
+                          .label = "",
+                          .near_rack = "",
+                          .indexes = indexes,
+                          .count = 3 };
   crew_claim_t claim = { (char *) "z", 1234567 };
   crew_beat_t beat = { .host = (char *) "h", .data_centre = (char *) "z", .incarnation = 9 };
   GArray *offers = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
--- a/tool/explain.c
+++ b/tool/explain.c
@@ -281,8 +281,7 @@
   json_object *lines = json_object_new_array ();
 
   for (guint i = 0; i < explain->lines->len; i++)
-    json_object_array_add (lines,
-                           json_object_get (((line_t *) explain->lines->pdata[i])->fields));
+    json_object_array_add (lines, json_object_get (((line_t *) explain->lines->pdata[i])->fields));
   json_object_object_add (result, "job", json_object_new_string (explain->id));
   json_object_object_add (result, "cause", json_object_new_string (explain->cause));
   json_object_object_add (result, "lines", lines);
