--- /dev/null
+++ b/tests/test_fleet_node.h
@@ -0,0 +1,403 @@
+/* test_fleet_node.h -- hosts of the random worlds: what the daemon does between the libraries */
+#ifndef TESTS_TEST_FLEET_NODE_H
+#define TESTS_TEST_FLEET_NODE_H
+
+#include "tests/test_fleet_net.h"
+
+/* --- the glue of a host --- */
+
+static void
+answer_job (node_t *node, const flow_action_t *action)
+{
+  world_t *world = node->world;
+  job_t *job = action->user;
+
+  if (job->over || job->host != node->number || job->incarnation != node->incarnation)
+    return;
+  trace (world, job->id, "is answered by %s: outcome %d, %s", node->name, action->outcome,
+         action->reason != NULL ? action->reason : "");
+  switch (action->outcome)
+    {
+    case FLOW_COMPLETE:
+      world->result.complete++;
+      for (int i = 0; i < job->tasks; i++)
+        if (!job->done[i])
+          {
+            world->result.untrue++;
+            printf ("  untrue: seed %u at %d ms: %s is complete without task %d\n",
+                    world->options->seed, (int) world->now_ms, job->id, i);
+          }
+      break;
+    case FLOW_FAILED:
+      {
+        int most = 0;
+        for (int i = 0; i < job->tasks; i++)
+          most = MAX (most, job->failures[i]);
+        world->result.failed++;
+        world->result.false_failed += most < ATTEMPTS_MAX;
+        break;
+      }
+    case FLOW_REFUSED:
+      world->result.refused++;
+      if (job->starts > 0)
+        {
+          world->result.untrue++;
+          printf ("  untrue: seed %u at %d ms: %s is refused after %d starts\n",
+                  world->options->seed, (int) world->now_ms, job->id, job->starts);
+        }
+      job->refused = job->all_starts == 0;
+      break;
+    case FLOW_GIVEN_UP:
+    default:
+      world->result.given_up++;
+      /* The caller submits again after a while. */
+      job->host = -1;
+      job->resend_at_ms = world->now_ms + WORLD_RESEND_MS;
+      return;
+    }
+  job->over = true;
+}
+
+static void
+run_flow_actions (node_t *node)
+{
+  for (guint i = 0; i < node->flow_actions->len; i++)
+    {
+      flow_action_t action = g_array_index (node->flow_actions, flow_action_t, i);
+      if (action.kind == FLOW_ANSWER)
+        {
+          answer_job (node, &action);
+          continue;
+        }
+      static const message_kind_t kinds[] = { [FLOW_SUBMIT] = MESSAGE_SUBMIT,
+                                              [FLOW_CANCEL] = MESSAGE_CANCEL,
+                                              [FLOW_RELEASE] = MESSAGE_RELEASE };
+      message_t *message =
+          message_new (kinds[action.kind], node, node_named (node->world, action.host));
+      message->number = action.number;
+      if (action.kind == FLOW_SUBMIT)
+        {
+          trace (node->world, action.batch.job, "%s gives %d tasks to %s for %s, batch %d%s",
+                 node->name, (int) action.indexes->len, action.host, action.shard,
+                 (int) action.number, action.batch.maybe_running ? ", maybe running" : "");
+          message->shard = g_strdup (action.shard);
+          message->batch = action.batch;
+          message->batch.job = g_strdup (action.batch.job);
+          message->batch.spec = g_strdup (action.batch.spec);
+          message->batch.service = g_strdup (action.batch.service);
+          message->batch.label = "";
+          message->batch.near_rack = "";
+          message->indexes = action.indexes;
+        }
+      send_message (message);
+    }
+  g_array_set_size (node->flow_actions, 0);
+}
+
+/* A host that has just started may not know of some endpoints yet. */
+static bool
+knows (const node_t *node, int machine)
+{
+  const world_t *world = node->world;
+
+  return !world->options->blind || machine % 2 == 0
+         || world->now_ms - node->started_at_ms >= BLIND_MS;
+}
+
+static void
+set_machines (node_t *node, int zone)
+{
+  world_t *world = node->world;
+
+  for (int i = 0; i < WORLD_ENDPOINTS; i++)
+    {
+      const machine_t *machine = &world->machines[i];
+      fleet_endpoint_t info = { machine->id,
+                                machine->id,
+                                "s",
+                                "a",
+                                "r1",
+                                machine->born_at_ms,
+                                { WORLD_ROOM * 1000, 1000, 0 },
+                                false };
+      if (machine->zone == zone && knows (node, i))
+        fleet_set_endpoint (node->owned[zone].fleet, &info, world->now_ms);
+    }
+}
+
+static void
+claim (node_t *node, const char *shard, int64_t token)
+{
+  int zone = zone_of (shard);
+  shard_owned_t *owned = &node->owned[zone];
+  fleet_options_t options = { WORLD_LEASE_MS, WORLD_STOP_MS };
+
+  if (owned->fleet == NULL)
+    {
+      owned->fleet = fleet_new (&options);
+      owned->life++;
+    }
+  owned->token = token;
+  owned->told_at_ms = 0;
+  set_machines (node, zone);
+  fleet_set_unsettled (owned->fleet, node->started_at_ms + SETTLED_AFTER_MS);
+  fleet_renew (owned->fleet, node->world->now_ms);
+}
+
+static void
+yield (node_t *node, const char *shard)
+{
+  shard_owned_t *owned = &node->owned[zone_of (shard)];
+
+  g_clear_pointer (&owned->fleet, fleet_free);
+}
+
+static void
+run_crew_actions (node_t *node)
+{
+  world_t *world = node->world;
+
+  for (guint i = 0; i < node->crew_actions->len; i++)
+    {
+      crew_action_t action = g_array_index (node->crew_actions, crew_action_t, i);
+      switch (action.kind)
+        {
+        case CREW_CLAIMED:
+          trace (world, traced != NULL ? traced : "", "%s claims %s", node->name, action.shard);
+          claim (node, action.shard, action.token);
+          node->beat_at_ms = 0;
+          break;
+        case CREW_YIELDED:
+          trace (world, traced != NULL ? traced : "", "%s yields %s", node->name, action.shard);
+          yield (node, action.shard);
+          node->beat_at_ms = 0;
+          break;
+        case CREW_OWNER:
+          flow_owner (node->flow, action.shard, action.host, action.token, world->now_ms,
+                      node->flow_actions);
+          run_flow_actions (node);
+          break;
+        case CREW_LOST:
+          trace (world, traced != NULL ? traced : "", "%s loses %s", node->name, action.host);
+          for (int k = 0; k < WORLD_ZONES; k++)
+            if (node->owned[k].fleet != NULL)
+              fleet_drop_coordinator (node->owned[k].fleet, action.host, world->now_ms,
+                                      node->fleet_actions);
+          send_message (message_new (MESSAGE_DROPPED, node, node_named (world, action.host)));
+          flow_host_lost (node->flow, action.host, action.heard_at_ms, world->now_ms,
+                          node->flow_actions);
+          run_flow_actions (node);
+          break;
+        case CREW_FOUND:
+        default:
+          break;
+        }
+    }
+  g_array_set_size (node->crew_actions, 0);
+}
+
+static void
+run_fleet_actions (node_t *node, int zone)
+{
+  world_t *world = node->world;
+
+  for (guint i = 0; i < node->fleet_actions->len; i++)
+    {
+      const fleet_action_t *action = &g_array_index (node->fleet_actions, fleet_action_t, i);
+      if (action->kind <= FLEET_LOOK)
+        give_order (node, zone, action);
+      else if (action->kind == FLEET_NOTE)
+        continue;
+      else if (action->kind == FLEET_SHUT_OUT)
+        crew_shut_out (node->crew, zone_name (zone), world->now_ms, world->now_ms,
+                       node->crew_actions);
+      else
+        {
+          message_t *message =
+              message_new (MESSAGE_END, node, node_named (world, action->coordinator));
+          message->number = action->batch;
+          message->index = action->index;
+          message->how = action->kind;
+          send_message (message);
+        }
+    }
+  g_array_set_size (node->fleet_actions, 0);
+}
+
+/* As the daemon: beliefs first, when they are not fresh. */
+static void
+refresh (node_t *node)
+{
+  world_t *world = node->world;
+
+  if (world->now_ms - node->refreshed_at_ms > STILL_MS)
+    {
+      crew_thawed (node->crew, world->now_ms, node->crew_actions);
+      flow_give_up_all (node->flow, "frozen", world->now_ms, node->flow_actions);
+      run_flow_actions (node);
+    }
+  node->refreshed_at_ms = world->now_ms;
+  crew_step (node->crew, world->now_ms, world->now_ms, node->crew_actions);
+  run_crew_actions (node);
+}
+
+static void
+pump (node_t *node)
+{
+  if (node->world->now_ms - node->refreshed_at_ms > REFRESH_MS)
+    refresh (node);
+  run_crew_actions (node);
+  run_flow_actions (node);
+  for (int i = 0; i < WORLD_ZONES; i++)
+    {
+      if (node->owned[i].fleet == NULL)
+        continue;
+      GArray *elsewhere = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
+      flow_offers_elsewhere (node->flow, zone_name (i), elsewhere);
+      fleet_run (node->owned[i].fleet, elsewhere, node->world->now_ms, node->fleet_actions);
+      g_array_unref (elsewhere);
+      run_fleet_actions (node, i);
+    }
+  run_crew_actions (node);
+  run_flow_actions (node);
+}
+
+static void
+send_beats (node_t *node)
+{
+  world_t *world = node->world;
+
+  if (world->now_ms - node->beat_at_ms < BEAT_MS)
+    return;
+  node->beat_at_ms = world->now_ms;
+  for (int i = 0; i < WORLD_HOSTS; i++)
+    {
+      node_t *to = &world->nodes[i];
+      if (to == node || !nodes_reach (world, node, to))
+        continue;
+      message_t *message = message_new (MESSAGE_BEAT, node, to);
+      crew_own_beat (node->crew, &message->beat);
+      message->beat.host = g_strdup (message->beat.host);
+      message->beat.data_centre = g_strdup (message->beat.data_centre);
+      for (guint k = 0; k < message->beat.claims->len; k++)
+        {
+          crew_claim_t *one = &g_array_index (message->beat.claims, crew_claim_t, k);
+          one->shard = g_strdup (one->shard);
+        }
+      send_message (message);
+    }
+}
+
+static void
+send_offers (node_t *node)
+{
+  world_t *world = node->world;
+  const room_t need = { 1000, 1, 0 };
+
+  for (int i = 0; i < WORLD_ZONES; i++)
+    {
+      shard_owned_t *owned = &node->owned[i];
+      if (owned->fleet == NULL || world->now_ms - owned->told_at_ms < OFFER_MS)
+        continue;
+      owned->told_at_ms = world->now_ms;
+      for (int k = 0; k < WORLD_HOSTS; k++)
+        {
+          message_t *message = message_new (MESSAGE_OFFER, node, &world->nodes[k]);
+          message->shard = g_strdup (zone_name (i));
+          message->offers = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
+          fleet_offers (owned->fleet, &need, world->now_ms, message->offers);
+          /* The strings of an endpoint that goes must not be pointed to. */
+          for (guint m = 0; m < message->offers->len; m++)
+            g_array_index (message->offers, fleet_offer_t, m).service = "s";
+          message->waiting = fleet_totals (owned->fleet, world->now_ms).waiting;
+          send_message (message);
+        }
+    }
+}
+
+static void
+probe_orphans (node_t *node)
+{
+  world_t *world = node->world;
+
+  for (int i = 0; i < WORLD_ENDPOINTS; i++)
+    {
+      const machine_t *machine = &world->machines[i];
+      if (crew_wants_probe (node->crew, zone_name (machine->zone))
+          && reaches_machine (world, node, machine) && machine->down_until_ms <= world->now_ms)
+        crew_reached (node->crew, zone_name (machine->zone), world->now_ms);
+    }
+}
+
+static void
+node_start (node_t *node)
+{
+  world_t *world = node->world;
+  crew_options_t crew = { node->name, zone_name (node->zone), ++node->incarnation, 250 };
+  flow_options_t flow = { node->name, zone_name (node->zone), WORLD_LEASE_MS };
+
+  node->crew = crew_new (&crew, world->now_ms);
+  node->flow = flow_new (&flow);
+  for (int i = 0; i < WORLD_ZONES; i++)
+    crew_add_shard (node->crew, zone_name (i));
+  crew_set_ready (node->crew, true);
+  node->refreshed_at_ms = world->now_ms;
+  node->started_at_ms = world->now_ms;
+  node->leaving_from_ms = 0;
+  node->beat_at_ms = 0;
+}
+
+/* Callers on its connections notice that they are closed. */
+static void
+node_stop (node_t *node)
+{
+  world_t *world = node->world;
+
+  for (guint i = 0; i < world->jobs->len; i++)
+    {
+      job_t *job = world->jobs->pdata[i];
+      if (job->over || job->host != node->number)
+        continue;
+      job->host = -1;
+      job->resend_at_ms = world->now_ms + WORLD_RESEND_MS;
+    }
+  for (int i = 0; i < WORLD_ZONES; i++)
+    g_clear_pointer (&node->owned[i].fleet, fleet_free);
+  g_clear_pointer (&node->flow, flow_free);
+  g_clear_pointer (&node->crew, crew_free);
+  g_array_set_size (node->crew_actions, 0);
+  g_array_set_size (node->flow_actions, 0);
+  g_array_set_size (node->fleet_actions, 0);
+}
+
+static void
+node_tick (node_t *node)
+{
+  world_t *world = node->world;
+
+  if (!is_up (node))
+    {
+      if (world->now_ms >= node->down_until_ms)
+        node_start (node);
+      return;
+    }
+  if (node->frozen_until_ms > world->now_ms)
+    return;
+  if (world->options->blind && world->now_ms - node->started_at_ms <= BLIND_MS + TICK_MS)
+    for (int i = 0; i < WORLD_ZONES; i++)
+      if (node->owned[i].fleet != NULL)
+        set_machines (node, i);
+  probe_orphans (node);
+  refresh (node);
+  flow_step (node->flow, world->now_ms, node->flow_actions);
+  pump (node);
+  send_offers (node);
+  send_beats (node);
+  if (node->leaving_from_ms != 0 && world->now_ms - node->leaving_from_ms > 3000)
+    {
+      node_stop (node);
+      node->down_until_ms = world->now_ms + 500;
+    }
+}
+
+#endif
