--- a/lib/fleet/table.h
+++ b/lib/fleet/table.h
@@ -23,6 +23,21 @@
 /* Takes TASK out of everything and frees it. */
 void task_end (fleet_t *fleet, task_t *task);
 
+/* The key of a batch in its table; the caller frees it. */
+char *batch_key (const char *coordinator, uint64_t number);
+
+/* Puts TASK in its place in the queue. */
+void task_queue (fleet_t *fleet, task_t *task);
+
+/* Takes TASK out of its batch, which is freed with its last task. */
+void task_leave (fleet_t *fleet, task_t *task);
+
+/* TASK may be running under another owner: all endpoints are looked at from NOW_MS on. */
+void task_doubt (fleet_t *fleet, task_t *task, int64_t now_ms);
+
+/* TASK's run must end; it is stopped in the next round. */
+void task_stop (task_t *task, int64_t now_ms);
+
 fleet_action_t *action_add (GArray *actions, fleet_action_kind_t kind);
 
 /* Tells TASK's coordinator, if it still has one.  Returns the action, or NULL. */
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -8,7 +8,7 @@
  * An answer that says "not run" needs the word of every owner that was given a part of the
  * job; who does not answer in time turns it into "given up".
  */
-#include "flow/flow.h"
+#include "flow/state.h"
 
 #include <string.h>
 
@@ -25,89 +25,12 @@
  * dropped the coordinator by itself. */
 #define CANCEL_RETRY_MS 60
 #define CANCEL_GIVE_UP_MS 3000
-/* Attempts under one owner stay below this number. */
-#define ATTEMPTS_EACH 32
 /* What is asked of callers that are refused. */
 #define RETRY_AFTER_MS 1000
-/* Speeds that differ by less than this count as equal. */
-#define ALIKE 1.1
 /* A part of a job's usual duration that must fit before its deadline. */
 #define HOPELESS 0.6
 #define NAMES_BYTES 1024
 
-typedef struct job_t job_t;
-
-typedef struct
-{
-  uint64_t number;
-  job_t *job;
-  const char *host;   /* interned */
-  const char *shard;  /* interned */
-  int64_t token;      /* of the owner's claim */
-  int64_t lost_at_ms; /* when HOST was last heard, if it is lost; else 0 */
-  GArray *open;       /* indexes of tasks that have not ended */
-  bool maybe;         /* an owner before may have started its tasks */
-  bool cancelled;     /* its end was asked for, and is not confirmed */
-} batch_t;
-
-struct job_t
-{
-  uint64_t number;
-  flow_job_t info; /* with strings of its own */
-  int64_t goal_at_ms;
-  GArray *unplaced;   /* int32_t */
-  GPtrArray *batches; /* batch_t */
-  int32_t left;       /* tasks that are not done */
-  int32_t handovers;
-  int32_t returns;
-  bool was_sent;
-  bool may_have_run;
-  bool ending; /* waits for confirmations of its end */
-  flow_outcome_t outcome;
-  const char *reason;
-  int64_t confirm_by_ms;
-};
-
-typedef struct
-{
-  const char *service; /* interned */
-  int32_t slots;
-  int32_t slots_all;
-  double ratio;
-} row_t;
-
-typedef struct
-{
-  const char *name;  /* interned */
-  const char *owner; /* interned, or NULL */
-  int64_t token;     /* of its claim */
-  GArray *rows;      /* row_t */
-  int32_t waiting;
-} shard_t;
-
-/* A batch that HOST must end. */
-typedef struct
-{
-  uint64_t number;
-  const char *host; /* interned */
-  int64_t due_ms;
-  int64_t until_ms;
-} cancel_t;
-
-struct flow_t
-{
-  const char *host;
-  const char *data_centre;
-  int64_t lease_ms;
-  GHashTable *jobs;    /* number -> job_t */
-  GHashTable *by_id;   /* id -> job_t */
-  GHashTable *batches; /* number -> batch_t */
-  GHashTable *shards;  /* interned name -> shard_t */
-  GHashTable *cancels; /* number -> cancel_t: not confirmed yet */
-  GStringChunk *names; /* of jobs that were answered in the last call */
-  uint64_t last;
-};
-
 /* --- memory --- */
 
 static void
@@ -190,8 +113,8 @@
   return shard;
 }
 
-static flow_action_t *
-add (GArray *actions, flow_action_kind_t kind)
+flow_action_t *
+flow_add (GArray *actions, flow_action_kind_t kind)
 {
   flow_action_t action = { .kind = kind };
 
@@ -237,7 +160,7 @@
 static void
 answer (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
 {
-  flow_action_t *action = add (actions, FLOW_ANSWER);
+  flow_action_t *action = flow_add (actions, FLOW_ANSWER);
 
   action->outcome = job->outcome;
   if (job->outcome == FLOW_REFUSED && job->may_have_run)
@@ -259,7 +182,7 @@
 static void
 send_cancel (cancel_t *cancel, int64_t now_ms, GArray *actions)
 {
-  flow_action_t *action = add (actions, FLOW_CANCEL);
+  flow_action_t *action = flow_add (actions, FLOW_CANCEL);
 
   action->host = cancel->host;
   action->number = cancel->number;
@@ -329,205 +252,6 @@
   end_job (flow, job, FLOW_REFUSED, reason, now_ms, actions);
 }
 
-/* --- placing --- */
-
-typedef struct
-{
-  shard_t *shard;
-  row_t *row;
-  place_tier_t tier;
-} place_t;
-
-static bool
-suits (const row_t *row, const flow_job_t *job)
-{
-  return strcmp (row->service, job->service) == 0;
-}
-
-/* Like the owner's choice of an endpoint: the slowest that is fast enough, else the fastest; the
- * own data centre first among equals. */
-static bool
-is_better (const flow_t *flow, const place_t *a, const place_t *b)
-{
-  if (b->row == NULL)
-    return true;
-  if (a->tier != b->tier)
-    return a->tier > b->tier;
-  bool alike = a->row->ratio < b->row->ratio * ALIKE && b->row->ratio < a->row->ratio * ALIKE;
-  if (alike)
-    return a->shard->name == flow->data_centre && b->shard->name != flow->data_centre;
-  return a->tier == PLACE_SURE ? a->row->ratio > b->row->ratio : a->row->ratio < b->row->ratio;
-}
-
-static place_tier_t
-tier_of (const row_t *row, const job_t *job, int64_t now_ms)
-{
-  int64_t expected_ms = (int64_t) (row->ratio * (double) job->info.estimate_ms);
-
-  return place_tier (expected_ms, now_ms, job->goal_at_ms, job->info.deadline_at_ms);
-}
-
-/* The best free slot, and in *HOPE what the job may hope for, if it waits. */
-static place_t
-best_place (flow_t *flow, const job_t *job, int64_t now_ms, place_tier_t *hope)
-{
-  place_t best = { 0 };
-  GHashTableIter iter;
-  void *value = NULL;
-
-  *hope = PLACE_HOPELESS;
-  g_hash_table_iter_init (&iter, flow->shards);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      shard_t *shard = value;
-      for (guint i = 0; shard->owner != NULL && i < shard->rows->len; i++)
-        {
-          row_t *row = &g_array_index (shard->rows, row_t, i);
-          if (row->slots_all <= 0 || !suits (row, &job->info))
-            continue;
-          place_t one = { shard, row, tier_of (row, job, now_ms) };
-          *hope = MAX (*hope, one.tier);
-          if (row->slots > 0 && is_better (flow, &one, &best))
-            best = one;
-        }
-    }
-  if (best.row != NULL && best.tier < MIN (*hope, PLACE_IN_TIME))
-    best = (place_t){ 0 };
-  return best;
-}
-
-/* Slots of SHARD, free or not, on which the job would do at least as well as HOPE. */
-static int32_t
-slots_all (const shard_t *shard, const job_t *job, place_tier_t hope, int64_t now_ms)
-{
-  int32_t slots = 0;
-
-  for (guint i = 0; i < shard->rows->len; i++)
-    {
-      const row_t *row = &g_array_index (shard->rows, row_t, i);
-      if (suits (row, &job->info) && tier_of (row, job, now_ms) >= MIN (hope, PLACE_IN_TIME))
-        slots += row->slots_all;
-    }
-  return slots;
-}
-
-/* The shard with the shortest queue for its size. */
-static shard_t *
-shortest_queue (flow_t *flow, const job_t *job, place_tier_t hope, int64_t now_ms)
-{
-  shard_t *best = NULL;
-  double best_length = 0;
-  GHashTableIter iter;
-  void *value = NULL;
-
-  g_hash_table_iter_init (&iter, flow->shards);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      shard_t *shard = value;
-      int32_t slots = slots_all (shard, job, hope, now_ms);
-      if (shard->owner == NULL || slots == 0)
-        continue;
-      double length = (double) (shard->waiting + 1) / slots;
-      if (best == NULL || length < best_length
-          || (length <= best_length && shard->name == flow->data_centre))
-        {
-          best = shard;
-          best_length = length;
-        }
-    }
-  return best;
-}
-
-static batch_t *
-batch_new (flow_t *flow, job_t *job, const shard_t *shard)
-{
-  batch_t *batch = g_new0 (batch_t, 1);
-
-  batch->number = ++flow->last;
-  batch->job = job;
-  batch->host = shard->owner;
-  batch->shard = shard->name;
-  batch->token = shard->token;
-  batch->open = g_array_new (FALSE, FALSE, sizeof (int32_t));
-  g_ptr_array_add (job->batches, batch);
-  g_hash_table_insert (flow->batches, &batch->number, batch);
-  return batch;
-}
-
-static void
-send_batch (const job_t *job,
-            const batch_t *batch,
-            bool maybe_running,
-            int64_t wait_until_ms,
-            GArray *actions)
-{
-  flow_action_t *action = add (actions, FLOW_SUBMIT);
-
-  action->host = batch->host;
-  action->shard = batch->shard;
-  action->number = batch->number;
-  action->indexes = g_array_new (FALSE, FALSE, sizeof (int32_t));
-  g_array_append_vals (action->indexes, batch->open->data, batch->open->len);
-  action->batch = (fleet_batch_t){
-    .batch = batch->number,
-    .job = job->info.id,
-    .spec = job->info.spec,
-    .service = job->info.service,
-    .priority = job->info.priority,
-    .need = job->info.need,
-    .estimate_ms = job->info.estimate_ms,
-    .goal_at_ms = job->goal_at_ms,
-    .deadline_at_ms = job->info.deadline_at_ms,
-    .attempts_max = job->info.attempts_max,
-    .attempt_base = job->handovers * ATTEMPTS_EACH,
-    .label = job->info.label,
-    .near_rack = job->info.near_rack,
-    .spread_max = job->info.spread_max,
-    .maybe_running = maybe_running,
-    .wait_until_ms = wait_until_ms,
-    .indexes = (const int32_t *) (void *) action->indexes->data,
-    .count = action->indexes->len,
-  };
-}
-
-static batch_t *
-batch_for (flow_t *flow, job_t *job, GPtrArray *fresh, const shard_t *shard)
-{
-  for (guint i = 0; i < fresh->len; i++)
-    if (((batch_t *) fresh->pdata[i])->shard == shard->name)
-      return fresh->pdata[i];
-  batch_t *batch = batch_new (flow, job, shard);
-  g_ptr_array_add (fresh, batch);
-  return batch;
-}
-
-static void
-place (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
-{
-  GPtrArray *fresh = g_ptr_array_new ();
-
-  while (job->unplaced->len > 0)
-    {
-      place_tier_t hope = PLACE_HOPELESS;
-      place_t place = best_place (flow, job, now_ms, &hope);
-      shard_t *shard = place.row != NULL ? place.shard : shortest_queue (flow, job, hope, now_ms);
-      if (shard == NULL)
-        break;
-      if (place.row != NULL)
-        place.row->slots--;
-      else
-        shard->waiting++;
-      batch_t *batch = batch_for (flow, job, fresh, shard);
-      guint last = job->unplaced->len - 1;
-      g_array_append_val (batch->open, g_array_index (job->unplaced, int32_t, last));
-      g_array_set_size (job->unplaced, last);
-      job->was_sent = true;
-    }
-  for (guint i = 0; i < fresh->len; i++)
-    send_batch (job, fresh->pdata[i], false, 0, actions);
-  g_ptr_array_unref (fresh);
-}
-
 /* --- jobs --- */
 
 uint64_t
@@ -551,7 +275,7 @@
   job->batches = g_ptr_array_new ();
   g_hash_table_insert (flow->jobs, &job->number, job);
   g_hash_table_replace (flow->by_id, (char *) job->info.id, job);
-  place (flow, job, now_ms, actions);
+  spread_job (flow, job, now_ms, actions);
   return job->number;
 }
 
@@ -704,17 +428,17 @@
 
   job->handovers++;
   job->may_have_run = true;
-  batch_t *next = batch_new (flow, job, shard);
+  batch_t *next = spread_batch (flow, job, shard);
   next->maybe = true;
   g_array_append_vals (next->open, batch->open->data, batch->open->len);
   if (batch->lost_at_ms == 0 && batch->host != next->host)
     {
-      flow_action_t *action = add (actions, FLOW_RELEASE);
+      flow_action_t *action = flow_add (actions, FLOW_RELEASE);
       action->host = batch->host;
       action->number = batch->number;
     }
   drop_batch (flow, batch);
-  send_batch (job, next, true, since_ms + OWNER_DROPS_MS + flow->lease_ms, actions);
+  spread_send (job, next, true, since_ms + OWNER_DROPS_MS + flow->lease_ms, actions);
 }
 
 static GPtrArray *
@@ -853,7 +577,7 @@
   if (job->unplaced->len == 0)
     return;
   guint before = actions->len;
-  place (flow, job, now_ms, actions);
+  spread_job (flow, job, now_ms, actions);
   /* What was just sent names the job, which must not end in the same step. */
   if (job->unplaced->len == 0 || actions->len > before)
     return;
--- /dev/null
+++ b/lib/flow/spread.c
@@ -0,0 +1,211 @@
+/* spread.c -- which owners the tasks of a job go to
+ *
+ * Task by task the best free slot is taken: the slowest that is fast enough, the own data centre
+ * first among equals, so that the fast ones stay free for tasks that need them. Where no slot
+ * is free that would do, the task queues at the owner with the shortest queue for its size.
+ */
+#include "flow/state.h"
+
+#include <string.h>
+
+/* Speeds that differ by less than this count as equal. */
+#define ALIKE 1.1
+/* Attempts under one owner stay below this number. */
+#define ATTEMPTS_EACH 32
+
+typedef struct
+{
+  shard_t *shard;
+  row_t *row;
+  place_tier_t tier;
+} place_t;
+
+static bool
+suits (const row_t *row, const flow_job_t *job)
+{
+  return strcmp (row->service, job->service) == 0;
+}
+
+/* Like the owner's choice of an endpoint: the slowest that is fast enough, else the fastest; the
+ * own data centre first among equals. */
+static bool
+is_better (const flow_t *flow, const place_t *a, const place_t *b)
+{
+  if (b->row == NULL)
+    return true;
+  if (a->tier != b->tier)
+    return a->tier > b->tier;
+  bool alike = a->row->ratio < b->row->ratio * ALIKE && b->row->ratio < a->row->ratio * ALIKE;
+  if (alike)
+    return a->shard->name == flow->data_centre && b->shard->name != flow->data_centre;
+  return a->tier == PLACE_SURE ? a->row->ratio > b->row->ratio : a->row->ratio < b->row->ratio;
+}
+
+static place_tier_t
+tier_of (const row_t *row, const job_t *job, int64_t now_ms)
+{
+  int64_t expected_ms = (int64_t) (row->ratio * (double) job->info.estimate_ms);
+
+  return place_tier (expected_ms, now_ms, job->goal_at_ms, job->info.deadline_at_ms);
+}
+
+/* The best free slot, and in *HOPE what the job may hope for, if it waits. */
+static place_t
+best_place (flow_t *flow, const job_t *job, int64_t now_ms, place_tier_t *hope)
+{
+  place_t best = { 0 };
+  GHashTableIter iter;
+  void *value = NULL;
+
+  *hope = PLACE_HOPELESS;
+  g_hash_table_iter_init (&iter, flow->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      shard_t *shard = value;
+      for (guint i = 0; shard->owner != NULL && i < shard->rows->len; i++)
+        {
+          row_t *row = &g_array_index (shard->rows, row_t, i);
+          if (row->slots_all <= 0 || !suits (row, &job->info))
+            continue;
+          place_t one = { shard, row, tier_of (row, job, now_ms) };
+          *hope = MAX (*hope, one.tier);
+          if (row->slots > 0 && is_better (flow, &one, &best))
+            best = one;
+        }
+    }
+  if (best.row != NULL && best.tier < MIN (*hope, PLACE_IN_TIME))
+    best = (place_t){ 0 };
+  return best;
+}
+
+/* Slots of SHARD, free or not, on which the job would do at least as well as HOPE. */
+static int32_t
+slots_all (const shard_t *shard, const job_t *job, place_tier_t hope, int64_t now_ms)
+{
+  int32_t slots = 0;
+
+  for (guint i = 0; i < shard->rows->len; i++)
+    {
+      const row_t *row = &g_array_index (shard->rows, row_t, i);
+      if (suits (row, &job->info) && tier_of (row, job, now_ms) >= MIN (hope, PLACE_IN_TIME))
+        slots += row->slots_all;
+    }
+  return slots;
+}
+
+/* The shard with the shortest queue for its size. */
+static shard_t *
+shortest_queue (flow_t *flow, const job_t *job, place_tier_t hope, int64_t now_ms)
+{
+  shard_t *best = NULL;
+  double best_length = 0;
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, flow->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      shard_t *shard = value;
+      int32_t slots = slots_all (shard, job, hope, now_ms);
+      if (shard->owner == NULL || slots == 0)
+        continue;
+      double length = (double) (shard->waiting + 1) / slots;
+      if (best == NULL || length < best_length
+          || (length <= best_length && shard->name == flow->data_centre))
+        {
+          best = shard;
+          best_length = length;
+        }
+    }
+  return best;
+}
+
+batch_t *
+spread_batch (flow_t *flow, job_t *job, const shard_t *shard)
+{
+  batch_t *batch = g_new0 (batch_t, 1);
+
+  batch->number = ++flow->last;
+  batch->job = job;
+  batch->host = shard->owner;
+  batch->shard = shard->name;
+  batch->token = shard->token;
+  batch->open = g_array_new (FALSE, FALSE, sizeof (int32_t));
+  g_ptr_array_add (job->batches, batch);
+  g_hash_table_insert (flow->batches, &batch->number, batch);
+  return batch;
+}
+
+void
+spread_send (const job_t *job,
+             const batch_t *batch,
+             bool maybe_running,
+             int64_t wait_until_ms,
+             GArray *actions)
+{
+  flow_action_t *action = flow_add (actions, FLOW_SUBMIT);
+
+  action->host = batch->host;
+  action->shard = batch->shard;
+  action->number = batch->number;
+  action->indexes = g_array_new (FALSE, FALSE, sizeof (int32_t));
+  g_array_append_vals (action->indexes, batch->open->data, batch->open->len);
+  action->batch = (fleet_batch_t){
+    .batch = batch->number,
+    .job = job->info.id,
+    .spec = job->info.spec,
+    .service = job->info.service,
+    .priority = job->info.priority,
+    .need = job->info.need,
+    .estimate_ms = job->info.estimate_ms,
+    .goal_at_ms = job->goal_at_ms,
+    .deadline_at_ms = job->info.deadline_at_ms,
+    .attempts_max = job->info.attempts_max,
+    .attempt_base = job->handovers * ATTEMPTS_EACH,
+    .label = job->info.label,
+    .near_rack = job->info.near_rack,
+    .spread_max = job->info.spread_max,
+    .maybe_running = maybe_running,
+    .wait_until_ms = wait_until_ms,
+    .indexes = (const int32_t *) (void *) action->indexes->data,
+    .count = action->indexes->len,
+  };
+}
+
+static batch_t *
+batch_for (flow_t *flow, job_t *job, GPtrArray *fresh, const shard_t *shard)
+{
+  for (guint i = 0; i < fresh->len; i++)
+    if (((batch_t *) fresh->pdata[i])->shard == shard->name)
+      return fresh->pdata[i];
+  batch_t *batch = spread_batch (flow, job, shard);
+  g_ptr_array_add (fresh, batch);
+  return batch;
+}
+
+void
+spread_job (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
+{
+  GPtrArray *fresh = g_ptr_array_new ();
+
+  while (job->unplaced->len > 0)
+    {
+      place_tier_t hope = PLACE_HOPELESS;
+      place_t place = best_place (flow, job, now_ms, &hope);
+      shard_t *shard = place.row != NULL ? place.shard : shortest_queue (flow, job, hope, now_ms);
+      if (shard == NULL)
+        break;
+      if (place.row != NULL)
+        place.row->slots--;
+      else
+        shard->waiting++;
+      batch_t *batch = batch_for (flow, job, fresh, shard);
+      guint last = job->unplaced->len - 1;
+      g_array_append_val (batch->open, g_array_index (job->unplaced, int32_t, last));
+      g_array_set_size (job->unplaced, last);
+      job->was_sent = true;
+    }
+  for (guint i = 0; i < fresh->len; i++)
+    spread_send (job, fresh->pdata[i], false, 0, actions);
+  g_ptr_array_unref (fresh);
+}
--- /dev/null
+++ b/lib/flow/state.h
@@ -0,0 +1,94 @@
+/* state.h -- the structs behind flow_t; private to lib/flow */
+#ifndef FLOW_STATE_H
+#define FLOW_STATE_H
+
+#include "flow/flow.h"
+
+typedef struct job_t job_t;
+
+typedef struct
+{
+  uint64_t number;
+  job_t *job;
+  const char *host;   /* interned */
+  const char *shard;  /* interned */
+  int64_t token;      /* of the owner's claim */
+  int64_t lost_at_ms; /* when HOST was last heard, if it is lost; else 0 */
+  GArray *open;       /* indexes of tasks that have not ended */
+  bool maybe;         /* an owner before may have started its tasks */
+  bool cancelled;     /* its end was asked for, and is not confirmed */
+} batch_t;
+
+struct job_t
+{
+  uint64_t number;
+  flow_job_t info; /* with strings of its own */
+  int64_t goal_at_ms;
+  GArray *unplaced;   /* int32_t */
+  GPtrArray *batches; /* batch_t */
+  int32_t left;       /* tasks that are not done */
+  int32_t handovers;
+  int32_t returns;
+  bool was_sent;
+  bool may_have_run;
+  bool ending; /* waits for confirmations of its end */
+  flow_outcome_t outcome;
+  const char *reason;
+  int64_t confirm_by_ms;
+};
+
+typedef struct
+{
+  const char *service; /* interned */
+  int32_t slots;
+  int32_t slots_all;
+  double ratio;
+} row_t;
+
+typedef struct
+{
+  const char *name;  /* interned */
+  const char *owner; /* interned, or NULL */
+  int64_t token;     /* of its claim */
+  GArray *rows;      /* row_t */
+  int32_t waiting;
+} shard_t;
+
+/* A batch that HOST must end. */
+typedef struct
+{
+  uint64_t number;
+  const char *host; /* interned */
+  int64_t due_ms;
+  int64_t until_ms;
+} cancel_t;
+
+struct flow_t
+{
+  const char *host;
+  const char *data_centre;
+  int64_t lease_ms;
+  GHashTable *jobs;    /* number -> job_t */
+  GHashTable *by_id;   /* id -> job_t */
+  GHashTable *batches; /* number -> batch_t */
+  GHashTable *shards;  /* interned name -> shard_t */
+  GHashTable *cancels; /* number -> cancel_t: not confirmed yet */
+  GStringChunk *names; /* of jobs that were answered in the last call */
+  uint64_t last;
+};
+
+/* spread.c: gives what is unplaced of JOB to owners. */
+void spread_job (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions);
+
+/* spread.c: a batch of JOB for the owner of SHARD, still without tasks, and the action that sends
+ * it. */
+batch_t *spread_batch (flow_t *flow, job_t *job, const shard_t *shard);
+void spread_send (const job_t *job,
+                  const batch_t *batch,
+                  bool maybe_running,
+                  int64_t wait_until_ms,
+                  GArray *actions);
+
+flow_action_t *flow_add (GArray *actions, flow_action_kind_t kind);
+
+#endif
