--- a/daemon/site.c
+++ b/daemon/site.c
@@ -606,6 +606,7 @@
   peers_beat (site, now_ms, false);
   pull_config (site, now_ms);
   probe_orphans (site, now_ms);
+  owner_free_retired (site, now_ms);
   watch_settings (site, now_ms);
   event_flush (now_ms);
   if (site->leaving)
@@ -657,6 +658,7 @@
   flow_options_t flow = { settings->host, settings->data_centre, settings->lease_ms };
   site->flow = flow_new (&flow);
   site->owned = g_hash_table_new_full (NULL, NULL, NULL, owner_free);
+  site->retired = g_ptr_array_new_with_free_func (owner_free);
   site->directory = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_entry);
   site->connected = g_hash_table_new (NULL, NULL);
   site->crew_actions = g_array_new (FALSE, FALSE, sizeof (crew_action_t));
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -7,6 +7,8 @@
 
 #include <string.h>
 
+/* All orders of a shard that was yielded have been answered by then. */
+#define RETIRED_MS 5000
 /* The directory may lack endpoints for this long after it was first listed. */
 #define SETTLED_AFTER_MS 3000
 /* Offers are told no more often than this for each host that hears them, and no less often
@@ -252,9 +254,19 @@
   if (owned == NULL)
     return;
   log_shard (EVENT_SHARD_YIELDED, shard, why, 0);
-  /* Orders that are on their way still refer to it: it stays, empty. */
   fleet_yield_all (owned->fleet);
   g_hash_table_steal (site->owned, owned->name);
+  /* Orders that are on their way still refer to it. */
+  owned->retired_at_ms = clock_boot_ms ();
+  g_ptr_array_add (site->retired, owned);
+}
+
+void
+owner_free_retired (site_t *site, int64_t now_ms)
+{
+  while (site->retired->len > 0
+         && now_ms - ((owned_t *) site->retired->pdata[0])->retired_at_ms > RETIRED_MS)
+    g_ptr_array_remove_index (site->retired, 0);
 }
 
 void
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -30,6 +30,7 @@
   bool dirty;      /* something happened since its last round */
   GBytes *told;    /* the offer that was sent last */
   int64_t told_at_ms;
+  int64_t retired_at_ms; /* it was yielded */
 } owned_t;
 
 /* An end that is to be told to a coordinator. */
@@ -56,6 +57,7 @@
   queues_t *queues;
   GBytes *queues_data;   /* as the platform gave it */
   GHashTable *owned;     /* interned shard -> owned_t */
+  GPtrArray *retired;    /* owned_t that were yielded a moment ago */
   GHashTable *directory; /* id -> fleet_entry_t */
   GHashTable *connected; /* interned host with a connection -> its data centre */
   GArray *crew_actions;
@@ -93,6 +95,7 @@
 bool owner_rounds (site_t *site, bool all);
 void owner_tell_offers (site_t *site, int64_t now_ms);
 void owner_free (void *owned);
+void owner_free_retired (site_t *site, int64_t now_ms);
 
 /* site_metrics.c: counters and latency histograms, served in the usual text format. */
 void metrics_job (const flow_action_t *answer);
