--- a/lib/crew/crew_example.c
+++ b/lib/crew/crew_example.c
@@ -3,8 +3,10 @@
 
 #include <stdio.h>
 
-static const char *const names[] = { [CREW_CLAIMED] = "claimed", [CREW_YIELDED] = "yielded",
-                                     [CREW_OWNER] = "owner",     [CREW_LOST] = "lost",
+static const char *const names[] = { [CREW_CLAIMED] = "claimed",
+                                     [CREW_YIELDED] = "yielded",
+                                     [CREW_OWNER] = "owner",
+                                     [CREW_LOST] = "lost",
                                      [CREW_FOUND] = "found" };
 
 static void
@@ -26,8 +28,9 @@
   GArray *actions = g_array_new (FALSE, FALSE, sizeof (crew_action_t));
   crew_t *crew = crew_new (&options, 0);
   crew_claim_t claim = { (char *) "x", INT64_C (1) << 60 };
-  crew_beat_t beat = { .host = (char *) "h2", .data_centre = (char *) "x", .incarnation = 2,
-                       .ready = true };
+  crew_beat_t beat = {
+    .host = (char *) "h2", .data_centre = (char *) "x", .incarnation = 2, .ready = true
+  };
 
   crew_add_shard (crew, "x");
   crew_set_ready (crew, true);
--- a/lib/fleet/fleet_example.c
+++ b/lib/fleet/fleet_example.c
@@ -3,8 +3,10 @@
 
 #include <stdio.h>
 
-static const char *const names[] = { [FLEET_START] = "start", [FLEET_STOP] = "stop",
-                                     [FLEET_LOOK] = "look",   [FLEET_DONE] = "done",
+static const char *const names[] = { [FLEET_START] = "start",
+                                     [FLEET_STOP] = "stop",
+                                     [FLEET_LOOK] = "look",
+                                     [FLEET_DONE] = "done",
                                      [FLEET_NOTE] = "note" };
 
 /* Prints what is asked for, and notes the serial of the last order of each kind. */
@@ -26,12 +28,26 @@
 {
   static const int32_t indexes[] = { 0 };
   const fleet_options_t options = { .lease_ms = 1000, .stop_ms = 50 };
-  const fleet_endpoint_t endpoint = { .id = "e1", .address = "127.0.0.1:1", .service = "s",
-                                      .kind = "a", .rack = "r1", .free = { 4000, 100, 0 } };
-  const fleet_batch_t batch = { .coordinator = "h1", .batch = 1, .job = "j", .spec = "work",
-                                .service = "s", .need = { 1000, 10, 0 }, .estimate_ms = 60,
-                                .goal_at_ms = 200, .deadline_at_ms = 1500, .attempts_max = 3,
-                                .label = "", .near_rack = "", .indexes = indexes, .count = 1 };
+  const fleet_endpoint_t endpoint = { .id = "e1",
+                                      .address = "127.0.0.1:1",
+                                      .service = "s",
+                                      .kind = "a",
+                                      .rack = "r1",
+                                      .free = { 4000, 100, 0 } };
+  const fleet_batch_t batch = { .coordinator = "h1",
+                                .batch = 1,
+                                .job = "j",
+                                .spec = "work",
+                                .service = "s",
+                                .need = { 1000, 10, 0 },
+                                .estimate_ms = 60,
+                                .goal_at_ms = 200,
+                                .deadline_at_ms = 1500,
+                                .attempts_max = 3,
+                                .label = "",
+                                .near_rack = "",
+                                .indexes = indexes,
+                                .count = 1 };
   const look_t idle = { .clock_there_ms = 500 };
   const look_ended_t end = { 1, "j.0.0.0", 1, RUN_DONE };
   const look_t ended = { .clock_there_ms = 560, .ended = &end, .ended_count = 1 };
--- a/lib/flow/flow_example.c
+++ b/lib/flow/flow_example.c
@@ -8,10 +8,18 @@
 {
   const flow_options_t options = { "h1", "x", 1000 };
   const fleet_offer_t offer = { "s", 4, 4, 1.0 };
-  const flow_job_t job = { .id = "j", .spec = "work", .service = "s", .tasks = 2,
-                           .need = { 1000, 10, 0 }, .estimate_ms = 60, .stretch = 1.6,
-                           .target_ms = 60, .deadline_at_ms = 1500, .attempts_max = 3,
-                           .label = "", .near_rack = "" };
+  const flow_job_t job = { .id = "j",
+                           .spec = "work",
+                           .service = "s",
+                           .tasks = 2,
+                           .need = { 1000, 10, 0 },
+                           .estimate_ms = 60,
+                           .stretch = 1.6,
+                           .target_ms = 60,
+                           .deadline_at_ms = 1500,
+                           .attempts_max = 3,
+                           .label = "",
+                           .near_rack = "" };
   GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
   flow_t *flow = flow_new (&options);
 
--- a/lib/reactor/reactor_example.c
+++ b/lib/reactor/reactor_example.c
@@ -51,9 +51,13 @@
   web_options_t options = { .address = ADDRESS, .bounds = { 4096, 4096, 1000, 1000 }, .ops = &ops };
   if (web_listen (loop, &options, &web) != 0)
     return 1;
-  webcall_options_t call = { .address = ADDRESS, .method = "POST", .target = "/echo",
-                             .body = "hello", .body_bytes = strlen ("hello"),
-                             .deadline_at_ms = clock_boot_ms () + 2000, .done = on_answer };
+  webcall_options_t call = { .address = ADDRESS,
+                             .method = "POST",
+                             .target = "/echo",
+                             .body = "hello",
+                             .body_bytes = strlen ("hello"),
+                             .deadline_at_ms = clock_boot_ms () + 2000,
+                             .done = on_answer };
   webcall_start (client, &call);
   loop_run (loop);
   web_free (web);
