Read-through: one table of ends, and functions that nothing calls

The table from an owner's word about a task to the coordinator's stood in site.c and site_peers.c; site_end_task () serves both.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -389,8 +389,8 @@
 
 /* --- the pump --- */
 
-static void
-tell_local (site_t *site, const fleet_end_t *end)
+void
+site_end_task (site_t *site, const char *host, const fleet_end_t *end)
 {
   static const flow_task_end_t ends_of[] = {
     [FLEET_DONE] = FLOW_TASK_DONE,           [FLEET_FAILED] = FLOW_TASK_FAILED,
@@ -398,8 +398,8 @@
     [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
   };
 
-  flow_task_ended (site->flow, site->host, end->batch, end->index, ends_of[end->how],
-                   clock_boot_ms (), site->flow_actions);
+  flow_task_ended (site->flow, host, end->batch, end->index, ends_of[end->how], clock_boot_ms (),
+                   site->flow_actions);
   site_run_flow_actions (site);
 }
 
@@ -425,7 +425,7 @@
             continue;
           told->coordinator = NULL;
           if (coordinator == site->host)
-            tell_local (site, &told->end);
+            site_end_task (site, site->host, &told->end);
           else
             g_array_append_val (batch, told->end);
         }
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -130,21 +130,11 @@
 static void
 read_ends (site_t *site, const char *host, frame_reader_t *reader)
 {
-  static const flow_task_end_t ends_of[] = {
-    [FLEET_DONE] = FLOW_TASK_DONE,           [FLEET_FAILED] = FLOW_TASK_FAILED,
-    [FLEET_RETURNED] = FLOW_TASK_RETURNED,   [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
-    [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
-  };
   GArray *ends = g_array_new (FALSE, FALSE, sizeof (fleet_end_t));
 
   if (fleet_msg_read_ends (reader, ends) == 0)
     for (guint i = 0; i < ends->len; i++)
-      {
-        const fleet_end_t *end = &g_array_index (ends, fleet_end_t, i);
-        flow_task_ended (site->flow, host, end->batch, end->index, ends_of[end->how],
-                         clock_boot_ms (), site->flow_actions);
-        site_run_flow_actions (site);
-      }
+      site_end_task (site, host, &g_array_index (ends, fleet_end_t, i));
   g_array_unref (ends);
 }
 
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -79,6 +79,8 @@
  * that are ready now have been taken in. */
 void site_pump (site_t *site);
 void site_run_flow_actions (site_t *site);
+/* Takes in that a task of this coordinator has ended at HOST, as far as HOST is concerned. */
+void site_end_task (site_t *site, const char *host, const fleet_end_t *end);
 
 /* site_owner.c */
 void owner_claimed (site_t *site, const char *shard, int64_t token, const char *why);
--- a/lib/crew/crew.c
+++ b/lib/crew/crew.c
@@ -573,34 +573,6 @@
     }
 }
 
-bool
-crew_owns (const crew_t *crew, const char *name, int64_t *token)
-{
-  const shard_t *shard = g_hash_table_lookup (crew->shards, g_intern_string (name));
-
-  if (shard == NULL || !shard->own)
-    return false;
-  *token = shard->token;
-  return true;
-}
-
-bool
-crew_is_alive (const crew_t *crew, const char *host, int64_t now_ms)
-{
-  const peer_t *peer = g_hash_table_lookup (crew->peers, g_intern_string (host));
-
-  (void) now_ms;
-  return peer != NULL && peer->alive;
-}
-
-const char *
-crew_owner (const crew_t *crew, const char *name)
-{
-  const shard_t *shard = g_hash_table_lookup (crew->shards, g_intern_string (name));
-
-  return shard != NULL ? shard->owner : NULL;
-}
-
 void
 crew_reached (crew_t *crew, const char *name, int64_t now_ms)
 {
--- a/lib/crew/crew.h
+++ b/lib/crew/crew.h
@@ -37,7 +37,6 @@
   bool leaving;  /* it is being stopped */
   int32_t power; /* thousandths of a core */
   int64_t config_version;
-  uint64_t directory_version;
   GArray *claims; /* crew_claim_t */
 } crew_beat_t;
 
@@ -99,10 +98,6 @@
 /* Fills BEAT with what this host says; strings belong to the crew, the array is new. */
 void crew_own_beat (const crew_t *crew, crew_beat_t *beat);
 
-bool crew_owns (const crew_t *crew, const char *shard, int64_t *token);
-bool crew_is_alive (const crew_t *crew, const char *host, int64_t now_ms);
-const char *crew_owner (const crew_t *crew, const char *shard);
-
 /* A shard of another data centre without an owner is claimed only by a host that can reach its
  * endpoints: tells that one has answered, or whether that should be found out. */
 void crew_reached (crew_t *crew, const char *shard, int64_t now_ms);
--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -32,7 +32,6 @@
   if (endpoint->misses >= SILENT_MISSES)
     note (fleet, actions, FLEET_NOTE_HEARD, endpoint, NULL, now_ms)->elapsed_ms =
         now_ms - endpoint->silent_from_ms;
-  endpoint->heard_at_ms = now_ms;
   endpoint->silent_from_ms = 0;
   endpoint->misses = 0;
   if (clock_there_ms == 0)
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -355,12 +355,6 @@
   return g_hash_table_lookup (fleet->endpoints, id);
 }
 
-bool
-fleet_has_endpoint (const fleet_t *fleet, const char *id)
-{
-  return endpoint_find (fleet, id) != NULL;
-}
-
 static void
 set_text (char **text, const char *value)
 {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -204,8 +204,6 @@
  * to coordinators, who turn to the new owner. */
 void fleet_yield_endpoint (fleet_t *fleet, const char *id);
 
-bool fleet_has_endpoint (const fleet_t *fleet, const char *id);
-
 /* Until AT_MS there may be endpoints that this owner does not know of yet: a task that may be
  * running and is not found waits for as long as it may run. */
 void fleet_set_unsettled (fleet_t *fleet, int64_t at_ms);
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -113,7 +113,6 @@
   int64_t lease_end_ms;   /* nothing runs there after this */
   int64_t ack;
   int64_t ack_sent;
-  int64_t heard_at_ms;        /* last answer */
   int64_t silent_from_ms;     /* the first call without an answer since then; 0 if none */
   int32_t misses;             /* calls without an answer since then */
   int64_t full_until_ms;      /* it refused for want of room */
--- a/lib/reactor/web_client.c
+++ b/lib/reactor/web_client.c
@@ -52,7 +52,6 @@
   loop_t *loop;
   GHashTable *targets; /* address -> target_t */
   GHashTable *busy;    /* channel_t with a call */
-  bool has_doomed;
 };
 
 static void
@@ -248,7 +247,6 @@
     channel = g_ptr_array_remove_index (target->idle, target->idle->len - 1);
   else
     channel = channel_open (client, target);
-  client->has_doomed = client->has_doomed || channel->doomed;
   channel->busy = true;
   channel->answered = false;
   channel->deadline_at_ms = options->deadline_at_ms;
@@ -314,7 +312,6 @@
         ended = g_ptr_array_new ();
       g_ptr_array_add (ended, key);
     }
-  client->has_doomed = false;
   for (guint i = 0; ended != NULL && i < ended->len; i++)
     {
       channel_t *channel = ended->pdata[i];
