--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,8 @@
 SYS_SRC := $(wildcard tests/system/*.c)
 BENCH_SRC := $(wildcard bench/*.c)
 EXAMPLE_SRC := $(wildcard lib/*/*_example.c)
-# A stand-in is standins/NAME.c with the common parts in standins/common_*.c.
+# A stand-in is standins/fake_NAME.c with the common parts in standins/common_*.c, and its own
+# parts in standins/NAME_*.c.
 STANDIN_MAINS := $(wildcard standins/fake_*.c)
 STANDIN_COMMON := $(wildcard standins/common_*.c)
 
@@ -69,8 +70,10 @@
 	$(CC) $(LDFLAGS) -o $@ $(call obj,$(DAEMON_SRC)) $(GROUP) $(PKG_LIBS)
 $(BUILD)/jaytrail: $(call obj,$(TOOL_SRC)) $(ARCHIVES)
 	$(CC) $(LDFLAGS) -o $@ $(call obj,$(TOOL_SRC)) $(GROUP) $(PKG_LIBS)
-$(BUILD)/fake_%: $(BUILD)/obj/standins/fake_%.o $(call obj,$(STANDIN_COMMON)) $(ARCHIVES)
-	$(CC) $(LDFLAGS) -o $@ $< $(call obj,$(STANDIN_COMMON)) $(GROUP) $(PKG_LIBS)
+.SECONDEXPANSION:
+$(BUILD)/fake_%: $(BUILD)/obj/standins/fake_%.o $(call obj,$(STANDIN_COMMON)) \
+                 $$(call obj,$$(wildcard standins/$$*_*.c)) $(ARCHIVES)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(GROUP) $(PKG_LIBS)
 $(BUILD)/tests/system: $(call obj,$(SYS_SRC)) $(ARCHIVES)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $(call obj,$(SYS_SRC)) $(GROUP) $(PKG_LIBS) -lcunit
--- /dev/null
+++ b/standins/site_endpoint.h
@@ -0,0 +1,70 @@
+/* site_endpoint.h -- an endpoint as a stand-in: runs, leases, tokens, ends
+ *
+ * It runs a task for as many milliseconds as its spec says; a spec that begins with F fails at
+ * its end.  Orders come over HTTP on its own address.  With a ledger each start and each end is a
+ * line on standard output, written at once, so that it outlives the process.
+ *
+ * Runs on the loop's thread.
+ */
+#ifndef STANDINS_SITE_ENDPOINT_H
+#define STANDINS_SITE_ENDPOINT_H
+
+#include "reactor/web.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct site_endpoint_t site_endpoint_t;
+
+/* How it misbehaves. */
+typedef struct
+{
+  bool failing;    /* all runs fail */
+  bool hanging;    /* runs never end */
+  bool mute;       /* starts are carried out and not answered */
+  bool draining;   /* its entry says that it leaves */
+  int64_t late_ms; /* orders get no answer and are carried out so much later */
+  int64_t slow;    /* runs take so many times as long; 0 counts as 1 */
+} site_endpoint_faults_t;
+
+typedef struct
+{
+  const char *id;
+  const char *address;  /* IP:port where it listens */
+  const char *known_as; /* IP:port that its entry tells */
+  const char *data_centre;
+  const char *rack;
+  int32_t room; /* tasks at once */
+  bool ledger;
+} site_endpoint_options_t;
+
+/* All endpoints of this process together. */
+typedef struct
+{
+  int32_t starts;
+  int32_t twice;   /* starts of a task that ran at another endpoint */
+  int32_t crowded; /* orders to start beyond the room */
+  int32_t running;
+  int32_t unacknowledged; /* ends */
+} site_endpoint_totals_t;
+
+/* Returns 0 and *ENDPOINT, or ERROR_IO if the address can't be had.  The strings of OPTIONS must
+ * last. */
+int site_endpoint_new (loop_t *loop,
+                       const site_endpoint_options_t *options,
+                       site_endpoint_t **endpoint);
+site_endpoint_faults_t *site_endpoint_faults (site_endpoint_t *endpoint);
+const char *site_endpoint_id (const site_endpoint_t *endpoint);
+int64_t site_endpoint_token (const site_endpoint_t *endpoint);
+
+/* The text of its entry in the directory; the caller frees it. */
+char *site_endpoint_entry (site_endpoint_t *endpoint);
+
+/* Whether this is also asked of the endpoint over its address: POST /fault with its faults. */
+void site_endpoint_set_faults (site_endpoint_t *endpoint, const char *body);
+
+site_endpoint_totals_t site_endpoint_totals (void);
+void site_endpoint_tick (int64_t now_ms);
+
+#endif
