A stop names its task to the end of the round; work near its data

Order text is copied now. The scripted test failed first (tests/test_fleet.c), as did those of racks.

Work away from the rack of its data takes remote_penalty times as long; placing ignored it. Durations, what is learnt, moves and the coordinator's choice of a shard count it now.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -274,6 +274,7 @@
     }
   g_hash_table_replace (site->directory, (void *) copy->endpoint.id, copy);
   crew_add_shard (site->crew, copy->shard);
+  flow_set_rack (site->flow, copy->endpoint.rack, copy->shard);
   owner_entry (site, copy);
 }
 
@@ -358,6 +359,7 @@
         }
       owner_drop_coordinator (site, action->host);
       peers_send (site, action->host, fleet_msg_dropped ());
+      net_reconnect (site->net, action->host);
       flow_host_lost (site->flow, action->host, action->heard_at_ms, now_ms, site->flow_actions);
       site_run_flow_actions (site);
       break;
@@ -560,6 +562,7 @@
   site->settings->lease_ms = settings->lease_ms;
   site->settings->stop_ms = settings->stop_ms;
   site->settings->grace_ms = settings->grace_ms;
+  site->settings->remote_factor = settings->remote_factor;
   owner_set_bounds (site);
   platform_settings_free (settings);
 }
@@ -652,10 +655,11 @@
   site->loop = loop_new (TICK_MS, on_tick, site);
   loop_set_later (site->loop, pump_now);
   site->client = webclient_new (site->loop);
-  crew_options_t crew = { settings->host, settings->data_centre, site->incarnation,
-                          settings->power };
+  crew_options_t crew = { settings->host, settings->data_centre, site->incarnation, settings->power,
+                          settings->resend_ms };
   site->crew = crew_new (&crew, now_ms);
-  flow_options_t flow = { settings->host, settings->data_centre, settings->lease_ms };
+  flow_options_t flow = { settings->host, settings->data_centre, settings->lease_ms,
+                          settings->remote_factor };
   site->flow = flow_new (&flow);
   site->owned = g_hash_table_new_full (NULL, NULL, NULL, owner_free);
   site->retired = g_ptr_array_new_with_free_func (owner_free);
@@ -671,8 +675,8 @@
     result = peers_start (site);
   if (result != 0)
     return result;
-  store_options_t store = { settings->store, settings->host, settings->peer_listen, &store_ops,
-                            site };
+  store_options_t store = { settings->store,    settings->host, settings->peer_address,
+                            settings->apply_ms, &store_ops,     site };
   site->store = store_new (site->client, &store, now_ms);
   loop_on_signal (site->loop, SIGTERM, on_terminate, site);
   loop_on_signal (site->loop, SIGINT, on_terminate, site);
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -214,6 +214,14 @@
     fleet_set_endpoint (owned->fleet, &entry->endpoint, now_ms);
 }
 
+static fleet_options_t
+bounds_of (const site_t *site)
+{
+  const platform_settings_t *settings = site->settings;
+
+  return (fleet_options_t){ settings->lease_ms, settings->stop_ms, settings->remote_factor };
+}
+
 void
 owner_claimed (site_t *site, const char *shard, int64_t token, const char *why)
 {
@@ -225,7 +233,7 @@
   log_shard (EVENT_SHARD_CLAIMED, shard, why, token);
   if (owned == NULL)
     {
-      fleet_options_t options = { site->settings->lease_ms, site->settings->stop_ms };
+      fleet_options_t options = bounds_of (site);
       owned = g_new0 (owned_t, 1);
       owned->site = site;
       owned->name = g_intern_string (shard);
@@ -347,12 +355,6 @@
   return never;
 }
 
-static fleet_options_t
-bounds_of (const site_t *site)
-{
-  return (fleet_options_t){ site->settings->lease_ms, site->settings->stop_ms };
-}
-
 void
 owner_set_bounds (site_t *site)
 {
--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -377,7 +377,8 @@
       if (endpoint != task->endpoint && place_may_run (endpoint, task)
           && place_is_usable (endpoint, now_ms)
           && room_fits (&endpoint->whole, &endpoint->used, &task->need))
-        best_ms = fmin (best_ms, work_ms * place_ratio (endpoint));
+        best_ms = fmin (best_ms, work_ms * place_ratio (endpoint)
+                                     * place_distance (fleet, endpoint, task->batch));
     }
   return best_ms;
 }
@@ -396,7 +397,8 @@
   double left_ms = (double) (batch->deadline_at_ms - now_ms);
   if (whole_ms - elapsed_ms < left_ms)
     return false;
-  double work_ms = whole_ms / place_ratio (task->endpoint);
+  double work_ms =
+      whole_ms / place_ratio (task->endpoint) / place_distance (fleet, task->endpoint, batch);
   double again_ms = best_elsewhere_ms (fleet, task, work_ms, now_ms);
   return again_ms + (double) fleet->options.stop_ms + MOVE_SLACK_MS < left_ms;
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -184,6 +184,8 @@
 {
   int64_t lease_ms; /* the longest that endpoints grant */
   int64_t stop_ms;  /* the longest that a stop takes */
+  /* A task takes so many times as long away from the rack of its data; 0 counts as 1. */
+  double remote_factor;
 } fleet_options_t;
 
 /* A lease ends this much later at the latest on an endpoint with a slow clock. */
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -1,7 +1,8 @@
 /* place.c -- which endpoint a task starts on
  *
  * A task's duration is the caller's estimate times what estimates were worth on the
- * endpoint's kind of machine, times how the endpoint compares with its kind lately.  Among the
+ * endpoint's kind of machine, times how the endpoint compares with its kind lately, times
+ * what it costs to be away from the rack of its data.  Among the
  * endpoints with room the slowest that should meet the task's objective is taken, else the
  * fastest; among those that are about equal, the one whose room is then used up
  * best, so that wide holes stay open for large tasks.
@@ -89,10 +90,20 @@
   endpoint->ratio = pace_ratio (&endpoint->pace, kind_ratio (fleet, endpoint->kind), PRIOR_MS);
 }
 
+double
+place_distance (const fleet_t *fleet, const endpoint_t *endpoint, const batch_t *batch)
+{
+  bool near = batch->near_rack[0] == '\0' || strcmp (batch->near_rack, endpoint->rack) == 0;
+
+  return near ? 1.0 : fmax (fleet->options.remote_factor, 1.0);
+}
+
 int64_t
-place_expected_ms (const endpoint_t *endpoint, const batch_t *batch)
+place_expected_ms (const fleet_t *fleet, const endpoint_t *endpoint, const batch_t *batch)
 {
-  return (int64_t) ((double) batch->estimate_ms * endpoint->ratio);
+  double distance = place_distance (fleet, endpoint, batch);
+
+  return (int64_t) ((double) batch->estimate_ms * endpoint->ratio * distance);
 }
 
 int64_t
@@ -140,7 +151,8 @@
       kind->kind = g_strdup (endpoint->kind);
       g_hash_table_insert (fleet->kinds, kind->kind, kind);
     }
-  double estimate_ms = (double) task->batch->estimate_ms;
+  double estimate_ms =
+      (double) task->batch->estimate_ms * place_distance (fleet, endpoint, task->batch);
   double most_ms = RATIO_MAX * estimate_ms;
   pace_add (&endpoint->pace, fmin ((double) elapsed_ms, most_ms), estimate_ms);
   pace_add (&kind->pace, fmin ((double) elapsed_ms, most_ms), estimate_ms);
@@ -239,23 +251,24 @@
   return a->left_over < b->left_over;
 }
 
-/* A task that may run anywhere is as well off as on the fastest endpoint. */
+/* A task that may run anywhere, at the same speed, is as well off as on the fastest endpoint. */
 static place_tier_t
 hope_of (const fleet_t *fleet, const task_t *task, int64_t now_ms)
 {
   const batch_t *batch = task->batch;
   int64_t least_ms = place_least_ms (fleet, batch);
 
-  if (batch->label[0] == '\0')
+  if (batch->label[0] == '\0' && batch->near_rack[0] == '\0')
     return least_ms == INT64_MAX
                ? PLACE_HOPELESS
                : place_tier (least_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms);
+  static const room_t nothing;
   place_tier_t best = PLACE_HOPELESS;
   for (guint i = 0; i < fleet->usable->len; i++)
     {
       const endpoint_t *endpoint = fleet->usable->pdata[i];
-      if (place_may_run (endpoint, task))
-        best = MAX (best, place_tier (place_expected_ms (endpoint, batch), now_ms,
+      if (place_may_run (endpoint, task) && room_fits (&endpoint->whole, &nothing, &task->need))
+        best = MAX (best, place_tier (place_expected_ms (fleet, endpoint, batch), now_ms,
                                       batch->goal_at_ms, batch->deadline_at_ms));
     }
   return best;
@@ -278,7 +291,7 @@
         continue;
       candidate_t one = {
         .endpoint = endpoint,
-        .expected_ms = place_expected_ms (endpoint, batch),
+        .expected_ms = place_expected_ms (fleet, endpoint, batch),
         .doubted = outlier_is_doubted (&endpoint->outlier, now_ms)
                    || (task->avoid != NULL && strcmp (task->avoid, endpoint->id) == 0),
         .left_over = left_over (endpoint, &task->need),
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -102,7 +102,8 @@
 
   action->endpoint = endpoint->id;
   action->address = endpoint->address;
-  action->task = name;
+  /* A run of another owner may be adopted, and its record go, later in the same round. */
+  action->task = g_string_chunk_insert (fleet->names, name);
   action->attempt = attempt;
   action->serial = remember_call (fleet, endpoint, name, attempt);
 }
@@ -150,7 +151,7 @@
       task->sent_at_ms = now_ms;
       task->answered_at_ms = now_ms;
       task->percent_at_ms = now_ms;
-      task->expected_ms = place_expected_ms (endpoint, task->batch);
+      task->expected_ms = place_expected_ms (fleet, endpoint, task->batch);
       task_attach (task, endpoint);
       /* The owner before may have renewed its lease a moment ago. */
       extend_lease (fleet, endpoint, now_ms);
@@ -224,7 +225,7 @@
   task->answered_at_ms = 0;
   task->percent = 0;
   task->percent_at_ms = now_ms;
-  task->expected_ms = place_expected_ms (endpoint, task->batch);
+  task->expected_ms = place_expected_ms (fleet, endpoint, task->batch);
   task_attach (task, endpoint);
   task->lease_there_ms = extend_lease (fleet, endpoint, now_ms);
   action->endpoint = endpoint->id;
@@ -262,7 +263,11 @@
 /* True if another owner has a slot on which TASK would do as well as it may hope to do here;
  * the slot is taken off. */
 static bool
-goes_elsewhere (const task_t *task, place_tier_t here, GArray *elsewhere, int64_t now_ms)
+goes_elsewhere (const fleet_t *fleet,
+                const task_t *task,
+                place_tier_t here,
+                GArray *elsewhere,
+                int64_t now_ms)
 {
   const batch_t *batch = task->batch;
 
@@ -271,7 +276,8 @@
   for (guint i = 0; i < elsewhere->len; i++)
     {
       fleet_offer_t *offer = &g_array_index (elsewhere, fleet_offer_t, i);
-      int64_t expected_ms = (int64_t) (offer->ratio * (double) batch->estimate_ms);
+      double distance = batch->near_rack[0] != '\0' ? fleet->options.remote_factor : 1.0;
+      int64_t expected_ms = (int64_t) (offer->ratio * distance * (double) batch->estimate_ms);
       if (offer->slots > 0 && strcmp (offer->service, batch->service) == 0
           && place_tier (expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms)
                  >= MIN (here, PLACE_IN_TIME))
@@ -310,7 +316,7 @@
           told->waiting = (int32_t) fleet->queue.length;
           task_end (fleet, task);
         }
-      else if (goes_elsewhere (task, tier, elsewhere, now_ms))
+      else if (goes_elsewhere (fleet, task, tier, elsewhere, now_ms))
         {
           tell (fleet, actions, FLEET_RETURNED, task, "another owner has room")->elapsed_ms =
               now_ms - task->queued_at_ms;
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -176,8 +176,11 @@
 /* Duration over the caller's estimate on ENDPOINT. */
 double place_ratio (const endpoint_t *endpoint);
 
+/* So many times as long a task of BATCH takes on ENDPOINT for being away from its data. */
+double place_distance (const fleet_t *fleet, const endpoint_t *endpoint, const batch_t *batch);
+
 /* How long a task of BATCH should take on ENDPOINT. */
-int64_t place_expected_ms (const endpoint_t *endpoint, const batch_t *batch);
+int64_t place_expected_ms (const fleet_t *fleet, const endpoint_t *endpoint, const batch_t *batch);
 
 /* How long it should take on the fastest endpoint of this round; INT64_MAX if there is none. */
 int64_t place_least_ms (const fleet_t *fleet, const batch_t *batch);
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -74,6 +74,8 @@
   flow->host = g_intern_string (options->host);
   flow->data_centre = g_intern_string (options->data_centre);
   flow->lease_ms = options->lease_ms;
+  flow->remote_factor = MAX (options->remote_factor, 1.0);
+  flow->racks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   flow->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_job);
   flow->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   flow->batches = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_batch);
@@ -88,6 +90,7 @@
 {
   if (flow == NULL)
     return;
+  g_hash_table_unref (flow->racks);
   g_hash_table_unref (flow->by_id);
   g_hash_table_unref (flow->batches);
   g_hash_table_unref (flow->jobs);
@@ -395,6 +398,15 @@
 
 /* --- owners --- */
 
+void
+flow_set_rack (flow_t *flow, const char *rack, const char *shard)
+{
+  const char *interned = g_intern_string (shard);
+
+  if (g_hash_table_lookup (flow->racks, rack) != interned)
+    g_hash_table_replace (flow->racks, g_strdup (rack), (void *) interned);
+}
+
 void
 flow_offer (flow_t *flow,
             const char *name,
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -87,6 +87,7 @@
   const char *host; /* this one */
   const char *data_centre;
   int64_t lease_ms; /* as in fleet_options_t */
+  double remote_factor;
 } flow_options_t;
 
 flow_t *flow_new (const flow_options_t *options);
@@ -110,6 +111,9 @@
                  int32_t waiting,
                  int64_t now_ms);
 
+/* Endpoints of RACK are in SHARD. */
+void flow_set_rack (flow_t *flow, const char *rack, const char *shard);
+
 /* SHARD is owned by HOST (NULL: by nobody) under TOKEN. */
 void flow_owner (flow_t *flow,
                  const char *shard,
--- a/lib/flow/spread.c
+++ b/lib/flow/spread.c
@@ -3,6 +3,8 @@
  * Task by task the best free slot is taken: the slowest that is fast enough, the own data centre
  * first among equals, so that the fast ones stay free for tasks that need them. Where no slot
  * is free that would do, the task queues at the owner with the shortest queue for its size.
+ * A job whose data lie in a rack counts as slower in other shards, until an owner has returned
+ * tasks of it: then that rack is full.
  */
 #include "flow/state.h"
 
@@ -17,6 +19,7 @@
 {
   shard_t *shard;
   row_t *row;
+  double ratio; /* duration over estimate */
   place_tier_t tier;
 } place_t;
 
@@ -35,16 +38,26 @@
     return true;
   if (a->tier != b->tier)
     return a->tier > b->tier;
-  bool alike = a->row->ratio < b->row->ratio * ALIKE && b->row->ratio < a->row->ratio * ALIKE;
+  bool alike = a->ratio < b->ratio * ALIKE && b->ratio < a->ratio * ALIKE;
   if (alike)
     return a->shard->name == flow->data_centre && b->shard->name != flow->data_centre;
-  return a->tier == PLACE_SURE ? a->row->ratio > b->row->ratio : a->row->ratio < b->row->ratio;
+  return a->tier == PLACE_SURE ? a->ratio > b->ratio : a->ratio < b->ratio;
+}
+
+/* So many times as long JOB takes in SHARD for being away from its data. */
+static double
+distance_of (const flow_t *flow, const shard_t *shard, const job_t *job)
+{
+  if (job->info.near_rack[0] == '\0')
+    return 1.0;
+  const char *home = g_hash_table_lookup (flow->racks, job->info.near_rack);
+  return home == shard->name && job->returns == 0 ? 1.0 : flow->remote_factor;
 }
 
 static place_tier_t
-tier_of (const row_t *row, const job_t *job, int64_t now_ms)
+tier_of (double ratio, const job_t *job, int64_t now_ms)
 {
-  int64_t expected_ms = (int64_t) (row->ratio * (double) job->info.estimate_ms);
+  int64_t expected_ms = (int64_t) (ratio * (double) job->info.estimate_ms);
 
   return place_tier (expected_ms, now_ms, job->goal_at_ms, job->info.deadline_at_ms);
 }
@@ -62,12 +75,14 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       shard_t *shard = value;
+      double distance = distance_of (flow, shard, job);
       for (guint i = 0; shard->owner != NULL && i < shard->rows->len; i++)
         {
           row_t *row = &g_array_index (shard->rows, row_t, i);
           if (row->slots_all <= 0 || !suits (row, &job->info))
             continue;
-          place_t one = { shard, row, tier_of (row, job, now_ms) };
+          place_t one = { shard, row, row->ratio * distance, PLACE_HOPELESS };
+          one.tier = tier_of (one.ratio, job, now_ms);
           *hope = MAX (*hope, one.tier);
           if (row->slots > 0 && is_better (flow, &one, &best))
             best = one;
@@ -80,14 +95,20 @@
 
 /* Slots of SHARD, free or not, on which the job would do at least as well as HOPE. */
 static int32_t
-slots_all (const shard_t *shard, const job_t *job, place_tier_t hope, int64_t now_ms)
+slots_all (const flow_t *flow,
+           const shard_t *shard,
+           const job_t *job,
+           place_tier_t hope,
+           int64_t now_ms)
 {
+  double distance = distance_of (flow, shard, job);
   int32_t slots = 0;
 
   for (guint i = 0; i < shard->rows->len; i++)
     {
       const row_t *row = &g_array_index (shard->rows, row_t, i);
-      if (suits (row, &job->info) && tier_of (row, job, now_ms) >= MIN (hope, PLACE_IN_TIME))
+      if (suits (row, &job->info)
+          && tier_of (row->ratio * distance, job, now_ms) >= MIN (hope, PLACE_IN_TIME))
         slots += row->slots_all;
     }
   return slots;
@@ -106,7 +127,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       shard_t *shard = value;
-      int32_t slots = slots_all (shard, job, hope, now_ms);
+      int32_t slots = slots_all (flow, shard, job, hope, now_ms);
       if (shard->owner == NULL || slots == 0)
         continue;
       double length = (double) (shard->waiting + 1) / slots;
--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -68,6 +68,8 @@
   const char *host;
   const char *data_centre;
   int64_t lease_ms;
+  double remote_factor;
+  GHashTable *racks;   /* rack -> interned shard */
   GHashTable *jobs;    /* number -> job_t */
   GHashTable *by_id;   /* id -> job_t */
   GHashTable *batches; /* number -> batch_t */
--- /dev/null
+++ b/tests/test_fleet.c
@@ -0,0 +1,215 @@
+/* test_fleet.c -- lib/fleet step by step: single decisions on scripted events */
+#include "fleet/fleet.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <string.h>
+
+#define LEASE_MS 1000
+#define STOP_MS 50
+#define SERVICE "s"
+
+typedef struct
+{
+  fleet_t *fleet;
+  GArray *actions;
+  GArray *elsewhere;
+  int64_t now_ms;
+  uint64_t look_serial[2]; /* by number of the endpoint */
+  uint64_t start_serial;   /* of the last start */
+  char start_at[8];        /* and its endpoint */
+  char stop_task[32];      /* task of the last stop */
+} script_t;
+
+static const char *const ids[] = { "e0", "e1" };
+
+static void
+script_begin (script_t *script)
+{
+  const fleet_options_t options = { .lease_ms = LEASE_MS, .stop_ms = STOP_MS, .remote_factor = 2 };
+
+  *script = (script_t){ .fleet = fleet_new (&options),
+                        .actions = g_array_new (FALSE, FALSE, sizeof (fleet_action_t)),
+                        .elsewhere = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t)) };
+}
+
+static void
+script_end (script_t *script)
+{
+  fleet_free (script->fleet);
+  g_array_unref (script->actions);
+  g_array_unref (script->elsewhere);
+}
+
+static void
+add_endpoint (script_t *script, int number, const char *rack, int64_t cores_milli)
+{
+  fleet_endpoint_t endpoint = { .id = ids[number],
+                                .address = "127.0.0.1:1",
+                                .service = SERVICE,
+                                .kind = "a",
+                                .rack = rack,
+                                .born_at_ms = 1,
+                                .free = { cores_milli, 1000, 0 } };
+
+  fleet_set_endpoint (script->fleet, &endpoint, script->now_ms);
+}
+
+/* One round at NOW_MS; notes the orders that it gives. */
+static void
+run_at (script_t *script, int64_t now_ms)
+{
+  script->now_ms = now_ms;
+  script->stop_task[0] = '\0';
+  script->start_at[0] = '\0';
+  g_array_set_size (script->actions, 0);
+  fleet_run (script->fleet, script->elsewhere, now_ms, script->actions);
+  for (guint i = 0; i < script->actions->len; i++)
+    {
+      const fleet_action_t *action = &g_array_index (script->actions, fleet_action_t, i);
+      if (action->kind == FLEET_LOOK)
+        script->look_serial[strcmp (action->endpoint, ids[1]) == 0] = action->serial;
+      if (action->kind == FLEET_STOP)
+        g_strlcpy (script->stop_task, action->task, sizeof script->stop_task);
+      if (action->kind == FLEET_START)
+        {
+          script->start_serial = action->serial;
+          g_strlcpy (script->start_at, action->endpoint, sizeof script->start_at);
+        }
+    }
+}
+
+/* The endpoint answers its last look with COUNT rows. */
+static void
+answer_look (script_t *script, int number, const look_active_t *rows, size_t count)
+{
+  const look_t look = { .clock_there_ms = script->now_ms + 5,
+                        .active = rows,
+                        .active_count = count };
+
+  g_array_set_size (script->actions, 0);
+  fleet_looked (script->fleet, script->look_serial[number], FLEET_OK, &look, script->now_ms,
+                script->actions);
+}
+
+static fleet_batch_t
+batch_of (const char *job, uint64_t number)
+{
+  static const int32_t indexes[] = { 0 };
+
+  return (fleet_batch_t){ .coordinator = "h1",
+                          .batch = number,
+                          .job = job,
+                          .spec = "work",
+                          .service = SERVICE,
+                          .need = { 1000, 10, 0 },
+                          .estimate_ms = 60,
+                          .goal_at_ms = 10000,
+                          .deadline_at_ms = 20000,
+                          .attempts_max = 3,
+                          .label = "",
+                          .near_rack = "",
+                          .indexes = indexes,
+                          .count = 1 };
+}
+
+/* A run of another owner is stopped, and in the same round taken over by a coordinator: the order
+ * still names it. */
+static void
+test_adopted_while_stopped (void)
+{
+  static const look_active_t row = { "job-with-a-long-name.0.0.0", 2, 10 };
+  fleet_batch_t batch = batch_of ("job-with-a-long-name", 1);
+  script_t script;
+
+  script_begin (&script);
+  add_endpoint (&script, 0, "r1", 4000);
+  run_at (&script, 0);
+  answer_look (&script, 0, &row, 1);
+  batch.maybe_running = true;
+  batch.wait_until_ms = 5000;
+  script.now_ms = 300;
+  fleet_submit (script.fleet, &batch, 300);
+  run_at (&script, 300);
+  CU_ASSERT_STRING_EQUAL (script.stop_task, row.task);
+  script_end (&script);
+}
+
+static const struct
+{
+  const char *name;
+  const char *near;
+  int64_t estimate_ms;
+  int64_t goal_at_ms;
+  int64_t cores_near; /* of the endpoint in rack "r1"; the other one, in "r2", has 4,000 */
+  bool taken;         /* all cores near are in use */
+  const char *starts_at;
+} rack_cases[] = {
+  { "no rack: the tighter fit", "", 60, 10000, 2000, false, "e0" },
+  { "the rack is free", "r1", 400, 600, 4000, false, "e0" },
+  { "the other rack", "r2", 400, 600, 4000, false, "e1" },
+  { "a rack that is not there costs time, not the job", "r9", 400, 10000, 2000, false, "e0" },
+  { "too small near, in time elsewhere", "r1", 60, 10000, 500, false, "e1" },
+  { "too small near, too late elsewhere", "r1", 600, 900, 500, false, "e1" },
+  { "no room near, in time elsewhere", "r1", 60, 10000, 1000, true, "e1" },
+  { "no room near, too late elsewhere: waits", "r1", 600, 900, 1000, true, "" },
+};
+
+/* Work away from its data takes longer, so that it starts near them where that matters. */
+static void
+test_racks (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (rack_cases); i++)
+    {
+      fleet_batch_t batch = batch_of ("j", 1);
+      script_t script;
+
+      script_begin (&script);
+      add_endpoint (&script, 0, "r1", rack_cases[i].cores_near);
+      add_endpoint (&script, 1, "r2", 4000);
+      run_at (&script, 0);
+      answer_look (&script, 0, NULL, 0);
+      answer_look (&script, 1, NULL, 0);
+      if (rack_cases[i].taken)
+        {
+          fleet_batch_t other = batch_of ("other", 2);
+          other.near_rack = "r1";
+          other.goal_at_ms = 130;
+          fleet_submit (script.fleet, &other, 1);
+          run_at (&script, 1);
+          CU_ASSERT_STRING_EQUAL (script.start_at, "e0");
+        }
+      batch.near_rack = rack_cases[i].near;
+      batch.estimate_ms = rack_cases[i].estimate_ms;
+      batch.goal_at_ms = rack_cases[i].goal_at_ms;
+      fleet_submit (script.fleet, &batch, 1);
+      run_at (&script, 1);
+      if (strcmp (script.start_at, rack_cases[i].starts_at) != 0)
+        printf ("  %s: \"%s\"\n", rack_cases[i].name, script.start_at);
+      CU_ASSERT_STRING_EQUAL (script.start_at, rack_cases[i].starts_at);
+      script_end (&script);
+    }
+}
+
+static const struct
+{
+  const char *name;
+  CU_TestFunc run;
+} tests[] = {
+  { "a run is adopted while it is stopped", test_adopted_while_stopped },
+  { "work near its data", test_racks },
+};
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("fleet", NULL, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
+    CU_add_test (suite, tests[i].name, tests[i].run);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
--- a/tests/test_fleet_net.h
+++ b/tests/test_fleet_net.h
@@ -219,6 +219,13 @@
   crew_beat_t beat;
 } message_t;
 
+/* The time of day of a host. */
+static int64_t
+wall_of (const node_t *node)
+{
+  return node->world->now_ms + node->wall_ahead_ms;
+}
+
 static int
 zone_of (const char *shard)
 {
@@ -347,7 +354,7 @@
         case MESSAGE_BEAT:
         default:
           crew_heard (node->crew, &message->beat, world->now_ms, node->crew_actions);
-          crew_step (node->crew, world->now_ms, world->now_ms, node->crew_actions);
+          crew_step (node->crew, world->now_ms, wall_of (node), node->crew_actions);
           break;
         }
       pump (node);
--- a/tests/test_fleet_node.h
+++ b/tests/test_fleet_node.h
@@ -86,7 +86,8 @@
           message->batch.spec = g_strdup (action.batch.spec);
           message->batch.service = g_strdup (action.batch.service);
           message->batch.label = "";
-          message->batch.near_rack = "";
+          message->batch.near_rack =
+              action.batch.near_rack[0] == '\0' ? "" : zone_name (zone_of (action.batch.near_rack));
           message->indexes = action.indexes;
         }
       send_message (message);
@@ -116,7 +117,7 @@
                                 machine->id,
                                 "s",
                                 "a",
-                                "r1",
+                                zone_name (machine->zone),
                                 machine->born_at_ms,
                                 { WORLD_ROOM * 1000, 1000, 0 },
                                 false };
@@ -130,7 +131,7 @@
 {
   int zone = zone_of (shard);
   shard_owned_t *owned = &node->owned[zone];
-  fleet_options_t options = { WORLD_LEASE_MS, WORLD_STOP_MS };
+  fleet_options_t options = { WORLD_LEASE_MS, WORLD_STOP_MS, WORLD_REMOTE_FACTOR };
 
   if (owned->fleet == NULL)
     {
@@ -209,7 +210,7 @@
       else if (action->kind == FLEET_NOTE)
         continue;
       else if (action->kind == FLEET_SHUT_OUT)
-        crew_shut_out (node->crew, zone_name (zone), world->now_ms, world->now_ms,
+        crew_shut_out (node->crew, zone_name (zone), world->now_ms, wall_of (node),
                        node->crew_actions);
       else
         {
@@ -237,7 +238,7 @@
       run_flow_actions (node);
     }
   node->refreshed_at_ms = world->now_ms;
-  crew_step (node->crew, world->now_ms, world->now_ms, node->crew_actions);
+  crew_step (node->crew, world->now_ms, wall_of (node), node->crew_actions);
   run_crew_actions (node);
 }
 
@@ -333,13 +334,17 @@
 node_start (node_t *node)
 {
   world_t *world = node->world;
-  crew_options_t crew = { node->name, zone_name (node->zone), ++node->incarnation, 250 };
-  flow_options_t flow = { node->name, zone_name (node->zone), WORLD_LEASE_MS };
+  crew_options_t crew = { node->name, zone_name (node->zone), ++node->incarnation, 250,
+                          WORLD_RESEND_MS };
+  flow_options_t flow = { node->name, zone_name (node->zone), WORLD_LEASE_MS, WORLD_REMOTE_FACTOR };
 
   node->crew = crew_new (&crew, world->now_ms);
   node->flow = flow_new (&flow);
   for (int i = 0; i < WORLD_ZONES; i++)
-    crew_add_shard (node->crew, zone_name (i));
+    {
+      crew_add_shard (node->crew, zone_name (i));
+      flow_set_rack (node->flow, zone_name (i), zone_name (i));
+    }
   crew_set_ready (node->crew, true);
   node->refreshed_at_ms = world->now_ms;
   node->started_at_ms = world->now_ms;
--- a/tests/test_fleet_parts.h
+++ b/tests/test_fleet_parts.h
@@ -83,6 +83,7 @@
   int64_t frozen_until_ms;
   int64_t cut_until_ms;
   int64_t leaving_from_ms;
+  int64_t wall_ahead_ms; /* of its time of day */
   int64_t refreshed_at_ms;
   int64_t started_at_ms;
   int64_t beat_at_ms;
@@ -101,6 +102,7 @@
   char id[20];
   int tasks;
   int64_t work_ms;
+  int near_zone;      /* where its data are, or -1 */
   int64_t sent_at_ms; /* the first time */
   int64_t deadline_at_ms;
   int host;             /* that it was sent to, -1 while it waits to be resent */
--- a/tests/test_fleet_random.c
+++ b/tests/test_fleet_random.c
@@ -34,7 +34,7 @@
     .deadline_at_ms = job->deadline_at_ms,
     .attempts_max = ATTEMPTS_MAX,
     .label = "",
-    .near_rack = "",
+    .near_rack = job->near_zone >= 0 ? zone_name (job->near_zone) : "",
     .user = job,
   };
   job->number = flow_submit (node->flow, &info, world->now_ms, node->flow_actions);
@@ -52,6 +52,7 @@
   job->sent_at_ms = world->now_ms;
   job->deadline_at_ms = world->now_ms + DEADLINE_MS;
   job->host = -1;
+  job->near_zone = happens (world, world->options->racks) ? draw (world, WORLD_ZONES) : -1;
   job->leaves_at_ms =
       happens (world, world->options->leavers) ? world->now_ms + draw (world, 200) : INT64_MAX;
   g_ptr_array_add (world->jobs, job);
@@ -106,6 +107,8 @@
 
 /* --- faults --- */
 
+#define CLOCK_STEP_MAX_MS 5000
+
 static void
 hurt_nodes (world_t *world)
 {
@@ -125,6 +128,8 @@
         node->frozen_until_ms = world->now_ms + 100 + draw (world, 4000);
       else if (happens (world, options->host_cuts))
         node->cut_until_ms = world->now_ms + 300 + draw (world, 5000);
+      else if (happens (world, options->clock_steps))
+        node->wall_ahead_ms = draw (world, 2 * CLOCK_STEP_MAX_MS) - CLOCK_STEP_MAX_MS;
       else if (happens (world, options->terminations) && node->leaving_from_ms == 0)
         {
           node->leaving_from_ms = world->now_ms;
@@ -298,6 +303,11 @@
     4,
     { .length_ms = 40000, .terminations = 100, .crashes = 20, .blind = true },
     70 },
+  { "clocks jump while hosts crash",
+    4,
+    { .length_ms = 40000, .clock_steps = 300, .crashes = 40, .freezes = 10 },
+    70 },
+  { "data near some endpoints", 2, { .length_ms = 20000, .racks = 700, .crashes = 10 }, 90 },
   { "data centres are cut", 3, { .length_ms = 40000, .zone_cuts = 60 }, 70 },
   { "hosts are cut", 4, { .length_ms = 40000, .host_cuts = 40 }, 60 },
   { "endpoints crash", 2, { .length_ms = 40000, .endpoint_crashes = 30 }, 70 },
--- a/tests/test_fleet_world.h
+++ b/tests/test_fleet_world.h
@@ -24,6 +24,7 @@
 #define WORLD_LEASE_MS 1000
 #define WORLD_STOP_MS 50
 #define WORLD_RESEND_MS 1300
+#define WORLD_REMOTE_FACTOR 2.0
 
 /* Which faults happen, in thousandths of the things that may meet them. */
 typedef struct
@@ -43,6 +44,8 @@
   int endpoint_cuts;    /* endpoints that can't be reached, a second and endpoint */
   bool blind;           /* hosts do not know half of the endpoints for a while after a start */
   int terminations;     /* hosts that are stopped gracefully, a second and host */
+  int clock_steps;      /* hosts whose time of day jumps, a second and host */
+  int racks;            /* jobs that run faster in one data centre */
 } world_options_t;
 
 typedef struct
