Connections between hosts that went silent are dialed anew; bounds of callers are used

Cause: a host that no longer heard another kept its own connection to it open until the system noticed unacknowledged bytes; what it sent meanwhile was lost.

--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -124,6 +124,8 @@
 read_dropped (site_t *site, const char *host, frame_reader_t *reader)
 {
   (void) reader;
+  /* It has not heard this host: the connection may have gone silent. */
+  net_reconnect (site->net, host);
   resync (site, host);
 }
 
@@ -287,7 +289,7 @@
   const platform_settings_t *settings = site->settings;
   net_options_t options = {
     .listen = settings->peer_listen,
-    .self = { (char *) site->host, settings->data_centre, settings->peer_listen,
+    .self = { (char *) site->host, settings->data_centre, settings->peer_address,
               site->incarnation },
     .ops = &net_ops,
     .data = site,
--- a/lib/crew/crew.c
+++ b/lib/crew/crew.c
@@ -13,6 +13,9 @@
 /* A host that is not heard for this long is lost. */
 #define SILENT_NEAR_MS 450
 #define SILENT_FAR_MS 800
+/* Of the time after which callers submit again: by then the tasks of a lost coordinator must be
+ * on their way out. */
+#define SILENT_PERCENT 60
 /* After its connection broke, a host has this long to be heard again. */
 #define BROKEN_GRACE_MS 120
 /* A host that has just started listens first. */
@@ -69,6 +72,7 @@
   char *data_centre;
   uint64_t incarnation;
   int32_t power;
+  int64_t resend_ms;
   bool ready;
   bool leaving;
   int64_t started_at_ms;
@@ -108,6 +112,7 @@
   crew->data_centre = g_strdup (options->data_centre);
   crew->incarnation = options->incarnation;
   crew->power = options->power;
+  crew->resend_ms = options->resend_ms;
   crew->started_at_ms = now_ms;
   crew->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_peer);
   crew->shards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
@@ -226,6 +231,15 @@
   add (actions, CREW_FOUND, NULL)->host = host;
 }
 
+static int64_t
+silent_max_ms (const crew_t *crew, const peer_t *peer)
+{
+  bool near = strcmp (peer->data_centre, crew->data_centre) == 0;
+  int64_t most_ms = near ? SILENT_NEAR_MS : SILENT_FAR_MS;
+
+  return crew->resend_ms > 0 ? MIN (most_ms, crew->resend_ms * SILENT_PERCENT / 100) : most_ms;
+}
+
 void
 crew_broken (crew_t *crew, const char *host, int64_t now_ms)
 {
@@ -233,8 +247,7 @@
 
   if (peer == NULL || !peer->alive)
     return;
-  int64_t silent_ms =
-      strcmp (peer->data_centre, crew->data_centre) == 0 ? SILENT_NEAR_MS : SILENT_FAR_MS;
+  int64_t silent_ms = silent_max_ms (crew, peer);
   peer->heard_at_ms = MIN (peer->heard_at_ms, now_ms - silent_ms + BROKEN_GRACE_MS);
 }
 
@@ -248,9 +261,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       peer_t *peer = value;
-      bool near = strcmp (peer->data_centre, crew->data_centre) == 0;
       int64_t silent_ms = now_ms - peer->heard_at_ms;
-      if (peer->alive && silent_ms > (near ? SILENT_NEAR_MS : SILENT_FAR_MS))
+      if (peer->alive && silent_ms > silent_max_ms (crew, peer))
         lose (peer, "it is silent", actions);
       else if (!peer->alive && (silent_ms > FORGET_MS || peer->leaving))
         g_hash_table_iter_remove (&iter);
--- a/lib/crew/crew.h
+++ b/lib/crew/crew.h
@@ -67,6 +67,7 @@
   const char *data_centre;
   uint64_t incarnation;
   int32_t power;
+  int64_t resend_ms; /* callers without an answer submit again after this; 0 if it is not known */
 } crew_options_t;
 
 crew_t *crew_new (const crew_options_t *options, int64_t now_ms);
--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -600,6 +600,17 @@
   return result;
 }
 
+/* The thread closes it: it may be at work on it now. */
+void
+net_reconnect (net_t *net, const char *host)
+{
+  pthread_mutex_lock (&net->lock);
+  link_t *link = g_hash_table_lookup (net->by_host, host);
+  if (link != NULL)
+    shutdown (link->fd, SHUT_RDWR);
+  pthread_mutex_unlock (&net->lock);
+}
+
 static void
 set_cut (GHashTable *set, const char *data_centre, bool cut)
 {
--- a/lib/wire/net.h
+++ b/lib/wire/net.h
@@ -58,6 +58,10 @@
  * ERROR_NOT_CONNECTED, or ERROR_FULL if too much is queued.  Any thread. */
 int net_send (net_t *net, const char *host, GBytes *frame);
 
+/* Closes the connection to HOST, if there is one, and dials it again: it may have gone silent
+ * without an end.  What was queued is lost.  Any thread. */
+void net_reconnect (net_t *net, const char *host);
+
 /* Test switch: drops what comes from (IN) and goes to (OUT) the hosts of
  * DATA_CENTRE.  Any thread. */
 void net_cut (net_t *net, const char *data_centre, bool in, bool out);
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -128,6 +128,27 @@
   node_stop (&a);
 }
 
+/* A connection that may have gone silent is dialed anew, and carries frames again. */
+static void
+test_reconnect (void)
+{
+  node_t a = { 0 };
+  node_t b = { 0 };
+
+  node_start (&a, "a", "x", 24100);
+  node_start (&b, "b", "x", 25200);
+  net_add_address (a.net, b.address, "x", true);
+  CU_ASSERT_TRUE (reaches (&a.ups, 1));
+  net_reconnect (a.net, "b");
+  net_reconnect (a.net, "nobody");
+  CU_ASSERT_TRUE (reaches (&a.downs, 1));
+  CU_ASSERT_TRUE (reaches (&a.ups, 2));
+  send_one (&a, "b");
+  CU_ASSERT_TRUE (reaches (&b.frames, 1));
+  node_stop (&b);
+  node_stop (&a);
+}
+
 static const struct
 {
   const char *name;
@@ -135,6 +156,7 @@
 } tests[] = {
   { "frames arrive once", test_frames },
   { "greeting after a cut", test_cut_greeting },
+  { "dialed anew", test_reconnect },
 };
 
 int
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -748,6 +748,12 @@
   rig_stop (&rig);
 }
 
+#define GOOD_SETTINGS                                                                              \
+  "node_name=a\nzone=x\nlisten_addrs.frontend=127.0.0.1:1\nlisten_addrs.ready=127.0.0.1:2\n"       \
+  "listen_addrs.control_plane=127.0.0.1:3\nplatform.address=127.0.0.1:4\n"                         \
+  "bounds.max_hold_ms=1000\nbounds.stop_timeout_ms=50\nbounds.grace_period_s=6\n"                  \
+  "bounds.retransmit_ms=1300\nbounds.config_apply_ms=2000\nlimits.cpu_fraction=0.25\n"
+
 static const struct
 {
   const char *file; /* NULL: none */
@@ -756,6 +762,8 @@
   { NULL, "No such file" },
   { "node_name=a\n", "zone: missing" },
   { "node_name=a\nzone=x\nlisten_addrs.frontend=nowhere\n", "allowed is IP:port" },
+  { GOOD_SETTINGS "control_mode=heartbeat\n", "control_mode: heartbeat, allowed is request" },
+  { GOOD_SETTINGS "bounds.remote_penalty=0.5\n", "allowed is a number from 1 to 1000" },
 };
 
 static void
