A fault soak of the site's real processes

Change: tests/soak: a plan of faults as a pure function of the seed, a loopback proxy in front of hosts, endpoints, the log and callers (hold, delay, slow, reset, silent for good), processes by signal, a book of what callers and endpoints saw with twelve checks, shrinking. Hosts are known at their own IP so that the proxy stands between them.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 TOOL_SRC := $(wildcard tool/*.c)
 UNIT_SRC := $(wildcard tests/test_*.c)
 SYS_SRC := $(wildcard tests/system/*.c)
+SOAK_SRC := $(wildcard tests/soak/*.c)
 BENCH_SRC := $(wildcard bench/*.c)
 EXAMPLE_SRC := $(wildcard lib/*/*_example.c)
 # A stand-in is standins/fake_NAME.c with the common parts in standins/common_*.c, and its own
@@ -45,7 +46,7 @@
 UNITS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(UNIT_SRC))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
 EXAMPLES := $(patsubst lib/%.c,$(BUILD)/examples/%,$(EXAMPLE_SRC))
-SYSTEM := $(if $(SYS_SRC),$(BUILD)/tests/system)
+SYSTEM := $(if $(SYS_SRC),$(BUILD)/tests/system) $(if $(SOAK_SRC),$(BUILD)/tests/soak)
 
 .PHONY: all programs units system benches examples clean setup
 all: programs
@@ -77,8 +78,12 @@
 $(BUILD)/tests/system: $(call obj,$(SYS_SRC)) $(ARCHIVES)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $(call obj,$(SYS_SRC)) $(GROUP) $(PKG_LIBS) -lcunit
-# What tests use of the programs themselves.
-TESTED := $(call obj,tool/explain.c $(wildcard platform/*.c))
+$(BUILD)/tests/soak: $(call obj,$(SOAK_SRC) tests/site_call.c) $(ARCHIVES)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $(call obj,$(SOAK_SRC) tests/site_call.c) $(GROUP) $(PKG_LIBS)
+# What tests use of the programs and of the soak.
+TESTED := $(call obj,tool/explain.c tests/site_call.c $(wildcard platform/*.c) \
+                     $(filter-out %/main.c,$(SOAK_SRC)))
 $(BUILD)/tests/test_%: $(BUILD)/obj/tests/test_%.o $(TESTED) $(ARCHIVES)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $< $(TESTED) $(GROUP) $(PKG_LIBS) -lcunit
--- a/standins/site_endpoint.c
+++ b/standins/site_endpoint.c
@@ -418,6 +418,14 @@
       web_reply (request, 200, NULL, "{}");
       return;
     }
+  if (strcmp (request->target, "/seen") == 0)
+    {
+      char *body = g_strdup_printf ("{\"running\":%u,\"unacknowledged\":%u}", endpoint->runs->len,
+                                    endpoint->ends->len);
+      web_reply (request, 200, NULL, body);
+      g_free (body);
+      return;
+    }
   if (endpoint->faults.late_ms > 0)
     {
       late_t *late = g_new0 (late_t, 1);
--- a/standins/site_endpoint.h
+++ b/standins/site_endpoint.h
@@ -61,7 +61,8 @@
 /* The text of its entry in the directory; the caller frees it. */
 char *site_endpoint_entry (site_endpoint_t *endpoint);
 
-/* Whether this is also asked of the endpoint over its address: POST /fault with its faults. */
+/* Takes the faults that BODY names, also over its address: POST /fault.  GET /seen there tells what
+ * runs and which ends are not acknowledged. */
 void site_endpoint_set_faults (site_endpoint_t *endpoint, const char *body);
 
 site_endpoint_totals_t site_endpoint_totals (void);
--- /dev/null
+++ b/tests/site_call.c
@@ -0,0 +1,144 @@
+/* site_call.c -- HTTP calls on loopback for tests of a site: blocking, with a deadline */
+#include "tests/site_call.h"
+
+#include "base/clock.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CALL_MS 5000
+#define DEADLINE_MS 3000
+
+int
+site_dial (const char *ip, int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons ((uint16_t) port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  if (inet_pton (AF_INET, ip, &address.sin_addr) == 1
+      && connect (fd, (struct sockaddr *) &address, sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+static bool
+is_whole (const char *text)
+{
+  const char *end = strstr (text, "\r\n\r\n");
+  const char *length = strcasestr (text, "content-length:");
+
+  return end != NULL && length != NULL
+         && strlen (end + 4) >= (size_t) atoi (length + strlen ("content-length:"));
+}
+
+site_answer_t
+site_read (int fd, int64_t until_ms)
+{
+  site_answer_t answer = { 0 };
+  char text[SITE_CALL_BODY_BYTES] = "";
+  size_t size = 0;
+
+  while (!is_whole (text) && size < sizeof text - 1)
+    {
+      struct pollfd wait = { .fd = fd, .events = POLLIN };
+      int64_t left_ms = until_ms - clock_boot_ms ();
+      if (left_ms <= 0 || poll (&wait, 1, (int) left_ms) <= 0)
+        return answer;
+      ssize_t got = recv (fd, text + size, sizeof text - 1 - size, 0);
+      answer.closed = got <= 0;
+      if (answer.closed)
+        return answer;
+      size += (size_t) got;
+      text[size] = '\0';
+    }
+  answer.status = atoi (text + strlen ("HTTP/1.1 "));
+  answer.keeps = strcasestr (text, "connection: close") == NULL;
+  g_strlcpy (answer.body, strstr (text, "\r\n\r\n") + 4, sizeof answer.body);
+  return answer;
+}
+
+void
+site_send (int fd, const char *method, const char *target, const char *body, int deadline_ms)
+{
+  char *text = g_strdup_printf ("%s %s HTTP/1.1\r\nHost: " SITE_CALL_QUEUE_HOST
+                                "\r\nContent-Type: application/json\r\n"
+                                "Jaytrail-Deadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n%s",
+                                method, target, deadline_ms, strlen (body), body);
+
+  (void) !send (fd, text, strlen (text), MSG_NOSIGNAL);
+  g_free (text);
+}
+
+site_answer_t
+site_call (int port, const char *method, const char *target, const char *body)
+{
+  site_answer_t answer = { 0 };
+  int fd = site_dial ("127.0.0.1", port);
+
+  if (fd < 0)
+    return answer;
+  site_send (fd, method, target, body, DEADLINE_MS);
+  answer = site_read (fd, clock_boot_ms () + CALL_MS);
+  close (fd);
+  return answer;
+}
+
+int
+site_number (const char *body, const char *name)
+{
+  char *key = g_strdup_printf ("\"%s\":", name);
+  const char *at = strstr (body, key);
+  int value = at != NULL ? atoi (at + strlen (key)) : -1;
+
+  g_free (key);
+  return value;
+}
+
+char *
+site_job (int tasks, const char *spec, int estimate_ms, const char *more)
+{
+  return g_strdup_printf ("{\"spec\":\"%s\",\"best_effort\":true,\"phases\":[{\"count\":%d,"
+                          "\"cpu_millis\":1000,\"mem_mb\":10,\"estimated_ms\":%d%s}]}",
+                          spec, tasks, estimate_ms, more);
+}
+
+pid_t
+site_run (char **argv, const char *settings, const char *log)
+{
+  pid_t pid = fork ();
+
+  if (pid != 0)
+    return pid;
+  if (settings != NULL)
+    setenv ("JAYTRAIL_SETTINGS", settings, 1);
+  if (freopen (log, "a", stdout) == NULL || freopen (log, "a", stderr) == NULL)
+    _exit (126);
+  execv (argv[0], argv);
+  _exit (127);
+}
+
+void
+site_remove (const char *directory)
+{
+  GDir *dir = g_dir_open (directory, 0, NULL);
+  const char *name = NULL;
+
+  while (dir != NULL && (name = g_dir_read_name (dir)) != NULL)
+    {
+      char *file = g_build_filename (directory, name, NULL);
+      g_unlink (file);
+      g_free (file);
+    }
+  if (dir != NULL)
+    g_dir_close (dir);
+  g_rmdir (directory);
+}
--- /dev/null
+++ b/tests/soak/rig.c
@@ -0,0 +1,697 @@
+/* rig.c -- the processes of a soak: a log, endpoints, hosts, and the proxy between them
+ *
+ * A host is known to others at 127.0.1.1, endpoints at 127.0.2.1, the log to host N at its own port
+ * of 127.0.3.1, and hosts to callers at 127.0.4.1: all of them the proxy's; the processes
+ * themselves listen on 127.0.0.1.
+ */
+#include "tests/soak/rig.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "tests/site_call.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#define PEER_IP "127.0.1.1"
+#define ENDPOINT_IP "127.0.2.1"
+#define LOG_IP "127.0.3.1"
+#define PORTS_EACH 3
+#define ROOM 4
+#define READY_MAX_MS 20000
+#define TOKEN_TAG_MASK 255
+/* From the entry that says so to the end of an endpoint that leaves. */
+#define LEAVES_AFTER_MS 2500
+#define DELAY_MS 150
+#define SLOW_BYTES 20
+#define LATE_MS 2500
+#define SLOW_LOG_MS 400
+
+/* --- ports --- */
+
+static int
+log_port (const rig_t *rig)
+{
+  return rig->base_port;
+}
+
+static int
+endpoint_port (const rig_t *rig, int32_t endpoint)
+{
+  return rig->base_port + 1 + endpoint;
+}
+
+int
+rig_caller_port (const rig_t *rig, int32_t host)
+{
+  return rig->base_port + 1 + rig->endpoints_count + host * PORTS_EACH;
+}
+
+static int
+log_port_of (const rig_t *rig, int32_t host)
+{
+  return rig_caller_port (rig, rig->hosts_count) + host;
+}
+
+/* --- processes --- */
+
+static void
+start_host (rig_t *rig, int32_t number)
+{
+  rig_host_t *host = &rig->hosts[number];
+  int port = rig_caller_port (rig, number);
+  char *settings = g_strdup_printf ("%s/%s.conf", rig->directory, host->name);
+  char *log = g_strdup_printf ("%s/%s.log", rig->directory, host->name);
+  char *program = g_strdup_printf ("%s/jaytraild", rig->programs);
+  char *argv[] = { program, "--site", NULL };
+  char *text = g_strdup_printf (
+      "node_name=%s\nzone=%s\nip=" PEER_IP "\nlisten_addrs.frontend=127.0.0.1:%d\n"
+      "listen_addrs.ready=127.0.0.1:%d\nlisten_addrs.control_plane=127.0.0.1:%d\n"
+      "seed_nodes=" PEER_IP ":%d\nplatform.address=" LOG_IP ":%d\nbounds.max_hold_ms=1000\n"
+      "bounds.stop_timeout_ms=50\nbounds.grace_period_s=6\nbounds.retransmit_ms=1300\n"
+      "bounds.config_apply_ms=2000\nlimits.cpu_fraction=0.25\nsomething.new=%d\n",
+      host->name, host->zone, port, port + 1, port + 2, rig_caller_port (rig, 0) + 2,
+      log_port_of (rig, number), (int) host->settings);
+
+  g_file_set_contents (settings, text, -1, NULL);
+  host->told = "";
+  host->paused = false;
+  host->life++;
+  host->pid = site_run (argv, settings, log);
+  g_free (text);
+  g_free (program);
+  g_free (log);
+  g_free (settings);
+}
+
+static void
+start_endpoint (rig_t *rig, int32_t number)
+{
+  rig_endpoint_t *endpoint = &rig->endpoints[number];
+  char *program = g_strdup_printf ("%s/fake_site", rig->programs);
+  char *log = g_strdup_printf ("127.0.0.1:%d", log_port (rig));
+  char *first = g_strdup_printf ("%d", number);
+  char *port = g_strdup_printf ("%d", endpoint_port (rig, number));
+  char *room = g_strdup_printf ("%d", ROOM);
+  char *argv[] = { program,
+                   "--log",
+                   log,
+                   "--endpoints",
+                   "1",
+                   "--first",
+                   first,
+                   "--first-port",
+                   port,
+                   "--data-centres",
+                   endpoint->zone,
+                   "--known-at",
+                   ENDPOINT_IP,
+                   "--room",
+                   room,
+                   "--ledger",
+                   NULL };
+
+  endpoint->pid = site_run (argv, NULL, endpoint->ledger);
+  endpoint->paused = false;
+  book_row_t row = { .at_ms = clock_boot_ms (), .kind = BOOK_ENDPOINT_BACK, .endpoint = number };
+  book_add (rig->book, &row);
+  g_free (room);
+  g_free (port);
+  g_free (first);
+  g_free (log);
+  g_free (program);
+}
+
+static void
+start_log (rig_t *rig)
+{
+  char *program = g_strdup_printf ("%s/fake_site", rig->programs);
+  char *listen = g_strdup_printf ("127.0.0.1:%d", log_port (rig));
+  char *output = g_strdup_printf ("%s/log.log", rig->directory);
+  char *argv[] = { program,        "--listen", listen,           "--endpoints", "0",
+                   "--first-port", "1",        "--data-centres", "none",        NULL };
+
+  rig->log_pid = site_run (argv, NULL, output);
+  int64_t until_ms = clock_boot_ms () + READY_MAX_MS;
+  while (site_call (log_port (rig), "GET", "/seen", "").status != 200
+         && clock_boot_ms () < until_ms)
+    clock_sleep_ms (10);
+  g_free (output);
+  g_free (listen);
+  g_free (program);
+}
+
+/* A signal to a process of this rig. */
+static void
+tell (pid_t pid, int number)
+{
+  if (pid > 0)
+    kill (pid, number);
+}
+
+static void
+kill_host (rig_t *rig, int32_t number, const char *why)
+{
+  rig_host_t *host = &rig->hosts[number];
+
+  if (host->pid == 0)
+    return;
+  host->told = why;
+  tell (host->pid, SIGKILL);
+}
+
+static void
+kill_endpoint (rig_t *rig, int32_t number)
+{
+  rig_endpoint_t *endpoint = &rig->endpoints[number];
+
+  if (endpoint->pid == 0)
+    return;
+  tell (endpoint->pid, SIGKILL);
+  waitpid (endpoint->pid, NULL, 0);
+  endpoint->pid = 0;
+  book_row_t row = { .at_ms = clock_boot_ms (), .kind = BOOK_ENDPOINT_GONE, .endpoint = number };
+  book_add (rig->book, &row);
+}
+
+static void
+pause_host (rig_t *rig, int32_t number, bool paused)
+{
+  rig_host_t *host = &rig->hosts[number];
+
+  if (host->pid != 0 && host->paused != paused)
+    tell (host->pid, paused ? SIGSTOP : SIGCONT);
+  host->paused = paused && host->pid != 0;
+}
+
+static void
+pause_endpoint (rig_t *rig, int32_t number, bool paused)
+{
+  rig_endpoint_t *endpoint = &rig->endpoints[number];
+
+  if (endpoint->pid == 0 || endpoint->paused == paused)
+    return;
+  tell (endpoint->pid, paused ? SIGSTOP : SIGCONT);
+  endpoint->paused = paused;
+  book_row_t row = { .at_ms = clock_boot_ms (),
+                     .kind = paused ? BOOK_ENDPOINT_PAUSED : BOOK_ENDPOINT_BACK,
+                     .endpoint = number };
+  book_add (rig->book, &row);
+}
+
+static void
+stop_host (rig_t *rig, int32_t number)
+{
+  rig_host_t *host = &rig->hosts[number];
+
+  if (host->pid == 0 || host->told[0] != '\0')
+    return;
+  host->told = "stopped";
+  book_row_t row = { .at_ms = clock_boot_ms (), .kind = BOOK_HOST_STOPPING, .host = number };
+  book_add (rig->book, &row);
+  tell (host->pid, SIGTERM);
+}
+
+/* --- the log and endpoints by request --- */
+
+static void
+fault_log (const rig_t *rig, const char *fault)
+{
+  site_call (log_port (rig), "POST", "/fault", fault);
+}
+
+static void
+fault_endpoint (const rig_t *rig, int32_t number, const char *fault)
+{
+  if (rig->endpoints[number].pid != 0 && !rig->endpoints[number].paused)
+    site_call (endpoint_port (rig, number), "POST", "/fault", fault);
+}
+
+/* Each version has a queue of its own beside those of all versions before. */
+static void
+put_config (rig_t *rig)
+{
+  GString *body = g_string_new (NULL);
+  int32_t version = rig->version + 1;
+
+  g_string_append_printf (body, "{\"version\":%d,\"routes\":[", (int) version);
+  for (int32_t i = 0; i <= version; i++)
+    {
+      char *prefix = i == 0 ? g_strdup ("/q/") : g_strdup_printf ("/v%d/", (int) i);
+      g_string_append_printf (
+          body,
+          "%s{\"name\":\"r%d\",\"host\":\"" SITE_CALL_QUEUE_HOST
+          "\",\"path_prefix\":\"%s\",\"timeout_ms\":3000,\"target_latency_ms\":60,\"priority\":0,"
+          "\"service\":\"s\",\"max_attempts\":3,\"stretch_factor\":1.6}",
+          i > 0 ? "," : "", (int) i, prefix);
+      g_free (prefix);
+    }
+  g_string_append (body, "],\"services\":[],\"limits\":{}}");
+  if (site_call (log_port (rig), "POST", "/config", body->str).status == 200)
+    {
+      book_row_t row = { .at_ms = clock_boot_ms (), .kind = BOOK_CONFIG, .number = version };
+      book_add (rig->book, &row);
+      rig->version = version;
+    }
+  g_string_free (body, TRUE);
+}
+
+static void
+change_settings (rig_t *rig, int32_t number)
+{
+  rig_host_t *host = &rig->hosts[number];
+  char *file = g_strdup_printf ("%s/%s.conf", rig->directory, host->name);
+  char *text = NULL;
+
+  host->settings++;
+  if (g_file_get_contents (file, &text, NULL, NULL))
+    {
+      char *more = g_strdup_printf ("%sanother.new=%d\n", text, (int) host->settings);
+      g_file_set_contents (file, more, -1, NULL);
+      g_free (more);
+    }
+  g_free (text);
+  g_free (file);
+}
+
+/* --- faults --- */
+
+static void
+cut_host (rig_t *rig, const plan_fault_t *fault)
+{
+  const char *name = rig->hosts[fault->target].name;
+  bool one_way = fault->kind == PLAN_CUT_ONE_WAY;
+
+  for (int32_t i = 0; i < rig->hosts_count; i++)
+    if (i != fault->target)
+      proxy_rule (rig->proxy, fault->number, PROXY_HOLD, name, rig->hosts[i].name, 0, one_way);
+}
+
+static const char *
+zone_name (int32_t zone)
+{
+  static const char *const names[] = { "zone-x", "zone-y", "zone-z" };
+
+  return names[zone % G_N_ELEMENTS (names)];
+}
+
+static void
+zone_rule (rig_t *rig, const plan_fault_t *fault, proxy_mode_t mode, int64_t value)
+{
+  for (int32_t i = 0; i < rig->zones; i++)
+    if (i != fault->target)
+      proxy_rule (rig->proxy, fault->number, mode, zone_name (fault->target), zone_name (i), value,
+                  false);
+}
+
+static void
+begin_leaving (rig_t *rig, int32_t number)
+{
+  if (rig->endpoints[number].pid == 0 || rig->endpoints[number].paused)
+    return;
+  fault_endpoint (rig, number, "{\"draining\":true}");
+  /* Its next entry is a beat away. */
+  book_row_t row = { .at_ms = clock_boot_ms () + 300,
+                     .kind = BOOK_ENDPOINT_LEAVING,
+                     .endpoint = number };
+  book_add (rig->book, &row);
+}
+
+/* It is gone, and a new one takes its place. */
+static void
+end_leaving (rig_t *rig, int32_t number)
+{
+  char *target = g_strdup_printf ("/entry/e%d", (int) number);
+
+  kill_endpoint (rig, number);
+  site_call (log_port (rig), "POST", target, "");
+  start_endpoint (rig, number);
+  g_free (target);
+}
+
+#define ENDPOINT_WELL                                                                              \
+  "{\"failing\":false,\"hanging\":false,\"mute\":false,\"late_ms\":0,\"slow\":1}"
+#define LOG_WELL "{\"log_down\":false,\"log_silent\":false,\"log_slow_ms\":0,\"log_lost\":0}"
+
+/* A fault that keeps hosts down begins (1) or ends (-1). */
+static void
+hold_down (rig_t *rig, const plan_fault_t *fault, int32_t change)
+{
+  bool one = fault->kind == PLAN_STOP_HOST || fault->kind == PLAN_KILL_HOST;
+
+  for (int32_t i = 0; i < rig->hosts_count; i++)
+    if ((one && i == fault->target) || fault->kind == PLAN_KILL_ALL)
+      rig->hosts[i].held += change;
+}
+
+void
+rig_begin (rig_t *rig, const plan_fault_t *fault)
+{
+  int32_t target = fault->target;
+  char *endpoint = g_strdup_printf ("e%d", (int) target);
+
+  hold_down (rig, fault, 1);
+  switch (fault->kind)
+    {
+    case PLAN_STOP_HOST:
+      stop_host (rig, target);
+      break;
+    case PLAN_HANGUP:
+      if (rig->hosts[target].told[0] == '\0')
+        tell (rig->hosts[target].pid, SIGHUP);
+      break;
+    case PLAN_SETTINGS:
+      change_settings (rig, target);
+      break;
+    case PLAN_CONFIG:
+      put_config (rig);
+      break;
+    case PLAN_ENDPOINT_LEAVES:
+      begin_leaving (rig, target);
+      break;
+    case PLAN_KILL_HOST:
+      kill_host (rig, target, "killed");
+      break;
+    case PLAN_PAUSE_HOST:
+      pause_host (rig, target, true);
+      break;
+    case PLAN_KILL_ALL:
+      for (int32_t i = 0; i < rig->hosts_count; i++)
+        kill_host (rig, i, "killed");
+      break;
+    case PLAN_CUT_HOST:
+    case PLAN_CUT_ONE_WAY:
+      cut_host (rig, fault);
+      break;
+    case PLAN_CUT_ZONE:
+      zone_rule (rig, fault, PROXY_HOLD, 0);
+      break;
+    case PLAN_DELAY:
+      zone_rule (rig, fault, PROXY_DELAY, DELAY_MS);
+      break;
+    case PLAN_RESET:
+      proxy_reset (rig->proxy, rig->hosts[target].name);
+      break;
+    case PLAN_MUTE:
+      proxy_mute (rig->proxy, rig->hosts[target].name);
+      break;
+    case PLAN_CUT_ENDPOINT:
+      proxy_rule (rig->proxy, fault->number, PROXY_HOLD, NULL, endpoint, 0, false);
+      break;
+    case PLAN_CUT_LOG:
+      proxy_rule (rig->proxy, fault->number, PROXY_HOLD, rig->hosts[target].name, "log", 0, false);
+      break;
+    case PLAN_SLOW_CALLERS:
+      proxy_rule (rig->proxy, fault->number, PROXY_SLOW, "callers", rig->hosts[target].name,
+                  SLOW_BYTES, false);
+      break;
+    case PLAN_LOG_DOWN:
+      fault_log (rig, "{\"log_down\":true}");
+      break;
+    case PLAN_LOG_SILENT:
+      fault_log (rig, "{\"log_silent\":true}");
+      break;
+    case PLAN_LOG_SLOW:
+      fault_log (rig, "{\"log_slow_ms\":" G_STRINGIFY (SLOW_LOG_MS) "}");
+      break;
+    case PLAN_LOG_LOSES:
+      fault_log (rig, "{\"log_lost\":0.5}");
+      break;
+    case PLAN_LOG_FORGETS:
+      site_call (log_port (rig), "POST", "/forget", "");
+      break;
+    case PLAN_LOG_WIPED:
+      site_call (log_port (rig), "POST", "/wipe", "");
+      break;
+    case PLAN_ENDPOINT_FAILS:
+      fault_endpoint (rig, target, "{\"failing\":true}");
+      break;
+    case PLAN_ENDPOINT_HANGS:
+      fault_endpoint (rig, target, "{\"hanging\":true}");
+      break;
+    case PLAN_ENDPOINT_MUTE:
+      fault_endpoint (rig, target, "{\"mute\":true}");
+      break;
+    case PLAN_ENDPOINT_LATE:
+      fault_endpoint (rig, target, "{\"late_ms\":" G_STRINGIFY (LATE_MS) "}");
+      break;
+    case PLAN_ENDPOINT_SLOW:
+      fault_endpoint (rig, target, "{\"slow\":6}");
+      break;
+    case PLAN_KILL_ENDPOINT:
+      kill_endpoint (rig, target);
+      break;
+    case PLAN_PAUSE_ENDPOINT:
+      pause_endpoint (rig, target, true);
+      break;
+    case PLAN_KINDS:
+    default:
+      break;
+    }
+  g_free (endpoint);
+}
+
+void
+rig_end (rig_t *rig, const plan_fault_t *fault)
+{
+  int32_t target = fault->target;
+
+  proxy_end_rule (rig->proxy, fault->number);
+  if (fault->kind >= PLAN_LOG_DOWN && fault->kind <= PLAN_LOG_WIPED)
+    fault_log (rig, LOG_WELL);
+  if (fault->kind >= PLAN_ENDPOINT_FAILS && fault->kind <= PLAN_ENDPOINT_SLOW)
+    fault_endpoint (rig, target, ENDPOINT_WELL);
+  if (fault->kind == PLAN_ENDPOINT_LEAVES)
+    end_leaving (rig, target);
+  if (fault->kind == PLAN_PAUSE_HOST)
+    pause_host (rig, target, false);
+  if (fault->kind == PLAN_PAUSE_ENDPOINT)
+    pause_endpoint (rig, target, false);
+  if (fault->kind == PLAN_KILL_ENDPOINT && rig->endpoints[target].pid == 0)
+    start_endpoint (rig, target);
+  hold_down (rig, fault, -1);
+}
+
+void
+rig_heal (rig_t *rig)
+{
+  fault_log (rig, LOG_WELL);
+  for (int32_t i = 0; i < rig->endpoints_count; i++)
+    {
+      pause_endpoint (rig, i, false);
+      if (rig->endpoints[i].pid == 0)
+        start_endpoint (rig, i);
+      fault_endpoint (rig, i, ENDPOINT_WELL);
+    }
+  for (int32_t i = 0; i < rig->hosts_count; i++)
+    {
+      pause_host (rig, i, false);
+      rig->hosts[i].held = 0;
+    }
+  rig_watch (rig);
+}
+
+/* --- watching --- */
+
+static void
+watch_host (rig_t *rig, int32_t number)
+{
+  rig_host_t *host = &rig->hosts[number];
+  int status = 0;
+
+  if (host->pid == 0 || waitpid (host->pid, &status, WNOHANG) != host->pid)
+    return;
+  host->pid = 0;
+  host->paused = false;
+  book_row_t row = { .at_ms = clock_boot_ms (),
+                     .kind = BOOK_HOST_ENDED,
+                     .host = number,
+                     .status = status,
+                     .text = host->told };
+  book_add (rig->book, &row);
+}
+
+static void
+read_ledger (rig_t *rig, rig_endpoint_t *endpoint)
+{
+  char line[4096];
+  FILE *file = fopen (endpoint->ledger, "r");
+
+  if (file == NULL)
+    return;
+  fseek (file, endpoint->ledger_read, SEEK_SET);
+  /* A line that is being written is read the next time. */
+  while (fgets (line, sizeof line, file) != NULL && strchr (line, '\n') != NULL)
+    {
+      endpoint->ledger_read = ftell (file);
+      if (line[0] == '{')
+        book_ledger (rig->book, line);
+    }
+  fclose (file);
+}
+
+void
+rig_watch (rig_t *rig)
+{
+  for (int32_t i = 0; i < rig->hosts_count; i++)
+    {
+      watch_host (rig, i);
+      if (rig->hosts[i].pid == 0 && rig->hosts[i].held <= 0)
+        start_host (rig, i);
+    }
+  for (int32_t i = 0; i < rig->endpoints_count; i++)
+    read_ledger (rig, &rig->endpoints[i]);
+}
+
+int32_t
+rig_left (rig_t *rig)
+{
+  int32_t left = 0;
+
+  for (int32_t i = 0; i < rig->endpoints_count; i++)
+    {
+      site_answer_t answer = site_call (endpoint_port (rig, i), "GET", "/seen", "");
+      left += MAX (site_number (answer.body, "running"), 0);
+      left += MAX (site_number (answer.body, "unacknowledged"), 0);
+    }
+  return left;
+}
+
+bool
+rig_is_ready (const rig_t *rig, int32_t host)
+{
+  return rig->hosts[host].pid != 0 && !rig->hosts[host].paused
+         && site_call (rig_caller_port (rig, host) + 1, "GET", "/readyz", "").status == 200;
+}
+
+/* --- start and end --- */
+
+/* Names whose tokens differ in the bits that come from the name. */
+static void
+name_hosts (rig_t *rig)
+{
+  bool used[TOKEN_TAG_MASK + 1] = { false };
+  int32_t suffix = 0;
+
+  for (int32_t i = 0; i < rig->hosts_count;)
+    {
+      rig_host_t *host = &rig->hosts[i];
+      char *name = g_strdup_printf ("host-%03d-%03d", (int) i, (int) suffix++);
+      int64_t tag = (int64_t) (hash_string (name) & TOKEN_TAG_MASK);
+      if (used[tag])
+        {
+          g_free (name);
+          continue;
+        }
+      used[tag] = true;
+      host->name = name;
+      host->zone = g_strdup (zone_name (i % rig->zones));
+      proxy_name (rig->proxy, name, host->zone, tag);
+      i++;
+    }
+  proxy_name (rig->proxy, "callers", "callers", -1);
+}
+
+static bool
+open_doors (rig_t *rig)
+{
+  int result = 0;
+
+  for (int32_t i = 0; i < rig->hosts_count; i++)
+    {
+      const rig_host_t *host = &rig->hosts[i];
+      int port = rig_caller_port (rig, i);
+      result |=
+          proxy_listen (rig->proxy, PEER_IP, port + 2, port + 2, NULL, host->name, host->zone);
+      result |=
+          proxy_listen (rig->proxy, RIG_CALLER_IP, port, port, "callers", host->name, "entries");
+      result |= proxy_listen (rig->proxy, LOG_IP, log_port_of (rig, i), log_port (rig), host->name,
+                              "log", "log");
+    }
+  for (int32_t i = 0; i < rig->endpoints_count; i++)
+    {
+      char *name = g_strdup_printf ("e%d", (int) i);
+      int port = endpoint_port (rig, i);
+      result |=
+          proxy_listen (rig->proxy, ENDPOINT_IP, port, port, NULL, name, rig->endpoints[i].zone);
+      g_free (name);
+    }
+  return result == 0;
+}
+
+static bool
+wait_ready (const rig_t *rig)
+{
+  int64_t until_ms = clock_boot_ms () + READY_MAX_MS;
+
+  for (int32_t i = 0; i < rig->hosts_count; i++)
+    while (!rig_is_ready (rig, i))
+      {
+        if (clock_boot_ms () > until_ms)
+          return false;
+        clock_sleep_ms (20);
+      }
+  return true;
+}
+
+bool
+rig_start (rig_t *rig)
+{
+  rig->directory = g_dir_make_tmp ("jaytrail-soak-XXXXXX", NULL);
+  rig->hosts = g_new0 (rig_host_t, rig->hosts_count);
+  rig->endpoints = g_new0 (rig_endpoint_t, rig->endpoints_count);
+  rig->proxy = proxy_new ();
+  name_hosts (rig);
+  for (int32_t i = 0; i < rig->endpoints_count; i++)
+    {
+      rig->endpoints[i].zone = g_strdup (zone_name (i % rig->zones));
+      rig->endpoints[i].ledger = g_strdup_printf ("%s/e%d.ledger", rig->directory, (int) i);
+    }
+  if (!open_doors (rig))
+    return false;
+  start_log (rig);
+  put_config (rig);
+  for (int32_t i = 0; i < rig->endpoints_count; i++)
+    start_endpoint (rig, i);
+  for (int32_t i = 0; i < rig->hosts_count; i++)
+    start_host (rig, i);
+  return wait_ready (rig);
+}
+
+static void
+end_process (pid_t *pid)
+{
+  if (*pid == 0)
+    return;
+  kill (*pid, SIGKILL);
+  waitpid (*pid, NULL, 0);
+  *pid = 0;
+}
+
+void
+rig_stop (rig_t *rig, bool keep)
+{
+  for (int32_t i = 0; i < rig->hosts_count; i++)
+    {
+      end_process (&rig->hosts[i].pid);
+      g_free (rig->hosts[i].name);
+      g_free (rig->hosts[i].zone);
+    }
+  for (int32_t i = 0; i < rig->endpoints_count; i++)
+    {
+      end_process (&rig->endpoints[i].pid);
+      g_free (rig->endpoints[i].zone);
+      g_free (rig->endpoints[i].ledger);
+    }
+  end_process (&rig->log_pid);
+  proxy_free (rig->proxy);
+  if (keep)
+    printf ("  logs and ledgers are kept in %s\n", rig->directory);
+  else
+    site_remove (rig->directory);
+  g_free (rig->directory);
+  g_free (rig->hosts);
+  g_free (rig->endpoints);
+}
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -5,21 +5,16 @@
  * the test's own directory.
  */
 #include "base/clock.h"
+#include "tests/site_call.h"
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
-#include <arpa/inet.h>
-#include <errno.h>
 #include <glib.h>
-#include <glib/gstdio.h>
-#include <netinet/in.h>
-#include <poll.h>
 #include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -28,10 +23,8 @@
 #define PORTS_EACH 3
 /* A guard against hanging, not a bound. */
 #define GUARD_MS 20000
-#define CALL_MS 5000
-#define ANSWER_BYTES 8192
+#define DEADLINE_MS 3000
 #define LEASE_MS 1000
-#define QUEUE_HOST "q.example"
 
 static char *programs; /* the directory with jaytraild and fake_site */
 static int base_port;
@@ -52,97 +45,11 @@
 
 /* --- calls --- */
 
-typedef struct
-{
-  int status; /* 0 if there was no whole answer */
-  char body[ANSWER_BYTES];
-} answer_t;
-
-static int
-dial (int port)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons ((uint16_t) port),
-                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-  if (connect (fd, (struct sockaddr *) &address, sizeof address) == 0)
-    return fd;
-  close (fd);
-  return -1;
-}
-
-static bool
-is_whole (const char *text)
-{
-  const char *end = strstr (text, "\r\n\r\n");
-  const char *length = strcasestr (text, "content-length:");
-
-  return end != NULL && length != NULL
-         && strlen (end + 4) >= (size_t) atoi (length + strlen ("content-length:"));
-}
-
-static answer_t
-read_answer (int fd, int64_t until_ms)
-{
-  answer_t answer = { 0 };
-  char text[ANSWER_BYTES] = "";
-  size_t size = 0;
-
-  while (!is_whole (text) && size < sizeof text - 1)
-    {
-      struct pollfd wait = { .fd = fd, .events = POLLIN };
-      int64_t left_ms = until_ms - clock_boot_ms ();
-      if (left_ms <= 0 || poll (&wait, 1, (int) left_ms) <= 0)
-        return answer;
-      ssize_t got = recv (fd, text + size, sizeof text - 1 - size, 0);
-      if (got <= 0)
-        return answer;
-      size += (size_t) got;
-      text[size] = '\0';
-    }
-  answer.status = atoi (text + strlen ("HTTP/1.1 "));
-  g_strlcpy (answer.body, strstr (text, "\r\n\r\n") + 4, sizeof answer.body);
-  return answer;
-}
-
-static void
-send_request (int fd, const char *method, const char *target, const char *body)
-{
-  char *text = g_strdup_printf ("%s %s HTTP/1.1\r\nHost: " QUEUE_HOST
-                                "\r\nContent-Type: application/json\r\n"
-                                "Jaytrail-Deadline-Ms: 3000\r\nContent-Length: %zu\r\n\r\n%s",
-                                method, target, strlen (body), body);
-
-  (void) !send (fd, text, strlen (text), MSG_NOSIGNAL);
-  g_free (text);
-}
-
-static answer_t
-call (int port, const char *method, const char *target, const char *body)
-{
-  answer_t answer = { 0 };
-  int fd = dial (port);
-
-  if (fd < 0)
-    return answer;
-  send_request (fd, method, target, body);
-  answer = read_answer (fd, clock_boot_ms () + CALL_MS);
-  close (fd);
-  return answer;
-}
-
 /* A number in the JSON that the stand-in tells. */
 static int
 seen (const rig_t *rig, const char *name)
 {
-  answer_t answer = call (rig->port, "GET", "/seen", "");
-  char *key = g_strdup_printf ("\"%s\":", name);
-  const char *at = strstr (answer.body, key);
-  int value = at != NULL ? atoi (at + strlen (key)) : -1;
-
-  g_free (key);
-  return value;
+  return site_number (site_call (rig->port, "GET", "/seen", "").body, name);
 }
 
 static bool
@@ -162,17 +69,19 @@
 static char *
 job_body (int tasks, int work_ms, const char *more)
 {
-  return g_strdup_printf ("{\"spec\":\"%d\",\"best_effort\":true,\"phases\":[{\"count\":%d,"
-                          "\"cpu_millis\":1000,\"mem_mb\":10,\"estimated_ms\":%d%s}]}",
-                          work_ms, tasks, work_ms, more);
+  char *spec = g_strdup_printf ("%d", work_ms);
+  char *body = site_job (tasks, spec, work_ms, more);
+
+  g_free (spec);
+  return body;
 }
 
-static answer_t
+static site_answer_t
 submit (const rig_t *rig, int host, int job, int tasks, int work_ms)
 {
   char *target = g_strdup_printf ("/q/%016x", (unsigned) job);
   char *body = job_body (tasks, work_ms, "");
-  answer_t answer = call (caller_port (rig, host), "POST", target, body);
+  site_answer_t answer = site_call (caller_port (rig, host), "POST", target, body);
 
   g_free (target);
   g_free (body);
@@ -181,21 +90,6 @@
 
 /* --- processes --- */
 
-static pid_t
-run (char **argv, const char *settings, const char *log)
-{
-  pid_t pid = fork ();
-
-  if (pid != 0)
-    return pid;
-  if (settings != NULL)
-    setenv ("JAYTRAIL_SETTINGS", settings, 1);
-  if (freopen (log, "a", stdout) == NULL || freopen (log, "a", stderr) == NULL)
-    _exit (126);
-  execv (argv[0], argv);
-  _exit (127);
-}
-
 static void
 start_host (rig_t *rig, int host)
 {
@@ -214,7 +108,7 @@
   char *argv[] = { program, "--site", NULL };
 
   g_file_set_contents (settings, text, -1, NULL);
-  rig->hosts[host] = run (argv, settings, log);
+  rig->hosts[host] = site_run (argv, settings, log);
   g_free (program);
   g_free (text);
   g_free (log);
@@ -225,20 +119,20 @@
 put_config (const rig_t *rig, int version, const char *prefix)
 {
   char *body = g_strdup_printf (
-      "{\"version\":%d,\"routes\":[{\"name\":\"r\",\"host\":\"" QUEUE_HOST
+      "{\"version\":%d,\"routes\":[{\"name\":\"r\",\"host\":\"" SITE_CALL_QUEUE_HOST
       "\",\"path_prefix\":\"%s\",\"timeout_ms\":3000,\"target_latency_ms\":60,\"priority\":0,"
       "\"service\":\"s\",\"max_attempts\":3,\"stretch_factor\":1.6}],\"services\":[],"
       "\"limits\":{}}",
       version, prefix);
 
-  call (rig->port, "POST", "/config", body);
+  site_call (rig->port, "POST", "/config", body);
   g_free (body);
 }
 
 static bool
 is_ready (const rig_t *rig, int host)
 {
-  return call (caller_port (rig, host) + 1, "GET", "/readyz", "").status == 200;
+  return site_call (caller_port (rig, host) + 1, "GET", "/readyz", "").status == 200;
 }
 
 static bool
@@ -270,9 +164,9 @@
   base_port += 200;
   rig->directory = g_dir_make_tmp ("jaytrail-site-XXXXXX", NULL);
   char *log = g_strdup_printf ("%s/site.log", rig->directory);
-  rig->standin = run (argv, NULL, log);
+  rig->standin = site_run (argv, NULL, log);
   int64_t until_ms = clock_boot_ms () + GUARD_MS;
-  while (call (rig->port, "GET", "/seen", "").status != 200 && clock_boot_ms () < until_ms)
+  while (site_call (rig->port, "GET", "/seen", "").status != 200 && clock_boot_ms () < until_ms)
     clock_sleep_ms (10);
   put_config (rig, 3, "/q/");
   for (int i = 0; i < HOSTS; i++)
@@ -295,23 +189,6 @@
   *pid = 0;
 }
 
-static void
-remove_directory (const char *path)
-{
-  GDir *dir = g_dir_open (path, 0, NULL);
-  const char *name = NULL;
-
-  while (dir != NULL && (name = g_dir_read_name (dir)) != NULL)
-    {
-      char *file = g_build_filename (path, name, NULL);
-      g_unlink (file);
-      g_free (file);
-    }
-  if (dir != NULL)
-    g_dir_close (dir);
-  g_rmdir (path);
-}
-
 /* Checks what must hold after every case. */
 static void
 rig_stop (rig_t *rig)
@@ -321,7 +198,7 @@
   for (int i = 0; i < HOSTS; i++)
     end_process (&rig->hosts[i], SIGKILL);
   end_process (&rig->standin, SIGKILL);
-  remove_directory (rig->directory);
+  site_remove (rig->directory);
   g_free (rig->directory);
 }
 
@@ -349,7 +226,7 @@
   for (int i = 0; i < load->count; i++)
     {
       int host = load->host >= 0 ? load->host : (load->first + i) % HOSTS;
-      answer_t answer = submit (load->rig, host, load->first + i, load->tasks, load->work_ms);
+      site_answer_t answer = submit (load->rig, host, load->first + i, load->tasks, load->work_ms);
       if (answer.status == 200 && strstr (answer.body, "completed") != NULL)
         g_atomic_int_inc (&load->complete);
       else if (answer.status == 0)
@@ -424,7 +301,8 @@
     {
       char *body =
           inputs[i].body != NULL ? g_strdup (inputs[i].body) : job_body (1, 5, inputs[i].more);
-      answer_t answer = call (caller_port (&rig, 0), inputs[i].method, inputs[i].target, body);
+      site_answer_t answer =
+          site_call (caller_port (&rig, 0), inputs[i].method, inputs[i].target, body);
       if (answer.status != inputs[i].status)
         printf ("  %s %s: %d\n", inputs[i].method, inputs[i].target, answer.status);
       CU_ASSERT_EQUAL (answer.status, inputs[i].status);
@@ -437,7 +315,7 @@
 static void
 set_fault (const rig_t *rig, const char *fault)
 {
-  CU_ASSERT_EQUAL (call (rig->port, "POST", "/fault", fault).status, 200);
+  CU_ASSERT_EQUAL (site_call (rig->port, "POST", "/fault", fault).status, 200);
 }
 
 /* An endpoint that is bad in one way costs time, not jobs. */
@@ -470,8 +348,8 @@
   char *body = job_body (6, 2500, "");
 
   rig_start (&rig);
-  int fd = dial (caller_port (&rig, 1));
-  send_request (fd, "POST", "/q/00000000000000b1", body);
+  int fd = site_dial ("127.0.0.1", caller_port (&rig, 1));
+  site_send (fd, "POST", "/q/00000000000000b1", body, DEADLINE_MS);
   CU_ASSERT_TRUE (comes_to (&rig, "running", 6, 2000));
   close (fd);
   CU_ASSERT_TRUE (comes_to (&rig, "running", 0, 500));
@@ -490,12 +368,12 @@
   for (int i = 0; i < 2; i++)
     {
       char *target = g_strdup_printf ("/q/00000000000000e%d", i);
-      int fd = dial (caller_port (&rig, 0));
-      send_request (fd, "POST", target, body);
+      int fd = site_dial ("127.0.0.1", caller_port (&rig, 0));
+      site_send (fd, "POST", target, body, DEADLINE_MS);
       CU_ASSERT_TRUE (comes_to (&rig, "running", 3, 2000));
-      CU_ASSERT_EQUAL (call (caller_port (&rig, i), "DELETE", target, "").status,
+      CU_ASSERT_EQUAL (site_call (caller_port (&rig, i), "DELETE", target, "").status,
                        i == 0 ? 200 : 410);
-      answer_t answer = read_answer (fd, clock_boot_ms () + 1000);
+      site_answer_t answer = site_read (fd, clock_boot_ms () + 1000);
       CU_ASSERT_EQUAL (answer.status, 200);
       CU_ASSERT_PTR_NOT_NULL (strstr (answer.body, "cancelled"));
       CU_ASSERT_TRUE (comes_to (&rig, "running", 0, 500));
@@ -553,12 +431,12 @@
   for (int i = 0; i < 4; i++)
     {
       char *target = g_strdup_printf ("/q/00000000000000c%d", i);
-      int fd = dial (caller_port (&rig, i % HOSTS));
-      send_request (fd, "POST", target, body);
+      int fd = site_dial ("127.0.0.1", caller_port (&rig, i % HOSTS));
+      site_send (fd, "POST", target, body, DEADLINE_MS);
       comes_to (&rig, "running", 3, 1000);
       kill (rig.hosts[i % HOSTS], SIGSTOP);
       clock_sleep_ms (1300);
-      answer_t answer = call (caller_port (&rig, (i + 1) % HOSTS), "POST", target, body);
+      site_answer_t answer = site_call (caller_port (&rig, (i + 1) % HOSTS), "POST", target, body);
       CU_ASSERT_EQUAL (answer.status, 200);
       kill (rig.hosts[i % HOSTS], SIGCONT);
       close (fd);
@@ -656,7 +534,7 @@
 status_of (const rig_t *rig, int host, const char *prefix)
 {
   char *target = g_strdup_printf ("%s00000000000000d1", prefix);
-  int status = call (caller_port (rig, host), "GET", target, "").status;
+  int status = site_call (caller_port (rig, host), "GET", target, "").status;
 
   g_free (target);
   return status;
@@ -689,7 +567,7 @@
   CU_ASSERT_TRUE (in_force (&rig, "/new/", 2000));
   CU_ASSERT_EQUAL (status_of (&rig, 0, "/q/"), 404);
   put_config (&rig, 5, "/old/");
-  call (rig.port, "POST", "/forget", "");
+  site_call (rig.port, "POST", "/forget", "");
   clock_sleep_ms (1500);
   for (int i = 0; i < HOSTS; i++)
     {
@@ -781,12 +659,12 @@
       int status = 0;
       if (bad_settings[i].file != NULL)
         g_file_set_contents (file, bad_settings[i].file, -1, NULL);
-      waitpid (run (argv, file, log), &status, 0);
+      waitpid (site_run (argv, file, log), &status, 0);
       CU_ASSERT_EQUAL (WEXITSTATUS (status), 2);
       CU_ASSERT_TRUE (g_file_get_contents (log, &text, NULL, NULL));
       CU_ASSERT_TRUE (text != NULL && strstr (text, bad_settings[i].says) != NULL);
       g_free (text);
-      remove_directory (directory);
+      site_remove (directory);
       g_free (log);
       g_free (file);
       g_free (directory);
