A task that can't end in time anywhere is given up when its progress shows it

Change: what progress shows of the whole (rest, left, work) decides on a move as before, and on giving up where the fastest endpoint would miss the deadline too; progress three times slower than expected counts as a slow endpoint, not as a large task. The job is answered as given up: it has run. Ruled out: speeds read wrongly (logs: endpoints are of two speeds, 0.55 and 1.4, as learnt).

--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -17,6 +17,10 @@
 #define MOVE_PERCENT_MIN 5
 /* A new start must gain at least this. */
 #define MOVE_SLACK_MS 30
+/* Progress so much slower than expected shows a slow endpoint rather than a large task. */
+#define LARGE_MAX 3.0
+/* What is left must exceed the time that is left by this before a task is given up. */
+#define OVERDUE_PERCENT 108
 /* Names of ends under another owner that are kept, for tasks that are handed over. */
 #define ENDED_STRANGERS_MAX 512
 /* An endpoint that calls itself unhealthy is asked again after this. */
@@ -383,24 +387,74 @@
   return best_ms;
 }
 
-/* True if TASK, by its progress, misses its deadline where it is, and would meet it if it were
- * started anew on a faster endpoint.  A task is moved once only. */
+/* What a look shows of a run's end. */
+typedef struct
+{
+  double rest_ms; /* until it ends where it is */
+  double left_ms; /* until the deadline */
+  double work_ms; /* of the whole task, at the speed that estimates are made for */
+} outlook_t;
+
+/* Returns false if the run's progress says nothing yet. */
 static bool
-should_move (const fleet_t *fleet, const task_t *task, int64_t now_ms)
+outlook_of (const fleet_t *fleet, const task_t *task, int64_t now_ms, outlook_t *outlook)
 {
   const batch_t *batch = task->batch;
 
-  if (batch == NULL || task->percent < MOVE_PERCENT_MIN || task->percent >= 100 || task->moved)
+  if (batch == NULL || task->percent < MOVE_PERCENT_MIN || task->percent >= 100)
     return false;
   double elapsed_ms = (double) (now_ms - task->sent_at_ms);
   double whole_ms = 100.0 * elapsed_ms / task->percent;
-  double left_ms = (double) (batch->deadline_at_ms - now_ms);
-  if (whole_ms - elapsed_ms < left_ms)
+  double speed = place_ratio (task->endpoint) * place_distance (fleet, task->endpoint, task->batch);
+  bool large = whole_ms < LARGE_MAX * (double) task->expected_ms;
+
+  outlook->rest_ms = whole_ms - elapsed_ms;
+  outlook->left_ms = (double) (batch->deadline_at_ms - now_ms);
+  outlook->work_ms = large ? whole_ms / speed : (double) batch->estimate_ms;
+  return true;
+}
+
+/* True if TASK misses its deadline where it is, and would meet it if it were started anew on a
+ * faster endpoint.  A task is moved once only. */
+static bool
+should_move (const fleet_t *fleet, const task_t *task, int64_t now_ms)
+{
+  outlook_t outlook;
+
+  if (task->moved || !outlook_of (fleet, task, now_ms, &outlook)
+      || outlook.rest_ms < outlook.left_ms)
+    return false;
+  double again_ms = best_elsewhere_ms (fleet, task, outlook.work_ms, now_ms);
+  return again_ms + (double) fleet->options.stop_ms + MOVE_SLACK_MS < outlook.left_ms;
+}
+
+/* True if TASK misses its deadline where it is, and would on the fastest endpoint too. */
+static bool
+is_overdue (const fleet_t *fleet, const task_t *task, int64_t now_ms)
+{
+  outlook_t outlook;
+  double fastest = INFINITY;
+  GHashTableIter iter;
+  void *value = NULL;
+
+  if (!outlook_of (fleet, task, now_ms, &outlook)
+      || outlook.rest_ms * 100 < outlook.left_ms * OVERDUE_PERCENT)
     return false;
-  double work_ms =
-      whole_ms / place_ratio (task->endpoint) / place_distance (fleet, task->endpoint, batch);
-  double again_ms = best_elsewhere_ms (fleet, task, work_ms, now_ms);
-  return again_ms + (double) fleet->options.stop_ms + MOVE_SLACK_MS < left_ms;
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (place_is_usable (value, now_ms))
+      fastest = fmin (fastest, place_ratio (value));
+  return outlook.work_ms * fastest > outlook.left_ms;
+}
+
+/* Ends a run that is of no use any more, and tells its coordinator. */
+static void
+give_up (fleet_t *fleet, task_t *task, int64_t now_ms, GArray *actions)
+{
+  note (fleet, actions, FLEET_NOTE_CUT, task->endpoint, task, now_ms);
+  tell (fleet, actions, FLEET_OVERDUE, task, "can't end before its deadline");
+  task_stop (task, now_ms);
+  task_leave (fleet, task);
 }
 
 static void
@@ -430,6 +484,8 @@
               note (fleet, actions, FLEET_NOTE_MOVED, endpoint, task, now_ms);
               task_replace (task, now_ms);
             }
+          else if (task->state == TASK_RUNNING && is_overdue (fleet, task, now_ms))
+            give_up (fleet, task, now_ms, actions);
         }
       else if (was_due (task, sent_at_ms))
         task_requeue (fleet, task, now_ms);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -80,6 +80,7 @@
   FLEET_FAILED,    /* likewise: it has failed as often as is allowed, or can't run */
   FLEET_RETURNED,  /* likewise: it never started, and is no longer queued here */
   FLEET_EXPIRED,   /* likewise: it never started, and can't end before its deadline */
+  FLEET_OVERDUE,   /* likewise: it has run, and can't end before its deadline anywhere */
   FLEET_NOT_OWNED, /* likewise, from a host that does not own the shard: it knows nothing of it */
   FLEET_SHUT_OUT,  /* the endpoint obeys a higher token */
   FLEET_NOTE       /* for the log: what was decided, and by what */
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -347,7 +347,7 @@
   if (batch == NULL || !take_open (batch, index))
     return;
   job_t *job = batch->job;
-  job->may_have_run |= how == FLOW_TASK_DONE || how == FLOW_TASK_FAILED;
+  job->may_have_run |= how == FLOW_TASK_DONE || how == FLOW_TASK_FAILED || how == FLOW_TASK_OVERDUE;
   if (batch->open->len == 0 && !batch->cancelled)
     drop_batch (flow, batch);
   switch (how)
@@ -369,6 +369,9 @@
       if (!job->ending)
         g_array_append_val (job->unplaced, index);
       break;
+    case FLOW_TASK_OVERDUE:
+      end_job (flow, job, FLOW_GIVEN_UP, "a task takes too long for its deadline", now_ms, actions);
+      break;
     case FLOW_TASK_EXPIRED:
     default:
       refuse (flow, job, "cannot end before its deadline", now_ms, actions);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -142,6 +142,7 @@
   FLOW_TASK_FAILED,
   FLOW_TASK_RETURNED,
   FLOW_TASK_EXPIRED,
+  FLOW_TASK_OVERDUE,  /* it has run, and can't end before its deadline */
   FLOW_TASK_NOT_OWNED /* HOST does not own the shard, and knows nothing of the task */
 } flow_task_end_t;
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -191,11 +191,62 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  int64_t estimate_ms;
+  int32_t percent; /* after ELAPSED_MS of 1,500 ms */
+  bool given_up;
+} outlooks[] = {
+  { "in time", 900, 30, false },
+  { "far too large", 1500, 10, true },
+  { "a little too large: too early to say", 1500, 19, false },
+  { "just begun", 1500, 4, false },
+  { "slow endpoint: would be in time elsewhere", 200, 6, false },
+};
+
+#define ELAPSED_MS 300
+#define LIMIT_MS 1500
+
+/* A task that can't end in time anywhere is given up when its progress shows it, and stopped. */
+static void
+test_overdue (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (outlooks); i++)
+    {
+      fleet_batch_t batch = batch_of ("j", 1);
+      look_active_t row = { "j.0.0.0", 1, outlooks[i].percent };
+      bool told = false;
+      script_t script;
+
+      script_begin (&script);
+      add_endpoint (&script, 0, "r1", 1000);
+      run_at (&script, 0);
+      answer_look (&script, 0, NULL, 0);
+      batch.estimate_ms = outlooks[i].estimate_ms;
+      batch.deadline_at_ms = LIMIT_MS;
+      fleet_submit (script.fleet, &batch, 0);
+      run_at (&script, 0);
+      fleet_started (script.fleet, script.start_serial, FLEET_OK, 5, 0, script.actions);
+      run_at (&script, ELAPSED_MS);
+      answer_look (&script, 0, &row, 1);
+      for (guint k = 0; k < script.actions->len; k++)
+        told |= g_array_index (script.actions, fleet_action_t, k).kind == FLEET_OVERDUE;
+      if (told != outlooks[i].given_up)
+        printf ("  %s\n", outlooks[i].name);
+      CU_ASSERT_EQUAL (told, outlooks[i].given_up);
+      run_at (&script, ELAPSED_MS + 1);
+      CU_ASSERT_EQUAL (script.stop_task[0] != '\0', outlooks[i].given_up);
+      script_end (&script);
+    }
+}
+
 static const struct
 {
   const char *name;
   CU_TestFunc run;
 } tests[] = {
+  { "given up once it can't be in time", test_overdue },
   { "a run is adopted while it is stopped", test_adopted_while_stopped },
   { "work near its data", test_racks },
 };
