Tasks that a cut held up are not taken when it ends; a lost entry is not a lost endpoint

What a coordinator had sent into a cut arrived when the cut ended, seconds after its job had been given up and submitted again elsewhere. An owner now gives each coordinator an epoch with its beats, and a new one whenever it has lost it; tasks under an older epoch are not taken (event batch_stale). The coordinator sends what it still wants again when it hears a new epoch, which replaces the message FLEET_MSG_DROPPED. 2. An endpoint whose entry vanished counted as dead at once. Its runs are now followed until they end or the lease is over; nothing new starts there.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -91,7 +91,9 @@
       if (local)
         owner_submit (site, action->shard, &action->batch);
       else
-        peers_send (site, action->host, fleet_msg_submit (action->shard, &action->batch, now_ms));
+        peers_send (site, action->host,
+                    fleet_msg_submit (action->shard, crew_epoch_for (site->crew, action->host),
+                                      &action->batch, now_ms));
       g_array_unref (action->indexes);
       break;
     case FLOW_RELEASE:
@@ -358,11 +360,14 @@
           event_end ();
         }
       owner_drop_coordinator (site, action->host);
-      peers_send (site, action->host, fleet_msg_dropped ());
       net_reconnect (site->net, action->host);
       flow_host_lost (site->flow, action->host, action->heard_at_ms, now_ms, site->flow_actions);
       site_run_flow_actions (site);
       break;
+    case CREW_DROPPED:
+      flow_resync (site->flow, action->host, now_ms, site->flow_actions);
+      site_run_flow_actions (site);
+      break;
     case CREW_FOUND:
     default:
       if (event_begin (EVENT_HOST_FOUND))
@@ -370,6 +375,7 @@
           event_text ("host", action->host);
           event_end ();
         }
+      peers_beat_host (site, action->host);
       peers_tell_directory (site, action->host);
       break;
     }
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -308,8 +308,7 @@
 
   if (owned == NULL)
     return;
-  fleet_drop_endpoint (owned->fleet, id, clock_boot_ms (), owned->actions);
-  run_actions (owned, clock_boot_ms ());
+  fleet_drop_endpoint (owned->fleet, id);
   owned->dirty = true;
 }
 
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -31,7 +31,15 @@
   if (fleet_msg_read_submit (reader, clock_boot_ms (), &submit) != 0)
     return;
   submit.batch.coordinator = host;
-  owner_submit (site, submit.shard, &submit.batch);
+  if (crew_accepts (site->crew, host, submit.epoch))
+    owner_submit (site, submit.shard, &submit.batch);
+  else if (event_begin (EVENT_BATCH_STALE))
+    {
+      event_text ("job", submit.batch.job);
+      event_number ("batch", (int64_t) submit.batch.batch);
+      event_text ("host", host);
+      event_end ();
+    }
   fleet_submit_clear (&submit);
 }
 
@@ -120,15 +128,6 @@
   site_run_flow_actions (site);
 }
 
-static void
-read_dropped (site_t *site, const char *host, frame_reader_t *reader)
-{
-  (void) reader;
-  /* It has not heard this host: the connection may have gone silent. */
-  net_reconnect (site->net, host);
-  resync (site, host);
-}
-
 static void
 read_ends (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -193,17 +192,11 @@
   int type;
   void (*read) (site_t *site, const char *host, frame_reader_t *reader);
 } readers[] = {
-  { FLEET_MSG_SUBMIT, read_submit },
-  { FLEET_MSG_CANCEL, read_cancel },
-  { FLEET_MSG_ENDS, read_ends },
-  { FLEET_MSG_CANCELLED, read_cancelled },
-  { FLEET_MSG_OFFER, read_offer },
-  { FLEET_MSG_DROPPED, read_dropped },
-  { FLEET_MSG_RELEASE, read_release },
-  { FLEET_MSG_FORGET, read_forget },
-  { FLEET_MSG_ENDPOINT, read_endpoint },
-  { CREW_MSG_BEAT, read_beat },
-  { CREW_MSG_CONFIG_PULL, read_config_pull },
+  { FLEET_MSG_SUBMIT, read_submit }, { FLEET_MSG_CANCEL, read_cancel },
+  { FLEET_MSG_ENDS, read_ends },     { FLEET_MSG_CANCELLED, read_cancelled },
+  { FLEET_MSG_OFFER, read_offer },   { FLEET_MSG_RELEASE, read_release },
+  { FLEET_MSG_FORGET, read_forget }, { FLEET_MSG_ENDPOINT, read_endpoint },
+  { CREW_MSG_BEAT, read_beat },      { CREW_MSG_CONFIG_PULL, read_config_pull },
   { CREW_MSG_CONFIG, read_config },
 };
 
@@ -238,7 +231,7 @@
   else if (arrival->up)
     {
       g_hash_table_replace (site->connected, (void *) arrival->host, (void *) arrival->data_centre);
-      peers_beat (site, clock_boot_ms (), true);
+      peers_beat_host (site, arrival->host);
       resync (site, arrival->host);
     }
   else
@@ -323,11 +316,21 @@
   g_bytes_unref (frame);
 }
 
+void
+peers_beat_host (site_t *site, const char *host)
+{
+  crew_beat_t beat;
+
+  crew_beat_for (site->crew, host, &beat);
+  beat.config_version = site->queues != NULL ? site->queues->version : 0;
+  peers_send (site, host, crew_msg_beat (&beat));
+  g_array_unref (beat.claims);
+}
+
 /* Beats go to the own data centre each time, to others less often once there are many hosts. */
 void
 peers_beat (site_t *site, int64_t now_ms, bool at_once)
 {
-  crew_beat_t beat;
   GHashTableIter iter;
   void *host = NULL;
   void *data_centre = NULL;
@@ -339,13 +342,8 @@
   if (far)
     site->beat_far_due_ms =
         now_ms + (g_hash_table_size (site->connected) > BEAT_MANY ? BEAT_FAR_MS : BEAT_MS);
-  crew_own_beat (site->crew, &beat);
-  beat.config_version = site->queues != NULL ? site->queues->version : 0;
-  GBytes *frame = crew_msg_beat (&beat);
-  g_array_unref (beat.claims);
   g_hash_table_iter_init (&iter, site->connected);
   while (g_hash_table_iter_next (&iter, &host, &data_centre))
     if (far || g_strcmp0 (data_centre, site->settings->data_centre) == 0)
-      peers_send (site, host, g_bytes_ref (frame));
-  g_bytes_unref (frame);
+      peers_beat_host (site, host);
 }
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -116,6 +116,7 @@
 /* Takes in an entry of the directory. */
 void site_take_entry (site_t *site, const fleet_entry_t *entry);
 void peers_beat (site_t *site, int64_t now_ms, bool at_once);
+void peers_beat_host (site_t *site, const char *host);
 /* Takes over a configuration if it is newer.  Returns true if it was. */
 bool site_take_config (site_t *site, const char *data, size_t size, const char *from);
 
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -91,6 +91,8 @@
     "{host_id} gave {tasks} tasks to {host}" },
   { EVENT_BATCH_MOVED, EVENT_TROUBLE, "batch_moved", "job batch host shard tasks",
     "{host_id} gave {tasks} tasks anew to {host}, the owner of {shard}" },
+  { EVENT_BATCH_STALE, EVENT_TROUBLE, "batch_stale", "job batch host",
+    "{host_id} did not take tasks that {host} had sent before it was lost" },
   { EVENT_TASK_STARTED, EVENT_ROUTINE, "task_started",
     "task attempt endpoint expected_ms waited_ms",
     "{host_id} started task {task} on {endpoint} after {waited_ms} ms, expecting {expected_ms} "
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -57,6 +57,7 @@
   EVENT_JOB_ABANDONED,
   EVENT_BATCH_SENT,
   EVENT_BATCH_MOVED,
+  EVENT_BATCH_STALE,
   /* Tasks at the owner of their endpoint. */
   EVENT_TASK_STARTED,
   EVENT_TASK_DONE,
--- a/lib/crew/crew.c
+++ b/lib/crew/crew.c
@@ -45,6 +45,8 @@
   bool leaving;
   bool alive;
   int32_t power;
+  uint64_t epoch;       /* what it must say */
+  uint64_t their_epoch; /* what this host must say to it */
   int64_t config_version;
   int64_t heard_at_ms;
   int64_t alive_from_ms;
@@ -77,6 +79,7 @@
   bool leaving;
   int64_t started_at_ms;
   int64_t token_max; /* the highest ever heard */
+  uint64_t epochs;   /* the last that was given out */
   GHashTable *peers;
   GHashTable *shards;
 };
@@ -114,6 +117,7 @@
   crew->power = options->power;
   crew->resend_ms = options->resend_ms;
   crew->started_at_ms = now_ms;
+  crew->epochs = options->incarnation;
   crew->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_peer);
   crew->shards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   return crew;
@@ -189,9 +193,10 @@
 }
 
 static void
-lose (peer_t *peer, const char *reason, GArray *actions)
+lose (crew_t *crew, peer_t *peer, const char *reason, GArray *actions)
 {
   peer->alive = false;
+  peer->epoch = ++crew->epochs;
   g_array_set_size (peer->claims, 0);
   crew_action_t *action = add (actions, CREW_LOST, reason);
   action->host = peer->host;
@@ -212,11 +217,12 @@
       peer->host = host;
       peer->data_centre = g_strdup (beat->data_centre);
       peer->incarnation = beat->incarnation;
+      peer->epoch = ++crew->epochs;
       peer->claims = g_array_new (FALSE, FALSE, sizeof (crew_claim_t));
       g_hash_table_insert (crew->peers, (void *) host, peer);
     }
   if (peer->alive && peer->incarnation != beat->incarnation)
-    lose (peer, "it has started anew", actions);
+    lose (crew, peer, "it has started anew", actions);
   peer->incarnation = beat->incarnation;
   peer->ready = beat->ready;
   peer->leaving = beat->leaving;
@@ -224,11 +230,16 @@
   peer->config_version = beat->config_version;
   peer->heard_at_ms = now_ms;
   set_claims (crew, peer, beat->claims);
-  if (peer->alive)
+  if (!peer->alive)
+    {
+      peer->alive = true;
+      peer->alive_from_ms = now_ms;
+      add (actions, CREW_FOUND, NULL)->host = host;
+    }
+  if (peer->their_epoch == beat->epoch)
     return;
-  peer->alive = true;
-  peer->alive_from_ms = now_ms;
-  add (actions, CREW_FOUND, NULL)->host = host;
+  peer->their_epoch = beat->epoch;
+  add (actions, CREW_DROPPED, NULL)->host = host;
 }
 
 static int64_t
@@ -263,7 +274,7 @@
       peer_t *peer = value;
       int64_t silent_ms = now_ms - peer->heard_at_ms;
       if (peer->alive && silent_ms > silent_max_ms (crew, peer))
-        lose (peer, "it is silent", actions);
+        lose (crew, peer, "it is silent", actions);
       else if (!peer->alive && (silent_ms > FORGET_MS || peer->leaving))
         g_hash_table_iter_remove (&iter);
     }
@@ -562,9 +573,32 @@
   crew->started_at_ms = now_ms;
 }
 
+static const peer_t *
+find_peer (const crew_t *crew, const char *host)
+{
+  return g_hash_table_lookup (crew->peers, g_intern_string (host));
+}
+
+uint64_t
+crew_epoch_for (const crew_t *crew, const char *host)
+{
+  const peer_t *peer = find_peer (crew, host);
+
+  return peer != NULL ? peer->their_epoch : 0;
+}
+
+bool
+crew_accepts (const crew_t *crew, const char *host, uint64_t epoch)
+{
+  const peer_t *peer = find_peer (crew, host);
+
+  return peer != NULL && peer->alive && peer->epoch == epoch;
+}
+
 void
-crew_own_beat (const crew_t *crew, crew_beat_t *beat)
+crew_beat_for (const crew_t *crew, const char *to, crew_beat_t *beat)
 {
+  const peer_t *peer = find_peer (crew, to);
   GHashTableIter iter;
   void *value = NULL;
 
@@ -574,6 +608,7 @@
                          .ready = crew->ready,
                          .leaving = crew->leaving,
                          .power = crew->power,
+                         .epoch = peer != NULL ? peer->epoch : 0,
                          .claims = g_array_new (FALSE, FALSE, sizeof (crew_claim_t)) };
   g_hash_table_iter_init (&iter, crew->shards);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/lib/crew/crew.h
+++ b/lib/crew/crew.h
@@ -37,6 +37,7 @@
   bool leaving;  /* it is being stopped */
   int32_t power; /* thousandths of a core */
   int64_t config_version;
+  uint64_t epoch; /* what the receiver must say for the sender to take tasks from it */
   GArray *claims; /* crew_claim_t */
 } crew_beat_t;
 
@@ -48,6 +49,7 @@
   CREW_YIELDED, /* this host no longer owns SHARD */
   CREW_OWNER,   /* HOST (NULL: nobody) owns SHARD, this host included */
   CREW_LOST,    /* HOST can't be heard any more, or has started anew */
+  CREW_DROPPED, /* HOST had lost this one: it has ended all that this host gave it */
   CREW_FOUND    /* HOST is heard for the first time, or again */
 } crew_action_kind_t;
 
@@ -96,8 +98,15 @@
  * old.  Forgets all peers' claims. */
 void crew_thawed (crew_t *crew, int64_t now_ms, GArray *actions);
 
-/* Fills BEAT with what this host says; strings belong to the crew, the array is new. */
-void crew_own_beat (const crew_t *crew, crew_beat_t *beat);
+/* Fills BEAT with what this host says to TO; strings belong to the crew, the array is new. */
+void crew_beat_for (const crew_t *crew, const char *to, crew_beat_t *beat);
+
+/* What this host must say for HOST to take tasks from it.  HOST changes it whenever it loses this
+ * one, so that tasks that a cut has held up are not taken once it ends. */
+uint64_t crew_epoch_for (const crew_t *crew, const char *host);
+
+/* Whether HOST, which says EPOCH, may give tasks to this one. */
+bool crew_accepts (const crew_t *crew, const char *host, uint64_t epoch);
 
 /* A shard of another data centre without an owner is claimed only by a host that can reach its
  * endpoints: tells that one has answered, or whether that should be found out. */
--- a/lib/crew/crew_msg.c
+++ b/lib/crew/crew_msg.c
@@ -18,6 +18,7 @@
   frame_put_bool (writer, beat->leaving);
   frame_put_int (writer, beat->power);
   frame_put_int (writer, beat->config_version);
+  frame_put_uint (writer, beat->epoch);
   frame_put_count (writer, beat->claims->len);
   for (guint i = 0; i < beat->claims->len; i++)
     {
@@ -41,6 +42,7 @@
   beat->leaving = frame_get_bool (reader);
   beat->power = (int32_t) frame_get_range (reader, 0, POWER_MAX);
   beat->config_version = frame_get_int (reader);
+  beat->epoch = frame_get_uint (reader);
   beat->claims = g_array_new (FALSE, FALSE, sizeof (crew_claim_t));
   size_t count = frame_get_count (reader, CREW_CLAIMS_MAX);
   for (size_t i = 0; i < count && frame_ok (reader); i++)
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -404,6 +404,8 @@
   if (info->born_at_ms != 0)
     endpoint->born_at_ms = info->born_at_ms;
   endpoint->leaving = info->leaving;
+  fleet->departed -= endpoint->departed;
+  endpoint->departed = false;
   place_rate (fleet, endpoint);
   endpoint->whole.cores_milli = MAX (endpoint->whole.cores_milli, info->free.cores_milli);
   endpoint->whole.memory_mb = MAX (endpoint->whole.memory_mb, info->free.memory_mb);
@@ -414,22 +416,38 @@
 forget_endpoint (fleet_t *fleet, endpoint_t *endpoint)
 {
   fleet->outliers.members--;
+  fleet->departed -= endpoint->departed;
   fleet->outliers.ejected -= endpoint->outlier.state == OUTLIER_OUT;
   g_hash_table_remove (fleet->endpoints, endpoint->id);
 }
 
 void
-fleet_drop_endpoint (fleet_t *fleet, const char *id, int64_t now_ms, GArray *actions)
+fleet_drop_endpoint (fleet_t *fleet, const char *id)
 {
   endpoint_t *endpoint = endpoint_find (fleet, id);
 
-  if (endpoint == NULL)
+  if (endpoint == NULL || endpoint->departed)
     return;
-  for (guint i = 0; i < endpoint->runs->len; i++)
-    note (fleet, actions, FLEET_NOTE_LAPSED, endpoint, endpoint->runs->pdata[i], now_ms);
-  while (endpoint->runs->len > 0)
-    task_requeue (fleet, endpoint->runs->pdata[endpoint->runs->len - 1], now_ms);
-  forget_endpoint (fleet, endpoint);
+  endpoint->departed = true;
+  fleet->departed++;
+}
+
+void
+forget_departed (fleet_t *fleet)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  if (fleet->departed == 0)
+    return;
+  GPtrArray *over = g_ptr_array_new ();
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((endpoint_t *) value)->departed && ((endpoint_t *) value)->runs->len == 0)
+      g_ptr_array_add (over, value);
+  for (guint i = 0; i < over->len; i++)
+    forget_endpoint (fleet, over->pdata[i]);
+  g_ptr_array_unref (over);
 }
 
 void
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -200,8 +200,9 @@
 /* Takes over the endpoint, or takes in what it says now. */
 void fleet_set_endpoint (fleet_t *fleet, const fleet_endpoint_t *endpoint, int64_t now_ms);
 
-/* The endpoint is gone: nothing runs there any more.  No-op if it is unknown. */
-void fleet_drop_endpoint (fleet_t *fleet, const char *id, int64_t now_ms, GArray *actions);
+/* The endpoint's entry is gone: nothing new starts there.  It may live, so that its runs are
+ * followed until they have ended or its lease is over.  No-op if it is unknown. */
+void fleet_drop_endpoint (fleet_t *fleet, const char *id);
 
 /* Another host owns the endpoint: its runs go on without this one, nothing is told
  * to coordinators, who turn to the new owner. */
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -12,11 +12,12 @@
 #define RATIO_SCALE 1000.0
 
 GBytes *
-fleet_msg_submit (const char *shard, const fleet_batch_t *batch, int64_t now_ms)
+fleet_msg_submit (const char *shard, uint64_t epoch, const fleet_batch_t *batch, int64_t now_ms)
 {
   frame_writer_t *writer = frame_begin (FLEET_MSG_SUBMIT);
 
   frame_put_string (writer, shard);
+  frame_put_uint (writer, epoch);
   frame_put_uint (writer, batch->batch);
   frame_put_string (writer, batch->job);
   frame_put_int (writer, batch->step);
@@ -55,6 +56,7 @@
 
   *submit = (fleet_submit_t){ 0 };
   submit->shard = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  submit->epoch = frame_get_uint (reader);
   batch->batch = frame_get_uint (reader);
   batch->job = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   batch->step = (int32_t) frame_get_range (reader, 0, INT32_MAX);
@@ -209,12 +211,6 @@
   to->endpoint.rack = g_strdup (from->endpoint.rack);
 }
 
-GBytes *
-fleet_msg_dropped (void)
-{
-  return frame_finish (frame_begin (FLEET_MSG_DROPPED));
-}
-
 GBytes *
 fleet_msg_cancelled (uint64_t batch, bool never_started)
 {
--- a/lib/fleet/fleet_msg.h
+++ b/lib/fleet/fleet_msg.h
@@ -17,18 +17,19 @@
   FLEET_MSG_ENDS,
   FLEET_MSG_CANCELLED,
   FLEET_MSG_OFFER,
-  FLEET_MSG_RELEASE,  /* a batch is another owner's now; as FLEET_MSG_CANCEL */
-  FLEET_MSG_FORGET,   /* a job's caller has cancelled it, at another host */
-  FLEET_MSG_ENDPOINT, /* an endpoint that the sender knows of */
-  FLEET_MSG_DROPPED   /* the owner has ended all that this coordinator gave it */
+  FLEET_MSG_RELEASE, /* a batch is another owner's now; as FLEET_MSG_CANCEL */
+  FLEET_MSG_FORGET,  /* a job's caller has cancelled it, at another host */
+  FLEET_MSG_ENDPOINT /* an endpoint that the sender knows of */
 } fleet_msg_t;
 
-/* The owner of SHARD is given BATCH. */
-GBytes *fleet_msg_submit (const char *shard, const fleet_batch_t *batch, int64_t now_ms);
+/* The owner of SHARD is given BATCH; EPOCH is what it wants to hear from this host. */
+GBytes *
+fleet_msg_submit (const char *shard, uint64_t epoch, const fleet_batch_t *batch, int64_t now_ms);
 
 typedef struct
 {
   char *shard;
+  uint64_t epoch;
   fleet_batch_t batch; /* without its coordinator: the sender is */
   GArray *indexes;
 } fleet_submit_t;
@@ -54,7 +55,6 @@
 void fleet_entry_clear (fleet_entry_t *entry);
 void fleet_entry_copy (fleet_entry_t *to, const fleet_entry_t *from);
 
-GBytes *fleet_msg_dropped (void);
 GBytes *fleet_msg_cancelled (uint64_t batch, bool never_started);
 int fleet_msg_read_cancel (frame_reader_t *reader, uint64_t *batch);
 int fleet_msg_read_cancelled (frame_reader_t *reader, uint64_t *batch, bool *never_started);
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -162,7 +162,8 @@
 bool
 place_is_usable (const endpoint_t *endpoint, int64_t now_ms)
 {
-  if (endpoint->leaving || !endpoint->looked || endpoint->shut_out || !endpoint->clock_known)
+  if (endpoint->leaving || endpoint->departed || !endpoint->looked || endpoint->shut_out
+      || !endpoint->clock_known)
     return false;
   if (endpoint->misses >= SILENT_MISSES)
     return false;
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -391,6 +391,7 @@
   void *value = NULL;
 
   names_clear (fleet);
+  forget_departed (fleet);
   g_hash_table_iter_init (&iter, fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -100,7 +100,8 @@
   int64_t born_at_ms;
   room_t whole; /* the most that was ever seen free */
   bool leaving;
-  bool looked; /* what runs there is known under the token in force */
+  bool departed; /* its entry is gone; stays here until its runs are over */
+  bool looked;   /* what runs there is known under the token in force */
   bool shut_out;
   uint32_t term; /* grows when the token changes */
   bool look_out; /* a look is on its way */
@@ -142,6 +143,7 @@
   GHashTable *kinds;       /* kind -> kind_t */
   GQueue queue;            /* waiting tasks in the order of their turn */
   GHashTable *maybe;       /* tasks of unknown state: a set */
+  int32_t departed;        /* endpoints */
   int64_t unsettled_to_ms; /* until then endpoints may be unknown */
   int64_t contested_to_ms; /* until then another owner may still run tasks unseen */
   uint64_t serial;
--- a/lib/fleet/table.h
+++ b/lib/fleet/table.h
@@ -59,4 +59,7 @@
 /* Forgets the names that actions of the last call pointed to. */
 void names_clear (fleet_t *fleet);
 
+/* Forgets endpoints whose entry is gone and where nothing runs any more. */
+void forget_departed (fleet_t *fleet);
+
 #endif
--- a/standins/fake_site.c
+++ b/standins/fake_site.c
@@ -4,7 +4,8 @@
  * in it.  With --log the endpoints register at the log of another such process instead.  The
  * process counts what must never happen, two runs of a task at one time and a start beyond an
  * endpoint's room; GET /seen tells.  POST /fault changes how it behaves; POST /config puts a
- * configuration; POST /entry/ID an endpoint's entry; POST /forget and POST /wipe drop records.
+ * configuration; POST /entry/ID an endpoint's entry; POST /forget drops the history,
+ * POST /wipe the entries of endpoints too, until they register again.
  */
 #include "base/clock.h"
 #include "reactor/loop.h"
@@ -80,14 +81,14 @@
 static void
 forget (web_request_t *request)
 {
-  site_log_forget (records, true);
+  site_log_forget (records, NULL);
   web_reply (request, 200, NULL, "{}");
 }
 
 static void
 wipe (web_request_t *request)
 {
-  site_log_forget (records, false);
+  site_log_forget (records, ENTRIES);
   web_reply (request, 200, NULL, "{}");
 }
 
--- a/standins/site_log.c
+++ b/standins/site_log.c
@@ -139,18 +139,19 @@
 }
 
 void
-site_log_forget (site_log_t *log, bool keep_newest)
+site_log_forget (site_log_t *log, const char *without)
 {
   GHashTableIter iter;
+  void *key = NULL;
   void *value = NULL;
 
   g_hash_table_iter_init (&iter, log->topics);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  while (g_hash_table_iter_next (&iter, &key, &value))
     {
       topic_t *topic = value;
       topic->first = topic_end (topic);
       g_ptr_array_set_size (topic->records, 0);
-      if (!keep_newest)
+      if (g_strcmp0 (key, without) == 0)
         g_hash_table_remove_all (topic->newest);
     }
 }
--- a/standins/site_log.h
+++ b/standins/site_log.h
@@ -34,8 +34,9 @@
 /* Puts VALUE ("": none, the key is dropped) under KEY of TOPIC. */
 void site_log_put (site_log_t *log, const char *topic, const char *key, const char *value);
 
-/* The records of all topics go but, if NEWEST is kept, the newest of each key. */
-void site_log_forget (site_log_t *log, bool keep_newest);
+/* The history of all topics goes, but the newest record of each key; of TOPIC (NULL: none) those go
+ * too. */
+void site_log_forget (site_log_t *log, const char *without);
 
 void site_log_tick (site_log_t *log, int64_t now_ms);
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -241,11 +241,51 @@
     }
 }
 
+/* An endpoint whose entry is gone may live: what runs there starts elsewhere only once it is
+ * surely over. */
+static void
+test_entry_gone (void)
+{
+  fleet_batch_t batch = batch_of ("j", 1);
+  look_active_t row = { "j.0.0.0", 1, 10 };
+  script_t script;
+
+  script_begin (&script);
+  add_endpoint (&script, 0, "r1", 1000);
+  run_at (&script, 0);
+  answer_look (&script, 0, NULL, 0);
+  fleet_submit (script.fleet, &batch, 0);
+  run_at (&script, 0);
+  CU_ASSERT_STRING_EQUAL (script.start_at, "e0");
+  fleet_started (script.fleet, script.start_serial, FLEET_OK, 5, 0, script.actions);
+  add_endpoint (&script, 1, "r1", 4000);
+  run_at (&script, 10);
+  answer_look (&script, 1, NULL, 0);
+  g_array_set_size (script.actions, 0);
+  fleet_drop_endpoint (script.fleet, "e0");
+  for (int64_t now_ms = 20; now_ms < LEASE_MS; now_ms += 20)
+    {
+      run_at (&script, now_ms);
+      CU_ASSERT_STRING_EQUAL (script.start_at, "");
+      if (now_ms == 100)
+        answer_look (&script, 0, &row, 1);
+    }
+  bool started = false;
+  for (int64_t now_ms = LEASE_MS; now_ms < 3 * LEASE_MS; now_ms += 20)
+    {
+      run_at (&script, now_ms);
+      started |= strcmp (script.start_at, "e1") == 0;
+    }
+  CU_ASSERT_TRUE (started);
+  script_end (&script);
+}
+
 static const struct
 {
   const char *name;
   CU_TestFunc run;
 } tests[] = {
+  { "an entry is gone", test_entry_gone },
   { "given up once it can't be in time", test_overdue },
   { "a run is adopted while it is stopped", test_adopted_while_stopped },
   { "work near its data", test_racks },
--- a/tests/test_fleet_net.h
+++ b/tests/test_fleet_net.h
@@ -197,7 +197,6 @@
   MESSAGE_RELEASE,
   MESSAGE_END,
   MESSAGE_OFFER,
-  MESSAGE_DROPPED,
   MESSAGE_BEAT
 } message_kind_t;
 
@@ -208,6 +207,7 @@
   node_t *to;
   uint64_t to_incarnation;
   char *shard;
+  uint64_t epoch;
   fleet_batch_t batch;
   GArray *indexes;
   uint64_t number;
@@ -270,6 +270,8 @@
   shard_owned_t *owned = &node->owned[zone_of (message->shard)];
 
   message->batch.coordinator = message->from->name;
+  if (message->from != node && !crew_accepts (node->crew, message->from->name, message->epoch))
+    return;
   if (owned->fleet != NULL)
     {
       fleet_submit (owned->fleet, &message->batch, node->world->now_ms);
@@ -311,13 +313,33 @@
   send_message (reply);
 }
 
+static void message_arrives (world_t *world, void *data);
+
+/* Bytes that a cut has held up arrive when it ends, in their order. */
+static bool
+hold_back (world_t *world, message_t *message)
+{
+  const node_t *from = message->from;
+  const node_t *to = message->to;
+
+  if (!world->options->held || from == to || !is_up (from) || !is_up (to)
+      || nodes_reach (world, from, to))
+    return false;
+  int64_t until_ms = MAX (from->cut_until_ms, to->cut_until_ms);
+  if (from->zone != to->zone)
+    until_ms = MAX (until_ms,
+                    MAX (world->zone_cut_until_ms[from->zone], world->zone_cut_until_ms[to->zone]));
+  plan (world, until_ms + 1, message_arrives, message);
+  return true;
+}
+
 static void
 message_arrives (world_t *world, void *data)
 {
   message_t *message = data;
   node_t *node = message->to;
 
-  if (postpone (world, node, message_arrives, data))
+  if (postpone (world, node, message_arrives, data) || hold_back (world, message))
     return;
   bool arrives = is_up (node) && node->incarnation == message->to_incarnation
                  && (message->from == node || nodes_reach (world, message->from, node));
@@ -348,9 +370,6 @@
                       (const fleet_offer_t *) (void *) message->offers->data, message->offers->len,
                       message->waiting, world->now_ms);
           break;
-        case MESSAGE_DROPPED:
-          flow_resync (node->flow, message->from->name, world->now_ms, node->flow_actions);
-          break;
         case MESSAGE_BEAT:
         default:
           crew_heard (node->crew, &message->beat, world->now_ms, node->crew_actions);
--- a/tests/test_fleet_node.h
+++ b/tests/test_fleet_node.h
@@ -81,6 +81,7 @@
                  node->name, (int) action.indexes->len, action.host, action.shard,
                  (int) action.number, action.batch.maybe_running ? ", maybe running" : "");
           message->shard = g_strdup (action.shard);
+          message->epoch = crew_epoch_for (node->crew, action.host);
           message->batch = action.batch;
           message->batch.job = g_strdup (action.batch.job);
           message->batch.spec = g_strdup (action.batch.spec);
@@ -184,12 +185,17 @@
             if (node->owned[k].fleet != NULL)
               fleet_drop_coordinator (node->owned[k].fleet, action.host, world->now_ms,
                                       node->fleet_actions);
-          send_message (message_new (MESSAGE_DROPPED, node, node_named (world, action.host)));
           flow_host_lost (node->flow, action.host, action.heard_at_ms, world->now_ms,
                           node->flow_actions);
           run_flow_actions (node);
           break;
+        case CREW_DROPPED:
+          flow_resync (node->flow, action.host, world->now_ms, node->flow_actions);
+          run_flow_actions (node);
+          break;
         case CREW_FOUND:
+          node->beat_at_ms = 0;
+          break;
         default:
           break;
         }
@@ -277,7 +283,7 @@
       if (to == node || !nodes_reach (world, node, to))
         continue;
       message_t *message = message_new (MESSAGE_BEAT, node, to);
-      crew_own_beat (node->crew, &message->beat);
+      crew_beat_for (node->crew, to->name, &message->beat);
       message->beat.host = g_strdup (message->beat.host);
       message->beat.data_centre = g_strdup (message->beat.data_centre);
       for (guint k = 0; k < message->beat.claims->len; k++)
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -206,7 +206,7 @@
   beat.claims = g_array_new (FALSE, FALSE, sizeof (crew_claim_t));
   g_array_append_val (beat.claims, claim);
   if (kind == 0)
-    frame = fleet_msg_submit ("z", &batch, 0);
+    frame = fleet_msg_submit ("z", 1, &batch, 0);
   else if (kind == 1)
     frame = fleet_msg_ends (ends, G_N_ELEMENTS (ends));
   else if (kind == 2)
