Hubs: connections and beats no longer grow with the square of the hosts

Every host was connected to every other, sent beats to all, sent all of them again for each new connection, and followed the whole directory. Change: every host ranks the hosts of each data centre alike (lib/crew/roster); the first four that are there are hubs, and every host keeps connections to hubs and owners only. Beats say when the next one comes: 100 ms between hubs of a data centre, 250 ms where an owner is on one side, else 1 s. Hubs tell new hosts of hubs, so that a host that the log refuses finds them. Cancellations go over a hub. With four hosts or fewer in each data centre all are hubs and nothing changes. The soak takes ports that no other run has: two runs side by side had shared some.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -170,7 +170,7 @@
   site_run_flow_actions (site);
   site_pump (site);
   if (!here)
-    peers_send_all (site, fleet_msg_forget (id));
+    peers_forget_job (site, id);
   return here;
 }
 
@@ -274,6 +274,12 @@
       free->memory_mb = MAX (free->memory_mb, before->endpoint.free.memory_mb);
       free->gpus = MAX (free->gpus, before->endpoint.free.gpus);
     }
+  bool told = before != NULL && before->endpoint.born_at_ms == copy->endpoint.born_at_ms
+              && before->endpoint.leaving == copy->endpoint.leaving
+              && before->endpoint.free.cores_milli == copy->endpoint.free.cores_milli
+              && strcmp (before->endpoint.address, copy->endpoint.address) == 0;
+  if (!told)
+    peers_tell_entry (site, copy);
   g_hash_table_replace (site->directory, (void *) copy->endpoint.id, copy);
   crew_add_shard (site->crew, copy->shard);
   flow_set_rack (site->flow, copy->endpoint.rack, copy->shard);
@@ -286,23 +292,29 @@
   site_take_entry (user, entry);
 }
 
-static void
-on_gone (const char *id, void *user)
+void
+site_drop_entry (site_t *site, const char *id)
 {
-  site_t *site = user;
   const fleet_entry_t *entry = g_hash_table_lookup (site->directory, id);
 
   if (entry == NULL)
     return;
   log_endpoint (EVENT_ENDPOINT_GONE, entry);
+  peers_tell_gone (site, id);
   owner_gone (site, id, entry->shard);
   g_hash_table_remove (site->directory, id);
 }
 
 static void
-on_peer (const char *address, void *user)
+on_gone (const char *id, void *user)
+{
+  site_drop_entry (user, id);
+}
+
+static void
+on_peer (const char *host, const char *address, const char *data_centre, int32_t power, void *user)
 {
-  net_add_address (((site_t *) user)->net, address, NULL, false);
+  peers_know (user, host, address, data_centre, power);
 }
 
 static void
@@ -376,6 +388,7 @@
           event_end ();
         }
       peers_beat_host (site, action->host);
+      peers_tell_roster (site, action->host);
       peers_tell_directory (site, action->host);
       break;
     }
@@ -596,6 +609,25 @@
   site->file_stamp = changed_ns;
 }
 
+/* A host that is to know the directory from now on has been told a part of it by others. */
+static void
+follow_directory (site_t *site, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *id = NULL;
+  bool reads = crew_reads (site->crew);
+
+  if (reads == site->reads)
+    return;
+  site->reads = reads;
+  store_set_reading (site->store, reads);
+  if (!reads)
+    return;
+  g_hash_table_iter_init (&iter, site->directory);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    store_expect (site->store, id, now_ms);
+}
+
 static void
 on_tick (void *data)
 {
@@ -603,6 +635,7 @@
   int64_t now_ms = clock_boot_ms ();
 
   refresh (site, now_ms);
+  follow_directory (site, now_ms);
   crew_set_ready (site->crew, site->queues != NULL && store_is_listed (site->store));
   webclient_tick (site->client, now_ms);
   door_tick (site->door, now_ms);
@@ -661,8 +694,8 @@
   site->loop = loop_new (TICK_MS, on_tick, site);
   loop_set_later (site->loop, pump_now);
   site->client = webclient_new (site->loop);
-  crew_options_t crew = { settings->host, settings->data_centre, site->incarnation, settings->power,
-                          settings->resend_ms };
+  crew_options_t crew = { settings->host,  settings->data_centre, site->incarnation,
+                          settings->power, settings->resend_ms,   CREW_HUBS };
   site->crew = crew_new (&crew, now_ms);
   flow_options_t flow = { settings->host, settings->data_centre, settings->lease_ms,
                           settings->remote_factor };
@@ -670,7 +703,9 @@
   site->owned = g_hash_table_new_full (NULL, NULL, NULL, owner_free);
   site->retired = g_ptr_array_new_with_free_func (owner_free);
   site->directory = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_entry);
-  site->connected = g_hash_table_new (NULL, NULL);
+  site->connected = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  site->known = g_hash_table_new_full (NULL, NULL, NULL, peers_free_known);
+  site->reads = true;
   site->crew_actions = g_array_new (FALSE, FALSE, sizeof (crew_action_t));
   site->flow_actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
   site->elsewhere = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
@@ -681,8 +716,14 @@
     result = peers_start (site);
   if (result != 0)
     return result;
-  store_options_t store = { settings->store,    settings->host, settings->peer_address,
-                            settings->apply_ms, &store_ops,     site };
+  store_options_t store = { .address = settings->store,
+                            .host = settings->host,
+                            .peer_address = settings->peer_address,
+                            .data_centre = settings->data_centre,
+                            .power = settings->power,
+                            .apply_ms = settings->apply_ms,
+                            .ops = &store_ops,
+                            .user = site };
   site->store = store_new (site->client, &store, now_ms);
   loop_on_signal (site->loop, SIGTERM, on_terminate, site);
   loop_on_signal (site->loop, SIGINT, on_terminate, site);
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -249,8 +249,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     set_endpoint (owned, value, now_ms);
   /* Entries that lapsed while the log was away are back by then. */
-  if (store_listed_at_ms (site->store) != 0)
-    fleet_set_unsettled (owned->fleet, store_listed_at_ms (site->store) + SETTLED_AFTER_MS);
+  int64_t listed_at_ms = store_listed_at_ms (site->store);
+  fleet_set_unsettled (owned->fleet,
+                       (listed_at_ms != 0 ? listed_at_ms : now_ms) + SETTLED_AFTER_MS);
   fleet_renew (owned->fleet, now_ms);
 }
 
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -7,10 +7,10 @@
 
 #include <string.h>
 
-/* Hosts are heard this often: those of the own data centre, and others where there are many. */
-#define BEAT_MS 100
-#define BEAT_FAR_MS 250
-#define BEAT_MANY 12
+/* Links are looked after this often, and an address is dialed again after that. */
+#define LINKS_EVERY_MS 200
+#define DIAL_AGAIN_MS 3000
+#define ROSTER_HOSTS_MAX 256
 
 typedef struct
 {
@@ -73,11 +73,11 @@
   (void) host;
   if (fleet_msg_read_endpoint (reader, &entry) != 0)
     return;
-  if (!g_hash_table_contains (site->directory, entry.endpoint.id))
-    {
-      site_take_entry (site, &entry);
-      store_expect (site->store, entry.endpoint.id, clock_boot_ms ());
-    }
+  bool known = g_hash_table_contains (site->directory, entry.endpoint.id);
+  if (!known || !site->reads)
+    site_take_entry (site, &entry);
+  if (!known && site->reads)
+    store_expect (site->store, entry.endpoint.id, clock_boot_ms ());
   fleet_entry_clear (&entry);
 }
 
@@ -86,8 +86,9 @@
 {
   GHashTableIter iter;
   void *value = NULL;
+  const contact_t *contact = g_hash_table_lookup (site->connected, host);
 
-  if (g_strcmp0 (g_hash_table_lookup (site->connected, host), site->settings->data_centre) != 0)
+  if (contact == NULL || g_strcmp0 (contact->data_centre, site->settings->data_centre) != 0)
     return;
   g_hash_table_iter_init (&iter, site->directory);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -95,14 +96,57 @@
       peers_send (site, host, fleet_msg_endpoint (value));
 }
 
+static void
+tell_hubs (site_t *site, GBytes *frame)
+{
+  GHashTableIter iter;
+  void *host = NULL;
+
+  g_hash_table_iter_init (&iter, site->connected);
+  while (g_hash_table_iter_next (&iter, &host, NULL))
+    if (crew_wants_directory (site->crew, host))
+      peers_send (site, host, g_bytes_ref (frame));
+  g_bytes_unref (frame);
+}
+
+void
+peers_tell_entry (site_t *site, const fleet_entry_t *entry)
+{
+  if (site->reads && strcmp (entry->shard, site->settings->data_centre) == 0)
+    tell_hubs (site, fleet_msg_endpoint (entry));
+}
+
+void
+peers_tell_gone (site_t *site, const char *id)
+{
+  if (site->reads)
+    tell_hubs (site, fleet_msg_gone (id));
+}
+
+static void
+read_gone (site_t *site, const char *host, frame_reader_t *reader)
+{
+  char *id = NULL;
+
+  (void) host;
+  if (fleet_msg_read_gone (reader, &id) != 0)
+    return;
+  if (!site->reads)
+    site_drop_entry (site, id);
+  g_free (id);
+}
+
 static void
 read_forget (site_t *site, const char *host, frame_reader_t *reader)
 {
   char *job = NULL;
+  bool relay = false;
 
   (void) host;
-  if (fleet_msg_read_forget (reader, &job) != 0)
+  if (fleet_msg_read_forget (reader, &job, &relay) != 0)
     return;
+  if (relay)
+    peers_send_all (site, fleet_msg_forget (job, false));
   flow_cancel (site->flow, job, clock_boot_ms (), site->flow_actions);
   site_run_flow_actions (site);
   g_free (job);
@@ -187,17 +231,40 @@
     site_take_config (site, data, size, host);
 }
 
+static void
+read_roster (site_t *site, const char *host, frame_reader_t *reader)
+{
+  GArray *hosts = g_array_new (FALSE, FALSE, sizeof (crew_host_t));
+
+  (void) host;
+  g_array_set_clear_func (hosts, crew_host_clear);
+  if (crew_msg_read_roster (reader, hosts) == 0)
+    for (guint i = 0; i < hosts->len; i++)
+      {
+        const crew_host_t *one = &g_array_index (hosts, crew_host_t, i);
+        peers_know (site, one->host, one->address, one->data_centre, one->power);
+      }
+  g_array_unref (hosts);
+}
+
 static const struct
 {
   int type;
   void (*read) (site_t *site, const char *host, frame_reader_t *reader);
 } readers[] = {
-  { FLEET_MSG_SUBMIT, read_submit }, { FLEET_MSG_CANCEL, read_cancel },
-  { FLEET_MSG_ENDS, read_ends },     { FLEET_MSG_CANCELLED, read_cancelled },
-  { FLEET_MSG_OFFER, read_offer },   { FLEET_MSG_RELEASE, read_release },
-  { FLEET_MSG_FORGET, read_forget }, { FLEET_MSG_ENDPOINT, read_endpoint },
-  { CREW_MSG_BEAT, read_beat },      { CREW_MSG_CONFIG_PULL, read_config_pull },
+  { FLEET_MSG_SUBMIT, read_submit },
+  { FLEET_MSG_CANCEL, read_cancel },
+  { FLEET_MSG_ENDS, read_ends },
+  { FLEET_MSG_CANCELLED, read_cancelled },
+  { FLEET_MSG_OFFER, read_offer },
+  { FLEET_MSG_RELEASE, read_release },
+  { FLEET_MSG_FORGET, read_forget },
+  { FLEET_MSG_ENDPOINT, read_endpoint },
+  { FLEET_MSG_GONE, read_gone },
+  { CREW_MSG_BEAT, read_beat },
+  { CREW_MSG_CONFIG_PULL, read_config_pull },
   { CREW_MSG_CONFIG, read_config },
+  { CREW_MSG_ROSTER, read_roster },
 };
 
 static void
@@ -230,7 +297,9 @@
     }
   else if (arrival->up)
     {
-      g_hash_table_replace (site->connected, (void *) arrival->host, (void *) arrival->data_centre);
+      contact_t *contact = g_new0 (contact_t, 1);
+      contact->data_centre = arrival->data_centre;
+      g_hash_table_replace (site->connected, (void *) arrival->host, contact);
       peers_beat_host (site, arrival->host);
       resync (site, arrival->host);
     }
@@ -327,23 +396,112 @@
   g_array_unref (beat.claims);
 }
 
-/* Beats go to the own data centre each time, to others less often once there are many hosts. */
+/* AT_ONCE: something that others should know has changed. */
 void
 peers_beat (site_t *site, int64_t now_ms, bool at_once)
 {
   GHashTableIter iter;
   void *host = NULL;
-  void *data_centre = NULL;
+  void *value = NULL;
 
-  if (now_ms < site->beat_due_ms && !at_once)
-    return;
-  bool far = at_once || now_ms >= site->beat_far_due_ms;
-  site->beat_due_ms = now_ms + BEAT_MS;
-  if (far)
-    site->beat_far_due_ms =
-        now_ms + (g_hash_table_size (site->connected) > BEAT_MANY ? BEAT_FAR_MS : BEAT_MS);
   g_hash_table_iter_init (&iter, site->connected);
-  while (g_hash_table_iter_next (&iter, &host, &data_centre))
-    if (far || g_strcmp0 (data_centre, site->settings->data_centre) == 0)
+  while (g_hash_table_iter_next (&iter, &host, &value))
+    {
+      contact_t *contact = value;
+      if (now_ms < contact->beat_due_ms && !at_once)
+        continue;
+      contact->beat_due_ms = now_ms + crew_beat_every_ms (site->crew, host);
       peers_beat_host (site, host);
+    }
+}
+
+/* --- who is connected --- */
+
+void
+peers_free_known (void *data)
+{
+  known_t *known = data;
+
+  g_free (known->address);
+  g_free (known->data_centre);
+  g_free (known);
+}
+
+void
+peers_know (site_t *site,
+            const char *host,
+            const char *address,
+            const char *data_centre,
+            int32_t power)
+{
+  const char *interned = g_intern_string (host);
+  const known_t *before = g_hash_table_lookup (site->known, interned);
+
+  if (interned == site->host
+      || (before != NULL && strcmp (before->address, address) == 0
+          && strcmp (before->data_centre, data_centre) == 0))
+    return;
+  known_t *known = g_new0 (known_t, 1);
+  known->address = g_strdup (address);
+  known->data_centre = g_strdup (data_centre);
+  known->power = power;
+  g_hash_table_replace (site->known, (void *) interned, known);
+  crew_know (site->crew, host, data_centre, power);
+  site->links_due_ms = 0;
+}
+
+void
+peers_tell_roster (site_t *site, const char *host)
+{
+  GArray *hosts = g_array_new (FALSE, FALSE, sizeof (crew_host_t));
+  GHashTableIter iter;
+  void *key = NULL;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, site->known);
+  while (g_hash_table_iter_next (&iter, &key, &value) && hosts->len < ROSTER_HOSTS_MAX)
+    {
+      const known_t *known = value;
+      crew_host_t one = { key, known->address, known->data_centre, known->power };
+      if (crew_host_is_hub (site->crew, key))
+        g_array_append_val (hosts, one);
+    }
+  if (hosts->len > 0 && crew_is_hub (site->crew))
+    peers_send (site, host,
+                crew_msg_roster ((const crew_host_t *) (void *) hosts->data, hosts->len));
+  g_array_unref (hosts);
+}
+
+void
+peers_keep_links (site_t *site, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *host = NULL;
+  void *value = NULL;
+
+  if (now_ms < site->links_due_ms)
+    return;
+  site->links_due_ms = now_ms + LINKS_EVERY_MS;
+  g_hash_table_iter_init (&iter, site->known);
+  while (g_hash_table_iter_next (&iter, &host, &value))
+    {
+      known_t *known = value;
+      if (g_hash_table_contains (site->connected, host)
+          || (known->dialed_at_ms != 0 && now_ms - known->dialed_at_ms < DIAL_AGAIN_MS)
+          || !crew_wants_link (site->crew, host))
+        continue;
+      known->dialed_at_ms = now_ms;
+      net_add_address (site->net, known->address, known->data_centre, false);
+    }
+}
+
+void
+peers_forget_job (site_t *site, const char *job)
+{
+  const char *hub = crew_some_hub (site->crew);
+
+  if (crew_is_hub (site->crew) || hub == NULL)
+    peers_send_all (site, fleet_msg_forget (job, false));
+  else
+    peers_send (site, hub, fleet_msg_forget (job, true));
 }
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -33,6 +33,22 @@
   int64_t retired_at_ms; /* it was yielded */
 } owned_t;
 
+/* A host with a connection from this one. */
+typedef struct
+{
+  const char *data_centre; /* interned */
+  int64_t beat_due_ms;
+} contact_t;
+
+/* Where a host listens, and when it was dialed last. */
+typedef struct
+{
+  char *address;
+  char *data_centre;
+  int32_t power;
+  int64_t dialed_at_ms;
+} known_t;
+
 /* An end that is to be told to a coordinator. */
 typedef struct
 {
@@ -59,17 +75,18 @@
   GHashTable *owned;     /* interned shard -> owned_t */
   GPtrArray *retired;    /* owned_t that were yielded a moment ago */
   GHashTable *directory; /* id -> fleet_entry_t */
-  GHashTable *connected; /* interned host with a connection -> its data centre */
+  GHashTable *connected; /* interned host -> contact_t */
+  GHashTable *known;     /* interned host -> known_t */
   GArray *crew_actions;
   GArray *flow_actions;
   GArray *elsewhere; /* fleet_offer_t, for one round */
   GArray *ends;      /* told_end_t */
   bool store_reachable;
+  bool reads; /* the directory of endpoints */
   bool leaving;
   int64_t leaving_from_ms;
   int64_t refreshed_at_ms;
-  int64_t beat_due_ms;
-  int64_t beat_far_due_ms;
+  int64_t links_due_ms;
   int64_t pull_due_ms;
   int64_t probe_due_ms;
   int64_t watch_due_ms;
@@ -111,10 +128,27 @@
 int peers_start (site_t *site);
 void peers_send (site_t *site, const char *host, GBytes *frame);
 void peers_send_all (site_t *site, GBytes *frame);
-/* Tells a host of the own data centre which endpoints are there. */
+/* Tells a host of the own data centre which endpoints are there, or that ENTRY has changed, or that
+ * endpoint ID is gone. */
 void peers_tell_directory (site_t *site, const char *host);
-/* Takes in an entry of the directory. */
+void peers_tell_entry (site_t *site, const fleet_entry_t *entry);
+void peers_tell_gone (site_t *site, const char *id);
+/* A host exists and listens at ADDRESS. */
+void peers_know (site_t *site,
+                 const char *host,
+                 const char *address,
+                 const char *data_centre,
+                 int32_t power);
+void peers_free_known (void *known);
+/* Tells HOST of the hubs that this host knows. */
+void peers_tell_roster (site_t *site, const char *host);
+/* Dials the hosts that this one should be connected to. */
+void peers_keep_links (site_t *site, int64_t now_ms);
+/* JOB is cancelled: tells all hosts. */
+void peers_forget_job (site_t *site, const char *job);
+/* Takes in an entry of the directory, or that endpoint ID is gone from it. */
 void site_take_entry (site_t *site, const fleet_entry_t *entry);
+void site_drop_entry (site_t *site, const char *id);
 void peers_beat (site_t *site, int64_t now_ms, bool at_once);
 void peers_beat_host (site_t *site, const char *host);
 /* Takes over a configuration if it is newer.  Returns true if it was. */
--- a/lib/crew/crew.c
+++ b/lib/crew/crew.c
@@ -7,12 +7,27 @@
 #include "crew/crew.h"
 
 #include "base/hash.h"
+#include "crew/roster.h"
 
 #include <string.h>
 
-/* A host that is not heard for this long is lost. */
+/* Beats between hubs of one data centre, and where the owner of a shard is on one side; and all
+ * others, which only tell that a host is there. */
+#define BEAT_NEAR_MS 100
+#define BEAT_FAR_MS 250
+#define BEAT_SLOW_MS 1000
+/* With more hosts than this, those of other data centres hear a host less often. */
+#define BEAT_FEW_HOSTS 12
+/* A host that is not heard for this long is lost, .. */
 #define SILENT_NEAR_MS 450
 #define SILENT_FAR_MS 800
+/* .. or, if it sends beats less often, after so many of them and a little. */
+#define SILENT_BEATS 3
+#define SILENT_SLACK_MS 50
+/* So many hosts of each data centre follow the directory. */
+#define READERS 3
+/* Ranks are brought up to date this often. */
+#define RANK_EVERY_MS 200
 /* Of the time after which callers submit again: by then the tasks of a lost coordinator must be
  * on their way out. */
 #define SILENT_PERCENT 60
@@ -22,6 +37,8 @@
 #define LISTEN_FIRST_MS 200
 /* How long a shard has no owner before it is claimed. */
 #define VACANT_NEAR_MS 20
+/* A host waits so much longer for each one that goes before it and can't be heard. */
+#define VACANT_STEP_MS 60
 #define VACANT_FAR_MS 1200
 /* An owner from elsewhere hands a shard back once a host of its data centre has been
  * there for this long. */
@@ -41,6 +58,8 @@
 /* A host that has not been heard for this long does not count any more. */
 #define FORGET_MS 20000
 #define TOKEN_NAME_BITS 8
+/* Places beyond this wait no longer. */
+#define PLACE_MAX 50
 
 typedef struct
 {
@@ -51,6 +70,8 @@
   bool leaving;
   bool alive;
   int32_t power;
+  bool reads;
+  int64_t next_ms;
   uint64_t epoch;       /* what it must say */
   uint64_t their_epoch; /* what this host must say to it */
   int64_t config_version;
@@ -88,6 +109,8 @@
   int64_t started_at_ms;
   int64_t token_max; /* the highest ever heard */
   uint64_t epochs;   /* the last that was given out */
+  roster_t *roster;
+  int64_t rank_due_ms;
   GHashTable *peers;
   GHashTable *shards;
 };
@@ -126,6 +149,7 @@
   crew->resend_ms = options->resend_ms;
   crew->started_at_ms = now_ms;
   crew->epochs = options->incarnation;
+  crew->roster = roster_new (options->host, options->data_centre, options->power, options->hubs);
   crew->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_peer);
   crew->shards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   return crew;
@@ -138,6 +162,7 @@
     return;
   g_hash_table_unref (crew->peers);
   g_hash_table_unref (crew->shards);
+  roster_free (crew->roster);
   g_free (crew->data_centre);
   g_free (crew);
 }
@@ -201,10 +226,12 @@
 }
 
 static void
-lose (crew_t *crew, peer_t *peer, const char *reason, GArray *actions)
+lose (crew_t *crew, peer_t *peer, const char *reason, int64_t now_ms, GArray *actions)
 {
+  roster_set_present (crew->roster, peer->host, false, now_ms);
   peer->alive = false;
   peer->epoch = ++crew->epochs;
+  crew->rank_due_ms = 0;
   g_array_set_size (peer->claims, 0);
   crew_action_t *action = add (actions, CREW_LOST, reason);
   action->host = peer->host;
@@ -230,16 +257,21 @@
       g_hash_table_insert (crew->peers, (void *) host, peer);
     }
   if (peer->alive && peer->incarnation != beat->incarnation)
-    lose (crew, peer, "it has started anew", actions);
+    lose (crew, peer, "it has started anew", now_ms, actions);
   peer->incarnation = beat->incarnation;
   peer->ready = beat->ready;
   peer->leaving = beat->leaving;
   peer->power = beat->power;
+  peer->reads = beat->reads;
+  peer->next_ms = beat->next_ms;
   peer->config_version = beat->config_version;
   peer->heard_at_ms = now_ms;
   set_claims (crew, peer, beat->claims);
   if (!peer->alive)
     {
+      roster_know (crew->roster, host, peer->data_centre, peer->power);
+      roster_set_present (crew->roster, host, true, now_ms);
+      crew->rank_due_ms = 0;
       peer->alive = true;
       peer->alive_from_ms = now_ms;
       add (actions, CREW_FOUND, NULL)->host = host;
@@ -254,8 +286,10 @@
 silent_max_ms (const crew_t *crew, const peer_t *peer)
 {
   bool near = strcmp (peer->data_centre, crew->data_centre) == 0;
-  int64_t most_ms = near ? SILENT_NEAR_MS : SILENT_FAR_MS;
+  int64_t most_ms = near && peer->next_ms <= BEAT_NEAR_MS ? SILENT_NEAR_MS : SILENT_FAR_MS;
 
+  if (peer->next_ms > BEAT_FAR_MS)
+    return SILENT_BEATS * peer->next_ms + SILENT_SLACK_MS;
   return crew->resend_ms > 0 ? MIN (most_ms, crew->resend_ms * SILENT_PERCENT / 100) : most_ms;
 }
 
@@ -282,7 +316,7 @@
       peer_t *peer = value;
       int64_t silent_ms = now_ms - peer->heard_at_ms;
       if (peer->alive && silent_ms > silent_max_ms (crew, peer))
-        lose (crew, peer, "it is silent", actions);
+        lose (crew, peer, "it is silent", now_ms, actions);
       else if (!peer->alive && (silent_ms > FORGET_MS || peer->leaving))
         g_hash_table_iter_remove (&iter);
     }
@@ -378,7 +412,8 @@
     *best = (candidate_t){ host, power, weight };
 }
 
-/* Who should claim SHARD: a host of its data centre (NEAR) or of another. */
+/* Who should claim SHARD: a host of its data centre (NEAR), or one of another that knows its
+ * endpoints. */
 static const char *
 candidate (const crew_t *crew, const shard_t *shard, bool near)
 {
@@ -386,13 +421,14 @@
   GHashTableIter iter;
   void *value = NULL;
 
-  if (crew->ready && !crew->leaving && (strcmp (crew->data_centre, shard->name) == 0) == near)
+  if (crew->ready && !crew->leaving && (near || crew_reads (crew))
+      && (strcmp (crew->data_centre, shard->name) == 0) == near)
     propose (&best, shard, crew->host, crew->power);
   g_hash_table_iter_init (&iter, crew->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const peer_t *peer = value;
-      if (peer->alive && peer->ready && !peer->leaving
+      if (peer->alive && peer->ready && !peer->leaving && (near || peer->reads)
           && (strcmp (peer->data_centre, shard->name) == 0) == near)
         propose (&best, shard, peer->host, peer->power);
     }
@@ -470,7 +506,8 @@
 {
   bool near = strcmp (crew->data_centre, shard->name) == 0;
   const char *best = candidate (crew, shard, true);
-  int64_t wait_ms = VACANT_NEAR_MS;
+  int32_t before = MIN (roster_place (crew->roster, crew->host), PLACE_MAX);
+  int64_t wait_ms = VACANT_NEAR_MS + before * VACANT_STEP_MS;
 
   if (now_ms - crew->started_at_ms < LISTEN_FIRST_MS || now_ms < shard->pause_until_ms)
     return;
@@ -553,6 +590,11 @@
   void *value = NULL;
 
   lose_silent (crew, now_ms, actions);
+  if (now_ms >= crew->rank_due_ms)
+    {
+      roster_rank (crew->roster, now_ms);
+      crew->rank_due_ms = now_ms + RANK_EVERY_MS;
+    }
   g_hash_table_iter_init (&iter, crew->shards);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     step_shard (crew, value, now_ms, wall_ms, actions);
@@ -600,6 +642,94 @@
   return g_hash_table_lookup (crew->peers, g_intern_string (host));
 }
 
+/* --- who talks to whom --- */
+
+static bool
+owns_any (const crew_t *crew)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, crew->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const shard_t *) value)->own)
+      return true;
+  return false;
+}
+
+void
+crew_know (crew_t *crew, const char *host, const char *data_centre, int32_t power)
+{
+  roster_know (crew->roster, host, data_centre, power);
+}
+
+bool
+crew_is_hub (const crew_t *crew)
+{
+  return roster_is_hub (crew->roster, crew->host);
+}
+
+bool
+crew_host_is_hub (const crew_t *crew, const char *host)
+{
+  return roster_is_hub (crew->roster, host);
+}
+
+bool
+crew_reads (const crew_t *crew)
+{
+  return roster_place (crew->roster, crew->host) < READERS || owns_any (crew);
+}
+
+bool
+crew_wants_link (const crew_t *crew, const char *host)
+{
+  const peer_t *peer = find_peer (crew, host);
+  bool owner = peer != NULL && peer->alive && peer->claims->len > 0;
+
+  return owner || crew_is_hub (crew) || owns_any (crew) || roster_is_hub (crew->roster, host);
+}
+
+int64_t
+crew_beat_every_ms (const crew_t *crew, const char *host)
+{
+  const peer_t *peer = find_peer (crew, host);
+  bool near = peer == NULL || strcmp (peer->data_centre, crew->data_centre) == 0;
+
+  if (roster_is_small (crew->roster))
+    return near || roster_hosts (crew->roster) <= BEAT_FEW_HOSTS ? BEAT_NEAR_MS : BEAT_FAR_MS;
+  bool hubs = crew_is_hub (crew) && roster_is_hub (crew->roster, host);
+  if (hubs)
+    return near ? BEAT_NEAR_MS : BEAT_FAR_MS;
+  bool owner = owns_any (crew) || (peer != NULL && peer->claims->len > 0);
+  return owner ? BEAT_FAR_MS : BEAT_SLOW_MS;
+}
+
+bool
+crew_wants_directory (const crew_t *crew, const char *host)
+{
+  const peer_t *peer = find_peer (crew, host);
+
+  return peer != NULL && peer->alive && !peer->reads && roster_is_hub (crew->roster, host)
+         && strcmp (peer->data_centre, crew->data_centre) == 0;
+}
+
+const char *
+crew_some_hub (const crew_t *crew)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, crew->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const peer_t *peer = value;
+      if (peer->alive && !peer->leaving && roster_is_hub (crew->roster, peer->host))
+        return peer->host;
+    }
+  return NULL;
+}
+
 uint64_t
 crew_epoch_for (const crew_t *crew, const char *host)
 {
@@ -629,6 +759,8 @@
                          .ready = crew->ready,
                          .leaving = crew->leaving,
                          .power = crew->power,
+                         .reads = crew_reads (crew),
+                         .next_ms = crew_beat_every_ms (crew, to),
                          .epoch = peer != NULL ? peer->epoch : 0,
                          .claims = g_array_new (FALSE, FALSE, sizeof (crew_claim_t)) };
   g_hash_table_iter_init (&iter, crew->shards);
--- a/lib/crew/crew.h
+++ b/lib/crew/crew.h
@@ -37,8 +37,10 @@
   bool leaving;  /* it is being stopped */
   int32_t power; /* thousandths of a core */
   int64_t config_version;
-  uint64_t epoch; /* what the receiver must say for the sender to take tasks from it */
-  GArray *claims; /* crew_claim_t */
+  bool reads;      /* it follows the directory of endpoints */
+  int64_t next_ms; /* the next beat to the receiver comes after this at the latest */
+  uint64_t epoch;  /* what the receiver must say for the sender to take tasks from it */
+  GArray *claims;  /* crew_claim_t */
 } crew_beat_t;
 
 void crew_beat_clear (crew_beat_t *beat);
@@ -70,8 +72,11 @@
   uint64_t incarnation;
   int32_t power;
   int64_t resend_ms; /* callers without an answer submit again after this; 0 if it is not known */
+  int32_t hubs;      /* of each data centre (roster.h) */
 } crew_options_t;
 
+#define CREW_HUBS 4
+
 crew_t *crew_new (const crew_options_t *options, int64_t now_ms);
 void crew_free (crew_t *crew);
 
@@ -81,6 +86,26 @@
 /* The connection to HOST broke: it is lost soon unless it is heard again. */
 void crew_broken (crew_t *crew, const char *host, int64_t now_ms);
 
+/* HOST exists; it may not be there at present. */
+void crew_know (crew_t *crew, const char *host, const char *data_centre, int32_t power);
+
+/* Whether this host should keep a connection to HOST, and how often it should send it beats. */
+bool crew_wants_link (const crew_t *crew, const char *host);
+int64_t crew_beat_every_ms (const crew_t *crew, const char *host);
+
+/* Whether this host is a hub of its data centre, and whether it should follow the directory of
+ * endpoints; others know as much of it as hubs tell them. */
+bool crew_is_hub (const crew_t *crew);
+bool crew_host_is_hub (const crew_t *crew, const char *host);
+bool crew_reads (const crew_t *crew);
+
+/* Whether HOST should be told what changes in the directory of its data centre, which is this
+ * host's too: it may have to take over a shard, and does not read. */
+bool crew_wants_directory (const crew_t *crew, const char *host);
+
+/* A hub that is heard and can pass a message on to all hosts; NULL if there is none. */
+const char *crew_some_hub (const crew_t *crew);
+
 /* There are endpoints in DATA_CENTRE. */
 void crew_add_shard (crew_t *crew, const char *data_centre);
 
--- a/lib/crew/crew_example.c
+++ b/lib/crew/crew_example.c
@@ -24,7 +24,7 @@
 int
 main (void)
 {
-  const crew_options_t options = { "h1", "x", 1, 250, 1300 };
+  const crew_options_t options = { "h1", "x", 1, 250, 1300, CREW_HUBS };
   GArray *actions = g_array_new (FALSE, FALSE, sizeof (crew_action_t));
   crew_t *crew = crew_new (&options, 0);
   crew_claim_t claim = { (char *) "x", INT64_C (1) << 60 };
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -127,19 +127,40 @@
 }
 
 GBytes *
-fleet_msg_forget (const char *job)
+fleet_msg_forget (const char *job, bool relay)
 {
   frame_writer_t *writer = frame_begin (FLEET_MSG_FORGET);
 
   frame_put_string (writer, job);
+  frame_put_bool (writer, relay);
   return frame_finish (writer);
 }
 
 int
-fleet_msg_read_forget (frame_reader_t *reader, char **job)
+fleet_msg_read_forget (frame_reader_t *reader, char **job, bool *relay)
 {
   *job = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
-  return *job != NULL ? 0 : ERROR_PROTOCOL;
+  *relay = frame_get_bool (reader);
+  if (*job != NULL && frame_ok (reader))
+    return 0;
+  g_clear_pointer (job, g_free);
+  return ERROR_PROTOCOL;
+}
+
+GBytes *
+fleet_msg_gone (const char *id)
+{
+  frame_writer_t *writer = frame_begin (FLEET_MSG_GONE);
+
+  frame_put_string (writer, id);
+  return frame_finish (writer);
+}
+
+int
+fleet_msg_read_gone (frame_reader_t *reader, char **id)
+{
+  *id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  return *id != NULL ? 0 : ERROR_PROTOCOL;
 }
 
 GBytes *
--- a/lib/fleet/fleet_msg.h
+++ b/lib/fleet/fleet_msg.h
@@ -17,9 +17,10 @@
   FLEET_MSG_ENDS,
   FLEET_MSG_CANCELLED,
   FLEET_MSG_OFFER,
-  FLEET_MSG_RELEASE, /* a batch is another owner's now; as FLEET_MSG_CANCEL */
-  FLEET_MSG_FORGET,  /* a job's caller has cancelled it, at another host */
-  FLEET_MSG_ENDPOINT /* an endpoint that the sender knows of */
+  FLEET_MSG_RELEASE,  /* a batch is another owner's now; as FLEET_MSG_CANCEL */
+  FLEET_MSG_FORGET,   /* a job's caller has cancelled it, at another host */
+  FLEET_MSG_ENDPOINT, /* an endpoint that the sender knows of */
+  FLEET_MSG_GONE      /* an endpoint whose entry is gone */
 } fleet_msg_t;
 
 /* The owner of SHARD is given BATCH; EPOCH is what it wants to hear from this host. */
@@ -39,9 +40,13 @@
 /* FLEET_MSG_CANCEL names a batch; FLEET_MSG_CANCELLED says if nothing of it started. */
 GBytes *fleet_msg_cancel (uint64_t batch);
 GBytes *fleet_msg_release (uint64_t batch);
-GBytes *fleet_msg_forget (const char *job);
+/* RELAY: the receiver passes it on to all hosts. */
+GBytes *fleet_msg_forget (const char *job, bool relay);
 /* *JOB is the caller's (g_free). */
-int fleet_msg_read_forget (frame_reader_t *reader, char **job);
+int fleet_msg_read_forget (frame_reader_t *reader, char **job, bool *relay);
+/* *ID is the caller's (g_free). */
+GBytes *fleet_msg_gone (const char *id);
+int fleet_msg_read_gone (frame_reader_t *reader, char **id);
 /* An endpoint of SHARD, with the number of the entry that told of it. */
 typedef struct
 {
--- a/lib/flow/flow_example.c
+++ b/lib/flow/flow_example.c
@@ -6,7 +6,7 @@
 int
 main (void)
 {
-  const flow_options_t options = { "h1", "x", 1000 };
+  const flow_options_t options = { "h1", "x", 1000, 1.0 };
   const fleet_offer_t offer = { "s", 4, 4, 1.0 };
   const flow_job_t job = { .id = "j",
                            .spec = "work",
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -29,10 +29,6 @@
 #define TAIL_MS 1000
 #define RECOVERY_MAX_MS 12000
 #define LEFT_MAX_MS 4000
-/* Runs side by side have ports of their own. */
-#define FIRST_PORT 10000
-#define PORTS_EACH 500
-#define PORT_SLOTS 18
 #define SHRINK_TRIES 2
 
 typedef struct
@@ -205,7 +201,6 @@
 run_seed (uint32_t seed, const soak_options_t *options)
 {
   rig_t rig = { .programs = options->programs,
-                .base_port = FIRST_PORT + (int) (seed % PORT_SLOTS) * PORTS_EACH,
                 .hosts_count = options->hosts,
                 .endpoints_count = options->endpoints,
                 .zones = 3,
--- a/tests/soak/rig.c
+++ b/tests/soak/rig.c
@@ -9,11 +9,13 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "tests/site_call.h"
+#include "wire/socket.h"
 
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #define PEER_IP "127.0.1.1"
 #define ENDPOINT_IP "127.0.2.1"
@@ -21,6 +23,10 @@
 #define PORTS_EACH 3
 #define ROOM 4
 #define READY_MAX_MS 20000
+/* Runs side by side have ports of their own. */
+#define FIRST_PORT 10000
+#define PORTS_EACH 600
+#define PORT_SLOTS 16
 #define TOKEN_TAG_MASK 255
 /* From the entry that says so to the end of an endpoint that leaves. */
 #define LEAVES_AFTER_MS 2500
@@ -638,6 +644,22 @@
   return true;
 }
 
+/* Takes the first ports that no other run has. */
+static bool
+take_ports (rig_t *rig)
+{
+  for (int i = 0; i < PORT_SLOTS; i++)
+    {
+      char *address = g_strdup_printf ("127.0.0.1:%d", FIRST_PORT + (i + 1) * PORTS_EACH - 1);
+      rig->base_port = FIRST_PORT + i * PORTS_EACH;
+      rig->lock_fd = socket_listen (address);
+      g_free (address);
+      if (rig->lock_fd >= 0)
+        return true;
+    }
+  return false;
+}
+
 bool
 rig_start (rig_t *rig)
 {
@@ -651,7 +673,7 @@
       rig->endpoints[i].zone = g_strdup (zone_name (i % rig->zones));
       rig->endpoints[i].ledger = g_strdup_printf ("%s/e%d.ledger", rig->directory, (int) i);
     }
-  if (!open_doors (rig))
+  if (!take_ports (rig) || !open_doors (rig))
     return false;
   start_log (rig);
   put_config (rig);
@@ -688,6 +710,7 @@
       g_free (rig->endpoints[i].ledger);
     }
   end_process (&rig->log_pid);
+  close (rig->lock_fd);
   proxy_free (rig->proxy);
   if (keep)
     printf ("  logs and ledgers are kept in %s\n", rig->directory);
--- a/tests/soak/rig.h
+++ b/tests/soak/rig.h
@@ -39,6 +39,7 @@
   const char *programs; /* directory */
   char *directory;      /* settings, logs and ledgers */
   int base_port;
+  int lock_fd; /* a listener that keeps other runs off these ports */
   int32_t hosts_count;
   int32_t endpoints_count;
   int32_t zones;
--- a/tests/test_fleet_node.h
+++ b/tests/test_fleet_node.h
@@ -167,12 +167,12 @@
         case CREW_CLAIMED:
           trace (world, traced != NULL ? traced : "", "%s claims %s", node->name, action.shard);
           claim (node, action.shard, action.token);
-          node->beat_at_ms = 0;
+          memset (node->beat_at_ms, 0, sizeof node->beat_at_ms);
           break;
         case CREW_YIELDED:
           trace (world, traced != NULL ? traced : "", "%s yields %s", node->name, action.shard);
           yield (node, action.shard);
-          node->beat_at_ms = 0;
+          memset (node->beat_at_ms, 0, sizeof node->beat_at_ms);
           break;
         case CREW_OWNER:
           flow_owner (node->flow, action.shard, action.host, action.token, world->now_ms,
@@ -194,7 +194,7 @@
           run_flow_actions (node);
           break;
         case CREW_FOUND:
-          node->beat_at_ms = 0;
+          memset (node->beat_at_ms, 0, sizeof node->beat_at_ms);
           break;
         default:
           break;
@@ -274,14 +274,13 @@
 {
   world_t *world = node->world;
 
-  if (world->now_ms - node->beat_at_ms < BEAT_MS)
-    return;
-  node->beat_at_ms = world->now_ms;
   for (int i = 0; i < WORLD_HOSTS; i++)
     {
       node_t *to = &world->nodes[i];
-      if (to == node || !nodes_reach (world, node, to))
+      if (to == node || !nodes_reach (world, node, to)
+          || world->now_ms - node->beat_at_ms[i] < crew_beat_every_ms (node->crew, to->name))
         continue;
+      node->beat_at_ms[i] = world->now_ms;
       message_t *message = message_new (MESSAGE_BEAT, node, to);
       crew_beat_for (node->crew, to->name, &message->beat);
       message->beat.host = g_strdup (message->beat.host);
@@ -340,8 +339,9 @@
 node_start (node_t *node)
 {
   world_t *world = node->world;
-  crew_options_t crew = { node->name, zone_name (node->zone), ++node->incarnation, 250,
-                          WORLD_RESEND_MS };
+  crew_options_t crew = { node->name,          zone_name (node->zone),
+                          ++node->incarnation, 250,
+                          WORLD_RESEND_MS,     world->options->few_hubs ? 1 : CREW_HUBS };
   flow_options_t flow = { node->name, zone_name (node->zone), WORLD_LEASE_MS, WORLD_REMOTE_FACTOR };
 
   node->crew = crew_new (&crew, world->now_ms);
@@ -355,7 +355,7 @@
   node->refreshed_at_ms = world->now_ms;
   node->started_at_ms = world->now_ms;
   node->leaving_from_ms = 0;
-  node->beat_at_ms = 0;
+  memset (node->beat_at_ms, 0, sizeof node->beat_at_ms);
 }
 
 /* Callers on its connections notice that they are closed. */
--- a/tests/test_fleet_world.h
+++ b/tests/test_fleet_world.h
@@ -43,6 +43,7 @@
   int endpoint_crashes; /* a second and endpoint */
   int endpoint_cuts;    /* endpoints that can't be reached, a second and endpoint */
   bool held;            /* what is sent into a cut arrives when it ends, in place of never */
+  bool few_hubs;        /* one hub in each data centre; the others are heard less often */
   bool blind;           /* hosts do not know half of the endpoints for a while after a start */
   int terminations;     /* hosts that are stopped gracefully, a second and host */
   int clock_steps;      /* hosts whose time of day jumps, a second and host */
