Hosts dial the hubs that they know of; claims against an owner that can't be heard wait for each other

And two owners that could not hear each other raised their tokens four times a second for ever: after five claims in a row each now waits for the other, up to 4 s. Tests: test_site 'hosts find each other', with the log up and down (failed first).

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -645,6 +645,7 @@
   owner_rounds (site, true);
   pump_now (site);
   owner_tell_offers (site, now_ms);
+  peers_keep_links (site, now_ms);
   peers_beat (site, now_ms, false);
   pull_config (site, now_ms);
   probe_orphans (site, now_ms);
--- a/lib/crew/crew.c
+++ b/lib/crew/crew.c
@@ -51,7 +51,11 @@
  * one is higher by twice as much. */
 #define JUMP_MIN_MS 250
 #define JUMP_MAX_MS 64000
-/* After this long without being shut out, claims rise in small steps again. */
+/* After so many in a row there is another owner that can't be heard: each waits for the other,
+ * longer each time. */
+#define RECLAIMS_QUICK 5
+#define RECLAIM_MAX_MS 4000
+/* After this long without being shut out, all that starts anew. */
 #define JUMP_FORGET_MS 5000
 /* An endpoint's answer shows for this long that its shard can be reached. */
 #define REACHED_MS 600
@@ -93,6 +97,7 @@
   int64_t pause_until_ms;
   int64_t reclaim_at_ms;   /* 0 unless an endpoint obeys a higher token */
   int64_t jump_ms;         /* by which the next claim is higher */
+  int32_t reclaims;        /* in a row */
   int64_t reached_at_ms;   /* an endpoint of it has answered this host */
   int64_t reached_from_ms; /* and has done so since then */
 } shard_t;
@@ -462,13 +467,26 @@
   action->token = shard->token;
 }
 
+static int64_t
+reclaim_wait_ms (const shard_t *shard)
+{
+  int32_t beyond = CLAMP (shard->reclaims - RECLAIMS_QUICK, 0, RECLAIMS_QUICK);
+
+  return MIN ((int64_t) RECLAIM_MIN_MS << beyond, RECLAIM_MAX_MS);
+}
+
 static void
 reclaim_if_due (crew_t *crew, shard_t *shard, int64_t now_ms, int64_t wall_ms, GArray *actions)
 {
   if (shard->reclaim_at_ms == 0 || now_ms < shard->reclaim_at_ms)
     return;
-  bool again = now_ms - shard->claimed_at_ms < JUMP_FORGET_MS;
-  shard->jump_ms = again ? CLAMP (2 * shard->jump_ms, JUMP_MIN_MS, JUMP_MAX_MS) : JUMP_MIN_MS;
+  if (now_ms - shard->claimed_at_ms > JUMP_FORGET_MS)
+    {
+      shard->jump_ms = 0;
+      shard->reclaims = 0;
+    }
+  shard->jump_ms = CLAMP (2 * shard->jump_ms, JUMP_MIN_MS, JUMP_MAX_MS);
+  shard->reclaims++;
   crew->token_max += shard->jump_ms << TOKEN_NAME_BITS;
   claim (crew, shard, now_ms, wall_ms, "an endpoint obeys a higher token", actions);
 }
@@ -611,7 +629,7 @@
   if (hears_most (crew, near))
     {
       if (shard->reclaim_at_ms == 0)
-        shard->reclaim_at_ms = shard->claimed_at_ms + RECLAIM_MIN_MS;
+        shard->reclaim_at_ms = shard->claimed_at_ms + reclaim_wait_ms (shard);
       reclaim_if_due (crew, shard, now_ms, wall_ms, actions);
       return;
     }
--- a/tests/soak/rig.c
+++ b/tests/soak/rig.c
@@ -20,7 +20,7 @@
 #define PEER_IP "127.0.1.1"
 #define ENDPOINT_IP "127.0.2.1"
 #define LOG_IP "127.0.3.1"
-#define PORTS_EACH 3
+#define PORTS_OF_HOST 3
 #define ROOM 4
 #define READY_MAX_MS 20000
 /* Runs side by side have ports of their own. */
@@ -52,7 +52,7 @@
 int
 rig_caller_port (const rig_t *rig, int32_t host)
 {
-  return rig->base_port + 1 + rig->endpoints_count + host * PORTS_EACH;
+  return rig->base_port + 1 + rig->endpoints_count + host * PORTS_OF_HOST;
 }
 
 static int
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -265,6 +265,55 @@
   rig_stop (&rig);
 }
 
+static void
+set_fault (const rig_t *rig, const char *fault)
+{
+  CU_ASSERT_EQUAL (site_call (rig->port, "POST", "/fault", fault).status, 200);
+}
+
+static int
+count_lines (const rig_t *rig, int host, const char *what)
+{
+  char *log = g_strdup_printf ("%s/h%d.log", rig->directory, host);
+  char *text = NULL;
+  int count = 0;
+
+  CU_ASSERT_TRUE (g_file_get_contents (log, &text, NULL, NULL));
+  for (const char *at = text; at != NULL && (at = strstr (at, what)) != NULL; at++)
+    count++;
+  g_free (text);
+  g_free (log);
+  return count;
+}
+
+static bool
+comes_to_lines (const rig_t *rig, int host, const char *what, int count)
+{
+  int64_t until_ms = clock_boot_ms () + 5000;
+
+  while (count_lines (rig, host, what) < count && clock_boot_ms () < until_ms)
+    clock_sleep_ms (20);
+  return count_lines (rig, host, what) >= count;
+}
+
+/* Every host hears every other, though each was told of one only; a host that starts while the log
+ * is down learns of them from that one. */
+static void
+test_hosts_find_each_other (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  for (int i = 0; i < HOSTS; i++)
+    CU_ASSERT_TRUE (comes_to_lines (&rig, i, "\"host_found\"", HOSTS - 1));
+  end_process (&rig.hosts[3], SIGKILL);
+  set_fault (&rig, "{\"log_down\":true}");
+  start_host (&rig, 3);
+  CU_ASSERT_TRUE (comes_to_lines (&rig, 3, "\"host_found\"", 2 * (HOSTS - 1)));
+  set_fault (&rig, "{\"log_down\":false}");
+  rig_stop (&rig);
+}
+
 static const struct
 {
   const char *method;
@@ -312,12 +361,6 @@
   rig_stop (&rig);
 }
 
-static void
-set_fault (const rig_t *rig, const char *fault)
-{
-  CU_ASSERT_EQUAL (site_call (rig->port, "POST", "/fault", fault).status, 200);
-}
-
 /* An endpoint that is bad in one way costs time, not jobs. */
 static void
 test_bad_endpoints (void)
@@ -679,6 +722,7 @@
 } tests[] = {
   { "bad settings", test_settings },
   { "calm", test_calm },
+  { "hosts find each other", test_hosts_find_each_other },
   { "inputs", test_inputs },
   { "bad endpoints", test_bad_endpoints },
   { "caller leaves", test_caller_leaves },
