A batch that is sent again is the same batch; a directory settles sooner where all hosts are new

Each new connection made coordinators hand their batches over as tasks that might be running, and such tasks wait 1.9 s while the directory is younger than 3 s. Change: a batch is sent again under its own number to an owner that goes on; an owner that has it does not take it twice and tells again what has ended (kept for 1.5 s); whoever gets a connection back asks the other side for its batches, since ends it had told may be lost. Where no host that is heard has been there for over 5 s, the directory counts as whole after 0.7 s: no owner from before can know more. Ruled out: endpoints that were not seen (all were looked at within 30 ms).

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -9,8 +9,11 @@
 
 /* All orders of a shard that was yielded have been answered by then. */
 #define RETIRED_MS 5000
-/* The directory may lack endpoints for this long after it was first listed. */
+/* The directory may lack endpoints for this long after it was first listed: those that could not
+ * reach the log, which another owner may know from before.  Where all hosts have just started
+ * there is no such owner, and only what has registered since may be missing. */
 #define SETTLED_AFTER_MS 3000
+#define SETTLED_NEW_MS 700
 /* Offers are told no more often than this for each host that hears them, and no less often
  * than that. */
 #define OFFER_MIN_MS 15
@@ -250,8 +253,8 @@
     set_endpoint (owned, value, now_ms);
   /* Entries that lapsed while the log was away are back by then. */
   int64_t listed_at_ms = store_listed_at_ms (site->store);
-  fleet_set_unsettled (owned->fleet,
-                       (listed_at_ms != 0 ? listed_at_ms : now_ms) + SETTLED_AFTER_MS);
+  int64_t settle_ms = crew_is_new (site->crew, now_ms) ? SETTLED_NEW_MS : SETTLED_AFTER_MS;
+  fleet_set_unsettled (owned->fleet, (listed_at_ms != 0 ? listed_at_ms : now_ms) + settle_ms);
   fleet_renew (owned->fleet, now_ms);
 }
 
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -168,10 +168,18 @@
 static void
 resync (site_t *site, const char *host)
 {
-  flow_resync (site->flow, host, clock_boot_ms (), site->flow_actions);
+  flow_resync (site->flow, host, site->flow_actions);
   site_run_flow_actions (site);
 }
 
+/* Ends that it has told this host may be lost. */
+static void
+read_resync (site_t *site, const char *host, frame_reader_t *reader)
+{
+  (void) reader;
+  resync (site, host);
+}
+
 static void
 read_ends (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -252,19 +260,13 @@
   int type;
   void (*read) (site_t *site, const char *host, frame_reader_t *reader);
 } readers[] = {
-  { FLEET_MSG_SUBMIT, read_submit },
-  { FLEET_MSG_CANCEL, read_cancel },
-  { FLEET_MSG_ENDS, read_ends },
-  { FLEET_MSG_CANCELLED, read_cancelled },
-  { FLEET_MSG_OFFER, read_offer },
-  { FLEET_MSG_RELEASE, read_release },
-  { FLEET_MSG_FORGET, read_forget },
-  { FLEET_MSG_ENDPOINT, read_endpoint },
-  { FLEET_MSG_GONE, read_gone },
-  { CREW_MSG_BEAT, read_beat },
-  { CREW_MSG_CONFIG_PULL, read_config_pull },
-  { CREW_MSG_CONFIG, read_config },
-  { CREW_MSG_ROSTER, read_roster },
+  { FLEET_MSG_SUBMIT, read_submit }, { FLEET_MSG_CANCEL, read_cancel },
+  { FLEET_MSG_ENDS, read_ends },     { FLEET_MSG_CANCELLED, read_cancelled },
+  { FLEET_MSG_OFFER, read_offer },   { FLEET_MSG_RELEASE, read_release },
+  { FLEET_MSG_FORGET, read_forget }, { FLEET_MSG_ENDPOINT, read_endpoint },
+  { FLEET_MSG_GONE, read_gone },     { FLEET_MSG_RESYNC, read_resync },
+  { CREW_MSG_BEAT, read_beat },      { CREW_MSG_CONFIG_PULL, read_config_pull },
+  { CREW_MSG_CONFIG, read_config },  { CREW_MSG_ROSTER, read_roster },
 };
 
 static void
@@ -301,6 +303,7 @@
       contact->data_centre = arrival->data_centre;
       g_hash_table_replace (site->connected, (void *) arrival->host, contact);
       peers_beat_host (site, arrival->host);
+      peers_send (site, arrival->host, fleet_msg_resync ());
       resync (site, arrival->host);
     }
   else
@@ -390,7 +393,7 @@
 {
   crew_beat_t beat;
 
-  crew_beat_for (site->crew, host, &beat);
+  crew_beat_for (site->crew, host, clock_boot_ms (), &beat);
   beat.config_version = site->queues != NULL ? site->queues->version : 0;
   peers_send (site, host, crew_msg_beat (&beat));
   g_array_unref (beat.claims);
--- a/lib/crew/crew.c
+++ b/lib/crew/crew.c
@@ -61,6 +61,8 @@
 #define REACHED_MS 600
 /* A host that has not been heard for this long does not count any more. */
 #define FORGET_MS 20000
+/* Hosts that have been there for less have started together. */
+#define NEW_MS 5000
 #define TOKEN_NAME_BITS 8
 /* Places beyond this wait no longer. */
 #define PLACE_MAX 50
@@ -81,7 +83,8 @@
   int64_t config_version;
   int64_t heard_at_ms;
   int64_t alive_from_ms;
-  GArray *claims; /* crew_claim_t with interned shards */
+  int64_t up_from_ms; /* its start */
+  GArray *claims;     /* crew_claim_t with interned shards */
 } peer_t;
 
 typedef struct
@@ -112,8 +115,9 @@
   bool ready;
   bool leaving;
   int64_t started_at_ms;
-  int64_t token_max; /* the highest ever heard */
-  uint64_t epochs;   /* the last that was given out */
+  int64_t born_at_ms; /* as STARTED_AT_MS, whatever happens later */
+  int64_t token_max;  /* the highest ever heard */
+  uint64_t epochs;    /* the last that was given out */
   roster_t *roster;
   int64_t rank_due_ms;
   GHashTable *peers;
@@ -153,6 +157,7 @@
   crew->power = options->power;
   crew->resend_ms = options->resend_ms;
   crew->started_at_ms = now_ms;
+  crew->born_at_ms = now_ms;
   crew->epochs = options->incarnation;
   crew->roster = roster_new (options->host, options->data_centre, options->power, options->hubs);
   crew->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_peer);
@@ -269,6 +274,7 @@
   peer->power = beat->power;
   peer->reads = beat->reads;
   peer->next_ms = beat->next_ms;
+  peer->up_from_ms = now_ms - beat->up_ms;
   peer->config_version = beat->config_version;
   peer->heard_at_ms = now_ms;
   set_claims (crew, peer, beat->claims);
@@ -765,7 +771,7 @@
 }
 
 void
-crew_beat_for (const crew_t *crew, const char *to, crew_beat_t *beat)
+crew_beat_for (const crew_t *crew, const char *to, int64_t now_ms, crew_beat_t *beat)
 {
   const peer_t *peer = find_peer (crew, to);
   GHashTableIter iter;
@@ -777,6 +783,7 @@
                          .ready = crew->ready,
                          .leaving = crew->leaving,
                          .power = crew->power,
+                         .up_ms = now_ms - crew->born_at_ms,
                          .reads = crew_reads (crew),
                          .next_ms = crew_beat_every_ms (crew, to),
                          .epoch = peer != NULL ? peer->epoch : 0,
@@ -809,6 +816,24 @@
   return shard != NULL && shard->owner == NULL && strcmp (crew->data_centre, name) != 0;
 }
 
+bool
+crew_is_new (const crew_t *crew, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  if (now_ms - crew->born_at_ms > NEW_MS)
+    return false;
+  g_hash_table_iter_init (&iter, crew->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const peer_t *peer = value;
+      if (peer->alive && now_ms - peer->up_from_ms > NEW_MS)
+        return false;
+    }
+  return true;
+}
+
 int32_t
 crew_hosts (const crew_t *crew, int64_t now_ms)
 {
--- a/lib/crew/crew.h
+++ b/lib/crew/crew.h
@@ -37,6 +37,7 @@
   bool leaving;  /* it is being stopped */
   int32_t power; /* thousandths of a core */
   int64_t config_version;
+  int64_t up_ms;   /* since the sender's start */
   bool reads;      /* it follows the directory of endpoints */
   int64_t next_ms; /* the next beat to the receiver comes after this at the latest */
   uint64_t epoch;  /* what the receiver must say for the sender to take tasks from it */
@@ -124,7 +125,7 @@
 void crew_thawed (crew_t *crew, int64_t now_ms, GArray *actions);
 
 /* Fills BEAT with what this host says to TO; strings belong to the crew, the array is new. */
-void crew_beat_for (const crew_t *crew, const char *to, crew_beat_t *beat);
+void crew_beat_for (const crew_t *crew, const char *to, int64_t now_ms, crew_beat_t *beat);
 
 /* What this host must say for HOST to take tasks from it.  HOST changes it whenever it loses this
  * one, so that tasks that a cut has held up are not taken once it ends. */
@@ -140,6 +141,9 @@
 
 int32_t crew_hosts (const crew_t *crew, int64_t now_ms);
 
+/* No host that is heard has been there for much longer than this one: all have started together. */
+bool crew_is_new (const crew_t *crew, int64_t now_ms);
+
 /* The host that is heard and has a newer configuration than VERSION, or NULL. */
 const char *crew_with_config (const crew_t *crew, int64_t version, int64_t now_ms);
 
--- a/lib/crew/crew_msg.c
+++ b/lib/crew/crew_msg.c
@@ -6,6 +6,7 @@
 #define CONFIG_BYTES_MAX (4u * 1024 * 1024)
 #define POWER_MAX 1000000
 #define NEXT_MAX_MS 60000
+#define UP_MAX_MS (INT64_C (1) << 50)
 #define ROSTER_MAX 1024
 
 GBytes *
@@ -20,6 +21,7 @@
   frame_put_bool (writer, beat->leaving);
   frame_put_int (writer, beat->power);
   frame_put_int (writer, beat->config_version);
+  frame_put_int (writer, beat->up_ms);
   frame_put_bool (writer, beat->reads);
   frame_put_int (writer, beat->next_ms);
   frame_put_uint (writer, beat->epoch);
@@ -46,6 +48,7 @@
   beat->leaving = frame_get_bool (reader);
   beat->power = (int32_t) frame_get_range (reader, 0, POWER_MAX);
   beat->config_version = frame_get_int (reader);
+  beat->up_ms = frame_get_range (reader, 0, UP_MAX_MS);
   beat->reads = frame_get_bool (reader);
   beat->next_ms = frame_get_range (reader, 0, NEXT_MAX_MS);
   beat->epoch = frame_get_uint (reader);
--- a/lib/fleet/batch.c
+++ b/lib/fleet/batch.c
@@ -31,6 +31,7 @@
   batch->spread_max = info->spread_max;
   batch->wait_until_ms = info->wait_until_ms;
   batch->tasks = g_ptr_array_new ();
+  batch->ended = g_array_new (FALSE, FALSE, sizeof (ended_t));
   return batch;
 }
 
@@ -51,12 +52,29 @@
     task_queue (fleet, task);
 }
 
+/* Its coordinator does not know what became of BATCH: it is told again what has ended. */
+static void
+tell_later (fleet_t *fleet, const batch_t *batch, const fleet_batch_t *info)
+{
+  for (size_t i = 0; i < info->count; i++)
+    for (guint k = 0; k < batch->ended->len; k++)
+      {
+        const ended_t *ended = &g_array_index (batch->ended, ended_t, k);
+        retold_t retold = { batch->coordinator, batch->number, ended->index, ended->how };
+        if (ended->index == info->indexes[i])
+          g_array_append_val (fleet->retold, retold);
+      }
+}
+
 void
 fleet_submit (fleet_t *fleet, const fleet_batch_t *info, int64_t now_ms)
 {
   char *key = batch_key (info->coordinator, info->batch);
+  const batch_t *known = g_hash_table_lookup (fleet->batches, key);
 
-  if (info->count == 0 || g_hash_table_contains (fleet->batches, key))
+  if (known != NULL)
+    tell_later (fleet, known, info);
+  if (info->count == 0 || known != NULL)
     {
       g_free (key);
       return;
@@ -101,6 +119,11 @@
   bool never = !batch->ever_started;
   GPtrArray *tasks = g_ptr_array_copy (batch->tasks, NULL, NULL);
 
+  /* Nobody will ask what became of it, and it may be given anew. */
+  g_array_set_size (batch->ended, 0);
+  if (batch->closed)
+    batch_remove (fleet, batch);
+
   for (guint i = 0; i < tasks->len; i++)
     {
       task_t *task = tasks->pdata[i];
@@ -157,6 +180,9 @@
   if (batch == NULL)
     return;
   GPtrArray *tasks = g_ptr_array_copy (batch->tasks, NULL, NULL);
+  g_array_set_size (batch->ended, 0);
+  if (batch->closed)
+    batch_remove (fleet, batch);
   for (guint i = 0; i < tasks->len; i++)
     {
       task_t *task = tasks->pdata[i];
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -12,6 +12,8 @@
 /* An owner that is not heard has yielded, or has lost its coordinators, within this time. */
 #define CONTESTED_MS 1000
 
+/* What a coordinator was told is kept for it for so long. */
+#define CLOSED_KEPT_MS 1500
 #define NAMES_BYTES 4096
 
 /* --- names --- */
@@ -68,6 +70,7 @@
   g_free (batch->label);
   g_free (batch->near_rack);
   g_ptr_array_unref (batch->tasks);
+  g_array_unref (batch->ended);
   g_free (batch);
 }
 
@@ -103,6 +106,8 @@
   fleet->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_kind);
   fleet->maybe = g_hash_table_new (g_str_hash, g_str_equal);
   fleet->names = g_string_chunk_new (NAMES_BYTES);
+  fleet->closed = g_ptr_array_new ();
+  fleet->retold = g_array_new (FALSE, FALSE, sizeof (retold_t));
   fleet->usable = g_ptr_array_new ();
   fleet->open = g_ptr_array_new ();
   g_queue_init (&fleet->queue);
@@ -116,6 +121,8 @@
     return;
   g_hash_table_unref (fleet->maybe);
   g_string_chunk_free (fleet->names);
+  g_ptr_array_unref (fleet->closed);
+  g_array_unref (fleet->retold);
   g_ptr_array_unref (fleet->usable);
   g_ptr_array_unref (fleet->open);
   g_hash_table_unref (fleet->calls);
@@ -178,6 +185,16 @@
   room_add (&endpoint->used, &task->need, 1);
 }
 
+void
+batch_remove (fleet_t *fleet, batch_t *batch)
+{
+  char *key = batch_key (batch->coordinator, batch->number);
+
+  g_ptr_array_remove_fast (fleet->closed, batch);
+  g_hash_table_remove (fleet->batches, key);
+  g_free (key);
+}
+
 void
 task_leave (fleet_t *fleet, task_t *task)
 {
@@ -187,11 +204,43 @@
   if (batch == NULL)
     return;
   g_ptr_array_remove_fast (batch->tasks, task);
-  if (batch->tasks->len > 0)
+  if (batch->tasks->len > 0 || batch->closed)
     return;
-  char *key = batch_key (batch->coordinator, batch->number);
-  g_hash_table_remove (fleet->batches, key);
-  g_free (key);
+  if (batch->ended->len == 0)
+    {
+      batch_remove (fleet, batch);
+      return;
+    }
+  batch->closed = true;
+  g_ptr_array_add (fleet->closed, batch);
+}
+
+void
+forget_closed (fleet_t *fleet, int64_t now_ms)
+{
+  for (guint i = fleet->closed->len; i-- > 0;)
+    {
+      batch_t *batch = fleet->closed->pdata[i];
+      if (batch->closed_at_ms == 0)
+        batch->closed_at_ms = now_ms;
+      else if (now_ms - batch->closed_at_ms > CLOSED_KEPT_MS)
+        batch_remove (fleet, batch);
+    }
+}
+
+void
+tell_again (fleet_t *fleet, GArray *actions)
+{
+  for (guint i = 0; i < fleet->retold->len; i++)
+    {
+      const retold_t *retold = &g_array_index (fleet->retold, retold_t, i);
+      fleet_action_t *action = action_add (actions, retold->how);
+      action->coordinator = retold->coordinator;
+      action->batch = retold->batch;
+      action->index = retold->index;
+      action->reason = "told again";
+    }
+  g_array_set_size (fleet->retold, 0);
 }
 
 void
@@ -290,6 +339,8 @@
 {
   if (task->batch == NULL)
     return NULL;
+  ended_t ended = { task->index, kind };
+  g_array_append_val (task->batch->ended, ended);
   fleet_action_t *action = action_add (actions, kind);
   action->coordinator = task->batch->coordinator;
   action->batch = task->batch->number;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -217,7 +217,8 @@
 void fleet_renew (fleet_t *fleet, int64_t now_ms);
 
 /* Queues the tasks of BATCH.  A task that is known already, by another batch, is handed
- * over to this one with its run. */
+ * over to this one with its run.  A batch that is known already, or has ended a moment ago, is not
+ * taken twice: what has ended of it is told again. */
 void fleet_submit (fleet_t *fleet, const fleet_batch_t *batch, int64_t now_ms);
 
 /* Ends the tasks of a batch.  Returns true if none of them can ever have started here. */
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -147,6 +147,12 @@
   return ERROR_PROTOCOL;
 }
 
+GBytes *
+fleet_msg_resync (void)
+{
+  return frame_finish (frame_begin (FLEET_MSG_RESYNC));
+}
+
 GBytes *
 fleet_msg_gone (const char *id)
 {
--- a/lib/fleet/fleet_msg.h
+++ b/lib/fleet/fleet_msg.h
@@ -20,7 +20,8 @@
   FLEET_MSG_RELEASE,  /* a batch is another owner's now; as FLEET_MSG_CANCEL */
   FLEET_MSG_FORGET,   /* a job's caller has cancelled it, at another host */
   FLEET_MSG_ENDPOINT, /* an endpoint that the sender knows of */
-  FLEET_MSG_GONE      /* an endpoint whose entry is gone */
+  FLEET_MSG_GONE,     /* an endpoint whose entry is gone */
+  FLEET_MSG_RESYNC    /* what the sender has told of batches may be lost: send them again */
 } fleet_msg_t;
 
 /* The owner of SHARD is given BATCH; EPOCH is what it wants to hear from this host. */
@@ -60,6 +61,7 @@
 void fleet_entry_clear (fleet_entry_t *entry);
 void fleet_entry_copy (fleet_entry_t *to, const fleet_entry_t *from);
 
+GBytes *fleet_msg_resync (void);
 GBytes *fleet_msg_cancelled (uint64_t batch, bool never_started);
 int fleet_msg_read_cancel (frame_reader_t *reader, uint64_t *batch);
 int fleet_msg_read_cancelled (frame_reader_t *reader, uint64_t *batch, bool *never_started);
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -392,6 +392,8 @@
 
   names_clear (fleet);
   forget_departed (fleet);
+  forget_closed (fleet, now_ms);
+  tell_again (fleet, actions);
   g_hash_table_iter_init (&iter, fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -65,9 +65,27 @@
   int32_t spread_max;
   int64_t wait_until_ms;
   GPtrArray *tasks; /* task_t that have not ended */
+  GArray *ended;    /* ended_t: what its coordinator was told */
   bool ever_started;
+  bool closed;          /* all its tasks have ended; kept for a coordinator that missed it */
+  int64_t closed_at_ms; /* 0 until the next round */
 };
 
+typedef struct
+{
+  int32_t index;
+  fleet_action_kind_t how;
+} ended_t;
+
+/* An end that a coordinator may have missed. */
+typedef struct
+{
+  const char *coordinator; /* interned */
+  uint64_t batch;
+  int32_t index;
+  fleet_action_kind_t how;
+} retold_t;
+
 /* How durations compare with callers' estimates, over many runs and over the last few.
  * Estimates are rough, so that only the first is steady, and only the second shows at once
  * that something has changed. */
@@ -147,6 +165,8 @@
   int64_t unsettled_to_ms; /* until then endpoints may be unknown */
   int64_t contested_to_ms; /* until then another owner may still run tasks unseen */
   uint64_t serial;
+  GPtrArray *closed;   /* batch_t */
+  GArray *retold;      /* retold_t: to be told again */
   GStringChunk *names; /* that actions of the last call point to */
   outlier_fleet_t outliers;
   outlier_base_t base;
--- a/lib/fleet/table.h
+++ b/lib/fleet/table.h
@@ -62,4 +62,13 @@
 /* Forgets endpoints whose entry is gone and where nothing runs any more. */
 void forget_departed (fleet_t *fleet);
 
+/* Forgets a batch at once; its tasks have left it. */
+void batch_remove (fleet_t *fleet, batch_t *batch);
+
+/* Forgets batches that ended a while ago. */
+void forget_closed (fleet_t *fleet, int64_t now_ms);
+
+/* Tells coordinators again what they have asked for again. */
+void tell_again (fleet_t *fleet, GArray *actions);
+
 #endif
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -445,6 +445,7 @@
   job->may_have_run = true;
   batch_t *next = spread_batch (flow, job, shard);
   next->maybe = true;
+  next->wait_until_ms = since_ms + OWNER_DROPS_MS + flow->lease_ms;
   g_array_append_vals (next->open, batch->open->data, batch->open->len);
   if (batch->lost_at_ms == 0 && batch->host != next->host)
     {
@@ -453,7 +454,7 @@
       action->number = batch->number;
     }
   drop_batch (flow, batch);
-  spread_send (job, next, true, since_ms + OWNER_DROPS_MS + flow->lease_ms, actions);
+  spread_send (job, next, actions);
 }
 
 static GPtrArray *
@@ -501,8 +502,9 @@
   g_ptr_array_unref (batches);
 }
 
+/* The owner knows its batches by their numbers, so that one which it has is not taken twice. */
 void
-flow_resync (flow_t *flow, const char *host, int64_t now_ms, GArray *actions)
+flow_resync (flow_t *flow, const char *host, GArray *actions)
 {
   const char *interned = g_intern_string (host);
   GPtrArray *batches = open_batches (flow);
@@ -510,9 +512,8 @@
   for (guint i = 0; i < batches->len; i++)
     {
       batch_t *batch = batches->pdata[i];
-      const shard_t *shard = find_shard (flow, batch->shard);
-      if (batch->host == interned && shard->owner != NULL)
-        move_batch (flow, batch, shard, now_ms, actions);
+      if (batch->host == interned && batch->lost_at_ms == 0)
+        spread_send (batch->job, batch, actions);
     }
   g_ptr_array_unref (batches);
 }
--- a/lib/flow/spread.c
+++ b/lib/flow/spread.c
@@ -158,11 +158,7 @@
 }
 
 void
-spread_send (const job_t *job,
-             const batch_t *batch,
-             bool maybe_running,
-             int64_t wait_until_ms,
-             GArray *actions)
+spread_send (const job_t *job, const batch_t *batch, GArray *actions)
 {
   flow_action_t *action = flow_add (actions, FLOW_SUBMIT);
 
@@ -186,8 +182,8 @@
     .label = job->info.label,
     .near_rack = job->info.near_rack,
     .spread_max = job->info.spread_max,
-    .maybe_running = maybe_running,
-    .wait_until_ms = wait_until_ms,
+    .maybe_running = batch->maybe,
+    .wait_until_ms = batch->wait_until_ms,
     .indexes = (const int32_t *) (void *) action->indexes->data,
     .count = action->indexes->len,
   };
@@ -227,6 +223,6 @@
       job->was_sent = true;
     }
   for (guint i = 0; i < fresh->len; i++)
-    spread_send (job, fresh->pdata[i], false, 0, actions);
+    spread_send (job, fresh->pdata[i], actions);
   g_ptr_array_unref (fresh);
 }
--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -10,13 +10,14 @@
 {
   uint64_t number;
   job_t *job;
-  const char *host;   /* interned */
-  const char *shard;  /* interned */
-  int64_t token;      /* of the owner's claim */
-  int64_t lost_at_ms; /* when HOST was last heard, if it is lost; else 0 */
-  GArray *open;       /* indexes of tasks that have not ended */
-  bool maybe;         /* an owner before may have started its tasks */
-  bool cancelled;     /* its end was asked for, and is not confirmed */
+  const char *host;      /* interned */
+  const char *shard;     /* interned */
+  int64_t token;         /* of the owner's claim */
+  int64_t lost_at_ms;    /* when HOST was last heard, if it is lost; else 0 */
+  GArray *open;          /* indexes of tasks that have not ended */
+  bool maybe;            /* an owner before may have started its tasks */
+  int64_t wait_until_ms; /* MAYBE: by then what that owner started is over */
+  bool cancelled;        /* its end was asked for, and is not confirmed */
 } batch_t;
 
 struct job_t
@@ -85,11 +86,7 @@
 /* spread.c: a batch of JOB for the owner of SHARD, still without tasks, and the action that sends
  * it. */
 batch_t *spread_batch (flow_t *flow, job_t *job, const shard_t *shard);
-void spread_send (const job_t *job,
-                  const batch_t *batch,
-                  bool maybe_running,
-                  int64_t wait_until_ms,
-                  GArray *actions);
+void spread_send (const job_t *job, const batch_t *batch, GArray *actions);
 
 flow_action_t *flow_add (GArray *actions, flow_action_kind_t kind);
 
--- a/tests/test_crew.c
+++ b/tests/test_crew.c
@@ -117,7 +117,7 @@
   CU_ASSERT_EQUAL (script.counts[CREW_DROPPED], 1);
   CU_ASSERT_EQUAL (crew_epoch_for (script.crew, "h2"), 5);
   crew_beat_t beat;
-  crew_beat_for (script.crew, "h2", &beat);
+  crew_beat_for (script.crew, "h2", script.now_ms, &beat);
   uint64_t epoch = beat.epoch;
   g_array_unref (beat.claims);
   CU_ASSERT_TRUE (crew_accepts (script.crew, "h2", epoch));
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -280,11 +280,64 @@
   script_end (&script);
 }
 
+/* How often the task of BATCH was told as done by the last call. */
+static int
+count_done (const script_t *script, uint64_t batch)
+{
+  int count = 0;
+
+  for (guint i = 0; i < script->actions->len; i++)
+    {
+      const fleet_action_t *action = &g_array_index (script->actions, fleet_action_t, i);
+      count += action->kind == FLEET_DONE && action->batch == batch;
+    }
+  return count;
+}
+
+/* A coordinator that may have missed something sends its batch again: it is not taken twice, and
+ * what has ended is told again; once the batch was cancelled it is a new one. */
+static void
+test_sent_again (void)
+{
+  const look_ended_t done = { 1, "j.0.0.0", 1, RUN_DONE };
+  const look_t look = { .clock_there_ms = 65, .ended = &done, .ended_count = 1 };
+  fleet_batch_t batch = batch_of ("j", 1);
+  script_t script;
+
+  script_begin (&script);
+  add_endpoint (&script, 0, "r1", 1000);
+  run_at (&script, 0);
+  answer_look (&script, 0, NULL, 0);
+  fleet_submit (script.fleet, &batch, 0);
+  run_at (&script, 0);
+  fleet_started (script.fleet, script.start_serial, FLEET_OK, 5, 0, script.actions);
+  fleet_submit (script.fleet, &batch, 10);
+  run_at (&script, 10);
+  CU_ASSERT_STRING_EQUAL (script.start_at, "");
+  CU_ASSERT_EQUAL (count_done (&script, 1), 0);
+  script.now_ms = 60;
+  g_array_set_size (script.actions, 0);
+  fleet_looked (script.fleet, script.look_serial[0], FLEET_OK, &look, 60, script.actions);
+  CU_ASSERT_EQUAL (count_done (&script, 1), 1);
+  fleet_submit (script.fleet, &batch, 70);
+  run_at (&script, 70);
+  CU_ASSERT_STRING_EQUAL (script.start_at, "");
+  CU_ASSERT_EQUAL (count_done (&script, 1), 1);
+  run_at (&script, 80);
+  CU_ASSERT_EQUAL (count_done (&script, 1), 0);
+  fleet_drop_coordinator (script.fleet, "h1", 90, script.actions);
+  fleet_submit (script.fleet, &batch, 100);
+  run_at (&script, 100);
+  CU_ASSERT_STRING_EQUAL (script.start_at, "e0");
+  script_end (&script);
+}
+
 static const struct
 {
   const char *name;
   CU_TestFunc run;
 } tests[] = {
+  { "a batch is sent again", test_sent_again },
   { "an entry is gone", test_entry_gone },
   { "given up once it can't be in time", test_overdue },
   { "a run is adopted while it is stopped", test_adopted_while_stopped },
--- a/tests/test_fleet_node.h
+++ b/tests/test_fleet_node.h
@@ -190,7 +190,7 @@
           run_flow_actions (node);
           break;
         case CREW_DROPPED:
-          flow_resync (node->flow, action.host, world->now_ms, node->flow_actions);
+          flow_resync (node->flow, action.host, node->flow_actions);
           run_flow_actions (node);
           break;
         case CREW_FOUND:
@@ -282,7 +282,7 @@
         continue;
       node->beat_at_ms[i] = world->now_ms;
       message_t *message = message_new (MESSAGE_BEAT, node, to);
-      crew_beat_for (node->crew, to->name, &message->beat);
+      crew_beat_for (node->crew, to->name, world->now_ms, &message->beat);
       message->beat.host = g_strdup (message->beat.host);
       message->beat.data_centre = g_strdup (message->beat.data_centre);
       for (guint k = 0; k < message->beat.claims->len; k++)
