--- a/mk/system.mk
+++ b/mk/system.mk
@@ -1,12 +1,12 @@
 # The failure tests on real processes.
 #
-#   make soak       random faults for SOAK_SECONDS from SOAK_SEED (printed; random if not given)
+#   make failures   every case of docs/FAULTS.md
+#   make soak       random faults on a site for MINUTES with fresh seeds (printed)
 
-SOAK_SECONDS ?= 60
-SOAK_SEED ?=
+MINUTES ?= 2
 
 .PHONY: soak failures
 failures: programs system
 	$(BUILD)/tests/system $(BUILD)
 soak: programs system
-	JAYTRAIL_BUILD=$(BUILD) tools/soak.sh $(SOAK_SECONDS) $(SOAK_SEED)
+	tools/soak.sh $(MINUTES)
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -87,8 +87,12 @@
   fleet_submit_t submit;
   fleet_offer_msg_t offer;
   crew_beat_t beat;
+  char *text = NULL;
+  bool relay = false;
   GArray *ends = g_array_new (FALSE, FALSE, sizeof (fleet_end_t));
+  GArray *hosts = g_array_new (FALSE, FALSE, sizeof (crew_host_t));
 
+  g_array_set_clear_func (hosts, crew_host_clear);
   if (frame_parse (data, size, &reader) == 0)
     {
       switch (frame_type (reader))
@@ -104,6 +108,17 @@
         case FLEET_MSG_ENDS:
           fleet_msg_read_ends (reader, ends);
           break;
+        case FLEET_MSG_FORGET:
+          if (fleet_msg_read_forget (reader, &text, &relay) == 0)
+            g_free (text);
+          break;
+        case FLEET_MSG_GONE:
+          if (fleet_msg_read_gone (reader, &text) == 0)
+            g_free (text);
+          break;
+        case CREW_MSG_ROSTER:
+          crew_msg_read_roster (reader, hosts);
+          break;
         default:
           if (crew_msg_read_beat (reader, &beat) == 0)
             crew_beat_clear (&beat);
@@ -111,6 +126,7 @@
         }
       frame_reader_free (reader);
     }
+  g_array_unref (hosts);
   g_array_unref (ends);
 }
 
@@ -183,6 +199,8 @@
   g_rand_free (rand);
 }
 
+#define FRAME_KINDS 7
+
 static GBytes *
 good_frame (int kind)
 {
@@ -200,6 +218,7 @@
   crew_beat_t beat = { .host = (char *) "h", .data_centre = (char *) "z", .incarnation = 9 };
   GArray *offers = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
   fleet_offer_t offer = { "x", 3, 9, 1.2 };
+  const crew_host_t known = { (char *) "h", (char *) "127.0.0.1:9", (char *) "z", 250 };
   GBytes *frame = NULL;
 
   g_array_append_val (offers, offer);
@@ -211,6 +230,12 @@
     frame = fleet_msg_ends (ends, G_N_ELEMENTS (ends));
   else if (kind == 2)
     frame = fleet_msg_offer ("z", 4, offers);
+  else if (kind == 3)
+    frame = fleet_msg_forget ("j", true);
+  else if (kind == 4)
+    frame = fleet_msg_gone ("e");
+  else if (kind == 5)
+    frame = crew_msg_roster (&known, 1);
   else
     frame = crew_msg_beat (&beat);
   g_array_unref (beat.claims);
@@ -223,7 +248,7 @@
 {
   GRand *rand = g_rand_new_with_seed (seed);
 
-  for (int kind = 0; kind < 4; kind++)
+  for (int kind = 0; kind < FRAME_KINDS; kind++)
     {
       GBytes *frame = good_frame (kind);
       gsize size = 0;
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -2,7 +2,7 @@
 # Formatter, linter, warnings as errors, all tests plain and under sanitizers; one line a step, a count at the end.
 #
 #   tools/check.sh            everything
-#   tools/check.sh STEP...    some of: format lint layers build units examples system soak asan tsan
+#   tools/check.sh STEP...    some of: format lint layers build units examples system random soak asan tsan
 #
 # Tests that KNOWN-RED.txt names are run and reported apart; everything else must pass.
 set -u
@@ -110,9 +110,14 @@
   [ -x build/tests/system ] && run_cases build system $(build/tests/system --list)
 }
 
-# A short fixed part of what `make soak` runs for longer.
+# Random faults behind jaytrail's own interface.
+step_random () {
+  step random timeout 200 build/tests/system build --soak 5 10
+}
+
+# Random faults on a site: the seeds that ever failed.
 step_soak () {
-  step soak timeout 200 build/tests/system build --soak 5 10
+  step soak timeout 400 tools/soak.sh kept
 }
 
 step_asan () {
@@ -120,6 +125,7 @@
   run_units build-asan asan
   # shellcheck disable=SC2046
   [ -x build-asan/tests/system ] && run_cases build-asan asan-system $(build-asan/tests/system --list)
+  step asan/soak timeout 200 build-asan/tests/soak --build build-asan --seed 1013
 }
 
 step_tsan () {
@@ -131,7 +137,7 @@
   [ -x build-tsan/tests/system ] && run_cases build-tsan tsan-system $tsan_cases
 }
 
-for name in ${*:-format lint layers build units examples system soak asan tsan}; do
+for name in ${*:-format lint layers build units examples system random soak asan tsan}; do
   "step_$name"
 done
 finish_lint
