Refuse at once what comes while its like wait too long; try what is free before a refusal

Change: a task that has just come is refused if the first of its priority in the queue has waited so long that it would miss its deadline waiting as long; and before any refusal a free endpoint is taken on which the task may yet be in time if its estimate is a quarter too high.

--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -19,6 +19,9 @@
 #define GOAL_PERCENT 125
 #define DEADLINE_PERCENT 150
 #define DEADLINE_SURE_PERCENT 260
+/* Rather than refuse a task, it is started where it is in time if this part of what is expected is
+ * enough. */
+#define RESORT_PERCENT 75
 /* What is left of the sums of a pace with each run: they reach over about 40 and 5 runs. */
 #define PACE_KEPT 0.975
 #define LATE_KEPT 0.8
@@ -304,3 +307,24 @@
   return best.endpoint != NULL && best.tier >= MIN (*best_tier, PLACE_IN_TIME) ? best.endpoint
                                                                                : NULL;
 }
+
+endpoint_t *
+place_last_resort (const fleet_t *fleet, const task_t *task, int64_t now_ms)
+{
+  const batch_t *batch = task->batch;
+  endpoint_t *best = NULL;
+  int64_t best_ms = (batch->deadline_at_ms - now_ms) * 100 / RESORT_PERCENT;
+
+  for (guint i = 0; i < fleet->open->len; i++)
+    {
+      endpoint_t *endpoint = fleet->open->pdata[i];
+      int64_t expected_ms = place_expected_ms (fleet, endpoint, batch);
+      if (expected_ms < best_ms && room_fits (&endpoint->whole, &endpoint->used, &task->need)
+          && place_may_run (endpoint, task) && !outlier_is_doubted (&endpoint->outlier, now_ms))
+        {
+          best = endpoint;
+          best_ms = expected_ms;
+        }
+    }
+  return best;
+}
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -27,6 +27,8 @@
 /* A task is given up when this part of its usual duration does not fit any more: estimates
  * are rough. */
 #define HOPELESS_PERCENT 60
+/* A task counts as having just come for this long. */
+#define FRESH_MS 20
 /* The listing of an end may trail the stop's answer by this. */
 #define STOP_SLACK_MS 30
 
@@ -260,6 +262,28 @@
   return now_ms + least_ms * HOPELESS_PERCENT / 100 > task->batch->deadline_at_ms;
 }
 
+/* A task has just come, and its like have waited so long without a start that it would not end in
+ * time if it waited as long. */
+static bool
+comes_too_late (const fleet_t *fleet, const task_t *task, int64_t now_ms)
+{
+  const batch_t *batch = task->batch;
+  int64_t least_ms = place_least_ms (fleet, batch);
+
+  if (now_ms - task->queued_at_ms > FRESH_MS || least_ms == INT64_MAX)
+    return false;
+  for (const GList *at = fleet->queue.head; at != NULL && at->data != task; at = at->next)
+    {
+      const task_t *other = at->data;
+      int64_t waited_ms = now_ms - other->queued_at_ms;
+      if (other->batch->priority == batch->priority && !other->ever_started
+          && room_fits (&task->need, &(room_t){ 0 }, &other->need)
+          && strcmp (other->batch->service, batch->service) == 0)
+        return now_ms + waited_ms + least_ms > batch->deadline_at_ms;
+    }
+  return false;
+}
+
 /* True if another owner has a slot on which TASK would do as well as it may hope to do here;
  * the slot is taken off. */
 static bool
@@ -304,9 +328,13 @@
       endpoint_t *endpoint = NULL;
       if (!is_alike (stuck, task))
         endpoint = place_choose (fleet, task, now_ms, &tier);
+      bool refuse = endpoint == NULL && !task->ever_started
+                    && (is_hopeless (fleet, task, now_ms) || comes_too_late (fleet, task, now_ms));
+      if (refuse)
+        endpoint = place_last_resort (fleet, task, now_ms);
       if (endpoint != NULL)
         start (fleet, task, endpoint, now_ms, actions);
-      else if (!task->ever_started && is_hopeless (fleet, task, now_ms))
+      else if (refuse)
         {
           fleet_action_t *told =
               tell (fleet, actions, FLEET_EXPIRED, task, "cannot end before its deadline");
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -217,6 +217,10 @@
  * it may wait for. */
 endpoint_t *place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_tier_t *best);
 
+/* A free endpoint on which TASK may yet be in time, if its estimate is too high; NULL if there is
+ * none. For a task that would be refused. */
+endpoint_t *place_last_resort (const fleet_t *fleet, const task_t *task, int64_t now_ms);
+
 /* Takes in that a run of TASK took ELAPSED_MS on its endpoint. */
 void place_learn (fleet_t *fleet, const task_t *task, int64_t elapsed_ms);
 
