--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -75,6 +75,12 @@
   { EVENT_JOB_TAKEN, EVENT_ROUTINE, "job_taken", "job queue tasks estimate_ms deadline_ms version",
     "{host_id} took the job ({tasks} tasks of about {estimate_ms} ms, {deadline_ms} ms to its "
     "deadline)" },
+  { EVENT_JOB_UNREADY, EVENT_TROUBLE, "job_unready", "job",
+    "{host_id} refused the job: it had no configuration yet" },
+  { EVENT_JOB_UNROUTED, EVENT_ROUTINE, "job_unrouted", "job version",
+    "{host_id} knew no queue for the job (configuration {version})" },
+  { EVENT_JOB_CANCEL, EVENT_ROUTINE, "job_cancel", "job here",
+    "{host_id} was asked to cancel the job (here: {here})" },
   { EVENT_JOB_INVALID, EVENT_TROUBLE, "job_invalid", "job why",
     "{host_id} refused the job as malformed: {why}" },
   { EVENT_JOB_UNSUPPORTED, EVENT_TROUBLE, "job_unsupported", "job queue why",
