Files in parts of one job each: crew, site, soak; wrappers and unused arguments removed

lib/crew: crew.c (who is heard), claims.c (who owns a shard), links.c (who talks to whom), structs in state.h. daemon: site_jobs.c and site_told.c out of site.c. tests/soak: faults.c out of rig.c. lib/fleet: the answers to starts, stops and looks open in one way; task_replace () and unstart () were plain wrappers; crew_hosts (), crew_with_config () and flow_offer () took a time that they did not use. No change of behaviour: the random worlds take the same 9,268,208 steps as before; test_site passes.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -32,310 +32,6 @@
 /* Left for the exit itself before the kill. */
 #define EXIT_SLACK_MS 500
 
-/* --- jobs --- */
-
-static const char *const outcome_names[] = {
-  [FLOW_COMPLETE] = "complete", [FLOW_FAILED] = "failed",       [FLOW_REFUSED] = "refused",
-  [FLOW_GIVEN_UP] = "given_up", [FLOW_CANCELLED] = "cancelled",
-};
-
-static void
-log_answer (const flow_action_t *action)
-{
-  bool missed = action->outcome != FLOW_CANCELLED
-                && (action->outcome != FLOW_COMPLETE || action->late_by_ms > 0);
-
-  metrics_job (action);
-  if (!event_begin (missed ? EVENT_JOB_MISSED : EVENT_JOB_ANSWERED))
-    return;
-  event_text ("job", action->job);
-  event_text ("outcome", outcome_names[action->outcome]);
-  event_number ("elapsed_ms", action->elapsed_ms);
-  event_number ("late_by_ms", action->late_by_ms);
-  if (missed)
-    {
-      event_text ("why", action->reason != NULL ? action->reason : "it ended after its objective");
-      event_number ("tasks", action->tasks);
-      event_number ("left", action->left);
-      event_number ("handovers", action->handovers);
-      event_number ("returns", action->returns);
-      event_text ("owners", action->owners);
-    }
-  event_end ();
-}
-
-static void
-log_batch (const flow_action_t *action)
-{
-  if (!event_begin (action->batch.maybe_running ? EVENT_BATCH_MOVED : EVENT_BATCH_SENT))
-    return;
-  event_text ("job", action->batch.job);
-  event_number ("batch", (int64_t) action->number);
-  event_text ("host", action->host);
-  event_text ("shard", action->shard);
-  event_number ("tasks", action->indexes->len);
-  event_end ();
-}
-
-static void
-run_flow_action (site_t *site, flow_action_t *action)
-{
-  int64_t now_ms = clock_boot_ms ();
-  bool local = action->host == site->host;
-
-  switch (action->kind)
-    {
-    case FLOW_SUBMIT:
-      action->batch.coordinator = site->host;
-      log_batch (action);
-      if (local)
-        owner_submit (site, action->shard, &action->batch);
-      else
-        peers_send (site, action->host,
-                    fleet_msg_submit (action->shard, crew_epoch_for (site->crew, action->host),
-                                      &action->batch, now_ms));
-      g_array_unref (action->indexes);
-      break;
-    case FLOW_RELEASE:
-      if (local)
-        owner_release (site, site->host, action->number);
-      else
-        peers_send (site, action->host, fleet_msg_release (action->number));
-      break;
-    case FLOW_CANCEL:
-      if (!local)
-        peers_send (site, action->host, fleet_msg_cancel (action->number));
-      else
-        {
-          bool never = owner_cancel (site, site->host, action->number);
-          flow_cancelled (site->flow, site->host, action->number, never, now_ms,
-                          site->flow_actions);
-        }
-      break;
-    case FLOW_ANSWER:
-    default:
-      log_answer (action);
-      door_answer (action->user, action);
-      break;
-    }
-}
-
-void
-site_run_flow_actions (site_t *site)
-{
-  /* Grows while it is read: each action is copied first. */
-  for (guint i = 0; i < site->flow_actions->len; i++)
-    {
-      flow_action_t action = g_array_index (site->flow_actions, flow_action_t, i);
-      run_flow_action (site, &action);
-    }
-  g_array_set_size (site->flow_actions, 0);
-}
-
-static const queues_t *
-queues_of (void *user)
-{
-  return ((site_t *) user)->queues;
-}
-
-static uint64_t
-submit_job (const flow_job_t *job, void *user)
-{
-  site_t *site = user;
-
-  uint64_t number = flow_submit (site->flow, job, clock_boot_ms (), site->flow_actions);
-  /* What is to be sent points into the flow, and must be sent before its next event. */
-  site_run_flow_actions (site);
-  site_pump (site);
-  return number;
-}
-
-static void
-abandon_job (uint64_t job, void *user)
-{
-  site_t *site = user;
-
-  flow_abandon (site->flow, job, clock_boot_ms (), site->flow_actions);
-  site_run_flow_actions (site);
-  site_pump (site);
-}
-
-/* The job may be under way at any host. */
-static bool
-cancel_job (const char *id, void *user)
-{
-  site_t *site = user;
-  bool here = flow_cancel (site->flow, id, clock_boot_ms (), site->flow_actions);
-
-  site_run_flow_actions (site);
-  site_pump (site);
-  if (!here)
-    peers_forget_job (site, id);
-  return here;
-}
-
-static bool
-is_ready (void *user)
-{
-  const site_t *site = user;
-
-  return !site->leaving && site->queues != NULL && flow_has_offers (site->flow);
-}
-
-static char *
-metrics (void *user)
-{
-  metrics_state (user, clock_boot_ms ());
-  return metrics_text ();
-}
-
-static const door_ops_t door_ops = {
-  queues_of, submit_job, abandon_job, cancel_job, is_ready, metrics,
-};
-
-/* --- what the platform tells --- */
-
-bool
-site_take_config (site_t *site, const char *data, size_t size, const char *from)
-{
-  queues_t *queues = NULL;
-
-  if (decode_queues (data, size, &queues) != 0)
-    {
-      if (event_begin (EVENT_CONFIGURATION_INVALID))
-        {
-          event_text ("from", from);
-          event_end ();
-        }
-      return false;
-    }
-  if (site->queues != NULL && queues->version <= site->queues->version)
-    {
-      queues_free (queues);
-      return false;
-    }
-  queues_free (site->queues);
-  site->queues = queues;
-  g_clear_pointer (&site->queues_data, g_bytes_unref);
-  site->queues_data = g_bytes_new (data, size);
-  door_configured (site->door);
-  if (event_begin (EVENT_CONFIGURATION))
-    {
-      event_number ("version", queues->version);
-      event_text ("from", from);
-      event_number ("queues", queues->queues->len);
-      event_end ();
-    }
-  return true;
-}
-
-static void
-on_config (const char *data, size_t size, void *user)
-{
-  site_t *site = user;
-
-  if (site_take_config (site, data, size, "platform"))
-    peers_beat (site, clock_boot_ms (), true);
-}
-
-static void
-log_endpoint (event_t event, const fleet_entry_t *entry)
-{
-  if (!event_begin (event))
-    return;
-  event_text ("endpoint", entry->endpoint.id);
-  event_text ("shard", entry->shard);
-  if (event == EVENT_ENDPOINT_FOUND)
-    event_text ("kind", entry->endpoint.kind);
-  event_end ();
-}
-
-void
-site_take_entry (site_t *site, const fleet_entry_t *entry)
-{
-  const fleet_entry_t *before = g_hash_table_lookup (site->directory, entry->endpoint.id);
-
-  if (before != NULL && before->endpoint.born_at_ms > entry->endpoint.born_at_ms)
-    return;
-  if (before != NULL && before->endpoint.born_at_ms == entry->endpoint.born_at_ms
-      && before->sequence > entry->sequence)
-    return;
-  if (before == NULL)
-    log_endpoint (EVENT_ENDPOINT_FOUND, entry);
-  else if (entry->endpoint.leaving && !before->endpoint.leaving)
-    log_endpoint (EVENT_ENDPOINT_LEAVING, entry);
-  fleet_entry_t *copy = g_new0 (fleet_entry_t, 1);
-  fleet_entry_copy (copy, entry);
-  /* What was free when nothing ran is the whole room. */
-  if (before != NULL && before->endpoint.born_at_ms == entry->endpoint.born_at_ms)
-    {
-      room_t *free = &copy->endpoint.free;
-      free->cores_milli = MAX (free->cores_milli, before->endpoint.free.cores_milli);
-      free->memory_mb = MAX (free->memory_mb, before->endpoint.free.memory_mb);
-      free->gpus = MAX (free->gpus, before->endpoint.free.gpus);
-    }
-  bool told = before != NULL && before->endpoint.born_at_ms == copy->endpoint.born_at_ms
-              && before->endpoint.leaving == copy->endpoint.leaving
-              && before->endpoint.free.cores_milli == copy->endpoint.free.cores_milli
-              && strcmp (before->endpoint.address, copy->endpoint.address) == 0;
-  if (!told)
-    peers_tell_entry (site, copy);
-  g_hash_table_replace (site->directory, (void *) copy->endpoint.id, copy);
-  crew_add_shard (site->crew, copy->shard);
-  flow_set_rack (site->flow, copy->endpoint.rack, copy->shard);
-  owner_entry (site, copy);
-}
-
-static void
-on_entry (const fleet_entry_t *entry, void *user)
-{
-  site_take_entry (user, entry);
-}
-
-void
-site_drop_entry (site_t *site, const char *id)
-{
-  const fleet_entry_t *entry = g_hash_table_lookup (site->directory, id);
-
-  if (entry == NULL)
-    return;
-  log_endpoint (EVENT_ENDPOINT_GONE, entry);
-  peers_tell_gone (site, id);
-  owner_gone (site, id, entry->shard);
-  g_hash_table_remove (site->directory, id);
-}
-
-static void
-on_gone (const char *id, void *user)
-{
-  site_drop_entry (user, id);
-}
-
-static void
-on_peer (const char *host, const char *address, const char *data_centre, int32_t power, void *user)
-{
-  peers_know (user, host, address, data_centre, power);
-}
-
-static void
-on_reachable (bool reachable, void *user)
-{
-  site_t *site = user;
-
-  site->store_reachable = reachable;
-  if (event_begin (reachable ? EVENT_LOG_REGAINED : EVENT_LOG_LOST))
-    event_end ();
-}
-
-static const store_ops_t store_ops = { on_config, on_entry, on_gone, on_peer, on_reachable };
-
-static void
-free_entry (void *data)
-{
-  fleet_entry_clear (data);
-  g_free (data);
-}
-
 /* --- the crew --- */
 
 static void
@@ -514,7 +210,7 @@
     return;
   site->pull_due_ms = now_ms + PULL_EVERY_MS;
   const char *host =
-      crew_with_config (site->crew, site->queues != NULL ? site->queues->version : 0, now_ms);
+      crew_with_config (site->crew, site->queues != NULL ? site->queues->version : 0);
   if (host != NULL)
     peers_send (site, host, crew_msg_config_pull ());
 }
@@ -553,7 +249,7 @@
 stop_if_done (site_t *site, int64_t now_ms)
 {
   int64_t since_ms = now_ms - site->leaving_from_ms;
-  bool owns = g_hash_table_size (site->owned) > 0 && crew_hosts (site->crew, now_ms) > 1;
+  bool owns = g_hash_table_size (site->owned) > 0 && crew_hosts (site->crew) > 1;
 
   if (since_ms > site->settings->grace_ms - EXIT_SLACK_MS
       || (since_ms > NOTICED_MS && door_is_idle (site->door) && !owns))
@@ -703,7 +399,7 @@
   site->flow = flow_new (&flow);
   site->owned = g_hash_table_new_full (NULL, NULL, NULL, owner_free);
   site->retired = g_ptr_array_new_with_free_func (owner_free);
-  site->directory = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_entry);
+  site->directory = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, site_free_entry);
   site->connected = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   site->known = g_hash_table_new_full (NULL, NULL, NULL, peers_free_known);
   site->reads = true;
@@ -711,7 +407,7 @@
   site->flow_actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
   site->elsewhere = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
   site->ends = g_array_new (FALSE, FALSE, sizeof (told_end_t));
-  door_options_t door = { settings->caller_listen, settings->ready_listen, &door_ops, site };
+  door_options_t door = { settings->caller_listen, settings->ready_listen, &site_door_ops, site };
   int result = door_open (site->loop, &door, &site->door);
   if (result == 0)
     result = peers_start (site);
@@ -723,7 +419,7 @@
                             .data_centre = settings->data_centre,
                             .power = settings->power,
                             .apply_ms = settings->apply_ms,
-                            .ops = &store_ops,
+                            .ops = &site_store_ops,
                             .user = site };
   site->store = store_new (site->client, &store, now_ms);
   loop_on_signal (site->loop, SIGTERM, on_terminate, site);
--- /dev/null
+++ b/daemon/site_jobs.c
@@ -0,0 +1,163 @@
+/* site_jobs.c -- jobs of a site's host: what the flow asks for, and what callers ask */
+#include "daemon/site_private.h"
+
+#include "base/clock.h"
+
+static const char *const outcome_names[] = {
+  [FLOW_COMPLETE] = "complete", [FLOW_FAILED] = "failed",       [FLOW_REFUSED] = "refused",
+  [FLOW_GIVEN_UP] = "given_up", [FLOW_CANCELLED] = "cancelled",
+};
+
+static void
+log_answer (const flow_action_t *action)
+{
+  bool missed = action->outcome != FLOW_CANCELLED
+                && (action->outcome != FLOW_COMPLETE || action->late_by_ms > 0);
+
+  metrics_job (action);
+  if (!event_begin (missed ? EVENT_JOB_MISSED : EVENT_JOB_ANSWERED))
+    return;
+  event_text ("job", action->job);
+  event_text ("outcome", outcome_names[action->outcome]);
+  event_number ("elapsed_ms", action->elapsed_ms);
+  event_number ("late_by_ms", action->late_by_ms);
+  if (missed)
+    {
+      event_text ("why", action->reason != NULL ? action->reason : "it ended after its objective");
+      event_number ("tasks", action->tasks);
+      event_number ("left", action->left);
+      event_number ("handovers", action->handovers);
+      event_number ("returns", action->returns);
+      event_text ("owners", action->owners);
+    }
+  event_end ();
+}
+
+static void
+log_batch (const flow_action_t *action)
+{
+  if (!event_begin (action->batch.maybe_running ? EVENT_BATCH_MOVED : EVENT_BATCH_SENT))
+    return;
+  event_text ("job", action->batch.job);
+  event_number ("batch", (int64_t) action->number);
+  event_text ("host", action->host);
+  event_text ("shard", action->shard);
+  event_number ("tasks", action->indexes->len);
+  event_end ();
+}
+
+static void
+run_flow_action (site_t *site, flow_action_t *action)
+{
+  int64_t now_ms = clock_boot_ms ();
+  bool local = action->host == site->host;
+
+  switch (action->kind)
+    {
+    case FLOW_SUBMIT:
+      action->batch.coordinator = site->host;
+      log_batch (action);
+      if (local)
+        owner_submit (site, action->shard, &action->batch);
+      else
+        peers_send (site, action->host,
+                    fleet_msg_submit (action->shard, crew_epoch_for (site->crew, action->host),
+                                      &action->batch, now_ms));
+      g_array_unref (action->indexes);
+      break;
+    case FLOW_RELEASE:
+      if (local)
+        owner_release (site, site->host, action->number);
+      else
+        peers_send (site, action->host, fleet_msg_release (action->number));
+      break;
+    case FLOW_CANCEL:
+      if (!local)
+        peers_send (site, action->host, fleet_msg_cancel (action->number));
+      else
+        {
+          bool never = owner_cancel (site, site->host, action->number);
+          flow_cancelled (site->flow, site->host, action->number, never, now_ms,
+                          site->flow_actions);
+        }
+      break;
+    case FLOW_ANSWER:
+    default:
+      log_answer (action);
+      door_answer (action->user, action);
+      break;
+    }
+}
+
+void
+site_run_flow_actions (site_t *site)
+{
+  /* Grows while it is read: each action is copied first. */
+  for (guint i = 0; i < site->flow_actions->len; i++)
+    {
+      flow_action_t action = g_array_index (site->flow_actions, flow_action_t, i);
+      run_flow_action (site, &action);
+    }
+  g_array_set_size (site->flow_actions, 0);
+}
+
+static const queues_t *
+queues_of (void *user)
+{
+  return ((site_t *) user)->queues;
+}
+
+static uint64_t
+submit_job (const flow_job_t *job, void *user)
+{
+  site_t *site = user;
+
+  uint64_t number = flow_submit (site->flow, job, clock_boot_ms (), site->flow_actions);
+  /* What is to be sent points into the flow, and must be sent before its next event. */
+  site_run_flow_actions (site);
+  site_pump (site);
+  return number;
+}
+
+static void
+abandon_job (uint64_t job, void *user)
+{
+  site_t *site = user;
+
+  flow_abandon (site->flow, job, clock_boot_ms (), site->flow_actions);
+  site_run_flow_actions (site);
+  site_pump (site);
+}
+
+/* The job may be under way at any host. */
+static bool
+cancel_job (const char *id, void *user)
+{
+  site_t *site = user;
+  bool here = flow_cancel (site->flow, id, clock_boot_ms (), site->flow_actions);
+
+  site_run_flow_actions (site);
+  site_pump (site);
+  if (!here)
+    peers_forget_job (site, id);
+  return here;
+}
+
+static bool
+is_ready (void *user)
+{
+  const site_t *site = user;
+
+  return !site->leaving && site->queues != NULL && flow_has_offers (site->flow);
+}
+
+static char *
+metrics (void *user)
+{
+  metrics_state (user, clock_boot_ms ());
+  return metrics_text ();
+}
+
+const door_ops_t site_door_ops = {
+  queues_of, submit_job, abandon_job, cancel_job, is_ready, metrics,
+};
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -450,8 +450,7 @@
         {
           owned->told_at_ms = now_ms;
           flow_offer (site->flow, owned->name, site->host,
-                      (const fleet_offer_t *) (void *) offers->data, offers->len, totals.waiting,
-                      now_ms);
+                      (const fleet_offer_t *) (void *) offers->data, offers->len, totals.waiting);
           peers_send_all (site, g_bytes_ref (offer));
           g_clear_pointer (&owned->told, g_bytes_unref);
           owned->told = g_bytes_ref (offer);
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -199,7 +199,7 @@
   if (fleet_msg_read_offer (reader, &offer) != 0)
     return;
   flow_offer (site->flow, offer.shard, host, (const fleet_offer_t *) (void *) offer.offers->data,
-              offer.offers->len, offer.waiting, clock_boot_ms ());
+              offer.offers->len, offer.waiting);
   fleet_offer_msg_clear (&offer);
 }
 
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -92,6 +92,11 @@
   int64_t watch_due_ms;
 };
 
+/* site_jobs.c, site_told.c */
+extern const door_ops_t site_door_ops;
+extern const store_ops_t site_store_ops;
+void site_free_entry (void *entry);
+
 /* site.c: carries out all actions that are due, until nothing is left to do, once the events
  * that are ready now have been taken in. */
 void site_pump (site_t *site);
--- /dev/null
+++ b/daemon/site_told.c
@@ -0,0 +1,147 @@
+/* site_told.c -- what the platform and other hosts tell: configurations, endpoints, hosts */
+#include "daemon/site_private.h"
+
+#include "base/clock.h"
+
+#include <string.h>
+
+bool
+site_take_config (site_t *site, const char *data, size_t size, const char *from)
+{
+  queues_t *queues = NULL;
+
+  if (decode_queues (data, size, &queues) != 0)
+    {
+      if (event_begin (EVENT_CONFIGURATION_INVALID))
+        {
+          event_text ("from", from);
+          event_end ();
+        }
+      return false;
+    }
+  if (site->queues != NULL && queues->version <= site->queues->version)
+    {
+      queues_free (queues);
+      return false;
+    }
+  queues_free (site->queues);
+  site->queues = queues;
+  g_clear_pointer (&site->queues_data, g_bytes_unref);
+  site->queues_data = g_bytes_new (data, size);
+  door_configured (site->door);
+  if (event_begin (EVENT_CONFIGURATION))
+    {
+      event_number ("version", queues->version);
+      event_text ("from", from);
+      event_number ("queues", queues->queues->len);
+      event_end ();
+    }
+  return true;
+}
+
+static void
+on_config (const char *data, size_t size, void *user)
+{
+  site_t *site = user;
+
+  if (site_take_config (site, data, size, "platform"))
+    peers_beat (site, clock_boot_ms (), true);
+}
+
+static void
+log_endpoint (event_t event, const fleet_entry_t *entry)
+{
+  if (!event_begin (event))
+    return;
+  event_text ("endpoint", entry->endpoint.id);
+  event_text ("shard", entry->shard);
+  if (event == EVENT_ENDPOINT_FOUND)
+    event_text ("kind", entry->endpoint.kind);
+  event_end ();
+}
+
+void
+site_take_entry (site_t *site, const fleet_entry_t *entry)
+{
+  const fleet_entry_t *before = g_hash_table_lookup (site->directory, entry->endpoint.id);
+
+  if (before != NULL && before->endpoint.born_at_ms > entry->endpoint.born_at_ms)
+    return;
+  if (before != NULL && before->endpoint.born_at_ms == entry->endpoint.born_at_ms
+      && before->sequence > entry->sequence)
+    return;
+  if (before == NULL)
+    log_endpoint (EVENT_ENDPOINT_FOUND, entry);
+  else if (entry->endpoint.leaving && !before->endpoint.leaving)
+    log_endpoint (EVENT_ENDPOINT_LEAVING, entry);
+  fleet_entry_t *copy = g_new0 (fleet_entry_t, 1);
+  fleet_entry_copy (copy, entry);
+  /* What was free when nothing ran is the whole room. */
+  if (before != NULL && before->endpoint.born_at_ms == entry->endpoint.born_at_ms)
+    {
+      room_t *free = &copy->endpoint.free;
+      free->cores_milli = MAX (free->cores_milli, before->endpoint.free.cores_milli);
+      free->memory_mb = MAX (free->memory_mb, before->endpoint.free.memory_mb);
+      free->gpus = MAX (free->gpus, before->endpoint.free.gpus);
+    }
+  bool told = before != NULL && before->endpoint.born_at_ms == copy->endpoint.born_at_ms
+              && before->endpoint.leaving == copy->endpoint.leaving
+              && before->endpoint.free.cores_milli == copy->endpoint.free.cores_milli
+              && strcmp (before->endpoint.address, copy->endpoint.address) == 0;
+  if (!told)
+    peers_tell_entry (site, copy);
+  g_hash_table_replace (site->directory, (void *) copy->endpoint.id, copy);
+  crew_add_shard (site->crew, copy->shard);
+  flow_set_rack (site->flow, copy->endpoint.rack, copy->shard);
+  owner_entry (site, copy);
+}
+
+static void
+on_entry (const fleet_entry_t *entry, void *user)
+{
+  site_take_entry (user, entry);
+}
+
+void
+site_drop_entry (site_t *site, const char *id)
+{
+  const fleet_entry_t *entry = g_hash_table_lookup (site->directory, id);
+
+  if (entry == NULL)
+    return;
+  log_endpoint (EVENT_ENDPOINT_GONE, entry);
+  peers_tell_gone (site, id);
+  owner_gone (site, id, entry->shard);
+  g_hash_table_remove (site->directory, id);
+}
+
+static void
+on_gone (const char *id, void *user)
+{
+  site_drop_entry (user, id);
+}
+
+static void
+on_peer (const char *host, const char *address, const char *data_centre, int32_t power, void *user)
+{
+  peers_know (user, host, address, data_centre, power);
+}
+
+static void
+on_reachable (bool reachable, void *user)
+{
+  site_t *site = user;
+
+  site->store_reachable = reachable;
+  if (event_begin (reachable ? EVENT_LOG_REGAINED : EVENT_LOG_LOST))
+    event_end ();
+}
+
+const store_ops_t site_store_ops = { on_config, on_entry, on_gone, on_peer, on_reachable };
+
+void
+site_free_entry (void *data)
+{
+  fleet_entry_clear (data);
+  g_free (data);
+}
--- a/lib/crew/crew.h
+++ b/lib/crew/crew.h
@@ -139,12 +139,12 @@
 void crew_reached (crew_t *crew, const char *shard, int64_t now_ms);
 bool crew_wants_probe (const crew_t *crew, const char *shard);
 
-int32_t crew_hosts (const crew_t *crew, int64_t now_ms);
+int32_t crew_hosts (const crew_t *crew);
 
 /* No host that is heard has been there for much longer than this one: all have started together. */
 bool crew_is_new (const crew_t *crew, int64_t now_ms);
 
 /* The host that is heard and has a newer configuration than VERSION, or NULL. */
-const char *crew_with_config (const crew_t *crew, int64_t version, int64_t now_ms);
+const char *crew_with_config (const crew_t *crew, int64_t version);
 
 #endif
--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -98,11 +98,27 @@
   return same ? task : NULL;
 }
 
-/* The order had no effect and never will: as if it had not been given. */
-static void
-unstart (fleet_t *fleet, task_t *task, int64_t now_ms)
+/* What an answer is about. */
+typedef struct
 {
-  task_requeue (fleet, task, now_ms);
+  endpoint_t *endpoint;
+  task_t *task;  /* NULL if the run is no longer of interest */
+  uint32_t term; /* of the endpoint when the call was made */
+} subject_t;
+
+/* Returns false if the call, or its endpoint, is no longer known. */
+static bool
+take_subject (fleet_t *fleet, uint64_t serial, subject_t *subject)
+{
+  call_t *call = take_call (fleet, serial);
+
+  names_clear (fleet);
+  if (call == NULL)
+    return false;
+  *subject =
+      (subject_t){ endpoint_find (fleet, call->endpoint), task_of (fleet, call), call->term };
+  free_call (call);
+  return subject->endpoint != NULL;
 }
 
 static void
@@ -141,17 +157,12 @@
                int64_t now_ms,
                GArray *actions)
 {
-  call_t *call = take_call (fleet, serial);
+  subject_t subject;
 
-  names_clear (fleet);
-  if (call == NULL)
-    return;
-  endpoint_t *endpoint = endpoint_find (fleet, call->endpoint);
-  task_t *task = task_of (fleet, call);
-  uint32_t term = call->term;
-  free_call (call);
-  if (endpoint == NULL)
+  if (!take_subject (fleet, serial, &subject))
     return;
+  endpoint_t *endpoint = subject.endpoint;
+  task_t *task = subject.task;
   if (answer != FLEET_UNKNOWN && answer != FLEET_GONE)
     heard (fleet, endpoint, clock_there_ms, now_ms, actions);
   if (task == NULL)
@@ -183,7 +194,7 @@
       endpoint->full_until_ms = now_ms + FULL_MS;
       break;
     case FLEET_BAD_TOKEN:
-      shut_out (endpoint, term, actions);
+      shut_out (endpoint, subject.term, actions);
       break;
     case FLEET_UNHEALTHY:
       endpoint->full_until_ms = now_ms + UNHEALTHY_MS;
@@ -199,7 +210,8 @@
     }
   endpoint->outlier.probing = false;
   note (fleet, actions, FLEET_NOTE_REFUSED, endpoint, task, now_ms)->reason = refusals[answer];
-  unstart (fleet, task, now_ms);
+  /* The order had no effect and never will. */
+  task_requeue (fleet, task, now_ms);
 }
 
 void
@@ -210,17 +222,12 @@
                int64_t now_ms,
                GArray *actions)
 {
-  call_t *call = take_call (fleet, serial);
+  subject_t subject;
 
-  names_clear (fleet);
-  if (call == NULL)
-    return;
-  endpoint_t *endpoint = endpoint_find (fleet, call->endpoint);
-  task_t *task = task_of (fleet, call);
-  uint32_t term = call->term;
-  free_call (call);
-  if (endpoint == NULL)
+  if (!take_subject (fleet, serial, &subject))
     return;
+  endpoint_t *endpoint = subject.endpoint;
+  task_t *task = subject.task;
   if (answer == FLEET_UNKNOWN || answer == FLEET_GONE)
     {
       not_heard (fleet, endpoint, now_ms, now_ms, actions);
@@ -228,7 +235,7 @@
     }
   heard (fleet, endpoint, clock_there_ms, now_ms, actions);
   if (answer == FLEET_BAD_TOKEN)
-    shut_out (endpoint, term, actions);
+    shut_out (endpoint, subject.term, actions);
   if (answer == FLEET_OK && task != NULL && task->state == TASK_STOPPING)
     {
       task->stop_confirmed = true;
@@ -476,13 +483,13 @@
             {
               judge (fleet, endpoint, true, now_ms, actions);
               note (fleet, actions, FLEET_NOTE_HUNG, endpoint, task, now_ms);
-              task_replace (task, now_ms);
+              task_stop (task, now_ms);
             }
           else if (task->state == TASK_RUNNING && should_move (fleet, task, now_ms))
             {
               task->moved = true;
               note (fleet, actions, FLEET_NOTE_MOVED, endpoint, task, now_ms);
-              task_replace (task, now_ms);
+              task_stop (task, now_ms);
             }
           else if (task->state == TASK_RUNNING && is_overdue (fleet, task, now_ms))
             give_up (fleet, task, now_ms, actions);
@@ -491,7 +498,7 @@
         task_requeue (fleet, task, now_ms);
       else if (task->state == TASK_UNSURE && task->sent_at_ms < sent_at_ms)
         /* It may yet be carried out: only a stop settles it. */
-        task_replace (task, now_ms);
+        task_stop (task, now_ms);
     }
 }
 
@@ -516,22 +523,17 @@
               int64_t now_ms,
               GArray *actions)
 {
-  call_t *call = take_call (fleet, serial);
+  subject_t subject;
 
-  names_clear (fleet);
-  if (call == NULL)
-    return;
-  endpoint_t *endpoint = endpoint_find (fleet, call->endpoint);
-  uint32_t term = call->term;
-  free_call (call);
-  if (endpoint == NULL || endpoint->look_serial != serial)
+  if (!take_subject (fleet, serial, &subject) || subject.endpoint->look_serial != serial)
     return;
+  endpoint_t *endpoint = subject.endpoint;
   int64_t sent_at_ms = endpoint->look_sent_at_ms;
   endpoint->look_out = false;
   if (answer == FLEET_BAD_TOKEN)
     {
       heard (fleet, endpoint, 0, now_ms, actions);
-      shut_out (endpoint, term, actions);
+      shut_out (endpoint, subject.term, actions);
       return;
     }
   if (answer != FLEET_OK)
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -392,12 +392,6 @@
   task->stop_confirmed = false;
 }
 
-void
-task_replace (task_t *task, int64_t now_ms)
-{
-  task_stop (task, now_ms);
-}
-
 /* --- endpoints --- */
 
 endpoint_t *
--- a/lib/fleet/table.h
+++ b/lib/fleet/table.h
@@ -17,9 +17,6 @@
  * cancelled. */
 void task_requeue (fleet_t *fleet, task_t *task, int64_t now_ms);
 
-/* Stops the run of TASK, which is then queued again. */
-void task_replace (task_t *task, int64_t now_ms);
-
 /* Takes TASK out of everything and frees it. */
 void task_end (fleet_t *fleet, task_t *task);
 
@@ -35,7 +32,8 @@
 /* TASK may be running under another owner: all endpoints are looked at from NOW_MS on. */
 void task_doubt (fleet_t *fleet, task_t *task, int64_t now_ms);
 
-/* TASK's run must end; it is stopped in the next round. */
+/* TASK's run must end; it is stopped in the next round, and TASK is queued again once it is over.
+ */
 void task_stop (task_t *task, int64_t now_ms);
 
 fleet_action_t *action_add (GArray *actions, fleet_action_kind_t kind);
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -416,12 +416,10 @@
             const char *host,
             const fleet_offer_t *offers,
             size_t count,
-            int32_t waiting,
-            int64_t now_ms)
+            int32_t waiting)
 {
   shard_t *shard = find_shard (flow, name);
 
-  (void) now_ms;
   if (shard->owner != g_intern_string (host))
     return;
   g_array_set_size (shard->rows, 0);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -108,8 +108,7 @@
                  const char *host,
                  const fleet_offer_t *offers,
                  size_t count,
-                 int32_t waiting,
-                 int64_t now_ms);
+                 int32_t waiting);
 
 /* Endpoints of RACK are in SHARD. */
 void flow_set_rack (flow_t *flow, const char *rack, const char *shard);
--- a/lib/flow/flow_example.c
+++ b/lib/flow/flow_example.c
@@ -24,7 +24,7 @@
   flow_t *flow = flow_new (&options);
 
   flow_owner (flow, "x", "h2", 7, 0, actions);
-  flow_offer (flow, "x", "h2", &offer, 1, 0, 0);
+  flow_offer (flow, "x", "h2", &offer, 1, 0);
   flow_submit (flow, &job, 0, actions);
   const flow_action_t *submit = &g_array_index (actions, flow_action_t, 0);
   uint64_t batch = submit->number;
--- a/tests/soak/rig.c
+++ b/tests/soak/rig.c
@@ -4,7 +4,7 @@
  * of 127.0.3.1, and hosts to callers at 127.0.4.1: all of them the proxy's; the processes
  * themselves listen on 127.0.0.1.
  */
-#include "tests/soak/rig.h"
+#include "tests/soak/rig_private.h"
 
 #include "base/clock.h"
 #include "base/hash.h"
@@ -28,23 +28,17 @@
 #define PORTS_EACH 600
 #define PORT_SLOTS 16
 #define TOKEN_TAG_MASK 255
-/* From the entry that says so to the end of an endpoint that leaves. */
-#define LEAVES_AFTER_MS 2500
-#define DELAY_MS 150
-#define SLOW_BYTES 20
-#define LATE_MS 2500
-#define SLOW_LOG_MS 400
 
 /* --- ports --- */
 
-static int
-log_port (const rig_t *rig)
+int
+rig_log_port (const rig_t *rig)
 {
   return rig->base_port;
 }
 
-static int
-endpoint_port (const rig_t *rig, int32_t endpoint)
+int
+rig_endpoint_port (const rig_t *rig, int32_t endpoint)
 {
   return rig->base_port + 1 + endpoint;
 }
@@ -92,14 +86,14 @@
   g_free (settings);
 }
 
-static void
-start_endpoint (rig_t *rig, int32_t number)
+void
+rig_start_endpoint (rig_t *rig, int32_t number)
 {
   rig_endpoint_t *endpoint = &rig->endpoints[number];
   char *program = g_strdup_printf ("%s/fake_site", rig->programs);
-  char *log = g_strdup_printf ("127.0.0.1:%d", log_port (rig));
+  char *log = g_strdup_printf ("127.0.0.1:%d", rig_log_port (rig));
   char *first = g_strdup_printf ("%d", number);
-  char *port = g_strdup_printf ("%d", endpoint_port (rig, number));
+  char *port = g_strdup_printf ("%d", rig_endpoint_port (rig, number));
   char *room = g_strdup_printf ("%d", ROOM);
   char *argv[] = { program,
                    "--log",
@@ -134,14 +128,14 @@
 start_log (rig_t *rig)
 {
   char *program = g_strdup_printf ("%s/fake_site", rig->programs);
-  char *listen = g_strdup_printf ("127.0.0.1:%d", log_port (rig));
+  char *listen = g_strdup_printf ("127.0.0.1:%d", rig_log_port (rig));
   char *output = g_strdup_printf ("%s/log.log", rig->directory);
   char *argv[] = { program,        "--listen", listen,           "--endpoints", "0",
                    "--first-port", "1",        "--data-centres", "none",        NULL };
 
   rig->log_pid = site_run (argv, NULL, output);
   int64_t until_ms = clock_boot_ms () + READY_MAX_MS;
-  while (site_call (log_port (rig), "GET", "/seen", "").status != 200
+  while (site_call (rig_log_port (rig), "GET", "/seen", "").status != 200
          && clock_boot_ms () < until_ms)
     clock_sleep_ms (10);
   g_free (output);
@@ -150,56 +144,56 @@
 }
 
 /* A signal to a process of this rig. */
-static void
-tell (pid_t pid, int number)
+void
+rig_tell (pid_t pid, int number)
 {
   if (pid > 0)
     kill (pid, number);
 }
 
-static void
-kill_host (rig_t *rig, int32_t number, const char *why)
+void
+rig_kill_host (rig_t *rig, int32_t number, const char *why)
 {
   rig_host_t *host = &rig->hosts[number];
 
   if (host->pid == 0)
     return;
   host->told = why;
-  tell (host->pid, SIGKILL);
+  rig_tell (host->pid, SIGKILL);
 }
 
-static void
-kill_endpoint (rig_t *rig, int32_t number)
+void
+rig_kill_endpoint (rig_t *rig, int32_t number)
 {
   rig_endpoint_t *endpoint = &rig->endpoints[number];
 
   if (endpoint->pid == 0)
     return;
-  tell (endpoint->pid, SIGKILL);
+  rig_tell (endpoint->pid, SIGKILL);
   waitpid (endpoint->pid, NULL, 0);
   endpoint->pid = 0;
   book_row_t row = { .at_ms = clock_boot_ms (), .kind = BOOK_ENDPOINT_GONE, .endpoint = number };
   book_add (rig->book, &row);
 }
 
-static void
-pause_host (rig_t *rig, int32_t number, bool paused)
+void
+rig_pause_host (rig_t *rig, int32_t number, bool paused)
 {
   rig_host_t *host = &rig->hosts[number];
 
   if (host->pid != 0 && host->paused != paused)
-    tell (host->pid, paused ? SIGSTOP : SIGCONT);
+    rig_tell (host->pid, paused ? SIGSTOP : SIGCONT);
   host->paused = paused && host->pid != 0;
 }
 
-static void
-pause_endpoint (rig_t *rig, int32_t number, bool paused)
+void
+rig_pause_endpoint (rig_t *rig, int32_t number, bool paused)
 {
   rig_endpoint_t *endpoint = &rig->endpoints[number];
 
   if (endpoint->pid == 0 || endpoint->paused == paused)
     return;
-  tell (endpoint->pid, paused ? SIGSTOP : SIGCONT);
+  rig_tell (endpoint->pid, paused ? SIGSTOP : SIGCONT);
   endpoint->paused = paused;
   book_row_t row = { .at_ms = clock_boot_ms (),
                      .kind = paused ? BOOK_ENDPOINT_PAUSED : BOOK_ENDPOINT_BACK,
@@ -207,8 +201,8 @@
   book_add (rig->book, &row);
 }
 
-static void
-stop_host (rig_t *rig, int32_t number)
+void
+rig_stop_host (rig_t *rig, int32_t number)
 {
   rig_host_t *host = &rig->hosts[number];
 
@@ -217,286 +211,7 @@
   host->told = "stopped";
   book_row_t row = { .at_ms = clock_boot_ms (), .kind = BOOK_HOST_STOPPING, .host = number };
   book_add (rig->book, &row);
-  tell (host->pid, SIGTERM);
-}
-
-/* --- the log and endpoints by request --- */
-
-static void
-fault_log (const rig_t *rig, const char *fault)
-{
-  site_call (log_port (rig), "POST", "/fault", fault);
-}
-
-static void
-fault_endpoint (const rig_t *rig, int32_t number, const char *fault)
-{
-  if (rig->endpoints[number].pid != 0 && !rig->endpoints[number].paused)
-    site_call (endpoint_port (rig, number), "POST", "/fault", fault);
-}
-
-/* Each version has a queue of its own beside those of all versions before. */
-static void
-put_config (rig_t *rig)
-{
-  GString *body = g_string_new (NULL);
-  int32_t version = rig->version + 1;
-
-  g_string_append_printf (body, "{\"version\":%d,\"routes\":[", (int) version);
-  for (int32_t i = 0; i <= version; i++)
-    {
-      char *prefix = i == 0 ? g_strdup ("/q/") : g_strdup_printf ("/v%d/", (int) i);
-      g_string_append_printf (
-          body,
-          "%s{\"name\":\"r%d\",\"host\":\"" SITE_CALL_QUEUE_HOST
-          "\",\"path_prefix\":\"%s\",\"timeout_ms\":3000,\"target_latency_ms\":60,\"priority\":0,"
-          "\"service\":\"s\",\"max_attempts\":3,\"stretch_factor\":1.6}",
-          i > 0 ? "," : "", (int) i, prefix);
-      g_free (prefix);
-    }
-  g_string_append (body, "],\"services\":[],\"limits\":{}}");
-  if (site_call (log_port (rig), "POST", "/config", body->str).status == 200)
-    {
-      book_row_t row = { .at_ms = clock_boot_ms (), .kind = BOOK_CONFIG, .number = version };
-      book_add (rig->book, &row);
-      rig->version = version;
-    }
-  g_string_free (body, TRUE);
-}
-
-static void
-change_settings (rig_t *rig, int32_t number)
-{
-  rig_host_t *host = &rig->hosts[number];
-  char *file = g_strdup_printf ("%s/%s.conf", rig->directory, host->name);
-  char *text = NULL;
-
-  host->settings++;
-  if (g_file_get_contents (file, &text, NULL, NULL))
-    {
-      char *more = g_strdup_printf ("%sanother.new=%d\n", text, (int) host->settings);
-      g_file_set_contents (file, more, -1, NULL);
-      g_free (more);
-    }
-  g_free (text);
-  g_free (file);
-}
-
-/* --- faults --- */
-
-static void
-cut_host (rig_t *rig, const plan_fault_t *fault)
-{
-  const char *name = rig->hosts[fault->target].name;
-  bool one_way = fault->kind == PLAN_CUT_ONE_WAY;
-
-  for (int32_t i = 0; i < rig->hosts_count; i++)
-    if (i != fault->target)
-      proxy_rule (rig->proxy, fault->number, PROXY_HOLD, name, rig->hosts[i].name, 0, one_way);
-}
-
-static const char *
-zone_name (int32_t zone)
-{
-  static const char *const names[] = { "zone-x", "zone-y", "zone-z" };
-
-  return names[zone % G_N_ELEMENTS (names)];
-}
-
-static void
-zone_rule (rig_t *rig, const plan_fault_t *fault, proxy_mode_t mode, int64_t value)
-{
-  for (int32_t i = 0; i < rig->zones; i++)
-    if (i != fault->target)
-      proxy_rule (rig->proxy, fault->number, mode, zone_name (fault->target), zone_name (i), value,
-                  false);
-}
-
-static void
-begin_leaving (rig_t *rig, int32_t number)
-{
-  if (rig->endpoints[number].pid == 0 || rig->endpoints[number].paused)
-    return;
-  fault_endpoint (rig, number, "{\"draining\":true}");
-  /* Its next entry is a beat away. */
-  book_row_t row = { .at_ms = clock_boot_ms () + 300,
-                     .kind = BOOK_ENDPOINT_LEAVING,
-                     .endpoint = number };
-  book_add (rig->book, &row);
-}
-
-/* It is gone, and a new one takes its place. */
-static void
-end_leaving (rig_t *rig, int32_t number)
-{
-  char *target = g_strdup_printf ("/entry/e%d", (int) number);
-
-  kill_endpoint (rig, number);
-  site_call (log_port (rig), "POST", target, "");
-  start_endpoint (rig, number);
-  g_free (target);
-}
-
-#define ENDPOINT_WELL                                                                              \
-  "{\"failing\":false,\"hanging\":false,\"mute\":false,\"late_ms\":0,\"slow\":1}"
-#define LOG_WELL "{\"log_down\":false,\"log_silent\":false,\"log_slow_ms\":0,\"log_lost\":0}"
-
-/* A fault that keeps hosts down begins (1) or ends (-1). */
-static void
-hold_down (rig_t *rig, const plan_fault_t *fault, int32_t change)
-{
-  bool one = fault->kind == PLAN_STOP_HOST || fault->kind == PLAN_KILL_HOST;
-
-  for (int32_t i = 0; i < rig->hosts_count; i++)
-    if ((one && i == fault->target) || fault->kind == PLAN_KILL_ALL)
-      rig->hosts[i].held += change;
-}
-
-void
-rig_begin (rig_t *rig, const plan_fault_t *fault)
-{
-  int32_t target = fault->target;
-  char *endpoint = g_strdup_printf ("e%d", (int) target);
-
-  hold_down (rig, fault, 1);
-  switch (fault->kind)
-    {
-    case PLAN_STOP_HOST:
-      stop_host (rig, target);
-      break;
-    case PLAN_HANGUP:
-      if (rig->hosts[target].told[0] == '\0')
-        tell (rig->hosts[target].pid, SIGHUP);
-      break;
-    case PLAN_SETTINGS:
-      change_settings (rig, target);
-      break;
-    case PLAN_CONFIG:
-      put_config (rig);
-      break;
-    case PLAN_ENDPOINT_LEAVES:
-      begin_leaving (rig, target);
-      break;
-    case PLAN_KILL_HOST:
-      kill_host (rig, target, "killed");
-      break;
-    case PLAN_PAUSE_HOST:
-      pause_host (rig, target, true);
-      break;
-    case PLAN_KILL_ALL:
-      for (int32_t i = 0; i < rig->hosts_count; i++)
-        kill_host (rig, i, "killed");
-      break;
-    case PLAN_CUT_HOST:
-    case PLAN_CUT_ONE_WAY:
-      cut_host (rig, fault);
-      break;
-    case PLAN_CUT_ZONE:
-      zone_rule (rig, fault, PROXY_HOLD, 0);
-      break;
-    case PLAN_DELAY:
-      zone_rule (rig, fault, PROXY_DELAY, DELAY_MS);
-      break;
-    case PLAN_RESET:
-      proxy_reset (rig->proxy, rig->hosts[target].name);
-      break;
-    case PLAN_MUTE:
-      proxy_mute (rig->proxy, rig->hosts[target].name);
-      break;
-    case PLAN_CUT_ENDPOINT:
-      proxy_rule (rig->proxy, fault->number, PROXY_HOLD, NULL, endpoint, 0, false);
-      break;
-    case PLAN_CUT_LOG:
-      proxy_rule (rig->proxy, fault->number, PROXY_HOLD, rig->hosts[target].name, "log", 0, false);
-      break;
-    case PLAN_SLOW_CALLERS:
-      proxy_rule (rig->proxy, fault->number, PROXY_SLOW, "callers", rig->hosts[target].name,
-                  SLOW_BYTES, false);
-      break;
-    case PLAN_LOG_DOWN:
-      fault_log (rig, "{\"log_down\":true}");
-      break;
-    case PLAN_LOG_SILENT:
-      fault_log (rig, "{\"log_silent\":true}");
-      break;
-    case PLAN_LOG_SLOW:
-      fault_log (rig, "{\"log_slow_ms\":" G_STRINGIFY (SLOW_LOG_MS) "}");
-      break;
-    case PLAN_LOG_LOSES:
-      fault_log (rig, "{\"log_lost\":0.5}");
-      break;
-    case PLAN_LOG_FORGETS:
-      site_call (log_port (rig), "POST", "/forget", "");
-      break;
-    case PLAN_LOG_WIPED:
-      site_call (log_port (rig), "POST", "/wipe", "");
-      break;
-    case PLAN_ENDPOINT_FAILS:
-      fault_endpoint (rig, target, "{\"failing\":true}");
-      break;
-    case PLAN_ENDPOINT_HANGS:
-      fault_endpoint (rig, target, "{\"hanging\":true}");
-      break;
-    case PLAN_ENDPOINT_MUTE:
-      fault_endpoint (rig, target, "{\"mute\":true}");
-      break;
-    case PLAN_ENDPOINT_LATE:
-      fault_endpoint (rig, target, "{\"late_ms\":" G_STRINGIFY (LATE_MS) "}");
-      break;
-    case PLAN_ENDPOINT_SLOW:
-      fault_endpoint (rig, target, "{\"slow\":6}");
-      break;
-    case PLAN_KILL_ENDPOINT:
-      kill_endpoint (rig, target);
-      break;
-    case PLAN_PAUSE_ENDPOINT:
-      pause_endpoint (rig, target, true);
-      break;
-    case PLAN_KINDS:
-    default:
-      break;
-    }
-  g_free (endpoint);
-}
-
-void
-rig_end (rig_t *rig, const plan_fault_t *fault)
-{
-  int32_t target = fault->target;
-
-  proxy_end_rule (rig->proxy, fault->number);
-  if (fault->kind >= PLAN_LOG_DOWN && fault->kind <= PLAN_LOG_WIPED)
-    fault_log (rig, LOG_WELL);
-  if (fault->kind >= PLAN_ENDPOINT_FAILS && fault->kind <= PLAN_ENDPOINT_SLOW)
-    fault_endpoint (rig, target, ENDPOINT_WELL);
-  if (fault->kind == PLAN_ENDPOINT_LEAVES)
-    end_leaving (rig, target);
-  if (fault->kind == PLAN_PAUSE_HOST)
-    pause_host (rig, target, false);
-  if (fault->kind == PLAN_PAUSE_ENDPOINT)
-    pause_endpoint (rig, target, false);
-  if (fault->kind == PLAN_KILL_ENDPOINT && rig->endpoints[target].pid == 0)
-    start_endpoint (rig, target);
-  hold_down (rig, fault, -1);
-}
-
-void
-rig_heal (rig_t *rig)
-{
-  fault_log (rig, LOG_WELL);
-  for (int32_t i = 0; i < rig->endpoints_count; i++)
-    {
-      pause_endpoint (rig, i, false);
-      if (rig->endpoints[i].pid == 0)
-        start_endpoint (rig, i);
-      fault_endpoint (rig, i, ENDPOINT_WELL);
-    }
-  for (int32_t i = 0; i < rig->hosts_count; i++)
-    {
-      pause_host (rig, i, false);
-      rig->hosts[i].held = 0;
-    }
-  rig_watch (rig);
+  rig_tell (host->pid, SIGTERM);
 }
 
 /* --- watching --- */
@@ -558,7 +273,7 @@
 
   for (int32_t i = 0; i < rig->endpoints_count; i++)
     {
-      site_answer_t answer = site_call (endpoint_port (rig, i), "GET", "/seen", "");
+      site_answer_t answer = site_call (rig_endpoint_port (rig, i), "GET", "/seen", "");
       int running = site_number (answer.body, "running");
       int ends = site_number (answer.body, "unacknowledged");
       if (running > 0 || ends > 0)
@@ -595,7 +310,7 @@
         }
       used[tag] = true;
       host->name = name;
-      host->zone = g_strdup (zone_name (i % rig->zones));
+      host->zone = g_strdup (rig_zone_name (i % rig->zones));
       proxy_name (rig->proxy, name, host->zone, tag);
       i++;
     }
@@ -615,13 +330,13 @@
           proxy_listen (rig->proxy, PEER_IP, port + 2, port + 2, NULL, host->name, host->zone);
       result |=
           proxy_listen (rig->proxy, RIG_CALLER_IP, port, port, "callers", host->name, "entries");
-      result |= proxy_listen (rig->proxy, LOG_IP, log_port_of (rig, i), log_port (rig), host->name,
-                              "log", "log");
+      result |= proxy_listen (rig->proxy, LOG_IP, log_port_of (rig, i), rig_log_port (rig),
+                              host->name, "log", "log");
     }
   for (int32_t i = 0; i < rig->endpoints_count; i++)
     {
       char *name = g_strdup_printf ("e%d", (int) i);
-      int port = endpoint_port (rig, i);
+      int port = rig_endpoint_port (rig, i);
       result |=
           proxy_listen (rig->proxy, ENDPOINT_IP, port, port, NULL, name, rig->endpoints[i].zone);
       g_free (name);
@@ -670,15 +385,15 @@
   name_hosts (rig);
   for (int32_t i = 0; i < rig->endpoints_count; i++)
     {
-      rig->endpoints[i].zone = g_strdup (zone_name (i % rig->zones));
+      rig->endpoints[i].zone = g_strdup (rig_zone_name (i % rig->zones));
       rig->endpoints[i].ledger = g_strdup_printf ("%s/e%d.ledger", rig->directory, (int) i);
     }
   if (!take_ports (rig) || !open_doors (rig))
     return false;
   start_log (rig);
-  put_config (rig);
+  rig_put_config (rig);
   for (int32_t i = 0; i < rig->endpoints_count; i++)
-    start_endpoint (rig, i);
+    rig_start_endpoint (rig, i);
   for (int32_t i = 0; i < rig->hosts_count; i++)
     start_host (rig, i);
   return wait_ready (rig);
--- a/tests/test_fleet_net.h
+++ b/tests/test_fleet_net.h
@@ -368,7 +368,7 @@
         case MESSAGE_OFFER:
           flow_offer (node->flow, message->shard, message->from->name,
                       (const fleet_offer_t *) (void *) message->offers->data, message->offers->len,
-                      message->waiting, world->now_ms);
+                      message->waiting);
           break;
         case MESSAGE_BEAT:
         default:
