A case of its own for entries that vanish

test_site 'entries gone': all entries and the log's history are dropped four times under load. What runs goes on, nothing starts twice (three starts for each complete job), and what is refused while no endpoint is known has not run.

--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -598,6 +598,12 @@
   return true;
 }
 
+static void
+call_log (const rig_t *rig, const char *target)
+{
+  CU_ASSERT_EQUAL (site_call (rig->port, "POST", target, "").status, 200);
+}
+
 /* A configuration is in force everywhere in time, older ones never come back, and it outlives
  * the log's history. */
 static void
@@ -610,7 +616,7 @@
   CU_ASSERT_TRUE (in_force (&rig, "/new/", 2000));
   CU_ASSERT_EQUAL (status_of (&rig, 0, "/q/"), 404);
   put_config (&rig, 5, "/old/");
-  site_call (rig.port, "POST", "/forget", "");
+  call_log (&rig, "/forget");
   clock_sleep_ms (1500);
   for (int i = 0; i < HOSTS; i++)
     {
@@ -645,6 +651,29 @@
   rig_stop (&rig);
 }
 
+/* The entries of all endpoints vanish from the log, with its history, until they register again:
+ * what runs goes on, nothing runs twice, and what is refused meanwhile has not run. */
+static void
+test_entries_gone (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  load_t load = { .rig = &rig, .first = 6000, .count = 40, .host = -1, .tasks = 3, .work_ms = 150 };
+  GThread *thread = g_thread_new ("load", run_load, &load);
+  for (int i = 0; i < 4; i++)
+    {
+      clock_sleep_ms (700);
+      call_log (&rig, "/wipe");
+    }
+  g_thread_join (thread);
+  CU_ASSERT_EQUAL (load.broken, 0);
+  CU_ASSERT_TRUE (load.complete >= 30);
+  CU_ASSERT_EQUAL (seen (&rig, "starts"), 3 * load.complete);
+  CU_ASSERT_EQUAL (submit (&rig, 0, 6999, 3, 10).status, 200);
+  rig_stop (&rig);
+}
+
 /* An endpoint that leaves gets nothing more. */
 static void
 test_leaving_endpoint (void)
@@ -734,6 +763,7 @@
   { "all killed", test_all_killed },
   { "configuration", test_configuration },
   { "log down", test_log_down },
+  { "entries gone", test_entries_gone },
   { "leaving endpoint", test_leaving_endpoint },
 };
 
