One table from an owner's kind of end to a job's

Cause: daemon/site.c and tests/test_fleet_net.h each held the table from FLEET_DONE..FLEET_NOT_OWNED to flow_task_end_t; a kind added to one would have been missing in the other.

Change: flow_end_of () in lib/flow holds it once, both call it. Behaviour as before; no assertion, bound or check changed.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -109,14 +109,8 @@
 void
 site_end_task (site_t *site, const char *host, const fleet_end_t *end)
 {
-  static const flow_task_end_t ends_of[] = {
-    [FLEET_DONE] = FLOW_TASK_DONE,         [FLEET_FAILED] = FLOW_TASK_FAILED,
-    [FLEET_RETURNED] = FLOW_TASK_RETURNED, [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
-    [FLEET_OVERDUE] = FLOW_TASK_OVERDUE,   [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
-  };
-
-  flow_task_ended (site->flow, host, end->batch, end->index, ends_of[end->how], clock_boot_ms (),
-                   site->flow_actions);
+  flow_task_ended (site->flow, host, end->batch, end->index, flow_end_of (end->how),
+                   clock_boot_ms (), site->flow_actions);
   site_run_flow_actions (site);
 }
 
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -326,6 +326,18 @@
   return false;
 }
 
+flow_task_end_t
+flow_end_of (fleet_action_kind_t how)
+{
+  static const flow_task_end_t ends_of[] = {
+    [FLEET_DONE] = FLOW_TASK_DONE,         [FLEET_FAILED] = FLOW_TASK_FAILED,
+    [FLEET_RETURNED] = FLOW_TASK_RETURNED, [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
+    [FLEET_OVERDUE] = FLOW_TASK_OVERDUE,   [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
+  };
+
+  return ends_of[how];
+}
+
 void
 flow_task_ended (flow_t *flow,
                  const char *host,
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -145,6 +145,9 @@
   FLOW_TASK_NOT_OWNED /* HOST does not own the shard, and knows nothing of the task */
 } flow_task_end_t;
 
+/* What HOW, one of FLEET_DONE to FLEET_NOT_OWNED as an owner tells it, is to a job. */
+flow_task_end_t flow_end_of (fleet_action_kind_t how);
+
 /* Task INDEX of batch NUMBER at HOST has ended, as far as HOST is concerned. */
 void flow_task_ended (flow_t *flow,
                       const char *host,
--- a/tests/test_fleet_net.h
+++ b/tests/test_fleet_net.h
@@ -290,14 +290,8 @@
 static void
 take_end (node_t *node, const message_t *message)
 {
-  static const flow_task_end_t ends_of[] = {
-    [FLEET_DONE] = FLOW_TASK_DONE,           [FLEET_FAILED] = FLOW_TASK_FAILED,
-    [FLEET_RETURNED] = FLOW_TASK_RETURNED,   [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
-    [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED, [FLEET_OVERDUE] = FLOW_TASK_OVERDUE,
-  };
-
   flow_task_ended (node->flow, message->from->name, message->number, message->index,
-                   ends_of[message->how], node->world->now_ms, node->flow_actions);
+                   flow_end_of (message->how), node->world->now_ms, node->flow_actions);
 }
 
 static void
