--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -3,11 +3,17 @@
 
 #include "base/clock.h"
 
-static const char *const outcome_names[] = {
+const char *const outcome_names[] = {
   [FLOW_COMPLETE] = "complete", [FLOW_FAILED] = "failed",       [FLOW_REFUSED] = "refused",
   [FLOW_GIVEN_UP] = "given_up", [FLOW_CANCELLED] = "cancelled",
 };
 
+const char *const size_names[] = {
+  [FLOW_SIZE_USUAL] = "usual",
+  [FLOW_SIZE_LARGE] = "large",
+  [FLOW_SIZE_LARGEST] = "largest",
+};
+
 static void
 log_answer (const flow_action_t *action)
 {
@@ -24,7 +30,9 @@
   if (missed)
     {
       event_text ("why", action->reason != NULL ? action->reason : "it ended after its objective");
+      event_text ("size", size_names[action->size]);
       event_number ("tasks", action->tasks);
+      event_number ("estimate_ms", action->estimate_ms);
       event_number ("left", action->left);
       event_number ("handovers", action->handovers);
       event_number ("returns", action->returns);
--- a/daemon/site_metrics.c
+++ b/daemon/site_metrics.c
@@ -72,23 +72,30 @@
   return counter;
 }
 
+static counter_t *
+job_counter (const char *outcome, const char *size)
+{
+  char *labels = g_strdup_printf ("outcome=\"%s\",size=\"%s\"", outcome, size);
+  counter_t *counter = counter_get ("jaytrail_jobs_total", labels);
+
+  g_free (labels);
+  return counter;
+}
+
 void
 metrics_job (const flow_action_t *answer)
 {
-  static const char *const outcomes[] = {
-    [FLOW_COMPLETE] = "complete", [FLOW_FAILED] = "failed",       [FLOW_REFUSED] = "refused",
-    [FLOW_GIVEN_UP] = "given_up", [FLOW_CANCELLED] = "cancelled",
-  };
-  static counter_t *counters[G_N_ELEMENTS (outcomes)];
+  static counter_t *counters[FLOW_CANCELLED + 1][FLOW_SIZE_LARGEST + 1];
   static counter_t *late;
 
   if (late == NULL)
     {
       late = counter_get ("jaytrail_jobs_late_total", NULL);
-      for (gsize i = 0; i < G_N_ELEMENTS (outcomes); i++)
-        counters[i] = labelled ("jaytrail_jobs_total", "outcome", outcomes[i]);
+      for (int outcome = 0; outcome <= FLOW_CANCELLED; outcome++)
+        for (int size = 0; size <= FLOW_SIZE_LARGEST; size++)
+          counters[outcome][size] = job_counter (outcome_names[outcome], size_names[size]);
     }
-  counter_add (counters[answer->outcome], 1);
+  counter_add (counters[answer->outcome][answer->size], 1);
   if (answer->outcome == FLOW_COMPLETE && answer->late_by_ms > 0)
     counter_add (late, 1);
   histogram_add (&answer_times, answer->elapsed_ms);
@@ -107,13 +114,19 @@
 }
 
 void
-metrics_wait (int64_t waited_ms)
+metrics_wait (int64_t waited_ms, bool doubtful)
 {
   static counter_t *starts;
+  static counter_t *doubtful_starts;
 
   if (starts == NULL)
-    starts = counter_get ("jaytrail_starts_total", NULL);
+    {
+      starts = counter_get ("jaytrail_starts_total", NULL);
+      doubtful_starts = counter_get ("jaytrail_starts_doubtful_total", NULL);
+    }
   counter_add (starts, 1);
+  if (doubtful)
+    counter_add (doubtful_starts, 1);
   histogram_add (&wait_times, waited_ms);
 }
 
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -77,14 +77,21 @@
 static void
 log_start (const fleet_action_t *action)
 {
-  metrics_wait (action->elapsed_ms);
-  if (!event_begin (EVENT_TASK_STARTED))
+  bool doubtful = action->expected_ms > action->left_ms;
+
+  metrics_wait (action->elapsed_ms, doubtful);
+  if (!event_begin (doubtful ? EVENT_TASK_DOUBTFUL : EVENT_TASK_STARTED))
     return;
   event_text ("task", action->task);
   event_number ("attempt", action->attempt);
   event_text ("endpoint", action->endpoint);
   event_number ("expected_ms", action->expected_ms);
   event_number ("waited_ms", action->elapsed_ms);
+  if (doubtful)
+    {
+      event_number ("least_ms", action->least_ms);
+      event_number ("left_ms", action->left_ms);
+    }
   event_end ();
 }
 
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -94,6 +94,10 @@
 
 /* site_jobs.c, site_told.c */
 extern const door_ops_t site_door_ops;
+
+/* Names for logs and counters, by flow_outcome_t and flow_size_t. */
+extern const char *const outcome_names[];
+extern const char *const size_names[];
 extern const store_ops_t site_store_ops;
 void site_free_entry (void *entry);
 
@@ -124,7 +128,8 @@
 /* site_metrics.c: counters and latency histograms, served in the usual text format. */
 void metrics_job (const flow_action_t *answer);
 void metrics_task (event_t event, int64_t elapsed_ms);
-void metrics_wait (int64_t waited_ms);
+/* DOUBTFUL: the task is expected to take longer than the time that is left. */
+void metrics_wait (int64_t waited_ms, bool doubtful);
 void metrics_state (site_t *site, int64_t now_ms);
 /* Text of all; the caller frees it. */
 char *metrics_text (void);
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -88,9 +88,10 @@
   { EVENT_JOB_ANSWERED, EVENT_ROUTINE, "job_answered", "job outcome elapsed_ms late_by_ms",
     "{host_id} answered {outcome} after {elapsed_ms} ms" },
   { EVENT_JOB_MISSED, EVENT_TROUBLE, "job_missed",
-    "job outcome why tasks left elapsed_ms late_by_ms handovers returns owners",
-    "{host_id} answered {outcome} after {elapsed_ms} ms with {left} of {tasks} tasks left: {why} "
-    "(owners {owners}, {handovers} moves between owners, {returns} returns)" },
+    "job outcome why size tasks estimate_ms left elapsed_ms late_by_ms handovers returns owners",
+    "{host_id} answered {outcome} after {elapsed_ms} ms with {left} of {tasks} tasks of about "
+    "{estimate_ms} ms left: {why} (size {size}, owners {owners}, {handovers} moves between owners, "
+    "{returns} returns)" },
   { EVENT_JOB_ABANDONED, EVENT_TROUBLE, "job_abandoned", "job elapsed_ms",
     "the caller hung up after {elapsed_ms} ms" },
   { EVENT_BATCH_SENT, EVENT_ROUTINE, "batch_sent", "job batch host shard tasks",
@@ -103,6 +104,10 @@
     "task attempt endpoint expected_ms waited_ms",
     "{host_id} started task {task} on {endpoint} after {waited_ms} ms, expecting {expected_ms} "
     "ms" },
+  { EVENT_TASK_DOUBTFUL, EVENT_TROUBLE, "task_doubtful",
+    "task attempt endpoint expected_ms waited_ms least_ms left_ms",
+    "{host_id} started task {task} on {endpoint} after {waited_ms} ms, expecting {expected_ms} ms "
+    "with {left_ms} ms left; the fastest endpoint would need {least_ms} ms" },
   { EVENT_TASK_DONE, EVENT_ROUTINE, "task_done", "task attempt endpoint elapsed_ms expected_ms",
     "task {task} was done on {endpoint} after {elapsed_ms} ms" },
   { EVENT_TASK_FAILED, EVENT_TROUBLE, "task_failed", "task attempt endpoint elapsed_ms",
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -63,6 +63,7 @@
   EVENT_BATCH_STALE,
   /* Tasks at the owner of their endpoint. */
   EVENT_TASK_STARTED,
+  EVENT_TASK_DOUBTFUL,
   EVENT_TASK_DONE,
   EVENT_TASK_FAILED,
   EVENT_TASK_LAPSED,
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -121,12 +121,14 @@
   uint64_t batch;
   int32_t index;
   const char *reason; /* static; why, for logs */
-  /* For logs; FLEET_START: expected, elapsed since it was queued; FLEET_RETURNED: elapsed
-   * likewise; FLEET_EXPIRED: elapsed, expected at the least, usable endpoints and waiting tasks as
-   * counts. */
+  /* For logs; FLEET_START: expected, elapsed since it was queued, least and left; FLEET_RETURNED:
+   * elapsed likewise; FLEET_EXPIRED: elapsed, expected at the least, usable endpoints and waiting
+   * tasks as counts. */
   fleet_note_t note;
   int64_t elapsed_ms;
   int64_t expected_ms;
+  int64_t least_ms; /* on the fastest endpoint */
+  int64_t left_ms;  /* until the deadline */
   int32_t percent;
   int32_t count;
   int32_t waiting;
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -237,6 +237,8 @@
   action->spec = task->batch->spec;
   action->elapsed_ms = now_ms - task->queued_at_ms;
   action->expected_ms = task->expected_ms;
+  action->least_ms = place_least_ms (fleet, task->batch);
+  action->left_ms = task->batch->deadline_at_ms - now_ms;
   action->lease_until_there_ms = task->lease_there_ms;
   action->coordinator = task->batch->coordinator;
   action->batch = task->batch->number;
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -48,6 +48,7 @@
   job_t *job = data;
 
   g_free ((char *) job->info.id);
+  g_free ((char *) job->info.queue);
   g_free ((char *) job->info.spec);
   g_free ((char *) job->info.service);
   g_free ((char *) job->info.label);
@@ -80,6 +81,7 @@
   flow->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   flow->batches = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_batch);
   flow->shards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_shard);
+  flow->sizes = sizes_new ();
   flow->names = g_string_chunk_new (NAMES_BYTES);
   flow->cancels = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   return flow;
@@ -96,6 +98,7 @@
   g_hash_table_unref (flow->jobs);
   g_hash_table_unref (flow->shards);
   g_hash_table_unref (flow->cancels);
+  sizes_free (flow->sizes);
   g_string_chunk_free (flow->names);
   g_free (flow);
 }
@@ -175,6 +178,8 @@
   action->late_by_ms = now_ms - job->goal_at_ms;
   action->job = g_string_chunk_insert (flow->names, job->info.id);
   action->tasks = job->info.tasks;
+  action->estimate_ms = job->info.estimate_ms;
+  action->size = job->size;
   action->left = job->left;
   action->handovers = job->handovers;
   action->returns = job->returns;
@@ -265,12 +270,16 @@
   job->number = ++flow->last;
   job->info = *info;
   job->info.id = g_strdup (info->id);
+  job->info.queue = g_strdup (info->queue != NULL ? info->queue : "");
   job->info.spec = g_strdup (info->spec);
   job->info.service = g_strdup (info->service);
   job->info.label = g_strdup (info->label);
   job->info.near_rack = g_strdup (info->near_rack);
   job->goal_at_ms = info->received_at_ms + info->target_ms
                     + (int64_t) (info->stretch * (double) info->estimate_ms);
+  job->size = sizes_add (flow->sizes, job->info.queue,
+                         (double) info->tasks * (double) info->need.cores_milli
+                             * (double) info->estimate_ms);
   job->left = info->tasks;
   job->unplaced = g_array_sized_new (FALSE, FALSE, sizeof (int32_t), (guint) info->tasks);
   for (int32_t i = info->tasks; i-- > 0;)
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -23,6 +23,7 @@
 typedef struct
 {
   const char *id;
+  const char *queue; /* its name; "" if it has none */
   const char *spec;
   const char *service;
   int32_t priority;
@@ -49,6 +50,14 @@
   FLOW_CANCELLED /* its caller wants it no more; it may have run in part */
 } flow_outcome_t;
 
+/* How large a job is among the last ones of its queue, by the work that its caller expects. */
+typedef enum
+{
+  FLOW_SIZE_USUAL,
+  FLOW_SIZE_LARGE,  /* the fifth below the largest tenth */
+  FLOW_SIZE_LARGEST /* the largest tenth */
+} flow_size_t;
+
 #define FLOW_OWNERS_BYTES 128
 
 typedef enum
@@ -76,6 +85,8 @@
   /* FLOW_ANSWER, for the log: */
   const char *job; /* valid until the next call */
   int32_t tasks;
+  int64_t estimate_ms;
+  flow_size_t size;
   int32_t left;                   /* not done */
   int32_t handovers;              /* of parts of it between owners */
   int32_t returns;                /* tasks that owners gave back */
--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -3,6 +3,7 @@
 #define FLOW_STATE_H
 
 #include "flow/flow.h"
+#include "flow/sizes.h"
 
 typedef struct job_t job_t;
 
@@ -25,6 +26,7 @@
   uint64_t number;
   flow_job_t info; /* with strings of its own */
   int64_t goal_at_ms;
+  flow_size_t size;
   GArray *unplaced;   /* int32_t */
   GPtrArray *batches; /* batch_t */
   int32_t left;       /* tasks that are not done */
@@ -76,6 +78,7 @@
   GHashTable *batches; /* number -> batch_t */
   GHashTable *shards;  /* interned name -> shard_t */
   GHashTable *cancels; /* number -> cancel_t: not confirmed yet */
+  sizes_t *sizes;
   GStringChunk *names; /* of jobs that were answered in the last call */
   uint64_t last;
 };
--- a/tool/explain.c
+++ b/tool/explain.c
@@ -51,6 +51,7 @@
   { EVENT_SHARD_YIELDED, "An owner gave up its endpoints." },
   { EVENT_ENDPOINT_SILENT, "An endpoint that it met stopped answering." },
   { EVENT_ENDPOINT_GONE, "An endpoint that it met left." },
+  { EVENT_TASK_DOUBTFUL, "A task was started where it could hardly end in time." },
   { EVENT_TASK_MOVED, "A task was too slow where it ran." },
   { EVENT_TASK_CUT, "A task took longer than the time that was left." },
   { EVENT_JOB_MISSED, "The job was answered late." },
