--- a/tests/test_fleet_machine.h
+++ b/tests/test_fleet_machine.h
@@ -38,13 +38,10 @@
 static job_t *
 job_of (const world_t *world, const char *task)
 {
-  for (guint i = 0; i < world->jobs->len; i++)
-    {
-      job_t *job = world->jobs->pdata[i];
-      if (strncmp (task, job->id, strlen (job->id)) == 0)
-        return job;
-    }
-  return NULL;
+  /* Ids count the jobs. */
+  guint place = (guint) atoi (task);
+
+  return place < world->jobs->len ? world->jobs->pdata[place] : NULL;
 }
 
 static int
@@ -181,7 +178,8 @@
   check_start (world, machine, order->task);
   run_t *run = g_new0 (run_t, 1);
   const job_t *job = job_of (world, order->task);
-  int64_t work_ms = (int64_t) ((double) (job != NULL ? job->work_ms : 50) * machine->slowness);
+  int64_t whole_ms = job != NULL ? job->task_work_ms[index_of (order->task)] : 50;
+  int64_t work_ms = (int64_t) ((double) whole_ms * machine->slowness);
   run->task = g_strdup (order->task);
   run->attempt = order->attempt;
   run->started_at_ms = world->now_ms;
--- a/tests/test_fleet_node.h
+++ b/tests/test_fleet_node.h
@@ -20,6 +20,7 @@
     {
     case FLOW_COMPLETE:
       world->result.complete++;
+      job->complete = true;
       for (int i = 0; i < job->tasks; i++)
         if (!job->done[i])
           {
@@ -117,7 +118,7 @@
       fleet_endpoint_t info = { machine->id,
                                 machine->id,
                                 "s",
-                                "a",
+                                world->options->mixed && machine->slowness > 1 ? "b" : "a",
                                 zone_name (machine->zone),
                                 machine->born_at_ms,
                                 { WORLD_ROOM * 1000, 1000, 0 },
--- a/tests/test_fleet_parts.h
+++ b/tests/test_fleet_parts.h
@@ -17,7 +17,10 @@
 #define BLIND_MS 2000
 #define SETTLED_AFTER_MS 3000
 #define ORDER_MAX_MS 80
-#define TASKS_MAX 6
+#define TASKS_MAX 16
+#define TASKS_DRAWN 6
+#define FAST 0.7 /* durations against estimates */
+#define SLOW 1.7
 #define JOB_EVERY_MS 25
 #define DEADLINE_MS 1500
 #define ATTEMPTS_MAX 3
@@ -97,11 +100,27 @@
 
 /* --- callers --- */
 
+#define WORLD_QUEUES 3
+
+typedef struct
+{
+  const char *name;
+  int32_t priority;
+  int share; /* thousandths of the jobs */
+  double tasks;
+  double work_ms;
+} mixed_queue_t;
+
 typedef struct
 {
   char id[20];
+  const mixed_queue_t *mixed; /* NULL for plain jobs */
   int tasks;
-  int64_t work_ms;
+  int64_t estimate_ms;
+  int64_t task_work_ms[TASKS_MAX];
+  int64_t work_ms;    /* of all tasks */
+  int64_t longest_ms; /* of them */
+  bool complete;
   int near_zone;      /* where its data are, or -1 */
   int64_t sent_at_ms; /* the first time */
   int64_t deadline_at_ms;
--- a/tests/test_fleet_world.h
+++ b/tests/test_fleet_world.h
@@ -48,8 +48,17 @@
   int terminations;     /* hosts that are stopped gracefully, a second and host */
   int clock_steps;      /* hosts whose time of day jumps, a second and host */
   int racks;            /* jobs that run faster in one data centre */
+  bool mixed; /* jobs of three queues with priorities, of very different sizes, with bursts */
 } world_options_t;
 
+/* Drafts of mixed jobs. */
+typedef struct
+{
+  int32_t jobs;
+  int32_t complete;
+  int32_t feasible; /* a fast endpoint that is free ends each task in time */
+} world_size_t;
+
 typedef struct
 {
   int64_t steps; /* events handled */
@@ -58,12 +67,13 @@
   int32_t failed;
   int32_t refused;
   int32_t given_up;
-  int32_t twice;        /* two runs of a task at one time */
-  int32_t crowded;      /* a start beyond an endpoint's room */
-  int32_t untrue;       /* "not run" of a job that has run, or complete before all were done */
-  int32_t false_failed; /* "failed" before a task had failed as often as is allowed */
-  int32_t unanswered;   /* jobs without an answer long after their deadline */
-  int32_t reused;       /* starts with an attempt number that the endpoint had seen */
+  int32_t twice;         /* two runs of a task at one time */
+  int32_t crowded;       /* a start beyond an endpoint's room */
+  int32_t untrue;        /* "not run" of a job that has run, or complete before all were done */
+  int32_t false_failed;  /* "failed" before a task had failed as often as is allowed */
+  int32_t unanswered;    /* jobs without an answer long after their deadline */
+  world_size_t sizes[3]; /* the largest tenth, the fifth below it, the others */
+  int32_t reused;        /* starts with an attempt number that the endpoint had seen */
 } world_result_t;
 
 world_result_t world_run (const world_options_t *options);
