Large tasks wait for a fast endpoint instead of starting on any that is free

Cause: all expectations without a margin of half before the deadline were one tier, so that where the fastest endpoints left no margin the slowest counted as just as good, though they needed 2 to 8 s with 1.5 s left. Why this works: without a margin anywhere only endpoints near the fastest are worth a start; the same function decides for the owner, for tasks that are returned to other owners, and for the coordinator's choice of owner and queue, where the same comparison stood. The mixed jobs of the random worlds have a random source of their own: the code under test does not change them.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -266,14 +266,29 @@
 /* What may be expected of a task that should take EXPECTED_MS from now on. */
 typedef enum
 {
-  PLACE_HOPELESS,
-  PLACE_LATE,    /* after its objective, but before its deadline */
-  PLACE_IN_TIME, /* unless its estimate is far off; not worth waiting for better */
-  PLACE_SURE     /* also if its estimate is far off */
+  PLACE_UNLIKELY, /* without a margin before its deadline */
+  PLACE_LATE,     /* after its objective, but before its deadline */
+  PLACE_IN_TIME,  /* unless its estimate is far off; not worth waiting for better */
+  PLACE_SURE      /* also if its estimate is far off */
 } place_tier_t;
 place_tier_t
 place_tier (int64_t expected_ms, int64_t now_ms, int64_t goal_at_ms, int64_t deadline_at_ms);
 
+/* What a task may hope for if it waits. */
+typedef struct
+{
+  place_tier_t tier; /* the best */
+  int64_t least_ms;  /* its shortest duration; INT64_MAX if there is no endpoint for it */
+} place_hope_t;
+
+/* No hope yet, for place_hope_add (). */
+#define PLACE_NO_HOPE ((place_hope_t){ PLACE_UNLIKELY, INT64_MAX })
+void place_hope_add (place_hope_t *hope, place_tier_t tier, int64_t expected_ms);
+
+/* True if a task should start where it can expect TIER and EXPECTED_MS, rather than wait for what
+ * it may hope for. */
+bool place_is_worth (place_tier_t tier, int64_t expected_ms, const place_hope_t *hope);
+
 /* What coordinators need to know to place tasks. */
 typedef struct
 {
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -22,6 +22,9 @@
 /* Rather than refuse a task, it is started where it is in time if this part of what is expected is
  * enough. */
 #define RESORT_PERCENT 75
+/* Where no endpoint leaves a margin, only those will do on which a task takes at most so much of
+ * its time on the fastest. */
+#define NEAR_FASTEST_PERCENT 150
 /* What is left of the sums of a pace with each run: they reach over about 40 and 5 runs. */
 #define PACE_KEPT 0.975
 #define LATE_KEPT 0.8
@@ -219,7 +222,7 @@
 place_tier (int64_t expected_ms, int64_t now_ms, int64_t goal_at_ms, int64_t deadline_at_ms)
 {
   if (now_ms + expected_ms * DEADLINE_PERCENT / 100 > deadline_at_ms)
-    return PLACE_HOPELESS;
+    return PLACE_UNLIKELY;
   if (now_ms + expected_ms * GOAL_PERCENT / 100 > goal_at_ms)
     return PLACE_LATE;
   return now_ms + expected_ms * DEADLINE_SURE_PERCENT / 100 <= deadline_at_ms ? PLACE_SURE
@@ -255,38 +258,57 @@
   return a->left_over < b->left_over;
 }
 
+void
+place_hope_add (place_hope_t *hope, place_tier_t tier, int64_t expected_ms)
+{
+  hope->tier = MAX (hope->tier, tier);
+  hope->least_ms = MIN (hope->least_ms, expected_ms);
+}
+
+bool
+place_is_worth (place_tier_t tier, int64_t expected_ms, const place_hope_t *hope)
+{
+  if (tier == PLACE_UNLIKELY)
+    return hope->tier == PLACE_UNLIKELY
+           && expected_ms * 100 <= hope->least_ms * NEAR_FASTEST_PERCENT;
+  return tier >= MIN (hope->tier, PLACE_IN_TIME);
+}
+
 /* A task that may run anywhere, at the same speed, is as well off as on the fastest endpoint. */
-static place_tier_t
+static place_hope_t
 hope_of (const fleet_t *fleet, const task_t *task, int64_t now_ms)
 {
+  static const room_t nothing;
   const batch_t *batch = task->batch;
-  int64_t least_ms = place_least_ms (fleet, batch);
+  bool anywhere = batch->label[0] == '\0' && batch->near_rack[0] == '\0';
+  place_hope_t hope = PLACE_NO_HOPE;
 
-  if (batch->label[0] == '\0' && batch->near_rack[0] == '\0')
-    return least_ms == INT64_MAX
-               ? PLACE_HOPELESS
-               : place_tier (least_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms);
-  static const room_t nothing;
-  place_tier_t best = PLACE_HOPELESS;
   for (guint i = 0; i < fleet->usable->len; i++)
     {
       const endpoint_t *endpoint = fleet->usable->pdata[i];
-      if (place_may_run (endpoint, task) && room_fits (&endpoint->whole, &nothing, &task->need))
-        best = MAX (best, place_tier (place_expected_ms (fleet, endpoint, batch), now_ms,
-                                      batch->goal_at_ms, batch->deadline_at_ms));
+      int64_t expected_ms =
+          anywhere ? place_least_ms (fleet, batch) : place_expected_ms (fleet, endpoint, batch);
+      if (anywhere
+          || (place_may_run (endpoint, task)
+              && room_fits (&endpoint->whole, &nothing, &task->need)))
+        place_hope_add (&hope,
+                        place_tier (expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms),
+                        expected_ms);
+      if (anywhere)
+        break;
     }
-  return best;
+  return hope;
 }
 
 /* A task does not start where it would be late while an endpoint on which it would be in time
  * may still get free soon enough. */
 endpoint_t *
-place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_tier_t *best_tier)
+place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_hope_t *hope)
 {
   const batch_t *batch = task->batch;
   candidate_t best = { 0 };
 
-  *best_tier = hope_of (fleet, task, now_ms);
+  *hope = hope_of (fleet, task, now_ms);
   for (guint i = 0; i < fleet->open->len; i++)
     {
       endpoint_t *endpoint = fleet->open->pdata[i];
@@ -304,8 +326,8 @@
       if (is_better (&one, &best))
         best = one;
     }
-  return best.endpoint != NULL && best.tier >= MIN (*best_tier, PLACE_IN_TIME) ? best.endpoint
-                                                                               : NULL;
+  return best.endpoint != NULL && place_is_worth (best.tier, best.expected_ms, hope) ? best.endpoint
+                                                                                     : NULL;
 }
 
 endpoint_t *
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -291,7 +291,7 @@
 static bool
 goes_elsewhere (const fleet_t *fleet,
                 const task_t *task,
-                place_tier_t here,
+                const place_hope_t *here,
                 GArray *elsewhere,
                 int64_t now_ms)
 {
@@ -304,9 +304,10 @@
       fleet_offer_t *offer = &g_array_index (elsewhere, fleet_offer_t, i);
       double distance = batch->near_rack[0] != '\0' ? fleet->options.remote_factor : 1.0;
       int64_t expected_ms = (int64_t) (offer->ratio * distance * (double) batch->estimate_ms);
+      place_tier_t tier =
+          place_tier (expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms);
       if (offer->slots > 0 && strcmp (offer->service, batch->service) == 0
-          && place_tier (expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms)
-                 >= MIN (here, PLACE_IN_TIME))
+          && place_is_worth (tier, expected_ms, here))
         {
           offer->slots--;
           return true;
@@ -319,17 +320,17 @@
 start_tasks (fleet_t *fleet, GArray *elsewhere, int64_t now_ms, GArray *actions)
 {
   const task_t *stuck = NULL;
-  place_tier_t stuck_tier = PLACE_HOPELESS;
+  place_hope_t stuck_hope = PLACE_NO_HOPE;
 
   for (GList *at = fleet->queue.head; at != NULL;)
     {
       task_t *task = at->data;
       at = at->next;
-      place_tier_t tier = stuck_tier;
+      place_hope_t hope = stuck_hope;
       /* What did not fit for one task does not fit for its like. */
       endpoint_t *endpoint = NULL;
       if (!is_alike (stuck, task))
-        endpoint = place_choose (fleet, task, now_ms, &tier);
+        endpoint = place_choose (fleet, task, now_ms, &hope);
       bool refuse = endpoint == NULL && !task->ever_started
                     && (is_hopeless (fleet, task, now_ms) || comes_too_late (fleet, task, now_ms));
       if (refuse)
@@ -346,7 +347,7 @@
           told->waiting = (int32_t) fleet->queue.length;
           task_end (fleet, task);
         }
-      else if (goes_elsewhere (fleet, task, tier, elsewhere, now_ms))
+      else if (goes_elsewhere (fleet, task, &hope, elsewhere, now_ms))
         {
           tell (fleet, actions, FLEET_RETURNED, task, "another owner has room")->elapsed_ms =
               now_ms - task->queued_at_ms;
@@ -355,7 +356,7 @@
       else
         {
           stuck = task;
-          stuck_tier = tier;
+          stuck_hope = hope;
         }
     }
 }
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -213,9 +213,8 @@
 /* True if ENDPOINT may be given any task now. */
 bool place_is_usable (const endpoint_t *endpoint, int64_t now_ms);
 
-/* The endpoint of this round for TASK, or NULL if it has to wait.  *BEST is set to the best that
- * it may wait for. */
-endpoint_t *place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_tier_t *best);
+/* The endpoint of this round for TASK, or NULL if it has to wait for what is then in *HOPE. */
+endpoint_t *place_choose (fleet_t *fleet, const task_t *task, int64_t now_ms, place_hope_t *hope);
 
 /* A free endpoint on which TASK may yet be in time, if its estimate is too high; NULL if there is
  * none. For a task that would be refused. */
--- a/lib/flow/spread.c
+++ b/lib/flow/spread.c
@@ -54,23 +54,34 @@
   return home == shard->name && job->returns == 0 ? 1.0 : flow->remote_factor;
 }
 
+static int64_t
+expected_ms_of (double ratio, const job_t *job)
+{
+  return (int64_t) (ratio * (double) job->info.estimate_ms);
+}
+
 static place_tier_t
 tier_of (double ratio, const job_t *job, int64_t now_ms)
 {
-  int64_t expected_ms = (int64_t) (ratio * (double) job->info.estimate_ms);
+  return place_tier (expected_ms_of (ratio, job), now_ms, job->goal_at_ms,
+                     job->info.deadline_at_ms);
+}
 
-  return place_tier (expected_ms, now_ms, job->goal_at_ms, job->info.deadline_at_ms);
+static bool
+is_worth (double ratio, const job_t *job, const place_hope_t *hope, int64_t now_ms)
+{
+  return place_is_worth (tier_of (ratio, job, now_ms), expected_ms_of (ratio, job), hope);
 }
 
 /* The best free slot, and in *HOPE what the job may hope for, if it waits. */
 static place_t
-best_place (flow_t *flow, const job_t *job, int64_t now_ms, place_tier_t *hope)
+best_place (flow_t *flow, const job_t *job, int64_t now_ms, place_hope_t *hope)
 {
   place_t best = { 0 };
   GHashTableIter iter;
   void *value = NULL;
 
-  *hope = PLACE_HOPELESS;
+  *hope = PLACE_NO_HOPE;
   g_hash_table_iter_init (&iter, flow->shards);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -81,14 +92,14 @@
           row_t *row = &g_array_index (shard->rows, row_t, i);
           if (row->slots_all <= 0 || !suits (row, &job->info))
             continue;
-          place_t one = { shard, row, row->ratio * distance, PLACE_HOPELESS };
+          place_t one = { shard, row, row->ratio * distance, PLACE_UNLIKELY };
           one.tier = tier_of (one.ratio, job, now_ms);
-          *hope = MAX (*hope, one.tier);
+          place_hope_add (hope, one.tier, expected_ms_of (one.ratio, job));
           if (row->slots > 0 && is_better (flow, &one, &best))
             best = one;
         }
     }
-  if (best.row != NULL && best.tier < MIN (*hope, PLACE_IN_TIME))
+  if (best.row != NULL && !is_worth (best.ratio, job, hope, now_ms))
     best = (place_t){ 0 };
   return best;
 }
@@ -98,7 +109,7 @@
 slots_all (const flow_t *flow,
            const shard_t *shard,
            const job_t *job,
-           place_tier_t hope,
+           const place_hope_t *hope,
            int64_t now_ms)
 {
   double distance = distance_of (flow, shard, job);
@@ -107,8 +118,7 @@
   for (guint i = 0; i < shard->rows->len; i++)
     {
       const row_t *row = &g_array_index (shard->rows, row_t, i);
-      if (suits (row, &job->info)
-          && tier_of (row->ratio * distance, job, now_ms) >= MIN (hope, PLACE_IN_TIME))
+      if (suits (row, &job->info) && is_worth (row->ratio * distance, job, hope, now_ms))
         slots += row->slots_all;
     }
   return slots;
@@ -116,7 +126,7 @@
 
 /* The shard with the shortest queue for its size. */
 static shard_t *
-shortest_queue (flow_t *flow, const job_t *job, place_tier_t hope, int64_t now_ms)
+shortest_queue (flow_t *flow, const job_t *job, const place_hope_t *hope, int64_t now_ms)
 {
   shard_t *best = NULL;
   double best_length = 0;
@@ -207,9 +217,9 @@
 
   while (job->unplaced->len > 0)
     {
-      place_tier_t hope = PLACE_HOPELESS;
+      place_hope_t hope = PLACE_NO_HOPE;
       place_t place = best_place (flow, job, now_ms, &hope);
-      shard_t *shard = place.row != NULL ? place.shard : shortest_queue (flow, job, hope, now_ms);
+      shard_t *shard = place.row != NULL ? place.shard : shortest_queue (flow, job, &hope, now_ms);
       if (shard == NULL)
         break;
       if (place.row != NULL)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -8,6 +8,8 @@
 #define LEASE_MS 1000
 #define STOP_MS 50
 #define SERVICE "s"
+#define LIMIT_MS 1500
+#define FAR_MS 20000
 
 typedef struct
 {
@@ -105,7 +107,7 @@
                           .need = { 1000, 10, 0 },
                           .estimate_ms = 60,
                           .goal_at_ms = 10000,
-                          .deadline_at_ms = 20000,
+                          .deadline_at_ms = FAR_MS,
                           .attempts_max = 3,
                           .label = "",
                           .near_rack = "",
@@ -144,15 +146,20 @@
   int64_t cores_near; /* of the endpoint in rack "r1"; the other one, in "r2", has 4,000 */
   bool taken;         /* all cores near are in use */
   const char *starts_at;
+  int64_t deadline_at_ms;
 } rack_cases[] = {
-  { "no rack: the tighter fit", "", 60, 10000, 2000, false, "e0" },
-  { "the rack is free", "r1", 400, 600, 4000, false, "e0" },
-  { "the other rack", "r2", 400, 600, 4000, false, "e1" },
-  { "a rack that is not there costs time, not the job", "r9", 400, 10000, 2000, false, "e0" },
-  { "too small near, in time elsewhere", "r1", 60, 10000, 500, false, "e1" },
-  { "too small near, too late elsewhere", "r1", 600, 900, 500, false, "e1" },
-  { "no room near, in time elsewhere", "r1", 60, 10000, 1000, true, "e1" },
-  { "no room near, too late elsewhere: waits", "r1", 600, 900, 1000, true, "" },
+  { "no rack: the tighter fit", "", 60, 10000, 2000, false, "e0", FAR_MS },
+  { "the rack is free", "r1", 400, 600, 4000, false, "e0", FAR_MS },
+  { "the other rack", "r2", 400, 600, 4000, false, "e1", FAR_MS },
+  { "a rack that is not there costs time, not the job", "r9", 400, 10000, 2000, false, "e0",
+    FAR_MS },
+  { "too small near, in time elsewhere", "r1", 60, 10000, 500, false, "e1", FAR_MS },
+  { "too small near, too late elsewhere", "r1", 600, 900, 500, false, "e1", FAR_MS },
+  { "no room near, in time elsewhere", "r1", 60, 10000, 1000, true, "e1", FAR_MS },
+  { "no room near, too late elsewhere: waits", "r1", 600, 900, 1000, true, "", FAR_MS },
+  { "large, room near", "r1", 1200, 3000, 2000, false, "e0", 1500 },
+  { "large, no room near, far too slow elsewhere: waits", "r1", 1200, 3000, 1000, true, "", 1500 },
+  { "large, equally slow everywhere", "r9", 1200, 3000, 2000, false, "e0", 1500 },
 };
 
 /* Work away from its data takes longer, so that it starts near them where that matters. */
@@ -182,6 +189,7 @@
       batch.near_rack = rack_cases[i].near;
       batch.estimate_ms = rack_cases[i].estimate_ms;
       batch.goal_at_ms = rack_cases[i].goal_at_ms;
+      batch.deadline_at_ms = rack_cases[i].deadline_at_ms;
       fleet_submit (script.fleet, &batch, 1);
       run_at (&script, 1);
       if (strcmp (script.start_at, rack_cases[i].starts_at) != 0)
@@ -191,6 +199,52 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  int64_t estimate_ms;
+  double ratio; /* of the free slot elsewhere */
+  bool returned;
+} offer_cases[] = {
+  { "as fast elsewhere", 600, 1.0, true },
+  { "slow elsewhere, but in time", 300, 1.7, true },
+  { "large, as fast elsewhere", 1200, 1.0, true },
+  { "large, far too slow elsewhere", 1200, 1.7, false },
+};
+
+/* A large task is not given away to where it would surely miss its deadline. */
+static void
+test_large_task_given_away (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (offer_cases); i++)
+    {
+      fleet_offer_t offer = { SERVICE, 1, 1, offer_cases[i].ratio };
+      fleet_batch_t other = batch_of ("other", 1);
+      fleet_batch_t batch = batch_of ("j", 2);
+      bool returned = false;
+      script_t script;
+
+      script_begin (&script);
+      add_endpoint (&script, 0, "r1", 1000);
+      run_at (&script, 0);
+      answer_look (&script, 0, NULL, 0);
+      fleet_submit (script.fleet, &other, 0);
+      run_at (&script, 0);
+      batch.estimate_ms = offer_cases[i].estimate_ms;
+      batch.goal_at_ms = 3000;
+      batch.deadline_at_ms = LIMIT_MS;
+      fleet_submit (script.fleet, &batch, 0);
+      g_array_append_val (script.elsewhere, offer);
+      run_at (&script, 10);
+      for (guint k = 0; k < script.actions->len; k++)
+        returned |= g_array_index (script.actions, fleet_action_t, k).kind == FLEET_RETURNED;
+      if (returned != offer_cases[i].returned)
+        printf ("  %s\n", offer_cases[i].name);
+      CU_ASSERT_EQUAL (returned, offer_cases[i].returned);
+      script_end (&script);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -206,7 +260,6 @@
 };
 
 #define ELAPSED_MS 300
-#define LIMIT_MS 1500
 
 /* A task that can't end in time anywhere is given up when its progress shows it, and stopped. */
 static void
@@ -342,6 +395,7 @@
   { "given up once it can't be in time", test_overdue },
   { "a run is adopted while it is stopped", test_adopted_while_stopped },
   { "work near its data", test_racks },
+  { "a large task is given away", test_large_task_given_away },
 };
 
 int
--- a/tests/test_fleet_parts.h
+++ b/tests/test_fleet_parts.h
@@ -151,6 +151,7 @@
 {
   const world_options_t *options;
   GRand *rand;
+  GRand *mixed_rand; /* for mixed jobs, which are the same whatever the hosts do */
   int64_t now_ms;
   uint64_t order;
   GSequence *events;
--- a/tests/test_fleet_run.h
+++ b/tests/test_fleet_run.h
@@ -60,8 +60,8 @@
 static double
 draw_spread (world_t *world, double mean, double spread)
 {
-  double u = 1.0 - g_rand_double (world->rand);
-  double normal = sqrt (-2.0 * log (u)) * cos (2.0 * G_PI * g_rand_double (world->rand));
+  double u = 1.0 - g_rand_double (world->mixed_rand);
+  double normal = sqrt (-2.0 * log (u)) * cos (2.0 * G_PI * g_rand_double (world->mixed_rand));
 
   return fmin (mean * exp (spread * normal - spread * spread / 2), WORK_MAX * mean);
 }
@@ -70,7 +70,7 @@
 static void
 draw_mixed (world_t *world, job_t *job)
 {
-  int place = draw (world, 1000);
+  int place = g_rand_int_range (world->mixed_rand, 0, 1000);
   int number = 0;
 
   while (number < WORLD_QUEUES - 1 && place >= mixed_queues[number].share)
@@ -349,6 +349,7 @@
 
   world->options = options;
   world->rand = g_rand_new_with_seed (options->seed);
+  world->mixed_rand = g_rand_new_with_seed (options->seed);
   world->now_ms = 1000;
   world->events = g_sequence_new (g_free);
   world->jobs = g_ptr_array_new_with_free_func (g_free);
@@ -392,6 +393,7 @@
   g_sequence_free (world->events);
   g_ptr_array_unref (world->jobs);
   g_rand_free (world->rand);
+  g_rand_free (world->mixed_rand);
   g_free (world);
   return result;
 }
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -4,6 +4,7 @@
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
+#include <string.h>
 
 /* Jobs of sizes 1 to 100 have come before. */
 static const struct
@@ -44,6 +45,62 @@
   sizes_free (sizes);
 }
 
+static const struct
+{
+  const char *name;
+  int64_t estimate_ms;
+  int32_t fast_slots; /* free, of 4 in x */
+  int32_t slow_slots; /* free, of 4 in y */
+  const char *to;
+} spreads[] = {
+  { "small: the slow slot is fast enough", 100, 4, 4, "y" },
+  { "small, the slow slots are taken", 100, 4, 0, "x" },
+  { "large", 1500, 4, 4, "x" },
+  { "large, the fast slots are taken: waits there", 1500, 0, 4, "x" },
+  { "larger, the fast slots are taken: waits there", 3000, 0, 4, "x" },
+};
+
+/* A large job is not given to an owner with slow endpoints because the fast ones are taken. */
+static void
+test_large_job_to_slow_owner (void)
+{
+  const flow_options_t options = { "h", "z", 1000, 1.0 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (spreads); i++)
+    {
+      const fleet_offer_t fast = { "s", spreads[i].fast_slots, 4, 0.7 };
+      const fleet_offer_t slow = { "s", spreads[i].slow_slots, 4, 1.7 };
+      const flow_job_t job = { .id = "j",
+                               .spec = "work",
+                               .service = "s",
+                               .tasks = 1,
+                               .need = { 1000, 10, 0 },
+                               .estimate_ms = spreads[i].estimate_ms,
+                               .stretch = 3,
+                               .target_ms = 60,
+                               .deadline_at_ms = 1500,
+                               .attempts_max = 3,
+                               .label = "",
+                               .near_rack = "" };
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
+      flow_t *flow = flow_new (&options);
+
+      flow_owner (flow, "x", "hx", 1, 0, actions);
+      flow_owner (flow, "y", "hy", 1, 0, actions);
+      flow_offer (flow, "x", "hx", &fast, 1, 0);
+      flow_offer (flow, "y", "hy", &slow, 1, 0);
+      flow_submit (flow, &job, 0, actions);
+      CU_ASSERT_EQUAL_FATAL (actions->len, 1);
+      const flow_action_t *submit = &g_array_index (actions, flow_action_t, 0);
+      if (strcmp (submit->shard, spreads[i].to) != 0)
+        printf ("  %s: to %s\n", spreads[i].name, submit->shard);
+      CU_ASSERT_STRING_EQUAL (submit->shard, spreads[i].to);
+      g_array_unref (submit->indexes);
+      flow_free (flow);
+      g_array_unref (actions);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -51,6 +108,7 @@
 } cases[] = {
   { "a job's rank by size", test_sizes },
   { "sizes are forgotten", test_sizes_forgotten },
+  { "a large job to a slow owner", test_large_job_to_slow_owner },
 };
 
 int
