A large task that stands still is stopped while it may still end elsewhere

Callers saw large drafts lost with one hung task. Cause: a run without progress was stopped after 300 ms or its whole expected duration, whichever was longer: a small task was started elsewhere at once, a task of 1,000 ms with 1,500 ms to its deadline only when that was of no use. Evidence: 21 of 97 hung runs in the logs were stopped after over 400 ms. Why this works: a sound run of 1,000 ms shows progress every 10 ms; a fifth of the duration leaves a factor of twenty for slow endpoints.

--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -11,8 +11,10 @@
 
 /* How long an endpoint that is full by its own word gets nothing. */
 #define FULL_MS 20
-/* Two looks apart by this much must show progress. */
+/* A task must show progress within this time, or within this part of its duration if that is
+ * longer. */
 #define HANG_MIN_MS 300
+#define HANG_PERCENT 20
 /* Progress below this says little about the whole. */
 #define MOVE_PERCENT_MIN 5
 /* A new start must gain at least this. */
@@ -479,7 +481,7 @@
       if (is_active (look, task))
         {
           int64_t still_ms = now_ms - task->percent_at_ms;
-          int64_t patience_ms = MAX (HANG_MIN_MS, task->expected_ms);
+          int64_t patience_ms = MAX (HANG_MIN_MS, task->expected_ms * HANG_PERCENT / 100);
           if (task->state == TASK_RUNNING && still_ms > patience_ms)
             {
               judge (fleet, endpoint, true, now_ms, actions);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -20,6 +20,7 @@
   uint64_t look_serial[2]; /* by number of the endpoint */
   uint64_t start_serial;   /* of the last start */
   char start_at[8];        /* and its endpoint */
+  char start_task[32];     /* task of the last start */
   char stop_task[32];      /* task of the last stop */
 } script_t;
 
@@ -77,6 +78,7 @@
         {
           script->start_serial = action->serial;
           g_strlcpy (script->start_at, action->endpoint, sizeof script->start_at);
+          g_strlcpy (script->start_task, action->task, sizeof script->start_task);
         }
     }
 }
@@ -278,6 +280,7 @@
       fleet_submit (script.fleet, &running, 0);
       run_at (&script, 0);
       waiting.estimate_ms = like_cases[i].estimate_ms;
+      waiting.deadline_at_ms = like_cases[i].at_ms + LIMIT_MS;
       fleet_submit (script.fleet, &waiting, 0);
       batch.estimate_ms = like_cases[i].estimate_ms;
       batch.deadline_at_ms = like_cases[i].at_ms + LIMIT_MS;
@@ -342,6 +345,46 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  int64_t estimate_ms;
+  int64_t still_ms; /* after the start was confirmed a look shows no progress */
+  bool stopped;
+} hang_cases[] = {
+  { "small", 60, 310, true },        { "small, too early to say", 60, 290, false },
+  { "large", 1000, 310, true },      { "large, too early to say", 1000, 290, false },
+  { "very large", 4000, 810, true }, { "very large, too early to say", 4000, 790, false },
+};
+
+/* A task that stands still is stopped before it is too late to start it elsewhere. */
+static void
+test_large_task_hung (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (hang_cases); i++)
+    {
+      static const look_active_t row = { "j.0.0.0", 1, 0 };
+      fleet_batch_t batch = batch_of ("j", 1);
+      script_t script;
+
+      script_begin (&script);
+      add_endpoint (&script, 0, "r1", 1000);
+      run_at (&script, 0);
+      answer_look (&script, 0, NULL, 0);
+      batch.estimate_ms = hang_cases[i].estimate_ms;
+      fleet_submit (script.fleet, &batch, 1);
+      run_at (&script, 1);
+      fleet_started (script.fleet, script.start_serial, FLEET_OK, 5, 1, script.actions);
+      run_at (&script, 1 + hang_cases[i].still_ms);
+      answer_look (&script, 0, &row, 1);
+      run_at (&script, 2 + hang_cases[i].still_ms);
+      if ((script.stop_task[0] != '\0') != hang_cases[i].stopped)
+        printf ("  %s\n", hang_cases[i].name);
+      CU_ASSERT_EQUAL (script.stop_task[0] != '\0', hang_cases[i].stopped);
+      script_end (&script);
+    }
+}
+
 /* An endpoint whose entry is gone may live: what runs there starts elsewhere only once it is
  * surely over. */
 static void
@@ -445,6 +488,7 @@
   { "work near its data", test_racks },
   { "a large task is given away", test_large_task_given_away },
   { "a large job is refused at once", test_large_job_refused_at_once },
+  { "a large task stands still", test_large_task_hung },
 };
 
 int
