--- a/tests/test_fleet_machine.h
+++ b/tests/test_fleet_machine.h
@@ -93,6 +93,16 @@
   g_ptr_array_remove_index_fast (machine->runs, place);
 }
 
+/* A fault has ended the run of TASK: it has to start anew. */
+static void
+lose_run (world_t *world, const char *task)
+{
+  job_t *job = job_of (world, task);
+
+  if (job != NULL)
+    job->anew_ms[index_of (task)] = world->now_ms - job->sent_at_ms;
+}
+
 /* Brings the machine up to now: ends, stops, lapses. */
 static void
 machine_step (world_t *world, machine_t *machine)
@@ -184,6 +194,8 @@
   run->attempt = order->attempt;
   run->started_at_ms = world->now_ms;
   run->ends_at_ms = happens (world, world->options->hanging) ? INT64_MAX : world->now_ms + work_ms;
+  if (run->ends_at_ms == INT64_MAX)
+    lose_run (world, order->task);
   run->fails = happens (world, world->options->failing);
   g_ptr_array_add (machine->runs, run);
   return FLEET_OK;
--- a/tests/test_fleet_world.h
+++ b/tests/test_fleet_world.h
@@ -41,6 +41,7 @@
   int zone_cuts;        /* data centres that are cut off, a second */
   int host_cuts;        /* hosts that other hosts can't reach, a second and host */
   int endpoint_crashes; /* a second and endpoint */
+  bool refusing;        /* endpoints that have crashed refuse connections */
   int endpoint_cuts;    /* endpoints that can't be reached, a second and endpoint */
   bool held;            /* what is sent into a cut arrives when it ends, in place of never */
   bool few_hubs;        /* one hub in each data centre; the others are heard less often */
