Usual names: ingress for door, foreign runs for strangers, site_updates for site_told

Debts of the house style: door, stranger and told are words of our own. platform/ingress.c is what callers and the balancer ask; a run that the owner has not started is a foreign run; daemon/site_updates.c takes in configurations, entries and hosts.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -246,7 +246,7 @@
   bool owns = g_hash_table_size (site->owned) > 0 && crew_hosts (site->crew) > 1;
 
   if (since_ms > site->settings->grace_ms - EXIT_SLACK_MS
-      || (since_ms > NOTICED_MS && door_is_idle (site->door) && !owns))
+      || (since_ms > NOTICED_MS && ingress_is_idle (site->ingress) && !owns))
     loop_stop (site->loop);
 }
 
@@ -328,7 +328,7 @@
   follow_directory (site, now_ms);
   crew_set_ready (site->crew, site->queues != NULL && store_is_listed (site->store));
   webclient_tick (site->client, now_ms);
-  door_tick (site->door, now_ms);
+  ingress_tick (site->ingress, now_ms);
   store_tick (site->store, now_ms);
   flow_step (site->flow, now_ms, site->flow_actions);
   site_run_flow_actions (site);
@@ -366,7 +366,7 @@
   site->leaving = true;
   site->leaving_from_ms = clock_boot_ms ();
   crew_leave (site->crew);
-  door_drain (site->door);
+  ingress_drain (site->ingress);
   peers_beat (site, site->leaving_from_ms, true);
 }
 
@@ -401,8 +401,9 @@
   site->flow_actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
   site->elsewhere = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
   site->ends = g_array_new (FALSE, FALSE, sizeof (told_end_t));
-  door_options_t door = { settings->caller_listen, settings->ready_listen, &site_door_ops, site };
-  int result = door_open (site->loop, &door, &site->door);
+  ingress_options_t ingress = { settings->caller_listen, settings->ready_listen, &site_ingress_ops,
+                                site };
+  int result = ingress_open (site->loop, &ingress, &site->ingress);
   if (result == 0)
     result = peers_start (site);
   if (result != 0)
--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -92,7 +92,7 @@
     case FLOW_ANSWER:
     default:
       log_answer (action);
-      door_answer (action->user, action);
+      ingress_answer (action->user, action);
       break;
     }
 }
@@ -166,6 +166,6 @@
   return metrics_text ();
 }
 
-const door_ops_t site_door_ops = {
+const ingress_ops_t site_ingress_ops = {
   queues_of, submit_job, abandon_job, cancel_job, is_ready, metrics,
 };
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -8,7 +8,7 @@
 #include "fleet/fleet_msg.h"
 #include "flow/flow.h"
 #include "flow/queues.h"
-#include "platform/door.h"
+#include "platform/ingress.h"
 #include "platform/orders.h"
 #include "platform/settings.h"
 #include "platform/store.h"
@@ -67,7 +67,7 @@
   webclient_t *client;
   net_t *net;
   store_t *store;
-  door_t *door;
+  ingress_t *ingress;
   crew_t *crew;
   flow_t *flow;
   queues_t *queues;
@@ -92,8 +92,8 @@
   int64_t watch_due_ms;
 };
 
-/* site_jobs.c, site_told.c */
-extern const door_ops_t site_door_ops;
+/* site_jobs.c, site_updates.c */
+extern const ingress_ops_t site_ingress_ops;
 
 /* Names for logs and counters, by flow_outcome_t and flow_size_t. */
 extern const char *const outcome_names[];
--- a/daemon/site_told.c
+++ b/daemon/site_updates.c
@@ -1,4 +1,4 @@
-/* site_told.c -- what the platform and other hosts tell: configurations, endpoints, hosts */
+/* site_updates.c -- what the platform and other hosts tell: configurations, endpoints, hosts */
 #include "daemon/site_private.h"
 
 #include "base/clock.h"
@@ -28,7 +28,7 @@
   site->queues = queues;
   g_clear_pointer (&site->queues_data, g_bytes_unref);
   site->queues_data = g_bytes_new (data, size);
-  door_configured (site->door);
+  ingress_configured (site->ingress);
   if (event_begin (EVENT_CONFIGURATION))
     {
       event_number ("version", queues->version);
--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -24,7 +24,7 @@
 /* What is left must exceed the time that is left by this before a task is given up. */
 #define OVERDUE_PERCENT 108
 /* Names of ends under another owner that are kept, for tasks that are handed over. */
-#define ENDED_STRANGERS_MAX 512
+#define ENDED_FOREIGN_MAX 512
 /* An endpoint that calls itself unhealthy is asked again after this. */
 #define UNHEALTHY_MS 300
 
@@ -295,23 +295,23 @@
 }
 
 static void
-note_stranger (endpoint_t *endpoint, const look_active_t *row, int64_t now_ms)
+note_foreign (endpoint_t *endpoint, const look_active_t *row, int64_t now_ms)
 {
-  for (guint i = 0; i < endpoint->strangers->len; i++)
+  for (guint i = 0; i < endpoint->foreign->len; i++)
     {
-      stranger_t *stranger = endpoint->strangers->pdata[i];
-      if (stranger->attempt == row->attempt && strcmp (stranger->name, row->task) == 0)
+      foreign_run_t *foreign = endpoint->foreign->pdata[i];
+      if (foreign->attempt == row->attempt && strcmp (foreign->name, row->task) == 0)
         {
-          stranger->present = true;
+          foreign->present = true;
           return;
         }
     }
-  stranger_t *stranger = g_new0 (stranger_t, 1);
-  stranger->name = g_strdup (row->task);
-  stranger->attempt = row->attempt;
-  stranger->seen_at_ms = now_ms;
-  stranger->present = true;
-  g_ptr_array_add (endpoint->strangers, stranger);
+  foreign_run_t *foreign = g_new0 (foreign_run_t, 1);
+  foreign->name = g_strdup (row->task);
+  foreign->attempt = row->attempt;
+  foreign->seen_at_ms = now_ms;
+  foreign->present = true;
+  g_ptr_array_add (endpoint->foreign, foreign);
 }
 
 static void
@@ -321,7 +321,7 @@
 
   if (task == NULL)
     {
-      note_stranger (endpoint, row, now_ms);
+      note_foreign (endpoint, row, now_ms);
       return;
     }
   task->percent_at_ms = row->percent > task->percent ? now_ms : task->percent_at_ms;
@@ -351,8 +351,8 @@
       task_t *task = run_named (endpoint, row->task, row->attempt);
       if (task != NULL)
         end_run (fleet, task, row->how, now_ms, actions);
-      else if (row->how == RUN_DONE && endpoint->ended_strangers->len < ENDED_STRANGERS_MAX)
-        g_ptr_array_add (endpoint->ended_strangers, g_strdup (row->task));
+      else if (row->how == RUN_DONE && endpoint->ended_foreign->len < ENDED_FOREIGN_MAX)
+        g_ptr_array_add (endpoint->ended_foreign, g_strdup (row->task));
     }
 }
 
@@ -506,15 +506,15 @@
 }
 
 static void
-drop_absent_strangers (endpoint_t *endpoint)
+drop_absent_foreign (endpoint_t *endpoint)
 {
-  for (guint i = endpoint->strangers->len; i-- > 0;)
+  for (guint i = endpoint->foreign->len; i-- > 0;)
     {
-      stranger_t *stranger = endpoint->strangers->pdata[i];
-      if (!stranger->present)
-        g_ptr_array_remove_index_fast (endpoint->strangers, i);
+      foreign_run_t *foreign = endpoint->foreign->pdata[i];
+      if (!foreign->present)
+        g_ptr_array_remove_index_fast (endpoint->foreign, i);
       else
-        stranger->present = false;
+        foreign->present = false;
     }
 }
 
@@ -556,7 +556,7 @@
   endpoint->look_due_ms = now_ms;
   for (size_t i = 0; i < look->active_count; i++)
     note_active (endpoint, &look->active[i], now_ms);
-  drop_absent_strangers (endpoint);
+  drop_absent_foreign (endpoint);
   take_ends (fleet, endpoint, look, now_ms, actions);
   check_runs (fleet, endpoint, look, sent_at_ms, now_ms, actions);
 }
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -35,18 +35,18 @@
   g_free (endpoint->kind);
   g_free (endpoint->rack);
   g_ptr_array_unref (endpoint->runs);
-  g_ptr_array_unref (endpoint->strangers);
-  g_ptr_array_unref (endpoint->ended_strangers);
+  g_ptr_array_unref (endpoint->foreign);
+  g_ptr_array_unref (endpoint->ended_foreign);
   g_free (endpoint);
 }
 
 static void
-free_stranger (void *data)
+free_foreign (void *data)
 {
-  stranger_t *stranger = data;
+  foreign_run_t *foreign = data;
 
-  g_free (stranger->name);
-  g_free (stranger);
+  g_free (foreign->name);
+  g_free (foreign);
 }
 
 static void
@@ -267,7 +267,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const endpoint_t *endpoint = value;
-      if (endpoint->strangers->len > 0 || (!endpoint->looked && now_ms < fleet->contested_to_ms))
+      if (endpoint->foreign->len > 0 || (!endpoint->looked && now_ms < fleet->contested_to_ms))
         return true;
     }
   return false;
@@ -414,8 +414,8 @@
 {
   while (endpoint->runs->len > 0)
     task_requeue (fleet, endpoint->runs->pdata[endpoint->runs->len - 1], now_ms);
-  g_ptr_array_set_size (endpoint->strangers, 0);
-  g_ptr_array_set_size (endpoint->ended_strangers, 0);
+  g_ptr_array_set_size (endpoint->foreign, 0);
+  g_ptr_array_set_size (endpoint->ended_foreign, 0);
   endpoint->ack = 0;
   endpoint->ack_sent = 0;
   endpoint->looked = false;
@@ -434,8 +434,8 @@
       endpoint = g_new0 (endpoint_t, 1);
       endpoint->id = g_strdup (info->id);
       endpoint->runs = g_ptr_array_new ();
-      endpoint->strangers = g_ptr_array_new_with_free_func (free_stranger);
-      endpoint->ended_strangers = g_ptr_array_new_with_free_func (g_free);
+      endpoint->foreign = g_ptr_array_new_with_free_func (free_foreign);
+      endpoint->ended_foreign = g_ptr_array_new_with_free_func (g_free);
       g_hash_table_insert (fleet->endpoints, endpoint->id, endpoint);
       fleet->outliers.members++;
     }
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -173,7 +173,7 @@
     return false;
   if (endpoint->misses >= SILENT_MISSES)
     return false;
-  if (endpoint->strangers->len > 0 || now_ms < endpoint->full_until_ms)
+  if (endpoint->foreign->len > 0 || now_ms < endpoint->full_until_ms)
     return false;
   for (guint i = 0; i < endpoint->runs->len; i++)
     {
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -21,7 +21,7 @@
 /* A stop without an answer is sent again after this. */
 #define STOP_RETRY_MS 120
 /* A run of another owner may be claimed by its coordinator for this long. */
-#define STRANGER_GRACE_MS 150
+#define FOREIGN_GRACE_MS 150
 /* After this long in the queue a task may be returned for another owner. */
 #define RETURN_AFTER_MS 4
 /* A task is given up when this part of its usual duration does not fit any more: estimates
@@ -51,7 +51,7 @@
 static bool
 is_barred (const endpoint_t *endpoint, int64_t now_ms)
 {
-  if (endpoint->strangers->len > 0)
+  if (endpoint->foreign->len > 0)
     return true;
   for (guint i = 0; i < endpoint->runs->len; i++)
     {
@@ -122,32 +122,32 @@
       task->stop_sent_at_ms = now_ms;
       stop_run (fleet, endpoint, task->name, task->attempt, actions);
     }
-  for (guint i = 0; i < endpoint->strangers->len; i++)
+  for (guint i = 0; i < endpoint->foreign->len; i++)
     {
-      stranger_t *stranger = endpoint->strangers->pdata[i];
-      if (now_ms - stranger->seen_at_ms < STRANGER_GRACE_MS
-          || (stranger->stop_sent_at_ms != 0 && now_ms - stranger->stop_sent_at_ms < STOP_RETRY_MS))
+      foreign_run_t *foreign = endpoint->foreign->pdata[i];
+      if (now_ms - foreign->seen_at_ms < FOREIGN_GRACE_MS
+          || (foreign->stop_sent_at_ms != 0 && now_ms - foreign->stop_sent_at_ms < STOP_RETRY_MS))
         continue;
-      stranger->stop_sent_at_ms = now_ms;
-      stop_run (fleet, endpoint, stranger->name, stranger->attempt, actions);
+      foreign->stop_sent_at_ms = now_ms;
+      stop_run (fleet, endpoint, foreign->name, foreign->attempt, actions);
     }
 }
 
 /* --- tasks that another owner may have started --- */
 
-/* Takes over the run of TASK on ENDPOINT, if it is one of the strangers there. */
+/* Takes over the run of TASK on ENDPOINT, if it is one of the foreign runs there. */
 static bool
 adopt (fleet_t *fleet, endpoint_t *endpoint, task_t *task, int64_t now_ms, GArray *actions)
 {
-  for (guint i = 0; i < endpoint->strangers->len; i++)
+  for (guint i = 0; i < endpoint->foreign->len; i++)
     {
-      const stranger_t *stranger = endpoint->strangers->pdata[i];
-      if (strcmp (stranger->name, task->name) != 0)
+      const foreign_run_t *foreign = endpoint->foreign->pdata[i];
+      if (strcmp (foreign->name, task->name) != 0)
         continue;
       g_hash_table_remove (fleet->maybe, task->name);
-      task->state = stranger->stop_sent_at_ms != 0 ? TASK_STOPPING : TASK_RUNNING;
+      task->state = foreign->stop_sent_at_ms != 0 ? TASK_STOPPING : TASK_RUNNING;
       task->must_end_at_ms = now_ms;
-      task->attempt = stranger->attempt;
+      task->attempt = foreign->attempt;
       task->ever_started = true;
       task->batch->ever_started = true;
       task->sent_at_ms = now_ms;
@@ -157,7 +157,7 @@
       task_attach (task, endpoint);
       /* The owner before may have renewed its lease a moment ago. */
       extend_lease (fleet, endpoint, now_ms);
-      g_ptr_array_remove_index_fast (endpoint->strangers, i);
+      g_ptr_array_remove_index_fast (endpoint->foreign, i);
       note (fleet, actions, FLEET_NOTE_ADOPTED, endpoint, task, now_ms);
       return true;
     }
@@ -167,8 +167,8 @@
 static bool
 has_ended_there (const endpoint_t *endpoint, const task_t *task)
 {
-  for (guint i = 0; i < endpoint->ended_strangers->len; i++)
-    if (strcmp (endpoint->ended_strangers->pdata[i], task->name) == 0)
+  for (guint i = 0; i < endpoint->ended_foreign->len; i++)
+    if (strcmp (endpoint->ended_foreign->pdata[i], task->name) == 0)
       return true;
   return false;
 }
@@ -377,7 +377,7 @@
       next_ms = MIN (next_ms, task->sent_at_ms + task->expected_ms - now_ms + LOOK_WAIT_BEYOND_MS);
     }
   *wait_ms = MAX (next_ms, LOOK_WAIT_MIN_MS);
-  return endpoint->looked && endpoint->strangers->len == 0;
+  return endpoint->looked && endpoint->foreign->len == 0;
 }
 
 static void
@@ -411,7 +411,7 @@
   if (endpoint->misses > 0 && now_ms - endpoint->look_sent_at_ms < retry_ms)
     return false;
   return !endpoint->looked || g_hash_table_size (fleet->maybe) > 0 || endpoint->runs->len > 0
-         || endpoint->strangers->len > 0 || endpoint->ack > endpoint->ack_sent
+         || endpoint->foreign->len > 0 || endpoint->ack > endpoint->ack_sent
          || endpoint->silent_from_ms != 0;
 }
 
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -106,7 +106,7 @@
   int64_t seen_at_ms;
   int64_t stop_sent_at_ms;
   bool present; /* in the look that is being read */
-} stranger_t;
+} foreign_run_t;
 
 struct endpoint_t
 {
@@ -132,12 +132,12 @@
   int64_t lease_end_ms;   /* nothing runs there after this */
   int64_t ack;
   int64_t ack_sent;
-  int64_t silent_from_ms;     /* the first call without an answer since then; 0 if none */
-  int32_t misses;             /* calls without an answer since then */
-  int64_t full_until_ms;      /* it refused for want of room */
-  GPtrArray *runs;            /* task_t */
-  GPtrArray *strangers;       /* stranger_t */
-  GPtrArray *ended_strangers; /* names of tasks that ended done under another owner */
+  int64_t silent_from_ms;   /* the first call without an answer since then; 0 if none */
+  int32_t misses;           /* calls without an answer since then */
+  int64_t full_until_ms;    /* it refused for want of room */
+  GPtrArray *runs;          /* task_t */
+  GPtrArray *foreign;       /* foreign_run_t */
+  GPtrArray *ended_foreign; /* names of tasks that ended done under another owner */
   room_t used;
   outlier_t outlier;
   pace_t pace;
