--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -268,10 +268,19 @@
 bool
 place_is_worth (place_tier_t tier, int64_t expected_ms, const place_hope_t *hope)
 {
-  if (tier == PLACE_UNLIKELY)
-    return hope->tier == PLACE_UNLIKELY
-           && expected_ms * 100 <= hope->least_ms * NEAR_FASTEST_PERCENT;
-  return tier >= MIN (hope->tier, PLACE_IN_TIME);
+  if (tier >= PLACE_LATE)
+    return tier >= MIN (hope->tier, PLACE_IN_TIME);
+  if (hope->least_ms == INT64_MAX)
+    return true;
+  return hope->tier == PLACE_UNLIKELY && expected_ms * 100 <= hope->least_ms * NEAR_FASTEST_PERCENT;
+}
+
+static void
+add_hope (place_hope_t *hope, const batch_t *batch, int64_t expected_ms, int64_t now_ms)
+{
+  place_tier_t tier = place_tier (expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms);
+
+  place_hope_add (hope, tier, expected_ms);
 }
 
 /* A task that may run anywhere, at the same speed, is as well off as on the fastest endpoint. */
@@ -280,22 +289,20 @@
 {
   static const room_t nothing;
   const batch_t *batch = task->batch;
-  bool anywhere = batch->label[0] == '\0' && batch->near_rack[0] == '\0';
+  int64_t least_ms = place_least_ms (fleet, batch);
   place_hope_t hope = PLACE_NO_HOPE;
 
+  if (batch->label[0] == '\0' && batch->near_rack[0] == '\0')
+    {
+      if (least_ms != INT64_MAX)
+        add_hope (&hope, batch, least_ms, now_ms);
+      return hope;
+    }
   for (guint i = 0; i < fleet->usable->len; i++)
     {
       const endpoint_t *endpoint = fleet->usable->pdata[i];
-      int64_t expected_ms =
-          anywhere ? place_least_ms (fleet, batch) : place_expected_ms (fleet, endpoint, batch);
-      if (anywhere
-          || (place_may_run (endpoint, task)
-              && room_fits (&endpoint->whole, &nothing, &task->need)))
-        place_hope_add (&hope,
-                        place_tier (expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms),
-                        expected_ms);
-      if (anywhere)
-        break;
+      if (place_may_run (endpoint, task) && room_fits (&endpoint->whole, &nothing, &task->need))
+        add_hope (&hope, batch, place_expected_ms (fleet, endpoint, batch), now_ms);
     }
   return hope;
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -201,6 +201,37 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  place_tier_t tier;
+  int64_t expected_ms;
+  place_hope_t hope;
+  bool worth;
+} worth_cases[] = {
+  { "as good as can be", PLACE_SURE, 100, { PLACE_SURE, 100 }, true },
+  { "good enough", PLACE_IN_TIME, 200, { PLACE_SURE, 100 }, true },
+  { "late, where it can be in time", PLACE_LATE, 300, { PLACE_IN_TIME, 100 }, false },
+  { "late, where it is late anyway", PLACE_LATE, 300, { PLACE_LATE, 100 }, true },
+  { "unlikely, where it can be in time", PLACE_UNLIKELY, 100, { PLACE_IN_TIME, 100 }, false },
+  { "unlikely everywhere, near the fastest", PLACE_UNLIKELY, 150, { PLACE_UNLIKELY, 100 }, true },
+  { "unlikely everywhere, slow", PLACE_UNLIKELY, 151, { PLACE_UNLIKELY, 100 }, false },
+  { "there is no other", PLACE_UNLIKELY, 151, { PLACE_UNLIKELY, INT64_MAX }, true },
+};
+
+static void
+test_worth (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (worth_cases); i++)
+    {
+      bool worth =
+          place_is_worth (worth_cases[i].tier, worth_cases[i].expected_ms, &worth_cases[i].hope);
+      if (worth != worth_cases[i].worth)
+        printf ("  %s\n", worth_cases[i].name);
+      CU_ASSERT_EQUAL (worth, worth_cases[i].worth);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -486,6 +517,7 @@
   { "given up once it can't be in time", test_overdue },
   { "a run is adopted while it is stopped", test_adopted_while_stopped },
   { "work near its data", test_racks },
+  { "worth a start", test_worth },
   { "a large task is given away", test_large_task_given_away },
   { "a large job is refused at once", test_large_job_refused_at_once },
   { "a large task stands still", test_large_task_hung },
