test_fleet: one set-up of an idle endpoint, one search for an action

Read-through of the change: six cases began with the same four lines and three looked for an action with the same loop. script_begin_idle () and gave () serve them.

--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -96,6 +96,26 @@
                 script->actions);
 }
 
+/* A script with one endpoint, "e0" in rack "r1", where nothing runs. */
+static void
+script_begin_idle (script_t *script, int64_t cores_milli)
+{
+  script_begin (script);
+  add_endpoint (script, 0, "r1", cores_milli);
+  run_at (script, 0);
+  answer_look (script, 0, NULL, 0);
+}
+
+/* True if the last event or round gave an action of KIND. */
+static bool
+gave (const script_t *script, fleet_action_kind_t kind)
+{
+  for (guint i = 0; i < script->actions->len; i++)
+    if (g_array_index (script->actions, fleet_action_t, i).kind == kind)
+      return true;
+  return false;
+}
+
 static fleet_batch_t
 batch_of (const char *job, uint64_t number)
 {
@@ -254,13 +274,9 @@
       fleet_offer_t offer = { SERVICE, 1, 1, offer_cases[i].ratio };
       fleet_batch_t other = batch_of ("other", 1);
       fleet_batch_t batch = batch_of ("j", 2);
-      bool returned = false;
       script_t script;
 
-      script_begin (&script);
-      add_endpoint (&script, 0, "r1", 1000);
-      run_at (&script, 0);
-      answer_look (&script, 0, NULL, 0);
+      script_begin_idle (&script, 1000);
       fleet_submit (script.fleet, &other, 0);
       run_at (&script, 0);
       batch.estimate_ms = offer_cases[i].estimate_ms;
@@ -269,8 +285,7 @@
       fleet_submit (script.fleet, &batch, 0);
       g_array_append_val (script.elsewhere, offer);
       run_at (&script, 10);
-      for (guint k = 0; k < script.actions->len; k++)
-        returned |= g_array_index (script.actions, fleet_action_t, k).kind == FLEET_RETURNED;
+      bool returned = gave (&script, FLEET_RETURNED);
       if (returned != offer_cases[i].returned)
         printf ("  %s\n", offer_cases[i].name);
       CU_ASSERT_EQUAL (returned, offer_cases[i].returned);
@@ -301,13 +316,9 @@
       fleet_batch_t running = batch_of ("running", 1);
       fleet_batch_t waiting = batch_of ("waiting", 2);
       fleet_batch_t batch = batch_of ("j", 3);
-      bool refused = false;
       script_t script;
 
-      script_begin (&script);
-      add_endpoint (&script, 0, "r1", 1000);
-      run_at (&script, 0);
-      answer_look (&script, 0, NULL, 0);
+      script_begin_idle (&script, 1000);
       fleet_submit (script.fleet, &running, 0);
       run_at (&script, 0);
       waiting.estimate_ms = like_cases[i].estimate_ms;
@@ -317,8 +328,7 @@
       batch.deadline_at_ms = like_cases[i].at_ms + LIMIT_MS;
       fleet_submit (script.fleet, &batch, like_cases[i].at_ms);
       run_at (&script, like_cases[i].at_ms);
-      for (guint k = 0; k < script.actions->len; k++)
-        refused |= g_array_index (script.actions, fleet_action_t, k).kind == FLEET_EXPIRED;
+      bool refused = gave (&script, FLEET_EXPIRED);
       if (refused != like_cases[i].refused)
         printf ("  %s\n", like_cases[i].name);
       CU_ASSERT_EQUAL (refused, like_cases[i].refused);
@@ -351,13 +361,9 @@
     {
       fleet_batch_t batch = batch_of ("j", 1);
       look_active_t row = { "j.0.0.0", 1, outlooks[i].percent };
-      bool told = false;
       script_t script;
 
-      script_begin (&script);
-      add_endpoint (&script, 0, "r1", 1000);
-      run_at (&script, 0);
-      answer_look (&script, 0, NULL, 0);
+      script_begin_idle (&script, 1000);
       batch.estimate_ms = outlooks[i].estimate_ms;
       batch.deadline_at_ms = LIMIT_MS;
       fleet_submit (script.fleet, &batch, 0);
@@ -365,8 +371,7 @@
       fleet_started (script.fleet, script.start_serial, FLEET_OK, 5, 0, script.actions);
       run_at (&script, ELAPSED_MS);
       answer_look (&script, 0, &row, 1);
-      for (guint k = 0; k < script.actions->len; k++)
-        told |= g_array_index (script.actions, fleet_action_t, k).kind == FLEET_OVERDUE;
+      bool told = gave (&script, FLEET_OVERDUE);
       if (told != outlooks[i].given_up)
         printf ("  %s\n", outlooks[i].name);
       CU_ASSERT_EQUAL (told, outlooks[i].given_up);
@@ -398,10 +403,7 @@
       fleet_batch_t batch = batch_of ("j", 1);
       script_t script;
 
-      script_begin (&script);
-      add_endpoint (&script, 0, "r1", 1000);
-      run_at (&script, 0);
-      answer_look (&script, 0, NULL, 0);
+      script_begin_idle (&script, 1000);
       batch.estimate_ms = hang_cases[i].estimate_ms;
       fleet_submit (script.fleet, &batch, 1);
       run_at (&script, 1);
@@ -425,10 +427,7 @@
   look_active_t row = { "j.0.0.0", 1, 10 };
   script_t script;
 
-  script_begin (&script);
-  add_endpoint (&script, 0, "r1", 1000);
-  run_at (&script, 0);
-  answer_look (&script, 0, NULL, 0);
+  script_begin_idle (&script, 1000);
   fleet_submit (script.fleet, &batch, 0);
   run_at (&script, 0);
   CU_ASSERT_STRING_EQUAL (script.start_at, "e0");
@@ -479,10 +478,7 @@
   fleet_batch_t batch = batch_of ("j", 1);
   script_t script;
 
-  script_begin (&script);
-  add_endpoint (&script, 0, "r1", 1000);
-  run_at (&script, 0);
-  answer_look (&script, 0, NULL, 0);
+  script_begin_idle (&script, 1000);
   fleet_submit (script.fleet, &batch, 0);
   run_at (&script, 0);
   fleet_started (script.fleet, script.start_serial, FLEET_OK, 5, 0, script.actions);
