"It never started" is said only of what one owner alone can have started

Cause: an owner told a coordinator that a task had not run on the strength of what it had seen itself, while an owner before it might still act.

Change: a batch names the claim that it was meant for; one meant for another claim, or that may be running, is in doubt: it is never returned, expires as "may have run", and its cancellation is not confirmed as "never started". A coordinator that learns that it had been lost sends its batches again as maybe running; "not owned" counts as never taken only for what was sent once.

Ruled out: waiting with the return until the owner before has dropped the task (900 ms of the 1,500 that a job has, and a bound on a host that can't be asked).

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -73,7 +73,7 @@
       site_run_flow_actions (site);
       break;
     case CREW_DROPPED:
-      flow_resync (site->flow, action->host, site->flow_actions);
+      flow_dropped (site->flow, action->host, now_ms, site->flow_actions);
       site_run_flow_actions (site);
       break;
     case CREW_FOUND:
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -262,7 +262,7 @@
   int64_t listed_at_ms = store_listed_at_ms (site->store);
   int64_t settle_ms = crew_is_new (site->crew, now_ms) ? SETTLED_NEW_MS : SETTLED_AFTER_MS;
   fleet_set_unsettled (owned->fleet, (listed_at_ms != 0 ? listed_at_ms : now_ms) + settle_ms);
-  fleet_renew (owned->fleet, now_ms);
+  fleet_renew (owned->fleet, token, now_ms);
 }
 
 void
--- a/lib/fleet/batch.c
+++ b/lib/fleet/batch.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 static batch_t *
-batch_new (const fleet_batch_t *info)
+batch_new (const fleet_t *fleet, const fleet_batch_t *info)
 {
   batch_t *batch = g_new0 (batch_t, 1);
 
@@ -29,6 +29,8 @@
   batch->label = g_strdup (info->label != NULL ? info->label : "");
   batch->near_rack = g_strdup (info->near_rack != NULL ? info->near_rack : "");
   batch->spread_max = info->spread_max;
+  batch->doubted = info->maybe_running || info->token != fleet->token;
+  batch->ever_started = batch->doubted;
   batch->wait_until_ms = info->wait_until_ms;
   batch->tasks = g_ptr_array_new ();
   batch->ended = g_array_new (FALSE, FALSE, sizeof (ended_t));
@@ -79,7 +81,7 @@
       g_free (key);
       return;
     }
-  batch_t *batch = batch_new (info);
+  batch_t *batch = batch_new (fleet, info);
   g_hash_table_insert (fleet->batches, key, batch);
   fleet->usual_need = info->need;
   for (size_t i = 0; i < info->count; i++)
@@ -102,7 +104,7 @@
       task->queued_at_ms = now_ms;
       g_hash_table_insert (fleet->tasks, task->name, task);
       g_ptr_array_add (batch->tasks, task);
-      if (info->maybe_running)
+      if (batch->doubted)
         task_doubt (fleet, task, now_ms);
       else
         {
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -527,7 +527,7 @@
 }
 
 void
-fleet_renew (fleet_t *fleet, int64_t now_ms)
+fleet_renew (fleet_t *fleet, int64_t token, int64_t now_ms)
 {
   GHashTableIter iter;
   void *value = NULL;
@@ -535,6 +535,7 @@
   g_hash_table_iter_init (&iter, fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     endpoint_renew (value);
+  fleet->token = token;
   fleet->contested_to_ms = now_ms + CONTESTED_MS + fleet->options.lease_ms;
   while (fleet->queue.length > 0)
     {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -15,7 +15,11 @@
  *   confirmed a stop, or its lease has surely ended;
  * - an endpoint with a run that must end and has not is held no longer than
  *   FLEET_UNSTOPPED_MAX_MS, so that everything there ends with the lease;
- * - nothing starts on an endpoint before the owner has seen what runs there.
+ * - nothing starts on an endpoint before the owner has seen what runs there;
+ * - "it never started" is said only of a task that no owner but this one can have started: the
+ *   claim under which its batch was sent is the one in force, so that whatever happened to it
+ *   happened here.  A task in doubt stays with its shard, whose endpoints obey one owner, until
+ *   its end is known or its deadline decides.
  */
 #ifndef FLEET_FLEET_H
 #define FLEET_FLEET_H
@@ -51,6 +55,7 @@
 {
   const char *coordinator; /* host id */
   uint64_t batch;          /* chosen by the coordinator, unique for it */
+  int64_t token;           /* of the claim that it was meant for */
   const char *job;
   int32_t step;
   const char *spec; /* what endpoints are told; opaque */
@@ -80,7 +85,7 @@
   FLEET_FAILED,    /* likewise: it has failed as often as is allowed, or can't run */
   FLEET_RETURNED,  /* likewise: it never started, and is no longer queued here */
   FLEET_EXPIRED,   /* likewise: it never started, and can't end before its deadline */
-  FLEET_OVERDUE,   /* likewise: it has run, and can't end before its deadline anywhere */
+  FLEET_OVERDUE,   /* likewise: it may have run, and can't end before its deadline anywhere */
   FLEET_NOT_OWNED, /* likewise, from a host that does not own the shard: it knows nothing of it */
   FLEET_SHUT_OUT,  /* the endpoint obeys a higher token */
   FLEET_NOTE       /* for the log: what was decided, and by what */
@@ -214,16 +219,17 @@
  * running and is not found waits for as long as it may run. */
 void fleet_set_unsettled (fleet_t *fleet, int64_t at_ms);
 
-/* The token has changed: another owner may have been there in between, so that what runs must
- * be seen again, and what waits may run somewhere. */
-void fleet_renew (fleet_t *fleet, int64_t now_ms);
+/* This host owns the endpoints under a new TOKEN: another owner may have been there in between, so
+ * that what runs must be seen again, and what waits may run somewhere. */
+void fleet_renew (fleet_t *fleet, int64_t token, int64_t now_ms);
 
 /* Queues the tasks of BATCH.  A task that is known already, by another batch, is handed
  * over to this one with its run.  A batch that is known already, or has ended a moment ago, is not
- * taken twice: what has ended of it is told again. */
+ * taken twice: what has ended of it is told again.  One that was meant for another claim may be
+ * running, whatever it says: an owner before may have taken it. */
 void fleet_submit (fleet_t *fleet, const fleet_batch_t *batch, int64_t now_ms);
 
-/* Ends the tasks of a batch.  Returns true if none of them can ever have started here. */
+/* Ends the tasks of a batch.  Returns true if none of them can ever have started. */
 bool fleet_cancel (fleet_t *fleet,
                    const char *coordinator,
                    uint64_t batch,
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -19,6 +19,7 @@
   frame_put_string (writer, shard);
   frame_put_uint (writer, epoch);
   frame_put_uint (writer, batch->batch);
+  frame_put_int (writer, batch->token);
   frame_put_string (writer, batch->job);
   frame_put_int (writer, batch->step);
   frame_put_string (writer, batch->spec);
@@ -58,6 +59,7 @@
   submit->shard = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   submit->epoch = frame_get_uint (reader);
   batch->batch = frame_get_uint (reader);
+  batch->token = frame_get_range (reader, 0, INT64_MAX);
   batch->job = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   batch->step = (int32_t) frame_get_range (reader, 0, INT32_MAX);
   batch->spec = frame_get_string (reader, SPEC_BYTES_MAX);
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -287,7 +287,8 @@
 }
 
 /* True if another owner has a slot on which TASK would do as well as it may hope to do here;
- * the slot is taken off. */
+ * the slot is taken off.  A task in doubt stays: the owner before may still start it, which only
+ * the endpoints of this shard can tell or refuse. */
 static bool
 goes_elsewhere (const fleet_t *fleet,
                 const task_t *task,
@@ -297,7 +298,7 @@
 {
   const batch_t *batch = task->batch;
 
-  if (task->ever_started || now_ms - task->queued_at_ms < RETURN_AFTER_MS)
+  if (task->ever_started || batch->doubted || now_ms - task->queued_at_ms < RETURN_AFTER_MS)
     return false;
   for (guint i = 0; i < elsewhere->len; i++)
     {
@@ -339,8 +340,8 @@
         start (fleet, task, endpoint, now_ms, actions);
       else if (refuse)
         {
-          fleet_action_t *told =
-              tell (fleet, actions, FLEET_EXPIRED, task, "cannot end before its deadline");
+          fleet_action_kind_t how = task->batch->doubted ? FLEET_OVERDUE : FLEET_EXPIRED;
+          fleet_action_t *told = tell (fleet, actions, how, task, "cannot end before its deadline");
           told->elapsed_ms = now_ms - task->queued_at_ms;
           told->expected_ms = place_least_ms (fleet, task->batch);
           told->count = (int32_t) fleet->usable->len;
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -63,6 +63,7 @@
   char *label;
   char *near_rack;
   int32_t spread_max;
+  bool doubted; /* an owner before may have started its tasks */
   int64_t wait_until_ms;
   GPtrArray *tasks; /* task_t that have not ended */
   GArray *ended;    /* ended_t: what its coordinator was told */
@@ -154,6 +155,7 @@
 struct fleet_t
 {
   fleet_options_t options;
+  int64_t token;           /* of the claim in force */
   GHashTable *endpoints;   /* id -> endpoint_t */
   GHashTable *tasks;       /* name -> task_t */
   GHashTable *batches;     /* "coordinator/number" -> batch_t */
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -3,7 +3,8 @@
  * A task is unplaced, at one owner, or done.  A batch is what one owner was given at one
  * time; when its shard changes hands, the tasks that are left are sent to the new
  * owner as a new batch of tasks that may be running.  Invariant: a task is sent anew
- * as "never started" only if its owner returned it.
+ * as "never started" only if the one owner that it was ever given to returned it, or never took
+ * it.
  *
  * An answer that says "not run" needs the word of every owner that was given a part of the
  * job; who does not answer in time turns it into "given up".
@@ -358,9 +359,10 @@
 {
   batch_t *batch = batch_of (flow, host, number);
 
-  if (batch != NULL && batch->maybe && how == FLOW_TASK_NOT_OWNED)
+  if (batch != NULL && (batch->maybe || batch->sent_again) && how == FLOW_TASK_NOT_OWNED)
     {
-      /* They may run under another owner of the shard: only that one can tell. */
+      /* They may run under another owner of the shard: only that one can tell.  A host that was
+       * sent them twice may have owned it the first time. */
       if (batch->lost_at_ms == 0)
         batch->lost_at_ms = now_ms;
       return;
@@ -531,8 +533,30 @@
   for (guint i = 0; i < batches->len; i++)
     {
       batch_t *batch = batches->pdata[i];
-      if (batch->host == interned && batch->lost_at_ms == 0)
-        spread_send (batch->job, batch, actions);
+      if (batch->host != interned || batch->lost_at_ms != 0)
+        continue;
+      batch->sent_again = true;
+      spread_send (batch->job, batch, actions);
+    }
+  g_ptr_array_unref (batches);
+}
+
+void
+flow_dropped (flow_t *flow, const char *host, int64_t now_ms, GArray *actions)
+{
+  const char *interned = g_intern_string (host);
+  GPtrArray *batches = open_batches (flow);
+
+  for (guint i = 0; i < batches->len; i++)
+    {
+      batch_t *batch = batches->pdata[i];
+      if (batch->host != interned || batch->lost_at_ms != 0)
+        continue;
+      batch->job->handovers++;
+      batch->job->may_have_run = true;
+      batch->maybe = true;
+      batch->wait_until_ms = now_ms + flow->lease_ms;
+      spread_send (batch->job, batch, actions);
     }
   g_ptr_array_unref (batches);
 }
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -139,10 +139,13 @@
                      int64_t now_ms,
                      GArray *actions);
 
-/* Messages to and from HOST may have been lost, or it has dropped what it was given: sends what
- * it still owes again. */
+/* Messages to and from HOST may have been lost: sends what it still owes again. */
 void flow_resync (flow_t *flow, const char *host, GArray *actions);
 
+/* HOST had lost this host and has ended what it was given: sends it again, as tasks that may be
+ * running. */
+void flow_dropped (flow_t *flow, const char *host, int64_t now_ms, GArray *actions);
+
 /* Gives up all jobs: this host stood still for so long that owners have dropped them. */
 void flow_give_up_all (flow_t *flow, const char *reason, int64_t now_ms, GArray *actions);
 
--- a/lib/flow/spread.c
+++ b/lib/flow/spread.c
@@ -179,6 +179,7 @@
   g_array_append_vals (action->indexes, batch->open->data, batch->open->len);
   action->batch = (fleet_batch_t){
     .batch = batch->number,
+    .token = batch->token,
     .job = job->info.id,
     .spec = job->info.spec,
     .service = job->info.service,
--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -16,6 +16,7 @@
   int64_t token;         /* of the owner's claim */
   int64_t lost_at_ms;    /* when HOST was last heard, if it is lost; else 0 */
   GArray *open;          /* indexes of tasks that have not ended */
+  bool sent_again;       /* the owner may have taken it when it was sent first */
   bool maybe;            /* an owner before may have started its tasks */
   int64_t wait_until_ms; /* MAYBE: by then what that owner started is over */
   bool cancelled;        /* its end was asked for, and is not confirmed */
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -293,6 +293,65 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  int64_t token; /* under which the batch was sent; the claim in force is 7 */
+  bool maybe_running;
+  bool never_started; /* what a coordinator may be told */
+} doubt_cases[] = {
+  { "under the claim in force", 7, false, true },
+  { "under an earlier claim", 6, false, false },
+  { "maybe running", 7, true, false },
+};
+
+/* What another owner may have started is not called "never started": a second run would be begun
+ * elsewhere. */
+static void
+test_not_run_in_doubt (void)
+{
+  static const fleet_action_kind_t ends[] = { FLEET_RETURNED, FLEET_EXPIRED };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (doubt_cases); i++)
+    for (size_t k = 0; k <= G_N_ELEMENTS (ends); k++)
+      {
+        fleet_offer_t offer = { SERVICE, 1, 1, 1.0 };
+        fleet_batch_t other = batch_of ("other", 1);
+        fleet_batch_t batch = batch_of ("j", 2);
+        script_t script;
+
+        script_begin (&script);
+        fleet_renew (script.fleet, 7, 0);
+        add_endpoint (&script, 0, "r1", 1000);
+        run_at (&script, 0);
+        answer_look (&script, 0, NULL, 0);
+        other.token = 7;
+        fleet_submit (script.fleet, &other, 0);
+        run_at (&script, 0);
+        batch.token = doubt_cases[i].token;
+        batch.maybe_running = doubt_cases[i].maybe_running;
+        batch.estimate_ms = 600;
+        batch.deadline_at_ms = 900;
+        fleet_submit (script.fleet, &batch, 0);
+        run_at (&script, 1);
+        answer_look (&script, 0, NULL, 0);
+        if (k == G_N_ELEMENTS (ends))
+          {
+            CU_ASSERT_EQUAL (fleet_cancel (script.fleet, "h1", 2, 10, script.actions),
+                             doubt_cases[i].never_started);
+            script_end (&script);
+            continue;
+          }
+        if (ends[k] == FLEET_RETURNED)
+          g_array_append_val (script.elsewhere, offer);
+        run_at (&script, ends[k] == FLEET_RETURNED ? 10 : 800);
+        if (gave (&script, ends[k]) != doubt_cases[i].never_started)
+          printf ("  %s\n", doubt_cases[i].name);
+        CU_ASSERT_EQUAL (gave (&script, ends[k]), doubt_cases[i].never_started);
+        script_end (&script);
+      }
+}
+
 static const struct
 {
   const char *name;
@@ -514,6 +573,7 @@
   { "a run is adopted while it is stopped", test_adopted_while_stopped },
   { "work near its data", test_racks },
   { "worth a start", test_worth },
+  { "not run, in doubt", test_not_run_in_doubt },
   { "a large task is given away", test_large_task_given_away },
   { "a large job is refused at once", test_large_job_refused_at_once },
   { "a large task stands still", test_large_task_hung },
--- a/tests/test_fleet_machine.h
+++ b/tests/test_fleet_machine.h
@@ -27,6 +27,14 @@
          && b->cut_until_ms <= world->now_ms && zones_reach (world, a->zone, b->zone);
 }
 
+/* True if what A sends to B now arrives. */
+static bool
+hears (const world_t *world, const node_t *b, const node_t *a)
+{
+  return nodes_reach (world, a, b) && a->mute_until_ms <= world->now_ms
+         && b->deaf_until_ms <= world->now_ms;
+}
+
 static bool
 reaches_machine (const world_t *world, const node_t *node, const machine_t *machine)
 {
--- a/tests/test_fleet_net.h
+++ b/tests/test_fleet_net.h
@@ -343,7 +343,7 @@
   if (postpone (world, node, message_arrives, data) || hold_back (world, message))
     return;
   bool arrives = is_up (node) && node->incarnation == message->to_incarnation
-                 && (message->from == node || nodes_reach (world, message->from, node));
+                 && (message->from == node || hears (world, node, message->from));
   if (arrives)
     {
       switch (message->kind)
--- a/tests/test_fleet_node.h
+++ b/tests/test_fleet_node.h
@@ -146,7 +146,7 @@
   owned->told_at_ms = 0;
   set_machines (node, zone);
   fleet_set_unsettled (owned->fleet, node->started_at_ms + SETTLED_AFTER_MS);
-  fleet_renew (owned->fleet, node->world->now_ms);
+  fleet_renew (owned->fleet, token, node->world->now_ms);
 }
 
 static void
@@ -193,7 +193,7 @@
           run_flow_actions (node);
           break;
         case CREW_DROPPED:
-          flow_resync (node->flow, action.host, node->flow_actions);
+          flow_dropped (node->flow, action.host, world->now_ms, node->flow_actions);
           run_flow_actions (node);
           break;
         case CREW_FOUND:
@@ -384,6 +384,25 @@
   g_array_set_size (node->fleet_actions, 0);
 }
 
+/* Its connections were cut one way and are made anew: both ends send what they still owe. */
+static void
+reconnect (node_t *node)
+{
+  world_t *world = node->world;
+
+  node->reconnects = false;
+  for (int i = 0; i < WORLD_HOSTS; i++)
+    {
+      node_t *peer = &world->nodes[i];
+      if (peer == node || !nodes_reach (world, node, peer) || peer->frozen_until_ms > world->now_ms)
+        continue;
+      flow_resync (node->flow, peer->name, node->flow_actions);
+      run_flow_actions (node);
+      flow_resync (peer->flow, node->name, peer->flow_actions);
+      run_flow_actions (peer);
+    }
+}
+
 static void
 node_tick (node_t *node)
 {
@@ -397,6 +416,8 @@
     }
   if (node->frozen_until_ms > world->now_ms)
     return;
+  if (node->reconnects && MAX (node->mute_until_ms, node->deaf_until_ms) <= world->now_ms)
+    reconnect (node);
   if (world->options->blind && world->now_ms - node->started_at_ms <= BLIND_MS + TICK_MS)
     for (int i = 0; i < WORLD_ZONES; i++)
       if (node->owned[i].fleet != NULL)
--- a/tests/test_fleet_parts.h
+++ b/tests/test_fleet_parts.h
@@ -85,6 +85,9 @@
   int64_t down_until_ms;
   int64_t frozen_until_ms;
   int64_t cut_until_ms;
+  int64_t mute_until_ms; /* no host hears it, .. */
+  int64_t deaf_until_ms; /* .. or it hears none */
+  bool reconnects;       /* once it is neither any more */
   int64_t leaving_from_ms;
   int64_t wall_ahead_ms; /* of its time of day */
   int64_t refreshed_at_ms;
--- a/tests/test_fleet_random.c
+++ b/tests/test_fleet_random.c
@@ -9,7 +9,7 @@
 static const struct
 {
   const char *name;
-  uint32_t seeds; /* from 1 on */
+  uint32_t seeds; /* from that of the options on, or from 1 */
   world_options_t options;
   int served_percent; /* at least, of all jobs */
 } cases[] = {
@@ -37,6 +37,15 @@
     6,
     { .length_ms = 40000, .host_cuts = 60, .zone_cuts = 30, .held = true },
     50 },
+  { "hosts are cut one way", 6, { .length_ms = 40000, .one_way_cuts = 60 }, 70 },
+  { "hosts that are cut one way own queues",
+    5,
+    { .seed = 13, .length_ms = 40000, .one_way_cuts = 250, .mixed = true, .every_ms = 10 },
+    50 },
+  { "hosts that are cut one way own more queues",
+    1,
+    { .seed = 25, .length_ms = 40000, .one_way_cuts = 250, .mixed = true, .every_ms = 10 },
+    50 },
   { "few hubs",
     6,
     { .length_ms = 40000,
@@ -103,8 +112,11 @@
 test_worlds (void)
 {
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-    for (uint32_t seed = 1; seed <= cases[i].seeds; seed++)
-      run_case (i, seed);
+    {
+      uint32_t first = MAX (cases[i].options.seed, 1);
+      for (uint32_t seed = first; seed < first + cases[i].seeds; seed++)
+        run_case (i, seed);
+    }
   printf ("%" G_GINT64_FORMAT " steps ", all_steps);
   CU_ASSERT_TRUE (all_steps > 1000000);
 }
--- a/tests/test_fleet_run.h
+++ b/tests/test_fleet_run.h
@@ -118,7 +118,6 @@
 }
 
 /* Mixed jobs come with bursts. */
-#define MIXED_EVERY_MS 25
 #define MIXED_BURST_EVERY_MS 15
 #define BURST_EVERY_MS 12000
 #define BURST_MS 4000
@@ -126,14 +125,11 @@
 static void
 bring_jobs (world_t *world)
 {
-  if (!world->options->mixed)
-    {
-      if (world->now_ms % JOB_EVERY_MS == 0)
-        new_job (world);
-      return;
-    }
-  bool burst = world->now_ms % BURST_EVERY_MS < BURST_MS;
-  int64_t every_ms = burst ? MIXED_BURST_EVERY_MS : MIXED_EVERY_MS;
+  bool burst = world->options->mixed && world->now_ms % BURST_EVERY_MS < BURST_MS;
+  int64_t every_ms = burst ? MIXED_BURST_EVERY_MS : JOB_EVERY_MS;
+
+  if (world->options->every_ms != 0)
+    every_ms = world->options->every_ms;
   if (world->now_ms % every_ms == 0)
     new_job (world);
 }
@@ -187,6 +183,24 @@
 
 #define CLOCK_STEP_MAX_MS 5000
 
+/* Other hosts may see at once that their connections to NODE are broken; it does not. */
+static void
+cut_one_way (world_t *world, node_t *node)
+{
+  int64_t until_ms = world->now_ms + 100 + draw (world, 3000);
+  int way = draw (world, 3);
+  bool seen = draw (world, 2) == 0;
+
+  if (way != 0)
+    node->mute_until_ms = until_ms;
+  if (way != 1)
+    node->deaf_until_ms = until_ms;
+  node->reconnects = true;
+  for (int i = 0; seen && i < WORLD_HOSTS; i++)
+    if (i != node->number && is_up (&world->nodes[i]))
+      crew_broken (world->nodes[i].crew, node->name, world->now_ms);
+}
+
 static void
 hurt_nodes (world_t *world)
 {
@@ -206,6 +220,8 @@
         node->frozen_until_ms = world->now_ms + 100 + draw (world, 4000);
       else if (happens (world, options->host_cuts))
         node->cut_until_ms = world->now_ms + 300 + draw (world, 5000);
+      else if (happens (world, options->one_way_cuts))
+        cut_one_way (world, node);
       else if (happens (world, options->clock_steps))
         node->wall_ahead_ms = draw (world, 2 * CLOCK_STEP_MAX_MS) - CLOCK_STEP_MAX_MS;
       else if (happens (world, options->terminations) && node->leaving_from_ms == 0)
--- a/tests/test_fleet_world.h
+++ b/tests/test_fleet_world.h
@@ -31,6 +31,7 @@
 {
   uint32_t seed;
   int64_t length_ms;
+  int64_t every_ms;     /* a job comes this often; 0 for as often as usual */
   int lost;             /* orders that are carried out, and whose answer is lost */
   int late;             /* orders that are carried out 2 to 12 s later without an answer */
   int failing;          /* runs that fail */
@@ -40,6 +41,7 @@
   int freezes;          /* hosts that stand still, a second and host */
   int zone_cuts;        /* data centres that are cut off, a second */
   int host_cuts;        /* hosts that other hosts can't reach, a second and host */
+  int one_way_cuts;     /* hosts that send nothing, get nothing or both, but reach endpoints */
   int endpoint_crashes; /* a second and endpoint */
   bool refusing;        /* endpoints that have crashed refuse connections */
   int endpoint_cuts;    /* endpoints that can't be reached, a second and endpoint */
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -101,6 +101,77 @@
     }
 }
 
+typedef enum
+{
+  SENT_ONCE,
+  SENT_AGAIN, /* after a new connection */
+  SENT_ANEW   /* the owner had lost this host */
+} sent_t;
+
+static const struct
+{
+  const char *name;
+  sent_t sent;
+  flow_task_end_t how; /* what the owner then says of the task */
+  bool placed_anew;
+} returns[] = {
+  { "never taken", SENT_ONCE, FLOW_TASK_NOT_OWNED, true },
+  { "taken, and sent again to a host that no longer owns the shard", SENT_AGAIN,
+    FLOW_TASK_NOT_OWNED, false },
+  { "sent again to the owner", SENT_AGAIN, FLOW_TASK_RETURNED, true },
+  { "dropped by the owner, which owns the shard no longer", SENT_ANEW, FLOW_TASK_NOT_OWNED, false },
+};
+
+/* A host that may have had a task, and forgot it, can't say that it has not run. */
+static void
+test_not_run_after_forgotten (void)
+{
+  const flow_options_t options = { "h", "x", 1000, 1.0 };
+  const fleet_offer_t offer = { "s", 4, 4, 1.0 };
+  const flow_job_t job = { .id = "j",
+                           .spec = "work",
+                           .service = "s",
+                           .tasks = 1,
+                           .need = { 1000, 10, 0 },
+                           .estimate_ms = 100,
+                           .stretch = 3,
+                           .target_ms = 60,
+                           .deadline_at_ms = 1500,
+                           .attempts_max = 3,
+                           .label = "",
+                           .near_rack = "" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (returns); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
+      flow_t *flow = flow_new (&options);
+
+      flow_owner (flow, "x", "hx", 1, 0, actions);
+      flow_offer (flow, "x", "hx", &offer, 1, 0);
+      flow_submit (flow, &job, 0, actions);
+      if (returns[i].sent == SENT_AGAIN)
+        flow_resync (flow, "hx", actions);
+      if (returns[i].sent == SENT_ANEW)
+        flow_dropped (flow, "hx", 1, actions);
+      CU_ASSERT_EQUAL_FATAL (actions->len, returns[i].sent == SENT_ONCE ? 1 : 2);
+      const flow_action_t *last = &g_array_index (actions, flow_action_t, actions->len - 1);
+      CU_ASSERT_EQUAL (last->batch.maybe_running, returns[i].sent == SENT_ANEW);
+      CU_ASSERT_EQUAL (last->batch.token, 1);
+      uint64_t number = last->number;
+      guint before = actions->len;
+      flow_task_ended (flow, "hx", number, 0, returns[i].how, 2, actions);
+      flow_step (flow, 3, actions);
+      if ((actions->len > before) != returns[i].placed_anew)
+        printf ("  %s\n", returns[i].name);
+      CU_ASSERT_EQUAL (actions->len > before, returns[i].placed_anew);
+      for (guint k = 0; k < actions->len; k++)
+        if (g_array_index (actions, flow_action_t, k).indexes != NULL)
+          g_array_unref (g_array_index (actions, flow_action_t, k).indexes);
+      flow_free (flow);
+      g_array_unref (actions);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -109,6 +180,7 @@
   { "a job's rank by size", test_sizes },
   { "sizes are forgotten", test_sizes_forgotten },
   { "a large job to a slow owner", test_large_job_to_slow_owner },
+  { "not run, after it was forgotten", test_not_run_after_forgotten },
 };
 
 int
