A release is repeated until it is confirmed, also to an owner that is lost

Cause: a coordinator that moved a batch told the owner before once, and not at all if it no longer heard it. An owner that hears and is not heard, or whose connection was made anew, kept the tasks, renewed the lease of their runs, and started them again at its next claim; the time by which "what that owner started is over" was counted from when it was last heard, which says nothing of when it last heard.

Change: releases are kept beside cancellations and repeated until confirmed; the time is counted from the hand-over and has the lease's slack and the stop in it.

test_flow: "a release arrives", four cases, of which three fail on the code before.

--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -75,7 +75,11 @@
       break;
     case FLOW_RELEASE:
       if (local)
-        owner_release (site, site->host, action->number);
+        {
+          owner_release (site, site->host, action->number);
+          flow_cancelled (site->flow, site->host, action->number, false, now_ms,
+                          site->flow_actions);
+        }
       else
         peers_send (site, action->host, fleet_msg_release (action->number));
       break;
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -59,8 +59,10 @@
 {
   uint64_t batch = 0;
 
-  if (fleet_msg_read_cancel (reader, &batch) == 0)
-    owner_release (site, host, batch);
+  if (fleet_msg_read_cancel (reader, &batch) != 0)
+    return;
+  owner_release (site, host, batch);
+  peers_send (site, host, fleet_msg_cancelled (batch, false));
 }
 
 /* An endpoint that a neighbour knows of may be missing in the directory, while it can't reach the
--- a/lib/fleet/fleet_msg.h
+++ b/lib/fleet/fleet_msg.h
@@ -38,7 +38,8 @@
 int fleet_msg_read_submit (frame_reader_t *reader, int64_t now_ms, fleet_submit_t *submit);
 void fleet_submit_clear (fleet_submit_t *submit);
 
-/* FLEET_MSG_CANCEL names a batch; FLEET_MSG_CANCELLED says if nothing of it started. */
+/* FLEET_MSG_CANCEL names a batch; FLEET_MSG_CANCELLED confirms it, or a release, and says if
+ * nothing of it started. */
 GBytes *fleet_msg_cancel (uint64_t batch);
 GBytes *fleet_msg_release (uint64_t batch);
 /* RELAY: the receiver passes it on to all hosts. */
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -21,9 +21,9 @@
 #define OWNER_DROPS_MS 900
 /* Owners confirm a cancellation within this time. */
 #define CONFIRM_MS 60
-/* A cancellation is repeated until it is confirmed, since an owner that never heard of it
- * would let a task run on beside its resubmission; after the second time the owner has
- * dropped the coordinator by itself. */
+/* A cancellation or a release is repeated until it is confirmed, since an owner that never heard of
+ * it would let a task run on beside its resubmission, or keep it for its next claim; after the
+ * second time the owner has dropped the coordinator by itself. */
 #define CANCEL_RETRY_MS 60
 #define CANCEL_GIVE_UP_MS 3000
 /* What is asked of callers that are refused. */
@@ -191,26 +191,39 @@
 static void
 send_cancel (cancel_t *cancel, int64_t now_ms, GArray *actions)
 {
-  flow_action_t *action = flow_add (actions, FLOW_CANCEL);
+  flow_action_t *action = flow_add (actions, cancel->kind);
 
   action->host = cancel->host;
   action->number = cancel->number;
   cancel->due_ms = now_ms + CANCEL_RETRY_MS;
 }
 
+/* Tells the owner of BATCH, until it confirms it, what has become of it: KIND. */
+static void
+take_back (flow_t *flow,
+           const batch_t *batch,
+           flow_action_kind_t kind,
+           int64_t now_ms,
+           GArray *actions)
+{
+  cancel_t *cancel = g_new0 (cancel_t, 1);
+
+  cancel->kind = kind;
+  cancel->number = batch->number;
+  cancel->host = batch->host;
+  cancel->until_ms = now_ms + CANCEL_GIVE_UP_MS;
+  g_hash_table_replace (flow->cancels, &cancel->number, cancel);
+  send_cancel (cancel, now_ms, actions);
+}
+
 static void
 cancel_batches (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
 {
   for (guint i = 0; i < job->batches->len; i++)
     {
       batch_t *batch = job->batches->pdata[i];
-      cancel_t *cancel = g_new0 (cancel_t, 1);
       batch->cancelled = true;
-      cancel->number = batch->number;
-      cancel->host = batch->host;
-      cancel->until_ms = now_ms + CANCEL_GIVE_UP_MS;
-      g_hash_table_replace (flow->cancels, &cancel->number, cancel);
-      send_cancel (cancel, now_ms, actions);
+      take_back (flow, batch, FLOW_CANCEL, now_ms, actions);
     }
 }
 
@@ -455,25 +468,30 @@
   shard->waiting = waiting;
 }
 
-/* Sends what is left of BATCH to the owner that its shard has now. */
+/* What an owner has started is over so long after it has dropped it. */
+static int64_t
+runs_over_ms (const flow_t *flow)
+{
+  int64_t slack_ms = flow->lease_ms * FLEET_CLOCK_SLACK_PERCENT / 100;
+
+  return FLEET_UNSTOPPED_MAX_MS + flow->lease_ms + slack_ms;
+}
+
+/* Sends what is left of BATCH to the owner that its shard has now.  The one before may be lost and
+ * hear this host all the same. */
 static void
 move_batch (flow_t *flow, batch_t *batch, const shard_t *shard, int64_t now_ms, GArray *actions)
 {
   job_t *job = batch->job;
-  int64_t since_ms = batch->lost_at_ms != 0 ? batch->lost_at_ms : now_ms;
 
   job->handovers++;
   job->may_have_run = true;
   batch_t *next = spread_batch (flow, job, shard);
   next->maybe = true;
-  next->wait_until_ms = since_ms + OWNER_DROPS_MS + flow->lease_ms;
+  next->wait_until_ms = now_ms + OWNER_DROPS_MS + runs_over_ms (flow);
   g_array_append_vals (next->open, batch->open->data, batch->open->len);
-  if (batch->lost_at_ms == 0 && batch->host != next->host)
-    {
-      flow_action_t *action = flow_add (actions, FLOW_RELEASE);
-      action->host = batch->host;
-      action->number = batch->number;
-    }
+  if (batch->host != next->host)
+    take_back (flow, batch, FLOW_RELEASE, now_ms, actions);
   drop_batch (flow, batch);
   spread_send (job, next, actions);
 }
@@ -555,7 +573,7 @@
       batch->job->handovers++;
       batch->job->may_have_run = true;
       batch->maybe = true;
-      batch->wait_until_ms = now_ms + flow->lease_ms;
+      batch->wait_until_ms = now_ms + runs_over_ms (flow);
       spread_send (batch->job, batch, actions);
     }
   g_ptr_array_unref (batches);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -171,7 +171,7 @@
                       int64_t now_ms,
                       GArray *actions);
 
-/* HOST has ended batch NUMBER; NEVER_STARTED if nothing of it ran there. */
+/* HOST has ended batch NUMBER, or left it to another owner; NEVER_STARTED if nothing of it ran. */
 void flow_cancelled (flow_t *flow,
                      const char *host,
                      uint64_t number,
--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -58,9 +58,10 @@
   int32_t waiting;
 } shard_t;
 
-/* A batch that HOST must end. */
+/* A batch that HOST must end (FLOW_CANCEL), or leave to another owner (FLOW_RELEASE). */
 typedef struct
 {
+  flow_action_kind_t kind;
   uint64_t number;
   const char *host; /* interned */
   int64_t due_ms;
@@ -78,7 +79,7 @@
   GHashTable *by_id;   /* id -> job_t */
   GHashTable *batches; /* number -> batch_t */
   GHashTable *shards;  /* interned name -> shard_t */
-  GHashTable *cancels; /* number -> cancel_t: not confirmed yet */
+  GHashTable *cancels; /* number -> cancel_t that is not confirmed yet */
   sizes_t *sizes;
   GStringChunk *names; /* of jobs that were answered in the last call */
   uint64_t last;
--- a/tests/test_fleet_net.h
+++ b/tests/test_fleet_net.h
@@ -314,6 +314,18 @@
   send_message (reply);
 }
 
+static void
+take_release (node_t *node, const message_t *message)
+{
+  message_t *reply = message_new (MESSAGE_CANCELLED, node, message->from);
+
+  reply->number = message->number;
+  for (int i = 0; i < WORLD_ZONES; i++)
+    if (node->owned[i].fleet != NULL)
+      fleet_release (node->owned[i].fleet, message->from->name, message->number);
+  send_message (reply);
+}
+
 static void message_arrives (world_t *world, void *data);
 
 /* Bytes that a cut has held up arrive when it ends, in their order. */
@@ -355,9 +367,7 @@
           take_cancel (node, message);
           break;
         case MESSAGE_RELEASE:
-          for (int i = 0; i < WORLD_ZONES; i++)
-            if (node->owned[i].fleet != NULL)
-              fleet_release (node->owned[i].fleet, message->from->name, message->number);
+          take_release (node, message);
           break;
         case MESSAGE_CANCELLED:
           flow_cancelled (node->flow, message->from->name, message->number, message->never,
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -122,9 +122,9 @@
   { "dropped by the owner, which owns the shard no longer", SENT_ANEW, FLOW_TASK_NOT_OWNED, false },
 };
 
-/* A host that may have had a task, and forgot it, can't say that it has not run. */
-static void
-test_not_run_after_forgotten (void)
+/* A job of one task that was given to host "hx", the owner of shard "x". */
+static flow_t *
+flow_with_job (GArray *actions)
 {
   const flow_options_t options = { "h", "x", 1000, 1.0 };
   const fleet_offer_t offer = { "s", 4, 4, 1.0 };
@@ -140,15 +140,32 @@
                            .attempts_max = 3,
                            .label = "",
                            .near_rack = "" };
+  flow_t *flow = flow_new (&options);
+
+  flow_owner (flow, "x", "hx", 1, 0, actions);
+  flow_offer (flow, "x", "hx", &offer, 1, 0);
+  flow_submit (flow, &job, 0, actions);
+  return flow;
+}
+
+static void
+free_actions (GArray *actions)
+{
+  for (guint i = 0; i < actions->len; i++)
+    if (g_array_index (actions, flow_action_t, i).indexes != NULL)
+      g_array_unref (g_array_index (actions, flow_action_t, i).indexes);
+  g_array_unref (actions);
+}
 
+/* A host that may have had a task, and forgot it, can't say that it has not run. */
+static void
+test_not_run_after_forgotten (void)
+{
   for (size_t i = 0; i < G_N_ELEMENTS (returns); i++)
     {
       GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
-      flow_t *flow = flow_new (&options);
+      flow_t *flow = flow_with_job (actions);
 
-      flow_owner (flow, "x", "hx", 1, 0, actions);
-      flow_offer (flow, "x", "hx", &offer, 1, 0);
-      flow_submit (flow, &job, 0, actions);
       if (returns[i].sent == SENT_AGAIN)
         flow_resync (flow, "hx", actions);
       if (returns[i].sent == SENT_ANEW)
@@ -164,11 +181,58 @@
       if ((actions->len > before) != returns[i].placed_anew)
         printf ("  %s\n", returns[i].name);
       CU_ASSERT_EQUAL (actions->len > before, returns[i].placed_anew);
-      for (guint k = 0; k < actions->len; k++)
-        if (g_array_index (actions, flow_action_t, k).indexes != NULL)
-          g_array_unref (g_array_index (actions, flow_action_t, k).indexes);
       flow_free (flow);
-      g_array_unref (actions);
+      free_actions (actions);
+    }
+}
+
+static int
+count_of (const GArray *actions, flow_action_kind_t kind)
+{
+  int count = 0;
+
+  for (guint i = 0; i < actions->len; i++)
+    count += g_array_index (actions, flow_action_t, i).kind == kind;
+  return count;
+}
+
+static const struct
+{
+  const char *name;
+  bool lost;      /* this host no longer hears the owner */
+  bool confirmed; /* the owner has confirmed the first release */
+  int releases;   /* after four rounds of 70 ms */
+} release_cases[] = {
+  { "heard, confirmed", false, true, 1 },
+  { "heard, not confirmed", false, false, 5 },
+  { "lost, but it hears this host", true, true, 1 },
+  { "lost", true, false, 5 },
+};
+
+/* The owner before must learn that its tasks are another's, or it starts them at its next claim. */
+static void
+test_release_arrives (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (release_cases); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
+      flow_t *flow = flow_with_job (actions);
+      uint64_t number = g_array_index (actions, flow_action_t, 0).number;
+
+      if (release_cases[i].lost)
+        flow_host_lost (flow, "hx", 10, 10, actions);
+      flow_owner (flow, "x", "hy", 2, 20, actions);
+      CU_ASSERT_EQUAL (count_of (actions, FLOW_SUBMIT), 2);
+      if (release_cases[i].confirmed)
+        flow_cancelled (flow, "hx", number, false, 21, actions);
+      for (int64_t now_ms = 90; now_ms <= 300; now_ms += 70)
+        flow_step (flow, now_ms, actions);
+      if (count_of (actions, FLOW_RELEASE) != release_cases[i].releases)
+        printf ("  %s\n", release_cases[i].name);
+      CU_ASSERT_EQUAL (count_of (actions, FLOW_RELEASE), release_cases[i].releases);
+      CU_ASSERT_EQUAL (count_of (actions, FLOW_ANSWER), 0);
+      flow_free (flow);
+      free_actions (actions);
     }
 }
 
@@ -181,6 +245,7 @@
   { "sizes are forgotten", test_sizes_forgotten },
   { "a large job to a slow owner", test_large_job_to_slow_owner },
   { "not run, after it was forgotten", test_not_run_after_forgotten },
+  { "a release arrives", test_release_arrives },
 };
 
 int
