A much stronger host takes a shard over from its owner

Change: the best candidate of the data centre claims a shard whose owner has at most half its power, once it has been there for 1.5 s. It takes it, rather than that the owner yields, so that the shard is never without an owner.

test_crew "its owner is too weak" fails before (2 of 37 asserts).

--- a/lib/crew/claims.c
+++ b/lib/crew/claims.c
@@ -20,6 +20,9 @@
 /* An owner from elsewhere hands a shard back once a host of its data centre has been
  * there for this long. */
 #define HAND_BACK_MS 1500
+/* A host of the data centre that is so many times as strong as the owner, and has been there for as
+ * long, takes the shard over: not for less, since each change costs what waits there a moment. */
+#define MUCH_STRONGER 2
 /* A host that was shut out and does not hear most others leaves the shard to them for
  * this long. */
 #define SHUT_OUT_PAUSE_MS 5000
@@ -224,6 +227,19 @@
   claim (crew, shard, now_ms, wall_ms, "nobody owns it", actions);
 }
 
+/* True if the owner of SHARD is so much weaker than this host, its best candidate, that it should
+ * not carry it on: it was the first to be ready, or the only one for a while. */
+static bool
+outclasses_owner (const crew_t *crew, const shard_t *shard, const char *owner, int64_t now_ms)
+{
+  const peer_t *peer = crew_find_peer (crew, owner);
+  bool near = strcmp (crew->data_centre, shard->name) == 0;
+
+  return near && peer != NULL && crew->power >= MUCH_STRONGER * peer->power
+         && now_ms - crew->started_at_ms > HAND_BACK_MS && now_ms >= shard->pause_until_ms
+         && candidate (crew, shard, true) == crew->host && hears_most (crew, true);
+}
+
 static bool
 near_host_stays (const crew_t *crew, const shard_t *shard, int64_t now_ms)
 {
@@ -279,6 +295,8 @@
     reclaim_if_due (crew, shard, now_ms, wall_ms, actions);
   if (vacant && !shard->own)
     claim_if_due (crew, shard, now_ms, wall_ms, actions);
+  else if (!shard->own && outclasses_owner (crew, shard, best.host, now_ms))
+    claim (crew, shard, now_ms, wall_ms, "its owner is much weaker", actions);
   if (shard->own && best.host != crew->host)
     best = best_claim (crew, shard);
   tell_owner (shard, &best, actions);
--- a/lib/crew/crew.h
+++ b/lib/crew/crew.h
@@ -2,7 +2,8 @@
  *
  * A shard is the endpoints of one data centre.  Its owner is the host with the
  * highest claim among those that can be heard; hosts of the same data centre go before
- * others, so that a data centre that is cut off goes on with an owner of its own.  Nothing is
+ * others, so that a data centre that is cut off goes on with an owner of its own, and a host that
+ * is much stronger than the owner takes over.  Nothing is
  * agreed on: a claim carries a token that grows, endpoints obey the highest token, and
  * whoever hears of a better claim yields.  Two owners at once thus cost time, not
  * correctness.
--- a/tests/test_crew.c
+++ b/tests/test_crew.c
@@ -61,6 +61,29 @@
   g_array_unref (script->actions);
 }
 
+/* A beat of HOST, which claims shard "x" under TOKEN. */
+static void
+hear_owner (script_t *script,
+            const char *host,
+            const char *data_centre,
+            int32_t power,
+            int64_t token)
+{
+  crew_claim_t claim = { (char *) "x", token };
+  crew_beat_t beat = { .host = (char *) host,
+                       .data_centre = (char *) data_centre,
+                       .incarnation = 7,
+                       .ready = true,
+                       .power = power,
+                       .epoch = 1,
+                       .claims = g_array_new (FALSE, FALSE, sizeof (crew_claim_t)) };
+
+  g_array_append_val (beat.claims, claim);
+  crew_heard (script->crew, &beat, script->now_ms, script->actions);
+  take_actions (script);
+  g_array_unref (beat.claims);
+}
+
 static void
 hear (script_t *script, const char *host, uint64_t epoch)
 {
@@ -104,6 +127,43 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  const char *data_centre;
+  int32_t power; /* of the owner; this host has 250 */
+  int64_t until_ms;
+  bool taken;
+} owner_cases[] = {
+  { "as strong", "x", 250, 4000, false },
+  { "a little weaker", "x", 130, 4000, false },
+  { "much weaker", "x", 90, 4000, true },
+  { "much weaker, but this host has just come", "x", 90, 1400, false },
+  { "much stronger", "x", 500, 4000, false },
+};
+
+/* The first host that was ready keeps a shard that it is too weak for. */
+static void
+test_owner_too_weak (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (owner_cases); i++)
+    {
+      script_t script;
+      begin (&script);
+      while (script.now_ms < owner_cases[i].until_ms)
+        {
+          hear_owner (&script, "h2", owner_cases[i].data_centre, owner_cases[i].power, 1000);
+          run_until (&script, script.now_ms + 100);
+        }
+      if ((script.counts[CREW_CLAIMED] > 0) != owner_cases[i].taken)
+        printf ("  %s\n", owner_cases[i].name);
+      CU_ASSERT_EQUAL (script.counts[CREW_CLAIMED], owner_cases[i].taken);
+      CU_ASSERT_EQUAL (script.counts[CREW_YIELDED], 0);
+      CU_ASSERT_EQUAL (script.token > 1000, owner_cases[i].taken);
+      end (&script);
+    }
+}
+
 /* What a host must say changes when it was lost, and each side learns of it. */
 static void
 test_epochs (void)
@@ -139,6 +199,7 @@
   CU_TestFunc run;
 } tests[] = {
   { "endpoints that obey a higher token", test_shut_out },
+  { "its owner is too weak", test_owner_too_weak },
   { "epochs", test_epochs },
 };
 
--- a/tests/test_fleet_node.h
+++ b/tests/test_fleet_node.h
@@ -341,9 +341,10 @@
 static void
 node_start (node_t *node)
 {
+  static const int32_t powers[WORLD_HOSTS] = { 90, 90, 500, 500, 300, 90 };
   world_t *world = node->world;
   crew_options_t crew = { node->name,          zone_name (node->zone),
-                          ++node->incarnation, 250,
+                          ++node->incarnation, world->options->uneven ? powers[node->number] : 250,
                           WORLD_RESEND_MS,     world->options->few_hubs ? 1 : CREW_HUBS };
   flow_options_t flow = { node->name, zone_name (node->zone), WORLD_LEASE_MS, WORLD_REMOTE_FACTOR };
 
--- a/tests/test_fleet_world.h
+++ b/tests/test_fleet_world.h
@@ -46,6 +46,7 @@
   bool refusing;        /* endpoints that have crashed refuse connections */
   int endpoint_cuts;    /* endpoints that can't be reached, a second and endpoint */
   bool held;            /* what is sent into a cut arrives when it ends, in place of never */
+  bool uneven;          /* hosts of very different power */
   bool few_hubs;        /* one hub in each data centre; the others are heard less often */
   bool blind;           /* hosts do not know half of the endpoints for a while after a start */
   int terminations;     /* hosts that are stopped gracefully, a second and host */
