--- a/tests/test_crew.c
+++ b/tests/test_crew.c
@@ -88,11 +88,11 @@
 }
 
 static void
-hear (script_t *script, const char *host, uint64_t epoch)
+hear_life (script_t *script, const char *host, uint64_t incarnation, uint64_t epoch)
 {
   crew_beat_t beat = { .host = (char *) host,
                        .data_centre = (char *) "x",
-                       .incarnation = 7,
+                       .incarnation = incarnation,
                        .ready = true,
                        .power = 1,
                        .epoch = epoch };
@@ -101,6 +101,12 @@
   take_actions (script);
 }
 
+static void
+hear (script_t *script, const char *host, uint64_t epoch)
+{
+  hear_life (script, host, 7, epoch);
+}
+
 /* Endpoints that obey a higher token, from before a restart or of a clock that was ahead, are
  * taken over in a few steps, however soon they say so. */
 static void
@@ -196,6 +202,33 @@
   end (&script);
 }
 
+static const struct
+{
+  const char *name;
+  uint64_t incarnation; /* of the beat after one of life 7 */
+  bool anew;
+} life_cases[] = {
+  { "the same life", 7, false },
+  { "a later one", 9, true },
+  { "a later one whose clock went back", 5, true },
+};
+
+/* Lives of a host are told apart, not ordered: its clock may have gone back between them. */
+static void
+test_started_anew (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (life_cases); i++)
+    {
+      script_t script;
+      begin (&script);
+      hear_life (&script, "h2", 7, 1);
+      hear_life (&script, "h2", life_cases[i].incarnation, 1);
+      CU_ASSERT_EQUAL (script.counts[CREW_LOST], life_cases[i].anew);
+      CU_ASSERT_EQUAL (script.counts[CREW_FOUND], 1 + life_cases[i].anew);
+      end (&script);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -203,6 +236,7 @@
 } tests[] = {
   { "endpoints that obey a higher token", test_shut_out },
   { "its owner is too weak", test_owner_too_weak },
+  { "a host has started anew", test_started_anew },
   { "epochs", test_epochs },
 };
 
--- a/tests/test_fleet_run.h
+++ b/tests/test_fleet_run.h
@@ -182,7 +182,7 @@
 
 /* --- faults --- */
 
-#define CLOCK_STEP_MAX_MS 5000
+#define CLOCK_STEP_MS 5000
 
 /* Other hosts may see at once that their connections to NODE are broken; it does not. */
 static void
@@ -224,7 +224,10 @@
       else if (happens (world, options->one_way_cuts))
         cut_one_way (world, node);
       else if (happens (world, options->clock_steps))
-        node->wall_ahead_ms = draw (world, 2 * CLOCK_STEP_MAX_MS) - CLOCK_STEP_MAX_MS;
+        {
+          int step_ms = options->clock_step_ms > 0 ? options->clock_step_ms : CLOCK_STEP_MS;
+          node->wall_ahead_ms = draw (world, 2 * step_ms) - step_ms;
+        }
       else if (happens (world, options->terminations) && node->leaving_from_ms == 0)
         {
           node->leaving_from_ms = world->now_ms;
--- a/tests/test_fleet_world.h
+++ b/tests/test_fleet_world.h
@@ -51,6 +51,7 @@
   bool blind;           /* hosts do not know half of the endpoints for a while after a start */
   int terminations;     /* hosts that are stopped gracefully, a second and host */
   int clock_steps;      /* hosts whose time of day jumps, a second and host */
+  int clock_step_ms;    /* by so much at the most, either way; 0 for 5 s */
   int racks;            /* jobs that run faster in one data centre */
   bool mixed; /* jobs of three queues with priorities, of very different sizes, with bursts */
 } world_options_t;
