A host that greets is dialed at once, also while an earlier connect to it hangs

One that starts 80 ms before its neighbour dials it while it is still down; that connect hangs until it is given up after 600 ms, although the neighbour has greeted it long since. So the neighbour did not hear its claim for 600 ms, claimed the same shard again, and the tasks that were given to the first owner moved, possibly running, which waits until the directory is settled.

Change: a greeting from an address, or word of it, ends a connect to it that has hung for 50 ms.

--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -36,6 +36,8 @@
 #define REDIAL_MAX_MS 400
 /* A connect, or a greeting, that is not answered is given up after this. */
 #define DIAL_MAX_MS 600
+/* A connect that was begun before its host showed that it is there is given up after this. */
+#define DIAL_LOST_MS 50
 #define LOOP_MS 50
 #define EVENTS_MAX 64
 #define READ_CHUNK_BYTES 65536
@@ -63,6 +65,7 @@
   GByteArray *in;
   int64_t redial_at_ms;
   int64_t redial_wait_ms;
+  int64_t dialed_at_ms;
   int64_t give_up_at_ms;
   int64_t forget_at_ms; /* of an address that is not permanent */
 } link_t;
@@ -149,7 +152,7 @@
   link->state = LINK_IDLE;
   link->redial_at_ms =
       now_ms + link->redial_wait_ms + g_random_int_range (0, (gint32) link->redial_wait_ms + 1);
-  link->redial_wait_ms = MIN (link->redial_wait_ms * 2, REDIAL_MAX_MS);
+  link->redial_wait_ms = CLAMP (link->redial_wait_ms * 2, REDIAL_MIN_MS, REDIAL_MAX_MS);
   if (!link->dialed)
     g_ptr_array_remove_fast (net->links, link);
   return gone;
@@ -236,6 +239,7 @@
       return;
     }
   link->state = LINK_DIALING;
+  link->dialed_at_ms = now_ms;
   link->give_up_at_ms = now_ms + DIAL_MAX_MS;
   watch (net, link, EPOLL_CTL_ADD, EPOLLOUT);
 }
@@ -507,6 +511,24 @@
   return NULL;
 }
 
+/* Whoever tells of the address of LINK, or greets from there, shows that its host may be back.  The
+ * thread dials it at once; a connect from before is given up soon.  Returns false if there is
+ * nothing to do. */
+static bool
+link_hurry (link_t *link)
+{
+  if (link->state == LINK_IDLE)
+    link->redial_at_ms = 0;
+  else if (link->state == LINK_DIALING)
+    {
+      link->give_up_at_ms = MIN (link->give_up_at_ms, link->dialed_at_ms + DIAL_LOST_MS);
+      link->redial_wait_ms = 0;
+    }
+  else
+    return false;
+  return true;
+}
+
 /* --- public --- */
 
 int
@@ -561,10 +583,7 @@
     {
       link_t *link = net->links->pdata[i];
       known = link->dialed && strcmp (link->address, address) == 0;
-      /* Whoever tells of it, or greets from there, shows that it may be back. */
-      due = known && link->state == LINK_IDLE;
-      if (due)
-        link->redial_at_ms = 0;
+      due = known && link_hurry (link);
     }
   if (!known)
     {
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -2,14 +2,23 @@
 #include "base/clock.h"
 #include "wire/frame.h"
 #include "wire/net.h"
+#include "wire/socket.h"
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* A guard against hanging, not a bound. */
 #define GUARD_MS 20000
 #define TRY_EVERY_MS 10
+/* How long a connect has hung when its host comes up, well below the time after which it is given
+ * up, and how soon there must be a connection then. */
+#define DIAL_BEFORE_MS 100
+#define GREETED_MAX_MS 300
 
 typedef struct
 {
@@ -149,6 +158,54 @@
   node_stop (&a);
 }
 
+/* Listens on ADDRESS and answers no connect: its queue of connections is full. */
+static int
+start_deaf_listener (const char *address, int *filler)
+{
+  struct sockaddr_storage storage;
+  socklen_t size = socket_address (address, &storage);
+  int one = 1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *) &storage, size), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (fd, 0), 0);
+  *filler = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  CU_ASSERT_EQUAL_FATAL (connect (*filler, (struct sockaddr *) &storage, size), 0);
+  return fd;
+}
+
+/* A host that greets is there, whatever became of a connect to it from before it was. */
+static void
+test_greeted_while_dialing (void)
+{
+  node_t a = { 0 };
+  node_t b = { 0 };
+  int filler = -1;
+
+  node_start (&a, "a", "x", 24100);
+  node_start (&b, "b", "x", 25200);
+  int port = atoi (strrchr (b.address, ':') + 1);
+  char *address = g_strdup (b.address);
+  node_stop (&b);
+  b = (node_t){ 0 };
+  int listener = start_deaf_listener (address, &filler);
+  net_add_address (a.net, address, "x", true);
+  clock_sleep_ms (DIAL_BEFORE_MS);
+  CU_ASSERT_EQUAL (atomic_load (&a.ups), 0);
+  close (filler);
+  close (listener);
+  node_start (&b, "b", "x", port);
+  CU_ASSERT_STRING_EQUAL_FATAL (b.address, address);
+  int64_t from_ms = clock_boot_ms ();
+  net_add_address (b.net, a.address, "x", true);
+  CU_ASSERT_TRUE (reaches (&a.ups, 1));
+  CU_ASSERT_TRUE (clock_boot_ms () - from_ms <= GREETED_MAX_MS);
+  node_stop (&b);
+  node_stop (&a);
+  g_free (address);
+}
+
 static const struct
 {
   const char *name;
@@ -157,6 +214,7 @@
   { "frames arrive once", test_frames },
   { "greeting after a cut", test_cut_greeting },
   { "dialed anew", test_reconnect },
+  { "greeted while dialing", test_greeted_while_dialing },
 };
 
 int
