A host that was lost dials the other anew

Cause, from the kept logs: connections of host 1 fall silent. Host 4 loses it after 452 ms, closes its own connection and dials anew, so that host 1, which waits 784 ms, never loses host 4. But host 1 sends to host 4 on the connection that it dialed itself, which is silent and shows nothing: every job that it gives to host 4's shard waits to its deadline, from then on.

Change: a host that learns from a beat that it had been lost dials anew what it sends on, unless that is younger than a second; the break that it makes itself does not count as a sign of the other's loss.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -73,6 +73,7 @@
       site_run_flow_actions (site);
       break;
     case CREW_DROPPED:
+      peers_renew (site, action->host);
       flow_dropped (site->flow, action->host, now_ms, site->flow_actions);
       site_run_flow_actions (site);
       break;
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -11,6 +11,8 @@
 #define LINKS_EVERY_MS 200
 #define DIAL_AGAIN_MS 3000
 #define ROSTER_HOSTS_MAX 256
+/* A connection that is younger is not renewed. */
+#define RENEW_AGE_MS 1000
 
 typedef struct
 {
@@ -303,6 +305,7 @@
     {
       contact_t *contact = g_new0 (contact_t, 1);
       contact->data_centre = arrival->data_centre;
+      contact->up_at_ms = clock_boot_ms ();
       g_hash_table_replace (site->connected, (void *) arrival->host, contact);
       peers_beat_host (site, arrival->host);
       peers_send (site, arrival->host, fleet_msg_resync ());
@@ -310,8 +313,11 @@
     }
   else
     {
+      const contact_t *contact = g_hash_table_lookup (site->connected, arrival->host);
+      bool renewing = contact != NULL && contact->renewing;
       g_hash_table_remove (site->connected, arrival->host);
-      crew_broken (site->crew, arrival->host, clock_boot_ms ());
+      if (!renewing)
+        crew_broken (site->crew, arrival->host, clock_boot_ms ());
     }
   g_free (arrival);
   site_pump (site);
@@ -422,6 +428,19 @@
 
 /* --- who is connected --- */
 
+/* HOST had lost this one, which hears it all the same: what is sent on a connection from before may
+ * never arrive, though nothing shows that it is broken. */
+void
+peers_renew (site_t *site, const char *host)
+{
+  contact_t *contact = g_hash_table_lookup (site->connected, host);
+
+  if (contact == NULL || clock_boot_ms () - contact->up_at_ms < RENEW_AGE_MS)
+    return;
+  contact->renewing = true;
+  net_reconnect (site->net, host);
+}
+
 void
 peers_free_known (void *data)
 {
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -38,6 +38,8 @@
 {
   const char *data_centre; /* interned */
   int64_t beat_due_ms;
+  int64_t up_at_ms;
+  bool renewing; /* this host has closed it, and dials anew */
 } contact_t;
 
 /* Where a host listens, and when it was dialed last. */
@@ -154,6 +156,8 @@
 void peers_tell_roster (site_t *site, const char *host);
 /* Dials the hosts that this one should be connected to. */
 void peers_keep_links (site_t *site, int64_t now_ms);
+/* HOST had lost this one: dials it anew, unless that has just been done. */
+void peers_renew (site_t *site, const char *host);
 /* JOB is cancelled: tells all hosts. */
 void peers_forget_job (site_t *site, const char *job);
 /* Takes in an entry of the directory, or that endpoint ID is gone from it. */
