--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -45,6 +45,24 @@
   sizes_free (sizes);
 }
 
+/* A job of one task, due in 1.5 s. */
+static flow_job_t
+job_of (int64_t estimate_ms)
+{
+  return (flow_job_t){ .id = "j",
+                       .spec = "work",
+                       .service = "s",
+                       .tasks = 1,
+                       .need = { 1000, 10, 0 },
+                       .estimate_ms = estimate_ms,
+                       .stretch = 3,
+                       .target_ms = 60,
+                       .deadline_at_ms = 1500,
+                       .attempts_max = 3,
+                       .label = "",
+                       .near_rack = "" };
+}
+
 static const struct
 {
   const char *name;
@@ -70,18 +88,7 @@
     {
       const fleet_offer_t fast = { "s", spreads[i].fast_slots, 4, 0.7 };
       const fleet_offer_t slow = { "s", spreads[i].slow_slots, 4, 1.7 };
-      const flow_job_t job = { .id = "j",
-                               .spec = "work",
-                               .service = "s",
-                               .tasks = 1,
-                               .need = { 1000, 10, 0 },
-                               .estimate_ms = spreads[i].estimate_ms,
-                               .stretch = 3,
-                               .target_ms = 60,
-                               .deadline_at_ms = 1500,
-                               .attempts_max = 3,
-                               .label = "",
-                               .near_rack = "" };
+      const flow_job_t job = job_of (spreads[i].estimate_ms);
       GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
       flow_t *flow = flow_new (&options);
 
@@ -122,24 +129,13 @@
   { "dropped by the owner, which owns the shard no longer", SENT_ANEW, FLOW_TASK_NOT_OWNED, false },
 };
 
-/* A job of one task that was given to host "hx", the owner of shard "x". */
+/* A job that was given to host "hx", the owner of shard "x". */
 static flow_t *
 flow_with_job (GArray *actions)
 {
   const flow_options_t options = { "h", "x", 1000, 1.0 };
   const fleet_offer_t offer = { "s", 4, 4, 1.0 };
-  const flow_job_t job = { .id = "j",
-                           .spec = "work",
-                           .service = "s",
-                           .tasks = 1,
-                           .need = { 1000, 10, 0 },
-                           .estimate_ms = 100,
-                           .stretch = 3,
-                           .target_ms = 60,
-                           .deadline_at_ms = 1500,
-                           .attempts_max = 3,
-                           .label = "",
-                           .near_rack = "" };
+  const flow_job_t job = job_of (100);
   flow_t *flow = flow_new (&options);
 
   flow_owner (flow, "x", "hx", 1, 0, actions);
