--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -21,11 +21,6 @@
 #define OWNER_DROPS_MS 900
 /* Owners confirm a cancellation within this time. */
 #define CONFIRM_MS 60
-/* A cancellation or a release is repeated until it is confirmed, since an owner that never heard of
- * it would let a task run on beside its resubmission, or keep it for its next claim; after the
- * second time the owner has dropped the coordinator by itself. */
-#define CANCEL_RETRY_MS 60
-#define CANCEL_GIVE_UP_MS 3000
 /* What is asked of callers that are refused. */
 #define RETRY_AFTER_MS 1000
 /* A part of a job's usual duration that must fit before its deadline. */
@@ -188,34 +183,6 @@
   drop_job (flow, job);
 }
 
-static void
-send_cancel (cancel_t *cancel, int64_t now_ms, GArray *actions)
-{
-  flow_action_t *action = flow_add (actions, cancel->kind);
-
-  action->host = cancel->host;
-  action->number = cancel->number;
-  cancel->due_ms = now_ms + CANCEL_RETRY_MS;
-}
-
-/* Tells the owner of BATCH, until it confirms it, what has become of it: KIND. */
-static void
-take_back (flow_t *flow,
-           const batch_t *batch,
-           flow_action_kind_t kind,
-           int64_t now_ms,
-           GArray *actions)
-{
-  cancel_t *cancel = g_new0 (cancel_t, 1);
-
-  cancel->kind = kind;
-  cancel->number = batch->number;
-  cancel->host = batch->host;
-  cancel->until_ms = now_ms + CANCEL_GIVE_UP_MS;
-  g_hash_table_replace (flow->cancels, &cancel->number, cancel);
-  send_cancel (cancel, now_ms, actions);
-}
-
 static void
 cancel_batches (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
 {
@@ -223,24 +190,7 @@
     {
       batch_t *batch = job->batches->pdata[i];
       batch->cancelled = true;
-      take_back (flow, batch, FLOW_CANCEL, now_ms, actions);
-    }
-}
-
-static void
-repeat_cancels (flow_t *flow, int64_t now_ms, GArray *actions)
-{
-  GHashTableIter iter;
-  void *value = NULL;
-
-  g_hash_table_iter_init (&iter, flow->cancels);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      cancel_t *cancel = value;
-      if (now_ms >= cancel->until_ms)
-        g_hash_table_iter_remove (&iter);
-      else if (now_ms >= cancel->due_ms)
-        send_cancel (cancel, now_ms, actions);
+      cancels_add (flow, batch, FLOW_CANCEL, now_ms, actions);
     }
 }
 
@@ -491,7 +441,7 @@
   next->wait_until_ms = now_ms + OWNER_DROPS_MS + runs_over_ms (flow);
   g_array_append_vals (next->open, batch->open->data, batch->open->len);
   if (batch->host != next->host)
-    take_back (flow, batch, FLOW_RELEASE, now_ms, actions);
+    cancels_add (flow, batch, FLOW_RELEASE, now_ms, actions);
   drop_batch (flow, batch);
   spread_send (job, next, actions);
 }
@@ -541,18 +491,31 @@
   g_ptr_array_unref (batches);
 }
 
+/* The open batches of HOST, unless it was lost after they were sent; the caller frees the array. */
+static GPtrArray *
+batches_at (const flow_t *flow, const char *host)
+{
+  const char *interned = g_intern_string (host);
+  GPtrArray *batches = open_batches (flow);
+
+  for (guint i = batches->len; i-- > 0;)
+    {
+      const batch_t *batch = batches->pdata[i];
+      if (batch->host != interned || batch->lost_at_ms != 0)
+        g_ptr_array_remove_index (batches, i);
+    }
+  return batches;
+}
+
 /* The owner knows its batches by their numbers, so that one which it has is not taken twice. */
 void
 flow_resync (flow_t *flow, const char *host, GArray *actions)
 {
-  const char *interned = g_intern_string (host);
-  GPtrArray *batches = open_batches (flow);
+  GPtrArray *batches = batches_at (flow, host);
 
   for (guint i = 0; i < batches->len; i++)
     {
       batch_t *batch = batches->pdata[i];
-      if (batch->host != interned || batch->lost_at_ms != 0)
-        continue;
       batch->sent_again = true;
       spread_send (batch->job, batch, actions);
     }
@@ -562,14 +525,11 @@
 void
 flow_dropped (flow_t *flow, const char *host, int64_t now_ms, GArray *actions)
 {
-  const char *interned = g_intern_string (host);
-  GPtrArray *batches = open_batches (flow);
+  GPtrArray *batches = batches_at (flow, host);
 
   for (guint i = 0; i < batches->len; i++)
     {
       batch_t *batch = batches->pdata[i];
-      if (batch->host != interned || batch->lost_at_ms != 0)
-        continue;
       batch->job->handovers++;
       batch->job->may_have_run = true;
       batch->maybe = true;
@@ -587,13 +547,11 @@
                 GArray *actions)
 {
   const char *interned = g_intern_string (host);
-  GPtrArray *batches = open_batches (flow);
+  GPtrArray *batches = batches_at (flow, host);
 
   for (guint i = 0; i < batches->len; i++)
     {
       batch_t *batch = batches->pdata[i];
-      if (batch->host != interned || batch->lost_at_ms != 0)
-        continue;
       batch->lost_at_ms = heard_at_ms;
       const shard_t *shard = find_shard (flow, batch->shard);
       if (shard->owner != NULL && shard->owner != interned)
@@ -673,7 +631,7 @@
   for (GList *at = jobs; at != NULL; at = at->next)
     step_job (flow, at->data, now_ms, actions);
   g_list_free (jobs);
-  repeat_cancels (flow, now_ms, actions);
+  cancels_repeat (flow, now_ms, actions);
 }
 
 void
--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -93,6 +93,15 @@
 batch_t *spread_batch (flow_t *flow, job_t *job, const shard_t *shard);
 void spread_send (const job_t *job, const batch_t *batch, GArray *actions);
 
+/* cancels.c: tells the owner of BATCH, until it confirms it, what has become of it (FLOW_CANCEL or
+ * FLOW_RELEASE), and repeats what is not confirmed yet. */
+void cancels_add (flow_t *flow,
+                  const batch_t *batch,
+                  flow_action_kind_t kind,
+                  int64_t now_ms,
+                  GArray *actions);
+void cancels_repeat (flow_t *flow, int64_t now_ms, GArray *actions);
+
 flow_action_t *flow_add (GArray *actions, flow_action_kind_t kind);
 
 #endif
