--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -24,6 +24,7 @@
 /* A guard against hanging, not a bound. */
 #define GUARD_MS 20000
 #define DEADLINE_MS 3000
+#define QUEUE_TIMEOUT_MS 3000
 #define LEASE_MS 1000
 
 static char *programs; /* the directory with jaytraild and fake_site */
@@ -116,19 +117,25 @@
 }
 
 static void
-put_config (const rig_t *rig, int version, const char *prefix)
+put_queue (const rig_t *rig, int version, const char *prefix, int timeout_ms)
 {
   char *body = g_strdup_printf (
       "{\"version\":%d,\"routes\":[{\"name\":\"r\",\"host\":\"" SITE_CALL_QUEUE_HOST
-      "\",\"path_prefix\":\"%s\",\"timeout_ms\":3000,\"target_latency_ms\":60,\"priority\":0,"
+      "\",\"path_prefix\":\"%s\",\"timeout_ms\":%d,\"target_latency_ms\":60,\"priority\":0,"
       "\"service\":\"s\",\"max_attempts\":3,\"stretch_factor\":1.6}],\"services\":[],"
       "\"limits\":{}}",
-      version, prefix);
+      version, prefix, timeout_ms);
 
   site_call (rig->port, "POST", "/config", body);
   g_free (body);
 }
 
+static void
+put_config (const rig_t *rig, int version, const char *prefix)
+{
+  put_queue (rig, version, prefix, QUEUE_TIMEOUT_MS);
+}
+
 static bool
 is_ready (const rig_t *rig, int host)
 {
@@ -361,6 +368,51 @@
   rig_stop (&rig);
 }
 
+static const struct
+{
+  const char *name;
+  int wait_ms; /* 0 if the caller does not say */
+  int timeout_ms;
+  int work_ms;
+  int status;
+} waits[] = {
+  { "the caller waits longer than the queue's time", 8000, 1500, 4000, 200 },
+  { "the caller waits less", 1000, 6000, 2500, 504 },
+  { "the queue's time stands in for the caller's", 0, 1000, 2500, 504 },
+  { "the queue's time stands in, and is enough", 0, 6000, 2000, 200 },
+};
+
+/* A job is not ended by its queue's time while its caller waits for the answer. */
+static void
+test_caller_waits_longer (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  for (int i = 0; i < (int) G_N_ELEMENTS (waits); i++)
+    {
+      char *body = job_body (1, waits[i].work_ms, "");
+      char *target = g_strdup_printf ("/w%d/%016x", i, (unsigned) i + 1);
+      char *prefix = g_strdup_printf ("/w%d/", i);
+
+      put_queue (&rig, 4 + i, prefix, waits[i].timeout_ms);
+      char *applied = g_strdup_printf ("\"version\":%d,", 4 + i);
+      CU_ASSERT_TRUE (comes_to_lines (&rig, 1, applied, 1));
+      int fd = site_dial ("127.0.0.1", caller_port (&rig, 1));
+      site_send (fd, "POST", target, body, waits[i].wait_ms);
+      site_answer_t answer = site_read (fd, clock_boot_ms () + GUARD_MS);
+      if (answer.status != waits[i].status)
+        printf ("  %s: %d %s\n", waits[i].name, answer.status, answer.body);
+      CU_ASSERT_EQUAL (answer.status, waits[i].status);
+      close (fd);
+      g_free (applied);
+      g_free (prefix);
+      g_free (target);
+      g_free (body);
+    }
+  rig_stop (&rig);
+}
+
 /* An endpoint that is bad in one way costs time, not jobs. */
 static void
 test_bad_endpoints (void)
@@ -753,6 +805,7 @@
   { "calm", test_calm },
   { "hosts find each other", test_hosts_find_each_other },
   { "inputs", test_inputs },
+  { "caller waits longer", test_caller_waits_longer },
   { "bad endpoints", test_bad_endpoints },
   { "caller leaves", test_caller_leaves },
   { "cancelled", test_cancelled },
