A task's objective follows its work, not the caller's estimate alone

Cause: the owner corrects a caller's estimate and compared the corrected duration with the objective of the raw one. Where the correction is downward an endpoint that takes 1.7 times the work passed as fast enough for an objective of 1.6 times the work.

Change: place_aim_t holds the work, the objective and by how much it grows with the work; place_tier () asks whether the objective is met should the work be 0.75 or 1.25 times what is expected, and for "sure" 2.6 times. The deadline is asked with the larger margin, since missing it loses the job.

--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -419,8 +419,8 @@
   bool large = whole_ms < LARGE_MAX * (double) task->expected_ms;
 
   outlook->rest_ms = whole_ms - elapsed_ms;
-  outlook->left_ms = (double) (batch->deadline_at_ms - now_ms);
-  outlook->work_ms = large ? whole_ms / speed : (double) batch->estimate_ms;
+  outlook->left_ms = (double) (batch->aim.deadline_at_ms - now_ms);
+  outlook->work_ms = large ? whole_ms / speed : (double) batch->aim.work_ms;
   return true;
 }
 
--- a/lib/fleet/batch.c
+++ b/lib/fleet/batch.c
@@ -7,6 +7,21 @@
 
 #include <string.h>
 
+/* The objective of a job follows its true work, of which the corrected estimate tells more. */
+static place_aim_t
+aim_of (const fleet_t *fleet, const fleet_batch_t *info)
+{
+  int64_t raw_ms = MAX (info->estimate_ms, 1);
+  int64_t work_ms = estimates_correct (fleet->estimates, info->service, info->priority, raw_ms);
+
+  return (place_aim_t){
+    .work_ms = work_ms,
+    .goal_at_ms = info->goal_at_ms + (int64_t) (info->stretch * (double) (work_ms - raw_ms)),
+    .stretch = info->stretch,
+    .deadline_at_ms = info->deadline_at_ms,
+  };
+}
+
 static batch_t *
 batch_new (const fleet_t *fleet, const fleet_batch_t *info)
 {
@@ -22,10 +37,7 @@
   batch->priority = info->priority;
   batch->need = info->need;
   batch->raw_estimate_ms = MAX (info->estimate_ms, 1);
-  batch->estimate_ms =
-      estimates_correct (fleet->estimates, info->service, info->priority, batch->raw_estimate_ms);
-  batch->goal_at_ms = info->goal_at_ms;
-  batch->deadline_at_ms = info->deadline_at_ms;
+  batch->aim = aim_of (fleet, info);
   batch->attempts_max = MAX (info->attempts_max, 1);
   batch->attempt_base = info->attempt_base;
   batch->label = g_strdup (info->label != NULL ? info->label : "");
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -148,7 +148,7 @@
 {
   if (a->batch->priority != b->batch->priority)
     return a->batch->priority < b->batch->priority;
-  return a->batch->goal_at_ms < b->batch->goal_at_ms;
+  return a->batch->aim.goal_at_ms < b->batch->aim.goal_at_ms;
 }
 
 void
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -63,7 +63,8 @@
   int32_t priority; /* 0 is the most urgent */
   room_t need;
   int64_t estimate_ms;    /* the caller's guess of a task's duration */
-  int64_t goal_at_ms;     /* a job that ends later is late */
+  int64_t goal_at_ms;     /* a job that ends later is late, if the guess is right .. */
+  double stretch;         /* .. and by so many times as its work is larger, later */
   int64_t deadline_at_ms; /* a job that ends later is worthless */
   int32_t attempts_max;   /* failed ends of a task that fail the job */
   int32_t attempt_base;   /* the first attempt is this plus 1 */
@@ -269,16 +270,27 @@
                    int64_t now_ms,
                    GArray *actions);
 
-/* What may be expected of a task that should take EXPECTED_MS from now on. */
+/* What may be expected of a task, if it starts now. */
 typedef enum
 {
   PLACE_UNLIKELY, /* without a margin before its deadline */
-  PLACE_LATE,     /* after its objective, but before its deadline */
+  PLACE_LATE,     /* after its objective, or with little margin before its deadline */
   PLACE_IN_TIME,  /* unless its estimate is far off; not worth waiting for better */
   PLACE_SURE      /* also if its estimate is far off */
 } place_tier_t;
-place_tier_t
-place_tier (int64_t expected_ms, int64_t now_ms, int64_t goal_at_ms, int64_t deadline_at_ms);
+
+/* What a task has to meet.  Its objective grows with the work that it turns out to be, its
+ * deadline does not. */
+typedef struct
+{
+  int64_t work_ms;    /* what it should take at the speed that estimates are made for */
+  int64_t goal_at_ms; /* its objective, if it takes just that .. */
+  double stretch;     /* .. and so much later for each millisecond more */
+  int64_t deadline_at_ms;
+} place_aim_t;
+
+/* What may be expected of a task that starts now and takes RATIO times its work. */
+place_tier_t place_tier (const place_aim_t *aim, double ratio, int64_t now_ms);
 
 /* What a task may hope for if it waits. */
 typedef struct
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -30,6 +30,7 @@
   frame_put_int (writer, batch->need.gpus);
   frame_put_int (writer, batch->estimate_ms);
   frame_put_int (writer, batch->goal_at_ms - now_ms);
+  frame_put_int (writer, (int64_t) (batch->stretch * RATIO_SCALE));
   frame_put_int (writer, batch->deadline_at_ms - now_ms);
   frame_put_int (writer, batch->attempts_max);
   frame_put_int (writer, batch->attempt_base);
@@ -70,6 +71,7 @@
   batch->need.gpus = frame_get_range (reader, 0, AMOUNT_MAX);
   batch->estimate_ms = frame_get_range (reader, 0, INT32_MAX);
   batch->goal_at_ms = get_time (reader, now_ms);
+  batch->stretch = (double) frame_get_range (reader, 0, INT32_MAX) / RATIO_SCALE;
   batch->deadline_at_ms = get_time (reader, now_ms);
   batch->attempts_max = (int32_t) frame_get_range (reader, 0, INT32_MAX);
   batch->attempt_base = (int32_t) frame_get_range (reader, 0, INT32_MAX / 2);
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -14,11 +14,12 @@
 
 /* Durations that differ by less than this part count as equal. */
 #define ALIKE_PERCENT 15
-/* Estimates are rough: a duration may be over its expectation by this and must still be in
- * time.  An objective grows with the true work, a deadline does not. */
-#define GOAL_PERCENT 125
+/* Estimates are rough: the work may be so much less or more than expected, and must still be in
+ * time.  What is sure is in time also if the estimate is far off. */
+#define GOAL_LEAST_PERCENT 75
+#define GOAL_MOST_PERCENT 125
 #define DEADLINE_PERCENT 150
-#define DEADLINE_SURE_PERCENT 260
+#define SURE_PERCENT 260
 /* Rather than refuse a task, it is started where it is in time if this part of what is expected is
  * enough. */
 #define RESORT_PERCENT 75
@@ -104,12 +105,17 @@
   return near ? 1.0 : fmax (fleet->options.remote_factor, 1.0);
 }
 
+/* Duration over work of a task of BATCH on ENDPOINT. */
+static double
+ratio_of (const fleet_t *fleet, const endpoint_t *endpoint, const batch_t *batch)
+{
+  return endpoint->ratio * place_distance (fleet, endpoint, batch);
+}
+
 int64_t
 place_expected_ms (const fleet_t *fleet, const endpoint_t *endpoint, const batch_t *batch)
 {
-  double distance = place_distance (fleet, endpoint, batch);
-
-  return (int64_t) ((double) batch->estimate_ms * endpoint->ratio * distance);
+  return (int64_t) ((double) batch->aim.work_ms * ratio_of (fleet, endpoint, batch));
 }
 
 int64_t
@@ -117,7 +123,7 @@
 {
   if (fleet->usable->len == 0)
     return INT64_MAX;
-  return (int64_t) ((double) batch->estimate_ms * fleet->least_ratio);
+  return (int64_t) ((double) batch->aim.work_ms * fleet->least_ratio);
 }
 
 void
@@ -159,7 +165,7 @@
     }
   const batch_t *batch = task->batch;
   double distance = place_distance (fleet, endpoint, batch);
-  double estimate_ms = (double) batch->estimate_ms * distance;
+  double estimate_ms = (double) batch->aim.work_ms * distance;
   estimates_add (fleet->estimates, batch->service, batch->priority, batch->raw_estimate_ms,
                  (double) elapsed_ms / (place_ratio (endpoint) * distance));
   double most_ms = RATIO_MAX * estimate_ms;
@@ -221,15 +227,37 @@
   return endpoint->whole.cores_milli - endpoint->used.cores_milli - need->cores_milli;
 }
 
+/* True if a task that takes RATIO times its work meets its objective, should its work be PERCENT of
+ * what is expected. */
+static bool
+meets_goal (const place_aim_t *aim, double ratio, int64_t now_ms, int percent)
+{
+  double expected_ms = (double) aim->work_ms;
+  double work_ms = expected_ms * percent / 100;
+  double goal_at_ms = (double) aim->goal_at_ms + aim->stretch * (work_ms - expected_ms);
+
+  return (double) now_ms + ratio * work_ms <= goal_at_ms;
+}
+
+static bool
+meets_deadline (const place_aim_t *aim, double ratio, int64_t now_ms, int percent)
+{
+  double work_ms = (double) aim->work_ms * percent / 100;
+
+  return (double) now_ms + ratio * work_ms <= (double) aim->deadline_at_ms;
+}
+
 place_tier_t
-place_tier (int64_t expected_ms, int64_t now_ms, int64_t goal_at_ms, int64_t deadline_at_ms)
+place_tier (const place_aim_t *aim, double ratio, int64_t now_ms)
 {
-  if (now_ms + expected_ms * DEADLINE_PERCENT / 100 > deadline_at_ms)
+  if (!meets_deadline (aim, ratio, now_ms, DEADLINE_PERCENT))
     return PLACE_UNLIKELY;
-  if (now_ms + expected_ms * GOAL_PERCENT / 100 > goal_at_ms)
+  /* A missed objective delays a job, a missed deadline loses it. */
+  if (!meets_goal (aim, ratio, now_ms, GOAL_LEAST_PERCENT)
+      || !meets_goal (aim, ratio, now_ms, GOAL_MOST_PERCENT)
+      || !meets_deadline (aim, ratio, now_ms, SURE_PERCENT))
     return PLACE_LATE;
-  return now_ms + expected_ms * DEADLINE_SURE_PERCENT / 100 <= deadline_at_ms ? PLACE_SURE
-                                                                              : PLACE_IN_TIME;
+  return meets_goal (aim, ratio, now_ms, SURE_PERCENT) ? PLACE_SURE : PLACE_IN_TIME;
 }
 
 typedef struct
@@ -279,11 +307,11 @@
 }
 
 static void
-add_hope (place_hope_t *hope, const batch_t *batch, int64_t expected_ms, int64_t now_ms)
+add_hope (place_hope_t *hope, const batch_t *batch, double ratio, int64_t now_ms)
 {
-  place_tier_t tier = place_tier (expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms);
+  place_tier_t tier = place_tier (&batch->aim, ratio, now_ms);
 
-  place_hope_add (hope, tier, expected_ms);
+  place_hope_add (hope, tier, (int64_t) (ratio * (double) batch->aim.work_ms));
 }
 
 /* A task that may run anywhere, at the same speed, is as well off as on the fastest endpoint. */
@@ -292,20 +320,19 @@
 {
   static const room_t nothing;
   const batch_t *batch = task->batch;
-  int64_t least_ms = place_least_ms (fleet, batch);
   place_hope_t hope = PLACE_NO_HOPE;
 
   if (batch->label[0] == '\0' && batch->near_rack[0] == '\0')
     {
-      if (least_ms != INT64_MAX)
-        add_hope (&hope, batch, least_ms, now_ms);
+      if (fleet->usable->len > 0)
+        add_hope (&hope, batch, fleet->least_ratio, now_ms);
       return hope;
     }
   for (guint i = 0; i < fleet->usable->len; i++)
     {
       const endpoint_t *endpoint = fleet->usable->pdata[i];
       if (place_may_run (endpoint, task) && room_fits (&endpoint->whole, &nothing, &task->need))
-        add_hope (&hope, batch, place_expected_ms (fleet, endpoint, batch), now_ms);
+        add_hope (&hope, batch, ratio_of (fleet, endpoint, batch), now_ms);
     }
   return hope;
 }
@@ -332,7 +359,7 @@
                    || (task->avoid != NULL && strcmp (task->avoid, endpoint->id) == 0),
         .left_over = left_over (endpoint, &task->need),
       };
-      one.tier = place_tier (one.expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms);
+      one.tier = place_tier (&batch->aim, ratio_of (fleet, endpoint, batch), now_ms);
       if (is_better (&one, &best))
         best = one;
     }
@@ -345,7 +372,7 @@
 {
   const batch_t *batch = task->batch;
   endpoint_t *best = NULL;
-  int64_t best_ms = (batch->deadline_at_ms - now_ms) * 100 / RESORT_PERCENT;
+  int64_t best_ms = (batch->aim.deadline_at_ms - now_ms) * 100 / RESORT_PERCENT;
 
   for (guint i = 0; i < fleet->open->len; i++)
     {
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -238,7 +238,7 @@
   action->elapsed_ms = now_ms - task->queued_at_ms;
   action->expected_ms = task->expected_ms;
   action->least_ms = place_least_ms (fleet, task->batch);
-  action->left_ms = task->batch->deadline_at_ms - now_ms;
+  action->left_ms = task->batch->aim.deadline_at_ms - now_ms;
   action->lease_until_there_ms = task->lease_there_ms;
   action->coordinator = task->batch->coordinator;
   action->batch = task->batch->number;
@@ -260,8 +260,8 @@
   int64_t least_ms = place_least_ms (fleet, task->batch);
 
   if (least_ms == INT64_MAX)
-    least_ms = task->batch->estimate_ms;
-  return now_ms + least_ms * HOPELESS_PERCENT / 100 > task->batch->deadline_at_ms;
+    least_ms = task->batch->aim.work_ms;
+  return now_ms + least_ms * HOPELESS_PERCENT / 100 > task->batch->aim.deadline_at_ms;
 }
 
 /* A task has just come, and its like have waited so long without a start that it would be hopeless
@@ -281,7 +281,7 @@
       if (other->batch->priority == batch->priority && !other->ever_started
           && room_fits (&task->need, &(room_t){ 0 }, &other->need)
           && strcmp (other->batch->service, batch->service) == 0)
-        return now_ms + waited_ms + least_ms * HOPELESS_PERCENT / 100 > batch->deadline_at_ms;
+        return now_ms + waited_ms + least_ms * HOPELESS_PERCENT / 100 > batch->aim.deadline_at_ms;
     }
   return false;
 }
@@ -304,9 +304,9 @@
     {
       fleet_offer_t *offer = &g_array_index (elsewhere, fleet_offer_t, i);
       double distance = batch->near_rack[0] != '\0' ? fleet->options.remote_factor : 1.0;
-      int64_t expected_ms = (int64_t) (offer->ratio * distance * (double) batch->estimate_ms);
-      place_tier_t tier =
-          place_tier (expected_ms, now_ms, batch->goal_at_ms, batch->deadline_at_ms);
+      double ratio = offer->ratio * distance;
+      int64_t expected_ms = (int64_t) (ratio * (double) batch->aim.work_ms);
+      place_tier_t tier = place_tier (&batch->aim, ratio, now_ms);
       if (offer->slots > 0 && strcmp (offer->service, batch->service) == 0
           && place_is_worth (tier, expected_ms, here))
         {
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -57,9 +57,7 @@
   int32_t priority;
   room_t need;
   int64_t raw_estimate_ms; /* the caller's */
-  int64_t estimate_ms;     /* corrected (estimate.h) */
-  int64_t goal_at_ms;
-  int64_t deadline_at_ms;
+  place_aim_t aim;         /* its work is the estimate, corrected (estimate.h) */
   int32_t attempts_max;
   int32_t attempt_base;
   char *label;
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -171,7 +171,7 @@
   action->reason = job->reason;
   action->retry_after_ms = RETRY_AFTER_MS;
   action->elapsed_ms = now_ms - job->info.received_at_ms;
-  action->late_by_ms = now_ms - job->goal_at_ms;
+  action->late_by_ms = now_ms - job->aim.goal_at_ms;
   action->job = g_string_chunk_insert (flow->names, job->info.id);
   action->tasks = job->info.tasks;
   action->estimate_ms = job->info.estimate_ms;
@@ -226,6 +226,17 @@
 
 /* --- jobs --- */
 
+static place_aim_t
+aim_of (const flow_job_t *info)
+{
+  double objective_ms = info->stretch * (double) info->estimate_ms + (double) info->target_ms;
+
+  return (place_aim_t){ .work_ms = info->estimate_ms,
+                        .goal_at_ms = info->received_at_ms + (int64_t) objective_ms,
+                        .stretch = info->stretch,
+                        .deadline_at_ms = info->deadline_at_ms };
+}
+
 uint64_t
 flow_submit (flow_t *flow, const flow_job_t *info, int64_t now_ms, GArray *actions)
 {
@@ -239,8 +250,7 @@
   job->info.service = g_strdup (info->service);
   job->info.label = g_strdup (info->label);
   job->info.near_rack = g_strdup (info->near_rack);
-  job->goal_at_ms = info->received_at_ms + info->target_ms
-                    + (int64_t) (info->stretch * (double) info->estimate_ms);
+  job->aim = aim_of (info);
   job->size = sizes_add (flow->sizes, job->info.queue,
                          (double) info->tasks * (double) info->need.cores_milli
                              * (double) info->estimate_ms);
--- a/lib/flow/spread.c
+++ b/lib/flow/spread.c
@@ -60,17 +60,10 @@
   return (int64_t) (ratio * (double) job->info.estimate_ms);
 }
 
-static place_tier_t
-tier_of (double ratio, const job_t *job, int64_t now_ms)
-{
-  return place_tier (expected_ms_of (ratio, job), now_ms, job->goal_at_ms,
-                     job->info.deadline_at_ms);
-}
-
 static bool
 is_worth (double ratio, const job_t *job, const place_hope_t *hope, int64_t now_ms)
 {
-  return place_is_worth (tier_of (ratio, job, now_ms), expected_ms_of (ratio, job), hope);
+  return place_is_worth (place_tier (&job->aim, ratio, now_ms), expected_ms_of (ratio, job), hope);
 }
 
 /* The best free slot, and in *HOPE what the job may hope for, if it waits. */
@@ -93,7 +86,7 @@
           if (row->slots_all <= 0 || !suits (row, &job->info))
             continue;
           place_t one = { shard, row, row->ratio * distance, PLACE_UNLIKELY };
-          one.tier = tier_of (one.ratio, job, now_ms);
+          one.tier = place_tier (&job->aim, one.ratio, now_ms);
           place_hope_add (hope, one.tier, expected_ms_of (one.ratio, job));
           if (row->slots > 0 && is_better (flow, &one, &best))
             best = one;
@@ -186,7 +179,8 @@
     .priority = job->info.priority,
     .need = job->info.need,
     .estimate_ms = job->info.estimate_ms,
-    .goal_at_ms = job->goal_at_ms,
+    .goal_at_ms = job->aim.goal_at_ms,
+    .stretch = job->aim.stretch,
     .deadline_at_ms = job->info.deadline_at_ms,
     .attempts_max = job->info.attempts_max,
     .attempt_base = job->handovers * ATTEMPTS_EACH,
--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -26,7 +26,7 @@
 {
   uint64_t number;
   flow_job_t info; /* with strings of its own */
-  int64_t goal_at_ms;
+  place_aim_t aim;
   flow_size_t size;
   GArray *unplaced;   /* int32_t */
   GPtrArray *batches; /* batch_t */
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -221,6 +221,44 @@
     }
 }
 
+/* Tasks whose objective is 1.6 times their work and 60 ms, from 0 on. */
+static const struct
+{
+  const char *name;
+  int64_t work_ms;
+  int64_t deadline_at_ms;
+  double ratio;
+  int64_t now_ms;
+  place_tier_t tier;
+} tier_cases[] = {
+  { "fast endpoint, whatever the work turns out to be", 1000, FAR_MS, 0.7, 0, PLACE_SURE },
+  { "slow, and the work small enough for the 60 ms", 200, FAR_MS, 1.7, 0, PLACE_SURE },
+  { "slow, in time unless the work is far larger", 400, FAR_MS, 1.7, 0, PLACE_IN_TIME },
+  { "slow, and late whatever the work turns out to be", 1000, FAR_MS, 1.7, 0, PLACE_LATE },
+  { "fast, has waited for what a smaller task has", 1000, FAR_MS, 0.7, 740, PLACE_LATE },
+  { "fast, has waited a little less", 1000, FAR_MS, 0.7, 730, PLACE_SURE },
+  { "fast, the deadline leaves too little margin", 1000, 1700, 0.7, 0, PLACE_LATE },
+  { "fast, the deadline leaves hardly any", 1000, 1000, 0.7, 0, PLACE_UNLIKELY },
+};
+
+/* An endpoint that is always too slow for the objective is not taken for fast enough because the
+ * estimate is lower than the caller's. */
+static void
+test_slow_endpoint_for_long_task (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (tier_cases); i++)
+    {
+      const place_aim_t aim = { .work_ms = tier_cases[i].work_ms,
+                                .goal_at_ms = tier_cases[i].work_ms * 16 / 10 + 60,
+                                .stretch = 1.6,
+                                .deadline_at_ms = tier_cases[i].deadline_at_ms };
+      place_tier_t tier = place_tier (&aim, tier_cases[i].ratio, tier_cases[i].now_ms);
+      if (tier != tier_cases[i].tier)
+        printf ("  %s: %d\n", tier_cases[i].name, (int) tier);
+      CU_ASSERT_EQUAL (tier, tier_cases[i].tier);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -572,6 +610,7 @@
   { "given up once it can't be in time", test_overdue },
   { "a run is adopted while it is stopped", test_adopted_while_stopped },
   { "work near its data", test_racks },
+  { "a slow endpoint for a long task", test_slow_endpoint_for_long_task },
   { "worth a start", test_worth },
   { "not run, in doubt", test_not_run_in_doubt },
   { "a large task is given away", test_large_task_given_away },
