A queue's time bounds the wait for a first start; late tasks yield

Cause: with the callers' own waits a job may stand in a queue for up to half a minute, where the queue's timeout_ms had ended it. Late work then goes before work that could still meet its objective, and nothing ends what hasn't begun.

Change, two limits that belong together: - The queue's time bounds how long no task of a job may start. An owner returns a batch of which nothing has started (FLEET_UNSTARTED); the coordinator refuses the job if all of it is back, and places the rest anew where another part has begun. - A waiting task that misses its objective wherever it starts goes behind those of its priority that can still meet theirs. job_missed names the limit that has ended a job, and jaytrail_jobs_limited_total counts by it.

Weighed: giving up a job whose last part waits longer than the queue's time (work lost that its caller waits for); no limit beside the caller's wait (an operator's shorter time would mean nothing).

--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -14,6 +14,14 @@
   [FLOW_SIZE_LARGEST] = "largest",
 };
 
+const char *const limit_names[] = {
+  [FLOW_LIMIT_NONE] = "none",
+  [FLOW_LIMIT_CALLER_WAIT] = "caller_wait",
+  [FLOW_LIMIT_QUEUE_TIME] = "queue_time",
+  [FLOW_LIMIT_ATTEMPTS] = "attempts",
+  [FLOW_LIMIT_OWNERS] = "owners",
+};
+
 static void
 log_answer (const flow_action_t *action)
 {
@@ -30,6 +38,7 @@
   if (missed)
     {
       event_text ("why", action->reason != NULL ? action->reason : "it ended after its objective");
+      event_text ("limit", limit_names[action->limit]);
       event_text ("size", size_names[action->size]);
       event_number ("tasks", action->tasks);
       event_number ("estimate_ms", action->estimate_ms);
--- a/daemon/site_metrics.c
+++ b/daemon/site_metrics.c
@@ -82,6 +82,18 @@
   return counter;
 }
 
+static void
+count_limit (flow_limit_t limit)
+{
+  static counter_t *counters[FLOW_LIMIT_OWNERS + 1];
+
+  if (limit == FLOW_LIMIT_NONE)
+    return;
+  if (counters[limit] == NULL)
+    counters[limit] = labelled ("jaytrail_jobs_limited_total", "limit", limit_names[limit]);
+  counter_add (counters[limit], 1);
+}
+
 void
 metrics_job (const flow_action_t *answer)
 {
@@ -98,6 +110,7 @@
   counter_add (counters[answer->outcome][answer->size], 1);
   if (answer->outcome == FLOW_COMPLETE && answer->late_by_ms > 0)
     counter_add (late, 1);
+  count_limit (answer->limit);
   histogram_add (&answer_times, answer->elapsed_ms);
 }
 
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -100,6 +100,7 @@
 /* Names for logs and counters, by flow_outcome_t and flow_size_t. */
 extern const char *const outcome_names[];
 extern const char *const size_names[];
+extern const char *const limit_names[]; /* by flow_limit_t */
 extern const store_ops_t site_store_ops;
 void site_free_entry (void *entry);
 
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -88,9 +88,11 @@
   { EVENT_JOB_ANSWERED, EVENT_ROUTINE, "job_answered", "job outcome elapsed_ms late_by_ms",
     "{host_id} answered {outcome} after {elapsed_ms} ms" },
   { EVENT_JOB_MISSED, EVENT_TROUBLE, "job_missed",
-    "job outcome why size tasks estimate_ms left elapsed_ms late_by_ms handovers returns owners",
+    "job outcome why limit size tasks estimate_ms left elapsed_ms late_by_ms handovers returns "
+    "owners",
     "{host_id} answered {outcome} after {elapsed_ms} ms with {left} of {tasks} tasks of about "
-    "{estimate_ms} ms left: {why} (size {size}, owners {owners}, {handovers} moves between owners, "
+    "{estimate_ms} ms left: {why} (limit {limit}, size {size}, owners {owners}, {handovers} moves "
+    "between owners, "
     "{returns} returns)" },
   { EVENT_JOB_ABANDONED, EVENT_TROUBLE, "job_abandoned", "job elapsed_ms",
     "the caller hung up after {elapsed_ms} ms" },
--- a/lib/fleet/batch.c
+++ b/lib/fleet/batch.c
@@ -38,6 +38,7 @@
   batch->need = info->need;
   batch->raw_estimate_ms = MAX (info->estimate_ms, 1);
   batch->aim = aim_of (fleet, info);
+  batch->start_by_ms = info->start_by_ms;
   batch->attempts_max = MAX (info->attempts_max, 1);
   batch->attempt_base = info->attempt_base;
   batch->label = g_strdup (info->label != NULL ? info->label : "");
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -148,6 +148,8 @@
 {
   if (a->batch->priority != b->batch->priority)
     return a->batch->priority < b->batch->priority;
+  if (a->late != b->late)
+    return b->late;
   return a->batch->aim.goal_at_ms < b->batch->aim.goal_at_ms;
 }
 
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -66,6 +66,7 @@
   int64_t goal_at_ms;     /* a job that ends later is late, if the guess is right .. */
   double stretch;         /* .. and by so many times as its work is larger, later */
   int64_t deadline_at_ms; /* a job that ends later is worthless */
+  int64_t start_by_ms;    /* it is returned if none of it has started by then; 0 for never */
   int32_t attempts_max;   /* failed ends of a task that fail the job */
   int32_t attempt_base;   /* the first attempt is this plus 1 */
   const char *label;      /* an endpoint must have it as kind or rack; "" for any */
@@ -86,6 +87,7 @@
   FLEET_FAILED,    /* likewise: it has failed as often as is allowed, or can't run */
   FLEET_RETURNED,  /* likewise: it never started, and is no longer queued here */
   FLEET_EXPIRED,   /* likewise: it never started, and can't end before its deadline */
+  FLEET_UNSTARTED, /* likewise: nothing of its batch has started by START_BY_MS */
   FLEET_OVERDUE,   /* likewise: it may have run, and can't end before its deadline anywhere */
   FLEET_NOT_OWNED, /* likewise, from a host that does not own the shard: it knows nothing of it */
   FLEET_SHUT_OUT,  /* the endpoint obeys a higher token */
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -32,6 +32,8 @@
   frame_put_int (writer, batch->goal_at_ms - now_ms);
   frame_put_int (writer, (int64_t) (batch->stretch * RATIO_SCALE));
   frame_put_int (writer, batch->deadline_at_ms - now_ms);
+  frame_put_bool (writer, batch->start_by_ms != 0);
+  frame_put_int (writer, batch->start_by_ms != 0 ? batch->start_by_ms - now_ms : 0);
   frame_put_int (writer, batch->attempts_max);
   frame_put_int (writer, batch->attempt_base);
   frame_put_string (writer, batch->label);
@@ -73,6 +75,9 @@
   batch->goal_at_ms = get_time (reader, now_ms);
   batch->stretch = (double) frame_get_range (reader, 0, INT32_MAX) / RATIO_SCALE;
   batch->deadline_at_ms = get_time (reader, now_ms);
+  bool limited = frame_get_bool (reader);
+  int64_t start_by_ms = get_time (reader, now_ms);
+  batch->start_by_ms = limited ? start_by_ms : 0;
   batch->attempts_max = (int32_t) frame_get_range (reader, 0, INT32_MAX);
   batch->attempt_base = (int32_t) frame_get_range (reader, 0, INT32_MAX / 2);
   batch->label = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -317,9 +317,60 @@
   return false;
 }
 
+/* Why a task that finds no place leaves the queue. */
+typedef struct
+{
+  fleet_action_kind_t how;
+  const char *reason;
+} leave_t;
+
+static leave_t
+too_late (const task_t *task)
+{
+  return (leave_t){ task->batch->doubted ? FLEET_OVERDUE : FLEET_EXPIRED,
+                    "cannot end before its deadline" };
+}
+
+static void
+leave_queue (fleet_t *fleet, task_t *task, leave_t leave, int64_t now_ms, GArray *actions)
+{
+  fleet_action_t *told = tell (fleet, actions, leave.how, task, leave.reason);
+
+  told->elapsed_ms = now_ms - task->queued_at_ms;
+  told->expected_ms = place_least_ms (fleet, task->batch);
+  told->count = (int32_t) fleet->usable->len;
+  told->waiting = (int32_t) fleet->queue.length;
+  task_end (fleet, task);
+}
+
+/* Load: bursts that leave more work than can be done in time.  A task that misses its objective
+ * wherever it starts goes behind those of its priority that can still meet theirs, so that one
+ * that is late does not make others late. */
+static void
+yield_to_timely (fleet_t *fleet, task_t *task, int64_t now_ms)
+{
+  int64_t least_ms = place_least_ms (fleet, task->batch);
+
+  if (task->late || least_ms == INT64_MAX || now_ms + least_ms <= task->batch->aim.goal_at_ms)
+    return;
+  task->late = true;
+  g_queue_unlink (&fleet->queue, &task->link);
+  task_queue (fleet, task);
+}
+
+static bool
+is_unstarted (const task_t *task, int64_t now_ms)
+{
+  const batch_t *batch = task->batch;
+
+  return batch->start_by_ms != 0 && !batch->ever_started && now_ms >= batch->start_by_ms;
+}
+
 static void
 start_tasks (fleet_t *fleet, GArray *elsewhere, int64_t now_ms, GArray *actions)
 {
+  static const leave_t unstarted = { FLEET_UNSTARTED, "its queue's time has passed" };
+  static const leave_t returned = { FLEET_RETURNED, "another owner has room" };
   const task_t *stuck = NULL;
   place_hope_t stuck_hope = PLACE_NO_HOPE;
 
@@ -339,25 +390,16 @@
       if (endpoint != NULL)
         start (fleet, task, endpoint, now_ms, actions);
       else if (refuse)
-        {
-          fleet_action_kind_t how = task->batch->doubted ? FLEET_OVERDUE : FLEET_EXPIRED;
-          fleet_action_t *told = tell (fleet, actions, how, task, "cannot end before its deadline");
-          told->elapsed_ms = now_ms - task->queued_at_ms;
-          told->expected_ms = place_least_ms (fleet, task->batch);
-          told->count = (int32_t) fleet->usable->len;
-          told->waiting = (int32_t) fleet->queue.length;
-          task_end (fleet, task);
-        }
+        leave_queue (fleet, task, too_late (task), now_ms, actions);
+      else if (is_unstarted (task, now_ms))
+        leave_queue (fleet, task, unstarted, now_ms, actions);
       else if (goes_elsewhere (fleet, task, &hope, elsewhere, now_ms))
-        {
-          tell (fleet, actions, FLEET_RETURNED, task, "another owner has room")->elapsed_ms =
-              now_ms - task->queued_at_ms;
-          task_end (fleet, task);
-        }
+        leave_queue (fleet, task, returned, now_ms, actions);
       else
         {
           stuck = task;
           stuck_hope = hope;
+          yield_to_timely (fleet, task, now_ms);
         }
     }
 }
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -40,6 +40,7 @@
   int64_t must_end_at_ms; /* STOPPING: since when */
   int64_t stop_sent_at_ms;
   bool stop_confirmed;
+  bool late;  /* it misses its objective wherever it starts */
   bool moved; /* it was stopped once to run on a faster endpoint */
   int32_t percent;
   int64_t percent_at_ms; /* when PERCENT last grew */
@@ -58,6 +59,7 @@
   room_t need;
   int64_t raw_estimate_ms; /* the caller's */
   place_aim_t aim;         /* its work is the estimate, corrected (estimate.h) */
+  int64_t start_by_ms;     /* 0 for no such limit */
   int32_t attempts_max;
   int32_t attempt_base;
   char *label;
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -169,6 +169,7 @@
     action->outcome = FLOW_GIVEN_UP;
   action->user = job->info.user;
   action->reason = job->reason;
+  action->limit = job->limit;
   action->retry_after_ms = RETRY_AFTER_MS;
   action->elapsed_ms = now_ms - job->info.received_at_ms;
   action->late_by_ms = now_ms - job->aim.goal_at_ms;
@@ -200,6 +201,7 @@
 end_job (flow_t *flow,
          job_t *job,
          flow_outcome_t outcome,
+         flow_limit_t limit,
          const char *reason,
          int64_t now_ms,
          GArray *actions)
@@ -208,6 +210,7 @@
     return;
   job->outcome = outcome;
   job->reason = reason;
+  job->limit = limit;
   cancel_batches (flow, job, now_ms, actions);
   if (outcome != FLOW_REFUSED || job->may_have_run || job->batches->len == 0)
     {
@@ -219,9 +222,21 @@
 }
 
 static void
-refuse (flow_t *flow, job_t *job, const char *reason, int64_t now_ms, GArray *actions)
+refuse (flow_t *flow,
+        job_t *job,
+        flow_limit_t limit,
+        const char *reason,
+        int64_t now_ms,
+        GArray *actions)
 {
-  end_job (flow, job, FLOW_REFUSED, reason, now_ms, actions);
+  end_job (flow, job, FLOW_REFUSED, limit, reason, now_ms, actions);
+}
+
+/* The limit that sets the deadline of JOB. */
+static flow_limit_t
+deadline_limit (const job_t *job)
+{
+  return job->info.deadline_of_queue ? FLOW_LIMIT_QUEUE_TIME : FLOW_LIMIT_CALLER_WAIT;
 }
 
 /* --- jobs --- */
@@ -273,7 +288,7 @@
   if (job == NULL)
     return false;
   job->ending = false;
-  end_job (flow, job, FLOW_CANCELLED, "it was cancelled", now_ms, actions);
+  end_job (flow, job, FLOW_CANCELLED, FLOW_LIMIT_NONE, "it was cancelled", now_ms, actions);
   return true;
 }
 
@@ -313,9 +328,10 @@
 flow_end_of (fleet_action_kind_t how)
 {
   static const flow_task_end_t ends_of[] = {
-    [FLEET_DONE] = FLOW_TASK_DONE,         [FLEET_FAILED] = FLOW_TASK_FAILED,
-    [FLEET_RETURNED] = FLOW_TASK_RETURNED, [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
-    [FLEET_OVERDUE] = FLOW_TASK_OVERDUE,   [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
+    [FLEET_DONE] = FLOW_TASK_DONE,           [FLEET_FAILED] = FLOW_TASK_FAILED,
+    [FLEET_RETURNED] = FLOW_TASK_RETURNED,   [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
+    [FLEET_OVERDUE] = FLOW_TASK_OVERDUE,     [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
+    [FLEET_UNSTARTED] = FLOW_TASK_UNSTARTED,
   };
 
   return ends_of[how];
@@ -356,8 +372,10 @@
         }
       break;
     case FLOW_TASK_FAILED:
-      end_job (flow, job, FLOW_FAILED, "a task has failed as often as is allowed", now_ms, actions);
+      end_job (flow, job, FLOW_FAILED, FLOW_LIMIT_ATTEMPTS,
+               "a task has failed as often as is allowed", now_ms, actions);
       break;
+    case FLOW_TASK_UNSTARTED:
     case FLOW_TASK_RETURNED:
     case FLOW_TASK_NOT_OWNED:
       /* Placed in the next step, with what is known by then. */
@@ -366,11 +384,12 @@
         g_array_append_val (job->unplaced, index);
       break;
     case FLOW_TASK_OVERDUE:
-      end_job (flow, job, FLOW_GIVEN_UP, "a task takes too long for its deadline", now_ms, actions);
+      end_job (flow, job, FLOW_GIVEN_UP, deadline_limit (job),
+               "a task takes too long for its deadline", now_ms, actions);
       break;
     case FLOW_TASK_EXPIRED:
     default:
-      refuse (flow, job, "cannot end before its deadline", now_ms, actions);
+      refuse (flow, job, deadline_limit (job), "cannot end before its deadline", now_ms, actions);
       break;
     }
 }
@@ -579,7 +598,7 @@
     {
       job_t *job = at->data;
       job->may_have_run |= job->was_sent;
-      end_job (flow, job, FLOW_GIVEN_UP, reason, now_ms, actions);
+      end_job (flow, job, FLOW_GIVEN_UP, FLOW_LIMIT_OWNERS, reason, now_ms, actions);
     }
   g_list_free (jobs);
 }
@@ -598,6 +617,25 @@
   return false;
 }
 
+/* The queue's time for a first start has passed, and some tasks of JOB have no owner.  Where
+ * nothing has started the job is refused.  Where another part of it may have, the limit is met:
+ * these are placed again without it.  Returns true if they are not to be placed now. */
+static bool
+end_of_start_time (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
+{
+  if (!job->may_have_run && (int32_t) job->unplaced->len == job->info.tasks)
+    {
+      refuse (flow, job, FLOW_LIMIT_QUEUE_TIME, "no task has started within its queue's time",
+              now_ms, actions);
+      return true;
+    }
+  /* The other owners are about to say whether their parts have started. */
+  if (!job->may_have_run && now_ms < job->info.start_by_ms + CONFIRM_MS)
+    return true;
+  job->info.start_by_ms = 0;
+  return false;
+}
+
 static void
 step_job (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
 {
@@ -611,16 +649,20 @@
     }
   if (now_ms >= job->info.deadline_at_ms)
     {
-      refuse (flow, job, "its deadline has passed", now_ms, actions);
+      refuse (flow, job, deadline_limit (job), "its deadline has passed", now_ms, actions);
       return;
     }
   if (is_orphaned (job, now_ms))
     {
-      end_job (flow, job, FLOW_GIVEN_UP, "the host that ran a part of it is lost", now_ms, actions);
+      end_job (flow, job, FLOW_GIVEN_UP, FLOW_LIMIT_OWNERS,
+               "the host that ran a part of it is lost", now_ms, actions);
       return;
     }
   if (job->unplaced->len == 0)
     return;
+  if (job->info.start_by_ms != 0 && now_ms >= job->info.start_by_ms
+      && end_of_start_time (flow, job, now_ms, actions))
+    return;
   guint before = actions->len;
   spread_job (flow, job, now_ms, actions);
   /* What was just sent names the job, which must not end in the same step. */
@@ -629,7 +671,7 @@
   bool hopeless =
       now_ms + (int64_t) (HOPELESS * (double) job->info.estimate_ms) > job->info.deadline_at_ms;
   if (hopeless || now_ms - job->info.received_at_ms > NO_OWNER_MS)
-    refuse (flow, job, "no owner of endpoints is known", now_ms, actions);
+    refuse (flow, job, FLOW_LIMIT_OWNERS, "no owner of endpoints is known", now_ms, actions);
 }
 
 void
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -34,6 +34,9 @@
   int64_t target_ms; /* .. and this more */
   int64_t received_at_ms;
   int64_t deadline_at_ms; /* nobody waits for the answer any longer */
+  bool
+      deadline_of_queue; /* the caller has not said how long it waits: the queue's time stands in */
+  int64_t start_by_ms;   /* refused if no task has started by then; 0 for never */
   int32_t attempts_max;
   const char *label;
   const char *near_rack;
@@ -50,6 +53,16 @@
   FLOW_CANCELLED /* its caller wants it no more; it may have run in part */
 } flow_outcome_t;
 
+/* The limit that has ended a job. */
+typedef enum
+{
+  FLOW_LIMIT_NONE,
+  FLOW_LIMIT_CALLER_WAIT, /* it can't end while its caller waits */
+  FLOW_LIMIT_QUEUE_TIME, /* likewise, within its queue's time; or no task has started within that */
+  FLOW_LIMIT_ATTEMPTS,   /* a task has failed as often as its queue allows */
+  FLOW_LIMIT_OWNERS      /* no owner of endpoints was there for it, or one was lost */
+} flow_limit_t;
+
 /* How large a job is among the last ones of its queue, by the work that its caller expects. */
 typedef enum
 {
@@ -78,7 +91,8 @@
   GArray *indexes;     /* FLOW_SUBMIT: int32_t; the receiver of the action unrefs it */
   flow_outcome_t outcome;
   void *user;
-  const char *reason;     /* static */
+  const char *reason; /* static */
+  flow_limit_t limit;
   int64_t retry_after_ms; /* FLOW_REFUSED */
   int64_t elapsed_ms;
   int64_t late_by_ms; /* over the goal; negative if in time */
@@ -155,8 +169,9 @@
   FLOW_TASK_FAILED,
   FLOW_TASK_RETURNED,
   FLOW_TASK_EXPIRED,
-  FLOW_TASK_OVERDUE,  /* it has run, and can't end before its deadline */
-  FLOW_TASK_NOT_OWNED /* HOST does not own the shard, and knows nothing of the task */
+  FLOW_TASK_UNSTARTED, /* it never started within its queue's time */
+  FLOW_TASK_OVERDUE,   /* it has run, and can't end before its deadline */
+  FLOW_TASK_NOT_OWNED  /* HOST does not own the shard, and knows nothing of the task */
 } flow_task_end_t;
 
 /* What HOW, one of FLEET_DONE to FLEET_NOT_OWNED as an owner tells it, is to a job. */
--- a/lib/flow/spread.c
+++ b/lib/flow/spread.c
@@ -182,6 +182,7 @@
     .goal_at_ms = job->aim.goal_at_ms,
     .stretch = job->aim.stretch,
     .deadline_at_ms = job->info.deadline_at_ms,
+    .start_by_ms = job->info.start_by_ms,
     .attempts_max = job->info.attempts_max,
     .attempt_base = job->handovers * ATTEMPTS_EACH,
     .label = job->info.label,
--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -38,6 +38,7 @@
   bool ending; /* waits for confirmations of its end */
   flow_outcome_t outcome;
   const char *reason;
+  flow_limit_t limit;
   int64_t confirm_by_ms;
 };
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -448,6 +448,98 @@
   { "slow endpoint: would be in time elsewhere", 200, 6, false },
 };
 
+#define START_BY_MS 1500
+
+static const struct
+{
+  const char *name;
+  int64_t start_by_ms;
+  bool second_runs; /* the batch's other task has been started */
+  bool maybe_running;
+  int64_t at_ms;
+  bool unstarted;
+} unstarted_cases[] = {
+  { "just before", START_BY_MS, false, false, START_BY_MS - 1, false },
+  { "nothing has started", START_BY_MS, false, false, START_BY_MS, true },
+  { "its queue has no time", 0, false, false, START_BY_MS, false },
+  { "a part has started", START_BY_MS, true, false, START_BY_MS, false },
+  { "an owner before may have started it", START_BY_MS, false, true, START_BY_MS, false },
+};
+
+/* A job of which nothing has started is not held past its queue's time; one that has begun is not
+ * ended by it. */
+static void
+test_held_past_queue_time (void)
+{
+  static const int32_t indexes[] = { 0, 1 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (unstarted_cases); i++)
+    {
+      fleet_batch_t batch = batch_of ("j", 1);
+      script_t script;
+
+      script_begin_idle (&script, unstarted_cases[i].second_runs ? 1000 : 500);
+      batch.indexes = indexes;
+      batch.count = 2;
+      batch.start_by_ms = unstarted_cases[i].start_by_ms;
+      batch.maybe_running = unstarted_cases[i].maybe_running;
+      fleet_submit (script.fleet, &batch, 1);
+      run_at (&script, 1);
+      run_at (&script, unstarted_cases[i].at_ms);
+      bool unstarted = gave (&script, FLEET_UNSTARTED);
+      if (unstarted != unstarted_cases[i].unstarted)
+        printf ("  %s\n", unstarted_cases[i].name);
+      CU_ASSERT_EQUAL (unstarted, unstarted_cases[i].unstarted);
+      script_end (&script);
+    }
+}
+
+static const struct
+{
+  const char *name;
+  int64_t goal_at_ms; /* of the task that came first; that of the second is 1,000 */
+  int32_t priority;   /* of the second; that of the first is 1 */
+  const char *first;  /* to start once there is room, at 500 ms */
+} late_cases[] = {
+  { "both in time: by their objectives", 600, 1, "a.0.0.0" },
+  { "the first is late: the second can still be in time", 400, 1, "b.0.0.0" },
+  { "the first is late, the second less urgent", 400, 2, "a.0.0.0" },
+};
+
+/* A task that is late anyway does not make those late that can still be in time. */
+static void
+test_late_before_timely (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (late_cases); i++)
+    {
+      fleet_batch_t other = batch_of ("other", 1);
+      fleet_batch_t a = batch_of ("a", 2);
+      fleet_batch_t b = batch_of ("b", 3);
+      script_t script;
+
+      script_begin_idle (&script, 1000);
+      fleet_submit (script.fleet, &other, 0);
+      run_at (&script, 0);
+      a.priority = 1;
+      a.goal_at_ms = late_cases[i].goal_at_ms;
+      b.priority = late_cases[i].priority;
+      b.goal_at_ms = 1000;
+      fleet_submit (script.fleet, &a, 1);
+      fleet_submit (script.fleet, &b, 2);
+      run_at (&script, 450);
+      fleet_cancel (script.fleet, "h1", 1, 490, script.actions);
+      fleet_release (script.fleet, "h1", 1);
+      fleet_started (script.fleet, script.start_serial, FLEET_LATE, 500, 500, script.actions);
+      run_at (&script, 500);
+      answer_look (&script, 0, NULL, 0);
+      run_at (&script, 501);
+      if (strcmp (script.start_task, late_cases[i].first) != 0)
+        printf ("  %s: %s\n", late_cases[i].name, script.start_task);
+      CU_ASSERT_STRING_EQUAL (script.start_task, late_cases[i].first);
+      script_end (&script);
+    }
+}
+
 #define ELAPSED_MS 300
 
 /* A task that can't end in time anywhere is given up when its progress shows it, and stopped. */
@@ -615,6 +707,8 @@
   { "not run, in doubt", test_not_run_in_doubt },
   { "a large task is given away", test_large_task_given_away },
   { "a large job is refused at once", test_large_job_refused_at_once },
+  { "held past its queue's time", test_held_past_queue_time },
+  { "late ones before those in time", test_late_before_timely },
   { "a large task stands still", test_large_task_hung },
 };
 
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -232,6 +232,80 @@
     }
 }
 
+#define START_BY_MS 1000
+
+typedef enum
+{
+  PART_SILENT, /* its owner says nothing */
+  PART_UNSTARTED,
+  PART_DONE
+} part_t;
+
+static const struct
+{
+  const char *name;
+  part_t second; /* what becomes of the task at "hy"; that at "hx" has not started */
+  int64_t at_ms; /* of the last step */
+  int submits;   /* by then: two at first */
+  int refused;
+} start_cases[] = {
+  { "no task has started", PART_UNSTARTED, START_BY_MS + 1, 2, 1 },
+  { "the other owner may be about to answer", PART_SILENT, START_BY_MS + 1, 2, 0 },
+  { "the other part runs", PART_SILENT, START_BY_MS + 100, 3, 0 },
+  { "the other part is done", PART_DONE, START_BY_MS + 1, 3, 0 },
+};
+
+/* A job that has begun is not ended by its queue's time; one that has not is refused, truly. */
+static void
+test_queue_time (void)
+{
+  const flow_options_t options = { "h", "z", 1000, 1.0 };
+  const fleet_offer_t offer = { "s", 1, 1, 1.0 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (start_cases); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
+      flow_t *flow = flow_new (&options);
+      flow_job_t job = job_of (100);
+
+      job.tasks = 2;
+      job.start_by_ms = START_BY_MS;
+      job.deadline_at_ms = 8000;
+      flow_owner (flow, "x", "hx", 1, 0, actions);
+      flow_owner (flow, "y", "hy", 1, 0, actions);
+      flow_offer (flow, "x", "hx", &offer, 1, 0);
+      flow_offer (flow, "y", "hy", &offer, 1, 0);
+      flow_submit (flow, &job, 0, actions);
+      CU_ASSERT_EQUAL_FATAL (count_of (actions, FLOW_SUBMIT), 2);
+      for (guint k = 0; k < 2; k++)
+        {
+          const flow_action_t sent = g_array_index (actions, flow_action_t, k);
+          int32_t index = g_array_index (sent.indexes, int32_t, 0);
+          bool first = strcmp (sent.host, "hx") == 0;
+          if (first || start_cases[i].second != PART_SILENT)
+            flow_task_ended (flow, sent.host, sent.number, index,
+                             !first && start_cases[i].second == PART_DONE ? FLOW_TASK_DONE
+                                                                          : FLOW_TASK_UNSTARTED,
+                             START_BY_MS, actions);
+        }
+      flow_step (flow, start_cases[i].at_ms, actions);
+      int refused = 0;
+      for (guint k = 0; k < actions->len; k++)
+        {
+          const flow_action_t *action = &g_array_index (actions, flow_action_t, k);
+          refused += action->kind == FLOW_ANSWER && action->outcome == FLOW_REFUSED
+                     && action->limit == FLOW_LIMIT_QUEUE_TIME;
+        }
+      if (refused != start_cases[i].refused
+          || count_of (actions, FLOW_SUBMIT) != start_cases[i].submits)
+        printf ("  %s\n", start_cases[i].name);
+      CU_ASSERT_EQUAL (refused, start_cases[i].refused);
+      CU_ASSERT_EQUAL (count_of (actions, FLOW_SUBMIT), start_cases[i].submits);
+      flow_free (flow);
+      free_actions (actions);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -242,6 +316,7 @@
   { "a large job to a slow owner", test_large_job_to_slow_owner },
   { "not run, after it was forgotten", test_not_run_after_forgotten },
   { "a release arrives", test_release_arrives },
+  { "a job that has begun is ended by its queue's time", test_queue_time },
 };
 
 int
