Random worlds: callers that wait longer for longer jobs

The worlds had one wait of 1,500 ms for every job, which is what hid the cap on callers' waits: no test had a caller that waits longer than its queue's time.

Change: worlds of patient callers (4 times the longest task and 1,500 ms, a queue's time of 1,500 ms) in test_fleet_sizes, test_fleet_short and, with hosts and endpoints that crash, in test_fleet_random. The worlds with one wait for all stay beside them, with the same checks.

--- a/tests/test_fleet_days.h
+++ b/tests/test_fleet_days.h
@@ -33,6 +33,20 @@
     }                                                                                              \
   }
 
+/* Callers wait longer for longer jobs, as those of the users do. */
+#define DAY_PATIENT                                                                                \
+  {                                                                                                \
+    "patient callers", { .length_ms = 40000, .mixed = true, .patient = true }                      \
+  }
+#define DAY_PATIENT_CRASHES                                                                        \
+  {                                                                                                \
+    "patient callers, endpoints crash and hang",                                                   \
+    {                                                                                              \
+      .length_ms = 40000, .mixed = true, .patient = true, .endpoint_crashes = 20,                  \
+      .refusing = true, .hanging = 5                                                               \
+    }                                                                                              \
+  }
+
 /* The largest tenth, the fifth below it, the others. */
 #define SIZES 3
 
--- a/tests/test_fleet_parts.h
+++ b/tests/test_fleet_parts.h
@@ -23,6 +23,8 @@
 #define SLOW 1.7
 #define JOB_EVERY_MS 25
 #define DEADLINE_MS 1500
+/* Patient callers wait so many times a job's longest task, and DEADLINE_MS more. */
+#define PATIENCE 4
 #define ATTEMPTS_MAX 3
 #define NAME_CHARS 8
 
@@ -135,6 +137,7 @@
   int near_zone;      /* where its data are, or -1 */
   int64_t sent_at_ms; /* the first time */
   int64_t deadline_at_ms;
+  int64_t wait_ms;      /* its caller's, since SENT_AT_MS */
   int host;             /* that it was sent to, -1 while it waits to be resent */
   uint64_t incarnation; /* of that host */
   uint64_t number;      /* at that host */
