--- a/daemon/site.c
+++ b/daemon/site.c
@@ -163,6 +163,7 @@
           event_end ();
         }
       crew_thawed (site->crew, now_ms, site->crew_actions);
+      drain_thawed (site, now_ms - site->refreshed_at_ms, now_ms);
       flow_give_up_all (site->flow, "this host stood still", now_ms, site->flow_actions);
       site_run_flow_actions (site);
     }
@@ -327,7 +328,8 @@
 
   refresh (site, now_ms);
   follow_directory (site, now_ms);
-  crew_set_ready (site->crew, site->queues != NULL && store_is_listed (site->store));
+  crew_set_ready (site->crew,
+                  site->queues != NULL && store_is_listed (site->store) && drain_is_settled (site));
   webclient_tick (site->client, now_ms);
   ingress_tick (site->ingress, now_ms);
   store_tick (site->store, now_ms);
@@ -339,6 +341,7 @@
   peers_keep_links (site, now_ms);
   peers_beat (site, now_ms, false);
   pull_config (site, now_ms);
+  drain_tick (site, now_ms);
   probe_orphans (site, now_ms);
   owner_free_retired (site, now_ms);
   watch_settings (site, now_ms);
@@ -388,6 +391,8 @@
   site->client = webclient_new (site->loop);
   crew_options_t crew = { settings->host,  settings->data_centre, site->incarnation,
                           settings->power, settings->resend_ms,   CREW_HUBS };
+  site->drains = drains_new ();
+  site->drain_runs = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   site->crew = crew_new (&crew, now_ms);
   flow_options_t flow = { settings->host, settings->data_centre, settings->lease_ms,
                           settings->remote_factor };
@@ -415,6 +420,7 @@
                             .data_centre = settings->data_centre,
                             .power = settings->power,
                             .apply_ms = settings->apply_ms,
+                            .evacuation_ms = settings->evacuation_ms,
                             .ops = &site_store_ops,
                             .user = site };
   site->store = store_new (site->client, &store, now_ms);
--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -20,6 +20,7 @@
   [FLOW_LIMIT_QUEUE_TIME] = "queue_time",
   [FLOW_LIMIT_ATTEMPTS] = "attempts",
   [FLOW_LIMIT_OWNERS] = "owners",
+  [FLOW_LIMIT_DRAINED] = "drained",
 };
 
 static void
@@ -180,5 +181,5 @@
 }
 
 const ingress_ops_t site_ingress_ops = {
-  queues_of, submit_job, abandon_job, cancel_job, is_ready, metrics,
+  queues_of, submit_job, abandon_job, cancel_job, is_ready, metrics, drain_page,
 };
--- a/daemon/site_metrics.c
+++ b/daemon/site_metrics.c
@@ -85,7 +85,7 @@
 static void
 count_limit (flow_limit_t limit)
 {
-  static counter_t *counters[FLOW_LIMIT_OWNERS + 1];
+  static counter_t *counters[FLOW_LIMIT_DRAINED + 1];
 
   if (limit == FLOW_LIMIT_NONE)
     return;
@@ -171,6 +171,7 @@
   set ("jaytrail_tasks_running", sum.running);
   set ("jaytrail_tasks_waiting", sum.waiting);
   set ("jaytrail_shards_owned", g_hash_table_size (site->owned));
+  drain_metrics (site);
   set ("jaytrail_jobs_open", flow_jobs (site->flow));
   set ("jaytrail_hosts_heard", crew_hosts (site->crew));
   set ("jaytrail_configuration_version", site->queues != NULL ? site->queues->version : 0);
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -100,7 +100,8 @@
 {
   bool expired = action->kind == FLEET_EXPIRED;
 
-  if ((!expired && action->kind != FLEET_RETURNED)
+  /* Tasks that a drain sends away are told together. */
+  if (action->drained || (!expired && action->kind != FLEET_RETURNED)
       || !event_begin (expired ? EVENT_TASK_EXPIRED : EVENT_TASK_RETURNED))
     return;
   event_text ("task", action->task);
@@ -170,6 +171,7 @@
           break;
         default:
           log_queue (action);
+          owned->sent_away += action->drained;
           g_array_append_val (site->ends, told);
           break;
         }
@@ -261,6 +263,7 @@
   /* Entries that lapsed while the log was away are back by then. */
   int64_t listed_at_ms = store_listed_at_ms (site->store);
   int64_t settle_ms = crew_is_new (site->crew, now_ms) ? SETTLED_NEW_MS : SETTLED_AFTER_MS;
+  fleet_set_drained (owned->fleet, drains_has (site->drains, shard));
   fleet_set_unsettled (owned->fleet, (listed_at_ms != 0 ? listed_at_ms : now_ms) + settle_ms);
   fleet_renew (owned->fleet, token, now_ms);
 }
@@ -312,6 +315,19 @@
   owned->dirty = true;
 }
 
+void
+owner_set_drained (site_t *site, const char *shard, bool drained)
+{
+  owned_t *owned = find_owned (site, shard);
+
+  if (owned == NULL)
+    return;
+  fleet_set_drained (owned->fleet, drained);
+  owned->dirty = true;
+  /* Coordinators learn by the next offer, which must not wait. */
+  owned->told_at_ms = 0;
+}
+
 void
 owner_gone (site_t *site, const char *id, const char *data_centre)
 {
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "crew/crew_msg.h"
+#include "drain/drain_msg.h"
 
 #include <string.h>
 
@@ -75,7 +76,7 @@
   fleet_entry_t entry;
 
   (void) host;
-  if (fleet_msg_read_endpoint (reader, &entry) != 0)
+  if (fleet_msg_read_endpoint (reader, clock_boot_ms (), &entry) != 0)
     return;
   bool known = g_hash_table_contains (site->directory, entry.endpoint.id);
   if (!known || !site->reads)
@@ -97,7 +98,7 @@
   g_hash_table_iter_init (&iter, site->directory);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (strcmp (((const fleet_entry_t *) value)->shard, site->settings->data_centre) == 0)
-      peers_send (site, host, fleet_msg_endpoint (value));
+      peers_send (site, host, fleet_msg_endpoint (value, clock_boot_ms ()));
 }
 
 static void
@@ -117,7 +118,7 @@
 peers_tell_entry (site_t *site, const fleet_entry_t *entry)
 {
   if (site->reads && strcmp (entry->shard, site->settings->data_centre) == 0)
-    tell_hubs (site, fleet_msg_endpoint (entry));
+    tell_hubs (site, fleet_msg_endpoint (entry, clock_boot_ms ()));
 }
 
 void
@@ -227,6 +228,8 @@
   gsize size = 0;
 
   (void) reader;
+  /* A host that has just started needs both before it places anything. */
+  drain_tell (site, host);
   if (site->queues_data == NULL)
     return;
   const void *data = g_bytes_get_data (site->queues_data, &size);
@@ -264,13 +267,15 @@
   int type;
   void (*read) (site_t *site, const char *host, frame_reader_t *reader);
 } readers[] = {
-  { FLEET_MSG_SUBMIT, read_submit }, { FLEET_MSG_CANCEL, read_cancel },
-  { FLEET_MSG_ENDS, read_ends },     { FLEET_MSG_CANCELLED, read_cancelled },
-  { FLEET_MSG_OFFER, read_offer },   { FLEET_MSG_RELEASE, read_release },
-  { FLEET_MSG_FORGET, read_forget }, { FLEET_MSG_ENDPOINT, read_endpoint },
-  { FLEET_MSG_GONE, read_gone },     { FLEET_MSG_RESYNC, read_resync },
-  { CREW_MSG_BEAT, read_beat },      { CREW_MSG_CONFIG_PULL, read_config_pull },
-  { CREW_MSG_CONFIG, read_config },  { CREW_MSG_ROSTER, read_roster },
+  { FLEET_MSG_SUBMIT, read_submit },   { FLEET_MSG_CANCEL, read_cancel },
+  { FLEET_MSG_ENDS, read_ends },       { FLEET_MSG_CANCELLED, read_cancelled },
+  { FLEET_MSG_OFFER, read_offer },     { FLEET_MSG_RELEASE, read_release },
+  { FLEET_MSG_FORGET, read_forget },   { FLEET_MSG_ENDPOINT, read_endpoint },
+  { FLEET_MSG_GONE, read_gone },       { FLEET_MSG_RESYNC, read_resync },
+  { CREW_MSG_BEAT, read_beat },        { CREW_MSG_CONFIG_PULL, read_config_pull },
+  { CREW_MSG_CONFIG, read_config },    { CREW_MSG_ROSTER, read_roster },
+  { DRAIN_MSG_PULL, drain_read_pull }, { DRAIN_MSG_SET, drain_read_set },
+  { DRAIN_MSG_RUNS, drain_read_runs },
 };
 
 static void
@@ -402,6 +407,7 @@
   crew_beat_t beat;
 
   crew_beat_for (site->crew, host, clock_boot_ms (), &beat);
+  beat.drain_end = drains_end (site->drains);
   beat.config_version = site->queues != NULL ? site->queues->version : 0;
   peers_send (site, host, crew_msg_beat (&beat));
   g_array_unref (beat.claims);
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -4,6 +4,7 @@
 
 #include "base/event.h"
 #include "crew/crew.h"
+#include "drain/drain.h"
 #include "fleet/fleet.h"
 #include "fleet/fleet_msg.h"
 #include "flow/flow.h"
@@ -31,6 +32,7 @@
   GBytes *told;    /* the offer that was sent last */
   int64_t told_at_ms;
   int64_t retired_at_ms; /* it was yielded */
+  int64_t sent_away;     /* tasks, since the last line about them */
 } owned_t;
 
 /* A host with a connection from this one. */
@@ -73,12 +75,14 @@
   crew_t *crew;
   flow_t *flow;
   queues_t *queues;
-  GBytes *queues_data;   /* as the platform gave it */
-  GHashTable *owned;     /* interned shard -> owned_t */
-  GPtrArray *retired;    /* owned_t that were yielded a moment ago */
-  GHashTable *directory; /* id -> fleet_entry_t */
-  GHashTable *connected; /* interned host -> contact_t */
-  GHashTable *known;     /* interned host -> known_t */
+  GBytes *queues_data; /* as the platform gave it */
+  GHashTable *owned;   /* interned shard -> owned_t */
+  GPtrArray *retired;  /* owned_t that were yielded a moment ago */
+  drains_t *drains;
+  GHashTable *drain_runs; /* interned shard -> drain_runs_t: where it is drained */
+  GHashTable *directory;  /* id -> fleet_entry_t */
+  GHashTable *connected;  /* interned host -> contact_t */
+  GHashTable *known;      /* interned host -> known_t */
   GArray *crew_actions;
   GArray *flow_actions;
   GArray *elsewhere; /* fleet_offer_t, for one round */
@@ -90,6 +94,9 @@
   int64_t refreshed_at_ms;
   int64_t links_due_ms;
   int64_t pull_due_ms;
+  bool drain_news; /* the set has changed since peers were told of it */
+  int64_t drain_pull_due_ms;
+  int64_t drain_tell_due_ms;
   int64_t probe_due_ms;
   int64_t watch_due_ms;
 };
@@ -128,6 +135,28 @@
 void owner_free (void *owned);
 void owner_free_retired (site_t *site, int64_t now_ms);
 
+void owner_set_drained (site_t *site, const char *shard, bool drained);
+
+/* site_drain.c: which data centres are drained.  The first three take in what the log says. */
+void drain_record (const char *name, uint64_t offset, bool drained, void *user);
+void drain_listed (const drain_t *listed, size_t count, uint64_t end, void *user);
+void drain_read (uint64_t end, void *user);
+/* What another host says. */
+void drain_read_pull (site_t *site, const char *host, frame_reader_t *reader);
+void drain_read_set (site_t *site, const char *host, frame_reader_t *reader);
+void drain_read_runs (site_t *site, const char *host, frame_reader_t *reader);
+/* Tells HOST the set, if it is known. */
+void drain_tell (site_t *site, const char *host);
+/* Asks a host that knows more, tells how many tasks still run, writes what is due to be logged. */
+void drain_tick (site_t *site, int64_t now_ms);
+/* This host stood still for STILL_MS: it may have missed a record.  Returns false, from
+ * drain_is_settled (), until the log was asked again. */
+void drain_thawed (site_t *site, int64_t still_ms, int64_t now_ms);
+bool drain_is_settled (const site_t *site);
+void drain_metrics (site_t *site);
+/* The page of `jaytrail drains`. */
+char *drain_page (void *user);
+
 /* site_metrics.c: counters and latency histograms, served in the usual text format. */
 void metrics_job (const flow_action_t *answer);
 void metrics_task (event_t event, int64_t elapsed_ms);
--- a/daemon/site_updates.c
+++ b/daemon/site_updates.c
@@ -65,10 +65,7 @@
 {
   const fleet_entry_t *before = g_hash_table_lookup (site->directory, entry->endpoint.id);
 
-  if (before != NULL && before->endpoint.born_at_ms > entry->endpoint.born_at_ms)
-    return;
-  if (before != NULL && before->endpoint.born_at_ms == entry->endpoint.born_at_ms
-      && before->sequence > entry->sequence)
+  if (before != NULL && before->offset > entry->offset)
     return;
   if (before == NULL)
     log_endpoint (EVENT_ENDPOINT_FOUND, entry);
@@ -137,7 +134,9 @@
     event_end ();
 }
 
-const store_ops_t site_store_ops = { on_config, on_entry, on_gone, on_peer, on_reachable };
+const store_ops_t site_store_ops = {
+  on_config, drain_record, drain_listed, drain_read, on_entry, on_gone, on_peer, on_reachable,
+};
 
 void
 site_free_entry (void *data)
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -52,6 +52,14 @@
     "{host_id} gave up the endpoints of {shard}: {why}" },
   { EVENT_SHARD_OWNER, EVENT_BELIEF, "shard_owner", "shard host token",
     "{host_id} takes {host} for the owner of {shard}" },
+  { EVENT_DRAIN_BEGUN, EVENT_BELIEF, "drain_begun", "data_centre offset from",
+    "{host_id} starts nothing more in {data_centre}: it is drained by record {offset}, told by "
+    "{from}" },
+  { EVENT_DRAIN_ENDED, EVENT_BELIEF, "drain_ended", "data_centre offset from",
+    "{host_id} uses {data_centre} again: no longer drained as of {offset}, told by {from}" },
+  { EVENT_DRAIN_SENT_AWAY, EVENT_BELIEF, "drain_sent_away", "data_centre tasks running",
+    "{host_id} gave {tasks} tasks that waited in {data_centre}, which is drained, back to their "
+    "coordinators; {running} still run there" },
   { EVENT_ENDPOINT_FOUND, EVENT_BELIEF, "endpoint_found", "endpoint shard kind",
     "endpoint {endpoint} appeared in the directory" },
   { EVENT_ENDPOINT_LEAVING, EVENT_BELIEF, "endpoint_leaving", "endpoint shard",
--- a/lib/crew/crew.c
+++ b/lib/crew/crew.c
@@ -177,6 +177,7 @@
   peer->next_ms = beat->next_ms;
   peer->up_from_ms = now_ms - beat->up_ms;
   peer->config_version = beat->config_version;
+  peer->drain_end = beat->drain_end;
   peer->heard_at_ms = now_ms;
   set_claims (crew, peer, beat->claims);
   if (!peer->alive)
@@ -382,3 +383,19 @@
     }
   return NULL;
 }
+
+const char *
+crew_with_drains (const crew_t *crew, uint64_t end)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, crew->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const peer_t *peer = value;
+      if (peer->alive && peer->drain_end > end)
+        return peer->host;
+    }
+  return NULL;
+}
--- a/lib/crew/crew.h
+++ b/lib/crew/crew.h
@@ -38,11 +38,12 @@
   bool leaving;  /* it is being stopped */
   int32_t power; /* thousandths of a core */
   int64_t config_version;
-  int64_t up_ms;   /* since the sender's start */
-  bool reads;      /* it follows the directory of endpoints */
-  int64_t next_ms; /* the next beat to the receiver comes after this at the latest */
-  uint64_t epoch;  /* what the receiver must say for the sender to take tasks from it */
-  GArray *claims;  /* crew_claim_t */
+  uint64_t drain_end; /* its set of drained data centres is complete up to this offset */
+  int64_t up_ms;      /* since the sender's start */
+  bool reads;         /* it follows the directory of endpoints */
+  int64_t next_ms;    /* the next beat to the receiver comes after this at the latest */
+  uint64_t epoch;     /* what the receiver must say for the sender to take tasks from it */
+  GArray *claims;     /* crew_claim_t */
 } crew_beat_t;
 
 void crew_beat_clear (crew_beat_t *beat);
@@ -148,4 +149,7 @@
 /* The host that is heard and has a newer configuration than VERSION, or NULL. */
 const char *crew_with_config (const crew_t *crew, int64_t version);
 
+/* The host that is heard and whose set of drained data centres is complete beyond END, or NULL. */
+const char *crew_with_drains (const crew_t *crew, uint64_t end);
+
 #endif
--- a/lib/crew/crew_msg.c
+++ b/lib/crew/crew_msg.c
@@ -32,6 +32,7 @@
       frame_put_string (writer, claim->shard);
       frame_put_int (writer, claim->token);
     }
+  frame_put_uint (writer, beat->drain_end);
   return frame_finish (writer);
 }
 
@@ -62,6 +63,7 @@
       named = named && claim.shard != NULL;
       g_array_append_val (beat->claims, claim);
     }
+  beat->drain_end = frame_get_uint (reader);
   if (frame_ok (reader) && named && beat->host != NULL && beat->data_centre != NULL)
     return 0;
   crew_beat_clear (beat);
--- a/lib/crew/state.h
+++ b/lib/crew/state.h
@@ -25,6 +25,7 @@
   uint64_t epoch;       /* what it must say */
   uint64_t their_epoch; /* what this host must say to it */
   int64_t config_version;
+  uint64_t drain_end;
   int64_t heard_at_ms;
   int64_t alive_from_ms;
   int64_t up_from_ms; /* its start */
--- a/lib/fleet/answer.c
+++ b/lib/fleet/answer.c
@@ -383,6 +383,8 @@
   GHashTableIter iter;
   void *value = NULL;
 
+  if (fleet->drained)
+    return best_ms;
   g_hash_table_iter_init (&iter, fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -544,11 +546,17 @@
       not_heard (fleet, endpoint, sent_at_ms, now_ms, actions);
       return;
     }
-  if (look->born_at_ms != 0 && endpoint->born_at_ms != 0 && look->born_at_ms > endpoint->born_at_ms)
+  if (look->born_at_ms != 0)
     {
-      note (fleet, actions, FLEET_NOTE_REBORN, endpoint, NULL, now_ms);
-      endpoint_reborn (fleet, endpoint, now_ms);
+      if (endpoint->born_at_ms != 0 && look->born_at_ms != endpoint->born_at_ms)
+        {
+          note (fleet, actions, FLEET_NOTE_REBORN, endpoint, NULL, now_ms);
+          endpoint_reborn (fleet, endpoint, now_ms);
+          if (look->born_at_ms == endpoint->entry_born_at_ms)
+            endpoint->whole = endpoint->entry_free;
+        }
       endpoint->born_at_ms = look->born_at_ms;
+      endpoint->tells_born = true;
     }
   heard (fleet, endpoint, look->clock_there_ms, now_ms, actions);
   endpoint->looked = true;
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -428,6 +428,41 @@
   endpoint->whole = (room_t){ 0 };
 }
 
+static void
+room_raise (room_t *room, const room_t *seen)
+{
+  room->cores_milli = MAX (room->cores_milli, seen->cores_milli);
+  room->memory_mb = MAX (room->memory_mb, seen->memory_mb);
+  room->gpus = MAX (room->gpus, seen->gpus);
+}
+
+/* Times of birth only tell lives apart: the clock that they come from may jump.  An entry may be
+ * older than the last look, so that it ends no run where looks tell of the life as well: the next
+ * one does, and none that was sent before is believed. */
+static void
+take_entry_life (fleet_t *fleet, endpoint_t *endpoint, const fleet_endpoint_t *info, int64_t now_ms)
+{
+  int64_t born_at_ms = info->born_at_ms;
+
+  if (born_at_ms == 0 || born_at_ms == endpoint->entry_born_at_ms)
+    return;
+  endpoint->entry_born_at_ms = born_at_ms;
+  endpoint->entry_free = (room_t){ 0 };
+  if (born_at_ms == endpoint->born_at_ms)
+    return;
+  if (endpoint->tells_born)
+    {
+      endpoint->looked = false;
+      endpoint->look_out = false;
+      endpoint->look_serial = 0;
+      endpoint->look_due_ms = now_ms;
+      return;
+    }
+  if (endpoint->born_at_ms != 0)
+    endpoint_reborn (fleet, endpoint, now_ms);
+  endpoint->born_at_ms = born_at_ms;
+}
+
 void
 fleet_set_endpoint (fleet_t *fleet, const fleet_endpoint_t *info, int64_t now_ms)
 {
@@ -443,22 +478,18 @@
       g_hash_table_insert (fleet->endpoints, endpoint->id, endpoint);
       fleet->outliers.members++;
     }
-  else if (info->born_at_ms != 0 && endpoint->born_at_ms != 0
-           && info->born_at_ms > endpoint->born_at_ms)
-    endpoint_reborn (fleet, endpoint, now_ms);
+  take_entry_life (fleet, endpoint, info, now_ms);
   set_text (&endpoint->address, info->address);
   set_text (&endpoint->service, info->service);
   set_text (&endpoint->kind, info->kind);
   set_text (&endpoint->rack, info->rack);
-  if (info->born_at_ms != 0)
-    endpoint->born_at_ms = info->born_at_ms;
   endpoint->leaving = info->leaving;
+  endpoint->cold_until_ms = info->cold_until_ms;
   fleet->departed -= endpoint->departed;
   endpoint->departed = false;
   place_rate (fleet, endpoint);
-  endpoint->whole.cores_milli = MAX (endpoint->whole.cores_milli, info->free.cores_milli);
-  endpoint->whole.memory_mb = MAX (endpoint->whole.memory_mb, info->free.memory_mb);
-  endpoint->whole.gpus = MAX (endpoint->whole.gpus, info->free.gpus);
+  room_raise (&endpoint->whole, &info->free);
+  room_raise (&endpoint->entry_free, &info->free);
 }
 
 static void
@@ -524,6 +555,12 @@
   endpoint->look_due_ms = 0;
 }
 
+void
+fleet_set_drained (fleet_t *fleet, bool drained)
+{
+  fleet->drained = drained;
+}
+
 void
 fleet_set_unsettled (fleet_t *fleet, int64_t at_ms)
 {
@@ -594,9 +631,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const endpoint_t *endpoint = value;
-      if (!place_is_usable (endpoint, now_ms))
+      if (!fleet->drained && !place_is_usable (endpoint, now_ms))
         continue;
       fleet_offer_t *offer = offer_for (offers, endpoint, place_ratio (endpoint));
+      if (fleet->drained)
+        continue;
       offer->slots += slots_of (&endpoint->whole, &endpoint->used, need);
       offer->slots_all += slots_of (&endpoint->whole, &nothing, need);
     }
@@ -614,7 +653,7 @@
     {
       const endpoint_t *endpoint = value;
       totals.endpoints++;
-      totals.endpoints_ready += place_is_usable (endpoint, now_ms);
+      totals.endpoints_ready += !fleet->drained && place_is_usable (endpoint, now_ms);
       totals.running += (int32_t) endpoint->runs->len;
     }
   totals.waiting = (int32_t) fleet->queue.length;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -45,9 +45,10 @@
   const char *service;
   const char *kind; /* of the machine: endpoints of one kind are about equally fast */
   const char *rack;
-  int64_t born_at_ms; /* wall clock; a new life at the same id has another one */
+  int64_t born_at_ms; /* its own clock, which may jump; another life has another one */
   room_t free;        /* as it says itself; an idle endpoint's whole room */
   bool leaving;
+  int64_t cold_until_ms; /* it may run slower until then; 0 if it does not */
 } fleet_endpoint_t;
 
 /* The tasks of one step of a job that one coordinator wants run. */
@@ -90,8 +91,9 @@
   FLEET_UNSTARTED, /* likewise: nothing of its batch has started by START_BY_MS */
   FLEET_OVERDUE,   /* likewise: it may have run, and can't end before its deadline anywhere */
   FLEET_NOT_OWNED, /* likewise, from a host that does not own the shard: it knows nothing of it */
-  FLEET_SHUT_OUT,  /* the endpoint obeys a higher token */
-  FLEET_NOTE       /* for the log: what was decided, and by what */
+  FLEET_VACATED,  /* likewise: it may have run, what ran is over, and it is no longer queued here */
+  FLEET_SHUT_OUT, /* the endpoint obeys a higher token */
+  FLEET_NOTE      /* for the log: what was decided, and by what */
 } fleet_action_kind_t;
 
 /* What a FLEET_NOTE tells, and which figures go with it. */
@@ -129,6 +131,7 @@
   uint64_t batch;
   int32_t index;
   const char *reason; /* static; why, for logs */
+  bool drained;       /* FLEET_RETURNED, FLEET_VACATED: the data centre is drained */
   /* For logs; FLEET_START: expected, elapsed since it was queued, least and left; FLEET_RETURNED:
    * elapsed likewise; FLEET_EXPIRED: elapsed, expected at the least, usable endpoints and waiting
    * tasks as counts. */
@@ -218,6 +221,12 @@
  * to coordinators, who turn to the new owner. */
 void fleet_yield_endpoint (fleet_t *fleet, const char *id);
 
+/* The data centre is drained, or no longer.  While it is nothing starts, the offers have no slots,
+ * and what waits is told at once: FLEET_RETURNED if it never started, FLEET_VACATED if its run is
+ * over.  A task in doubt stays until it can't be run by the owner before.  Runs go on and their
+ * leases are renewed; nothing is stopped that would not be stopped otherwise. */
+void fleet_set_drained (fleet_t *fleet, bool drained);
+
 /* Until AT_MS there may be endpoints that this owner does not know of yet: a task that may be
  * running and is not found waits for as long as it may run. */
 void fleet_set_unsettled (fleet_t *fleet, int64_t at_ms);
@@ -324,7 +333,8 @@
  * coordinators. */
 void fleet_run (fleet_t *fleet, GArray *elsewhere, int64_t now_ms, GArray *actions);
 
-/* Appends one fleet_offer_t for each service and speed; NEED is the usual size. */
+/* Appends one fleet_offer_t for each service and speed; NEED is the usual size.  A drained data
+ * centre offers no slots, but names its services. */
 void fleet_offers (const fleet_t *fleet, const room_t *need, int64_t now_ms, GArray *offers);
 
 typedef struct
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -179,12 +179,12 @@
 }
 
 GBytes *
-fleet_msg_endpoint (const fleet_entry_t *entry)
+fleet_msg_endpoint (const fleet_entry_t *entry, int64_t now_ms)
 {
   frame_writer_t *writer = frame_begin (FLEET_MSG_ENDPOINT);
 
   frame_put_string (writer, entry->shard);
-  frame_put_int (writer, entry->sequence);
+  frame_put_uint (writer, entry->offset);
   frame_put_string (writer, entry->endpoint.id);
   frame_put_string (writer, entry->endpoint.address);
   frame_put_string (writer, entry->endpoint.service);
@@ -195,17 +195,18 @@
   frame_put_int (writer, entry->endpoint.free.memory_mb);
   frame_put_int (writer, entry->endpoint.free.gpus);
   frame_put_bool (writer, entry->endpoint.leaving);
+  frame_put_int (writer, MAX (entry->endpoint.cold_until_ms - now_ms, 0));
   return frame_finish (writer);
 }
 
 int
-fleet_msg_read_endpoint (frame_reader_t *reader, fleet_entry_t *entry)
+fleet_msg_read_endpoint (frame_reader_t *reader, int64_t now_ms, fleet_entry_t *entry)
 {
   fleet_endpoint_t *endpoint = &entry->endpoint;
 
   *entry = (fleet_entry_t){ 0 };
   entry->shard = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
-  entry->sequence = frame_get_int (reader);
+  entry->offset = frame_get_uint (reader);
   endpoint->id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   endpoint->address = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   endpoint->service = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
@@ -216,6 +217,7 @@
   endpoint->free.memory_mb = frame_get_range (reader, 0, AMOUNT_MAX);
   endpoint->free.gpus = frame_get_range (reader, 0, AMOUNT_MAX);
   endpoint->leaving = frame_get_bool (reader);
+  endpoint->cold_until_ms = get_time (reader, now_ms);
   if (frame_ok (reader) && entry->shard != NULL && endpoint->id != NULL && endpoint->address != NULL
       && endpoint->service != NULL && endpoint->kind != NULL && endpoint->rack != NULL)
     return 0;
@@ -297,7 +299,7 @@
       fleet_end_t end = { 0 };
       end.batch = frame_get_uint (reader);
       end.index = (int32_t) frame_get_range (reader, 0, INT32_MAX);
-      end.how = (fleet_action_kind_t) frame_get_range (reader, FLEET_DONE, FLEET_NOT_OWNED);
+      end.how = (fleet_action_kind_t) frame_get_range (reader, FLEET_DONE, FLEET_VACATED);
       g_array_append_val (ends, end);
     }
   return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
--- a/lib/fleet/fleet_msg.h
+++ b/lib/fleet/fleet_msg.h
@@ -49,16 +49,16 @@
 /* *ID is the caller's (g_free). */
 GBytes *fleet_msg_gone (const char *id);
 int fleet_msg_read_gone (frame_reader_t *reader, char **id);
-/* An endpoint of SHARD, with the number of the entry that told of it. */
+/* An endpoint of SHARD, with the place in the log of the entry that told of it. */
 typedef struct
 {
   fleet_endpoint_t endpoint;
   char *shard;
-  int64_t sequence;
+  uint64_t offset; /* of two entries the one with the higher offset is the newer */
 } fleet_entry_t;
-GBytes *fleet_msg_endpoint (const fleet_entry_t *entry);
+GBytes *fleet_msg_endpoint (const fleet_entry_t *entry, int64_t now_ms);
 /* Clear ENTRY with fleet_entry_clear (). */
-int fleet_msg_read_endpoint (frame_reader_t *reader, fleet_entry_t *entry);
+int fleet_msg_read_endpoint (frame_reader_t *reader, int64_t now_ms, fleet_entry_t *entry);
 void fleet_entry_clear (fleet_entry_t *entry);
 void fleet_entry_copy (fleet_entry_t *to, const fleet_entry_t *from);
 
@@ -72,7 +72,7 @@
 {
   uint64_t batch;
   int32_t index;
-  fleet_action_kind_t how; /* FLEET_DONE to FLEET_NOT_OWNED */
+  fleet_action_kind_t how; /* FLEET_DONE to FLEET_VACATED */
 } fleet_end_t;
 GBytes *fleet_msg_ends (const fleet_end_t *ends, size_t count);
 /* Appends fleet_end_t. */
--- a/lib/fleet/place.c
+++ b/lib/fleet/place.c
@@ -135,6 +135,8 @@
   g_ptr_array_set_size (fleet->usable, 0);
   g_ptr_array_set_size (fleet->open, 0);
   fleet->least_ratio = 0;
+  if (fleet->drained)
+    return;
   g_hash_table_iter_init (&iter, fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -155,7 +157,8 @@
   endpoint_t *endpoint = task->endpoint;
   kind_t *kind = g_hash_table_lookup (fleet->kinds, endpoint->kind);
 
-  if (task->batch == NULL)
+  /* A run on an endpoint that has just restarted says nothing about its lasting speed. */
+  if (task->batch == NULL || task->sent_at_ms < endpoint->cold_until_ms)
     return;
   if (kind == NULL)
     {
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -358,6 +358,28 @@
   task_queue (fleet, task);
 }
 
+/* Load: a data centre is drained at full load, with a queue as long as its deadlines allow.  All
+ * that waits goes back in one round.  The owner before a task in doubt has dropped it by the time
+ * up to which its runs may live. */
+static void
+send_away (fleet_t *fleet, int64_t now_ms, GArray *actions)
+{
+  for (GList *at = fleet->queue.head; at != NULL;)
+    {
+      task_t *task = at->data;
+      const batch_t *batch = task->batch;
+      at = at->next;
+      if (batch->doubted && now_ms < MAX (batch->wait_until_ms, fleet->contested_to_ms))
+        continue;
+      bool ran = task->ever_started || batch->doubted;
+      fleet_action_t *told = tell (fleet, actions, ran ? FLEET_VACATED : FLEET_RETURNED, task,
+                                   "the data centre is drained");
+      told->drained = true;
+      told->elapsed_ms = now_ms - task->queued_at_ms;
+      task_end (fleet, task);
+    }
+}
+
 static bool
 is_unstarted (const task_t *task, int64_t now_ms)
 {
@@ -477,6 +499,8 @@
         send_stops (fleet, endpoint, now_ms, actions);
     }
   settle_maybe (fleet, now_ms, actions);
+  if (fleet->drained)
+    send_away (fleet, now_ms, actions);
   if (fleet->queue.length > 0)
     {
       place_prepare (fleet, now_ms);
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -118,8 +118,12 @@
   char *service;
   char *kind;
   char *rack;
-  int64_t born_at_ms;
-  room_t whole; /* the most that was ever seen free */
+  int64_t born_at_ms;       /* of the life that was seen last */
+  int64_t entry_born_at_ms; /* of the life that its entry tells of */
+  bool tells_born;          /* looks tell of its life */
+  int64_t cold_until_ms;
+  room_t entry_free; /* the most that its entry told in that life */
+  room_t whole;      /* the most that was ever seen free */
   bool leaving;
   bool departed; /* its entry is gone; stays here until its runs are over */
   bool looked;   /* what runs there is known under the token in force */
@@ -157,7 +161,8 @@
 struct fleet_t
 {
   fleet_options_t options;
-  int64_t token;         /* of the claim in force */
+  int64_t token; /* of the claim in force */
+  bool drained;
   GHashTable *endpoints; /* id -> endpoint_t */
   GHashTable *tasks;     /* name -> task_t */
   GHashTable *batches;   /* "coordinator/number" -> batch_t */
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -60,6 +60,7 @@
   shard_t *shard = data;
 
   g_array_unref (shard->rows);
+  g_hash_table_unref (shard->services);
   g_free (shard);
 }
 
@@ -77,6 +78,7 @@
   flow->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   flow->batches = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_batch);
   flow->shards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_shard);
+  flow->drained = g_hash_table_new (NULL, NULL);
   flow->sizes = sizes_new ();
   flow->names = g_string_chunk_new (NAMES_BYTES);
   flow->cancels = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -93,6 +95,7 @@
   g_hash_table_unref (flow->batches);
   g_hash_table_unref (flow->jobs);
   g_hash_table_unref (flow->shards);
+  g_hash_table_unref (flow->drained);
   g_hash_table_unref (flow->cancels);
   sizes_free (flow->sizes);
   g_string_chunk_free (flow->names);
@@ -110,6 +113,8 @@
       shard = g_new0 (shard_t, 1);
       shard->name = interned;
       shard->rows = g_array_new (FALSE, FALSE, sizeof (row_t));
+      shard->services = g_hash_table_new (NULL, NULL);
+      shard->drained = g_hash_table_contains (flow->drained, interned);
       g_hash_table_insert (flow->shards, (void *) interned, shard);
     }
   return shard;
@@ -239,6 +244,29 @@
   return job->info.deadline_of_queue ? FLOW_LIMIT_QUEUE_TIME : FLOW_LIMIT_CALLER_WAIT;
 }
 
+/* True if all data centres that have endpoints for JOB are drained.  One whose owner has not
+ * offered anything yet may have some. */
+static bool
+is_drained_out (const flow_t *flow, const job_t *job)
+{
+  const char *service = g_intern_string (job->info.service);
+  bool some_drained = false;
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, flow->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const shard_t *shard = value;
+      bool serves = g_hash_table_contains (shard->services, service);
+      if (shard->drained)
+        some_drained |= serves;
+      else if (serves || g_hash_table_size (shard->services) == 0)
+        return false;
+    }
+  return some_drained;
+}
+
 /* --- jobs --- */
 
 static place_aim_t
@@ -331,7 +359,7 @@
     [FLEET_DONE] = FLOW_TASK_DONE,           [FLEET_FAILED] = FLOW_TASK_FAILED,
     [FLEET_RETURNED] = FLOW_TASK_RETURNED,   [FLEET_EXPIRED] = FLOW_TASK_EXPIRED,
     [FLEET_OVERDUE] = FLOW_TASK_OVERDUE,     [FLEET_NOT_OWNED] = FLOW_TASK_NOT_OWNED,
-    [FLEET_UNSTARTED] = FLOW_TASK_UNSTARTED,
+    [FLEET_UNSTARTED] = FLOW_TASK_UNSTARTED, [FLEET_VACATED] = FLOW_TASK_VACATED,
   };
 
   return ends_of[how];
@@ -359,7 +387,10 @@
   if (batch == NULL || !take_open (batch, index))
     return;
   job_t *job = batch->job;
-  job->may_have_run |= how == FLOW_TASK_DONE || how == FLOW_TASK_FAILED || how == FLOW_TASK_OVERDUE;
+  job->may_have_run |= how == FLOW_TASK_DONE || how == FLOW_TASK_FAILED || how == FLOW_TASK_OVERDUE
+                       || how == FLOW_TASK_VACATED;
+  /* Its next attempts are numbered above those that it had there. */
+  job->handovers += how == FLOW_TASK_VACATED;
   if (batch->open->len == 0 && !batch->cancelled)
     drop_batch (flow, batch);
   switch (how)
@@ -378,6 +409,7 @@
     case FLOW_TASK_UNSTARTED:
     case FLOW_TASK_RETURNED:
     case FLOW_TASK_NOT_OWNED:
+    case FLOW_TASK_VACATED:
       /* Placed in the next step, with what is known by then. */
       job->returns++;
       if (!job->ending)
@@ -425,6 +457,20 @@
     g_hash_table_replace (flow->racks, g_strdup (rack), (void *) interned);
 }
 
+void
+flow_set_drained (flow_t *flow, const char *name, bool drained)
+{
+  const char *interned = g_intern_string (name);
+  shard_t *shard = g_hash_table_lookup (flow->shards, interned);
+
+  if (drained)
+    g_hash_table_add (flow->drained, (void *) interned);
+  else
+    g_hash_table_remove (flow->drained, interned);
+  if (shard != NULL)
+    shard->drained = drained;
+}
+
 void
 flow_offer (flow_t *flow,
             const char *name,
@@ -443,6 +489,7 @@
       row_t row = { g_intern_string (offers[i].service), offers[i].slots, offers[i].slots_all,
                     offers[i].ratio };
       g_array_append_val (shard->rows, row);
+      g_hash_table_add (shard->services, (void *) row.service);
     }
   shard->waiting = waiting;
 }
@@ -668,6 +715,12 @@
   /* What was just sent names the job, which must not end in the same step. */
   if (job->unplaced->len == 0 || actions->len > before)
     return;
+  if (is_drained_out (flow, job))
+    {
+      refuse (flow, job, FLOW_LIMIT_DRAINED, "every data centre with endpoints for it is drained",
+              now_ms, actions);
+      return;
+    }
   bool hopeless =
       now_ms + (int64_t) (HOPELESS * (double) job->info.estimate_ms) > job->info.deadline_at_ms;
   if (hopeless || now_ms - job->info.received_at_ms > NO_OWNER_MS)
@@ -697,7 +750,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const shard_t *shard = value;
-      if (shard->name == interned || shard->owner == NULL)
+      if (shard->name == interned || shard->owner == NULL || shard->drained)
         continue;
       for (guint i = 0; i < shard->rows->len; i++)
         {
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -60,7 +60,8 @@
   FLOW_LIMIT_CALLER_WAIT, /* it can't end while its caller waits */
   FLOW_LIMIT_QUEUE_TIME, /* likewise, within its queue's time; or no task has started within that */
   FLOW_LIMIT_ATTEMPTS,   /* a task has failed as often as its queue allows */
-  FLOW_LIMIT_OWNERS      /* no owner of endpoints was there for it, or one was lost */
+  FLOW_LIMIT_OWNERS,     /* no owner of endpoints was there for it, or one was lost */
+  FLOW_LIMIT_DRAINED     /* every data centre with endpoints for it is drained */
 } flow_limit_t;
 
 /* How large a job is among the last ones of its queue, by the work that its caller expects. */
@@ -138,6 +139,10 @@
 /* Endpoints of RACK are in SHARD. */
 void flow_set_rack (flow_t *flow, const char *rack, const char *shard);
 
+/* The data centre of SHARD is drained, or no longer: nothing is placed there while it is.  A job
+ * for whose service every data centre with endpoints is drained is refused at once. */
+void flow_set_drained (flow_t *flow, const char *shard, bool drained);
+
 /* SHARD is owned by HOST (NULL: by nobody) under TOKEN. */
 void flow_owner (flow_t *flow,
                  const char *shard,
@@ -171,10 +176,11 @@
   FLOW_TASK_EXPIRED,
   FLOW_TASK_UNSTARTED, /* it never started within its queue's time */
   FLOW_TASK_OVERDUE,   /* it has run, and can't end before its deadline */
-  FLOW_TASK_NOT_OWNED  /* HOST does not own the shard, and knows nothing of the task */
+  FLOW_TASK_NOT_OWNED, /* HOST does not own the shard, and knows nothing of the task */
+  FLOW_TASK_VACATED    /* it may have run, what ran is over, and HOST does not start it */
 } flow_task_end_t;
 
-/* What HOW, one of FLEET_DONE to FLEET_NOT_OWNED as an owner tells it, is to a job. */
+/* What HOW, one of FLEET_DONE to FLEET_VACATED as an owner tells it, is to a job. */
 flow_task_end_t flow_end_of (fleet_action_kind_t how);
 
 /* Task INDEX of batch NUMBER at HOST has ended, as far as HOST is concerned. */
@@ -203,7 +209,7 @@
 
 int32_t flow_jobs (const flow_t *flow);
 
-/* Some owner has endpoints for tasks. */
+/* Some owner has endpoints for tasks, or would have if its data centre were not drained. */
 bool flow_has_offers (const flow_t *flow);
 
 #endif
--- a/lib/flow/spread.c
+++ b/lib/flow/spread.c
@@ -80,7 +80,7 @@
     {
       shard_t *shard = value;
       double distance = distance_of (flow, shard, job);
-      for (guint i = 0; shard->owner != NULL && i < shard->rows->len; i++)
+      for (guint i = 0; shard->owner != NULL && !shard->drained && i < shard->rows->len; i++)
         {
           row_t *row = &g_array_index (shard->rows, row_t, i);
           if (row->slots_all <= 0 || !suits (row, &job->info))
@@ -131,7 +131,7 @@
     {
       shard_t *shard = value;
       int32_t slots = slots_all (flow, shard, job, hope, now_ms);
-      if (shard->owner == NULL || slots == 0)
+      if (shard->owner == NULL || shard->drained || slots == 0)
         continue;
       double length = (double) (shard->waiting + 1) / slots;
       if (best == NULL || length < best_length
--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -52,10 +52,12 @@
 
 typedef struct
 {
-  const char *name;  /* interned */
-  const char *owner; /* interned, or NULL */
-  int64_t token;     /* of its claim */
-  GArray *rows;      /* row_t */
+  const char *name;     /* interned */
+  const char *owner;    /* interned, or NULL */
+  int64_t token;        /* of its claim */
+  GArray *rows;         /* row_t */
+  GHashTable *services; /* interned: a set of those that its owners have offered */
+  bool drained;
   int32_t waiting;
 } shard_t;
 
@@ -80,6 +82,7 @@
   GHashTable *by_id;   /* id -> job_t */
   GHashTable *batches; /* number -> batch_t */
   GHashTable *shards;  /* interned name -> shard_t */
+  GHashTable *drained; /* interned: a set of names, also of shards that are not known */
   GHashTable *cancels; /* number -> cancel_t that is not confirmed yet */
   sizes_t *sizes;
   GStringChunk *names; /* of jobs that were answered in the last call */
--- a/lib/wire/frame.h
+++ b/lib/wire/frame.h
@@ -53,6 +53,9 @@
   /* 150..169: hosts and what they own */
   FRAME_CREW_FIRST = 150,
   FRAME_CREW_LAST = 169,
+  /* 170..179: data centres that are drained */
+  FRAME_DRAIN_FIRST = 170,
+  FRAME_DRAIN_LAST = 179,
   FRAME_TYPE_MAX = 255
 } frame_type_t;
 
--- a/standins/fake_site.c
+++ b/standins/fake_site.c
@@ -4,7 +4,8 @@
  * in it.  With --log the endpoints register at the log of another such process instead.  The
  * process counts what must never happen, two runs of a task at one time and a start beyond an
  * endpoint's room; GET /seen tells.  POST /fault changes how it behaves; POST /config puts a
- * configuration; POST /entry/ID an endpoint's entry; POST /forget drops the history,
+ * configuration; POST /drain/ZONE drains a data centre, DELETE removes that; POST /entry/ID an
+ * endpoint's entry; POST /forget drops the history,
  * POST /wipe the entries of endpoints too, until they register again.
  */
 #include "base/clock.h"
@@ -27,6 +28,7 @@
 #define ENTRIES "keyed.servers"
 #define ENTRY_PATH "/entry/"
 #define ENTRY_CALL_MS 1000
+#define DRAIN_PATH "/drain/"
 
 static loop_t *loop;
 static web_t *web;
@@ -35,6 +37,7 @@
 static webclient_t *client;  /* with --log */
 static const char *log_address;
 static int64_t beat_at_ms;
+static char **data_centres; /* their names */
 
 /* --- control --- */
 
@@ -99,6 +102,17 @@
   web_reply (request, 200, NULL, "{}");
 }
 
+/* The operator reaches the log also while hosts don't. */
+static void
+put_drain (web_request_t *request)
+{
+  char *key = g_strconcat ("evacuate/", request->target + strlen (DRAIN_PATH), NULL);
+
+  site_log_put (records, "keyed.op", key, strcmp (request->method, "DELETE") == 0 ? "" : "{}");
+  g_free (key);
+  web_reply (request, 200, NULL, "{}");
+}
+
 static void
 put_entry (web_request_t *request)
 {
@@ -125,7 +139,12 @@
   for (guint i = 0; i < endpoints->len; i++)
     g_string_append_printf (body, "%s%" G_GINT64_FORMAT, i > 0 ? "," : "",
                             site_endpoint_token (endpoints->pdata[i]));
-  g_string_append (body, "]}");
+  g_string_append_c (body, ']');
+  for (char **name = data_centres; *name != NULL; name++)
+    g_string_append_printf (body, ",\"starts_%s\":%d,\"running_%s\":%d", *name,
+                            site_endpoint_starts_in (*name), *name,
+                            site_endpoint_running_in (*name));
+  g_string_append_c (body, '}');
   web_reply (request, 200, NULL, body->str);
   g_string_free (body, TRUE);
 }
@@ -137,6 +156,7 @@
 } calls[] = {
   { "/fault", change_faults }, { "/forget", forget },     { "/wipe", wipe },
   { "/config", put_config },   { ENTRY_PATH, put_entry }, { "/seen", tell_seen },
+  { DRAIN_PATH, put_drain },
 };
 
 static void
@@ -268,6 +288,7 @@
   char **names = g_strsplit (arguments->data_centres, ",", -1);
   guint names_count = g_strv_length (names);
 
+  data_centres = names;
   records = site_log_new ();
   endpoints = g_ptr_array_new ();
   loop = loop_new (TICK_MS, on_tick, NULL);
--- a/standins/site_endpoint.c
+++ b/standins/site_endpoint.c
@@ -60,6 +60,7 @@
   site_endpoint_faults_t faults;
   int64_t born_at_ms;
   int64_t born_wall_ms;
+  int32_t starts;
   int64_t token;
   int64_t lease_until_ms;
   int64_t last_end;
@@ -193,6 +194,12 @@
   return now_ms - endpoint->born_at_ms + 1;
 }
 
+static int64_t
+born_of (const site_endpoint_t *endpoint)
+{
+  return endpoint->faults.born != 0 ? endpoint->faults.born : endpoint->born_wall_ms;
+}
+
 static int64_t
 number (json_object *object, const char *key)
 {
@@ -264,6 +271,7 @@
       return "room";
     }
   count_start (endpoint, task, now_ms);
+  endpoint->starts++;
   run_t *run = g_new0 (run_t, 1);
   run->task = g_strdup (task);
   run->spec = g_strdup (spec);
@@ -284,7 +292,7 @@
 
   g_string_append_printf (
       body, "{\"clock_ms\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT ",\"active\":[",
-      clock_there (endpoint, now_ms), endpoint->born_wall_ms);
+      clock_there (endpoint, now_ms), born_of (endpoint));
   for (guint i = 0; i < endpoint->runs->len; i++)
     {
       const run_t *run = endpoint->runs->pdata[i];
@@ -403,6 +411,7 @@
   set_flag (fault, "draining", &endpoint->faults.draining);
   set_number (fault, "late_ms", &endpoint->faults.late_ms);
   set_number (fault, "slow", &endpoint->faults.slow);
+  set_number (fault, "born", &endpoint->faults.born);
   json_object_put (fault);
 }
 
@@ -521,7 +530,7 @@
       endpoint->options.known_as, endpoint->options.data_centre,
       endpoint->faults.draining ? "draining" : "ready", free * CORES_EACH_MILLI,
       free * MEMORY_EACH_MB, endpoint->options.rack, clock_there (endpoint, now_ms),
-      ++endpoint->sequence, endpoint->born_wall_ms);
+      ++endpoint->sequence, born_of (endpoint));
 }
 
 site_endpoint_faults_t *
@@ -542,6 +551,34 @@
   return endpoint->token;
 }
 
+int32_t
+site_endpoint_starts_in (const char *data_centre)
+{
+  int32_t starts = 0;
+
+  for (guint i = 0; i < all->len; i++)
+    {
+      const site_endpoint_t *endpoint = all->pdata[i];
+      if (strcmp (endpoint->options.data_centre, data_centre) == 0)
+        starts += endpoint->starts;
+    }
+  return starts;
+}
+
+int32_t
+site_endpoint_running_in (const char *data_centre)
+{
+  int32_t running = 0;
+
+  for (guint i = 0; i < all->len; i++)
+    {
+      const site_endpoint_t *endpoint = all->pdata[i];
+      if (strcmp (endpoint->options.data_centre, data_centre) == 0)
+        running += (int32_t) endpoint->runs->len;
+    }
+  return running;
+}
+
 site_endpoint_totals_t
 site_endpoint_totals (void)
 {
--- a/standins/site_endpoint.h
+++ b/standins/site_endpoint.h
@@ -26,6 +26,7 @@
   bool draining;   /* its entry says that it leaves */
   int64_t late_ms; /* orders get no answer and are carried out so much later */
   int64_t slow;    /* runs take so many times as long; 0 counts as 1 */
+  int64_t born;    /* as if it had started anew with its clock at this time; 0 for its own start */
 } site_endpoint_faults_t;
 
 typedef struct
@@ -58,6 +59,10 @@
 const char *site_endpoint_id (const site_endpoint_t *endpoint);
 int64_t site_endpoint_token (const site_endpoint_t *endpoint);
 
+/* Starts so far, and runs now, at the endpoints of DATA_CENTRE. */
+int32_t site_endpoint_starts_in (const char *data_centre);
+int32_t site_endpoint_running_in (const char *data_centre);
+
 /* The text of its entry in the directory; the caller frees it. */
 char *site_endpoint_entry (site_endpoint_t *endpoint);
 
--- a/tests/site_call.c
+++ b/tests/site_call.c
@@ -62,6 +62,8 @@
     }
   answer.status = atoi (text + strlen ("HTTP/1.1 "));
   answer.keeps = strcasestr (text, "connection: close") == NULL;
+  const char *retry = strcasestr (text, "retry-after:");
+  answer.retry_after_s = retry != NULL ? atoi (retry + strlen ("retry-after:")) : 0;
   g_strlcpy (answer.body, strstr (text, "\r\n\r\n") + 4, sizeof answer.body);
   return answer;
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -692,11 +692,323 @@
   script_end (&script);
 }
 
+/* The last action of KIND of the last event or round; NULL if there is none. */
+static const fleet_action_t *
+last_of (const script_t *script, fleet_action_kind_t kind)
+{
+  const fleet_action_t *found = NULL;
+
+  for (guint i = 0; i < script->actions->len; i++)
+    if (g_array_index (script->actions, fleet_action_t, i).kind == kind)
+      found = &g_array_index (script->actions, fleet_action_t, i);
+  return found;
+}
+
+typedef enum
+{
+  NEVER_STARTED,
+  FAILED_ONCE, /* its run has ended, another attempt is due */
+  IN_DOUBT     /* an owner before may have started it */
+} waits_t;
+
+static const struct
+{
+  const char *name;
+  waits_t waits;
+  int64_t at_ms; /* of the round, after the drain began */
+  bool returned;
+  bool vacated;
+} drain_cases[] = {
+  { "never started", NEVER_STARTED, 1, true, false },
+  { "its run has failed", FAILED_ONCE, 1, false, true },
+  { "in doubt, the owner before may still start it", IN_DOUBT, 1000, false, false },
+  { "in doubt, the owner before has dropped it", IN_DOUBT, 3001, false, true },
+};
+
+/* Nothing starts in a drained data centre, and what waits there is not held until its deadline; a
+ * task that another owner may start is not given to a third. */
+static void
+test_drained_sends_away (void)
+{
+  const look_ended_t failed = { 1, "j.0.0.0", 1, RUN_FAILED };
+  const look_t look = { .clock_there_ms = 65, .ended = &failed, .ended_count = 1 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (drain_cases); i++)
+    {
+      fleet_batch_t batch = batch_of ("j", 1);
+      script_t script;
+
+      script_begin_idle (&script, 4000);
+      batch.maybe_running = drain_cases[i].waits == IN_DOUBT;
+      batch.wait_until_ms = 3000;
+      fleet_submit (script.fleet, &batch, 0);
+      if (drain_cases[i].waits == FAILED_ONCE)
+        {
+          run_at (&script, 0);
+          fleet_started (script.fleet, script.start_serial, FLEET_OK, 5, 0, script.actions);
+          fleet_looked (script.fleet, script.look_serial[0], FLEET_OK, &look, 60, script.actions);
+        }
+      fleet_set_drained (script.fleet, true);
+      if (drain_cases[i].waits == IN_DOUBT)
+        {
+          run_at (&script, 1);
+          answer_look (&script, 0, NULL, 0);
+        }
+      run_at (&script, drain_cases[i].at_ms);
+      if (gave (&script, FLEET_RETURNED) != drain_cases[i].returned
+          || gave (&script, FLEET_VACATED) != drain_cases[i].vacated)
+        printf ("  %s\n", drain_cases[i].name);
+      CU_ASSERT_EQUAL (gave (&script, FLEET_RETURNED), drain_cases[i].returned);
+      CU_ASSERT_EQUAL (gave (&script, FLEET_VACATED), drain_cases[i].vacated);
+      CU_ASSERT_FALSE (gave (&script, FLEET_START));
+      script_end (&script);
+    }
+}
+
+/* Runs of a drained data centre end in their own time, under a lease that is renewed, also where
+ * they would have been moved to a faster endpoint. */
+static void
+test_drained_runs_go_on (void)
+{
+  look_active_t row = { "j.0.0.0", 1, 10 };
+  const look_ended_t done = { 1, "j.0.0.0", 1, RUN_DONE };
+  const look_t look = { .clock_there_ms = 900, .ended = &done, .ended_count = 1 };
+  fleet_batch_t batch = batch_of ("j", 1);
+  script_t script;
+
+  script_begin_idle (&script, 4000);
+  fleet_submit (script.fleet, &batch, 0);
+  run_at (&script, 0);
+  fleet_started (script.fleet, script.start_serial, FLEET_OK, 5, 0, script.actions);
+  fleet_set_drained (script.fleet, true);
+  for (int64_t now_ms = 100; now_ms <= 800; now_ms += 100)
+    {
+      row.percent = (int32_t) (now_ms / 10);
+      script.now_ms = now_ms;
+      answer_look (&script, 0, &row, 1);
+      CU_ASSERT_FALSE (gave (&script, FLEET_OVERDUE));
+      run_at (&script, now_ms);
+      CU_ASSERT_FALSE (gave (&script, FLEET_STOP));
+      const fleet_action_t *asked = last_of (&script, FLEET_LOOK);
+      CU_ASSERT_TRUE (asked != NULL && asked->lease_until_there_ms > now_ms);
+    }
+  run_at (&script, 850);
+  fleet_looked (script.fleet, script.look_serial[0], FLEET_OK, &look, 850, script.actions);
+  CU_ASSERT_TRUE (gave (&script, FLEET_DONE));
+  script_end (&script);
+}
+
+/* Offers of a drained data centre name its services without slots, and are whole again at once
+ * after the drain, when tasks start again. */
+static void
+test_drained_offers (void)
+{
+  const room_t need = { 1000, 10, 0 };
+  fleet_batch_t batch = batch_of ("j", 1);
+  script_t script;
+
+  script_begin_idle (&script, 4000);
+  for (int drained = 1; drained >= 0; drained--)
+    {
+      GArray *offers = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
+      fleet_set_drained (script.fleet, drained);
+      fleet_offers (script.fleet, &need, 10, offers);
+      CU_ASSERT_EQUAL_FATAL (offers->len, 1);
+      CU_ASSERT_STRING_EQUAL (g_array_index (offers, fleet_offer_t, 0).service, SERVICE);
+      CU_ASSERT_EQUAL (g_array_index (offers, fleet_offer_t, 0).slots, drained ? 0 : 4);
+      CU_ASSERT_EQUAL (g_array_index (offers, fleet_offer_t, 0).slots_all, drained ? 0 : 4);
+      CU_ASSERT_EQUAL (fleet_totals (script.fleet, 10).endpoints_ready, drained ? 0 : 1);
+      g_array_unref (offers);
+    }
+  fleet_submit (script.fleet, &batch, 10);
+  run_at (&script, 10);
+  CU_ASSERT_STRING_EQUAL (script.start_at, "e0");
+  script_end (&script);
+}
+
+#define LOAD_ENDPOINTS 40
+#define LOAD_WAITING 600
+
+/* The load of a drain: an owner of a third of 120 endpoints, all of them full, with a queue; in one
+ * round all that waits goes back to its coordinators, and nothing of what runs is touched. */
+static void
+test_drained_at_full_load (void)
+{
+  char names[LOAD_ENDPOINTS][8];
+  script_t script;
+  int starts = 0;
+  int returned = 0;
+
+  script_begin (&script);
+  for (int i = 0; i < LOAD_ENDPOINTS; i++)
+    {
+      g_snprintf (names[i], sizeof names[i], "e%d", i);
+      fleet_endpoint_t endpoint = { .id = names[i],
+                                    .address = "127.0.0.1:1",
+                                    .service = SERVICE,
+                                    .kind = "a",
+                                    .rack = "r1",
+                                    .born_at_ms = 1,
+                                    .free = { 16000, 100000, 0 } };
+      fleet_set_endpoint (script.fleet, &endpoint, 0);
+    }
+  run_at (&script, 0);
+  GArray *looks = g_array_copy (script.actions);
+  const look_t look = { .clock_there_ms = 5 };
+  for (guint i = 0; i < looks->len; i++)
+    fleet_looked (script.fleet, g_array_index (looks, fleet_action_t, i).serial, FLEET_OK, &look, 0,
+                  script.actions);
+  g_array_unref (looks);
+  for (int i = 0; i < 2 * LOAD_ENDPOINTS + LOAD_WAITING; i++)
+    {
+      char *job = g_strdup_printf ("j%d", i);
+      fleet_batch_t batch = batch_of (job, (uint64_t) i + 1);
+      batch.need.cores_milli = 8000;
+      fleet_submit (script.fleet, &batch, 0);
+      g_free (job);
+    }
+  run_at (&script, 1);
+  for (guint i = 0; i < script.actions->len; i++)
+    starts += g_array_index (script.actions, fleet_action_t, i).kind == FLEET_START;
+  CU_ASSERT_EQUAL (starts, 2 * LOAD_ENDPOINTS);
+  CU_ASSERT_EQUAL (fleet_totals (script.fleet, 1).waiting, LOAD_WAITING);
+  fleet_set_drained (script.fleet, true);
+  run_at (&script, 2);
+  for (guint i = 0; i < script.actions->len; i++)
+    returned += g_array_index (script.actions, fleet_action_t, i).kind == FLEET_RETURNED;
+  CU_ASSERT_EQUAL (returned, LOAD_WAITING);
+  CU_ASSERT_FALSE (gave (&script, FLEET_START));
+  CU_ASSERT_FALSE (gave (&script, FLEET_STOP));
+  CU_ASSERT_EQUAL (fleet_totals (script.fleet, 2).waiting, 0);
+  CU_ASSERT_EQUAL (fleet_totals (script.fleet, 2).running, 2 * LOAD_ENDPOINTS);
+  script_end (&script);
+}
+
+/* A task that took 600 ms for 60 ms of work, on an endpoint that had just restarted or had not:
+ * what the next one is expected to take. */
+static const struct
+{
+  const char *name;
+  int64_t cold_until_ms;
+  bool learnt;
+} cold_cases[] = {
+  { "warm", 0, true },
+  { "cold at its start", 300, false },
+};
+
+static void
+test_cold_endpoint (void)
+{
+  const look_ended_t done = { 1, "j.0.0.0", 1, RUN_DONE };
+  const look_t look = { .clock_there_ms = 605, .ended = &done, .ended_count = 1 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cold_cases); i++)
+    {
+      fleet_endpoint_t endpoint = { .id = "e0",
+                                    .address = "127.0.0.1:1",
+                                    .service = SERVICE,
+                                    .kind = "a",
+                                    .rack = "r1",
+                                    .born_at_ms = 1,
+                                    .free = { 4000, 1000, 0 },
+                                    .cold_until_ms = cold_cases[i].cold_until_ms };
+      fleet_batch_t batch = batch_of ("j", 1);
+      fleet_batch_t next = batch_of ("k", 2);
+      script_t script;
+
+      script_begin (&script);
+      fleet_set_endpoint (script.fleet, &endpoint, 0);
+      run_at (&script, 0);
+      answer_look (&script, 0, NULL, 0);
+      fleet_submit (script.fleet, &batch, 0);
+      run_at (&script, 0);
+      CU_ASSERT_STRING_EQUAL (script.start_at, "e0");
+      fleet_started (script.fleet, script.start_serial, FLEET_OK, 5, 1, script.actions);
+      fleet_looked (script.fleet, script.look_serial[0], FLEET_OK, &look, 600, script.actions);
+      fleet_submit (script.fleet, &next, 610);
+      run_at (&script, 610);
+      const fleet_action_t *started = last_of (&script, FLEET_START);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (started);
+      if ((started->expected_ms > 60) != cold_cases[i].learnt)
+        printf ("  %s: %d\n", cold_cases[i].name, (int) started->expected_ms);
+      CU_ASSERT_EQUAL (started->expected_ms > 60, cold_cases[i].learnt);
+      script_end (&script);
+    }
+}
+
+/* An endpoint starts anew after its clock went back, or its entry lags behind its answers. */
+static const struct
+{
+  const char *name;
+  int64_t entry_born; /* of the second entry */
+  int64_t look_born;  /* of the look after it */
+  bool lost;          /* the run that was under way */
+} life_cases[] = {
+  { "the same life", 1000, 1000, false },
+  { "a later life", 2000, 2000, true },
+  { "a later life, its clock went back", 10, 10, true },
+  { "a later life, the entry lags", 1000, 10, true },
+  { "an entry of another life, which the look does not know", 2000, 1000, false },
+};
+
+/* Times of birth tell lives apart and say nothing about their order. */
+static void
+test_life_after_clock_went_back (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (life_cases); i++)
+    {
+      const look_active_t row = { "j.0.0.0", 1, 10 };
+      look_t look = { .clock_there_ms = 5, .born_at_ms = 1000 };
+      fleet_endpoint_t endpoint = { .id = "e0",
+                                    .address = "127.0.0.1:1",
+                                    .service = SERVICE,
+                                    .kind = "a",
+                                    .rack = "r1",
+                                    .born_at_ms = 1000,
+                                    .free = { 1000, 1000, 0 } };
+      fleet_batch_t batch = batch_of ("j", 1);
+      script_t script;
+
+      script_begin (&script);
+      fleet_set_endpoint (script.fleet, &endpoint, 0);
+      run_at (&script, 0);
+      fleet_looked (script.fleet, script.look_serial[0], FLEET_OK, &look, 0, script.actions);
+      fleet_submit (script.fleet, &batch, 0);
+      run_at (&script, 0);
+      fleet_started (script.fleet, script.start_serial, FLEET_OK, 5, 0, script.actions);
+      endpoint.born_at_ms = life_cases[i].entry_born;
+      fleet_set_endpoint (script.fleet, &endpoint, 100);
+      CU_ASSERT_EQUAL (fleet_totals (script.fleet, 100).running, 1);
+      run_at (&script, 100);
+      look.born_at_ms = life_cases[i].look_born;
+      look.active = &row;
+      look.active_count = life_cases[i].lost ? 0 : 1;
+      g_array_set_size (script.actions, 0);
+      fleet_looked (script.fleet, script.look_serial[0], FLEET_OK, &look, 101, script.actions);
+      if ((fleet_totals (script.fleet, 101).running == 0) != life_cases[i].lost)
+        printf ("  %s\n", life_cases[i].name);
+      CU_ASSERT_EQUAL (fleet_totals (script.fleet, 101).running == 0, life_cases[i].lost);
+      /* The entry of a life that a look has shown gives the endpoint its room. */
+      endpoint.born_at_ms = life_cases[i].look_born;
+      if (life_cases[i].lost && life_cases[i].entry_born != life_cases[i].look_born)
+        fleet_set_endpoint (script.fleet, &endpoint, 102);
+      run_at (&script, 102);
+      CU_ASSERT_EQUAL (strcmp (script.start_at, "e0") == 0, life_cases[i].lost);
+      script_end (&script);
+    }
+}
+
 static const struct
 {
   const char *name;
   CU_TestFunc run;
 } tests[] = {
+  { "a drained data centre sends away what waits", test_drained_sends_away },
+  { "runs of a drained data centre go on", test_drained_runs_go_on },
+  { "offers of a drained data centre", test_drained_offers },
+  { "a drain at full load", test_drained_at_full_load },
+  { "a cold endpoint's speed", test_cold_endpoint },
+  { "a life after the clock went back", test_life_after_clock_went_back },
   { "a batch is sent again", test_sent_again },
   { "an entry is gone", test_entry_gone },
   { "given up once it can't be in time", test_overdue },
--- a/tests/test_fleet_node.h
+++ b/tests/test_fleet_node.h
@@ -124,7 +124,8 @@
                                 zone_name (machine->zone),
                                 machine->born_at_ms,
                                 { WORLD_ROOM * 1000, 1000, 0 },
-                                false };
+                                false,
+                                0 };
       if (machine->zone == zone && knows (node, i))
         fleet_set_endpoint (node->owned[zone].fleet, &info, world->now_ms);
     }
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -306,11 +306,212 @@
     }
 }
 
+/* Owners of "x" and "y" have offered endpoints for "s", that of "z" for another service. */
+static const struct
+{
+  const char *name;
+  const char *drained; /* names with a space between */
+  const char *to;      /* where the job goes; NULL if it is refused */
+} drained_cases[] = {
+  { "none", "", "x" },
+  { "the nearer one", "x", "y" },
+  { "both", "x y", NULL },
+  { "all", "x y z", NULL },
+  { "another and one that does not exist", "y nowhere", "x" },
+};
+
+/* A job goes nowhere into a drained data centre, and is not held if there is no other. */
+static void
+test_drained_places (void)
+{
+  const flow_options_t options = { "h", "x", 1000, 1.0 };
+  const fleet_offer_t offer = { "s", 4, 4, 1.0 };
+  const fleet_offer_t drained_offer = { "s", 0, 0, 1.0 };
+  const fleet_offer_t other = { "t", 4, 4, 1.0 };
+  static const char *const shards[] = { "x", "y" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (drained_cases); i++)
+    for (int told = 0; told < 2; told++)
+      {
+        GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
+        flow_t *flow = flow_new (&options);
+        const flow_job_t job = job_of (100);
+        char **names = g_strsplit (drained_cases[i].drained, " ", -1);
+
+        /* A host that has just started knows the set before it hears any owner, and hears those of
+         * drained data centres offer nothing. */
+        for (char **name = names; told == 0 && *name != NULL; name++)
+          flow_set_drained (flow, *name, true);
+        for (size_t k = 0; k < G_N_ELEMENTS (shards); k++)
+          {
+            bool empty = told == 0 && g_strv_contains ((const char *const *) names, shards[k]);
+            flow_owner (flow, shards[k], "o", 1, 0, actions);
+            flow_offer (flow, shards[k], "o", empty ? &drained_offer : &offer, 1, 0);
+          }
+        flow_owner (flow, "z", "o", 1, 0, actions);
+        flow_offer (flow, "z", "o", &other, 1, 0);
+        for (char **name = names; told == 1 && *name != NULL; name++)
+          flow_set_drained (flow, *name, true);
+        CU_ASSERT_TRUE (flow_has_offers (flow));
+        flow_submit (flow, &job, 0, actions);
+        flow_step (flow, 5, actions);
+        CU_ASSERT_EQUAL_FATAL (actions->len, 1);
+        const flow_action_t *first = &g_array_index (actions, flow_action_t, 0);
+        if (drained_cases[i].to != NULL)
+          {
+            CU_ASSERT_EQUAL (first->kind, FLOW_SUBMIT);
+            CU_ASSERT_STRING_EQUAL (first->shard, drained_cases[i].to);
+          }
+        else
+          {
+            CU_ASSERT_EQUAL (first->kind, FLOW_ANSWER);
+            CU_ASSERT_EQUAL (first->outcome, FLOW_REFUSED);
+            CU_ASSERT_EQUAL (first->limit, FLOW_LIMIT_DRAINED);
+            CU_ASSERT_TRUE (first->retry_after_ms >= 1000);
+          }
+        /* After the drain it is as before. */
+        for (char **name = names; *name != NULL; name++)
+          flow_set_drained (flow, *name, false);
+        for (size_t k = 0; k < G_N_ELEMENTS (shards); k++)
+          flow_offer (flow, shards[k], "o", &offer, 1, 0);
+        guint before = actions->len;
+        flow_job_t again = job_of (100);
+        again.id = "k";
+        flow_submit (flow, &again, 10, actions);
+        CU_ASSERT_EQUAL_FATAL (actions->len, before + 1);
+        CU_ASSERT_STRING_EQUAL (g_array_index (actions, flow_action_t, before).shard, "x");
+        g_strfreev (names);
+        flow_free (flow);
+        free_actions (actions);
+      }
+}
+
+/* An owner that has offered nothing yet may have endpoints: its data centre is waited for. */
+static void
+test_drained_other_unknown (void)
+{
+  GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
+  flow_t *flow = flow_with_job (actions);
+  flow_job_t job = job_of (100);
+
+  job.id = "k";
+  flow_owner (flow, "y", "hy", 1, 0, actions);
+  flow_set_drained (flow, "x", true);
+  guint before = actions->len;
+  flow_submit (flow, &job, 0, actions);
+  flow_step (flow, 5, actions);
+  CU_ASSERT_EQUAL (actions->len, before);
+  flow_free (flow);
+  free_actions (actions);
+}
+
+static const struct
+{
+  const char *name;
+  flow_task_end_t how;
+  bool other;             /* another data centre has endpoints */
+  flow_outcome_t outcome; /* if there is none */
+} sent_away_cases[] = {
+  { "never started, placed elsewhere", FLOW_TASK_RETURNED, true, FLOW_REFUSED },
+  { "never started, nowhere to go", FLOW_TASK_RETURNED, false, FLOW_REFUSED },
+  { "its run is over, placed elsewhere", FLOW_TASK_VACATED, true, FLOW_REFUSED },
+  { "its run is over, nowhere to go", FLOW_TASK_VACATED, false, FLOW_GIVEN_UP },
+};
+
+/* What a drained data centre sends away is placed elsewhere at once; "not run" stays true of it. */
+static void
+test_sent_away (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (sent_away_cases); i++)
+    {
+      const fleet_offer_t offer = { "s", 4, 4, 1.0 };
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
+      flow_t *flow = flow_with_job (actions);
+      uint64_t number = g_array_index (actions, flow_action_t, 0).number;
+
+      if (sent_away_cases[i].other)
+        {
+          flow_owner (flow, "y", "hy", 1, 0, actions);
+          flow_offer (flow, "y", "hy", &offer, 1, 0);
+        }
+      flow_set_drained (flow, "x", true);
+      flow_task_ended (flow, "hx", number, 0, sent_away_cases[i].how, 10, actions);
+      flow_step (flow, 15, actions);
+      const flow_action_t *last = &g_array_index (actions, flow_action_t, actions->len - 1);
+      CU_ASSERT_EQUAL_FATAL (actions->len, 2);
+      CU_ASSERT_EQUAL (last->kind, sent_away_cases[i].other ? FLOW_SUBMIT : FLOW_ANSWER);
+      if (!sent_away_cases[i].other)
+        CU_ASSERT_EQUAL (last->outcome, sent_away_cases[i].outcome);
+      if (sent_away_cases[i].other)
+        CU_ASSERT_FALSE (last->batch.maybe_running);
+      flow_free (flow);
+      free_actions (actions);
+    }
+}
+
+#define LOAD_JOBS 200
+
+/* The load of a drain: one of three data centres is drained at full load, and sends away what waits
+ * there.  All of it is with the other two owners in the next step, none where it was. */
+static void
+test_drain_at_full_load (void)
+{
+  static const char *const shards[] = { "x", "y", "z" };
+  const flow_options_t options = { "h", "x", 1000, 1.0 };
+  const fleet_offer_t full = { "s", 0, 80, 1.0 };
+  GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
+  flow_t *flow = flow_new (&options);
+  int in_x = 0;
+  int placed = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (shards); i++)
+    {
+      flow_owner (flow, shards[i], shards[i], 1, 0, actions);
+      flow_offer (flow, shards[i], shards[i], &full, 1, 0);
+    }
+  for (int i = 0; i < LOAD_JOBS; i++)
+    {
+      char *id = g_strdup_printf ("j%d", i);
+      flow_job_t job = job_of (60);
+      job.id = id;
+      job.tasks = 8;
+      flow_submit (flow, &job, 0, actions);
+      g_free (id);
+    }
+  guint sent = actions->len;
+  flow_set_drained (flow, "x", true);
+  for (guint i = 0; i < sent; i++)
+    {
+      const flow_action_t batch = g_array_index (actions, flow_action_t, i);
+      if (strcmp (batch.shard, "x") != 0)
+        continue;
+      for (guint k = 0; k < batch.indexes->len; k++, in_x++)
+        flow_task_ended (flow, "x", batch.number, g_array_index (batch.indexes, int32_t, k),
+                         FLOW_TASK_RETURNED, 10, actions);
+    }
+  flow_step (flow, 10, actions);
+  for (guint i = sent; i < actions->len; i++)
+    {
+      const flow_action_t *action = &g_array_index (actions, flow_action_t, i);
+      CU_ASSERT_EQUAL (action->kind, FLOW_SUBMIT);
+      CU_ASSERT_STRING_NOT_EQUAL (action->shard, "x");
+      placed += (int) action->indexes->len;
+    }
+  CU_ASSERT_TRUE (in_x > LOAD_JOBS);
+  CU_ASSERT_EQUAL (placed, in_x);
+  flow_free (flow);
+  free_actions (actions);
+}
+
 static const struct
 {
   const char *name;
   void (*run) (void);
 } cases[] = {
+  { "a job goes into a drained data centre", test_drained_places },
+  { "a data centre that is not known yet", test_drained_other_unknown },
+  { "sent away by a drained data centre", test_sent_away },
+  { "a drain at full load", test_drain_at_full_load },
   { "a job's rank by size", test_sizes },
   { "sizes are forgotten", test_sizes_forgotten },
   { "a large job to a slow owner", test_large_job_to_slow_owner },
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -726,17 +726,18 @@
   rig_stop (&rig);
 }
 
-/* An endpoint that leaves gets nothing more. */
+/* An endpoint that leaves gets nothing more, also if it has started anew since with a clock that
+ * went back (MORE). */
 static void
-test_leaving_endpoint (void)
+leave_endpoints (const char *more)
 {
   rig_t rig;
-  char fault[64];
+  char fault[96];
 
   rig_start (&rig);
   for (int i = 1; i < ENDPOINTS; i++)
     {
-      g_snprintf (fault, sizeof fault, "{\"endpoint\":\"e%d\",\"draining\":true}", i);
+      g_snprintf (fault, sizeof fault, "{\"endpoint\":\"e%d\",\"draining\":true%s}", i, more);
       set_fault (&rig, fault);
     }
   clock_sleep_ms (1500);
@@ -750,6 +751,176 @@
   rig_stop (&rig);
 }
 
+/* --- drains --- */
+
+static void
+set_drain (const rig_t *rig, const char *data_centre, bool drained)
+{
+  char *target = g_strdup_printf ("/drain/%s", data_centre);
+
+  CU_ASSERT_EQUAL (site_call (rig->port, drained ? "POST" : "DELETE", target, "").status, 200);
+  g_free (target);
+}
+
+/* Tasks that run in data centre x or y. */
+static int
+running_in (const rig_t *rig, const char *data_centre)
+{
+  char *name = g_strconcat ("running_", data_centre, NULL);
+  int running = seen (rig, name);
+
+  g_free (name);
+  return running;
+}
+
+static int
+starts_in (const rig_t *rig, const char *data_centre)
+{
+  char *name = g_strconcat ("starts_", data_centre, NULL);
+  int starts = seen (rig, name);
+
+  g_free (name);
+  return starts;
+}
+
+/* What `jaytrail drains --json ADDRESS` prints for HOST; the caller frees it. */
+static char *
+drains_of (const rig_t *rig, int host)
+{
+  char *command = g_strdup_printf ("%s/jaytrail drains --json 127.0.0.1:%d", programs,
+                                   caller_port (rig, host) + 1);
+  char *text = NULL;
+
+  CU_ASSERT_TRUE (g_spawn_command_line_sync (command, &text, NULL, NULL, NULL));
+  g_free (command);
+  return text;
+}
+
+/* No task starts in a drained data centre 1 s after the request; what runs there ends; other data
+ * centres take its tasks; the request is withdrawn and it is used again within 1 s. */
+static void
+test_drain (void)
+{
+  rig_t rig;
+  char *body = job_body (6, 1500, "");
+
+  rig_start (&rig);
+  int fd = site_dial ("127.0.0.1", caller_port (&rig, 0));
+  site_send (fd, "POST", "/q/00000000000000f1", body, 5000);
+  CU_ASSERT_TRUE (comes_to (&rig, "running", 6, 2000));
+  int runs = running_in (&rig, "x");
+  CU_ASSERT_TRUE (runs > 0);
+  load_t load = { .rig = &rig, .first = 7000, .count = 60, .host = -1, .tasks = 3, .work_ms = 20 };
+  GThread *thread = g_thread_new ("load", run_load, &load);
+  set_drain (&rig, "x", true);
+  set_drain (&rig, "nowhere", true);
+  clock_sleep_ms (1000);
+  int before = starts_in (&rig, "x");
+  CU_ASSERT_EQUAL (running_in (&rig, "x"), runs);
+  char *page = drains_of (&rig, 1);
+  CU_ASSERT_TRUE (page != NULL && strstr (page, "\"data_centre\":\"x\"") != NULL);
+  CU_ASSERT_TRUE (page != NULL && strstr (page, "\"data_centre\":\"nowhere\"") != NULL);
+  g_free (page);
+  site_answer_t answer = site_read (fd, clock_boot_ms () + GUARD_MS);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer.body, "completed"));
+  g_thread_join (thread);
+  CU_ASSERT_EQUAL (load.complete, 60);
+  CU_ASSERT_EQUAL (starts_in (&rig, "x"), before);
+  for (int i = 0; i < HOSTS; i++)
+    CU_ASSERT_TRUE (is_ready (&rig, i));
+  set_drain (&rig, "x", false);
+  int64_t until_ms = clock_boot_ms () + 1000;
+  for (int i = 0; starts_in (&rig, "x") == before && clock_boot_ms () < until_ms; i++)
+    submit (&rig, 0, 7900 + i, 6, 10);
+  CU_ASSERT_TRUE (starts_in (&rig, "x") > before);
+  close (fd);
+  g_free (body);
+  rig_stop (&rig);
+}
+
+/* With all data centres drained a job is refused at once, truly and with a time to come back. */
+static void
+test_drain_of_all (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  CU_ASSERT_EQUAL (submit (&rig, 0, 1, 2, 10).status, 200);
+  set_drain (&rig, "x", true);
+  set_drain (&rig, "y", true);
+  clock_sleep_ms (1000);
+  int before = seen (&rig, "starts");
+  for (int i = 0; i < HOSTS; i++)
+    {
+      CU_ASSERT_TRUE (is_ready (&rig, i));
+      int64_t from_ms = clock_boot_ms ();
+      site_answer_t answer = submit (&rig, i, 10 + i, 2, 10);
+      CU_ASSERT_EQUAL (answer.status, 503);
+      CU_ASSERT_TRUE (answer.retry_after_s >= 1);
+      CU_ASSERT_TRUE (clock_boot_ms () - from_ms < 100);
+    }
+  CU_ASSERT_EQUAL (seen (&rig, "starts"), before);
+  set_drain (&rig, "x", false);
+  set_drain (&rig, "y", false);
+  int64_t from_ms = clock_boot_ms ();
+  while (submit (&rig, 2, 20, 6, 10).status != 200 && clock_boot_ms () - from_ms < GUARD_MS)
+    clock_sleep_ms (10);
+  CU_ASSERT_TRUE (clock_boot_ms () - from_ms < 1000);
+  /* It appears and disappears within a second: service is as before. */
+  set_drain (&rig, "x", true);
+  clock_sleep_ms (300);
+  set_drain (&rig, "x", false);
+  clock_sleep_ms (1000);
+  before = starts_in (&rig, "x");
+  CU_ASSERT_EQUAL (submit (&rig, 0, 30, 18, 10).status, 200);
+  CU_ASSERT_TRUE (starts_in (&rig, "x") > before);
+  rig_stop (&rig);
+}
+
+/* While the log is down what was known last holds, and a host that starts learns it from another;
+ * the withdrawal takes effect once the log is back, also if its history is gone. */
+static void
+test_drain_while_log_down (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  set_drain (&rig, "x", true);
+  for (int i = 0; i < HOSTS; i++)
+    CU_ASSERT_TRUE (comes_to_lines (&rig, i, "\"drain_begun\"", 1));
+  set_fault (&rig, "{\"log_down\":true}");
+  end_process (&rig.hosts[3], SIGKILL);
+  start_host (&rig, 3);
+  CU_ASSERT_TRUE (comes_to_lines (&rig, 3, "\"drain_begun\"", 2));
+  CU_ASSERT_TRUE (all_ready (&rig));
+  int before = starts_in (&rig, "x");
+  load_t load = { .rig = &rig, .first = 8000, .count = 20, .host = -1, .tasks = 3, .work_ms = 20 };
+  run_load (&load);
+  CU_ASSERT_EQUAL (load.complete, 20);
+  CU_ASSERT_EQUAL (starts_in (&rig, "x"), before);
+  set_drain (&rig, "x", false);
+  call_log (&rig, "/forget");
+  clock_sleep_ms (500);
+  CU_ASSERT_EQUAL (count_lines (&rig, 0, "\"drain_ended\""), 0);
+  set_fault (&rig, "{\"log_down\":false}");
+  for (int i = 0; i < HOSTS; i++)
+    CU_ASSERT_TRUE (comes_to_lines (&rig, i, "\"drain_ended\"", 1));
+  rig_stop (&rig);
+}
+
+static void
+test_leaving_endpoint (void)
+{
+  leave_endpoints ("");
+}
+
+static void
+test_clock_went_back (void)
+{
+  leave_endpoints (",\"born\":1");
+}
+
 #define GOOD_SETTINGS                                                                              \
   "node_name=a\nzone=x\nlisten_addrs.frontend=127.0.0.1:1\nlisten_addrs.ready=127.0.0.1:2\n"       \
   "listen_addrs.control_plane=127.0.0.1:3\nplatform.address=127.0.0.1:4\n"                         \
@@ -818,6 +989,10 @@
   { "log down", test_log_down },
   { "entries gone", test_entries_gone },
   { "leaving endpoint", test_leaving_endpoint },
+  { "an endpoint's clock went back", test_clock_went_back },
+  { "drain", test_drain },
+  { "drain of all", test_drain_of_all },
+  { "drain while the log is down", test_drain_while_log_down },
 };
 
 int
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -27,7 +27,7 @@
 {
   fleet_entry_t entry;
 
-  if (decode_entry ("i-1", data, size, &entry) == 0)
+  if (decode_entry ("i-1", data, size, 0, &entry) == 0)
     {
       CU_ASSERT_PTR_NOT_NULL (entry.endpoint.address);
       CU_ASSERT_TRUE (entry.endpoint.free.cores_milli >= 0);
--- a/tool/main.c
+++ b/tool/main.c
@@ -19,6 +19,7 @@
   { "status", cmd_status, "print the status of hosts" },
   { "submit", cmd_submit, "submit a job and print its answer" },
   { "burn", cmd_burn, "report on service-level burn" },
+  { "drains", cmd_drains, "print which data centres are drained" },
   { "explain", cmd_explain, "explain the outcome of a job by the hosts' logs" },
   { "load", cmd_load, "generate load and measure response times" },
 };
--- a/tool/tool.h
+++ b/tool/tool.h
@@ -26,6 +26,7 @@
 int cmd_burn (int argc, char **argv);
 int cmd_load (int argc, char **argv);
 int cmd_explain (int argc, char **argv);
+int cmd_drains (int argc, char **argv);
 
 /* Parses ARGV by the argtable TABLE, whose last entry is its arg_end and whose
  * first is the --help flag.  Prints help or errors.  Returns true to go on;
