--- a/standins/site_endpoint.c
+++ b/standins/site_endpoint.c
@@ -556,7 +556,7 @@
 {
   int32_t starts = 0;
 
-  for (guint i = 0; i < all->len; i++)
+  for (guint i = 0; all != NULL && i < all->len; i++)
     {
       const site_endpoint_t *endpoint = all->pdata[i];
       if (strcmp (endpoint->options.data_centre, data_centre) == 0)
@@ -570,7 +570,7 @@
 {
   int32_t running = 0;
 
-  for (guint i = 0; i < all->len; i++)
+  for (guint i = 0; all != NULL && i < all->len; i++)
     {
       const site_endpoint_t *endpoint = all->pdata[i];
       if (strcmp (endpoint->options.data_centre, data_centre) == 0)
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -802,12 +802,13 @@
 test_drain (void)
 {
   rig_t rig;
-  char *body = job_body (6, 1500, "");
+  /* More than one data centre has room for. */
+  char *body = job_body (10, 1500, "");
 
   rig_start (&rig);
   int fd = site_dial ("127.0.0.1", caller_port (&rig, 0));
   site_send (fd, "POST", "/q/00000000000000f1", body, 5000);
-  CU_ASSERT_TRUE (comes_to (&rig, "running", 6, 2000));
+  CU_ASSERT_TRUE (comes_to (&rig, "running", 10, 2000));
   int runs = running_in (&rig, "x");
   CU_ASSERT_TRUE (runs > 0);
   load_t load = { .rig = &rig, .first = 7000, .count = 60, .host = -1, .tasks = 3, .work_ms = 20 };
