--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -26,6 +26,8 @@
 #define DEADLINE_MS 3000
 #define QUEUE_TIMEOUT_MS 3000
 #define LEASE_MS 1000
+/* The default of bounds.evacuation_ms. */
+#define EVACUATION_MS 5000
 
 static char *programs; /* the directory with jaytraild and fake_site */
 static int base_port;
@@ -922,6 +924,95 @@
   leave_endpoints (",\"born\":1");
 }
 
+/* Data centre x is drained while the hosts can't hear of it as usual. */
+static void
+drain_while_log_slow (rig_t *rig)
+{
+  set_fault (rig, "{\"log_slow_ms\":1000}");
+  clock_sleep_ms (1500);
+  set_drain (rig, "x", true);
+  clock_sleep_ms (EVACUATION_MS);
+}
+
+static void
+drain_while_frozen (rig_t *rig)
+{
+  for (int i = 0; i < HOSTS; i++)
+    kill (rig->hosts[i], SIGSTOP);
+  set_drain (rig, "x", true);
+  clock_sleep_ms (EVACUATION_MS);
+  for (int i = 0; i < HOSTS; i++)
+    kill (rig->hosts[i], SIGCONT);
+}
+
+static void
+drain_while_down (rig_t *rig)
+{
+  for (int i = 0; i < HOSTS; i++)
+    end_process (&rig->hosts[i], SIGKILL);
+  set_drain (rig, "x", true);
+  for (int i = 0; i < HOSTS; i++)
+    start_host (rig, i);
+}
+
+/* The hosts of x, one of which owns its endpoints, have lost the log and hear the others. */
+static void
+drain_while_cut_off (rig_t *rig)
+{
+  for (int i = 0; i < HOSTS; i += 2)
+    {
+      char *file = g_strdup_printf ("%s/h%d.conf", rig->directory, i);
+      char *text = NULL;
+      CU_ASSERT_TRUE (g_file_get_contents (file, &text, NULL, NULL));
+      char *changed = g_strdup_printf ("%splatform.address=127.0.0.1:1\n", text);
+      g_file_set_contents (file, changed, -1, NULL);
+      kill (rig->hosts[i], SIGHUP);
+      CU_ASSERT_TRUE (comes_to_lines (rig, i, "\"log_lost\"", 1));
+      g_free (changed);
+      g_free (text);
+      g_free (file);
+    }
+  set_drain (rig, "x", true);
+  clock_sleep_ms (1000);
+}
+
+static const struct
+{
+  const char *name;
+  void (*run) (rig_t *rig);
+} hard_drains[] = {
+  { "the hosts there have lost the log", drain_while_cut_off },
+  { "the log is slow", drain_while_log_slow },
+  { "all hosts stand still", drain_while_frozen },
+  { "all hosts start", drain_while_down },
+};
+
+/* No task starts in a drained data centre once the bound has passed, also by hosts that heard of
+ * the request late: those that have stood still, or have just started, ask before they start
+ * anything. */
+static void
+test_drain_in_time (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (hard_drains); i++)
+    {
+      rig_t rig;
+
+      rig_start (&rig);
+      CU_ASSERT_EQUAL (submit (&rig, 0, 1, 10, 10).status, 200);
+      hard_drains[i].run (&rig);
+      int before = starts_in (&rig, "x");
+      CU_ASSERT_TRUE (before > 0);
+      int64_t until_ms = clock_boot_ms () + GUARD_MS;
+      for (int k = 0; k < 20 && clock_boot_ms () < until_ms;)
+        k += submit (&rig, k % HOSTS, 100 + k, 3, 20).status == 200;
+      CU_ASSERT_TRUE (clock_boot_ms () < until_ms);
+      if (starts_in (&rig, "x") != before)
+        printf ("  %s\n", hard_drains[i].name);
+      CU_ASSERT_EQUAL (starts_in (&rig, "x"), before);
+      rig_stop (&rig);
+    }
+}
+
 #define GOOD_SETTINGS                                                                              \
   "node_name=a\nzone=x\nlisten_addrs.frontend=127.0.0.1:1\nlisten_addrs.ready=127.0.0.1:2\n"       \
   "listen_addrs.control_plane=127.0.0.1:3\nplatform.address=127.0.0.1:4\n"                         \
@@ -993,6 +1084,7 @@
   { "an endpoint's clock went back", test_clock_went_back },
   { "drain", test_drain },
   { "drain of all", test_drain_of_all },
+  { "drain in time", test_drain_in_time },
   { "drain while the log is down", test_drain_while_log_down },
 };
 
