Jobs are placed by expected end, and refused on arrival when the backlog is too long

Cause: a job went to the owner with the shortest queue by count, and one that had no chance waited for its queue's time before it was refused and told to come back after a constant second.

Change: owners report their capacity and their backlog by priority with their offers (lib/fleet/load.c, kept up to date with the queue). Coordinators forecast start and end (lib/flow/forecast.c), place by them, and refuse on arrival what can nearly certainly not be served (lib/flow/admission.c, limit 'capacity'). Retry-After follows the expected wait.

--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -20,6 +20,7 @@
   [FLOW_LIMIT_QUEUE_TIME] = "queue_time",
   [FLOW_LIMIT_ATTEMPTS] = "attempts",
   [FLOW_LIMIT_OWNERS] = "owners",
+  [FLOW_LIMIT_CAPACITY] = "capacity",
 };
 
 static void
@@ -46,6 +47,8 @@
       event_number ("handovers", action->handovers);
       event_number ("returns", action->returns);
       event_text ("owners", action->owners);
+      event_number ("expected_wait_ms", action->expected_wait_ms);
+      event_number ("report_age_ms", action->report_age_ms);
     }
   event_end ();
 }
@@ -128,16 +131,15 @@
   return ((site_t *) user)->queues;
 }
 
-static uint64_t
-submit_job (const flow_job_t *job, void *user)
+static void
+submit_job (const flow_job_t *job, uint64_t *number, void *user)
 {
   site_t *site = user;
 
-  uint64_t number = flow_submit (site->flow, job, clock_boot_ms (), site->flow_actions);
+  *number = flow_submit (site->flow, job, clock_boot_ms (), site->flow_actions);
   /* What is to be sent points into the flow, and must be sent before its next event. */
   site_run_flow_actions (site);
   site_pump (site);
-  return number;
 }
 
 static void
--- a/daemon/site_metrics.c
+++ b/daemon/site_metrics.c
@@ -85,7 +85,7 @@
 static void
 count_limit (flow_limit_t limit)
 {
-  static counter_t *counters[FLOW_LIMIT_OWNERS + 1];
+  static counter_t *counters[FLOW_LIMIT_CAPACITY + 1];
 
   if (limit == FLOW_LIMIT_NONE)
     return;
@@ -94,6 +94,31 @@
   counter_add (counters[limit], 1);
 }
 
+/* Queues are few: their names come from the configuration. */
+static void
+count_queue (const flow_action_t *answer)
+{
+  char *queue = g_strdup_printf ("queue=\"%s\"", answer->queue);
+
+  if (answer->limit == FLOW_LIMIT_CAPACITY)
+    counter_add (counter_get ("jaytrail_queue_rejected_total", queue), 1);
+  else
+    counter_add (counter_get ("jaytrail_queue_admitted_total", queue), 1);
+  if (answer->outcome == FLOW_REFUSED)
+    {
+      char *labels = g_strdup_printf ("%s,limit=\"%s\"", queue, limit_names[answer->limit]);
+      counter_add (counter_get ("jaytrail_queue_refused_total", labels), 1);
+      g_free (labels);
+    }
+  if (answer->report_age_ms >= 0)
+    {
+      counter_set (counter_get ("jaytrail_queue_expected_wait_ms", queue),
+                   answer->expected_wait_ms);
+      counter_set (counter_get ("jaytrail_queue_report_age_ms", queue), answer->report_age_ms);
+    }
+  g_free (queue);
+}
+
 void
 metrics_job (const flow_action_t *answer)
 {
@@ -111,6 +136,7 @@
   if (answer->outcome == FLOW_COMPLETE && answer->late_by_ms > 0)
     counter_add (late, 1);
   count_limit (answer->limit);
+  count_queue (answer);
   histogram_add (&answer_times, answer->elapsed_ms);
 }
 
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -451,18 +451,23 @@
       fleet_totals_t totals = fleet_totals (owned->fleet, now_ms);
       GArray *offers = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
       fleet_offers (owned->fleet, &totals.usual_need, now_ms, offers);
-      GBytes *offer = fleet_msg_offer (owned->name, totals.waiting, offers);
+      GArray *loads = g_array_new (FALSE, FALSE, sizeof (fleet_load_t));
+      fleet_loads (owned->fleet, now_ms, loads);
+      GBytes *offer = fleet_msg_offer (owned->name, totals.waiting, offers, loads);
       if (owned->told == NULL || !g_bytes_equal (offer, owned->told)
           || now_ms - owned->told_at_ms > OFFER_MAX_MS)
         {
           owned->told_at_ms = now_ms;
           flow_offer (site->flow, owned->name, site->host,
                       (const fleet_offer_t *) (void *) offers->data, offers->len, totals.waiting);
+          flow_load (site->flow, owned->name, site->host,
+                     (const fleet_load_t *) (void *) loads->data, loads->len, now_ms);
           peers_send_all (site, g_bytes_ref (offer));
           g_clear_pointer (&owned->told, g_bytes_unref);
           owned->told = g_bytes_ref (offer);
         }
       g_bytes_unref (offer);
+      g_array_unref (loads);
       g_array_unref (offers);
     }
 }
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -204,6 +204,8 @@
     return;
   flow_offer (site->flow, offer.shard, host, (const fleet_offer_t *) (void *) offer.offers->data,
               offer.offers->len, offer.waiting);
+  flow_load (site->flow, offer.shard, host, (const fleet_load_t *) (void *) offer.loads->data,
+             offer.loads->len, clock_boot_ms ());
   fleet_offer_msg_clear (&offer);
 }
 
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -89,11 +89,12 @@
     "{host_id} answered {outcome} after {elapsed_ms} ms" },
   { EVENT_JOB_MISSED, EVENT_TROUBLE, "job_missed",
     "job outcome why limit size tasks estimate_ms left elapsed_ms late_by_ms handovers returns "
-    "owners",
+    "owners expected_wait_ms report_age_ms",
     "{host_id} answered {outcome} after {elapsed_ms} ms with {left} of {tasks} tasks of about "
     "{estimate_ms} ms left: {why} (limit {limit}, size {size}, owners {owners}, {handovers} moves "
     "between owners, "
-    "{returns} returns)" },
+    "{returns} returns; on arrival it expected to wait {expected_wait_ms} ms, by a report "
+    "{report_age_ms} ms old)" },
   { EVENT_JOB_ABANDONED, EVENT_TROUBLE, "job_abandoned", "job elapsed_ms",
     "the caller hung up after {elapsed_ms} ms" },
   { EVENT_BATCH_SENT, EVENT_ROUTINE, "batch_sent", "job batch host shard tasks",
--- a/lib/fleet/batch.c
+++ b/lib/fleet/batch.c
@@ -60,7 +60,7 @@
   bool waits = task->state == TASK_WAITING;
 
   if (waits)
-    g_queue_unlink (&fleet->queue, &task->link);
+    task_unqueue (fleet, task);
   task_leave (fleet, task);
   task->batch = batch;
   batch->ever_started |= task->ever_started;
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -105,6 +105,7 @@
   fleet->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_call);
   fleet->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_kind);
   fleet->estimates = estimates_new ();
+  fleet->load_sums = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   fleet->maybe = g_hash_table_new (g_str_hash, g_str_equal);
   fleet->names = g_string_chunk_new (NAMES_BYTES);
   fleet->closed = g_ptr_array_new ();
@@ -120,6 +121,7 @@
 {
   if (fleet == NULL)
     return;
+  g_hash_table_unref (fleet->load_sums);
   g_hash_table_unref (fleet->maybe);
   g_string_chunk_free (fleet->names);
   g_ptr_array_unref (fleet->closed);
@@ -165,6 +167,16 @@
     g_queue_push_head_link (&fleet->queue, &task->link);
   else
     g_queue_insert_after_link (&fleet->queue, at, &task->link);
+  const batch_t *batch = task->batch;
+  load_add (fleet->load_sums, batch->service, batch->priority,
+            load_core_ms (&task->need, batch->aim.work_ms), task->late, &task->counted);
+}
+
+void
+task_unqueue (fleet_t *fleet, task_t *task)
+{
+  g_queue_unlink (&fleet->queue, &task->link);
+  load_remove (&task->counted);
 }
 
 /* --- tasks --- */
@@ -251,7 +263,7 @@
 task_end (fleet_t *fleet, task_t *task)
 {
   if (task->state == TASK_WAITING)
-    g_queue_unlink (&fleet->queue, &task->link);
+    task_unqueue (fleet, task);
   if (task->state == TASK_MAYBE)
     g_hash_table_remove (fleet->maybe, task->name);
   task_detach (task);
@@ -544,7 +556,7 @@
   while (fleet->queue.length > 0)
     {
       task_t *task = g_queue_peek_head (&fleet->queue);
-      g_queue_unlink (&fleet->queue, &task->link);
+      task_unqueue (fleet, task);
       task_doubt (fleet, task, now_ms);
     }
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -318,6 +318,23 @@
   double ratio; /* duration over the caller's estimate, as measured */
 } fleet_offer_t;
 
+/* Backlogs are told by priority; the last level stands for all priorities from there on. */
+#define FLEET_LOAD_LEVELS 4
+int32_t fleet_load_level (int32_t priority);
+
+/* What coordinators need to know to tell how long a task would wait: an owner's capacity for one
+ * service, and what waits for it, in core-milliseconds at the mean speed of its endpoints. */
+typedef struct
+{
+  const char *service;
+  int64_t cores_milli;  /* of the usable endpoints */
+  int64_t room_milli;   /* the most free cores of one of them; 0 while nothing waits */
+  int64_t next_free_ms; /* until the next run should end; 0 while nothing waits */
+  int64_t backlog_core_ms[FLEET_LOAD_LEVELS];
+  int64_t late_core_ms[FLEET_LOAD_LEVELS]; /* the part of it that goes last at its level: it misses
+                                              its objective anyway */
+} fleet_load_t;
+
 /* Starts what can be started, renews leases, gives up what can't end in time.  Call after
  * other events and every few milliseconds.  Queued tasks that would do as well on the free
  * slots of other owners (ELSEWHERE, fleet_offer_t; slots are taken off) are returned to their
@@ -327,6 +344,10 @@
 /* Appends one fleet_offer_t for each service and speed; NEED is the usual size. */
 void fleet_offers (const fleet_t *fleet, const room_t *need, int64_t now_ms, GArray *offers);
 
+/* Appends one fleet_load_t for each service with usable endpoints; its strings last until the next
+ * call. */
+void fleet_loads (const fleet_t *fleet, int64_t now_ms, GArray *loads);
+
 typedef struct
 {
   int32_t endpoints;
--- a/lib/fleet/fleet_msg.c
+++ b/lib/fleet/fleet_msg.c
@@ -303,8 +303,46 @@
   return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
 }
 
+/* Levels without a backlog after the last one that has one are left out. */
+static void
+put_load (frame_writer_t *writer, const fleet_load_t *load)
+{
+  size_t levels = FLEET_LOAD_LEVELS;
+
+  while (levels > 0 && load->backlog_core_ms[levels - 1] == 0)
+    levels--;
+  frame_put_string (writer, load->service);
+  frame_put_int (writer, load->cores_milli);
+  frame_put_int (writer, load->room_milli);
+  frame_put_int (writer, MIN (load->next_free_ms, TIME_MAX_MS));
+  frame_put_count (writer, levels);
+  for (size_t i = 0; i < levels; i++)
+    {
+      frame_put_int (writer, MIN (load->backlog_core_ms[i], AMOUNT_MAX));
+      frame_put_int (writer, MIN (load->late_core_ms[i], AMOUNT_MAX));
+    }
+}
+
+static fleet_load_t
+get_load (frame_reader_t *reader)
+{
+  fleet_load_t load = { 0 };
+
+  load.service = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  load.cores_milli = frame_get_range (reader, 0, AMOUNT_MAX);
+  load.room_milli = frame_get_range (reader, 0, AMOUNT_MAX);
+  load.next_free_ms = frame_get_range (reader, 0, TIME_MAX_MS);
+  size_t levels = frame_get_count (reader, FLEET_LOAD_LEVELS);
+  for (size_t i = 0; i < levels && frame_ok (reader); i++)
+    {
+      load.backlog_core_ms[i] = frame_get_range (reader, 0, AMOUNT_MAX);
+      load.late_core_ms[i] = frame_get_range (reader, 0, load.backlog_core_ms[i]);
+    }
+  return load;
+}
+
 GBytes *
-fleet_msg_offer (const char *shard, int32_t waiting, const GArray *offers)
+fleet_msg_offer (const char *shard, int32_t waiting, const GArray *offers, const GArray *loads)
 {
   frame_writer_t *writer = frame_begin (FLEET_MSG_OFFER);
 
@@ -319,6 +357,9 @@
       frame_put_int (writer, offer->slots_all);
       frame_put_int (writer, (int64_t) (offer->ratio * RATIO_SCALE));
     }
+  frame_put_count (writer, loads->len);
+  for (guint i = 0; i < loads->len; i++)
+    put_load (writer, &g_array_index (loads, fleet_load_t, i));
   return frame_finish (writer);
 }
 
@@ -339,6 +380,13 @@
       offer.ratio = (double) frame_get_range (reader, 0, INT32_MAX) / RATIO_SCALE;
       g_array_append_val (message->offers, offer);
     }
+  message->loads = g_array_new (FALSE, FALSE, sizeof (fleet_load_t));
+  count = frame_get_count (reader, OFFERS_MAX);
+  for (size_t i = 0; i < count && frame_ok (reader); i++)
+    {
+      fleet_load_t load = get_load (reader);
+      g_array_append_val (message->loads, load);
+    }
   if (frame_ok (reader) && message->shard != NULL)
     return 0;
   fleet_offer_msg_clear (message);
@@ -356,5 +404,9 @@
     }
   if (message->offers != NULL)
     g_array_unref (message->offers);
+  for (guint i = 0; message->loads != NULL && i < message->loads->len; i++)
+    g_free ((char *) g_array_index (message->loads, fleet_load_t, i).service);
+  if (message->loads != NULL)
+    g_array_unref (message->loads);
   *message = (fleet_offer_msg_t){ 0 };
 }
--- a/lib/fleet/fleet_msg.h
+++ b/lib/fleet/fleet_msg.h
@@ -84,8 +84,10 @@
   char *shard;
   int32_t waiting;
   GArray *offers; /* fleet_offer_t with strings of their own */
+  GArray *loads;  /* fleet_load_t likewise */
 } fleet_offer_msg_t;
-GBytes *fleet_msg_offer (const char *shard, int32_t waiting, const GArray *offers);
+GBytes *
+fleet_msg_offer (const char *shard, int32_t waiting, const GArray *offers, const GArray *loads);
 int fleet_msg_read_offer (frame_reader_t *reader, fleet_offer_msg_t *offer);
 void fleet_offer_msg_clear (fleet_offer_msg_t *offer);
 
--- a/lib/fleet/round.c
+++ b/lib/fleet/round.c
@@ -217,7 +217,7 @@
 {
   fleet_action_t *action = action_add (actions, FLEET_START);
 
-  g_queue_unlink (&fleet->queue, &task->link);
+  task_unqueue (fleet, task);
   endpoint->outlier.probing |= endpoint->outlier.state == OUTLIER_OUT;
   task->state = TASK_STARTING;
   task->attempt = MAX (task->attempt, task->batch->attempt_base) + 1;
@@ -354,7 +354,7 @@
   if (task->late || least_ms == INT64_MAX || now_ms + least_ms <= task->batch->aim.goal_at_ms)
     return;
   task->late = true;
-  g_queue_unlink (&fleet->queue, &task->link);
+  task_unqueue (fleet, task);
   task_queue (fleet, task);
 }
 
--- a/lib/fleet/state.h
+++ b/lib/fleet/state.h
@@ -5,6 +5,7 @@
 #include "dispatch/outlier.h"
 #include "fleet/estimate.h"
 #include "fleet/fleet.h"
+#include "fleet/load.h"
 
 typedef struct endpoint_t endpoint_t;
 typedef struct batch_t batch_t;
@@ -45,6 +46,7 @@
   int32_t percent;
   int64_t percent_at_ms; /* when PERCENT last grew */
   GList link;            /* in the queue */
+  load_mark_t counted;   /* in the backlog, while it is in the queue */
 } task_t;
 
 struct batch_t
@@ -165,6 +167,7 @@
   GHashTable *kinds;     /* kind -> kind_t */
   estimates_t *estimates;
   GQueue queue;            /* waiting tasks in the order of their turn */
+  GHashTable *load_sums;   /* service -> load_sums_t of the queue */
   GHashTable *maybe;       /* tasks of unknown state: a set */
   int32_t departed;        /* endpoints */
   int64_t unsettled_to_ms; /* until then endpoints may be unknown */
--- a/lib/fleet/table.h
+++ b/lib/fleet/table.h
@@ -26,6 +26,9 @@
 /* Puts TASK in its place in the queue. */
 void task_queue (fleet_t *fleet, task_t *task);
 
+/* Takes TASK out of the queue. */
+void task_unqueue (fleet_t *fleet, task_t *task);
+
 /* Takes TASK out of its batch, which is freed with its last task. */
 void task_leave (fleet_t *fleet, task_t *task);
 
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -21,8 +21,6 @@
 #define OWNER_DROPS_MS 900
 /* Owners confirm a cancellation within this time. */
 #define CONFIRM_MS 60
-/* What is asked of callers that are refused. */
-#define RETRY_AFTER_MS 1000
 /* A part of a job's usual duration that must fit before its deadline. */
 #define HOPELESS 0.6
 #define NAMES_BYTES 1024
@@ -60,6 +58,7 @@
   shard_t *shard = data;
 
   g_array_unref (shard->rows);
+  g_array_unref (shard->loads);
   g_free (shard);
 }
 
@@ -77,6 +76,9 @@
   flow->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   flow->batches = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_batch);
   flow->shards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_shard);
+  flow->order = g_ptr_array_new ();
+  /* Hosts must not draw alike, and a test must draw the same again. */
+  flow->rand = g_rand_new_with_seed ((guint32) hash_string (options->host));
   flow->sizes = sizes_new ();
   flow->names = g_string_chunk_new (NAMES_BYTES);
   flow->cancels = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -93,6 +95,8 @@
   g_hash_table_unref (flow->batches);
   g_hash_table_unref (flow->jobs);
   g_hash_table_unref (flow->shards);
+  g_ptr_array_unref (flow->order);
+  g_rand_free (flow->rand);
   g_hash_table_unref (flow->cancels);
   sizes_free (flow->sizes);
   g_string_chunk_free (flow->names);
@@ -110,6 +114,8 @@
       shard = g_new0 (shard_t, 1);
       shard->name = interned;
       shard->rows = g_array_new (FALSE, FALSE, sizeof (row_t));
+      shard->loads = g_array_new (FALSE, FALSE, sizeof (forecast_load_t));
+      g_ptr_array_add (flow->order, shard);
       g_hash_table_insert (flow->shards, (void *) interned, shard);
     }
   return shard;
@@ -170,10 +176,14 @@
   action->user = job->info.user;
   action->reason = job->reason;
   action->limit = job->limit;
-  action->retry_after_ms = RETRY_AFTER_MS;
+  if (action->outcome == FLOW_REFUSED)
+    action->retry_after_ms = outlook_retry_ms (flow, job, now_ms);
   action->elapsed_ms = now_ms - job->info.received_at_ms;
   action->late_by_ms = now_ms - job->aim.goal_at_ms;
   action->job = g_string_chunk_insert (flow->names, job->info.id);
+  action->queue = g_string_chunk_insert (flow->names, job->info.queue);
+  action->expected_wait_ms = job->expected_wait_ms;
+  action->report_age_ms = job->report_age_ms;
   action->tasks = job->info.tasks;
   action->estimate_ms = job->info.estimate_ms;
   action->size = job->size;
@@ -252,6 +262,22 @@
                         .deadline_at_ms = info->deadline_at_ms };
 }
 
+/* Refuses a job that has just come if the backlog leaves it no chance.  Returns true if so. */
+static bool
+refuse_on_arrival (flow_t *flow, job_t *job, int64_t now_ms, GArray *actions)
+{
+  static const char *const reasons[] = {
+    [ADMISSION_TOO_LATE] = "the backlog leaves no time for it before its deadline",
+    [ADMISSION_NO_START] = "the backlog is longer than its queue's time",
+  };
+  admission_t admission = outlook_admit (flow, job, now_ms);
+
+  if (admission == ADMISSION_YES)
+    return false;
+  refuse (flow, job, FLOW_LIMIT_CAPACITY, reasons[admission], now_ms, actions);
+  return true;
+}
+
 uint64_t
 flow_submit (flow_t *flow, const flow_job_t *info, int64_t now_ms, GArray *actions)
 {
@@ -276,8 +302,14 @@
   job->batches = g_ptr_array_new ();
   g_hash_table_insert (flow->jobs, &job->number, job);
   g_hash_table_replace (flow->by_id, (char *) job->info.id, job);
-  spread_job (flow, job, now_ms, actions);
-  return job->number;
+  job->expected_wait_ms = -1;
+  job->report_age_ms = -1;
+  if (info->start_by_ms != 0)
+    job->start_limit_ms = MAX (info->start_by_ms - info->received_at_ms, 1);
+  uint64_t number = job->number;
+  if (!refuse_on_arrival (flow, job, now_ms, actions))
+    spread_job (flow, job, now_ms, actions);
+  return number;
 }
 
 bool
@@ -447,6 +479,28 @@
   shard->waiting = waiting;
 }
 
+void
+flow_load (flow_t *flow,
+           const char *name,
+           const char *host,
+           const fleet_load_t *loads,
+           size_t count,
+           int64_t now_ms)
+{
+  shard_t *shard = find_shard (flow, name);
+
+  if (shard->owner != g_intern_string (host))
+    return;
+  g_array_set_size (shard->loads, 0);
+  shard->reported = true;
+  for (size_t i = 0; i < count; i++)
+    {
+      forecast_load_t load = { .told = loads[i], .heard_at_ms = now_ms };
+      load.told.service = g_intern_string (loads[i].service);
+      g_array_append_val (shard->loads, load);
+    }
+}
+
 /* What an owner has started is over so long after it has dropped it. */
 static int64_t
 runs_over_ms (const flow_t *flow)
@@ -505,6 +559,8 @@
   if (shard->owner != before)
     {
       g_array_set_size (shard->rows, 0);
+      g_array_set_size (shard->loads, 0);
+      shard->reported = false;
       shard->waiting = 0;
     }
   if (shard->owner == NULL)
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -60,7 +60,8 @@
   FLOW_LIMIT_CALLER_WAIT, /* it can't end while its caller waits */
   FLOW_LIMIT_QUEUE_TIME, /* likewise, within its queue's time; or no task has started within that */
   FLOW_LIMIT_ATTEMPTS,   /* a task has failed as often as its queue allows */
-  FLOW_LIMIT_OWNERS      /* no owner of endpoints was there for it, or one was lost */
+  FLOW_LIMIT_OWNERS,     /* no owner of endpoints was there for it, or one was lost */
+  FLOW_LIMIT_CAPACITY    /* on arrival: the backlog is too long for it */
 } flow_limit_t;
 
 /* How large a job is among the last ones of its queue, by the work that its caller expects. */
@@ -97,7 +98,10 @@
   int64_t elapsed_ms;
   int64_t late_by_ms; /* over the goal; negative if in time */
   /* FLOW_ANSWER, for the log: */
-  const char *job; /* valid until the next call */
+  const char *job;          /* valid until the next call */
+  const char *queue;        /* likewise */
+  int64_t expected_wait_ms; /* of a task, as forecast on arrival; negative if nothing was known */
+  int64_t report_age_ms;    /* of the owner's report that this rests on; likewise */
   int32_t tasks;
   int64_t estimate_ms;
   flow_size_t size;
@@ -118,7 +122,8 @@
 flow_t *flow_new (const flow_options_t *options);
 void flow_free (flow_t *flow);
 
-/* Takes a job.  Its actions follow at once or from flow_step (). */
+/* Takes a job, or refuses it, with nothing sent, if it is nearly certain that it can't be served in
+ * time.  Its actions follow at once or from flow_step (). */
 uint64_t flow_submit (flow_t *flow, const flow_job_t *job, int64_t now_ms, GArray *actions);
 
 /* The caller has gone, or has cancelled the job: its tasks end, and there is no answer. */
@@ -135,6 +140,16 @@
                  size_t count,
                  int32_t waiting);
 
+/* What the owner of SHARD has told of its backlog by NOW_MS: one row for each of its services.  An
+ * owner that tells nothing is placed by its count of waiting tasks, and no job is refused for its
+ * backlog. */
+void flow_load (flow_t *flow,
+                const char *shard,
+                const char *host,
+                const fleet_load_t *loads,
+                size_t count,
+                int64_t now_ms);
+
 /* Endpoints of RACK are in SHARD. */
 void flow_set_rack (flow_t *flow, const char *rack, const char *shard);
 
--- a/lib/flow/spread.c
+++ b/lib/flow/spread.c
@@ -2,7 +2,8 @@
  *
  * Task by task the best free slot is taken: the slowest that is fast enough, the own data centre
  * first among equals, so that the fast ones stay free for tasks that need them. Where no slot
- * is free that would do, the task queues at the owner with the shortest queue for its size.
+ * is free that would do, the task queues where it should end first (outlook.c); while
+ * an owner has told no load, at the one with the shortest queue for its size.
  * A job whose data lie in a rack counts as slower in other shards, until an owner has returned
  * tasks of it: then that rack is full.
  */
@@ -44,9 +45,8 @@
   return a->tier == PLACE_SURE ? a->ratio > b->ratio : a->ratio < b->ratio;
 }
 
-/* So many times as long JOB takes in SHARD for being away from its data. */
-static double
-distance_of (const flow_t *flow, const shard_t *shard, const job_t *job)
+double
+spread_distance (const flow_t *flow, const shard_t *shard, const job_t *job)
 {
   if (job->info.near_rack[0] == '\0')
     return 1.0;
@@ -60,8 +60,8 @@
   return (int64_t) (ratio * (double) job->info.estimate_ms);
 }
 
-static bool
-is_worth (double ratio, const job_t *job, const place_hope_t *hope, int64_t now_ms)
+bool
+spread_is_worth (double ratio, const job_t *job, const place_hope_t *hope, int64_t now_ms)
 {
   return place_is_worth (place_tier (&job->aim, ratio, now_ms), expected_ms_of (ratio, job), hope);
 }
@@ -79,7 +79,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       shard_t *shard = value;
-      double distance = distance_of (flow, shard, job);
+      double distance = spread_distance (flow, shard, job);
       for (guint i = 0; shard->owner != NULL && i < shard->rows->len; i++)
         {
           row_t *row = &g_array_index (shard->rows, row_t, i);
@@ -92,7 +92,7 @@
             best = one;
         }
     }
-  if (best.row != NULL && !is_worth (best.ratio, job, hope, now_ms))
+  if (best.row != NULL && !spread_is_worth (best.ratio, job, hope, now_ms))
     best = (place_t){ 0 };
   return best;
 }
@@ -105,13 +105,13 @@
            const place_hope_t *hope,
            int64_t now_ms)
 {
-  double distance = distance_of (flow, shard, job);
+  double distance = spread_distance (flow, shard, job);
   int32_t slots = 0;
 
   for (guint i = 0; i < shard->rows->len; i++)
     {
       const row_t *row = &g_array_index (shard->rows, row_t, i);
-      if (suits (row, &job->info) && is_worth (row->ratio * distance, job, hope, now_ms))
+      if (suits (row, &job->info) && spread_is_worth (row->ratio * distance, job, hope, now_ms))
         slots += row->slots_all;
     }
   return slots;
@@ -215,7 +215,11 @@
     {
       place_hope_t hope = PLACE_NO_HOPE;
       place_t place = best_place (flow, job, now_ms, &hope);
-      shard_t *shard = place.row != NULL ? place.shard : shortest_queue (flow, job, &hope, now_ms);
+      shard_t *shard = place.shard;
+      if (shard == NULL)
+        shard = outlook_choose (flow, job, &hope, now_ms);
+      if (shard == NULL)
+        shard = shortest_queue (flow, job, &hope, now_ms);
       if (shard == NULL)
         break;
       if (place.row != NULL)
--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -2,6 +2,8 @@
 #ifndef FLOW_STATE_H
 #define FLOW_STATE_H
 
+#include "base/hash.h"
+#include "flow/admission.h"
 #include "flow/flow.h"
 #include "flow/sizes.h"
 
@@ -33,6 +35,9 @@
   int32_t left;       /* tasks that are not done */
   int32_t handovers;
   int32_t returns;
+  int64_t expected_wait_ms; /* on arrival; negative if nothing was known */
+  int64_t report_age_ms;    /* likewise */
+  int64_t start_limit_ms;   /* of its queue, from its arrival; 0 for none */
   bool was_sent;
   bool may_have_run;
   bool ending; /* waits for confirmations of its end */
@@ -56,6 +61,8 @@
   const char *owner; /* interned, or NULL */
   int64_t token;     /* of its claim */
   GArray *rows;      /* row_t */
+  GArray *loads;     /* forecast_load_t; their services are interned */
+  bool reported;     /* the owner has told its loads */
   int32_t waiting;
 } shard_t;
 
@@ -80,6 +87,8 @@
   GHashTable *by_id;   /* id -> job_t */
   GHashTable *batches; /* number -> batch_t */
   GHashTable *shards;  /* interned name -> shard_t */
+  GPtrArray *order;    /* shard_t, as they came */
+  GRand *rand;
   GHashTable *cancels; /* number -> cancel_t that is not confirmed yet */
   sizes_t *sizes;
   GStringChunk *names; /* of jobs that were answered in the last call */
@@ -94,6 +103,22 @@
 batch_t *spread_batch (flow_t *flow, job_t *job, const shard_t *shard);
 void spread_send (const job_t *job, const batch_t *batch, GArray *actions);
 
+/* spread.c: so many times as long JOB takes in SHARD for being away from its data. */
+double spread_distance (const flow_t *flow, const shard_t *shard, const job_t *job);
+
+/* spread.c: a slot of RATIO is good enough for JOB. */
+bool spread_is_worth (double ratio, const job_t *job, const place_hope_t *hope, int64_t now_ms);
+
+/* outlook.c: the owner for a task of JOB that finds no free slot, which counts as sent there; NULL
+ * if one that may run it has told no load. */
+shard_t *outlook_choose (flow_t *flow, const job_t *job, const place_hope_t *hope, int64_t now_ms);
+
+/* outlook.c: whether JOB, which has just come, is taken. */
+admission_t outlook_admit (flow_t *flow, job_t *job, int64_t now_ms);
+
+/* outlook.c: when the caller of JOB, which is refused, should come back, from now. */
+int64_t outlook_retry_ms (flow_t *flow, const job_t *job, int64_t now_ms);
+
 /* cancels.c: tells the owner of BATCH, until it confirms it, what has become of it (FLOW_CANCEL or
  * FLOW_RELEASE), and repeats what is not confirmed yet. */
 void cancels_add (flow_t *flow,
--- a/tests/test_fleet_net.h
+++ b/tests/test_fleet_net.h
@@ -222,6 +222,7 @@
   fleet_action_kind_t how;
   bool never;
   GArray *offers;
+  GArray *loads;
   int32_t waiting;
   crew_beat_t beat;
 } message_t;
@@ -253,6 +254,8 @@
     g_array_unref (message->indexes);
   if (message->offers != NULL)
     g_array_unref (message->offers);
+  if (message->loads != NULL)
+    g_array_unref (message->loads);
   crew_beat_clear (&message->beat);
   g_free (message);
 }
@@ -380,6 +383,9 @@
           flow_offer (node->flow, message->shard, message->from->name,
                       (const fleet_offer_t *) (void *) message->offers->data, message->offers->len,
                       message->waiting);
+          flow_load (node->flow, message->shard, message->from->name,
+                     (const fleet_load_t *) (void *) message->loads->data, message->loads->len,
+                     world->now_ms);
           break;
         case MESSAGE_BEAT:
         default:
--- a/tests/test_fleet_node.h
+++ b/tests/test_fleet_node.h
@@ -318,6 +318,10 @@
           /* The strings of an endpoint that goes must not be pointed to. */
           for (guint m = 0; m < message->offers->len; m++)
             g_array_index (message->offers, fleet_offer_t, m).service = "s";
+          message->loads = g_array_new (FALSE, FALSE, sizeof (fleet_load_t));
+          fleet_loads (owned->fleet, world->now_ms, message->loads);
+          for (guint m = 0; m < message->loads->len; m++)
+            g_array_index (message->loads, fleet_load_t, m).service = "s";
           message->waiting = fleet_totals (owned->fleet, world->now_ms).waiting;
           send_message (message);
         }
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -217,11 +217,14 @@
   crew_claim_t claim = { (char *) "z", 1234567 };
   crew_beat_t beat = { .host = (char *) "h", .data_centre = (char *) "z", .incarnation = 9 };
   GArray *offers = g_array_new (FALSE, FALSE, sizeof (fleet_offer_t));
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (fleet_load_t));
+  const fleet_load_t load = { "x", 64000, 100, 40, { 7, 0, 900000 }, { 0, 0, 1200 } };
   fleet_offer_t offer = { "x", 3, 9, 1.2 };
   const crew_host_t known = { (char *) "h", (char *) "127.0.0.1:9", (char *) "z", 250 };
   GBytes *frame = NULL;
 
   g_array_append_val (offers, offer);
+  g_array_append_val (loads, load);
   beat.claims = g_array_new (FALSE, FALSE, sizeof (crew_claim_t));
   g_array_append_val (beat.claims, claim);
   if (kind == 0)
@@ -229,7 +232,7 @@
   else if (kind == 1)
     frame = fleet_msg_ends (ends, G_N_ELEMENTS (ends));
   else if (kind == 2)
-    frame = fleet_msg_offer ("z", 4, offers);
+    frame = fleet_msg_offer ("z", 4, offers, loads);
   else if (kind == 3)
     frame = fleet_msg_forget ("j", true);
   else if (kind == 4)
@@ -240,6 +243,7 @@
     frame = crew_msg_beat (&beat);
   g_array_unref (beat.claims);
   g_array_unref (offers);
+  g_array_unref (loads);
   return frame;
 }
 
