--- a/tests/site_call.c
+++ b/tests/site_call.c
@@ -61,6 +61,9 @@
       text[size] = '\0';
     }
   answer.status = atoi (text + strlen ("HTTP/1.1 "));
+  const char *retry = strcasestr (text, "\r\nretry-after:");
+  if (retry != NULL && retry < strstr (text, "\r\n\r\n"))
+    answer.retry_after_s = atoi (retry + strlen ("\r\nretry-after:"));
   answer.keeps = strcasestr (text, "connection: close") == NULL;
   g_strlcpy (answer.body, strstr (text, "\r\n\r\n") + 4, sizeof answer.body);
   return answer;
--- a/tests/site_call.h
+++ b/tests/site_call.h
@@ -14,9 +14,10 @@
 
 typedef struct
 {
-  int status;  /* 0 if there was no whole answer */
-  bool closed; /* STATUS 0: the connection ended; else time ran out */
-  bool keeps;  /* the connection may carry another request */
+  int status;        /* 0 if there was no whole answer */
+  bool closed;       /* STATUS 0: the connection ended; else time ran out */
+  bool keeps;        /* the connection may carry another request */
+  int retry_after_s; /* of the header; 0 without one */
   char body[SITE_CALL_BODY_BYTES];
 } site_answer_t;
 
--- a/tests/test_event.c
+++ b/tests/test_event.c
@@ -210,6 +210,12 @@
     "{\"at\":\"2026-01-01T00:00:02.000Z\",\"host_id\":\"a\",\"event\":\"job_missed\",\"job\":"
     "\"j\"}\n",
     "A host that it met was lost.", 2 },
+  { "refused for the backlog, while a host was lost",
+    "{\"at\":\"2026-01-01T00:00:01.000Z\",\"host_id\":\"a\",\"event\":\"host_lost\",\"host\":"
+    "\"b\"}\n"
+    "{\"at\":\"2026-01-01T00:00:02.000Z\",\"host_id\":\"a\",\"event\":\"job_missed\",\"job\":"
+    "\"j\",\"limit\":\"capacity\",\"expected_wait_ms\":4100,\"report_age_ms\":120}\n",
+    "The backlog was too long for the job when it came.", 1 },
   { "too long ago",
     "{\"at\":\"2026-01-01T00:00:00.000Z\",\"host_id\":\"a\",\"event\":\"host_lost\",\"host\":"
     "\"b\"}\n"
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -692,12 +692,59 @@
   script_end (&script);
 }
 
+static fleet_load_t
+load_at (const script_t *script, int64_t now_ms)
+{
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (fleet_load_t));
+
+  fleet_loads (script->fleet, now_ms, loads);
+  CU_ASSERT_EQUAL_FATAL (loads->len, 1);
+  fleet_load_t load = g_array_index (loads, fleet_load_t, 0);
+  g_array_unref (loads);
+  return load;
+}
+
+/* The backlog that is told must follow the queue: what has left it, counted on, would turn callers
+ * away from idle endpoints. */
+static void
+test_load (void)
+{
+  script_t script;
+
+  script_begin_idle (&script, 1000);
+  fleet_batch_t batch = batch_of ("j", 1);
+  batch.priority = 1;
+  fleet_submit (script.fleet, &batch, 0);
+  CU_ASSERT_EQUAL (load_at (&script, 0).backlog_core_ms[1], batch.estimate_ms);
+  run_at (&script, 0);
+  fleet_load_t load = load_at (&script, 0);
+  CU_ASSERT_EQUAL (load.cores_milli, 1000);
+  CU_ASSERT_EQUAL (load.backlog_core_ms[1], 0);
+  CU_ASSERT_EQUAL (load.next_free_ms, 0);
+  fleet_batch_t urgent = batch_of ("k", 2);
+  urgent.goal_at_ms = 0;
+  fleet_submit (script.fleet, &urgent, 0);
+  run_at (&script, 1);
+  load = load_at (&script, 1);
+  CU_ASSERT_EQUAL (load.backlog_core_ms[0], urgent.estimate_ms);
+  CU_ASSERT_EQUAL (load.late_core_ms[0], urgent.estimate_ms);
+  CU_ASSERT_EQUAL (load.backlog_core_ms[1], 0);
+  CU_ASSERT_EQUAL (load.room_milli, 0);
+  CU_ASSERT_TRUE (load.next_free_ms > 0);
+  fleet_cancel (script.fleet, "h1", 2, 2, script.actions);
+  load = load_at (&script, 2);
+  CU_ASSERT_EQUAL (load.backlog_core_ms[0], 0);
+  CU_ASSERT_EQUAL (load.late_core_ms[0], 0);
+  script_end (&script);
+}
+
 static const struct
 {
   const char *name;
   CU_TestFunc run;
 } tests[] = {
   { "a batch is sent again", test_sent_again },
+  { "the load that is told", test_load },
   { "an entry is gone", test_entry_gone },
   { "given up once it can't be in time", test_overdue },
   { "a run is adopted while it is stopped", test_adopted_while_stopped },
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -306,6 +306,77 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  bool second_told;      /* the other owner has told its load */
+  int64_t told_at_ms;    /* by both */
+  int32_t slots;         /* free at each */
+  int64_t backlog_ms[2]; /* of the two owners, for all their cores */
+  bool refused;
+} admissions[] = {
+  { "no backlog", true, 0, 0, { 0, 0 }, false },
+  { "a long backlog everywhere", true, 0, 0, { 9000, 9000 }, true },
+  { "a long backlog at one owner", true, 0, 0, { 9000, 0 }, false },
+  { "the other owner has told nothing yet", false, 0, 0, { 9000, 9000 }, false },
+  { "a free slot", true, 0, 1, { 9000, 9000 }, false },
+  { "a late answer is worth something", true, 0, 0, { 1200, 1200 }, false },
+  { "reports 2 s old", true, -2000, 0, { 9000, 9000 }, true },
+  { "reports 2 s old, the backlog may be done", true, -2000, 0, { 4500, 4500 }, false },
+  { "owners that have told nothing for long", true, -3000, 0, { 9000, 9000 }, false },
+};
+
+/* Checks that a job was refused with the figures that decided. */
+static void
+check_refusal (const flow_action_t *action, int64_t told_at_ms)
+{
+  CU_ASSERT_EQUAL (action->outcome, FLOW_REFUSED);
+  CU_ASSERT_EQUAL (action->limit, FLOW_LIMIT_CAPACITY);
+  CU_ASSERT_EQUAL (action->report_age_ms, -told_at_ms);
+  CU_ASSERT_EQUAL (action->expected_wait_ms, 9000 + told_at_ms);
+  CU_ASSERT_TRUE (action->retry_after_ms > 1000);
+}
+
+/* A job that can't be served was held until its deadline; one that can must never be refused. */
+static void
+test_admission (void)
+{
+  const flow_options_t options = { "h", "z", 1000, 1.0 };
+  const flow_job_t job = job_of (100);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (admissions); i++)
+    {
+      const fleet_offer_t offer = { "s", admissions[i].slots, 4, 1.0 };
+      fleet_load_t load = { .service = "s", .cores_milli = 4000 };
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
+      flow_t *flow = flow_new (&options);
+
+      flow_owner (flow, "x", "hx", 1, 0, actions);
+      flow_owner (flow, "y", "hy", 1, 0, actions);
+      flow_offer (flow, "x", "hx", &offer, 1, 0);
+      flow_offer (flow, "y", "hy", &offer, 1, 0);
+      load.backlog_core_ms[0] = admissions[i].backlog_ms[0] * 4;
+      flow_load (flow, "x", "hx", &load, 1, admissions[i].told_at_ms);
+      load.backlog_core_ms[0] = admissions[i].backlog_ms[1] * 4;
+      if (admissions[i].second_told)
+        flow_load (flow, "y", "hy", &load, 1, admissions[i].told_at_ms);
+      flow_submit (flow, &job, 0, actions);
+      CU_ASSERT_EQUAL_FATAL (actions->len, 1);
+      const flow_action_t *action = &g_array_index (actions, flow_action_t, 0);
+      bool refused = action->kind == FLOW_ANSWER;
+      if (refused != admissions[i].refused)
+        printf ("  %s\n", admissions[i].name);
+      CU_ASSERT_EQUAL (refused, admissions[i].refused);
+      CU_ASSERT_EQUAL (flow_jobs (flow), refused ? 0 : 1);
+      if (refused)
+        check_refusal (action, admissions[i].told_at_ms);
+      else if (admissions[i].backlog_ms[1] < admissions[i].backlog_ms[0])
+        CU_ASSERT_STRING_EQUAL (action->shard, "y");
+      flow_free (flow);
+      free_actions (actions);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -316,6 +387,7 @@
   { "a large job to a slow owner", test_large_job_to_slow_owner },
   { "not run, after it was forgotten", test_not_run_after_forgotten },
   { "a release arrives", test_release_arrives },
+  { "a job is admitted or refused on arrival", test_admission },
   { "a job that has begun is ended by its queue's time", test_queue_time },
 };
 
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -27,6 +27,8 @@
 #define QUEUE_TIMEOUT_MS 3000
 #define LEASE_MS 1000
 
+#define SLOTS (3 * ENDPOINTS) /* as the stand-in has by itself */
+
 static char *programs; /* the directory with jaytraild and fake_site */
 static int base_port;
 
@@ -750,6 +752,50 @@
   rig_stop (&rig);
 }
 
+#define BACKLOG_JOBS 4
+#define BACKLOG_WORK_MS 4000
+#define BACKLOG_WAIT_MS 20000
+
+/* A job that could not be served waited for its deadline, and its caller was told to come back
+ * after a second, whatever the backlog was. */
+static void
+test_backlog (void)
+{
+  rig_t rig;
+  int fds[BACKLOG_JOBS];
+  char *body = job_body (SLOTS, BACKLOG_WORK_MS, "");
+  char *short_body = job_body (1, 1000, "");
+
+  rig_start (&rig);
+  put_queue (&rig, 4, "/b/", BACKLOG_WAIT_MS);
+  CU_ASSERT_TRUE (in_force (&rig, "/b/", 2000));
+  for (int i = 0; i < BACKLOG_JOBS; i++)
+    {
+      char *target = g_strdup_printf ("/b/00000000000000f%d", i);
+      fds[i] = site_dial ("127.0.0.1", caller_port (&rig, 0));
+      site_send (fds[i], "POST", target, body, BACKLOG_WAIT_MS);
+      CU_ASSERT_TRUE (comes_to (&rig, "running", SLOTS, 2000));
+      g_free (target);
+    }
+  clock_sleep_ms (500);
+  for (int host = 0; host < 2; host++)
+    {
+      char *target = g_strdup_printf ("/b/00000000000000b%d", host);
+      int64_t from_ms = clock_boot_ms ();
+      site_answer_t answer = site_call (caller_port (&rig, host), "POST", target, short_body);
+      CU_ASSERT_EQUAL (answer.status, 503);
+      CU_ASSERT_TRUE (clock_boot_ms () - from_ms < 1000);
+      CU_ASSERT_TRUE (answer.retry_after_s > 1);
+      CU_ASSERT_PTR_NOT_NULL (strstr (answer.body, "backlog"));
+      g_free (target);
+    }
+  for (int i = 0; i < BACKLOG_JOBS; i++)
+    close (fds[i]);
+  g_free (short_body);
+  g_free (body);
+  rig_stop (&rig);
+}
+
 #define GOOD_SETTINGS                                                                              \
   "node_name=a\nzone=x\nlisten_addrs.frontend=127.0.0.1:1\nlisten_addrs.ready=127.0.0.1:2\n"       \
   "listen_addrs.control_plane=127.0.0.1:3\nplatform.address=127.0.0.1:4\n"                         \
@@ -808,6 +854,7 @@
   { "caller waits longer", test_caller_waits_longer },
   { "bad endpoints", test_bad_endpoints },
   { "caller leaves", test_caller_leaves },
+  { "backlog", test_backlog },
   { "cancelled", test_cancelled },
   { "settings change", test_settings_change },
   { "resubmitted", test_resubmitted },
--- a/tool/explain.c
+++ b/tool/explain.c
@@ -57,6 +57,10 @@
   { EVENT_JOB_MISSED, "The job was answered late." },
 };
 
+/* What a job that was refused on arrival met is no cause: the backlog decided. */
+#define LIMIT_CAPACITY "capacity"
+#define WHY_CAPACITY "The backlog was too long for the job when it came."
+
 static void
 free_line (void *data)
 {
@@ -213,17 +217,31 @@
   return NULL;
 }
 
+static void
+set_cause (explain_t *explain, const char *why, const line_t *line)
+{
+  char *sentence = sentence_of (line);
+
+  explain->cause = g_strdup_printf ("%s %s: %s.", why, line->at, sentence);
+  g_free (sentence);
+}
+
 static void
 find_cause (explain_t *explain)
 {
+  const line_t *missed = find_event (explain, EVENT_JOB_MISSED);
+
+  if (missed != NULL && strcmp (text_of (missed->fields, "limit"), LIMIT_CAPACITY) == 0)
+    {
+      set_cause (explain, WHY_CAPACITY, missed);
+      return;
+    }
   for (size_t i = 0; i < G_N_ELEMENTS (causes); i++)
     {
       const line_t *line = find_event (explain, causes[i].event);
       if (line == NULL)
         continue;
-      char *sentence = sentence_of (line);
-      explain->cause = g_strdup_printf ("%s %s: %s.", causes[i].why, line->at, sentence);
-      g_free (sentence);
+      set_cause (explain, causes[i].why, line);
       return;
     }
   explain->cause =
