Silent owners don't attract tasks; the queued tasks of a job are drawn alike

Change: only 300 ms of a report's age are taken off the expected wait, an overdue report counts as a later end, and a job is drawn once.

--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -302,6 +302,7 @@
   job->batches = g_ptr_array_new ();
   g_hash_table_insert (flow->jobs, &job->number, job);
   g_hash_table_replace (flow->by_id, (char *) job->info.id, job);
+  job->draw = g_rand_int (flow->rand);
   job->expected_wait_ms = -1;
   job->report_age_ms = -1;
   if (info->start_by_ms != 0)
--- a/lib/flow/forecast.c
+++ b/lib/flow/forecast.c
@@ -11,6 +11,10 @@
 #define ALIKE_PERCENT 25
 #define AGES_ALIKE 2
 
+/* Owners report at least this often.  One that is silent for longer may have stopped, so that its
+ * backlog isn't taken to shrink, and others go before it. */
+#define REPORT_EVERY_MS 300
+
 /* Work in core-milliseconds that goes before a task of LEVEL. */
 typedef struct
 {
@@ -59,10 +63,11 @@
   int64_t free_ms = told->next_free_ms;
   forecast_t forecast = { .age_ms = MAX (now_ms - load->heard_at_ms, 0) };
   int64_t age_ms = forecast.age_ms;
+  int64_t done_ms = MIN (age_ms, REPORT_EVERY_MS);
 
-  forecast.wait_ms = wait_for (ahead.timely, cores * task->share, free_ms, age_ms);
+  forecast.wait_ms = wait_for (ahead.timely, cores * task->share, free_ms, done_ms);
   if (forecast.wait_ms > slack_ms)
-    forecast.wait_ms = wait_for (ahead.all, cores * task->share, free_ms, age_ms);
+    forecast.wait_ms = wait_for (ahead.all, cores * task->share, free_ms, done_ms);
   forecast.end_ms = forecast.wait_ms + task->expected_ms;
 
   int64_t timely_ms = wait_for (ahead.timely, cores, free_ms, age_ms);
@@ -87,10 +92,17 @@
   load->sent_core_ms[fleet_load_level (task->priority)] += (int64_t) MIN (core_ms, INT32_MAX);
 }
 
+/* The end, and so much later as the owner's report is overdue. */
+static int64_t
+key_of (const forecast_t *forecast)
+{
+  return forecast->end_ms + MAX (forecast->age_ms - REPORT_EVERY_MS, 0);
+}
+
 static bool
 are_alike (const forecast_t *best, const forecast_t *other)
 {
-  int64_t between_ms = other->end_ms - best->end_ms;
+  int64_t between_ms = key_of (other) - key_of (best);
   int64_t age_ms = MAX (best->age_ms, other->age_ms);
 
   return between_ms <= MAX (other->end_ms * ALIKE_PERCENT / 100, age_ms * AGES_ALIKE);
@@ -106,9 +118,11 @@
     {
       if (i == except)
         continue;
-      bool earlier = best == count || places[i].forecast.end_ms < places[best].forecast.end_ms;
-      bool larger = best != count && places[i].forecast.end_ms == places[best].forecast.end_ms
-                    && places[i].cores_milli > places[best].cores_milli;
+      int64_t key_ms = key_of (&places[i].forecast);
+      int64_t best_ms = best != count ? key_of (&places[best].forecast) : INT64_MAX;
+      bool earlier = best == count || key_ms < best_ms;
+      bool larger =
+          best != count && key_ms == best_ms && places[i].cores_milli > places[best].cores_milli;
       if (earlier || larger)
         best = i;
     }
--- a/lib/flow/outlook.c
+++ b/lib/flow/outlook.c
@@ -105,7 +105,7 @@
   if (known && places->len > 0)
     {
       size_t at = forecast_choose ((const forecast_place_t *) (void *) places->data, places->len,
-                                   g_rand_int (flow->rand));
+                                   job->draw);
       best = shards->pdata[at];
       forecast_sent (load_of (best, job), &g_array_index (tasks, forecast_task_t, at));
     }
--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -38,6 +38,7 @@
   int64_t expected_wait_ms; /* on arrival; negative if nothing was known */
   int64_t report_age_ms;    /* likewise */
   int64_t start_limit_ms;   /* of its queue, from its arrival; 0 for none */
+  uint32_t draw; /* all its tasks are drawn alike: a job on few owners is lost with few */
   bool was_sent;
   bool may_have_run;
   bool ending; /* waits for confirmations of its end */
