--- a/daemon/site.c
+++ b/daemon/site.c
@@ -420,7 +420,7 @@
                             .data_centre = settings->data_centre,
                             .power = settings->power,
                             .apply_ms = settings->apply_ms,
-                            .evacuation_ms = settings->evacuation_ms,
+                            .drain_within_ms = settings->drain_within_ms,
                             .ops = &site_store_ops,
                             .user = site };
   site->store = store_new (site->client, &store, now_ms);
--- a/daemon/site_drain.c
+++ b/daemon/site_drain.c
@@ -236,7 +236,7 @@
 void
 drain_thawed (site_t *site, int64_t still_ms, int64_t now_ms)
 {
-  if (still_ms > site->settings->evacuation_ms / THAWED_PART)
+  if (still_ms > site->settings->drain_within_ms / THAWED_PART)
     store_refresh (site->store, now_ms);
 }
 
--- a/lib/flow/admission.c
+++ b/lib/flow/admission.c
@@ -18,9 +18,9 @@
 }
 
 int64_t
-admission_retry_ms (int64_t wait_ms, int64_t patience_ms, uint64_t hash)
+admission_retry_ms (int64_t wait_ms, int64_t caller_wait_ms, uint64_t hash)
 {
-  int64_t least_ms = wait_ms > patience_ms ? wait_ms - MAX (patience_ms, 0) : 0;
+  int64_t least_ms = wait_ms > caller_wait_ms ? wait_ms - MAX (caller_wait_ms, 0) : 0;
   int64_t spread_ms = wait_ms;
 
   if (wait_ms < 0)
--- a/lib/flow/admission.h
+++ b/lib/flow/admission.h
@@ -29,9 +29,9 @@
                               int64_t now_ms);
 
 /* A refused job's caller: the expected wait is WAIT_MS (negative if it is not known), and it would
- * have done with PATIENCE_MS.  HASH, of the job's id, spreads the callers over the time that the
+ * have done with CALLER_WAIT_MS.  HASH, of the job's id, spreads the callers over the time that the
  * backlog takes.  Returns 1 to ADMISSION_RETRY_MAX_MS. */
-int64_t admission_retry_ms (int64_t wait_ms, int64_t patience_ms, uint64_t hash);
+int64_t admission_retry_ms (int64_t wait_ms, int64_t caller_wait_ms, uint64_t hash);
 
 /* Callers wait for 28 s at the most. */
 #define ADMISSION_RETRY_MAX_MS 28000
--- a/lib/flow/outlook.c
+++ b/lib/flow/outlook.c
@@ -203,9 +203,10 @@
   int64_t own_ms = 0;
   bool known = best_of (flow, job, now_ms, &best, &own_ms);
   /* A caller that comes back waits as long as it did this time. */
-  int64_t patience_ms = info->deadline_at_ms - info->received_at_ms - (best.end_ms - best.wait_ms);
+  int64_t caller_wait_ms =
+      info->deadline_at_ms - info->received_at_ms - (best.end_ms - best.wait_ms);
 
   if (job->start_limit_ms != 0)
-    patience_ms = MIN (patience_ms, job->start_limit_ms);
-  return admission_retry_ms (known ? best.wait_ms : -1, patience_ms, hash_string (info->id));
+    caller_wait_ms = MIN (caller_wait_ms, job->start_limit_ms);
+  return admission_retry_ms (known ? best.wait_ms : -1, caller_wait_ms, hash_string (info->id));
 }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -45,7 +45,7 @@
 {
   const char *name;
   int64_t wait_ms;
-  int64_t patience_ms;
+  int64_t caller_wait_ms;
   int64_t least_ms; /* of 1,000 callers */
   int64_t most_ms;
 } retries[] = {
@@ -54,7 +54,7 @@
   { "a backlog longer than callers wait", 4000, 1500, 2500, 6500 },
   { "twice that", 8000, 1500, 6500, 14500 },
   { "a backlog of minutes", 200000, 1500, 28000, 28000 },
-  { "no patience", 1000, -500, 1000, 2000 },
+  { "no wait left", 1000, -500, 1000, 2000 },
 };
 
 /* Rejected callers came back together, a second later, whatever the backlog was. */
@@ -69,7 +69,7 @@
         {
           char *id = g_strdup_printf ("%016x", (unsigned) job);
           int64_t retry_ms =
-              admission_retry_ms (retries[i].wait_ms, retries[i].patience_ms, hash_string (id));
+              admission_retry_ms (retries[i].wait_ms, retries[i].caller_wait_ms, hash_string (id));
           least_ms = MIN (least_ms, retry_ms);
           most_ms = MAX (most_ms, retry_ms);
           g_free (id);
--- a/tests/test_fleet_days.h
+++ b/tests/test_fleet_days.h
@@ -34,15 +34,15 @@
   }
 
 /* Callers wait longer for longer jobs, as those of the users do. */
-#define DAY_PATIENT                                                                                \
+#define DAY_LONG_WAITS                                                                             \
   {                                                                                                \
-    "patient callers", { .length_ms = 40000, .mixed = true, .patient = true }                      \
+    "callers wait long", { .length_ms = 40000, .mixed = true, .long_waits = true }                 \
   }
-#define DAY_PATIENT_CRASHES                                                                        \
+#define DAY_LONG_WAITS_CRASHES                                                                     \
   {                                                                                                \
-    "patient callers, endpoints crash and hang",                                                   \
+    "callers wait long, endpoints crash and hang",                                                 \
     {                                                                                              \
-      .length_ms = 40000, .mixed = true, .patient = true, .endpoint_crashes = 20,                  \
+      .length_ms = 40000, .mixed = true, .long_waits = true, .endpoint_crashes = 20,               \
       .refusing = true, .hanging = 5                                                               \
     }                                                                                              \
   }
--- a/tests/test_fleet_parts.h
+++ b/tests/test_fleet_parts.h
@@ -23,8 +23,8 @@
 #define SLOW 1.7
 #define JOB_EVERY_MS 25
 #define DEADLINE_MS 1500
-/* Patient callers wait so many times a job's longest task, and DEADLINE_MS more. */
-#define PATIENCE 4
+/* Callers that wait long wait so many times a job's longest task, and DEADLINE_MS more. */
+#define WAIT_FACTOR 4
 #define ATTEMPTS_MAX 3
 #define NAME_CHARS 8
 
--- a/tests/test_fleet_run.h
+++ b/tests/test_fleet_run.h
@@ -37,7 +37,7 @@
     .target_ms = 60,
     .received_at_ms = world->now_ms,
     .deadline_at_ms = job->deadline_at_ms,
-    .start_by_ms = world->options->patient ? world->now_ms + DEADLINE_MS : 0,
+    .start_by_ms = world->options->long_waits ? world->now_ms + DEADLINE_MS : 0,
     .attempts_max = ATTEMPTS_MAX,
     .label = "",
     .near_rack = job->near_zone >= 0 ? zone_name (job->near_zone) : "",
@@ -103,11 +103,11 @@
 {
   int64_t longest_ms = 0;
 
-  if (!world->options->patient)
+  if (!world->options->long_waits)
     return DEADLINE_MS;
   for (int i = 0; i < job->tasks; i++)
     longest_ms = MAX (longest_ms, job->task_work_ms[i]);
-  return DEADLINE_MS + PATIENCE * longest_ms;
+  return DEADLINE_MS + WAIT_FACTOR * longest_ms;
 }
 
 static void
--- a/tests/test_fleet_short.c
+++ b/tests/test_fleet_short.c
@@ -4,7 +4,7 @@
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 
-static const day_case_t cases[] = { DAY_CALM, DAY_CRASHES, DAY_PATIENT, DAY_PATIENT_CRASHES };
+static const day_case_t cases[] = { DAY_CALM, DAY_CRASHES, DAY_LONG_WAITS, DAY_LONG_WAITS_CRASHES };
 
 /* SHORT: the largest jobs of a queue were hardly served where the others were. */
 static void
--- a/tests/test_fleet_sizes.c
+++ b/tests/test_fleet_sizes.c
@@ -4,8 +4,8 @@
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 
-static const day_case_t cases[] = { DAY_CALM, DAY_CRASHES, DAY_SILENCES, DAY_PATIENT,
-                                    DAY_PATIENT_CRASHES };
+static const day_case_t cases[] = { DAY_CALM, DAY_CRASHES, DAY_SILENCES, DAY_LONG_WAITS,
+                                    DAY_LONG_WAITS_CRASHES };
 
 /* No day is SHORT, and of the drafts that an oracle ends in time size costs at most a tenth. */
 static void
--- a/tests/test_fleet_world.h
+++ b/tests/test_fleet_world.h
@@ -54,8 +54,8 @@
   int clock_steps;      /* hosts whose time of day jumps, a second and host */
   int clock_step_ms;    /* by so much at the most, either way; 0 for 5 s */
   int racks;            /* jobs that run faster in one data centre */
-  bool mixed;   /* jobs of three queues with priorities, of very different sizes, with bursts */
-  bool patient; /* callers wait longer for longer jobs; their queues' time is as without it */
+  bool mixed;      /* jobs of three queues with priorities, of very different sizes, with bursts */
+  bool long_waits; /* callers wait longer for longer jobs; their queues' time is as without it */
 } world_options_t;
 
 /* Drafts of mixed jobs. */
