--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -134,4 +134,7 @@
 
 flow_action_t *flow_add (GArray *actions, flow_action_kind_t kind);
 
+/* Forgets a batch of a job, whose tasks are elsewhere or have ended. */
+void flow_drop_batch (flow_t *flow, batch_t *batch);
+
 #endif
