A returned task is not refused in the moment in which it finds no owner

Cause: a job was refused as having no owner when it was older than 300 ms and one of its tasks found no owner in that step, as after a drain of its data centre, whatever had come of it before. Change: the 300 ms count from when its tasks find no owner. test_flow "a returned task without an owner" fails before (1 of 2 rows) and passes.

--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -13,7 +13,8 @@
 
 #include <string.h>
 
-/* A job that finds no owner is refused after this. */
+/* A job whose tasks find no owner for this long is refused.  Owners whose data centre is used again
+ * after a drain offer their endpoints within it. */
 #define NO_OWNER_MS 300
 /* What a lost owner was given is given up if no other has taken over by then. */
 #define ORPHAN_MS 700
@@ -535,7 +536,10 @@
   spread_job (flow, job, now_ms, actions);
   /* What was just sent names the job, which must not end in the same step. */
   if (job->unplaced->len == 0 || actions->len > before)
-    return;
+    {
+      job->stuck_at_ms = 0;
+      return;
+    }
   if (is_drained_out (flow, job))
     {
       refuse (flow, job, FLOW_LIMIT_DRAINED, "every data centre with endpoints for it is drained",
@@ -544,7 +548,9 @@
     }
   bool hopeless =
       now_ms + (int64_t) (HOPELESS * (double) job->info.estimate_ms) > job->info.deadline_at_ms;
-  if (hopeless || now_ms - job->info.received_at_ms > NO_OWNER_MS)
+  if (job->stuck_at_ms == 0)
+    job->stuck_at_ms = now_ms;
+  if (hopeless || now_ms - job->stuck_at_ms > NO_OWNER_MS)
     refuse (flow, job, FLOW_LIMIT_OWNERS, "no owner of endpoints is known", now_ms, actions);
 }
 
--- a/lib/flow/state.h
+++ b/lib/flow/state.h
@@ -30,9 +30,10 @@
   flow_job_t info; /* with strings of its own */
   place_aim_t aim;
   flow_size_t size;
-  GArray *unplaced;   /* int32_t */
-  GPtrArray *batches; /* batch_t */
-  int32_t left;       /* tasks that are not done */
+  GArray *unplaced;    /* int32_t */
+  int64_t stuck_at_ms; /* since then no owner is there for these; 0 if one may be */
+  GPtrArray *batches;  /* batch_t */
+  int32_t left;        /* tasks that are not done */
   int32_t handovers;
   int32_t returns;
   int64_t expected_wait_ms; /* on arrival; negative if nothing was known */
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -574,6 +574,53 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  int64_t offered_at_ms; /* when the owner of "y" offers slots, after a return at 1,000 ms */
+  bool placed;
+} stuck_cases[] = {
+  { "an owner offers slots soon", 1250, true },
+  { "an owner offers slots too late", 1400, false },
+};
+
+/* A job that has been under way for long is not refused in the moment in which its returned task
+ * finds no owner. */
+static void
+test_returned_task_without_owner (void)
+{
+  const flow_options_t options = { "h", "z", 1000, 1.0 };
+  const fleet_offer_t offer = { "s", 4, 4, 1.0 };
+  const flow_job_t job = job_of (100);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (stuck_cases); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (flow_action_t));
+      flow_t *flow = flow_new (&options);
+
+      flow_owner (flow, "x", "hx", 1, 0, actions);
+      flow_owner (flow, "y", "hy", 1, 0, actions);
+      flow_offer (flow, "x", "hx", &offer, 1, 0);
+      flow_submit (flow, &job, 0, actions);
+      CU_ASSERT_EQUAL_FATAL (count_of (actions, FLOW_SUBMIT), 1);
+      flow_set_drained (flow, "x", true);
+      flow_task_ended (flow, "hx", g_array_index (actions, flow_action_t, 0).number, 0,
+                       FLOW_TASK_RETURNED, 1000, actions);
+      for (int64_t now_ms = 1000; now_ms <= 1400; now_ms += 10)
+        {
+          if (now_ms == stuck_cases[i].offered_at_ms)
+            flow_offer (flow, "y", "hy", &offer, 1, 0);
+          flow_step (flow, now_ms, actions);
+        }
+      if ((count_of (actions, FLOW_SUBMIT) == 2) != stuck_cases[i].placed)
+        printf ("  %s\n", stuck_cases[i].name);
+      CU_ASSERT_EQUAL (count_of (actions, FLOW_SUBMIT), stuck_cases[i].placed ? 2 : 1);
+      CU_ASSERT_EQUAL (count_of (actions, FLOW_ANSWER), stuck_cases[i].placed ? 0 : 1);
+      flow_free (flow);
+      free_actions (actions);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -588,6 +635,7 @@
   { "a large job to a slow owner", test_large_job_to_slow_owner },
   { "not run, after it was forgotten", test_not_run_after_forgotten },
   { "a release arrives", test_release_arrives },
+  { "a returned task without an owner", test_returned_task_without_owner },
   { "a job is admitted or refused on arrival", test_admission },
   { "a job that has begun is ended by its queue's time", test_queue_time },
 };
