Tests: blocks of ports that no two runs share

Cause: test_site took its ports from its process id (20000 + pid % 60 * 100, 200 for each case), so two runs met whenever their ids and cases fitted, and both met the ports 20000 to 29999 of tests/system and the fixed 28700 of test_soak. The soak already takes a block by listening on its last port.

Change: port_block.c does so for all three; test_site uses 30000 to 32699, test_soak 19600 to 19959. Checks are unchanged.

--- a/Makefile
+++ b/Makefile
@@ -78,11 +78,11 @@
 $(BUILD)/tests/system: $(call obj,$(SYS_SRC)) $(ARCHIVES)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $(call obj,$(SYS_SRC)) $(GROUP) $(PKG_LIBS) -lcunit
-$(BUILD)/tests/soak: $(call obj,$(SOAK_SRC) tests/site_call.c) $(ARCHIVES)
+$(BUILD)/tests/soak: $(call obj,$(SOAK_SRC) tests/site_call.c tests/port_block.c) $(ARCHIVES)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $(call obj,$(SOAK_SRC) tests/site_call.c) $(GROUP) $(PKG_LIBS)
+	$(CC) $(LDFLAGS) -o $@ $(call obj,$(SOAK_SRC) tests/site_call.c tests/port_block.c) $(GROUP) $(PKG_LIBS)
 # What tests use of the programs and of the soak.
-TESTED := $(call obj,tool/explain.c tests/site_call.c $(wildcard platform/*.c) \
+TESTED := $(call obj,tool/explain.c tests/site_call.c tests/port_block.c $(wildcard platform/*.c) \
                      $(filter-out %/main.c,$(SOAK_SRC)))
 $(BUILD)/tests/test_%: $(BUILD)/obj/tests/test_%.o $(TESTED) $(ARCHIVES)
 	@mkdir -p $(@D)
--- a/tests/soak/rig.c
+++ b/tests/soak/rig.c
@@ -24,9 +24,7 @@
 #define ROOM 4
 #define READY_MAX_MS 20000
 /* Runs side by side have ports of their own. */
-#define FIRST_PORT 10000
-#define PORTS_EACH 600
-#define PORT_SLOTS 16
+static const port_range_t soak_ports = { .first_port = 10000, .ports = 600, .blocks = 16 };
 #define TOKEN_TAG_MASK 255
 
 /* --- ports --- */
@@ -34,19 +32,19 @@
 int
 rig_log_port (const rig_t *rig)
 {
-  return rig->base_port;
+  return rig->ports.first_port;
 }
 
 int
 rig_endpoint_port (const rig_t *rig, int32_t endpoint)
 {
-  return rig->base_port + 1 + endpoint;
+  return rig->ports.first_port + 1 + endpoint;
 }
 
 int
 rig_caller_port (const rig_t *rig, int32_t host)
 {
-  return rig->base_port + 1 + rig->endpoints_count + host * PORTS_OF_HOST;
+  return rig->ports.first_port + 1 + rig->endpoints_count + host * PORTS_OF_HOST;
 }
 
 static int
@@ -359,22 +357,6 @@
   return true;
 }
 
-/* Takes the first ports that no other run has. */
-static bool
-take_ports (rig_t *rig)
-{
-  for (int i = 0; i < PORT_SLOTS; i++)
-    {
-      char *address = g_strdup_printf ("127.0.0.1:%d", FIRST_PORT + (i + 1) * PORTS_EACH - 1);
-      rig->base_port = FIRST_PORT + i * PORTS_EACH;
-      rig->lock_fd = socket_listen (address);
-      g_free (address);
-      if (rig->lock_fd >= 0)
-        return true;
-    }
-  return false;
-}
-
 bool
 rig_start (rig_t *rig)
 {
@@ -388,7 +370,7 @@
       rig->endpoints[i].zone = g_strdup (rig_zone_name (i % rig->zones));
       rig->endpoints[i].ledger = g_strdup_printf ("%s/e%d.ledger", rig->directory, (int) i);
     }
-  if (!take_ports (rig) || !open_doors (rig))
+  if (port_block_take (&soak_ports, &rig->ports) != 0 || !open_doors (rig))
     return false;
   start_log (rig);
   rig_put_config (rig);
@@ -425,7 +407,7 @@
       g_free (rig->endpoints[i].ledger);
     }
   end_process (&rig->log_pid);
-  close (rig->lock_fd);
+  port_block_free (&rig->ports);
   proxy_free (rig->proxy);
   if (keep)
     printf ("  logs and ledgers are kept in %s\n", rig->directory);
--- a/tests/soak/rig.h
+++ b/tests/soak/rig.h
@@ -6,6 +6,7 @@
 #ifndef SOAK_RIG_H
 #define SOAK_RIG_H
 
+#include "tests/port_block.h"
 #include "tests/soak/book.h"
 #include "tests/soak/plan.h"
 #include "tests/soak/proxy.h"
@@ -38,8 +39,7 @@
 {
   const char *programs; /* directory */
   char *directory;      /* settings, logs and ledgers */
-  int base_port;
-  int lock_fd; /* a listener that keeps other runs off these ports */
+  port_block_t ports;
   int32_t hosts_count;
   int32_t endpoints_count;
   int32_t zones;
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -5,6 +5,7 @@
  * The programs are expected in the parent of the directory of the test program.
  */
 #include "base/clock.h"
+#include "tests/port_block.h"
 #include "tests/site_call.h"
 
 #include <CUnit/Basic.h>
@@ -32,20 +33,25 @@
 #define SLOT_COUNT (3 * ENDPOINTS) /* the stand-in gives each endpoint room for three */
 
 static char *programs; /* the directory with jaytraild and fake_site */
-static int base_port;
+
+/* Each rig uses the first ports of its block for the stand-in, and those from FIRST_HOST_PORT on
+ * for the hosts. */
+static const port_range_t rig_ports = { .first_port = 30000, .ports = 150, .blocks = 18 };
+#define FIRST_HOST_PORT 100
 
 typedef struct
 {
   pid_t standin;
   pid_t hosts[HOSTS];
   char *directory;
-  int port;
+  port_block_t ports;
+  int port; /* of the stand-in */
 } rig_t;
 
 static int
 caller_port (const rig_t *rig, int host)
 {
-  return rig->port + 100 + host * PORTS_PER_HOST;
+  return rig->port + FIRST_HOST_PORT + host * PORTS_PER_HOST;
 }
 
 /* --- calls --- */
@@ -164,15 +170,16 @@
 static void
 rig_start (rig_t *rig)
 {
+  *rig = (rig_t){ 0 };
+  CU_ASSERT_EQUAL_FATAL (port_block_take (&rig_ports, &rig->ports), 0);
+  rig->port = rig->ports.first_port;
   char *program = g_strdup_printf ("%s/fake_site", programs);
-  char *listen = g_strdup_printf ("127.0.0.1:%d", base_port);
-  char *first = g_strdup_printf ("%d", base_port + 1);
+  char *listen = g_strdup_printf ("127.0.0.1:%d", rig->port);
+  char *first = g_strdup_printf ("%d", rig->port + 1);
   char *count = g_strdup_printf ("%d", ENDPOINTS);
   char *argv[] = { program,        "--listen", listen,           "--endpoints", count,
                    "--first-port", first,      "--data-centres", "x,y",         NULL };
 
-  *rig = (rig_t){ .port = base_port };
-  base_port += 200;
   rig->directory = g_dir_make_tmp ("jaytrail-site-XXXXXX", NULL);
   char *log = g_strdup_printf ("%s/site.log", rig->directory);
   rig->standin = site_run (argv, NULL, log);
@@ -210,6 +217,7 @@
   for (int i = 0; i < HOSTS; i++)
     end_process (&rig->hosts[i], SIGKILL);
   end_process (&rig->standin, SIGKILL);
+  port_block_free (&rig->ports);
   site_remove_directory (rig->directory);
   g_free (rig->directory);
 }
@@ -1165,8 +1173,6 @@
 
   signal (SIGPIPE, SIG_IGN);
   programs = g_build_filename (own, "..", NULL);
-  /* All ports of a run stay below 32768, where the ephemeral ports of the system begin. */
-  base_port = 20000 + (getpid () % 60) * 100;
   CU_initialize_registry ();
   CU_pSuite suite = CU_add_suite ("site", NULL, NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -4,6 +4,7 @@
  * is broken, or a fault nearby excuses it.
  */
 #include "base/clock.h"
+#include "tests/port_block.h"
 #include "tests/site_call.h"
 #include "tests/soak/book.h"
 #include "tests/soak/plan.h"
@@ -337,10 +338,14 @@
 static void
 test_proxy (void)
 {
+  static const port_range_t range = { .first_port = 19600, .ports = 20, .blocks = 18 };
+  port_block_t block;
+
+  CU_ASSERT_EQUAL_FATAL (port_block_take (&range, &block), 0);
   for (size_t i = 0; i < G_N_ELEMENTS (harms); i++)
     {
       proxy_t *proxy = proxy_new ();
-      int port = 28700 + (int) i;
+      int port = block.first_port + (int) i;
       char *address = g_strdup_printf ("127.0.0.1:%d", port);
       int listener = socket_listen (address);
       fcntl (listener, F_SETFL, 0);
@@ -362,6 +367,7 @@
       close (listener);
       g_free (address);
     }
+  port_block_free (&block);
 }
 
 static const struct
