lib/scheduler: job_end.c, timeouts.c and slots.c

scheduler.c (589 lines) held the end of a job and the timeouts as well, and assign.c and forecast_job.c each had their own test for what serves a job and their own sum over slots.

--- a/lib/scheduler/assign.c
+++ b/lib/scheduler/assign.c
@@ -30,12 +30,6 @@
   placement_tier_t tier;
 } slot_choice_t;
 
-static bool
-serves_job (const offer_row_t *offer, const scheduler_job_t *job)
-{
-  return strcmp (offer->service, job->service) == 0;
-}
-
 /* True if A is better than B.  Of slots with the same expected outcome those of the local data
  * centre come first: a job is lost if a data centre with a part of it is cut off.  Then the rule is
  * that by which an owner chooses an endpoint: the slowest slot that is fast enough, or the fastest
@@ -58,17 +52,6 @@
   return a->tier == PLACEMENT_SAFE ? a->ratio > b->ratio : a->ratio < b->ratio;
 }
 
-double
-assign_remote_factor (const scheduler_t *scheduler,
-                      const shard_t *shard,
-                      const scheduled_job_t *job)
-{
-  if (job->request.preferred_rack[0] == '\0')
-    return 1.0;
-  const char *home = g_hash_table_lookup (scheduler->shard_by_rack, job->request.preferred_rack);
-  return home == shard->name && job->returned_tasks == 0 ? 1.0 : scheduler->remote_factor;
-}
-
 /* True if tasks may be assigned to SHARD. */
 bool
 assign_accepts_tasks (const shard_t *shard)
@@ -90,22 +73,6 @@
   return true;
 }
 
-static int64_t
-expected_run_ms (double ratio, const scheduled_job_t *job)
-{
-  return (int64_t) (ratio * (double) job->request.estimate_ms);
-}
-
-bool
-assign_is_acceptable (double ratio,
-                      const scheduled_job_t *job,
-                      const placement_best_t *best_outcome,
-                      int64_t now_ms)
-{
-  return placement_is_acceptable (placement_tier (&job->aim, ratio, now_ms),
-                                  expected_run_ms (ratio, job), best_outcome);
-}
-
 /* Returns the best free slot for a task of JOB; its offer is NULL if there is none, or if the task
  * should rather wait.  *BEST_OUTCOME is set to the best that the task can expect if it waits. */
 static slot_choice_t
@@ -124,49 +91,27 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       shard_t *shard = value;
-      double remote_factor = assign_remote_factor (scheduler, shard, job);
+      double remote_factor = slots_remote_factor (scheduler, shard, job);
       bool trusted = trust_all || report_timing_overdue_ms (&shard->timing, now_ms) == 0;
       for (guint i = 0; assign_accepts_tasks (shard) && i < shard->offers->len; i++)
         {
           offer_row_t *offer = &g_array_index (shard->offers, offer_row_t, i);
-          if (offer->total_slots <= 0 || !serves_job (offer, &job->request))
+          if (!slots_serve_job (offer, job))
             continue;
           slot_choice_t candidate = { shard, offer, offer->duration_ratio * remote_factor,
                                       PLACEMENT_UNLIKELY };
           candidate.tier = placement_tier (&job->aim, candidate.ratio, now_ms);
-          placement_best_add (best_outcome, candidate.tier, expected_run_ms (candidate.ratio, job));
+          placement_best_add (best_outcome, candidate.tier,
+                              slots_expected_run_ms (candidate.ratio, job));
           if (offer->free_slots > 0 && trusted && is_better (scheduler, &candidate, &best))
             best = candidate;
         }
     }
-  if (best.offer != NULL && !assign_is_acceptable (best.ratio, job, best_outcome, now_ms))
+  if (best.offer != NULL && !slots_are_acceptable (best.ratio, job, best_outcome, now_ms))
     best = (slot_choice_t){ 0 };
   return best;
 }
 
-/* Returns the number of slots of SHARD, free or not, on which a task of JOB should start rather
- * than wait for the best outcome, which is BEST_OUTCOME. */
-static int32_t
-acceptable_slots (const scheduler_t *scheduler,
-                  const shard_t *shard,
-                  const scheduled_job_t *job,
-                  const placement_best_t *best_outcome,
-                  int64_t now_ms)
-{
-  double remote_factor = assign_remote_factor (scheduler, shard, job);
-  int32_t slots = 0;
-
-  for (guint i = 0; i < shard->offers->len; i++)
-    {
-      const offer_row_t *offer = &g_array_index (shard->offers, offer_row_t, i);
-      if (serves_job (offer, &job->request)
-          && assign_is_acceptable (offer->duration_ratio * remote_factor, job, best_outcome,
-                                   now_ms))
-        slots += offer->total_slots;
-    }
-  return slots;
-}
-
 /* Returns the shard with the fewest waiting tasks per acceptable slot; NULL if there is none. */
 static shard_t *
 shortest_queue (scheduler_t *scheduler,
@@ -183,7 +128,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       shard_t *shard = value;
-      int32_t slots = acceptable_slots (scheduler, shard, job, best_outcome, now_ms);
+      int32_t slots = slots_summarise (scheduler, shard, job, best_outcome, now_ms).acceptable;
       if (!assign_accepts_tasks (shard) || slots == 0)
         continue;
       double length = (double) (shard->waiting_tasks + 1) / slots;
--- a/lib/scheduler/forecast_job.c
+++ b/lib/scheduler/forecast_job.c
@@ -12,12 +12,6 @@
  * deadline. */
 #define MIN_RUN_FRACTION 0.6
 
-static bool
-serves_job (const offer_row_t *offer, const scheduled_job_t *job)
-{
-  return offer->total_slots > 0 && strcmp (offer->service, job->request.service) == 0;
-}
-
 static forecast_load_t *
 find_load (const shard_t *shard, const scheduled_job_t *job)
 {
@@ -30,44 +24,6 @@
   return NULL;
 }
 
-/* The slots of one shard for a job, free or not. */
-typedef struct
-{
-  int32_t total;
-  int32_t acceptable;
-  double total_speed; /* sum of 1 / duration ratio over the acceptable slots */
-  double min_ratio;
-} slot_summary_t;
-
-/* Counts the slots of SHARD for JOB.  All of them are acceptable if BEST_OUTCOME is NULL; else
- * those that a task should accept rather than wait for the best that BEST_OUTCOME names. */
-static slot_summary_t
-summarise_slots (const scheduler_t *scheduler,
-                 const shard_t *shard,
-                 const scheduled_job_t *job,
-                 const placement_best_t *best_outcome,
-                 int64_t now_ms)
-{
-  double remote_factor = assign_remote_factor (scheduler, shard, job);
-  slot_summary_t slots = { 0 };
-
-  for (guint i = 0; i < shard->offers->len; i++)
-    {
-      const offer_row_t *offer = &g_array_index (shard->offers, offer_row_t, i);
-      double ratio = MAX (offer->duration_ratio * remote_factor, G_MINFLOAT);
-      if (!serves_job (offer, job))
-        continue;
-      slots.total += offer->total_slots;
-      if (slots.min_ratio <= 0 || ratio < slots.min_ratio)
-        slots.min_ratio = ratio;
-      if (best_outcome != NULL && !assign_is_acceptable (ratio, job, best_outcome, now_ms))
-        continue;
-      slots.acceptable += offer->total_slots;
-      slots.total_speed += offer->total_slots / ratio;
-    }
-  return slots;
-}
-
 static forecast_task_t
 task_for_forecast (const scheduled_job_t *job, const slot_summary_t *slots)
 {
@@ -98,7 +54,7 @@
   for (guint i = 0; i < scheduler->shard_order->len; i++)
     {
       shard_t *shard = scheduler->shard_order->pdata[i];
-      slot_summary_t slots = summarise_slots (scheduler, shard, job, best_outcome, now_ms);
+      slot_summary_t slots = slots_summarise (scheduler, shard, job, best_outcome, now_ms);
       if (!assign_accepts_tasks (shard) || slots.acceptable == 0)
         continue;
       const forecast_load_t *load = find_load (shard, job);
@@ -145,7 +101,7 @@
   for (guint i = 0; i < scheduler->shard_order->len; i++)
     {
       const shard_t *shard = scheduler->shard_order->pdata[i];
-      slot_summary_t slots = summarise_slots (scheduler, shard, job, NULL, now_ms);
+      slot_summary_t slots = slots_summarise (scheduler, shard, job, NULL, now_ms);
       const forecast_load_t *load = find_load (shard, job);
       if (!assign_accepts_tasks (shard))
         continue;
@@ -175,13 +131,13 @@
   for (guint i = 0; i < scheduler->shard_order->len; i++)
     {
       const shard_t *shard = scheduler->shard_order->pdata[i];
-      double remote_factor = assign_remote_factor (scheduler, shard, job);
+      double remote_factor = slots_remote_factor (scheduler, shard, job);
       for (guint k = 0; assign_accepts_tasks (shard) && k < shard->offers->len; k++)
         {
           const offer_row_t *offer = &g_array_index (shard->offers, offer_row_t, k);
           double min_duration_ms = MIN_RUN_FRACTION * offer->duration_ratio * remote_factor
                                    * (double) job->request.estimate_ms;
-          if (serves_job (offer, job) && offer->free_slots > 0
+          if (slots_serve_job (offer, job) && offer->free_slots > 0
               && now_ms + (int64_t) min_duration_ms <= job->request.deadline_at_ms)
             return true;
         }
--- /dev/null
+++ b/lib/scheduler/job_end.c
@@ -0,0 +1,119 @@
+/* job_end.c -- how a job ends: its answer, and the cancellation of what owners have of it
+ *
+ * The answer "not run" requires a confirmation from every owner that was sent a part of the job.
+ * If an owner does not confirm in time, the job is answered as "given up" instead.
+ */
+#include "scheduler/state.h"
+
+#include <string.h>
+
+void
+scheduler_remove_job (scheduler_t *scheduler, scheduled_job_t *job)
+{
+  while (job->batches->len > 0)
+    scheduler_remove_batch (scheduler, job->batches->pdata[job->batches->len - 1]);
+  if (g_hash_table_lookup (scheduler->jobs_by_id, job->request.id) == job)
+    g_hash_table_remove (scheduler->jobs_by_id, job->request.id);
+  g_hash_table_remove (scheduler->jobs, &job->number);
+}
+
+/* Writes "host:tasks" for each owner that has open tasks of JOB. */
+static void
+format_owners (const scheduled_job_t *job, char *text, size_t size)
+{
+  size_t used = 0;
+
+  text[0] = '\0';
+  for (guint i = 0; i < job->batches->len && used < size; i++)
+    {
+      const job_batch_t *batch = job->batches->pdata[i];
+      if (batch->open_tasks->len > 0)
+        used += (size_t) g_snprintf (text + used, size - used, "%s%s:%u", used > 0 ? " " : "",
+                                     batch->host, batch->open_tasks->len);
+    }
+}
+
+void
+scheduler_answer_job (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
+{
+  scheduler_action_t *action = scheduler_add_action (actions, SCHEDULER_ANSWER);
+
+  action->outcome = job->outcome;
+  if (job->outcome == SCHEDULER_REFUSED && job->may_have_run)
+    action->outcome = SCHEDULER_GIVEN_UP;
+  action->user_data = job->request.user_data;
+  action->reason = job->reason;
+  action->limit = job->limit;
+  if (action->outcome == SCHEDULER_REFUSED)
+    action->retry_after_ms = forecast_job_retry_after_ms (scheduler, job, now_ms);
+  action->elapsed_ms = now_ms - job->request.received_at_ms;
+  action->late_by_ms = now_ms - job->aim.objective_at_ms;
+  action->job_id = g_string_chunk_insert (scheduler->answer_strings, job->request.id);
+  action->queue = g_string_chunk_insert (scheduler->answer_strings, job->request.queue);
+  action->expected_wait_ms = job->expected_wait_ms;
+  action->report_age_ms = job->report_age_ms;
+  action->tasks = job->request.tasks;
+  action->estimate_ms = job->request.estimate_ms;
+  action->size_class = job->size_class;
+  action->tasks_left = job->tasks_left;
+  action->handovers = job->handovers;
+  action->returned_tasks = job->returned_tasks;
+  format_owners (job, action->owners, sizeof action->owners);
+  scheduler_remove_job (scheduler, job);
+}
+
+void
+scheduler_cancel_batches (scheduler_t *scheduler,
+                          scheduled_job_t *job,
+                          int64_t now_ms,
+                          GArray *actions)
+{
+  for (guint i = 0; i < job->batches->len; i++)
+    {
+      job_batch_t *batch = job->batches->pdata[i];
+      batch->cancel_requested = true;
+      cancellations_add (scheduler, batch, SCHEDULER_CANCEL, now_ms, actions);
+    }
+}
+
+void
+scheduler_end_job (scheduler_t *scheduler,
+                   scheduled_job_t *job,
+                   scheduler_outcome_t outcome,
+                   scheduler_limit_t limit,
+                   const char *reason,
+                   int64_t now_ms,
+                   GArray *actions)
+{
+  if (job->end_pending)
+    return;
+  job->outcome = outcome;
+  job->reason = reason;
+  job->limit = limit;
+  scheduler_cancel_batches (scheduler, job, now_ms, actions);
+  if (outcome != SCHEDULER_REFUSED || job->may_have_run || job->batches->len == 0)
+    {
+      scheduler_answer_job (scheduler, job, now_ms, actions);
+      return;
+    }
+  job->end_pending = true;
+  job->confirm_by_ms = now_ms + SCHEDULER_CONFIRM_TIMEOUT_MS;
+}
+
+void
+scheduler_refuse_job (scheduler_t *scheduler,
+                      scheduled_job_t *job,
+                      scheduler_limit_t limit,
+                      const char *reason,
+                      int64_t now_ms,
+                      GArray *actions)
+{
+  scheduler_end_job (scheduler, job, SCHEDULER_REFUSED, limit, reason, now_ms, actions);
+}
+
+scheduler_limit_t
+scheduler_deadline_limit (const scheduled_job_t *job)
+{
+  return job->request.deadline_from_queue ? SCHEDULER_LIMIT_QUEUE_TIME
+                                          : SCHEDULER_LIMIT_CALLER_WAIT;
+}
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -121,18 +121,41 @@
 job_batch_t *assign_new_batch (scheduler_t *scheduler, scheduled_job_t *job, const shard_t *shard);
 void assign_send_batch (const scheduled_job_t *job, const job_batch_t *batch, GArray *actions);
 
-/* assign.c: the factor by which tasks of JOB take longer in SHARD if its data are elsewhere. */
-double assign_remote_factor (const scheduler_t *scheduler,
-                             const shard_t *shard,
-                             const scheduled_job_t *job);
+/* slots.c: true if OFFER has slots for tasks of JOB, free or not. */
+bool slots_serve_job (const offer_row_t *offer, const scheduled_job_t *job);
 
-/* assign.c: true if a task of JOB should start on a slot with the duration ratio RATIO rather than
+/* slots.c: the factor by which tasks of JOB take longer in SHARD if its data are elsewhere. */
+double slots_remote_factor (const scheduler_t *scheduler,
+                            const shard_t *shard,
+                            const scheduled_job_t *job);
+
+/* slots.c: expected duration of a task of JOB on a slot with the duration ratio RATIO. */
+int64_t slots_expected_run_ms (double ratio, const scheduled_job_t *job);
+
+/* slots.c: true if a task of JOB should start on a slot with the duration ratio RATIO rather than
  * wait for the best that BEST_OUTCOME names. */
-bool assign_is_acceptable (double ratio,
+bool slots_are_acceptable (double ratio,
                            const scheduled_job_t *job,
                            const placement_best_t *best_outcome,
                            int64_t now_ms);
 
+/* The slots of one shard for a job, free or not. */
+typedef struct
+{
+  int32_t total;
+  int32_t acceptable;
+  double total_speed; /* sum of 1 / duration ratio over the acceptable slots */
+  double min_ratio;
+} slot_summary_t;
+
+/* slots.c: counts the slots of SHARD for JOB.  All of them are acceptable if BEST_OUTCOME is NULL;
+ * else those that a task should accept rather than wait for the best that BEST_OUTCOME names. */
+slot_summary_t slots_summarise (const scheduler_t *scheduler,
+                                const shard_t *shard,
+                                const scheduled_job_t *job,
+                                const placement_best_t *best_outcome,
+                                int64_t now_ms);
+
 /* forecast_job.c: returns the shard whose owner a task of JOB that finds no free slot should go to,
  * and adds the task to the load of that owner.  NULL if there is none, or if an owner that could
  * run the task has not reported its load. */
@@ -157,6 +180,43 @@
                         GArray *actions);
 void cancellations_resend (scheduler_t *scheduler, int64_t now_ms, GArray *actions);
 
+/* job_end.c: owners confirm a cancellation within this time; a job does not wait longer for it. */
+#define SCHEDULER_CONFIRM_TIMEOUT_MS 60
+
+/* job_end.c: ends JOB before it is complete.  If it is refused, but its owners must first confirm
+ * that none of its tasks has run, the answer follows later.  REASON must be a static string. */
+void scheduler_end_job (scheduler_t *scheduler,
+                        scheduled_job_t *job,
+                        scheduler_outcome_t outcome,
+                        scheduler_limit_t limit,
+                        const char *reason,
+                        int64_t now_ms,
+                        GArray *actions);
+void scheduler_refuse_job (scheduler_t *scheduler,
+                           scheduled_job_t *job,
+                           scheduler_limit_t limit,
+                           const char *reason,
+                           int64_t now_ms,
+                           GArray *actions);
+
+/* job_end.c: answers JOB with its outcome, and frees it. */
+void scheduler_answer_job (scheduler_t *scheduler,
+                           scheduled_job_t *job,
+                           int64_t now_ms,
+                           GArray *actions);
+
+/* job_end.c: tells the owners of JOB to end its batches. */
+void scheduler_cancel_batches (scheduler_t *scheduler,
+                               scheduled_job_t *job,
+                               int64_t now_ms,
+                               GArray *actions);
+
+/* job_end.c: frees JOB without an answer. */
+void scheduler_remove_job (scheduler_t *scheduler, scheduled_job_t *job);
+
+/* job_end.c: returns the limit that the deadline of JOB stands for. */
+scheduler_limit_t scheduler_deadline_limit (const scheduled_job_t *job);
+
 /* scheduler.c: appends an empty action, which is valid until the next one is appended. */
 scheduler_action_t *scheduler_add_action (GArray *actions, scheduler_action_kind_t kind);
 
