test_site "backlog": the backlog stands before it is judged

The stand-in's endpoints of one data centre answered their start orders after 433 ms instead of the 80 ms that an owner waits, so that its owner took them for silent, and all further jobs queued at the other one. The short job then was admitted, rightly, to an owner without a backlog.

Change: the test submits jobs until the gauges of both owners show the tasks that four jobs leave waiting, and fails if twelve do not. What it checks of the refusals is unchanged.

--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -11,6 +11,7 @@
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib.h>
+#include <limits.h>
 #include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -1045,9 +1046,68 @@
     }
 }
 
-#define BACKLOG_JOBS 4
+#define BACKLOG_JOBS_MIN 4
+#define BACKLOG_JOBS_MAX 12
 #define BACKLOG_WORK_MS 4000
 #define BACKLOG_WAIT_MS 20000
+/* As many tasks wait at each of the two owners as it can run in twice BACKLOG_WORK_MS. */
+#define BACKLOG_TASKS SLOT_COUNT
+
+/* The gauge NAME of HOST; -1 if it is missing. */
+static int
+host_gauge (const rig_t *rig, int host, const char *name)
+{
+  site_response_t response = site_call (caller_port (rig, host) + 1, "GET", "/metrics", "");
+  char *line = g_strdup_printf ("\n%s ", name);
+  const char *at = strstr (response.body, line);
+  int value = at != NULL ? atoi (at + strlen (line)) : -1;
+
+  g_free (line);
+  return value;
+}
+
+/* The fewest tasks that wait at one of the owners of both shards; -1 if a shard has no owner. */
+static int
+least_backlog (const rig_t *rig)
+{
+  int least = INT_MAX;
+  int owned = 0;
+
+  for (int host = 0; host < HOSTS; host++)
+    {
+      int shards = host_gauge (rig, host, "jaytrail_shards_owned");
+      if (shards > 0)
+        least = MIN (least, host_gauge (rig, host, "jaytrail_tasks_waiting"));
+      owned += shards;
+    }
+  return owned == 2 ? least : -1;
+}
+
+/* Submits jobs until each owner has a backlog of BACKLOG_TASKS.  An owner gets none as long as its
+ * endpoints do not answer in time, which happens where the machine has much else to do.  Returns
+ * the number of jobs; FDS are their connections. */
+static int
+submit_backlog (const rig_t *rig, int *fds)
+{
+  char *body = job_body (SLOT_COUNT, BACKLOG_WORK_MS, "");
+  int jobs = 0;
+
+  while (jobs < BACKLOG_JOBS_MAX
+         && (jobs < BACKLOG_JOBS_MIN || least_backlog (rig) < BACKLOG_TASKS))
+    {
+      char *target = g_strdup_printf ("/b/00000000000000f%x", (unsigned) jobs);
+      fds[jobs] = site_connect ("127.0.0.1", caller_port (rig, 0));
+      site_send_request (fds[jobs], "POST", target, body, BACKLOG_WAIT_MS);
+      CU_ASSERT_TRUE (wait_for_number (rig, "running", SLOT_COUNT, 2000));
+      g_free (target);
+      jobs++;
+      if (jobs >= BACKLOG_JOBS_MIN)
+        clock_sleep_ms (500);
+    }
+  CU_ASSERT_TRUE (least_backlog (rig) >= BACKLOG_TASKS);
+  g_free (body);
+  return jobs;
+}
 
 /* Guards against a job that cannot be served in time waiting until its deadline, and against a
  * Retry-After of one second whatever the backlog.  It must be refused at once, with a Retry-After
@@ -1056,22 +1116,13 @@
 test_backlog (void)
 {
   rig_t rig;
-  int fds[BACKLOG_JOBS];
-  char *body = job_body (SLOT_COUNT, BACKLOG_WORK_MS, "");
+  int fds[BACKLOG_JOBS_MAX];
   char *short_body = job_body (1, 1000, "");
 
   rig_start (&rig);
   put_queue (&rig, 4, "/b/", BACKLOG_WAIT_MS);
   CU_ASSERT_TRUE (wait_for_queue (&rig, "/b/", 2000));
-  for (int i = 0; i < BACKLOG_JOBS; i++)
-    {
-      char *target = g_strdup_printf ("/b/00000000000000f%d", i);
-      fds[i] = site_connect ("127.0.0.1", caller_port (&rig, 0));
-      site_send_request (fds[i], "POST", target, body, BACKLOG_WAIT_MS);
-      CU_ASSERT_TRUE (wait_for_number (&rig, "running", SLOT_COUNT, 2000));
-      g_free (target);
-    }
-  clock_sleep_ms (500);
+  int jobs = submit_backlog (&rig, fds);
   for (int host = 0; host < 2; host++)
     {
       char *target = g_strdup_printf ("/b/00000000000000b%d", host);
@@ -1083,10 +1134,9 @@
       CU_ASSERT_PTR_NOT_NULL (strstr (response.body, "backlog"));
       g_free (target);
     }
-  for (int i = 0; i < BACKLOG_JOBS; i++)
+  for (int i = 0; i < jobs; i++)
     close (fds[i]);
   g_free (short_body);
-  g_free (body);
   rig_stop (&rig);
 }
 
