--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -493,11 +493,8 @@
           || now_ms - owned->offer_sent_at_ms > OFFER_INTERVAL_MAX_MS)
         {
           owned->offer_sent_at_ms = now_ms;
-          scheduler_set_offers (site->scheduler, owned->name, site->host,
-                                (const executor_offer_t *) (void *) offers->data, offers->len,
-                                totals.waiting);
-          scheduler_set_loads (site->scheduler, owned->name, site->host,
-                               (const executor_load_t *) (void *) loads->data, loads->len, now_ms);
+          const scheduler_report_t report = { offers, loads, totals.waiting };
+          scheduler_set_report (site->scheduler, owned->name, site->host, &report, now_ms);
           peers_send_all (site, g_bytes_ref (offer));
           g_clear_pointer (&owned->last_offer, g_bytes_unref);
           owned->last_offer = g_bytes_ref (offer);
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -211,12 +211,8 @@
 
   if (executor_msg_read_offer (reader, &offer) != 0)
     return;
-  scheduler_set_offers (site->scheduler, offer.shard, host,
-                        (const executor_offer_t *) (void *) offer.offers->data, offer.offers->len,
-                        offer.waiting);
-  scheduler_set_loads (site->scheduler, offer.shard, host,
-                       (const executor_load_t *) (void *) offer.loads->data, offer.loads->len,
-                       clock_boot_ms ());
+  const scheduler_report_t report = { offer.offers, offer.loads, offer.waiting };
+  scheduler_set_report (site->scheduler, offer.shard, host, &report, clock_boot_ms ());
   executor_offer_msg_clear (&offer);
 }
 
--- a/lib/scheduler/owners.c
+++ b/lib/scheduler/owners.c
@@ -52,50 +52,50 @@
     shard->drained = drained;
 }
 
-void
-scheduler_set_offers (scheduler_t *scheduler,
-                      const char *name,
-                      const char *host,
-                      const executor_offer_t *offers,
-                      size_t count,
-                      int32_t waiting)
+static void
+set_offers (shard_t *shard, const GArray *offers)
 {
-  shard_t *shard = find_shard (scheduler, name);
-
-  if (shard->owner != g_intern_string (host))
-    return;
   g_array_set_size (shard->offers, 0);
-  for (size_t i = 0; i < count; i++)
+  for (guint i = 0; i < offers->len; i++)
+    {
+      const executor_offer_t *offer = &g_array_index (offers, executor_offer_t, i);
+      offer_row_t row = { g_intern_string (offer->service), offer->slots_free, offer->slots_total,
+                          offer->duration_ratio };
+      g_array_append_val (shard->offers, row);
+      g_hash_table_add (shard->services, (void *) row.service);
+    }
+}
+
+static void
+set_loads (shard_t *shard, const GArray *loads, int64_t now_ms)
+{
+  g_array_set_size (shard->loads, 0);
+  shard->has_loads = true;
+  for (guint i = 0; i < loads->len; i++)
     {
-      offer_row_t offer = { g_intern_string (offers[i].service), offers[i].slots_free,
-                            offers[i].slots_total, offers[i].duration_ratio };
-      g_array_append_val (shard->offers, offer);
-      g_hash_table_add (shard->services, (void *) offer.service);
+      const executor_load_t *report = &g_array_index (loads, executor_load_t, i);
+      forecast_load_t load = { .report = *report, .received_at_ms = now_ms };
+      load.report.service = g_intern_string (report->service);
+      g_array_append_val (shard->loads, load);
     }
-  shard->waiting_tasks = waiting;
 }
 
 void
-scheduler_set_loads (scheduler_t *scheduler,
-                     const char *name,
-                     const char *host,
-                     const executor_load_t *loads,
-                     size_t count,
-                     int64_t now_ms)
+scheduler_set_report (scheduler_t *scheduler,
+                      const char *name,
+                      const char *host,
+                      const scheduler_report_t *report,
+                      int64_t now_ms)
 {
   shard_t *shard = find_shard (scheduler, name);
 
   if (shard->owner != g_intern_string (host))
     return;
-  g_array_set_size (shard->loads, 0);
+  set_offers (shard, report->offers);
+  shard->waiting_tasks = report->waiting_tasks;
+  if (report->loads != NULL)
+    set_loads (shard, report->loads, now_ms);
   report_timing_add (&shard->timing, now_ms);
-  shard->has_loads = true;
-  for (size_t i = 0; i < count; i++)
-    {
-      forecast_load_t load = { .report = loads[i], .received_at_ms = now_ms };
-      load.report.service = g_intern_string (loads[i].service);
-      g_array_append_val (shard->loads, load);
-    }
 }
 
 /* Returns the time within which the runs of a batch end after its owner has dropped the batch. */
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -141,25 +141,22 @@
 /* Ends the job with ID and answers it as cancelled.  Returns false if it is not on this host. */
 bool scheduler_cancel (scheduler_t *scheduler, const char *id, int64_t now_ms, GArray *actions);
 
-/* Replaces what HOST, as the owner of SHARD, offers by COUNT OFFERS.  WAITING is the number of
- * tasks that are queued there.  Ignored if HOST does not own SHARD. */
-void scheduler_set_offers (scheduler_t *scheduler,
+/* What an owner reports of one shard. */
+typedef struct
+{
+  const GArray *offers; /* executor_offer_t */
+  const GArray *loads;  /* executor_load_t, one for each service; NULL if it has reported no load */
+  int32_t waiting_tasks; /* queued there */
+} scheduler_report_t;
+
+/* Replaces the report of HOST, as the owner of SHARD, by REPORT, which was received at NOW_MS.
+ * Ignored if HOST does not own SHARD.  As long as an owner has not reported any load, tasks are
+ * assigned by its number of waiting tasks, and no job is refused because of a backlog. */
+void scheduler_set_report (scheduler_t *scheduler,
                            const char *shard,
                            const char *host,
-                           const executor_offer_t *offers,
-                           size_t count,
-                           int32_t waiting);
-
-/* Replaces the load report of HOST, as the owner of SHARD, which was received at NOW_MS: one entry
- * of LOADS for each of its services.  Ignored if HOST does not own SHARD.  As long as an owner has
- * not reported any load, tasks are assigned by its number of waiting tasks, and no job is refused
- * because of a backlog. */
-void scheduler_set_loads (scheduler_t *scheduler,
-                          const char *shard,
-                          const char *host,
-                          const executor_load_t *loads,
-                          size_t count,
-                          int64_t now_ms);
+                           const scheduler_report_t *report,
+                           int64_t now_ms);
 
 /* Records that endpoints of RACK belong to SHARD. */
 void scheduler_set_rack_shard (scheduler_t *scheduler, const char *rack, const char *shard);
--- a/lib/scheduler/scheduler_example.c
+++ b/lib/scheduler/scheduler_example.c
@@ -21,11 +21,13 @@
                                 .attempts_max = 3,
                                 .label = "",
                                 .preferred_rack = "" };
+  GArray *offers = g_array_new (FALSE, FALSE, sizeof (executor_offer_t));
   GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
   scheduler_t *scheduler = scheduler_new (&options);
 
   scheduler_set_owner (scheduler, "x", "h2", 7, 0, actions);
-  scheduler_set_offers (scheduler, "x", "h2", &offer, 1, 0);
+  g_array_append_val (offers, offer);
+  scheduler_set_report (scheduler, "x", "h2", &(scheduler_report_t){ offers, NULL, 0 }, 0);
   scheduler_submit (scheduler, &job, 0, actions);
   const scheduler_action_t *submit = &g_array_index (actions, scheduler_action_t, 0);
   uint64_t batch = submit->batch_number;
@@ -39,5 +41,6 @@
           (int) answer->elapsed_ms);
   scheduler_free (scheduler);
   g_array_unref (actions);
+  g_array_unref (offers);
   return 0;
 }
--- a/tests/test_assign.c
+++ b/tests/test_assign.c
@@ -6,6 +6,7 @@
  * a cut while it has unfinished tasks in another data centre than that of its coordinator.
  */
 #include "scheduler/scheduler.h"
+#include "tests/test_scheduler_report.h"
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
@@ -244,10 +245,8 @@
       };
       for (int i = 0; i < DATA_CENTRES; i++)
         {
-          scheduler_set_offers (world->schedulers[i], data_centres[k], data_centres[k], offers,
-                                G_N_ELEMENTS (offers), (int32_t) world->waiting[k]->length);
-          scheduler_set_loads (world->schedulers[i], data_centres[k], data_centres[k], &load, 1,
-                               now_ms);
+          report_offers (world->schedulers[i], data_centres[k], data_centres[k], offers,
+                         G_N_ELEMENTS (offers), &load, now_ms);
         }
     }
 }
--- a/tests/test_report_timing.c
+++ b/tests/test_report_timing.c
@@ -3,6 +3,7 @@
  */
 #include "scheduler/report_timing.h"
 #include "scheduler/scheduler.h"
+#include "tests/test_scheduler_report.h"
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
@@ -79,8 +80,7 @@
   const executor_offer_t offer = { "s", SLOTS, SLOTS, 1.0 };
   const executor_load_t load = { .service = "s", .cores_milli = SLOTS * 1000 };
 
-  scheduler_set_offers (scheduler, shard, shard, &offer, 1, 0);
-  scheduler_set_loads (scheduler, shard, shard, &load, 1, now_ms);
+  report_offers (scheduler, shard, shard, &offer, 1, &load, now_ms);
 }
 
 static void
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -1,6 +1,7 @@
 /* test_scheduler.c -- single decisions of lib/scheduler on scripted events */
 #include "scheduler/scheduler.h"
 #include "scheduler/size_history.h"
+#include "tests/test_scheduler_report.h"
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
@@ -97,8 +98,8 @@
 
       scheduler_set_owner (scheduler, "x", "hx", 1, 0, actions);
       scheduler_set_owner (scheduler, "y", "hy", 1, 0, actions);
-      scheduler_set_offers (scheduler, "x", "hx", &fast, 1, 0);
-      scheduler_set_offers (scheduler, "y", "hy", &slow, 1, 0);
+      report_offers (scheduler, "x", "hx", &fast, 1, NULL, 0);
+      report_offers (scheduler, "y", "hy", &slow, 1, NULL, 0);
       scheduler_submit (scheduler, &job, 0, actions);
       CU_ASSERT_EQUAL_FATAL (actions->len, 1);
       const scheduler_action_t *submit = &g_array_index (actions, scheduler_action_t, 0);
@@ -143,7 +144,7 @@
   scheduler_t *scheduler = scheduler_new (&options);
 
   scheduler_set_owner (scheduler, "x", "hx", 1, 0, actions);
-  scheduler_set_offers (scheduler, "x", "hx", &offer, 1, 0);
+  report_offers (scheduler, "x", "hx", &offer, 1, NULL, 0);
   scheduler_submit (scheduler, &job, 0, actions);
   return scheduler;
 }
@@ -281,8 +282,8 @@
       job.deadline_at_ms = 8000;
       scheduler_set_owner (scheduler, "x", "hx", 1, 0, actions);
       scheduler_set_owner (scheduler, "y", "hy", 1, 0, actions);
-      scheduler_set_offers (scheduler, "x", "hx", &offer, 1, 0);
-      scheduler_set_offers (scheduler, "y", "hy", &offer, 1, 0);
+      report_offers (scheduler, "x", "hx", &offer, 1, NULL, 0);
+      report_offers (scheduler, "y", "hy", &offer, 1, NULL, 0);
       scheduler_submit (scheduler, &job, 0, actions);
       CU_ASSERT_EQUAL_FATAL (count_of (actions, SCHEDULER_SUBMIT), 2);
       for (guint k = 0; k < 2; k++)
@@ -357,10 +358,10 @@
             bool empty = drained_after_offers == 0
                          && g_strv_contains ((const char *const *) names, shards[k]);
             scheduler_set_owner (scheduler, shards[k], "o", 1, 0, actions);
-            scheduler_set_offers (scheduler, shards[k], "o", empty ? &drained_offer : &offer, 1, 0);
+            report_offers (scheduler, shards[k], "o", empty ? &drained_offer : &offer, 1, NULL, 0);
           }
         scheduler_set_owner (scheduler, "z", "o", 1, 0, actions);
-        scheduler_set_offers (scheduler, "z", "o", &other, 1, 0);
+        report_offers (scheduler, "z", "o", &other, 1, NULL, 0);
         for (char **name = names; drained_after_offers == 1 && *name != NULL; name++)
           scheduler_set_drained (scheduler, *name, true);
         CU_ASSERT_TRUE (scheduler_has_offers (scheduler));
@@ -384,7 +385,7 @@
         for (char **name = names; *name != NULL; name++)
           scheduler_set_drained (scheduler, *name, false);
         for (size_t k = 0; k < G_N_ELEMENTS (shards); k++)
-          scheduler_set_offers (scheduler, shards[k], "o", &offer, 1, 0);
+          report_offers (scheduler, shards[k], "o", &offer, 1, NULL, 0);
         guint before = actions->len;
         scheduler_job_t again = make_job (100);
         again.id = "k";
@@ -445,7 +446,7 @@
       if (returned_cases[i].other)
         {
           scheduler_set_owner (scheduler, "y", "hy", 1, 0, actions);
-          scheduler_set_offers (scheduler, "y", "hy", &offer, 1, 0);
+          report_offers (scheduler, "y", "hy", &offer, 1, NULL, 0);
         }
       scheduler_set_drained (scheduler, "x", true);
       scheduler_task_ended (scheduler, "hx", number, 0, returned_cases[i].how, 10, actions);
@@ -481,7 +482,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (shards); i++)
     {
       scheduler_set_owner (scheduler, shards[i], shards[i], 1, 0, actions);
-      scheduler_set_offers (scheduler, shards[i], shards[i], &full, 1, 0);
+      report_offers (scheduler, shards[i], shards[i], &full, 1, NULL, 0);
     }
   for (int i = 0; i < LOAD_JOBS; i++)
     {
@@ -571,13 +572,12 @@
 
       scheduler_set_owner (scheduler, "x", "hx", 1, 0, actions);
       scheduler_set_owner (scheduler, "y", "hy", 1, 0, actions);
-      scheduler_set_offers (scheduler, "x", "hx", &offer, 1, 0);
-      scheduler_set_offers (scheduler, "y", "hy", &offer, 1, 0);
+      int64_t reported_at_ms = admission_cases[i].reported_at_ms;
       load.backlog_core_ms[0] = admission_cases[i].backlog_ms[0] * 4;
-      scheduler_set_loads (scheduler, "x", "hx", &load, 1, admission_cases[i].reported_at_ms);
+      report_offers (scheduler, "x", "hx", &offer, 1, &load, reported_at_ms);
       load.backlog_core_ms[0] = admission_cases[i].backlog_ms[1] * 4;
-      if (admission_cases[i].second_reported)
-        scheduler_set_loads (scheduler, "y", "hy", &load, 1, admission_cases[i].reported_at_ms);
+      report_offers (scheduler, "y", "hy", &offer, 1,
+                     admission_cases[i].second_reported ? &load : NULL, reported_at_ms);
       scheduler_submit (scheduler, &job, 0, actions);
       CU_ASSERT_EQUAL_FATAL (actions->len, 1);
       const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, 0);
@@ -621,7 +621,7 @@
 
       scheduler_set_owner (scheduler, "x", "hx", 1, 0, actions);
       scheduler_set_owner (scheduler, "y", "hy", 1, 0, actions);
-      scheduler_set_offers (scheduler, "x", "hx", &offer, 1, 0);
+      report_offers (scheduler, "x", "hx", &offer, 1, NULL, 0);
       scheduler_submit (scheduler, &job, 0, actions);
       CU_ASSERT_EQUAL_FATAL (count_of (actions, SCHEDULER_SUBMIT), 1);
       scheduler_set_drained (scheduler, "x", true);
@@ -631,7 +631,7 @@
       for (int64_t now_ms = 1000; now_ms <= 1400; now_ms += 10)
         {
           if (now_ms == no_owner_cases[i].offered_at_ms)
-            scheduler_set_offers (scheduler, "y", "hy", &offer, 1, 0);
+            report_offers (scheduler, "y", "hy", &offer, 1, NULL, 0);
           scheduler_step (scheduler, now_ms, actions);
         }
       if ((count_of (actions, SCHEDULER_SUBMIT) == 2) != no_owner_cases[i].assigned)
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -395,12 +395,10 @@
           receive_task_end (host, message);
           break;
         case MESSAGE_OFFERS:
-          scheduler_set_offers (host->scheduler, message->shard, message->from->name,
-                                (const executor_offer_t *) (void *) message->offers->data,
-                                message->offers->len, message->waiting);
-          scheduler_set_loads (host->scheduler, message->shard, message->from->name,
-                               (const executor_load_t *) (void *) message->loads->data,
-                               message->loads->len, sim->now_ms);
+          scheduler_set_report (
+              host->scheduler, message->shard, message->from->name,
+              &(scheduler_report_t){ message->offers, message->loads, message->waiting },
+              sim->now_ms);
           break;
         case MESSAGE_HEARTBEAT:
         default:
