--- a/bench/membership.c
+++ b/bench/membership.c
@@ -53,7 +53,7 @@
       bool gone = true;
       view_sim_run (world, VIEW_SIM_STEP_MS);
       for (int32_t i = 0; i < HOSTS - 1; i++)
-        gone = gone && view_seat_named (view_sim_view (world, i), "h07") < 0;
+        gone = gone && view_slot_named (view_sim_view (world, i), "h07") < 0;
       if (gone)
         break;
     }
--- a/daemon/part_claim.c
+++ b/daemon/part_claim.c
@@ -111,9 +111,9 @@
         case CLAIM_ACTION_DONE:
           report_result (claim, action);
           break;
-        case CLAIM_ACTION_SEAT_MOVED:
-          log_info ("claim", "A seat was transferred to another host.", NULL);
-          part_view_announce_seat_transfer (claim->view, action->view);
+        case CLAIM_ACTION_SLOT_MOVED:
+          log_info ("claim", "A slot was transferred to another host.", NULL);
+          part_view_announce_slot_transfer (claim->view, action->view);
           break;
         }
     }
@@ -218,7 +218,7 @@
   replica_status_t status;
 
   claim_replica_status (claim->replica, &status);
-  if (status.seat_transferred || !part_view_has_remaining_peer (claim->view))
+  if (status.slot_transferred || !part_view_has_remaining_peer (claim->view))
     return true;
   if (part_view_is_member (claim->view))
     return false;
@@ -256,7 +256,7 @@
   json_object_object_add (section, "handovers_due", json_object_new_int64 (replica.handovers_due));
   json_object_object_add (section, "settled", json_object_new_boolean (replica.view_complete));
   json_object_object_add (section, "contact", json_object_new_boolean (contact));
-  json_object_object_add (section, "sealed", json_object_new_boolean (replica.seat_transferred));
+  json_object_object_add (section, "sealed", json_object_new_boolean (replica.slot_transferred));
   json_object_object_add (
       section, "own", json_object_new_int64 (claim_coordinator_own_key_count (claim->coordinator)));
   json_object_object_add (status, "claim", section);
@@ -280,9 +280,9 @@
 }
 
 static void
-on_offer_seat (const char *successor, void *data)
+on_offer_slot (const char *successor, void *data)
 {
-  replica_step (data, &(replica_event_t){ .kind = REPLICA_TRANSFER_SEAT, .successor = successor });
+  replica_step (data, &(replica_event_t){ .kind = REPLICA_TRANSFER_SLOT, .successor = successor });
 }
 
 static view_t *
@@ -323,7 +323,7 @@
   claim->members_by_host =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) member_unref);
   init_counters (claim);
-  part_view_listener_t listener = { on_view, on_offer_seat, claim };
+  part_view_listener_t listener = { on_view, on_offer_slot, claim };
   part_view_set_listener (view, &listener);
   return &claim->part;
 }
--- a/daemon/part_view.c
+++ b/daemon/part_view.c
@@ -49,10 +49,10 @@
 log_view (const view_t *changed)
 {
   g_autofree char *number = g_strdup_printf ("%" G_GINT64_FORMAT, changed->number);
-  g_autofree char *seats = g_strdup_printf ("%d", changed->count);
+  g_autofree char *slots = g_strdup_printf ("%d", changed->count);
 
   log_info ("view", "A new view is in force.", "data_centre", changed->data_centre, "number",
-            number, "members", seats, NULL);
+            number, "members", slots, NULL);
 }
 
 static void
@@ -64,7 +64,7 @@
   log_view (changed);
   for (int32_t i = 0; i < changed->count; i++)
     {
-      const member_t *member = changed->seats[i].occupant;
+      const member_t *member = changed->slots[i].occupant;
       if (!member_equal (member, view->self))
         daemon_add_address (daemon, member->address, member->data_centre);
     }
@@ -97,9 +97,9 @@
     case MEMBERSHIP_VIEW_CHANGED:
       on_view_changed (view, action->view, action->base);
       break;
-    case MEMBERSHIP_OFFER_SEAT:
-      if (view->listener.offer_seat != NULL)
-        view->listener.offer_seat (action->to, view->listener.data);
+    case MEMBERSHIP_OFFER_SLOT:
+      if (view->listener.offer_slot != NULL)
+        view->listener.offer_slot (action->to, view->listener.data);
       break;
     }
 }
@@ -164,8 +164,8 @@
   view->listed_view = view_ref (current);
   g_ptr_array_set_size (view->members, 0);
   for (int32_t i = 0; i < current->count; i++)
-    g_ptr_array_add (view->members, current->seats[i].occupant->id);
-  if (view_seat_of_host (current, view->self->id) < 0)
+    g_ptr_array_add (view->members, current->slots[i].occupant->id);
+  if (view_slot_of_host (current, view->self->id) < 0)
     g_ptr_array_add (view->members, view->self->id);
 }
 
@@ -306,10 +306,10 @@
 }
 
 void
-part_view_announce_seat_transfer (part_t *part, view_t *view)
+part_view_announce_slot_transfer (part_t *part, view_t *view)
 {
   step ((part_view_t *) part,
-        &(membership_event_t){ .kind = MEMBERSHIP_SEAT_TRANSFERRED, .view = view });
+        &(membership_event_t){ .kind = MEMBERSHIP_SLOT_TRANSFERRED, .view = view });
 }
 
 bool
--- a/daemon/part_view.h
+++ b/daemon/part_view.h
@@ -38,14 +38,14 @@
 {
   /* VIEW is the new view of this data centre.  BASE is its predecessor, or NULL if unknown. */
   void (*view_changed) (view_t *view, view_t *base, void *data);
-  /* This host leaves while the log is unavailable: offer its seat to SUCCESSOR. */
-  void (*offer_seat) (const char *successor, void *data);
+  /* This host leaves while the log is unavailable: offer its slot to SUCCESSOR. */
+  void (*offer_slot) (const char *successor, void *data);
   void *data;
 } part_view_listener_t;
 void part_view_set_listener (part_t *part, const part_view_listener_t *listener);
 
-/* Announces VIEW of this data centre, in which a seat was transferred, to all hosts. */
-void part_view_announce_seat_transfer (part_t *part, view_t *view);
+/* Announces VIEW of this data centre, in which a slot was transferred, to all hosts. */
+void part_view_announce_slot_transfer (part_t *part, view_t *view);
 
 /* True if another host of this data centre is connected and is not leaving. */
 bool part_view_has_remaining_peer (part_t *part);
--- a/lib/claim/attempt.c
+++ b/lib/claim/attempt.c
@@ -36,7 +36,7 @@
 const char *
 attempt_replica_host (const operation_t *operation, int32_t index)
 {
-  return operation->view->seats[operation->replicas[index].seat].occupant->id;
+  return operation->view->slots[operation->replicas[index].slot].occupant->id;
 }
 
 static claim_msg_t *
--- a/lib/claim/claim.h
+++ b/lib/claim/claim.h
@@ -56,7 +56,7 @@
 {
   CLAIM_ACTION_SEND,      /* send MSG to host TO */
   CLAIM_ACTION_DONE,      /* an operation of the coordinator has ended */
-  CLAIM_ACTION_SEAT_MOVED /* a seat of VIEW has a new occupant; announce VIEW */
+  CLAIM_ACTION_SLOT_MOVED /* a slot of VIEW has a new occupant; announce VIEW */
 } claim_action_kind_t;
 
 /* Result of an operation of the coordinator. */
@@ -80,7 +80,7 @@
   claim_done_result_t result; /* DONE */
   member_t *holder;           /* DONE with HELD or REUSED: the claimant */
   void *user_data;            /* DONE: the pointer given with the operation */
-  view_t *view;               /* SEAT_MOVED */
+  view_t *view;               /* SLOT_MOVED */
 } claim_action_t;
 
 /* Returns an empty array of claim_action_t pointers that frees its elements. */
--- a/lib/claim/claim_msg.c
+++ b/lib/claim/claim_msg.c
@@ -147,7 +147,7 @@
   frame_put_uint (writer, reply->request_id);
   frame_put_uint (writer, reply->incarnation);
   frame_put_int (writer, reply->view_number);
-  frame_put_string (writer, reply->seat);
+  frame_put_string (writer, reply->slot);
   frame_put_int (writer, reply->result);
   put_holders (writer, reply->holders, reply->holder_count);
 }
@@ -160,7 +160,7 @@
   reply->request_id = frame_get_uint (reader);
   reply->incarnation = frame_get_uint (reader);
   reply->view_number = frame_get_int (reader);
-  reply->seat = get_name (reader);
+  reply->slot = get_name (reader);
   reply->result = (claim_reply_result_t) frame_get_range (reader, 0, CLAIM_REPLY_LAST);
   return get_holders (reader, reply->holders, &reply->holder_count);
 }
@@ -168,7 +168,7 @@
 static void
 reply_clear (claim_msg_t *msg)
 {
-  g_free (msg->u.reply.seat);
+  g_free (msg->u.reply.slot);
   claim_holders_clear (msg->u.reply.holders, msg->u.reply.holder_count);
 }
 
@@ -227,7 +227,7 @@
 {
   frame_put_int (writer, msg->u.pull.to_view_number);
   frame_put_uint (writer, msg->u.pull.cursor);
-  frame_put_string (writer, msg->u.pull.transferred_seat);
+  frame_put_string (writer, msg->u.pull.transferred_slot);
 }
 
 static bool
@@ -235,14 +235,14 @@
 {
   msg->u.pull.to_view_number = frame_get_int (reader);
   msg->u.pull.cursor = frame_get_uint (reader);
-  msg->u.pull.transferred_seat = get_name (reader);
+  msg->u.pull.transferred_slot = get_name (reader);
   return true;
 }
 
 static void
 pull_clear (claim_msg_t *msg)
 {
-  g_free (msg->u.pull.transferred_seat);
+  g_free (msg->u.pull.transferred_slot);
 }
 
 /* Returns the distinct claimants in BATCH and stores their indices in PLACES.  A
@@ -291,8 +291,8 @@
   g_autoptr (GPtrArray) members = batch_members (batch, places);
 
   frame_put_int (writer, batch->to_view_number);
-  frame_put_string (writer, batch->transferred_seat);
-  frame_put_string (writer, batch->from_seat);
+  frame_put_string (writer, batch->transferred_slot);
+  frame_put_string (writer, batch->from_slot);
   frame_put_uint (writer, batch->cursor);
   frame_put_uint (writer, batch->next_cursor);
   frame_put_bool (writer, batch->done);
@@ -383,14 +383,14 @@
   claim_batch_t *batch = &msg->u.batch;
 
   batch->to_view_number = frame_get_int (reader);
-  batch->transferred_seat = get_name (reader);
-  batch->from_seat = get_name (reader);
+  batch->transferred_slot = get_name (reader);
+  batch->from_slot = get_name (reader);
   batch->cursor = frame_get_uint (reader);
   batch->next_cursor = frame_get_uint (reader);
   batch->done = frame_get_bool (reader);
   batch->sealed_at_ms = frame_get_int (reader);
   batch->expired_until_ms = frame_get_int (reader);
-  return batch->from_seat != NULL && get_losses (reader, batch->losses)
+  return batch->from_slot != NULL && get_losses (reader, batch->losses)
          && get_batch_keys (reader, batch->keys);
 }
 
@@ -399,34 +399,34 @@
 {
   claim_batch_t *batch = &msg->u.batch;
 
-  g_free (batch->transferred_seat);
-  g_free (batch->from_seat);
+  g_free (batch->transferred_slot);
+  g_free (batch->from_slot);
   claim_losses_clear (batch->losses);
   g_array_unref (batch->losses);
   g_ptr_array_unref (batch->keys);
 }
 
 static void
-seat_put (frame_writer_t *writer, const claim_msg_t *msg)
+slot_put (frame_writer_t *writer, const claim_msg_t *msg)
 {
-  frame_put_int (writer, msg->u.seat.view_number);
-  frame_put_string (writer, msg->u.seat.seat);
-  frame_put_uint (writer, msg->u.seat.epoch);
+  frame_put_int (writer, msg->u.slot.view_number);
+  frame_put_string (writer, msg->u.slot.slot);
+  frame_put_uint (writer, msg->u.slot.epoch);
 }
 
 static bool
-seat_get (frame_reader_t *reader, claim_msg_t *msg)
+slot_get (frame_reader_t *reader, claim_msg_t *msg)
 {
-  msg->u.seat.view_number = frame_get_int (reader);
-  msg->u.seat.seat = get_name (reader);
-  msg->u.seat.epoch = (uint32_t) frame_get_range (reader, 0, UINT32_MAX);
-  return msg->u.seat.seat != NULL;
+  msg->u.slot.view_number = frame_get_int (reader);
+  msg->u.slot.slot = get_name (reader);
+  msg->u.slot.epoch = (uint32_t) frame_get_range (reader, 0, UINT32_MAX);
+  return msg->u.slot.slot != NULL;
 }
 
 static void
-seat_clear (claim_msg_t *msg)
+slot_clear (claim_msg_t *msg)
 {
-  g_free (msg->u.seat.seat);
+  g_free (msg->u.slot.slot);
 }
 
 static const codec_t codecs[] = {
@@ -437,9 +437,9 @@
   [CLAIM_MSG_ANSWER] = { answer_put, answer_get, answer_clear },
   [CLAIM_MSG_PULL] = { pull_put, pull_get, pull_clear },
   [CLAIM_MSG_BATCH] = { batch_put, batch_get, batch_clear },
-  [CLAIM_MSG_SEAT_OFFER] = { seat_put, seat_get, seat_clear },
-  [CLAIM_MSG_SEAT_READY] = { seat_put, seat_get, seat_clear },
-  [CLAIM_MSG_SEAT_TRANSFERRED] = { seat_put, seat_get, seat_clear },
+  [CLAIM_MSG_SLOT_OFFER] = { slot_put, slot_get, slot_clear },
+  [CLAIM_MSG_SLOT_READY] = { slot_put, slot_get, slot_clear },
+  [CLAIM_MSG_SLOT_TRANSFERRED] = { slot_put, slot_get, slot_clear },
 };
 
 claim_msg_t *
@@ -479,7 +479,7 @@
 {
   int type = frame_type (reader);
 
-  if (type < CLAIM_MSG_CLAIM || type > CLAIM_MSG_SEAT_TRANSFERRED)
+  if (type < CLAIM_MSG_CLAIM || type > CLAIM_MSG_SLOT_TRANSFERRED)
     return NULL;
   claim_msg_t *msg = claim_msg_new ((claim_msg_type_t) type);
   if (codecs[type].get (reader, msg) && frame_ok (reader))
--- a/lib/claim/claim_msg.h
+++ b/lib/claim/claim_msg.h
@@ -29,9 +29,9 @@
   CLAIM_MSG_ANSWER,          /* claimant to coordinator: answer to QUERY */
   CLAIM_MSG_PULL,            /* new replica to old one: request for its keys */
   CLAIM_MSG_BATCH,           /* old replica to new one: keys, answer to PULL */
-  CLAIM_MSG_SEAT_OFFER,      /* leaving replica to successor: offer of its seat */
-  CLAIM_MSG_SEAT_READY,      /* successor to leaving replica: all keys received */
-  CLAIM_MSG_SEAT_TRANSFERRED /* leaving replica to successor: transfer done */
+  CLAIM_MSG_SLOT_OFFER,      /* leaving replica to successor: offer of its slot */
+  CLAIM_MSG_SLOT_READY,      /* successor to leaving replica: all keys received */
+  CLAIM_MSG_SLOT_TRANSFERRED /* leaving replica to successor: transfer done */
 } claim_msg_type_t;
 
 /* Result of a claim or a probe at one replica. */
@@ -62,7 +62,7 @@
 typedef struct
 {
   view_t *from;
-  uint64_t handed_over; /* bit mask of seats of FROM */
+  uint64_t handed_over; /* bit mask of slots of FROM */
   int64_t max_issued_at_ms;
 } claim_loss_t;
 
@@ -96,7 +96,7 @@
   uint64_t request_id;  /* the claim's attempt, or the probe's request_id */
   uint64_t incarnation; /* of the coordinator that sent the request */
   int64_t view_number;
-  char *seat; /* the seat that replies; NULL if it has none for the key in that view */
+  char *slot; /* the slot that replies; NULL if it has none for the key in that view */
   claim_reply_result_t result;
   int32_t holder_count;
   claim_holder_t holders[CLAIM_HOLDERS_MAX]; /* of the key, for HELD and CONTESTED */
@@ -130,7 +130,7 @@
 {
   int64_t to_view_number; /* the new view, for which the sender needs the keys */
   uint64_t cursor;        /* 0, or next_cursor of the previous batch */
-  char *transferred_seat; /* the seat of that view being transferred to the sender, or NULL */
+  char *transferred_slot; /* the slot of that view being transferred to the sender, or NULL */
 } claim_pull_t;
 
 typedef struct
@@ -144,8 +144,8 @@
 typedef struct
 {
   int64_t to_view_number;
-  char *transferred_seat;   /* copied from the pull */
-  char *from_seat;          /* the sender's seat; the keys belong to it */
+  char *transferred_slot;   /* copied from the pull */
+  char *from_slot;          /* the sender's slot; the keys belong to it */
   uint64_t cursor;          /* copied from the pull */
   uint64_t next_cursor;     /* cursor for the next pull */
   bool done;                /* no more keys */
@@ -158,9 +158,9 @@
 typedef struct
 {
   int64_t view_number;
-  char *seat;
-  uint32_t epoch; /* of the seat; OFFER: before the transfer, TRANSFERRED: after it, READY: 0 */
-} claim_seat_transfer_t;
+  char *slot;
+  uint32_t epoch; /* of the slot; OFFER: before the transfer, TRANSFERRED: after it, READY: 0 */
+} claim_slot_transfer_t;
 
 typedef struct
 {
@@ -174,7 +174,7 @@
     claim_answer_t answer;
     claim_pull_t pull;
     claim_batch_t batch;
-    claim_seat_transfer_t seat;
+    claim_slot_transfer_t slot;
   } u;
 } claim_msg_t;
 
--- a/lib/claim/handover.c
+++ b/lib/claim/handover.c
@@ -16,7 +16,7 @@
 #define BATCH_SCAN_KEYS_MAX 8192
 
 /* Makes LOSS cover every key issued until MAX_ISSUED_AT_MS, because there is no
- * room for another loss.  In a view without seats no key has a majority of
+ * room for another loss.  In a view without slots no key has a majority of
  * replicas, so every key is covered. */
 static void
 make_loss_cover_all (claim_loss_t *loss, int64_t max_issued_at_ms)
@@ -53,20 +53,20 @@
 }
 
 static void
-mark_own_seat_handed_over (claim_replica_t *replica, transition_t *transition, claim_time_t now)
+mark_own_slot_handed_over (claim_replica_t *replica, transition_t *transition, claim_time_t now)
 {
-  int32_t seat = view_seat_of_member (transition->from, replica->self);
+  int32_t slot = view_slot_of_member (transition->from, replica->self);
 
-  if (seat < 0 || (transition->handed_over >> seat & 1) != 0
+  if (slot < 0 || (transition->handed_over >> slot & 1) != 0
       || !replica_is_complete (replica, transition->from->number))
     return;
-  transition->handed_over |= UINT64_C (1) << seat;
+  transition->handed_over |= UINT64_C (1) << slot;
   transition->sealed_at_ms = MAX (transition->sealed_at_ms, now.wall_ms);
 }
 
 /* Closes a transition whose old view stayed unknown.  Any key issued until now may
  * have been granted in that view.  The loss therefore names the new view with no
- * seat handed over, so that it covers every key. */
+ * slot handed over, so that it covers every key. */
 static void
 close_unknown_view (claim_replica_t *replica, transition_t *transition, claim_time_t now)
 {
@@ -88,7 +88,7 @@
       close_unknown_view (replica, transition, now);
       if (transition->closed || transition->from == NULL)
         continue;
-      mark_own_seat_handed_over (replica, transition, now);
+      mark_own_slot_handed_over (replica, transition, now);
       if (!transition_close (transition, &replica->limits, now.boot_ms)
           || !transition_has_loss (transition))
         continue;
@@ -101,14 +101,14 @@
 static void
 send_pull (const char *to,
            int64_t to_view_number,
-           const char *seat,
+           const char *slot,
            uint64_t cursor,
            GPtrArray *actions)
 {
   claim_msg_t *msg = claim_msg_new (CLAIM_MSG_PULL);
 
   msg->u.pull.to_view_number = to_view_number;
-  msg->u.pull.transferred_seat = g_strdup (seat);
+  msg->u.pull.transferred_slot = g_strdup (slot);
   msg->u.pull.cursor = cursor;
   claim_send (actions, to, msg);
 }
@@ -120,8 +120,8 @@
 
   for (int32_t i = 0; i < from->count; i++)
     if ((transition->handed_over >> i & 1) == 0
-        && !member_equal (from->seats[i].occupant, replica->self))
-      send_pull (from->seats[i].occupant->id, transition->to->number, NULL,
+        && !member_equal (from->slots[i].occupant, replica->self))
+      send_pull (from->slots[i].occupant->id, transition->to->number, NULL,
                  transition->pull_cursors[i], actions);
 }
 
@@ -133,15 +133,15 @@
   return transition->from != NULL && (!transition->closed || transition_has_loss (transition));
 }
 
-/* Records in the losses that SEAT of view FROM has handed over late. */
+/* Records in the losses that SLOT of view FROM has handed over late. */
 static void
-add_seat_to_losses (claim_replica_t *replica, const view_t *from, int32_t seat)
+add_slot_to_losses (claim_replica_t *replica, const view_t *from, int32_t slot)
 {
   for (guint i = 0; i < replica->losses->len; i++)
     {
       claim_loss_t *loss = &g_array_index (replica->losses, claim_loss_t, i);
       if (loss->from->number == from->number)
-        loss->handed_over |= UINT64_C (1) << seat;
+        loss->handed_over |= UINT64_C (1) << slot;
     }
 }
 
@@ -152,7 +152,7 @@
     {
       transition_t *transition = g_ptr_array_index (replica->transitions, i);
       if (!needs_pulls (transition) || now.boot_ms < transition->next_pull_ms
-          || view_seat_of_member (transition->to, replica->self) < 0)
+          || view_slot_of_member (transition->to, replica->self) < 0)
         continue;
       transition->next_pull_ms =
           now.boot_ms + (transition->closed ? LOST_PULL_INTERVAL_MS : PULL_RETRY_MS);
@@ -161,13 +161,13 @@
 }
 
 static bool
-seat_stores_key (const view_t *view, const char *key, int32_t seat)
+slot_stores_key (const view_t *view, const char *key, int32_t slot)
 {
-  int32_t seats[VIEW_REPLICAS_PER_KEY];
-  int32_t count = view_replicas (view, key, seats);
+  int32_t slots[VIEW_REPLICAS_PER_KEY];
+  int32_t count = view_replicas (view, key, slots);
 
   for (int32_t i = 0; i < count; i++)
-    if (seats[i] == seat)
+    if (slots[i] == slot)
       return true;
   return false;
 }
@@ -188,14 +188,14 @@
   g_ptr_array_add (batch->keys, key);
 }
 
-/* Selects the keys of a batch: those stored by FROM_SEAT of FROM and, unless TO is
- * NULL, also by TO_SEAT of TO. */
+/* Selects the keys of a batch: those stored by FROM_SLOT of FROM and, unless TO is
+ * NULL, also by TO_SLOT of TO. */
 typedef struct
 {
   const view_t *from;
-  int32_t from_seat;
+  int32_t from_slot;
   const view_t *to;
-  int32_t to_seat;
+  int32_t to_slot;
 } selection_t;
 
 static void
@@ -208,9 +208,9 @@
     {
       if (scanned == BATCH_SCAN_KEYS_MAX || batch->keys->len == CLAIM_BATCH_KEYS)
         return;
-      if (seat_stores_key (selection->from, entry->key, selection->from_seat)
+      if (slot_stores_key (selection->from, entry->key, selection->from_slot)
           && (selection->to == NULL
-              || seat_stores_key (selection->to, entry->key, selection->to_seat)))
+              || slot_stores_key (selection->to, entry->key, selection->to_slot)))
         batch_add_key (batch, entry);
       batch->next_cursor = entry->sequence + 1;
       entry = key_table_first_from (replica->keys, batch->next_cursor);
@@ -230,8 +230,8 @@
   claim_batch_t *batch = &msg->u.batch;
 
   batch->to_view_number = pull->to_view_number;
-  batch->transferred_seat = g_strdup (pull->transferred_seat);
-  batch->from_seat = g_strdup (selection->from->seats[selection->from_seat].name);
+  batch->transferred_slot = g_strdup (pull->transferred_slot);
+  batch->from_slot = g_strdup (selection->from->slots[selection->from_slot].name);
   batch->cursor = pull->cursor;
   batch->sealed_at_ms = now.wall_ms;
   batch->expired_until_ms = replica->expired_until_ms;
@@ -254,8 +254,8 @@
       || replica->view->number + 1 != pull->to_view_number)
     return false;
   *selection = (selection_t){ .from = replica->view,
-                              .from_seat = view_seat_of_member (replica->view, replica->self) };
-  return selection->from_seat >= 0;
+                              .from_slot = view_slot_of_member (replica->view, replica->self) };
+  return selection->from_slot >= 0;
 }
 
 static bool
@@ -267,23 +267,23 @@
   if (transition == NULL || transition->from == NULL)
     return false;
   *selection = (selection_t){ .from = transition->from,
-                              .from_seat = view_seat_of_member (transition->from, replica->self),
+                              .from_slot = view_slot_of_member (transition->from, replica->self),
                               .to = transition->to,
-                              .to_seat = view_seat_of_member (transition->to, puller) };
-  return selection->from_seat >= 0 && selection->to_seat >= 0;
+                              .to_slot = view_slot_of_member (transition->to, puller) };
+  return selection->from_slot >= 0 && selection->to_slot >= 0;
 }
 
 static void
-on_seat_pull (claim_replica_t *replica,
+on_slot_pull (claim_replica_t *replica,
               const member_t *from,
               const claim_pull_t *pull,
               claim_time_t now,
               GPtrArray *actions)
 {
-  if (!replica_seat_may_pull (replica, from, pull))
+  if (!replica_slot_may_pull (replica, from, pull))
     return;
   selection_t selection = { .from = replica->view,
-                            .from_seat = view_seat_of_member (replica->view, replica->self) };
+                            .from_slot = view_slot_of_member (replica->view, replica->self) };
   send_batch (replica, from, pull, &selection, now, actions);
 }
 
@@ -294,9 +294,9 @@
                  claim_time_t now,
                  GPtrArray *actions)
 {
-  if (pull->transferred_seat != NULL)
+  if (pull->transferred_slot != NULL)
     {
-      on_seat_pull (replica, from, pull, now, actions);
+      on_slot_pull (replica, from, pull, now, actions);
       return;
     }
   transition_t *transition = replica_transition (replica, pull->to_view_number);
@@ -310,7 +310,7 @@
   send_batch (replica, from, pull, &selection, now, actions);
   const claim_action_t *sent = g_ptr_array_index (actions, before);
   if (transition != NULL && selection.to != NULL && sent->msg->u.batch.done)
-    transition->fully_pulled |= UINT64_C (1) << selection.to_seat;
+    transition->fully_pulled |= UINT64_C (1) << selection.to_slot;
 }
 
 static void
@@ -351,26 +351,26 @@
                   claim_time_t now,
                   GPtrArray *actions)
 {
-  if (batch->transferred_seat != NULL)
+  if (batch->transferred_slot != NULL)
     {
-      replica_seat_batch (replica, from, batch, now, actions);
+      replica_slot_batch (replica, from, batch, now, actions);
       return;
     }
   transition_t *transition = replica_transition (replica, batch->to_view_number);
   if (transition == NULL || !needs_pulls (transition))
     return;
-  int32_t seat = view_seat_named (transition->from, batch->from_seat);
-  if (seat < 0 || !member_equal (transition->from->seats[seat].occupant, from)
-      || (transition->handed_over >> seat & 1) != 0
-      || transition->pull_cursors[seat] != batch->cursor)
+  int32_t slot = view_slot_named (transition->from, batch->from_slot);
+  if (slot < 0 || !member_equal (transition->from->slots[slot].occupant, from)
+      || (transition->handed_over >> slot & 1) != 0
+      || transition->pull_cursors[slot] != batch->cursor)
     return;
   replica_merge_batch (replica, batch);
-  transition->pull_cursors[seat] = batch->next_cursor;
+  transition->pull_cursors[slot] = batch->next_cursor;
   if (batch->done)
     {
-      transition->handed_over |= UINT64_C (1) << seat;
+      transition->handed_over |= UINT64_C (1) << slot;
       transition->sealed_at_ms = MAX (transition->sealed_at_ms, batch->sealed_at_ms);
-      add_seat_to_losses (replica, transition->from, seat);
+      add_slot_to_losses (replica, transition->from, slot);
       replica_update_transitions (replica, now);
       return;
     }
--- a/lib/claim/operation.c
+++ b/lib/claim/operation.c
@@ -39,7 +39,7 @@
 void
 operation_restart (operation_t *operation, uint64_t attempt_id, view_t *view, int64_t now_ms)
 {
-  int32_t seats[VIEW_REPLICAS_PER_KEY];
+  int32_t slots[VIEW_REPLICAS_PER_KEY];
 
   clear_attempt (operation);
   operation->attempt_id = attempt_id;
@@ -48,9 +48,9 @@
   if (view == NULL)
     return;
   operation->view = view_ref (view);
-  operation->replica_count = view_replicas (view, operation->key, seats);
+  operation->replica_count = view_replicas (view, operation->key, slots);
   for (int32_t i = 0; i < operation->replica_count; i++)
-    operation->replicas[i].seat = seats[i];
+    operation->replicas[i].slot = slots[i];
 }
 
 int32_t
@@ -83,10 +83,10 @@
 }
 
 static asked_replica_t *
-find_replica (operation_t *operation, const char *seat)
+find_replica (operation_t *operation, const char *slot)
 {
   for (int32_t i = 0; i < operation->replica_count; i++)
-    if (strcmp (operation->view->seats[operation->replicas[i].seat].name, seat) == 0)
+    if (strcmp (operation->view->slots[operation->replicas[i].slot].name, slot) == 0)
       return &operation->replicas[i];
   return NULL;
 }
@@ -120,16 +120,16 @@
   member_unref (old);
 }
 
-/* Returns the replica that sent REPLY, or NULL.  A reply without a seat comes from a
- * host that has no seat for the key in its own view; it is matched by its sender. */
+/* Returns the replica that sent REPLY, or NULL.  A reply without a slot comes from a
+ * host that has no slot for the key in its own view; it is matched by its sender. */
 static asked_replica_t *
 find_sender (operation_t *operation, const claim_reply_t *reply, const member_t *from)
 {
-  if (reply->seat != NULL)
-    return reply->view_number == operation->view->number ? find_replica (operation, reply->seat)
+  if (reply->slot != NULL)
+    return reply->view_number == operation->view->number ? find_replica (operation, reply->slot)
                                                          : NULL;
   for (int32_t i = 0; i < operation->replica_count; i++)
-    if (member_equal (operation->view->seats[operation->replicas[i].seat].occupant, from))
+    if (member_equal (operation->view->slots[operation->replicas[i].slot].occupant, from))
       return &operation->replicas[i];
   return NULL;
 }
--- a/lib/claim/operation.h
+++ b/lib/claim/operation.h
@@ -26,7 +26,7 @@
 /* A replica of the key in the view of the attempt. */
 typedef struct
 {
-  int32_t seat;
+  int32_t slot;
   bool asked;
   bool failed; /* not connected; the request could not be sent */
   bool replied;
--- a/lib/claim/replica.c
+++ b/lib/claim/replica.c
@@ -38,7 +38,7 @@
 void
 claim_replica_free (claim_replica_t *replica)
 {
-  replica_seat_clear (replica);
+  replica_slot_clear (replica);
   key_table_free (replica->keys);
   g_ptr_array_unref (replica->transitions);
   claim_losses_clear (replica->losses);
@@ -91,7 +91,7 @@
         g_ptr_array_remove_index (replica->transitions, 0);
       view_unref (replica->view);
       replica->view = view_ref (view);
-      replica_seat_clear (replica);
+      replica_slot_clear (replica);
     }
   else
     replica_merge_view (replica, view);
@@ -102,19 +102,19 @@
                                 now.boot_ms);
 }
 
-/* Returns this replica's seat if it stores KEY in the current view, else -1; also
- * -1 while the seat is being transferred. */
+/* Returns this replica's slot if it stores KEY in the current view, else -1; also
+ * -1 while the slot is being transferred. */
 static int32_t
-seat_for (const claim_replica_t *replica, const char *key)
+slot_for (const claim_replica_t *replica, const char *key)
 {
-  int32_t seats[VIEW_REPLICAS_PER_KEY];
+  int32_t slots[VIEW_REPLICAS_PER_KEY];
 
   if (replica->successor != NULL)
     return -1;
-  int32_t count = view_replicas (replica->view, key, seats);
+  int32_t count = view_replicas (replica->view, key, slots);
   for (int32_t i = 0; i < count; i++)
-    if (member_equal (replica->view->seats[seats[i]].occupant, replica->self))
-      return seats[i];
+    if (member_equal (replica->view->slots[slots[i]].occupant, replica->self))
+      return slots[i];
   return -1;
 }
 
@@ -214,17 +214,17 @@
   return msg;
 }
 
-/* Sets the seat of REPLY to this replica's seat for KEY.  Returns false if it has
+/* Sets the slot of REPLY to this replica's slot for KEY.  Returns false if it has
  * none or if VIEW is not the number of its current view. */
 static bool
-set_reply_seat (const claim_replica_t *replica, int64_t view, const char *key, claim_reply_t *reply)
+set_reply_slot (const claim_replica_t *replica, int64_t view, const char *key, claim_reply_t *reply)
 {
   if (replica->view == NULL || replica->view->number != view)
     return false;
-  int32_t seat = seat_for (replica, key);
-  if (seat < 0)
+  int32_t slot = slot_for (replica, key);
+  if (slot < 0)
     return false;
-  reply->seat = g_strdup (replica->view->seats[seat].name);
+  reply->slot = g_strdup (replica->view->slots[slot].name);
   return true;
 }
 
@@ -238,7 +238,7 @@
   claim_msg_t *msg = reply_new (replica, from, claim->attempt);
   claim_reply_t *reply = &msg->u.reply;
 
-  if (set_reply_seat (replica, claim->view_number, claim->key, reply))
+  if (set_reply_slot (replica, claim->view_number, claim->key, reply))
     {
       key_entry_t *entry = key_table_find (replica->keys, claim->key);
       if (entry != NULL && !is_held_only_by (entry, from))
@@ -284,7 +284,7 @@
 
   if (probe->erase_host != NULL)
     erase_claim (replica, probe);
-  if (set_reply_seat (replica, probe->view_number, probe->key, reply))
+  if (set_reply_slot (replica, probe->view_number, probe->key, reply))
     {
       key_entry_t *entry = key_table_find (replica->keys, probe->key);
       if (entry != NULL)
@@ -346,10 +346,10 @@
     case CLAIM_MSG_BATCH:
       replica_on_batch (replica, from, &msg->u.batch, now, actions);
       break;
-    case CLAIM_MSG_SEAT_OFFER:
-    case CLAIM_MSG_SEAT_READY:
-    case CLAIM_MSG_SEAT_TRANSFERRED:
-      replica_on_seat_message (replica, from, msg, now, actions);
+    case CLAIM_MSG_SLOT_OFFER:
+    case CLAIM_MSG_SLOT_READY:
+    case CLAIM_MSG_SLOT_TRANSFERRED:
+      replica_on_slot_message (replica, from, msg, now, actions);
       break;
     default:
       break;
@@ -379,11 +379,11 @@
       remove_expired_keys (replica, now.wall_ms);
       replica_update_transitions (replica, now);
       replica_send_pulls (replica, now, actions);
-      replica_seat_tick (replica, now, actions);
+      replica_slot_tick (replica, now, actions);
       break;
-    case REPLICA_TRANSFER_SEAT:
-      replica_seat_start_transfer (replica, event->successor);
-      replica_seat_tick (replica, now, actions);
+    case REPLICA_TRANSFER_SLOT:
+      replica_slot_start_transfer (replica, event->successor);
+      replica_slot_tick (replica, now, actions);
       break;
     }
 }
@@ -394,7 +394,7 @@
   *status = (replica_status_t){ .keys = key_table_count (replica->keys),
                                 .contested = key_table_contested_count (replica->keys),
                                 .losses = replica->losses->len,
-                                .seat_transferred = replica->seat_transferred };
+                                .slot_transferred = replica->slot_transferred };
   if (replica->view == NULL)
     return;
   const transition_t *last = replica_transition (replica, replica->view->number);
@@ -408,7 +408,7 @@
   if (replica->view == NULL)
     return true;
   const transition_t *last = replica_transition (replica, replica->view->number);
-  if (last->from == NULL || view_seat_of_member (last->from, replica->self) < 0)
+  if (last->from == NULL || view_slot_of_member (last->from, replica->self) < 0)
     return true;
   return __builtin_popcountll (last->fully_pulled) >= last->to->count;
 }
--- a/lib/claim/replica.h
+++ b/lib/claim/replica.h
@@ -1,7 +1,7 @@
-/* replica.h -- a replica of idempotency keys: grants, hand-over, seat transfer
+/* replica.h -- a replica of idempotency keys: grants, hand-over, slot transfer
  *
- * A replica occupies a seat of its data centre's view and stores the keys whose
- * three replicas include that seat.  Once a view is replaced, its replicas grant
+ * A replica occupies a slot of its data centre's view and stores the keys whose
+ * three replicas include that slot.  Once a view is replaced, its replicas grant
  * no more keys in it, and the replicas of the new view pull the stored keys from
  * them.  A key can be granted in the new view once a majority of its old
  * replicas has handed over.
@@ -21,7 +21,7 @@
   REPLICA_VIEW,    /* VIEW is the current view, BASE the one before it, or NULL */
   REPLICA_CONTACT, /* grants are allowed until CONTACT_UNTIL_MS (boot clock) */
   REPLICA_TICK,
-  REPLICA_TRANSFER_SEAT /* stop granting and offer this replica's seat to host SUCCESSOR */
+  REPLICA_TRANSFER_SLOT /* stop granting and offer this replica's slot to host SUCCESSOR */
 } replica_event_kind_t;
 
 typedef struct
@@ -54,12 +54,12 @@
   int64_t losses;        /* number of claim_loss_t, sets of uncertain keys */
   int64_t handovers_due; /* hand-overs of old replicas still expected */
   bool view_complete;    /* the hand-over to the current view is complete or was closed */
-  bool seat_transferred; /* this replica has transferred its seat */
+  bool slot_transferred; /* this replica has transferred its slot */
 } replica_status_t;
 void claim_replica_status (const claim_replica_t *replica, replica_status_t *status);
 
 /* Returns true if the replicas of the current view need nothing more from this
- * replica: it was not in the previous view, or every seat of the current view has
+ * replica: it was not in the previous view, or every slot of the current view has
  * pulled all its keys from it. */
 bool claim_replica_handed_over (const claim_replica_t *replica);
 
--- a/lib/claim/transition.c
+++ b/lib/claim/transition.c
@@ -55,7 +55,7 @@
   uint64_t departed = 0;
 
   for (int32_t i = 0; transition->from != NULL && i < transition->from->count; i++)
-    if (view_seat_of_member (view, transition->from->seats[i].occupant) < 0)
+    if (view_slot_of_member (view, transition->from->slots[i].occupant) < 0)
       departed |= UINT64_C (1) << i;
   if (departed == transition->departed)
     return;
@@ -65,15 +65,15 @@
 
 bool
 transition_lost (const transition_t *transition,
-                 int32_t seat,
+                 int32_t slot,
                  const claim_limits_t *limits,
                  int64_t now_ms)
 {
-  if ((transition->handed_over >> seat & 1) != 0)
+  if ((transition->handed_over >> slot & 1) != 0)
     return false;
   if (transition->closed)
     return true;
-  return (transition->departed >> seat & 1) != 0
+  return (transition->departed >> slot & 1) != 0
          && now_ms >= transition->departed_since_ms + limits->handover_timeout_ms;
 }
 
@@ -84,7 +84,7 @@
 {
   for (int32_t i = 0; i < to->count; i++)
     {
-      const member_t *other = to->seats[i].occupant;
+      const member_t *other = to->slots[i].occupant;
       if (strcmp (other->address, member->address) == 0 && !member_equal (other, member))
         return true;
     }
@@ -99,7 +99,7 @@
 
   for (int32_t i = 0; i < from->count; i++)
     if ((transition->handed_over >> i & 1) == 0
-        && !is_replaced (transition->to, from->seats[i].occupant))
+        && !is_replaced (transition->to, from->slots[i].occupant))
       unsealed++;
   int64_t bound_ms = unsealed < view_majority (from->count) ? limits->contact_timeout_ms
                                                             : limits->isolation_timeout_ms;
@@ -113,17 +113,17 @@
                       const claim_limits_t *limits,
                       int64_t now_ms)
 {
-  int32_t seats[VIEW_REPLICAS_PER_KEY];
+  int32_t slots[VIEW_REPLICAS_PER_KEY];
   int32_t handed = 0;
   int32_t lost = 0;
 
   if (transition->from == NULL)
     return transition->closed ? KEY_COMPLETE : KEY_PENDING;
-  int32_t count = view_replicas (transition->from, key, seats);
+  int32_t count = view_replicas (transition->from, key, slots);
   for (int32_t i = 0; i < count; i++)
     {
-      handed += (int32_t) (transition->handed_over >> seats[i] & 1);
-      lost += transition_lost (transition, seats[i], limits, now_ms);
+      handed += (int32_t) (transition->handed_over >> slots[i] & 1);
+      lost += transition_lost (transition, slots[i], limits, now_ms);
     }
   if (handed >= view_majority (count))
     return KEY_COMPLETE;
@@ -157,7 +157,7 @@
   return now_ms >= transition->started_ms + OPEN_HANDOVER_TIMEOUTS * limits->handover_timeout_ms;
 }
 
-/* Returns true if every seat has handed over or is lost. */
+/* Returns true if every slot has handed over or is lost. */
 static bool
 is_settled (const transition_t *transition, const claim_limits_t *limits, int64_t now_ms)
 {
@@ -199,13 +199,13 @@
 bool
 claim_loss_covers (const claim_loss_t *loss, const char *key, int64_t issued_at_ms)
 {
-  int32_t seats[VIEW_REPLICAS_PER_KEY];
+  int32_t slots[VIEW_REPLICAS_PER_KEY];
   int32_t handed = 0;
 
   if (issued_at_ms > loss->max_issued_at_ms)
     return false;
-  int32_t count = view_replicas (loss->from, key, seats);
+  int32_t count = view_replicas (loss->from, key, slots);
   for (int32_t i = 0; i < count; i++)
-    handed += (int32_t) (loss->handed_over >> seats[i] & 1);
+    handed += (int32_t) (loss->handed_over >> slots[i] & 1);
   return handed < view_majority (count);
 }
--- a/lib/view/membership.c
+++ b/lib/view/membership.c
@@ -105,7 +105,7 @@
 {
   const view_t *view = membership_own_view (membership);
 
-  return view != NULL && view_seat_of_member (view, membership->self) >= 0;
+  return view != NULL && view_slot_of_member (view, membership->self) >= 0;
 }
 
 bool
@@ -185,11 +185,11 @@
                    int32_t count,
                    int64_t now_ms)
 {
-  int64_t times[VIEW_SEATS_MAX];
+  int64_t times[VIEW_SLOTS_MAX];
 
   for (int32_t i = 0; i < view->count; i++)
     {
-      const member_t *member = view->seats[i].occupant;
+      const member_t *member = view->slots[i].occupant;
       const peer_t *peer = membership_find_peer (membership, member);
       times[i] = INT64_MIN;
       if (member_equal (member, membership->self))
@@ -218,7 +218,7 @@
   const view_t *view = membership_own_view (membership);
   int64_t since_ms = INT64_MIN;
 
-  if (view == NULL || view_seat_of_member (view, membership->self) < 0)
+  if (view == NULL || view_slot_of_member (view, membership->self) < 0)
     return INT64_MIN;
   int64_t majority_ms = common_contact_ms (membership, view, view_majority (view->count), now_ms);
   int64_t not_isolated_ms = latest_not_isolated_ms (membership, view, now_ms);
@@ -466,7 +466,7 @@
 }
 
 static void
-on_seat_transferred (membership_t *membership, view_t *view)
+on_slot_transferred (membership_t *membership, view_t *view)
 {
   view_directory_merge (membership->directory, view);
   send_own_views (membership, true);
@@ -526,7 +526,7 @@
   if (now_ms - membership->last_tick_ms > membership->limits.pause_threshold_ms)
     membership->contact_valid_from_ms = now_ms;
   membership->last_tick_ms = now_ms;
-  if (view != NULL && view_seat_of_member (view, membership->self) >= 0)
+  if (view != NULL && view_slot_of_member (view, membership->self) >= 0)
     membership->last_not_isolated_ms = latest_not_isolated_ms (membership, view, now_ms);
   send_local_heartbeats (membership, now_ms);
   send_remote_heartbeat (membership, now_ms);
@@ -580,8 +580,8 @@
       if (!event->ok)
         membership->last_proposal_ms = now_ms;
       break;
-    case MEMBERSHIP_SEAT_TRANSFERRED:
-      on_seat_transferred (membership, event->view);
+    case MEMBERSHIP_SLOT_TRANSFERRED:
+      on_slot_transferred (membership, event->view);
       break;
     case MEMBERSHIP_DRAIN:
       membership->draining = true;
--- a/lib/view/membership.h
+++ b/lib/view/membership.h
@@ -53,7 +53,7 @@
   MEMBERSHIP_RECORD,      /* OFFSET, RECORDED_AT_MS (wall clock), DATA and SIZE of a view record */
   MEMBERSHIP_STREAM_END,  /* the log was read to its end; the read was sent at AS_OF_MS */
   MEMBERSHIP_APPEND_DONE, /* result of an APPEND action: OK if it succeeded */
-  MEMBERSHIP_SEAT_TRANSFERRED, /* VIEW has a seat with a new occupant */
+  MEMBERSHIP_SLOT_TRANSFERRED, /* VIEW has a slot with a new occupant */
   MEMBERSHIP_DRAIN,            /* this host is about to stop */
   MEMBERSHIP_TICK
 } membership_event_kind_t;
@@ -80,7 +80,7 @@
   MEMBERSHIP_SEND,         /* send MSG to host TO */
   MEMBERSHIP_APPEND,       /* append RECORD to the stream of view records */
   MEMBERSHIP_VIEW_CHANGED, /* VIEW is the newest of its data centre, BASE the one before */
-  MEMBERSHIP_OFFER_SEAT    /* offer this host's seat to host TO */
+  MEMBERSHIP_OFFER_SLOT    /* offer this host's slot to host TO */
 } membership_action_kind_t;
 
 /* KIND determines which other fields are set.  BASE may be NULL. */
@@ -112,7 +112,7 @@
 /* Returns the newest view of DATA_CENTRE, or NULL.  Valid until the next step. */
 view_t *membership_view (const membership_t *membership, const char *data_centre);
 
-/* Returns true if this process occupies a seat of its data centre's newest view. */
+/* Returns true if this process occupies a slot of its data centre's newest view. */
 bool membership_is_member (const membership_t *membership);
 
 /* Returns true if another host of this data centre is connected and is not leaving. */
--- a/lib/view/membership_state.h
+++ b/lib/view/membership_state.h
@@ -52,7 +52,7 @@
   int64_t next_checkpoint_ms;
   int64_t successor_chosen_ms; /* SUCCESSOR was chosen, or none was found */
   int64_t next_offer_ms;
-  char *successor; /* host that is offered this host's seat, or NULL */
+  char *successor; /* host that is offered this host's slot, or NULL */
 };
 
 /* Returns the newest view of this data centre, or NULL. */
--- a/lib/view/proposal.c
+++ b/lib/view/proposal.c
@@ -24,12 +24,12 @@
 /* Interval at which the state is appended to the stream again, before its records can
  * expire. */
 #define CHECKPOINT_INTERVAL_MS 300000
-/* A leaving host waits this long for a view without itself before it offers its seat to a
+/* A leaving host waits this long for a view without itself before it offers its slot to a
  * successor.  It repeats the offer at the interval, and chooses a successor again,
  * at random, after the timeout. */
-#define SEAT_OFFER_DELAY_MS 1500
+#define SLOT_OFFER_DELAY_MS 1500
 #define SUCCESSOR_TIMEOUT_MS 2000
-#define SEAT_OFFER_INTERVAL_MS 500
+#define SLOT_OFFER_INTERVAL_MS 500
 
 static void
 append_record (membership_t *membership, GBytes *record)
@@ -57,7 +57,7 @@
   for (guint i = 0; i < members->len; i++)
     if (strcmp (((member_t *) g_ptr_array_index (members, i))->id, member->id) == 0)
       return;
-  if (members->len < VIEW_SEATS_MAX)
+  if (members->len < VIEW_SLOTS_MAX)
     g_ptr_array_add (members, member);
 }
 
@@ -74,7 +74,7 @@
   if (!membership->draining)
     {
       add_member (members, membership->self);
-      *changed |= view != NULL && view_seat_of_member (view, membership->self) < 0;
+      *changed |= view != NULL && view_slot_of_member (view, membership->self) < 0;
     }
   g_hash_table_iter_init (&iter, membership->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -83,11 +83,11 @@
       if (!is_eligible (membership, peer, now_ms))
         continue;
       add_member (members, peer->member);
-      *changed |= view != NULL && view_seat_of_member (view, peer->member) < 0;
+      *changed |= view != NULL && view_slot_of_member (view, peer->member) < 0;
     }
   for (int32_t i = 0; view != NULL && i < view->count; i++)
     {
-      member_t *member = view->seats[i].occupant;
+      member_t *member = view->slots[i].occupant;
       const peer_t *peer = membership_find_peer (membership, member);
       bool leaving = (peer != NULL && peer->leaving)
                      || (membership->draining && member_equal (member, membership->self));
@@ -105,7 +105,7 @@
 {
   for (int32_t i = 0; i < view->count; i++)
     {
-      const member_t *member = view->seats[i].occupant;
+      const member_t *member = view->slots[i].occupant;
       const peer_t *peer = membership_find_peer (membership, member);
       if (peer != NULL && peer->connected
           && membership_silence_ms (membership, member, now_ms)
@@ -131,7 +131,7 @@
 
   if (view == NULL)
     return membership->limits.first_view_delay_ms + standby_delay_ms;
-  if (view_seat_of_member (view, membership->self) >= 0)
+  if (view_slot_of_member (view, membership->self) >= 0)
     return membership->limits.join_delay_ms + standby_delay_ms;
   if (has_live_member (membership, view, now_ms))
     return membership->self_proposal_delay_ms;
@@ -149,7 +149,7 @@
   membership->last_proposal_ms = now_ms;
   membership->change_needed_since_ms =
       now_ms + g_rand_int_range (membership->random, 0, JITTER_MAX_MS);
-  if (view != NULL && view_seat_of_member (view, membership->self) < 0)
+  if (view != NULL && view_slot_of_member (view, membership->self) < 0)
     membership->self_proposal_delay_ms =
         MIN (2 * membership->self_proposal_delay_ms, SELF_PROPOSAL_DELAY_MAX_MS);
 }
@@ -200,7 +200,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const peer_t *peer = value;
-      if (is_eligible (membership, peer, now_ms) && view_seat_of_member (view, peer->member) < 0)
+      if (is_eligible (membership, peer, now_ms) && view_slot_of_member (view, peer->member) < 0)
         g_ptr_array_add (candidates, peer->member->id);
     }
   if (candidates->len == 0)
@@ -209,19 +209,19 @@
   return g_strdup (g_ptr_array_index (candidates, (guint) index));
 }
 
-/* Offers the seat of a leaving host to a successor if the log is unavailable.  Without the
+/* Offers the slot of a leaving host to a successor if the log is unavailable.  Without the
  * log there can be no new view without this host. */
 static void
-offer_seat (membership_t *membership, int64_t now_ms)
+offer_slot (membership_t *membership, int64_t now_ms)
 {
   const view_t *view = membership_own_view (membership);
 
-  if (!membership->draining || view == NULL || view_seat_of_member (view, membership->self) < 0
+  if (!membership->draining || view == NULL || view_slot_of_member (view, membership->self) < 0
       || membership_log_is_fresh (membership, now_ms)
-      || now_ms < membership->drain_started_ms + SEAT_OFFER_DELAY_MS
+      || now_ms < membership->drain_started_ms + SLOT_OFFER_DELAY_MS
       || now_ms < membership->next_offer_ms)
     return;
-  membership->next_offer_ms = now_ms + SEAT_OFFER_INTERVAL_MS;
+  membership->next_offer_ms = now_ms + SLOT_OFFER_INTERVAL_MS;
   if (membership->successor == NULL
       || now_ms >= membership->successor_chosen_ms + SUCCESSOR_TIMEOUT_MS)
     {
@@ -232,7 +232,7 @@
   if (membership->successor == NULL)
     return;
   membership_action_t *action = g_new0 (membership_action_t, 1);
-  action->kind = MEMBERSHIP_OFFER_SEAT;
+  action->kind = MEMBERSHIP_OFFER_SLOT;
   action->to = g_strdup (membership->successor);
   g_ptr_array_add (membership->actions, action);
 }
@@ -242,5 +242,5 @@
 {
   propose_if_needed (membership, now_ms);
   append_checkpoint (membership, now_ms);
-  offer_seat (membership, now_ms);
+  offer_slot (membership, now_ms);
 }
--- a/lib/view/suspicion.c
+++ b/lib/view/suspicion.c
@@ -30,7 +30,7 @@
 
   for (int32_t i = 0; i < view->count; i++)
     {
-      const member_t *member = view->seats[(first + i) % view->count].occupant;
+      const member_t *member = view->slots[(first + i) % view->count].occupant;
       if (!member_equal (member, membership->self) && !member_equal (member, suspect)
           && !is_silent (membership, member, now_ms))
         return member;
@@ -77,7 +77,7 @@
 
   for (int32_t i = 0; view != NULL && i < view->count; i++)
     {
-      member_t *member = view->seats[i].occupant;
+      member_t *member = view->slots[i].occupant;
       if (member_equal (member, membership->self) || !is_silent (membership, member, now_ms))
         continue;
       peer_t *peer = find_or_add_peer (membership, member);
--- a/lib/view/view.c
+++ b/lib/view/view.c
@@ -1,4 +1,4 @@
-/* view.c -- immutable views, their seats and their codec */
+/* view.c -- immutable views, their slots and their codec */
 #include "view/view.h"
 
 #include "base/hash.h"
@@ -67,7 +67,7 @@
 static view_t *
 view_alloc (const char *data_centre, int64_t number, int64_t change_at_ms, int32_t count)
 {
-  view_t *view = g_malloc0 (sizeof (*view) + sizeof (seat_t) * (size_t) count);
+  view_t *view = g_malloc0 (sizeof (*view) + sizeof (slot_t) * (size_t) count);
 
   view->refs = 1;
   view->count = count;
@@ -78,24 +78,24 @@
 }
 
 static int
-compare_seats (const void *a, const void *b)
+compare_slots (const void *a, const void *b)
 {
-  return strcmp (((const seat_t *) a)->name, ((const seat_t *) b)->name);
+  return strcmp (((const slot_t *) a)->name, ((const slot_t *) b)->name);
 }
 
 view_t *
 view_new (const char *data_centre, int64_t number, int64_t change_at_ms, const GPtrArray *members)
 {
-  int32_t count = (int32_t) MIN (members->len, VIEW_SEATS_MAX);
+  int32_t count = (int32_t) MIN (members->len, VIEW_SLOTS_MAX);
   view_t *view = view_alloc (data_centre, number, change_at_ms, count);
 
   for (int32_t i = 0; i < count; i++)
     {
       member_t *member = g_ptr_array_index (members, i);
-      view->seats[i].name = g_strdup (member->id);
-      view->seats[i].occupant = member_ref (member);
+      view->slots[i].name = g_strdup (member->id);
+      view->slots[i].occupant = member_ref (member);
     }
-  qsort (view->seats, (size_t) count, sizeof (seat_t), compare_seats);
+  qsort (view->slots, (size_t) count, sizeof (slot_t), compare_slots);
   return view;
 }
 
@@ -113,8 +113,8 @@
     return;
   for (int32_t i = 0; i < view->count; i++)
     {
-      g_free (view->seats[i].name);
-      member_unref (view->seats[i].occupant);
+      g_free (view->slots[i].name);
+      member_unref (view->slots[i].occupant);
     }
   g_free (view->data_centre);
   g_free (view);
@@ -127,68 +127,68 @@
 
   for (int32_t i = 0; i < view->count; i++)
     {
-      copy->seats[i].name = g_strdup (view->seats[i].name);
-      copy->seats[i].epoch = view->seats[i].epoch;
-      copy->seats[i].occupant = member_ref (view->seats[i].occupant);
+      copy->slots[i].name = g_strdup (view->slots[i].name);
+      copy->slots[i].epoch = view->slots[i].epoch;
+      copy->slots[i].occupant = member_ref (view->slots[i].occupant);
     }
   return copy;
 }
 
 static void
-seat_set (seat_t *seat, member_t *occupant, uint32_t epoch)
+slot_set (slot_t *slot, member_t *occupant, uint32_t epoch)
 {
-  member_t *old = seat->occupant;
+  member_t *old = slot->occupant;
 
-  seat->occupant = member_ref (occupant);
-  seat->epoch = epoch;
+  slot->occupant = member_ref (occupant);
+  slot->epoch = epoch;
   member_unref (old);
 }
 
 view_t *
-view_with_occupant (const view_t *view, int32_t seat, member_t *occupant, uint32_t epoch)
+view_with_occupant (const view_t *view, int32_t slot, member_t *occupant, uint32_t epoch)
 {
   view_t *copy = view_copy (view);
 
-  seat_set (&copy->seats[seat], occupant, epoch);
+  slot_set (&copy->slots[slot], occupant, epoch);
   return copy;
 }
 
 int32_t
-view_seat_of_member (const view_t *view, const member_t *member)
+view_slot_of_member (const view_t *view, const member_t *member)
 {
   for (int32_t i = 0; i < view->count; i++)
-    if (member_equal (view->seats[i].occupant, member))
+    if (member_equal (view->slots[i].occupant, member))
       return i;
   return -1;
 }
 
 int32_t
-view_seat_named (const view_t *view, const char *name)
+view_slot_named (const view_t *view, const char *name)
 {
   for (int32_t i = 0; i < view->count; i++)
-    if (strcmp (view->seats[i].name, name) == 0)
+    if (strcmp (view->slots[i].name, name) == 0)
       return i;
   return -1;
 }
 
 int32_t
-view_seat_of_host (const view_t *view, const char *id)
+view_slot_of_host (const view_t *view, const char *id)
 {
   for (int32_t i = 0; i < view->count; i++)
-    if (strcmp (view->seats[i].occupant->id, id) == 0)
+    if (strcmp (view->slots[i].occupant->id, id) == 0)
       return i;
   return -1;
 }
 
 int32_t
-view_replicas (const view_t *view, const char *key, int32_t seats[VIEW_REPLICAS_PER_KEY])
+view_replicas (const view_t *view, const char *key, int32_t slots[VIEW_REPLICAS_PER_KEY])
 {
   uint64_t weights[VIEW_REPLICAS_PER_KEY] = { 0 };
   int32_t found = 0;
 
   for (int32_t i = 0; i < view->count; i++)
     {
-      uint64_t weight = hash_rendezvous (key, view->seats[i].name);
+      uint64_t weight = hash_rendezvous (key, view->slots[i].name);
       int32_t position = found;
       while (position > 0 && weights[position - 1] < weight)
         position--;
@@ -199,10 +199,10 @@
       for (int32_t j = found - 1; j > position; j--)
         {
           weights[j] = weights[j - 1];
-          seats[j] = seats[j - 1];
+          slots[j] = slots[j - 1];
         }
       weights[position] = weight;
-      seats[position] = i;
+      slots[position] = i;
     }
   return found;
 }
@@ -219,7 +219,7 @@
   uint64_t sum = 0;
 
   for (int32_t i = 0; i < view->count; i++)
-    sum += view->seats[i].epoch;
+    sum += view->slots[i].epoch;
   return sum;
 }
 
@@ -242,11 +242,11 @@
     return view_ref (a->number >= b->number ? a : b);
   for (int32_t i = 0; i < a->count; i++)
     {
-      if (b->seats[i].epoch <= a->seats[i].epoch)
+      if (b->slots[i].epoch <= a->slots[i].epoch)
         continue;
       if (merged == NULL)
         merged = view_copy (a);
-      seat_set (&merged->seats[i], b->seats[i].occupant, b->seats[i].epoch);
+      slot_set (&merged->slots[i], b->slots[i].occupant, b->slots[i].epoch);
     }
   return merged != NULL ? merged : view_ref (a);
 }
@@ -257,7 +257,7 @@
   uint64_t version = (uint64_t) view->number;
 
   for (int32_t i = 0; i < view->count; i++)
-    version = version * 1000003 + view->seats[i].epoch;
+    version = version * 1000003 + view->slots[i].epoch;
   return version;
 }
 
@@ -270,19 +270,19 @@
   frame_put_count (writer, (size_t) view->count);
   for (int32_t i = 0; i < view->count; i++)
     {
-      frame_put_string (writer, view->seats[i].name);
-      frame_put_uint (writer, view->seats[i].epoch);
-      member_put (writer, view->seats[i].occupant);
+      frame_put_string (writer, view->slots[i].name);
+      frame_put_uint (writer, view->slots[i].epoch);
+      member_put (writer, view->slots[i].occupant);
     }
 }
 
 static bool
-seat_get (frame_reader_t *reader, seat_t *seat)
+slot_get (frame_reader_t *reader, slot_t *slot)
 {
-  seat->name = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
-  seat->epoch = (uint32_t) frame_get_range (reader, 0, UINT32_MAX);
-  seat->occupant = member_get (reader);
-  return seat->name != NULL && seat->occupant != NULL;
+  slot->name = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  slot->epoch = (uint32_t) frame_get_range (reader, 0, UINT32_MAX);
+  slot->occupant = member_get (reader);
+  return slot->name != NULL && slot->occupant != NULL;
 }
 
 view_t *
@@ -291,13 +291,13 @@
   g_autofree char *data_centre = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   int64_t number = frame_get_range (reader, 0, INT64_MAX);
   int64_t change_at_ms = frame_get_int (reader);
-  int32_t count = (int32_t) frame_get_count (reader, VIEW_SEATS_MAX);
+  int32_t count = (int32_t) frame_get_count (reader, VIEW_SLOTS_MAX);
 
   if (!frame_ok (reader) || data_centre == NULL)
     return NULL;
   view_t *view = view_alloc (data_centre, number, change_at_ms, count);
   for (int32_t i = 0; i < count; i++)
-    if (!seat_get (reader, &view->seats[i]))
+    if (!slot_get (reader, &view->slots[i]))
       {
         view->count = i + 1;
         view_unref (view);
--- a/lib/view/view_directory.c
+++ b/lib/view/view_directory.c
@@ -64,7 +64,7 @@
   record->data_centre = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   record->base_number = frame_get_range (reader, 0, INT64_MAX - 1);
   record->members = g_ptr_array_new_with_free_func ((GDestroyNotify) member_unref);
-  size_t count = frame_get_count (reader, VIEW_SEATS_MAX);
+  size_t count = frame_get_count (reader, VIEW_SLOTS_MAX);
   for (size_t i = 0; i < count; i++)
     {
       member_t *member = member_get (reader);
@@ -190,7 +190,7 @@
                       directory->data);
 }
 
-/* Merges the seat epochs of VIEW into the view at INDEX, which has the same number.
+/* Merges the slot epochs of VIEW into the view at INDEX, which has the same number.
  * Returns true if that changed the stored view. */
 static bool
 history_merge (GPtrArray *history, guint index, view_t *view)
--- a/lib/view/view_msg.h
+++ b/lib/view/view_msg.h
@@ -2,7 +2,7 @@
  *
  * Messages may be lost, duplicated, delayed or reordered; the receiver must
  * tolerate all of these.  A state is a view together with the epochs of its
- * seats (see view_version ()).  Pure functions; any thread.
+ * slots (see view_version ()).  Pure functions; any thread.
  */
 #ifndef VIEW_VIEW_MSG_H
 #define VIEW_VIEW_MSG_H
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -200,24 +200,25 @@
 {
   callers_t *callers;
   uint32_t number;
-} seat_t;
+} caller_thread_t;
 
 static void *
 run_caller (void *data)
 {
-  seat_t *seat = data;
-  caller_t caller = { .callers = seat->callers,
-                      .random = g_rand_new_with_seed (seat->callers->seed * 1000 + seat->number),
+  caller_thread_t *thread = data;
+  caller_t caller = { .callers = thread->callers,
+                      .random =
+                          g_rand_new_with_seed (thread->callers->seed * 1000 + thread->number),
                       .fd = -1 };
 
-  while (!atomic_load (&seat->callers->stop))
+  while (!atomic_load (&thread->callers->stop))
     {
       do_job (&caller);
       clock_sleep_ms (draw (&caller, PAUSE_MAX_MS));
     }
   hang_up (&caller);
   g_rand_free (caller.random);
-  g_free (seat);
+  g_free (thread);
   return NULL;
 }
 
@@ -275,9 +276,9 @@
     atomic_store (&callers->ready[i], true);
   for (int32_t i = 0; i < count; i++)
     {
-      seat_t *seat = g_new0 (seat_t, 1);
-      *seat = (seat_t){ callers, (uint32_t) i };
-      g_ptr_array_add (callers->threads, g_thread_new ("caller", run_caller, seat));
+      caller_thread_t *thread = g_new0 (caller_thread_t, 1);
+      *thread = (caller_thread_t){ callers, (uint32_t) i };
+      g_ptr_array_add (callers->threads, g_thread_new ("caller", run_caller, thread));
     }
   g_ptr_array_add (callers->threads, g_thread_new ("prober", run_prober, callers));
   return callers;
--- a/tests/test_claim_random.c
+++ b/tests/test_claim_random.c
@@ -116,7 +116,7 @@
   int64_t steps;
   int64_t results[CLAIM_DONE_EXPIRED + 1];
   int64_t starts;
-  int64_t seats;
+  int64_t slots;
   int64_t messages;
   int64_t violations;
   const char *first;
@@ -248,8 +248,8 @@
         case CLAIM_ACTION_DONE:
           on_done (world, action);
           break;
-        case CLAIM_ACTION_SEAT_MOVED:
-          totals.seats++;
+        case CLAIM_ACTION_SLOT_MOVED:
+          totals.slots++;
           install_view (world, host, action->view, NULL);
           break;
         }
@@ -317,7 +317,7 @@
   set_contact (world, host);
 }
 
-/* PEER sends its views, including seat transfers, to HOST. */
+/* PEER sends its views, including slot transfers, to HOST. */
 static void
 receive_views (world_t *world, sim_host_t *host, const sim_host_t *peer)
 {
@@ -343,7 +343,7 @@
     return;
   for (int32_t i = 0; i < host->view->count; i++)
     {
-      const member_t *occupant = host->view->seats[i].occupant;
+      const member_t *occupant = host->view->slots[i].occupant;
       const sim_host_t *peer = &world->hosts[host_index (occupant->id)];
       heard += peer->alive && !peer->frozen && peer->partition == host->partition
                && peer->view != NULL && peer->view->number == host->view->number
@@ -641,14 +641,14 @@
 }
 
 static void
-transfer_seat (world_t *world, sim_host_t *host)
+transfer_slot (world_t *world, sim_host_t *host)
 {
   const sim_host_t *successor = random_host (world);
 
   if (host->alive && !host->frozen && successor->alive && successor != host)
     replica_event (
         world, host,
-        &(replica_event_t){ .kind = REPLICA_TRANSFER_SEAT, .successor = successor->member->id });
+        &(replica_event_t){ .kind = REPLICA_TRANSFER_SLOT, .successor = successor->member->id });
 }
 
 static void
@@ -683,7 +683,7 @@
       split_network (world);
       break;
     default:
-      transfer_seat (world, host);
+      transfer_slot (world, host);
       break;
     }
 }
@@ -808,12 +808,12 @@
           SEED, walks, totals.steps, totals.messages);
   printf ("%" G_GINT64_FORMAT " violations; granted %" G_GINT64_FORMAT " held %" G_GINT64_FORMAT
           " free %" G_GINT64_FORMAT " uncertain %" G_GINT64_FORMAT " unreachable %" G_GINT64_FORMAT
-          " expired %" G_GINT64_FORMAT ", starts %" G_GINT64_FORMAT ", seat moves %" G_GINT64_FORMAT
+          " expired %" G_GINT64_FORMAT ", starts %" G_GINT64_FORMAT ", slot moves %" G_GINT64_FORMAT
           "\n  ",
           totals.violations, totals.results[CLAIM_DONE_GRANTED], totals.results[CLAIM_DONE_HELD],
           totals.results[CLAIM_DONE_FREE], totals.results[CLAIM_DONE_UNCERTAIN],
           totals.results[CLAIM_DONE_UNREACHABLE], totals.results[CLAIM_DONE_EXPIRED], totals.starts,
-          totals.seats);
+          totals.slots);
   CU_ASSERT_EQUAL (totals.violations, 0);
   /* The walks must reach enough grants, refusals and starts to be meaningful. */
   CU_ASSERT (totals.results[CLAIM_DONE_GRANTED] > walks);
--- a/tests/test_claim_rules.c
+++ b/tests/test_claim_rules.c
@@ -2,7 +2,7 @@
  *
  * Each scenario is a fixed sequence of events on a few hosts.  The key must get
  * one holder if all rules are enabled, and two if the scenario's rule is
- * disabled.  Further tests cover changes of the view and seat transfers.
+ * disabled.  Further tests cover changes of the view and slot transfers.
  */
 #include "tests/test_claim_world.h"
 
@@ -327,10 +327,10 @@
   world_clear (&world);
 }
 
-/* The successor to a seat knows the earlier grants of that seat and grants its
+/* The successor to a slot knows the earlier grants of that slot and grants its
  * other keys. */
 static void
-test_seat_transfer (void)
+test_slot_transfer (void)
 {
   claim_rules_t rules = CLAIM_RULES_ALL;
   world_t world;
@@ -345,14 +345,14 @@
   world_claim (&world, 5);
   world_deliver_all (&world);
   CU_ASSERT (world.hosts[5].granted);
-  world_replica (&world, 0, &(replica_event_t){ .kind = REPLICA_TRANSFER_SEAT, .successor = "h4" });
+  world_replica (&world, 0, &(replica_event_t){ .kind = REPLICA_TRANSFER_SLOT, .successor = "h4" });
   pass_time (&world, 0x7f, 1000);
   replica_status_t status;
   claim_replica_status (world.hosts[0].replica, &status);
-  CU_ASSERT (status.seat_transferred);
+  CU_ASSERT (status.slot_transferred);
   isolate (&world, 0);
-  int32_t seat = view_seat_named (second, "h0");
-  view_t *moved = view_with_occupant (second, seat, world.hosts[4].member, 1);
+  int32_t slot = view_slot_named (second, "h0");
+  view_t *moved = view_with_occupant (second, slot, world.hosts[4].member, 1);
   world_install_view_all (&world, 0x7e, moved, first);
   /* Host 1 is cut off too, so a majority needs the successor and host 2. */
   isolate (&world, 1);
@@ -414,7 +414,7 @@
   CU_pSuite suite = CU_add_suite ("claim_rules", NULL, NULL);
   CU_add_test (suite, "scenarios", test_scenarios);
   CU_add_test (suite, "members die between views", test_members_die_between_views);
-  CU_add_test (suite, "a seat is transferred", test_seat_transfer);
+  CU_add_test (suite, "a slot is transferred", test_slot_transfer);
   CU_add_test (suite, "lost replicas become reachable again", test_lost_replicas_reachable_again);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
--- a/tests/test_claim_world.h
+++ b/tests/test_claim_world.h
@@ -289,13 +289,13 @@
 {
   for (int32_t i = 0;; i++)
     {
-      int32_t seats[VIEW_REPLICAS_PER_KEY];
+      int32_t slots[VIEW_REPLICAS_PER_KEY];
       uint32_t found = 0;
       g_snprintf (world->key, sizeof (world->key), "key-%d", i);
-      int32_t count = view_replicas (view, world->key, seats);
+      int32_t count = view_replicas (view, world->key, slots);
       for (int32_t j = 0; j < count; j++)
-        found |= 1u << (view->seats[seats[j]].occupant->id[1] - '0');
-      if (found == mask && (first < 0 || view->seats[seats[0]].occupant->id[1] - '0' == first))
+        found |= 1u << (view->slots[slots[j]].occupant->id[1] - '0');
+      if (found == mask && (first < 0 || view->slots[slots[0]].occupant->id[1] - '0' == first))
         return;
     }
 }
--- a/tests/test_view.c
+++ b/tests/test_view.c
@@ -20,7 +20,7 @@
     view_sim_start_host (sim, i);
 }
 
-/* Returns true if all running hosts have the same view, with COUNT seats. */
+/* Returns true if all running hosts have the same view, with COUNT slots. */
 static bool
 all_have_same_view (const view_sim_t *sim, int32_t count)
 {
@@ -85,7 +85,7 @@
   view_sim_start_host (&sim, 5);
   view_sim_run (&sim, 2000);
   CU_ASSERT (all_have_same_view (&sim, 6));
-  CU_ASSERT (view_seat_of_member (view_sim_view (&sim, 0), sim.hosts[5].member) >= 0);
+  CU_ASSERT (view_slot_of_member (view_sim_view (&sim, 0), sim.hosts[5].member) >= 0);
   view_sim_clear (&sim);
 }
 
@@ -100,7 +100,7 @@
   view_sim_run (&sim, 1500);
   CU_ASSERT (all_have_same_view (&sim, 3));
   CU_ASSERT_FALSE (membership_is_member (sim.hosts[2].membership));
-  CU_ASSERT_EQUAL (sim.seat_offers, 0);
+  CU_ASSERT_EQUAL (sim.slot_offers, 0);
   view_sim_clear (&sim);
 }
 
@@ -141,7 +141,7 @@
   CU_ASSERT_FALSE (membership_is_member (sim.hosts[5].membership));
   view_sim_step_host (&sim, 1, &(membership_event_t){ .kind = MEMBERSHIP_DRAIN });
   view_sim_run (&sim, 3000);
-  CU_ASSERT (sim.seat_offers > 0);
+  CU_ASSERT (sim.slot_offers > 0);
   sim.log_down = false;
   view_sim_run (&sim, 6000);
   CU_ASSERT (all_have_same_view (&sim, 4));
@@ -287,7 +287,7 @@
       if (directory_cases[i].last != NULL && view != NULL)
         {
           CU_ASSERT_EQUAL (view->number, directory_cases[i].number);
-          CU_ASSERT_STRING_EQUAL (view->seats[0].name, directory_cases[i].last);
+          CU_ASSERT_STRING_EQUAL (view->slots[0].name, directory_cases[i].last);
         }
       view_directory_free (directory);
     }
@@ -307,9 +307,9 @@
   CU_ASSERT_PTR_NULL (view_directory_newest (directory, "dc"));
   view_directory_merge (directory, view);
   CU_ASSERT_EQUAL (view_directory_newest (directory, "dc")->number, 7);
-  CU_ASSERT_STRING_EQUAL (view_directory_newest (directory, "dc")->seats[0].name, "y");
+  CU_ASSERT_STRING_EQUAL (view_directory_newest (directory, "dc")->slots[0].name, "y");
   apply_change (directory, 51, 6, "z");
-  CU_ASSERT_STRING_EQUAL (view_directory_newest (directory, "dc")->seats[0].name, "y");
+  CU_ASSERT_STRING_EQUAL (view_directory_newest (directory, "dc")->slots[0].name, "y");
   CU_ASSERT_EQUAL (view_directory_apply_record (directory, 52, 7, "junk", 4), ERROR_PROTOCOL);
   view_unref (view);
   view_directory_free (directory);
--- a/tests/test_view_sim.h
+++ b/tests/test_view_sim.h
@@ -57,7 +57,7 @@
   int64_t messages_sent;
   int64_t bytes_sent;
   int64_t appends;
-  int64_t seat_offers; /* OFFER_SEAT actions */
+  int64_t slot_offers; /* OFFER_SLOT actions */
 } view_sim_t;
 
 static void
@@ -156,8 +156,8 @@
       membership_action_t *action = g_ptr_array_index (actions, i);
       if (action->kind == MEMBERSHIP_SEND)
         view_sim_send (sim, index, action);
-      else if (action->kind == MEMBERSHIP_OFFER_SEAT)
-        sim->seat_offers++;
+      else if (action->kind == MEMBERSHIP_OFFER_SLOT)
+        sim->slot_offers++;
       else if (action->kind == MEMBERSHIP_APPEND && !sim->log_down)
         {
           view_sim_log_record_t *record = g_new0 (view_sim_log_record_t, 1);
