A host claims shards 60 ms after it is ready, not 200 ms after its start

Hypothesis: after the loss of all hosts nothing runs until the first claims, 0.2 s after the first host's start, while its configuration and the directory are there after 15 ms. What the wait guards against, a claim beside an owner that is alive, is over as soon as that owner could be heard: a few round trips after the host knows the others' addresses.

Change: OBSERVE_BEFORE_CLAIM_MS is 60 and counts from when the host became ready (or was last suspended). With a slow log, where addresses come late, a host now listens for longer than before.

Tests: test_cluster "claim after a start"; test_scheduling_random without a violation.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -342,8 +342,10 @@
 
   refresh_view (site, now_ms);
   update_directory_role (site, now_ms);
-  cluster_set_ready (site->cluster, site->queues != NULL && log_client_is_listed (site->log_client)
-                                        && drain_is_current (site));
+  cluster_set_ready (site->cluster,
+                     site->queues != NULL && log_client_is_listed (site->log_client)
+                         && drain_is_current (site),
+                     now_ms);
   web_client_tick (site->http_client, now_ms);
   ingress_tick (site->ingress, now_ms);
   log_client_tick (site->log_client, now_ms);
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -115,8 +115,10 @@
 }
 
 void
-cluster_set_ready (cluster_t *cluster, bool ready)
+cluster_set_ready (cluster_t *cluster, bool ready, int64_t now_ms)
 {
+  if (ready && !cluster->ready)
+    cluster->ready_since_ms = now_ms;
   cluster->ready = ready;
 }
 
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -133,8 +133,8 @@
 /* Adds the shard of DATA_CENTRE, which has endpoints. */
 void cluster_add_shard (cluster_t *cluster, const char *data_centre);
 
-/* Whether this host may own shards; false at first. */
-void cluster_set_ready (cluster_t *cluster, bool ready);
+/* Whether this host may own shards, from NOW_MS on; false at first. */
+void cluster_set_ready (cluster_t *cluster, bool ready, int64_t now_ms);
 /* This host is being stopped: it claims no further shards, and others take over those it owns. */
 void cluster_leave (cluster_t *cluster);
 
--- a/lib/cluster/cluster_example.c
+++ b/lib/cluster/cluster_example.c
@@ -33,7 +33,7 @@
   };
 
   cluster_add_shard (cluster, "x");
-  cluster_set_ready (cluster, true);
+  cluster_set_ready (cluster, true, 0);
   for (int64_t now_ms = 0; now_ms <= 400; now_ms += 100)
     {
       cluster_step (cluster, now_ms, now_ms, actions);
--- a/lib/cluster/shard_claims.c
+++ b/lib/cluster/shard_claims.c
@@ -11,9 +11,10 @@
 
 #include <string.h>
 
-/* A host makes no claims until it has listened to heartbeats for this long after its start or
- * a suspension. */
-#define OBSERVE_BEFORE_CLAIM_MS 200
+/* A host makes no claims until it has listened to heartbeats for this long, after it became ready
+ * or was suspended.  A host that is ready knows the addresses of the others; an owner that is alive
+ * is heard within a few round trips. */
+#define OBSERVE_BEFORE_CLAIM_MS 60
 /* A host of the shard's data centre claims the shard after it has had no owner for this long. */
 #define CLAIM_DELAY_LOCAL_MS 20
 /* Such a host waits this much longer for each host that is ranked before it, because that host may
@@ -246,7 +247,7 @@
   int32_t position = MIN (ranking_position (cluster->ranking, cluster->host), POSITION_MAX);
   int64_t wait_ms = CLAIM_DELAY_LOCAL_MS + position * CLAIM_DELAY_PER_POSITION_MS;
 
-  if (now_ms - cluster->observing_since_ms < OBSERVE_BEFORE_CLAIM_MS
+  if (now_ms - MAX (cluster->observing_since_ms, cluster->ready_since_ms) < OBSERVE_BEFORE_CLAIM_MS
       || now_ms < shard->no_claim_until_ms)
     return;
   if (best == NULL)
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -62,6 +62,7 @@
   bool leaving;
   int64_t observing_since_ms; /* start of the process, or the end of its last suspension */
   int64_t started_at_ms;      /* start of the process */
+  int64_t ready_since_ms;     /* when READY was last set */
   int64_t highest_token;      /* highest token issued or heard */
   uint64_t last_epoch;        /* last epoch that was assigned to a peer */
   ranking_t *ranking;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -55,7 +55,7 @@
   *fixture = (fixture_t){ .cluster = cluster_new (&options, 0),
                           .actions = g_array_new (FALSE, FALSE, sizeof (cluster_action_t)) };
   cluster_add_shard (fixture->cluster, "x");
-  cluster_set_ready (fixture->cluster, true);
+  cluster_set_ready (fixture->cluster, true, 0);
 }
 
 static void
@@ -110,6 +110,57 @@
   receive_incarnation (fixture, host, 7, epoch);
 }
 
+/* A host that has started and becomes ready at READY_AT_MS.  An owner, if there is one, is heard
+ * HEARD_AFTER_MS later. */
+static const struct
+{
+  const char *name;
+  int64_t ready_at_ms;
+  int64_t heard_after_ms; /* 0: there is no owner */
+  int64_t claim_min_ms;   /* after it became ready; 0: none */
+  int64_t claim_max_ms;
+} start_cases[] = {
+  /* Service is back before the shortest objectives of callers, of 150 ms, have passed. */
+  { "all hosts were lost", 15, 0, 50, 100 },
+  { "all hosts were lost, the log is slow", 800, 0, 50, 100 },
+  { "the host alone was restarted", 15, 20, 0, 0 },
+  { "the host alone was restarted, a link of 20 ms", 15, 45, 0, 0 },
+  { "the host alone was restarted, the log is slow", 800, 45, 0, 0 },
+};
+
+/* Replays the start of a host under load.  Without a claim nothing runs; a claim beside an owner
+ * that is alive interrupts it. */
+static void
+test_claim_after_start (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (start_cases); i++)
+    {
+      fixture_t fixture;
+      int64_t ready_at_ms = start_cases[i].ready_at_ms;
+      int64_t claimed_at_ms = 0;
+
+      set_up (&fixture);
+      cluster_set_ready (fixture.cluster, false, 0);
+      advance_to (&fixture, ready_at_ms);
+      cluster_set_ready (fixture.cluster, true, fixture.now_ms);
+      while (fixture.now_ms < ready_at_ms + 400)
+        {
+          if (start_cases[i].heard_after_ms != 0
+              && fixture.now_ms >= ready_at_ms + start_cases[i].heard_after_ms)
+            receive_owner_heartbeat (&fixture, "h2", "x", 250, 1);
+          advance_to (&fixture, fixture.now_ms + STEP_MS);
+          if (fixture.counts[CLUSTER_CLAIMED] > 0 && claimed_at_ms == 0)
+            claimed_at_ms = fixture.now_ms;
+        }
+      int64_t after_ms = claimed_at_ms != 0 ? claimed_at_ms - ready_at_ms : 0;
+      if (after_ms < start_cases[i].claim_min_ms || after_ms > start_cases[i].claim_max_ms)
+        printf ("  %s: %d ms\n", start_cases[i].name, (int) after_ms);
+      CU_ASSERT_TRUE (after_ms >= start_cases[i].claim_min_ms);
+      CU_ASSERT_TRUE (after_ms <= start_cases[i].claim_max_ms);
+      tear_down (&fixture);
+    }
+}
+
 /* Endpoints may obey a higher token, from before a restart or from a host whose clock was ahead.
  * The owner must exceed it within a few reclaims, even if its token is refused at once. */
 static void
@@ -242,6 +293,7 @@
   const char *name;
   CU_TestFunc run;
 } tests[] = {
+  { "claim after a start", test_claim_after_start },
   { "endpoints that obey a higher token", test_token_superseded },
   { "an owner with too little CPU is replaced", test_takeover_from_weak_owner },
   { "a host was restarted", test_restart },
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -455,7 +455,7 @@
       cluster_add_shard (host->cluster, data_centre_name (i));
       scheduler_set_rack_shard (host->scheduler, data_centre_name (i), data_centre_name (i));
     }
-  cluster_set_ready (host->cluster, true);
+  cluster_set_ready (host->cluster, true, host->sim->now_ms);
   host->refreshed_at_ms = sim->now_ms;
   host->started_at_ms = sim->now_ms;
   host->leaving_since_ms = 0;
