--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -1046,6 +1046,48 @@
     }
 }
 
+/* The response to a job of one task, which is sent as soon as HOST accepts a connection. */
+static site_response_t
+submit_at_start (rig_t *rig, int host, int job)
+{
+  int64_t until_ms = clock_boot_ms () + TEST_TIMEOUT_MS;
+  char *target = g_strdup_printf ("/q/%016x", (unsigned) job);
+  char *body = job_body (1, 10, "");
+  int fd = -1;
+
+  start_host (rig, host);
+  while ((fd = site_connect ("127.0.0.1", caller_port (rig, host))) < 0
+         && clock_boot_ms () < until_ms)
+    clock_sleep_ms (1);
+  site_send_request (fd, "POST", target, body, DEADLINE_MS);
+  site_response_t response = site_read_response (fd, until_ms);
+  close (fd);
+  g_free (body);
+  g_free (target);
+  return response;
+}
+
+/* Guards against the refusal of requests in the milliseconds that a host which has just started
+ * needs for its configuration.  If it gets none, they must not wait for long. */
+static void
+test_request_before_configuration (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  for (int i = 0; i < HOSTS; i++)
+    end_process (&rig.hosts[i], SIGKILL);
+  CU_ASSERT_EQUAL (submit_at_start (&rig, 0, 1).status, 200);
+  end_process (&rig.hosts[0], SIGKILL);
+  set_fault (&rig, "{\"log_down\":true}");
+  int64_t from_ms = clock_boot_ms ();
+  CU_ASSERT_EQUAL (submit_at_start (&rig, 0, 2).status, 503);
+  CU_ASSERT_EQUAL (submit (&rig, 0, 3, 1, 10).status, 503);
+  CU_ASSERT_TRUE (clock_boot_ms () - from_ms < 2000);
+  set_fault (&rig, "{\"log_down\":false}");
+  rig_stop (&rig);
+}
+
 #define BACKLOG_JOBS_MIN 4
 #define BACKLOG_JOBS_MAX 12
 #define BACKLOG_WORK_MS 4000
@@ -1207,6 +1249,7 @@
   { "all hosts killed", test_all_hosts_killed },
   { "configuration", test_configuration },
   { "log down", test_log_down },
+  { "request before the configuration", test_request_before_configuration },
   { "entries removed", test_entries_removed },
   { "draining endpoint", test_draining_endpoint },
   { "an endpoint's clock went back", test_endpoint_clock_went_back },
