The fastest endpoint among those with the best expected outcome

It kept fast ones free for long tasks when callers waited 1,500 ms whatever the size of their job; now they wait longer for longer jobs, and a task on a slow endpoint is under way for twice as long, to be lost with a host or a data centre.

Change: within a tier the fastest is better, at owners and at coordinators.

--- a/lib/executor/placement.c
+++ b/lib/executor/placement.c
@@ -5,10 +5,10 @@
  * The duration ratio is measured over the runs of the endpoint, with the ratio of its machine kind
  * as the prior value.
  *
- * Of the endpoints with free resources, the slowest that should meet the task's objective is
- * chosen, or the fastest if none should meet it.  Among endpoints of about the same speed, the one
- * with the fewest cores left over is chosen (best fit), so that large gaps stay free for large
- * tasks.
+ * Of the endpoints with free resources, those with the best expected outcome are considered, and
+ * the fastest of these is chosen: what ends early is not lost with a host that fails.  Among
+ * endpoints of about the same speed, the one with the fewest cores left over is chosen (best fit),
+ * so that large gaps stay free for large tasks.
  */
 #include "executor/state.h"
 
@@ -290,8 +290,6 @@
   int64_t free_cores_left_milli;
 } candidate_t;
 
-/* Among endpoints that are fast enough the slowest is better, so that fast ones stay free for
- * tasks that need them.  If none is fast enough, the fastest is better. */
 static bool
 is_better_candidate (const candidate_t *a, const candidate_t *b)
 {
@@ -302,11 +300,10 @@
   if (a->tier != b->tier)
     return a->tier > b->tier;
   int64_t margin_ms = b->expected_ms * EQUAL_DURATION_PERCENT / 100;
-  bool prefer_slower = a->tier == PLACEMENT_SAFE;
   if (a->expected_ms < b->expected_ms - margin_ms)
-    return !prefer_slower;
+    return true;
   if (a->expected_ms > b->expected_ms + margin_ms)
-    return prefer_slower;
+    return false;
   return a->free_cores_left_milli < b->free_cores_left_milli;
 }
 
--- a/lib/scheduler/assign.c
+++ b/lib/scheduler/assign.c
@@ -1,10 +1,10 @@
 /* assign.c -- assigns the tasks of a job to owners
  *
- * Each task takes the best free slot: one that is fast enough, in the local data centre if it has
- * one, and the slowest of these, so that the fast slots stay free for tasks that need them.  If no
- * suitable slot is free, the task is queued at the owner where it is expected to end first
- * (forecast_job.c).  As long as an owner has not reported its load, the task is queued at the owner
- * with the shortest queue relative to its number of slots instead.
+ * Each task takes the best free slot: one with the best expected outcome, in the local data centre
+ * if it has one, and the fastest of these.  If no suitable slot is free, the task is queued at the
+ * owner where it is expected to end first (forecast_job.c).  As long as an owner has not reported
+ * its load, the task is queued at the owner with the shortest queue relative to its number of slots
+ * instead.
  *
  * An owner whose next report is overdue may have been cut off.  It is given tasks only if they
  * would wait for longer at every other owner.
@@ -31,9 +31,8 @@
 } slot_choice_t;
 
 /* True if A is better than B.  Of slots with the same expected outcome those of the local data
- * centre come first: a job is lost if a data centre with a part of it is cut off.  Then the rule is
- * that by which an owner chooses an endpoint: the slowest slot that is fast enough, or the fastest
- * if none is. */
+ * centre come first: a job is lost if a data centre with a part of it is cut off.  Then the
+ * faster slot is better. */
 static bool
 is_better (const scheduler_t *scheduler, const slot_choice_t *a, const slot_choice_t *b)
 {
@@ -45,11 +44,7 @@
   bool b_is_local = b->shard->name == scheduler->data_centre;
   if (a_is_local != b_is_local)
     return a_is_local;
-  bool equal_speed =
-      a->ratio < b->ratio * EQUAL_SPEED_FACTOR && b->ratio < a->ratio * EQUAL_SPEED_FACTOR;
-  if (equal_speed)
-    return false;
-  return a->tier == PLACEMENT_SAFE ? a->ratio > b->ratio : a->ratio < b->ratio;
+  return a->ratio * EQUAL_SPEED_FACTOR <= b->ratio;
 }
 
 /* True if tasks may be assigned to SHARD. */
