--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -461,7 +461,7 @@
         continue;
       owned->needs_round = false;
       g_array_set_size (site->other_offers, 0);
-      scheduler_append_other_offers (site->scheduler, owned->name, site->other_offers);
+      scheduler_append_other_offers (site->scheduler, owned->name, now_ms, site->other_offers);
       executor_run_round (owned->executor, site->other_offers, now_ms, owned->actions);
       done |= owned->actions->len > 0;
       run_actions (owned, now_ms);
--- a/lib/scheduler/assign.c
+++ b/lib/scheduler/assign.c
@@ -6,6 +6,9 @@
  * first (forecast_job.c).  As long as an owner has not reported its load, the task is queued at the
  * owner with the shortest queue relative to its number of slots instead.
  *
+ * An owner whose next report is overdue may have been cut off.  It is given tasks only if they
+ * would wait for longer at every other owner.
+ *
  * A job with its data in a rack counts as slower in the shards of other racks.  Once an owner has
  * returned tasks of the job, that rack is taken to be full, and all shards count as equally far.
  */
@@ -60,6 +63,27 @@
   return home == shard->name && job->returned_tasks == 0 ? 1.0 : scheduler->remote_factor;
 }
 
+/* True if tasks may be assigned to SHARD. */
+bool
+assign_accepts_tasks (const shard_t *shard)
+{
+  return shard->owner != NULL && !shard->drained;
+}
+
+/* True if the report of every owner is overdue.  In that case this host is more likely to be the
+ * one that was cut off or suspended. */
+static bool
+all_reports_overdue (const scheduler_t *scheduler, int64_t now_ms)
+{
+  for (guint i = 0; i < scheduler->shard_order->len; i++)
+    {
+      const shard_t *shard = scheduler->shard_order->pdata[i];
+      if (assign_accepts_tasks (shard) && report_timing_overdue_ms (&shard->timing, now_ms) == 0)
+        return false;
+    }
+  return true;
+}
+
 static int64_t
 expected_run_ms (double ratio, const scheduled_job_t *job)
 {
@@ -85,6 +109,7 @@
                 placement_best_t *best_outcome)
 {
   slot_choice_t best = { 0 };
+  bool trust_all = all_reports_overdue (scheduler, now_ms);
   GHashTableIter iter;
   void *value = NULL;
 
@@ -94,7 +119,8 @@
     {
       shard_t *shard = value;
       double remote_factor = assign_remote_factor (scheduler, shard, job);
-      for (guint i = 0; shard->owner != NULL && !shard->drained && i < shard->offers->len; i++)
+      bool trusted = trust_all || report_timing_overdue_ms (&shard->timing, now_ms) == 0;
+      for (guint i = 0; assign_accepts_tasks (shard) && i < shard->offers->len; i++)
         {
           offer_row_t *offer = &g_array_index (shard->offers, offer_row_t, i);
           if (offer->total_slots <= 0 || !serves_job (offer, &job->request))
@@ -103,7 +129,7 @@
                                       PLACEMENT_UNLIKELY };
           candidate.tier = placement_tier (&job->aim, candidate.ratio, now_ms);
           placement_best_add (best_outcome, candidate.tier, expected_run_ms (candidate.ratio, job));
-          if (offer->free_slots > 0 && is_better (scheduler, &candidate, &best))
+          if (offer->free_slots > 0 && trusted && is_better (scheduler, &candidate, &best))
             best = candidate;
         }
     }
@@ -152,7 +178,7 @@
     {
       shard_t *shard = value;
       int32_t slots = acceptable_slots (scheduler, shard, job, best_outcome, now_ms);
-      if (shard->owner == NULL || shard->drained || slots == 0)
+      if (!assign_accepts_tasks (shard) || slots == 0)
         continue;
       double length = (double) (shard->waiting_tasks + 1) / slots;
       if (best == NULL || length < best_length
--- a/lib/scheduler/forecast_job.c
+++ b/lib/scheduler/forecast_job.c
@@ -5,17 +5,13 @@
 
 /* An older load report does not show that its owner is still busy. */
 #define REPORT_VALID_MS 2500
+/* Each millisecond by which an owner's report is overdue counts as this many of waiting.  The
+ * longer the silence, the more likely is the owner cut off, and the job would be lost with it. */
+#define OVERDUE_PENALTY 4
 /* A task can end in time only if this fraction of its expected duration remains before its
  * deadline. */
 #define MIN_RUN_FRACTION 0.6
 
-/* True if tasks may be assigned to SHARD. */
-static bool
-accepts_tasks (const shard_t *shard)
-{
-  return shard->owner != NULL && !shard->drained;
-}
-
 static bool
 serves_job (const offer_row_t *offer, const scheduled_job_t *job)
 {
@@ -103,7 +99,7 @@
     {
       shard_t *shard = scheduler->shard_order->pdata[i];
       slot_summary_t slots = summarise_slots (scheduler, shard, job, best_outcome, now_ms);
-      if (!accepts_tasks (shard) || slots.acceptable == 0)
+      if (!assign_accepts_tasks (shard) || slots.acceptable == 0)
         continue;
       const forecast_load_t *load = find_load (shard, job);
       all_known = all_known && load != NULL;
@@ -112,6 +108,8 @@
       forecast_task_t task = task_for_forecast (job, &slots);
       forecast_candidate_t candidate = { forecast_task_times (load, &task, now_ms),
                                          load->report.cores_milli };
+      candidate.forecast.end_ms +=
+          OVERDUE_PENALTY * report_timing_overdue_ms (&shard->timing, now_ms);
       g_array_append_val (candidates, candidate);
       g_array_append_val (tasks, task);
       g_ptr_array_add (shards, shard);
@@ -149,7 +147,7 @@
       const shard_t *shard = scheduler->shard_order->pdata[i];
       slot_summary_t slots = summarise_slots (scheduler, shard, job, NULL, now_ms);
       const forecast_load_t *load = find_load (shard, job);
-      if (!accepts_tasks (shard))
+      if (!assign_accepts_tasks (shard))
         continue;
       if (!shard->has_loads || (slots.acceptable > 0 && load == NULL)
           || (load != NULL && now_ms - load->received_at_ms > REPORT_VALID_MS))
@@ -178,7 +176,7 @@
     {
       const shard_t *shard = scheduler->shard_order->pdata[i];
       double remote_factor = assign_remote_factor (scheduler, shard, job);
-      for (guint k = 0; accepts_tasks (shard) && k < shard->offers->len; k++)
+      for (guint k = 0; assign_accepts_tasks (shard) && k < shard->offers->len; k++)
         {
           const offer_row_t *offer = &g_array_index (shard->offers, offer_row_t, k);
           double min_duration_ms = MIN_RUN_FRACTION * offer->duration_ratio * remote_factor
--- a/lib/scheduler/owners.c
+++ b/lib/scheduler/owners.c
@@ -88,6 +88,7 @@
   if (shard->owner != g_intern_string (host))
     return;
   g_array_set_size (shard->loads, 0);
+  report_timing_add (&shard->timing, now_ms);
   shard->has_loads = true;
   for (size_t i = 0; i < count; i++)
     {
@@ -164,6 +165,7 @@
       g_array_set_size (shard->offers, 0);
       g_array_set_size (shard->loads, 0);
       shard->has_loads = false;
+      shard->timing = (report_timing_t){ 0 };
       shard->waiting_tasks = 0;
     }
   if (shard->owner == NULL)
@@ -253,7 +255,10 @@
 }
 
 void
-scheduler_append_other_offers (const scheduler_t *scheduler, const char *name, GArray *offers)
+scheduler_append_other_offers (const scheduler_t *scheduler,
+                               const char *name,
+                               int64_t now_ms,
+                               GArray *offers)
 {
   const char *interned = g_intern_string (name);
   GHashTableIter iter;
@@ -263,7 +268,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const shard_t *shard = value;
-      if (shard->name == interned || shard->owner == NULL || shard->drained)
+      if (shard->name == interned || shard->owner == NULL || shard->drained
+          || report_timing_overdue_ms (&shard->timing, now_ms) > 0)
         continue;
       for (guint i = 0; i < shard->offers->len; i++)
         {
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -238,9 +238,12 @@
  * unconfirmed messages.  Call it after other events and every few milliseconds. */
 void scheduler_step (scheduler_t *scheduler, int64_t now_ms, GArray *actions);
 
-/* Appends the offers of the owners of all shards but SHARD, as executor_offer_t. */
-void
-scheduler_append_other_offers (const scheduler_t *scheduler, const char *shard, GArray *offers);
+/* Appends the offers of the owners of all shards but SHARD, as executor_offer_t, without those of
+ * owners whose next report is overdue. */
+void scheduler_append_other_offers (const scheduler_t *scheduler,
+                                    const char *shard,
+                                    int64_t now_ms,
+                                    GArray *offers);
 
 /* Returns the number of jobs that are not answered yet. */
 int32_t scheduler_job_count (const scheduler_t *scheduler);
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -4,6 +4,7 @@
 
 #include "base/hash.h"
 #include "scheduler/admission.h"
+#include "scheduler/report_timing.h"
 #include "scheduler/scheduler.h"
 #include "scheduler/size_history.h"
 
@@ -64,13 +65,14 @@
 
 typedef struct
 {
-  const char *name;     /* interned */
-  const char *owner;    /* interned, or NULL */
-  int64_t token;        /* of the owner's claim */
-  GArray *offers;       /* offer_row_t */
-  GHashTable *services; /* set of the interned names that its owners have offered */
-  GArray *loads;        /* forecast_load_t, with interned services */
-  bool has_loads;       /* the present owner has reported its load */
+  const char *name;       /* interned */
+  const char *owner;      /* interned, or NULL */
+  int64_t token;          /* of the owner's claim */
+  GArray *offers;         /* offer_row_t */
+  GHashTable *services;   /* set of the interned names that its owners have offered */
+  GArray *loads;          /* forecast_load_t, with interned services */
+  bool has_loads;         /* the present owner has reported its load */
+  report_timing_t timing; /* of the present owner's reports */
   bool drained;
   int32_t waiting_tasks; /* queued at the owner, by its last offer, plus those assigned since */
 } shard_t;
@@ -111,6 +113,9 @@
 void
 assign_job_tasks (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
 
+/* assign.c: true if tasks may be assigned to SHARD. */
+bool assign_accepts_tasks (const shard_t *shard);
+
 /* assign.c: creates an empty batch of JOB for the owner of SHARD, and appends the action that sends
  * a batch. */
 job_batch_t *assign_new_batch (scheduler_t *scheduler, scheduled_job_t *job, const shard_t *shard);
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -350,7 +350,8 @@
       if (host->owned_shards[i].executor == NULL)
         continue;
       GArray *other_offers = g_array_new (FALSE, FALSE, sizeof (executor_offer_t));
-      scheduler_append_other_offers (host->scheduler, data_centre_name (i), other_offers);
+      scheduler_append_other_offers (host->scheduler, data_centre_name (i), host->sim->now_ms,
+                                     other_offers);
       executor_run_round (host->owned_shards[i].executor, other_offers, host->sim->now_ms,
                           host->executor_actions);
       g_array_unref (other_offers);
--- a/tools/paired.sh
+++ b/tools/paired.sh
@@ -8,8 +8,10 @@
 # the figures of a day the means, the mean difference and its standard error.  A difference within two standard errors
 # is no gain.  The last lines say what was under way while worth was lost.
 #
-# Environment: FLEETBENCH, the bench program; JOBS, days at once (3); REPORTS, the directory of the reports (a temporary
-# one).  A report that is there for the same sources, site and seed is used again.
+# Environment: FLEETBENCH, the bench program; JOBS, days at once (3); RUN_OPTIONS, more options of its verb `run`;
+# REPORTS, the directory of the reports (a temporary one).  A report that is there for the same sources, site, seed and
+# options is used again.  Processor time depends on what else the machine does: with RUN_OPTIONS=--no-cpu the two sides
+# need not be played at the same time.
 set -eu
 [ $# -ge 4 ] || {
   sed -n '4s/^# *//p' "$0" >&2
@@ -20,6 +22,7 @@
 seeds=$*
 : "${FLEETBENCH:?names the bench program}"
 reports=${REPORTS:-$(mktemp -d)}
+export RUN_OPTIONS=${RUN_OPTIONS:-}
 mkdir -p "$reports"
 reports=$(cd "$reports" && pwd)
 days=(trouble-1 scale-1 trouble-2 scale-2 trouble-3)
@@ -30,14 +33,15 @@
 }
 
 # report_of KEY SEED
-report_of () { echo "$reports/$(basename "$site" .toml).$1.$2.json"; }
+report_of () { echo "$reports/$(basename "$site" .toml)${RUN_OPTIONS// /}.$1.$2.json"; }
 
 # play CHECKOUT KEY SEED
 play () {
   local out
   out=$(report_of "$2" "$3")
+  # shellcheck disable=SC2086
   [ -s "$out" ] && return
-  (cd "$1" && "$FLEETBENCH" run "$site" "${days[$3 % 5]}" --vary --seed "$3" --report "$out.part" \
+  (cd "$1" && "$FLEETBENCH" run "$site" "${days[$3 % 5]}" --vary --seed "$3" $RUN_OPTIONS --report "$out.part" \
     --why "paired $2" >"$out.log" 2>&1 && mv "$out.part" "$out") || echo "not played: $1 seed $3, see $out.log" >&2
 }
 
