--- a/tests/test_assign.c
+++ b/tests/test_assign.c
@@ -83,7 +83,8 @@
 static void
 start_task (world_t *world, int data_centre, int job, int64_t work_ms, int64_t now_ms)
 {
-  /* As an owner does: a slow slot if it is fast enough, or the only one. */
+  /* An owner takes the fastest; a slow slot that is fast enough is the harder case here, since its
+   * task is under way for longer. */
   const job_t *of = &g_array_index (world->jobs, job_t, job);
   bool slow_is_enough =
       now_ms + (int64_t) (2 * SLOW_RATIO * (double) work_ms) < of->objective_at_ms;
--- a/tools/paired.sh
+++ b/tools/paired.sh
@@ -39,8 +39,8 @@
 play () {
   local out
   out=$(report_of "$2" "$3")
-  # shellcheck disable=SC2086
   [ -s "$out" ] && return
+  # shellcheck disable=SC2086
   (cd "$1" && "$FLEETBENCH" run "$site" "${days[$3 % 5]}" --vary --seed "$3" $RUN_OPTIONS --report "$out.part" \
     --why "paired $2" >"$out.log" 2>&1 && mv "$out.part" "$out") || echo "not played: $1 seed $3, see $out.log" >&2
 }
