Log runs that no coordinator claims

A run that its owner has not started and that no coordinator submits within 150 ms is stopped.

Change: the event run_unclaimed (class trouble), written once, when the first stop is sent; counted in jaytrail_events_total. No decision changes.

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -43,6 +43,7 @@
   [EXECUTOR_LOG_MOVED] = { EVENT_TASK_MOVED, true, true, false, true },
   [EXECUTOR_LOG_ABORTED] = { EVENT_TASK_CUT, true, true, true, true },
   [EXECUTOR_LOG_ADOPTED] = { EVENT_TASK_ADOPTED, true, false, false, false },
+  [EXECUTOR_LOG_UNCLAIMED] = { EVENT_RUN_UNCLAIMED, true, true, false, false },
   [EXECUTOR_LOG_REFUSED] = { EVENT_ORDER_REFUSED, true, false, false, false },
   [EXECUTOR_LOG_UNANSWERED] = { EVENT_ORDER_UNANSWERED, true, false, false, false },
   [EXECUTOR_LOG_UNRESPONSIVE] = { EVENT_ENDPOINT_SILENT, false, false, false, false },
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -153,6 +153,10 @@
     "{usable} endpoints usable, {waiting} tasks waiting)" },
   { EVENT_TASK_ADOPTED, EVENT_CLASS_PROBLEM, "task_adopted", "task attempt endpoint",
     "{host_id} took over the run of task {task} on {endpoint}" },
+  { EVENT_RUN_UNCLAIMED, EVENT_CLASS_PROBLEM, "run_unclaimed", "task attempt endpoint elapsed_ms",
+    "{host_id} stops attempt {attempt} of task {task} on {endpoint}, which it has not started and "
+    "no "
+    "coordinator has claimed within {elapsed_ms} ms" },
   { EVENT_ORDER_REFUSED, EVENT_CLASS_PROBLEM, "order_refused", "task attempt endpoint why",
     "{endpoint} refused to start task {task}: {why}" },
   { EVENT_ORDER_UNANSWERED, EVENT_CLASS_PROBLEM, "order_unanswered", "task attempt endpoint",
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -113,7 +113,9 @@
   EXECUTOR_LOG_MOVED,         /* elapsed_ms, progress_percent */
   EXECUTOR_LOG_ABORTED,       /* elapsed_ms, expected_ms, progress_percent */
   EXECUTOR_LOG_ADOPTED,
-  EXECUTOR_LOG_REFUSED, /* reason */
+  EXECUTOR_LOG_UNCLAIMED, /* elapsed_ms: time since a poll first listed the run; this owner has not
+                             started it, no coordinator has claimed it, and it is being stopped */
+  EXECUTOR_LOG_REFUSED,   /* reason */
   EXECUTOR_LOG_UNANSWERED,
   EXECUTOR_LOG_UNRESPONSIVE, /* count: runs on the endpoint */
   EXECUTOR_LOG_RESPONSIVE,   /* elapsed_ms: time since the first unanswered call */
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -115,6 +115,21 @@
   action->serial = register_call (executor, endpoint, name, attempt);
 }
 
+static void
+log_unclaimed_run (executor_t *executor,
+                   const endpoint_t *endpoint,
+                   const foreign_run_t *foreign,
+                   int64_t now_ms,
+                   GArray *actions)
+{
+  executor_action_t *action =
+      log_event (executor, actions, EXECUTOR_LOG_UNCLAIMED, endpoint, NULL, now_ms);
+
+  action->task = g_string_chunk_insert (executor->action_strings, foreign->name);
+  action->attempt = foreign->attempt;
+  action->elapsed_ms = now_ms - foreign->seen_at_ms;
+}
+
 static void
 send_stops (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
 {
@@ -133,6 +148,8 @@
       if (now_ms - foreign->seen_at_ms < ADOPTION_GRACE_MS
           || (foreign->stop_sent_at_ms != 0 && now_ms - foreign->stop_sent_at_ms < STOP_RETRY_MS))
         continue;
+      if (foreign->stop_sent_at_ms == 0)
+        log_unclaimed_run (executor, endpoint, foreign, now_ms, actions);
       foreign->stop_sent_at_ms = now_ms;
       send_stop (executor, endpoint, foreign->name, foreign->attempt, actions);
     }
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -161,6 +161,44 @@
   scenario_end (&scenario);
 }
 
+static const struct
+{
+  const char *name;
+  int64_t round_at_ms; /* the foreign run is listed at 0 */
+  int expected;        /* lines about it in this round */
+} unclaimed_run_cases[] = {
+  { "its coordinator may still submit it", 149, 0 },
+  { "nobody has claimed it", 150, 1 },
+  { "the stop is sent again", 300, 0 },
+};
+
+/* A run that no coordinator claims is logged once, when its first stop is sent. */
+static void
+test_unclaimed_run_logged (void)
+{
+  static const poll_active_t row = { "j.0.0.0", 2, 10 };
+  scenario_t scenario;
+
+  scenario_begin (&scenario);
+  add_endpoint (&scenario, 0, "r1", 4000);
+  run_round_at (&scenario, 0);
+  answer_poll (&scenario, 0, &row, 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (unclaimed_run_cases); i++)
+    {
+      int lines = 0;
+      run_round_at (&scenario, unclaimed_run_cases[i].round_at_ms);
+      for (guint k = 0; k < scenario.actions->len; k++)
+        {
+          const executor_action_t *action = &g_array_index (scenario.actions, executor_action_t, k);
+          lines += action->kind == EXECUTOR_LOG && action->log_event == EXECUTOR_LOG_UNCLAIMED;
+        }
+      if (lines != unclaimed_run_cases[i].expected)
+        printf ("  %s: %d lines\n", unclaimed_run_cases[i].name, lines);
+      CU_ASSERT_EQUAL (lines, unclaimed_run_cases[i].expected);
+    }
+  scenario_end (&scenario);
+}
+
 static const struct
 {
   const char *name;
@@ -1106,6 +1144,7 @@
   { "the entry of an endpoint is removed", test_entry_removed },
   { "aborted when it cannot meet its deadline", test_overdue },
   { "a run is adopted while it is being stopped", test_run_adopted_while_stopped },
+  { "a run that no coordinator claims is logged", test_unclaimed_run_logged },
   { "tasks start in the rack of their data", test_preferred_rack },
   { "a slow endpoint for a long task", test_slow_endpoint_for_long_task },
   { "acceptable placement", test_acceptable_placement },
