--- a/lib/scheduler/assign.c
+++ b/lib/scheduler/assign.c
@@ -14,8 +14,6 @@
  */
 #include "scheduler/state.h"
 
-#include <string.h>
-
 /* Speeds that differ by less than this factor count as equal. */
 #define EQUAL_SPEED_FACTOR 1.1
 /* Attempts of a task under one owner stay below this number, so that the attempt numbers of
@@ -47,13 +45,6 @@
   return a->ratio * EQUAL_SPEED_FACTOR <= b->ratio;
 }
 
-/* True if tasks may be assigned to SHARD. */
-bool
-assign_accepts_tasks (const shard_t *shard)
-{
-  return shard->owner != NULL && !shard->drained;
-}
-
 /* True if the report of every owner is overdue.  In that case this host is more likely to be the
  * one that was cut off or suspended. */
 static bool
@@ -62,22 +53,24 @@
   for (guint i = 0; i < scheduler->shard_order->len; i++)
     {
       const shard_t *shard = scheduler->shard_order->pdata[i];
-      if (assign_accepts_tasks (shard) && report_timing_overdue_ms (&shard->timing, now_ms) == 0)
+      if (slots_shard_accepts_tasks (shard)
+          && report_timing_overdue_ms (&shard->timing, now_ms) == 0)
         return false;
     }
   return true;
 }
 
 /* Returns the best free slot for a task of JOB; its offer is NULL if there is none, or if the task
- * should rather wait.  *BEST_OUTCOME is set to the best that the task can expect if it waits. */
+ * should rather wait.  Slots of owners whose report is overdue are not chosen unless TRUST_ALL.
+ * *BEST_OUTCOME is set to the best that the task can expect if it waits. */
 static slot_choice_t
 best_free_slot (scheduler_t *scheduler,
                 const scheduled_job_t *job,
+                bool trust_all,
                 int64_t now_ms,
                 placement_best_t *best_outcome)
 {
   slot_choice_t best = { 0 };
-  bool trust_all = all_reports_overdue (scheduler, now_ms);
   GHashTableIter iter;
   void *value = NULL;
 
@@ -88,7 +81,7 @@
       shard_t *shard = value;
       double remote_factor = slots_remote_factor (scheduler, shard, job);
       bool trusted = trust_all || report_timing_overdue_ms (&shard->timing, now_ms) == 0;
-      for (guint i = 0; assign_accepts_tasks (shard) && i < shard->offers->len; i++)
+      for (guint i = 0; slots_shard_accepts_tasks (shard) && i < shard->offers->len; i++)
         {
           offer_row_t *offer = &g_array_index (shard->offers, offer_row_t, i);
           if (!slots_serve_job (offer, job))
@@ -123,8 +116,10 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       shard_t *shard = value;
+      if (!slots_shard_accepts_tasks (shard))
+        continue;
       int32_t slots = slots_summarise (scheduler, shard, job, best_outcome, now_ms).acceptable;
-      if (!assign_accepts_tasks (shard) || slots == 0)
+      if (slots == 0)
         continue;
       double length = (double) (shard->waiting_tasks + 1) / slots;
       if (best == NULL || length < best_length
@@ -206,11 +201,12 @@
 assign_job_tasks (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
   GPtrArray *new_batches = g_ptr_array_new ();
+  bool trust_all = all_reports_overdue (scheduler, now_ms);
 
   while (job->unassigned->len > 0)
     {
       placement_best_t best_outcome = PLACEMENT_BEST_NONE;
-      slot_choice_t choice = best_free_slot (scheduler, job, now_ms, &best_outcome);
+      slot_choice_t choice = best_free_slot (scheduler, job, trust_all, now_ms, &best_outcome);
       shard_t *shard = choice.shard;
       if (shard == NULL)
         shard = forecast_job_choose_owner (scheduler, job, &best_outcome, now_ms);
--- a/lib/scheduler/forecast_job.c
+++ b/lib/scheduler/forecast_job.c
@@ -54,8 +54,10 @@
   for (guint i = 0; i < scheduler->shard_order->len; i++)
     {
       shard_t *shard = scheduler->shard_order->pdata[i];
+      if (!slots_shard_accepts_tasks (shard))
+        continue;
       slot_summary_t slots = slots_summarise (scheduler, shard, job, best_outcome, now_ms);
-      if (!assign_accepts_tasks (shard) || slots.acceptable == 0)
+      if (slots.acceptable == 0)
         continue;
       const forecast_load_t *load = find_load (shard, job);
       all_known = all_known && load != NULL;
@@ -101,10 +103,10 @@
   for (guint i = 0; i < scheduler->shard_order->len; i++)
     {
       const shard_t *shard = scheduler->shard_order->pdata[i];
+      if (!slots_shard_accepts_tasks (shard))
+        continue;
       slot_summary_t slots = slots_summarise (scheduler, shard, job, NULL, now_ms);
       const forecast_load_t *load = find_load (shard, job);
-      if (!assign_accepts_tasks (shard))
-        continue;
       if (!shard->has_loads || (slots.acceptable > 0 && load == NULL)
           || (load != NULL && now_ms - load->received_at_ms > REPORT_VALID_MS))
         return false;
@@ -132,7 +134,7 @@
     {
       const shard_t *shard = scheduler->shard_order->pdata[i];
       double remote_factor = slots_remote_factor (scheduler, shard, job);
-      for (guint k = 0; assign_accepts_tasks (shard) && k < shard->offers->len; k++)
+      for (guint k = 0; slots_shard_accepts_tasks (shard) && k < shard->offers->len; k++)
         {
           const offer_row_t *offer = &g_array_index (shard->offers, offer_row_t, k);
           double min_duration_ms = MIN_RUN_FRACTION * offer->duration_ratio * remote_factor
--- a/lib/scheduler/owners.c
+++ b/lib/scheduler/owners.c
@@ -268,7 +268,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const shard_t *shard = value;
-      if (shard->name == interned || shard->owner == NULL || shard->drained
+      if (shard->name == interned || !slots_shard_accepts_tasks (shard)
           || report_timing_overdue_ms (&shard->timing, now_ms) > 0)
         continue;
       for (guint i = 0; i < shard->offers->len; i++)
--- a/lib/scheduler/slots.c
+++ b/lib/scheduler/slots.c
@@ -3,6 +3,12 @@
 
 #include <string.h>
 
+bool
+slots_shard_accepts_tasks (const shard_t *shard)
+{
+  return shard->owner != NULL && !shard->drained;
+}
+
 bool
 slots_serve_job (const offer_row_t *offer, const scheduled_job_t *job)
 {
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -113,14 +113,14 @@
 void
 assign_job_tasks (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
 
-/* assign.c: true if tasks may be assigned to SHARD. */
-bool assign_accepts_tasks (const shard_t *shard);
-
 /* assign.c: creates an empty batch of JOB for the owner of SHARD, and appends the action that sends
  * a batch. */
 job_batch_t *assign_new_batch (scheduler_t *scheduler, scheduled_job_t *job, const shard_t *shard);
 void assign_send_batch (const scheduled_job_t *job, const job_batch_t *batch, GArray *actions);
 
+/* slots.c: true if tasks may be assigned to SHARD. */
+bool slots_shard_accepts_tasks (const shard_t *shard);
+
 /* slots.c: true if OFFER has slots for tasks of JOB, free or not. */
 bool slots_serve_job (const offer_row_t *offer, const scheduled_job_t *job);
 
--- a/tests/soak/rig.c
+++ b/tests/soak/rig.c
@@ -9,7 +9,6 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "tests/site_call.h"
-#include "wire/socket.h"
 
 #include <signal.h>
 #include <stdio.h>
