A new owner asks endpoints whose entries are missing

What callers saw: a task ran twice at the same time. Reproduced with real processes: an endpoint runs tasks, its entry is missing from the directory (it can't reach the log, or its entry expired while the log was unavailable), and its owner is killed.

Cause: the next owner builds its table of endpoints from the directory, which has no such endpoint. All endpoints that it knows answer without the task, so the task counts as running nowhere and is started again, while the former owner's run goes on for the rest of its lease, up to 1,030 ms. The wait for entries that are missing (discovery_until) counts from the first listing of the directory, so that it covers only the start of a host. An endpoint with a foreign run was dropped likewise as soon as its entry was removed.

Class: absence of evidence taken for evidence of absence: "no endpoint that I know lists it".

Change: entries removed within the last 15 s are kept (lib/executor/removed_entries) and handed to the executor when a shard is claimed, as endpoints that get no tasks. The executor drops such an endpoint only once a poll has shown that it runs nothing, or another owner can have runs there no more. The run is found and adopted, so its job is served too.

Cost: tasks that waited, without a start, at an owner that is lost wait up to 2 s longer where an endpoint's entry was removed in the last 15 s and the endpoint does not answer.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -418,6 +418,7 @@
   site->owned_shards = g_hash_table_new_full (NULL, NULL, NULL, owner_free_shard);
   site->retired_shards = g_ptr_array_new_with_free_func (owner_free_shard);
   site->directory = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, site_free_entry);
+  site->removed_entries = removed_entries_new ();
   site->connections = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   site->known_hosts = g_hash_table_new_full (NULL, NULL, NULL, peers_free_host);
   site->follows_directory = true;
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -239,6 +239,16 @@
     executor_set_endpoint (owned->executor, &entry->endpoint, now_ms);
 }
 
+/* The endpoint gets no tasks, but is asked what an earlier owner has started there. */
+static void
+set_removed_endpoint (const executor_entry_t *entry, void *data)
+{
+  owned_shard_t *owned = data;
+
+  executor_set_endpoint (owned->executor, &entry->endpoint, clock_boot_ms ());
+  executor_remove_endpoint (owned->executor, entry->endpoint.id);
+}
+
 static executor_options_t
 executor_options_of (const site_t *site)
 {
@@ -274,6 +284,7 @@
   g_hash_table_iter_init (&iter, site->directory);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     set_endpoint (owned, value, now_ms);
+  removed_entries_foreach (site->removed_entries, shard, now_ms, set_removed_endpoint, owned);
   /* Entries that expired while the log was unreachable are registered again within DISCOVERY_MS. */
   int64_t listed_at_ms = log_client_directory_listed_at_ms (site->log_client);
   int64_t discovery_ms =
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -10,6 +10,7 @@
 #include "drain/drain.h"
 #include "executor/executor.h"
 #include "executor/executor_msg.h"
+#include "executor/removed_entries.h"
 #include "scheduler/scheduler.h"
 #include "scheduler/queues.h"
 #include "platform/ingress.h"
@@ -84,12 +85,13 @@
   drains_t *drains;
   GHashTable *running_in_drained; /* interned data centre -> drain_running_t */
   GHashTable *directory;          /* endpoint id -> executor_entry_t */
-  GHashTable *connections;        /* interned host -> peer_connection_t */
-  GHashTable *known_hosts;        /* interned host -> known_host_t */
-  GArray *cluster_actions;        /* cluster_action_t that have not been carried out */
-  GArray *scheduler_actions;      /* likewise, scheduler_action_t */
-  GArray *other_offers;           /* executor_offer_t of other shards; valid for one round */
-  GArray *task_ends;              /* pending_task_end_t */
+  removed_entries_t *removed_entries;
+  GHashTable *connections;   /* interned host -> peer_connection_t */
+  GHashTable *known_hosts;   /* interned host -> known_host_t */
+  GArray *cluster_actions;   /* cluster_action_t that have not been carried out */
+  GArray *scheduler_actions; /* likewise, scheduler_action_t */
+  GArray *other_offers;      /* executor_offer_t of other shards; valid for one round */
+  GArray *task_ends;         /* pending_task_end_t */
   bool store_reachable;
   bool follows_directory; /* whether this host reads the directory of endpoints from the log */
   bool stopping;
--- a/daemon/site_updates.c
+++ b/daemon/site_updates.c
@@ -93,6 +93,7 @@
   if (!unchanged)
     peers_send_entry (site, copy);
   g_hash_table_replace (site->directory, (void *) copy->endpoint.id, copy);
+  removed_entries_forget (site->removed_entries, copy->endpoint.id);
   cluster_add_shard (site->cluster, copy->shard);
   scheduler_set_rack_shard (site->scheduler, copy->endpoint.rack, copy->shard);
   owner_set_entry (site, copy);
@@ -114,6 +115,7 @@
   log_endpoint (EVENT_ENDPOINT_GONE, entry);
   peers_send_removal (site, id);
   owner_remove_endpoint (site, id, entry->shard);
+  removed_entries_add (site->removed_entries, entry, clock_boot_ms ());
   g_hash_table_remove (site->directory, id);
 }
 
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -530,8 +530,17 @@
   executor->removed_endpoints++;
 }
 
+/* True if nothing is left to be tracked on ENDPOINT.  As long as another owner may have runs there,
+ * a poll must show that there are none. */
+static bool
+is_departed (const executor_t *executor, const endpoint_t *endpoint, int64_t now_ms)
+{
+  return endpoint->entry_removed && endpoint->runs->len == 0 && endpoint->foreign_runs->len == 0
+         && (endpoint->runs_known || now_ms >= executor->contested_until_ms);
+}
+
 void
-remove_departed_endpoints (executor_t *executor)
+remove_departed_endpoints (executor_t *executor, int64_t now_ms)
 {
   GHashTableIter iter;
   void *value = NULL;
@@ -541,7 +550,7 @@
   GPtrArray *removable = g_ptr_array_new ();
   g_hash_table_iter_init (&iter, executor->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((endpoint_t *) value)->entry_removed && ((endpoint_t *) value)->runs->len == 0)
+    if (is_departed (executor, value, now_ms))
       g_ptr_array_add (removable, value);
   for (guint i = 0; i < removable->len; i++)
     delete_endpoint (executor, removable->pdata[i]);
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -226,8 +226,9 @@
 executor_set_endpoint (executor_t *executor, const executor_endpoint_t *endpoint, int64_t now_ms);
 
 /* Records that the entry of the endpoint is gone: nothing new starts there.  The endpoint itself
- * may still be alive, so its runs are tracked until they have ended or its lease has expired.  Does
- * nothing if the endpoint is unknown. */
+ * may still be alive, so its runs are tracked until they have ended or its lease has expired. After
+ * a change of owner it is also polled for runs of the former owner.  Does nothing if the endpoint
+ * is unknown. */
 void executor_remove_endpoint (executor_t *executor, const char *id);
 
 /* Records that another host owns the endpoint now: drops it without stopping its runs. Coordinators
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -538,7 +538,7 @@
   void *value = NULL;
 
   action_strings_clear (executor);
-  remove_departed_endpoints (executor);
+  remove_departed_endpoints (executor, now_ms);
   remove_closed_batches (executor, now_ms);
   resend_ends (executor, actions);
   g_hash_table_iter_init (&iter, executor->endpoints);
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -64,8 +64,8 @@
 /* Frees the strings that the actions of the last call pointed to. */
 void action_strings_clear (executor_t *executor);
 
-/* Removes endpoints whose entry is gone and that have no runs. */
-void remove_departed_endpoints (executor_t *executor);
+/* Removes endpoints whose entry is gone and on which no run can be alive. */
+void remove_departed_endpoints (executor_t *executor, int64_t now_ms);
 
 /* Removes a batch that has no tasks. */
 void batch_remove (executor_t *executor, batch_t *batch);
--- a/standins/fake_site.c
+++ b/standins/fake_site.c
@@ -216,6 +216,8 @@
   for (guint i = 0; i < endpoints->len; i++)
     {
       site_endpoint_t *endpoint = endpoints->pdata[i];
+      if (site_endpoint_faults (endpoint)->unlisted)
+        continue;
       char *entry = site_endpoint_entry (endpoint);
       if (log_address != NULL)
         register_elsewhere (site_endpoint_id (endpoint), entry, now_ms);
--- a/standins/site_endpoint.c
+++ b/standins/site_endpoint.c
@@ -409,6 +409,7 @@
   set_flag (fault, "hanging", &endpoint->faults.hanging);
   set_flag (fault, "mute", &endpoint->faults.mute);
   set_flag (fault, "draining", &endpoint->faults.draining);
+  set_flag (fault, "unlisted", &endpoint->faults.unlisted);
   set_number (fault, "late_ms", &endpoint->faults.late_ms);
   set_number (fault, "slow", &endpoint->faults.slow);
   set_number (fault, "born", &endpoint->faults.born);
--- a/standins/site_endpoint.h
+++ b/standins/site_endpoint.h
@@ -25,6 +25,7 @@
   bool mute;       /* starts are carried out and not answered */
   bool draining;   /* its entry says that it leaves */
   int64_t late_ms; /* orders get no answer and are carried out so much later */
+  bool unlisted;   /* does not register in the directory */
   int64_t slow;    /* runs take so many times as long; 0 counts as 1 */
   int64_t born;    /* as if it had started anew with its clock at this time; 0 for its own start */
 } site_endpoint_faults_t;
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -708,6 +708,39 @@
   scenario_end (&scenario);
 }
 
+/* A new owner must ask an endpoint whose entry is missing before it starts a task that may run
+ * there. */
+static void
+test_run_on_removed_endpoint (void)
+{
+  static const poll_active_t row = { "j.0.0.0", 1, 10 };
+  executor_batch_t batch = batch_of ("j", 1);
+  scenario_t scenario;
+
+  scenario_begin (&scenario);
+  executor_set_token (scenario.executor, 7, 0);
+  add_endpoint (&scenario, 0, "r1", 4000);
+  add_endpoint (&scenario, 1, "r1", 4000);
+  executor_remove_endpoint (scenario.executor, "e1");
+  batch.token = 7;
+  batch.maybe_running = true;
+  batch.prior_runs_end_by_ms = 2200;
+  executor_submit (scenario.executor, &batch, 0);
+  run_round_at (&scenario, 1);
+  answer_poll (&scenario, 0, NULL, 0);
+  run_round_at (&scenario, 5);
+  CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "");
+  scenario.now_ms = 8;
+  answer_poll (&scenario, 1, &row, 1);
+  for (int64_t now_ms = 10; now_ms < 100; now_ms += 10)
+    {
+      run_round_at (&scenario, now_ms);
+      CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "");
+    }
+  CU_ASSERT_EQUAL (executor_totals (scenario.executor, 100).running, 1);
+  scenario_end (&scenario);
+}
+
 /* Number of EXECUTOR_DONE actions for BATCH that the last call appended. */
 static int
 count_done (const scenario_t *scenario, uint64_t batch)
@@ -1142,6 +1175,7 @@
   { "a batch is submitted again", test_batch_resubmitted },
   { "reported load", test_load },
   { "the entry of an endpoint is removed", test_entry_removed },
+  { "a run on an endpoint whose entry is missing", test_run_on_removed_endpoint },
   { "aborted when it cannot meet its deadline", test_overdue },
   { "a run is adopted while it is being stopped", test_run_adopted_while_stopped },
   { "a run that no coordinator claims is logged", test_unclaimed_run_logged },
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -28,6 +28,8 @@
 #define DEADLINE_MS 3000
 #define QUEUE_TIMEOUT_MS 3000
 #define LEASE_MS 1000
+/* After this time from the start of the hosts, entries that are missing count as gone. */
+#define DISCOVERY_END_MS 3500
 /* The default of bounds.evacuation_ms. */
 #define EVACUATION_MS 5000
 
@@ -754,6 +756,39 @@
   rig_stop (&rig);
 }
 
+/* The entry of the endpoint that runs tasks is missing when their owner is killed.  The next owner
+ * must not take them for tasks that run nowhere. */
+static void
+test_owner_killed_while_entry_missing (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  clock_sleep_ms (DISCOVERY_END_MS);
+  for (int killed = 2; killed >= 0; killed -= 2) /* each owner of data centre x in turn */
+    {
+      load_t load = { .rig = &rig,
+                      .first_job = 7000 + killed,
+                      .job_count = 1,
+                      .host = 2 - killed,
+                      .tasks = 3,
+                      .work_ms = 1800 };
+      GThread *thread = g_thread_new ("load", run_load, &load);
+      clock_sleep_ms (200);
+      set_fault (&rig, "{\"endpoint\":\"e0\",\"unlisted\":true}");
+      post_to_standin (&rig, "/wipe");
+      clock_sleep_ms (600);
+      end_process (&rig.hosts[killed], SIGKILL);
+      g_thread_join (thread);
+      CU_ASSERT_EQUAL (load.completed, 1);
+      set_fault (&rig, "{\"endpoint\":\"e0\",\"unlisted\":false}");
+      start_host (&rig, killed);
+      CU_ASSERT_TRUE (wait_until_all_ready (&rig));
+      clock_sleep_ms (DISCOVERY_END_MS);
+    }
+  rig_stop (&rig);
+}
+
 /* A draining endpoint gets no further tasks.  MORE adds members to the fault: with "born" the
  * endpoint has also restarted with a clock that went back, so that its entry looks older. */
 static void
@@ -1251,6 +1286,7 @@
   { "log down", test_log_down },
   { "request before the configuration", test_request_before_configuration },
   { "entries removed", test_entries_removed },
+  { "an owner is killed while an entry is missing", test_owner_killed_while_entry_missing },
   { "draining endpoint", test_draining_endpoint },
   { "an endpoint's clock went back", test_endpoint_clock_went_back },
   { "drain", test_drain },
