An owner hears often of each coordinator before it takes its tasks

What callers saw: a task that ran twice at one time, on sites with more than four hosts in a data centre.

Cause: hosts that own nothing exchange heartbeats every 1000 ms, and announce it; such a host is lost after 3050 ms. When a host became an owner, the interval towards it fell to 250 ms, but the next heartbeat stayed due up to 1000 ms later. A coordinator that handed its batches to the new owner and was lost silently within that time counted as alive for 3050 ms: its tasks ran on while its callers, who submit again after 1300 ms, had them run elsewhere. The simulation compared the time since the last heartbeat with the present interval, unlike the daemon, and so hid it.

Change: when a heartbeat is due is decided in lib/cluster, for the daemon and the simulation alike: at once when a shorter interval applies, and sent before the batches for the new owner, on the same connection. An owner refuses batches of a coordinator that has announced a longer interval than 250 ms, so that a coordinator of its tasks is lost within 780 ms. Heartbeats to a host that was lost, and may still own a shard, come every 250 ms too.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -57,6 +57,8 @@
           event_add_number ("token", action->token);
           event_end ();
         }
+      /* An owner takes tasks only from hosts that send heartbeats often enough. */
+      peers_send_heartbeats (site, now_ms, false);
       scheduler_set_owner (site->scheduler, action->shard, action->host, action->token, now_ms,
                            site->scheduler_actions);
       site_run_scheduler_actions (site);
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -437,17 +437,11 @@
 {
   GHashTableIter iter;
   void *host = NULL;
-  void *value = NULL;
 
   g_hash_table_iter_init (&iter, site->connections);
-  while (g_hash_table_iter_next (&iter, &host, &value))
-    {
-      peer_connection_t *connection = value;
-      if (now_ms < connection->heartbeat_due_ms && !at_once)
-        continue;
-      connection->heartbeat_due_ms = now_ms + cluster_heartbeat_interval_ms (site->cluster, host);
+  while (g_hash_table_iter_next (&iter, &host, NULL))
+    if (at_once || cluster_heartbeat_is_due (site->cluster, host, now_ms))
       peers_send_heartbeat (site, host);
-    }
 }
 
 /* --- known hosts --- */
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -43,7 +43,6 @@
 typedef struct
 {
   const char *data_centre; /* interned */
-  int64_t heartbeat_due_ms;
   int64_t opened_at_ms;
   bool reconnecting; /* this host has closed the connection in order to open a new one */
 } peer_connection_t;
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -69,6 +69,7 @@
                                   options->hubs_per_data_centre);
   cluster->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_peer);
   cluster->shards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  cluster->sent_heartbeats = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   return cluster;
 }
 
@@ -79,6 +80,7 @@
     return;
   g_hash_table_unref (cluster->peers);
   g_hash_table_unref (cluster->shards);
+  g_hash_table_unref (cluster->sent_heartbeats);
   ranking_free (cluster->ranking);
   g_free (cluster->data_centre);
   g_free (cluster);
@@ -223,8 +225,10 @@
 void
 cluster_connection_lost (cluster_t *cluster, const char *host, int64_t now_ms)
 {
-  peer_t *peer = g_hash_table_lookup (cluster->peers, g_intern_string (host));
+  const char *interned = g_intern_string (host);
+  peer_t *peer = g_hash_table_lookup (cluster->peers, interned);
 
+  g_hash_table_remove (cluster->sent_heartbeats, interned);
   if (peer == NULL || !peer->alive)
     return;
   int64_t silent_ms = silence_limit_ms (cluster, peer);
@@ -327,11 +331,21 @@
 {
   const peer_t *peer = cluster_find_peer (cluster, host);
 
-  return peer != NULL && peer->alive && peer->expected_epoch == epoch;
+  return peer != NULL && peer->alive && peer->expected_epoch == epoch
+         && peer->interval_ms <= HEARTBEAT_REMOTE_MS;
+}
+
+static void
+record_heartbeat (cluster_t *cluster, const char *to, int64_t interval_ms, int64_t now_ms)
+{
+  sent_heartbeat_t *sent = g_new (sent_heartbeat_t, 1);
+
+  *sent = (sent_heartbeat_t){ interval_ms, now_ms + interval_ms };
+  g_hash_table_replace (cluster->sent_heartbeats, (void *) g_intern_string (to), sent);
 }
 
 void
-cluster_make_heartbeat (const cluster_t *cluster,
+cluster_make_heartbeat (cluster_t *cluster,
                         const char *to,
                         int64_t now_ms,
                         cluster_heartbeat_t *heartbeat)
@@ -360,6 +374,7 @@
       if (shard->owned && heartbeat->claims->len < CLUSTER_CLAIMS_MAX)
         g_array_append_val (heartbeat->claims, claim);
     }
+  record_heartbeat (cluster, to, heartbeat->interval_ms, now_ms);
 }
 
 bool
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -110,10 +110,13 @@
                        const char *data_centre,
                        int32_t cpu_millicores);
 
-/* Whether this host should keep a connection to HOST, and at which interval it should send
- * heartbeats to it. */
+/* Whether this host should keep a connection to HOST. */
 bool cluster_needs_connection (const cluster_t *cluster, const char *host);
-int64_t cluster_heartbeat_interval_ms (const cluster_t *cluster, const char *host);
+
+/* Whether the next heartbeat to HOST is due: at the end of the announced interval, or at once if a
+ * shorter interval applies now.  When a host becomes an owner, the heartbeat that is due must be
+ * sent to it before any task, as the owner would wait too long for a silent coordinator. */
+bool cluster_heartbeat_is_due (const cluster_t *cluster, const char *host, int64_t now_ms);
 
 /* Whether this host, or HOST, is a hub of its data centre (ranking.h). */
 bool cluster_is_hub (const cluster_t *cluster);
@@ -154,10 +157,10 @@
  * shards of this host, and makes no claims until it has listened to heartbeats again. */
 void cluster_process_resumed (cluster_t *cluster, int64_t now_ms, GArray *actions);
 
-/* Fills HEARTBEAT with what this host sends to TO.  The strings stay the cluster's; the caller
- * unrefs the new array of claims.  config_version and drains_end_offset are 0, for the caller to
- * set. */
-void cluster_make_heartbeat (const cluster_t *cluster,
+/* Fills HEARTBEAT with what this host sends to TO, and records that it is sent.  The strings stay
+ * the cluster's; the caller unrefs the new array of claims.  config_version and drains_end_offset
+ * are 0, for the caller to set. */
+void cluster_make_heartbeat (cluster_t *cluster,
                              const char *to,
                              int64_t now_ms,
                              cluster_heartbeat_t *heartbeat);
@@ -167,8 +170,9 @@
  * when it ends. */
 uint64_t cluster_send_epoch (const cluster_t *cluster, const char *host);
 
-/* Whether task messages of HOST that carry EPOCH are accepted: HOST is alive, and EPOCH is the one
- * that this host expects of it. */
+/* Whether task messages of HOST that carry EPOCH are accepted: HOST is alive, EPOCH is the one that
+ * this host expects of it, and the interval that HOST has announced is short enough for an owner to
+ * notice its loss before callers submit its jobs again. */
 bool cluster_accepts_epoch (const cluster_t *cluster, const char *host, uint64_t epoch);
 
 /* A host claims an unowned shard of another data centre only if it can reach the shard's
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -51,6 +51,12 @@
   int64_t reached_since_ms;   /* start of the current series of answers */
 } shard_t;
 
+typedef struct
+{
+  int64_t interval_ms; /* as announced */
+  int64_t next_due_ms;
+} sent_heartbeat_t;
+
 struct cluster_t
 {
   const char *host; /* interned */
@@ -69,6 +75,7 @@
   int64_t ranking_due_ms;
   GHashTable *peers;
   GHashTable *shards;
+  GHashTable *sent_heartbeats; /* interned host -> sent_heartbeat_t, the last one sent to it */
 };
 
 cluster_action_t *
@@ -99,4 +106,7 @@
 /* topology.c: whether this host owns any shard. */
 bool cluster_owns_any_shard (const cluster_t *cluster);
 
+/* topology.c: the interval at which this host should send heartbeats to HOST. */
+int64_t cluster_heartbeat_interval_ms (const cluster_t *cluster, const char *host);
+
 #endif
--- a/lib/cluster/topology.c
+++ b/lib/cluster/topology.c
@@ -76,9 +76,20 @@
   bool both_are_hubs = cluster_is_hub (cluster) && ranking_is_hub (cluster->ranking, host);
   if (both_are_hubs)
     return local ? HEARTBEAT_LOCAL_MS : HEARTBEAT_REMOTE_MS;
-  bool either_owns_shard =
-      cluster_owns_any_shard (cluster) || (peer != NULL && peer->claims->len > 0);
-  return either_owns_shard ? HEARTBEAT_REMOTE_MS : HEARTBEAT_IDLE_MS;
+  /* A host that was lost may still own a shard, and run tasks for this one. */
+  bool peer_may_own_shard = peer != NULL && (!peer->alive || peer->claims->len > 0);
+  return cluster_owns_any_shard (cluster) || peer_may_own_shard ? HEARTBEAT_REMOTE_MS
+                                                                : HEARTBEAT_IDLE_MS;
+}
+
+bool
+cluster_heartbeat_is_due (const cluster_t *cluster, const char *host, int64_t now_ms)
+{
+  const sent_heartbeat_t *sent =
+      g_hash_table_lookup (cluster->sent_heartbeats, g_intern_string (host));
+
+  return sent == NULL || now_ms >= sent->next_due_ms
+         || cluster_heartbeat_interval_ms (cluster, host) < sent->interval_ms;
 }
 
 bool
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -260,6 +260,94 @@
   tear_down (&fixture);
 }
 
+static const struct
+{
+  const char *name;
+  bool owner_before; /* whether the other host owns a shard when the last heartbeat is sent to it */
+  bool owner_after;
+  int64_t after_ms;
+  bool due;
+} heartbeat_cases[] = {
+  { "within the interval", false, false, 990, false },
+  { "after the interval", false, false, 1000, true },
+  { "to an owner, within the interval", true, true, 240, false },
+  { "to an owner, after the interval", true, true, 250, true },
+  { "the host becomes an owner", false, true, 10, true },
+  { "the host yields its shard", true, false, 10, false },
+};
+
+static void
+receive_heartbeat_of_owner_or_not (fixture_t *fixture, bool owner)
+{
+  if (owner)
+    receive_owner_heartbeat (fixture, "h2", "x", 250, 1000);
+  else
+    receive_heartbeat (fixture, "h2", 1);
+}
+
+/* A new owner must not wait for a coordinator that dies as long as a host that owns nothing may. */
+static void
+test_heartbeat_due_to_new_owner (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (heartbeat_cases); i++)
+    {
+      fixture_t fixture;
+      cluster_heartbeat_t sent;
+      set_up (&fixture);
+      cluster_set_ready (fixture.cluster, false, 0);
+      CU_ASSERT_TRUE (cluster_heartbeat_is_due (fixture.cluster, "h2", fixture.now_ms));
+      receive_heartbeat_of_owner_or_not (&fixture, heartbeat_cases[i].owner_before);
+      cluster_make_heartbeat (fixture.cluster, "h2", fixture.now_ms, &sent);
+      g_array_unref (sent.claims);
+      while (fixture.now_ms < heartbeat_cases[i].after_ms)
+        {
+          receive_heartbeat_of_owner_or_not (&fixture, heartbeat_cases[i].owner_after);
+          advance_to (&fixture, fixture.now_ms + STEP_MS);
+        }
+      bool due = cluster_heartbeat_is_due (fixture.cluster, "h2", fixture.now_ms);
+      if (due != heartbeat_cases[i].due)
+        printf ("  %s\n", heartbeat_cases[i].name);
+      CU_ASSERT_EQUAL (due, heartbeat_cases[i].due);
+      tear_down (&fixture);
+    }
+}
+
+static const struct
+{
+  int64_t interval_ms; /* as announced by the coordinator */
+  bool accepted;
+  int64_t lost_before_ms; /* when accepted: how soon its loss must be noticed */
+} announced_interval_cases[] = {
+  { 100, true, 780 },
+  { 250, true, 780 },
+  { 251, false, 0 },
+  { 1000, false, 0 },
+};
+
+/* An owner takes no tasks of a coordinator whose loss it would notice only after callers have
+ * submitted their jobs again. */
+static void
+test_tasks_of_rarely_heard_coordinator (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (announced_interval_cases); i++)
+    {
+      fixture_t fixture;
+      cluster_heartbeat_t heartbeat = { .host = (char *) "h2",
+                                        .data_centre = (char *) "y",
+                                        .incarnation = 7,
+                                        .interval_ms = announced_interval_cases[i].interval_ms };
+      set_up (&fixture);
+      cluster_receive_heartbeat (fixture.cluster, &heartbeat, 0, fixture.actions);
+      cluster_make_heartbeat (fixture.cluster, "h2", 0, &heartbeat);
+      g_array_unref (heartbeat.claims);
+      CU_ASSERT_EQUAL (cluster_accepts_epoch (fixture.cluster, "h2", heartbeat.expected_epoch),
+                       announced_interval_cases[i].accepted);
+      advance_to (&fixture, announced_interval_cases[i].lost_before_ms + 2 * STEP_MS);
+      CU_ASSERT_EQUAL (fixture.counts[CLUSTER_HOST_LOST], announced_interval_cases[i].accepted);
+      tear_down (&fixture);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -298,6 +386,8 @@
   { "an owner with too little CPU is replaced", test_takeover_from_weak_owner },
   { "a host was restarted", test_restart },
   { "epochs fence lost hosts", test_epoch_fencing },
+  { "a heartbeat is due to a new owner", test_heartbeat_due_to_new_owner },
+  { "tasks of a coordinator that is rarely heard", test_tasks_of_rarely_heard_coordinator },
 };
 
 int
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -232,6 +232,38 @@
   g_clear_pointer (&owned->executor, executor_free);
 }
 
+static void
+send_heartbeat (sim_host_t *host, sim_host_t *to)
+{
+  sim_message_t *message = message_new (MESSAGE_HEARTBEAT, host, to);
+  cluster_heartbeat_t *heartbeat = &message->heartbeat;
+
+  cluster_make_heartbeat (host->cluster, to->name, host->sim->now_ms, heartbeat);
+  heartbeat->host = g_strdup (heartbeat->host);
+  heartbeat->data_centre = g_strdup (heartbeat->data_centre);
+  for (guint i = 0; i < heartbeat->claims->len; i++)
+    {
+      cluster_claim_t *claim = &g_array_index (heartbeat->claims, cluster_claim_t, i);
+      claim->shard = g_strdup (claim->shard);
+    }
+  send_message (message);
+}
+
+/* Sends the heartbeats that are due, or all if AT_ONCE. */
+static void
+send_heartbeats (sim_host_t *host, bool at_once)
+{
+  simulation_t *sim = host->sim;
+
+  for (int i = 0; i < SIM_HOSTS; i++)
+    {
+      sim_host_t *to = &sim->hosts[i];
+      if (to != host && hosts_connected (sim, host, to)
+          && (at_once || cluster_heartbeat_is_due (host->cluster, to->name, sim->now_ms)))
+        send_heartbeat (host, to);
+    }
+}
+
 static void
 run_cluster_actions (sim_host_t *host)
 {
@@ -246,15 +278,16 @@
           trace (sim, traced_id != NULL ? traced_id : "", "%s claims shard %s", host->name,
                  action.shard);
           claim_shard (host, action.shard, action.token);
-          memset (host->heartbeat_sent_at_ms, 0, sizeof host->heartbeat_sent_at_ms);
+          send_heartbeats (host, true);
           break;
         case CLUSTER_YIELDED:
           trace (sim, traced_id != NULL ? traced_id : "", "%s yields shard %s", host->name,
                  action.shard);
           yield_shard (host, action.shard);
-          memset (host->heartbeat_sent_at_ms, 0, sizeof host->heartbeat_sent_at_ms);
+          send_heartbeats (host, true);
           break;
         case CLUSTER_OWNER_CHANGED:
+          send_heartbeats (host, false);
           scheduler_set_owner (host->scheduler, action.shard, action.host, action.token,
                                sim->now_ms, host->scheduler_actions);
           run_scheduler_actions (host);
@@ -276,7 +309,7 @@
           run_scheduler_actions (host);
           break;
         case CLUSTER_HOST_FOUND:
-          memset (host->heartbeat_sent_at_ms, 0, sizeof host->heartbeat_sent_at_ms);
+          send_heartbeat (host, host_named (sim, action.host));
           break;
         default:
           break;
@@ -361,32 +394,6 @@
   run_scheduler_actions (host);
 }
 
-static void
-send_heartbeats (sim_host_t *host)
-{
-  simulation_t *sim = host->sim;
-
-  for (int i = 0; i < SIM_HOSTS; i++)
-    {
-      sim_host_t *to = &sim->hosts[i];
-      if (to == host || !hosts_connected (sim, host, to)
-          || sim->now_ms - host->heartbeat_sent_at_ms[i]
-                 < cluster_heartbeat_interval_ms (host->cluster, to->name))
-        continue;
-      host->heartbeat_sent_at_ms[i] = sim->now_ms;
-      sim_message_t *message = message_new (MESSAGE_HEARTBEAT, host, to);
-      cluster_make_heartbeat (host->cluster, to->name, sim->now_ms, &message->heartbeat);
-      message->heartbeat.host = g_strdup (message->heartbeat.host);
-      message->heartbeat.data_centre = g_strdup (message->heartbeat.data_centre);
-      for (guint k = 0; k < message->heartbeat.claims->len; k++)
-        {
-          cluster_claim_t *claim = &g_array_index (message->heartbeat.claims, cluster_claim_t, k);
-          claim->shard = g_strdup (claim->shard);
-        }
-      send_message (message);
-    }
-}
-
 static void
 send_offers (sim_host_t *host)
 {
@@ -459,7 +466,6 @@
   host->refreshed_at_ms = sim->now_ms;
   host->started_at_ms = sim->now_ms;
   host->leaving_since_ms = 0;
-  memset (host->heartbeat_sent_at_ms, 0, sizeof host->heartbeat_sent_at_ms);
 }
 
 /* Stops HOST at once.  Its callers notice that their connections are closed, and submit again. */
@@ -532,7 +538,7 @@
   scheduler_step (host->scheduler, sim->now_ms, host->scheduler_actions);
   run_all_actions (host);
   send_offers (host);
-  send_heartbeats (host);
+  send_heartbeats (host, false);
   if (host->leaving_since_ms != 0 && sim->now_ms - host->leaving_since_ms > 3000)
     {
       sim_host_stop (host);
--- a/tests/test_scheduling_state.h
+++ b/tests/test_scheduling_state.h
@@ -104,7 +104,6 @@
   int64_t wall_clock_ahead_ms;  /* difference of its wall clock from simulated time */
   int64_t refreshed_at_ms;
   int64_t started_at_ms;
-  int64_t heartbeat_sent_at_ms[SIM_HOSTS];
   cluster_t *cluster; /* NULL while the host is down */
   scheduler_t *scheduler;
   owned_shard_t owned_shards[SIM_DATA_CENTRES]; /* one shard for each data centre */
