Claims with one token: distinct tokens, and a rule for equal ones

What callers may see: a task that runs twice at one time, because two hosts own a shard for good and the endpoints obey both.

Cause: the host's part of a token was 8 bits of a hash of its name. Of 39 hosts, 2.9 pairs are expected to share it; hosts of one data centre that claim in the same millisecond, or both take the highest token known plus one, then issue the same token, which fences neither. Each host kept its own claim on a tie, so that both stayed owners when they heard each other again.

Change: the host's part has 17 bits and the clock has units of 64 ms, so that a token is 2^11 per millisecond, above all that were issued before and below 2^53 until the year 2109. The number in it differs among all hosts that know each other. Equal tokens of hosts that don't are decided by the name on all sides; the loser yields, and the winner claims again with a higher token. The test of superseded tokens models a clock that is ahead with the new width.

--- a/lib/cluster/ranking.c
+++ b/lib/cluster/ranking.c
@@ -195,6 +195,38 @@
   return ranking->all_are_hubs;
 }
 
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp ((*(member_t *const *) a)->host, (*(member_t *const *) b)->host);
+}
+
+/* Assigns numbers in the order of the names: each host gets the first free number from its hash
+ * on. */
+int64_t
+ranking_distinct_number (const ranking_t *ranking, int64_t range)
+{
+  GPtrArray *members = g_ptr_array_copy (ranking->members, NULL, NULL);
+  GHashTable *assigned = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  int64_t number = 0;
+
+  g_ptr_array_set_free_func (members, NULL);
+  g_ptr_array_sort (members, compare_names);
+  for (guint i = 0; i < members->len; i++)
+    {
+      const char *host = ((const member_t *) members->pdata[i])->host;
+      number = (int64_t) (hash_string (host) % (uint64_t) range);
+      while (g_hash_table_contains (assigned, &number) && (int64_t) i < range)
+        number = (number + 1) % range;
+      if (host == ranking->host)
+        break;
+      g_hash_table_add (assigned, g_memdup2 (&number, sizeof number));
+    }
+  g_hash_table_unref (assigned);
+  g_ptr_array_unref (members);
+  return number;
+}
+
 int32_t
 ranking_host_count (const ranking_t *ranking)
 {
--- a/lib/cluster/ranking.h
+++ b/lib/cluster/ranking.h
@@ -51,6 +51,10 @@
 /* Whether all available hosts are hubs. */
 bool ranking_all_are_hubs (const ranking_t *ranking);
 
+/* Returns a number of this host below RANGE, derived from its name.  Hosts that know the same hosts
+ * get different numbers, as long as there are fewer hosts than RANGE. */
+int64_t ranking_distinct_number (const ranking_t *ranking, int64_t range);
+
 /* The number of known hosts, this one included. */
 int32_t ranking_host_count (const ranking_t *ranking);
 
--- a/lib/cluster/shard_claims.c
+++ b/lib/cluster/shard_claims.c
@@ -1,9 +1,10 @@
 /* shard_claims.c -- determines the owner of each shard, and when this host claims or yields one
  *
- * A token is the wall clock in milliseconds, raised above every token heard so far, shifted left
- * by TOKEN_HOST_BITS; the low bits come from a hash of the host's name.  Tokens therefore grow
- * across restarts of the whole system without any stored state, and two hosts are unlikely to
- * issue the same one.
+ * A token is the wall clock in units of TOKEN_UNIT_MS, raised above every token heard so far,
+ * shifted left by TOKEN_HOST_BITS; the low bits are the number of the host.  Tokens therefore grow
+ * across restarts of the whole system without any stored state, and hosts that know each other
+ * never issue the same one.  If two hosts that don't know each other yet do, all hosts follow the
+ * one whose name sorts first, which claims the shard again with a higher token.
  */
 #include "cluster/state.h"
 
@@ -52,8 +53,11 @@
 #define REACHABLE_FOR_MS 600
 /* The claim delay does not grow beyond this position in the ranking. */
 #define POSITION_MAX 50
-/* The low bits of a token, which identify the host. */
-#define TOKEN_HOST_BITS 8
+/* The clock and the host's number in a token, which must stay below 2^53 to be an exact JSON
+ * number.  One millisecond of the clock adds 1 << TOKEN_MS_BITS. */
+#define TOKEN_HOST_BITS 17
+#define TOKEN_UNIT_MS_BITS 6
+#define TOKEN_MS_BITS (TOKEN_HOST_BITS - TOKEN_UNIT_MS_BITS)
 
 typedef struct
 {
@@ -64,17 +68,25 @@
   bool leaving;
 } claimant_t;
 
+/* Whether claim A is better than B.  All hosts must decide alike, also on equal tokens. */
+static bool
+is_better_claim (const claimant_t *a, const claimant_t *b)
+{
+  if (a->local != b->local)
+    return a->local;
+  return a->token != b->token ? a->token > b->token : strcmp (a->host, b->host) < 0;
+}
+
 static void
 consider_claim (claimant_t *best, claimant_t other)
 {
-  if (best->host == NULL || (other.local && !best->local)
-      || (other.local == best->local && other.token > best->token))
+  if (best->host == NULL || is_better_claim (&other, best))
     *best = other;
 }
 
 /* Returns the best claim on SHARD among those of this host and of the hosts that are alive: a claim
- * from the shard's data centre takes precedence, then the highest token wins.  The result's host
- * is NULL if there is no claim. */
+ * from the shard's data centre takes precedence, then the highest token wins, then the name.  The
+ * result's host is NULL if there is no claim. */
 static claimant_t
 best_claim (const cluster_t *cluster, const shard_t *shard)
 {
@@ -149,10 +161,11 @@
 static int64_t
 next_token (cluster_t *cluster, int64_t wall_ms)
 {
-  int64_t host_bits = (int64_t) (hash_string (cluster->host) & ((1 << TOKEN_HOST_BITS) - 1));
-  int64_t clock_ms = MAX (wall_ms, (cluster->highest_token >> TOKEN_HOST_BITS) + 1);
+  int64_t host_number = ranking_distinct_number (cluster->ranking, 1 << TOKEN_HOST_BITS);
+  int64_t clock_units =
+      MAX (wall_ms >> TOKEN_UNIT_MS_BITS, (cluster->highest_token >> TOKEN_HOST_BITS) + 1);
 
-  cluster->highest_token = (clock_ms << TOKEN_HOST_BITS) | host_bits;
+  cluster->highest_token = (clock_units << TOKEN_HOST_BITS) | host_number;
   return cluster->highest_token;
 }
 
@@ -199,10 +212,32 @@
   shard->token_increment_ms = CLAMP (TOKEN_INCREMENT_FACTOR * shard->token_increment_ms,
                                      TOKEN_INCREMENT_MIN_MS, TOKEN_INCREMENT_MAX_MS);
   shard->consecutive_reclaims++;
-  cluster->highest_token += shard->token_increment_ms << TOKEN_HOST_BITS;
+  cluster->highest_token += shard->token_increment_ms << TOKEN_MS_BITS;
   claim_shard (cluster, shard, now_ms, wall_ms, "an endpoint obeys a higher token", actions);
 }
 
+/* Whether a host that is heard claims SHARD with the token of this host, so that endpoints can't
+ * tell the orders of the two apart. */
+static bool
+shares_token (const cluster_t *cluster, const shard_t *shard)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, cluster->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const peer_t *peer = value;
+      for (guint i = 0; peer->alive && i < peer->claims->len; i++)
+        {
+          const cluster_claim_t *claim = &g_array_index (peer->claims, cluster_claim_t, i);
+          if (claim->shard == shard->name && claim->token == shard->claim_token)
+            return true;
+        }
+    }
+  return false;
+}
+
 void
 shard_claim_yield (shard_t *shard, const char *reason, GArray *actions)
 {
@@ -336,6 +371,8 @@
     shard->vacant_since_ms = now_ms;
   if (shard->owned)
     reclaim_if_due (cluster, shard, now_ms, wall_ms, actions);
+  if (shard->owned && shares_token (cluster, shard))
+    claim_shard (cluster, shard, now_ms, wall_ms, "another host has the same token", actions);
   if (vacant && !shard->owned)
     claim_if_vacant (cluster, shard, now_ms, wall_ms, actions);
   else if (!shard->owned && should_take_over (cluster, shard, best.host, now_ms))
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -7,6 +7,8 @@
 
 #define STEP_MS 10
 #define WALL_MS INT64_C (1000000000)
+/* One millisecond of a clock that was ahead adds 1 << TOKEN_MS_BITS to its tokens. */
+#define TOKEN_MS_BITS 11
 /* The longest time until an owner is obeyed, whatever clock the endpoints' last token came from. */
 #define RECLAIM_MAX_MS 1000
 
@@ -32,6 +34,17 @@
   g_array_set_size (fixture->actions, 0);
 }
 
+/* Steps the cluster until AT_MS, with a wall clock that stands still. */
+static void
+advance_at_wall_ms (fixture_t *fixture, int64_t at_ms, int64_t wall_ms)
+{
+  for (; fixture->now_ms < at_ms; fixture->now_ms += STEP_MS)
+    {
+      cluster_step (fixture->cluster, fixture->now_ms, wall_ms, fixture->actions);
+      count_actions (fixture);
+    }
+}
+
 /* Steps the cluster until AT_MS. */
 static void
 advance_to (fixture_t *fixture, int64_t at_ms)
@@ -44,9 +57,9 @@
 }
 
 static void
-set_up (fixture_t *fixture)
+set_up_host (fixture_t *fixture, const char *host)
 {
-  const cluster_options_t options = { .host = "h1",
+  const cluster_options_t options = { .host = host,
                                       .data_centre = "x",
                                       .incarnation = 100,
                                       .cpu_millicores = 250,
@@ -58,6 +71,12 @@
   cluster_set_ready (fixture->cluster, true, 0);
 }
 
+static void
+set_up (fixture_t *fixture)
+{
+  set_up_host (fixture, "h1");
+}
+
 static void
 tear_down (fixture_t *fixture)
 {
@@ -174,7 +193,7 @@
       set_up (&fixture);
       advance_to (&fixture, 400);
       CU_ASSERT_EQUAL (fixture.counts[CLUSTER_CLAIMED], 1);
-      int64_t obeyed_token = fixture.token + (clock_ahead_ms[i] << 8) + 1;
+      int64_t obeyed_token = fixture.token + (clock_ahead_ms[i] << TOKEN_MS_BITS) + 1;
       while (fixture.token < obeyed_token && fixture.now_ms < 4000)
         {
           int64_t token = fixture.token;
@@ -191,6 +210,108 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  const char *host; /* that claims with the token of this host, h1 */
+  const char *data_centre;
+  bool yields;
+} equal_token_cases[] = {
+  { "the other host wins", "h0", "x", true },
+  { "the other host loses", "h2", "x", false },
+  { "the other host, of another data centre, loses", "h0", "y", false },
+};
+
+/* Two hosts that claim a shard with the same token must not both stay its owner; the one that does
+ * must fence the other with a higher token. */
+static void
+test_two_claims_with_one_token (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (equal_token_cases); i++)
+    {
+      fixture_t fixture;
+      bool yields = equal_token_cases[i].yields;
+      set_up (&fixture);
+      advance_to (&fixture, 400);
+      int64_t token = fixture.token;
+      receive_owner_heartbeat (&fixture, equal_token_cases[i].host,
+                               equal_token_cases[i].data_centre, 250, token);
+      advance_to (&fixture, fixture.now_ms + 2 * STEP_MS);
+      if ((fixture.counts[CLUSTER_YIELDED] == 1) != yields || (fixture.token > token) == yields)
+        printf ("  %s\n", equal_token_cases[i].name);
+      CU_ASSERT_EQUAL (fixture.counts[CLUSTER_YIELDED], yields);
+      CU_ASSERT_EQUAL (fixture.counts[CLUSTER_CLAIMED], yields ? 1 : 2);
+      CU_ASSERT_EQUAL (fixture.token > token, !yields);
+      tear_down (&fixture);
+    }
+}
+
+/* Returns the token of the first claim of HOST at WALL_MS.  HOST knows OTHER, unless it is NULL,
+ * but does not hear it. */
+static int64_t
+first_token (const char *host, const char *other, int64_t wall_ms)
+{
+  fixture_t fixture;
+
+  set_up_host (&fixture, host);
+  if (other != NULL)
+    cluster_add_host (fixture.cluster, other, "x", 250);
+  advance_at_wall_ms (&fixture, 400, wall_ms);
+  CU_ASSERT_EQUAL (fixture.counts[CLUSTER_CLAIMED], 1);
+  int64_t token = fixture.token;
+  tear_down (&fixture);
+  return token;
+}
+
+/* As many hosts as a large site has. */
+#define SITE_HOSTS 39
+/* So many that the names of two of them have the same hash. */
+#define COLLIDING_HOSTS_MAX 4000
+
+/* Hosts that claim at the same time and do not hear each other must not issue the same token. */
+static void
+test_tokens_of_different_hosts (void)
+{
+  GHashTable *hosts = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  bool found = false;
+
+  for (int i = 0; i < COLLIDING_HOSTS_MAX && !found; i++)
+    {
+      char *host = g_strdup_printf ("h%d", i);
+      int64_t token = first_token (host, NULL, WALL_MS);
+      const char *other = g_hash_table_lookup (hosts, &token);
+      found = other != NULL;
+      if (found)
+        {
+          CU_ASSERT_TRUE (i >= SITE_HOSTS);
+          CU_ASSERT_NOT_EQUAL (first_token (host, other, WALL_MS),
+                               first_token (other, host, WALL_MS));
+        }
+      g_hash_table_replace (hosts, g_memdup2 (&token, sizeof token), host);
+    }
+  CU_ASSERT_TRUE (found);
+  g_hash_table_unref (hosts);
+}
+
+/* A token is sent as a JSON number, which is exact up to this value only. */
+#define TOKEN_MAX (INT64_C (1) << 53)
+
+/* Tokens of later claims are higher, also after a change to this version, whose predecessors
+ * shifted the wall clock by 8 bits. */
+static void
+test_range_of_tokens (void)
+{
+  static const int64_t wall_ms[] = { INT64_C (1700000000000), INT64_C (4102444800000) };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (wall_ms); i++)
+    {
+      int64_t token = first_token ("h1", NULL, wall_ms[i]);
+      CU_ASSERT_TRUE (token < TOKEN_MAX);
+      CU_ASSERT_TRUE (token > wall_ms[i] << 8);
+      CU_ASSERT_TRUE (first_token ("h1", NULL, wall_ms[i] + 100) > token);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -383,6 +504,9 @@
 } tests[] = {
   { "claim after a start", test_claim_after_start },
   { "endpoints that obey a higher token", test_token_superseded },
+  { "two hosts claim with one token", test_two_claims_with_one_token },
+  { "tokens of different hosts", test_tokens_of_different_hosts },
+  { "the range of tokens", test_range_of_tokens },
   { "an owner with too little CPU is replaced", test_takeover_from_weak_owner },
   { "a host was restarted", test_restart },
   { "epochs fence lost hosts", test_epoch_fencing },
