Delayed heartbeats don't show that a coordinator is alive

What callers see: a task that runs twice at one time, when the host that they sent it to is lost behind a link on which frames wait for seconds.

Cause: a host counted as alive by the time at which its last heartbeat arrived. Heartbeats that arrive steadily, each later than the one before, keep a host alive for seconds after its end; batches that wait on the same link are accepted long after the callers have submitted their jobs elsewhere.

Change: a heartbeat carries the sender's clock and returns the newest clock received from its receiver, which tells the receiver when the sender was alive, without synchronised clocks. A host with frequent heartbeats is lost when that is longer ago than 80 % of the time after which callers submit again (1040 ms; the longest gap without delays is two intervals of 250 ms and a round trip), and its batches are refused. The bound by arrival stays. A clock from before a host was lost does not count after it is found again. Heartbeats to a host that has changed its epoch go out before the batches for it.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -79,6 +79,8 @@
       break;
     case CLUSTER_EPOCH_CHANGED:
       peers_reconnect (site, action->host);
+      /* The host takes tasks only after this host has returned a clock of it. */
+      peers_send_heartbeat (site, action->host);
       scheduler_batches_dropped (site->scheduler, action->host, now_ms, site->scheduler_actions);
       site_run_scheduler_actions (site);
       break;
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -40,7 +40,7 @@
   if (executor_msg_read_submit (reader, clock_boot_ms (), &submit) != 0)
     return;
   submit.batch.coordinator = host;
-  if (cluster_accepts_epoch (site->cluster, host, submit.epoch))
+  if (cluster_accepts_epoch (site->cluster, host, submit.epoch, clock_boot_ms ()))
     owner_submit (site, submit.shard, &submit.batch);
   else if (event_begin (EVENT_BATCH_STALE))
     {
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -22,6 +22,9 @@
  * again: owners must be ending the tasks of a lost coordinator before the same jobs are submitted
  * anew. */
 #define TIMEOUT_RETRANSMIT_PERCENT 60
+/* A host whose last returned clock is older than this percentage of that time is lost, however
+ * recently its heartbeats have arrived. */
+#define ECHO_RETRANSMIT_PERCENT 80
 /* A host whose connection broke is lost unless it is heard again within this time. */
 #define RECONNECT_GRACE_MS 120
 /* A lost host is forgotten after this much silence, and no longer counts when a majority of the
@@ -151,6 +154,8 @@
 {
   ranking_set_alive (cluster->ranking, peer->host, false, now_ms);
   peer->alive = false;
+  peer->lost_at_ms = now_ms;
+  peer->echo_ms = 0;
   peer->expected_epoch = ++cluster->last_epoch;
   cluster->ranking_due_ms = 0;
   g_array_set_size (peer->claims, 0);
@@ -159,6 +164,23 @@
   action->last_heard_at_ms = peer->last_heard_at_ms;
 }
 
+/* Takes in the clocks of HEARTBEAT.  A clock of this host that was sent before PEER was lost, or
+ * before this host was started, says nothing about PEER as it is now. */
+static void
+set_clocks (const cluster_t *cluster,
+            peer_t *peer,
+            const cluster_heartbeat_t *heartbeat,
+            int64_t now_ms)
+{
+  int64_t echo_min_ms = MAX (cluster->started_at_ms, peer->lost_at_ms);
+
+  peer->clock_ms = heartbeat->clock_ms;
+  if (heartbeat->echo_ms >= echo_min_ms && heartbeat->echo_ms <= now_ms)
+    peer->echo_ms = MAX (peer->echo_ms, heartbeat->echo_ms);
+  if (heartbeat->interval_ms <= HEARTBEAT_REMOTE_MS && peer->interval_ms > HEARTBEAT_REMOTE_MS)
+    peer->frequent_since_ms = now_ms;
+}
+
 void
 cluster_receive_heartbeat (cluster_t *cluster,
                            const cluster_heartbeat_t *heartbeat,
@@ -187,6 +209,7 @@
   peer->leaving = heartbeat->leaving;
   peer->cpu_millicores = heartbeat->cpu_millicores;
   peer->follows_directory = heartbeat->follows_directory;
+  set_clocks (cluster, peer, heartbeat, now_ms);
   peer->interval_ms = heartbeat->interval_ms;
   peer->started_at_ms = now_ms - heartbeat->uptime_ms;
   peer->config_version = heartbeat->config_version;
@@ -222,6 +245,22 @@
              : limit_ms;
 }
 
+static int64_t
+echo_limit_ms (const cluster_t *cluster)
+{
+  return cluster->retransmit_ms * ECHO_RETRANSMIT_PERCENT / 100;
+}
+
+/* Whether PEER was alive too long ago, although its heartbeats arrive. */
+static bool
+is_outdated (const cluster_t *cluster, const peer_t *peer, int64_t now_ms)
+{
+  int64_t since_ms = MAX (peer->echo_ms, peer->frequent_since_ms);
+
+  return cluster->retransmit_ms > 0 && peer->echo_ms != 0
+         && peer->interval_ms <= HEARTBEAT_REMOTE_MS && now_ms - since_ms > echo_limit_ms (cluster);
+}
+
 void
 cluster_connection_lost (cluster_t *cluster, const char *host, int64_t now_ms)
 {
@@ -248,6 +287,8 @@
       int64_t silent_ms = now_ms - peer->last_heard_at_ms;
       if (peer->alive && silent_ms > silence_limit_ms (cluster, peer))
         mark_lost (cluster, peer, "it is silent", now_ms, actions);
+      else if (peer->alive && is_outdated (cluster, peer, now_ms))
+        mark_lost (cluster, peer, "its heartbeats are delayed", now_ms, actions);
       else if (!peer->alive && (silent_ms > FORGET_AFTER_MS || peer->leaving))
         g_hash_table_iter_remove (&iter);
     }
@@ -327,12 +368,14 @@
 }
 
 bool
-cluster_accepts_epoch (const cluster_t *cluster, const char *host, uint64_t epoch)
+cluster_accepts_epoch (const cluster_t *cluster, const char *host, uint64_t epoch, int64_t now_ms)
 {
   const peer_t *peer = cluster_find_peer (cluster, host);
 
   return peer != NULL && peer->alive && peer->expected_epoch == epoch
-         && peer->interval_ms <= HEARTBEAT_REMOTE_MS;
+         && peer->interval_ms <= HEARTBEAT_REMOTE_MS
+         && (cluster->retransmit_ms == 0
+             || (peer->echo_ms != 0 && now_ms - peer->echo_ms <= echo_limit_ms (cluster)));
 }
 
 static void
@@ -365,6 +408,8 @@
                              .follows_directory = cluster_follows_directory (cluster),
                              .interval_ms = cluster_heartbeat_interval_ms (cluster, to),
                              .expected_epoch = peer != NULL ? peer->expected_epoch : 0,
+                             .clock_ms = now_ms,
+                             .echo_ms = peer != NULL ? peer->clock_ms : 0,
                              .claims = g_array_new (FALSE, FALSE, sizeof (cluster_claim_t)) };
   g_hash_table_iter_init (&iter, cluster->shards);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -9,6 +9,11 @@
  * a host yields when it hears of a better claim.  Two owners at the same time therefore cost time
  * but not correctness.
  *
+ * A heartbeat also carries the sender's clock, and returns the newest clock that the sender has
+ * received from the receiver.  The receiver thereby knows at which time of its own clock the sender
+ * was alive, even if heartbeats wait on a slow link for seconds.  An owner loses a coordinator, and
+ * refuses its tasks, if that is too long ago.
+ *
  * A heartbeat also carries an epoch, which the receiver must put into its task messages to the
  * sender.  The sender changes the epoch when it has lost the receiver, so that it refuses messages
  * from before.
@@ -53,6 +58,8 @@
   bool follows_directory;     /* the host follows the directory of endpoints */
   int64_t interval_ms;        /* longest time until the next heartbeat to the receiver */
   uint64_t expected_epoch;    /* the receiver's task messages must carry this epoch */
+  int64_t clock_ms;           /* the sender's clock */
+  int64_t echo_ms;            /* newest clock that it has received from the receiver; 0 for none */
   GArray *claims;             /* of cluster_claim_t; NULL means none */
 } cluster_heartbeat_t;
 
@@ -171,9 +178,10 @@
 uint64_t cluster_send_epoch (const cluster_t *cluster, const char *host);
 
 /* Whether task messages of HOST that carry EPOCH are accepted: HOST is alive, EPOCH is the one that
- * this host expects of it, and the interval that HOST has announced is short enough for an owner to
- * notice its loss before callers submit its jobs again. */
-bool cluster_accepts_epoch (const cluster_t *cluster, const char *host, uint64_t epoch);
+ * this host expects of it, the interval that HOST has announced is short enough for an owner to
+ * notice its loss before callers submit its jobs again, and HOST has recently returned a clock. */
+bool
+cluster_accepts_epoch (const cluster_t *cluster, const char *host, uint64_t epoch, int64_t now_ms);
 
 /* A host claims an unowned shard of another data centre only if it can reach the shard's
  * endpoints.  cluster_shard_reached () records that one of them has answered;
--- a/lib/cluster/cluster_msg.c
+++ b/lib/cluster/cluster_msg.c
@@ -7,6 +7,7 @@
 #define CPU_MILLICORES_MAX 1000000
 #define INTERVAL_MAX_MS 60000
 #define UPTIME_MAX_MS (INT64_C (1) << 50)
+#define CLOCK_MAX_MS (INT64_C (1) << 50)
 #define HOSTS_MAX 1024
 
 GBytes *
@@ -25,6 +26,8 @@
   frame_put_bool (writer, heartbeat->follows_directory);
   frame_put_int (writer, heartbeat->interval_ms);
   frame_put_uint (writer, heartbeat->expected_epoch);
+  frame_put_int (writer, heartbeat->clock_ms);
+  frame_put_int (writer, heartbeat->echo_ms);
   frame_put_count (writer, heartbeat->claims->len);
   for (guint i = 0; i < heartbeat->claims->len; i++)
     {
@@ -53,6 +56,8 @@
   heartbeat->follows_directory = frame_get_bool (reader);
   heartbeat->interval_ms = frame_get_range (reader, 0, INTERVAL_MAX_MS);
   heartbeat->expected_epoch = frame_get_uint (reader);
+  heartbeat->clock_ms = frame_get_range (reader, 0, CLOCK_MAX_MS);
+  heartbeat->echo_ms = frame_get_range (reader, 0, CLOCK_MAX_MS);
   heartbeat->claims = g_array_new (FALSE, FALSE, sizeof (cluster_claim_t));
   size_t count = frame_get_count (reader, CLUSTER_CLAIMS_MAX);
   for (size_t i = 0; i < count && frame_ok (reader); i++)
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -28,6 +28,11 @@
   int64_t config_version;
   uint64_t drains_end_offset;
   int64_t last_heard_at_ms;
+  int64_t clock_ms; /* the newest that it has sent */
+  int64_t echo_ms;  /* the newest clock of this host that it has returned; 0 for none since it
+                       was found */
+  int64_t frequent_since_ms; /* since when its heartbeats come at a short interval */
+  int64_t lost_at_ms;
   int64_t alive_since_ms;
   int64_t started_at_ms;
   GArray *claims; /* of cluster_claim_t, with interned shards; empty if not alive */
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -1,5 +1,5 @@
 /* test_cluster.c -- lib/cluster step by step: claims, tokens, incarnations, epochs */
-#include "cluster/cluster.h"
+#include "cluster/cluster_msg.h"
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
@@ -117,7 +117,8 @@
                                     .incarnation = incarnation,
                                     .ready = true,
                                     .cpu_millicores = 1,
-                                    .expected_epoch = epoch };
+                                    .expected_epoch = epoch,
+                                    .echo_ms = fixture->now_ms };
 
   cluster_receive_heartbeat (fixture->cluster, &heartbeat, fixture->now_ms, fixture->actions);
   count_actions (fixture);
@@ -360,7 +361,7 @@
 
   set_up (&fixture);
   advance_to (&fixture, 300);
-  CU_ASSERT_FALSE (cluster_accepts_epoch (fixture.cluster, "h2", 0));
+  CU_ASSERT_FALSE (cluster_accepts_epoch (fixture.cluster, "h2", 0, fixture.now_ms));
   receive_heartbeat (&fixture, "h2", 5);
   CU_ASSERT_EQUAL (fixture.counts[CLUSTER_EPOCH_CHANGED], 1);
   CU_ASSERT_EQUAL (cluster_send_epoch (fixture.cluster, "h2"), 5);
@@ -368,13 +369,13 @@
   cluster_make_heartbeat (fixture.cluster, "h2", fixture.now_ms, &heartbeat);
   uint64_t epoch = heartbeat.expected_epoch;
   g_array_unref (heartbeat.claims);
-  CU_ASSERT_TRUE (cluster_accepts_epoch (fixture.cluster, "h2", epoch));
-  CU_ASSERT_FALSE (cluster_accepts_epoch (fixture.cluster, "h3", epoch));
+  CU_ASSERT_TRUE (cluster_accepts_epoch (fixture.cluster, "h2", epoch, fixture.now_ms));
+  CU_ASSERT_FALSE (cluster_accepts_epoch (fixture.cluster, "h3", epoch, fixture.now_ms));
   advance_to (&fixture, 2000);
   CU_ASSERT_EQUAL (fixture.counts[CLUSTER_HOST_LOST], 1);
-  CU_ASSERT_FALSE (cluster_accepts_epoch (fixture.cluster, "h2", epoch));
+  CU_ASSERT_FALSE (cluster_accepts_epoch (fixture.cluster, "h2", epoch, fixture.now_ms));
   receive_heartbeat (&fixture, "h2", 5);
-  CU_ASSERT_FALSE (cluster_accepts_epoch (fixture.cluster, "h2", epoch));
+  CU_ASSERT_FALSE (cluster_accepts_epoch (fixture.cluster, "h2", epoch, fixture.now_ms));
   CU_ASSERT_EQUAL (fixture.counts[CLUSTER_EPOCH_CHANGED], 1);
   receive_heartbeat (&fixture, "h2", 6);
   CU_ASSERT_EQUAL (fixture.counts[CLUSTER_EPOCH_CHANGED], 2);
@@ -458,17 +459,108 @@
                                         .incarnation = 7,
                                         .interval_ms = announced_interval_cases[i].interval_ms };
       set_up (&fixture);
-      cluster_receive_heartbeat (fixture.cluster, &heartbeat, 0, fixture.actions);
-      cluster_make_heartbeat (fixture.cluster, "h2", 0, &heartbeat);
+      advance_to (&fixture, STEP_MS);
+      heartbeat.echo_ms = fixture.now_ms;
+      cluster_receive_heartbeat (fixture.cluster, &heartbeat, fixture.now_ms, fixture.actions);
+      cluster_make_heartbeat (fixture.cluster, "h2", fixture.now_ms, &heartbeat);
       g_array_unref (heartbeat.claims);
-      CU_ASSERT_EQUAL (cluster_accepts_epoch (fixture.cluster, "h2", heartbeat.expected_epoch),
-                       announced_interval_cases[i].accepted);
-      advance_to (&fixture, announced_interval_cases[i].lost_before_ms + 2 * STEP_MS);
+      CU_ASSERT_EQUAL (
+          cluster_accepts_epoch (fixture.cluster, "h2", heartbeat.expected_epoch, fixture.now_ms),
+          announced_interval_cases[i].accepted);
+      advance_to (&fixture, announced_interval_cases[i].lost_before_ms + 3 * STEP_MS);
       CU_ASSERT_EQUAL (fixture.counts[CLUSTER_HOST_LOST], announced_interval_cases[i].accepted);
       tear_down (&fixture);
     }
 }
 
+static const struct
+{
+  const char *name;
+  int64_t delay_ms;       /* from when a clock was sent until it was returned, at first */
+  int64_t growth_percent; /* of the delay, per time that passes */
+  bool echoes;
+  bool lost;
+  bool accepted; /* tasks are accepted at the end */
+} delay_cases[] = {
+  { "no delay", 0, 0, true, false, true },
+  { "a long round trip", 500, 0, true, false, true },
+  { "a delay that grows", 0, 100, true, true, false },
+  { "a delay that grows slowly", 0, 50, true, true, false },
+  { "a delay that shrinks", 900, -50, true, false, true },
+  { "no clock is returned", 0, 0, false, false, false },
+};
+
+#define DELAYED_FROM_MS 1000
+#define DELAYED_UNTIL_MS 3200
+
+/* A coordinator must not count as alive, nor its tasks be accepted, while its heartbeats arrive
+ * steadily but each later than the one before. */
+static void
+test_delayed_heartbeats_of_dead_coordinator (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (delay_cases); i++)
+    {
+      fixture_t fixture;
+      cluster_heartbeat_t sent;
+      cluster_heartbeat_t heartbeat = {
+        .host = (char *) "h2", .data_centre = (char *) "x", .incarnation = 7, .interval_ms = 100
+      };
+      set_up (&fixture);
+      advance_to (&fixture, DELAYED_FROM_MS);
+      while (fixture.now_ms < DELAYED_UNTIL_MS)
+        {
+          int64_t passed_ms = fixture.now_ms - DELAYED_FROM_MS;
+          int64_t delay_ms =
+              delay_cases[i].delay_ms + passed_ms * delay_cases[i].growth_percent / 100;
+          heartbeat.echo_ms = delay_cases[i].echoes ? fixture.now_ms - MAX (delay_ms, 0) : 0;
+          cluster_receive_heartbeat (fixture.cluster, &heartbeat, fixture.now_ms, fixture.actions);
+          count_actions (&fixture);
+          advance_to (&fixture, fixture.now_ms + heartbeat.interval_ms);
+        }
+      cluster_make_heartbeat (fixture.cluster, "h2", fixture.now_ms, &sent);
+      g_array_unref (sent.claims);
+      bool lost = fixture.counts[CLUSTER_HOST_LOST] > 0;
+      bool accepted =
+          cluster_accepts_epoch (fixture.cluster, "h2", sent.expected_epoch, fixture.now_ms);
+      if (lost != delay_cases[i].lost || accepted != delay_cases[i].accepted)
+        printf ("  %s\n", delay_cases[i].name);
+      CU_ASSERT_EQUAL (lost, delay_cases[i].lost);
+      CU_ASSERT_EQUAL (accepted, delay_cases[i].accepted);
+      tear_down (&fixture);
+    }
+}
+
+/* Each side returns the newest clock that it has received, also through the codec. */
+static void
+test_heartbeats_return_clocks (void)
+{
+  fixture_t fixture;
+  cluster_heartbeat_t sent;
+  cluster_heartbeat_t received;
+  frame_reader_t *reader = NULL;
+  cluster_heartbeat_t heartbeat = {
+    .host = (char *) "h2", .data_centre = (char *) "x", .incarnation = 7, .clock_ms = 123456
+  };
+  gsize size = 0;
+
+  set_up (&fixture);
+  advance_to (&fixture, 300);
+  cluster_receive_heartbeat (fixture.cluster, &heartbeat, fixture.now_ms, fixture.actions);
+  cluster_make_heartbeat (fixture.cluster, "h2", fixture.now_ms, &sent);
+  GBytes *frame = cluster_msg_heartbeat (&sent);
+  g_array_unref (sent.claims);
+  const char *data = g_bytes_get_data (frame, &size);
+  CU_ASSERT_EQUAL_FATAL (
+      frame_parse (data + FRAME_LENGTH_BYTES, size - FRAME_LENGTH_BYTES, &reader), 0);
+  CU_ASSERT_EQUAL_FATAL (cluster_msg_read_heartbeat (reader, &received), 0);
+  CU_ASSERT_EQUAL (received.clock_ms, 300);
+  CU_ASSERT_EQUAL (received.echo_ms, 123456);
+  cluster_heartbeat_clear (&received);
+  frame_reader_free (reader);
+  g_bytes_unref (frame);
+  tear_down (&fixture);
+}
+
 static const struct
 {
   const char *name;
@@ -511,6 +603,8 @@
   { "a host was restarted", test_restart },
   { "epochs fence lost hosts", test_epoch_fencing },
   { "a heartbeat is due to a new owner", test_heartbeat_due_to_new_owner },
+  { "delayed heartbeats of a dead coordinator", test_delayed_heartbeats_of_dead_coordinator },
+  { "heartbeats return clocks", test_heartbeats_return_clocks },
   { "tasks of a coordinator that is rarely heard", test_tasks_of_rarely_heard_coordinator },
 };
 
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -304,6 +304,7 @@
           run_scheduler_actions (host);
           break;
         case CLUSTER_EPOCH_CHANGED:
+          send_heartbeat (host, host_named (sim, action.host));
           scheduler_batches_dropped (host->scheduler, action.host, sim->now_ms,
                                      host->scheduler_actions);
           run_scheduler_actions (host);
@@ -465,6 +466,9 @@
   cluster_set_ready (host->cluster, true, host->sim->now_ms);
   host->refreshed_at_ms = sim->now_ms;
   host->started_at_ms = sim->now_ms;
+  host->link_slow_until_ms = 0;
+  host->link_delay_ms = 0;
+  memset (host->last_arrival_ms, 0, sizeof host->last_arrival_ms);
   host->leaving_since_ms = 0;
 }
 
@@ -523,6 +527,7 @@
         sim_host_start (host);
       return;
     }
+  update_link_delay (host);
   if (host->frozen_until_ms > sim->now_ms)
     return;
   if (host->reconnect_pending
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -221,7 +221,9 @@
   message_kind_t kind;
   sim_host_t *from;
   sim_host_t *to;
+  uint64_t from_incarnation;
   uint64_t to_incarnation;
+  bool delayed; /* by a slow link, on which it stays after the sender's end */
   char *shard;
   uint64_t epoch;
   executor_batch_t batch;
@@ -277,6 +279,7 @@
   message->kind = kind;
   message->from = from;
   message->to = to;
+  message->from_incarnation = from->incarnation;
   message->to_incarnation = to->incarnation;
   return message;
 }
@@ -290,7 +293,8 @@
 
   message->batch.coordinator = message->from->name;
   if (message->from != host
-      && !cluster_accepts_epoch (host->cluster, message->from->name, message->epoch))
+      && !cluster_accepts_epoch (host->cluster, message->from->name, message->epoch,
+                                 host->sim->now_ms))
     return;
   if (owned->executor != NULL)
     {
@@ -362,6 +366,14 @@
   return true;
 }
 
+/* Whether MESSAGE was delayed and its sender has ended meanwhile, and not started again. */
+static bool
+outlives (const sim_message_t *message)
+{
+  return message->delayed && !is_up (message->from)
+         && message->from->incarnation == message->from_incarnation;
+}
+
 static void
 message_arrives (simulation_t *sim, void *data)
 {
@@ -371,8 +383,9 @@
   if (postpone_while_frozen (sim, host, message_arrives, data)
       || delay_until_cut_ends (sim, message))
     return;
-  bool arrives = is_up (host) && host->incarnation == message->to_incarnation
-                 && (message->from == host || receives_from (sim, host, message->from));
+  bool arrives =
+      is_up (host) && host->incarnation == message->to_incarnation
+      && (message->from == host || receives_from (sim, host, message->from) || outlives (message));
   if (arrives)
     {
       switch (message->kind)
@@ -412,15 +425,28 @@
   message_free (message);
 }
 
-/* Sends MESSAGE and takes ownership of it.  The delay is fixed, so that messages from one host to
- * another arrive in the order in which they were sent. */
+/* The delay of the messages of HOST grows while its link is slow, and shrinks afterwards. */
 static void
-send_message (sim_message_t *message)
+update_link_delay (sim_host_t *host)
 {
-  simulation_t *sim = message->from->sim;
-  int64_t delay_ms = message->from == message->to ? 0 : 1;
+  int64_t change_ms = host->sim->now_ms < host->link_slow_until_ms ? TICK_MS : -TICK_MS;
 
-  schedule_event (sim, sim->now_ms + delay_ms, message_arrives, message);
+  host->link_delay_ms = CLAMP (host->link_delay_ms + change_ms, 0, LINK_DELAY_MAX_MS);
+}
+
+/* Sends MESSAGE and takes ownership of it.  Messages from one host to another arrive in the order
+ * in which they were sent. */
+static void
+send_message (sim_message_t *message)
+{
+  sim_host_t *from = message->from;
+  simulation_t *sim = from->sim;
+  int64_t *last_arrival_ms = &from->last_arrival_ms[message->to->index];
+  int64_t delay_ms = from == message->to ? 0 : 1 + from->link_delay_ms;
+
+  message->delayed = from != message->to && from->link_delay_ms > 0;
+  *last_arrival_ms = MAX (*last_arrival_ms, sim->now_ms + delay_ms);
+  schedule_event (sim, *last_arrival_ms, message_arrives, message);
 }
 
 static sim_host_t *
--- a/tests/test_scheduling_run.h
+++ b/tests/test_scheduling_run.h
@@ -246,6 +246,8 @@
         host->cut_until_ms = sim->now_ms + 300 + random_below (sim, 5000);
       else if (random_chance (sim, options->one_way_cuts))
         cut_one_way (sim, host);
+      else if (random_chance (sim, options->slow_links))
+        host->link_slow_until_ms = sim->now_ms + random_below (sim, 2 * LINK_DELAY_MAX_MS);
       else if (random_chance (sim, options->clock_steps))
         {
           int step_ms =
--- a/tests/test_scheduling_simulation.h
+++ b/tests/test_scheduling_simulation.h
@@ -49,6 +49,8 @@
   int endpoint_crashes;         /* per endpoint */
   bool crashed_refuse;          /* crashed endpoints refuse connections */
   int endpoint_cuts;            /* per endpoint: no host can reach it */
+  int slow_links;               /* per host: its messages to other hosts are delayed, more and more,
+                                   and arrive even if it crashes meanwhile */
   bool cuts_delay_messages;     /* a cut delays messages until it ends; otherwise they are lost */
   bool uneven_hosts;            /* hosts have very different processing power */
   bool one_hub_per_data_centre; /* other hosts send heartbeats less often */
--- a/tests/test_scheduling_state.h
+++ b/tests/test_scheduling_state.h
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #define TICK_MS 5
+#define LINK_DELAY_MAX_MS 3000
 #define HEARTBEAT_MS 100
 #define OFFER_INTERVAL_MS 15
 #define SUSPENSION_MS 400 /* a host that did nothing for longer has been suspended */
@@ -99,9 +100,12 @@
   int64_t cut_until_ms;
   int64_t send_cut_until_ms;    /* no host receives from it until then */
   int64_t receive_cut_until_ms; /* it receives from no host until then */
-  bool reconnect_pending;       /* its connections have to be restored after these cuts */
-  int64_t leaving_since_ms;     /* 0 unless it is being stopped gracefully */
-  int64_t wall_clock_ahead_ms;  /* difference of its wall clock from simulated time */
+  int64_t link_slow_until_ms;   /* the delay of its messages to other hosts grows until then */
+  int64_t link_delay_ms;
+  int64_t last_arrival_ms[SIM_HOSTS]; /* of a message that it has sent to each host */
+  bool reconnect_pending;             /* its connections have to be restored after these cuts */
+  int64_t leaving_since_ms;           /* 0 unless it is being stopped gracefully */
+  int64_t wall_clock_ahead_ms;        /* difference of its wall clock from simulated time */
   int64_t refreshed_at_ms;
   int64_t started_at_ms;
   cluster_t *cluster; /* NULL while the host is down */
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -271,7 +271,9 @@
   cluster_claim_t claim = { (char *) "z", 1234567 };
   cluster_heartbeat_t heartbeat = { .host = (char *) "h",
                                     .data_centre = (char *) "z",
-                                    .incarnation = 9 };
+                                    .incarnation = 9,
+                                    .clock_ms = 70000,
+                                    .echo_ms = 60000 };
   GArray *offers = g_array_new (FALSE, FALSE, sizeof (executor_offer_t));
   GArray *loads = g_array_new (FALSE, FALSE, sizeof (executor_load_t));
   const executor_load_t load = { "x", 64000, 100, 40, { 7, 0, 900000 }, { 0, 0, 1200 } };
