A lease on an endpoint's slow clock ends when its owner counts it as ended

Cause: the difference between an endpoint's clock and ours was kept from the last answer, for as long as the endpoint was idle; idle endpoints are not polled. A clock may lose 2 percent, so the difference falls by 20 ms a second, and the next order's lease was that much too long on the endpoint, up to the longest lease counted from the arrival of the order.

Change: the difference is lowered by what the clock may have lost since it was read (EXECUTOR_CLOCK_SLACK_PERCENT). The clock of an idle endpoint is read again when a lease would have to be shorter by a quarter; with a reading older than 40 percent of a lease allow, nothing starts and no lease is renewed until the clock is read.

Ruled out: the lease of an adopted run (counted from the adoption on, after the previous owner was fenced), polls that arrive late (their deadline is of the same kind and now ends in time), cold_until_ms (decides no lease).

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -48,6 +48,7 @@
     return;
   /* The answer took some time to arrive, so the true offset is higher. */
   endpoint->clock_offset_ms = endpoint_clock_ms - now_ms;
+  endpoint->clock_read_at_ms = now_ms;
   endpoint->clock_known = true;
 }
 
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -31,6 +31,11 @@
 #define UNREACHABLE_WORK_PERCENT 60
 /* A task counts as new for this time after it was queued. */
 #define NEW_TASK_MS 20
+/* The clock of an idle endpoint is read again when a lease may have to be shorter by this
+ * percentage because the clock may be slow. */
+#define CLOCK_REFRESH_DRIFT_PERCENT 25
+/* No lease is granted that would have to be shorter by more than this percentage. */
+#define LEASE_DRIFT_MAX_PERCENT 40
 /* The end of a stopped run may be listed this much later than the stop is answered. */
 #define STOP_LISTING_DELAY_MS 30
 
@@ -65,6 +70,25 @@
   return false;
 }
 
+/* How much a slow clock of ENDPOINT may have lost since it was read. */
+static int64_t
+clock_drift_ms (const endpoint_t *endpoint, int64_t now_ms)
+{
+  int64_t age_ms = now_ms - endpoint->clock_read_at_ms;
+
+  return (age_ms * EXECUTOR_CLOCK_SLACK_PERCENT + 99) / 100;
+}
+
+/* Forgets a reading of the clock with which a lease could be too short for a run. */
+static void
+forget_old_clock (const executor_t *executor, endpoint_t *endpoint, int64_t now_ms)
+{
+  int64_t drift_max_ms = executor->options.lease_ms * LEASE_DRIFT_MAX_PERCENT / 100;
+
+  if (endpoint->clock_known && clock_drift_ms (endpoint, now_ms) > drift_max_ms)
+    endpoint->clock_known = false;
+}
+
 /* Records that the next order renews the lease of ENDPOINT.  Returns the end of the lease on the
  * endpoint's clock. */
 static int64_t
@@ -74,7 +98,7 @@
   int64_t end_ms = now_ms + lease_ms + lease_ms * EXECUTOR_CLOCK_SLACK_PERCENT / 100;
 
   endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, end_ms);
-  return now_ms + endpoint->clock_offset_ms + lease_ms;
+  return now_ms + endpoint->clock_offset_ms - clock_drift_ms (endpoint, now_ms) + lease_ms;
 }
 
 /* --- ended runs --- */
@@ -517,6 +541,17 @@
   endpoint->poll_due_at_ms = now_ms + (may_hold_poll ? 0 : POLL_INTERVAL_UNSETTLED_MS);
 }
 
+/* True if the clock of ENDPOINT, which may have no runs, should be read again. */
+static bool
+needs_clock (const executor_t *executor, const endpoint_t *endpoint, int64_t now_ms)
+{
+  int64_t refresh_drift_ms = executor->options.lease_ms * CLOCK_REFRESH_DRIFT_PERCENT / 100;
+  int64_t age_ms = now_ms - MAX (endpoint->clock_read_at_ms, endpoint->last_poll_sent_at_ms);
+
+  return !endpoint->entry_removed && !endpoint->leaving
+         && age_ms * EXECUTOR_CLOCK_SLACK_PERCENT / 100 > refresh_drift_ms;
+}
+
 static bool
 needs_poll (const executor_t *executor, const endpoint_t *endpoint, int64_t now_ms)
 {
@@ -528,7 +563,8 @@
     return false;
   return !endpoint->runs_known || g_hash_table_size (executor->maybe_running) > 0
          || endpoint->runs->len > 0 || endpoint->foreign_runs->len > 0
-         || endpoint->ack_number > endpoint->ack_number_sent || endpoint->unanswered_since_ms != 0;
+         || endpoint->ack_number > endpoint->ack_number_sent || endpoint->unanswered_since_ms != 0
+         || needs_clock (executor, endpoint, now_ms);
 }
 
 void
@@ -545,6 +581,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       endpoint_t *endpoint = value;
+      forget_old_clock (executor, endpoint, now_ms);
       requeue_ended_runs (executor, endpoint, now_ms, actions);
       if (!endpoint->fenced)
         send_stops (executor, endpoint, now_ms, actions);
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -136,9 +136,11 @@
   int64_t poll_sent_at_ms;
   int64_t last_poll_sent_at_ms; /* send time of the last answered poll */
   int64_t poll_due_at_ms;       /* no poll before this time */
-  bool clock_known;
-  int64_t clock_offset_ms; /* endpoint clock minus boot clock; never above the true offset */
-  int64_t lease_end_ms;    /* no run is alive there after this time */
+  bool clock_known;             /* its clock was read recently enough for leases */
+  int64_t clock_offset_ms; /* endpoint clock minus boot clock at CLOCK_READ_AT_MS; never above the
+                              true offset at that time, which falls if the clock is slow */
+  int64_t clock_read_at_ms;
+  int64_t lease_end_ms; /* no run is alive there after this time */
   int64_t ack_number;
   int64_t ack_number_sent;
   int64_t unanswered_since_ms; /* send time of the first unanswered call in a row; 0 if none */
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -1115,6 +1115,93 @@
     }
 }
 
+#define SLOW_CLOCK_PERCENT 98
+
+/* Time of the clock of an endpoint that shows 5 at time 0 and loses 2 percent. */
+static int64_t
+slow_clock_ms (int64_t now_ms)
+{
+  return 5 + now_ms * SLOW_CLOCK_PERCENT / 100;
+}
+
+static const struct
+{
+  const char *name;
+  int64_t idle_ms;
+  bool reads_clock_first;
+} slow_clock_cases[] = {
+  { "just polled", 0, false },      { "idle for 1 s", 1000, false },
+  { "idle for 9 s", 9000, false },  { "idle for 30 s", 30000, true },
+  { "idle for 90 s", 90000, true },
+};
+
+/* A lease that ends later on the endpoint than its owner believes lets a late order start a run
+ * whose task runs elsewhere by then. */
+static void
+test_lease_on_slow_clock (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (slow_clock_cases); i++)
+    {
+      int64_t start_ms = slow_clock_cases[i].idle_ms;
+      executor_batch_t batch = batch_of ("j", 1);
+      scenario_t scenario;
+
+      scenario_begin_idle (&scenario, 1000);
+      batch.deadline_at_ms = start_ms + FAR_DEADLINE_MS;
+      batch.objective_at_ms = batch.deadline_at_ms;
+      executor_submit (scenario.executor, &batch, start_ms);
+      run_round_at (&scenario, start_ms);
+      CU_ASSERT_EQUAL (!has_action (&scenario, EXECUTOR_START),
+                       slow_clock_cases[i].reads_clock_first);
+      if (!has_action (&scenario, EXECUTOR_START))
+        {
+          const poll_result_t result = { .endpoint_clock_ms = slow_clock_ms (start_ms) };
+          executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &result,
+                                  start_ms, scenario.actions);
+          run_round_at (&scenario, start_ms);
+        }
+      const executor_action_t *start = last_action (&scenario, EXECUTOR_START);
+      CU_ASSERT_PTR_NOT_NULL (start);
+      int64_t until_ms = start != NULL ? start->lease_until_endpoint_ms : INT64_MAX;
+      int64_t owner_end_ms = start_ms + LEASE_MS + LEASE_MS * EXECUTOR_CLOCK_SLACK_PERCENT / 100;
+      if (until_ms > slow_clock_ms (owner_end_ms))
+        printf ("  %s: %d ms too late\n", slow_clock_cases[i].name,
+                (int) (until_ms - slow_clock_ms (owner_end_ms)));
+      CU_ASSERT_TRUE (until_ms <= slow_clock_ms (owner_end_ms));
+      scenario_end (&scenario);
+    }
+}
+
+/* The clock of an idle endpoint is read from time to time; otherwise its next lease would be too
+ * short for the run. */
+static void
+test_lease_after_long_idle (void)
+{
+  scenario_t scenario;
+  executor_batch_t batch = batch_of ("j", 1);
+
+  scenario_begin_idle (&scenario, 1000);
+  for (int64_t now_ms = 1000; now_ms < 90000; now_ms += 1000)
+    {
+      const poll_result_t result = { .endpoint_clock_ms = slow_clock_ms (now_ms) };
+      run_round_at (&scenario, now_ms);
+      if (has_action (&scenario, EXECUTOR_POLL))
+        executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &result,
+                                now_ms, scenario.actions);
+    }
+  batch.deadline_at_ms = 90000 + FAR_DEADLINE_MS;
+  batch.objective_at_ms = batch.deadline_at_ms;
+  executor_submit (scenario.executor, &batch, 90000);
+  run_round_at (&scenario, 90000);
+  const executor_action_t *start = last_action (&scenario, EXECUTOR_START);
+  CU_ASSERT_PTR_NOT_NULL (start);
+  int64_t until_ms = start != NULL ? start->lease_until_endpoint_ms : 0;
+  int64_t granted_ms = until_ms - slow_clock_ms (90000);
+  CU_ASSERT_TRUE (granted_ms >= LEASE_MS * 2 / 3);
+  CU_ASSERT_TRUE (granted_ms <= LEASE_MS + LEASE_MS * EXECUTOR_CLOCK_SLACK_PERCENT / 100);
+  scenario_end (&scenario);
+}
+
 static executor_load_t
 load_report_at (const scenario_t *scenario, int64_t now_ms)
 {
@@ -1172,6 +1259,8 @@
   { "a drain at full load", test_drained_at_full_load },
   { "duration on a cold endpoint", test_cold_endpoint },
   { "an instance after the clock was set back", test_instance_after_clock_jump },
+  { "a lease on a slow clock", test_lease_on_slow_clock },
+  { "a lease after a long idle time", test_lease_after_long_idle },
   { "a batch is submitted again", test_batch_resubmitted },
   { "reported load", test_load },
   { "the entry of an endpoint is removed", test_entry_removed },
--- a/tests/test_scheduling_endpoint.h
+++ b/tests/test_scheduling_endpoint.h
@@ -170,11 +170,25 @@
     }
 }
 
-/* The endpoint's own clock, which is 1 when the endpoint starts. */
+/* The endpoint's own clock, which is 1 when the endpoint starts and may be slow. */
 static int64_t
 sim_endpoint_clock_ms (const simulation_t *sim, const sim_endpoint_t *endpoint)
 {
-  return sim->now_ms - endpoint->started_at_ms + 1;
+  return (sim->now_ms - endpoint->started_at_ms) * (100 - endpoint->clock_slow_percent) / 100 + 1;
+}
+
+/* Extends the lease to UNTIL_ENDPOINT_MS on the endpoint's clock, or to the longest one granted. */
+static void
+sim_endpoint_extend_lease (const simulation_t *sim,
+                           sim_endpoint_t *endpoint,
+                           int64_t until_endpoint_ms)
+{
+  int64_t lease_ms =
+      MIN (until_endpoint_ms - sim_endpoint_clock_ms (sim, endpoint), (int64_t) SIM_LEASE_MS);
+
+  endpoint->lease_until_ms =
+      MAX (endpoint->lease_until_ms,
+           sim->now_ms + lease_ms * 100 / (100 - endpoint->clock_slow_percent));
 }
 
 static executor_answer_t
@@ -187,13 +201,11 @@
   if (token < endpoint->token)
     return EXECUTOR_STALE_TOKEN;
   endpoint->token = token;
-  int64_t until_ms = order->lease_until_endpoint_ms + endpoint->started_at_ms - 1;
   if (order->lease_until_endpoint_ms < sim_endpoint_clock_ms (sim, endpoint))
     return EXECUTOR_LEASE_EXPIRED;
   if (is_running (endpoint, order->task))
     return EXECUTOR_OK;
-  endpoint->lease_until_ms =
-      MAX (endpoint->lease_until_ms, MIN (until_ms, sim->now_ms + SIM_LEASE_MS));
+  sim_endpoint_extend_lease (sim, endpoint, order->lease_until_endpoint_ms);
   if (GPOINTER_TO_INT (g_hash_table_lookup (endpoint->highest_attempts, order->task))
       >= order->attempt)
     {
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -139,10 +139,7 @@
         if (((ended_run_t *) endpoint->ended_runs->pdata[i])->number <= order->action.ack_number)
           g_ptr_array_remove_index (endpoint->ended_runs, i);
       if (order->action.lease_until_endpoint_ms > 0)
-        endpoint->lease_until_ms =
-            MAX (endpoint->lease_until_ms,
-                 MIN (order->action.lease_until_endpoint_ms + endpoint->started_at_ms - 1,
-                      sim->now_ms + SIM_LEASE_MS));
+        sim_endpoint_extend_lease (sim, endpoint, order->action.lease_until_endpoint_ms);
       if (order->action.wait_ms > 0 && endpoint->ended_runs->len == 0)
         {
           /* A long poll waits for a run to end: checks again after a tick. */
--- a/tests/test_scheduling_run.h
+++ b/tests/test_scheduling_run.h
@@ -357,6 +357,7 @@
       endpoint->data_centre = i % SIM_DATA_CENTRES;
       endpoint->started_at_ms = 1;
       endpoint->duration_factor = i % 4 == 0 ? SLOW_FACTOR : FAST_FACTOR;
+      endpoint->clock_slow_percent = i / SIM_DATA_CENTRES % (CLOCK_SLOW_MAX_PERCENT + 1);
       endpoint->outages = g_array_new (FALSE, FALSE, sizeof (outage_t));
       endpoint->runs = g_ptr_array_new_with_free_func (sim_run_free);
       endpoint->ended_runs = g_ptr_array_new_with_free_func (ended_run_free);
--- a/tests/test_scheduling_state.h
+++ b/tests/test_scheduling_state.h
@@ -24,6 +24,7 @@
 /* Duration of a run on a fast or a slow endpoint, as a multiple of the task's work. */
 #define FAST_FACTOR 0.7
 #define SLOW_FACTOR 1.7
+#define CLOCK_SLOW_MAX_PERCENT 2
 #define JOB_INTERVAL_MS 25
 #define DEADLINE_MS 1500
 /* With long_waits a caller waits DEADLINE_MS, and this many times the longest task of its job. */
@@ -72,6 +73,7 @@
   int64_t lease_until_ms; /* simulated time */
   int64_t last_end_number;
   double duration_factor;
+  int clock_slow_percent;       /* its clock loses this percentage of the time */
   GPtrArray *runs;              /* sim_run_t */
   GPtrArray *ended_runs;        /* ended_run_t */
   GHashTable *highest_attempts; /* task -> highest attempt that was stopped or has ended */
