A late start order does not take an endpoint that has started again by surprise

Cause: what rules out a late order on an instance (a confirmed stop, the deadline of the order on its clock, the fencing token) is lost with that instance. The later instance has the same id, which is all that the order names, knows no stop and no token, and the old deadline lies far ahead on its new clock. endpoint_restarted () queued the tasks of unanswered orders again at once, and orders whose attempt had been stopped before were forgotten. The simulation dropped all orders to an earlier instance and so hid it.

Change: a start order without an answer is open for 15 s (orders are carried out up to 12 s late by the interface). When a later instance is seen, the task of an open order stays with the endpoint until that instance has confirmed a stop of the attempt, or no copy can be accepted and run any more. Attempts that are over for us are stopped as well (open_order.h); until these stops are confirmed and a poll has listed the runs, nothing starts there. The record of an endpoint whose entry is gone is kept while orders are open.

Orders of an earlier owner are known to that owner only: on a later instance they are refused from the first poll of the new owner on, not before.

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -181,6 +181,7 @@
     record_answer (executor, endpoint, endpoint_clock_ms, now_ms, actions);
   if (task == NULL)
     return;
+  task->order_open = task->order_open && answer == EXECUTOR_NO_ANSWER;
   switch (answer)
     {
     case EXECUTOR_OK:
@@ -229,6 +230,21 @@
   task_requeue (executor, task, now_ms);
 }
 
+/* The present instance will not start the attempt that the call has stopped.  If it has started it
+ * before, only a poll from now on shows when that run is over. */
+static void
+record_open_order_stopped (const executor_t *executor, uint64_t serial)
+{
+  const call_t *call = g_hash_table_lookup (executor->calls, &serial);
+  endpoint_t *endpoint = call != NULL ? endpoint_find (executor, call->endpoint) : NULL;
+
+  if (endpoint == NULL || !open_orders_stopped (endpoint->open_orders, call->task, call->attempt))
+    return;
+  endpoint->runs_known = false;
+  endpoint->poll_in_flight = false;
+  endpoint->poll_serial = 0;
+}
+
 void
 executor_stop_answered (executor_t *executor,
                         uint64_t serial,
@@ -239,6 +255,8 @@
 {
   call_context_t context;
 
+  if (answer == EXECUTOR_OK)
+    record_open_order_stopped (executor, serial);
   if (!take_call_context (executor, serial, &context))
     return;
   endpoint_t *endpoint = context.endpoint;
@@ -344,6 +362,7 @@
   task->progress_at_ms =
       row->progress_percent > task->progress_percent ? now_ms : task->progress_at_ms;
   task->progress_percent = row->progress_percent;
+  task->order_open = false;
   if (task->state == TASK_STARTING || task->state == TASK_START_UNCONFIRMED)
     task->state = TASK_RUNNING;
   if (task->start_confirmed_at_ms == 0)
@@ -368,7 +387,10 @@
       endpoint->ack_number = row->number;
       task_t *task = find_run (endpoint, row->task, row->attempt);
       if (task != NULL)
-        finish_run (executor, task, row->result, now_ms, actions);
+        {
+          task->order_open = false;
+          finish_run (executor, task, row->result, now_ms, actions);
+        }
       else if (row->result == RUN_DONE && endpoint->foreign_done->len < FOREIGN_DONE_MAX)
         g_ptr_array_add (endpoint->foreign_done, g_strdup (row->task));
     }
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -38,6 +38,7 @@
   g_ptr_array_unref (endpoint->runs);
   g_ptr_array_unref (endpoint->foreign_runs);
   g_ptr_array_unref (endpoint->foreign_done);
+  g_ptr_array_unref (endpoint->open_orders);
   g_free (endpoint);
 }
 
@@ -190,6 +191,11 @@
 
   if (endpoint == NULL)
     return;
+  if (task->order_open)
+    open_orders_add (endpoint->open_orders, task->name, task->attempt,
+                     task->start_sent_at_ms + ORDER_DELAY_MAX_MS);
+  task->order_open = false;
+  task->order_open_until_ms = 0;
   g_ptr_array_remove_fast (endpoint->runs, task);
   resources_add (&endpoint->used, &task->need, -1);
   task->endpoint = NULL;
@@ -427,11 +433,29 @@
   *text = g_strdup (value);
 }
 
+/* The start order of TASK may be carried out by the instance that has just been seen. */
+static void
+stop_on_later_instance (task_t *task, int64_t now_ms)
+{
+  task->state = TASK_STOPPING;
+  task->stop_requested_at_ms = now_ms;
+  task->stop_sent_at_ms = 0;
+  task->stop_confirmed = false;
+  task->order_open_until_ms = task->start_sent_at_ms + ORDER_DELAY_MAX_MS;
+}
+
 void
 endpoint_restarted (executor_t *executor, endpoint_t *endpoint, int64_t now_ms)
 {
-  while (endpoint->runs->len > 0)
-    task_requeue (executor, endpoint->runs->pdata[endpoint->runs->len - 1], now_ms);
+  open_orders_require_stops (endpoint->open_orders);
+  for (guint i = endpoint->runs->len; i-- > 0;)
+    {
+      task_t *task = endpoint->runs->pdata[i];
+      if (task->order_open)
+        stop_on_later_instance (task, now_ms);
+      else
+        task_requeue (executor, task, now_ms);
+    }
   g_ptr_array_set_size (endpoint->foreign_runs, 0);
   g_ptr_array_set_size (endpoint->foreign_done, 0);
   endpoint->ack_number = 0;
@@ -493,6 +517,7 @@
       endpoint->runs = g_ptr_array_new ();
       endpoint->foreign_runs = g_ptr_array_new_with_free_func (free_foreign_run);
       endpoint->foreign_done = g_ptr_array_new_with_free_func (g_free);
+      endpoint->open_orders = open_orders_new ();
       g_hash_table_insert (executor->endpoints, endpoint->id, endpoint);
       executor->outliers.endpoints++;
     }
@@ -536,6 +561,7 @@
 is_departed (const executor_t *executor, const endpoint_t *endpoint, int64_t now_ms)
 {
   return endpoint->entry_removed && endpoint->runs->len == 0 && endpoint->foreign_runs->len == 0
+         && endpoint->open_orders->len == 0
          && (endpoint->runs_known || now_ms >= executor->contested_until_ms);
 }
 
--- a/lib/executor/placement.c
+++ b/lib/executor/placement.c
@@ -200,7 +200,8 @@
     return false;
   if (endpoint->unanswered_calls >= UNRESPONSIVE_CALLS)
     return false;
-  if (endpoint->foreign_runs->len > 0 || now_ms < endpoint->full_until_ms)
+  if (endpoint->foreign_runs->len > 0 || open_orders_may_start (endpoint->open_orders)
+      || now_ms < endpoint->full_until_ms)
     return false;
   for (guint i = 0; i < endpoint->runs->len; i++)
     {
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -89,15 +89,34 @@
     endpoint->clock_known = false;
 }
 
+/* Longest time for which a lease of LEASE_MS may last on an endpoint's clock. */
+static int64_t
+longest_lease_ms (const executor_t *executor)
+{
+  int64_t lease_ms = executor->options.lease_ms;
+
+  return lease_ms + lease_ms * EXECUTOR_CLOCK_SLACK_PERCENT / 100;
+}
+
+/* Time after which the run of TASK is not alive. */
+static int64_t
+run_end_ms (const executor_t *executor, const task_t *task)
+{
+  int64_t end_ms = task->endpoint->lease_end_ms;
+
+  return task->order_open_until_ms == 0
+             ? end_ms
+             : MAX (end_ms, task->order_open_until_ms + longest_lease_ms (executor));
+}
+
 /* Records that the next order renews the lease of ENDPOINT.  Returns the end of the lease on the
  * endpoint's clock. */
 static int64_t
 extend_lease (const executor_t *executor, endpoint_t *endpoint, int64_t now_ms)
 {
   int64_t lease_ms = executor->options.lease_ms;
-  int64_t end_ms = now_ms + lease_ms + lease_ms * EXECUTOR_CLOCK_SLACK_PERCENT / 100;
 
-  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, end_ms);
+  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, now_ms + longest_lease_ms (executor));
   return now_ms + endpoint->clock_offset_ms - clock_drift_ms (endpoint, now_ms) + lease_ms;
 }
 
@@ -106,14 +125,13 @@
 static void
 requeue_ended_runs (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
 {
-  bool lease_expired = now_ms > endpoint->lease_end_ms;
-
   for (guint i = endpoint->runs->len; i-- > 0;)
     {
       task_t *task = endpoint->runs->pdata[i];
       bool stopped =
           task->state == TASK_STOPPING && task->stop_confirmed
           && now_ms - task->stop_sent_at_ms > executor->options.stop_ms + STOP_LISTING_DELAY_MS;
+      bool lease_expired = now_ms > run_end_ms (executor, task);
       if (!lease_expired && !stopped)
         continue;
       if (lease_expired && task->batch != NULL)
@@ -166,6 +184,15 @@
       task->stop_sent_at_ms = now_ms;
       send_stop (executor, endpoint, task->name, task->attempt, actions);
     }
+  for (guint i = 0; i < endpoint->open_orders->len; i++)
+    {
+      open_order_t *order = endpoint->open_orders->pdata[i];
+      if (!order->stop_required
+          || (order->stop_sent_at_ms != 0 && now_ms - order->stop_sent_at_ms < STOP_RETRY_MS))
+        continue;
+      order->stop_sent_at_ms = now_ms;
+      send_stop (executor, endpoint, order->task, order->attempt, actions);
+    }
   for (guint i = 0; i < endpoint->foreign_runs->len; i++)
     {
       foreign_run_t *foreign = endpoint->foreign_runs->pdata[i];
@@ -280,6 +307,7 @@
   task->ever_started = true;
   task->batch->ever_started = true;
   task->start_sent_at_ms = now_ms;
+  task->order_open = true;
   task->start_confirmed_at_ms = 0;
   task->progress_percent = 0;
   task->progress_at_ms = now_ms;
@@ -583,6 +611,7 @@
       endpoint_t *endpoint = value;
       forget_old_clock (executor, endpoint, now_ms);
       requeue_ended_runs (executor, endpoint, now_ms, actions);
+      open_orders_expire (endpoint->open_orders, now_ms);
       if (!endpoint->fenced)
         send_stops (executor, endpoint, now_ms, actions);
     }
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -6,6 +6,7 @@
 #include "executor/estimate.h"
 #include "executor/executor.h"
 #include "executor/load.h"
+#include "executor/open_order.h"
 
 typedef struct endpoint_t endpoint_t;
 typedef struct batch_t batch_t;
@@ -35,6 +36,8 @@
   int64_t queued_at_ms;
   int64_t maybe_running_since_ms; /* MAYBE_RUNNING: only results of polls sent since then count */
   int64_t start_sent_at_ms;       /* when the last start order was sent */
+  bool order_open;                /* the last start order may still be carried out */
+  int64_t order_open_until_ms;    /* if a later instance may carry it out: until then; else 0 */
   int64_t start_confirmed_at_ms;  /* when the start was confirmed; 0 before */
   int64_t expected_ms;
   int64_t lease_until_endpoint_ms; /* of the start order */
@@ -148,6 +151,7 @@
   int64_t full_until_ms;       /* gets no tasks until then, after a refusal */
   GPtrArray *runs;             /* task_t */
   GPtrArray *foreign_runs;     /* foreign_run_t */
+  GPtrArray *open_orders;      /* open_order_t: start orders of runs that are over */
   GPtrArray *foreign_done;     /* names of tasks that succeeded under another owner */
   resources_t used;
   outlier_t outlier;
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -7,7 +7,8 @@
 endpoint_t *endpoint_find (const executor_t *executor, const char *id);
 
 /* Records that ENDPOINT has a new instance: the runs of the previous instance are over and their
- * tasks are requeued. */
+ * tasks are requeued.  A task whose start order may still be carried out stays until the new
+ * instance has confirmed a stop. */
 void endpoint_restarted (executor_t *executor, endpoint_t *endpoint, int64_t now_ms);
 
 /* Assign the run of TASK and its resources to ENDPOINT, or remove them from its endpoint. */
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -1202,6 +1202,131 @@
   scenario_end (&scenario);
 }
 
+/* What was known of a start order when its endpoint started again. */
+typedef enum
+{
+  ORDER_ANSWERED,
+  ORDER_IN_FLIGHT,
+  ORDER_UNANSWERED,
+  ORDER_STOPPED /* unanswered, and a stop was confirmed before */
+} order_state_t;
+
+static const struct
+{
+  const char *name;
+  order_state_t order;
+  int64_t restarted_at_ms;
+  bool stop_required; /* of the first attempt, at the new instance */
+} restart_cases[] = {
+  { "the order was answered", ORDER_ANSWERED, 200, false },
+  { "the order was in flight", ORDER_IN_FLIGHT, 50, true },
+  { "the order was not answered", ORDER_UNANSWERED, 200, true },
+  { "the order was not answered and its attempt was stopped", ORDER_STOPPED, 600, true },
+  { "the order was not answered, 16 s ago", ORDER_STOPPED, 16000, false },
+};
+
+static uint64_t
+serial_of_last (const scenario_t *scenario, executor_action_kind_t kind)
+{
+  const executor_action_t *action = last_action (scenario, kind);
+
+  CU_ASSERT_PTR_NOT_NULL (action);
+  return action != NULL ? action->serial : 0;
+}
+
+/* The instance STARTED_AT_MS of "e0" answers its last poll and lists no runs. */
+static void
+answer_poll_of_instance (scenario_t *scenario, int64_t started_at_ms)
+{
+  const poll_result_t result = { .endpoint_clock_ms = scenario->now_ms + 5,
+                                 .started_at_ms = started_at_ms };
+
+  executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_OK, &result,
+                          scenario->now_ms, scenario->actions);
+}
+
+/* Runs rounds until the attempt of the order is stopped and its task waits again. */
+static void
+stop_unanswered_order (scenario_t *scenario)
+{
+  run_round_at (scenario, 100);
+  answer_poll_of_instance (scenario, 1);
+  run_round_at (scenario, 101);
+  uint64_t stop_serial = serial_of_last (scenario, EXECUTOR_STOP);
+  answer_poll_of_instance (scenario, 1);
+  executor_stop_answered (scenario->executor, stop_serial, EXECUTOR_OK, 106, 102,
+                          scenario->actions);
+  executor_cancel (scenario->executor, "h1", 1, 102, scenario->actions);
+  run_round_at (scenario, 103);
+  answer_poll_of_instance (scenario, 1);
+  run_round_at (scenario, 104);
+  CU_ASSERT_EQUAL (executor_totals (scenario->executor, 104).running, 0);
+}
+
+/* A start order that is carried out late by a later instance of its endpoint starts a run, since
+ * that instance knows no stop and its clock starts anew. */
+static void
+test_late_order_after_restart (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (restart_cases); i++)
+    {
+      int64_t now_ms = restart_cases[i].restarted_at_ms;
+      order_state_t order = restart_cases[i].order;
+      executor_batch_t batch = batch_of ("j", 1);
+      executor_batch_t next = batch_of ("k", 2);
+      scenario_t scenario;
+
+      scenario_begin (&scenario);
+      add_endpoint (&scenario, 0, "r1", 1000);
+      run_round_at (&scenario, 0);
+      answer_poll_of_instance (&scenario, 1);
+      executor_submit (scenario.executor, &batch, 0);
+      run_round_at (&scenario, 0);
+      uint64_t start_serial = scenario.start_serial;
+      answer_poll_of_instance (&scenario, 1);
+      if (order == ORDER_ANSWERED)
+        executor_start_answered (scenario.executor, start_serial, EXECUTOR_OK, 6, 1,
+                                 scenario.actions);
+      if (order == ORDER_UNANSWERED || order == ORDER_STOPPED)
+        executor_start_answered (scenario.executor, start_serial, EXECUTOR_NO_ANSWER, 0, 80,
+                                 scenario.actions);
+      if (order == ORDER_STOPPED)
+        stop_unanswered_order (&scenario);
+      executor_endpoint_t later = { .id = "e0",
+                                    .address = "127.0.0.1:1",
+                                    .service = SERVICE,
+                                    .kind = "a",
+                                    .rack = "r1",
+                                    .started_at_ms = 2,
+                                    .free = { 1000, 1000, 0 } };
+      executor_set_endpoint (scenario.executor, &later, now_ms);
+      next.deadline_at_ms = now_ms + FAR_DEADLINE_MS;
+      next.objective_at_ms = next.deadline_at_ms;
+      executor_submit (scenario.executor, &next, now_ms);
+      run_round_at (&scenario, now_ms);
+      answer_poll_of_instance (&scenario, 2);
+      run_round_at (&scenario, now_ms + 1);
+      if (has_action (&scenario, EXECUTOR_STOP) != restart_cases[i].stop_required)
+        printf ("  %s\n", restart_cases[i].name);
+      CU_ASSERT_EQUAL (has_action (&scenario, EXECUTOR_STOP), restart_cases[i].stop_required);
+      CU_ASSERT_EQUAL (has_action (&scenario, EXECUTOR_START), !restart_cases[i].stop_required);
+      uint64_t stop_serial =
+          restart_cases[i].stop_required ? serial_of_last (&scenario, EXECUTOR_STOP) : 0;
+      answer_poll_of_instance (&scenario, 2);
+      if (restart_cases[i].stop_required)
+        {
+          executor_stop_answered (scenario.executor, stop_serial, EXECUTOR_OK, now_ms + 7,
+                                  now_ms + 2, scenario.actions);
+          run_round_at (&scenario, now_ms + 3);
+          CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_START));
+          answer_poll_of_instance (&scenario, 2);
+          run_round_at (&scenario, now_ms + 4);
+          CU_ASSERT_TRUE (has_action (&scenario, EXECUTOR_START));
+        }
+      scenario_end (&scenario);
+    }
+}
+
 static executor_load_t
 load_report_at (const scenario_t *scenario, int64_t now_ms)
 {
@@ -1259,6 +1384,7 @@
   { "a drain at full load", test_drained_at_full_load },
   { "duration on a cold endpoint", test_cold_endpoint },
   { "an instance after the clock was set back", test_instance_after_clock_jump },
+  { "a late order after a restart", test_late_order_after_restart },
   { "a lease on a slow clock", test_lease_on_slow_clock },
   { "a lease after a long idle time", test_lease_after_long_idle },
   { "a batch is submitted again", test_batch_resubmitted },
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -14,8 +14,7 @@
   int data_centre;
   uint32_t generation; /* of the executor that sent it */
   sim_endpoint_t *endpoint;
-  int64_t endpoint_started_at_ms; /* the endpoint must not have been restarted since */
-  executor_action_t action;       /* owns its copy of the task's id */
+  executor_action_t action; /* owns its copy of the task's id */
   int64_t token;
   int64_t give_up_at_ms;
   bool answered;
@@ -107,7 +106,8 @@
   deliver_order_answer (sim, order);
 }
 
-/* The endpoint carries out an order and answers it, unless it is down or can't be reached. */
+/* The endpoint carries out an order and answers it, unless it is down or can't be reached.  An
+ * order names the endpoint by its id, which a later instance has too. */
 static void
 order_arrives (simulation_t *sim, void *data)
 {
@@ -123,7 +123,7 @@
       schedule_event (sim, sim->now_ms + 1, order_answer_arrives, order);
       return;
     }
-  if (endpoint->down_until_ms != 0 || endpoint->started_at_ms != order->endpoint_started_at_ms)
+  if (endpoint->down_until_ms != 0)
     return;
   sim_endpoint_step (sim, endpoint);
   if (order->action.kind == EXECUTOR_START)
@@ -177,7 +177,6 @@
   order->incarnation = host->incarnation;
   order->data_centre = data_centre;
   order->generation = host->owned_shards[data_centre].generation;
-  order->endpoint_started_at_ms = order->endpoint->started_at_ms;
   order->action = *action;
   order->action.task = g_strdup (action->task);
   order->token = host->owned_shards[data_centre].token;
