A start refused for a later attempt is not repeated elsewhere at once

The task was queued again at once and started on another endpoint.

Cause: the refusal shows that this order had no effect, not that no other run of the task is alive there. Runs of other owners are listed by polls only, and idle endpoints are not polled.

Change: the task stays with the endpoint until the next poll has listed the runs; a run of another attempt then counts as a foreign run, which is adopted or stopped before the task starts again.

Evidence: test_executor "a start refused for a later attempt", row "a later attempt is running": 266 of 267 asserts before, 267 after.

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -219,6 +219,13 @@
       fail_task (executor, task, "endpoint rejected the start order as malformed", actions);
       return;
     case EXECUTOR_OLD_ATTEMPT:
+      /* That attempt may be alive; the next poll shows it. */
+      if (task->state == TASK_STARTING)
+        {
+          task->state = TASK_START_UNCONFIRMED;
+          endpoint->poll_due_at_ms = now_ms;
+        }
+      return;
     case EXECUTOR_LEASE_EXPIRED:
     default:
       break;
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -1202,6 +1202,59 @@
   scenario_end (&scenario);
 }
 
+static const struct
+{
+  const char *name;
+  poll_active_t row; /* listed by the endpoint after it has refused the order */
+  size_t count;
+  bool starts_again;
+} old_attempt_cases[] = {
+  { "a later attempt has ended", { "j.0.0.0", 5, 10 }, 0, true },
+  { "a later attempt is running", { "j.0.0.0", 5, 10 }, 1, false },
+};
+
+/* An endpoint refuses an order because it has had a later attempt, of an earlier owner or
+ * submission; that attempt may be running. */
+static void
+test_start_refused_for_later_attempt (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (old_attempt_cases); i++)
+    {
+      const poll_active_t *row = &old_attempt_cases[i].row;
+      executor_batch_t batch = batch_of ("j", 1);
+      scenario_t scenario;
+      bool started_again = false;
+
+      scenario_begin (&scenario);
+      add_endpoint (&scenario, 0, "r1", 1000);
+      add_endpoint (&scenario, 1, "r2", 1000);
+      run_round_at (&scenario, 0);
+      answer_poll (&scenario, 0, NULL, 0);
+      answer_poll (&scenario, 1, NULL, 0);
+      executor_submit (scenario.executor, &batch, 0);
+      run_round_at (&scenario, 0);
+      int refusing = strcmp (scenario.start_endpoint, "e1") == 0;
+      answer_poll (&scenario, refusing, NULL, 0);
+      executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_OLD_ATTEMPT, 6, 1,
+                               scenario.actions);
+      for (int64_t now_ms = 2; now_ms < 40; now_ms++)
+        {
+          run_round_at (&scenario, now_ms);
+          started_again |= has_action (&scenario, EXECUTOR_START);
+          const executor_action_t *stop = last_action (&scenario, EXECUTOR_STOP);
+          uint64_t stop_serial = stop != NULL ? stop->serial : 0;
+          answer_poll (&scenario, refusing, row, old_attempt_cases[i].count);
+          if (stop_serial != 0)
+            executor_stop_answered (scenario.executor, stop_serial, EXECUTOR_OK, now_ms + 5, now_ms,
+                                    scenario.actions);
+        }
+      if (started_again != old_attempt_cases[i].starts_again)
+        printf ("  %s\n", old_attempt_cases[i].name);
+      CU_ASSERT_EQUAL (started_again, old_attempt_cases[i].starts_again);
+      scenario_end (&scenario);
+    }
+}
+
 /* What was known of a start order when its endpoint started again. */
 typedef enum
 {
@@ -1384,6 +1437,7 @@
   { "a drain at full load", test_drained_at_full_load },
   { "duration on a cold endpoint", test_cold_endpoint },
   { "an instance after the clock was set back", test_instance_after_clock_jump },
+  { "a start refused for a later attempt", test_start_refused_for_later_attempt },
   { "a late order after a restart", test_late_order_after_restart },
   { "a lease on a slow clock", test_lease_on_slow_clock },
   { "a lease after a long idle time", test_lease_after_long_idle },
