A data centre whose owner has not been heard is not taken for drained

What callers saw: a job refused with "every data centre with endpoints for it is drained" by a host that had just started, although one data centre was not drained.

Cause: scheduler_step () asks only the shards that it has heard an owner of, or a drain. A host that knows the drains of all others, and has not heard an owner of the last one yet, took all for drained.

Change: a shard is known as soon as the directory names an endpoint of it; without an owner's offer it counts as one that may serve. The simulation prints false drain refusals, which it counted but did not show.

Open: a host that does not follow the directory, and has heard nothing of a data centre.

--- a/lib/scheduler/owners.c
+++ b/lib/scheduler/owners.c
@@ -34,6 +34,8 @@
 {
   const char *interned = g_intern_string (shard);
 
+  /* The shard has endpoints, even if no owner of it has been heard yet. */
+  find_shard (scheduler, shard);
   if (g_hash_table_lookup (scheduler->shard_by_rack, rack) != interned)
     g_hash_table_replace (scheduler->shard_by_rack, g_strdup (rack), (void *) interned);
 }
--- a/tests/test_scheduling_random.c
+++ b/tests/test_scheduling_random.c
@@ -193,11 +193,11 @@
   if (!passed)
     printf ("\n  %s, seed %u: jobs %d complete %d failed %d refused %d given up %d; "
             "concurrent runs %d overfull starts %d false answers %d false failures %d "
-            "unanswered %d starts while drained %d\n",
+            "unanswered %d starts while drained %d false drain refusals %d\n",
             cases[case_index].name, seed, result.jobs, result.complete, result.failed,
             result.refused, result.given_up, result.concurrent_runs, result.overfull_starts,
             result.false_answers, result.false_failures, result.unanswered,
-            result.starts_while_drained);
+            result.starts_while_drained, result.false_drain_refusals);
   CU_ASSERT_EQUAL (result.concurrent_runs, 0);
   CU_ASSERT_EQUAL (result.starts_while_drained, 0);
   CU_ASSERT_EQUAL (result.false_drain_refusals, 0);
@@ -245,11 +245,11 @@
               simulation_result_t result = simulation_run (&options);
               printf ("%s %u: jobs %d complete %d failed %d refused %d given up %d; "
                       "concurrent runs %d overfull starts %d false answers %d false failures %d "
-                      "unanswered %d starts while drained %d\n",
+                      "unanswered %d starts while drained %d false drain refusals %d\n",
                       cases[i].name, seed, result.jobs, result.complete, result.failed,
                       result.refused, result.given_up, result.concurrent_runs,
                       result.overfull_starts, result.false_answers, result.false_failures,
-                      result.unanswered, result.starts_while_drained);
+                      result.unanswered, result.starts_while_drained, result.false_drain_refusals);
             }
       CU_cleanup_registry ();
       return 0;
