A task under which two endpoints have crashed is given up

A task that crashes the endpoints that start it was started again for as long as its caller waited, on one endpoint after the other, with the runs beside it. Only the short waits of callers ended this.

Cause: attempts_max counts runs that end `failed`; the loss of an endpoint counted nothing.

Change: lib/executor/crashes.c counts, for each task, the endpoints that were lost under it. A lease that expires on a silent endpoint is a suspected loss; it is confirmed when the endpoint answers as another instance, and withdrawn when it answers as the same one. After one loss the task starts on an endpoint of its own, on at most a quarter of the usable endpoints at a time; after two that are not both confirmed it waits for up to 5 s for an answer; after two confirmed or three in all it is given up, and its job is answered as failed. The simulation accepts "failed" for a job of a task under which two endpoints have crashed, as the new rule does.

The counts are reported as task_crash_* events and in jaytrail_events_total. A host of an earlier version drops a frame with the new outcome.

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -51,8 +51,25 @@
   [EXECUTOR_LOG_RESTARTED] = { EVENT_ENDPOINT_REBORN, false, false, false, false },
   [EXECUTOR_LOG_EJECTED] = { EVENT_ENDPOINT_EJECTED, false, false, false, false },
   [EXECUTOR_LOG_READMITTED] = { EVENT_ENDPOINT_READMITTED, false, false, false, false },
+  [EXECUTOR_LOG_CRASH_SUSPECTED] = { EVENT_TASK_CRASH_SUSPECTED, false, false, false, false },
+  [EXECUTOR_LOG_CRASH_CONFIRMED] = { EVENT_TASK_CRASH_CONFIRMED, false, false, false, false },
+  [EXECUTOR_LOG_CRASH_WITHDRAWN] = { EVENT_TASK_CRASH_WITHDRAWN, false, false, false, false },
+  [EXECUTOR_LOG_CRASH_GIVEN_UP] = { EVENT_TASK_CRASH_GIVEN_UP, false, false, false, false },
 };
 
+/* Writes the fields of an event about endpoints that were lost under a task. */
+static void
+add_crash_fields (const executor_action_t *action)
+{
+  event_add_text ("task", action->task);
+  if (action->endpoint != NULL)
+    event_add_text ("endpoint", action->endpoint);
+  else
+    event_add_number ("attempt", action->attempt);
+  event_add_number ("lost", action->crashes.lost);
+  event_add_number ("confirmed", action->crashes.confirmed);
+}
+
 static void
 log_executor_event (const executor_action_t *action)
 {
@@ -61,6 +78,12 @@
   metrics_count_task_event (event, action->elapsed_ms);
   if (!event_begin (event))
     return;
+  if (event >= EVENT_TASK_CRASH_SUSPECTED && event <= EVENT_TASK_CRASH_GIVEN_UP)
+    {
+      add_crash_fields (action);
+      event_end ();
+      return;
+    }
   event_add_text ("endpoint", action->endpoint);
   if (log_events[action->log_event].task)
     {
--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -315,6 +315,7 @@
         placement_record_duration (executor, task, elapsed_ms);
       log_event (executor, actions, EXECUTOR_LOG_DONE, endpoint, task, now_ms);
       notify_coordinator (executor, actions, EXECUTOR_DONE, task, NULL);
+      crash_history_forget (executor->crashes, task->name);
       task_remove (executor, task);
       return;
     }
@@ -524,6 +525,18 @@
   task_leave_batch (executor, task);
 }
 
+/* The endpoint has forgotten the run of TASK.  If it does not tell when it started, it may have
+ * restarted. */
+static void
+requeue_unlisted_run (executor_t *executor, task_t *task, int64_t now_ms)
+{
+  crash_run_t run = crash_run_of (task);
+
+  if (!task->endpoint->reports_start_time && task->state == TASK_RUNNING)
+    crash_history_add_lost (executor->crashes, &run, now_ms);
+  task_requeue (executor, task, now_ms);
+}
+
 static void
 check_runs (executor_t *executor,
             endpoint_t *endpoint,
@@ -555,7 +568,7 @@
             abort_overdue_run (executor, task, now_ms, actions);
         }
       else if (should_be_listed (task, sent_at_ms))
-        task_requeue (executor, task, now_ms);
+        requeue_unlisted_run (executor, task, now_ms);
       else if (task->state == TASK_START_UNCONFIRMED && task->start_sent_at_ms < sent_at_ms)
         /* The start order may still be carried out later; a confirmed stop rules that out. */
         task_request_stop (task, now_ms);
@@ -612,6 +625,7 @@
         }
       endpoint->started_at_ms = result->started_at_ms;
       endpoint->reports_start_time = true;
+      crash_history_endpoint_answered (executor->crashes, endpoint->id, endpoint->started_at_ms);
     }
   record_answer (executor, endpoint, result->endpoint_clock_ms, now_ms, actions);
   endpoint->runs_known = true;
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -107,6 +107,7 @@
   executor->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_call);
   executor->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_machine_kind);
   executor->estimates = estimates_new ();
+  executor->crashes = crash_history_new ();
   executor->load_totals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   executor->maybe_running = g_hash_table_new (g_str_hash, g_str_equal);
   executor->action_strings = g_string_chunk_new (STRING_CHUNK_BYTES);
@@ -136,6 +137,7 @@
   g_hash_table_unref (executor->endpoints);
   g_hash_table_unref (executor->kinds);
   estimates_free (executor->estimates);
+  crash_history_free (executor->crashes);
   g_free (executor);
 }
 
@@ -444,6 +446,15 @@
   task->order_open_until_ms = task->start_sent_at_ms + ORDER_DELAY_MAX_MS;
 }
 
+crash_run_t
+crash_run_of (const task_t *task)
+{
+  return (crash_run_t){ .task = task->name,
+                        .endpoint = task->endpoint->id,
+                        .endpoint_started_at_ms = task->endpoint->started_at_ms,
+                        .confirmed = task->start_confirmed_at_ms != 0 };
+}
+
 void
 endpoint_restarted (executor_t *executor, endpoint_t *endpoint, int64_t now_ms)
 {
@@ -451,6 +462,8 @@
   for (guint i = endpoint->runs->len; i-- > 0;)
     {
       task_t *task = endpoint->runs->pdata[i];
+      crash_run_t run = crash_run_of (task);
+      crash_history_add_restarted (executor->crashes, &run, now_ms);
       if (task->order_open)
         stop_on_later_instance (task, now_ms);
       else
@@ -693,7 +706,8 @@
       executor_offer_t *offer = offer_for (offers, endpoint, placement_ratio (endpoint));
       if (executor->drained)
         continue;
-      offer->slots_free += slots_of (&endpoint->capacity, &endpoint->used, need);
+      if (!placement_is_reserved (endpoint))
+        offer->slots_free += slots_of (&endpoint->capacity, &endpoint->used, need);
       offer->slots_total += slots_of (&endpoint->capacity, &no_resources, need);
     }
 }
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -20,6 +20,8 @@
  * - If a run must stop and has not stopped, the lease of its endpoint is renewed for at most
  *   EXECUTOR_UNSTOPPED_MAX_MS.  After that, every run on the endpoint ends when the lease expires.
  * - Nothing starts on an endpoint before a poll by the owner has listed the runs there.
+ * - A task is given up when two endpoints have crashed under it, or three were lost (crashes.h).
+ *   Before that it starts on an endpoint of its own, so that it takes no other run with it.
  * - A task is reported as never started only if no other owner can have started it, which is the
  *   case if its batch was sent under the claim in force.  A task that another owner may have
  *   started stays with its shard, whose endpoints accept only one owner, until its outcome is
@@ -28,6 +30,8 @@
 #ifndef EXECUTOR_EXECUTOR_H
 #define EXECUTOR_EXECUTOR_H
 
+#include "executor/crashes.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -99,6 +103,8 @@
   EXECUTOR_NOT_OWNED,     /* to the coordinator: this host does not own the shard */
   EXECUTOR_RETURNED_AFTER_RUN, /* to the coordinator: it may have run, its run is over, and it has
                                   left the queue */
+  EXECUTOR_CRASHED,            /* to the coordinator: it is given up, because endpoints were lost
+                                  under it */
   EXECUTOR_FENCED,             /* the endpoint has seen a higher token */
   EXECUTOR_LOG                 /* for the log: a decision or an observation (LOG_EVENT) */
 } executor_action_kind_t;
@@ -121,7 +127,11 @@
   EXECUTOR_LOG_RESPONSIVE,   /* elapsed_ms: time since the first unanswered call */
   EXECUTOR_LOG_RESTARTED,    /* count: runs on the endpoint */
   EXECUTOR_LOG_EJECTED,
-  EXECUTOR_LOG_READMITTED
+  EXECUTOR_LOG_READMITTED,
+  EXECUTOR_LOG_CRASH_SUSPECTED, /* crashes */
+  EXECUTOR_LOG_CRASH_CONFIRMED, /* crashes */
+  EXECUTOR_LOG_CRASH_WITHDRAWN, /* crashes */
+  EXECUTOR_LOG_CRASH_GIVEN_UP   /* crashes; no endpoint */
 } executor_log_event_t;
 
 typedef struct
@@ -153,6 +163,7 @@
   int32_t progress_percent;
   int32_t count;
   int32_t waiting_tasks;
+  crash_counts_t crashes; /* endpoints that were lost under TASK */
 } executor_action_t;
 
 /* Outcome of a call to an endpoint. */
--- a/lib/executor/executor_msg.c
+++ b/lib/executor/executor_msg.c
@@ -302,8 +302,8 @@
       executor_task_end_t end = { 0 };
       end.batch = frame_get_uint (reader);
       end.index = (int32_t) frame_get_range (reader, 0, INT32_MAX);
-      end.outcome = (executor_action_kind_t) frame_get_range (reader, EXECUTOR_DONE,
-                                                              EXECUTOR_RETURNED_AFTER_RUN);
+      end.outcome =
+          (executor_action_kind_t) frame_get_range (reader, EXECUTOR_DONE, EXECUTOR_CRASHED);
       g_array_append_val (ends, end);
     }
   return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
--- a/lib/executor/executor_msg.h
+++ b/lib/executor/executor_msg.h
@@ -76,7 +76,7 @@
 {
   uint64_t batch;
   int32_t index;
-  executor_action_kind_t outcome; /* EXECUTOR_DONE to EXECUTOR_RETURNED_AFTER_RUN */
+  executor_action_kind_t outcome; /* EXECUTOR_DONE to EXECUTOR_CRASHED */
 } executor_task_end_t;
 GBytes *executor_msg_task_ends (const executor_task_end_t *ends, size_t count);
 /* Appends executor_task_end_t. */
--- a/lib/executor/placement.c
+++ b/lib/executor/placement.c
@@ -36,6 +36,8 @@
 #define STATS_DECAY 0.975
 #define RECENT_DECAY 0.8
 #define RECENT_RUNS_MIN 5
+/* At most this part of the usable endpoints runs tasks that start alone, and one at least. */
+#define ALONE_ENDPOINTS_DIVISOR 4
 /* The short average is used alone if it differs from the long one by more than this factor. */
 #define SPEED_CHANGE_FACTOR 1.8
 /* Weight of the prior ratio: it counts like this many milliseconds of work that was measured at
@@ -149,20 +151,56 @@
   g_ptr_array_set_size (executor->usable, 0);
   g_ptr_array_set_size (executor->with_free_cores, 0);
   executor->min_ratio = 0;
+  executor->alone_left = 0;
   if (executor->drained)
     return;
   g_hash_table_iter_init (&iter, executor->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       endpoint_t *endpoint = value;
+      bool reserved = placement_is_reserved (endpoint);
+      executor->alone_left -= reserved;
       if (!placement_is_usable (endpoint, now_ms))
         continue;
       g_ptr_array_add (executor->usable, endpoint);
-      if (endpoint->used.cores_milli < endpoint->capacity.cores_milli)
+      if (!reserved && endpoint->used.cores_milli < endpoint->capacity.cores_milli)
         g_ptr_array_add (executor->with_free_cores, endpoint);
       if (executor->min_ratio <= 0 || endpoint->duration_ratio < executor->min_ratio)
         executor->min_ratio = endpoint->duration_ratio;
     }
+  executor->alone_left += MAX ((int32_t) executor->usable->len / ALONE_ENDPOINTS_DIVISOR, 1);
+}
+
+bool
+placement_is_reserved (const endpoint_t *endpoint)
+{
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    if (((const task_t *) endpoint->runs->pdata[i])->runs_alone)
+      return true;
+  return false;
+}
+
+endpoint_t *
+placement_choose_alone (executor_t *executor, const task_t *task)
+{
+  endpoint_t *chosen = NULL;
+
+  if (executor->alone_left <= 0)
+    return NULL;
+  for (guint i = 0; i < executor->with_free_cores->len; i++)
+    {
+      endpoint_t *endpoint = executor->with_free_cores->pdata[i];
+      if (!resources_fit (&endpoint->capacity, &endpoint->used, &task->need)
+          || !placement_may_run (endpoint, task))
+        continue;
+      if (chosen == NULL || endpoint->runs->len < chosen->runs->len
+          || (endpoint->runs->len == chosen->runs->len
+              && endpoint->duration_ratio < chosen->duration_ratio))
+        chosen = endpoint;
+    }
+  if (chosen != NULL)
+    g_ptr_array_remove_fast (executor->with_free_cores, chosen);
+  return chosen;
 }
 
 void
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -122,6 +122,15 @@
 
 /* --- ended runs --- */
 
+/* True if ENDPOINT does not answer.  A lease also expires where the endpoint answers but the lease
+ * was not renewed. */
+static bool
+is_silent (const endpoint_t *endpoint, int64_t now_ms)
+{
+  return endpoint->unanswered_since_ms != 0
+         || (endpoint->poll_in_flight && now_ms - endpoint->poll_sent_at_ms > POLL_WAIT_MAX_MS);
+}
+
 static void
 requeue_ended_runs (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
 {
@@ -136,10 +145,38 @@
         continue;
       if (lease_expired && task->batch != NULL)
         log_event (executor, actions, EXECUTOR_LOG_LEASE_EXPIRED, endpoint, task, now_ms);
+      crash_run_t run = crash_run_of (task);
+      if (lease_expired && is_silent (endpoint, now_ms))
+        crash_history_add_lost (executor->crashes, &run, now_ms);
       task_requeue (executor, task, now_ms);
     }
 }
 
+/* Logs the changes of the history of crashes. */
+static void
+report_crashes (executor_t *executor, GArray *actions)
+{
+  static const executor_log_event_t log_events[] = {
+    [CRASH_SUSPECTED] = EXECUTOR_LOG_CRASH_SUSPECTED,
+    [CRASH_CONFIRMED] = EXECUTOR_LOG_CRASH_CONFIRMED,
+    [CRASH_WITHDRAWN] = EXECUTOR_LOG_CRASH_WITHDRAWN,
+  };
+
+  if (!crash_history_has_events (executor->crashes))
+    return;
+  GPtrArray *events = crash_history_take_events (executor->crashes);
+  for (guint i = 0; i < events->len; i++)
+    {
+      const crash_event_t *event = events->pdata[i];
+      executor_action_t *action = action_append (actions, EXECUTOR_LOG);
+      action->log_event = log_events[event->change];
+      action->task = g_string_chunk_insert (executor->action_strings, event->task);
+      action->endpoint = g_string_chunk_insert (executor->action_strings, event->endpoint);
+      action->crashes = crash_history_counts (executor->crashes, event->task);
+    }
+  g_ptr_array_unref (events);
+}
+
 static void
 send_stop (executor_t *executor,
            const endpoint_t *endpoint,
@@ -231,6 +268,7 @@
       task->start_confirmed_at_ms = now_ms;
       task->progress_at_ms = now_ms;
       task->expected_ms = placement_expected_ms (executor, endpoint, task->batch);
+      task->runs_alone = crash_history_counts (executor->crashes, task->name).lost > 0;
       task_attach (task, endpoint);
       /* The previous owner may have renewed the lease a moment ago. */
       extend_lease (executor, endpoint, now_ms);
@@ -267,6 +305,7 @@
         {
           notify_coordinator (executor, actions, EXECUTOR_DONE, task,
                               "succeeded under another owner");
+          crash_history_forget (executor->crashes, task->name);
           task_remove (executor, task);
           return;
         }
@@ -300,6 +339,7 @@
 {
   executor_action_t *action = action_append (actions, EXECUTOR_START);
 
+  task->runs_alone = false;
   task_dequeue (executor, task);
   endpoint->outlier.probe_running |= endpoint->outlier.state == OUTLIER_EJECTED;
   task->state = TASK_STARTING;
@@ -484,6 +524,58 @@
   return batch->start_by_ms != 0 && !batch->ever_started && now_ms >= batch->start_by_ms;
 }
 
+static void
+give_up_crashed (executor_t *executor, task_t *task, GArray *actions)
+{
+  static const char *const reason = "endpoints crashed under it";
+  crash_counts_t crashes = crash_history_counts (executor->crashes, task->name);
+  executor_action_t *action = action_append (actions, EXECUTOR_LOG);
+
+  action->log_event = EXECUTOR_LOG_CRASH_GIVEN_UP;
+  action->task = g_string_chunk_insert (executor->action_strings, task->name);
+  action->attempt = task->attempt;
+  action->crashes = crashes;
+  notify_coordinator (executor, actions, EXECUTOR_CRASHED, task, reason)->crashes = crashes;
+  task_remove (executor, task);
+}
+
+/* Starts TASK alone, if it may and if there is an endpoint for it; it waits otherwise, and leaves
+ * the queue when its deadline can't be met. */
+static void
+start_alone (executor_t *executor, task_t *task, int64_t now_ms, GArray *actions)
+{
+  endpoint_t *endpoint = placement_choose_alone (executor, task);
+
+  if (endpoint != NULL)
+    {
+      start_task (executor, task, endpoint, now_ms, actions);
+      task->runs_alone = true;
+      executor->alone_left--;
+    }
+  else if (!task->ever_started && is_deadline_unreachable (executor, task, now_ms))
+    exit_queue (executor, task, deadline_exit (task), now_ms, actions);
+}
+
+/* Handles a waiting task under which endpoints were lost.  Returns false if there are none. */
+static bool
+handle_suspect (executor_t *executor, task_t *task, int64_t now_ms, GArray *actions)
+{
+  switch (crash_history_decide (executor->crashes, task->name, now_ms))
+    {
+    case CRASH_GIVE_UP:
+      give_up_crashed (executor, task, actions);
+      return true;
+    case CRASH_HOLD:
+      return true;
+    case CRASH_START_ALONE:
+      start_alone (executor, task, now_ms, actions);
+      return true;
+    case CRASH_START:
+    default:
+      return false;
+    }
+}
+
 static void
 start_tasks (executor_t *executor, GArray *other_offers, int64_t now_ms, GArray *actions)
 {
@@ -497,6 +589,8 @@
     {
       task_t *task = link->data;
       link = link->next;
+      if (handle_suspect (executor, task, now_ms, actions))
+        continue;
       placement_best_t best = unplaced_best;
       /* If no endpoint was found for a task, there is none for an equivalent one. */
       endpoint_t *endpoint = NULL;
@@ -615,6 +709,8 @@
       if (!endpoint->fenced)
         send_stops (executor, endpoint, now_ms, actions);
     }
+  crash_history_expire (executor->crashes, now_ms);
+  report_crashes (executor, actions);
   resolve_maybe_running (executor, now_ms, actions);
   if (executor->drained)
     return_waiting_tasks (executor, now_ms, actions);
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -45,6 +45,7 @@
   int64_t stop_sent_at_ms;
   bool stop_confirmed;
   bool misses_objective; /* would miss its objective on every endpoint */
+  bool runs_alone;       /* nothing else starts on its endpoint while it runs */
   bool moved;            /* it has been stopped to be restarted on a faster endpoint */
   int32_t progress_percent;
   int64_t progress_at_ms;  /* when PROGRESS_PERCENT last increased */
@@ -177,6 +178,7 @@
   GHashTable *calls;     /* serial of a start, stop or poll order -> call_t */
   GHashTable *kinds;     /* kind -> machine_kind_t */
   estimates_t *estimates;
+  crash_history_t *crashes;
   GQueue queue;               /* waiting tasks in the order in which they start */
   GHashTable *load_totals;    /* service -> load_totals_t of the queue */
   GHashTable *maybe_running;  /* set of the tasks in TASK_MAYBE_RUNNING */
@@ -195,6 +197,7 @@
   GPtrArray *usable;          /* endpoint_t that may be given tasks */
   GPtrArray *with_free_cores; /* those of USABLE that have free cores */
   double min_ratio;           /* lowest duration ratio of USABLE; 0 if it is empty */
+  int32_t alone_left;         /* tasks that may still start alone */
 };
 
 typedef struct
@@ -243,6 +246,13 @@
 endpoint_t *
 placement_choose (executor_t *executor, const task_t *task, int64_t now_ms, placement_best_t *best);
 
+/* True if a run on ENDPOINT is to have it for itself. */
+bool placement_is_reserved (const endpoint_t *endpoint);
+
+/* Returns the endpoint on which TASK should start alone: one without runs, or else the one with the
+ * fewest.  NULL if it has to wait. */
+endpoint_t *placement_choose_alone (executor_t *executor, const task_t *task);
+
 /* For a task that would otherwise be refused: returns an endpoint with free resources on which
  * TASK still meets its deadline if its estimate is too high, or NULL. */
 endpoint_t *placement_fallback (const executor_t *executor, const task_t *task, int64_t now_ms);
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -11,6 +11,9 @@
  * instance has confirmed a stop. */
 void endpoint_restarted (executor_t *executor, endpoint_t *endpoint, int64_t now_ms);
 
+/* The run of TASK, for the history of crashes. */
+crash_run_t crash_run_of (const task_t *task);
+
 /* Assign the run of TASK and its resources to ENDPOINT, or remove them from its endpoint. */
 void task_attach (task_t *task, endpoint_t *endpoint);
 void task_detach (task_t *task);
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -60,7 +60,8 @@
   SCHEDULER_LIMIT_CALLER_WAIT, /* it can't end while its caller waits */
   SCHEDULER_LIMIT_QUEUE_TIME,  /* it can't end within the time that its queue allows, or none of its
                                   tasks has started within it */
-  SCHEDULER_LIMIT_ATTEMPTS,    /* a task has used up the attempts that its queue allows */
+  SCHEDULER_LIMIT_ATTEMPTS,    /* a task has used up the attempts that its queue allows, or the
+                                  endpoints on which it ran were lost */
   SCHEDULER_LIMIT_OWNERS,      /* no owner had endpoints for it, or an owner was lost */
   SCHEDULER_LIMIT_DRAINED,     /* every data centre with endpoints for it is drained */
   SCHEDULER_LIMIT_CAPACITY     /* refused on arrival because the backlog is too long */
@@ -206,11 +207,12 @@
   SCHEDULER_TASK_UNSTARTED, /* it never started within its queue's time */
   SCHEDULER_TASK_OVERDUE,   /* it may have run, and can't end before its deadline */
   SCHEDULER_TASK_NOT_OWNED, /* HOST does not own the shard, and does not know the task */
-  SCHEDULER_TASK_VACATED    /* it may have run, none of its runs is left, and HOST won't start it */
+  SCHEDULER_TASK_VACATED,   /* it may have run, none of its runs is left, and HOST won't start it */
+  SCHEDULER_TASK_CRASHED    /* it is given up because endpoints were lost under it */
 } scheduler_task_end_t;
 
-/* Returns the end of a task for HOW, an action from EXECUTOR_DONE to EXECUTOR_RETURNED_AFTER_RUN of
- * its owner. */
+/* Returns the end of a task for HOW, an action from EXECUTOR_DONE to EXECUTOR_CRASHED of its owner.
+ */
 scheduler_task_end_t scheduler_task_end_of (executor_action_kind_t how);
 
 /* Task INDEX of batch NUMBER has ended at HOST. */
--- a/tests/test_scheduling_endpoint.h
+++ b/tests/test_scheduling_endpoint.h
@@ -162,6 +162,14 @@
     return;
   job->starts_since_sent++;
   job->total_starts++;
+  int index = task_index_of (task);
+  if (job->crashes[index] >= CRASHES_BEFORE_LIMIT
+      && ++job->starts_after_crashes[index] > STARTS_AFTER_CRASHES_MAX)
+    {
+      sim->result.deadly_starts++;
+      printf ("  deadly start: seed %u at %d ms: %s, %d endpoints crashed under it\n",
+              sim->options->seed, (int) sim->now_ms, task, job->crashes[index]);
+    }
   if (job->refused)
     {
       sim->result.false_answers++;
@@ -226,6 +234,8 @@
   if (run->ends_at_ms == INT64_MAX)
     record_lost_run (sim, order->task);
   run->fails = random_chance (sim, sim->options->failing_runs);
+  if (job != NULL && job->deadly && task_index_of (order->task) == 0)
+    run->crashes_at_ms = sim->now_ms + 1 + random_below (sim, DEADLY_AFTER_MAX_MS);
   g_ptr_array_add (endpoint->runs, run);
   return EXECUTOR_OK;
 }
--- a/tests/test_scheduling_state.h
+++ b/tests/test_scheduling_state.h
@@ -30,6 +30,15 @@
 /* With long_waits a caller waits DEADLINE_MS, and this many times the longest task of its job. */
 #define LONG_WAIT_FACTOR 4
 #define MAX_ATTEMPTS 3
+/* After this many crashes under it, a task may be started this many times more. */
+#define CRASHES_BEFORE_LIMIT 3
+#define STARTS_AFTER_CRASHES_MAX 2
+/* A task under which this many endpoints have crashed may be given up. */
+#define CRASHES_OF_GIVEN_UP 2
+/* A deadly task crashes its endpoint within this time, which is back after 1 to 4 s. */
+#define DEADLY_AFTER_MAX_MS 60
+#define DEADLY_DOWN_MIN_MS 1000
+#define DEADLY_DOWN_VARIES_MS 3000
 #define NAME_SIZE 8
 
 typedef struct simulation_t simulation_t;
@@ -43,7 +52,8 @@
   int64_t started_at_ms;
   int64_t ends_at_ms; /* INT64_MAX if it hangs */
   bool fails;
-  int64_t stop_at_ms; /* 0 unless it is being stopped */
+  int64_t crashes_at_ms; /* when it crashes the endpoint; 0 if it does not */
+  int64_t stop_at_ms;    /* 0 unless it is being stopped */
 } sim_run_t;
 
 /* A run that has ended and that the owner has not acknowledged yet. */
@@ -156,6 +166,9 @@
   int starts_since_sent;
   int total_starts;
   int failures[MAX_TASKS];
+  bool deadly;                         /* task 0 crashes each endpoint that starts it */
+  int crashes[MAX_TASKS];              /* endpoints that crashed while they ran it */
+  int starts_after_crashes[MAX_TASKS]; /* after CRASHES_BEFORE_LIMIT of them */
   bool done[MAX_TASKS];
 } sim_job_t;
 
