The crashes of a task are known to all hosts, not to one owner

What callers saw: nothing yet. An owner counted the endpoints that were lost under a task, and the counts went with it. A task that crashes its endpoints was started anew by each owner, and by owners in other data centres when the caller sent its job again.

Cause: the counts lived in one executor.

Change: a host has one history, shared by its executors. A loss is identified by task, attempt and endpoint instance, with a revision that its owner increments, so that histories can be merged in any order. An owner tells each change to all hosts, to which it is connected anyway; a new connection brings all that is known.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -414,6 +414,7 @@
     settings->cores_milli, settings->resubmit_after_ms, CLUSTER_HUBS_PER_DATA_CENTRE
   };
   site->drains = drains_new ();
+  site->crashes = crash_history_new ();
   site->running_in_drained = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   site->cluster = cluster_new (&cluster_options, now_ms);
   scheduler_options_t scheduler_options = { settings->host, settings->data_centre,
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -51,21 +51,12 @@
   [EXECUTOR_LOG_RESTARTED] = { EVENT_ENDPOINT_REBORN, false, false, false, false },
   [EXECUTOR_LOG_EJECTED] = { EVENT_ENDPOINT_EJECTED, false, false, false, false },
   [EXECUTOR_LOG_READMITTED] = { EVENT_ENDPOINT_READMITTED, false, false, false, false },
-  [EXECUTOR_LOG_CRASH_SUSPECTED] = { EVENT_TASK_CRASH_SUSPECTED, false, false, false, false },
-  [EXECUTOR_LOG_CRASH_CONFIRMED] = { EVENT_TASK_CRASH_CONFIRMED, false, false, false, false },
-  [EXECUTOR_LOG_CRASH_WITHDRAWN] = { EVENT_TASK_CRASH_WITHDRAWN, false, false, false, false },
-  [EXECUTOR_LOG_CRASH_GIVEN_UP] = { EVENT_TASK_CRASH_GIVEN_UP, false, false, false, false },
+  [EXECUTOR_LOG_CRASHED] = { EVENT_TASK_CRASH_GIVEN_UP, false, false, false, false },
 };
 
-/* Writes the fields of an event about endpoints that were lost under a task. */
 static void
-add_crash_fields (const executor_action_t *action)
+add_crash_counts (const executor_action_t *action)
 {
-  event_add_text ("task", action->task);
-  if (action->endpoint != NULL)
-    event_add_text ("endpoint", action->endpoint);
-  else
-    event_add_number ("attempt", action->attempt);
   event_add_number ("lost", action->crashes.lost);
   event_add_number ("confirmed", action->crashes.confirmed);
 }
@@ -78,9 +69,11 @@
   metrics_count_task_event (event, action->elapsed_ms);
   if (!event_begin (event))
     return;
-  if (event >= EVENT_TASK_CRASH_SUSPECTED && event <= EVENT_TASK_CRASH_GIVEN_UP)
+  if (event == EVENT_TASK_CRASH_GIVEN_UP)
     {
-      add_crash_fields (action);
+      event_add_text ("task", action->task);
+      event_add_number ("attempt", action->attempt);
+      add_crash_counts (action);
       event_end ();
       return;
     }
@@ -105,6 +98,23 @@
   event_end ();
 }
 
+static void
+log_loss (const executor_action_t *action)
+{
+  static const event_t events[] = { [CRASH_SUSPECTED] = EVENT_TASK_CRASH_SUSPECTED,
+                                    [CRASH_WITHDRAWN] = EVENT_TASK_CRASH_WITHDRAWN,
+                                    [CRASH_CONFIRMED] = EVENT_TASK_CRASH_CONFIRMED };
+  event_t event = events[action->loss.state];
+
+  metrics_count_task_event (event, 0);
+  if (!event_begin (event))
+    return;
+  event_add_text ("task", action->loss.task);
+  event_add_text ("endpoint", action->loss.endpoint);
+  add_crash_counts (action);
+  event_end ();
+}
+
 static void
 log_start (const executor_action_t *action)
 {
@@ -172,6 +182,7 @@
 run_actions (owned_shard_t *owned, int64_t now_ms)
 {
   site_t *site = owned->site;
+  GArray *losses = g_array_new (FALSE, FALSE, sizeof (crash_loss_t));
 
   for (guint i = 0; i < owned->actions->len; i++)
     {
@@ -187,6 +198,10 @@
         case EXECUTOR_LOG:
           log_executor_event (action);
           break;
+        case EXECUTOR_LOSS:
+          log_loss (action);
+          g_array_append_val (losses, action->loss);
+          break;
         case EXECUTOR_STOP:
         case EXECUTOR_POLL:
           run_client_send (owned->run_client, action, owned->token, now_ms);
@@ -209,6 +224,10 @@
           break;
         }
     }
+  if (losses->len > 0)
+    peers_send_all (
+        site, executor_msg_losses ((const crash_loss_t *) (void *) losses->data, losses->len));
+  g_array_unref (losses);
   g_array_set_size (owned->actions, 0);
 }
 
@@ -278,7 +297,7 @@
   const platform_settings_t *settings = site->settings;
 
   return (executor_options_t){ settings->lease_max_ms, settings->stop_timeout_ms,
-                               settings->remote_factor };
+                               settings->remote_factor, site->crashes };
 }
 
 void
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -204,6 +204,39 @@
   g_array_unref (ends);
 }
 
+static void
+read_losses (site_t *site, const char *host, frame_reader_t *reader)
+{
+  GArray *losses = g_array_new (FALSE, FALSE, sizeof (crash_loss_t));
+
+  (void) host;
+  g_array_set_clear_func (losses, executor_loss_clear);
+  if (executor_msg_read_losses (reader, losses) == 0)
+    for (guint i = 0; i < losses->len; i++)
+      crash_history_merge (site->crashes, &g_array_index (losses, crash_loss_t, i),
+                           clock_boot_ms ());
+  g_array_unref (losses);
+}
+
+static void
+append_loss (const crash_loss_t *loss, void *losses)
+{
+  g_array_append_vals (losses, loss, 1);
+}
+
+/* Sends HOST all losses that this host knows: it may have just started. */
+static void
+send_losses (site_t *site, const char *host)
+{
+  GArray *losses = g_array_new (FALSE, FALSE, sizeof (crash_loss_t));
+
+  crash_history_foreach (site->crashes, append_loss, losses);
+  if (losses->len > 0)
+    peers_send (site, host,
+                executor_msg_losses ((const crash_loss_t *) (void *) losses->data, losses->len));
+  g_array_unref (losses);
+}
+
 static void
 read_offer (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -279,6 +312,7 @@
   { EXECUTOR_MSG_SUBMIT, read_submit },
   { EXECUTOR_MSG_CANCEL, read_cancel },
   { EXECUTOR_MSG_TASK_ENDS, read_task_ends },
+  { EXECUTOR_MSG_LOSSES, read_losses },
   { EXECUTOR_MSG_CANCELLED, read_cancelled },
   { EXECUTOR_MSG_OFFER, read_offer },
   { EXECUTOR_MSG_RELEASE, read_release },
@@ -331,6 +365,7 @@
       g_hash_table_replace (site->connections, (void *) net_event->host, connection);
       peers_send_heartbeat (site, net_event->host);
       peers_send (site, net_event->host, executor_msg_resync ());
+      send_losses (site, net_event->host);
       resend_batches (site, net_event->host);
     }
   else
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -89,6 +89,7 @@
   GHashTable *known_hosts;   /* interned host -> known_host_t */
   GArray *cluster_actions;   /* cluster_action_t that have not been carried out */
   GArray *scheduler_actions; /* likewise, scheduler_action_t */
+  crash_history_t *crashes;  /* shared by the executors of this host */
   GArray *other_offers;      /* executor_offer_t of other shards; valid for one round */
   GArray *task_ends;         /* pending_task_end_t */
   bool store_reachable;
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -136,7 +136,8 @@
     "ms" },
   { EVENT_TASK_CRASH_SUSPECTED, EVENT_CLASS_PROBLEM, "task_crash_suspected",
     "task endpoint lost confirmed",
-    "{endpoint} was lost while it ran task {task}, under which {lost} endpoints were lost so far "
+    "{endpoint} stopped answering while it ran task {task}, under which {lost} endpoints were lost "
+    "so far "
     "({confirmed} confirmed as restarted)" },
   { EVENT_TASK_CRASH_CONFIRMED, EVENT_CLASS_PROBLEM, "task_crash_confirmed",
     "task endpoint lost confirmed",
--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -61,8 +61,12 @@
 {
   if (endpoint->unanswered_since_ms == 0)
     endpoint->unanswered_since_ms = MAX (sent_at_ms, 1);
-  if (++endpoint->unanswered_calls == UNRESPONSIVE_CALLS)
-    log_event (executor, actions, EXECUTOR_LOG_UNRESPONSIVE, endpoint, NULL, now_ms);
+  if (++endpoint->unanswered_calls != UNRESPONSIVE_CALLS)
+    return;
+  log_event (executor, actions, EXECUTOR_LOG_UNRESPONSIVE, endpoint, NULL, now_ms);
+  /* Before their leases expire, as this host may be lost until then. */
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    record_loss (executor, endpoint->runs->pdata[i], false, now_ms);
 }
 
 /* The endpoint has rejected the token: it accepts another owner.  Ignored if the token has changed
@@ -530,10 +534,8 @@
 static void
 requeue_unlisted_run (executor_t *executor, task_t *task, int64_t now_ms)
 {
-  crash_run_t run = crash_run_of (task);
-
   if (!task->endpoint->reports_start_time && task->state == TASK_RUNNING)
-    crash_history_add_lost (executor->crashes, &run, now_ms);
+    record_loss (executor, task, false, now_ms);
   task_requeue (executor, task, now_ms);
 }
 
@@ -625,7 +627,8 @@
         }
       endpoint->started_at_ms = result->started_at_ms;
       endpoint->reports_start_time = true;
-      crash_history_endpoint_answered (executor->crashes, endpoint->id, endpoint->started_at_ms);
+      crash_history_endpoint_answered (executor->crashes, endpoint->id, endpoint->started_at_ms,
+                                       note_loss, executor);
     }
   record_answer (executor, endpoint, result->endpoint_clock_ms, now_ms, actions);
   endpoint->runs_known = true;
--- a/lib/executor/crashes.c
+++ b/lib/executor/crashes.c
@@ -1,57 +1,59 @@
 /* crashes.c -- history of the tasks whose endpoints were lost
  *
- * TASKS holds the counts.  UNRESOLVED holds, by endpoint, the suspected losses that an answer of
- * the endpoint will confirm or withdraw.
+ * TASKS holds the losses.  SUSPECTS holds, by endpoint, the tasks with a suspected loss there,
+ * which an answer of the endpoint will confirm or withdraw.
  */
 #include "executor/crashes.h"
 
 #include <string.h>
 
 #define EXPIRE_INTERVAL_MS 10000
+/* Withdrawn losses are kept too, so that a late message does not reopen them. */
+#define LOSSES_PER_TASK_MAX 16
 
 typedef struct
 {
-  crash_counts_t counts;
-  int64_t changed_at_ms;
-} task_entry_t;
+  char *endpoint;
+  int64_t endpoint_started_at_ms;
+  int32_t attempt;
+  bool had_started;
+  crash_state_t state;
+  int32_t revision;
+} loss_t;
 
-/* A suspected loss. */
 typedef struct
 {
-  char *task;
-  int64_t endpoint_started_at_ms;
-  bool confirmed; /* the start of the run was confirmed */
-} unresolved_t;
+  GPtrArray *losses; /* loss_t */
+  int64_t changed_at_ms;
+} task_entry_t;
 
 struct crash_history_t
 {
-  GHashTable *tasks;      /* name -> task_entry_t */
-  GHashTable *unresolved; /* endpoint -> GPtrArray of unresolved_t */
-  GPtrArray *events;      /* crash_event_t */
+  GHashTable *tasks;    /* name -> task_entry_t */
+  GHashTable *suspects; /* endpoint -> GPtrArray of names */
   int64_t expired_at_ms;
 };
 
 static void
-free_event (void *data)
+free_loss (void *data)
 {
-  crash_event_t *event = data;
+  loss_t *loss = data;
 
-  g_free (event->task);
-  g_free (event->endpoint);
-  g_free (event);
+  g_free (loss->endpoint);
+  g_free (loss);
 }
 
 static void
-free_unresolved (void *data)
+free_entry (void *data)
 {
-  unresolved_t *loss = data;
+  task_entry_t *entry = data;
 
-  g_free (loss->task);
-  g_free (loss);
+  g_ptr_array_unref (entry->losses);
+  g_free (entry);
 }
 
 static void
-free_losses (void *data)
+free_names (void *data)
 {
   g_ptr_array_unref (data);
 }
@@ -61,9 +63,8 @@
 {
   crash_history_t *history = g_new0 (crash_history_t, 1);
 
-  history->tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  history->unresolved = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_losses);
-  history->events = g_ptr_array_new_with_free_func (free_event);
+  history->tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_entry);
+  history->suspects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_names);
   return history;
 }
 
@@ -71,8 +72,7 @@
 crash_history_free (crash_history_t *history)
 {
   g_hash_table_unref (history->tasks);
-  g_hash_table_unref (history->unresolved);
-  g_ptr_array_unref (history->events);
+  g_hash_table_unref (history->suspects);
   g_free (history);
 }
 
@@ -106,105 +106,147 @@
   if (g_hash_table_size (history->tasks) >= CRASH_TASKS_MAX)
     remove_oldest (history);
   entry = g_new0 (task_entry_t, 1);
+  entry->losses = g_ptr_array_new_with_free_func (free_loss);
   g_hash_table_insert (history->tasks, g_strdup (task), entry);
   return entry;
 }
 
-static void
-add_event (crash_history_t *history, const char *task, const char *endpoint, crash_change_t change)
+static loss_t *
+find_loss (const task_entry_t *entry, const crash_loss_t *info)
 {
-  crash_event_t *event = g_new0 (crash_event_t, 1);
-
-  event->task = g_strdup (task);
-  event->endpoint = g_strdup (endpoint);
-  event->change = change;
-  g_ptr_array_add (history->events, event);
+  for (guint i = 0; i < entry->losses->len; i++)
+    {
+      loss_t *loss = entry->losses->pdata[i];
+      if (loss->attempt == info->attempt
+          && loss->endpoint_started_at_ms == info->endpoint_started_at_ms
+          && strcmp (loss->endpoint, info->endpoint) == 0)
+        return loss;
+    }
+  return NULL;
 }
 
 static void
-add_loss (crash_history_t *history, const crash_run_t *run, bool confirmed, int64_t now_ms)
+add_suspect (crash_history_t *history, const char *endpoint, const char *task)
 {
-  task_entry_t *entry = entry_of (history, run->task);
+  GPtrArray *names = g_hash_table_lookup (history->suspects, endpoint);
+
+  if (names == NULL)
+    {
+      names = g_ptr_array_new_with_free_func (g_free);
+      g_hash_table_insert (history->suspects, g_strdup (endpoint), names);
+    }
+  g_ptr_array_add (names, g_strdup (task));
+}
 
-  entry->counts.lost++;
-  entry->counts.confirmed += confirmed;
+/* Adds a loss without a state.  Returns NULL if the task has too many. */
+static loss_t *
+add_loss (task_entry_t *entry, const crash_loss_t *info, int64_t now_ms)
+{
+  if (entry->losses->len >= LOSSES_PER_TASK_MAX)
+    return NULL;
+  loss_t *loss = g_new0 (loss_t, 1);
+  loss->endpoint = g_strdup (info->endpoint);
+  loss->endpoint_started_at_ms = info->endpoint_started_at_ms;
+  loss->attempt = info->attempt;
+  loss->had_started = info->had_started;
+  g_ptr_array_add (entry->losses, loss);
   entry->changed_at_ms = now_ms;
-  add_event (history, run->task, run->endpoint, confirmed ? CRASH_CONFIRMED : CRASH_SUSPECTED);
+  return loss;
 }
 
-/* Applies the answer of an endpoint to a loss there. */
 static void
-resolve_loss (crash_history_t *history,
-              const unresolved_t *loss,
-              const char *endpoint,
-              bool restarted)
+set_state (crash_history_t *history,
+           loss_t *loss,
+           const char *task,
+           crash_state_t state,
+           int32_t revision)
 {
-  task_entry_t *entry = g_hash_table_lookup (history->tasks, loss->task);
+  loss->state = state;
+  loss->revision = revision;
+  if (state == CRASH_SUSPECTED)
+    add_suspect (history, loss->endpoint, task);
+}
 
-  if (entry == NULL || (restarted && !loss->confirmed))
-    return;
-  if (restarted)
-    entry->counts.confirmed = MIN (entry->counts.confirmed + 1, entry->counts.lost);
-  else
-    entry->counts.lost = MAX (entry->counts.lost - 1, entry->counts.confirmed);
-  add_event (history, loss->task, endpoint, restarted ? CRASH_CONFIRMED : CRASH_WITHDRAWN);
+bool
+crash_history_add (crash_history_t *history, crash_loss_t *info, int64_t now_ms)
+{
+  task_entry_t *entry = entry_of (history, info->task);
+  loss_t *loss = find_loss (entry, info);
+
+  if (loss != NULL && (loss->state == info->state || loss->state == CRASH_CONFIRMED))
+    return false;
+  if (loss == NULL)
+    loss = add_loss (entry, info, now_ms);
+  if (loss == NULL)
+    return false;
+  set_state (history, loss, info->task, info->state, loss->revision + 1);
+  info->revision = loss->revision;
+  return true;
 }
 
 void
-crash_history_add_lost (crash_history_t *history, const crash_run_t *run, int64_t now_ms)
+crash_history_merge (crash_history_t *history, const crash_loss_t *info, int64_t now_ms)
 {
-  GPtrArray *losses = g_hash_table_lookup (history->unresolved, run->endpoint);
+  task_entry_t *entry = entry_of (history, info->task);
+  loss_t *loss = find_loss (entry, info);
 
-  if (losses == NULL)
-    {
-      losses = g_ptr_array_new_with_free_func (free_unresolved);
-      g_hash_table_insert (history->unresolved, g_strdup (run->endpoint), losses);
-    }
-  unresolved_t *loss = g_new0 (unresolved_t, 1);
-  loss->task = g_strdup (run->task);
-  loss->endpoint_started_at_ms = run->endpoint_started_at_ms;
-  loss->confirmed = run->confirmed;
-  g_ptr_array_add (losses, loss);
-  add_loss (history, run, false, now_ms);
+  if (loss == NULL)
+    loss = add_loss (entry, info, now_ms);
+  if (loss != NULL && info->revision > loss->revision)
+    set_state (history, loss, info->task, info->state, info->revision);
 }
 
-void
-crash_history_add_restarted (crash_history_t *history, const crash_run_t *run, int64_t now_ms)
+static crash_loss_t
+loss_info (const char *task, const loss_t *loss)
 {
-  add_loss (history, run, run->confirmed, now_ms);
+  return (crash_loss_t){ .task = task,
+                         .attempt = loss->attempt,
+                         .endpoint = loss->endpoint,
+                         .endpoint_started_at_ms = loss->endpoint_started_at_ms,
+                         .had_started = loss->had_started,
+                         .state = loss->state,
+                         .revision = loss->revision };
 }
 
-void
-crash_history_endpoint_answered (crash_history_t *history,
-                                 const char *endpoint,
-                                 int64_t started_at_ms)
+/* Applies an answer of ENDPOINT to the losses of TASK there. */
+static void
+resolve_losses (crash_history_t *history,
+                const char *task,
+                const char *endpoint,
+                int64_t started_at_ms,
+                crash_loss_func_t changed,
+                void *user)
 {
-  GPtrArray *losses = g_hash_table_lookup (history->unresolved, endpoint);
+  const task_entry_t *entry = g_hash_table_lookup (history->tasks, task);
 
-  if (losses == NULL)
-    return;
-  for (guint i = 0; i < losses->len; i++)
+  for (guint i = 0; entry != NULL && i < entry->losses->len; i++)
     {
-      const unresolved_t *loss = losses->pdata[i];
-      resolve_loss (history, loss, endpoint, loss->endpoint_started_at_ms != started_at_ms);
+      loss_t *loss = entry->losses->pdata[i];
+      bool restarted = loss->endpoint_started_at_ms != started_at_ms;
+      if (loss->state != CRASH_SUSPECTED || strcmp (loss->endpoint, endpoint) != 0
+          || (restarted && !loss->had_started))
+        continue;
+      loss->state = restarted ? CRASH_CONFIRMED : CRASH_WITHDRAWN;
+      loss->revision++;
+      crash_loss_t info = loss_info (task, loss);
+      changed (&info, user);
     }
-  g_hash_table_remove (history->unresolved, endpoint);
 }
 
 void
-crash_history_learn (crash_history_t *history,
-                     const char *task,
-                     crash_counts_t counts,
-                     int64_t now_ms)
+crash_history_endpoint_answered (crash_history_t *history,
+                                 const char *endpoint,
+                                 int64_t started_at_ms,
+                                 crash_loss_func_t changed,
+                                 void *user)
 {
-  crash_counts_t known = crash_history_counts (history, task);
+  GPtrArray *names = g_hash_table_lookup (history->suspects, endpoint);
 
-  if (counts.lost <= known.lost && counts.confirmed <= known.confirmed)
+  if (names == NULL)
     return;
-  task_entry_t *entry = entry_of (history, task);
-  entry->counts.lost = MAX (known.lost, counts.lost);
-  entry->counts.confirmed = MAX (known.confirmed, counts.confirmed);
-  entry->changed_at_ms = now_ms;
+  for (guint i = 0; i < names->len; i++)
+    resolve_losses (history, names->pdata[i], endpoint, started_at_ms, changed, user);
+  g_hash_table_remove (history->suspects, endpoint);
 }
 
 void
@@ -214,10 +256,10 @@
 }
 
 static bool
-has_known_task (const crash_history_t *history, const GPtrArray *losses)
+has_known_task (const crash_history_t *history, const GPtrArray *names)
 {
-  for (guint i = 0; i < losses->len; i++)
-    if (g_hash_table_contains (history->tasks, ((const unresolved_t *) losses->pdata[i])->task))
+  for (guint i = 0; i < names->len; i++)
+    if (g_hash_table_contains (history->tasks, names->pdata[i]))
       return true;
   return false;
 }
@@ -235,18 +277,44 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (now_ms - ((const task_entry_t *) value)->changed_at_ms > CRASH_RETENTION_MS)
       g_hash_table_iter_remove (&iter);
-  g_hash_table_iter_init (&iter, history->unresolved);
+  g_hash_table_iter_init (&iter, history->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (!has_known_task (history, value))
       g_hash_table_iter_remove (&iter);
 }
 
+void
+crash_history_foreach (const crash_history_t *history, crash_loss_func_t func, void *user)
+{
+  GHashTableIter iter;
+  void *key = NULL;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, history->tasks);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const task_entry_t *entry = value;
+      for (guint i = 0; i < entry->losses->len; i++)
+        {
+          crash_loss_t info = loss_info (key, entry->losses->pdata[i]);
+          func (&info, user);
+        }
+    }
+}
+
 crash_counts_t
 crash_history_counts (const crash_history_t *history, const char *task)
 {
   const task_entry_t *entry = g_hash_table_lookup (history->tasks, task);
+  crash_counts_t counts = { 0 };
 
-  return entry != NULL ? entry->counts : (crash_counts_t){ 0 };
+  for (guint i = 0; entry != NULL && i < entry->losses->len; i++)
+    {
+      const loss_t *loss = entry->losses->pdata[i];
+      counts.lost += loss->state != CRASH_WITHDRAWN;
+      counts.confirmed += loss->state == CRASH_CONFIRMED;
+    }
+  return counts;
 }
 
 crash_decision_t
@@ -256,24 +324,10 @@
 
   if (entry == NULL)
     return CRASH_START;
-  if (entry->counts.confirmed >= CRASH_CONFIRMED_MAX || entry->counts.lost >= CRASH_LOSSES_MAX)
+  crash_counts_t counts = crash_history_counts (history, task);
+  if (counts.confirmed >= CRASH_CONFIRMED_MAX || counts.lost >= CRASH_LOSSES_MAX)
     return CRASH_GIVE_UP;
-  if (entry->counts.lost == CRASH_LOSSES_MAX - 1 && now_ms - entry->changed_at_ms < CRASH_HOLD_MS)
+  if (counts.lost == CRASH_LOSSES_MAX - 1 && now_ms - entry->changed_at_ms < CRASH_HOLD_MS)
     return CRASH_HOLD;
-  return entry->counts.lost > 0 ? CRASH_START_ALONE : CRASH_START;
-}
-
-bool
-crash_history_has_events (const crash_history_t *history)
-{
-  return history->events->len > 0;
-}
-
-GPtrArray *
-crash_history_take_events (crash_history_t *history)
-{
-  GPtrArray *events = history->events;
-
-  history->events = g_ptr_array_new_with_free_func (free_event);
-  return events;
+  return counts.lost > 0 ? CRASH_START_ALONE : CRASH_START;
 }
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -107,7 +107,10 @@
   executor->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_call);
   executor->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_machine_kind);
   executor->estimates = estimates_new ();
-  executor->crashes = crash_history_new ();
+  if (options->crashes == NULL)
+    executor->own_crashes = crash_history_new ();
+  executor->crashes = options->crashes != NULL ? options->crashes : executor->own_crashes;
+  executor->new_losses = g_array_new (FALSE, FALSE, sizeof (crash_loss_t));
   executor->load_totals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   executor->maybe_running = g_hash_table_new (g_str_hash, g_str_equal);
   executor->action_strings = g_string_chunk_new (STRING_CHUNK_BYTES);
@@ -137,7 +140,10 @@
   g_hash_table_unref (executor->endpoints);
   g_hash_table_unref (executor->kinds);
   estimates_free (executor->estimates);
-  crash_history_free (executor->crashes);
+  if (executor->own_crashes != NULL)
+    crash_history_free (executor->own_crashes);
+  clear_new_losses (executor);
+  g_array_unref (executor->new_losses);
   g_free (executor);
 }
 
@@ -446,13 +452,42 @@
   task->order_open_until_ms = task->start_sent_at_ms + ORDER_DELAY_MAX_MS;
 }
 
-crash_run_t
-crash_run_of (const task_t *task)
+void
+note_loss (const crash_loss_t *loss, void *user)
 {
-  return (crash_run_t){ .task = task->name,
+  executor_t *executor = user;
+  crash_loss_t copy = *loss;
+
+  copy.task = g_strdup (loss->task);
+  copy.endpoint = g_strdup (loss->endpoint);
+  g_array_append_val (executor->new_losses, copy);
+}
+
+void
+clear_new_losses (executor_t *executor)
+{
+  for (guint i = 0; i < executor->new_losses->len; i++)
+    {
+      const crash_loss_t *loss = &g_array_index (executor->new_losses, crash_loss_t, i);
+      g_free ((char *) loss->task);
+      g_free ((char *) loss->endpoint);
+    }
+  g_array_set_size (executor->new_losses, 0);
+}
+
+void
+record_loss (executor_t *executor, const task_t *task, bool restarted, int64_t now_ms)
+{
+  bool had_started = task->start_confirmed_at_ms != 0;
+  crash_loss_t loss = { .task = task->name,
+                        .attempt = task->attempt,
                         .endpoint = task->endpoint->id,
                         .endpoint_started_at_ms = task->endpoint->started_at_ms,
-                        .confirmed = task->start_confirmed_at_ms != 0 };
+                        .had_started = had_started,
+                        .state = restarted && had_started ? CRASH_CONFIRMED : CRASH_SUSPECTED };
+
+  if (crash_history_add (executor->crashes, &loss, now_ms))
+    note_loss (&loss, executor);
 }
 
 void
@@ -462,8 +497,7 @@
   for (guint i = endpoint->runs->len; i-- > 0;)
     {
       task_t *task = endpoint->runs->pdata[i];
-      crash_run_t run = crash_run_of (task);
-      crash_history_add_restarted (executor->crashes, &run, now_ms);
+      record_loss (executor, task, true, now_ms);
       if (task->order_open)
         stop_on_later_instance (task, now_ms);
       else
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -95,7 +95,8 @@
   EXECUTOR_POLL,          /* list runs, acknowledge ended runs, and renew the lease unless
                              LEASE_UNTIL_ENDPOINT_MS is 0 */
   EXECUTOR_DONE,          /* to the coordinator: task INDEX of BATCH has succeeded */
-  EXECUTOR_FAILED,        /* to the coordinator: it has failed too often or cannot run */
+  EXECUTOR_FAILED,        /* to the coordinator: it has failed too often, has crashed its endpoints,
+                            or cannot run */
   EXECUTOR_RETURNED,      /* to the coordinator: it never started and has left the queue */
   EXECUTOR_EXPIRED,       /* to the coordinator: it never started and cannot meet its deadline */
   EXECUTOR_START_TIMEOUT, /* to the coordinator: none of its batch has started by START_BY_MS */
@@ -103,8 +104,7 @@
   EXECUTOR_NOT_OWNED,     /* to the coordinator: this host does not own the shard */
   EXECUTOR_RETURNED_AFTER_RUN, /* to the coordinator: it may have run, its run is over, and it has
                                   left the queue */
-  EXECUTOR_CRASHED,            /* to the coordinator: it is given up, because endpoints were lost
-                                  under it */
+  EXECUTOR_LOSS,               /* for the other hosts: LOSS, which they merge into their history */
   EXECUTOR_FENCED,             /* the endpoint has seen a higher token */
   EXECUTOR_LOG                 /* for the log: a decision or an observation (LOG_EVENT) */
 } executor_action_kind_t;
@@ -128,10 +128,7 @@
   EXECUTOR_LOG_RESTARTED,    /* count: runs on the endpoint */
   EXECUTOR_LOG_EJECTED,
   EXECUTOR_LOG_READMITTED,
-  EXECUTOR_LOG_CRASH_SUSPECTED, /* crashes */
-  EXECUTOR_LOG_CRASH_CONFIRMED, /* crashes */
-  EXECUTOR_LOG_CRASH_WITHDRAWN, /* crashes */
-  EXECUTOR_LOG_CRASH_GIVEN_UP   /* crashes; no endpoint */
+  EXECUTOR_LOG_CRASHED /* crashes; no endpoint: the task is given up */
 } executor_log_event_t;
 
 typedef struct
@@ -163,6 +160,7 @@
   int32_t progress_percent;
   int32_t count;
   int32_t waiting_tasks;
+  crash_loss_t loss;      /* EXECUTOR_LOSS */
   crash_counts_t crashes; /* endpoints that were lost under TASK */
 } executor_action_t;
 
@@ -221,6 +219,8 @@
   int64_t stop_ms;  /* longest time that a stop takes */
   /* Factor on the duration of a task outside the rack of its data; 0 counts as 1. */
   double remote_factor;
+  /* The history of this host, which outlives its executors; NULL for one of its own. */
+  crash_history_t *crashes;
 } executor_options_t;
 
 /* An endpoint whose clock is slow may let a lease expire later by this percentage of its length. */
--- a/lib/executor/executor_msg.c
+++ b/lib/executor/executor_msg.c
@@ -7,6 +7,9 @@
 #define TASKS_MAX 1024
 #define ENDS_MAX 65536
 #define OFFERS_MAX 1024
+#define LOSSES_MAX 65536
+/* The id of a job, and the numbers of the step and of the task. */
+#define TASK_NAME_MAX_BYTES (FRAME_NAME_MAX_BYTES + 32)
 #define TIME_MAX_MS 3600000
 #define AMOUNT_MAX (INT64_C (1) << 40)
 #define RATIO_SCALE 1000.0
@@ -302,13 +305,67 @@
       executor_task_end_t end = { 0 };
       end.batch = frame_get_uint (reader);
       end.index = (int32_t) frame_get_range (reader, 0, INT32_MAX);
-      end.outcome =
-          (executor_action_kind_t) frame_get_range (reader, EXECUTOR_DONE, EXECUTOR_CRASHED);
+      end.outcome = (executor_action_kind_t) frame_get_range (reader, EXECUTOR_DONE,
+                                                              EXECUTOR_RETURNED_AFTER_RUN);
       g_array_append_val (ends, end);
     }
   return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
 }
 
+GBytes *
+executor_msg_losses (const crash_loss_t *losses, size_t count)
+{
+  frame_writer_t *writer = frame_begin (EXECUTOR_MSG_LOSSES);
+
+  frame_put_count (writer, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      frame_put_string (writer, losses[i].task);
+      frame_put_int (writer, losses[i].attempt);
+      frame_put_string (writer, losses[i].endpoint);
+      frame_put_int (writer, losses[i].endpoint_started_at_ms);
+      frame_put_bool (writer, losses[i].had_started);
+      frame_put_int (writer, losses[i].state);
+      frame_put_int (writer, losses[i].revision);
+    }
+  return frame_finish (writer);
+}
+
+int
+executor_msg_read_losses (frame_reader_t *reader, GArray *losses)
+{
+  size_t count = frame_get_count (reader, LOSSES_MAX);
+
+  for (size_t i = 0; i < count && frame_ok (reader); i++)
+    {
+      crash_loss_t loss = { 0 };
+      loss.task = frame_get_string (reader, TASK_NAME_MAX_BYTES);
+      loss.attempt = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+      loss.endpoint = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+      loss.endpoint_started_at_ms = frame_get_int (reader);
+      loss.had_started = frame_get_bool (reader);
+      loss.state = (crash_state_t) frame_get_range (reader, CRASH_SUSPECTED, CRASH_CONFIRMED);
+      loss.revision = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+      if (frame_ok (reader) && loss.task != NULL && loss.endpoint != NULL)
+        {
+          g_array_append_val (losses, loss);
+          continue;
+        }
+      executor_loss_clear (&loss);
+      return ERROR_PROTOCOL;
+    }
+  return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
+}
+
+void
+executor_loss_clear (void *data)
+{
+  crash_loss_t *loss = data;
+
+  g_free ((char *) loss->task);
+  g_free ((char *) loss->endpoint);
+}
+
 /* Trailing levels without a backlog are left out. */
 static void
 put_load (frame_writer_t *writer, const executor_load_t *load)
--- a/lib/executor/executor_msg.h
+++ b/lib/executor/executor_msg.h
@@ -22,7 +22,9 @@
   EXECUTOR_MSG_CANCEL_JOB,       /* the caller of a job has cancelled it at another host */
   EXECUTOR_MSG_ENDPOINT,         /* an endpoint that the sender knows */
   EXECUTOR_MSG_ENDPOINT_REMOVED, /* the entry of an endpoint is gone */
-  EXECUTOR_MSG_RESYNC /* task ends sent earlier may be lost: the receiver sends its batches again */
+  EXECUTOR_MSG_RESYNC, /* task ends sent earlier may be lost: the receiver sends its batches again
+                        */
+  EXECUTOR_MSG_LOSSES  /* endpoints that were lost under tasks */
 } executor_msg_t;
 
 /* Gives BATCH to the owner of SHARD.  EPOCH is the epoch under which the coordinator expects
@@ -76,12 +78,19 @@
 {
   uint64_t batch;
   int32_t index;
-  executor_action_kind_t outcome; /* EXECUTOR_DONE to EXECUTOR_CRASHED */
+  executor_action_kind_t outcome; /* EXECUTOR_DONE to EXECUTOR_RETURNED_AFTER_RUN */
 } executor_task_end_t;
 GBytes *executor_msg_task_ends (const executor_task_end_t *ends, size_t count);
 /* Appends executor_task_end_t. */
 int executor_msg_read_task_ends (frame_reader_t *reader, GArray *ends);
 
+/* Losses for the history of the receiver. */
+GBytes *executor_msg_losses (const crash_loss_t *losses, size_t count);
+/* Appends crash_loss_t; the caller frees their contents with executor_loss_clear (), also after an
+ * error. */
+int executor_msg_read_losses (frame_reader_t *reader, GArray *losses);
+void executor_loss_clear (void *loss);
+
 /* Free capacity and load reported by the owner of SHARD. */
 typedef struct
 {
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -145,36 +145,27 @@
         continue;
       if (lease_expired && task->batch != NULL)
         log_event (executor, actions, EXECUTOR_LOG_LEASE_EXPIRED, endpoint, task, now_ms);
-      crash_run_t run = crash_run_of (task);
       if (lease_expired && is_silent (endpoint, now_ms))
-        crash_history_add_lost (executor->crashes, &run, now_ms);
+        record_loss (executor, task, false, now_ms);
       task_requeue (executor, task, now_ms);
     }
 }
 
-/* Logs the changes of the history of crashes. */
+/* Tells the other hosts what this one has learned about lost endpoints.  One of them may become the
+ * next owner of their tasks. */
 static void
-report_crashes (executor_t *executor, GArray *actions)
+report_losses (executor_t *executor, GArray *actions)
 {
-  static const executor_log_event_t log_events[] = {
-    [CRASH_SUSPECTED] = EXECUTOR_LOG_CRASH_SUSPECTED,
-    [CRASH_CONFIRMED] = EXECUTOR_LOG_CRASH_CONFIRMED,
-    [CRASH_WITHDRAWN] = EXECUTOR_LOG_CRASH_WITHDRAWN,
-  };
-
-  if (!crash_history_has_events (executor->crashes))
-    return;
-  GPtrArray *events = crash_history_take_events (executor->crashes);
-  for (guint i = 0; i < events->len; i++)
+  for (guint i = 0; i < executor->new_losses->len; i++)
     {
-      const crash_event_t *event = events->pdata[i];
-      executor_action_t *action = action_append (actions, EXECUTOR_LOG);
-      action->log_event = log_events[event->change];
-      action->task = g_string_chunk_insert (executor->action_strings, event->task);
-      action->endpoint = g_string_chunk_insert (executor->action_strings, event->endpoint);
-      action->crashes = crash_history_counts (executor->crashes, event->task);
+      const crash_loss_t *loss = &g_array_index (executor->new_losses, crash_loss_t, i);
+      executor_action_t *action = action_append (actions, EXECUTOR_LOSS);
+      action->loss = *loss;
+      action->loss.task = g_string_chunk_insert (executor->action_strings, loss->task);
+      action->loss.endpoint = g_string_chunk_insert (executor->action_strings, loss->endpoint);
+      action->crashes = crash_history_counts (executor->crashes, loss->task);
     }
-  g_ptr_array_unref (events);
+  clear_new_losses (executor);
 }
 
 static void
@@ -527,15 +518,13 @@
 static void
 give_up_crashed (executor_t *executor, task_t *task, GArray *actions)
 {
-  static const char *const reason = "endpoints crashed under it";
-  crash_counts_t crashes = crash_history_counts (executor->crashes, task->name);
   executor_action_t *action = action_append (actions, EXECUTOR_LOG);
 
-  action->log_event = EXECUTOR_LOG_CRASH_GIVEN_UP;
+  action->log_event = EXECUTOR_LOG_CRASHED;
   action->task = g_string_chunk_insert (executor->action_strings, task->name);
   action->attempt = task->attempt;
-  action->crashes = crashes;
-  notify_coordinator (executor, actions, EXECUTOR_CRASHED, task, reason)->crashes = crashes;
+  action->crashes = crash_history_counts (executor->crashes, task->name);
+  notify_coordinator (executor, actions, EXECUTOR_FAILED, task, "endpoints crashed under it");
   task_remove (executor, task);
 }
 
@@ -710,7 +699,7 @@
         send_stops (executor, endpoint, now_ms, actions);
     }
   crash_history_expire (executor->crashes, now_ms);
-  report_crashes (executor, actions);
+  report_losses (executor, actions);
   resolve_maybe_running (executor, now_ms, actions);
   if (executor->drained)
     return_waiting_tasks (executor, now_ms, actions);
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -178,11 +178,13 @@
   GHashTable *calls;     /* serial of a start, stop or poll order -> call_t */
   GHashTable *kinds;     /* kind -> machine_kind_t */
   estimates_t *estimates;
-  crash_history_t *crashes;
-  GQueue queue;               /* waiting tasks in the order in which they start */
-  GHashTable *load_totals;    /* service -> load_totals_t of the queue */
-  GHashTable *maybe_running;  /* set of the tasks in TASK_MAYBE_RUNNING */
-  int32_t removed_endpoints;  /* number of endpoints with ENTRY_REMOVED */
+  crash_history_t *crashes; /* of the options, or OWN_CRASHES */
+  crash_history_t *own_crashes;
+  GArray *new_losses;        /* crash_loss_t that are not reported yet, with strings of their own */
+  GQueue queue;              /* waiting tasks in the order in which they start */
+  GHashTable *load_totals;   /* service -> load_totals_t of the queue */
+  GHashTable *maybe_running; /* set of the tasks in TASK_MAYBE_RUNNING */
+  int32_t removed_endpoints; /* number of endpoints with ENTRY_REMOVED */
   int64_t discovery_until_ms; /* until then undiscovered endpoints may exist */
   int64_t contested_until_ms; /* until then another owner may have unlisted runs */
   uint64_t last_serial;
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -11,8 +11,13 @@
  * instance has confirmed a stop. */
 void endpoint_restarted (executor_t *executor, endpoint_t *endpoint, int64_t now_ms);
 
-/* The run of TASK, for the history of crashes. */
-crash_run_t crash_run_of (const task_t *task);
+/* Records that the endpoint of TASK was lost while it may have run there.  RESTARTED says that the
+ * endpoint was found restarted. */
+void record_loss (executor_t *executor, const task_t *task, bool restarted, int64_t now_ms);
+
+/* A crash_loss_func_t for an executor: the change of LOSS is reported in the next round. */
+void note_loss (const crash_loss_t *loss, void *user);
+void clear_new_losses (executor_t *executor);
 
 /* Assign the run of TASK and its resources to ENDPOINT, or remove them from its endpoint. */
 void task_attach (task_t *task, endpoint_t *endpoint);
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -237,7 +237,6 @@
     [EXECUTOR_NOT_OWNED] = SCHEDULER_TASK_NOT_OWNED,
     [EXECUTOR_START_TIMEOUT] = SCHEDULER_TASK_UNSTARTED,
     [EXECUTOR_RETURNED_AFTER_RUN] = SCHEDULER_TASK_VACATED,
-    [EXECUTOR_CRASHED] = SCHEDULER_TASK_CRASHED,
   };
 
   return task_ends[how];
@@ -266,8 +265,7 @@
     return;
   scheduled_job_t *job = batch->job;
   job->may_have_run |= how == SCHEDULER_TASK_DONE || how == SCHEDULER_TASK_FAILED
-                       || how == SCHEDULER_TASK_OVERDUE || how == SCHEDULER_TASK_VACATED
-                       || how == SCHEDULER_TASK_CRASHED;
+                       || how == SCHEDULER_TASK_OVERDUE || how == SCHEDULER_TASK_VACATED;
   /* The next attempts of the task get higher numbers than those at this owner. */
   job->handovers += how == SCHEDULER_TASK_VACATED;
   if (batch->open_tasks->len == 0 && !batch->cancel_requested)
@@ -283,11 +281,8 @@
       break;
     case SCHEDULER_TASK_FAILED:
       scheduler_end_job (scheduler, job, SCHEDULER_FAILED, SCHEDULER_LIMIT_ATTEMPTS,
-                         "a task has failed as often as is allowed", now_ms, actions);
-      break;
-    case SCHEDULER_TASK_CRASHED:
-      scheduler_end_job (scheduler, job, SCHEDULER_FAILED, SCHEDULER_LIMIT_ATTEMPTS,
-                         "the endpoints that started a task crashed", now_ms, actions);
+                         "a task has failed as often as is allowed, or has crashed its endpoints",
+                         now_ms, actions);
       break;
     case SCHEDULER_TASK_UNSTARTED:
     case SCHEDULER_TASK_RETURNED:
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -61,7 +61,7 @@
   SCHEDULER_LIMIT_QUEUE_TIME,  /* it can't end within the time that its queue allows, or none of its
                                   tasks has started within it */
   SCHEDULER_LIMIT_ATTEMPTS,    /* a task has used up the attempts that its queue allows, or the
-                                  endpoints on which it ran were lost */
+                                  endpoints on which it ran have crashed */
   SCHEDULER_LIMIT_OWNERS,      /* no owner had endpoints for it, or an owner was lost */
   SCHEDULER_LIMIT_DRAINED,     /* every data centre with endpoints for it is drained */
   SCHEDULER_LIMIT_CAPACITY     /* refused on arrival because the backlog is too long */
@@ -201,18 +201,17 @@
 typedef enum
 {
   SCHEDULER_TASK_DONE,
-  SCHEDULER_TASK_FAILED,    /* it has used up its attempts */
+  SCHEDULER_TASK_FAILED,    /* it has used up its attempts, or has crashed its endpoints */
   SCHEDULER_TASK_RETURNED,  /* it never started, and is no longer queued there */
   SCHEDULER_TASK_EXPIRED,   /* it never started, and can't end before its deadline */
   SCHEDULER_TASK_UNSTARTED, /* it never started within its queue's time */
   SCHEDULER_TASK_OVERDUE,   /* it may have run, and can't end before its deadline */
   SCHEDULER_TASK_NOT_OWNED, /* HOST does not own the shard, and does not know the task */
-  SCHEDULER_TASK_VACATED,   /* it may have run, none of its runs is left, and HOST won't start it */
-  SCHEDULER_TASK_CRASHED    /* it is given up because endpoints were lost under it */
+  SCHEDULER_TASK_VACATED    /* it may have run, none of its runs is left, and HOST won't start it */
 } scheduler_task_end_t;
 
-/* Returns the end of a task for HOW, an action from EXECUTOR_DONE to EXECUTOR_CRASHED of its owner.
- */
+/* Returns the end of a task for HOW, an action from EXECUTOR_DONE to EXECUTOR_RETURNED_AFTER_RUN of
+ * its owner. */
 scheduler_task_end_t scheduler_task_end_of (executor_action_kind_t how);
 
 /* Task INDEX of batch NUMBER has ended at HOST. */
--- a/standins/site_endpoint.h
+++ b/standins/site_endpoint.h
@@ -1,8 +1,9 @@
 /* site_endpoint.h -- an endpoint as a stand-in: runs, leases, tokens, ends
  *
  * It runs a task for as many milliseconds as its spec says; a spec that begins with F fails at
- * its end.  Orders come over HTTP on its own address.  With a ledger each start and each end is a
- * line on standard output, written at once, so that it outlives the process.
+ * its end, and one that begins with X crashes the endpoint then, which is back a little later.
+ * Orders come over HTTP on its own address.  With a ledger each start and each end is a line on
+ * standard output, written at once, so that it outlives the process.
  *
  * Runs on the loop's thread.
  */
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -208,6 +208,7 @@
   MESSAGE_BATCH_ENDED,
   MESSAGE_RELEASE,
   MESSAGE_TASK_END,
+  MESSAGE_LOSS,
   MESSAGE_OFFERS,
   MESSAGE_HEARTBEAT
 } message_kind_t;
@@ -226,6 +227,7 @@
   GArray *task_indexes; /* of BATCH */
   uint64_t batch_number;
   int32_t task_index;
+  crash_loss_t loss;               /* its strings belong to the message */
   executor_action_kind_t task_end; /* how the task has ended */
   bool not_run;                    /* none of the tasks of the batch has run */
   GArray *offers;
@@ -254,6 +256,8 @@
 message_free (sim_message_t *message)
 {
   g_free (message->shard);
+  g_free ((char *) message->loss.task);
+  g_free ((char *) message->loss.endpoint);
   g_free ((char *) message->batch.job);
   g_free ((char *) message->batch.spec);
   g_free ((char *) message->batch.service);
@@ -403,6 +407,9 @@
         case MESSAGE_TASK_END:
           receive_task_end (host, message);
           break;
+        case MESSAGE_LOSS:
+          crash_history_merge (host->crashes, &message->loss, sim->now_ms);
+          break;
         case MESSAGE_OFFERS:
           scheduler_set_report (
               host->scheduler, message->shard, message->from->name,
--- a/tests/test_scheduling_state.h
+++ b/tests/test_scheduling_state.h
@@ -122,6 +122,7 @@
   int64_t started_at_ms;
   cluster_t *cluster; /* NULL while the host is down */
   scheduler_t *scheduler;
+  crash_history_t *crashes;
   owned_shard_t owned_shards[SIM_DATA_CENTRES]; /* one shard for each data centre */
   GArray *cluster_actions;
   GArray *scheduler_actions;
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -30,6 +30,8 @@
 #define LEASE_MS 1000
 /* After this time from the start of the hosts, entries that are missing count as gone. */
 #define DISCOVERY_END_MS 3500
+/* Long enough for crashes of several endpoints, one after the other. */
+#define CRASHING_WAIT_MS 15000
 /* The default of bounds.evacuation_ms. */
 #define EVACUATION_MS 5000
 
@@ -434,6 +436,34 @@
   rig_stop (&rig);
 }
 
+/* A task that crashed the endpoints that started it was started for as long as its caller waited.
+ */
+static void
+test_task_crashes_endpoints (void)
+{
+  rig_t rig;
+
+  rig_start (&rig);
+  char *body = site_job_json (1, "X20", 20, "");
+  int fd = site_connect ("127.0.0.1", caller_port (&rig, 1));
+  site_send_request (fd, "POST", "/q/0000000000000001", body, CRASHING_WAIT_MS);
+  site_response_t response = site_read_response (fd, clock_boot_ms () + TEST_TIMEOUT_MS);
+  if (response.status != 200 || strstr (response.body, "failed") == NULL)
+    printf ("  %d %s\n", response.status, response.body);
+  CU_ASSERT_EQUAL (response.status, 200);
+  CU_ASSERT_PTR_NOT_NULL (strstr (response.body, "\"failed\""));
+  int starts = standin_number (&rig, "starts");
+  CU_ASSERT_TRUE (starts == 2 || starts == 3);
+  close (fd);
+  g_free (body);
+  load_t load = {
+    .rig = &rig, .first_job = 10, .job_count = 20, .host = -1, .tasks = 4, .work_ms = 20
+  };
+  run_load (&load);
+  CU_ASSERT_EQUAL (load.completed, 20);
+  rig_stop (&rig);
+}
+
 /* One faulty endpoint delays jobs but fails none. */
 static void
 test_bad_endpoints (void)
@@ -1288,6 +1318,7 @@
   { "entries removed", test_entries_removed },
   { "an owner is killed while an entry is missing", test_owner_killed_while_entry_missing },
   { "draining endpoint", test_draining_endpoint },
+  { "a task crashes endpoints", test_task_crashes_endpoints },
   { "an endpoint's clock went back", test_endpoint_clock_went_back },
   { "drain", test_drain },
   { "drain of all", test_drain_of_all },
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -123,6 +123,9 @@
   GArray *ends = g_array_new (FALSE, FALSE, sizeof (executor_task_end_t));
   GArray *hosts = g_array_new (FALSE, FALSE, sizeof (cluster_host_t));
 
+  GArray *losses = g_array_new (FALSE, FALSE, sizeof (crash_loss_t));
+
+  g_array_set_clear_func (losses, executor_loss_clear);
   g_array_set_clear_func (hosts, cluster_host_clear);
   if (frame_parse (data, size, &reader) == 0)
     {
@@ -139,6 +142,9 @@
         case EXECUTOR_MSG_TASK_ENDS:
           executor_msg_read_task_ends (reader, ends);
           break;
+        case EXECUTOR_MSG_LOSSES:
+          executor_msg_read_losses (reader, losses);
+          break;
         case EXECUTOR_MSG_CANCEL_JOB:
           if (executor_msg_read_cancel_job (reader, &text, &relay) == 0)
             g_free (text);
@@ -165,6 +171,7 @@
       frame_reader_free (reader);
     }
   g_array_unref (hosts);
+  g_array_unref (losses);
   g_array_unref (ends);
 }
 
@@ -237,7 +244,7 @@
   g_rand_free (rand);
 }
 
-#define FRAME_KIND_COUNT 9
+#define FRAME_KIND_COUNT 10
 
 static GBytes *
 valid_drain_set (void)
@@ -260,6 +267,8 @@
   static const int32_t indexes[] = { 0, 1, 2 };
   static const executor_task_end_t ends[] = { { 3, 1, EXECUTOR_DONE },
                                               { 4, 0, EXECUTOR_RETURNED } };
+  static const crash_loss_t losses[] = { { "j.0.0.1", 1, "e0", 7, true, CRASH_SUSPECTED, 1 },
+                                         { "j.0.0.1", 2, "e1", 9, false, CRASH_CONFIRMED, 2 } };
   executor_batch_t batch = { .batch = 7,
                              .job = "j",
                              .spec = "s",
@@ -301,6 +310,8 @@
     frame = valid_drain_set ();
   else if (kind == 8)
     frame = drain_msg_running_tasks ("z", 3);
+  else if (kind == 9)
+    frame = executor_msg_losses (losses, G_N_ELEMENTS (losses));
   else
     frame = cluster_msg_heartbeat (&heartbeat);
   g_array_unref (heartbeat.claims);
