--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -1457,24 +1457,57 @@
   scenario_begin (scenario);
   add_endpoint (scenario, 0, "r1", 3000);
   add_endpoint (scenario, 1, "r1", 4000);
-  run_round_at (scenario, 0);
+  run_round_at (scenario, 10);
   answer_as_instance (scenario, 0, 1);
   answer_as_instance (scenario, 1, 1);
-  executor_submit (scenario->executor, batch, 0);
-  run_round_at (scenario, 0);
+  executor_submit (scenario->executor, batch, 10);
+  run_round_at (scenario, 10);
   CU_ASSERT_STRING_EQUAL (scenario->start_endpoint, "e0");
-  executor_start_answered (scenario->executor, scenario->start_serial, EXECUTOR_OK, 5, 1,
+  executor_start_answered (scenario->executor, scenario->start_serial, EXECUTOR_OK, 15, 10,
                            scenario->actions);
 }
 
+/* The first order to an endpoint that has restarted unnoticed starts a run on the new instance. */
+static void
+test_run_on_unnoticed_instance (void)
+{
+  const poll_active_t row = { "j.0.0.0", 1, 10 };
+  const poll_result_t result = {
+    .endpoint_clock_ms = 5, .started_at_ms = 900, .active = &row, .active_count = 1
+  };
+  executor_batch_t batch = batch_of ("j", 1);
+  scenario_t scenario;
+
+  scenario_begin (&scenario);
+  add_endpoint (&scenario, 0, "r1", 3000);
+  add_endpoint (&scenario, 1, "r1", 4000);
+  run_round_at (&scenario, 0);
+  answer_as_instance (&scenario, 0, 1);
+  answer_as_instance (&scenario, 1, 1);
+  executor_submit (scenario.executor, &batch, 1000);
+  run_round_at (&scenario, 1000);
+  CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e0");
+  executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_OK, 101, 1001,
+                           scenario.actions);
+  run_round_at (&scenario, 1002);
+  executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &result, 1003,
+                          scenario.actions);
+  for (int64_t now_ms = 1004; now_ms < 1004 + LEASE_MS / 2; now_ms += 10)
+    {
+      run_round_at (&scenario, now_ms);
+      CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "");
+    }
+  scenario_end (&scenario);
+}
+
 /* The endpoint of the last start order restarts at NOW_MS. */
 static void
 restart_endpoint_at (scenario_t *scenario, int64_t now_ms)
 {
   int number = strcmp (scenario->start_endpoint, "e1") == 0;
 
-  executor_start_answered (scenario->executor, scenario->start_serial, EXECUTOR_OK, now_ms, now_ms,
-                           scenario->actions);
+  executor_start_answered (scenario->executor, scenario->start_serial, EXECUTOR_OK,
+                           scenario->now_ms, scenario->now_ms, scenario->actions);
   run_round_at (scenario, now_ms);
   answer_as_instance (scenario, number, now_ms);
   run_round_at (scenario, now_ms + 1);
@@ -1624,6 +1657,7 @@
   { "time limit of a queue", test_start_limit },
   { "late tasks are queued behind those in time", test_late_tasks_queued_last },
   { "a large task without progress", test_large_task_hung },
+  { "a run on an instance that was not noticed before", test_run_on_unnoticed_instance },
   { "a task that crashes endpoints is given up", test_crashing_task_given_up },
   { "a lost endpoint answers again", test_lost_endpoint_resolved },
   { "nothing starts beside a suspect task", test_nothing_starts_beside_suspect },
