The simulation's directory may show the restart of an endpoint late

The simulation told all owners of a restart at once, so that no run could start on an instance that its owner did not know.

--- a/tests/test_scheduling_run.h
+++ b/tests/test_scheduling_run.h
@@ -319,6 +319,24 @@
     }
 }
 
+/* Tells the owners of ENDPOINT that it has restarted. */
+static void
+publish_restart (simulation_t *sim, sim_endpoint_t *endpoint)
+{
+  endpoint->entry_due_at_ms = 0;
+  for (int i = 0; i < SIM_HOSTS; i++)
+    if (sim->hosts[i].owned_shards[endpoint->data_centre].executor != NULL)
+      set_endpoints (&sim->hosts[i], endpoint->data_centre);
+}
+
+static void
+publish_due_restarts (simulation_t *sim)
+{
+  for (int i = 0; i < SIM_ENDPOINTS; i++)
+    if (sim->endpoints[i].entry_due_at_ms != 0 && sim->endpoints[i].entry_due_at_ms <= sim->now_ms)
+      publish_restart (sim, &sim->endpoints[i]);
+}
+
 static void
 inject_endpoint_faults (simulation_t *sim)
 {
@@ -333,9 +351,11 @@
         {
           endpoint->down_until_ms = 0;
           endpoint->started_at_ms = sim->now_ms;
-          for (int k = 0; k < SIM_HOSTS; k++)
-            if (sim->hosts[k].owned_shards[endpoint->data_centre].executor != NULL)
-              set_endpoints (&sim->hosts[k], endpoint->data_centre);
+          if (options->entry_delay_max_ms > 0)
+            endpoint->entry_due_at_ms =
+                sim->now_ms + 1 + random_below (sim, options->entry_delay_max_ms);
+          else
+            publish_restart (sim, endpoint);
         }
       if (random_chance (sim, options->endpoint_cuts))
         endpoint->cut_until_ms = sim->now_ms + 200 + random_below (sim, 3000);
@@ -359,6 +379,7 @@
 {
   (void) data;
   crash_under_deadly_tasks (sim);
+  publish_due_restarts (sim);
   for (int i = 0; i < SIM_ENDPOINTS; i++)
     sim_endpoint_step (sim, &sim->endpoints[i]);
   for (int i = 0; i < SIM_HOSTS; i++)
--- a/tests/test_scheduling_simulation.h
+++ b/tests/test_scheduling_simulation.h
@@ -47,6 +47,8 @@
   int one_way_cuts;             /* per host: it can't send to hosts, receive from them, or both;
                                    it still reaches endpoints */
   int endpoint_crashes;         /* per endpoint */
+  int entry_delay_max_ms;       /* owners learn from the directory of the restart of an endpoint
+                                   after up to this time; 0 for at once */
   bool crashed_refuse;          /* crashed endpoints refuse connections */
   int endpoint_cuts;            /* per endpoint: no host can reach it */
   int slow_links;               /* per host: its messages to other hosts are delayed, more and more,
--- a/tests/test_scheduling_state.h
+++ b/tests/test_scheduling_state.h
@@ -76,8 +76,9 @@
   char id[NAME_SIZE];
   int data_centre;
   int64_t started_at_ms;
-  int64_t down_until_ms; /* 0 unless it has crashed */
-  GArray *outages;       /* outage_t: all so far */
+  int64_t down_until_ms;   /* 0 unless it has crashed */
+  int64_t entry_due_at_ms; /* when the directory shows its restart; 0 if it does */
+  GArray *outages;         /* outage_t: all so far */
   int64_t cut_until_ms;
   int64_t token;
   int64_t lease_until_ms; /* simulated time */
