Unanswered orders do not fail a job as three crashes

What callers could see: a job shown as failed though no endpoint crashed under its tasks, or one only.

Cause: idle endpoints that have crashed unnoticed still get start orders. Three orders without an answer, one after the other, counted as three lost endpoints.

Change: three losses fail the job only where the run had certainly started; five if it may not have. Five starts at most are within the rule: two after three crashes.

--- a/lib/executor/crashes.c
+++ b/lib/executor/crashes.c
@@ -312,6 +312,7 @@
     {
       const loss_t *loss = entry->losses->pdata[i];
       counts.lost += loss->state != CRASH_WITHDRAWN;
+      counts.started += loss->state != CRASH_WITHDRAWN && loss->had_started;
       counts.confirmed += loss->state == CRASH_CONFIRMED;
     }
   return counts;
@@ -325,9 +326,10 @@
   if (entry == NULL)
     return CRASH_START;
   crash_counts_t counts = crash_history_counts (history, task);
-  if (counts.confirmed >= CRASH_CONFIRMED_MAX || counts.lost >= CRASH_LOSSES_MAX)
+  if (counts.confirmed >= CRASH_CONFIRMED_MAX || counts.started >= CRASH_STARTED_MAX
+      || counts.lost >= CRASH_LOSSES_MAX)
     return CRASH_GIVE_UP;
-  if (counts.lost == CRASH_LOSSES_MAX - 1 && now_ms - entry->changed_at_ms < CRASH_HOLD_MS)
+  if (counts.lost >= CRASH_HOLD_LOSSES && now_ms - entry->changed_at_ms < CRASH_HOLD_MS)
     return CRASH_HOLD;
   return counts.lost > 0 ? CRASH_START_ALONE : CRASH_START;
 }
--- a/lib/executor/crashes.h
+++ b/lib/executor/crashes.h
@@ -21,11 +21,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* A task is given up after this many confirmed losses, or this many losses in all. */
+/* A task is given up after this many confirmed losses, this many losses of runs that had started,
+ * or this many in all: a start order that was not answered may have come to an endpoint that had
+ * crashed before. */
 #define CRASH_CONFIRMED_MAX 2
-#define CRASH_LOSSES_MAX 3
-/* A task with losses that are not all confirmed waits for this time after the second one: an
- * endpoint that has crashed is back within some seconds and shows what has happened. */
+#define CRASH_STARTED_MAX 3
+#define CRASH_LOSSES_MAX 5
+/* After its second loss, and each later one, a task waits for this time: an endpoint that has
+ * crashed is back within some seconds and shows what has happened. */
+#define CRASH_HOLD_LOSSES 2
 #define CRASH_HOLD_MS 5000
 /* The longest time for which a job may wait. */
 #define CRASH_RETENTION_MS 3600000
@@ -56,6 +60,7 @@
 typedef struct
 {
   int32_t lost;      /* suspected and confirmed */
+  int32_t started;   /* of these, where the run had certainly started */
   int32_t confirmed; /* of these */
 } crash_counts_t;
 
