Ask an endpoint that refuses starts ever less often

What callers saw: until its next entry says that its capacity has shrunk, or where the entry does not, an endpoint that guards its capacity was asked again every 20 ms. Each refused start costs a task a round trip and an attempt number, and the slot was still offered to coordinators.

Change: lib/executor/capacity.c decides what fits on an endpoint from its reports and its refusals. What was allocated together with a refused start did not fit; nothing that needs as much starts, or is offered, until a back-off of 20 ms has passed, which doubles up to 640 ms with each refused try. Less than that may start at once, so a slot that becomes free is used. An accepted try, or a report of another capacity, ends it; a report of the same one does not, since it may be older than the refusal.

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -167,6 +167,21 @@
   [EXECUTOR_NO_ANSWER] = "no answer",
 };
 
+/* Starts that are not confirmed yet may be refused, so they do not count here. */
+static void
+record_accepted_start (endpoint_t *endpoint)
+{
+  resources_t confirmed = { 0 };
+
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      const task_t *run = endpoint->runs->pdata[i];
+      if (run->start_confirmed_at_ms != 0)
+        resources_add (&confirmed, &run->need, 1);
+    }
+  capacity_record_accepted (&endpoint->capacity, &confirmed);
+}
+
 void
 executor_start_answered (executor_t *executor,
                          uint64_t serial,
@@ -195,6 +210,7 @@
         {
           task->start_confirmed_at_ms = now_ms;
           task->progress_at_ms = now_ms;
+          record_accepted_start (endpoint);
         }
       return;
     case EXECUTOR_NO_ANSWER:
@@ -210,6 +226,7 @@
       record_no_answer (executor, endpoint, task->start_sent_at_ms, now_ms, actions);
       break;
     case EXECUTOR_NO_CAPACITY:
+      capacity_record_refusal (&endpoint->capacity, &endpoint->used, now_ms);
       endpoint->full_until_ms = now_ms + FULL_BACKOFF_MS;
       break;
     case EXECUTOR_STALE_TOKEN:
@@ -445,7 +462,7 @@
       const endpoint_t *endpoint = value;
       if (endpoint != task->endpoint && placement_may_run (endpoint, task)
           && placement_is_usable (endpoint, now_ms)
-          && resources_fit (&endpoint->capacity, &endpoint->used, &task->need))
+          && capacity_fits (&endpoint->capacity, &endpoint->used, &task->need, now_ms))
         best_ms = fmin (best_ms, work_ms * placement_ratio (endpoint)
                                      * placement_remote_factor (executor, endpoint, task->batch));
     }
@@ -660,7 +677,7 @@
           log_event (executor, actions, EXECUTOR_LOG_RESTARTED, endpoint, NULL, now_ms);
           handle_later_instance (executor, endpoint, result, sent_at_ms, now_ms);
           if (result->started_at_ms == endpoint->entry_started_at_ms)
-            endpoint->capacity = endpoint->entry_capacity;
+            capacity_report (&endpoint->capacity, &endpoint->entry_capacity);
         }
       endpoint->started_at_ms = result->started_at_ms;
       endpoint->reports_start_time = true;
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -510,7 +510,7 @@
   endpoint->runs_known = false;
   endpoint->clock_known = false;
   endpoint->lease_end_ms = 0;
-  endpoint->capacity = (resources_t){ 0 };
+  endpoint->capacity = (capacity_t){ 0 };
 }
 
 /* Start times only tell instances apart: they come from a clock that may jump, so that they do not
@@ -578,7 +578,7 @@
   placement_update_ratio (executor, endpoint);
   endpoint->entry_capacity = info->free;
   if (describes_observed_instance (endpoint, info))
-    endpoint->capacity = info->free;
+    capacity_report (&endpoint->capacity, &info->free);
 }
 
 static void
@@ -687,20 +687,6 @@
 
 /* --- reports --- */
 
-static int32_t
-slots_of (const resources_t *capacity, const resources_t *used, const resources_t *need)
-{
-  int64_t slots = INT32_MAX;
-
-  if (need->cores_milli > 0)
-    slots = MIN (slots, (capacity->cores_milli - used->cores_milli) / need->cores_milli);
-  if (need->memory_mb > 0)
-    slots = MIN (slots, (capacity->memory_mb - used->memory_mb) / need->memory_mb);
-  if (need->gpus > 0)
-    slots = MIN (slots, (capacity->gpus - used->gpus) / need->gpus);
-  return (int32_t) CLAMP (slots, 0, INT16_MAX);
-}
-
 /* Endpoints whose speeds differ by less than this factor share one offer. */
 #define SAME_SPEED_FACTOR 1.15
 
@@ -740,8 +726,8 @@
       if (executor->drained)
         continue;
       if (!placement_is_reserved (endpoint))
-        offer->slots_free += slots_of (&endpoint->capacity, &endpoint->used, need);
-      offer->slots_total += slots_of (&endpoint->capacity, &no_resources, need);
+        offer->slots_free += capacity_slots (&endpoint->capacity, &endpoint->used, need, now_ms);
+      offer->slots_total += resources_slots (&endpoint->capacity.reported, &no_resources, need);
     }
 }
 
--- a/lib/executor/load.c
+++ b/lib/executor/load.c
@@ -15,7 +15,7 @@
   executor_load_t load;
   double reference_milli; /* cores at the reference speed: each divided by its endpoint's duration
                              ratio */
-} capacity_t;
+} service_capacity_t;
 
 int32_t
 executor_load_level (int32_t priority)
@@ -63,25 +63,25 @@
   entry->totals = NULL;
 }
 
-static capacity_t *
+static service_capacity_t *
 capacity_for (GArray *capacities, const char *service)
 {
   for (guint i = 0; i < capacities->len; i++)
     {
-      capacity_t *capacity = &g_array_index (capacities, capacity_t, i);
+      service_capacity_t *capacity = &g_array_index (capacities, service_capacity_t, i);
       if (strcmp (capacity->load.service, service) == 0)
         return capacity;
     }
-  capacity_t capacity = { .load = { .service = service, .next_free_ms = INT64_MAX } };
+  service_capacity_t capacity = { .load = { .service = service, .next_free_ms = INT64_MAX } };
   g_array_append_val (capacities, capacity);
-  return &g_array_index (capacities, capacity_t, capacities->len - 1);
+  return &g_array_index (capacities, service_capacity_t, capacities->len - 1);
 }
 
 static void
-add_endpoint (capacity_t *capacity, const endpoint_t *endpoint, int64_t now_ms)
+add_endpoint (service_capacity_t *capacity, const endpoint_t *endpoint, int64_t now_ms)
 {
   executor_load_t *load = &capacity->load;
-  int64_t cores_milli = endpoint->capacity.cores_milli;
+  int64_t cores_milli = endpoint->capacity.reported.cores_milli;
 
   load->cores_milli += cores_milli;
   capacity->reference_milli += (double) cores_milli / MAX (endpoint->duration_ratio, G_MINDOUBLE);
@@ -97,7 +97,7 @@
 /* If nothing waits, only the capacity is filled in.  The report of an idle shard then stays the
  * same and is not sent again. */
 static void
-add_backlog (capacity_t *capacity, const load_totals_t *totals)
+add_backlog (service_capacity_t *capacity, const load_totals_t *totals)
 {
   executor_load_t *load = &capacity->load;
   double ratio = (double) load->cores_milli / MAX (capacity->reference_milli, 1.0);
@@ -118,7 +118,7 @@
 void
 executor_loads (const executor_t *executor, int64_t now_ms, GArray *loads)
 {
-  GArray *capacities = g_array_new (FALSE, FALSE, sizeof (capacity_t));
+  GArray *capacities = g_array_new (FALSE, FALSE, sizeof (service_capacity_t));
   GHashTableIter iter;
   void *value = NULL;
 
@@ -131,7 +131,7 @@
     }
   for (guint i = 0; i < capacities->len; i++)
     {
-      capacity_t *capacity = &g_array_index (capacities, capacity_t, i);
+      service_capacity_t *capacity = &g_array_index (capacities, service_capacity_t, i);
       add_backlog (capacity, g_hash_table_lookup (executor->load_totals, capacity->load.service));
       g_array_append_val (loads, capacity->load);
     }
--- a/lib/executor/placement.c
+++ b/lib/executor/placement.c
@@ -47,22 +47,6 @@
  * says nothing about the endpoint's speed. */
 #define DURATION_RATIO_MAX 12.0
 
-bool
-resources_fit (const resources_t *capacity, const resources_t *used, const resources_t *need)
-{
-  return used->cores_milli + need->cores_milli <= capacity->cores_milli
-         && used->memory_mb + need->memory_mb <= capacity->memory_mb
-         && used->gpus + need->gpus <= capacity->gpus;
-}
-
-void
-resources_add (resources_t *total, const resources_t *need, int32_t sign)
-{
-  total->cores_milli += sign * need->cores_milli;
-  total->memory_mb += sign * need->memory_mb;
-  total->gpus += sign * need->gpus;
-}
-
 /* --- speeds --- */
 
 static void
@@ -163,7 +147,7 @@
       if (!placement_is_usable (endpoint, now_ms))
         continue;
       g_ptr_array_add (executor->usable, endpoint);
-      if (!reserved && endpoint->used.cores_milli < endpoint->capacity.cores_milli)
+      if (!reserved && endpoint->used.cores_milli < endpoint->capacity.reported.cores_milli)
         g_ptr_array_add (executor->with_free_cores, endpoint);
       if (executor->min_ratio <= 0 || endpoint->duration_ratio < executor->min_ratio)
         executor->min_ratio = endpoint->duration_ratio;
@@ -181,7 +165,7 @@
 }
 
 endpoint_t *
-placement_choose_alone (executor_t *executor, const task_t *task)
+placement_choose_alone (executor_t *executor, const task_t *task, int64_t now_ms)
 {
   endpoint_t *chosen = NULL;
 
@@ -190,7 +174,7 @@
   for (guint i = 0; i < executor->with_free_cores->len; i++)
     {
       endpoint_t *endpoint = executor->with_free_cores->pdata[i];
-      if (!resources_fit (&endpoint->capacity, &endpoint->used, &task->need)
+      if (!capacity_fits (&endpoint->capacity, &endpoint->used, &task->need, now_ms)
           || !placement_may_run (endpoint, task))
         continue;
       if (chosen == NULL || endpoint->runs->len < chosen->runs->len
@@ -282,7 +266,7 @@
 static int64_t
 free_cores_left_milli (const endpoint_t *endpoint, const resources_t *need)
 {
-  return endpoint->capacity.cores_milli - endpoint->used.cores_milli - need->cores_milli;
+  return endpoint->capacity.reported.cores_milli - endpoint->used.cores_milli - need->cores_milli;
 }
 
 /* True if a task that takes RATIO times its work meets its objective when its work is PERCENT of
@@ -391,7 +375,7 @@
     {
       const endpoint_t *endpoint = executor->usable->pdata[i];
       if (placement_may_run (endpoint, task)
-          && resources_fit (&endpoint->capacity, &no_resources, &task->need))
+          && resources_fit (&endpoint->capacity.reported, &no_resources, &task->need))
         add_best (&best, batch, ratio_of (executor, endpoint, batch), now_ms);
     }
   return best;
@@ -409,7 +393,7 @@
   for (guint i = 0; i < executor->with_free_cores->len; i++)
     {
       endpoint_t *endpoint = executor->with_free_cores->pdata[i];
-      if (!resources_fit (&endpoint->capacity, &endpoint->used, &task->need)
+      if (!capacity_fits (&endpoint->capacity, &endpoint->used, &task->need, now_ms)
           || !placement_may_run (endpoint, task))
         continue;
       candidate_t candidate = {
@@ -441,7 +425,8 @@
     {
       endpoint_t *endpoint = executor->with_free_cores->pdata[i];
       int64_t expected_ms = placement_expected_ms (executor, endpoint, batch);
-      if (expected_ms < best_ms && resources_fit (&endpoint->capacity, &endpoint->used, &task->need)
+      if (expected_ms < best_ms
+          && capacity_fits (&endpoint->capacity, &endpoint->used, &task->need, now_ms)
           && placement_may_run (endpoint, task) && !outlier_is_suspect (&endpoint->outlier, now_ms))
         {
           best = endpoint;
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -344,6 +344,7 @@
   task->progress_at_ms = now_ms;
   task->expected_ms = placement_expected_ms (executor, endpoint, task->batch);
   task_attach (task, endpoint);
+  capacity_record_start (&endpoint->capacity, &endpoint->used, now_ms);
   task->lease_until_endpoint_ms = extend_lease (executor, endpoint, now_ms);
   action->endpoint = endpoint->id;
   action->address = endpoint->address;
@@ -533,7 +534,7 @@
 static void
 start_alone (executor_t *executor, task_t *task, int64_t now_ms, GArray *actions)
 {
-  endpoint_t *endpoint = placement_choose_alone (executor, task);
+  endpoint_t *endpoint = placement_choose_alone (executor, task, now_ms);
 
   if (endpoint != NULL)
     {
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -3,6 +3,7 @@
 #define EXECUTOR_STATE_H
 
 #include "dispatch/outlier.h"
+#include "executor/capacity.h"
 #include "executor/estimate.h"
 #include "executor/executor.h"
 #include "executor/load.h"
@@ -129,7 +130,7 @@
   bool reports_start_time;     /* its poll results contain its start time */
   int64_t cold_until_ms;
   resources_t entry_capacity; /* of that instance, by its last entry */
-  resources_t capacity;       /* of the last observed instance, by its last entry */
+  capacity_t capacity;        /* of the last observed instance */
   bool leaving;
   bool entry_removed; /* its entry is gone; kept until its runs are over */
   bool runs_known;    /* a poll under the token in force has listed its runs */
@@ -253,7 +254,7 @@
 
 /* Returns the endpoint on which TASK should start alone: one without runs, or else the one with the
  * fewest.  NULL if it has to wait. */
-endpoint_t *placement_choose_alone (executor_t *executor, const task_t *task);
+endpoint_t *placement_choose_alone (executor_t *executor, const task_t *task, int64_t now_ms);
 
 /* For a task that would otherwise be refused: returns an endpoint with free resources on which
  * TASK still meets its deadline if its estimate is too high, or NULL. */
@@ -265,7 +266,4 @@
 /* Recomputes the duration ratio of ENDPOINT from its measured durations and its machine kind. */
 void placement_update_ratio (const executor_t *executor, endpoint_t *endpoint);
 
-bool resources_fit (const resources_t *capacity, const resources_t *used, const resources_t *need);
-void resources_add (resources_t *total, const resources_t *need, int32_t sign);
-
 #endif
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -108,6 +108,24 @@
                           scenario->now_ms, scenario->actions);
 }
 
+/* The endpoints confirm all starts that the last round has ordered. */
+static void
+confirm_starts (scenario_t *scenario)
+{
+  GArray *serials = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+
+  for (guint i = 0; i < scenario->actions->len; i++)
+    {
+      const executor_action_t *action = &g_array_index (scenario->actions, executor_action_t, i);
+      if (action->kind == EXECUTOR_START)
+        g_array_append_val (serials, action->serial);
+    }
+  for (guint i = 0; i < serials->len; i++)
+    executor_start_answered (scenario->executor, g_array_index (serials, uint64_t, i), EXECUTOR_OK,
+                             scenario->now_ms + 5, scenario->now_ms, scenario->actions);
+  g_array_unref (serials);
+}
+
 /* Begins a scenario with one endpoint, "e0" in rack "r1", without runs. */
 static void
 scenario_begin_idle (scenario_t *scenario, int64_t cores_milli)
@@ -1463,8 +1481,7 @@
   executor_submit (scenario->executor, batch, 10);
   run_round_at (scenario, 10);
   CU_ASSERT_STRING_EQUAL (scenario->start_endpoint, "e0");
-  executor_start_answered (scenario->executor, scenario->start_serial, EXECUTOR_OK, 15, 10,
-                           scenario->actions);
+  confirm_starts (scenario);
 }
 
 /* The first order to an endpoint that has restarted unnoticed starts a run on the new instance. */
@@ -1750,6 +1767,7 @@
   submit_jobs (&scenario, 1, 3);
   run_round_at (&scenario, 1);
   CU_ASSERT_EQUAL (count_actions (&scenario, EXECUTOR_START), 3);
+  confirm_starts (&scenario);
   executor_set_endpoint (scenario.executor, &endpoint, 10);
   run_round_at (&scenario, 10);
   result.started_at_ms = 2;
@@ -1767,6 +1785,39 @@
   scenario_end (&scenario);
 }
 
+#define REFUSING_MS 1500
+#define REFUSED_STARTS_MAX 10
+
+/* Guards against an endpoint that refuses every start being asked every 20 ms, until its entry is
+ * written again. */
+static void
+test_capacity_refused (void)
+{
+  scenario_t scenario;
+  int refused = 0;
+
+  scenario_begin_idle (&scenario, 4000);
+  submit_jobs (&scenario, 1, 1);
+  for (int64_t now_ms = 1; now_ms < REFUSING_MS; now_ms++)
+    {
+      run_round_at (&scenario, now_ms);
+      if (has_action (&scenario, EXECUTOR_POLL))
+        answer_poll (&scenario, 0, NULL, 0);
+      if (scenario.start_endpoint[0] == '\0')
+        continue;
+      refused++;
+      executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_NO_CAPACITY,
+                               now_ms + 5, now_ms, scenario.actions);
+    }
+  CU_ASSERT_TRUE (refused > 1);
+  CU_ASSERT_TRUE (refused <= REFUSED_STARTS_MAX);
+  scenario.now_ms = REFUSING_MS;
+  add_endpoint (&scenario, 0, "r1", 3000);
+  run_round_at (&scenario, REFUSING_MS);
+  CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e0");
+  scenario_end (&scenario);
+}
+
 static const struct
 {
   const char *name;
@@ -1789,6 +1840,7 @@
   { "an endpoint's capacity shrinks and grows", test_capacity_reported },
   { "an endpoint's capacity shrinks while a run is being stopped", test_capacity_stopping },
   { "an endpoint restarts with another capacity", test_capacity_after_restart },
+  { "an endpoint refuses every start", test_capacity_refused },
   { "aborted when it cannot meet its deadline", test_overdue },
   { "a run is adopted while it is being stopped", test_run_adopted_while_stopped },
   { "a run that no coordinator claims is logged", test_unclaimed_run_logged },
