Don't wait for a fast endpoint that has no capacity for the task

What callers would see: while the fastest endpoint of a data centre has no capacity left, tasks that would be late elsewhere wait for it until they have failed, beside endpoints that are idle.

Cause: for a task that is bound to no rack or kind, the best outcome was taken from the fastest usable endpoint, whether or not the task fits there.

Change: the short cut is taken only for a task that fits each usable endpoint; for others the endpoints where it fits are compared, as for tasks that are bound to a rack.

--- a/lib/executor/capacity.c
+++ b/lib/executor/capacity.c
@@ -42,7 +42,7 @@
   return a->cores_milli == b->cores_milli && a->memory_mb == b->memory_mb && a->gpus == b->gpus;
 }
 
-static resources_t
+resources_t
 resources_min (const resources_t *a, const resources_t *b)
 {
   return (resources_t){ MIN (a->cores_milli, b->cores_milli), MIN (a->memory_mb, b->memory_mb),
--- a/lib/executor/capacity.h
+++ b/lib/executor/capacity.h
@@ -35,6 +35,9 @@
 /* Adds FACTOR times NEED to TOTAL. */
 void resources_add (resources_t *total, const resources_t *need, int32_t factor);
 
+/* Returns the lower amount of each resource. */
+resources_t resources_min (const resources_t *a, const resources_t *b);
+
 /* Records a report of the endpoint. */
 void capacity_report (capacity_t *capacity, const resources_t *reported);
 
--- a/lib/executor/placement.c
+++ b/lib/executor/placement.c
@@ -136,6 +136,7 @@
   g_ptr_array_set_size (executor->with_free_cores, 0);
   executor->min_ratio = 0;
   executor->alone_left = 0;
+  executor->min_capacity = (resources_t){ 0 };
   if (executor->drained)
     return;
   g_hash_table_iter_init (&iter, executor->endpoints);
@@ -149,6 +150,10 @@
       g_ptr_array_add (executor->usable, endpoint);
       if (!reserved && endpoint->used.cores_milli < endpoint->capacity.reported.cores_milli)
         g_ptr_array_add (executor->with_free_cores, endpoint);
+      executor->min_capacity =
+          executor->usable->len == 1
+              ? endpoint->capacity.reported
+              : resources_min (&executor->min_capacity, &endpoint->capacity.reported);
       if (executor->min_ratio <= 0 || endpoint->duration_ratio < executor->min_ratio)
         executor->min_ratio = endpoint->duration_ratio;
     }
@@ -356,8 +361,9 @@
   placement_best_add (best, tier, (int64_t) (ratio * (double) batch->target.work_ms));
 }
 
-/* Returns the best outcome that a usable endpoint could give TASK.  For a task with neither a
- * required label nor a preferred rack, that is the outcome on the fastest endpoint. */
+/* Returns the best outcome that a usable endpoint could give TASK.  For a task that has neither a
+ * required label nor a preferred rack and fits every endpoint, that is the outcome on the fastest
+ * endpoint. */
 static placement_best_t
 best_outcome (const executor_t *executor, const task_t *task, int64_t now_ms)
 {
@@ -365,7 +371,8 @@
   const batch_t *batch = task->batch;
   placement_best_t best = PLACEMENT_BEST_NONE;
 
-  if (batch->required_label[0] == '\0' && batch->preferred_rack[0] == '\0')
+  if (batch->required_label[0] == '\0' && batch->preferred_rack[0] == '\0'
+      && resources_fit (&executor->min_capacity, &no_resources, &task->need))
     {
       if (executor->usable->len > 0)
         add_best (&best, batch, executor->min_ratio, now_ms);
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -201,6 +201,7 @@
   GPtrArray *with_free_cores; /* those of USABLE that have free cores */
   double min_ratio;           /* lowest duration ratio of USABLE; 0 if it is empty */
   int32_t alone_left;         /* tasks that may still start alone */
+  resources_t min_capacity;   /* least capacity of USABLE, for each resource */
 };
 
 typedef struct
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -1818,6 +1818,46 @@
   scenario_end (&scenario);
 }
 
+/* Guards against tasks waiting for the fastest endpoint although it has no capacity left. */
+static void
+test_capacity_of_fastest_lost (void)
+{
+  const poll_ended_t done_run = { 1, "k.0.0.0", 1, RUN_DONE };
+  const poll_result_t result = { .endpoint_clock_ms = 1505, .ended = &done_run, .ended_count = 1 };
+  executor_batch_t slow = batch_of ("k", 1);
+  executor_batch_t urgent = batch_of ("u", 2);
+  scenario_t scenario;
+
+  /* A run of 1,500 ms shows that e0 is far slower than the estimate. */
+  scenario_begin_idle (&scenario, 4000);
+  slow.estimate_ms = 300;
+  executor_submit (scenario.executor, &slow, 1);
+  run_round_at (&scenario, 1);
+  executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_OK, 5, 2,
+                           scenario.actions);
+  run_round_at (&scenario, 100);
+  executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &result, 1501,
+                          scenario.actions);
+  scenario.now_ms = 1502;
+  executor_endpoint_t fast = { .id = "e1",
+                               .address = "127.0.0.1:1",
+                               .service = SERVICE,
+                               .kind = "b",
+                               .rack = "r1",
+                               .started_at_ms = 1,
+                               .free = { 0, 0, 0 } };
+  executor_set_endpoint (scenario.executor, &fast, 1502);
+  run_round_at (&scenario, 1502);
+  answer_poll (&scenario, 0, NULL, 0);
+  answer_poll (&scenario, 1, NULL, 0);
+  urgent.estimate_ms = 300;
+  urgent.objective_at_ms = 1510 + 400;
+  executor_submit (scenario.executor, &urgent, 1510);
+  run_round_at (&scenario, 1510);
+  CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e0");
+  scenario_end (&scenario);
+}
+
 static const struct
 {
   const char *name;
@@ -1841,6 +1881,7 @@
   { "an endpoint's capacity shrinks while a run is being stopped", test_capacity_stopping },
   { "an endpoint restarts with another capacity", test_capacity_after_restart },
   { "an endpoint refuses every start", test_capacity_refused },
+  { "the fastest endpoint has no capacity left", test_capacity_of_fastest_lost },
   { "aborted when it cannot meet its deadline", test_overdue },
   { "a run is adopted while it is being stopped", test_run_adopted_while_stopped },
   { "a run that no coordinator claims is logged", test_unclaimed_run_logged },
