--- a/tests/test_scheduling_run.h
+++ b/tests/test_scheduling_run.h
@@ -209,6 +209,7 @@
 /* --- faults --- */
 
 #define DEFAULT_CLOCK_STEP_MS 5000
+#define FAULT_STAGGER_MS 170
 
 /* Cuts the connections of HOST in one or both directions.  Other hosts may detect this at once;
  * HOST itself does not. */
@@ -229,6 +230,15 @@
       cluster_connection_lost (sim->hosts[i].cluster, host->name, sim->now_ms);
 }
 
+/* Whether the faults of HOST are drawn now, which is done once per second. */
+static bool
+fault_is_due (const sim_host_t *host)
+{
+  int64_t offset_ms = host->sim->options->staggered_faults ? host->index * FAULT_STAGGER_MS : 0;
+
+  return host->sim->now_ms > 3000 && host->sim->now_ms % 1000 == offset_ms;
+}
+
 static void
 inject_host_faults (simulation_t *sim)
 {
@@ -237,7 +247,7 @@
   for (int i = 0; i < SIM_HOSTS; i++)
     {
       sim_host_t *host = &sim->hosts[i];
-      if (!is_up (host))
+      if (!is_up (host) || !fault_is_due (host))
         continue;
       if (random_chance (sim, options->host_crashes))
         {
@@ -411,11 +421,9 @@
     caller_step (sim, sim->jobs->pdata[i]);
   if (sim->now_ms > 2000 && sim->now_ms < sim->options->length_ms - 4000)
     submit_due_jobs (sim);
+  inject_host_faults (sim);
   if (sim->now_ms % 1000 == 0 && sim->now_ms > 3000)
-    {
-      inject_host_faults (sim);
-      inject_endpoint_faults (sim);
-    }
+    inject_endpoint_faults (sim);
   schedule_event (sim, sim->now_ms + TICK_MS, simulation_tick, NULL);
 }
 
--- a/tests/test_scheduling_simulation.h
+++ b/tests/test_scheduling_simulation.h
@@ -42,6 +42,7 @@
   int hanging_runs;             /* per run: it never ends by itself */
   int leaving_callers;          /* per job: its caller disconnects early */
   int host_crashes;             /* per host */
+  bool staggered_faults;        /* the faults of hosts come at different times within a second */
   int host_freezes;             /* per host: its process is suspended for a while */
   int data_centre_cuts;         /* per data centre: it is cut off from the others */
   int drains;                   /* per data centre: it is drained for a while */
