A returned clock counts only while this host sends heartbeats often

Cause: two hosts need not agree on the interval between them, as each judges by the hubs and owners that it knows. One that sends only every 1000 ms gets back clocks that are up to that much older, which isn't a delay.

Change: the age of a returned clock is judged only while the heartbeats are frequent in both directions.

--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -251,12 +251,16 @@
   return cluster->retransmit_ms * ECHO_RETRANSMIT_PERCENT / 100;
 }
 
-/* Whether PEER was alive too long ago, although its heartbeats arrive. */
+/* Whether PEER was alive too long ago, although its heartbeats arrive.  This can be told only while
+ * heartbeats are frequent in both directions. */
 static bool
 is_outdated (const cluster_t *cluster, const peer_t *peer, int64_t now_ms)
 {
-  int64_t since_ms = MAX (peer->echo_ms, peer->frequent_since_ms);
+  const sent_heartbeat_t *sent = g_hash_table_lookup (cluster->sent_heartbeats, peer->host);
 
+  if (sent == NULL || sent->interval_ms > HEARTBEAT_REMOTE_MS)
+    return false;
+  int64_t since_ms = MAX (peer->echo_ms, MAX (peer->frequent_since_ms, sent->frequent_since_ms));
   return cluster->retransmit_ms > 0 && peer->echo_ms != 0
          && peer->interval_ms <= HEARTBEAT_REMOTE_MS && now_ms - since_ms > echo_limit_ms (cluster);
 }
@@ -381,10 +385,14 @@
 static void
 record_heartbeat (cluster_t *cluster, const char *to, int64_t interval_ms, int64_t now_ms)
 {
+  const char *host = g_intern_string (to);
+  const sent_heartbeat_t *last = g_hash_table_lookup (cluster->sent_heartbeats, host);
+  bool was_frequent = last != NULL && last->interval_ms <= HEARTBEAT_REMOTE_MS;
   sent_heartbeat_t *sent = g_new (sent_heartbeat_t, 1);
 
-  *sent = (sent_heartbeat_t){ interval_ms, now_ms + interval_ms };
-  g_hash_table_replace (cluster->sent_heartbeats, (void *) g_intern_string (to), sent);
+  *sent = (sent_heartbeat_t){ interval_ms, now_ms + interval_ms,
+                              was_frequent ? last->frequent_since_ms : now_ms };
+  g_hash_table_replace (cluster->sent_heartbeats, (void *) host, sent);
 }
 
 void
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -60,6 +60,7 @@
 {
   int64_t interval_ms; /* as announced */
   int64_t next_due_ms;
+  int64_t frequent_since_ms; /* since when the interval is at most HEARTBEAT_REMOTE_MS */
 } sent_heartbeat_t;
 
 struct cluster_t
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -479,15 +479,17 @@
   int64_t delay_ms;       /* from when a clock was sent until it was returned, at first */
   int64_t growth_percent; /* of the delay, per time that passes */
   bool echoes;
+  bool answers; /* this host sends heartbeats too */
   bool lost;
   bool accepted; /* tasks are accepted at the end */
 } delay_cases[] = {
-  { "no delay", 0, 0, true, false, true },
-  { "a long round trip", 500, 0, true, false, true },
-  { "a delay that grows", 0, 100, true, true, false },
-  { "a delay that grows slowly", 0, 50, true, true, false },
-  { "a delay that shrinks", 900, -50, true, false, true },
-  { "no clock is returned", 0, 0, false, false, false },
+  { "no delay", 0, 0, true, true, false, true },
+  { "a long round trip", 500, 0, true, true, false, true },
+  { "a delay that grows", 0, 100, true, true, true, false },
+  { "a delay that grows slowly", 0, 50, true, true, true, false },
+  { "a delay that shrinks", 900, -50, true, true, false, true },
+  { "no clock is returned", 0, 0, false, true, false, false },
+  { "no newer clock was sent", 0, 100, true, false, false, false },
 };
 
 #define DELAYED_FROM_MS 1000
@@ -515,6 +517,11 @@
           heartbeat.echo_ms = delay_cases[i].echoes ? fixture.now_ms - MAX (delay_ms, 0) : 0;
           cluster_receive_heartbeat (fixture.cluster, &heartbeat, fixture.now_ms, fixture.actions);
           count_actions (&fixture);
+          if (delay_cases[i].answers)
+            {
+              cluster_make_heartbeat (fixture.cluster, "h2", fixture.now_ms, &sent);
+              g_array_unref (sent.claims);
+            }
           advance_to (&fixture, fixture.now_ms + heartbeat.interval_ms);
         }
       cluster_make_heartbeat (fixture.cluster, "h2", fixture.now_ms, &sent);
