No lease is renewed past the time when the callers of a lost coordinator submit again

Cause: an owner notices the loss of a coordinator up to 800 ms late and renews the leases of its runs until then, and for 250 ms more if stops are not answered: 1,030 ms after that is later than the 1,300 ms after which callers submit again. The simulation hid it, as its faults of hosts and of endpoints began in the same instant.

Change: an owner records when it last heard each coordinator (heartbeats). An order extends the lease of an endpoint no further than the resubmission time after that, for all coordinators with runs there, and also after a coordinator has been removed. Adopted runs are still taken to have a full lease of the previous owner.

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -297,7 +297,8 @@
   const platform_settings_t *settings = site->settings;
 
   return (executor_options_t){ settings->lease_max_ms, settings->stop_timeout_ms,
-                               settings->remote_factor, site->crashes };
+                               settings->remote_factor, site->crashes,
+                               settings->resubmit_after_ms };
 }
 
 void
@@ -481,7 +482,18 @@
 }
 
 void
-owner_remove_coordinator (site_t *site, const char *coordinator)
+owner_coordinator_heard (site_t *site, const char *coordinator, int64_t at_ms)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, site->owned_shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    executor_coordinator_heard (((owned_shard_t *) value)->executor, coordinator, at_ms);
+}
+
+void
+owner_remove_coordinator (site_t *site, const char *coordinator, int64_t last_heard_at_ms)
 {
   GHashTableIter iter;
   void *value = NULL;
@@ -491,7 +503,8 @@
     {
       owned_shard_t *owned = value;
       int64_t now_ms = clock_boot_ms ();
-      executor_remove_coordinator (owned->executor, coordinator, now_ms, owned->actions);
+      executor_remove_coordinator (owned->executor, coordinator, last_heard_at_ms, now_ms,
+                                   owned->actions);
       run_actions (owned, now_ms);
       owned->needs_round = true;
     }
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -254,12 +254,12 @@
 {
   cluster_heartbeat_t heartbeat;
 
-  (void) host;
   if (cluster_msg_read_heartbeat (reader, &heartbeat) != 0)
     return;
   int64_t now_ms = clock_boot_ms ();
   cluster_receive_heartbeat (site->cluster, &heartbeat, now_ms, site->cluster_actions);
   cluster_step (site->cluster, now_ms, clock_wall_ms (), site->cluster_actions);
+  owner_coordinator_heard (site, host, now_ms);
   cluster_heartbeat_clear (&heartbeat);
 }
 
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -152,8 +152,10 @@
 void owner_update_options (site_t *site);
 /* Releases BATCH of COORDINATOR in all owned shards, as executor_release () does. */
 void owner_release (site_t *site, const char *coordinator, uint64_t batch);
-/* Ends the batches of a coordinator that is lost. */
-void owner_remove_coordinator (site_t *site, const char *coordinator);
+/* Records that a coordinator was alive at AT_MS. */
+void owner_coordinator_heard (site_t *site, const char *coordinator, int64_t at_ms);
+/* Ends the batches of a coordinator that is lost and was alive at LAST_HEARD_AT_MS. */
+void owner_remove_coordinator (site_t *site, const char *coordinator, int64_t last_heard_at_ms);
 /* Runs a scheduling round for each owned shard: for all of them, or, if not ALL, for those whose
  * state has changed.  Returns true if there were any actions. */
 bool owner_run_rounds (site_t *site, bool all);
--- a/lib/executor/batch.c
+++ b/lib/executor/batch.c
@@ -8,6 +8,10 @@
 
 #include <string.h>
 
+/* A heartbeat may be under way for this long, and a resubmitted job starts no sooner than it
+ * arrives. */
+#define RESUBMIT_MARGIN_MS 50
+
 /* The objective depends on the actual work of the job.  The corrected estimate predicts it better
  * than the caller's, so the objective is shifted by the difference. */
 static placement_target_t
@@ -68,6 +72,7 @@
     task_dequeue (executor, task);
   task_leave_batch (executor, task);
   task->batch = batch;
+  task->lease_limit_ms = 0;
   batch->ever_started |= task->ever_started;
   g_ptr_array_add (batch->tasks, task);
   if (is_waiting)
@@ -219,16 +224,52 @@
   g_ptr_array_unref (tasks);
 }
 
+void
+executor_coordinator_heard (executor_t *executor, const char *coordinator, int64_t at_ms)
+{
+  const char *id = g_intern_string (coordinator);
+  int64_t *heard_at_ms = g_hash_table_lookup (executor->heard, id);
+
+  if (heard_at_ms == NULL)
+    {
+      heard_at_ms = g_new0 (int64_t, 1);
+      g_hash_table_insert (executor->heard, (void *) id, heard_at_ms);
+    }
+  *heard_at_ms = MAX (*heard_at_ms, at_ms);
+}
+
+int64_t
+lease_limit_ms (const executor_t *executor, int64_t last_heard_at_ms)
+{
+  if (executor->options.resubmit_ms == 0)
+    return INT64_MAX;
+  return last_heard_at_ms + executor->options.resubmit_ms - RESUBMIT_MARGIN_MS;
+}
+
+/* The runs of BATCH outlive its coordinator, which was alive at LAST_HEARD_AT_MS. */
+static void
+limit_leases (const executor_t *executor, const batch_t *batch, int64_t last_heard_at_ms)
+{
+  for (guint i = 0; i < batch->tasks->len; i++)
+    ((task_t *) batch->tasks->pdata[i])->lease_limit_ms =
+        lease_limit_ms (executor, last_heard_at_ms);
+}
+
 void
 executor_remove_coordinator (executor_t *executor,
                              const char *coordinator,
+                             int64_t last_heard_at_ms,
                              int64_t now_ms,
                              GArray *actions)
 {
   GPtrArray *batches = batches_of (executor, coordinator);
 
+  g_hash_table_remove (executor->heard, g_intern_string (coordinator));
   for (guint i = 0; i < batches->len; i++)
-    cancel_batch (executor, batches->pdata[i], now_ms, actions);
+    {
+      limit_leases (executor, batches->pdata[i], last_heard_at_ms);
+      cancel_batch (executor, batches->pdata[i], now_ms, actions);
+    }
   g_ptr_array_unref (batches);
 }
 
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -19,6 +19,8 @@
  *   so, has confirmed a stop, or its lease has certainly expired.
  * - If a run must stop and has not stopped, the lease of its endpoint is renewed for at most
  *   EXECUTOR_UNSTOPPED_MAX_MS.  After that, every run on the endpoint ends when the lease expires.
+ * - No order extends the lease of an endpoint with runs of a coordinator beyond RESUBMIT_MS after
+ *   the owner has last heard that coordinator.
  * - Nothing starts on an endpoint before a poll by the owner has listed the runs there.
  * - A task is given up when two endpoints have crashed under it, or three were lost (crashes.h).
  *   Before that it starts on an endpoint of its own, so that it takes no other run with it.
@@ -221,6 +223,8 @@
   double remote_factor;
   /* The history of this host, which outlives its executors; NULL for one of its own. */
   crash_history_t *crashes;
+  /* Callers submit a job again this long after they have lost its coordinator; 0 if never. */
+  int64_t resubmit_ms;
 } executor_options_t;
 
 /* An endpoint whose clock is slow may let a lease expire later by this percentage of its length. */
@@ -280,9 +284,15 @@
  * A run that the other owner does not adopt is later stopped as a foreign run. */
 void executor_release (executor_t *executor, const char *coordinator, uint64_t batch);
 
-/* Cancels all batches of a coordinator that is gone. */
+/* Records that COORDINATOR was alive at AT_MS.  A lease under which its runs live ends before
+ * callers that lost it then submit their jobs again.  There is no such limit for a coordinator that
+ * was never recorded, such as the owner's own host. */
+void executor_coordinator_heard (executor_t *executor, const char *coordinator, int64_t at_ms);
+
+/* Cancels all batches of a coordinator that is gone and was alive at LAST_HEARD_AT_MS. */
 void executor_remove_coordinator (executor_t *executor,
                                   const char *coordinator,
+                                  int64_t last_heard_at_ms,
                                   int64_t now_ms,
                                   GArray *actions);
 
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -91,13 +91,35 @@
 
 /* Longest time for which a lease of LEASE_MS may last on an endpoint's clock. */
 static int64_t
-longest_lease_ms (const executor_t *executor)
+longest_lease_ms (int64_t lease_ms)
 {
-  int64_t lease_ms = executor->options.lease_ms;
-
   return lease_ms + lease_ms * EXECUTOR_CLOCK_SLACK_PERCENT / 100;
 }
 
+/* Latest end of a lease under which the run of TASK lives. */
+static int64_t
+lease_limit_of (const executor_t *executor, const task_t *task)
+{
+  if (task->batch == NULL)
+    return task->lease_limit_ms != 0 ? task->lease_limit_ms : INT64_MAX;
+  const int64_t *heard_at_ms = g_hash_table_lookup (executor->heard, task->batch->coordinator);
+  return heard_at_ms != NULL ? lease_limit_ms (executor, *heard_at_ms) : INT64_MAX;
+}
+
+/* Length of the next lease of ENDPOINT: all its runs end before their jobs may be submitted again
+ * because their coordinators were lost.  0 if there must be no new lease. */
+static int64_t
+next_lease_ms (const executor_t *executor, const endpoint_t *endpoint, int64_t now_ms)
+{
+  int64_t until_ms = INT64_MAX;
+
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    until_ms = MIN (until_ms, lease_limit_of (executor, endpoint->runs->pdata[i]));
+  if (until_ms - now_ms >= longest_lease_ms (executor->options.lease_ms))
+    return executor->options.lease_ms;
+  return MAX ((until_ms - now_ms) * 100 / (100 + EXECUTOR_CLOCK_SLACK_PERCENT), 0);
+}
+
 /* Time after which the run of TASK is not alive. */
 static int64_t
 run_end_ms (const executor_t *executor, const task_t *task)
@@ -106,7 +128,8 @@
 
   return task->order_open_until_ms == 0
              ? end_ms
-             : MAX (end_ms, task->order_open_until_ms + longest_lease_ms (executor));
+             : MAX (end_ms,
+                    task->order_open_until_ms + longest_lease_ms (executor->options.lease_ms));
 }
 
 /* Records that the next order renews the lease of ENDPOINT.  Returns the end of the lease on the
@@ -114,9 +137,9 @@
 static int64_t
 extend_lease (const executor_t *executor, endpoint_t *endpoint, int64_t now_ms)
 {
-  int64_t lease_ms = executor->options.lease_ms;
+  int64_t lease_ms = next_lease_ms (executor, endpoint, now_ms);
 
-  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, now_ms + longest_lease_ms (executor));
+  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, now_ms + longest_lease_ms (lease_ms));
   return now_ms + endpoint->clock_offset_ms - clock_drift_ms (endpoint, now_ms) + lease_ms;
 }
 
@@ -262,7 +285,8 @@
       task->runs_alone = crash_history_counts (executor->crashes, task->name).lost > 0;
       task_attach (task, endpoint);
       /* The previous owner may have renewed the lease a moment ago. */
-      extend_lease (executor, endpoint, now_ms);
+      endpoint->lease_end_ms =
+          MAX (endpoint->lease_end_ms, now_ms + longest_lease_ms (executor->options.lease_ms));
       g_ptr_array_remove_index_fast (endpoint->foreign_runs, i);
       log_event (executor, actions, EXECUTOR_LOG_ADOPTED, endpoint, task, now_ms);
       return true;
@@ -635,8 +659,9 @@
   int64_t wait_ms = 0;
   bool may_hold_poll = get_poll_wait_ms (endpoint, now_ms, &wait_ms)
                        && g_hash_table_size (executor->maybe_running) == 0;
-  bool renew_lease =
-      endpoint->runs->len > 0 && endpoint->clock_known && !blocks_lease_renewal (endpoint, now_ms);
+  bool renew_lease = endpoint->runs->len > 0 && endpoint->clock_known
+                     && !blocks_lease_renewal (endpoint, now_ms)
+                     && next_lease_ms (executor, endpoint, now_ms) > 0;
   executor_action_t *action = action_append (actions, EXECUTOR_POLL);
 
   action->endpoint = endpoint->id;
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -45,9 +45,10 @@
   int64_t stop_requested_at_ms;    /* STOPPING: when the stop was requested */
   int64_t stop_sent_at_ms;
   bool stop_confirmed;
-  bool misses_objective; /* would miss its objective on every endpoint */
-  bool runs_alone;       /* nothing else starts on its endpoint while it runs */
-  bool moved;            /* it has been stopped to be restarted on a faster endpoint */
+  int64_t lease_limit_ms; /* no lease lasts longer; 0 unless its coordinator is gone */
+  bool misses_objective;  /* would miss its objective on every endpoint */
+  bool runs_alone;        /* nothing else starts on its endpoint while it runs */
+  bool moved;             /* it has been stopped to be restarted on a faster endpoint */
   int32_t progress_percent;
   int64_t progress_at_ms;  /* when PROGRESS_PERCENT last increased */
   GList queue_link;        /* in the queue */
@@ -177,6 +178,7 @@
   GHashTable *tasks;     /* name -> task_t */
   GHashTable *batches;   /* "coordinator/number" -> batch_t */
   GHashTable *calls;     /* serial of a start, stop or poll order -> call_t */
+  GHashTable *heard;     /* interned id of a coordinator -> when it was last alive */
   GHashTable *kinds;     /* kind -> machine_kind_t */
   estimates_t *estimates;
   crash_history_t *crashes; /* of the options, or OWN_CRASHES */
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -51,6 +51,10 @@
  * when the run is over. */
 void task_request_stop (task_t *task, int64_t now_ms);
 
+/* Latest end of a lease under which runs of a coordinator live that was alive at LAST_HEARD_AT_MS.
+ */
+int64_t lease_limit_ms (const executor_t *executor, int64_t last_heard_at_ms);
+
 executor_action_t *action_append (GArray *actions, executor_action_kind_t kind);
 
 /* Appends an action of KIND for the coordinator of TASK.  Returns it, or NULL if TASK has no
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -7,6 +7,7 @@
 
 #define LEASE_MS 1000
 #define STOP_TIMEOUT_MS 50
+#define RESUBMIT_MS 1300
 #define SERVICE "s"
 #define DEADLINE_MS 1500
 #define FAR_DEADLINE_MS 20000
@@ -29,9 +30,9 @@
 static void
 scenario_begin (scenario_t *scenario)
 {
-  const executor_options_t options = { .lease_ms = LEASE_MS,
-                                       .stop_ms = STOP_TIMEOUT_MS,
-                                       .remote_factor = 2 };
+  const executor_options_t options = {
+    .lease_ms = LEASE_MS, .stop_ms = STOP_TIMEOUT_MS, .remote_factor = 2, .resubmit_ms = RESUBMIT_MS
+  };
 
   *scenario = (scenario_t){ .executor = executor_new (&options),
                             .actions = g_array_new (FALSE, FALSE, sizeof (executor_action_t)),
@@ -814,7 +815,7 @@
   CU_ASSERT_EQUAL (count_done (&scenario, 1), 1);
   run_round_at (&scenario, 80);
   CU_ASSERT_EQUAL (count_done (&scenario, 1), 0);
-  executor_remove_coordinator (scenario.executor, "h1", 90, scenario.actions);
+  executor_remove_coordinator (scenario.executor, "h1", 90, 90, scenario.actions);
   executor_submit (scenario.executor, &batch, 100);
   run_round_at (&scenario, 100);
   CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e0");
@@ -1408,6 +1409,61 @@
     }
 }
 
+/* The coordinator "h1" is silent from 0 on. */
+static const struct
+{
+  const char *name;
+  int64_t start_ms;
+  int64_t lost_ms; /* when it counts as lost; 0 if it does not */
+  int64_t lease_min_ms;
+} silent_coordinator_cases[] = {
+  { "just heard", 0, 0, LEASE_MS },
+  { "silent for a heartbeat", 100, 0, LEASE_MS },
+  { "silent for 700 ms", 700, 0, 400 },
+  { "lost, and a stop is not answered", 700, 800, 300 },
+};
+
+/* The caller of a coordinator that has crashed submits its job again RESUBMIT_MS later; no run may
+ * be alive then, even if its endpoint cannot be told to stop it. */
+static void
+test_lease_of_silent_coordinator (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (silent_coordinator_cases); i++)
+    {
+      int64_t start_ms = silent_coordinator_cases[i].start_ms;
+      int64_t lost_ms = silent_coordinator_cases[i].lost_ms;
+      int64_t until_ms = 0;
+      executor_batch_t batch = batch_of ("j", 1);
+      scenario_t scenario;
+
+      scenario_begin_idle (&scenario, 1000);
+      executor_coordinator_heard (scenario.executor, "h1", 0);
+      executor_submit (scenario.executor, &batch, start_ms);
+      for (int64_t now_ms = start_ms; now_ms < start_ms + 400; now_ms += 50)
+        {
+          if (lost_ms != 0 && now_ms == lost_ms)
+            executor_remove_coordinator (scenario.executor, "h1", 0, now_ms, scenario.actions);
+          run_round_at (&scenario, now_ms);
+          for (guint k = 0; k < scenario.actions->len; k++)
+            until_ms = MAX (
+                until_ms,
+                g_array_index (scenario.actions, executor_action_t, k).lease_until_endpoint_ms);
+          if (lost_ms == 0)
+            break;
+          executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_NO_ANSWER,
+                                  NULL, now_ms, scenario.actions);
+        }
+      /* The clock of the endpoint shows 5 ms more. */
+      if (until_ms - 5 >= RESUBMIT_MS)
+        printf ("  %s: until %d\n", silent_coordinator_cases[i].name, (int) until_ms);
+      CU_ASSERT_TRUE (until_ms - 5 < RESUBMIT_MS);
+      /* The clock was read at 0 and may be slow. */
+      CU_ASSERT_TRUE (until_ms - 5 - start_ms + start_ms * EXECUTOR_CLOCK_SLACK_PERCENT / 100 + 1
+                      >= silent_coordinator_cases[i].lease_min_ms);
+      scenario_end (&scenario);
+    }
+}
+
 static executor_load_t
 load_report_at (const scenario_t *scenario, int64_t now_ms)
 {
@@ -1888,6 +1944,7 @@
   { "a drain at full load", test_drained_at_full_load },
   { "duration on a cold endpoint", test_cold_endpoint },
   { "an instance after the clock was set back", test_instance_after_clock_jump },
+  { "the lease of a silent coordinator", test_lease_of_silent_coordinator },
   { "a start refused for a later attempt", test_start_refused_for_later_attempt },
   { "a late order after a restart", test_late_order_after_restart },
   { "a lease on a slow clock", test_lease_on_slow_clock },
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -219,7 +219,8 @@
 {
   int data_centre = data_centre_of_shard (shard);
   owned_shard_t *owned = &host->owned_shards[data_centre];
-  executor_options_t options = { SIM_LEASE_MS, SIM_STOP_MS, SIM_REMOTE_FACTOR, host->crashes };
+  executor_options_t options = { SIM_LEASE_MS, SIM_STOP_MS, SIM_REMOTE_FACTOR, host->crashes,
+                                 SIM_RESUBMIT_MS };
 
   if (owned->executor == NULL)
     {
@@ -307,7 +308,8 @@
                  action.host);
           for (int k = 0; k < SIM_DATA_CENTRES; k++)
             if (host->owned_shards[k].executor != NULL)
-              executor_remove_coordinator (host->owned_shards[k].executor, action.host, sim->now_ms,
+              executor_remove_coordinator (host->owned_shards[k].executor, action.host,
+                                           action.last_heard_at_ms, sim->now_ms,
                                            host->executor_actions);
           scheduler_host_lost (host->scheduler, action.host, action.last_heard_at_ms, sim->now_ms,
                                host->scheduler_actions);
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -345,6 +345,15 @@
   send_message (reply);
 }
 
+static void
+record_coordinator_heard (sim_host_t *host, const char *coordinator)
+{
+  run_all_actions (host);
+  for (int i = 0; i < SIM_DATA_CENTRES; i++)
+    if (host->owned_shards[i].executor != NULL)
+      executor_coordinator_heard (host->owned_shards[i].executor, coordinator, host->sim->now_ms);
+}
+
 static void message_arrives (simulation_t *sim, void *data);
 
 /* With cuts_delay_messages, schedules MESSAGE for the end of the cut between its hosts, and returns
@@ -421,6 +430,7 @@
           cluster_receive_heartbeat (host->cluster, &message->heartbeat, sim->now_ms,
                                      host->cluster_actions);
           cluster_step (host->cluster, sim->now_ms, wall_clock_ms (host), host->cluster_actions);
+          record_coordinator_heard (host, message->from->name);
           break;
         }
       run_all_actions (host);
--- a/tests/test_scheduling_run.h
+++ b/tests/test_scheduling_run.h
@@ -210,6 +210,7 @@
 
 #define DEFAULT_CLOCK_STEP_MS 5000
 #define FAULT_STAGGER_MS 170
+#define FAULT_INTERVAL_MS 1000
 
 /* Cuts the connections of HOST in one or both directions.  Other hosts may detect this at once;
  * HOST itself does not. */
@@ -236,7 +237,7 @@
 {
   int64_t offset_ms = host->sim->options->staggered_faults ? host->index * FAULT_STAGGER_MS : 0;
 
-  return host->sim->now_ms > 3000 && host->sim->now_ms % 1000 == offset_ms;
+  return host->sim->now_ms > 3000 && host->sim->now_ms % FAULT_INTERVAL_MS == offset_ms;
 }
 
 static void
@@ -422,7 +423,8 @@
   if (sim->now_ms > 2000 && sim->now_ms < sim->options->length_ms - 4000)
     submit_due_jobs (sim);
   inject_host_faults (sim);
-  if (sim->now_ms % 1000 == 0 && sim->now_ms > 3000)
+  if (sim->now_ms % FAULT_INTERVAL_MS == sim->options->endpoint_faults_after_ms
+      && sim->now_ms > 3000)
     inject_endpoint_faults (sim);
   schedule_event (sim, sim->now_ms + TICK_MS, simulation_tick, NULL);
 }
--- a/tests/test_scheduling_simulation.h
+++ b/tests/test_scheduling_simulation.h
@@ -52,6 +52,8 @@
   int endpoint_crashes;         /* per endpoint */
   int entry_delay_max_ms;       /* owners learn from the directory of the restart of an endpoint
                                    after up to this time; 0 for at once */
+  int endpoint_faults_after_ms; /* faults of endpoints and data centres begin this long after those
+                                   of hosts; less than 1,000 */
   bool crashed_refuse;          /* crashed endpoints refuse connections */
   int capacity_changes;         /* per endpoint: its number of slots changes, and its report shows
                                    that within SIM_REPORT_DELAY_MS */
