--- /dev/null
+++ b/tests/test_scheduling_check.h
@@ -0,0 +1,72 @@
+/* test_scheduling_check.h -- checks of the invariants after a scheduling simulation */
+#ifndef TESTS_TEST_SCHEDULING_CHECK_H
+#define TESTS_TEST_SCHEDULING_CHECK_H
+
+#include "tests/test_scheduling_run.h"
+
+#include <CUnit/CUnit.h>
+
+typedef struct
+{
+  const char *name;
+  uint32_t seed_count; /* consecutive seeds, beginning with that of the options, or with 1 */
+  simulation_options_t options;
+  int min_answered_percent; /* of all jobs that were not refused because of drains */
+} simulation_case_t;
+
+static void
+print_result (const char *name, uint32_t seed, const simulation_result_t *result)
+{
+  printf ("%s %u: jobs %d complete %d failed %d refused %d given up %d; concurrent runs %d "
+          "overfull starts %d refused starts %d false answers %d false failures %d unanswered %d "
+          "starts while drained %d false drain refusals %d deadly starts %d innocent %d complete "
+          "%d\n",
+          name, seed, result->jobs, result->complete, result->failed, result->refused,
+          result->given_up, result->concurrent_runs, result->overfull_starts,
+          result->refused_starts, result->false_answers, result->false_failures, result->unanswered,
+          result->starts_while_drained, result->false_drain_refusals, result->deadly_starts,
+          result->innocent, result->innocent_complete);
+}
+
+/* Runs the simulation of TEST with SEED and checks its result.  Returns the number of its steps. */
+static int64_t
+check_seed (const simulation_case_t *test, uint32_t seed)
+{
+  unsigned failures = CU_get_number_of_failures ();
+  simulation_options_t options = test->options;
+
+  options.seed = seed;
+  simulation_result_t result = simulation_run (&options);
+  int answered = result.complete + result.failed;
+  CU_ASSERT_EQUAL (result.concurrent_runs, 0);
+  CU_ASSERT_EQUAL (result.deadly_starts, 0);
+  CU_ASSERT_TRUE (options.deadly_jobs == 0
+                  || 100 * result.innocent_complete
+                         >= test->min_answered_percent * result.innocent);
+  CU_ASSERT_EQUAL (result.starts_while_drained, 0);
+  CU_ASSERT_EQUAL (result.false_drain_refusals, 0);
+  CU_ASSERT_EQUAL (result.overfull_starts, 0);
+  CU_ASSERT_EQUAL (result.false_answers, 0);
+  CU_ASSERT_EQUAL (result.false_failures, 0);
+  CU_ASSERT_EQUAL (result.unanswered, 0);
+  /* Jobs that were refused because all data centres are drained don't count. */
+  CU_ASSERT_TRUE (100 * answered
+                  >= test->min_answered_percent * (result.jobs - result.refused_drained));
+  if (CU_get_number_of_failures () > failures)
+    print_result (test->name, seed, &result);
+  return result.steps;
+}
+
+/* Checks all seeds of TEST.  Returns the number of steps. */
+static int64_t
+check_seeds (const simulation_case_t *test)
+{
+  uint32_t first = MAX (test->options.seed, 1);
+  int64_t steps = 0;
+
+  for (uint32_t seed = first; seed < first + test->seed_count; seed++)
+    steps += check_seed (test, seed);
+  return steps;
+}
+
+#endif
