A loss counts as one of a started run once any report says so

Found by review. A start order without an answer, a second call without one: the run was recorded as suspected, not known to have started. The endpoint answered, the run was there, and the loss was withdrawn; when the endpoint then crashed under it, the same record kept "not started" for good, so that the crash was never confirmed and not among the three that fail a job. Hosts that heard of it in another order had it otherwise.

--- a/lib/executor/crashes.c
+++ b/lib/executor/crashes.c
@@ -179,6 +179,7 @@
     loss = add_loss (entry, info, now_ms);
   if (loss == NULL)
     return false;
+  loss->had_started |= info->had_started;
   set_state (history, loss, info->task, info->state, loss->revision + 1);
   info->revision = loss->revision;
   return true;
@@ -192,6 +193,8 @@
 
   if (loss == NULL)
     loss = add_loss (entry, info, now_ms);
+  if (loss != NULL)
+    loss->had_started |= info->had_started;
   if (loss != NULL && info->revision > loss->revision)
     set_state (history, loss, info->task, info->state, info->revision);
 }
