A run that is alive on a later instance does not count as lost with the earlier one

Found by review. An endpoint restarts unnoticed and takes an order; two calls go unanswered, so that the run counts as suspected lost with the earlier instance; then a poll of the later instance lists the run. It went on, but its loss was confirmed, as the endpoint had another start time. The next crash under it was the second one, and the job failed after one.

Change: the loss of a run that a later instance lists is withdrawn before the others are resolved.

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -634,6 +634,7 @@
       if (!may_run_there (task, result, sent_at_ms))
         continue;
       task->order_open = false;
+      withdraw_loss (executor, task);
       task_detach (task);
       g_ptr_array_add (kept, task);
     }
--- a/lib/executor/crashes.c
+++ b/lib/executor/crashes.c
@@ -252,6 +252,23 @@
   g_hash_table_remove (history->suspects, endpoint);
 }
 
+void
+crash_history_withdraw (crash_history_t *history,
+                        const crash_loss_t *run,
+                        crash_loss_func_t changed,
+                        void *user)
+{
+  const task_entry_t *entry = g_hash_table_lookup (history->tasks, run->task);
+  loss_t *loss = entry != NULL ? find_loss (entry, run) : NULL;
+
+  if (loss == NULL || loss->state != CRASH_SUSPECTED)
+    return;
+  loss->state = CRASH_WITHDRAWN;
+  loss->revision++;
+  crash_loss_t info = loss_info (run->task, loss);
+  changed (&info, user);
+}
+
 void
 crash_history_forget (crash_history_t *history, const char *task)
 {
--- a/lib/executor/crashes.h
+++ b/lib/executor/crashes.h
@@ -93,6 +93,13 @@
                                       crash_loss_func_t changed,
                                       void *user);
 
+/* The run that RUN names (task, attempt, endpoint and instance) is alive: withdraws its loss if
+ * that is suspected, and calls CHANGED then. */
+void crash_history_withdraw (crash_history_t *history,
+                             const crash_loss_t *run,
+                             crash_loss_func_t changed,
+                             void *user);
+
 /* TASK has succeeded. */
 void crash_history_forget (crash_history_t *history, const char *task);
 
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -477,17 +477,33 @@
   g_array_set_size (executor->new_losses, 0);
 }
 
+/* The loss of the present run of TASK, as suspected. */
+static crash_loss_t
+loss_of_run (const task_t *task)
+{
+  return (crash_loss_t){ .task = task->name,
+                         .attempt = task->attempt,
+                         .endpoint = task->endpoint->id,
+                         .endpoint_started_at_ms = task->endpoint->started_at_ms,
+                         .had_started = task->start_confirmed_at_ms != 0,
+                         .state = CRASH_SUSPECTED };
+}
+
+void
+withdraw_loss (executor_t *executor, const task_t *task)
+{
+  const crash_loss_t run = loss_of_run (task);
+
+  crash_history_withdraw (executor->crashes, &run, note_loss, executor);
+}
+
 void
 record_loss (executor_t *executor, const task_t *task, bool restarted, int64_t now_ms)
 {
-  bool had_started = task->start_confirmed_at_ms != 0;
-  crash_loss_t loss = { .task = task->name,
-                        .attempt = task->attempt,
-                        .endpoint = task->endpoint->id,
-                        .endpoint_started_at_ms = task->endpoint->started_at_ms,
-                        .had_started = had_started,
-                        .state = restarted && had_started ? CRASH_CONFIRMED : CRASH_SUSPECTED };
+  crash_loss_t loss = loss_of_run (task);
 
+  if (restarted && loss.had_started)
+    loss.state = CRASH_CONFIRMED;
   if (crash_history_add (executor->crashes, &loss, now_ms))
     note_loss (&loss, executor);
 }
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -15,6 +15,9 @@
  * endpoint was found restarted. */
 void record_loss (executor_t *executor, const task_t *task, bool restarted, int64_t now_ms);
 
+/* Records that the present run of TASK is alive, although its endpoint may have counted as lost. */
+void withdraw_loss (executor_t *executor, const task_t *task);
+
 /* A crash_loss_func_t for an executor: the change of LOSS is reported in the next round. */
 void note_loss (const crash_loss_t *loss, void *user);
 void clear_new_losses (executor_t *executor);
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -1622,6 +1622,35 @@
   scenario_end (&scenario);
 }
 
+/* A run on a later instance, which is alive, must not count as lost with the earlier instance. */
+static void
+test_run_on_later_instance_not_lost (void)
+{
+  const poll_active_t row = { "j.0.0.0", 1, 10 };
+  const poll_result_t result = {
+    .endpoint_clock_ms = 5, .started_at_ms = 8, .active = &row, .active_count = 1
+  };
+  executor_batch_t batch = batch_of ("j", 1);
+  scenario_t scenario;
+
+  scenario_begin_with_run (&scenario, &batch);
+  for (int64_t now_ms = 200; now_ms <= 400; now_ms += 200)
+    {
+      run_round_at (&scenario, now_ms);
+      executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_NO_ANSWER, NULL,
+                              now_ms + 100, scenario.actions);
+    }
+  run_round_at (&scenario, 600);
+  executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &result, 601,
+                          scenario.actions);
+  run_round_at (&scenario, 610);
+  answer_as_instance (&scenario, 0, 605);
+  run_round_at (&scenario, 620);
+  CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_FAILED));
+  CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e1");
+  scenario_end (&scenario);
+}
+
 static const struct
 {
   const char *name;
@@ -1972,6 +2001,7 @@
   { "a large task without progress", test_large_task_hung },
   { "a run on an instance that was not noticed before", test_run_on_unnoticed_instance },
   { "a task that crashes endpoints is given up", test_crashing_task_given_up },
+  { "a run on a later instance does not count as lost", test_run_on_later_instance_not_lost },
   { "a lost endpoint answers again", test_lost_endpoint_resolved },
   { "nothing starts beside a suspect task", test_nothing_starts_beside_suspect },
   { "suspect tasks leave endpoints to others", test_suspects_leave_endpoints },
