A task that is held back after crashes does not make others be refused

Found by review. A new task that finds no endpoint at once is refused when a like one before it has waited for so long without a start that it could not meet its deadline after the same wait. A task that is held back for up to 5 s after two losses waits for other reasons, and so did one that waits to start alone: new tasks were refused although endpoints were about to become free.

--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -1721,6 +1721,48 @@
   scenario_end (&scenario);
 }
 
+/* A task that is held back after crashes must not make others be refused for the time that it has
+ * waited. */
+static void
+test_held_task_refuses_no_other (void)
+{
+  const executor_options_t options = { .lease_ms = LEASE_MS, .stop_ms = STOP_TIMEOUT_MS };
+  executor_batch_t running = batch_of ("running", 1);
+  executor_batch_t held = batch_of ("held", 2);
+  executor_batch_t other = batch_of ("other", 3);
+  scenario_t scenario;
+
+  scenario_begin (&scenario);
+  executor_free (scenario.executor);
+  crash_history_t *crashes = crash_history_new ();
+  executor_options_t with_crashes = options;
+  with_crashes.crashes = crashes;
+  scenario.executor = executor_new (&with_crashes);
+  for (int i = 0; i < 2; i++)
+    {
+      crash_loss_t loss = { .task = "held.0.0.0",
+                            .attempt = i + 1,
+                            .endpoint = endpoint_ids[i],
+                            .endpoint_started_at_ms = 1,
+                            .had_started = true };
+      CU_ASSERT_TRUE (crash_history_add (crashes, &loss, 0));
+    }
+  add_endpoint (&scenario, 0, "r1", 1000);
+  run_round_at (&scenario, 0);
+  answer_poll (&scenario, 0, NULL, 0);
+  executor_submit (scenario.executor, &running, 0);
+  executor_submit (scenario.executor, &held, 0);
+  run_round_at (&scenario, 0);
+  CU_ASSERT_STRING_EQUAL (scenario.start_task, "running.0.0.0");
+  confirm_starts (&scenario);
+  other.deadline_at_ms = 560;
+  executor_submit (scenario.executor, &other, 300);
+  run_round_at (&scenario, 300);
+  CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_EXPIRED));
+  scenario_end (&scenario);
+  crash_history_free (crashes);
+}
+
 /* If several endpoints are lost, those that are left must not all be given to the tasks that were
  * on them. */
 static void
@@ -2004,6 +2046,7 @@
   { "a run on a later instance does not count as lost", test_run_on_later_instance_not_lost },
   { "a lost endpoint answers again", test_lost_endpoint_resolved },
   { "nothing starts beside a suspect task", test_nothing_starts_beside_suspect },
+  { "a task that is held back refuses no other", test_held_task_refuses_no_other },
   { "suspect tasks leave endpoints to others", test_suspects_leave_endpoints },
 };
 
