Runs are not moved towards an endpoint that a suspect task has for itself

Found by review. min_elsewhere_ms () counted the free resources of an endpoint on which nothing may start beside a suspect task: a slow run was stopped for it, and its task then found it closed. No test of its own: the condition is that of placement_choose (). test_executor 484 asserts pass.

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -461,7 +461,7 @@
     {
       const endpoint_t *endpoint = value;
       if (endpoint != task->endpoint && placement_may_run (endpoint, task)
-          && placement_is_usable (endpoint, now_ms)
+          && placement_is_usable (endpoint, now_ms) && !placement_is_reserved (endpoint)
           && capacity_fits (&endpoint->capacity, &endpoint->used, &task->need, now_ms))
         best_ms = fmin (best_ms, work_ms * placement_ratio (endpoint)
                                      * placement_remote_factor (executor, endpoint, task->batch));
