The lease limit holds for a coordinator from its first batch on

Found by review. An owner limits the leases of runs by when it last heard their coordinator, and had no limit for a coordinator that it had not heard a heartbeat of since its claim: for up to 250 ms after a takeover, and after a restart of the coordinator, leases were full ones.

Change: a batch counts as a sign of life, in the daemon and in the simulation. test_scheduling_lease passes (4 asserts).

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -429,7 +429,10 @@
         }
       return;
     }
-  executor_submit (owned->executor, batch, clock_boot_ms ());
+  int64_t now_ms = clock_boot_ms ();
+  if (strcmp (batch->coordinator, site->host) != 0)
+    executor_coordinator_heard (owned->executor, batch->coordinator, now_ms);
+  executor_submit (owned->executor, batch, now_ms);
   owned->needs_round = true;
 }
 
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -298,6 +298,8 @@
     return;
   if (owned->executor != NULL)
     {
+      if (message->from != host)
+        executor_coordinator_heard (owned->executor, message->from->name, host->sim->now_ms);
       executor_submit (owned->executor, &message->batch, host->sim->now_ms);
       return;
     }
