A new connection carries heartbeat and batches before the history of losses

Found by review. The history of lost endpoints, up to megabytes after a cut, went out before the batches that are sent again, on links that may be narrow. Batches that are sent again on the other host's request went out without a heartbeat before them, so that the owner could refuse them for a returned clock that was too old, and nothing would have sent them again.

No test: the order of frames on a connection. test_site and the soak run over it.

--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -190,6 +190,8 @@
 read_resync (site_t *site, const char *host, frame_reader_t *reader)
 {
   (void) reader;
+  /* The host takes tasks only after this host has returned a clock of it. */
+  peers_send_heartbeat (site, host);
   resend_batches (site, host);
 }
 
@@ -365,8 +367,8 @@
       g_hash_table_replace (site->connections, (void *) net_event->host, connection);
       peers_send_heartbeat (site, net_event->host);
       peers_send (site, net_event->host, executor_msg_resync ());
-      send_losses (site, net_event->host);
       resend_batches (site, net_event->host);
+      send_losses (site, net_event->host);
     }
   else
     {
