Endpoints that leave have not crashed under the tasks that they cut short

Found by review. A task that outlasts the end of two endpoints, which had said that they would leave and started again under their ids, counted two confirmed crashes, and its job failed.

--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -502,6 +502,8 @@
 {
   crash_loss_t loss = loss_of_run (task);
 
+  if (task->endpoint->instance_leaving)
+    return;
   if (restarted && loss.had_started)
     loss.state = CRASH_CONFIRMED;
   if (crash_history_add (executor->crashes, &loss, now_ms))
@@ -528,6 +530,7 @@
   endpoint->runs_known = false;
   endpoint->clock_known = false;
   endpoint->lease_end_ms = 0;
+  endpoint->instance_leaving = false;
   endpoint->capacity = (capacity_t){ 0 };
 }
 
@@ -585,6 +588,7 @@
       executor->outliers.endpoints++;
     }
   apply_entry_start_time (executor, endpoint, info, now_ms);
+  endpoint->instance_leaving |= info->leaving && describes_observed_instance (endpoint, info);
   set_string (&endpoint->address, info->address);
   set_string (&endpoint->service, info->service);
   set_string (&endpoint->kind, info->kind);
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -133,8 +133,9 @@
   resources_t entry_capacity; /* of that instance, by its last entry */
   capacity_t capacity;        /* of the last observed instance */
   bool leaving;
-  bool entry_removed; /* its entry is gone; kept until its runs are over */
-  bool runs_known;    /* a poll under the token in force has listed its runs */
+  bool instance_leaving; /* the last observed instance said that it would leave */
+  bool entry_removed;    /* its entry is gone; kept until its runs are over */
+  bool runs_known;       /* a poll under the token in force has listed its runs */
   bool fenced;
   uint32_t token_generation; /* incremented when the token changes */
   bool poll_in_flight;       /* a poll is waiting for its answer */
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -12,7 +12,7 @@
 void endpoint_restarted (executor_t *executor, endpoint_t *endpoint, int64_t now_ms);
 
 /* Records that the endpoint of TASK was lost while it may have run there.  RESTARTED says that the
- * endpoint was found restarted. */
+ * endpoint was found restarted.  An endpoint that has said that it would leave has not crashed. */
 void record_loss (executor_t *executor, const task_t *task, bool restarted, int64_t now_ms);
 
 /* Records that the present run of TASK is alive, although its endpoint may have counted as lost. */
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -1622,6 +1622,36 @@
   scenario_end (&scenario);
 }
 
+/* Endpoints that leave and start again have not crashed under the tasks that they cut short. */
+static void
+test_leaving_endpoints_not_crashed (void)
+{
+  executor_endpoint_t leaving = { .address = "127.0.0.1:1",
+                                  .service = SERVICE,
+                                  .kind = "a",
+                                  .rack = "r1",
+                                  .started_at_ms = 1,
+                                  .free = { 3000, 1000, 0 },
+                                  .leaving = true };
+  executor_batch_t batch = batch_of ("j", 1);
+  scenario_t scenario;
+
+  scenario_begin_with_run (&scenario, &batch);
+  for (int number = 0; number < 2; number++)
+    {
+      leaving.id = endpoint_ids[number];
+      executor_set_endpoint (scenario.executor, &leaving, scenario.now_ms);
+      restart_endpoint_at (&scenario, 50 + 50 * number);
+      add_instance (&scenario, number, "r1", 3000, 50 + 50 * number);
+      run_round_at (&scenario, 60 + 50 * number);
+      answer_as_instance (&scenario, number, 50 + 50 * number);
+      run_round_at (&scenario, 61 + 50 * number);
+    }
+  CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_FAILED));
+  CU_ASSERT_EQUAL (executor_totals (scenario.executor, 120).running, 1);
+  scenario_end (&scenario);
+}
+
 /* A run on a later instance, which is alive, must not count as lost with the earlier instance. */
 static void
 test_run_on_later_instance_not_lost (void)
@@ -2043,6 +2073,7 @@
   { "a large task without progress", test_large_task_hung },
   { "a run on an instance that was not noticed before", test_run_on_unnoticed_instance },
   { "a task that crashes endpoints is given up", test_crashing_task_given_up },
+  { "endpoints that leave have not crashed", test_leaving_endpoints_not_crashed },
   { "a run on a later instance does not count as lost", test_run_on_later_instance_not_lost },
   { "a lost endpoint answers again", test_lost_endpoint_resolved },
   { "nothing starts beside a suspect task", test_nothing_starts_beside_suspect },
