A new owner that does not follow the directory does not take its old listing for complete

Found by review; the one path of the class of incident tasks-run-twice that needs more than four hosts in a data centre.

Cause: a new owner waits, before it takes a task that no endpoint lists for one that runs nowhere, for 3 s from its first listing of the directory. A host that is not among the first of its data centre stops following the directory after that listing. When all hosts before it are lost at once it claims the shard and counts from a listing of minutes ago: an endpoint that registered since is unknown to it, and the former owner's runs there are started again.

Change: the wait counts from the claim for a host that does not follow the directory, and from when it began to follow again for one that does (lib/executor/discovery, a function of its own).

test_discovery, 6 rows; by the former rule (listing + 3 s) rows 4, 5 and 6 give 3,100. Not shown with processes: it takes seven hosts in a data centre.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -333,6 +333,7 @@
   log_client_set_follow_directory (site->log_client, follows);
   if (!follows)
     return;
+  site->directory_followed_since_ms = now_ms;
   g_hash_table_iter_init (&iter, site->directory);
   while (g_hash_table_iter_next (&iter, &id, NULL))
     log_client_expect_endpoint (site->log_client, id, now_ms);
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -9,17 +9,12 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/event.h"
+#include "executor/discovery.h"
 
 #include <string.h>
 
 /* Time after which all orders of a yielded shard have been answered. */
 #define RETIRED_RETENTION_MS 5000
-/* For this long after the first listing of the directory, endpoints that cannot reach the log
- * may be missing from it, and a previous owner may have started tasks on them.  If all hosts
- * have just started there was no previous owner, and only endpoints that are about to register
- * may be missing. */
-#define DISCOVERY_MS 3000
-#define DISCOVERY_AT_START_MS 700
 /* The interval between offers of a shard is at least OFFER_INTERVAL_MIN_MS, and at least
  * OFFER_INTERVAL_PER_HOST_MS for each connected host, as each of them receives every offer.  An
  * offer that has not changed is sent again after OFFER_INTERVAL_MAX_MS. */
@@ -328,13 +323,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     set_endpoint (owned, value, now_ms);
   removed_entries_foreach (site->removed_entries, shard, now_ms, set_removed_endpoint, owned);
-  /* Entries that expired while the log was unreachable are registered again within DISCOVERY_MS. */
-  int64_t listed_at_ms = log_client_directory_listed_at_ms (site->log_client);
-  int64_t discovery_ms =
-      cluster_started_together (site->cluster, now_ms) ? DISCOVERY_AT_START_MS : DISCOVERY_MS;
+  const directory_view_t view = { site->follows_directory, site->directory_followed_since_ms,
+                                  log_client_directory_listed_at_ms (site->log_client),
+                                  cluster_started_together (site->cluster, now_ms) };
   executor_set_drained (owned->executor, drains_contain (site->drains, shard));
-  executor_set_discovery_until (owned->executor,
-                                (listed_at_ms != 0 ? listed_at_ms : now_ms) + discovery_ms);
+  executor_set_discovery_until (owned->executor, discovery_until_ms (&view, now_ms));
   executor_set_token (owned->executor, token, now_ms);
 }
 
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -94,6 +94,7 @@
   GArray *task_ends;         /* pending_task_end_t */
   bool store_reachable;
   bool follows_directory; /* whether this host reads the directory of endpoints from the log */
+  int64_t directory_followed_since_ms; /* 0 for since its start */
   bool stopping;
   int64_t stopping_since_ms;
   int64_t refreshed_at_ms; /* when the view of the other hosts was last brought up to date */
--- /dev/null
+++ b/tests/test_discovery.c
@@ -0,0 +1,47 @@
+/* test_discovery.c -- until when a new owner may not know all endpoints of its shard */
+#include "executor/discovery.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+
+#define CLAIMED_AT_MS 60000
+
+static const struct
+{
+  const char *name;
+  directory_view_t view;
+  int64_t expected_ms;
+} cases[] = {
+  { "followed since its start", { true, 0, 100, false }, 3100 },
+  { "no listing yet", { true, 0, 0, false }, CLAIMED_AT_MS + 3000 },
+  { "all hosts have just started", { true, 0, 59900, true }, 60600 },
+  { "listed at its start, not followed", { false, 0, 100, false }, CLAIMED_AT_MS + 3000 },
+  { "listed at its start, followed again", { true, 59000, 100, false }, 62000 },
+  { "followed before, not now", { false, 30000, 100, false }, CLAIMED_AT_MS + 3000 },
+};
+
+/* Guards against a host that takes an old listing of the directory for a complete one. */
+static void
+test_discovery (void)
+{
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      int64_t until_ms = discovery_until_ms (&cases[i].view, CLAIMED_AT_MS);
+      if (until_ms != cases[i].expected_ms)
+        printf ("  %s: %d\n", cases[i].name, (int) until_ms);
+      CU_ASSERT_EQUAL (until_ms, cases[i].expected_ms);
+    }
+}
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("discovery", NULL, NULL);
+  CU_add_test (suite, "when the discovery of a shard ends", test_discovery);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
