Leases end by when their coordinator was alive, not by when its heartbeat arrived

Sequence, by reading: a coordinator's link holds frames for 900 ms and the coordinator dies; its last heartbeat arrives 850 ms later and allows leases until 2,100 ms after its death. If the owner is cut off or lost as well, or its stops go unanswered, the run lives until then; callers are back after 1,300 ms.

Change: lib/cluster tells when a host was certainly alive, by the newest clock that it has returned (cluster_alive_at_ms (), and alive_at_ms of a lost host); the lease limits use that. One function says what a returned clock tells, for the loss of delayed hosts and for this. cluster_accepts_epoch () judges more than the epoch by now: cluster_accepts_tasks ().

test_cluster, "delayed heartbeats of a dead coordinator" compares the time with the returned clock: 511 asserts. test_scheduling_random 1751, test_scheduling_lease 4.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -71,7 +71,7 @@
           event_add_number ("silent_ms", now_ms - action->last_heard_at_ms);
           event_end ();
         }
-      owner_remove_coordinator (site, action->host, action->last_heard_at_ms);
+      owner_remove_coordinator (site, action->host, action->alive_at_ms);
       net_reconnect (site->net, action->host);
       scheduler_host_lost (site->scheduler, action->host, action->last_heard_at_ms, now_ms,
                            site->scheduler_actions);
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -424,7 +424,8 @@
     }
   int64_t now_ms = clock_boot_ms ();
   if (strcmp (batch->coordinator, site->host) != 0)
-    executor_coordinator_heard (owned->executor, batch->coordinator, now_ms);
+    executor_coordinator_heard (owned->executor, batch->coordinator,
+                                cluster_alive_at_ms (site->cluster, batch->coordinator));
   executor_submit (owned->executor, batch, now_ms);
   owned->needs_round = true;
 }
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -40,7 +40,7 @@
   if (executor_msg_read_submit (reader, clock_boot_ms (), &submit) != 0)
     return;
   submit.batch.coordinator = host;
-  if (cluster_accepts_epoch (site->cluster, host, submit.epoch, clock_boot_ms ()))
+  if (cluster_accepts_tasks (site->cluster, host, submit.epoch, clock_boot_ms ()))
     owner_submit (site, submit.shard, &submit.batch);
   else if (event_begin (EVENT_BATCH_STALE))
     {
@@ -261,7 +261,7 @@
   int64_t now_ms = clock_boot_ms ();
   cluster_receive_heartbeat (site->cluster, &heartbeat, now_ms, site->cluster_actions);
   cluster_step (site->cluster, now_ms, clock_wall_ms (), site->cluster_actions);
-  owner_coordinator_heard (site, host, now_ms);
+  owner_coordinator_heard (site, host, cluster_alive_at_ms (site->cluster, host));
   cluster_heartbeat_clear (&heartbeat);
 }
 
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -149,9 +149,32 @@
     }
 }
 
+/* The latest time at which PEER was certainly alive by the clocks that it has returned.  0 if that
+ * is not known: a returned clock tells it only while heartbeats are frequent in both directions. */
+static int64_t
+returned_clock_ms (const cluster_t *cluster, const peer_t *peer)
+{
+  const sent_heartbeat_t *sent = g_hash_table_lookup (cluster->sent_heartbeats, peer->host);
+
+  if (cluster->retransmit_ms == 0 || peer->echo_ms == 0 || sent == NULL
+      || sent->interval_ms > HEARTBEAT_REMOTE_MS || peer->interval_ms > HEARTBEAT_REMOTE_MS)
+    return 0;
+  return MAX (peer->echo_ms, MAX (peer->frequent_since_ms, sent->frequent_since_ms));
+}
+
+static int64_t
+alive_at_ms (const cluster_t *cluster, const peer_t *peer)
+{
+  int64_t returned_ms = returned_clock_ms (cluster, peer);
+
+  return returned_ms != 0 ? MIN (returned_ms, peer->last_heard_at_ms) : peer->last_heard_at_ms;
+}
+
 static void
 mark_lost (cluster_t *cluster, peer_t *peer, const char *reason, int64_t now_ms, GArray *actions)
 {
+  int64_t alive_ms = alive_at_ms (cluster, peer);
+
   ranking_set_alive (cluster->ranking, peer->host, false, now_ms);
   peer->alive = false;
   peer->lost_at_ms = now_ms;
@@ -162,6 +185,7 @@
   cluster_action_t *action = cluster_add_action (actions, CLUSTER_HOST_LOST, reason);
   action->host = peer->host;
   action->last_heard_at_ms = peer->last_heard_at_ms;
+  action->alive_at_ms = alive_ms;
 }
 
 /* Takes in the clocks of HEARTBEAT.  A clock of this host that was sent before PEER was lost, or
@@ -256,13 +280,9 @@
 static bool
 is_outdated (const cluster_t *cluster, const peer_t *peer, int64_t now_ms)
 {
-  const sent_heartbeat_t *sent = g_hash_table_lookup (cluster->sent_heartbeats, peer->host);
+  int64_t returned_ms = returned_clock_ms (cluster, peer);
 
-  if (sent == NULL || sent->interval_ms > HEARTBEAT_REMOTE_MS)
-    return false;
-  int64_t since_ms = MAX (peer->echo_ms, MAX (peer->frequent_since_ms, sent->frequent_since_ms));
-  return cluster->retransmit_ms > 0 && peer->echo_ms != 0
-         && peer->interval_ms <= HEARTBEAT_REMOTE_MS && now_ms - since_ms > echo_limit_ms (cluster);
+  return returned_ms != 0 && now_ms - returned_ms > echo_limit_ms (cluster);
 }
 
 void
@@ -361,6 +381,14 @@
   return g_hash_table_lookup (cluster->peers, g_intern_string (host));
 }
 
+int64_t
+cluster_alive_at_ms (const cluster_t *cluster, const char *host)
+{
+  const peer_t *peer = cluster_find_peer (cluster, host);
+
+  return peer != NULL ? alive_at_ms (cluster, peer) : 0;
+}
+
 /* --- heartbeats and epochs --- */
 
 uint64_t
@@ -372,7 +400,7 @@
 }
 
 bool
-cluster_accepts_epoch (const cluster_t *cluster, const char *host, uint64_t epoch, int64_t now_ms)
+cluster_accepts_tasks (const cluster_t *cluster, const char *host, uint64_t epoch, int64_t now_ms)
 {
   const peer_t *peer = cluster_find_peer (cluster, host);
 
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -83,6 +83,7 @@
   const char *host;  /* interned */
   int64_t token;
   int64_t last_heard_at_ms; /* CLUSTER_HOST_LOST only */
+  int64_t alive_at_ms;      /* CLUSTER_HOST_LOST only: as cluster_alive_at_ms () before the loss */
   const char *reason; /* static string; CLUSTER_CLAIMED, CLUSTER_YIELDED and CLUSTER_HOST_LOST */
 } cluster_action_t;
 
@@ -181,7 +182,7 @@
  * this host expects of it, the interval that HOST has announced is short enough for an owner to
  * notice its loss before callers submit its jobs again, and HOST has recently returned a clock. */
 bool
-cluster_accepts_epoch (const cluster_t *cluster, const char *host, uint64_t epoch, int64_t now_ms);
+cluster_accepts_tasks (const cluster_t *cluster, const char *host, uint64_t epoch, int64_t now_ms);
 
 /* A host claims an unowned shard of another data centre only if it can reach the shard's
  * endpoints.  cluster_shard_reached () records that one of them has answered;
@@ -189,6 +190,11 @@
 void cluster_shard_reached (cluster_t *cluster, const char *shard, int64_t now_ms);
 bool cluster_needs_probe (const cluster_t *cluster, const char *shard);
 
+/* The latest time at which HOST was certainly alive: when this host sent the newest clock that HOST
+ * has returned, or, while heartbeats are too rare for that, when the last one arrived.  0 if HOST
+ * is unknown. */
+int64_t cluster_alive_at_ms (const cluster_t *cluster, const char *host);
+
 /* The number of hosts that are alive, this one included. */
 int32_t cluster_alive_hosts (const cluster_t *cluster);
 
--- a/lib/executor/batch.c
+++ b/lib/executor/batch.c
@@ -228,12 +228,12 @@
 executor_coordinator_heard (executor_t *executor, const char *coordinator, int64_t at_ms)
 {
   const char *id = g_intern_string (coordinator);
-  int64_t *heard_at_ms = g_hash_table_lookup (executor->heard, id);
+  int64_t *heard_at_ms = g_hash_table_lookup (executor->coordinators_heard, id);
 
   if (heard_at_ms == NULL)
     {
       heard_at_ms = g_new0 (int64_t, 1);
-      g_hash_table_insert (executor->heard, (void *) id, heard_at_ms);
+      g_hash_table_insert (executor->coordinators_heard, (void *) id, heard_at_ms);
     }
   *heard_at_ms = MAX (*heard_at_ms, at_ms);
 }
@@ -264,7 +264,7 @@
 {
   GPtrArray *batches = batches_of (executor, coordinator);
 
-  g_hash_table_remove (executor->heard, g_intern_string (coordinator));
+  g_hash_table_remove (executor->coordinators_heard, g_intern_string (coordinator));
   for (guint i = 0; i < batches->len; i++)
     {
       limit_leases (executor, batches->pdata[i], last_heard_at_ms);
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -105,7 +105,7 @@
   executor->tasks = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_task);
   executor->batches = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_batch);
   executor->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_call);
-  executor->heard = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  executor->coordinators_heard = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   executor->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_machine_kind);
   executor->estimates = estimates_new ();
   if (options->crashes == NULL)
@@ -140,7 +140,7 @@
   g_hash_table_unref (executor->tasks);
   g_hash_table_unref (executor->endpoints);
   g_hash_table_unref (executor->kinds);
-  g_hash_table_unref (executor->heard);
+  g_hash_table_unref (executor->coordinators_heard);
   estimates_free (executor->estimates);
   if (executor->own_crashes != NULL)
     crash_history_free (executor->own_crashes);
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -102,7 +102,8 @@
 {
   if (task->batch == NULL)
     return task->lease_limit_ms != 0 ? task->lease_limit_ms : INT64_MAX;
-  const int64_t *heard_at_ms = g_hash_table_lookup (executor->heard, task->batch->coordinator);
+  const int64_t *heard_at_ms =
+      g_hash_table_lookup (executor->coordinators_heard, task->batch->coordinator);
   return heard_at_ms != NULL ? lease_limit_ms (executor, *heard_at_ms) : INT64_MAX;
 }
 
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -175,12 +175,12 @@
   executor_options_t options;
   int64_t token; /* of the claim in force */
   bool drained;
-  GHashTable *endpoints; /* id -> endpoint_t */
-  GHashTable *tasks;     /* name -> task_t */
-  GHashTable *batches;   /* "coordinator/number" -> batch_t */
-  GHashTable *calls;     /* serial of a start, stop or poll order -> call_t */
-  GHashTable *heard;     /* interned id of a coordinator -> when it was last alive */
-  GHashTable *kinds;     /* kind -> machine_kind_t */
+  GHashTable *endpoints;          /* id -> endpoint_t */
+  GHashTable *tasks;              /* name -> task_t */
+  GHashTable *batches;            /* "coordinator/number" -> batch_t */
+  GHashTable *calls;              /* serial of a start, stop or poll order -> call_t */
+  GHashTable *coordinators_heard; /* interned id of a coordinator -> when it was last alive */
+  GHashTable *kinds;              /* kind -> machine_kind_t */
   estimates_t *estimates;
   crash_history_t *crashes; /* of the options, or OWN_CRASHES */
   crash_history_t *own_crashes;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -361,7 +361,7 @@
 
   set_up (&fixture);
   advance_to (&fixture, 300);
-  CU_ASSERT_FALSE (cluster_accepts_epoch (fixture.cluster, "h2", 0, fixture.now_ms));
+  CU_ASSERT_FALSE (cluster_accepts_tasks (fixture.cluster, "h2", 0, fixture.now_ms));
   receive_heartbeat (&fixture, "h2", 5);
   CU_ASSERT_EQUAL (fixture.counts[CLUSTER_EPOCH_CHANGED], 1);
   CU_ASSERT_EQUAL (cluster_send_epoch (fixture.cluster, "h2"), 5);
@@ -369,13 +369,13 @@
   cluster_make_heartbeat (fixture.cluster, "h2", fixture.now_ms, &heartbeat);
   uint64_t epoch = heartbeat.expected_epoch;
   g_array_unref (heartbeat.claims);
-  CU_ASSERT_TRUE (cluster_accepts_epoch (fixture.cluster, "h2", epoch, fixture.now_ms));
-  CU_ASSERT_FALSE (cluster_accepts_epoch (fixture.cluster, "h3", epoch, fixture.now_ms));
+  CU_ASSERT_TRUE (cluster_accepts_tasks (fixture.cluster, "h2", epoch, fixture.now_ms));
+  CU_ASSERT_FALSE (cluster_accepts_tasks (fixture.cluster, "h3", epoch, fixture.now_ms));
   advance_to (&fixture, 2000);
   CU_ASSERT_EQUAL (fixture.counts[CLUSTER_HOST_LOST], 1);
-  CU_ASSERT_FALSE (cluster_accepts_epoch (fixture.cluster, "h2", epoch, fixture.now_ms));
+  CU_ASSERT_FALSE (cluster_accepts_tasks (fixture.cluster, "h2", epoch, fixture.now_ms));
   receive_heartbeat (&fixture, "h2", 5);
-  CU_ASSERT_FALSE (cluster_accepts_epoch (fixture.cluster, "h2", epoch, fixture.now_ms));
+  CU_ASSERT_FALSE (cluster_accepts_tasks (fixture.cluster, "h2", epoch, fixture.now_ms));
   CU_ASSERT_EQUAL (fixture.counts[CLUSTER_EPOCH_CHANGED], 1);
   receive_heartbeat (&fixture, "h2", 6);
   CU_ASSERT_EQUAL (fixture.counts[CLUSTER_EPOCH_CHANGED], 2);
@@ -465,7 +465,7 @@
       cluster_make_heartbeat (fixture.cluster, "h2", fixture.now_ms, &heartbeat);
       g_array_unref (heartbeat.claims);
       CU_ASSERT_EQUAL (
-          cluster_accepts_epoch (fixture.cluster, "h2", heartbeat.expected_epoch, fixture.now_ms),
+          cluster_accepts_tasks (fixture.cluster, "h2", heartbeat.expected_epoch, fixture.now_ms),
           announced_interval_cases[i].accepted);
       advance_to (&fixture, announced_interval_cases[i].lost_before_ms + 3 * STEP_MS);
       CU_ASSERT_EQUAL (fixture.counts[CLUSTER_HOST_LOST], announced_interval_cases[i].accepted);
@@ -524,11 +524,17 @@
             }
           advance_to (&fixture, fixture.now_ms + heartbeat.interval_ms);
         }
+      int64_t arrived_ms = fixture.now_ms - heartbeat.interval_ms;
+      int64_t alive_ms = cluster_alive_at_ms (fixture.cluster, "h2");
       cluster_make_heartbeat (fixture.cluster, "h2", fixture.now_ms, &sent);
       g_array_unref (sent.claims);
       bool lost = fixture.counts[CLUSTER_HOST_LOST] > 0;
+      if (!lost)
+        CU_ASSERT_EQUAL (alive_ms, delay_cases[i].echoes && delay_cases[i].answers
+                                       ? heartbeat.echo_ms
+                                       : arrived_ms);
       bool accepted =
-          cluster_accepts_epoch (fixture.cluster, "h2", sent.expected_epoch, fixture.now_ms);
+          cluster_accepts_tasks (fixture.cluster, "h2", sent.expected_epoch, fixture.now_ms);
       if (lost != delay_cases[i].lost || accepted != delay_cases[i].accepted)
         printf ("  %s\n", delay_cases[i].name);
       CU_ASSERT_EQUAL (lost, delay_cases[i].lost);
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -309,8 +309,7 @@
           for (int k = 0; k < SIM_DATA_CENTRES; k++)
             if (host->owned_shards[k].executor != NULL)
               executor_remove_coordinator (host->owned_shards[k].executor, action.host,
-                                           action.last_heard_at_ms, sim->now_ms,
-                                           host->executor_actions);
+                                           action.alive_at_ms, sim->now_ms, host->executor_actions);
           scheduler_host_lost (host->scheduler, action.host, action.last_heard_at_ms, sim->now_ms,
                                host->scheduler_actions);
           run_scheduler_actions (host);
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -293,13 +293,14 @@
 
   message->batch.coordinator = message->from->name;
   if (message->from != host
-      && !cluster_accepts_epoch (host->cluster, message->from->name, message->epoch,
+      && !cluster_accepts_tasks (host->cluster, message->from->name, message->epoch,
                                  host->sim->now_ms))
     return;
   if (owned->executor != NULL)
     {
       if (message->from != host)
-        executor_coordinator_heard (owned->executor, message->from->name, host->sim->now_ms);
+        executor_coordinator_heard (owned->executor, message->from->name,
+                                    cluster_alive_at_ms (host->cluster, message->from->name));
       executor_submit (owned->executor, &message->batch, host->sim->now_ms);
       return;
     }
@@ -353,7 +354,8 @@
   run_all_actions (host);
   for (int i = 0; i < SIM_DATA_CENTRES; i++)
     if (host->owned_shards[i].executor != NULL)
-      executor_coordinator_heard (host->owned_shards[i].executor, coordinator, host->sim->now_ms);
+      executor_coordinator_heard (host->owned_shards[i].executor, coordinator,
+                                  cluster_alive_at_ms (host->cluster, coordinator));
 }
 
 static void message_arrives (simulation_t *sim, void *data);
