lib/executor: endpoints, leases, losses and unresolved tasks in files of their own

Now: endpoints.c (entries, instances, claims), losses.c (runs lost with their endpoints), leases.c/.h (how long runs may live), resolve.c (tasks that another owner may have started); tests/executor_scenario.c/.h with the scripted executor, and test_executor_leases, test_executor_losses, test_executor_capacity.

--- /dev/null
+++ b/lib/executor/resolve.c
@@ -0,0 +1,93 @@
+/* resolve.c -- tasks that another owner may have started
+ *
+ * Such a task waits until its run is found and adopted, its end is found, or every endpoint that
+ * may run it has been asked or the other owner's runs have certainly ended.
+ */
+#include "executor/leases.h"
+#include "executor/table.h"
+
+#include <string.h>
+
+/* Adopts the run of TASK on ENDPOINT if it is one of the foreign runs there. */
+static bool
+adopt_run (executor_t *executor,
+           endpoint_t *endpoint,
+           task_t *task,
+           int64_t now_ms,
+           GArray *actions)
+{
+  for (guint i = 0; i < endpoint->foreign_runs->len; i++)
+    {
+      const foreign_run_t *foreign = endpoint->foreign_runs->pdata[i];
+      if (strcmp (foreign->name, task->name) != 0)
+        continue;
+      g_hash_table_remove (executor->maybe_running, task->name);
+      task->state = foreign->stop_sent_at_ms != 0 ? TASK_STOPPING : TASK_RUNNING;
+      task->stop_requested_at_ms = now_ms;
+      task->attempt = foreign->attempt;
+      task->ever_started = true;
+      task->batch->ever_started = true;
+      task->start_sent_at_ms = now_ms;
+      task->start_confirmed_at_ms = now_ms;
+      task->progress_at_ms = now_ms;
+      task->expected_ms = placement_expected_ms (executor, endpoint, task->batch);
+      task->runs_alone = crash_history_counts (executor->crashes, task->name).lost > 0;
+      task_attach (task, endpoint);
+      /* The previous owner may have renewed the lease a moment ago. */
+      endpoint->lease_end_ms =
+          MAX (endpoint->lease_end_ms, now_ms + longest_lease_ms (executor->options.lease_ms));
+      g_ptr_array_remove_index_fast (endpoint->foreign_runs, i);
+      log_event (executor, actions, EXECUTOR_LOG_ADOPTED, endpoint, task, now_ms);
+      return true;
+    }
+  return false;
+}
+
+static bool
+is_done_on (const endpoint_t *endpoint, const task_t *task)
+{
+  for (guint i = 0; i < endpoint->foreign_done->len; i++)
+    if (strcmp (endpoint->foreign_done->pdata[i], task->name) == 0)
+      return true;
+  return false;
+}
+
+static void
+resolve_task (executor_t *executor, task_t *task, int64_t now_ms, GArray *actions)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+  bool all_polled = true;
+
+  g_hash_table_iter_init (&iter, executor->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      endpoint_t *endpoint = value;
+      if (adopt_run (executor, endpoint, task, now_ms, actions))
+        return;
+      if (is_done_on (endpoint, task))
+        {
+          notify_coordinator (executor, actions, EXECUTOR_DONE, task,
+                              "succeeded under another owner");
+          crash_history_forget (executor->crashes, task->name);
+          task_remove (executor, task);
+          return;
+        }
+      all_polled = all_polled && endpoint->runs_known
+                   && endpoint->last_poll_sent_at_ms >= task->maybe_running_since_ms;
+    }
+  if ((all_polled && now_ms >= executor->discovery_until_ms)
+      || now_ms >= MAX (task->batch->prior_runs_end_by_ms, executor->contested_until_ms))
+    task_requeue (executor, task, now_ms);
+}
+
+void
+resolve_maybe_running (executor_t *executor, int64_t now_ms, GArray *actions)
+{
+  if (g_hash_table_size (executor->maybe_running) == 0)
+    return;
+  GList *tasks = g_hash_table_get_values (executor->maybe_running);
+  for (GList *link = tasks; link != NULL; link = link->next)
+    resolve_task (executor, link->data, now_ms, actions);
+  g_list_free (tasks);
+}
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -4,6 +4,7 @@
  * running under another owner are resolved, then tasks start in the order of the queue.  Polls are
  * sent last, so that they cover the runs that were just started.
  */
+#include "executor/leases.h"
 #include "executor/table.h"
 
 #include <string.h>
@@ -34,8 +35,6 @@
 /* The clock of an idle endpoint is read again when a lease may have to be shorter by this
  * percentage because the clock may be slow. */
 #define CLOCK_REFRESH_DRIFT_PERCENT 25
-/* No lease is granted that would have to be shorter by more than this percentage. */
-#define LEASE_DRIFT_MAX_PERCENT 40
 /* The end of a stopped run may be listed this much later than the stop is answered. */
 #define STOP_LISTING_DELAY_MS 30
 
@@ -53,97 +52,6 @@
   return call->serial;
 }
 
-/* True if the endpoint has a foreign run, or a run whose stop is overdue.  Its lease must not be
- * renewed then. */
-static bool
-blocks_lease_renewal (const endpoint_t *endpoint, int64_t now_ms)
-{
-  if (endpoint->foreign_runs->len > 0)
-    return true;
-  for (guint i = 0; i < endpoint->runs->len; i++)
-    {
-      const task_t *task = endpoint->runs->pdata[i];
-      if (task->state == TASK_STOPPING
-          && now_ms - task->stop_requested_at_ms > EXECUTOR_UNSTOPPED_MAX_MS)
-        return true;
-    }
-  return false;
-}
-
-/* How much a slow clock of ENDPOINT may have lost since it was read. */
-static int64_t
-clock_drift_ms (const endpoint_t *endpoint, int64_t now_ms)
-{
-  int64_t age_ms = now_ms - endpoint->clock_read_at_ms;
-
-  return (age_ms * EXECUTOR_CLOCK_SLACK_PERCENT + 99) / 100;
-}
-
-/* Forgets a reading of the clock with which a lease could be too short for a run. */
-static void
-forget_old_clock (const executor_t *executor, endpoint_t *endpoint, int64_t now_ms)
-{
-  int64_t drift_max_ms = executor->options.lease_ms * LEASE_DRIFT_MAX_PERCENT / 100;
-
-  if (endpoint->clock_known && clock_drift_ms (endpoint, now_ms) > drift_max_ms)
-    endpoint->clock_known = false;
-}
-
-/* Longest time for which a lease of LEASE_MS may last on an endpoint's clock. */
-static int64_t
-longest_lease_ms (int64_t lease_ms)
-{
-  return lease_ms + lease_ms * EXECUTOR_CLOCK_SLACK_PERCENT / 100;
-}
-
-/* Latest end of a lease under which the run of TASK lives. */
-static int64_t
-lease_limit_of (const executor_t *executor, const task_t *task)
-{
-  if (task->batch == NULL)
-    return task->lease_limit_ms != 0 ? task->lease_limit_ms : INT64_MAX;
-  const int64_t *heard_at_ms =
-      g_hash_table_lookup (executor->coordinators_heard, task->batch->coordinator);
-  return heard_at_ms != NULL ? lease_limit_ms (executor, *heard_at_ms) : INT64_MAX;
-}
-
-/* Length of the next lease of ENDPOINT: all its runs end before their jobs may be submitted again
- * because their coordinators were lost.  0 if there must be no new lease. */
-static int64_t
-next_lease_ms (const executor_t *executor, const endpoint_t *endpoint, int64_t now_ms)
-{
-  int64_t until_ms = INT64_MAX;
-
-  for (guint i = 0; i < endpoint->runs->len; i++)
-    until_ms = MIN (until_ms, lease_limit_of (executor, endpoint->runs->pdata[i]));
-  if (until_ms - now_ms >= longest_lease_ms (executor->options.lease_ms))
-    return executor->options.lease_ms;
-  return MAX ((until_ms - now_ms) * 100 / (100 + EXECUTOR_CLOCK_SLACK_PERCENT), 0);
-}
-
-/* Time after which the run of TASK is not alive. */
-static int64_t
-run_end_ms (const executor_t *executor, const task_t *task)
-{
-  int64_t end_ms = task->endpoint->lease_end_ms;
-
-  return task->order_open_until_ms == 0
-             ? end_ms
-             : MAX (end_ms,
-                    task->order_open_until_ms + longest_lease_ms (executor->options.lease_ms));
-}
-
-/* Records that the next order renews the lease of ENDPOINT.  Returns the end of the lease on the
- * endpoint's clock. */
-static int64_t
-extend_lease (const executor_t *executor, endpoint_t *endpoint, int64_t now_ms)
-{
-  int64_t lease_ms = next_lease_ms (executor, endpoint, now_ms);
-
-  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, now_ms + longest_lease_ms (lease_ms));
-  return now_ms + endpoint->clock_offset_ms - clock_drift_ms (endpoint, now_ms) + lease_ms;
-}
-
 /* --- ended runs --- */
 
 /* True if ENDPOINT does not answer.  A lease also expires where the endpoint answers but the lease
@@ -258,92 +166,6 @@
     }
 }
 
-/* --- tasks that another owner may have started --- */
-
-/* Adopts the run of TASK on ENDPOINT if it is one of the foreign runs there. */
-static bool
-adopt_run (executor_t *executor,
-           endpoint_t *endpoint,
-           task_t *task,
-           int64_t now_ms,
-           GArray *actions)
-{
-  for (guint i = 0; i < endpoint->foreign_runs->len; i++)
-    {
-      const foreign_run_t *foreign = endpoint->foreign_runs->pdata[i];
-      if (strcmp (foreign->name, task->name) != 0)
-        continue;
-      g_hash_table_remove (executor->maybe_running, task->name);
-      task->state = foreign->stop_sent_at_ms != 0 ? TASK_STOPPING : TASK_RUNNING;
-      task->stop_requested_at_ms = now_ms;
-      task->attempt = foreign->attempt;
-      task->ever_started = true;
-      task->batch->ever_started = true;
-      task->start_sent_at_ms = now_ms;
-      task->start_confirmed_at_ms = now_ms;
-      task->progress_at_ms = now_ms;
-      task->expected_ms = placement_expected_ms (executor, endpoint, task->batch);
-      task->runs_alone = crash_history_counts (executor->crashes, task->name).lost > 0;
-      task_attach (task, endpoint);
-      /* The previous owner may have renewed the lease a moment ago. */
-      endpoint->lease_end_ms =
-          MAX (endpoint->lease_end_ms, now_ms + longest_lease_ms (executor->options.lease_ms));
-      g_ptr_array_remove_index_fast (endpoint->foreign_runs, i);
-      log_event (executor, actions, EXECUTOR_LOG_ADOPTED, endpoint, task, now_ms);
-      return true;
-    }
-  return false;
-}
-
-static bool
-is_done_on (const endpoint_t *endpoint, const task_t *task)
-{
-  for (guint i = 0; i < endpoint->foreign_done->len; i++)
-    if (strcmp (endpoint->foreign_done->pdata[i], task->name) == 0)
-      return true;
-  return false;
-}
-
-static void
-resolve_task (executor_t *executor, task_t *task, int64_t now_ms, GArray *actions)
-{
-  GHashTableIter iter;
-  void *value = NULL;
-  bool all_polled = true;
-
-  g_hash_table_iter_init (&iter, executor->endpoints);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      endpoint_t *endpoint = value;
-      if (adopt_run (executor, endpoint, task, now_ms, actions))
-        return;
-      if (is_done_on (endpoint, task))
-        {
-          notify_coordinator (executor, actions, EXECUTOR_DONE, task,
-                              "succeeded under another owner");
-          crash_history_forget (executor->crashes, task->name);
-          task_remove (executor, task);
-          return;
-        }
-      all_polled = all_polled && endpoint->runs_known
-                   && endpoint->last_poll_sent_at_ms >= task->maybe_running_since_ms;
-    }
-  if ((all_polled && now_ms >= executor->discovery_until_ms)
-      || now_ms >= MAX (task->batch->prior_runs_end_by_ms, executor->contested_until_ms))
-    task_requeue (executor, task, now_ms);
-}
-
-static void
-resolve_maybe_running (executor_t *executor, int64_t now_ms, GArray *actions)
-{
-  if (g_hash_table_size (executor->maybe_running) == 0)
-    return;
-  GList *tasks = g_hash_table_get_values (executor->maybe_running);
-  for (GList *link = tasks; link != NULL; link = link->next)
-    resolve_task (executor, link->data, now_ms, actions);
-  g_list_free (tasks);
-}
-
 /* --- starts --- */
 
 static void
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -4,6 +4,9 @@
 
 #include "executor/state.h"
 
+/* Frees an endpoint_t. */
+void executor_endpoint_free (void *endpoint);
+
 endpoint_t *endpoint_find (const executor_t *executor, const char *id);
 
 /* Records that ENDPOINT has a new instance: the runs of the previous instance are over and their
@@ -58,6 +61,10 @@
  */
 int64_t lease_limit_ms (const executor_t *executor, int64_t last_heard_at_ms);
 
+/* Adopts, ends or requeues the tasks that another owner may have started, as far as that is known.
+ */
+void resolve_maybe_running (executor_t *executor, int64_t now_ms, GArray *actions);
+
 executor_action_t *action_append (GArray *actions, executor_action_kind_t kind);
 
 /* Appends an action of KIND for the coordinator of TASK.  Returns it, or NULL if TASK has no
--- /dev/null
+++ b/tests/test_executor_losses.c
@@ -0,0 +1,343 @@
+/* test_executor_losses.c -- endpoints that are lost under a task
+ */
+#include "tests/executor_scenario.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <string.h>
+
+/* Endpoint NUMBER answers its last poll as the instance STARTED_AT_MS, without runs. */
+static void
+answer_as_instance (scenario_t *scenario, int number, int64_t started_at_ms)
+{
+  const poll_result_t result = { .endpoint_clock_ms = scenario->now_ms + 5,
+                                 .started_at_ms = started_at_ms };
+
+  g_array_set_size (scenario->actions, 0);
+  executor_poll_answered (scenario->executor, scenario->poll_serial[number], EXECUTOR_OK, &result,
+                          scenario->now_ms, scenario->actions);
+}
+
+/* Begins a scenario with two idle endpoints and a batch, whose first task has started on e0. */
+static void
+scenario_begin_with_run (scenario_t *scenario, const executor_batch_t *batch)
+{
+  scenario_begin (scenario);
+  add_endpoint (scenario, 0, "r1", 3000);
+  add_endpoint (scenario, 1, "r1", 4000);
+  run_round_at (scenario, 10);
+  answer_as_instance (scenario, 0, 1);
+  answer_as_instance (scenario, 1, 1);
+  executor_submit (scenario->executor, batch, 10);
+  run_round_at (scenario, 10);
+  CU_ASSERT_STRING_EQUAL (scenario->start_endpoint, "e0");
+  confirm_starts (scenario);
+}
+
+static const struct
+{
+  const char *name;
+  bool confirmed; /* the start, before the poll shows the restart */
+} unnoticed_instance_cases[] = {
+  { "the start was confirmed", true },
+  { "the start was not answered", false },
+};
+
+/* The first order to an endpoint that has restarted unnoticed starts a run on the new instance.
+ * That run goes on, and its task does not start elsewhere. */
+static void
+test_run_on_unnoticed_instance (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (unnoticed_instance_cases); i++)
+    {
+      const poll_active_t row = { "j.0.0.0", 1, 10 };
+      const poll_result_t result = {
+        .endpoint_clock_ms = 5, .started_at_ms = 900, .active = &row, .active_count = 1
+      };
+      executor_batch_t batch = batch_of ("j", 1);
+      scenario_t scenario;
+
+      scenario_begin (&scenario);
+      add_endpoint (&scenario, 0, "r1", 3000);
+      add_endpoint (&scenario, 1, "r1", 4000);
+      run_round_at (&scenario, 0);
+      answer_as_instance (&scenario, 0, 1);
+      answer_as_instance (&scenario, 1, 1);
+      executor_submit (scenario.executor, &batch, 1000);
+      run_round_at (&scenario, 1000);
+      CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e0");
+      if (unnoticed_instance_cases[i].confirmed)
+        executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_OK, 101, 1001,
+                                 scenario.actions);
+      run_round_at (&scenario, 1002);
+      executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &result,
+                              1003, scenario.actions);
+      bool stopped = false;
+      for (int64_t now_ms = 1004; now_ms < 1004 + LEASE_MS / 2; now_ms += 10)
+        {
+          run_round_at (&scenario, now_ms);
+          CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "");
+          stopped |= scenario.stop_task[0] != '\0';
+        }
+      if (stopped)
+        printf ("  %s: stopped\n", unnoticed_instance_cases[i].name);
+      CU_ASSERT_FALSE (stopped);
+      scenario_end (&scenario);
+    }
+}
+
+/* The endpoint of the last start order restarts at NOW_MS. */
+static void
+restart_endpoint_at (scenario_t *scenario, int64_t now_ms)
+{
+  int number = strcmp (scenario->start_endpoint, "e1") == 0;
+
+  executor_start_answered (scenario->executor, scenario->start_serial, EXECUTOR_OK,
+                           scenario->now_ms, scenario->now_ms, scenario->actions);
+  run_round_at (scenario, now_ms);
+  answer_as_instance (scenario, number, now_ms);
+  run_round_at (scenario, now_ms + 1);
+}
+
+/* A task that crashes the endpoints that start it would take them down one after the other. */
+static void
+test_crashing_task_given_up (void)
+{
+  executor_batch_t batch = batch_of ("j", 1);
+  scenario_t scenario;
+
+  scenario_begin_with_run (&scenario, &batch);
+  restart_endpoint_at (&scenario, 50);
+  CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e1");
+  CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_FAILED));
+  restart_endpoint_at (&scenario, 100);
+  CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "");
+  CU_ASSERT_TRUE (has_action (&scenario, EXECUTOR_FAILED));
+  scenario_end (&scenario);
+}
+
+/* Endpoints that leave and start again have not crashed under the tasks that they cut short. */
+static void
+test_leaving_endpoints_not_crashed (void)
+{
+  executor_endpoint_t leaving = { .address = "127.0.0.1:1",
+                                  .service = SERVICE,
+                                  .kind = "a",
+                                  .rack = "r1",
+                                  .started_at_ms = 1,
+                                  .free = { 3000, 1000, 0 },
+                                  .leaving = true };
+  executor_batch_t batch = batch_of ("j", 1);
+  scenario_t scenario;
+
+  scenario_begin_with_run (&scenario, &batch);
+  for (int number = 0; number < 2; number++)
+    {
+      leaving.id = endpoint_ids[number];
+      executor_set_endpoint (scenario.executor, &leaving, scenario.now_ms);
+      restart_endpoint_at (&scenario, 50 + 50 * number);
+      add_instance (&scenario, number, "r1", 3000, 50 + 50 * number);
+      run_round_at (&scenario, 60 + 50 * number);
+      answer_as_instance (&scenario, number, 50 + 50 * number);
+      run_round_at (&scenario, 61 + 50 * number);
+    }
+  CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_FAILED));
+  CU_ASSERT_EQUAL (executor_totals (scenario.executor, 120).running, 1);
+  scenario_end (&scenario);
+}
+
+/* A run on a later instance, which is alive, must not count as lost with the earlier instance. */
+static void
+test_run_on_later_instance_not_lost (void)
+{
+  const poll_active_t row = { "j.0.0.0", 1, 10 };
+  const poll_result_t result = {
+    .endpoint_clock_ms = 5, .started_at_ms = 8, .active = &row, .active_count = 1
+  };
+  executor_batch_t batch = batch_of ("j", 1);
+  scenario_t scenario;
+
+  scenario_begin_with_run (&scenario, &batch);
+  for (int64_t now_ms = 200; now_ms <= 400; now_ms += 200)
+    {
+      run_round_at (&scenario, now_ms);
+      executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_NO_ANSWER, NULL,
+                              now_ms + 100, scenario.actions);
+    }
+  run_round_at (&scenario, 600);
+  executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &result, 601,
+                          scenario.actions);
+  run_round_at (&scenario, 610);
+  answer_as_instance (&scenario, 0, 605);
+  run_round_at (&scenario, 620);
+  CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_FAILED));
+  CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e1");
+  scenario_end (&scenario);
+}
+
+static const struct
+{
+  const char *name;
+  int64_t restarted_at_ms; /* start of the instance that answers in the end; 0 if none answers */
+  bool given_up;
+} lost_cases[] = {
+  { "e0 has crashed as well", 2000, true },
+  { "e0 was only cut off", 1, false },
+  { "e0 stays silent", 0, false },
+};
+
+/* A lease that expires shows a crash only once its endpoint answers as another instance. */
+static void
+test_lost_endpoint_resolved (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (lost_cases); i++)
+    {
+      executor_batch_t batch = batch_of ("j", 1);
+      scenario_t scenario;
+      int64_t now_ms = 0;
+
+      scenario_begin_with_run (&scenario, &batch);
+      uint64_t lost_poll = scenario.poll_serial[0];
+      executor_poll_answered (scenario.executor, lost_poll, EXECUTOR_NO_ANSWER, NULL, 500,
+                              scenario.actions);
+      while (now_ms < 2 * LEASE_MS && strcmp (scenario.start_endpoint, "e1") != 0)
+        run_round_at (&scenario, now_ms += 10);
+      CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e1");
+      restart_endpoint_at (&scenario, now_ms + 10);
+      CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_FAILED));
+      if (lost_cases[i].restarted_at_ms != 0)
+        answer_as_instance (&scenario, 0, lost_cases[i].restarted_at_ms);
+      run_round_at (&scenario, now_ms + 20);
+      if (has_action (&scenario, EXECUTOR_FAILED) != lost_cases[i].given_up)
+        printf ("  %s\n", lost_cases[i].name);
+      CU_ASSERT_EQUAL (has_action (&scenario, EXECUTOR_FAILED), lost_cases[i].given_up);
+      scenario_end (&scenario);
+    }
+}
+
+/* Runs beside a task that crashes its endpoint would be lost with it. */
+static void
+test_nothing_starts_beside_suspect (void)
+{
+  static const int32_t other_indexes[] = { 0, 1, 2, 3, 4, 5, 6 };
+  executor_batch_t batch = batch_of ("j", 1);
+  executor_batch_t other = batch_of ("other", 2);
+  scenario_t scenario;
+  int starts[2] = { 0, 0 };
+
+  scenario_begin_with_run (&scenario, &batch);
+  restart_endpoint_at (&scenario, 50);
+  CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e1");
+  add_instance (&scenario, 0, "r1", 3000, 50);
+  answer_as_instance (&scenario, 0, 50);
+  other.indexes = other_indexes;
+  other.count = G_N_ELEMENTS (other_indexes);
+  executor_submit (scenario.executor, &other, 52);
+  run_round_at (&scenario, 52);
+  for (guint i = 0; i < scenario.actions->len; i++)
+    {
+      const executor_action_t *action = &g_array_index (scenario.actions, executor_action_t, i);
+      if (action->kind == EXECUTOR_START)
+        starts[strcmp (action->endpoint, "e1") == 0]++;
+    }
+  CU_ASSERT_EQUAL (starts[0], 3);
+  CU_ASSERT_EQUAL (starts[1], 0);
+  scenario_end (&scenario);
+}
+
+/* A task that is held back after crashes must not make others be refused for the time that it has
+ * waited. */
+static void
+test_held_task_refuses_no_other (void)
+{
+  const executor_options_t options = { .lease_ms = LEASE_MS, .stop_ms = STOP_TIMEOUT_MS };
+  executor_batch_t running = batch_of ("running", 1);
+  executor_batch_t held = batch_of ("held", 2);
+  executor_batch_t other = batch_of ("other", 3);
+  scenario_t scenario;
+
+  scenario_begin (&scenario);
+  executor_free (scenario.executor);
+  crash_history_t *crashes = crash_history_new ();
+  executor_options_t with_crashes = options;
+  with_crashes.crashes = crashes;
+  scenario.executor = executor_new (&with_crashes);
+  for (int i = 0; i < 2; i++)
+    {
+      crash_loss_t loss = { .task = "held.0.0.0",
+                            .attempt = i + 1,
+                            .endpoint = endpoint_ids[i],
+                            .endpoint_started_at_ms = 1,
+                            .had_started = true };
+      CU_ASSERT_TRUE (crash_history_add (crashes, &loss, 0));
+    }
+  add_endpoint (&scenario, 0, "r1", 1000);
+  run_round_at (&scenario, 0);
+  answer_poll (&scenario, 0, NULL, 0);
+  executor_submit (scenario.executor, &running, 0);
+  executor_submit (scenario.executor, &held, 0);
+  run_round_at (&scenario, 0);
+  CU_ASSERT_STRING_EQUAL (scenario.start_task, "running.0.0.0");
+  confirm_starts (&scenario);
+  other.deadline_at_ms = 560;
+  executor_submit (scenario.executor, &other, 300);
+  run_round_at (&scenario, 300);
+  CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_EXPIRED));
+  scenario_end (&scenario);
+  crash_history_free (crashes);
+}
+
+/* If several endpoints are lost, those that are left must not all be given to the tasks that were
+ * on them. */
+static void
+test_suspects_leave_endpoints (void)
+{
+  static const int32_t indexes[] = { 0, 1, 2 };
+  executor_batch_t batch = batch_of ("j", 1);
+  scenario_t scenario;
+  int starts = 0;
+
+  batch.indexes = indexes;
+  batch.count = G_N_ELEMENTS (indexes);
+  scenario_begin_with_run (&scenario, &batch);
+  run_round_at (&scenario, 49);
+  answer_as_instance (&scenario, 0, 50);
+  run_round_at (&scenario, 50);
+  answer_as_instance (&scenario, 0, 50);
+  run_round_at (&scenario, 51);
+  for (guint i = 0; i < scenario.actions->len; i++)
+    starts += g_array_index (scenario.actions, executor_action_t, i).kind == EXECUTOR_START;
+  CU_ASSERT_TRUE (starts <= 1);
+  CU_ASSERT_EQUAL (executor_totals (scenario.executor, 51).running, 1);
+  CU_ASSERT_EQUAL (executor_totals (scenario.executor, 51).waiting, 2);
+  scenario_end (&scenario);
+}
+
+static const struct
+{
+  const char *name;
+  CU_TestFunc run;
+} tests[] = {
+  { "a run on an instance that was not noticed before", test_run_on_unnoticed_instance },
+  { "a task that crashes endpoints is given up", test_crashing_task_given_up },
+  { "endpoints that leave have not crashed", test_leaving_endpoints_not_crashed },
+  { "a run on a later instance does not count as lost", test_run_on_later_instance_not_lost },
+  { "a lost endpoint answers again", test_lost_endpoint_resolved },
+  { "nothing starts beside a suspect task", test_nothing_starts_beside_suspect },
+  { "a task that is held back refuses no other", test_held_task_refuses_no_other },
+  { "suspect tasks leave endpoints to others", test_suspects_leave_endpoints },
+};
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("endpoints that are lost", NULL, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
+    CU_add_test (suite, tests[i].name, tests[i].run);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
