--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -71,7 +71,8 @@
   executor_t *executor = g_new0 (executor_t, 1);
 
   executor->options = *options;
-  executor->endpoints = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, executor_endpoint_free);
+  executor->endpoints =
+      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, executor_endpoint_free);
   executor->tasks = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_task);
   executor->batches = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_batch);
   executor->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_call);
