A start order whose task was dropped is open until it is answered or stopped

What callers may have seen: a task that ran twice at the same time.

Cause: an owner is sent a batch that a full link has held up, orders its tasks to start, and gets the release of the batch right behind it; its tasks are dropped while the orders are on their way. The batch comes back to it as maybe running. Calls on different connections overtake each other: a poll that arrives before the orders does not list the runs, every endpoint has answered, and the tasks start again on other endpoints.

Change: the record of an order whose task was dropped knows its call. A maybe running task is not requeued while such an order of it is open: an answer closes it, and an accepted start has the endpoint polled again, so that the run is adopted; where no answer comes the attempt is stopped first.

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -182,6 +182,31 @@
   capacity_record_accepted (&endpoint->capacity, &confirmed);
 }
 
+/* Only a poll from now on shows the runs on ENDPOINT. */
+static void
+poll_again (endpoint_t *endpoint)
+{
+  endpoint->runs_known = false;
+  endpoint->poll_in_flight = false;
+  endpoint->poll_serial = 0;
+  endpoint->poll_due_at_ms = 0;
+}
+
+/* The answer to a start order whose task has been dropped or moved since. */
+static void
+record_open_order_answer (const executor_t *executor, uint64_t serial, executor_answer_t answer)
+{
+  const call_t *call = g_hash_table_lookup (executor->calls, &serial);
+  endpoint_t *endpoint = call != NULL ? endpoint_find (executor, call->endpoint) : NULL;
+
+  if (endpoint == NULL)
+    return;
+  if (answer == EXECUTOR_NO_ANSWER)
+    open_orders_unanswered (endpoint->open_orders, serial);
+  else if (open_orders_answered (endpoint->open_orders, serial) && answer == EXECUTOR_OK)
+    poll_again (endpoint);
+}
+
 void
 executor_start_answered (executor_t *executor,
                          uint64_t serial,
@@ -192,6 +217,7 @@
 {
   call_context_t context;
 
+  record_open_order_answer (executor, serial, answer);
   if (!take_call_context (executor, serial, &context))
     return;
   endpoint_t *endpoint = context.endpoint;
@@ -266,11 +292,8 @@
   const call_t *call = g_hash_table_lookup (executor->calls, &serial);
   endpoint_t *endpoint = call != NULL ? endpoint_find (executor, call->endpoint) : NULL;
 
-  if (endpoint == NULL || !open_orders_stopped (endpoint->open_orders, call->task, call->attempt))
-    return;
-  endpoint->runs_known = false;
-  endpoint->poll_in_flight = false;
-  endpoint->poll_serial = 0;
+  if (endpoint != NULL && open_orders_stopped (endpoint->open_orders, call->task, call->attempt))
+    poll_again (endpoint);
 }
 
 void
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -173,8 +173,8 @@
   if (endpoint == NULL)
     return;
   if (task->order_open)
-    open_orders_add (endpoint->open_orders, task->name, task->attempt,
-                     task->start_sent_at_ms + ORDER_DELAY_MAX_MS);
+    open_orders_add (endpoint->open_orders, task->name, task->attempt, task->start_serial,
+                     task->state == TASK_STARTING, task->start_sent_at_ms + ORDER_DELAY_MAX_MS);
   task->order_open = false;
   task->order_open_until_ms = 0;
   g_ptr_array_remove_fast (endpoint->runs, task);
--- a/lib/executor/open_order.h
+++ b/lib/executor/open_order.h
@@ -21,15 +21,34 @@
 {
   char *task;
   int32_t attempt;
+  uint64_t serial;    /* of its call */
   int64_t until_ms;   /* it can't be carried out after that */
+  bool answer_due;    /* its call may still be answered */
   bool stop_required; /* the present instance has not confirmed a stop yet */
+  bool stopped;       /* the present instance has confirmed a stop */
   int64_t stop_sent_at_ms;
 } open_order_t;
 
 /* Returns an array of open_order_t, which owns them.  Freed with g_ptr_array_unref (). */
 GPtrArray *open_orders_new (void);
 
-void open_orders_add (GPtrArray *orders, const char *task, int32_t attempt, int64_t until_ms);
+void open_orders_add (GPtrArray *orders,
+                      const char *task,
+                      int32_t attempt,
+                      uint64_t serial,
+                      bool answer_due,
+                      int64_t until_ms);
+
+/* Records the answer to call SERIAL: its order is not open any more.  Returns false if it was not
+ * among ORDERS. */
+bool open_orders_answered (GPtrArray *orders, uint64_t serial);
+
+/* Records that call SERIAL will not be answered. */
+void open_orders_unanswered (GPtrArray *orders, uint64_t serial);
+
+/* True if the present instance may still start TASK by one of the orders.  Those that will not be
+ * answered are to be stopped from then on. */
+bool open_orders_may_run (GPtrArray *orders, const char *task);
 
 /* Records that the present instance has confirmed a stop of the attempt.  The order stays, for the
  * instances after it.  Returns false if no stop was required. */
--- a/lib/executor/resolve.c
+++ b/lib/executor/resolve.c
@@ -73,7 +73,8 @@
           task_remove (executor, task);
           return;
         }
-      all_polled = all_polled && endpoint->runs_known
+      all_polled = all_polled && !open_orders_may_run (endpoint->open_orders, task->name)
+                   && endpoint->runs_known
                    && endpoint->last_poll_sent_at_ms >= task->maybe_running_since_ms;
     }
   if ((all_polled && now_ms >= executor->discovery_until_ms)
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -206,7 +206,8 @@
   action->coordinator = task->batch->coordinator;
   action->batch = task->batch->number;
   action->index = task->index;
-  action->serial = register_call (executor, endpoint, task->name, task->attempt);
+  task->start_serial = register_call (executor, endpoint, task->name, task->attempt);
+  action->serial = task->start_serial;
 }
 
 static bool
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -37,6 +37,7 @@
   int64_t queued_at_ms;
   int64_t maybe_running_since_ms; /* MAYBE_RUNNING: only results of polls sent since then count */
   int64_t start_sent_at_ms;       /* when the last start order was sent */
+  uint64_t start_serial;          /* of the call of the last start order */
   bool order_open;                /* the last start order may still be carried out */
   int64_t order_open_until_ms;    /* if a later instance may carry it out: until then; else 0 */
   int64_t start_confirmed_at_ms;  /* when the start was confirmed; 0 before */
--- a/tests/test_executor_leases.c
+++ b/tests/test_executor_leases.c
@@ -327,11 +327,70 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  executor_answer_t answer; /* to the first start order, after a poll that does not list the run */
+  bool starts_again;
+} released_start_cases[] = {
+  { "the order starts the run after the poll", EXECUTOR_OK, false },
+  { "the order is not answered", EXECUTOR_NO_ANSWER, true },
+  { "the order is refused", EXECUTOR_NO_CAPACITY, true },
+};
+
+/* A batch is released while a start order is on its way, and comes back: a poll that overtakes the
+ * order does not show that the task runs nowhere. */
+static void
+test_released_while_start_on_its_way (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (released_start_cases); i++)
+    {
+      const poll_active_t row = { "j.0.0.0", 1, 10 };
+      bool runs = released_start_cases[i].answer == EXECUTOR_OK;
+      executor_batch_t batch = batch_of ("j", 1);
+      bool started = false;
+      scenario_t scenario;
+
+      scenario_begin_idle (&scenario, 1000);
+      executor_submit (scenario.executor, &batch, 10);
+      run_round_at (&scenario, 10);
+      CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e0");
+      uint64_t first_start = scenario.start_serial;
+      executor_release (scenario.executor, "h1", 1);
+      batch.batch = 2;
+      batch.attempt_base = 32;
+      batch.maybe_running = true;
+      batch.prior_runs_end_by_ms = 3000;
+      executor_submit (scenario.executor, &batch, 11);
+      run_round_at (&scenario, 11);
+      answer_poll (&scenario, 0, NULL, 0);
+      run_round_at (&scenario, 12);
+      CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "");
+      executor_start_answered (scenario.executor, first_start, released_start_cases[i].answer, 0,
+                               13, scenario.actions);
+      for (int64_t now_ms = 40; now_ms < 400; now_ms += 30)
+        {
+          run_round_at (&scenario, now_ms);
+          started |= scenario.start_endpoint[0] != '\0';
+          const executor_action_t *stop = last_action (&scenario, EXECUTOR_STOP);
+          if (stop != NULL)
+            executor_stop_answered (scenario.executor, stop->serial, EXECUTOR_OK, 0, now_ms,
+                                    scenario.actions);
+          answer_poll (&scenario, 0, &row, runs ? 1 : 0);
+        }
+      if (started != released_start_cases[i].starts_again)
+        printf ("  %s\n", released_start_cases[i].name);
+      CU_ASSERT_EQUAL (started, released_start_cases[i].starts_again);
+      scenario_end (&scenario);
+    }
+}
+
 static const struct
 {
   const char *name;
   CU_TestFunc run;
 } tests[] = {
+  { "a batch is released while a start is on its way", test_released_while_start_on_its_way },
   { "the lease of a silent coordinator", test_lease_of_silent_coordinator },
   { "a start refused for a later attempt", test_start_refused_for_later_attempt },
   { "a late order after a restart", test_late_order_after_restart },
