--- a/daemon/site.c
+++ b/daemon/site.c
@@ -433,7 +433,7 @@
   site->other_offers = g_array_new (FALSE, FALSE, sizeof (executor_offer_t));
   site->task_ends = g_array_new (FALSE, FALSE, sizeof (pending_task_end_t));
   ingress_options_t ingress_options = { settings->caller_listen, settings->ready_listen,
-                                        &site_ingress_ops, site };
+                                        &site_ingress_ops, site, settings->resubmit_after_ms };
   int result = ingress_open (site->loop, &ingress_options, &site->ingress);
   if (result == 0)
     result = peers_start (site);
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -96,6 +96,8 @@
     "deadline)" },
   { EVENT_JOB_UNREADY, EVENT_CLASS_PROBLEM, "job_unready", "job",
     "{host_id} refused the job: it had no configuration yet" },
+  { EVENT_JOB_STALE, EVENT_CLASS_PROBLEM, "job_stale", "job",
+    "{host_id} refused the job: its request may have waited while the host stood still" },
   { EVENT_JOB_UNROUTED, EVENT_CLASS_ROUTINE, "job_unrouted", "job version",
     "{host_id} found no queue for the job (configuration {version})" },
   { EVENT_JOB_CANCEL, EVENT_CLASS_ROUTINE, "job_cancel", "job here",
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -62,6 +62,7 @@
   /* Jobs, logged by their coordinator. */
   EVENT_JOB_TAKEN,
   EVENT_JOB_UNREADY,
+  EVENT_JOB_STALE,
   EVENT_JOB_UNROUTED,
   EVENT_JOB_CANCEL,
   EVENT_JOB_INVALID,
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -786,6 +786,35 @@
   rig_stop (&rig);
 }
 
+/* A request that waited in its connection while the host stood still may have been submitted again
+ * elsewhere: it must not start. */
+static void
+test_request_waited_while_suspended (void)
+{
+  rig_t rig;
+  char *body = job_body (3, 400, "");
+
+  rig_start (&rig);
+  int fd = site_connect ("127.0.0.1", caller_port (&rig, 0));
+  kill (rig.hosts[0], SIGSTOP);
+  site_send_request (fd, "POST", "/q/0000000000001f40", body, DEADLINE_MS);
+  clock_sleep_ms (1300);
+  load_t load = {
+    .rig = &rig, .first_job = 0x1f40, .job_count = 1, .host = 1, .tasks = 3, .work_ms = 400
+  };
+  GThread *thread = g_thread_new ("load", run_load, &load);
+  clock_sleep_ms (100);
+  kill (rig.hosts[0], SIGCONT);
+  site_response_t response = site_read_response (fd, clock_boot_ms () + TEST_TIMEOUT_MS);
+  CU_ASSERT_EQUAL (response.status, 503);
+  g_thread_join (thread);
+  CU_ASSERT_EQUAL (load.completed, 1);
+  CU_ASSERT_EQUAL (standin_number (&rig, "starts"), 3);
+  close (fd);
+  g_free (body);
+  rig_stop (&rig);
+}
+
 /* The entry of the endpoint that runs tasks is missing when their owner is killed.  The next owner
  * must not take them for tasks that run nowhere. */
 static void
@@ -1383,6 +1412,7 @@
   { "log down", test_log_down },
   { "request before the configuration", test_request_before_configuration },
   { "entries removed", test_entries_removed },
+  { "a request that waited while its host stood still", test_request_waited_while_suspended },
   { "an owner is killed while an entry is missing", test_owner_killed_while_entry_missing },
   { "draining endpoint", test_draining_endpoint },
   { "a task crashes endpoints", test_task_crashes_endpoints },
