executor: one piece each for what stood twice

Callers see nothing of this; behaviour is as before.

Change: - endpoint_poll_again () forgets a poll and makes the next one due. The answers to open orders, a changed start time and a reset token each had it written out.

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -182,29 +182,28 @@
   capacity_record_accepted (&endpoint->capacity, &confirmed);
 }
 
-/* Only a poll from now on shows the runs on ENDPOINT. */
-static void
-poll_again (endpoint_t *endpoint)
+/* Returns the call with its endpoint in *ENDPOINT, without taking it; NULL if either is unknown. */
+static const call_t *
+find_call (const executor_t *executor, uint64_t serial, endpoint_t **endpoint)
 {
-  endpoint->runs_known = false;
-  endpoint->poll_in_flight = false;
-  endpoint->poll_serial = 0;
-  endpoint->poll_due_at_ms = 0;
+  const call_t *call = g_hash_table_lookup (executor->calls, &serial);
+
+  *endpoint = call != NULL ? endpoint_find (executor, call->endpoint) : NULL;
+  return *endpoint != NULL ? call : NULL;
 }
 
 /* The answer to a start order whose task has been dropped or moved since. */
 static void
 record_open_order_answer (const executor_t *executor, uint64_t serial, executor_answer_t answer)
 {
-  const call_t *call = g_hash_table_lookup (executor->calls, &serial);
-  endpoint_t *endpoint = call != NULL ? endpoint_find (executor, call->endpoint) : NULL;
+  endpoint_t *endpoint = NULL;
 
-  if (endpoint == NULL)
+  if (find_call (executor, serial, &endpoint) == NULL)
     return;
   if (answer == EXECUTOR_NO_ANSWER)
     open_orders_unanswered (endpoint->open_orders, serial);
   else if (open_orders_answered (endpoint->open_orders, serial) && answer == EXECUTOR_OK)
-    poll_again (endpoint);
+    endpoint_poll_again (endpoint);
 }
 
 void
@@ -289,11 +288,11 @@
 static void
 record_open_order_stopped (const executor_t *executor, uint64_t serial)
 {
-  const call_t *call = g_hash_table_lookup (executor->calls, &serial);
-  endpoint_t *endpoint = call != NULL ? endpoint_find (executor, call->endpoint) : NULL;
+  endpoint_t *endpoint = NULL;
+  const call_t *call = find_call (executor, serial, &endpoint);
 
-  if (endpoint != NULL && open_orders_stopped (endpoint->open_orders, call->task, call->attempt))
-    poll_again (endpoint);
+  if (call != NULL && open_orders_stopped (endpoint->open_orders, call->task, call->attempt))
+    endpoint_poll_again (endpoint);
 }
 
 void
--- a/lib/executor/crashes.c
+++ b/lib/executor/crashes.c
@@ -211,6 +211,19 @@
                          .revision = loss->revision };
 }
 
+static void
+resolve_loss (loss_t *loss,
+              const char *task,
+              crash_state_t state,
+              crash_loss_func_t changed,
+              void *user)
+{
+  loss->state = state;
+  loss->revision++;
+  crash_loss_t info = loss_info (task, loss);
+  changed (&info, user);
+}
+
 /* Applies an answer of ENDPOINT to the losses of TASK there. */
 static void
 resolve_losses (crash_history_t *history,
@@ -229,10 +242,7 @@
       if (loss->state != CRASH_SUSPECTED || strcmp (loss->endpoint, endpoint) != 0
           || (restarted && !loss->had_started))
         continue;
-      loss->state = restarted ? CRASH_CONFIRMED : CRASH_WITHDRAWN;
-      loss->revision++;
-      crash_loss_t info = loss_info (task, loss);
-      changed (&info, user);
+      resolve_loss (loss, task, restarted ? CRASH_CONFIRMED : CRASH_WITHDRAWN, changed, user);
     }
 }
 
@@ -261,12 +271,8 @@
   const task_entry_t *entry = g_hash_table_lookup (history->tasks, run->task);
   loss_t *loss = entry != NULL ? find_loss (entry, run) : NULL;
 
-  if (loss == NULL || loss->state != CRASH_SUSPECTED)
-    return;
-  loss->state = CRASH_WITHDRAWN;
-  loss->revision++;
-  crash_loss_t info = loss_info (run->task, loss);
-  changed (&info, user);
+  if (loss != NULL && loss->state == CRASH_SUSPECTED)
+    resolve_loss (loss, run->task, CRASH_WITHDRAWN, changed, user);
 }
 
 void
--- a/lib/executor/endpoints.c
+++ b/lib/executor/endpoints.c
@@ -42,6 +42,15 @@
   return g_hash_table_lookup (executor->endpoints, id);
 }
 
+void
+endpoint_poll_again (endpoint_t *endpoint)
+{
+  endpoint->runs_known = false;
+  endpoint->poll_in_flight = false;
+  endpoint->poll_serial = 0;
+  endpoint->poll_due_at_ms = 0;
+}
+
 static void
 set_string (char **text, const char *value)
 {
@@ -105,10 +114,7 @@
     return;
   if (endpoint->reports_start_time)
     {
-      endpoint->runs_known = false;
-      endpoint->poll_in_flight = false;
-      endpoint->poll_serial = 0;
-      endpoint->poll_due_at_ms = now_ms;
+      endpoint_poll_again (endpoint);
       return;
     }
   if (endpoint->started_at_ms != 0)
@@ -218,14 +224,11 @@
 static void
 endpoint_reset_token (endpoint_t *endpoint)
 {
-  endpoint->runs_known = false;
   endpoint->fenced = false;
   endpoint->token_generation++;
   /* A poll under the previous token does not show runs that another owner may start before the new
    * token has arrived. */
-  endpoint->poll_in_flight = false;
-  endpoint->poll_serial = 0;
-  endpoint->poll_due_at_ms = 0;
+  endpoint_poll_again (endpoint);
 }
 
 void
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -9,6 +9,9 @@
 
 endpoint_t *endpoint_find (const executor_t *executor, const char *id);
 
+/* Records that only a poll from now on shows the runs on ENDPOINT. */
+void endpoint_poll_again (endpoint_t *endpoint);
+
 /* Records that ENDPOINT has a new instance: the runs of the previous instance are over and their
  * tasks are requeued.  A task whose start order may still be carried out stays until the new
  * instance has confirmed a stop. */
