Logs say what showed the restart of an endpoint, and what becomes of each run

Cause of this change: the logs could not tell the hypotheses apart. endpoint_reborn named neither by what the restart was noticed nor what became of each run, and said "runs were lost" of runs that go on.

Change: endpoint_reborn has the field why (a poll, or the entry that named the instance before); new event run_at_restart, a line for each run that was on the endpoint. The handling of a later instance moves to lib/executor/instance; no decision changes.

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -44,6 +44,7 @@
   [EXECUTOR_LOG_UNRESPONSIVE] = { EVENT_ENDPOINT_SILENT, false, false, false, false },
   [EXECUTOR_LOG_RESPONSIVE] = { EVENT_ENDPOINT_HEARD, false, false, false, false },
   [EXECUTOR_LOG_RESTARTED] = { EVENT_ENDPOINT_REBORN, false, false, false, false },
+  [EXECUTOR_LOG_RUN_AT_RESTART] = { EVENT_RUN_AT_RESTART, true, true, false, false },
   [EXECUTOR_LOG_EJECTED] = { EVENT_ENDPOINT_EJECTED, false, false, false, false },
   [EXECUTOR_LOG_READMITTED] = { EVENT_ENDPOINT_READMITTED, false, false, false, false },
   [EXECUTOR_LOG_CRASHED] = { EVENT_TASK_CRASH_GIVEN_UP, false, false, false, false },
@@ -88,7 +89,7 @@
     event_add_number ("runs", action->count);
   if (event == EVENT_ENDPOINT_HEARD)
     event_add_number ("silent_ms", action->elapsed_ms);
-  if (event == EVENT_ORDER_REFUSED)
+  if (action->reason != NULL)
     event_add_text ("why", action->reason);
   event_end ();
 }
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -82,8 +82,8 @@
     "endpoint {endpoint} stopped answering with {runs} runs in progress" },
   { EVENT_ENDPOINT_HEARD, EVENT_CLASS_PROBLEM, "endpoint_heard", "endpoint silent_ms",
     "endpoint {endpoint} answers again after {silent_ms} ms" },
-  { EVENT_ENDPOINT_REBORN, EVENT_CLASS_STATE, "endpoint_reborn", "endpoint runs",
-    "endpoint {endpoint} restarted; {runs} runs were lost" },
+  { EVENT_ENDPOINT_REBORN, EVENT_CLASS_STATE, "endpoint_reborn", "endpoint runs why",
+    "endpoint {endpoint} restarted with {runs} runs in progress, as {why} shows" },
   { EVENT_ENDPOINT_EJECTED, EVENT_CLASS_STATE, "endpoint_ejected", "endpoint",
     "endpoint {endpoint} fails too often and is not used for now" },
   { EVENT_ENDPOINT_READMITTED, EVENT_CLASS_STATE, "endpoint_readmitted", "endpoint",
@@ -182,6 +182,11 @@
     "{host_id} stops attempt {attempt} of task {task} on {endpoint}, which it has not started and "
     "no "
     "coordinator has claimed within {elapsed_ms} ms" },
+  { EVENT_RUN_AT_RESTART, EVENT_CLASS_PROBLEM, "run_at_restart",
+    "task attempt endpoint elapsed_ms why",
+    "{endpoint} restarted {elapsed_ms} ms after attempt {attempt} of task {task} was ordered "
+    "there; "
+    "the run was {why}" },
   { EVENT_ORDER_REFUSED, EVENT_CLASS_PROBLEM, "order_refused", "task attempt endpoint why",
     "{endpoint} refused to start task {task}: {why}" },
   { EVENT_ORDER_UNANSWERED, EVENT_CLASS_PROBLEM, "order_unanswered", "task attempt endpoint",
--- a/lib/executor/endpoints.c
+++ b/lib/executor/endpoints.c
@@ -2,6 +2,7 @@
  *
  * An endpoint is known from its first entry until its entry is gone and no run can be alive there.
  */
+#include "executor/instance.h"
 #include "executor/table.h"
 
 #include <string.h>
@@ -60,41 +61,6 @@
   *text = g_strdup (value);
 }
 
-/* The start order of TASK may be carried out by the instance that has just been seen. */
-static void
-stop_on_later_instance (task_t *task, int64_t now_ms)
-{
-  task->state = TASK_STOPPING;
-  task->stop_requested_at_ms = now_ms;
-  task->stop_sent_at_ms = 0;
-  task->stop_confirmed = false;
-  task->order_open_until_ms = task->start_sent_at_ms + ORDER_DELAY_MAX_MS;
-}
-
-void
-endpoint_restarted (executor_t *executor, endpoint_t *endpoint, int64_t now_ms)
-{
-  open_orders_require_stops (endpoint->open_orders);
-  for (guint i = endpoint->runs->len; i-- > 0;)
-    {
-      task_t *task = endpoint->runs->pdata[i];
-      record_loss (executor, task, true, now_ms);
-      if (task->order_open)
-        stop_on_later_instance (task, now_ms);
-      else
-        task_requeue (executor, task, now_ms);
-    }
-  g_ptr_array_set_size (endpoint->foreign_runs, 0);
-  g_ptr_array_set_size (endpoint->foreign_done, 0);
-  endpoint->ack_number = 0;
-  endpoint->ack_number_sent = 0;
-  endpoint->runs_known = false;
-  endpoint->clock_known = false;
-  endpoint->lease_end_ms = 0;
-  endpoint->instance_leaving = false;
-  endpoint->capacity = (capacity_t){ 0 };
-}
-
 /* Start times only tell instances apart: they come from a clock that may jump, so that they do not
  * show which instance is newer.  The entry may be older than the last poll result.  Where poll
  * results contain the start time too, a new entry therefore ends no runs; it invalidates polls
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -125,9 +125,10 @@
                              started it, no coordinator has claimed it, and it is being stopped */
   EXECUTOR_LOG_REFUSED,   /* reason */
   EXECUTOR_LOG_UNANSWERED,
-  EXECUTOR_LOG_UNRESPONSIVE, /* count: runs on the endpoint */
-  EXECUTOR_LOG_RESPONSIVE,   /* elapsed_ms: time since the first unanswered call */
-  EXECUTOR_LOG_RESTARTED,    /* count: runs on the endpoint */
+  EXECUTOR_LOG_UNRESPONSIVE,   /* count: runs on the endpoint */
+  EXECUTOR_LOG_RESPONSIVE,     /* elapsed_ms: time since the first unanswered call */
+  EXECUTOR_LOG_RESTARTED,      /* count: runs on the endpoint; reason: what showed it */
+  EXECUTOR_LOG_RUN_AT_RESTART, /* elapsed_ms; reason: what becomes of the run */
   EXECUTOR_LOG_EJECTED,
   EXECUTOR_LOG_READMITTED,
   EXECUTOR_LOG_CRASHED /* crashes; no endpoint: the task is given up */
--- /dev/null
+++ b/lib/executor/instance.c
@@ -0,0 +1,124 @@
+/* instance.c -- endpoints that start again under their ids */
+#include "executor/instance.h"
+
+#include "executor/table.h"
+
+#include <string.h>
+
+/* The start order of TASK may be carried out by the instance that has just been seen. */
+static void
+stop_on_later_instance (task_t *task, int64_t now_ms)
+{
+  task->state = TASK_STOPPING;
+  task->stop_requested_at_ms = now_ms;
+  task->stop_sent_at_ms = 0;
+  task->stop_confirmed = false;
+  task->order_open_until_ms = task->start_sent_at_ms + ORDER_DELAY_MAX_MS;
+}
+
+void
+endpoint_restarted (executor_t *executor, endpoint_t *endpoint, int64_t now_ms)
+{
+  open_orders_require_stops (endpoint->open_orders);
+  for (guint i = endpoint->runs->len; i-- > 0;)
+    {
+      task_t *task = endpoint->runs->pdata[i];
+      record_loss (executor, task, true, now_ms);
+      if (task->order_open)
+        stop_on_later_instance (task, now_ms);
+      else
+        task_requeue (executor, task, now_ms);
+    }
+  g_ptr_array_set_size (endpoint->foreign_runs, 0);
+  g_ptr_array_set_size (endpoint->foreign_done, 0);
+  endpoint->ack_number = 0;
+  endpoint->ack_number_sent = 0;
+  endpoint->runs_known = false;
+  endpoint->clock_known = false;
+  endpoint->lease_end_ms = 0;
+  endpoint->instance_leaving = false;
+  endpoint->capacity = (capacity_t){ 0 };
+}
+
+bool
+is_listed_active (const poll_result_t *result, const task_t *task)
+{
+  for (size_t i = 0; i < result->active_count; i++)
+    if (result->active[i].attempt == task->attempt
+        && strcmp (result->active[i].task, task->name) == 0)
+      return true;
+  return false;
+}
+
+/* What has become of a run whose endpoint has started again. */
+typedef enum
+{
+  RUN_WITH_EARLIER,  /* it was lost with the earlier instance */
+  RUN_UNCONFIRMED,   /* its start order was not answered and may still be carried out */
+  RUN_ACTIVE,        /* the later instance lists it as alive */
+  RUN_LATE_CONFIRMED /* its start was confirmed after the poll had been sent */
+} run_fate_t;
+
+static const char *const fate_reasons[] = {
+  [RUN_WITH_EARLIER] = "lost with the earlier instance",
+  [RUN_UNCONFIRMED] = "stopped, as its start was not confirmed",
+  [RUN_ACTIVE] = "listed as alive",
+  [RUN_LATE_CONFIRMED] = "kept, as its start was confirmed after the poll was sent",
+};
+
+static run_fate_t
+fate_of_run (const task_t *task, const poll_result_t *result, int64_t sent_at_ms)
+{
+  if (is_listed_active (result, task))
+    return RUN_ACTIVE;
+  if (task->state == TASK_RUNNING && task->start_confirmed_at_ms > sent_at_ms)
+    return RUN_LATE_CONFIRMED;
+  return task->order_open ? RUN_UNCONFIRMED : RUN_WITH_EARLIER;
+}
+
+static void
+log_restart (executor_t *executor,
+             const endpoint_t *endpoint,
+             const poll_result_t *result,
+             int64_t now_ms,
+             GArray *actions)
+{
+  bool entry_first = result->started_at_ms == endpoint->entry_started_at_ms;
+  executor_action_t *action =
+      log_event (executor, actions, EXECUTOR_LOG_RESTARTED, endpoint, NULL, now_ms);
+
+  action->reason = entry_first ? "its entry" : "a poll";
+}
+
+void
+handle_later_instance (executor_t *executor,
+                       endpoint_t *endpoint,
+                       const poll_result_t *result,
+                       int64_t sent_at_ms,
+                       int64_t now_ms,
+                       GArray *actions)
+{
+  GPtrArray *kept = g_ptr_array_new ();
+  int64_t lease_end_ms = endpoint->lease_end_ms;
+
+  log_restart (executor, endpoint, result, now_ms, actions);
+  for (guint i = endpoint->runs->len; i-- > 0;)
+    {
+      task_t *task = endpoint->runs->pdata[i];
+      run_fate_t fate = fate_of_run (task, result, sent_at_ms);
+      log_event (executor, actions, EXECUTOR_LOG_RUN_AT_RESTART, endpoint, task, now_ms)->reason =
+          fate_reasons[fate];
+      if (fate == RUN_WITH_EARLIER || fate == RUN_UNCONFIRMED)
+        continue;
+      task->order_open = false;
+      withdraw_loss (executor, task);
+      task_detach (task);
+      g_ptr_array_add (kept, task);
+    }
+  endpoint_restarted (executor, endpoint, now_ms);
+  for (guint i = 0; i < kept->len; i++)
+    task_attach (kept->pdata[i], endpoint);
+  if (kept->len > 0)
+    endpoint->lease_end_ms = lease_end_ms;
+  g_ptr_array_unref (kept);
+}
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -3,6 +3,7 @@
  * Ends of runs are taken from poll results only, in the order of their numbers.
  */
 #include "executor/answer.h"
+#include "executor/instance.h"
 #include "executor/progress.h"
 #include "executor/table.h"
 
@@ -134,16 +135,6 @@
     }
 }
 
-static bool
-is_listed_active (const poll_result_t *result, const task_t *task)
-{
-  for (size_t i = 0; i < result->active_count; i++)
-    if (result->active[i].attempt == task->attempt
-        && strcmp (result->active[i].task, task->name) == 0)
-      return true;
-  return false;
-}
-
 /* True if the run of TASK, if it is alive, must be listed in the result of a poll sent at
  * SENT_AT_MS. */
 static bool
@@ -225,45 +216,6 @@
     }
 }
 
-/* True if the run of TASK may be alive on the instance that has answered a poll sent at SENT_AT_MS:
- * it is listed, or its start was confirmed too late to be listed. */
-static bool
-may_run_there (const task_t *task, const poll_result_t *result, int64_t sent_at_ms)
-{
-  return is_listed_active (result, task)
-         || (task->state == TASK_RUNNING && task->start_confirmed_at_ms > sent_at_ms);
-}
-
-/* ENDPOINT has answered as a later instance.  Orders do not name the instance, so that this one may
- * have started runs before its owner knew of it: these go on. */
-static void
-handle_later_instance (executor_t *executor,
-                       endpoint_t *endpoint,
-                       const poll_result_t *result,
-                       int64_t sent_at_ms,
-                       int64_t now_ms)
-{
-  GPtrArray *kept = g_ptr_array_new ();
-  int64_t lease_end_ms = endpoint->lease_end_ms;
-
-  for (guint i = endpoint->runs->len; i-- > 0;)
-    {
-      task_t *task = endpoint->runs->pdata[i];
-      if (!may_run_there (task, result, sent_at_ms))
-        continue;
-      task->order_open = false;
-      withdraw_loss (executor, task);
-      task_detach (task);
-      g_ptr_array_add (kept, task);
-    }
-  endpoint_restarted (executor, endpoint, now_ms);
-  for (guint i = 0; i < kept->len; i++)
-    task_attach (kept->pdata[i], endpoint);
-  if (kept->len > 0)
-    endpoint->lease_end_ms = lease_end_ms;
-  g_ptr_array_unref (kept);
-}
-
 void
 executor_poll_answered (executor_t *executor,
                         uint64_t serial,
@@ -294,8 +246,7 @@
     {
       if (endpoint->started_at_ms != 0 && result->started_at_ms != endpoint->started_at_ms)
         {
-          log_event (executor, actions, EXECUTOR_LOG_RESTARTED, endpoint, NULL, now_ms);
-          handle_later_instance (executor, endpoint, result, sent_at_ms, now_ms);
+          handle_later_instance (executor, endpoint, result, sent_at_ms, now_ms, actions);
           if (result->started_at_ms == endpoint->entry_started_at_ms)
             capacity_report (&endpoint->capacity, &endpoint->entry_capacity);
         }
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -12,11 +12,6 @@
 /* Records that only a poll from now on shows the runs on ENDPOINT. */
 void endpoint_poll_again (endpoint_t *endpoint);
 
-/* Records that ENDPOINT has a new instance: the runs of the previous instance are over and their
- * tasks are requeued.  A task whose start order may still be carried out stays until the new
- * instance has confirmed a stop. */
-void endpoint_restarted (executor_t *executor, endpoint_t *endpoint, int64_t now_ms);
-
 /* Records that the endpoint of TASK was lost while it may have run there.  RESTARTED says that the
  * endpoint was found restarted.  An endpoint that has said that it would leave has not crashed. */
 void record_loss (executor_t *executor, const task_t *task, bool restarted, int64_t now_ms);
