A run that has ended on an unnoticed instance does not start again

This is a fault of the same class in the present code, found by reading; whether it is the users' cannot be told from their record.

Cause: when a poll showed a later instance, a run whose start had been confirmed before the poll was sent was kept only if that instance listed it as active. One that it listed as ended counted as lost with the earlier instance: its task was queued again and started a second time although it was done. "Not listed as active" was taken for "has not run".

Evidence: test_executor_restarts, "confirmed, done": 2 of 18 asserts fail before (not told as done, started again), 18 of 18 pass after; the other five ways in which such a run can be listed pass before and after.

Change: a run that the later instance lists as ended is kept until its end has been read from the same poll result.

--- a/lib/executor/instance.c
+++ b/lib/executor/instance.c
@@ -50,12 +50,23 @@
   return false;
 }
 
+static bool
+is_listed_ended (const poll_result_t *result, const task_t *task)
+{
+  for (size_t i = 0; i < result->ended_count; i++)
+    if (result->ended[i].attempt == task->attempt
+        && strcmp (result->ended[i].task, task->name) == 0)
+      return true;
+  return false;
+}
+
 /* What has become of a run whose endpoint has started again. */
 typedef enum
 {
   RUN_WITH_EARLIER,  /* it was lost with the earlier instance */
   RUN_UNCONFIRMED,   /* its start order was not answered and may still be carried out */
   RUN_ACTIVE,        /* the later instance lists it as alive */
+  RUN_ENDED,         /* the later instance lists its end */
   RUN_LATE_CONFIRMED /* its start was confirmed after the poll had been sent */
 } run_fate_t;
 
@@ -63,6 +74,7 @@
   [RUN_WITH_EARLIER] = "lost with the earlier instance",
   [RUN_UNCONFIRMED] = "stopped, as its start was not confirmed",
   [RUN_ACTIVE] = "listed as alive",
+  [RUN_ENDED] = "listed as ended",
   [RUN_LATE_CONFIRMED] = "kept, as its start was confirmed after the poll was sent",
 };
 
@@ -71,6 +83,8 @@
 {
   if (is_listed_active (result, task))
     return RUN_ACTIVE;
+  if (is_listed_ended (result, task))
+    return RUN_ENDED;
   if (task->state == TASK_RUNNING && task->start_confirmed_at_ms > sent_at_ms)
     return RUN_LATE_CONFIRMED;
   return task->order_open ? RUN_UNCONFIRMED : RUN_WITH_EARLIER;
