A stop that an earlier instance has confirmed does not hold on a later one

Cause: a start order is not answered, the run is stopped, and the instance confirms the stop. Then the endpoint starts again under its id, and the later instance, which knows no stop, carries the order out. A poll lists the run, which is kept, but it still counted as stopped: 80 ms later its task started elsewhere while it ran. The same if the confirmation arrives after the restart was noticed, since answers to orders do not name their instance.

Change: lib/executor/instance tells by the clock in an answer which instance it comes from: that clock begins with the instance and never goes back. So - a stop that the earlier instance has confirmed is sent again to the later one, and a confirmation that arrives late does not count; - an order that a later instance confirms shows the restart at once: the endpoint is polled anew, gets no start before the answer, and the run is one of the later instance, whatever the poll lists; - a list of runs without a start time shows a restart by its clock. endpoint_reborn says so in its field why.

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -1,6 +1,7 @@
 /* answer.c -- handling of endpoints' answers to start and stop orders */
 #include "executor/answer.h"
 
+#include "executor/instance.h"
 #include "executor/table.h"
 
 #include <string.h>
@@ -11,23 +12,13 @@
 #define UNHEALTHY_BACKOFF_MS 300
 
 void
-record_answer (executor_t *executor,
-               endpoint_t *endpoint,
-               int64_t endpoint_clock_ms,
-               int64_t now_ms,
-               GArray *actions)
+record_answer (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
 {
   if (endpoint->unanswered_calls >= UNRESPONSIVE_CALLS)
     log_event (executor, actions, EXECUTOR_LOG_RESPONSIVE, endpoint, NULL, now_ms)->elapsed_ms =
         now_ms - endpoint->unanswered_since_ms;
   endpoint->unanswered_since_ms = 0;
   endpoint->unanswered_calls = 0;
-  if (endpoint_clock_ms == 0)
-    return;
-  /* The answer took some time to arrive, so the true offset is higher. */
-  endpoint->clock_offset_ms = endpoint_clock_ms - now_ms;
-  endpoint->clock_read_at_ms = now_ms;
-  endpoint->clock_known = true;
 }
 
 void
@@ -94,8 +85,9 @@
   action_strings_clear (executor);
   if (call == NULL)
     return false;
-  *context = (call_context_t){ endpoint_find (executor, call->endpoint),
-                               task_of_call (executor, call), call->token_generation };
+  *context =
+      (call_context_t){ endpoint_find (executor, call->endpoint), task_of_call (executor, call),
+                        call->token_generation, call->sent_at_ms };
   free_call (call);
   return context->endpoint != NULL;
 }
@@ -182,6 +174,7 @@
                          GArray *actions)
 {
   call_context_t context;
+  instance_order_t instance = INSTANCE_KNOWN;
 
   record_open_order_answer (executor, serial, answer);
   if (!take_call_context (executor, serial, &context))
@@ -189,13 +182,17 @@
   endpoint_t *endpoint = context.endpoint;
   task_t *task = context.task;
   if (answer != EXECUTOR_NO_ANSWER && answer != EXECUTOR_INSTANCE_GONE)
-    record_answer (executor, endpoint, endpoint_clock_ms, now_ms, actions);
+    {
+      record_answer (executor, endpoint, now_ms, actions);
+      instance = note_order_clock (endpoint, endpoint_clock_ms, context.sent_at_ms, now_ms);
+    }
   if (task == NULL)
     return;
   task->order_open = task->order_open && answer == EXECUTOR_NO_ANSWER;
   switch (answer)
     {
     case EXECUTOR_OK:
+      task->confirmed_by_later = endpoint->later_clock_seen && instance != INSTANCE_EARLIER;
       if (task->state == TASK_STARTING || task->state == TASK_START_UNCONFIRMED)
         task->state = TASK_RUNNING;
       if (task->start_confirmed_at_ms == 0)
@@ -250,16 +247,26 @@
   task_requeue (executor, task, now_ms);
 }
 
-/* The present instance will not start the attempt that the call has stopped.  If it has started it
- * before, only a poll from now on shows when that run is over. */
-static void
-record_open_order_stopped (const executor_t *executor, uint64_t serial)
+/* The instance that has answered will not start the attempt that the call has stopped.  If it has
+ * started it before, only a poll from now on shows when that run is over.  Returns false if an
+ * earlier instance than the present one has answered, of which that says nothing. */
+static bool
+record_open_order_stopped (const executor_t *executor,
+                           uint64_t serial,
+                           int64_t endpoint_clock_ms,
+                           int64_t now_ms)
 {
   endpoint_t *endpoint = NULL;
   const call_t *call = find_call (executor, serial, &endpoint);
 
-  if (call != NULL && open_orders_stopped (endpoint->open_orders, call->task, call->attempt))
+  if (call == NULL)
+    return true;
+  if (instance_of_answer (endpoint, endpoint_clock_ms, call->sent_at_ms, now_ms)
+      == INSTANCE_EARLIER)
+    return false;
+  if (open_orders_stopped (endpoint->open_orders, call->task, call->attempt))
     endpoint_poll_again (endpoint);
+  return true;
 }
 
 void
@@ -271,9 +278,9 @@
                         GArray *actions)
 {
   call_context_t context;
+  bool stopped = answer == EXECUTOR_OK
+                 && record_open_order_stopped (executor, serial, endpoint_clock_ms, now_ms);
 
-  if (answer == EXECUTOR_OK)
-    record_open_order_stopped (executor, serial);
   if (!take_call_context (executor, serial, &context))
     return;
   endpoint_t *endpoint = context.endpoint;
@@ -283,10 +290,11 @@
       record_no_answer (executor, endpoint, now_ms, now_ms, actions);
       return;
     }
-  record_answer (executor, endpoint, endpoint_clock_ms, now_ms, actions);
+  record_answer (executor, endpoint, now_ms, actions);
+  note_order_clock (endpoint, endpoint_clock_ms, context.sent_at_ms, now_ms);
   if (answer == EXECUTOR_STALE_TOKEN)
     mark_fenced (endpoint, context.token_generation, actions);
-  if (answer == EXECUTOR_OK && task != NULL && task->state == TASK_STOPPING)
+  if (stopped && task != NULL && task->state == TASK_STOPPING)
     {
       task->stop_confirmed = true;
       task->stop_sent_at_ms = now_ms;
--- a/lib/executor/answer.h
+++ b/lib/executor/answer.h
@@ -16,19 +16,15 @@
   endpoint_t *endpoint;
   task_t *task;              /* NULL if the run has ended or changed */
   uint32_t token_generation; /* of the endpoint when the call was made */
+  int64_t sent_at_ms;
 } call_context_t;
 
 /* Removes call SERIAL from the calls that wait for an answer and describes it in *CONTEXT.  Returns
  * false if the call or its endpoint is no longer known. */
 bool take_call_context (executor_t *executor, uint64_t serial, call_context_t *context);
 
-/* Records that ENDPOINT has answered a call.  ENDPOINT_CLOCK_MS is 0 if the answer does not contain
- * its clock. */
-void record_answer (executor_t *executor,
-                    endpoint_t *endpoint,
-                    int64_t endpoint_clock_ms,
-                    int64_t now_ms,
-                    GArray *actions);
+/* Records that ENDPOINT has answered a call. */
+void record_answer (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions);
 
 /* Records that ENDPOINT has not answered a call that was sent at SENT_AT_MS. */
 void record_no_answer (executor_t *executor,
--- a/lib/executor/instance.c
+++ b/lib/executor/instance.c
@@ -1,10 +1,14 @@
 /* instance.c -- endpoints that start again under their ids */
 #include "executor/instance.h"
 
+#include "executor/leases.h"
 #include "executor/table.h"
 
 #include <string.h>
 
+/* Clocks are read in whole milliseconds, and no endpoint starts again within this time. */
+#define CLOCK_TOLERANCE_MS 10
+
 /* The start order of TASK may be carried out by the instance that has just been seen. */
 static void
 stop_on_later_instance (task_t *task, int64_t now_ms)
@@ -35,11 +39,79 @@
   endpoint->ack_number_sent = 0;
   endpoint->runs_known = false;
   endpoint->clock_known = false;
+  endpoint->clock_was_read = false;
+  endpoint->later_clock_seen = false;
   endpoint->lease_end_ms = 0;
   endpoint->instance_leaving = false;
   endpoint->capacity = (capacity_t){ 0 };
 }
 
+void
+endpoint_read_clock (endpoint_t *endpoint,
+                     int64_t endpoint_clock_ms,
+                     int64_t sent_at_ms,
+                     int64_t now_ms)
+{
+  if (endpoint_clock_ms == 0)
+    return;
+  /* The clock was read after the call was sent and before its answer arrived. */
+  endpoint->clock_offset_ms = endpoint_clock_ms - now_ms;
+  endpoint->clock_offset_max_ms = endpoint_clock_ms - sent_at_ms;
+  endpoint->clock_read_at_ms = now_ms;
+  endpoint->clock_known = true;
+  endpoint->clock_was_read = true;
+}
+
+instance_order_t
+instance_of_answer (const endpoint_t *endpoint,
+                    int64_t endpoint_clock_ms,
+                    int64_t sent_at_ms,
+                    int64_t now_ms)
+{
+  int64_t offset_min_ms = endpoint_clock_ms - now_ms;
+  int64_t offset_max_ms = endpoint_clock_ms - sent_at_ms;
+
+  if (!endpoint->clock_was_read || endpoint_clock_ms == 0)
+    return INSTANCE_KNOWN;
+  if (offset_max_ms + CLOCK_TOLERANCE_MS
+      < endpoint->clock_offset_ms - clock_drift_ms (endpoint, now_ms))
+    return INSTANCE_LATER;
+  return offset_min_ms > endpoint->clock_offset_max_ms + CLOCK_TOLERANCE_MS ? INSTANCE_EARLIER
+                                                                            : INSTANCE_KNOWN;
+}
+
+instance_order_t
+note_order_clock (endpoint_t *endpoint,
+                  int64_t endpoint_clock_ms,
+                  int64_t sent_at_ms,
+                  int64_t now_ms)
+{
+  instance_order_t instance = instance_of_answer (endpoint, endpoint_clock_ms, sent_at_ms, now_ms);
+
+  if (instance == INSTANCE_EARLIER)
+    return instance;
+  if (instance == INSTANCE_LATER)
+    {
+      endpoint->later_clock_seen = true;
+      endpoint_poll_again (endpoint);
+    }
+  endpoint_read_clock (endpoint, endpoint_clock_ms, sent_at_ms, now_ms);
+  return instance;
+}
+
+bool
+is_later_instance (const endpoint_t *endpoint,
+                   const poll_result_t *result,
+                   int64_t sent_at_ms,
+                   int64_t now_ms)
+{
+  if (result->started_at_ms != 0)
+    return endpoint->started_at_ms != 0 && result->started_at_ms != endpoint->started_at_ms;
+  return endpoint->later_clock_seen
+         || instance_of_answer (endpoint, result->endpoint_clock_ms, sent_at_ms, now_ms)
+                == INSTANCE_LATER;
+}
+
 bool
 is_listed_active (const poll_result_t *result, const task_t *task)
 {
@@ -67,6 +139,7 @@
   RUN_UNCONFIRMED,   /* its start order was not answered and may still be carried out */
   RUN_ACTIVE,        /* the later instance lists it as alive */
   RUN_ENDED,         /* the later instance lists its end */
+  RUN_CONFIRMED,     /* the later instance has confirmed its start */
   RUN_LATE_CONFIRMED /* its start was confirmed after the poll had been sent */
 } run_fate_t;
 
@@ -75,6 +148,7 @@
   [RUN_UNCONFIRMED] = "stopped, as its start was not confirmed",
   [RUN_ACTIVE] = "listed as alive",
   [RUN_ENDED] = "listed as ended",
+  [RUN_CONFIRMED] = "kept, as the later instance has confirmed its start",
   [RUN_LATE_CONFIRMED] = "kept, as its start was confirmed after the poll was sent",
 };
 
@@ -85,6 +159,8 @@
     return RUN_ACTIVE;
   if (is_listed_ended (result, task))
     return RUN_ENDED;
+  if (task->confirmed_by_later)
+    return RUN_CONFIRMED;
   if (task->state == TASK_RUNNING && task->start_confirmed_at_ms > sent_at_ms)
     return RUN_LATE_CONFIRMED;
   return task->order_open ? RUN_UNCONFIRMED : RUN_WITH_EARLIER;
@@ -97,11 +173,28 @@
              int64_t now_ms,
              GArray *actions)
 {
-  bool entry_first = result->started_at_ms == endpoint->entry_started_at_ms;
+  bool entry_first =
+      result->started_at_ms != 0 && result->started_at_ms == endpoint->entry_started_at_ms;
   executor_action_t *action =
       log_event (executor, actions, EXECUTOR_LOG_RESTARTED, endpoint, NULL, now_ms);
 
-  action->reason = entry_first ? "its entry" : "a poll";
+  if (endpoint->later_clock_seen)
+    action->reason = "the clock in the answer to an order";
+  else
+    action->reason = entry_first ? "its entry" : "a poll";
+}
+
+/* The run of TASK is one of the later instance.  A stop that the earlier one has confirmed does not
+ * hold there. */
+static void
+keep_run (executor_t *executor, task_t *task)
+{
+  task->order_open = false;
+  task->confirmed_by_later = false;
+  task->stop_confirmed = false;
+  task->stop_sent_at_ms = 0;
+  withdraw_loss (executor, task);
+  task_detach (task);
 }
 
 void
@@ -124,12 +217,12 @@
           fate_reasons[fate];
       if (fate == RUN_WITH_EARLIER || fate == RUN_UNCONFIRMED)
         continue;
-      task->order_open = false;
-      withdraw_loss (executor, task);
-      task_detach (task);
+      keep_run (executor, task);
       g_ptr_array_add (kept, task);
     }
   endpoint_restarted (executor, endpoint, now_ms);
+  if (result->started_at_ms != 0 && result->started_at_ms == endpoint->entry_started_at_ms)
+    capacity_report (&endpoint->capacity, &endpoint->entry_capacity);
   for (guint i = 0; i < kept->len; i++)
     task_attach (kept->pdata[i], endpoint);
   if (kept->len > 0)
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -233,7 +233,7 @@
   endpoint->poll_in_flight = false;
   if (answer == EXECUTOR_STALE_TOKEN)
     {
-      record_answer (executor, endpoint, 0, now_ms, actions);
+      record_answer (executor, endpoint, now_ms, actions);
       mark_fenced (endpoint, context.token_generation, actions);
       return;
     }
@@ -242,20 +242,17 @@
       record_no_answer (executor, endpoint, sent_at_ms, now_ms, actions);
       return;
     }
+  if (is_later_instance (endpoint, result, sent_at_ms, now_ms))
+    handle_later_instance (executor, endpoint, result, sent_at_ms, now_ms, actions);
   if (result->started_at_ms != 0)
     {
-      if (endpoint->started_at_ms != 0 && result->started_at_ms != endpoint->started_at_ms)
-        {
-          handle_later_instance (executor, endpoint, result, sent_at_ms, now_ms, actions);
-          if (result->started_at_ms == endpoint->entry_started_at_ms)
-            capacity_report (&endpoint->capacity, &endpoint->entry_capacity);
-        }
       endpoint->started_at_ms = result->started_at_ms;
       endpoint->reports_start_time = true;
       crash_history_endpoint_answered (executor->crashes, endpoint->id, endpoint->started_at_ms,
                                        note_loss, executor);
     }
-  record_answer (executor, endpoint, result->endpoint_clock_ms, now_ms, actions);
+  record_answer (executor, endpoint, now_ms, actions);
+  endpoint_read_clock (endpoint, result->endpoint_clock_ms, sent_at_ms, now_ms);
   endpoint->runs_known = true;
   endpoint->last_poll_sent_at_ms = sent_at_ms;
   endpoint->poll_due_at_ms = now_ms;
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -39,7 +39,11 @@
 #define STOP_LISTING_DELAY_MS 30
 
 static uint64_t
-register_call (executor_t *executor, const endpoint_t *endpoint, const char *task, int32_t attempt)
+register_call (executor_t *executor,
+               const endpoint_t *endpoint,
+               const char *task,
+               int32_t attempt,
+               int64_t now_ms)
 {
   call_t *call = g_new0 (call_t, 1);
 
@@ -48,6 +52,7 @@
   call->attempt = attempt;
   call->token_generation = endpoint->token_generation;
   call->serial = ++executor->last_serial;
+  call->sent_at_ms = now_ms;
   g_hash_table_insert (executor->calls, &call->serial, call);
   return call->serial;
 }
@@ -105,6 +110,7 @@
            const endpoint_t *endpoint,
            const char *name,
            int32_t attempt,
+           int64_t now_ms,
            GArray *actions)
 {
   executor_action_t *action = action_append (actions, EXECUTOR_STOP);
@@ -114,7 +120,7 @@
   /* Copied, because a foreign run may be adopted and its record freed later in this round. */
   action->task = g_string_chunk_insert (executor->action_strings, name);
   action->attempt = attempt;
-  action->serial = register_call (executor, endpoint, name, attempt);
+  action->serial = register_call (executor, endpoint, name, attempt, now_ms);
 }
 
 static void
@@ -142,7 +148,7 @@
           || (task->stop_sent_at_ms != 0 && now_ms - task->stop_sent_at_ms < STOP_RETRY_MS))
         continue;
       task->stop_sent_at_ms = now_ms;
-      send_stop (executor, endpoint, task->name, task->attempt, actions);
+      send_stop (executor, endpoint, task->name, task->attempt, now_ms, actions);
     }
   for (guint i = 0; i < endpoint->open_orders->len; i++)
     {
@@ -151,7 +157,7 @@
           || (order->stop_sent_at_ms != 0 && now_ms - order->stop_sent_at_ms < STOP_RETRY_MS))
         continue;
       order->stop_sent_at_ms = now_ms;
-      send_stop (executor, endpoint, order->task, order->attempt, actions);
+      send_stop (executor, endpoint, order->task, order->attempt, now_ms, actions);
     }
   for (guint i = 0; i < endpoint->foreign_runs->len; i++)
     {
@@ -162,7 +168,7 @@
       if (foreign->stop_sent_at_ms == 0)
         log_unclaimed_run (executor, endpoint, foreign, now_ms, actions);
       foreign->stop_sent_at_ms = now_ms;
-      send_stop (executor, endpoint, foreign->name, foreign->attempt, actions);
+      send_stop (executor, endpoint, foreign->name, foreign->attempt, now_ms, actions);
     }
 }
 
@@ -187,6 +193,7 @@
   task->start_sent_at_ms = now_ms;
   task->order_open = true;
   task->start_confirmed_at_ms = 0;
+  task->confirmed_by_later = false;
   task->progress_percent = 0;
   task->progress_at_ms = now_ms;
   task->expected_ms = placement_expected_ms (executor, endpoint, task->batch);
@@ -206,7 +213,7 @@
   action->coordinator = task->batch->coordinator;
   action->batch = task->batch->number;
   action->index = task->index;
-  task->start_serial = register_call (executor, endpoint, task->name, task->attempt);
+  task->start_serial = register_call (executor, endpoint, task->name, task->attempt, now_ms);
   action->serial = task->start_serial;
 }
 
@@ -497,7 +504,7 @@
   if (may_hold_poll && endpoint->runs->len > 0)
     action->wait_ms = wait_ms;
   action->lease_until_endpoint_ms = renew_lease ? extend_lease (executor, endpoint, now_ms) : 0;
-  action->serial = register_call (executor, endpoint, "", 0);
+  action->serial = register_call (executor, endpoint, "", 0, now_ms);
   endpoint->ack_number_sent = endpoint->ack_number;
   endpoint->poll_in_flight = true;
   endpoint->poll_serial = action->serial;
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -41,6 +41,7 @@
   bool order_open;                /* the last start order may still be carried out */
   int64_t order_open_until_ms;    /* if a later instance may carry it out: until then; else 0 */
   int64_t start_confirmed_at_ms;  /* when the start was confirmed; 0 before */
+  bool confirmed_by_later;        /* by a later instance than the one whose polls are known */
   int64_t expected_ms;
   int64_t lease_until_endpoint_ms; /* of the start order */
   int64_t stop_requested_at_ms;    /* STOPPING: when the stop was requested */
@@ -147,8 +148,11 @@
   bool clock_known;             /* its clock was read recently enough for leases */
   int64_t clock_offset_ms; /* endpoint clock minus boot clock at CLOCK_READ_AT_MS; never above the
                               true offset at that time, which falls if the clock is slow */
+  int64_t clock_offset_max_ms; /* never below that offset */
   int64_t clock_read_at_ms;
-  int64_t lease_end_ms; /* no run is alive there after this time */
+  bool clock_was_read;   /* the clock of the last observed instance was read */
+  bool later_clock_seen; /* an answer to an order had the clock of a later instance */
+  int64_t lease_end_ms;  /* no run is alive there after this time */
   int64_t ack_number;
   int64_t ack_number_sent;
   int64_t unanswered_since_ms; /* send time of the first unanswered call in a row; 0 if none */
@@ -215,6 +219,7 @@
   int32_t attempt;
   uint32_t token_generation; /* of the endpoint when the call was made */
   uint64_t serial;
+  int64_t sent_at_ms;
 } call_t;
 
 /* An endpoint counts as unresponsive after this many unanswered calls in a row; a single call may
--- a/tests/test_executor_restarts.c
+++ b/tests/test_executor_restarts.c
@@ -124,6 +124,137 @@
     }
 }
 
+/* An endpoint in a scenario that answers as one of two instances.  The later one has started at
+ * LATER_INSTANCE_MS. */
+static void
+answer_poll_as (scenario_t *scenario, int64_t instance_ms, bool active, int64_t now_ms)
+{
+  const poll_active_t row = { TASK, 1, 10 };
+  const poll_result_t result = { .endpoint_clock_ms = now_ms - instance_ms + 1,
+                                 .started_at_ms = instance_ms,
+                                 .active = &row,
+                                 .active_count = active };
+
+  g_array_set_size (scenario->actions, 0);
+  executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_OK, &result,
+                          now_ms, scenario->actions);
+}
+
+static uint64_t
+stop_serial_of_round (scenario_t *scenario, int64_t now_ms)
+{
+  run_round_at (scenario, now_ms);
+  const executor_action_t *stop = last_action (scenario, EXECUTOR_STOP);
+  return stop != NULL ? stop->serial : 0;
+}
+
+static const struct
+{
+  const char *name;
+  bool answer_late; /* the stop is answered after a poll has shown the later instance */
+} earlier_stop_cases[] = {
+  { "the earlier instance confirms a stop, and starts again", false },
+  { "its confirmation arrives after the restart was noticed", true },
+};
+
+/* A start order without an answer is stopped, the earlier instance confirms the stop, and the later
+ * one carries the order out: that run has to be stopped there before its task starts elsewhere. */
+static void
+test_stop_confirmed_by_earlier_instance (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (earlier_stop_cases); i++)
+    {
+      bool answer_late = earlier_stop_cases[i].answer_late;
+      executor_batch_t batch = batch_of ("j", 1);
+      scenario_t scenario;
+      bool stopped_again = false;
+
+      scenario_begin (&scenario);
+      add_instance (&scenario, 0, "r1", 3000, FIRST_INSTANCE_MS);
+      add_instance (&scenario, 1, "r1", 4000, FIRST_INSTANCE_MS);
+      run_round_at (&scenario, 0);
+      answer_first_polls (&scenario);
+      executor_submit (scenario.executor, &batch, 700);
+      run_round_at (&scenario, 700);
+      CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e0");
+      executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_NO_ANSWER, 0, 780,
+                               scenario.actions);
+      answer_poll_as (&scenario, FIRST_INSTANCE_MS, false, 781);
+      run_round_at (&scenario, 810);
+      answer_poll_as (&scenario, FIRST_INSTANCE_MS, false, 811);
+      uint64_t stop_serial = stop_serial_of_round (&scenario, 880);
+      CU_ASSERT_NOT_EQUAL (stop_serial, 0);
+      if (!answer_late)
+        executor_stop_answered (scenario.executor, stop_serial, EXECUTOR_OK, 882, 882,
+                                scenario.actions);
+      run_round_at (&scenario, 905);
+      answer_poll_as (&scenario, LATER_INSTANCE_MS, true, 910);
+      if (answer_late)
+        executor_stop_answered (scenario.executor, stop_serial, EXECUTOR_OK, 882, 911,
+                                scenario.actions);
+      for (int64_t now_ms = 912; now_ms < 1312; now_ms += 10)
+        {
+          stopped_again |= stop_serial_of_round (&scenario, now_ms) != 0;
+          if (scenario.start_endpoint[0] != '\0')
+            printf ("  %s: started on %s at %d ms\n", earlier_stop_cases[i].name,
+                    scenario.start_endpoint, (int) now_ms);
+          CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "");
+          answer_poll_as (&scenario, LATER_INSTANCE_MS, true, now_ms + 1);
+        }
+      CU_ASSERT_TRUE (stopped_again);
+      scenario_end (&scenario);
+    }
+}
+
+/* A later instance that confirms a start shows itself by its clock: nothing more starts there
+ * before a poll has listed its runs. */
+static void
+test_clock_shows_later_instance (void)
+{
+  executor_batch_t batch = batch_of ("j", 1);
+  executor_batch_t next = batch_of ("k", 2);
+  scenario_t scenario;
+
+  scenario_begin_restarted (&scenario, &batch);
+  executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_OK, 102, ORDER_MS + 1,
+                           scenario.actions);
+  executor_submit (scenario.executor, &next, ORDER_MS + 2);
+  run_round_at (&scenario, ORDER_MS + 2);
+  CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e1");
+  CU_ASSERT_TRUE (has_action (&scenario, EXECUTOR_POLL));
+  scenario_end (&scenario);
+}
+
+/* An endpoint whose lists of runs lack its start time has restarted if its clock has gone back. */
+static void
+test_restart_without_start_time (void)
+{
+  const poll_result_t first = { .endpoint_clock_ms = 5001 };
+  const poll_result_t later = { .endpoint_clock_ms = 101 };
+  executor_batch_t batch = batch_of ("j", 1);
+  scenario_t scenario;
+
+  scenario_begin (&scenario);
+  add_instance (&scenario, 0, "r1", 3000, 0);
+  run_round_at (&scenario, 0);
+  executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &first, 0,
+                          scenario.actions);
+  executor_submit (scenario.executor, &batch, 10);
+  run_round_at (&scenario, 10);
+  executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_OK, 5012, 11,
+                           scenario.actions);
+  executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_NO_ANSWER, NULL, 300,
+                          scenario.actions);
+  run_round_at (&scenario, 600);
+  executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &later, 601,
+                          scenario.actions);
+  CU_ASSERT_EQUAL (executor_totals (scenario.executor, 601).running, 0);
+  CU_ASSERT_EQUAL (executor_totals (scenario.executor, 601).waiting, 1);
+  run_round_at (&scenario, 602);
+  CU_ASSERT_EQUAL (last_action (&scenario, EXECUTOR_LOSS) != NULL, true);
+  scenario_end (&scenario);
+}
+
 static const struct
 {
   const char *name;
@@ -131,6 +262,9 @@
 } tests[] = {
   { "a task that is done on an instance not noticed before starts again",
     test_run_ended_on_unnoticed_instance },
+  { "a stop that an earlier instance has confirmed", test_stop_confirmed_by_earlier_instance },
+  { "a later instance shows itself by its clock", test_clock_shows_later_instance },
+  { "a restart without a start time", test_restart_without_start_time },
 };
 
 int
