An acknowledgement goes only to the instance that has listed the ends

Cause: each poll carried the number of the last end that was read, over and over. The numbers of a later instance begin at 1 again, and it forgets ends up to that number. So the first poll that reached an instance which was not noticed yet, the very poll that is sent with the first order to it, made it forget its own ends unread, and counted as having taken note of them. The run was then neither alive nor ended for its owner, and its task started again.

Change: an acknowledgement is sent once, in the poll that follows the list, and again only after another answer from that instance. None is sent while the endpoint does not answer, or while a clock or an entry names another instance.

--- a/lib/executor/endpoints.c
+++ b/lib/executor/endpoints.c
@@ -80,6 +80,7 @@
     return;
   if (endpoint->reports_start_time)
     {
+      endpoint->restart_suspected = true;
       endpoint_poll_again (endpoint);
       return;
     }
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -143,7 +143,7 @@
   int32_t attempt;
   const char *spec;
   int64_t lease_until_endpoint_ms;
-  int64_t ack_number; /* EXECUTOR_POLL: acknowledges ended runs up to this number */
+  int64_t ack_number; /* EXECUTOR_POLL: acknowledges ended runs up to this number; 0 for none */
   int64_t wait_ms; /* EXECUTOR_POLL: how long the endpoint may delay its answer until a run ends */
   uint64_t serial; /* identifies the call; passed back with its answer */
   const char *coordinator;
--- a/lib/executor/instance.c
+++ b/lib/executor/instance.c
@@ -37,10 +37,12 @@
   g_ptr_array_set_size (endpoint->foreign_done, 0);
   endpoint->ack_number = 0;
   endpoint->ack_number_sent = 0;
+  endpoint->ack_number_confirmed = 0;
   endpoint->runs_known = false;
   endpoint->clock_known = false;
   endpoint->clock_was_read = false;
   endpoint->later_clock_seen = false;
+  endpoint->restart_suspected = false;
   endpoint->lease_end_ms = 0;
   endpoint->instance_leaving = false;
   endpoint->capacity = (capacity_t){ 0 };
@@ -93,6 +95,7 @@
   if (instance == INSTANCE_LATER)
     {
       endpoint->later_clock_seen = true;
+      endpoint->restart_suspected = true;
       endpoint_poll_again (endpoint);
     }
   endpoint_read_clock (endpoint, endpoint_clock_ms, sent_at_ms, now_ms);
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -251,6 +251,9 @@
       crash_history_endpoint_answered (executor->crashes, endpoint->id, endpoint->started_at_ms,
                                        note_loss, executor);
     }
+  endpoint->restart_suspected = false;
+  endpoint->later_clock_seen = false;
+  endpoint->ack_number_confirmed = MAX (endpoint->ack_number_confirmed, endpoint->ack_number_sent);
   record_answer (executor, endpoint, now_ms, actions);
   endpoint_read_clock (endpoint, result->endpoint_clock_ms, sent_at_ms, now_ms);
   endpoint->runs_known = true;
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -487,6 +487,18 @@
   return endpoint->runs_known && endpoint->foreign_runs->len == 0;
 }
 
+/* Numbers of ends begin anew with each instance, so that an acknowledgement may only go to the one
+ * that has listed the ends: it is sent once, while that instance answers, and again only after
+ * another answer from it.  Returns 0 if none is due. */
+static int64_t
+ack_number_due (const endpoint_t *endpoint)
+{
+  if (endpoint->restart_suspected || endpoint->unanswered_since_ms != 0
+      || endpoint->ack_number <= endpoint->ack_number_confirmed)
+    return 0;
+  return endpoint->ack_number;
+}
+
 static void
 send_poll (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
 {
@@ -500,12 +512,12 @@
 
   action->endpoint = endpoint->id;
   action->address = endpoint->address;
-  action->ack_number = endpoint->ack_number;
+  action->ack_number = ack_number_due (endpoint);
   if (may_hold_poll && endpoint->runs->len > 0)
     action->wait_ms = wait_ms;
   action->lease_until_endpoint_ms = renew_lease ? extend_lease (executor, endpoint, now_ms) : 0;
   action->serial = register_call (executor, endpoint, "", 0, now_ms);
-  endpoint->ack_number_sent = endpoint->ack_number;
+  endpoint->ack_number_sent = action->ack_number;
   endpoint->poll_in_flight = true;
   endpoint->poll_serial = action->serial;
   endpoint->poll_sent_at_ms = now_ms;
@@ -534,8 +546,8 @@
     return false;
   return !endpoint->runs_known || g_hash_table_size (executor->maybe_running) > 0
          || endpoint->runs->len > 0 || endpoint->foreign_runs->len > 0
-         || endpoint->ack_number > endpoint->ack_number_sent || endpoint->unanswered_since_ms != 0
-         || needs_clock (executor, endpoint, now_ms);
+         || endpoint->ack_number > endpoint->ack_number_confirmed
+         || endpoint->unanswered_since_ms != 0 || needs_clock (executor, endpoint, now_ms);
 }
 
 void
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -150,18 +150,20 @@
                               true offset at that time, which falls if the clock is slow */
   int64_t clock_offset_max_ms; /* never below that offset */
   int64_t clock_read_at_ms;
-  bool clock_was_read;   /* the clock of the last observed instance was read */
-  bool later_clock_seen; /* an answer to an order had the clock of a later instance */
-  int64_t lease_end_ms;  /* no run is alive there after this time */
-  int64_t ack_number;
-  int64_t ack_number_sent;
-  int64_t unanswered_since_ms; /* send time of the first unanswered call in a row; 0 if none */
-  int32_t unanswered_calls;    /* number of unanswered calls in a row */
-  int64_t full_until_ms;       /* gets no tasks until then, after a refusal */
-  GPtrArray *runs;             /* task_t */
-  GPtrArray *foreign_runs;     /* foreign_run_t */
-  GPtrArray *open_orders;      /* open_order_t: start orders of runs that are over */
-  GPtrArray *foreign_done;     /* names of tasks that succeeded under another owner */
+  bool clock_was_read;          /* the clock of the last observed instance was read */
+  bool later_clock_seen;        /* an answer to an order had the clock of a later instance */
+  bool restart_suspected;       /* that, or its entry, names another instance than its polls */
+  int64_t lease_end_ms;         /* no run is alive there after this time */
+  int64_t ack_number;           /* of the last end that was read */
+  int64_t ack_number_sent;      /* in the last poll; 0 if it acknowledged none */
+  int64_t ack_number_confirmed; /* in the last answered poll that acknowledged any */
+  int64_t unanswered_since_ms;  /* send time of the first unanswered call in a row; 0 if none */
+  int32_t unanswered_calls;     /* number of unanswered calls in a row */
+  int64_t full_until_ms;        /* gets no tasks until then, after a refusal */
+  GPtrArray *runs;              /* task_t */
+  GPtrArray *foreign_runs;      /* foreign_run_t */
+  GPtrArray *open_orders;       /* open_order_t: start orders of runs that are over */
+  GPtrArray *foreign_done;      /* names of tasks that succeeded under another owner */
   resources_t used;
   outlier_t outlier;
   duration_stats_t durations;
--- a/tests/test_executor_restarts.c
+++ b/tests/test_executor_restarts.c
@@ -255,6 +255,130 @@
   scenario_end (&scenario);
 }
 
+/* What happens between the poll that has listed end 5 and the next one. */
+typedef enum
+{
+  NOTHING,
+  POLL_ANSWERED,
+  POLL_UNANSWERED,
+  POLL_ANSWERED_AFTER_SILENCE,
+  LATER_CLOCK,
+  LATER_ENTRY
+} before_ack_t;
+
+static const struct
+{
+  const char *name;
+  before_ack_t event;
+  int64_t ack_number; /* of the next poll */
+} ack_cases[] = {
+  { "the instance has just listed the end", NOTHING, 5 },
+  { "the acknowledgement was answered", POLL_ANSWERED, 0 },
+  { "the acknowledgement was not answered", POLL_UNANSWERED, 0 },
+  { "the instance answers again", POLL_ANSWERED_AFTER_SILENCE, 5 },
+  { "an order was answered by a later instance", LATER_CLOCK, 0 },
+  { "the entry names a later instance", LATER_ENTRY, 0 },
+};
+
+static int64_t
+ack_number_of_round (scenario_t *scenario, int64_t now_ms)
+{
+  run_round_at (scenario, now_ms);
+  const executor_action_t *poll = last_action (scenario, EXECUTOR_POLL);
+  return poll != NULL ? poll->ack_number : -1;
+}
+
+static void
+answer_poll_at (scenario_t *scenario, int64_t now_ms, const poll_ended_t *ended, size_t count)
+{
+  const poll_result_t result = { .endpoint_clock_ms = now_ms,
+                                 .started_at_ms = FIRST_INSTANCE_MS,
+                                 .ended = ended,
+                                 .ended_count = count };
+
+  executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_OK, &result,
+                          now_ms, scenario->actions);
+}
+
+/* Two tasks have started on e0 at 5000, and one of them ends as number 5.  The start of the other
+ * is not answered yet. */
+static void
+scenario_begin_with_end (scenario_t *scenario, const poll_ended_t *ended)
+{
+  executor_batch_t batch = batch_of ("j", 1);
+  executor_batch_t next = batch_of ("k", 2);
+
+  scenario_begin (scenario);
+  add_instance (scenario, 0, "r1", 3000, FIRST_INSTANCE_MS);
+  run_round_at (scenario, 5000);
+  answer_poll_at (scenario, 5000, NULL, 0);
+  executor_submit (scenario->executor, &batch, 5000);
+  executor_submit (scenario->executor, &next, 5000);
+  run_round_at (scenario, 5000);
+  answer_poll_at (scenario, 5060, ended, 1);
+}
+
+static void
+lose_poll (scenario_t *scenario)
+{
+  run_round_at (scenario, 5061);
+  executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_NO_ANSWER, NULL,
+                          5500, scenario->actions);
+}
+
+static void
+happen_before_ack (scenario_t *scenario, before_ack_t event, const poll_ended_t *ended)
+{
+  uint64_t start_serial = scenario->start_serial;
+
+  switch (event)
+    {
+    case POLL_ANSWERED:
+      run_round_at (scenario, 5061);
+      answer_poll_at (scenario, 5062, NULL, 0);
+      break;
+    case POLL_UNANSWERED:
+      lose_poll (scenario);
+      break;
+    case POLL_ANSWERED_AFTER_SILENCE:
+      lose_poll (scenario);
+      run_round_at (scenario, 5700);
+      answer_poll_at (scenario, 5701, ended, 1);
+      break;
+    case LATER_CLOCK:
+      executor_start_answered (scenario->executor, start_serial, EXECUTOR_OK, 30, 5061,
+                               scenario->actions);
+      break;
+    case LATER_ENTRY:
+      add_instance (scenario, 0, "r1", 3000, LATER_INSTANCE_MS);
+      break;
+    case NOTHING:
+    default:
+      break;
+    }
+}
+
+/* The ends of a later instance begin at 1 again: an acknowledgement of an earlier one's ends would
+ * make it forget them unread, and their tasks would start a second time. */
+static void
+test_acknowledgement_after_restart (void)
+{
+  const poll_ended_t ended = { 5, TASK, 1, RUN_DONE };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (ack_cases); i++)
+    {
+      scenario_t scenario;
+
+      scenario_begin_with_end (&scenario, &ended);
+      happen_before_ack (&scenario, ack_cases[i].event, &ended);
+      int64_t ack_number = ack_number_of_round (&scenario, 5750);
+      if (ack_number != ack_cases[i].ack_number)
+        printf ("  %s: %d\n", ack_cases[i].name, (int) ack_number);
+      CU_ASSERT_EQUAL (ack_number, ack_cases[i].ack_number);
+      scenario_end (&scenario);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -265,6 +389,7 @@
   { "a stop that an earlier instance has confirmed", test_stop_confirmed_by_earlier_instance },
   { "a later instance shows itself by its clock", test_clock_shows_later_instance },
   { "a restart without a start time", test_restart_without_start_time },
+  { "an acknowledgement that reaches a later instance", test_acknowledgement_after_restart },
 };
 
 int
