Instances are told apart by clocks with the same slack on both sides

Cause: an answer of the present instance could be taken for one of an earlier instance if its clock and the host's drift apart by more than 10 ms between two readings: the confirmation of a stop was then ignored and the stop sent again. And a run that was confirmed while a restart was suspected kept that mark when the poll had shown the same instance.

Change: the drift that is allowed for later instances is allowed for earlier ones too; a run that a poll lists is not marked any more.

--- a/lib/executor/instance.c
+++ b/lib/executor/instance.c
@@ -70,16 +70,16 @@
                     int64_t sent_at_ms,
                     int64_t now_ms)
 {
-  int64_t offset_min_ms = endpoint_clock_ms - now_ms;
-  int64_t offset_max_ms = endpoint_clock_ms - sent_at_ms;
+  int64_t slack_ms = CLOCK_TOLERANCE_MS + clock_drift_ms (endpoint, now_ms);
 
   if (!endpoint->clock_was_read || endpoint_clock_ms == 0)
     return INSTANCE_KNOWN;
-  if (offset_max_ms + CLOCK_TOLERANCE_MS
-      < endpoint->clock_offset_ms - clock_drift_ms (endpoint, now_ms))
+  /* The call was executed after it was sent and before its answer arrived. */
+  if (endpoint_clock_ms - sent_at_ms + slack_ms < endpoint->clock_offset_ms)
     return INSTANCE_LATER;
-  return offset_min_ms > endpoint->clock_offset_max_ms + CLOCK_TOLERANCE_MS ? INSTANCE_EARLIER
-                                                                            : INSTANCE_KNOWN;
+  if (endpoint_clock_ms - now_ms - slack_ms > endpoint->clock_offset_max_ms)
+    return INSTANCE_EARLIER;
+  return INSTANCE_KNOWN;
 }
 
 instance_order_t
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -102,6 +102,7 @@
       row->progress_percent > task->progress_percent ? now_ms : task->progress_at_ms;
   task->progress_percent = row->progress_percent;
   task->order_open = false;
+  task->confirmed_by_later = false;
   if (task->state == TASK_STARTING || task->state == TASK_START_UNCONFIRMED)
     task->state = TASK_RUNNING;
   if (task->start_confirmed_at_ms == 0)
