lib/executor: one piece each for the strings of a loss and for a new stop

Callers see nothing of this; behaviour is as before.

Change: crash_loss_clear () frees the strings of a loss for the list of new losses and for messages, which had it twice; task_stop_anew () resets the stop of a run for task_request_stop () and for the later instance of an endpoint.

--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -212,7 +212,7 @@
   GArray *losses = g_array_new (FALSE, FALSE, sizeof (crash_loss_t));
 
   (void) host;
-  g_array_set_clear_func (losses, executor_loss_clear);
+  g_array_set_clear_func (losses, crash_loss_clear);
   if (executor_msg_read_losses (reader, losses) == 0)
     for (guint i = 0; i < losses->len; i++)
       crash_history_merge (site->crashes, &g_array_index (losses, crash_loss_t, i),
--- a/lib/executor/crashes.c
+++ b/lib/executor/crashes.c
@@ -34,6 +34,15 @@
   int64_t expired_at_ms;
 };
 
+void
+crash_loss_clear (void *loss)
+{
+  crash_loss_t *cleared = loss;
+
+  g_free ((char *) cleared->task);
+  g_free ((char *) cleared->endpoint);
+}
+
 static void
 free_loss (void *data)
 {
--- a/lib/executor/crashes.h
+++ b/lib/executor/crashes.h
@@ -72,6 +72,9 @@
   CRASH_GIVE_UP      /* it must not start any more */
 } crash_decision_t;
 
+/* Frees the strings of a crash_loss_t that owns them. */
+void crash_loss_clear (void *loss);
+
 /* Called with a loss, whose strings are valid during the call. */
 typedef void (*crash_loss_func_t) (const crash_loss_t *loss, void *user);
 
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -83,6 +83,7 @@
     executor->own_crashes = crash_history_new ();
   executor->crashes = options->crashes != NULL ? options->crashes : executor->own_crashes;
   executor->new_losses = g_array_new (FALSE, FALSE, sizeof (crash_loss_t));
+  g_array_set_clear_func (executor->new_losses, crash_loss_clear);
   executor->load_totals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   executor->maybe_running = g_hash_table_new (g_str_hash, g_str_equal);
   executor->action_strings = g_string_chunk_new (STRING_CHUNK_BYTES);
@@ -115,7 +116,6 @@
   estimates_free (executor->estimates);
   if (executor->own_crashes != NULL)
     crash_history_free (executor->own_crashes);
-  clear_new_losses (executor);
   g_array_unref (executor->new_losses);
   g_free (executor);
 }
@@ -387,16 +387,21 @@
 }
 
 void
-task_request_stop (task_t *task, int64_t now_ms)
+task_stop_anew (task_t *task, int64_t now_ms)
 {
-  if (task->state == TASK_STOPPING)
-    return;
   task->state = TASK_STOPPING;
   task->stop_requested_at_ms = now_ms;
   task->stop_sent_at_ms = 0;
   task->stop_confirmed = false;
 }
 
+void
+task_request_stop (task_t *task, int64_t now_ms)
+{
+  if (task->state != TASK_STOPPING)
+    task_stop_anew (task, now_ms);
+}
+
 /* --- reports --- */
 
 /* Endpoints whose speeds differ by less than this factor share one offer. */
--- a/lib/executor/executor_msg.c
+++ b/lib/executor/executor_msg.c
@@ -351,21 +351,12 @@
           g_array_append_val (losses, loss);
           continue;
         }
-      executor_loss_clear (&loss);
+      crash_loss_clear (&loss);
       return ERROR_PROTOCOL;
     }
   return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
 }
 
-void
-executor_loss_clear (void *data)
-{
-  crash_loss_t *loss = data;
-
-  g_free ((char *) loss->task);
-  g_free ((char *) loss->endpoint);
-}
-
 /* Trailing levels without a backlog are left out. */
 static void
 put_load (frame_writer_t *writer, const executor_load_t *load)
--- a/lib/executor/executor_msg.h
+++ b/lib/executor/executor_msg.h
@@ -86,10 +86,9 @@
 
 /* Losses for the history of the receiver. */
 GBytes *executor_msg_losses (const crash_loss_t *losses, size_t count);
-/* Appends crash_loss_t; the caller frees their contents with executor_loss_clear (), also after an
+/* Appends crash_loss_t; the caller frees their contents with crash_loss_clear (), also after an
  * error. */
 int executor_msg_read_losses (frame_reader_t *reader, GArray *losses);
-void executor_loss_clear (void *loss);
 
 /* Free capacity and load reported by the owner of SHARD. */
 typedef struct
--- a/lib/executor/instance.c
+++ b/lib/executor/instance.c
@@ -13,10 +13,7 @@
 static void
 stop_on_later_instance (task_t *task, int64_t now_ms)
 {
-  task->state = TASK_STOPPING;
-  task->stop_requested_at_ms = now_ms;
-  task->stop_sent_at_ms = 0;
-  task->stop_confirmed = false;
+  task_stop_anew (task, now_ms);
   task->order_open_until_ms = task->start_sent_at_ms + ORDER_DELAY_MAX_MS;
 }
 
--- a/lib/executor/losses.c
+++ b/lib/executor/losses.c
@@ -12,18 +12,6 @@
   g_array_append_val (executor->new_losses, copy);
 }
 
-void
-clear_new_losses (executor_t *executor)
-{
-  for (guint i = 0; i < executor->new_losses->len; i++)
-    {
-      const crash_loss_t *loss = &g_array_index (executor->new_losses, crash_loss_t, i);
-      g_free ((char *) loss->task);
-      g_free ((char *) loss->endpoint);
-    }
-  g_array_set_size (executor->new_losses, 0);
-}
-
 /* The loss of the present run of TASK, as suspected. */
 static crash_loss_t
 loss_of_run (const task_t *task)
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -102,7 +102,7 @@
       action->loss.endpoint = g_string_chunk_insert (executor->action_strings, loss->endpoint);
       action->crashes = crash_history_counts (executor->crashes, loss->task);
     }
-  clear_new_losses (executor);
+  g_array_set_size (executor->new_losses, 0);
 }
 
 static void
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -21,7 +21,6 @@
 
 /* A crash_loss_func_t for an executor: the change of LOSS is reported in the next round. */
 void note_loss (const crash_loss_t *loss, void *user);
-void clear_new_losses (executor_t *executor);
 
 /* Assign the run of TASK and its resources to ENDPOINT, or remove them from its endpoint. */
 void task_attach (task_t *task, endpoint_t *endpoint);
@@ -55,6 +54,9 @@
  * when the run is over. */
 void task_request_stop (task_t *task, int64_t now_ms);
 
+/* The same for a run whose earlier stop, if any, does not count. */
+void task_stop_anew (task_t *task, int64_t now_ms);
+
 /* Latest end of a lease under which runs of a coordinator live that was alive at LAST_HEARD_AT_MS.
  */
 int64_t lease_limit_ms (const executor_t *executor, int64_t last_heard_at_ms);
