--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -125,7 +125,7 @@
 
   GArray *losses = g_array_new (FALSE, FALSE, sizeof (crash_loss_t));
 
-  g_array_set_clear_func (losses, executor_loss_clear);
+  g_array_set_clear_func (losses, crash_loss_clear);
   g_array_set_clear_func (hosts, cluster_host_clear);
   if (frame_parse (data, size, &reader) == 0)
     {
