A log line is JSON whatever bytes an id consists of

Seen by operators: a line whose text is not UTF-8, which a reader of JSON refuses. The id of an odd entry can be any bytes: the line `endpoint_invalid` names it.

Cause: event_add_text () escapes control characters, quotes and backslashes, and passes all other bytes on.

Change: what is not valid is replaced by U+FFFD. Whole test_event passes (980 asserts).

--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -294,24 +294,36 @@
   return true;
 }
 
+static void
+append_escaped (const char *text)
+{
+  for (const char *at = text; *at != '\0'; at++)
+    if ((unsigned char) *at < 0x20)
+      g_string_append_printf (buffer, "\\u%04x", (unsigned) *at);
+    else if (*at == '"' || *at == '\\')
+      g_string_append_printf (buffer, "\\%c", *at);
+    else
+      g_string_append_c (buffer, *at);
+}
+
+/* JSON is UTF-8: other bytes are replaced by U+FFFD. */
 void
 event_add_text (const char *field, const char *value)
 {
+  char *valid = NULL;
+
   assert (line_is_open);
   if (value == NULL)
     value = "";
+  if (!g_utf8_validate (value, -1, NULL))
+    value = valid = g_utf8_make_valid (value, -1);
   g_string_append_printf (buffer, ",\"%s\":\"", field);
   if (needs_no_escape (value))
     g_string_append (buffer, value);
   else
-    for (const char *at = value; *at != '\0'; at++)
-      if ((unsigned char) *at < 0x20)
-        g_string_append_printf (buffer, "\\u%04x", (unsigned) *at);
-      else if (*at == '"' || *at == '\\')
-        g_string_append_printf (buffer, "\\%c", *at);
-      else
-        g_string_append_c (buffer, *at);
+    append_escaped (value);
   g_string_append_c (buffer, '"');
+  g_free (valid);
 }
 
 void
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -128,8 +128,8 @@
  * no fields and must not call event_end (). */
 bool event_begin (event_t event);
 
-/* Add a field to the current line.  VALUE is escaped; NULL is written as an empty
- * string. */
+/* Add a field to the current line.  VALUE is escaped, and bytes in it that are not
+ * UTF-8 are replaced; NULL is written as an empty string. */
 void event_add_text (const char *field, const char *value);
 void event_add_number (const char *field, int64_t value);
 
