An entry without an address that can be connected to names no endpoint

Seen by operators: after another writer has left an entry whose address is none (port 99999, a host name, an empty text), an endpoint is listed, and polled for ever, that can never answer.

Cause: the address of an entry is not looked at when it is decoded, nor when a peer relays it. The client connects over IPv4 only, so that IPv6, which address_split () accepts, is such an address too; 0.0.0.0 means the host itself to connect ().

--- a/lib/executor/executor_msg.c
+++ b/lib/executor/executor_msg.c
@@ -2,6 +2,7 @@
 #include "executor/executor_msg.h"
 
 #include "base/error.h"
+#include "executor/entry.h"
 
 #define SPEC_BYTES_MAX 8192
 #define TASKS_MAX 1024
@@ -14,6 +15,8 @@
 #define AMOUNT_MAX (INT64_C (1) << 40)
 #define RATIO_SCALE 1000.0
 
+G_STATIC_ASSERT (ENTRY_TEXT_MAX_BYTES <= FRAME_NAME_MAX_BYTES);
+
 GBytes *
 executor_msg_submit (const char *shard,
                      uint64_t epoch,
@@ -224,8 +227,7 @@
   endpoint->free.gpus = frame_get_range (reader, 0, AMOUNT_MAX);
   endpoint->leaving = frame_get_bool (reader);
   endpoint->cold_until_ms = get_time (reader, now_ms);
-  if (frame_ok (reader) && entry->shard != NULL && endpoint->id != NULL && endpoint->address != NULL
-      && endpoint->service != NULL && endpoint->kind != NULL && endpoint->rack != NULL)
+  if (frame_ok (reader) && entry_is_usable (entry->shard, endpoint))
     return 0;
   executor_entry_clear (entry);
   return ERROR_PROTOCOL;
--- a/lib/executor/executor_msg.h
+++ b/lib/executor/executor_msg.h
@@ -63,7 +63,8 @@
   uint64_t offset; /* the entry with the higher offset is the newer one */
 } executor_entry_t;
 GBytes *executor_msg_endpoint (const executor_entry_t *entry, int64_t now_ms);
-/* Free the contents of ENTRY with executor_entry_clear (). */
+/* Refuses an entry that does not describe a usable endpoint (executor/entry.h).  Free the contents
+ * of ENTRY with executor_entry_clear (). */
 int executor_msg_read_endpoint (frame_reader_t *reader, int64_t now_ms, executor_entry_t *entry);
 void executor_entry_clear (executor_entry_t *entry);
 void executor_entry_copy (executor_entry_t *to, const executor_entry_t *from);
--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -63,11 +63,31 @@
   { "valid", NULL, NULL, USABLE },
 
   { "address missing", "address", NULL, NONE },
+  { "address empty", "address", "\"\"", NONE },
   { "address of another type", "address", "8444", NONE },
   { "address null", "address", "null", NONE },
   { "address a list", "address", "[\"10.2.64.22:8444\"]", NONE },
+  { "port 99999", "address", "\"10.2.64.22:99999\"", NONE },
+  { "port 65536", "address", "\"10.2.64.22:65536\"", NONE },
   { "port 65535", "address", "\"10.2.64.22:65535\"", USABLE },
+  { "port 0", "address", "\"10.2.64.22:0\"", NONE },
   { "port 1", "address", "\"10.2.64.22:1\"", USABLE },
+  { "port -1", "address", "\"10.2.64.22:-1\"", NONE },
+  { "port missing", "address", "\"10.2.64.22\"", NONE },
+  { "port empty", "address", "\"10.2.64.22:\"", NONE },
+  { "port a word", "address", "\"10.2.64.22:http\"", NONE },
+  { "port of many digits", "address", "\"10.2.64.22:18446744073709560060\"", NONE },
+  { "IP missing", "address", "\":8444\"", NONE },
+  { "IP out of range", "address", "\"10.2.64.256:8444\"", NONE },
+  { "IP too short", "address", "\"10.2.64:8444\"", NONE },
+  { "IP of no host", "address", "\"0.0.0.0:8444\"", NONE },
+  { "multicast IP", "address", "\"224.0.0.1:8444\"", NONE },
+  { "broadcast IP", "address", "\"255.255.255.255:8444\"", NONE },
+  { "IPv6, which is not connected to", "address", "\"[::1]:8444\"", NONE },
+  { "host name", "address", "\"server.example:8444\"", NONE },
+  { "URL", "address", "\"http://10.2.64.22:8444/\"", NONE },
+  { "address with spaces", "address", "\" 10.2.64.22:8444 \"", NONE },
+  { "address with a line break", "address", "\"10.2.64.22:8444\\r\\nX: y\"", NONE },
 
   { "service missing", "service", NULL, NONE },
   { "service of another type", "service", "7", NONE },
@@ -111,6 +131,8 @@
 
   { "version missing, which is not read", "version", NULL, USABLE },
   { "a further member", "more", "{\"a\":[1,2,3]}", USABLE },
+  { "a second address, which holds", "address\":\"10.2.64.22:1\",\"address", "\"10.2.64.22:99999\"",
+    NONE },
 };
 
 static char *
@@ -207,6 +229,7 @@
   { "service of 256 bytes", "service", "\"%s\"", 256, USABLE },
   { "zone of 256 bytes", "zone", "\"%s\"", 256, USABLE },
   { "kind of 256 bytes", "labels", "[\"%s\",\"r\"]", 256, USABLE },
+  { "address of several MB", "address", "\"%s\"", LARGE_BYTES, NONE },
 };
 
 static void
@@ -383,6 +406,9 @@
   bool taken;
 } relayed_cases[] = {
   { "valid", FIELD_BORN, NULL, 5, true },
+  { "address empty", FIELD_ADDRESS, "", 0, false },
+  { "port 99999", FIELD_ADDRESS, "10.2.64.22:99999", 0, false },
+  { "host name", FIELD_ADDRESS, "server.example:8444", 0, false },
 };
 
 static void
