An entry with a member of another type or out of range names no endpoint

Seen by operators: after another writer has left an odd entry, an endpoint is listed with what the entry says (an id that adds a header to each request, a billion cores, 2^63 GPUs, a start in the year 292 million), or with zeros in place of what could not be read. An entry with a label of over 256 bytes is used by the hosts that read the directory, and by no other, since the frame that relays it is refused.

Cause: numbers went through json_object_get_int64 (), which makes something of a NaN, of infinity and of a fraction; gpus, sequence and born had no bound; members that are not required counted as missing where they had another type; texts were taken as they came, up to a NUL.

Change: each member that is read is required to have its type and a value in range; the bounds are in lib/executor/entry.h, and hold for frames of peers as well. Fractions of amounts and of the time that an endpoint stays cold are still cut off; born and sequence are whole numbers. An id is printable ASCII without spaces, as it is sent in a header; other texts are UTF-8 without control characters.

--- a/lib/executor/entry.h
+++ b/lib/executor/entry.h
@@ -9,10 +9,25 @@
 
 #include "executor/executor.h"
 
-/* Longest address, without the terminating NUL. */
+/* Longest id, address, service, kind, rack or shard, without the terminating NUL. */
 #define ENTRY_TEXT_MAX_BYTES 256
-/* Returns true if the address of ENDPOINT of SHARD is IPv4:port of one host, of at most
- * ENTRY_TEXT_MAX_BYTES, and no text is NULL. */
+/* Upper bounds of the capacity of one endpoint. */
+#define ENTRY_CORES_MAX_MILLI INT64_C (100000000)
+#define ENTRY_MEMORY_MAX_MB (INT64_C (1) << 32)
+#define ENTRY_GPUS_MAX INT64_C (100000)
+/* Integers up to this one are exact in every JSON implementation. */
+#define ENTRY_INTEGER_MAX (INT64_C (1) << 53)
+
+/* Returns true if ENDPOINT of SHARD can be used:
+ *
+ *   id              printable ASCII without spaces, since it is sent in an HTTP header
+ *   address         IPv4:port of one host
+ *   service, shard  UTF-8 without control characters, not empty
+ *   kind, rack      UTF-8 without control characters, possibly empty
+ *   free            from 0 to the upper bounds above
+ *   started_at_ms   from 0 (unknown) to ENTRY_INTEGER_MAX
+ *
+ * No text is longer than ENTRY_TEXT_MAX_BYTES.  Any text may be NULL, which is not usable. */
 bool entry_is_usable (const char *shard, const executor_endpoint_t *endpoint);
 
 #endif
--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -88,16 +88,24 @@
   { "URL", "address", "\"http://10.2.64.22:8444/\"", NONE },
   { "address with spaces", "address", "\" 10.2.64.22:8444 \"", NONE },
   { "address with a line break", "address", "\"10.2.64.22:8444\\r\\nX: y\"", NONE },
+  { "address with a NUL", "address", "\"10.2.64.22:8444\\u0000x\"", NONE },
 
   { "service missing", "service", NULL, NONE },
+  { "service empty", "service", "\"\"", NONE },
   { "service of another type", "service", "7", NONE },
+  { "service with a control character", "service", "\"s\\n\"", NONE },
+  { "service with a NUL", "service", "\"s\\u0000x\"", NONE },
   { "service beyond ASCII", "service", "\"s\\u00e9\"", USABLE },
   { "zone missing", "zone", NULL, NONE },
+  { "zone empty", "zone", "\"\"", NONE },
   { "zone of another type", "zone", "{}", NONE },
+  { "zone with a control character", "zone", "\"x\\u0007\"", NONE },
+  { "zone with a NUL", "zone", "\"x\\u0000\"", NONE },
 
   { "state missing", "state", NULL, NONE },
   { "state draining", "state", "\"draining\"", USABLE },
   { "state unknown", "state", "\"asleep\"", NONE },
+  { "state with a NUL", "state", "\"ready\\u0000\"", NONE },
   { "state of another type", "state", "true", NONE },
 
   { "capacity missing", "free_capacity", NULL, NONE },
@@ -105,34 +113,70 @@
   { "capacity empty", "free_capacity", "{}", NONE },
   { "no cores", "free_capacity", "{\"cpu_millis\":0,\"mem_mb\":0}", USABLE },
   { "cores -1", "free_capacity", "{\"cpu_millis\":-1,\"mem_mb\":1}", NONE },
+  { "cores -0.5", "free_capacity", "{\"cpu_millis\":-0.5,\"mem_mb\":1}", NONE },
   { "cores text", "free_capacity", "{\"cpu_millis\":\"16000\",\"mem_mb\":1}", NONE },
   { "cores 16000.0", "free_capacity", "{\"cpu_millis\":16000.0,\"mem_mb\":1}", USABLE },
   { "cores 1e400", "free_capacity", "{\"cpu_millis\":1e400,\"mem_mb\":1}", NONE },
   { "cores 1e18", "free_capacity", "{\"cpu_millis\":1e18,\"mem_mb\":1}", NONE },
+  { "cores 2^40 - 1", "free_capacity", "{\"cpu_millis\":1099511627775,\"mem_mb\":1}", NONE },
   { "cores 2^63", "free_capacity", "{\"cpu_millis\":9223372036854775808,\"mem_mb\":1}", NONE },
+  { "cores NaN", "free_capacity", "{\"cpu_millis\":NaN,\"mem_mb\":1}", NONE },
   { "cores Infinity", "free_capacity", "{\"cpu_millis\":Infinity,\"mem_mb\":1}", NONE },
+  { "memory NaN", "free_capacity", "{\"cpu_millis\":1,\"mem_mb\":NaN}", NONE },
+  { "memory 2^40 - 1", "free_capacity", "{\"cpu_millis\":1,\"mem_mb\":1099511627775}", NONE },
   { "GPUs missing", "free_capacity", "{\"cpu_millis\":1,\"mem_mb\":1}", USABLE },
   { "GPUs -1", "free_capacity", "{\"cpu_millis\":1,\"mem_mb\":1,\"gpus\":-1}", NONE },
+  { "GPUs text", "free_capacity", "{\"cpu_millis\":1,\"mem_mb\":1,\"gpus\":\"2\"}", NONE },
+  { "GPUs null", "free_capacity", "{\"cpu_millis\":1,\"mem_mb\":1,\"gpus\":null}", NONE },
+  { "GPUs NaN", "free_capacity", "{\"cpu_millis\":1,\"mem_mb\":1,\"gpus\":NaN}", NONE },
+  { "GPUs 2^63 - 1", "free_capacity",
+    "{\"cpu_millis\":1,\"mem_mb\":1,\"gpus\":9223372036854775807}", NONE },
 
   { "labels missing", "labels", NULL, USABLE },
   { "labels empty", "labels", "[]", USABLE },
+  { "labels of another type", "labels", "\"a\"", NONE },
+  { "label of another type", "labels", "[1,\"r\"]", NONE },
+  { "label null", "labels", "[\"a\",null]", NONE },
+  { "label with a control character", "labels", "[\"a\\u001b[0m\",\"r\"]", NONE },
+  { "label with a NUL", "labels", "[\"a\\u0000b\",\"r\"]", NONE },
 
   { "sequence missing", "sequence", NULL, NONE },
   { "sequence text", "sequence", "\"4\"", NONE },
+  { "sequence -1", "sequence", "-1", NONE },
   { "sequence 4.0", "sequence", "4.0", USABLE },
+  { "sequence 1.5", "sequence", "1.5", NONE },
+  { "sequence 1e400", "sequence", "1e400", NONE },
+  { "sequence 2^63", "sequence", "9223372036854775808", NONE },
+  { "sequence of 40 digits", "sequence", "9999999999999999999999999999999999999999", NONE },
 
   { "born missing", "born", NULL, USABLE },
+  { "born text", "born", "\"yesterday\"", NONE },
+  { "born null", "born", "null", NONE },
+  { "born -1", "born", "-1", NONE },
+  { "born 1.5", "born", "1.5", NONE },
   { "born 1.7e12", "born", "1.7e12", USABLE },
+  { "born NaN", "born", "NaN", NONE },
+  { "born -Infinity", "born", "-Infinity", NONE },
+  { "born 1e400", "born", "1e400", NONE },
   { "born 2^53", "born", "9007199254740992", USABLE },
+  { "born 2^53 + 2", "born", "9007199254740994", NONE },
+  { "born 2^63 - 1", "born", "9223372036854775807", NONE },
+  { "born 2^63", "born", "9223372036854775808", NONE },
+  { "born 2^64", "born", "18446744073709551616", NONE },
 
   { "cold time missing", "cold_remaining_ms", NULL, USABLE },
   { "cold time 812.4", "cold_remaining_ms", "812.4", USABLE },
   { "cold time of a day, of which ten minutes count", "cold_remaining_ms", "86400000", USABLE },
+  { "cold time -1", "cold_remaining_ms", "-1", NONE },
+  { "cold time text", "cold_remaining_ms", "\"soon\"", NONE },
+  { "cold time NaN", "cold_remaining_ms", "NaN", NONE },
+  { "cold time 1e400", "cold_remaining_ms", "1e400", NONE },
 
   { "version missing, which is not read", "version", NULL, USABLE },
   { "a further member", "more", "{\"a\":[1,2,3]}", USABLE },
   { "a second address, which holds", "address\":\"10.2.64.22:1\",\"address", "\"10.2.64.22:99999\"",
     NONE },
+  { "a second born of another type, which holds", "born\":5,\"born", "\"5\"", NONE },
 };
 
 static char *
@@ -227,8 +271,13 @@
   verdict_t verdict;
 } length_cases[] = {
   { "service of 256 bytes", "service", "\"%s\"", 256, USABLE },
+  { "service of 257 bytes", "service", "\"%s\"", 257, NONE },
   { "zone of 256 bytes", "zone", "\"%s\"", 256, USABLE },
+  { "zone of 257 bytes", "zone", "\"%s\"", 257, NONE },
   { "kind of 256 bytes", "labels", "[\"%s\",\"r\"]", 256, USABLE },
+  { "kind of 257 bytes", "labels", "[\"%s\",\"r\"]", 257, NONE },
+  { "rack of 257 bytes", "labels", "[\"a\",\"%s\"]", 257, NONE },
+  { "service of several MB", "service", "\"%s\"", LARGE_BYTES, NONE },
   { "address of several MB", "address", "\"%s\"", LARGE_BYTES, NONE },
 };
 
@@ -260,6 +309,14 @@
   { "id of this platform", "i-508a4cf2c3", USABLE },
   { "id with a slash", "rack/7", USABLE },
   { "id with a quote", "i-\"7\"", USABLE },
+  { "id empty", "", NONE },
+  { "id with a space", "i 7", NONE },
+  { "id with a line break, which would add a header", "i-7\r\nX-Other: 1", NONE },
+  { "id with a newline", "i-7\n", NONE },
+  { "id with a tab", "i\t7", NONE },
+  { "id with DEL", "i\x7f", NONE },
+  { "id that is not UTF-8", "i-\xff\xfe", NONE },
+  { "id beyond ASCII", "i-\xc3\xa9", NONE },
 };
 
 static void
@@ -272,6 +329,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (id_cases); i++)
     check_entry (id_cases[i].name, id_cases[i].id, text, strlen (text), id_cases[i].verdict);
   check_entry ("id of 256 bytes", longest, text, strlen (text), USABLE);
+  check_entry ("id of 257 bytes", too_long, text, strlen (text), NONE);
   g_free (too_long);
   g_free (longest);
   g_free (text);
@@ -320,6 +378,8 @@
   verdict_t verdict;
 } inserted_cases[] = {
   { "a NUL in a text", BYTES ("\0"), false, NONE },
+  { "bytes that are not UTF-8", BYTES ("\xff"), false, NONE },
+  { "a surrogate in UTF-8", BYTES ("\xed\xa0\x80"), false, NONE },
   { "an emoji", BYTES ("\xf0\x9f\x99\x82"), false, USABLE },
   { "a NUL after the end", BYTES ("\0"), true, NONE },
   { "a newline after the end", BYTES ("\n"), true, USABLE },
@@ -406,9 +466,20 @@
   bool taken;
 } relayed_cases[] = {
   { "valid", FIELD_BORN, NULL, 5, true },
+  { "shard empty", FIELD_SHARD, "", 0, false },
+  { "shard that is not UTF-8", FIELD_SHARD, "x\xff", 0, false },
+  { "id empty", FIELD_ID, "", 0, false },
+  { "id with a line break", FIELD_ID, "e0\r\nX: y", 0, false },
   { "address empty", FIELD_ADDRESS, "", 0, false },
   { "port 99999", FIELD_ADDRESS, "10.2.64.22:99999", 0, false },
   { "host name", FIELD_ADDRESS, "server.example:8444", 0, false },
+  { "service empty", FIELD_SERVICE, "", 0, false },
+  { "service that is not UTF-8", FIELD_SERVICE, "\xc3", 0, false },
+  { "kind with a control character", FIELD_KIND, "a\n", 0, false },
+  { "cores beyond any endpoint", FIELD_CORES, NULL, INT64_C (1) << 39, false },
+  { "GPUs beyond any endpoint", FIELD_GPUS, NULL, INT64_C (1) << 39, false },
+  { "born -1", FIELD_BORN, NULL, -1, false },
+  { "born 2^63 - 1", FIELD_BORN, NULL, INT64_MAX, false },
 };
 
 static void
