Stand-in: entries of any bytes and keys, and listings in pages

POST /entry/ID takes the id percent-encoded and the body as bytes, so that a test can be the other writer. The listing of a topic has 500 items a page, sorted by key, and its keys are escaped, as on the platform.

--- a/standins/fake_site.c
+++ b/standins/fake_site.c
@@ -121,8 +121,12 @@
       web_reply (request, 503, NULL, "{}");
       return;
     }
-  site_log_put (records, ENTRIES, request->target + strlen (ENTRY_PATH), request->body);
-  web_reply (request, 200, NULL, "{}");
+  /* Any bytes, as another writer may leave them. */
+  char *id = g_uri_unescape_string (request->target + strlen (ENTRY_PATH), NULL);
+  if (id != NULL)
+    site_log_put_bytes (records, ENTRIES, id, request->body, request->body_bytes);
+  web_reply (request, id != NULL ? 200 : 400, NULL, "{}");
+  g_free (id);
 }
 
 static void
--- a/standins/site_log.c
+++ b/standins/site_log.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #define LENGTH_BYTES 4
+#define PAGE_ITEMS_MAX 500
 
 typedef struct
 {
@@ -126,18 +127,28 @@
 }
 
 void
-site_log_put (site_log_t *log, const char *topic, const char *key, const char *value)
+site_log_put_bytes (site_log_t *log,
+                    const char *topic,
+                    const char *key,
+                    const void *value,
+                    size_t size)
 {
   GByteArray *data = g_byte_array_new ();
   guint8 key_size = (guint8) strlen (key);
 
   g_byte_array_append (data, &key_size, 1);
   g_byte_array_append (data, (const guint8 *) key, key_size);
-  g_byte_array_append (data, (const guint8 *) value, (guint) strlen (value));
+  g_byte_array_append (data, value, (guint) size);
   topic_add (find_topic (log, topic), data->data, data->len);
   g_byte_array_unref (data);
 }
 
+void
+site_log_put (site_log_t *log, const char *topic, const char *key, const char *value)
+{
+  site_log_put_bytes (log, topic, key, value, strlen (value));
+}
+
 void
 site_log_forget (site_log_t *log, const char *without)
 {
@@ -241,33 +252,65 @@
     wait_until (log, request, topic, offset, clock_boot_ms () + wait_ms);
 }
 
+/* Appends KEY as a JSON string of ASCII: bytes beyond it stand for the characters of that number.
+ */
+static void
+append_key (GString *items, const char *key)
+{
+  g_string_append_c (items, '"');
+  for (const char *at = key; *at != '\0'; at++)
+    if (g_ascii_isprint (*at) && *at != '"' && *at != '\\')
+      g_string_append_c (items, *at);
+    else
+      g_string_append_printf (items, "\\u%04x", (unsigned) (guint8) *at);
+  g_string_append_c (items, '"');
+}
+
+static void
+append_item (GString *items, const record_t *record)
+{
+  gsize size = 0;
+  const guint8 *data = g_bytes_get_data (record->value, &size);
+  char *value = g_base64_encode (data, size);
+
+  g_string_append (items, items->len > 0 ? ",{\"key\":" : "{\"key\":");
+  append_key (items, record->key);
+  g_string_append_printf (items, ",\"value\":\"%s\",\"offset\":%" G_GUINT64_FORMAT "}", value,
+                          record->offset);
+  g_free (value);
+}
+
+/* The keys of TOPIC that sort after AFTER ("": all), in order. */
+static GList *
+keys_after (const topic_t *topic, const char *after)
+{
+  GList *keys = g_list_sort (g_hash_table_get_keys (topic->newest), (GCompareFunc) strcmp);
+
+  while (*after != '\0' && keys != NULL && strcmp (keys->data, after) <= 0)
+    keys = g_list_delete_link (keys, keys);
+  return keys;
+}
+
 static void
 list_newest (site_log_t *log, web_request_t *request)
 {
   char *name = query_value (request->target, "topic");
+  char *after = query_value (request->target, "depends_on");
   const topic_t *topic = find_topic (log, name);
+  GList *keys = keys_after (topic, after);
   GString *items = g_string_new (NULL);
-  GHashTableIter iter;
-  void *entry = NULL;
+  int count = 0;
 
-  g_hash_table_iter_init (&iter, topic->newest);
-  while (g_hash_table_iter_next (&iter, NULL, &entry))
-    {
-      const record_t *record = entry;
-      gsize size = 0;
-      const guint8 *data = g_bytes_get_data (record->value, &size);
-      char *value = g_base64_encode (data, size);
-      g_string_append_printf (
-          items, "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%" G_GUINT64_FORMAT "}",
-          items->len > 0 ? "," : "", record->key, value, record->offset);
-      g_free (value);
-    }
-  char *body =
-      g_strdup_printf ("{\"items\":[%s],\"has_more\":false,\"end_offset\":%" G_GUINT64_FORMAT "}",
-                       items->str, topic_end (topic));
+  for (GList *at = keys; at != NULL && count < PAGE_ITEMS_MAX; at = at->next, count++)
+    append_item (items, g_hash_table_lookup (topic->newest, at->data));
+  char *body = g_strdup_printf (
+      "{\"items\":[%s],\"has_more\":%s,\"end_offset\":%" G_GUINT64_FORMAT "}", items->str,
+      g_list_length (keys) > PAGE_ITEMS_MAX ? "true" : "false", topic_end (topic));
   web_reply (request, 200, NULL, body);
   g_free (body);
   g_string_free (items, TRUE);
+  g_list_free (keys);
+  g_free (after);
   g_free (name);
 }
 
--- a/standins/site_log.h
+++ b/standins/site_log.h
@@ -34,6 +34,13 @@
 /* Puts VALUE ("": none, the key is dropped) under KEY of TOPIC. */
 void site_log_put (site_log_t *log, const char *topic, const char *key, const char *value);
 
+/* Puts SIZE bytes (0: the key is dropped) under KEY of TOPIC. */
+void site_log_put_bytes (site_log_t *log,
+                         const char *topic,
+                         const char *key,
+                         const void *value,
+                         size_t size);
+
 /* The history of all topics goes, but the newest record of each key; of TOPIC (NULL: none) those go
  * too. */
 void site_log_forget (site_log_t *log, const char *without);
