Stand-in: endpoints restart under their ids

Cause: fake_site crashed an endpoint only under a task of its own, for 400 ms, and went on to write its entry while it was down.

Change: POST /fault with down_ms crashes an endpoint at once, several of them where "endpoint" is an array of ids. With refusing it closes its connections and its port while it is down, else it is silent, as before. It writes no entry while it is down. With entry_lag_ms its old entry stays for so long after its return; with relisted its first entry is removed and put again, so that one reading has both. The sequence of entries begins anew, like the clock and the numbers of ends. New count "again" in GET /seen: starts of a task of which a run was done, if that end was acknowledged before or is later.

--- a/standins/fake_site.c
+++ b/standins/fake_site.c
@@ -2,11 +2,11 @@
  *
  * One process and one thread: a listener for the log, and one for each endpoint, which register
  * in it.  With --log the endpoints register at the log of another such process instead.  The
- * process counts what must never happen, two runs of a task at one time and a start beyond an
- * endpoint's room; GET /seen tells.  POST /fault changes how it behaves; POST /config puts a
- * configuration; POST /drain/ZONE drains a data centre, DELETE removes that; POST /entry/ID an
- * endpoint's entry; POST /forget drops the history,
- * POST /wipe the entries of endpoints too, until they register again.
+ * process counts what must never happen, two runs of a task at one time, a start of a task that was
+ * done, and a start beyond an endpoint's room; GET /seen tells.  POST /fault changes how it
+ * behaves, its "endpoint" is an id or an array of ids; POST /config puts a configuration; POST
+ * /drain/ZONE drains a data centre, DELETE removes that; POST /entry/ID an endpoint's entry; POST
+ * /forget drops the history, POST /wipe the entries of endpoints too, until they register again.
  */
 #include "base/clock.h"
 #include "reactor/loop.h"
@@ -50,6 +50,27 @@
   return NULL;
 }
 
+static void
+change_endpoint (json_object *id, const char *fault)
+{
+  site_endpoint_t *endpoint = endpoint_named (json_object_get_string (id));
+
+  if (endpoint != NULL)
+    site_endpoint_set_faults (endpoint, fault);
+}
+
+static void
+change_endpoints (json_object *ids, const char *fault)
+{
+  if (!json_object_is_type (ids, json_type_array))
+    {
+      change_endpoint (ids, fault);
+      return;
+    }
+  for (size_t i = 0; i < json_object_array_length (ids); i++)
+    change_endpoint (json_object_array_get_idx (ids, i), fault);
+}
+
 static void
 change_faults (web_request_t *request)
 {
@@ -71,11 +92,7 @@
   if (json_object_object_get_ex (fault, "log_lost", &value))
     log->lost = json_object_get_double (value);
   if (json_object_object_get_ex (fault, "endpoint", &value))
-    {
-      site_endpoint_t *endpoint = endpoint_named (json_object_get_string (value));
-      if (endpoint != NULL)
-        site_endpoint_set_faults (endpoint, request->body);
-    }
+    change_endpoints (value, request->body);
   beat_at_ms = 0;
   json_object_put (fault);
   web_reply (request, 200, NULL, "{}");
@@ -133,9 +150,9 @@
 
   g_string_append_printf (
       body,
-      "{\"starts\":%d,\"twice\":%d,\"crowded\":%d,\"refused\":%d,\"running\":%d,"
+      "{\"starts\":%d,\"twice\":%d,\"again\":%d,\"crowded\":%d,\"refused\":%d,\"running\":%d,"
       "\"unacknowledged\":%d,\"tokens\":[",
-      totals.starts, totals.twice, totals.crowded, totals.refused, totals.running,
+      totals.starts, totals.twice, totals.again, totals.crowded, totals.refused, totals.running,
       totals.unacknowledged);
   for (guint i = 0; i < endpoints->len; i++)
     g_string_append_printf (body, "%s%" G_GINT64_FORMAT, i > 0 ? "," : "",
@@ -208,6 +225,30 @@
   g_free (target);
 }
 
+/* Puts ENTRY under ID; an empty one removes what is there. */
+static void
+change_entry (const char *id, const char *entry, int64_t now_ms)
+{
+  if (log_address != NULL)
+    register_elsewhere (id, entry, now_ms);
+  else
+    site_log_put (records, ENTRIES, id, entry);
+}
+
+static void
+register_endpoint (site_endpoint_t *endpoint, int64_t now_ms)
+{
+  const char *id = site_endpoint_id (endpoint);
+  char *entry = NULL;
+  site_entry_change_t change = site_endpoint_register (endpoint, &entry);
+
+  if (change == SITE_ENTRY_REPLACE)
+    change_entry (id, "", now_ms);
+  if (change != SITE_ENTRY_KEEP)
+    change_entry (id, entry, now_ms);
+  g_free (entry);
+}
+
 static void
 register_endpoints (int64_t now_ms)
 {
@@ -215,17 +256,7 @@
     return;
   beat_at_ms = now_ms;
   for (guint i = 0; i < endpoints->len; i++)
-    {
-      site_endpoint_t *endpoint = endpoints->pdata[i];
-      if (site_endpoint_faults (endpoint)->unlisted)
-        continue;
-      char *entry = site_endpoint_entry (endpoint);
-      if (log_address != NULL)
-        register_elsewhere (site_endpoint_id (endpoint), entry, now_ms);
-      else
-        site_log_put (records, ENTRIES, site_endpoint_id (endpoint), entry);
-      g_free (entry);
-    }
+    register_endpoint (endpoints->pdata[i], now_ms);
 }
 
 static void
--- a/standins/site_endpoint.c
+++ b/standins/site_endpoint.c
@@ -19,7 +19,7 @@
 /* Room that was lost counts so long as if it were there: the owner has to learn of it first. */
 #define LOST_ROOM_GRACE_MS 1300
 #define BODY_MAX (4 * 1024 * 1024)
-/* How long it answers nothing after a crash. */
+/* How long it is down after a task has crashed it. */
 #define CRASH_DOWN_MS 400
 #define CORES_EACH_MILLI 1000
 #define MEMORY_EACH_MB 100
@@ -42,6 +42,7 @@
   char *task;
   int32_t attempt;
   const char *how;
+  int32_t starts_after; /* of the same task, at any endpoint */
 } end_t;
 
 /* A look that waits for an end. */
@@ -66,6 +67,8 @@
   int64_t born_at_ms;
   int64_t born_wall_ms;
   int64_t down_until_ms; /* 0 unless it has crashed */
+  int64_t entry_from_ms; /* no entry before */
+  bool entry_replaces;   /* the next entry replaces that of an earlier instance */
   int32_t starts;
   int64_t token;
   int64_t lease_until_ms;
@@ -78,10 +81,12 @@
   GPtrArray *waiters;
   GPtrArray *late;
   GHashTable *seen; /* task -> highest attempt that was stopped or has ended */
-  web_server_t *web;
+  loop_t *loop;
+  web_server_t *web; /* NULL while it accepts no connections */
 };
 
-static GPtrArray *all; /* site_endpoint_t */
+static GPtrArray *all;   /* site_endpoint_t */
+static GHashTable *done; /* tasks of which a run was done and its end acknowledged */
 static site_endpoint_totals_t totals;
 
 static void
@@ -165,7 +170,7 @@
 
 /* Loses what a process loses when it crashes. */
 static void
-crash (site_endpoint_t *endpoint, int64_t now_ms)
+crash (site_endpoint_t *endpoint, int64_t down_ms, int64_t now_ms)
 {
   for (guint i = 0; i < endpoint->runs->len; i++)
     write_ledger (endpoint, endpoint->runs->pdata[i], "crashed", now_ms);
@@ -177,24 +182,31 @@
   endpoint->token = 0;
   endpoint->lease_until_ms = 0;
   endpoint->last_end = 0;
-  endpoint->down_until_ms = now_ms + CRASH_DOWN_MS;
+  endpoint->sequence = 0;
+  endpoint->down_until_ms = now_ms + down_ms;
+}
+
+static void
+restart (site_endpoint_t *endpoint, int64_t now_ms)
+{
+  endpoint->down_until_ms = 0;
+  endpoint->born_at_ms = now_ms;
+  endpoint->born_wall_ms = clock_wall_ms ();
+  endpoint->entry_from_ms = now_ms + endpoint->faults.entry_lag_ms;
+  endpoint->entry_replaces = endpoint->faults.relisted;
 }
 
 static void
 crash_or_restart (site_endpoint_t *endpoint, int64_t now_ms)
 {
   if (endpoint->down_until_ms != 0 && endpoint->down_until_ms <= now_ms)
-    {
-      endpoint->down_until_ms = 0;
-      endpoint->born_at_ms = now_ms;
-      endpoint->born_wall_ms = clock_wall_ms ();
-    }
+    restart (endpoint, now_ms);
   for (guint i = 0; i < endpoint->runs->len; i++)
     {
       const run_t *run = endpoint->runs->pdata[i];
       if (!run->crashes || run->ends_at_ms > now_ms)
         continue;
-      crash (endpoint, now_ms);
+      crash (endpoint, CRASH_DOWN_MS, now_ms);
       return;
     }
 }
@@ -283,6 +295,17 @@
   endpoint->lease_until_ms = MAX (endpoint->lease_until_ms, MIN (until_ms, now_ms + LEASE_MAX_MS));
 }
 
+/* Until an end is acknowledged, a start after it may be one whose owner can't know better. */
+static void
+count_start_after (GPtrArray *ends, const char *task)
+{
+  for (guint i = 0; i < ends->len; i++)
+    {
+      end_t *end = ends->pdata[i];
+      end->starts_after += strcmp (end->task, task) == 0;
+    }
+}
+
 static void
 count_start (const site_endpoint_t *endpoint, const char *task, int64_t now_ms)
 {
@@ -291,10 +314,29 @@
       site_endpoint_t *other = all->pdata[i];
       step (other, now_ms);
       totals.twice += other != endpoint && find_run (other, task) != NULL;
+      count_start_after (other->ends, task);
     }
+  totals.again += g_hash_table_contains (done, task);
   totals.starts++;
 }
 
+static void
+acknowledge (GPtrArray *ends, int64_t number)
+{
+  for (guint i = ends->len; i-- > 0;)
+    {
+      const end_t *end = ends->pdata[i];
+      if (end->number > number)
+        continue;
+      if (strcmp (end->how, "done") == 0)
+        {
+          totals.again += end->starts_after;
+          g_hash_table_add (done, g_strdup (end->task));
+        }
+      g_ptr_array_remove_index (ends, i);
+    }
+}
+
 static int32_t
 room_of (const site_endpoint_t *endpoint)
 {
@@ -388,12 +430,9 @@
 static void
 look (site_endpoint_t *endpoint, web_request_t *request, json_object *order, int64_t now_ms)
 {
-  int64_t ack = number (order, "ack_index");
   int64_t wait_ms = number (order, "wait_ms");
 
-  for (guint i = endpoint->ends->len; i-- > 0;)
-    if (((end_t *) endpoint->ends->pdata[i])->number <= ack)
-      g_ptr_array_remove_index (endpoint->ends, i);
+  acknowledge (endpoint->ends, number (order, "ack_index"));
   if (number (order, "deadline_ms") > 0)
     extend (endpoint, order, now_ms);
   if (request == NULL)
@@ -485,6 +524,7 @@
 site_endpoint_set_faults (site_endpoint_t *endpoint, const char *body)
 {
   json_object *fault = json_tokener_parse (body);
+  int64_t down_ms = 0;
 
   if (fault == NULL)
     return;
@@ -498,6 +538,12 @@
   set_number (fault, "late_ms", &endpoint->faults.late_ms);
   set_number (fault, "slow", &endpoint->faults.slow);
   set_number (fault, "born", &endpoint->faults.born);
+  set_flag (fault, "refusing", &endpoint->faults.refusing);
+  set_flag (fault, "relisted", &endpoint->faults.relisted);
+  set_number (fault, "entry_lag_ms", &endpoint->faults.entry_lag_ms);
+  set_number (fault, "down_ms", &down_ms);
+  if (down_ms > 0)
+    crash (endpoint, down_ms, clock_boot_ms ());
   json_object_put (fault);
 }
 
@@ -591,6 +637,33 @@
     }
 }
 
+static int
+open_listener (site_endpoint_t *endpoint)
+{
+  static const web_server_handlers_t ops = { on_order, on_gone };
+  web_server_options_t options = { .address = endpoint->options.address,
+                                   .limits = { 65536, BODY_MAX, 10000, 60000 },
+                                   .handlers = &ops,
+                                   .data = endpoint };
+
+  return web_server_start (endpoint->loop, &options, &endpoint->web);
+}
+
+/* An address that can't be had is tried again on the next tick. */
+static void
+open_or_close_listener (site_endpoint_t *endpoint)
+{
+  bool closed = endpoint->down_until_ms != 0 && endpoint->faults.refusing;
+
+  if (closed && endpoint->web != NULL)
+    {
+      web_server_free (endpoint->web);
+      endpoint->web = NULL;
+    }
+  else if (!closed && endpoint->web == NULL)
+    (void) open_listener (endpoint);
+}
+
 void
 site_endpoint_tick (int64_t now_ms)
 {
@@ -598,6 +671,7 @@
     {
       site_endpoint_t *endpoint = all->pdata[i];
       step (endpoint, now_ms);
+      open_or_close_listener (endpoint);
       carry_out_late (endpoint, now_ms);
       answer_waiters (endpoint, now_ms);
     }
@@ -606,10 +680,9 @@
 /* --- reports --- */
 
 /* The free capacity in an entry is the whole room, whatever runs there. */
-char *
-site_endpoint_entry (site_endpoint_t *endpoint)
+static char *
+entry_text (site_endpoint_t *endpoint, int64_t now_ms)
 {
-  int64_t now_ms = clock_boot_ms ();
   int32_t room = room_of (endpoint);
 
   return g_strdup_printf (
@@ -624,10 +697,17 @@
       ++endpoint->sequence, born_of (endpoint));
 }
 
-site_endpoint_faults_t *
-site_endpoint_faults (site_endpoint_t *endpoint)
+site_entry_change_t
+site_endpoint_register (site_endpoint_t *endpoint, char **entry)
 {
-  return &endpoint->faults;
+  int64_t now_ms = clock_boot_ms ();
+  bool replaces = endpoint->entry_replaces;
+
+  if (endpoint->faults.unlisted || endpoint->down_until_ms != 0 || now_ms < endpoint->entry_from_ms)
+    return SITE_ENTRY_KEEP;
+  endpoint->entry_replaces = false;
+  *entry = entry_text (endpoint, now_ms);
+  return replaces ? SITE_ENTRY_REPLACE : SITE_ENTRY_PUT;
 }
 
 const char *
@@ -689,10 +769,10 @@
 int
 site_endpoint_new (loop_t *loop, const site_endpoint_options_t *options, site_endpoint_t **out)
 {
-  static const web_server_handlers_t ops = { on_order, on_gone };
   site_endpoint_t *endpoint = g_new0 (site_endpoint_t, 1);
 
   endpoint->options = *options;
+  endpoint->loop = loop;
   endpoint->born_at_ms = clock_boot_ms ();
   endpoint->born_wall_ms = clock_wall_ms ();
   endpoint->runs = g_ptr_array_new_with_free_func (free_run);
@@ -700,15 +780,14 @@
   endpoint->waiters = g_ptr_array_new_with_free_func (g_free);
   endpoint->late = g_ptr_array_new_with_free_func (free_late);
   endpoint->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  web_server_options_t web = { .address = options->address,
-                               .limits = { 65536, BODY_MAX, 10000, 60000 },
-                               .handlers = &ops,
-                               .data = endpoint };
-  int result = web_server_start (loop, &web, &endpoint->web);
+  int result = open_listener (endpoint);
   if (result != 0)
     return result;
   if (all == NULL)
-    all = g_ptr_array_new ();
+    {
+      all = g_ptr_array_new ();
+      done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+    }
   g_ptr_array_add (all, endpoint);
   *out = endpoint;
   return 0;
--- a/standins/site_endpoint.h
+++ b/standins/site_endpoint.h
@@ -2,6 +2,8 @@
  *
  * It runs a task for as many milliseconds as its spec says; a spec that begins with F fails at
  * its end, and one that begins with X crashes the endpoint then, which is back a little later.
+ * After a crash it is a new instance under the same id: it has no runs, ends, token or stops, and
+ * its clock, the numbers of its ends and the sequence of its entries begin anew.
  * Orders come over HTTP on its own address.  With a ledger each start and each end is a line on
  * standard output, written at once, so that it outlives the process.
  *
@@ -30,6 +32,9 @@
   int64_t slow;      /* runs take so many times as long; 0 counts as 1 */
   bool unguarded;    /* it starts what it has no room for */
   int64_t lost_room; /* its room is so much smaller, and its entry says so */
+  bool refusing;     /* while down it closes its connections and accepts none; else it is silent */
+  int64_t entry_lag_ms; /* after a crash its old entry stays until so long after its return */
+  bool relisted;        /* its first entry after a crash is removed and put again at once */
   int64_t born; /* as if it had started anew with its clock at this time; 0 for its own start */
 } site_endpoint_faults_t;
 
@@ -49,6 +54,7 @@
 {
   int32_t starts;
   int32_t twice;   /* starts of a task that ran at another endpoint */
+  int32_t again;   /* starts after a run of the task was done, if that end was acknowledged ever */
   int32_t crowded; /* orders to start beyond the room; a smaller room counts after a grace */
   int32_t refused; /* orders to start that found no room */
   int32_t running;
@@ -60,7 +66,6 @@
 int site_endpoint_new (loop_t *loop,
                        const site_endpoint_options_t *options,
                        site_endpoint_t **endpoint);
-site_endpoint_faults_t *site_endpoint_faults (site_endpoint_t *endpoint);
 const char *site_endpoint_id (const site_endpoint_t *endpoint);
 int64_t site_endpoint_token (const site_endpoint_t *endpoint);
 
@@ -68,11 +73,21 @@
 int32_t site_endpoint_starts_in (const char *data_centre);
 int32_t site_endpoint_running_in (const char *data_centre);
 
-/* The text of its entry in the directory; the caller frees it. */
-char *site_endpoint_entry (site_endpoint_t *endpoint);
+/* What an endpoint does with its entry in the directory. */
+typedef enum
+{
+  SITE_ENTRY_KEEP, /* nothing: it is down, or misbehaves so */
+  SITE_ENTRY_PUT,
+  SITE_ENTRY_REPLACE /* removes it and puts it again */
+} site_entry_change_t;
+
+/* What to do now.  Unless that is SITE_ENTRY_KEEP, *ENTRY is the text of the entry, which the
+ * caller frees. */
+site_entry_change_t site_endpoint_register (site_endpoint_t *endpoint, char **entry);
 
-/* Takes the faults that BODY names, also over its address: POST /fault.  GET /seen there tells what
- * runs and which ends are not acknowledged. */
+/* Takes the faults that BODY names, also over its address: POST /fault.  With down_ms the endpoint
+ * crashes now and is down for so long.  GET /seen there tells what runs and which ends are not
+ * acknowledged. */
 void site_endpoint_set_faults (site_endpoint_t *endpoint, const char *body);
 
 site_endpoint_totals_t site_endpoint_totals (void);
