--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -9,6 +9,7 @@
  */
 #include "cluster/cluster_msg.h"
 #include "drain/drain_msg.h"
+#include "executor/entry.h"
 #include "executor/executor_msg.h"
 #include "platform/decode.h"
 #include "platform/settings.h"
@@ -33,8 +34,7 @@
 
   if (decode_entry ("i-1", data, size, 0, &entry) == 0)
     {
-      CU_ASSERT_PTR_NOT_NULL (entry.endpoint.address);
-      CU_ASSERT_TRUE (entry.endpoint.free.cores_milli >= 0);
+      CU_ASSERT_TRUE (entry_is_usable (entry.shard, &entry.endpoint));
       executor_entry_clear (&entry);
     }
 }
@@ -110,6 +110,18 @@
   g_array_unref (listed);
 }
 
+static void
+read_relayed_entry (frame_reader_t *reader)
+{
+  executor_entry_t entry;
+
+  if (executor_msg_read_endpoint (reader, 0, &entry) == 0)
+    {
+      CU_ASSERT_TRUE (entry_is_usable (entry.shard, &entry.endpoint));
+      executor_entry_clear (&entry);
+    }
+}
+
 static void
 read_frame (const char *data, size_t size)
 {
@@ -153,6 +165,9 @@
           if (executor_msg_read_endpoint_removed (reader, &text) == 0)
             g_free (text);
           break;
+        case EXECUTOR_MSG_ENDPOINT:
+          read_relayed_entry (reader);
+          break;
         case CLUSTER_MSG_HOSTS:
           cluster_msg_read_hosts (reader, hosts);
           break;
@@ -177,6 +192,11 @@
 
 /* --- valid input and its mutation --- */
 
+#define ODD_ENTRY(address, cores, sequence)                                                        \
+  "{\"service\":\"s\",\"address\":\"" address "\",\"zone\":\"z\",\"state\":\"ready\","             \
+  "\"free_capacity\":{\"cpu_millis\":" cores ",\"mem_mb\":1},\"born\":5,\"sequence\":" sequence    \
+  "}"
+
 static const struct
 {
   void (*read) (const char *data, size_t size);
@@ -186,6 +206,14 @@
     "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\","
     "\"free_capacity\":{\"cpu_millis\":16000,\"mem_mb\":32768,\"gpus\":0},\"labels\":[\"a\","
     "\"r1-3\"],\"clock_ms\":482113,\"sequence\":4,\"born\":1700000000000}" },
+  { read_entry, ODD_ENTRY ("10.0.0.1:99999", "16000", "4") },
+  { read_entry, ODD_ENTRY ("server.example:80", "1e400", "2.5") },
+  { read_entry, ODD_ENTRY ("10.0.0.1:80\\u0000x", "NaN", "-Infinity") },
+  { read_entry, ODD_ENTRY ("10.0.0.1:80\\r\\n", "9223372036854775808", "\"4\"") },
+  { read_entry, ODD_ENTRY ("10.0.0.1:80",
+                           "16000",
+                           "4,\"x\":[[[[[[[[[[[[[[[[[[[[{\"a\":{}}]]]]]]]]]]]]]]]]]]]]") },
+  { read_entry, ODD_ENTRY ("10.0.0.1:80", "1", "4,\"labels\":[\"\xff\",\"\\ud800\",null,7]") },
   { read_queues,
     "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"path_prefix\":\"/p/\","
     "\"timeout_ms\":1500,\"target_latency_ms\":60,\"priority\":2,\"service\":\"s\","
@@ -244,7 +272,7 @@
   g_rand_free (rand);
 }
 
-#define FRAME_KIND_COUNT 10
+#define FRAME_KIND_COUNT 11
 
 static GBytes *
 valid_drain_set (void)
@@ -288,6 +316,15 @@
   const executor_load_t load = { "x", 64000, 100, 40, { 7, 0, 900000 }, { 0, 0, 1200 } };
   executor_offer_t offer = { "x", 3, 9, 1.2 };
   const cluster_host_t known_host = { (char *) "h", (char *) "127.0.0.1:9", (char *) "z", 250 };
+  const executor_entry_t entry = { .endpoint = { .id = "e0",
+                                                 .address = "10.0.0.1:80",
+                                                 .service = "x",
+                                                 .kind = "a",
+                                                 .rack = "r",
+                                                 .started_at_ms = 5,
+                                                 .free = { 16000, 32768, 0 } },
+                                   .shard = (char *) "z",
+                                   .offset = 7 };
   GBytes *frame = NULL;
 
   g_array_append_val (offers, offer);
@@ -312,6 +349,8 @@
     frame = drain_msg_running_tasks ("z", 3);
   else if (kind == 9)
     frame = executor_msg_losses (losses, G_N_ELEMENTS (losses));
+  else if (kind == 10)
+    frame = executor_msg_endpoint (&entry, 0);
   else
     frame = cluster_msg_heartbeat (&heartbeat);
   g_array_unref (heartbeat.claims);
