--- a/tests/test_entry_pages.c
+++ b/tests/test_entry_pages.c
@@ -244,8 +244,9 @@
 answer_listing (page_test_t *test, web_request_t *request)
 {
   const char *const *listings = test->page_case->listings;
-  int number = MIN (test->listings_asked++, LISTINGS_MAX - 1);
+  int number = MIN (test->listings_asked, LISTINGS_MAX - 1);
 
+  test->listings_asked++;
   while (listings[number] == NULL)
     number--;
   GString *body = g_string_new (listings[number]);
