--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -50,7 +50,8 @@
   pid_t hosts[HOSTS];
   char *directory;
   port_block_t ports;
-  int port; /* of the stand-in */
+  int port;                 /* of the stand-in */
+  unsigned failures_before; /* failed checks when the rig was started */
 } rig_t;
 
 static int
@@ -175,7 +176,7 @@
 static void
 rig_start (rig_t *rig)
 {
-  *rig = (rig_t){ 0 };
+  *rig = (rig_t){ .failures_before = CU_get_number_of_failures () };
   CU_ASSERT_EQUAL_FATAL (port_block_take (&rig_ports, &rig->ports), 0);
   rig->port = rig->ports.first_port;
   char *program = g_strdup_printf ("%s/fake_site", programs);
@@ -213,7 +214,7 @@
 }
 
 /* Checks what must hold after every case: no task ran at two endpoints at a time, and no
- * endpoint was sent more tasks than it has room for. */
+ * endpoint was sent more tasks than it has room for.  The logs are kept if a check has failed. */
 static void
 rig_stop (rig_t *rig)
 {
@@ -223,7 +224,10 @@
     end_process (&rig->hosts[i], SIGKILL);
   end_process (&rig->standin, SIGKILL);
   port_block_free (&rig->ports);
-  site_remove_directory (rig->directory);
+  if (CU_get_number_of_failures () == rig->failures_before)
+    site_remove_directory (rig->directory);
+  else
+    printf ("  logs: %s\n", rig->directory);
   g_free (rig->directory);
 }
 
