"stopped" says what callers had not received when a host ended

A stop round which connections were cut could not be told from one that had answered all: the event had the number of open jobs only. It has the open connections of callers and the bytes of answers that they have not acknowledged as well (what is buffered, and SIOCOUTQ of the socket).

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -372,14 +372,25 @@
 }
 
 static void
-log_jobs (event_t event, const site_t *site)
+log_stopping (const site_t *site)
 {
-  if (!event_begin (event))
+  if (!event_begin (EVENT_STOPPING))
     return;
   event_add_number ("jobs", scheduler_job_count (site->scheduler));
   event_end ();
 }
 
+static void
+log_stopped (const site_t *site)
+{
+  if (!event_begin (EVENT_STOPPED))
+    return;
+  event_add_number ("jobs", scheduler_job_count (site->scheduler));
+  event_add_number ("connections", ingress_connections (site->ingress));
+  event_add_number ("unacked_bytes", ingress_unacked_bytes (site->ingress));
+  event_end ();
+}
+
 static void
 on_terminate (void *data)
 {
@@ -387,7 +398,7 @@
 
   if (site->stopping)
     return;
-  log_jobs (EVENT_STOPPING, site);
+  log_stopping (site);
   site->stopping = true;
   site->stopping_since_ms = clock_boot_ms ();
   cluster_leave (site->cluster);
@@ -459,7 +470,7 @@
       event_end ();
     }
   loop_run (site->loop);
-  log_jobs (EVENT_STOPPED, site);
+  log_stopped (site);
   event_flush (INT64_MAX);
   return 0;
 }
--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -89,6 +89,9 @@
 int32_t web_server_connections (const web_server_t *server);
 int32_t web_server_active_requests (const web_server_t *server);
 
+/* Returns how many bytes of answers the clients have not acknowledged. */
+int64_t web_server_unacked_bytes (const web_server_t *server);
+
 /* Closes connections that exceeded the timeout for idleness or for an incomplete request. */
 void web_server_tick (web_server_t *server, int64_t now_ms);
 
--- a/lib/reactor/web_server.c
+++ b/lib/reactor/web_server.c
@@ -441,6 +441,23 @@
   return server->active;
 }
 
+int64_t
+web_server_unacked_bytes (const web_server_t *server)
+{
+  GHashTableIter iter;
+  void *key = NULL;
+  int64_t bytes = 0;
+
+  g_hash_table_iter_init (&iter, server->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct bufferevent *bufferevent = ((connection_t *) key)->bufferevent;
+      bytes += (int64_t) evbuffer_get_length (bufferevent_get_output (bufferevent));
+      bytes += tcp_unacked_bytes (bufferevent_getfd (bufferevent));
+    }
+  return bytes;
+}
+
 /* Returns whether a connection has been idle, or a request incomplete, for too long. */
 static bool
 is_timed_out (const web_server_t *server, const connection_t *connection, int64_t now_ms)
