Every job is answered before its host stops

Callers saw their connections cut 5.5 s after the SIGTERM of their host, with no answer, for requests that the host had read up to then (LOST).

Cause: not the send queue. Where fewer than half of the hosts of a zone are ready, the balancer goes on sending to all of them, also to one that stops; behind full links few are ready. The host took these jobs until it ended, EXIT_MARGIN_MS before its grace period does, and ended with those that were open then. A job that needs longer than the grace period was cut in the same way on any host.

Change: scheduler_stop () sets the time by which every job of the host is answered, 1 s before the end of the grace period. It bounds the deadline of every job: a new one that can't end by then is refused at once (503, "this host stops", Retry-After), one that has not ended by then is refused if its owners confirm that nothing has started, else given up. 250 ms later no connection is accepted any more, so that what was read is answered when the host ends. job_missed and the metrics name the limit "stopping".

test_site "a host is stopped with jobs that cannot end" (real processes): without the call three of its five requests get no answer; test_scheduler "a host stops with jobs".

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -31,7 +31,11 @@
 #define PROBE_ODDS 8
 /* Time after the signal to stop within which the load balancer stops sending new requests. */
 #define BALANCER_DELAY_MS 2600
-/* Part of the grace period that is left for the exit itself, before the process is killed. */
+/* The end of the grace period, after which the process is killed, less the first of these is the
+ * time by which all jobs are answered.  From the second on no connection is accepted any more, so
+ * that what was read is answered before the process ends, at the third at the latest. */
+#define ANSWER_MARGIN_MS 1000
+#define ACCEPT_MARGIN_MS 750
 #define EXIT_MARGIN_MS 500
 
 /* --- actions of the cluster --- */
@@ -262,6 +266,8 @@
   bool owns_shards =
       g_hash_table_size (site->owned_shards) > 0 && cluster_alive_hosts (site->cluster) > 1;
 
+  if (elapsed_ms > site->settings->grace_ms - ACCEPT_MARGIN_MS)
+    ingress_stop_listening (site->ingress);
   if (elapsed_ms > site->settings->grace_ms - EXIT_MARGIN_MS
       || (elapsed_ms > BALANCER_DELAY_MS && ingress_is_idle (site->ingress) && !owns_shards))
     loop_stop (site->loop);
@@ -403,6 +409,8 @@
   site->stopping_since_ms = clock_boot_ms ();
   cluster_leave (site->cluster);
   ingress_drain (site->ingress);
+  scheduler_stop (site->scheduler,
+                  site->stopping_since_ms + site->settings->grace_ms - ANSWER_MARGIN_MS);
   peers_send_heartbeats (site, site->stopping_since_ms, true);
 }
 
--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -22,6 +22,7 @@
   [SCHEDULER_LIMIT_ATTEMPTS] = "attempts",
   [SCHEDULER_LIMIT_OWNERS] = "owners",
   [SCHEDULER_LIMIT_DRAINED] = "drained",
+  [SCHEDULER_LIMIT_STOPPING] = "stopping",
   [SCHEDULER_LIMIT_CAPACITY] = "capacity",
 };
 
--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -81,7 +81,7 @@
  * between requests are closed after IDLE_MS. */
 void web_server_drain (web_server_t *server, int64_t idle_ms);
 
-/* Stops accepting connections; those that are open remain in use. */
+/* Stops accepting connections; those that are open remain in use.  No-op if it has stopped. */
 void web_server_stop_listening (web_server_t *server);
 
 /* Return the number of open connections, and of requests passed to on_request () and
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -72,6 +72,7 @@
   scheduler->size_history = size_history_new ();
   scheduler->answer_strings = g_string_chunk_new (STRING_CHUNK_BYTES);
   scheduler->cancellations = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  scheduler->answer_by_ms = INT64_MAX;
   return scheduler;
 }
 
@@ -124,8 +125,31 @@
                                .deadline_at_ms = info->deadline_at_ms };
 }
 
-/* Refuses a new job that can't be served in time because of the backlog.  Returns true if it was
- * refused. */
+/* A job must end before this host stops. */
+static void
+limit_deadline (scheduled_job_t *job, int64_t answer_by_ms)
+{
+  if (job->request.deadline_at_ms <= answer_by_ms)
+    return;
+  job->request.deadline_at_ms = answer_by_ms;
+  job->aim.deadline_at_ms = answer_by_ms;
+  job->ends_with_host = true;
+}
+
+void
+scheduler_stop (scheduler_t *scheduler, int64_t answer_by_ms)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  scheduler->answer_by_ms = answer_by_ms;
+  g_hash_table_iter_init (&iter, scheduler->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    limit_deadline (value, answer_by_ms);
+}
+
+/* Refuses a new job that can't be served in time because this host stops or because of the backlog.
+ * Returns true if it was refused. */
 static bool
 refuse_on_arrival (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
@@ -133,6 +157,12 @@
     [ADMISSION_MISSES_DEADLINE] = "the backlog leaves no time for it before its deadline",
     [ADMISSION_MISSES_START_LIMIT] = "the backlog is longer than its queue's time",
   };
+  if (job->ends_with_host && scheduler_cannot_finish (job, now_ms))
+    {
+      scheduler_refuse_job (scheduler, job, SCHEDULER_LIMIT_STOPPING, "this host stops", now_ms,
+                            actions);
+      return true;
+    }
   admission_t admission = forecast_job_admit (scheduler, job, now_ms);
 
   if (admission == ADMISSION_ADMIT)
@@ -159,6 +189,7 @@
   job->request.label = g_strdup (info->label);
   job->request.preferred_rack = g_strdup (info->preferred_rack);
   job->aim = objective_of (info);
+  limit_deadline (job, scheduler->answer_by_ms);
   job->size_class = size_history_add (scheduler->size_history, job->request.queue,
                                       (double) info->tasks * (double) info->need.cores_milli
                                           * (double) info->estimate_ms);
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -64,6 +64,7 @@
                                   endpoints on which it ran have crashed */
   SCHEDULER_LIMIT_OWNERS,      /* no owner had endpoints for it, or an owner was lost */
   SCHEDULER_LIMIT_DRAINED,     /* every data centre with endpoints for it is drained */
+  SCHEDULER_LIMIT_STOPPING,    /* it can't end before this host stops */
   SCHEDULER_LIMIT_CAPACITY     /* refused on arrival because the backlog is too long */
 } scheduler_limit_t;
 
@@ -197,6 +198,10 @@
 void
 scheduler_give_up_all (scheduler_t *scheduler, const char *reason, int64_t now_ms, GArray *actions);
 
+/* This host stops: every job must be answered by ANSWER_BY_MS.  Those that have not ended by then
+ * are refused or given up, and a new job that can't end by then is refused at once. */
+void scheduler_stop (scheduler_t *scheduler, int64_t answer_by_ms);
+
 /* How a task has ended at an owner. */
 typedef enum
 {
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -47,6 +47,7 @@
                                 the loss of fewer owners can end the job */
   bool was_sent;             /* some of its tasks were sent to an owner */
   bool may_have_run;
+  bool ends_with_host; /* its deadline is the time by which this host must have answered */
   bool end_pending; /* it is answered once the owners have confirmed that its batches have ended */
   scheduler_outcome_t outcome;
   const char *reason;
@@ -106,6 +107,7 @@
   size_history_t *size_history;
   GStringChunk *answer_strings; /* of the jobs that were answered since the last step */
   uint64_t last_number;         /* last number that was given to a job or batch */
+  int64_t answer_by_ms;         /* this host stops then; INT64_MAX if it is not stopping */
 };
 
 /* assign.c: assigns the unassigned tasks of JOB to owners.  Tasks for which there is no owner stay
@@ -171,6 +173,9 @@
 int64_t
 forecast_job_retry_after_ms (scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms);
 
+/* timeouts.c: true if too little time is left for JOB, however fast its endpoints are. */
+bool scheduler_cannot_finish (const scheduled_job_t *job, int64_t now_ms);
+
 /* cancellations.c: sends a message of KIND (SCHEDULER_CANCEL or SCHEDULER_RELEASE) about BATCH to
  * its owner, and sends all messages again that are due and not confirmed yet. */
 void cancellations_add (scheduler_t *scheduler,
--- a/lib/scheduler/timeouts.c
+++ b/lib/scheduler/timeouts.c
@@ -36,6 +36,14 @@
   return some_drained;
 }
 
+bool
+scheduler_cannot_finish (const scheduled_job_t *job, int64_t now_ms)
+{
+  int64_t least_ms = (int64_t) (MIN_RUN_FRACTION * (double) job->request.estimate_ms);
+
+  return now_ms + least_ms > job->request.deadline_at_ms;
+}
+
 static bool
 takeover_timed_out (const scheduled_job_t *job, int64_t now_ms)
 {
@@ -82,7 +90,8 @@
   if (now_ms >= job->request.deadline_at_ms)
     {
       scheduler_refuse_job (scheduler, job, scheduler_deadline_limit (job),
-                            "its deadline has passed", now_ms, actions);
+                            job->ends_with_host ? "this host stops" : "its deadline has passed",
+                            now_ms, actions);
       return;
     }
   if (takeover_timed_out (job, now_ms))
@@ -110,11 +119,10 @@
                             "every data centre with endpoints for it is drained", now_ms, actions);
       return;
     }
-  bool cannot_finish = now_ms + (int64_t) (MIN_RUN_FRACTION * (double) job->request.estimate_ms)
-                       > job->request.deadline_at_ms;
   if (job->no_owner_since_ms == 0)
     job->no_owner_since_ms = now_ms;
-  if (cannot_finish || now_ms - job->no_owner_since_ms > NO_OWNER_TIMEOUT_MS)
+  if (scheduler_cannot_finish (job, now_ms)
+      || now_ms - job->no_owner_since_ms > NO_OWNER_TIMEOUT_MS)
     scheduler_refuse_job (scheduler, job, SCHEDULER_LIMIT_OWNERS, "no owner of endpoints is known",
                           now_ms, actions);
 }
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -113,6 +113,90 @@
     }
 }
 
+#define ANSWER_BY_MS 1000 /* before the deadline of make_job () */
+
+static const struct
+{
+  const char *name;
+  int64_t estimate_ms;
+  int64_t submitted_at_ms;
+  bool stopping;          /* the host stops already */
+  bool sent;              /* an owner has free slots */
+  bool never_started;     /* the owner's confirmation says so; else it says nothing */
+  int64_t answered_at_ms; /* at the latest */
+  scheduler_outcome_t outcome;
+} stop_cases[] = {
+  { "submitted before, not confirmed", 100, 0, false, true, false, 1100, SCHEDULER_GIVEN_UP },
+  { "submitted before, not started", 100, 0, false, true, true, 1010, SCHEDULER_REFUSED },
+  { "submitted before, too long", 1400, 0, false, true, true, 1010, SCHEDULER_REFUSED },
+  { "submitted after, not started", 100, 600, true, true, true, 1010, SCHEDULER_REFUSED },
+  { "submitted after, too long", 1400, 600, true, false, false, 600, SCHEDULER_REFUSED },
+  { "submitted after the last answer", 10, 1020, true, false, false, 1020, SCHEDULER_REFUSED },
+};
+
+/* Steps until a job is answered.  Returns the time of the answer, or -1. */
+static int64_t
+step_until_answered (scheduler_t *scheduler,
+                     GArray *actions,
+                     int64_t from_ms,
+                     bool never_started,
+                     scheduler_outcome_t *outcome)
+{
+  for (int64_t now_ms = from_ms; now_ms < 1500; now_ms += 5)
+    {
+      for (guint i = 0; i < actions->len; i++)
+        {
+          const scheduler_action_t action = g_array_index (actions, scheduler_action_t, i);
+          *outcome = action.outcome;
+          if (action.kind == SCHEDULER_ANSWER)
+            return now_ms;
+          if (action.kind == SCHEDULER_SUBMIT)
+            g_array_unref (action.task_indexes);
+          if (action.kind == SCHEDULER_CANCEL && never_started)
+            scheduler_batch_end_confirmed (scheduler, action.host, action.batch_number, true,
+                                           now_ms, actions);
+        }
+      g_array_set_size (actions, 0);
+      scheduler_step (scheduler, now_ms, actions);
+    }
+  return -1;
+}
+
+/* A host that stopped ended with jobs that it had not answered.  Every job has its answer by the
+ * time that the host has set, and a job that can't end by then is refused on arrival. */
+static void
+test_host_stops_with_jobs (void)
+{
+  const scheduler_options_t options = { "h", "z", 1000, 1.0 };
+  const executor_offer_t offer = { "s", 4, 4, 1.0 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (stop_cases); i++)
+    {
+      const scheduler_job_t job = make_job (stop_cases[i].estimate_ms);
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      scheduler_t *scheduler = scheduler_new (&options);
+      scheduler_outcome_t outcome = SCHEDULER_COMPLETE;
+
+      scheduler_set_owner (scheduler, "x", "hx", 1, 0, actions);
+      report_offers (scheduler, "x", "hx", &offer, 1, NULL, 0);
+      if (stop_cases[i].stopping)
+        scheduler_stop (scheduler, ANSWER_BY_MS);
+      scheduler_submit (scheduler, &job, stop_cases[i].submitted_at_ms, actions);
+      CU_ASSERT_EQUAL (g_array_index (actions, scheduler_action_t, 0).kind == SCHEDULER_SUBMIT,
+                       stop_cases[i].sent);
+      scheduler_stop (scheduler, ANSWER_BY_MS);
+      int64_t answered_at_ms = step_until_answered (
+          scheduler, actions, stop_cases[i].submitted_at_ms, stop_cases[i].never_started, &outcome);
+      bool in_time = answered_at_ms >= 0 && answered_at_ms <= stop_cases[i].answered_at_ms;
+      if (!in_time || outcome != stop_cases[i].outcome)
+        printf ("  %s: %d at %d ms\n", stop_cases[i].name, (int) outcome, (int) answered_at_ms);
+      CU_ASSERT_TRUE (in_time);
+      CU_ASSERT_EQUAL (outcome, stop_cases[i].outcome);
+      scheduler_free (scheduler);
+      g_array_unref (actions);
+    }
+}
+
 typedef enum
 {
   SENT_ONCE,
@@ -656,6 +740,7 @@
   { "size classes of jobs", test_size_classes },
   { "old sizes no longer count", test_size_history_length },
   { "a large job is not sent to a slow owner", test_large_job_to_slow_owner },
+  { "a host stops with jobs", test_host_stops_with_jobs },
   { "\"not owned\" after a batch was sent again", test_not_owned_after_resend },
   { "a release is sent until it is confirmed", test_release_is_resent },
   { "a returned task without an owner", test_returned_task_without_owner },
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -32,6 +32,8 @@
 #define DISCOVERY_END_MS 3500
 /* Long enough for crashes of several endpoints, one after the other. */
 #define CRASHING_WAIT_MS 15000
+/* bounds.grace_period_s of the hosts. */
+#define GRACE_MS 6000
 /* The default of bounds.evacuation_ms. */
 #define EVACUATION_MS 5000
 
@@ -666,6 +668,104 @@
   rig_stop (&rig);
 }
 
+/* Requests to a host that is stopped, and killed after GRACE_MS. */
+static const struct
+{
+  const char *name;
+  int64_t sent_at_ms; /* after the signal to stop */
+  int work_ms;
+  int wait_ms; /* how long its caller waits */
+  int status;
+  int64_t answer_within_ms; /* of the request */
+} stop_cases[] = {
+  { "before the stop, it ends late in the grace period", -300, 4700, 8000, 200, 5500 },
+  { "before the stop, it takes longer than the grace period", -300, 9000, 12000, 504, 6200 },
+  { "after the stop, it can end", 400, 500, 3000, 200, 3000 },
+  { "after the stop, it takes longer than what is left", 500, 9000, 12000, 503, 1000 },
+  { "late in the grace period, it can't end", 4000, 3000, 8000, 503, 500 },
+};
+
+typedef struct
+{
+  const rig_t *rig;
+  size_t row; /* of stop_cases */
+  int64_t stop_at_ms;
+  site_response_t response;
+  int64_t elapsed_ms;
+} stop_request_t;
+
+static void
+sleep_until (int64_t at_ms)
+{
+  clock_sleep_ms (MAX (at_ms - clock_boot_ms (), 0));
+}
+
+static void *
+send_stop_request (void *data)
+{
+  stop_request_t *request = data;
+  char *target = g_strdup_printf ("/q/%016x", (unsigned) request->row + 0x5100);
+  char *body = job_body (1, stop_cases[request->row].work_ms, "");
+
+  sleep_until (request->stop_at_ms + stop_cases[request->row].sent_at_ms);
+  int fd = site_connect ("127.0.0.1", caller_port (request->rig, 3));
+  int64_t from_ms = clock_boot_ms ();
+  site_send_request (fd, "POST", target, body, stop_cases[request->row].wait_ms);
+  request->response = site_read_response (fd, from_ms + stop_cases[request->row].wait_ms);
+  request->elapsed_ms = clock_boot_ms () - from_ms;
+  close (fd);
+  g_free (body);
+  g_free (target);
+  return NULL;
+}
+
+static void
+check_stop_response (const stop_request_t *request)
+{
+  const site_response_t *response = &request->response;
+  bool in_time = request->elapsed_ms <= stop_cases[request->row].answer_within_ms;
+
+  if (response->status != stop_cases[request->row].status || !in_time)
+    printf ("  %s: %d after %d ms %s\n", stop_cases[request->row].name, response->status,
+            (int) request->elapsed_ms, response->body);
+  CU_ASSERT_EQUAL (response->status, stop_cases[request->row].status);
+  CU_ASSERT_TRUE (in_time);
+  CU_ASSERT_TRUE (response->status != 503 || response->retry_after_s >= 1);
+}
+
+/* A host that was stopped took new jobs until it ended, and cut the connections of those that had
+ * not ended by then.  Each gets a complete answer, as early as it is known. */
+static void
+test_stopped_with_open_jobs (void)
+{
+  rig_t rig;
+  stop_request_t requests[G_N_ELEMENTS (stop_cases)];
+  GThread *threads[G_N_ELEMENTS (stop_cases)];
+  int status = -1;
+
+  rig_start (&rig);
+  int64_t stop_at_ms = clock_boot_ms () + 500;
+  for (size_t i = 0; i < G_N_ELEMENTS (stop_cases); i++)
+    {
+      requests[i] = (stop_request_t){ .rig = &rig, .row = i, .stop_at_ms = stop_at_ms };
+      threads[i] = g_thread_new ("request", send_stop_request, &requests[i]);
+    }
+  sleep_until (stop_at_ms);
+  kill (rig.hosts[3], SIGTERM);
+  waitpid (rig.hosts[3], &status, 0);
+  rig.hosts[3] = 0;
+  CU_ASSERT_EQUAL (status, 0);
+  CU_ASSERT_TRUE (clock_boot_ms () - stop_at_ms < GRACE_MS);
+  for (size_t i = 0; i < G_N_ELEMENTS (stop_cases); i++)
+    {
+      g_thread_join (threads[i]);
+      check_stop_response (&requests[i]);
+    }
+  CU_ASSERT_EQUAL (count_lines (&rig, 3, "\"stopped\",\"jobs\":0"), 1);
+  CU_ASSERT_TRUE (wait_for_number (&rig, "running", 0, 1000));
+  rig_stop (&rig);
+}
+
 /* After all hosts were killed at once they serve again within 3 s of their restart. */
 static void
 test_all_hosts_killed (void)
@@ -1411,6 +1511,7 @@
   { "resubmitted", test_resubmitted },
   { "host killed", test_host_killed },
   { "host stopped", test_host_stopped },
+  { "a host is stopped with jobs that cannot end", test_stopped_with_open_jobs },
   { "all hosts killed", test_all_hosts_killed },
   { "configuration", test_configuration },
   { "log down", test_log_down },
