The last answer on a connection arrives whole

A caller that had not yet received the last answer on its connection, and sent anything after the server had closed it, got a reset instead.

Cause: web_server closed the socket as soon as the kernel had taken the answer. Input at a closed socket resets the connection, and the kernel drops what its peer has not received.

Change: after the last answer the server shuts down its own side, discards input and closes when the client has closed the other side, or after 1 s once all is acknowledged.

--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -77,8 +77,8 @@
                       const void *body,
                       size_t size);
 
-/* From now on each connection is closed after its next answer, and connections
- * between requests are closed after IDLE_MS. */
+/* From now on each connection is closed after its next answer, once the client has
+ * received that, and connections between requests are closed after IDLE_MS. */
 void web_server_drain (web_server_t *server, int64_t idle_ms);
 
 /* Stops accepting connections; those that are open remain in use.  No-op if it has stopped. */
--- a/lib/reactor/web_server.c
+++ b/lib/reactor/web_server.c
@@ -5,6 +5,10 @@
  * same, so that a disconnect of the client is detected at once.  Invariant: a request
  * is passed to the handler only when it is complete, and exactly one of web_reply (),
  * web_reply_bytes () and the on_abandoned callback ends it.
+ *
+ * A socket that is closed while input arrives resets its connection, and what the client
+ * has not received by then is lost.  After the last answer the server therefore closes
+ * only its own side, and discards what it receives until the client closes the other.
  */
 #include "reactor/web.h"
 
@@ -22,9 +26,13 @@
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #define PART "web"
 #define BACKLOG 512
+/* A connection lingers for this long if its client does not close its side, and longer while the
+ * client has not acknowledged all of the last answer. */
+#define LINGER_TIMEOUT_MS 1000
 
 typedef struct connection_t connection_t;
 
@@ -46,7 +54,8 @@
 {
   READING,   /* between requests, or within an incomplete one */
   ANSWERING, /* the handler is processing the request */
-  CLOSING    /* closed once the answer has been sent */
+  CLOSING,   /* the last answer is being sent */
+  LINGERING  /* all is sent; closed once the client has closed its side, or after a while */
 } connection_state_t;
 
 typedef enum
@@ -64,7 +73,7 @@
   connection_state_t state;
   bool request_begun; /* a request has been received in part */
   bool too_large;
-  int64_t since_ms; /* time of the request's first byte, or of the last answer */
+  int64_t since_ms; /* time of the request's first byte, of the last answer, or of its last byte */
   size_t header_bytes;
   GString *target;
   GString *host;
@@ -306,8 +315,25 @@
 static void
 on_readable (struct bufferevent *bufferevent, void *data)
 {
-  (void) bufferevent;
-  parse_input (data);
+  connection_t *connection = data;
+  struct evbuffer *in = bufferevent_get_input (bufferevent);
+
+  if (connection->state == LINGERING)
+    evbuffer_drain (in, evbuffer_get_length (in));
+  else
+    parse_input (connection);
+}
+
+static void
+start_lingering (connection_t *connection)
+{
+  struct evbuffer *in = bufferevent_get_input (connection->bufferevent);
+
+  connection->state = LINGERING;
+  connection->since_ms = clock_boot_ms ();
+  shutdown (bufferevent_getfd (connection->bufferevent), SHUT_WR);
+  evbuffer_drain (in, evbuffer_get_length (in));
+  bufferevent_enable (connection->bufferevent, EV_READ);
 }
 
 static void
@@ -317,7 +343,7 @@
 
   (void) bufferevent;
   if (connection->state == CLOSING)
-    connection_close (connection);
+    start_lingering (connection);
 }
 
 static void
@@ -462,6 +488,9 @@
 static bool
 is_timed_out (const web_server_t *server, const connection_t *connection, int64_t now_ms)
 {
+  if (connection->state == LINGERING)
+    return now_ms - connection->since_ms > LINGER_TIMEOUT_MS
+           && tcp_unacked_bytes (bufferevent_getfd (connection->bufferevent)) == 0;
   if (connection->state != READING)
     return false;
   int64_t limit_ms = connection->request_begun ? server->limits.header_timeout_ms
--- /dev/null
+++ b/tests/test_web_server.c
@@ -0,0 +1,214 @@
+/* test_web_server.c -- lib/reactor web server: how its connections end */
+#include "base/clock.h"
+#include "reactor/web.h"
+#include "tests/port_block.h"
+#include "tests/site_call.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define TICK_MS 5
+#define LIMIT_BYTES 4096
+#define LIMIT_MS 10000
+/* More than the client's receive buffer, less than the server's send buffer. */
+#define ANSWER_BYTES (32 * 1024)
+#define CLIENT_BUFFER_BYTES 4096
+#define CHUNK_BYTES 2048
+#define CHUNK_INTERVAL_MS 10
+/* By then the server has passed the whole answer to the kernel. */
+#define SENT_AFTER_MS 300
+#define READ_TIMEOUT_MS 10000
+/* A server keeps a connection open for this long after its last answer, and a tick or two. */
+#define CLOSED_AFTER_MS 3000
+
+static const port_range_t test_ports = { .first_port = 32700, .ports = 2, .blocks = 30 };
+
+typedef struct
+{
+  port_block_t ports;
+  loop_t *loop;
+  web_server_t *server;
+  GThread *thread;
+  gint connections; /* as of the last tick */
+} rig_t;
+
+static void
+on_request (web_request_t *request, void *data)
+{
+  char *body = g_strnfill (ANSWER_BYTES, 'a');
+
+  (void) data;
+  web_reply (request, 200, NULL, body);
+  g_free (body);
+}
+
+static void
+on_abandoned (web_request_t *request, void *data)
+{
+  (void) request;
+  (void) data;
+}
+
+static void
+on_tick (void *data)
+{
+  rig_t *rig = data;
+
+  if (rig->server == NULL)
+    return;
+  web_server_tick (rig->server, clock_boot_ms ());
+  g_atomic_int_set (&rig->connections, web_server_connections (rig->server));
+}
+
+static void *
+run_loop (void *data)
+{
+  loop_run (((rig_t *) data)->loop);
+  return NULL;
+}
+
+static void
+rig_start (rig_t *rig)
+{
+  static const web_server_handlers_t handlers = { on_request, on_abandoned };
+
+  *rig = (rig_t){ 0 };
+  CU_ASSERT_EQUAL_FATAL (port_block_take (&test_ports, &rig->ports), 0);
+  char *address = g_strdup_printf ("127.0.0.1:%d", rig->ports.first_port);
+  web_server_options_t options = { .address = address,
+                                   .limits = { LIMIT_BYTES, LIMIT_BYTES, LIMIT_MS, LIMIT_MS },
+                                   .handlers = &handlers };
+
+  rig->loop = loop_new (TICK_MS, on_tick, rig);
+  CU_ASSERT_EQUAL_FATAL (web_server_start (rig->loop, &options, &rig->server), 0);
+  web_server_drain (rig->server, LIMIT_MS);
+  rig->thread = g_thread_new ("server", run_loop, rig);
+  g_free (address);
+}
+
+static void
+rig_stop (rig_t *rig)
+{
+  loop_stop (rig->loop);
+  g_thread_join (rig->thread);
+  web_server_free (rig->server);
+  loop_free (rig->loop);
+  port_block_free (&rig->ports);
+}
+
+static void
+wait_until_closed (rig_t *rig)
+{
+  int64_t until_ms = clock_boot_ms () + CLOSED_AFTER_MS;
+
+  while (g_atomic_int_get (&rig->connections) > 0 && clock_boot_ms () < until_ms)
+    clock_sleep_ms (TICK_MS);
+  CU_ASSERT_EQUAL (g_atomic_int_get (&rig->connections), 0);
+}
+
+static int
+connect_with_small_buffer (int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons ((uint16_t) port) };
+  int bytes = CLIENT_BUFFER_BYTES;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
+  return fd;
+}
+
+/* Reads slowly until the server closes its side.  Returns the number of bytes, or -1 if the
+ * connection was reset. */
+static ssize_t
+read_slowly (int fd)
+{
+  char chunk[CHUNK_BYTES];
+  ssize_t total = 0;
+  int64_t until_ms = clock_boot_ms () + READ_TIMEOUT_MS;
+
+  while (clock_boot_ms () < until_ms)
+    {
+      struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
+      if (poll (&poll_fd, 1, READ_TIMEOUT_MS) <= 0)
+        break;
+      ssize_t received = recv (fd, chunk, sizeof chunk, 0);
+      if (received <= 0)
+        return received < 0 ? -1 : total;
+      total += received;
+      clock_sleep_ms (CHUNK_INTERVAL_MS);
+    }
+  return total;
+}
+
+static const struct
+{
+  const char *name;
+  const char *sent_later; /* after the server has written its last answer */
+  bool closes;            /* the client closes its side once it has read all */
+} last_answer_cases[] = {
+  { "the client reads slowly", "", true },
+  { "the client sends another request meanwhile", "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+    true },
+  { "the client never closes its side", "", false },
+};
+
+/* The last answer on a connection was lost if the client had not received it when the server closed
+ * the connection, and sent anything after that: the server's end then resets the connection. */
+static void
+test_last_answer_arrives_whole (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (last_answer_cases); i++)
+    {
+      rig_t rig;
+
+      rig_start (&rig);
+      int fd = connect_with_small_buffer (rig.ports.first_port);
+      site_send_request (fd, "POST", "/", "", LIMIT_MS);
+      clock_sleep_ms (SENT_AFTER_MS);
+      const char *later = last_answer_cases[i].sent_later;
+      (void) !send (fd, later, strlen (later), MSG_NOSIGNAL);
+      clock_sleep_ms (SENT_AFTER_MS);
+      ssize_t received = read_slowly (fd);
+      if (received <= ANSWER_BYTES)
+        printf ("  %s: %zd\n", last_answer_cases[i].name, received);
+      CU_ASSERT_TRUE (received > ANSWER_BYTES);
+      if (last_answer_cases[i].closes)
+        close (fd);
+      wait_until_closed (&rig);
+      if (!last_answer_cases[i].closes)
+        close (fd);
+      rig_stop (&rig);
+    }
+}
+
+static const struct
+{
+  const char *name;
+  CU_TestFunc run;
+} tests[] = {
+  { "the last answer arrives whole", test_last_answer_arrives_whole },
+};
+
+int
+main (void)
+{
+  CU_initialize_registry ();
+  CU_pSuite suite = CU_add_suite ("web server", NULL, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
+    CU_add_test (suite, tests[i].name, tests[i].run);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
