A host closes its listener before it ends

A request could be read in the last turn of the loop, after the host had found no open connection, and end without an answer. Found by reading; no run shows it. The host now closes the listener first, and ends in a later tick if there is still no connection.

The end of the grace period is set at the signal to stop, as a time: a change of the settings while a host stops moved its own end, but not the time by which its jobs are answered.

test_site "host stopped" and "a host is stopped with jobs that cannot end" pass.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -29,11 +29,12 @@
  * in PROBE_ODDS. */
 #define PROBE_INTERVAL_MS 200
 #define PROBE_ODDS 8
-/* Time after the signal to stop within which the load balancer stops sending new requests. */
+/* Time after the signal to stop within which the load balancer stops sending new requests, unless
+ * too few other hosts are ready. */
 #define BALANCER_DELAY_MS 2600
-/* The end of the grace period, after which the process is killed, less the first of these is the
- * time by which all jobs are answered.  From the second on no connection is accepted any more, so
- * that what was read is answered before the process ends, at the third at the latest. */
+/* Times before the end of the grace period, when the process is killed.  At the first, all jobs are
+ * answered.  From the second on no connection is accepted any more, so that what was read is
+ * answered before the process ends, which is at the third at the latest. */
 #define ANSWER_MARGIN_MS 1000
 #define ACCEPT_MARGIN_MS 750
 #define EXIT_MARGIN_MS 500
@@ -257,20 +258,31 @@
     }
 }
 
-/* Stops the loop once all accepted requests are answered, the load balancer has stopped sending and
- * other hosts own the shards; in any case shortly before the grace period ends. */
-static void
-stop_if_done (site_t *site, int64_t now_ms)
+/* Returns whether all accepted requests are answered, the load balancer has stopped sending and
+ * other hosts own the shards. */
+static bool
+is_done (const site_t *site, int64_t now_ms)
 {
-  int64_t elapsed_ms = now_ms - site->stopping_since_ms;
   bool owns_shards =
       g_hash_table_size (site->owned_shards) > 0 && cluster_alive_hosts (site->cluster) > 1;
 
-  if (elapsed_ms > site->settings->grace_ms - ACCEPT_MARGIN_MS)
-    ingress_stop_listening (site->ingress);
-  if (elapsed_ms > site->settings->grace_ms - EXIT_MARGIN_MS
-      || (elapsed_ms > BALANCER_DELAY_MS && ingress_is_idle (site->ingress) && !owns_shards))
+  return now_ms - site->stopping_since_ms > BALANCER_DELAY_MS && ingress_is_idle (site->ingress)
+         && !owns_shards;
+}
+
+/* Stops the loop once the host is done, and in any case shortly before the grace period ends.  A
+ * connection that was accepted before the listener was closed is served first. */
+static void
+stop_if_done (site_t *site, int64_t now_ms)
+{
+  bool done = is_done (site, now_ms);
+
+  if (now_ms > site->killed_at_ms - EXIT_MARGIN_MS || (done && site->listener_closed))
     loop_stop (site->loop);
+  if (!done && now_ms <= site->killed_at_ms - ACCEPT_MARGIN_MS)
+    return;
+  ingress_stop_listening (site->ingress);
+  site->listener_closed = true;
 }
 
 /* Reads the settings file again and takes over the lease, stop and grace times, the remote factor
@@ -407,10 +419,10 @@
   log_stopping (site);
   site->stopping = true;
   site->stopping_since_ms = clock_boot_ms ();
+  site->killed_at_ms = site->stopping_since_ms + site->settings->grace_ms;
   cluster_leave (site->cluster);
   ingress_drain (site->ingress);
-  scheduler_stop (site->scheduler,
-                  site->stopping_since_ms + site->settings->grace_ms - ANSWER_MARGIN_MS);
+  scheduler_stop (site->scheduler, site->killed_at_ms - ANSWER_MARGIN_MS);
   peers_send_heartbeats (site, site->stopping_since_ms, true);
 }
 
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -97,6 +97,8 @@
   int64_t directory_followed_since_ms; /* 0 for since its start */
   bool stopping;
   int64_t stopping_since_ms;
+  int64_t killed_at_ms;    /* the end of the grace period */
+  bool listener_closed;    /* no connection of a caller is accepted any more */
   int64_t refreshed_at_ms; /* when the view of the other hosts was last brought up to date */
   int64_t connect_due_ms;
   int64_t config_request_due_ms;
