A task that is done stays done when its endpoint or coordinator is lost

What callers would see: a task that had ended done, and whose end had been acknowledged, ran a second time when its coordinator submitted it again as one that may be running. Callers that are served now may have a task run again from the start, so that no rule was broken for them; the work was done twice, and TWICE would be broken for jobs that must be kept.

Cause: that a task is done is a fact about the task, but it was kept with things that go away. Ends of another owner's runs were noted with the endpoint: they were forgotten when it started again or left, and beyond 512 of them ends were acknowledged all the same. Ends of runs whose batch was released or whose coordinator was lost were not noted at all, although that coordinator, which may not have received them, submits its batches again when it is back.

Change: lib/executor/done_tasks, one set for each executor, by task: for ten minutes, which is the longest time for which a job waits (platform/ingress.c), and at most 65,536. When it is full the oldest goes if it has been there for 15 s; if not, the end is not acknowledged, and listed again. executor_release () takes the time.

Not mended: an end that was acknowledged by an owner which is lost together with its message to the coordinator. The next owner can't know of it.

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -474,7 +474,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       owned_shard_t *owned = value;
-      executor_release (owned->executor, coordinator, batch);
+      executor_release (owned->executor, coordinator, batch, clock_boot_ms ());
       owned->needs_round = true;
     }
 }
--- a/lib/executor/batch.c
+++ b/lib/executor/batch.c
@@ -12,6 +12,12 @@
  * arrives. */
 #define RESUBMIT_MARGIN_MS 50
 
+static char *
+task_name (const char *job, int32_t step, int32_t index)
+{
+  return g_strdup_printf ("%s.0.%d.%d", job, (int) step, (int) index);
+}
+
 /* The objective depends on the actual work of the job.  The corrected estimate predicts it better
  * than the caller's, so the objective is shifted by the difference. */
 static placement_target_t
@@ -111,8 +117,7 @@
   executor->usual_need = info->need;
   for (size_t i = 0; i < info->count; i++)
     {
-      char *name =
-          g_strdup_printf ("%s.0.%d.%d", info->job, (int) info->step, (int) info->indexes[i]);
+      char *name = task_name (info->job, info->step, info->indexes[i]);
       task_t *task = g_hash_table_lookup (executor->tasks, name);
       if (task != NULL)
         {
@@ -139,6 +144,21 @@
     }
 }
 
+/* The coordinator of BATCH may not have received its ends, and may submit the tasks again. */
+static void
+remember_done_tasks (executor_t *executor, const batch_t *batch, int64_t now_ms)
+{
+  for (guint i = 0; i < batch->sent_ends->len; i++)
+    {
+      const task_outcome_t *ended = &g_array_index (batch->sent_ends, task_outcome_t, i);
+      if (ended->outcome != EXECUTOR_DONE)
+        continue;
+      char *name = task_name (batch->job, batch->step, ended->index);
+      done_tasks_add (executor->done_tasks, name, now_ms);
+      g_free (name);
+    }
+}
+
 /* If ACTIONS is NULL, no log actions are appended. */
 static bool
 cancel_batch (executor_t *executor, batch_t *batch, int64_t now_ms, GArray *actions)
@@ -198,7 +218,7 @@
 }
 
 void
-executor_release (executor_t *executor, const char *coordinator, uint64_t number)
+executor_release (executor_t *executor, const char *coordinator, uint64_t number, int64_t now_ms)
 {
   char *key = batch_key (coordinator, number);
   batch_t *batch = g_hash_table_lookup (executor->batches, key);
@@ -207,6 +227,7 @@
   if (batch == NULL)
     return;
   GPtrArray *tasks = g_ptr_array_copy (batch->tasks, NULL, NULL);
+  remember_done_tasks (executor, batch, now_ms);
   g_array_set_size (batch->sent_ends, 0);
   if (batch->closed)
     batch_remove (executor, batch);
@@ -268,6 +289,7 @@
   for (guint i = 0; i < batches->len; i++)
     {
       limit_leases (executor, batches->pdata[i], last_heard_at_ms);
+      remember_done_tasks (executor, batches->pdata[i], now_ms);
       cancel_batch (executor, batches->pdata[i], now_ms, actions);
     }
   g_ptr_array_unref (batches);
--- a/lib/executor/endpoints.c
+++ b/lib/executor/endpoints.c
@@ -32,7 +32,6 @@
   g_free (endpoint->rack);
   g_ptr_array_unref (endpoint->runs);
   g_ptr_array_unref (endpoint->foreign_runs);
-  g_ptr_array_unref (endpoint->foreign_done);
   g_ptr_array_unref (endpoint->open_orders);
   g_free (endpoint);
 }
@@ -107,7 +106,6 @@
       endpoint->id = g_strdup (info->id);
       endpoint->runs = g_ptr_array_new ();
       endpoint->foreign_runs = g_ptr_array_new_with_free_func (free_foreign_run);
-      endpoint->foreign_done = g_ptr_array_new_with_free_func (g_free);
       endpoint->open_orders = open_orders_new ();
       g_hash_table_insert (executor->endpoints, endpoint->id, endpoint);
       executor->outliers.endpoints++;
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -283,7 +283,8 @@
 
 /* Records that the batch was given to another owner: drops its tasks without stopping their runs.
  * A run that the other owner does not adopt is later stopped as a foreign run. */
-void executor_release (executor_t *executor, const char *coordinator, uint64_t batch);
+void
+executor_release (executor_t *executor, const char *coordinator, uint64_t batch, int64_t now_ms);
 
 /* Records that COORDINATOR was alive at AT_MS.  A lease under which its runs live ends before
  * callers that lost it then submit their jobs again.  There is no such limit for a coordinator that
--- a/lib/executor/instance.c
+++ b/lib/executor/instance.c
@@ -34,10 +34,10 @@
         task_requeue (executor, task, now_ms);
     }
   g_ptr_array_set_size (endpoint->foreign_runs, 0);
-  g_ptr_array_set_size (endpoint->foreign_done, 0);
   endpoint->ack_number = 0;
   endpoint->ack_number_sent = 0;
   endpoint->ack_number_confirmed = 0;
+  endpoint->ends_held = false;
   endpoint->runs_known = false;
   endpoint->clock_known = false;
   endpoint->clock_was_read = false;
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -13,9 +13,9 @@
  * expected duration if that is longer. */
 #define HANG_TIMEOUT_MIN_MS 300
 #define HANG_PERCENT 20
-/* Maximum number of names, per endpoint, of tasks that succeeded under another owner.  They are
- * needed to answer coordinators that submit these tasks to this owner later. */
-#define FOREIGN_DONE_MAX 512
+/* Poll interval of an endpoint that has listed an end which can't be acknowledged yet.  Polls are
+ * not delayed there, since they list that end again. */
+#define POLL_INTERVAL_HELD_MS 100
 
 static task_t *
 find_run (const endpoint_t *endpoint, const char *name, int32_t attempt)
@@ -111,6 +111,28 @@
     }
 }
 
+/* Returns false if the end may not be acknowledged, as its coordinator is not told and the end
+ * can't be remembered. */
+static bool
+apply_ended_run (executor_t *executor,
+                 const endpoint_t *endpoint,
+                 const poll_ended_t *row,
+                 int64_t now_ms,
+                 GArray *actions)
+{
+  task_t *task = find_run (endpoint, row->task, row->attempt);
+  bool coordinator_told = task != NULL && task->batch != NULL;
+
+  if (task != NULL)
+    {
+      task->order_open = false;
+      finish_run (executor, task, row->result, now_ms, actions);
+    }
+  return row->result != RUN_DONE || coordinator_told
+         || done_tasks_add (executor->done_tasks, row->task, now_ms);
+}
+
+/* An end that was applied before, but is not acknowledged, is of no run that is known. */
 static void
 apply_ended_runs (executor_t *executor,
                   endpoint_t *endpoint,
@@ -118,21 +140,19 @@
                   int64_t now_ms,
                   GArray *actions)
 {
+  endpoint->ends_held = false;
   for (size_t i = 0; i < result->ended_count; i++)
     {
       const poll_ended_t *row = &result->ended[i];
       if (row->number <= endpoint->ack_number)
         continue;
-      endpoint->ack_number = row->number;
-      task_t *task = find_run (endpoint, row->task, row->attempt);
-      if (task != NULL)
-        {
-          task->order_open = false;
-          finish_run (executor, task, row->result, now_ms, actions);
-        }
-      else if (row->result == RUN_DONE && endpoint->foreign_done->len < FOREIGN_DONE_MAX)
-        g_ptr_array_add (endpoint->foreign_done, g_strdup (row->task));
+      if (!apply_ended_run (executor, endpoint, row, now_ms, actions))
+        endpoint->ends_held = true;
+      if (!endpoint->ends_held)
+        endpoint->ack_number = row->number;
     }
+  if (endpoint->ends_held)
+    endpoint->poll_due_at_ms = now_ms + POLL_INTERVAL_HELD_MS;
 }
 
 /* True if the run of TASK, if it is alive, must be listed in the result of a poll sent at
--- a/lib/executor/resolve.c
+++ b/lib/executor/resolve.c
@@ -43,13 +43,12 @@
   return false;
 }
 
-static bool
-is_done_on (const endpoint_t *endpoint, const task_t *task)
+static void
+report_done (executor_t *executor, task_t *task, GArray *actions)
 {
-  for (guint i = 0; i < endpoint->foreign_done->len; i++)
-    if (strcmp (endpoint->foreign_done->pdata[i], task->name) == 0)
-      return true;
-  return false;
+  notify_coordinator (executor, actions, EXECUTOR_DONE, task, "succeeded before it was submitted");
+  crash_history_forget (executor->crashes, task->name);
+  task_remove (executor, task);
 }
 
 static void
@@ -59,20 +58,17 @@
   void *value = NULL;
   bool all_polled = true;
 
+  if (done_tasks_contain (executor->done_tasks, task->name))
+    {
+      report_done (executor, task, actions);
+      return;
+    }
   g_hash_table_iter_init (&iter, executor->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       endpoint_t *endpoint = value;
       if (adopt_run (executor, endpoint, task, now_ms, actions))
         return;
-      if (is_done_on (endpoint, task))
-        {
-          notify_coordinator (executor, actions, EXECUTOR_DONE, task,
-                              "succeeded under another owner");
-          crash_history_forget (executor->crashes, task->name);
-          task_remove (executor, task);
-          return;
-        }
       all_polled = all_polled && !open_orders_may_run (endpoint->open_orders, task->name)
                    && endpoint->runs_known
                    && endpoint->last_poll_sent_at_ms >= task->maybe_running_since_ms;
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -546,7 +546,7 @@
     return false;
   return !endpoint->runs_known || g_hash_table_size (executor->maybe_running) > 0
          || endpoint->runs->len > 0 || endpoint->foreign_runs->len > 0
-         || endpoint->ack_number > endpoint->ack_number_confirmed
+         || endpoint->ack_number > endpoint->ack_number_confirmed || endpoint->ends_held
          || endpoint->unanswered_since_ms != 0 || needs_clock (executor, endpoint, now_ms);
 }
 
@@ -559,6 +559,7 @@
   action_strings_clear (executor);
   remove_departed_endpoints (executor, now_ms);
   remove_closed_batches (executor, now_ms);
+  done_tasks_expire (executor->done_tasks, now_ms);
   resend_ends (executor, actions);
   g_hash_table_iter_init (&iter, executor->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -4,6 +4,7 @@
 
 #include "dispatch/outlier.h"
 #include "executor/capacity.h"
+#include "executor/done_tasks.h"
 #include "executor/estimate.h"
 #include "executor/executor.h"
 #include "executor/load.h"
@@ -157,13 +158,13 @@
   int64_t ack_number;           /* of the last end that was read */
   int64_t ack_number_sent;      /* in the last poll; 0 if it acknowledged none */
   int64_t ack_number_confirmed; /* in the last answered poll that acknowledged any */
+  bool ends_held;               /* not all ends that were listed may be acknowledged yet */
   int64_t unanswered_since_ms;  /* send time of the first unanswered call in a row; 0 if none */
   int32_t unanswered_calls;     /* number of unanswered calls in a row */
   int64_t full_until_ms;        /* gets no tasks until then, after a refusal */
   GPtrArray *runs;              /* task_t */
   GPtrArray *foreign_runs;      /* foreign_run_t */
   GPtrArray *open_orders;       /* open_order_t: start orders of runs that are over */
-  GPtrArray *foreign_done;      /* names of tasks that succeeded under another owner */
   resources_t used;
   outlier_t outlier;
   duration_stats_t durations;
@@ -189,6 +190,7 @@
   GHashTable *coordinators_heard; /* interned id of a coordinator -> when it was last alive */
   GHashTable *kinds;              /* kind -> machine_kind_t */
   estimates_t *estimates;
+  done_tasks_t *done_tasks; /* whose coordinators may not have been told */
   crash_history_t *crashes; /* of the options, or OWN_CRASHES */
   crash_history_t *own_crashes;
   GArray *new_losses;        /* crash_loss_t that are not reported yet, with strings of their own */
--- a/tests/test_executor_leases.c
+++ b/tests/test_executor_leases.c
@@ -356,7 +356,7 @@
       run_round_at (&scenario, 10);
       CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e0");
       uint64_t first_start = scenario.start_serial;
-      executor_release (scenario.executor, "h1", 1);
+      executor_release (scenario.executor, "h1", 1, 10);
       batch.batch = 2;
       batch.attempt_base = 32;
       batch.maybe_running = true;
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -344,7 +344,8 @@
   reply->batch_number = message->batch_number;
   for (int i = 0; i < SIM_DATA_CENTRES; i++)
     if (host->owned_shards[i].executor != NULL)
-      executor_release (host->owned_shards[i].executor, message->from->name, message->batch_number);
+      executor_release (host->owned_shards[i].executor, message->from->name, message->batch_number,
+                        host->sim->now_ms);
   send_message (reply);
 }
 
