--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -5,8 +5,8 @@
  * The programs are expected in the parent of the directory of the test program.
  */
 #include "base/clock.h"
-#include "tests/port_block.h"
 #include "tests/site_call.h"
+#include "tests/site_rig.h"
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
@@ -20,309 +20,37 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define HOSTS 4
-#define ENDPOINTS 6
-#define PORTS_PER_HOST 3
-/* Keeps a faulty run from hanging; no case depends on its value. */
-#define TEST_TIMEOUT_MS 20000
-#define DEADLINE_MS 3000
-#define QUEUE_TIMEOUT_MS 3000
-#define LEASE_MS 1000
-/* After this time from the start of the hosts, entries that are missing count as gone. */
-#define DISCOVERY_END_MS 3500
 /* Long enough for crashes of several endpoints, one after the other. */
 #define CRASHING_WAIT_MS 15000
 /* The default of bounds.evacuation_ms. */
 #define EVACUATION_MS 5000
 
-#define SLOT_COUNT (3 * ENDPOINTS) /* the stand-in gives each endpoint room for three */
-
-static char *programs; /* the directory with jaytraild and fake_site */
-
-/* Each rig uses the first ports of its block for the stand-in, and those from FIRST_HOST_PORT on
- * for the hosts. */
-static const port_range_t rig_ports = { .first_port = 30000, .ports = 150, .blocks = 18 };
-#define FIRST_HOST_PORT 100
-
-typedef struct
-{
-  pid_t standin;
-  pid_t hosts[HOSTS];
-  char *directory;
-  port_block_t ports;
-  int port; /* of the stand-in */
-} rig_t;
-
-static int
-caller_port (const rig_t *rig, int host)
-{
-  return rig->port + FIRST_HOST_PORT + host * PORTS_PER_HOST;
-}
-
-/* --- calls --- */
-
-/* A number in the JSON statistics of the stand-in. */
-static int
-standin_number (const rig_t *rig, const char *name)
-{
-  return site_json_number (site_call (rig->port, "GET", "/seen", "").body, name);
-}
-
-static bool
-wait_for_number (const rig_t *rig, const char *name, int value, int64_t within_ms)
-{
-  int64_t until_ms = clock_boot_ms () + within_ms;
-
-  while (clock_boot_ms () < until_ms)
-    {
-      if (standin_number (rig, name) == value)
-        return true;
-      clock_sleep_ms (10);
-    }
-  return false;
-}
-
-static char *
-job_body (int tasks, int work_ms, const char *more)
-{
-  char *spec = g_strdup_printf ("%d", work_ms);
-  char *body = site_job_json (tasks, spec, work_ms, more);
-
-  g_free (spec);
-  return body;
-}
-
-static site_response_t
-submit (const rig_t *rig, int host, int job, int tasks, int work_ms)
-{
-  char *target = g_strdup_printf ("/q/%016x", (unsigned) job);
-  char *body = job_body (tasks, work_ms, "");
-  site_response_t response = site_call (caller_port (rig, host), "POST", target, body);
-
-  g_free (target);
-  g_free (body);
-  return response;
-}
-
-/* --- processes --- */
-
-static void
-start_host (rig_t *rig, int host)
-{
-  char *settings = g_strdup_printf ("%s/h%d.conf", rig->directory, host);
-  char *log = g_strdup_printf ("%s/h%d.log", rig->directory, host);
-  int port = caller_port (rig, host);
-  char *text = g_strdup_printf (
-      "node_name=h%d\nzone=%s\nlisten_addrs.frontend=127.0.0.1:%d\nlisten_addrs.ready="
-      "127.0.0.1:%d\nlisten_addrs.control_plane=127.0.0.1:%d\nseed_nodes=127.0.0.1:%d\n"
-      "platform.address=127.0.0.1:%d\nbounds.max_hold_ms=%d\nbounds.stop_timeout_ms=50\n"
-      "bounds.grace_period_s=6\nbounds.retransmit_ms=1300\nbounds.config_apply_ms=2000\n"
-      "limits.cpu_fraction=0.25\nsomething.new=1\n",
-      host, host % 2 == 0 ? "x" : "y", port, port + 1, port + 2, caller_port (rig, 0) + 2,
-      rig->port, LEASE_MS);
-  char *program = g_strdup_printf ("%s/jaytraild", programs);
-  char *argv[] = { program, "--site", NULL };
-
-  g_file_set_contents (settings, text, -1, NULL);
-  rig->hosts[host] = site_run (argv, settings, log);
-  g_free (program);
-  g_free (text);
-  g_free (log);
-  g_free (settings);
-}
-
-static void
-put_queue (const rig_t *rig, int version, const char *prefix, int timeout_ms)
-{
-  char *body = g_strdup_printf (
-      "{\"version\":%d,\"routes\":[{\"name\":\"r\",\"host\":\"" SITE_CALL_QUEUE_HOST
-      "\",\"path_prefix\":\"%s\",\"timeout_ms\":%d,\"target_latency_ms\":60,\"priority\":0,"
-      "\"service\":\"s\",\"max_attempts\":3,\"stretch_factor\":1.6}],\"services\":[],"
-      "\"limits\":{}}",
-      version, prefix, timeout_ms);
-
-  site_call (rig->port, "POST", "/config", body);
-  g_free (body);
-}
-
-static void
-put_queue_prefix (const rig_t *rig, int version, const char *prefix)
-{
-  put_queue (rig, version, prefix, QUEUE_TIMEOUT_MS);
-}
-
-static bool
-is_ready (const rig_t *rig, int host)
-{
-  return site_call (caller_port (rig, host) + 1, "GET", "/readyz", "").status == 200;
-}
-
-static bool
-wait_until_all_ready (const rig_t *rig)
-{
-  int64_t until_ms = clock_boot_ms () + TEST_TIMEOUT_MS;
-
-  for (int i = 0; i < HOSTS; i++)
-    while (!is_ready (rig, i))
-      {
-        if (clock_boot_ms () > until_ms)
-          return false;
-        clock_sleep_ms (20);
-      }
-  return true;
-}
-
-static void
-rig_start (rig_t *rig)
-{
-  *rig = (rig_t){ 0 };
-  CU_ASSERT_EQUAL_FATAL (port_block_take (&rig_ports, &rig->ports), 0);
-  rig->port = rig->ports.first_port;
-  char *program = g_strdup_printf ("%s/fake_site", programs);
-  char *listen = g_strdup_printf ("127.0.0.1:%d", rig->port);
-  char *first = g_strdup_printf ("%d", rig->port + 1);
-  char *count = g_strdup_printf ("%d", ENDPOINTS);
-  char *argv[] = { program,        "--listen", listen,           "--endpoints", count,
-                   "--first-port", first,      "--data-centres", "x,y",         NULL };
-
-  rig->directory = g_dir_make_tmp ("jaytrail-site-XXXXXX", NULL);
-  char *log = g_strdup_printf ("%s/site.log", rig->directory);
-  rig->standin = site_run (argv, NULL, log);
-  int64_t until_ms = clock_boot_ms () + TEST_TIMEOUT_MS;
-  while (site_call (rig->port, "GET", "/seen", "").status != 200 && clock_boot_ms () < until_ms)
-    clock_sleep_ms (10);
-  put_queue_prefix (rig, 3, "/q/");
-  for (int i = 0; i < HOSTS; i++)
-    start_host (rig, i);
-  CU_ASSERT_TRUE (wait_until_all_ready (rig));
-  g_free (log);
-  g_free (count);
-  g_free (first);
-  g_free (listen);
-  g_free (program);
-}
-
-static void
-end_process (pid_t *pid, int signal_number)
-{
-  if (*pid == 0)
-    return;
-  kill (*pid, signal_number);
-  waitpid (*pid, NULL, 0);
-  *pid = 0;
-}
-
-/* Checks what must hold after every case: no task ran at two endpoints at a time, and no
- * endpoint was sent more tasks than it has room for. */
-static void
-rig_stop (rig_t *rig)
-{
-  CU_ASSERT_EQUAL (standin_number (rig, "twice"), 0);
-  CU_ASSERT_EQUAL (standin_number (rig, "crowded"), 0);
-  for (int i = 0; i < HOSTS; i++)
-    end_process (&rig->hosts[i], SIGKILL);
-  end_process (&rig->standin, SIGKILL);
-  port_block_free (&rig->ports);
-  site_remove_directory (rig->directory);
-  g_free (rig->directory);
-}
-
-/* --- load --- */
-
-typedef struct
-{
-  const rig_t *rig;
-  int first_job; /* the number of the first job; the others follow */
-  int job_count;
-  int host; /* -1: all hosts in turn */
-  int tasks;
-  int work_ms;
-  int64_t pause_ms;
-  gint completed;
-  gint unanswered; /* no complete response */
-  gint failed;     /* any other response */
-} load_t;
-
-static void *
-run_load (void *data)
-{
-  load_t *load = data;
-
-  for (int i = 0; i < load->job_count; i++)
-    {
-      int host = load->host >= 0 ? load->host : (load->first_job + i) % HOSTS;
-      site_response_t response =
-          submit (load->rig, host, load->first_job + i, load->tasks, load->work_ms);
-      if (response.status == 200 && strstr (response.body, "completed") != NULL)
-        g_atomic_int_inc (&load->completed);
-      else if (response.status == 0)
-        g_atomic_int_inc (&load->unanswered);
-      else
-        g_atomic_int_inc (&load->failed);
-      clock_sleep_ms (load->pause_ms);
-    }
-  return NULL;
-}
-
-/* --- cases --- */
-
 static void
 test_no_faults (void)
 {
-  rig_t rig;
-  load_t loads[4];
+  site_rig_t rig;
+  site_load_t loads[4];
   GThread *threads[4];
 
-  rig_start (&rig);
+  site_rig_start (&rig);
   for (int i = 0; i < 4; i++)
     {
-      loads[i] = (load_t){ .rig = &rig,
-                           .first_job = 1 + i * 100,
-                           .job_count = 25,
-                           .host = -1,
-                           .tasks = 3,
-                           .work_ms = 20 };
-      threads[i] = g_thread_new ("load", run_load, &loads[i]);
+      loads[i] = (site_load_t){ .rig = &rig,
+                                .first_job = 1 + i * 100,
+                                .job_count = 25,
+                                .host = -1,
+                                .tasks = 3,
+                                .work_ms = 20 };
+      threads[i] = g_thread_new ("load", site_run_load, &loads[i]);
     }
   for (int i = 0; i < 4; i++)
     {
       g_thread_join (threads[i]);
       CU_ASSERT_EQUAL (loads[i].completed, 25);
     }
-  CU_ASSERT_EQUAL (standin_number (&rig, "starts"), 300);
-  CU_ASSERT_TRUE (wait_for_number (&rig, "unacknowledged", 0, TEST_TIMEOUT_MS));
-  rig_stop (&rig);
-}
-
-static void
-set_fault (const rig_t *rig, const char *fault)
-{
-  CU_ASSERT_EQUAL (site_call (rig->port, "POST", "/fault", fault).status, 200);
-}
-
-static int
-count_lines (const rig_t *rig, int host, const char *what)
-{
-  char *log = g_strdup_printf ("%s/h%d.log", rig->directory, host);
-  char *text = NULL;
-  int count = 0;
-
-  CU_ASSERT_TRUE (g_file_get_contents (log, &text, NULL, NULL));
-  for (const char *at = text; at != NULL && (at = strstr (at, what)) != NULL; at++)
-    count++;
-  g_free (text);
-  g_free (log);
-  return count;
-}
-
-static bool
-wait_for_log_lines (const rig_t *rig, int host, const char *what, int count)
-{
-  int64_t until_ms = clock_boot_ms () + 5000;
-
-  while (count_lines (rig, host, what) < count && clock_boot_ms () < until_ms)
-    clock_sleep_ms (20);
-  return count_lines (rig, host, what) >= count;
+  CU_ASSERT_EQUAL (site_standin_number (&rig, "starts"), 300);
+  CU_ASSERT_TRUE (site_wait_for_number (&rig, "unacknowledged", 0, SITE_TEST_TIMEOUT_MS));
+  site_rig_stop (&rig);
 }
 
 /* Every host finds every other, although its settings name only one of them.  A host that starts
@@ -330,17 +58,17 @@
 static void
 test_hosts_find_each_other (void)
 {
-  rig_t rig;
-
-  rig_start (&rig);
-  for (int i = 0; i < HOSTS; i++)
-    CU_ASSERT_TRUE (wait_for_log_lines (&rig, i, "\"host_found\"", HOSTS - 1));
-  end_process (&rig.hosts[3], SIGKILL);
-  set_fault (&rig, "{\"log_down\":true}");
-  start_host (&rig, 3);
-  CU_ASSERT_TRUE (wait_for_log_lines (&rig, 3, "\"host_found\"", 2 * (HOSTS - 1)));
-  set_fault (&rig, "{\"log_down\":false}");
-  rig_stop (&rig);
+  site_rig_t rig;
+
+  site_rig_start (&rig);
+  for (int i = 0; i < SITE_HOSTS; i++)
+    CU_ASSERT_TRUE (site_wait_for_log_lines (&rig, i, "\"host_found\"", SITE_HOSTS - 1));
+  site_end_process (&rig.hosts[3], SIGKILL);
+  site_set_fault (&rig, "{\"log_down\":true}");
+  site_start_host (&rig, 3);
+  CU_ASSERT_TRUE (site_wait_for_log_lines (&rig, 3, "\"host_found\"", 2 * (SITE_HOSTS - 1)));
+  site_set_fault (&rig, "{\"log_down\":false}");
+  site_rig_stop (&rig);
 }
 
 static const struct
@@ -372,22 +100,22 @@
 static void
 test_requests (void)
 {
-  rig_t rig;
+  site_rig_t rig;
 
-  rig_start (&rig);
+  site_rig_start (&rig);
   for (size_t i = 0; i < G_N_ELEMENTS (request_cases); i++)
     {
       char *body = request_cases[i].body != NULL ? g_strdup (request_cases[i].body)
-                                                 : job_body (1, 5, request_cases[i].more);
-      site_response_t response =
-          site_call (caller_port (&rig, 0), request_cases[i].method, request_cases[i].target, body);
+                                                 : site_job_body (1, 5, request_cases[i].more);
+      site_response_t response = site_call (site_caller_port (&rig, 0), request_cases[i].method,
+                                            request_cases[i].target, body);
       if (response.status != request_cases[i].status)
         printf ("  %s %s: %d\n", request_cases[i].method, request_cases[i].target, response.status);
       CU_ASSERT_EQUAL (response.status, request_cases[i].status);
       g_free (body);
     }
-  CU_ASSERT_EQUAL (standin_number (&rig, "starts"), 1);
-  rig_stop (&rig);
+  CU_ASSERT_EQUAL (site_standin_number (&rig, "starts"), 1);
+  site_rig_stop (&rig);
 }
 
 static const struct
@@ -409,21 +137,21 @@
 static void
 test_caller_waits_longer (void)
 {
-  rig_t rig;
+  site_rig_t rig;
 
-  rig_start (&rig);
+  site_rig_start (&rig);
   for (int i = 0; i < (int) G_N_ELEMENTS (wait_cases); i++)
     {
-      char *body = job_body (1, wait_cases[i].work_ms, "");
+      char *body = site_job_body (1, wait_cases[i].work_ms, "");
       char *target = g_strdup_printf ("/w%d/%016x", i, (unsigned) i + 1);
       char *prefix = g_strdup_printf ("/w%d/", i);
 
-      put_queue (&rig, 4 + i, prefix, wait_cases[i].timeout_ms);
+      site_put_queue (&rig, 4 + i, prefix, wait_cases[i].timeout_ms);
       char *applied = g_strdup_printf ("\"version\":%d,", 4 + i);
-      CU_ASSERT_TRUE (wait_for_log_lines (&rig, 1, applied, 1));
-      int fd = site_connect ("127.0.0.1", caller_port (&rig, 1));
+      CU_ASSERT_TRUE (site_wait_for_log_lines (&rig, 1, applied, 1));
+      int fd = site_connect ("127.0.0.1", site_caller_port (&rig, 1));
       site_send_request (fd, "POST", target, body, wait_cases[i].wait_ms);
-      site_response_t response = site_read_response (fd, clock_boot_ms () + TEST_TIMEOUT_MS);
+      site_response_t response = site_read_response (fd, clock_boot_ms () + SITE_TEST_TIMEOUT_MS);
       if (response.status != wait_cases[i].status)
         printf ("  %s: %d %s\n", wait_cases[i].name, response.status, response.body);
       CU_ASSERT_EQUAL (response.status, wait_cases[i].status);
@@ -433,7 +161,7 @@
       g_free (target);
       g_free (body);
     }
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* A task that crashed the endpoints that started it was started for as long as its caller waited.
@@ -441,27 +169,27 @@
 static void
 test_task_crashes_endpoints (void)
 {
-  rig_t rig;
+  site_rig_t rig;
 
-  rig_start (&rig);
+  site_rig_start (&rig);
   char *body = site_job_json (1, "X20", 20, "");
-  int fd = site_connect ("127.0.0.1", caller_port (&rig, 1));
+  int fd = site_connect ("127.0.0.1", site_caller_port (&rig, 1));
   site_send_request (fd, "POST", "/q/0000000000000001", body, CRASHING_WAIT_MS);
-  site_response_t response = site_read_response (fd, clock_boot_ms () + TEST_TIMEOUT_MS);
+  site_response_t response = site_read_response (fd, clock_boot_ms () + SITE_TEST_TIMEOUT_MS);
   if (response.status != 200 || strstr (response.body, "failed") == NULL)
     printf ("  %d %s\n", response.status, response.body);
   CU_ASSERT_EQUAL (response.status, 200);
   CU_ASSERT_PTR_NOT_NULL (strstr (response.body, "\"failed\""));
-  int starts = standin_number (&rig, "starts");
+  int starts = site_standin_number (&rig, "starts");
   CU_ASSERT_TRUE (starts == 2 || starts == 3);
   close (fd);
   g_free (body);
-  load_t load = {
+  site_load_t load = {
     .rig = &rig, .first_job = 10, .job_count = 20, .host = -1, .tasks = 4, .work_ms = 20
   };
-  run_load (&load);
+  site_run_load (&load);
   CU_ASSERT_EQUAL (load.completed, 20);
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* One faulty endpoint delays jobs but fails none. */
@@ -473,18 +201,18 @@
     "{\"endpoint\":\"e1\",\"hanging\":true}",
     "{\"endpoint\":\"e2\",\"mute\":true}",
   };
-  rig_t rig;
+  site_rig_t rig;
 
   for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
     {
-      rig_start (&rig);
-      set_fault (&rig, faults[i]);
-      load_t load = {
+      site_rig_start (&rig);
+      site_set_fault (&rig, faults[i]);
+      site_load_t load = {
         .rig = &rig, .first_job = 1, .job_count = 20, .host = -1, .tasks = 4, .work_ms = 20
       };
-      run_load (&load);
+      site_run_load (&load);
       CU_ASSERT_EQUAL (load.completed, 20);
-      rig_stop (&rig);
+      site_rig_stop (&rig);
     }
 }
 
@@ -492,58 +220,58 @@
 static void
 test_caller_leaves (void)
 {
-  rig_t rig;
-  char *body = job_body (6, 2500, "");
+  site_rig_t rig;
+  char *body = site_job_body (6, 2500, "");
 
-  rig_start (&rig);
-  int fd = site_connect ("127.0.0.1", caller_port (&rig, 1));
-  site_send_request (fd, "POST", "/q/00000000000000b1", body, DEADLINE_MS);
-  CU_ASSERT_TRUE (wait_for_number (&rig, "running", 6, 2000));
+  site_rig_start (&rig);
+  int fd = site_connect ("127.0.0.1", site_caller_port (&rig, 1));
+  site_send_request (fd, "POST", "/q/00000000000000b1", body, SITE_DEADLINE_MS);
+  CU_ASSERT_TRUE (site_wait_for_number (&rig, "running", 6, 2000));
   close (fd);
-  CU_ASSERT_TRUE (wait_for_number (&rig, "running", 0, 500));
+  CU_ASSERT_TRUE (site_wait_for_number (&rig, "running", 0, 500));
   g_free (body);
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* A job ends when it is cancelled at its own host or at another, and its caller learns of it. */
 static void
 test_cancel (void)
 {
-  rig_t rig;
-  char *body = job_body (3, 2500, "");
+  site_rig_t rig;
+  char *body = site_job_body (3, 2500, "");
 
-  rig_start (&rig);
+  site_rig_start (&rig);
   for (int i = 0; i < 2; i++)
     {
       char *target = g_strdup_printf ("/q/00000000000000e%d", i);
-      int fd = site_connect ("127.0.0.1", caller_port (&rig, 0));
-      site_send_request (fd, "POST", target, body, DEADLINE_MS);
-      CU_ASSERT_TRUE (wait_for_number (&rig, "running", 3, 2000));
-      CU_ASSERT_EQUAL (site_call (caller_port (&rig, i), "DELETE", target, "").status,
+      int fd = site_connect ("127.0.0.1", site_caller_port (&rig, 0));
+      site_send_request (fd, "POST", target, body, SITE_DEADLINE_MS);
+      CU_ASSERT_TRUE (site_wait_for_number (&rig, "running", 3, 2000));
+      CU_ASSERT_EQUAL (site_call (site_caller_port (&rig, i), "DELETE", target, "").status,
                        i == 0 ? 200 : 410);
       site_response_t response = site_read_response (fd, clock_boot_ms () + 1000);
       CU_ASSERT_EQUAL (response.status, 200);
       CU_ASSERT_PTR_NOT_NULL (strstr (response.body, "cancelled"));
-      CU_ASSERT_TRUE (wait_for_number (&rig, "running", 0, 500));
+      CU_ASSERT_TRUE (site_wait_for_number (&rig, "running", 0, 500));
       close (fd);
       g_free (target);
     }
   g_free (body);
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* A change of the settings, with or without a signal, interrupts no job. */
 static void
 test_settings_change (void)
 {
-  rig_t rig;
+  site_rig_t rig;
   char *text = NULL;
 
-  rig_start (&rig);
-  load_t load = {
+  site_rig_start (&rig);
+  site_load_t load = {
     .rig = &rig, .first_job = 5000, .job_count = 60, .host = 0, .tasks = 2, .work_ms = 30
   };
-  GThread *thread = g_thread_new ("load", run_load, &load);
+  GThread *thread = g_thread_new ("load", site_run_load, &load);
   char *file = g_strdup_printf ("%s/h0.conf", rig.directory);
   char *log = g_strdup_printf ("%s/h0.log", rig.directory);
   CU_ASSERT_TRUE (g_file_get_contents (file, &text, NULL, NULL));
@@ -566,7 +294,7 @@
   g_free (more);
   g_free (log);
   g_free (file);
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* A caller submits its job again at another host while the first host is suspended and does not
@@ -574,78 +302,78 @@
 static void
 test_resubmitted (void)
 {
-  rig_t rig;
-  char *body = job_body (3, 400, "");
+  site_rig_t rig;
+  char *body = site_job_body (3, 400, "");
 
-  rig_start (&rig);
+  site_rig_start (&rig);
   for (int i = 0; i < 4; i++)
     {
       char *target = g_strdup_printf ("/q/00000000000000c%d", i);
-      int fd = site_connect ("127.0.0.1", caller_port (&rig, i % HOSTS));
-      site_send_request (fd, "POST", target, body, DEADLINE_MS);
-      wait_for_number (&rig, "running", 3, 1000);
-      kill (rig.hosts[i % HOSTS], SIGSTOP);
+      int fd = site_connect ("127.0.0.1", site_caller_port (&rig, i % SITE_HOSTS));
+      site_send_request (fd, "POST", target, body, SITE_DEADLINE_MS);
+      site_wait_for_number (&rig, "running", 3, 1000);
+      kill (rig.hosts[i % SITE_HOSTS], SIGSTOP);
       clock_sleep_ms (1300);
       site_response_t response =
-          site_call (caller_port (&rig, (i + 1) % HOSTS), "POST", target, body);
+          site_call (site_caller_port (&rig, (i + 1) % SITE_HOSTS), "POST", target, body);
       CU_ASSERT_EQUAL (response.status, 200);
-      kill (rig.hosts[i % HOSTS], SIGCONT);
+      kill (rig.hosts[i % SITE_HOSTS], SIGCONT);
       close (fd);
       clock_sleep_ms (1000);
       g_free (target);
     }
   g_free (body);
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* When any host is killed the others continue at once, and it serves again once restarted. */
 static void
 test_host_killed (void)
 {
-  rig_t rig;
+  site_rig_t rig;
 
-  rig_start (&rig);
-  for (int i = 0; i < HOSTS; i++)
+  site_rig_start (&rig);
+  for (int i = 0; i < SITE_HOSTS; i++)
     {
-      load_t load = { .rig = &rig,
-                      .first_job = 1000 + i * 100,
-                      .job_count = 60,
-                      .host = (i + 1) % HOSTS,
-                      .tasks = 4,
-                      .work_ms = 30 };
-      GThread *thread = g_thread_new ("load", run_load, &load);
+      site_load_t load = { .rig = &rig,
+                           .first_job = 1000 + i * 100,
+                           .job_count = 60,
+                           .host = (i + 1) % SITE_HOSTS,
+                           .tasks = 4,
+                           .work_ms = 30 };
+      GThread *thread = g_thread_new ("load", site_run_load, &load);
       clock_sleep_ms (200);
-      end_process (&rig.hosts[i], SIGKILL);
+      site_end_process (&rig.hosts[i], SIGKILL);
       g_thread_join (thread);
       CU_ASSERT_EQUAL (load.unanswered, 0);
       CU_ASSERT_TRUE (load.completed >= 57);
-      start_host (&rig, i);
-      CU_ASSERT_TRUE (wait_until_all_ready (&rig));
+      site_start_host (&rig, i);
+      CU_ASSERT_TRUE (site_wait_until_all_ready (&rig));
     }
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* A graceful stop interrupts no job, whether the host owns endpoints or not. */
 static void
 test_host_stopped (void)
 {
-  rig_t rig;
+  site_rig_t rig;
 
-  rig_start (&rig);
-  for (int i = 0; i < HOSTS; i++)
+  site_rig_start (&rig);
+  for (int i = 0; i < SITE_HOSTS; i++)
     {
-      load_t own = { .rig = &rig,
-                     .first_job = 2000 + i * 100,
-                     .job_count = 30,
-                     .host = i,
-                     .tasks = 2,
-                     .work_ms = 30,
-                     .pause_ms = 5 };
-      load_t other = own;
+      site_load_t own = { .rig = &rig,
+                          .first_job = 2000 + i * 100,
+                          .job_count = 30,
+                          .host = i,
+                          .tasks = 2,
+                          .work_ms = 30,
+                          .pause_ms = 5 };
+      site_load_t other = own;
       other.first_job += 50;
-      other.host = (i + 1) % HOSTS;
-      GThread *threads[] = { g_thread_new ("own", run_load, &own),
-                             g_thread_new ("other", run_load, &other) };
+      other.host = (i + 1) % SITE_HOSTS;
+      GThread *threads[] = { g_thread_new ("own", site_run_load, &own),
+                             g_thread_new ("other", site_run_load, &other) };
       clock_sleep_ms (300);
       kill (rig.hosts[i], SIGTERM);
       g_thread_join (threads[0]);
@@ -656,47 +384,48 @@
       waitpid (rig.hosts[i], &status, 0);
       rig.hosts[i] = 0;
       CU_ASSERT_EQUAL (status, 0);
-      start_host (&rig, i);
-      CU_ASSERT_TRUE (wait_until_all_ready (&rig));
+      site_start_host (&rig, i);
+      CU_ASSERT_TRUE (site_wait_until_all_ready (&rig));
     }
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* After all hosts were killed at once they serve again within 3 s of their restart. */
 static void
 test_all_hosts_killed (void)
 {
-  rig_t rig;
-
-  rig_start (&rig);
-  CU_ASSERT_EQUAL (submit (&rig, 0, 1, 2, 10).status, 200);
-  for (int i = 0; i < HOSTS; i++)
-    end_process (&rig.hosts[i], SIGKILL);
-  for (int i = 0; i < HOSTS; i++)
-    start_host (&rig, i);
+  site_rig_t rig;
+
+  site_rig_start (&rig);
+  CU_ASSERT_EQUAL (site_submit (&rig, 0, 1, 2, 10).status, 200);
+  for (int i = 0; i < SITE_HOSTS; i++)
+    site_end_process (&rig.hosts[i], SIGKILL);
+  for (int i = 0; i < SITE_HOSTS; i++)
+    site_start_host (&rig, i);
   int64_t from_ms = clock_boot_ms ();
-  while (submit (&rig, 1, 2, 2, 10).status != 200 && clock_boot_ms () - from_ms < TEST_TIMEOUT_MS)
+  while (site_submit (&rig, 1, 2, 2, 10).status != 200
+         && clock_boot_ms () - from_ms < SITE_TEST_TIMEOUT_MS)
     clock_sleep_ms (20);
   CU_ASSERT_TRUE (clock_boot_ms () - from_ms < 3000);
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 static int
-status_of_get (const rig_t *rig, int host, const char *prefix)
+status_of_get (const site_rig_t *rig, int host, const char *prefix)
 {
   char *target = g_strdup_printf ("%s00000000000000d1", prefix);
-  int status = site_call (caller_port (rig, host), "GET", target, "").status;
+  int status = site_call (site_caller_port (rig, host), "GET", target, "").status;
 
   g_free (target);
   return status;
 }
 
 static bool
-wait_for_queue (const rig_t *rig, const char *prefix, int64_t within_ms)
+wait_for_queue (const site_rig_t *rig, const char *prefix, int64_t within_ms)
 {
   int64_t until_ms = clock_boot_ms () + within_ms;
 
-  for (int i = 0; i < HOSTS; i++)
+  for (int i = 0; i < SITE_HOSTS; i++)
     while (status_of_get (rig, i, prefix) != 410)
       {
         if (clock_boot_ms () > until_ms)
@@ -706,59 +435,53 @@
   return true;
 }
 
-static void
-post_to_standin (const rig_t *rig, const char *target)
-{
-  CU_ASSERT_EQUAL (site_call (rig->port, "POST", target, "").status, 200);
-}
-
 /* A configuration takes effect at all hosts in time, an older one never replaces it, and it stays
  * in effect when the log has lost its history. */
 static void
 test_configuration (void)
 {
-  rig_t rig;
+  site_rig_t rig;
 
-  rig_start (&rig);
-  put_queue_prefix (&rig, 7, "/new/");
+  site_rig_start (&rig);
+  site_put_queue_prefix (&rig, 7, "/new/");
   CU_ASSERT_TRUE (wait_for_queue (&rig, "/new/", 2000));
   CU_ASSERT_EQUAL (status_of_get (&rig, 0, "/q/"), 404);
-  put_queue_prefix (&rig, 5, "/old/");
-  post_to_standin (&rig, "/forget");
+  site_put_queue_prefix (&rig, 5, "/old/");
+  site_post_to_standin (&rig, "/forget");
   clock_sleep_ms (1500);
-  for (int i = 0; i < HOSTS; i++)
+  for (int i = 0; i < SITE_HOSTS; i++)
     {
       CU_ASSERT_EQUAL (status_of_get (&rig, i, "/new/"), 410);
       CU_ASSERT_EQUAL (status_of_get (&rig, i, "/old/"), 404);
     }
-  put_queue_prefix (&rig, 9, "/q/");
+  site_put_queue_prefix (&rig, 9, "/q/");
   CU_ASSERT_TRUE (wait_for_queue (&rig, "/q/", 2000));
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* While the log is down hosts continue with the state that they read last. */
 static void
 test_log_down (void)
 {
-  rig_t rig;
+  site_rig_t rig;
 
-  rig_start (&rig);
-  set_fault (&rig, "{\"log_down\":true}");
-  load_t load = {
+  site_rig_start (&rig);
+  site_set_fault (&rig, "{\"log_down\":true}");
+  site_load_t load = {
     .rig = &rig, .first_job = 3000, .job_count = 60, .host = -1, .tasks = 3, .work_ms = 20
   };
-  GThread *thread = g_thread_new ("load", run_load, &load);
+  GThread *thread = g_thread_new ("load", site_run_load, &load);
   clock_sleep_ms (300);
-  end_process (&rig.hosts[1], SIGKILL);
+  site_end_process (&rig.hosts[1], SIGKILL);
   g_thread_join (thread);
   /* A quarter of the calls went to the host that was killed. */
   CU_ASSERT_TRUE (load.completed >= 42);
   CU_ASSERT_EQUAL (load.failed, 0);
-  set_fault (&rig, "{\"log_down\":false}");
-  put_queue_prefix (&rig, 11, "/up/");
-  start_host (&rig, 1);
+  site_set_fault (&rig, "{\"log_down\":false}");
+  site_put_queue_prefix (&rig, 11, "/up/");
+  site_start_host (&rig, 1);
   CU_ASSERT_TRUE (wait_for_queue (&rig, "/up/", 4000));
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* The log loses the entries of all endpoints, with its history, until they register again.  Running
@@ -766,24 +489,24 @@
 static void
 test_entries_removed (void)
 {
-  rig_t rig;
+  site_rig_t rig;
 
-  rig_start (&rig);
-  load_t load = {
+  site_rig_start (&rig);
+  site_load_t load = {
     .rig = &rig, .first_job = 6000, .job_count = 40, .host = -1, .tasks = 3, .work_ms = 150
   };
-  GThread *thread = g_thread_new ("load", run_load, &load);
+  GThread *thread = g_thread_new ("load", site_run_load, &load);
   for (int i = 0; i < 4; i++)
     {
       clock_sleep_ms (700);
-      post_to_standin (&rig, "/wipe");
+      site_post_to_standin (&rig, "/wipe");
     }
   g_thread_join (thread);
   CU_ASSERT_EQUAL (load.unanswered, 0);
   CU_ASSERT_TRUE (load.completed >= 30);
-  CU_ASSERT_EQUAL (standin_number (&rig, "starts"), 3 * load.completed);
-  CU_ASSERT_EQUAL (submit (&rig, 0, 6999, 3, 10).status, 200);
-  rig_stop (&rig);
+  CU_ASSERT_EQUAL (site_standin_number (&rig, "starts"), 3 * load.completed);
+  CU_ASSERT_EQUAL (site_submit (&rig, 0, 6999, 3, 10).status, 200);
+  site_rig_stop (&rig);
 }
 
 /* A request that waited in its connection while the host stood still may have been submitted again
@@ -791,28 +514,28 @@
 static void
 test_request_waited_while_suspended (void)
 {
-  rig_t rig;
-  char *body = job_body (3, 400, "");
+  site_rig_t rig;
+  char *body = site_job_body (3, 400, "");
 
-  rig_start (&rig);
-  int fd = site_connect ("127.0.0.1", caller_port (&rig, 0));
+  site_rig_start (&rig);
+  int fd = site_connect ("127.0.0.1", site_caller_port (&rig, 0));
   kill (rig.hosts[0], SIGSTOP);
-  site_send_request (fd, "POST", "/q/0000000000001f40", body, DEADLINE_MS);
+  site_send_request (fd, "POST", "/q/0000000000001f40", body, SITE_DEADLINE_MS);
   clock_sleep_ms (1300);
-  load_t load = {
+  site_load_t load = {
     .rig = &rig, .first_job = 0x1f40, .job_count = 1, .host = 1, .tasks = 3, .work_ms = 400
   };
-  GThread *thread = g_thread_new ("load", run_load, &load);
+  GThread *thread = g_thread_new ("load", site_run_load, &load);
   clock_sleep_ms (100);
   kill (rig.hosts[0], SIGCONT);
-  site_response_t response = site_read_response (fd, clock_boot_ms () + TEST_TIMEOUT_MS);
+  site_response_t response = site_read_response (fd, clock_boot_ms () + SITE_TEST_TIMEOUT_MS);
   CU_ASSERT_EQUAL (response.status, 503);
   g_thread_join (thread);
   CU_ASSERT_EQUAL (load.completed, 1);
-  CU_ASSERT_EQUAL (standin_number (&rig, "starts"), 3);
+  CU_ASSERT_EQUAL (site_standin_number (&rig, "starts"), 3);
   close (fd);
   g_free (body);
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* The entry of the endpoint that runs tasks is missing when their owner is killed.  The next owner
@@ -820,32 +543,32 @@
 static void
 test_owner_killed_while_entry_missing (void)
 {
-  rig_t rig;
+  site_rig_t rig;
 
-  rig_start (&rig);
-  clock_sleep_ms (DISCOVERY_END_MS);
+  site_rig_start (&rig);
+  clock_sleep_ms (SITE_DISCOVERY_END_MS);
   for (int killed = 2; killed >= 0; killed -= 2) /* each owner of data centre x in turn */
     {
-      load_t load = { .rig = &rig,
-                      .first_job = 7000 + killed,
-                      .job_count = 1,
-                      .host = 2 - killed,
-                      .tasks = 3,
-                      .work_ms = 1800 };
-      GThread *thread = g_thread_new ("load", run_load, &load);
+      site_load_t load = { .rig = &rig,
+                           .first_job = 7000 + killed,
+                           .job_count = 1,
+                           .host = 2 - killed,
+                           .tasks = 3,
+                           .work_ms = 1800 };
+      GThread *thread = g_thread_new ("load", site_run_load, &load);
       clock_sleep_ms (200);
-      set_fault (&rig, "{\"endpoint\":\"e0\",\"unlisted\":true}");
-      post_to_standin (&rig, "/wipe");
+      site_set_fault (&rig, "{\"endpoint\":\"e0\",\"unlisted\":true}");
+      site_post_to_standin (&rig, "/wipe");
       clock_sleep_ms (600);
-      end_process (&rig.hosts[killed], SIGKILL);
+      site_end_process (&rig.hosts[killed], SIGKILL);
       g_thread_join (thread);
       CU_ASSERT_EQUAL (load.completed, 1);
-      set_fault (&rig, "{\"endpoint\":\"e0\",\"unlisted\":false}");
-      start_host (&rig, killed);
-      CU_ASSERT_TRUE (wait_until_all_ready (&rig));
-      clock_sleep_ms (DISCOVERY_END_MS);
+      site_set_fault (&rig, "{\"endpoint\":\"e0\",\"unlisted\":false}");
+      site_start_host (&rig, killed);
+      CU_ASSERT_TRUE (site_wait_until_all_ready (&rig));
+      clock_sleep_ms (SITE_DISCOVERY_END_MS);
     }
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* A draining endpoint gets no further tasks.  MORE adds members to the fault: with "born" the
@@ -853,32 +576,32 @@
 static void
 check_draining_endpoints (const char *more)
 {
-  rig_t rig;
+  site_rig_t rig;
   char fault[96];
 
-  rig_start (&rig);
-  for (int i = 1; i < ENDPOINTS; i++)
+  site_rig_start (&rig);
+  for (int i = 1; i < SITE_ENDPOINTS; i++)
     {
       g_snprintf (fault, sizeof fault, "{\"endpoint\":\"e%d\",\"draining\":true%s}", i, more);
-      set_fault (&rig, fault);
+      site_set_fault (&rig, fault);
     }
   clock_sleep_ms (1500);
-  load_t load = {
+  site_load_t load = {
     .rig = &rig, .first_job = 4000, .job_count = 5, .host = -1, .tasks = 6, .work_ms = 60
   };
-  run_load (&load);
+  site_run_load (&load);
   CU_ASSERT_EQUAL (load.completed, 5);
   /* The remaining endpoint runs three tasks at a time, so six tasks take two turns. */
   int64_t from_ms = clock_boot_ms ();
-  CU_ASSERT_EQUAL (submit (&rig, 2, 4999, 6, 100).status, 200);
+  CU_ASSERT_EQUAL (site_submit (&rig, 2, 4999, 6, 100).status, 200);
   CU_ASSERT_TRUE (clock_boot_ms () - from_ms >= 200);
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* --- drains --- */
 
 static void
-set_drain (const rig_t *rig, const char *data_centre, bool drained)
+set_drain (const site_rig_t *rig, const char *data_centre, bool drained)
 {
   char *target = g_strdup_printf ("/drain/%s", data_centre);
 
@@ -888,20 +611,20 @@
 
 /* The number of tasks that run in data centre x or y. */
 static int
-running_in (const rig_t *rig, const char *data_centre)
+running_in (const site_rig_t *rig, const char *data_centre)
 {
   char *name = g_strconcat ("running_", data_centre, NULL);
-  int running = standin_number (rig, name);
+  int running = site_standin_number (rig, name);
 
   g_free (name);
   return running;
 }
 
 static int
-starts_in (const rig_t *rig, const char *data_centre)
+starts_in (const site_rig_t *rig, const char *data_centre)
 {
   char *name = g_strconcat ("starts_", data_centre, NULL);
-  int starts = standin_number (rig, name);
+  int starts = site_standin_number (rig, name);
 
   g_free (name);
   return starts;
@@ -909,10 +632,10 @@
 
 /* What `jaytrail drains --json ADDRESS` prints for HOST; the caller frees it. */
 static char *
-drains_json (const rig_t *rig, int host)
+drains_json (const site_rig_t *rig, int host)
 {
-  char *command = g_strdup_printf ("%s/jaytrail drains --json 127.0.0.1:%d", programs,
-                                   caller_port (rig, host) + 1);
+  char *command = g_strdup_printf ("%s/jaytrail drains --json 127.0.0.1:%d", site_programs (),
+                                   site_caller_port (rig, host) + 1);
   char *text = NULL;
 
   CU_ASSERT_TRUE (g_spawn_command_line_sync (command, &text, NULL, NULL, NULL));
@@ -925,20 +648,20 @@
 static void
 test_drain (void)
 {
-  rig_t rig;
+  site_rig_t rig;
   /* More tasks than one data centre has room for. */
-  char *body = job_body (10, 1500, "");
+  char *body = site_job_body (10, 1500, "");
 
-  rig_start (&rig);
-  int fd = site_connect ("127.0.0.1", caller_port (&rig, 0));
+  site_rig_start (&rig);
+  int fd = site_connect ("127.0.0.1", site_caller_port (&rig, 0));
   site_send_request (fd, "POST", "/q/00000000000000f1", body, 5000);
-  CU_ASSERT_TRUE (wait_for_number (&rig, "running", 10, 2000));
+  CU_ASSERT_TRUE (site_wait_for_number (&rig, "running", 10, 2000));
   int runs = running_in (&rig, "x");
   CU_ASSERT_TRUE (runs > 0);
-  load_t load = {
+  site_load_t load = {
     .rig = &rig, .first_job = 7000, .job_count = 60, .host = -1, .tasks = 3, .work_ms = 20
   };
-  GThread *thread = g_thread_new ("load", run_load, &load);
+  GThread *thread = g_thread_new ("load", site_run_load, &load);
   set_drain (&rig, "x", true);
   set_drain (&rig, "nowhere", true);
   clock_sleep_ms (1000);
@@ -948,22 +671,22 @@
   CU_ASSERT_TRUE (page != NULL && strstr (page, "\"data_centre\":\"x\"") != NULL);
   CU_ASSERT_TRUE (page != NULL && strstr (page, "\"data_centre\":\"nowhere\"") != NULL);
   g_free (page);
-  site_response_t response = site_read_response (fd, clock_boot_ms () + TEST_TIMEOUT_MS);
+  site_response_t response = site_read_response (fd, clock_boot_ms () + SITE_TEST_TIMEOUT_MS);
   CU_ASSERT_EQUAL (response.status, 200);
   CU_ASSERT_PTR_NOT_NULL (strstr (response.body, "completed"));
   g_thread_join (thread);
   CU_ASSERT_EQUAL (load.completed, 60);
   CU_ASSERT_EQUAL (starts_in (&rig, "x"), before);
-  for (int i = 0; i < HOSTS; i++)
-    CU_ASSERT_TRUE (is_ready (&rig, i));
+  for (int i = 0; i < SITE_HOSTS; i++)
+    CU_ASSERT_TRUE (site_is_ready (&rig, i));
   set_drain (&rig, "x", false);
   int64_t until_ms = clock_boot_ms () + 1000;
   for (int i = 0; starts_in (&rig, "x") == before && clock_boot_ms () < until_ms; i++)
-    submit (&rig, 0, 7900 + i, 6, 10);
+    site_submit (&rig, 0, 7900 + i, 6, 10);
   CU_ASSERT_TRUE (starts_in (&rig, "x") > before);
   close (fd);
   g_free (body);
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* With all data centres drained a job is refused at once, with a Retry-After header, and none of
@@ -971,28 +694,29 @@
 static void
 test_drain_of_all (void)
 {
-  rig_t rig;
+  site_rig_t rig;
 
-  rig_start (&rig);
-  CU_ASSERT_EQUAL (submit (&rig, 0, 1, 2, 10).status, 200);
+  site_rig_start (&rig);
+  CU_ASSERT_EQUAL (site_submit (&rig, 0, 1, 2, 10).status, 200);
   set_drain (&rig, "x", true);
   set_drain (&rig, "y", true);
   clock_sleep_ms (1000);
-  int before = standin_number (&rig, "starts");
-  for (int i = 0; i < HOSTS; i++)
+  int before = site_standin_number (&rig, "starts");
+  for (int i = 0; i < SITE_HOSTS; i++)
     {
-      CU_ASSERT_TRUE (is_ready (&rig, i));
+      CU_ASSERT_TRUE (site_is_ready (&rig, i));
       int64_t from_ms = clock_boot_ms ();
-      site_response_t response = submit (&rig, i, 10 + i, 2, 10);
+      site_response_t response = site_submit (&rig, i, 10 + i, 2, 10);
       CU_ASSERT_EQUAL (response.status, 503);
       CU_ASSERT_TRUE (response.retry_after_s >= 1);
       CU_ASSERT_TRUE (clock_boot_ms () - from_ms < 100);
     }
-  CU_ASSERT_EQUAL (standin_number (&rig, "starts"), before);
+  CU_ASSERT_EQUAL (site_standin_number (&rig, "starts"), before);
   set_drain (&rig, "x", false);
   set_drain (&rig, "y", false);
   int64_t from_ms = clock_boot_ms ();
-  while (submit (&rig, 2, 20, 6, 10).status != 200 && clock_boot_ms () - from_ms < TEST_TIMEOUT_MS)
+  while (site_submit (&rig, 2, 20, 6, 10).status != 200
+         && clock_boot_ms () - from_ms < SITE_TEST_TIMEOUT_MS)
     clock_sleep_ms (10);
   CU_ASSERT_TRUE (clock_boot_ms () - from_ms < 1000);
   /* A drain that begins and ends within a second leaves the service unchanged. */
@@ -1001,9 +725,9 @@
   set_drain (&rig, "x", false);
   clock_sleep_ms (1000);
   before = starts_in (&rig, "x");
-  CU_ASSERT_EQUAL (submit (&rig, 0, 30, 18, 10).status, 200);
+  CU_ASSERT_EQUAL (site_submit (&rig, 0, 30, 18, 10).status, 200);
   CU_ASSERT_TRUE (starts_in (&rig, "x") > before);
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* While the log is down a drain stays in effect, and a host that starts learns of it from another.
@@ -1011,32 +735,32 @@
 static void
 test_drain_while_log_down (void)
 {
-  rig_t rig;
+  site_rig_t rig;
 
-  rig_start (&rig);
+  site_rig_start (&rig);
   set_drain (&rig, "x", true);
-  for (int i = 0; i < HOSTS; i++)
-    CU_ASSERT_TRUE (wait_for_log_lines (&rig, i, "\"drain_begun\"", 1));
-  set_fault (&rig, "{\"log_down\":true}");
-  end_process (&rig.hosts[3], SIGKILL);
-  start_host (&rig, 3);
-  CU_ASSERT_TRUE (wait_for_log_lines (&rig, 3, "\"drain_begun\"", 2));
-  CU_ASSERT_TRUE (wait_until_all_ready (&rig));
+  for (int i = 0; i < SITE_HOSTS; i++)
+    CU_ASSERT_TRUE (site_wait_for_log_lines (&rig, i, "\"drain_begun\"", 1));
+  site_set_fault (&rig, "{\"log_down\":true}");
+  site_end_process (&rig.hosts[3], SIGKILL);
+  site_start_host (&rig, 3);
+  CU_ASSERT_TRUE (site_wait_for_log_lines (&rig, 3, "\"drain_begun\"", 2));
+  CU_ASSERT_TRUE (site_wait_until_all_ready (&rig));
   int before = starts_in (&rig, "x");
-  load_t load = {
+  site_load_t load = {
     .rig = &rig, .first_job = 8000, .job_count = 20, .host = -1, .tasks = 3, .work_ms = 20
   };
-  run_load (&load);
+  site_run_load (&load);
   CU_ASSERT_EQUAL (load.completed, 20);
   CU_ASSERT_EQUAL (starts_in (&rig, "x"), before);
   set_drain (&rig, "x", false);
-  post_to_standin (&rig, "/forget");
+  site_post_to_standin (&rig, "/forget");
   clock_sleep_ms (500);
-  CU_ASSERT_EQUAL (count_lines (&rig, 0, "\"drain_ended\""), 0);
-  set_fault (&rig, "{\"log_down\":false}");
-  for (int i = 0; i < HOSTS; i++)
-    CU_ASSERT_TRUE (wait_for_log_lines (&rig, i, "\"drain_ended\"", 1));
-  rig_stop (&rig);
+  CU_ASSERT_EQUAL (site_count_lines (&rig, 0, "\"drain_ended\""), 0);
+  site_set_fault (&rig, "{\"log_down\":false}");
+  for (int i = 0; i < SITE_HOSTS; i++)
+    CU_ASSERT_TRUE (site_wait_for_log_lines (&rig, i, "\"drain_ended\"", 1));
+  site_rig_stop (&rig);
 }
 
 static void
@@ -1053,40 +777,40 @@
 
 /* Each of these functions drains data centre x while the hosts cannot learn of it as usual. */
 static void
-drain_while_log_slow (rig_t *rig)
+drain_while_log_slow (site_rig_t *rig)
 {
-  set_fault (rig, "{\"log_slow_ms\":1000}");
+  site_set_fault (rig, "{\"log_slow_ms\":1000}");
   clock_sleep_ms (1500);
   set_drain (rig, "x", true);
   clock_sleep_ms (EVACUATION_MS);
 }
 
 static void
-drain_while_suspended (rig_t *rig)
+drain_while_suspended (site_rig_t *rig)
 {
-  for (int i = 0; i < HOSTS; i++)
+  for (int i = 0; i < SITE_HOSTS; i++)
     kill (rig->hosts[i], SIGSTOP);
   set_drain (rig, "x", true);
   clock_sleep_ms (EVACUATION_MS);
-  for (int i = 0; i < HOSTS; i++)
+  for (int i = 0; i < SITE_HOSTS; i++)
     kill (rig->hosts[i], SIGCONT);
 }
 
 static void
-drain_while_down (rig_t *rig)
+drain_while_down (site_rig_t *rig)
 {
-  for (int i = 0; i < HOSTS; i++)
-    end_process (&rig->hosts[i], SIGKILL);
+  for (int i = 0; i < SITE_HOSTS; i++)
+    site_end_process (&rig->hosts[i], SIGKILL);
   set_drain (rig, "x", true);
-  for (int i = 0; i < HOSTS; i++)
-    start_host (rig, i);
+  for (int i = 0; i < SITE_HOSTS; i++)
+    site_start_host (rig, i);
 }
 
 /* The hosts of x, one of which owns its endpoints, can reach other hosts but not the log. */
 static void
-drain_while_cut_off (rig_t *rig)
+drain_while_cut_off (site_rig_t *rig)
 {
-  for (int i = 0; i < HOSTS; i += 2)
+  for (int i = 0; i < SITE_HOSTS; i += 2)
     {
       char *file = g_strdup_printf ("%s/h%d.conf", rig->directory, i);
       char *text = NULL;
@@ -1094,7 +818,7 @@
       char *changed = g_strdup_printf ("%splatform.address=127.0.0.1:1\n", text);
       g_file_set_contents (file, changed, -1, NULL);
       kill (rig->hosts[i], SIGHUP);
-      CU_ASSERT_TRUE (wait_for_log_lines (rig, i, "\"log_lost\"", 1));
+      CU_ASSERT_TRUE (site_wait_for_log_lines (rig, i, "\"log_lost\"", 1));
       g_free (changed);
       g_free (text);
       g_free (file);
@@ -1106,7 +830,7 @@
 static const struct
 {
   const char *name;
-  void (*run) (rig_t *rig);
+  void (*run) (site_rig_t *rig);
 } late_drain_cases[] = {
   { "the hosts of the data centre cannot reach the log", drain_while_cut_off },
   { "the log is slow", drain_while_log_slow },
@@ -1122,38 +846,38 @@
 {
   for (size_t i = 0; i < G_N_ELEMENTS (late_drain_cases); i++)
     {
-      rig_t rig;
+      site_rig_t rig;
 
-      rig_start (&rig);
-      CU_ASSERT_EQUAL (submit (&rig, 0, 1, 10, 10).status, 200);
+      site_rig_start (&rig);
+      CU_ASSERT_EQUAL (site_submit (&rig, 0, 1, 10, 10).status, 200);
       late_drain_cases[i].run (&rig);
       int before = starts_in (&rig, "x");
       CU_ASSERT_TRUE (before >= 0);
-      int64_t until_ms = clock_boot_ms () + TEST_TIMEOUT_MS;
+      int64_t until_ms = clock_boot_ms () + SITE_TEST_TIMEOUT_MS;
       for (int k = 0; k < 20 && clock_boot_ms () < until_ms;)
-        k += submit (&rig, k % HOSTS, 100 + k, 3, 20).status == 200;
+        k += site_submit (&rig, k % SITE_HOSTS, 100 + k, 3, 20).status == 200;
       CU_ASSERT_TRUE (clock_boot_ms () < until_ms);
       if (before < 0 || clock_boot_ms () >= until_ms || starts_in (&rig, "x") != before)
         printf ("  %s: %d\n", late_drain_cases[i].name, before);
       CU_ASSERT_EQUAL (starts_in (&rig, "x"), before);
-      rig_stop (&rig);
+      site_rig_stop (&rig);
     }
 }
 
 /* The response to a job of one task, which is sent as soon as HOST accepts a connection. */
 static site_response_t
-submit_at_start (rig_t *rig, int host, int job)
+submit_at_start (site_rig_t *rig, int host, int job)
 {
-  int64_t until_ms = clock_boot_ms () + TEST_TIMEOUT_MS;
+  int64_t until_ms = clock_boot_ms () + SITE_TEST_TIMEOUT_MS;
   char *target = g_strdup_printf ("/q/%016x", (unsigned) job);
-  char *body = job_body (1, 10, "");
+  char *body = site_job_body (1, 10, "");
   int fd = -1;
 
-  start_host (rig, host);
-  while ((fd = site_connect ("127.0.0.1", caller_port (rig, host))) < 0
+  site_start_host (rig, host);
+  while ((fd = site_connect ("127.0.0.1", site_caller_port (rig, host))) < 0
          && clock_boot_ms () < until_ms)
     clock_sleep_ms (1);
-  site_send_request (fd, "POST", target, body, DEADLINE_MS);
+  site_send_request (fd, "POST", target, body, SITE_DEADLINE_MS);
   site_response_t response = site_read_response (fd, until_ms);
   close (fd);
   g_free (body);
@@ -1166,20 +890,20 @@
 static void
 test_request_before_configuration (void)
 {
-  rig_t rig;
+  site_rig_t rig;
 
-  rig_start (&rig);
-  for (int i = 0; i < HOSTS; i++)
-    end_process (&rig.hosts[i], SIGKILL);
+  site_rig_start (&rig);
+  for (int i = 0; i < SITE_HOSTS; i++)
+    site_end_process (&rig.hosts[i], SIGKILL);
   CU_ASSERT_EQUAL (submit_at_start (&rig, 0, 1).status, 200);
-  end_process (&rig.hosts[0], SIGKILL);
-  set_fault (&rig, "{\"log_down\":true}");
+  site_end_process (&rig.hosts[0], SIGKILL);
+  site_set_fault (&rig, "{\"log_down\":true}");
   int64_t from_ms = clock_boot_ms ();
   CU_ASSERT_EQUAL (submit_at_start (&rig, 0, 2).status, 503);
-  CU_ASSERT_EQUAL (submit (&rig, 0, 3, 1, 10).status, 503);
+  CU_ASSERT_EQUAL (site_submit (&rig, 0, 3, 1, 10).status, 503);
   CU_ASSERT_TRUE (clock_boot_ms () - from_ms < 2000);
-  set_fault (&rig, "{\"log_down\":false}");
-  rig_stop (&rig);
+  site_set_fault (&rig, "{\"log_down\":false}");
+  site_rig_stop (&rig);
 }
 
 #define BACKLOG_JOBS_MIN 4
@@ -1187,33 +911,20 @@
 #define BACKLOG_WORK_MS 4000
 #define BACKLOG_WAIT_MS 20000
 /* As many tasks wait at each of the two owners as it can run in twice BACKLOG_WORK_MS. */
-#define BACKLOG_TASKS SLOT_COUNT
-
-/* The gauge NAME of HOST; -1 if it is missing. */
-static int
-host_gauge (const rig_t *rig, int host, const char *name)
-{
-  site_response_t response = site_call (caller_port (rig, host) + 1, "GET", "/metrics", "");
-  char *line = g_strdup_printf ("\n%s ", name);
-  const char *at = strstr (response.body, line);
-  int value = at != NULL ? atoi (at + strlen (line)) : -1;
-
-  g_free (line);
-  return value;
-}
+#define BACKLOG_TASKS SITE_SLOTS
 
 /* The fewest tasks that wait at one of the owners of both shards; -1 if a shard has no owner. */
 static int
-least_backlog (const rig_t *rig)
+least_backlog (const site_rig_t *rig)
 {
   int least = INT_MAX;
   int owned = 0;
 
-  for (int host = 0; host < HOSTS; host++)
+  for (int host = 0; host < SITE_HOSTS; host++)
     {
-      int shards = host_gauge (rig, host, "jaytrail_shards_owned");
+      int shards = site_host_gauge (rig, host, "jaytrail_shards_owned");
       if (shards > 0)
-        least = MIN (least, host_gauge (rig, host, "jaytrail_tasks_waiting"));
+        least = MIN (least, site_host_gauge (rig, host, "jaytrail_tasks_waiting"));
       owned += shards;
     }
   return owned == 2 ? least : -1;
@@ -1223,18 +934,18 @@
  * endpoints do not answer in time, which happens where the machine has much else to do.  Returns
  * the number of jobs; FDS are their connections. */
 static int
-submit_backlog (const rig_t *rig, int *fds)
+submit_backlog (const site_rig_t *rig, int *fds)
 {
-  char *body = job_body (SLOT_COUNT, BACKLOG_WORK_MS, "");
+  char *body = site_job_body (SITE_SLOTS, BACKLOG_WORK_MS, "");
   int jobs = 0;
 
   while (jobs < BACKLOG_JOBS_MAX
          && (jobs < BACKLOG_JOBS_MIN || least_backlog (rig) < BACKLOG_TASKS))
     {
       char *target = g_strdup_printf ("/b/00000000000000f%x", (unsigned) jobs);
-      fds[jobs] = site_connect ("127.0.0.1", caller_port (rig, 0));
+      fds[jobs] = site_connect ("127.0.0.1", site_caller_port (rig, 0));
       site_send_request (fds[jobs], "POST", target, body, BACKLOG_WAIT_MS);
-      CU_ASSERT_TRUE (wait_for_number (rig, "running", SLOT_COUNT, 2000));
+      CU_ASSERT_TRUE (site_wait_for_number (rig, "running", SITE_SLOTS, 2000));
       g_free (target);
       jobs++;
       if (jobs >= BACKLOG_JOBS_MIN)
@@ -1251,19 +962,20 @@
 static void
 test_backlog (void)
 {
-  rig_t rig;
+  site_rig_t rig;
   int fds[BACKLOG_JOBS_MAX];
-  char *short_body = job_body (1, 1000, "");
+  char *short_body = site_job_body (1, 1000, "");
 
-  rig_start (&rig);
-  put_queue (&rig, 4, "/b/", BACKLOG_WAIT_MS);
+  site_rig_start (&rig);
+  site_put_queue (&rig, 4, "/b/", BACKLOG_WAIT_MS);
   CU_ASSERT_TRUE (wait_for_queue (&rig, "/b/", 2000));
   int jobs = submit_backlog (&rig, fds);
   for (int host = 0; host < 2; host++)
     {
       char *target = g_strdup_printf ("/b/00000000000000b%d", host);
       int64_t from_ms = clock_boot_ms ();
-      site_response_t response = site_call (caller_port (&rig, host), "POST", target, short_body);
+      site_response_t response =
+          site_call (site_caller_port (&rig, host), "POST", target, short_body);
       CU_ASSERT_EQUAL (response.status, 503);
       CU_ASSERT_TRUE (clock_boot_ms () - from_ms < 1000);
       CU_ASSERT_TRUE (response.retry_after_s > 1);
@@ -1273,7 +985,7 @@
   for (int i = 0; i < jobs; i++)
     close (fds[i]);
   g_free (short_body);
-  rig_stop (&rig);
+  site_rig_stop (&rig);
 }
 
 /* --- capacity of endpoints --- */
@@ -1283,15 +995,15 @@
 #define CAPACITY_KNOWN_MS 1500
 
 static void
-set_capacity_of_all (const rig_t *rig, int slots_lost, bool guarded)
+set_capacity_of_all (const site_rig_t *rig, int slots_lost, bool guarded)
 {
   char fault[96];
 
-  for (int i = 0; i < ENDPOINTS; i++)
+  for (int i = 0; i < SITE_ENDPOINTS; i++)
     {
       g_snprintf (fault, sizeof fault, "{\"endpoint\":\"e%d\",\"lost_room\":%d,\"unguarded\":%s}",
                   i, slots_lost, guarded ? "false" : "true");
-      set_fault (rig, fault);
+      site_set_fault (rig, fault);
     }
 }
 
@@ -1311,35 +1023,38 @@
 {
   for (size_t i = 0; i < G_N_ELEMENTS (capacity_cases); i++)
     {
-      rig_t rig;
-      load_t full = {
-        .first_job = 11000, .job_count = 1, .tasks = SLOT_COUNT, .work_ms = CAPACITY_KNOWN_MS + 300
+      site_rig_t rig;
+      site_load_t full = {
+        .first_job = 11000, .job_count = 1, .tasks = SITE_SLOTS, .work_ms = CAPACITY_KNOWN_MS + 300
+      };
+      site_load_t load = {
+        .first_job = 11100, .job_count = 6, .host = -1, .tasks = 9, .work_ms = 60
       };
-      load_t load = { .first_job = 11100, .job_count = 6, .host = -1, .tasks = 9, .work_ms = 60 };
 
       printf ("  %s\n", capacity_cases[i].name);
-      rig_start (&rig);
+      site_rig_start (&rig);
       full.rig = load.rig = &rig;
-      GThread *thread = g_thread_new ("full", run_load, &full);
-      CU_ASSERT_TRUE (wait_for_number (&rig, "running", SLOT_COUNT, 2000));
+      GThread *thread = g_thread_new ("full", site_run_load, &full);
+      CU_ASSERT_TRUE (site_wait_for_number (&rig, "running", SITE_SLOTS, 2000));
       set_capacity_of_all (&rig, 3 - SLOTS_LEFT, capacity_cases[i].guarded);
       clock_sleep_ms (CAPACITY_KNOWN_MS);
-      CU_ASSERT_EQUAL (standin_number (&rig, "running"), SLOT_COUNT);
+      CU_ASSERT_EQUAL (site_standin_number (&rig, "running"), SITE_SLOTS);
       g_thread_join (thread);
       CU_ASSERT_EQUAL (full.completed, 1);
-      run_load (&load);
+      site_run_load (&load);
       CU_ASSERT_EQUAL (load.completed, load.job_count);
-      CU_ASSERT_EQUAL (standin_number (&rig, "crowded"), 0);
-      CU_ASSERT_EQUAL (standin_number (&rig, "refused"), 0);
-      CU_ASSERT_EQUAL (standin_number (&rig, "starts"), SLOT_COUNT + load.job_count * load.tasks);
+      CU_ASSERT_EQUAL (site_standin_number (&rig, "crowded"), 0);
+      CU_ASSERT_EQUAL (site_standin_number (&rig, "refused"), 0);
+      CU_ASSERT_EQUAL (site_standin_number (&rig, "starts"),
+                       SITE_SLOTS + load.job_count * load.tasks);
       set_capacity_of_all (&rig, 0, capacity_cases[i].guarded);
       clock_sleep_ms (CAPACITY_KNOWN_MS);
       full.first_job = 11200;
-      thread = g_thread_new ("full", run_load, &full);
-      CU_ASSERT_TRUE (wait_for_number (&rig, "running", SLOT_COUNT, 2000));
+      thread = g_thread_new ("full", site_run_load, &full);
+      CU_ASSERT_TRUE (site_wait_for_number (&rig, "running", SITE_SLOTS, 2000));
       g_thread_join (thread);
       CU_ASSERT_EQUAL (full.completed, 2);
-      rig_stop (&rig);
+      site_rig_stop (&rig);
     }
 }
 
@@ -1364,7 +1079,7 @@
 static void
 test_settings (void)
 {
-  char *program = g_strdup_printf ("%s/jaytraild", programs);
+  char *program = g_strdup_printf ("%s/jaytraild", site_programs ());
 
   for (size_t i = 0; i < G_N_ELEMENTS (bad_settings_cases); i++)
     {
@@ -1427,10 +1142,8 @@
 int
 main (int argc, char **argv)
 {
-  char *own = g_path_get_dirname (argv[0]);
-
   signal (SIGPIPE, SIG_IGN);
-  programs = g_build_filename (own, "..", NULL);
+  site_find_programs (argv[0]);
   CU_initialize_registry ();
   CU_pSuite suite = CU_add_suite ("site", NULL, NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
@@ -1440,7 +1153,5 @@
   CU_basic_run_tests ();
   unsigned failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
-  g_free (programs);
-  g_free (own);
   return failures == 0 ? 0 : 1;
 }
