A late order does not start on an instance that its entry has shown

What callers would see: two runs of one task at one time (TWICE), or a job that was refused as not run and runs all the same: an endpoint starts again under its id, and an order from before the restart reaches the later instance.

Cause: a later instance knows of no stop, so that it has to be told to stop each attempt whose order was never answered. That waited for its answer to a poll, though its entry, or the clock in another answer, had shown the restart before; an endpoint that was silent is polled every 320 ms only. Orders that arrived meanwhile were carried out.

Evidence: test_executor_restarts, "a late order reaches a later instance before it is polled": 6 of 122 asserts fail before, none after.

Change: a sign of a restart has the open orders stopped in the next round, with the poll or before it.

Tried and not kept: to poll at once as well, without the pause of a silent endpoint.

--- a/lib/executor/endpoints.c
+++ b/lib/executor/endpoints.c
@@ -79,8 +79,7 @@
     return;
   if (endpoint->reports_start_time)
     {
-      endpoint->restart_suspected = true;
-      endpoint_poll_again (endpoint);
+      endpoint_suspect_restart (endpoint);
       return;
     }
   if (endpoint->started_at_ms != 0)
--- a/lib/executor/instance.c
+++ b/lib/executor/instance.c
@@ -48,6 +48,14 @@
   endpoint->capacity = (capacity_t){ 0 };
 }
 
+void
+endpoint_suspect_restart (endpoint_t *endpoint)
+{
+  endpoint->restart_suspected = true;
+  open_orders_require_stops (endpoint->open_orders);
+  endpoint_poll_again (endpoint);
+}
+
 void
 endpoint_read_clock (endpoint_t *endpoint,
                      int64_t endpoint_clock_ms,
@@ -95,8 +103,7 @@
   if (instance == INSTANCE_LATER)
     {
       endpoint->later_clock_seen = true;
-      endpoint->restart_suspected = true;
-      endpoint_poll_again (endpoint);
+      endpoint_suspect_restart (endpoint);
     }
   endpoint_read_clock (endpoint, endpoint_clock_ms, sent_at_ms, now_ms);
   return instance;
--- a/lib/executor/instance.h
+++ b/lib/executor/instance.h
@@ -17,6 +17,10 @@
  * instance has confirmed a stop. */
 void endpoint_restarted (executor_t *executor, endpoint_t *endpoint, int64_t now_ms);
 
+/* Records that ENDPOINT may have a new instance, which the next poll shows.  That instance is told
+ * at once to stop what orders without an answer may start there. */
+void endpoint_suspect_restart (endpoint_t *endpoint);
+
 /* Which instance of an endpoint has answered, compared with the one that was observed last. */
 typedef enum
 {
--- a/tests/test_executor_restarts.c
+++ b/tests/test_executor_restarts.c
@@ -225,6 +225,57 @@
   scenario_end (&scenario);
 }
 
+/* Polls of e0 are lost until UNTIL_MS. */
+static void
+lose_polls (scenario_t *scenario, int64_t until_ms)
+{
+  executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_NO_ANSWER, NULL,
+                          90, scenario->actions);
+  for (int64_t now_ms = 90; now_ms < until_ms; now_ms += 10)
+    {
+      uint64_t poll_serial = scenario->poll_serial[0];
+      run_round_at (scenario, now_ms);
+      if (scenario->poll_serial[0] != poll_serial)
+        executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_NO_ANSWER,
+                                NULL, now_ms + 5, scenario->actions);
+    }
+}
+
+/* When the entry of a silent endpoint shows its restart. */
+static const int64_t entry_cases_ms[] = { 1500, 1600, 1700, 1800, 1900, 2000 };
+
+/* A start order is not answered, its batch moves to another owner, and its endpoint is silent and
+ * starts again.  The order may reach the later instance at any time: that is told to stop the
+ * attempt as soon as its entry shows it, not only when it has answered a poll. */
+static void
+test_late_order_after_silence (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (entry_cases_ms); i++)
+    {
+      int64_t now_ms = entry_cases_ms[i];
+      executor_batch_t batch = batch_of ("j", 1);
+      scenario_t scenario;
+
+      scenario_begin (&scenario);
+      add_instance (&scenario, 0, "r1", 3000, FIRST_INSTANCE_MS);
+      add_instance (&scenario, 1, "r1", 4000, FIRST_INSTANCE_MS);
+      run_round_at (&scenario, 0);
+      answer_first_polls (&scenario);
+      executor_submit (scenario.executor, &batch, 10);
+      run_round_at (&scenario, 10);
+      executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_NO_ANSWER, 0, 90,
+                               scenario.actions);
+      executor_release (scenario.executor, "h1", 1, 90);
+      lose_polls (&scenario, now_ms);
+      add_instance (&scenario, 0, "r1", 3000, LATER_INSTANCE_MS);
+      run_round_at (&scenario, now_ms);
+      if (!has_action (&scenario, EXECUTOR_STOP))
+        printf ("  entry at %d ms: no stop\n", (int) now_ms);
+      CU_ASSERT_STRING_EQUAL (scenario.stop_task, TASK);
+      scenario_end (&scenario);
+    }
+}
+
 /* An endpoint whose lists of runs lack its start time has restarted if its clock has gone back. */
 static void
 test_restart_without_start_time (void)
@@ -388,6 +439,7 @@
     test_run_ended_on_unnoticed_instance },
   { "a stop that an earlier instance has confirmed", test_stop_confirmed_by_earlier_instance },
   { "a later instance shows itself by its clock", test_clock_shows_later_instance },
+  { "a late order reaches a later instance before it is polled", test_late_order_after_silence },
   { "a restart without a start time", test_restart_without_start_time },
   { "an acknowledgement that reaches a later instance", test_acknowledgement_after_restart },
 };
