An entry that names another data centre gives no endpoint two owners

Seen by operators: after another writer has written the entry of an endpoint with the zone of another data centre, the owners of both use it, also when the entry is mended: they take it from each other, and tasks that run there are started anew elsewhere.

Cause: the entry was given to the owner of the shard that it names, and never taken from that of the shard before.

Change: such an entry removes the endpoint; its owner follows its runs, and the entry after it counts again, whatever it names.

--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -127,7 +127,8 @@
 void site_run_scheduler_actions (site_t *site);
 
 /* site_updates.c */
-/* Adds or replaces an entry of the directory, unless a newer one is there. */
+/* Adds or replaces an entry of the directory, unless a newer one is there.  An entry that names
+ * another shard than the one before removes the endpoint; the entry after it counts again. */
 void site_apply_entry (site_t *site, const executor_entry_t *entry);
 /* Removes endpoint ID from the directory. */
 void site_remove_entry (site_t *site, const char *id);
--- a/daemon/site_updates.c
+++ b/daemon/site_updates.c
@@ -96,6 +96,12 @@
 
   if (previous != NULL && previous->offset > entry->offset)
     return;
+  /* Two owners would use it.  Its owner follows what runs there, and its next entry counts. */
+  if (previous != NULL && strcmp (previous->shard, entry->shard) != 0)
+    {
+      site_remove_entry (site, entry->endpoint.id);
+      return;
+    }
   if (previous == NULL)
     log_endpoint (EVENT_ENDPOINT_FOUND, entry);
   else if (entry->endpoint.leaving && !previous->endpoint.leaving)
--- a/tests/test_site_entries.c
+++ b/tests/test_site_entries.c
@@ -283,6 +283,26 @@
   site_rig_stop (&rig);
 }
 
+/* An entry that names another data centre does not give e0 two owners. */
+static void
+test_other_data_centre (void)
+{
+  site_rig_t rig;
+
+  site_rig_start (&rig);
+  char *data = g_strdup_printf ("{\"service\":\"s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"y\","
+                                "\"state\":\"ready\",\"free_capacity\":{\"cpu_millis\":3000,"
+                                "\"mem_mb\":3072,\"gpus\":0},\"sequence\":4}",
+                                rig.port + 1);
+  check_overwritten_entry (&rig, 0, data);
+  check_jobs_are_answered (&rig, 100);
+  for (int i = 0; i < SITE_HOSTS; i++)
+    CU_ASSERT_EQUAL (site_count_lines (&rig, i, "\"endpoint_shut_out\""), 0);
+  check_hosts_run (&rig);
+  site_rig_stop (&rig);
+  g_free (data);
+}
+
 static const struct
 {
   const char *name;
@@ -291,6 +311,7 @@
   { "odd records", test_odd_records },
   { "a page of odd entries", test_page_of_odd_entries },
   { "an entry is overwritten and mended", test_overwritten_entry },
+  { "an entry names another data centre", test_other_data_centre },
 };
 
 /* usage: test_site_entries [CASE] */
