A block of ports is taken only if its ports are free

A whole run of test_site failed in four cases ("hosts find each other" to "bad endpoints"): no host of the rig could listen.

Cause: four hosts of an earlier run, which had been ended by a signal while the case "drain in time" had them suspended, still held ports of the block. The lock of the block was free, since it goes with the test. A suspended process takes no SIGTERM, so ending the test's process group leaves it.

Evidence: the hosts' logs ("cannot listen on 127.0.0.1:30100"), the owners of these ports; once those were killed, the rest of the run passed, and so did the four cases.

--- a/tests/port_block.h
+++ b/tests/port_block.h
@@ -23,7 +23,8 @@
   int lock_fd; /* listens on the last port of the block */
 } port_block_t;
 
-/* Takes the first free block of RANGE.  Returns 0, or -EADDRINUSE if there is none. */
+/* Takes the first block of RANGE that nobody holds and whose ports are all free.  Returns 0, or
+ * -EADDRINUSE if there is none. */
 int port_block_take (const port_range_t *range, port_block_t *block);
 
 /* Frees BLOCK for other runs. */
