A task that its owner has just reported done does not start again there

What callers would see: a slower answer, as tasks that were done ran again; for jobs that must be kept, TWICE. A coordinator that takes an owner for lost for a moment submits its tasks anew, as such that may be running, to that same owner. The message that a task is done was still under way, or lost in the cut.

Cause: the owner looked only at ends of other owners' runs. That it had itself reported the task done, under an earlier batch, counted for nothing: the end was acknowledged, so that no endpoint listed it, and the task started.

Evidence: test_executor_done, "the coordinator was told, and submits a new batch": 2 of 43 asserts fail before, none after.

Change: a second set of done tasks, for those that were reported, for 15 s; when it is full the oldest is forgotten.

What is left goes to another owner, which can't know. test_executor 238, _capacity 59, _leases 60, _losses 139, _restarts 122, test_crashes 136, test_scheduler 987, test_assign 6, test_cluster 511, test_removed_entries 9, test_scheduling_random 1751, _lease 4, _restarts 61, _starvation 24 asserts pass.

--- a/lib/executor/done_tasks.c
+++ b/lib/executor/done_tasks.c
@@ -11,15 +11,19 @@
 
 struct done_tasks_t
 {
+  int64_t retention_ms;
+  int64_t retention_min_ms;
   GQueue by_age;       /* done_task_t, the oldest first */
   GHashTable *by_name; /* name -> its link in BY_AGE */
 };
 
 done_tasks_t *
-done_tasks_new (void)
+done_tasks_new (int64_t retention_ms, int64_t retention_min_ms)
 {
   done_tasks_t *tasks = g_new0 (done_tasks_t, 1);
 
+  tasks->retention_ms = retention_ms;
+  tasks->retention_min_ms = retention_min_ms;
   g_queue_init (&tasks->by_age);
   tasks->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   return tasks;
@@ -62,7 +66,7 @@
     forget (tasks, known);
   if (tasks->by_age.length >= DONE_TASKS_MAX)
     {
-      if (oldest_age_ms (tasks, now_ms) < DONE_RETENTION_MIN_MS)
+      if (oldest_age_ms (tasks, now_ms) < tasks->retention_min_ms)
         return false;
       forget (tasks, tasks->by_age.head);
     }
@@ -83,7 +87,7 @@
 void
 done_tasks_expire (done_tasks_t *tasks, int64_t now_ms)
 {
-  while (tasks->by_age.head != NULL && oldest_age_ms (tasks, now_ms) > DONE_RETENTION_MS)
+  while (tasks->by_age.head != NULL && oldest_age_ms (tasks, now_ms) > tasks->retention_ms)
     forget (tasks, tasks->by_age.head);
 }
 
--- a/lib/executor/done_tasks.h
+++ b/lib/executor/done_tasks.h
@@ -3,8 +3,9 @@
  *
  * An end that was acknowledged is not listed again.  If the coordinator of its task was not told,
  * because the run was another owner's, or because the coordinator or its batch was lost meanwhile,
- * the task may be submitted here later as one that may be running.  This set then tells that it is
- * done.  That is a fact about the task: it outlives the endpoint and its instance.
+ * or if that message is still under way, the task may be submitted here later as one that may be
+ * running.  A set of such tasks then tells that it is done.  That is a fact about the task: it
+ * outlives the endpoint and its instance.
  *
  * Times are milliseconds of the boot clock.  Names are copied.  Not thread-safe.
  */
@@ -17,23 +18,28 @@
 
 typedef struct done_tasks_t done_tasks_t;
 
-/* No coordinator submits a task later than this after its end, since no job waits for longer. */
+/* For tasks whose coordinators were not told.  None submits a task later than this after its end,
+ * since no job waits for longer. */
 #define DONE_RETENTION_MS 600000
 /* Coordinators that are in touch submit their tasks within this time. */
 #define DONE_RETENTION_MIN_MS 15000
+/* For tasks whose coordinators were told: a message to a coordinator that is in touch is under way
+ * for less than this. */
+#define TOLD_RETENTION_MS 15000
 #define DONE_TASKS_MAX 65536
 
-done_tasks_t *done_tasks_new (void);
+/* Returns a set that forgets a task RETENTION_MS after it was added, or, if there is no room for
+ * another, once it is RETENTION_MIN_MS old. */
+done_tasks_t *done_tasks_new (int64_t retention_ms, int64_t retention_min_ms);
 void done_tasks_free (done_tasks_t *tasks);
 
 /* Records that TASK is done.  If there are DONE_TASKS_MAX tasks, the oldest is forgotten.  Returns
- * false, and records nothing, if that is younger than DONE_RETENTION_MIN_MS: the end must not be
- * acknowledged yet. */
+ * false, and records nothing, if that is too young. */
 bool done_tasks_add (done_tasks_t *tasks, const char *task, int64_t now_ms);
 
 bool done_tasks_contain (const done_tasks_t *tasks, const char *task);
 
-/* Forgets the tasks that were added more than DONE_RETENTION_MS ago. */
+/* Forgets the tasks that were added more than the retention time ago. */
 void done_tasks_expire (done_tasks_t *tasks, int64_t now_ms);
 
 size_t done_tasks_count (const done_tasks_t *tasks);
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -46,6 +46,8 @@
         placement_record_duration (executor, task, elapsed_ms);
       log_event (executor, actions, EXECUTOR_LOG_DONE, endpoint, task, now_ms);
       notify_coordinator (executor, actions, EXECUTOR_DONE, task, NULL);
+      if (task->batch != NULL)
+        done_tasks_add (executor->told_tasks, task->name, now_ms);
       crash_history_forget (executor->crashes, task->name);
       task_remove (executor, task);
       return;
--- a/tests/test_executor_done.c
+++ b/tests/test_executor_done.c
@@ -20,6 +20,7 @@
   ENDPOINT_RESTARTS,
   ENDPOINT_IS_DELETED,
   MANY_ENDS_BEFORE,
+  COORDINATOR_TOLD,
   COORDINATOR_LOST_BEFORE_END,
   COORDINATOR_LOST_AFTER_END,
   BATCH_RELEASED_BEFORE_END,
@@ -35,6 +36,7 @@
   { "another owner's run, the endpoint restarts", ENDPOINT_RESTARTS },
   { "another owner's run, the endpoint leaves", ENDPOINT_IS_DELETED },
   { "another owner's run, after 599 other ends", MANY_ENDS_BEFORE },
+  { "the coordinator was told, and submits a new batch", COORDINATOR_TOLD },
   { "the coordinator is lost before the end", COORDINATOR_LOST_BEFORE_END },
   { "the coordinator is lost after the end", COORDINATOR_LOST_AFTER_END },
   { "the batch is released before the end", BATCH_RELEASED_BEFORE_END },
@@ -88,7 +90,9 @@
   const poll_ended_t ended = { 1, FORMER_TASK, 1, RUN_DONE };
   executor_batch_t batch = batch_of ("j", 1);
   bool released = history == BATCH_RELEASED_BEFORE_END || history == BATCH_RELEASED_AFTER_END;
-  bool end_first = history == COORDINATOR_LOST_AFTER_END || history == BATCH_RELEASED_AFTER_END;
+  bool lost = history == COORDINATOR_LOST_BEFORE_END || history == COORDINATOR_LOST_AFTER_END;
+  bool end_first = history == COORDINATOR_TOLD || history == COORDINATOR_LOST_AFTER_END
+                   || history == BATCH_RELEASED_AFTER_END;
 
   run_round_at (scenario, 1000);
   answer_both_polls (scenario, NULL, 0);
@@ -100,7 +104,7 @@
     answer_poll_with_ends (scenario, 0, FIRST_INSTANCE_MS, &ended, 1);
   if (released)
     executor_release (scenario->executor, "h1", 1, 1002);
-  else
+  if (lost)
     executor_remove_coordinator (scenario->executor, "h1", 1001, 1002, scenario->actions);
   run_round_at (scenario, 1010);
   if (!end_first)
@@ -129,6 +133,7 @@
     case MANY_ENDS_BEFORE:
       list_foreign_ends (scenario, LATER_INDEX + 1);
       break;
+    case COORDINATOR_TOLD:
     case COORDINATOR_LOST_BEFORE_END:
     case COORDINATOR_LOST_AFTER_END:
     case BATCH_RELEASED_BEFORE_END:
@@ -255,7 +260,7 @@
 {
   for (size_t i = 0; i < G_N_ELEMENTS (expiry_cases); i++)
     {
-      done_tasks_t *tasks = done_tasks_new ();
+      done_tasks_t *tasks = done_tasks_new (DONE_RETENTION_MS, DONE_RETENTION_MIN_MS);
 
       CU_ASSERT_TRUE (done_tasks_add (tasks, FORMER_TASK, 0));
       CU_ASSERT_TRUE (done_tasks_add (tasks, "k.0.0.0", 10));
