Test: a task ran twice after its endpoint had restarted under its id

Cause: no test on real processes had such a restart; the simulation and unit tests had it.

The files of a rig are kept with JAYTRAIL_KEEP_LOGS.

--- a/tests/site_rig.c
+++ b/tests/site_rig.c
@@ -5,6 +5,7 @@
 
 #include <CUnit/CUnit.h>
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
@@ -154,8 +155,8 @@
   return true;
 }
 
-void
-site_rig_start (site_rig_t *rig)
+static void
+start_rig (site_rig_t *rig, int endpoints, bool ledger)
 {
   *rig = (site_rig_t){ 0 };
   CU_ASSERT_EQUAL_FATAL (port_block_take (&rig_ports, &rig->ports), 0);
@@ -163,9 +164,13 @@
   char *program = g_strdup_printf ("%s/fake_site", programs);
   char *listen = g_strdup_printf ("127.0.0.1:%d", rig->port);
   char *first = g_strdup_printf ("%d", rig->port + 1);
-  char *count = g_strdup_printf ("%d", SITE_ENDPOINTS);
-  char *argv[] = { program,        "--listen", listen,           "--endpoints", count,
-                   "--first-port", first,      "--data-centres", "x,y",         NULL };
+  char *count = g_strdup_printf ("%d", endpoints);
+  char *argv[] = { program, "--listen",
+                   listen,  "--endpoints",
+                   count,   "--first-port",
+                   first,   "--data-centres",
+                   "x,y",   ledger ? "--ledger" : NULL,
+                   NULL };
 
   rig->directory = g_dir_make_tmp ("jaytrail-site-XXXXXX", NULL);
   char *log = g_strdup_printf ("%s/site.log", rig->directory);
@@ -184,6 +189,18 @@
   g_free (program);
 }
 
+void
+site_rig_start (site_rig_t *rig)
+{
+  start_rig (rig, SITE_ENDPOINTS, false);
+}
+
+void
+site_rig_start_ledger (site_rig_t *rig, int endpoints)
+{
+  start_rig (rig, endpoints, true);
+}
+
 void
 site_end_process (pid_t *pid, int signal_number)
 {
@@ -205,7 +222,10 @@
     site_end_process (&rig->hosts[i], SIGKILL);
   site_end_process (&rig->standin, SIGKILL);
   port_block_free (&rig->ports);
-  site_remove_directory (rig->directory);
+  if (g_getenv ("JAYTRAIL_KEEP_LOGS") != NULL)
+    printf ("  kept: %s\n", rig->directory);
+  else
+    site_remove_directory (rig->directory);
   g_free (rig->directory);
 }
 
@@ -270,7 +290,10 @@
       int host = load->host >= 0 ? load->host : (load->first_job + i) % SITE_HOSTS;
       site_response_t response =
           site_submit (load->rig, host, load->first_job + i, load->tasks, load->work_ms);
-      if (response.status == 200 && strstr (response.body, "completed") != NULL)
+      bool completed = response.status == 200 && strstr (response.body, "completed") != NULL;
+      if (load->job_completed != NULL)
+        load->job_completed[i] = completed;
+      if (completed)
         g_atomic_int_inc (&load->completed);
       else if (response.status == 0)
         g_atomic_int_inc (&load->unanswered);
--- a/tests/site_rig.h
+++ b/tests/site_rig.h
@@ -46,6 +46,10 @@
 /* Returns when all hosts are ready. */
 void site_rig_start (site_rig_t *rig);
 
+/* The same with ENDPOINTS of them, at most 99, which write a line for each start and each end to
+ * site.log in the rig's directory. */
+void site_rig_start_ledger (site_rig_t *rig, int endpoints);
+
 /* Checks what must hold after every case, no task ran at two endpoints at a time and no endpoint
  * was sent more tasks than it has room for, and ends all processes. */
 void site_rig_stop (site_rig_t *rig);
@@ -103,6 +107,7 @@
   int tasks;
   int work_ms;
   int64_t pause_ms;
+  bool *job_completed; /* of each job, or NULL */
   gint completed;
   gint unanswered; /* no complete response */
   gint failed;     /* any other response */
