test_site_restarts: tasks that last longer than expected, as in the incident

Cause: the cases so far show the old code's fault, but give tasks up only when one of them ends, since a poll that is sent with an order waits for the end that is expected. In the record it was answered after 60 ms: the tasks lasted longer than expected.

Change: the case "idle, tasks that last longer than expected": learned at 6 ms, 240 ms after the restart.

--- a/tests/test_site_restarts.c
+++ b/tests/test_site_restarts.c
@@ -43,6 +43,7 @@
   int64_t entry_lag_ms;
   bool relisted;
   bool clock_back; /* the new start time is less than the earlier one */
+  int slow;        /* from then on tasks take so many times as long */
   range_t again;   /* after so long they crash once more; 0: not */
   range_t order;   /* the first jobs are submitted so long after the crash; 0: before it */
   range_t kill;    /* so long after the crash an owner is killed; 0: not */
@@ -63,6 +64,9 @@
   { .name = "idle, tasks longer than the poll", .rounds = 2, .restarting = ENDPOINTS,
     .down = { 300, 600 }, .entry_lag_ms = 2000, .order = { 620, 900 },
     .callers = 4, .jobs = 1, .tasks = 2, .work_ms = 700 },
+  { .name = "idle, tasks that last longer than expected", .rounds = 2, .restarting = ENDPOINTS,
+    .down = { 300, 600 }, .entry_lag_ms = 2000, .slow = 40, .order = { 620, 900 },
+    .callers = 4, .jobs = 1, .tasks = 2, .work_ms = 6 },
   { .name = "idle, connections break", .rounds = 2, .restarting = ENDPOINTS,
     .down = { 300, 600 }, .refusing = true, .entry_lag_ms = 2000, .order = { 620, 900 },
     .callers = 4, .jobs = 2, .tasks = 2, .work_ms = 300 },
@@ -130,10 +134,10 @@
     g_string_append_printf (fault, "%s\"e%d\"", i > 0 ? "," : "", i);
   g_string_append_printf (fault,
                           "],\"down_ms\":%d,\"refusing\":%s,\"relisted\":%s,"
-                          "\"entry_lag_ms\":%d,\"born\":%d}",
+                          "\"entry_lag_ms\":%d,\"born\":%d,\"slow\":%d}",
                           (int) down_ms, test->refusing ? "true" : "false",
                           test->relisted ? "true" : "false", (int) test->entry_lag_ms,
-                          test->clock_back ? test->rounds - round : 0);
+                          test->clock_back ? test->rounds - round : 0, test->slow);
   site_set_fault (rig, fault->str);
   g_string_free (fault, TRUE);
 }
