--- a/daemon/site.c
+++ b/daemon/site.c
@@ -29,9 +29,14 @@
  * in PROBE_ODDS. */
 #define PROBE_INTERVAL_MS 200
 #define PROBE_ODDS 8
-/* Time after the signal to stop within which the load balancer stops sending new requests. */
+/* Time after the signal to stop within which the load balancer stops sending new requests, unless
+ * too few other hosts are ready. */
 #define BALANCER_DELAY_MS 2600
-/* Part of the grace period that is left for the exit itself, before the process is killed. */
+/* Times before the end of the grace period, when the process is killed.  At the first, all jobs are
+ * answered.  From the second on no connection is accepted any more, so that what was read is
+ * answered before the process ends, which is at the third at the latest. */
+#define ANSWER_MARGIN_MS 1000
+#define ACCEPT_MARGIN_MS 750
 #define EXIT_MARGIN_MS 500
 
 /* --- actions of the cluster --- */
@@ -253,18 +258,31 @@
     }
 }
 
-/* Stops the loop once all accepted requests are answered, the load balancer has stopped sending and
- * other hosts own the shards; in any case shortly before the grace period ends. */
-static void
-stop_if_done (site_t *site, int64_t now_ms)
+/* Returns whether all accepted requests are answered, the load balancer has stopped sending and
+ * other hosts own the shards. */
+static bool
+is_done (const site_t *site, int64_t now_ms)
 {
-  int64_t elapsed_ms = now_ms - site->stopping_since_ms;
   bool owns_shards =
       g_hash_table_size (site->owned_shards) > 0 && cluster_alive_hosts (site->cluster) > 1;
 
-  if (elapsed_ms > site->settings->grace_ms - EXIT_MARGIN_MS
-      || (elapsed_ms > BALANCER_DELAY_MS && ingress_is_idle (site->ingress) && !owns_shards))
+  return now_ms - site->stopping_since_ms > BALANCER_DELAY_MS && ingress_is_idle (site->ingress)
+         && !owns_shards;
+}
+
+/* Stops the loop once the host is done, and in any case shortly before the grace period ends.  A
+ * connection that was accepted before the listener was closed is served first. */
+static void
+stop_if_done (site_t *site, int64_t now_ms)
+{
+  bool done = is_done (site, now_ms);
+
+  if (now_ms > site->killed_at_ms - EXIT_MARGIN_MS || (done && site->listener_closed))
     loop_stop (site->loop);
+  if (!done && now_ms <= site->killed_at_ms - ACCEPT_MARGIN_MS)
+    return;
+  ingress_stop_listening (site->ingress);
+  site->listener_closed = true;
 }
 
 /* Reads the settings file again and takes over the lease, stop and grace times, the remote factor
@@ -372,11 +390,22 @@
 }
 
 static void
-log_jobs (event_t event, const site_t *site)
+log_stopping (const site_t *site)
+{
+  if (!event_begin (EVENT_STOPPING))
+    return;
+  event_add_number ("jobs", scheduler_job_count (site->scheduler));
+  event_end ();
+}
+
+static void
+log_stopped (const site_t *site)
 {
-  if (!event_begin (event))
+  if (!event_begin (EVENT_STOPPED))
     return;
   event_add_number ("jobs", scheduler_job_count (site->scheduler));
+  event_add_number ("connections", ingress_connections (site->ingress));
+  event_add_number ("unacked_bytes", ingress_unacked_bytes (site->ingress));
   event_end ();
 }
 
@@ -387,11 +416,13 @@
 
   if (site->stopping)
     return;
-  log_jobs (EVENT_STOPPING, site);
+  log_stopping (site);
   site->stopping = true;
   site->stopping_since_ms = clock_boot_ms ();
+  site->killed_at_ms = site->stopping_since_ms + site->settings->grace_ms;
   cluster_leave (site->cluster);
   ingress_drain (site->ingress);
+  scheduler_stop (site->scheduler, site->killed_at_ms - ANSWER_MARGIN_MS);
   peers_send_heartbeats (site, site->stopping_since_ms, true);
 }
 
@@ -459,7 +490,7 @@
       event_end ();
     }
   loop_run (site->loop);
-  log_jobs (EVENT_STOPPED, site);
+  log_stopped (site);
   event_flush (INT64_MAX);
   return 0;
 }
--- a/lib/executor/executor_msg.h
+++ b/lib/executor/executor_msg.h
@@ -63,7 +63,8 @@
   uint64_t offset; /* the entry with the higher offset is the newer one */
 } executor_entry_t;
 GBytes *executor_msg_endpoint (const executor_entry_t *entry, int64_t now_ms);
-/* Free the contents of ENTRY with executor_entry_clear (). */
+/* Refuses an entry that does not describe a usable endpoint (executor/entry.h).  Free the contents
+ * of ENTRY with executor_entry_clear (). */
 int executor_msg_read_endpoint (frame_reader_t *reader, int64_t now_ms, executor_entry_t *entry);
 void executor_entry_clear (executor_entry_t *entry);
 void executor_entry_copy (executor_entry_t *to, const executor_entry_t *from);
@@ -86,10 +87,9 @@
 
 /* Losses for the history of the receiver. */
 GBytes *executor_msg_losses (const crash_loss_t *losses, size_t count);
-/* Appends crash_loss_t; the caller frees their contents with executor_loss_clear (), also after an
+/* Appends crash_loss_t; the caller frees their contents with crash_loss_clear (), also after an
  * error. */
 int executor_msg_read_losses (frame_reader_t *reader, GArray *losses);
-void executor_loss_clear (void *loss);
 
 /* Free capacity and load reported by the owner of SHARD. */
 typedef struct
--- a/lib/executor/instance.c
+++ b/lib/executor/instance.c
@@ -13,10 +13,7 @@
 static void
 stop_on_later_instance (task_t *task, int64_t now_ms)
 {
-  task->state = TASK_STOPPING;
-  task->stop_requested_at_ms = now_ms;
-  task->stop_sent_at_ms = 0;
-  task->stop_confirmed = false;
+  task_stop_anew (task, now_ms);
   task->order_open_until_ms = task->start_sent_at_ms + ORDER_DELAY_MAX_MS;
 }
 
@@ -34,10 +31,10 @@
         task_requeue (executor, task, now_ms);
     }
   g_ptr_array_set_size (endpoint->foreign_runs, 0);
-  g_ptr_array_set_size (endpoint->foreign_done, 0);
   endpoint->ack_number = 0;
   endpoint->ack_number_sent = 0;
   endpoint->ack_number_confirmed = 0;
+  endpoint->ends_held = false;
   endpoint->runs_known = false;
   endpoint->clock_known = false;
   endpoint->clock_was_read = false;
@@ -70,16 +67,16 @@
                     int64_t sent_at_ms,
                     int64_t now_ms)
 {
-  int64_t offset_min_ms = endpoint_clock_ms - now_ms;
-  int64_t offset_max_ms = endpoint_clock_ms - sent_at_ms;
+  int64_t slack_ms = CLOCK_TOLERANCE_MS + clock_drift_ms (endpoint, now_ms);
 
   if (!endpoint->clock_was_read || endpoint_clock_ms == 0)
     return INSTANCE_KNOWN;
-  if (offset_max_ms + CLOCK_TOLERANCE_MS
-      < endpoint->clock_offset_ms - clock_drift_ms (endpoint, now_ms))
+  /* The call was executed after it was sent and before its answer arrived. */
+  if (endpoint_clock_ms - sent_at_ms + slack_ms < endpoint->clock_offset_ms)
     return INSTANCE_LATER;
-  return offset_min_ms > endpoint->clock_offset_max_ms + CLOCK_TOLERANCE_MS ? INSTANCE_EARLIER
-                                                                            : INSTANCE_KNOWN;
+  if (endpoint_clock_ms - now_ms - slack_ms > endpoint->clock_offset_max_ms)
+    return INSTANCE_EARLIER;
+  return INSTANCE_KNOWN;
 }
 
 instance_order_t
--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -77,11 +77,11 @@
                       const void *body,
                       size_t size);
 
-/* From now on each connection is closed after its next answer, and connections
- * between requests are closed after IDLE_MS. */
+/* From now on each connection is closed after its next answer, once the client has
+ * received that, and connections between requests are closed after IDLE_MS. */
 void web_server_drain (web_server_t *server, int64_t idle_ms);
 
-/* Stops accepting connections; those that are open remain in use. */
+/* Stops accepting connections; those that are open remain in use.  No-op if it has stopped. */
 void web_server_stop_listening (web_server_t *server);
 
 /* Return the number of open connections, and of requests passed to on_request () and
@@ -89,6 +89,9 @@
 int32_t web_server_connections (const web_server_t *server);
 int32_t web_server_active_requests (const web_server_t *server);
 
+/* Returns how many bytes of answers the clients have not acknowledged. */
+int64_t web_server_unacked_bytes (const web_server_t *server);
+
 /* Closes connections that exceeded the timeout for idleness or for an incomplete request. */
 void web_server_tick (web_server_t *server, int64_t now_ms);
 
