--- a/tests/site_rig.c
+++ b/tests/site_rig.c
@@ -224,8 +224,7 @@
   port_block_free (&rig->ports);
   bool failed = CU_get_number_of_failures () > rig->failures_before;
   if (failed || g_getenv ("JAYTRAIL_KEEP_LOGS") != NULL)
-    printf ("  logs: %s
-", rig->directory);
+    printf ("  logs: %s\n", rig->directory);
   else
     site_remove_directory (rig->directory);
   g_free (rig->directory);
