test_web_server: ports of its own

Blocks of different sizes over the same ports do not exclude each other.

Change: test_web_server has 9900 to 9959.

--- a/tests/test_web_server.c
+++ b/tests/test_web_server.c
@@ -29,7 +29,7 @@
 /* A server keeps a connection open for this long after its last answer, and a tick or two. */
 #define CLOSED_AFTER_MS 3000
 
-static const port_range_t test_ports = { .first_port = 32700, .ports = 2, .blocks = 30 };
+static const port_range_t test_ports = { .first_port = 9900, .ports = 2, .blocks = 30 };
 
 typedef struct
 {
