--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -29,8 +29,7 @@
   { EVENT_STARTED, EVENT_CLASS_STATE, "started", "version data_centre", "{host_id} started" },
   { EVENT_STOPPING, EVENT_CLASS_STATE, "stopping", "jobs",
     "{host_id} is stopping with {jobs} jobs in progress" },
-  { EVENT_STOPPED, EVENT_CLASS_STATE, "stopped",
-    "jobs connections unacked_bytes",
+  { EVENT_STOPPED, EVENT_CLASS_STATE, "stopped", "jobs connections unacked_bytes",
     "{host_id} stopped with {jobs} jobs in progress, {connections} connections of callers and "
     "{unacked_bytes} bytes of answers not acknowledged" },
   { EVENT_RELOADED, EVENT_CLASS_STATE, "reloaded", "why",
