The simulation restarts many endpoints at once and counts starts after an end

Why it missed faults: its endpoints were down until the next whole second at least, one by one, answers came within 3 ms or never, and a start after the task was done, and its end acknowledged, was not counted.

Change: options restart_bursts (half of the endpoints down at once for 0.3 to 1 s) and late_answers (up to 300 ms); the count repeated_starts, without late orders. It must be 0 wherever no host is lost, suspended or cut off: such an owner may have acknowledged an end of which the next one can't know.

--- a/tests/test_scheduling_check.h
+++ b/tests/test_scheduling_check.h
@@ -18,14 +18,26 @@
 print_result (const char *name, uint32_t seed, const simulation_result_t *result)
 {
   printf ("%s %u: jobs %d complete %d failed %d refused %d given up %d; concurrent runs %d "
-          "overfull starts %d refused starts %d false answers %d false failures %d unanswered %d "
+          "repeated starts %d overfull starts %d refused starts %d false answers %d false failures "
+          "%d unanswered %d "
           "starts while drained %d false drain refusals %d deadly starts %d innocent %d complete "
           "%d\n",
           name, seed, result->jobs, result->complete, result->failed, result->refused,
-          result->given_up, result->concurrent_runs, result->overfull_starts,
-          result->refused_starts, result->false_answers, result->false_failures, result->unanswered,
-          result->starts_while_drained, result->false_drain_refusals, result->deadly_starts,
-          result->innocent, result->innocent_complete);
+          result->given_up, result->concurrent_runs, result->repeated_starts,
+          result->overfull_starts, result->refused_starts, result->false_answers,
+          result->false_failures, result->unanswered, result->starts_while_drained,
+          result->false_drain_refusals, result->deadly_starts, result->innocent,
+          result->innocent_complete);
+}
+
+/* Whether an end may be lost with an owner that has acknowledged it, or on the way to the
+ * coordinator: the next owner can't know that the task is done. */
+static bool
+may_start_again (const simulation_options_t *options)
+{
+  return options->host_crashes > 0 || options->host_freezes > 0 || options->host_cuts > 0
+         || options->one_way_cuts > 0 || options->data_centre_cuts > 0 || options->slow_links > 0
+         || options->terminations > 0;
 }
 
 /* Runs the simulation of TEST with SEED and checks its result.  Returns the number of its steps. */
@@ -39,6 +51,7 @@
   simulation_result_t result = simulation_run (&options);
   int answered = result.complete + result.failed;
   CU_ASSERT_EQUAL (result.concurrent_runs, 0);
+  CU_ASSERT_TRUE (may_start_again (&options) || result.repeated_starts == 0);
   CU_ASSERT_EQUAL (result.deadly_starts, 0);
   CU_ASSERT_TRUE (options.deadly_jobs == 0
                   || 100 * result.innocent_complete
--- a/tests/test_scheduling_endpoint.h
+++ b/tests/test_scheduling_endpoint.h
@@ -94,6 +94,7 @@
   end->task = g_strdup (run->task);
   end->attempt = run->attempt;
   end->result = result;
+  end->ended_at_ms = sim->now_ms;
   g_ptr_array_add (endpoint->ended_runs, end);
   int32_t highest = GPOINTER_TO_INT (g_hash_table_lookup (endpoint->highest_attempts, run->task));
   g_hash_table_replace (endpoint->highest_attempts, g_strdup (run->task),
@@ -177,7 +178,10 @@
 }
 
 static void
-check_start_invariants (simulation_t *sim, const sim_endpoint_t *endpoint, const char *task)
+check_start_invariants (simulation_t *sim,
+                        const sim_endpoint_t *endpoint,
+                        const char *task,
+                        bool late)
 {
   sim_job_t *job = job_of_task (sim, task);
 
@@ -197,6 +201,11 @@
   job->starts_since_sent++;
   job->total_starts++;
   int index = task_index_of (task);
+  if (job->done_noted[index] && !late)
+    {
+      sim->result.repeated_starts++;
+      trace (sim, task, "starts on %s, although its end is acknowledged", endpoint->id);
+    }
   if (job->crashes[index] >= CRASHES_BEFORE_LIMIT
       && ++job->starts_after_crashes[index] > STARTS_AFTER_CRASHES_MAX)
     {
@@ -237,7 +246,8 @@
 sim_endpoint_start_run (simulation_t *sim,
                         sim_endpoint_t *endpoint,
                         const executor_action_t *order,
-                        int64_t token)
+                        int64_t token,
+                        bool late)
 {
   sim_endpoint_step (sim, endpoint);
   if (token < endpoint->token)
@@ -257,7 +267,7 @@
   if (!sim_endpoint_takes_run (sim, endpoint))
     return EXECUTOR_NO_CAPACITY;
   trace (sim, order->task, "starts on %s, attempt %d", endpoint->id, (int) order->attempt);
-  check_start_invariants (sim, endpoint, order->task);
+  check_start_invariants (sim, endpoint, order->task, late);
   sim_run_t *run = g_new0 (sim_run_t, 1);
   const sim_job_t *job = job_of_task (sim, order->task);
   int64_t work_ms = job != NULL ? job->task_work_ms[task_index_of (order->task)] : 50;
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -16,7 +16,7 @@
   sim_endpoint_t *endpoint;
   executor_action_t action; /* owns its copy of the task's id */
   int64_t token;
-  int64_t give_up_at_ms;
+  bool late; /* it is carried out long after it was sent */
   bool answered;
   bool answer_lost;
   executor_answer_t answer;
@@ -106,6 +106,25 @@
   deliver_order_answer (sim, order);
 }
 
+/* Forgets the ends that ORDER acknowledges.  If it is late, they may be those of a later instance,
+ * which no owner has read. */
+static void
+acknowledge_ends (const simulation_t *sim, sim_endpoint_t *endpoint, const sim_order_t *order)
+{
+  for (guint i = endpoint->ended_runs->len; i-- > 0;)
+    {
+      const ended_run_t *end = endpoint->ended_runs->pdata[i];
+      sim_job_t *job = job_of_task (sim, end->task);
+      if (end->number > order->action.ack_number)
+        continue;
+      if (job != NULL && !order->late && end->result == RUN_DONE
+          && end->ended_at_ms >= job->submitted_at_ms)
+        job->done_noted[task_index_of (end->task)] = true;
+      trace (sim, end->task, "attempt %d is acknowledged to %s", (int) end->attempt, endpoint->id);
+      g_ptr_array_remove_index (endpoint->ended_runs, i);
+    }
+}
+
 /* The endpoint carries out an order and answers it, unless it is down or can't be reached.  An
  * order names the endpoint by its id, which a later instance has too. */
 static void
@@ -127,7 +146,8 @@
     return;
   sim_endpoint_step (sim, endpoint);
   if (order->action.kind == EXECUTOR_START)
-    order->answer = sim_endpoint_start_run (sim, endpoint, &order->action, order->token);
+    order->answer =
+        sim_endpoint_start_run (sim, endpoint, &order->action, order->token, order->late);
   else if (order->action.kind == EXECUTOR_STOP)
     order->answer = sim_endpoint_stop_run (sim, endpoint, &order->action, order->token);
   else if (order->token < endpoint->token)
@@ -135,9 +155,7 @@
   else
     {
       endpoint->token = order->token;
-      for (guint i = endpoint->ended_runs->len; i-- > 0;)
-        if (((ended_run_t *) endpoint->ended_runs->pdata[i])->number <= order->action.ack_number)
-          g_ptr_array_remove_index (endpoint->ended_runs, i);
+      acknowledge_ends (sim, endpoint, order);
       if (order->action.lease_until_endpoint_ms > 0)
         sim_endpoint_extend_lease (sim, endpoint, order->action.lease_until_endpoint_ms);
       if (order->action.wait_ms > 0 && endpoint->ended_runs->len == 0)
@@ -152,8 +170,12 @@
       order->listing = sim_endpoint_list_runs (sim, endpoint);
     }
   order->endpoint_clock_ms = sim_endpoint_clock_ms (sim, endpoint);
-  if (!order->answer_lost)
-    schedule_event (sim, sim->now_ms + 1 + random_below (sim, 3), order_answer_arrives, order);
+  if (order->answer_lost)
+    return;
+  int64_t delay_ms = 1 + random_below (sim, 3);
+  if (random_chance (sim, sim->options->late_answers))
+    delay_ms += random_below (sim, LATE_ANSWER_MAX_MS);
+  schedule_event (sim, sim->now_ms + delay_ms, order_answer_arrives, order);
 }
 
 /* Frees an order, long after it has been carried out and answered. */
@@ -185,6 +207,7 @@
   int64_t expires_ms = sim->now_ms + 20000;
   if (random_chance (sim, sim->options->late_orders))
     {
+      order->late = true;
       order->answer_lost = true;
       arrives_ms = sim->now_ms + 2000 + random_below (sim, 10000);
     }
--- a/tests/test_scheduling_run.h
+++ b/tests/test_scheduling_run.h
@@ -24,6 +24,8 @@
   job->host_index = host->index;
   job->incarnation = host->incarnation;
   job->starts_since_sent = 0;
+  job->submitted_at_ms = sim->now_ms;
+  memset (job->done_noted, 0, sizeof job->done_noted);
   job->refused = false;
   scheduler_job_t info = {
     .id = job->id,
@@ -211,6 +213,10 @@
 #define DEFAULT_CLOCK_STEP_MS 5000
 #define FAULT_STAGGER_MS 170
 #define FAULT_INTERVAL_MS 1000
+/* Share of the endpoints that crash in a burst, in thousandths, and how long they are down. */
+#define BURST_SHARE 500
+#define BURST_DOWN_MIN_MS 300
+#define BURST_DOWN_VARIES_MS 700
 
 /* Cuts the connections of HOST in one or both directions.  Other hosts may detect this at once;
  * HOST itself does not. */
@@ -365,6 +371,40 @@
       publish_restart (sim, &sim->endpoints[i]);
 }
 
+/* Starts ENDPOINT again, under its id. */
+static void
+restart_endpoint (simulation_t *sim, sim_endpoint_t *endpoint)
+{
+  endpoint->down_until_ms = 0;
+  endpoint->started_at_ms = sim->now_ms;
+  if (sim->options->entry_delay_max_ms > 0)
+    endpoint->entry_due_at_ms =
+        sim->now_ms + 1 + random_below (sim, sim->options->entry_delay_max_ms);
+  else
+    publish_restart (sim, endpoint);
+}
+
+/* Crashes a good part of the endpoints at once, for a short time. */
+static void
+inject_restart_burst (simulation_t *sim)
+{
+  for (int i = 0; i < SIM_ENDPOINTS; i++)
+    if (sim->endpoints[i].down_until_ms == 0 && random_chance (sim, BURST_SHARE))
+      crash_endpoint (sim, &sim->endpoints[i],
+                      BURST_DOWN_MIN_MS + random_below (sim, BURST_DOWN_VARIES_MS));
+}
+
+/* Endpoints that crash in a burst are not down until the next faults. */
+static void
+end_short_outages (simulation_t *sim)
+{
+  if (sim->options->restart_bursts == 0)
+    return;
+  for (int i = 0; i < SIM_ENDPOINTS; i++)
+    if (sim->endpoints[i].down_until_ms != 0 && sim->endpoints[i].down_until_ms <= sim->now_ms)
+      restart_endpoint (sim, &sim->endpoints[i]);
+}
+
 static void
 inject_endpoint_faults (simulation_t *sim)
 {
@@ -376,15 +416,7 @@
       if (endpoint->down_until_ms == 0 && random_chance (sim, options->endpoint_crashes))
         crash_endpoint (sim, endpoint, 500 + random_below (sim, 3000));
       else if (endpoint->down_until_ms != 0 && endpoint->down_until_ms <= sim->now_ms)
-        {
-          endpoint->down_until_ms = 0;
-          endpoint->started_at_ms = sim->now_ms;
-          if (options->entry_delay_max_ms > 0)
-            endpoint->entry_due_at_ms =
-                sim->now_ms + 1 + random_below (sim, options->entry_delay_max_ms);
-          else
-            publish_restart (sim, endpoint);
-        }
+        restart_endpoint (sim, endpoint);
       if (g_rand_int_range (sim->capacity_rand, 0, 1000) < options->capacity_changes)
         sim_endpoint_set_slots (sim, endpoint,
                                 g_rand_int_range (sim->capacity_rand, 0, SIM_ENDPOINT_SLOTS + 1));
@@ -410,6 +442,7 @@
 {
   (void) data;
   crash_under_deadly_tasks (sim);
+  end_short_outages (sim);
   publish_due_restarts (sim);
   for (int i = 0; i < SIM_ENDPOINTS; i++)
     {
@@ -426,6 +459,9 @@
   if (sim->now_ms % FAULT_INTERVAL_MS == sim->options->endpoint_faults_after_ms
       && sim->now_ms > 3000)
     inject_endpoint_faults (sim);
+  if (sim->now_ms % FAULT_INTERVAL_MS == 0 && sim->now_ms > 3000
+      && random_chance (sim, sim->options->restart_bursts))
+    inject_restart_burst (sim);
   schedule_event (sim, sim->now_ms + TICK_MS, simulation_tick, NULL);
 }
 
--- a/tests/test_scheduling_simulation.h
+++ b/tests/test_scheduling_simulation.h
@@ -37,6 +37,7 @@
   int64_t length_ms;
   int64_t job_interval_ms;      /* time between two jobs; 0 for the default */
   int lost_answers;             /* per order: it is carried out, but its answer is lost */
+  int late_answers;             /* per order: its answer is on its way for up to 300 ms */
   int late_orders;              /* per order: carried out 2 to 12 s later, without an answer */
   int failing_runs;             /* per run: it fails */
   int hanging_runs;             /* per run: it never ends by itself */
@@ -50,6 +51,8 @@
   int one_way_cuts;             /* per host: it can't send to hosts, receive from them, or both;
                                    it still reaches endpoints */
   int endpoint_crashes;         /* per endpoint */
+  int restart_bursts;           /* once per second: half of the endpoints are down at once, for 0.3
+                                   to 1 s */
   int entry_delay_max_ms;       /* owners learn from the directory of the restart of an endpoint
                                    after up to this time; 0 for at once */
   int endpoint_faults_after_ms; /* faults of endpoints and data centres begin this long after those
@@ -98,6 +101,8 @@
   int32_t refused;
   int32_t given_up;
   int32_t concurrent_runs; /* starts of a task while it was running on another endpoint */
+  int32_t repeated_starts; /* starts of a task whose end, done, was acknowledged since its job was
+                              submitted last; late orders don't count */
   int32_t overfull_starts; /* orders to start on an endpoint that had no free slot */
   int32_t refused_starts;  /* starts refused for lack of a slot */
   int32_t false_answers;   /* "refused" for a job that has run or runs later, or "complete" before
--- a/tests/test_scheduling_state.h
+++ b/tests/test_scheduling_state.h
@@ -19,6 +19,7 @@
 /* A host that has been up for this long takes its list of endpoints for complete. */
 #define DISCOVERY_MS 3000
 #define ORDER_TIMEOUT_MS 80
+#define LATE_ANSWER_MAX_MS 300
 #define MAX_TASKS 16
 #define MAX_PLAIN_TASKS 6
 /* Duration of a run on a fast or a slow endpoint, as a multiple of the task's work. */
@@ -63,6 +64,7 @@
   char *task;
   int32_t attempt;
   run_result_t result;
+  int64_t ended_at_ms;
 } ended_run_t;
 
 typedef struct
@@ -177,6 +179,8 @@
   int crashes[MAX_TASKS];              /* endpoints that crashed while they ran it */
   int starts_after_crashes[MAX_TASKS]; /* after CRASHES_BEFORE_LIMIT of them */
   bool done[MAX_TASKS];
+  int64_t submitted_at_ms;    /* the last time */
+  bool done_noted[MAX_TASKS]; /* the end of a run that was done since then is acknowledged */
 } sim_job_t;
 
 typedef void (*event_handler_t) (simulation_t *sim, void *data);
