Soak: several endpoints restart at once under their ids

Cause: the soak killed one endpoint at a time, which came back under its id, but never several at once, and never with an entry that lags.

Change: the fault "restart endpoints from N": endpoint N and all after it crash at once, are down for 700 ms, and write their new entry at the end of the fault.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -10,6 +10,7 @@
 #define SLOW_BYTES 20
 #define LATE_MS 2500
 #define SLOW_LOG_MS 400
+#define RESTART_DOWN_MS 700
 
 /* --- the log and endpoints by request --- */
 
@@ -137,6 +138,19 @@
   g_free (target);
 }
 
+static void
+restart_endpoints (rig_t *rig, const plan_fault_t *fault)
+{
+  int64_t length_ms = fault->until_ms - fault->at_ms;
+  int64_t down_ms = MIN (length_ms, RESTART_DOWN_MS);
+  char *body = g_strdup_printf ("{\"down_ms\":%d,\"entry_lag_ms\":%d}", (int) down_ms,
+                                (int) (length_ms - down_ms));
+
+  for (int32_t i = fault->target; i < rig->endpoints_count; i++)
+    fault_endpoint (rig, i, body);
+  g_free (body);
+}
+
 #define ENDPOINT_WELL                                                                              \
   "{\"failing\":false,\"hanging\":false,\"mute\":false,\"late_ms\":0,\"slow\":1}"
 #define LOG_WELL "{\"log_down\":false,\"log_silent\":false,\"log_slow_ms\":0,\"log_lost\":0}"
@@ -255,6 +269,9 @@
     case PLAN_DRAIN:
       drain_zone (rig, target, true);
       break;
+    case PLAN_RESTART_ENDPOINTS:
+      restart_endpoints (rig, fault);
+      break;
     case PLAN_KINDS:
     default:
       break;
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -12,7 +12,9 @@
 #define LENGTH_MAX_MS 4000
 #define PLANNED_ONE_OF 3
 #define DRAIN_SEED 0x64726e
-#define DRAIN_ONE_OF 2
+#define RESTART_SEED 0x727374
+#define RESTARTS_FROM_SEED 20000
+#define APART_ONE_OF 2
 
 typedef enum
 {
@@ -59,6 +61,7 @@
   [PLAN_KILL_ENDPOINT] = { "kill endpoint", ON_ENDPOINT, 4 },
   [PLAN_PAUSE_ENDPOINT] = { "pause endpoint", ON_ENDPOINT, 3 },
   [PLAN_DRAIN] = { "drain data centre", ON_ZONE, 0 },
+  [PLAN_RESTART_ENDPOINTS] = { "restart endpoints from", ON_ENDPOINT, 0 },
 };
 
 const char *
@@ -99,15 +102,16 @@
   return g_rand_int_range (random, 0, counts[kinds[kind].scope]);
 }
 
+/* Adds one fault of KIND, or none. */
 static void
-add_drain (GArray *plan, uint32_t seed, const plan_options_t *options)
+add_apart (GArray *plan, uint32_t seed, plan_kind_t kind, const plan_options_t *options)
 {
-  GRand *random = g_rand_new_with_seed (seed ^ DRAIN_SEED);
+  GRand *random = g_rand_new_with_seed (seed);
 
-  if (g_rand_int_range (random, 0, DRAIN_ONE_OF) == 0)
+  if (g_rand_int_range (random, 0, APART_ONE_OF) == 0)
     {
-      plan_fault_t fault = { .number = (int32_t) plan->len, .kind = PLAN_DRAIN };
-      fault.target = draw_target (random, PLAN_DRAIN, options);
+      plan_fault_t fault = { .number = (int32_t) plan->len, .kind = kind };
+      fault.target = draw_target (random, kind, options);
       fault.at_ms = g_rand_int_range (random, 0, (gint32) options->length_ms);
       fault.until_ms = fault.at_ms + g_rand_int_range (random, LENGTH_MIN_MS, LENGTH_MAX_MS);
       g_array_append_val (plan, fault);
@@ -152,7 +156,9 @@
     g_array_index (plan, plan_fault_t, i).number = (int32_t) i;
   if (!planned)
     {
-      add_drain (plan, seed, options);
+      add_apart (plan, seed ^ DRAIN_SEED, PLAN_DRAIN, options);
+      if (seed >= RESTARTS_FROM_SEED)
+        add_apart (plan, seed ^ RESTART_SEED, PLAN_RESTART_ENDPOINTS, options);
       g_array_sort (plan, compare);
     }
   g_rand_free (random);
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -49,6 +49,9 @@
   PLAN_PAUSE_ENDPOINT,
   /* The operator. */
   PLAN_DRAIN, /* of a data centre */
+  /* Under their ids: the target and all endpoints after it, at once; its entry is back at the end.
+   */
+  PLAN_RESTART_ENDPOINTS,
   PLAN_KINDS
 } plan_kind_t;
 
@@ -70,8 +73,9 @@
 } plan_options_t;
 
 /* Faults of SEED, in the order of their begin (plan_fault_t).  One seed in three has planned work
- * only, in series that overlap.  Of the others one in two has a drain as its last fault, which is
- * drawn apart, so that what a seed meant before drains stays. */
+ * only, in series that overlap.  Of the others one in two has a drain, and from seed 20000 on one
+ * in two has endpoints that restart.  These are drawn apart and have the last numbers, so that what
+ * a seed meant before them stays. */
 GArray *plan_new (uint32_t seed, const plan_options_t *options);
 
 const char *plan_name (plan_kind_t kind);
