A refused connection is no sign of life

What callers would see: an endpoint that has crashed counted as answering for one call more; and a task that was done could start again after the restart.

Cause: a start on a refused connection is reported as "unhealthy, nothing was done", and any such answer counted as one of the endpoint. It ended the silence since which no acknowledgement is sent, so that the next poll carried the number of an end of the earlier instance again, and the later one would have forgotten its own ends unread.

Evidence: test_executor_restarts, "an acknowledgement that reaches a later instance", the new row "nor was it, and a connection was refused": 1 of 123 asserts fails before, none after.

Change: such an answer is the endpoint's only if it holds its clock, as all of its answers with a body do.

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -165,6 +165,16 @@
     endpoint_poll_again (endpoint);
 }
 
+/* A refused connection counts as EXECUTOR_UNHEALTHY, without a clock: nothing was done, but nobody
+ * may be there. */
+static bool
+comes_from_endpoint (executor_answer_t answer, int64_t endpoint_clock_ms)
+{
+  if (answer == EXECUTOR_UNHEALTHY)
+    return endpoint_clock_ms != 0;
+  return answer != EXECUTOR_NO_ANSWER && answer != EXECUTOR_INSTANCE_GONE;
+}
+
 void
 executor_start_answered (executor_t *executor,
                          uint64_t serial,
@@ -181,7 +191,7 @@
     return;
   endpoint_t *endpoint = context.endpoint;
   task_t *task = context.task;
-  if (answer != EXECUTOR_NO_ANSWER && answer != EXECUTOR_INSTANCE_GONE)
+  if (comes_from_endpoint (answer, endpoint_clock_ms))
     {
       record_answer (executor, endpoint, now_ms, actions);
       instance = note_order_clock (endpoint, endpoint_clock_ms, context.sent_at_ms, now_ms);
--- a/tests/test_executor_restarts.c
+++ b/tests/test_executor_restarts.c
@@ -312,6 +312,7 @@
   NOTHING,
   POLL_ANSWERED,
   POLL_UNANSWERED,
+  POLL_UNANSWERED_START_REFUSED,
   POLL_ANSWERED_AFTER_SILENCE,
   LATER_CLOCK,
   LATER_ENTRY
@@ -326,6 +327,7 @@
   { "the instance has just listed the end", NOTHING, 5 },
   { "the acknowledgement was answered", POLL_ANSWERED, 0 },
   { "the acknowledgement was not answered", POLL_UNANSWERED, 0 },
+  { "nor was it, and a connection was refused", POLL_UNANSWERED_START_REFUSED, 0 },
   { "the instance answers again", POLL_ANSWERED_AFTER_SILENCE, 5 },
   { "an order was answered by a later instance", LATER_CLOCK, 0 },
   { "the entry names a later instance", LATER_ENTRY, 0 },
@@ -391,6 +393,11 @@
     case POLL_UNANSWERED:
       lose_poll (scenario);
       break;
+    case POLL_UNANSWERED_START_REFUSED:
+      lose_poll (scenario);
+      executor_start_answered (scenario->executor, start_serial, EXECUTOR_UNHEALTHY, 0, 5501,
+                               scenario->actions);
+      break;
     case POLL_ANSWERED_AFTER_SILENCE:
       lose_poll (scenario);
       run_round_at (scenario, 5700);
