The lease of a run that is kept at a restart is not counted too short

What callers would see: two runs of one task at one time.

Cause: the lease of a run that a later instance of its endpoint had started was counted from when the order or the poll was sent. Its deadline is a time on the clock of the earlier instance and lies far ahead on the later one, which grants the longest lease from when it carries the order out. That may be seconds later.

Change: the lease counts as the longest one from the answer to the poll on, as for a run that is adopted.

--- a/lib/executor/instance.c
+++ b/lib/executor/instance.c
@@ -233,6 +233,7 @@
   for (guint i = 0; i < kept->len; i++)
     task_attach (kept->pdata[i], endpoint);
   if (kept->len > 0)
-    endpoint->lease_end_ms = lease_end_ms;
+    endpoint->lease_end_ms =
+        MAX (lease_end_ms, now_ms + longest_lease_ms (executor->options.lease_ms));
   g_ptr_array_unref (kept);
 }
