A task does not start while a run of it is listed

What callers would see: two runs of one task at one time (TWICE).

Cause: order 1 of a task is not answered and is stopped; run 2 starts on the same endpoint and is lost with it. The later instance carries order 1 out late, and the poll that shows the restart lists that run. The task was queued again before the rows of the poll were read, and tasks in the queue were compared neither with runs of unknown origin nor with open orders: in one round the run was ordered to stop and the task started elsewhere. The same for a task that only waits for capacity.

Evidence: test_executor_late_orders, "a task starts although its run is listed": started on e1 in the round after the poll; not after.

Change: a poll that lists a run of a task in the queue takes the task out of it; the run is adopted.

--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -90,14 +90,30 @@
   g_ptr_array_add (endpoint->foreign_runs, foreign);
 }
 
+/* A task that waits has a run that was just listed: it has to adopt that run. */
 static void
-record_active_run (endpoint_t *endpoint, const poll_active_t *row, int64_t now_ms)
+hold_waiting_task (executor_t *executor, const char *name, int64_t now_ms)
+{
+  task_t *task = g_hash_table_lookup (executor->tasks, name);
+
+  if (task == NULL || task->state != TASK_WAITING)
+    return;
+  task_dequeue (executor, task);
+  task_set_maybe_running (executor, task, now_ms);
+}
+
+static void
+record_active_run (executor_t *executor,
+                   endpoint_t *endpoint,
+                   const poll_active_t *row,
+                   int64_t now_ms)
 {
   task_t *task = find_run (endpoint, row->task, row->attempt);
 
   if (task == NULL)
     {
       record_foreign_run (endpoint, row, now_ms);
+      hold_waiting_task (executor, row->task, now_ms);
       return;
     }
   task->progress_at_ms =
@@ -283,7 +299,7 @@
   endpoint->last_poll_sent_at_ms = sent_at_ms;
   endpoint->poll_due_at_ms = now_ms;
   for (size_t i = 0; i < result->active_count; i++)
-    record_active_run (endpoint, &result->active[i], now_ms);
+    record_active_run (executor, endpoint, &result->active[i], now_ms);
   remove_absent_foreign_runs (endpoint);
   apply_ended_runs (executor, endpoint, result, now_ms, actions);
   check_runs (executor, endpoint, result, sent_at_ms, now_ms, actions);
