The numbers of a task's starts never go back

What callers would see: a start with a number that an open order has already, so that answers and stops of one are taken for those of the other.

Cause: a task that adopts a late run takes over its number, and the next start was numbered from that.

Change: the highest number of all orders of a task is kept beside that of its run.

--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -187,7 +187,9 @@
   task_dequeue (executor, task);
   endpoint->outlier.probe_running |= endpoint->outlier.state == OUTLIER_EJECTED;
   task->state = TASK_STARTING;
-  task->attempt = MAX (task->attempt, task->batch->attempt_base) + 1;
+  task->highest_attempt =
+      MAX (MAX (task->attempt, task->highest_attempt), task->batch->attempt_base) + 1;
+  task->attempt = task->highest_attempt;
   task->ever_started = true;
   task->batch->ever_started = true;
   task->start_sent_at_ms = now_ms;
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -29,7 +29,8 @@
   char *name;
   int32_t index;
   task_state_t state;
-  int32_t attempt;
+  int32_t attempt;         /* of its present or last run */
+  int32_t highest_attempt; /* of all its orders */
   int32_t failures;
   bool ever_started; /* a start order was sent at least once */
   endpoint_t *endpoint;
