--- a/lib/executor/done_tasks.h
+++ b/lib/executor/done_tasks.h
@@ -21,11 +21,11 @@
 /* For tasks whose coordinators were not told.  None submits a task later than this after its end,
  * since no job waits for longer. */
 #define DONE_RETENTION_MS 600000
-/* Coordinators that are in touch submit their tasks within this time. */
+/* Coordinators that are connected submit their tasks within this time. */
 #define DONE_RETENTION_MIN_MS 15000
-/* For tasks whose coordinators were told: a message to a coordinator that is in touch is under way
- * for less than this. */
-#define TOLD_RETENTION_MS 15000
+/* For tasks that were reported to their coordinators: the report is under way for less than this.
+ */
+#define REPORTED_RETENTION_MS 15000
 #define DONE_TASKS_MAX 65536
 
 /* Returns a set that forgets a task RETENTION_MS after it was added, or, if there is no room for
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -80,7 +80,7 @@
   executor->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_machine_kind);
   executor->estimates = estimates_new ();
   executor->done_tasks = done_tasks_new (DONE_RETENTION_MS, DONE_RETENTION_MIN_MS);
-  executor->told_tasks = done_tasks_new (TOLD_RETENTION_MS, 0);
+  executor->reported_tasks = done_tasks_new (REPORTED_RETENTION_MS, 0);
   if (options->crashes == NULL)
     executor->own_crashes = crash_history_new ();
   executor->crashes = options->crashes != NULL ? options->crashes : executor->own_crashes;
@@ -117,7 +117,7 @@
   g_hash_table_unref (executor->coordinators_heard);
   estimates_free (executor->estimates);
   done_tasks_free (executor->done_tasks);
-  done_tasks_free (executor->told_tasks);
+  done_tasks_free (executor->reported_tasks);
   if (executor->own_crashes != NULL)
     crash_history_free (executor->own_crashes);
   g_array_unref (executor->new_losses);
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -47,7 +47,7 @@
       log_event (executor, actions, EXECUTOR_LOG_DONE, endpoint, task, now_ms);
       notify_coordinator (executor, actions, EXECUTOR_DONE, task, NULL);
       if (task->batch != NULL)
-        done_tasks_add (executor->told_tasks, task->name, now_ms);
+        done_tasks_add (executor->reported_tasks, task->name, now_ms);
       crash_history_forget (executor->crashes, task->name);
       task_remove (executor, task);
       return;
--- a/lib/executor/resolve.c
+++ b/lib/executor/resolve.c
@@ -59,7 +59,7 @@
   bool all_polled = true;
 
   if (done_tasks_contain (executor->done_tasks, task->name)
-      || done_tasks_contain (executor->told_tasks, task->name))
+      || done_tasks_contain (executor->reported_tasks, task->name))
     {
       report_done (executor, task, actions);
       return;
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -562,7 +562,7 @@
   remove_departed_endpoints (executor, now_ms);
   remove_closed_batches (executor, now_ms);
   done_tasks_expire (executor->done_tasks, now_ms);
-  done_tasks_expire (executor->told_tasks, now_ms);
+  done_tasks_expire (executor->reported_tasks, now_ms);
   resend_ends (executor, actions);
   g_hash_table_iter_init (&iter, executor->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -191,9 +191,9 @@
   GHashTable *coordinators_heard; /* interned id of a coordinator -> when it was last alive */
   GHashTable *kinds;              /* kind -> machine_kind_t */
   estimates_t *estimates;
-  done_tasks_t *done_tasks; /* whose coordinators may not have been told */
-  done_tasks_t *told_tasks; /* whose coordinators were told a short time ago */
-  crash_history_t *crashes; /* of the options, or OWN_CRASHES */
+  done_tasks_t *done_tasks;     /* whose coordinators may not have been told */
+  done_tasks_t *reported_tasks; /* whose coordinators were told a short time ago */
+  crash_history_t *crashes;     /* of the options, or OWN_CRASHES */
   crash_history_t *own_crashes;
   GArray *new_losses;        /* crash_loss_t that are not reported yet, with strings of their own */
   GQueue queue;              /* waiting tasks in the order in which they start */
