tests/system: each test process holds a block of ports

Cause: its hosts had four views of other data centres in force 4 ms after they had met, and 8 s later "the platform's log ends before records that this host has read": they had been talking to the stand-in of another case. A port was tried, freed, and taken by a child process later; the ports of test processes began at 37 times the process id, modulo 10,000, so that the ranges of cases that run side by side overlap.

Change: a test process takes a block of 400 ports of tests/port_block, as the other tests with processes do; 25 blocks from 20000 on.

The collision was not brought about again; the logs are the evidence.

--- a/Makefile
+++ b/Makefile
@@ -75,9 +75,9 @@
 $(BUILD)/fake_%: $(BUILD)/obj/standins/fake_%.o $(call obj,$(STANDIN_COMMON)) \
                  $$(call obj,$$(wildcard standins/$$*_*.c)) $(ARCHIVES)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(GROUP) $(PKG_LIBS)
-$(BUILD)/tests/system: $(call obj,$(SYS_SRC)) $(ARCHIVES)
+$(BUILD)/tests/system: $(call obj,$(SYS_SRC) tests/port_block.c) $(ARCHIVES)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $(call obj,$(SYS_SRC)) $(GROUP) $(PKG_LIBS) -lcunit
+	$(CC) $(LDFLAGS) -o $@ $(call obj,$(SYS_SRC) tests/port_block.c) $(GROUP) $(PKG_LIBS) -lcunit
 $(BUILD)/tests/soak: $(call obj,$(SOAK_SRC) tests/site_call.c tests/port_block.c) $(ARCHIVES)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $(call obj,$(SOAK_SRC) tests/site_call.c tests/port_block.c) $(GROUP) $(PKG_LIBS)
--- a/tests/system/process.c
+++ b/tests/system/process.c
@@ -2,6 +2,7 @@
 #include "tests/system/process.h"
 
 #include "base/clock.h"
+#include "tests/port_block.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -15,8 +16,9 @@
 
 #define POLL_MS 5
 #define SIGNAL_STATUS 128
-#define FIRST_PORT 20000
-#define PORT_COUNT 10000
+
+/* Held until the process ends. */
+static const port_range_t system_ports = { .first_port = 20000, .ports = 400, .blocks = 25 };
 
 /* In the child: only system calls. */
 static void
@@ -174,12 +176,14 @@
 uint16_t
 process_free_port (void)
 {
+  static port_block_t block;
   static uint32_t next;
-  if (next == 0)
-    next = (uint32_t) getpid () * 37;
   uint16_t port = 0;
+
+  if (block.first_port == 0 && port_block_take (&system_ports, &block) != 0)
+    g_error ("no block of ports is free");
   do
-    port = (uint16_t) (FIRST_PORT + next++ % PORT_COUNT);
+    port = (uint16_t) (block.first_port + (int) (next++ % (uint32_t) (system_ports.ports - 1)));
   while (!can_bind (port));
   return port;
 }
--- a/tests/system/process.h
+++ b/tests/system/process.h
@@ -49,7 +49,7 @@
  * its standard output and error (g_free).  Any thread. */
 int process_run (char *const *argv, char **output);
 
-/* A free port of 127.0.0.1, below the range of outgoing connections. */
+/* A free port of 127.0.0.1, which no other test process takes (tests/port_block.h). */
 uint16_t process_free_port (void);
 
 #endif
