Check: the linter's status is kept in a file

Cause: the linter runs beside the tests, for a quarter of an hour in which over 32,768 processes are started. The shell forgets the status of a background child when a later child is given the same process id, and `wait PID` then says "is not a child of this shell", status 127.

Change: the linter's status goes to lint.status, as those of the unit tests and of the cases do; a missing file counts as a failure.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -55,15 +55,19 @@
 step_format () { step format bash -c 'git ls-files "*.c" "*.h" | xargs clang-format --dry-run -Werror'; }
 
 # Flags come from compile_flags.txt.  The linter is slow and works beside the tests; its result is reported last.
-lint_pid=
+# It writes its status to a file: the shell forgets the status of a child whose process id is used again meanwhile.
+lint_started=
 step_lint () {
-  bash -c "git ls-files '*.c' | xargs -P $lint_jobs -n 1 clang-tidy --quiet" >"$logs/lint.log" 2>&1 &
-  lint_pid=$!
+  lint_started=yes
+  {
+    git ls-files '*.c' | xargs -P "$lint_jobs" -n 1 clang-tidy --quiet >"$logs/lint.log" 2>&1
+    echo $? >"$logs/lint.status"
+  } &
 }
 finish_lint () {
-  [ -n "$lint_pid" ] || return 0
-  wait "$lint_pid"
-  report lint $? "$logs/lint.log"
+  [ -n "$lint_started" ] || return 0
+  wait
+  report lint "$(cat "$logs/lint.status" 2>/dev/null || echo 1)" "$logs/lint.log"
 }
 
 step_layers () { step layers tools/layers.sh; }
