Executor: a window of unanswered start orders that follows the quickest answers

Cause: calls to endpoints ended after 80 ms whatever this host's own delay was. A few jobs of 8 tasks at once (11 KB of start orders each) keep a link of 2 Mbit/s busy for longer. Their orders then counted as unanswered, their endpoints as silent and their runs as lost; connections were closed and opened anew, orders sent again, losses told to all hosts; heartbeats behind all that came too late, so that hosts lost each other and moved batches.

Change: an owner takes the quickest answer of each 50 ms, less the usual one, for its host's own delay. Unanswered calls count as late only that much later (200 ms at most), and the number of unanswered start orders shrinks with the delay and grows while answers are prompt. What does not fit waits in the queue of tasks.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -369,6 +369,7 @@
                      site->queues != NULL && log_client_is_listed (site->log_client)
                          && drain_is_current (site),
                      now_ms);
+  web_client_set_own_delay (site->http_client, owner_own_delay_ms (site, now_ms));
   web_client_tick (site->http_client, now_ms);
   ingress_tick (site->ingress, now_ms);
   log_client_tick (site->log_client, now_ms);
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -16,10 +16,12 @@
 /* Time after which all orders of a yielded shard have been answered. */
 #define RETIRED_RETENTION_MS 5000
 /* The interval between offers of a shard is at least OFFER_INTERVAL_MIN_MS, and at least
- * OFFER_INTERVAL_PER_HOST_MS for each connected host, as each of them receives every offer.  An
- * offer that has not changed is sent again after OFFER_INTERVAL_MAX_MS. */
+ * OFFER_INTERVAL_PER_HOST_MS for each connected host, as each of them receives every offer; it is
+ * OFFER_INTERVAL_CONGESTED_FACTOR times longer while this host's link is busy.  An offer that has
+ * not changed is sent again after OFFER_INTERVAL_MAX_MS. */
 #define OFFER_INTERVAL_MIN_MS 15
 #define OFFER_INTERVAL_PER_HOST_MS 2
+#define OFFER_INTERVAL_CONGESTED_FACTOR 3
 #define OFFER_INTERVAL_MAX_MS 300
 
 /* The log event for each event of an executor, and which of its fields are written. */
@@ -534,6 +536,19 @@
   return done;
 }
 
+int64_t
+owner_own_delay_ms (const site_t *site, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+  int64_t delay_ms = 0;
+
+  g_hash_table_iter_init (&iter, site->owned_shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    delay_ms = MAX (delay_ms, executor_own_delay_ms (((owned_shard_t *) value)->executor, now_ms));
+  return delay_ms;
+}
+
 void
 owner_send_offers (site_t *site, int64_t now_ms)
 {
@@ -546,7 +561,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       owned_shard_t *owned = value;
-      if (now_ms - owned->offer_sent_at_ms < interval_min_ms)
+      int64_t factor =
+          executor_is_congested (owned->executor, now_ms) ? OFFER_INTERVAL_CONGESTED_FACTOR : 1;
+      if (now_ms - owned->offer_sent_at_ms < interval_min_ms * factor)
         continue;
       executor_totals_t totals = executor_totals (owned->executor, now_ms);
       GArray *offers = g_array_new (FALSE, FALSE, sizeof (executor_offer_t));
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -163,6 +163,8 @@
 /* Runs a scheduling round for each owned shard: for all of them, or, if not ALL, for those whose
  * state has changed.  Returns true if there were any actions. */
 bool owner_run_rounds (site_t *site, bool all);
+/* How long this host itself delays its calls to endpoints. */
+int64_t owner_own_delay_ms (const site_t *site, int64_t now_ms);
 /* Sends the offers and loads of owned shards to all hosts where they are due. */
 void owner_send_offers (site_t *site, int64_t now_ms);
 /* Frees an owned_shard_t. */
--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -53,11 +53,23 @@
 {
   call_t *call = g_hash_table_lookup (executor->calls, &serial);
 
-  if (call != NULL)
-    g_hash_table_steal (executor->calls, &serial);
+  if (call == NULL)
+    return NULL;
+  g_hash_table_steal (executor->calls, &serial);
+  if (call->is_start)
+    order_window_record_end (&executor->order_window);
   return call;
 }
 
+void
+time_answer (executor_t *executor, uint64_t serial, int64_t now_ms)
+{
+  const call_t *call = g_hash_table_lookup (executor->calls, &serial);
+
+  if (call != NULL && call->wait_ms == 0)
+    order_window_record_answer (&executor->order_window, now_ms - call->sent_at_ms, now_ms);
+}
+
 static void
 free_call (call_t *call)
 {
@@ -187,6 +199,8 @@
   instance_order_t instance = INSTANCE_KNOWN;
 
   record_open_order_answer (executor, serial, answer);
+  if (comes_from_endpoint (answer, endpoint_clock_ms))
+    time_answer (executor, serial, now_ms);
   if (!take_call_context (executor, serial, &context))
     return;
   endpoint_t *endpoint = context.endpoint;
@@ -291,6 +305,8 @@
   bool stopped = answer == EXECUTOR_OK
                  && record_open_order_stopped (executor, serial, endpoint_clock_ms, now_ms);
 
+  if (comes_from_endpoint (answer, endpoint_clock_ms))
+    time_answer (executor, serial, now_ms);
   if (!take_call_context (executor, serial, &context))
     return;
   endpoint_t *endpoint = context.endpoint;
--- a/lib/executor/answer.h
+++ b/lib/executor/answer.h
@@ -23,6 +23,10 @@
  * false if the call or its endpoint is no longer known. */
 bool take_call_context (executor_t *executor, uint64_t serial, call_context_t *context);
 
+/* Records how long the endpoint has taken to answer call SERIAL.  Call it before
+ * take_call_context (). */
+void time_answer (executor_t *executor, uint64_t serial, int64_t now_ms);
+
 /* Records that ENDPOINT has answered a call. */
 void record_answer (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions);
 
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -71,6 +71,7 @@
   executor_t *executor = g_new0 (executor_t, 1);
 
   executor->options = *options;
+  order_window_init (&executor->order_window);
   executor->endpoints =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, executor_endpoint_free);
   executor->tasks = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_task);
@@ -427,6 +428,17 @@
   return &g_array_index (offers, executor_offer_t, offers->len - 1);
 }
 
+/* Number of slots that new tasks can take without waiting for the window of start orders. */
+static int32_t
+slots_of_window (const executor_t *executor, int64_t now_ms)
+{
+  bool limiting = order_window_is_limiting (&executor->order_window, now_ms);
+
+  return limiting && executor->queue.length > 0
+             ? 0
+             : order_window_room (&executor->order_window, now_ms);
+}
+
 void
 executor_offers (const executor_t *executor,
                  const resources_t *need,
@@ -434,6 +446,7 @@
                  GArray *offers)
 {
   static const resources_t no_resources;
+  int32_t room = slots_of_window (executor, now_ms);
   GHashTableIter iter;
   void *value = NULL;
 
@@ -447,7 +460,11 @@
       if (executor->drained)
         continue;
       if (!placement_is_reserved (endpoint))
-        offer->slots_free += capacity_slots (&endpoint->capacity, &endpoint->used, need, now_ms);
+        {
+          int32_t slots = capacity_slots (&endpoint->capacity, &endpoint->used, need, now_ms);
+          offer->slots_free += MIN (slots, room);
+          room -= MIN (slots, room);
+        }
       offer->slots_total += resources_slots (&endpoint->capacity.reported, &no_resources, need);
     }
 }
@@ -470,3 +487,15 @@
   totals.waiting = (int32_t) executor->queue.length;
   return totals;
 }
+
+int64_t
+executor_own_delay_ms (const executor_t *executor, int64_t now_ms)
+{
+  return order_window_delay_ms (&executor->order_window, now_ms);
+}
+
+bool
+executor_is_congested (const executor_t *executor, int64_t now_ms)
+{
+  return order_window_is_limiting (&executor->order_window, now_ms);
+}
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -22,6 +22,8 @@
  * - No order extends the lease of an endpoint with runs of a coordinator beyond RESUBMIT_MS after
  *   the owner has last heard that coordinator.
  * - Nothing starts on an endpoint before a poll by the owner has listed the runs there.
+ * - What this host can't send without delay waits in the queue (order_window.h), so that its own
+ *   link or processor never makes endpoints look silent.
  * - A task is given up when two endpoints have crashed under it, or three were lost (crashes.h).
  *   Before that it starts on an endpoint of its own, so that it takes no other run with it.
  * - A task is reported as never started only if no other owner can have started it, which is the
@@ -418,4 +420,11 @@
 } executor_totals_t;
 executor_totals_t executor_totals (const executor_t *executor, int64_t now_ms);
 
+/* How long this host itself delays the calls to endpoints, because its link or its processor is
+ * busy.  A call without an answer is late only after that. */
+int64_t executor_own_delay_ms (const executor_t *executor, int64_t now_ms);
+
+/* True if starts wait because this host's link or processor is busy. */
+bool executor_is_congested (const executor_t *executor, int64_t now_ms);
+
 #endif
--- a/lib/executor/load.c
+++ b/lib/executor/load.c
@@ -115,6 +115,30 @@
     load->next_free_ms = 0;
 }
 
+/* Reduces CAPACITY to PART of it: no task starts at once, wherever cores are free. */
+static void
+reduce_capacity (service_capacity_t *capacity, double part)
+{
+  capacity->load.cores_milli = MAX ((int64_t) ((double) capacity->load.cores_milli * part), 1);
+  capacity->reference_milli *= part;
+  capacity->load.max_free_milli = 0;
+}
+
+/* The endpoints can't do more than this host can start. */
+static void
+apply_window (GArray *capacities, int64_t window_milli)
+{
+  int64_t cores_milli = 0;
+
+  for (guint i = 0; i < capacities->len; i++)
+    cores_milli += g_array_index (capacities, service_capacity_t, i).load.cores_milli;
+  if (cores_milli <= window_milli)
+    return;
+  double part = (double) window_milli / (double) cores_milli;
+  for (guint i = 0; i < capacities->len; i++)
+    reduce_capacity (&g_array_index (capacities, service_capacity_t, i), part);
+}
+
 void
 executor_loads (const executor_t *executor, int64_t now_ms, GArray *loads)
 {
@@ -129,6 +153,7 @@
       if (placement_is_usable (endpoint, now_ms))
         add_endpoint (capacity_for (capacities, endpoint->service), endpoint, now_ms);
     }
+  apply_window (capacities, order_window_cores_milli (&executor->order_window, now_ms));
   for (guint i = 0; i < capacities->len; i++)
     {
       service_capacity_t *capacity = &g_array_index (capacities, service_capacity_t, i);
--- /dev/null
+++ b/lib/executor/order_window.c
@@ -0,0 +1,197 @@
+/* order_window.c -- how many start orders of an owner may be unanswered */
+#include "executor/order_window.h"
+
+#include <glib.h>
+
+#define INTERVAL_MS 50
+#define EPOCH_MS 30000
+#define MS_PER_S 1000.0
+
+#define LIMIT_INITIAL 128
+#define LIMIT_MIN 4
+#define LIMIT_MAX 8192
+#define GROW_PERCENT 50
+/* The window shrinks above the first delay and grows below the second. */
+#define LATE_MS 30
+#define PROMPT_MS 20
+
+/* From this delay on, a silence of all endpoints is taken for bytes that wait in the link.  Without
+ * such a delay before, the endpoints themselves are silent. */
+#define CONGESTED_MS 15
+/* Below the time for which a poll may be under way before the lease needs the next one. */
+#define DELAY_MAX_MS 200
+
+/* Weight of an interval in the mean of the work that was started. */
+#define WORK_WEIGHT 0.1
+#define WORK_SETTLES_MS 500
+/* The window counts as limiting for this long after a task has waited for it. */
+#define LIMITING_MS 500
+
+void
+order_window_init (order_window_t *window)
+{
+  *window = (order_window_t){ .limit = LIMIT_INITIAL,
+                              .quickest_ms = INT64_MAX,
+                              .usual_ms = INT64_MAX,
+                              .epoch_quickest_ms = INT64_MAX };
+}
+
+bool
+order_window_is_open (const order_window_t *window)
+{
+  return window->in_flight < window->limit;
+}
+
+void
+order_window_record_wait (order_window_t *window)
+{
+  window->was_full = true;
+}
+
+void
+order_window_record_start (order_window_t *window, int64_t core_ms)
+{
+  window->in_flight++;
+  window->most_in_flight = MAX (window->most_in_flight, window->in_flight);
+  window->sent_core_ms += core_ms;
+}
+
+void
+order_window_record_end (order_window_t *window)
+{
+  window->in_flight--;
+  window->ended++;
+}
+
+void
+order_window_record_answer (order_window_t *window, int64_t elapsed_ms, int64_t now_ms)
+{
+  window->quickest_ms = MIN (window->quickest_ms, elapsed_ms);
+  window->epoch_quickest_ms = MIN (window->epoch_quickest_ms, elapsed_ms);
+  window->answered_at_ms = now_ms;
+}
+
+int64_t
+order_window_delay_ms (const order_window_t *window, int64_t now_ms)
+{
+  int64_t silent_ms = now_ms - window->answered_at_ms;
+  bool grows = window->delay_ms >= CONGESTED_MS && window->in_flight > 0 && silent_ms > INTERVAL_MS;
+
+  return MIN (window->delay_ms + (grows ? silent_ms : 0), DELAY_MAX_MS);
+}
+
+bool
+order_window_is_limiting (const order_window_t *window, int64_t now_ms)
+{
+  return now_ms < window->limiting_until_ms;
+}
+
+int32_t
+order_window_room (const order_window_t *window, int64_t now_ms)
+{
+  if (!order_window_is_limiting (window, now_ms))
+    return INT32_MAX;
+  return MAX (window->limit - window->in_flight, 0);
+}
+
+int64_t
+order_window_cores_milli (const order_window_t *window, int64_t now_ms)
+{
+  if (!order_window_is_limiting (window, now_ms)
+      || now_ms - window->limiting_since_ms < WORK_SETTLES_MS)
+    return INT64_MAX;
+  return MAX ((int64_t) window->cores_milli, 1);
+}
+
+/* How long the quickest answer takes without a delay of this host. */
+static int64_t
+usual_answer_ms (const order_window_t *window)
+{
+  return MIN (window->usual_ms, window->epoch_quickest_ms);
+}
+
+static void
+update_delay (order_window_t *window)
+{
+  if (window->quickest_ms != INT64_MAX)
+    window->delay_ms = window->quickest_ms - usual_answer_ms (window);
+  else if (window->in_flight == 0)
+    window->delay_ms = 0;
+  window->quickest_ms = INT64_MAX;
+}
+
+/* What was under way took the usual time and DELAY_MS; less of it takes proportionally less. */
+static int32_t
+shrunk_limit (const order_window_t *window, int64_t delay_ms)
+{
+  int64_t usual_ms = usual_answer_ms (window);
+  int64_t most = MIN (window->limit, window->most_in_flight);
+  int64_t limit = most * (usual_ms + PROMPT_MS) / (usual_ms + delay_ms);
+
+  return (int32_t) MAX (limit, LIMIT_MIN);
+}
+
+/* A prompt answer alone does not show that the link carries more: it may be the first of many. */
+static bool
+may_grow (const order_window_t *window, int64_t delay_ms)
+{
+  return delay_ms < PROMPT_MS && window->was_full && window->ended * 2 >= window->most_in_flight;
+}
+
+static void
+update_limit (order_window_t *window, int64_t now_ms)
+{
+  int64_t delay_ms = order_window_delay_ms (window, now_ms);
+
+  if (delay_ms > LATE_MS)
+    window->limit = shrunk_limit (window, delay_ms);
+  else if (may_grow (window, delay_ms))
+    window->limit = MIN (window->limit + window->limit * GROW_PERCENT / 100, LIMIT_MAX);
+  window->most_in_flight = window->in_flight;
+  window->ended = 0;
+}
+
+static void
+update_work (order_window_t *window)
+{
+  double cores_milli = (double) window->sent_core_ms * MS_PER_S / INTERVAL_MS;
+
+  window->cores_milli += (cores_milli - window->cores_milli) * WORK_WEIGHT;
+  window->sent_core_ms = 0;
+}
+
+/* Prompt answers show that the window only has to grow. */
+static void
+update_limiting (order_window_t *window, int64_t now_ms)
+{
+  bool limits = window->was_full && order_window_delay_ms (window, now_ms) >= PROMPT_MS;
+
+  if (limits && !order_window_is_limiting (window, now_ms))
+    window->limiting_since_ms = now_ms;
+  if (limits)
+    window->limiting_until_ms = now_ms + LIMITING_MS;
+  window->was_full = false;
+}
+
+static void
+begin_epoch_if_due (order_window_t *window, int64_t now_ms)
+{
+  if (now_ms < window->epoch_ends_at_ms)
+    return;
+  window->usual_ms = window->epoch_quickest_ms;
+  window->epoch_quickest_ms = INT64_MAX;
+  window->epoch_ends_at_ms = now_ms + EPOCH_MS;
+}
+
+void
+order_window_step (order_window_t *window, int64_t now_ms)
+{
+  if (now_ms < window->interval_ends_at_ms)
+    return;
+  window->interval_ends_at_ms = now_ms + INTERVAL_MS;
+  update_delay (window);
+  update_limit (window, now_ms);
+  update_work (window);
+  update_limiting (window, now_ms);
+  begin_epoch_if_due (window, now_ms);
+}
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -265,6 +265,8 @@
 {
   call_context_t context;
 
+  if (answer != EXECUTOR_NO_ANSWER)
+    time_answer (executor, serial, now_ms);
   if (!take_call_context (executor, serial, &context) || context.endpoint->poll_serial != serial)
     return;
   endpoint_t *endpoint = context.endpoint;
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -38,7 +38,7 @@
 /* The end of a stopped run may be listed this much later than the stop is answered. */
 #define STOP_LISTING_DELAY_MS 30
 
-static uint64_t
+static call_t *
 register_call (executor_t *executor,
                const endpoint_t *endpoint,
                const char *task,
@@ -54,7 +54,7 @@
   call->serial = ++executor->last_serial;
   call->sent_at_ms = now_ms;
   g_hash_table_insert (executor->calls, &call->serial, call);
-  return call->serial;
+  return call;
 }
 
 /* --- ended runs --- */
@@ -120,7 +120,7 @@
   /* Copied, because a foreign run may be adopted and its record freed later in this round. */
   action->task = g_string_chunk_insert (executor->action_strings, name);
   action->attempt = attempt;
-  action->serial = register_call (executor, endpoint, name, attempt, now_ms);
+  action->serial = register_call (executor, endpoint, name, attempt, now_ms)->serial;
 }
 
 static void
@@ -215,8 +215,12 @@
   action->coordinator = task->batch->coordinator;
   action->batch = task->batch->number;
   action->index = task->index;
-  task->start_serial = register_call (executor, endpoint, task->name, task->attempt, now_ms);
-  action->serial = task->start_serial;
+  call_t *call = register_call (executor, endpoint, task->name, task->attempt, now_ms);
+  call->is_start = true;
+  task->start_serial = call->serial;
+  action->serial = call->serial;
+  order_window_record_start (&executor->order_window,
+                             load_core_ms (&task->need, task->expected_ms));
 }
 
 static bool
@@ -389,12 +393,23 @@
   task_remove (executor, task);
 }
 
+/* True if this host can send another start order without delay. */
+static bool
+may_send_start (executor_t *executor)
+{
+  if (order_window_is_open (&executor->order_window))
+    return true;
+  order_window_record_wait (&executor->order_window);
+  return false;
+}
+
 /* Starts TASK alone, if it may and if there is an endpoint for it; it waits otherwise, and leaves
  * the queue when its deadline can't be met. */
 static void
 start_alone (executor_t *executor, task_t *task, int64_t now_ms, GArray *actions)
 {
-  endpoint_t *endpoint = placement_choose_alone (executor, task, now_ms);
+  endpoint_t *endpoint =
+      may_send_start (executor) ? placement_choose_alone (executor, task, now_ms) : NULL;
 
   if (endpoint != NULL)
     {
@@ -442,14 +457,15 @@
       if (handle_suspect (executor, task, now_ms, actions))
         continue;
       placement_best_t best = unplaced_best;
+      bool may_send = may_send_start (executor);
       /* If no endpoint was found for a task, there is none for an equivalent one. */
       endpoint_t *endpoint = NULL;
-      if (!is_equivalent (unplaced, task))
+      if (may_send && !is_equivalent (unplaced, task))
         endpoint = placement_choose (executor, task, now_ms, &best);
       bool refuse = endpoint == NULL && !task->ever_started
                     && (is_deadline_unreachable (executor, task, now_ms)
                         || would_expire_in_queue (executor, task, now_ms));
-      if (refuse)
+      if (refuse && may_send)
         endpoint = placement_fallback (executor, task, now_ms);
       if (endpoint != NULL)
         start_task (executor, task, endpoint, now_ms, actions);
@@ -518,7 +534,9 @@
   if (may_hold_poll && endpoint->runs->len > 0)
     action->wait_ms = wait_ms;
   action->lease_until_endpoint_ms = renew_lease ? extend_lease (executor, endpoint, now_ms) : 0;
-  action->serial = register_call (executor, endpoint, "", 0, now_ms);
+  call_t *call = register_call (executor, endpoint, "", 0, now_ms);
+  call->wait_ms = action->wait_ms;
+  action->serial = call->serial;
   endpoint->ack_number_sent = action->ack_number;
   endpoint->poll_in_flight = true;
   endpoint->poll_serial = action->serial;
@@ -559,6 +577,7 @@
   void *value = NULL;
 
   action_strings_clear (executor);
+  order_window_step (&executor->order_window, now_ms);
   remove_departed_endpoints (executor, now_ms);
   remove_closed_batches (executor, now_ms);
   done_tasks_expire (executor->done_tasks, now_ms);
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -9,6 +9,7 @@
 #include "executor/executor.h"
 #include "executor/load.h"
 #include "executor/open_order.h"
+#include "executor/order_window.h"
 
 typedef struct endpoint_t endpoint_t;
 typedef struct batch_t batch_t;
@@ -184,6 +185,7 @@
   executor_options_t options;
   int64_t token; /* of the claim in force */
   bool drained;
+  order_window_t order_window;
   GHashTable *endpoints;          /* id -> endpoint_t */
   GHashTable *tasks;              /* name -> task_t */
   GHashTable *batches;            /* "coordinator/number" -> batch_t */
@@ -226,6 +228,8 @@
   uint32_t token_generation; /* of the endpoint when the call was made */
   uint64_t serial;
   int64_t sent_at_ms;
+  bool is_start;
+  int64_t wait_ms; /* for which the endpoint may delay its answer */
 } call_t;
 
 /* An endpoint counts as unresponsive after this many unanswered calls in a row; a single call may
--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -146,6 +146,10 @@
  * host is unreachable, they are dead as well. */
 void web_client_close_idle (web_client_t *client, const char *address);
 
+/* Sets for how long this host itself delays its calls.  A call ends without an answer only that
+ * much after its deadline. */
+void web_client_set_own_delay (web_client_t *client, int64_t delay_ms);
+
 /* Ends calls whose deadline has passed or whose connect failed, and closes connections
  * that exceeded the idle timeout. */
 void web_client_tick (web_client_t *client, int64_t now_ms);
--- a/lib/reactor/web_client.c
+++ b/lib/reactor/web_client.c
@@ -50,8 +50,9 @@
 struct web_client_t
 {
   loop_t *loop;
-  GHashTable *pools; /* address -> pool_t */
-  GHashTable *busy;  /* connection_t with a call in flight */
+  GHashTable *pools;    /* address -> pool_t */
+  GHashTable *busy;     /* connection_t with a call in flight */
+  int64_t own_delay_ms; /* by which calls may end after their deadlines */
 };
 
 static void
@@ -301,6 +302,12 @@
     }
 }
 
+void
+web_client_set_own_delay (web_client_t *client, int64_t delay_ms)
+{
+  client->own_delay_ms = delay_ms;
+}
+
 void
 web_client_tick (web_client_t *client, int64_t now_ms)
 {
@@ -312,7 +319,7 @@
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
       const connection_t *connection = key;
-      if (!connection->connect_failed && now_ms < connection->deadline_at_ms)
+      if (!connection->connect_failed && now_ms < connection->deadline_at_ms + client->own_delay_ms)
         continue;
       if (ended == NULL)
         ended = g_ptr_array_new ();
