Scheduling simulation: links of hosts that carry so many bytes a second

Callers see nothing of this; tests only.

Change: each simulated host may have a link with a speed, on which the bytes of its orders to endpoints, of its messages to other hosts and of the answers to both wait in order: in one queue, in one for each direction, or in one direction only; always, for a time, for all hosts or for one owner. A start order has 1,400 bytes, its answer 200, a poll 500, its answer 200 and 100 for each run, a batch 1,300, an offer 130, a heartbeat 150, the end of a task 100. The time limit of a call is in one function, call_deadline_ms (), to which a host's own delay is added (0 for now). Counted are jobs that are complete in time before, while and after links are narrow, orders without an answer, lost hosts and batches that move. The options set the work of plain tasks and the interval of offers.

--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -64,6 +64,7 @@
       sim->result.complete++;
       sim->result.innocent_complete += !job->deadly;
       job->complete = true;
+      job->complete_at_ms = sim->now_ms;
       for (int i = 0; i < job->tasks; i++)
         if (!job->done[i])
           {
@@ -140,6 +141,7 @@
           trace (host->sim, action.batch.job, "%s submits %d tasks to %s for shard %s, batch %d%s",
                  host->name, (int) action.task_indexes->len, action.host, action.shard,
                  (int) action.batch_number, action.batch.maybe_running ? ", maybe running" : "");
+          host->sim->result.links.moved_batches += action.batch.maybe_running;
           message->shard = g_strdup (action.shard);
           message->epoch = cluster_send_epoch (host->cluster, action.host);
           message->batch = action.batch;
@@ -306,6 +308,7 @@
         case CLUSTER_HOST_LOST:
           trace (sim, traced_id != NULL ? traced_id : "", "%s has lost host %s", host->name,
                  action.host);
+          sim->result.links.lost_hosts++;
           for (int k = 0; k < SIM_DATA_CENTRES; k++)
             if (host->owned_shards[k].executor != NULL)
               executor_remove_coordinator (host->owned_shards[k].executor, action.host,
@@ -434,11 +437,13 @@
 {
   simulation_t *sim = host->sim;
   const resources_t need = { 1000, 1, 0 };
+  int64_t interval_ms =
+      sim->options->offer_interval_ms != 0 ? sim->options->offer_interval_ms : OFFER_INTERVAL_MS;
 
   for (int i = 0; i < SIM_DATA_CENTRES; i++)
     {
       owned_shard_t *owned = &host->owned_shards[i];
-      if (owned->executor == NULL || sim->now_ms - owned->offers_sent_at_ms < OFFER_INTERVAL_MS)
+      if (owned->executor == NULL || sim->now_ms - owned->offers_sent_at_ms < interval_ms)
         continue;
       owned->offers_sent_at_ms = sim->now_ms;
       for (int k = 0; k < SIM_HOSTS; k++)
@@ -506,6 +511,7 @@
   host->started_at_ms = sim->now_ms;
   host->link_slow_until_ms = 0;
   host->link_delay_ms = 0;
+  memset (host->link_free_at_us, 0, sizeof host->link_free_at_us);
   memset (host->last_arrival_ms, 0, sizeof host->last_arrival_ms);
   host->leaving_since_ms = 0;
 }
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -3,6 +3,7 @@
 #define TESTS_TEST_SCHEDULING_NETWORK_H
 
 #include "tests/test_scheduling_endpoint.h"
+#include "tests/test_scheduling_link.h"
 
 /* --- orders to endpoints --- */
 
@@ -16,7 +17,8 @@
   sim_endpoint_t *endpoint;
   executor_action_t action; /* owns its copy of the task's id */
   int64_t token;
-  bool late; /* it is carried out long after it was sent */
+  bool late;                /* it is carried out long after it was sent */
+  int64_t last_event_at_ms; /* of its arrival and that of its answer, so far */
   bool answered;
   bool answer_lost;
   executor_answer_t answer;
@@ -77,6 +79,14 @@
   return true;
 }
 
+/* Schedules the arrival of ORDER or of its answer. */
+static void
+schedule_order (simulation_t *sim, int64_t at_ms, event_handler_t handler, sim_order_t *order)
+{
+  order->last_event_at_ms = MAX (order->last_event_at_ms, at_ms);
+  schedule_event (sim, at_ms, handler, order);
+}
+
 /* Reports EXECUTOR_NO_ANSWER if the order has not been answered. */
 static void
 order_timeout (simulation_t *sim, void *data)
@@ -87,6 +97,7 @@
     return;
   if (!order->answered)
     {
+      sim->result.links.unanswered_orders++;
       order->answered = true;
       order->answer = EXECUTOR_NO_ANSWER;
       deliver_order_answer (sim, order);
@@ -106,6 +117,33 @@
   deliver_order_answer (sim, order);
 }
 
+static int64_t
+order_bytes (const sim_order_t *order)
+{
+  return order->action.kind == EXECUTOR_START ? START_BYTES : POLL_BYTES;
+}
+
+static int64_t
+answer_bytes (const sim_order_t *order)
+{
+  size_t runs = order->listing.poll_result.active_count + order->listing.poll_result.ended_count;
+
+  return ANSWER_BYTES + LISTED_RUN_BYTES * (int64_t) runs;
+}
+
+/* The answer to an order reaches the link of the host. */
+static void
+order_answer_reaches_link (simulation_t *sim, void *data)
+{
+  sim_order_t *order = data;
+  int64_t arrives_ms = link_pass (order->host, LINK_IN, answer_bytes (order));
+
+  if (arrives_ms == sim->now_ms)
+    order_answer_arrives (sim, order);
+  else
+    schedule_order (sim, arrives_ms, order_answer_arrives, order);
+}
+
 /* Forgets the ends that ORDER acknowledges.  If it is late, they may be those of a later instance,
  * which no owner has read. */
 static void
@@ -139,7 +177,7 @@
     {
       order->answer =
           order->action.kind == EXECUTOR_START ? EXECUTOR_UNHEALTHY : EXECUTOR_INSTANCE_GONE;
-      schedule_event (sim, sim->now_ms + 1, order_answer_arrives, order);
+      schedule_order (sim, sim->now_ms + 1, order_answer_reaches_link, order);
       return;
     }
   if (endpoint->down_until_ms != 0)
@@ -163,7 +201,7 @@
           /* A long poll waits for a run to end: checks again after a tick. */
           order->action.wait_ms = MAX (order->action.wait_ms - TICK_MS, 0);
           order->action.lease_until_endpoint_ms = 0;
-          schedule_event (sim, sim->now_ms + TICK_MS, order_arrives, order);
+          schedule_order (sim, sim->now_ms + TICK_MS, order_arrives, order);
           return;
         }
       run_listing_clear (&order->listing);
@@ -175,15 +213,28 @@
   int64_t delay_ms = 1 + random_below (sim, 3);
   if (random_chance (sim, sim->options->late_answers))
     delay_ms += random_below (sim, LATE_ANSWER_MAX_MS);
-  schedule_event (sim, sim->now_ms + delay_ms, order_answer_arrives, order);
+  schedule_order (sim, sim->now_ms + delay_ms, order_answer_reaches_link, order);
 }
 
-/* Frees an order, long after it has been carried out and answered. */
+/* Frees an order, long after it has been carried out and answered.  It may have waited for a link
+ * until now. */
 static void
 order_expires (simulation_t *sim, void *data)
 {
-  (void) sim;
-  order_free (data);
+  sim_order_t *order = data;
+
+  if (order->last_event_at_ms + ORDER_KEPT_MS > sim->now_ms)
+    schedule_event (sim, order->last_event_at_ms + ORDER_KEPT_MS, order_expires, order);
+  else
+    order_free (order);
+}
+
+/* The deadline of a call that HOST makes now, to which an endpoint may delay its answer by WAIT_MS.
+ */
+static int64_t
+call_deadline_ms (const sim_host_t *host, int64_t wait_ms)
+{
+  return host->sim->now_ms + wait_ms + ORDER_TIMEOUT_MS + host->own_delay_ms;
 }
 
 static void
@@ -202,14 +253,15 @@
   order->action = *action;
   order->action.task = g_strdup (action->task);
   order->token = host->owned_shards[data_centre].token;
-  int64_t arrives_ms = sim->now_ms + 1 + random_below (sim, 3);
-  int64_t timeout_ms = action->wait_ms + ORDER_TIMEOUT_MS;
+  sim->result.links.orders++;
+  int64_t left_ms = link_pass (host, LINK_OUT, order_bytes (order));
+  int64_t arrives_ms = left_ms + 1 + random_below (sim, 3);
   int64_t expires_ms = sim->now_ms + 20000;
   if (random_chance (sim, sim->options->late_orders))
     {
       order->late = true;
       order->answer_lost = true;
-      arrives_ms = sim->now_ms + 2000 + random_below (sim, 10000);
+      arrives_ms = left_ms + 2000 + random_below (sim, 10000);
     }
   else
     order->answer_lost = random_chance (sim, sim->options->lost_answers);
@@ -217,8 +269,8 @@
          "%s orders %s on %s, attempt %d, arrives at %d%s", host->name,
          action->kind == EXECUTOR_START ? "a start" : "a stop", action->endpoint,
          (int) action->attempt, (int) arrives_ms, order->answer_lost ? ", no answer" : "");
-  schedule_event (sim, arrives_ms, order_arrives, order);
-  schedule_event (sim, sim->now_ms + timeout_ms, order_timeout, order);
+  schedule_order (sim, arrives_ms, order_arrives, order);
+  schedule_event (sim, call_deadline_ms (host, action->wait_ms), order_timeout, order);
   schedule_event (sim, expires_ms, order_expires, order);
 }
 
@@ -466,6 +518,32 @@
   message_free (message);
 }
 
+static int64_t
+message_bytes (const sim_message_t *message)
+{
+  static const int64_t bytes[] = {
+    [MESSAGE_SUBMIT] = BATCH_BYTES,       [MESSAGE_CANCEL] = REPORT_BYTES,
+    [MESSAGE_BATCH_ENDED] = REPORT_BYTES, [MESSAGE_RELEASE] = REPORT_BYTES,
+    [MESSAGE_TASK_END] = REPORT_BYTES,    [MESSAGE_LOSS] = REPORT_BYTES,
+    [MESSAGE_OFFERS] = OFFERS_BYTES,      [MESSAGE_HEARTBEAT] = HEARTBEAT_BYTES,
+  };
+
+  return bytes[message->kind];
+}
+
+/* MESSAGE reaches the link of its receiver. */
+static void
+message_reaches_link (simulation_t *sim, void *data)
+{
+  sim_message_t *message = data;
+  int64_t arrives_ms = link_pass (message->to, LINK_IN, message_bytes (message));
+
+  if (arrives_ms == sim->now_ms)
+    message_arrives (sim, message);
+  else
+    schedule_event (sim, arrives_ms, message_arrives, message);
+}
+
 /* The delay of the messages of HOST grows while its link is slow, and shrinks afterwards. */
 static void
 update_link_delay (sim_host_t *host)
@@ -483,11 +561,13 @@
   sim_host_t *from = message->from;
   simulation_t *sim = from->sim;
   int64_t *last_arrival_ms = &from->last_arrival_ms[message->to->index];
-  int64_t delay_ms = from == message->to ? 0 : 1 + from->link_delay_ms;
+  bool remote = from != message->to;
+  int64_t left_ms = remote ? link_pass (from, LINK_OUT, message_bytes (message)) : sim->now_ms;
+  int64_t delay_ms = remote ? 1 + from->link_delay_ms : 0;
 
-  message->delayed = from != message->to && from->link_delay_ms > 0;
-  *last_arrival_ms = MAX (*last_arrival_ms, sim->now_ms + delay_ms);
-  schedule_event (sim, *last_arrival_ms, message_arrives, message);
+  message->delayed = remote && from->link_delay_ms > 0;
+  *last_arrival_ms = MAX (*last_arrival_ms, left_ms + delay_ms);
+  schedule_event (sim, *last_arrival_ms, remote ? message_reaches_link : message_arrives, message);
 }
 
 static sim_host_t *
--- a/tests/test_scheduling_run.h
+++ b/tests/test_scheduling_run.h
@@ -99,6 +99,8 @@
 {
   job->tasks = 1 + random_below (sim, MAX_PLAIN_TASKS);
   job->estimate_ms = random_below (sim, 8) == 0 ? 600 : 40 + random_below (sim, 120);
+  if (sim->options->task_work_ms != 0)
+    job->estimate_ms = sim->options->task_work_ms;
   for (int i = 0; i < job->tasks; i++)
     job->task_work_ms[i] = job->estimate_ms;
 }
@@ -440,7 +442,10 @@
 static void
 simulation_tick (simulation_t *sim, void *data)
 {
+  guint active_jobs = has_links (sim) ? ACTIVE_JOBS_NARROW : ACTIVE_JOBS;
+
   (void) data;
+  choose_narrow_links (sim);
   crash_under_deadly_tasks (sim);
   end_short_outages (sim);
   publish_due_restarts (sim);
@@ -451,7 +456,8 @@
     }
   for (int i = 0; i < SIM_HOSTS; i++)
     sim_host_tick (&sim->hosts[i]);
-  for (guint i = sim->jobs->len > 400 ? sim->jobs->len - 400 : 0; i < sim->jobs->len; i++)
+  for (guint i = sim->jobs->len > active_jobs ? sim->jobs->len - active_jobs : 0;
+       i < sim->jobs->len; i++)
     caller_step (sim, sim->jobs->pdata[i]);
   if (sim->now_ms > 2000 && sim->now_ms < sim->options->length_ms - 4000)
     submit_due_jobs (sim);
@@ -572,6 +578,7 @@
   if (options->mixed_jobs)
     oracle_run (sim);
   count_size_classes (sim, &result);
+  count_links (sim, &result.links);
   for (int i = 0; i < SIM_HOSTS; i++)
     {
       if (is_up (&sim->hosts[i]))
@@ -593,7 +600,7 @@
        at = g_sequence_iter_next (at))
     {
       const sim_event_t *event = g_sequence_get (at);
-      if (event->handler == message_arrives)
+      if (event->handler == message_arrives || event->handler == message_reaches_link)
         message_free (event->data);
       else if (event->handler == order_expires)
         order_free (event->data);
--- a/tests/test_scheduling_simulation.h
+++ b/tests/test_scheduling_simulation.h
@@ -29,6 +29,29 @@
 #define SIM_RESUBMIT_MS 1300 /* a caller without an answer submits again after this time */
 #define SIM_REMOTE_FACTOR 2.0
 
+/* How the bytes that leave and arrive at a host wait for its link. */
+typedef enum
+{
+  LINK_SHARED,   /* in one queue */
+  LINK_SEPARATE, /* in a queue for each direction */
+  LINK_OUT_ONLY, /* what leaves waits, what arrives does not */
+  LINK_IN_ONLY   /* what arrives waits, what leaves does not */
+} link_queues_t;
+
+/* The links of the hosts, over which orders to endpoints, messages to other hosts and the answers
+ * to both pass.  A speed of 0 has no limit.  Messages to a host itself and requests of callers use
+ * no link. */
+typedef struct
+{
+  link_queues_t queues;
+  int64_t narrow_bytes_s; /* in each direction, or in both together if they share a queue; 0: no
+                             link is ever narrow */
+  int64_t wide_bytes_s;   /* while a link is not narrow, and of links that never are */
+  int64_t narrow_from_ms;
+  int64_t narrow_until_ms; /* 0: until the end */
+  bool one_owner;          /* only the host that owns the first data centre at NARROW_FROM_MS */
+} link_options_t;
+
 /* Which faults and loads are simulated.  The probabilities are in thousandths.  Those of faults of
  * hosts, data centres and endpoints apply once per simulated second. */
 typedef struct
@@ -79,6 +102,9 @@
   int64_t caller_wait_ms;       /* how long callers wait; 0 for the default */
   bool long_waits;              /* callers wait longer for longer jobs; the time within which a
                                    job must start is the same as without */
+  int64_t task_work_ms;         /* of each task of jobs that are not mixed; 0: drawn for each job */
+  int64_t offer_interval_ms;    /* of an owner to each host; 0 for the default */
+  link_options_t links;
 } simulation_options_t;
 
 /* Counts of the jobs of the mixed queue "draft" in one class of sizes. */
@@ -90,6 +116,36 @@
   int32_t complete_by_oracle; /* the oracle completes the job in time */
 } size_class_counts_t;
 
+/* When a job was submitted first.  Other jobs are of no phase. */
+typedef enum
+{
+  PHASE_BEFORE, /* its caller waits no longer than until links become narrow */
+  PHASE_NARROW, /* while links were narrow */
+  PHASE_AFTER,  /* SIM_RECOVERY_MS after that or later */
+  PHASES
+} link_phase_t;
+
+#define SIM_RECOVERY_MS 2000
+
+typedef struct
+{
+  int32_t jobs;
+  int32_t in_time; /* answered as complete while the caller waited for the first submission */
+} phase_counts_t;
+
+/* Counts that show the state of the links. */
+typedef struct
+{
+  phase_counts_t phases[PHASES];
+  int32_t orders;            /* to endpoints: starts, stops and polls */
+  int32_t unanswered_orders; /* without an answer by the deadline of the call */
+  int32_t lost_hosts;        /* times that a host has lost another one */
+  int32_t moved_batches;     /* sent to an owner although another one may have started them */
+  int64_t sent_bytes;        /* by the host that has sent and received most */
+  int64_t received_bytes;    /* by that host */
+  int64_t max_wait_ms;       /* longest time that something waited for a link */
+} link_counts_t;
+
 #define SIZE_CLASSES 3 /* the largest tenth of the jobs, the next fifth, the others */
 
 typedef struct
@@ -121,6 +177,7 @@
   int32_t starts_while_drained; /* orders to start a task in a data centre that has been drained
                                    for at least 1 s */
   int32_t reused_attempts;      /* starts with an attempt number that the endpoint had seen */
+  link_counts_t links;
 } simulation_result_t;
 
 /* Runs one simulation of OPTIONS->length_ms and returns its counts.  Prints a line for each
--- a/tests/test_scheduling_state.h
+++ b/tests/test_scheduling_state.h
@@ -19,6 +19,7 @@
 /* A host that has been up for this long takes its list of endpoints for complete. */
 #define DISCOVERY_MS 3000
 #define ORDER_TIMEOUT_MS 80
+#define ORDER_KEPT_MS 5000 /* after the last arrival of an order or of its answer */
 #define LATE_ANSWER_MAX_MS 300
 #define MAX_TASKS 16
 #define MAX_PLAIN_TASKS 6
@@ -41,6 +42,9 @@
 #define DEADLY_DOWN_MIN_MS 1000
 #define DEADLY_DOWN_VARIES_MS 3000
 #define NAME_SIZE 8
+/* Callers act for this many of the latest jobs. */
+#define ACTIVE_JOBS 400
+#define ACTIVE_JOBS_NARROW 1000 /* with narrow links */
 
 typedef struct simulation_t simulation_t;
 
@@ -122,6 +126,10 @@
   int64_t receive_cut_until_ms; /* it receives from no host until then */
   int64_t link_slow_until_ms;   /* the delay of its messages to other hosts grows until then */
   int64_t link_delay_ms;
+  bool has_narrow_link;               /* its link is narrow at the times of the options */
+  int64_t link_free_at_us[2];         /* of each queue of its link: when all in it has passed */
+  int64_t link_bytes[2];              /* that have left and arrived */
+  int64_t own_delay_ms;               /* added to the time limit of its calls to endpoints */
   int64_t last_arrival_ms[SIM_HOSTS]; /* of a message that it has sent to each host */
   bool reconnect_pending;             /* its connections have to be restored after these cuts */
   int64_t leaving_since_ms;           /* 0 unless it is being stopped gracefully */
@@ -180,6 +188,7 @@
   int starts_after_crashes[MAX_TASKS]; /* after CRASHES_BEFORE_LIMIT of them */
   bool done[MAX_TASKS];
   int64_t submitted_at_ms;    /* the last time */
+  int64_t complete_at_ms;     /* 0 unless it is complete */
   bool done_noted[MAX_TASKS]; /* the end of a run that was done since then is acknowledged */
 } sim_job_t;
 
@@ -204,6 +213,7 @@
   GSequence *events;
   sim_host_t hosts[SIM_HOSTS];
   sim_endpoint_t endpoints[SIM_ENDPOINTS];
+  bool links_chosen; /* the hosts with narrow links */
   int64_t data_centre_cut_until_ms[SIM_DATA_CENTRES];
   int64_t drain_from_ms[SIM_DATA_CENTRES];
   int64_t drain_until_ms[SIM_DATA_CENTRES];
