Executor: calls that wait in this host's link don't count as late

What callers saw: jobs of some tasks were lost or late on links that carry the demand with ease, if their start orders alone take longer than the time limit of a call.

Cause: the window learnt of a delay from answers of a whole interval. A burst after a quiet time was given up after 80 ms before that.

Change: calls leave in the order in which they were sent. While four or more are under way, the time since the newest answered call was sent counts as this host's delay. The usual time of an answer rises by 1 ms in 30 s at most, so that a delay that lasts isn't taken for usual.

--- a/lib/executor/order_window.c
+++ b/lib/executor/order_window.c
@@ -5,6 +5,9 @@
 
 #define INTERVAL_MS 50
 #define EPOCH_MS 30000
+/* In an epoch in which no answer was prompt the usual time rises by this much at most: the delay
+ * may have lasted for all of it. */
+#define USUAL_RISE_MS 1
 #define MS_PER_S 1000.0
 
 #define LIMIT_INITIAL 128
@@ -15,9 +18,8 @@
 #define LATE_MS 30
 #define PROMPT_MS 20
 
-/* From this delay on, a silence of all endpoints is taken for bytes that wait in the link.  Without
- * such a delay before, the endpoints themselves are silent. */
-#define CONGESTED_MS 15
+/* A silence of fewer calls may be that of their endpoints. */
+#define CALLS_MIN 4
 /* Below the time for which a poll may be under way before the lease needs the next one. */
 #define DELAY_MAX_MS 200
 
@@ -64,20 +66,50 @@
 }
 
 void
-order_window_record_answer (order_window_t *window, int64_t elapsed_ms, int64_t now_ms)
+order_window_record_call (order_window_t *window, int64_t now_ms)
 {
-  window->quickest_ms = MIN (window->quickest_ms, elapsed_ms);
-  window->epoch_quickest_ms = MIN (window->epoch_quickest_ms, elapsed_ms);
+  if (window->calls_in_flight++ == 0)
+    window->passed_at_ms = MAX (window->passed_at_ms, now_ms);
+}
+
+void
+order_window_record_call_end (order_window_t *window)
+{
+  window->calls_in_flight--;
+}
+
+void
+order_window_record_answer (order_window_t *window, int64_t sent_at_ms, int64_t now_ms)
+{
+  window->quickest_ms = MIN (window->quickest_ms, now_ms - sent_at_ms);
+  window->epoch_quickest_ms = MIN (window->epoch_quickest_ms, now_ms - sent_at_ms);
+  window->passed_at_ms = MAX (window->passed_at_ms, sent_at_ms);
   window->answered_at_ms = now_ms;
 }
 
+/* How long the quickest answer takes without a delay of this host. */
+static int64_t
+usual_answer_ms (const order_window_t *window)
+{
+  int64_t usual_ms = MIN (window->usual_ms, window->epoch_quickest_ms);
+
+  return usual_ms != INT64_MAX ? usual_ms : PROMPT_MS;
+}
+
+/* Calls leave in the order in which they were sent.  While several are under way and nothing that
+ * was sent lately is answered, they wait here. */
+static int64_t
+unpassed_ms (const order_window_t *window, int64_t now_ms)
+{
+  if (window->calls_in_flight < CALLS_MIN)
+    return 0;
+  return MAX (now_ms - window->passed_at_ms - usual_answer_ms (window), 0);
+}
+
 int64_t
 order_window_delay_ms (const order_window_t *window, int64_t now_ms)
 {
-  int64_t silent_ms = now_ms - window->answered_at_ms;
-  bool grows = window->delay_ms >= CONGESTED_MS && window->in_flight > 0 && silent_ms > INTERVAL_MS;
-
-  return MIN (window->delay_ms + (grows ? silent_ms : 0), DELAY_MAX_MS);
+  return MIN (MAX (window->delay_ms, unpassed_ms (window, now_ms)), DELAY_MAX_MS);
 }
 
 bool
@@ -103,19 +135,12 @@
   return MAX ((int64_t) window->cores_milli, 1);
 }
 
-/* How long the quickest answer takes without a delay of this host. */
-static int64_t
-usual_answer_ms (const order_window_t *window)
-{
-  return MIN (window->usual_ms, window->epoch_quickest_ms);
-}
-
 static void
 update_delay (order_window_t *window)
 {
   if (window->quickest_ms != INT64_MAX)
     window->delay_ms = window->quickest_ms - usual_answer_ms (window);
-  else if (window->in_flight == 0)
+  else if (window->calls_in_flight == 0)
     window->delay_ms = 0;
   window->quickest_ms = INT64_MAX;
 }
@@ -178,7 +203,10 @@
 {
   if (now_ms < window->epoch_ends_at_ms)
     return;
-  window->usual_ms = window->epoch_quickest_ms;
+  if (window->epoch_quickest_ms != INT64_MAX)
+    window->usual_ms = window->usual_ms == INT64_MAX
+                           ? window->epoch_quickest_ms
+                           : MIN (window->epoch_quickest_ms, window->usual_ms + USUAL_RISE_MS);
   window->epoch_quickest_ms = INT64_MAX;
   window->epoch_ends_at_ms = now_ms + EPOCH_MS;
 }
--- a/lib/executor/order_window.h
+++ b/lib/executor/order_window.h
@@ -18,18 +18,22 @@
 
 typedef struct
 {
-  int32_t limit;          /* start orders that may be unanswered */
-  int32_t in_flight;      /* start orders that are unanswered */
-  int32_t most_in_flight; /* in the present interval */
-  int32_t ended;          /* start orders that were answered or given up in it */
-  bool was_full;          /* a task has waited for the window in the present interval */
-  int64_t sent_core_ms;   /* work that was started in the present interval */
-  int64_t quickest_ms;    /* quickest answer of the present interval; INT64_MAX if there is none */
+  int32_t limit;           /* start orders that may be unanswered */
+  int32_t in_flight;       /* start orders that are unanswered */
+  int32_t calls_in_flight; /* these and other calls that endpoints answer at once */
+  int64_t passed_at_ms;    /* calls that were sent before have passed this host's link */
+  int64_t answered_at_ms;  /* the last answer */
+  /* Of the present interval: */
   int64_t interval_ends_at_ms;
-  int64_t answered_at_ms; /* the last answer */
-  int64_t delay_ms; /* the quickest answer of the last interval with answers, less the usual one */
-  int64_t usual_ms; /* the quickest answer of the previous epoch */
-  int64_t epoch_quickest_ms; /* the quickest answer of the present epoch */
+  int32_t most_in_flight;
+  int32_t ended;        /* start orders that were answered or given up */
+  bool was_full;        /* a task has waited for the window */
+  int64_t sent_core_ms; /* work that was started */
+  int64_t quickest_ms;  /* quickest answer; INT64_MAX if there is none */
+  /* Of the last interval with answers: */
+  int64_t delay_ms;          /* the quickest one, less the usual one */
+  int64_t usual_ms;          /* quickest answers of the epochs before; INT64_MAX if there is none */
+  int64_t epoch_quickest_ms; /* quickest answer of the present epoch, likewise */
   int64_t epoch_ends_at_ms;
   double cores_milli; /* cores that the starts of the last intervals keep busy, in thousandths */
   int64_t limiting_since_ms; /* since then the window has limited the starts, */
@@ -54,8 +58,14 @@
 /* Records that a start order was answered or given up. */
 void order_window_record_end (order_window_t *window);
 
-/* Records that an endpoint has answered a call after ELAPSED_MS, without a delay of its own. */
-void order_window_record_answer (order_window_t *window, int64_t elapsed_ms, int64_t now_ms);
+/* Records that a call was sent, a start order among them, which endpoints answer at once. */
+void order_window_record_call (order_window_t *window, int64_t now_ms);
+
+/* Records that such a call was answered or given up. */
+void order_window_record_call_end (order_window_t *window);
+
+/* Records that an endpoint has answered such a call, which was sent at SENT_AT_MS. */
+void order_window_record_answer (order_window_t *window, int64_t sent_at_ms, int64_t now_ms);
 
 /* For how long this host itself delays its calls: unanswered calls are late only after that. */
 int64_t order_window_delay_ms (const order_window_t *window, int64_t now_ms);
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -43,6 +43,7 @@
                const endpoint_t *endpoint,
                const char *task,
                int32_t attempt,
+               int64_t wait_ms,
                int64_t now_ms)
 {
   call_t *call = g_new0 (call_t, 1);
@@ -53,7 +54,10 @@
   call->token_generation = endpoint->token_generation;
   call->serial = ++executor->last_serial;
   call->sent_at_ms = now_ms;
+  call->wait_ms = wait_ms;
   g_hash_table_insert (executor->calls, &call->serial, call);
+  if (wait_ms == 0)
+    order_window_record_call (&executor->order_window, now_ms);
   return call;
 }
 
@@ -120,7 +124,7 @@
   /* Copied, because a foreign run may be adopted and its record freed later in this round. */
   action->task = g_string_chunk_insert (executor->action_strings, name);
   action->attempt = attempt;
-  action->serial = register_call (executor, endpoint, name, attempt, now_ms)->serial;
+  action->serial = register_call (executor, endpoint, name, attempt, 0, now_ms)->serial;
 }
 
 static void
@@ -215,7 +219,7 @@
   action->coordinator = task->batch->coordinator;
   action->batch = task->batch->number;
   action->index = task->index;
-  call_t *call = register_call (executor, endpoint, task->name, task->attempt, now_ms);
+  call_t *call = register_call (executor, endpoint, task->name, task->attempt, 0, now_ms);
   call->is_start = true;
   task->start_serial = call->serial;
   action->serial = call->serial;
@@ -534,9 +538,7 @@
   if (may_hold_poll && endpoint->runs->len > 0)
     action->wait_ms = wait_ms;
   action->lease_until_endpoint_ms = renew_lease ? extend_lease (executor, endpoint, now_ms) : 0;
-  call_t *call = register_call (executor, endpoint, "", 0, now_ms);
-  call->wait_ms = action->wait_ms;
-  action->serial = call->serial;
+  action->serial = register_call (executor, endpoint, "", 0, action->wait_ms, now_ms)->serial;
   endpoint->ack_number_sent = action->ack_number;
   endpoint->poll_in_flight = true;
   endpoint->poll_serial = action->serial;
