Wire: how much is unsent to other hosts

Callers on a deployment with narrow links saw orders without an answer and hosts that lost each other; nothing in a host told whether its own link was full. The first part of an answer: net_unsent_bytes () adds what waits in the queues of the connections to other hosts and what their peers have not acknowledged. The system call behind it moves from lib/reactor to lib/base, since lib/wire needs it too (unacked_bytes ()).

Evidence: tests/test_net, case "unsent bytes": 16 MB for a peer that does not read are unsent, and none once it has read them.

--- a/lib/reactor/tcp.c
+++ b/lib/reactor/tcp.c
@@ -5,12 +5,10 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdbool.h>
 #include <string.h>
-#include <sys/ioctl.h>
 
 /* A connection is closed when sent data stays unacknowledged for this long. */
 #define UNACKED_TIMEOUT_MS 2000
@@ -52,11 +50,3 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
 }
-
-int32_t
-tcp_unacked_bytes (int fd)
-{
-  int bytes = 0;
-
-  return ioctl (fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
-}
--- a/lib/reactor/tcp.h
+++ b/lib/reactor/tcp.h
@@ -2,7 +2,6 @@
 #ifndef REACTOR_TCP_H
 #define REACTOR_TCP_H
 
-#include <stdint.h>
 #include <sys/socket.h>
 
 /* Parses an IPv4 address in the form IP:port.  Returns the size of the socket address,
@@ -13,8 +12,4 @@
  * TCP_USER_TIMEOUT and keep-alive probes. */
 void tcp_set_options (int fd);
 
-/* Returns how many of the bytes written to FD its peer has not acknowledged, or 0 if that is not
- * known. */
-int32_t tcp_unacked_bytes (int fd);
-
 #endif
--- a/lib/reactor/web_server.c
+++ b/lib/reactor/web_server.c
@@ -15,6 +15,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "base/unacked.h"
 #include "reactor/tcp.h"
 
 #include <event2/buffer.h>
@@ -479,7 +480,7 @@
     {
       struct bufferevent *bufferevent = ((connection_t *) key)->bufferevent;
       bytes += (int64_t) evbuffer_get_length (bufferevent_get_output (bufferevent));
-      bytes += tcp_unacked_bytes (bufferevent_getfd (bufferevent));
+      bytes += unacked_bytes (bufferevent_getfd (bufferevent));
     }
   return bytes;
 }
@@ -490,7 +491,7 @@
 {
   if (connection->state == LINGERING)
     return now_ms - connection->since_ms > LINGER_TIMEOUT_MS
-           && tcp_unacked_bytes (bufferevent_getfd (connection->bufferevent)) == 0;
+           && unacked_bytes (bufferevent_getfd (connection->bufferevent)) == 0;
   if (connection->state != READING)
     return false;
   int64_t limit_ms = connection->request_begun ? server->limits.header_timeout_ms
--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -16,6 +16,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "base/unacked.h"
 #include "wire/frame.h"
 #include "wire/socket.h"
 
@@ -675,6 +676,22 @@
   pthread_mutex_unlock (&net->lock);
 }
 
+int64_t
+net_unsent_bytes (net_t *net)
+{
+  int64_t bytes = 0;
+
+  pthread_mutex_lock (&net->lock);
+  for (guint i = 0; i < net->links->len; i++)
+    {
+      const link_t *link = net->links->pdata[i];
+      if (link->outgoing && link->state == LINK_OPEN)
+        bytes += (int64_t) link->queued_bytes + unacked_bytes (link->fd);
+    }
+  pthread_mutex_unlock (&net->lock);
+  return bytes;
+}
+
 void
 net_stop (net_t *net)
 {
--- a/lib/wire/net.h
+++ b/lib/wire/net.h
@@ -75,6 +75,10 @@
  * thread. */
 void net_set_partition (net_t *net, const char *data_centre, bool in, bool out);
 
+/* Returns how many bytes of frames wait in connections or have not been acknowledged.  One system
+ * call for each connection; any thread. */
+int64_t net_unsent_bytes (net_t *net);
+
 /* Stops the thread, closes all connections and frees NET, which may be NULL. */
 void net_stop (net_t *net);
 
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -19,6 +19,10 @@
  * the attempt, and maximum time until the connection must then be open. */
 #define CONNECT_PENDING_MS 100
 #define CONNECTED_MAX_MS 300
+/* Together more than the kernel takes for a peer that does not read. */
+#define LARGE_FRAMES 16
+#define LARGE_FRAME_BYTES (1024 * 1024)
+#define PEER_BUFFER_BYTES 4096
 
 typedef struct
 {
@@ -209,6 +213,89 @@
   g_free (address);
 }
 
+static void
+fill (frame_writer_t *writer)
+{
+  void *bytes = g_malloc0 (LARGE_FRAME_BYTES);
+
+  frame_put_bytes (writer, bytes, LARGE_FRAME_BYTES);
+  g_free (bytes);
+}
+
+/* Accepts the connection of a host as host "b", which then reads nothing. */
+static int
+accept_as_b (int listener_fd)
+{
+  frame_writer_t *writer = frame_begin (FRAME_HELLO);
+  gsize size = 0;
+  int fd = accept (listener_fd, NULL, NULL);
+
+  frame_put_int (writer, 1);
+  frame_put_string (writer, "b");
+  frame_put_string (writer, "x");
+  frame_put_uint (writer, 1);
+  frame_put_string (writer, "127.0.0.1:9");
+  GBytes *hello = frame_finish (writer);
+  const void *data = g_bytes_get_data (hello, &size);
+  CU_ASSERT_EQUAL (send (fd, data, size, MSG_NOSIGNAL), (ssize_t) size);
+  g_bytes_unref (hello);
+  return fd;
+}
+
+/* Frames for a peer that does not read are unsent until it reads them. */
+static void
+test_unsent_bytes (void)
+{
+  host_t a = { 0 };
+  host_t b = { 0 };
+  struct sockaddr_storage storage;
+  int buffer_bytes = PEER_BUFFER_BYTES;
+  char *chunk = g_malloc (LARGE_FRAME_BYTES);
+
+  host_start (&a, "a", "x", 24100);
+  host_start (&b, "b", "x", 25200); /* finds a free port */
+  char *address = g_strdup (b.address);
+  host_stop (&b);
+  socklen_t size = socket_parse_address (address, &storage);
+  int one = 1;
+  int listener_fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (listener_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  setsockopt (listener_fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
+  CU_ASSERT_EQUAL_FATAL (bind (listener_fd, (struct sockaddr *) &storage, size), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (listener_fd, 1), 0);
+  net_add_address (a.net, address, "x", true);
+  int fd = accept_as_b (listener_fd);
+  CU_ASSERT_TRUE (wait_for_count (&a.peers_up_count, 1));
+  for (int i = 0; i < LARGE_FRAMES; i++)
+    {
+      frame_writer_t *writer = frame_begin (FRAME_PING);
+      fill (writer);
+      CU_ASSERT_EQUAL (net_send (a.net, "b", frame_finish (writer)), 0);
+    }
+  int64_t sent_bytes = (int64_t) LARGE_FRAMES * LARGE_FRAME_BYTES;
+  CU_ASSERT_TRUE (net_unsent_bytes (a.net) > sent_bytes - sent_bytes / 8);
+  int64_t received_bytes = 0;
+  while (received_bytes < sent_bytes)
+    {
+      ssize_t received = recv (fd, chunk, LARGE_FRAME_BYTES, 0);
+      CU_ASSERT_TRUE_FATAL (received > 0);
+      received_bytes += received;
+    }
+  for (int waited_ms = 0; net_unsent_bytes (a.net) > 0 && waited_ms < WAIT_MAX_MS;
+       waited_ms += POLL_INTERVAL_MS)
+    {
+      (void) !recv (fd, chunk, LARGE_FRAME_BYTES, MSG_DONTWAIT);
+      clock_sleep_ms (POLL_INTERVAL_MS);
+    }
+  CU_ASSERT_EQUAL (net_unsent_bytes (a.net), 0);
+  CU_ASSERT_EQUAL (atomic_load (&a.peers_down_count), 0);
+  close (fd);
+  close (listener_fd);
+  host_stop (&a);
+  g_free (address);
+  g_free (chunk);
+}
+
 static const struct
 {
   const char *name;
@@ -218,6 +305,7 @@
   { "HELLO after a partition", test_hello_after_partition },
   { "reconnect", test_reconnect },
   { "HELLO from a host during a connection attempt to it", test_hello_while_connecting },
+  { "unsent bytes", test_unsent_bytes },
 };
 
 int
