Base, reactor: messages and bytes by kind of message

The web client and server add what they send and receive to the counts that their user names; the client also counts calls without an answer in time and connections that it opened, and tells what is unacknowledged (web_client_unacked_bytes ()). frame_type_of () reads the type of a frame that is about to be sent. traffic_watch_t divides the sums into seconds and says which of them are notable: a call without an answer, a tick 40 ms late (half of what an endpoint has to answer an order), or 16 KB and 100 ms of traffic that wait.

Nothing counts frames or writes lines yet.

--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -11,6 +11,7 @@
 #ifndef REACTOR_WEB_H
 #define REACTOR_WEB_H
 
+#include "base/traffic.h"
 #include "reactor/loop.h"
 
 #include <stdbool.h>
@@ -59,6 +60,7 @@
   web_server_limits_t limits;
   const web_server_handlers_t *handlers;
   void *data;
+  traffic_count_t *traffic; /* counts requests and answers, or NULL; must outlive the server */
 } web_server_options_t;
 
 /* Listens on the address in OPTIONS, whose handlers must outlive the server.  Returns 0
@@ -134,6 +136,7 @@
   int64_t deadline_at_ms;
   web_call_done_t done; /* called exactly once, never from within web_call_start () */
   void *data;
+  traffic_count_t *traffic; /* counts requests and answers, or NULL; must outlive the client */
 } web_call_options_t;
 
 web_client_t *web_client_new (loop_t *loop);
@@ -142,6 +145,9 @@
  * and the body in OPTIONS are copied. */
 void web_call_start (web_client_t *client, const web_call_options_t *options);
 
+/* Returns how many bytes of requests wait in connections or have not been acknowledged. */
+int64_t web_client_unacked_bytes (const web_client_t *client);
+
 /* Closes the idle connections to ADDRESS.  To be called after a failed call: if the
  * host is unreachable, they are dead as well. */
 void web_client_close_idle (web_client_t *client, const char *address);
--- a/lib/reactor/web_client.c
+++ b/lib/reactor/web_client.c
@@ -8,6 +8,7 @@
 #include "reactor/web.h"
 
 #include "base/clock.h"
+#include "base/unacked.h"
 #include "reactor/tcp.h"
 
 #include <errno.h>
@@ -45,13 +46,15 @@
   int64_t deadline_at_ms;
   web_call_done_t done;
   void *data;
+  traffic_count_t *traffic; /* of the call in flight; not NULL */
 } connection_t;
 
 struct web_client_t
 {
   loop_t *loop;
-  GHashTable *pools; /* address -> pool_t */
-  GHashTable *busy;  /* connection_t with a call in flight */
+  GHashTable *pools;         /* address -> pool_t */
+  GHashTable *busy;          /* connection_t with a call in flight */
+  traffic_count_t uncounted; /* stands in for calls without counts */
 };
 
 static void
@@ -88,6 +91,10 @@
   };
 
   g_hash_table_remove (client->busy, connection);
+  if (result == WEB_CALL_ANSWERED)
+    connection->traffic->received.messages++;
+  else if (result == WEB_CALL_TIMEOUT)
+    connection->traffic->unanswered++;
   connection->busy = false;
   if (keep_alive)
     {
@@ -151,6 +158,7 @@
       return;
     }
   size_t used = http_parser_execute (&connection->parser, &parser_settings, bytes, size);
+  connection->traffic->received.bytes += (int64_t) size;
   bool valid = HTTP_PARSER_ERRNO (&connection->parser) == HPE_OK && used == size;
   evbuffer_drain (in, size);
   if (connection->complete)
@@ -248,16 +256,21 @@
 {
   pool_t *pool = find_pool (client, options->address);
   connection_t *connection = NULL;
+  traffic_count_t *traffic = options->traffic != NULL ? options->traffic : &client->uncounted;
 
   if (pool->idle->len > 0)
     connection = g_ptr_array_remove_index (pool->idle, pool->idle->len - 1);
   else
-    connection = connection_open (client, pool);
+    {
+      connection = connection_open (client, pool);
+      traffic->connections++;
+    }
   connection->busy = true;
   connection->complete = false;
   connection->deadline_at_ms = options->deadline_at_ms;
   connection->done = options->done;
   connection->data = options->data;
+  connection->traffic = traffic;
   g_string_truncate (connection->body, 0);
   http_parser_init (&connection->parser, HTTP_RESPONSE);
   connection->parser.data = connection;
@@ -265,6 +278,7 @@
   if (connection->connect_failed)
     return;
   struct evbuffer *out = bufferevent_get_output (connection->bufferevent);
+  size_t queued_bytes = evbuffer_get_length (out);
   evbuffer_add_printf (out, "%s %s HTTP/1.1\r\nHost: %s\r\n%s", options->method, options->target,
                        pool->address, options->headers != NULL ? options->headers : "");
   if (options->body != NULL)
@@ -273,6 +287,24 @@
     evbuffer_add (out, "\r\n", 2);
   if (options->body_bytes > 0)
     evbuffer_add (out, options->body, options->body_bytes);
+  traffic_add (&traffic->sent, evbuffer_get_length (out) - queued_bytes);
+}
+
+int64_t
+web_client_unacked_bytes (const web_client_t *client)
+{
+  GHashTableIter iter;
+  void *key = NULL;
+  int64_t bytes = 0;
+
+  g_hash_table_iter_init (&iter, client->busy);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const connection_t *connection = key;
+      bytes += (int64_t) evbuffer_get_length (bufferevent_get_output (connection->bufferevent));
+      bytes += unacked_bytes (bufferevent_getfd (connection->bufferevent));
+    }
+  return bytes;
 }
 
 void
--- a/lib/reactor/web_server.c
+++ b/lib/reactor/web_server.c
@@ -45,6 +45,8 @@
   web_server_limits_t limits;
   const web_server_handlers_t *handlers;
   void *data;
+  traffic_count_t *traffic;  /* not NULL */
+  traffic_count_t uncounted; /* stands in for missing counts */
   GHashTable *connections;
   int32_t active;
   bool draining;
@@ -121,6 +123,7 @@
              size_t size)
 {
   struct evbuffer *out = bufferevent_get_output (connection->bufferevent);
+  size_t queued_bytes = evbuffer_get_length (out);
   bool keep_alive = connection->state != CLOSING && !connection->server->draining
                     && http_should_keep_alive (&connection->parser);
 
@@ -131,6 +134,7 @@
                        headers != NULL ? headers : "", keep_alive ? "" : "Connection: close\r\n");
   if (size > 0)
     evbuffer_add (out, body, size);
+  traffic_add (&connection->server->traffic->sent, evbuffer_get_length (out) - queued_bytes);
   if (!keep_alive)
     connection->state = CLOSING;
 }
@@ -252,6 +256,7 @@
   connection->state = ANSWERING;
   connection->request_begun = false;
   server->active++;
+  server->traffic->received.messages++;
   *request = (web_request_t){
     .method = http_method_str ((enum http_method) connection->parser.method),
     .target = connection->target->str,
@@ -297,6 +302,7 @@
       size_t used = http_parser_execute (&connection->parser, &parser_settings, chunk.iov_base,
                                          chunk.iov_len);
       enum http_errno failure = HTTP_PARSER_ERRNO (&connection->parser);
+      connection->server->traffic->received.bytes += (int64_t) used;
       if (failure != HPE_OK && failure != HPE_PAUSED)
         {
           send_parse_error (connection);
@@ -410,6 +416,7 @@
   server->limits = options->limits;
   server->handlers = options->handlers;
   server->data = options->data;
+  server->traffic = options->traffic != NULL ? options->traffic : &server->uncounted;
   server->connections = g_hash_table_new_full (NULL, NULL, connection_free, NULL);
   *out = server;
   return 0;
--- a/lib/wire/frame.c
+++ b/lib/wire/frame.c
@@ -17,6 +17,7 @@
 #define ARRAY32_TAG 0xddu
 #define ARRAY32_HEADER_BYTES 5
 #define HEADER_BYTES (FRAME_LENGTH_BYTES + ARRAY32_HEADER_BYTES)
+#define UINT8_TAG 0xccu /* of a number that does not fit into its tag */
 
 struct frame_writer_t
 {
@@ -125,6 +126,14 @@
   return bytes;
 }
 
+int
+frame_type_of (GBytes *frame)
+{
+  const unsigned char *type = (const unsigned char *) g_bytes_get_data (frame, NULL) + HEADER_BYTES;
+
+  return type[0] == UINT8_TAG ? type[1] : type[0];
+}
+
 static bool
 read_element (frame_reader_t *reader, msgpack_object_type type)
 {
--- a/lib/wire/frame.h
+++ b/lib/wire/frame.h
@@ -89,6 +89,9 @@
 int frame_parse (const void *data, size_t size, frame_reader_t **reader);
 void frame_reader_free (frame_reader_t *reader);
 
+/* Returns the type number of FRAME, which frame_finish () has made. */
+int frame_type_of (GBytes *frame);
+
 /* Returns the type number of the frame. */
 int frame_type (const frame_reader_t *reader);
 
