Site: metrics of traffic by kind, unsent bytes and loop delay; event traffic

Callers on narrow links got answers late or not at all, and the logs showed orders without an answer, silent endpoints and lost hosts, the same as with endpoints that don't answer. Now a host counts messages and bytes by kind, both ways (jaytrail_sent_bytes_total and three more), what is unsent in its connections to hosts, endpoints and callers (jaytrail_unsent_bytes), the largest lateness of its loop (jaytrail_loop_delay_ms), calls to endpoints that were not answered in time, and connections opened to endpoints. Unsent bytes cost a system call a connection, four times a second.

Evidence: tests/test_site_traffic on processes: every kind is in the metrics of every host, hosts receive what others sent, a host that stood still for 300 ms says so, endpoints that stay silent leave unanswered calls and nothing unsent. The buffer of the tests' HTTP client is larger, since the metrics are longer.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -254,7 +254,7 @@
           || g_random_int_range (0, PROBE_ODDS) != 0)
         continue;
       run_client_probe (site->http_client, entry->endpoint.address, g_intern_string (entry->shard),
-                        on_shard_reached, site, now_ms);
+                        on_shard_reached, site, &site->traffic, now_ms);
     }
 }
 
@@ -363,6 +363,7 @@
   site_t *site = data;
   int64_t now_ms = clock_boot_ms ();
 
+  traffic_tick (site, now_ms);
   refresh_view (site, now_ms);
   update_directory_role (site, now_ms);
   cluster_set_ready (site->cluster,
@@ -438,6 +439,7 @@
   site->settings_file = file;
   site->host = g_intern_string (settings->host);
   site->incarnation = (uint64_t) clock_wall_ms () << 16 | g_random_int_range (0, 1 << 16);
+  site->traffic_watch.tick_ms = TICK_MS;
   site->loop = loop_new (TICK_MS, on_tick, site);
   loop_set_deferred (site->loop, run_all_actions);
   site->http_client = web_client_new (site->loop);
@@ -464,7 +466,8 @@
   site->other_offers = g_array_new (FALSE, FALSE, sizeof (executor_offer_t));
   site->task_ends = g_array_new (FALSE, FALSE, sizeof (pending_task_end_t));
   ingress_options_t ingress_options = { settings->caller_listen, settings->ready_listen,
-                                        &site_ingress_ops, site, settings->resubmit_after_ms };
+                                        &site_ingress_ops,       site,
+                                        &site->traffic,          settings->resubmit_after_ms };
   int result = ingress_open (site->loop, &ingress_options, &site->ingress);
   if (result == 0)
     result = peers_start (site);
@@ -478,7 +481,8 @@
                                          .config_apply_ms = settings->config_apply_ms,
                                          .drain_apply_ms = settings->drain_apply_ms,
                                          .ops = &site_log_client_ops,
-                                         .user = site };
+                                         .user = site,
+                                         .traffic = &site->traffic.kinds[TRAFFIC_LOG] };
   site->log_client = log_client_new (site->http_client, &store_options, now_ms);
   loop_on_signal (site->loop, SIGTERM, on_terminate, site);
   loop_on_signal (site->loop, SIGINT, on_terminate, site);
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -313,7 +313,7 @@
       owned->site = site;
       owned->name = g_intern_string (shard);
       owned->executor = executor_new (&options);
-      owned->run_client = run_client_new (site->http_client, &order_ops, owned);
+      owned->run_client = run_client_new (site->http_client, &order_ops, owned, &site->traffic);
       owned->actions = g_array_new (FALSE, FALSE, sizeof (executor_action_t));
       g_hash_table_insert (site->owned_shards, (void *) owned->name, owned);
     }
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -340,6 +340,7 @@
 
   if (frame_parse (data, size, &reader) != 0)
     return;
+  traffic_count_received (site, frame_type (reader), FRAME_LENGTH_BYTES + size);
   for (gsize i = 0; i < G_N_ELEMENTS (readers); i++)
     if (readers[i].type == frame_type (reader))
       readers[i].read (site, host, reader);
@@ -439,9 +440,14 @@
 void
 peers_send (site_t *site, const char *host, GBytes *frame)
 {
+  int type = frame_type_of (frame);
+  gsize size = g_bytes_get_size (frame);
+
   /* A frame that cannot be sent is dropped.  The batches are sent again on a new connection, or are
    * given up when the host is declared lost. */
-  if (net_send (site->net, host, frame) != 0)
+  if (net_send (site->net, host, frame) == 0)
+    traffic_count_sent (site, type, size);
+  else
     counter_add (counter_get ("jaytrail_frames_unsent_total", NULL), 1);
 }
 
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -6,6 +6,7 @@
 #define DAEMON_SITE_PRIVATE_H
 
 #include "base/event.h"
+#include "base/traffic.h"
 #include "cluster/cluster.h"
 #include "drain/drain.h"
 #include "executor/executor.h"
@@ -107,6 +108,9 @@
   int64_t drain_report_due_ms;
   int64_t probe_due_ms;
   int64_t settings_check_due_ms;
+  traffic_t traffic; /* since the start */
+  traffic_watch_t traffic_watch;
+  int64_t unsent_due_ms; /* when the unsent bytes are read next */
 };
 
 extern const ingress_ops_t site_ingress_ops;       /* site_jobs.c */
@@ -208,6 +212,16 @@
 /* Returns all metrics as text; the caller frees it. */
 char *metrics_text (void);
 
+/* site_traffic.c: messages and bytes by kind */
+/* Count a frame of FRAME_TYPE; FRAME_BYTES includes its length prefix. */
+void traffic_count_sent (site_t *site, int frame_type, size_t frame_bytes);
+void traffic_count_received (site_t *site, int frame_type, size_t frame_bytes);
+/* Observes the unsent bytes and the lateness of the loop; logs EVENT_TRAFFIC at most once a second.
+ * Call it at each tick. */
+void traffic_tick (site_t *site, int64_t now_ms);
+/* Sets the metrics of traffic to the present state. */
+void traffic_update_metrics (site_t *site);
+
 /* site_peers.c: connections to other hosts.  Functions that send take ownership of FRAME. */
 /* Starts to listen, and to connect to the seeds.  Returns 0, or the error code of net_start (). */
 int peers_start (site_t *site);
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -36,6 +36,12 @@
     "{host_id} reloaded its settings: {why}" },
   { EVENT_STOOD_STILL, EVENT_CLASS_STATE, "stood_still", "for_ms",
     "{host_id} was suspended or blocked for {for_ms} ms" },
+  { EVENT_TRAFFIC, EVENT_CLASS_STATE, "traffic",
+    "sent_bytes received_bytes unsent_bytes loop_delay_ms unanswered connections",
+    "{host_id} sent {sent_bytes} and received {received_bytes} bytes within a second; up to "
+    "{unsent_bytes} bytes waited to be sent, its loop was up to {loop_delay_ms} ms late, "
+    "{unanswered} calls to endpoints were not answered in time, {connections} connections to "
+    "endpoints were opened" },
   { EVENT_LOG_LOST, EVENT_CLASS_STATE, "log_lost", "",
     "{host_id} cannot reach the platform's log" },
   { EVENT_LOG_REGAINED, EVENT_CLASS_STATE, "log_regained", "",
--- a/tests/site_call.h
+++ b/tests/site_call.h
@@ -11,7 +11,7 @@
 #include <sys/types.h>
 
 /* Size of the buffer for a response; a longer one is cut off. */
-#define SITE_CALL_BODY_BYTES 8192
+#define SITE_CALL_BODY_BYTES 32768
 /* The Host header of all requests, by which the daemon finds the queue. */
 #define SITE_CALL_QUEUE_HOST "q.example"
 
