--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -88,7 +88,6 @@
   schedule_event (sim, at_ms, handler, order);
 }
 
-/* Reports EXECUTOR_NO_ANSWER if the order has not been answered. */
 /* How long HOST itself delays its calls to endpoints. */
 static int64_t
 own_delay_ms (const sim_host_t *host)
@@ -102,6 +101,7 @@
   return delay_ms;
 }
 
+/* Reports EXECUTOR_NO_ANSWER if the order has not been answered. */
 static void
 order_timeout (simulation_t *sim, void *data)
 {
