Executor: what slows the answers is told apart better from the own link

Cause: a window at its smallest went on taking the time of slower endpoints for its own delay; the time since the newest answered call counted idle time; the window was asked before an endpoint had been chosen, so that tasks which wait for endpoints counted as waiting for the link.

Change: at its smallest the window is 1 for 150 ms every 4 s, and the answer of that single order counts as usual, by steps of 15 ms. What limits the starts is the age of the oldest call that is newer than the newest answered one; only the end of unanswered calls still has the longer time. Three calls under way are enough for it. An endpoint is chosen first, then the window is asked. The window doesn't shrink while no start was under way. A poll under way for longer because of this host's delay is no silence.

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -58,7 +58,7 @@
   g_hash_table_steal (executor->calls, &serial);
   if (call->is_start)
     order_window_record_end (&executor->order_window);
-  if (call->wait_ms == 0)
+  if (call->timed)
     order_window_record_call_end (&executor->order_window);
   return call;
 }
@@ -68,8 +68,8 @@
 {
   const call_t *call = g_hash_table_lookup (executor->calls, &serial);
 
-  if (call != NULL && call->wait_ms == 0)
-    order_window_record_answer (&executor->order_window, call->sent_at_ms, now_ms);
+  if (call != NULL && call->timed)
+    order_window_record_answer (&executor->order_window, serial, call->sent_at_ms, now_ms);
 }
 
 static void
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -22,8 +22,8 @@
  * - No order extends the lease of an endpoint with runs of a coordinator beyond RESUBMIT_MS after
  *   the owner has last heard that coordinator.
  * - Nothing starts on an endpoint before a poll by the owner has listed the runs there.
- * - What this host can't send without delay waits in the queue (order_window.h), so that its own
- *   link or processor never makes endpoints look silent.
+ * - What this host can't send without delay waits in the queue (order_window.h), so that a
+ *   delay of its own link or processor, up to some 200 ms, does not make endpoints look silent.
  * - A task is given up when two endpoints have crashed under it, or three were lost (crashes.h).
  *   Before that it starts on an endpoint of its own, so that it takes no other run with it.
  * - A task is reported as never started only if no other owner can have started it, which is the
--- a/lib/executor/order_window.c
+++ b/lib/executor/order_window.c
@@ -18,9 +18,17 @@
 #define LATE_MS 30
 #define PROMPT_MS 20
 
+/* One element of the calls covers this time, so that all of them cover DELAY_MAX_MS. */
+#define CALLS_STEP_MS 5
+/* After PROBE_AFTER_MS at LIMIT_MIN the window is 1 for PROBE_MS.  The quickest answer of that time
+ * counts as usual, as far as it is not later by more than PROBE_RISE_MS. */
+#define PROBE_AFTER_MS 4000
+#define PROBE_MS 150
+#define PROBE_RISE_MS 15
 /* A silence of fewer calls may be that of their endpoints. */
-#define CALLS_MIN 4
-/* Below the time for which a poll may be under way before the lease needs the next one. */
+#define CALLS_MIN 3
+/* A poll that is lost ends by so much later, and the next one must still renew a lease of 1,000 ms.
+ */
 #define DELAY_MAX_MS 200
 
 /* Weight of an interval in the mean of the work that was started. */
@@ -35,7 +43,8 @@
   *window = (order_window_t){ .limit = LIMIT_INITIAL,
                               .quickest_ms = INT64_MAX,
                               .usual_ms = INT64_MAX,
-                              .epoch_quickest_ms = INT64_MAX };
+                              .epoch_quickest_ms = INT64_MAX,
+                              .probe_quickest_ms = INT64_MAX };
 }
 
 bool
@@ -66,10 +75,19 @@
 }
 
 void
-order_window_record_call (order_window_t *window, int64_t now_ms)
+order_window_record_call (order_window_t *window, uint64_t serial, int64_t now_ms)
 {
+  order_window_calls_t *newest = &window->calls[(window->calls_count - 1) % ORDER_WINDOW_CALLS];
+
   if (window->calls_in_flight++ == 0)
-    window->passed_at_ms = MAX (window->passed_at_ms, now_ms);
+    window->answered_sent_at_ms = MAX (window->answered_sent_at_ms, now_ms);
+  if (window->calls_count == 0 || now_ms - newest->sent_at_ms >= CALLS_STEP_MS)
+    {
+      newest = &window->calls[window->calls_count % ORDER_WINDOW_CALLS];
+      newest->sent_at_ms = now_ms;
+      window->calls_count++;
+    }
+  newest->last_serial = serial;
 }
 
 void
@@ -79,12 +97,16 @@
 }
 
 void
-order_window_record_answer (order_window_t *window, int64_t sent_at_ms, int64_t now_ms)
+order_window_record_answer (order_window_t *window,
+                            uint64_t serial,
+                            int64_t sent_at_ms,
+                            int64_t now_ms)
 {
   window->quickest_ms = MIN (window->quickest_ms, now_ms - sent_at_ms);
   window->epoch_quickest_ms = MIN (window->epoch_quickest_ms, now_ms - sent_at_ms);
-  window->passed_at_ms = MAX (window->passed_at_ms, sent_at_ms);
-  window->answered_at_ms = now_ms;
+  window->probe_quickest_ms = MIN (window->probe_quickest_ms, now_ms - sent_at_ms);
+  window->answered_serial = MAX (window->answered_serial, serial);
+  window->answered_sent_at_ms = MAX (window->answered_sent_at_ms, sent_at_ms);
 }
 
 /* How long the quickest answer takes without a delay of this host. */
@@ -96,20 +118,52 @@
   return usual_ms != INT64_MAX ? usual_ms : PROMPT_MS;
 }
 
+/* Returns when the oldest call was sent of those that are newer than all answered ones; NOW_MS if
+ * there is none. */
+static int64_t
+oldest_unanswered_at_ms (const order_window_t *window, int64_t now_ms)
+{
+  uint32_t kept = MIN (window->calls_count, ORDER_WINDOW_CALLS);
+  int64_t oldest_ms = now_ms;
+
+  for (uint32_t i = 1; i <= kept; i++)
+    {
+      const order_window_calls_t *calls =
+          &window->calls[(window->calls_count - i) % ORDER_WINDOW_CALLS];
+      if (calls->last_serial <= window->answered_serial)
+        break;
+      oldest_ms = calls->sent_at_ms;
+    }
+  return oldest_ms;
+}
+
 /* Calls leave in the order in which they were sent.  While several are under way and nothing that
  * was sent lately is answered, they wait here. */
 static int64_t
-unpassed_ms (const order_window_t *window, int64_t now_ms)
+unanswered_delay_ms (const order_window_t *window, int64_t now_ms)
 {
   if (window->calls_in_flight < CALLS_MIN)
     return 0;
-  return MAX (now_ms - window->passed_at_ms - usual_answer_ms (window), 0);
+  return MAX (now_ms - oldest_unanswered_at_ms (window, now_ms) - usual_answer_ms (window), 0);
 }
 
+/* The delay that certainly is this host's: what limits the starts. */
+static int64_t
+certain_delay_ms (const order_window_t *window, int64_t now_ms)
+{
+  return MIN (MAX (window->delay_ms, unanswered_delay_ms (window, now_ms)), DELAY_MAX_MS);
+}
+
+/* In doubt a call has more time: the next call to leave may have been sent right after the newest
+ * one that was answered. */
 int64_t
 order_window_delay_ms (const order_window_t *window, int64_t now_ms)
 {
-  return MIN (MAX (window->delay_ms, unpassed_ms (window, now_ms)), DELAY_MAX_MS);
+  int64_t possible_ms = now_ms - window->answered_sent_at_ms - usual_answer_ms (window);
+
+  if (window->calls_in_flight < CALLS_MIN)
+    possible_ms = 0;
+  return MIN (MAX (window->delay_ms, possible_ms), DELAY_MAX_MS);
 }
 
 bool
@@ -166,9 +220,9 @@
 static void
 update_limit (order_window_t *window, int64_t now_ms)
 {
-  int64_t delay_ms = order_window_delay_ms (window, now_ms);
+  int64_t delay_ms = certain_delay_ms (window, now_ms);
 
-  if (delay_ms > LATE_MS)
+  if (delay_ms > LATE_MS && window->most_in_flight > 0)
     window->limit = shrunk_limit (window, delay_ms);
   else if (may_grow (window, delay_ms))
     window->limit = MIN (window->limit + window->limit * GROW_PERCENT / 100, LIMIT_MAX);
@@ -176,6 +230,34 @@
   window->ended = 0;
 }
 
+/* A single order can't be the cause of a delay that lasts.  If it is answered as late as several
+ * are, it is the endpoints that have become slower. */
+static void
+measure_usual_answer (order_window_t *window, int64_t now_ms)
+{
+  if (window->probe_ends_at_ms == 0 && window->limit > LIMIT_MIN)
+    window->probe_at_ms = 0;
+  else if (window->probe_ends_at_ms == 0 && window->probe_at_ms == 0)
+    window->probe_at_ms = now_ms + PROBE_AFTER_MS;
+  else if (window->probe_ends_at_ms == 0 && now_ms >= window->probe_at_ms)
+    {
+      window->limit = 1;
+      window->probe_ends_at_ms = now_ms + PROBE_MS;
+      window->probe_quickest_ms = INT64_MAX;
+    }
+  else if (window->probe_ends_at_ms != 0 && now_ms >= window->probe_ends_at_ms)
+    {
+      if (window->probe_quickest_ms != INT64_MAX)
+        window->usual_ms =
+            MIN (window->probe_quickest_ms, usual_answer_ms (window) + PROBE_RISE_MS);
+      if (window->probe_quickest_ms != INT64_MAX)
+        window->epoch_quickest_ms = window->usual_ms;
+      window->limit = LIMIT_MIN;
+      window->probe_at_ms = 0;
+      window->probe_ends_at_ms = 0;
+    }
+}
+
 static void
 update_work (order_window_t *window)
 {
@@ -189,7 +271,7 @@
 static void
 update_limiting (order_window_t *window, int64_t now_ms)
 {
-  bool limits = window->was_full && order_window_delay_ms (window, now_ms) >= PROMPT_MS;
+  bool limits = window->was_full && certain_delay_ms (window, now_ms) >= PROMPT_MS;
 
   if (limits && !order_window_is_limiting (window, now_ms))
     window->limiting_since_ms = now_ms;
@@ -218,7 +300,9 @@
     return;
   window->interval_ends_at_ms = now_ms + INTERVAL_MS;
   update_delay (window);
-  update_limit (window, now_ms);
+  if (window->probe_ends_at_ms == 0)
+    update_limit (window, now_ms);
+  measure_usual_answer (window, now_ms);
   update_work (window);
   update_limiting (window, now_ms);
   begin_epoch_if_due (window, now_ms);
--- a/lib/executor/order_window.h
+++ b/lib/executor/order_window.h
@@ -1,12 +1,11 @@
 /* order_window.h -- how many start orders of an owner may be unanswered; private to lib/executor
  *
  * All orders and answers of an owner pass the link and the processor of its host.  If even the
- * quickest answers of an interval are later than usual, the delay is the host's own, and no
- * endpoint is to blame for it.  The window then shrinks, so that what the link does not carry waits
- * in the queue of tasks, where the most urgent goes first and what is too late is refused, and not
- * in the link, where heartbeats and polls would wait behind it.  The window grows again while the
- * quickest answers are prompt.  It needs no knowledge of the link's speed, and follows one that
- * changes.
+ * quickest answers of an interval are later than usual, the delay is taken for the host's own.  The
+ * window then shrinks, so that what the link does not carry waits in the queue of tasks, where the
+ * most urgent goes first and what is too late is refused, and not in the link, where heartbeats and
+ * polls would wait behind it.  The window grows again while the quickest answers are prompt.  It
+ * needs no knowledge of the link's speed, and follows one that changes.
  *
  * The functions are pure.  Times are milliseconds of the boot clock.  Not thread-safe.
  */
@@ -16,13 +15,27 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Calls that were sent within some milliseconds. */
+typedef struct
+{
+  int64_t sent_at_ms;   /* of the first one */
+  uint64_t last_serial; /* of the last one */
+} order_window_calls_t;
+
+#define ORDER_WINDOW_CALLS 64
+
 typedef struct
 {
   int32_t limit;           /* start orders that may be unanswered */
   int32_t in_flight;       /* start orders that are unanswered */
   int32_t calls_in_flight; /* these and other calls that endpoints answer at once */
-  int64_t passed_at_ms;    /* calls that were sent before have passed this host's link */
-  int64_t answered_at_ms;  /* the last answer */
+  order_window_calls_t calls[ORDER_WINDOW_CALLS]; /* those of the last time, as a ring */
+  uint32_t calls_count;                           /* of all elements that were stored there */
+  uint64_t answered_serial;                       /* of the newest call that has been answered */
+  int64_t answered_sent_at_ms; /* when it was sent, or a later call while nothing was under way */
+  int64_t probe_at_ms;         /* at LIMIT_MIN: when the usual time is measured anew; else 0 */
+  int64_t probe_ends_at_ms;    /* while that lasts; else 0 */
+  int64_t probe_quickest_ms;   /* quickest answer of it; INT64_MAX if there is none */
   /* Of the present interval: */
   int64_t interval_ends_at_ms;
   int32_t most_in_flight;
@@ -58,14 +71,18 @@
 /* Records that a start order was answered or given up. */
 void order_window_record_end (order_window_t *window);
 
-/* Records that a call was sent, a start order among them, which endpoints answer at once. */
-void order_window_record_call (order_window_t *window, int64_t now_ms);
+/* Records that a call was sent, a start order among them, which endpoints answer at once.  SERIAL
+ * rises with each call. */
+void order_window_record_call (order_window_t *window, uint64_t serial, int64_t now_ms);
 
 /* Records that such a call was answered or given up. */
 void order_window_record_call_end (order_window_t *window);
 
 /* Records that an endpoint has answered such a call, which was sent at SENT_AT_MS. */
-void order_window_record_answer (order_window_t *window, int64_t sent_at_ms, int64_t now_ms);
+void order_window_record_answer (order_window_t *window,
+                                 uint64_t serial,
+                                 int64_t sent_at_ms,
+                                 int64_t now_ms);
 
 /* For how long this host itself delays its calls: unanswered calls are late only after that. */
 int64_t order_window_delay_ms (const order_window_t *window, int64_t now_ms);
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -54,10 +54,10 @@
   call->token_generation = endpoint->token_generation;
   call->serial = ++executor->last_serial;
   call->sent_at_ms = now_ms;
-  call->wait_ms = wait_ms;
+  call->timed = wait_ms == 0;
   g_hash_table_insert (executor->calls, &call->serial, call);
-  if (wait_ms == 0)
-    order_window_record_call (&executor->order_window, now_ms);
+  if (call->timed)
+    order_window_record_call (&executor->order_window, call->serial, now_ms);
   return call;
 }
 
@@ -66,10 +66,12 @@
 /* True if ENDPOINT does not answer.  A lease also expires where the endpoint answers but the lease
  * was not renewed. */
 static bool
-is_silent (const endpoint_t *endpoint, int64_t now_ms)
+is_silent (const executor_t *executor, const endpoint_t *endpoint, int64_t now_ms)
 {
+  int64_t poll_max_ms = POLL_WAIT_MAX_MS + order_window_delay_ms (&executor->order_window, now_ms);
+
   return endpoint->unanswered_since_ms != 0
-         || (endpoint->poll_in_flight && now_ms - endpoint->poll_sent_at_ms > POLL_WAIT_MAX_MS);
+         || (endpoint->poll_in_flight && now_ms - endpoint->poll_sent_at_ms > poll_max_ms);
 }
 
 static void
@@ -86,7 +88,7 @@
         continue;
       if (lease_expired && task->batch != NULL)
         log_event (executor, actions, EXECUTOR_LOG_LEASE_EXPIRED, endpoint, task, now_ms);
-      if (lease_expired && is_silent (endpoint, now_ms))
+      if (lease_expired && is_silent (executor, endpoint, now_ms))
         record_loss (executor, task, false, now_ms);
       task_requeue (executor, task, now_ms);
     }
@@ -412,10 +414,9 @@
 static void
 start_alone (executor_t *executor, task_t *task, int64_t now_ms, GArray *actions)
 {
-  endpoint_t *endpoint =
-      may_send_start (executor) ? placement_choose_alone (executor, task, now_ms) : NULL;
+  endpoint_t *endpoint = placement_choose_alone (executor, task, now_ms);
 
-  if (endpoint != NULL)
+  if (endpoint != NULL && may_send_start (executor))
     {
       start_task (executor, task, endpoint, now_ms, actions);
       task->runs_alone = true;
@@ -461,16 +462,17 @@
       if (handle_suspect (executor, task, now_ms, actions))
         continue;
       placement_best_t best = unplaced_best;
-      bool may_send = may_send_start (executor);
       /* If no endpoint was found for a task, there is none for an equivalent one. */
       endpoint_t *endpoint = NULL;
-      if (may_send && !is_equivalent (unplaced, task))
+      if (!is_equivalent (unplaced, task))
         endpoint = placement_choose (executor, task, now_ms, &best);
       bool refuse = endpoint == NULL && !task->ever_started
                     && (is_deadline_unreachable (executor, task, now_ms)
                         || would_expire_in_queue (executor, task, now_ms));
-      if (refuse && may_send)
+      if (refuse)
         endpoint = placement_fallback (executor, task, now_ms);
+      if (endpoint != NULL && !may_send_start (executor))
+        endpoint = NULL;
       if (endpoint != NULL)
         start_task (executor, task, endpoint, now_ms, actions);
       else if (refuse)
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -229,7 +229,7 @@
   uint64_t serial;
   int64_t sent_at_ms;
   bool is_start;
-  int64_t wait_ms; /* for which the endpoint may delay its answer */
+  bool timed; /* its answer shows the delay of this host; see order_window.h */
 } call_t;
 
 /* An endpoint counts as unresponsive after this many unanswered calls in a row; a single call may
