--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -1,8 +1,8 @@
 /* test_admission.c -- admission decisions, retry times of refused callers, and a simulated burst */
 #include "base/hash.h"
 #include "scheduler/admission.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib.h>
 #include <stdio.h>
@@ -225,17 +225,14 @@
     }
 }
 
+static const unit_test_t tests[] = {
+  { "decisions", test_decisions },
+  { "retry times", test_retries },
+  { "a burst of the largest jobs", test_burst },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("admission", NULL, NULL);
-  CU_add_test (suite, "decisions", test_decisions);
-  CU_add_test (suite, "retry times", test_retries);
-  CU_add_test (suite, "a burst of the largest jobs", test_burst);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return unit_run ("admission", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_assign.c
+++ b/tests/test_assign.c
@@ -7,8 +7,8 @@
  */
 #include "scheduler/scheduler.h"
 #include "tests/test_scheduler_report.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib.h>
 #include <math.h>
@@ -364,24 +364,12 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "jobs exposed to cuts of a data centre", test_exposed_to_cuts },
 };
 
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("assign", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("assign", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -2,9 +2,9 @@
 #include "base/counter.h"
 #include "base/error.h"
 #include "base/hash.h"
+#include "tests/unit_runner.h"
 #include "wire/frame.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -120,11 +120,7 @@
   g_string_free (text, TRUE);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "error rows", test_error_rows },
   { "frame integers", test_frame_ints },
   { "frame truncated at every length", test_frame_truncated },
@@ -135,13 +131,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("base", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("base", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -1,7 +1,7 @@
 /* test_capacity.c -- capacity of an endpoint that shrinks and grows while it runs */
 #include "executor/capacity.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib.h>
 #include <stdio.h>
@@ -220,16 +220,13 @@
   CU_ASSERT_TRUE (tries <= 2 * OUTAGE_MS / 1000);
 }
 
+static const unit_test_t tests[] = {
+  { "capacity that shrinks and grows", test_capacity },
+  { "refusals without a report are few", test_refusals_are_few },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("capacity", NULL, NULL);
-  CU_add_test (suite, "capacity that shrinks and grows", test_capacity);
-  CU_add_test (suite, "refusals without a report are few", test_refusals_are_few);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("capacity", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_claim_exhaustive.c
+++ b/tests/test_claim_exhaustive.c
@@ -7,8 +7,8 @@
  * copied.
  */
 #include "tests/test_claim_world.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <stdio.h>
 
@@ -192,16 +192,13 @@
   CU_ASSERT (search.double_grants > 0);
 }
 
+static const unit_test_t tests[] = {
+  { "all rules, every interleaving", test_all_interleavings },
+  { "one grant is not enough", test_one_grant_is_not_enough },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("claim_exhaustive", NULL, NULL);
-  CU_add_test (suite, "all rules, every interleaving", test_all_interleavings);
-  CU_add_test (suite, "one grant is not enough", test_one_grant_is_not_enough);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return unit_run ("claim_exhaustive", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_claim_random.c
+++ b/tests/test_claim_random.c
@@ -12,8 +12,8 @@
  */
 #include "claim/coordinator.h"
 #include "claim/replica.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -855,16 +855,13 @@
   printf ("\n  ");
 }
 
+static const unit_test_t tests[] = {
+  { "all rules: no violation", test_all_rules },
+  { "each rule is needed", test_each_rule_is_needed },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("claim_random", NULL, NULL);
-  CU_add_test (suite, "all rules: no violation", test_all_rules);
-  CU_add_test (suite, "each rule is needed", test_each_rule_is_needed);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return unit_run ("claim_random", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_claim_rules.c
+++ b/tests/test_claim_rules.c
@@ -5,8 +5,8 @@
  * disabled.  Further tests cover changes of the view and slot transfers.
  */
 #include "tests/test_claim_world.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <stdio.h>
 
@@ -407,18 +407,15 @@
   world_clear (&world);
 }
 
+static const unit_test_t tests[] = {
+  { "scenarios", test_scenarios },
+  { "members die between views", test_members_die_between_views },
+  { "a slot is transferred", test_slot_transfer },
+  { "lost replicas become reachable again", test_lost_replicas_reachable_again },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("claim_rules", NULL, NULL);
-  CU_add_test (suite, "scenarios", test_scenarios);
-  CU_add_test (suite, "members die between views", test_members_die_between_views);
-  CU_add_test (suite, "a slot is transferred", test_slot_transfer);
-  CU_add_test (suite, "lost replicas become reachable again", test_lost_replicas_reachable_again);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return unit_run ("claim_rules", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -1,7 +1,7 @@
 /* test_cluster.c -- lib/cluster step by step: claims, tokens, incarnations, epochs */
 #include "cluster/cluster_msg.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -602,11 +602,7 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "claim after a start", test_claim_after_start },
   { "endpoints that obey a higher token", test_token_superseded },
   { "two hosts claim with one token", test_two_claims_with_one_token },
@@ -624,13 +620,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("cluster", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("cluster", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_config_fuzz.c
+++ b/tests/test_config_fuzz.c
@@ -9,8 +9,8 @@
 #include "config/list.h"
 #include "platform/batch.h"
 #include "platform/hosts.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <stdio.h>
 #include <string.h>
@@ -368,6 +368,10 @@
   g_rand_free (random);
 }
 
+static const unit_test_t tests[] = {
+  { "damaged", test_damaged },
+};
+
 int
 main (int argc, char **argv)
 {
@@ -376,12 +380,5 @@
       seed = (guint32) g_ascii_strtoull (argv[1], NULL, 10);
       rounds = (gint) g_ascii_strtoull (argv[2], NULL, 10);
     }
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("config_fuzz", NULL, NULL);
-  CU_add_test (suite, "damaged", test_damaged);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return unit_run ("config_fuzz", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_config_hosts.c
+++ b/tests/test_config_hosts.c
@@ -7,8 +7,8 @@
  * those.
  */
 #include "config/hosts_msg.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib.h>
 #include <inttypes.h>
@@ -260,17 +260,14 @@
   CU_ASSERT_FALSE (hosts_clock_observe (&ahead, &first));
 }
 
+static const unit_test_t tests[] = {
+  { "random", test_random },
+  { "clock ahead", test_clock_ahead },
+  { "deltas", test_deltas },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("config_hosts", NULL, NULL);
-  CU_add_test (suite, "random", test_random);
-  CU_add_test (suite, "clock ahead", test_clock_ahead);
-  CU_add_test (suite, "deltas", test_deltas);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return unit_run ("config_hosts", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_config_list.c
+++ b/tests/test_config_list.c
@@ -3,8 +3,8 @@
 #include "config/validate.h"
 #include "config/diff.h"
 #include "config/list.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -167,17 +167,14 @@
   config_replica_free (replica);
 }
 
+static const unit_test_t tests[] = {
+  { "cases", test_cases },
+  { "defaults", test_defaults },
+  { "diffs", test_diffs },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("config_list", NULL, NULL);
-  CU_add_test (suite, "cases", test_cases);
-  CU_add_test (suite, "defaults", test_defaults);
-  CU_add_test (suite, "diffs", test_diffs);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return unit_run ("config_list", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_config_relay.c
+++ b/tests/test_config_relay.c
@@ -9,8 +9,8 @@
 #include "base/hash.h"
 #include "config/checkpoint.h"
 #include "config/relay.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib.h>
 #include <inttypes.h>
@@ -434,21 +434,18 @@
     }
 }
 
+static const unit_test_t tests[] = {
+  { "random", test_random },
+  { "outage", test_outage },
+  { "failover", test_failover },
+  { "pull source", test_pull_source },
+  { "pull round robin", test_pull_round_robin },
+  { "pull source kept", test_pull_source_kept },
+  { "checkpoint cases", test_checkpoint_cases },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("config_relay", NULL, NULL);
-  CU_add_test (suite, "random", test_random);
-  CU_add_test (suite, "outage", test_outage);
-  CU_add_test (suite, "failover", test_failover);
-  CU_add_test (suite, "pull source", test_pull_source);
-  CU_add_test (suite, "pull round robin", test_pull_round_robin);
-  CU_add_test (suite, "pull source kept", test_pull_source_kept);
-  CU_add_test (suite, "checkpoint cases", test_checkpoint_cases);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return unit_run ("config_relay", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_config_replica.c
+++ b/tests/test_config_replica.c
@@ -9,8 +9,8 @@
 #include "base/error.h"
 #include "config/replica.h"
 #include "config/stream_buffer.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <inttypes.h>
 #include <stdio.h>
@@ -722,18 +722,15 @@
   config_replica_free (replica);
 }
 
+static const unit_test_t tests[] = {
+  { "differential", test_differential },
+  { "rules needed", test_rules_needed },
+  { "tombstones bounded", test_tombstones_bounded },
+  { "snapshot", test_snapshot },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("config_replica", NULL, NULL);
-  CU_add_test (suite, "differential", test_differential);
-  CU_add_test (suite, "rules needed", test_rules_needed);
-  CU_add_test (suite, "tombstones bounded", test_tombstones_bounded);
-  CU_add_test (suite, "snapshot", test_snapshot);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return unit_run ("config_replica", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -1,7 +1,7 @@
 /* test_crashes.c -- history of the tasks whose endpoints were lost */
 #include "executor/crashes.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <stdio.h>
 
@@ -309,17 +309,14 @@
   crash_history_free (history);
 }
 
+static const unit_test_t tests[] = {
+  { "decisions", test_decisions },
+  { "copied", test_copied },
+  { "bounded", test_bounded },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("crashes", NULL, NULL);
-  CU_add_test (suite, "decisions", test_decisions);
-  CU_add_test (suite, "copied", test_copied);
-  CU_add_test (suite, "bounded", test_bounded);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("crashes", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_discovery.c
+++ b/tests/test_discovery.c
@@ -1,8 +1,9 @@
 /* test_discovery.c -- until when a new owner may not know all endpoints of its shard */
 #include "executor/discovery.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
+#include <glib.h>
 
 #define CLAIMED_AT_MS 60000
 
@@ -33,15 +34,12 @@
     }
 }
 
+static const unit_test_t tests[] = {
+  { "when the discovery of a shard ends", test_discovery },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("discovery", NULL, NULL);
-  CU_add_test (suite, "when the discovery of a shard ends", test_discovery);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("discovery", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -1,8 +1,8 @@
 /* test_dispatch.c -- tests of lib/dispatch: admission, starts, limits, ejection and fairness */
 #include "dispatch/dispatch.h"
 #include "tests/test_dispatch_fake.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -589,11 +589,7 @@
   driver_free (driver);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "admission", test_admit },
   { "retry times are spread", test_retry_spread },
   { "leaving endpoints get no tasks", test_leaving_endpoint },
@@ -613,13 +609,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("dispatch", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("dispatch", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_dispatch_random.c
+++ b/tests/test_dispatch_random.c
@@ -7,8 +7,8 @@
 #include "dispatch/fair_queue.h"
 #include "dispatch/outlier.h"
 #include "tests/test_dispatch_fake.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <math.h>
 #include <stdio.h>
@@ -728,11 +728,7 @@
   g_free (model);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "fair queue", test_fair },
   { "backlog", test_backlog },
   { "ejection", test_outlier },
@@ -742,13 +738,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("dispatch, random", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("dispatch, random", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -1,8 +1,8 @@
 /* test_drain.c -- lib/drain: records, listings and messages in any order result in the same set */
 #include "drain/drain.h"
 #include "drain/drain_msg.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -365,11 +365,7 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "late records and listings change nothing", test_arrival_order },
   { "hosts with different records converge", test_hosts_converge },
   { "the start of a drain is sent as an age", test_age_is_sent },
@@ -380,13 +376,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("drain", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("drain", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_entries.c
+++ b/tests/test_entries.c
@@ -7,8 +7,8 @@
 #include "base/event.h"
 #include "executor/executor_msg.h"
 #include "platform/decode.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <fcntl.h>
 #include <json-c/json.h>
@@ -584,11 +584,7 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "members", test_members },
   { "lengths", test_lengths },
   { "ids", test_ids },
@@ -602,13 +598,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("entries", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("entries", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_entry_pages.c
+++ b/tests/test_entry_pages.c
@@ -8,8 +8,8 @@
 #include "platform/log_client.h"
 #include "reactor/loop.h"
 #include "tests/port_block.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <stdio.h>
 #include <string.h>
@@ -506,15 +506,12 @@
   port_block_free (&block);
 }
 
+static const unit_test_t tests[] = {
+  { "pages and records", test_pages },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("pages of entries", NULL, NULL);
-  CU_add_test (suite, "pages and records", test_pages);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("pages of entries", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_estimate.c
+++ b/tests/test_estimate.c
@@ -1,7 +1,7 @@
 /* test_estimate.c -- correction of callers' estimates by measured durations */
 #include "executor/estimate.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib.h>
 #include <math.h>
@@ -90,16 +90,13 @@
   estimates_free (estimates);
 }
 
+static const unit_test_t tests[] = {
+  { "corrected", test_corrected },
+  { "equal estimates", test_equal_estimates },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("estimates", NULL, NULL);
-  CU_add_test (suite, "corrected", test_corrected);
-  CU_add_test (suite, "equal estimates", test_equal_estimates);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("estimates", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_event.c
+++ b/tests/test_event.c
@@ -2,9 +2,9 @@
  * that stops reading, and the causes that `jaytrail explain` names */
 #include "base/clock.h"
 #include "base/event.h"
+#include "tests/unit_runner.h"
 #include "tool/explain.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <fcntl.h>
 #include <glib.h>
@@ -249,11 +249,7 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "every event of the table", test_table },
   { "documentation of events", test_documentation },
   { "rate limits", test_rate_limits },
@@ -265,13 +261,5 @@
 main (void)
 {
   event_setup ("h");
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("events", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("events", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -1,8 +1,8 @@
 /* test_executor.c -- single decisions of lib/executor on scripted events
  */
 #include "tests/executor_scenario.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -1004,11 +1004,7 @@
   scenario_end (&scenario);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "a drained data centre returns waiting tasks", test_drained_returns_waiting },
   { "runs in a drained data centre continue", test_drained_runs_continue },
   { "offers of a drained data centre", test_drained_offers },
@@ -1036,13 +1032,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("executor", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("executor", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_executor_capacity.c
+++ b/tests/test_executor_capacity.c
@@ -1,8 +1,8 @@
 /* test_executor_capacity.c -- endpoints whose capacity shrinks and grows
  */
 #include "tests/executor_scenario.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -219,11 +219,7 @@
   scenario_end (&scenario);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "an endpoint's capacity shrinks and grows", test_capacity_reported },
   { "an endpoint's capacity shrinks while a run is being stopped", test_capacity_stopping },
   { "an endpoint restarts with another capacity", test_capacity_after_restart },
@@ -234,13 +230,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("capacity of endpoints", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("capacity of endpoints", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_executor_done.c
+++ b/tests/test_executor_done.c
@@ -3,8 +3,8 @@
 #include "tests/executor_scenario.h"
 
 #include "executor/done_tasks.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 
 #define FIRST_INSTANCE_MS 1
@@ -273,11 +273,7 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "a task that was done starts again", test_done_task_submitted_again },
   { "ends that can't be remembered are acknowledged", test_ends_not_remembered },
   { "how long a task is known to be done", test_expiry },
@@ -286,13 +282,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("tasks that were done", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("tasks that were done", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_executor_late_orders.c
+++ b/tests/test_executor_late_orders.c
@@ -1,8 +1,8 @@
 /* test_executor_late_orders.c -- start orders that a later instance of their endpoint carries out
  */
 #include "tests/executor_scenario.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -181,11 +181,7 @@
   scenario_end (&scenario);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "a task starts although its run is listed", test_late_run_of_lost_task },
   { "the lease of a run on a later instance is counted too short", test_lease_on_later_instance },
   { "the numbers of starts go back after an adoption", test_number_after_adoption },
@@ -194,13 +190,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("orders that a later instance carries out", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("orders that a later instance carries out", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_executor_leases.c
+++ b/tests/test_executor_leases.c
@@ -2,8 +2,8 @@
  *
  * Guards against tasks that start again while a run of them may be alive. */
 #include "tests/executor_scenario.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -385,11 +385,7 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "a batch is released while a start is on its way", test_released_while_start_on_its_way },
   { "the lease of a silent coordinator", test_lease_of_silent_coordinator },
   { "a start refused for a later attempt", test_start_refused_for_later_attempt },
@@ -401,13 +397,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("leases and late orders", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("leases and late orders", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_executor_losses.c
+++ b/tests/test_executor_losses.c
@@ -1,8 +1,8 @@
 /* test_executor_losses.c -- endpoints that are lost under a task
  */
 #include "tests/executor_scenario.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -313,11 +313,7 @@
   scenario_end (&scenario);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "a run on an instance that was not noticed before", test_run_on_unnoticed_instance },
   { "a task that crashes endpoints is given up", test_crashing_task_given_up },
   { "endpoints that leave have not crashed", test_leaving_endpoints_not_crashed },
@@ -331,13 +327,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("endpoints that are lost", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("endpoints that are lost", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_executor_restarts.c
+++ b/tests/test_executor_restarts.c
@@ -1,7 +1,7 @@
 /* test_executor_restarts.c -- endpoints that start again under their ids */
 #include "tests/executor_scenario.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -437,11 +437,7 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "a task that is done on an instance not noticed before starts again",
     test_run_ended_on_unnoticed_instance },
   { "a stop that an earlier instance has confirmed", test_stop_confirmed_by_earlier_instance },
@@ -454,13 +450,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("endpoints that start again under their ids", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("endpoints that start again under their ids", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_forecast.c
+++ b/tests/test_forecast.c
@@ -1,7 +1,7 @@
 /* test_forecast.c -- predicted start and end of a task at an owner with a backlog */
 #include "scheduler/forecast.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib.h>
 #include <stdio.h>
@@ -191,18 +191,15 @@
   CU_ASSERT_TRUE (randomised_ms < 2 * REPORT_MS);
 }
 
+static const unit_test_t tests[] = {
+  { "waits", test_waits },
+  { "tasks assigned since the report count", test_assigned_tasks_count },
+  { "the choice of an owner", test_choices },
+  { "30 coordinators do not all choose the same owner", test_no_oscillation },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("forecast", NULL, NULL);
-  CU_add_test (suite, "waits", test_waits);
-  CU_add_test (suite, "tasks assigned since the report count", test_assigned_tasks_count);
-  CU_add_test (suite, "the choice of an owner", test_choices);
-  CU_add_test (suite, "30 coordinators do not all choose the same owner", test_no_oscillation);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return unit_run ("forecast", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -9,9 +9,9 @@
 #include "base/error.h"
 #include "job/request.h"
 #include "settings/settings.h"
+#include "tests/unit_runner.h"
 #include "wire/frame.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -170,11 +170,7 @@
   g_rand_free (rand);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "submissions", test_submissions },
   { "peer frames", test_frames },
 };
@@ -188,13 +184,5 @@
       count = (guint32) g_ascii_strtoull (argv[2], NULL, 10);
     }
   printf ("seed %u count %u\n", seed, count);
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("fuzz", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("fuzz", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -3,8 +3,8 @@
 #include "base/error.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -144,24 +144,12 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "answers", test_answers },
 };
 
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("http", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("http", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -3,8 +3,8 @@
 #include "job/answer.h"
 #include "job/job.h"
 #include "job/request.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <json-c/json.h>
 #include <string.h>
@@ -311,11 +311,7 @@
   g_rand_free (rand);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "bodies", test_bodies },   { "task counts", test_counts },
   { "keys", test_keys },       { "error answers", test_error_answers },
   { "results", test_results }, { "random jobs against a reference model", test_random_jobs },
@@ -324,13 +320,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("job", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("job", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -1,10 +1,10 @@
 /* test_net.c -- tests of the connections between hosts: HELLO, frames, partitions and reconnects */
 #include "base/clock.h"
+#include "tests/unit_runner.h"
 #include "wire/frame.h"
 #include "wire/net.h"
 #include "wire/socket.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <stdatomic.h>
 #include <stdlib.h>
@@ -209,11 +209,7 @@
   g_free (address);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "frames arrive once", test_frames },
   { "HELLO after a partition", test_hello_after_partition },
   { "reconnect", test_reconnect },
@@ -223,13 +219,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("net", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("net", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -3,8 +3,8 @@
 #include "base/error.h"
 #include "platform/hosts.h"
 #include "platform/platform.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -280,19 +280,13 @@
   platform_client_free (client);
 }
 
+static const unit_test_t tests[] = {
+  { "hosts", test_hosts },       { "batches", test_batches },         { "appends", test_appends },
+  { "rotation", test_rotation }, { "retry delay", test_retry_delay },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("platform", NULL, NULL);
-  CU_add_test (suite, "hosts", test_hosts);
-  CU_add_test (suite, "batches", test_batches);
-  CU_add_test (suite, "appends", test_appends);
-  CU_add_test (suite, "rotation", test_rotation);
-  CU_add_test (suite, "retry delay", test_retry_delay);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return unit_run ("platform", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_port_block.c
+++ b/tests/test_port_block.c
@@ -1,8 +1,8 @@
 /* test_port_block.c -- blocks of ports: which one is taken */
 #include "tests/port_block.h"
+#include "tests/unit_runner.h"
 #include "wire/socket.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib.h>
 #include <unistd.h>
@@ -59,11 +59,7 @@
   port_block_free (&first);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "a block with a port in use", test_block_with_a_port_in_use },
   { "a block is held", test_block_is_held },
 };
@@ -71,13 +67,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("port block", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("port block", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -4,8 +4,9 @@
 #include "quota/quota.h"
 #include "quota/quota_fair.h"
 #include "quota/quota_use.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
 #include <string.h>
 
 #define HOLDERS_MAX 4
@@ -168,19 +169,16 @@
   quota_message_free (message);
 }
 
+static const unit_test_t tests[] = {
+  { "fair division", test_fair },
+  { "fair division, random", test_fair_random },
+  { "units in use", test_use },
+  { "messages", test_message },
+};
+
 int
 main (void)
 {
   printf ("seed %d\n", SEED);
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("quota", NULL, NULL);
-  CU_add_test (suite, "fair division", test_fair);
-  CU_add_test (suite, "fair division, random", test_fair_random);
-  CU_add_test (suite, "units in use", test_use);
-  CU_add_test (suite, "messages", test_message);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failed = (int) CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failed != 0;
+  return unit_run ("quota", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_quota_random.c
+++ b/tests/test_quota_random.c
@@ -13,6 +13,7 @@
  * log.  QUOTA_VIEW_WAIT_MS relies on such a bound.
  */
 #include "test_quota_sim.h"
+#include "tests/unit_runner.h"
 
 #include <stdlib.h>
 
@@ -248,15 +249,12 @@
   printf ("\n");
 }
 
+static const unit_test_t tests[] = {
+  { "never over the limit", test_random },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("quota_random", NULL, NULL);
-  CU_add_test (suite, "never over the limit", test_random);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failed = (int) CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failed != 0;
+  return unit_run ("quota_random", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_quota_sim.h
+++ b/tests/test_quota_sim.h
@@ -11,7 +11,7 @@
 
 #include "quota/quota.h"
 
-#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
 #include <stdio.h>
 #include <string.h>
 
--- a/tests/test_quota_use.c
+++ b/tests/test_quota_use.c
@@ -1,5 +1,6 @@
 /* test_quota_use.c -- how much of a limit is in use, over simulated time */
 #include "test_quota_sim.h"
+#include "tests/unit_runner.h"
 
 #define TASK_MS 200
 #define MAX_USE_MS 3000
@@ -269,19 +270,16 @@
   sim_free (sim);
 }
 
+static const unit_test_t tests[] = {
+  { "95 percent within 2 s", test_demand_cases },
+  { "slots", test_slots },
+  { "small limits", test_small_limits },
+  { "allocator dies", test_start_gap },
+  { "a host leaves", test_leave },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("quota_use", NULL, NULL);
-  CU_add_test (suite, "95 percent within 2 s", test_demand_cases);
-  CU_add_test (suite, "slots", test_slots);
-  CU_add_test (suite, "small limits", test_small_limits);
-  CU_add_test (suite, "allocator dies", test_start_gap);
-  CU_add_test (suite, "a host leaves", test_leave);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  int failed = (int) CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failed != 0;
+  return unit_run ("quota_use", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_removed_entries.c
+++ b/tests/test_removed_entries.c
@@ -1,7 +1,7 @@
 /* test_removed_entries.c -- the endpoints whose entries were removed a short time ago */
 #include "executor/removed_entries.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 
 typedef enum
@@ -93,15 +93,12 @@
     }
 }
 
+static const unit_test_t tests[] = {
+  { "which endpoints a new owner has to ask", test_removed_entries },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("removed entries", NULL, NULL);
-  CU_add_test (suite, "which endpoints a new owner has to ask", test_removed_entries);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("removed entries", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_report_timing.c
+++ b/tests/test_report_timing.c
@@ -4,8 +4,8 @@
 #include "scheduler/report_timing.h"
 #include "scheduler/scheduler.h"
 #include "tests/test_scheduler_report.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib.h>
 #include <string.h>
@@ -157,11 +157,7 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "overdue reports", test_timing },
   { "an owner falls silent", test_owner_falls_silent },
 };
@@ -169,13 +165,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("report timing", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("report timing", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -2,8 +2,8 @@
 #include "scheduler/scheduler.h"
 #include "scheduler/size_history.h"
 #include "tests/test_scheduler_report.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <string.h>
 
@@ -728,11 +728,7 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  void (*run) (void);
-} cases[] = {
+static const unit_test_t cases[] = {
   { "no job is sent to a drained data centre", test_drained_data_centres },
   { "a drain while another owner is unknown", test_drained_unknown_owner },
   { "tasks returned by a drained data centre", test_drained_task_returned },
@@ -751,13 +747,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("scheduler", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-    CU_add_test (suite, cases[i].name, cases[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures != 0;
+  return unit_run ("scheduler", cases, G_N_ELEMENTS (cases));
 }
--- a/tests/test_scheduling_job_sizes.c
+++ b/tests/test_scheduling_job_sizes.c
@@ -3,8 +3,8 @@
  * Guards against a scheduler that completes clearly fewer large jobs than small ones although the
  * oracle completes them in time. */
 #include "tests/test_scheduling_days.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 
 static const day_case_t cases[] = { DAY_CALM, DAY_CRASHES, DAY_SILENT_CRASHES, DAY_LONG_WAITS,
@@ -41,16 +41,12 @@
     }
 }
 
+static const unit_test_t tests[] = {
+  { "large jobs are completed nearly as often as small ones", test_completion_by_size },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("completion by job size", NULL, NULL);
-  CU_add_test (suite, "large jobs are completed nearly as often as small ones",
-               test_completion_by_size);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("completion by job size", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_scheduling_lease.c
+++ b/tests/test_scheduling_lease.c
@@ -3,8 +3,8 @@
  * A coordinator is lost, and the owner of its tasks before it has ended them, so that the runs go
  * on until their lease expires.  By then callers may have submitted their jobs elsewhere. */
 #include "tests/test_scheduling_run.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 
 static const uint32_t seeds[] = { 249, 284, 421, 453 };
@@ -25,16 +25,12 @@
     }
 }
 
+static const unit_test_t tests[] = {
+  { "an owner is lost soon after a coordinator", test_owner_is_lost_after_coordinator },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("runs end with their lease", NULL, NULL);
-  CU_add_test (suite, "an owner is lost soon after a coordinator",
-               test_owner_is_lost_after_coordinator);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("runs end with their lease", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_scheduling_random.c
+++ b/tests/test_scheduling_random.c
@@ -5,8 +5,9 @@
  * starts in drained data centres, which come about when messages, answers, leases and shard claims
  * overlap with crashes, suspended processes and network partitions. */
 #include "tests/test_scheduling_check.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
 
 /* --- cases --- */
 
@@ -248,35 +249,33 @@
   CU_ASSERT_TRUE (steps > 1000000);
 }
 
+static void
+run_by_hand (const char *name, uint32_t first, uint32_t count)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    for (uint32_t seed = first; seed < first + count; seed++)
+      if (strncmp (cases[i].name, name, strlen (name)) == 0)
+        {
+          simulation_options_t options = cases[i].options;
+          options.seed = seed;
+          simulation_result_t result = simulation_run (&options);
+          print_result (cases[i].name, seed, &result);
+        }
+}
+
+static const unit_test_t tests[] = {
+  { "no invariant is violated", test_invariants },
+};
+
 /* Without arguments: runs all cases.  With arguments: CASE SEED [COUNT [ID]] runs the cases whose
  * names begin with CASE, for COUNT seeds from SEED on, prints their results, and prints the events
  * of the jobs and tasks whose ids begin with ID. */
 int
 main (int argc, char **argv)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("scheduling under random faults", NULL, NULL);
-  if (argc >= 3)
-    {
-      uint32_t first = (uint32_t) atoi (argv[2]);
-      uint32_t count = argc >= 4 ? (uint32_t) atoi (argv[3]) : 1;
-      traced_id = argc >= 5 ? argv[4] : NULL;
-      for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-        for (uint32_t seed = first; seed < first + count; seed++)
-          if (strncmp (cases[i].name, argv[1], strlen (argv[1])) == 0)
-            {
-              simulation_options_t options = cases[i].options;
-              options.seed = seed;
-              simulation_result_t result = simulation_run (&options);
-              print_result (cases[i].name, seed, &result);
-            }
-      CU_cleanup_registry ();
-      return 0;
-    }
-  CU_add_test (suite, "no invariant is violated", test_invariants);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  if (argc < 3)
+    return unit_run ("scheduling under random faults", tests, G_N_ELEMENTS (tests));
+  traced_id = argc >= 5 ? argv[4] : NULL;
+  run_by_hand (argv[1], (uint32_t) atoi (argv[2]), argc >= 4 ? (uint32_t) atoi (argv[3]) : 1);
+  return 0;
 }
--- a/tests/test_scheduling_restarts.c
+++ b/tests/test_scheduling_restarts.c
@@ -3,8 +3,9 @@
  * Guards against runs that a late order starts on a later instance of its endpoint, and against
  * jobs that fail because endpoints restart under them by chance. */
 #include "tests/test_scheduling_check.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
 
 static const simulation_case_t restarts = {
   "endpoints restart under their ids while orders are late",
@@ -37,16 +38,13 @@
   CU_ASSERT_TRUE (check_seeds (&bursts) > 0);
 }
 
+static const unit_test_t tests[] = {
+  { "no invariant is violated", test_restarts },
+  { "no invariant is violated, many at once", test_bursts },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("endpoints restart while orders are late", NULL, NULL);
-  CU_add_test (suite, "no invariant is violated", test_restarts);
-  CU_add_test (suite, "no invariant is violated, many at once", test_bursts);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("endpoints restart while orders are late", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_scheduling_starvation.c
+++ b/tests/test_scheduling_starvation.c
@@ -3,8 +3,8 @@
  * Guards against days that count as SHORT by the users' rule (has_starvation ()): the largest jobs
  * of a queue are hardly ever completed while the others are. */
 #include "tests/test_scheduling_days.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 
 static const day_case_t cases[] = { DAY_CALM, DAY_CRASHES, DAY_LONG_WAITS, DAY_LONG_WAITS_CRASHES };
@@ -20,15 +20,12 @@
       }
 }
 
+static const unit_test_t tests[] = {
+  { "large jobs are not starved", test_starvation },
+};
+
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("starvation of large jobs", NULL, NULL);
-  CU_add_test (suite, "large jobs are not starved", test_starvation);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("starvation of large jobs", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -2,8 +2,8 @@
 #include "base/address.h"
 #include "base/error.h"
 #include "settings/settings.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib/gstdio.h>
 #include <string.h>
@@ -142,11 +142,7 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "files", test_files },
   { "example file", test_example },
   { "addresses", test_addresses },
@@ -155,13 +151,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("settings", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("settings", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -7,8 +7,8 @@
 #include "base/clock.h"
 #include "tests/site_call.h"
 #include "tests/site_rig.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib.h>
 #include <limits.h>
@@ -1204,11 +1204,7 @@
   g_free (program);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "bad settings", test_settings },
   { "no faults", test_no_faults },
   { "hosts find each other", test_hosts_find_each_other },
@@ -1245,14 +1241,5 @@
 {
   signal (SIGPIPE, SIG_IGN);
   site_find_programs (argv[0]);
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("site", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    if (argc < 2 || strcmp (argv[1], tests[i].name) == 0)
-      CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run_named ("site", tests, G_N_ELEMENTS (tests), argc > 1 ? argv[1] : NULL);
 }
--- a/tests/test_site_entries.c
+++ b/tests/test_site_entries.c
@@ -6,8 +6,8 @@
  */
 #include "base/clock.h"
 #include "tests/site_rig.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <json-c/json.h>
 #include <signal.h>
@@ -303,11 +303,7 @@
   g_free (data);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "odd records", test_odd_records },
   { "a page of odd entries", test_page_of_odd_entries },
   { "an entry is overwritten and mended", test_overwritten_entry },
@@ -319,14 +315,6 @@
 main (int argc, char **argv)
 {
   site_find_programs (argv[0]);
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("entries with hosts", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    if (argc < 2 || strcmp (argv[1], tests[i].name) == 0)
-      CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run_named ("entries with hosts", tests, G_N_ELEMENTS (tests),
+                         argc > 1 ? argv[1] : NULL);
 }
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -13,8 +13,8 @@
 #include "executor/executor_msg.h"
 #include "platform/decode.h"
 #include "platform/settings.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <glib/gstdio.h>
 #include <stdio.h>
@@ -416,11 +416,7 @@
   g_rand_free (rand);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "documents", test_documents },
   { "frames", test_frames },
   { "settings", test_settings },
@@ -435,13 +431,5 @@
       rounds = atoi (argv[2]);
     }
   printf ("seed %u, %d of each\n", rand_seed, rounds);
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("site decoders", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("site decoders", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_site_restarts.c
+++ b/tests/test_site_restarts.c
@@ -9,8 +9,8 @@
 #include "base/clock.h"
 #include "tests/site_call.h"
 #include "tests/site_rig.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <json-c/json.h>
 #include <signal.h>
@@ -336,6 +336,10 @@
   CU_ASSERT_TRUE (ran > 0);
 }
 
+static const unit_test_t tests[] = {
+  { "a task ran twice after its endpoint had restarted under its id", test_restarts },
+};
+
 int
 main (int argc, char **argv)
 {
@@ -343,13 +347,5 @@
   site_find_programs (argv[0]);
   only = argc > 1 ? argv[1] : NULL;
   seed = argc > 2 ? (guint32) strtoul (argv[2], NULL, 10) : DEFAULT_SEED;
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("site", NULL, NULL);
-  CU_add_test (suite, "a task ran twice after its endpoint had restarted under its id",
-               test_restarts);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("site", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_slo.c
+++ b/tests/test_slo.c
@@ -3,8 +3,8 @@
 #include "slo/counters_msg.h"
 #include "slo/render.h"
 #include "slo/report.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <math.h>
 #include <string.h>
@@ -577,11 +577,7 @@
   slo_counters_free (counters);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "classes", test_classes },
   { "alerts", test_alerts },
   { "counters compared with a list", test_counters },
@@ -596,13 +592,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("slo", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("slo", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -9,9 +9,9 @@
 #include "tests/soak/book.h"
 #include "tests/soak/plan.h"
 #include "tests/soak/proxy.h"
+#include "tests/unit_runner.h"
 #include "wire/socket.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <fcntl.h>
 #include <poll.h>
@@ -370,11 +370,7 @@
   port_block_free (&block);
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "checks on doctored books", test_books },
   { "a ledger's line", test_ledger },
   { "plans", test_plan },
@@ -385,13 +381,5 @@
 main (void)
 {
   signal (SIGPIPE, SIG_IGN);
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("soak", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("soak", tests, G_N_ELEMENTS (tests));
 }
--- a/tests/test_view.c
+++ b/tests/test_view.c
@@ -2,8 +2,8 @@
 #include "tests/test_view_sim.h"
 
 #include "base/error.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -315,11 +315,7 @@
   view_directory_free (directory);
 }
 
-static const struct
-{
-  const char *name;
-  void (*run) (void);
-} cases[] = {
+static const unit_test_t cases[] = {
   { "the first record with a base takes effect", test_first_record_with_base_wins },
   { "a reader without the first records", test_late_reader },
   { "eight hosts, one first view", test_first_view },
@@ -337,13 +333,5 @@
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("view", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-    CU_add_test (suite, cases[i].name, cases[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return unit_run ("view", cases, G_N_ELEMENTS (cases));
 }
--- a/tests/test_web_server.c
+++ b/tests/test_web_server.c
@@ -3,8 +3,8 @@
 #include "reactor/web.h"
 #include "tests/port_block.h"
 #include "tests/site_call.h"
+#include "tests/unit_runner.h"
 
-#include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <arpa/inet.h>
 #include <glib.h>
@@ -191,24 +191,12 @@
     }
 }
 
-static const struct
-{
-  const char *name;
-  CU_TestFunc run;
-} tests[] = {
+static const unit_test_t tests[] = {
   { "the last answer arrives whole", test_last_answer_arrives_whole },
 };
 
 int
 main (void)
 {
-  CU_initialize_registry ();
-  CU_pSuite suite = CU_add_suite ("web server", NULL, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
-    CU_add_test (suite, tests[i].name, tests[i].run);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  unsigned failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return unit_run ("web server", tests, G_N_ELEMENTS (tests));
 }
