tests: polls answered as an instance, and lost, by the executor scenario

test_executor_restarts, test_executor_done and test_executor_late_orders each had functions of their own by which an instance of an endpoint answers a poll, by which a poll gets no answer, and set-ups of two endpoints.

executor_scenario.[ch] has them now: answer_with_listing (), answer_with_nothing (), lose_last_poll (), scenario_begin_pair () and scenario_begin_polled_pair (), with the task and the first instance that all three use.

--- a/tests/executor_scenario.c
+++ b/tests/executor_scenario.c
@@ -86,6 +86,37 @@
                           scenario->now_ms, scenario->actions);
 }
 
+void
+answer_with_listing (scenario_t *scenario, int number, const listing_t *listing, int64_t now_ms)
+{
+  const poll_result_t result = { .endpoint_clock_ms = now_ms - listing->instance_ms + 1,
+                                 .started_at_ms = listing->instance_ms,
+                                 .active = listing->active,
+                                 .active_count = listing->active_count,
+                                 .ended = listing->ended,
+                                 .ended_count = listing->ended_count };
+
+  g_array_set_size (scenario->actions, 0);
+  executor_poll_answered (scenario->executor, scenario->poll_serial[number], EXECUTOR_OK, &result,
+                          now_ms, scenario->actions);
+}
+
+void
+answer_with_nothing (scenario_t *scenario, int number, int64_t now_ms)
+{
+  const listing_t nothing = { .instance_ms = FIRST_INSTANCE_MS };
+
+  answer_with_listing (scenario, number, &nothing, now_ms);
+}
+
+void
+lose_last_poll (scenario_t *scenario, int number, int64_t now_ms)
+{
+  g_array_set_size (scenario->actions, 0);
+  executor_poll_answered (scenario->executor, scenario->poll_serial[number], EXECUTOR_NO_ANSWER,
+                          NULL, now_ms, scenario->actions);
+}
+
 void
 confirm_starts (scenario_t *scenario)
 {
@@ -112,6 +143,26 @@
   answer_poll (scenario, 0, NULL, 0);
 }
 
+void
+scenario_begin_pair (scenario_t *scenario)
+{
+  scenario_begin (scenario);
+  add_instance (scenario, 0, "r1", 3000, FIRST_INSTANCE_MS);
+  add_instance (scenario, 1, "r1", 4000, FIRST_INSTANCE_MS);
+}
+
+void
+scenario_begin_polled_pair (scenario_t *scenario)
+{
+  const poll_result_t nothing = { .endpoint_clock_ms = 5, .started_at_ms = FIRST_INSTANCE_MS };
+
+  scenario_begin_pair (scenario);
+  run_round_at (scenario, 0);
+  for (int number = 0; number < 2; number++)
+    executor_poll_answered (scenario->executor, scenario->poll_serial[number], EXECUTOR_OK,
+                            &nothing, 0, scenario->actions);
+}
+
 bool
 has_action (const scenario_t *scenario, executor_action_kind_t kind)
 {
--- a/tests/executor_scenario.h
+++ b/tests/executor_scenario.h
@@ -13,6 +13,10 @@
 #define SERVICE "s"
 #define DEADLINE_MS 1500
 #define FAR_DEADLINE_MS 20000
+/* The task of batch_of ("j", ...). */
+#define TASK "j.0.0.0"
+/* When the first instance of an endpoint has started, where a scenario has several. */
+#define FIRST_INSTANCE_MS 1
 
 typedef struct
 {
@@ -27,6 +31,16 @@
   char stop_task[32];      /* task of the last stop order */
 } scenario_t;
 
+/* What an instance of an endpoint lists when it answers a poll. */
+typedef struct
+{
+  int64_t instance_ms; /* when it has started; its clock showed 1 then */
+  const poll_active_t *active;
+  size_t active_count;
+  const poll_ended_t *ended;
+  size_t ended_count;
+} listing_t;
+
 extern const char *const endpoint_ids[2];
 
 /* Begins a scenario without endpoints; scenario_end () frees what it holds. */
@@ -48,12 +62,27 @@
 /* The endpoint answers its last poll with COUNT active runs. */
 void answer_poll (scenario_t *scenario, int number, const poll_active_t *rows, size_t count);
 
+/* The instance that LISTING describes answers the last poll of endpoint NUMBER at NOW_MS. */
+void
+answer_with_listing (scenario_t *scenario, int number, const listing_t *listing, int64_t now_ms);
+
+/* The first instance of endpoint NUMBER answers its last poll at NOW_MS and lists nothing. */
+void answer_with_nothing (scenario_t *scenario, int number, int64_t now_ms);
+
+/* The last poll of endpoint NUMBER has got no answer by NOW_MS. */
+void lose_last_poll (scenario_t *scenario, int number, int64_t now_ms);
+
 /* The endpoints confirm all starts that the last round has ordered. */
 void confirm_starts (scenario_t *scenario);
 
 /* Begins a scenario with one endpoint, "e0" in rack "r1", without runs. */
 void scenario_begin_idle (scenario_t *scenario, int64_t cores_milli);
 
+/* Begins a scenario with the first instances of "e0" (3 cores) and "e1" (4 cores) in rack "r1".
+ * scenario_begin_polled_pair () also polls both at 0, and they list nothing. */
+void scenario_begin_pair (scenario_t *scenario);
+void scenario_begin_polled_pair (scenario_t *scenario);
+
 /* True if the last event or round appended an action of KIND. */
 bool has_action (const scenario_t *scenario, executor_action_kind_t kind);
 
--- a/tests/test_executor_done.c
+++ b/tests/test_executor_done.c
@@ -7,9 +7,7 @@
 
 #include <CUnit/CUnit.h>
 
-#define FIRST_INSTANCE_MS 1
 #define LATER_INSTANCE_MS 900
-#define FORMER_TASK "j.0.0.0"
 #define LATER_INDEX 599
 
 /* How a task comes to be done, and what happens before it is submitted as one that may be running.
@@ -44,27 +42,21 @@
 };
 
 static void
-answer_poll_with_ends (scenario_t *scenario,
-                       int number,
-                       int64_t instance_ms,
-                       const poll_ended_t *ended,
-                       size_t count)
+answer_with_ends (scenario_t *scenario,
+                  int64_t instance_ms,
+                  const poll_ended_t *ended,
+                  size_t count)
 {
-  const poll_result_t result = { .endpoint_clock_ms = scenario->now_ms - instance_ms + 1,
-                                 .started_at_ms = instance_ms,
-                                 .ended = ended,
-                                 .ended_count = count };
+  const listing_t listing = { .instance_ms = instance_ms, .ended = ended, .ended_count = count };
 
-  g_array_set_size (scenario->actions, 0);
-  executor_poll_answered (scenario->executor, scenario->poll_serial[number], EXECUTOR_OK, &result,
-                          scenario->now_ms, scenario->actions);
+  answer_with_listing (scenario, 0, &listing, scenario->now_ms);
 }
 
 static void
 answer_both_polls (scenario_t *scenario, const poll_ended_t *ended, size_t count)
 {
-  answer_poll_with_ends (scenario, 0, FIRST_INSTANCE_MS, ended, count);
-  answer_poll_with_ends (scenario, 1, FIRST_INSTANCE_MS, NULL, 0);
+  answer_with_ends (scenario, FIRST_INSTANCE_MS, ended, count);
+  answer_with_nothing (scenario, 1, scenario->now_ms);
 }
 
 /* COUNT tasks of job "j" have ended on e0 as runs of another owner. */
@@ -87,7 +79,7 @@
 static void
 end_own_run (scenario_t *scenario, history_t history)
 {
-  const poll_ended_t ended = { 1, FORMER_TASK, 1, RUN_DONE };
+  const poll_ended_t ended = { 1, TASK, 1, RUN_DONE };
   executor_batch_t batch = batch_of ("j", 1);
   bool released = history == BATCH_RELEASED_BEFORE_END || history == BATCH_RELEASED_AFTER_END;
   bool lost = history == COORDINATOR_LOST_BEFORE_END || history == COORDINATOR_LOST_AFTER_END;
@@ -101,14 +93,14 @@
   CU_ASSERT_STRING_EQUAL (scenario->start_endpoint, "e0");
   confirm_starts (scenario);
   if (end_first)
-    answer_poll_with_ends (scenario, 0, FIRST_INSTANCE_MS, &ended, 1);
+    answer_with_ends (scenario, FIRST_INSTANCE_MS, &ended, 1);
   if (released)
     executor_release (scenario->executor, "h1", 1, 1002);
   if (lost)
     executor_remove_coordinator (scenario->executor, "h1", 1001, 1002, scenario->actions);
   run_round_at (scenario, 1010);
   if (!end_first)
-    answer_poll_with_ends (scenario, 0, FIRST_INSTANCE_MS, &ended, 1);
+    answer_with_ends (scenario, FIRST_INSTANCE_MS, &ended, 1);
 }
 
 static void
@@ -123,7 +115,7 @@
       list_foreign_ends (scenario, 1);
       add_instance (scenario, 0, "r1", 3000, LATER_INSTANCE_MS);
       run_round_at (scenario, 1020);
-      answer_poll_with_ends (scenario, 0, LATER_INSTANCE_MS, NULL, 0);
+      answer_with_ends (scenario, LATER_INSTANCE_MS, NULL, 0);
       break;
     case ENDPOINT_IS_DELETED:
       list_foreign_ends (scenario, 1);
@@ -179,9 +171,7 @@
       scenario_t scenario;
       bool done = false;
 
-      scenario_begin (&scenario);
-      add_instance (&scenario, 0, "r1", 3000, FIRST_INSTANCE_MS);
-      add_instance (&scenario, 1, "r1", 4000, FIRST_INSTANCE_MS);
+      scenario_begin_pair (&scenario);
       happen (&scenario, history);
       bool started = starts_again (&scenario, history == MANY_ENDS_BEFORE ? LATER_INDEX : 0, &done);
       if (started || !done)
@@ -214,7 +204,7 @@
   run_round_at (scenario, now_ms);
   const executor_action_t *poll = last_action (scenario, EXECUTOR_POLL);
   int64_t ack_number = poll != NULL ? poll->ack_number : 0;
-  answer_poll_with_ends (scenario, 0, FIRST_INSTANCE_MS, &last, ack_number < ends ? 1 : 0);
+  answer_with_ends (scenario, FIRST_INSTANCE_MS, &last, ack_number < ends ? 1 : 0);
   g_free (task);
   return ack_number;
 }
@@ -262,12 +252,12 @@
     {
       done_tasks_t *tasks = done_tasks_new (DONE_RETENTION_MS, DONE_RETENTION_MIN_MS);
 
-      CU_ASSERT_TRUE (done_tasks_add (tasks, FORMER_TASK, 0));
+      CU_ASSERT_TRUE (done_tasks_add (tasks, TASK, 0));
       CU_ASSERT_TRUE (done_tasks_add (tasks, "k.0.0.0", 10));
       if (expiry_cases[i].second_at_ms != 0)
-        CU_ASSERT_TRUE (done_tasks_add (tasks, FORMER_TASK, expiry_cases[i].second_at_ms));
+        CU_ASSERT_TRUE (done_tasks_add (tasks, TASK, expiry_cases[i].second_at_ms));
       done_tasks_expire (tasks, expiry_cases[i].asked_at_ms);
-      CU_ASSERT_EQUAL (done_tasks_contain (tasks, FORMER_TASK), expiry_cases[i].contained);
+      CU_ASSERT_EQUAL (done_tasks_contain (tasks, TASK), expiry_cases[i].contained);
       CU_ASSERT_EQUAL (done_tasks_count (tasks), 1 + (size_t) expiry_cases[i].contained);
       done_tasks_free (tasks);
     }
--- a/tests/test_executor_late_orders.c
+++ b/tests/test_executor_late_orders.c
@@ -7,33 +7,23 @@
 #include <string.h>
 
 /* e0 starts again at LATER_INSTANCE_MS and carries out an order from before. */
-#define FIRST_INSTANCE_MS 1
 #define LATER_INSTANCE_MS 1900
 #define ORDER_MS 1000
-#define TASK "j.0.0.0"
 
+/* Begins a scenario with one endpoint, e0, in which a start order at ORDER_MS gets no answer. */
 static void
-answer_poll_as (scenario_t *scenario,
-                int number,
-                int64_t instance_ms,
-                const poll_active_t *rows,
-                size_t count,
-                int64_t now_ms)
+scenario_begin_without_answer (scenario_t *scenario,
+                               const executor_batch_t *batch,
+                               int64_t cores_milli)
 {
-  const poll_result_t result = { .endpoint_clock_ms = now_ms - instance_ms + 1,
-                                 .started_at_ms = instance_ms,
-                                 .active = rows,
-                                 .active_count = count };
-
-  executor_poll_answered (scenario->executor, scenario->poll_serial[number], EXECUTOR_OK, &result,
-                          now_ms, scenario->actions);
-}
-
-static void
-lose_poll (scenario_t *scenario, int64_t now_ms)
-{
-  executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_NO_ANSWER, NULL,
-                          now_ms, scenario->actions);
+  scenario_begin (scenario);
+  add_instance (scenario, 0, "r1", cores_milli, FIRST_INSTANCE_MS);
+  run_round_at (scenario, ORDER_MS - 100);
+  answer_with_nothing (scenario, 0, ORDER_MS - 99);
+  executor_submit (scenario->executor, batch, ORDER_MS);
+  run_round_at (scenario, ORDER_MS);
+  executor_start_answered (scenario->executor, scenario->start_serial, EXECUTOR_NO_ANSWER, 0,
+                           ORDER_MS + 80, scenario->actions);
 }
 
 /* The first instance of e0 confirms stops and lists no run until the next start there.  Returns
@@ -52,7 +42,7 @@
         executor_stop_answered (scenario->executor, stop->serial, EXECUTOR_OK, now_ms, now_ms,
                                 scenario->actions);
       if (scenario->poll_serial[0] != poll_serial || now_ms == ORDER_MS + 90)
-        answer_poll_as (scenario, 0, FIRST_INSTANCE_MS, NULL, 0, now_ms + 2);
+        answer_with_nothing (scenario, 0, now_ms + 2);
     }
   return now_ms;
 }
@@ -66,14 +56,7 @@
 {
   uint64_t lost_serial = 0;
 
-  scenario_begin (scenario);
-  add_instance (scenario, 0, "r1", 1000, FIRST_INSTANCE_MS);
-  run_round_at (scenario, ORDER_MS - 100);
-  answer_poll_as (scenario, 0, FIRST_INSTANCE_MS, NULL, 0, ORDER_MS - 99);
-  executor_submit (scenario->executor, batch, ORDER_MS);
-  run_round_at (scenario, ORDER_MS);
-  executor_start_answered (scenario->executor, scenario->start_serial, EXECUTOR_NO_ANSWER, 0,
-                           ORDER_MS + 80, scenario->actions);
+  scenario_begin_without_answer (scenario, batch, 1000);
   int64_t now_ms = answer_until_next_start (scenario, ORDER_MS + 80);
   CU_ASSERT_STRING_EQUAL (scenario->start_endpoint, "e0");
   executor_start_answered (scenario->executor, scenario->start_serial, answer,
@@ -82,12 +65,12 @@
     {
       run_round_at (scenario, now_ms);
       if (scenario->poll_serial[0] != lost_serial)
-        lose_poll (scenario, now_ms + 2);
+        lose_last_poll (scenario, 0, now_ms + 2);
       lost_serial = scenario->poll_serial[0];
     }
   add_instance (scenario, 1, "r1", 3000, FIRST_INSTANCE_MS);
   run_round_at (scenario, now_ms);
-  answer_poll_as (scenario, 1, FIRST_INSTANCE_MS, NULL, 0, now_ms);
+  answer_with_nothing (scenario, 1, now_ms);
   while (scenario->poll_serial[0] == lost_serial)
     run_round_at (scenario, now_ms += 5);
   return now_ms;
@@ -99,13 +82,14 @@
 test_late_run_of_lost_task (void)
 {
   const poll_active_t row = { TASK, 1, 10 };
+  const listing_t listing = { .instance_ms = LATER_INSTANCE_MS, .active = &row, .active_count = 1 };
   executor_batch_t batch = batch_of ("j", 1);
   scenario_t scenario;
 
   int64_t now_ms = order_twice_then_silence (&scenario, &batch, EXECUTOR_OK);
   for (int64_t until_ms = now_ms + LEASE_MS / 2; now_ms < until_ms; now_ms += 10)
     {
-      answer_poll_as (&scenario, 0, LATER_INSTANCE_MS, &row, 1, now_ms);
+      answer_with_listing (&scenario, 0, &listing, now_ms);
       run_round_at (&scenario, now_ms + 1);
       CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "");
     }
@@ -119,24 +103,21 @@
 {
   const poll_active_t row = { TASK, 1, 10 };
   const poll_ended_t ended = { 1, TASK, 1, RUN_FAILED };
+  const listing_t listing = { .instance_ms = LATER_INSTANCE_MS, .active = &row, .active_count = 1 };
+  const listing_t later = { .instance_ms = LATER_INSTANCE_MS, .ended = &ended, .ended_count = 1 };
   executor_batch_t batch = batch_of ("j", 1);
   scenario_t scenario;
   int32_t attempt = 0;
 
   int64_t now_ms = order_twice_then_silence (&scenario, &batch, EXECUTOR_OK);
-  answer_poll_as (&scenario, 0, LATER_INSTANCE_MS, &row, 1, now_ms);
+  answer_with_listing (&scenario, 0, &listing, now_ms);
   for (int64_t from_ms = now_ms; attempt == 0 && now_ms < from_ms + LEASE_MS; now_ms += 10)
     {
       run_round_at (&scenario, now_ms);
       const executor_action_t *start = last_action (&scenario, EXECUTOR_START);
       if (start != NULL)
         attempt = start->attempt;
-      const poll_result_t result = { .endpoint_clock_ms = now_ms - LATER_INSTANCE_MS + 1,
-                                     .started_at_ms = LATER_INSTANCE_MS,
-                                     .ended = &ended,
-                                     .ended_count = 1 };
-      executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &result,
-                              now_ms, scenario.actions);
+      answer_with_listing (&scenario, 0, &later, now_ms);
     }
   CU_ASSERT_EQUAL (attempt, 3);
   scenario_end (&scenario);
@@ -149,21 +130,16 @@
 {
   const poll_active_t rows[] = { { TASK, 1, 10 }, { "f.0.0.0", 1, 10 } };
   const int64_t carried_out_ms = ORDER_MS + 340;
+  const listing_t later = { .instance_ms = carried_out_ms - 100,
+                            .active = rows,
+                            .active_count = G_N_ELEMENTS (rows) };
   executor_batch_t batch = batch_of ("j", 1);
   scenario_t scenario;
   uint64_t lost_serial = 0;
 
   batch.estimate_ms = 1000;
-  scenario_begin (&scenario);
-  add_instance (&scenario, 0, "r1", 3000, FIRST_INSTANCE_MS);
-  run_round_at (&scenario, ORDER_MS - 100);
-  answer_poll_as (&scenario, 0, FIRST_INSTANCE_MS, NULL, 0, ORDER_MS - 99);
-  executor_submit (scenario.executor, &batch, ORDER_MS);
-  run_round_at (&scenario, ORDER_MS);
-  executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_NO_ANSWER, 0,
-                           ORDER_MS + 80, scenario.actions);
-  answer_poll_as (&scenario, 0, carried_out_ms - 100, rows, G_N_ELEMENTS (rows),
-                  carried_out_ms + 10);
+  scenario_begin_without_answer (&scenario, &batch, 3000);
+  answer_with_listing (&scenario, 0, &later, carried_out_ms + 10);
   add_instance (&scenario, 1, "r1", 3000, FIRST_INSTANCE_MS);
   for (int64_t now_ms = carried_out_ms + 11; now_ms <= carried_out_ms + LEASE_MS; now_ms++)
     {
@@ -173,10 +149,10 @@
         printf ("  started on %s at %d ms\n", scenario.start_endpoint, (int) now_ms);
       CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "");
       if (scenario.poll_serial[0] != lost_serial)
-        lose_poll (&scenario, now_ms);
+        lose_last_poll (&scenario, 0, now_ms);
       lost_serial = scenario.poll_serial[0];
       if (scenario.poll_serial[1] != poll_serial)
-        answer_poll_as (&scenario, 1, FIRST_INSTANCE_MS, NULL, 0, now_ms);
+        answer_with_nothing (&scenario, 1, now_ms);
     }
   scenario_end (&scenario);
 }
--- a/tests/test_executor_restarts.c
+++ b/tests/test_executor_restarts.c
@@ -7,11 +7,9 @@
 
 /* e0 starts again between the answer to its first poll and the first order; the later instance is
  * known by the poll that is answered at LATER_POLL_MS. */
-#define FIRST_INSTANCE_MS 1
 #define LATER_INSTANCE_MS 900
 #define ORDER_MS 1000
 #define LATER_POLL_MS 1200
-#define TASK "j.0.0.0"
 
 /* How a poll of the later instance lists the run. */
 typedef enum
@@ -20,69 +18,43 @@
   LISTED_ACTIVE,
   LISTED_DONE,
   LISTED_FAILED
-} listing_t;
-
-static void
-answer_first_polls (scenario_t *scenario)
-{
-  for (int number = 0; number < 2; number++)
-    {
-      const poll_result_t result = { .endpoint_clock_ms = 5, .started_at_ms = FIRST_INSTANCE_MS };
-      executor_poll_answered (scenario->executor, scenario->poll_serial[number], EXECUTOR_OK,
-                              &result, 0, scenario->actions);
-    }
-}
+} later_listing_t;
 
 /* Begins a scenario in which a task is ordered to start on e0, which has started again unnoticed.
  * The poll that is sent with the order is lost. */
 static void
 scenario_begin_restarted (scenario_t *scenario, const executor_batch_t *batch)
 {
-  scenario_begin (scenario);
-  add_instance (scenario, 0, "r1", 3000, FIRST_INSTANCE_MS);
-  add_instance (scenario, 1, "r1", 4000, FIRST_INSTANCE_MS);
-  run_round_at (scenario, 0);
-  answer_first_polls (scenario);
+  scenario_begin_polled_pair (scenario);
   executor_submit (scenario->executor, batch, ORDER_MS);
   run_round_at (scenario, ORDER_MS);
   CU_ASSERT_STRING_EQUAL (scenario->start_endpoint, "e0");
 }
 
-static void
-lose_first_poll (scenario_t *scenario)
-{
-  executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_NO_ANSWER, NULL,
-                          ORDER_MS + 20, scenario->actions);
-  run_round_at (scenario, LATER_POLL_MS - 10);
-}
-
 /* The later instance of e0 answers the last poll at NOW_MS. */
 static void
-answer_as_later_instance (scenario_t *scenario, listing_t listing, int64_t now_ms)
+answer_as_later_instance (scenario_t *scenario, later_listing_t later, int64_t now_ms)
 {
   const poll_active_t active = { TASK, 1, 10 };
-  const poll_ended_t ended = { 1, TASK, 1, listing == LISTED_DONE ? RUN_DONE : RUN_FAILED };
-  const poll_result_t result = {
-    .endpoint_clock_ms = now_ms - LATER_INSTANCE_MS + 1,
-    .started_at_ms = LATER_INSTANCE_MS,
+  const poll_ended_t ended = { 1, TASK, 1, later == LISTED_DONE ? RUN_DONE : RUN_FAILED };
+  const listing_t listing = {
+    .instance_ms = LATER_INSTANCE_MS,
     .active = &active,
-    .active_count = listing == LISTED_ACTIVE,
+    .active_count = later == LISTED_ACTIVE,
     .ended = &ended,
-    .ended_count = listing == LISTED_DONE || listing == LISTED_FAILED,
+    .ended_count = later == LISTED_DONE || later == LISTED_FAILED,
   };
 
-  g_array_set_size (scenario->actions, 0);
-  executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_OK, &result,
-                          now_ms, scenario->actions);
+  answer_with_listing (scenario, 0, &listing, now_ms);
 }
 
 static const struct
 {
   const char *name;
-  bool confirmed;    /* the start, by the later instance, before the poll is sent */
-  listing_t listing; /* in that poll */
-  bool done;         /* the coordinator is told that the task is done */
-  bool starts_again; /* within half a lease */
+  bool confirmed;          /* the start, by the later instance, before the poll is sent */
+  later_listing_t listing; /* in that poll */
+  bool done;               /* the coordinator is told that the task is done */
+  bool starts_again;       /* within half a lease */
 } later_instance_cases[] = {
   { "confirmed, active", true, LISTED_ACTIVE, false, false },
   { "confirmed, done", true, LISTED_DONE, true, false },
@@ -108,7 +80,8 @@
                                later_instance_cases[i].confirmed ? EXECUTOR_OK : EXECUTOR_NO_ANSWER,
                                later_instance_cases[i].confirmed ? 102 : 0, ORDER_MS + 1,
                                scenario.actions);
-      lose_first_poll (&scenario);
+      lose_last_poll (&scenario, 0, ORDER_MS + 20);
+      run_round_at (&scenario, LATER_POLL_MS - 10);
       answer_as_later_instance (&scenario, later_instance_cases[i].listing, LATER_POLL_MS);
       bool done = has_action (&scenario, EXECUTOR_DONE);
       for (int64_t now_ms = LATER_POLL_MS; now_ms < LATER_POLL_MS + LEASE_MS / 2; now_ms += 10)
@@ -124,22 +97,6 @@
     }
 }
 
-/* An endpoint in a scenario that answers as one of two instances.  The later one has started at
- * LATER_INSTANCE_MS. */
-static void
-answer_poll_as (scenario_t *scenario, int64_t instance_ms, bool active, int64_t now_ms)
-{
-  const poll_active_t row = { TASK, 1, 10 };
-  const poll_result_t result = { .endpoint_clock_ms = now_ms - instance_ms + 1,
-                                 .started_at_ms = instance_ms,
-                                 .active = &row,
-                                 .active_count = active };
-
-  g_array_set_size (scenario->actions, 0);
-  executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_OK, &result,
-                          now_ms, scenario->actions);
-}
-
 static uint64_t
 stop_serial_of_round (scenario_t *scenario, int64_t now_ms)
 {
@@ -169,26 +126,22 @@
       scenario_t scenario;
       bool stopped_again = false;
 
-      scenario_begin (&scenario);
-      add_instance (&scenario, 0, "r1", 3000, FIRST_INSTANCE_MS);
-      add_instance (&scenario, 1, "r1", 4000, FIRST_INSTANCE_MS);
-      run_round_at (&scenario, 0);
-      answer_first_polls (&scenario);
+      scenario_begin_polled_pair (&scenario);
       executor_submit (scenario.executor, &batch, 700);
       run_round_at (&scenario, 700);
       CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e0");
       executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_NO_ANSWER, 0, 780,
                                scenario.actions);
-      answer_poll_as (&scenario, FIRST_INSTANCE_MS, false, 781);
+      answer_with_nothing (&scenario, 0, 781);
       run_round_at (&scenario, 810);
-      answer_poll_as (&scenario, FIRST_INSTANCE_MS, false, 811);
+      answer_with_nothing (&scenario, 0, 811);
       uint64_t stop_serial = stop_serial_of_round (&scenario, 880);
       CU_ASSERT_NOT_EQUAL (stop_serial, 0);
       if (!answer_late)
         executor_stop_answered (scenario.executor, stop_serial, EXECUTOR_OK, 882, 882,
                                 scenario.actions);
       run_round_at (&scenario, 905);
-      answer_poll_as (&scenario, LATER_INSTANCE_MS, true, 910);
+      answer_as_later_instance (&scenario, LISTED_ACTIVE, 910);
       if (answer_late)
         executor_stop_answered (scenario.executor, stop_serial, EXECUTOR_OK, 882, 911,
                                 scenario.actions);
@@ -199,7 +152,7 @@
             printf ("  %s: started on %s at %d ms\n", earlier_stop_cases[i].name,
                     scenario.start_endpoint, (int) now_ms);
           CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "");
-          answer_poll_as (&scenario, LATER_INSTANCE_MS, true, now_ms + 1);
+          answer_as_later_instance (&scenario, LISTED_ACTIVE, now_ms + 1);
         }
       CU_ASSERT_TRUE (stopped_again);
       scenario_end (&scenario);
@@ -229,15 +182,13 @@
 static void
 lose_polls (scenario_t *scenario, int64_t until_ms)
 {
-  executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_NO_ANSWER, NULL,
-                          90, scenario->actions);
+  lose_last_poll (scenario, 0, 90);
   for (int64_t now_ms = 90; now_ms < until_ms; now_ms += 10)
     {
       uint64_t poll_serial = scenario->poll_serial[0];
       run_round_at (scenario, now_ms);
       if (scenario->poll_serial[0] != poll_serial)
-        executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_NO_ANSWER,
-                                NULL, now_ms + 5, scenario->actions);
+        lose_last_poll (scenario, 0, now_ms + 5);
     }
 }
 
@@ -256,11 +207,7 @@
       executor_batch_t batch = batch_of ("j", 1);
       scenario_t scenario;
 
-      scenario_begin (&scenario);
-      add_instance (&scenario, 0, "r1", 3000, FIRST_INSTANCE_MS);
-      add_instance (&scenario, 1, "r1", 4000, FIRST_INSTANCE_MS);
-      run_round_at (&scenario, 0);
-      answer_first_polls (&scenario);
+      scenario_begin_polled_pair (&scenario);
       executor_submit (scenario.executor, &batch, 10);
       run_round_at (&scenario, 10);
       executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_NO_ANSWER, 0, 90,
@@ -294,8 +241,7 @@
   run_round_at (&scenario, 10);
   executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_OK, 5012, 11,
                            scenario.actions);
-  executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_NO_ANSWER, NULL, 300,
-                          scenario.actions);
+  lose_last_poll (&scenario, 0, 300);
   run_round_at (&scenario, 600);
   executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &later, 601,
                           scenario.actions);
@@ -342,15 +288,11 @@
 }
 
 static void
-answer_poll_at (scenario_t *scenario, int64_t now_ms, const poll_ended_t *ended, size_t count)
+answer_with_end (scenario_t *scenario, const poll_ended_t *ended, int64_t now_ms)
 {
-  const poll_result_t result = { .endpoint_clock_ms = now_ms,
-                                 .started_at_ms = FIRST_INSTANCE_MS,
-                                 .ended = ended,
-                                 .ended_count = count };
+  const listing_t listing = { .instance_ms = FIRST_INSTANCE_MS, .ended = ended, .ended_count = 1 };
 
-  executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_OK, &result,
-                          now_ms, scenario->actions);
+  answer_with_listing (scenario, 0, &listing, now_ms);
 }
 
 /* Two tasks have started on e0 at 5000, and one of them ends as number 5.  The start of the other
@@ -364,19 +306,18 @@
   scenario_begin (scenario);
   add_instance (scenario, 0, "r1", 3000, FIRST_INSTANCE_MS);
   run_round_at (scenario, 5000);
-  answer_poll_at (scenario, 5000, NULL, 0);
+  answer_with_nothing (scenario, 0, 5000);
   executor_submit (scenario->executor, &batch, 5000);
   executor_submit (scenario->executor, &next, 5000);
   run_round_at (scenario, 5000);
-  answer_poll_at (scenario, 5060, ended, 1);
+  answer_with_end (scenario, ended, 5060);
 }
 
 static void
-lose_poll (scenario_t *scenario)
+lose_acknowledgement (scenario_t *scenario)
 {
   run_round_at (scenario, 5061);
-  executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_NO_ANSWER, NULL,
-                          5500, scenario->actions);
+  lose_last_poll (scenario, 0, 5500);
 }
 
 static void
@@ -388,20 +329,20 @@
     {
     case POLL_ANSWERED:
       run_round_at (scenario, 5061);
-      answer_poll_at (scenario, 5062, NULL, 0);
+      answer_with_nothing (scenario, 0, 5062);
       break;
     case POLL_UNANSWERED:
-      lose_poll (scenario);
+      lose_acknowledgement (scenario);
       break;
     case POLL_UNANSWERED_START_REFUSED:
-      lose_poll (scenario);
+      lose_acknowledgement (scenario);
       executor_start_answered (scenario->executor, start_serial, EXECUTOR_UNHEALTHY, 0, 5501,
                                scenario->actions);
       break;
     case POLL_ANSWERED_AFTER_SILENCE:
-      lose_poll (scenario);
+      lose_acknowledgement (scenario);
       run_round_at (scenario, 5700);
-      answer_poll_at (scenario, 5701, ended, 1);
+      answer_with_end (scenario, ended, 5701);
       break;
     case LATER_CLOCK:
       executor_start_answered (scenario->executor, start_serial, EXECUTOR_OK, 30, 5061,
