platform: numbers that are not finite are refused where they are read

What callers saw: a configuration with the version 1e999 was put in force and shut out every later one for good; a job with an estimate of 1e999 waited and was answered 504, one with "anti_affinity": NaN was served. An endpoint with the clock NaN in a poll would have looked restarted.

Cause: json-c 0.16 reads NaN, nan, Infinity, -Infinity and 1e999 as numbers. As an integer Infinity and 1e999 are INT64_MAX (negative: INT64_MIN), and NaN is 0 here and undefined in C, so that machines differ. Only entries of endpoints were checked (read_number ()).

Change: a job with such a number, where it is read, is answered 400 with "the numbers of a phase must be finite"; a configuration is invalid (configuration_invalid), and that in force stays; a poll counts as not answered, cells of runs and ends included, since a row that is left out would say that a run is over; as the clock of another answer it counts as not given.

Open: finite numbers beyond 64 bits (a version of 1e19) still become INT64_MAX.

--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -93,6 +93,8 @@
   { "POST", "/q/00000000000000a8", "{\"spec\":\"1\",\"phases\":[{\"count\":1}]}", "", 503 },
   { "POST", "/q/00000000000000a9", NULL, ",\"gang\":true", 503 },
   { "POST", "/q/00000000000000aa", NULL, ",\"long_running\":true", 503 },
+  { "POST", "/q/00000000000000ab", NULL, ",\"anti_affinity\":NaN", 400 },
+  { "POST", "/q/00000000000000ac", NULL, ",\"estimated_ms\":1e999", 400 },
   { "GET", "/q/00000000000000a1", "", "", 410 },
   { "DELETE", "/q/00000000000000a1", "", "", 410 },
   { "GET", "/q/", "", "", 200 },
@@ -535,8 +537,13 @@
   return true;
 }
 
+#define INFINITE_VERSION                                                                           \
+  "{\"version\":1e999,\"routes\":[{\"name\":\"r\",\"host\":\"" SITE_CALL_QUEUE_HOST                \
+  "\",\"path_prefix\":\"/odd/\",\"service\":\"s\"}]}"
+
 /* A configuration takes effect at all hosts in time, an older one never replaces it, and it stays
- * in effect when the log has lost its history. */
+ * in effect when the log has lost its history.  One whose version is not finite is not accepted: no
+ * other would ever replace it. */
 static void
 test_configuration (void)
 {
@@ -546,6 +553,9 @@
   site_put_queue_prefix (&rig, 7, "/new/");
   CU_ASSERT_TRUE (wait_for_queue (&rig, "/new/", 2000));
   CU_ASSERT_EQUAL (status_of_get (&rig, 0, "/q/"), 404);
+  site_call (rig.port, "POST", "/config", INFINITE_VERSION);
+  for (int i = 0; i < SITE_HOSTS; i++)
+    CU_ASSERT_TRUE (site_wait_for_log_lines (&rig, i, "\"configuration_invalid\"", 1));
   site_put_queue_prefix (&rig, 5, "/old/");
   site_post_to_standin (&rig, "/forget");
   clock_sleep_ms (1500);
