tests: test_site in programs by subject

Its cases about hosts, endpoints and drains stand in test_site_hosts, test_site_endpoints and test_site_drain now; requests, settings and the configuration stay. Functions and tables are moved as they were; the two that more than one program needs, the wait for a queue and the status of a request under a prefix, are in site_rig. Each rig takes a block of ports of its own, as before, so that the programs may run side by side.

--- a/tests/site_rig.c
+++ b/tests/site_rig.c
@@ -134,6 +134,30 @@
   site_put_queue (rig, version, prefix, QUEUE_TIMEOUT_MS);
 }
 
+int
+site_status_of_get (const site_rig_t *rig, int host, const char *prefix)
+{
+  char *target = g_strdup_printf ("%s00000000000000d1", prefix);
+  int status = site_call (site_caller_port (rig, host), "GET", target, "").status;
+
+  g_free (target);
+  return status;
+}
+bool
+site_wait_for_queue (const site_rig_t *rig, const char *prefix, int64_t within_ms)
+{
+  int64_t until_ms = clock_boot_ms () + within_ms;
+
+  for (int i = 0; i < SITE_HOSTS; i++)
+    while (site_status_of_get (rig, i, prefix) != 410)
+      {
+        if (clock_boot_ms () > until_ms)
+          return false;
+        clock_sleep_ms (10);
+      }
+  return true;
+}
+
 bool
 site_is_ready (const site_rig_t *rig, int host)
 {
--- a/tests/site_rig.h
+++ b/tests/site_rig.h
@@ -87,6 +87,13 @@
 void site_put_queue (const site_rig_t *rig, int version, const char *prefix, int timeout_ms);
 void site_put_queue_prefix (const site_rig_t *rig, int version, const char *prefix);
 
+/* The status of HOST's answer to a request for a job that it does not have, under PREFIX: 410, or
+ * 404 if no queue in force has the prefix. */
+int site_status_of_get (const site_rig_t *rig, int host, const char *prefix);
+
+/* Returns false if a queue with PREFIX is not in force at all hosts WITHIN_MS from now. */
+bool site_wait_for_queue (const site_rig_t *rig, const char *prefix, int64_t within_ms);
+
 /* --- jobs --- */
 
 /* The port of HOST for callers. */
--- a/tools/mixed_builds.sh
+++ b/tools/mixed_builds.sh
@@ -12,6 +12,7 @@
 other=$(realpath "${1:?a build directory is needed}")
 shift
 seeds=${*:-$(grep -o '^[0-9]*' tests/soak/seeds.txt | head -n 3)}
+site_tests="test_site test_site_drain test_site_endpoints test_site_hosts"
 cases_at_once=3
 failed=0
 
@@ -22,7 +23,9 @@
   mkdir -p "$1/tests"
   ln -s "$bin"/fake_* "$1/"
   ln -s "$2/jaytrail" "$1/"
-  cp "$bin/tests/test_site" "$1/tests/"
+  for test in $site_tests; do
+    cp "$bin/tests/$test" "$1/tests/"
+  done
   cat >"$1/jaytraild" <<EOF
 #!/usr/bin/env bash
 settings=\${JAYTRAIL_SETTINGS:-}
@@ -51,7 +54,9 @@
 
 run_all () {
   local label=$1 dir=$2
-  step "$label/test_site" "$dir/tests/test_site"
+  for test in $site_tests; do
+    step "$label/$test" "$dir/tests/$test"
+  done
   for seed in $seeds; do
     step "$label/soak $seed" timeout 200 "$bin/tests/soak" --build "$dir" --seed "$seed"
   done
