Urgent tasks go where less work of lower priorities waits

Change: of two owners at which a task ends about equally soon, the one where less work of lower priorities waits gets it, if that differs by more than the uncertainty of the reports; else the draw by cores decides as before. With old reports the uncertainty is large and the draw remains, so that coordinators do not all move at once.

tests/test_forecast.c: six choices and the time of the lower work. The four choices that were there stay as they were.

--- a/lib/scheduler/forecast.c
+++ b/lib/scheduler/forecast.c
@@ -36,6 +36,17 @@
   return ahead;
 }
 
+/* Returns how long the cores of the owner need for the work of lower priorities than LEVEL. */
+static int64_t
+lower_wait_of (const forecast_load_t *load, int32_t level)
+{
+  double core_ms = 0;
+
+  for (int32_t i = level + 1; i < EXECUTOR_LOAD_LEVELS; i++)
+    core_ms += (double) load->report.backlog_core_ms[i] + (double) load->assigned_core_ms[i];
+  return (int64_t) (core_ms * MILLI / (double) load->report.cores_milli);
+}
+
 /* Returns how much longer CORES_MILLI need for WORK, which is in core-milliseconds, if they have
  * worked on it for AGE_MS.  No core becomes free before NEXT_FREE_MS. */
 static int64_t
@@ -62,11 +73,13 @@
 forecast_task_times (const forecast_load_t *load, const forecast_task_t *task, int64_t now_ms)
 {
   const executor_load_t *report = &load->report;
-  work_ahead_t ahead = work_ahead_of (load, executor_load_level (task->priority));
+  int32_t level = executor_load_level (task->priority);
+  work_ahead_t ahead = work_ahead_of (load, level);
   double cores = (double) report->cores_milli;
   int64_t slack_ms = task->goal_at_ms - now_ms - task->min_run_ms;
   int64_t free_ms = report->next_free_ms;
-  forecast_t forecast = { .report_age_ms = MAX (now_ms - load->received_at_ms, 0) };
+  forecast_t forecast = { .lower_wait_ms = lower_wait_of (load, level),
+                          .report_age_ms = MAX (now_ms - load->received_at_ms, 0) };
   int64_t age_ms = forecast.report_age_ms;
   int64_t elapsed_ms = MIN (age_ms, REPORT_INTERVAL_MS);
 
@@ -108,46 +121,77 @@
   return forecast->end_ms + MAX (forecast->report_age_ms - REPORT_INTERVAL_MS, 0);
 }
 
-static bool
-are_equivalent (const forecast_t *best, const forecast_t *other)
+/* Returns by how much the end of OTHER may differ from that of BEST and still count as equal. */
+static int64_t
+uncertainty_ms (const forecast_t *best, const forecast_t *other)
 {
-  int64_t between_ms = penalised_end_ms (other) - penalised_end_ms (best);
   int64_t age_ms = MAX (best->report_age_ms, other->report_age_ms);
 
-  return between_ms
-         <= MAX (other->end_ms * EQUAL_END_PERCENT / 100, age_ms * EQUAL_END_REPORT_AGES);
+  return MAX (other->end_ms * EQUAL_END_PERCENT / 100, age_ms * EQUAL_END_REPORT_AGES);
+}
+
+static bool
+are_equivalent (const forecast_t *best, const forecast_t *other)
+{
+  return penalised_end_ms (other) - penalised_end_ms (best) <= uncertainty_ms (best, other);
 }
 
-/* Returns the index of the candidate with the earliest end, leaving out index EXCEPT; COUNT if
- * there is none.  Of equal ends that with more cores counts as the earlier one. */
+/* Returns the index of the candidate with the earliest end; of equal ends that with more cores
+ * counts as the earlier one. */
 static size_t
-earliest_end (const forecast_candidate_t *candidates, size_t count, size_t except)
+earliest_end (const forecast_candidate_t *candidates, size_t count)
 {
-  size_t best = count;
+  size_t best = 0;
 
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 1; i < count; i++)
     {
-      if (i == except)
-        continue;
       int64_t key_ms = penalised_end_ms (&candidates[i].forecast);
-      int64_t best_ms = best != count ? penalised_end_ms (&candidates[best].forecast) : INT64_MAX;
-      bool earlier = best == count || key_ms < best_ms;
-      bool larger = best != count && key_ms == best_ms
-                    && candidates[i].cores_milli > candidates[best].cores_milli;
-      if (earlier || larger)
+      int64_t best_ms = penalised_end_ms (&candidates[best].forecast);
+      if (key_ms < best_ms
+          || (key_ms == best_ms && candidates[i].cores_milli > candidates[best].cores_milli))
         best = i;
     }
   return best;
 }
 
+/* Returns the index of the candidate that ends as early as BEST, by the uncertainty of the reports,
+ * and has done its waiting work of lower priorities the earliest; COUNT if there is none.  Of equal
+ * ones that with more cores counts as the earlier one. */
+static size_t
+best_equivalent (const forecast_candidate_t *candidates, size_t count, size_t best)
+{
+  size_t second = count;
+  int64_t second_ms = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const forecast_t *forecast = &candidates[i].forecast;
+      int64_t key_ms = penalised_end_ms (forecast) + forecast->lower_wait_ms;
+      if (i == best || !are_equivalent (&candidates[best].forecast, forecast))
+        continue;
+      if (second == count || key_ms < second_ms
+          || (key_ms == second_ms && candidates[i].cores_milli > candidates[second].cores_milli))
+        {
+          second = i;
+          second_ms = key_ms;
+        }
+    }
+  return second;
+}
+
 size_t
 forecast_choose (const forecast_candidate_t *candidates, size_t count, uint64_t draw)
 {
-  size_t best = earliest_end (candidates, count, count);
-  size_t second = earliest_end (candidates, count, best);
+  size_t best = earliest_end (candidates, count);
+  size_t second = best_equivalent (candidates, count, best);
 
-  if (second == count || !are_equivalent (&candidates[best].forecast, &candidates[second].forecast))
+  if (second == count)
     return best;
+  const forecast_t *a = &candidates[best].forecast;
+  const forecast_t *b = &candidates[second].forecast;
+  int64_t lower_ms = a->lower_wait_ms - b->lower_wait_ms;
+  if (ABS (lower_ms) > uncertainty_ms (a, b))
+    return lower_ms < 0 ? best : second;
   uint64_t best_cores = (uint64_t) MAX (candidates[best].cores_milli, 1);
   uint64_t both = best_cores + (uint64_t) MAX (candidates[second].cores_milli, 1);
   return draw % both < best_cores ? best : second;
--- a/lib/scheduler/forecast.h
+++ b/lib/scheduler/forecast.h
@@ -9,6 +9,10 @@
  * priorities and for the work of its own priority that is still on time.  If it would be late
  * itself by then, it also waits for the late work of its own priority.
  *
+ * A task delays the work of lower priorities that waits at its owner.  That work starts only where
+ * nothing more urgent waits, and its callers do not wait for long.  A task therefore goes, of
+ * owners at which it ends about equally soon, to one with less of it.
+ *
  * The functions are pure.  Times named `_at_ms` are milliseconds of the boot clock; the times in
  * a forecast are durations from now.
  */
@@ -39,10 +43,11 @@
 
 typedef struct
 {
-  int64_t wait_ms;     /* expected time until it starts */
-  int64_t end_ms;      /* expected time until it ends */
-  int64_t min_wait_ms; /* it is nearly certain that the task doesn't start earlier */
-  int64_t min_end_ms;  /* it is nearly certain that the task doesn't end earlier */
+  int64_t wait_ms;       /* expected time until it starts */
+  int64_t end_ms;        /* expected time until it ends */
+  int64_t min_wait_ms;   /* it is nearly certain that the task doesn't start earlier */
+  int64_t min_end_ms;    /* it is nearly certain that the task doesn't end earlier */
+  int64_t lower_wait_ms; /* how long the owner needs for the waiting work of lower priorities */
   int64_t report_age_ms;
 } forecast_t;
 
@@ -60,10 +65,12 @@
   int64_t cores_milli;
 } forecast_candidate_t;
 
-/* Returns the index of the candidate that a task should go to: the one with the earliest end.  If
- * the second earliest ends within the uncertainty of the reports, one of these two is drawn with
- * their cores as weights, since other coordinators have the same reports and would all choose the
- * same owner.  DRAW is a uniformly distributed random number.  COUNT must be above 0. */
+/* Returns the index of the candidate that a task should go to: the one with the earliest end, or
+ * another one that ends within the uncertainty of the reports.  Of these two the one where less
+ * work of lower priorities waits is chosen.  If that differs by no more than the uncertainty
+ * either, one of the two is drawn with their cores as weights, since other coordinators have the
+ * same reports and would all choose the same owner.  DRAW is a uniformly distributed random number.
+ * COUNT must be above 0. */
 size_t forecast_choose (const forecast_candidate_t *candidates, size_t count, uint64_t draw);
 
 #endif
--- a/tests/test_forecast.c
+++ b/tests/test_forecast.c
@@ -19,9 +19,10 @@
   int64_t late_at_level_core_ms; /* late part of the backlog at the level of PRIORITY */
   int64_t wait_ms;
   int64_t min_wait_ms;
+  int64_t lower_wait_ms;
 } wait_cases[] = {
-  { "no backlog", 2, 500, 0, 0, 0, { 0, 0, 0 }, 0, 0, 0 },
-  { "an old report without a backlog", 2, 500, 2000, 0, 0, { 0, 0, 0 }, 0, 0, 0 },
+  { "no backlog", 2, 500, 0, 0, 0, { 0, 0, 0 }, 0, 0, 0, 0 },
+  { "an old report without a backlog", 2, 500, 2000, 0, 0, { 0, 0, 0 }, 0, 0, 0, 0 },
   { "the backlog of its own and of higher priorities",
     1,
     0,
@@ -31,15 +32,16 @@
     { 100000, 100000, 900000 },
     0,
     2000,
-    1500 },
-  { "a backlog of lower priorities only", 0, 0, 0, 0, 0, { 0, 100000, 900000 }, 0, 0, 0 },
-  { "it goes before the late tasks", 2, 3000, 0, 0, 0, { 0, 0, 400000 }, 300000, 1000, 750 },
-  { "it would be late itself by then", 2, 500, 0, 0, 0, { 0, 0, 400000 }, 300000, 4000, 3000 },
-  { "a report 2 s old", 2, 0, 2000, 0, 0, { 0, 0, 500000 }, 0, 4700, 250 },
-  { "a report older than the backlog takes", 2, 0, 2000, 0, 0, { 0, 0, 100000 }, 0, 700, 0 },
-  { "it fits into the free cores", 2, 0, 0, 8000, 0, { 0, 0, 500000 }, 0, 5000, 0 },
-  { "it does not fit into the free cores", 2, 0, 0, 7999, 0, { 0, 0, 500000 }, 0, 5000, 3750 },
-  { "no core becomes free earlier", 2, 0, 0, 0, 900, { 0, 0, 100 }, 0, 900, 675 },
+    1500,
+    9000 },
+  { "a backlog of lower priorities only", 0, 0, 0, 0, 0, { 0, 100000, 900000 }, 0, 0, 0, 10000 },
+  { "it goes before the late tasks", 2, 3000, 0, 0, 0, { 0, 0, 400000 }, 300000, 1000, 750, 0 },
+  { "it would be late itself by then", 2, 500, 0, 0, 0, { 0, 0, 400000 }, 300000, 4000, 3000, 0 },
+  { "a report 2 s old", 2, 0, 2000, 0, 0, { 0, 0, 500000 }, 0, 4700, 250, 0 },
+  { "a report older than the backlog takes", 2, 0, 2000, 0, 0, { 0, 0, 100000 }, 0, 700, 0, 0 },
+  { "it fits into the free cores", 2, 0, 0, 8000, 0, { 0, 0, 500000 }, 0, 5000, 0, 0 },
+  { "it does not fit into the free cores", 2, 0, 0, 7999, 0, { 0, 0, 500000 }, 0, 5000, 3750, 0 },
+  { "no core becomes free earlier", 2, 0, 0, 0, 900, { 0, 0, 100 }, 0, 900, 675, 0 },
 };
 
 static void
@@ -64,6 +66,7 @@
       CU_ASSERT_EQUAL (forecast.wait_ms, wait_cases[i].wait_ms);
       CU_ASSERT_EQUAL (forecast.end_ms, wait_cases[i].wait_ms + 100);
       CU_ASSERT_EQUAL (forecast.min_wait_ms, wait_cases[i].min_wait_ms);
+      CU_ASSERT_EQUAL (forecast.lower_wait_ms, wait_cases[i].lower_wait_ms);
       CU_ASSERT_EQUAL (forecast.min_end_ms, wait_cases[i].min_wait_ms + 60);
       CU_ASSERT_EQUAL (forecast.report_age_ms, wait_cases[i].age_ms);
     }
@@ -82,6 +85,7 @@
   CU_ASSERT_EQUAL (forecast_task_times (&load, &task, 0).wait_ms, 1000);
   const forecast_task_t urgent = { 0, 5000, 200, 200, 0, 1.0 };
   CU_ASSERT_EQUAL (forecast_task_times (&load, &urgent, 0).wait_ms, 0);
+  CU_ASSERT_EQUAL (forecast_task_times (&load, &urgent, 0).lower_wait_ms, 1000);
 }
 
 static const struct
@@ -91,11 +95,48 @@
   int64_t cores_milli[3];
   int64_t age_ms;
   int percent[3]; /* minimum percentage of draws for each candidate; 0 means never */
+  int64_t lower_waits_ms[3];
 } choice_cases[] = {
-  { "clearly the earliest", { 1000, 3000, 3000 }, { 1, 1, 1 }, 0, { 100, 0, 0 } },
-  { "two about equal", { 1000, 1100, 3000 }, { 300, 100, 400 }, 0, { 70, 20, 0 } },
-  { "the third is not drawn", { 1000, 1000, 1000 }, { 200, 200, 100 }, 0, { 45, 45, 0 } },
-  { "old reports are less certain", { 1000, 2500, 4000 }, { 1, 1, 1 }, 1000, { 45, 45, 0 } },
+  { "clearly the earliest", { 1000, 3000, 3000 }, { 1, 1, 1 }, 0, { 100, 0, 0 }, { 0, 0, 0 } },
+  { "two about equal", { 1000, 1100, 3000 }, { 300, 100, 400 }, 0, { 70, 20, 0 }, { 0, 0, 0 } },
+  { "the third is not drawn",
+    { 1000, 1000, 1000 },
+    { 200, 200, 100 },
+    0,
+    { 45, 45, 0 },
+    { 0, 0, 0 } },
+  { "old reports are less certain",
+    { 1000, 2500, 4000 },
+    { 1, 1, 1 },
+    1000,
+    { 45, 45, 0 },
+    { 0, 0, 0 } },
+  { "less waits at the second",
+    { 1000, 1100, 3000 },
+    { 1, 1, 1 },
+    0,
+    { 0, 100, 0 },
+    { 400, 0, 0 } },
+  { "less waits at the third",
+    { 1000, 1000, 1100 },
+    { 1, 1, 1 },
+    0,
+    { 0, 0, 100 },
+    { 400, 400, 0 } },
+  { "less waits at the earliest",
+    { 1000, 1100, 3000 },
+    { 1, 9, 1 },
+    0,
+    { 100, 0, 0 },
+    { 0, 400, 0 } },
+  { "about as much waits", { 1000, 1100, 3000 }, { 1, 1, 1 }, 0, { 45, 45, 0 }, { 200, 0, 0 } },
+  { "by old reports", { 1000, 1100, 4000 }, { 1, 1, 1 }, 1000, { 45, 45, 0 }, { 1900, 0, 0 } },
+  { "its own end counts more",
+    { 1000, 3000, 3000 },
+    { 1, 1, 1 },
+    0,
+    { 100, 0, 0 },
+    { 9000, 0, 0 } },
 };
 
 static void
@@ -106,9 +147,11 @@
       forecast_candidate_t candidates[3];
       int counts[3] = { 0 };
       for (int k = 0; k < 3; k++)
-        candidates[k] = (forecast_candidate_t){ { .end_ms = choice_cases[i].ends_ms[k],
-                                                  .report_age_ms = choice_cases[i].age_ms },
-                                                choice_cases[i].cores_milli[k] };
+        candidates[k] =
+            (forecast_candidate_t){ { .end_ms = choice_cases[i].ends_ms[k],
+                                      .lower_wait_ms = choice_cases[i].lower_waits_ms[k],
+                                      .report_age_ms = choice_cases[i].age_ms },
+                                    choice_cases[i].cores_milli[k] };
       for (uint64_t draw = 0; draw < 1200; draw++)
         counts[forecast_choose (candidates, 3, draw)]++;
       for (int k = 0; k < 3; k++)
