Crashes: a crash under a run that is being stopped counts

What callers saw: nothing by itself. A task can be started more often than the rule allows after three endpoints have crashed under it, since one of the crashes was known to nobody.

Cause: an endpoint confirms a stop and crashes before the run is over. The run counts as over 80 ms after the stop was confirmed, before two calls have gone unanswered and before any poll could show the restart, so no loss was recorded.

Change: if endpoints were lost under the task before and this one has answered no poll since it confirmed the stop, the run counts as lost, suspected: the next answer confirms or withdraws that.

Evidence: test_executor_losses, "a crash under a run that was being stopped was not counted": 0 confirmed before in both cases, 2 and 1 now.

--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -68,6 +68,15 @@
          || (endpoint->poll_in_flight && now_ms - endpoint->poll_sent_at_ms > POLL_WAIT_MAX_MS);
 }
 
+/* True if TASK, under which endpoints were lost before, may have been lost with this one as well:
+ * the endpoint has confirmed a stop, and answered no poll since. */
+static bool
+may_be_lost_while_stopped (const executor_t *executor, const task_t *task)
+{
+  return task->endpoint->last_poll_sent_at_ms < task->stop_sent_at_ms
+         && crash_history_counts (executor->crashes, task->name).lost > 0;
+}
+
 static void
 requeue_ended_runs (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
 {
@@ -82,7 +91,7 @@
         continue;
       if (lease_expired && task->batch != NULL)
         log_event (executor, actions, EXECUTOR_LOG_LEASE_EXPIRED, endpoint, task, now_ms);
-      if (lease_expired && is_silent (endpoint, now_ms))
+      if (lease_expired ? is_silent (endpoint, now_ms) : may_be_lost_while_stopped (executor, task))
         record_loss (executor, task, false, now_ms);
       task_requeue (executor, task, now_ms);
     }
--- a/tests/test_executor_losses.c
+++ b/tests/test_executor_losses.c
@@ -215,6 +215,47 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  int64_t e1_started_at_ms; /* start of the instance of e1 that answers after the stop */
+  int32_t confirmed;
+} stopped_cases[] = {
+  { "e1 has crashed", 105, 2 },
+  { "e1 is the same instance", 1, 1 },
+};
+
+/* An endpoint that had confirmed a stop, and crashed before the run was over, was not counted. */
+static void
+test_crash_while_stopped_not_counted (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (stopped_cases); i++)
+    {
+      executor_batch_t batch = batch_of ("j", 1);
+      scenario_t scenario;
+      int32_t confirmed = 0;
+
+      scenario_begin_with_run (&scenario, &batch);
+      restart_endpoint_at (&scenario, 50);
+      CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e1");
+      confirm_starts (&scenario);
+      executor_cancel (scenario.executor, batch.coordinator, batch.batch, 90, scenario.actions);
+      run_round_at (&scenario, 100);
+      CU_ASSERT_STRING_EQUAL (scenario.stop_task, "j.0.0.0");
+      executor_stop_answered (scenario.executor, last_action (&scenario, EXECUTOR_STOP)->serial,
+                              EXECUTOR_OK, 101, 101, scenario.actions);
+      run_round_at (&scenario, 101 + STOP_TIMEOUT_MS + 40);
+      answer_as_instance (&scenario, 1, stopped_cases[i].e1_started_at_ms);
+      run_round_at (&scenario, 101 + STOP_TIMEOUT_MS + 50);
+      const executor_action_t *loss = last_action (&scenario, EXECUTOR_LOSS);
+      confirmed = loss != NULL ? loss->crashes.confirmed : 0;
+      if (confirmed != stopped_cases[i].confirmed)
+        printf ("  %s: %d confirmed\n", stopped_cases[i].name, confirmed);
+      CU_ASSERT_EQUAL (confirmed, stopped_cases[i].confirmed);
+      scenario_end (&scenario);
+    }
+}
+
 /* Runs beside a task that crashes its endpoint would be lost with it. */
 static void
 test_nothing_starts_beside_suspect (void)
@@ -323,6 +364,8 @@
   { "endpoints that leave have not crashed", test_leaving_endpoints_not_crashed },
   { "a run on a later instance does not count as lost", test_run_on_later_instance_not_lost },
   { "a lost endpoint answers again", test_lost_endpoint_resolved },
+  { "a crash under a run that was being stopped was not counted",
+    test_crash_while_stopped_not_counted },
   { "nothing starts beside a suspect task", test_nothing_starts_beside_suspect },
   { "a task that is held back refuses no other", test_held_task_refuses_no_other },
   { "suspect tasks leave endpoints to others", test_suspects_leave_endpoints },
