Crashes: losses of a task that has succeeded go on counting

What callers saw: nothing by itself. A task that succeeds and is submitted again, since its job did not complete, can be started more often than the rule allows after three endpoints have crashed under it.

Cause: the owner at which a task succeeded forgot its losses, the other hosts kept them, so hosts disagreed on what they knew.

Change: nothing is forgotten. A loss before a success no longer makes the task start alone or wait, but counts towards giving it up.

--- a/lib/executor/crashes.c
+++ b/lib/executor/crashes.c
@@ -17,6 +17,7 @@
   int64_t endpoint_started_at_ms;
   int32_t attempt;
   bool had_started;
+  bool before_success; /* the task has succeeded since */
   crash_state_t state;
   int32_t revision;
 } loss_t;
@@ -285,9 +286,12 @@
 }
 
 void
-crash_history_forget (crash_history_t *history, const char *task)
+crash_history_note_success (crash_history_t *history, const char *task)
 {
-  g_hash_table_remove (history->tasks, task);
+  const task_entry_t *entry = g_hash_table_lookup (history->tasks, task);
+
+  for (guint i = 0; entry != NULL && i < entry->losses->len; i++)
+    ((loss_t *) entry->losses->pdata[i])->before_success = true;
 }
 
 static bool
@@ -337,6 +341,14 @@
     }
 }
 
+static void
+add_to_counts (crash_counts_t *counts, const loss_t *loss)
+{
+  counts->lost += loss->state != CRASH_WITHDRAWN;
+  counts->started += loss->state != CRASH_WITHDRAWN && loss->had_started;
+  counts->confirmed += loss->state == CRASH_CONFIRMED;
+}
+
 crash_counts_t
 crash_history_counts (const crash_history_t *history, const char *task)
 {
@@ -344,12 +356,18 @@
   crash_counts_t counts = { 0 };
 
   for (guint i = 0; entry != NULL && i < entry->losses->len; i++)
-    {
-      const loss_t *loss = entry->losses->pdata[i];
-      counts.lost += loss->state != CRASH_WITHDRAWN;
-      counts.started += loss->state != CRASH_WITHDRAWN && loss->had_started;
-      counts.confirmed += loss->state == CRASH_CONFIRMED;
-    }
+    add_to_counts (&counts, entry->losses->pdata[i]);
+  return counts;
+}
+
+static crash_counts_t
+counts_since_success (const task_entry_t *entry)
+{
+  crash_counts_t counts = { 0 };
+
+  for (guint i = 0; i < entry->losses->len; i++)
+    if (!((const loss_t *) entry->losses->pdata[i])->before_success)
+      add_to_counts (&counts, entry->losses->pdata[i]);
   return counts;
 }
 
@@ -364,7 +382,8 @@
   if (counts.confirmed >= CRASH_CONFIRMED_MAX || counts.started >= CRASH_STARTED_MAX
       || counts.lost >= CRASH_LOSSES_MAX)
     return CRASH_GIVE_UP;
-  if (counts.lost >= CRASH_HOLD_LOSSES && now_ms - entry->changed_at_ms < CRASH_HOLD_MS)
+  crash_counts_t recent = counts_since_success (entry);
+  if (recent.lost >= CRASH_HOLD_LOSSES && now_ms - entry->changed_at_ms < CRASH_HOLD_MS)
     return CRASH_HOLD;
-  return counts.lost > 0 ? CRASH_START_ALONE : CRASH_START;
+  return recent.lost > 0 ? CRASH_START_ALONE : CRASH_START;
 }
--- a/lib/executor/crashes.h
+++ b/lib/executor/crashes.h
@@ -103,8 +103,9 @@
                              crash_loss_func_t changed,
                              void *user);
 
-/* TASK has succeeded. */
-void crash_history_forget (crash_history_t *history, const char *task);
+/* TASK has succeeded.  Its losses go on counting towards giving it up, but it starts like any other
+ * task again. */
+void crash_history_note_success (crash_history_t *history, const char *task);
 
 /* Removes entries to which nothing was added for CRASH_RETENTION_MS. */
 void crash_history_expire (crash_history_t *history, int64_t now_ms);
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -48,7 +48,7 @@
       notify_coordinator (executor, actions, EXECUTOR_DONE, task, NULL);
       if (task->batch != NULL)
         done_tasks_add (executor->reported_tasks, task->name, now_ms);
-      crash_history_forget (executor->crashes, task->name);
+      crash_history_note_success (executor->crashes, task->name);
       task_remove (executor, task);
       return;
     }
--- a/lib/executor/resolve.c
+++ b/lib/executor/resolve.c
@@ -31,7 +31,8 @@
       task->start_confirmed_at_ms = now_ms;
       task->progress_at_ms = now_ms;
       task->expected_ms = placement_expected_ms (executor, endpoint, task->batch);
-      task->runs_alone = crash_history_counts (executor->crashes, task->name).lost > 0;
+      task->runs_alone =
+          crash_history_decide (executor->crashes, task->name, now_ms) != CRASH_START;
       task_attach (task, endpoint);
       /* The previous owner may have renewed the lease a moment ago. */
       endpoint->lease_end_ms =
@@ -47,7 +48,7 @@
 report_done (executor_t *executor, task_t *task, GArray *actions)
 {
   notify_coordinator (executor, actions, EXECUTOR_DONE, task, "succeeded before it was submitted");
-  crash_history_forget (executor->crashes, task->name);
+  crash_history_note_success (executor->crashes, task->name);
   task_remove (executor, task);
 }
 
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -262,7 +262,7 @@
       const task_t *other = link->data;
       int64_t waited_ms = now_ms - other->queued_at_ms;
       /* A task whose endpoint was lost waits for other reasons. */
-      if (crash_history_counts (executor->crashes, other->name).lost > 0)
+      if (crash_history_decide (executor->crashes, other->name, now_ms) != CRASH_START)
         continue;
       if (other->batch->priority == batch->priority && !other->ever_started
           && resources_fit (&task->need, &(resources_t){ 0 }, &other->need)
