Crashes: a task is given up after three losses, also confirmed ones

Cause: a task was given up after two losses of runs whose endpoints were found restarted. One of the two runs had ended; its end was unread when the endpoint crashed. The owner can't tell that from a crash: endpoints are down for longer than tasks run, and an endpoint that falls silent doesn't show when it crashed.

Change: three losses of runs that had started, confirmed or not, or five in all. A task waits for its losses to be resolved only while one is not. The rule asks for at most two starts after three crashes, and leaves room for two crashes that nobody has counted.

Weighed: to confirm a loss only if the run can't have ended, by its expected end and the start of the later instance: a deadly task would crash three endpoints all the same (docs/design/endpoint-crashes.md).

--- a/lib/executor/crashes.c
+++ b/lib/executor/crashes.c
@@ -379,11 +379,11 @@
   if (entry == NULL)
     return CRASH_START;
   crash_counts_t counts = crash_history_counts (history, task);
-  if (counts.confirmed >= CRASH_CONFIRMED_MAX || counts.started >= CRASH_STARTED_MAX
-      || counts.lost >= CRASH_LOSSES_MAX)
+  if (counts.started >= CRASH_STARTED_MAX || counts.lost >= CRASH_LOSSES_MAX)
     return CRASH_GIVE_UP;
   crash_counts_t recent = counts_since_success (entry);
-  if (recent.lost >= CRASH_HOLD_LOSSES && now_ms - entry->changed_at_ms < CRASH_HOLD_MS)
+  if (recent.lost >= CRASH_HOLD_LOSSES && recent.confirmed < recent.lost
+      && now_ms - entry->changed_at_ms < CRASH_HOLD_MS)
     return CRASH_HOLD;
   return recent.lost > 0 ? CRASH_START_ALONE : CRASH_START;
 }
--- a/lib/executor/crashes.h
+++ b/lib/executor/crashes.h
@@ -5,7 +5,8 @@
  * loss is confirmed if the endpoint was found restarted, and suspected if the endpoint has stopped
  * answering.  A suspected loss is confirmed when the endpoint
  * answers as a later instance, and withdrawn when it answers as the same one: it was only cut off.
- * A run whose start was never confirmed may not have begun, so that its loss stays suspected.
+ * A run whose start was never confirmed may not have begun, so that its loss stays suspected.  A
+ * run that had started may have ended, its end unread, before its endpoint crashed.
  *
  * A loss is identified by its task, attempt and endpoint instance, and the owner of the endpoint
  * numbers its states.  Histories of several hosts are merged loss by loss, in any order: no loss
@@ -21,14 +22,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* A task is given up after this many confirmed losses, this many losses of runs that had started,
- * or this many in all: a start order that was not answered may have come to an endpoint that had
- * crashed before. */
-#define CRASH_CONFIRMED_MAX 2
+/* A task is given up after this many losses of runs that had started, or this many in all: a start
+ * order that was not answered may have come to an endpoint that had crashed before.  One of three
+ * runs may have ended, its end unread, before its endpoint crashed. */
 #define CRASH_STARTED_MAX 3
 #define CRASH_LOSSES_MAX 5
-/* After its second loss, and each later one, a task waits for this time: an endpoint that has
- * crashed is back within some seconds and shows what has happened. */
+/* After its second loss, and each later one, a task waits until all are confirmed or withdrawn, for
+ * this time at most: an endpoint that has crashed is back within some seconds. */
 #define CRASH_HOLD_LOSSES 2
 #define CRASH_HOLD_MS 5000
 /* The longest time for which a job may wait. */
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -22,7 +22,8 @@
  * - No order extends the lease of an endpoint with runs of a coordinator beyond RESUBMIT_MS after
  *   the owner has last heard that coordinator.
  * - Nothing starts on an endpoint before a poll by the owner has listed the runs there.
- * - A task is given up when two endpoints have crashed under it, or three were lost (crashes.h).
+ * - A task is given up when three endpoints were lost under runs of it that had started, or five in
+ *   all (crashes.h).
  *   Before that it starts on an endpoint of its own, so that it takes no other run with it.
  * - A task is reported as never started only if no other owner can have started it, which is the
  *   case if its batch was sent under the claim in force.  A task that another owner may have
--- a/tests/test_scheduling_random.c
+++ b/tests/test_scheduling_random.c
@@ -186,7 +186,7 @@
       .one_way_cuts = 30 },
     50 },
   { "endpoints restart before the directory shows it",
-    6,
+    9,
     { .length_ms = 40000,
       .job_interval_ms = 60,
       .endpoint_crashes = 100,
