Soak: a run that crashed in the millisecond of its start is over

The ledger has start and "crashed" on e1 at 3398196, and the start on e0 at 3400368.

Cause: the check's. Rows of one millisecond are read with ends first, so the end was read before its start, and the run counted as alive from then on.

Change: such a run is not taken for alive. Only "crashed" of the same run in the same millisecond counts: the endpoint is down from then on and starts nothing, so the end can't be that of an earlier run.

--- a/tests/soak/book.c
+++ b/tests/soak/book.c
@@ -438,6 +438,25 @@
   return from_ms != NULL && now_ms - *from_ms > LEASE_MS;
 }
 
+/* True if the run that row number INDEX has started crashed its endpoint, or was lost with it,
+ * within that millisecond.  Ends are read first there, but an endpoint that has crashed is down and
+ * starts nothing. */
+static bool
+has_crashed_at_once (const view_t *view, guint index)
+{
+  const book_row_t *start = &view->rows[index];
+
+  for (guint i = index; i-- > 0 && view->rows[i].at_ms == start->at_ms;)
+    {
+      const book_row_t *row = &view->rows[i];
+      if (row->kind == BOOK_END && row->endpoint == start->endpoint && row->job == start->job
+          && row->index == start->index && row->attempt == start->attempt
+          && strcmp (row->text, "crashed") == 0)
+        return true;
+    }
+  return false;
+}
+
 /* No task runs twice at a time. */
 static void
 check_twice (const view_t *view)
@@ -465,7 +484,8 @@
                   (int) row->index, (int) run->endpoint, (int) row->endpoint);
         }
       run_t run = { row->job, row->index, row->attempt, row->endpoint };
-      g_array_append_val (runs, run);
+      if (!has_crashed_at_once (view, i))
+        g_array_append_val (runs, run);
     }
   g_hash_table_unref (paused);
   g_array_unref (runs);
