--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -24,7 +24,8 @@
  * - Nothing starts on an endpoint before a poll by the owner has listed the runs there.
  * - What this host can't send without delay waits in the queue (order_window.h), so that a
  *   delay of its own link or processor, up to some 200 ms, does not make endpoints look silent.
- * - A task is given up when two endpoints have crashed under it, or three were lost (crashes.h).
+ * - A task is given up when three endpoints were lost under runs of it that had started, or five in
+ *   all (crashes.h).
  *   Before that it starts on an endpoint of its own, so that it takes no other run with it.
  * - A task is reported as never started only if no other owner can have started it, which is the
  *   case if its batch was sent under the claim in force.  A task that another owner may have
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -74,6 +74,15 @@
          || (endpoint->poll_in_flight && now_ms - endpoint->poll_sent_at_ms > poll_max_ms);
 }
 
+/* True if TASK, under which endpoints were lost before, may have been lost with this one as well:
+ * the endpoint has confirmed a stop, and answered no poll since. */
+static bool
+may_be_lost_while_stopped (const executor_t *executor, const task_t *task)
+{
+  return task->endpoint->last_poll_sent_at_ms < task->stop_sent_at_ms
+         && crash_history_counts (executor->crashes, task->name).lost > 0;
+}
+
 static void
 requeue_ended_runs (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
 {
@@ -88,7 +97,9 @@
         continue;
       if (lease_expired && task->batch != NULL)
         log_event (executor, actions, EXECUTOR_LOG_LEASE_EXPIRED, endpoint, task, now_ms);
-      if (lease_expired && is_silent (executor, endpoint, now_ms))
+      bool lost = lease_expired ? is_silent (executor, endpoint, now_ms)
+                                : may_be_lost_while_stopped (executor, task);
+      if (lost)
         record_loss (executor, task, false, now_ms);
       task_requeue (executor, task, now_ms);
     }
@@ -263,7 +274,7 @@
       const task_t *other = link->data;
       int64_t waited_ms = now_ms - other->queued_at_ms;
       /* A task whose endpoint was lost waits for other reasons. */
-      if (crash_history_counts (executor->crashes, other->name).lost > 0)
+      if (crash_history_decide (executor->crashes, other->name, now_ms) != CRASH_START)
         continue;
       if (other->batch->priority == batch->priority && !other->ever_started
           && resources_fit (&task->need, &(resources_t){ 0 }, &other->need)
