--- a/review/1/case.c
+++ b/review/1/case.c
@@ -37,14 +37,14 @@
   if (argc != 2 || !deployment_start (&deployment, argv[1], HOSTS, ENDPOINTS, ZONES))
     return REVIEW_NOT_RUN;
   const rig_t *rig = &deployment.rig;
+  /* Connections that were opened at the start are settled by then. */
+  clock_sleep_ms (REVIEW_CONTACT_WINDOW_MS + 1000);
   int away = deployment_host_without_shard (&deployment, HOME);
   if (away < 0)
     {
       deployment_stop (&deployment);
       return REVIEW_NOT_RUN;
     }
-  /* Connections that were opened at the start are settled by then. */
-  clock_sleep_ms (REVIEW_CONTACT_WINDOW_MS + 1000);
   g_snprintf (spec, sizeof spec, "%d", TASK_MS);
   char *body = site_job_json (TASKS, spec, TASK_MS, "");
   int fd = site_connect (RIG_CALLER_IP, rig_caller_port (rig, HOME));
--- a/review/common/deployment.c
+++ b/review/common/deployment.c
@@ -3,6 +3,7 @@
 #include "review/common/deployment.h"
 
 #include "base/clock.h"
+#include "tests/site_call.h"
 
 #include <inttypes.h>
 #include <json-c/json.h>
@@ -70,20 +71,15 @@
   fflush (deployment->record);
 }
 
-/* Whether the last event about a shard in the log of HOST is that it claimed one. */
 static bool
 owns_shard (const deployment_t *deployment, int host)
 {
-  char *file =
-      g_strdup_printf ("%s/%s.log", deployment->rig.directory, deployment->rig.hosts[host].name);
-  char *text = NULL;
-  bool owns = false;
-
-  if (g_file_get_contents (file, &text, NULL, NULL))
-    owns = strstr (text, "\"shard_claimed\"") != NULL;
-  g_free (text);
-  g_free (file);
-  return owns;
+  static const char gauge[] = "\njaytrail_shards_owned ";
+  site_response_t page =
+      site_call (rig_caller_port (&deployment->rig, host) + 1, "GET", "/metrics", "");
+  const char *line = strstr (page.body, gauge);
+
+  return line == NULL || g_ascii_strtoll (line + strlen (gauge), NULL, 10) > 0;
 }
 
 int
