--- a/review/common/deployment.c
+++ b/review/common/deployment.c
@@ -71,8 +71,8 @@
   fflush (deployment->record);
 }
 
-static bool
-owns_shard (const deployment_t *deployment, int host)
+bool
+deployment_owns_shard (const deployment_t *deployment, int host)
 {
   static const char gauge[] = "\njaytrail_shards_owned ";
   site_response_t page =
@@ -86,7 +86,7 @@
 deployment_host_without_shard (const deployment_t *deployment, int except)
 {
   for (int i = deployment->rig.hosts_count; i-- > 0;)
-    if (i != except && !owns_shard (deployment, i))
+    if (i != except && !deployment_owns_shard (deployment, i))
       return i;
   return -1;
 }
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -6,7 +6,7 @@
 #ifndef REVIEW_DEPLOYMENT_H
 #define REVIEW_DEPLOYMENT_H
 
-#include "tests/soak/rig.h"
+#include "tests/soak/rig_private.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -52,6 +52,9 @@
 /* Writes a line with the time to the record. */
 void deployment_note (deployment_t *deployment, const char *format, ...) G_GNUC_PRINTF (2, 3);
 
+/* Whether HOST owns the endpoints of a zone; true if it does not tell. */
+bool deployment_owns_shard (const deployment_t *deployment, int host);
+
 /* The number of a host that owns no shard and is not EXCEPT; -1 if there is none. */
 int deployment_host_without_shard (const deployment_t *deployment, int except);
 
