--- a/review/1/case.c
+++ b/review/1/case.c
@@ -183,7 +183,7 @@
   for (int i = first; i < first + JOBS; i++)
     {
       char target[32];
-      g_snprintf (target, sizeof target, "/q/%016x", (unsigned) (0xc0de1000 + i));
+      g_snprintf (target, sizeof target, "/q/%015xa", (unsigned) (0xc0de1000 + i));
       channels[i] = site_connect (RIG_CALLER_IP, rig_caller_port (rig, CALLED_HOST));
       site_send_request (channels[i], "POST", target, body, CALLER_WAIT_MS);
     }
