Log: an answer "failed" holds its whole cause

Cause of this change: the logs could not tell the hypotheses apart. One text stood for runs that had failed, endpoints that had crashed and orders that an endpoint had rejected, and the lines of single runs are left out by the budget in busy seconds. Change: the owner tells why (EXECUTOR_MSG_TASK_FAILURE, before the end of the task; a host of an earlier version ignores it): runs that failed, attempts allowed, endpoints lost, of these with a run that had started, confirmed as crashed. The coordinator writes it as the event job_failed, in the class with the larger budget. No decision changes. Evidence: test_scheduler "a failed job is answered with its cause" (new), test_event, test_site_fuzz pass.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -122,6 +122,8 @@
 void
 site_task_ended (site_t *site, const char *host, const executor_task_end_t *end)
 {
+  if (end->failure.cause != TASK_FAILURE_UNKNOWN)
+    scheduler_note_failure (site->scheduler, host, end->batch, end->index, &end->failure);
   scheduler_task_ended (site->scheduler, host, end->batch, end->index,
                         scheduler_task_end_of (end->outcome), clock_boot_ms (),
                         site->scheduler_actions);
@@ -151,9 +153,13 @@
             continue;
           pending->coordinator = NULL;
           if (coordinator == site->host)
-            site_task_ended (site, site->host, &pending->end);
-          else
-            g_array_append_val (host_ends, pending->end);
+            {
+              site_task_ended (site, site->host, &pending->end);
+              continue;
+            }
+          if (pending->end.failure.cause != TASK_FAILURE_UNKNOWN)
+            peers_send (site, coordinator, executor_msg_task_failure (&pending->end));
+          g_array_append_val (host_ends, pending->end);
         }
       if (host_ends->len > 0)
         peers_send (site, coordinator,
--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -26,6 +26,33 @@
   [SCHEDULER_LIMIT_CAPACITY] = "capacity",
 };
 
+static const char *const failure_names[] = {
+  [TASK_FAILURE_UNKNOWN] = "unknown",
+  [TASK_FAILURE_ATTEMPTS] = "attempts",
+  [TASK_FAILURE_CRASHES] = "crashes",
+  [TASK_FAILURE_REJECTED] = "rejected",
+};
+
+/* The whole cause in one line, as lines of single runs may have been left out. */
+static void
+log_failure (const scheduler_action_t *action)
+{
+  const task_failure_t *failure = &action->failure;
+
+  if (!event_begin (EVENT_JOB_FAILED))
+    return;
+  event_add_text ("job", action->job_id);
+  event_add_text ("cause", failure_names[failure->cause]);
+  event_add_number ("index", action->failed_index);
+  event_add_number ("attempt", failure->attempt);
+  event_add_number ("failed_runs", failure->failed_runs);
+  event_add_number ("attempts_max", failure->attempts_max);
+  event_add_number ("lost", failure->crashes.lost);
+  event_add_number ("started", failure->crashes.started);
+  event_add_number ("confirmed", failure->crashes.confirmed);
+  event_end ();
+}
+
 static void
 log_answer (const scheduler_action_t *action)
 {
@@ -33,6 +60,8 @@
                 && (action->outcome != SCHEDULER_COMPLETE || action->late_by_ms > 0);
 
   metrics_count_job (action);
+  if (action->outcome == SCHEDULER_FAILED)
+    log_failure (action);
   if (!event_begin (missed ? EVENT_JOB_MISSED : EVENT_JOB_ANSWERED))
     return;
   event_add_text ("job", action->job_id);
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -185,8 +185,9 @@
   for (guint i = 0; i < owned->actions->len; i++)
     {
       const executor_action_t *action = &g_array_index (owned->actions, executor_action_t, i);
-      pending_task_end_t pending = { action->coordinator,
-                                     { action->batch, action->index, action->kind } };
+      pending_task_end_t pending = {
+        action->coordinator, { action->batch, action->index, action->kind, action->failure }
+      };
       switch (action->kind)
         {
         case EXECUTOR_START:
@@ -419,8 +420,10 @@
       /* The coordinator submits the tasks again once it knows the owner of the shard. */
       for (size_t i = 0; i < batch->count; i++)
         {
-          pending_task_end_t pending = { g_intern_string (batch->coordinator),
-                                         { batch->batch, batch->indexes[i], EXECUTOR_NOT_OWNED } };
+          pending_task_end_t pending = {
+            g_intern_string (batch->coordinator),
+            { batch->batch, batch->indexes[i], EXECUTOR_NOT_OWNED, { 0 } }
+          };
           g_array_append_val (site->task_ends, pending);
         }
       return;
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -206,6 +206,15 @@
   g_array_unref (ends);
 }
 
+static void
+read_task_failure (site_t *site, const char *host, frame_reader_t *reader)
+{
+  executor_task_end_t end = { 0 };
+
+  if (executor_msg_read_task_failure (reader, &end) == 0)
+    scheduler_note_failure (site->scheduler, host, end.batch, end.index, &end.failure);
+}
+
 static void
 read_losses (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -314,6 +323,7 @@
   { EXECUTOR_MSG_SUBMIT, read_submit },
   { EXECUTOR_MSG_CANCEL, read_cancel },
   { EXECUTOR_MSG_TASK_ENDS, read_task_ends },
+  { EXECUTOR_MSG_TASK_FAILURE, read_task_failure },
   { EXECUTOR_MSG_LOSSES, read_losses },
   { EXECUTOR_MSG_CANCELLED, read_cancelled },
   { EXECUTOR_MSG_OFFER, read_offer },
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -123,6 +123,12 @@
     "between owners, "
     "{returns} returns; on arrival it expected to wait {expected_wait_ms} ms, by a report "
     "{report_age_ms} ms old)" },
+  { EVENT_JOB_FAILED, EVENT_CLASS_STATE, "job_failed",
+    "job cause index attempt failed_runs attempts_max lost started confirmed",
+    "{host_id} answered the job as failed ({cause}): {failed_runs} runs of task {index} have "
+    "failed, "
+    "of {attempts_max} allowed; {lost} endpoints were lost under it, {started} of them with a run "
+    "that had started, {confirmed} confirmed as crashed; its last attempt was {attempt}" },
   { EVENT_JOB_ABANDONED, EVENT_CLASS_PROBLEM, "job_abandoned", "job elapsed_ms",
     "the caller closed the connection after {elapsed_ms} ms" },
   { EVENT_BATCH_SENT, EVENT_CLASS_ROUTINE, "batch_sent", "job batch host shard tasks",
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -70,6 +70,7 @@
   EVENT_JOB_UNSUPPORTED,
   EVENT_JOB_ANSWERED,
   EVENT_JOB_MISSED, /* answered late or incomplete */
+  EVENT_JOB_FAILED, /* why it was answered as failed */
   EVENT_JOB_ABANDONED,
   EVENT_BATCH_SENT,
   EVENT_BATCH_MOVED,
--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -121,10 +121,27 @@
                endpoint, NULL, now_ms);
 }
 
+static const char *const failure_reasons[] = {
+  [TASK_FAILURE_UNKNOWN] = "",
+  [TASK_FAILURE_ATTEMPTS] = "failed the maximum number of attempts",
+  [TASK_FAILURE_CRASHES] = "endpoints crashed under it",
+  [TASK_FAILURE_REJECTED] = "endpoint rejected the start order as malformed",
+};
+
 void
-fail_task (executor_t *executor, task_t *task, const char *reason, GArray *actions)
+fail_task (executor_t *executor, task_t *task, task_failure_cause_t cause, GArray *actions)
 {
-  notify_coordinator (executor, actions, EXECUTOR_FAILED, task, reason);
+  batch_t *batch = task->batch;
+  executor_action_t *action =
+      notify_coordinator (executor, actions, EXECUTOR_FAILED, task, failure_reasons[cause]);
+
+  if (action != NULL)
+    {
+      action->failure = (task_failure_t){ cause, task->attempt, task->failures, batch->attempts_max,
+                                          crash_history_counts (executor->crashes, task->name) };
+      g_array_index (batch->sent_ends, task_outcome_t, batch->sent_ends->len - 1).failure =
+          action->failure;
+    }
   task_remove (executor, task);
 }
 
@@ -252,7 +269,7 @@
       record_outcome (executor, endpoint, true, now_ms, actions);
       break;
     case EXECUTOR_INVALID:
-      fail_task (executor, task, "endpoint rejected the start order as malformed", actions);
+      fail_task (executor, task, TASK_FAILURE_REJECTED, actions);
       return;
     case EXECUTOR_OLD_ATTEMPT:
       /* That attempt may be alive; the next poll shows it. */
--- a/lib/executor/answer.h
+++ b/lib/executor/answer.h
@@ -48,7 +48,7 @@
                      int64_t now_ms,
                      GArray *actions);
 
-/* Tells the coordinator of TASK that it has failed, and removes it. */
-void fail_task (executor_t *executor, task_t *task, const char *reason, GArray *actions);
+/* Tells the coordinator of TASK that it has failed because of CAUSE, and removes it. */
+void fail_task (executor_t *executor, task_t *task, task_failure_cause_t cause, GArray *actions);
 
 #endif
--- a/lib/executor/batch.c
+++ b/lib/executor/batch.c
@@ -93,7 +93,7 @@
     for (guint k = 0; k < batch->sent_ends->len; k++)
       {
         const task_outcome_t *ended = &g_array_index (batch->sent_ends, task_outcome_t, k);
-        resend_t resend = { batch->coordinator, batch->number, ended->index, ended->outcome };
+        resend_t resend = { batch->coordinator, batch->number, *ended };
         if (ended->index == info->indexes[i])
           g_array_append_val (executor->resends, resend);
       }
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -244,10 +244,11 @@
   for (guint i = 0; i < executor->resends->len; i++)
     {
       const resend_t *resend = &g_array_index (executor->resends, resend_t, i);
-      executor_action_t *action = action_append (actions, resend->outcome);
+      executor_action_t *action = action_append (actions, resend->ended.outcome);
       action->coordinator = resend->coordinator;
       action->batch = resend->batch;
-      action->index = resend->index;
+      action->index = resend->ended.index;
+      action->failure = resend->ended.failure;
       action->reason = "sent again because the batch was submitted again";
     }
   g_array_set_size (executor->resends, 0);
@@ -350,7 +351,7 @@
 {
   if (task->batch == NULL)
     return NULL;
-  task_outcome_t ended = { task->index, kind };
+  const task_outcome_t ended = { task->index, kind, { 0 } };
   g_array_append_val (task->batch->sent_ends, ended);
   executor_action_t *action = action_append (actions, kind);
   action->coordinator = task->batch->coordinator;
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -137,6 +137,25 @@
   EXECUTOR_LOG_CRASHED /* crashes; no endpoint: the task is given up */
 } executor_log_event_t;
 
+/* Why a task was reported as EXECUTOR_FAILED. */
+typedef enum
+{
+  TASK_FAILURE_UNKNOWN,  /* the owner has not told */
+  TASK_FAILURE_ATTEMPTS, /* as many of its runs have failed as its queue allows */
+  TASK_FAILURE_CRASHES,  /* it has crashed its endpoints */
+  TASK_FAILURE_REJECTED  /* an endpoint has rejected its start order */
+} task_failure_cause_t;
+
+/* The whole cause of a failed task, by the owner that has reported it. */
+typedef struct
+{
+  task_failure_cause_t cause;
+  int32_t attempt;      /* of its last run */
+  int32_t failed_runs;  /* runs that have ended as RUN_FAILED at this owner */
+  int32_t attempts_max; /* as in executor_batch_t */
+  crash_counts_t crashes;
+} task_failure_t;
+
 typedef struct
 {
   executor_action_kind_t kind;
@@ -168,6 +187,7 @@
   int32_t waiting_tasks;
   crash_loss_t loss;      /* EXECUTOR_LOSS */
   crash_counts_t crashes; /* endpoints that were lost under TASK */
+  task_failure_t failure; /* EXECUTOR_FAILED */
 } executor_action_t;
 
 /* Outcome of a call to an endpoint. */
--- a/lib/executor/executor_msg.c
+++ b/lib/executor/executor_msg.c
@@ -314,6 +314,43 @@
   return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
 }
 
+GBytes *
+executor_msg_task_failure (const executor_task_end_t *end)
+{
+  const task_failure_t *failure = &end->failure;
+  frame_writer_t *writer = frame_begin (EXECUTOR_MSG_TASK_FAILURE);
+
+  frame_put_uint (writer, end->batch);
+  frame_put_int (writer, end->index);
+  frame_put_int (writer, failure->cause);
+  frame_put_int (writer, failure->attempt);
+  frame_put_int (writer, failure->failed_runs);
+  frame_put_int (writer, failure->attempts_max);
+  frame_put_int (writer, failure->crashes.lost);
+  frame_put_int (writer, failure->crashes.started);
+  frame_put_int (writer, failure->crashes.confirmed);
+  return frame_finish (writer);
+}
+
+int
+executor_msg_read_task_failure (frame_reader_t *reader, executor_task_end_t *end)
+{
+  task_failure_t *failure = &end->failure;
+
+  end->batch = frame_get_uint (reader);
+  end->index = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+  end->outcome = EXECUTOR_FAILED;
+  failure->cause =
+      (task_failure_cause_t) frame_get_range (reader, TASK_FAILURE_UNKNOWN, TASK_FAILURE_REJECTED);
+  failure->attempt = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+  failure->failed_runs = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+  failure->attempts_max = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+  failure->crashes.lost = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+  failure->crashes.started = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+  failure->crashes.confirmed = (int32_t) frame_get_range (reader, 0, INT32_MAX);
+  return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
+}
+
 GBytes *
 executor_msg_losses (const crash_loss_t *losses, size_t count)
 {
--- a/lib/executor/executor_msg.h
+++ b/lib/executor/executor_msg.h
@@ -24,7 +24,8 @@
   EXECUTOR_MSG_ENDPOINT_REMOVED, /* the entry of an endpoint is gone */
   EXECUTOR_MSG_RESYNC, /* task ends sent earlier may be lost: the receiver sends its batches again
                         */
-  EXECUTOR_MSG_LOSSES  /* endpoints that were lost under tasks */
+  EXECUTOR_MSG_LOSSES, /* endpoints that were lost under tasks */
+  EXECUTOR_MSG_TASK_FAILURE /* why the end of a task that follows is EXECUTOR_FAILED */
 } executor_msg_t;
 
 /* Gives BATCH to the owner of SHARD.  EPOCH is the epoch under which the coordinator expects
@@ -80,11 +81,16 @@
   uint64_t batch;
   int32_t index;
   executor_action_kind_t outcome; /* EXECUTOR_DONE to EXECUTOR_RETURNED_AFTER_RUN */
+  task_failure_t failure;         /* EXECUTOR_FAILED; not in EXECUTOR_MSG_TASK_ENDS */
 } executor_task_end_t;
 GBytes *executor_msg_task_ends (const executor_task_end_t *ends, size_t count);
 /* Appends executor_task_end_t. */
 int executor_msg_read_task_ends (frame_reader_t *reader, GArray *ends);
 
+/* The failure of END.  A host of an earlier version ignores the message. */
+GBytes *executor_msg_task_failure (const executor_task_end_t *end);
+int executor_msg_read_task_failure (frame_reader_t *reader, executor_task_end_t *end);
+
 /* Losses for the history of the receiver. */
 GBytes *executor_msg_losses (const crash_loss_t *losses, size_t count);
 /* Appends crash_loss_t; the caller frees their contents with crash_loss_clear (), also after an
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -63,7 +63,7 @@
       task->avoid_endpoint_id = g_strdup (endpoint->id);
       if (task->batch != NULL && task->failures >= task->batch->attempts_max)
         {
-          fail_task (executor, task, "failed the maximum number of attempts", actions);
+          fail_task (executor, task, TASK_FAILURE_ATTEMPTS, actions);
           return;
         }
     }
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -4,6 +4,7 @@
  * running under another owner are resolved, then tasks start in the order of the queue.  Polls are
  * sent last, so that they cover the runs that were just started.
  */
+#include "executor/answer.h"
 #include "executor/leases.h"
 #include "executor/table.h"
 
@@ -406,8 +407,7 @@
   action->task = g_string_chunk_insert (executor->action_strings, task->name);
   action->attempt = task->attempt;
   action->crashes = crash_history_counts (executor->crashes, task->name);
-  notify_coordinator (executor, actions, EXECUTOR_FAILED, task, "endpoints crashed under it");
-  task_remove (executor, task);
+  fail_task (executor, task, TASK_FAILURE_CRASHES, actions);
 }
 
 /* True if this host can send another start order without delay. */
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -91,6 +91,7 @@
 {
   int32_t index;
   executor_action_kind_t outcome;
+  task_failure_t failure; /* EXECUTOR_FAILED */
 } task_outcome_t;
 
 /* A task end that the coordinator may have missed and is to be sent again. */
@@ -98,8 +99,7 @@
 {
   const char *coordinator; /* interned */
   uint64_t batch;
-  int32_t index;
-  executor_action_kind_t outcome;
+  task_outcome_t ended;
 } resend_t;
 
 /* Measured durations compared with callers' estimates, over many runs and over the last few.
--- a/lib/scheduler/job_end.c
+++ b/lib/scheduler/job_end.c
@@ -58,6 +58,8 @@
   action->tasks_left = job->tasks_left;
   action->handovers = job->handovers;
   action->returned_tasks = job->returned_tasks;
+  action->failure = job->failure;
+  action->failed_index = job->failed_index;
   format_owners (job, action->owners, sizeof action->owners);
   scheduler_remove_job (scheduler, job);
 }
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -256,6 +256,30 @@
   return false;
 }
 
+static bool
+has_open_task (const job_batch_t *batch, int32_t index)
+{
+  for (guint i = 0; i < batch->open_tasks->len; i++)
+    if (g_array_index (batch->open_tasks, int32_t, i) == index)
+      return true;
+  return false;
+}
+
+void
+scheduler_note_failure (scheduler_t *scheduler,
+                        const char *host,
+                        uint64_t number,
+                        int32_t index,
+                        const task_failure_t *failure)
+{
+  const job_batch_t *batch = find_batch (scheduler, host, number);
+
+  if (batch == NULL || !has_open_task (batch, index))
+    return;
+  batch->job->failure = *failure;
+  batch->job->failed_index = index;
+}
+
 scheduler_task_end_t
 scheduler_task_end_of (executor_action_kind_t how)
 {
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -115,6 +115,8 @@
                          tasks that may be running */
   int32_t returned_tasks;              /* tasks that owners gave back to be assigned again */
   char owners[SCHEDULER_OWNERS_BYTES]; /* "HOST:TASKS" for each owner with unfinished tasks */
+  task_failure_t failure;              /* SCHEDULER_FAILED: why, as its owner has told */
+  int32_t failed_index;                /* of the task that has failed */
 } scheduler_action_t;
 
 typedef struct
@@ -219,6 +221,13 @@
  * its owner. */
 scheduler_task_end_t scheduler_task_end_of (executor_action_kind_t how);
 
+/* HOST tells why the end of task INDEX of batch NUMBER, which follows, is SCHEDULER_TASK_FAILED. */
+void scheduler_note_failure (scheduler_t *scheduler,
+                             const char *host,
+                             uint64_t number,
+                             int32_t index,
+                             const task_failure_t *failure);
+
 /* Task INDEX of batch NUMBER has ended at HOST. */
 void scheduler_task_ended (scheduler_t *scheduler,
                            const char *host,
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -52,7 +52,9 @@
   scheduler_outcome_t outcome;
   const char *reason;
   scheduler_limit_t limit;
-  int64_t confirm_by_ms; /* END_PENDING: it is answered at this time even without confirmation */
+  task_failure_t failure; /* as in scheduler_action_t */
+  int32_t failed_index;   /* as in scheduler_action_t */
+  int64_t confirm_by_ms;  /* END_PENDING: it is answered at this time even without confirmation */
 };
 
 /* What an owner offers on the endpoints of one service and speed; see executor_offer_t. */
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -503,6 +503,42 @@
   free_actions (actions);
 }
 
+static const struct
+{
+  const char *name;
+  const char *host; /* that tells the failure */
+  task_failure_cause_t cause;
+  int32_t failed_runs; /* in the answer */
+} failure_cases[] = {
+  { "told by the owner", "hx", TASK_FAILURE_ATTEMPTS, 3 },
+  { "told by another host", "hy", TASK_FAILURE_UNKNOWN, 0 },
+};
+
+/* The answer of a failed job names the whole cause, as lines of single runs may be left out. */
+static void
+test_failure_in_answer (void)
+{
+  const task_failure_t failure = { TASK_FAILURE_ATTEMPTS, 4, 3, 3, { 1, 1, 0 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (failure_cases); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      scheduler_t *scheduler = scheduler_with_job (actions);
+      uint64_t number = g_array_index (actions, scheduler_action_t, 0).batch_number;
+
+      scheduler_note_failure (scheduler, failure_cases[i].host, number, 0, &failure);
+      scheduler_task_ended (scheduler, "hx", number, 0, SCHEDULER_TASK_FAILED, 10, actions);
+      const scheduler_action_t *answer =
+          &g_array_index (actions, scheduler_action_t, actions->len - 1);
+      CU_ASSERT_EQUAL_FATAL (answer->kind, SCHEDULER_ANSWER);
+      CU_ASSERT_EQUAL (answer->outcome, SCHEDULER_FAILED);
+      CU_ASSERT_EQUAL (answer->failure.cause, failure_cases[i].cause);
+      CU_ASSERT_EQUAL (answer->failure.failed_runs, failure_cases[i].failed_runs);
+      scheduler_free (scheduler);
+      free_actions (actions);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -731,6 +767,7 @@
 static const unit_test_t cases[] = {
   { "no job is sent to a drained data centre", test_drained_data_centres },
   { "a drain while another owner is unknown", test_drained_unknown_owner },
+  { "a failed job is answered with its cause", test_failure_in_answer },
   { "tasks returned by a drained data centre", test_drained_task_returned },
   { "a drain at full load", test_drain_at_full_load },
   { "size classes of jobs", test_size_classes },
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -129,6 +129,7 @@
   executor_submit_t submit;
   executor_offer_msg_t offer;
   cluster_heartbeat_t heartbeat;
+  executor_task_end_t failed;
   char *text = NULL;
   int32_t runs = 0;
   bool relay = false;
@@ -157,6 +158,9 @@
         case EXECUTOR_MSG_LOSSES:
           executor_msg_read_losses (reader, losses);
           break;
+        case EXECUTOR_MSG_TASK_FAILURE:
+          executor_msg_read_task_failure (reader, &failed);
+          break;
         case EXECUTOR_MSG_CANCEL_JOB:
           if (executor_msg_read_cancel_job (reader, &text, &relay) == 0)
             g_free (text);
@@ -272,7 +276,7 @@
   g_rand_free (rand);
 }
 
-#define FRAME_KIND_COUNT 11
+#define FRAME_KIND_COUNT 12
 
 static GBytes *
 valid_drain_set (void)
@@ -293,8 +297,11 @@
 valid_frame (int kind)
 {
   static const int32_t indexes[] = { 0, 1, 2 };
-  static const executor_task_end_t ends[] = { { 3, 1, EXECUTOR_DONE },
-                                              { 4, 0, EXECUTOR_RETURNED } };
+  static const executor_task_end_t ends[] = { { 3, 1, EXECUTOR_DONE, { 0 } },
+                                              { 4, 0, EXECUTOR_RETURNED, { 0 } } };
+  static const executor_task_end_t failed = {
+    3, 1, EXECUTOR_FAILED, { TASK_FAILURE_CRASHES, 5, 1, 3, { 4, 3, 3 } }
+  };
   static const crash_loss_t losses[] = { { "j.0.0.1", 1, "e0", 7, true, CRASH_SUSPECTED, 1 },
                                          { "j.0.0.1", 2, "e1", 9, false, CRASH_CONFIRMED, 2 } };
   executor_batch_t batch = { .batch = 7,
@@ -351,6 +358,8 @@
     frame = executor_msg_losses (losses, G_N_ELEMENTS (losses));
   else if (kind == 10)
     frame = executor_msg_endpoint (&entry, 0);
+  else if (kind == 11)
+    frame = executor_msg_task_failure (&failed);
   else
     frame = cluster_msg_heartbeat (&heartbeat);
   g_array_unref (heartbeat.claims);
