tests: a job failed though its endpoints were only cut off (known red)

Evidence: three endpoints under runs of one task do not answer, the starts confirmed, none or two known to have crashed: the task is given up at the third.

--- a/tests/test_executor_losses.c
+++ b/tests/test_executor_losses.c
@@ -227,6 +227,112 @@
     }
 }
 
+/* How the endpoint of the third run that was lost is found, after it was silent. */
+typedef enum
+{
+  STAYS_SILENT,
+  ONLY_CUT_OFF,
+  RESTARTED,
+  GONE /* another endpoint answers at its address */
+} found_t;
+
+static const struct
+{
+  const char *name;
+  crash_state_t earlier; /* of the two losses before */
+  found_t found;
+  bool starts; /* again */
+  bool failed; /* it is reported as failed */
+} cut_off_cases[] = {
+  { "all three stay silent", CRASH_SUSPECTED, STAYS_SILENT, false, false },
+  { "the third was only cut off", CRASH_SUSPECTED, ONLY_CUT_OFF, true, false },
+  { "only the third has crashed", CRASH_SUSPECTED, RESTARTED, false, false },
+  { "two have crashed, the third is silent", CRASH_CONFIRMED, STAYS_SILENT, false, false },
+  { "two have crashed, the third was only cut off", CRASH_CONFIRMED, ONLY_CUT_OFF, true, false },
+  { "all three have crashed", CRASH_CONFIRMED, RESTARTED, false, true },
+  { "all three have crashed, another has its address", CRASH_CONFIRMED, GONE, false, true },
+};
+
+/* Endpoint e0 answers its last poll, or another endpoint in its place. */
+static void
+find_lost_endpoint (scenario_t *scenario, found_t found)
+{
+  if (found == GONE)
+    executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_INSTANCE_GONE,
+                            NULL, scenario->now_ms, scenario->actions);
+  else if (found != STAYS_SILENT)
+    answer_as_instance (scenario, 0, found == ONLY_CUT_OFF ? 1 : scenario->now_ms);
+}
+
+/* A job was answered as failed when three of its endpoints did not answer, although none of them
+ * was known to have crashed. */
+static void
+test_failed_though_only_cut_off (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (cut_off_cases); i++)
+    {
+      executor_batch_t batch = batch_of ("j", 1);
+      crash_history_t *crashes = crash_history_new ();
+      const executor_options_t options = { .lease_ms = LEASE_MS,
+                                           .stop_ms = STOP_TIMEOUT_MS,
+                                           .remote_factor = 2,
+                                           .resubmit_ms = RESUBMIT_MS,
+                                           .crashes = crashes };
+      scenario_t scenario;
+      bool failed = false;
+      bool started = false;
+
+      scenario_begin (&scenario);
+      executor_free (scenario.executor);
+      scenario.executor = executor_new (&options);
+      for (int32_t attempt = 101; attempt <= 102; attempt++)
+        {
+          crash_loss_t loss = { .task = "j.0.0.0",
+                                .attempt = attempt,
+                                .endpoint = attempt == 101 ? "x0" : "x1",
+                                .endpoint_started_at_ms = 1,
+                                .had_started = true,
+                                .state = cut_off_cases[i].earlier };
+          crash_history_add (crashes, &loss, -2 * CRASH_HOLD_MS);
+        }
+      add_endpoint (&scenario, 0, "r1", 3000);
+      run_round_at (&scenario, 10);
+      answer_as_instance (&scenario, 0, 1);
+      batch.deadline_at_ms = 100000;
+      executor_submit (scenario.executor, &batch, 10);
+      run_round_at (&scenario, 10);
+      CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e0");
+      confirm_starts (&scenario);
+      int64_t silent_until_ms = 3 * LEASE_MS;
+      for (int64_t now_ms = 20; now_ms < silent_until_ms; now_ms += 10)
+        {
+          run_round_at (&scenario, now_ms);
+          failed |= has_action (&scenario, EXECUTOR_FAILED);
+          if (now_ms % 100 == 0)
+            executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_NO_ANSWER,
+                                    NULL, now_ms, scenario.actions);
+        }
+      CU_ASSERT_FALSE (failed);
+      find_lost_endpoint (&scenario, cut_off_cases[i].found);
+      for (int64_t now_ms = silent_until_ms; now_ms < silent_until_ms + 2 * CRASH_HOLD_MS;
+           now_ms += 10)
+        {
+          run_round_at (&scenario, now_ms);
+          failed |= has_action (&scenario, EXECUTOR_FAILED);
+          started |= scenario.start_endpoint[0] != '\0';
+          if (cut_off_cases[i].found == ONLY_CUT_OFF || cut_off_cases[i].found == RESTARTED)
+            answer_as_instance (&scenario, 0,
+                                cut_off_cases[i].found == ONLY_CUT_OFF ? 1 : silent_until_ms - 10);
+        }
+      if (failed != cut_off_cases[i].failed || started != cut_off_cases[i].starts)
+        printf ("  %s: failed %d, started %d\n", cut_off_cases[i].name, failed, started);
+      CU_ASSERT_EQUAL (failed, cut_off_cases[i].failed);
+      CU_ASSERT_EQUAL (started, cut_off_cases[i].starts);
+      scenario_end (&scenario);
+      crash_history_free (crashes);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -372,6 +478,7 @@
   { "endpoints that leave have not crashed", test_leaving_endpoints_not_crashed },
   { "a run on a later instance does not count as lost", test_run_on_later_instance_not_lost },
   { "a lost endpoint answers again", test_lost_endpoint_resolved },
+  { "a job failed though its endpoints were only cut off", test_failed_though_only_cut_off },
   { "a crash under a run that was being stopped was not counted",
     test_crash_while_stopped_not_counted },
   { "nothing starts beside a suspect task", test_nothing_starts_beside_suspect },
