Executor: a task is given up for crashes that are known, not for silence

Cause: a task was given up after three losses of runs that had started, or five in all, and a loss that was only suspected counted like a confirmed one. An endpoint that is cut off looks like one that has crashed; the answer "failed" took the absence of answers for a crash. Besides, nothing confirmed a loss where endpoints come back under new ids, and a late "withdrawn" of one host undid what another had confirmed. Change: "failed" needs three confirmed losses. With three started or five in all that are not withdrawn, the task neither starts nor is it given up, until answers decide; if its deadline can't be met meanwhile, the job is answered as not served at once. A loss is confirmed too when another endpoint answers at the address of the lost one (a poll of its own, or 421 to a poll that names the lost one), and withdrawn when the endpoint says that it leaves. A confirmed loss stays confirmed in all histories.

--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -215,6 +215,18 @@
     scheduler_note_failure (site->scheduler, host, end.batch, end.index, &end.failure);
 }
 
+/* The address of ENDPOINT, by its entry in the directory or by one that was removed a short time
+ * ago; NULL if unknown.  The caller frees it. */
+static char *
+address_of (const site_t *site, const char *endpoint)
+{
+  const executor_entry_t *entry = g_hash_table_lookup (site->directory, endpoint);
+
+  if (entry == NULL)
+    entry = removed_entries_find (site->removed_entries, endpoint);
+  return entry != NULL ? g_strdup (entry->endpoint.address) : NULL;
+}
+
 static void
 read_losses (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -224,8 +236,11 @@
   g_array_set_clear_func (losses, crash_loss_clear);
   if (executor_msg_read_losses (reader, losses) == 0)
     for (guint i = 0; i < losses->len; i++)
-      crash_history_merge (site->crashes, &g_array_index (losses, crash_loss_t, i),
-                           clock_boot_ms ());
+      {
+        crash_loss_t *loss = &g_array_index (losses, crash_loss_t, i);
+        loss->address = address_of (site, loss->endpoint);
+        crash_history_merge (site->crashes, loss, clock_boot_ms ());
+      }
   g_array_unref (losses);
 }
 
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -158,20 +158,20 @@
     "task endpoint lost confirmed",
     "{endpoint} stopped answering while it ran task {task}, under which {lost} endpoints were lost "
     "so far "
-    "({confirmed} confirmed as restarted)" },
+    "({confirmed} confirmed as crashed)" },
   { EVENT_TASK_CRASH_CONFIRMED, EVENT_CLASS_PROBLEM, "task_crash_confirmed",
     "task endpoint lost confirmed",
-    "{endpoint} restarted after it had run task {task}, under which {lost} endpoints were lost so "
-    "far ({confirmed} confirmed as restarted)" },
+    "{endpoint} crashed while it ran task {task}, under which {lost} endpoints were lost so "
+    "far ({confirmed} confirmed as crashed)" },
   { EVENT_TASK_CRASH_WITHDRAWN, EVENT_CLASS_PROBLEM, "task_crash_withdrawn",
     "task endpoint lost confirmed",
     "{endpoint} did not restart and was not lost under task {task}, for which {lost} lost "
     "endpoints "
-    "({confirmed} confirmed as restarted) are left" },
+    "({confirmed} confirmed as crashed) are left" },
   { EVENT_TASK_CRASH_GIVEN_UP, EVENT_CLASS_PROBLEM, "task_crash_given_up",
     "task attempt lost confirmed",
     "{host_id} gave task {task} up: {lost} endpoints were lost under it ({confirmed} confirmed as "
-    "restarted)" },
+    "crashed)" },
   { EVENT_TASK_HUNG, EVENT_CLASS_PROBLEM, "task_hung", "task attempt endpoint elapsed_ms percent",
     "task {task} made no progress on {endpoint} at {percent}% after {elapsed_ms} ms and was "
     "stopped" },
--- a/lib/executor/crashes.c
+++ b/lib/executor/crashes.c
@@ -1,7 +1,7 @@
 /* crashes.c -- history of the tasks whose endpoints were lost
  *
  * TASKS holds the losses.  SUSPECTS holds, by endpoint, the tasks with a suspected loss there,
- * which an answer of the endpoint will confirm or withdraw.
+ * which an answer of the endpoint, or of another one at its address, will confirm or withdraw.
  */
 #include "executor/crashes.h"
 
@@ -28,10 +28,19 @@
   int64_t changed_at_ms;
 } task_entry_t;
 
+/* An endpoint with suspected losses. */
+typedef struct
+{
+  char *endpoint;
+  char *address;    /* NULL if unknown */
+  GPtrArray *tasks; /* names */
+} suspect_t;
+
 struct crash_history_t
 {
-  GHashTable *tasks;    /* name -> task_entry_t */
-  GHashTable *suspects; /* endpoint -> GPtrArray of names */
+  GHashTable *tasks;     /* name -> task_entry_t */
+  GHashTable *suspects;  /* endpoint -> suspect_t, owned */
+  GHashTable *addresses; /* address -> suspect_t, the latest one there */
   int64_t expired_at_ms;
 };
 
@@ -42,6 +51,7 @@
 
   g_free ((char *) cleared->task);
   g_free ((char *) cleared->endpoint);
+  g_free ((char *) cleared->address);
 }
 
 static void
@@ -63,9 +73,14 @@
 }
 
 static void
-free_names (void *data)
+free_suspect (void *data)
 {
-  g_ptr_array_unref (data);
+  suspect_t *suspect = data;
+
+  g_free (suspect->endpoint);
+  g_free (suspect->address);
+  g_ptr_array_unref (suspect->tasks);
+  g_free (suspect);
 }
 
 crash_history_t *
@@ -74,7 +89,8 @@
   crash_history_t *history = g_new0 (crash_history_t, 1);
 
   history->tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_entry);
-  history->suspects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_names);
+  history->suspects = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_suspect);
+  history->addresses = g_hash_table_new (g_str_hash, g_str_equal);
   return history;
 }
 
@@ -82,6 +98,7 @@
 crash_history_free (crash_history_t *history)
 {
   g_hash_table_unref (history->tasks);
+  g_hash_table_unref (history->addresses);
   g_hash_table_unref (history->suspects);
   g_free (history);
 }
@@ -135,17 +152,47 @@
   return NULL;
 }
 
+static suspect_t *
+suspect_of (crash_history_t *history, const char *endpoint)
+{
+  suspect_t *suspect = g_hash_table_lookup (history->suspects, endpoint);
+
+  if (suspect != NULL)
+    return suspect;
+  suspect = g_new0 (suspect_t, 1);
+  suspect->endpoint = g_strdup (endpoint);
+  suspect->tasks = g_ptr_array_new_with_free_func (g_free);
+  g_hash_table_insert (history->suspects, suspect->endpoint, suspect);
+  return suspect;
+}
+
 static void
-add_suspect (crash_history_t *history, const char *endpoint, const char *task)
+forget_address (crash_history_t *history, const suspect_t *suspect)
 {
-  GPtrArray *names = g_hash_table_lookup (history->suspects, endpoint);
+  if (suspect->address != NULL
+      && g_hash_table_lookup (history->addresses, suspect->address) == suspect)
+    g_hash_table_remove (history->addresses, suspect->address);
+}
 
-  if (names == NULL)
-    {
-      names = g_ptr_array_new_with_free_func (g_free);
-      g_hash_table_insert (history->suspects, g_strdup (endpoint), names);
-    }
-  g_ptr_array_add (names, g_strdup (task));
+static void
+add_suspect (crash_history_t *history, const crash_loss_t *loss)
+{
+  suspect_t *suspect = suspect_of (history, loss->endpoint);
+
+  g_ptr_array_add (suspect->tasks, g_strdup (loss->task));
+  if (loss->address == NULL)
+    return;
+  forget_address (history, suspect);
+  g_free (suspect->address);
+  suspect->address = g_strdup (loss->address);
+  g_hash_table_replace (history->addresses, suspect->address, suspect);
+}
+
+static void
+remove_suspect (crash_history_t *history, suspect_t *suspect)
+{
+  forget_address (history, suspect);
+  g_hash_table_remove (history->suspects, suspect->endpoint);
 }
 
 /* Adds a loss without a state.  Returns NULL if the task has too many. */
@@ -164,17 +211,14 @@
   return loss;
 }
 
+/* Sets the state and the revision of LOSS, which INFO names. */
 static void
-set_state (crash_history_t *history,
-           loss_t *loss,
-           const char *task,
-           crash_state_t state,
-           int32_t revision)
+set_state (crash_history_t *history, loss_t *loss, const crash_loss_t *info, int32_t revision)
 {
-  loss->state = state;
+  loss->state = info->state;
   loss->revision = revision;
-  if (state == CRASH_SUSPECTED)
-    add_suspect (history, loss->endpoint, task);
+  if (info->state == CRASH_SUSPECTED)
+    add_suspect (history, info);
 }
 
 bool
@@ -190,11 +234,21 @@
   if (loss == NULL)
     return false;
   loss->had_started |= info->had_started;
-  set_state (history, loss, info->task, info->state, loss->revision + 1);
+  set_state (history, loss, info, loss->revision + 1);
   info->revision = loss->revision;
   return true;
 }
 
+/* Two hosts that have learned different things may give them the same revision. */
+static bool
+is_newer_state (const crash_loss_t *info, const loss_t *loss)
+{
+  if (loss->state == CRASH_CONFIRMED || info->state == CRASH_CONFIRMED)
+    return info->state == CRASH_CONFIRMED;
+  return info->revision > loss->revision
+         || (info->revision == loss->revision && info->state > loss->state);
+}
+
 void
 crash_history_merge (crash_history_t *history, const crash_loss_t *info, int64_t now_ms)
 {
@@ -205,8 +259,8 @@
     loss = add_loss (entry, info, now_ms);
   if (loss != NULL)
     loss->had_started |= info->had_started;
-  if (loss != NULL && info->revision > loss->revision)
-    set_state (history, loss, info->task, info->state, info->revision);
+  if (loss != NULL && is_newer_state (info, loss))
+    set_state (history, loss, info, MAX (info->revision, loss->revision));
 }
 
 static crash_loss_t
@@ -234,42 +288,100 @@
   changed (&info, user);
 }
 
-/* Applies an answer of ENDPOINT to the losses of TASK there. */
+/* What is known of an endpoint with suspected losses. */
+typedef enum
+{
+  ENDPOINT_ANSWERED, /* as the instance that INSTANCE_STARTED_AT_MS names */
+  ENDPOINT_REPLACED,
+  ENDPOINT_LEFT
+} endpoint_news_t;
+
+typedef struct
+{
+  const char *endpoint;
+  endpoint_news_t news;
+  int64_t instance_started_at_ms;
+  crash_loss_func_t changed;
+  void *user;
+} resolution_t;
+
+/* True if the instance that LOSS names is gone. */
+static bool
+is_gone (const loss_t *loss, const resolution_t *resolution)
+{
+  return resolution->news == ENDPOINT_REPLACED
+         || (resolution->news == ENDPOINT_ANSWERED
+             && loss->endpoint_started_at_ms != resolution->instance_started_at_ms);
+}
+
+/* Applies what is known of an endpoint to the losses of TASK there. */
 static void
-resolve_losses (crash_history_t *history,
-                const char *task,
-                const char *endpoint,
-                int64_t started_at_ms,
-                crash_loss_func_t changed,
-                void *user)
+resolve_losses (const crash_history_t *history, const char *task, const resolution_t *resolution)
 {
   const task_entry_t *entry = g_hash_table_lookup (history->tasks, task);
 
   for (guint i = 0; entry != NULL && i < entry->losses->len; i++)
     {
       loss_t *loss = entry->losses->pdata[i];
-      bool restarted = loss->endpoint_started_at_ms != started_at_ms;
-      if (loss->state != CRASH_SUSPECTED || strcmp (loss->endpoint, endpoint) != 0
-          || (restarted && !loss->had_started))
+      bool gone = is_gone (loss, resolution);
+      if (loss->state != CRASH_SUSPECTED || strcmp (loss->endpoint, resolution->endpoint) != 0
+          || (gone && !loss->had_started))
         continue;
-      resolve_loss (loss, task, restarted ? CRASH_CONFIRMED : CRASH_WITHDRAWN, changed, user);
+      resolve_loss (loss, task, gone ? CRASH_CONFIRMED : CRASH_WITHDRAWN, resolution->changed,
+                    resolution->user);
     }
 }
 
+static void
+resolve_endpoint (crash_history_t *history, const resolution_t *resolution)
+{
+  suspect_t *suspect = g_hash_table_lookup (history->suspects, resolution->endpoint);
+
+  if (suspect == NULL)
+    return;
+  for (guint i = 0; i < suspect->tasks->len; i++)
+    resolve_losses (history, suspect->tasks->pdata[i], resolution);
+  remove_suspect (history, suspect);
+}
+
 void
 crash_history_endpoint_answered (crash_history_t *history,
                                  const char *endpoint,
+                                 const char *address,
                                  int64_t started_at_ms,
                                  crash_loss_func_t changed,
                                  void *user)
 {
-  GPtrArray *names = g_hash_table_lookup (history->suspects, endpoint);
+  const resolution_t resolution = { endpoint, ENDPOINT_ANSWERED, started_at_ms, changed, user };
+  const suspect_t *at_address =
+      address != NULL ? g_hash_table_lookup (history->addresses, address) : NULL;
+
+  if (at_address != NULL && strcmp (at_address->endpoint, endpoint) != 0)
+    crash_history_endpoint_replaced (history, at_address->endpoint, changed, user);
+  if (started_at_ms != 0)
+    resolve_endpoint (history, &resolution);
+}
 
-  if (names == NULL)
-    return;
-  for (guint i = 0; i < names->len; i++)
-    resolve_losses (history, names->pdata[i], endpoint, started_at_ms, changed, user);
-  g_hash_table_remove (history->suspects, endpoint);
+void
+crash_history_endpoint_replaced (crash_history_t *history,
+                                 const char *endpoint,
+                                 crash_loss_func_t changed,
+                                 void *user)
+{
+  const resolution_t resolution = { endpoint, ENDPOINT_REPLACED, 0, changed, user };
+
+  resolve_endpoint (history, &resolution);
+}
+
+void
+crash_history_endpoint_left (crash_history_t *history,
+                             const char *endpoint,
+                             crash_loss_func_t changed,
+                             void *user)
+{
+  const resolution_t resolution = { endpoint, ENDPOINT_LEFT, 0, changed, user };
+
+  resolve_endpoint (history, &resolution);
 }
 
 void
@@ -318,8 +430,11 @@
       g_hash_table_iter_remove (&iter);
   g_hash_table_iter_init (&iter, history->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (!has_known_task (history, value))
-      g_hash_table_iter_remove (&iter);
+    if (!has_known_task (history, ((const suspect_t *) value)->tasks))
+      {
+        forget_address (history, value);
+        g_hash_table_iter_remove (&iter);
+      }
 }
 
 void
@@ -379,8 +494,10 @@
   if (entry == NULL)
     return CRASH_START;
   crash_counts_t counts = crash_history_counts (history, task);
-  if (counts.started >= CRASH_STARTED_MAX || counts.lost >= CRASH_LOSSES_MAX)
+  if (counts.confirmed >= CRASH_CONFIRMED_MAX)
     return CRASH_GIVE_UP;
+  if (counts.started >= CRASH_STARTED_MAX || counts.lost >= CRASH_LOSSES_MAX)
+    return CRASH_UNDECIDED;
   crash_counts_t recent = counts_since_success (entry);
   if (recent.lost >= CRASH_HOLD_LOSSES && recent.confirmed < recent.lost
       && now_ms - entry->changed_at_ms < CRASH_HOLD_MS)
--- a/lib/executor/crashes.h
+++ b/lib/executor/crashes.h
@@ -1,16 +1,21 @@
 /* crashes.h -- history of the tasks whose endpoints were lost
  *
  * A task may crash each endpoint that starts it.  The history holds, for each task, the endpoints
- * that were lost while a run of it was there, and decides whether and how it may start again.  A
- * loss is confirmed if the endpoint was found restarted, and suspected if the endpoint has stopped
- * answering.  A suspected loss is confirmed when the endpoint
- * answers as a later instance, and withdrawn when it answers as the same one: it was only cut off.
- * A run whose start was never confirmed may not have begun, so that its loss stays suspected.  A
- * run that had started may have ended, its end unread, before its endpoint crashed.
+ * that were lost while a run of it was there, and decides whether and how it may start again.
+ *
+ * A loss is suspected if the endpoint has stopped answering: it has crashed or is only cut off.  It
+ * is confirmed when a later instance answers under the id of the endpoint, or another endpoint
+ * answers at its address.  It is withdrawn when the endpoint answers as the same instance, or says
+ * that it leaves.  A run whose start was never confirmed may not have begun, so that its loss stays
+ * suspected.  A run that had started may have ended, its end unread, before its endpoint crashed.
+ *
+ * A task is given up for confirmed losses only.  As long as too many are suspected, it neither
+ * starts nor is it given up.
  *
  * A loss is identified by its task, attempt and endpoint instance, and the owner of the endpoint
  * numbers its states.  Histories of several hosts are merged loss by loss, in any order: no loss
- * counts twice, and the latest state wins.
+ * counts twice, the latest state wins, and a confirmed loss stays confirmed, since an instance that
+ * is gone does not come back.
  *
  * Entries are kept for CRASH_RETENTION_MS, and at most CRASH_TASKS_MAX of them.  The module does no
  * I/O.  Not thread-safe.  Strings are copied.
@@ -22,9 +27,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* A task is given up after this many losses of runs that had started, or this many in all: a start
- * order that was not answered may have come to an endpoint that had crashed before.  One of three
- * runs may have ended, its end unread, before its endpoint crashed. */
+/* A task is given up after this many confirmed losses.  One of three runs may have ended, its end
+ * unread, before its endpoint crashed. */
+#define CRASH_CONFIRMED_MAX 3
+/* A task that is not given up waits for as long as this many losses of runs that had started, or
+ * this many in all, are not withdrawn: a start order that was not answered may have come to an
+ * endpoint that had crashed before. */
 #define CRASH_STARTED_MAX 3
 #define CRASH_LOSSES_MAX 5
 /* After its second loss, and each later one, a task waits until all are confirmed or withdrawn, for
@@ -53,7 +61,8 @@
   int64_t endpoint_started_at_ms; /* instance of the endpoint */
   bool had_started;               /* its start was confirmed */
   crash_state_t state;
-  int32_t revision; /* incremented when the state changes */
+  int32_t revision;    /* incremented when the state changes */
+  const char *address; /* of the endpoint; NULL if unknown; not told to other hosts */
 } crash_loss_t;
 
 /* Endpoints that were lost under a task. */
@@ -68,7 +77,8 @@
 {
   CRASH_START,       /* it may start like any other task */
   CRASH_START_ALONE, /* it may start on an endpoint of its own */
-  CRASH_HOLD,        /* it must not start yet */
+  CRASH_HOLD,        /* it must not start yet, for a limited time */
+  CRASH_UNDECIDED,   /* it must not start until losses are confirmed or withdrawn */
   CRASH_GIVE_UP      /* it must not start any more */
 } crash_decision_t;
 
@@ -88,14 +98,28 @@
 /* Merges LOSS, which another host has told. */
 void crash_history_merge (crash_history_t *history, const crash_loss_t *loss, int64_t now_ms);
 
-/* ENDPOINT has answered as the instance that started at STARTED_AT_MS.  CHANGED is called for each
- * loss that this confirms or withdraws. */
+/* ENDPOINT has answered at ADDRESS (NULL if unknown) as the instance that started at STARTED_AT_MS
+ * (0 if unknown). CHANGED is called for each loss that this confirms or withdraws. */
 void crash_history_endpoint_answered (crash_history_t *history,
                                       const char *endpoint,
+                                      const char *address,
                                       int64_t started_at_ms,
                                       crash_loss_func_t changed,
                                       void *user);
 
+/* Another endpoint has answered at the address of ENDPOINT, which is gone: its suspected losses of
+ * runs that had started are confirmed.  CHANGED is called for each of them. */
+void crash_history_endpoint_replaced (crash_history_t *history,
+                                      const char *endpoint,
+                                      crash_loss_func_t changed,
+                                      void *user);
+
+/* ENDPOINT leaves: its suspected losses are withdrawn.  CHANGED is called for each of them. */
+void crash_history_endpoint_left (crash_history_t *history,
+                                  const char *endpoint,
+                                  crash_loss_func_t changed,
+                                  void *user);
+
 /* The run that RUN names (task, attempt, endpoint and instance) is alive: withdraws its loss if
  * that is suspected, and calls CHANGED then. */
 void crash_history_withdraw (crash_history_t *history,
--- a/lib/executor/endpoints.c
+++ b/lib/executor/endpoints.c
@@ -110,7 +110,11 @@
       executor->outliers.endpoints++;
     }
   apply_entry_start_time (executor, endpoint, info, now_ms);
-  endpoint->instance_leaving |= info->leaving && describes_observed_instance (endpoint, info);
+  if (info->leaving && !endpoint->instance_leaving && describes_observed_instance (endpoint, info))
+    {
+      endpoint->instance_leaving = true;
+      crash_history_endpoint_left (executor->crashes, endpoint->id, note_loss, executor);
+    }
   set_string (&endpoint->address, info->address);
   set_string (&endpoint->service, info->service);
   set_string (&endpoint->kind, info->kind);
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -24,9 +24,9 @@
  * - Nothing starts on an endpoint before a poll by the owner has listed the runs there.
  * - What this host can't send without delay waits in the queue (order_window.h), so that a
  *   delay of its own link or processor, up to some 200 ms, does not make endpoints look silent.
- * - A task is given up when three endpoints were lost under runs of it that had started, or five in
- *   all (crashes.h).
- *   Before that it starts on an endpoint of its own, so that it takes no other run with it.
+ * - A task is reported as failed only if so many of its runs have ended as failed, or if three
+ *   endpoints have certainly crashed under runs of it that had started (crashes.h).  After the
+ * first lost endpoint it starts on an endpoint of its own, so that it takes no other run with it.
  * - A task is reported as never started only if no other owner can have started it, which is the
  *   case if its batch was sent under the claim in force.  A task that another owner may have
  *   started stays with its shard, whose endpoints accept only one owner, until its outcome is
@@ -200,7 +200,7 @@
   EXECUTOR_STALE_TOKEN,   /* the endpoint has seen a higher token */
   EXECUTOR_UNHEALTHY,     /* nothing was done; the call may be retried */
   EXECUTOR_INVALID,       /* the order is malformed */
-  EXECUTOR_INSTANCE_GONE, /* nothing listens at the address, or another endpoint instance does */
+  EXECUTOR_INSTANCE_GONE, /* another endpoint has answered at the address: this one is gone */
   EXECUTOR_NO_ANSWER      /* no answer: the order may have been carried out or may still be */
 } executor_answer_t;
 
--- a/lib/executor/losses.c
+++ b/lib/executor/losses.c
@@ -9,6 +9,7 @@
 
   copy.task = g_strdup (loss->task);
   copy.endpoint = g_strdup (loss->endpoint);
+  copy.address = NULL;
   g_array_append_val (executor->new_losses, copy);
 }
 
@@ -19,6 +20,7 @@
   return (crash_loss_t){ .task = task->name,
                          .attempt = task->attempt,
                          .endpoint = task->endpoint->id,
+                         .address = task->endpoint->address,
                          .endpoint_started_at_ms = task->endpoint->started_at_ms,
                          .had_started = task->start_confirmed_at_ms != 0,
                          .state = CRASH_SUSPECTED };
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -281,6 +281,8 @@
   if (answer != EXECUTOR_OK)
     {
       record_no_answer (executor, endpoint, sent_at_ms, now_ms, actions);
+      if (answer == EXECUTOR_INSTANCE_GONE)
+        crash_history_endpoint_replaced (executor->crashes, endpoint->id, note_loss, executor);
       return;
     }
   if (is_later_instance (endpoint, result, sent_at_ms, now_ms))
@@ -289,9 +291,9 @@
     {
       endpoint->started_at_ms = result->started_at_ms;
       endpoint->reports_start_time = true;
-      crash_history_endpoint_answered (executor->crashes, endpoint->id, endpoint->started_at_ms,
-                                       note_loss, executor);
     }
+  crash_history_endpoint_answered (executor->crashes, endpoint->id, endpoint->address,
+                                   result->started_at_ms, note_loss, executor);
   endpoint->restart_suspected = false;
   endpoint->later_clock_seen = false;
   endpoint->ack_number_confirmed = MAX (endpoint->ack_number_confirmed, endpoint->ack_number_sent);
--- a/lib/executor/removed_entries.c
+++ b/lib/executor/removed_entries.c
@@ -65,6 +65,14 @@
   g_hash_table_remove (entries->by_id, id);
 }
 
+const executor_entry_t *
+removed_entries_find (const removed_entries_t *entries, const char *id)
+{
+  const removed_entry_t *removed = g_hash_table_lookup (entries->by_id, id);
+
+  return removed != NULL ? &removed->entry : NULL;
+}
+
 void
 removed_entries_foreach (removed_entries_t *entries,
                          const char *shard,
--- a/lib/executor/removed_entries.h
+++ b/lib/executor/removed_entries.h
@@ -28,6 +28,9 @@
 /* Records that the directory has an entry of endpoint ID again. */
 void removed_entries_forget (removed_entries_t *entries, const char *id);
 
+/* Returns the entry of endpoint ID, which is valid until the next call; NULL if there is none. */
+const executor_entry_t *removed_entries_find (const removed_entries_t *entries, const char *id);
+
 /* Calls VISIT for each entry of SHARD that has not expired at NOW_MS, and drops those of all shards
  * that have.  VISIT must not change ENTRIES. */
 void removed_entries_foreach (removed_entries_t *entries,
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -441,12 +441,17 @@
 static bool
 handle_suspect (executor_t *executor, task_t *task, int64_t now_ms, GArray *actions)
 {
+  static const queue_exit_t held = { EXECUTOR_OVERDUE, "its endpoints may have crashed under it" };
+
   switch (crash_history_decide (executor->crashes, task->name, now_ms))
     {
     case CRASH_GIVE_UP:
       give_up_crashed (executor, task, actions);
       return true;
     case CRASH_HOLD:
+    case CRASH_UNDECIDED:
+      if (is_deadline_unreachable (executor, task, now_ms))
+        exit_queue (executor, task, held, now_ms, actions);
       return true;
     case CRASH_START_ALONE:
       start_alone (executor, task, now_ms, actions);
