Executor: a rejected start order is no failure of the task

Callers would see: "failed" because one endpoint answered one start order with 400, or with any status that is not in the protocol (500, 502, 404), although no run of the task had failed. Cause: any unknown status was decoded as "malformed", and a malformed order failed its job at once.

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -10,6 +10,8 @@
 #define FULL_BACKOFF_MS 20
 /* An endpoint that reports itself as unhealthy gets no task for this time. */
 #define UNHEALTHY_BACKOFF_MS 300
+/* A task whose start order was rejected as malformed this often is reported as failed. */
+#define ORDER_REJECTIONS_MAX 3
 
 void
 record_answer (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
@@ -121,11 +123,18 @@
                endpoint, NULL, now_ms);
 }
 
+void
+avoid_endpoint (task_t *task, const endpoint_t *endpoint)
+{
+  g_free (task->avoid_endpoint_id);
+  task->avoid_endpoint_id = g_strdup (endpoint->id);
+}
+
 static const char *const failure_reasons[] = {
   [TASK_FAILURE_UNKNOWN] = "",
   [TASK_FAILURE_ATTEMPTS] = "failed the maximum number of attempts",
   [TASK_FAILURE_CRASHES] = "endpoints crashed under it",
-  [TASK_FAILURE_REJECTED] = "endpoint rejected the start order as malformed",
+  [TASK_FAILURE_REJECTED] = "endpoints rejected its start order as malformed",
 };
 
 void
@@ -269,8 +278,13 @@
       record_outcome (executor, endpoint, true, now_ms, actions);
       break;
     case EXECUTOR_INVALID:
-      fail_task (executor, task, TASK_FAILURE_REJECTED, actions);
-      return;
+      if (++task->rejections >= ORDER_REJECTIONS_MAX)
+        {
+          fail_task (executor, task, TASK_FAILURE_REJECTED, actions);
+          return;
+        }
+      avoid_endpoint (task, endpoint);
+      break;
     case EXECUTOR_OLD_ATTEMPT:
       /* That attempt may be alive; the next poll shows it. */
       if (task->state == TASK_STARTING)
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -143,7 +143,7 @@
   TASK_FAILURE_UNKNOWN,  /* the owner has not told */
   TASK_FAILURE_ATTEMPTS, /* as many of its runs have failed as its queue allows */
   TASK_FAILURE_CRASHES,  /* it has crashed its endpoints */
-  TASK_FAILURE_REJECTED  /* an endpoint has rejected its start order */
+  TASK_FAILURE_REJECTED  /* endpoints have rejected its start order as malformed; it did not run */
 } task_failure_cause_t;
 
 /* The whole cause of a failed task, by the owner that has reported it. */
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -59,8 +59,7 @@
       log_event (executor, actions, EXECUTOR_LOG_FAILED, endpoint, task, now_ms);
       task->failures++;
       record_outcome (executor, endpoint, true, now_ms, actions);
-      g_free (task->avoid_endpoint_id);
-      task->avoid_endpoint_id = g_strdup (endpoint->id);
+      avoid_endpoint (task, endpoint);
       if (task->batch != NULL && task->failures >= task->batch->attempts_max)
         {
           fail_task (executor, task, TASK_FAILURE_ATTEMPTS, actions);
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -33,7 +33,8 @@
   int32_t attempt;         /* of its present or last run */
   int32_t highest_attempt; /* of all its orders */
   int32_t failures;
-  bool ever_started; /* a start order was sent at least once */
+  int32_t rejections; /* start orders that were rejected as malformed */
+  bool ever_started;  /* a start order was sent at least once */
   endpoint_t *endpoint;
   resources_t need;
   char *avoid_endpoint_id; /* endpoint of the last failure, or NULL */
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -144,8 +144,31 @@
     }
 }
 
+static const struct
+{
+  int status;
+  executor_answer_t answer;
+} answers[] = {
+  { 200, EXECUTOR_OK },          { 400, EXECUTOR_INVALID },       { 404, EXECUTOR_NO_ANSWER },
+  { 409, EXECUTOR_OLD_ATTEMPT }, { 421, EXECUTOR_INSTANCE_GONE }, { 429, EXECUTOR_UNHEALTHY },
+  { 500, EXECUTOR_NO_ANSWER },   { 502, EXECUTOR_NO_ANSWER },     { 503, EXECUTOR_UNHEALTHY },
+};
+
+/* A status that the platform does not know failed the job of the order. */
+static void
+test_unknown_status (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      int64_t endpoint_clock_ms = 0;
+      CU_ASSERT_EQUAL (decode_answer (answers[i].status, "{}", 2, &endpoint_clock_ms),
+                       answers[i].answer);
+    }
+}
+
 static const unit_test_t tests[] = {
   { "numbers that are not finite", test_numbers_not_finite },
+  { "answers with a status that is not known", test_unknown_status },
 };
 
 int
--- a/tests/test_executor_losses.c
+++ b/tests/test_executor_losses.c
@@ -333,6 +333,38 @@
     }
 }
 
+/* A job was answered as failed when one endpoint rejected one order. */
+static void
+test_failed_by_one_rejection (void)
+{
+  executor_batch_t batch = batch_of ("j", 1);
+  scenario_t scenario;
+
+  scenario_begin (&scenario);
+  add_endpoint (&scenario, 0, "r1", 3000);
+  add_endpoint (&scenario, 1, "r1", 4000);
+  run_round_at (&scenario, 10);
+  answer_as_instance (&scenario, 0, 1);
+  answer_as_instance (&scenario, 1, 1);
+  executor_submit (scenario.executor, &batch, 10);
+  run_round_at (&scenario, 10);
+  CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e0");
+  executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_INVALID, 12, 12,
+                           scenario.actions);
+  CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_FAILED));
+  run_round_at (&scenario, 20);
+  CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e1");
+  executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_INVALID, 22, 22,
+                           scenario.actions);
+  run_round_at (&scenario, 30);
+  executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_INVALID, 32, 32,
+                           scenario.actions);
+  const executor_action_t *failed = last_action (&scenario, EXECUTOR_FAILED);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (failed);
+  CU_ASSERT_EQUAL (failed->failure.cause, TASK_FAILURE_REJECTED);
+  scenario_end (&scenario);
+}
+
 static const struct
 {
   const char *name;
@@ -479,6 +511,7 @@
   { "a run on a later instance does not count as lost", test_run_on_later_instance_not_lost },
   { "a lost endpoint answers again", test_lost_endpoint_resolved },
   { "a job failed though its endpoints were only cut off", test_failed_though_only_cut_off },
+  { "a job failed because one endpoint rejected one order", test_failed_by_one_rejection },
   { "a crash under a run that was being stopped was not counted",
     test_crash_while_stopped_not_counted },
   { "nothing starts beside a suspect task", test_nothing_starts_beside_suspect },
