Executor: a task whose lost run has succeeded is done

Callers saw (simulation): a task ran a second and a third time although a run of it had succeeded, on an endpoint that was cut off while it ended. For a job that is kept that is a start after an end done that was taken note of; for any job it is work for nothing, and the job is answered late. Cause: the end of a run that had been counted as lost was read when the endpoint answered again, acknowledged and remembered for later submissions, but the task that waited here, or ran elsewhere, was not told. Change: such an end reports its task as done; another run of it is stopped.

--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -129,6 +129,29 @@
     }
 }
 
+/* An earlier run of the task NAME, which was lost, has succeeded.  Returns true if the coordinator is
+ * told. */
+static bool
+finish_lost_run (executor_t *executor, const char *name, int64_t now_ms, GArray *actions)
+{
+  task_t *task = g_hash_table_lookup (executor->tasks, name);
+
+  if (task == NULL || task->batch == NULL || task->state == TASK_MAYBE_RUNNING)
+    return false;
+  notify_coordinator (executor, actions, EXECUTOR_DONE, task, "an earlier run has succeeded");
+  done_tasks_add (executor->reported_tasks, name, now_ms);
+  crash_history_note_success (executor->crashes, name);
+  if (task->state == TASK_WAITING)
+    {
+      task_remove (executor, task);
+      return true;
+    }
+  log_event (executor, actions, EXECUTOR_LOG_ABORTED, task->endpoint, task, now_ms);
+  task_request_stop (task, now_ms);
+  task_leave_batch (executor, task);
+  return true;
+}
+
 /* Returns false if the end may not be acknowledged, as its coordinator is not told and the end
  * can't be remembered. */
 static bool
@@ -146,6 +169,8 @@
       task->order_open = false;
       finish_run (executor, task, row->result, now_ms, actions);
     }
+  else if (row->result == RUN_DONE)
+    coordinator_told = finish_lost_run (executor, row->task, now_ms, actions);
   return row->result != RUN_DONE || coordinator_told
          || done_tasks_add (executor->done_tasks, row->task, now_ms);
 }
--- a/tests/test_scheduling_run.h
+++ b/tests/test_scheduling_run.h
@@ -215,6 +215,10 @@
 #define DEFAULT_CLOCK_STEP_MS 5000
 #define FAULT_STAGGER_MS 170
 #define FAULT_INTERVAL_MS 1000
+/* How long an endpoint is cut off. */
+#define CUT_MIN_MS 200
+#define CUT_MAX_MS 3200
+
 /* Share of the endpoints that crash in a burst, in thousandths, and how long they are down. */
 #define BURST_SHARE 500
 #define BURST_DOWN_MIN_MS 300
@@ -423,7 +427,11 @@
         sim_endpoint_set_slots (sim, endpoint,
                                 g_rand_int_range (sim->capacity_rand, 0, SIM_ENDPOINT_SLOTS + 1));
       if (random_chance (sim, options->endpoint_cuts))
-        endpoint->cut_until_ms = sim->now_ms + 200 + random_below (sim, 3000);
+        endpoint->cut_until_ms =
+            sim->now_ms + CUT_MIN_MS
+            + random_below (
+                sim, (options->endpoint_cut_max_ms != 0 ? options->endpoint_cut_max_ms : CUT_MAX_MS)
+                         - CUT_MIN_MS);
     }
   for (int i = 0; i < SIM_DATA_CENTRES; i++)
     if (random_chance (sim, options->data_centre_cuts))
--- a/tests/test_scheduling_simulation.h
+++ b/tests/test_scheduling_simulation.h
@@ -85,6 +85,7 @@
                                    that within SIM_REPORT_DELAY_MS */
   bool unguarded_endpoints;     /* endpoints start what they have no slot for */
   int endpoint_cuts;            /* per endpoint: no host can reach it */
+  int64_t endpoint_cut_max_ms;  /* longest such cut; 0 for the default */
   int slow_links;               /* per host: its messages to other hosts are delayed, more and more,
                                    and arrive even if it crashes meanwhile */
   bool cuts_delay_messages;     /* a cut delays messages until it ends; otherwise they are lost */
