Scheduler: an end for a batch of an earlier process ends no job

Callers could see: "failed", "completed" or "not run" for a job, by the end or the confirmed cancellation of another job's batch. Cause: jobs and batches were numbered from 1 in each process. A host that starts anew is reached by its owners before they know that it has; until its first heartbeat, or 120 ms after the connection broke, or the limit of silence where it was cut off, they send what they have for the earlier process. An end names host and number only, so it was taken for a batch of the present process that has the same number. That needs a process that has sent few batches, such as one that crashes soon after its start. Owners are safe, as epochs fence submissions. Evidence: test_scheduler "a job failed by an end of an earlier process", four cases, each answered without the line in scheduler_new (), none with it. The simulation numbers by incarnation too; other tests name 0.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -459,7 +459,8 @@
   site->running_in_drained = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   site->cluster = cluster_new (&cluster_options, now_ms);
   scheduler_options_t scheduler_options = { settings->host, settings->data_centre,
-                                            settings->lease_max_ms, settings->remote_factor };
+                                            settings->lease_max_ms, settings->remote_factor,
+                                            site->incarnation };
   site->scheduler = scheduler_new (&scheduler_options);
   site->owned_shards = g_hash_table_new_full (NULL, NULL, NULL, owner_free_shard);
   site->retired_shards = g_ptr_array_new_with_free_func (owner_free_shard);
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -73,6 +73,7 @@
   scheduler->answer_strings = g_string_chunk_new (STRING_CHUNK_BYTES);
   scheduler->cancellations = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   scheduler->answer_by_ms = INT64_MAX;
+  scheduler->last_number = options->incarnation;
   return scheduler;
 }
 
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -125,6 +125,9 @@
   const char *data_centre;
   int64_t lease_ms;     /* as in executor_options_t */
   double remote_factor; /* as in executor_options_t */
+  /* Of this process.  Its jobs and batches are numbered from here, as an owner may still tell the
+   * end of a batch that an earlier process of this host has sent. */
+  uint64_t incarnation;
 } scheduler_options_t;
 
 scheduler_t *scheduler_new (const scheduler_options_t *options);
--- a/tests/test_report_timing.c
+++ b/tests/test_report_timing.c
@@ -126,7 +126,7 @@
 static void
 test_owner_falls_silent (void)
 {
-  const scheduler_options_t options = { "h", "y", 1000, 1.0 };
+  const scheduler_options_t options = { "h", "y", 1000, 1.0, 0 };
 
   for (size_t i = 0; i < G_N_ELEMENTS (silence_cases); i++)
     {
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -87,7 +87,7 @@
 static void
 test_large_job_to_slow_owner (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0 };
+  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0 };
 
   for (size_t i = 0; i < G_N_ELEMENTS (slow_owner_cases); i++)
     {
@@ -167,7 +167,7 @@
 static void
 test_host_stops_with_jobs (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0 };
+  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0 };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
 
   for (size_t i = 0; i < G_N_ELEMENTS (stop_cases); i++)
@@ -219,11 +219,11 @@
     false },
 };
 
-/* Returns a scheduler with one job, sent to host "hx", the owner of shard "x". */
+/* Returns the scheduler of a process with one job, sent to host "hx", the owner of shard "x". */
 static scheduler_t *
-scheduler_with_job (GArray *actions)
+scheduler_of_process (uint64_t incarnation, GArray *actions)
 {
-  const scheduler_options_t options = { "h", "x", 1000, 1.0 };
+  const scheduler_options_t options = { "h", "x", 1000, 1.0, incarnation };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
   const scheduler_job_t job = make_job (100);
   scheduler_t *scheduler = scheduler_new (&options);
@@ -234,6 +234,12 @@
   return scheduler;
 }
 
+static scheduler_t *
+scheduler_with_job (GArray *actions)
+{
+  return scheduler_of_process (0, actions);
+}
+
 static void
 free_actions (GArray *actions)
 {
@@ -353,7 +359,7 @@
 static void
 test_queue_time (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0 };
+  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0 };
   const executor_offer_t offer = { "s", 1, 1, 1.0 };
 
   for (size_t i = 0; i < G_N_ELEMENTS (start_cases); i++)
@@ -420,7 +426,7 @@
 static void
 test_drained_data_centres (void)
 {
-  const scheduler_options_t options = { "h", "x", 1000, 1.0 };
+  const scheduler_options_t options = { "h", "x", 1000, 1.0, 0 };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
   const executor_offer_t drained_offer = { "s", 0, 0, 1.0 };
   const executor_offer_t other = { "t", 4, 4, 1.0 };
@@ -597,7 +603,7 @@
 test_drain_at_full_load (void)
 {
   static const char *const shards[] = { "x", "y", "z" };
-  const scheduler_options_t options = { "h", "x", 1000, 1.0 };
+  const scheduler_options_t options = { "h", "x", 1000, 1.0, 0 };
   const executor_offer_t full = { "s", 0, 80, 1.0 };
   GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
   scheduler_t *scheduler = scheduler_new (&options);
@@ -685,7 +691,7 @@
 static void
 test_admission (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0 };
+  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0 };
   const scheduler_job_t job = make_job (100);
 
   for (size_t i = 0; i < G_N_ELEMENTS (admission_cases); i++)
@@ -735,7 +741,7 @@
 static void
 test_returned_task_without_owner (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0 };
+  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0 };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
   const scheduler_job_t job = make_job (100);
 
@@ -768,10 +774,66 @@
     }
 }
 
+typedef enum
+{
+  OLD_END,      /* the end HOW of the task */
+  OLD_CONFIRMED /* its batch was cancelled, and none of its tasks had started */
+} old_message_t;
+
+static const struct
+{
+  const char *name;
+  old_message_t message;
+  scheduler_task_end_t how;
+} earlier_process_cases[] = {
+  { "failed", OLD_END, SCHEDULER_TASK_FAILED },
+  { "done", OLD_END, SCHEDULER_TASK_DONE },
+  { "too late", OLD_END, SCHEDULER_TASK_OVERDUE },
+  { "never started", OLD_CONFIRMED, SCHEDULER_TASK_RETURNED },
+};
+
+/* A job was answered by the end of another one, whose batch an earlier process of the host had sent
+ * to the same owner: the numbers of batches began anew.  The owner does not know yet that the host
+ * has started again. */
+static void
+test_end_for_earlier_process (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (earlier_process_cases); i++)
+    {
+      const task_failure_t failure = { TASK_FAILURE_ATTEMPTS, 1, 1, 1, { 0, 0, 0 } };
+      GArray *earlier_actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      scheduler_t *earlier = scheduler_of_process (1 << 16, earlier_actions);
+      scheduler_t *scheduler = scheduler_of_process (2 << 16, actions);
+      uint64_t number = g_array_index (earlier_actions, scheduler_action_t, 0).batch_number;
+
+      if (earlier_process_cases[i].message == OLD_CONFIRMED)
+        {
+          /* The deadline of the job has passed, so that it waits for a confirmation. */
+          scheduler_step (scheduler, 1500, actions);
+          scheduler_batch_end_confirmed (scheduler, "hx", number, true, 1501, actions);
+        }
+      else
+        {
+          scheduler_note_failure (scheduler, "hx", number, 0, &failure);
+          scheduler_task_ended (scheduler, "hx", number, 0, earlier_process_cases[i].how, 10,
+                                actions);
+        }
+      if (count_of (actions, SCHEDULER_ANSWER) != 0)
+        printf ("  %s: answered\n", earlier_process_cases[i].name);
+      CU_ASSERT_EQUAL (count_of (actions, SCHEDULER_ANSWER), 0);
+      scheduler_free (earlier);
+      scheduler_free (scheduler);
+      free_actions (earlier_actions);
+      free_actions (actions);
+    }
+}
+
 static const unit_test_t cases[] = {
   { "no job is sent to a drained data centre", test_drained_data_centres },
   { "a drain while another owner is unknown", test_drained_unknown_owner },
   { "a failed job is answered with its cause", test_failure_in_answer },
+  { "a job failed by an end of an earlier process", test_end_for_earlier_process },
   { "tasks returned by a drained data centre", test_drained_task_returned },
   { "a drain at full load", test_drain_at_full_load },
   { "size classes of jobs", test_size_classes },
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -493,7 +493,8 @@
     SIM_RESUBMIT_MS,     sim->options->one_hub_per_data_centre ? 1 : CLUSTER_HUBS_PER_DATA_CENTRE
   };
   scheduler_options_t scheduler_options = { host->name, data_centre_name (host->data_centre),
-                                            SIM_LEASE_MS, SIM_REMOTE_FACTOR };
+                                            SIM_LEASE_MS, SIM_REMOTE_FACTOR,
+                                            (uint64_t) host->incarnation << 32 };
 
   host->cluster = cluster_new (&cluster_options, sim->now_ms);
   host->scheduler = scheduler_new (&scheduler_options);
