Executor: an entry alone does not show a crash

Callers could see: "failed" with crashes as its cause, one or more of which were of endpoints that were alive. Cause: a suspected loss was confirmed by another endpoint that answers at the address of the lost one, and both addresses came from entries. An entry that names another endpoint's address made two polls there, answered 421, confirm the runs on an endpoint that was alive where it had answered before; and an answer to a poll that was under way when such an entry came counted as one from the new address. Entries may be old or come from another writer (docs/design/endpoint-crashes.md). Change: a loss holds the address from which its endpoint has answered its owner, and 421 counts only from there. An answer to a poll that was sent to an earlier address is dropped, and the endpoint is polled again. Evidence: test_executor_losses "an endpoint that an entry alone shows as crashed": two of four cases red before, none after. A host that learns of a loss from another one still takes the address from its directory.

--- a/lib/executor/crashes.c
+++ b/lib/executor/crashes.c
@@ -357,7 +357,7 @@
       address != NULL ? g_hash_table_lookup (history->addresses, address) : NULL;
 
   if (at_address != NULL && strcmp (at_address->endpoint, endpoint) != 0)
-    crash_history_endpoint_replaced (history, at_address->endpoint, changed, user);
+    crash_history_endpoint_replaced (history, at_address->endpoint, address, changed, user);
   if (started_at_ms != 0)
     resolve_endpoint (history, &resolution);
 }
@@ -365,12 +365,15 @@
 void
 crash_history_endpoint_replaced (crash_history_t *history,
                                  const char *endpoint,
+                                 const char *address,
                                  crash_loss_func_t changed,
                                  void *user)
 {
   const resolution_t resolution = { endpoint, ENDPOINT_REPLACED, 0, changed, user };
+  const suspect_t *suspect = g_hash_table_lookup (history->suspects, endpoint);
 
-  resolve_endpoint (history, &resolution);
+  if (suspect != NULL && (suspect->address == NULL || g_strcmp0 (suspect->address, address) == 0))
+    resolve_endpoint (history, &resolution);
 }
 
 void
--- a/lib/executor/crashes.h
+++ b/lib/executor/crashes.h
@@ -62,7 +62,7 @@
   bool had_started;               /* its start was confirmed */
   crash_state_t state;
   int32_t revision;    /* incremented when the state changes */
-  const char *address; /* of the endpoint; NULL if unknown; not told to other hosts */
+  const char *address; /* where the endpoint answered; NULL if unknown; not told to other hosts */
 } crash_loss_t;
 
 /* Endpoints that were lost under a task. */
@@ -107,10 +107,11 @@
                                       crash_loss_func_t changed,
                                       void *user);
 
-/* Another endpoint has answered at the address of ENDPOINT, which is gone: its suspected losses of
- * runs that had started are confirmed.  CHANGED is called for each of them. */
+/* Another endpoint has answered at ADDRESS.  If ENDPOINT was lost there, it is gone: its suspected
+ * losses of runs that had started are confirmed.  CHANGED is called for each of them. */
 void crash_history_endpoint_replaced (crash_history_t *history,
                                       const char *endpoint,
+                                      const char *address,
                                       crash_loss_func_t changed,
                                       void *user);
 
--- a/lib/executor/endpoints.c
+++ b/lib/executor/endpoints.c
@@ -27,6 +27,7 @@
 
   g_free (endpoint->id);
   g_free (endpoint->address);
+  g_free (endpoint->answered_address);
   g_free (endpoint->service);
   g_free (endpoint->kind);
   g_free (endpoint->rack);
@@ -60,6 +61,23 @@
   *text = g_strdup (value);
 }
 
+void
+endpoint_note_address (endpoint_t *endpoint)
+{
+  set_string (&endpoint->answered_address, endpoint->address);
+}
+
+/* An answer from the earlier address says nothing of the new one. */
+static void
+set_address (endpoint_t *endpoint, const char *address)
+{
+  bool moved = endpoint->address != NULL && g_strcmp0 (endpoint->address, address) != 0;
+
+  set_string (&endpoint->address, address);
+  if (moved)
+    endpoint_poll_again (endpoint);
+}
+
 /* Start times only tell instances apart: they come from a clock that may jump, so that they do not
  * show which instance is newer.  The entry may be older than the last poll result.  Where poll
  * results contain the start time too, a new entry therefore ends no runs; it invalidates polls
@@ -115,7 +133,7 @@
       endpoint->instance_leaving = true;
       crash_history_endpoint_left (executor->crashes, endpoint->id, note_loss, executor);
     }
-  set_string (&endpoint->address, info->address);
+  set_address (endpoint, info->address);
   set_string (&endpoint->service, info->service);
   set_string (&endpoint->kind, info->kind);
   set_string (&endpoint->rack, info->rack);
--- a/lib/executor/losses.c
+++ b/lib/executor/losses.c
@@ -20,7 +20,7 @@
   return (crash_loss_t){ .task = task->name,
                          .attempt = task->attempt,
                          .endpoint = task->endpoint->id,
-                         .address = task->endpoint->address,
+                         .address = task->endpoint->answered_address,
                          .endpoint_started_at_ms = task->endpoint->started_at_ms,
                          .had_started = task->start_confirmed_at_ms != 0,
                          .state = CRASH_SUSPECTED };
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -129,8 +129,8 @@
     }
 }
 
-/* An earlier run of the task NAME, which was lost, has succeeded.  Returns true if the coordinator is
- * told. */
+/* An earlier run of the task NAME, which was lost, has succeeded.  Returns true if the coordinator
+ * is told. */
 static bool
 finish_lost_run (executor_t *executor, const char *name, int64_t now_ms, GArray *actions)
 {
@@ -306,7 +306,8 @@
     {
       record_no_answer (executor, endpoint, sent_at_ms, now_ms, actions);
       if (answer == EXECUTOR_INSTANCE_GONE)
-        crash_history_endpoint_replaced (executor->crashes, endpoint->id, note_loss, executor);
+        crash_history_endpoint_replaced (executor->crashes, endpoint->id, endpoint->address,
+                                         note_loss, executor);
       return;
     }
   if (is_later_instance (endpoint, result, sent_at_ms, now_ms))
@@ -316,6 +317,7 @@
       endpoint->started_at_ms = result->started_at_ms;
       endpoint->reports_start_time = true;
     }
+  endpoint_note_address (endpoint);
   crash_history_endpoint_answered (executor->crashes, endpoint->id, endpoint->address,
                                    result->started_at_ms, note_loss, executor);
   endpoint->restart_suspected = false;
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -128,7 +128,8 @@
 struct endpoint_t
 {
   char *id;
-  char *address;
+  char *address;          /* by its entry */
+  char *answered_address; /* where it has answered last; NULL if it has not */
   char *service;
   char *kind;
   char *rack;
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -12,6 +12,9 @@
 /* Records that only a poll from now on shows the runs on ENDPOINT. */
 void endpoint_poll_again (endpoint_t *endpoint);
 
+/* ENDPOINT has answered a poll. */
+void endpoint_note_address (endpoint_t *endpoint);
+
 /* Records that the endpoint of TASK was lost while it may have run there.  RESTARTED says that the
  * endpoint was found restarted.  An endpoint that has said that it would leave has not crashed. */
 void record_loss (executor_t *executor, const task_t *task, bool restarted, int64_t now_ms);
--- a/tests/test_executor_losses.c
+++ b/tests/test_executor_losses.c
@@ -504,6 +504,82 @@
   scenario_end (&scenario);
 }
 
+/* Entry of endpoint e0 that names ADDRESS. */
+static void
+set_address_of_e0 (scenario_t *scenario, const char *address)
+{
+  const executor_endpoint_t entry = { .id = endpoint_ids[0],
+                                      .address = address,
+                                      .service = SERVICE,
+                                      .kind = "a",
+                                      .rack = "r1",
+                                      .started_at_ms = 1,
+                                      .free = { 3000, 1000, 0 } };
+
+  executor_set_endpoint (scenario->executor, &entry, scenario->now_ms);
+}
+
+#define OWN_ADDRESS "127.0.0.1:1"
+#define OTHER_ADDRESS "127.0.0.1:9"
+
+static const struct
+{
+  const char *name;
+  const char *lost; /* endpoint whose loss is suspected, and which was at LOST_ADDRESS */
+  const char *lost_address;
+  const char *address; /* of e0, by an entry that comes while e0 is polled */
+  bool answers;        /* e0 answers that poll; else the polls after it name another endpoint */
+  int32_t confirmed;
+} address_cases[] = {
+  { "another endpoint is where e0 was", "e0", OWN_ADDRESS, OWN_ADDRESS, false, 1 },
+  { "another endpoint is where e0 never answered", "e0", OWN_ADDRESS, OTHER_ADDRESS, false, 0 },
+  { "e0 answers where the lost one was", "e9", OWN_ADDRESS, OWN_ADDRESS, true, 1 },
+  { "e0 has answered elsewhere", "e9", OTHER_ADDRESS, OTHER_ADDRESS, true, 0 },
+};
+
+/* An endpoint was taken to have crashed because an entry named an address that no answer had come
+ * from. */
+static void
+test_crash_shown_by_entry_alone (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (address_cases); i++)
+    {
+      crash_history_t *crashes = crash_history_new ();
+      const executor_options_t options = {
+        .lease_ms = LEASE_MS, .stop_ms = STOP_TIMEOUT_MS, .remote_factor = 2, .crashes = crashes
+      };
+      crash_loss_t loss = { .task = TASK,
+                            .attempt = 1,
+                            .endpoint = address_cases[i].lost,
+                            .address = address_cases[i].lost_address,
+                            .endpoint_started_at_ms = 1,
+                            .had_started = true };
+      scenario_t scenario;
+
+      scenario_begin (&scenario);
+      executor_free (scenario.executor);
+      scenario.executor = executor_new (&options);
+      set_address_of_e0 (&scenario, OWN_ADDRESS);
+      run_round_at (&scenario, 10);
+      crash_history_add (crashes, &loss, 10);
+      set_address_of_e0 (&scenario, address_cases[i].address);
+      if (address_cases[i].answers)
+        answer_as_instance (&scenario, 0, 1);
+      for (int64_t now_ms = 20; now_ms < 200 && !address_cases[i].answers; now_ms += 10)
+        {
+          run_round_at (&scenario, now_ms);
+          executor_poll_answered (scenario.executor, scenario.poll_serial[0],
+                                  EXECUTOR_INSTANCE_GONE, NULL, now_ms, scenario.actions);
+        }
+      int32_t confirmed = crash_history_counts (crashes, TASK).confirmed;
+      if (confirmed != address_cases[i].confirmed)
+        printf ("  %s: %d confirmed\n", address_cases[i].name, confirmed);
+      CU_ASSERT_EQUAL (confirmed, address_cases[i].confirmed);
+      scenario_end (&scenario);
+      crash_history_free (crashes);
+    }
+}
+
 static const unit_test_t tests[] = {
   { "a run on an instance that was not noticed before", test_run_on_unnoticed_instance },
   { "a task that crashes endpoints is given up", test_crashing_task_given_up },
@@ -512,6 +588,7 @@
   { "a lost endpoint answers again", test_lost_endpoint_resolved },
   { "a job failed though its endpoints were only cut off", test_failed_though_only_cut_off },
   { "a job failed because one endpoint rejected one order", test_failed_by_one_rejection },
+  { "an endpoint that an entry alone shows as crashed", test_crash_shown_by_entry_alone },
   { "a crash under a run that was being stopped was not counted",
     test_crash_while_stopped_not_counted },
   { "nothing starts beside a suspect task", test_nothing_starts_beside_suspect },
