Executor: a rejected order is told as given up, not as failed

Callers could see: "failed" for a job none of whose runs had failed, if its start order was rejected as malformed three times and the coordinator did not learn why. Cause: the end was told as EXECUTOR_FAILED, and only the message with the cause, which goes in a frame of its own, made the coordinator answer "not served". Change: such an end is told as EXECUTOR_OVERDUE, which is answered as not served by any coordinator; the cause only chooses the reason.

--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -10,7 +10,7 @@
 #define FULL_BACKOFF_MS 20
 /* An endpoint that reports itself as unhealthy gets no task for this time. */
 #define UNHEALTHY_BACKOFF_MS 300
-/* A task whose start order was rejected as malformed this often is reported as failed. */
+/* A task whose start order was rejected as malformed this often is given up. */
 #define ORDER_REJECTIONS_MAX 3
 
 void
@@ -141,8 +141,10 @@
 fail_task (executor_t *executor, task_t *task, task_failure_cause_t cause, GArray *actions)
 {
   batch_t *batch = task->batch;
+  /* A rejected order is no failure, even if the coordinator does not learn the cause. */
+  executor_action_kind_t kind = cause == TASK_FAILURE_REJECTED ? EXECUTOR_OVERDUE : EXECUTOR_FAILED;
   executor_action_t *action =
-      notify_coordinator (executor, actions, EXECUTOR_FAILED, task, failure_reasons[cause]);
+      notify_coordinator (executor, actions, kind, task, failure_reasons[cause]);
 
   if (action != NULL)
     {
--- a/lib/executor/answer.h
+++ b/lib/executor/answer.h
@@ -51,7 +51,8 @@
 /* TASK starts on another endpoint than ENDPOINT next time, if there is one. */
 void avoid_endpoint (task_t *task, const endpoint_t *endpoint);
 
-/* Tells the coordinator of TASK that it has failed because of CAUSE, and removes it. */
+/* Tells the coordinator of TASK that it has failed, or can't be started, because of CAUSE, and
+ * removes it. */
 void fail_task (executor_t *executor, task_t *task, task_failure_cause_t cause, GArray *actions);
 
 #endif
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -100,13 +100,14 @@
   EXECUTOR_POLL,          /* list runs, acknowledge ended runs, and renew the lease unless
                              LEASE_UNTIL_ENDPOINT_MS is 0 */
   EXECUTOR_DONE,          /* to the coordinator: task INDEX of BATCH has succeeded */
-  EXECUTOR_FAILED,        /* to the coordinator: it has failed too often, has crashed its endpoints,
-                            or cannot run */
+  EXECUTOR_FAILED,        /* to the coordinator: it has failed too often, or has crashed its
+                             endpoints */
   EXECUTOR_RETURNED,      /* to the coordinator: it never started and has left the queue */
   EXECUTOR_EXPIRED,       /* to the coordinator: it never started and cannot meet its deadline */
   EXECUTOR_START_TIMEOUT, /* to the coordinator: none of its batch has started by START_BY_MS */
-  EXECUTOR_OVERDUE,       /* to the coordinator: it may have run and cannot meet its deadline */
-  EXECUTOR_NOT_OWNED,     /* to the coordinator: this host does not own the shard */
+  EXECUTOR_OVERDUE,   /* to the coordinator: it may have run and cannot meet its deadline, or its
+                         start order was rejected */
+  EXECUTOR_NOT_OWNED, /* to the coordinator: this host does not own the shard */
   EXECUTOR_RETURNED_AFTER_RUN, /* to the coordinator: it may have run, its run is over, and it has
                                   left the queue */
   EXECUTOR_LOSS,               /* for the other hosts: LOSS, which they merge into their history */
@@ -137,7 +138,7 @@
   EXECUTOR_LOG_CRASHED /* crashes; no endpoint: the task is given up */
 } executor_log_event_t;
 
-/* Why a task was reported as EXECUTOR_FAILED. */
+/* Why a task was reported as EXECUTOR_FAILED, or as EXECUTOR_OVERDUE if its order was rejected. */
 typedef enum
 {
   TASK_FAILURE_UNKNOWN,  /* the owner has not told */
@@ -187,7 +188,7 @@
   int32_t waiting_tasks;
   crash_loss_t loss;      /* EXECUTOR_LOSS */
   crash_counts_t crashes; /* endpoints that were lost under TASK */
-  task_failure_t failure; /* EXECUTOR_FAILED */
+  task_failure_t failure; /* EXECUTOR_FAILED, EXECUTOR_OVERDUE */
 } executor_action_t;
 
 /* Outcome of a call to an endpoint. */
--- a/lib/executor/executor_msg.h
+++ b/lib/executor/executor_msg.h
@@ -25,7 +25,7 @@
   EXECUTOR_MSG_RESYNC, /* task ends sent earlier may be lost: the receiver sends its batches again
                         */
   EXECUTOR_MSG_LOSSES, /* endpoints that were lost under tasks */
-  EXECUTOR_MSG_TASK_FAILURE /* why the end of a task that follows is EXECUTOR_FAILED */
+  EXECUTOR_MSG_TASK_FAILURE /* why a task, whose end follows, has failed or was given up */
 } executor_msg_t;
 
 /* Gives BATCH to the owner of SHARD.  EPOCH is the epoch under which the coordinator expects
@@ -81,7 +81,7 @@
   uint64_t batch;
   int32_t index;
   executor_action_kind_t outcome; /* EXECUTOR_DONE to EXECUTOR_RETURNED_AFTER_RUN */
-  task_failure_t failure;         /* EXECUTOR_FAILED; not in EXECUTOR_MSG_TASK_ENDS */
+  task_failure_t failure;         /* if known; not in EXECUTOR_MSG_TASK_ENDS */
 } executor_task_end_t;
 GBytes *executor_msg_task_ends (const executor_task_end_t *ends, size_t count);
 /* Appends executor_task_end_t. */
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -92,7 +92,7 @@
 {
   int32_t index;
   executor_action_kind_t outcome;
-  task_failure_t failure; /* EXECUTOR_FAILED */
+  task_failure_t failure; /* EXECUTOR_FAILED, EXECUTOR_OVERDUE */
 } task_outcome_t;
 
 /* A task end that the coordinator may have missed and is to be sent again. */
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -336,13 +336,6 @@
         }
       break;
     case SCHEDULER_TASK_FAILED:
-      if (job->failure.cause == TASK_FAILURE_REJECTED)
-        {
-          scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, SCHEDULER_LIMIT_ATTEMPTS,
-                             "endpoints reject the start orders of a task as malformed", now_ms,
-                             actions);
-          break;
-        }
       scheduler_end_job (scheduler, job, SCHEDULER_FAILED, SCHEDULER_LIMIT_ATTEMPTS,
                          "a task has failed as often as is allowed, or has crashed its endpoints",
                          now_ms, actions);
@@ -357,6 +350,13 @@
         g_array_append_val (job->unassigned, index);
       break;
     case SCHEDULER_TASK_OVERDUE:
+      if (job->failure.cause == TASK_FAILURE_REJECTED && job->failed_index == index)
+        {
+          scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, SCHEDULER_LIMIT_ATTEMPTS,
+                             "endpoints reject the start orders of a task as malformed", now_ms,
+                             actions);
+          break;
+        }
       scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, scheduler_deadline_limit (job),
                          "a task takes too long for its deadline", now_ms, actions);
       break;
