History of crashes: what other hosts have resolved is forgotten

Operators could see: the memory of a host grows with each loss that is suspected and resolved elsewhere. Cause: the names of tasks with suspected losses were removed only by an answer to the host itself, or when all tasks of an endpoint were forgotten; a host that does not own the endpoint gets no answers. Besides, entries expired only in rounds of owned shards: a host without a shard kept its losses for ever and told them, as if they were new, to each host that connected. Change: names without a suspected loss are removed at each expiry, a name is held once, and entries expire on every host. Evidence: test_crashes "names of tasks whose losses others have resolved were kept" red before (names kept for as long as any task is known), green after. That hosts without a shard expire entries has no test of its own, as it takes an hour.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -388,6 +388,7 @@
   peers_connect (site, now_ms);
   peers_send_heartbeats (site, now_ms, false);
   request_newer_config (site, now_ms);
+  crash_history_expire (site->crashes, now_ms);
   drain_tick (site, now_ms);
   probe_unowned_shards (site, now_ms);
   owner_free_retired (site, now_ms);
--- a/lib/executor/crashes.c
+++ b/lib/executor/crashes.c
@@ -179,7 +179,8 @@
 {
   suspect_t *suspect = suspect_of (history, loss->endpoint);
 
-  g_ptr_array_add (suspect->tasks, g_strdup (loss->task));
+  if (!g_ptr_array_find_with_equal_func (suspect->tasks, loss->task, g_str_equal, NULL))
+    g_ptr_array_add (suspect->tasks, g_strdup (loss->task));
   if (loss->address == NULL)
     return;
   forget_address (history, suspect);
@@ -410,14 +411,28 @@
 }
 
 static bool
-has_known_task (const crash_history_t *history, const GPtrArray *names)
+is_suspected (const crash_history_t *history, const char *task, const char *endpoint)
 {
-  for (guint i = 0; i < names->len; i++)
-    if (g_hash_table_contains (history->tasks, names->pdata[i]))
-      return true;
+  const task_entry_t *entry = g_hash_table_lookup (history->tasks, task);
+
+  for (guint i = 0; entry != NULL && i < entry->losses->len; i++)
+    {
+      const loss_t *loss = entry->losses->pdata[i];
+      if (loss->state == CRASH_SUSPECTED && strcmp (loss->endpoint, endpoint) == 0)
+        return true;
+    }
   return false;
 }
 
+/* Removes the tasks whose losses at SUSPECT another host has resolved, or are forgotten. */
+static void
+remove_resolved_tasks (const crash_history_t *history, suspect_t *suspect)
+{
+  for (guint i = suspect->tasks->len; i-- > 0;)
+    if (!is_suspected (history, suspect->tasks->pdata[i], suspect->endpoint))
+      g_ptr_array_remove_index_fast (suspect->tasks, i);
+}
+
 void
 crash_history_expire (crash_history_t *history, int64_t now_ms)
 {
@@ -433,11 +448,27 @@
       g_hash_table_iter_remove (&iter);
   g_hash_table_iter_init (&iter, history->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (!has_known_task (history, ((const suspect_t *) value)->tasks))
-      {
-        forget_address (history, value);
-        g_hash_table_iter_remove (&iter);
-      }
+    {
+      suspect_t *suspect = value;
+      remove_resolved_tasks (history, suspect);
+      if (suspect->tasks->len > 0)
+        continue;
+      forget_address (history, suspect);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+size_t
+crash_history_suspect_count (const crash_history_t *history)
+{
+  size_t count = 0;
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, history->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += ((const suspect_t *) value)->tasks->len;
+  return count;
 }
 
 void
--- a/lib/executor/crashes.h
+++ b/lib/executor/crashes.h
@@ -132,9 +132,14 @@
  * task again. */
 void crash_history_note_success (crash_history_t *history, const char *task);
 
-/* Removes entries to which nothing was added for CRASH_RETENTION_MS. */
+/* Removes entries to which nothing was added for CRASH_RETENTION_MS.  To be called from time to
+ * time wherever losses are merged, also where no endpoint is owned. */
 void crash_history_expire (crash_history_t *history, int64_t now_ms);
 
+/* Returns the number of tasks that are held for the endpoints whose answers may resolve their
+ * losses. */
+size_t crash_history_suspect_count (const crash_history_t *history);
+
 void crash_history_foreach (const crash_history_t *history, crash_loss_func_t func, void *user);
 
 crash_counts_t crash_history_counts (const crash_history_t *history, const char *task);
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -401,10 +401,42 @@
   crash_history_free (history);
 }
 
+#define RESOLVED_TASKS 1000
+#define RESOLVED_INTERVAL_MS 100
+/* Losses that are resolved between two removals. */
+#define RESOLVED_HELD_MAX 200
+
+/* A host that owns no endpoint is told of losses and how they were resolved.  It kept the name of
+ * each task for as long as the endpoint was suspected again and again. */
+static void
+test_resolved_elsewhere_forgotten (void)
+{
+  static const crash_state_t states[] = { CRASH_SUSPECTED, CRASH_WITHDRAWN, CRASH_SUSPECTED,
+                                          CRASH_CONFIRMED };
+  crash_history_t *history = crash_history_new ();
+  size_t held_max = 0;
+  char name[32];
+
+  for (int i = 0; i < RESOLVED_TASKS; i++)
+    {
+      g_snprintf (name, sizeof name, "j.0.0.%d", i);
+      for (int32_t k = 0; k < (int32_t) G_N_ELEMENTS (states); k++)
+        crash_history_merge (
+            history, &(crash_loss_t){ name, 1, "e0", 1, true, states[k], k + 1, "127.0.0.1:1" },
+            i * RESOLVED_INTERVAL_MS);
+      crash_history_expire (history, i * RESOLVED_INTERVAL_MS);
+      held_max = MAX (held_max, crash_history_suspect_count (history));
+    }
+  CU_ASSERT_TRUE (held_max <= RESOLVED_HELD_MAX);
+  crash_history_free (history);
+}
+
 static const unit_test_t tests[] = {
   { "decisions", test_decisions },
   { "copied", test_copied },
   { "bounded", test_bounded },
+  { "names of tasks whose losses others have resolved were kept",
+    test_resolved_elsewhere_forgotten },
 };
 
 int
