Web server: a request sent ahead of an answer waits for the event loop

Callers saw: a host aborted (double free), with the jobs and connections of all its callers, when one of them sent a second request, such as the DELETE of its job, on the connection on which it waited for the job. Cause: web_reply () parsed the next request that waited on the connection and passed it on at once. A job is answered by an action of the scheduler, so the request called the scheduler in the middle of its actions, and site_run_scheduler_actions () began again with the first of them: the answer was given twice. Change: web_reply () only has the event loop read on; no request is passed on from within an answer, whatever its handlers do, and many requests at once no longer nest a call each. site_run_scheduler_actions () entered from one of its actions leaves what was added to the call under way. Looked at for the same: the actions of an owned shard and of the cluster (they call no handler; a start order never ends within web_call_start (), a connect that fails at once is reported by the next tick); callbacks of the log client and of calls to endpoints (only from the loop); posted calls (a post from within one goes to the next turn); requests that wait for the first configuration (the list could have changed while it was walked; no longer, since an answer passes nothing on).

--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -150,6 +150,9 @@
 void
 site_run_scheduler_actions (site_t *site)
 {
+  if (site->running_scheduler_actions)
+    return;
+  site->running_scheduler_actions = true;
   /* Actions may append further ones and so move the array: each is copied first. */
   for (guint i = 0; i < site->scheduler_actions->len; i++)
     {
@@ -157,6 +160,7 @@
       run_scheduler_action (site, &action);
     }
   g_array_set_size (site->scheduler_actions, 0);
+  site->running_scheduler_actions = false;
 }
 
 static const queues_t *
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -97,6 +97,7 @@
   bool follows_directory; /* whether this host reads the directory of endpoints from the log */
   int64_t directory_followed_since_ms; /* 0 for since its start */
   bool stopping;
+  bool running_scheduler_actions; /* they are being carried out */
   int64_t stopping_since_ms;
   int64_t killed_at_ms;    /* the end of the grace period */
   bool listener_closed;    /* no connection of a caller is accepted any more */
@@ -129,7 +130,8 @@
 void site_task_ended (site_t *site, const char *host, const executor_task_end_t *end);
 
 /* site_jobs.c: carries out all pending actions of the scheduler, including those that are added
- * meanwhile. */
+ * meanwhile.  Called from within an action it does nothing: the call under way carries out what was
+ * added. */
 void site_run_scheduler_actions (site_t *site);
 
 /* site_updates.c */
--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -38,7 +38,8 @@
 typedef struct
 {
   /* Called with a complete request, which must be answered with web_reply () or
-   * web_reply_bytes (), either within the callback or later. */
+   * web_reply_bytes (), either within the callback or later.  Never called from within these
+   * two, even if the client has sent its next request ahead of the answer. */
   void (*on_request) (web_request_t *request, void *data);
   /* Called when the client closed its connection before it was answered.  REQUEST
    * is invalid once the callback returns and must not be answered. */
--- a/lib/reactor/web_server.c
+++ b/lib/reactor/web_server.c
@@ -2,9 +2,9 @@
  *
  * A connection carries one request at a time.  While a request is being answered the
  * parser is paused, and further input stays in the buffer.  The socket is read all the
- * same, so that a disconnect of the client is detected at once.  Invariant: a request
- * is passed to the handler only when it is complete, and exactly one of web_reply (),
- * web_reply_bytes () and the on_abandoned callback ends it.
+ * same, so that a disconnect of the client is detected at once.  Invariants: a request
+ * is passed to the handler only when it is complete, and only by the event loop; exactly
+ * one of web_reply (), web_reply_bytes () and the on_abandoned callback ends it.
  *
  * A socket that is closed while input arrives resets its connection, and what the client
  * has not received by then is lost.  After the last answer the server therefore closes
@@ -331,6 +331,16 @@
     parse_input (connection);
 }
 
+/* Has the event loop parse what arrived during a request.  The next request is not passed on at
+ * once, since the handlers may have answered within a change of their state. */
+static void
+schedule_parsing (connection_t *connection)
+{
+  if (evbuffer_get_length (bufferevent_get_input (connection->bufferevent)) > 0)
+    bufferevent_trigger (connection->bufferevent, EV_READ,
+                         BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
 static void
 start_lingering (connection_t *connection)
 {
@@ -447,7 +457,7 @@
   connection->state = READING;
   connection->since_ms = clock_boot_ms ();
   send_answer (connection, status, headers, body, size);
-  parse_input (connection);
+  schedule_parsing (connection);
 }
 
 void
--- a/tests/test_web_server.c
+++ b/tests/test_web_server.c
@@ -1,4 +1,5 @@
-/* test_web_server.c -- lib/reactor web server: how its connections end */
+/* test_web_server.c -- lib/reactor web server: how its connections end, and requests that are sent
+ * ahead of answers */
 #include "base/clock.h"
 #include "reactor/web.h"
 #include "tests/port_block.h"
@@ -10,6 +11,8 @@
 #include <glib.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -38,6 +41,10 @@
   web_server_t *server;
   GThread *thread;
   gint connections; /* as of the last tick */
+  gint nested;      /* requests that were passed on within an answer */
+  bool answering;
+  bool answers_later; /* at the next tick */
+  GPtrArray *waiting; /* web_request_t */
 } rig_t;
 
 static void
@@ -50,11 +57,31 @@
   g_free (body);
 }
 
+static void
+answer (rig_t *rig, web_request_t *request)
+{
+  rig->answering = true;
+  web_reply (request, 200, NULL, "{}");
+  rig->answering = false;
+}
+
+static void
+on_counted_request (web_request_t *request, void *data)
+{
+  rig_t *rig = data;
+
+  if (rig->answering)
+    g_atomic_int_inc (&rig->nested);
+  if (rig->answers_later)
+    g_ptr_array_add (rig->waiting, request);
+  else
+    answer (rig, request);
+}
+
 static void
 on_abandoned (web_request_t *request, void *data)
 {
-  (void) request;
-  (void) data;
+  g_ptr_array_remove (((rig_t *) data)->waiting, request);
 }
 
 static void
@@ -64,6 +91,8 @@
 
   if (rig->server == NULL)
     return;
+  while (rig->waiting->len > 0)
+    answer (rig, g_ptr_array_remove_index (rig->waiting, 0));
   web_server_tick (rig->server, clock_boot_ms ());
   g_atomic_int_set (&rig->connections, web_server_connections (rig->server));
 }
@@ -75,21 +104,24 @@
   return NULL;
 }
 
+static const web_server_handlers_t large_answers = { on_request, on_abandoned };
+static const web_server_handlers_t counted_requests = { on_counted_request, on_abandoned };
+
 static void
-rig_start (rig_t *rig)
+rig_start (rig_t *rig, const web_server_handlers_t *handlers, bool answers_later)
 {
-  static const web_server_handlers_t handlers = { on_request, on_abandoned };
-
-  *rig = (rig_t){ 0 };
+  *rig = (rig_t){ .answers_later = answers_later, .waiting = g_ptr_array_new () };
   CU_ASSERT_EQUAL_FATAL (port_block_take (&test_ports, &rig->ports), 0);
   char *address = g_strdup_printf ("127.0.0.1:%d", rig->ports.first_port);
   web_server_options_t options = { .address = address,
                                    .limits = { LIMIT_BYTES, LIMIT_BYTES, LIMIT_MS, LIMIT_MS },
-                                   .handlers = &handlers };
+                                   .handlers = handlers,
+                                   .data = rig };
 
   rig->loop = loop_new (TICK_MS, on_tick, rig);
   CU_ASSERT_EQUAL_FATAL (web_server_start (rig->loop, &options, &rig->server), 0);
-  web_server_drain (rig->server, LIMIT_MS);
+  if (handlers == &large_answers)
+    web_server_drain (rig->server, LIMIT_MS);
   rig->thread = g_thread_new ("server", run_loop, rig);
   g_free (address);
 }
@@ -101,6 +133,7 @@
   g_thread_join (rig->thread);
   web_server_free (rig->server);
   loop_free (rig->loop);
+  g_ptr_array_unref (rig->waiting);
   port_block_free (&rig->ports);
 }
 
@@ -171,7 +204,7 @@
     {
       rig_t rig;
 
-      rig_start (&rig);
+      rig_start (&rig, &large_answers, false);
       int fd = connect_with_small_buffer (rig.ports.first_port);
       site_send_request (fd, "POST", "/", "", LIMIT_MS);
       clock_sleep_ms (SENT_AFTER_MS);
@@ -191,12 +224,94 @@
     }
 }
 
+#define GET_TEXT "GET / HTTP/1.1\r\n\r\n"
+#define POST_TEXT "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"
+
+static const struct
+{
+  const char *name;
+  const char *first;
+  const char *second;
+  int times; /* the second is sent this often */
+  int answers;
+} ahead_cases[] = {
+  { "one request", POST_TEXT, GET_TEXT, 1, 2 },
+  { "one with a body", GET_TEXT, POST_TEXT, 1, 2 },
+  { "many requests", POST_TEXT, POST_TEXT, 200, 201 },
+  { "not HTTP", POST_TEXT, "???\r\n\r\n", 1, 2 },
+  { "half a request", POST_TEXT, "GET / HT", 1, 1 },
+};
+
+/* Returns the number of answers that arrive until there are COUNT, or the server closes its side.
+ */
+static int
+count_answers (int fd, int count)
+{
+  GString *text = g_string_new (NULL);
+  char chunk[CHUNK_BYTES];
+  int answers = 0;
+  struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
+
+  while (answers < count && poll (&poll_fd, 1, READ_TIMEOUT_MS) > 0)
+    {
+      ssize_t received = recv (fd, chunk, sizeof chunk, 0);
+      if (received <= 0)
+        break;
+      g_string_append_len (text, chunk, received);
+      answers = 0;
+      for (const char *at = strstr (text->str, "HTTP/1.1 "); at != NULL;
+           at = strstr (at + 1, "HTTP/1.1 "))
+        answers++;
+    }
+  g_string_free (text, TRUE);
+  return answers;
+}
+
+static void
+play_ahead_case (size_t number, bool answers_later, bool closes)
+{
+  GString *text = g_string_new (ahead_cases[number].first);
+  rig_t rig;
+
+  for (int i = 0; i < ahead_cases[number].times; i++)
+    g_string_append (text, ahead_cases[number].second);
+  rig_start (&rig, &counted_requests, answers_later);
+  int fd = site_connect ("127.0.0.1", rig.ports.first_port);
+  (void) !send (fd, text->str, text->len, MSG_NOSIGNAL);
+  int answers = closes ? 0 : count_answers (fd, ahead_cases[number].answers);
+  close (fd);
+  clock_sleep_ms (2 * TICK_MS);
+  wait_until_closed (&rig);
+  rig_stop (&rig);
+  if (!closes && answers != ahead_cases[number].answers)
+    printf ("  %s: %d answers\n", ahead_cases[number].name, answers);
+  if (!closes)
+    CU_ASSERT_EQUAL (answers, ahead_cases[number].answers);
+  if (rig.nested != 0)
+    printf ("  %s: %d within an answer\n", ahead_cases[number].name, rig.nested);
+  CU_ASSERT_EQUAL (rig.nested, 0);
+  g_string_free (text, TRUE);
+}
+
+/* A request that was sent ahead of an answer was passed on within web_reply (), while the handlers
+ * were in the middle of a change of their state. */
+static void
+test_requests_ahead_of_answers (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (ahead_cases); i++)
+    for (int later = 0; later <= 1; later++)
+      for (int closes = 0; closes <= 1; closes++)
+        play_ahead_case (i, later != 0, closes != 0);
+}
+
 static const unit_test_t tests[] = {
   { "the last answer arrives whole", test_last_answer_arrives_whole },
+  { "requests ahead of answers", test_requests_ahead_of_answers },
 };
 
 int
 main (void)
 {
+  signal (SIGPIPE, SIG_IGN);
   return unit_run ("web server", tests, G_N_ELEMENTS (tests));
 }
