Texts from outside are passed on whole or refused

Cause: json-c knows the length of a text, but decode_job () took it as a C string. The same elsewhere: a required label or a rack with a NUL was cut off or lost; a member named "spec\u0000" counted as the spec, since json-c ends names at a NUL; half a surrogate pair became U+FFFD, and bytes that are not UTF-8 went to the endpoint as they were; a route's host, path or service was cut off, and so were the names of tasks in the answer to a poll, which then named other tasks; addresses and choices in settings; and the lines of the platform's settings after a NUL were left out, with defaults in their place. Settings refuse a NUL. Ruled out: the check over a whole configuration or poll, as a text that nothing reads would make it invalid. Looked at and left: lib/job, lib/config, lib/platform compare lengths already; keys of the log are made valid; the base64 of a record and the reports that slo merges come from the platform and from hosts.

--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -84,21 +84,28 @@
   return ERROR_BAD_FILE;
 }
 
+/* Returns whether VALUE is a string that no NUL character would cut off. */
 static bool
-is_address (json_object *value)
+is_whole_text (json_object *value)
 {
   return json_object_is_type (value, json_type_string)
-         && address_split (json_object_get_string (value), NULL, NULL) == 0;
+         && strlen (json_object_get_string (value)) == (size_t) json_object_get_string_len (value);
+}
+
+static bool
+is_address (json_object *value)
+{
+  return is_whole_text (value) && address_split (json_object_get_string (value), NULL, NULL) == 0;
 }
 
 static bool
 is_name (json_object *value)
 {
-  if (!json_object_is_type (value, json_type_string))
+  if (!is_whole_text (value))
     return false;
   const char *text = json_object_get_string (value);
-  size_t size = (size_t) json_object_get_string_len (value);
-  if (size == 0 || size > NAME_MAX_BYTES || strlen (text) != size)
+  size_t size = strlen (text);
+  if (size == 0 || size > NAME_MAX_BYTES)
     return false;
   for (size_t i = 0; i < size; i++)
     if (!g_ascii_isgraph (text[i]) || strchr ("\"\\{}", text[i]) != NULL)
@@ -109,7 +116,7 @@
 static bool
 is_choice (json_object *value, const char *choices)
 {
-  if (!json_object_is_type (value, json_type_string))
+  if (!is_whole_text (value))
     return false;
   char **words = g_strsplit (choices, "|", -1);
   bool found = g_strv_contains ((const char *const *) words, json_object_get_string (value));
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -1,7 +1,11 @@
-/* test_decode.c -- numbers that are not finite in jobs, configurations and answers of endpoints
+/* test_decode.c -- numbers that are not finite, and texts that can't be passed on as they are, in
+ * jobs, configurations and answers of endpoints
  *
  * JSON has no such numbers, but "NaN", "Infinity" and a number too large for its type are read as
  * ones.  What they become as an integer differs between machines.
+ *
+ * A JSON string may have the character U+0000, which ends a string of C, and the escape of half a
+ * surrogate pair, which no encoding has.
  */
 #include "base/error.h"
 #include "platform/decode.h"
@@ -166,7 +170,159 @@
     }
 }
 
+/* --- texts --- */
+
+static const struct
+{
+  const char *text;    /* within a JSON string */
+  const char *decoded; /* NULL: it can't be passed on */
+  bool has_nul;
+} texts[] = {
+  { "", "", false },
+  { "a", "a", false },
+  { "\\u0001\\n", "\1\n", false },
+  { "\\\\u0000", "\\u0000", false },
+  { "\\u00e9", "\xc3\xa9", false },
+  { "\xc3\xa9", "\xc3\xa9", false },
+  { "\\ud83d\\ude00", "\xf0\x9f\x98\x80", false },
+  { "\\u0000", NULL, true },
+  { "a\\u0000b", NULL, true },
+  { "\\\\\\u0000", NULL, true },
+  { "\\ud83d", NULL, false },
+  { "\\ud83d\\u0041", NULL, false },
+  { "\\ud83d\\ud83d\\ude00", NULL, false },
+  { "\\ude00", NULL, false },
+  { "\xff", NULL, false },
+  { "\xed\xa0\x80", NULL, false },
+};
+
+#define TEXT_MESSAGE "the texts of a job must be valid Unicode without the character U+0000"
+#define SPEC_MESSAGE "spec must be a string of at most 4000 bytes"
+#define PHASES ",\"best_effort\":true,\"phases\":[{\"count\":1}]}"
+
+/* Any of its texts makes a job invalid, the names of its members too. */
+static const char *const job_texts[] = {
+  "{\"spec\":\"@\"" PHASES,
+  "{\"spec\":\"1\",\"note\":\"@\"" PHASES,
+  "{\"spec\":\"1\",\"spec@\":\"2\"" PHASES,
+  JOB ("\"count\":1,\"affinity\":\"@\""),
+  JOB ("\"count\":1,\"required_label\":\"@\""),
+};
+
+static void
+test_texts_of_jobs (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (job_texts); k++)
+      {
+        char *body = with_number (job_texts[k], texts[i].text);
+        const char *message = NULL;
+        decode_job_t job;
+        int result = decode_job (body, strlen (body), &job, &message);
+        if ((result == 0) != (texts[i].decoded != NULL))
+          printf ("  %s: %s\n", body, result == 0 ? "accepted" : message);
+        CU_ASSERT_EQUAL (result, texts[i].decoded != NULL ? 0 : ERROR_BAD_REQUEST);
+        if (result != 0)
+          CU_ASSERT_EQUAL (g_strcmp0 (message, TEXT_MESSAGE), 0);
+        if (result == 0 && k == 0)
+          CU_ASSERT_EQUAL (g_strcmp0 (job.spec, texts[i].decoded), 0);
+        if (result == 0)
+          decode_job_clear (&job);
+        g_free (body);
+      }
+}
+
+static const struct
+{
+  int chars; /* of one byte, before END */
+  const char *end;
+  const char *message; /* NULL: accepted */
+} spec_lengths[] = {
+  { 4000, "", NULL },         { 4001, "", SPEC_MESSAGE },
+  { 3998, "\xc3\xa9", NULL }, { 3999, "\xc3\xa9", SPEC_MESSAGE },
+  { 3998, "\\u00e9", NULL },  { 3999, "\\u00e9", SPEC_MESSAGE },
+  { 3999, "\\n", NULL },      { 10, "\\u0000", TEXT_MESSAGE },
+};
+
+static void
+test_length_of_spec (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (spec_lengths); i++)
+    {
+      char *chars = g_strnfill ((gsize) spec_lengths[i].chars, 'a');
+      char *body = g_strdup_printf ("{\"spec\":\"%s%s\"" PHASES, chars, spec_lengths[i].end);
+      const char *message = NULL;
+      decode_job_t job;
+      int result = decode_job (body, strlen (body), &job, &message);
+      CU_ASSERT_EQUAL (result, spec_lengths[i].message == NULL ? 0 : ERROR_BAD_REQUEST);
+      CU_ASSERT_EQUAL (g_strcmp0 (message, spec_lengths[i].message), 0);
+      if (result == 0)
+        decode_job_clear (&job);
+      g_free (body);
+      g_free (chars);
+    }
+}
+
+/* Whether the rows of runs are read. */
+static bool
+accepts_rows (const char *text)
+{
+  decode_poll_t poll;
+
+  CU_ASSERT_EQUAL_FATAL (decode_poll (text, strlen (text), &poll), 0);
+  bool has_rows = poll.result.active_count + poll.result.ended_count > 0;
+  decode_poll_clear (&poll);
+  return has_rows;
+}
+
+static bool
+accepts_reason (const char *text)
+{
+  int64_t endpoint_clock_ms = 0;
+
+  return decode_answer (409, text, strlen (text), &endpoint_clock_ms) == EXECUTOR_NO_CAPACITY;
+}
+
+#define ROUTE(host, path, service)                                                                 \
+  "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h" host "\",\"path_prefix\":\"/p/" path   \
+  "\",\"service\":\"s" service "\"}]}"
+
+static const struct
+{
+  const char *name;
+  bool (*accepts) (const char *text);
+  const char *text;
+} text_documents[] = {
+  { "host", accepts_configuration, ROUTE ("@", "", "") },
+  { "path", accepts_configuration, ROUTE ("", "@", "") },
+  { "service", accepts_configuration, ROUTE ("", "", "@") },
+  { "task that runs", accepts_rows, "{\"clock_ms\":5,\"active\":[[\"t@\",1,\"\",0]]}" },
+  { "task that ended", accepts_rows, "{\"clock_ms\":5,\"finished\":[[1,\"t@\",1,\"done\"]]}" },
+  { "how it ended", accepts_rows, "{\"clock_ms\":5,\"finished\":[[1,\"t\",1,\"done@\"]]}" },
+};
+
+/* What a NUL would cut off is not read as something else. */
+static void
+test_texts_with_nul (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (text_documents); i++)
+    for (size_t k = 0; k < G_N_ELEMENTS (texts); k++)
+      {
+        char *text = with_number (text_documents[i].text, texts[k].text);
+        bool accepted = text_documents[i].accepts (text);
+        if (accepted == texts[k].has_nul)
+          printf ("  %s: %s\n", text_documents[i].name, texts[k].text);
+        CU_ASSERT_EQUAL (accepted, !texts[k].has_nul);
+        g_free (text);
+      }
+  CU_ASSERT_TRUE (accepts_reason ("{\"reason\":\"room\"}"));
+  CU_ASSERT_FALSE (accepts_reason ("{\"reason\":\"room\\u0000\"}"));
+}
+
 static const unit_test_t tests[] = {
+  { "texts of jobs", test_texts_of_jobs },
+  { "the length of a spec", test_length_of_spec },
+  { "texts with a NUL", test_texts_with_nul },
   { "numbers that are not finite", test_numbers_not_finite },
   { "answers with a status that is not known", test_unknown_status },
 };
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -1,6 +1,8 @@
-/* test_settings.c -- lib/settings: valid files, and the message for each kind of error */
+/* test_settings.c -- lib/settings: valid files, and the message for each kind of error; settings of
+ * the platform with a NUL */
 #include "base/address.h"
 #include "base/error.h"
+#include "platform/settings.h"
 #include "settings/settings.h"
 #include "tests/unit_runner.h"
 
@@ -47,6 +49,11 @@
   { "{" DATA_CENTRES "}", "host_id: (absent): must be present" },
   { "{\"host_id\":\"\"}", "host_id: \"\": must be 1 to 128" },
   { "{\"host_id\":7}", "host_id: 7: must be 1 to 128" },
+  { "{\"host_id\":\"a\\u0000b\"}", "must be 1 to 128" },
+  { "{" REQUIRED_KEYS "," DATA_CENTRES ",\"log_level\":\"debug\\u0000\"}",
+    "must be one of error|warning|info|debug" },
+  { "{" REQUIRED_KEYS ",\"data_centres\":{\"dc\":[\"127.0.0.1:3\\u00001\"]}}",
+    "must be an address as IP:port" },
   { "", "not valid JSON" },
   { "[]", "must be one JSON object" },
   { "{" REQUIRED_KEYS "," DATA_CENTRES, "not valid JSON" },
@@ -142,8 +149,53 @@
     }
 }
 
+#define PLATFORM_SETTINGS                                                                          \
+  "node_name=a\nzone=x\nlisten_addrs.frontend=127.0.0.1:1\nlisten_addrs.ready=127.0.0.1:2\n"       \
+  "listen_addrs.control_plane=127.0.0.1:3\nplatform.address=127.0.0.1:4\n"                         \
+  "bounds.max_hold_ms=1000\nbounds.stop_timeout_ms=50\nbounds.grace_period_s=6\n"                  \
+  "bounds.retransmit_ms=1300\nbounds.config_apply_ms=2000\nlimits.cpu_fraction=0.25\n"
+#define MORE_SETTINGS "bounds.remote_penalty=2\n"
+
+static const struct
+{
+  const char *text;
+  gsize bytes;
+  int result;
+} platform_file_cases[] = {
+  { PLATFORM_SETTINGS MORE_SETTINGS, sizeof (PLATFORM_SETTINGS MORE_SETTINGS) - 1, 0 },
+  { PLATFORM_SETTINGS "\0" MORE_SETTINGS, sizeof (PLATFORM_SETTINGS "\0" MORE_SETTINGS) - 1,
+    ERROR_BAD_FILE },
+  { PLATFORM_SETTINGS "\0", sizeof (PLATFORM_SETTINGS "\0") - 1, ERROR_BAD_FILE },
+};
+
+/* The lines after a NUL were left out without a word, and defaults used in their place. */
+static void
+test_platform_file_with_nul (void)
+{
+  char *path = NULL;
+  int fd = g_file_open_tmp ("settings-XXXXXX", &path, NULL);
+
+  close (fd);
+  for (size_t i = 0; i < G_N_ELEMENTS (platform_file_cases); i++)
+    {
+      platform_settings_t *settings = NULL;
+      char *message = NULL;
+      CU_ASSERT_TRUE_FATAL (g_file_set_contents (path, platform_file_cases[i].text,
+                                                 (gssize) platform_file_cases[i].bytes, NULL));
+      int result = platform_settings_read (path, &settings, &message);
+      CU_ASSERT_EQUAL (result, platform_file_cases[i].result);
+      CU_ASSERT_EQUAL (message != NULL, platform_file_cases[i].result != 0);
+      if (result == 0)
+        platform_settings_free (settings);
+      g_free (message);
+    }
+  g_unlink (path);
+  g_free (path);
+}
+
 static const unit_test_t tests[] = {
   { "files", test_files },
+  { "a file of the platform with a NUL", test_platform_file_with_nul },
   { "example file", test_example },
   { "addresses", test_addresses },
 };
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -71,6 +71,8 @@
   { "POST", "/q/00000000000000aa", NULL, ",\"long_running\":true", 503 },
   { "POST", "/q/00000000000000ab", NULL, ",\"anti_affinity\":NaN", 400 },
   { "POST", "/q/00000000000000ac", NULL, ",\"estimated_ms\":1e999", 400 },
+  { "POST", "/q/00000000000000ad",
+    "{\"spec\":\"5\\u00000\",\"best_effort\":true,\"phases\":[{\"count\":1}]}", "", 400 },
   { "GET", "/q/00000000000000a1", "", "", 410 },
   { "DELETE", "/q/00000000000000a1", "", "", 410 },
   { "GET", "/q/", "", "", 200 },
