Admission: a job that takes longer than can be counted is refused

Callers saw: a job of many tasks of the most cores with an estimate of 2^31 - 1 ms was admitted behind a backlog, and held until its deadline, in place of being refused on arrival (review, remark; a signed overflow under UBSan). Cause: the time that the owners need for its other tasks was cast from a number larger than any int64_t, which is undefined (the largest value on arm64, the least on x86-64), and admission_decide () then added durations beyond INT64_MAX. Change: admission_decide () compares durations with the time that remains, without a sum; the time of the other tasks is at most INT32_MAX ms, as the work that is assigned to an owner is already. Evidence: test_admission, three new rows, 3 of 43 asserts red before and a signed overflow under UBSan, 43 pass after; the rows count from a clock above 0 now, since a sum overflows only there. test_scheduler, "a job that takes longer than can be counted", 1 of 1029 red before and the same overflow, 1029 pass after; with -fsanitize=float-cast-overflow the cast was red until it was bounded, none since. test_forecast passes (130). Not changed: a job of any estimate is admitted where a task may start at once, by the rule that doubt admits.

--- a/lib/scheduler/admission.c
+++ b/lib/scheduler/admission.c
@@ -8,11 +8,14 @@
                   int64_t start_by_ms,
                   int64_t now_ms)
 {
+  int64_t remaining_ms = deadline_at_ms - now_ms;
+
   if (forecast->min_wait_ms == 0)
     return ADMISSION_ADMIT;
-  if (now_ms + forecast->min_end_ms + other_tasks_ms > deadline_at_ms)
+  /* The sum of the two durations may be more than can be counted. */
+  if (forecast->min_end_ms > remaining_ms || other_tasks_ms > remaining_ms - forecast->min_end_ms)
     return ADMISSION_MISSES_DEADLINE;
-  if (start_by_ms != 0 && now_ms + forecast->min_wait_ms > start_by_ms)
+  if (start_by_ms != 0 && forecast->min_wait_ms > start_by_ms - now_ms)
     return ADMISSION_MISSES_START_LIMIT;
   return ADMISSION_ADMIT;
 }
--- a/lib/scheduler/forecast_job.c
+++ b/lib/scheduler/forecast_job.c
@@ -122,7 +122,7 @@
       other_core_ms = (double) (job->request.tasks - 1) * (double) task.cores_milli
                       * (double) task.min_run_ms * MIN_RUN_FRACTION;
     }
-  *other_tasks_ms = cores_milli > 0 ? (int64_t) (other_core_ms / cores_milli) : 0;
+  *other_tasks_ms = cores_milli > 0 ? (int64_t) MIN (other_core_ms / cores_milli, INT32_MAX) : 0;
   return found;
 }
 
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -13,7 +13,7 @@
   int64_t least_wait_ms;
   int64_t least_end_ms;
   int64_t other_tasks_ms;
-  int64_t deadline_at_ms;
+  int64_t deadline_at_ms; /* these two from NOW_MS; 0: none */
   int64_t start_by_ms;
   admission_t admission;
 } decision_cases[] = {
@@ -27,8 +27,17 @@
   { "it starts just in time", 1500, 2040, 0, 28000, 1500, ADMISSION_ADMIT },
   { "it can't start within its queue's time", 1501, 2040, 0, 28000, 1500,
     ADMISSION_MISSES_START_LIMIT },
+  { "its other tasks take longer than can be counted", 1, 2, INT64_MAX, 1800, 0,
+    ADMISSION_MISSES_DEADLINE },
+  { "it ends later than can be counted", 1, INT64_MAX, INT64_MAX, 1800, 0,
+    ADMISSION_MISSES_DEADLINE },
+  { "it starts later than can be counted", INT64_MAX, 1, 0, 1800, 1500,
+    ADMISSION_MISSES_START_LIMIT },
 };
 
+/* Any time will do that is above 0, as the clock's are. */
+#define NOW_MS 10000
+
 static void
 test_decisions (void)
 {
@@ -36,9 +45,10 @@
     {
       const forecast_t forecast = { .min_wait_ms = decision_cases[i].least_wait_ms,
                                     .min_end_ms = decision_cases[i].least_end_ms };
-      admission_t admission =
-          admission_decide (&forecast, decision_cases[i].other_tasks_ms,
-                            decision_cases[i].deadline_at_ms, decision_cases[i].start_by_ms, 0);
+      int64_t start_by_ms = decision_cases[i].start_by_ms;
+      admission_t admission = admission_decide (
+          &forecast, decision_cases[i].other_tasks_ms, NOW_MS + decision_cases[i].deadline_at_ms,
+          start_by_ms != 0 ? NOW_MS + start_by_ms : 0, NOW_MS);
       if (admission != decision_cases[i].admission)
         printf ("\n  %s: %d ", decision_cases[i].name, admission);
       CU_ASSERT_EQUAL (admission, decision_cases[i].admission);
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -734,6 +734,52 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  int32_t tasks;
+  int64_t cores_milli;
+  int64_t estimate_ms;
+} endless_cases[] = {
+  { "the longest estimate", 1, 1000, INT32_MAX },
+  { "the longest estimate of many tasks", 510, 1000, INT32_MAX },
+  { "the most cores", 510, (INT64_C (1) << 40) - 1, 100 },
+  { "the most of all", 510, (INT64_C (1) << 40) - 1, INT32_MAX },
+};
+
+/* The time that all tasks of a job need overflowed, and a job that can't be served was admitted. */
+static void
+test_endless_job (void)
+{
+  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0 };
+  const executor_offer_t offer = { "s", 0, 4, 1.0 };
+  /* So long that none of the tasks may start at once. */
+  const executor_load_t load = { .service = "s",
+                                 .cores_milli = 4000,
+                                 .backlog_core_ms = { INT64_C (4) * INT32_MAX } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (endless_cases); i++)
+    {
+      scheduler_job_t job = make_job (endless_cases[i].estimate_ms);
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      scheduler_t *scheduler = scheduler_new (&options);
+
+      job.tasks = endless_cases[i].tasks;
+      job.need.cores_milli = endless_cases[i].cores_milli;
+      scheduler_set_owner (scheduler, "x", "hx", 1, 0, actions);
+      report_offers (scheduler, "x", "hx", &offer, 1, &load, 0);
+      scheduler_submit (scheduler, &job, 0, actions);
+      CU_ASSERT_EQUAL_FATAL (actions->len, 1);
+      const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, 0);
+      bool refused = action->kind == SCHEDULER_ANSWER && action->outcome == SCHEDULER_REFUSED;
+      if (!refused)
+        printf ("  %s: admitted\n", endless_cases[i].name);
+      CU_ASSERT_TRUE (refused);
+      scheduler_free (scheduler);
+      free_actions (actions);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -852,6 +898,7 @@
   { "a release is sent until it is confirmed", test_release_is_resent },
   { "a returned task without an owner", test_returned_task_without_owner },
   { "a job is admitted or refused on arrival", test_admission },
+  { "a job that takes longer than can be counted", test_endless_job },
   { "the queue's time ends only jobs that have not started", test_queue_time },
 };
 
