Scheduler: a job that has ended does not start again when its request is repeated

Callers saw: a job was cancelled (DELETE 200, its POST answered "cancelled"); seconds later its request arrived again, at any host, and all its tasks started and ran to their end. A completed job ran a second time likewise.

Cause: nothing remembered the ids of jobs that had ended; scheduler_cancel () and scheduler_answer_job () removed the job, and scheduler_submit () took any id for a new job.

Change: ended_jobs.c keeps ids and outcomes of complete, failed and cancelled jobs, with deadlines and bounds; a request of such a job is answered at once with that outcome (event job_repeated). Every cancellation is recorded where it is asked for and at all hosts: it is sent to them also where the job was found, and on each new connection between hosts.

--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -53,6 +53,16 @@
   event_end ();
 }
 
+static void
+log_repeated (const scheduler_action_t *action)
+{
+  if (!event_begin (EVENT_JOB_REPEATED))
+    return;
+  event_add_text ("job", action->job_id);
+  event_add_text ("outcome", outcome_names[action->outcome]);
+  event_end ();
+}
+
 static void
 log_answer (const scheduler_action_t *action)
 {
@@ -141,7 +151,10 @@
       break;
     case SCHEDULER_ANSWER:
     default:
-      log_answer (action);
+      if (action->repeated)
+        log_repeated (action);
+      else
+        log_answer (action);
       ingress_answer (action->user_data, action);
       break;
     }
@@ -190,8 +203,8 @@
   site_schedule_actions (site);
 }
 
-/* Cancels a job at this host, or sends the cancellation to all hosts, as any of them may coordinate
- * it.  Returns true if it was found here. */
+/* Cancels a job here and at all hosts: any of them may coordinate it, or receive its request again.
+ * Returns true if it was found here. */
 static bool
 cancel_job (const char *id, void *user)
 {
@@ -200,8 +213,7 @@
 
   site_run_scheduler_actions (site);
   site_schedule_actions (site);
-  if (!found)
-    peers_cancel_job (site, id);
+  peers_cancel_job (site, id);
   return found;
 }
 
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -263,6 +263,31 @@
   g_array_unref (losses);
 }
 
+/* A host for which cancellations are sent. */
+typedef struct
+{
+  site_t *site;
+  const char *host;
+} cancellation_receiver_t;
+
+static void
+send_cancelled_job (const char *job, void *data)
+{
+  const cancellation_receiver_t *receiver = data;
+
+  peers_send (receiver->site, receiver->host, executor_msg_cancel_job (job, false));
+}
+
+/* Tells HOST which jobs were cancelled: it may have just started, or may have been cut off, and
+ * their requests may arrive there again. */
+static void
+send_cancelled_jobs (site_t *site, const char *host)
+{
+  cancellation_receiver_t receiver = { site, host };
+
+  scheduler_foreach_cancelled (site->scheduler, send_cancelled_job, &receiver);
+}
+
 static void
 read_offer (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -395,6 +420,7 @@
       peers_send (site, net_event->host, executor_msg_resync ());
       resend_batches (site, net_event->host);
       send_losses (site, net_event->host);
+      send_cancelled_jobs (site, net_event->host);
     }
   else
     {
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -115,6 +115,8 @@
     "{host_id} refused the job: {why}" },
   { EVENT_JOB_ANSWERED, EVENT_CLASS_ROUTINE, "job_answered", "job outcome elapsed_ms late_by_ms",
     "{host_id} answered {outcome} after {elapsed_ms} ms" },
+  { EVENT_JOB_REPEATED, EVENT_CLASS_ROUTINE, "job_repeated", "job outcome",
+    "{host_id} answered a repeated request: the job had ended before ({outcome})" },
   { EVENT_JOB_MISSED, EVENT_CLASS_PROBLEM, "job_missed",
     "job outcome why limit size tasks estimate_ms left elapsed_ms late_by_ms handovers returns "
     "owners expected_wait_ms report_age_ms",
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -69,8 +69,9 @@
   EVENT_JOB_INVALID,
   EVENT_JOB_UNSUPPORTED,
   EVENT_JOB_ANSWERED,
-  EVENT_JOB_MISSED, /* answered late or incomplete */
-  EVENT_JOB_FAILED, /* why it was answered as failed */
+  EVENT_JOB_REPEATED, /* answered without a run, as it had ended before */
+  EVENT_JOB_MISSED,   /* answered late or incomplete */
+  EVENT_JOB_FAILED,   /* why it was answered as failed */
   EVENT_JOB_ABANDONED,
   EVENT_BATCH_SENT,
   EVENT_BATCH_MOVED,
--- a/lib/scheduler/job_end.c
+++ b/lib/scheduler/job_end.c
@@ -61,6 +61,7 @@
   action->failure = job->failure;
   action->failed_index = job->failed_index;
   format_owners (job, action->owners, sizeof action->owners);
+  ended_jobs_add (scheduler->ended_jobs, job->request.id, action->outcome, now_ms);
   scheduler_remove_job (scheduler, job);
 }
 
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -12,6 +12,8 @@
 #include <string.h>
 
 #define STRING_CHUNK_BYTES 1024
+/* Bounds what a new connection between hosts is sent. */
+#define CANCELLED_LISTED_MAX 256
 
 /* --- memory --- */
 
@@ -69,6 +71,7 @@
   scheduler->shard_order = g_ptr_array_new ();
   /* Hosts must draw different random numbers, and a test must be able to repeat them. */
   scheduler->rand = g_rand_new_with_seed ((guint32) hash_string (options->host));
+  scheduler->ended_jobs = ended_jobs_new ();
   scheduler->size_history = size_history_new ();
   scheduler->answer_strings = g_string_chunk_new (STRING_CHUNK_BYTES);
   scheduler->cancellations = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -91,6 +94,7 @@
   g_ptr_array_unref (scheduler->shard_order);
   g_rand_free (scheduler->rand);
   g_hash_table_unref (scheduler->cancellations);
+  ended_jobs_free (scheduler->ended_jobs);
   size_history_free (scheduler->size_history);
   g_string_chunk_free (scheduler->answer_strings);
   g_free (scheduler);
@@ -173,15 +177,37 @@
   return true;
 }
 
+/* Appends the answer to a repeated request, and returns true, if the job has ended before. */
+static bool
+answer_repeated (scheduler_t *scheduler,
+                 const scheduler_job_t *info,
+                 int64_t now_ms,
+                 GArray *actions)
+{
+  scheduler_outcome_t outcome = SCHEDULER_CANCELLED;
+
+  if (!ended_jobs_find (scheduler->ended_jobs, info->id, now_ms, &outcome))
+    return false;
+  scheduler_action_t *action = scheduler_add_action (actions, SCHEDULER_ANSWER);
+  action->repeated = true;
+  action->outcome = outcome;
+  action->user_data = info->user_data;
+  action->job_id = g_string_chunk_insert (scheduler->answer_strings, info->id);
+  return true;
+}
+
 uint64_t
 scheduler_submit (scheduler_t *scheduler,
                   const scheduler_job_t *info,
                   int64_t now_ms,
                   GArray *actions)
 {
-  scheduled_job_t *job = g_new0 (scheduled_job_t, 1);
+  uint64_t number = ++scheduler->last_number;
 
-  job->number = ++scheduler->last_number;
+  if (answer_repeated (scheduler, info, now_ms, actions))
+    return number;
+  scheduled_job_t *job = g_new0 (scheduled_job_t, 1);
+  job->number = number;
   job->request = *info;
   job->request.id = g_strdup (info->id);
   job->request.queue = g_strdup (info->queue != NULL ? info->queue : "");
@@ -206,7 +232,6 @@
   job->report_age_ms = -1;
   if (info->start_by_ms != 0)
     job->start_limit_ms = MAX (info->start_by_ms - info->received_at_ms, 1);
-  uint64_t number = job->number;
   if (!refuse_on_arrival (scheduler, job, now_ms, actions))
     assign_job_tasks (scheduler, job, now_ms, actions);
   return number;
@@ -217,6 +242,7 @@
 {
   scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
 
+  ended_jobs_add (scheduler->ended_jobs, id, SCHEDULER_CANCELLED, now_ms);
   if (job == NULL)
     return false;
   job->end_pending = false;
@@ -225,6 +251,14 @@
   return true;
 }
 
+void
+scheduler_foreach_cancelled (const scheduler_t *scheduler,
+                             void (*function) (const char *id, void *data),
+                             void *data)
+{
+  ended_jobs_foreach_cancelled (scheduler->ended_jobs, CANCELLED_LISTED_MAX, function, data);
+}
+
 void
 scheduler_abandon (scheduler_t *scheduler, uint64_t number, int64_t now_ms, GArray *actions)
 {
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -95,6 +95,7 @@
   executor_batch_t batch; /* SCHEDULER_SUBMIT; its strings belong to the scheduler */
   GArray *task_indexes;   /* SCHEDULER_SUBMIT: int32_t; the receiver of the action unrefs it */
   /* The other fields are those of SCHEDULER_ANSWER. */
+  bool repeated; /* the job had ended before: only OUTCOME, USER_DATA and JOB_ID are set */
   scheduler_outcome_t outcome;
   void *user_data;
   const char *reason; /* static; NULL if the job is complete */
@@ -134,8 +135,10 @@
 void scheduler_free (scheduler_t *scheduler);
 
 /* Admits a job and assigns its tasks, or refuses it without sending anything if it is nearly
- * certain that it can't be served in time.  Some of its actions may follow in scheduler_step ()
- * only.  Returns the number of the job, for scheduler_abandon (). */
+ * certain that it can't be served in time.  The request of a job that is known to have completed,
+ * failed or been cancelled (see ended_jobs.h) is answered with that outcome at once.  Some of its
+ * actions may follow in scheduler_step () only.  Returns the number of the job, for
+ * scheduler_abandon (). */
 uint64_t scheduler_submit (scheduler_t *scheduler,
                            const scheduler_job_t *job,
                            int64_t now_ms,
@@ -145,9 +148,15 @@
  * has cancelled the job.  No-op if the job is unknown. */
 void scheduler_abandon (scheduler_t *scheduler, uint64_t job, int64_t now_ms, GArray *actions);
 
-/* Ends the job with ID and answers it as cancelled.  Returns false if it is not on this host. */
+/* Ends the job with ID and answers it as cancelled.  Returns false if it is not on this host.  In
+ * both cases a later request for it is answered as cancelled. */
 bool scheduler_cancel (scheduler_t *scheduler, const char *id, int64_t now_ms, GArray *actions);
 
+/* Calls FUNCTION with the ids of the jobs that were last cancelled, here or elsewhere. */
+void scheduler_foreach_cancelled (const scheduler_t *scheduler,
+                                  void (*function) (const char *id, void *data),
+                                  void *data);
+
 /* What an owner reports of one shard. */
 typedef struct
 {
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -4,6 +4,7 @@
 
 #include "base/hash.h"
 #include "scheduler/admission.h"
+#include "scheduler/ended_jobs.h"
 #include "scheduler/report_timing.h"
 #include "scheduler/scheduler.h"
 #include "scheduler/size_history.h"
@@ -106,6 +107,7 @@
   GPtrArray *shard_order;     /* shard_t, in the order in which they became known */
   GRand *rand;
   GHashTable *cancellations; /* number -> cancellation_t, owned */
+  ended_jobs_t *ended_jobs;  /* so that repeated requests are answered and not run */
   size_history_t *size_history;
   GStringChunk *answer_strings; /* of the jobs that were answered since the last step */
   uint64_t last_number;         /* last number that was given to a job or batch */
--- a/lib/scheduler/timeouts.c
+++ b/lib/scheduler/timeouts.c
@@ -137,4 +137,5 @@
     step_job (scheduler, at->data, now_ms, actions);
   g_list_free (jobs);
   cancellations_resend (scheduler, now_ms, actions);
+  ended_jobs_expire (scheduler->ended_jobs, now_ms);
 }
