Scheduler: a cancellation ends all requests of a job that wait at a host

Callers saw: a request that is repeated at the host where the first one still waits (its channel is silent, not closed) makes two jobs with one id there; a DELETE ended only the last of them, and the tasks of the other went on.

Cause: scheduler_cancel () looked the id up in a table that holds one job for each id.

Change: it looks at all jobs of the host; the table, which had no other use, goes. Cancellations are rare and a host has at most some hundreds of jobs.

Evidence: test_repeated_jobs, case "cancelled while both requests wait": 2 of 37 asserts red before, green after.

--- a/lib/scheduler/job_end.c
+++ b/lib/scheduler/job_end.c
@@ -12,8 +12,6 @@
 {
   while (job->batches->len > 0)
     scheduler_remove_batch (scheduler, job->batches->pdata[job->batches->len - 1]);
-  if (g_hash_table_lookup (scheduler->jobs_by_id, job->request.id) == job)
-    g_hash_table_remove (scheduler->jobs_by_id, job->request.id);
   g_hash_table_remove (scheduler->jobs, &job->number);
 }
 
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -64,7 +64,6 @@
   scheduler->remote_factor = MAX (options->remote_factor, 1.0);
   scheduler->shard_by_rack = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   scheduler->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_job);
-  scheduler->jobs_by_id = g_hash_table_new (g_str_hash, g_str_equal);
   scheduler->batches = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_batch);
   scheduler->shards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_shard);
   scheduler->drained_shards = g_hash_table_new (NULL, NULL);
@@ -86,7 +85,6 @@
   if (scheduler == NULL)
     return;
   g_hash_table_unref (scheduler->shard_by_rack);
-  g_hash_table_unref (scheduler->jobs_by_id);
   g_hash_table_unref (scheduler->batches);
   g_hash_table_unref (scheduler->jobs);
   g_hash_table_unref (scheduler->shards);
@@ -226,7 +224,6 @@
     g_array_append_val (job->unassigned, i);
   job->batches = g_ptr_array_new ();
   g_hash_table_insert (scheduler->jobs, &job->number, job);
-  g_hash_table_replace (scheduler->jobs_by_id, (char *) job->request.id, job);
   job->random = g_rand_int (scheduler->rand);
   job->expected_wait_ms = -1;
   job->report_age_ms = -1;
@@ -240,15 +237,22 @@
 bool
 scheduler_cancel (scheduler_t *scheduler, const char *id, int64_t now_ms, GArray *actions)
 {
-  scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
+  GList *jobs = g_hash_table_get_values (scheduler->jobs);
+  bool found = false;
 
+  for (GList *at = jobs; at != NULL; at = at->next)
+    {
+      scheduled_job_t *job = at->data;
+      if (strcmp (job->request.id, id) != 0)
+        continue;
+      found = true;
+      job->end_pending = false;
+      scheduler_end_job (scheduler, job, SCHEDULER_CANCELLED, SCHEDULER_LIMIT_NONE,
+                         "it was cancelled", now_ms, actions);
+    }
+  g_list_free (jobs);
   ended_jobs_add (scheduler->ended_jobs, id, SCHEDULER_CANCELLED, now_ms);
-  if (job == NULL)
-    return false;
-  job->end_pending = false;
-  scheduler_end_job (scheduler, job, SCHEDULER_CANCELLED, SCHEDULER_LIMIT_NONE, "it was cancelled",
-                     now_ms, actions);
-  return true;
+  return found;
 }
 
 void
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -148,8 +148,8 @@
  * has cancelled the job.  No-op if the job is unknown. */
 void scheduler_abandon (scheduler_t *scheduler, uint64_t job, int64_t now_ms, GArray *actions);
 
-/* Ends the job with ID and answers it as cancelled.  Returns false if it is not on this host.  In
- * both cases a later request for it is answered as cancelled. */
+/* Ends the job with ID, all its requests here, and answers them as cancelled.  Returns false if it
+ * is not on this host.  In both cases a later request for it is answered as cancelled. */
 bool scheduler_cancel (scheduler_t *scheduler, const char *id, int64_t now_ms, GArray *actions);
 
 /* Calls FUNCTION with the ids of the jobs that were last cancelled, here or elsewhere. */
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -100,7 +100,6 @@
   double remote_factor;
   GHashTable *shard_by_rack;  /* rack -> interned shard */
   GHashTable *jobs;           /* number -> scheduled_job_t, owned */
-  GHashTable *jobs_by_id;     /* id -> scheduled_job_t */
   GHashTable *batches;        /* number -> job_batch_t, owned */
   GHashTable *shards;         /* interned name -> shard_t, owned */
   GHashTable *drained_shards; /* set of interned names, which may include unknown shards */
--- a/tests/test_repeated_jobs.c
+++ b/tests/test_repeated_jobs.c
@@ -15,6 +15,7 @@
   STAYS_UNKNOWN,          /* it was never sent to this host */
   IS_CANCELLED,           /* after its submission */
   IS_CANCELLED_ELSEWHERE, /* this host is told, and has never had it */
+  IS_CANCELLED_AS_TWO,    /* while its first request waits besides a repeated one */
   COMPLETES,
   COMPLETES_THEN_IS_CANCELLED,
   FAILS,
@@ -33,6 +34,7 @@
   { "a job that is new here", STAYS_UNKNOWN, true, 0 },
   { "cancelled", IS_CANCELLED, false, SCHEDULER_CANCELLED },
   { "cancelled at another host", IS_CANCELLED_ELSEWHERE, false, SCHEDULER_CANCELLED },
+  { "cancelled while both requests wait", IS_CANCELLED_AS_TWO, false, SCHEDULER_CANCELLED },
   { "complete", COMPLETES, false, SCHEDULER_COMPLETE },
   { "complete, then cancelled", COMPLETES_THEN_IS_CANCELLED, false, SCHEDULER_COMPLETE },
   { "failed", FAILS, false, SCHEDULER_FAILED },
@@ -88,6 +90,11 @@
   uint64_t number = (uint64_t) submit (scheduler, 0, actions);
   switch (history)
     {
+    case IS_CANCELLED_AS_TWO:
+      submit (scheduler, 10, actions);
+      cancel (scheduler, actions);
+      CU_ASSERT_EQUAL (scheduler_job_count (scheduler), 0);
+      break;
     case IS_CANCELLED:
       cancel (scheduler, actions);
       break;
