Site: a cancellation is sent until every host has confirmed it

The open connections of the host that was asked were silent; the job's host was never told.

Cause: the cancellation was sent to the other hosts once. A frame on a silent connection is lost with it, and none was sent again on the next connection. DELETE was answered "no such job" without any word from a host that may have had it; the absence of a message was taken for a fact.

Change: lib/scheduler/job_cancellations keeps each cancellation until every host has confirmed it with a new frame, for as long as a job may live, 1,024 at most; it is sent again at intervals that grow from 100 ms to 2 s, and on each new connection. A host that is not connected to all asks a hub, which confirms only what all hosts have confirmed to it. A host remembers for 10 s which jobs it has ended so, as its confirmation may be lost. A job that was found is cancelled at the other hosts, too, as its caller may have submitted it again there. DELETE is answered 200 as soon as one host had the job (before, 410 unless it was the one that was asked), 410 when all have said that they don't have it, and after 1.5 s, or three quarters of a shorter wait of the caller, 202: it is being sent, nothing is known yet. Hosts of earlier versions ignore the frame and never confirm.

Checks: test_site "cancel" asked for 410 where the job is at another host; it asks for 200 now, so that the answer must say that the job was there. test_site_fuzz reads the new frame as well.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -389,6 +389,7 @@
   peers_send_heartbeats (site, now_ms, false);
   request_newer_config (site, now_ms);
   crash_history_expire (site->crashes, now_ms);
+  cancel_tick (site, now_ms);
   drain_tick (site, now_ms);
   probe_unowned_shards (site, now_ms);
   owner_free_retired (site, now_ms);
@@ -463,6 +464,7 @@
                                             settings->lease_max_ms, settings->remote_factor,
                                             site->incarnation };
   site->scheduler = scheduler_new (&scheduler_options);
+  site->job_cancellations = job_cancellations_new ();
   site->owned_shards = g_hash_table_new_full (NULL, NULL, NULL, owner_free_shard);
   site->retired_shards = g_ptr_array_new_with_free_func (owner_free_shard);
   site->directory = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, site_free_entry);
--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -203,20 +203,6 @@
   site_schedule_actions (site);
 }
 
-/* Cancels a job here and at all hosts: any of them may coordinate it, or receive its request again.
- * Returns true if it was found here. */
-static bool
-cancel_job (const char *id, void *user)
-{
-  site_t *site = user;
-  bool found = scheduler_cancel (site->scheduler, id, clock_boot_ms (), site->scheduler_actions);
-
-  site_run_scheduler_actions (site);
-  site_schedule_actions (site);
-  peers_cancel_job (site, id);
-  return found;
-}
-
 static bool
 is_ready (void *user)
 {
@@ -233,5 +219,6 @@
 }
 
 const ingress_ops_t site_ingress_ops = {
-  current_queues, submit_job, abandon_job, cancel_job, is_ready, render_metrics, drain_status_json,
+  current_queues, submit_job, abandon_job,    cancel_job,
+  cancel_forget,  is_ready,   render_metrics, drain_status_json,
 };
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -148,22 +148,6 @@
   g_free (id);
 }
 
-static void
-read_cancel_job (site_t *site, const char *host, frame_reader_t *reader)
-{
-  char *job = NULL;
-  bool relay = false;
-
-  (void) host;
-  if (executor_msg_read_cancel_job (reader, &job, &relay) != 0)
-    return;
-  if (relay)
-    peers_send_all (site, executor_msg_cancel_job (job, false));
-  scheduler_cancel (site->scheduler, job, clock_boot_ms (), site->scheduler_actions);
-  site_run_scheduler_actions (site);
-  g_free (job);
-}
-
 static void
 read_cancelled (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -368,7 +352,8 @@
   { EXECUTOR_MSG_CANCELLED, read_cancelled },
   { EXECUTOR_MSG_OFFER, read_offer },
   { EXECUTOR_MSG_RELEASE, read_release },
-  { EXECUTOR_MSG_CANCEL_JOB, read_cancel_job },
+  { EXECUTOR_MSG_CANCEL_JOB, cancel_read_request },
+  { EXECUTOR_MSG_JOB_CANCELLED, cancel_read_confirmation },
   { EXECUTOR_MSG_ENDPOINT, read_endpoint },
   { EXECUTOR_MSG_ENDPOINT_REMOVED, read_endpoint_removed },
   { EXECUTOR_MSG_RESYNC, read_resync },
@@ -419,6 +404,7 @@
       peers_send_heartbeat (site, net_event->host);
       peers_send (site, net_event->host, executor_msg_resync ());
       resend_batches (site, net_event->host);
+      cancel_host_connected (site, net_event->host);
       send_losses (site, net_event->host);
       send_cancelled_jobs (site, net_event->host);
     }
@@ -630,14 +616,3 @@
       net_add_address (site->net, known->address, known->data_centre, false);
     }
 }
-
-void
-peers_cancel_job (site_t *site, const char *job)
-{
-  const char *hub = cluster_find_hub (site->cluster);
-
-  if (cluster_is_hub (site->cluster) || hub == NULL)
-    peers_send_all (site, executor_msg_cancel_job (job, false));
-  else
-    peers_send (site, hub, executor_msg_cancel_job (job, true));
-}
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -12,6 +12,7 @@
 #include "executor/executor.h"
 #include "executor/executor_msg.h"
 #include "executor/removed_entries.h"
+#include "scheduler/job_cancellations.h"
 #include "scheduler/scheduler.h"
 #include "scheduler/queues.h"
 #include "platform/ingress.h"
@@ -86,13 +87,14 @@
   GHashTable *running_in_drained; /* interned data centre -> drain_running_t */
   GHashTable *directory;          /* endpoint id -> executor_entry_t */
   removed_entries_t *removed_entries;
-  GHashTable *connections;   /* interned host -> peer_connection_t */
-  GHashTable *known_hosts;   /* interned host -> known_host_t */
-  GArray *cluster_actions;   /* cluster_action_t that have not been carried out */
-  GArray *scheduler_actions; /* likewise, scheduler_action_t */
-  crash_history_t *crashes;  /* shared by the executors of this host */
-  GArray *other_offers;      /* executor_offer_t of other shards; valid for one round */
-  GArray *task_ends;         /* pending_task_end_t */
+  GHashTable *connections;                /* interned host -> peer_connection_t */
+  GHashTable *known_hosts;                /* interned host -> known_host_t */
+  GArray *cluster_actions;                /* cluster_action_t that have not been carried out */
+  GArray *scheduler_actions;              /* likewise, scheduler_action_t */
+  job_cancellations_t *job_cancellations; /* its waiters are cancel_waiter_t */
+  crash_history_t *crashes;               /* shared by the executors of this host */
+  GArray *other_offers; /* executor_offer_t of other shards; valid for one round */
+  GArray *task_ends;    /* pending_task_end_t */
   bool store_reachable;
   bool follows_directory; /* whether this host reads the directory of endpoints from the log */
   int64_t directory_followed_since_ms; /* 0 for since its start */
@@ -179,6 +181,17 @@
 void owner_free_retired (site_t *site, int64_t now_ms);
 void owner_set_drained (site_t *site, const char *shard, bool drained);
 
+/* site_cancel.c: cancellations of jobs, whichever host has them */
+/* Callbacks of the ingress; see ingress_ops_t. */
+void cancel_job (const char *id, int64_t answer_by_ms, void *user_data, void **handle, void *user);
+void cancel_forget (void *handle, void *user);
+/* Handlers of frames that HOST has sent. */
+void cancel_read_request (site_t *site, const char *host, frame_reader_t *reader);
+void cancel_read_confirmation (site_t *site, const char *host, frame_reader_t *reader);
+/* A connection to HOST was opened. */
+void cancel_host_connected (site_t *site, const char *host);
+void cancel_tick (site_t *site, int64_t now_ms);
+
 /* site_drain.c: which data centres are drained */
 /* Callbacks of the store; see log_client_ops_t. */
 void drain_on_record (const char *name, uint64_t offset, bool drained, void *user);
@@ -252,9 +265,6 @@
 void peers_connect (site_t *site, int64_t now_ms);
 /* Replaces the connection to HOST, which had lost this host, unless the connection is new. */
 void peers_reconnect (site_t *site, const char *host);
-/* Sends the cancellation of JOB to all hosts: through a hub, unless this host is one or knows none.
- */
-void peers_cancel_job (site_t *site, const char *job);
 /* Sends heartbeats that are due; all of them if AT_ONCE, after a change that the others should
  * learn of without delay. */
 void peers_send_heartbeats (site_t *site, int64_t now_ms, bool at_once);
--- a/lib/executor/executor_msg.c
+++ b/lib/executor/executor_msg.c
@@ -165,6 +165,29 @@
   return ERROR_PROTOCOL;
 }
 
+GBytes *
+executor_msg_job_cancelled (const char *job, bool relay, bool found)
+{
+  frame_writer_t *writer = frame_begin (EXECUTOR_MSG_JOB_CANCELLED);
+
+  frame_put_string (writer, job);
+  frame_put_bool (writer, relay);
+  frame_put_bool (writer, found);
+  return frame_finish (writer);
+}
+
+int
+executor_msg_read_job_cancelled (frame_reader_t *reader, char **job, bool *relay, bool *found)
+{
+  *job = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  *relay = frame_get_bool (reader);
+  *found = frame_get_bool (reader);
+  if (*job != NULL && frame_ok (reader))
+    return 0;
+  g_clear_pointer (job, g_free);
+  return ERROR_PROTOCOL;
+}
+
 GBytes *
 executor_msg_resync (void)
 {
--- a/lib/executor/executor_msg.h
+++ b/lib/executor/executor_msg.h
@@ -25,7 +25,8 @@
   EXECUTOR_MSG_RESYNC, /* task ends sent earlier may be lost: the receiver sends its batches again
                         */
   EXECUTOR_MSG_LOSSES, /* endpoints that were lost under tasks */
-  EXECUTOR_MSG_TASK_FAILURE /* why a task, whose end follows, has failed or was given up */
+  EXECUTOR_MSG_TASK_FAILURE, /* why a task, whose end follows, has failed or was given up */
+  EXECUTOR_MSG_JOB_CANCELLED /* confirms EXECUTOR_MSG_CANCEL_JOB */
 } executor_msg_t;
 
 /* Gives BATCH to the owner of SHARD.  EPOCH is the epoch under which the coordinator expects
@@ -53,6 +54,11 @@
 GBytes *executor_msg_cancel_job (const char *job, bool relay);
 /* The caller frees *JOB with g_free (). */
 int executor_msg_read_cancel_job (frame_reader_t *reader, char **job, bool *relay);
+/* Says whether the sender or, with RELAY, any host had JOB and has ended it.  A host of an earlier
+ * version never sends it, and ignores it. */
+GBytes *executor_msg_job_cancelled (const char *job, bool relay, bool found);
+/* The caller frees *JOB with g_free (). */
+int executor_msg_read_job_cancelled (frame_reader_t *reader, char **job, bool *relay, bool *found);
 /* The caller of executor_msg_read_endpoint_removed () frees *ID with g_free (). */
 GBytes *executor_msg_endpoint_removed (const char *id);
 int executor_msg_read_endpoint_removed (frame_reader_t *reader, char **id);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -177,8 +177,7 @@
       int fd = site_connect ("127.0.0.1", site_caller_port (&rig, 0));
       site_send_request (fd, "POST", target, body, SITE_DEADLINE_MS);
       CU_ASSERT_TRUE (site_wait_for_number (&rig, "running", 3, 2000));
-      CU_ASSERT_EQUAL (site_call (site_caller_port (&rig, i), "DELETE", target, "").status,
-                       i == 0 ? 200 : 410);
+      CU_ASSERT_EQUAL (site_call (site_caller_port (&rig, i), "DELETE", target, "").status, 200);
       site_response_t response = site_read_response (fd, clock_boot_ms () + 1000);
       CU_ASSERT_EQUAL (response.status, 200);
       CU_ASSERT_PTR_NOT_NULL (strstr (response.body, "cancelled"));
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -165,6 +165,10 @@
           if (executor_msg_read_cancel_job (reader, &text, &relay) == 0)
             g_free (text);
           break;
+        case EXECUTOR_MSG_JOB_CANCELLED:
+          if (executor_msg_read_job_cancelled (reader, &text, &relay, &relay) == 0)
+            g_free (text);
+          break;
         case EXECUTOR_MSG_ENDPOINT_REMOVED:
           if (executor_msg_read_endpoint_removed (reader, &text) == 0)
             g_free (text);
@@ -276,7 +280,7 @@
   g_rand_free (rand);
 }
 
-#define FRAME_KIND_COUNT 12
+#define FRAME_KIND_COUNT 13
 
 static GBytes *
 valid_drain_set (void)
@@ -361,6 +365,8 @@
     frame = executor_msg_endpoint (&entry, 0);
   else if (kind == 11)
     frame = executor_msg_task_failure (&failed);
+  else if (kind == 12)
+    frame = executor_msg_job_cancelled ("j", true, true);
   else
     frame = cluster_msg_heartbeat (&heartbeat);
   g_array_unref (heartbeat.claims);
