Executor: only an endpoint that tells its start time shows a crash

Callers could see: "failed" with crashes as its cause for a task on endpoints that tell no start time in their polls. Cause: a restart that was concluded from another entry, or from an earlier clock in an answer, confirmed the losses of the runs there. An entry may be old or of another writer, and a clock that stood still with its machine is earlier too. The design says that such an endpoint leaves suspicions only. Change: a restart confirms losses only if the endpoint tells its start time; else they stay suspected. Runs are handled as before. Evidence: test_executor_losses "a crash that its endpoint has not told", two of four cases red before, none after.

--- a/lib/executor/losses.c
+++ b/lib/executor/losses.c
@@ -41,7 +41,7 @@
 
   if (task->endpoint->instance_leaving)
     return;
-  if (restarted && loss.had_started)
+  if (restarted && loss.had_started && task->endpoint->reports_start_time)
     loss.state = CRASH_CONFIRMED;
   if (crash_history_add (executor->crashes, &loss, now_ms))
     note_loss (&loss, executor);
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -16,7 +16,8 @@
 void endpoint_note_address (endpoint_t *endpoint);
 
 /* Records that the endpoint of TASK was lost while it may have run there.  RESTARTED says that the
- * endpoint was found restarted.  An endpoint that has said that it would leave has not crashed. */
+ * endpoint was found restarted, which is certain only if it tells its start time.  An endpoint that
+ * has said that it would leave has not crashed. */
 void record_loss (executor_t *executor, const task_t *task, bool restarted, int64_t now_ms);
 
 /* Records that the present run of TASK is alive, although its endpoint may have counted as lost. */
--- a/tests/test_executor_losses.c
+++ b/tests/test_executor_losses.c
@@ -582,6 +582,69 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  int64_t told_ms; /* start time that the endpoint tells in polls; 0 if it tells none */
+  bool by_entry; /* an entry names a later start; else a poll has an earlier clock or that start */
+  int32_t confirmed;
+} restart_cases[] = {
+  { "an entry, of an endpoint that tells no start time", 0, true, 0 },
+  { "an earlier clock, of an endpoint that tells no start time", 0, false, 0 },
+  { "an entry, before the endpoint tells it", 1, true, 0 },
+  { "the endpoint tells it", 1, false, 1 },
+};
+
+/* A crash counted as certain although its endpoint had not told that it had started again. */
+static void
+test_crash_not_told_by_endpoint (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (restart_cases); i++)
+    {
+      const int64_t told_ms = restart_cases[i].told_ms;
+      const executor_batch_t batch = batch_of ("j", 1);
+      const poll_result_t first = { .endpoint_clock_ms = 5000, .started_at_ms = told_ms };
+      const poll_active_t run = { TASK, 1, 10 };
+      const poll_result_t listed = {
+        .endpoint_clock_ms = 5002, .started_at_ms = told_ms, .active = &run, .active_count = 1
+      };
+      const poll_result_t later = { .endpoint_clock_ms = 10,
+                                    .started_at_ms = told_ms != 0 ? 40 : 0 };
+      crash_history_t *crashes = crash_history_new ();
+      const executor_options_t options = {
+        .lease_ms = LEASE_MS, .stop_ms = STOP_TIMEOUT_MS, .remote_factor = 2, .crashes = crashes
+      };
+      scenario_t scenario;
+
+      scenario_begin (&scenario);
+      executor_free (scenario.executor);
+      scenario.executor = executor_new (&options);
+      add_instance (&scenario, 0, "r1", 3000, 1);
+      run_round_at (&scenario, 10);
+      executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &first, 10,
+                              scenario.actions);
+      executor_submit (scenario.executor, &batch, 10);
+      run_round_at (&scenario, 10);
+      CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e0");
+      executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_OK, 5001, 11,
+                               scenario.actions);
+      executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &listed, 12,
+                              scenario.actions);
+      run_round_at (&scenario, 50);
+      if (restart_cases[i].by_entry)
+        add_instance (&scenario, 0, "r1", 3000, 40);
+      else
+        executor_poll_answered (scenario.executor, scenario.poll_serial[0], EXECUTOR_OK, &later, 51,
+                                scenario.actions);
+      int32_t confirmed = crash_history_counts (crashes, TASK).confirmed;
+      if (confirmed != restart_cases[i].confirmed)
+        printf ("  %s: %d confirmed\n", restart_cases[i].name, confirmed);
+      CU_ASSERT_EQUAL (confirmed, restart_cases[i].confirmed);
+      scenario_end (&scenario);
+      crash_history_free (crashes);
+    }
+}
+
 static const unit_test_t tests[] = {
   { "a run on an instance that was not noticed before", test_run_on_unnoticed_instance },
   { "a task that crashes endpoints is given up", test_crashing_task_given_up },
@@ -591,6 +654,7 @@
   { "a job failed though its endpoints were only cut off", test_failed_though_only_cut_off },
   { "a job failed because one endpoint rejected one order", test_failed_by_one_rejection },
   { "an endpoint that an entry alone shows as crashed", test_crash_shown_by_entry_alone },
+  { "a crash that its endpoint has not told", test_crash_not_told_by_endpoint },
   { "a crash under a run that was being stopped was not counted",
     test_crash_while_stopped_not_counted },
   { "nothing starts beside a suspect task", test_nothing_starts_beside_suspect },
