--- a/tests/test_site_cancellation.c
+++ b/tests/test_site_cancellation.c
@@ -14,9 +14,11 @@
 #include <unistd.h>
 
 #define HOSTS 4
+#define MANY_HOSTS 12
 #define ENDPOINTS 6
 #define DATA_CENTRES 2
 #define TASKS 200
+#define FEW_TASKS 2
 #define CALLER_WAIT_MS 20000
 #define LEAVES_AFTER_MS 50
 /* Keeps a faulty run from hanging. */
@@ -137,8 +139,53 @@
   book_free (rig.book);
 }
 
+static int
+cancel_at (const rig_t *rig, int host, const char *target)
+{
+  int fd = site_connect (RIG_CALLER_IP, rig_caller_port (rig, host));
+
+  site_send_request (fd, "DELETE", target, "", ANSWERED_WITHIN_MS);
+  site_response_t cancelled = site_read_response (fd, clock_boot_ms () + ANSWERED_WITHIN_MS);
+  close (fd);
+  return cancelled.status;
+}
+
+/* With so many hosts some are connected to hubs only, both those that are asked and that of the
+ * job. */
+static void
+test_through_hubs (void)
+{
+  rig_t rig = { .programs = site_programs (),
+                .hosts_count = MANY_HOSTS,
+                .endpoints_count = ENDPOINTS,
+                .zones = DATA_CENTRES,
+                .book = book_new () };
+  char *body = site_job_json (FEW_TASKS, "900", 900, "");
+  unsigned failures = CU_get_number_of_failures ();
+
+  CU_ASSERT_TRUE_FATAL (rig_start (&rig));
+  clock_sleep_ms (SETTLE_MS);
+  for (int i = 0; i < MANY_HOSTS; i++)
+    {
+      char *target = g_strdup_printf ("/q/0000000000c0df%02d", i);
+      int fd = site_connect (RIG_CALLER_IP, rig_caller_port (&rig, i));
+      site_send_request (fd, "POST", target, body, CALLER_WAIT_MS);
+      clock_sleep_ms (100);
+      CU_ASSERT_EQUAL (cancel_at (&rig, MANY_HOSTS - 1 - i, target), 200);
+      site_response_t answer = site_read_response (fd, clock_boot_ms () + CANCELLED_WITHIN_MS);
+      CU_ASSERT_PTR_NOT_NULL (strstr (answer.body, "cancelled"));
+      CU_ASSERT_EQUAL (cancel_at (&rig, i, "/q/0000000000c0dfff"), 410);
+      close (fd);
+      g_free (target);
+    }
+  rig_stop (&rig, CU_get_number_of_failures () != failures);
+  book_free (rig.book);
+  g_free (body);
+}
+
 static const unit_test_t tests[] = {
   { "jobs are cancelled", test_cancellations },
+  { "through hubs", test_through_hubs },
 };
 
 int
