--- a/daemon/site_cancel.c
+++ b/daemon/site_cancel.c
@@ -114,8 +114,8 @@
   return hosts;
 }
 
-/* Ends job ID at this host.  Returns false if it is not here; it may be submitted later all the
- * same, as a copy of its request may be on its way. */
+/* Ends job ID at this host.  Returns false if it is not here; its request, if it still arrives, is
+ * answered as cancelled all the same. */
 static bool
 cancel_here (site_t *site, const char *id)
 {
