Executor: a takeover waits for a directory read since the claim

Callers saw: TWICE. A host that the log turned away, or that had not read it for half a second, took a shard over and started tasks that ran on endpoints that had registered since. Cause: the time of discovery counted from the first complete listing, however long ago the log was last reached: "a listing was complete once" was taken for "I know all endpoints on which the previous owner can have started this task". Change: the reader of the directory keeps the time at which the last request was sent whose answer reached the end of the topic. A task that may be running starts anew only if the directory was read by a request sent since the task was known as maybe running, as it is for polls; without the log it waits until the leases of the previous owner have ended (the bound that was there). The time of a takeover itself was not measured.

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -335,6 +335,24 @@
   executor_set_token (owned->executor, token, now_ms);
 }
 
+void
+owner_update_directory (site_t *site, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+  int64_t read_at_ms = log_client_directory_read_at_ms (site->log_client);
+
+  g_hash_table_iter_init (&iter, site->owned_shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      executor_t *executor = ((owned_shard_t *) value)->executor;
+      int64_t needed_ms = executor_directory_needed_ms (executor);
+      executor_set_directory_read (executor, read_at_ms);
+      if (needed_ms > read_at_ms)
+        log_client_read_directory_after (site->log_client, needed_ms, now_ms);
+    }
+}
+
 void
 owner_yielded (site_t *site, const char *shard, const char *why)
 {
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -153,6 +153,9 @@
 /* Takes over SHARD, or continues with a new TOKEN.  WHY goes to the log, as in owner_yielded (). */
 void owner_claimed (site_t *site, const char *shard, int64_t token, const char *why);
 void owner_yielded (site_t *site, const char *shard, const char *why);
+/* Tells the shards how recent the directory is, and has it read where tasks that may be running
+ * wait for that. */
+void owner_update_directory (site_t *site, int64_t now_ms);
 /* Adds or updates an endpoint in the shard that ENTRY names. */
 void owner_set_entry (site_t *site, const executor_entry_t *entry);
 void owner_remove_endpoint (site_t *site, const char *id, const char *data_centre);
--- a/lib/executor/discovery.c
+++ b/lib/executor/discovery.c
@@ -1,4 +1,4 @@
-/* discovery.c -- until when a new owner may not know all endpoints of its shard */
+/* discovery.c -- whether a new owner knows all endpoints of its shard */
 #include "executor/discovery.h"
 
 #include <glib.h>
@@ -18,3 +18,9 @@
     complete_at_ms = now_ms;
   return complete_at_ms + (view->all_have_just_started ? DISCOVERY_AT_START_MS : DISCOVERY_MS);
 }
+
+bool
+discovery_covers (const discovery_t *discovery, int64_t at_ms, int64_t now_ms)
+{
+  return now_ms >= discovery->until_ms && discovery->directory_read_at_ms >= at_ms;
+}
--- a/lib/executor/endpoints.c
+++ b/lib/executor/endpoints.c
@@ -226,7 +226,13 @@
 void
 executor_set_discovery_until (executor_t *executor, int64_t at_ms)
 {
-  executor->discovery_until_ms = at_ms;
+  executor->discovery.until_ms = at_ms;
+}
+
+void
+executor_set_directory_read (executor_t *executor, int64_t sent_at_ms)
+{
+  executor->discovery.directory_read_at_ms = sent_at_ms;
 }
 
 void
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -286,6 +286,15 @@
  * time, a task that may be running is not requeued merely because no known endpoint lists it. */
 void executor_set_discovery_until (executor_t *executor, int64_t at_ms);
 
+/* Records that the executor has been told of all endpoints in the directory, as of a read of it
+ * that was sent at SENT_AT_MS.  A task that may be running since later than that is not requeued
+ * merely because no known endpoint lists it. */
+void executor_set_directory_read (executor_t *executor, int64_t sent_at_ms);
+
+/* Returns the time before which a read of the directory must not be sent, for tasks that may be
+ * running; 0 if there are none. */
+int64_t executor_directory_needed_ms (const executor_t *executor);
+
 /* Records that this host owns the endpoints under a new fencing TOKEN.  Another owner may have
  * held them between the previous token and this one, so the runs on all endpoints must be
  * listed again, and every waiting task may be running. */
--- a/lib/executor/resolve.c
+++ b/lib/executor/resolve.c
@@ -1,7 +1,7 @@
 /* resolve.c -- tasks that another owner may have started
  *
- * Such a task waits until its run is found and adopted, its end is found, or every endpoint that
- * may run it has been asked or the other owner's runs have certainly ended.
+ * Such a task waits until its run is found and adopted, its end is found, every endpoint that may
+ * run it is known and has been asked, or the other owner's runs have certainly ended.
  */
 #include "executor/leases.h"
 #include "executor/table.h"
@@ -75,11 +75,24 @@
                    && endpoint->runs_known
                    && endpoint->last_poll_sent_at_ms >= task->maybe_running_since_ms;
     }
-  if ((all_polled && now_ms >= executor->discovery_until_ms)
+  if ((all_polled && discovery_covers (&executor->discovery, task->maybe_running_since_ms, now_ms))
       || now_ms >= MAX (task->batch->prior_runs_end_by_ms, executor->contested_until_ms))
     task_requeue (executor, task, now_ms);
 }
 
+int64_t
+executor_directory_needed_ms (const executor_t *executor)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+  int64_t needed_ms = 0;
+
+  g_hash_table_iter_init (&iter, executor->maybe_running);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    needed_ms = MAX (needed_ms, ((const task_t *) value)->maybe_running_since_ms);
+  return needed_ms;
+}
+
 void
 resolve_maybe_running (executor_t *executor, int64_t now_ms, GArray *actions)
 {
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -4,6 +4,7 @@
 
 #include "dispatch/outlier.h"
 #include "executor/capacity.h"
+#include "executor/discovery.h"
 #include "executor/done_tasks.h"
 #include "executor/estimate.h"
 #include "executor/executor.h"
@@ -204,7 +205,7 @@
   GHashTable *load_totals;   /* service -> load_totals_t of the queue */
   GHashTable *maybe_running; /* set of the tasks in TASK_MAYBE_RUNNING */
   int32_t removed_endpoints; /* number of endpoints with ENTRY_REMOVED */
-  int64_t discovery_until_ms; /* until then undiscovered endpoints may exist */
+  discovery_t discovery;     /* of the endpoints of the shard */
   int64_t contested_until_ms; /* until then another owner may have unlisted runs */
   uint64_t last_serial;
   GPtrArray *closed_batches;    /* batch_t */
--- a/tests/executor_scenario.c
+++ b/tests/executor_scenario.c
@@ -17,6 +17,7 @@
   *scenario = (scenario_t){ .executor = executor_new (&options),
                             .actions = g_array_new (FALSE, FALSE, sizeof (executor_action_t)),
                             .other_offers = g_array_new (FALSE, FALSE, sizeof (executor_offer_t)) };
+  executor_set_directory_read (scenario->executor, INT64_MAX);
 }
 
 void
--- a/tests/executor_scenario.h
+++ b/tests/executor_scenario.h
@@ -43,7 +43,8 @@
 
 extern const char *const endpoint_ids[2];
 
-/* Begins a scenario without endpoints; scenario_end () frees what it holds. */
+/* Begins a scenario without endpoints, in which the directory counts as read all the time;
+ * scenario_end () frees what it holds. */
 void scenario_begin (scenario_t *scenario);
 void scenario_end (scenario_t *scenario);
 
--- a/tests/test_entry_pages.c
+++ b/tests/test_entry_pages.c
@@ -59,6 +59,7 @@
   int removed_count;    /* reported removals of endpoints that were listed */
   int invalid_count;    /* lines that name an invalid entry */
   const char *expected; /* an endpoint that another host knows when the listing is done, or NULL */
+  bool left_out;        /* the listings leave entries out, so that the directory isn't known */
 } page_case_t;
 
 static const page_case_t cases[] = {
@@ -102,11 +103,13 @@
     .listings = { PAGE_WITH_MORE (ITEM ("")) },
     .records = { { KEY ("e0"), VALID } },
     .listed = "e0 ",
-    .invalid_count = 1 },
+    .invalid_count = 1,
+    .left_out = true },
   { .name = "a page with more and without a key: the records are read nevertheless",
     .listings = { PAGE_WITH_MORE ("7") },
     .records = { { KEY ("e0"), VALID } },
-    .listed = "e0 " },
+    .listed = "e0 ",
+    .left_out = true },
   { .name = "a listed key with a NUL is not the key before it",
     .listings = { PAGE (ITEM ("e0") "," ODD_ITEM ("e0\\u0000x") "," ITEM ("e1\\u0000")) },
     .listed = "e0 ",
@@ -486,6 +489,7 @@
     printf ("\n  %s: listed %s; %d removed, %d lines, %d reads, %d listings", page_case->name, ids,
             test.removed_count, invalid_count, test.reads_answered, test.listings_asked);
   CU_ASSERT_TRUE (held);
+  CU_ASSERT_EQUAL (log_client_directory_read_at_ms (test.log_client) == 0, page_case->left_out);
   g_free (ids);
   page_test_free (&test);
 }
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -234,6 +234,8 @@
   set_endpoints (host, data_centre);
   executor_set_drained (owned->executor, knows_drained (host, data_centre));
   executor_set_discovery_until (owned->executor, host->started_at_ms + DISCOVERY_MS);
+  /* Hosts read the directory at all times. */
+  executor_set_directory_read (owned->executor, INT64_MAX);
   executor_set_token (owned->executor, token, host->sim->now_ms);
 }
 
--- a/tests/test_site_hosts.c
+++ b/tests/test_site_hosts.c
@@ -15,6 +15,8 @@
 
 /* bounds.grace_period_s of the hosts. */
 #define GRACE_MS 6000
+/* Within this time endpoints write their entries anew, and hosts read them. */
+#define ENTRIES_KNOWN_MS 1500
 
 /* Every host finds every other, although its settings name only one of them.  A host that starts
  * while the log is down learns of the others from the one that it knows. */
@@ -286,6 +288,57 @@
   site_rig_stop (&rig);
 }
 
+/* From now on HOST finds nobody at the address of the log. */
+static void
+turn_away_from_log (const site_rig_t *rig, int host)
+{
+  char *file = g_strdup_printf ("%s/h%d.conf", rig->directory, host);
+  char *text = NULL;
+
+  CU_ASSERT_TRUE (g_file_get_contents (file, &text, NULL, NULL));
+  char *more = g_strdup_printf ("%splatform.address=127.0.0.1:1\n", text);
+  g_file_set_contents (file, more, -1, NULL);
+  kill (rig->hosts[host], SIGHUP);
+  CU_ASSERT_TRUE (site_wait_for_log_lines (rig, host, "\"log_lost\"", 1));
+  g_free (more);
+  g_free (text);
+  g_free (file);
+}
+
+/* An endpoint registers that the next owner doesn't learn of, because the log turns it away.  Tasks
+ * that run there when the owner is stopped must not be taken for tasks that run nowhere. */
+static void
+test_owner_stopped_after_endpoint_joined (void)
+{
+  site_rig_t rig;
+
+  site_rig_start (&rig);
+  site_set_fault (&rig, "{\"endpoint\":\"e0\",\"unlisted\":true}");
+  site_post_to_standin (&rig, "/wipe");
+  for (int i = 0; i < SITE_HOSTS; i++)
+    site_end_process (&rig.hosts[i], SIGKILL);
+  for (int i = 0; i < SITE_HOSTS; i++)
+    site_start_host (&rig, i);
+  CU_ASSERT_TRUE (site_wait_until_all_ready (&rig));
+  clock_sleep_ms (SITE_DISCOVERY_END_MS);
+  int owner = site_host_gauge (&rig, 0, "jaytrail_shards_owned") > 0 ? 0 : 2;
+  turn_away_from_log (&rig, 2 - owner);
+  /* The tasks can't start elsewhere. */
+  site_set_fault (&rig, "{\"endpoint\":[\"e1\",\"e2\",\"e3\",\"e4\",\"e5\"],\"draining\":true}");
+  site_set_fault (&rig, "{\"endpoint\":\"e0\",\"unlisted\":false}");
+  clock_sleep_ms (ENTRIES_KNOWN_MS);
+  site_load_t load = {
+    .rig = &rig, .first_job = 8000, .job_count = 1, .host = 1, .tasks = 3, .work_ms = 1000
+  };
+  GThread *thread = g_thread_new ("load", site_run_load, &load);
+  CU_ASSERT_TRUE (site_wait_for_number (&rig, "running", 3, 500));
+  site_set_fault (&rig, "{\"endpoint\":[\"e1\",\"e2\",\"e3\",\"e4\",\"e5\"],\"draining\":false}");
+  site_end_process (&rig.hosts[owner], SIGTERM);
+  g_thread_join (thread);
+  CU_ASSERT_TRUE (site_host_gauge (&rig, 2 - owner, "jaytrail_shards_owned") > 0);
+  site_rig_stop (&rig);
+}
+
 static const unit_test_t tests[] = {
   { "hosts find each other", test_hosts_find_each_other },
   { "settings change", test_settings_change },
@@ -294,6 +347,7 @@
   { "a host is stopped with jobs that cannot end", test_stopped_with_open_jobs },
   { "all hosts killed", test_all_hosts_killed },
   { "an owner is killed while an entry is missing", test_owner_killed_while_entry_missing },
+  { "an owner is stopped after an endpoint joined", test_owner_stopped_after_endpoint_joined },
 };
 
 int
