Scheduler: two comments name rejected orders too

No change of code. A rejected start order is told as given up, with its cause, since "a rejected order is told as given up"; the comments in scheduler.h still named failed tasks only.

--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -116,8 +116,8 @@
                          tasks that may be running */
   int32_t returned_tasks;              /* tasks that owners gave back to be assigned again */
   char owners[SCHEDULER_OWNERS_BYTES]; /* "HOST:TASKS" for each owner with unfinished tasks */
-  task_failure_t failure;              /* SCHEDULER_FAILED: why, as its owner has told */
-  int32_t failed_index;                /* of the task that has failed */
+  task_failure_t failure; /* why a task has failed or was given up, if its owner told */
+  int32_t failed_index;   /* of that task */
 } scheduler_action_t;
 
 typedef struct
@@ -233,7 +233,7 @@
  * its owner. */
 scheduler_task_end_t scheduler_task_end_of (executor_action_kind_t how);
 
-/* HOST tells why the end of task INDEX of batch NUMBER, which follows, is SCHEDULER_TASK_FAILED. */
+/* HOST tells why task INDEX of batch NUMBER, whose end follows, has failed or was given up. */
 void scheduler_note_failure (scheduler_t *scheduler,
                              const char *host,
                              uint64_t number,
