--- a/daemon/site.c
+++ b/daemon/site.c
@@ -391,6 +391,7 @@
   request_newer_config (site, now_ms);
   crash_history_expire (site->crashes, now_ms);
   cancel_tick (site, now_ms);
+  repeats_tick (site, now_ms);
   drain_tick (site, now_ms);
   probe_unowned_shards (site, now_ms);
   owner_free_retired (site, now_ms);
@@ -461,9 +462,9 @@
   site->crashes = crash_history_new ();
   site->running_in_drained = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   site->cluster = cluster_new (&cluster_options, now_ms);
-  scheduler_options_t scheduler_options = { settings->host, settings->data_centre,
+  scheduler_options_t scheduler_options = { settings->host,         settings->data_centre,
                                             settings->lease_max_ms, settings->remote_factor,
-                                            site->incarnation };
+                                            site->incarnation,      settings->resubmit_after_ms };
   site->scheduler = scheduler_new (&scheduler_options);
   site->job_cancellations = job_cancellations_new ();
   site->owned_shards = g_hash_table_new_full (NULL, NULL, NULL, owner_free_shard);
--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -149,13 +149,23 @@
                                          never_started, now_ms, site->scheduler_actions);
         }
       break;
+    case SCHEDULER_ASK:
+      repeats_ask (site, action);
+      break;
+    case SCHEDULER_TELL:
+      repeats_tell (site, action);
+      break;
+    case SCHEDULER_NOTE:
+      repeats_log (action);
+      break;
     case SCHEDULER_ANSWER:
     default:
       if (action->repeated)
         log_repeated (action);
       else
         log_answer (action);
-      ingress_answer (action->user_data, action);
+      if (action->user_data != NULL)
+        ingress_answer (action->user_data, action);
       break;
     }
 }
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -9,6 +9,7 @@
 #include "base/counter.h"
 #include "cluster/cluster_msg.h"
 #include "drain/drain_msg.h"
+#include "scheduler/job_status_msg.h"
 
 #include <string.h>
 
@@ -357,6 +358,8 @@
   { EXECUTOR_MSG_ENDPOINT, read_endpoint },
   { EXECUTOR_MSG_ENDPOINT_REMOVED, read_endpoint_removed },
   { EXECUTOR_MSG_RESYNC, read_resync },
+  { JOB_MSG_STATUSES, repeats_read_statuses },
+  { JOB_MSG_QUERY, repeats_read_query },
   { CLUSTER_MSG_HEARTBEAT, read_heartbeat },
   { CLUSTER_MSG_CONFIG_REQUEST, read_config_request },
   { CLUSTER_MSG_CONFIG, read_config },
@@ -407,6 +410,7 @@
       cancel_host_connected (site, net_event->host);
       send_losses (site, net_event->host);
       send_cancelled_jobs (site, net_event->host);
+      repeats_host_connected (site, net_event->host);
     }
   else
     {
@@ -594,6 +598,24 @@
   g_array_unref (hosts);
 }
 
+static void
+dial (site_t *site, known_host_t *known, int64_t now_ms)
+{
+  if (known->dialed_at_ms != 0 && now_ms - known->dialed_at_ms < REDIAL_INTERVAL_MS)
+    return;
+  known->dialed_at_ms = now_ms;
+  net_add_address (site->net, known->address, known->data_centre, false);
+}
+
+void
+peers_dial (site_t *site, const char *host, int64_t now_ms)
+{
+  known_host_t *known = g_hash_table_lookup (site->known_hosts, host);
+
+  if (known != NULL)
+    dial (site, known, now_ms);
+}
+
 void
 peers_connect (site_t *site, int64_t now_ms)
 {
@@ -607,12 +629,8 @@
   g_hash_table_iter_init (&iter, site->known_hosts);
   while (g_hash_table_iter_next (&iter, &host, &value))
     {
-      known_host_t *known = value;
-      if (g_hash_table_contains (site->connections, host)
-          || (known->dialed_at_ms != 0 && now_ms - known->dialed_at_ms < REDIAL_INTERVAL_MS)
-          || !cluster_needs_connection (site->cluster, host))
-        continue;
-      known->dialed_at_ms = now_ms;
-      net_add_address (site->net, known->address, known->data_centre, false);
+      if (!g_hash_table_contains (site->connections, host)
+          && cluster_needs_connection (site->cluster, host))
+        dial (site, value, now_ms);
     }
 }
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -109,6 +109,7 @@
   bool drains_changed; /* the set of drains has changed since the last heartbeat for a change */
   int64_t drain_request_due_ms;
   int64_t drain_report_due_ms;
+  int64_t announce_due_ms; /* jobs are announced to other hosts next */
   int64_t probe_due_ms;
   int64_t settings_check_due_ms;
   traffic_t traffic; /* since the start */
@@ -195,6 +196,19 @@
 void cancel_host_connected (site_t *site, const char *host);
 void cancel_tick (site_t *site, int64_t now_ms);
 
+/* site_repeats.c: jobs that callers may send to more than one host */
+/* Carry out SCHEDULER_NOTE, SCHEDULER_ASK and SCHEDULER_TELL. */
+void repeats_log (const scheduler_action_t *action);
+void repeats_ask (site_t *site, const scheduler_action_t *action);
+void repeats_tell (site_t *site, const scheduler_action_t *action);
+/* Handlers of frames that HOST has sent. */
+void repeats_read_statuses (site_t *site, const char *host, frame_reader_t *reader);
+void repeats_read_query (site_t *site, const char *host, frame_reader_t *reader);
+/* A connection to HOST was opened. */
+void repeats_host_connected (site_t *site, const char *host);
+/* Announces jobs where that is due. */
+void repeats_tick (site_t *site, int64_t now_ms);
+
 /* site_drain.c: which data centres are drained */
 /* Callbacks of the store; see log_client_ops_t. */
 void drain_on_record (const char *name, uint64_t offset, bool drained, void *user);
@@ -266,6 +280,8 @@
 void peers_send_hosts (site_t *site, const char *host);
 /* Dials the hosts to which a connection is needed and missing. */
 void peers_connect (site_t *site, int64_t now_ms);
+/* Opens a connection to HOST, if its address is known and it was not dialed a short time ago. */
+void peers_dial (site_t *site, const char *host, int64_t now_ms);
 /* Replaces the connection to HOST, which had lost this host, unless the connection is new. */
 void peers_reconnect (site_t *site, const char *host);
 /* Sends heartbeats that are due; all of them if AT_ONCE, after a change that the others should
--- /dev/null
+++ b/daemon/site_repeats.c
@@ -0,0 +1,193 @@
+/* site_repeats.c -- what hosts tell each other about jobs that callers may send to more than one
+ *
+ * lib/scheduler/repeats.c decides.  A host announces its jobs to the hosts that it is connected to.
+ * One that is no hub is not connected to all others: hubs of each data centre pass its
+ * announcements on to the other hosts there.
+ */
+#include "daemon/site_private.h"
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/hash.h"
+#include "scheduler/job_status_msg.h"
+
+#include <string.h>
+
+/* An announcement waits this long for others at the most. */
+#define ANNOUNCE_INTERVAL_MS 200
+/* So many hubs of a data centre pass an announcement on: one of them may just have been lost. */
+#define RELAYS_PER_DATA_CENTRE 2
+
+static const char *const finding_names[] = {
+  [SCHEDULER_FOUND_OPEN] = "waits_for_answer", [SCHEDULER_FOUND_STOPPING] = "waits_for_end",
+  [SCHEDULER_FOUND_ENDED] = "answered",        [SCHEDULER_FOUND_OVER] = "runs_here",
+  [SCHEDULER_FOUND_SILENT] = "silent",         [SCHEDULER_FOUND_AT_BOTH] = "runs_at_both",
+  [SCHEDULER_FOUND_YIELDED] = "yielded",
+};
+
+void
+repeats_log (const scheduler_action_t *action)
+{
+  const char *finding = finding_names[action->finding];
+  char *label = g_strdup_printf ("finding=\"%s\"", finding);
+
+  counter_add (counter_get ("jaytrail_jobs_elsewhere_total", label), 1);
+  g_free (label);
+  if (!event_begin (EVENT_JOB_ELSEWHERE))
+    return;
+  event_add_text ("job", action->job_id);
+  event_add_text ("finding", finding);
+  event_add_text ("host", action->host);
+  event_add_number ("age_ms", action->age_ms);
+  event_end ();
+}
+
+/* --- sending --- */
+
+static GArray *
+new_statuses (void)
+{
+  return g_array_new (FALSE, FALSE, sizeof (job_status_t));
+}
+
+static GBytes *
+statuses_frame (const char *host, bool relay, const GArray *statuses, guint first)
+{
+  guint count = MIN (statuses->len - first, JOB_STATUSES_MAX);
+
+  return job_msg_statuses (host, relay,
+                           (const job_status_t *) (const void *) statuses->data + first, count,
+                           clock_boot_ms ());
+}
+
+/* Sends STATUSES of ORIGIN to HOST, in as many messages as it takes. */
+static void
+send_statuses (site_t *site,
+               const char *host,
+               const char *origin,
+               bool relay,
+               const GArray *statuses)
+{
+  for (guint first = 0; first < statuses->len; first += JOB_STATUSES_MAX)
+    peers_send (site, host, statuses_frame (origin, relay, statuses, first));
+}
+
+void
+repeats_ask (site_t *site, const scheduler_action_t *action)
+{
+  if (!g_hash_table_contains (site->connections, action->host))
+    peers_dial (site, action->host, clock_boot_ms ());
+  else
+    peers_send (site, action->host, job_msg_query (action->job_id));
+}
+
+void
+repeats_tell (site_t *site, const scheduler_action_t *action)
+{
+  peers_send (site, action->host,
+              job_msg_statuses (site->host, false, &action->status, 1, clock_boot_ms ()));
+}
+
+void
+repeats_host_connected (site_t *site, const char *host)
+{
+  GArray *statuses = new_statuses ();
+
+  scheduler_append_open (site->scheduler, statuses);
+  send_statuses (site, host, site->host, false, statuses);
+  g_array_unref (statuses);
+}
+
+void
+repeats_tick (site_t *site, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *host = NULL;
+  bool relay = !cluster_is_hub (site->cluster);
+
+  if (now_ms < site->announce_due_ms)
+    return;
+  site->announce_due_ms = now_ms + ANNOUNCE_INTERVAL_MS;
+  GArray *statuses = new_statuses ();
+  scheduler_collect_statuses (site->scheduler, now_ms, statuses);
+  g_hash_table_iter_init (&iter, site->connections);
+  while (statuses->len > 0 && g_hash_table_iter_next (&iter, &host, NULL))
+    send_statuses (site, host, site->host, relay && cluster_host_is_hub (site->cluster, host),
+                   statuses);
+  g_array_unref (statuses);
+}
+
+/* --- receiving --- */
+
+/* Whether this host is one of the hubs of its data centre that pass on what ORIGIN announces. */
+static bool
+is_relay_for (const site_t *site, const char *origin)
+{
+  uint64_t own_weight = hash_rendezvous (origin, site->host);
+  GHashTableIter iter;
+  void *host = NULL;
+  void *value = NULL;
+  int before = 0;
+
+  g_hash_table_iter_init (&iter, site->connections);
+  while (g_hash_table_iter_next (&iter, &host, &value))
+    before +=
+        strcmp (((const peer_connection_t *) value)->data_centre, site->settings->data_centre) == 0
+        && host != g_intern_string (origin) && cluster_host_is_hub (site->cluster, host)
+        && hash_rendezvous (origin, host) > own_weight;
+  return cluster_is_hub (site->cluster) && before < RELAYS_PER_DATA_CENTRE;
+}
+
+/* Passes STATUSES of ORIGIN on to the hosts of this data centre that are no hubs. */
+static void
+relay_statuses (site_t *site, const char *origin, const GArray *statuses)
+{
+  GHashTableIter iter;
+  void *host = NULL;
+  void *value = NULL;
+
+  if (!is_relay_for (site, origin))
+    return;
+  g_hash_table_iter_init (&iter, site->connections);
+  while (g_hash_table_iter_next (&iter, &host, &value))
+    if (strcmp (((const peer_connection_t *) value)->data_centre, site->settings->data_centre) == 0
+        && host != g_intern_string (origin) && !cluster_host_is_hub (site->cluster, host))
+      send_statuses (site, host, origin, false, statuses);
+}
+
+void
+repeats_read_statuses (site_t *site, const char *host, frame_reader_t *reader)
+{
+  GArray *statuses = new_statuses ();
+  char *origin = NULL;
+  bool relay = false;
+  int64_t now_ms = clock_boot_ms ();
+
+  (void) host;
+  if (job_msg_read_statuses (reader, now_ms, &origin, &relay, statuses) == 0)
+    {
+      if (relay)
+        relay_statuses (site, origin, statuses);
+      for (guint i = 0; i < statuses->len; i++)
+        scheduler_job_told (site->scheduler, origin, &g_array_index (statuses, job_status_t, i),
+                            now_ms, site->scheduler_actions);
+      site_run_scheduler_actions (site);
+    }
+  for (guint i = 0; i < statuses->len; i++)
+    g_free ((char *) g_array_index (statuses, job_status_t, i).id);
+  g_array_unref (statuses);
+  g_free (origin);
+}
+
+void
+repeats_read_query (site_t *site, const char *host, frame_reader_t *reader)
+{
+  char *id = NULL;
+
+  if (job_msg_read_query (reader, &id) == 0)
+    {
+      scheduler_job_asked (site->scheduler, host, id, clock_boot_ms (), site->scheduler_actions);
+      site_run_scheduler_actions (site);
+    }
+  g_free (id);
+}
--- a/daemon/site_traffic.c
+++ b/daemon/site_traffic.c
@@ -4,6 +4,7 @@
 #include "base/counter.h"
 #include "cluster/cluster_msg.h"
 #include "drain/drain_msg.h"
+#include "scheduler/job_status_msg.h"
 #include "wire/frame.h"
 
 /* Costs a system call for each connection. */
@@ -22,6 +23,8 @@
   [EXECUTOR_MSG_ENDPOINT_REMOVED] = TRAFFIC_ENDPOINT_REMOVED,
   [EXECUTOR_MSG_RESYNC] = TRAFFIC_RESYNC,
   [EXECUTOR_MSG_LOSSES] = TRAFFIC_LOSSES,
+  [JOB_MSG_STATUSES] = TRAFFIC_JOB_STATUS,
+  [JOB_MSG_QUERY] = TRAFFIC_JOB_STATUS,
   [CLUSTER_MSG_HEARTBEAT] = TRAFFIC_HEARTBEAT,
   [CLUSTER_MSG_CONFIG_REQUEST] = TRAFFIC_CONFIG_REQUEST,
   [CLUSTER_MSG_CONFIG] = TRAFFIC_CONFIG,
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -133,6 +133,8 @@
     "that had started, {confirmed} confirmed as crashed; its last attempt was {attempt}" },
   { EVENT_JOB_ABANDONED, EVENT_CLASS_PROBLEM, "job_abandoned", "job elapsed_ms",
     "the caller closed the connection after {elapsed_ms} ms" },
+  { EVENT_JOB_ELSEWHERE, EVENT_CLASS_PROBLEM, "job_elsewhere", "job finding host age_ms",
+    "{host_id} found the job at {host}, as told {age_ms} ms before: {finding}" },
   { EVENT_BATCH_SENT, EVENT_CLASS_ROUTINE, "batch_sent", "job batch host shard tasks",
     "{host_id} sent {tasks} tasks to {host}" },
   { EVENT_BATCH_MOVED, EVENT_CLASS_PROBLEM, "batch_moved", "job batch host shard tasks",
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -73,6 +73,7 @@
   EVENT_JOB_MISSED,   /* answered late or incomplete */
   EVENT_JOB_FAILED,   /* why it was answered as failed */
   EVENT_JOB_ABANDONED,
+  EVENT_JOB_ELSEWHERE, /* another host runs it, or has run it */
   EVENT_BATCH_SENT,
   EVENT_BATCH_MOVED,
   EVENT_BATCH_STALE,
--- a/lib/base/traffic.c
+++ b/lib/base/traffic.c
@@ -23,6 +23,7 @@
   [TRAFFIC_ENDPOINT_REMOVED] = "endpoint_removed",
   [TRAFFIC_RESYNC] = "resync",
   [TRAFFIC_LOSSES] = "losses",
+  [TRAFFIC_JOB_STATUS] = "job_status",
   [TRAFFIC_HEARTBEAT] = "heartbeat",
   [TRAFFIC_CONFIG_REQUEST] = "config_request",
   [TRAFFIC_CONFIG] = "config",
--- a/lib/scheduler/job_end.c
+++ b/lib/scheduler/job_end.c
@@ -10,6 +10,10 @@
 void
 scheduler_remove_job (scheduler_t *scheduler, scheduled_job_t *job)
 {
+  for (guint i = 0; i < job->requests->len; i++)
+    g_hash_table_remove (scheduler->requests,
+                         &((const job_request_t *) job->requests->pdata[i])->number);
+  g_hash_table_remove (scheduler->jobs_by_id, job->request.id);
   while (job->batches->len > 0)
     scheduler_remove_batch (scheduler, job->batches->pdata[job->batches->len - 1]);
   g_hash_table_remove (scheduler->jobs, &job->number);
@@ -31,6 +35,26 @@
     }
 }
 
+/* FIRST, the last of ACTIONS, answers the first request of JOB; appends answers for the others. */
+static void
+answer_requests (const scheduled_job_t *job, scheduler_action_t *first, GArray *actions)
+{
+  scheduler_action_t repeated = { .kind = SCHEDULER_ANSWER,
+                                  .repeated = true,
+                                  .outcome = first->outcome,
+                                  .reason = first->reason,
+                                  .retry_after_ms = first->retry_after_ms,
+                                  .job_id = first->job_id };
+
+  if (job->requests->len > 0)
+    first->user_data = ((const job_request_t *) job->requests->pdata[0])->user_data;
+  for (guint i = 1; i < job->requests->len; i++)
+    {
+      repeated.user_data = ((const job_request_t *) job->requests->pdata[i])->user_data;
+      g_array_append_val (actions, repeated);
+    }
+}
+
 void
 scheduler_answer_job (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
@@ -39,7 +63,6 @@
   action->outcome = job->outcome;
   if (job->outcome == SCHEDULER_REFUSED && job->may_have_run)
     action->outcome = SCHEDULER_GIVEN_UP;
-  action->user_data = job->request.user_data;
   action->reason = job->reason;
   action->limit = job->limit;
   if (action->outcome == SCHEDULER_REFUSED)
@@ -59,7 +82,19 @@
   action->failure = job->failure;
   action->failed_index = job->failed_index;
   format_owners (job, action->owners, sizeof action->owners);
-  ended_jobs_add (scheduler->ended_jobs, job->request.id, action->outcome, now_ms);
+  scheduler_outcome_t outcome = action->outcome;
+  answer_requests (job, action, actions);
+  ended_jobs_add (scheduler->ended_jobs, job->request.id, outcome, now_ms);
+  repeats_job_ends (scheduler, job, outcome, now_ms, actions);
+  scheduler_remove_job (scheduler, job);
+}
+
+void
+scheduler_drop_job (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
+{
+  if (!job->end_pending)
+    scheduler_cancel_batches (scheduler, job, now_ms, actions);
+  repeats_job_ends (scheduler, job, SCHEDULER_GIVEN_UP, now_ms, actions);
   scheduler_remove_job (scheduler, job);
 }
 
--- /dev/null
+++ b/lib/scheduler/job_status.h
@@ -0,0 +1,27 @@
+/* job_status.h -- what coordinators tell each other about a job
+ *
+ * Plain data.  Times are milliseconds of the boot clock of the host that holds the status.
+ */
+#ifndef SCHEDULER_JOB_STATUS_H
+#define SCHEDULER_JOB_STATUS_H
+
+#include <stdint.h>
+
+typedef enum
+{
+  JOB_STATUS_OPEN,      /* it runs, and is answered by UNTIL_MS */
+  JOB_STATUS_STOPPED,   /* it runs no more, but its runs may end as late as UNTIL_MS */
+  JOB_STATUS_COMPLETE,  /* all tasks are done */
+  JOB_STATUS_FAILED,    /* answered as failed */
+  JOB_STATUS_CANCELLED, /* by its caller */
+  JOB_STATUS_LAST = JOB_STATUS_CANCELLED
+} job_status_kind_t;
+
+typedef struct
+{
+  const char *id; /* of the job */
+  job_status_kind_t kind;
+  int64_t until_ms; /* 0 for the last three kinds */
+} job_status_t;
+
+#endif
--- /dev/null
+++ b/lib/scheduler/job_status_msg.c
@@ -0,0 +1,69 @@
+/* job_status_msg.c -- messages between coordinators about jobs that were sent to more than one */
+#include "scheduler/job_status_msg.h"
+
+#include "base/error.h"
+
+/* No caller waits for longer. */
+#define TIME_MAX_MS 3600000
+
+GBytes *
+job_msg_statuses (const char *host,
+                  bool relay,
+                  const job_status_t *statuses,
+                  size_t count,
+                  int64_t now_ms)
+{
+  frame_writer_t *writer = frame_begin (JOB_MSG_STATUSES);
+
+  frame_put_string (writer, host);
+  frame_put_bool (writer, relay);
+  frame_put_count (writer, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      int64_t left_ms = MAX (statuses[i].until_ms - now_ms, 0);
+      frame_put_string (writer, statuses[i].id);
+      frame_put_uint (writer, statuses[i].kind);
+      frame_put_int (writer, MIN (left_ms, TIME_MAX_MS));
+    }
+  return frame_finish (writer);
+}
+
+int
+job_msg_read_statuses (frame_reader_t *reader,
+                       int64_t now_ms,
+                       char **host,
+                       bool *relay,
+                       GArray *statuses)
+{
+  *host = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  *relay = frame_get_bool (reader);
+  size_t count = frame_get_count (reader, JOB_STATUSES_MAX);
+  bool complete = *host != NULL;
+
+  for (size_t i = 0; i < count && frame_ok (reader); i++)
+    {
+      job_status_t status = { 0 };
+      status.id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+      status.kind = (job_status_kind_t) frame_get_range (reader, 0, JOB_STATUS_LAST);
+      status.until_ms = now_ms + frame_get_range (reader, 0, TIME_MAX_MS);
+      complete &= status.id != NULL;
+      g_array_append_val (statuses, status);
+    }
+  return frame_ok (reader) && complete ? 0 : ERROR_PROTOCOL;
+}
+
+GBytes *
+job_msg_query (const char *id)
+{
+  frame_writer_t *writer = frame_begin (JOB_MSG_QUERY);
+
+  frame_put_string (writer, id);
+  return frame_finish (writer);
+}
+
+int
+job_msg_read_query (frame_reader_t *reader, char **id)
+{
+  *id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  return frame_ok (reader) && *id != NULL ? 0 : ERROR_PROTOCOL;
+}
--- /dev/null
+++ b/lib/scheduler/job_status_msg.h
@@ -0,0 +1,40 @@
+/* job_status_msg.h -- messages between coordinators about jobs that were sent to more than one
+ *
+ * Times are sent relative to now.  A reader function returns 0, or ERROR_PROTOCOL unless the
+ * message is complete and valid.  The caller owns what a reader function fills in.  Hosts of
+ * earlier versions ignore both messages.
+ */
+#ifndef SCHEDULER_JOB_STATUS_MSG_H
+#define SCHEDULER_JOB_STATUS_MSG_H
+
+#include "scheduler/job_status.h"
+#include "wire/frame.h"
+
+typedef enum
+{
+  JOB_MSG_STATUSES = FRAME_SCHEDULER_FIRST,
+  JOB_MSG_QUERY /* asks for the status of a job, which a caller of the sender waits for */
+} job_status_msg_t;
+
+/* Most statuses in a message. */
+#define JOB_STATUSES_MAX 4096
+
+/* The statuses of COUNT jobs at HOST.  With RELAY, the receiver passes them on. */
+GBytes *job_msg_statuses (const char *host,
+                          bool relay,
+                          const job_status_t *statuses,
+                          size_t count,
+                          int64_t now_ms);
+/* The caller frees *HOST.  Appends job_status_t, whose ids the caller frees, also after an error.
+ */
+int job_msg_read_statuses (frame_reader_t *reader,
+                           int64_t now_ms,
+                           char **host,
+                           bool *relay,
+                           GArray *statuses);
+
+GBytes *job_msg_query (const char *id);
+/* The caller frees *ID. */
+int job_msg_read_query (frame_reader_t *reader, char **id);
+
+#endif
--- /dev/null
+++ b/lib/scheduler/repeats.c
@@ -0,0 +1,431 @@
+/* repeats.c -- requests of a job that is open already, at this host or at another one
+ *
+ * A caller that has lost its channel sends its job again, to any host, and the first host may not
+ * know that the channel is lost.  So each host announces the jobs that have been open for a part of
+ * the time after which callers send them again, and a request of a job that was announced waits
+ * here: for the answer of the other host, which is asked again and again and thereby knows that
+ * somebody waits, or until the runs for that host have certainly ended.
+ *
+ * If two hosts run one job all the same, as neither knew of the other, the one whose name is
+ * greater stops and waits for the other.
+ */
+#include "scheduler/state.h"
+
+#include <string.h>
+
+/* A job is announced once it has been open for this part of resubmit_ms.  What remains is for
+ * collecting, relaying and reading the announcement. */
+#define ANNOUNCE_PERCENT 30
+/* A host that may run the job is asked at this interval.  Callers at a host that has not asked for
+ * FOLLOWER_LEASE_MS do not wait any more. */
+#define ASK_INTERVAL_MS 200
+#define FOLLOWER_LEASE_MS 1000
+/* How often the entries of other hosts are searched for expired ones. */
+#define EXPIRE_INTERVAL_MS 500
+/* Ends that were not collected; the oldest are kept. */
+#define UNTOLD_ENDS_MAX 65536
+
+/* --- requests --- */
+
+uint64_t
+repeats_add_request (scheduler_t *scheduler, scheduled_job_t *job, void *user_data)
+{
+  job_request_t *request = g_new0 (job_request_t, 1);
+
+  request->number = ++scheduler->last_number;
+  request->job = job;
+  request->user_data = user_data;
+  g_ptr_array_add (job->requests, request);
+  g_hash_table_insert (scheduler->requests, &request->number, request);
+  return request->number;
+}
+
+bool
+repeats_is_wanted (const scheduled_job_t *job, int64_t now_ms)
+{
+  if (job->requests->len > 0)
+    return true;
+  for (guint i = 0; i < job->followers->len; i++)
+    if (now_ms < g_array_index (job->followers, job_follower_t, i).until_ms)
+      return true;
+  return false;
+}
+
+static void
+add_follower (scheduled_job_t *job, const char *host, int64_t now_ms)
+{
+  job_follower_t follower = { g_intern_string (host), now_ms + FOLLOWER_LEASE_MS };
+
+  for (guint i = 0; i < job->followers->len; i++)
+    if (g_array_index (job->followers, job_follower_t, i).host == follower.host)
+      {
+        g_array_remove_index_fast (job->followers, i);
+        break;
+      }
+  g_array_append_val (job->followers, follower);
+}
+
+/* --- actions --- */
+
+static scheduler_action_t *
+add_job_action (scheduler_t *scheduler,
+                scheduler_action_kind_t kind,
+                const char *host,
+                const char *id,
+                GArray *actions)
+{
+  scheduler_action_t *action = scheduler_add_action (actions, kind);
+
+  action->host = g_intern_string (host);
+  action->job_id = g_string_chunk_insert (scheduler->answer_strings, id);
+  return action;
+}
+
+static void
+tell (scheduler_t *scheduler, const char *host, const job_status_t *status, GArray *actions)
+{
+  scheduler_action_t *action =
+      add_job_action (scheduler, SCHEDULER_TELL, host, status->id, actions);
+
+  action->status = *status;
+  action->status.id = action->job_id;
+}
+
+static void
+note (scheduler_t *scheduler,
+      const char *id,
+      const char *host,
+      scheduler_finding_t finding,
+      int64_t age_ms,
+      GArray *actions)
+{
+  scheduler_action_t *action = add_job_action (scheduler, SCHEDULER_NOTE, host, id, actions);
+
+  action->finding = finding;
+  action->age_ms = age_ms;
+}
+
+/* --- a job that waits --- */
+
+static void
+ask (scheduler_t *scheduler,
+     scheduled_job_t *job,
+     const char *host,
+     int64_t now_ms,
+     GArray *actions)
+{
+  job->ask_at_ms = now_ms + ASK_INTERVAL_MS;
+  if (host != scheduler->host)
+    add_job_action (scheduler, SCHEDULER_ASK, host, job->request.id, actions);
+}
+
+bool
+repeats_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
+{
+  const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, job->request.id, now_ms);
+
+  if (remote == NULL)
+    return false;
+  bool open = remote->over_at_ms == INT64_MAX;
+  job->waits_since_ms = now_ms;
+  job->may_have_run = true;
+  note (scheduler, job->request.id, remote->host,
+        open ? SCHEDULER_FOUND_OPEN : SCHEDULER_FOUND_STOPPING, now_ms - remote->learned_at_ms,
+        actions);
+  ask (scheduler, job, remote->host, now_ms, actions);
+  return true;
+}
+
+/* Runs JOB here.  The time for which it has waited does not count towards its start. */
+static void
+start_waiting (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
+{
+  if (job->request.start_by_ms != 0)
+    job->request.start_by_ms += now_ms - job->waits_since_ms;
+  job->waits_since_ms = 0;
+  scheduler_start_job (scheduler, job, now_ms, actions);
+}
+
+/* Whether REMOTE, for which a job has waited since SINCE_MS, has been silent for so long that
+ * owners have ended its runs. */
+static bool
+is_silent (const scheduler_t *scheduler,
+           const remote_job_t *remote,
+           int64_t since_ms,
+           int64_t now_ms)
+{
+  return now_ms - MAX (since_ms, remote->learned_at_ms) >= scheduler->resubmit_ms;
+}
+
+/* Runs JOB here once its runs at this host, if it was stopped, have ended. */
+static void
+start_when_over (scheduler_t *scheduler,
+                 scheduled_job_t *job,
+                 const remote_job_t *remote,
+                 int64_t now_ms,
+                 GArray *actions)
+{
+  bool silent = remote != NULL;
+
+  if (now_ms < job->own_runs_end_ms)
+    return;
+  note (scheduler, job->request.id, silent ? remote->host : scheduler->host,
+        silent ? SCHEDULER_FOUND_SILENT : SCHEDULER_FOUND_OVER,
+        silent ? now_ms - remote->learned_at_ms : 0, actions);
+  if (silent)
+    remote_jobs_ended (scheduler->remote_jobs, job->request.id, remote->host, now_ms, now_ms);
+  start_waiting (scheduler, job, now_ms, actions);
+}
+
+void
+repeats_step_waiting (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
+{
+  const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, job->request.id, now_ms);
+
+  if (now_ms >= job->request.deadline_at_ms)
+    scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, scheduler_deadline_limit (job),
+                       "another host may be running it", now_ms, actions);
+  else if (remote == NULL || is_silent (scheduler, remote, job->waits_since_ms, now_ms))
+    start_when_over (scheduler, job, remote, now_ms, actions);
+  else if (now_ms >= job->ask_at_ms)
+    ask (scheduler, job, remote->host, now_ms, actions);
+}
+
+/* --- what other hosts tell --- */
+
+/* Stops the runs of JOB and makes it wait for HOST, which runs it as well. */
+static void
+yield (scheduler_t *scheduler,
+       scheduled_job_t *job,
+       const char *host,
+       int64_t now_ms,
+       GArray *actions)
+{
+  note (scheduler, job->request.id, host, SCHEDULER_FOUND_YIELDED, 0, actions);
+  scheduler_cancel_batches (scheduler, job, now_ms, actions);
+  while (job->batches->len > 0)
+    scheduler_remove_batch (scheduler, job->batches->pdata[job->batches->len - 1]);
+  g_array_set_size (job->unassigned, 0);
+  for (int32_t i = job->request.tasks; i-- > 0;)
+    g_array_append_val (job->unassigned, i);
+  job->tasks_left = job->request.tasks;
+  job->may_have_run = true;
+  job->waits_since_ms = now_ms;
+  job->own_runs_end_ms = now_ms + scheduler->resubmit_ms;
+  ask (scheduler, job, host, now_ms, actions);
+}
+
+static void
+told_open (scheduler_t *scheduler,
+           const char *host,
+           const job_status_t *status,
+           int64_t now_ms,
+           GArray *actions)
+{
+  scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, status->id);
+  bool runs_here = job != NULL && job->waits_since_ms == 0 && !job->end_pending;
+
+  if (runs_here && strcmp (scheduler->host, host) < 0)
+    {
+      note (scheduler, status->id, host, SCHEDULER_FOUND_AT_BOTH, 0, actions);
+      return;
+    }
+  remote_jobs_open (scheduler->remote_jobs, status->id, host, status->until_ms, now_ms);
+  if (runs_here)
+    yield (scheduler, job, host, now_ms, actions);
+}
+
+/* The job with ID has ended with OUTCOME at HOST, for good. */
+static void
+told_outcome (scheduler_t *scheduler,
+              const char *host,
+              const char *id,
+              scheduler_outcome_t outcome,
+              int64_t now_ms,
+              GArray *actions)
+{
+  scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
+
+  remote_jobs_ended (scheduler->remote_jobs, id, host, now_ms, now_ms);
+  ended_jobs_add (scheduler->ended_jobs, id, outcome, now_ms);
+  if (job == NULL || job->waits_since_ms == 0)
+    return;
+  note (scheduler, id, host, SCHEDULER_FOUND_ENDED, 0, actions);
+  scheduler_end_job (scheduler, job, outcome, SCHEDULER_LIMIT_NONE, "it has ended at another host",
+                     now_ms, actions);
+}
+
+void
+scheduler_job_told (scheduler_t *scheduler,
+                    const char *host,
+                    const job_status_t *status,
+                    int64_t now_ms,
+                    GArray *actions)
+{
+  static const scheduler_outcome_t outcomes[] = {
+    [JOB_STATUS_COMPLETE] = SCHEDULER_COMPLETE,
+    [JOB_STATUS_FAILED] = SCHEDULER_FAILED,
+    [JOB_STATUS_CANCELLED] = SCHEDULER_CANCELLED,
+  };
+
+  if (scheduler->resubmit_ms == 0 || g_intern_string (host) == scheduler->host)
+    return;
+  if (status->kind == JOB_STATUS_OPEN)
+    told_open (scheduler, host, status, now_ms, actions);
+  else if (status->kind == JOB_STATUS_STOPPED)
+    remote_jobs_ended (scheduler->remote_jobs, status->id, host, status->until_ms, now_ms);
+  else
+    told_outcome (scheduler, host, status->id, outcomes[status->kind], now_ms, actions);
+}
+
+/* --- what this host tells --- */
+
+static job_status_t
+open_status (const scheduled_job_t *job)
+{
+  return (job_status_t){ job->request.id, JOB_STATUS_OPEN, job->request.deadline_at_ms };
+}
+
+/* The status of a job that has ended with OUTCOME; its runs, if any, end by RUNS_END_MS. */
+static job_status_t
+ended_status (const char *id, scheduler_outcome_t outcome, int64_t runs_end_ms)
+{
+  switch (outcome)
+    {
+    case SCHEDULER_COMPLETE:
+      return (job_status_t){ id, JOB_STATUS_COMPLETE, 0 };
+    case SCHEDULER_FAILED:
+      return (job_status_t){ id, JOB_STATUS_FAILED, 0 };
+    case SCHEDULER_CANCELLED:
+      return (job_status_t){ id, JOB_STATUS_CANCELLED, 0 };
+    case SCHEDULER_REFUSED:
+    case SCHEDULER_GIVEN_UP:
+    default:
+      return (job_status_t){ id, JOB_STATUS_STOPPED, runs_end_ms };
+    }
+}
+
+/* The status of a job that is not open here. */
+static job_status_t
+closed_status (scheduler_t *scheduler, const char *id, int64_t now_ms)
+{
+  const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, id, now_ms);
+  scheduler_outcome_t outcome = SCHEDULER_REFUSED;
+
+  if (ended_jobs_find (scheduler->ended_jobs, id, now_ms, &outcome))
+    return ended_status (id, outcome, 0);
+  bool own = remote != NULL && remote->host == scheduler->host;
+  return ended_status (id, SCHEDULER_REFUSED, own ? remote->over_at_ms : now_ms);
+}
+
+void
+scheduler_job_asked (scheduler_t *scheduler,
+                     const char *host,
+                     const char *id,
+                     int64_t now_ms,
+                     GArray *actions)
+{
+  scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
+  const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, id, now_ms);
+  job_status_t status = closed_status (scheduler, id, now_ms);
+  bool waits_for_asker = job != NULL && job->waits_since_ms != 0 && remote != NULL
+                         && remote->host == g_intern_string (host);
+
+  /* Two hosts that wait for each other: the one with the lesser name runs the job. */
+  if (waits_for_asker && strcmp (scheduler->host, host) < 0)
+    remote_jobs_ended (scheduler->remote_jobs, id, host, now_ms, now_ms);
+  if (job != NULL && (!waits_for_asker || strcmp (scheduler->host, host) < 0))
+    {
+      add_follower (job, host, now_ms);
+      status = open_status (job);
+    }
+  tell (scheduler, host, &status, actions);
+}
+
+void
+repeats_job_ends (scheduler_t *scheduler,
+                  const scheduled_job_t *job,
+                  scheduler_outcome_t outcome,
+                  int64_t now_ms,
+                  GArray *actions)
+{
+  bool may_run_on = outcome == SCHEDULER_GIVEN_UP && job->was_sent && scheduler->resubmit_ms > 0;
+  int64_t runs_end_ms = may_run_on ? now_ms + scheduler->resubmit_ms : now_ms;
+  job_status_t status = ended_status (job->request.id, outcome, runs_end_ms);
+
+  if (may_run_on)
+    remote_jobs_ended (scheduler->remote_jobs, status.id, scheduler->host, runs_end_ms, now_ms);
+  for (guint i = 0; i < job->followers->len; i++)
+    tell (scheduler, g_array_index (job->followers, job_follower_t, i).host, &status, actions);
+  if (!job->announced || scheduler->untold_ends->len >= UNTOLD_ENDS_MAX)
+    return;
+  status.id = g_strdup (status.id);
+  g_array_append_val (scheduler->untold_ends, status);
+}
+
+void
+repeats_clear_statuses (GArray *statuses)
+{
+  for (guint i = 0; i < statuses->len; i++)
+    g_free ((char *) g_array_index (statuses, job_status_t, i).id);
+  g_array_set_size (statuses, 0);
+}
+
+/* Whether JOB should be announced: it runs, and its caller may soon send it again. */
+static bool
+is_due (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
+{
+  int64_t due_at_ms = job->request.received_at_ms + scheduler->resubmit_ms * ANNOUNCE_PERCENT / 100;
+
+  return !job->announced && job->was_sent && job->waits_since_ms == 0 && now_ms >= due_at_ms;
+}
+
+void
+scheduler_collect_statuses (scheduler_t *scheduler, int64_t now_ms, GArray *statuses)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+  GArray *ends = scheduler->untold_ends;
+
+  if (scheduler->resubmit_ms == 0)
+    return;
+  repeats_clear_statuses (scheduler->told_ends);
+  scheduler->untold_ends = scheduler->told_ends;
+  scheduler->told_ends = ends;
+  g_array_append_vals (statuses, ends->data, ends->len);
+  g_hash_table_iter_init (&iter, scheduler->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      scheduled_job_t *job = value;
+      if (!is_due (scheduler, job, now_ms))
+        continue;
+      job_status_t status = open_status (job);
+      job->announced = true;
+      g_array_append_val (statuses, status);
+    }
+}
+
+void
+scheduler_append_open (const scheduler_t *scheduler, GArray *statuses)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, scheduler->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const scheduled_job_t *job = value;
+      job_status_t status = open_status (job);
+      if (job->announced && job->waits_since_ms == 0)
+        g_array_append_val (statuses, status);
+    }
+}
+
+void
+repeats_expire (scheduler_t *scheduler, int64_t now_ms)
+{
+  if (now_ms < scheduler->expire_remote_at_ms)
+    return;
+  scheduler->expire_remote_at_ms = now_ms + EXPIRE_INTERVAL_MS;
+  remote_jobs_expire (scheduler->remote_jobs, now_ms);
+}
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -39,6 +39,8 @@
   g_free ((char *) job->request.preferred_rack);
   g_array_unref (job->unassigned);
   g_ptr_array_unref (job->batches);
+  g_ptr_array_unref (job->requests);
+  g_array_unref (job->followers);
   g_free (job);
 }
 
@@ -71,6 +73,12 @@
   /* Hosts must draw different random numbers, and a test must be able to repeat them. */
   scheduler->rand = g_rand_new_with_seed ((guint32) hash_string (options->host));
   scheduler->ended_jobs = ended_jobs_new ();
+  scheduler->jobs_by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  scheduler->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  scheduler->remote_jobs = remote_jobs_new ();
+  scheduler->untold_ends = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+  scheduler->told_ends = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+  scheduler->resubmit_ms = options->resubmit_ms;
   scheduler->size_history = size_history_new ();
   scheduler->answer_strings = g_string_chunk_new (STRING_CHUNK_BYTES);
   scheduler->cancellations = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -93,6 +101,13 @@
   g_rand_free (scheduler->rand);
   g_hash_table_unref (scheduler->cancellations);
   ended_jobs_free (scheduler->ended_jobs);
+  g_hash_table_unref (scheduler->jobs_by_id);
+  g_hash_table_unref (scheduler->requests);
+  remote_jobs_free (scheduler->remote_jobs);
+  repeats_clear_statuses (scheduler->untold_ends);
+  repeats_clear_statuses (scheduler->told_ends);
+  g_array_unref (scheduler->untold_ends);
+  g_array_unref (scheduler->told_ends);
   size_history_free (scheduler->size_history);
   g_string_chunk_free (scheduler->answer_strings);
   g_free (scheduler);
@@ -194,18 +209,12 @@
   return true;
 }
 
-uint64_t
-scheduler_submit (scheduler_t *scheduler,
-                  const scheduler_job_t *info,
-                  int64_t now_ms,
-                  GArray *actions)
+static scheduled_job_t *
+new_job (scheduler_t *scheduler, const scheduler_job_t *info)
 {
-  uint64_t number = ++scheduler->last_number;
-
-  if (answer_repeated (scheduler, info, now_ms, actions))
-    return number;
   scheduled_job_t *job = g_new0 (scheduled_job_t, 1);
-  job->number = number;
+
+  job->number = ++scheduler->last_number;
   job->request = *info;
   job->request.id = g_strdup (info->id);
   job->request.queue = g_strdup (info->queue != NULL ? info->queue : "");
@@ -223,36 +232,58 @@
   for (int32_t i = info->tasks; i-- > 0;)
     g_array_append_val (job->unassigned, i);
   job->batches = g_ptr_array_new ();
+  job->requests = g_ptr_array_new ();
+  job->followers = g_array_new (FALSE, FALSE, sizeof (job_follower_t));
   g_hash_table_insert (scheduler->jobs, &job->number, job);
+  g_hash_table_insert (scheduler->jobs_by_id, (void *) job->request.id, job);
   job->random = g_rand_int (scheduler->rand);
   job->expected_wait_ms = -1;
   job->report_age_ms = -1;
   if (info->start_by_ms != 0)
     job->start_limit_ms = MAX (info->start_by_ms - info->received_at_ms, 1);
+  return job;
+}
+
+void
+scheduler_start_job (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
+{
   if (!refuse_on_arrival (scheduler, job, now_ms, actions))
     assign_job_tasks (scheduler, job, now_ms, actions);
+}
+
+uint64_t
+scheduler_submit (scheduler_t *scheduler,
+                  const scheduler_job_t *info,
+                  int64_t now_ms,
+                  GArray *actions)
+{
+  if (answer_repeated (scheduler, info, now_ms, actions))
+    return ++scheduler->last_number;
+  scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, info->id);
+
+  if (job != NULL)
+    return repeats_add_request (scheduler, job, info->user_data);
+  job = new_job (scheduler, info);
+  uint64_t number = repeats_add_request (scheduler, job, info->user_data);
+
+  if (!repeats_wait (scheduler, job, now_ms, actions))
+    scheduler_start_job (scheduler, job, now_ms, actions);
   return number;
 }
 
 bool
 scheduler_cancel (scheduler_t *scheduler, const char *id, int64_t now_ms, GArray *actions)
 {
-  GList *jobs = g_hash_table_get_values (scheduler->jobs);
-  bool found = false;
+  scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
 
-  for (GList *at = jobs; at != NULL; at = at->next)
+  if (job != NULL)
     {
-      scheduled_job_t *job = at->data;
-      if (strcmp (job->request.id, id) != 0)
-        continue;
-      found = true;
       job->end_pending = false;
       scheduler_end_job (scheduler, job, SCHEDULER_CANCELLED, SCHEDULER_LIMIT_NONE,
                          "it was cancelled", now_ms, actions);
     }
-  g_list_free (jobs);
   ended_jobs_add (scheduler->ended_jobs, id, SCHEDULER_CANCELLED, now_ms);
-  return found;
+  return job != NULL;
 }
 
 void
@@ -266,13 +297,15 @@
 void
 scheduler_abandon (scheduler_t *scheduler, uint64_t number, int64_t now_ms, GArray *actions)
 {
-  scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs, &number);
+  const job_request_t *request = g_hash_table_lookup (scheduler->requests, &number);
 
-  if (job == NULL)
+  if (request == NULL)
     return;
-  if (!job->end_pending)
-    scheduler_cancel_batches (scheduler, job, now_ms, actions);
-  scheduler_remove_job (scheduler, job);
+  scheduled_job_t *job = request->job;
+  g_ptr_array_remove (job->requests, (void *) request);
+  g_hash_table_remove (scheduler->requests, &number);
+  if (!repeats_is_wanted (job, now_ms))
+    scheduler_drop_job (scheduler, job, now_ms, actions);
 }
 
 static job_batch_t *
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -6,6 +6,10 @@
  * its outcome is certain: complete, failed after the allowed number of attempts, refused without
  * having run, given up, or cancelled.
  *
+ * A caller that has no answer may send its job again, to any host.  All requests of a job at one
+ * host wait for the same run.  A job that another host still runs is not started: its request waits
+ * for that host's answer (repeats.c).
+ *
  * The module is pure: events and the current time go in, and actions (scheduler_action_t) are
  * appended to an array.  Times are milliseconds of the boot clock.  Not thread-safe.  Strings in
  * events are copied; pointers in actions are valid until the next call.
@@ -14,6 +18,7 @@
 #define SCHEDULER_SCHEDULER_H
 
 #include "executor/executor.h"
+#include "scheduler/job_status.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -83,21 +88,40 @@
   SCHEDULER_SUBMIT,  /* send BATCH to HOST */
   SCHEDULER_CANCEL,  /* tell HOST to end batch BATCH_NUMBER */
   SCHEDULER_RELEASE, /* tell HOST that batch BATCH_NUMBER now belongs to another owner */
-  SCHEDULER_ANSWER   /* answer the caller of a job */
+  SCHEDULER_ANSWER,  /* answer the caller of a job */
+  SCHEDULER_ASK,     /* ask HOST for the status of job JOB_ID */
+  SCHEDULER_TELL,    /* tell HOST the STATUS of job JOB_ID */
+  SCHEDULER_NOTE     /* log FINDING: job JOB_ID was found at HOST, as told AGE_MS ago */
 } scheduler_action_kind_t;
 
+/* What follows for a request whose job is, or was, run by another coordinator. */
+typedef enum
+{
+  SCHEDULER_FOUND_OPEN,     /* it waits for the answer of the other host */
+  SCHEDULER_FOUND_STOPPING, /* it waits until the runs for the other host have ended */
+  SCHEDULER_FOUND_ENDED,    /* it is answered with the outcome at the other host */
+  SCHEDULER_FOUND_OVER,     /* the runs for the other host have ended: it runs here */
+  SCHEDULER_FOUND_SILENT,   /* the other host does not answer: it runs here */
+  SCHEDULER_FOUND_AT_BOTH,  /* both hosts run it; the other one stops */
+  SCHEDULER_FOUND_YIELDED   /* both hosts run it; this one stops, and waits for the other */
+} scheduler_finding_t;
+
 typedef struct
 {
   scheduler_action_kind_t kind;
   const char *host;  /* interned */
   const char *shard; /* SCHEDULER_SUBMIT; interned */
   uint64_t batch_number;
-  executor_batch_t batch; /* SCHEDULER_SUBMIT; its strings belong to the scheduler */
-  GArray *task_indexes;   /* SCHEDULER_SUBMIT: int32_t; the receiver of the action unrefs it */
+  executor_batch_t batch;      /* SCHEDULER_SUBMIT; its strings belong to the scheduler */
+  GArray *task_indexes;        /* SCHEDULER_SUBMIT: int32_t; the receiver of the action unrefs it */
+  job_status_t status;         /* SCHEDULER_TELL; its id is JOB_ID */
+  scheduler_finding_t finding; /* SCHEDULER_NOTE */
+  int64_t age_ms;              /* SCHEDULER_NOTE */
   /* The other fields are those of SCHEDULER_ANSWER. */
-  bool repeated; /* the job had ended before: only OUTCOME, USER_DATA and JOB_ID are set */
+  bool repeated; /* another request of the job was answered, or it had ended before; then only
+                    OUTCOME, USER_DATA, JOB_ID, REASON and RETRY_AFTER_MS are set */
   scheduler_outcome_t outcome;
-  void *user_data;
+  void *user_data;    /* NULL if only callers at other hosts wait */
   const char *reason; /* static; NULL if the job is complete */
   scheduler_limit_t limit;
   int64_t retry_after_ms; /* SCHEDULER_REFUSED: when the caller should retry, from now */
@@ -129,6 +153,10 @@
   /* Of this process.  Its jobs and batches are numbered from here, as an owner may still tell the
    * end of a batch that an earlier process of this host has sent. */
   uint64_t incarnation;
+  /* A caller without an answer sends its job again after this time, by its own clock, and a lost
+   * coordinator's runs have ended after it.  0: jobs at other hosts are neither told nor asked
+   * for. */
+  int64_t resubmit_ms;
 } scheduler_options_t;
 
 scheduler_t *scheduler_new (const scheduler_options_t *options);
@@ -136,17 +164,42 @@
 
 /* Admits a job and assigns its tasks, or refuses it without sending anything if it is nearly
  * certain that it can't be served in time.  The request of a job that is known to have completed,
- * failed or been cancelled (see ended_jobs.h) is answered with that outcome at once.  Some of its
- * actions may follow in scheduler_step () only.  Returns the number of the job, for
- * scheduler_abandon (). */
+ * failed or been cancelled (see ended_jobs.h) is answered with that outcome at once.  An id names
+ * one job: another request of a job that is open here waits for the same answer, whatever it holds,
+ * and that of a job that another host runs waits for that host (repeats.c).  Some of its actions
+ * may follow in scheduler_step () only.  Returns the number of the request, for scheduler_abandon
+ * (). */
 uint64_t scheduler_submit (scheduler_t *scheduler,
                            const scheduler_job_t *job,
                            int64_t now_ms,
                            GArray *actions);
 
-/* Ends the tasks of job number JOB without an answer, because its caller has disconnected or
- * has cancelled the job.  No-op if the job is unknown. */
-void scheduler_abandon (scheduler_t *scheduler, uint64_t job, int64_t now_ms, GArray *actions);
+/* The caller of request NUMBER has disconnected.  Ends the tasks of its job without an answer,
+ * unless others wait for it, here or at another host.  No-op if the request is unknown. */
+void scheduler_abandon (scheduler_t *scheduler, uint64_t number, int64_t now_ms, GArray *actions);
+
+/* HOST tells the status of one of its jobs. */
+void scheduler_job_told (scheduler_t *scheduler,
+                         const char *host,
+                         const job_status_t *status,
+                         int64_t now_ms,
+                         GArray *actions);
+
+/* HOST, at which a caller waits for the job with ID, asks for its status.  While it goes on asking,
+ * the job is not ended for want of a caller at this host. */
+void scheduler_job_asked (scheduler_t *scheduler,
+                          const char *host,
+                          const char *id,
+                          int64_t now_ms,
+                          GArray *actions);
+
+/* Appends to STATUSES, job_status_t, what other hosts should be told since the last call: jobs that
+ * have been open for long enough to be sent again elsewhere, and the ends of these.  Their ids are
+ * valid until the next call. */
+void scheduler_collect_statuses (scheduler_t *scheduler, int64_t now_ms, GArray *statuses);
+
+/* Appends the jobs that other hosts were told and that are open, for a host that may not know. */
+void scheduler_append_open (const scheduler_t *scheduler, GArray *statuses);
 
 /* Ends the job with ID, all its requests here, and answers them as cancelled.  Returns false if it
  * is not on this host.  In both cases a later request for it is answered as cancelled. */
--- a/lib/scheduler/scheduler_example.c
+++ b/lib/scheduler/scheduler_example.c
@@ -7,7 +7,7 @@
 int
 main (void)
 {
-  const scheduler_options_t options = { "h1", "x", 1000, 1.0, 0 };
+  const scheduler_options_t options = { "h1", "x", 1000, 1.0, 0, 1300 };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
   const scheduler_job_t job = { .id = "j",
                                 .spec = "work",
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 #include "scheduler/admission.h"
 #include "scheduler/ended_jobs.h"
+#include "scheduler/remote_jobs.h"
 #include "scheduler/report_timing.h"
 #include "scheduler/scheduler.h"
 #include "scheduler/size_history.h"
@@ -28,10 +29,31 @@
   bool cancel_requested;    /* HOST was asked to end it and has not confirmed that yet */
 } job_batch_t;
 
+/* A caller that waits for a job at this host. */
+typedef struct
+{
+  uint64_t number;
+  scheduled_job_t *job;
+  void *user_data;
+} job_request_t;
+
+/* Another host at which callers wait for a job. */
+typedef struct
+{
+  const char *host; /* interned */
+  int64_t until_ms; /* they do so until then, unless the host asks again */
+} job_follower_t;
+
 struct scheduled_job_t
 {
   uint64_t number;
-  scheduler_job_t request; /* its strings are copies that the job owns */
+  scheduler_job_t request; /* of its first request; its strings are copies that the job owns */
+  GPtrArray *requests;     /* job_request_t, owned by scheduler_t */
+  GArray *followers;       /* job_follower_t */
+  bool announced;          /* other hosts were told of it */
+  int64_t waits_since_ms;  /* it is not run, as another host may run it; 0 if it does not wait */
+  int64_t own_runs_end_ms; /* it was stopped here; its runs may go on until then */
+  int64_t ask_at_ms;       /* it waits: that host is asked again then */
   placement_target_t aim;  /* its objective and deadline */
   scheduler_size_class_t size_class;
   GArray *unassigned;        /* int32_t: indexes of the tasks that no owner has */
@@ -107,6 +129,13 @@
   GRand *rand;
   GHashTable *cancellations; /* number -> cancellation_t, owned */
   ended_jobs_t *ended_jobs;  /* so that repeated requests are answered and not run */
+  GHashTable *jobs_by_id;    /* id -> scheduled_job_t */
+  GHashTable *requests;      /* number -> job_request_t, owned */
+  remote_jobs_t *remote_jobs;
+  GArray *untold_ends;         /* job_status_t with own ids: ends that other hosts should be told */
+  GArray *told_ends;           /* the same, of the last call of scheduler_collect_statuses () */
+  int64_t expire_remote_at_ms; /* when REMOTE_JOBS is searched for expired entries next */
+  int64_t resubmit_ms;         /* as in scheduler_options_t */
   size_history_t *size_history;
   GStringChunk *answer_strings; /* of the jobs that were answered since the last step */
   uint64_t last_number;         /* last number that was given to a job or batch */
@@ -219,9 +248,47 @@
                                int64_t now_ms,
                                GArray *actions);
 
+/* job_end.c: ends JOB, for which nobody waits any more, and frees it. */
+void
+scheduler_drop_job (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
+
 /* job_end.c: frees JOB without an answer. */
 void scheduler_remove_job (scheduler_t *scheduler, scheduled_job_t *job);
 
+/* scheduler.c: starts the new JOB, or one that has waited; it may be refused. */
+void
+scheduler_start_job (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
+
+/* repeats.c: a request of JOB waits at this host; returns its number. */
+uint64_t repeats_add_request (scheduler_t *scheduler, scheduled_job_t *job, void *user_data);
+
+/* repeats.c: makes the new JOB wait if its tasks may be running for another coordinator.  Returns
+ * whether it waits. */
+bool repeats_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
+
+/* repeats.c: asks, goes on waiting, or starts JOB, which waits. */
+void repeats_step_waiting (scheduler_t *scheduler,
+                           scheduled_job_t *job,
+                           int64_t now_ms,
+                           GArray *actions);
+
+/* repeats.c: whether a caller waits for JOB, here or at another host. */
+bool repeats_is_wanted (const scheduled_job_t *job, int64_t now_ms);
+
+/* repeats.c: JOB ends with OUTCOME; tells its followers, and remembers its runs if they may go on.
+ */
+void repeats_job_ends (scheduler_t *scheduler,
+                       const scheduled_job_t *job,
+                       scheduler_outcome_t outcome,
+                       int64_t now_ms,
+                       GArray *actions);
+
+/* repeats.c: forgets what other hosts have told, where its time is over. */
+void repeats_expire (scheduler_t *scheduler, int64_t now_ms);
+
+/* repeats.c: frees the contents of an array of job_status_t with own ids. */
+void repeats_clear_statuses (GArray *statuses);
+
 /* job_end.c: returns the limit that the deadline of JOB stands for. */
 scheduler_limit_t scheduler_deadline_limit (const scheduled_job_t *job);
 
--- a/lib/scheduler/timeouts.c
+++ b/lib/scheduler/timeouts.c
@@ -87,6 +87,16 @@
       scheduler_answer_job (scheduler, job, now_ms, actions);
       return;
     }
+  if (!repeats_is_wanted (job, now_ms))
+    {
+      scheduler_drop_job (scheduler, job, now_ms, actions);
+      return;
+    }
+  if (job->waits_since_ms != 0)
+    {
+      repeats_step_waiting (scheduler, job, now_ms, actions);
+      return;
+    }
   if (now_ms >= job->request.deadline_at_ms)
     {
       scheduler_refuse_job (scheduler, job, scheduler_deadline_limit (job),
@@ -138,4 +148,5 @@
   g_list_free (jobs);
   cancellations_resend (scheduler, now_ms, actions);
   ended_jobs_expire (scheduler->ended_jobs, now_ms);
+  repeats_expire (scheduler, now_ms);
 }
--- a/tests/test_assign.c
+++ b/tests/test_assign.c
@@ -262,7 +262,7 @@
                       .rand = g_rand_new_with_seed (7) };
   for (int i = 0; i < DATA_CENTRES; i++)
     {
-      const scheduler_options_t options = { data_centres[i], data_centres[i], 1000, 1.0, 0 };
+      const scheduler_options_t options = { data_centres[i], data_centres[i], 1000, 1.0, 0, 1300 };
       world->schedulers[i] = scheduler_new (&options);
       world->free_fast[i] = FAST_SLOTS;
       world->free_slow[i] = SLOW_SLOTS;
--- a/tests/test_repeated_jobs.c
+++ b/tests/test_repeated_jobs.c
@@ -133,7 +133,7 @@
 static void
 test_repeated_request (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0 };
+  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0, 1300 };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
 
   for (size_t i = 0; i < G_N_ELEMENTS (repeat_cases); i++)
--- a/tests/test_report_timing.c
+++ b/tests/test_report_timing.c
@@ -83,10 +83,15 @@
   report_offers (scheduler, shard, shard, &offer, 1, &load, now_ms);
 }
 
+/* Submits a new job. */
 static void
 submit (scheduler_t *scheduler, int64_t now_ms, GArray *actions)
 {
-  const scheduler_job_t job = { .id = "j",
+  static int jobs;
+  char id[16];
+
+  g_snprintf (id, sizeof id, "j%d", ++jobs);
+  const scheduler_job_t job = { .id = id,
                                 .spec = "work",
                                 .service = "s",
                                 .tasks = 1,
@@ -126,7 +131,7 @@
 static void
 test_owner_falls_silent (void)
 {
-  const scheduler_options_t options = { "h", "y", 1000, 1.0, 0 };
+  const scheduler_options_t options = { "h", "y", 1000, 1.0, 0, 1300 };
 
   for (size_t i = 0; i < G_N_ELEMENTS (silence_cases); i++)
     {
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -119,6 +119,68 @@
   job->closed = true;
 }
 
+static void
+send_job_status (sim_host_t *from, sim_host_t *to, const job_status_t *status)
+{
+  sim_message_t *message = message_new (MESSAGE_JOB_STATUS, from, to);
+
+  message->job = g_strdup (status->id);
+  message->job_status = *status;
+  message->job_status.id = message->job;
+  send_message (message);
+}
+
+static void
+send_job_query (sim_host_t *from, sim_host_t *to, const char *job)
+{
+  sim_message_t *message = message_new (MESSAGE_JOB_QUERY, from, to);
+
+  message->job = g_strdup (job);
+  send_message (message);
+}
+
+/* Tells other hosts of jobs that are open for long; all of them and only to TO, unless NULL. */
+static void
+announce_jobs (sim_host_t *host, sim_host_t *to)
+{
+  simulation_t *sim = host->sim;
+  GArray *statuses = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+
+  if (to != NULL)
+    scheduler_append_open (host->scheduler, statuses);
+  else
+    scheduler_collect_statuses (host->scheduler, sim->now_ms, statuses);
+  for (guint i = 0; i < statuses->len; i++)
+    for (int k = 0; k < SIM_HOSTS; k++)
+      if (k != host->index && (to == NULL || to == &sim->hosts[k]))
+        send_job_status (host, &sim->hosts[k], &g_array_index (statuses, job_status_t, i));
+  g_array_unref (statuses);
+}
+
+#define ANNOUNCE_INTERVAL_MS 200
+
+/* Carries out an action about a job at another host. */
+static void
+run_job_action (sim_host_t *host, const scheduler_action_t *action)
+{
+  sim_host_t *other = host_named (host->sim, action->host);
+
+  switch (action->kind)
+    {
+    case SCHEDULER_ASK:
+      send_job_query (host, other, action->job_id);
+      break;
+    case SCHEDULER_TELL:
+      send_job_status (host, other, &action->status);
+      break;
+    case SCHEDULER_NOTE:
+    default:
+      trace (host->sim, action->job_id, "%s finds it at %s: %d", host->name, action->host,
+             (int) action->finding);
+      break;
+    }
+}
+
 static void
 run_scheduler_actions (sim_host_t *host)
 {
@@ -127,7 +189,13 @@
       scheduler_action_t action = g_array_index (host->scheduler_actions, scheduler_action_t, i);
       if (action.kind == SCHEDULER_ANSWER)
         {
-          receive_job_answer (host, &action);
+          if (action.user_data != NULL)
+            receive_job_answer (host, &action);
+          continue;
+        }
+      if (action.kind > SCHEDULER_ANSWER)
+        {
+          run_job_action (host, &action);
           continue;
         }
       static const message_kind_t kinds[] = { [SCHEDULER_SUBMIT] = MESSAGE_SUBMIT,
@@ -327,6 +395,7 @@
           break;
         case CLUSTER_HOST_FOUND:
           send_heartbeat (host, host_named (sim, action.host));
+          announce_jobs (host, host_named (sim, action.host));
           break;
         default:
           break;
@@ -494,9 +563,13 @@
     ++host->incarnation, sim->options->uneven_hosts ? cpu_millicores[host->index] : 250,
     SIM_RESUBMIT_MS,     sim->options->one_hub_per_data_centre ? 1 : CLUSTER_HUBS_PER_DATA_CENTRE
   };
-  scheduler_options_t scheduler_options = { host->name, data_centre_name (host->data_centre),
-                                            SIM_LEASE_MS, SIM_REMOTE_FACTOR,
-                                            (uint64_t) host->incarnation << 32 };
+  scheduler_options_t scheduler_options = { host->name,
+                                            data_centre_name (host->data_centre),
+                                            SIM_LEASE_MS,
+                                            SIM_REMOTE_FACTOR,
+                                            (uint64_t) host->incarnation << 32,
+                                            sim->options->broken_channels > 0 ? SIM_RESUBMIT_MS
+                                                                              : 0 };
 
   host->cluster = cluster_new (&cluster_options, sim->now_ms);
   host->scheduler = scheduler_new (&scheduler_options);
@@ -589,6 +662,8 @@
   probe_unowned_shards (host);
   refresh_host (host);
   scheduler_step (host->scheduler, sim->now_ms, host->scheduler_actions);
+  if (sim->now_ms % ANNOUNCE_INTERVAL_MS == 0)
+    announce_jobs (host, NULL);
   run_all_actions (host);
   send_offers (host);
   send_heartbeats (host, false);
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -297,6 +297,8 @@
   MESSAGE_RELEASE,
   MESSAGE_TASK_END,
   MESSAGE_LOSS,
+  MESSAGE_JOB_STATUS,
+  MESSAGE_JOB_QUERY,
   MESSAGE_OFFERS,
   MESSAGE_HEARTBEAT
 } message_kind_t;
@@ -315,6 +317,8 @@
   GArray *task_indexes; /* of BATCH */
   uint64_t batch_number;
   int32_t task_index;
+  char *job;                       /* of MESSAGE_JOB_STATUS and MESSAGE_JOB_QUERY */
+  job_status_t job_status;         /* its id is JOB */
   crash_loss_t loss;               /* its strings belong to the message */
   executor_action_kind_t task_end; /* how the task has ended */
   bool not_run;                    /* none of the tasks of the batch has run */
@@ -344,6 +348,7 @@
 message_free (sim_message_t *message)
 {
   g_free (message->shard);
+  g_free (message->job);
   g_free ((char *) message->loss.task);
   g_free ((char *) message->loss.endpoint);
   g_free ((char *) message->batch.job);
@@ -512,6 +517,14 @@
         case MESSAGE_LOSS:
           crash_history_merge (host->crashes, &message->loss, sim->now_ms);
           break;
+        case MESSAGE_JOB_STATUS:
+          scheduler_job_told (host->scheduler, message->from->name, &message->job_status,
+                              sim->now_ms, host->scheduler_actions);
+          break;
+        case MESSAGE_JOB_QUERY:
+          scheduler_job_asked (host->scheduler, message->from->name, message->job, sim->now_ms,
+                               host->scheduler_actions);
+          break;
         case MESSAGE_OFFERS:
           scheduler_set_report (
               host->scheduler, message->shard, message->from->name,
@@ -538,6 +551,7 @@
     [MESSAGE_SUBMIT] = BATCH_BYTES,       [MESSAGE_CANCEL] = REPORT_BYTES,
     [MESSAGE_BATCH_ENDED] = REPORT_BYTES, [MESSAGE_RELEASE] = REPORT_BYTES,
     [MESSAGE_TASK_END] = REPORT_BYTES,    [MESSAGE_LOSS] = REPORT_BYTES,
+    [MESSAGE_JOB_STATUS] = REPORT_BYTES,  [MESSAGE_JOB_QUERY] = REPORT_BYTES,
     [MESSAGE_OFFERS] = OFFERS_BYTES,      [MESSAGE_HEARTBEAT] = HEARTBEAT_BYTES,
   };
 
--- a/tests/test_scheduling_run.h
+++ b/tests/test_scheduling_run.h
@@ -120,6 +120,13 @@
   return DEADLINE_MS + LONG_WAIT_FACTOR * longest_ms;
 }
 
+/* A channel breaks within this time after the request, and its host sees that up to
+ * CLOSE_DELAY_MAX_MS later, or never. */
+#define BREAK_MAX_MS 1500
+#define CLOSE_DELAY_MAX_MS 3000
+/* Such a job is sent again only while its caller has at least this long. */
+#define SECOND_WAIT_MS 3000
+
 static void
 create_job (simulation_t *sim)
 {
@@ -140,6 +147,9 @@
                           ? sim->now_ms + random_below (sim, 200)
                           : INT64_MAX;
   job->deadly = random_chance (sim, sim->options->deadly_jobs);
+  job->breaks_at_ms = INT64_MAX;
+  if (sim->options->broken_channels > 0 && random_chance (sim, sim->options->broken_channels))
+    job->breaks_at_ms = sim->now_ms + random_below (sim, BREAK_MAX_MS);
   sim->result.innocent += !job->deadly;
   g_ptr_array_add (sim->jobs, job);
   sim->result.jobs++;
@@ -177,13 +187,48 @@
   run_all_actions (host);
 }
 
+/* The channel of JOB breaks.  Its host goes on until it sees that. */
+static void
+break_channel (simulation_t *sim, sim_job_t *job)
+{
+  job->breaks_at_ms = INT64_MAX;
+  if (job->host_index < 0)
+    return;
+  job->stale_host = job->host_index;
+  job->stale_incarnation = job->incarnation;
+  job->stale_number = job->job_number;
+  job->close_seen_at_ms =
+      random_below (sim, 2) == 0 ? 0 : sim->now_ms + 1 + random_below (sim, CLOSE_DELAY_MAX_MS);
+  job->host_index = -1;
+  job->resubmit_at_ms = sim->now_ms + SIM_RESUBMIT_MS;
+  job->deadline_at_ms = job->resubmit_at_ms + SECOND_WAIT_MS;
+}
+
+/* The first host of JOB sees that its channel is closed. */
+static void
+see_close (simulation_t *sim, sim_job_t *job)
+{
+  sim_host_t *host = &sim->hosts[job->stale_host];
+
+  job->close_seen_at_ms = 0;
+  if (!is_up (host) || host->incarnation != job->stale_incarnation
+      || host->frozen_until_ms > sim->now_ms)
+    return;
+  scheduler_abandon (host->scheduler, job->stale_number, sim->now_ms, host->scheduler_actions);
+  run_all_actions (host);
+}
+
 /* Does what the caller of JOB does: it disconnects early, submits the job again, or stops
  * waiting 1 s after the deadline, which counts as unanswered if the host could have answered. */
 static void
 caller_step (simulation_t *sim, sim_job_t *job)
 {
+  if (job->close_seen_at_ms != 0 && sim->now_ms >= job->close_seen_at_ms)
+    see_close (sim, job);
   if (job->closed)
     return;
+  if (sim->now_ms >= job->breaks_at_ms)
+    break_channel (sim, job);
   if (sim->now_ms >= job->leaves_at_ms)
     abandon_job (sim, job);
   else if (job->host_index < 0 && sim->now_ms >= job->resubmit_at_ms)
--- a/tests/test_scheduling_simulation.h
+++ b/tests/test_scheduling_simulation.h
@@ -65,6 +65,8 @@
   int failing_runs;             /* per run: it fails */
   int hanging_runs;             /* per run: it never ends by itself */
   int leaving_callers;          /* per job: its caller disconnects early */
+  int broken_channels;          /* per job: its channel breaks, which its host sees late or never,
+                                   and its caller sends it again SIM_RESUBMIT_MS later */
   int host_crashes;             /* per host */
   bool staggered_faults;        /* the faults of hosts come at different times within a second */
   int host_freezes;             /* per host: its process is suspended for a while */
--- a/tests/test_scheduling_state.h
+++ b/tests/test_scheduling_state.h
@@ -177,7 +177,12 @@
   uint64_t job_number;  /* of the job at that host */
   int64_t resubmit_at_ms;
   int64_t leaves_at_ms;
-  bool closed; /* answered, or abandoned by its caller */
+  int64_t breaks_at_ms;       /* its channel breaks then */
+  int64_t close_seen_at_ms;   /* when the host before, STALE_HOST, sees that; 0 for never */
+  int stale_host;             /* index */
+  uint64_t stale_incarnation; /* of that host */
+  uint64_t stale_number;      /* of the request there */
+  bool closed;                /* answered, or abandoned by its caller */
   bool refused;
   int starts_since_sent;
   int total_starts;
