Scheduler: a job that waits is announced too, and one that yielded is not run again

A host that had stopped its run for another host started the job once more when that host had given it up, while its caller, who had sent it again, was served elsewhere. By reading: two hosts at which requests wait for the same lost host would both start the job at the same moment, and a later announcement of another host replaced or hid what was known of the first.

Change: remote_jobs.c keeps an entry for each host that has a job, the latest first. A request that waits is announced as such, so that a later one waits for it in turn. A job that was stopped for another host only waits to be answered.

--- a/lib/scheduler/job_status.h
+++ b/lib/scheduler/job_status.h
@@ -10,6 +10,7 @@
 typedef enum
 {
   JOB_STATUS_OPEN,      /* it runs, and is answered by UNTIL_MS */
+  JOB_STATUS_WAITING,   /* a request waits for its end at another host, until UNTIL_MS */
   JOB_STATUS_STOPPED,   /* it runs no more, but its runs may end as late as UNTIL_MS */
   JOB_STATUS_COMPLETE,  /* all tasks are done */
   JOB_STATUS_FAILED,    /* answered as failed */
--- a/lib/scheduler/remote_jobs.c
+++ b/lib/scheduler/remote_jobs.c
@@ -5,17 +5,38 @@
  * which its host has answered it and ended its runs. */
 #define UNTOLD_END_MS 2000
 
+/* The entries of one job, the last one to be added first. */
+typedef struct entry_t entry_t;
+struct entry_t
+{
+  remote_job_t job;
+  entry_t *next;
+};
+
 struct remote_jobs_t
 {
-  GHashTable *by_id; /* id, owned -> remote_job_t, owned */
+  GHashTable *by_id; /* id, owned -> entry_t, owned; never NULL */
 };
 
+static void
+free_entries (void *data)
+{
+  entry_t *entry = data;
+
+  while (entry != NULL)
+    {
+      entry_t *next = entry->next;
+      g_free (entry);
+      entry = next;
+    }
+}
+
 remote_jobs_t *
 remote_jobs_new (void)
 {
   remote_jobs_t *jobs = g_new0 (remote_jobs_t, 1);
 
-  jobs->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  jobs->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_entries);
   return jobs;
 }
 
@@ -28,19 +49,47 @@
   g_free (jobs);
 }
 
-static remote_job_t *
-find_or_add (remote_jobs_t *jobs, const char *id, const char *host, int64_t now_ms)
+static entry_t *
+find_entry (const remote_jobs_t *jobs, const char *id, const char *host)
+{
+  entry_t *entry = g_hash_table_lookup (jobs->by_id, id);
+
+  while (entry != NULL && entry->job.host != host)
+    entry = entry->next;
+  return entry;
+}
+
+/* Adds an entry of the job with ID, in front of the others.  NULL if there is no place. */
+static entry_t *
+add_entry (remote_jobs_t *jobs, const char *id, const char *host)
 {
-  remote_job_t *job = g_hash_table_lookup (jobs->by_id, id);
+  void *key = NULL;
+  void *first = NULL;
+  bool known = g_hash_table_steal_extended (jobs->by_id, id, &key, &first);
 
-  if (job != NULL && now_ms < job->over_at_ms)
-    return job;
-  if (job == NULL && g_hash_table_size (jobs->by_id) >= REMOTE_JOBS_MAX)
+  if (!known && g_hash_table_size (jobs->by_id) >= REMOTE_JOBS_MAX)
     return NULL;
-  job = g_new0 (remote_job_t, 1);
-  job->host = g_intern_string (host);
-  g_hash_table_replace (jobs->by_id, g_strdup (id), job);
-  return job;
+  entry_t *entry = g_new0 (entry_t, 1);
+  entry->job.host = host;
+  entry->next = first;
+  g_hash_table_insert (jobs->by_id, known ? key : g_strdup (id), entry);
+  return entry;
+}
+
+/* Records until when the runs of the job with ID at HOST may go on, and the entry is kept. */
+static bool
+set_entry (remote_jobs_t *jobs, const char *id, const char *host, const remote_job_t *job)
+{
+  const char *interned = g_intern_string (host);
+  entry_t *entry = find_entry (jobs, id, interned);
+
+  if (entry == NULL)
+    entry = add_entry (jobs, id, interned);
+  if (entry == NULL)
+    return false;
+  entry->job = *job;
+  entry->job.host = interned;
+  return true;
 }
 
 bool
@@ -50,17 +99,11 @@
                   int64_t deadline_at_ms,
                   int64_t now_ms)
 {
-  remote_job_t *job = find_or_add (jobs, id, host, now_ms);
+  const remote_job_t job = { .learned_at_ms = now_ms,
+                             .over_at_ms = INT64_MAX,
+                             .expires_at_ms = MAX (deadline_at_ms, now_ms) + UNTOLD_END_MS };
 
-  if (job == NULL)
-    return false;
-  if (job->host != g_intern_string (host) && job->over_at_ms == INT64_MAX)
-    return true;
-  job->host = g_intern_string (host);
-  job->learned_at_ms = now_ms;
-  job->over_at_ms = INT64_MAX;
-  job->expires_at_ms = MAX (deadline_at_ms, now_ms) + UNTOLD_END_MS;
-  return true;
+  return set_entry (jobs, id, host, &job);
 }
 
 void
@@ -70,20 +113,15 @@
                    int64_t over_at_ms,
                    int64_t now_ms)
 {
-  remote_job_t *job = g_hash_table_lookup (jobs->by_id, id);
-
-  if (over_at_ms <= now_ms)
-    {
-      if (job != NULL && job->host == g_intern_string (host))
-        g_hash_table_remove (jobs->by_id, id);
-      return;
-    }
-  job = find_or_add (jobs, id, host, now_ms);
-  if (job == NULL || job->host != g_intern_string (host))
-    return;
-  job->learned_at_ms = now_ms;
-  job->over_at_ms = over_at_ms;
-  job->expires_at_ms = over_at_ms;
+  const remote_job_t job = { .learned_at_ms = now_ms,
+                             .over_at_ms = over_at_ms,
+                             .expires_at_ms = over_at_ms };
+  entry_t *entry = find_entry (jobs, id, g_intern_string (host));
+
+  if (over_at_ms > now_ms)
+    set_entry (jobs, id, host, &job);
+  else if (entry != NULL)
+    entry->job.expires_at_ms = 0;
 }
 
 void
@@ -95,28 +133,41 @@
 
   g_hash_table_iter_init (&iter, jobs->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      remote_job_t *job = value;
-      if (job->host != interned)
-        continue;
-      job->over_at_ms = MIN (job->over_at_ms, over_at_ms);
-      job->expires_at_ms = MIN (job->expires_at_ms, over_at_ms);
-    }
+    for (entry_t *entry = value; entry != NULL; entry = entry->next)
+      if (entry->job.host == interned)
+        {
+          entry->job.over_at_ms = MIN (entry->job.over_at_ms, over_at_ms);
+          entry->job.expires_at_ms = MIN (entry->job.expires_at_ms, over_at_ms);
+        }
 }
 
 const remote_job_t *
 remote_jobs_find (const remote_jobs_t *jobs, const char *id, int64_t now_ms)
 {
-  const remote_job_t *job = g_hash_table_lookup (jobs->by_id, id);
+  const entry_t *entry = g_hash_table_lookup (jobs->by_id, id);
+
+  while (entry != NULL && now_ms >= entry->job.expires_at_ms)
+    entry = entry->next;
+  return entry != NULL ? &entry->job : NULL;
+}
+
+int64_t
+remote_jobs_over_at (const remote_jobs_t *jobs, const char *id, const char *host, int64_t now_ms)
+{
+  const entry_t *entry = find_entry (jobs, id, g_intern_string (host));
 
-  return job != NULL && now_ms < job->over_at_ms && now_ms < job->expires_at_ms ? job : NULL;
+  return entry != NULL && now_ms < entry->job.expires_at_ms ? entry->job.over_at_ms : now_ms;
 }
 
+/* Whether all entries have expired. */
 static gboolean
 is_expired (void *id, void *value, void *now_ms)
 {
   (void) id;
-  return *(const int64_t *) now_ms >= ((const remote_job_t *) value)->expires_at_ms;
+  for (const entry_t *entry = value; entry != NULL; entry = entry->next)
+    if (*(const int64_t *) now_ms < entry->job.expires_at_ms)
+      return FALSE;
+  return TRUE;
 }
 
 void
--- a/lib/scheduler/remote_jobs.h
+++ b/lib/scheduler/remote_jobs.h
@@ -2,9 +2,10 @@
  *
  * A caller may send its job again at another host while the first one still runs it.  Each host
  * therefore announces jobs that stay open for some time, and this is what a host has heard of the
- * others.  An entry tells who runs the job, and until when its runs may go on: for as long as the
- * job is open there, or until a known time after it has ended early or its host was lost.  Jobs
- * that this host itself has ended early are kept as well, under its own name.
+ * others.  An entry tells who has the job, and until when its runs may go on: for as long as the
+ * job is open there, or until a known time after it has ended early or its host was lost.  A job
+ * has an entry for each host that has it: the one that runs it, and others at which requests wait.
+ * Jobs that this host itself has ended early are kept as well, under its own name.
  *
  * Pure.  Times are milliseconds of the boot clock.  Ids are copied, host names are interned.  Not
  * thread-safe.
@@ -16,7 +17,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* While so many are known, further ones are not recorded. */
+/* While so many jobs are known, further ones are not recorded. */
 #define REMOTE_JOBS_MAX 65536
 
 typedef struct remote_jobs_t remote_jobs_t;
@@ -32,9 +33,8 @@
 remote_jobs_t *remote_jobs_new (void);
 void remote_jobs_free (remote_jobs_t *jobs);
 
-/* HOST runs the job with ID, and nobody waits for it there after DEADLINE_AT_MS.  While
- * it is known to be open at another host, that entry stays.  Returns false if there is no place for
- * it. */
+/* HOST has the job with ID, and nobody waits for it there after DEADLINE_AT_MS.  Returns false if
+ * there is no place for it. */
 bool remote_jobs_open (remote_jobs_t *jobs,
                        const char *id,
                        const char *host,
@@ -51,10 +51,14 @@
 /* HOST is lost; all its runs have ended by OVER_AT_MS. */
 void remote_jobs_host_lost (remote_jobs_t *jobs, const char *host, int64_t over_at_ms);
 
-/* Returns the entry of the job with ID if its runs may go on at NOW_MS, else NULL.  Valid until the
- * next call. */
+/* Returns the entry of the job with ID whose host has it last of all, of those whose runs may go on
+ * at NOW_MS; NULL if there is none.  Valid until the next call. */
 const remote_job_t *remote_jobs_find (const remote_jobs_t *jobs, const char *id, int64_t now_ms);
 
+/* Until when runs of the job with ID for HOST may go on; NOW_MS if they have ended. */
+int64_t
+remote_jobs_over_at (const remote_jobs_t *jobs, const char *id, const char *host, int64_t now_ms);
+
 /* Forgets the entries whose time is over. */
 void remote_jobs_expire (remote_jobs_t *jobs, int64_t now_ms);
 
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -107,16 +107,24 @@
 
 /* --- a job that waits --- */
 
+/* Asks the host of REMOTE for JOB, if that is due. */
 static void
 ask (scheduler_t *scheduler,
      scheduled_job_t *job,
-     const char *host,
+     const remote_job_t *remote,
      int64_t now_ms,
      GArray *actions)
 {
+  if (job->holder != remote->host)
+    {
+      job->holder = remote->host;
+      job->asked_since_ms = now_ms;
+      job->ask_at_ms = now_ms;
+    }
+  if (now_ms < job->ask_at_ms || remote->host == scheduler->host)
+    return;
   job->ask_at_ms = now_ms + ASK_INTERVAL_MS;
-  if (host != scheduler->host)
-    add_job_action (scheduler, SCHEDULER_ASK, host, job->request.id, actions);
+  add_job_action (scheduler, SCHEDULER_ASK, remote->host, job->request.id, actions);
 }
 
 bool
@@ -132,87 +140,91 @@
   note (scheduler, job->request.id, remote->host,
         open ? SCHEDULER_FOUND_OPEN : SCHEDULER_FOUND_STOPPING, now_ms - remote->learned_at_ms,
         actions);
-  ask (scheduler, job, remote->host, now_ms, actions);
+  ask (scheduler, job, remote, now_ms, actions);
   return true;
 }
 
-/* Runs JOB here.  The time for which it has waited does not count towards its start. */
+/* Runs JOB here, as no other host does any more.  The time for which it has waited does not count
+ * towards its start.  A job that was stopped for a later request has no caller that would read the
+ * answer, and is not run. */
 static void
 start_waiting (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
+  if (job->yielded)
+    {
+      scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, SCHEDULER_LIMIT_OWNERS,
+                         "it was sent again to another host, which has not ended it", now_ms,
+                         actions);
+      return;
+    }
+  note (scheduler, job->request.id, scheduler->host, SCHEDULER_FOUND_OVER, 0, actions);
   if (job->request.start_by_ms != 0)
     job->request.start_by_ms += now_ms - job->waits_since_ms;
   job->waits_since_ms = 0;
+  job->announced = false;
   scheduler_start_job (scheduler, job, now_ms, actions);
 }
 
-/* Whether REMOTE, for which a job has waited since SINCE_MS, has been silent for so long that
- * owners have ended its runs. */
+/* Whether the host of REMOTE, which is asked for JOB, has been silent for so long that owners have
+ * ended its runs. */
 static bool
 is_silent (const scheduler_t *scheduler,
+           const scheduled_job_t *job,
            const remote_job_t *remote,
-           int64_t since_ms,
            int64_t now_ms)
 {
-  return now_ms - MAX (since_ms, remote->learned_at_ms) >= scheduler->resubmit_ms;
+  return job->holder == remote->host && remote->over_at_ms == INT64_MAX
+         && now_ms - MAX (job->asked_since_ms, remote->learned_at_ms) >= scheduler->resubmit_ms;
 }
 
-/* Runs JOB here once its runs at this host, if it was stopped, have ended. */
-static void
-start_when_over (scheduler_t *scheduler,
-                 scheduled_job_t *job,
-                 const remote_job_t *remote,
-                 int64_t now_ms,
-                 GArray *actions)
+/* Returns the entry of the host that JOB waits for; NULL if no host has it any more. */
+static const remote_job_t *
+current_holder (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
-  bool silent = remote != NULL;
+  const char *id = job->request.id;
+  const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, id, now_ms);
 
-  if (now_ms < job->own_runs_end_ms)
-    return;
-  note (scheduler, job->request.id, silent ? remote->host : scheduler->host,
-        silent ? SCHEDULER_FOUND_SILENT : SCHEDULER_FOUND_OVER,
-        silent ? now_ms - remote->learned_at_ms : 0, actions);
-  if (silent)
-    remote_jobs_ended (scheduler->remote_jobs, job->request.id, remote->host, now_ms, now_ms);
-  start_waiting (scheduler, job, now_ms, actions);
+  if (remote == NULL || !is_silent (scheduler, job, remote, now_ms))
+    return remote;
+  note (scheduler, id, remote->host, SCHEDULER_FOUND_SILENT, now_ms - remote->learned_at_ms,
+        actions);
+  remote_jobs_ended (scheduler->remote_jobs, id, remote->host, now_ms, now_ms);
+  return remote_jobs_find (scheduler->remote_jobs, id, now_ms);
 }
 
 void
 repeats_step_waiting (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
-  const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, job->request.id, now_ms);
+  const remote_job_t *remote = current_holder (scheduler, job, now_ms, actions);
 
   if (now_ms >= job->request.deadline_at_ms)
     scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, scheduler_deadline_limit (job),
                        "another host may be running it", now_ms, actions);
-  else if (remote == NULL || is_silent (scheduler, remote, job->waits_since_ms, now_ms))
-    start_when_over (scheduler, job, remote, now_ms, actions);
-  else if (now_ms >= job->ask_at_ms)
-    ask (scheduler, job, remote->host, now_ms, actions);
+  else if (remote == NULL)
+    start_waiting (scheduler, job, now_ms, actions);
+  else
+    ask (scheduler, job, remote, now_ms, actions);
 }
 
 /* --- what other hosts tell --- */
 
-/* Stops the runs of JOB and makes it wait for HOST, which runs it as well. */
+/* Stops the runs of JOB, which the host of REMOTE runs as well, and makes it wait for that host. */
 static void
 yield (scheduler_t *scheduler,
        scheduled_job_t *job,
-       const char *host,
+       const remote_job_t *remote,
        int64_t now_ms,
        GArray *actions)
 {
-  note (scheduler, job->request.id, host, SCHEDULER_FOUND_YIELDED, 0, actions);
+  note (scheduler, job->request.id, remote->host, SCHEDULER_FOUND_YIELDED, 0, actions);
   scheduler_cancel_batches (scheduler, job, now_ms, actions);
   while (job->batches->len > 0)
     scheduler_remove_batch (scheduler, job->batches->pdata[job->batches->len - 1]);
   g_array_set_size (job->unassigned, 0);
-  for (int32_t i = job->request.tasks; i-- > 0;)
-    g_array_append_val (job->unassigned, i);
-  job->tasks_left = job->request.tasks;
   job->may_have_run = true;
+  job->yielded = true;
   job->waits_since_ms = now_ms;
-  job->own_runs_end_ms = now_ms + scheduler->resubmit_ms;
-  ask (scheduler, job, host, now_ms, actions);
+  ask (scheduler, job, remote, now_ms, actions);
 }
 
 static void
@@ -224,15 +236,17 @@
 {
   scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, status->id);
   bool runs_here = job != NULL && job->waits_since_ms == 0 && !job->end_pending;
+  bool runs_there = status->kind == JOB_STATUS_OPEN;
 
-  if (runs_here && strcmp (scheduler->host, host) < 0)
-    {
-      note (scheduler, status->id, host, SCHEDULER_FOUND_AT_BOTH, 0, actions);
-      return;
-    }
-  remote_jobs_open (scheduler->remote_jobs, status->id, host, status->until_ms, now_ms);
-  if (runs_here)
-    yield (scheduler, job, host, now_ms, actions);
+  if (runs_here && runs_there && strcmp (scheduler->host, host) < 0)
+    note (scheduler, status->id, host, SCHEDULER_FOUND_AT_BOTH, 0, actions);
+  if (runs_here && (!runs_there || strcmp (scheduler->host, host) < 0))
+    return;
+  bool known =
+      remote_jobs_open (scheduler->remote_jobs, status->id, host, status->until_ms, now_ms);
+  const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, status->id, now_ms);
+  if (known && runs_here)
+    yield (scheduler, job, remote, now_ms, actions);
 }
 
 /* The job with ID has ended with OUTCOME at HOST, for good. */
@@ -270,7 +284,7 @@
 
   if (scheduler->resubmit_ms == 0 || g_intern_string (host) == scheduler->host)
     return;
-  if (status->kind == JOB_STATUS_OPEN)
+  if (status->kind == JOB_STATUS_OPEN || status->kind == JOB_STATUS_WAITING)
     told_open (scheduler, host, status, now_ms, actions);
   else if (status->kind == JOB_STATUS_STOPPED)
     remote_jobs_ended (scheduler->remote_jobs, status->id, host, status->until_ms, now_ms);
@@ -283,7 +297,9 @@
 static job_status_t
 open_status (const scheduled_job_t *job)
 {
-  return (job_status_t){ job->request.id, JOB_STATUS_OPEN, job->request.deadline_at_ms };
+  job_status_kind_t kind = job->waits_since_ms == 0 ? JOB_STATUS_OPEN : JOB_STATUS_WAITING;
+
+  return (job_status_t){ job->request.id, kind, job->request.deadline_at_ms };
 }
 
 /* The status of a job that has ended with OUTCOME; its runs, if any, end by RUNS_END_MS. */
@@ -309,13 +325,11 @@
 static job_status_t
 closed_status (scheduler_t *scheduler, const char *id, int64_t now_ms)
 {
-  const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, id, now_ms);
-  scheduler_outcome_t outcome = SCHEDULER_REFUSED;
+  scheduler_outcome_t outcome = SCHEDULER_GIVEN_UP;
 
-  if (ended_jobs_find (scheduler->ended_jobs, id, now_ms, &outcome))
-    return ended_status (id, outcome, 0);
-  bool own = remote != NULL && remote->host == scheduler->host;
-  return ended_status (id, SCHEDULER_REFUSED, own ? remote->over_at_ms : now_ms);
+  ended_jobs_find (scheduler->ended_jobs, id, now_ms, &outcome);
+  return ended_status (id, outcome,
+                       remote_jobs_over_at (scheduler->remote_jobs, id, scheduler->host, now_ms));
 }
 
 void
@@ -330,11 +344,12 @@
   job_status_t status = closed_status (scheduler, id, now_ms);
   bool waits_for_asker = job != NULL && job->waits_since_ms != 0 && remote != NULL
                          && remote->host == g_intern_string (host);
+  bool runs_it = waits_for_asker && !job->yielded && strcmp (scheduler->host, host) < 0;
 
   /* Two hosts that wait for each other: the one with the lesser name runs the job. */
-  if (waits_for_asker && strcmp (scheduler->host, host) < 0)
+  if (runs_it)
     remote_jobs_ended (scheduler->remote_jobs, id, host, now_ms, now_ms);
-  if (job != NULL && (!waits_for_asker || strcmp (scheduler->host, host) < 0))
+  if (job != NULL && (!waits_for_asker || runs_it))
     {
       add_follower (job, host, now_ms);
       status = open_status (job);
@@ -371,13 +386,15 @@
   g_array_set_size (statuses, 0);
 }
 
-/* Whether JOB should be announced: it runs, and its caller may soon send it again. */
+/* Whether JOB should be announced: its caller may soon send it again.  One that was stopped for a
+ * later request is announced by the host of that. */
 static bool
 is_due (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
 {
   int64_t due_at_ms = job->request.received_at_ms + scheduler->resubmit_ms * ANNOUNCE_PERCENT / 100;
 
-  return !job->announced && job->was_sent && job->waits_since_ms == 0 && now_ms >= due_at_ms;
+  return !job->announced && !job->yielded && (job->was_sent || job->waits_since_ms != 0)
+         && now_ms >= due_at_ms;
 }
 
 void
@@ -416,7 +433,7 @@
     {
       const scheduled_job_t *job = value;
       job_status_t status = open_status (job);
-      if (job->announced && job->waits_since_ms == 0)
+      if (job->announced && !job->yielded)
         g_array_append_val (statuses, status);
     }
 }
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -52,8 +52,10 @@
   GArray *followers;       /* job_follower_t */
   bool announced;          /* other hosts were told of it */
   int64_t waits_since_ms;  /* it is not run, as another host may run it; 0 if it does not wait */
-  int64_t own_runs_end_ms; /* it was stopped here; its runs may go on until then */
-  int64_t ask_at_ms;       /* it waits: that host is asked again then */
+  const char *holder;      /* it waits: the host that is asked; interned */
+  int64_t asked_since_ms;  /* HOLDER is asked since then */
+  int64_t ask_at_ms;       /* it is asked again then */
+  bool yielded;            /* it was stopped for a later request of it at another host */
   placement_target_t aim;  /* its objective and deadline */
   scheduler_size_class_t size_class;
   GArray *unassigned;        /* int32_t: indexes of the tasks that no owner has */
--- /dev/null
+++ b/tests/test_job_repeats.c
@@ -0,0 +1,300 @@
+/* test_job_repeats.c -- a request of a job that another host has must not start it, and must not
+ * wait for a host that has lost it */
+#include "scheduler/job_status_msg.h"
+#include "scheduler/scheduler.h"
+#include "tests/test_scheduler_report.h"
+#include "tests/unit_runner.h"
+
+#include <CUnit/CUnit.h>
+
+#define ID "00000000000000a1"
+#define RESUBMIT_MS 1300
+#define CALLER_WAIT_MS 6000
+/* The request is received at this time; the job was announced at 0. */
+#define RECEIVED_AT_MS 1000
+
+/* What host "g" tells, or what is learned of it, at AT_MS. */
+typedef enum
+{
+  NOTHING,
+  TELLS_OPEN,
+  TELLS_WAITING,
+  TELLS_STOPPED, /* its runs have ended 200 ms later */
+  TELLS_COMPLETE,
+  TELLS_FAILED,
+  TELLS_CANCELLED,
+  IS_LOST /* it was heard 400 ms before */
+} news_t;
+
+#define WAITS (-1)
+
+static const struct
+{
+  const char *name;
+  news_t announced; /* at 0 */
+  news_t news;
+  int64_t at_ms;
+  int64_t starts_at_ms; /* WAITS: not before its deadline */
+  int64_t answered_at_ms;
+  scheduler_outcome_t outcome;
+} cases[] = {
+  { "unknown job", NOTHING, NOTHING, 0, RECEIVED_AT_MS, 0, 0 },
+  { "open elsewhere, silent", TELLS_OPEN, NOTHING, 0, RECEIVED_AT_MS + RESUBMIT_MS, 0, 0 },
+  { "waits elsewhere, silent", TELLS_WAITING, NOTHING, 0, RECEIVED_AT_MS + RESUBMIT_MS, 0, 0 },
+  { "still open", TELLS_OPEN, TELLS_OPEN, 2000, 2000 + RESUBMIT_MS, 0, 0 },
+  { "complete", TELLS_OPEN, TELLS_COMPLETE, 1500, WAITS, 1500, SCHEDULER_COMPLETE },
+  { "failed", TELLS_OPEN, TELLS_FAILED, 1500, WAITS, 1500, SCHEDULER_FAILED },
+  { "cancelled", TELLS_OPEN, TELLS_CANCELLED, 1500, WAITS, 1500, SCHEDULER_CANCELLED },
+  { "stopped", TELLS_OPEN, TELLS_STOPPED, 1500, 1700, 0, 0 },
+  { "stopped before", TELLS_STOPPED, NOTHING, 0, RECEIVED_AT_MS, 0, 0 },
+  { "lost", TELLS_OPEN, IS_LOST, 1500, 1100 + RESUBMIT_MS, 0, 0 },
+  { "complete before", TELLS_COMPLETE, NOTHING, 0, WAITS, RECEIVED_AT_MS, SCHEDULER_COMPLETE },
+};
+
+static uint64_t
+submit (scheduler_t *scheduler, int64_t now_ms, GArray *actions)
+{
+  const scheduler_job_t job = { .id = ID,
+                                .spec = "work",
+                                .service = "s",
+                                .tasks = 1,
+                                .need = { 1000, 10, 0 },
+                                .estimate_ms = 100,
+                                .stretch_factor = 3,
+                                .target_ms = 60,
+                                .received_at_ms = now_ms,
+                                .deadline_at_ms = now_ms + CALLER_WAIT_MS,
+                                .attempts_max = 3,
+                                .label = "",
+                                .preferred_rack = "",
+                                .user_data = scheduler };
+
+  return scheduler_submit (scheduler, &job, now_ms, actions);
+}
+
+static void
+learn (scheduler_t *scheduler, news_t news, int64_t now_ms, GArray *actions)
+{
+  static const job_status_kind_t kinds[] = {
+    [TELLS_OPEN] = JOB_STATUS_OPEN,       [TELLS_WAITING] = JOB_STATUS_WAITING,
+    [TELLS_STOPPED] = JOB_STATUS_STOPPED, [TELLS_COMPLETE] = JOB_STATUS_COMPLETE,
+    [TELLS_FAILED] = JOB_STATUS_FAILED,   [TELLS_CANCELLED] = JOB_STATUS_CANCELLED,
+    [IS_LOST] = JOB_STATUS_OPEN,
+  };
+  const job_status_t status = { ID, kinds[news],
+                                news == TELLS_STOPPED ? now_ms + 200 : now_ms + CALLER_WAIT_MS };
+
+  if (news == IS_LOST)
+    scheduler_host_lost (scheduler, "g", now_ms - 400, now_ms, actions);
+  else if (news != NOTHING)
+    scheduler_job_told (scheduler, "g", &status, now_ms, actions);
+}
+
+static scheduler_t *
+new_scheduler (GArray *actions)
+{
+  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0, RESUBMIT_MS };
+  const executor_offer_t offer = { "s", 4, 4, 1.0 };
+  const executor_load_t load = { .service = "s", .cores_milli = 4000 };
+  scheduler_t *scheduler = scheduler_new (&options);
+
+  scheduler_set_owner (scheduler, "z", "hx", 1, 0, actions);
+  report_offers (scheduler, "z", "hx", &offer, 1, &load, 0);
+  return scheduler;
+}
+
+/* Returns the number of actions of KIND, and clears ACTIONS.  *LAST is the last of them. */
+static int
+take_actions (GArray *actions, scheduler_action_kind_t kind, scheduler_action_t *last)
+{
+  int count = 0;
+
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, i);
+      if (action->task_indexes != NULL)
+        g_array_unref (action->task_indexes);
+      if (action->kind != kind)
+        continue;
+      *last = *action;
+      count++;
+    }
+  g_array_set_size (actions, 0);
+  return count;
+}
+
+/* When a request is received, the job starts as soon as nobody can be running it, or is answered as
+ * soon as its outcome is known. */
+static void
+test_request (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      scheduler_t *scheduler = new_scheduler (actions);
+      int64_t started_at_ms = WAITS;
+      int64_t answered_at_ms = 0;
+      scheduler_action_t answer = { 0 };
+      learn (scheduler, cases[i].announced, 0, actions);
+      for (int64_t now_ms = RECEIVED_AT_MS; now_ms < RECEIVED_AT_MS + CALLER_WAIT_MS; now_ms += 5)
+        {
+          if (now_ms == RECEIVED_AT_MS)
+            submit (scheduler, now_ms, actions);
+          if (now_ms == cases[i].at_ms)
+            learn (scheduler, cases[i].news, now_ms, actions);
+          for (guint k = 0; k < actions->len; k++)
+            {
+              const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, k);
+              if (action->kind == SCHEDULER_SUBMIT && started_at_ms == WAITS)
+                started_at_ms = now_ms;
+              if (action->kind == SCHEDULER_ANSWER && answered_at_ms == 0)
+                {
+                  answered_at_ms = now_ms;
+                  answer = *action;
+                }
+            }
+          scheduler_action_t last;
+          take_actions (actions, SCHEDULER_SUBMIT, &last);
+          scheduler_step (scheduler, now_ms, actions);
+        }
+      bool in_time =
+          started_at_ms >= cases[i].starts_at_ms && started_at_ms <= cases[i].starts_at_ms + 5;
+      CU_ASSERT_TRUE (in_time);
+      CU_ASSERT_EQUAL (answered_at_ms, cases[i].answered_at_ms);
+      CU_ASSERT_TRUE (cases[i].answered_at_ms == 0 || answer.outcome == cases[i].outcome);
+      if (!in_time || answered_at_ms != cases[i].answered_at_ms)
+        printf ("  %s: starts at %d, answered at %d\n", cases[i].name, (int) started_at_ms,
+                (int) answered_at_ms);
+      scheduler_action_t last;
+      take_actions (actions, SCHEDULER_SUBMIT, &last);
+      scheduler_free (scheduler);
+      g_array_unref (actions);
+    }
+}
+
+/* A job goes on although its caller has gone, as long as a host asks for it, and tells that host
+ * its end. */
+static void
+test_followed (void)
+{
+  GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+  scheduler_t *scheduler = new_scheduler (actions);
+  scheduler_action_t action = { 0 };
+
+  uint64_t number = submit (scheduler, 0, actions);
+  CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_SUBMIT, &action), 1);
+  uint64_t batch = action.batch_number;
+  scheduler_job_asked (scheduler, "g", ID, 100, actions);
+  CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_TELL, &action), 1);
+  CU_ASSERT_EQUAL (action.status.kind, JOB_STATUS_OPEN);
+  scheduler_abandon (scheduler, number, 200, actions);
+  scheduler_step (scheduler, 900, actions);
+  CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_CANCEL, &action), 0);
+  scheduler_task_ended (scheduler, "hx", batch, 0, SCHEDULER_TASK_DONE, 1000, actions);
+  CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_TELL, &action), 1);
+  CU_ASSERT_EQUAL (action.status.kind, JOB_STATUS_COMPLETE);
+  scheduler_free (scheduler);
+  g_array_unref (actions);
+}
+
+/* A job whose caller has gone ends when no host asks for it any more, and a host that asks later
+ * is told when its runs have certainly ended. */
+static void
+test_not_followed (void)
+{
+  GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+  scheduler_t *scheduler = new_scheduler (actions);
+  scheduler_action_t action = { 0 };
+
+  uint64_t number = submit (scheduler, 0, actions);
+  scheduler_job_asked (scheduler, "g", ID, 100, actions);
+  scheduler_abandon (scheduler, number, 200, actions);
+  take_actions (actions, SCHEDULER_CANCEL, &action);
+  scheduler_step (scheduler, 1200, actions);
+  CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_CANCEL, &action), 1);
+  scheduler_job_asked (scheduler, "g", ID, 1300, actions);
+  CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_TELL, &action), 1);
+  CU_ASSERT_EQUAL (action.status.kind, JOB_STATUS_STOPPED);
+  CU_ASSERT_EQUAL (action.status.until_ms, 1200 + RESUBMIT_MS);
+  scheduler_free (scheduler);
+  g_array_unref (actions);
+}
+
+/* Both hosts run the job: the one with the greater name stops, and answers with what the other one
+ * tells. */
+static void
+test_at_both (void)
+{
+  static const struct
+  {
+    const char *other;
+    int cancels;
+  } rows[] = { { "g", 1 }, { "i", 0 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      scheduler_t *scheduler = new_scheduler (actions);
+      const job_status_t open = { ID, JOB_STATUS_OPEN, CALLER_WAIT_MS };
+      const job_status_t complete = { ID, JOB_STATUS_COMPLETE, 0 };
+      scheduler_action_t action = { 0 };
+      submit (scheduler, 0, actions);
+      take_actions (actions, SCHEDULER_SUBMIT, &action);
+      scheduler_job_told (scheduler, rows[i].other, &open, 500, actions);
+      CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_CANCEL, &action), rows[i].cancels);
+      scheduler_job_told (scheduler, rows[i].other, &complete, 600, actions);
+      CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_ANSWER, &action), rows[i].cancels);
+      CU_ASSERT_TRUE (rows[i].cancels == 0 || action.outcome == SCHEDULER_COMPLETE);
+      scheduler_free (scheduler);
+      g_array_unref (actions);
+    }
+}
+
+/* A status that was cut off, or has an unknown kind, is refused. */
+static void
+test_message (void)
+{
+  const job_status_t statuses[] = { { ID, JOB_STATUS_OPEN, 5000 }, { "b", JOB_STATUS_FAILED, 0 } };
+  GBytes *frame = job_msg_statuses ("g", true, statuses, G_N_ELEMENTS (statuses), 1000);
+  gsize size = 0;
+  const char *data = (const char *) g_bytes_get_data (frame, &size) + FRAME_LENGTH_BYTES;
+
+  size -= FRAME_LENGTH_BYTES;
+  for (gsize cut = 0; cut < size; cut++)
+    {
+      frame_reader_t *reader = NULL;
+      GArray *read = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+      char *host = NULL;
+      bool relay = false;
+      bool parsed = frame_parse (data, size - cut, &reader) == 0;
+      if (parsed)
+        CU_ASSERT_EQUAL (job_msg_read_statuses (reader, 2000, &host, &relay, read) == 0, cut == 0);
+      if (cut == 0)
+        {
+          CU_ASSERT_EQUAL_FATAL (read->len, 2);
+          CU_ASSERT_EQUAL (g_array_index (read, job_status_t, 0).until_ms, 6000);
+          CU_ASSERT_EQUAL (g_array_index (read, job_status_t, 1).kind, JOB_STATUS_FAILED);
+        }
+      for (guint i = 0; i < read->len; i++)
+        g_free ((char *) g_array_index (read, job_status_t, i).id);
+      g_array_unref (read);
+      g_free (host);
+      if (parsed)
+        frame_reader_free (reader);
+    }
+  g_bytes_unref (frame);
+}
+
+static const unit_test_t tests[] = {
+  { "a request of a job that another host may have", test_request },
+  { "a job that another host asks for", test_followed },
+  { "a job that no host asks for any more", test_not_followed },
+  { "a job that two hosts run", test_at_both },
+  { "messages", test_message },
+};
+
+int
+main (void)
+{
+  return unit_run ("job_repeats", tests, G_N_ELEMENTS (tests));
+}
