Soak: callers whose connection breaks unseen

What nothing could find before: the soak's callers waited for their deadline before they sent a job again, when its host had given it up. Draws of their own, so that the kept seeds are as before.

--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -21,12 +21,18 @@
 #define CANCEL_PERCENT 4
 #define LEAVE_PERCENT 3
 #define POISON_PERCENT 2
+/* Jobs whose connection breaks on the caller's side, which their host sees late or never.  Their
+ * work is long enough to go on until they are sent again. */
+#define BREAK_WORK_MS 2500
+#define BREAK_DEADLINE_MS 5000
+#define BREAK_AFTER_MAX_MS 900
 #define PROBE_EVERY_MS 250
 
 struct callers_t
 {
   rig_t *rig;
   uint32_t seed;
+  int32_t broken_percent;
   atomic_bool stop;
   atomic_bool ready[CALLER_HOSTS_MAX];
   GPtrArray *threads; /* GThread */
@@ -36,7 +42,8 @@
 {
   callers_t *callers;
   GRand *random;
-  int fd; /* -1: none */
+  GRand *breaks; /* draws of their own, so that the others of a seed stay as they are */
+  int fd;        /* -1: none */
   int32_t host;
   int32_t left; /* requests before it is closed */
 } caller_t;
@@ -49,6 +56,8 @@
   int32_t estimate_ms;
   bool cancels;
   bool leaves;
+  bool breaks;
+  int32_t deadline_ms;
   char target[32];
 } job_t;
 
@@ -75,6 +84,15 @@
   job->estimate_ms = work_ms * (60 + draw (caller, 80)) / 100;
   job->cancels = draw (caller, 100) < CANCEL_PERCENT;
   job->leaves = !job->cancels && draw (caller, 100) < LEAVE_PERCENT;
+  job->deadline_ms = DEADLINE_MS;
+  job->breaks = !job->cancels && !job->leaves
+                && g_rand_int_range (caller->breaks, 0, 100) < caller->callers->broken_percent;
+  if (job->breaks)
+    {
+      job->estimate_ms = BREAK_WORK_MS;
+      job->deadline_ms = BREAK_DEADLINE_MS;
+      g_snprintf (job->spec, sizeof job->spec, "%d", BREAK_WORK_MS);
+    }
   g_snprintf (job->target, sizeof job->target, "/q/%016" G_GINT64_MODIFIER "x", job->id);
 }
 
@@ -152,8 +170,8 @@
 
   caller->left--;
   note (caller, job, BOOK_SENT, number, 0, job->spec);
-  int64_t until_ms = clock_boot_ms () + DEADLINE_MS + PATIENCE_MS;
-  site_send_request (caller->fd, "POST", job->target, body, DEADLINE_MS);
+  int64_t until_ms = clock_boot_ms () + job->deadline_ms + PATIENCE_MS;
+  site_send_request (caller->fd, "POST", job->target, body, job->deadline_ms);
   g_free (body);
   if (job->leaves)
     {
@@ -175,25 +193,55 @@
   return !job->cancels && (answer.status == 0 || answer.status == 502 || answer.status == 504);
 }
 
+/* Sends JOB, and gives up its connection without closing it.  Returns the connection. */
+static int
+send_and_break (caller_t *caller, const job_t *job)
+{
+  int fd = caller->fd;
+  char *body = site_job_json (job->tasks, job->spec, job->estimate_ms, "");
+
+  note (caller, job, BOOK_SENT, atomic_fetch_add (&requests, 1), 0, job->spec);
+  site_send_request (fd, "POST", job->target, body, job->deadline_ms);
+  g_free (body);
+  caller->fd = -1;
+  clock_sleep_ms (g_rand_int_range (caller->breaks, 0, BREAK_AFTER_MAX_MS));
+  return fd;
+}
+
+/* Returns false if the callers stop before a host could be connected to. */
+static bool
+connect_until_stopped (caller_t *caller)
+{
+  while (!connect_somewhere (caller))
+    {
+      if (atomic_load (&caller->callers->stop))
+        return false;
+      clock_sleep_ms (10);
+    }
+  return true;
+}
+
 static void
 do_job (caller_t *caller)
 {
   job_t job;
   bool again = true;
+  int broken_fd = -1;
 
   draw_job (caller, &job);
   for (int32_t sends = 0; sends < SENDS_MAX && again; sends++)
     {
       if (sends > 0)
         clock_sleep_ms (RESEND_MS);
-      while (!connect_somewhere (caller))
-        {
-          if (atomic_load (&caller->callers->stop))
-            return;
-          clock_sleep_ms (10);
-        }
-      again = send_once (caller, &job);
+      if (!connect_until_stopped (caller))
+        break;
+      if (sends == 0 && job.breaks)
+        broken_fd = send_and_break (caller, &job);
+      else
+        again = send_once (caller, &job);
     }
+  if (broken_fd >= 0)
+    close (broken_fd);
 }
 
 typedef struct
@@ -206,10 +254,12 @@
 run_caller (void *data)
 {
   caller_thread_t *thread = data;
-  caller_t caller = { .callers = thread->callers,
-                      .random =
-                          g_rand_new_with_seed (thread->callers->seed * 1000 + thread->number),
-                      .fd = -1 };
+  caller_t caller = {
+    .callers = thread->callers,
+    .random = g_rand_new_with_seed (thread->callers->seed * 1000 + thread->number),
+    .breaks = g_rand_new_with_seed (thread->callers->seed * 1000 + 500 + thread->number),
+    .fd = -1
+  };
 
   while (!atomic_load (&thread->callers->stop))
     {
@@ -218,6 +268,7 @@
     }
   hang_up (&caller);
   g_rand_free (caller.random);
+  g_rand_free (caller.breaks);
   g_free (thread);
   return NULL;
 }
@@ -265,12 +316,13 @@
 /* --- public --- */
 
 callers_t *
-callers_start (rig_t *rig, uint32_t seed, int32_t count)
+callers_start (rig_t *rig, uint32_t seed, int32_t count, int32_t broken_percent)
 {
   callers_t *callers = g_new0 (callers_t, 1);
 
   callers->rig = rig;
   callers->seed = seed;
+  callers->broken_percent = broken_percent;
   callers->threads = g_ptr_array_new ();
   for (int32_t i = 0; i < rig->hosts_count; i++)
     atomic_store (&callers->ready[i], true);
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -12,7 +12,9 @@
 
 typedef struct callers_t callers_t;
 
-callers_t *callers_start (rig_t *rig, uint32_t seed, int32_t count);
+/* BROKEN_PERCENT of the jobs lose their connection on the caller's side, which their host sees late
+ * or never, and are sent again. */
+callers_t *callers_start (rig_t *rig, uint32_t seed, int32_t count, int32_t broken_percent);
 
 /* Whether new connections go to HOST. */
 void callers_set_ready (callers_t *callers, int32_t host, bool ready);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -37,6 +37,7 @@
   int32_t hosts;
   int32_t endpoints;
   int32_t callers;
+  int32_t broken_percent;
   int64_t length_ms;
   const char *only; /* numbers of faults, joined by commas; NULL for all */
   bool keep;
@@ -216,7 +217,7 @@
   bool started = rig_start (&rig);
   if (!started)
     book_find (rig.book, "not all hosts became ready");
-  run.callers = callers_start (&rig, seed, options->callers);
+  run.callers = callers_start (&rig, seed, options->callers, options->broken_percent);
   if (started)
     {
       play (&run);
@@ -343,14 +344,16 @@
   struct arg_int *hosts = arg_int0 (NULL, "hosts", "N", "hosts, 3 to 100 (6)");
   struct arg_int *endpoints = arg_int0 (NULL, "endpoints", "N", "endpoints, 3 to 200 (12)");
   struct arg_int *callers = arg_int0 (NULL, "callers", "N", "callers (16)");
+  struct arg_int *broken =
+      arg_int0 (NULL, "broken", "N", "jobs in a hundred that lose their connection unseen (0)");
   struct arg_int *seconds = arg_int0 (NULL, "seconds", "N", "in which faults begin (7)");
   struct arg_str *only = arg_str0 (NULL, "only", "N,N", "of the faults, only these");
   struct arg_lit *print = arg_lit0 (NULL, "print", "the faults of the seed, and no run");
   struct arg_lit *less = arg_lit0 (NULL, "shrink", "look for the fewest faults that fail");
   struct arg_lit *keep = arg_lit0 (NULL, "keep", "logs and ledgers, also of good runs");
   struct arg_end *end = arg_end (4);
-  void *table[] = { build,   seed,    count, minutes, seeds, hosts, endpoints,
-                    callers, seconds, only,  print,   less,  keep,  end };
+  void *table[] = { build,  seed,    count, minutes, seeds, hosts, endpoints, callers,
+                    broken, seconds, only,  print,   less,  keep,  end };
   int32_t failed = 0;
 
   build->sval[0] = "build";
@@ -359,6 +362,7 @@
   hosts->ival[0] = 6;
   endpoints->ival[0] = 12;
   callers->ival[0] = 16;
+  broken->ival[0] = 0;
   seconds->ival[0] = 7;
   if (arg_parse (argc, argv, table) > 0 || hosts->ival[0] < 3 || hosts->ival[0] > 100
       || endpoints->ival[0] < 3 || endpoints->ival[0] > 200)
@@ -371,6 +375,7 @@
                              hosts->ival[0],
                              endpoints->ival[0],
                              callers->ival[0],
+                             broken->ival[0],
                              (int64_t) seconds->ival[0] * MS_PER_S,
                              only->count > 0 ? only->sval[0] : NULL,
                              keep->count > 0 };
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -122,6 +122,8 @@
 # Random faults on a site: the seeds that ever failed.
 step_soak () {
   step soak timeout 400 tools/soak.sh kept
+  # Callers that lose their connection unseen, while hosts stop and start again.
+  step soak/broken timeout 100 build/tests/soak --seed 55200 --broken 10
 }
 
 step_asan () {
