Scheduler: runs that a lost host owned itself end a lease after its loss

Cause: the first coordinator owned the endpoint itself. It was taken for granted that its runs end 1,300 ms after it was last heard, but a host that sends heartbeats once a second lived, and renewed the lease of its own runs, for up to a second after that. Change: a lost host's jobs may run on until 1,300 ms after it was heard and, at the least, a lease, its slack and 250 ms after its loss.

--- a/lib/scheduler/owners.c
+++ b/lib/scheduler/owners.c
@@ -245,8 +245,11 @@
   const char *interned = g_intern_string (host);
   GPtrArray *batches = batches_at (scheduler, host);
 
-  /* Owners end the runs of a coordinator that they have not heard for as long. */
-  remote_jobs_host_lost (scheduler->remote_jobs, host, heard_at_ms + scheduler->resubmit_ms);
+  /* Other owners end the runs of a coordinator that they have not heard for resubmit_ms.  Those
+   * that it owned itself may have been renewed until now. */
+  remote_jobs_host_lost (
+      scheduler->remote_jobs, host,
+      MAX (heard_at_ms + scheduler->resubmit_ms, now_ms + run_end_after_drop_ms (scheduler)));
   for (guint i = 0; i < batches->len; i++)
     {
       job_batch_t *batch = batches->pdata[i];
--- a/tests/test_scheduling_check.h
+++ b/tests/test_scheduling_check.h
@@ -70,6 +70,30 @@
   return result;
 }
 
+/* Handles the arguments CASE SEED [COUNT [ID]]: runs the cases whose names begin with CASE, for
+ * COUNT seeds from SEED on, prints their results, and prints the events of the jobs and tasks whose
+ * ids begin with ID.  Returns false if there are no such arguments. */
+G_GNUC_UNUSED static bool
+run_by_hand (const simulation_case_t *cases, size_t case_count, int argc, char **argv)
+{
+  if (argc < 3)
+    return false;
+  uint32_t first = (uint32_t) atoi (argv[2]);
+  uint32_t count = argc >= 4 ? (uint32_t) atoi (argv[3]) : 1;
+
+  traced_id = argc >= 5 ? argv[4] : NULL;
+  for (size_t i = 0; i < case_count; i++)
+    for (uint32_t seed = first; seed < first + count; seed++)
+      if (g_str_has_prefix (cases[i].name, argv[1]))
+        {
+          simulation_options_t options = cases[i].options;
+          options.seed = seed;
+          simulation_result_t result = simulation_run (&options);
+          print_result (cases[i].name, seed, &result);
+        }
+  return true;
+}
+
 /* Checks all seeds of TEST.  Returns the number of steps. */
 G_GNUC_UNUSED static int64_t
 check_seeds (const simulation_case_t *test)
