Site: a hub passes announcements on together, and only those of its own data centre

What callers saw: nothing. By arithmetic: with 300 hosts in three data centres a hub would pass on each announcement of every host by itself, some thousands of messages a second to each of 96 hosts. Callers go to hosts of their own zone while any is in rotation (PROTOCOL.md, Ingress).

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -467,6 +467,7 @@
                                             site->incarnation,      settings->resubmit_after_ms };
   site->scheduler = scheduler_new (&scheduler_options);
   site->job_cancellations = job_cancellations_new ();
+  site->relayed = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
   site->owned_shards = g_hash_table_new_full (NULL, NULL, NULL, owner_free_shard);
   site->retired_shards = g_ptr_array_new_with_free_func (owner_free_shard);
   site->directory = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, site_free_entry);
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -360,6 +360,7 @@
   { EXECUTOR_MSG_RESYNC, read_resync },
   { JOB_MSG_STATUSES, repeats_read_statuses },
   { JOB_MSG_QUERY, repeats_read_query },
+  { JOB_MSG_RELAYED, repeats_read_relayed },
   { CLUSTER_MSG_HEARTBEAT, read_heartbeat },
   { CLUSTER_MSG_CONFIG_REQUEST, read_config_request },
   { CLUSTER_MSG_CONFIG, read_config },
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -110,6 +110,7 @@
   int64_t drain_request_due_ms;
   int64_t drain_report_due_ms;
   int64_t announce_due_ms; /* jobs are announced to other hosts next */
+  GPtrArray *relayed;      /* GBytes: announcements of other hosts to pass on */
   int64_t probe_due_ms;
   int64_t settings_check_due_ms;
   traffic_t traffic; /* since the start */
@@ -203,6 +204,7 @@
 void repeats_tell (site_t *site, const scheduler_action_t *action);
 /* Handlers of frames that HOST has sent. */
 void repeats_read_statuses (site_t *site, const char *host, frame_reader_t *reader);
+void repeats_read_relayed (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_query (site_t *site, const char *host, frame_reader_t *reader);
 /* A connection to HOST was opened. */
 void repeats_host_connected (site_t *site, const char *host);
--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -1,8 +1,8 @@
 /* site_repeats.c -- what hosts tell each other about jobs that callers may send to more than one
  *
  * lib/scheduler/repeats.c decides.  A host announces its jobs to the hosts that it is connected to.
- * One that is no hub is not connected to all others: hubs of each data centre pass its
- * announcements on to the other hosts there.
+ * One that is no hub is connected to hubs only: some of its data centre collect its announcements
+ * and those of others, and pass them on to the other hosts there.
  */
 #include "daemon/site_private.h"
 
@@ -98,6 +98,26 @@
   g_array_unref (statuses);
 }
 
+/* Passes on what was collected, to the hosts of this data centre that are no hubs. */
+static void
+send_relayed (site_t *site)
+{
+  GHashTableIter iter;
+  void *host = NULL;
+  void *value = NULL;
+
+  if (site->relayed->len == 0)
+    return;
+  GBytes *frame = job_msg_relayed (site->relayed);
+  g_hash_table_iter_init (&iter, site->connections);
+  while (g_hash_table_iter_next (&iter, &host, &value))
+    if (strcmp (((const peer_connection_t *) value)->data_centre, site->settings->data_centre) == 0
+        && !cluster_host_is_hub (site->cluster, host))
+      peers_send (site, host, g_bytes_ref (frame));
+  g_bytes_unref (frame);
+  g_ptr_array_set_size (site->relayed, 0);
+}
+
 void
 repeats_tick (site_t *site, int64_t now_ms)
 {
@@ -108,6 +128,7 @@
   if (now_ms < site->announce_due_ms)
     return;
   site->announce_due_ms = now_ms + ANNOUNCE_INTERVAL_MS;
+  send_relayed (site);
   GArray *statuses = new_statuses ();
   scheduler_collect_statuses (site->scheduler, now_ms, statuses);
   g_hash_table_iter_init (&iter, site->connections);
@@ -138,21 +159,17 @@
   return cluster_is_hub (site->cluster) && before < RELAYS_PER_DATA_CENTRE;
 }
 
-/* Passes STATUSES of ORIGIN on to the hosts of this data centre that are no hubs. */
+/* Keeps STATUSES of ORIGIN, a host of this data centre, for the hosts here that are no hubs. */
 static void
 relay_statuses (site_t *site, const char *origin, const GArray *statuses)
 {
-  GHashTableIter iter;
-  void *host = NULL;
-  void *value = NULL;
+  const peer_connection_t *connection =
+      g_hash_table_lookup (site->connections, g_intern_string (origin));
 
-  if (!is_relay_for (site, origin))
+  if (connection == NULL || strcmp (connection->data_centre, site->settings->data_centre) != 0
+      || site->relayed->len >= JOB_RELAYED_MAX || !is_relay_for (site, origin))
     return;
-  g_hash_table_iter_init (&iter, site->connections);
-  while (g_hash_table_iter_next (&iter, &host, &value))
-    if (strcmp (((const peer_connection_t *) value)->data_centre, site->settings->data_centre) == 0
-        && host != g_intern_string (origin) && !cluster_host_is_hub (site->cluster, host))
-      send_statuses (site, host, origin, false, statuses);
+  g_ptr_array_add (site->relayed, statuses_frame (origin, false, statuses, 0));
 }
 
 void
@@ -179,6 +196,19 @@
   g_free (origin);
 }
 
+static void
+read_relayed (frame_reader_t *message, void *data)
+{
+  repeats_read_statuses (data, NULL, message);
+}
+
+void
+repeats_read_relayed (site_t *site, const char *host, frame_reader_t *reader)
+{
+  (void) host;
+  (void) job_msg_read_relayed (reader, read_relayed, site);
+}
+
 void
 repeats_read_query (site_t *site, const char *host, frame_reader_t *reader)
 {
--- a/lib/scheduler/job_status_msg.c
+++ b/lib/scheduler/job_status_msg.c
@@ -52,6 +52,43 @@
   return frame_ok (reader) && complete ? 0 : ERROR_PROTOCOL;
 }
 
+GBytes *
+job_msg_relayed (const GPtrArray *messages)
+{
+  frame_writer_t *writer = frame_begin (JOB_MSG_RELAYED);
+  guint count = MIN (messages->len, JOB_RELAYED_MAX);
+
+  frame_put_count (writer, count);
+  for (guint i = 0; i < count; i++)
+    {
+      gsize size = 0;
+      const char *data = g_bytes_get_data (messages->pdata[i], &size);
+      frame_put_bytes (writer, data + FRAME_LENGTH_BYTES, size - FRAME_LENGTH_BYTES);
+    }
+  return frame_finish (writer);
+}
+
+int
+job_msg_read_relayed (frame_reader_t *reader,
+                      void (*read) (frame_reader_t *message, void *data),
+                      void *data)
+{
+  size_t count = frame_get_count (reader, JOB_RELAYED_MAX);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t size = 0;
+      frame_reader_t *message = NULL;
+      const void *bytes = frame_get_bytes (reader, FRAME_MAX_BYTES, &size);
+      if (!frame_ok (reader) || frame_parse (bytes, size, &message) != 0)
+        return ERROR_PROTOCOL;
+      if (frame_type (message) == JOB_MSG_STATUSES)
+        read (message, data);
+      frame_reader_free (message);
+    }
+  return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
+}
+
 GBytes *
 job_msg_query (const char *id)
 {
--- a/lib/scheduler/job_status_msg.h
+++ b/lib/scheduler/job_status_msg.h
@@ -2,7 +2,7 @@
  *
  * Times are sent relative to now.  A reader function returns 0, or ERROR_PROTOCOL unless the
  * message is complete and valid.  The caller owns what a reader function fills in.  Hosts of
- * earlier versions ignore both messages.
+ * earlier versions ignore these messages.
  */
 #ifndef SCHEDULER_JOB_STATUS_MSG_H
 #define SCHEDULER_JOB_STATUS_MSG_H
@@ -13,11 +13,13 @@
 typedef enum
 {
   JOB_MSG_STATUSES = FRAME_SCHEDULER_FIRST,
-  JOB_MSG_QUERY /* asks for the status of a job, which a caller of the sender waits for */
+  JOB_MSG_QUERY,  /* asks for the status of a job, which a caller of the sender waits for */
+  JOB_MSG_RELAYED /* several messages of other hosts, passed on together */
 } job_status_msg_t;
 
-/* Most statuses in a message. */
+/* Most statuses in a message, and most messages passed on in one. */
 #define JOB_STATUSES_MAX 4096
+#define JOB_RELAYED_MAX 4096
 
 /* The statuses of COUNT jobs at HOST.  With RELAY, the receiver passes them on. */
 GBytes *job_msg_statuses (const char *host,
@@ -33,6 +35,13 @@
                            bool *relay,
                            GArray *statuses);
 
+/* MESSAGES are GBytes of finished frames of any kind; none is changed or freed. */
+GBytes *job_msg_relayed (const GPtrArray *messages);
+/* Calls READ for each message, as a frame without its length; stops at one that is cut off. */
+int job_msg_read_relayed (frame_reader_t *reader,
+                          void (*read) (frame_reader_t *message, void *data),
+                          void *data);
+
 GBytes *job_msg_query (const char *id);
 /* The caller frees *ID. */
 int job_msg_read_query (frame_reader_t *reader, char **id);
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -13,6 +13,7 @@
 #include "executor/executor_msg.h"
 #include "platform/decode.h"
 #include "platform/settings.h"
+#include "scheduler/job_status_msg.h"
 #include "tests/unit_runner.h"
 
 #include <CUnit/CUnit.h>
@@ -122,6 +123,22 @@
     }
 }
 
+/* READER holds statuses of jobs. */
+static void
+read_statuses (frame_reader_t *reader, void *data)
+{
+  GArray *statuses = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+  char *host = NULL;
+  bool relay = false;
+
+  (void) data;
+  (void) job_msg_read_statuses (reader, 0, &host, &relay, statuses);
+  for (guint i = 0; i < statuses->len; i++)
+    g_free ((char *) g_array_index (statuses, job_status_t, i).id);
+  g_array_unref (statuses);
+  g_free (host);
+}
+
 static void
 read_frame (const char *data, size_t size)
 {
@@ -169,6 +186,16 @@
           if (executor_msg_read_job_cancelled (reader, &text, &relay, &relay) == 0)
             g_free (text);
           break;
+        case JOB_MSG_STATUSES:
+          read_statuses (reader, NULL);
+          break;
+        case JOB_MSG_RELAYED:
+          job_msg_read_relayed (reader, read_statuses, NULL);
+          break;
+        case JOB_MSG_QUERY:
+          if (job_msg_read_query (reader, &text) == 0)
+            g_free (text);
+          break;
         case EXECUTOR_MSG_ENDPOINT_REMOVED:
           if (executor_msg_read_endpoint_removed (reader, &text) == 0)
             g_free (text);
@@ -280,7 +307,7 @@
   g_rand_free (rand);
 }
 
-#define FRAME_KIND_COUNT 13
+#define FRAME_KIND_COUNT 16
 
 static GBytes *
 valid_drain_set (void)
@@ -297,6 +324,26 @@
   return frame;
 }
 
+static GBytes *
+valid_statuses (void)
+{
+  const job_status_t statuses[] = { { "a", JOB_STATUS_OPEN, 900 }, { "b", JOB_STATUS_FAILED, 0 } };
+
+  return job_msg_statuses ("h", true, statuses, G_N_ELEMENTS (statuses), 0);
+}
+
+static GBytes *
+valid_relayed (void)
+{
+  GPtrArray *messages = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
+
+  g_ptr_array_add (messages, valid_statuses ());
+  g_ptr_array_add (messages, valid_statuses ());
+  GBytes *frame = job_msg_relayed (messages);
+  g_ptr_array_unref (messages);
+  return frame;
+}
+
 static GBytes *
 valid_frame (int kind)
 {
@@ -367,6 +414,12 @@
     frame = executor_msg_task_failure (&failed);
   else if (kind == 12)
     frame = executor_msg_job_cancelled ("j", true, true);
+  else if (kind == 13)
+    frame = job_msg_query ("j");
+  else if (kind == 14)
+    frame = valid_statuses ();
+  else if (kind == 15)
+    frame = valid_relayed ();
   else
     frame = cluster_msg_heartbeat (&heartbeat);
   g_array_unref (heartbeat.claims);
