Log: job_elsewhere says on what evidence a job was found or started

Callers saw: a job that ran in two data centres (docs/incidents/ jobs-sent-past-a-cut.md).

What was missing: the log of the second host said that it started the job ("runs_here"), not why it held the other host's runs to be over. An end that the other host told, the loss of that host and its silence looked alike.

Change: each entry of a job at another host carries what its end rests on (job_evidence_t); the event job_elsewhere has the field "evidence" (told, host_lost, host_silent). No decision changes.

--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -25,6 +25,12 @@
   [SCHEDULER_FOUND_YIELDED] = "yielded",
 };
 
+static const char *const evidence_names[] = {
+  [JOB_EVIDENCE_TOLD] = "told",
+  [JOB_EVIDENCE_HOST_LOST] = "host_lost",
+  [JOB_EVIDENCE_HOST_SILENT] = "host_silent",
+};
+
 void
 repeats_log (const scheduler_action_t *action)
 {
@@ -38,6 +44,7 @@
   event_add_text ("job", action->job_id);
   event_add_text ("finding", finding);
   event_add_text ("host", action->host);
+  event_add_text ("evidence", evidence_names[action->evidence]);
   event_add_number ("age_ms", action->age_ms);
   event_end ();
 }
--- a/lib/scheduler/job_status.h
+++ b/lib/scheduler/job_status.h
@@ -26,6 +26,14 @@
   int64_t until_ms; /* 0 for the last three kinds */
 } job_status_t;
 
+/* What a host rests on when it says until when the runs of a job elsewhere may go on. */
+typedef enum
+{
+  JOB_EVIDENCE_TOLD,       /* the other host has told of the job */
+  JOB_EVIDENCE_HOST_LOST,  /* the other host is not heard */
+  JOB_EVIDENCE_HOST_SILENT /* the other host does not answer questions about the job */
+} job_evidence_t;
+
 /* Empties an array of job_status_t that owns their ids, and frees these. */
 void job_statuses_clear (GArray *statuses);
 
--- a/lib/scheduler/remote_jobs.c
+++ b/lib/scheduler/remote_jobs.c
@@ -110,12 +110,14 @@
 remote_jobs_ended (remote_jobs_t *jobs,
                    const char *id,
                    const char *host,
+                   job_evidence_t evidence,
                    int64_t over_at_ms,
                    int64_t now_ms)
 {
   const remote_job_t job = { .learned_at_ms = now_ms,
                              .over_at_ms = over_at_ms,
-                             .expires_at_ms = over_at_ms };
+                             .expires_at_ms = over_at_ms,
+                             .evidence = evidence };
   entry_t *entry = find_entry (jobs, id, g_intern_string (host));
 
   if (over_at_ms > now_ms)
@@ -138,6 +140,7 @@
         {
           entry->job.over_at_ms = MIN (entry->job.over_at_ms, over_at_ms);
           entry->job.expires_at_ms = MIN (entry->job.expires_at_ms, over_at_ms);
+          entry->job.evidence = JOB_EVIDENCE_HOST_LOST;
         }
 }
 
--- a/lib/scheduler/remote_jobs.h
+++ b/lib/scheduler/remote_jobs.h
@@ -13,6 +13,8 @@
 #ifndef SCHEDULER_REMOTE_JOBS_H
 #define SCHEDULER_REMOTE_JOBS_H
 
+#include "scheduler/job_status.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -24,10 +26,11 @@
 
 typedef struct
 {
-  const char *host;      /* interned */
-  int64_t learned_at_ms; /* the last time that HOST, or a relay, told of the job */
-  int64_t over_at_ms;    /* its runs have certainly ended by then; INT64_MAX while it is open */
-  int64_t expires_at_ms; /* the entry is forgotten then */
+  const char *host;        /* interned */
+  int64_t learned_at_ms;   /* the last time that HOST, or a relay, told of the job */
+  int64_t over_at_ms;      /* its runs have certainly ended by then; INT64_MAX while it is open */
+  int64_t expires_at_ms;   /* the entry is forgotten then */
+  job_evidence_t evidence; /* of OVER_AT_MS */
 } remote_job_t;
 
 remote_jobs_t *remote_jobs_new (void);
@@ -41,10 +44,11 @@
                        int64_t deadline_at_ms,
                        int64_t now_ms);
 
-/* HOST has ended the job with ID; its runs may go on until OVER_AT_MS. */
+/* HOST has ended the job with ID, by EVIDENCE; its runs may go on until OVER_AT_MS. */
 void remote_jobs_ended (remote_jobs_t *jobs,
                         const char *id,
                         const char *host,
+                        job_evidence_t evidence,
                         int64_t over_at_ms,
                         int64_t now_ms);
 
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -96,12 +96,14 @@
       const char *id,
       const char *host,
       scheduler_finding_t finding,
+      job_evidence_t evidence,
       int64_t age_ms,
       GArray *actions)
 {
   scheduler_action_t *action = add_job_action (scheduler, SCHEDULER_NOTE, host, id, actions);
 
   action->finding = finding;
+  action->evidence = evidence;
   action->age_ms = age_ms;
 }
 
@@ -138,8 +140,8 @@
   job->waits_since_ms = now_ms;
   job->may_have_run = true;
   note (scheduler, job->request.id, remote->host,
-        open ? SCHEDULER_FOUND_OPEN : SCHEDULER_FOUND_STOPPING, now_ms - remote->learned_at_ms,
-        actions);
+        open ? SCHEDULER_FOUND_OPEN : SCHEDULER_FOUND_STOPPING, remote->evidence,
+        now_ms - remote->learned_at_ms, actions);
   ask (scheduler, job, remote, now_ms, actions);
   return true;
 }
@@ -157,7 +159,8 @@
                          actions);
       return;
     }
-  note (scheduler, job->request.id, scheduler->host, SCHEDULER_FOUND_OVER, 0, actions);
+  note (scheduler, job->request.id, scheduler->host, SCHEDULER_FOUND_OVER, job->waited_by, 0,
+        actions);
   if (job->request.start_by_ms != 0)
     job->request.start_by_ms += now_ms - job->waits_since_ms;
   job->waits_since_ms = 0;
@@ -184,11 +187,15 @@
   const char *id = job->request.id;
   const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, id, now_ms);
 
+  if (remote != NULL)
+    job->waited_by = remote->evidence;
   if (remote == NULL || !is_silent (scheduler, job, remote, now_ms))
     return remote;
-  note (scheduler, id, remote->host, SCHEDULER_FOUND_SILENT, now_ms - remote->learned_at_ms,
-        actions);
-  remote_jobs_ended (scheduler->remote_jobs, id, remote->host, now_ms, now_ms);
+  note (scheduler, id, remote->host, SCHEDULER_FOUND_SILENT, JOB_EVIDENCE_HOST_SILENT,
+        now_ms - remote->learned_at_ms, actions);
+  job->waited_by = JOB_EVIDENCE_HOST_SILENT;
+  remote_jobs_ended (scheduler->remote_jobs, id, remote->host, JOB_EVIDENCE_HOST_SILENT, now_ms,
+                     now_ms);
   return remote_jobs_find (scheduler->remote_jobs, id, now_ms);
 }
 
@@ -216,7 +223,8 @@
        int64_t now_ms,
        GArray *actions)
 {
-  note (scheduler, job->request.id, remote->host, SCHEDULER_FOUND_YIELDED, 0, actions);
+  note (scheduler, job->request.id, remote->host, SCHEDULER_FOUND_YIELDED, JOB_EVIDENCE_TOLD, 0,
+        actions);
   scheduler_cancel_batches (scheduler, job, now_ms, actions);
   scheduler_remove_batches (scheduler, job);
   g_array_set_size (job->unassigned, 0);
@@ -238,7 +246,7 @@
   bool runs_there = status->kind == JOB_STATUS_OPEN;
 
   if (runs_here && runs_there && strcmp (scheduler->host, host) < 0)
-    note (scheduler, status->id, host, SCHEDULER_FOUND_AT_BOTH, 0, actions);
+    note (scheduler, status->id, host, SCHEDULER_FOUND_AT_BOTH, JOB_EVIDENCE_TOLD, 0, actions);
   if (runs_here && (!runs_there || strcmp (scheduler->host, host) < 0))
     return;
   bool known =
@@ -259,11 +267,11 @@
 {
   scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
 
-  remote_jobs_ended (scheduler->remote_jobs, id, host, now_ms, now_ms);
+  remote_jobs_ended (scheduler->remote_jobs, id, host, JOB_EVIDENCE_TOLD, now_ms, now_ms);
   ended_jobs_add (scheduler->ended_jobs, id, outcome, now_ms);
   if (job == NULL || job->waits_since_ms == 0)
     return;
-  note (scheduler, id, host, SCHEDULER_FOUND_ENDED, 0, actions);
+  note (scheduler, id, host, SCHEDULER_FOUND_ENDED, JOB_EVIDENCE_TOLD, 0, actions);
   scheduler_end_job (scheduler, job, outcome, SCHEDULER_LIMIT_NONE, "it has ended at another host",
                      now_ms, actions);
 }
@@ -286,7 +294,8 @@
   if (status->kind == JOB_STATUS_OPEN || status->kind == JOB_STATUS_WAITING)
     told_open (scheduler, host, status, now_ms, actions);
   else if (status->kind == JOB_STATUS_STOPPED)
-    remote_jobs_ended (scheduler->remote_jobs, status->id, host, status->until_ms, now_ms);
+    remote_jobs_ended (scheduler->remote_jobs, status->id, host, JOB_EVIDENCE_TOLD,
+                       status->until_ms, now_ms);
   else
     told_outcome (scheduler, host, status->id, outcomes[status->kind], now_ms, actions);
 }
@@ -346,7 +355,7 @@
 
   /* Two hosts that wait for each other: the one with the lesser name runs the job. */
   if (runs_it)
-    remote_jobs_ended (scheduler->remote_jobs, id, host, now_ms, now_ms);
+    remote_jobs_ended (scheduler->remote_jobs, id, host, JOB_EVIDENCE_TOLD, now_ms, now_ms);
   bool has_it = job != NULL && (!waits_for_asker || runs_it);
 
   if (has_it)
@@ -367,7 +376,8 @@
   job_status_t status = ended_status (job->request.id, outcome, runs_end_ms);
 
   if (may_run_on)
-    remote_jobs_ended (scheduler->remote_jobs, status.id, scheduler->host, runs_end_ms, now_ms);
+    remote_jobs_ended (scheduler->remote_jobs, status.id, scheduler->host, JOB_EVIDENCE_TOLD,
+                       runs_end_ms, now_ms);
   for (guint i = 0; i < job->followers->len; i++)
     tell (scheduler, g_array_index (job->followers, job_follower_t, i).host, &status, actions);
   if (!job->announced || scheduler->untold_ends->len >= UNTOLD_ENDS_MAX)
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -116,6 +116,7 @@
   GArray *task_indexes;        /* SCHEDULER_SUBMIT: int32_t; the receiver of the action unrefs it */
   job_status_t status;         /* SCHEDULER_TELL; its id is JOB_ID */
   scheduler_finding_t finding; /* SCHEDULER_NOTE */
+  job_evidence_t evidence;     /* SCHEDULER_NOTE: what FINDING rests on */
   int64_t age_ms;              /* SCHEDULER_NOTE */
   /* The other fields are those of SCHEDULER_ANSWER. */
   bool repeated; /* another request of the job was answered, or it had ended before; then only
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -47,16 +47,17 @@
 struct scheduled_job_t
 {
   uint64_t number;
-  scheduler_job_t request; /* of its first request; its strings are copies that the job owns */
-  GPtrArray *requests;     /* job_request_t, owned by scheduler_t */
-  GArray *followers;       /* job_follower_t */
-  bool announced;          /* other hosts were told of it */
-  int64_t waits_since_ms;  /* it is not run, as another host may run it; 0 if it does not wait */
-  const char *holder;      /* it waits: the host that is asked; interned */
-  int64_t asked_since_ms;  /* HOLDER is asked since then */
-  int64_t ask_at_ms;       /* it is asked again then */
-  bool yielded;            /* it was stopped for a later request of it at another host */
-  placement_target_t aim;  /* its objective and deadline */
+  scheduler_job_t request;  /* of its first request; its strings are copies that the job owns */
+  GPtrArray *requests;      /* job_request_t, owned by scheduler_t */
+  GArray *followers;        /* job_follower_t */
+  bool announced;           /* other hosts were told of it */
+  int64_t waits_since_ms;   /* it is not run, as another host may run it; 0 if it does not wait */
+  const char *holder;       /* it waits: the host that is asked; interned */
+  int64_t asked_since_ms;   /* HOLDER is asked since then */
+  int64_t ask_at_ms;        /* it is asked again then */
+  job_evidence_t waited_by; /* it waited until now because of that */
+  bool yielded;             /* it was stopped for a later request of it at another host */
+  placement_target_t aim;   /* its objective and deadline */
   scheduler_size_class_t size_class;
   GArray *unassigned;        /* int32_t: indexes of the tasks that no owner has */
   int64_t no_owner_since_ms; /* no owner has accepted the unassigned tasks since then; 0 if one
