--- a/daemon/site.c
+++ b/daemon/site.c
@@ -82,6 +82,9 @@
                            site->scheduler_actions);
       site_run_scheduler_actions (site);
       break;
+    case CLUSTER_HOST_RESTARTED:
+      scheduler_host_restarted (site->scheduler, action->host, action->started_at_ms);
+      break;
     case CLUSTER_EPOCH_CHANGED:
       peers_reconnect (site, action->host);
       /* The host takes tasks only after this host has returned a clock of it. */
@@ -462,9 +465,13 @@
   site->crashes = crash_history_new ();
   site->running_in_drained = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   site->cluster = cluster_new (&cluster_options, now_ms);
-  scheduler_options_t scheduler_options = { settings->host,         settings->data_centre,
-                                            settings->lease_max_ms, settings->remote_factor,
-                                            site->incarnation,      settings->resubmit_after_ms };
+  scheduler_options_t scheduler_options = { .host = settings->host,
+                                            .data_centre = settings->data_centre,
+                                            .lease_ms = settings->lease_max_ms,
+                                            .remote_factor = settings->remote_factor,
+                                            .incarnation = site->incarnation,
+                                            .resubmit_ms = settings->resubmit_after_ms,
+                                            .started_at_ms = now_ms };
   site->scheduler = scheduler_new (&scheduler_options);
   site->job_cancellations = job_cancellations_new ();
   site->relayed = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -155,6 +155,9 @@
     case SCHEDULER_TELL:
       repeats_tell (site, action);
       break;
+    case SCHEDULER_ASK_OWNER:
+      repeats_ask_owner (site, action);
+      break;
     case SCHEDULER_NOTE:
       repeats_log (action);
       break;
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -502,6 +502,23 @@
     }
 }
 
+bool
+owner_has_no_runs (site_t *site,
+                   const char *shard,
+                   const char *holder,
+                   const char *job,
+                   int64_t *token)
+{
+  owned_shard_t *owned = find_owned (site, shard);
+
+  if (owned == NULL || cluster_hears (site->cluster, holder)
+      || !cluster_is_sole_owner (site->cluster, shard)
+      || executor_may_run_job (owned->executor, job, clock_boot_ms ()))
+    return false;
+  *token = owned->token;
+  return true;
+}
+
 void
 owner_coordinator_heard (site_t *site, const char *coordinator, int64_t at_ms)
 {
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -361,6 +361,8 @@
   { JOB_MSG_STATUSES, repeats_read_statuses },
   { JOB_MSG_QUERY, repeats_read_query },
   { JOB_MSG_RELAYED, repeats_read_relayed },
+  { JOB_MSG_RUNS_QUERY, repeats_read_runs_query },
+  { JOB_MSG_RUNS_OVER, repeats_read_runs_over },
   { CLUSTER_MSG_HEARTBEAT, read_heartbeat },
   { CLUSTER_MSG_CONFIG_REQUEST, read_config_request },
   { CLUSTER_MSG_CONFIG, read_config },
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -169,6 +169,13 @@
 void owner_update_options (site_t *site);
 /* Releases BATCH of COORDINATOR in all owned shards, as executor_release () does. */
 void owner_release (site_t *site, const char *coordinator, uint64_t batch);
+/* Whether this host is the only owner of SHARD, does not hear HOLDER and knows that no run of JOB
+ * is alive there; sets *TOKEN to that of its claim. */
+bool owner_has_no_runs (site_t *site,
+                        const char *shard,
+                        const char *holder,
+                        const char *job,
+                        int64_t *token);
 /* Records that a coordinator was alive at AT_MS. */
 void owner_coordinator_heard (site_t *site, const char *coordinator, int64_t at_ms);
 /* Ends the batches of a coordinator that is lost and was alive at LAST_HEARD_AT_MS. */
@@ -198,14 +205,17 @@
 void cancel_tick (site_t *site, int64_t now_ms);
 
 /* site_repeats.c: jobs that callers may send to more than one host */
-/* Carry out SCHEDULER_NOTE, SCHEDULER_ASK and SCHEDULER_TELL. */
+/* Carry out SCHEDULER_NOTE, SCHEDULER_ASK, SCHEDULER_TELL and SCHEDULER_ASK_OWNER. */
 void repeats_log (const scheduler_action_t *action);
 void repeats_ask (site_t *site, const scheduler_action_t *action);
 void repeats_tell (site_t *site, const scheduler_action_t *action);
+void repeats_ask_owner (site_t *site, const scheduler_action_t *action);
 /* Handlers of frames that HOST has sent. */
 void repeats_read_statuses (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_relayed (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_query (site_t *site, const char *host, frame_reader_t *reader);
+void repeats_read_runs_query (site_t *site, const char *host, frame_reader_t *reader);
+void repeats_read_runs_over (site_t *site, const char *host, frame_reader_t *reader);
 /* A connection to HOST was opened. */
 void repeats_host_connected (site_t *site, const char *host);
 /* Announces jobs where that is due. */
--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -27,8 +27,9 @@
 
 static const char *const evidence_names[] = {
   [JOB_EVIDENCE_TOLD] = "told",
-  [JOB_EVIDENCE_HOST_LOST] = "host_lost",
-  [JOB_EVIDENCE_HOST_SILENT] = "host_silent",
+  [JOB_EVIDENCE_HOST_RESTARTED] = "host_restarted",
+  [JOB_EVIDENCE_OWNERS] = "owners",
+  [JOB_EVIDENCE_DEADLINE] = "deadline",
 };
 
 void
@@ -79,13 +80,35 @@
     peers_send (site, host, statuses_frame (origin, relay, statuses, first));
 }
 
+/* Sends FRAME, which is asked again later, to HOST, or opens a connection for the next time. */
+static void
+send_question (site_t *site, const char *host, GBytes *frame)
+{
+  if (g_hash_table_contains (site->connections, host))
+    {
+      peers_send (site, host, frame);
+      return;
+    }
+  peers_dial (site, host, clock_boot_ms ());
+  g_bytes_unref (frame);
+}
+
 void
 repeats_ask (site_t *site, const scheduler_action_t *action)
 {
-  if (!g_hash_table_contains (site->connections, action->host))
-    peers_dial (site, action->host, clock_boot_ms ());
-  else
-    peers_send (site, action->host, job_msg_query (action->job_id));
+  send_question (site, action->host, job_msg_query (action->job_id));
+}
+
+void
+repeats_ask_owner (site_t *site, const scheduler_action_t *action)
+{
+  job_runs_t runs = { (char *) action->job_id, (char *) action->holder, (char *) action->shard, 0 };
+
+  if (action->host != site->host)
+    send_question (site, action->host, job_msg_runs (JOB_MSG_RUNS_QUERY, &runs));
+  else if (owner_has_no_runs (site, runs.shard, runs.holder, runs.id, &runs.token))
+    scheduler_runs_over (site->scheduler, runs.id, runs.holder, runs.shard, runs.token,
+                         clock_boot_ms ());
 }
 
 void
@@ -233,3 +256,26 @@
     }
   g_free (id);
 }
+
+void
+repeats_read_runs_query (site_t *site, const char *host, frame_reader_t *reader)
+{
+  job_runs_t runs = { 0 };
+
+  if (job_msg_read_runs (reader, &runs) == 0
+      && owner_has_no_runs (site, runs.shard, runs.holder, runs.id, &runs.token))
+    peers_send (site, host, job_msg_runs (JOB_MSG_RUNS_OVER, &runs));
+  job_runs_clear (&runs);
+}
+
+void
+repeats_read_runs_over (site_t *site, const char *host, frame_reader_t *reader)
+{
+  job_runs_t runs = { 0 };
+
+  (void) host;
+  if (job_msg_read_runs (reader, &runs) == 0)
+    scheduler_runs_over (site->scheduler, runs.id, runs.holder, runs.shard, runs.token,
+                         clock_boot_ms ());
+  job_runs_clear (&runs);
+}
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -205,6 +205,15 @@
     peer->frequent_since_ms = now_ms;
 }
 
+static void
+add_restarted (const peer_t *peer, GArray *actions)
+{
+  cluster_action_t *action = cluster_add_action (actions, CLUSTER_HOST_RESTARTED, NULL);
+
+  action->host = peer->host;
+  action->started_at_ms = peer->started_at_ms;
+}
+
 void
 cluster_receive_heartbeat (cluster_t *cluster,
                            const cluster_heartbeat_t *heartbeat,
@@ -226,7 +235,8 @@
       peer->claims = g_array_new (FALSE, FALSE, sizeof (cluster_claim_t));
       g_hash_table_insert (cluster->peers, (void *) host, peer);
     }
-  if (peer->alive && peer->incarnation != heartbeat->incarnation)
+  bool restarted = peer->incarnation != heartbeat->incarnation;
+  if (peer->alive && restarted)
     mark_lost (cluster, peer, "it has started anew", now_ms, actions);
   peer->incarnation = heartbeat->incarnation;
   peer->ready = heartbeat->ready;
@@ -236,6 +246,8 @@
   set_clocks (cluster, peer, heartbeat, now_ms);
   peer->interval_ms = heartbeat->interval_ms;
   peer->started_at_ms = now_ms - heartbeat->uptime_ms;
+  if (restarted)
+    add_restarted (peer, actions);
   peer->config_version = heartbeat->config_version;
   peer->drains_end_offset = heartbeat->drains_end_offset;
   peer->last_heard_at_ms = now_ms;
@@ -381,6 +393,14 @@
   return g_hash_table_lookup (cluster->peers, g_intern_string (host));
 }
 
+bool
+cluster_hears (const cluster_t *cluster, const char *host)
+{
+  const peer_t *peer = cluster_find_peer (cluster, host);
+
+  return peer != NULL && peer->alive;
+}
+
 int64_t
 cluster_alive_at_ms (const cluster_t *cluster, const char *host)
 {
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -68,12 +68,13 @@
 
 typedef enum
 {
-  CLUSTER_CLAIMED,       /* this host owns SHARD from now on, with TOKEN */
-  CLUSTER_YIELDED,       /* this host no longer owns SHARD */
-  CLUSTER_OWNER_CHANGED, /* HOST, which may be this one, owns SHARD now; NULL: nobody does */
-  CLUSTER_HOST_LOST,     /* HOST is no longer heard, or was restarted */
-  CLUSTER_EPOCH_CHANGED, /* HOST had lost this host and has ended all tasks that this host sent */
-  CLUSTER_HOST_FOUND     /* HOST is heard for the first time, or again after it was lost */
+  CLUSTER_CLAIMED,        /* this host owns SHARD from now on, with TOKEN */
+  CLUSTER_YIELDED,        /* this host no longer owns SHARD */
+  CLUSTER_OWNER_CHANGED,  /* HOST, which may be this one, owns SHARD now; NULL: nobody does */
+  CLUSTER_HOST_LOST,      /* HOST is no longer heard, or was restarted */
+  CLUSTER_HOST_RESTARTED, /* another process of HOST is heard, since STARTED_AT_MS */
+  CLUSTER_EPOCH_CHANGED,  /* HOST had lost this host and has ended all tasks that this host sent */
+  CLUSTER_HOST_FOUND      /* HOST is heard for the first time, or again after it was lost */
 } cluster_action_kind_t;
 
 typedef struct
@@ -84,6 +85,7 @@
   int64_t token;
   int64_t last_heard_at_ms; /* CLUSTER_HOST_LOST only */
   int64_t alive_at_ms;      /* CLUSTER_HOST_LOST only: as cluster_alive_at_ms () before the loss */
+  int64_t started_at_ms;    /* CLUSTER_HOST_RESTARTED only */
   const char *reason; /* static string; CLUSTER_CLAIMED, CLUSTER_YIELDED and CLUSTER_HOST_LOST */
 } cluster_action_t;
 
@@ -184,6 +186,14 @@
 bool
 cluster_accepts_tasks (const cluster_t *cluster, const char *host, uint64_t epoch, int64_t now_ms);
 
+/* Whether this host hears HOST. */
+bool cluster_hears (const cluster_t *cluster, const char *host);
+
+/* Whether this host owns SHARD so that no other host can go on owning it: it is in the shard's data
+ * centre, hears a majority, and no endpoint is known to obey a higher token.  An owner that can't
+ * be heard yields once an endpoint refuses its token. */
+bool cluster_is_sole_owner (const cluster_t *cluster, const char *shard);
+
 /* A host claims an unowned shard of another data centre only if it can reach the shard's
  * endpoints.  cluster_shard_reached () records that one of them has answered;
  * cluster_needs_probe () tells whether the caller should probe one to find out. */
--- a/lib/cluster/shard_claims.c
+++ b/lib/cluster/shard_claims.c
@@ -406,6 +406,15 @@
                      actions);
 }
 
+bool
+cluster_is_sole_owner (const cluster_t *cluster, const char *name)
+{
+  const shard_t *shard = g_hash_table_lookup (cluster->shards, g_intern_string (name));
+
+  return shard != NULL && shard->owned && shard->reclaim_at_ms == 0
+         && strcmp (cluster->data_centre, shard->name) == 0 && hears_majority (cluster, true);
+}
+
 void
 cluster_shard_reached (cluster_t *cluster, const char *name, int64_t now_ms)
 {
--- a/lib/executor/endpoints.c
+++ b/lib/executor/endpoints.c
@@ -245,6 +245,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     endpoint_reset_token (value);
   executor->token = token;
+  executor->token_since_ms = now_ms;
+  executor->directory_wanted = false;
   executor->contested_until_ms = now_ms + CONTEST_MAX_MS + executor->options.lease_ms;
   while (executor->queue.length > 0)
     {
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -292,7 +292,7 @@
 void executor_set_directory_read (executor_t *executor, int64_t sent_at_ms);
 
 /* Returns the time before which a read of the directory must not be sent, for tasks that may be
- * running; 0 if there are none. */
+ * running and for executor_may_run_job (); 0 if none is needed. */
 int64_t executor_directory_needed_ms (const executor_t *executor);
 
 /* Records that this host owns the endpoints under a new fencing TOKEN.  Another owner may have
@@ -324,6 +324,11 @@
  * was never recorded, such as the owner's own host. */
 void executor_coordinator_heard (executor_t *executor, const char *coordinator, int64_t at_ms);
 
+/* Whether a run of the job with id JOB may be alive on an endpoint of the shard, or may start there
+ * by an order that was sent.  False is certain, as long as the token is in force and no tasks of
+ * the job are submitted. */
+bool executor_may_run_job (executor_t *executor, const char *job, int64_t now_ms);
+
 /* Cancels all batches of a coordinator that is gone and was alive at LAST_HEARD_AT_MS. */
 void executor_remove_coordinator (executor_t *executor,
                                   const char *coordinator,
--- a/lib/executor/resolve.c
+++ b/lib/executor/resolve.c
@@ -85,7 +85,7 @@
 {
   GHashTableIter iter;
   void *value = NULL;
-  int64_t needed_ms = 0;
+  int64_t needed_ms = executor->directory_wanted ? executor->token_since_ms : 0;
 
   g_hash_table_iter_init (&iter, executor->maybe_running);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -186,7 +186,9 @@
 struct executor_t
 {
   executor_options_t options;
-  int64_t token; /* of the claim in force */
+  int64_t token;          /* of the claim in force */
+  int64_t token_since_ms; /* when that was set */
+  bool directory_wanted;  /* a read of the directory is needed that was sent since then */
   bool drained;
   order_window_t order_window;
   GHashTable *endpoints;          /* id -> endpoint_t */
--- a/lib/scheduler/job_status.h
+++ b/lib/scheduler/job_status.h
@@ -29,9 +29,10 @@
 /* What a host rests on when it says until when the runs of a job elsewhere may go on. */
 typedef enum
 {
-  JOB_EVIDENCE_TOLD,       /* the other host has told of the job */
-  JOB_EVIDENCE_HOST_LOST,  /* the other host is not heard */
-  JOB_EVIDENCE_HOST_SILENT /* the other host does not answer questions about the job */
+  JOB_EVIDENCE_TOLD,           /* the other host has told of the job */
+  JOB_EVIDENCE_HOST_RESTARTED, /* a later process of the other host is heard */
+  JOB_EVIDENCE_OWNERS,         /* the other host is not heard, and no owner has a run of the job */
+  JOB_EVIDENCE_DEADLINE /* the other host is not heard, and the job's deadline there has passed */
 } job_evidence_t;
 
 /* Empties an array of job_status_t that owns their ids, and frees these. */
--- a/lib/scheduler/job_status_msg.c
+++ b/lib/scheduler/job_status_msg.c
@@ -104,3 +104,34 @@
   *id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   return frame_ok (reader) && *id != NULL ? 0 : ERROR_PROTOCOL;
 }
+
+GBytes *
+job_msg_runs (job_status_msg_t type, const job_runs_t *runs)
+{
+  frame_writer_t *writer = frame_begin ((int) type);
+
+  frame_put_string (writer, runs->id);
+  frame_put_string (writer, runs->holder);
+  frame_put_string (writer, runs->shard);
+  frame_put_int (writer, runs->token);
+  return frame_finish (writer);
+}
+
+int
+job_msg_read_runs (frame_reader_t *reader, job_runs_t *runs)
+{
+  runs->id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  runs->holder = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  runs->shard = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  runs->token = frame_get_range (reader, 0, INT64_MAX);
+  bool complete = runs->id != NULL && runs->holder != NULL && runs->shard != NULL;
+  return frame_ok (reader) && complete ? 0 : ERROR_PROTOCOL;
+}
+
+void
+job_runs_clear (job_runs_t *runs)
+{
+  g_free (runs->id);
+  g_free (runs->holder);
+  g_free (runs->shard);
+}
--- a/lib/scheduler/job_status_msg.h
+++ b/lib/scheduler/job_status_msg.h
@@ -13,8 +13,10 @@
 typedef enum
 {
   JOB_MSG_STATUSES = FRAME_SCHEDULER_FIRST,
-  JOB_MSG_QUERY,  /* asks for the status of a job, which a caller of the sender waits for */
-  JOB_MSG_RELAYED /* several messages of other hosts, passed on together */
+  JOB_MSG_QUERY,      /* asks for the status of a job, which a caller of the sender waits for */
+  JOB_MSG_RELAYED,    /* several messages of other hosts, passed on together */
+  JOB_MSG_RUNS_QUERY, /* asks an owner for runs of a job whose host is not heard */
+  JOB_MSG_RUNS_OVER   /* says that there are none */
 } job_status_msg_t;
 
 /* Most statuses in a message, and most messages passed on in one. */
@@ -46,4 +48,20 @@
 /* The caller frees *ID. */
 int job_msg_read_query (frame_reader_t *reader, char **id);
 
+/* Runs of the job with ID for HOLDER in SHARD.  TOKEN is that of the sender's claim on SHARD, and 0
+ * in a query. */
+typedef struct
+{
+  char *id;
+  char *holder;
+  char *shard;
+  int64_t token;
+} job_runs_t;
+
+/* TYPE is JOB_MSG_RUNS_QUERY or JOB_MSG_RUNS_OVER. */
+GBytes *job_msg_runs (job_status_msg_t type, const job_runs_t *runs);
+/* The caller clears *RUNS, also after an error. */
+int job_msg_read_runs (frame_reader_t *reader, job_runs_t *runs);
+void job_runs_clear (job_runs_t *runs);
+
 #endif
--- a/lib/scheduler/owners.c
+++ b/lib/scheduler/owners.c
@@ -245,11 +245,7 @@
   const char *interned = g_intern_string (host);
   GPtrArray *batches = batches_at (scheduler, host);
 
-  /* Other owners end the runs of a coordinator that they have not heard for resubmit_ms.  Those
-   * that it owned itself may have been renewed until now. */
-  remote_jobs_host_lost (
-      scheduler->remote_jobs, host,
-      MAX (heard_at_ms + scheduler->resubmit_ms, now_ms + run_end_after_drop_ms (scheduler)));
+  remote_jobs_host_lost (scheduler->remote_jobs, host);
   for (guint i = 0; i < batches->len; i++)
     {
       job_batch_t *batch = batches->pdata[i];
@@ -261,6 +257,21 @@
   g_ptr_array_unref (batches);
 }
 
+/* Other owners end the runs of a coordinator that they have not heard for resubmit_ms.  Those that
+ * it owned itself live under leases that it has renewed until its end. */
+int64_t
+scheduler_runs_end_ms (const scheduler_t *scheduler)
+{
+  return MAX (scheduler->resubmit_ms, run_end_after_drop_ms (scheduler));
+}
+
+void
+scheduler_host_restarted (scheduler_t *scheduler, const char *host, int64_t started_at_ms)
+{
+  remote_jobs_host_restarted (scheduler->remote_jobs, host,
+                              started_at_ms + scheduler_runs_end_ms (scheduler));
+}
+
 void
 scheduler_append_other_offers (const scheduler_t *scheduler,
                                const char *name,
--- a/lib/scheduler/remote_jobs.c
+++ b/lib/scheduler/remote_jobs.c
@@ -126,8 +126,16 @@
     entry->job.expires_at_ms = 0;
 }
 
+static void
+mark_unheard (entry_t *entry)
+{
+  entry->job.unheard = true;
+  if (entry->job.over_at_ms == INT64_MAX)
+    entry->job.evidence = JOB_EVIDENCE_DEADLINE;
+}
+
 void
-remote_jobs_host_lost (remote_jobs_t *jobs, const char *host, int64_t over_at_ms)
+remote_jobs_host_lost (remote_jobs_t *jobs, const char *host)
 {
   const char *interned = g_intern_string (host);
   GHashTableIter iter;
@@ -137,10 +145,33 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     for (entry_t *entry = value; entry != NULL; entry = entry->next)
       if (entry->job.host == interned)
+        mark_unheard (entry);
+}
+
+void
+remote_jobs_host_silent (remote_jobs_t *jobs, const char *id, const char *host)
+{
+  entry_t *entry = find_entry (jobs, id, g_intern_string (host));
+
+  if (entry != NULL)
+    mark_unheard (entry);
+}
+
+void
+remote_jobs_host_restarted (remote_jobs_t *jobs, const char *host, int64_t over_at_ms)
+{
+  const char *interned = g_intern_string (host);
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, jobs->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    for (entry_t *entry = value; entry != NULL; entry = entry->next)
+      if (entry->job.host == interned && entry->job.over_at_ms > over_at_ms)
         {
-          entry->job.over_at_ms = MIN (entry->job.over_at_ms, over_at_ms);
+          entry->job.over_at_ms = over_at_ms;
           entry->job.expires_at_ms = MIN (entry->job.expires_at_ms, over_at_ms);
-          entry->job.evidence = JOB_EVIDENCE_HOST_LOST;
+          entry->job.evidence = JOB_EVIDENCE_HOST_RESTARTED;
         }
 }
 
--- a/lib/scheduler/remote_jobs.h
+++ b/lib/scheduler/remote_jobs.h
@@ -3,7 +3,10 @@
  * A caller may send its job again at another host while the first one still runs it.  Each host
  * therefore announces jobs that stay open for some time, and this is what a host has heard of the
  * others.  An entry tells who has the job, and until when its runs may go on: for as long as the
- * job is open there, or until a known time after it has ended early or its host was lost.  A job
+ * job is open there, or until a known time after it has ended early or its host was restarted.
+ * That its host is not heard ends no run: the host may be cut off together with the owners and the
+ * endpoints that run the job.  Its runs are over once the owners say so, or some time after the
+ * job's deadline.  A job
  * has an entry for each host that has it: the one that runs it, and others at which requests wait.
  * Jobs that this host itself has ended early are kept as well, under its own name.
  *
@@ -31,6 +34,7 @@
   int64_t over_at_ms;      /* its runs have certainly ended by then; INT64_MAX while it is open */
   int64_t expires_at_ms;   /* the entry is forgotten then */
   job_evidence_t evidence; /* of OVER_AT_MS */
+  bool unheard;            /* its host is not heard: it can't tell the end of the job */
 } remote_job_t;
 
 remote_jobs_t *remote_jobs_new (void);
@@ -52,8 +56,14 @@
                         int64_t over_at_ms,
                         int64_t now_ms);
 
-/* HOST is lost; all its runs have ended by OVER_AT_MS. */
-void remote_jobs_host_lost (remote_jobs_t *jobs, const char *host, int64_t over_at_ms);
+/* HOST is not heard any more. */
+void remote_jobs_host_lost (remote_jobs_t *jobs, const char *host);
+
+/* The same for the job with ID alone, about which HOST does not answer questions. */
+void remote_jobs_host_silent (remote_jobs_t *jobs, const char *id, const char *host);
+
+/* The process of HOST that had jobs is gone; all its runs have ended by OVER_AT_MS. */
+void remote_jobs_host_restarted (remote_jobs_t *jobs, const char *host, int64_t over_at_ms);
 
 /* Returns the entry of the job with ID whose host has it last of all, of those whose runs may go on
  * at NOW_MS; NULL if there is none.  Valid until the next call. */
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -4,7 +4,7 @@
  * know that the channel is lost.  So each host announces the jobs that have been open for a part of
  * the time after which callers send them again, and a request of a job that was announced waits
  * here: for the answer of the other host, which is asked again and again and thereby knows that
- * somebody waits, or until the runs for that host have certainly ended.
+ * somebody waits, or until the runs for that host have certainly ended (lost_host.c).
  *
  * If two hosts run one job all the same, as neither knew of the other, the one whose name is
  * greater stops and waits for the other.
@@ -16,9 +16,7 @@
 /* A job is announced once it has been open for this part of resubmit_ms.  What remains is for
  * collecting, relaying and reading the announcement. */
 #define ANNOUNCE_PERCENT 30
-/* A host that may run the job is asked at this interval.  Callers at a host that has not asked for
- * FOLLOWER_LEASE_MS do not wait any more. */
-#define ASK_INTERVAL_MS 200
+/* Callers at a host that has not asked for this long do not wait any more. */
 #define FOLLOWER_LEASE_MS 1000
 /* How often the entries of other hosts are searched for expired ones. */
 #define EXPIRE_INTERVAL_MS 500
@@ -67,12 +65,12 @@
 
 /* --- actions --- */
 
-static scheduler_action_t *
-add_job_action (scheduler_t *scheduler,
-                scheduler_action_kind_t kind,
-                const char *host,
-                const char *id,
-                GArray *actions)
+scheduler_action_t *
+repeats_add_action (scheduler_t *scheduler,
+                    scheduler_action_kind_t kind,
+                    const char *host,
+                    const char *id,
+                    GArray *actions)
 {
   scheduler_action_t *action = scheduler_add_action (actions, kind);
 
@@ -85,7 +83,7 @@
 tell (scheduler_t *scheduler, const char *host, const job_status_t *status, GArray *actions)
 {
   scheduler_action_t *action =
-      add_job_action (scheduler, SCHEDULER_TELL, host, status->id, actions);
+      repeats_add_action (scheduler, SCHEDULER_TELL, host, status->id, actions);
 
   action->status = *status;
   action->status.id = action->job_id;
@@ -100,7 +98,7 @@
       int64_t age_ms,
       GArray *actions)
 {
-  scheduler_action_t *action = add_job_action (scheduler, SCHEDULER_NOTE, host, id, actions);
+  scheduler_action_t *action = repeats_add_action (scheduler, SCHEDULER_NOTE, host, id, actions);
 
   action->finding = finding;
   action->evidence = evidence;
@@ -125,8 +123,8 @@
     }
   if (now_ms < job->ask_at_ms || remote->host == scheduler->host)
     return;
-  job->ask_at_ms = now_ms + ASK_INTERVAL_MS;
-  add_job_action (scheduler, SCHEDULER_ASK, remote->host, job->request.id, actions);
+  job->ask_at_ms = now_ms + REPEATS_ASK_INTERVAL_MS;
+  repeats_add_action (scheduler, SCHEDULER_ASK, remote->host, job->request.id, actions);
 }
 
 bool
@@ -168,8 +166,8 @@
   scheduler_start_job (scheduler, job, now_ms, actions);
 }
 
-/* Whether the host of REMOTE, which is asked for JOB, has been silent for so long that owners have
- * ended its runs. */
+/* Whether the host of REMOTE, which is asked for JOB, has been silent for so long that it counts as
+ * lost. */
 static bool
 is_silent (const scheduler_t *scheduler,
            const scheduled_job_t *job,
@@ -187,16 +185,22 @@
   const char *id = job->request.id;
   const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, id, now_ms);
 
+  if (remote != NULL && !remote->unheard && is_silent (scheduler, job, remote, now_ms))
+    {
+      note (scheduler, id, remote->host, SCHEDULER_FOUND_SILENT, JOB_EVIDENCE_TOLD,
+            now_ms - remote->learned_at_ms, actions);
+      remote_jobs_host_silent (scheduler->remote_jobs, id, remote->host);
+    }
+  if (remote != NULL && remote->unheard && lost_host_runs_are_over (scheduler, job, remote, now_ms))
+    {
+      job->waited_by = JOB_EVIDENCE_OWNERS;
+      remote_jobs_ended (scheduler->remote_jobs, id, remote->host, JOB_EVIDENCE_OWNERS, now_ms,
+                         now_ms);
+      return remote_jobs_find (scheduler->remote_jobs, id, now_ms);
+    }
   if (remote != NULL)
     job->waited_by = remote->evidence;
-  if (remote == NULL || !is_silent (scheduler, job, remote, now_ms))
-    return remote;
-  note (scheduler, id, remote->host, SCHEDULER_FOUND_SILENT, JOB_EVIDENCE_HOST_SILENT,
-        now_ms - remote->learned_at_ms, actions);
-  job->waited_by = JOB_EVIDENCE_HOST_SILENT;
-  remote_jobs_ended (scheduler->remote_jobs, id, remote->host, JOB_EVIDENCE_HOST_SILENT, now_ms,
-                     now_ms);
-  return remote_jobs_find (scheduler->remote_jobs, id, now_ms);
+  return remote;
 }
 
 void
@@ -210,7 +214,11 @@
   else if (remote == NULL)
     start_waiting (scheduler, job, now_ms, actions);
   else
-    ask (scheduler, job, remote, now_ms, actions);
+    {
+      ask (scheduler, job, remote, now_ms, actions);
+      if (remote->unheard)
+        lost_host_ask_owners (scheduler, job, remote, now_ms, actions);
+    }
 }
 
 /* --- what other hosts tell --- */
@@ -329,15 +337,17 @@
     }
 }
 
-/* The status of a job that is not open here. */
+/* The status of a job that is not open here.  This process can't know what an earlier one of this
+ * host has run, but that its runs end. */
 static job_status_t
 closed_status (scheduler_t *scheduler, const char *id, int64_t now_ms)
 {
   scheduler_outcome_t outcome = SCHEDULER_GIVEN_UP;
+  int64_t runs_end_ms = remote_jobs_over_at (scheduler->remote_jobs, id, scheduler->host, now_ms);
 
   ended_jobs_find (scheduler->ended_jobs, id, now_ms, &outcome);
-  return ended_status (id, outcome,
-                       remote_jobs_over_at (scheduler->remote_jobs, id, scheduler->host, now_ms));
+  return ended_status (
+      id, outcome, MAX (runs_end_ms, scheduler->started_at_ms + scheduler_runs_end_ms (scheduler)));
 }
 
 void
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -41,6 +41,7 @@
   g_ptr_array_unref (job->batches);
   g_ptr_array_unref (job->requests);
   g_array_unref (job->followers);
+  g_array_unref (job->words);
   g_free (job);
 }
 
@@ -79,6 +80,7 @@
   scheduler->untold_ends = g_array_new (FALSE, FALSE, sizeof (job_status_t));
   scheduler->told_ends = g_array_new (FALSE, FALSE, sizeof (job_status_t));
   scheduler->resubmit_ms = options->resubmit_ms;
+  scheduler->started_at_ms = options->started_at_ms;
   scheduler->size_history = size_history_new ();
   scheduler->answer_strings = g_string_chunk_new (STRING_CHUNK_BYTES);
   scheduler->cancellations = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -234,6 +236,7 @@
   job->batches = g_ptr_array_new ();
   job->requests = g_ptr_array_new ();
   job->followers = g_array_new (FALSE, FALSE, sizeof (job_follower_t));
+  job->words = g_array_new (FALSE, FALSE, sizeof (owner_word_t));
   g_hash_table_insert (scheduler->jobs, &job->number, job);
   g_hash_table_insert (scheduler->jobs_by_id, (void *) job->request.id, job);
   job->random = g_rand_int (scheduler->rand);
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -85,13 +85,14 @@
 
 typedef enum
 {
-  SCHEDULER_SUBMIT,  /* send BATCH to HOST */
-  SCHEDULER_CANCEL,  /* tell HOST to end batch BATCH_NUMBER */
-  SCHEDULER_RELEASE, /* tell HOST that batch BATCH_NUMBER now belongs to another owner */
-  SCHEDULER_ANSWER,  /* answer the caller of a job */
-  SCHEDULER_ASK,     /* ask HOST for the status of job JOB_ID */
-  SCHEDULER_TELL,    /* tell HOST the STATUS of job JOB_ID */
-  SCHEDULER_NOTE     /* log FINDING: job JOB_ID was found at HOST, as told AGE_MS ago */
+  SCHEDULER_SUBMIT,    /* send BATCH to HOST */
+  SCHEDULER_CANCEL,    /* tell HOST to end batch BATCH_NUMBER */
+  SCHEDULER_RELEASE,   /* tell HOST that batch BATCH_NUMBER now belongs to another owner */
+  SCHEDULER_ANSWER,    /* answer the caller of a job */
+  SCHEDULER_ASK,       /* ask HOST for the status of job JOB_ID */
+  SCHEDULER_TELL,      /* tell HOST the STATUS of job JOB_ID */
+  SCHEDULER_ASK_OWNER, /* ask HOST whether it has runs of job JOB_ID for HOLDER in SHARD */
+  SCHEDULER_NOTE       /* log FINDING: job JOB_ID was found at HOST, as told AGE_MS ago */
 } scheduler_action_kind_t;
 
 /* What follows for a request whose job is, or was, run by another coordinator. */
@@ -101,7 +102,7 @@
   SCHEDULER_FOUND_STOPPING, /* it waits until the runs for the other host have ended */
   SCHEDULER_FOUND_ENDED,    /* it is answered with the outcome at the other host */
   SCHEDULER_FOUND_OVER,     /* the runs for the other host have ended: it runs here */
-  SCHEDULER_FOUND_SILENT,   /* the other host does not answer: it runs here */
+  SCHEDULER_FOUND_SILENT,   /* the other host does not answer: it waits for the owners' word */
   SCHEDULER_FOUND_AT_BOTH,  /* both hosts run it; the other one stops */
   SCHEDULER_FOUND_YIELDED   /* both hosts run it; this one stops, and waits for the other */
 } scheduler_finding_t;
@@ -109,8 +110,9 @@
 typedef struct
 {
   scheduler_action_kind_t kind;
-  const char *host;  /* interned */
-  const char *shard; /* SCHEDULER_SUBMIT; interned */
+  const char *host;   /* interned */
+  const char *shard;  /* SCHEDULER_SUBMIT, SCHEDULER_ASK_OWNER; interned */
+  const char *holder; /* SCHEDULER_ASK_OWNER; interned */
   uint64_t batch_number;
   executor_batch_t batch;      /* SCHEDULER_SUBMIT; its strings belong to the scheduler */
   GArray *task_indexes;        /* SCHEDULER_SUBMIT: int32_t; the receiver of the action unrefs it */
@@ -158,6 +160,7 @@
    * coordinator's runs have ended after it.  0: jobs at other hosts are neither told nor asked
    * for. */
   int64_t resubmit_ms;
+  int64_t started_at_ms; /* of this process */
 } scheduler_options_t;
 
 scheduler_t *scheduler_new (const scheduler_options_t *options);
@@ -244,13 +247,26 @@
                           int64_t now_ms,
                           GArray *actions);
 
-/* HOST is lost; its last sign of life was received at HEARD_AT_MS. */
+/* HOST is not heard; its last sign of life was received at HEARD_AT_MS.  Its own jobs may still
+ * run. */
 void scheduler_host_lost (scheduler_t *scheduler,
                           const char *host,
                           int64_t heard_at_ms,
                           int64_t now_ms,
                           GArray *actions);
 
+/* Another process of HOST is heard, which was started at STARTED_AT_MS: the one before has ended.
+ */
+void scheduler_host_restarted (scheduler_t *scheduler, const char *host, int64_t started_at_ms);
+
+/* The owner of SHARD by TOKEN does not hear HOLDER and has no run of the job with ID. */
+void scheduler_runs_over (scheduler_t *scheduler,
+                          const char *id,
+                          const char *holder,
+                          const char *shard,
+                          int64_t token,
+                          int64_t now_ms);
+
 /* Sends all open batches to HOST again, because messages to or from it may have been lost. */
 void scheduler_resend_batches (scheduler_t *scheduler, const char *host, GArray *actions);
 
--- a/lib/scheduler/scheduler_example.c
+++ b/lib/scheduler/scheduler_example.c
@@ -7,7 +7,12 @@
 int
 main (void)
 {
-  const scheduler_options_t options = { "h1", "x", 1000, 1.0, 0, 1300 };
+  const scheduler_options_t options = { .host = "h1",
+                                        .data_centre = "x",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .incarnation = 0,
+                                        .resubmit_ms = 1300 };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
   const scheduler_job_t job = { .id = "j",
                                 .spec = "work",
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -37,6 +37,15 @@
   void *user_data;
 } job_request_t;
 
+/* An owner has said that it has no run of a job for HOLDER, which it does not hear. */
+typedef struct
+{
+  const char *shard;  /* interned */
+  int64_t token;      /* of its claim */
+  const char *holder; /* interned */
+  int64_t at_ms;
+} owner_word_t;
+
 /* Another host at which callers wait for a job. */
 typedef struct
 {
@@ -56,6 +65,8 @@
   int64_t asked_since_ms;   /* HOLDER is asked since then */
   int64_t ask_at_ms;        /* it is asked again then */
   job_evidence_t waited_by; /* it waited until now because of that */
+  int64_t ask_owners_at_ms; /* HOLDER is not heard: owners are asked again then */
+  GArray *words;            /* owner_word_t, one for each shard */
   bool yielded;             /* it was stopped for a later request of it at another host */
   placement_target_t aim;   /* its objective and deadline */
   scheduler_size_class_t size_class;
@@ -139,6 +150,7 @@
   GArray *told_ends;           /* the same, of the last call of scheduler_collect_statuses () */
   int64_t expire_remote_at_ms; /* when REMOTE_JOBS is searched for expired entries next */
   int64_t resubmit_ms;         /* as in scheduler_options_t */
+  int64_t started_at_ms;       /* as in scheduler_options_t */
   size_history_t *size_history;
   GStringChunk *answer_strings; /* of the jobs that were answered since the last step */
   uint64_t last_number;         /* last number that was given to a job or batch */
@@ -289,6 +301,34 @@
                        int64_t now_ms,
                        GArray *actions);
 
+/* A host that may run a job that waits here, and the owners if that host is not heard, are asked at
+ * this interval. */
+#define REPEATS_ASK_INTERVAL_MS 200
+
+/* repeats.c: appends an action of KIND about the job with ID at HOST. */
+scheduler_action_t *repeats_add_action (scheduler_t *scheduler,
+                                        scheduler_action_kind_t kind,
+                                        const char *host,
+                                        const char *id,
+                                        GArray *actions);
+
+/* lost_host.c: whether all runs of JOB for the host of REMOTE, which is not heard, have certainly
+ * ended. */
+bool lost_host_runs_are_over (const scheduler_t *scheduler,
+                              const scheduled_job_t *job,
+                              const remote_job_t *remote,
+                              int64_t now_ms);
+
+/* lost_host.c: asks the owners whether they have runs of JOB for that host, if that is due. */
+void lost_host_ask_owners (scheduler_t *scheduler,
+                           scheduled_job_t *job,
+                           const remote_job_t *remote,
+                           int64_t now_ms,
+                           GArray *actions);
+
+/* owners.c: the time within which the runs of a coordinator end after its process has ended. */
+int64_t scheduler_runs_end_ms (const scheduler_t *scheduler);
+
 /* repeats.c: forgets what other hosts have told, where its time is over. */
 void repeats_expire (scheduler_t *scheduler, int64_t now_ms);
 
--- a/tests/test_assign.c
+++ b/tests/test_assign.c
@@ -262,7 +262,12 @@
                       .rand = g_rand_new_with_seed (7) };
   for (int i = 0; i < DATA_CENTRES; i++)
     {
-      const scheduler_options_t options = { data_centres[i], data_centres[i], 1000, 1.0, 0, 1300 };
+      const scheduler_options_t options = { .host = data_centres[i],
+                                            .data_centre = data_centres[i],
+                                            .lease_ms = 1000,
+                                            .remote_factor = 1.0,
+                                            .incarnation = 0,
+                                            .resubmit_ms = 1300 };
       world->schedulers[i] = scheduler_new (&options);
       world->free_fast[i] = FAST_SLOTS;
       world->free_slow[i] = SLOW_SLOTS;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -598,6 +598,62 @@
       receive_incarnation (&fixture, "h2", incarnation_cases[i].incarnation, 1);
       CU_ASSERT_EQUAL (fixture.counts[CLUSTER_HOST_LOST], incarnation_cases[i].restarted);
       CU_ASSERT_EQUAL (fixture.counts[CLUSTER_HOST_FOUND], 1 + incarnation_cases[i].restarted);
+      CU_ASSERT_EQUAL (fixture.counts[CLUSTER_HOST_RESTARTED], incarnation_cases[i].restarted);
+      tear_down (&fixture);
+    }
+}
+
+typedef enum
+{
+  OWNS_ALONE,
+  OWNS_BESIDE_OTHERS, /* two more hosts are heard */
+  HEARS_MINORITY,     /* they were heard, and are not any more */
+  IS_SUPERSEDED,      /* an endpoint obeys a higher token */
+  ANOTHER_HAS_HIGHER_CLAIM
+} ownership_t;
+
+static const struct
+{
+  const char *name;
+  ownership_t ownership;
+  bool sole;
+} owner_cases[] = {
+  { "the only host", OWNS_ALONE, true },
+  { "beside others", OWNS_BESIDE_OTHERS, true },
+  { "hears a minority", HEARS_MINORITY, false },
+  { "an endpoint obeys a higher token", IS_SUPERSEDED, false },
+  { "another host has a higher claim", ANOTHER_HAS_HIGHER_CLAIM, false },
+};
+
+/* What an owner says of runs must not be overtaken by another owner that it does not hear. */
+static void
+test_sole_owner (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (owner_cases); i++)
+    {
+      fixture_t fixture;
+      ownership_t ownership = owner_cases[i].ownership;
+      set_up (&fixture);
+      advance_to (&fixture, 120);
+      CU_ASSERT_EQUAL (fixture.counts[CLUSTER_CLAIMED], 1);
+      if (ownership == OWNS_BESIDE_OTHERS || ownership == HEARS_MINORITY)
+        {
+          receive_heartbeat (&fixture, "h2", 1);
+          receive_heartbeat (&fixture, "h3", 1);
+        }
+      if (ownership == HEARS_MINORITY)
+        advance_to (&fixture, 2000);
+      if (ownership == IS_SUPERSEDED)
+        cluster_token_superseded (fixture.cluster, "x", fixture.now_ms, WALL_MS + fixture.now_ms,
+                                  fixture.actions);
+      if (ownership == ANOTHER_HAS_HIGHER_CLAIM)
+        receive_owner_heartbeat (&fixture, "h2", "x", 250, fixture.token + 1);
+      advance_to (&fixture, fixture.now_ms + STEP_MS);
+      bool sole = cluster_is_sole_owner (fixture.cluster, "x");
+      CU_ASSERT_EQUAL (sole, owner_cases[i].sole);
+      if (sole != owner_cases[i].sole)
+        printf ("  %s: %d\n", owner_cases[i].name, sole);
+      CU_ASSERT_FALSE (cluster_is_sole_owner (fixture.cluster, "y"));
       tear_down (&fixture);
     }
 }
@@ -610,6 +666,7 @@
   { "the range of tokens", test_range_of_tokens },
   { "an owner with too little CPU is replaced", test_takeover_from_weak_owner },
   { "a host was restarted", test_restart },
+  { "an owner that no other can overtake", test_sole_owner },
   { "epochs fence lost hosts", test_epoch_fencing },
   { "a heartbeat is due to a new owner", test_heartbeat_due_to_new_owner },
   { "delayed heartbeats of a dead coordinator", test_delayed_heartbeats_of_dead_coordinator },
--- a/tests/test_job_repeats.c
+++ b/tests/test_job_repeats.c
@@ -11,48 +11,111 @@
 #define RESUBMIT_MS 1300
 #define CALLER_WAIT_MS 6000
 #define LEASE_MS 1000
-/* Runs that a lost host owned itself end within this time of its loss. */
-#define RUNS_END_MS                                                                                \
-  (EXECUTOR_UNSTOPPED_MAX_MS + LEASE_MS + LEASE_MS * EXECUTOR_CLOCK_SLACK_PERCENT / 100)
+/* Runs of a process that has ended are over within this time. */
+#define RUNS_END_MS RESUBMIT_MS
+/* The entry of a job is kept for this long after its deadline there. */
+#define UNTOLD_END_MS 2000
+#define EARLY_DEADLINE_MS 1800
+#define TOKEN 1
 /* The request is received at this time; the job was announced at 0. */
 #define RECEIVED_AT_MS 1000
 
-/* What host "g" tells, or what is learned of it, at AT_MS. */
+/* What host "g" tells, or what is learned of it. */
 typedef enum
 {
   NOTHING,
   TELLS_OPEN,
+  TELLS_OPEN_SHORT, /* until EARLY_DEADLINE_MS */
   TELLS_WAITING,
   TELLS_STOPPED, /* its runs have ended 200 ms later */
   TELLS_COMPLETE,
   TELLS_FAILED,
   TELLS_CANCELLED,
-  IS_LOST /* it was heard 400 ms before */
+  IS_LOST, /* it was heard 400 ms before */
+  IS_RESTARTED,
+  OWNER_HAS_NO_RUN,     /* the owner of the only shard says so */
+  EARLIER_OWNER_HAD_NO, /* under an earlier claim */
+  NO_RUN_FOR_ANOTHER,   /* it says so of another host */
+  SHARD_VACANT          /* the shard has no owner that is heard */
 } news_t;
 
 #define WAITS (-1)
+#define NEWS_MAX 2
 
 static const struct
 {
   const char *name;
   news_t announced; /* at 0 */
-  news_t news;
-  int64_t at_ms;
+  struct
+  {
+    news_t what;
+    int64_t at_ms;
+  } news[NEWS_MAX];
   int64_t starts_at_ms; /* WAITS: not before its deadline */
   int64_t answered_at_ms;
   scheduler_outcome_t outcome;
 } cases[] = {
-  { "unknown job", NOTHING, NOTHING, 0, RECEIVED_AT_MS, 0, 0 },
-  { "open elsewhere, silent", TELLS_OPEN, NOTHING, 0, RECEIVED_AT_MS + RESUBMIT_MS, 0, 0 },
-  { "waits elsewhere, silent", TELLS_WAITING, NOTHING, 0, RECEIVED_AT_MS + RESUBMIT_MS, 0, 0 },
-  { "still open", TELLS_OPEN, TELLS_OPEN, 2000, 2000 + RESUBMIT_MS, 0, 0 },
-  { "complete", TELLS_OPEN, TELLS_COMPLETE, 1500, WAITS, 1500, SCHEDULER_COMPLETE },
-  { "failed", TELLS_OPEN, TELLS_FAILED, 1500, WAITS, 1500, SCHEDULER_FAILED },
-  { "cancelled", TELLS_OPEN, TELLS_CANCELLED, 1500, WAITS, 1500, SCHEDULER_CANCELLED },
-  { "stopped", TELLS_OPEN, TELLS_STOPPED, 1500, 1700, 0, 0 },
-  { "stopped before", TELLS_STOPPED, NOTHING, 0, RECEIVED_AT_MS, 0, 0 },
-  { "lost", TELLS_OPEN, IS_LOST, 1500, 1500 + RUNS_END_MS, 0, 0 },
-  { "complete before", TELLS_COMPLETE, NOTHING, 0, WAITS, RECEIVED_AT_MS, SCHEDULER_COMPLETE },
+  { "unknown job", NOTHING, { { 0 } }, RECEIVED_AT_MS, 0, 0 },
+  { "open elsewhere, silent", TELLS_OPEN, { { 0 } }, WAITS, 0, 0 },
+  { "waits elsewhere, silent", TELLS_WAITING, { { 0 } }, WAITS, 0, 0 },
+  { "silent, no owner has a run",
+    TELLS_OPEN,
+    { { OWNER_HAS_NO_RUN, RECEIVED_AT_MS + RESUBMIT_MS + 200 } },
+    RECEIVED_AT_MS + RESUBMIT_MS + 200,
+    0,
+    0 },
+  { "not silent yet, no owner has a run", TELLS_OPEN, { { OWNER_HAS_NO_RUN, 1100 } }, WAITS, 0, 0 },
+  { "still open", TELLS_OPEN, { { TELLS_OPEN, 2000 } }, WAITS, 0, 0 },
+  { "complete", TELLS_OPEN, { { TELLS_COMPLETE, 1500 } }, WAITS, 1500, SCHEDULER_COMPLETE },
+  { "failed", TELLS_OPEN, { { TELLS_FAILED, 1500 } }, WAITS, 1500, SCHEDULER_FAILED },
+  { "cancelled", TELLS_OPEN, { { TELLS_CANCELLED, 1500 } }, WAITS, 1500, SCHEDULER_CANCELLED },
+  { "stopped", TELLS_OPEN, { { TELLS_STOPPED, 1500 } }, 1700, 0, 0 },
+  { "stopped before", TELLS_STOPPED, { { 0 } }, RECEIVED_AT_MS, 0, 0 },
+  { "lost", TELLS_OPEN, { { IS_LOST, 1500 } }, WAITS, 0, 0 },
+  { "lost, its deadline passes",
+    TELLS_OPEN_SHORT,
+    { { IS_LOST, 1500 } },
+    EARLY_DEADLINE_MS + UNTOLD_END_MS,
+    0,
+    0 },
+  { "lost, no owner has a run",
+    TELLS_OPEN,
+    { { IS_LOST, 1500 }, { OWNER_HAS_NO_RUN, 1800 } },
+    1800,
+    0,
+    0 },
+  { "lost, the word is of an earlier claim",
+    TELLS_OPEN,
+    { { IS_LOST, 1500 }, { EARLIER_OWNER_HAD_NO, 1800 } },
+    WAITS,
+    0,
+    0 },
+  { "lost, the word is about another host",
+    TELLS_OPEN,
+    { { IS_LOST, 1500 }, { NO_RUN_FOR_ANOTHER, 1800 } },
+    WAITS,
+    0,
+    0 },
+  { "lost, an owner is not heard either",
+    TELLS_OPEN,
+    { { SHARD_VACANT, 1500 }, { IS_LOST, 1500 } },
+    WAITS,
+    0,
+    0 },
+  { "restarted", TELLS_OPEN, { { IS_RESTARTED, 1500 } }, 1500 + RUNS_END_MS, 0, 0 },
+  { "lost, then restarted",
+    TELLS_OPEN,
+    { { IS_LOST, 1500 }, { IS_RESTARTED, 2000 } },
+    2000 + RUNS_END_MS,
+    0,
+    0 },
+  { "lost, heard again, complete",
+    TELLS_OPEN,
+    { { IS_LOST, 1500 }, { TELLS_COMPLETE, 2500 } },
+    WAITS,
+    2500,
+    SCHEDULER_COMPLETE },
+  { "complete before", TELLS_COMPLETE, { { 0 } }, WAITS, RECEIVED_AT_MS, SCHEDULER_COMPLETE },
 };
 
 static uint64_t
@@ -80,29 +143,58 @@
 learn (scheduler_t *scheduler, news_t news, int64_t now_ms, GArray *actions)
 {
   static const job_status_kind_t kinds[] = {
-    [TELLS_OPEN] = JOB_STATUS_OPEN,       [TELLS_WAITING] = JOB_STATUS_WAITING,
-    [TELLS_STOPPED] = JOB_STATUS_STOPPED, [TELLS_COMPLETE] = JOB_STATUS_COMPLETE,
-    [TELLS_FAILED] = JOB_STATUS_FAILED,   [TELLS_CANCELLED] = JOB_STATUS_CANCELLED,
-    [IS_LOST] = JOB_STATUS_OPEN,
+    [TELLS_OPEN] = JOB_STATUS_OPEN,           [TELLS_OPEN_SHORT] = JOB_STATUS_OPEN,
+    [TELLS_WAITING] = JOB_STATUS_WAITING,     [TELLS_STOPPED] = JOB_STATUS_STOPPED,
+    [TELLS_COMPLETE] = JOB_STATUS_COMPLETE,   [TELLS_FAILED] = JOB_STATUS_FAILED,
+    [TELLS_CANCELLED] = JOB_STATUS_CANCELLED,
   };
-  const job_status_t status = { ID, kinds[news],
-                                news == TELLS_STOPPED ? now_ms + 200 : now_ms + CALLER_WAIT_MS };
+  int64_t until_ms = news == TELLS_STOPPED      ? now_ms + 200
+                     : news == TELLS_OPEN_SHORT ? EARLY_DEADLINE_MS
+                                                : now_ms + CALLER_WAIT_MS;
 
-  if (news == IS_LOST)
-    scheduler_host_lost (scheduler, "g", now_ms - 400, now_ms, actions);
-  else if (news != NOTHING)
-    scheduler_job_told (scheduler, "g", &status, now_ms, actions);
+  switch (news)
+    {
+    case NOTHING:
+      break;
+    case IS_LOST:
+      scheduler_host_lost (scheduler, "g", now_ms - 400, now_ms, actions);
+      break;
+    case IS_RESTARTED:
+      scheduler_host_restarted (scheduler, "g", now_ms);
+      break;
+    case OWNER_HAS_NO_RUN:
+      scheduler_runs_over (scheduler, ID, "g", "z", TOKEN, now_ms);
+      break;
+    case EARLIER_OWNER_HAD_NO:
+      scheduler_runs_over (scheduler, ID, "g", "z", TOKEN - 1, now_ms);
+      break;
+    case NO_RUN_FOR_ANOTHER:
+      scheduler_runs_over (scheduler, ID, "i", "z", TOKEN, now_ms);
+      break;
+    case SHARD_VACANT:
+      scheduler_set_owner (scheduler, "z", NULL, 0, now_ms, actions);
+      break;
+    default:
+      scheduler_job_told (scheduler, "g", &(job_status_t){ ID, kinds[news], until_ms }, now_ms,
+                          actions);
+      break;
+    }
 }
 
 static scheduler_t *
 new_scheduler (GArray *actions)
 {
-  const scheduler_options_t options = { "h", "z", LEASE_MS, 1.0, 0, RESUBMIT_MS };
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "z",
+                                        .lease_ms = LEASE_MS,
+                                        .remote_factor = 1.0,
+                                        .incarnation = 0,
+                                        .resubmit_ms = RESUBMIT_MS };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
   const executor_load_t load = { .service = "s", .cores_milli = 4000 };
   scheduler_t *scheduler = scheduler_new (&options);
 
-  scheduler_set_owner (scheduler, "z", "hx", 1, 0, actions);
+  scheduler_set_owner (scheduler, "z", "hx", TOKEN, 0, actions);
   report_offers (scheduler, "z", "hx", &offer, 1, &load, 0);
   return scheduler;
 }
@@ -144,8 +236,9 @@
         {
           if (now_ms == RECEIVED_AT_MS)
             submit (scheduler, now_ms, actions);
-          if (now_ms == cases[i].at_ms)
-            learn (scheduler, cases[i].news, now_ms, actions);
+          for (int k = 0; k < NEWS_MAX; k++)
+            if (now_ms == cases[i].news[k].at_ms)
+              learn (scheduler, cases[i].news[k].what, now_ms, actions);
           for (guint k = 0; k < actions->len; k++)
             {
               const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, k);
@@ -288,12 +381,43 @@
   g_bytes_unref (frame);
 }
 
+/* Runs of a job at an owner: a message that was cut off is refused. */
+static void
+test_runs_message (void)
+{
+  const job_runs_t runs = { (char *) ID, (char *) "g", (char *) "z", INT64_MAX };
+  GBytes *frame = job_msg_runs (JOB_MSG_RUNS_OVER, &runs);
+  gsize size = 0;
+  const char *data = (const char *) g_bytes_get_data (frame, &size) + FRAME_LENGTH_BYTES;
+
+  size -= FRAME_LENGTH_BYTES;
+  for (gsize cut = 0; cut < size; cut++)
+    {
+      frame_reader_t *reader = NULL;
+      job_runs_t read = { 0 };
+      if (frame_parse (data, size - cut, &reader) != 0)
+        continue;
+      CU_ASSERT_EQUAL (job_msg_read_runs (reader, &read) == 0, cut == 0);
+      if (cut == 0)
+        {
+          CU_ASSERT_STRING_EQUAL (read.id, ID);
+          CU_ASSERT_STRING_EQUAL (read.holder, "g");
+          CU_ASSERT_STRING_EQUAL (read.shard, "z");
+          CU_ASSERT_EQUAL (read.token, INT64_MAX);
+        }
+      job_runs_clear (&read);
+      frame_reader_free (reader);
+    }
+  g_bytes_unref (frame);
+}
+
 static const unit_test_t tests[] = {
   { "a request of a job that another host may have", test_request },
   { "a job that another host asks for", test_followed },
   { "a job that no host asks for any more", test_not_followed },
   { "a job that two hosts run", test_at_both },
   { "messages", test_message },
+  { "a message about runs at an owner", test_runs_message },
 };
 
 int
--- /dev/null
+++ b/tests/test_job_runs.c
@@ -0,0 +1,147 @@
+/* test_job_runs.c -- an owner must not deny a run of a job that may be alive on its endpoints */
+#include "tests/executor_scenario.h"
+#include "tests/unit_runner.h"
+
+#include <CUnit/CUnit.h>
+
+typedef enum
+{
+  NOT_POLLED,
+  LISTS_NOTHING,
+  LISTS_RUN,       /* of the job, started by another owner */
+  LISTS_OTHER_RUN, /* of a job whose id begins with the same characters */
+  TASK_QUEUED,
+  TASK_STARTED,
+  TASK_STOPPED,     /* its run was listed as stopped after its coordinator was lost */
+  TASK_UNSTOPPED,   /* its coordinator was lost, and the stop has no answer */
+  ORDER_UNANSWERED, /* its coordinator was lost, and its start order has no answer */
+  NEW_TOKEN,        /* polled under an earlier token only */
+  DIRECTORY_OLD     /* not read since the claim */
+} state_t;
+
+static const struct
+{
+  const char *name;
+  state_t state;
+  bool may_run;
+} run_cases[] = {
+  { "its endpoint was not asked", NOT_POLLED, true },
+  { "its endpoint runs nothing", LISTS_NOTHING, false },
+  { "another owner has started it", LISTS_RUN, true },
+  { "another owner has started a job with a longer id", LISTS_OTHER_RUN, false },
+  { "it waits", TASK_QUEUED, true },
+  { "it runs", TASK_STARTED, true },
+  { "its coordinator is lost, its run has stopped", TASK_STOPPED, false },
+  { "its coordinator is lost, its run has not stopped", TASK_UNSTOPPED, true },
+  { "its coordinator is lost, its start order was not answered", ORDER_UNANSWERED, true },
+  { "the claim is newer than the poll", NEW_TOKEN, true },
+  { "the directory was not read since the claim", DIRECTORY_OLD, true },
+};
+
+static void
+answer_with_runs (scenario_t *scenario, const char *task)
+{
+  const poll_active_t run = { task, 1, 10 };
+
+  answer_poll (scenario, 0, &run, task != NULL ? 1 : 0);
+}
+
+/* The task starts at 0, and its coordinator is lost at 100. */
+static void
+start_and_lose (scenario_t *scenario, executor_answer_t answer)
+{
+  const executor_batch_t batch = batch_of ("j", 1);
+
+  executor_submit (scenario->executor, &batch, 0);
+  run_round_at (scenario, 0);
+  executor_start_answered (scenario->executor, scenario->start_serial, answer,
+                           answer == EXECUTOR_OK ? 5 : 0, 0, scenario->actions);
+  executor_remove_coordinator (scenario->executor, batch.coordinator, 50, 100, scenario->actions);
+  run_round_at (scenario, 100);
+}
+
+static void
+bring_about (scenario_t *scenario, state_t state)
+{
+  const executor_batch_t batch = batch_of ("j", 1);
+  const poll_ended_t ended = { 1, TASK, 1, RUN_STOPPED };
+  const poll_result_t stopped = { .endpoint_clock_ms = 150, .ended = &ended, .ended_count = 1 };
+
+  switch (state)
+    {
+    case NOT_POLLED:
+    case LISTS_NOTHING:
+      break;
+    case LISTS_RUN:
+    case LISTS_OTHER_RUN:
+      executor_set_token (scenario->executor, 2, 0);
+      run_round_at (scenario, 1);
+      answer_with_runs (scenario, state == LISTS_RUN ? TASK : "jj.0.0.0");
+      break;
+    case TASK_QUEUED:
+      executor_submit (scenario->executor, &batch, 0);
+      break;
+    case TASK_STARTED:
+      executor_submit (scenario->executor, &batch, 0);
+      run_round_at (scenario, 0);
+      confirm_starts (scenario);
+      break;
+    case TASK_STOPPED:
+      start_and_lose (scenario, EXECUTOR_OK);
+      executor_poll_answered (scenario->executor, scenario->poll_serial[0], EXECUTOR_OK, &stopped,
+                              150, scenario->actions);
+      run_round_at (scenario, 160);
+      break;
+    case TASK_UNSTOPPED:
+      start_and_lose (scenario, EXECUTOR_OK);
+      break;
+    case ORDER_UNANSWERED:
+      start_and_lose (scenario, EXECUTOR_NO_ANSWER);
+      break;
+    case NEW_TOKEN:
+      executor_set_token (scenario->executor, 2, 0);
+      break;
+    case DIRECTORY_OLD:
+    default:
+      executor_set_token (scenario->executor, 2, 10);
+      run_round_at (scenario, 11);
+      answer_with_runs (scenario, NULL);
+      executor_set_directory_read (scenario->executor, 9);
+      break;
+    }
+}
+
+static void
+test_runs (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (run_cases); i++)
+    {
+      scenario_t scenario;
+      if (run_cases[i].state == NOT_POLLED)
+        {
+          scenario_begin (&scenario);
+          add_endpoint (&scenario, 0, "r1", 4000);
+        }
+      else
+        scenario_begin_idle (&scenario, 4000);
+      bring_about (&scenario, run_cases[i].state);
+      bool may_run = executor_may_run_job (scenario.executor, "j", 200);
+      CU_ASSERT_EQUAL (may_run, run_cases[i].may_run);
+      if (may_run != run_cases[i].may_run)
+        printf ("  %s: %d\n", run_cases[i].name, may_run);
+      /* A read of the directory that is missing is asked for. */
+      CU_ASSERT_EQUAL (executor_directory_needed_ms (scenario.executor),
+                       run_cases[i].state == DIRECTORY_OLD ? 10 : 0);
+      scenario_end (&scenario);
+    }
+}
+
+static const unit_test_t tests[] = {
+  { "whether a run of a job may be alive", test_runs },
+};
+
+int
+main (void)
+{
+  return unit_run ("job_runs", tests, G_N_ELEMENTS (tests));
+}
--- a/tests/test_repeated_jobs.c
+++ b/tests/test_repeated_jobs.c
@@ -133,7 +133,12 @@
 static void
 test_repeated_request (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0, 1300 };
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "z",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .incarnation = 0,
+                                        .resubmit_ms = 1300 };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
 
   for (size_t i = 0; i < G_N_ELEMENTS (repeat_cases); i++)
--- a/tests/test_report_timing.c
+++ b/tests/test_report_timing.c
@@ -131,7 +131,12 @@
 static void
 test_owner_falls_silent (void)
 {
-  const scheduler_options_t options = { "h", "y", 1000, 1.0, 0, 1300 };
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "y",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .incarnation = 0,
+                                        .resubmit_ms = 1300 };
 
   for (size_t i = 0; i < G_N_ELEMENTS (silence_cases); i++)
     {
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -87,7 +87,12 @@
 static void
 test_large_job_to_slow_owner (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0, 1300 };
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "z",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .incarnation = 0,
+                                        .resubmit_ms = 1300 };
 
   for (size_t i = 0; i < G_N_ELEMENTS (slow_owner_cases); i++)
     {
@@ -167,7 +172,12 @@
 static void
 test_host_stops_with_jobs (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0, 1300 };
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "z",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .incarnation = 0,
+                                        .resubmit_ms = 1300 };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
 
   for (size_t i = 0; i < G_N_ELEMENTS (stop_cases); i++)
@@ -223,7 +233,12 @@
 static scheduler_t *
 scheduler_of_process (uint64_t incarnation, GArray *actions)
 {
-  const scheduler_options_t options = { "h", "x", 1000, 1.0, incarnation, 1300 };
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "x",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .incarnation = incarnation,
+                                        .resubmit_ms = 1300 };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
   const scheduler_job_t job = make_job (100);
   scheduler_t *scheduler = scheduler_new (&options);
@@ -359,7 +374,12 @@
 static void
 test_queue_time (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0, 1300 };
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "z",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .incarnation = 0,
+                                        .resubmit_ms = 1300 };
   const executor_offer_t offer = { "s", 1, 1, 1.0 };
 
   for (size_t i = 0; i < G_N_ELEMENTS (start_cases); i++)
@@ -426,7 +446,12 @@
 static void
 test_drained_data_centres (void)
 {
-  const scheduler_options_t options = { "h", "x", 1000, 1.0, 0, 1300 };
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "x",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .incarnation = 0,
+                                        .resubmit_ms = 1300 };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
   const executor_offer_t drained_offer = { "s", 0, 0, 1.0 };
   const executor_offer_t other = { "t", 4, 4, 1.0 };
@@ -611,7 +636,12 @@
 test_drain_at_full_load (void)
 {
   static const char *const shards[] = { "x", "y", "z" };
-  const scheduler_options_t options = { "h", "x", 1000, 1.0, 0, 1300 };
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "x",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .incarnation = 0,
+                                        .resubmit_ms = 1300 };
   const executor_offer_t full = { "s", 0, 80, 1.0 };
   GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
   scheduler_t *scheduler = scheduler_new (&options);
@@ -699,7 +729,12 @@
 static void
 test_admission (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0, 1300 };
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "z",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .incarnation = 0,
+                                        .resubmit_ms = 1300 };
   const scheduler_job_t job = make_job (100);
 
   for (size_t i = 0; i < G_N_ELEMENTS (admission_cases); i++)
@@ -751,7 +786,12 @@
 static void
 test_endless_job (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0, 1300 };
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "z",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .incarnation = 0,
+                                        .resubmit_ms = 1300 };
   const executor_offer_t offer = { "s", 0, 4, 1.0 };
   /* So long that none of the tasks may start at once. */
   const executor_load_t load = { .service = "s",
@@ -795,7 +835,12 @@
 static void
 test_returned_task_without_owner (void)
 {
-  const scheduler_options_t options = { "h", "z", 1000, 1.0, 0, 1300 };
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "z",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .incarnation = 0,
+                                        .resubmit_ms = 1300 };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
   const scheduler_job_t job = make_job (100);
 
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -173,6 +173,10 @@
     case SCHEDULER_TELL:
       send_job_status (host, other, &action->status);
       break;
+    case SCHEDULER_ASK_OWNER:
+      send_runs_message (MESSAGE_RUNS_QUERY, host, other, action->job_id, action->holder,
+                         action->shard, 0);
+      break;
     case SCHEDULER_NOTE:
     default:
       trace (host->sim, action->job_id, "%s finds it at %s: %d", host->name, action->host,
@@ -387,6 +391,9 @@
                                host->scheduler_actions);
           run_scheduler_actions (host);
           break;
+        case CLUSTER_HOST_RESTARTED:
+          scheduler_host_restarted (host->scheduler, action.host, action.started_at_ms);
+          break;
         case CLUSTER_EPOCH_CHANGED:
           send_heartbeat (host, host_named (sim, action.host));
           scheduler_batches_dropped (host->scheduler, action.host, sim->now_ms,
@@ -563,13 +570,15 @@
     ++host->incarnation, sim->options->uneven_hosts ? cpu_millicores[host->index] : 250,
     SIM_RESUBMIT_MS,     sim->options->one_hub_per_data_centre ? 1 : CLUSTER_HUBS_PER_DATA_CENTRE
   };
-  scheduler_options_t scheduler_options = { host->name,
-                                            data_centre_name (host->data_centre),
-                                            SIM_LEASE_MS,
-                                            SIM_REMOTE_FACTOR,
-                                            (uint64_t) host->incarnation << 32,
-                                            sim->options->broken_channels > 0 ? SIM_RESUBMIT_MS
-                                                                              : 0 };
+  scheduler_options_t scheduler_options = { .host = host->name,
+                                            .data_centre = data_centre_name (host->data_centre),
+                                            .lease_ms = SIM_LEASE_MS,
+                                            .remote_factor = SIM_REMOTE_FACTOR,
+                                            .incarnation = (uint64_t) host->incarnation << 32,
+                                            .resubmit_ms = sim->options->broken_channels > 0
+                                                               ? SIM_RESUBMIT_MS
+                                                               : 0,
+                                            .started_at_ms = sim->now_ms };
 
   host->cluster = cluster_new (&cluster_options, sim->now_ms);
   host->scheduler = scheduler_new (&scheduler_options);
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -299,6 +299,8 @@
   MESSAGE_LOSS,
   MESSAGE_JOB_STATUS,
   MESSAGE_JOB_QUERY,
+  MESSAGE_RUNS_QUERY,
+  MESSAGE_RUNS_OVER,
   MESSAGE_OFFERS,
   MESSAGE_HEARTBEAT
 } message_kind_t;
@@ -317,7 +319,9 @@
   GArray *task_indexes; /* of BATCH */
   uint64_t batch_number;
   int32_t task_index;
-  char *job;                       /* of MESSAGE_JOB_STATUS and MESSAGE_JOB_QUERY */
+  char *job;                       /* of MESSAGE_JOB_STATUS to MESSAGE_RUNS_OVER */
+  const char *holder;              /* of the last two of them */
+  int64_t token;                   /* of MESSAGE_RUNS_OVER */
   job_status_t job_status;         /* its id is JOB */
   crash_loss_t loss;               /* its strings belong to the message */
   executor_action_kind_t task_end; /* how the task has ended */
@@ -407,6 +411,37 @@
     }
 }
 
+/* KIND is MESSAGE_RUNS_QUERY or MESSAGE_RUNS_OVER. */
+static void
+send_runs_message (message_kind_t kind,
+                   sim_host_t *from,
+                   sim_host_t *to,
+                   const char *job,
+                   const char *holder,
+                   const char *shard,
+                   int64_t token)
+{
+  sim_message_t *message = message_new (kind, from, to);
+
+  message->job = g_strdup (job);
+  message->holder = g_intern_string (holder);
+  message->shard = g_strdup (shard);
+  message->token = token;
+  send_message (message);
+}
+
+static void
+receive_runs_query (sim_host_t *host, const sim_message_t *message)
+{
+  owned_shard_t *owned = &host->owned_shards[data_centre_of_shard (message->shard)];
+
+  if (owned->executor != NULL && !cluster_hears (host->cluster, message->holder)
+      && cluster_is_sole_owner (host->cluster, message->shard)
+      && !executor_may_run_job (owned->executor, message->job, host->sim->now_ms))
+    send_runs_message (MESSAGE_RUNS_OVER, host, message->from, message->job, message->holder,
+                       message->shard, owned->token);
+}
+
 static void
 receive_task_end (sim_host_t *host, const sim_message_t *message)
 {
@@ -525,6 +560,13 @@
           scheduler_job_asked (host->scheduler, message->from->name, message->job, sim->now_ms,
                                host->scheduler_actions);
           break;
+        case MESSAGE_RUNS_QUERY:
+          receive_runs_query (host, message);
+          break;
+        case MESSAGE_RUNS_OVER:
+          scheduler_runs_over (host->scheduler, message->job, message->holder, message->shard,
+                               message->token, sim->now_ms);
+          break;
         case MESSAGE_OFFERS:
           scheduler_set_report (
               host->scheduler, message->shard, message->from->name,
@@ -552,6 +594,7 @@
     [MESSAGE_BATCH_ENDED] = REPORT_BYTES, [MESSAGE_RELEASE] = REPORT_BYTES,
     [MESSAGE_TASK_END] = REPORT_BYTES,    [MESSAGE_LOSS] = REPORT_BYTES,
     [MESSAGE_JOB_STATUS] = REPORT_BYTES,  [MESSAGE_JOB_QUERY] = REPORT_BYTES,
+    [MESSAGE_RUNS_QUERY] = REPORT_BYTES,  [MESSAGE_RUNS_OVER] = REPORT_BYTES,
     [MESSAGE_OFFERS] = OFFERS_BYTES,      [MESSAGE_HEARTBEAT] = HEARTBEAT_BYTES,
   };
 
