Scheduler: tasks of an old job don't start anew while a host may not know of it

Cause: when an owner was lost, or had lost this host, the tasks that it had were sent again and started anew, however old their job was. By then its caller may have sent it to a host that never heard of it and runs it.

Change: tasks start anew if the job is younger than resubmit_ms, or every host has certainly received its announcement (cluster_told_at_ms (): echoed clocks; hosts that are lost, or heard again for less than a second, count as of their loss). Else the job is given up (504; the caller sends it again). A job that was moved is told as waiting, and stops for a host that tells that it runs it, whatever the names.

Simulation: hosts that hear each other again tell their jobs both ways, as the daemon does on the connection that replaces a lost one.

What is left: jobs that go on unmoved behind a cut that began before their announcement, and, behind slow links, moves that are not traced yet.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -44,6 +44,7 @@
 static void
 run_cluster_action (site_t *site, const cluster_action_t *action, int64_t now_ms)
 {
+  scheduler_set_told_at (site->scheduler, cluster_told_at_ms (site->cluster, now_ms));
   switch (action->kind)
     {
     case CLUSTER_CLAIMED:
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -30,6 +30,9 @@
 /* A lost host is forgotten after this much silence, and no longer counts when a majority of the
  * known hosts is needed. */
 #define FORGET_AFTER_MS 20000
+/* Two hosts that hear each other again have told each other all that they need to know within this
+ * time. */
+#define EXCHANGE_MS 1000
 /* Hosts that have all been up for no longer than this are taken to have started together. */
 #define RECENT_START_MS 5000
 
@@ -178,6 +181,7 @@
   ranking_set_alive (cluster->ranking, peer->host, false, now_ms);
   peer->alive = false;
   peer->lost_at_ms = now_ms;
+  peer->alive_before_loss_ms = alive_ms;
   peer->echo_ms = 0;
   peer->expected_epoch = ++cluster->last_epoch;
   cluster->ranking_due_ms = 0;
@@ -252,8 +256,11 @@
   peer->drains_end_offset = heartbeat->drains_end_offset;
   peer->last_heard_at_ms = now_ms;
   set_claims (cluster, peer, heartbeat->claims);
+  if (restarted)
+    peer->resumed = false;
   if (!peer->alive)
     {
+      peer->resumed = !restarted && peer->lost_at_ms != 0;
       ranking_add_host (cluster->ranking, host, peer->data_centre, peer->cpu_millicores);
       ranking_set_alive (cluster->ranking, host, true, now_ms);
       cluster->ranking_due_ms = 0;
@@ -393,6 +400,28 @@
   return g_hash_table_lookup (cluster->peers, g_intern_string (host));
 }
 
+static int64_t
+told_at_ms (const cluster_t *cluster, const peer_t *peer, int64_t now_ms)
+{
+  bool may_not_know = peer->resumed && now_ms - peer->alive_since_ms < EXCHANGE_MS;
+
+  return !peer->alive || may_not_know ? peer->alive_before_loss_ms : alive_at_ms (cluster, peer);
+}
+
+int64_t
+cluster_told_at_ms (const cluster_t *cluster, int64_t now_ms)
+{
+  int64_t all_told_at_ms = now_ms;
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, cluster->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (!((const peer_t *) value)->leaving)
+      all_told_at_ms = MIN (all_told_at_ms, told_at_ms (cluster, value, now_ms));
+  return all_told_at_ms;
+}
+
 bool
 cluster_hears (const cluster_t *cluster, const char *host)
 {
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -205,6 +205,10 @@
  * is unknown. */
 int64_t cluster_alive_at_ms (const cluster_t *cluster, const char *host);
 
+/* The latest time before which every host that is known has certainly received what this host sent
+ * to it; hosts that said that they leave don't count.  NOW_MS if no other host is known. */
+int64_t cluster_told_at_ms (const cluster_t *cluster, int64_t now_ms);
+
 /* The number of hosts that are alive, this one included. */
 int32_t cluster_alive_hosts (const cluster_t *cluster);
 
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -33,6 +33,8 @@
                        was found */
   int64_t frequent_since_ms; /* since when its heartbeats come at a short interval */
   int64_t lost_at_ms;
+  int64_t alive_before_loss_ms; /* as cluster_alive_at_ms () was when it was lost the last time */
+  bool resumed;                 /* its process was lost and is heard again */
   int64_t alive_since_ms;
   int64_t started_at_ms;
   GArray *claims; /* of cluster_claim_t, with interned shards; empty if not alive */
--- a/lib/scheduler/owners.c
+++ b/lib/scheduler/owners.c
@@ -133,6 +133,19 @@
   assign_send_batch (job, new_batch, actions);
 }
 
+/* Moves BATCHES to the present owners of their shards, but for those of jobs that must not start
+ * anew. */
+static void
+move_batches (scheduler_t *scheduler, GPtrArray *batches, int64_t now_ms, GArray *actions)
+{
+  restarts_give_up (scheduler, batches, now_ms, actions);
+  for (guint i = 0; i < batches->len; i++)
+    {
+      job_batch_t *batch = batches->pdata[i];
+      move_batch (scheduler, batch, find_shard (scheduler, batch->shard), now_ms, actions);
+    }
+}
+
 /* Returns the batches of all jobs that are not waiting for their end to be confirmed.  The caller
  * frees the array. */
 static GPtrArray *
@@ -173,13 +186,15 @@
   if (shard->owner == NULL)
     return;
   GPtrArray *batches = active_batches (scheduler);
-  for (guint i = 0; i < batches->len; i++)
+  for (guint i = batches->len; i-- > 0;)
     {
-      job_batch_t *batch = batches->pdata[i];
-      if (batch->shard == shard->name
-          && (batch->host != shard->owner || batch->token != token || batch->owner_lost_at_ms != 0))
-        move_batch (scheduler, batch, shard, now_ms, actions);
+      const job_batch_t *batch = batches->pdata[i];
+      bool has_it =
+          batch->host == shard->owner && batch->token == token && batch->owner_lost_at_ms == 0;
+      if (batch->shard != shard->name || has_it)
+        g_ptr_array_remove_index (batches, i);
     }
+  move_batches (scheduler, batches, now_ms, actions);
   g_ptr_array_unref (batches);
 }
 
@@ -223,6 +238,7 @@
 {
   GPtrArray *batches = batches_at (scheduler, host);
 
+  restarts_give_up (scheduler, batches, now_ms, actions);
   for (guint i = 0; i < batches->len; i++)
     {
       job_batch_t *batch = batches->pdata[i];
@@ -243,17 +259,18 @@
                      GArray *actions)
 {
   const char *interned = g_intern_string (host);
-  GPtrArray *batches = batches_at (scheduler, host);
 
   remote_jobs_host_lost (scheduler->remote_jobs, host);
-  for (guint i = 0; i < batches->len; i++)
+  GPtrArray *batches = batches_at (scheduler, host);
+  for (guint i = batches->len; i-- > 0;)
     {
       job_batch_t *batch = batches->pdata[i];
       batch->owner_lost_at_ms = heard_at_ms;
       const shard_t *shard = find_shard (scheduler, batch->shard);
-      if (shard->owner != NULL && shard->owner != interned)
-        move_batch (scheduler, batch, shard, now_ms, actions);
+      if (shard->owner == NULL || shard->owner == interned)
+        g_ptr_array_remove_index (batches, i);
     }
+  move_batches (scheduler, batches, now_ms, actions);
   g_ptr_array_unref (batches);
 }
 
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -242,6 +242,25 @@
   ask (scheduler, job, remote, now_ms, actions);
 }
 
+/* Whether owners may start tasks of JOB anew: an owner was lost, or has lost this host, since its
+ * tasks were sent. */
+static bool
+was_moved (const scheduled_job_t *job)
+{
+  for (guint i = 0; i < job->batches->len; i++)
+    if (((const job_batch_t *) job->batches->pdata[i])->maybe_running)
+      return true;
+  return false;
+}
+
+/* Whether this host stops JOB, which HOST runs as well.  Of two whose tasks were not moved, or both
+ * were, the one with the greater name does. */
+static bool
+yields_to (const scheduler_t *scheduler, const scheduled_job_t *job, const char *host)
+{
+  return was_moved (job) || strcmp (scheduler->host, host) > 0;
+}
+
 static void
 told_open (scheduler_t *scheduler,
            const char *host,
@@ -253,9 +272,9 @@
   bool runs_here = job != NULL && job->waits_since_ms == 0 && !job->end_pending;
   bool runs_there = status->kind == JOB_STATUS_OPEN;
 
-  if (runs_here && runs_there && strcmp (scheduler->host, host) < 0)
+  if (runs_here && runs_there && !yields_to (scheduler, job, host))
     note (scheduler, status->id, host, SCHEDULER_FOUND_AT_BOTH, JOB_EVIDENCE_TOLD, 0, actions);
-  if (runs_here && (!runs_there || strcmp (scheduler->host, host) < 0))
+  if (runs_here && (!runs_there || !yields_to (scheduler, job, host)))
     return;
   bool known =
       remote_jobs_open (scheduler->remote_jobs, status->id, host, status->until_ms, now_ms);
@@ -313,7 +332,8 @@
 static job_status_t
 open_status (const scheduled_job_t *job)
 {
-  job_status_kind_t kind = job->waits_since_ms == 0 ? JOB_STATUS_OPEN : JOB_STATUS_WAITING;
+  bool runs = job->waits_since_ms == 0 && !was_moved (job);
+  job_status_kind_t kind = runs ? JOB_STATUS_OPEN : JOB_STATUS_WAITING;
 
   return (job_status_t){ job->request.id, kind, job->request.deadline_at_ms };
 }
@@ -428,6 +448,7 @@
         continue;
       job_status_t status = open_status (job);
       job->announced = true;
+      job->announced_at_ms = now_ms;
       g_array_append_val (statuses, status);
     }
 }
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -255,6 +255,11 @@
                           int64_t now_ms,
                           GArray *actions);
 
+/* Every other host has certainly received what this host sent before TOLD_AT_MS.  To be called
+ * before scheduler_set_owner (), scheduler_host_lost () and scheduler_batches_dropped (), which
+ * give up jobs for want of that. */
+void scheduler_set_told_at (scheduler_t *scheduler, int64_t told_at_ms);
+
 /* Another process of HOST is heard, which was started at STARTED_AT_MS: the one before has ended.
  */
 void scheduler_host_restarted (scheduler_t *scheduler, const char *host, int64_t started_at_ms);
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -60,6 +60,7 @@
   GPtrArray *requests;      /* job_request_t, owned by scheduler_t */
   GArray *followers;        /* job_follower_t */
   bool announced;           /* other hosts were told of it */
+  int64_t announced_at_ms;  /* ANNOUNCED: when */
   int64_t waits_since_ms;   /* it is not run, as another host may run it; 0 if it does not wait */
   const char *holder;       /* it waits: the host that is asked; interned */
   int64_t asked_since_ms;   /* HOLDER is asked since then */
@@ -146,6 +147,7 @@
   GHashTable *jobs_by_id;    /* id -> scheduled_job_t */
   GHashTable *requests;      /* number -> job_request_t, owned */
   remote_jobs_t *remote_jobs;
+  int64_t told_at_ms;          /* as in scheduler_set_told_at () */
   GArray *untold_ends;         /* job_status_t with own ids: ends that other hosts should be told */
   GArray *told_ends;           /* the same, of the last call of scheduler_collect_statuses () */
   int64_t expire_remote_at_ms; /* when REMOTE_JOBS is searched for expired entries next */
@@ -305,6 +307,10 @@
  * this interval. */
 #define REPEATS_ASK_INTERVAL_MS 200
 
+/* restarts.c: gives up those jobs of BATCHES, whose tasks would start anew, that another host may
+ * have taken, and removes their batches from BATCHES. */
+void restarts_give_up (scheduler_t *scheduler, GPtrArray *batches, int64_t now_ms, GArray *actions);
+
 /* repeats.c: appends an action of KIND about the job with ID at HOST. */
 scheduler_action_t *repeats_add_action (scheduler_t *scheduler,
                                         scheduler_action_kind_t kind,
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -359,6 +359,7 @@
   for (guint i = 0; i < host->cluster_actions->len; i++)
     {
       cluster_action_t action = g_array_index (host->cluster_actions, cluster_action_t, i);
+      scheduler_set_told_at (host->scheduler, cluster_told_at_ms (host->cluster, sim->now_ms));
       switch (action.kind)
         {
         case CLUSTER_CLAIMED:
@@ -402,7 +403,10 @@
           break;
         case CLUSTER_HOST_FOUND:
           send_heartbeat (host, host_named (sim, action.host));
+          /* The connection to a host that was lost is replaced, and both tell their jobs on it. */
           announce_jobs (host, host_named (sim, action.host));
+          if (is_up (host_named (sim, action.host)))
+            announce_jobs (host_named (sim, action.host), host);
           break;
         default:
           break;
