Executor: an owner denies runs of a job only by fresh listings of all its endpoints

Cause: an owner answered "no run" from listings of any age. The cut host had claimed its shard by a higher token meanwhile, and nothing had told the old owner, which had no order to send there. A run on an endpoint that had fallen silent had left the owner's table as well. The absence of a refusal was taken for a fact.

Change: "no run" needs from every endpoint of the shard a listing under the token in force that was asked for within 500 ms and after the coordinator was lost. Where one is missing the next round asks for it; an endpoint that does not answer, or obeys another token, leaves the question open, and the request waits.

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -511,9 +511,10 @@
 {
   owned_shard_t *owned = find_owned (site, shard);
 
-  if (owned == NULL || cluster_hears (site->cluster, holder)
-      || !cluster_is_sole_owner (site->cluster, shard)
-      || executor_may_run_job (owned->executor, job, clock_boot_ms ()))
+  int64_t lost_at_ms = cluster_lost_at_ms (site->cluster, holder);
+
+  if (owned == NULL || lost_at_ms == INT64_MAX || !cluster_is_sole_owner (site->cluster, shard)
+      || executor_may_run_job (owned->executor, job, lost_at_ms, clock_boot_ms ()))
     return false;
   *token = owned->token;
   return true;
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -422,12 +422,14 @@
   return all_told_at_ms;
 }
 
-bool
-cluster_hears (const cluster_t *cluster, const char *host)
+int64_t
+cluster_lost_at_ms (const cluster_t *cluster, const char *host)
 {
   const peer_t *peer = cluster_find_peer (cluster, host);
 
-  return peer != NULL && peer->alive;
+  if (peer == NULL)
+    return 0;
+  return peer->alive ? INT64_MAX : peer->lost_at_ms;
 }
 
 int64_t
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -186,8 +186,8 @@
 bool
 cluster_accepts_tasks (const cluster_t *cluster, const char *host, uint64_t epoch, int64_t now_ms);
 
-/* Whether this host hears HOST. */
-bool cluster_hears (const cluster_t *cluster, const char *host);
+/* When HOST was lost; 0 if it was never heard or has been forgotten, INT64_MAX if it is heard. */
+int64_t cluster_lost_at_ms (const cluster_t *cluster, const char *host);
 
 /* Whether this host owns SHARD so that no other host can go on owning it: it is in the shard's data
  * centre, hears a majority, and no endpoint is known to obey a higher token.  An owner that can't
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -324,10 +324,12 @@
  * was never recorded, such as the owner's own host. */
 void executor_coordinator_heard (executor_t *executor, const char *coordinator, int64_t at_ms);
 
-/* Whether a run of the job with id JOB may be alive on an endpoint of the shard, or may start there
- * by an order that was sent.  False is certain, as long as the token is in force and no tasks of
- * the job are submitted. */
-bool executor_may_run_job (executor_t *executor, const char *job, int64_t now_ms);
+/* Whether a run of the job with id JOB, whose coordinator was lost at LOST_AT_MS, may be alive on
+ * an endpoint of the shard, or may start there by an order that was sent.  False rests on listings
+ * of all endpoints that were asked for a short time ago.  Where they are missing, the next round
+ * asks for them. */
+bool
+executor_may_run_job (executor_t *executor, const char *job, int64_t lost_at_ms, int64_t now_ms);
 
 /* Cancels all batches of a coordinator that is gone and was alive at LAST_HEARD_AT_MS. */
 void executor_remove_coordinator (executor_t *executor,
--- a/lib/executor/job_runs.c
+++ b/lib/executor/job_runs.c
@@ -1,12 +1,17 @@
 /* job_runs.c -- whether a run of a job may be alive on the endpoints of an owner
  *
- * An endpoint that has listed its runs under the token in force obeys no earlier owner any more, so
- * that this owner knows of every run there.
+ * An endpoint that lists its runs under the token in force obeys no other owner at that time, so
+ * that the listing holds every run there.  A listing from before says less: another owner, which
+ * this one does not hear, may have taken the endpoint over since.
  */
 #include "executor/state.h"
 
 #include <string.h>
 
+/* A listing counts for this long after it was asked for.  Endpoints hold their answers back for
+ * less than that. */
+#define LISTING_VALID_MS 500
+
 /* Whether TASK, "JOB.0.STEP.INDEX", is one of JOB. */
 static bool
 is_of_job (const char *task, const char *job)
@@ -29,12 +34,23 @@
   return false;
 }
 
+/* Whether ENDPOINT has listed its runs a short time ago, and after HOLDER was lost.  If not, it is
+ * asked to. */
+static bool
+has_listed (endpoint_t *endpoint, int64_t lost_at_ms, int64_t now_ms)
+{
+  int64_t since_ms = MAX (lost_at_ms, now_ms - LISTING_VALID_MS);
+
+  if (endpoint->runs_known && !endpoint->fenced && endpoint->last_poll_sent_at_ms >= since_ms)
+    return true;
+  endpoint->listing_needed_ms = now_ms;
+  return false;
+}
+
 /* Whether ENDPOINT may run a task of JOB that is not in the executor's table. */
 static bool
 may_run_unlisted (const endpoint_t *endpoint, const char *job)
 {
-  if (!endpoint->runs_known)
-    return true;
   for (guint i = 0; i < endpoint->foreign_runs->len; i++)
     if (is_of_job (((const foreign_run_t *) endpoint->foreign_runs->pdata[i])->name, job))
       return true;
@@ -48,18 +64,19 @@
 }
 
 bool
-executor_may_run_job (executor_t *executor, const char *job, int64_t now_ms)
+executor_may_run_job (executor_t *executor, const char *job, int64_t lost_at_ms, int64_t now_ms)
 {
+  bool may_run = !discovery_covers (&executor->discovery, executor->token_since_ms, now_ms)
+                 || has_task (executor, job);
   GHashTableIter iter;
   void *value = NULL;
 
   executor->directory_wanted = true;
-  if (!discovery_covers (&executor->discovery, executor->token_since_ms, now_ms)
-      || has_task (executor, job))
-    return true;
   g_hash_table_iter_init (&iter, executor->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (may_run_unlisted (value, job))
-      return true;
-  return false;
+    {
+      bool listed = has_listed (value, lost_at_ms, now_ms);
+      may_run = may_run || !listed || may_run_unlisted (value, job);
+    }
+  return may_run;
 }
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -587,7 +587,9 @@
   return !endpoint->runs_known || g_hash_table_size (executor->maybe_running) > 0
          || endpoint->runs->len > 0 || endpoint->foreign_runs->len > 0
          || endpoint->ack_number > endpoint->ack_number_confirmed || endpoint->ends_held
-         || endpoint->unanswered_since_ms != 0 || needs_clock (executor, endpoint, now_ms);
+         || endpoint->unanswered_since_ms != 0
+         || endpoint->listing_needed_ms > endpoint->last_poll_sent_at_ms
+         || needs_clock (executor, endpoint, now_ms);
 }
 
 void
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -151,6 +151,7 @@
   int64_t poll_sent_at_ms;
   int64_t last_poll_sent_at_ms; /* send time of the last answered poll */
   int64_t poll_due_at_ms;       /* no poll before this time */
+  int64_t listing_needed_ms;    /* an answer is needed to a poll that was sent since then */
   bool clock_known;             /* its clock was read recently enough for leases */
   int64_t clock_offset_ms; /* endpoint clock minus boot clock at CLOCK_READ_AT_MS; never above the
                               true offset at that time, which falls if the clock is slow */
--- a/tests/test_job_runs.c
+++ b/tests/test_job_runs.c
@@ -12,11 +12,13 @@
   LISTS_OTHER_RUN, /* of a job whose id begins with the same characters */
   TASK_QUEUED,
   TASK_STARTED,
-  TASK_STOPPED,     /* its run was listed as stopped after its coordinator was lost */
-  TASK_UNSTOPPED,   /* its coordinator was lost, and the stop has no answer */
-  ORDER_UNANSWERED, /* its coordinator was lost, and its start order has no answer */
-  NEW_TOKEN,        /* polled under an earlier token only */
-  DIRECTORY_OLD     /* not read since the claim */
+  TASK_STOPPED,       /* its run was listed as stopped after its coordinator was lost */
+  TASK_UNSTOPPED,     /* its coordinator was lost, and the stop has no answer */
+  ORDER_UNANSWERED,   /* its coordinator was lost, and its start order has no answer */
+  LISTED_BEFORE_LOSS, /* its coordinator was lost after the last poll */
+  LISTED_LONG_AGO,
+  NEW_TOKEN,    /* polled under an earlier token only */
+  DIRECTORY_OLD /* not read since the claim */
 } state_t;
 
 static const struct
@@ -34,6 +36,8 @@
   { "its coordinator is lost, its run has stopped", TASK_STOPPED, false },
   { "its coordinator is lost, its run has not stopped", TASK_UNSTOPPED, true },
   { "its coordinator is lost, its start order was not answered", ORDER_UNANSWERED, true },
+  { "its endpoint was last asked before its coordinator was lost", LISTED_BEFORE_LOSS, true },
+  { "its endpoint was last asked long ago", LISTED_LONG_AGO, true },
   { "the claim is newer than the poll", NEW_TOKEN, true },
   { "the directory was not read since the claim", DIRECTORY_OLD, true },
 };
@@ -71,6 +75,8 @@
     {
     case NOT_POLLED:
     case LISTS_NOTHING:
+    case LISTED_BEFORE_LOSS:
+    case LISTED_LONG_AGO:
       break;
     case LISTS_RUN:
     case LISTS_OTHER_RUN:
@@ -125,7 +131,9 @@
       else
         scenario_begin_idle (&scenario, 4000);
       bring_about (&scenario, run_cases[i].state);
-      bool may_run = executor_may_run_job (scenario.executor, "j", 200);
+      int64_t lost_at_ms = run_cases[i].state == LISTED_BEFORE_LOSS ? 100 : 0;
+      int64_t now_ms = run_cases[i].state == LISTED_LONG_AGO ? 700 : 200;
+      bool may_run = executor_may_run_job (scenario.executor, "j", lost_at_ms, now_ms);
       CU_ASSERT_EQUAL (may_run, run_cases[i].may_run);
       if (may_run != run_cases[i].may_run)
         printf ("  %s: %d\n", run_cases[i].name, may_run);
@@ -136,8 +144,28 @@
     }
 }
 
+/* Where a listing is too old, the next round asks for one, although nothing runs there. */
+static void
+test_asks_again (void)
+{
+  scenario_t scenario;
+
+  scenario_begin_idle (&scenario, 4000);
+  run_round_at (&scenario, 700);
+  CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_POLL));
+  CU_ASSERT_TRUE (executor_may_run_job (scenario.executor, "j", 0, 700));
+  run_round_at (&scenario, 705);
+  CU_ASSERT_TRUE (has_action (&scenario, EXECUTOR_POLL));
+  answer_poll (&scenario, 0, NULL, 0);
+  CU_ASSERT_FALSE (executor_may_run_job (scenario.executor, "j", 0, 710));
+  run_round_at (&scenario, 715);
+  CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_POLL));
+  scenario_end (&scenario);
+}
+
 static const unit_test_t tests[] = {
   { "whether a run of a job may be alive", test_runs },
+  { "a listing that is too old", test_asks_again },
 };
 
 int
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -435,9 +435,11 @@
 {
   owned_shard_t *owned = &host->owned_shards[data_centre_of_shard (message->shard)];
 
-  if (owned->executor != NULL && !cluster_hears (host->cluster, message->holder)
+  int64_t lost_at_ms = cluster_lost_at_ms (host->cluster, message->holder);
+
+  if (owned->executor != NULL && lost_at_ms != INT64_MAX
       && cluster_is_sole_owner (host->cluster, message->shard)
-      && !executor_may_run_job (owned->executor, message->job, host->sim->now_ms))
+      && !executor_may_run_job (owned->executor, message->job, lost_at_ms, host->sim->now_ms))
     send_runs_message (MESSAGE_RUNS_OVER, host, message->from, message->job, message->holder,
                        message->shard, owned->token);
 }
