--- a/tests/site_call.c
+++ b/tests/site_call.c
@@ -11,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -121,14 +122,25 @@
 pid_t
 site_run (char **argv, const char *settings, const char *log)
 {
+  return site_run_with_files (argv, settings, log, 0);
+}
+
+pid_t
+site_run_with_files (char **argv, const char *settings, const char *log, int max_open_files)
+{
+  struct rlimit files = { (rlim_t) max_open_files, (rlim_t) max_open_files };
   pid_t pid = fork ();
 
   if (pid != 0)
     return pid;
+  if (max_open_files > 0 && setrlimit (RLIMIT_NOFILE, &files) != 0)
+    _exit (125);
   if (settings != NULL)
     setenv ("JAYTRAIL_SETTINGS", settings, 1);
   if (freopen (log, "a", stdout) == NULL || freopen (log, "a", stderr) == NULL)
     _exit (126);
+  /* Descriptors of whoever started the test don't count as the program's. */
+  (void) close_range (STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
   execv (argv[0], argv);
   _exit (127);
 }
--- a/tests/site_call.h
+++ b/tests/site_call.h
@@ -53,6 +53,9 @@
  * set to SETTINGS unless that is NULL.  Returns its process id. */
 pid_t site_run (char **argv, const char *settings, const char *log);
 
+/* The same, with MAX_OPEN_FILES as the limit of its descriptors (RLIMIT_NOFILE); 0: as here. */
+pid_t site_run_with_files (char **argv, const char *settings, const char *log, int max_open_files);
+
 /* Removes DIRECTORY and the files in it; it must not contain directories. */
 void site_remove_directory (const char *directory);
 
--- a/tests/site_rig.c
+++ b/tests/site_rig.c
@@ -19,6 +19,7 @@
 static const port_range_t rig_ports = { .first_port = 30000, .ports = 150, .blocks = 18 };
 #define FIRST_HOST_PORT 100
 
+static const site_limits_t no_limits;
 static char *programs; /* the directory with jaytraild and fake_site */
 
 void
@@ -89,9 +90,23 @@
 
 /* --- processes --- */
 
+/* The lines of the settings that name the limits of a host.  The caller frees them. */
+static char *
+limit_lines (const site_limits_t *limits)
+{
+  GString *lines = g_string_new ("");
+
+  if (limits->memory_mb > 0)
+    g_string_append_printf (lines, "limits.memory_mb=%d\n", limits->memory_mb);
+  if (limits->max_open_files > 0)
+    g_string_append_printf (lines, "limits.max_open_files=%d\n", limits->max_open_files);
+  return g_string_free (lines, FALSE);
+}
+
 void
 site_start_host (site_rig_t *rig, int host)
 {
+  char *limits = limit_lines (&rig->limits);
   char *settings = g_strdup_printf ("%s/h%d.conf", rig->directory, host);
   char *log = g_strdup_printf ("%s/h%d.log", rig->directory, host);
   int port = site_caller_port (rig, host);
@@ -100,15 +115,16 @@
       "127.0.0.1:%d\nlisten_addrs.control_plane=127.0.0.1:%d\nseed_nodes=127.0.0.1:%d\n"
       "platform.address=127.0.0.1:%d\nbounds.max_hold_ms=%d\nbounds.stop_timeout_ms=50\n"
       "bounds.grace_period_s=6\nbounds.retransmit_ms=1300\nbounds.config_apply_ms=2000\n"
-      "limits.cpu_fraction=0.25\nsomething.new=1\n",
+      "limits.cpu_fraction=0.25\nsomething.new=1\n%s",
       host, host % 2 == 0 ? "x" : "y", port, port + 1, port + 2, site_caller_port (rig, 0) + 2,
-      rig->port, LEASE_MS);
+      rig->port, LEASE_MS, limits);
   char *program = g_strdup_printf ("%s/jaytraild", programs);
   char *argv[] = { program, "--site", NULL };
 
   g_file_set_contents (settings, text, -1, NULL);
-  rig->hosts[host] = site_run (argv, settings, log);
+  rig->hosts[host] = site_run_with_files (argv, settings, log, rig->limits.kernel_max_files);
   g_free (program);
+  g_free (limits);
   g_free (text);
   g_free (log);
   g_free (settings);
@@ -180,9 +196,9 @@
 }
 
 static void
-start_rig (site_rig_t *rig, int endpoints, bool ledger)
+start_rig (site_rig_t *rig, int endpoints, bool ledger, const site_limits_t *limits)
 {
-  *rig = (site_rig_t){ .failures_before = CU_get_number_of_failures () };
+  *rig = (site_rig_t){ .limits = *limits, .failures_before = CU_get_number_of_failures () };
   CU_ASSERT_EQUAL_FATAL (port_block_take (&rig_ports, &rig->ports), 0);
   rig->port = rig->ports.first_port;
   char *program = g_strdup_printf ("%s/fake_site", programs);
@@ -216,13 +232,19 @@
 void
 site_rig_start (site_rig_t *rig)
 {
-  start_rig (rig, SITE_ENDPOINTS, false);
+  start_rig (rig, SITE_ENDPOINTS, false, &no_limits);
+}
+
+void
+site_rig_start_limited (site_rig_t *rig, const site_limits_t *limits)
+{
+  start_rig (rig, SITE_ENDPOINTS, false, limits);
 }
 
 void
 site_rig_start_ledger (site_rig_t *rig, int endpoints)
 {
-  start_rig (rig, endpoints, true);
+  start_rig (rig, endpoints, true, &no_limits);
 }
 
 void
--- a/tests/site_rig.h
+++ b/tests/site_rig.h
@@ -27,8 +27,17 @@
 /* After this time from the start of the hosts, entries that are missing count as gone. */
 #define SITE_DISCOVERY_END_MS 3500
 
+/* Limits of all hosts; a member that is 0 sets none. */
 typedef struct
 {
+  int memory_mb;        /* limits.memory_mb of the settings */
+  int max_open_files;   /* limits.max_open_files of the settings */
+  int kernel_max_files; /* RLIMIT_NOFILE of the process */
+} site_limits_t;
+
+typedef struct
+{
+  site_limits_t limits;
   pid_t standin;
   pid_t hosts[SITE_HOSTS]; /* 0: not running */
   char *directory;
@@ -46,6 +55,7 @@
 
 /* Returns when all hosts are ready. */
 void site_rig_start (site_rig_t *rig);
+void site_rig_start_limited (site_rig_t *rig, const site_limits_t *limits);
 
 /* The same with ENDPOINTS of them, at most 99, which write a line for each start and each end to
  * site.log in the rig's directory. */
--- a/tests/test_site_pipelining.c
+++ b/tests/test_site_pipelining.c
@@ -21,6 +21,7 @@
 #define WORK_MS 60
 #define ANSWERS_WITHIN_MS 5000
 #define ANSWERS_MAX 4
+#define SMALL_REQUESTS 20
 #define TEXT_BYTES 8192
 /* "%" in a target stands for the number of the job on the connection. */
 #define JOB_TARGET "/q/%"
@@ -156,8 +157,40 @@
   site_rig_stop (&rig);
 }
 
+/* A caller inside the limits: many small requests in one piece, and all answers are read. */
+static void
+test_small_requests_ahead (void)
+{
+  static const struct
+  {
+    const char *request;
+    int status;
+  } kinds[] = {
+    { "GET /q/00000000000000d1 HTTP/1.1\r\nHost: " SITE_CALL_QUEUE_HOST "\r\n\r\n", 410 },
+    { "GET /q/ HTTP/1.1\r\nHost: " SITE_CALL_QUEUE_HOST "\r\n\r\n", 200 },
+    { "DELETE /q/00000000000000d2 HTTP/1.1\r\nHost: " SITE_CALL_QUEUE_HOST "\r\n\r\n", 410 },
+    { "GET /none HTTP/1.1\r\nHost: " SITE_CALL_QUEUE_HOST "\r\n\r\n", 404 },
+  };
+  site_rig_t rig;
+  GString *text = g_string_new ("");
+  int statuses[SMALL_REQUESTS] = { 0 };
+
+  site_rig_start (&rig);
+  for (int i = 0; i < SMALL_REQUESTS; i++)
+    g_string_append (text, kinds[i % G_N_ELEMENTS (kinds)].request);
+  int fd = site_connect ("127.0.0.1", site_caller_port (&rig, 0));
+  CU_ASSERT_EQUAL (send (fd, text->str, text->len, MSG_NOSIGNAL), (ssize_t) text->len);
+  CU_ASSERT_EQUAL (read_statuses (fd, SMALL_REQUESTS, statuses), SMALL_REQUESTS);
+  for (int i = 0; i < SMALL_REQUESTS; i++)
+    CU_ASSERT_EQUAL (statuses[i], kinds[i % G_N_ELEMENTS (kinds)].status);
+  close (fd);
+  g_string_free (text, TRUE);
+  site_rig_stop (&rig);
+}
+
 static const unit_test_t tests[] = {
   { "requests ahead of answers", test_requests_ahead_of_answers },
+  { "small requests ahead", test_small_requests_ahead },
 };
 
 int
