Site: hubs pass announcements of jobs on from every data centre

Cause: of two hosts that are no hubs, each is connected to hubs alone. A hub passed an announcement on only if its origin was in the hub's own data centre, so that hosts of other data centres that are no hubs never heard of the job, and ran it at once when its caller sent it to one of them. No cut and no fault is needed; the deployment of the record has ten hosts in each of three data centres, of which four are hubs.

The record fits better than with a cut: it shows log_lost at five hosts of one data centre, but no host_lost and no job_elsewhere. A data centre that the platform doesn't reach, though other hosts do, is out of rotation, and its callers go to another one. That this is what the users saw is likely, not proven.

Change: is_local () no longer guards relaying; two hubs of each data centre pass on what any host that is no hub announces, collected for 200 ms in one message as before. By arithmetic a hub of 300 hosts in three data centres passes on three times the statuses (docs/CAPACITY.md).

Evidence, x86-64: test_site_resent_between_non_hubs, 18 hosts, three jobs, no faults: before, 2 of 2 runs red (2 of 2 tasks of one job twice); after, 8 of 8 asserts in 2 of 2 runs.

--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -1,8 +1,8 @@
 /* site_repeats.c -- what hosts tell each other about jobs that callers may send to more than one
  *
  * lib/scheduler/repeats.c decides.  A host announces its jobs to the hosts that it is connected to.
- * One that is no hub is connected to hubs only: some of its data centre collect its announcements
- * and those of others, and pass them on to the other hosts there.
+ * One that is no hub is connected to hubs only: some of each data centre collect its announcements
+ * and those of others, and pass them on to the hosts there that are no hubs.
  */
 #include "daemon/site_private.h"
 
@@ -196,15 +196,11 @@
   return before < RELAYS_PER_DATA_CENTRE;
 }
 
-/* Keeps STATUSES of ORIGIN, a host of this data centre, for the hosts here that are no hubs. */
+/* Keeps STATUSES of ORIGIN, a host of any data centre, for the hosts here that are no hubs. */
 static void
 relay_statuses (site_t *site, const char *origin, const GArray *statuses)
 {
-  const char *host = g_intern_string (origin);
-  const peer_connection_t *connection = g_hash_table_lookup (site->connections, host);
-
-  if (connection != NULL && is_local (site, connection) && site->relayed->len < JOB_RELAYED_MAX
-      && is_relay_for (site, host))
+  if (site->relayed->len < JOB_RELAYED_MAX && is_relay_for (site, g_intern_string (origin)))
     g_ptr_array_add (site->relayed, statuses_frame (origin, false, statuses, 0));
 }
 
