Web server: input that is sent ahead of an answer is bounded

What callers saw: a host ran out of memory while a client sent requests behind one that was still being answered; the host's other callers lost theirs with it. Cause: the socket was read all the time, so that a disconnect is seen, and what was read ahead of the parser had no bound. Evidence: the new test sends 8 MB behind an open request. Change: a high watermark of one whole request at the limits. Within it a disconnect is seen as before; beyond it EV_CLOSED reports it as long as the kernel has room for what was sent; a client that fills the kernel's buffer too is found gone after its answer, which its job's deadline bounds.

--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -64,6 +64,9 @@
   traffic_count_t *traffic; /* counts requests and answers, or NULL; must outlive the server */
 } web_server_options_t;
 
+/* Of what a client sends ahead of an answer, as much is read as one request at the limits takes;
+ * the rest stays with the client and the kernel until the answer is sent. */
+
 /* Listens on the address in OPTIONS, whose handlers must outlive the server.  Returns 0
  * and *SERVER (web_server_free), or ERROR_IO. */
 int web_server_start (loop_t *loop, const web_server_options_t *options, web_server_t **server);
@@ -95,6 +98,10 @@
 /* Returns how many bytes of answers the clients have not acknowledged. */
 int64_t web_server_unacked_bytes (const web_server_t *server);
 
+/* Returns how many bytes of memory the connections hold: input that was not parsed, requests that
+ * are incomplete or not answered, and answers that were not passed to the kernel. */
+int64_t web_server_held_bytes (const web_server_t *server);
+
 /* Closes connections that exceeded the timeout for idleness or for an incomplete request. */
 void web_server_tick (web_server_t *server, int64_t now_ms);
 
--- a/lib/reactor/web_server.c
+++ b/lib/reactor/web_server.c
@@ -2,7 +2,10 @@
  *
  * A connection carries one request at a time.  While a request is being answered the
  * parser is paused, and further input stays in the buffer.  The socket is read all the
- * same, so that a disconnect of the client is detected at once.  Invariants: a request
+ * same, so that a disconnect of the client is detected at once.  Reading stops when the
+ * input ahead of the parser reaches the size of one request at the limits.  Beyond that EV_CLOSED
+ * reports the disconnect as long as the kernel has room for what was sent, and else it is seen
+ * after the answer.  Invariants: a request
  * is passed to the handler only when it is complete, and only by the event loop; exactly
  * one of web_reply (), web_reply_bytes () and the on_abandoned callback ends it.
  *
@@ -34,6 +37,8 @@
 /* A connection lingers for this long if its client does not close its side, and longer while the
  * client has not acknowledged all of the last answer. */
 #define LINGER_TIMEOUT_MS 1000
+/* Lower bound of the input that is read ahead of the parser: a watermark of 0 means none. */
+#define AHEAD_BYTES_MIN 4096
 
 typedef struct connection_t connection_t;
 
@@ -72,6 +77,7 @@
 {
   web_server_t *server;
   struct bufferevent *bufferevent;
+  struct event *peer_closed; /* added while reading is stopped */
   http_parser parser;
   connection_state_t state;
   bool request_begun; /* a request has been received in part */
@@ -106,6 +112,7 @@
 {
   connection_t *connection = data;
 
+  event_free (connection->peer_closed);
   bufferevent_free (connection->bufferevent);
   g_string_free (connection->target, TRUE);
   g_string_free (connection->host, TRUE);
@@ -115,6 +122,19 @@
   g_free (connection);
 }
 
+/* Returns what CONNECTION holds in memory: input, a request and answers that were not sent. */
+static int64_t
+held_bytes (const connection_t *connection)
+{
+  struct bufferevent *bufferevent = connection->bufferevent;
+  gsize request_bytes = connection->target->allocated_len + connection->host->allocated_len
+                        + connection->deadline->allocated_len
+                        + connection->header_name->allocated_len + connection->body->allocated_len;
+
+  return (int64_t) (evbuffer_get_length (bufferevent_get_input (bufferevent)) + request_bytes
+                    + evbuffer_get_length (bufferevent_get_output (bufferevent)));
+}
+
 static void
 send_answer (connection_t *connection,
              int status,
@@ -319,6 +339,33 @@
     }
 }
 
+/* Returns how much input is read ahead of the parser. */
+static size_t
+ahead_bytes_max (const web_server_t *server)
+{
+  int64_t bytes = server->limits.header_bytes_max + server->limits.body_bytes_max;
+
+  return (size_t) MAX (bytes, AHEAD_BYTES_MIN);
+}
+
+static bool
+is_reading_stopped (const connection_t *connection)
+{
+  const struct evbuffer *in = bufferevent_get_input (connection->bufferevent);
+
+  return evbuffer_get_length (in) >= ahead_bytes_max (connection->server);
+}
+
+/* The client has closed its side.  If reading goes on, its end is read after the input. */
+static void
+on_peer_closed (evutil_socket_t fd, short what, void *data)
+{
+  (void) fd;
+  (void) what;
+  if (is_reading_stopped (data))
+    connection_close (data);
+}
+
 static void
 on_readable (struct bufferevent *bufferevent, void *data)
 {
@@ -329,6 +376,8 @@
     evbuffer_drain (in, evbuffer_get_length (in));
   else
     parse_input (connection);
+  if (is_reading_stopped (connection))
+    event_add (connection->peer_closed, NULL);
 }
 
 /* Has the event loop parse what arrived during a request.  The next request is not passed on at
@@ -388,6 +437,9 @@
   connection->server = server;
   connection->bufferevent =
       bufferevent_socket_new (loop_event_base (server->loop), fd, BEV_OPT_CLOSE_ON_FREE);
+  connection->peer_closed =
+      event_new (loop_event_base (server->loop), fd, EV_CLOSED, on_peer_closed, connection);
+  bufferevent_setwatermark (connection->bufferevent, EV_READ, 0, ahead_bytes_max (server));
   connection->target = g_string_new (NULL);
   connection->host = g_string_new (NULL);
   connection->deadline = g_string_new (NULL);
@@ -435,7 +487,14 @@
 void
 web_server_set_limits (web_server_t *server, const web_server_limits_t *limits)
 {
+  GHashTableIter iter;
+  void *key = NULL;
+
   server->limits = *limits;
+  g_hash_table_iter_init (&iter, server->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    bufferevent_setwatermark (((connection_t *) key)->bufferevent, EV_READ, 0,
+                              ahead_bytes_max (server));
 }
 
 void
@@ -502,6 +561,19 @@
   return bytes;
 }
 
+int64_t
+web_server_held_bytes (const web_server_t *server)
+{
+  GHashTableIter iter;
+  void *key = NULL;
+  int64_t bytes = 0;
+
+  g_hash_table_iter_init (&iter, server->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    bytes += held_bytes (key);
+  return bytes;
+}
+
 /* Returns whether a connection has been idle, or a request incomplete, for too long. */
 static bool
 is_timed_out (const web_server_t *server, const connection_t *connection, int64_t now_ms)
--- a/tests/test_web_server.c
+++ b/tests/test_web_server.c
@@ -1,5 +1,5 @@
-/* test_web_server.c -- lib/reactor web server: how its connections end, and requests that are sent
- * ahead of answers */
+/* test_web_server.c -- lib/reactor web server: how its connections end, requests that are sent
+ * ahead of answers, and clients that make it hold much */
 #include "base/clock.h"
 #include "reactor/web.h"
 #include "tests/port_block.h"
@@ -31,6 +31,12 @@
 #define READ_TIMEOUT_MS 10000
 /* A server keeps a connection open for this long after its last answer, and a tick or two. */
 #define CLOSED_AFTER_MS 3000
+/* What a client without bounds sends, and how long it goes on when nothing is taken any more. */
+#define GET_REQUEST "GET /b HTTP/1.1\r\n\r\n"
+#define FLOOD_BYTES (8 * 1024 * 1024)
+#define FLOOD_PATIENCE_MS 300
+/* One request at the limits, an answer, and what the strings of a request take when empty. */
+#define HELD_BYTES_MAX (128 * 1024)
 
 static const port_range_t test_ports = { .first_port = 9900, .ports = 2, .blocks = 30 };
 
@@ -44,6 +50,9 @@
   gint nested;      /* requests that were passed on within an answer */
   bool answering;
   bool answers_later; /* at the next tick */
+  gint holds_answers; /* none is sent */
+  gint abandoned;     /* requests whose client has gone */
+  gint held_bytes;    /* the most as of a tick */
   GPtrArray *waiting; /* web_request_t */
 } rig_t;
 
@@ -81,7 +90,10 @@
 static void
 on_abandoned (web_request_t *request, void *data)
 {
-  g_ptr_array_remove (((rig_t *) data)->waiting, request);
+  rig_t *rig = data;
+
+  g_atomic_int_inc (&rig->abandoned);
+  g_ptr_array_remove (rig->waiting, request);
 }
 
 static void
@@ -91,9 +103,12 @@
 
   if (rig->server == NULL)
     return;
-  while (rig->waiting->len > 0)
+  while (rig->waiting->len > 0 && !g_atomic_int_get (&rig->holds_answers))
     answer (rig, g_ptr_array_remove_index (rig->waiting, 0));
   web_server_tick (rig->server, clock_boot_ms ());
+  gint held_bytes = (gint) web_server_held_bytes (rig->server);
+  if (held_bytes > g_atomic_int_get (&rig->held_bytes))
+    g_atomic_int_set (&rig->held_bytes, held_bytes);
   g_atomic_int_set (&rig->connections, web_server_connections (rig->server));
 }
 
@@ -304,9 +319,74 @@
         play_ahead_case (i, later != 0, closes != 0);
 }
 
+/* --- clients that make the server hold much --- */
+
+/* Sends TEXT again and again until BYTES are sent or nothing is taken any more. */
+static void
+flood (int fd, const char *text, size_t bytes)
+{
+  GString *chunk = g_string_new (NULL);
+  size_t sent_bytes = 0;
+
+  while (chunk->len < CHUNK_BYTES * 8)
+    g_string_append (chunk, text);
+  while (sent_bytes < bytes)
+    {
+      struct pollfd poll_fd = { .fd = fd, .events = POLLOUT };
+      size_t offset = sent_bytes % chunk->len;
+      if (poll (&poll_fd, 1, FLOOD_PATIENCE_MS) <= 0)
+        break;
+      ssize_t sent = send (fd, chunk->str + offset, MIN (chunk->len - offset, bytes - sent_bytes),
+                           MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (sent <= 0)
+        break;
+      sent_bytes += (size_t) sent;
+    }
+  g_string_free (chunk, TRUE);
+}
+
+static const struct
+{
+  const char *name;
+  size_t bytes;
+  bool seen_gone; /* the client's disconnect is seen while its request waits */
+} behind_cases[] = {
+  { "one request", 1, true },
+  { "less than is read ahead", LIMIT_BYTES, true },
+  { "more than is read ahead, less than the kernel takes", 8 * LIMIT_BYTES, true },
+  { "without a bound", FLOOD_BYTES, false },
+};
+
+/* Input was read without a bound while a request waited for its answer. */
+static void
+test_input_behind_open_request (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (behind_cases); i++)
+    {
+      rig_t rig;
+      rig_start (&rig, &counted_requests, true);
+      g_atomic_int_set (&rig.holds_answers, 1);
+      int fd = site_connect ("127.0.0.1", rig.ports.first_port);
+      flood (fd, GET_REQUEST, strlen (GET_REQUEST) + behind_cases[i].bytes);
+      clock_sleep_ms (SENT_AFTER_MS);
+      if (g_atomic_int_get (&rig.held_bytes) > HELD_BYTES_MAX)
+        printf ("  %s: %d bytes held\n", behind_cases[i].name, rig.held_bytes);
+      CU_ASSERT (g_atomic_int_get (&rig.held_bytes) <= HELD_BYTES_MAX);
+      CU_ASSERT_EQUAL (g_atomic_int_get (&rig.abandoned), 0);
+      close (fd);
+      if (!behind_cases[i].seen_gone)
+        g_atomic_int_set (&rig.holds_answers, 0);
+      wait_until_closed (&rig);
+      if (behind_cases[i].seen_gone)
+        CU_ASSERT_EQUAL (g_atomic_int_get (&rig.abandoned), 1);
+      rig_stop (&rig);
+    }
+}
+
 static const unit_test_t tests[] = {
   { "the last answer arrives whole", test_last_answer_arrives_whole },
   { "requests ahead of answers", test_requests_ahead_of_answers },
+  { "input behind an open request is bounded", test_input_behind_open_request },
 };
 
 int
