Web server: no further request is parsed while answers are not read

What callers saw: a host ran out of memory while clients sent many requests ahead at paths that no route has and left the answers unread. Cause: answers were queued whether they were read or not, and each answer let the next request be parsed. Evidence: the new test sends 8 MB of such requests on one connection. Change: backpressure. Beyond 64 KB of unsent answers no request is begun; the connection goes on when its output has been sent. A client that reads its answers late still gets all of them in order (2,000 in the test).

--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -65,7 +65,8 @@
 } web_server_options_t;
 
 /* Of what a client sends ahead of an answer, as much is read as one request at the limits takes;
- * the rest stays with the client and the kernel until the answer is sent. */
+ * the rest stays with the client and the kernel until the answer is sent.  A client that doesn't
+ * read its answers is served again once it does. */
 
 /* Listens on the address in OPTIONS, whose handlers must outlive the server.  Returns 0
  * and *SERVER (web_server_free), or ERROR_IO. */
--- a/lib/reactor/web_server.c
+++ b/lib/reactor/web_server.c
@@ -5,7 +5,8 @@
  * same, so that a disconnect of the client is detected at once.  Reading stops when the
  * input ahead of the parser reaches the size of one request at the limits.  Beyond that EV_CLOSED
  * reports the disconnect as long as the kernel has room for what was sent, and else it is seen
- * after the answer.  Invariants: a request
+ * after the answer.  While many bytes of answers are not sent, no further request is parsed.
+ * Invariants: a request
  * is passed to the handler only when it is complete, and only by the event loop; exactly
  * one of web_reply (), web_reply_bytes () and the on_abandoned callback ends it.
  *
@@ -39,6 +40,8 @@
 #define LINGER_TIMEOUT_MS 1000
 /* Lower bound of the input that is read ahead of the parser: a watermark of 0 means none. */
 #define AHEAD_BYTES_MIN 4096
+/* No further request is parsed while more than this of earlier answers waits to be sent. */
+#define UNSENT_BYTES_MAX (64 * 1024)
 
 typedef struct connection_t connection_t;
 
@@ -303,6 +306,15 @@
     send_answer (connection, 400, NULL, invalid, sizeof invalid - 1);
 }
 
+/* Backpressure: a client that doesn't read its answers gets no further ones until it does. */
+static bool
+may_begin_request (const connection_t *connection)
+{
+  const struct evbuffer *out = bufferevent_get_output (connection->bufferevent);
+
+  return evbuffer_get_length (out) <= UNSENT_BYTES_MAX;
+}
+
 /* Parses the buffered input up to the end of one request. */
 static void
 parse_input (connection_t *connection)
@@ -311,6 +323,8 @@
 
   while (connection->state == READING && evbuffer_get_length (in) > 0)
     {
+      if (!connection->request_begun && !may_begin_request (connection))
+        return;
       struct evbuffer_iovec chunk;
       if (evbuffer_peek (in, -1, NULL, &chunk, 1) < 1)
         return;
@@ -410,6 +424,8 @@
   (void) bufferevent;
   if (connection->state == CLOSING)
     start_lingering (connection);
+  else
+    parse_input (connection);
 }
 
 static void
--- a/tests/test_web_server.c
+++ b/tests/test_web_server.c
@@ -34,6 +34,7 @@
 /* What a client without bounds sends, and how long it goes on when nothing is taken any more. */
 #define GET_REQUEST "GET /b HTTP/1.1\r\n\r\n"
 #define FLOOD_BYTES (8 * 1024 * 1024)
+#define UNREAD_REQUESTS 2000
 #define FLOOD_PATIENCE_MS 300
 /* One request at the limits, an answer, and what the strings of a request take when empty. */
 #define HELD_BYTES_MAX (128 * 1024)
@@ -383,10 +384,35 @@
     }
 }
 
+/* Answers were queued whether the client read them or not, and each let the next request be parsed.
+ * A client that reads them later gets all of them. */
+static void
+test_answers_not_read (void)
+{
+  for (int later = 0; later <= 1; later++)
+    {
+      rig_t rig;
+      rig_start (&rig, &counted_requests, later != 0);
+      int fd = connect_with_small_buffer (rig.ports.first_port);
+      flood (fd, GET_REQUEST, UNREAD_REQUESTS * strlen (GET_REQUEST));
+      clock_sleep_ms (SENT_AFTER_MS);
+      CU_ASSERT_EQUAL (count_answers (fd, UNREAD_REQUESTS), UNREAD_REQUESTS);
+      flood (fd, GET_REQUEST, FLOOD_BYTES);
+      clock_sleep_ms (SENT_AFTER_MS);
+      if (g_atomic_int_get (&rig.held_bytes) > HELD_BYTES_MAX)
+        printf ("  %d bytes held\n", rig.held_bytes);
+      CU_ASSERT (g_atomic_int_get (&rig.held_bytes) <= HELD_BYTES_MAX);
+      close (fd);
+      wait_until_closed (&rig);
+      rig_stop (&rig);
+    }
+}
+
 static const unit_test_t tests[] = {
   { "the last answer arrives whole", test_last_answer_arrives_whole },
   { "requests ahead of answers", test_requests_ahead_of_answers },
   { "input behind an open request is bounded", test_input_behind_open_request },
+  { "answers that are not read are bounded", test_answers_not_read },
 };
 
 int
