Web server: a connection whose reading has stopped costs no processor

Cause: libevent calls the read callback again and again while the input is at its high watermark. Change: reading is stopped and resumed by the server itself, without a watermark. Run: test_web_server, test_site_pipelining, test_site_drain, test_site.

--- a/lib/reactor/web_server.c
+++ b/lib/reactor/web_server.c
@@ -38,7 +38,7 @@
 /* A connection lingers for this long if its client does not close its side, and longer while the
  * client has not acknowledged all of the last answer. */
 #define LINGER_TIMEOUT_MS 1000
-/* Lower bound of the input that is read ahead of the parser: a watermark of 0 means none. */
+/* Lower bound of the input that is read ahead of the parser, whatever the configuration says. */
 #define AHEAD_BYTES_MIN 4096
 /* No further request is parsed while more than this of earlier answers waits to be sent. */
 #define UNSENT_BYTES_MAX (64 * 1024)
@@ -85,6 +85,7 @@
   connection_state_t state;
   bool request_begun; /* a request has been received in part */
   bool too_large;
+  bool reading_stopped;
   int64_t since_ms; /* time of the request's first byte, of the last answer, or of its last byte */
   size_t header_bytes;
   GString *target;
@@ -362,22 +363,37 @@
   return (size_t) MAX (bytes, AHEAD_BYTES_MIN);
 }
 
-static bool
-is_reading_stopped (const connection_t *connection)
+/* Stops or resumes reading.  A watermark of libevent would call on_readable () again and again
+ * while the input is at it. */
+static void
+update_reading (connection_t *connection)
 {
-  const struct evbuffer *in = bufferevent_get_input (connection->bufferevent);
+  struct evbuffer *in = bufferevent_get_input (connection->bufferevent);
+  bool stop = evbuffer_get_length (in) >= ahead_bytes_max (connection->server);
 
-  return evbuffer_get_length (in) >= ahead_bytes_max (connection->server);
+  if (stop == connection->reading_stopped || connection->state == LINGERING)
+    return;
+  if (stop)
+    {
+      bufferevent_disable (connection->bufferevent, EV_READ);
+      event_add (connection->peer_closed, NULL);
+    }
+  else if (connection->state == CLOSING)
+    return;
+  else
+    {
+      event_del (connection->peer_closed);
+      bufferevent_enable (connection->bufferevent, EV_READ);
+    }
+  connection->reading_stopped = stop;
 }
 
-/* The client has closed its side.  If reading goes on, its end is read after the input. */
 static void
 on_peer_closed (evutil_socket_t fd, short what, void *data)
 {
   (void) fd;
   (void) what;
-  if (is_reading_stopped (data))
-    connection_close (data);
+  connection_close (data);
 }
 
 static void
@@ -390,8 +406,7 @@
     evbuffer_drain (in, evbuffer_get_length (in));
   else
     parse_input (connection);
-  if (is_reading_stopped (connection))
-    event_add (connection->peer_closed, NULL);
+  update_reading (connection);
 }
 
 /* Has the event loop parse what arrived during a request.  The next request is not passed on at
@@ -413,6 +428,8 @@
   connection->since_ms = clock_boot_ms ();
   shutdown (bufferevent_getfd (connection->bufferevent), SHUT_WR);
   evbuffer_drain (in, evbuffer_get_length (in));
+  event_del (connection->peer_closed);
+  connection->reading_stopped = false;
   bufferevent_enable (connection->bufferevent, EV_READ);
 }
 
@@ -426,6 +443,7 @@
     start_lingering (connection);
   else
     parse_input (connection);
+  update_reading (connection);
 }
 
 static void
@@ -455,7 +473,6 @@
       bufferevent_socket_new (loop_event_base (server->loop), fd, BEV_OPT_CLOSE_ON_FREE);
   connection->peer_closed =
       event_new (loop_event_base (server->loop), fd, EV_CLOSED, on_peer_closed, connection);
-  bufferevent_setwatermark (connection->bufferevent, EV_READ, 0, ahead_bytes_max (server));
   connection->target = g_string_new (NULL);
   connection->host = g_string_new (NULL);
   connection->deadline = g_string_new (NULL);
@@ -503,14 +520,7 @@
 void
 web_server_set_limits (web_server_t *server, const web_server_limits_t *limits)
 {
-  GHashTableIter iter;
-  void *key = NULL;
-
   server->limits = *limits;
-  g_hash_table_iter_init (&iter, server->connections);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    bufferevent_setwatermark (((connection_t *) key)->bufferevent, EV_READ, 0,
-                              ahead_bytes_max (server));
 }
 
 void
--- a/tests/test_web_server.c
+++ b/tests/test_web_server.c
@@ -16,6 +16,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #define TICK_MS 5
@@ -322,6 +323,19 @@
 
 /* --- clients that make the server hold much --- */
 
+/* A server that has stopped reading waits: most of the time it uses no processor. */
+static void
+check_server_waits (const char *name)
+{
+  clock_t used = clock ();
+
+  clock_sleep_ms (SENT_AFTER_MS);
+  used = clock () - used;
+  if (used * 1000 / CLOCKS_PER_SEC > SENT_AFTER_MS / 2)
+    printf ("  %s: %ld ms of the processor\n", name, (long) (used * 1000 / CLOCKS_PER_SEC));
+  CU_ASSERT (used * 1000 / CLOCKS_PER_SEC <= SENT_AFTER_MS / 2);
+}
+
 /* Sends TEXT again and again until BYTES are sent or nothing is taken any more. */
 static void
 flood (int fd, const char *text, size_t bytes)
@@ -369,7 +383,7 @@
       g_atomic_int_set (&rig.holds_answers, 1);
       int fd = site_connect ("127.0.0.1", rig.ports.first_port);
       flood (fd, GET_REQUEST, strlen (GET_REQUEST) + behind_cases[i].bytes);
-      clock_sleep_ms (SENT_AFTER_MS);
+      check_server_waits (behind_cases[i].name);
       if (g_atomic_int_get (&rig.held_bytes) > HELD_BYTES_MAX)
         printf ("  %s: %d bytes held\n", behind_cases[i].name, rig.held_bytes);
       CU_ASSERT (g_atomic_int_get (&rig.held_bytes) <= HELD_BYTES_MAX);
@@ -398,7 +412,7 @@
       clock_sleep_ms (SENT_AFTER_MS);
       CU_ASSERT_EQUAL (count_answers (fd, UNREAD_REQUESTS), UNREAD_REQUESTS);
       flood (fd, GET_REQUEST, FLOOD_BYTES);
-      clock_sleep_ms (SENT_AFTER_MS);
+      check_server_waits ("unread answers");
       if (g_atomic_int_get (&rig.held_bytes) > HELD_BYTES_MAX)
         printf ("  %d bytes held\n", rig.held_bytes);
       CU_ASSERT (g_atomic_int_get (&rig.held_bytes) <= HELD_BYTES_MAX);
