Web server: answers that are not read have a timeout in each state

What callers saw: a connection whose last answer is not read stayed open, with what it holds, for as long as its client acknowledged anything. Cause: is_timed_out () knew no limit for CLOSING, and for LINGERING only once all is acknowledged. Change: a connection is closed when no byte of its answers is acknowledged for 10 s, in all states but that of a request that waits for its answer, and at the latest 60 s after its last answer. The kernel is asked only when the time is up, so that calm connections cost no system call.

--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -103,7 +103,9 @@
  * are incomplete or not answered, and answers that were not passed to the kernel. */
 int64_t web_server_held_bytes (const web_server_t *server);
 
-/* Closes connections that exceeded the timeout for idleness or for an incomplete request. */
+/* Closes connections that exceeded the timeout for idleness or for an incomplete request, and those
+ * whose client doesn't take its answers: no byte acknowledged for 10 s, or not all of the last
+ * answer after 60 s.  A request that waits for its answer has no timeout here. */
 void web_server_tick (web_server_t *server, int64_t now_ms);
 
 /* Closes the listener and all connections without calling on_abandoned ().  NULL is a
--- a/lib/reactor/web_server.c
+++ b/lib/reactor/web_server.c
@@ -42,6 +42,11 @@
 #define AHEAD_BYTES_MIN 4096
 /* No further request is parsed while more than this of earlier answers waits to be sent. */
 #define UNSENT_BYTES_MAX (64 * 1024)
+/* A connection is closed when its client has acknowledged no byte of its answers for this long...
+ */
+#define UNREAD_TIMEOUT_MS 10000
+/* ...and at the latest this long after its last answer. */
+#define LAST_ANSWER_TIMEOUT_MS 60000
 
 typedef struct connection_t connection_t;
 
@@ -87,6 +92,9 @@
   bool too_large;
   bool reading_stopped;
   int64_t since_ms; /* time of the request's first byte, of the last answer, or of its last byte */
+  int64_t answered_bytes;     /* sum of all answers */
+  int64_t acked_bytes;        /* of these, as of the last progress */
+  int64_t unread_close_at_ms; /* unless there is progress by then; 0: nothing is unread */
   size_t header_bytes;
   GString *target;
   GString *host;
@@ -158,6 +166,7 @@
                        headers != NULL ? headers : "", keep_alive ? "" : "Connection: close\r\n");
   if (size > 0)
     evbuffer_add (out, body, size);
+  connection->answered_bytes += (int64_t) (evbuffer_get_length (out) - queued_bytes);
   traffic_add (&connection->server->traffic->sent, evbuffer_get_length (out) - queued_bytes);
   if (!keep_alive)
     connection->state = CLOSING;
@@ -600,15 +609,50 @@
   return bytes;
 }
 
-/* Returns whether a connection has been idle, or a request incomplete, for too long. */
+/* Returns whether the client has acknowledged no byte of its answers for too long.  The kernel is
+ * asked only when the time is up, since it counts for each call. */
 static bool
-is_timed_out (const web_server_t *server, const connection_t *connection, int64_t now_ms)
+is_unread (connection_t *connection, int64_t now_ms)
 {
-  if (connection->state == LINGERING)
-    return now_ms - connection->since_ms > LINGER_TIMEOUT_MS
-           && unacked_bytes (bufferevent_getfd (connection->bufferevent)) == 0;
-  if (connection->state != READING)
+  struct bufferevent *bufferevent = connection->bufferevent;
+  int64_t queued_bytes = (int64_t) evbuffer_get_length (bufferevent_get_output (bufferevent));
+
+  if (queued_bytes == 0 && connection->state != LINGERING)
+    {
+      connection->unread_close_at_ms = 0;
+      return false;
+    }
+  if (connection->unread_close_at_ms == 0)
+    {
+      connection->unread_close_at_ms = now_ms + UNREAD_TIMEOUT_MS;
+      return false;
+    }
+  if (now_ms <= connection->unread_close_at_ms)
     return false;
+  int64_t acked_bytes =
+      connection->answered_bytes - queued_bytes - unacked_bytes (bufferevent_getfd (bufferevent));
+  bool progress = acked_bytes > connection->acked_bytes;
+  connection->acked_bytes = acked_bytes;
+  connection->unread_close_at_ms = now_ms + UNREAD_TIMEOUT_MS;
+  return !progress;
+}
+
+/* Returns whether a connection has been idle, a request incomplete, or answers unread for too
+ * long.  While a request waits for its answer, no timeout applies. */
+static bool
+is_timed_out (connection_t *connection, int64_t now_ms)
+{
+  const web_server_t *server = connection->server;
+
+  if (connection->state == ANSWERING)
+    return false;
+  if (is_unread (connection, now_ms))
+    return true;
+  if (connection->state == LINGERING && now_ms - connection->since_ms > LINGER_TIMEOUT_MS
+      && unacked_bytes (bufferevent_getfd (connection->bufferevent)) == 0)
+    return true;
+  if (connection->state != READING)
+    return now_ms - connection->since_ms > LAST_ANSWER_TIMEOUT_MS;
   int64_t limit_ms = connection->request_begun ? server->limits.header_timeout_ms
                      : server->draining        ? server->drain_idle_ms
                                                : server->limits.idle_timeout_ms;
@@ -624,7 +668,7 @@
 
   g_hash_table_iter_init (&iter, server->connections);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    if (is_timed_out (server, key, now_ms))
+    if (is_timed_out (key, now_ms))
       {
         if (timed_out == NULL)
           timed_out = g_ptr_array_new ();
--- a/tests/test_web_server.c
+++ b/tests/test_web_server.c
@@ -35,6 +35,9 @@
 /* What a client without bounds sends, and how long it goes on when nothing is taken any more. */
 #define GET_REQUEST "GET /b HTTP/1.1\r\n\r\n"
 #define FLOOD_BYTES (8 * 1024 * 1024)
+#define LAST_REQUESTS "GET /a HTTP/1.1\r\n\r\n"
+/* More than the server's timeout for answers that are not read. */
+#define UNREAD_AHEAD_MS 30000
 #define UNREAD_REQUESTS 2000
 #define FLOOD_PATIENCE_MS 300
 /* One request at the limits, an answer, and what the strings of a request take when empty. */
@@ -53,6 +56,7 @@
   bool answering;
   bool answers_later; /* at the next tick */
   gint holds_answers; /* none is sent */
+  gint ahead_ms;      /* of the clock that ticks show */
   gint abandoned;     /* requests whose client has gone */
   gint held_bytes;    /* the most as of a tick */
   GPtrArray *waiting; /* web_request_t */
@@ -107,7 +111,7 @@
     return;
   while (rig->waiting->len > 0 && !g_atomic_int_get (&rig->holds_answers))
     answer (rig, g_ptr_array_remove_index (rig->waiting, 0));
-  web_server_tick (rig->server, clock_boot_ms ());
+  web_server_tick (rig->server, clock_boot_ms () + g_atomic_int_get (&rig->ahead_ms));
   gint held_bytes = (gint) web_server_held_bytes (rig->server);
   if (held_bytes > g_atomic_int_get (&rig->held_bytes))
     g_atomic_int_set (&rig->held_bytes, held_bytes);
@@ -422,11 +426,37 @@
     }
 }
 
+/* A connection whose last answer was not read stayed for as long as its client acknowledged
+ * anything.  The ticks here come from a clock that is ahead. */
+static void
+test_last_answer_not_read (void)
+{
+  rig_t rig;
+  char chunk[CHUNK_BYTES];
+
+  rig_start (&rig, &large_answers, false);
+  int fd = connect_with_small_buffer (rig.ports.first_port);
+  flood (fd, LAST_REQUESTS, strlen (LAST_REQUESTS));
+  clock_sleep_ms (SENT_AFTER_MS);
+  CU_ASSERT_EQUAL (g_atomic_int_get (&rig.connections), 1);
+  for (int i = 1; i <= 2; i++)
+    {
+      (void) !recv (fd, chunk, sizeof chunk, 0);
+      clock_sleep_ms (SENT_AFTER_MS);
+      g_atomic_int_set (&rig.ahead_ms, i * UNREAD_AHEAD_MS);
+      clock_sleep_ms (SENT_AFTER_MS);
+    }
+  CU_ASSERT_EQUAL (g_atomic_int_get (&rig.connections), 0);
+  close (fd);
+  rig_stop (&rig);
+}
+
 static const unit_test_t tests[] = {
   { "the last answer arrives whole", test_last_answer_arrives_whole },
   { "requests ahead of answers", test_requests_ahead_of_answers },
   { "input behind an open request is bounded", test_input_behind_open_request },
   { "answers that are not read are bounded", test_answers_not_read },
+  { "a last answer that is not read", test_last_answer_not_read },
 };
 
 int
