Network: a peer without a HELLO is held to a small frame, and peers are counted

Seen: whoever could reach the address for hosts made a host keep 64 MB for each connection before any HELLO (16 connections: over 16 MB, the test's bound), and could hold any number of connections. Cause: the bound on a frame was the one for known hosts, and accepted connections had no number. Change: before the HELLO a frame has 4 KB at most, or the connection is closed; 256 connections without a HELLO and 4,096 with one, beyond which the one that has been silent for longest goes. A connection is read for 1 MB at most before the others have their turn, and 32 are accepted before HELLOs that have come are read, so that a crowd doesn't push out hosts that reconnect together. Closures are counted by cause in jaytrail_peer_connections_closed_total.

--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -14,6 +14,7 @@
 
 #include "base/address.h"
 #include "base/clock.h"
+#include "base/counter.h"
 #include "base/error.h"
 #include "base/log.h"
 #include "base/unacked.h"
@@ -48,6 +49,18 @@
 #define POLL_INTERVAL_MS 50
 #define EPOLL_EVENTS_MAX 64
 #define READ_CHUNK_BYTES 65536
+/* A link is read for at most this many chunks before the other links have their turn. */
+#define READ_CHUNKS_MAX 16
+/* Maximum size of a HELLO, with room for fields that later versions append.  Until it has come,
+ * nothing larger is kept for a link. */
+#define HELLO_MAX_BYTES 4096
+/* Accepted links without a HELLO.  One more closes the oldest of them. */
+#define UNNAMED_LINKS_MAX 256
+/* Accepted links with a HELLO.  One more closes the one from which nothing has come for longest. */
+#define NAMED_LINKS_MAX 4096
+/* Connections are accepted in rounds no larger than the rounds of events, so that a HELLO that has
+ * arrived is read before more connections are accepted. */
+#define ACCEPTS_PER_ROUND 32
 
 typedef enum
 {
@@ -62,6 +75,7 @@
   bool outgoing;
   bool permanent;
   bool is_self; /* the address is this host's own */
+  bool failed;  /* to be closed by the I/O thread, which alone uses this field */
   link_state_t state;
   char *address;     /* outgoing links only: address of the peer */
   char *data_centre; /* from its HELLO, else as given by the caller; may be NULL */
@@ -75,6 +89,8 @@
   int64_t connect_started_ms;
   int64_t timeout_at_ms;
   int64_t expires_at_ms; /* when an address that is not permanent is removed */
+  int64_t
+      last_received_ms; /* accepted links only: last arrival of bytes, first of all the accept */
 } link_t;
 
 struct net_t
@@ -103,6 +119,23 @@
   epoll_ctl (net->epoll_fd, operation, link->fd, &event);
 }
 
+static void
+count_closed (const char *cause)
+{
+  char labels[64];
+
+  g_snprintf (labels, sizeof labels, "cause=\"%s\"", cause);
+  counter_add (counter_get ("jaytrail_peer_connections_closed_total", labels), 1);
+}
+
+/* Counts that a link is to be closed for CAUSE.  Returns false. */
+static bool
+refuse_link (const char *cause)
+{
+  count_closed (cause);
+  return false;
+}
+
 /* --- links --- */
 
 static link_t *
@@ -269,21 +302,66 @@
   return link_queue (net, link, make_hello (net)) == 0;
 }
 
+/* Drops what LINK holds and shuts its socket down, for which epoll then reports an event; LINK is
+ * closed when that is handled.  Under the lock, on the I/O thread. */
 static void
-accept_links (net_t *net)
+link_abort (link_t *link)
+{
+  link->failed = true;
+  g_byte_array_unref (link->receive_buffer);
+  link->receive_buffer = g_byte_array_new ();
+  shutdown (link->fd, SHUT_RDWR);
+}
+
+/* Closes the accepted link that has been silent for longest, of those with a HELLO if NAMED, else
+ * of those without, if there are more than MAX of them.  Under the lock. */
+static void
+limit_accepted_links (net_t *net, bool named, guint max)
 {
-  int fd = -1;
+  guint count = 0;
+  link_t *silent = NULL;
 
-  while ((fd = accept4 (net->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+  for (guint i = 0; i < net->links->len; i++)
     {
-      socket_set_options (fd);
-      pthread_mutex_lock (&net->lock);
-      link_t *link = link_new (net, false);
-      link->fd = fd;
-      link->state = LINK_OPEN;
-      link->timeout_at_ms = clock_boot_ms () + HANDSHAKE_TIMEOUT_MS;
-      set_epoll_events (net, link, EPOLL_CTL_ADD, EPOLLIN);
-      pthread_mutex_unlock (&net->lock);
+      link_t *link = net->links->pdata[i];
+      if (link->outgoing || link->failed || (link->host != NULL) != named)
+        continue;
+      count++;
+      if (silent == NULL || link->last_received_ms < silent->last_received_ms)
+        silent = link;
+    }
+  if (count <= max)
+    return;
+  link_abort (silent);
+  count_closed (named ? "most_named" : "most_unnamed");
+}
+
+static void
+accept_link (net_t *net, int fd)
+{
+  int64_t now_ms = clock_boot_ms ();
+
+  socket_set_options (fd);
+  pthread_mutex_lock (&net->lock);
+  link_t *link = link_new (net, false);
+  link->fd = fd;
+  link->state = LINK_OPEN;
+  link->timeout_at_ms = now_ms + HANDSHAKE_TIMEOUT_MS;
+  link->last_received_ms = now_ms;
+  set_epoll_events (net, link, EPOLL_CTL_ADD, EPOLLIN);
+  limit_accepted_links (net, false, UNNAMED_LINKS_MAX);
+  pthread_mutex_unlock (&net->lock);
+}
+
+static void
+accept_links (net_t *net)
+{
+  for (int i = 0; i < ACCEPTS_PER_ROUND; i++)
+    {
+      int fd = accept4 (net->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0)
+        return;
+      accept_link (net, fd);
     }
 }
 
@@ -325,7 +403,10 @@
       up = true;
     }
   if (valid && !link->outgoing)
-    link_queue (net, link, make_hello (net));
+    {
+      link_queue (net, link, make_hello (net));
+      limit_accepted_links (net, true, NAMED_LINKS_MAX);
+    }
   pthread_mutex_unlock (&net->lock);
   if (up)
     net->ops->on_peer_up (&peer, net->data);
@@ -390,8 +471,8 @@
     {
       const guint8 *at = link->receive_buffer->data + offset;
       gsize size = (gsize) at[0] << 24 | (gsize) at[1] << 16 | (gsize) at[2] << 8 | at[3];
-      if (size > FRAME_MAX_BYTES)
-        return false;
+      if (size > (link->host != NULL ? FRAME_MAX_BYTES : HELLO_MAX_BYTES))
+        return refuse_link (link->host != NULL ? "frame_size" : "hello_size");
       if (link->receive_buffer->len - offset - FRAME_LENGTH_BYTES < size)
         break;
       count_received (net, FRAME_LENGTH_BYTES + size);
@@ -404,22 +485,25 @@
   return true;
 }
 
+/* Reads from LINK what has arrived, up to a limit.  Returns false if LINK must be closed. */
 static bool
 receive_frames (net_t *net, link_t *link)
 {
   guint8 chunk[READ_CHUNK_BYTES];
 
-  for (;;)
+  for (int i = 0; i < READ_CHUNKS_MAX; i++)
     {
       ssize_t got = recv (link->fd, chunk, sizeof chunk, 0);
       if (got < 0 && (errno == EAGAIN || errno == EINTR))
         return true;
       if (got <= 0)
         return false;
+      link->last_received_ms = clock_boot_ms ();
       g_byte_array_append (link->receive_buffer, chunk, (guint) got);
-      if (!handle_received_frames (net, link))
+      if (!handle_received_frames (net, link) || link->failed)
         return false;
     }
+  return true;
 }
 
 /* --- I/O thread --- */
@@ -442,6 +526,8 @@
 
   if (link->state == LINK_IDLE)
     return;
+  if (link->failed)
+    events = 0;
   if (events & EPOLLOUT)
     {
       pthread_mutex_lock (&net->lock);
@@ -450,7 +536,7 @@
     }
   if (keep && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
     keep = receive_frames (net, link);
-  if (!keep)
+  if (!keep || link->failed)
     disconnect_link (net, link);
 }
 
