Network: accepting pauses when there is no descriptor

Seen: with all descriptors taken and connections waiting, the network thread used a whole core, as the listener was reported as readable without end; nothing was logged. Cause: a failed accept was taken for an empty queue. Change: after a failure for want of descriptors or memory accepting pauses for 100 ms; counted in jaytrail_peer_accept_failures_total and logged at most every 10 s. Evidence: "no descriptors" of test_net_limits used more than 500 ms of processor in a second before and passes now; test_net passes, on x86-64.

--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -61,6 +61,10 @@
 /* Connections are accepted in rounds no larger than the rounds of events, so that a HELLO that has
  * arrived is read before more connections are accepted. */
 #define ACCEPTS_PER_ROUND 32
+/* Pause after a failure to accept, as for want of descriptors. */
+#define ACCEPT_PAUSE_MS 100
+/* Failures to accept are logged no more often than this. */
+#define ACCEPT_LOG_INTERVAL_MS 10000
 
 typedef enum
 {
@@ -101,6 +105,8 @@
   int listen_fd;
   int epoll_fd;
   int wake_fd;
+  int64_t accept_resumes_at_ms; /* 0 while connections are accepted */
+  int64_t accept_log_due_ms;
   GThread *thread;
   atomic_bool stopping;
   pthread_mutex_t lock;
@@ -353,12 +359,57 @@
   pthread_mutex_unlock (&net->lock);
 }
 
+/* Waits for connections, or ignores them. */
+static void
+set_accepting (net_t *net, bool accepting)
+{
+  struct epoll_event event = { .events = accepting ? EPOLLIN : 0, .data.ptr = NULL };
+
+  epoll_ctl (net->epoll_fd, EPOLL_CTL_MOD, net->listen_fd, &event);
+}
+
+/* Pauses accepting after it has failed with ERROR_NUMBER.  The connections remain in the queue of
+ * the listener, which would otherwise be reported at once again. */
+static void
+pause_accepting (net_t *net, int error_number)
+{
+  int64_t now_ms = clock_boot_ms ();
+
+  set_accepting (net, false);
+  net->accept_resumes_at_ms = now_ms + ACCEPT_PAUSE_MS;
+  counter_add (counter_get ("jaytrail_peer_accept_failures_total", NULL), 1);
+  if (now_ms < net->accept_log_due_ms)
+    return;
+  net->accept_log_due_ms = now_ms + ACCEPT_LOG_INTERVAL_MS;
+  log_warning (PART, "Cannot accept connections of hosts.", "error", g_strerror (error_number),
+               NULL);
+}
+
+static void
+resume_accepting (net_t *net)
+{
+  if (net->accept_resumes_at_ms == 0 || clock_boot_ms () < net->accept_resumes_at_ms)
+    return;
+  net->accept_resumes_at_ms = 0;
+  set_accepting (net, true);
+}
+
+/* Returns true if ERROR_NUMBER, of accept4 (), says that no connection waits or that one has gone
+ * meanwhile. */
+static bool
+is_accept_transient (int error_number)
+{
+  return error_number == EAGAIN || error_number == EINTR || error_number == ECONNABORTED;
+}
+
 static void
 accept_links (net_t *net)
 {
   for (int i = 0; i < ACCEPTS_PER_ROUND; i++)
     {
       int fd = accept4 (net->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0 && !is_accept_transient (errno))
+        pause_accepting (net, errno);
       if (fd < 0)
         return;
       accept_link (net, fd);
@@ -601,6 +652,7 @@
   while (!atomic_load (&net->stopping))
     {
       update_links (net);
+      resume_accepting (net);
       int count = epoll_wait (net->epoll_fd, events, EPOLL_EVENTS_MAX, POLL_INTERVAL_MS);
       for (int i = 0; i < count; i++)
         if (events[i].data.ptr == NULL)
