Network: unfinished frames have a bound together, and a time-out

Seen: each peer could leave a frame of 64 MB unfinished for ever (16 peers with 16 MB each: more than 160 MB), and a connection kept the memory of its largest frame. Cause: the bound was one of a frame, not of all of them. Change: what has arrived incompletely has a bound over all connections, 64 MB by default and 32 MB in a host of the site (its largest frames are a few MB); beyond it the connection with the most is closed. A frame has to be whole 60 s after its first byte, not counting time in which this host doesn't read. An empty buffer is freed. Closures are counted by cause. Evidence: "unfinished frames" of test_net_limits failed before and passes; test_net, test_site (160 asserts) and test_site_hosts (136) pass, on x86-64. The time-out of 60 s has no test.

--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -18,6 +18,9 @@
 #define CONNECT_INTERVAL_MS 200
 #define REDIAL_INTERVAL_MS 3000
 #define HOSTS_PER_FRAME_MAX 256
+/* Limit on the bytes of frames that have arrived incompletely, and on those that wait to be sent, of
+ * all peers together. */
+#define PEER_BUFFER_MAX_BYTES (32 * 1024 * 1024)
 /* A younger connection is not replaced by a new one. */
 #define RECONNECT_MIN_AGE_MS 1000
 
@@ -471,6 +474,7 @@
               site->incarnation },
     .ops = &net_ops,
     .data = site,
+    .buffer_max_bytes = PEER_BUFFER_MAX_BYTES,
   };
   int result = net_start (&options, &site->net);
 
--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -64,6 +64,8 @@
 #define ACCEPTS_PER_ROUND 32
 /* A link is not read while more than this of what came from it has not been handled. */
 #define UNHANDLED_MAX_BYTES (8 * 1024 * 1024)
+/* Time-out, from its first byte, of a frame that is not complete. */
+#define FRAME_TIMEOUT_MS 60000
 /* Pause after a failure to accept, as for want of descriptors. */
 #define ACCEPT_PAUSE_MS 100
 /* Failures to accept are logged no more often than this. */
@@ -90,7 +92,8 @@
   GQueue send_queue; /* of GBytes */
   gsize send_offset; /* bytes of the first frame that have been sent */
   gsize queued_bytes;
-  GByteArray *receive_buffer;
+  GByteArray *receive_buffer;  /* begins with a frame that is not complete, or is empty */
+  int64_t frame_timeout_at_ms; /* of that frame; 0 if there is none */
   inbox_t *inbox;
   bool paused; /* not read, as the inbox is full; under the lock */
   int64_t reconnect_at_ms;
@@ -112,6 +115,8 @@
   int wake_fd;
   int64_t accept_resumes_at_ms; /* 0 while connections are accepted */
   int64_t accept_log_due_ms;
+  gsize unfinished_bytes; /* in the receive buffers; I/O thread only, or before it runs */
+  gsize unfinished_max_bytes;
   GThread *thread;
   atomic_bool stopping;
   pthread_mutex_t lock;
@@ -180,6 +185,18 @@
   g_free (link);
 }
 
+/* Drops what has been received of an incomplete frame, with the memory. */
+static void
+drop_unfinished (net_t *net, link_t *link)
+{
+  net->unfinished_bytes -= link->receive_buffer->len;
+  link->frame_timeout_at_ms = 0;
+  if (link->receive_buffer->len == 0)
+    return;
+  g_byte_array_unref (link->receive_buffer);
+  link->receive_buffer = g_byte_array_new ();
+}
+
 /* Closes the socket of LINK.  Schedules the next attempt of an outgoing link, and
  * frees any other link.  If an outgoing link to a host was open, returns the host
  * id, which the caller frees; else NULL. */
@@ -195,7 +212,7 @@
   link->send_offset = 0;
   link->queued_bytes = 0;
   link->paused = false;
-  g_byte_array_set_size (link->receive_buffer, 0);
+  drop_unfinished (net, link);
   if (link->outgoing && link->host != NULL
       && g_hash_table_lookup (net->links_by_host, link->host) == link)
     {
@@ -328,11 +345,10 @@
 /* Drops what LINK holds and shuts its socket down, for which epoll then reports an event; LINK is
  * closed when that is handled.  Under the lock, on the I/O thread. */
 static void
-link_abort (link_t *link)
+link_abort (net_t *net, link_t *link)
 {
   link->failed = true;
-  g_byte_array_unref (link->receive_buffer);
-  link->receive_buffer = g_byte_array_new ();
+  drop_unfinished (net, link);
   shutdown (link->fd, SHUT_RDWR);
 }
 
@@ -355,7 +371,7 @@
     }
   if (count <= max)
     return;
-  link_abort (silent);
+  link_abort (net, silent);
   count_closed (named ? "most_named" : "most_unnamed");
 }
 
@@ -528,6 +544,23 @@
   pthread_mutex_unlock (&net->lock);
 }
 
+/* Removes the first SIZE bytes of the receive buffer, which have been handled.  A buffer that has
+ * become empty gives its memory back. */
+static void
+drop_handled (net_t *net, link_t *link, gsize size)
+{
+  if (size > 0 && size == link->receive_buffer->len)
+    drop_unfinished (net, link);
+  else if (size > 0)
+    {
+      g_byte_array_remove_range (link->receive_buffer, 0, (guint) size);
+      net->unfinished_bytes -= size;
+      link->frame_timeout_at_ms = 0;
+    }
+  if (link->receive_buffer->len > 0 && link->frame_timeout_at_ms == 0)
+    link->frame_timeout_at_ms = clock_boot_ms () + FRAME_TIMEOUT_MS;
+}
+
 /* Processes all complete frames in the receive buffer.  Returns false if LINK must
  * be closed. */
 static bool
@@ -544,15 +577,35 @@
       if (link->receive_buffer->len - offset - FRAME_LENGTH_BYTES < size)
         break;
       count_received (net, FRAME_LENGTH_BYTES + size);
-      if (!handle_frame (net, link, at + FRAME_LENGTH_BYTES, size))
+      /* A HELLO may have closed this link, with its buffer, as one too many. */
+      if (!handle_frame (net, link, at + FRAME_LENGTH_BYTES, size) || link->failed)
         return false;
       offset += FRAME_LENGTH_BYTES + size;
     }
-  if (offset > 0)
-    g_byte_array_remove_range (link->receive_buffer, 0, (guint) offset);
+  drop_handled (net, link, offset);
   return true;
 }
 
+/* Closes the link that has most of an incomplete frame, while all together have too much. */
+static void
+limit_unfinished_frames (net_t *net)
+{
+  pthread_mutex_lock (&net->lock);
+  while (net->unfinished_bytes > net->unfinished_max_bytes)
+    {
+      link_t *largest = net->links->pdata[0];
+      for (guint i = 1; i < net->links->len; i++)
+        {
+          link_t *link = net->links->pdata[i];
+          if (link->receive_buffer->len > largest->receive_buffer->len)
+            largest = link;
+        }
+      link_abort (net, largest);
+      count_closed ("unfinished_frames");
+    }
+  pthread_mutex_unlock (&net->lock);
+}
+
 /* Stops or goes on reading LINK. */
 static void
 set_paused (net_t *net, link_t *link, bool paused)
@@ -591,7 +644,11 @@
         return false;
       link->last_received_ms = clock_boot_ms ();
       g_byte_array_append (link->receive_buffer, chunk, (guint) got);
-      if (!handle_received_frames (net, link) || link->failed)
+      net->unfinished_bytes += (gsize) got;
+      if (!handle_received_frames (net, link))
+        return false;
+      limit_unfinished_frames (net);
+      if (link->failed)
         return false;
     }
   return true;
@@ -648,6 +705,12 @@
   return pending && now_ms >= link->timeout_at_ms;
 }
 
+static bool
+is_frame_overdue (const link_t *link, int64_t now_ms)
+{
+  return link->frame_timeout_at_ms != 0 && now_ms >= link->frame_timeout_at_ms && !link->failed;
+}
+
 static bool
 is_expired (const link_t *link, int64_t now_ms)
 {
@@ -674,6 +737,14 @@
               continue;
             }
         }
+      /* The time for which this host does not read is not the peer's. */
+      if (link->paused && link->frame_timeout_at_ms != 0)
+        link->frame_timeout_at_ms = now_ms + FRAME_TIMEOUT_MS;
+      if (is_frame_overdue (link, now_ms))
+        {
+          link_abort (net, link);
+          count_closed ("frame_timeout");
+        }
       if (link->paused && !inbox_is_full (link->inbox, UNHANDLED_MAX_BYTES))
         set_paused (net, link, false);
       if (is_connect_due (link, now_ms))
@@ -746,6 +817,8 @@
   net->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
   net->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
   pthread_mutex_init (&net->lock, NULL);
+  net->unfinished_max_bytes =
+      options->buffer_max_bytes != 0 ? options->buffer_max_bytes : NET_BUFFER_MAX_BYTES;
   net->links = g_ptr_array_new_with_free_func (link_free);
   net->links_by_host = g_hash_table_new (g_str_hash, g_str_equal);
   net->blocked_in = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/lib/wire/net.h
+++ b/lib/wire/net.h
@@ -14,6 +14,8 @@
 #ifndef WIRE_NET_H
 #define WIRE_NET_H
 
+#include "wire/frame.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -40,12 +42,19 @@
   void (*on_peer_down) (const char *host, void *data);
 } net_ops_t;
 
+/* Default of buffer_max_bytes: the largest frame, with its length. */
+#define NET_BUFFER_MAX_BYTES (FRAME_MAX_BYTES + FRAME_LENGTH_BYTES + 65536)
+
 typedef struct
 {
   const char *listen_address; /* IP:port */
   net_peer_t self;
   const net_ops_t *ops;
   void *data; /* passed to the callbacks */
+  /* Limit on the bytes of frames that have arrived incompletely, on all connections together.  A
+   * larger frame cannot be received.  Beyond it the connection with the most is closed.  0 for
+   * NET_BUFFER_MAX_BYTES.  The memory may be twice that. */
+  gsize buffer_max_bytes;
 } net_options_t;
 
 /* Starts to listen and starts the thread.  OPTIONS is copied, except for ops,
