Network: what waits for peers that don't read has a bound together

Seen: a peer that reads nothing made the host keep 64 MB, each further peer as much (4 peers: more than 96 MB), and frames beyond that were dropped one by one on a connection that stayed open, so that nothing was exchanged again. Cause: the bound was one of a connection. Change: the sum has the bound of the unfinished frames (64 MB, in a host of the site 32 MB); beyond it the connection for which most waits is closed, which starts the usual exchange after a reconnect. Counted by cause. Evidence: "frames that are not read" of test_net_limits failed before and passes, as do the other cases and test_net, on x86-64.

--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -34,8 +34,6 @@
 
 #define PART "net"
 #define HELLO_VERSION 1
-/* Frames to a peer are dropped while more than this would be queued for it. */
-#define SEND_QUEUE_MAX_BYTES (64 * 1024 * 1024)
 /* Back-off of reconnects: the delay doubles from the minimum to the maximum, and
  * a random time of up to the same length is added. */
 #define RECONNECT_DELAY_MIN_MS 50
@@ -92,6 +90,7 @@
   GQueue send_queue; /* of GBytes */
   gsize send_offset; /* bytes of the first frame that have been sent */
   gsize queued_bytes;
+  bool send_failed;            /* takes no more frames until it has been closed */
   GByteArray *receive_buffer;  /* begins with a frame that is not complete, or is empty */
   int64_t frame_timeout_at_ms; /* of that frame; 0 if there is none */
   inbox_t *inbox;
@@ -116,7 +115,8 @@
   int64_t accept_resumes_at_ms; /* 0 while connections are accepted */
   int64_t accept_log_due_ms;
   gsize unfinished_bytes; /* in the receive buffers; I/O thread only, or before it runs */
-  gsize unfinished_max_bytes;
+  gsize queued_bytes;     /* in the send queues */
+  gsize buffer_max_bytes; /* limit on each of these two sums */
   GThread *thread;
   atomic_bool stopping;
   pthread_mutex_t lock;
@@ -197,6 +197,16 @@
   link->receive_buffer = g_byte_array_new ();
 }
 
+/* Drops the frames that wait for LINK. */
+static void
+drop_queued (net_t *net, link_t *link)
+{
+  g_queue_clear_full (&link->send_queue, (GDestroyNotify) g_bytes_unref);
+  link->send_offset = 0;
+  net->queued_bytes -= link->queued_bytes;
+  link->queued_bytes = 0;
+}
+
 /* Closes the socket of LINK.  Schedules the next attempt of an outgoing link, and
  * frees any other link.  If an outgoing link to a host was open, returns the host
  * id, which the caller frees; else NULL. */
@@ -208,9 +218,8 @@
   if (link->fd >= 0)
     close (link->fd);
   link->fd = -1;
-  g_queue_clear_full (&link->send_queue, (GDestroyNotify) g_bytes_unref);
-  link->send_offset = 0;
-  link->queued_bytes = 0;
+  drop_queued (net, link);
+  link->send_failed = false;
   link->paused = false;
   drop_unfinished (net, link);
   if (link->outgoing && link->host != NULL
@@ -260,6 +269,7 @@
         return false;
       link->send_offset += (gsize) sent;
       link->queued_bytes -= (gsize) sent;
+      net->queued_bytes -= (gsize) sent;
       net->totals.sent_bytes += sent;
       if (link->send_offset < size)
         continue;
@@ -271,19 +281,44 @@
   return true;
 }
 
+/* Closes the link for which most waits to be sent.  Its peer does not read, or cannot keep up;
+ * after the next connection both sides exchange again what may have been lost.  Any thread: the
+ * socket is only shut down, and the I/O thread closes the link. */
+static void
+close_longest_queue (net_t *net)
+{
+  link_t *longest = net->links->pdata[0];
+
+  for (guint i = 1; i < net->links->len; i++)
+    {
+      link_t *link = net->links->pdata[i];
+      if (link->queued_bytes > longest->queued_bytes)
+        longest = link;
+    }
+  if (longest->queued_bytes == 0)
+    return;
+  longest->send_failed = true;
+  drop_queued (net, longest);
+  shutdown (longest->fd, SHUT_RDWR);
+  count_closed ("unsent_frames");
+}
+
 static int
 link_queue (net_t *net, link_t *link, GBytes *frame)
 {
   gsize size = g_bytes_get_size (frame);
   bool was_empty = g_queue_is_empty (&link->send_queue);
 
-  if (link->queued_bytes + size > SEND_QUEUE_MAX_BYTES)
+  if (net->queued_bytes + size > net->buffer_max_bytes)
+    close_longest_queue (net);
+  if (net->queued_bytes + size > net->buffer_max_bytes || link->send_failed)
     {
       g_bytes_unref (frame);
       return ERROR_FULL;
     }
   g_queue_push_tail (&link->send_queue, frame);
   link->queued_bytes += size;
+  net->queued_bytes += size;
   /* A failed connection is closed by the I/O thread, which detects it as well. */
   if (was_empty)
     link_flush (net, link);
@@ -591,7 +626,7 @@
 limit_unfinished_frames (net_t *net)
 {
   pthread_mutex_lock (&net->lock);
-  while (net->unfinished_bytes > net->unfinished_max_bytes)
+  while (net->unfinished_bytes > net->buffer_max_bytes)
     {
       link_t *largest = net->links->pdata[0];
       for (guint i = 1; i < net->links->len; i++)
@@ -817,7 +852,7 @@
   net->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
   net->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
   pthread_mutex_init (&net->lock, NULL);
-  net->unfinished_max_bytes =
+  net->buffer_max_bytes =
       options->buffer_max_bytes != 0 ? options->buffer_max_bytes : NET_BUFFER_MAX_BYTES;
   net->links = g_ptr_array_new_with_free_func (link_free);
   net->links_by_host = g_hash_table_new (g_str_hash, g_str_equal);
--- a/lib/wire/net.h
+++ b/lib/wire/net.h
@@ -51,9 +51,10 @@
   net_peer_t self;
   const net_ops_t *ops;
   void *data; /* passed to the callbacks */
-  /* Limit on the bytes of frames that have arrived incompletely, on all connections together.  A
-   * larger frame cannot be received.  Beyond it the connection with the most is closed.  0 for
-   * NET_BUFFER_MAX_BYTES.  The memory may be twice that. */
+  /* Limit on the bytes of frames that have arrived incompletely, on all connections together, and
+   * on those of frames that wait to be sent.  A larger frame cannot be exchanged.  Beyond it the
+   * connection with the most is closed.  0 for NET_BUFFER_MAX_BYTES.  The memory may be three times
+   * that. */
   gsize buffer_max_bytes;
 } net_options_t;
 
@@ -71,7 +72,8 @@
 
 /* Sends FRAME, which includes its length prefix, to HOST.  Always takes ownership
  * of FRAME.  Returns 0 if it was sent or queued, ERROR_NOT_CONNECTED, or
- * ERROR_FULL if too many bytes are queued.  Any thread. */
+ * ERROR_FULL if too many bytes are queued: the connection for which most waits is then closed,
+ * which need not be the one to HOST.  Any thread. */
 int net_send (net_t *net, const char *host, GBytes *frame);
 
 /* Closes the connection to HOST, if there is one, and connects again.  Used when a
--- a/tests/test_net_limits.c
+++ b/tests/test_net_limits.c
@@ -40,6 +40,11 @@
 #define UNHANDLED_FRAMES 1536
 #define UNHANDLED_FRAME_BYTES 65536
 #define UNHANDLED_MEMORY_MAX_BYTES (24 * MIB)
+/* Peers that take a connection from this host and read nothing, and what is sent to each. */
+#define UNREAD_PEERS 4
+#define UNREAD_FRAMES 64
+#define UNREAD_FRAME_BYTES MIB
+#define UNREAD_MEMORY_MAX_BYTES (96 * MIB)
 /* Descriptors left to the process.  All are taken by connections that want to be accepted. */
 #define FILES_LEFT 40
 #define FILES_PEERS 200
@@ -385,12 +390,75 @@
   g_free (frame);
 }
 
+/* Answers the connection of a host that has dialed LISTEN_FD with a HELLO as NAME, and reads
+ * nothing. Returns the connection. */
+static int
+accept_as (int listen_fd, const char *name, const char *address)
+{
+  int fd = -1;
+
+  for (int waited_ms = 0; waited_ms < WAIT_MAX_MS && fd < 0; waited_ms += POLL_INTERVAL_MS)
+    {
+      fd = accept4 (listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0)
+        clock_sleep_ms (POLL_INTERVAL_MS);
+    }
+  CU_ASSERT_TRUE_FATAL (fd >= 0);
+  send_hello (fd, name, address);
+  return fd;
+}
+
+/* What waits for peers that do not read has a bound for all of them together. */
+static void
+test_unread_frames (void)
+{
+  host_t a = { 0 };
+  int listeners[UNREAD_PEERS];
+  int fds[UNREAD_PEERS];
+  guint8 *zeros = g_malloc0 (UNREAD_FRAME_BYTES);
+
+  host_start (&a, "a", 26100);
+  int64_t before = resident_bytes ();
+  int64_t most = 0;
+  for (int i = 0; i < UNREAD_PEERS; i++)
+    {
+      char *address = NULL;
+      char *name = g_strdup_printf ("unread-%d", i);
+      listeners[i] = -1;
+      for (int port = 28100; listeners[i] < 0 && port < 28400; port++)
+        {
+          g_free (address);
+          address = g_strdup_printf ("127.0.0.1:%d", port);
+          listeners[i] = socket_listen (address);
+        }
+      net_add_address (a.net, address, "x", true);
+      fds[i] = accept_as (listeners[i], name, address);
+      CU_ASSERT_TRUE (wait_for_count (&a.up_count, i + 1));
+      for (int sent = 0; sent < UNREAD_FRAMES; sent++)
+        {
+          frame_writer_t *writer = frame_begin (FRAME_PING);
+          frame_put_bytes (writer, zeros, UNREAD_FRAME_BYTES);
+          net_send (a.net, name, frame_finish (writer));
+          most = MAX (most, resident_bytes () - before);
+        }
+      g_free (address);
+      g_free (name);
+    }
+  CU_ASSERT_TRUE (most <= UNREAD_MEMORY_MAX_BYTES);
+  check_ordinary_host (&a);
+  close_all (fds, UNREAD_PEERS);
+  close_all (listeners, UNREAD_PEERS);
+  host_stop (&a);
+  g_free (zeros);
+}
+
 static const unit_test_t tests[] = {
   { "large frames before the HELLO", test_large_frames_before_hello },
   { "connections without a HELLO", test_silent_connections },
   { "no descriptors", test_no_descriptors },
   { "unfinished frames", test_unfinished_frames },
   { "frames that are not handled", test_unhandled_frames },
+  { "frames that are not read", test_unread_frames },
 };
 
 int
