Network: addresses and names told by peers are bounded

Seen: each HELLO from a new address added an address to which the host connected again and again for ten minutes, and a name that the receivers of frames keep for good; anybody could send any number. Cause: neither table had a bound. Change: 4,096 addresses; one more replaces one that was never open before one that was, then the one that expires first, and never one that is connected, being connected or configured. 16,384 names of hosts and data centres in the life of a process; a HELLO with one more is refused, except at a configured address. Evidence: "addresses told by peers" of test_net_limits (6,000 HELLOs; the count of addresses is new, so that the test doesn't build without the change); test_net and test_site_hosts pass, on x86-64. The bound on names has no test; a host with a new name is refused once it is reached.

--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -64,6 +64,9 @@
 #define UNHANDLED_MAX_BYTES (8 * 1024 * 1024)
 /* Time-out, from its first byte, of a frame that is not complete. */
 #define FRAME_TIMEOUT_MS 60000
+/* Names of hosts and data centres that may come in HELLOs while this process runs.  The callbacks'
+ * owner may keep a name for good. */
+#define NAMES_MAX 16384
 /* Pause after a failure to accept, as for want of descriptors. */
 #define ACCEPT_PAUSE_MS 100
 /* Failures to accept are logged no more often than this. */
@@ -81,8 +84,9 @@
   int fd;
   bool outgoing;
   bool permanent;
-  bool is_self; /* the address is this host's own */
-  bool failed;  /* to be closed by the I/O thread, which alone uses this field */
+  bool is_self;  /* the address is this host's own */
+  bool was_open; /* a HELLO has come from ADDRESS */
+  bool failed;   /* to be closed by the I/O thread, which alone uses this field */
   link_state_t state;
   char *address;     /* outgoing links only: address of the peer */
   char *data_centre; /* from its HELLO, else as given by the caller; may be NULL */
@@ -122,6 +126,7 @@
   pthread_mutex_t lock;
   GPtrArray *links;
   GHashTable *links_by_host; /* host id -> outgoing link whose HELLO was received */
+  GHashTable *names;         /* of the hosts and data centres in HELLOs so far; I/O thread only */
   GHashTable *blocked_in;    /* names of data centres; see net_set_partition () */
   GHashTable *blocked_out;
   net_totals_t totals;
@@ -486,6 +491,18 @@
 
 /* --- receiving --- */
 
+/* Returns true if NAME has come before or is one of the first NAMES_MAX. */
+static bool
+take_name (net_t *net, const char *name)
+{
+  if (g_hash_table_contains (net->names, name))
+    return true;
+  if (g_hash_table_size (net->names) >= NAMES_MAX)
+    return refuse_link ("most_names");
+  g_hash_table_add (net->names, g_strdup (name));
+  return true;
+}
+
 /* Processes the HELLO of a peer.  Returns false if LINK must be closed. */
 static bool
 handle_hello (net_t *net, link_t *link, frame_reader_t *reader)
@@ -498,6 +515,9 @@
   peer.address = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   bool valid = frame_ok (reader) && peer.host != NULL && peer.data_centre != NULL
                && peer.address != NULL && link->host == NULL;
+  /* Whoever listens at a configured address needs no room among the names. */
+  if (valid && !link->permanent)
+    valid = take_name (net, peer.host) && take_name (net, peer.data_centre);
   bool up = false;
   pthread_mutex_lock (&net->lock);
   if (valid && g_hash_table_contains (net->blocked_in, peer.data_centre))
@@ -518,6 +538,7 @@
     }
   if (valid && link->outgoing)
     {
+      link->was_open = true;
       g_hash_table_replace (net->links_by_host, link->host, link);
       up = true;
     }
@@ -856,6 +877,7 @@
       options->buffer_max_bytes != 0 ? options->buffer_max_bytes : NET_BUFFER_MAX_BYTES;
   net->links = g_ptr_array_new_with_free_func (link_free);
   net->links_by_host = g_hash_table_new (g_str_hash, g_str_equal);
+  net->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   net->blocked_in = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   net->blocked_out = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   struct epoll_event accept_event = { .events = EPOLLIN, .data.ptr = NULL };
@@ -875,6 +897,36 @@
   (void) !write (net->wake_fd, &one, sizeof one);
 }
 
+/* Removes the outgoing link that is least likely to be needed, if there are NET_ADDRESSES_MAX of
+ * them: one that was never open before one that was, then the one that expires first.  Links that
+ * are open, being connected or permanent remain.  Returns false if there is no room.  Under the
+ * lock. */
+static bool
+make_room_for_address (net_t *net)
+{
+  guint count = 0;
+  guint oldest = G_MAXUINT;
+
+  for (guint i = 0; i < net->links->len; i++)
+    {
+      const link_t *link = net->links->pdata[i];
+      count += link->outgoing;
+      if (!link->outgoing || link->permanent || link->state != LINK_IDLE)
+        continue;
+      const link_t *best = oldest != G_MAXUINT ? net->links->pdata[oldest] : NULL;
+      if (best == NULL || link->was_open < best->was_open
+          || (link->was_open == best->was_open && link->expires_at_ms < best->expires_at_ms))
+        oldest = i;
+    }
+  if (count < NET_ADDRESSES_MAX)
+    return true;
+  counter_add (counter_get ("jaytrail_peer_addresses_dropped_total", NULL), 1);
+  if (oldest == G_MAXUINT)
+    return false;
+  g_ptr_array_remove_index_fast (net->links, oldest);
+  return true;
+}
+
 void
 net_add_address (net_t *net, const char *address, const char *data_centre, bool permanent)
 {
@@ -890,7 +942,7 @@
       known = link->outgoing && strcmp (link->address, address) == 0;
       expedited = known && link_expedite_connect (link);
     }
-  if (!known)
+  if (!known && (permanent || make_room_for_address (net)))
     {
       link_t *link = link_new (net, true);
       link->address = g_strdup (address);
@@ -903,6 +955,18 @@
     wake_thread (net);
 }
 
+int
+net_address_count (net_t *net)
+{
+  int count = 0;
+
+  pthread_mutex_lock (&net->lock);
+  for (guint i = 0; i < net->links->len; i++)
+    count += ((const link_t *) net->links->pdata[i])->outgoing;
+  pthread_mutex_unlock (&net->lock);
+  return count;
+}
+
 int
 net_send (net_t *net, const char *host, GBytes *frame)
 {
@@ -990,6 +1054,7 @@
   g_thread_join (net->thread);
   g_ptr_array_unref (net->links);
   g_hash_table_unref (net->links_by_host);
+  g_hash_table_unref (net->names);
   g_hash_table_unref (net->blocked_in);
   g_hash_table_unref (net->blocked_out);
   close (net->listen_fd);
--- a/lib/wire/net.h
+++ b/lib/wire/net.h
@@ -68,8 +68,14 @@
  * addresses of replaced hosts do not accumulate.  If ADDRESS is already known,
  * a pending reconnect is attempted at once.  Any thread. */
 #define NET_ADDRESS_RETENTION_MS 600000
+/* Limit on addresses, as each peer tells one.  One more replaces the one that is least likely to be
+ * needed; if all are connected it is dropped.  Permanent ones are always added. */
+#define NET_ADDRESSES_MAX 4096
 void net_add_address (net_t *net, const char *address, const char *data_centre, bool permanent);
 
+/* Returns the number of addresses.  Any thread. */
+int net_address_count (net_t *net);
+
 /* Sends FRAME, which includes its length prefix, to HOST.  Always takes ownership
  * of FRAME.  Returns 0 if it was sent or queued, ERROR_NOT_CONNECTED, or
  * ERROR_FULL if too many bytes are queued: the connection for which most waits is then closed,
--- a/tests/test_net_limits.c
+++ b/tests/test_net_limits.c
@@ -45,6 +45,8 @@
 #define UNREAD_FRAMES 64
 #define UNREAD_FRAME_BYTES MIB
 #define UNREAD_MEMORY_MAX_BYTES (96 * MIB)
+/* Hosts that say HELLO from an address of their own each, one after the other. */
+#define TOLD_ADDRESSES 6000
 /* Descriptors left to the process.  All are taken by connections that want to be accepted. */
 #define FILES_LEFT 40
 #define FILES_PEERS 200
@@ -452,6 +454,29 @@
   g_free (zeros);
 }
 
+/* Each HELLO tells an address to which this host then connects again and again. */
+static void
+test_told_addresses (void)
+{
+  host_t a = { 0 };
+
+  host_start (&a, "a", 26100);
+  for (int i = 0; i < TOLD_ADDRESSES; i++)
+    {
+      char *name = g_strdup_printf ("told-%d", i);
+      char *address = g_strdup_printf ("127.77.%d.%d:9", i / 250, i % 250 + 1);
+      int fd = dial (&a);
+      send_hello (fd, name, address);
+      close (fd);
+      g_free (name);
+      g_free (address);
+    }
+  check_ordinary_host (&a);
+  CU_ASSERT_TRUE (net_address_count (a.net) <= NET_ADDRESSES_MAX);
+  CU_ASSERT_TRUE (net_address_count (a.net) >= NET_ADDRESSES_MAX / 2);
+  host_stop (&a);
+}
+
 static const unit_test_t tests[] = {
   { "large frames before the HELLO", test_large_frames_before_hello },
   { "connections without a HELLO", test_silent_connections },
@@ -459,6 +484,7 @@
   { "unfinished frames", test_unfinished_frames },
   { "frames that are not handled", test_unhandled_frames },
   { "frames that are not read", test_unread_frames },
+  { "addresses told by peers", test_told_addresses },
 };
 
 int
