Site: hosts that others tell are bounded

Seen by reading: a frame may name 256 hosts, and each was kept for good, with its name and address. Change: 4,096 hosts; further ones are dropped and counted (jaytrail_known_hosts_dropped_total).

--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -18,9 +18,11 @@
 #define CONNECT_INTERVAL_MS 200
 #define REDIAL_INTERVAL_MS 3000
 #define HOSTS_PER_FRAME_MAX 256
-/* Limit on the bytes of frames that have arrived incompletely, and on those that wait to be sent, of
- * all peers together. */
+/* Limit on the bytes of frames that have arrived incompletely, and on those that wait to be sent,
+ * of all peers together. */
 #define PEER_BUFFER_MAX_BYTES (32 * 1024 * 1024)
+/* Hosts whose addresses are kept, as other hosts and the platform tell them. */
+#define KNOWN_HOSTS_MAX 4096
 /* A younger connection is not replaced by a new one. */
 #define RECONNECT_MIN_AGE_MS 1000
 
@@ -560,6 +562,16 @@
   g_free (known);
 }
 
+/* Returns true if HOST is known or may be added.  A name that is not to be kept is not interned. */
+static bool
+has_room_for_host (site_t *site, const char *host)
+{
+  if (g_hash_table_size (site->known_hosts) < KNOWN_HOSTS_MAX)
+    return true;
+  return g_quark_try_string (host) != 0
+         && g_hash_table_contains (site->known_hosts, g_intern_string (host));
+}
+
 void
 peers_add_host (site_t *site,
                 const char *host,
@@ -567,6 +579,11 @@
                 const char *data_centre,
                 int32_t cpu_millicores)
 {
+  if (!has_room_for_host (site, host))
+    {
+      counter_add (counter_get ("jaytrail_known_hosts_dropped_total", NULL), 1);
+      return;
+    }
   const char *interned = g_intern_string (host);
   const known_host_t *previous = g_hash_table_lookup (site->known_hosts, interned);
 
