HTTP client: a second answer on a connection isn't taken for the first

Seen: an endpoint or a store that writes two answers at once: the call got the status of the second and both bodies, one after the other ("a second answer" of test_web_client: 503 instead of 200). Cause: the parser went on after the end of the answer. Change: it stops there; if anything follows, the connection is closed after the call. Evidence: the case fails before and passes; endless headers and a want of descriptors held already (the calls fail); test_traffic (361 asserts) and test_entry_pages (67) pass, on x86-64. "unfinished answers" fails and is known red.

--- a/lib/reactor/web_client.c
+++ b/lib/reactor/web_client.c
@@ -129,6 +129,8 @@
 on_message_complete (http_parser *parser)
 {
   ((connection_t *) parser->data)->complete = true;
+  /* What follows the answer belongs to no call. */
+  http_parser_pause (parser, 1);
   return 0;
 }
 
@@ -160,7 +162,8 @@
     }
   size_t used = http_parser_execute (&connection->parser, &parser_settings, bytes, size);
   connection->traffic->received.bytes += (int64_t) size;
-  bool valid = HTTP_PARSER_ERRNO (&connection->parser) == HPE_OK && used == size;
+  enum http_errno error = HTTP_PARSER_ERRNO (&connection->parser);
+  bool valid = (error == HPE_OK || error == HPE_PAUSED) && used == size;
   evbuffer_drain (in, size);
   if (connection->complete)
     finish_call (connection, WEB_CALL_ANSWERED,
