HTTP client: answers that don't end have a bound together

Seen: each call could keep 8 MB of an answer that an endpoint or the store doesn't end until its deadline: 16 calls with 6 MB each kept more than 80 MB. Cause: the bound was one of an answer. Change: the bodies of all calls in flight may have 32 MB; beyond it the call with the largest fails, as if its connection had been lost, and its memory is freed at once. Counted in jaytrail_answers_dropped_total. The pages' largest answers are 1 MB (log-read and log-newest).

--- a/lib/reactor/web_client.c
+++ b/lib/reactor/web_client.c
@@ -8,6 +8,7 @@
 #include "reactor/web.h"
 
 #include "base/clock.h"
+#include "base/counter.h"
 #include "base/unacked.h"
 #include "reactor/tcp.h"
 
@@ -23,6 +24,9 @@
  * the servers, so that a request is not sent on a connection that the server closes. */
 #define IDLE_TIMEOUT_MS 12000
 #define ANSWER_MAX_BYTES (8 * 1024 * 1024)
+/* Limit on the answers that have arrived incompletely, all calls together.  Beyond it the call with
+ * the largest one fails. */
+#define ANSWERS_MAX_BYTES (32 * 1024 * 1024)
 
 typedef struct
 {
@@ -40,6 +44,7 @@
   bool busy;            /* a call is in flight */
   bool complete;        /* the answer has been read completely */
   bool connect_failed;  /* the connect failed at once; the next tick ends the call */
+  bool too_large;       /* the answer was dropped; the next tick ends the call */
   bool connect_refused; /* the connect failed at once with ECONNREFUSED */
   int64_t since_ms;     /* when the connection became idle */
   GString *body;
@@ -55,6 +60,7 @@
   GHashTable *pools;         /* address -> pool_t */
   GHashTable *busy;          /* connection_t with a call in flight */
   traffic_count_t uncounted; /* stands in for calls without counts */
+  size_t answer_bytes;       /* in the bodies of the calls in flight */
   int64_t own_delay_ms;      /* by which calls may end after their deadlines */
 };
 
@@ -92,6 +98,7 @@
   };
 
   g_hash_table_remove (client->busy, connection);
+  client->answer_bytes -= body->len;
   if (result == WEB_CALL_ANSWERED)
     connection->traffic->received.messages++;
   else if (result == WEB_CALL_TIMEOUT)
@@ -112,6 +119,30 @@
   g_string_free (body, TRUE);
 }
 
+/* Drops the largest answer in flight and stops reading it.  Returns false if no call is in flight.
+ */
+static bool
+drop_largest_answer (web_client_t *client)
+{
+  GHashTableIter iter;
+  void *key = NULL;
+  connection_t *largest = NULL;
+
+  g_hash_table_iter_init (&iter, client->busy);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (largest == NULL || ((connection_t *) key)->body->len > largest->body->len)
+      largest = key;
+  if (largest == NULL)
+    return false;
+  client->answer_bytes -= largest->body->len;
+  g_string_free (largest->body, TRUE);
+  largest->body = g_string_new (NULL);
+  largest->too_large = true;
+  bufferevent_disable (largest->bufferevent, EV_READ);
+  counter_add (counter_get ("jaytrail_answers_dropped_total", NULL), 1);
+  return true;
+}
+
 /* --- parsing --- */
 
 static int
@@ -122,7 +153,11 @@
   if (connection->body->len + size > ANSWER_MAX_BYTES)
     return 1;
   g_string_append_len (connection->body, at, (gssize) size);
-  return 0;
+  connection->client->answer_bytes += size;
+  while (connection->client->answer_bytes > ANSWERS_MAX_BYTES
+         && drop_largest_answer (connection->client))
+    ;
+  return connection->too_large;
 }
 
 static int
@@ -354,7 +389,8 @@
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
       const connection_t *connection = key;
-      if (!connection->connect_failed && now_ms < connection->deadline_at_ms + client->own_delay_ms)
+      if (!connection->connect_failed && !connection->too_large
+          && now_ms < connection->deadline_at_ms + client->own_delay_ms)
         continue;
       if (ended == NULL)
         ended = g_ptr_array_new ();
@@ -364,9 +400,9 @@
     {
       connection_t *connection = ended->pdata[i];
       finish_call (connection,
-                   connection->connect_refused  ? WEB_CALL_CONNECT_REFUSED
-                   : connection->connect_failed ? WEB_CALL_CONNECTION_LOST
-                                                : WEB_CALL_TIMEOUT,
+                   connection->connect_refused                           ? WEB_CALL_CONNECT_REFUSED
+                   : connection->connect_failed || connection->too_large ? WEB_CALL_CONNECTION_LOST
+                                                                         : WEB_CALL_TIMEOUT,
                    false);
     }
   if (ended != NULL)
