--- a/daemon/site_updates.c
+++ b/daemon/site_updates.c
@@ -5,9 +5,14 @@
 #include "daemon/site_private.h"
 
 #include "base/clock.h"
+#include "base/counter.h"
 
 #include <string.h>
 
+/* Endpoints of the directory, over three times as many as a deployment has.  Other hosts tell
+ * endpoints, too. */
+#define DIRECTORY_ENTRIES_MAX 65536
+
 bool
 site_apply_config (site_t *site, const char *data, size_t size, const char *from)
 {
@@ -96,6 +101,11 @@
 
   if (previous != NULL && previous->offset > entry->offset)
     return;
+  if (previous == NULL && g_hash_table_size (site->directory) >= DIRECTORY_ENTRIES_MAX)
+    {
+      counter_add (counter_get ("jaytrail_directory_entries_dropped_total", NULL), 1);
+      return;
+    }
   /* Two owners would use it.  Its owner follows what runs there, and its next entry counts. */
   if (previous != NULL && strcmp (previous->shard, entry->shard) != 0)
     {
