Site: open jobs told on a new connection are passed on too

A host that is no hub tells its open jobs on each new connection, but without asking hubs to pass them on; those that were announced while its connections to hubs were broken reached no other host that is no hub, which ran them at once when a caller sent them again.

Change: one function decides for both announcements and new connections whether the receiver passes on.

No test breaks the connections at the moment of the announcement.

--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -118,13 +118,20 @@
               job_msg_statuses (site->host, false, &action->status, 1, clock_boot_ms ()));
 }
 
+/* Whether HOST is to pass on what this host tells it, which hosts that are no hubs don't hear. */
+static bool
+is_relay_needed (const site_t *site, const char *host)
+{
+  return !cluster_is_hub (site->cluster) && cluster_host_is_hub (site->cluster, host);
+}
+
 void
 repeats_host_connected (site_t *site, const char *host)
 {
   GArray *statuses = new_statuses ();
 
   scheduler_append_open (site->scheduler, statuses);
-  send_statuses (site, host, site->host, false, statuses);
+  send_statuses (site, host, site->host, is_relay_needed (site, host), statuses);
   g_array_unref (statuses);
 }
 
@@ -159,8 +166,6 @@
 {
   GHashTableIter iter;
   void *host = NULL;
-  bool relay = !cluster_is_hub (site->cluster);
-
   if (now_ms < site->announce_due_ms)
     return;
   site->announce_due_ms = now_ms + ANNOUNCE_INTERVAL_MS;
@@ -169,8 +174,7 @@
   scheduler_collect_statuses (site->scheduler, now_ms, statuses);
   g_hash_table_iter_init (&iter, site->connections);
   while (statuses->len > 0 && g_hash_table_iter_next (&iter, &host, NULL))
-    send_statuses (site, host, site->host, relay && cluster_host_is_hub (site->cluster, host),
-                   statuses);
+    send_statuses (site, host, site->host, is_relay_needed (site, host), statuses);
   g_array_unref (statuses);
 }
 
