Scheduler: an old job that its owner had dropped is given up

Found by a review, red in its test: a host that was told of a job waits, but only until the owners say that they have lost the first host and have no run. If that owner hears the first host again it had its batches sent anew, and both hosts ran the job.

Change: when an owner had lost this host, a job that is older than resubmit_ms is given up, whether others were told or not.

--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -166,6 +166,7 @@
 {
   GHashTableIter iter;
   void *host = NULL;
+
   if (now_ms < site->announce_due_ms)
     return;
   site->announce_due_ms = now_ms + ANNOUNCE_INTERVAL_MS;
--- a/lib/scheduler/owners.c
+++ b/lib/scheduler/owners.c
@@ -138,7 +138,7 @@
 static void
 move_batches (scheduler_t *scheduler, GPtrArray *batches, int64_t now_ms, GArray *actions)
 {
-  restarts_give_up (scheduler, batches, now_ms, actions);
+  restarts_give_up (scheduler, batches, false, now_ms, actions);
   for (guint i = 0; i < batches->len; i++)
     {
       job_batch_t *batch = batches->pdata[i];
@@ -238,7 +238,7 @@
 {
   GPtrArray *batches = batches_at (scheduler, host);
 
-  restarts_give_up (scheduler, batches, now_ms, actions);
+  restarts_give_up (scheduler, batches, true, now_ms, actions);
   for (guint i = 0; i < batches->len; i++)
     {
       job_batch_t *batch = batches->pdata[i];
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -308,8 +308,13 @@
 #define REPEATS_ASK_INTERVAL_MS 200
 
 /* restarts.c: gives up those jobs of BATCHES, whose tasks would start anew, that another host may
- * have taken, and removes their batches from BATCHES. */
-void restarts_give_up (scheduler_t *scheduler, GPtrArray *batches, int64_t now_ms, GArray *actions);
+ * have taken, and removes their batches from BATCHES.  OWNER_LOST_US: their owner had lost this
+ * host. */
+void restarts_give_up (scheduler_t *scheduler,
+                       GPtrArray *batches,
+                       bool owner_lost_us,
+                       int64_t now_ms,
+                       GArray *actions);
 
 /* repeats.c: appends an action of KIND about the job with ID at HOST. */
 scheduler_action_t *repeats_add_action (scheduler_t *scheduler,
