Cluster: a broken connection takes nothing from what a host was told

Found by a review, red in its test: cluster_told_at_ms () used the time of the last heartbeat, which is moved back when a connection breaks so that the host is lost soon (660 ms; 2.9 s for hosts that are heard rarely). Jobs of about 1.3 to 1.6 s with tasks at an owner that was killed were given up instead of moved.

Change: the clock that the host has returned, or the true time of its last heartbeat, kept at its loss.

--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -173,6 +173,16 @@
   return returned_ms != 0 ? MIN (returned_ms, peer->last_heard_at_ms) : peer->last_heard_at_ms;
 }
 
+/* The latest time before which PEER has certainly received what was sent to it.  A broken
+ * connection takes nothing from that. */
+static int64_t
+received_at_ms (const cluster_t *cluster, const peer_t *peer)
+{
+  int64_t returned_ms = returned_clock_ms (cluster, peer);
+
+  return returned_ms != 0 ? returned_ms : peer->heartbeat_at_ms;
+}
+
 static void
 mark_lost (cluster_t *cluster, peer_t *peer, const char *reason, int64_t now_ms, GArray *actions)
 {
@@ -181,7 +191,7 @@
   ranking_set_alive (cluster->ranking, peer->host, false, now_ms);
   peer->alive = false;
   peer->lost_at_ms = now_ms;
-  peer->alive_before_loss_ms = alive_ms;
+  peer->told_before_loss_ms = received_at_ms (cluster, peer);
   peer->echo_ms = 0;
   peer->expected_epoch = ++cluster->last_epoch;
   cluster->ranking_due_ms = 0;
@@ -255,6 +265,7 @@
   peer->config_version = heartbeat->config_version;
   peer->drains_end_offset = heartbeat->drains_end_offset;
   peer->last_heard_at_ms = now_ms;
+  peer->heartbeat_at_ms = now_ms;
   set_claims (cluster, peer, heartbeat->claims);
   if (restarted)
     peer->resumed = false;
@@ -405,7 +416,7 @@
 {
   bool may_not_know = peer->resumed && now_ms - peer->alive_since_ms < EXCHANGE_MS;
 
-  return !peer->alive || may_not_know ? peer->alive_before_loss_ms : alive_at_ms (cluster, peer);
+  return !peer->alive || may_not_know ? peer->told_before_loss_ms : received_at_ms (cluster, peer);
 }
 
 int64_t
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -27,14 +27,15 @@
   uint64_t send_epoch;     /* to be sent in messages to this peer */
   int64_t config_version;
   uint64_t drains_end_offset;
-  int64_t last_heard_at_ms;
-  int64_t clock_ms; /* the newest that it has sent */
-  int64_t echo_ms;  /* the newest clock of this host that it has returned; 0 for none since it
-                       was found */
+  int64_t last_heard_at_ms; /* earlier if its connection broke, so that it is lost soon */
+  int64_t heartbeat_at_ms;  /* when its last heartbeat was received */
+  int64_t clock_ms;         /* the newest that it has sent */
+  int64_t echo_ms; /* the newest clock of this host that it has returned; 0 for none since it
+                      was found */
   int64_t frequent_since_ms; /* since when its heartbeats come at a short interval */
   int64_t lost_at_ms;
-  int64_t alive_before_loss_ms; /* as cluster_alive_at_ms () was when it was lost the last time */
-  bool resumed;                 /* its process was lost and is heard again */
+  int64_t told_before_loss_ms; /* it has received what was sent before, when it was lost last */
+  bool resumed;                /* its process was lost and is heard again */
   int64_t alive_since_ms;
   int64_t started_at_ms;
   GArray *claims; /* of cluster_claim_t, with interned shards; empty if not alive */
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -658,6 +658,41 @@
     }
 }
 
+/* Hosts that hear each other well have told each other what was sent half a second ago, also when
+ * one of them ends. */
+static void
+test_told_before_end (void)
+{
+  fixture_t fixture;
+  int64_t echo_ms = 0;
+
+  set_up (&fixture);
+  for (int64_t at_ms = 100; at_ms <= 3000; at_ms += 100)
+    {
+      cluster_heartbeat_t sent = { 0 };
+      cluster_heartbeat_t heartbeat = { .host = (char *) "h2",
+                                        .data_centre = (char *) "y",
+                                        .incarnation = 7,
+                                        .ready = true,
+                                        .interval_ms = 100,
+                                        .expected_epoch = 1,
+                                        .clock_ms = at_ms,
+                                        .echo_ms = echo_ms };
+      cluster_receive_heartbeat (fixture.cluster, &heartbeat, fixture.now_ms, fixture.actions);
+      cluster_make_heartbeat (fixture.cluster, "h2", fixture.now_ms, &sent);
+      echo_ms = sent.clock_ms;
+      g_array_unref (sent.claims);
+      advance_to (&fixture, at_ms);
+    }
+  int64_t end_ms = fixture.now_ms;
+  CU_ASSERT_TRUE (end_ms - cluster_told_at_ms (fixture.cluster, end_ms) <= 300);
+  /* Its process ends, and its connection breaks. */
+  cluster_connection_lost (fixture.cluster, "h2", end_ms);
+  advance_to (&fixture, end_ms + 300);
+  CU_ASSERT_TRUE (end_ms - cluster_told_at_ms (fixture.cluster, end_ms + 300) <= 300);
+  tear_down (&fixture);
+}
+
 static const unit_test_t tests[] = {
   { "claim after a start", test_claim_after_start },
   { "endpoints that obey a higher token", test_token_superseded },
@@ -667,6 +702,7 @@
   { "an owner with too little CPU is replaced", test_takeover_from_weak_owner },
   { "a host was restarted", test_restart },
   { "an owner that no other can overtake", test_sole_owner },
+  { "what a host was told before its end", test_told_before_end },
   { "epochs fence lost hosts", test_epoch_fencing },
   { "a heartbeat is due to a new owner", test_heartbeat_due_to_new_owner },
   { "delayed heartbeats of a dead coordinator", test_delayed_heartbeats_of_dead_coordinator },
