Executor: a silent endpoint that is forgotten may still run tasks

Found by a review, red in its test: an owner denied runs of a job once the entry of an endpoint that did not answer it had expired, 4.5 s after it was cut off together with the owner before, which renewed its leases.

Change: for 15 s after an endpoint was forgotten that had not answered, the owner does not deny runs.

Evidence: test_job_runs "an endpoint that is silent and removed" red before, green now.

--- a/lib/executor/endpoints.c
+++ b/lib/executor/endpoints.c
@@ -11,6 +11,10 @@
  * endpoints or has lost its coordinators. */
 #define CONTEST_MAX_MS 1000
 
+/* An endpoint that is forgotten while it does not answer may run tasks, under another owner, for as
+ * long. */
+#define UNLISTED_MAX_MS 15000
+
 static void
 free_foreign_run (void *data)
 {
@@ -191,7 +195,12 @@
     if (is_departed (executor, value, now_ms))
       g_ptr_array_add (removable, value);
   for (guint i = 0; i < removable->len; i++)
-    delete_endpoint (executor, removable->pdata[i]);
+    {
+      const endpoint_t *endpoint = removable->pdata[i];
+      if (!endpoint->runs_known || endpoint->unanswered_since_ms != 0)
+        executor->unlisted_until_ms = now_ms + UNLISTED_MAX_MS;
+      delete_endpoint (executor, removable->pdata[i]);
+    }
   g_ptr_array_unref (removable);
 }
 
--- a/lib/executor/job_runs.c
+++ b/lib/executor/job_runs.c
@@ -67,7 +67,7 @@
 executor_may_run_job (executor_t *executor, const char *job, int64_t lost_at_ms, int64_t now_ms)
 {
   bool may_run = !discovery_covers (&executor->discovery, executor->token_since_ms, now_ms)
-                 || has_task (executor, job);
+                 || has_task (executor, job) || now_ms < executor->unlisted_until_ms;
   GHashTableIter iter;
   void *value = NULL;
 
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -210,6 +210,7 @@
   int32_t removed_endpoints; /* number of endpoints with ENTRY_REMOVED */
   discovery_t discovery;     /* of the endpoints of the shard */
   int64_t contested_until_ms; /* until then another owner may have unlisted runs */
+  int64_t unlisted_until_ms;  /* until then an endpoint that was forgotten may run tasks */
   uint64_t last_serial;
   GPtrArray *closed_batches;    /* batch_t */
   GArray *resends;              /* resend_t to be sent in the next round */
--- a/tests/test_job_runs.c
+++ b/tests/test_job_runs.c
@@ -163,9 +163,33 @@
   scenario_end (&scenario);
 }
 
+/* A new owner can't reach an endpoint, which lists its runs to the owner before, and whose entry
+ * expires as it can't reach the directory either. */
+static void
+test_silent_endpoint_removed (void)
+{
+  scenario_t scenario;
+
+  scenario_begin_idle (&scenario, 4000);
+  executor_set_token (scenario.executor, 2, 500);
+  for (int64_t now_ms = 500; now_ms < 4500; now_ms += 100)
+    {
+      run_round_at (&scenario, now_ms);
+      if (has_action (&scenario, EXECUTOR_POLL))
+        lose_last_poll (&scenario, 0, now_ms + 50);
+      CU_ASSERT_TRUE (executor_may_run_job (scenario.executor, "j", 450, now_ms));
+    }
+  executor_remove_endpoint (scenario.executor, endpoint_ids[0]);
+  run_round_at (&scenario, 4500);
+  run_round_at (&scenario, 4600);
+  CU_ASSERT_TRUE (executor_may_run_job (scenario.executor, "j", 450, 4600));
+  scenario_end (&scenario);
+}
+
 static const unit_test_t tests[] = {
   { "whether a run of a job may be alive", test_runs },
   { "a listing that is too old", test_asks_again },
+  { "an endpoint that is silent and removed", test_silent_endpoint_removed },
 };
 
 int
