Scheduler: what an owner says counts from when it was asked

Found by a review. The word of an owner counted for 600 ms from its receipt, though it may have been late by a second, and also after the first host was heard and lost again; the owner may have heard that host meanwhile and taken its tasks.

Change: the question carries the clock of the host that asks, the answer returns it; a word counts for 600 ms after the question, and only if that is later than the last news of the first host.

--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -102,13 +102,14 @@
 void
 repeats_ask_owner (site_t *site, const scheduler_action_t *action)
 {
-  job_runs_t runs = { (char *) action->job_id, (char *) action->holder, (char *) action->shard, 0 };
+  job_runs_t runs = { (char *) action->job_id, (char *) action->holder, (char *) action->shard, 0,
+                      clock_boot_ms () };
 
   if (action->host != site->host)
     send_question (site, action->host, job_msg_runs (JOB_MSG_RUNS_QUERY, &runs));
   else if (owner_has_no_runs (site, runs.shard, runs.holder, runs.id, &runs.token))
     scheduler_runs_over (site->scheduler, runs.id, runs.holder, runs.shard, runs.token,
-                         clock_boot_ms ());
+                         runs.asked_at_ms);
 }
 
 void
@@ -277,6 +278,6 @@
   (void) host;
   if (job_msg_read_runs (reader, &runs) == 0)
     scheduler_runs_over (site->scheduler, runs.id, runs.holder, runs.shard, runs.token,
-                         clock_boot_ms ());
+                         runs.asked_at_ms);
   job_runs_clear (&runs);
 }
--- a/lib/scheduler/job_status_msg.c
+++ b/lib/scheduler/job_status_msg.c
@@ -114,6 +114,7 @@
   frame_put_string (writer, runs->holder);
   frame_put_string (writer, runs->shard);
   frame_put_int (writer, runs->token);
+  frame_put_int (writer, runs->asked_at_ms);
   return frame_finish (writer);
 }
 
@@ -124,6 +125,7 @@
   runs->holder = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   runs->shard = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   runs->token = frame_get_range (reader, 0, INT64_MAX);
+  runs->asked_at_ms = frame_get_range (reader, 0, INT64_MAX);
   bool complete = runs->id != NULL && runs->holder != NULL && runs->shard != NULL;
   return frame_ok (reader) && complete ? 0 : ERROR_PROTOCOL;
 }
--- a/lib/scheduler/job_status_msg.h
+++ b/lib/scheduler/job_status_msg.h
@@ -56,6 +56,7 @@
   char *holder;
   char *shard;
   int64_t token;
+  int64_t asked_at_ms; /* the clock of the host that asks, which the answer returns */
 } job_runs_t;
 
 /* TYPE is JOB_MSG_RUNS_QUERY or JOB_MSG_RUNS_OVER. */
--- a/lib/scheduler/lost_host.c
+++ b/lib/scheduler/lost_host.c
@@ -8,20 +8,24 @@
  */
 #include "scheduler/state.h"
 
-/* What an owner has said counts for this long: its shard may change hands, or it may hear the host
- * again. */
+/* What an owner has said counts for this long after it was asked: its shard may change hands, or it
+ * may hear the host again. */
 #define WORD_VALID_MS (3 * REPEATS_ASK_INTERVAL_MS)
 
 /* Whether the present owner of SHARD has said a short time ago that it has no run of JOB for
  * HOLDER. */
 static bool
-is_clear (const scheduled_job_t *job, const shard_t *shard, const char *holder, int64_t now_ms)
+is_clear (const scheduled_job_t *job,
+          const shard_t *shard,
+          const remote_job_t *remote,
+          int64_t now_ms)
 {
   for (guint i = 0; i < job->words->len; i++)
     {
       const owner_word_t *word = &g_array_index (job->words, owner_word_t, i);
-      if (word->shard == shard->name && word->token == shard->token && word->holder == holder)
-        return now_ms - word->at_ms <= WORD_VALID_MS;
+      if (word->shard == shard->name && word->token == shard->token && word->holder == remote->host)
+        return word->asked_at_ms > remote->learned_at_ms
+               && now_ms - word->asked_at_ms <= WORD_VALID_MS;
     }
   return false;
 }
@@ -35,7 +39,7 @@
   for (guint i = 0; i < scheduler->shard_order->len; i++)
     {
       const shard_t *shard = scheduler->shard_order->pdata[i];
-      if (shard->owner == NULL || !is_clear (job, shard, remote->host, now_ms))
+      if (shard->owner == NULL || !is_clear (job, shard, remote, now_ms))
         return false;
     }
   return scheduler->shard_order->len > 0;
@@ -77,9 +81,10 @@
                      const char *holder,
                      const char *shard,
                      int64_t token,
-                     int64_t now_ms)
+                     int64_t asked_at_ms)
 {
-  const owner_word_t word = { g_intern_string (shard), token, g_intern_string (holder), now_ms };
+  const owner_word_t word = { g_intern_string (shard), token, g_intern_string (holder),
+                              asked_at_ms };
   const scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
 
   if (job == NULL || job->waits_since_ms == 0)
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -264,13 +264,14 @@
  */
 void scheduler_host_restarted (scheduler_t *scheduler, const char *host, int64_t started_at_ms);
 
-/* The owner of SHARD by TOKEN does not hear HOLDER and has no run of the job with ID. */
+/* The owner of SHARD by TOKEN, which was asked at ASKED_AT_MS, does not hear HOLDER and has no run
+ * of the job with ID. */
 void scheduler_runs_over (scheduler_t *scheduler,
                           const char *id,
                           const char *holder,
                           const char *shard,
                           int64_t token,
-                          int64_t now_ms);
+                          int64_t asked_at_ms);
 
 /* Sends all open batches to HOST again, because messages to or from it may have been lost. */
 void scheduler_resend_batches (scheduler_t *scheduler, const char *host, GArray *actions);
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -43,7 +43,7 @@
   const char *shard;  /* interned */
   int64_t token;      /* of its claim */
   const char *holder; /* interned */
-  int64_t at_ms;
+  int64_t asked_at_ms;
 } owner_word_t;
 
 /* Another host at which callers wait for a job. */
--- a/tests/test_job_repeats.c
+++ b/tests/test_job_repeats.c
@@ -35,6 +35,7 @@
   IS_RESTARTED,
   OWNER_HAS_NO_RUN,     /* the owner of the only shard says so */
   EARLIER_OWNER_HAD_NO, /* under an earlier claim */
+  OWNER_HAD_NO_RUN,     /* it was asked a second before */
   NO_RUN_FOR_ANOTHER,   /* it says so of another host */
   SHARD_VACANT          /* the shard has no owner that is heard */
 } news_t;
@@ -90,6 +91,12 @@
     WAITS,
     0,
     0 },
+  { "lost, the word comes late",
+    TELLS_OPEN,
+    { { IS_LOST, 1500 }, { OWNER_HAD_NO_RUN, 2800 } },
+    WAITS,
+    0,
+    0 },
   { "lost, the word is about another host",
     TELLS_OPEN,
     { { IS_LOST, 1500 }, { NO_RUN_FOR_ANOTHER, 1800 } },
@@ -165,6 +172,9 @@
     case OWNER_HAS_NO_RUN:
       scheduler_runs_over (scheduler, ID, "g", "z", TOKEN, now_ms);
       break;
+    case OWNER_HAD_NO_RUN:
+      scheduler_runs_over (scheduler, ID, "g", "z", TOKEN, now_ms - 1000);
+      break;
     case EARLIER_OWNER_HAD_NO:
       scheduler_runs_over (scheduler, ID, "g", "z", TOKEN - 1, now_ms);
       break;
@@ -385,7 +395,7 @@
 static void
 test_runs_message (void)
 {
-  const job_runs_t runs = { (char *) ID, (char *) "g", (char *) "z", INT64_MAX };
+  const job_runs_t runs = { (char *) ID, (char *) "g", (char *) "z", INT64_MAX, 123456 };
   GBytes *frame = job_msg_runs (JOB_MSG_RUNS_OVER, &runs);
   gsize size = 0;
   const char *data = (const char *) g_bytes_get_data (frame, &size) + FRAME_LENGTH_BYTES;
@@ -404,6 +414,7 @@
           CU_ASSERT_STRING_EQUAL (read.holder, "g");
           CU_ASSERT_STRING_EQUAL (read.shard, "z");
           CU_ASSERT_EQUAL (read.token, INT64_MAX);
+          CU_ASSERT_EQUAL (read.asked_at_ms, 123456);
         }
       job_runs_clear (&read);
       frame_reader_free (reader);
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -175,7 +175,7 @@
       break;
     case SCHEDULER_ASK_OWNER:
       send_runs_message (MESSAGE_RUNS_QUERY, host, other, action->job_id, action->holder,
-                         action->shard, 0);
+                         action->shard, 0, host->sim->now_ms);
       break;
     case SCHEDULER_NOTE:
     default:
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -322,6 +322,7 @@
   char *job;                       /* of MESSAGE_JOB_STATUS to MESSAGE_RUNS_OVER */
   const char *holder;              /* of the last two of them */
   int64_t token;                   /* of MESSAGE_RUNS_OVER */
+  int64_t asked_at_ms;             /* of the last two of them */
   job_status_t job_status;         /* its id is JOB */
   crash_loss_t loss;               /* its strings belong to the message */
   executor_action_kind_t task_end; /* how the task has ended */
@@ -419,7 +420,8 @@
                    const char *job,
                    const char *holder,
                    const char *shard,
-                   int64_t token)
+                   int64_t token,
+                   int64_t asked_at_ms)
 {
   sim_message_t *message = message_new (kind, from, to);
 
@@ -427,6 +429,7 @@
   message->holder = g_intern_string (holder);
   message->shard = g_strdup (shard);
   message->token = token;
+  message->asked_at_ms = asked_at_ms;
   send_message (message);
 }
 
@@ -441,7 +444,7 @@
       && cluster_is_sole_owner (host->cluster, message->shard)
       && !executor_may_run_job (owned->executor, message->job, lost_at_ms, host->sim->now_ms))
     send_runs_message (MESSAGE_RUNS_OVER, host, message->from, message->job, message->holder,
-                       message->shard, owned->token);
+                       message->shard, owned->token, message->asked_at_ms);
 }
 
 static void
@@ -567,7 +570,7 @@
           break;
         case MESSAGE_RUNS_OVER:
           scheduler_runs_over (host->scheduler, message->job, message->holder, message->shard,
-                               message->token, sim->now_ms);
+                               message->token, message->asked_at_ms);
           break;
         case MESSAGE_OFFERS:
           scheduler_set_report (
