Web server: a budget for all connections, and accepting that pauses

What callers saw: connections that each stay inside their bounds took a host's memory and descriptors together (2,000 with 59 KB of a body: 132 MB); without descriptors the event loop tried accept () without pause, wrote an error each time and answered nobody. Cause: neither the number of connections nor the sum of what they hold had a bound, and the listener had no error callback. Change: lib/reactor/web_budget decides, without input or output, how many connections and bytes clients may have, and who is given up first: unfinished requests and unread answers, those that hold most first; then waiting requests behind which something was sent; never one that only waits. A complete request that the waiting ones leave no bytes for is to be answered 503 with Retry-After. Accepting pauses at the most connections and for 100 ms after an error; connections that did nothing for a second make room.

--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -13,6 +13,7 @@
 
 #include "base/traffic.h"
 #include "reactor/loop.h"
+#include "reactor/web_budget.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -62,8 +63,30 @@
   const web_server_handlers_t *handlers;
   void *data;
   traffic_count_t *traffic; /* counts requests and answers, or NULL; must outlive the server */
+  web_budget_t budget;      /* of all connections; all 0: no limit */
 } web_server_options_t;
 
+/* Why a connection was not accepted, was closed, or got no answer of the handlers. */
+typedef enum
+{
+  WEB_LIMIT_CONNECTIONS, /* accepting paused: as many connections as the budget allows */
+  WEB_LIMIT_DESCRIPTORS, /* accepting paused: accept () failed */
+  WEB_LIMIT_ROOM,        /* closed after doing nothing, to make room for a new one */
+  WEB_LIMIT_BYTES,       /* closed, since all connections held more bytes than the budget */
+  WEB_LIMIT_REQUESTS,    /* answered 503: the requests that wait use up the budget */
+  WEB_LIMIT_UNREAD,      /* closed: its client did not take its answers */
+  WEB_LIMIT_COUNT
+} web_limit_t;
+
+typedef struct
+{
+  int32_t connections;
+  int64_t held_bytes; /* input that was not parsed, requests that are incomplete or not answered,
+                         answers that were not passed to the kernel, and the connections */
+  web_budget_t budget;
+  int64_t limit_counts[WEB_LIMIT_COUNT]; /* since the start */
+} web_server_load_t;
+
 /* Of what a client sends ahead of an answer, as much is read as one request at the limits takes;
  * the rest stays with the client and the kernel until the answer is sent.  A client that doesn't
  * read its answers is served again once it does. */
@@ -99,9 +122,8 @@
 /* Returns how many bytes of answers the clients have not acknowledged. */
 int64_t web_server_unacked_bytes (const web_server_t *server);
 
-/* Returns how many bytes of memory the connections hold: input that was not parsed, requests that
- * are incomplete or not answered, and answers that were not passed to the kernel. */
-int64_t web_server_held_bytes (const web_server_t *server);
+/* Returns what the connections hold, against the budget. */
+web_server_load_t web_server_load (const web_server_t *server);
 
 /* Closes connections that exceeded the timeout for idleness or for an incomplete request, and those
  * whose client doesn't take its answers: no byte acknowledged for 10 s, or not all of the last
--- a/lib/reactor/web_server.c
+++ b/lib/reactor/web_server.c
@@ -21,6 +21,7 @@
 #include "base/log.h"
 #include "base/unacked.h"
 #include "reactor/tcp.h"
+#include "reactor/web_budget.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -47,6 +48,14 @@
 #define UNREAD_TIMEOUT_MS 10000
 /* ...and at the latest this long after its last answer. */
 #define LAST_ANSWER_TIMEOUT_MS 60000
+/* Pause after accept () failed, as it does when descriptors have run out. */
+#define ACCEPT_PAUSE_MS 100
+/* A connection that has done nothing for this long is closed to make room for a new one. */
+#define ROOM_IDLE_MS 1000
+/* Buffers of an answered request that are larger are freed. */
+#define KEPT_BUFFER_BYTES 1024
+/* The answer to a request that would exceed the budget. */
+#define RETRY_AFTER "Retry-After: 1\r\n"
 
 typedef struct connection_t connection_t;
 
@@ -62,6 +71,11 @@
   traffic_count_t uncounted; /* stands in for missing counts */
   GHashTable *connections;
   int32_t active;
+  web_budget_t budget;
+  int64_t held_bytes; /* by all connections */
+  int64_t limit_counts[WEB_LIMIT_COUNT];
+  bool accept_paused;
+  int64_t accept_resume_at_ms; /* not earlier */
   bool draining;
   int64_t drain_idle_ms; /* idle timeout while draining */
 };
@@ -92,6 +106,7 @@
   bool too_large;
   bool reading_stopped;
   int64_t since_ms; /* time of the request's first byte, of the last answer, or of its last byte */
+  int64_t counted_bytes;      /* part of the server's held_bytes */
   int64_t answered_bytes;     /* sum of all answers */
   int64_t acked_bytes;        /* of these, as of the last progress */
   int64_t unread_close_at_ms; /* unless there is progress by then; 0: nothing is unread */
@@ -105,6 +120,8 @@
   web_request_t request;
 };
 
+static void resume_accepting (web_server_t *server, int64_t now_ms);
+
 static void
 connection_close (connection_t *connection)
 {
@@ -117,6 +134,7 @@
       server->handlers->on_abandoned (&connection->request, server->data);
     }
   g_hash_table_remove (server->connections, connection);
+  resume_accepting (server, clock_boot_ms ());
 }
 
 static void
@@ -124,6 +142,7 @@
 {
   connection_t *connection = data;
 
+  connection->server->held_bytes -= connection->counted_bytes;
   event_free (connection->peer_closed);
   bufferevent_free (connection->bufferevent);
   g_string_free (connection->target, TRUE);
@@ -134,17 +153,97 @@
   g_free (connection);
 }
 
-/* Returns what CONNECTION holds in memory: input, a request and answers that were not sent. */
-static int64_t
-held_bytes (const connection_t *connection)
+/* Counts what CONNECTION holds in memory: input, a request and answers that were not sent. */
+static void
+count_held_bytes (connection_t *connection)
 {
   struct bufferevent *bufferevent = connection->bufferevent;
   gsize request_bytes = connection->target->allocated_len + connection->host->allocated_len
                         + connection->deadline->allocated_len
                         + connection->header_name->allocated_len + connection->body->allocated_len;
 
-  return (int64_t) (evbuffer_get_length (bufferevent_get_input (bufferevent)) + request_bytes
-                    + evbuffer_get_length (bufferevent_get_output (bufferevent)));
+  int64_t bytes =
+      (int64_t) (evbuffer_get_length (bufferevent_get_input (bufferevent)) + request_bytes
+                 + evbuffer_get_length (bufferevent_get_output (bufferevent)))
+      + WEB_CONNECTION_BYTES;
+
+  connection->server->held_bytes += bytes - connection->counted_bytes;
+  connection->counted_bytes = bytes;
+}
+
+static web_held_t
+releasable (const connection_t *connection)
+{
+  struct bufferevent *bufferevent = connection->bufferevent;
+  const struct evbuffer *in = bufferevent_get_input (bufferevent);
+  const struct evbuffer *out = bufferevent_get_output (bufferevent);
+
+  if (connection->state == ANSWERING)
+    return (web_held_t){ WEB_WAITING,
+                         (int64_t) (evbuffer_get_length (in) + evbuffer_get_length (out)) };
+  bool idle =
+      connection->state == READING && !connection->request_begun && evbuffer_get_length (out) == 0;
+  return (web_held_t){ idle ? WEB_IDLE : WEB_UNFINISHED, connection->counted_bytes };
+}
+
+/* Closes CONNECTION at once: the kernel drops what it still has for the client. */
+static void
+connection_reset (connection_t *connection)
+{
+  const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+
+  (void) setsockopt (bufferevent_getfd (connection->bufferevent), SOL_SOCKET, SO_LINGER, &at_once,
+                     sizeof at_once);
+  connection_close (connection);
+}
+
+/* Gives connections but KEPT (may be NULL) up until the others are within the budget. */
+static void
+give_up_connections (web_server_t *server, const connection_t *kept)
+{
+  while (web_budget_is_exceeded (&server->budget, server->held_bytes))
+    {
+      GHashTableIter iter;
+      void *key = NULL;
+      connection_t *first = NULL;
+      web_held_t first_held = { WEB_WAITING, 0 };
+
+      g_hash_table_iter_init (&iter, server->connections);
+      while (g_hash_table_iter_next (&iter, &key, NULL))
+        {
+          web_held_t held = releasable (key);
+          if (key == kept || !web_budget_may_give_up (&held)
+              || (first != NULL && !web_budget_goes_first (&held, &first_held)))
+            continue;
+          first = key;
+          first_held = held;
+        }
+      if (first == NULL)
+        return;
+      server->limit_counts[WEB_LIMIT_BYTES]++;
+      connection_reset (first);
+    }
+}
+
+static void
+free_large_buffer (GString **buffer)
+{
+  if ((*buffer)->allocated_len <= KEPT_BUFFER_BYTES)
+    return;
+  g_string_free (*buffer, TRUE);
+  *buffer = g_string_new (NULL);
+}
+
+/* Frees what an answered request leaves behind. */
+static void
+release_request (connection_t *connection)
+{
+  free_large_buffer (&connection->target);
+  free_large_buffer (&connection->host);
+  free_large_buffer (&connection->deadline);
+  free_large_buffer (&connection->header_name);
+  free_large_buffer (&connection->body);
+  count_held_bytes (connection);
 }
 
 static void
@@ -280,14 +379,36 @@
   .on_message_complete = on_message_complete,
 };
 
+static void schedule_parsing (connection_t *connection);
+
+/* The requests that wait for their answers use up the budget. */
+static void
+refuse_request (connection_t *connection)
+{
+  static const char full[] = "{\"error\":\"this host holds too many requests\"}";
+
+  connection->server->limit_counts[WEB_LIMIT_REQUESTS]++;
+  connection->since_ms = clock_boot_ms ();
+  send_answer (connection, 503, RETRY_AFTER, full, sizeof full - 1);
+  release_request (connection);
+  schedule_parsing (connection);
+}
+
 static void
 dispatch_request (connection_t *connection)
 {
   web_server_t *server = connection->server;
   web_request_t *request = &connection->request;
 
-  connection->state = ANSWERING;
   connection->request_begun = false;
+  count_held_bytes (connection);
+  give_up_connections (server, connection);
+  if (!web_budget_may_serve (&server->budget, server->held_bytes))
+    {
+      refuse_request (connection);
+      return;
+    }
+  connection->state = ANSWERING;
   server->active++;
   server->traffic->received.messages++;
   *request = (web_request_t){
@@ -378,7 +499,11 @@
 update_reading (connection_t *connection)
 {
   struct evbuffer *in = bufferevent_get_input (connection->bufferevent);
-  bool stop = evbuffer_get_length (in) >= ahead_bytes_max (connection->server);
+  const web_server_t *server = connection->server;
+  size_t ahead_bytes = evbuffer_get_length (in);
+  bool stop = ahead_bytes >= ahead_bytes_max (server)
+              || (connection->state == ANSWERING && ahead_bytes > 0
+                  && !web_budget_may_read_ahead (&server->budget, server->held_bytes));
 
   if (stop == connection->reading_stopped || connection->state == LINGERING)
     return;
@@ -415,7 +540,9 @@
     evbuffer_drain (in, evbuffer_get_length (in));
   else
     parse_input (connection);
+  count_held_bytes (connection);
   update_reading (connection);
+  give_up_connections (connection->server, NULL);
 }
 
 /* Has the event loop parse what arrived during a request.  The next request is not passed on at
@@ -452,6 +579,7 @@
     start_lingering (connection);
   else
     parse_input (connection);
+  count_held_bytes (connection);
   update_reading (connection);
 }
 
@@ -463,6 +591,77 @@
     connection_close (data);
 }
 
+/* --- accepting --- */
+
+/* Closes the connection that has done nothing for longest, if it is long enough.  Returns whether
+ * there was one. */
+static bool
+make_room (web_server_t *server, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *key = NULL;
+  connection_t *oldest = NULL;
+
+  g_hash_table_iter_init (&iter, server->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      connection_t *connection = key;
+      if (connection->state == ANSWERING || connection->request_begun
+          || now_ms - connection->since_ms < ROOM_IDLE_MS
+          || (oldest != NULL && connection->since_ms >= oldest->since_ms))
+        continue;
+      oldest = connection;
+    }
+  if (oldest == NULL)
+    return false;
+  server->limit_counts[WEB_LIMIT_ROOM]++;
+  connection_close (oldest);
+  return true;
+}
+
+static void
+pause_accepting (web_server_t *server, web_limit_t cause, int64_t resume_at_ms)
+{
+  server->limit_counts[cause]++;
+  server->accept_paused = true;
+  server->accept_resume_at_ms = resume_at_ms;
+  evconnlistener_disable (server->listener);
+}
+
+static void
+resume_accepting (web_server_t *server, int64_t now_ms)
+{
+  if (!server->accept_paused || server->listener == NULL || now_ms < server->accept_resume_at_ms
+      || !web_budget_may_accept (&server->budget, web_server_connections (server)))
+    return;
+  server->accept_paused = false;
+  evconnlistener_enable (server->listener);
+}
+
+/* Accepts no more while the connections are as many as the budget allows. */
+static void
+limit_connections (web_server_t *server)
+{
+  int64_t now_ms = clock_boot_ms ();
+
+  if (web_budget_may_accept (&server->budget, web_server_connections (server))
+      || make_room (server, now_ms))
+    return;
+  pause_accepting (server, WEB_LIMIT_CONNECTIONS, now_ms);
+}
+
+/* Without a pause the event loop would try again at once, without end. */
+static void
+on_accept_error (struct evconnlistener *listener, void *data)
+{
+  web_server_t *server = data;
+  int64_t now_ms = clock_boot_ms ();
+
+  (void) listener;
+  pause_accepting (server, WEB_LIMIT_DESCRIPTORS, now_ms + ACCEPT_PAUSE_MS);
+  make_room (server, now_ms);
+}
+
 static void
 on_accept (struct evconnlistener *listener,
            evutil_socket_t fd,
@@ -493,6 +692,8 @@
   bufferevent_setcb (connection->bufferevent, on_readable, on_written, on_event, connection);
   g_hash_table_add (server->connections, connection);
   bufferevent_enable (connection->bufferevent, EV_READ | EV_WRITE);
+  count_held_bytes (connection);
+  limit_connections (server);
 }
 
 /* --- public --- */
@@ -516,6 +717,10 @@
       g_free (server);
       return ERROR_IO;
     }
+  evconnlistener_set_error_cb (server->listener, on_accept_error);
+  server->budget = options->budget;
+  if (server->budget.connections_max == 0)
+    server->budget = web_budget_for_callers (&(web_process_limits_t){ 0 });
   server->deadline_header = g_strdup (options->deadline_header);
   server->limits = options->limits;
   server->handlers = options->handlers;
@@ -551,6 +756,7 @@
   connection->state = READING;
   connection->since_ms = clock_boot_ms ();
   send_answer (connection, status, headers, body, size);
+  release_request (connection);
   schedule_parsing (connection);
 }
 
@@ -596,17 +802,15 @@
   return bytes;
 }
 
-int64_t
-web_server_held_bytes (const web_server_t *server)
+web_server_load_t
+web_server_load (const web_server_t *server)
 {
-  GHashTableIter iter;
-  void *key = NULL;
-  int64_t bytes = 0;
+  web_server_load_t load = { .connections = web_server_connections (server),
+                             .held_bytes = server->held_bytes,
+                             .budget = server->budget };
 
-  g_hash_table_iter_init (&iter, server->connections);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    bytes += held_bytes (key);
-  return bytes;
+  memcpy (load.limit_counts, server->limit_counts, sizeof load.limit_counts);
+  return load;
 }
 
 /* Returns whether the client has acknowledged no byte of its answers for too long.  The kernel is
@@ -632,6 +836,8 @@
   int64_t acked_bytes =
       connection->answered_bytes - queued_bytes - unacked_bytes (bufferevent_getfd (bufferevent));
   bool progress = acked_bytes > connection->acked_bytes;
+  if (!progress)
+    connection->server->limit_counts[WEB_LIMIT_UNREAD]++;
   connection->acked_bytes = acked_bytes;
   connection->unread_close_at_ms = now_ms + UNREAD_TIMEOUT_MS;
   return !progress;
@@ -674,11 +880,15 @@
           timed_out = g_ptr_array_new ();
         g_ptr_array_add (timed_out, key);
       }
-  if (timed_out == NULL)
-    return;
-  for (guint i = 0; i < timed_out->len; i++)
+  for (guint i = 0; timed_out != NULL && i < timed_out->len; i++)
     connection_close (timed_out->pdata[i]);
-  g_ptr_array_unref (timed_out);
+  if (timed_out != NULL)
+    g_ptr_array_unref (timed_out);
+  give_up_connections (server, NULL);
+  if (server->accept_paused && server->listener != NULL
+      && !web_budget_may_accept (&server->budget, web_server_connections (server)))
+    make_room (server, now_ms);
+  resume_accepting (server, now_ms);
 }
 
 void
--- a/tests/test_web_server.c
+++ b/tests/test_web_server.c
@@ -15,6 +15,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
@@ -35,6 +36,12 @@
 /* What a client without bounds sends, and how long it goes on when nothing is taken any more. */
 #define GET_REQUEST "GET /b HTTP/1.1\r\n\r\n"
 #define FLOOD_BYTES (8 * 1024 * 1024)
+#define HALF_HEAD "GET /b HTTP/1.1\r\nHost: a.exa"
+#define POST_HEAD "POST /b HTTP/1.1\r\nContent-Length: 4096\r\n\r\n"
+#define CROWD_BYTES_MAX (200 * 1024)
+/* Connections, and how many of them the server has descriptors for. */
+#define OUT_OF_REACH 20
+#define REACHED 5
 #define LAST_REQUESTS "GET /a HTTP/1.1\r\n\r\n"
 /* More than the server's timeout for answers that are not read. */
 #define UNREAD_AHEAD_MS 30000
@@ -56,6 +63,7 @@
   bool answering;
   bool answers_later; /* at the next tick */
   gint holds_answers; /* none is sent */
+  gint connections_most;
   gint ahead_ms;      /* of the clock that ticks show */
   gint abandoned;     /* requests whose client has gone */
   gint held_bytes;    /* the most as of a tick */
@@ -112,9 +120,11 @@
   while (rig->waiting->len > 0 && !g_atomic_int_get (&rig->holds_answers))
     answer (rig, g_ptr_array_remove_index (rig->waiting, 0));
   web_server_tick (rig->server, clock_boot_ms () + g_atomic_int_get (&rig->ahead_ms));
-  gint held_bytes = (gint) web_server_held_bytes (rig->server);
+  gint held_bytes = (gint) web_server_load (rig->server).held_bytes;
   if (held_bytes > g_atomic_int_get (&rig->held_bytes))
     g_atomic_int_set (&rig->held_bytes, held_bytes);
+  if (web_server_connections (rig->server) > g_atomic_int_get (&rig->connections_most))
+    g_atomic_int_set (&rig->connections_most, web_server_connections (rig->server));
   g_atomic_int_set (&rig->connections, web_server_connections (rig->server));
 }
 
@@ -129,7 +139,10 @@
 static const web_server_handlers_t counted_requests = { on_counted_request, on_abandoned };
 
 static void
-rig_start (rig_t *rig, const web_server_handlers_t *handlers, bool answers_later)
+rig_start_with (rig_t *rig,
+                const web_server_handlers_t *handlers,
+                bool answers_later,
+                const web_budget_t *budget)
 {
   *rig = (rig_t){ .answers_later = answers_later, .waiting = g_ptr_array_new () };
   CU_ASSERT_EQUAL_FATAL (port_block_take (&test_ports, &rig->ports), 0);
@@ -137,7 +150,8 @@
   web_server_options_t options = { .address = address,
                                    .limits = { LIMIT_BYTES, LIMIT_BYTES, LIMIT_MS, LIMIT_MS },
                                    .handlers = handlers,
-                                   .data = rig };
+                                   .data = rig,
+                                   .budget = *budget };
 
   rig->loop = loop_new (TICK_MS, on_tick, rig);
   CU_ASSERT_EQUAL_FATAL (web_server_start (rig->loop, &options, &rig->server), 0);
@@ -147,6 +161,12 @@
   g_free (address);
 }
 
+static void
+rig_start (rig_t *rig, const web_server_handlers_t *handlers, bool answers_later)
+{
+  rig_start_with (rig, handlers, answers_later, &(web_budget_t){ 0 });
+}
+
 static void
 rig_stop (rig_t *rig)
 {
@@ -347,7 +367,7 @@
   GString *chunk = g_string_new (NULL);
   size_t sent_bytes = 0;
 
-  while (chunk->len < CHUNK_BYTES * 8)
+  while (bytes > 0 && chunk->len < CHUNK_BYTES * 8)
     g_string_append (chunk, text);
   while (sent_bytes < bytes)
     {
@@ -451,12 +471,164 @@
   rig_stop (&rig);
 }
 
+/* --- crowds of connections --- */
+
+typedef struct
+{
+  const char *name;
+  web_budget_t budget;
+  int connections;
+  const char *sent; /* on each connection */
+  int sent_more_bytes;
+  bool holds_answers;
+  bool stays; /* the crowd is still there when the ordinary request comes */
+  int64_t least[WEB_LIMIT_COUNT];
+} crowd_case_t;
+
+static const crowd_case_t crowd_cases[] = {
+  { "more connections than allowed, then gone",
+    { 8, INT64_MAX },
+    40,
+    HALF_HEAD,
+    0,
+    false,
+    false,
+    { [WEB_LIMIT_CONNECTIONS] = 1 } },
+  { "more connections than allowed, idle",
+    { 8, INT64_MAX },
+    40,
+    GET_REQUEST,
+    0,
+    false,
+    true,
+    { [WEB_LIMIT_CONNECTIONS] = 1, [WEB_LIMIT_ROOM] = 1 } },
+  { "more connections than allowed, never used",
+    { 8, INT64_MAX },
+    40,
+    "",
+    0,
+    false,
+    true,
+    { [WEB_LIMIT_CONNECTIONS] = 1, [WEB_LIMIT_ROOM] = 1 } },
+  { "bodies that never end",
+    { 25, CROWD_BYTES_MAX },
+    100,
+    POST_HEAD,
+    4000,
+    false,
+    true,
+    { [WEB_LIMIT_BYTES] = 1 } },
+  { "requests that wait",
+    { 25, CROWD_BYTES_MAX },
+    100,
+    POST_HEAD,
+    4096,
+    true,
+    false,
+    { [WEB_LIMIT_REQUESTS] = 1 } },
+};
+
+static void
+play_crowd (const crowd_case_t *crowd)
+{
+  rig_t rig;
+  int *fds = g_new (int, crowd->connections);
+
+  rig_start_with (&rig, &counted_requests, true, &crowd->budget);
+  g_atomic_int_set (&rig.holds_answers, crowd->holds_answers);
+  for (int i = 0; i < crowd->connections; i++)
+    {
+      fds[i] = site_connect ("127.0.0.1", rig.ports.first_port);
+      char *more = g_strnfill ((gsize) crowd->sent_more_bytes, ' ');
+      char *sent = g_strconcat (crowd->sent, more, NULL);
+      flood (fds[i], sent, strlen (sent));
+      g_free (sent);
+      g_free (more);
+    }
+  check_server_waits (crowd->name);
+  CU_ASSERT_EQUAL (g_atomic_int_get (&rig.abandoned), 0);
+  g_atomic_int_set (&rig.holds_answers, 0);
+  for (int i = 0; i < crowd->connections && !crowd->stays; i++)
+    close (fds[i]);
+  int fd = site_connect ("127.0.0.1", rig.ports.first_port);
+  (void) !send (fd, GET_REQUEST, strlen (GET_REQUEST), MSG_NOSIGNAL);
+  int answers = count_answers (fd, 1);
+  if (answers != 1)
+    printf ("  %s: %d answers\n", crowd->name, answers);
+  CU_ASSERT_EQUAL (answers, 1);
+  close (fd);
+  for (int i = 0; i < crowd->connections && crowd->stays; i++)
+    close (fds[i]);
+  wait_until_closed (&rig);
+  CU_ASSERT (rig.connections_most <= crowd->budget.connections_max);
+  CU_ASSERT (rig.held_bytes - crowd->budget.connections_max * WEB_CONNECTION_BYTES
+             <= crowd->budget.held_bytes_max);
+  web_server_load_t load = web_server_load (rig.server);
+  CU_ASSERT_EQUAL (load.held_bytes, 0);
+  for (int i = 0; i < WEB_LIMIT_COUNT; i++)
+    if (load.limit_counts[i] < crowd->least[i])
+      printf ("  %s: limit %d: %d times, %d connections and %d bytes at most\n", crowd->name, i,
+              (int) load.limit_counts[i], rig.connections_most, rig.held_bytes);
+  for (int i = 0; i < WEB_LIMIT_COUNT; i++)
+    CU_ASSERT (load.limit_counts[i] >= crowd->least[i]);
+  rig_stop (&rig);
+  g_free (fds);
+}
+
+/* Bounds for each connection didn't bound their number, nor what they hold together. */
+static void
+test_crowds (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (crowd_cases); i++)
+    play_crowd (&crowd_cases[i]);
+}
+
+/* Without descriptors the server used its processor without pause, and wrote an error to standard
+ * error for each of its tries. */
+static void
+test_descriptors_run_out (void)
+{
+  rig_t rig;
+  struct rlimit before;
+  int fds[OUT_OF_REACH];
+
+  rig_start (&rig, &counted_requests, true);
+  getrlimit (RLIMIT_NOFILE, &before);
+  for (int i = 0; i < OUT_OF_REACH; i++)
+    fds[i] = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  struct rlimit few = { .rlim_cur = (rlim_t) fds[OUT_OF_REACH - 1] + 1 + REACHED,
+                        .rlim_max = before.rlim_max };
+  setrlimit (RLIMIT_NOFILE, &few);
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t) rig.ports.first_port) };
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  for (int i = 0; i < OUT_OF_REACH; i++)
+    CU_ASSERT_EQUAL (connect (fds[i], (struct sockaddr *) &address, sizeof address), 0);
+  check_server_waits ("descriptors have run out");
+  CU_ASSERT_EQUAL (g_atomic_int_get (&rig.connections), REACHED);
+  for (int i = 1; i < OUT_OF_REACH; i++)
+    close (fds[i]);
+  (void) !send (fds[0], GET_REQUEST, strlen (GET_REQUEST), MSG_NOSIGNAL);
+  CU_ASSERT_EQUAL (count_answers (fds[0], 1), 1);
+  int fd = site_connect ("127.0.0.1", rig.ports.first_port);
+  (void) !send (fd, GET_REQUEST, strlen (GET_REQUEST), MSG_NOSIGNAL);
+  CU_ASSERT_EQUAL (count_answers (fd, 1), 1);
+  close (fd);
+  close (fds[0]);
+  setrlimit (RLIMIT_NOFILE, &before);
+  wait_until_closed (&rig);
+  CU_ASSERT (web_server_load (rig.server).limit_counts[WEB_LIMIT_DESCRIPTORS] >= 1);
+  rig_stop (&rig);
+}
+
 static const unit_test_t tests[] = {
   { "the last answer arrives whole", test_last_answer_arrives_whole },
   { "requests ahead of answers", test_requests_ahead_of_answers },
   { "input behind an open request is bounded", test_input_behind_open_request },
   { "answers that are not read are bounded", test_answers_not_read },
   { "a last answer that is not read", test_last_answer_not_read },
+  { "crowds of connections", test_crowds },
+  { "descriptors run out", test_descriptors_run_out },
 };
 
 int
