Settings: limits.memory_mb and limits.max_open_files bound what callers hold

RLIMIT_NOFILE counts if it is lower. Of max_open_files 200 (at most half) are kept for files. Events, counters and pages for it are not begun.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -14,6 +14,7 @@
 #include "daemon/version.h"
 
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <string.h>
 
@@ -24,6 +25,9 @@
 #define REFRESH_AFTER_MS 20
 #define CONFIG_REQUEST_INTERVAL_MS 150
 #define SETTINGS_CHECK_INTERVAL_MS 1000
+/* Descriptors that the settings' limit includes for files, and those that files take. */
+#define RESERVED_FILES 200
+#define OPEN_FILES 32
 #define NS_PER_S INT64_C (1000000000)
 /* Endpoints of shards without an owner are probed at this interval, each with a probability of one
  * in PROBE_ODDS. */
@@ -442,6 +446,19 @@
   peers_send_heartbeats (site, site->stopping_since_ms, true);
 }
 
+/* Returns how many sockets and pipes the process may open: part of the descriptors that the
+ * settings name is kept for files, and the kernel may allow fewer. */
+static int64_t
+sockets_max (const platform_settings_t *settings)
+{
+  struct rlimit kernel;
+  int64_t sockets = settings->open_files_max - MIN (RESERVED_FILES, settings->open_files_max / 2);
+
+  if (getrlimit (RLIMIT_NOFILE, &kernel) == 0 && kernel.rlim_cur != RLIM_INFINITY)
+    sockets = MIN (sockets, (int64_t) kernel.rlim_cur - OPEN_FILES);
+  return MAX (sockets, 1);
+}
+
 int
 site_run (platform_settings_t *settings, const char *file)
 {
@@ -487,9 +504,14 @@
   site->scheduler_actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
   site->other_offers = g_array_new (FALSE, FALSE, sizeof (executor_offer_t));
   site->task_ends = g_array_new (FALSE, FALSE, sizeof (pending_task_end_t));
-  ingress_options_t ingress_options = { settings->caller_listen, settings->ready_listen,
-                                        &site_ingress_ops,       site,
-                                        &site->traffic,          settings->resubmit_after_ms };
+  ingress_options_t ingress_options = { .caller_listen = settings->caller_listen,
+                                        .ready_listen = settings->ready_listen,
+                                        .ops = &site_ingress_ops,
+                                        .user = site,
+                                        .traffic = &site->traffic,
+                                        .limits = { settings->memory_bytes,
+                                                    sockets_max (settings) },
+                                        .resubmit_ms = settings->resubmit_after_ms };
   int result = ingress_open (site->loop, &ingress_options, &site->ingress);
   if (result == 0)
     result = peers_start (site);
