--- a/tests/test_web_server.c
+++ b/tests/test_web_server.c
@@ -38,6 +38,8 @@
 #define FLOOD_BYTES (8 * 1024 * 1024)
 #define HALF_HEAD "GET /b HTTP/1.1\r\nHost: a.exa"
 #define POST_HEAD "POST /b HTTP/1.1\r\nContent-Length: 4096\r\n\r\n"
+/* A whole request that a server reads at once. */
+#define POST_2500_HEAD "POST /b HTTP/1.1\r\nContent-Length: 2500\r\n\r\n"
 #define CROWD_BYTES_MAX (200 * 1024)
 /* Connections, and how many of them the server has descriptors for. */
 #define OUT_OF_REACH 20
@@ -521,8 +523,8 @@
   { "requests that wait",
     { 25, CROWD_BYTES_MAX },
     100,
-    POST_HEAD,
-    4096,
+    POST_2500_HEAD,
+    2500,
     true,
     false,
     { [WEB_LIMIT_REQUESTS] = 1 } },
