Network: frames that aren't handled have a bound together

Seen: each connection could have 8 MB of frames that the event loop had not reached, so that 16 peers with 7 MB each made the host keep 112 MB (bound 96). Cause: the bound was one of a connection. Change: the inboxes of all connections have a parent with the bound of the other sums (64 MB, in a host of the site 32 MB); while it is full no connection is read. Frames are handled in the order in which they came, so that it empties as the loop goes on; nothing is lost. Evidence: "frames of many peers that are not handled" of test_net_limits failed before and passes, as do the other cases and test_net, on x86-64.

--- a/lib/wire/inbox.c
+++ b/lib/wire/inbox.c
@@ -9,6 +9,7 @@
 
 struct inbox_t
 {
+  inbox_t *parent; /* a reference, or NULL */
   atomic_size_t bytes;
 };
 
@@ -20,15 +21,43 @@
 } counted_frame_t;
 
 inbox_t *
-inbox_new (void)
+inbox_new (inbox_t *parent)
 {
-  return g_atomic_rc_box_new0 (inbox_t);
+  inbox_t *inbox = g_atomic_rc_box_new0 (inbox_t);
+
+  if (parent != NULL)
+    inbox->parent = g_atomic_rc_box_acquire (parent);
+  return inbox;
+}
+
+static void
+inbox_clear (void *data)
+{
+  inbox_t *inbox = data;
+
+  if (inbox->parent != NULL)
+    inbox_free (inbox->parent);
 }
 
 void
 inbox_free (inbox_t *inbox)
 {
-  g_atomic_rc_box_release (inbox);
+  g_atomic_rc_box_release_full (inbox, inbox_clear);
+}
+
+/* Adds SIZE bytes to INBOX and its parent. */
+static void
+count_frame (inbox_t *inbox, gsize size)
+{
+  for (; inbox != NULL; inbox = inbox->parent)
+    atomic_fetch_add (&inbox->bytes, size + FRAME_OVERHEAD_BYTES);
+}
+
+static void
+uncount_frame (inbox_t *inbox, gsize size)
+{
+  for (; inbox != NULL; inbox = inbox->parent)
+    atomic_fetch_sub (&inbox->bytes, size + FRAME_OVERHEAD_BYTES);
 }
 
 static void
@@ -36,8 +65,8 @@
 {
   counted_frame_t *frame = data;
 
-  atomic_fetch_sub (&frame->inbox->bytes, frame->size + FRAME_OVERHEAD_BYTES);
-  g_atomic_rc_box_release (frame->inbox);
+  uncount_frame (frame->inbox, frame->size);
+  inbox_free (frame->inbox);
   g_free (frame);
 }
 
@@ -49,7 +78,7 @@
   frame->inbox = g_atomic_rc_box_acquire (inbox);
   frame->size = size;
   memcpy (frame->data, data, size);
-  atomic_fetch_add (&inbox->bytes, size + FRAME_OVERHEAD_BYTES);
+  count_frame (inbox, size);
   return g_bytes_new_with_free_func (frame->data, size, counted_frame_free, frame);
 }
 
--- a/lib/wire/inbox.h
+++ b/lib/wire/inbox.h
@@ -4,6 +4,8 @@
  * toward the inbox of its connection.  A connection is not read while its inbox is full, so that
  * a peer that sends faster than its frames are handled waits, instead of filling the memory.
  *
+ * The inboxes of all connections have one parent, which counts their frames together.
+ *
  * inbox_is_full () and inbox_frame () belong to one thread; a frame may be released on any thread,
  * also after inbox_free ().
  */
@@ -15,8 +17,9 @@
 
 typedef struct inbox_t inbox_t;
 
-/* Returns an empty inbox, which the caller frees. */
-inbox_t *inbox_new (void);
+/* Returns an empty inbox, which the caller frees.  PARENT counts its frames as well; it may be
+ * NULL, and may be freed first. */
+inbox_t *inbox_new (inbox_t *parent);
 void inbox_free (inbox_t *inbox);
 
 /* Returns a copy of the SIZE bytes at DATA, counted until the last reference to it is dropped.  The
--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -118,9 +118,10 @@
   int wake_fd;
   int64_t accept_resumes_at_ms; /* 0 while connections are accepted */
   int64_t accept_log_due_ms;
+  inbox_t *inbox;         /* of all links together */
   gsize unfinished_bytes; /* in the receive buffers; I/O thread only, or before it runs */
   gsize queued_bytes;     /* in the send queues */
-  gsize buffer_max_bytes; /* limit on each of these two sums */
+  gsize buffer_max_bytes; /* limit on each of these two sums, and on the frames in the inboxes */
   GThread *thread;
   atomic_bool stopping;
   pthread_mutex_t lock;
@@ -168,7 +169,7 @@
   link->outgoing = outgoing;
   g_queue_init (&link->send_queue);
   link->receive_buffer = g_byte_array_new ();
-  link->inbox = inbox_new ();
+  link->inbox = inbox_new (net->inbox);
   link->reconnect_delay_ms = RECONNECT_DELAY_MIN_MS;
   g_ptr_array_add (net->links, link);
   return link;
@@ -672,11 +673,19 @@
   watch_link (net, link);
 }
 
+/* Returns true if too much waits to be handled of what came from LINK, or from all links. */
+static bool
+is_inbox_full (const net_t *net, const link_t *link)
+{
+  return inbox_is_full (link->inbox, UNHANDLED_MAX_BYTES)
+         || inbox_is_full (net->inbox, net->buffer_max_bytes);
+}
+
 /* Returns true if LINK must not be read now. */
 static bool
 pause_if_full (net_t *net, link_t *link)
 {
-  if (!inbox_is_full (link->inbox, UNHANDLED_MAX_BYTES))
+  if (!is_inbox_full (net, link))
     return false;
   pthread_mutex_lock (&net->lock);
   set_paused (net, link, true);
@@ -801,7 +810,7 @@
           link_abort (net, link);
           count_closed ("frame_timeout");
         }
-      if (link->paused && !inbox_is_full (link->inbox, UNHANDLED_MAX_BYTES))
+      if (link->paused && !is_inbox_full (net, link))
         set_paused (net, link, false);
       if (is_connect_due (link, now_ms))
         link_connect (net, link, now_ms);
@@ -875,6 +884,7 @@
   pthread_mutex_init (&net->lock, NULL);
   net->buffer_max_bytes =
       options->buffer_max_bytes != 0 ? options->buffer_max_bytes : NET_BUFFER_MAX_BYTES;
+  net->inbox = inbox_new (NULL);
   net->links = g_ptr_array_new_with_free_func (link_free);
   net->links_by_host = g_hash_table_new (g_str_hash, g_str_equal);
   net->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -1053,6 +1063,7 @@
   wake_thread (net);
   g_thread_join (net->thread);
   g_ptr_array_unref (net->links);
+  inbox_free (net->inbox);
   g_hash_table_unref (net->links_by_host);
   g_hash_table_unref (net->names);
   g_hash_table_unref (net->blocked_in);
--- a/lib/wire/net.h
+++ b/lib/wire/net.h
@@ -51,10 +51,11 @@
   net_peer_t self;
   const net_ops_t *ops;
   void *data; /* passed to the callbacks */
-  /* Limit on the bytes of frames that have arrived incompletely, on all connections together, and
-   * on those of frames that wait to be sent.  A larger frame cannot be exchanged.  Beyond it the
-   * connection with the most is closed.  0 for NET_BUFFER_MAX_BYTES.  The memory may be three times
-   * that. */
+  /* Limit on the bytes of frames that have arrived incompletely, on all connections together, on
+   * those of frames that have not been handled, and on those of frames that wait to be sent.  A
+   * larger frame cannot be exchanged.  Beyond it no connection is read until frames have been
+   * handled; of the two others the connection with the most is closed.  0 for NET_BUFFER_MAX_BYTES.
+   * The memory may be four times that. */
   gsize buffer_max_bytes;
 } net_options_t;
 
--- a/tests/test_net_limits.c
+++ b/tests/test_net_limits.c
@@ -47,6 +47,10 @@
 #define UNREAD_MEMORY_MAX_BYTES (96 * MIB)
 /* Hosts that say HELLO from an address of their own each, one after the other. */
 #define TOLD_ADDRESSES 6000
+/* Peers that each send complete frames, which are not handled while they arrive. */
+#define FAST_PEERS 16
+#define FAST_PEER_FRAMES 112
+#define FAST_MEMORY_MAX_BYTES (96 * MIB)
 /* Descriptors left to the process.  All are taken by connections that want to be accepted. */
 #define FILES_LEFT 40
 #define FILES_PEERS 200
@@ -392,6 +396,41 @@
   g_free (frame);
 }
 
+/* What many peers send and nobody handles has a bound together. */
+static void
+test_unhandled_frames_together (void)
+{
+  host_t a = { 0 };
+  int fds[FAST_PEERS];
+  guint8 *frame = g_malloc0 (FRAME_LENGTH_BYTES + UNHANDLED_FRAME_BYTES);
+  const guint8 head[] = { 0, 1, 0, 0, 0xdd, 0, 0, 0, 2, FRAME_PING, 0xc6, 0, 0, 0xff, 0xf5 };
+
+  memcpy (frame, head, sizeof head);
+  host_start (&a, "a", 26100);
+  atomic_store (&a.keeps, true);
+  int64_t before = resident_bytes ();
+  for (int i = 0; i < FAST_PEERS; i++)
+    {
+      char *name = g_strdup_printf ("fast-%d", i);
+      fds[i] = dial (&a);
+      send_hello (fds[i], name, a.address);
+      for (int sent = 0; sent < FAST_PEER_FRAMES; sent++)
+        if (send_some (fds[i], frame, FRAME_LENGTH_BYTES + UNHANDLED_FRAME_BYTES)
+            < FRAME_LENGTH_BYTES + UNHANDLED_FRAME_BYTES)
+          break;
+      g_free (name);
+    }
+  CU_ASSERT_TRUE (resident_bytes () - before <= FAST_MEMORY_MAX_BYTES);
+  atomic_store (&a.keeps, false);
+  void *kept = NULL;
+  while ((kept = g_async_queue_try_pop (a.kept)) != NULL)
+    g_bytes_unref (kept);
+  check_ordinary_host (&a);
+  close_all (fds, FAST_PEERS);
+  host_stop (&a);
+  g_free (frame);
+}
+
 /* Answers the connection of a host that has dialed LISTEN_FD with a HELLO as NAME, and reads
  * nothing. Returns the connection. */
 static int
@@ -483,6 +522,7 @@
   { "no descriptors", test_no_descriptors },
   { "unfinished frames", test_unfinished_frames },
   { "frames that are not handled", test_unhandled_frames },
+  { "frames of many peers that are not handled", test_unhandled_frames_together },
   { "frames that are not read", test_unread_frames },
   { "addresses told by peers", test_told_addresses },
 };
