Site: a host that is no hub is told the open jobs of others on a new connection

Found by a review, red in its test: an announcement reaches a host that is no hub once, through a hub. If its connections broke at that moment it never heard of the job, and ran it at once when a caller sent it there: 2 of 6 and 6 of 6 tasks twice (connections reset every 25 ms, or silent once; no cut, no lost host).

Change: on a new connection to a host of its data centre that is no hub, a hub also tells the jobs that it knows to be open at others. They are told as waiting, so that no host stops a run for them.

--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -119,6 +119,13 @@
               job_msg_statuses (site->host, false, &action->status, 1, clock_boot_ms ()));
 }
 
+/* Whether CONNECTION leads to a host of this data centre. */
+static bool
+is_local (const site_t *site, const peer_connection_t *connection)
+{
+  return strcmp (connection->data_centre, site->settings->data_centre) == 0;
+}
+
 /* Whether HOST is to pass on what this host tells it, which hosts that are no hubs don't hear. */
 static bool
 is_relay_needed (const site_t *site, const char *host)
@@ -126,6 +133,49 @@
   return !cluster_is_hub (site->cluster) && cluster_host_is_hub (site->cluster, host);
 }
 
+/* Whether this host is a hub that passes announcements on to HOST. */
+static bool
+passes_on_to (const site_t *site, const char *host)
+{
+  const peer_connection_t *connection = g_hash_table_lookup (site->connections, host);
+
+  return cluster_is_hub (site->cluster) && connection != NULL && is_local (site, connection)
+         && !cluster_host_is_hub (site->cluster, host);
+}
+
+/* DATA maps interned names of hosts to their statuses.  A host that runs the job stops for none of
+ * these, as its own announcement may have crossed them. */
+static void
+add_known_job (const char *id, const char *host, int64_t deadline_at_ms, void *data)
+{
+  const job_status_t status = { id, JOB_STATUS_WAITING, deadline_at_ms };
+  GArray *statuses = g_hash_table_lookup (data, host);
+
+  if (statuses == NULL)
+    {
+      statuses = new_statuses ();
+      g_hash_table_insert (data, (void *) host, statuses);
+    }
+  g_array_append_val (statuses, status);
+}
+
+/* Tells HOST the jobs of others: it may have missed their announcements, which come once. */
+static void
+send_known_jobs (site_t *site, const char *host)
+{
+  GHashTable *by_origin = g_hash_table_new_full (NULL, NULL, NULL, (GDestroyNotify) g_array_unref);
+  GHashTableIter iter;
+  void *origin = NULL;
+  void *statuses = NULL;
+
+  scheduler_foreach_remote (site->scheduler, clock_boot_ms (), add_known_job, by_origin);
+  g_hash_table_iter_init (&iter, by_origin);
+  while (g_hash_table_iter_next (&iter, &origin, &statuses))
+    if (origin != host && origin != site->host)
+      send_statuses (site, host, origin, false, statuses);
+  g_hash_table_unref (by_origin);
+}
+
 void
 repeats_host_connected (site_t *site, const char *host)
 {
@@ -134,13 +184,8 @@
   scheduler_append_open (site->scheduler, statuses);
   send_statuses (site, host, site->host, is_relay_needed (site, host), statuses);
   g_array_unref (statuses);
-}
-
-/* Whether CONNECTION leads to a host of this data centre. */
-static bool
-is_local (const site_t *site, const peer_connection_t *connection)
-{
-  return strcmp (connection->data_centre, site->settings->data_centre) == 0;
+  if (passes_on_to (site, host))
+    send_known_jobs (site, host);
 }
 
 /* Passes on what was collected, to the hosts of this data centre that are no hubs. */
@@ -149,14 +194,13 @@
 {
   GHashTableIter iter;
   void *host = NULL;
-  void *value = NULL;
 
   if (site->relayed->len == 0)
     return;
   GBytes *frame = job_msg_relayed (site->relayed);
   g_hash_table_iter_init (&iter, site->connections);
-  while (g_hash_table_iter_next (&iter, &host, &value))
-    if (is_local (site, value) && !cluster_host_is_hub (site->cluster, host))
+  while (g_hash_table_iter_next (&iter, &host, NULL))
+    if (passes_on_to (site, host))
       peers_send (site, host, g_bytes_ref (frame));
   g_bytes_unref (frame);
   g_ptr_array_set_size (site->relayed, 0);
--- a/lib/scheduler/remote_jobs.c
+++ b/lib/scheduler/remote_jobs.c
@@ -175,6 +175,24 @@
         }
 }
 
+void
+remote_jobs_foreach_open (
+    const remote_jobs_t *jobs,
+    int64_t now_ms,
+    void (*function) (const char *id, const char *host, int64_t deadline_at_ms, void *data),
+    void *data)
+{
+  GHashTableIter iter;
+  void *id = NULL;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, jobs->by_id);
+  while (g_hash_table_iter_next (&iter, &id, &value))
+    for (const entry_t *entry = value; entry != NULL; entry = entry->next)
+      if (entry->job.over_at_ms == INT64_MAX && now_ms < entry->job.expires_at_ms)
+        function (id, entry->job.host, entry->job.expires_at_ms - UNTOLD_END_MS, data);
+}
+
 const remote_job_t *
 remote_jobs_find (const remote_jobs_t *jobs, const char *id, int64_t now_ms)
 {
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -469,6 +469,16 @@
     }
 }
 
+void
+scheduler_foreach_remote (
+    const scheduler_t *scheduler,
+    int64_t now_ms,
+    void (*function) (const char *id, const char *host, int64_t deadline_at_ms, void *data),
+    void *data)
+{
+  remote_jobs_foreach_open (scheduler->remote_jobs, now_ms, function, data);
+}
+
 void
 repeats_expire (scheduler_t *scheduler, int64_t now_ms)
 {
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -202,6 +202,14 @@
  * valid until the next call. */
 void scheduler_collect_statuses (scheduler_t *scheduler, int64_t now_ms, GArray *statuses);
 
+/* Calls FUNCTION for each job that is known to be open at another host, for a host that may not
+ * have been told. */
+void scheduler_foreach_remote (
+    const scheduler_t *scheduler,
+    int64_t now_ms,
+    void (*function) (const char *id, const char *host, int64_t deadline_at_ms, void *data),
+    void *data);
+
 /* Appends the jobs that other hosts were told and that are open, for a host that may not know. */
 void scheduler_append_open (const scheduler_t *scheduler, GArray *statuses);
 
