Test: three more cuts past which a job is sent again

The rows so far cut a data centre off at once, both ways and once.

Change: tests/resent_cut.c plays a row, so that tests hold tables only; the rows name the first and the second host. New rows: what the hosts of a data centre send to others is lost; a data centre is cut off, heard for 300 ms and cut off again; it is cut off and its owner is killed.

The rows also wait until the first host knows an owner of each data centre, and one second more. No check is changed.

--- /dev/null
+++ b/tests/resent_cut.c
@@ -0,0 +1,335 @@
+/* resent_cut.c -- plays a job that is sent again to another host while the first one is cut off */
+#include "tests/resent_cut.h"
+
+#include "tests/soak/rig.h"
+
+#include "base/clock.h"
+#include "tests/site_call.h"
+
+#include <CUnit/CUnit.h>
+#include <string.h>
+#include <unistd.h>
+
+#define ENDPOINTS 6
+#define ZONES 3
+#define TASKS 8
+#define CALLER_WAIT_MS 9000
+#define CUT_AFTER_MS 600
+#define SENT_AGAIN_AFTER_MS 1300
+/* From the second request to the end of the cut. */
+#define CUT_LASTS_MS 6000
+#define SERVED_WITHIN_MS 12000
+#define FIRST_JOB 0xc0
+#define CUT_RULE 1
+/* A cut that heals and comes back. */
+#define FIRST_CUT_MS 700
+#define HEALED_MS 300
+#define READY_MAX_MS 20000
+/* By then hosts have found all others, and capacity and load are known. */
+#define SETTLED_AFTER_MS 1000
+
+static const char *const zones[] = { "zone-x", "zone-y", "zone-z" };
+
+typedef struct
+{
+  rig_t *rig;
+  const resent_cut_case_t *row;
+} play_t;
+
+static void
+hold (const play_t *play, const char *from, const char *to, bool one_way)
+{
+  proxy_rule (play->rig->proxy, CUT_RULE, PROXY_HOLD, from, to, 0, one_way);
+}
+
+static const char *
+host_name (const play_t *play, int host)
+{
+  return play->rig->hosts[host].name;
+}
+
+/* Whether HOST, by its number, is in the data centre of the first host. */
+static bool
+is_cut_off (const play_t *play, int host)
+{
+  return host % ZONES == play->row->first_host % ZONES;
+}
+
+static void
+cut_hosts (const play_t *play, bool one_way)
+{
+  for (int i = 0; i < play->row->hosts; i++)
+    for (int k = 0; is_cut_off (play, i) && k < play->row->hosts; k++)
+      if (!is_cut_off (play, k))
+        hold (play, host_name (play, i), host_name (play, k), one_way);
+}
+
+static void
+cut_first_host (const play_t *play, bool one_way)
+{
+  int first = play->row->first_host;
+
+  for (int i = 0; i < play->row->hosts; i++)
+    if (i != first)
+      hold (play, host_name (play, first), host_name (play, i), one_way);
+}
+
+static void
+cut_zone (const play_t *play, bool callers_too)
+{
+  int zone = play->row->first_host % ZONES;
+
+  for (int i = 0; i < ZONES; i++)
+    if (i != zone)
+      hold (play, zones[zone], zones[i], false);
+  for (int i = 0; i < play->row->hosts; i++)
+    {
+      if (!is_cut_off (play, i))
+        continue;
+      hold (play, host_name (play, i), "log", false);
+      if (callers_too)
+        hold (play, "callers", host_name (play, i), false);
+    }
+}
+
+/* Whether HOST or endpoint NUMBER, of which there are COUNT, is in the half of the first host's
+ * data centre that is cut off with it. */
+static bool
+is_in_half (const play_t *play, int number, int count)
+{
+  return is_cut_off (play, number) && number / ZONES < count / ZONES / 2;
+}
+
+static void
+cut_half (const play_t *play)
+{
+  int hosts = play->row->hosts;
+
+  for (int i = 0; i < hosts; i++)
+    {
+      bool inside = is_in_half (play, i, hosts);
+      for (int k = 0; inside && k < hosts; k++)
+        if (!is_in_half (play, k, hosts))
+          hold (play, host_name (play, i), host_name (play, k), false);
+      for (int k = 0; k < ENDPOINTS; k++)
+        {
+          char *endpoint = g_strdup_printf ("e%d", k);
+          if (is_in_half (play, k, ENDPOINTS) != inside)
+            hold (play, host_name (play, i), endpoint, false);
+          g_free (endpoint);
+        }
+    }
+}
+
+static void
+cut_twice (const play_t *play)
+{
+  cut_zone (play, false);
+  clock_sleep_ms (FIRST_CUT_MS);
+  proxy_end_rule (play->rig->proxy, CUT_RULE);
+  clock_sleep_ms (HEALED_MS);
+  cut_zone (play, false);
+}
+
+static void
+kill_host (const play_t *play, int host)
+{
+  rig_begin (play->rig, &(plan_fault_t){ .kind = PLAN_KILL_HOST, .target = host });
+}
+
+static void
+begin_cut (const play_t *play)
+{
+  switch (play->row->cut)
+    {
+    case CUT_ALL:
+    case CUT_NOT_CALLERS:
+      cut_zone (play, play->row->cut == CUT_ALL);
+      break;
+    case CUT_HOSTS:
+    case CUT_HOSTS_SENT:
+      cut_hosts (play, play->row->cut == CUT_HOSTS_SENT);
+      break;
+    case CUT_NOT_CALLERS_TWICE:
+      cut_twice (play);
+      break;
+    case CUT_ALL_OWNER_KILLED:
+      cut_zone (play, true);
+      kill_host (play, (play->row->first_host + ZONES) % play->row->hosts);
+      break;
+    case CUT_FIRST_HOST:
+    case CUT_FIRST_HOST_SENT:
+      cut_first_host (play, play->row->cut == CUT_FIRST_HOST_SENT);
+      break;
+    case CUT_HALF:
+      cut_half (play);
+      break;
+    case HOST_KILLED:
+      kill_host (play, play->row->first_host);
+      break;
+    case SECOND_RESET:
+    default:
+      break;
+    }
+}
+
+static void
+note (rig_t *rig, book_kind_t kind, int host, uint64_t job, int work_ms, site_response_t *answer)
+{
+  char *spec = g_strdup_printf ("%d", work_ms);
+  const book_row_t row = { .at_ms = clock_boot_ms (),
+                           .kind = kind,
+                           .job = job,
+                           .index = TASKS,
+                           .host = host,
+                           .number = host,
+                           .status = answer != NULL ? answer->status : 0,
+                           .text = answer != NULL ? answer->body : spec };
+
+  book_add (rig->book, &row);
+  g_free (spec);
+}
+
+static int
+send_job (rig_t *rig, int host, uint64_t job, int work_ms)
+{
+  char *spec = g_strdup_printf ("%d", work_ms);
+  char *body = site_job_json (TASKS, spec, work_ms, "");
+  char *target = g_strdup_printf ("/q/%016" G_GINT64_MODIFIER "x", job);
+  int fd = site_connect (RIG_CALLER_IP, rig_caller_port (rig, host));
+
+  note (rig, BOOK_SENT, host, job, work_ms, NULL);
+  site_send_request (fd, "POST", target, body, CALLER_WAIT_MS);
+  g_free (target);
+  g_free (body);
+  g_free (spec);
+  return fd;
+}
+
+/* Sends a small job to HOST until it is answered as completed. */
+static bool
+is_served (rig_t *rig, int host, uint64_t job)
+{
+  int64_t until_ms = clock_boot_ms () + SERVED_WITHIN_MS;
+
+  while (clock_boot_ms () < until_ms)
+    {
+      int fd = send_job (rig, host, job, 20);
+      site_response_t answer = site_read_response (fd, clock_boot_ms () + CALLER_WAIT_MS);
+      note (rig, BOOK_ANSWERED, host, job, 20, &answer);
+      close (fd);
+      if (answer.status == 200)
+        return true;
+      clock_sleep_ms (200);
+    }
+  return false;
+}
+
+/* Whether HOST has logged TEXT. */
+static bool
+has_logged (const rig_t *rig, int host, const char *text)
+{
+  char *name = g_strdup_printf ("%s/%s.log", rig->directory, rig->hosts[host].name);
+  char *log = NULL;
+  bool found = g_file_get_contents (name, &log, NULL, NULL) && strstr (log, text) != NULL;
+
+  g_free (log);
+  g_free (name);
+  return found;
+}
+
+/* Whether the first host knows an owner of each data centre. */
+static bool
+knows_owners (const play_t *play)
+{
+  bool all = true;
+
+  for (int i = 0; i < ZONES; i++)
+    {
+      char *text = g_strdup_printf ("\"shard_owner\",\"shard\":\"%s\"", zones[i]);
+      all &= has_logged (play->rig, play->row->first_host, text);
+      g_free (text);
+    }
+  return all;
+}
+
+/* Waits until the first host has an owner for its job in its own data centre. */
+static void
+wait_for_owners (const play_t *play)
+{
+  int64_t until_ms = clock_boot_ms () + READY_MAX_MS;
+
+  while (!knows_owners (play) && clock_boot_ms () < until_ms)
+    clock_sleep_ms (20);
+  CU_ASSERT_TRUE (knows_owners (play));
+  clock_sleep_ms (SETTLED_AFTER_MS);
+}
+
+/* Resets all connections of HOST; it dials anew those that it needs. */
+static void
+reset_connections (const play_t *play, int host)
+{
+  proxy_reset (play->rig->proxy, host_name (play, host));
+  clock_sleep_ms (SETTLED_AFTER_MS);
+}
+
+/* Returns what the second request got. */
+static int
+play_case (const play_t *play, uint64_t job)
+{
+  rig_t *rig = play->rig;
+  int first_host = play->row->first_host;
+  int second_host = play->row->second_host;
+  int work_ms = play->row->work_ms;
+
+  wait_for_owners (play);
+  if (play->row->cut == SECOND_RESET)
+    reset_connections (play, second_host);
+  int first = send_job (rig, first_host, job, work_ms);
+  clock_sleep_ms (CUT_AFTER_MS);
+  int32_t trouble = book_trouble (rig->book, clock_boot_ms ());
+  int64_t send_again_ms = clock_boot_ms () + SENT_AGAIN_AFTER_MS;
+  begin_cut (play);
+  int64_t wait_ms = send_again_ms - clock_boot_ms ();
+  clock_sleep_ms (MAX (wait_ms, 0));
+  int second = send_job (rig, second_host, job, work_ms);
+  int64_t sent_ms = clock_boot_ms ();
+  site_response_t answer = site_read_response (second, sent_ms + CUT_LASTS_MS);
+  int64_t left_ms = sent_ms + CUT_LASTS_MS - clock_boot_ms ();
+  clock_sleep_ms (MAX (left_ms, 0));
+  proxy_end_rule (rig->proxy, CUT_RULE);
+  if (answer.status == 0)
+    answer = site_read_response (second, sent_ms + CALLER_WAIT_MS + SENT_AGAIN_AFTER_MS);
+  note (rig, BOOK_ANSWERED, second_host, job, work_ms, &answer);
+  CU_ASSERT_TRUE (is_served (rig, second_host, job + 0x1000));
+  CU_ASSERT_TRUE (play->row->cut == HOST_KILLED || is_served (rig, first_host, job + 0x2000));
+  book_trouble_over (rig->book, trouble, clock_boot_ms ());
+  close (first);
+  close (second);
+  return answer.status;
+}
+
+void
+resent_cut_play (const char *programs, const resent_cut_case_t *cases, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      rig_t rig = { .programs = programs,
+                    .hosts_count = cases[i].hosts,
+                    .endpoints_count = ENDPOINTS,
+                    .zones = ZONES };
+      const play_t play = { &rig, &cases[i] };
+      rig.book = book_new ();
+      CU_ASSERT_TRUE (rig_start (&rig));
+      int status = play_case (&play, FIRST_JOB + i);
+      rig_watch (&rig);
+      int32_t findings = book_check (rig.book, clock_boot_ms ());
+      /* The job is whole, as the first host has run it or another one after it. */
+      CU_ASSERT_EQUAL (status, 200);
+      CU_ASSERT_EQUAL (findings, 0);
+      if (status != 200 || findings > 0)
+        printf ("  %s: answered %d, %d findings\n", cases[i].name, status, (int) findings);
+      rig_stop (&rig, status != 200 || findings > 0);
+      book_free (rig.book);
+    }
+}
--- /dev/null
+++ b/tests/resent_cut.h
@@ -0,0 +1,43 @@
+/* resent_cut.h -- plays a job that is sent again to another host while the first one is cut off
+ *
+ * Real processes and the proxy of the soak.  Hosts are in the data centres zone-x, zone-y and
+ * zone-z in turn, as are the six endpoints.  The first request goes to one host; 600 ms later a cut
+ * begins or the host is killed; 1,300 ms after that the same job is sent to another host.
+ */
+#ifndef TESTS_RESENT_CUT_H
+#define TESTS_RESENT_CUT_H
+
+#include <stddef.h>
+
+typedef enum
+{
+  CUT_ALL,               /* the first host's data centre from the others, the log and callers */
+  CUT_NOT_CALLERS,       /* callers still reach it */
+  CUT_HOSTS,             /* only its hosts, and only from hosts of the others */
+  CUT_HOSTS_SENT,        /* what its hosts send to hosts of the others does not arrive */
+  CUT_NOT_CALLERS_TWICE, /* as CUT_NOT_CALLERS, for 700 ms, and again 300 ms later */
+  CUT_ALL_OWNER_KILLED,  /* as CUT_ALL, and the other host of the data centre is killed */
+  CUT_FIRST_HOST,        /* the first host from all other hosts, not from endpoints */
+  CUT_FIRST_HOST_SENT,   /* what the first host sends to hosts does not arrive */
+  CUT_HALF,              /* half of its data centre, hosts and endpoint, from the other half and
+                            from the other data centres */
+  HOST_KILLED,           /* the first host is killed; nothing is cut */
+  SECOND_RESET           /* the second host's connections were reset before; nothing is cut */
+} resent_cut_t;
+
+typedef struct
+{
+  const char *name;
+  resent_cut_t cut;
+  int hosts;
+  int first_host;
+  int second_host;
+  int work_ms;
+} resent_cut_case_t;
+
+/* Plays COUNT cases, one after the other, with the programs in the directory PROGRAMS, and asserts
+ * that the second request is answered 200, that no promise of book.h is broken, and that the hosts
+ * serve a small job afterwards.  Prints what was seen where that is not so. */
+void resent_cut_play (const char *programs, const resent_cut_case_t *cases, size_t count);
+
+#endif
