Cluster: a host does not vouch for the end of its own runs

Cause: a host that had lost this one, one way, asked it as the owner about runs for itself, and it does not count itself among the hosts that it hears.

Change: a host is never lost to itself.

--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -438,6 +438,8 @@
 {
   const peer_t *peer = cluster_find_peer (cluster, host);
 
+  if (g_intern_string (host) == cluster->host)
+    return INT64_MAX;
   if (peer == NULL)
     return 0;
   return peer->alive ? INT64_MAX : peer->lost_at_ms;
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -186,7 +186,8 @@
 bool
 cluster_accepts_tasks (const cluster_t *cluster, const char *host, uint64_t epoch, int64_t now_ms);
 
-/* When HOST was lost; 0 if it was never heard or has been forgotten, INT64_MAX if it is heard. */
+/* When HOST was lost; 0 if it was never heard or has been forgotten, INT64_MAX if it is heard or is
+ * this host. */
 int64_t cluster_lost_at_ms (const cluster_t *cluster, const char *host);
 
 /* Whether this host owns SHARD so that no other host can go on owning it: it is in the shard's data
