Executor: a silent endpoint holds up no word when only the coordinator is lost

Found by a review, red in its test: one endpoint that was killed or stood still, in a data centre without a part in the job, kept each repeated request of a killed host's jobs waiting to its deadline: 504 after 6,004 ms, where answered 200 after 1,107 ms.

Cause: "no run" needed a listing of every endpoint.

Change: an endpoint that has obeyed this owner since before the loss, and has been silent for longer than a lease, counts as clear if the coordinator is the only host that is lost. What stays possible: a switch that cuts off just that host together with endpoints, where the host claims the shard in the 0.3 s in which it still counts remote hosts as heard (docs/design/jobs-sent-again.md).

--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -540,6 +540,14 @@
   return true;
 }
 
+int32_t
+cluster_lost_hosts (const cluster_t *cluster)
+{
+  cluster_count_t all = cluster_count (cluster, NULL);
+
+  return all.known - all.alive;
+}
+
 int32_t
 cluster_alive_hosts (const cluster_t *cluster)
 {
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -190,6 +190,9 @@
  * this host. */
 int64_t cluster_lost_at_ms (const cluster_t *cluster, const char *host);
 
+/* The number of hosts that were lost and are not forgotten. */
+int32_t cluster_lost_hosts (const cluster_t *cluster);
+
 /* Whether this host owns SHARD so that no other host can go on owning it: it is in the shard's data
  * centre, hears a majority, and no endpoint is known to obey a higher token.  An owner that can't
  * be heard yields once an endpoint refuses its token. */
--- a/lib/executor/job_runs.c
+++ b/lib/executor/job_runs.c
@@ -4,7 +4,7 @@
  * that the listing holds every run there.  A listing from before says less: another owner, which
  * this one does not hear, may have taken the endpoint over since.
  */
-#include "executor/state.h"
+#include "executor/leases.h"
 
 #include <string.h>
 
@@ -47,6 +47,14 @@
   return false;
 }
 
+/* Whether ENDPOINT, which has obeyed this owner, has been silent for longer than a lease. */
+static bool
+has_outlived_leases (const executor_t *executor, const endpoint_t *endpoint, int64_t now_ms)
+{
+  return endpoint->runs_known && !endpoint->fenced && endpoint->unanswered_since_ms != 0
+         && now_ms - endpoint->unanswered_since_ms > longest_lease_ms (executor->options.lease_ms);
+}
+
 /* Whether ENDPOINT may run a task of JOB that is not in the executor's table. */
 static bool
 may_run_unlisted (const endpoint_t *endpoint, const char *job)
@@ -64,8 +72,13 @@
 }
 
 bool
-executor_may_run_job (executor_t *executor, const char *job, int64_t lost_at_ms, int64_t now_ms)
+executor_may_run_job (executor_t *executor,
+                      const char *job,
+                      int64_t lost_at_ms,
+                      bool alone,
+                      int64_t now_ms)
 {
+  bool silence_counts = alone && executor->token_since_ms < lost_at_ms;
   bool may_run = !discovery_covers (&executor->discovery, executor->token_since_ms, now_ms)
                  || has_task (executor, job) || now_ms < executor->unlisted_until_ms;
   GHashTableIter iter;
@@ -75,7 +88,8 @@
   g_hash_table_iter_init (&iter, executor->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      bool listed = has_listed (value, lost_at_ms, now_ms);
+      bool listed = has_listed (value, lost_at_ms, now_ms)
+                    || (silence_counts && has_outlived_leases (executor, value, now_ms));
       may_run = may_run || !listed || may_run_unlisted (value, job);
     }
   return may_run;
--- a/tests/test_job_runs.c
+++ b/tests/test_job_runs.c
@@ -133,7 +133,7 @@
       bring_about (&scenario, run_cases[i].state);
       int64_t lost_at_ms = run_cases[i].state == LISTED_BEFORE_LOSS ? 100 : 0;
       int64_t now_ms = run_cases[i].state == LISTED_LONG_AGO ? 700 : 200;
-      bool may_run = executor_may_run_job (scenario.executor, "j", lost_at_ms, now_ms);
+      bool may_run = executor_may_run_job (scenario.executor, "j", lost_at_ms, false, now_ms);
       CU_ASSERT_EQUAL (may_run, run_cases[i].may_run);
       if (may_run != run_cases[i].may_run)
         printf ("  %s: %d\n", run_cases[i].name, may_run);
@@ -153,11 +153,11 @@
   scenario_begin_idle (&scenario, 4000);
   run_round_at (&scenario, 700);
   CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_POLL));
-  CU_ASSERT_TRUE (executor_may_run_job (scenario.executor, "j", 0, 700));
+  CU_ASSERT_TRUE (executor_may_run_job (scenario.executor, "j", 0, false, 700));
   run_round_at (&scenario, 705);
   CU_ASSERT_TRUE (has_action (&scenario, EXECUTOR_POLL));
   answer_poll (&scenario, 0, NULL, 0);
-  CU_ASSERT_FALSE (executor_may_run_job (scenario.executor, "j", 0, 710));
+  CU_ASSERT_FALSE (executor_may_run_job (scenario.executor, "j", 0, false, 710));
   run_round_at (&scenario, 715);
   CU_ASSERT_FALSE (has_action (&scenario, EXECUTOR_POLL));
   scenario_end (&scenario);
@@ -177,19 +177,60 @@
       run_round_at (&scenario, now_ms);
       if (has_action (&scenario, EXECUTOR_POLL))
         lose_last_poll (&scenario, 0, now_ms + 50);
-      CU_ASSERT_TRUE (executor_may_run_job (scenario.executor, "j", 450, now_ms));
+      CU_ASSERT_TRUE (executor_may_run_job (scenario.executor, "j", 450, false, now_ms));
     }
   executor_remove_endpoint (scenario.executor, endpoint_ids[0]);
   run_round_at (&scenario, 4500);
   run_round_at (&scenario, 4600);
-  CU_ASSERT_TRUE (executor_may_run_job (scenario.executor, "j", 450, 4600));
+  CU_ASSERT_TRUE (executor_may_run_job (scenario.executor, "j", 450, false, 4600));
   scenario_end (&scenario);
 }
 
+/* An endpoint that has obeyed this owner since before the loss stops answering. */
+static void
+test_silent_endpoint (void)
+{
+  static const struct
+  {
+    const char *name;
+    bool alone;
+    int64_t token_since_ms; /* 0: as at first */
+    int64_t at_ms;
+    bool may_run;
+  } rows[] = {
+    { "only the coordinator is lost, its leases may last", true, 0, 1500, true },
+    { "only the coordinator is lost, its leases have ended", true, 0, 1900, false },
+    { "others are lost too", false, 0, 1900, true },
+    { "claimed after the loss", true, 650, 1900, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      scenario_t scenario;
+      scenario_begin_idle (&scenario, 4000);
+      if (rows[i].token_since_ms != 0)
+        executor_set_token (scenario.executor, 2, rows[i].token_since_ms);
+      for (int64_t now_ms = 700; now_ms < rows[i].at_ms; now_ms += 50)
+        {
+          executor_may_run_job (scenario.executor, "j", 600, rows[i].alone, now_ms);
+          run_round_at (&scenario, now_ms);
+          if (has_action (&scenario, EXECUTOR_POLL))
+            lose_last_poll (&scenario, 0, now_ms + 10);
+        }
+      bool may_run =
+          executor_may_run_job (scenario.executor, "j", 600, rows[i].alone, rows[i].at_ms);
+      CU_ASSERT_EQUAL (may_run, rows[i].may_run);
+      if (may_run != rows[i].may_run)
+        printf ("  %s: %d\n", rows[i].name, may_run);
+      scenario_end (&scenario);
+    }
+}
+
 static const unit_test_t tests[] = {
   { "whether a run of a job may be alive", test_runs },
   { "a listing that is too old", test_asks_again },
   { "an endpoint that is silent and removed", test_silent_endpoint_removed },
+  { "an endpoint that is silent", test_silent_endpoint },
 };
 
 int
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -439,10 +439,12 @@
   owned_shard_t *owned = &host->owned_shards[data_centre_of_shard (message->shard)];
 
   int64_t lost_at_ms = cluster_lost_at_ms (host->cluster, message->holder);
+  bool alone = cluster_lost_hosts (host->cluster) <= 1;
 
   if (owned->executor != NULL && lost_at_ms != INT64_MAX
       && cluster_is_sole_owner (host->cluster, message->shard)
-      && !executor_may_run_job (owned->executor, message->job, lost_at_ms, host->sim->now_ms))
+      && !executor_may_run_job (owned->executor, message->job, lost_at_ms, alone,
+                                host->sim->now_ms))
     send_runs_message (MESSAGE_RUNS_OVER, host, message->from, message->job, message->holder,
                        message->shard, owned->token, message->asked_at_ms);
 }
