Cluster: the loss of a host tells when it was last heard, not an earlier time

Cause: when a connection breaks, the time of the last heartbeat is moved back so that the host is lost soon (by 330 to 2,930 ms). The scheduler took that time for the last sign of life, and the 700 ms within which a new owner must have been found had passed.

Change: the loss tells the time of the last heartbeat itself.

--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -198,7 +198,7 @@
   g_array_set_size (peer->claims, 0);
   cluster_action_t *action = cluster_add_action (actions, CLUSTER_HOST_LOST, reason);
   action->host = peer->host;
-  action->last_heard_at_ms = peer->last_heard_at_ms;
+  action->last_heard_at_ms = peer->heartbeat_at_ms;
   action->alive_at_ms = alive_ms;
 }
 
