Network: hosts that have not said their name share a part of the sockets

Cause: 256 connections without a name were allowed whatever the settings say; and of 300 descriptors half, not 200, were kept for files.

Change: they share a tenth of the sockets (256 at most); 200 descriptors are kept for files as DEPLOY.md says, unless fewer than 64 would be left for sockets.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -27,6 +27,8 @@
 #define SETTINGS_CHECK_INTERVAL_MS 1000
 /* Descriptors that the settings' limit includes for files, and those that files take. */
 #define RESERVED_FILES 200
+/* Where fewer would be left, half of the descriptors are for sockets. */
+#define SOCKETS_MIN 64
 #define OPEN_FILES 32
 #define NS_PER_S INT64_C (1000000000)
 /* Endpoints of shards without an owner are probed at this interval, each with a probability of one
@@ -446,14 +448,16 @@
   peers_send_heartbeats (site, site->stopping_since_ms, true);
 }
 
-/* Returns how many sockets and pipes the process may open: part of the descriptors that the
- * settings name is kept for files, and the kernel may allow fewer. */
-static int64_t
-sockets_max (const platform_settings_t *settings)
+/* Part of the descriptors that the settings name is kept for files, and the kernel may allow fewer.
+ */
+int64_t
+site_sockets_max (const platform_settings_t *settings)
 {
   struct rlimit kernel;
-  int64_t sockets = settings->open_files_max - MIN (RESERVED_FILES, settings->open_files_max / 2);
+  int64_t sockets = settings->open_files_max - RESERVED_FILES;
 
+  if (sockets < SOCKETS_MIN)
+    sockets = settings->open_files_max / 2;
   if (getrlimit (RLIMIT_NOFILE, &kernel) == 0 && kernel.rlim_cur != RLIM_INFINITY)
     sockets = MIN (sockets, (int64_t) kernel.rlim_cur - OPEN_FILES);
   return MAX (sockets, 1);
@@ -510,7 +514,7 @@
                                         .user = site,
                                         .traffic = &site->traffic,
                                         .limits = { settings->memory_bytes,
-                                                    sockets_max (settings) },
+                                                    site_sockets_max (settings) },
                                         .resubmit_ms = settings->resubmit_after_ms };
   int result = ingress_open (site->loop, &ingress_options, &site->ingress);
   if (result == 0)
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -21,6 +21,10 @@
 /* Limit on the bytes of frames that have arrived incompletely, and on those that wait to be sent,
  * of all peers together. */
 #define PEER_BUFFER_MAX_BYTES (32 * 1024 * 1024)
+/* Anybody may connect to the address for hosts: until they say who they are, they share this part
+ * of the sockets. */
+#define UNNAMED_PERCENT 10
+#define UNNAMED_MIN 8
 /* Hosts whose addresses are kept, as other hosts and the platform tell them. */
 #define KNOWN_HOSTS_MAX 4096
 /* A younger connection is not replaced by a new one. */
@@ -477,6 +481,8 @@
     .ops = &net_ops,
     .data = site,
     .buffer_max_bytes = PEER_BUFFER_MAX_BYTES,
+    .unnamed_max = (int32_t) CLAMP (site_sockets_max (settings) * UNNAMED_PERCENT / 100,
+                                    UNNAMED_MIN, INT32_MAX),
   };
   int result = net_start (&options, &site->net);
 
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -127,6 +127,8 @@
 extern const char *const limit_names[];   /* by scheduler_limit_t */
 
 /* site.c */
+/* Returns how many sockets and pipes the process may open. */
+int64_t site_sockets_max (const platform_settings_t *settings);
 /* Schedules run_all_actions (), which carries out the pending actions of all libraries.  It runs
  * once, after the events that are ready now, however often this is called before. */
 void site_schedule_actions (site_t *site);
--- a/lib/wire/net.c
+++ b/lib/wire/net.c
@@ -121,6 +121,7 @@
   inbox_t *inbox;         /* of all links together */
   gsize unfinished_bytes; /* in the receive buffers; I/O thread only, or before it runs */
   gsize queued_bytes;     /* in the send queues */
+  int32_t unnamed_max;    /* connections that were accepted and have not said their name */
   gsize buffer_max_bytes; /* limit on each of these two sums, and on the frames in the inboxes */
   GThread *thread;
   atomic_bool stopping;
@@ -429,7 +430,7 @@
   link->timeout_at_ms = now_ms + HANDSHAKE_TIMEOUT_MS;
   link->last_received_ms = now_ms;
   set_epoll_events (net, link, EPOLL_CTL_ADD, EPOLLIN);
-  limit_accepted_links (net, false, UNNAMED_LINKS_MAX);
+  limit_accepted_links (net, false, net->unnamed_max);
   pthread_mutex_unlock (&net->lock);
 }
 
@@ -884,6 +885,8 @@
   pthread_mutex_init (&net->lock, NULL);
   net->buffer_max_bytes =
       options->buffer_max_bytes != 0 ? options->buffer_max_bytes : NET_BUFFER_MAX_BYTES;
+  net->unnamed_max =
+      options->unnamed_max != 0 ? MIN (options->unnamed_max, UNNAMED_LINKS_MAX) : UNNAMED_LINKS_MAX;
   net->inbox = inbox_new (NULL);
   net->links = g_ptr_array_new_with_free_func (link_free);
   net->links_by_host = g_hash_table_new (g_str_hash, g_str_equal);
--- a/lib/wire/net.h
+++ b/lib/wire/net.h
@@ -57,6 +57,9 @@
    * handled; of the two others the connection with the most is closed.  0 for NET_BUFFER_MAX_BYTES.
    * The memory may be four times that. */
   gsize buffer_max_bytes;
+  /* Most connections that were accepted and have not said their name; 0 for the default, which is
+   * the most. */
+  int32_t unnamed_max;
 } net_options_t;
 
 /* Starts to listen and starts the thread.  OPTIONS is copied, except for ops,
