Test of settings: limits.memory_mb and limits.max_open_files

Cause: the two keys came without a test of their own. Change: a table of 23 cases: absent, at and beyond both ends, no number, signs, units, nan and inf; the bytes and descriptors that are stored, and a message that names the key if the file is invalid.

--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -154,6 +154,7 @@
   "listen_addrs.control_plane=127.0.0.1:3\nplatform.address=127.0.0.1:4\n"                         \
   "bounds.max_hold_ms=1000\nbounds.stop_timeout_ms=50\nbounds.grace_period_s=6\n"                  \
   "bounds.retransmit_ms=1300\nbounds.config_apply_ms=2000\nlimits.cpu_fraction=0.25\n"
+#define MIB (INT64_C (1024) * 1024)
 #define MORE_SETTINGS "bounds.remote_penalty=2\n"
 
 static const struct
@@ -193,9 +194,79 @@
   g_free (path);
 }
 
+/* LINE is added to a valid file.  Zeros mean that the file is invalid then. */
+static const struct
+{
+  const char *line;
+  int64_t memory_bytes;
+  int64_t open_files_max;
+} limit_cases[] = {
+  { "", 256 * MIB, 1048576 },
+  { "limits.memory_mb=16", 16 * MIB, 1048576 },
+  { "limits.memory_mb=260", 260 * MIB, 1048576 },
+  { "limits.memory_mb=1048576", 1048576 * MIB, 1048576 },
+  { "limits.memory_mb=15", 0, 0 },
+  { "limits.memory_mb=1048577", 0, 0 },
+  { "limits.memory_mb=0", 0, 0 },
+  { "limits.memory_mb=-260", 0, 0 },
+  { "limits.memory_mb=", 0, 0 },
+  { "limits.memory_mb=much", 0, 0 },
+  { "limits.memory_mb=260 MB", 0, 0 },
+  { "limits.memory_mb=nan", 0, 0 },
+  { "limits.memory_mb=inf", 0, 0 },
+  { "limits.max_open_files=64", 256 * MIB, 64 },
+  { "limits.max_open_files=4100", 256 * MIB, 4100 },
+  { "limits.max_open_files=1048576", 256 * MIB, 1048576 },
+  { "limits.max_open_files=63", 0, 0 },
+  { "limits.max_open_files=1048577", 0, 0 },
+  { "limits.max_open_files=-1", 0, 0 },
+  { "limits.max_open_files=", 0, 0 },
+  { "limits.max_open_files=all", 0, 0 },
+  { "limits.max_open_files=nan", 0, 0 },
+  { "limits.memory_mb=120\nlimits.max_open_files=3075", 120 * MIB, 3075 },
+};
+
+static void
+check_limits (const char *path, size_t i)
+{
+  platform_settings_t *settings = NULL;
+  char *message = NULL;
+  char *text = g_strconcat (PLATFORM_SETTINGS, limit_cases[i].line, "\n", NULL);
+
+  CU_ASSERT_TRUE_FATAL (g_file_set_contents (path, text, -1, NULL));
+  int result = platform_settings_read (path, &settings, &message);
+  CU_ASSERT_EQUAL (result, limit_cases[i].memory_bytes > 0 ? 0 : ERROR_BAD_FILE);
+  if (result == 0)
+    {
+      CU_ASSERT_EQUAL (settings->memory_bytes, limit_cases[i].memory_bytes);
+      CU_ASSERT_EQUAL (settings->open_files_max, limit_cases[i].open_files_max);
+      platform_settings_free (settings);
+    }
+  else
+    CU_ASSERT_TRUE (message != NULL && strstr (message, "limits.m") != NULL);
+  if ((result == 0) != (limit_cases[i].memory_bytes > 0))
+    printf ("\n  %s\n", limit_cases[i].line);
+  g_free (message);
+  g_free (text);
+}
+
+static void
+test_limits (void)
+{
+  char *path = NULL;
+  int fd = g_file_open_tmp ("settings-XXXXXX", &path, NULL);
+
+  close (fd);
+  for (size_t i = 0; i < G_N_ELEMENTS (limit_cases); i++)
+    check_limits (path, i);
+  g_unlink (path);
+  g_free (path);
+}
+
 static const unit_test_t tests[] = {
   { "files", test_files },
   { "a file of the platform with a NUL", test_platform_file_with_nul },
+  { "limits of memory and descriptors", test_limits },
   { "example file", test_example },
   { "addresses", test_addresses },
 };
