Site: limits on clients are counted, and logged at most once in 5 s

What operators saw: connections were closed, requests refused and accepting paused without a line in the log or a figure at /metrics. Cause: web_server_load () counted them, and nobody read it. Change: for the addresses of callers and `ready` five metrics each: connections and bytes held, the most of both, and limits that acted by cause. Event clients_limited with the same figures and the counts since the last line, at most one line of each address in 5 s. Test: test_site_crowds_descriptors asks for 1 to 3 such lines of the crowd's own address in each row, and none where the crowd is at the control plane.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -389,6 +389,7 @@
   web_client_set_own_delay (site->http_client, owner_own_delay_ms (site, now_ms));
   web_client_tick (site->http_client, now_ms);
   ingress_tick (site->ingress, now_ms);
+  client_limits_tick (site, now_ms);
   owner_update_directory (site, now_ms);
   log_client_tick (site->log_client, now_ms);
   scheduler_step (site->scheduler, now_ms, site->scheduler_actions);
--- a/daemon/site_metrics.c
+++ b/daemon/site_metrics.c
@@ -201,6 +201,7 @@
   set_gauge ("jaytrail_shards_owned", g_hash_table_size (site->owned_shards));
   drain_update_metrics (site);
   traffic_update_metrics (site);
+  client_limits_update_metrics (site);
   set_gauge ("jaytrail_jobs_open", scheduler_job_count (site->scheduler));
   set_gauge ("jaytrail_hosts_heard", cluster_alive_hosts (site->cluster));
   set_gauge ("jaytrail_configuration_version", site->queues != NULL ? site->queues->version : 0);
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -65,6 +65,17 @@
   executor_task_end_t end;
 } pending_task_end_t;
 
+/* Listeners that clients connect to: for callers, and `ready`. */
+#define CLIENT_LISTENERS 2
+
+/* What was last logged of the limits of a listener. */
+typedef struct
+{
+  int64_t limit_counts[WEB_LIMIT_COUNT];
+  int64_t logged_at_ms; /* 0: never */
+  int64_t due_at_ms;    /* no line before */
+} client_limits_log_t;
+
 struct site_t
 {
   platform_settings_t *settings;
@@ -115,6 +126,7 @@
   int64_t settings_check_due_ms;
   traffic_t traffic; /* since the start */
   traffic_watch_t traffic_watch;
+  client_limits_log_t client_limits_logs[CLIENT_LISTENERS];
   int64_t unsent_due_ms; /* when the unsent bytes are read next */
 };
 
@@ -270,6 +282,12 @@
 /* Sets the metrics of traffic to the present state. */
 void traffic_update_metrics (site_t *site);
 
+/* site_client_limits.c: what clients hold against their budget */
+/* Logs EVENT_CLIENTS_LIMITED if a limit of a listener has acted, at most once in 5 s for each. */
+void client_limits_tick (site_t *site, int64_t now_ms);
+/* Sets the gauges of what clients hold, and the counters of limits that acted. */
+void client_limits_update_metrics (site_t *site);
+
 /* site_peers.c: connections to other hosts.  Functions that send take ownership of FRAME. */
 /* Starts to listen, and to connect to the seeds.  Returns 0, or the error code of net_start (). */
 int peers_start (site_t *site);
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -42,6 +42,14 @@
     "{unsent_bytes} bytes waited to be sent, its loop was up to {loop_delay_ms} ms late, "
     "{unanswered} calls to endpoints were not answered in time, {connections} connections to "
     "endpoints were opened" },
+  { EVENT_CLIENTS_LIMITED, EVENT_CLASS_PROBLEM, "clients_limited",
+    "listener for_ms connections connections_max held_bytes held_bytes_max paused_connections "
+    "paused_descriptors closed_idle closed_bytes refused_requests closed_unread",
+    "limits at the {listener} address of {host_id}, which has {connections} of {connections_max} "
+    "connections and holds {held_bytes} of {held_bytes_max} bytes: since {for_ms} ms (0: since the "
+    "start) accepting paused {paused_connections} times for connections and {paused_descriptors} "
+    "times for descriptors; it closed {closed_idle} idle connections, {closed_bytes} for the sum "
+    "of bytes and {closed_unread} with unread answers, and refused {refused_requests} requests" },
   { EVENT_LOG_LOST, EVENT_CLASS_STATE, "log_lost", "",
     "{host_id} cannot reach the platform's log" },
   { EVENT_LOG_REGAINED, EVENT_CLASS_STATE, "log_regained", "",
--- a/tests/site_crowd.c
+++ b/tests/site_crowd.c
@@ -70,6 +70,18 @@
   result->channels = MAX (result->channels, usage.channels);
 }
 
+static int
+count_limit_lines (const site_rig_t *rig, crowd_listener_t listener)
+{
+  static const char *const lines[] = {
+    [CROWD_FRONTEND] = "\"event\":\"clients_limited\",\"listener\":\"caller\"",
+    [CROWD_READY] = "\"event\":\"clients_limited\",\"listener\":\"ready\"",
+    [CROWD_CONTROL_PLANE] = "\"event\":\"clients_limited\"",
+  };
+
+  return site_count_lines (rig, HOST, lines[listener]);
+}
+
 static int64_t
 log_bytes (const site_rig_t *rig)
 {
@@ -352,6 +364,7 @@
   send_all (&play);
   stay (&play);
   close_crowd (&play);
+  play.result.limit_lines = count_limit_lines (&rig, crowd->listener);
   play.result.log_bytes = log_bytes (&rig);
   play.result.answers = is_answered (&rig);
   play.sample_due_ms = 0;
--- a/tests/site_crowd.h
+++ b/tests/site_crowd.h
@@ -49,6 +49,7 @@
   int64_t resident_bytes; /* at most since its start */
   int64_t sent_bytes;     /* by the crowd */
   int64_t log_bytes;      /* standard output and error */
+  int limit_lines;        /* events clients_limited of the listener */
   int descriptors;        /* at most */
   int channels;           /* sockets and pipes among them, at most */
   int refused;            /* connections of the crowd that the host closed */
--- a/tests/test_site_crowds_descriptors.c
+++ b/tests/test_site_crowds_descriptors.c
@@ -23,6 +23,9 @@
  * a row is over. */
 #define LOG_MAX_BYTES (2 * 400 * 256 * 10)
 
+/* One line of a listener in 5 s, for the same time. */
+#define LIMIT_LINES_MAX 3
+
 #define METRICS "GET /metrics HTTP/1.1\r\nHost: q.example\r\n\r\n"
 #define METRICS_LAST "GET /metrics HTTP/1.1\r\nConnection: close\r\nHost: q.example\r\n\r\n"
 #define HALF_A_HEAD "GET /q/% HTTP/1.1\r\nHost: q.exa"
@@ -47,6 +50,9 @@
       CU_ASSERT_TRUE (result.channels <= channels_max);
       CU_ASSERT_TRUE (result.log_bytes <= LOG_MAX_BYTES);
       CU_ASSERT_TRUE (result.answers);
+      int lines_min = crowds[i].listener == CROWD_CONTROL_PLANE ? 0 : 1;
+      int lines_max = crowds[i].listener == CROWD_CONTROL_PLANE ? 0 : LIMIT_LINES_MAX;
+      CU_ASSERT_TRUE (result.limit_lines >= lines_min && result.limit_lines <= lines_max);
     }
 }
 
