Test of crowds: the metrics of limits on clients

Change: test_site_crowds_descriptors reads /metrics after each crowd: the most connections of callers and at `ready` are there and together below the limit of descriptors, and the limits of the crowd's address have acted at least once, by any cause.

--- a/tests/site_crowd.c
+++ b/tests/site_crowd.c
@@ -82,6 +82,40 @@
   return site_count_lines (rig, HOST, lines[listener]);
 }
 
+/* Returns the sum of the counters of LISTENER, or a negative number if one is missing. */
+static int
+count_limits (const site_rig_t *rig, const char *listener)
+{
+  static const char *const causes[] = {
+    "paused_connections", "paused_descriptors", "closed_idle",
+    "closed_bytes",       "refused_requests",   "closed_unread"
+  };
+  int count = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (causes); i++)
+    {
+      char *name = g_strdup_printf ("jaytrail_%s_limits_total{cause=\"%s\"}", listener, causes[i]);
+      int value = site_host_gauge (rig, HOST, name);
+      g_free (name);
+      if (value < 0)
+        return value;
+      count += value;
+    }
+  return count;
+}
+
+static void
+read_metrics (play_t *play)
+{
+  static const char *const listeners[] = { [CROWD_FRONTEND] = "caller", [CROWD_READY] = "ready" };
+  int callers_max = site_host_gauge (play->rig, HOST, "jaytrail_caller_connections_max");
+  int ready_max = site_host_gauge (play->rig, HOST, "jaytrail_ready_connections_max");
+
+  play->result.clients_max = callers_max > 0 && ready_max > 0 ? callers_max + ready_max : -1;
+  if (play->crowd->listener != CROWD_CONTROL_PLANE)
+    play->result.limits_counted = count_limits (play->rig, listeners[play->crowd->listener]);
+}
+
 static int64_t
 log_bytes (const site_rig_t *rig)
 {
@@ -367,6 +401,7 @@
   play.result.limit_lines = count_limit_lines (&rig, crowd->listener);
   play.result.log_bytes = log_bytes (&rig);
   play.result.answers = is_answered (&rig);
+  read_metrics (&play);
   play.sample_due_ms = 0;
   sample (&play);
   play.result.lives = host_lives (&rig);
--- a/tests/site_crowd.h
+++ b/tests/site_crowd.h
@@ -50,6 +50,8 @@
   int64_t sent_bytes;     /* by the crowd */
   int64_t log_bytes;      /* standard output and error */
   int limit_lines;        /* events clients_limited of the listener */
+  int limits_counted;     /* by the metrics of the listener, all causes; 0 at the control plane */
+  int clients_max;        /* connections of callers and at ready that the metrics allow; -1: none */
   int descriptors;        /* at most */
   int channels;           /* sockets and pipes among them, at most */
   int refused;            /* connections of the crowd that the host closed */
--- a/tests/test_site_crowds_descriptors.c
+++ b/tests/test_site_crowds_descriptors.c
@@ -52,6 +52,8 @@
       CU_ASSERT_TRUE (result.answers);
       int lines_min = crowds[i].listener == CROWD_CONTROL_PLANE ? 0 : 1;
       int lines_max = crowds[i].listener == CROWD_CONTROL_PLANE ? 0 : LIMIT_LINES_MAX;
+      CU_ASSERT_TRUE (result.clients_max > 0 && result.clients_max <= descriptors_max);
+      CU_ASSERT_TRUE (result.limits_counted >= lines_min);
       CU_ASSERT_TRUE (result.limit_lines >= lines_min && result.limit_lines <= lines_max);
     }
 }
