--- a/tests/test_web_server.c
+++ b/tests/test_web_server.c
@@ -534,7 +534,7 @@
 play_crowd (const crowd_case_t *crowd)
 {
   rig_t rig;
-  int *fds = g_new (int, crowd->connections);
+  int *fds = g_new0 (int, crowd->connections);
 
   rig_start_with (&rig, &counted_requests, true, &crowd->budget);
   g_atomic_int_set (&rig.holds_answers, crowd->holds_answers);
