--- a/lib/wire/wire_example.c
+++ b/lib/wire/wire_example.c
@@ -40,7 +40,9 @@
 {
   static const net_ops_t ops = { on_frame, on_up, on_down };
   net_options_t options = {
-    address, { (char *) host, (char *) "dc", (char *) address, 1 }, &ops, NULL
+    .listen_address = address,
+    .self = { (char *) host, (char *) "dc", (char *) address, 1 },
+    .ops = &ops,
   };
   net_t *net = NULL;
 
