Scheduler: what owners reply is named a reply

Names and comments only: owner_word_t is owner_reply_t, the list of them in a job and the time for which one counts are named alike.

--- a/lib/scheduler/lost_host.c
+++ b/lib/scheduler/lost_host.c
@@ -8,9 +8,9 @@
  */
 #include "scheduler/state.h"
 
-/* What an owner has said counts for this long after it was asked: its shard may change hands, or it
+/* The reply of an owner counts for this long after the question: its shard may change hands, or it
  * may hear the host again. */
-#define WORD_VALID_MS (3 * REPEATS_ASK_INTERVAL_MS)
+#define REPLY_VALID_MS (3 * REPEATS_ASK_INTERVAL_MS)
 
 /* Whether the present owner of SHARD has said a short time ago that it has no run of JOB for
  * HOLDER. */
@@ -20,12 +20,13 @@
           const remote_job_t *remote,
           int64_t now_ms)
 {
-  for (guint i = 0; i < job->words->len; i++)
+  for (guint i = 0; i < job->owner_replies->len; i++)
     {
-      const owner_word_t *word = &g_array_index (job->words, owner_word_t, i);
-      if (word->shard == shard->name && word->token == shard->token && word->holder == remote->host)
-        return word->asked_at_ms > remote->learned_at_ms
-               && now_ms - word->asked_at_ms <= WORD_VALID_MS;
+      const owner_reply_t *reply = &g_array_index (job->owner_replies, owner_reply_t, i);
+      if (reply->shard == shard->name && reply->token == shard->token
+          && reply->holder == remote->host)
+        return reply->asked_at_ms > remote->learned_at_ms
+               && now_ms - reply->asked_at_ms <= REPLY_VALID_MS;
     }
   return false;
 }
@@ -83,17 +84,17 @@
                      int64_t token,
                      int64_t asked_at_ms)
 {
-  const owner_word_t word = { g_intern_string (shard), token, g_intern_string (holder),
-                              asked_at_ms };
+  const owner_reply_t reply = { g_intern_string (shard), token, g_intern_string (holder),
+                                asked_at_ms };
   const scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
 
   if (job == NULL || job->waits_since_ms == 0)
     return;
-  for (guint i = 0; i < job->words->len; i++)
-    if (g_array_index (job->words, owner_word_t, i).shard == word.shard)
+  for (guint i = 0; i < job->owner_replies->len; i++)
+    if (g_array_index (job->owner_replies, owner_reply_t, i).shard == reply.shard)
       {
-        g_array_index (job->words, owner_word_t, i) = word;
+        g_array_index (job->owner_replies, owner_reply_t, i) = reply;
         return;
       }
-  g_array_append_val (job->words, word);
+  g_array_append_val (job->owner_replies, reply);
 }
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -102,7 +102,7 @@
   SCHEDULER_FOUND_STOPPING, /* it waits until the runs for the other host have ended */
   SCHEDULER_FOUND_ENDED,    /* it is answered with the outcome at the other host */
   SCHEDULER_FOUND_OVER,     /* the runs for the other host have ended: it runs here */
-  SCHEDULER_FOUND_SILENT,   /* the other host does not answer: it waits for the owners' word */
+  SCHEDULER_FOUND_SILENT,   /* the other host does not answer: it waits for replies of the owners */
   SCHEDULER_FOUND_AT_BOTH,  /* both hosts run it; the other one stops */
   SCHEDULER_FOUND_YIELDED   /* both hosts run it; this one stops, and waits for the other */
 } scheduler_finding_t;
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -44,7 +44,7 @@
   int64_t token;      /* of its claim */
   const char *holder; /* interned */
   int64_t asked_at_ms;
-} owner_word_t;
+} owner_reply_t;
 
 /* Another host at which callers wait for a job. */
 typedef struct
@@ -67,7 +67,7 @@
   int64_t ask_at_ms;        /* it is asked again then */
   job_evidence_t waited_by; /* it waited until now because of that */
   int64_t ask_owners_at_ms; /* HOLDER is not heard: owners are asked again then */
-  GArray *words;            /* owner_word_t, one for each shard */
+  GArray *owner_replies;    /* owner_reply_t, one for each shard */
   bool yielded;             /* it was stopped for a later request of it at another host */
   placement_target_t aim;   /* its objective and deadline */
   scheduler_size_class_t size_class;
