Executor, site: a comment names the argument that it speaks of

Comment and layout only: has_listed () has no holder, but the time of the loss; a blank line stood between declarations. Formatter and compiler are clean; no test was run for it.

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -510,7 +510,6 @@
                    int64_t *token)
 {
   owned_shard_t *owned = find_owned (site, shard);
-
   int64_t lost_at_ms = cluster_lost_at_ms (site->cluster, holder);
   bool alone = cluster_lost_hosts (site->cluster) <= 1;
 
--- a/lib/executor/job_runs.c
+++ b/lib/executor/job_runs.c
@@ -34,8 +34,8 @@
   return false;
 }
 
-/* Whether ENDPOINT has listed its runs a short time ago, and after HOLDER was lost.  If not, it is
- * asked to. */
+/* Whether ENDPOINT has listed its runs a short time ago, and since LOST_AT_MS.  If not, it is asked
+ * to. */
 static bool
 has_listed (endpoint_t *endpoint, int64_t lost_at_ms, int64_t now_ms)
 {
