Tests: jobs that are sent again share their requests and the choice of hosts

resent_cut.c learns what the next tests need: when the cut begins is in each row (600 ms in all rows so far, as before), the first host may be one that is no hub, the second host's data centre may be the one that is cut off, and the first request may be sent when the cut has begun.

--- a/tests/resent_cut.c
+++ b/tests/resent_cut.c
@@ -1,9 +1,8 @@
 /* resent_cut.c -- plays a job that is sent again to another host while the first one is cut off */
 #include "tests/resent_cut.h"
 
-#include "tests/soak/rig.h"
-
 #include "base/clock.h"
+#include "tests/resent_job.h"
 #include "tests/site_call.h"
 
 #include <CUnit/CUnit.h>
@@ -11,10 +10,10 @@
 #include <unistd.h>
 
 #define ENDPOINTS 6
-#define ZONES 3
+#define ZONES RESENT_ZONES_MAX
 #define TASKS 8
+#define SMALL_WORK_MS 20
 #define CALLER_WAIT_MS 9000
-#define CUT_AFTER_MS 600
 #define SENT_AGAIN_AFTER_MS 1300
 /* From the second request to the end of the cut. */
 #define CUT_LASTS_MS 6000
@@ -34,6 +33,7 @@
 {
   rig_t *rig;
   const resent_cut_case_t *row;
+  int first_host; /* of ROW, or a host of its data centre that is no hub */
 } play_t;
 
 static void
@@ -52,7 +52,7 @@
 static bool
 is_cut_off (const play_t *play, int host)
 {
-  return host % ZONES == play->row->first_host % ZONES;
+  return host % ZONES == play->first_host % ZONES;
 }
 
 static void
@@ -67,7 +67,7 @@
 static void
 cut_first_host (const play_t *play, bool one_way)
 {
-  int first = play->row->first_host;
+  int first = play->first_host;
 
   for (int i = 0; i < play->row->hosts; i++)
     if (i != first)
@@ -75,16 +75,14 @@
 }
 
 static void
-cut_zone (const play_t *play, bool callers_too)
+cut_zone (const play_t *play, int zone, bool callers_too)
 {
-  int zone = play->row->first_host % ZONES;
-
   for (int i = 0; i < ZONES; i++)
     if (i != zone)
       hold (play, zones[zone], zones[i], false);
   for (int i = 0; i < play->row->hosts; i++)
     {
-      if (!is_cut_off (play, i))
+      if (i % ZONES != zone)
         continue;
       hold (play, host_name (play, i), "log", false);
       if (callers_too)
@@ -124,11 +122,11 @@
 static void
 cut_twice (const play_t *play)
 {
-  cut_zone (play, false);
+  cut_zone (play, play->first_host % ZONES, false);
   clock_sleep_ms (FIRST_CUT_MS);
   proxy_end_rule (play->rig->proxy, CUT_RULE);
   clock_sleep_ms (HEALED_MS);
-  cut_zone (play, false);
+  cut_zone (play, play->first_host % ZONES, false);
 }
 
 static void
@@ -144,7 +142,10 @@
     {
     case CUT_ALL:
     case CUT_NOT_CALLERS:
-      cut_zone (play, play->row->cut == CUT_ALL);
+      cut_zone (play, play->first_host % ZONES, play->row->cut == CUT_ALL);
+      break;
+    case CUT_SECOND:
+      cut_zone (play, play->row->second_host % ZONES, false);
       break;
     case CUT_HOSTS:
     case CUT_HOSTS_SENT:
@@ -154,8 +155,8 @@
       cut_twice (play);
       break;
     case CUT_ALL_OWNER_KILLED:
-      cut_zone (play, true);
-      kill_host (play, (play->row->first_host + ZONES) % play->row->hosts);
+      cut_zone (play, play->first_host % ZONES, true);
+      kill_host (play, (play->first_host + ZONES) % play->row->hosts);
       break;
     case CUT_FIRST_HOST:
     case CUT_FIRST_HOST_SENT:
@@ -166,55 +167,23 @@
       break;
     case HOST_KILLED:
     default:
-      kill_host (play, play->row->first_host);
+      kill_host (play, play->first_host);
       break;
     }
 }
 
-static void
-note (rig_t *rig, book_kind_t kind, int host, uint64_t job, int work_ms, site_response_t *answer)
-{
-  char *spec = g_strdup_printf ("%d", work_ms);
-  const book_row_t row = { .at_ms = clock_boot_ms (),
-                           .kind = kind,
-                           .job = job,
-                           .index = TASKS,
-                           .host = host,
-                           .number = host,
-                           .status = answer != NULL ? answer->status : 0,
-                           .text = answer != NULL ? answer->body : spec };
-
-  book_add (rig->book, &row);
-  g_free (spec);
-}
-
-static int
-send_job (rig_t *rig, int host, uint64_t job, int work_ms)
-{
-  char *spec = g_strdup_printf ("%d", work_ms);
-  char *body = site_job_json (TASKS, spec, work_ms, "");
-  char *target = g_strdup_printf ("/q/%016" G_GINT64_MODIFIER "x", job);
-  int fd = site_connect (RIG_CALLER_IP, rig_caller_port (rig, host));
-
-  note (rig, BOOK_SENT, host, job, work_ms, NULL);
-  site_send_request (fd, "POST", target, body, CALLER_WAIT_MS);
-  g_free (target);
-  g_free (body);
-  g_free (spec);
-  return fd;
-}
-
-/* Sends a small job to HOST until it is answered as completed. */
+/* Sends a small job with ID to HOST until it is answered as completed. */
 static bool
-is_served (rig_t *rig, int host, uint64_t job)
+is_served (rig_t *rig, int host, uint64_t id)
 {
+  const resent_job_t job = { id, TASKS, SMALL_WORK_MS, CALLER_WAIT_MS };
   int64_t until_ms = clock_boot_ms () + SERVED_WITHIN_MS;
 
   while (clock_boot_ms () < until_ms)
     {
-      int fd = send_job (rig, host, job, 20);
+      int fd = resent_job_send (rig, host, &job);
       site_response_t answer = site_read_response (fd, clock_boot_ms () + CALLER_WAIT_MS);
-      note (rig, BOOK_ANSWERED, host, job, 20, &answer);
+      resent_job_answered (rig, host, &job, answer.status, answer.body);
       close (fd);
       if (answer.status == 200)
         return true;
@@ -245,7 +214,7 @@
   for (int i = 0; i < ZONES; i++)
     {
       char *text = g_strdup_printf ("\"shard_owner\",\"shard\":\"%s\"", zones[i]);
-      all &= has_logged (play->rig, play->row->first_host, text);
+      all &= has_logged (play->rig, play->first_host, text);
       g_free (text);
     }
   return all;
@@ -265,22 +234,26 @@
 
 /* Returns what the second request got. */
 static int
-play_case (const play_t *play, uint64_t job)
+play_case (const play_t *play, uint64_t id)
 {
   rig_t *rig = play->rig;
-  int first_host = play->row->first_host;
+  int first_host = play->first_host;
   int second_host = play->row->second_host;
-  int work_ms = play->row->work_ms;
+  const resent_job_t job = { id, TASKS, play->row->work_ms, CALLER_WAIT_MS };
+
+  bool held = play->row->first_is_held;
 
   wait_for_owners (play);
-  int first = send_job (rig, first_host, job, work_ms);
-  clock_sleep_ms (CUT_AFTER_MS);
+  int first = held ? -1 : resent_job_send (rig, first_host, &job);
+  clock_sleep_ms (play->row->cut_after_ms);
   int32_t trouble = book_trouble (rig->book, clock_boot_ms ());
   int64_t send_again_ms = clock_boot_ms () + SENT_AGAIN_AFTER_MS;
   begin_cut (play);
+  if (held)
+    first = resent_job_send (rig, first_host, &job);
   int64_t wait_ms = send_again_ms - clock_boot_ms ();
   clock_sleep_ms (MAX (wait_ms, 0));
-  int second = send_job (rig, second_host, job, work_ms);
+  int second = resent_job_send (rig, second_host, &job);
   int64_t sent_ms = clock_boot_ms ();
   site_response_t answer = site_read_response (second, sent_ms + CUT_LASTS_MS);
   int64_t left_ms = sent_ms + CUT_LASTS_MS - clock_boot_ms ();
@@ -288,15 +261,28 @@
   proxy_end_rule (rig->proxy, CUT_RULE);
   if (answer.status == 0)
     answer = site_read_response (second, sent_ms + CALLER_WAIT_MS + SENT_AGAIN_AFTER_MS);
-  note (rig, BOOK_ANSWERED, second_host, job, work_ms, &answer);
-  CU_ASSERT_TRUE (is_served (rig, second_host, job + 0x1000));
-  CU_ASSERT_TRUE (play->row->cut == HOST_KILLED || is_served (rig, first_host, job + 0x2000));
+  resent_job_answered (rig, second_host, &job, answer.status, answer.body);
+  CU_ASSERT_TRUE (is_served (rig, second_host, id + 0x1000));
+  CU_ASSERT_TRUE (play->row->cut == HOST_KILLED || is_served (rig, first_host, id + 0x2000));
   book_trouble_over (rig->book, trouble, clock_boot_ms ());
   close (first);
   close (second);
   return answer.status;
 }
 
+/* A non-hub of the data centre of the row's first host takes its place, if the row says so. */
+static void
+choose_first_host (play_t *play)
+{
+  int non_hubs[RESENT_ZONES_MAX];
+
+  if (!play->row->first_is_no_hub)
+    return;
+  resent_job_find_non_hubs (play->rig, false, non_hubs);
+  play->first_host = non_hubs[play->row->first_host % ZONES];
+  CU_ASSERT_TRUE_FATAL (play->first_host >= 0);
+}
+
 void
 resent_cut_play (const char *programs, const resent_cut_case_t *cases, size_t count)
 {
@@ -306,9 +292,10 @@
                     .hosts_count = cases[i].hosts,
                     .endpoints_count = ENDPOINTS,
                     .zones = ZONES };
-      const play_t play = { &rig, &cases[i] };
+      play_t play = { &rig, &cases[i], cases[i].first_host };
       rig.book = book_new ();
       CU_ASSERT_TRUE (rig_start (&rig));
+      choose_first_host (&play);
       int status = play_case (&play, FIRST_JOB + i);
       rig_watch (&rig);
       int32_t findings = book_check (rig.book, clock_boot_ms ());
--- a/tests/resent_cut.h
+++ b/tests/resent_cut.h
@@ -1,18 +1,24 @@
 /* resent_cut.h -- plays a job that is sent again to another host while the first one is cut off
  *
  * Real processes and the proxy of the soak.  Hosts are in the data centres zone-x, zone-y and
- * zone-z in turn, as are the six endpoints.  The first request goes to one host; 600 ms later a cut
- * begins or the host is killed; 1,300 ms after that the same job is sent to another host.
+ * zone-z in turn, as are the six endpoints.  The first request goes to one host; 600 ms later, or
+ * as the case says, a cut begins or the host is killed; 1,300 ms after that the same job is sent to
+ * another host.
  */
 #ifndef TESTS_RESENT_CUT_H
 #define TESTS_RESENT_CUT_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
+/* A job that is open for so long was announced. */
+#define RESENT_ANNOUNCED_MS 600
+
 typedef enum
 {
   CUT_ALL,               /* the first host's data centre from the others, the log and callers */
   CUT_NOT_CALLERS,       /* callers still reach it */
+  CUT_SECOND,            /* the second host's data centre, but not from callers */
   CUT_HOSTS,             /* only its hosts, and only from hosts of the others */
   CUT_HOSTS_SENT,        /* what its hosts send to hosts of the others does not arrive */
   CUT_NOT_CALLERS_TWICE, /* as CUT_NOT_CALLERS, for 700 ms, and again 300 ms later */
@@ -32,6 +38,9 @@
   int first_host;
   int second_host;
   int work_ms;
+  int cut_after_ms;     /* from the first request to the cut */
+  bool first_is_no_hub; /* another host of the data centre of FIRST_HOST, which is no hub */
+  bool first_is_held;   /* the first request is sent when the cut has begun, which holds it up */
 } resent_cut_case_t;
 
 /* Plays COUNT cases, one after the other, with the programs in the directory PROGRAMS, and asserts
--- a/tests/test_site_resent_past_an_owner.c
+++ b/tests/test_site_resent_past_an_owner.c
@@ -7,9 +7,12 @@
 #include <signal.h>
 
 static const resent_cut_case_t cases[] = {
-  { "the first host is cut off alone", CUT_FIRST_HOST, 6, 1, 0, 4000 },
-  { "what the first host, the owner, sends is lost", CUT_FIRST_HOST_SENT, 6, 4, 0, 4000 },
-  { "half of a data centre is cut off", CUT_HALF, 12, 1, 7, 4000 },
+  { "the first host is cut off alone", CUT_FIRST_HOST, 6, 1, 0, 4000,
+    .cut_after_ms = RESENT_ANNOUNCED_MS },
+  { "what the first host, the owner, sends is lost", CUT_FIRST_HOST_SENT, 6, 4, 0, 4000,
+    .cut_after_ms = RESENT_ANNOUNCED_MS },
+  { "half of a data centre is cut off", CUT_HALF, 12, 1, 7, 4000,
+    .cut_after_ms = RESENT_ANNOUNCED_MS },
 };
 
 static char programs[4096];
--- a/tests/test_site_resent_to_restarted_non_hub.c
+++ b/tests/test_site_resent_to_restarted_non_hub.c
@@ -1,11 +1,10 @@
 /* test_site_resent_to_restarted_non_hub.c -- a job that is sent again from one host that is no hub
  * to another one, which was restarted after the job was announced, must run once at a time */
-#include "tests/soak/rig.h"
+#include "tests/resent_job.h"
 #include "tests/soak/rig_private.h"
 #include "tests/unit_runner.h"
 
 #include "base/clock.h"
-#include "cluster/ranking.h"
 #include "tests/site_call.h"
 
 #include <CUnit/CUnit.h>
@@ -15,9 +14,7 @@
 /* More hosts in each data centre than it has hubs. */
 #define HOSTS 18
 #define ENDPOINTS 12
-#define ZONES 3
-#define HUBS_PER_ZONE 4
-#define HOST_CPU_MILLICORES 250
+#define ZONES RESENT_ZONES_MAX
 #define TASKS 2
 #define WORK_MS 5000
 #define CALLER_WAIT_MS 12000
@@ -27,61 +24,15 @@
 #define RESTARTED_MS 900
 #define READY_MAX_MS 3000
 #define SENT_AGAIN_MS 1900
-#define FIRST_JOB 0xd0
 
-static char programs[4096];
-
-/* Sets HOSTS_OF to one host of each zone that is no hub, FROM the first or the last of them. */
-static void
-find_non_hubs (const rig_t *rig, bool from_last, int *hosts_of)
-{
-  ranking_t *ranking =
-      ranking_new (rig->hosts[0].name, rig->hosts[0].zone, HOST_CPU_MILLICORES, HUBS_PER_ZONE);
-
-  for (int i = 1; i < rig->hosts_count; i++)
-    {
-      ranking_add_host (ranking, rig->hosts[i].name, rig->hosts[i].zone, HOST_CPU_MILLICORES);
-      ranking_set_alive (ranking, rig->hosts[i].name, true, 0);
-    }
-  ranking_update (ranking, 1);
-  for (int zone = 0; zone < ZONES; zone++)
-    hosts_of[zone] = -1;
-  for (int i = 0; i < rig->hosts_count; i++)
-    if (!ranking_is_hub (ranking, rig->hosts[i].name) && (from_last || hosts_of[i % ZONES] == -1))
-      hosts_of[i % ZONES] = i;
-  ranking_free (ranking);
-}
-
-static void
-note (rig_t *rig, book_kind_t kind, int host, uint64_t job, int status, const char *text)
-{
-  const book_row_t row = { .at_ms = clock_boot_ms (),
-                           .kind = kind,
-                           .job = job,
-                           .index = TASKS,
-                           .host = host,
-                           .number = host,
-                           .status = status,
-                           .text = text };
-
-  book_add (rig->book, &row);
-}
-
-static int
-send_job (rig_t *rig, int host, uint64_t job)
-{
-  char *spec = g_strdup_printf ("%d", WORK_MS);
-  char *body = site_job_json (TASKS, spec, WORK_MS, "");
-  char *target = g_strdup_printf ("/q/%016" G_GINT64_MODIFIER "x", job);
-  int fd = site_connect (RIG_CALLER_IP, rig_caller_port (rig, host));
+/* One is sent to each zone. */
+static const resent_job_t jobs[ZONES] = {
+  { 0xd0, TASKS, WORK_MS, CALLER_WAIT_MS },
+  { 0xd1, TASKS, WORK_MS, CALLER_WAIT_MS },
+  { 0xd2, TASKS, WORK_MS, CALLER_WAIT_MS },
+};
 
-  note (rig, BOOK_SENT, host, job, 0, spec);
-  site_send_request (fd, "POST", target, body, CALLER_WAIT_MS);
-  g_free (target);
-  g_free (body);
-  g_free (spec);
-  return fd;
-}
+static char programs[4096];
 
 /* Restarts the host of each zone in HOSTS_OF, and waits until all are ready and jobs that were sent
  * RESTARTED_MS before may be sent again. */
@@ -116,21 +67,21 @@
   int first[ZONES];
   int second[ZONES];
 
-  find_non_hubs (rig, false, first_hosts);
-  find_non_hubs (rig, true, second_hosts);
+  resent_job_find_non_hubs (rig, false, first_hosts);
+  resent_job_find_non_hubs (rig, true, second_hosts);
   for (int i = 0; i < ZONES; i++)
     CU_ASSERT_TRUE_FATAL (first_hosts[i] >= 0 && second_hosts[i] >= 0);
   for (int i = 0; i < ZONES; i++)
-    first[i] = send_job (rig, first_hosts[i], FIRST_JOB + (uint64_t) i);
+    first[i] = resent_job_send (rig, first_hosts[i], &jobs[i]);
   clock_sleep_ms (RESTARTED_MS);
   restart (rig, second_hosts);
   for (int i = 0; i < ZONES; i++)
-    second[i] = send_job (rig, second_hosts[(i + 1) % ZONES], FIRST_JOB + (uint64_t) i);
+    second[i] = resent_job_send (rig, second_hosts[(i + 1) % ZONES], &jobs[i]);
   for (int i = 0; i < ZONES; i++)
     {
       site_response_t answer = site_read_response (second[i], clock_boot_ms () + CALLER_WAIT_MS);
-      note (rig, BOOK_ANSWERED, second_hosts[(i + 1) % ZONES], FIRST_JOB + (uint64_t) i,
-            answer.status, answer.body);
+      resent_job_answered (rig, second_hosts[(i + 1) % ZONES], &jobs[i], answer.status,
+                           answer.body);
       CU_ASSERT_EQUAL (answer.status, 200);
       printf ("  from %s to %s: %d\n", rig->hosts[first_hosts[i]].name,
               rig->hosts[second_hosts[(i + 1) % ZONES]].name, answer.status);
