Test, known red: a job is sent again after a cut that began before it was announced

Checked: no task runs twice at a time and nothing else that the soak's book forbids, the second request is answered 200, both sides serve afterwards.

The row of half a data centre has tasks of 1,800 ms: with 4,000 and 2,500 ms its second request was answered 504 on the untouched code too, as the host that gets it has five free slots for eight tasks and they wait for each other.

--- /dev/null
+++ b/tests/test_site_resent_past_an_early_cut.c
@@ -0,0 +1,48 @@
+/* test_site_resent_past_an_early_cut.c -- a job whose first host is cut off before it could
+ * announce the job, and that is sent again to another data centre, must run once at a time, on real
+ * processes */
+#include "tests/resent_cut.h"
+#include "tests/unit_runner.h"
+
+#include <glib.h>
+#include <signal.h>
+
+static const resent_cut_case_t cases[] = {
+  { "a data centre is cut off", CUT_ALL, 6, 1, 0, 4000, .cut_after_ms = 100 },
+  { "a data centre is cut off later", CUT_ALL, 6, 1, 0, 4000, .cut_after_ms = 350 },
+  { "but not from its callers", CUT_NOT_CALLERS, 6, 1, 0, 4000, .cut_after_ms = 100 },
+  { "only hosts are cut off", CUT_HOSTS, 6, 1, 0, 4000, .cut_after_ms = 100 },
+  { "only hosts are cut off, many of them", CUT_HOSTS, 18, 1, 0, 5000, .cut_after_ms = 100 },
+  { "what the hosts of a data centre send is lost", CUT_HOSTS_SENT, 6, 1, 0, 4000,
+    .cut_after_ms = 100 },
+  { "half of a data centre is cut off", CUT_HALF, 12, 1, 0, 1800, .cut_after_ms = 100 },
+  { "the first host is no hub", CUT_ALL, 18, 1, 0, 5000, .cut_after_ms = 100,
+    .first_is_no_hub = true },
+  { "the first host is no hub, only hosts are cut off", CUT_HOSTS, 18, 1, 0, 5000,
+    .cut_after_ms = 100, .first_is_no_hub = true },
+  { "the second host is cut off", CUT_SECOND, 6, 0, 1, 4000, .cut_after_ms = 100 },
+  { "the first host is cut off", CUT_FIRST_HOST, 6, 1, 0, 4000, .cut_after_ms = 100 },
+};
+
+static char programs[4096];
+
+static void
+test_early_cuts (void)
+{
+  resent_cut_play (programs, cases, G_N_ELEMENTS (cases));
+}
+
+static const unit_test_t tests[] = {
+  { "sent again after a cut that began before the job was announced", test_early_cuts },
+};
+
+int
+main (int argc, char **argv)
+{
+  signal (SIGPIPE, SIG_IGN);
+  char *directory = g_path_get_dirname (argv[0]);
+  g_snprintf (programs, sizeof programs, "%s/..", directory);
+  g_free (directory);
+  return unit_run_named ("site_resent_past_an_early_cut", tests, G_N_ELEMENTS (tests),
+                         argc > 1 ? argv[1] : NULL);
+}
