Log: a data centre that is out of reach, and how many jobs it can't know of

What was missing: the log showed hosts as lost one by one, but not that a whole data centre is, nor whether a job had been told there before.

Change: lib/cluster/reach.c says, for each other data centre, when one of its hosts has certainly received what this host sent, and since when it counts as out of reach. Events data_centre_unreached (with the number of open jobs that are not certainly known there) and data_centre_reached. No decision changes.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -401,6 +401,7 @@
   peers_send_heartbeats (site, now_ms, false);
   request_newer_config (site, now_ms);
   crash_history_expire (site->crashes, now_ms);
+  reach_tick (site, now_ms);
   cancel_tick (site, now_ms);
   repeats_tick (site, now_ms);
   drain_tick (site, now_ms);
@@ -497,6 +498,7 @@
                                             .started_at_ms = now_ms };
   site->scheduler = scheduler_new (&scheduler_options);
   site->job_cancellations = job_cancellations_new ();
+  site->unreached = g_array_new (FALSE, FALSE, sizeof (cluster_unreached_t));
   site->relayed = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
   site->owned_shards = g_hash_table_new_full (NULL, NULL, NULL, owner_free_shard);
   site->retired_shards = g_ptr_array_new_with_free_func (owner_free_shard);
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -122,6 +122,8 @@
   int64_t drain_report_due_ms;
   int64_t announce_due_ms; /* jobs are announced to other hosts next */
   GPtrArray *relayed;      /* GBytes: announcements of other hosts to pass on */
+  GArray *unreached;       /* cluster_unreached_t, as of the last check */
+  int64_t reach_due_ms;    /* checked again then */
   int64_t probe_due_ms;
   int64_t settings_check_due_ms;
   traffic_t traffic; /* since the start */
@@ -235,6 +237,12 @@
 /* Announces jobs where that is due. */
 void repeats_tick (site_t *site, int64_t now_ms);
 
+/* site_reach.c: which data centres this host's messages reach */
+/* Checks that where it is due, and logs EVENT_DATA_CENTRE_UNREACHED and
+ * EVENT_DATA_CENTRE_REACHED.
+ */
+void reach_tick (site_t *site, int64_t now_ms);
+
 /* site_drain.c: which data centres are drained */
 /* Callbacks of the store; see log_client_ops_t. */
 void drain_on_record (const char *name, uint64_t offset, bool drained, void *user);
--- /dev/null
+++ b/daemon/site_reach.c
@@ -0,0 +1,70 @@
+/* site_reach.c -- logs which data centres are out of reach */
+#include "daemon/site_private.h"
+
+/* Far less than the time that jobs are left when a data centre counts as unreached. */
+#define CHECK_INTERVAL_MS 50
+
+/* Returns the entry of DATA_CENTRE, which is interned, in UNREACHED, or NULL. */
+static const cluster_unreached_t *
+find_unreached (const GArray *unreached, const char *data_centre)
+{
+  for (guint i = 0; i < unreached->len; i++)
+    {
+      const cluster_unreached_t *entry = &g_array_index (unreached, cluster_unreached_t, i);
+      if (entry->data_centre == data_centre)
+        return entry;
+    }
+  return NULL;
+}
+
+static void
+log_unreached (const site_t *site, const cluster_unreached_t *entry, int64_t now_ms)
+{
+  if (!event_begin (EVENT_DATA_CENTRE_UNREACHED))
+    return;
+  event_add_text ("data_centre", entry->data_centre);
+  event_add_number ("silent_ms", now_ms - entry->reached_at_ms);
+  event_add_number ("jobs", scheduler_count_untold (site->scheduler, entry->reached_at_ms));
+  event_end ();
+}
+
+static void
+log_reached (const cluster_unreached_t *entry, int64_t now_ms)
+{
+  if (!event_begin (EVENT_DATA_CENTRE_REACHED))
+    return;
+  event_add_text ("data_centre", entry->data_centre);
+  event_add_number ("after_ms", now_ms - entry->reached_at_ms);
+  event_end ();
+}
+
+static void
+log_changes (const site_t *site, const GArray *before, const GArray *after, int64_t now_ms)
+{
+  for (guint i = 0; i < after->len; i++)
+    {
+      const cluster_unreached_t *entry = &g_array_index (after, cluster_unreached_t, i);
+      if (find_unreached (before, entry->data_centre) == NULL)
+        log_unreached (site, entry, now_ms);
+    }
+  for (guint i = 0; i < before->len; i++)
+    {
+      const cluster_unreached_t *entry = &g_array_index (before, cluster_unreached_t, i);
+      if (find_unreached (after, entry->data_centre) == NULL)
+        log_reached (entry, now_ms);
+    }
+}
+
+void
+reach_tick (site_t *site, int64_t now_ms)
+{
+  GArray *before = site->unreached;
+
+  if (now_ms < site->reach_due_ms)
+    return;
+  site->reach_due_ms = now_ms + CHECK_INTERVAL_MS;
+  site->unreached = g_array_new (FALSE, FALSE, sizeof (cluster_unreached_t));
+  cluster_append_unreached (site->cluster, now_ms, site->unreached);
+  log_changes (site, before, site->unreached, now_ms);
+  g_array_unref (before);
+}
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -64,6 +64,12 @@
     "{host_id} receives messages from {host}" },
   { EVENT_HOST_LOST, EVENT_CLASS_STATE, "host_lost", "host why silent_ms",
     "{host_id} lost contact with {host}: {why}, last message {silent_ms} ms ago" },
+  { EVENT_DATA_CENTRE_UNREACHED, EVENT_CLASS_STATE, "data_centre_unreached",
+    "data_centre silent_ms jobs",
+    "no host of {data_centre} has shown for {silent_ms} ms that it receives what {host_id} sends; "
+    "{jobs} open jobs are not certainly known there" },
+  { EVENT_DATA_CENTRE_REACHED, EVENT_CLASS_STATE, "data_centre_reached", "data_centre after_ms",
+    "{data_centre} receives what {host_id} sends again, after {after_ms} ms" },
   { EVENT_SHARD_CLAIMED, EVENT_CLASS_STATE, "shard_claimed", "shard token why",
     "{host_id} claimed the endpoints of {shard}: {why}" },
   { EVENT_SHARD_YIELDED, EVENT_CLASS_STATE, "shard_yielded", "shard why",
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -299,8 +299,14 @@
              : limit_ms;
 }
 
-static int64_t
-echo_limit_ms (const cluster_t *cluster)
+int64_t
+cluster_idle_limit_ms (void)
+{
+  return TIMEOUT_INTERVALS * HEARTBEAT_IDLE_MS + TIMEOUT_SLACK_MS;
+}
+
+int64_t
+cluster_echo_limit_ms (const cluster_t *cluster)
 {
   return cluster->retransmit_ms * ECHO_RETRANSMIT_PERCENT / 100;
 }
@@ -312,7 +318,7 @@
 {
   int64_t returned_ms = returned_clock_ms (cluster, peer);
 
-  return returned_ms != 0 && now_ms - returned_ms > echo_limit_ms (cluster);
+  return returned_ms != 0 && now_ms - returned_ms > cluster_echo_limit_ms (cluster);
 }
 
 void
@@ -411,8 +417,8 @@
   return g_hash_table_lookup (cluster->peers, g_intern_string (host));
 }
 
-static int64_t
-told_at_ms (const cluster_t *cluster, const peer_t *peer, int64_t now_ms)
+int64_t
+cluster_peer_told_at_ms (const cluster_t *cluster, const peer_t *peer, int64_t now_ms)
 {
   bool may_not_know = peer->resumed && now_ms - peer->alive_since_ms < EXCHANGE_MS;
 
@@ -429,7 +435,7 @@
   g_hash_table_iter_init (&iter, cluster->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (!((const peer_t *) value)->leaving)
-      all_told_at_ms = MIN (all_told_at_ms, told_at_ms (cluster, value, now_ms));
+      all_told_at_ms = MIN (all_told_at_ms, cluster_peer_told_at_ms (cluster, value, now_ms));
   return all_told_at_ms;
 }
 
@@ -471,7 +477,7 @@
   return peer != NULL && peer->alive && peer->expected_epoch == epoch
          && peer->interval_ms <= HEARTBEAT_REMOTE_MS
          && (cluster->retransmit_ms == 0
-             || (peer->echo_ms != 0 && now_ms - peer->echo_ms <= echo_limit_ms (cluster)));
+             || (peer->echo_ms != 0 && now_ms - peer->echo_ms <= cluster_echo_limit_ms (cluster)));
 }
 
 static void
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -213,6 +213,18 @@
  * to it; hosts that said that they leave don't count.  NOW_MS if no other host is known. */
 int64_t cluster_told_at_ms (const cluster_t *cluster, int64_t now_ms);
 
+/* A data centre none of whose hosts has for some time shown that messages of this host arrive. */
+typedef struct
+{
+  const char *data_centre; /* interned */
+  int64_t reached_at_ms;   /* one of its hosts has certainly received what was sent before */
+  int64_t since_ms;        /* it counts as unreached since then */
+} cluster_unreached_t;
+
+/* Appends to UNREACHED, cluster_unreached_t, the other data centres that are not reached.  One that
+ * is cut off is found out before the callers of its jobs may submit them again. */
+void cluster_append_unreached (const cluster_t *cluster, int64_t now_ms, GArray *unreached);
+
 /* The number of hosts that are alive, this one included. */
 int32_t cluster_alive_hosts (const cluster_t *cluster);
 
--- /dev/null
+++ b/lib/cluster/reach.c
@@ -0,0 +1,80 @@
+/* reach.c -- which data centres this host's messages may not have reached
+ *
+ * A data centre is reached as long as one of its hosts is.  That a host was heard shows only that
+ * messages pass in one direction; a clock of this host that comes back shows both.
+ */
+#include "cluster/state.h"
+
+#include <string.h>
+
+/* Whether PEER should return clocks often enough to tell soon that it is out of reach. */
+static bool
+is_frequent (const peer_t *peer)
+{
+  return peer->interval_ms <= HEARTBEAT_REMOTE_MS;
+}
+
+typedef struct
+{
+  const char *data_centre;
+  int64_t reached_at_ms;
+  bool frequent; /* one of its hosts is */
+} reach_t;
+
+static reach_t *
+find_reach (GArray *reaches, const char *data_centre)
+{
+  const reach_t none = { .data_centre = data_centre };
+
+  for (guint i = 0; i < reaches->len; i++)
+    {
+      reach_t *reach = &g_array_index (reaches, reach_t, i);
+      if (strcmp (reach->data_centre, data_centre) == 0)
+        return reach;
+    }
+  g_array_append_val (reaches, none);
+  return &g_array_index (reaches, reach_t, reaches->len - 1);
+}
+
+/* Returns reach_t of all data centres but this host's.  Hosts that have said that they leave don't
+ * count.  The caller frees the array. */
+static GArray *
+list_reaches (const cluster_t *cluster, int64_t now_ms)
+{
+  GArray *reaches = g_array_new (FALSE, FALSE, sizeof (reach_t));
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, cluster->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const peer_t *peer = value;
+      if (peer->leaving || strcmp (peer->data_centre, cluster->data_centre) == 0)
+        continue;
+      reach_t *reach = find_reach (reaches, peer->data_centre);
+      reach->reached_at_ms =
+          MAX (reach->reached_at_ms, cluster_peer_told_at_ms (cluster, peer, now_ms));
+      reach->frequent |= is_frequent (peer);
+    }
+  return reaches;
+}
+
+void
+cluster_append_unreached (const cluster_t *cluster, int64_t now_ms, GArray *unreached)
+{
+  if (cluster->retransmit_ms == 0)
+    return;
+  GArray *reaches = list_reaches (cluster, now_ms);
+
+  for (guint i = 0; i < reaches->len; i++)
+    {
+      const reach_t *reach = &g_array_index (reaches, reach_t, i);
+      int64_t limit_ms =
+          reach->frequent ? cluster_echo_limit_ms (cluster) : cluster_idle_limit_ms ();
+      const cluster_unreached_t entry = { g_intern_string (reach->data_centre),
+                                          reach->reached_at_ms, reach->reached_at_ms + limit_ms };
+      if (now_ms > entry.since_ms)
+        g_array_append_val (unreached, entry);
+    }
+  g_array_unref (reaches);
+}
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -104,6 +104,14 @@
 /* Counts the hosts of DATA_CENTRE (NULL: of all), this one included. */
 cluster_count_t cluster_count (const cluster_t *cluster, const char *data_centre);
 
+/* The latest time before which PEER has certainly received what this host sent to it. */
+int64_t cluster_peer_told_at_ms (const cluster_t *cluster, const peer_t *peer, int64_t now_ms);
+
+/* The longest time since the newest clock that a host with frequent heartbeats has returned, and
+ * the longest silence of one with rare ones, until it is lost. */
+int64_t cluster_echo_limit_ms (const cluster_t *cluster);
+int64_t cluster_idle_limit_ms (void);
+
 /* shard_claims.c: updates the owner of SHARD, and claims or yields it if due. */
 void shard_claim_step (cluster_t *cluster,
                        shard_t *shard,
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -268,6 +268,10 @@
  * give up jobs for want of that. */
 void scheduler_set_told_at (scheduler_t *scheduler, int64_t told_at_ms);
 
+/* The number of open jobs that a host does not certainly know of that has received what was sent
+ * before REACHED_AT_MS. */
+int32_t scheduler_count_untold (const scheduler_t *scheduler, int64_t reached_at_ms);
+
 /* Another process of HOST is heard, which was started at STARTED_AT_MS: the one before has ended.
  */
 void scheduler_host_restarted (scheduler_t *scheduler, const char *host, int64_t started_at_ms);
--- /dev/null
+++ b/tests/test_cluster_reach.c
@@ -0,0 +1,152 @@
+/* test_cluster_reach.c -- when a data centre counts as out of reach, and as of when it was reached
+ */
+#include "cluster/cluster.h"
+#include "tests/unit_runner.h"
+
+#include <CUnit/CUnit.h>
+
+#define STEP_MS 10
+#define RETRANSMIT_MS 1300
+/* From the last clock that came back, which a cut may follow at once. */
+#define FOUND_OUT_MS 1100
+#define IDLE_MS 1000
+#define FREQUENT_MS 250
+#define CUT_AT_MS 5000
+
+/* What goes on from CUT_AT_MS. */
+typedef enum
+{
+  HEARD,          /* heartbeats and clocks go both ways */
+  SILENT,         /* nothing arrives here any more */
+  ONE_WAY,        /* heartbeats arrive here, but no further clock comes back */
+  HEARD_OF_SECOND /* the first host of the data centre is silent, the second one is not */
+} link_t;
+
+static const struct
+{
+  const char *name;
+  const char *data_centre; /* of the hosts */
+  link_t link;
+  int64_t interval_ms;
+  int64_t asked_after_ms; /* of CUT_AT_MS */
+  bool unreached;
+} reach_cases[] = {
+  { "heard", "y", HEARD, FREQUENT_MS, 3000, false },
+  { "silent for a moment", "y", SILENT, FREQUENT_MS, 400, false },
+  { "silent", "y", SILENT, FREQUENT_MS, FOUND_OUT_MS, true },
+  { "silent for long", "y", SILENT, FREQUENT_MS, 6000, true },
+  { "forgotten", "y", SILENT, FREQUENT_MS, 30000, false },
+  { "receives nothing", "y", ONE_WAY, FREQUENT_MS, FOUND_OUT_MS, true },
+  { "one of two hosts is silent", "y", HEARD_OF_SECOND, FREQUENT_MS, 3000, false },
+  { "rare heartbeats", "y", HEARD, IDLE_MS, 3000, false },
+  { "rare heartbeats, silent for a moment", "y", SILENT, IDLE_MS, FOUND_OUT_MS, false },
+  { "rare heartbeats, silent", "y", SILENT, IDLE_MS, 4500, true },
+  { "the same data centre", "x", SILENT, FREQUENT_MS, FOUND_OUT_MS, false },
+};
+
+typedef struct
+{
+  cluster_t *cluster;
+  GArray *actions;
+  int64_t now_ms;
+} fixture_t;
+
+/* HOST's heartbeat arrives, and returns the clock ECHO_MS. */
+static void
+receive (fixture_t *fixture, size_t row, const char *host, int64_t echo_ms)
+{
+  const cluster_heartbeat_t heartbeat = { .host = (char *) host,
+                                          .data_centre = (char *) reach_cases[row].data_centre,
+                                          .incarnation = 7,
+                                          .ready = true,
+                                          .interval_ms = reach_cases[row].interval_ms,
+                                          .expected_epoch = 1,
+                                          .clock_ms = fixture->now_ms,
+                                          .echo_ms = echo_ms };
+
+  cluster_receive_heartbeat (fixture->cluster, &heartbeat, fixture->now_ms, fixture->actions);
+}
+
+static void
+send_heartbeat (fixture_t *fixture, const char *host)
+{
+  cluster_heartbeat_t sent = { 0 };
+
+  cluster_make_heartbeat (fixture->cluster, host, fixture->now_ms, &sent);
+  g_array_unref (sent.claims);
+}
+
+static void
+exchange (fixture_t *fixture, size_t row)
+{
+  link_t link = reach_cases[row].link;
+  bool cut = fixture->now_ms >= CUT_AT_MS;
+  bool first_heard = !cut || link == HEARD || link == ONE_WAY;
+  bool second_heard = first_heard || link == HEARD_OF_SECOND;
+  int64_t echo_ms = cut && link == ONE_WAY ? CUT_AT_MS - 1 : fixture->now_ms;
+
+  if (first_heard)
+    receive (fixture, row, "h2", echo_ms);
+  if (second_heard)
+    receive (fixture, row, "h3", echo_ms);
+  send_heartbeat (fixture, "h2");
+  send_heartbeat (fixture, "h3");
+}
+
+static void
+play (fixture_t *fixture, size_t row)
+{
+  int64_t until_ms = CUT_AT_MS + reach_cases[row].asked_after_ms;
+
+  for (; fixture->now_ms < until_ms; fixture->now_ms += STEP_MS)
+    {
+      if (fixture->now_ms % reach_cases[row].interval_ms == 0)
+        exchange (fixture, row);
+      cluster_step (fixture->cluster, fixture->now_ms, fixture->now_ms, fixture->actions);
+      g_array_set_size (fixture->actions, 0);
+    }
+}
+
+static void
+test_reach (void)
+{
+  const cluster_options_t options = { .host = "h1",
+                                      .data_centre = "x",
+                                      .incarnation = 100,
+                                      .cpu_millicores = 250,
+                                      .retransmit_ms = RETRANSMIT_MS,
+                                      .hubs_per_data_centre = 4 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (reach_cases); i++)
+    {
+      fixture_t fixture = { .cluster = cluster_new (&options, 0),
+                            .actions = g_array_new (FALSE, FALSE, sizeof (cluster_action_t)) };
+      GArray *unreached = g_array_new (FALSE, FALSE, sizeof (cluster_unreached_t));
+      play (&fixture, i);
+      cluster_append_unreached (fixture.cluster, fixture.now_ms, unreached);
+      CU_ASSERT_EQUAL (unreached->len, reach_cases[i].unreached);
+      if (unreached->len != reach_cases[i].unreached)
+        printf ("  %s: %d\n", reach_cases[i].name, (int) unreached->len);
+      for (guint k = 0; k < unreached->len; k++)
+        {
+          const cluster_unreached_t *entry = &g_array_index (unreached, cluster_unreached_t, k);
+          CU_ASSERT_STRING_EQUAL (entry->data_centre, "y");
+          /* Nothing that is sent in the cut counts as received. */
+          CU_ASSERT_TRUE (entry->reached_at_ms < CUT_AT_MS);
+          CU_ASSERT_TRUE (entry->since_ms < fixture.now_ms);
+        }
+      g_array_unref (unreached);
+      g_array_unref (fixture.actions);
+      cluster_free (fixture.cluster);
+    }
+}
+
+static const unit_test_t tests[] = {
+  { "data centres out of reach", test_reach },
+};
+
+int
+main (void)
+{
+  return unit_run ("cluster_reach", tests, G_N_ELEMENTS (tests));
+}
