Cluster: a host that is heard but returns no clock may receive nothing

Cause: where only one direction of a link is cut, the other host is lost for returning no clock, and found again with its next heartbeat. One second later "no clock returned" was taken for "heartbeats are too rare to return clocks", and its heartbeats then counted as proof that it receives what this host sends. restarts.c rests on that proof when it starts tasks of an old job anew.

Change: a host that was lost, is the same process, and should return clocks soon, has received only what it had received before its loss, until it returns one.

--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -152,6 +152,16 @@
     }
 }
 
+/* Whether heartbeats are frequent in both directions, so that PEER returns a clock soon. */
+static bool
+returns_clocks (const cluster_t *cluster, const peer_t *peer)
+{
+  const sent_heartbeat_t *sent = g_hash_table_lookup (cluster->sent_heartbeats, peer->host);
+
+  return cluster->retransmit_ms != 0 && sent != NULL && sent->interval_ms <= HEARTBEAT_REMOTE_MS
+         && peer->interval_ms <= HEARTBEAT_REMOTE_MS;
+}
+
 /* The latest time at which PEER was certainly alive by the clocks that it has returned.  0 if that
  * is not known: a returned clock tells it only while heartbeats are frequent in both directions. */
 static int64_t
@@ -159,8 +169,7 @@
 {
   const sent_heartbeat_t *sent = g_hash_table_lookup (cluster->sent_heartbeats, peer->host);
 
-  if (cluster->retransmit_ms == 0 || peer->echo_ms == 0 || sent == NULL
-      || sent->interval_ms > HEARTBEAT_REMOTE_MS || peer->interval_ms > HEARTBEAT_REMOTE_MS)
+  if (peer->echo_ms == 0 || !returns_clocks (cluster, peer))
     return 0;
   return MAX (peer->echo_ms, MAX (peer->frequent_since_ms, sent->frequent_since_ms));
 }
@@ -174,12 +183,15 @@
 }
 
 /* The latest time before which PEER has certainly received what was sent to it.  A broken
- * connection takes nothing from that. */
+ * connection takes nothing from that.  One that was lost and is heard, but returns no clock, may
+ * receive nothing. */
 static int64_t
 received_at_ms (const cluster_t *cluster, const peer_t *peer)
 {
   int64_t returned_ms = returned_clock_ms (cluster, peer);
 
+  if (returned_ms == 0 && peer->resumed && returns_clocks (cluster, peer))
+    return peer->told_before_loss_ms;
   return returned_ms != 0 ? returned_ms : peer->heartbeat_at_ms;
 }
 
--- a/tests/test_cluster_reach.c
+++ b/tests/test_cluster_reach.c
@@ -37,6 +37,7 @@
   { "silent for long", "y", SILENT, FREQUENT_MS, 6000, true },
   { "forgotten", "y", SILENT, FREQUENT_MS, 30000, false },
   { "receives nothing", "y", ONE_WAY, FREQUENT_MS, FOUND_OUT_MS, true },
+  { "receives nothing for long", "y", ONE_WAY, FREQUENT_MS, 6000, true },
   { "one of two hosts is silent", "y", HEARD_OF_SECOND, FREQUENT_MS, 3000, false },
   { "rare heartbeats", "y", HEARD, IDLE_MS, 3000, false },
   { "rare heartbeats, silent for a moment", "y", SILENT, IDLE_MS, FOUND_OUT_MS, false },
