Site: other data centres confirm announcements of jobs

Whether another data centre certainly knows of a job was told by the clocks that heartbeats return, up to half a second later (a second and more between hosts that are no hubs).

Change: announcements to another data centre end with a frame that carries the sender's clock (JOB_MSG_TOLD), and the two hubs that relay them there return it (JOB_MSG_TOLD_ACK). The simulation does the same.

--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -206,11 +206,25 @@
   g_ptr_array_set_size (site->relayed, 0);
 }
 
+/* Announces STATUSES to HOST.  Other data centres confirm them: they may be cut off. */
+static void
+announce (site_t *site,
+          const char *host,
+          const peer_connection_t *connection,
+          const GArray *statuses,
+          int64_t now_ms)
+{
+  send_statuses (site, host, site->host, is_relay_needed (site, host), statuses);
+  if (!is_local (site, connection))
+    peers_send (site, host, job_msg_told (JOB_MSG_TOLD, now_ms));
+}
+
 void
 repeats_tick (site_t *site, int64_t now_ms)
 {
   GHashTableIter iter;
   void *host = NULL;
+  void *connection = NULL;
 
   if (now_ms < site->announce_due_ms)
     return;
@@ -219,8 +233,8 @@
   GArray *statuses = new_statuses ();
   scheduler_collect_statuses (site->scheduler, now_ms, statuses);
   g_hash_table_iter_init (&iter, site->connections);
-  while (statuses->len > 0 && g_hash_table_iter_next (&iter, &host, NULL))
-    send_statuses (site, host, site->host, is_relay_needed (site, host), statuses);
+  while (statuses->len > 0 && g_hash_table_iter_next (&iter, &host, &connection))
+    announce (site, host, connection, statuses, now_ms);
   g_array_unref (statuses);
 }
 
@@ -290,6 +304,24 @@
   (void) job_msg_read_relayed (reader, read_relayed, site);
 }
 
+void
+repeats_read_told (site_t *site, const char *host, frame_reader_t *reader)
+{
+  int64_t clock_ms = 0;
+
+  if (job_msg_read_told (reader, &clock_ms) == 0 && is_relay_for (site, g_intern_string (host)))
+    peers_send (site, host, job_msg_told (JOB_MSG_TOLD_ACK, clock_ms));
+}
+
+void
+repeats_read_told_ack (site_t *site, const char *host, frame_reader_t *reader)
+{
+  int64_t clock_ms = 0;
+
+  if (job_msg_read_told (reader, &clock_ms) == 0)
+    cluster_confirmed (site->cluster, host, clock_ms, clock_boot_ms ());
+}
+
 void
 repeats_read_query (site_t *site, const char *host, frame_reader_t *reader)
 {
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -280,7 +280,10 @@
   peer->heartbeat_at_ms = now_ms;
   set_claims (cluster, peer, heartbeat->claims);
   if (restarted)
-    peer->resumed = false;
+    {
+      peer->resumed = false;
+      peer->confirmed_ms = 0;
+    }
   if (!peer->alive)
     {
       peer->resumed = !restarted && peer->lost_at_ms != 0;
@@ -434,7 +437,19 @@
 {
   bool may_not_know = peer->resumed && now_ms - peer->alive_since_ms < EXCHANGE_MS;
 
-  return !peer->alive || may_not_know ? peer->told_before_loss_ms : received_at_ms (cluster, peer);
+  int64_t told_ms =
+      !peer->alive || may_not_know ? peer->told_before_loss_ms : received_at_ms (cluster, peer);
+
+  return MAX (told_ms, peer->confirmed_ms + 1);
+}
+
+void
+cluster_confirmed (cluster_t *cluster, const char *host, int64_t clock_ms, int64_t now_ms)
+{
+  peer_t *peer = g_hash_table_lookup (cluster->peers, g_intern_string (host));
+
+  if (peer != NULL && clock_ms >= cluster->started_at_ms && clock_ms <= now_ms)
+    peer->confirmed_ms = MAX (peer->confirmed_ms, clock_ms);
 }
 
 int64_t
--- a/lib/scheduler/job_status_msg.c
+++ b/lib/scheduler/job_status_msg.c
@@ -105,6 +105,22 @@
   return frame_ok (reader) && *id != NULL ? 0 : ERROR_PROTOCOL;
 }
 
+GBytes *
+job_msg_told (job_status_msg_t type, int64_t clock_ms)
+{
+  frame_writer_t *writer = frame_begin ((int) type);
+
+  frame_put_int (writer, clock_ms);
+  return frame_finish (writer);
+}
+
+int
+job_msg_read_told (frame_reader_t *reader, int64_t *clock_ms)
+{
+  *clock_ms = frame_get_range (reader, 0, INT64_MAX);
+  return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
+}
+
 GBytes *
 job_msg_runs (job_status_msg_t type, const job_runs_t *runs)
 {
--- a/lib/scheduler/job_status_msg.h
+++ b/lib/scheduler/job_status_msg.h
@@ -16,7 +16,9 @@
   JOB_MSG_QUERY,      /* asks for the status of a job, which a caller of the sender waits for */
   JOB_MSG_RELAYED,    /* several messages of other hosts, passed on together */
   JOB_MSG_RUNS_QUERY, /* asks an owner for runs of a job whose host is not heard */
-  JOB_MSG_RUNS_OVER   /* says that there are none */
+  JOB_MSG_RUNS_OVER,  /* says that there are none */
+  JOB_MSG_TOLD,       /* ends announcements; a relay confirms them */
+  JOB_MSG_TOLD_ACK    /* confirms all that came before JOB_MSG_TOLD */
 } job_status_msg_t;
 
 /* Most statuses in a message, and most messages passed on in one. */
@@ -48,6 +50,11 @@
 /* The caller frees *ID. */
 int job_msg_read_query (frame_reader_t *reader, char **id);
 
+/* TYPE is JOB_MSG_TOLD or JOB_MSG_TOLD_ACK.  CLOCK_MS is that of the host that announces, which the
+ * confirmation returns. */
+GBytes *job_msg_told (job_status_msg_t type, int64_t clock_ms);
+int job_msg_read_told (frame_reader_t *reader, int64_t *clock_ms);
+
 /* Runs of the job with ID for HOLDER in SHARD.  TOKEN is that of the sender's claim on SHARD, and 0
  * in a query. */
 typedef struct
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -154,6 +154,9 @@
     for (int k = 0; k < SIM_HOSTS; k++)
       if (k != host->index && (to == NULL || to == &sim->hosts[k]))
         send_job_status (host, &sim->hosts[k], &g_array_index (statuses, job_status_t, i));
+  for (int k = 0; to == NULL && statuses->len > 0 && k < SIM_HOSTS; k++)
+    if (k != host->index)
+      send_told (host, &sim->hosts[k], MESSAGE_TOLD, sim->now_ms);
   g_array_unref (statuses);
 }
 
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -301,6 +301,8 @@
   MESSAGE_JOB_QUERY,
   MESSAGE_RUNS_QUERY,
   MESSAGE_RUNS_OVER,
+  MESSAGE_TOLD,
+  MESSAGE_TOLD_ACK,
   MESSAGE_OFFERS,
   MESSAGE_HEARTBEAT
 } message_kind_t;
@@ -433,6 +435,16 @@
   send_message (message);
 }
 
+/* KIND is MESSAGE_TOLD or MESSAGE_TOLD_ACK. */
+static void
+send_told (sim_host_t *from, sim_host_t *to, message_kind_t kind, int64_t clock_ms)
+{
+  sim_message_t *message = message_new (kind, from, to);
+
+  message->asked_at_ms = clock_ms;
+  send_message (message);
+}
+
 static void
 receive_runs_query (sim_host_t *host, const sim_message_t *message)
 {
@@ -574,6 +586,12 @@
           scheduler_runs_over (host->scheduler, message->job, message->holder, message->shard,
                                message->token, message->asked_at_ms);
           break;
+        case MESSAGE_TOLD:
+          send_told (host, message->from, MESSAGE_TOLD_ACK, message->asked_at_ms);
+          break;
+        case MESSAGE_TOLD_ACK:
+          cluster_confirmed (host->cluster, message->from->name, message->asked_at_ms, sim->now_ms);
+          break;
         case MESSAGE_OFFERS:
           scheduler_set_report (
               host->scheduler, message->shard, message->from->name,
@@ -602,6 +620,7 @@
     [MESSAGE_TASK_END] = REPORT_BYTES,    [MESSAGE_LOSS] = REPORT_BYTES,
     [MESSAGE_JOB_STATUS] = REPORT_BYTES,  [MESSAGE_JOB_QUERY] = REPORT_BYTES,
     [MESSAGE_RUNS_QUERY] = REPORT_BYTES,  [MESSAGE_RUNS_OVER] = REPORT_BYTES,
+    [MESSAGE_TOLD] = REPORT_BYTES,        [MESSAGE_TOLD_ACK] = REPORT_BYTES,
     [MESSAGE_OFFERS] = OFFERS_BYTES,      [MESSAGE_HEARTBEAT] = HEARTBEAT_BYTES,
   };
 
