Scheduler: a job that a cut-off data centre can't know of ends before it may be sent again

Cause: a host announces a job 390 to 590 ms after it was received. Where the cut began before, a host on the other side knows nothing of the job and runs it at once when the caller sends it again; the first host goes on, together with an owner and endpoints on its side.

A job that was not announced to one of them in time is given up 1,150 ms after it was received, which leaves 150 ms for its runs to be stopped. Jobs that are received later, when the cut is known, go on: their callers are on this side, and a data centre that is cut off goes on serving. New limit "unreached" in job_missed and the metrics.

Why it works: the second host starts no earlier than 1,300 ms after the request or the cut; the first one's runs have ended by then, whatever arrives or not.

--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -24,6 +24,7 @@
   [SCHEDULER_LIMIT_DRAINED] = "drained",
   [SCHEDULER_LIMIT_STOPPING] = "stopping",
   [SCHEDULER_LIMIT_CAPACITY] = "capacity",
+  [SCHEDULER_LIMIT_UNREACHED] = "unreached",
 };
 
 static const char *const failure_names[] = {
--- a/daemon/site_metrics.c
+++ b/daemon/site_metrics.c
@@ -85,7 +85,7 @@
 static void
 count_limit (scheduler_limit_t limit)
 {
-  static counter_t *counters[SCHEDULER_LIMIT_CAPACITY + 1];
+  static counter_t *counters[SCHEDULER_LIMIT_LAST + 1];
 
   if (limit == SCHEDULER_LIMIT_NONE)
     return;
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -240,7 +240,7 @@
 void repeats_tick (site_t *site, int64_t now_ms);
 
 /* site_reach.c: which data centres this host's messages reach */
-/* Checks that where it is due, and logs EVENT_DATA_CENTRE_UNREACHED and
+/* Checks that where it is due, tells the scheduler, and logs EVENT_DATA_CENTRE_UNREACHED and
  * EVENT_DATA_CENTRE_REACHED.
  */
 void reach_tick (site_t *site, int64_t now_ms);
--- a/daemon/site_reach.c
+++ b/daemon/site_reach.c
@@ -1,4 +1,4 @@
-/* site_reach.c -- logs which data centres are out of reach */
+/* site_reach.c -- tells the scheduler which data centres are out of reach, and logs changes */
 #include "daemon/site_private.h"
 
 /* Far less than the time that jobs are left when a data centre counts as unreached. */
@@ -55,6 +55,17 @@
     }
 }
 
+static void
+tell_scheduler (const site_t *site)
+{
+  scheduler_clear_unreached (site->scheduler);
+  for (guint i = 0; i < site->unreached->len; i++)
+    {
+      const cluster_unreached_t *entry = &g_array_index (site->unreached, cluster_unreached_t, i);
+      scheduler_add_unreached (site->scheduler, entry->reached_at_ms, entry->since_ms);
+    }
+}
+
 void
 reach_tick (site_t *site, int64_t now_ms)
 {
@@ -67,4 +78,5 @@
   cluster_append_unreached (site->cluster, now_ms, site->unreached);
   log_changes (site, before, site->unreached, now_ms);
   g_array_unref (before);
+  tell_scheduler (site);
 }
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -79,6 +79,7 @@
   scheduler->remote_jobs = remote_jobs_new ();
   scheduler->untold_ends = g_array_new (FALSE, FALSE, sizeof (job_status_t));
   scheduler->told_ends = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+  scheduler->unreached = g_array_new (FALSE, FALSE, sizeof (unreached_t));
   scheduler->resubmit_ms = options->resubmit_ms;
   scheduler->started_at_ms = options->started_at_ms;
   scheduler->size_history = size_history_new ();
@@ -110,6 +111,7 @@
   job_statuses_clear (scheduler->told_ends);
   g_array_unref (scheduler->untold_ends);
   g_array_unref (scheduler->told_ends);
+  g_array_unref (scheduler->unreached);
   size_history_free (scheduler->size_history);
   g_string_chunk_free (scheduler->answer_strings);
   g_free (scheduler);
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -70,7 +70,9 @@
   SCHEDULER_LIMIT_OWNERS,      /* no owner had endpoints for it, or an owner was lost */
   SCHEDULER_LIMIT_DRAINED,     /* every data centre with endpoints for it is drained */
   SCHEDULER_LIMIT_STOPPING,    /* it can't end before this host stops */
-  SCHEDULER_LIMIT_CAPACITY     /* refused on arrival because the backlog is too long */
+  SCHEDULER_LIMIT_CAPACITY,    /* refused on arrival because the backlog is too long */
+  SCHEDULER_LIMIT_UNREACHED,   /* a data centre that is out of reach can't know of it */
+  SCHEDULER_LIMIT_LAST = SCHEDULER_LIMIT_UNREACHED
 } scheduler_limit_t;
 
 /* The size of a job, which is the work that its caller expects, among recent jobs of its queue. */
@@ -268,6 +270,12 @@
  * give up jobs for want of that. */
 void scheduler_set_told_at (scheduler_t *scheduler, int64_t told_at_ms);
 
+/* A data centre counts as out of reach since SINCE_MS, and has certainly received what was sent
+ * before REACHED_AT_MS.  Jobs that were not announced to it in time are given up before they may be
+ * sent again there.  Holds until scheduler_clear_unreached () is called. */
+void scheduler_add_unreached (scheduler_t *scheduler, int64_t reached_at_ms, int64_t since_ms);
+void scheduler_clear_unreached (scheduler_t *scheduler);
+
 /* The number of open jobs that a host does not certainly know of that has received what was sent
  * before REACHED_AT_MS. */
 int32_t scheduler_count_untold (const scheduler_t *scheduler, int64_t reached_at_ms);
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -29,6 +29,13 @@
   bool cancel_requested;    /* HOST was asked to end it and has not confirmed that yet */
 } job_batch_t;
 
+/* A data centre that is out of reach; as in scheduler_add_unreached (). */
+typedef struct
+{
+  int64_t reached_at_ms;
+  int64_t since_ms;
+} unreached_t;
+
 /* A caller that waits for a job at this host. */
 typedef struct
 {
@@ -148,6 +155,7 @@
   GHashTable *requests;      /* number -> job_request_t, owned */
   remote_jobs_t *remote_jobs;
   int64_t told_at_ms;          /* as in scheduler_set_told_at () */
+  GArray *unreached;           /* unreached_t */
   GArray *untold_ends;         /* job_status_t with own ids: ends that other hosts should be told */
   GArray *told_ends;           /* the same, of the last call of scheduler_collect_statuses () */
   int64_t expire_remote_at_ms; /* when REMOTE_JOBS is searched for expired entries next */
@@ -307,6 +315,11 @@
  * this interval. */
 #define REPEATS_ASK_INTERVAL_MS 200
 
+/* unannounced.c: whether the runs of JOB, which is open, must end as it may soon be sent again to a
+ * data centre that can't know of it. */
+bool
+unannounced_must_end (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms);
+
 /* restarts.c: gives up those jobs of BATCHES, whose tasks would start anew, that another host may
  * have taken, and removes their batches from BATCHES.  OWNER_LOST_US: their owner had lost this
  * host. */
--- a/lib/scheduler/timeouts.c
+++ b/lib/scheduler/timeouts.c
@@ -104,6 +104,14 @@
                             now_ms, actions);
       return;
     }
+  if (unannounced_must_end (scheduler, job, now_ms))
+    {
+      job->may_have_run = true;
+      scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, SCHEDULER_LIMIT_UNREACHED,
+                         "a data centre that is out of reach can't know of it and may run it",
+                         now_ms, actions);
+      return;
+    }
   if (takeover_timed_out (job, now_ms))
     {
       scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, SCHEDULER_LIMIT_OWNERS,
--- a/lib/scheduler/unannounced.c
+++ b/lib/scheduler/unannounced.c
@@ -1,6 +1,28 @@
-/* unannounced.c -- jobs that a data centre which is out of reach can't know of */
+/* unannounced.c -- jobs that a data centre which is out of reach can't know of
+ *
+ * Such a job may be sent again there resubmit_ms after it was received, and starts at once.  No
+ * message can prevent that, so that this host ends its own runs before.  A job that is received
+ * when the data centre is known to be out of reach has a caller on this side, and goes on.
+ */
 #include "scheduler/state.h"
 
+/* Runs have ended this long after the decision: the owner is told, and stops them. */
+#define RUNS_STOP_MS 150
+
+void
+scheduler_add_unreached (scheduler_t *scheduler, int64_t reached_at_ms, int64_t since_ms)
+{
+  const unreached_t entry = { reached_at_ms, since_ms };
+
+  g_array_append_val (scheduler->unreached, entry);
+}
+
+void
+scheduler_clear_unreached (scheduler_t *scheduler)
+{
+  g_array_set_size (scheduler->unreached, 0);
+}
+
 /* Whether a data centre that has received what was sent before REACHED_AT_MS knows of JOB. */
 static bool
 is_told (const scheduled_job_t *job, int64_t reached_at_ms)
@@ -20,3 +42,24 @@
     count += !is_told (value, reached_at_ms);
   return count;
 }
+
+/* Whether the data centre UNREACHED knows of JOB, or JOB is not sent there again. */
+static bool
+is_safe_from (const scheduled_job_t *job, const unreached_t *unreached)
+{
+  return is_told (job, unreached->reached_at_ms)
+         || job->request.received_at_ms > unreached->since_ms;
+}
+
+bool
+unannounced_must_end (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
+{
+  int64_t end_by_ms = job->request.received_at_ms + scheduler->resubmit_ms - RUNS_STOP_MS;
+
+  if (scheduler->resubmit_ms == 0 || !job->was_sent || now_ms < end_by_ms)
+    return false;
+  for (guint i = 0; i < scheduler->unreached->len; i++)
+    if (!is_safe_from (job, &g_array_index (scheduler->unreached, unreached_t, i)))
+      return true;
+  return false;
+}
--- a/tests/test_cluster_reach.c
+++ b/tests/test_cluster_reach.c
@@ -52,13 +52,24 @@
   int64_t now_ms;
 } fixture_t;
 
-/* HOST's heartbeat arrives, and returns the clock ECHO_MS. */
+static const cluster_options_t options = { .host = "h1",
+                                           .data_centre = "x",
+                                           .incarnation = 100,
+                                           .cpu_millicores = 250,
+                                           .retransmit_ms = RETRANSMIT_MS,
+                                           .hubs_per_data_centre = 4 };
+
+/* The heartbeat of process INCARNATION of HOST arrives, and returns the clock ECHO_MS. */
 static void
-receive (fixture_t *fixture, size_t row, const char *host, int64_t echo_ms)
+receive_process (fixture_t *fixture,
+                 size_t row,
+                 const char *host,
+                 uint64_t incarnation,
+                 int64_t echo_ms)
 {
   const cluster_heartbeat_t heartbeat = { .host = (char *) host,
                                           .data_centre = (char *) reach_cases[row].data_centre,
-                                          .incarnation = 7,
+                                          .incarnation = incarnation,
                                           .ready = true,
                                           .interval_ms = reach_cases[row].interval_ms,
                                           .expected_epoch = 1,
@@ -68,6 +79,12 @@
   cluster_receive_heartbeat (fixture->cluster, &heartbeat, fixture->now_ms, fixture->actions);
 }
 
+static void
+receive (fixture_t *fixture, size_t row, const char *host, int64_t echo_ms)
+{
+  receive_process (fixture, row, host, 7, echo_ms);
+}
+
 static void
 send_heartbeat (fixture_t *fixture, const char *host)
 {
@@ -111,13 +128,6 @@
 static void
 test_reach (void)
 {
-  const cluster_options_t options = { .host = "h1",
-                                      .data_centre = "x",
-                                      .incarnation = 100,
-                                      .cpu_millicores = 250,
-                                      .retransmit_ms = RETRANSMIT_MS,
-                                      .hubs_per_data_centre = 4 };
-
   for (size_t i = 0; i < G_N_ELEMENTS (reach_cases); i++)
     {
       fixture_t fixture = { .cluster = cluster_new (&options, 0),
@@ -142,8 +152,49 @@
     }
 }
 
+/* What a host confirms counts as received, although no heartbeat has returned a clock since; not
+ * what it can't have received, nor what an earlier process of it has. */
+static void
+test_confirmed (void)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t clock_ms;
+    bool restarts;
+    bool counts;
+  } confirmations[] = {
+    { "the last announcement", CUT_AT_MS - 1, false, true },
+    { "a clock ahead", CUT_AT_MS + 60000, false, false },
+    { "a clock of an earlier process of this host", -1, false, false },
+    { "by an earlier process", CUT_AT_MS - 1, true, false },
+  };
+  const size_t silent_row = 2;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (confirmations); i++)
+    {
+      fixture_t fixture = { .cluster = cluster_new (&options, 0),
+                            .actions = g_array_new (FALSE, FALSE, sizeof (cluster_action_t)) };
+      GArray *unreached = g_array_new (FALSE, FALSE, sizeof (cluster_unreached_t));
+      play (&fixture, silent_row);
+      cluster_confirmed (fixture.cluster, "h2", confirmations[i].clock_ms, fixture.now_ms);
+      if (confirmations[i].restarts)
+        receive_process (&fixture, silent_row, "h2", 8, 0);
+      cluster_append_unreached (fixture.cluster, fixture.now_ms + 2000, unreached);
+      CU_ASSERT_EQUAL_FATAL (unreached->len, 1);
+      int64_t reached_at_ms = g_array_index (unreached, cluster_unreached_t, 0).reached_at_ms;
+      CU_ASSERT_EQUAL (reached_at_ms == CUT_AT_MS, confirmations[i].counts);
+      if ((reached_at_ms == CUT_AT_MS) != confirmations[i].counts)
+        printf ("  %s: %d\n", confirmations[i].name, (int) reached_at_ms);
+      g_array_unref (unreached);
+      g_array_unref (fixture.actions);
+      cluster_free (fixture.cluster);
+    }
+}
+
 static const unit_test_t tests[] = {
   { "data centres out of reach", test_reach },
+  { "confirmations", test_confirmed },
 };
 
 int
--- /dev/null
+++ b/tests/test_job_unannounced.c
@@ -0,0 +1,138 @@
+/* test_job_unannounced.c -- a job that was not announced to a data centre before it was cut off
+ * must end before its caller may send it again there */
+#include "scheduler/scheduler.h"
+#include "tests/test_scheduler_report.h"
+#include "tests/unit_runner.h"
+
+#include <CUnit/CUnit.h>
+
+#define ID "00000000000000a1"
+#define RECEIVED_MS 1000
+#define RESUBMIT_MS 1300
+#define DEADLINE_MS 9000
+#define ANNOUNCED_AT_MS (RECEIVED_MS + 400)
+/* Its runs end a little later, before it is sent again. */
+#define ENDS_BY_MS (RECEIVED_MS + RESUBMIT_MS - 100)
+#define YOUNG_MS (RECEIVED_MS + RESUBMIT_MS - 200)
+#define NEVER INT64_MAX
+
+static const struct
+{
+  const char *name;
+  bool announced;
+  int64_t reached_at_ms; /* NEVER: all data centres are reached */
+  int64_t since_ms;      /* one counts as out of reach since then */
+  int64_t now_ms;
+  bool ends;
+} cases[] = {
+  { "all are reached", false, NEVER, NEVER, ENDS_BY_MS, false },
+  { "not announced, young", false, RECEIVED_MS + 100, RECEIVED_MS + 1000, YOUNG_MS, false },
+  { "not announced", false, RECEIVED_MS + 100, RECEIVED_MS + 1000, ENDS_BY_MS, true },
+  { "received in the cut", false, RECEIVED_MS - 500, RECEIVED_MS + 500, ENDS_BY_MS, true },
+  { "received when the cut was known", false, RECEIVED_MS - 2000, RECEIVED_MS - 1000, ENDS_BY_MS,
+    false },
+  { "announced before", true, ANNOUNCED_AT_MS + 1, ANNOUNCED_AT_MS + 1000, DEADLINE_MS - 100,
+    false },
+  { "announced in the cut", true, ANNOUNCED_AT_MS, ANNOUNCED_AT_MS + 700, ENDS_BY_MS, true },
+  { "announced in the cut, found out late", true, ANNOUNCED_AT_MS, ANNOUNCED_AT_MS + 3000,
+    ANNOUNCED_AT_MS + 3000, true },
+};
+
+typedef struct
+{
+  int cancels;
+  int answers;
+  scheduler_outcome_t outcome;
+  scheduler_limit_t limit;
+} counts_t;
+
+static counts_t
+take_actions (GArray *actions)
+{
+  counts_t counts = { 0 };
+
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, i);
+      if (action->task_indexes != NULL)
+        g_array_unref (action->task_indexes);
+      counts.cancels += action->kind == SCHEDULER_CANCEL;
+      if (action->kind != SCHEDULER_ANSWER)
+        continue;
+      counts.answers++;
+      counts.outcome = action->outcome;
+      counts.limit = action->limit;
+    }
+  g_array_set_size (actions, 0);
+  return counts;
+}
+
+static scheduler_t *
+start_job (GArray *actions)
+{
+  const scheduler_options_t options = { .host = "h",
+                                        .data_centre = "z",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .resubmit_ms = RESUBMIT_MS };
+  const executor_offer_t offer = { "s", 4, 4, 1.0 };
+  const executor_load_t load = { .service = "s", .cores_milli = 4000 };
+  const scheduler_job_t job = { .id = ID,
+                                .spec = "work",
+                                .service = "s",
+                                .tasks = 2,
+                                .need = { 1000, 10, 0 },
+                                .estimate_ms = 4000,
+                                .stretch_factor = 3,
+                                .target_ms = 60,
+                                .received_at_ms = RECEIVED_MS,
+                                .deadline_at_ms = DEADLINE_MS,
+                                .attempts_max = 3,
+                                .label = "",
+                                .preferred_rack = "" };
+  scheduler_t *scheduler = scheduler_new (&options);
+
+  scheduler_set_owner (scheduler, "z", "hx", 1, 0, actions);
+  report_offers (scheduler, "z", "hx", &offer, 1, &load, RECEIVED_MS);
+  scheduler_submit (scheduler, &job, RECEIVED_MS, actions);
+  return scheduler;
+}
+
+static void
+test_unannounced (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      GArray *statuses = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+      scheduler_t *scheduler = start_job (actions);
+      take_actions (actions);
+      if (cases[i].announced)
+        scheduler_collect_statuses (scheduler, ANNOUNCED_AT_MS, statuses);
+      CU_ASSERT_EQUAL (statuses->len, cases[i].announced);
+      if (cases[i].reached_at_ms != NEVER)
+        scheduler_add_unreached (scheduler, cases[i].reached_at_ms, cases[i].since_ms);
+      scheduler_step (scheduler, cases[i].now_ms, actions);
+      counts_t counts = take_actions (actions);
+      CU_ASSERT_EQUAL (counts.cancels, cases[i].ends);
+      CU_ASSERT_EQUAL (counts.answers, cases[i].ends);
+      CU_ASSERT_TRUE (
+          counts.answers == 0
+          || (counts.outcome == SCHEDULER_GIVEN_UP && counts.limit == SCHEDULER_LIMIT_UNREACHED));
+      if (counts.answers != cases[i].ends)
+        printf ("  %s: %d answers\n", cases[i].name, counts.answers);
+      scheduler_free (scheduler);
+      g_array_unref (statuses);
+      g_array_unref (actions);
+    }
+}
+
+static const unit_test_t tests[] = {
+  { "jobs that a data centre can't know of", test_unannounced },
+};
+
+int
+main (void)
+{
+  return unit_run ("job_unannounced", tests, G_N_ELEMENTS (tests));
+}
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -651,6 +651,24 @@
     }
 }
 
+#define REACH_INTERVAL_MS 50
+
+/* Tells the scheduler which data centres are out of reach. */
+static void
+check_reach (sim_host_t *host)
+{
+  GArray *unreached = g_array_new (FALSE, FALSE, sizeof (cluster_unreached_t));
+
+  cluster_append_unreached (host->cluster, host->sim->now_ms, unreached);
+  scheduler_clear_unreached (host->scheduler);
+  for (guint i = 0; i < unreached->len; i++)
+    {
+      const cluster_unreached_t *entry = &g_array_index (unreached, cluster_unreached_t, i);
+      scheduler_add_unreached (host->scheduler, entry->reached_at_ms, entry->since_ms);
+    }
+  g_array_unref (unreached);
+}
+
 /* Does what the daemon does every few milliseconds, and restarts a host that has been down long
  * enough. */
 static void
@@ -677,6 +695,8 @@
         set_endpoints (host, i);
   probe_unowned_shards (host);
   refresh_host (host);
+  if (sim->now_ms % REACH_INTERVAL_MS == 0)
+    check_reach (host);
   scheduler_step (host->scheduler, sim->now_ms, host->scheduler_actions);
   if (sim->now_ms % ANNOUNCE_INTERVAL_MS == 0)
     announce_jobs (host, NULL);
--- a/tests/test_scheduling_resent_cuts.c
+++ b/tests/test_scheduling_resent_cuts.c
@@ -7,8 +7,6 @@
 
 #include <CUnit/CUnit.h>
 
-/* Known red where a host goes on that no other can ask: docs/FAULTS.md. */
-
 static const simulation_case_t cases[] = {
   { "channels break while hosts are cut one way", 10, { RESENT_OPTIONS, .one_way_cuts = 40 }, 60 },
   { "channels break while hosts are cut off",
