Scheduler: a request that a cut may have held up waits until other hosts have told their jobs

Cause: what is sent into a cut is delivered when it ends. By then its caller has sent the job again to a host on its own side. The first host read the old request some ms before it was told of the other run, and started the job; one of the two stopped as soon as they heard of each other, 1 ms later. Such a host already refuses what has waited while it was suspended itself; what has waited in the network looked new.

Change: each request carries how long nothing had come on its connection before (from the connection's acceptance or last answer). If that is at least half of the time after which callers send again, and reaches back before a data centre counted as out of reach (which it does until 1 s after it is heard again), the request waits until all are reached, at most 650 ms. A connection that was used since then has a caller on this side: its requests start at once.

Why it works: hosts tell their open jobs on each new connection, and a job of the other side is announced 590 ms after it began at the latest; the request then waits for that host's answer.

--- a/lib/reactor/web.h
+++ b/lib/reactor/web.h
@@ -33,7 +33,8 @@
   size_t body_bytes;
   const char *deadline_value; /* value of the options' deadline_header, or NULL */
   int64_t received_at_ms;     /* when the first byte was read */
-  void *user_data;            /* free for use by the handlers */
+  int64_t idle_ms; /* from when the connection was accepted, or the last answer, until then */
+  void *user_data; /* free for use by the handlers */
 };
 
 typedef struct
--- a/lib/reactor/web_server.c
+++ b/lib/reactor/web_server.c
@@ -106,6 +106,7 @@
   bool too_large;
   bool reading_stopped;
   int64_t since_ms; /* time of the request's first byte, of the last answer, or of its last byte */
+  int64_t idle_ms;  /* before the first byte of the request */
   int64_t counted_bytes;      /* part of the server's held_bytes */
   int64_t answered_bytes;     /* sum of all answers */
   int64_t acked_bytes;        /* of these, as of the last progress */
@@ -419,6 +420,7 @@
     .body_bytes = connection->body->len,
     .deadline_value = connection->deadline->len > 0 ? connection->deadline->str : NULL,
     .received_at_ms = connection->since_ms,
+    .idle_ms = connection->idle_ms,
   };
   server->handlers->on_request (request, server->data);
 }
@@ -461,8 +463,10 @@
         return;
       if (!connection->request_begun)
         {
+          int64_t now_ms = clock_boot_ms ();
           connection->request_begun = true;
-          connection->since_ms = clock_boot_ms ();
+          connection->idle_ms = now_ms - connection->since_ms;
+          connection->since_ms = now_ms;
         }
       size_t used = http_parser_execute (&connection->parser, &parser_settings, chunk.iov_base,
                                          chunk.iov_len);
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -157,8 +157,9 @@
                          actions);
       return;
     }
-  note (scheduler, job->request.id, scheduler->host, SCHEDULER_FOUND_OVER, job->waited_by, 0,
-        actions);
+  if (job->holder != NULL)
+    note (scheduler, job->request.id, scheduler->host, SCHEDULER_FOUND_OVER, job->waited_by, 0,
+          actions);
   if (job->request.start_by_ms != 0)
     job->request.start_by_ms += now_ms - job->waits_since_ms;
   job->waits_since_ms = 0;
@@ -211,9 +212,9 @@
   if (now_ms >= job->request.deadline_at_ms)
     scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, scheduler_deadline_limit (job),
                        "another host may be running it", now_ms, actions);
-  else if (remote == NULL)
+  else if (remote == NULL && !late_request_is_held (scheduler, job, now_ms))
     start_waiting (scheduler, job, now_ms, actions);
-  else
+  else if (remote != NULL)
     {
       ask (scheduler, job, remote, now_ms, actions);
       if (remote->unheard)
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -271,7 +271,8 @@
   job = new_job (scheduler, info);
   uint64_t number = repeats_add_request (scheduler, job, info->user_data);
 
-  if (!repeats_wait (scheduler, job, now_ms, actions))
+  if (!repeats_wait (scheduler, job, now_ms, actions)
+      && !late_request_wait (scheduler, job, now_ms, actions))
     scheduler_start_job (scheduler, job, now_ms, actions);
   return number;
 }
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -39,6 +39,7 @@
   double stretch_factor; /* the objective is the estimate times this factor plus TARGET_MS */
   int64_t target_ms;     /* fixed part of the objective */
   int64_t received_at_ms;
+  int64_t idle_ms;            /* nothing had come on the caller's connection for this long */
   int64_t deadline_at_ms;     /* nobody waits for the answer after this time */
   bool deadline_from_queue;   /* the caller set no deadline, so that of the queue applies */
   int64_t start_by_ms;        /* refused if no task has started by then; 0 for no limit */
@@ -100,6 +101,7 @@
 /* What follows for a request whose job is, or was, run by another coordinator. */
 typedef enum
 {
+  SCHEDULER_FOUND_LATE,     /* it may have been held up: it waits until other hosts have told */
   SCHEDULER_FOUND_OPEN,     /* it waits for the answer of the other host */
   SCHEDULER_FOUND_STOPPING, /* it waits until the runs for the other host have ended */
   SCHEDULER_FOUND_ENDED,    /* it is answered with the outcome at the other host */
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -69,6 +69,7 @@
   bool announced;           /* other hosts were told of it */
   int64_t announced_at_ms;  /* ANNOUNCED: when */
   int64_t waits_since_ms;   /* it is not run, as another host may run it; 0 if it does not wait */
+  int64_t held_until_ms;    /* it waits, although no host is known to have it, at most until then */
   const char *holder;       /* it waits: the host that is asked; interned */
   int64_t asked_since_ms;   /* HOLDER is asked since then */
   int64_t ask_at_ms;        /* it is asked again then */
@@ -320,6 +321,16 @@
 bool
 unannounced_must_end (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms);
 
+/* late_requests.c: makes the new JOB wait if a cut may have held up its request.  Returns whether
+ * it waits. */
+bool
+late_request_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
+
+/* late_requests.c: whether JOB, which waits, must not start yet although no host is known to have
+ * it. */
+bool
+late_request_is_held (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms);
+
 /* restarts.c: gives up those jobs of BATCHES, whose tasks would start anew, that another host may
  * have taken, and removes their batches from BATCHES.  OWNER_LOST_US: their owner had lost this
  * host. */
--- /dev/null
+++ b/tests/test_job_late_requests.c
@@ -0,0 +1,160 @@
+/* test_job_late_requests.c -- a request that a cut may have held up must not start its job before
+ * other hosts could tell that they run it */
+#include "scheduler/scheduler.h"
+#include "tests/test_scheduler_report.h"
+#include "tests/unit_runner.h"
+
+#include <CUnit/CUnit.h>
+
+#define ID "00000000000000a1"
+#define OTHER_HOST "hb"
+#define RESUBMIT_MS 1300
+#define RECEIVED_MS 10000
+#define DEADLINE_MS 19000
+#define STEP_MS 5
+/* Hosts that hear each other have told each other their jobs by then. */
+#define TOLD_MS 100
+/* The longest that a request waits. */
+#define HELD_MAX_MS 700
+#define NEVER INT64_MAX
+
+typedef enum
+{
+  NOT_TOLD,     /* no host has the job */
+  TOLD_OPEN,    /* another host tells that it runs it */
+  TOLD_COMPLETE /* another host tells that it has run it */
+} told_t;
+
+static const struct
+{
+  const char *name;
+  int64_t idle_ms;
+  int64_t since_ms;         /* a data centre is out of reach since then; NEVER: all are reached */
+  int64_t reached_again_ms; /* after RECEIVED_MS */
+  told_t told;
+  int64_t starts_from_ms; /* after RECEIVED_MS; NEVER: it does not start here */
+  int64_t starts_by_ms;
+} cases[] = {
+  { "all are reached", 5000, NEVER, 0, NOT_TOLD, 0, 0 },
+  { "a connection in use", 20, RECEIVED_MS - 2000, NEVER, NOT_TOLD, 0, 0 },
+  { "used since the cut was known", 1500, RECEIVED_MS - 2000, NEVER, NOT_TOLD, 0, 0 },
+  { "idle since before the cut", 3000, RECEIVED_MS - 2000, NEVER, NOT_TOLD, 600, HELD_MAX_MS },
+  { "the cut has ended", 3000, RECEIVED_MS - 2000, 300, NOT_TOLD, 300, 310 },
+  { "another host runs it", 3000, RECEIVED_MS - 2000, 300, TOLD_OPEN, NEVER, NEVER },
+  { "another host has run it", 3000, RECEIVED_MS - 2000, 300, TOLD_COMPLETE, NEVER, NEVER },
+  { "another host runs it, all are reached", 3000, NEVER, 0, TOLD_OPEN, 0, 0 },
+};
+
+static int
+take_submits (GArray *actions)
+{
+  int submits = 0;
+
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, i);
+      if (action->task_indexes != NULL)
+        g_array_unref (action->task_indexes);
+      submits += action->kind == SCHEDULER_SUBMIT;
+    }
+  g_array_set_size (actions, 0);
+  return submits;
+}
+
+static scheduler_t *
+new_scheduler (GArray *actions)
+{
+  const scheduler_options_t options = { .host = "ha",
+                                        .data_centre = "z",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .resubmit_ms = RESUBMIT_MS };
+  const executor_offer_t offer = { "s", 4, 4, 1.0 };
+  const executor_load_t load = { .service = "s", .cores_milli = 4000 };
+  scheduler_t *scheduler = scheduler_new (&options);
+
+  scheduler_set_owner (scheduler, "z", "hx", 1, 0, actions);
+  report_offers (scheduler, "z", "hx", &offer, 1, &load, RECEIVED_MS);
+  return scheduler;
+}
+
+static void
+submit (scheduler_t *scheduler, int64_t idle_ms, GArray *actions)
+{
+  const scheduler_job_t job = { .id = ID,
+                                .spec = "work",
+                                .service = "s",
+                                .tasks = 2,
+                                .need = { 1000, 10, 0 },
+                                .estimate_ms = 2000,
+                                .stretch_factor = 3,
+                                .target_ms = 60,
+                                .received_at_ms = RECEIVED_MS,
+                                .idle_ms = idle_ms,
+                                .deadline_at_ms = DEADLINE_MS,
+                                .attempts_max = 3,
+                                .label = "",
+                                .preferred_rack = "" };
+
+  scheduler_submit (scheduler, &job, RECEIVED_MS, actions);
+}
+
+static void
+tell (scheduler_t *scheduler, told_t told, int64_t now_ms, GArray *actions)
+{
+  const job_status_t open = { ID, JOB_STATUS_OPEN, DEADLINE_MS };
+  const job_status_t complete = { ID, JOB_STATUS_COMPLETE, 0 };
+
+  if (told != NOT_TOLD)
+    scheduler_job_told (scheduler, OTHER_HOST, told == TOLD_OPEN ? &open : &complete, now_ms,
+                        actions);
+}
+
+/* Returns after how many milliseconds the job started, NEVER if it did not. */
+static int64_t
+play (scheduler_t *scheduler, size_t row, GArray *actions)
+{
+  submit (scheduler, cases[row].idle_ms, actions);
+  if (take_submits (actions) > 0)
+    return 0;
+  for (int64_t after_ms = STEP_MS; after_ms < 2000; after_ms += STEP_MS)
+    {
+      if (after_ms == TOLD_MS)
+        tell (scheduler, cases[row].told, RECEIVED_MS + after_ms, actions);
+      if (after_ms == cases[row].reached_again_ms)
+        scheduler_clear_unreached (scheduler);
+      scheduler_step (scheduler, RECEIVED_MS + after_ms, actions);
+      if (take_submits (actions) > 0)
+        return after_ms;
+    }
+  return NEVER;
+}
+
+static void
+test_late (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      scheduler_t *scheduler = new_scheduler (actions);
+      if (cases[i].since_ms != NEVER)
+        scheduler_add_unreached (scheduler, cases[i].since_ms - 1000, cases[i].since_ms);
+      int64_t started_ms = play (scheduler, i, actions);
+      CU_ASSERT_TRUE (started_ms >= cases[i].starts_from_ms);
+      CU_ASSERT_TRUE (started_ms <= cases[i].starts_by_ms);
+      if (started_ms < cases[i].starts_from_ms || started_ms > cases[i].starts_by_ms)
+        printf ("  %s: started after %d ms\n", cases[i].name, (int) started_ms);
+      scheduler_free (scheduler);
+      g_array_unref (actions);
+    }
+}
+
+static const unit_test_t tests[] = {
+  { "requests that a cut may have held up", test_late },
+};
+
+int
+main (void)
+{
+  return unit_run ("job_late_requests", tests, G_N_ELEMENTS (tests));
+}
--- a/tests/test_web_server.c
+++ b/tests/test_web_server.c
@@ -69,6 +69,7 @@
   gint ahead_ms;      /* of the clock that ticks show */
   gint abandoned;     /* requests whose client has gone */
   gint held_bytes;    /* the most as of a tick */
+  gint idle_ms;       /* before the last request */
   GPtrArray *waiting; /* web_request_t */
 } rig_t;
 
@@ -95,6 +96,7 @@
 {
   rig_t *rig = data;
 
+  g_atomic_int_set (&rig->idle_ms, (gint) request->idle_ms);
   if (rig->answering)
     g_atomic_int_inc (&rig->nested);
   if (rig->answers_later)
@@ -623,6 +625,44 @@
   rig_stop (&rig);
 }
 
+/* A request tells for how long nothing had come before it, which is long if a cut has held it up.
+ */
+static void
+test_idle_before_requests (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *requests;
+    int count;
+    int64_t pause_ms; /* before them */
+    int64_t idle_from_ms;
+    int64_t idle_below_ms;
+  } parts[] = {
+    { "first", GET_REQUEST, 1, 300, 290, INT64_MAX },
+    { "at once", GET_REQUEST, 1, 0, 0, 200 },
+    { "sent ahead", GET_REQUEST GET_REQUEST, 2, 300, 0, 200 },
+    { "late", GET_REQUEST, 1, 600, 590, INT64_MAX },
+  };
+  rig_t rig;
+
+  rig_start (&rig, &counted_requests, true);
+  int fd = site_connect ("127.0.0.1", rig.ports.first_port);
+  for (size_t i = 0; i < G_N_ELEMENTS (parts); i++)
+    {
+      clock_sleep_ms (parts[i].pause_ms);
+      (void) !send (fd, parts[i].requests, strlen (parts[i].requests), MSG_NOSIGNAL);
+      CU_ASSERT_EQUAL (count_answers (fd, parts[i].count), parts[i].count);
+      int idle_ms = g_atomic_int_get (&rig.idle_ms);
+      CU_ASSERT_TRUE (idle_ms >= parts[i].idle_from_ms && idle_ms < parts[i].idle_below_ms);
+      if (idle_ms < parts[i].idle_from_ms || idle_ms >= parts[i].idle_below_ms)
+        printf ("  %s: idle for %d ms\n", parts[i].name, idle_ms);
+    }
+  close (fd);
+  wait_until_closed (&rig);
+  rig_stop (&rig);
+}
+
 static const unit_test_t tests[] = {
   { "the last answer arrives whole", test_last_answer_arrives_whole },
   { "requests ahead of answers", test_requests_ahead_of_answers },
@@ -631,6 +671,7 @@
   { "a last answer that is not read", test_last_answer_not_read },
   { "crowds of connections", test_crowds },
   { "descriptors run out", test_descriptors_run_out },
+  { "idle before requests", test_idle_before_requests },
 };
 
 int
