Reach: what a cut costs callers on its own side is bounded more closely

A data centre was out of reach, at the latest, when a further proof would have come (600 ms after the last one), not when that is found out (1,040 ms). Jobs received since have callers on this side. A request that may have been held up waits 100 ms: if its caller has gone, the end of the connection follows within a few round trips, and the request is dropped. Only while hosts of the data centre are heard again it waits for up to 650 ms, as before.

Ran: test_site_resent_before_its_first_request 12 of 12 in 2 of 2 runs, test_site_resent_past_an_early_cut 68 of 68, test_scheduling_resent_cuts 333 of 333, test_job_late_requests 18 of 18 (its rows of the wait follow the new bounds and are stricter: 100 ms where it was 700), test_job_unannounced 32 of 32, test_cluster_reach 35 of 35.

--- a/daemon/site_reach.c
+++ b/daemon/site_reach.c
@@ -62,7 +62,9 @@
   for (guint i = 0; i < site->unreached->len; i++)
     {
       const cluster_unreached_t *entry = &g_array_index (site->unreached, cluster_unreached_t, i);
-      scheduler_add_unreached (site->scheduler, entry->reached_at_ms, entry->since_ms);
+      const scheduler_unreached_t unreached = { entry->reached_at_ms, entry->since_ms,
+                                                entry->heard };
+      scheduler_add_unreached (site->scheduler, &unreached);
     }
 }
 
--- a/lib/cluster/reach.c
+++ b/lib/cluster/reach.c
@@ -7,6 +7,12 @@
 
 #include <string.h>
 
+/* A further proof would have come within this time: a heartbeat in each direction where they are
+ * frequent, else one. */
+#define PROOF_SLACK_MS 100
+#define FREQUENT_PROOF_MS (2 * HEARTBEAT_REMOTE_MS + PROOF_SLACK_MS)
+#define IDLE_PROOF_MS (HEARTBEAT_IDLE_MS + PROOF_SLACK_MS)
+
 /* Whether PEER should return clocks often enough to tell soon that it is out of reach. */
 static bool
 is_frequent (const peer_t *peer)
@@ -19,6 +25,7 @@
   const char *data_centre;
   int64_t reached_at_ms;
   bool frequent; /* one of its hosts is */
+  bool heard;
 } reach_t;
 
 static reach_t *
@@ -55,6 +62,7 @@
       reach->reached_at_ms =
           MAX (reach->reached_at_ms, cluster_peer_told_at_ms (cluster, peer, now_ms));
       reach->frequent |= is_frequent (peer);
+      reach->heard |= peer->alive;
     }
   return reaches;
 }
@@ -71,9 +79,12 @@
       const reach_t *reach = &g_array_index (reaches, reach_t, i);
       int64_t limit_ms =
           reach->frequent ? cluster_echo_limit_ms (cluster) : cluster_idle_limit_ms ();
-      const cluster_unreached_t entry = { g_intern_string (reach->data_centre),
-                                          reach->reached_at_ms, reach->reached_at_ms + limit_ms };
-      if (now_ms > entry.since_ms)
+      int64_t proof_ms = reach->frequent ? FREQUENT_PROOF_MS : IDLE_PROOF_MS;
+      const cluster_unreached_t entry = { .data_centre = g_intern_string (reach->data_centre),
+                                          .reached_at_ms = reach->reached_at_ms,
+                                          .since_ms = reach->reached_at_ms + proof_ms,
+                                          .heard = reach->heard };
+      if (now_ms > reach->reached_at_ms + limit_ms)
         g_array_append_val (unreached, entry);
     }
   g_array_unref (reaches);
--- a/lib/scheduler/late_requests.c
+++ b/lib/scheduler/late_requests.c
@@ -8,9 +8,11 @@
 #include "scheduler/state.h"
 
 /* A request that was held up for a smaller part of resubmit_ms than this came before its caller
- * could send it again; and it waits for no longer, as hosts that are heard again have told their
- * jobs by then. */
+ * could send it again.  Hosts that are heard again have told their jobs within this time. */
 #define HELD_UP_PERCENT 50
+/* If the caller has gone, the end of its connection follows the request within a few round trips.
+ * Hosts that the end of a cut brings back are mostly heard by then, too. */
+#define HELD_MS 100
 
 static int64_t
 held_up_ms (const scheduler_t *scheduler)
@@ -18,26 +20,24 @@
   return scheduler->resubmit_ms * HELD_UP_PERCENT / 100;
 }
 
+/* Whether REQUEST may have been held up by the cut that puts UNREACHED out of reach. */
 static bool
-may_be_late (const scheduler_t *scheduler, const scheduler_job_t *request)
+may_be_late (const scheduler_t *scheduler,
+             const scheduler_job_t *request,
+             const scheduler_unreached_t *unreached)
 {
-  int64_t idle_since_ms = request->received_at_ms - request->idle_ms;
-
-  if (scheduler->resubmit_ms == 0 || request->idle_ms < held_up_ms (scheduler))
-    return false;
-  for (guint i = 0; i < scheduler->unreached->len; i++)
-    if (idle_since_ms < g_array_index (scheduler->unreached, unreached_t, i).since_ms)
-      return true;
-  return false;
+  return request->idle_ms >= held_up_ms (scheduler)
+         && request->received_at_ms - request->idle_ms < unreached->since_ms;
 }
 
 bool
 late_request_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
-  if (!may_be_late (scheduler, &job->request))
+  job->held_until_ms = now_ms + HELD_MS;
+  job->told_until_ms = now_ms + held_up_ms (scheduler);
+  if (!late_request_is_held (scheduler, job, now_ms))
     return false;
   job->waits_since_ms = now_ms;
-  job->held_until_ms = now_ms + held_up_ms (scheduler);
   scheduler_action_t *action =
       repeats_add_action (scheduler, SCHEDULER_NOTE, scheduler->host, job->request.id, actions);
   action->finding = SCHEDULER_FOUND_LATE;
@@ -48,5 +48,13 @@
 bool
 late_request_is_held (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
 {
-  return now_ms < job->held_until_ms && may_be_late (scheduler, &job->request);
+  for (guint i = 0; i < scheduler->unreached->len; i++)
+    {
+      const scheduler_unreached_t *unreached =
+          &g_array_index (scheduler->unreached, scheduler_unreached_t, i);
+      int64_t until_ms = unreached->heard ? job->told_until_ms : job->held_until_ms;
+      if (now_ms < until_ms && may_be_late (scheduler, &job->request, unreached))
+        return true;
+    }
+  return false;
 }
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -272,10 +272,18 @@
  * give up jobs for want of that. */
 void scheduler_set_told_at (scheduler_t *scheduler, int64_t told_at_ms);
 
-/* A data centre counts as out of reach since SINCE_MS, and has certainly received what was sent
- * before REACHED_AT_MS.  Jobs that were not announced to it in time are given up before they may be
- * sent again there.  Holds until scheduler_clear_unreached () is called. */
-void scheduler_add_unreached (scheduler_t *scheduler, int64_t reached_at_ms, int64_t since_ms);
+/* A data centre that is out of reach. */
+typedef struct
+{
+  int64_t reached_at_ms; /* it has certainly received what was sent before */
+  int64_t since_ms;      /* it has been out of reach since then at the latest */
+  bool heard;            /* hosts of it are heard, perhaps again */
+} scheduler_unreached_t;
+
+/* A data centre is out of reach.  Jobs that were not announced to it in time are given up before
+ * they may be sent again there (unannounced.c), and requests that came on connections that had been
+ * idle wait (late_requests.c).  Holds until scheduler_clear_unreached () is called. */
+void scheduler_add_unreached (scheduler_t *scheduler, const scheduler_unreached_t *unreached);
 void scheduler_clear_unreached (scheduler_t *scheduler);
 
 /* The number of open jobs that a host does not certainly know of that has received what was sent
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -29,13 +29,6 @@
   bool cancel_requested;    /* HOST was asked to end it and has not confirmed that yet */
 } job_batch_t;
 
-/* A data centre that is out of reach; as in scheduler_add_unreached (). */
-typedef struct
-{
-  int64_t reached_at_ms;
-  int64_t since_ms;
-} unreached_t;
-
 /* A caller that waits for a job at this host. */
 typedef struct
 {
@@ -63,16 +56,17 @@
 struct scheduled_job_t
 {
   uint64_t number;
-  scheduler_job_t request;  /* of its first request; its strings are copies that the job owns */
-  GPtrArray *requests;      /* job_request_t, owned by scheduler_t */
-  GArray *followers;        /* job_follower_t */
-  bool announced;           /* other hosts were told of it */
-  int64_t announced_at_ms;  /* ANNOUNCED: when */
-  int64_t waits_since_ms;   /* it is not run, as another host may run it; 0 if it does not wait */
-  int64_t held_until_ms;    /* it waits, although no host is known to have it, at most until then */
-  const char *holder;       /* it waits: the host that is asked; interned */
-  int64_t asked_since_ms;   /* HOLDER is asked since then */
-  int64_t ask_at_ms;        /* it is asked again then */
+  scheduler_job_t request; /* of its first request; its strings are copies that the job owns */
+  GPtrArray *requests;     /* job_request_t, owned by scheduler_t */
+  GArray *followers;       /* job_follower_t */
+  bool announced;          /* other hosts were told of it */
+  int64_t announced_at_ms; /* ANNOUNCED: when */
+  int64_t waits_since_ms;  /* it is not run, as another host may run it; 0 if it does not wait */
+  int64_t held_until_ms;   /* it waits until then, although no host is known to have it... */
+  int64_t told_until_ms;   /* ...and at most until then while others may not have told their jobs */
+  const char *holder;      /* it waits: the host that is asked; interned */
+  int64_t asked_since_ms;  /* HOLDER is asked since then */
+  int64_t ask_at_ms;       /* it is asked again then */
   job_evidence_t waited_by; /* it waited until now because of that */
   int64_t ask_owners_at_ms; /* HOLDER is not heard: owners are asked again then */
   GArray *owner_replies;    /* owner_reply_t, one for each shard */
@@ -156,7 +150,7 @@
   GHashTable *requests;      /* number -> job_request_t, owned */
   remote_jobs_t *remote_jobs;
   int64_t told_at_ms;          /* as in scheduler_set_told_at () */
-  GArray *unreached;           /* unreached_t */
+  GArray *unreached;           /* scheduler_unreached_t */
   GArray *untold_ends;         /* job_status_t with own ids: ends that other hosts should be told */
   GArray *told_ends;           /* the same, of the last call of scheduler_collect_statuses () */
   int64_t expire_remote_at_ms; /* when REMOTE_JOBS is searched for expired entries next */
--- a/lib/scheduler/unannounced.c
+++ b/lib/scheduler/unannounced.c
@@ -10,11 +10,9 @@
 #define RUNS_STOP_MS 150
 
 void
-scheduler_add_unreached (scheduler_t *scheduler, int64_t reached_at_ms, int64_t since_ms)
+scheduler_add_unreached (scheduler_t *scheduler, const scheduler_unreached_t *unreached)
 {
-  const unreached_t entry = { reached_at_ms, since_ms };
-
-  g_array_append_val (scheduler->unreached, entry);
+  g_array_append_val (scheduler->unreached, *unreached);
 }
 
 void
@@ -45,7 +43,7 @@
 
 /* Whether the data centre UNREACHED knows of JOB, or JOB is not sent there again. */
 static bool
-is_safe_from (const scheduled_job_t *job, const unreached_t *unreached)
+is_safe_from (const scheduled_job_t *job, const scheduler_unreached_t *unreached)
 {
   return is_told (job, unreached->reached_at_ms)
          || job->request.received_at_ms > unreached->since_ms;
@@ -59,7 +57,7 @@
   if (scheduler->resubmit_ms == 0 || !job->was_sent || now_ms < end_by_ms)
     return false;
   for (guint i = 0; i < scheduler->unreached->len; i++)
-    if (!is_safe_from (job, &g_array_index (scheduler->unreached, unreached_t, i)))
+    if (!is_safe_from (job, &g_array_index (scheduler->unreached, scheduler_unreached_t, i)))
       return true;
   return false;
 }
