--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -322,25 +322,24 @@
   return batch != NULL && strcmp (batch->host, host) == 0 ? batch : NULL;
 }
 
-static bool
-remove_open_task (job_batch_t *batch, int32_t index)
+/* Returns the position of task INDEX among the open tasks of BATCH, -1 if it is not one. */
+static int
+find_open_task (const job_batch_t *batch, int32_t index)
 {
   for (guint i = 0; i < batch->open_tasks->len; i++)
     if (g_array_index (batch->open_tasks, int32_t, i) == index)
-      {
-        g_array_remove_index_fast (batch->open_tasks, i);
-        return true;
-      }
-  return false;
+      return (int) i;
+  return -1;
 }
 
 static bool
-has_open_task (const job_batch_t *batch, int32_t index)
+remove_open_task (job_batch_t *batch, int32_t index)
 {
-  for (guint i = 0; i < batch->open_tasks->len; i++)
-    if (g_array_index (batch->open_tasks, int32_t, i) == index)
-      return true;
-  return false;
+  int position = find_open_task (batch, index);
+
+  if (position >= 0)
+    g_array_remove_index_fast (batch->open_tasks, (guint) position);
+  return position >= 0;
 }
 
 void
@@ -352,7 +351,7 @@
 {
   const job_batch_t *batch = find_batch (scheduler, host, number);
 
-  if (batch == NULL || !has_open_task (batch, index))
+  if (batch == NULL || find_open_task (batch, index) < 0)
     return;
   batch->job->failure = *failure;
   batch->job->failed_index = index;
--- a/tests/test_site_owner_killed_at_age.c
+++ b/tests/test_site_owner_killed_at_age.c
@@ -1,5 +1,5 @@
 /* test_site_owner_killed_at_age.c -- the owner of a job's shard is killed while the job is open */
-#include "tests/soak/rig.h"
+#include "tests/resent_job.h"
 #include "tests/unit_runner.h"
 
 #include "base/clock.h"
@@ -18,32 +18,10 @@
 #define WORK_MS 3500
 #define CALLER_WAIT_MS 6000
 #define SETTLED_MS 3000
-#define JOB 0xe0
 
-static char programs[4096];
-
-static int
-send_job (rig_t *rig, int host, uint64_t job, int work_ms)
-{
-  char *spec = g_strdup_printf ("%d", work_ms);
-  char *body = site_job_json (TASKS, spec, work_ms, "");
-  char *target = g_strdup_printf ("/q/%016" G_GINT64_MODIFIER "x", job);
-  int fd = site_connect (RIG_CALLER_IP, rig_caller_port (rig, host));
-  const book_row_t row = { .at_ms = clock_boot_ms (),
-                           .kind = BOOK_SENT,
-                           .job = job,
-                           .index = TASKS,
-                           .host = host,
-                           .number = host,
-                           .text = spec };
+static const resent_job_t job = { 0xe0, TASKS, WORK_MS, CALLER_WAIT_MS };
 
-  book_add (rig->book, &row);
-  site_send_request (fd, "POST", target, body, CALLER_WAIT_MS);
-  g_free (target);
-  g_free (body);
-  g_free (spec);
-  return fd;
-}
+static char programs[4096];
 
 static void
 test_with (int age_ms)
@@ -57,7 +35,7 @@
   CU_ASSERT_TRUE (rig_start (&rig));
   clock_sleep_ms (SETTLED_MS);
   int64_t sent_at_ms = clock_boot_ms ();
-  int first = send_job (&rig, FIRST_HOST, JOB, WORK_MS);
+  int first = resent_job_send (&rig, FIRST_HOST, &job);
   clock_sleep_ms (age_ms);
   rig_begin (&rig, &(plan_fault_t){ .kind = PLAN_KILL_HOST, .target = OWNER });
   site_response_t answer = site_read_response (first, sent_at_ms + CALLER_WAIT_MS + 500);
--- a/tests/test_site_resent_beside_dead_endpoint.c
+++ b/tests/test_site_resent_beside_dead_endpoint.c
@@ -1,6 +1,6 @@
 /* test_site_resent_beside_dead_endpoint.c -- a job whose host was killed is served when it is sent
  * again, although one endpoint of many does not answer */
-#include "tests/soak/rig.h"
+#include "tests/resent_job.h"
 #include "tests/unit_runner.h"
 
 #include "base/clock.h"
@@ -22,32 +22,12 @@
 #define SETTLED_MS 1500
 #define KILLED_AFTER_MS 700
 #define SENT_AGAIN_MS 1300
-#define JOB 0xe0
 
-static char programs[4096];
-
-static int
-send_job (rig_t *rig, int host, uint64_t job, int work_ms)
-{
-  char *spec = g_strdup_printf ("%d", work_ms);
-  char *body = site_job_json (TASKS, spec, work_ms, "");
-  char *target = g_strdup_printf ("/q/%016" G_GINT64_MODIFIER "x", job);
-  int fd = site_connect (RIG_CALLER_IP, rig_caller_port (rig, host));
-  const book_row_t row = { .at_ms = clock_boot_ms (),
-                           .kind = BOOK_SENT,
-                           .job = job,
-                           .index = TASKS,
-                           .host = host,
-                           .number = host,
-                           .text = spec };
+/* Its first run does not end before it is sent again. */
+static const resent_job_t first_job = { 0xe0, TASKS, CALLER_WAIT_MS / 2, CALLER_WAIT_MS };
+static const resent_job_t second_job = { 0xe0, TASKS, WORK_MS, CALLER_WAIT_MS };
 
-  book_add (rig->book, &row);
-  site_send_request (fd, "POST", target, body, CALLER_WAIT_MS);
-  g_free (target);
-  g_free (body);
-  g_free (spec);
-  return fd;
-}
+static char programs[4096];
 
 static void
 test_with (plan_kind_t kind)
@@ -63,12 +43,12 @@
   clock_sleep_ms (SETTLED_MS);
   if (kind != PLAN_KINDS)
     rig_begin (&rig, &dead);
-  int first = send_job (&rig, FIRST_HOST, JOB, CALLER_WAIT_MS / 2);
+  int first = resent_job_send (&rig, FIRST_HOST, &first_job);
   clock_sleep_ms (KILLED_AFTER_MS);
   rig_begin (&rig, &(plan_fault_t){ .kind = PLAN_KILL_HOST, .target = FIRST_HOST });
   clock_sleep_ms (SENT_AGAIN_MS);
   int64_t sent_at_ms = clock_boot_ms ();
-  int second = send_job (&rig, SECOND_HOST, JOB, WORK_MS);
+  int second = resent_job_send (&rig, SECOND_HOST, &second_job);
   site_response_t answer = site_read_response (second, sent_at_ms + CALLER_WAIT_MS + 500);
   printf ("  answer %d after %d ms\n", answer.status, (int) (clock_boot_ms () - sent_at_ms));
   CU_ASSERT_EQUAL (answer.status, 200);
