Reach: 750 ms after the last proof a data centre is cut off; a hold outlasts a replaced connection

Traced by its logs: the host heard the other side again, which replaced the connection on which its jobs were just being told; they came 655 ms later on the new one, and the request had waited for 650 ms.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -499,6 +499,7 @@
   site->scheduler = scheduler_new (&scheduler_options);
   site->job_cancellations = job_cancellations_new ();
   site->unreached = g_array_new (FALSE, FALSE, sizeof (cluster_unreached_t));
+  site->recovered = g_array_new (FALSE, FALSE, sizeof (recovered_t));
   site->relayed = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
   site->owned_shards = g_hash_table_new_full (NULL, NULL, NULL, owner_free_shard);
   site->retired_shards = g_ptr_array_new_with_free_func (owner_free_shard);
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -76,6 +76,13 @@
   int64_t due_at_ms;    /* no line before */
 } client_limits_log_t;
 
+/* A data centre that was out of reach since SINCE_MS, and is reached again. */
+typedef struct
+{
+  int64_t since_ms;
+  int64_t until_ms; /* its hosts may not have told all their jobs before */
+} recovered_t;
+
 struct site_t
 {
   platform_settings_t *settings;
@@ -123,6 +130,7 @@
   int64_t announce_due_ms; /* jobs are announced to other hosts next */
   GPtrArray *relayed;      /* GBytes: announcements of other hosts to pass on */
   GArray *unreached;       /* cluster_unreached_t, as of the last check */
+  GArray *recovered;       /* recovered_t */
   int64_t reach_due_ms;    /* checked again then */
   int64_t probe_due_ms;
   int64_t settings_check_due_ms;
--- a/daemon/site_reach.c
+++ b/daemon/site_reach.c
@@ -3,6 +3,8 @@
 
 /* Far less than the time that jobs are left when a data centre counts as unreached. */
 #define CHECK_INTERVAL_MS 50
+/* Hosts that are reached again have told all their open jobs within this time. */
+#define EXCHANGE_MS 1000
 
 /* Returns the entry of DATA_CENTRE, which is interned, in UNREACHED, or NULL. */
 static const cluster_unreached_t *
@@ -38,8 +40,25 @@
   event_end ();
 }
 
+/* ENTRY is reached again: for a while its hosts may not have told all their jobs. */
 static void
-log_changes (const site_t *site, const GArray *before, const GArray *after, int64_t now_ms)
+add_recovered (site_t *site, const cluster_unreached_t *entry, int64_t now_ms)
+{
+  const recovered_t recovered = { entry->since_ms, now_ms + EXCHANGE_MS };
+
+  g_array_append_val (site->recovered, recovered);
+}
+
+static void
+remove_recovered (site_t *site, int64_t now_ms)
+{
+  for (guint i = site->recovered->len; i-- > 0;)
+    if (now_ms >= g_array_index (site->recovered, recovered_t, i).until_ms)
+      g_array_remove_index_fast (site->recovered, i);
+}
+
+static void
+take_changes (site_t *site, const GArray *before, const GArray *after, int64_t now_ms)
 {
   for (guint i = 0; i < after->len; i++)
     {
@@ -50,8 +69,10 @@
   for (guint i = 0; i < before->len; i++)
     {
       const cluster_unreached_t *entry = &g_array_index (before, cluster_unreached_t, i);
-      if (find_unreached (after, entry->data_centre) == NULL)
-        log_reached (entry, now_ms);
+      if (find_unreached (after, entry->data_centre) != NULL)
+        continue;
+      log_reached (entry, now_ms);
+      add_recovered (site, entry, now_ms);
     }
 }
 
@@ -66,6 +87,14 @@
                                                 entry->heard };
       scheduler_add_unreached (site->scheduler, &unreached);
     }
+  for (guint i = 0; i < site->recovered->len; i++)
+    {
+      const recovered_t *recovered = &g_array_index (site->recovered, recovered_t, i);
+      const scheduler_unreached_t reached = { .reached_at_ms = INT64_MAX,
+                                              .since_ms = recovered->since_ms,
+                                              .heard = true };
+      scheduler_add_unreached (site->scheduler, &reached);
+    }
 }
 
 void
@@ -78,7 +107,8 @@
   site->reach_due_ms = now_ms + CHECK_INTERVAL_MS;
   site->unreached = g_array_new (FALSE, FALSE, sizeof (cluster_unreached_t));
   cluster_append_unreached (site->cluster, now_ms, site->unreached);
-  log_changes (site, before, site->unreached, now_ms);
+  remove_recovered (site, now_ms);
+  take_changes (site, before, site->unreached, now_ms);
   g_array_unref (before);
   tell_scheduler (site);
 }
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -221,7 +221,8 @@
 {
   const char *data_centre; /* interned */
   int64_t reached_at_ms;   /* one of its hosts has certainly received what was sent before */
-  int64_t since_ms;        /* it was out of reach by then: a further proof would have come */
+  int64_t since_ms;        /* it was out of reach by then, unless links are slow: a further proof
+                              would have come */
   bool heard;              /* heartbeats of one of its hosts arrive here, perhaps again */
 } cluster_unreached_t;
 
--- a/lib/cluster/reach.c
+++ b/lib/cluster/reach.c
@@ -8,8 +8,8 @@
 #include <string.h>
 
 /* A further proof would have come within this time: a heartbeat in each direction where they are
- * frequent, else one. */
-#define PROOF_SLACK_MS 100
+ * frequent, else one.  The slack is for hosts and links that are late. */
+#define PROOF_SLACK_MS 250
 #define FREQUENT_PROOF_MS (2 * HEARTBEAT_REMOTE_MS + PROOF_SLACK_MS)
 #define IDLE_PROOF_MS (HEARTBEAT_IDLE_MS + PROOF_SLACK_MS)
 
--- a/lib/scheduler/late_requests.c
+++ b/lib/scheduler/late_requests.c
@@ -8,8 +8,11 @@
 #include "scheduler/state.h"
 
 /* A request that was held up for a smaller part of resubmit_ms than this came before its caller
- * could send it again.  Hosts that are heard again have told their jobs within this time. */
+ * could send it again. */
 #define HELD_UP_PERCENT 50
+/* Hosts that are heard again have told their jobs within this time, also if a connection of theirs
+ * is replaced. */
+#define TOLD_MS 1000
 /* If the caller has gone, the end of its connection follows the request within a few round trips.
  * Hosts that the end of a cut brings back are mostly heard by then, too. */
 #define HELD_MS 100
@@ -34,7 +37,7 @@
 late_request_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
   job->held_until_ms = now_ms + HELD_MS;
-  job->told_until_ms = now_ms + held_up_ms (scheduler);
+  job->told_until_ms = now_ms + TOLD_MS;
   if (!late_request_is_held (scheduler, job, now_ms))
     return false;
   job->waits_since_ms = now_ms;
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -272,11 +272,12 @@
  * give up jobs for want of that. */
 void scheduler_set_told_at (scheduler_t *scheduler, int64_t told_at_ms);
 
-/* A data centre that is out of reach. */
+/* A data centre that is out of reach, or was until a moment ago: then REACHED_AT_MS is INT64_MAX.
+ */
 typedef struct
 {
   int64_t reached_at_ms; /* it has certainly received what was sent before */
-  int64_t since_ms;      /* it has been out of reach since then at the latest */
+  int64_t since_ms;      /* it was out of reach by then, unless links are slow */
   bool heard;            /* hosts of it are heard, perhaps again */
 } scheduler_unreached_t;
 
