Reach: a data centre is heard only if a heartbeat has come since it was cut off

Found by reading the change afresh: hosts with rare heartbeats count as alive for 3 s after a cut began, so that requests on idle connections waited for up to 1,000 ms in that time, as after a cut that has ended. "Heard" now means that a heartbeat has come since. CLUSTER_EXCHANGE_MS stood twice.

Ran: test_cluster_reach 40 of 40 asserts (says whether a data centre is heard), test_cluster 531 of 531, test_scheduling_resent_cuts 333 of 333, test_site_resent_before_its_first_request 12 of 12 in 2 of 2 runs, test_site_resent_past_an_early_cut 68 of 68.

--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -249,8 +249,7 @@
 
 /* site_reach.c: which data centres this host's messages reach */
 /* Checks that where it is due, tells the scheduler, and logs EVENT_DATA_CENTRE_UNREACHED and
- * EVENT_DATA_CENTRE_REACHED.
- */
+ * EVENT_DATA_CENTRE_REACHED. */
 void reach_tick (site_t *site, int64_t now_ms);
 
 /* site_drain.c: which data centres are drained */
--- a/daemon/site_reach.c
+++ b/daemon/site_reach.c
@@ -3,8 +3,6 @@
 
 /* Far less than the time that jobs are left when a data centre counts as unreached. */
 #define CHECK_INTERVAL_MS 50
-/* Hosts that are reached again have told all their open jobs within this time. */
-#define EXCHANGE_MS 1000
 
 /* Returns the entry of DATA_CENTRE, which is interned, in UNREACHED, or NULL. */
 static const cluster_unreached_t *
@@ -44,7 +42,7 @@
 static void
 add_recovered (site_t *site, const cluster_unreached_t *entry, int64_t now_ms)
 {
-  const recovered_t recovered = { entry->since_ms, now_ms + EXCHANGE_MS };
+  const recovered_t recovered = { entry->since_ms, now_ms + CLUSTER_EXCHANGE_MS };
 
   g_array_append_val (site->recovered, recovered);
 }
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -30,9 +30,6 @@
 /* A lost host is forgotten after this much silence, and no longer counts when a majority of the
  * known hosts is needed. */
 #define FORGET_AFTER_MS 20000
-/* Two hosts that hear each other again have told each other all that they need to know within this
- * time. */
-#define EXCHANGE_MS 1000
 /* Hosts that have all been up for no longer than this are taken to have started together. */
 #define RECENT_START_MS 5000
 
@@ -435,7 +432,7 @@
 int64_t
 cluster_peer_told_at_ms (const cluster_t *cluster, const peer_t *peer, int64_t now_ms)
 {
-  bool may_not_know = peer->resumed && now_ms - peer->alive_since_ms < EXCHANGE_MS;
+  bool may_not_know = peer->resumed && now_ms - peer->alive_since_ms < CLUSTER_EXCHANGE_MS;
 
   int64_t told_ms =
       !peer->alive || may_not_know ? peer->told_before_loss_ms : received_at_ms (cluster, peer);
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -99,6 +99,10 @@
   int32_t hubs_per_data_centre; /* see ranking.h */
 } cluster_options_t;
 
+/* Two hosts that hear each other again have told each other all that they need to know within this
+ * time, also if a connection is replaced meanwhile. */
+#define CLUSTER_EXCHANGE_MS 1000
+
 /* The usual number of hubs. */
 #define CLUSTER_HUBS_PER_DATA_CENTRE 4
 
@@ -223,7 +227,7 @@
   int64_t reached_at_ms;   /* one of its hosts has certainly received what was sent before */
   int64_t since_ms;        /* it was out of reach by then, unless links are slow: a further proof
                               would have come */
-  bool heard;              /* heartbeats of one of its hosts arrive here, perhaps again */
+  bool heard;              /* a heartbeat of one of its hosts has arrived here since then */
 } cluster_unreached_t;
 
 /* Appends to UNREACHED, cluster_unreached_t, the other data centres that are not reached.  One that
--- a/lib/cluster/reach.c
+++ b/lib/cluster/reach.c
@@ -25,7 +25,7 @@
   const char *data_centre;
   int64_t reached_at_ms;
   bool frequent; /* one of its hosts is */
-  bool heard;
+  int64_t heard_at_ms;
 } reach_t;
 
 static reach_t *
@@ -62,7 +62,7 @@
       reach->reached_at_ms =
           MAX (reach->reached_at_ms, cluster_peer_told_at_ms (cluster, peer, now_ms));
       reach->frequent |= is_frequent (peer);
-      reach->heard |= peer->alive;
+      reach->heard_at_ms = MAX (reach->heard_at_ms, peer->heartbeat_at_ms);
     }
   return reaches;
 }
@@ -80,10 +80,11 @@
       int64_t limit_ms =
           reach->frequent ? cluster_echo_limit_ms (cluster) : cluster_idle_limit_ms ();
       int64_t proof_ms = reach->frequent ? FREQUENT_PROOF_MS : IDLE_PROOF_MS;
+      int64_t since_ms = reach->reached_at_ms + proof_ms;
       const cluster_unreached_t entry = { .data_centre = g_intern_string (reach->data_centre),
                                           .reached_at_ms = reach->reached_at_ms,
-                                          .since_ms = reach->reached_at_ms + proof_ms,
-                                          .heard = reach->heard };
+                                          .since_ms = since_ms,
+                                          .heard = reach->heard_at_ms > since_ms };
       if (now_ms > reach->reached_at_ms + limit_ms)
         g_array_append_val (unreached, entry);
     }
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -278,7 +278,7 @@
 {
   int64_t reached_at_ms; /* it has certainly received what was sent before */
   int64_t since_ms;      /* it was out of reach by then, unless links are slow */
-  bool heard;            /* hosts of it are heard, perhaps again */
+  bool heard;            /* hosts of it are heard since */
 } scheduler_unreached_t;
 
 /* A data centre is out of reach.  Jobs that were not announced to it in time are given up before
--- a/tests/test_cluster_reach.c
+++ b/tests/test_cluster_reach.c
@@ -145,6 +145,7 @@
           /* Nothing that is sent in the cut counts as received. */
           CU_ASSERT_TRUE (entry->reached_at_ms < CUT_AT_MS);
           CU_ASSERT_TRUE (entry->since_ms < fixture.now_ms);
+          CU_ASSERT_EQUAL (entry->heard, reach_cases[i].link == ONE_WAY);
         }
       g_array_unref (unreached);
       g_array_unref (fixture.actions);
