--- a/daemon/site_reach.c
+++ b/daemon/site_reach.c
@@ -1,7 +1,7 @@
 /* site_reach.c -- tells the scheduler which data centres are out of reach, and logs changes */
 #include "daemon/site_private.h"
 
-/* Far less than the time that jobs are left when a data centre counts as unreached. */
+/* Jobs must be given up 110 ms after a data centre counts as unreached, or later. */
 #define CHECK_INTERVAL_MS 50
 
 /* Returns the entry of DATA_CENTRE, which is interned, in UNREACHED, or NULL. */
--- a/lib/cluster/reach.c
+++ b/lib/cluster/reach.c
@@ -1,7 +1,8 @@
 /* reach.c -- which data centres this host's messages may not have reached
  *
  * A data centre is reached as long as one of its hosts is.  That a host was heard shows only that
- * messages pass in one direction; a clock of this host that comes back shows both.
+ * messages pass in one direction; a clock of this host that comes back, in a heartbeat or in the
+ * confirmation of an announcement, shows both.
  */
 #include "cluster/state.h"
 
--- a/lib/scheduler/unannounced.c
+++ b/lib/scheduler/unannounced.c
@@ -1,8 +1,8 @@
 /* unannounced.c -- jobs that a data centre which is out of reach can't know of
  *
  * Such a job may be sent again there resubmit_ms after it was received, and starts at once.  No
- * message can prevent that, so that this host ends its own runs before.  A job that is received
- * when the data centre is known to be out of reach has a caller on this side, and goes on.
+ * message can prevent that, so that this host ends its own runs before.  A job that was received
+ * when the data centre was surely out of reach has a caller on this side, and goes on.
  */
 #include "scheduler/state.h"
 
