Tests: a scheduler with one owner is set up by one function

Found by reading the change once more: two new tests set up the scheduler that test_job_restarts had in new_scheduler_of (). It stands in test_scheduler_report.h now. No row, bound or assertion changes.

--- a/tests/test_job_late_requests.c
+++ b/tests/test_job_late_requests.c
@@ -65,23 +65,6 @@
   return submits;
 }
 
-static scheduler_t *
-new_scheduler (GArray *actions)
-{
-  const scheduler_options_t options = { .host = "ha",
-                                        .data_centre = "z",
-                                        .lease_ms = 1000,
-                                        .remote_factor = 1.0,
-                                        .resubmit_ms = RESUBMIT_MS };
-  const executor_offer_t offer = { "s", 4, 4, 1.0 };
-  const executor_load_t load = { .service = "s", .cores_milli = 4000 };
-  scheduler_t *scheduler = scheduler_new (&options);
-
-  scheduler_set_owner (scheduler, "z", "hx", 1, 0, actions);
-  report_offers (scheduler, "z", "hx", &offer, 1, &load, RECEIVED_MS);
-  return scheduler;
-}
-
 static void
 submit (scheduler_t *scheduler, int64_t idle_ms, GArray *actions)
 {
@@ -140,7 +123,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
-      scheduler_t *scheduler = new_scheduler (actions);
+      scheduler_t *scheduler = new_scheduler_of ("ha", RESUBMIT_MS, RECEIVED_MS, actions);
       const scheduler_unreached_t unreached = { .reached_at_ms = cases[i].since_ms - 600,
                                                 .since_ms = cases[i].since_ms,
                                                 .heard = cases[i].heard };
--- a/tests/test_job_restarts.c
+++ b/tests/test_job_restarts.c
@@ -180,23 +180,6 @@
     }
 }
 
-static scheduler_t *
-new_scheduler_of (const char *host, GArray *actions)
-{
-  const scheduler_options_t options = { .host = host,
-                                        .data_centre = "z",
-                                        .lease_ms = 1000,
-                                        .remote_factor = 1.0,
-                                        .resubmit_ms = RESUBMIT_MS };
-  const executor_offer_t offer = { "s", 4, 4, 1.0 };
-  const executor_load_t load = { .service = "s", .cores_milli = 4000 };
-  scheduler_t *scheduler = scheduler_new (&options);
-
-  scheduler_set_owner (scheduler, "z", "hx", 1, 0, actions);
-  report_offers (scheduler, "z", "hx", &offer, 1, &load, 0);
-  return scheduler;
-}
-
 /* The owner has lost the first host for a moment and has told a second one, which waits, that it
  * has no run of the job.  Both know of the job, and both would start it. */
 static void
@@ -204,8 +187,8 @@
 {
   GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
   GArray *statuses = g_array_new (FALSE, FALSE, sizeof (job_status_t));
-  scheduler_t *first = new_scheduler_of ("g", actions);
-  scheduler_t *second = new_scheduler_of ("h", actions);
+  scheduler_t *first = new_scheduler_of ("g", RESUBMIT_MS, 0, actions);
+  scheduler_t *second = new_scheduler_of ("h", RESUBMIT_MS, 0, actions);
 
   submit (first, actions);
   CU_ASSERT_EQUAL (take_actions (actions).submits, 1);
--- a/tests/test_job_unannounced.c
+++ b/tests/test_job_unannounced.c
@@ -71,13 +71,6 @@
 static scheduler_t *
 start_job (GArray *actions)
 {
-  const scheduler_options_t options = { .host = "h",
-                                        .data_centre = "z",
-                                        .lease_ms = 1000,
-                                        .remote_factor = 1.0,
-                                        .resubmit_ms = RESUBMIT_MS };
-  const executor_offer_t offer = { "s", 4, 4, 1.0 };
-  const executor_load_t load = { .service = "s", .cores_milli = 4000 };
   const scheduler_job_t job = { .id = ID,
                                 .spec = "work",
                                 .service = "s",
@@ -91,10 +84,8 @@
                                 .attempts_max = 3,
                                 .label = "",
                                 .preferred_rack = "" };
-  scheduler_t *scheduler = scheduler_new (&options);
+  scheduler_t *scheduler = new_scheduler_of ("h", RESUBMIT_MS, RECEIVED_MS, actions);
 
-  scheduler_set_owner (scheduler, "z", "hx", 1, 0, actions);
-  report_offers (scheduler, "z", "hx", &offer, 1, &load, RECEIVED_MS);
   scheduler_submit (scheduler, &job, RECEIVED_MS, actions);
   return scheduler;
 }
--- a/tests/test_scheduler_report.h
+++ b/tests/test_scheduler_report.h
@@ -26,4 +26,23 @@
   g_array_unref (load_array);
 }
 
+/* Returns a scheduler of HOST that knows one shard, "z", whose owner "hx" offers four slots for
+ * service "s" as of NOW_MS.  The caller frees it. */
+static inline scheduler_t *
+new_scheduler_of (const char *host, int64_t resubmit_ms, int64_t now_ms, GArray *actions)
+{
+  const scheduler_options_t options = { .host = host,
+                                        .data_centre = "z",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .resubmit_ms = resubmit_ms };
+  const executor_offer_t offer = { "s", 4, 4, 1.0 };
+  const executor_load_t load = { .service = "s", .cores_milli = 4000 };
+  scheduler_t *scheduler = scheduler_new (&options);
+
+  scheduler_set_owner (scheduler, "z", "hx", 1, 0, actions);
+  report_offers (scheduler, "z", "hx", &offer, 1, &load, now_ms);
+  return scheduler;
+}
+
 #endif
