--- a/tests/resent_cut.c
+++ b/tests/resent_cut.c
@@ -4,8 +4,10 @@
 #include "base/clock.h"
 #include "tests/resent_job.h"
 #include "tests/site_call.h"
+#include "tests/unit_runner.h"
 
 #include <CUnit/CUnit.h>
+#include <signal.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -29,6 +31,11 @@
 
 static const char *const zones[] = { "zone-x", "zone-y", "zone-z" };
 
+/* Of the program that plays; a test of the runner takes no arguments. */
+static char programs[4096];
+static const resent_cut_case_t *cases;
+static size_t case_count;
+
 typedef struct
 {
   rig_t *rig;
@@ -283,10 +290,10 @@
   CU_ASSERT_TRUE_FATAL (play->first_host >= 0);
 }
 
-void
-resent_cut_play (const char *programs, const resent_cut_case_t *cases, size_t count)
+static void
+play_cases (void)
 {
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < case_count; i++)
     {
       rig_t rig = { .programs = programs,
                     .hosts_count = cases[i].hosts,
@@ -308,3 +315,22 @@
       book_free (rig.book);
     }
 }
+
+int
+resent_cut_main (const char *suite,
+                 const char *name,
+                 const resent_cut_case_t *suite_cases,
+                 size_t count,
+                 int argc,
+                 char **argv)
+{
+  const unit_test_t tests[] = { { name, play_cases } };
+  char *directory = g_path_get_dirname (argv[0]);
+
+  signal (SIGPIPE, SIG_IGN);
+  g_snprintf (programs, sizeof programs, "%s/..", directory);
+  g_free (directory);
+  cases = suite_cases;
+  case_count = count;
+  return unit_run_named (suite, tests, G_N_ELEMENTS (tests), argc > 1 ? argv[1] : NULL);
+}
--- a/tests/resent_cut.h
+++ b/tests/resent_cut.h
@@ -43,9 +43,15 @@
   bool first_is_held;   /* the first request is sent when the cut has begun, which holds it up */
 } resent_cut_case_t;
 
-/* Plays COUNT cases, one after the other, with the programs in the directory PROGRAMS, and asserts
- * that the second request is answered 200, that no promise of book.h is broken, and that the hosts
- * serve a small job afterwards.  Prints what was seen where that is not so. */
-void resent_cut_play (const char *programs, const resent_cut_case_t *cases, size_t count);
+/* The main () of a test program SUITE with the one test NAME: plays COUNT cases, one after the
+ * other, with the programs in the directory above that of ARGV[0], and asserts that the second
+ * request is answered 200, that no promise of book.h is broken, and that the hosts serve a small
+ * job afterwards.  Prints what was seen where that is not so.  Returns the exit status. */
+int resent_cut_main (const char *suite,
+                     const char *name,
+                     const resent_cut_case_t *cases,
+                     size_t count,
+                     int argc,
+                     char **argv);
 
 #endif
--- a/tests/test_site_resent_past_a_cut.c
+++ b/tests/test_site_resent_past_a_cut.c
@@ -1,10 +1,8 @@
 /* test_site_resent_past_a_cut.c -- a job that is sent again to another data centre, while that of
  * its first host is cut off, must run once at a time, on real processes */
 #include "tests/resent_cut.h"
-#include "tests/unit_runner.h"
 
 #include <glib.h>
-#include <signal.h>
 
 static const resent_cut_case_t cases[] = {
   { "a data centre is cut off", CUT_ALL, 6, 1, 0, 4000, .cut_after_ms = RESENT_ANNOUNCED_MS },
@@ -22,25 +20,10 @@
     .cut_after_ms = RESENT_ANNOUNCED_MS },
 };
 
-static char programs[4096];
-
-static void
-test_cuts (void)
-{
-  resent_cut_play (programs, cases, G_N_ELEMENTS (cases));
-}
-
-static const unit_test_t tests[] = {
-  { "sent again while the data centre of its first host is cut off", test_cuts },
-};
-
 int
 main (int argc, char **argv)
 {
-  signal (SIGPIPE, SIG_IGN);
-  char *directory = g_path_get_dirname (argv[0]);
-  g_snprintf (programs, sizeof programs, "%s/..", directory);
-  g_free (directory);
-  return unit_run_named ("site_resent_past_a_cut", tests, G_N_ELEMENTS (tests),
-                         argc > 1 ? argv[1] : NULL);
+  return resent_cut_main ("site_resent_past_a_cut",
+                          "sent again while the data centre of its first host is cut off", cases,
+                          G_N_ELEMENTS (cases), argc, argv);
 }
--- a/tests/test_site_resent_past_an_early_cut.c
+++ b/tests/test_site_resent_past_an_early_cut.c
@@ -2,10 +2,8 @@
  * announce the job, and that is sent again to another data centre, must run once at a time, on real
  * processes */
 #include "tests/resent_cut.h"
-#include "tests/unit_runner.h"
 
 #include <glib.h>
-#include <signal.h>
 
 static const resent_cut_case_t cases[] = {
   { "a data centre is cut off", CUT_ALL, 6, 1, 0, 4000, .cut_after_ms = 100 },
@@ -24,25 +22,10 @@
   { "the first host is cut off", CUT_FIRST_HOST, 6, 1, 0, 4000, .cut_after_ms = 100 },
 };
 
-static char programs[4096];
-
-static void
-test_early_cuts (void)
-{
-  resent_cut_play (programs, cases, G_N_ELEMENTS (cases));
-}
-
-static const unit_test_t tests[] = {
-  { "sent again after a cut that began before the job was announced", test_early_cuts },
-};
-
 int
 main (int argc, char **argv)
 {
-  signal (SIGPIPE, SIG_IGN);
-  char *directory = g_path_get_dirname (argv[0]);
-  g_snprintf (programs, sizeof programs, "%s/..", directory);
-  g_free (directory);
-  return unit_run_named ("site_resent_past_an_early_cut", tests, G_N_ELEMENTS (tests),
-                         argc > 1 ? argv[1] : NULL);
+  return resent_cut_main ("site_resent_past_an_early_cut",
+                          "sent again after a cut that began before the job was announced", cases,
+                          G_N_ELEMENTS (cases), argc, argv);
 }
