Log: what is known of a job that goes on although it may soon be sent again

A host logs neither that a job goes on past the time at which its caller may send it again, nor what other data centres know of it then.

The confirmations are clocks of this host that came back (cluster_confirmed_at_ms ()), counted for each process of a peer, and not in the second in which one that is heard again may not have been told. No decision rests on them yet.

--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -97,6 +97,19 @@
   event_end ();
 }
 
+static void
+log_going_on (const scheduler_action_t *action)
+{
+  if (!event_begin (EVENT_JOB_GOES_ON))
+    return;
+  event_add_text ("job", action->job_id);
+  event_add_number ("age_ms", action->age_ms);
+  event_add_number ("announced_ms", action->announced_ms);
+  event_add_number ("confirmed_ms", action->confirmed_ms);
+  event_add_number ("unreached", action->unreached);
+  event_end ();
+}
+
 static void
 log_batch (const scheduler_action_t *action)
 {
@@ -162,6 +175,9 @@
     case SCHEDULER_NOTE:
       repeats_log (action);
       break;
+    case SCHEDULER_GOES_ON:
+      log_going_on (action);
+      break;
     case SCHEDULER_ANSWER:
     default:
       if (action->repeated)
--- a/daemon/site_reach.c
+++ b/daemon/site_reach.c
@@ -75,8 +75,9 @@
 }
 
 static void
-tell_scheduler (const site_t *site)
+tell_scheduler (const site_t *site, int64_t now_ms)
 {
+  scheduler_set_confirmed_at (site->scheduler, cluster_confirmed_at_ms (site->cluster, now_ms));
   scheduler_clear_unreached (site->scheduler);
   for (guint i = 0; i < site->unreached->len; i++)
     {
@@ -108,5 +109,5 @@
   remove_recovered (site, now_ms);
   take_changes (site, before, site->unreached, now_ms);
   g_array_unref (before);
-  tell_scheduler (site);
+  tell_scheduler (site, now_ms);
 }
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -149,6 +149,12 @@
     "the caller closed the connection after {elapsed_ms} ms" },
   { EVENT_JOB_ELSEWHERE, EVENT_CLASS_PROBLEM, "job_elsewhere", "job finding host evidence age_ms",
     "{host_id} found the job at {host}, as told {age_ms} ms before: {finding} ({evidence})" },
+  { EVENT_JOB_GOES_ON, EVENT_CLASS_PROBLEM, "job_goes_on",
+    "job age_ms announced_ms confirmed_ms unreached",
+    "{host_id} goes on with the job after {age_ms} ms, although its caller may soon send it again: "
+    "other hosts were told of it {announced_ms} ms after it came (-1: they were not), and every "
+    "other data centre has confirmed what was sent until {confirmed_ms} ms after it came; "
+    "{unreached} data centres are out of reach" },
   { EVENT_BATCH_SENT, EVENT_CLASS_ROUTINE, "batch_sent", "job batch host shard tasks",
     "{host_id} sent {tasks} tasks to {host}" },
   { EVENT_BATCH_MOVED, EVENT_CLASS_PROBLEM, "batch_moved", "job batch host shard tasks",
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -77,6 +77,7 @@
   EVENT_JOB_FAILED,   /* why it was answered as failed */
   EVENT_JOB_ABANDONED,
   EVENT_JOB_ELSEWHERE, /* another host runs it, or has run it */
+  EVENT_JOB_GOES_ON,   /* it is open for so long that its caller may send it again */
   EVENT_BATCH_SENT,
   EVENT_BATCH_MOVED,
   EVENT_BATCH_STALE,
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -80,6 +80,7 @@
   scheduler->untold_ends = g_array_new (FALSE, FALSE, sizeof (job_status_t));
   scheduler->told_ends = g_array_new (FALSE, FALSE, sizeof (job_status_t));
   scheduler->unreached = g_array_new (FALSE, FALSE, sizeof (scheduler_unreached_t));
+  scheduler->confirmed_at_ms = INT64_MAX;
   scheduler->resubmit_ms = options->resubmit_ms;
   scheduler->started_at_ms = options->started_at_ms;
   scheduler->size_history = size_history_new ();
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -95,7 +95,8 @@
   SCHEDULER_ASK,       /* ask HOST for the status of job JOB_ID */
   SCHEDULER_TELL,      /* tell HOST the STATUS of job JOB_ID */
   SCHEDULER_ASK_OWNER, /* ask HOST whether it has runs of job JOB_ID for HOLDER in SHARD */
-  SCHEDULER_NOTE       /* log FINDING: job JOB_ID was found at HOST, as told AGE_MS ago */
+  SCHEDULER_NOTE,      /* log FINDING: job JOB_ID was found at HOST, as told AGE_MS ago */
+  SCHEDULER_GOES_ON    /* log that job JOB_ID goes on although it may be sent again */
 } scheduler_action_kind_t;
 
 /* What follows for a request whose job is, or was, run by another coordinator. */
@@ -123,7 +124,11 @@
   job_status_t status;         /* SCHEDULER_TELL; its id is JOB_ID */
   scheduler_finding_t finding; /* SCHEDULER_NOTE */
   job_evidence_t evidence;     /* SCHEDULER_NOTE: what FINDING rests on */
-  int64_t age_ms;              /* SCHEDULER_NOTE */
+  int64_t age_ms;              /* SCHEDULER_NOTE; SCHEDULER_GOES_ON: since it was received */
+  /* SCHEDULER_GOES_ON, counted from the receipt of the job: */
+  int64_t announced_ms; /* when it was announced; negative if it was not */
+  int64_t confirmed_ms; /* what was sent before is known in all other data centres */
+  int32_t unreached;    /* SCHEDULER_GOES_ON: data centres that are out of reach */
   /* The other fields are those of SCHEDULER_ANSWER. */
   bool repeated; /* another request of the job was answered, or it had ended before; then only
                     OUTCOME, USER_DATA, JOB_ID, REASON and RETRY_AFTER_MS are set */
@@ -287,6 +292,10 @@
 void scheduler_add_unreached (scheduler_t *scheduler, const scheduler_unreached_t *unreached);
 void scheduler_clear_unreached (scheduler_t *scheduler);
 
+/* A host of each other data centre has received what this host sent before CONFIRMED_AT_MS;
+ * INT64_MAX if there is none. */
+void scheduler_set_confirmed_at (scheduler_t *scheduler, int64_t confirmed_at_ms);
+
 /* The number of open jobs that a host does not certainly know of that has received what was sent
  * before REACHED_AT_MS. */
 int32_t scheduler_count_untold (const scheduler_t *scheduler, int64_t reached_at_ms);
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -61,6 +61,7 @@
   GArray *followers;       /* job_follower_t */
   bool announced;          /* other hosts were told of it */
   int64_t announced_at_ms; /* ANNOUNCED: when */
+  bool goes_on_logged;     /* SCHEDULER_GOES_ON was appended for it */
   int64_t waits_since_ms;  /* it is not run, as another host may run it; 0 if it does not wait */
   int64_t held_until_ms;   /* it waits until then, although no host is known to have it... */
   int64_t told_until_ms;   /* ...and at most until then while others may not have told their jobs */
@@ -151,6 +152,7 @@
   remote_jobs_t *remote_jobs;
   int64_t told_at_ms;          /* as in scheduler_set_told_at () */
   GArray *unreached;           /* scheduler_unreached_t */
+  int64_t confirmed_at_ms;     /* as in scheduler_set_confirmed_at () */
   GArray *untold_ends;         /* job_status_t with own ids: ends that other hosts should be told */
   GArray *told_ends;           /* the same, of the last call of scheduler_collect_statuses () */
   int64_t expire_remote_at_ms; /* when REMOTE_JOBS is searched for expired entries next */
@@ -315,6 +317,11 @@
 bool
 unannounced_must_end (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms);
 
+/* unannounced.c: appends SCHEDULER_GOES_ON once JOB is so old that its runs would have ended if
+ * they had to. */
+void
+unannounced_log (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
+
 /* late_requests.c: makes the new JOB wait if a cut may have held up its request.  Returns whether
  * it waits. */
 bool
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -180,6 +180,11 @@
       send_runs_message (MESSAGE_RUNS_QUERY, host, other, action->job_id, action->holder,
                          action->shard, 0, host->sim->now_ms);
       break;
+    case SCHEDULER_GOES_ON:
+      trace (host->sim, action->job_id,
+             "%s goes on with it after %d ms: announced after %d, confirmed until %d", host->name,
+             (int) action->age_ms, (int) action->announced_ms, (int) action->confirmed_ms);
+      break;
     case SCHEDULER_NOTE:
     default:
       trace (host->sim, action->job_id, "%s finds it at %s: %d", host->name, action->host,
@@ -668,6 +673,8 @@
       scheduler_add_unreached (host->scheduler, &told);
     }
   g_array_unref (unreached);
+  scheduler_set_confirmed_at (host->scheduler,
+                              cluster_confirmed_at_ms (host->cluster, host->sim->now_ms));
 }
 
 /* Does what the daemon does every few milliseconds, and restarts a host that has been down long
