Scheduler: in a cut that is known no side runs a job past the time at which it may be sent again

Cause: a job that was received when a data centre was surely out of reach was held to be safe, as its caller "is on this side". Nothing shows that: a caller may reach both sides, one after the other, and where cuts between hosts begin before cuts of callers it leaves later. Class: what can't be seen (a caller on the other side) was taken not to be there.

One that comes in a known cut has that as its deadline, so that its owner keeps it too, also while its host stands still, and that admission goes by it: one that can't end by then is refused at once (503, it has not run here), instead of being worked on and thrown away. What a deadline stands for is one field (deadline_limit) in place of a flag for hosts that stop.

Tests: the row of test_job_unannounced that expected such a job to go on now expects it to end (stricter), and jobs that come in a known cut have rows of their own.

--- a/lib/scheduler/job_end.c
+++ b/lib/scheduler/job_end.c
@@ -152,12 +152,3 @@
 {
   scheduler_end_job (scheduler, job, SCHEDULER_REFUSED, limit, reason, now_ms, actions);
 }
-
-scheduler_limit_t
-scheduler_deadline_limit (const scheduled_job_t *job)
-{
-  if (job->ends_with_host)
-    return SCHEDULER_LIMIT_STOPPING;
-  return job->request.deadline_from_queue ? SCHEDULER_LIMIT_QUEUE_TIME
-                                          : SCHEDULER_LIMIT_CALLER_WAIT;
-}
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -210,7 +210,7 @@
   const remote_job_t *remote = current_holder (scheduler, job, now_ms, actions);
 
   if (now_ms >= job->request.deadline_at_ms)
-    scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, scheduler_deadline_limit (job),
+    scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, job->deadline_limit,
                        "another host may be running it", now_ms, actions);
   else if (remote == NULL && !late_request_is_held (scheduler, job, now_ms))
     start_waiting (scheduler, job, now_ms, actions);
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -148,15 +148,14 @@
                                .deadline_at_ms = info->deadline_at_ms };
 }
 
-/* A job must end before this host stops. */
-static void
-limit_deadline (scheduled_job_t *job, int64_t answer_by_ms)
+void
+scheduler_limit_deadline (scheduled_job_t *job, int64_t until_ms, scheduler_limit_t limit)
 {
-  if (job->request.deadline_at_ms <= answer_by_ms)
+  if (job->request.deadline_at_ms <= until_ms)
     return;
-  job->request.deadline_at_ms = answer_by_ms;
-  job->aim.deadline_at_ms = answer_by_ms;
-  job->ends_with_host = true;
+  job->request.deadline_at_ms = until_ms;
+  job->aim.deadline_at_ms = until_ms;
+  job->deadline_limit = limit;
 }
 
 void
@@ -168,11 +167,11 @@
   scheduler->answer_by_ms = answer_by_ms;
   g_hash_table_iter_init (&iter, scheduler->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    limit_deadline (value, answer_by_ms);
+    scheduler_limit_deadline (value, answer_by_ms, SCHEDULER_LIMIT_STOPPING);
 }
 
-/* Refuses a new job that can't be served in time because this host stops or because of the backlog.
- * Returns true if it was refused. */
+/* Refuses a new job that can't be served in time because this host stops, because a data centre is
+ * out of reach, or because of the backlog.  Returns true if it was refused. */
 static bool
 refuse_on_arrival (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
@@ -180,10 +179,12 @@
     [ADMISSION_MISSES_DEADLINE] = "the backlog leaves no time for it before its deadline",
     [ADMISSION_MISSES_START_LIMIT] = "the backlog is longer than its queue's time",
   };
-  if (job->ends_with_host && scheduler_cannot_finish (job, now_ms))
+  bool is_shortened = job->deadline_limit == SCHEDULER_LIMIT_STOPPING
+                      || job->deadline_limit == SCHEDULER_LIMIT_UNREACHED;
+  if (is_shortened && scheduler_cannot_finish (job, now_ms))
     {
-      scheduler_refuse_job (scheduler, job, SCHEDULER_LIMIT_STOPPING, "this host stops", now_ms,
-                            actions);
+      scheduler_refuse_job (scheduler, job, job->deadline_limit, scheduler_deadline_reason (job),
+                            now_ms, actions);
       return true;
     }
   admission_t admission = forecast_job_admit (scheduler, job, now_ms);
@@ -228,7 +229,9 @@
   job->request.label = g_strdup (info->label);
   job->request.preferred_rack = g_strdup (info->preferred_rack);
   job->aim = objective_of (info);
-  limit_deadline (job, scheduler->answer_by_ms);
+  job->deadline_limit =
+      info->deadline_from_queue ? SCHEDULER_LIMIT_QUEUE_TIME : SCHEDULER_LIMIT_CALLER_WAIT;
+  scheduler_limit_deadline (job, scheduler->answer_by_ms, SCHEDULER_LIMIT_STOPPING);
   job->size_class = size_history_add (scheduler->size_history, job->request.queue,
                                       (double) info->tasks * (double) info->need.cores_milli
                                           * (double) info->estimate_ms);
@@ -253,6 +256,7 @@
 void
 scheduler_start_job (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
+  unannounced_limit_deadline (scheduler, job);
   if (!refuse_on_arrival (scheduler, job, now_ms, actions))
     assign_job_tasks (scheduler, job, now_ms, actions);
 }
@@ -434,13 +438,13 @@
                              actions);
           break;
         }
-      scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, scheduler_deadline_limit (job),
+      scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, job->deadline_limit,
                          "a task takes too long for its deadline", now_ms, actions);
       break;
     case SCHEDULER_TASK_EXPIRED:
     default:
-      scheduler_refuse_job (scheduler, job, scheduler_deadline_limit (job),
-                            "cannot end before its deadline", now_ms, actions);
+      scheduler_refuse_job (scheduler, job, job->deadline_limit, "cannot end before its deadline",
+                            now_ms, actions);
       break;
     }
 }
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -88,7 +88,7 @@
                                 the loss of fewer owners can end the job */
   bool was_sent;             /* some of its tasks were sent to an owner */
   bool may_have_run;
-  bool ends_with_host; /* its deadline is the time by which this host must have answered */
+  scheduler_limit_t deadline_limit; /* what its deadline stands for */
   bool end_pending; /* it is answered once the owners have confirmed that its batches have ended */
   scheduler_outcome_t outcome;
   const char *reason;
@@ -227,6 +227,9 @@
 int64_t
 forecast_job_retry_after_ms (scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms);
 
+/* timeouts.c: why JOB must end by its deadline; static. */
+const char *scheduler_deadline_reason (const scheduled_job_t *job);
+
 /* timeouts.c: true if too little time is left for JOB, however fast its endpoints are. */
 bool scheduler_cannot_finish (const scheduled_job_t *job, int64_t now_ms);
 
@@ -317,6 +320,10 @@
 bool
 unannounced_must_end (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms);
 
+/* unannounced.c: the new JOB, or one that has waited, must end before it may be sent again to a
+ * data centre that is out of reach now. */
+void unannounced_limit_deadline (const scheduler_t *scheduler, scheduled_job_t *job);
+
 /* unannounced.c: appends SCHEDULER_GOES_ON once JOB is so old that its runs would have ended if
  * they had to. */
 void
@@ -368,8 +375,8 @@
 /* repeats.c: forgets what other hosts have told, where its time is over. */
 void repeats_expire (scheduler_t *scheduler, int64_t now_ms);
 
-/* job_end.c: returns the limit that the deadline of JOB stands for. */
-scheduler_limit_t scheduler_deadline_limit (const scheduled_job_t *job);
+/* scheduler.c: JOB must end by UNTIL_MS because of LIMIT. */
+void scheduler_limit_deadline (scheduled_job_t *job, int64_t until_ms, scheduler_limit_t limit);
 
 /* scheduler.c: appends an empty action, which is valid until the next one is appended. */
 scheduler_action_t *scheduler_add_action (GArray *actions, scheduler_action_kind_t kind);
--- a/lib/scheduler/timeouts.c
+++ b/lib/scheduler/timeouts.c
@@ -44,6 +44,20 @@
   return now_ms + least_ms > job->request.deadline_at_ms;
 }
 
+const char *
+scheduler_deadline_reason (const scheduled_job_t *job)
+{
+  switch (job->deadline_limit)
+    {
+    case SCHEDULER_LIMIT_STOPPING:
+      return "this host stops";
+    case SCHEDULER_LIMIT_UNREACHED:
+      return "a data centre that was out of reach when it came can't know of it and may run it";
+    default:
+      return "its deadline has passed";
+    }
+}
+
 static bool
 takeover_timed_out (const scheduled_job_t *job, int64_t now_ms)
 {
@@ -99,8 +113,7 @@
     }
   if (now_ms >= job->request.deadline_at_ms)
     {
-      scheduler_refuse_job (scheduler, job, scheduler_deadline_limit (job),
-                            job->ends_with_host ? "this host stops" : "its deadline has passed",
+      scheduler_refuse_job (scheduler, job, job->deadline_limit, scheduler_deadline_reason (job),
                             now_ms, actions);
       return;
     }
--- a/lib/scheduler/unannounced.c
+++ b/lib/scheduler/unannounced.c
@@ -1,8 +1,8 @@
 /* unannounced.c -- jobs that a data centre which is out of reach can't know of
  *
  * Such a job may be sent again there resubmit_ms after it was received, and starts at once.  No
- * message can prevent that, so that this host ends its own runs before.  A job that was received
- * when the data centre was surely out of reach has a caller on this side, and goes on.
+ * message can prevent that, so that this host ends its own runs before.  Where a caller is says
+ * nothing: it may reach both sides of a cut, one after the other.
  */
 #include "scheduler/state.h"
 
@@ -27,6 +27,13 @@
   scheduler->confirmed_at_ms = confirmed_at_ms;
 }
 
+/* Whether the data centre is out of reach, and not reached again. */
+static bool
+is_out_of_reach (const scheduler_unreached_t *unreached)
+{
+  return unreached->reached_at_ms != INT64_MAX;
+}
+
 /* Whether a data centre that has received what was sent before REACHED_AT_MS knows of JOB. */
 static bool
 is_told (const scheduled_job_t *job, int64_t reached_at_ms)
@@ -47,12 +54,18 @@
   return count;
 }
 
-/* Whether the data centre UNREACHED knows of JOB, or JOB is not sent there again. */
+/* Whether a data centre is out of reach that does not certainly know of JOB. */
 static bool
-is_safe_from (const scheduled_job_t *job, const scheduler_unreached_t *unreached)
+may_be_unknown (const scheduler_t *scheduler, const scheduled_job_t *job)
 {
-  return is_told (job, unreached->reached_at_ms)
-         || job->request.received_at_ms > unreached->since_ms;
+  for (guint i = 0; i < scheduler->unreached->len; i++)
+    {
+      const scheduler_unreached_t *unreached =
+          &g_array_index (scheduler->unreached, scheduler_unreached_t, i);
+      if (is_out_of_reach (unreached) && !is_told (job, unreached->reached_at_ms))
+        return true;
+    }
+  return false;
 }
 
 /* By then the runs of JOB must be ending if it may be sent again unseen. */
@@ -65,12 +78,15 @@
 bool
 unannounced_must_end (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
 {
-  if (scheduler->resubmit_ms == 0 || !job->was_sent || now_ms < end_by_ms (scheduler, job))
-    return false;
-  for (guint i = 0; i < scheduler->unreached->len; i++)
-    if (!is_safe_from (job, &g_array_index (scheduler->unreached, scheduler_unreached_t, i)))
-      return true;
-  return false;
+  return scheduler->resubmit_ms != 0 && job->was_sent && now_ms >= end_by_ms (scheduler, job)
+         && may_be_unknown (scheduler, job);
+}
+
+void
+unannounced_limit_deadline (const scheduler_t *scheduler, scheduled_job_t *job)
+{
+  if (scheduler->resubmit_ms != 0 && may_be_unknown (scheduler, job))
+    scheduler_limit_deadline (job, end_by_ms (scheduler, job), SCHEDULER_LIMIT_UNREACHED);
 }
 
 /* The number of data centres that are out of reach. */
@@ -80,8 +96,7 @@
   int32_t count = 0;
 
   for (guint i = 0; i < scheduler->unreached->len; i++)
-    count +=
-        g_array_index (scheduler->unreached, scheduler_unreached_t, i).reached_at_ms != INT64_MAX;
+    count += is_out_of_reach (&g_array_index (scheduler->unreached, scheduler_unreached_t, i));
   return count;
 }
 
--- a/tests/resent_cut.c
+++ b/tests/resent_cut.c
@@ -280,6 +280,22 @@
               host_name (play, play->first_host), 0, false);
 }
 
+/* Sends JOB again, to the second host, as the caller has lost its channel to the first one. Returns
+ * the connection. */
+static int
+send_second (const play_t *play, const resent_job_t *job)
+{
+  const book_row_t broken = { .at_ms = clock_boot_ms (),
+                              .kind = BOOK_BROKEN,
+                              .job = job->id,
+                              .host = play->first_host,
+                              .number = play->first_host,
+                              .text = "closed" };
+
+  book_add (play->rig->book, &broken);
+  return resent_job_send (play->rig, play->second_host, job);
+}
+
 /* Sends the third request, if the row says so.  Returns its connection or -1. */
 static int
 send_third (const play_t *play, const resent_job_t *job)
@@ -312,7 +328,7 @@
   int64_t cut_ms = row->known_cut_ms > 0 ? clock_boot_ms () : begun_ms + row->cut_after_ms;
   cut_callers (play, cut_ms);
   clock_sleep_ms (MAX (cut_ms + SENT_AGAIN_AFTER_MS - clock_boot_ms (), 0));
-  int second = resent_job_send (rig, play->second_host, &job);
+  int second = send_second (play, &job);
   int64_t sent_ms = clock_boot_ms ();
   int64_t cut_ends_ms = sent_ms + (row->cut_ends_ms > 0 ? row->cut_ends_ms : CUT_LASTS_MS);
   int third = send_third (play, &job);
--- a/tests/test_job_late_requests.c
+++ b/tests/test_job_late_requests.c
@@ -73,7 +73,7 @@
                                 .service = "s",
                                 .tasks = 2,
                                 .need = { 1000, 10, 0 },
-                                .estimate_ms = 2000,
+                                .estimate_ms = 100, /* short enough for a cut */
                                 .stretch_factor = 3,
                                 .target_ms = 60,
                                 .received_at_ms = RECEIVED_MS,
--- a/tests/test_job_unannounced.c
+++ b/tests/test_job_unannounced.c
@@ -15,6 +15,9 @@
 #define ENDS_BY_MS (RECEIVED_MS + RESUBMIT_MS - 100)
 #define YOUNG_MS (RECEIVED_MS + RESUBMIT_MS - 200)
 #define NEVER INT64_MAX
+#define LONG_MS 4000
+#define CONFIRM_MS 100
+#define SHORT_MS 300
 
 static const struct
 {
@@ -31,7 +34,7 @@
   { "not announced", false, RECEIVED_MS + 100, RECEIVED_MS + 1000, ENDS_BY_MS, true },
   { "received in the cut", false, RECEIVED_MS - 500, RECEIVED_MS + 500, ENDS_BY_MS, true },
   { "received when the cut was known", false, RECEIVED_MS - 2000, RECEIVED_MS - 1000, ENDS_BY_MS,
-    false },
+    true },
   { "announced before", true, ANNOUNCED_AT_MS + 1, ANNOUNCED_AT_MS + 1000, DEADLINE_MS - 100,
     false },
   { "announced in the cut", true, ANNOUNCED_AT_MS, ANNOUNCED_AT_MS + 700, ENDS_BY_MS, true },
@@ -68,22 +71,28 @@
   return counts;
 }
 
+static scheduler_job_t
+job_of (int64_t estimate_ms)
+{
+  return (scheduler_job_t){ .id = ID,
+                            .spec = "work",
+                            .service = "s",
+                            .tasks = 2,
+                            .need = { 1000, 10, 0 },
+                            .estimate_ms = estimate_ms,
+                            .stretch_factor = 3,
+                            .target_ms = 60,
+                            .received_at_ms = RECEIVED_MS,
+                            .deadline_at_ms = DEADLINE_MS,
+                            .attempts_max = 3,
+                            .label = "",
+                            .preferred_rack = "" };
+}
+
 static scheduler_t *
 start_job (GArray *actions)
 {
-  const scheduler_job_t job = { .id = ID,
-                                .spec = "work",
-                                .service = "s",
-                                .tasks = 2,
-                                .need = { 1000, 10, 0 },
-                                .estimate_ms = 4000,
-                                .stretch_factor = 3,
-                                .target_ms = 60,
-                                .received_at_ms = RECEIVED_MS,
-                                .deadline_at_ms = DEADLINE_MS,
-                                .attempts_max = 3,
-                                .label = "",
-                                .preferred_rack = "" };
+  const scheduler_job_t job = job_of (LONG_MS);
   scheduler_t *scheduler = new_scheduler_of ("h", RESUBMIT_MS, RECEIVED_MS, actions);
 
   scheduler_submit (scheduler, &job, RECEIVED_MS, actions);
@@ -121,8 +130,68 @@
     }
 }
 
+/* A job that comes when a data centre is known to be out of reach. */
+static const struct
+{
+  const char *name;
+  int64_t reached_at_ms; /* of the data centre; NEVER: it is reached again */
+  int64_t estimate_ms;
+  scheduler_outcome_t outcome; /* by ENDS_BY_MS; SCHEDULER_COMPLETE: none, it goes on */
+  bool starts;
+} known_cases[] = {
+  { "a long job is refused at once", RECEIVED_MS - 2000, LONG_MS, SCHEDULER_REFUSED, false },
+  { "a short job starts, and ends in time", RECEIVED_MS - 2000, SHORT_MS, SCHEDULER_GIVEN_UP,
+    true },
+  { "reached again", NEVER, LONG_MS, SCHEDULER_COMPLETE, true },
+};
+
+static void
+check_known (size_t row, GArray *actions)
+{
+  const scheduler_unreached_t unreached = { .reached_at_ms = known_cases[row].reached_at_ms,
+                                            .since_ms = RECEIVED_MS - 1000 };
+  const scheduler_job_t job = job_of (known_cases[row].estimate_ms);
+  scheduler_t *scheduler = new_scheduler_of ("h", RESUBMIT_MS, RECEIVED_MS, actions);
+  bool ends = known_cases[row].outcome != SCHEDULER_COMPLETE;
+
+  scheduler_add_unreached (scheduler, &unreached);
+  scheduler_submit (scheduler, &job, RECEIVED_MS, actions);
+  counts_t counts = take_actions (actions);
+  CU_ASSERT_EQUAL (counts.answers, !known_cases[row].starts);
+  if (known_cases[row].starts)
+    {
+      scheduler_step (scheduler, YOUNG_MS, actions);
+      CU_ASSERT_EQUAL (take_actions (actions).answers, 0);
+      /* An owner that does not confirm the cancellation may have run its tasks. */
+      scheduler_step (scheduler, ENDS_BY_MS, actions);
+      CU_ASSERT_EQUAL (take_actions (actions).cancels, ends);
+      scheduler_step (scheduler, ENDS_BY_MS + CONFIRM_MS, actions);
+      counts = take_actions (actions);
+    }
+  CU_ASSERT_EQUAL (counts.answers, ends);
+  CU_ASSERT_TRUE (
+      !ends
+      || (counts.outcome == known_cases[row].outcome && counts.limit == SCHEDULER_LIMIT_UNREACHED));
+  if (counts.answers != ends || (ends && counts.outcome != known_cases[row].outcome))
+    printf ("  %s: %d answers, outcome %d\n", known_cases[row].name, counts.answers,
+            (int) counts.outcome);
+  scheduler_free (scheduler);
+}
+
+static void
+test_known (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (known_cases); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      check_known (i, actions);
+      g_array_unref (actions);
+    }
+}
+
 static const unit_test_t tests[] = {
   { "jobs that a data centre can't know of", test_unannounced },
+  { "jobs that come in a known cut", test_known },
 };
 
 int
