--- a/tests/resent_cut.c
+++ b/tests/resent_cut.c
@@ -325,9 +325,11 @@
   wait_for_owners (play);
   int64_t begun_ms = clock_boot_ms ();
   int first = send_first (play, &job, &trouble);
-  int64_t cut_ms = row->known_cut_ms > 0 ? clock_boot_ms () : begun_ms + row->cut_after_ms;
-  cut_callers (play, cut_ms);
-  clock_sleep_ms (MAX (cut_ms + SENT_AGAIN_AFTER_MS - clock_boot_ms (), 0));
+  int64_t broken_ms = begun_ms + (row->broken_at_once ? 0 : row->cut_after_ms);
+  if (row->known_cut_ms > 0)
+    broken_ms = clock_boot_ms ();
+  cut_callers (play, broken_ms);
+  clock_sleep_ms (MAX (broken_ms + SENT_AGAIN_AFTER_MS - clock_boot_ms (), 0));
   int second = send_second (play, &job);
   int64_t sent_ms = clock_boot_ms ();
   int64_t cut_ends_ms = sent_ms + (row->cut_ends_ms > 0 ? row->cut_ends_ms : CUT_LASTS_MS);
--- a/tests/resent_cut.h
+++ b/tests/resent_cut.h
@@ -45,9 +45,11 @@
   bool second_is_no_hub; /* the same for SECOND_HOST */
   bool first_is_held;    /* the first request is sent when the cut has begun, which holds it up */
   int known_cut_ms;      /* the first request is sent so long after the cut has begun; 0: before */
-  int callers_cut_ms;    /* callers are cut from the first host so long after the first request */
-  int cut_ends_ms;       /* the cut ends so long after the second request; 0: in 6 s */
-  bool third_request;    /* and the job is sent to THIRD_HOST, too, after the same time */
+  bool broken_at_once; /* the first channel breaks as the first request is sent, so that the second
+                          one follows 1,300 ms after it */
+  int callers_cut_ms;  /* callers are cut from the first host so long after the first request */
+  int cut_ends_ms;     /* the cut ends so long after the second request; 0: in 6 s */
+  bool third_request;  /* and the job is sent to THIRD_HOST, too, after the same time */
   int third_host;
   bool may_be_unserved; /* the second request may be answered 503 or 504: no host can know that
                            the job does not run elsewhere */
