Scheduler: a job goes on only if every other data centre has confirmed that it was told

Cause: a job ended only once a data centre counted as out of reach, 1,040 ms after its last proof. Where its channel breaks at once it may be sent again before that. The question was "is somebody known to be cut off?", it has to be "has everybody confirmed?".

Change: a job ends 1,150 ms after its receipt unless a host of each other data centre has confirmed its announcement; hosts are asked to confirm again every 200 ms until they have. Only confirmations count, not clocks in heartbeats: those come from hosts that don't pass announcements on, too. That a data centre is out of reach only decides on new jobs and late requests. Why it works: no detection, and so no time for it, stands between the cut and the end.

Tests: in test_job_unannounced the row "found out late" ends by the usual time now (stricter), one row is new.

--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -206,35 +206,35 @@
   g_ptr_array_set_size (site->relayed, 0);
 }
 
-/* Announces STATUSES to HOST.  Other data centres confirm them: they may be cut off. */
+/* Announces STATUSES to all hosts.  Other data centres confirm them, as they may be cut off, and
+ * are asked to again until they have. */
 static void
-announce (site_t *site,
-          const char *host,
-          const peer_connection_t *connection,
-          const GArray *statuses,
-          int64_t now_ms)
+announce (site_t *site, const GArray *statuses, int64_t now_ms)
 {
-  send_statuses (site, host, site->host, is_relay_needed (site, host), statuses);
-  if (!is_local (site, connection))
-    peers_send (site, host, job_msg_told (JOB_MSG_TOLD, now_ms));
+  GHashTableIter iter;
+  void *host = NULL;
+  void *connection = NULL;
+
+  g_hash_table_iter_init (&iter, site->connections);
+  while (g_hash_table_iter_next (&iter, &host, &connection))
+    {
+      send_statuses (site, host, site->host, is_relay_needed (site, host), statuses);
+      if (!is_local (site, connection))
+        peers_send (site, host, job_msg_told (JOB_MSG_TOLD, now_ms));
+    }
 }
 
 void
 repeats_tick (site_t *site, int64_t now_ms)
 {
-  GHashTableIter iter;
-  void *host = NULL;
-  void *connection = NULL;
-
   if (now_ms < site->announce_due_ms)
     return;
   site->announce_due_ms = now_ms + ANNOUNCE_INTERVAL_MS;
   send_relayed (site);
   GArray *statuses = new_statuses ();
   scheduler_collect_statuses (site->scheduler, now_ms, statuses);
-  g_hash_table_iter_init (&iter, site->connections);
-  while (statuses->len > 0 && g_hash_table_iter_next (&iter, &host, &connection))
-    announce (site, host, connection, statuses, now_ms);
+  if (statuses->len > 0 || scheduler_awaits_confirmation (site->scheduler))
+    announce (site, statuses, now_ms);
   g_array_unref (statuses);
 }
 
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -192,13 +192,6 @@
   return returned_ms != 0 ? returned_ms : peer->heartbeat_at_ms;
 }
 
-/* Whether PEER, which is heard again, may not have been told yet what was sent meanwhile. */
-static bool
-may_not_know (const peer_t *peer, int64_t now_ms)
-{
-  return peer->resumed && now_ms - peer->alive_since_ms < CLUSTER_EXCHANGE_MS;
-}
-
 static void
 mark_lost (cluster_t *cluster, peer_t *peer, const char *reason, int64_t now_ms, GArray *actions)
 {
@@ -231,8 +224,6 @@
   peer->clock_ms = heartbeat->clock_ms;
   if (heartbeat->echo_ms >= echo_min_ms && heartbeat->echo_ms <= now_ms)
     peer->echo_ms = MAX (peer->echo_ms, heartbeat->echo_ms);
-  if (peer->alive && !may_not_know (peer, now_ms))
-    peer->proven_ms = MAX (peer->proven_ms, peer->echo_ms);
   if (heartbeat->interval_ms <= HEARTBEAT_REMOTE_MS && peer->interval_ms > HEARTBEAT_REMOTE_MS)
     peer->frequent_since_ms = now_ms;
 }
@@ -289,7 +280,6 @@
     {
       peer->resumed = false;
       peer->confirmed_ms = 0;
-      peer->proven_ms = 0;
     }
   if (!peer->alive)
     {
@@ -442,8 +432,10 @@
 int64_t
 cluster_peer_told_at_ms (const cluster_t *cluster, const peer_t *peer, int64_t now_ms)
 {
-  bool from_before = !peer->alive || may_not_know (peer, now_ms);
-  int64_t told_ms = from_before ? peer->told_before_loss_ms : received_at_ms (cluster, peer);
+  bool may_not_know = peer->resumed && now_ms - peer->alive_since_ms < CLUSTER_EXCHANGE_MS;
+
+  int64_t told_ms =
+      !peer->alive || may_not_know ? peer->told_before_loss_ms : received_at_ms (cluster, peer);
 
   return MAX (told_ms, peer->confirmed_ms + 1);
 }
@@ -453,10 +445,8 @@
 {
   peer_t *peer = g_hash_table_lookup (cluster->peers, g_intern_string (host));
 
-  if (peer == NULL || clock_ms < cluster->started_at_ms || clock_ms > now_ms)
-    return;
-  peer->confirmed_ms = MAX (peer->confirmed_ms, clock_ms);
-  peer->proven_ms = MAX (peer->proven_ms, clock_ms);
+  if (peer != NULL && clock_ms >= cluster->started_at_ms && clock_ms <= now_ms)
+    peer->confirmed_ms = MAX (peer->confirmed_ms, clock_ms);
 }
 
 int64_t
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -220,9 +220,9 @@
 /* HOST has received all that this host sent it until CLOCK_MS, by this host's clock. */
 void cluster_confirmed (cluster_t *cluster, const char *host, int64_t clock_ms, int64_t now_ms);
 
-/* The latest time before which a host of each other data centre has received what this host sent,
- * as a clock of this host that has come back shows.  INT64_MAX if no other data centre is known, or
- * if callers don't submit again. */
+/* The latest time before which a host of each other data centre has confirmed to have received what
+ * this host sent (cluster_confirmed ()).  INT64_MAX if no other data centre is known, or if callers
+ * don't submit again. */
 int64_t cluster_confirmed_at_ms (const cluster_t *cluster, int64_t now_ms);
 
 /* A data centre none of whose hosts has for some time shown that messages of this host arrive. */
--- a/lib/cluster/reach.c
+++ b/lib/cluster/reach.c
@@ -27,7 +27,7 @@
   int64_t reached_at_ms;
   bool frequent; /* one of its hosts is */
   int64_t heard_at_ms;
-  int64_t proven_ms; /* one of its hosts has received what was sent until then */
+  int64_t confirmed_ms; /* one of its hosts has confirmed what was sent until then */
 } reach_t;
 
 static reach_t *
@@ -65,7 +65,7 @@
           MAX (reach->reached_at_ms, cluster_peer_told_at_ms (cluster, peer, now_ms));
       reach->frequent |= is_frequent (peer);
       reach->heard_at_ms = MAX (reach->heard_at_ms, peer->heartbeat_at_ms);
-      reach->proven_ms = MAX (reach->proven_ms, peer->proven_ms);
+      reach->confirmed_ms = MAX (reach->confirmed_ms, peer->confirmed_ms);
     }
   return reaches;
 }
@@ -79,7 +79,7 @@
     return confirmed_at_ms;
   GArray *reaches = list_reaches (cluster, now_ms);
   for (guint i = 0; i < reaches->len; i++)
-    confirmed_at_ms = MIN (confirmed_at_ms, g_array_index (reaches, reach_t, i).proven_ms + 1);
+    confirmed_at_ms = MIN (confirmed_at_ms, g_array_index (reaches, reach_t, i).confirmed_ms + 1);
   g_array_unref (reaches);
   return confirmed_at_ms;
 }
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -35,7 +35,6 @@
   int64_t frequent_since_ms; /* since when its heartbeats come at a short interval */
   int64_t lost_at_ms;
   int64_t confirmed_ms;        /* it has confirmed to have received what was sent until then */
-  int64_t proven_ms;           /* the same, or has returned that clock; since it was heard last */
   int64_t told_before_loss_ms; /* it has received what was sent before, when it was lost last */
   bool resumed;                /* its process was lost and is heard again */
   int64_t alive_since_ms;
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -72,7 +72,7 @@
   SCHEDULER_LIMIT_DRAINED,     /* every data centre with endpoints for it is drained */
   SCHEDULER_LIMIT_STOPPING,    /* it can't end before this host stops */
   SCHEDULER_LIMIT_CAPACITY,    /* refused on arrival because the backlog is too long */
-  SCHEDULER_LIMIT_UNREACHED,   /* a data centre that is out of reach can't know of it */
+  SCHEDULER_LIMIT_UNREACHED,   /* another data centre may not know of it */
   SCHEDULER_LIMIT_LAST = SCHEDULER_LIMIT_UNREACHED
 } scheduler_limit_t;
 
@@ -286,16 +286,20 @@
   bool heard;            /* hosts of it are heard since */
 } scheduler_unreached_t;
 
-/* A data centre is out of reach.  Jobs that were not announced to it in time are given up before
- * they may be sent again there (unannounced.c), and requests that came on connections that had been
- * idle wait (late_requests.c).  Holds until scheduler_clear_unreached () is called. */
+/* A data centre is out of reach.  New jobs must end before they may be sent again there
+ * (unannounced.c), and requests that came on connections that had been idle wait (late_requests.c).
+ * Holds until scheduler_clear_unreached () is called. */
 void scheduler_add_unreached (scheduler_t *scheduler, const scheduler_unreached_t *unreached);
 void scheduler_clear_unreached (scheduler_t *scheduler);
 
 /* A host of each other data centre has received what this host sent before CONFIRMED_AT_MS;
- * INT64_MAX if there is none. */
+ * INT64_MAX if there is none.  A job that was not announced before is given up before it may be
+ * sent again (unannounced.c). */
 void scheduler_set_confirmed_at (scheduler_t *scheduler, int64_t confirmed_at_ms);
 
+/* Whether a job was announced that not every other data centre has confirmed yet. */
+bool scheduler_awaits_confirmation (const scheduler_t *scheduler);
+
 /* The number of open jobs that a host does not certainly know of that has received what was sent
  * before REACHED_AT_MS. */
 int32_t scheduler_count_untold (const scheduler_t *scheduler, int64_t reached_at_ms);
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -316,7 +316,7 @@
 #define REPEATS_ASK_INTERVAL_MS 200
 
 /* unannounced.c: whether the runs of JOB, which is open, must end as it may soon be sent again to a
- * data centre that can't know of it. */
+ * data centre that may not know of it. */
 bool
 unannounced_must_end (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms);
 
--- a/lib/scheduler/timeouts.c
+++ b/lib/scheduler/timeouts.c
@@ -121,7 +121,7 @@
     {
       job->may_have_run = true;
       scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, SCHEDULER_LIMIT_UNREACHED,
-                         "a data centre that is out of reach can't know of it and may run it",
+                         "a data centre has not confirmed that it was told of it, and may run it",
                          now_ms, actions);
       return;
     }
--- a/lib/scheduler/unannounced.c
+++ b/lib/scheduler/unannounced.c
@@ -1,8 +1,9 @@
-/* unannounced.c -- jobs that a data centre which is out of reach can't know of
+/* unannounced.c -- jobs of which another data centre may not know
  *
  * Such a job may be sent again there resubmit_ms after it was received, and starts at once.  No
- * message can prevent that, so that this host ends its own runs before.  Where a caller is says
- * nothing: it may reach both sides of a cut, one after the other.
+ * message can prevent that, so that this host ends its own runs before, unless a host of each other
+ * data centre has confirmed by then that it was told.  Where a caller is says nothing: it may reach
+ * both sides of a cut, one after the other.
  */
 #include "scheduler/state.h"
 
@@ -54,6 +55,29 @@
   return count;
 }
 
+/* Whether all other data centres have confirmed that they were told of JOB. */
+static bool
+is_confirmed (const scheduler_t *scheduler, const scheduled_job_t *job)
+{
+  return scheduler->confirmed_at_ms == INT64_MAX || is_told (job, scheduler->confirmed_at_ms);
+}
+
+bool
+scheduler_awaits_confirmation (const scheduler_t *scheduler)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, scheduler->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const scheduled_job_t *job = value;
+      if (job->announced && !is_confirmed (scheduler, job))
+        return true;
+    }
+  return false;
+}
+
 /* Whether a data centre is out of reach that does not certainly know of JOB. */
 static bool
 may_be_unknown (const scheduler_t *scheduler, const scheduled_job_t *job)
@@ -79,7 +103,7 @@
 unannounced_must_end (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
 {
   return scheduler->resubmit_ms != 0 && job->was_sent && now_ms >= end_by_ms (scheduler, job)
-         && may_be_unknown (scheduler, job);
+         && !is_confirmed (scheduler, job);
 }
 
 void
--- a/tests/test_job_unannounced.c
+++ b/tests/test_job_unannounced.c
@@ -23,7 +23,7 @@
 {
   const char *name;
   bool announced;
-  int64_t reached_at_ms; /* NEVER: all data centres are reached, or again */
+  int64_t reached_at_ms; /* and confirmed; NEVER: all data centres are reached, or again */
   int64_t since_ms;      /* one is out of reach since then */
   int64_t now_ms;
   bool ends;
@@ -32,6 +32,8 @@
   { "reached again a moment ago", false, NEVER, 0, ENDS_BY_MS, false },
   { "not announced, young", false, RECEIVED_MS + 100, RECEIVED_MS + 1000, YOUNG_MS, false },
   { "not announced", false, RECEIVED_MS + 100, RECEIVED_MS + 1000, ENDS_BY_MS, true },
+  { "no data centre has confirmed it, none is out of reach", true, ANNOUNCED_AT_MS, NEVER,
+    ENDS_BY_MS, true },
   { "received in the cut", false, RECEIVED_MS - 500, RECEIVED_MS + 500, ENDS_BY_MS, true },
   { "received when the cut was known", false, RECEIVED_MS - 2000, RECEIVED_MS - 1000, ENDS_BY_MS,
     true },
@@ -39,7 +41,7 @@
     false },
   { "announced in the cut", true, ANNOUNCED_AT_MS, ANNOUNCED_AT_MS + 700, ENDS_BY_MS, true },
   { "announced in the cut, found out late", true, ANNOUNCED_AT_MS, ANNOUNCED_AT_MS + 3000,
-    ANNOUNCED_AT_MS + 3000, true },
+    ENDS_BY_MS, true },
 };
 
 typedef struct
@@ -115,6 +117,7 @@
                                                 .since_ms = cases[i].since_ms };
       if (cases[i].since_ms != NEVER)
         scheduler_add_unreached (scheduler, &unreached);
+      scheduler_set_confirmed_at (scheduler, cases[i].reached_at_ms);
       scheduler_step (scheduler, cases[i].now_ms, actions);
       counts_t counts = take_actions (actions);
       CU_ASSERT_EQUAL (counts.cancels, cases[i].ends);
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -154,7 +154,8 @@
     for (int k = 0; k < SIM_HOSTS; k++)
       if (k != host->index && (to == NULL || to == &sim->hosts[k]))
         send_job_status (host, &sim->hosts[k], &g_array_index (statuses, job_status_t, i));
-  for (int k = 0; to == NULL && statuses->len > 0 && k < SIM_HOSTS; k++)
+  bool confirm = statuses->len > 0 || scheduler_awaits_confirmation (host->scheduler);
+  for (int k = 0; to == NULL && confirm && k < SIM_HOSTS; k++)
     if (k != host->index)
       send_told (host, &sim->hosts[k], MESSAGE_TOLD, sim->now_ms);
   g_array_unref (statuses);
@@ -637,7 +638,8 @@
   g_array_set_size (host->executor_actions, 0);
 }
 
-/* Restores the connections of HOST after a one-way cut.  Both ends send all open batches again. */
+/* Restores the connections of HOST after a one-way cut.  Both ends send all open batches, and tell
+ * their open jobs, again. */
 static void
 reconnect_host (sim_host_t *host)
 {
@@ -653,6 +655,8 @@
       run_scheduler_actions (host);
       scheduler_resend_batches (peer->scheduler, host->name, peer->scheduler_actions);
       run_scheduler_actions (peer);
+      announce_jobs (host, peer);
+      announce_jobs (peer, host);
     }
 }
 
