Site: a host that one host alone can't reach hears of its jobs from others

Cause: hubs are told a job by its host and by nobody else. Where the link between just two hosts is lost, the second host hears nothing, while its data centre counts as told. Class: one member's word taken for its whole group.

Change: a host that has lost a host of a data centre lets two hubs there pass its announcements on, to all hosts of it; as it loses one it tells that data centre its open jobs once more. A hub tells the jobs that it knows to each host of its data centre that connects, hubs too, so that one that is started anew while the first host is out of reach knows them. A host takes no word on its own jobs from others. Why it works: the loss is noticed 450 to 800 ms after the cut, and passed on within 200 ms: before 1,300 ms; the second host then waits for the first one's end, which is passed on as well.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -88,6 +88,7 @@
       scheduler_host_lost (site->scheduler, action->host, action->last_heard_at_ms, now_ms,
                            site->scheduler_actions);
       site_run_scheduler_actions (site);
+      repeats_host_lost (site, action->host);
       break;
     case CLUSTER_HOST_RESTARTED:
       scheduler_host_restarted (site->scheduler, action->host, action->started_at_ms);
--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -1,8 +1,9 @@
 /* site_repeats.c -- what hosts tell each other about jobs that callers may send to more than one
  *
  * lib/scheduler/repeats.c decides.  A host announces its jobs to the hosts that it is connected to.
- * One that is no hub is connected to hubs only: some of each data centre collect its announcements
- * and those of others, and pass them on to the hosts there that are no hubs.
+ * One that is no hub is connected to hubs only, and one that has lost a host may be all that can't
+ * reach it: some hubs of each data centre collect such announcements, and pass them on to the other
+ * hosts there.
  */
 #include "daemon/site_private.h"
 
@@ -126,21 +127,20 @@
   return strcmp (connection->data_centre, site->settings->data_centre) == 0;
 }
 
-/* Whether HOST is to pass on what this host tells it, which hosts that are no hubs don't hear. */
+/* Whether HOST, over CONNECTION, is to pass on what this host tells it, as others there don't hear
+ * it. */
 static bool
-is_relay_needed (const site_t *site, const char *host)
+is_relay_needed (const site_t *site, const char *host, const peer_connection_t *connection)
 {
-  return !cluster_is_hub (site->cluster) && cluster_host_is_hub (site->cluster, host);
+  return (!cluster_is_hub (site->cluster) && cluster_host_is_hub (site->cluster, host))
+         || cluster_misses_host (site->cluster, connection->data_centre);
 }
 
-/* Whether this host is a hub that passes announcements on to HOST. */
+/* Whether this host is a hub that passes announcements on over CONNECTION. */
 static bool
-passes_on_to (const site_t *site, const char *host)
+passes_on (const site_t *site, const peer_connection_t *connection)
 {
-  const peer_connection_t *connection = g_hash_table_lookup (site->connections, host);
-
-  return cluster_is_hub (site->cluster) && connection != NULL && is_local (site, connection)
-         && !cluster_host_is_hub (site->cluster, host);
+  return cluster_is_hub (site->cluster) && is_local (site, connection);
 }
 
 /* DATA maps interned names of hosts to their statuses.  A host that runs the job stops for none of
@@ -179,28 +179,50 @@
 void
 repeats_host_connected (site_t *site, const char *host)
 {
+  const peer_connection_t *connection = g_hash_table_lookup (site->connections, host);
   GArray *statuses = new_statuses ();
 
   scheduler_append_open (site->scheduler, statuses);
-  send_statuses (site, host, site->host, is_relay_needed (site, host), statuses);
+  send_statuses (site, host, site->host, is_relay_needed (site, host, connection), statuses);
   g_array_unref (statuses);
-  if (passes_on_to (site, host))
+  if (passes_on (site, connection))
     send_known_jobs (site, host);
 }
 
-/* Passes on what was collected, to the hosts of this data centre that are no hubs. */
+void
+repeats_host_lost (site_t *site, const char *host)
+{
+  const known_host_t *lost = g_hash_table_lookup (site->known_hosts, host);
+  GArray *statuses = new_statuses ();
+  GHashTableIter iter;
+  void *other = NULL;
+  void *value = NULL;
+
+  scheduler_append_open (site->scheduler, statuses);
+  g_hash_table_iter_init (&iter, site->connections);
+  while (lost != NULL && g_hash_table_iter_next (&iter, &other, &value))
+    {
+      const peer_connection_t *connection = value;
+      if (other != host && strcmp (connection->data_centre, lost->data_centre) == 0)
+        send_statuses (site, other, site->host, true, statuses);
+    }
+  g_array_unref (statuses);
+}
+
+/* Passes on what was collected, to the other hosts of this data centre. */
 static void
 send_relayed (site_t *site)
 {
   GHashTableIter iter;
   void *host = NULL;
+  void *connection = NULL;
 
   if (site->relayed->len == 0)
     return;
   GBytes *frame = job_msg_relayed (site->relayed);
   g_hash_table_iter_init (&iter, site->connections);
-  while (g_hash_table_iter_next (&iter, &host, NULL))
-    if (passes_on_to (site, host))
+  while (g_hash_table_iter_next (&iter, &host, &connection))
+    if (passes_on (site, connection))
       peers_send (site, host, g_bytes_ref (frame));
   g_bytes_unref (frame);
   g_ptr_array_set_size (site->relayed, 0);
@@ -218,7 +240,7 @@
   g_hash_table_iter_init (&iter, site->connections);
   while (g_hash_table_iter_next (&iter, &host, &connection))
     {
-      send_statuses (site, host, site->host, is_relay_needed (site, host), statuses);
+      send_statuses (site, host, site->host, is_relay_needed (site, host, connection), statuses);
       if (!is_local (site, connection))
         peers_send (site, host, job_msg_told (JOB_MSG_TOLD, now_ms));
     }
@@ -260,7 +282,7 @@
   return before < RELAYS_PER_DATA_CENTRE;
 }
 
-/* Keeps STATUSES of ORIGIN, a host of any data centre, for the hosts here that are no hubs. */
+/* Keeps STATUSES of ORIGIN, a host of any data centre, for the other hosts here. */
 static void
 relay_statuses (site_t *site, const char *origin, const GArray *statuses)
 {
@@ -279,9 +301,10 @@
   (void) host;
   if (job_msg_read_statuses (reader, now_ms, &origin, &relay, statuses) == 0)
     {
+      bool is_own = strcmp (origin, site->host) == 0;
       if (relay)
         relay_statuses (site, origin, statuses);
-      for (guint i = 0; i < statuses->len; i++)
+      for (guint i = 0; i < statuses->len && !is_own; i++)
         scheduler_job_told (site->scheduler, origin, &g_array_index (statuses, job_status_t, i),
                             now_ms, site->scheduler_actions);
       site_run_scheduler_actions (site);
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -440,6 +440,22 @@
   return MAX (told_ms, peer->confirmed_ms + 1);
 }
 
+bool
+cluster_misses_host (const cluster_t *cluster, const char *data_centre)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, cluster->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const peer_t *peer = value;
+      if (!peer->alive && !peer->leaving && strcmp (peer->data_centre, data_centre) == 0)
+        return true;
+    }
+  return false;
+}
+
 void
 cluster_confirmed (cluster_t *cluster, const char *host, int64_t clock_ms, int64_t now_ms)
 {
