Scheduler: what other data centres have confirmed holds for good

Jobs were given up for want of a confirmation that they had had. Cause: a job that had waited for another host's runs counted as not announced when it started, so that one that starts 1,150 ms after its receipt or later ended at once; and a data centre that is heard for the first time, or whose hosts are all started anew, took the confirmations of all open jobs away.

Change: a job keeps its announcement, and is announced once more when it starts; what was confirmed once stays so, as hosts that were told know a job until after its deadline. A host asks for a confirmation at once on a new connection.

--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -184,6 +184,8 @@
 
   scheduler_append_open (site->scheduler, statuses);
   send_statuses (site, host, site->host, is_relay_needed (site, host, connection), statuses);
+  if (statuses->len > 0 && !is_local (site, connection))
+    peers_send (site, host, job_msg_told (JOB_MSG_TOLD, clock_boot_ms ()));
   g_array_unref (statuses);
   if (passes_on (site, connection))
     send_known_jobs (site, host);
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -163,7 +163,7 @@
   if (job->request.start_by_ms != 0)
     job->request.start_by_ms += now_ms - job->waits_since_ms;
   job->waits_since_ms = 0;
-  job->announced = false;
+  job->announce_again = job->announced;
   scheduler_start_job (scheduler, job, now_ms, actions);
 }
 
@@ -424,8 +424,8 @@
 {
   int64_t due_at_ms = job->request.received_at_ms + scheduler->resubmit_ms * ANNOUNCE_PERCENT / 100;
 
-  return !job->announced && !job->yielded && (job->was_sent || job->waits_since_ms != 0)
-         && now_ms >= due_at_ms;
+  return (!job->announced || job->announce_again) && !job->yielded
+         && (job->was_sent || job->waits_since_ms != 0) && now_ms >= due_at_ms;
 }
 
 void
@@ -448,8 +448,10 @@
       if (!is_due (scheduler, job, now_ms))
         continue;
       job_status_t status = open_status (job);
+      if (!job->announced)
+        job->announced_at_ms = now_ms;
       job->announced = true;
-      job->announced_at_ms = now_ms;
+      job->announce_again = false;
       g_array_append_val (statuses, status);
     }
 }
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -61,6 +61,8 @@
   GArray *followers;       /* job_follower_t */
   bool announced;          /* other hosts were told of it */
   int64_t announced_at_ms; /* ANNOUNCED: when */
+  bool announce_again;     /* its announcement says that it waits, but it runs now */
+  bool confirmed;          /* all other data centres have confirmed the announcement, for good */
   bool goes_on_logged;     /* SCHEDULER_GOES_ON was appended for it */
   int64_t waits_since_ms;  /* it is not run, as another host may run it; 0 if it does not wait */
   int64_t held_until_ms;   /* it waits until then, although no host is known to have it... */
--- a/lib/scheduler/unannounced.c
+++ b/lib/scheduler/unannounced.c
@@ -22,12 +22,6 @@
   g_array_set_size (scheduler->unreached, 0);
 }
 
-void
-scheduler_set_confirmed_at (scheduler_t *scheduler, int64_t confirmed_at_ms)
-{
-  scheduler->confirmed_at_ms = confirmed_at_ms;
-}
-
 /* Whether the data centre is out of reach, and not reached again. */
 static bool
 is_out_of_reach (const scheduler_unreached_t *unreached)
@@ -55,11 +49,28 @@
   return count;
 }
 
+/* A host that is told knows the job until after its deadline, so that a confirmation holds,
+ * whatever becomes of the data centre. */
+void
+scheduler_set_confirmed_at (scheduler_t *scheduler, int64_t confirmed_at_ms)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  scheduler->confirmed_at_ms = confirmed_at_ms;
+  g_hash_table_iter_init (&iter, scheduler->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      scheduled_job_t *job = value;
+      job->confirmed = job->confirmed || is_told (job, confirmed_at_ms);
+    }
+}
+
 /* Whether all other data centres have confirmed that they were told of JOB. */
 static bool
 is_confirmed (const scheduler_t *scheduler, const scheduled_job_t *job)
 {
-  return scheduler->confirmed_at_ms == INT64_MAX || is_told (job, scheduler->confirmed_at_ms);
+  return job->confirmed || scheduler->confirmed_at_ms == INT64_MAX;
 }
 
 bool
@@ -86,7 +97,8 @@
     {
       const scheduler_unreached_t *unreached =
           &g_array_index (scheduler->unreached, scheduler_unreached_t, i);
-      if (is_out_of_reach (unreached) && !is_told (job, unreached->reached_at_ms))
+      if (is_out_of_reach (unreached) && !job->confirmed
+          && !is_told (job, unreached->reached_at_ms))
         return true;
     }
   return false;
--- a/tests/test_job_unannounced.c
+++ b/tests/test_job_unannounced.c
@@ -46,6 +46,7 @@
 
 typedef struct
 {
+  int submits;
   int cancels;
   int answers;
   scheduler_outcome_t outcome;
@@ -62,6 +63,7 @@
       const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, i);
       if (action->task_indexes != NULL)
         g_array_unref (action->task_indexes);
+      counts.submits += action->kind == SCHEDULER_SUBMIT;
       counts.cancels += action->kind == SCHEDULER_CANCEL;
       if (action->kind != SCHEDULER_ANSWER)
         continue;
@@ -192,7 +194,66 @@
     }
 }
 
+/* A confirmation holds, also when a host that was not told is heard, or one is started anew. */
+static void
+test_confirmed_for_good (void)
+{
+  GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+  GArray *statuses = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+  scheduler_t *scheduler = start_job (actions);
+
+  scheduler_collect_statuses (scheduler, ANNOUNCED_AT_MS, statuses);
+  scheduler_set_confirmed_at (scheduler, ANNOUNCED_AT_MS);
+  CU_ASSERT_TRUE (scheduler_awaits_confirmation (scheduler));
+  scheduler_set_confirmed_at (scheduler, ANNOUNCED_AT_MS + 1);
+  CU_ASSERT_FALSE (scheduler_awaits_confirmation (scheduler));
+  scheduler_set_confirmed_at (scheduler, 1);
+  CU_ASSERT_FALSE (scheduler_awaits_confirmation (scheduler));
+  scheduler_step (scheduler, ENDS_BY_MS, actions);
+  CU_ASSERT_EQUAL (take_actions (actions).answers, 0);
+  scheduler_free (scheduler);
+  g_array_unref (statuses);
+  g_array_unref (actions);
+}
+
+#define OTHER_HOST "ha"
+#define WAITED_MS 1500
+
+/* A job that has waited for another host's runs, and was announced meanwhile, goes on. */
+static void
+test_waited (void)
+{
+  const job_status_t open = { ID, JOB_STATUS_OPEN, DEADLINE_MS };
+  const job_status_t stopped = { ID, JOB_STATUS_STOPPED, RECEIVED_MS + WAITED_MS };
+  GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+  GArray *statuses = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+  scheduler_t *scheduler = new_scheduler_of ("h", RESUBMIT_MS, RECEIVED_MS, actions);
+  const scheduler_job_t job = job_of (LONG_MS);
+
+  scheduler_job_told (scheduler, OTHER_HOST, &open, RECEIVED_MS, actions);
+  scheduler_submit (scheduler, &job, RECEIVED_MS, actions);
+  scheduler_collect_statuses (scheduler, ANNOUNCED_AT_MS, statuses);
+  CU_ASSERT_EQUAL (statuses->len, 1);
+  scheduler_set_confirmed_at (scheduler, ANNOUNCED_AT_MS + 1);
+  scheduler_job_told (scheduler, OTHER_HOST, &stopped, RECEIVED_MS + WAITED_MS, actions);
+  scheduler_step (scheduler, RECEIVED_MS + WAITED_MS, actions);
+  CU_ASSERT_EQUAL (take_actions (actions).submits, 1);
+  scheduler_step (scheduler, RECEIVED_MS + WAITED_MS + 10, actions);
+  CU_ASSERT_EQUAL (take_actions (actions).answers, 0);
+  /* It is told anew that the job runs here now. */
+  g_array_set_size (statuses, 0);
+  scheduler_collect_statuses (scheduler, RECEIVED_MS + WAITED_MS + 20, statuses);
+  CU_ASSERT_EQUAL (statuses->len, 1);
+  scheduler_step (scheduler, RECEIVED_MS + WAITED_MS + 30, actions);
+  CU_ASSERT_EQUAL (take_actions (actions).answers, 0);
+  scheduler_free (scheduler);
+  g_array_unref (statuses);
+  g_array_unref (actions);
+}
+
 static const unit_test_t tests[] = {
+  { "a confirmation holds", test_confirmed_for_good },
+  { "a job that has waited", test_waited },
   { "jobs that a data centre can't know of", test_unannounced },
   { "jobs that come in a known cut", test_known },
 };
