Cluster: a host that starts while a data centre is cut off asks for its confirmation too

Cause: only data centres one of whose hosts this process had heard were asked. Class: what was never heard was taken not to be there.

Change: the data centres of all hosts that are known by name, from the log or from other hosts, count until 20 s after the start, heard or not; later as before. They count as out of reach, so that long jobs are refused at once meanwhile.

--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -27,9 +27,6 @@
 #define ECHO_RETRANSMIT_PERCENT 80
 /* A host whose connection broke is lost unless it is heard again within this time. */
 #define RECONNECT_GRACE_MS 120
-/* A lost host is forgotten after this much silence, and no longer counts when a majority of the
- * known hosts is needed. */
-#define FORGET_AFTER_MS 20000
 /* Hosts that have all been up for no longer than this are taken to have started together. */
 #define RECENT_START_MS 5000
 
@@ -72,6 +69,7 @@
                                   options->hubs_per_data_centre);
   cluster->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_peer);
   cluster->shards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  cluster->data_centres = g_hash_table_new (NULL, NULL);
   cluster->sent_heartbeats = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   return cluster;
 }
@@ -83,6 +81,7 @@
     return;
   g_hash_table_unref (cluster->peers);
   g_hash_table_unref (cluster->shards);
+  g_hash_table_unref (cluster->data_centres);
   g_hash_table_unref (cluster->sent_heartbeats);
   ranking_free (cluster->ranking);
   g_free (cluster->data_centre);
@@ -361,7 +360,7 @@
         mark_lost (cluster, peer, "it is silent", now_ms, actions);
       else if (peer->alive && is_outdated (cluster, peer, now_ms))
         mark_lost (cluster, peer, "its heartbeats are delayed", now_ms, actions);
-      else if (!peer->alive && (silent_ms > FORGET_AFTER_MS || peer->leaving))
+      else if (!peer->alive && (silent_ms > CLUSTER_FORGET_AFTER_MS || peer->leaving))
         g_hash_table_iter_remove (&iter);
     }
 }
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -226,7 +226,8 @@
 
 /* The latest time before which a host of each other data centre has confirmed to have received what
  * this host sent (cluster_confirmed ()).  INT64_MAX if no other data centre is known, or if callers
- * don't submit again. */
+ * don't submit again.  One whose hosts are known, but were never heard, counts for some time after
+ * the start. */
 int64_t cluster_confirmed_at_ms (const cluster_t *cluster, int64_t now_ms);
 
 /* A data centre none of whose hosts has for some time shown that messages of this host arrive. */
--- a/lib/cluster/reach.c
+++ b/lib/cluster/reach.c
@@ -45,6 +45,22 @@
   return &g_array_index (reaches, reach_t, reaches->len - 1);
 }
 
+/* Adds the data centres of known hosts none of which was heard.  This host may have started when
+ * they were cut off. */
+static void
+add_unheard (const cluster_t *cluster, GArray *reaches, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *data_centre = NULL;
+
+  if (now_ms - cluster->started_at_ms > CLUSTER_FORGET_AFTER_MS)
+    return;
+  g_hash_table_iter_init (&iter, cluster->data_centres);
+  while (g_hash_table_iter_next (&iter, &data_centre, NULL))
+    if (strcmp (data_centre, cluster->data_centre) != 0)
+      find_reach (reaches, data_centre);
+}
+
 /* Returns reach_t of all data centres but this host's.  Hosts that have said that they leave don't
  * count.  The caller frees the array. */
 static GArray *
@@ -67,6 +83,7 @@
       reach->heard_at_ms = MAX (reach->heard_at_ms, peer->heartbeat_at_ms);
       reach->confirmed_ms = MAX (reach->confirmed_ms, peer->confirmed_ms);
     }
+  add_unheard (cluster, reaches, now_ms);
   return reaches;
 }
 
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -85,6 +85,7 @@
   int64_t ranking_due_ms;
   GHashTable *peers;
   GHashTable *shards;
+  GHashTable *data_centres;    /* set of interned names: those of known hosts, heard or not */
   GHashTable *sent_heartbeats; /* interned host -> sent_heartbeat_t, the last one sent to it */
 };
 
@@ -108,6 +109,10 @@
 /* The latest time before which PEER has certainly received what this host sent to it. */
 int64_t cluster_peer_told_at_ms (const cluster_t *cluster, const peer_t *peer, int64_t now_ms);
 
+/* A lost host is forgotten after this much silence, and no longer counts when a majority of the
+ * known hosts is needed.  One that was never heard counts for as long after the start. */
+#define CLUSTER_FORGET_AFTER_MS 20000
+
 /* The longest time since the newest clock that a host with frequent heartbeats has returned, and
  * the longest silence of one with rare ones, until it is lost. */
 int64_t cluster_echo_limit_ms (const cluster_t *cluster);
--- a/lib/cluster/topology.c
+++ b/lib/cluster/topology.c
@@ -32,6 +32,7 @@
                   int32_t cpu_millicores)
 {
   ranking_add_host (cluster->ranking, host, data_centre, cpu_millicores);
+  g_hash_table_add (cluster->data_centres, (void *) g_intern_string (data_centre));
 }
 
 bool
--- a/tests/test_cluster_reach.c
+++ b/tests/test_cluster_reach.c
@@ -193,7 +193,81 @@
     }
 }
 
+/* A host that starts while a data centre is cut off knows its hosts from others. */
+static void
+test_never_heard (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *data_centre; /* of the host that is known */
+    int64_t now_ms;          /* after the start */
+    bool counts;
+  } rows[] = {
+    { "just started", "y", 2000, true },
+    { "long after the start", "y", 30000, false },
+    { "of the same data centre", "x", 2000, false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      cluster_t *cluster = cluster_new (&options, CUT_AT_MS);
+      GArray *unreached = g_array_new (FALSE, FALSE, sizeof (cluster_unreached_t));
+      int64_t now_ms = CUT_AT_MS + rows[i].now_ms;
+      cluster_add_host (cluster, "h2", rows[i].data_centre, 250);
+      cluster_append_unreached (cluster, now_ms, unreached);
+      int64_t confirmed_at_ms = cluster_confirmed_at_ms (cluster, now_ms);
+      CU_ASSERT_EQUAL (unreached->len, rows[i].counts);
+      CU_ASSERT_EQUAL (confirmed_at_ms < CUT_AT_MS, rows[i].counts);
+      if (unreached->len != rows[i].counts)
+        printf ("  %s: %d\n", rows[i].name, (int) unreached->len);
+      g_array_unref (unreached);
+      cluster_free (cluster);
+    }
+}
+
+/* Each data centre has to confirm by one of its hosts. */
+static void
+test_confirmed_at (void)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t y_ms; /* confirmed by the host in y */
+    int64_t z_ms;
+    int64_t confirmed_at_ms;
+  } rows[] = {
+    { "both", 3000, 2000, 2001 },
+    { "one", 3000, 0, 1 },
+    { "none", 0, 0, 1 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      fixture_t fixture = { .cluster = cluster_new (&options, 0),
+                            .actions = g_array_new (FALSE, FALSE, sizeof (cluster_action_t)),
+                            .now_ms = CUT_AT_MS };
+      cluster_heartbeat_t heartbeat = { .host = (char *) "h4",
+                                        .data_centre = (char *) "z",
+                                        .incarnation = 7,
+                                        .interval_ms = FREQUENT_MS };
+      CU_ASSERT_EQUAL (cluster_confirmed_at_ms (fixture.cluster, CUT_AT_MS), INT64_MAX);
+      receive (&fixture, 0, "h2", CUT_AT_MS);
+      cluster_receive_heartbeat (fixture.cluster, &heartbeat, CUT_AT_MS, fixture.actions);
+      cluster_confirmed (fixture.cluster, "h2", rows[i].y_ms, CUT_AT_MS);
+      cluster_confirmed (fixture.cluster, "h4", rows[i].z_ms, CUT_AT_MS);
+      int64_t confirmed_at_ms = cluster_confirmed_at_ms (fixture.cluster, CUT_AT_MS);
+      CU_ASSERT_EQUAL (confirmed_at_ms, rows[i].confirmed_at_ms);
+      if (confirmed_at_ms != rows[i].confirmed_at_ms)
+        printf ("  %s: %d\n", rows[i].name, (int) confirmed_at_ms);
+      g_array_unref (fixture.actions);
+      cluster_free (fixture.cluster);
+    }
+}
+
 static const unit_test_t tests[] = {
+  { "data centres that were never heard", test_never_heard },
+  { "confirmed by all data centres", test_confirmed_at },
   { "data centres out of reach", test_reach },
   { "confirmations", test_confirmed },
 };
