Test: a job that an owner beyond the cut runs is sent again

Change: the test; rows of resent_cut.c can take the endpoints of the first host's data centre with another job. The window stays in docs/design/jobs-sent-again.md.

--- a/tests/resent_cut.c
+++ b/tests/resent_cut.c
@@ -16,6 +16,7 @@
 #define TASKS 8
 #define SMALL_WORK_MS 20
 #define CALLER_WAIT_MS 9000
+#define FILLER_WORK_MS 8000
 #define SENT_AGAIN_AFTER_MS 1300
 /* From the second request to the end of the cut. */
 #define CUT_LASTS_MS 6000
@@ -258,6 +259,20 @@
   clock_sleep_ms (SETTLED_AFTER_MS);
 }
 
+/* Sends a job that takes all endpoints of the first host's data centre, if the row says so. Returns
+ * its connection or -1. */
+static int
+fill_zone (const play_t *play, uint64_t id)
+{
+  const resent_job_t job = { id, TASKS, FILLER_WORK_MS, CALLER_WAIT_MS };
+
+  if (!play->row->first_zone_busy)
+    return -1;
+  int fd = resent_job_send (play->rig, play->first_host, &job);
+  clock_sleep_ms (SETTLED_AFTER_MS);
+  return fd;
+}
+
 /* Sends the first request and begins the cut, in the order that the row names.  Returns the
  * connection, and sets *TROUBLE. */
 static int
@@ -355,6 +370,7 @@
   int32_t trouble = 0;
 
   wait_for_owners (play);
+  int filler = fill_zone (play, id + 0x3000);
   int64_t begun_ms = clock_boot_ms ();
   int first = send_first (play, &job, &trouble);
   int64_t broken_ms = begun_ms + (row->broken_at_once ? 0 : row->cut_after_ms);
@@ -382,6 +398,8 @@
   close (second);
   if (third >= 0)
     close (third);
+  if (filler >= 0)
+    close (filler);
   return status;
 }
 
--- a/tests/resent_cut.h
+++ b/tests/resent_cut.h
@@ -47,6 +47,8 @@
   bool second_is_no_hub; /* the same for SECOND_HOST */
   bool first_is_held;    /* the first request is sent when the cut has begun, which holds it up */
   int known_cut_ms;      /* the first request is sent so long after the cut has begun; 0: before */
+  bool first_zone_busy;  /* the endpoints of the first host's data centre are taken by another job,
+                            so that owners elsewhere run this one */
   bool broken_at_once; /* the first channel breaks as the first request is sent, so that the second
                           one follows 1,300 ms after it */
   int callers_cut_ms;  /* callers are cut from the first host so long after the first request */
