Log: an owner's lines on runs name the coordinator

The record names the hosts that ordered the runs; those are owners of shards. Whether one host had the job and two owners ran it, or two hosts had it, can't be told from it, nor from the two records before. Change: task_started, task_doubtful, task_done, task_failed, task_lapsed, task_hung, task_moved and task_cut have the field coordinator, last. Lines that name no run's coordinator are as before.

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -32,24 +32,25 @@
   bool elapsed;
   bool expected;
   bool percent;
+  bool coordinator;
 } log_events[] = {
-  [EXECUTOR_LOG_DONE] = { EVENT_TASK_DONE, true, true, true, false },
-  [EXECUTOR_LOG_FAILED] = { EVENT_TASK_FAILED, true, true, false, false },
-  [EXECUTOR_LOG_LEASE_EXPIRED] = { EVENT_TASK_LAPSED, true, true, false, false },
-  [EXECUTOR_LOG_HUNG] = { EVENT_TASK_HUNG, true, true, false, true },
-  [EXECUTOR_LOG_MOVED] = { EVENT_TASK_MOVED, true, true, false, true },
-  [EXECUTOR_LOG_ABORTED] = { EVENT_TASK_CUT, true, true, true, true },
-  [EXECUTOR_LOG_ADOPTED] = { EVENT_TASK_ADOPTED, true, false, false, false },
-  [EXECUTOR_LOG_UNCLAIMED] = { EVENT_RUN_UNCLAIMED, true, true, false, false },
-  [EXECUTOR_LOG_REFUSED] = { EVENT_ORDER_REFUSED, true, false, false, false },
-  [EXECUTOR_LOG_UNANSWERED] = { EVENT_ORDER_UNANSWERED, true, false, false, false },
-  [EXECUTOR_LOG_UNRESPONSIVE] = { EVENT_ENDPOINT_SILENT, false, false, false, false },
-  [EXECUTOR_LOG_RESPONSIVE] = { EVENT_ENDPOINT_HEARD, false, false, false, false },
-  [EXECUTOR_LOG_RESTARTED] = { EVENT_ENDPOINT_REBORN, false, false, false, false },
-  [EXECUTOR_LOG_RUN_AT_RESTART] = { EVENT_RUN_AT_RESTART, true, true, false, false },
-  [EXECUTOR_LOG_EJECTED] = { EVENT_ENDPOINT_EJECTED, false, false, false, false },
-  [EXECUTOR_LOG_READMITTED] = { EVENT_ENDPOINT_READMITTED, false, false, false, false },
-  [EXECUTOR_LOG_CRASHED] = { EVENT_TASK_CRASH_GIVEN_UP, false, false, false, false },
+  [EXECUTOR_LOG_DONE] = { EVENT_TASK_DONE, true, true, true, false, true },
+  [EXECUTOR_LOG_FAILED] = { EVENT_TASK_FAILED, true, true, false, false, true },
+  [EXECUTOR_LOG_LEASE_EXPIRED] = { EVENT_TASK_LAPSED, true, true, false, false, true },
+  [EXECUTOR_LOG_HUNG] = { EVENT_TASK_HUNG, true, true, false, true, true },
+  [EXECUTOR_LOG_MOVED] = { EVENT_TASK_MOVED, true, true, false, true, true },
+  [EXECUTOR_LOG_ABORTED] = { EVENT_TASK_CUT, true, true, true, true, true },
+  [EXECUTOR_LOG_ADOPTED] = { EVENT_TASK_ADOPTED, true, false, false, false, false },
+  [EXECUTOR_LOG_UNCLAIMED] = { EVENT_RUN_UNCLAIMED, true, true, false, false, false },
+  [EXECUTOR_LOG_REFUSED] = { EVENT_ORDER_REFUSED, true, false, false, false, false },
+  [EXECUTOR_LOG_UNANSWERED] = { EVENT_ORDER_UNANSWERED, true, false, false, false, false },
+  [EXECUTOR_LOG_UNRESPONSIVE] = { EVENT_ENDPOINT_SILENT, false, false, false, false, false },
+  [EXECUTOR_LOG_RESPONSIVE] = { EVENT_ENDPOINT_HEARD, false, false, false, false, false },
+  [EXECUTOR_LOG_RESTARTED] = { EVENT_ENDPOINT_REBORN, false, false, false, false, false },
+  [EXECUTOR_LOG_RUN_AT_RESTART] = { EVENT_RUN_AT_RESTART, true, true, false, false, false },
+  [EXECUTOR_LOG_EJECTED] = { EVENT_ENDPOINT_EJECTED, false, false, false, false, false },
+  [EXECUTOR_LOG_READMITTED] = { EVENT_ENDPOINT_READMITTED, false, false, false, false, false },
+  [EXECUTOR_LOG_CRASHED] = { EVENT_TASK_CRASH_GIVEN_UP, false, false, false, false, false },
 };
 
 static void
@@ -87,6 +88,8 @@
     event_add_number ("expected_ms", action->expected_ms);
   if (log_events[action->log_event].percent)
     event_add_number ("percent", action->progress_percent);
+  if (log_events[action->log_event].coordinator)
+    event_add_text ("coordinator", action->coordinator != NULL ? action->coordinator : "");
   if (event == EVENT_ENDPOINT_SILENT || event == EVENT_ENDPOINT_REBORN)
     event_add_number ("runs", action->count);
   if (event == EVENT_ENDPOINT_HEARD)
@@ -131,6 +134,7 @@
       event_add_number ("least_ms", action->min_ms);
       event_add_number ("left_ms", action->remaining_ms);
     }
+  event_add_text ("coordinator", action->coordinator);
   event_end ();
 }
 
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -162,22 +162,24 @@
   { EVENT_BATCH_STALE, EVENT_CLASS_PROBLEM, "batch_stale", "job batch host",
     "{host_id} rejected tasks that {host} had sent before contact with it was lost" },
   { EVENT_TASK_STARTED, EVENT_CLASS_ROUTINE, "task_started",
-    "task attempt endpoint expected_ms waited_ms",
-    "{host_id} started task {task} on {endpoint} after {waited_ms} ms, expecting {expected_ms} "
-    "ms" },
+    "task attempt endpoint expected_ms waited_ms coordinator",
+    "{host_id} started task {task} on {endpoint} after {waited_ms} ms, expecting {expected_ms} ms "
+    "(for {coordinator})" },
   { EVENT_TASK_DOUBTFUL, EVENT_CLASS_PROBLEM, "task_doubtful",
-    "task attempt endpoint expected_ms waited_ms least_ms left_ms",
+    "task attempt endpoint expected_ms waited_ms least_ms left_ms coordinator",
     "{host_id} started task {task} on {endpoint} after {waited_ms} ms, expecting {expected_ms} ms "
-    "with {left_ms} ms left; the fastest endpoint would need {least_ms} ms" },
+    "with {left_ms} ms left; the fastest endpoint would need {least_ms} ms (for {coordinator})" },
   { EVENT_TASK_DONE, EVENT_CLASS_ROUTINE, "task_done",
-    "task attempt endpoint elapsed_ms expected_ms",
-    "task {task} was completed on {endpoint} after {elapsed_ms} ms" },
-  { EVENT_TASK_FAILED, EVENT_CLASS_PROBLEM, "task_failed", "task attempt endpoint elapsed_ms",
-    "attempt {attempt} of task {task} failed on {endpoint} after {elapsed_ms} ms" },
-  { EVENT_TASK_LAPSED, EVENT_CLASS_PROBLEM, "task_lapsed", "task attempt endpoint elapsed_ms",
+    "task attempt endpoint elapsed_ms expected_ms coordinator",
+    "task {task} was completed on {endpoint} after {elapsed_ms} ms (for {coordinator})" },
+  { EVENT_TASK_FAILED, EVENT_CLASS_PROBLEM, "task_failed",
+    "task attempt endpoint elapsed_ms coordinator",
+    "attempt {attempt} of task {task} failed on {endpoint} after {elapsed_ms} ms (for "
+    "{coordinator})" },
+  { EVENT_TASK_LAPSED, EVENT_CLASS_PROBLEM, "task_lapsed",
+    "task attempt endpoint elapsed_ms coordinator",
     "attempt {attempt} of task {task} was lost when the lease of {endpoint} expired, after "
-    "{elapsed_ms} "
-    "ms" },
+    "{elapsed_ms} ms (for {coordinator})" },
   { EVENT_TASK_CRASH_SUSPECTED, EVENT_CLASS_PROBLEM, "task_crash_suspected",
     "task endpoint lost confirmed",
     "{endpoint} stopped answering while it ran task {task}, under which {lost} endpoints were lost "
@@ -196,16 +198,18 @@
     "task attempt lost confirmed",
     "{host_id} gave task {task} up: {lost} endpoints were lost under it ({confirmed} confirmed as "
     "crashed)" },
-  { EVENT_TASK_HUNG, EVENT_CLASS_PROBLEM, "task_hung", "task attempt endpoint elapsed_ms percent",
+  { EVENT_TASK_HUNG, EVENT_CLASS_PROBLEM, "task_hung",
+    "task attempt endpoint elapsed_ms percent coordinator",
     "task {task} made no progress on {endpoint} at {percent}% after {elapsed_ms} ms and was "
-    "stopped" },
-  { EVENT_TASK_MOVED, EVENT_CLASS_PROBLEM, "task_moved", "task attempt endpoint elapsed_ms percent",
+    "stopped (for {coordinator})" },
+  { EVENT_TASK_MOVED, EVENT_CLASS_PROBLEM, "task_moved",
+    "task attempt endpoint elapsed_ms percent coordinator",
     "task {task} was too slow on {endpoint} ({percent}% after {elapsed_ms} ms) and was stopped to "
-    "be restarted elsewhere" },
+    "be restarted elsewhere (for {coordinator})" },
   { EVENT_TASK_CUT, EVENT_CLASS_PROBLEM, "task_cut",
-    "task attempt endpoint elapsed_ms expected_ms percent",
+    "task attempt endpoint elapsed_ms expected_ms percent coordinator",
     "task {task} was still at {percent}% on {endpoint} after {elapsed_ms} ms ({expected_ms} ms "
-    "expected) when its job ended" },
+    "expected) when its job ended (for {coordinator})" },
   { EVENT_TASK_RETURNED, EVENT_CLASS_ROUTINE, "task_returned", "task waited_ms",
     "{host_id} returned task {task} after {waited_ms} ms, because another owner had free "
     "capacity" },
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -383,6 +383,9 @@
   action->elapsed_ms = now_ms - task->start_sent_at_ms;
   action->expected_ms = task->expected_ms;
   action->progress_percent = task->progress_percent;
+  if (task->batch != NULL)
+    action->coordinator =
+        g_string_chunk_insert (executor->action_strings, task->batch->coordinator);
   return action;
 }
 
