Scheduler: a job that a cut leaves no time for is given up, not refused

Cause: a long job that comes while a data centre is out of reach was refused (503: it was not accepted and never runs). It may be the second request of a job whose first one ran beyond the cut or at a host that was killed: this host can't know that. Change: such a job may have run, so that its answer is 504, still at once.

--- a/lib/cluster/reach.c
+++ b/lib/cluster/reach.c
@@ -57,8 +57,16 @@
     return;
   g_hash_table_iter_init (&iter, cluster->data_centres);
   while (g_hash_table_iter_next (&iter, &data_centre, NULL))
-    if (strcmp (data_centre, cluster->data_centre) != 0)
-      find_reach (reaches, data_centre);
+    {
+      if (strcmp (data_centre, cluster->data_centre) == 0)
+        continue;
+      reach_t *reach = find_reach (reaches, data_centre);
+      if (reach->heard_at_ms != 0)
+        continue;
+      reach->frequent = true;
+      /* Nothing was sent before the start. */
+      reach->reached_at_ms = cluster->started_at_ms;
+    }
 }
 
 /* Returns reach_t of all data centres but this host's.  Hosts that have said that they leave don't
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -323,7 +323,7 @@
 unannounced_must_end (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms);
 
 /* unannounced.c: the new JOB, or one that has waited, must end before it may be sent again to a
- * data centre that is out of reach now. */
+ * data centre that is out of reach now, and may have run there. */
 void unannounced_limit_deadline (const scheduler_t *scheduler, scheduled_job_t *job);
 
 /* unannounced.c: appends SCHEDULER_GOES_ON once JOB is so old that its runs would have ended if
--- a/lib/scheduler/unannounced.c
+++ b/lib/scheduler/unannounced.c
@@ -121,8 +121,14 @@
 void
 unannounced_limit_deadline (const scheduler_t *scheduler, scheduled_job_t *job)
 {
-  if (scheduler->resubmit_ms != 0 && may_be_unknown (scheduler, job))
-    scheduler_limit_deadline (job, end_by_ms (scheduler, job), SCHEDULER_LIMIT_UNREACHED);
+  int64_t until_ms = end_by_ms (scheduler, job);
+
+  if (scheduler->resubmit_ms == 0 || job->request.deadline_at_ms <= until_ms
+      || !may_be_unknown (scheduler, job))
+    return;
+  scheduler_limit_deadline (job, until_ms, SCHEDULER_LIMIT_UNREACHED);
+  /* Nor does this host know what ran there: the request may be a repeated one. */
+  job->may_have_run = true;
 }
 
 /* The number of data centres that are out of reach. */
