--- a/tests/resent_cut.c
+++ b/tests/resent_cut.c
@@ -305,14 +305,7 @@
 static int
 send_second (const play_t *play, const resent_job_t *job)
 {
-  const book_row_t broken = { .at_ms = clock_boot_ms (),
-                              .kind = BOOK_BROKEN,
-                              .job = job->id,
-                              .host = play->first_host,
-                              .number = play->first_host,
-                              .text = "closed" };
-
-  book_add (play->rig->book, &broken);
+  resent_job_broken (play->rig, play->first_host, job);
   return resent_job_send (play->rig, play->second_host, job);
 }
 
--- a/tests/resent_job.c
+++ b/tests/resent_job.c
@@ -46,6 +46,19 @@
   book_add (rig->book, &row);
 }
 
+void
+resent_job_broken (rig_t *rig, int host, const resent_job_t *job)
+{
+  const book_row_t row = { .at_ms = clock_boot_ms (),
+                           .kind = BOOK_BROKEN,
+                           .job = job->id,
+                           .host = host,
+                           .number = host,
+                           .text = "closed" };
+
+  book_add (rig->book, &row);
+}
+
 void
 resent_job_find_non_hubs (const rig_t *rig, bool last, int hosts_of[RESENT_ZONES_MAX])
 {
--- a/tests/resent_job.h
+++ b/tests/resent_job.h
@@ -31,6 +31,10 @@
 void
 resent_job_answered (rig_t *rig, int host, const resent_job_t *job, int status, const char *body);
 
+/* Records that the caller of JOB has lost its channel to HOST, as it does before it sends it again.
+ */
+void resent_job_broken (rig_t *rig, int host, const resent_job_t *job);
+
 /* Sets HOSTS_OF to one host of each of RIG's data centres that is no hub, the first or the last of
  * them; -1 where all are hubs. */
 void resent_job_find_non_hubs (const rig_t *rig, bool last, int hosts_of[RESENT_ZONES_MAX]);
