--- a/lib/scheduler/unannounced.c
+++ b/lib/scheduler/unannounced.c
@@ -93,12 +93,13 @@
 static bool
 may_be_unknown (const scheduler_t *scheduler, const scheduled_job_t *job)
 {
+  if (job->confirmed)
+    return false;
   for (guint i = 0; i < scheduler->unreached->len; i++)
     {
       const scheduler_unreached_t *unreached =
           &g_array_index (scheduler->unreached, scheduler_unreached_t, i);
-      if (is_out_of_reach (unreached) && !job->confirmed
-          && !is_told (job, unreached->reached_at_ms))
+      if (is_out_of_reach (unreached) && !is_told (job, unreached->reached_at_ms))
         return true;
     }
   return false;
