Tests, known red by hand: jobs are sent again in more kinds of cuts, and a third time

The simulation played cuts of single hosts and data centres only, and jobs that were sent twice at the most.

A host that hears nothing of a job is not told by its neighbours, which know: its link to the first host alone is cut (pairs 192, delayed 71), it starts in a cut (several 116), or comes back in one (twice 114). Hubs pass nothing on to hubs, and one host confirms for its data centre. 2. The first host has started in a cut, and asks no data centre to confirm of which it has heard no host (several 193). 3. A host that has sent nothing of its job yet, and is told that another one runs it, starts it all the same, as its name is the lesser one (twice 63, delayed 198). 4. A difference from the daemon (pairs 62): a host's cancellation at itself passes the event queue, so that its owner starts the tasks of a job that is given up, and stops them within 45 ms. The daemon carries it out at once.

Change, tests only: five rows of ten seeds each: pairs of hosts cut from each other; data centres cut link by link; several data centres cut while hosts crash; channels that break twice (a third request); cuts that delay messages. Options link_cuts, gradual_cuts and second_breaks. Cuts, starts and ends of hosts, and what a host is told of a job, are traced. Two differences from the daemon are gone. Statuses that a cut loses without the loss of the host are told again within 200 ms: a connection delivers in order or is replaced, so that a confirmation can't overtake them (seed 179 of "twice" was that). Messages that cuts delay keep their order also if one cut follows another.

--- a/tests/test_scheduling_endpoint.h
+++ b/tests/test_scheduling_endpoint.h
@@ -22,11 +22,25 @@
              && sim->data_centre_cut_until_ms[b] <= sim->now_ms);
 }
 
+static sim_link_t *
+link_between (const sim_host_t *a, const sim_host_t *b)
+{
+  return &a->sim->links[MIN (a->index, b->index)][MAX (a->index, b->index)];
+}
+
+static bool
+is_link_cut (const sim_host_t *a, const sim_host_t *b)
+{
+  const sim_link_t *link = link_between (a, b);
+
+  return a->sim->now_ms >= link->cut_from_ms && a->sim->now_ms < link->cut_until_ms;
+}
+
 static bool
 hosts_connected (const simulation_t *sim, const sim_host_t *a, const sim_host_t *b)
 {
   return is_up (a) && is_up (b) && a->cut_until_ms <= sim->now_ms && b->cut_until_ms <= sim->now_ms
-         && data_centres_connected (sim, a->data_centre, b->data_centre);
+         && !is_link_cut (a, b) && data_centres_connected (sim, a->data_centre, b->data_centre);
 }
 
 /* Whether a message that A sends to B now arrives. */
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -161,6 +161,20 @@
   g_array_unref (statuses);
 }
 
+/* Tells the open jobs again to the hosts to which statuses were lost, and which are reached again:
+ * a connection delivers all that was sent on it, in order, or is replaced by one on which all open
+ * jobs are told.  A confirmation therefore never overtakes what it confirms. */
+static void
+repeat_lost_statuses (sim_host_t *host)
+{
+  for (int i = 0; i < SIM_HOSTS; i++)
+    if (host->has_lost_statuses[i] && receives_from (host->sim, &host->sim->hosts[i], host))
+      {
+        host->has_lost_statuses[i] = false;
+        announce_jobs (host, &host->sim->hosts[i]);
+      }
+}
+
 #define ANNOUNCE_INTERVAL_MS 200
 
 /* Carries out an action about a job at another host. */
@@ -372,14 +386,12 @@
       switch (action.kind)
         {
         case CLUSTER_CLAIMED:
-          trace (sim, traced_id != NULL ? traced_id : "", "%s claims shard %s", host->name,
-                 action.shard);
+          trace (sim, any_id (), "%s claims shard %s", host->name, action.shard);
           claim_shard (host, action.shard, action.token);
           send_heartbeats (host, true);
           break;
         case CLUSTER_YIELDED:
-          trace (sim, traced_id != NULL ? traced_id : "", "%s yields shard %s", host->name,
-                 action.shard);
+          trace (sim, any_id (), "%s yields shard %s", host->name, action.shard);
           yield_shard (host, action.shard);
           send_heartbeats (host, true);
           break;
@@ -390,8 +402,7 @@
           run_scheduler_actions (host);
           break;
         case CLUSTER_HOST_LOST:
-          trace (sim, traced_id != NULL ? traced_id : "", "%s has lost host %s", host->name,
-                 action.host);
+          trace (sim, any_id (), "%s has lost host %s", host->name, action.host);
           sim->result.links.lost_hosts++;
           for (int k = 0; k < SIM_DATA_CENTRES; k++)
             if (host->owned_shards[k].executor != NULL)
@@ -605,12 +616,15 @@
   for (int i = 0; i < SIM_HOSTS; i++)
     if (i != host->index && is_up (&sim->hosts[i]))
       crash_history_foreach (sim->hosts[i].crashes, send_loss_to_all, &sim->hosts[i]);
+  trace (sim, any_id (), "%s starts", host->name);
   host->refreshed_at_ms = sim->now_ms;
   host->started_at_ms = sim->now_ms;
   host->link_slow_until_ms = 0;
   host->link_delay_ms = 0;
   memset (host->link_free_at_us, 0, sizeof host->link_free_at_us);
   memset (host->last_arrival_ms, 0, sizeof host->last_arrival_ms);
+  memset (host->held_until_ms, 0, sizeof host->held_until_ms);
+  memset (host->has_lost_statuses, 0, sizeof host->has_lost_statuses);
   host->leaving_since_ms = 0;
 }
 
@@ -620,6 +634,7 @@
 {
   simulation_t *sim = host->sim;
 
+  trace (sim, any_id (), "%s ends", host->name);
   for (guint i = 0; i < sim->jobs->len; i++)
     {
       sim_job_t *job = sim->jobs->pdata[i];
@@ -638,8 +653,20 @@
   g_array_set_size (host->executor_actions, 0);
 }
 
-/* Restores the connections of HOST after a one-way cut.  Both ends send all open batches, and tell
- * their open jobs, again. */
+/* Restores the connection of two hosts.  Both send all open batches, and tell their open jobs,
+ * again. */
+static void
+reconnect_pair (sim_host_t *host, sim_host_t *peer)
+{
+  scheduler_resend_batches (host->scheduler, peer->name, host->scheduler_actions);
+  run_scheduler_actions (host);
+  scheduler_resend_batches (peer->scheduler, host->name, peer->scheduler_actions);
+  run_scheduler_actions (peer);
+  announce_jobs (host, peer);
+  announce_jobs (peer, host);
+}
+
+/* Restores the connections of HOST after a one-way cut. */
 static void
 reconnect_host (sim_host_t *host)
 {
@@ -651,12 +678,7 @@
       sim_host_t *peer = &sim->hosts[i];
       if (peer == host || !hosts_connected (sim, host, peer) || peer->frozen_until_ms > sim->now_ms)
         continue;
-      scheduler_resend_batches (host->scheduler, peer->name, host->scheduler_actions);
-      run_scheduler_actions (host);
-      scheduler_resend_batches (peer->scheduler, host->name, peer->scheduler_actions);
-      run_scheduler_actions (peer);
-      announce_jobs (host, peer);
-      announce_jobs (peer, host);
+      reconnect_pair (host, peer);
     }
 }
 
@@ -711,7 +733,10 @@
     check_reach (host);
   scheduler_step (host->scheduler, sim->now_ms, host->scheduler_actions);
   if (sim->now_ms % ANNOUNCE_INTERVAL_MS == 0)
-    announce_jobs (host, NULL);
+    {
+      repeat_lost_statuses (host);
+      announce_jobs (host, NULL);
+    }
   run_all_actions (host);
   send_offers (host);
   send_heartbeats (host, false);
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -508,22 +508,37 @@
 
 static void message_arrives (simulation_t *sim, void *data);
 
+/* When the cuts between two hosts end that last now. */
+static int64_t
+cut_ends_at_ms (const simulation_t *sim, const sim_host_t *from, const sim_host_t *to)
+{
+  int64_t until_ms = MAX (from->cut_until_ms, to->cut_until_ms);
+
+  if (from->data_centre != to->data_centre)
+    until_ms = MAX (until_ms, MAX (sim->data_centre_cut_until_ms[from->data_centre],
+                                   sim->data_centre_cut_until_ms[to->data_centre]));
+  if (is_link_cut (from, to))
+    until_ms = MAX (until_ms, link_between (from, to)->cut_until_ms);
+  return until_ms;
+}
+
 /* With cuts_delay_messages, schedules MESSAGE for the end of the cut between its hosts, and returns
- * true if there is a cut.  Delayed messages keep their order. */
+ * true if there is a cut.  Delayed messages keep their order, also if one cut follows another:
+ * those that come while others wait wait with them. */
 static bool
 delay_until_cut_ends (simulation_t *sim, sim_message_t *message)
 {
-  const sim_host_t *from = message->from;
+  sim_host_t *from = message->from;
   const sim_host_t *to = message->to;
+  int64_t *held_until_ms = &from->held_until_ms[to->index];
 
-  if (!sim->options->cuts_delay_messages || from == to || !is_up (from) || !is_up (to)
-      || hosts_connected (sim, from, to))
+  if (!sim->options->cuts_delay_messages || from == to || !is_up (from) || !is_up (to))
     return false;
-  int64_t until_ms = MAX (from->cut_until_ms, to->cut_until_ms);
-  if (from->data_centre != to->data_centre)
-    until_ms = MAX (until_ms, MAX (sim->data_centre_cut_until_ms[from->data_centre],
-                                   sim->data_centre_cut_until_ms[to->data_centre]));
-  schedule_event (sim, until_ms + 1, message_arrives, message);
+  if (*held_until_ms <= sim->now_ms && !hosts_connected (sim, from, to))
+    *held_until_ms = cut_ends_at_ms (sim, from, to) + 1;
+  if (*held_until_ms <= sim->now_ms)
+    return false;
+  schedule_event (sim, *held_until_ms, message_arrives, message);
   return true;
 }
 
@@ -572,6 +587,8 @@
           crash_history_merge (host->crashes, &message->loss, sim->now_ms);
           break;
         case MESSAGE_JOB_STATUS:
+          trace (sim, message->job, "%s is told of it by %s: %d", host->name, message->from->name,
+                 (int) message->job_status.kind);
           scheduler_job_told (host->scheduler, message->from->name, &message->job_status,
                               sim->now_ms, host->scheduler_actions);
           break;
@@ -608,6 +625,11 @@
         }
       run_all_actions (host);
     }
+  else if (message->kind == MESSAGE_JOB_STATUS)
+    {
+      trace (sim, message->job, "%s is not told of it by %s", host->name, message->from->name);
+      message->from->has_lost_statuses[host->index] = true;
+    }
   message_free (message);
 }
 
--- a/tests/test_scheduling_resent.h
+++ b/tests/test_scheduling_resent.h
@@ -5,11 +5,13 @@
 
 #include "tests/test_scheduling_check.h"
 
-/* Members of simulation_options_t: tasks are long enough to run on until their jobs are sent again,
- * and 300 of a thousand channels break. */
-#define RESENT_OPTIONS                                                                             \
-  .length_ms = 30000, .broken_channels = 300, .task_work_ms = 1200, .caller_wait_ms = 4000,        \
-  .job_interval_ms = 300
+/* Members of simulation_options_t: tasks are long enough to run on until their jobs are sent again.
+ */
+#define RESENT_JOBS                                                                                \
+  .length_ms = 30000, .task_work_ms = 1200, .caller_wait_ms = 4000, .job_interval_ms = 300
+
+/* In addition, 300 of a thousand channels break. */
+#define RESENT_OPTIONS RESENT_JOBS, .broken_channels = 300
 
 static inline void
 check_resent (const simulation_case_t *cases, size_t case_count)
--- a/tests/test_scheduling_run.h
+++ b/tests/test_scheduling_run.h
@@ -194,27 +194,30 @@
   job->breaks_at_ms = INT64_MAX;
   if (job->host_index < 0)
     return;
-  job->stale_host = job->host_index;
-  job->stale_incarnation = job->incarnation;
-  job->stale_number = job->job_number;
-  job->close_seen_at_ms =
+  stale_request_t *stale = &job->stale[job->breaks++];
+  stale->host_index = job->host_index;
+  stale->incarnation = job->incarnation;
+  stale->number = job->job_number;
+  stale->close_seen_at_ms =
       random_below (sim, 2) == 0 ? 0 : sim->now_ms + 1 + random_below (sim, CLOSE_DELAY_MAX_MS);
   job->host_index = -1;
   job->resubmit_at_ms = sim->now_ms + SIM_RESUBMIT_MS;
   job->deadline_at_ms = job->resubmit_at_ms + SECOND_WAIT_MS;
+  if (job->breaks < BREAKS_MAX && random_chance (sim, sim->options->second_breaks))
+    job->breaks_at_ms = job->resubmit_at_ms + random_below (sim, BREAK_MAX_MS);
 }
 
-/* The first host of JOB sees that its channel is closed. */
+/* The host of a request sees that its channel is closed. */
 static void
-see_close (simulation_t *sim, sim_job_t *job)
+see_close (simulation_t *sim, stale_request_t *stale)
 {
-  sim_host_t *host = &sim->hosts[job->stale_host];
+  sim_host_t *host = &sim->hosts[stale->host_index];
 
-  job->close_seen_at_ms = 0;
-  if (!is_up (host) || host->incarnation != job->stale_incarnation
+  stale->close_seen_at_ms = 0;
+  if (!is_up (host) || host->incarnation != stale->incarnation
       || host->frozen_until_ms > sim->now_ms)
     return;
-  scheduler_abandon (host->scheduler, job->stale_number, sim->now_ms, host->scheduler_actions);
+  scheduler_abandon (host->scheduler, stale->number, sim->now_ms, host->scheduler_actions);
   run_all_actions (host);
 }
 
@@ -223,8 +226,9 @@
 static void
 caller_step (simulation_t *sim, sim_job_t *job)
 {
-  if (job->close_seen_at_ms != 0 && sim->now_ms >= job->close_seen_at_ms)
-    see_close (sim, job);
+  for (int i = 0; i < job->breaks; i++)
+    if (job->stale[i].close_seen_at_ms != 0 && sim->now_ms >= job->stale[i].close_seen_at_ms)
+      see_close (sim, &job->stale[i]);
   if (job->closed)
     return;
   if (sim->now_ms >= job->breaks_at_ms)
@@ -288,6 +292,88 @@
       cluster_connection_lost (sim->hosts[i].cluster, host->name, sim->now_ms);
 }
 
+#define LINK_CUT_MIN_MS 100
+#define LINK_CUT_VARIES_MS 5000
+
+/* The cut of a link begins.  Each end may detect this at once. */
+static void
+link_cut_begins (simulation_t *sim, void *data)
+{
+  sim_link_t *link = data;
+
+  trace (sim, any_id (), "%s and %s are cut from each other until %d", link->ends[0]->name,
+         link->ends[1]->name, (int) link->cut_until_ms);
+  for (int i = 0; i < 2; i++)
+    if (random_below (sim, 2) == 0 && is_up (link->ends[i]))
+      cluster_connection_lost (link->ends[i]->cluster, link->ends[1 - i]->name, sim->now_ms);
+}
+
+/* Restores the connection of a link, as soon as its ends reach each other. */
+static void
+link_cut_ends (simulation_t *sim, void *data)
+{
+  sim_link_t *link = data;
+
+  if (!hosts_connected (sim, link->ends[0], link->ends[1]))
+    {
+      schedule_event (sim, sim->now_ms + TICK_MS, link_cut_ends, link);
+      return;
+    }
+  link->reconnect_pending = false;
+  if (!sim->options->cuts_delay_messages)
+    reconnect_pair (link->ends[0], link->ends[1]);
+}
+
+/* Cuts LINK unless that is done already. */
+static void
+cut_link (simulation_t *sim, sim_link_t *link, int64_t from_ms, int64_t until_ms)
+{
+  if (link->reconnect_pending)
+    return;
+  link->cut_from_ms = from_ms;
+  link->cut_until_ms = until_ms;
+  link->reconnect_pending = true;
+  schedule_event (sim, from_ms, link_cut_begins, link);
+  schedule_event (sim, until_ms, link_cut_ends, link);
+}
+
+/* Draws when a cut begins, within a second. */
+static int64_t
+draw_cut_start_ms (simulation_t *sim)
+{
+  return sim->now_ms + random_below (sim, FAULT_INTERVAL_MS);
+}
+
+/* Cuts the links between the data centre and the others, one after the other. */
+static void
+cut_gradually (simulation_t *sim, int data_centre)
+{
+  int64_t until_ms =
+      sim->now_ms + FAULT_INTERVAL_MS + LINK_CUT_MIN_MS + random_below (sim, LINK_CUT_VARIES_MS);
+
+  for (int i = 0; i < SIM_HOSTS; i++)
+    for (int k = 0; k < SIM_HOSTS; k++)
+      if (sim->hosts[i].data_centre == data_centre && sim->hosts[k].data_centre != data_centre)
+        cut_link (sim, link_between (&sim->hosts[i], &sim->hosts[k]), draw_cut_start_ms (sim),
+                  until_ms);
+}
+
+static void
+inject_link_faults (simulation_t *sim)
+{
+  for (int i = 0; i < SIM_HOSTS; i++)
+    for (int k = i + 1; k < SIM_HOSTS; k++)
+      if (random_chance (sim, sim->options->link_cuts))
+        {
+          int64_t from_ms = draw_cut_start_ms (sim);
+          cut_link (sim, &sim->links[i][k], from_ms,
+                    from_ms + LINK_CUT_MIN_MS + random_below (sim, LINK_CUT_VARIES_MS));
+        }
+  for (int i = 0; i < SIM_DATA_CENTRES; i++)
+    if (random_chance (sim, sim->options->gradual_cuts))
+      cut_gradually (sim, i);
+}
+
 /* Whether the faults of HOST are drawn now, which is done once per second. */
 static bool
 fault_is_due (const sim_host_t *host)
@@ -297,6 +383,14 @@
   return host->sim->now_ms > 3000 && host->sim->now_ms % FAULT_INTERVAL_MS == offset_ms;
 }
 
+/* Cuts HOST off from all other hosts. */
+static void
+cut_off (simulation_t *sim, sim_host_t *host)
+{
+  host->cut_until_ms = sim->now_ms + 300 + random_below (sim, 5000);
+  trace (sim, any_id (), "%s is cut off until %d", host->name, (int) host->cut_until_ms);
+}
+
 static void
 inject_host_faults (simulation_t *sim)
 {
@@ -315,7 +409,7 @@
       else if (random_chance (sim, options->host_freezes))
         host->frozen_until_ms = sim->now_ms + 100 + random_below (sim, 4000);
       else if (random_chance (sim, options->host_cuts))
-        host->cut_until_ms = sim->now_ms + 300 + random_below (sim, 5000);
+        cut_off (sim, host);
       else if (random_chance (sim, options->one_way_cuts))
         cut_one_way (sim, host);
       else if (random_chance (sim, options->slow_links))
@@ -480,7 +574,11 @@
     }
   for (int i = 0; i < SIM_DATA_CENTRES; i++)
     if (random_chance (sim, options->data_centre_cuts))
-      sim->data_centre_cut_until_ms[i] = sim->now_ms + 500 + random_below (sim, 5000);
+      {
+        sim->data_centre_cut_until_ms[i] = sim->now_ms + 500 + random_below (sim, 5000);
+        trace (sim, any_id (), "data centre %s is cut off until %d", data_centre_name (i),
+               (int) sim->data_centre_cut_until_ms[i]);
+      }
   for (int i = 0; options->drains > 0 && i < SIM_DATA_CENTRES; i++)
     if (sim->now_ms >= sim->drain_until_ms[i] + DRAIN_PROPAGATION_MS
         && random_chance (sim, options->drains))
@@ -518,6 +616,8 @@
   if (sim->now_ms % FAULT_INTERVAL_MS == sim->options->endpoint_faults_after_ms
       && sim->now_ms > 3000)
     inject_endpoint_faults (sim);
+  if (sim->now_ms % FAULT_INTERVAL_MS == 0 && sim->now_ms > 3000)
+    inject_link_faults (sim);
   if (sim->now_ms % FAULT_INTERVAL_MS == 0 && sim->now_ms > 3000
       && random_chance (sim, sim->options->restart_bursts))
     inject_restart_burst (sim);
@@ -538,6 +638,9 @@
       host->scheduler_actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
       host->executor_actions = g_array_new (FALSE, FALSE, sizeof (executor_action_t));
     }
+  for (int i = 0; i < SIM_HOSTS; i++)
+    for (int k = i + 1; k < SIM_HOSTS; k++)
+      sim->links[i][k] = (sim_link_t){ .ends = { &sim->hosts[i], &sim->hosts[k] } };
   for (int i = 0; i < SIM_ENDPOINTS; i++)
     {
       sim_endpoint_t *endpoint = &sim->endpoints[i];
--- a/tests/test_scheduling_simulation.h
+++ b/tests/test_scheduling_simulation.h
@@ -67,6 +67,7 @@
   int leaving_callers;          /* per job: its caller disconnects early */
   int broken_channels;          /* per job: its channel breaks, which its host sees late or never,
                                    and its caller sends it again SIM_RESUBMIT_MS later */
+  int second_breaks;            /* per broken channel: that of the second request breaks too */
   int host_crashes;             /* per host */
   bool staggered_faults;        /* the faults of hosts come at different times within a second */
   int host_freezes;             /* per host: its process is suspended for a while */
@@ -75,6 +76,10 @@
   int host_cuts;                /* per host: no other host can reach it */
   int one_way_cuts;             /* per host: it can't send to hosts, receive from them, or both;
                                    it still reaches endpoints */
+  int link_cuts;                /* per pair of hosts: they can't reach each other for a while, but
+                                   all other hosts and the endpoints */
+  int gradual_cuts;             /* per data centre: its hosts lose those of the others link by link
+                                   within a second, and reach them again at one time */
   int endpoint_crashes;         /* per endpoint */
   int restart_bursts;           /* once per second: half of the endpoints are down at once, for 0.3
                                    to 1 s */
--- a/tests/test_scheduling_state.h
+++ b/tests/test_scheduling_state.h
@@ -130,6 +130,8 @@
   int64_t link_free_at_us[2];         /* of each queue of its link: when all in it has passed */
   int64_t link_bytes[2];              /* that have left and arrived */
   int64_t last_arrival_ms[SIM_HOSTS]; /* of a message that it has sent to each host */
+  int64_t held_until_ms[SIM_HOSTS];   /* messages that a cut delays on the way to each host */
+  bool has_lost_statuses[SIM_HOSTS];  /* of jobs, on the way to each host */
   bool reconnect_pending;             /* its connections have to be restored after these cuts */
   int64_t leaving_since_ms;           /* 0 unless it is being stopped gracefully */
   int64_t wall_clock_ahead_ms;        /* difference of its wall clock from simulated time */
@@ -144,6 +146,15 @@
   GArray *executor_actions;
 } sim_host_t;
 
+/* The link between two hosts. */
+typedef struct
+{
+  sim_host_t *ends[2];
+  int64_t cut_from_ms;
+  int64_t cut_until_ms;
+  bool reconnect_pending; /* its connection has to be restored after the cut */
+} sim_link_t;
+
 /* --- callers --- */
 
 #define MIXED_QUEUES 3
@@ -157,6 +168,17 @@
   double mean_work_ms;
 } mixed_queue_t;
 
+/* A request whose channel has broken. */
+typedef struct
+{
+  int host_index;
+  uint64_t incarnation;     /* of that host */
+  uint64_t number;          /* of the request there */
+  int64_t close_seen_at_ms; /* when the host sees that; 0 for never */
+} stale_request_t;
+
+#define BREAKS_MAX 2
+
 typedef struct
 {
   char id[20];
@@ -177,12 +199,10 @@
   uint64_t job_number;  /* of the job at that host */
   int64_t resubmit_at_ms;
   int64_t leaves_at_ms;
-  int64_t breaks_at_ms;       /* its channel breaks then */
-  int64_t close_seen_at_ms;   /* when the host before, STALE_HOST, sees that; 0 for never */
-  int stale_host;             /* index */
-  uint64_t stale_incarnation; /* of that host */
-  uint64_t stale_number;      /* of the request there */
-  bool closed;                /* answered, or abandoned by its caller */
+  int64_t breaks_at_ms; /* its channel breaks then */
+  int breaks;           /* that it has seen */
+  stale_request_t stale[BREAKS_MAX];
+  bool closed; /* answered, or abandoned by its caller */
   bool refused;
   int starts_since_sent;
   int total_starts;
@@ -217,7 +237,8 @@
   GSequence *events;
   sim_host_t hosts[SIM_HOSTS];
   sim_endpoint_t endpoints[SIM_ENDPOINTS];
-  bool links_chosen; /* the hosts with narrow links */
+  sim_link_t links[SIM_HOSTS][SIM_HOSTS]; /* the lesser index first */
+  bool links_chosen;                      /* the hosts with narrow links */
   int64_t data_centre_cut_until_ms[SIM_DATA_CENTRES];
   int64_t drain_from_ms[SIM_DATA_CENTRES];
   int64_t drain_until_ms[SIM_DATA_CENTRES];
@@ -245,6 +266,13 @@
   printf ("\n");
 }
 
+/* The id under which events that concern all jobs are printed. */
+static const char *
+any_id (void)
+{
+  return traced_id != NULL ? traced_id : "";
+}
+
 static void run_all_actions (sim_host_t *host);
 
 /* Returns a random number from 0 to LIMIT - 1. */
