Scheduler: a job of which nothing was sent waits for a host that tells of it

Cause: a host that has the request of a job but no owner for it yet, and is told that another host runs the job, went by the names of the two hosts, as if both ran it, and sent its tasks when an owner came. Change: such a job waits for the other host, as a new request would.

--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -270,7 +270,8 @@
            GArray *actions)
 {
   scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, status->id);
-  bool runs_here = job != NULL && job->waits_since_ms == 0 && !job->end_pending;
+  bool is_open = job != NULL && job->waits_since_ms == 0 && !job->end_pending;
+  bool runs_here = is_open && job->was_sent;
   bool runs_there = status->kind == JOB_STATUS_OPEN;
 
   if (runs_here && runs_there && !yields_to (scheduler, job, host))
@@ -282,6 +283,8 @@
   const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, status->id, now_ms);
   if (known && runs_here)
     yield (scheduler, job, remote, now_ms, actions);
+  else if (known && is_open)
+    repeats_wait (scheduler, job, now_ms, actions);
 }
 
 /* The job with ID has ended with OUTCOME at HOST, for good. */
--- a/tests/test_job_repeats.c
+++ b/tests/test_job_repeats.c
@@ -191,6 +191,17 @@
     }
 }
 
+/* The shard's owner offers four slots. */
+static void
+set_owner (scheduler_t *scheduler, int64_t now_ms, GArray *actions)
+{
+  const executor_offer_t offer = { "s", 4, 4, 1.0 };
+  const executor_load_t load = { .service = "s", .cores_milli = 4000 };
+
+  scheduler_set_owner (scheduler, "z", "hx", TOKEN, now_ms, actions);
+  report_offers (scheduler, "z", "hx", &offer, 1, &load, now_ms);
+}
+
 static scheduler_t *
 new_scheduler (GArray *actions)
 {
@@ -200,12 +211,9 @@
                                         .remote_factor = 1.0,
                                         .incarnation = 0,
                                         .resubmit_ms = RESUBMIT_MS };
-  const executor_offer_t offer = { "s", 4, 4, 1.0 };
-  const executor_load_t load = { .service = "s", .cores_milli = 4000 };
   scheduler_t *scheduler = scheduler_new (&options);
 
-  scheduler_set_owner (scheduler, "z", "hx", TOKEN, 0, actions);
-  report_offers (scheduler, "z", "hx", &offer, 1, &load, 0);
+  set_owner (scheduler, 0, actions);
   return scheduler;
 }
 
@@ -357,6 +365,36 @@
     }
 }
 
+/* A job of which nothing was sent yet, for want of an owner, waits for the host that tells of it,
+ * whatever their names. */
+static void
+test_not_sent (void)
+{
+  static const char *const others[] = { "g", "i" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      const job_status_t open = { ID, JOB_STATUS_OPEN, CALLER_WAIT_MS };
+      const job_status_t stopped = { ID, JOB_STATUS_STOPPED, 1000 };
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      scheduler_t *scheduler = new_scheduler (actions);
+      scheduler_action_t action = { 0 };
+      scheduler_set_owner (scheduler, "z", NULL, 0, 0, actions);
+      submit (scheduler, 0, actions);
+      scheduler_step (scheduler, 100, actions);
+      CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_SUBMIT, &action), 0);
+      scheduler_job_told (scheduler, others[i], &open, 110, actions);
+      set_owner (scheduler, 115, actions);
+      scheduler_step (scheduler, 120, actions);
+      CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_SUBMIT, &action), 0);
+      scheduler_job_told (scheduler, others[i], &stopped, 900, actions);
+      scheduler_step (scheduler, 1010, actions);
+      CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_SUBMIT, &action), 1);
+      scheduler_free (scheduler);
+      g_array_unref (actions);
+    }
+}
+
 /* A status that was cut off, or has an unknown kind, is refused. */
 static void
 test_message (void)
@@ -427,6 +465,7 @@
   { "a job that another host asks for", test_followed },
   { "a job that no host asks for any more", test_not_followed },
   { "a job that two hosts run", test_at_both },
+  { "a job of which nothing was sent", test_not_sent },
   { "messages", test_message },
   { "a message about runs at an owner", test_runs_message },
 };
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -119,15 +119,39 @@
   job->closed = true;
 }
 
+/* Tells TO a status of a job of FROM.  Others there may not hear it, if FROM has lost one of them.
+ */
 static void
-send_job_status (sim_host_t *from, sim_host_t *to, const job_status_t *status)
+tell_job_status (sim_host_t *from, sim_host_t *to, const job_status_t *status)
 {
-  sim_message_t *message = message_new (MESSAGE_JOB_STATUS, from, to);
+  bool relay = cluster_misses_host (from->cluster, data_centre_name (to->data_centre));
 
-  message->job = g_strdup (status->id);
-  message->job_status = *status;
-  message->job_status.id = message->job;
-  send_message (message);
+  send_job_status (from, to, from, relay, status);
+}
+
+typedef struct
+{
+  sim_host_t *from;
+  sim_host_t *to;
+} known_jobs_t;
+
+static void
+tell_known_job (const char *id, const char *origin, int64_t deadline_at_ms, void *data)
+{
+  const known_jobs_t *known = data;
+  const job_status_t status = { id, JOB_STATUS_WAITING, deadline_at_ms };
+
+  send_job_status (known->from, known->to, host_named (known->from->sim, origin), false, &status);
+}
+
+/* HOST tells TO, a host of its data centre that it hears again, the jobs of others. */
+static void
+tell_known_jobs (sim_host_t *host, sim_host_t *to)
+{
+  known_jobs_t known = { host, to };
+
+  if (host->data_centre == to->data_centre)
+    scheduler_foreach_remote (host->scheduler, host->sim->now_ms, tell_known_job, &known);
 }
 
 static void
@@ -153,7 +177,7 @@
   for (guint i = 0; i < statuses->len; i++)
     for (int k = 0; k < SIM_HOSTS; k++)
       if (k != host->index && (to == NULL || to == &sim->hosts[k]))
-        send_job_status (host, &sim->hosts[k], &g_array_index (statuses, job_status_t, i));
+        tell_job_status (host, &sim->hosts[k], &g_array_index (statuses, job_status_t, i));
   bool confirm = statuses->len > 0 || scheduler_awaits_confirmation (host->scheduler);
   for (int k = 0; to == NULL && confirm && k < SIM_HOSTS; k++)
     if (k != host->index)
@@ -175,6 +199,18 @@
       }
 }
 
+/* LOST is not heard any more: tells the other hosts of its data centre the open jobs again. */
+static void
+announce_past_lost (sim_host_t *host, const sim_host_t *lost)
+{
+  for (int i = 0; i < SIM_HOSTS; i++)
+    {
+      sim_host_t *other = &host->sim->hosts[i];
+      if (other != host && other != lost && other->data_centre == lost->data_centre)
+        announce_jobs (host, other);
+    }
+}
+
 #define ANNOUNCE_INTERVAL_MS 200
 
 /* Carries out an action about a job at another host. */
@@ -189,7 +225,7 @@
       send_job_query (host, other, action->job_id);
       break;
     case SCHEDULER_TELL:
-      send_job_status (host, other, &action->status);
+      send_job_status (host, other, host, false, &action->status);
       break;
     case SCHEDULER_ASK_OWNER:
       send_runs_message (MESSAGE_RUNS_QUERY, host, other, action->job_id, action->holder,
@@ -411,6 +447,7 @@
           scheduler_host_lost (host->scheduler, action.host, action.last_heard_at_ms, sim->now_ms,
                                host->scheduler_actions);
           run_scheduler_actions (host);
+          announce_past_lost (host, host_named (sim, action.host));
           break;
         case CLUSTER_HOST_RESTARTED:
           scheduler_host_restarted (host->scheduler, action.host, action.started_at_ms);
@@ -425,6 +462,7 @@
           send_heartbeat (host, host_named (sim, action.host));
           /* The connection to a host that was lost is replaced, and both tell their jobs on it. */
           announce_jobs (host, host_named (sim, action.host));
+          tell_known_jobs (host, host_named (sim, action.host));
           if (is_up (host_named (sim, action.host)))
             announce_jobs (host_named (sim, action.host), host);
           break;
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -322,6 +322,8 @@
   uint64_t batch_number;
   int32_t task_index;
   char *job;                       /* of MESSAGE_JOB_STATUS to MESSAGE_RUNS_OVER */
+  const sim_host_t *origin;        /* MESSAGE_JOB_STATUS: the host that has the job */
+  bool relay;                      /* MESSAGE_JOB_STATUS: the receiver passes it on */
   const char *holder;              /* of the last two of them */
   int64_t token;                   /* of MESSAGE_RUNS_OVER */
   int64_t asked_at_ms;             /* of the last two of them */
@@ -506,6 +508,41 @@
                                   cluster_alive_at_ms (host->cluster, coordinator));
 }
 
+/* Tells TO a status of a job that ORIGIN has.  With RELAY, TO tells the other hosts of its data
+ * centre. */
+static void
+send_job_status (sim_host_t *from,
+                 sim_host_t *to,
+                 const sim_host_t *origin,
+                 bool relay,
+                 const job_status_t *status)
+{
+  sim_message_t *message = message_new (MESSAGE_JOB_STATUS, from, to);
+
+  message->job = g_strdup (status->id);
+  message->job_status = *status;
+  message->job_status.id = message->job;
+  message->origin = origin;
+  message->relay = relay;
+  send_message (message);
+}
+
+static void
+receive_job_status (sim_host_t *host, const sim_message_t *message)
+{
+  simulation_t *sim = host->sim;
+
+  if (message->origin == host)
+    return;
+  trace (sim, message->job, "%s is told by %s that %s has it: %d", host->name, message->from->name,
+         message->origin->name, (int) message->job_status.kind);
+  for (int i = 0; message->relay && i < SIM_HOSTS; i++)
+    if (i != host->index && sim->hosts[i].data_centre == host->data_centre)
+      send_job_status (host, &sim->hosts[i], message->origin, false, &message->job_status);
+  scheduler_job_told (host->scheduler, message->origin->name, &message->job_status, sim->now_ms,
+                      host->scheduler_actions);
+}
+
 static void message_arrives (simulation_t *sim, void *data);
 
 /* When the cuts between two hosts end that last now. */
@@ -587,10 +624,7 @@
           crash_history_merge (host->crashes, &message->loss, sim->now_ms);
           break;
         case MESSAGE_JOB_STATUS:
-          trace (sim, message->job, "%s is told of it by %s: %d", host->name, message->from->name,
-                 (int) message->job_status.kind);
-          scheduler_job_told (host->scheduler, message->from->name, &message->job_status,
-                              sim->now_ms, host->scheduler_actions);
+          receive_job_status (host, message);
           break;
         case MESSAGE_JOB_QUERY:
           scheduler_job_asked (host->scheduler, message->from->name, message->job, sim->now_ms,
