--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -128,12 +128,15 @@
 }
 
 /* Whether HOST, over CONNECTION, is to pass on what this host tells it, as others there don't hear
- * it. */
+ * it.  MISSED is that of cluster_missed_data_centres (). */
 static bool
-is_relay_needed (const site_t *site, const char *host, const peer_connection_t *connection)
+is_relay_needed (const site_t *site,
+                 const char *host,
+                 const peer_connection_t *connection,
+                 GHashTable *missed)
 {
   return (!cluster_is_hub (site->cluster) && cluster_host_is_hub (site->cluster, host))
-         || cluster_misses_host (site->cluster, connection->data_centre);
+         || g_hash_table_contains (missed, connection->data_centre);
 }
 
 /* Whether this host is a hub that passes announcements on over CONNECTION. */
@@ -180,10 +183,13 @@
 repeats_host_connected (site_t *site, const char *host)
 {
   const peer_connection_t *connection = g_hash_table_lookup (site->connections, host);
+  GHashTable *missed = cluster_missed_data_centres (site->cluster);
   GArray *statuses = new_statuses ();
 
   scheduler_append_open (site->scheduler, statuses);
-  send_statuses (site, host, site->host, is_relay_needed (site, host, connection), statuses);
+  send_statuses (site, host, site->host, is_relay_needed (site, host, connection, missed),
+                 statuses);
+  g_hash_table_unref (missed);
   if (statuses->len > 0 && !is_local (site, connection))
     peers_send (site, host, job_msg_told (JOB_MSG_TOLD, clock_boot_ms ()));
   g_array_unref (statuses);
@@ -235,6 +241,7 @@
 static void
 announce (site_t *site, const GArray *statuses, int64_t now_ms)
 {
+  GHashTable *missed = cluster_missed_data_centres (site->cluster);
   GHashTableIter iter;
   void *host = NULL;
   void *connection = NULL;
@@ -242,10 +249,12 @@
   g_hash_table_iter_init (&iter, site->connections);
   while (g_hash_table_iter_next (&iter, &host, &connection))
     {
-      send_statuses (site, host, site->host, is_relay_needed (site, host, connection), statuses);
+      send_statuses (site, host, site->host, is_relay_needed (site, host, connection, missed),
+                     statuses);
       if (!is_local (site, connection))
         peers_send (site, host, job_msg_told (JOB_MSG_TOLD, now_ms));
     }
+  g_hash_table_unref (missed);
 }
 
 void
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -439,9 +439,10 @@
   return MAX (told_ms, peer->confirmed_ms + 1);
 }
 
-bool
-cluster_misses_host (const cluster_t *cluster, const char *data_centre)
+GHashTable *
+cluster_missed_data_centres (const cluster_t *cluster)
 {
+  GHashTable *missed = g_hash_table_new (NULL, NULL);
   GHashTableIter iter;
   void *value = NULL;
 
@@ -449,10 +450,10 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const peer_t *peer = value;
-      if (!peer->alive && !peer->leaving && strcmp (peer->data_centre, data_centre) == 0)
-        return true;
+      if (!peer->alive && !peer->leaving)
+        g_hash_table_add (missed, (void *) g_intern_string (peer->data_centre));
     }
-  return false;
+  return missed;
 }
 
 void
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -217,9 +217,9 @@
  * to it; hosts that said that they leave don't count.  NOW_MS if no other host is known. */
 int64_t cluster_told_at_ms (const cluster_t *cluster, int64_t now_ms);
 
-/* Whether a host of DATA_CENTRE was lost and is not forgotten: it may be out of reach from here
- * alone. */
-bool cluster_misses_host (const cluster_t *cluster, const char *data_centre);
+/* The data centres of hosts that were lost and are not forgotten, as a set of interned names: such
+ * a host may be out of reach from here alone.  The caller unrefs it. */
+GHashTable *cluster_missed_data_centres (const cluster_t *cluster);
 
 /* HOST has received all that this host sent it until CLOCK_MS, by this host's clock. */
 void cluster_confirmed (cluster_t *cluster, const char *host, int64_t clock_ms, int64_t now_ms);
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -124,9 +124,11 @@
 static void
 tell_job_status (sim_host_t *from, sim_host_t *to, const job_status_t *status)
 {
-  bool relay = cluster_misses_host (from->cluster, data_centre_name (to->data_centre));
+  GHashTable *missed = cluster_missed_data_centres (from->cluster);
+  const char *data_centre = g_intern_string (data_centre_name (to->data_centre));
 
-  send_job_status (from, to, from, relay, status);
+  send_job_status (from, to, from, g_hash_table_contains (missed, data_centre), status);
+  g_hash_table_unref (missed);
 }
 
 typedef struct
