Tests: the directory of the programs is found by site_find_programs ()

Found at the last reading: resent_non_hubs.c wrote again what resent_cut.c and two older tests held, and all four what tests/site_rig.c offers. No case, bound or assertion changes; no code of the product.

--- a/tests/resent_cut.c
+++ b/tests/resent_cut.c
@@ -3,7 +3,7 @@
 
 #include "base/clock.h"
 #include "tests/resent_job.h"
-#include "tests/site_call.h"
+#include "tests/site_rig.h"
 #include "tests/unit_runner.h"
 
 #include <CUnit/CUnit.h>
@@ -35,8 +35,6 @@
 
 static const char *const zones[] = { "zone-x", "zone-y", "zone-z" };
 
-/* Of the program that plays; a test of the runner takes no arguments. */
-static char programs[4096];
 static const resent_cut_case_t *cases;
 static size_t case_count;
 
@@ -414,7 +412,7 @@
 {
   for (size_t i = 0; i < case_count; i++)
     {
-      rig_t rig = { .programs = programs,
+      rig_t rig = { .programs = site_programs (),
                     .hosts_count = cases[i].hosts,
                     .endpoints_count = ENDPOINTS,
                     .zones = ZONES };
@@ -445,11 +443,9 @@
                  char **argv)
 {
   const unit_test_t tests[] = { { name, play_cases } };
-  char *directory = g_path_get_dirname (argv[0]);
 
   signal (SIGPIPE, SIG_IGN);
-  g_snprintf (programs, sizeof programs, "%s/..", directory);
-  g_free (directory);
+  site_find_programs (argv[0]);
   cases = suite_cases;
   case_count = count;
   return unit_run_named (suite, tests, G_N_ELEMENTS (tests), argc > 1 ? argv[1] : NULL);
--- a/tests/resent_non_hubs.c
+++ b/tests/resent_non_hubs.c
@@ -4,7 +4,7 @@
 #include "tests/resent_non_hubs.h"
 
 #include "base/clock.h"
-#include "tests/site_call.h"
+#include "tests/site_rig.h"
 
 #include <CUnit/CUnit.h>
 #include <signal.h>
@@ -20,8 +20,6 @@
 /* The first request may have no answer. */
 #define FIRST_ANSWER_MS 100
 
-static char programs[4096];
-
 /* The job that goes to one data centre after the other. */
 typedef struct
 {
@@ -90,7 +88,7 @@
 void
 resent_non_hubs_play (const resent_non_hubs_t *scenario)
 {
-  rig_t rig = { .programs = programs,
+  rig_t rig = { .programs = site_programs (),
                 .hosts_count = HOSTS,
                 .endpoints_count = ENDPOINTS,
                 .zones = ZONES,
@@ -113,10 +111,8 @@
                       int argc,
                       char **argv)
 {
-  char *directory = g_path_get_dirname (argv[0]);
 
   signal (SIGPIPE, SIG_IGN);
-  g_snprintf (programs, sizeof programs, "%s/..", directory);
-  g_free (directory);
+  site_find_programs (argv[0]);
   return unit_run_named (suite, tests, count, argc > 1 ? argv[1] : NULL);
 }
--- a/tests/test_site_owner_killed_at_age.c
+++ b/tests/test_site_owner_killed_at_age.c
@@ -3,7 +3,7 @@
 #include "tests/unit_runner.h"
 
 #include "base/clock.h"
-#include "tests/site_call.h"
+#include "tests/site_rig.h"
 
 #include <CUnit/CUnit.h>
 #include <signal.h>
@@ -21,12 +21,10 @@
 
 static const resent_job_t job = { 0xe0, TASKS, WORK_MS, CALLER_WAIT_MS };
 
-static char programs[4096];
-
 static void
 test_with (int age_ms)
 {
-  rig_t rig = { .programs = programs,
+  rig_t rig = { .programs = site_programs (),
                 .hosts_count = HOSTS,
                 .endpoints_count = ENDPOINTS,
                 .zones = ZONES,
@@ -74,9 +72,7 @@
 main (int argc, char **argv)
 {
   signal (SIGPIPE, SIG_IGN);
-  char *directory = g_path_get_dirname (argv[0]);
-  g_snprintf (programs, sizeof programs, "%s/..", directory);
-  g_free (directory);
+  site_find_programs (argv[0]);
   return unit_run_named ("site_owner_killed_at_age", tests, G_N_ELEMENTS (tests),
                          argc > 1 ? argv[1] : NULL);
 }
--- a/tests/test_site_resent_beside_dead_endpoint.c
+++ b/tests/test_site_resent_beside_dead_endpoint.c
@@ -4,7 +4,7 @@
 #include "tests/unit_runner.h"
 
 #include "base/clock.h"
-#include "tests/site_call.h"
+#include "tests/site_rig.h"
 
 #include <CUnit/CUnit.h>
 #include <signal.h>
@@ -27,12 +27,10 @@
 static const resent_job_t first_job = { 0xe0, TASKS, CALLER_WAIT_MS / 2, CALLER_WAIT_MS };
 static const resent_job_t second_job = { 0xe0, TASKS, WORK_MS, CALLER_WAIT_MS };
 
-static char programs[4096];
-
 static void
 test_with (plan_kind_t kind)
 {
-  rig_t rig = { .programs = programs,
+  rig_t rig = { .programs = site_programs (),
                 .hosts_count = HOSTS,
                 .endpoints_count = ENDPOINTS,
                 .zones = ZONES,
@@ -88,9 +86,7 @@
 main (int argc, char **argv)
 {
   signal (SIGPIPE, SIG_IGN);
-  char *directory = g_path_get_dirname (argv[0]);
-  g_snprintf (programs, sizeof programs, "%s/..", directory);
-  g_free (directory);
+  site_find_programs (argv[0]);
   return unit_run_named ("site_resent_beside_dead_endpoint", tests, G_N_ELEMENTS (tests),
                          argc > 1 ? argv[1] : NULL);
 }
