--- a/tools/index.sh
+++ b/tools/index.sh
@@ -24,7 +24,7 @@
 echo
 echo "Made by tools/index.sh from the line in which each file says what it does."
 for dir in lib/base lib/wire lib/settings lib/http lib/platform lib/config lib/view lib/claim lib/quota lib/dispatch \
-  lib/job lib/slo lib/reactor lib/executor lib/cluster lib/drain lib/scheduler platform daemon tool standins bench bench/policy tests tests/system tests/soak tools mk docs docs/design; do
+  lib/job lib/slo lib/reactor lib/executor lib/cluster lib/drain lib/scheduler platform daemon tool standins bench bench/policy tests tests/system tests/soak tests/deployment tools mk docs docs/design; do
   echo
   echo "## $dir"
   echo
