--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 UNIT_SRC := $(wildcard tests/test_*.c)
 SYS_SRC := $(wildcard tests/system/*.c)
 SOAK_SRC := $(wildcard tests/soak/*.c)
+DEPLOYMENT_SRC := $(wildcard tests/deployment/*.c)
 BENCH_SRC := $(wildcard bench/*.c)
 EXAMPLE_SRC := $(wildcard lib/*/*_example.c)
 # A stand-in is standins/fake_NAME.c with the common parts in standins/common_*.c, and its own
@@ -46,7 +47,8 @@
 UNITS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(UNIT_SRC))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_SRC))
 EXAMPLES := $(patsubst lib/%.c,$(BUILD)/examples/%,$(EXAMPLE_SRC))
-SYSTEM := $(if $(SYS_SRC),$(BUILD)/tests/system) $(if $(SOAK_SRC),$(BUILD)/tests/soak)
+SYSTEM := $(if $(SYS_SRC),$(BUILD)/tests/system) $(if $(SOAK_SRC),$(BUILD)/tests/soak) \
+          $(if $(DEPLOYMENT_SRC),$(BUILD)/tests/deployment)
 
 .PHONY: all programs units system benches examples clean setup
 all: programs
@@ -81,6 +83,10 @@
 $(BUILD)/tests/soak: $(call obj,$(SOAK_SRC) tests/site_call.c tests/port_block.c) $(ARCHIVES)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $(call obj,$(SOAK_SRC) tests/site_call.c tests/port_block.c) $(GROUP) $(PKG_LIBS)
+DEPLOYMENT_PARTS := $(call obj,$(DEPLOYMENT_SRC) $(filter-out %/main.c,$(SOAK_SRC)) tests/site_call.c tests/port_block.c)
+$(BUILD)/tests/deployment: $(DEPLOYMENT_PARTS) $(ARCHIVES)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $(DEPLOYMENT_PARTS) $(GROUP) $(PKG_LIBS)
 # What tests use of the programs and of the soak.
 TESTED := $(call obj,tool/explain.c tests/site_call.c tests/site_rig.c tests/site_crowd.c tests/site_usage.c tests/resent_cut.c tests/resent_job.c tests/resent_non_hubs.c tests/port_block.c tests/executor_scenario.c tests/unit_runner.c \
                      $(wildcard platform/*.c) $(filter-out %/main.c,$(SOAK_SRC)))
--- a/mk/system.mk
+++ b/mk/system.mk
@@ -2,11 +2,17 @@
 #
 #   make failures   every case of docs/FAULTS.md
 #   make soak       random faults on a site for MINUTES with fresh seeds (printed)
+#   make deployment days of a deployment at its size: DEPLOYMENT_SEED=7 DEPLOYMENT_COUNT=5
 
 MINUTES ?= 2
 
-.PHONY: soak failures
+DEPLOYMENT_SEED ?= 1
+DEPLOYMENT_COUNT ?= 1
+
+.PHONY: soak failures deployment
 failures: programs system
 	$(BUILD)/tests/system $(BUILD)
 soak: programs system
 	tools/soak.sh $(MINUTES)
+deployment: programs system
+	$(BUILD)/tests/deployment --programs $(BUILD) --seed $(DEPLOYMENT_SEED) --count $(DEPLOYMENT_COUNT)
--- a/tests/soak/book.c
+++ b/tests/soak/book.c
@@ -608,6 +608,163 @@
   return (int32_t) g_hash_table_size (book->found);
 }
 
+/* --- jobs that ran twice --- */
+
+#define TWICE "twice: job "
+/* Jobs that are printed. */
+#define STORIES_MAX 6
+
+static const char *const kind_names[] = {
+  [BOOK_END] = "ends",          [BOOK_SENT] = "sent",           [BOOK_START] = "starts",
+  [BOOK_ANSWERED] = "answered", [BOOK_BROKEN] = "not answered", [BOOK_CANCELLED] = "cancelled",
+};
+
+static void
+print_job (const GArray *rows, uint64_t job)
+{
+  int64_t from_ms = 0;
+
+  printf ("  job %016" G_GINT64_MODIFIER "x\n", job);
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const book_row_t *row = &g_array_index (rows, book_row_t, i);
+      if (row->job != job || row->kind >= G_N_ELEMENTS (kind_names)
+          || kind_names[row->kind] == NULL)
+        continue;
+      bool of_endpoint = row->kind == BOOK_START || row->kind == BOOK_END;
+      from_ms = from_ms == 0 ? row->at_ms : from_ms;
+      printf ("    %6" G_GINT64_FORMAT " ms (%" G_GINT64_FORMAT "): %s %s%d, %d: %s\n",
+              row->at_ms - from_ms, row->at_ms, kind_names[row->kind], of_endpoint ? "e" : "h",
+              (int) (of_endpoint ? row->endpoint : row->host),
+              (int) (of_endpoint ? row->index : row->status), row->text);
+    }
+}
+
+int32_t
+book_print_twice (book_t *book)
+{
+  GHashTable *jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  GHashTableIter iter;
+  void *text = NULL;
+  int32_t count = 0;
+
+  g_mutex_lock (&book->lock);
+  GArray *rows = g_array_copy (book->rows);
+  g_mutex_unlock (&book->lock);
+  g_array_sort (rows, compare);
+  g_hash_table_iter_init (&iter, book->found);
+  while (g_hash_table_iter_next (&iter, &text, NULL))
+    {
+      if (!g_str_has_prefix (text, TWICE))
+        continue;
+      count++;
+      uint64_t job = g_ascii_strtoull ((const char *) text + strlen (TWICE), NULL, 16);
+      uint64_t *key = g_memdup2 (&job, sizeof job);
+      if (g_hash_table_add (jobs, key) && g_hash_table_size (jobs) <= STORIES_MAX)
+        print_job (rows, job);
+    }
+  g_hash_table_unref (jobs);
+  g_array_unref (rows);
+  return count;
+}
+
+void
+book_print_job (book_t *book, uint64_t job)
+{
+  g_mutex_lock (&book->lock);
+  GArray *rows = g_array_copy (book->rows);
+  g_mutex_unlock (&book->lock);
+  g_array_sort (rows, compare);
+  print_job (rows, job);
+  g_array_unref (rows);
+}
+
+/* --- how long runs go on --- */
+
+typedef struct
+{
+  int64_t for_ms;
+  uint64_t job;
+} stop_time_t;
+
+static bool
+is_without_answer (const book_row_t *row)
+{
+  return (row->kind == BOOK_BROKEN && strcmp (row->text, BOOK_LEFT_UNSEEN) != 0)
+         || (row->kind == BOOK_ANSWERED && row->status == 504);
+}
+
+/* How long runs of JOB that were started before row number INDEX go on after it; 0 if none do. */
+static int64_t
+goes_on_ms (const job_t *job, guint index)
+{
+  const book_row_t *rows = (const book_row_t *) (void *) job->rows->data;
+  int64_t for_ms = 0;
+
+  for (guint i = index + 1; i < job->rows->len; i++)
+    for (guint k = 0; k < index && rows[i].kind == BOOK_END; k++)
+      if (rows[k].kind == BOOK_START && rows[k].index == rows[i].index
+          && rows[k].attempt == rows[i].attempt && rows[k].endpoint == rows[i].endpoint)
+        for_ms = MAX (for_ms, rows[i].at_ms - rows[index].at_ms);
+  return for_ms;
+}
+
+static gint
+compare_stop_times (gconstpointer a, gconstpointer b)
+{
+  const stop_time_t *x = a;
+  const stop_time_t *y = b;
+
+  return x->for_ms > y->for_ms ? 1 : x->for_ms < y->for_ms ? -1 : 0;
+}
+
+book_stop_times_t
+book_stop_times (book_t *book)
+{
+  GArray *times = g_array_new (FALSE, FALSE, sizeof (stop_time_t));
+  book_stop_times_t result = { 0 };
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_mutex_lock (&book->lock);
+  GArray *rows = g_array_copy (book->rows);
+  g_mutex_unlock (&book->lock);
+  g_array_sort (rows, compare);
+  view_t view = { .book = book,
+                  .rows = (const book_row_t *) (void *) rows->data,
+                  .count = rows->len };
+  GHashTable *jobs = jobs_of (&view);
+  g_hash_table_iter_init (&iter, jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const job_t *job = value;
+      for (guint i = 0; i < job->rows->len; i++)
+        {
+          stop_time_t time = { 0, job->id };
+          if (is_without_answer (&g_array_index (job->rows, book_row_t, i)))
+            time.for_ms = goes_on_ms (job, i);
+          if (time.for_ms > 0)
+            g_array_append_val (times, time);
+        }
+    }
+  g_array_sort (times, compare_stop_times);
+  if (times->len > 0)
+    {
+      const stop_time_t *longest = &g_array_index (times, stop_time_t, times->len - 1);
+      result = (book_stop_times_t){
+        .requests = (int32_t) times->len,
+        .half_ms = g_array_index (times, stop_time_t, times->len / 2).for_ms,
+        .most_of_hundred_ms = g_array_index (times, stop_time_t, times->len * 99 / 100).for_ms,
+        .longest_ms = longest->for_ms,
+        .longest_job = longest->job,
+      };
+    }
+  g_hash_table_unref (jobs);
+  g_array_unref (rows);
+  g_array_unref (times);
+  return result;
+}
+
 book_totals_t
 book_totals (book_t *book)
 {
--- a/tests/soak/book.h
+++ b/tests/soak/book.h
@@ -46,6 +46,9 @@
   const char *text; /* copied */
 } book_row_t;
 
+/* The text of BOOK_BROKEN where the host does not see that its caller has left. */
+#define BOOK_LEFT_UNSEEN "left unseen"
+
 book_t *book_new (void);
 void book_free (book_t *book);
 
@@ -77,6 +80,25 @@
 } book_totals_t;
 book_totals_t book_totals (book_t *book);
 
+/* Prints, for each job of which a task ran twice at one time, all that there is of it; at most a
+ * few jobs.  Returns the number of such tasks.  After book_check (). */
+int32_t book_print_twice (book_t *book);
+
+/* How long runs of a job go on after a request for it ended without a whole answer (no answer, a
+ * broken connection that the host sees, 504), by what its caller saw, in milliseconds. */
+typedef struct
+{
+  int32_t requests; /* that ended so while runs of the job went on */
+  int64_t half_ms;
+  int64_t most_of_hundred_ms; /* 99 of 100 */
+  int64_t longest_ms;
+  uint64_t longest_job;
+} book_stop_times_t;
+book_stop_times_t book_stop_times (book_t *book);
+
+/* Prints all that there is of JOB. */
+void book_print_job (book_t *book, uint64_t job);
+
 /* A finding from outside of the book. */
 void book_find (book_t *book, const char *text);
 
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -208,6 +208,9 @@
     case PLAN_CUT_ZONE:
       zone_rule (rig, fault, PROXY_HOLD, 0);
       break;
+    case PLAN_BREAK_ZONE:
+      zone_rule (rig, fault, PROXY_BREAK, 0);
+      break;
     case PLAN_DELAY:
       zone_rule (rig, fault, PROXY_DELAY, DELAY_MS);
       break;
@@ -272,6 +275,7 @@
     case PLAN_RESTART_ENDPOINTS:
       restart_endpoints (rig, fault);
       break;
+    case PLAN_CALLERS_LEAVE:
     case PLAN_KINDS:
     default:
       break;
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -62,6 +62,8 @@
   [PLAN_PAUSE_ENDPOINT] = { "pause endpoint", ON_ENDPOINT, 3 },
   [PLAN_DRAIN] = { "drain data centre", ON_ZONE, 0 },
   [PLAN_RESTART_ENDPOINTS] = { "restart endpoints from", ON_ENDPOINT, 0 },
+  [PLAN_BREAK_ZONE] = { "cut data centre with resets", ON_ZONE, 0 },
+  [PLAN_CALLERS_LEAVE] = { "callers leave", ON_ALL, 0 },
 };
 
 const char *
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -52,6 +52,9 @@
   /* Under their ids: the target and all endpoints after it, at once; its entry is back at the end.
    */
   PLAN_RESTART_ENDPOINTS,
+  /* Only in days of a deployment (tests/deployment). */
+  PLAN_BREAK_ZONE, /* a cut that resets connections */
+  PLAN_CALLERS_LEAVE,
   PLAN_KINDS
 } plan_kind_t;
 
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -72,6 +72,8 @@
   const name_t *from; /* NULL while it is not known */
   end_t ends[2];      /* of the one who dialed, and of the one behind the door */
   bool muted;
+  bool moved;   /* bytes have been taken */
+  bool pending; /* it has bytes to move, or an end to pass on */
 } pair_t;
 
 struct proxy_t
@@ -83,6 +85,7 @@
   GHashTable *pairs;
   GPtrArray *doors;
   GPtrArray *listeners;
+  bool drops_unsent;
 };
 
 /* --- rules --- */
@@ -198,13 +201,14 @@
   end_t *end = &pair->ends[sender];
   struct evbuffer *in = bufferevent_get_input (end->side);
   size_t size = evbuffer_get_length (in);
-  int64_t slow = rule_value (proxy, pair, sender, PROXY_SLOW);
-  int64_t delay_ms = MAX (rule_value (proxy, pair, sender, PROXY_DELAY), 0);
 
   if (size == 0 || pair->muted || rule_value (proxy, pair, sender, PROXY_HOLD) >= 0)
     return;
+  int64_t slow = rule_value (proxy, pair, sender, PROXY_SLOW);
+  int64_t delay_ms = MAX (rule_value (proxy, pair, sender, PROXY_DELAY), 0);
   if (slow >= 0)
     size = MIN (size, (size_t) slow);
+  pair->moved = true;
   parcel_t *parcel = g_new0 (parcel_t, 1);
   parcel->due_ms = now_ms + delay_ms;
   parcel->bytes = evbuffer_new ();
@@ -243,11 +247,29 @@
   return false;
 }
 
+static bool
+is_pending (const pair_t *pair)
+{
+  for (int i = 0; i < 2; i++)
+    {
+      const end_t *end = &pair->ends[i];
+      if (end->ended || end->parcels.length > 0
+          || evbuffer_get_length (bufferevent_get_input (end->side)) > 0)
+        return true;
+    }
+  return false;
+}
+
 static void
 move (proxy_t *proxy, pair_t *pair)
 {
   int64_t now_ms = g_get_monotonic_time () / 1000;
 
+  if (rule_value (proxy, pair, 0, PROXY_BREAK) >= 0)
+    {
+      reset_pair (proxy, pair);
+      return;
+    }
   for (int i = 0; i < 2; i++)
     {
       take (proxy, pair, i, now_ms);
@@ -256,6 +278,8 @@
   /* An end that is cut off is not noticed while the cut lasts. */
   if (is_over (pair) && rule_value (proxy, pair, pair->ends[1].ended, PROXY_HOLD) < 0)
     g_hash_table_remove (proxy->pairs, pair);
+  else
+    pair->pending = is_pending (pair);
 }
 
 static void
@@ -277,6 +301,12 @@
   if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
     return;
   pair->ends[side == pair->ends[1].side].ended = true;
+  pair->pending = true;
+  if (pair->door->proxy->drops_unsent && !pair->moved && pair->ends[0].ended)
+    {
+      reset_pair (pair->door->proxy, pair);
+      return;
+    }
   if ((what & BEV_EVENT_ERROR) && !pair->muted
       && rule_value (pair->door->proxy, pair, side == pair->ends[1].side, PROXY_HOLD) < 0)
     reset_pair (pair->door->proxy, pair);
@@ -316,15 +346,27 @@
     reset_pair (proxy, pair);
 }
 
+/* Moves the pairs that wait for time or for the end of a rule, or ALL of them. */
 static void
-on_tick (void *data)
+move_pairs (proxy_t *proxy, bool all)
 {
-  proxy_t *proxy = data;
-  GList *pairs = g_hash_table_get_keys (proxy->pairs);
+  GPtrArray *pairs = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *key = NULL;
 
-  for (GList *at = pairs; at != NULL; at = at->next)
-    move (proxy, at->data);
-  g_list_free (pairs);
+  g_hash_table_iter_init (&iter, proxy->pairs);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (all || ((const pair_t *) key)->pending)
+      g_ptr_array_add (pairs, key);
+  for (guint i = 0; i < pairs->len; i++)
+    move (proxy, pairs->pdata[i]);
+  g_ptr_array_unref (pairs);
+}
+
+static void
+on_tick (void *data)
+{
+  move_pairs (data, false);
 }
 
 /* --- requests from other threads --- */
@@ -394,6 +436,7 @@
     {
     case ASK_RULE:
       g_ptr_array_add (proxy->rules, ask->rule);
+      move_pairs (proxy, true);
       break;
     case ASK_END_RULE:
       end_rules (proxy, ask->id);
@@ -562,6 +605,12 @@
   return proxy;
 }
 
+void
+proxy_drop_unsent (proxy_t *proxy)
+{
+  proxy->drops_unsent = true;
+}
+
 void
 proxy_name (proxy_t *proxy, const char *name, const char *group, int64_t token_tag)
 {
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -18,12 +18,18 @@
 typedef enum
 {
   PROXY_HOLD,  /* bytes from FROM to TO wait, as do answers to them: cut without an end */
+  PROXY_BREAK, /* connections that carry bytes from FROM to TO, or did, are reset: a cut with ends
+                */
   PROXY_DELAY, /* bytes from FROM to TO, and back, are VALUE ms late */
   PROXY_SLOW   /* FROM reads at most VALUE bytes a tick of what TO sends */
 } proxy_mode_t;
 
 proxy_t *proxy_new (void);
 
+/* From now on a connection that was opened in a cut, and is ended by the one who dialed before the
+ * cut is over, brings nothing.  By default its bytes arrive at the end of the cut. */
+void proxy_drop_unsent (proxy_t *proxy);
+
 /* Names a host: its group, and the low bits that mark its tokens. */
 void proxy_name (proxy_t *proxy, const char *name, const char *group, int64_t token_tag);
 
--- a/tests/soak/rig.c
+++ b/tests/soak/rig.c
@@ -21,6 +21,7 @@
 #define LOG_IP "127.0.3.1"
 #define PORTS_OF_HOST 3
 #define ROOM 4
+#define DEFAULT_CPU_SHARE 0.25
 #define READY_MAX_MS 20000
 /* Runs side by side have ports of their own. */
 static const port_range_t soak_ports = { .first_port = 10000, .ports = 600, .blocks = 16 };
@@ -34,16 +35,23 @@
   return rig->ports.first_port;
 }
 
+/* How many endpoints a process plays. */
+static int32_t
+endpoints_each (const rig_t *rig)
+{
+  return MAX (rig->endpoints_each, 1);
+}
+
 int
 rig_endpoint_port (const rig_t *rig, int32_t endpoint)
 {
-  return rig->ports.first_port + 1 + endpoint;
+  return rig->ports.first_port + 1 + endpoint * endpoints_each (rig);
 }
 
 int
 rig_caller_port (const rig_t *rig, int32_t host)
 {
-  return rig->ports.first_port + 1 + rig->endpoints_count + host * PORTS_OF_HOST;
+  return rig_endpoint_port (rig, rig->endpoints_count) + host * PORTS_OF_HOST;
 }
 
 static int
@@ -54,6 +62,18 @@
 
 /* --- processes --- */
 
+/* The seed hosts as the settings name them.  The caller frees it. */
+static char *
+seed_addresses (const rig_t *rig)
+{
+  GString *text = g_string_new (NULL);
+
+  for (int32_t i = 0; i < MAX (rig->seed_hosts, 1); i++)
+    g_string_append_printf (text, "%s" PEER_IP ":%d", i > 0 ? "," : "",
+                            rig_caller_port (rig, i) + 2);
+  return g_string_free (text, FALSE);
+}
+
 static void
 start_host (rig_t *rig, int32_t number)
 {
@@ -63,14 +83,18 @@
   char *log = g_strdup_printf ("%s/%s.log", rig->directory, host->name);
   char *program = g_strdup_printf ("%s/jaytraild", rig->programs);
   char *argv[] = { program, "--site", NULL };
+  char *seeds = seed_addresses (rig);
+  char cpu_share[G_ASCII_DTOSTR_BUF_SIZE];
+  g_ascii_formatd (cpu_share, sizeof cpu_share, "%.2f",
+                   rig->cpu_share != NULL ? rig->cpu_share (number) : DEFAULT_CPU_SHARE);
   char *text = g_strdup_printf (
       "node_name=%s\nzone=%s\nip=" PEER_IP "\nlisten_addrs.frontend=127.0.0.1:%d\n"
       "listen_addrs.ready=127.0.0.1:%d\nlisten_addrs.control_plane=127.0.0.1:%d\n"
-      "seed_nodes=" PEER_IP ":%d\nplatform.address=" LOG_IP ":%d\nbounds.max_hold_ms=1000\n"
+      "seed_nodes=%s\nplatform.address=" LOG_IP ":%d\nbounds.max_hold_ms=1000\n"
       "bounds.stop_timeout_ms=50\nbounds.grace_period_s=6\nbounds.retransmit_ms=1300\n"
-      "bounds.config_apply_ms=2000\nlimits.cpu_fraction=0.25\nsomething.new=%d\n",
-      host->name, host->zone, port, port + 1, port + 2, rig_caller_port (rig, 0) + 2,
-      log_port_of (rig, number), (int) host->settings);
+      "bounds.config_apply_ms=2000\nlimits.cpu_fraction=%s\nsomething.new=%d\n",
+      host->name, host->zone, port, port + 1, port + 2, seeds, log_port_of (rig, number), cpu_share,
+      (int) host->settings);
 
   g_file_set_contents (settings, text, -1, NULL);
   host->told = "";
@@ -78,25 +102,40 @@
   host->life++;
   host->pid = site_run (argv, settings, log);
   g_free (text);
+  g_free (seeds);
   g_free (program);
   g_free (log);
   g_free (settings);
 }
 
+/* Notes KIND for all endpoints of process NUMBER. */
+static void
+note_endpoints (rig_t *rig, int32_t number, book_kind_t kind)
+{
+  int32_t first = number * endpoints_each (rig);
+
+  for (int32_t i = first; i < first + endpoints_each (rig); i++)
+    {
+      book_row_t row = { .at_ms = clock_boot_ms (), .kind = kind, .endpoint = i };
+      book_add (rig->book, &row);
+    }
+}
+
 void
 rig_start_endpoint (rig_t *rig, int32_t number)
 {
   rig_endpoint_t *endpoint = &rig->endpoints[number];
   char *program = g_strdup_printf ("%s/fake_site", rig->programs);
   char *log = g_strdup_printf ("127.0.0.1:%d", rig_log_port (rig));
-  char *first = g_strdup_printf ("%d", number);
+  char *first = g_strdup_printf ("%d", number * endpoints_each (rig));
+  char *count = g_strdup_printf ("%d", endpoints_each (rig));
   char *port = g_strdup_printf ("%d", rig_endpoint_port (rig, number));
-  char *room = g_strdup_printf ("%d", ROOM);
+  char *room = g_strdup_printf ("%d", rig->room > 0 ? rig->room : ROOM);
   char *argv[] = { program,
                    "--log",
                    log,
                    "--endpoints",
-                   "1",
+                   count,
                    "--first",
                    first,
                    "--first-port",
@@ -112,9 +151,9 @@
 
   endpoint->pid = site_run (argv, NULL, endpoint->ledger);
   endpoint->paused = false;
-  book_row_t row = { .at_ms = clock_boot_ms (), .kind = BOOK_ENDPOINT_BACK, .endpoint = number };
-  book_add (rig->book, &row);
+  note_endpoints (rig, number, BOOK_ENDPOINT_BACK);
   g_free (room);
+  g_free (count);
   g_free (port);
   g_free (first);
   g_free (log);
@@ -169,8 +208,7 @@
   rig_tell (endpoint->pid, SIGKILL);
   waitpid (endpoint->pid, NULL, 0);
   endpoint->pid = 0;
-  book_row_t row = { .at_ms = clock_boot_ms (), .kind = BOOK_ENDPOINT_GONE, .endpoint = number };
-  book_add (rig->book, &row);
+  note_endpoints (rig, number, BOOK_ENDPOINT_GONE);
 }
 
 void
@@ -192,10 +230,7 @@
     return;
   rig_tell (endpoint->pid, paused ? SIGSTOP : SIGCONT);
   endpoint->paused = paused;
-  book_row_t row = { .at_ms = clock_boot_ms (),
-                     .kind = paused ? BOOK_ENDPOINT_PAUSED : BOOK_ENDPOINT_BACK,
-                     .endpoint = number };
-  book_add (rig->book, &row);
+  note_endpoints (rig, number, paused ? BOOK_ENDPOINT_PAUSED : BOOK_ENDPOINT_BACK);
 }
 
 void
@@ -330,12 +365,12 @@
       result |= proxy_listen (rig->proxy, LOG_IP, log_port_of (rig, i), rig_log_port (rig),
                               host->name, "log", "log");
     }
-  for (int32_t i = 0; i < rig->endpoints_count; i++)
+  for (int32_t i = 0; i < rig->endpoints_count * endpoints_each (rig); i++)
     {
       char *name = g_strdup_printf ("e%d", (int) i);
-      int port = rig_endpoint_port (rig, i);
-      result |=
-          proxy_listen (rig->proxy, ENDPOINT_IP, port, port, NULL, name, rig->endpoints[i].zone);
+      int port = rig_endpoint_port (rig, 0) + i;
+      result |= proxy_listen (rig->proxy, ENDPOINT_IP, port, port, NULL, name,
+                              rig->endpoints[i / endpoints_each (rig)].zone);
       g_free (name);
     }
   return result == 0;
@@ -363,6 +398,8 @@
   rig->hosts = g_new0 (rig_host_t, rig->hosts_count);
   rig->endpoints = g_new0 (rig_endpoint_t, rig->endpoints_count);
   rig->proxy = proxy_new ();
+  if (rig->drops_unsent)
+    proxy_drop_unsent (rig->proxy);
   name_hosts (rig);
   for (int32_t i = 0; i < rig->endpoints_count; i++)
     {
--- a/tests/soak/rig.h
+++ b/tests/soak/rig.h
@@ -1,4 +1,7 @@
 /* rig.h -- the processes of a soak: a log, endpoints, hosts, and the proxy between them
+ *
+ * A process of endpoints plays one of them, or ENDPOINTS_EACH of one data centre; faults of
+ * endpoints are those of a whole process.
  *
  * Everything listens on loopback addresses; ports follow from a base.  Processes are ended by the
  * ids that were started here, and by no others.
@@ -41,8 +44,13 @@
   char *directory;      /* settings, logs and ledgers */
   port_block_t ports;
   int32_t hosts_count;
-  int32_t endpoints_count;
+  int32_t endpoints_count; /* their processes */
+  int32_t endpoints_each;  /* 0: one in each process */
+  int32_t room;            /* tasks at once on an endpoint; 0: four */
+  int32_t seed_hosts;      /* named in all settings; 0: the first host only */
   int32_t zones;
+  bool drops_unsent;                  /* as proxy_drop_unsent () */
+  double (*cpu_share) (int32_t host); /* of a core, as its settings say; NULL: a quarter */
   rig_host_t *hosts;
   rig_endpoint_t *endpoints;
   pid_t log_pid;
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -261,6 +261,32 @@
   book_free (book);
 }
 
+/* Of two requests without an answer the runs of one go on; the other one's caller left unseen. */
+static void
+test_stop_times (void)
+{
+  static const book_row_t rows[] = {
+    SENT (10, 1),
+    START (12, 0, 1, 1),
+    ANSWERED (50, 504, "{}"),
+    END (85, 0, 1, 1, "stopped"),
+    START (90, 0, 2, 2),
+    { .at_ms = 95, .kind = BOOK_BROKEN, .job = JOB, .text = BOOK_LEFT_UNSEEN },
+    END (400, 0, 2, 2, "done"),
+  };
+  book_t *book = book_new ();
+
+  CU_ASSERT_EQUAL (book_stop_times (book).requests, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    book_add (book, &rows[i]);
+  book_stop_times_t times = book_stop_times (book);
+  CU_ASSERT_EQUAL (times.requests, 1);
+  CU_ASSERT_EQUAL (times.half_ms, 35);
+  CU_ASSERT_EQUAL (times.longest_ms, 35);
+  CU_ASSERT_EQUAL (times.longest_job, JOB);
+  book_free (book);
+}
+
 /* The same seed makes the same plan; faults are in their order, inside of their bounds. */
 static void
 test_plan (void)
@@ -303,6 +329,7 @@
   HOLD_AND_END,
   DELAY,
   RESET,
+  BREAK,
   MUTE
 } harm_t;
 
@@ -325,6 +352,7 @@
   { "held for a while", HOLD_AND_END, ANSWERED_LATE },
   { "delayed both ways", DELAY, ANSWERED_LATE },
   { "reset", RESET, CLOSED },
+  { "cut with resets", BREAK, CLOSED },
   { "silent for good", MUTE, SILENT },
 };
 
@@ -349,6 +377,8 @@
     proxy_rule (proxy, 1, PROXY_HOLD, NULL, "echo", 0, false);
   if (harm == DELAY)
     proxy_rule (proxy, 1, PROXY_DELAY, NULL, "echo", SILENCE_MS, false);
+  if (harm == BREAK)
+    proxy_rule (proxy, 1, PROXY_BREAK, NULL, "echo", 0, false);
   if (harm == RESET)
     proxy_reset (proxy, "echo");
   if (harm == MUTE)
@@ -422,6 +452,7 @@
 static const unit_test_t tests[] = {
   { "checks on doctored books", test_books },
   { "a ledger's line", test_ledger },
+  { "how long runs go on", test_stop_times },
   { "plans", test_plan },
   { "the proxy", test_proxy },
 };
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -124,6 +124,8 @@
   step soak timeout 400 tools/soak.sh kept
   # Callers that lose their connection unseen, while hosts stop and start again.
   step soak/broken timeout 100 build/tests/soak --seed 55200 --broken 10
+  # A small deployment's day; the size is for runs by hand.
+  step soak/deployment timeout 100 build/tests/deployment --seed 41 --hosts 9 --endpoints 3 --callers 40 --rate 60 --seconds 8
 }
 
 step_asan () {
