--- a/tests/deployment/day.c
+++ b/tests/deployment/day.c
@@ -27,6 +27,7 @@
   { PLAN_CUT_ENDPOINT, 40, 5, 80, 2000, 5000, 4, 100 },
   { PLAN_ENDPOINT_LATE, 20, 5, 80, 2000, 5000, 1, 0 },
   { PLAN_CALLERS_LEAVE, 60, 5, 80, 4000, 6000, 1, 0 },
+  { PLAN_KILL_ALL, 60, 85, 95, 300, 1000, 1, 0 },
 };
 
 /* Owners and hubs are among the first two hosts of each data centre. */
--- a/tests/deployment/main.c
+++ b/tests/deployment/main.c
@@ -27,7 +27,7 @@
 #define WATCH_EVERY_MS 60
 #define BALANCE_EVERY_MS 1000
 #define MS_PER_S 1000
-#define TAIL_MS 4000
+#define TAIL_MS 9000
 #define LEAVE_PERCENT 35
 /* Rules of the cut between a data centre and the log; above those of the plan. */
 #define LOG_RULE 10000
