A request that TCP delivers seconds after a cut waits for the end of its connection

Cause: the site remembered the end of a cut for CLUSTER_EXCHANGE_MS (1,000 ms). A retransmission may come seconds later, as TCP doubles its time-out while the cut lasts. The request then started its job at once, although its connection had been idle since before the cut; the end of the connection, which says that the caller has gone, arrived just after it.

Change: the end of a cut is kept for 20 s. In the first second requests on connections that have been idle since before the cut wait for the other hosts to tell their jobs, as before; from then on for 100 ms, for the end of their connection. There is one entry for each data centre, that of its latest cut, which covers the earlier ones. Entries of recovered data centres don't limit deadlines and don't count as out of reach, as before (is_out_of_reach ()).

Not covered by a test: cuts of a data centre that come again within the 20 s, and what the wait costs requests after a cut.

--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -76,11 +76,12 @@
   int64_t due_at_ms;    /* no line before */
 } client_limits_log_t;
 
-/* A data centre that was out of reach since SINCE_MS, and is reached again. */
+/* A data centre that was out of reach since SINCE_MS, and is reached again; one for each. */
 typedef struct
 {
+  const char *data_centre; /* interned */
   int64_t since_ms;
-  int64_t until_ms; /* its hosts may not have told all their jobs before */
+  int64_t reached_again_ms;
 } recovered_t;
 
 struct site_t
--- a/daemon/site_reach.c
+++ b/daemon/site_reach.c
@@ -3,6 +3,10 @@
 
 /* Jobs must be given up 110 ms after a data centre counts as unreached, or later. */
 #define CHECK_INTERVAL_MS 50
+/* A request that was sent into a cut may arrive so long after its end: TCP doubles its time-out
+ * with each retransmission, so that the next one comes about as long after the end as the cut
+ * lasted, and hosts that are cut off for 20 s are forgotten. */
+#define DELIVERED_LATE_MS 20000
 
 /* Returns the entry of DATA_CENTRE, which is interned, in UNREACHED, or NULL. */
 static const cluster_unreached_t *
@@ -38,20 +42,41 @@
   event_end ();
 }
 
-/* ENTRY is reached again: for a while its hosts may not have told all their jobs. */
+static recovered_t *
+find_recovered (const GArray *recovered, const char *data_centre)
+{
+  for (guint i = 0; i < recovered->len; i++)
+    {
+      recovered_t *entry = &g_array_index (recovered, recovered_t, i);
+      if (entry->data_centre == data_centre)
+        return entry;
+    }
+  return NULL;
+}
+
+/* ENTRY is reached again.  Only the latest cut of a data centre is kept: connections that have been
+ * idle since before an earlier one have been idle since before the latest one, too. */
 static void
 add_recovered (site_t *site, const cluster_unreached_t *entry, int64_t now_ms)
 {
-  const recovered_t recovered = { entry->since_ms, now_ms + CLUSTER_EXCHANGE_MS };
+  const recovered_t recovered = { entry->data_centre, entry->since_ms, now_ms };
+  recovered_t *known = find_recovered (site->recovered, entry->data_centre);
 
-  g_array_append_val (site->recovered, recovered);
+  if (known == NULL)
+    g_array_append_val (site->recovered, recovered);
+  else
+    {
+      known->since_ms = MAX (known->since_ms, entry->since_ms);
+      known->reached_again_ms = now_ms;
+    }
 }
 
 static void
 remove_recovered (site_t *site, int64_t now_ms)
 {
   for (guint i = site->recovered->len; i-- > 0;)
-    if (now_ms >= g_array_index (site->recovered, recovered_t, i).until_ms)
+    if (now_ms
+        >= g_array_index (site->recovered, recovered_t, i).reached_again_ms + DELIVERED_LATE_MS)
       g_array_remove_index_fast (site->recovered, i);
 }
 
@@ -89,9 +114,11 @@
   for (guint i = 0; i < site->recovered->len; i++)
     {
       const recovered_t *recovered = &g_array_index (site->recovered, recovered_t, i);
+      /* Its hosts may not have told all their jobs before. */
+      int64_t told_at_ms = recovered->reached_again_ms + CLUSTER_EXCHANGE_MS;
       const scheduler_unreached_t reached = { .reached_at_ms = INT64_MAX,
                                               .since_ms = recovered->since_ms,
-                                              .heard = true };
+                                              .heard = now_ms < told_at_ms };
       scheduler_add_unreached (site->scheduler, &reached);
     }
 }
--- a/lib/scheduler/late_requests.c
+++ b/lib/scheduler/late_requests.c
@@ -1,9 +1,10 @@
 /* late_requests.c -- requests that a cut may have held up until now
  *
- * What is sent into a cut arrives when it ends.  By then the caller may have sent its job again to
- * a host on its own side, which this host hears of only a little later.  A request therefore waits
- * if nothing has come on its connection since before a data centre was out of reach.  One whose
- * connection was in use since then has a caller on this side.
+ * What is sent into a cut arrives when it ends, or seconds later with a retransmission of TCP.  By
+ * then the caller may have sent its job again to a host on its own side, which this host hears of
+ * only a little later.  A request therefore waits if nothing has come on its connection since
+ * before a data centre was out of reach.  One whose connection was in use since then has a caller
+ * on this side.
  */
 #include "scheduler/state.h"
 
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -277,13 +277,13 @@
  * give up jobs for want of that. */
 void scheduler_set_told_at (scheduler_t *scheduler, int64_t told_at_ms);
 
-/* A data centre that is out of reach, or was until a moment ago: then REACHED_AT_MS is INT64_MAX.
- */
+/* A data centre that is out of reach, or was so lately that requests which the cut held up may
+ * still arrive: then REACHED_AT_MS is INT64_MAX. */
 typedef struct
 {
   int64_t reached_at_ms; /* it has certainly received what was sent before */
   int64_t since_ms;      /* it was out of reach by then, unless links are slow */
-  bool heard;            /* hosts of it are heard since */
+  bool heard;            /* hosts of it are heard since, and may not have told all their jobs */
 } scheduler_unreached_t;
 
 /* A data centre is out of reach.  New jobs must end before they may be sent again there
--- a/tests/resent_cut.c
+++ b/tests/resent_cut.c
@@ -26,6 +26,8 @@
 #define CALLERS_RULE 2
 /* Between two pairs of hosts that are cut one after the other. */
 #define LINK_GAP_MS 30
+/* A job that is open for so long has started, and is not announced. */
+#define YOUNG_MS 200
 /* A cut that heals and comes back. */
 #define FIRST_CUT_MS 700
 #define HEALED_MS 300
@@ -287,6 +289,13 @@
   return cut_first ? resent_job_send (play->rig, play->first_host, job) : first;
 }
 
+static void
+hold_callers (const play_t *play)
+{
+  proxy_rule (play->rig->proxy, CALLERS_RULE, PROXY_HOLD, "callers",
+              host_name (play, play->first_host), 0, false);
+}
+
 /* Cuts callers from the first host, if the row says so. */
 static void
 cut_callers (const play_t *play, int64_t first_sent_ms)
@@ -294,8 +303,7 @@
   if (play->row->callers_cut_ms == 0)
     return;
   clock_sleep_ms (MAX (first_sent_ms + play->row->callers_cut_ms - clock_boot_ms (), 0));
-  proxy_rule (play->rig->proxy, CALLERS_RULE, PROXY_HOLD, "callers",
-              host_name (play, play->first_host), 0, false);
+  hold_callers (play);
 }
 
 /* Sends JOB again, to the second host, as the caller has lost its channel to the first one. Returns
@@ -351,6 +359,54 @@
   return status;
 }
 
+/* Records the ANSWER to the second request, and asserts that the hosts serve small jobs.  Returns
+ * what the caller got in the end. */
+static int
+finish_case (const play_t *play, const resent_job_t *job, const site_response_t *answer)
+{
+  rig_t *rig = play->rig;
+  int status = answer->status;
+
+  resent_job_answered (rig, play->second_host, job, status, answer->body);
+  if (is_unserved (play->row, status))
+    status = send_until_whole (play, job);
+  CU_ASSERT_TRUE (is_served (rig, play->second_host, job->id + 0x1000));
+  CU_ASSERT_TRUE (play->row->cut == HOST_KILLED
+                  || is_served (rig, play->first_host, job->id + 0x2000));
+  return status;
+}
+
+/* A case whose first request is delivered after the end of the cut.  Returns what the caller of the
+ * second request got in the end. */
+static int
+play_delivered_late (const play_t *play, uint64_t id)
+{
+  rig_t *rig = play->rig;
+  const resent_job_t job = { id, TASKS, play->row->work_ms, CALLER_WAIT_MS };
+
+  wait_for_owners (play);
+  int first = site_connect (RIG_CALLER_IP, rig_caller_port (rig, play->first_host));
+  clock_sleep_ms (SETTLED_AFTER_MS);
+  int32_t trouble = book_trouble (rig->book, clock_boot_ms ());
+  begin_cut (play);
+  hold_callers (play);
+  resent_job_send_on (rig, play->first_host, &job, first);
+  clock_sleep_ms (SENT_AGAIN_AFTER_MS);
+  resent_job_broken (rig, play->first_host, &job);
+  close (first);
+  clock_sleep_ms (play->row->cut_ends_ms);
+  proxy_end_rule (rig->proxy, CUT_RULE);
+  clock_sleep_ms (play->row->callers_held_ms - YOUNG_MS);
+  int second = resent_job_send (rig, play->second_host, &job);
+  clock_sleep_ms (YOUNG_MS);
+  proxy_end_rule (rig->proxy, CALLERS_RULE);
+  site_response_t answer = site_read_response (second, clock_boot_ms () + CALLER_WAIT_MS);
+  int status = finish_case (play, &job, &answer);
+  book_trouble_over (rig->book, trouble, clock_boot_ms ());
+  close (second);
+  return status;
+}
+
 /* Returns what the caller of the second request got in the end. */
 static int
 play_case (const play_t *play, uint64_t id)
@@ -378,12 +434,7 @@
   end_cut (play);
   if (answer.status == 0)
     answer = site_read_response (second, sent_ms + CALLER_WAIT_MS + SENT_AGAIN_AFTER_MS);
-  resent_job_answered (rig, play->second_host, &job, answer.status, answer.body);
-  int status = answer.status;
-  if (is_unserved (row, status))
-    status = send_until_whole (play, &job);
-  CU_ASSERT_TRUE (is_served (rig, play->second_host, id + 0x1000));
-  CU_ASSERT_TRUE (row->cut == HOST_KILLED || is_served (rig, play->first_host, id + 0x2000));
+  int status = finish_case (play, &job, &answer);
   book_trouble_over (rig->book, trouble, clock_boot_ms ());
   close (first);
   close (second);
@@ -421,7 +472,8 @@
       CU_ASSERT_TRUE (rig_start (&rig));
       play.first_host = choose_host (&play, cases[i].first_host, cases[i].first_is_no_hub);
       play.second_host = choose_host (&play, cases[i].second_host, cases[i].second_is_no_hub);
-      int status = play_case (&play, FIRST_JOB + i);
+      int status = cases[i].callers_held_ms > 0 ? play_delivered_late (&play, FIRST_JOB + i)
+                                                : play_case (&play, FIRST_JOB + i);
       rig_watch (&rig);
       int32_t findings = book_check (rig.book, clock_boot_ms ());
       /* The job is whole, as the first host has run it or another one after it. */
--- a/tests/resent_cut.h
+++ b/tests/resent_cut.h
@@ -52,7 +52,11 @@
   bool broken_at_once; /* the first channel breaks as the first request is sent, so that the second
                           one follows 1,300 ms after it */
   int callers_cut_ms;  /* callers are cut from the first host so long after the first request */
-  int cut_ends_ms;     /* the cut ends so long after the second request; 0: in 6 s */
+  int callers_held_ms; /* the first request is sent in the cut, on a connection that was opened
+                          before, which its caller closes after the 1,300 ms; it is delivered so
+                          long after the end of the cut, and just after the second request */
+  int cut_ends_ms;     /* the cut ends so long after the second request; 0: in 6 s; with
+                          callers_held_ms: after the first connection is closed */
   bool third_request;  /* and the job is sent to THIRD_HOST, too, after the same time */
   int third_host;
   bool may_be_unserved; /* the second request may be answered 503 or 504, as no host can know that
--- a/tests/resent_job.c
+++ b/tests/resent_job.c
@@ -8,13 +8,12 @@
 #define HUBS_PER_ZONE 4
 #define HOST_CPU_MILLICORES 250
 
-int
-resent_job_send (rig_t *rig, int host, const resent_job_t *job)
+void
+resent_job_send_on (rig_t *rig, int host, const resent_job_t *job, int fd)
 {
   char *spec = g_strdup_printf ("%d", job->work_ms);
   char *body = site_job_json (job->tasks, spec, job->work_ms, "");
   char *target = g_strdup_printf ("/q/%016" G_GINT64_MODIFIER "x", job->id);
-  int fd = site_connect (RIG_CALLER_IP, rig_caller_port (rig, host));
   const book_row_t row = { .at_ms = clock_boot_ms (),
                            .kind = BOOK_SENT,
                            .job = job->id,
@@ -28,6 +27,14 @@
   g_free (target);
   g_free (body);
   g_free (spec);
+}
+
+int
+resent_job_send (rig_t *rig, int host, const resent_job_t *job)
+{
+  int fd = site_connect (RIG_CALLER_IP, rig_caller_port (rig, host));
+
+  resent_job_send_on (rig, host, job, fd);
   return fd;
 }
 
--- a/tests/resent_job.h
+++ b/tests/resent_job.h
@@ -27,6 +27,9 @@
  * closes. */
 int resent_job_send (rig_t *rig, int host, const resent_job_t *job);
 
+/* The same on FD, a connection to HOST. */
+void resent_job_send_on (rig_t *rig, int host, const resent_job_t *job, int fd);
+
 /* Records that HOST has answered JOB with STATUS and BODY. */
 void
 resent_job_answered (rig_t *rig, int host, const resent_job_t *job, int status, const char *body);
--- a/tests/test_job_late_requests.c
+++ b/tests/test_job_late_requests.c
@@ -33,20 +33,24 @@
   int64_t idle_ms;
   int64_t since_ms;         /* a data centre is out of reach since then; NEVER: all are reached */
   bool heard;               /* hosts of it are heard again */
+  bool reached;             /* it is reached again */
   int64_t reached_again_ms; /* after RECEIVED_MS */
   told_t told;
   int64_t starts_from_ms; /* after RECEIVED_MS; NEVER: it does not start here */
   int64_t starts_by_ms;
 } cases[] = {
-  { "all are reached", 5000, NEVER, false, 0, NOT_TOLD, 0, 0 },
-  { "a connection in use", 20, CUT_MS, false, NEVER, NOT_TOLD, 0, 0 },
-  { "used since the cut", 1500, CUT_MS, false, NEVER, NOT_TOLD, 0, 0 },
-  { "idle since before the cut", 3000, CUT_MS, false, NEVER, NOT_TOLD, 50, HELD_MAX_MS },
-  { "heard again", 3000, CUT_MS, true, NEVER, NOT_TOLD, 900, TOLD_MAX_MS },
-  { "the cut has ended", 3000, CUT_MS, true, 300, NOT_TOLD, 300, 310 },
-  { "another host runs it", 3000, CUT_MS, true, 300, TOLD_OPEN, NEVER, NEVER },
-  { "another host has run it", 3000, CUT_MS, true, 300, TOLD_COMPLETE, NEVER, NEVER },
-  { "another host runs it, all are reached", 3000, NEVER, false, 0, TOLD_OPEN, 0, 0 },
+  { "all are reached", 5000, NEVER, false, false, 0, NOT_TOLD, 0, 0 },
+  { "a connection in use", 20, CUT_MS, false, false, NEVER, NOT_TOLD, 0, 0 },
+  { "used since the cut", 1500, CUT_MS, false, false, NEVER, NOT_TOLD, 0, 0 },
+  { "idle since before the cut", 3000, CUT_MS, false, false, NEVER, NOT_TOLD, 50, HELD_MAX_MS },
+  { "heard again", 3000, CUT_MS, true, false, NEVER, NOT_TOLD, 900, TOLD_MAX_MS },
+  { "seconds after the end of the cut", 6000, CUT_MS, false, true, NEVER, NOT_TOLD, 50,
+    HELD_MAX_MS },
+  { "used since the cut, seconds after its end", 1500, CUT_MS, false, true, NEVER, NOT_TOLD, 0, 0 },
+  { "the cut has ended", 3000, CUT_MS, true, false, 300, NOT_TOLD, 300, 310 },
+  { "another host runs it", 3000, CUT_MS, true, false, 300, TOLD_OPEN, NEVER, NEVER },
+  { "another host has run it", 3000, CUT_MS, true, false, 300, TOLD_COMPLETE, NEVER, NEVER },
+  { "another host runs it, all are reached", 3000, NEVER, false, false, 0, TOLD_OPEN, 0, 0 },
 };
 
 static int
@@ -124,7 +128,9 @@
     {
       GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
       scheduler_t *scheduler = new_scheduler_of ("ha", RESUBMIT_MS, RECEIVED_MS, actions);
-      const scheduler_unreached_t unreached = { .reached_at_ms = cases[i].since_ms - 600,
+      const scheduler_unreached_t unreached = { .reached_at_ms = cases[i].reached
+                                                                     ? INT64_MAX
+                                                                     : cases[i].since_ms - 600,
                                                 .since_ms = cases[i].since_ms,
                                                 .heard = cases[i].heard };
       if (cases[i].since_ms != NEVER)
