A host that waits neither runs a job nor says that it is over while another host has it

Callers that send a job again to a third host could get it run twice: host B waits for A, which runs the job, and for C, which waits too and was heard of last. Asked by C, B looked at its last entry only, C's. With the greater name it answered that the job was over, so that C could start it beside A; with the lesser name it ended C's entry, as if it were to run the job itself. Three hosts that wait for each other, in contrast, could block each other until the deadline, as each asked the last one it had heard of.

A host that waits now decides by all its entries. If all wait, the least name runs the job; else the answer is that this host waits. A host asks one that is known to run the job; if it knows of none, it asks all that have it, so that they know that it waits.

--- a/lib/scheduler/remote_jobs.c
+++ b/lib/scheduler/remote_jobs.c
@@ -1,6 +1,8 @@
 /* remote_jobs.c -- jobs whose tasks may be running for another coordinator */
 #include "scheduler/remote_jobs.h"
 
+#include <string.h>
+
 /* The end of an open job may not be told.  Its entry is kept for this long after its deadline, by
  * which its host has answered it and ended its runs. */
 #define UNTOLD_END_MS 2000
@@ -96,12 +98,16 @@
 remote_jobs_open (remote_jobs_t *jobs,
                   const char *id,
                   const char *host,
+                  bool runs,
                   int64_t deadline_at_ms,
                   int64_t now_ms)
 {
+  const entry_t *entry = find_entry (jobs, id, g_intern_string (host));
   const remote_job_t job = { .learned_at_ms = now_ms,
                              .over_at_ms = INT64_MAX,
-                             .expires_at_ms = MAX (deadline_at_ms, now_ms) + UNTOLD_END_MS };
+                             .expires_at_ms = MAX (deadline_at_ms, now_ms) + UNTOLD_END_MS,
+                             .runs = runs,
+                             .asked_at_ms = entry != NULL && !runs ? entry->job.asked_at_ms : 0 };
 
   return set_entry (jobs, id, host, &job);
 }
@@ -126,6 +132,25 @@
     entry->job.expires_at_ms = 0;
 }
 
+void
+remote_jobs_asked (remote_jobs_t *jobs, const char *id, const char *host, int64_t now_ms)
+{
+  entry_t *entry = find_entry (jobs, id, g_intern_string (host));
+
+  if (entry == NULL)
+    return;
+  entry->job.runs = false;
+  entry->job.asked_at_ms = now_ms;
+}
+
+void
+remote_jobs_end_open (remote_jobs_t *jobs, const char *id)
+{
+  for (entry_t *entry = g_hash_table_lookup (jobs->by_id, id); entry != NULL; entry = entry->next)
+    if (entry->job.over_at_ms == INT64_MAX)
+      entry->job.expires_at_ms = 0;
+}
+
 static void
 mark_unheard (entry_t *entry)
 {
@@ -193,14 +218,61 @@
         function (id, entry->job.host, entry->job.expires_at_ms - UNTOLD_END_MS, data);
 }
 
+/* The lower, the more likely it is that the host of JOB runs it. */
+static int
+rank (const remote_job_t *job)
+{
+  if (job->runs || job->over_at_ms != INT64_MAX)
+    return 0;
+  return job->asked_at_ms == 0 ? 1 : 2;
+}
+
 const remote_job_t *
 remote_jobs_find (const remote_jobs_t *jobs, const char *id, int64_t now_ms)
 {
-  const entry_t *entry = g_hash_table_lookup (jobs->by_id, id);
+  const remote_job_t *found = NULL;
 
-  while (entry != NULL && now_ms >= entry->job.expires_at_ms)
-    entry = entry->next;
-  return entry != NULL ? &entry->job : NULL;
+  for (const entry_t *entry = g_hash_table_lookup (jobs->by_id, id); entry != NULL;
+       entry = entry->next)
+    if (now_ms < entry->job.expires_at_ms && (found == NULL || rank (&entry->job) < rank (found)))
+      found = &entry->job;
+  return found;
+}
+
+void
+remote_jobs_foreach_host (const remote_jobs_t *jobs,
+                          const char *id,
+                          int64_t now_ms,
+                          void (*function) (const remote_job_t *job, void *data),
+                          void *data)
+{
+  for (const entry_t *entry = g_hash_table_lookup (jobs->by_id, id); entry != NULL;
+       entry = entry->next)
+    if (now_ms < entry->job.expires_at_ms)
+      function (&entry->job, data);
+}
+
+const char *
+remote_jobs_first_waiting (const remote_jobs_t *jobs,
+                           const char *id,
+                           const char *self,
+                           int64_t asked_since_ms,
+                           int64_t now_ms)
+{
+  const char *first = NULL;
+
+  for (const entry_t *entry = g_hash_table_lookup (jobs->by_id, id); entry != NULL;
+       entry = entry->next)
+    {
+      const remote_job_t *job = &entry->job;
+      if (now_ms >= job->expires_at_ms || g_str_equal (job->host, self))
+        continue;
+      if (rank (job) != 2 || job->asked_at_ms < asked_since_ms)
+        return NULL;
+      if (first == NULL || strcmp (job->host, first) < 0)
+        first = job->host;
+    }
+  return first;
 }
 
 int64_t
--- a/lib/scheduler/remote_jobs.h
+++ b/lib/scheduler/remote_jobs.h
@@ -35,19 +35,29 @@
   int64_t expires_at_ms;   /* the entry is forgotten then */
   job_evidence_t evidence; /* of OVER_AT_MS */
   bool unheard;            /* its host is not heard: it can't tell the end of the job */
+  bool runs;               /* its host has said last that it runs the job */
+  int64_t asked_at_ms;     /* the last time that its host asked for the job, as it waits; 0 if it
+                              has not since it ran it */
 } remote_job_t;
 
 remote_jobs_t *remote_jobs_new (void);
 void remote_jobs_free (remote_jobs_t *jobs);
 
-/* HOST has the job with ID, and nobody waits for it there after DEADLINE_AT_MS.  Returns false if
- * there is no place for it. */
+/* HOST has the job with ID, and nobody waits for it there after DEADLINE_AT_MS.  If it is not known
+ * that it RUNS, it may run all the same.  Returns false if there is no place for it. */
 bool remote_jobs_open (remote_jobs_t *jobs,
                        const char *id,
                        const char *host,
+                       bool runs,
                        int64_t deadline_at_ms,
                        int64_t now_ms);
 
+/* HOST, which has the job with ID, asks for it: it waits for the end of the job elsewhere. */
+void remote_jobs_asked (remote_jobs_t *jobs, const char *id, const char *host, int64_t now_ms);
+
+/* Ends the entries of the job with ID that are open. */
+void remote_jobs_end_open (remote_jobs_t *jobs, const char *id);
+
 /* HOST has ended the job with ID, by EVIDENCE; its runs may go on until OVER_AT_MS. */
 void remote_jobs_ended (remote_jobs_t *jobs,
                         const char *id,
@@ -73,10 +83,27 @@
     void (*function) (const char *id, const char *host, int64_t deadline_at_ms, void *data),
     void *data);
 
-/* Returns the entry of the job with ID whose host has it last of all, of those whose runs may go on
- * at NOW_MS; NULL if there is none.  Valid until the next call. */
+/* Returns the entry of the job with ID of a host that runs it, or whose runs may go on at NOW_MS;
+ * else that of one that may run it; else that of one that waits; of several, the last to be added.
+ * NULL if there is none.  Valid until the next call. */
 const remote_job_t *remote_jobs_find (const remote_jobs_t *jobs, const char *id, int64_t now_ms);
 
+/* Calls FUNCTION for each entry of the job with ID. */
+void remote_jobs_foreach_host (const remote_jobs_t *jobs,
+                               const char *id,
+                               int64_t now_ms,
+                               void (*function) (const remote_job_t *job, void *data),
+                               void *data);
+
+/* Returns the least name of the hosts other than SELF that have the job with ID, if all of them
+ * wait and have asked for it since ASKED_SINCE_MS; NULL if there is none, or if one may run it or
+ * its runs may go on.  Interned. */
+const char *remote_jobs_first_waiting (const remote_jobs_t *jobs,
+                                       const char *id,
+                                       const char *self,
+                                       int64_t asked_since_ms,
+                                       int64_t now_ms);
+
 /* Until when runs of the job with ID for HOST may go on; NOW_MS if they have ended. */
 int64_t
 remote_jobs_over_at (const remote_jobs_t *jobs, const char *id, const char *host, int64_t now_ms);
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -18,6 +18,9 @@
 #define ANNOUNCE_PERCENT 30
 /* Callers at a host that has not asked for this long do not wait any more. */
 #define FOLLOWER_LEASE_MS 1000
+/* A host that has asked waits for this long: it asks again, unless it knows that another one runs
+ * the job. */
+#define WAITS_VALID_MS (3 * REPEATS_ASK_INTERVAL_MS)
 /* How often the entries of other hosts are searched for expired ones. */
 #define EXPIRE_INTERVAL_MS 500
 /* Ends that were not collected; the oldest are kept. */
@@ -107,7 +110,27 @@
 
 /* --- a job that waits --- */
 
-/* Asks the host of REMOTE for JOB, if that is due. */
+typedef struct
+{
+  scheduler_t *scheduler;
+  const char *id;
+  const char *holder;
+  GArray *actions;
+} question_t;
+
+/* Asks the host of REMOTE unless it is the holder, which was asked, or its runs just end. */
+static void
+ask_other (const remote_job_t *remote, void *data)
+{
+  const question_t *question = data;
+
+  if (remote->over_at_ms == INT64_MAX && remote->host != question->holder)
+    repeats_add_action (question->scheduler, SCHEDULER_ASK, remote->host, question->id,
+                        question->actions);
+}
+
+/* Asks the host of REMOTE for JOB, if that is due.  If it may be waiting as well, so may all
+ * others: they are asked too, and thereby know that this host waits. */
 static void
 ask (scheduler_t *scheduler,
      scheduled_job_t *job,
@@ -125,6 +148,9 @@
     return;
   job->ask_at_ms = now_ms + REPEATS_ASK_INTERVAL_MS;
   repeats_add_action (scheduler, SCHEDULER_ASK, remote->host, job->request.id, actions);
+  question_t question = { scheduler, job->request.id, remote->host, actions };
+  if (!remote->runs)
+    remote_jobs_foreach_host (scheduler->remote_jobs, question.id, now_ms, ask_other, &question);
 }
 
 bool
@@ -278,8 +304,8 @@
     note (scheduler, status->id, host, SCHEDULER_FOUND_AT_BOTH, JOB_EVIDENCE_TOLD, 0, actions);
   if (runs_here && (!runs_there || !yields_to (scheduler, job, host)))
     return;
-  bool known =
-      remote_jobs_open (scheduler->remote_jobs, status->id, host, status->until_ms, now_ms);
+  bool known = remote_jobs_open (scheduler->remote_jobs, status->id, host, runs_there,
+                                 status->until_ms, now_ms);
   const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, status->id, now_ms);
   if (known && runs_here)
     yield (scheduler, job, remote, now_ms, actions);
@@ -374,6 +400,27 @@
       id, outcome, MAX (runs_end_ms, scheduler->started_at_ms + scheduler_runs_end_ms (scheduler)));
 }
 
+/* Which of this host, at which JOB waits, and HOST, which asks for it and hence waits too, may run
+ * it: of all hosts that have it, the one with the least name, if none of them runs it.  NULL if
+ * neither may, as far as is known here. */
+static const char *
+may_run_next (const scheduler_t *scheduler,
+              const scheduled_job_t *job,
+              const char *host,
+              int64_t now_ms)
+{
+  const char *id = job->request.id;
+  int64_t asked_since_ms = now_ms - WAITS_VALID_MS;
+  const char *first = remote_jobs_first_waiting (scheduler->remote_jobs, id, scheduler->host,
+                                                 asked_since_ms, now_ms);
+
+  if (first == NULL || remote_jobs_over_at (scheduler->remote_jobs, id, host, now_ms) <= now_ms)
+    return NULL;
+  if (!job->yielded && strcmp (scheduler->host, first) < 0)
+    return scheduler->host;
+  return first == g_intern_string (host) ? first : NULL;
+}
+
 void
 scheduler_job_asked (scheduler_t *scheduler,
                      const char *host,
@@ -382,15 +429,14 @@
                      GArray *actions)
 {
   scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
-  const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, id, now_ms);
-  bool waits_for_asker = job != NULL && job->waits_since_ms != 0 && remote != NULL
-                         && remote->host == g_intern_string (host);
-  bool runs_it = waits_for_asker && !job->yielded && strcmp (scheduler->host, host) < 0;
-
-  /* Two hosts that wait for each other: the one with the lesser name runs the job. */
-  if (runs_it)
-    remote_jobs_ended (scheduler->remote_jobs, id, host, JOB_EVIDENCE_TOLD, now_ms, now_ms);
-  bool has_it = job != NULL && (!waits_for_asker || runs_it);
+  const char *next = NULL;
+
+  remote_jobs_asked (scheduler->remote_jobs, id, host, now_ms);
+  if (job != NULL && job->waits_since_ms != 0)
+    next = may_run_next (scheduler, job, host, now_ms);
+  if (next == scheduler->host)
+    remote_jobs_end_open (scheduler->remote_jobs, id);
+  bool has_it = job != NULL && (next == NULL || next == scheduler->host);
 
   if (has_it)
     add_follower (job, host, now_ms);
--- a/tests/test_job_repeats.c
+++ b/tests/test_job_repeats.c
@@ -203,9 +203,9 @@
 }
 
 static scheduler_t *
-new_scheduler (GArray *actions)
+new_scheduler_at (const char *host, GArray *actions)
 {
-  const scheduler_options_t options = { .host = "h",
+  const scheduler_options_t options = { .host = host,
                                         .data_centre = "z",
                                         .lease_ms = LEASE_MS,
                                         .remote_factor = 1.0,
@@ -217,6 +217,12 @@
   return scheduler;
 }
 
+static scheduler_t *
+new_scheduler (GArray *actions)
+{
+  return new_scheduler_at ("h", actions);
+}
+
 /* Returns the number of actions of KIND, and clears ACTIONS.  *LAST is the last of them. */
 static int
 take_actions (GArray *actions, scheduler_action_kind_t kind, scheduler_action_t *last)
@@ -395,6 +401,252 @@
     }
 }
 
+#define TOLD_MAX 3
+#define ASKERS_MAX 2
+#define ASKED_AT_MS (RECEIVED_AT_MS + 100)
+#define SETTLED_MS 2000
+
+typedef struct
+{
+  const char *host;
+  job_status_kind_t kind;
+} told_t;
+
+/* What host "h", at which a request waits, answers to the last of the hosts that ask for the job,
+ * and whether it then runs it. */
+static const struct
+{
+  const char *name;
+  told_t told[TOLD_MAX];
+  const char *askers[ASKERS_MAX];
+  job_status_kind_t answer;
+  bool starts;
+  const char *then_runs; /* tells that it runs the job after the first question */
+} questions[] = {
+  { "a greater one waits",
+    { { "i", JOB_STATUS_WAITING } },
+    { "i" },
+    JOB_STATUS_WAITING,
+    true,
+    NULL },
+  { "a lesser one waits",
+    { { "g", JOB_STATUS_WAITING } },
+    { "g" },
+    JOB_STATUS_STOPPED,
+    false,
+    NULL },
+  { "one runs it, a lesser one waits",
+    { { "a", JOB_STATUS_OPEN }, { "g", JOB_STATUS_WAITING } },
+    { "g" },
+    JOB_STATUS_WAITING,
+    false,
+    NULL },
+  { "one runs it, a greater one waits",
+    { { "a", JOB_STATUS_OPEN }, { "i", JOB_STATUS_WAITING } },
+    { "i" },
+    JOB_STATUS_WAITING,
+    false,
+    NULL },
+  { "one of a greater name runs it, a lesser one waits",
+    { { "k", JOB_STATUS_OPEN }, { "g", JOB_STATUS_WAITING } },
+    { "g" },
+    JOB_STATUS_WAITING,
+    false,
+    NULL },
+  { "one of a greater name is told by a relay, a greater one waits",
+    { { "k", JOB_STATUS_WAITING }, { "i", JOB_STATUS_WAITING } },
+    { "i" },
+    JOB_STATUS_WAITING,
+    false,
+    NULL },
+  { "one runs it and is told by a relay, a lesser one waits",
+    { { "k", JOB_STATUS_OPEN }, { "k", JOB_STATUS_WAITING }, { "g", JOB_STATUS_WAITING } },
+    { "g" },
+    JOB_STATUS_WAITING,
+    false,
+    NULL },
+  { "one that has waited runs it, a lesser one waits",
+    { { "k", JOB_STATUS_WAITING }, { "g", JOB_STATUS_WAITING } },
+    { "k", "g" },
+    JOB_STATUS_WAITING,
+    false,
+    "k" },
+  { "two wait, the least asks",
+    { { "g", JOB_STATUS_WAITING }, { "i", JOB_STATUS_WAITING } },
+    { "i", "g" },
+    JOB_STATUS_STOPPED,
+    false,
+    NULL },
+  { "two wait, the greatest asks",
+    { { "g", JOB_STATUS_WAITING }, { "i", JOB_STATUS_WAITING } },
+    { "g", "i" },
+    JOB_STATUS_WAITING,
+    false,
+    NULL },
+  { "two greater ones wait",
+    { { "i", JOB_STATUS_WAITING }, { "k", JOB_STATUS_WAITING } },
+    { "k", "i" },
+    JOB_STATUS_WAITING,
+    true,
+    NULL },
+};
+
+static void
+tell_kind (scheduler_t *scheduler,
+           const char *host,
+           job_status_kind_t kind,
+           int64_t now_ms,
+           GArray *actions)
+{
+  const job_status_t status = { ID, kind, RECEIVED_AT_MS + CALLER_WAIT_MS };
+
+  scheduler_job_told (scheduler, host, &status, now_ms, actions);
+}
+
+/* Plays all that row ROW of the questions tells and asks. */
+static void
+play_question (scheduler_t *scheduler, size_t row, GArray *actions, scheduler_action_t *answer)
+{
+  for (int i = 0; i < TOLD_MAX; i++)
+    if (questions[row].told[i].host != NULL)
+      tell_kind (scheduler, questions[row].told[i].host, questions[row].told[i].kind, 0, actions);
+  submit (scheduler, RECEIVED_AT_MS, actions);
+  take_actions (actions, SCHEDULER_TELL, answer);
+  for (int i = 0; i < ASKERS_MAX && questions[row].askers[i] != NULL; i++)
+    {
+      if (i == 1 && questions[row].then_runs != NULL)
+        tell_kind (scheduler, questions[row].then_runs, JOB_STATUS_OPEN, ASKED_AT_MS, actions);
+      scheduler_job_asked (scheduler, questions[row].askers[i], ID, ASKED_AT_MS, actions);
+      CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_TELL, answer), 1);
+    }
+}
+
+static void
+test_asked_while_it_waits (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (questions); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      scheduler_t *scheduler = new_scheduler (actions);
+      scheduler_action_t answer = { 0 };
+      scheduler_action_t last;
+      play_question (scheduler, i, actions, &answer);
+      scheduler_step (scheduler, ASKED_AT_MS + 5, actions);
+      bool starts = take_actions (actions, SCHEDULER_SUBMIT, &last) > 0;
+      CU_ASSERT_EQUAL (answer.status.kind, questions[i].answer);
+      CU_ASSERT_EQUAL (starts, questions[i].starts);
+      if (answer.status.kind != questions[i].answer || starts != questions[i].starts)
+        printf ("  %s: answers %d, %s\n", questions[i].name, (int) answer.status.kind,
+                starts ? "starts" : "does not start");
+      scheduler_free (scheduler);
+      g_array_unref (actions);
+    }
+}
+
+#define WAITING_MAX 3
+
+/* Hosts at which requests wait, each of which was told of the others. */
+static const struct
+{
+  const char *name;
+  int hosts;
+  bool last_first; /* the last one in the alphabet was told first */
+  job_status_kind_t kind;
+} waiting_rows[] = {
+  { "two wait", 2, false, JOB_STATUS_WAITING },
+  { "two wait, told to run", 2, false, JOB_STATUS_OPEN },
+  { "three wait", 3, false, JOB_STATUS_WAITING },
+  { "three wait, told the other way round", 3, true, JOB_STATUS_WAITING },
+  { "three wait, told to run", 3, false, JOB_STATUS_OPEN },
+  { "three wait, told to run, the other way round", 3, true, JOB_STATUS_OPEN },
+};
+
+static const char *const waiting_hosts[WAITING_MAX] = { "g", "h", "i" };
+
+typedef struct
+{
+  scheduler_t *schedulers[WAITING_MAX];
+  GArray *actions[WAITING_MAX];
+  bool starts[WAITING_MAX];
+} waiting_t;
+
+static int
+waiting_index (const char *host)
+{
+  for (int i = 0; i < WAITING_MAX; i++)
+    if (g_str_equal (waiting_hosts[i], host))
+      return i;
+  return -1;
+}
+
+/* Delivers what host FROM has to ask and to tell. */
+static void
+deliver (waiting_t *waiting, int from, int64_t now_ms)
+{
+  GArray *actions = waiting->actions[from];
+  scheduler_action_t last;
+
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, i);
+      if (action->kind == SCHEDULER_SUBMIT)
+        waiting->starts[from] = true;
+      if (action->kind != SCHEDULER_ASK && action->kind != SCHEDULER_TELL)
+        continue;
+      int to = waiting_index (action->host);
+      if (action->kind == SCHEDULER_ASK)
+        scheduler_job_asked (waiting->schedulers[to], waiting_hosts[from], ID, now_ms,
+                             waiting->actions[to]);
+      else
+        scheduler_job_told (waiting->schedulers[to], waiting_hosts[from], &action->status, now_ms,
+                            waiting->actions[to]);
+    }
+  take_actions (actions, SCHEDULER_TELL, &last);
+}
+
+static void
+test_wait_for_each_other (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (waiting_rows); i++)
+    {
+      waiting_t waiting = { 0 };
+      const job_status_t status = { ID, waiting_rows[i].kind, RECEIVED_AT_MS + CALLER_WAIT_MS };
+      int hosts = waiting_rows[i].hosts;
+      for (int k = 0; k < hosts; k++)
+        {
+          waiting.actions[k] = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+          waiting.schedulers[k] = new_scheduler_at (waiting_hosts[k], waiting.actions[k]);
+          for (int n = 0; n < hosts; n++)
+            {
+              int other = waiting_rows[i].last_first ? hosts - 1 - n : n;
+              if (other != k)
+                scheduler_job_told (waiting.schedulers[k], waiting_hosts[other], &status, 0,
+                                    waiting.actions[k]);
+            }
+          submit (waiting.schedulers[k], RECEIVED_AT_MS, waiting.actions[k]);
+        }
+      for (int64_t now_ms = RECEIVED_AT_MS; now_ms < RECEIVED_AT_MS + SETTLED_MS; now_ms += 5)
+        for (int k = 0; k < hosts; k++)
+          {
+            deliver (&waiting, k, now_ms);
+            scheduler_step (waiting.schedulers[k], now_ms, waiting.actions[k]);
+          }
+      int starts = 0;
+      for (int k = 0; k < hosts; k++)
+        starts += waiting.starts[k];
+      CU_ASSERT_EQUAL (starts, 1);
+      if (starts != 1)
+        printf ("  %s: %d start\n", waiting_rows[i].name, starts);
+      for (int k = 0; k < hosts; k++)
+        {
+          scheduler_action_t last;
+          take_actions (waiting.actions[k], SCHEDULER_TELL, &last);
+          scheduler_free (waiting.schedulers[k]);
+          g_array_unref (waiting.actions[k]);
+        }
+    }
+}
+
 /* A status that was cut off, or has an unknown kind, is refused. */
 static void
 test_message (void)
@@ -466,6 +718,8 @@
   { "a job that no host asks for any more", test_not_followed },
   { "a job that two hosts run", test_at_both },
   { "a job of which nothing was sent", test_not_sent },
+  { "a job that another host asks for while it waits here", test_asked_while_it_waits },
+  { "hosts that wait for each other", test_wait_for_each_other },
   { "messages", test_message },
   { "a message about runs at an owner", test_runs_message },
 };
