A host that stops its runs for another one tells until when they may go on

Of two hosts that run one job, the one with the greater name cancels its runs and waits for the other. If that one had to wait as well by then (its tasks were moved, or it gave the job up and got a new request), and asked, it was told that the runs were over at once, so that the job could start beside runs whose cancellation was under way: the time by which they end was recorded for jobs that end, not for those that are stopped for another host.

The job now keeps that time (resubmit_ms from the stop), and the answer carries it. It is not an entry of this host among those of others, for which the job itself would wait.

--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -265,6 +265,7 @@
   g_array_set_size (job->unassigned, 0);
   job->may_have_run = true;
   job->yielded = true;
+  job->runs_end_ms = now_ms + scheduler->resubmit_ms;
   job->waits_since_ms = now_ms;
   ask (scheduler, job, remote, now_ms, actions);
 }
@@ -441,6 +442,8 @@
   if (has_it)
     add_follower (job, host, now_ms);
   job_status_t status = has_it ? open_status (job) : closed_status (scheduler, id, now_ms);
+  if (!has_it && job != NULL)
+    status.until_ms = MAX (status.until_ms, job->runs_end_ms);
   tell (scheduler, host, &status, actions);
 }
 
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -74,6 +74,7 @@
   int64_t ask_owners_at_ms; /* HOLDER is not heard: owners are asked again then */
   GArray *owner_replies;    /* owner_reply_t, one for each shard */
   bool yielded;             /* it was stopped for a later request of it at another host */
+  int64_t runs_end_ms;      /* YIELDED: its runs have certainly ended by then */
   placement_target_t aim;   /* its objective and deadline */
   scheduler_size_class_t size_class;
   GArray *unassigned;        /* int32_t: indexes of the tasks that no owner has */
--- a/tests/test_job_repeats.c
+++ b/tests/test_job_repeats.c
@@ -647,6 +647,49 @@
     }
 }
 
+#define YIELDS_AT_MS 2000
+
+/* A host that has stopped its runs for another one says until when they may go on, if that host
+ * asks for the job in turn. */
+static void
+test_runs_of_yielded (void)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t asked_at_ms;
+    int64_t until_ms;
+  } rows[] = {
+    { "its runs may go on", YIELDS_AT_MS + 100, YIELDS_AT_MS + RESUBMIT_MS },
+    { "its runs are over", YIELDS_AT_MS + RESUBMIT_MS + 100, YIELDS_AT_MS + RESUBMIT_MS + 100 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      scheduler_t *scheduler = new_scheduler (actions);
+      const job_status_t open = { ID, JOB_STATUS_OPEN, YIELDS_AT_MS + CALLER_WAIT_MS };
+      const job_status_t stopped = { ID, JOB_STATUS_STOPPED, 0 };
+      scheduler_action_t action = { 0 };
+      submit (scheduler, YIELDS_AT_MS - 500, actions);
+      scheduler_job_told (scheduler, "g", &open, YIELDS_AT_MS, actions);
+      CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_CANCEL, &action), 1);
+      scheduler_job_asked (scheduler, "g", ID, rows[i].asked_at_ms, actions);
+      CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_TELL, &action), 1);
+      CU_ASSERT_EQUAL (action.status.kind, JOB_STATUS_STOPPED);
+      CU_ASSERT_EQUAL (action.status.until_ms, rows[i].until_ms);
+      if (action.status.until_ms != rows[i].until_ms)
+        printf ("  %s: until %d\n", rows[i].name, (int) action.status.until_ms);
+      /* It does not wait for its own runs. */
+      scheduler_job_told (scheduler, "g", &stopped, rows[i].asked_at_ms + 5, actions);
+      scheduler_step (scheduler, rows[i].asked_at_ms + 10, actions);
+      CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_ANSWER, &action), 1);
+      CU_ASSERT_EQUAL (action.outcome, SCHEDULER_GIVEN_UP);
+      scheduler_free (scheduler);
+      g_array_unref (actions);
+    }
+}
+
 /* A status that was cut off, or has an unknown kind, is refused. */
 static void
 test_message (void)
@@ -720,6 +763,7 @@
   { "a job of which nothing was sent", test_not_sent },
   { "a job that another host asks for while it waits here", test_asked_while_it_waits },
   { "hosts that wait for each other", test_wait_for_each_other },
+  { "the runs of a job that was stopped for another host", test_runs_of_yielded },
   { "messages", test_message },
   { "a message about runs at an owner", test_runs_message },
 };
