A host that runs a job remembers the other hosts that have it

A job that its host gave up, or whose caller left, could run twice if it was sent again to that host: another one at which a request waited for it starts it as soon as the runs here have ended, and so did this host, at the same time. It had forgotten that the other host had the job: what others tell of a job that runs here was dropped.

It is recorded now. The entries are read for new requests, and for a job that was stopped for another host; a job that runs does not wait for them. They end as those of any host: when it tells its end, or answers that it has the job no more.

test_job_repeats (arm64) before: 3 of 229 asserts failed ("a lesser one waits", "a greater one waits", "a greater one runs it": the request started after the job was given up here, though the other host still had it); after: 0 of 229. test_repeated_jobs, test_job_unannounced, test_job_late_requests, test_job_restarts, test_scheduler and test_scheduling_resent pass, once each.

--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -300,17 +300,17 @@
   bool is_open = job != NULL && job->waits_since_ms == 0 && !job->end_pending;
   bool runs_here = is_open && job->was_sent;
   bool runs_there = status->kind == JOB_STATUS_OPEN;
+  bool known = remote_jobs_open (scheduler->remote_jobs, status->id, host, runs_there,
+                                 status->until_ms, now_ms);
 
   if (runs_here && runs_there && !yields_to (scheduler, job, host))
     note (scheduler, status->id, host, SCHEDULER_FOUND_AT_BOTH, JOB_EVIDENCE_TOLD, 0, actions);
-  if (runs_here && (!runs_there || !yields_to (scheduler, job, host)))
+  if (!known || (runs_here && (!runs_there || !yields_to (scheduler, job, host))))
     return;
-  bool known = remote_jobs_open (scheduler->remote_jobs, status->id, host, runs_there,
-                                 status->until_ms, now_ms);
-  const remote_job_t *remote = remote_jobs_find (scheduler->remote_jobs, status->id, now_ms);
-  if (known && runs_here)
-    yield (scheduler, job, remote, now_ms, actions);
-  else if (known && is_open)
+  if (runs_here)
+    yield (scheduler, job, remote_jobs_find (scheduler->remote_jobs, status->id, now_ms), now_ms,
+           actions);
+  else if (is_open)
     repeats_wait (scheduler, job, now_ms, actions);
 }
 
--- a/tests/test_job_repeats.c
+++ b/tests/test_job_repeats.c
@@ -690,6 +690,54 @@
     }
 }
 
+/* A host that runs a job remembers others that have it: a new request waits for them once the job
+ * has been given up here and its runs have ended, but the job itself does not. */
+static void
+test_known_while_it_runs (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *other;
+    job_status_kind_t kind;
+    job_status_kind_t end; /* of the job at OTHER, told before the request */
+    bool ends;
+    bool starts;
+  } rows[] = {
+    { "a lesser one waits", "g", JOB_STATUS_WAITING, 0, false, false },
+    { "a greater one waits", "i", JOB_STATUS_WAITING, 0, false, false },
+    { "a greater one runs it", "i", JOB_STATUS_OPEN, 0, false, false },
+    { "one that waited has ended it", "i", JOB_STATUS_WAITING, JOB_STATUS_STOPPED, true, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      scheduler_t *scheduler = new_scheduler (actions);
+      scheduler_action_t action = { 0 };
+      uint64_t number = submit (scheduler, 0, actions);
+      take_actions (actions, SCHEDULER_SUBMIT, &action);
+      scheduler_job_told (scheduler, rows[i].other,
+                          &(job_status_t){ ID, rows[i].kind, CALLER_WAIT_MS }, 500, actions);
+      scheduler_step (scheduler, 505, actions);
+      CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_CANCEL, &action), 0);
+      scheduler_abandon (scheduler, number, 600, actions);
+      CU_ASSERT_EQUAL (take_actions (actions, SCHEDULER_CANCEL, &action), 1);
+      if (rows[i].ends)
+        scheduler_job_told (scheduler, rows[i].other, &(job_status_t){ ID, rows[i].end, 0 }, 700,
+                            actions);
+      submit (scheduler, 800, actions);
+      for (int64_t now_ms = 800; now_ms < 800 + RESUBMIT_MS; now_ms += 5)
+        scheduler_step (scheduler, now_ms, actions);
+      bool starts = take_actions (actions, SCHEDULER_SUBMIT, &action) > 0;
+      CU_ASSERT_EQUAL (starts, rows[i].starts);
+      if (starts != rows[i].starts)
+        printf ("  %s: %s\n", rows[i].name, starts ? "starts" : "does not start");
+      scheduler_free (scheduler);
+      g_array_unref (actions);
+    }
+}
+
 /* A status that was cut off, or has an unknown kind, is refused. */
 static void
 test_message (void)
@@ -764,6 +812,7 @@
   { "a job that another host asks for while it waits here", test_asked_while_it_waits },
   { "hosts that wait for each other", test_wait_for_each_other },
   { "the runs of a job that was stopped for another host", test_runs_of_yielded },
+  { "hosts that have a job that runs here", test_known_while_it_runs },
   { "messages", test_message },
   { "a message about runs at an owner", test_runs_message },
 };
