--- a/tests/test_job_repeats.c
+++ b/tests/test_job_repeats.c
@@ -611,7 +611,7 @@
     {
       waiting_t waiting = { 0 };
       const job_status_t status = { ID, waiting_rows[i].kind, RECEIVED_AT_MS + CALLER_WAIT_MS };
-      int hosts = waiting_rows[i].hosts;
+      int hosts = MIN (waiting_rows[i].hosts, (int) G_N_ELEMENTS (waiting_hosts));
       for (int k = 0; k < hosts; k++)
         {
           waiting.actions[k] = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
