--- a/tests/soak/book.c
+++ b/tests/soak/book.c
@@ -608,6 +608,17 @@
   return (int32_t) g_hash_table_size (book->found);
 }
 
+/* A copy of all rows in their order; the caller frees it. */
+static GArray *
+sorted_rows (book_t *book)
+{
+  g_mutex_lock (&book->lock);
+  GArray *rows = g_array_copy (book->rows);
+  g_mutex_unlock (&book->lock);
+  g_array_sort (rows, compare);
+  return rows;
+}
+
 /* --- jobs that ran twice --- */
 
 #define TWICE "twice: job "
@@ -648,10 +659,7 @@
   void *text = NULL;
   int32_t count = 0;
 
-  g_mutex_lock (&book->lock);
-  GArray *rows = g_array_copy (book->rows);
-  g_mutex_unlock (&book->lock);
-  g_array_sort (rows, compare);
+  GArray *rows = sorted_rows (book);
   g_hash_table_iter_init (&iter, book->found);
   while (g_hash_table_iter_next (&iter, &text, NULL))
     {
@@ -671,10 +679,7 @@
 void
 book_print_job (book_t *book, uint64_t job)
 {
-  g_mutex_lock (&book->lock);
-  GArray *rows = g_array_copy (book->rows);
-  g_mutex_unlock (&book->lock);
-  g_array_sort (rows, compare);
+  GArray *rows = sorted_rows (book);
   print_job (rows, job);
   g_array_unref (rows);
 }
@@ -725,10 +730,7 @@
   GHashTableIter iter;
   void *value = NULL;
 
-  g_mutex_lock (&book->lock);
-  GArray *rows = g_array_copy (book->rows);
-  g_mutex_unlock (&book->lock);
-  g_array_sort (rows, compare);
+  GArray *rows = sorted_rows (book);
   view_t view = { .book = book,
                   .rows = (const book_row_t *) (void *) rows->data,
                   .count = rows->len };
