--- /dev/null
+++ b/lib/scheduler/cold_start.c
@@ -0,0 +1,59 @@
+/* cold_start.c -- jobs that arrive just after this process has started
+ *
+ * What earlier processes knew of open jobs may be lost with them: if all hosts were killed at once,
+ * nobody is left to tell that a job runs, while endpoints go on with it until its lease ends.  A
+ * request that arrives now may be the repeated one of such a job.  It therefore waits until the
+ * owners of all shards have said that no run from before their claims goes on, or until the last
+ * lease that a process before this one can have granted has certainly ended.
+ */
+#include "scheduler/state.h"
+
+void
+scheduler_set_shards_listed (scheduler_t *scheduler)
+{
+  scheduler->shards_listed = true;
+}
+
+void
+scheduler_set_surveyed (scheduler_t *scheduler, const char *name, int64_t token)
+{
+  shard_t *shard = scheduler_find_shard (scheduler, name);
+
+  shard->surveyed_token = MAX (shard->surveyed_token, token);
+}
+
+static bool
+all_are_surveyed (const scheduler_t *scheduler)
+{
+  if (!scheduler->shards_listed)
+    return false;
+  for (guint i = 0; i < scheduler->shard_order->len; i++)
+    {
+      const shard_t *shard = scheduler->shard_order->pdata[i];
+      if (shard->owner == NULL || shard->surveyed_token < shard->token)
+        return false;
+    }
+  return scheduler->shard_order->len > 0;
+}
+
+bool
+cold_start_is_over (scheduler_t *scheduler, int64_t now_ms)
+{
+  if (scheduler->cold_until_ms != 0
+      && (now_ms >= scheduler->cold_until_ms || all_are_surveyed (scheduler)))
+    scheduler->cold_until_ms = 0;
+  return scheduler->cold_until_ms == 0;
+}
+
+bool
+cold_start_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
+{
+  if (cold_start_is_over (scheduler, now_ms))
+    return false;
+  job->waits_since_ms = now_ms;
+  scheduler_action_t *action =
+      repeats_add_action (scheduler, SCHEDULER_NOTE, scheduler->host, job->request.id, actions);
+  action->finding = SCHEDULER_FOUND_COLD;
+  action->age_ms = now_ms - scheduler->started_at_ms;
+  return true;
+}
