A host that has just started runs no job beside runs that only killed hosts knew of

A job whose caller had left unseen was sent again just after all hosts had been killed and started; tasks ran twice, for 50 to 280 ms, the first runs ended `stopped`.

Cause: what hosts know of open jobs is in their memory. If all that knew of a job are lost at once, a new process takes a repeated request to be new and starts it, while a run lives on under the lease that its dead owner granted.

Change: an owner tells all hosts once each endpoint of its shard has listed, under its token, that no run of another owner goes on (SURVEYED; a host of an earlier version ignores it). A process whose age is below the longest lease lets new jobs wait until it knows all shards and all are surveyed under the claim in force, or until that age is reached. Every lease of a process that ended before it has ended by then. A host that is restarted alone hears the surveys on its first connections, after the jobs that its hubs know.

Weighed: to ask the owners for each job (messages in proportion to jobs, just after a restart); owners that send the names of the jobs that they find (as large as the load of the moment); to wait for the lease in any case (1 s without service after each restart of all hosts).

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -392,11 +392,14 @@
   ingress_tick (site->ingress, now_ms);
   client_limits_tick (site, now_ms);
   owner_update_directory (site, now_ms);
+  if (log_client_is_listed (site->log_client))
+    scheduler_set_shards_listed (site->scheduler);
   log_client_tick (site->log_client, now_ms);
   scheduler_step (site->scheduler, now_ms, site->scheduler_actions);
   site_run_scheduler_actions (site);
   owner_run_rounds (site, true);
   run_all_actions (site);
+  owner_announce_surveyed (site);
   owner_send_offers (site, now_ms);
   peers_connect (site, now_ms);
   peers_send_heartbeats (site, now_ms, false);
@@ -466,6 +469,18 @@
   return MAX (sockets, 1);
 }
 
+/* The end of the last lease that a process may have granted before this one started at NOW_MS; 0 if
+ * callers don't send jobs again. */
+static int64_t
+cold_until_ms (const platform_settings_t *settings, int64_t now_ms)
+{
+  int64_t slack_ms = settings->lease_max_ms * EXECUTOR_CLOCK_SLACK_PERCENT / 100;
+
+  if (settings->resubmit_after_ms == 0)
+    return 0;
+  return now_ms + settings->lease_max_ms + slack_ms + settings->stop_timeout_ms;
+}
+
 int
 site_run (platform_settings_t *settings, const char *file)
 {
@@ -496,7 +511,8 @@
                                             .remote_factor = settings->remote_factor,
                                             .incarnation = site->incarnation,
                                             .resubmit_ms = settings->resubmit_after_ms,
-                                            .started_at_ms = now_ms };
+                                            .started_at_ms = now_ms,
+                                            .cold_until_ms = cold_until_ms (settings, now_ms) };
   site->scheduler = scheduler_new (&scheduler_options);
   site->job_cancellations = job_cancellations_new ();
   site->unreached = g_array_new (FALSE, FALSE, sizeof (cluster_unreached_t));
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -325,6 +325,7 @@
       g_hash_table_insert (site->owned_shards, (void *) owned->name, owned);
     }
   owned->token = token;
+  owned->surveyed = false;
   owned->needs_round = true;
   g_clear_pointer (&owned->last_offer, g_bytes_unref);
   g_hash_table_iter_init (&iter, site->directory);
@@ -629,3 +630,36 @@
       g_array_unref (offers);
     }
 }
+
+void
+owner_announce_surveyed (site_t *site)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, site->owned_shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      owned_shard_t *owned = value;
+      if (owned->surveyed || !executor_is_surveyed (owned->executor))
+        continue;
+      owned->surveyed = true;
+      scheduler_set_surveyed (site->scheduler, owned->name, owned->token);
+      peers_send_all (site, executor_msg_surveyed (owned->name, owned->token));
+    }
+}
+
+void
+owner_send_surveyed (site_t *site, const char *host)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, site->owned_shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const owned_shard_t *owned = value;
+      if (owned->surveyed)
+        peers_send (site, host, executor_msg_surveyed (owned->name, owned->token));
+    }
+}
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -294,6 +294,18 @@
   executor_offer_msg_clear (&offer);
 }
 
+static void
+read_surveyed (site_t *site, const char *host, frame_reader_t *reader)
+{
+  char *shard = NULL;
+  int64_t token = 0;
+
+  (void) host;
+  if (executor_msg_read_surveyed (reader, &shard, &token) == 0)
+    scheduler_set_surveyed (site->scheduler, shard, token);
+  g_free (shard);
+}
+
 static void
 read_heartbeat (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -361,6 +373,7 @@
   { EXECUTOR_MSG_LOSSES, read_losses },
   { EXECUTOR_MSG_CANCELLED, read_cancelled },
   { EXECUTOR_MSG_OFFER, read_offer },
+  { EXECUTOR_MSG_SURVEYED, read_surveyed },
   { EXECUTOR_MSG_RELEASE, read_release },
   { EXECUTOR_MSG_CANCEL_JOB, cancel_read_request },
   { EXECUTOR_MSG_JOB_CANCELLED, cancel_read_confirmation },
@@ -425,6 +438,8 @@
       send_losses (site, net_event->host);
       send_cancelled_jobs (site, net_event->host);
       repeats_host_connected (site, net_event->host);
+      /* After the jobs that this host knows: one that has just started goes by both. */
+      owner_send_surveyed (site, net_event->host);
     }
   else
     {
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -37,6 +37,7 @@
   bool needs_round;   /* its state has changed since the last round */
   GBytes *last_offer; /* the offer frame that was sent last; NULL if none was */
   int64_t offer_sent_at_ms;
+  bool surveyed;             /* executor_is_surveyed () was found under TOKEN */
   int64_t retired_at_ms;     /* when the shard was yielded */
   int64_t returned_by_drain; /* tasks that a drain returned since the last log line about them */
 } owned_shard_t;
@@ -212,6 +213,10 @@
 int64_t owner_own_delay_ms (const site_t *site, int64_t now_ms);
 /* Sends the offers and loads of owned shards to all hosts where they are due. */
 void owner_send_offers (site_t *site, int64_t now_ms);
+/* Tells all hosts which owned shards are surveyed, as soon as they are. */
+void owner_announce_surveyed (site_t *site);
+/* Tells HOST, which has just connected, which owned shards are surveyed. */
+void owner_send_surveyed (site_t *site, const char *host);
 /* Frees an owned_shard_t. */
 void owner_free_shard (void *owned);
 /* Frees yielded shards whose orders have all been answered. */
--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -20,10 +20,11 @@
 #define RELAYS_PER_DATA_CENTRE 2
 
 static const char *const finding_names[] = {
-  [SCHEDULER_FOUND_LATE] = "may_be_late",       [SCHEDULER_FOUND_OPEN] = "waits_for_answer",
-  [SCHEDULER_FOUND_STOPPING] = "waits_for_end", [SCHEDULER_FOUND_ENDED] = "answered",
-  [SCHEDULER_FOUND_OVER] = "runs_here",         [SCHEDULER_FOUND_SILENT] = "silent",
-  [SCHEDULER_FOUND_AT_BOTH] = "runs_at_both",   [SCHEDULER_FOUND_YIELDED] = "yielded",
+  [SCHEDULER_FOUND_COLD] = "cold_start",       [SCHEDULER_FOUND_LATE] = "may_be_late",
+  [SCHEDULER_FOUND_OPEN] = "waits_for_answer", [SCHEDULER_FOUND_STOPPING] = "waits_for_end",
+  [SCHEDULER_FOUND_ENDED] = "answered",        [SCHEDULER_FOUND_OVER] = "runs_here",
+  [SCHEDULER_FOUND_SILENT] = "silent",         [SCHEDULER_FOUND_AT_BOTH] = "runs_at_both",
+  [SCHEDULER_FOUND_YIELDED] = "yielded",
 };
 
 static const char *const evidence_names[] = {
--- a/lib/executor/endpoints.c
+++ b/lib/executor/endpoints.c
@@ -244,6 +244,22 @@
   executor->discovery.directory_read_at_ms = sent_at_ms;
 }
 
+bool
+executor_is_surveyed (const executor_t *executor)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  g_hash_table_iter_init (&iter, executor->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const endpoint_t *endpoint = value;
+      if (!endpoint->runs_known || endpoint->fenced || endpoint->foreign_runs->len > 0)
+        return false;
+    }
+  return g_hash_table_size (executor->endpoints) > 0;
+}
+
 void
 executor_set_token (executor_t *executor, int64_t token, int64_t now_ms)
 {
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -300,6 +300,10 @@
  * listed again, and every waiting task may be running. */
 void executor_set_token (executor_t *executor, int64_t token, int64_t now_ms);
 
+/* Whether every endpoint of the shard has listed its runs under the token in force, and none of
+ * them was started by another owner and is alive: no run from before the claim goes on. */
+bool executor_is_surveyed (const executor_t *executor);
+
 /* Queues the tasks of BATCH.  A task that another batch has submitted already is moved to this one
  * together with its run.  A batch that is already known, or that ended shortly before, is not
  * queued again; the outcomes of its ended tasks are sent again.  Tasks of a batch that was
--- a/lib/executor/executor_msg.c
+++ b/lib/executor/executor_msg.c
@@ -526,3 +526,24 @@
     g_array_unref (message->loads);
   *message = (executor_offer_msg_t){ 0 };
 }
+
+GBytes *
+executor_msg_surveyed (const char *shard, int64_t token)
+{
+  frame_writer_t *writer = frame_begin (EXECUTOR_MSG_SURVEYED);
+
+  frame_put_string (writer, shard);
+  frame_put_int (writer, token);
+  return frame_finish (writer);
+}
+
+int
+executor_msg_read_surveyed (frame_reader_t *reader, char **shard, int64_t *token)
+{
+  *shard = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  *token = frame_get_range (reader, 0, INT64_MAX);
+  if (frame_ok (reader) && *shard != NULL)
+    return 0;
+  g_clear_pointer (shard, g_free);
+  return ERROR_PROTOCOL;
+}
--- a/lib/executor/executor_msg.h
+++ b/lib/executor/executor_msg.h
@@ -25,8 +25,9 @@
   EXECUTOR_MSG_RESYNC, /* task ends sent earlier may be lost: the receiver sends its batches again
                         */
   EXECUTOR_MSG_LOSSES, /* endpoints that were lost under tasks */
-  EXECUTOR_MSG_TASK_FAILURE, /* why a task, whose end follows, has failed or was given up */
-  EXECUTOR_MSG_JOB_CANCELLED /* confirms EXECUTOR_MSG_CANCEL_JOB */
+  EXECUTOR_MSG_TASK_FAILURE,  /* why a task, whose end follows, has failed or was given up */
+  EXECUTOR_MSG_JOB_CANCELLED, /* confirms EXECUTOR_MSG_CANCEL_JOB */
+  EXECUTOR_MSG_SURVEYED       /* no run from before the sender's claim on a shard goes on */
 } executor_msg_t;
 
 /* Gives BATCH to the owner of SHARD.  EPOCH is the epoch under which the coordinator expects
@@ -116,4 +117,10 @@
 int executor_msg_read_offer (frame_reader_t *reader, executor_offer_msg_t *offer);
 void executor_offer_msg_clear (executor_offer_msg_t *offer);
 
+/* The sender owns SHARD by the claim with TOKEN, and executor_is_surveyed ().  A host of an earlier
+ * version never sends it, and ignores it. */
+GBytes *executor_msg_surveyed (const char *shard, int64_t token);
+/* The caller frees *SHARD with g_free (). */
+int executor_msg_read_surveyed (frame_reader_t *reader, char **shard, int64_t *token);
+
 #endif
--- a/lib/scheduler/owners.c
+++ b/lib/scheduler/owners.c
@@ -9,8 +9,8 @@
 /* An owner that has lost contact with a coordinator ends its tasks within this time. */
 #define OWNER_DROP_TIMEOUT_MS 900
 
-static shard_t *
-find_shard (scheduler_t *scheduler, const char *name)
+shard_t *
+scheduler_find_shard (scheduler_t *scheduler, const char *name)
 {
   const char *interned = g_intern_string (name);
   shard_t *shard = g_hash_table_lookup (scheduler->shards, interned);
@@ -35,7 +35,7 @@
   const char *interned = g_intern_string (shard);
 
   /* The shard has endpoints, even if no owner of it has been heard yet. */
-  find_shard (scheduler, shard);
+  scheduler_find_shard (scheduler, shard);
   if (g_hash_table_lookup (scheduler->shard_by_rack, rack) != interned)
     g_hash_table_replace (scheduler->shard_by_rack, g_strdup (rack), (void *) interned);
 }
@@ -89,7 +89,7 @@
                       const scheduler_report_t *report,
                       int64_t now_ms)
 {
-  shard_t *shard = find_shard (scheduler, name);
+  shard_t *shard = scheduler_find_shard (scheduler, name);
 
   if (shard->owner != g_intern_string (host))
     return;
@@ -142,7 +142,8 @@
   for (guint i = 0; i < batches->len; i++)
     {
       job_batch_t *batch = batches->pdata[i];
-      move_batch (scheduler, batch, find_shard (scheduler, batch->shard), now_ms, actions);
+      move_batch (scheduler, batch, scheduler_find_shard (scheduler, batch->shard), now_ms,
+                  actions);
     }
 }
 
@@ -170,7 +171,7 @@
                      int64_t now_ms,
                      GArray *actions)
 {
-  shard_t *shard = find_shard (scheduler, name);
+  shard_t *shard = scheduler_find_shard (scheduler, name);
 
   const char *old_owner = shard->owner;
   shard->owner = host != NULL ? g_intern_string (host) : NULL;
@@ -266,7 +267,7 @@
     {
       job_batch_t *batch = batches->pdata[i];
       batch->owner_lost_at_ms = heard_at_ms;
-      const shard_t *shard = find_shard (scheduler, batch->shard);
+      const shard_t *shard = scheduler_find_shard (scheduler, batch->shard);
       if (shard->owner == NULL || shard->owner == interned)
         g_ptr_array_remove_index (batches, i);
     }
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -230,6 +230,13 @@
   return remote;
 }
 
+/* Whether JOB must not start yet although no host is known to have it. */
+static bool
+is_held (scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
+{
+  return !cold_start_is_over (scheduler, now_ms) || late_request_is_held (scheduler, job, now_ms);
+}
+
 void
 repeats_step_waiting (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
@@ -238,7 +245,7 @@
   if (now_ms >= job->request.deadline_at_ms)
     scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, job->deadline_limit,
                        "another host may be running it", now_ms, actions);
-  else if (remote == NULL && !late_request_is_held (scheduler, job, now_ms))
+  else if (remote == NULL && !is_held (scheduler, job, now_ms))
     start_waiting (scheduler, job, now_ms, actions);
   else if (remote != NULL)
     {
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -83,6 +83,7 @@
   scheduler->confirmed_at_ms = INT64_MAX;
   scheduler->resubmit_ms = options->resubmit_ms;
   scheduler->started_at_ms = options->started_at_ms;
+  scheduler->cold_until_ms = options->cold_until_ms;
   scheduler->size_history = size_history_new ();
   scheduler->answer_strings = g_string_chunk_new (STRING_CHUNK_BYTES);
   scheduler->cancellations = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -277,6 +278,7 @@
   uint64_t number = repeats_add_request (scheduler, job, info->user_data);
 
   if (!repeats_wait (scheduler, job, now_ms, actions)
+      && !cold_start_wait (scheduler, job, now_ms, actions)
       && !late_request_wait (scheduler, job, now_ms, actions))
     scheduler_start_job (scheduler, job, now_ms, actions);
   return number;
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -102,6 +102,8 @@
 /* What follows for a request whose job is, or was, run by another coordinator. */
 typedef enum
 {
+  SCHEDULER_FOUND_COLD,     /* this process has just started: it waits until no run goes on that
+                               an earlier process knew of */
   SCHEDULER_FOUND_LATE,     /* it may have been held up: it waits until other hosts have told */
   SCHEDULER_FOUND_OPEN,     /* it waits for the answer of the other host */
   SCHEDULER_FOUND_STOPPING, /* it waits until the runs for the other host have ended */
@@ -170,6 +172,8 @@
    * for. */
   int64_t resubmit_ms;
   int64_t started_at_ms; /* of this process */
+  /* No run goes on after this time that only earlier processes knew of; 0 if there was none. */
+  int64_t cold_until_ms;
 } scheduler_options_t;
 
 scheduler_t *scheduler_new (const scheduler_options_t *options);
@@ -251,6 +255,13 @@
 /* Records that endpoints of RACK belong to SHARD. */
 void scheduler_set_rack_shard (scheduler_t *scheduler, const char *rack, const char *shard);
 
+/* All racks of the directory have been named since the start of this process. */
+void scheduler_set_shards_listed (scheduler_t *scheduler);
+
+/* The owner of SHARD under the claim with TOKEN has found no run there that goes on from before
+ * that claim (executor_is_surveyed ()).  SHARD need not be known. */
+void scheduler_set_surveyed (scheduler_t *scheduler, const char *shard, int64_t token);
+
 /* Sets whether the data centre of SHARD is drained.  No task is assigned to a drained data centre.
  * A job is refused at once if every data centre with endpoints for its service is drained. */
 void scheduler_set_drained (scheduler_t *scheduler, const char *shard, bool drained);
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -115,6 +115,7 @@
   const char *name;       /* interned */
   const char *owner;      /* interned, or NULL */
   int64_t token;          /* of the owner's claim */
+  int64_t surveyed_token; /* as in scheduler_set_surveyed (); 0 if it was not told */
   GArray *offers;         /* offer_row_t */
   GHashTable *services;   /* set of the interned names that its owners have offered */
   GArray *loads;          /* forecast_load_t, with interned services */
@@ -161,6 +162,8 @@
   int64_t expire_remote_at_ms; /* when REMOTE_JOBS is searched for expired entries next */
   int64_t resubmit_ms;         /* as in scheduler_options_t */
   int64_t started_at_ms;       /* as in scheduler_options_t */
+  int64_t cold_until_ms;       /* as in scheduler_options_t; 0 once it is over */
+  bool shards_listed;          /* as in scheduler_set_shards_listed () */
   size_history_t *size_history;
   GStringChunk *answer_strings; /* of the jobs that were answered since the last step */
   uint64_t last_number;         /* last number that was given to a job or batch */
@@ -332,6 +335,17 @@
 void
 unannounced_log (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
 
+/* owners.c: returns the shard with this name, which is created if it is unknown. */
+shard_t *scheduler_find_shard (scheduler_t *scheduler, const char *name);
+
+/* cold_start.c: makes the new JOB wait if this process has just started.  Returns whether it
+ * waits. */
+bool
+cold_start_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
+
+/* cold_start.c: whether no run can go on that only earlier processes knew of. */
+bool cold_start_is_over (scheduler_t *scheduler, int64_t now_ms);
+
 /* late_requests.c: makes the new JOB wait if a cut may have held up its request.  Returns whether
  * it waits. */
 bool
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -65,6 +65,68 @@
   scenario_end (&scenario);
 }
 
+typedef enum
+{
+  SILENT, /* the endpoint does not answer */
+  LISTS_NOTHING,
+  LISTS_RUN /* which this owner has not started */
+} survey_answer_t;
+
+static const struct
+{
+  const char *name;
+  bool has_endpoints;
+  survey_answer_t answers[2][2]; /* of each endpoint, one round after the other */
+  bool new_token;                /* the owner claims the shard again afterwards */
+  bool surveyed;
+} survey_cases[] = {
+  { "no endpoint is known", false, { { SILENT, SILENT }, { SILENT, SILENT } }, false, false },
+  { "nothing runs", true, { { LISTS_NOTHING, SILENT }, { LISTS_NOTHING, SILENT } }, false, true },
+  { "one has not answered", true, { { LISTS_NOTHING, SILENT }, { SILENT, SILENT } }, false, false },
+  { "a run goes on", true, { { LISTS_NOTHING, SILENT }, { LISTS_RUN, LISTS_RUN } }, false, false },
+  { "a run has ended",
+    true,
+    { { LISTS_NOTHING, SILENT }, { LISTS_RUN, LISTS_NOTHING } },
+    false,
+    true },
+  { "claimed again", true, { { LISTS_NOTHING, SILENT }, { LISTS_NOTHING, SILENT } }, true, false },
+};
+
+static void
+answer_survey (scenario_t *scenario, int number, survey_answer_t answer)
+{
+  static const poll_active_t run = { TASK, 2, 10 };
+
+  if (answer != SILENT)
+    answer_poll (scenario, number, &run, answer == LISTS_RUN ? 1 : 0);
+}
+
+/* A shard is surveyed once each endpoint has listed that no run of another owner goes on. */
+static void
+test_surveyed (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (survey_cases); i++)
+    {
+      scenario_t scenario;
+      scenario_begin (&scenario);
+      for (int number = 0; survey_cases[i].has_endpoints && number < 2; number++)
+        add_endpoint (&scenario, number, "r1", 4000);
+      for (int round = 0; round < 2; round++)
+        {
+          run_round_at (&scenario, 1 + round * 30);
+          for (int number = 0; number < 2; number++)
+            answer_survey (&scenario, number, survey_cases[i].answers[number][round]);
+        }
+      if (survey_cases[i].new_token)
+        executor_set_token (scenario.executor, 9, 40);
+      bool surveyed = executor_is_surveyed (scenario.executor);
+      CU_ASSERT_EQUAL (surveyed, survey_cases[i].surveyed);
+      if (surveyed != survey_cases[i].surveyed)
+        printf ("  %s: %d\n", survey_cases[i].name, surveyed);
+      scenario_end (&scenario);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -356,6 +418,7 @@
   { "a run on an endpoint whose entry is missing", test_run_on_removed_endpoint },
   { "a run is adopted while it is being stopped", test_run_adopted_while_stopped },
   { "a run that no coordinator claims is logged", test_unclaimed_run_logged },
+  { "a shard is surveyed", test_surveyed },
   { "not reported as never started while maybe running", test_never_started_not_reported },
 };
 
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -602,6 +602,8 @@
           for (guint m = 0; m < message->loads->len; m++)
             g_array_index (message->loads, executor_load_t, m).service = "s";
           message->waiting = executor_totals (owned->executor, sim->now_ms).waiting;
+          message->surveyed = executor_is_surveyed (owned->executor);
+          message->token = owned->token;
           send_message (message);
         }
     }
@@ -624,6 +626,10 @@
     }
 }
 
+/* A lease of a process before this one, on a slow clock, and a stop. */
+#define COLD_START_MS                                                                              \
+  (SIM_LEASE_MS + SIM_LEASE_MS * EXECUTOR_CLOCK_SLACK_PERCENT / 100 + SIM_STOP_MS)
+
 static void
 sim_host_start (sim_host_t *host)
 {
@@ -644,6 +650,8 @@
                                                                : 0,
                                             .started_at_ms = sim->now_ms };
 
+  if (scheduler_options.resubmit_ms != 0)
+    scheduler_options.cold_until_ms = sim->now_ms + COLD_START_MS;
   host->cluster = cluster_new (&cluster_options, sim->now_ms);
   host->scheduler = scheduler_new (&scheduler_options);
   host->crashes = crash_history_new ();
@@ -652,6 +660,7 @@
       cluster_add_shard (host->cluster, data_centre_name (i));
       scheduler_set_rack_shard (host->scheduler, data_centre_name (i), data_centre_name (i));
     }
+  scheduler_set_shards_listed (host->scheduler);
   cluster_set_ready (host->cluster, true, host->sim->now_ms);
   for (int i = 0; i < SIM_HOSTS; i++)
     if (i != host->index && is_up (&sim->hosts[i]))
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -334,6 +334,7 @@
   GArray *offers;
   GArray *loads;
   int32_t waiting;
+  bool surveyed; /* MESSAGE_OFFERS: the shard, under TOKEN */
   cluster_heartbeat_t heartbeat;
 } sim_message_t;
 
@@ -648,6 +649,8 @@
               host->scheduler, message->shard, message->from->name,
               &(scheduler_report_t){ message->offers, message->loads, message->waiting },
               sim->now_ms);
+          if (message->surveyed)
+            scheduler_set_surveyed (host->scheduler, message->shard, message->token);
           break;
         case MESSAGE_HEARTBEAT:
         default:
--- a/tests/test_site_fuzz.c
+++ b/tests/test_site_fuzz.c
@@ -148,6 +148,7 @@
   executor_task_end_t failed;
   char *text = NULL;
   int32_t runs = 0;
+  int64_t token = 0;
   bool relay = false;
   GArray *ends = g_array_new (FALSE, FALSE, sizeof (executor_task_end_t));
   GArray *hosts = g_array_new (FALSE, FALSE, sizeof (cluster_host_t));
@@ -177,6 +178,10 @@
         case EXECUTOR_MSG_TASK_FAILURE:
           executor_msg_read_task_failure (reader, &failed);
           break;
+        case EXECUTOR_MSG_SURVEYED:
+          if (executor_msg_read_surveyed (reader, &text, &token) == 0)
+            g_free (text);
+          break;
         case EXECUTOR_MSG_CANCEL_JOB:
           if (executor_msg_read_cancel_job (reader, &text, &relay) == 0)
             g_free (text);
@@ -306,7 +311,7 @@
   g_rand_free (rand);
 }
 
-#define FRAME_KIND_COUNT 16
+#define FRAME_KIND_COUNT 17
 
 static GBytes *
 valid_drain_set (void)
@@ -419,6 +424,8 @@
     frame = valid_statuses ();
   else if (kind == 15)
     frame = valid_relayed ();
+  else if (kind == 16)
+    frame = executor_msg_surveyed ("z", 7);
   else
     frame = cluster_msg_heartbeat (&heartbeat);
   g_array_unref (heartbeat.claims);
