Each order to stop a run has a line with its reason, outside the common budget

Paths on which an owner orders a stop: a cancelled batch, a coordinator that is lost, a run that can't end in time, hangs, is moved, was done before, an order without answer, a later instance, a run that no coordinator claims. All pass through `stop_ordered` now, before the order is sent, with the task, the endpoint, the reason, the age of the run and its coordinator. A job that starts while its host is younger than 20 s, or near a cut, has a line `job_starts`: the age of the process, how its cold start ended, how long it waited and its connection was idle. The class `order` has 400 lines a second of its own.

--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -110,6 +110,27 @@
   event_end ();
 }
 
+static void
+log_start (const scheduler_action_t *action)
+{
+  static const char *const cold_starts[] = {
+    [COLD_START_NONE] = "none",
+    [COLD_START_SURVEYED] = "surveyed",
+    [COLD_START_LEASES_ENDED] = "leases_ended",
+  };
+
+  if (!event_begin (EVENT_JOB_STARTS))
+    return;
+  event_add_text ("job", action->job_id);
+  event_add_number ("process_age_ms", action->age_ms);
+  event_add_text ("cold_start", cold_starts[action->cold_start]);
+  event_add_number ("waited_ms", action->waited_ms);
+  event_add_number ("idle_ms", action->idle_ms);
+  event_add_number ("unreached", action->unreached);
+  event_add_text ("limited", action->limited ? "yes" : "no");
+  event_end ();
+}
+
 static void
 log_batch (const scheduler_action_t *action)
 {
@@ -155,10 +176,12 @@
       break;
     case SCHEDULER_CANCEL:
       if (!local)
-        peers_send (site, action->host, executor_msg_cancel (action->batch_number));
+        peers_send (site, action->host,
+                    executor_msg_cancel (action->batch_number, action->stop_reason));
       else
         {
-          bool never_started = owner_cancel (site, site->host, action->batch_number);
+          bool never_started =
+              owner_cancel (site, site->host, action->batch_number, action->stop_reason);
           scheduler_batch_end_confirmed (site->scheduler, site->host, action->batch_number,
                                          never_started, now_ms, site->scheduler_actions);
         }
@@ -178,6 +201,9 @@
     case SCHEDULER_GOES_ON:
       log_going_on (action);
       break;
+    case SCHEDULER_STARTS:
+      log_start (action);
+      break;
     case SCHEDULER_ANSWER:
     default:
       if (action->repeated)
--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -53,6 +53,25 @@
   [EXECUTOR_LOG_CRASHED] = { EVENT_TASK_CRASH_GIVEN_UP, false, false, false, false, false },
 };
 
+static const char *const stop_reasons[] = {
+  [STOP_UNKNOWN] = "cancelled",
+  [STOP_CALLER_LEFT] = "caller_left",
+  [STOP_DEADLINE] = "deadline",
+  [STOP_UNCONFIRMED] = "unconfirmed",
+  [STOP_OTHER_HOST] = "other_host",
+  [STOP_JOB_CANCELLED] = "job_cancelled",
+  [STOP_JOB_FAILED] = "job_failed",
+  [STOP_OWNER_LOST] = "owner_lost",
+  [STOP_COORDINATOR_LOST] = "coordinator_lost",
+  [STOP_OVERDUE] = "overdue",
+  [STOP_HUNG] = "hung",
+  [STOP_MOVED] = "moved",
+  [STOP_DONE_BEFORE] = "done_before",
+  [STOP_START_UNANSWERED] = "start_unanswered",
+  [STOP_LATER_INSTANCE] = "later_instance",
+  [STOP_UNCLAIMED] = "unclaimed",
+};
+
 static void
 add_crash_counts (const executor_action_t *action)
 {
@@ -138,6 +157,21 @@
   event_end ();
 }
 
+/* Each order to stop has a line, whatever else is logged, before it is sent. */
+static void
+log_stop (const executor_action_t *action)
+{
+  if (action->repeated || !event_begin (EVENT_STOP_ORDERED))
+    return;
+  event_add_text ("task", action->task);
+  event_add_number ("attempt", action->attempt);
+  event_add_text ("endpoint", action->endpoint);
+  event_add_text ("why", stop_reasons[action->stop_reason]);
+  event_add_number ("elapsed_ms", action->elapsed_ms);
+  event_add_text ("coordinator", action->coordinator);
+  event_end ();
+}
+
 static void
 log_waiting_task (const executor_action_t *action)
 {
@@ -206,6 +240,9 @@
           g_array_append_val (losses, action->loss);
           break;
         case EXECUTOR_STOP:
+          log_stop (action);
+          run_client_send (owned->run_client, action, owned->token, now_ms);
+          break;
         case EXECUTOR_POLL:
           run_client_send (owned->run_client, action, owned->token, now_ms);
           break;
@@ -460,7 +497,7 @@
 }
 
 bool
-owner_cancel (site_t *site, const char *coordinator, uint64_t batch)
+owner_cancel (site_t *site, const char *coordinator, uint64_t batch, stop_reason_t reason)
 {
   GHashTableIter iter;
   void *value = NULL;
@@ -472,7 +509,7 @@
       owned_shard_t *owned = value;
       int64_t now_ms = clock_boot_ms ();
       never_started |=
-          executor_cancel (owned->executor, coordinator, batch, now_ms, owned->actions);
+          executor_cancel (owned->executor, coordinator, batch, reason, now_ms, owned->actions);
       /* The actions are read now, as the next call would invalidate them. */
       run_actions (owned, now_ms);
       owned->needs_round = true;
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -66,10 +66,11 @@
 read_cancel (site_t *site, const char *host, frame_reader_t *reader)
 {
   uint64_t batch = 0;
+  stop_reason_t reason = STOP_UNKNOWN;
 
-  if (executor_msg_read_cancel (reader, &batch) != 0)
+  if (executor_msg_read_cancel (reader, &batch, &reason) != 0)
     return;
-  bool never_started = owner_cancel (site, host, batch);
+  bool never_started = owner_cancel (site, host, batch, reason);
   peers_send (site, host, executor_msg_cancelled (batch, never_started));
 }
 
@@ -78,7 +79,7 @@
 {
   uint64_t batch = 0;
 
-  if (executor_msg_read_cancel (reader, &batch) != 0)
+  if (executor_msg_read_release (reader, &batch) != 0)
     return;
   owner_release (site, host, batch);
   peers_send (site, host, executor_msg_cancelled (batch, false));
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -189,8 +189,9 @@
 void owner_remove_endpoint (site_t *site, const char *id, const char *data_centre);
 /* Queues the tasks of BATCH; reports them as EXECUTOR_NOT_OWNED if this host doesn't own SHARD. */
 void owner_submit (site_t *site, const char *shard, const executor_batch_t *batch);
-/* Cancels BATCH of COORDINATOR in all owned shards.  Returns true if none of its tasks started. */
-bool owner_cancel (site_t *site, const char *coordinator, uint64_t batch);
+/* Cancels BATCH of COORDINATOR in all owned shards because of REASON.  Returns true if none of its
+ * tasks started. */
+bool owner_cancel (site_t *site, const char *coordinator, uint64_t batch, stop_reason_t reason);
 /* Passes the current settings to the executors of all owned shards. */
 void owner_update_options (site_t *site);
 /* Releases BATCH of COORDINATOR in all owned shards, as executor_release () does. */
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -3,7 +3,8 @@
  * Lines are built in a single buffer.  A pipe that poll () reports as writable
  * accepts PIPE_BUF bytes without blocking, so the buffer is written in chunks of
  * at most that size, with a poll () before each chunk.  The limits on lines apply
- * per second; routine lines have a lower limit than all lines together.
+ * per second; routine lines have a lower limit than all lines together, and lines
+ * about orders one of their own.
  */
 #include "base/event.h"
 
@@ -21,6 +22,7 @@
 #define BUFFER_MAX_BYTES (128 * 1024)
 #define ROUTINE_LINES_PER_S 40
 #define TOTAL_LINES_PER_S 400
+#define ORDER_LINES_PER_S 400
 #define RATE_WINDOW_MS 1000
 /* Lines are written together at this interval. */
 #define FLUSH_INTERVAL_MS 50
@@ -54,8 +56,9 @@
     "{host_id} cannot reach the platform's log" },
   { EVENT_LOG_REGAINED, EVENT_CLASS_STATE, "log_regained", "",
     "{host_id} can reach the platform's log again" },
-  { EVENT_LINES_LEFT_OUT, EVENT_CLASS_STATE, "lines_left_out", "routine trouble belief",
-    "{host_id} dropped {routine} routine, {trouble} trouble and {belief} belief lines" },
+  { EVENT_LINES_LEFT_OUT, EVENT_CLASS_STATE, "lines_left_out", "routine trouble belief order",
+    "{host_id} dropped {routine} routine, {trouble} trouble, {belief} belief and {order} order "
+    "lines" },
   { EVENT_CONFIGURATION, EVENT_CLASS_STATE, "configuration", "version from queues",
     "{host_id} applied version {version} of the configuration, received from {from}" },
   { EVENT_CONFIGURATION_INVALID, EVENT_CLASS_STATE, "configuration_invalid", "from",
@@ -149,6 +152,12 @@
     "the caller closed the connection after {elapsed_ms} ms" },
   { EVENT_JOB_ELSEWHERE, EVENT_CLASS_PROBLEM, "job_elsewhere", "job finding host evidence age_ms",
     "{host_id} found the job at {host}, as told {age_ms} ms before: {finding} ({evidence})" },
+  { EVENT_JOB_STARTS, EVENT_CLASS_ORDER, "job_starts",
+    "job process_age_ms cold_start waited_ms idle_ms unreached limited",
+    "{host_id} starts the job {waited_ms} ms after it came, on a connection that had been idle for "
+    "{idle_ms} ms: the process is {process_age_ms} ms old, and runs that only earlier ones knew of "
+    "are excluded by: {cold_start}; {unreached} data centres are out of reach (the job ends before "
+    "it may be sent again: {limited})" },
   { EVENT_JOB_GOES_ON, EVENT_CLASS_PROBLEM, "job_goes_on",
     "job age_ms announced_ms confirmed_ms unreached",
     "{host_id} goes on with the job after {age_ms} ms, although its caller may soon send it again: "
@@ -223,6 +232,11 @@
     "{host_id} stops attempt {attempt} of task {task} on {endpoint}, which it has not started and "
     "no "
     "coordinator has claimed within {elapsed_ms} ms" },
+  { EVENT_STOP_ORDERED, EVENT_CLASS_ORDER, "stop_ordered",
+    "task attempt endpoint why elapsed_ms coordinator",
+    "{host_id} orders {endpoint} to stop attempt {attempt} of task {task}, {elapsed_ms} ms after "
+    "it "
+    "was started or found (for {coordinator}): {why}" },
   { EVENT_RUN_AT_RESTART, EVENT_CLASS_PROBLEM, "run_at_restart",
     "task attempt endpoint elapsed_ms why",
     "{endpoint} restarted {elapsed_ms} ms after attempt {attempt} of task {task} was ordered "
@@ -238,8 +252,8 @@
 static GString *buffer;
 static bool line_is_open;
 static int64_t window_start_ms;
-static int64_t window_line_counts[EVENT_CLASS_STATE + 1];
-static int64_t dropped_counts[EVENT_CLASS_STATE + 1]; /* since the last EVENT_LINES_LEFT_OUT */
+static int64_t window_line_counts[EVENT_CLASS_COUNT];
+static int64_t dropped_counts[EVENT_CLASS_COUNT]; /* since the last EVENT_LINES_LEFT_OUT */
 static int64_t total_dropped;
 static int64_t total_written;
 static int64_t flushed_at_ms;
@@ -280,6 +294,8 @@
       window_start_ms = now_ms;
       memset (window_line_counts, 0, sizeof window_line_counts);
     }
+  if (class == EVENT_CLASS_ORDER)
+    return window_line_counts[class] < ORDER_LINES_PER_S;
   for (int i = EVENT_CLASS_ROUTINE; i <= EVENT_CLASS_STATE; i++)
     all += window_line_counts[i];
   if (class == EVENT_CLASS_ROUTINE)
@@ -385,14 +401,16 @@
 static void
 report_dropped_lines (void)
 {
-  if (dropped_counts[EVENT_CLASS_ROUTINE] + dropped_counts[EVENT_CLASS_PROBLEM]
-              + dropped_counts[EVENT_CLASS_STATE]
-          == 0
-      || !event_begin (EVENT_LINES_LEFT_OUT))
+  int64_t dropped = 0;
+
+  for (int i = 0; i < EVENT_CLASS_COUNT; i++)
+    dropped += dropped_counts[i];
+  if (dropped == 0 || !event_begin (EVENT_LINES_LEFT_OUT))
     return;
   event_add_number ("routine", dropped_counts[EVENT_CLASS_ROUTINE]);
   event_add_number ("trouble", dropped_counts[EVENT_CLASS_PROBLEM]);
   event_add_number ("belief", dropped_counts[EVENT_CLASS_STATE]);
+  event_add_number ("order", dropped_counts[EVENT_CLASS_ORDER]);
   event_end ();
   memset (dropped_counts, 0, sizeof dropped_counts);
 }
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -77,6 +77,7 @@
   EVENT_JOB_FAILED,   /* why it was answered as failed */
   EVENT_JOB_ABANDONED,
   EVENT_JOB_ELSEWHERE, /* another host runs it, or has run it */
+  EVENT_JOB_STARTS,    /* it starts although this process, or a cut, is young */
   EVENT_JOB_GOES_ON,   /* it is open for so long that its caller may send it again */
   EVENT_BATCH_SENT,
   EVENT_BATCH_MOVED,
@@ -98,6 +99,7 @@
   EVENT_TASK_EXPIRED,
   EVENT_TASK_ADOPTED,
   EVENT_RUN_UNCLAIMED,
+  EVENT_STOP_ORDERED,
   EVENT_RUN_AT_RESTART,
   EVENT_ORDER_REFUSED,
   EVENT_ORDER_UNANSWERED,
@@ -105,12 +107,15 @@
 } event_t;
 
 /* The documentation and the counts in EVENT_LINES_LEFT_OUT call these classes
- * routine, trouble and belief. */
+ * routine, trouble, belief and order. */
 typedef enum
 {
   EVENT_CLASS_ROUTINE, /* ordinary decision; dropped first under load */
   EVENT_CLASS_PROBLEM, /* a job or task is delayed, refused or lost */
-  EVENT_CLASS_STATE    /* the process, or its view of the deployment, has changed */
+  EVENT_CLASS_STATE,   /* the process, or its view of the deployment, has changed */
+  EVENT_CLASS_ORDER,   /* what a run is stopped for, or started in spite of; with a limit of its
+                          own */
+  EVENT_CLASS_COUNT
 } event_class_t;
 
 typedef struct
--- a/lib/executor/batch.c
+++ b/lib/executor/batch.c
@@ -161,7 +161,11 @@
 
 /* If ACTIONS is NULL, no log actions are appended. */
 static bool
-cancel_batch (executor_t *executor, batch_t *batch, int64_t now_ms, GArray *actions)
+cancel_batch (executor_t *executor,
+              batch_t *batch,
+              stop_reason_t reason,
+              int64_t now_ms,
+              GArray *actions)
 {
   bool never_started = !batch->ever_started;
   GPtrArray *tasks = g_ptr_array_copy (batch->tasks, NULL, NULL);
@@ -181,7 +185,7 @@
         {
           if (actions != NULL && task->state != TASK_STOPPING)
             log_event (executor, actions, EXECUTOR_LOG_ABORTED, task->endpoint, task, now_ms);
-          task_request_stop (task, now_ms);
+          task_request_stop (task, reason, now_ms);
           task_leave_batch (executor, task);
         }
     }
@@ -193,6 +197,7 @@
 executor_cancel (executor_t *executor,
                  const char *coordinator,
                  uint64_t number,
+                 stop_reason_t reason,
                  int64_t now_ms,
                  GArray *actions)
 {
@@ -200,7 +205,7 @@
   batch_t *batch = g_hash_table_lookup (executor->batches, key);
 
   g_free (key);
-  return batch != NULL && cancel_batch (executor, batch, now_ms, actions);
+  return batch != NULL && cancel_batch (executor, batch, reason, now_ms, actions);
 }
 
 static GPtrArray *
@@ -290,7 +295,7 @@
     {
       limit_leases (executor, batches->pdata[i], last_heard_at_ms);
       remember_done_tasks (executor, batches->pdata[i], now_ms);
-      cancel_batch (executor, batches->pdata[i], now_ms, actions);
+      cancel_batch (executor, batches->pdata[i], STOP_COORDINATOR_LOST, now_ms, actions);
     }
   g_ptr_array_unref (batches);
 }
@@ -310,6 +315,6 @@
   g_ptr_array_unref (ids);
   GPtrArray *batches = batches_of (executor, NULL);
   for (guint i = 0; i < batches->len; i++)
-    cancel_batch (executor, batches->pdata[i], 0, NULL);
+    cancel_batch (executor, batches->pdata[i], STOP_UNKNOWN, 0, NULL);
   g_ptr_array_unref (batches);
 }
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -396,19 +396,21 @@
 }
 
 void
-task_stop_anew (task_t *task, int64_t now_ms)
+task_stop_anew (task_t *task, stop_reason_t reason, int64_t now_ms)
 {
   task->state = TASK_STOPPING;
+  task->stop_reason = reason;
+  task->stop_coordinator = task->batch != NULL ? task->batch->coordinator : NULL;
   task->stop_requested_at_ms = now_ms;
   task->stop_sent_at_ms = 0;
   task->stop_confirmed = false;
 }
 
 void
-task_request_stop (task_t *task, int64_t now_ms)
+task_request_stop (task_t *task, stop_reason_t reason, int64_t now_ms)
 {
   if (task->state != TASK_STOPPING)
-    task_stop_anew (task, now_ms);
+    task_stop_anew (task, reason, now_ms);
 }
 
 /* --- reports --- */
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -138,6 +138,30 @@
   EXECUTOR_LOG_CRASHED /* crashes; no endpoint: the task is given up */
 } executor_log_event_t;
 
+/* Why a run is ordered to stop.  The first ones are those of a coordinator that has cancelled the
+ * batch, and are sent to the owner: numbers don't change. */
+typedef enum
+{
+  STOP_UNKNOWN,       /* the coordinator has not told */
+  STOP_CALLER_LEFT,   /* nobody waits for the job any more */
+  STOP_DEADLINE,      /* the job can't end in time, or its host stops */
+  STOP_UNCONFIRMED,   /* another data centre may not know of the job */
+  STOP_OTHER_HOST,    /* another host runs the job */
+  STOP_JOB_CANCELLED, /* its caller has cancelled it */
+  STOP_JOB_FAILED,    /* another task of it has failed for good */
+  STOP_OWNER_LOST,    /* the owner of another part of it is lost */
+  STOP_BY_COORDINATOR_LAST = STOP_OWNER_LOST,
+  STOP_COORDINATOR_LOST, /* the coordinator is not heard any more */
+  STOP_OVERDUE,          /* the run can't end before its deadline */
+  STOP_HUNG,             /* it makes no progress */
+  STOP_MOVED,            /* it is too slow, and starts on another endpoint */
+  STOP_DONE_BEFORE,      /* an earlier run of the task has succeeded */
+  STOP_START_UNANSWERED, /* its start order was not answered and may be carried out late */
+  STOP_LATER_INSTANCE,   /* its start order may be carried out by a later instance */
+  STOP_UNCLAIMED,        /* another owner has started it, and no coordinator has claimed it */
+  STOP_REASON_LAST = STOP_UNCLAIMED
+} stop_reason_t;
+
 /* Why a task was reported as EXECUTOR_FAILED, or as EXECUTOR_OVERDUE if its order was rejected. */
 typedef enum
 {
@@ -186,6 +210,11 @@
   int32_t progress_percent;
   int32_t count;
   int32_t waiting_tasks;
+  /* EXECUTOR_STOP fills elapsed_ms (since the start order; for STOP_UNCLAIMED since the run was
+   * found) and coordinator (NULL if it is not known).  REPEATED: the same stop was ordered before.
+   */
+  stop_reason_t stop_reason;
+  bool repeated;
   crash_loss_t loss;      /* EXECUTOR_LOSS */
   crash_counts_t crashes; /* endpoints that were lost under TASK */
   task_failure_t failure; /* EXECUTOR_FAILED, EXECUTOR_OVERDUE */
@@ -311,10 +340,12 @@
  * accepted the batch. */
 void executor_submit (executor_t *executor, const executor_batch_t *batch, int64_t now_ms);
 
-/* Cancels the tasks of a batch.  Returns true if none of them can have started. */
+/* Cancels the tasks of a batch because of REASON.  Returns true if none of them can have started.
+ */
 bool executor_cancel (executor_t *executor,
                       const char *coordinator,
                       uint64_t batch,
+                      stop_reason_t reason,
                       int64_t now_ms,
                       GArray *actions);
 
--- a/lib/executor/executor_msg.c
+++ b/lib/executor/executor_msg.c
@@ -123,25 +123,23 @@
   *submit = (executor_submit_t){ 0 };
 }
 
-static GBytes *
-name_batch (executor_msg_t type, uint64_t batch)
+GBytes *
+executor_msg_cancel (uint64_t batch, stop_reason_t reason)
 {
-  frame_writer_t *writer = frame_begin (type);
+  frame_writer_t *writer = frame_begin (EXECUTOR_MSG_CANCEL);
 
   frame_put_uint (writer, batch);
+  frame_put_int (writer, reason);
   return frame_finish (writer);
 }
 
-GBytes *
-executor_msg_cancel (uint64_t batch)
-{
-  return name_batch (EXECUTOR_MSG_CANCEL, batch);
-}
-
 GBytes *
 executor_msg_release (uint64_t batch)
 {
-  return name_batch (EXECUTOR_MSG_RELEASE, batch);
+  frame_writer_t *writer = frame_begin (EXECUTOR_MSG_RELEASE);
+
+  frame_put_uint (writer, batch);
+  return frame_finish (writer);
 }
 
 GBytes *
@@ -291,7 +289,17 @@
 }
 
 int
-executor_msg_read_cancel (frame_reader_t *reader, uint64_t *batch)
+executor_msg_read_cancel (frame_reader_t *reader, uint64_t *batch, stop_reason_t *reason)
+{
+  *batch = frame_get_uint (reader);
+  *reason = STOP_UNKNOWN;
+  if (frame_has_more (reader))
+    *reason = (stop_reason_t) frame_get_range (reader, STOP_UNKNOWN, STOP_BY_COORDINATOR_LAST);
+  return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
+}
+
+int
+executor_msg_read_release (frame_reader_t *reader, uint64_t *batch)
 {
   *batch = frame_get_uint (reader);
   return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
--- a/lib/executor/executor_msg.h
+++ b/lib/executor/executor_msg.h
@@ -47,9 +47,10 @@
 int executor_msg_read_submit (frame_reader_t *reader, int64_t now_ms, executor_submit_t *submit);
 void executor_submit_clear (executor_submit_t *submit);
 
-/* EXECUTOR_MSG_CANCEL names a batch.  EXECUTOR_MSG_CANCELLED confirms a cancel or a release and
- * says whether no task of the batch has started. */
-GBytes *executor_msg_cancel (uint64_t batch);
+/* EXECUTOR_MSG_CANCEL names a batch and why it is cancelled, one of the reasons of coordinators; a
+ * host of an earlier version does not tell the reason.  EXECUTOR_MSG_CANCELLED confirms a cancel or
+ * a release and says whether no task of the batch has started. */
+GBytes *executor_msg_cancel (uint64_t batch, stop_reason_t reason);
 GBytes *executor_msg_release (uint64_t batch);
 /* If RELAY is set, the receiver passes the message on to all hosts. */
 GBytes *executor_msg_cancel_job (const char *job, bool relay);
@@ -79,7 +80,8 @@
 
 GBytes *executor_msg_resync (void);
 GBytes *executor_msg_cancelled (uint64_t batch, bool never_started);
-int executor_msg_read_cancel (frame_reader_t *reader, uint64_t *batch);
+int executor_msg_read_cancel (frame_reader_t *reader, uint64_t *batch, stop_reason_t *reason);
+int executor_msg_read_release (frame_reader_t *reader, uint64_t *batch);
 int executor_msg_read_cancelled (frame_reader_t *reader, uint64_t *batch, bool *never_started);
 
 /* A task that has ended or has left the queue of its owner. */
--- a/lib/executor/instance.c
+++ b/lib/executor/instance.c
@@ -13,7 +13,7 @@
 static void
 stop_on_later_instance (task_t *task, int64_t now_ms)
 {
-  task_stop_anew (task, now_ms);
+  task_stop_anew (task, STOP_LATER_INSTANCE, now_ms);
   task->order_open_until_ms = task->start_sent_at_ms + ORDER_DELAY_MAX_MS;
 }
 
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -147,7 +147,7 @@
       return true;
     }
   log_event (executor, actions, EXECUTOR_LOG_ABORTED, task->endpoint, task, now_ms);
-  task_request_stop (task, now_ms);
+  task_request_stop (task, STOP_DONE_BEFORE, now_ms);
   task_leave_batch (executor, task);
   return true;
 }
@@ -214,7 +214,7 @@
 {
   log_event (executor, actions, EXECUTOR_LOG_ABORTED, task->endpoint, task, now_ms);
   notify_coordinator (executor, actions, EXECUTOR_OVERDUE, task, "cannot meet its deadline");
-  task_request_stop (task, now_ms);
+  task_request_stop (task, STOP_OVERDUE, now_ms);
   task_leave_batch (executor, task);
 }
 
@@ -247,13 +247,13 @@
             {
               record_outcome (executor, endpoint, true, now_ms, actions);
               log_event (executor, actions, EXECUTOR_LOG_HUNG, endpoint, task, now_ms);
-              task_request_stop (task, now_ms);
+              task_request_stop (task, STOP_HUNG, now_ms);
             }
           else if (task->state == TASK_RUNNING && should_move (executor, task, now_ms))
             {
               task->moved = true;
               log_event (executor, actions, EXECUTOR_LOG_MOVED, endpoint, task, now_ms);
-              task_request_stop (task, now_ms);
+              task_request_stop (task, STOP_MOVED, now_ms);
             }
           else if (task->state == TASK_RUNNING && is_overdue (executor, task, now_ms))
             abort_overdue_run (executor, task, now_ms, actions);
@@ -262,7 +262,7 @@
         requeue_unlisted_run (executor, task, now_ms);
       else if (task->state == TASK_START_UNCONFIRMED && task->start_sent_at_ms < sent_at_ms)
         /* The start order may still be carried out later; a confirmed stop rules that out. */
-        task_request_stop (task, now_ms);
+        task_request_stop (task, STOP_START_UNANSWERED, now_ms);
     }
 }
 
--- a/lib/executor/resolve.c
+++ b/lib/executor/resolve.c
@@ -24,6 +24,7 @@
       g_hash_table_remove (executor->maybe_running, task->name);
       task->state = foreign->stop_sent_at_ms != 0 ? TASK_STOPPING : TASK_RUNNING;
       task->stop_requested_at_ms = now_ms;
+      task->stop_reason = STOP_UNCLAIMED;
       task->attempt = foreign->attempt;
       task->ever_started = true;
       task->batch->ever_started = true;
--- a/lib/executor/round.c
+++ b/lib/executor/round.c
@@ -123,22 +123,27 @@
   g_array_set_size (executor->new_losses, 0);
 }
 
-static void
+/* Returns the action, which is valid until the next one is appended. */
+static executor_action_t *
 send_stop (executor_t *executor,
            const endpoint_t *endpoint,
            const char *name,
            int32_t attempt,
+           stop_reason_t reason,
            int64_t now_ms,
            GArray *actions)
 {
   executor_action_t *action = action_append (actions, EXECUTOR_STOP);
 
+  action->stop_reason = reason;
+
   action->endpoint = endpoint->id;
   action->address = endpoint->address;
   /* Copied, because a foreign run may be adopted and its record freed later in this round. */
   action->task = g_string_chunk_insert (executor->action_strings, name);
   action->attempt = attempt;
   action->serial = register_call (executor, endpoint, name, attempt, 0, now_ms)->serial;
+  return action;
 }
 
 static void
@@ -156,40 +161,74 @@
   action->elapsed_ms = now_ms - foreign->seen_at_ms;
 }
 
+/* True if a stop that was last sent at SENT_AT_MS, 0 for never, is to be sent. */
+static bool
+is_stop_due (int64_t sent_at_ms, int64_t now_ms)
+{
+  return sent_at_ms == 0 || now_ms - sent_at_ms >= STOP_RETRY_MS;
+}
+
 static void
-send_stops (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
+send_task_stops (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
 {
   for (guint i = 0; i < endpoint->runs->len; i++)
     {
       task_t *task = endpoint->runs->pdata[i];
       if (task->state != TASK_STOPPING || task->stop_confirmed
-          || (task->stop_sent_at_ms != 0 && now_ms - task->stop_sent_at_ms < STOP_RETRY_MS))
+          || !is_stop_due (task->stop_sent_at_ms, now_ms))
         continue;
+      executor_action_t *action = send_stop (executor, endpoint, task->name, task->attempt,
+                                             task->stop_reason, now_ms, actions);
+      action->repeated = task->stop_sent_at_ms != 0;
+      action->elapsed_ms = now_ms - task->start_sent_at_ms;
+      action->coordinator = task->stop_coordinator;
       task->stop_sent_at_ms = now_ms;
-      send_stop (executor, endpoint, task->name, task->attempt, now_ms, actions);
     }
+}
+
+static void
+send_order_stops (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
+{
   for (guint i = 0; i < endpoint->open_orders->len; i++)
     {
       open_order_t *order = endpoint->open_orders->pdata[i];
-      if (!order->stop_required
-          || (order->stop_sent_at_ms != 0 && now_ms - order->stop_sent_at_ms < STOP_RETRY_MS))
+      if (!order->stop_required || !is_stop_due (order->stop_sent_at_ms, now_ms))
         continue;
+      executor_action_t *action = send_stop (executor, endpoint, order->task, order->attempt,
+                                             STOP_START_UNANSWERED, now_ms, actions);
+      action->repeated = order->stop_sent_at_ms != 0;
+      action->elapsed_ms = now_ms - (order->until_ms - ORDER_DELAY_MAX_MS);
       order->stop_sent_at_ms = now_ms;
-      send_stop (executor, endpoint, order->task, order->attempt, now_ms, actions);
     }
+}
+
+static void
+send_foreign_stops (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
+{
   for (guint i = 0; i < endpoint->foreign_runs->len; i++)
     {
       foreign_run_t *foreign = endpoint->foreign_runs->pdata[i];
       if (now_ms - foreign->seen_at_ms < ADOPTION_GRACE_MS
-          || (foreign->stop_sent_at_ms != 0 && now_ms - foreign->stop_sent_at_ms < STOP_RETRY_MS))
+          || !is_stop_due (foreign->stop_sent_at_ms, now_ms))
         continue;
       if (foreign->stop_sent_at_ms == 0)
         log_unclaimed_run (executor, endpoint, foreign, now_ms, actions);
+      executor_action_t *action = send_stop (executor, endpoint, foreign->name, foreign->attempt,
+                                             STOP_UNCLAIMED, now_ms, actions);
+      action->repeated = foreign->stop_sent_at_ms != 0;
+      action->elapsed_ms = now_ms - foreign->seen_at_ms;
       foreign->stop_sent_at_ms = now_ms;
-      send_stop (executor, endpoint, foreign->name, foreign->attempt, now_ms, actions);
     }
 }
 
+static void
+send_stops (executor_t *executor, endpoint_t *endpoint, int64_t now_ms, GArray *actions)
+{
+  send_task_stops (executor, endpoint, now_ms, actions);
+  send_order_stops (executor, endpoint, now_ms, actions);
+  send_foreign_stops (executor, endpoint, now_ms, actions);
+}
+
 /* --- starts --- */
 
 static void
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -50,6 +50,8 @@
   int64_t expected_ms;
   int64_t lease_until_endpoint_ms; /* of the start order */
   int64_t stop_requested_at_ms;    /* STOPPING: when the stop was requested */
+  stop_reason_t stop_reason;       /* STOPPING: why */
+  const char *stop_coordinator;    /* STOPPING: for whom it ran; interned, or NULL */
   int64_t stop_sent_at_ms;
   bool stop_confirmed;
   int64_t lease_limit_ms; /* no lease lasts longer; 0 unless its coordinator is gone */
--- a/lib/executor/table.h
+++ b/lib/executor/table.h
@@ -54,12 +54,12 @@
  */
 void task_set_maybe_running (executor_t *executor, task_t *task, int64_t now_ms);
 
-/* Requests the end of the run of TASK: it is stopped in the next round, and TASK is queued again
- * when the run is over. */
-void task_request_stop (task_t *task, int64_t now_ms);
+/* Requests the end of the run of TASK because of REASON: it is stopped in the next round, and TASK
+ * is queued again when the run is over.  Of several reasons the first one counts. */
+void task_request_stop (task_t *task, stop_reason_t reason, int64_t now_ms);
 
 /* The same for a run whose earlier stop, if any, does not count. */
-void task_stop_anew (task_t *task, int64_t now_ms);
+void task_stop_anew (task_t *task, stop_reason_t reason, int64_t now_ms);
 
 /* Latest end of a lease under which runs of a coordinator live that was alive at LAST_HEARD_AT_MS.
  */
--- a/lib/scheduler/cancellations.c
+++ b/lib/scheduler/cancellations.c
@@ -15,19 +15,22 @@
 
   action->host = cancellation->host;
   action->batch_number = cancellation->number;
+  action->stop_reason = cancellation->reason;
   cancellation->resend_at_ms = now_ms + RESEND_INTERVAL_MS;
 }
 
-void
-cancellations_add (scheduler_t *scheduler,
-                   const job_batch_t *batch,
-                   scheduler_action_kind_t kind,
-                   int64_t now_ms,
-                   GArray *actions)
+static void
+add (scheduler_t *scheduler,
+     const job_batch_t *batch,
+     scheduler_action_kind_t kind,
+     stop_reason_t reason,
+     int64_t now_ms,
+     GArray *actions)
 {
   cancellation_t *cancellation = g_new0 (cancellation_t, 1);
 
   cancellation->kind = kind;
+  cancellation->reason = reason;
   cancellation->number = batch->number;
   cancellation->host = batch->host;
   cancellation->expires_at_ms = now_ms + RESEND_TIMEOUT_MS;
@@ -35,6 +38,25 @@
   send_cancellation (cancellation, now_ms, actions);
 }
 
+void
+cancellations_cancel (scheduler_t *scheduler,
+                      const job_batch_t *batch,
+                      stop_reason_t reason,
+                      int64_t now_ms,
+                      GArray *actions)
+{
+  add (scheduler, batch, SCHEDULER_CANCEL, reason, now_ms, actions);
+}
+
+void
+cancellations_release (scheduler_t *scheduler,
+                       const job_batch_t *batch,
+                       int64_t now_ms,
+                       GArray *actions)
+{
+  add (scheduler, batch, SCHEDULER_RELEASE, STOP_UNKNOWN, now_ms, actions);
+}
+
 void
 cancellations_resend (scheduler_t *scheduler, int64_t now_ms, GArray *actions)
 {
--- a/lib/scheduler/cold_start.c
+++ b/lib/scheduler/cold_start.c
@@ -8,6 +8,9 @@
  */
 #include "scheduler/state.h"
 
+/* A process is young for as long as a host that was lost is remembered. */
+#define YOUNG_MS 20000
+
 void
 scheduler_set_shards_listed (scheduler_t *scheduler)
 {
@@ -39,10 +42,16 @@
 bool
 cold_start_is_over (scheduler_t *scheduler, int64_t now_ms)
 {
-  if (scheduler->cold_until_ms != 0
-      && (now_ms >= scheduler->cold_until_ms || all_are_surveyed (scheduler)))
-    scheduler->cold_until_ms = 0;
-  return scheduler->cold_until_ms == 0;
+  if (scheduler->cold_until_ms == 0)
+    return true;
+  if (all_are_surveyed (scheduler))
+    scheduler->cold_start = COLD_START_SURVEYED;
+  else if (now_ms >= scheduler->cold_until_ms)
+    scheduler->cold_start = COLD_START_LEASES_ENDED;
+  else
+    return false;
+  scheduler->cold_until_ms = 0;
+  return true;
 }
 
 bool
@@ -57,3 +66,21 @@
   action->age_ms = now_ms - scheduler->started_at_ms;
   return true;
 }
+
+void
+cold_start_log (scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms, GArray *actions)
+{
+  bool is_young =
+      scheduler->cold_start != COLD_START_NONE && now_ms - scheduler->started_at_ms < YOUNG_MS;
+
+  if (!is_young && scheduler->unreached->len == 0)
+    return;
+  scheduler_action_t *action =
+      repeats_add_action (scheduler, SCHEDULER_STARTS, scheduler->host, job->request.id, actions);
+  action->age_ms = now_ms - scheduler->started_at_ms;
+  action->cold_start = scheduler->cold_start;
+  action->waited_ms = now_ms - job->request.received_at_ms;
+  action->idle_ms = job->request.idle_ms;
+  action->unreached = unannounced_count_unreached (scheduler);
+  action->limited = job->deadline_limit == SCHEDULER_LIMIT_UNREACHED;
+}
--- a/lib/scheduler/job_end.c
+++ b/lib/scheduler/job_end.c
@@ -99,7 +99,7 @@
 scheduler_drop_job (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
   if (!job->end_pending)
-    scheduler_cancel_batches (scheduler, job, now_ms, actions);
+    scheduler_cancel_batches (scheduler, job, STOP_CALLER_LEFT, now_ms, actions);
   repeats_job_ends (scheduler, job, SCHEDULER_GIVEN_UP, now_ms, actions);
   scheduler_remove_job (scheduler, job);
 }
@@ -107,6 +107,7 @@
 void
 scheduler_cancel_batches (scheduler_t *scheduler,
                           scheduled_job_t *job,
+                          stop_reason_t reason,
                           int64_t now_ms,
                           GArray *actions)
 {
@@ -114,10 +115,23 @@
     {
       job_batch_t *batch = job->batches->pdata[i];
       batch->cancel_requested = true;
-      cancellations_add (scheduler, batch, SCHEDULER_CANCEL, now_ms, actions);
+      cancellations_cancel (scheduler, batch, reason, now_ms, actions);
     }
 }
 
+/* Why the runs of a job that ends with OUTCOME because of LIMIT are stopped. */
+static stop_reason_t
+stop_reason_of (scheduler_outcome_t outcome, scheduler_limit_t limit)
+{
+  if (outcome == SCHEDULER_CANCELLED)
+    return STOP_JOB_CANCELLED;
+  if (outcome == SCHEDULER_FAILED)
+    return STOP_JOB_FAILED;
+  if (limit == SCHEDULER_LIMIT_UNREACHED)
+    return STOP_UNCONFIRMED;
+  return limit == SCHEDULER_LIMIT_OWNERS ? STOP_OWNER_LOST : STOP_DEADLINE;
+}
+
 void
 scheduler_end_job (scheduler_t *scheduler,
                    scheduled_job_t *job,
@@ -132,7 +146,7 @@
   job->outcome = outcome;
   job->reason = reason;
   job->limit = limit;
-  scheduler_cancel_batches (scheduler, job, now_ms, actions);
+  scheduler_cancel_batches (scheduler, job, stop_reason_of (outcome, limit), now_ms, actions);
   if (outcome != SCHEDULER_REFUSED || job->may_have_run || job->batches->len == 0)
     {
       scheduler_answer_job (scheduler, job, now_ms, actions);
--- a/lib/scheduler/owners.c
+++ b/lib/scheduler/owners.c
@@ -128,7 +128,7 @@
   new_batch->wait_until_ms = now_ms + OWNER_DROP_TIMEOUT_MS + run_end_after_drop_ms (scheduler);
   g_array_append_vals (new_batch->open_tasks, batch->open_tasks->data, batch->open_tasks->len);
   if (batch->host != new_batch->host)
-    cancellations_add (scheduler, batch, SCHEDULER_RELEASE, now_ms, actions);
+    cancellations_release (scheduler, batch, now_ms, actions);
   scheduler_remove_batch (scheduler, batch);
   assign_send_batch (job, new_batch, actions);
 }
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -267,7 +267,7 @@
 {
   note (scheduler, job->request.id, remote->host, SCHEDULER_FOUND_YIELDED, JOB_EVIDENCE_TOLD, 0,
         actions);
-  scheduler_cancel_batches (scheduler, job, now_ms, actions);
+  scheduler_cancel_batches (scheduler, job, STOP_OTHER_HOST, now_ms, actions);
   scheduler_remove_batches (scheduler, job);
   g_array_set_size (job->unassigned, 0);
   job->may_have_run = true;
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -258,8 +258,10 @@
 scheduler_start_job (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
   unannounced_limit_deadline (scheduler, job);
-  if (!refuse_on_arrival (scheduler, job, now_ms, actions))
-    assign_job_tasks (scheduler, job, now_ms, actions);
+  if (refuse_on_arrival (scheduler, job, now_ms, actions))
+    return;
+  cold_start_log (scheduler, job, now_ms, actions);
+  assign_job_tasks (scheduler, job, now_ms, actions);
 }
 
 uint64_t
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -96,7 +96,9 @@
   SCHEDULER_TELL,      /* tell HOST the STATUS of job JOB_ID */
   SCHEDULER_ASK_OWNER, /* ask HOST whether it has runs of job JOB_ID for HOLDER in SHARD */
   SCHEDULER_NOTE,      /* log FINDING: job JOB_ID was found at HOST, as told AGE_MS ago */
-  SCHEDULER_GOES_ON    /* log that job JOB_ID goes on although it may be sent again */
+  SCHEDULER_GOES_ON,   /* log that job JOB_ID goes on although it may be sent again */
+  SCHEDULER_STARTS     /* log why job JOB_ID may start here although this process, or a cut, is
+                          young */
 } scheduler_action_kind_t;
 
 /* What follows for a request whose job is, or was, run by another coordinator. */
@@ -114,6 +116,15 @@
   SCHEDULER_FOUND_YIELDED   /* both hosts run it; this one stops, and waits for the other */
 } scheduler_finding_t;
 
+/* How the time just after the start of a process has ended, in which runs may go on that only
+ * earlier processes knew of (cold_start.c). */
+typedef enum
+{
+  COLD_START_NONE,        /* there was none */
+  COLD_START_SURVEYED,    /* the owners of all shards have found no such run */
+  COLD_START_LEASES_ENDED /* all leases of earlier processes have ended */
+} cold_start_t;
+
 typedef struct
 {
   scheduler_action_kind_t kind;
@@ -121,6 +132,7 @@
   const char *shard;  /* SCHEDULER_SUBMIT, SCHEDULER_ASK_OWNER; interned */
   const char *holder; /* SCHEDULER_ASK_OWNER; interned */
   uint64_t batch_number;
+  stop_reason_t stop_reason;   /* SCHEDULER_CANCEL */
   executor_batch_t batch;      /* SCHEDULER_SUBMIT; its strings belong to the scheduler */
   GArray *task_indexes;        /* SCHEDULER_SUBMIT: int32_t; the receiver of the action unrefs it */
   job_status_t status;         /* SCHEDULER_TELL; its id is JOB_ID */
@@ -130,7 +142,12 @@
   /* SCHEDULER_GOES_ON, counted from the receipt of the job: */
   int64_t announced_ms; /* when it was announced; negative if it was not */
   int64_t confirmed_ms; /* what was sent before is known in all other data centres */
-  int32_t unreached;    /* SCHEDULER_GOES_ON: data centres that are out of reach */
+  int32_t unreached; /* SCHEDULER_GOES_ON, SCHEDULER_STARTS: data centres that are out of reach */
+  /* SCHEDULER_STARTS; AGE_MS is that of this process: */
+  cold_start_t cold_start; /* how its cold start has ended */
+  int64_t waited_ms;       /* since the job was received */
+  int64_t idle_ms;         /* as in scheduler_job_t */
+  bool limited;            /* it ends before it may be sent again */
   /* The other fields are those of SCHEDULER_ANSWER. */
   bool repeated; /* another request of the job was answered, or it had ended before; then only
                     OUTCOME, USER_DATA, JOB_ID, REASON and RETRY_AFTER_MS are set */
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -130,6 +130,7 @@
 typedef struct
 {
   scheduler_action_kind_t kind;
+  stop_reason_t reason; /* SCHEDULER_CANCEL */
   uint64_t number;
   const char *host; /* interned */
   int64_t resend_at_ms;
@@ -163,6 +164,7 @@
   int64_t resubmit_ms;         /* as in scheduler_options_t */
   int64_t started_at_ms;       /* as in scheduler_options_t */
   int64_t cold_until_ms;       /* as in scheduler_options_t; 0 once it is over */
+  cold_start_t cold_start;     /* how the cold start has ended; COLD_START_NONE before */
   bool shards_listed;          /* as in scheduler_set_shards_listed () */
   size_history_t *size_history;
   GStringChunk *answer_strings; /* of the jobs that were answered since the last step */
@@ -239,13 +241,18 @@
 /* timeouts.c: true if too little time is left for JOB, however fast its endpoints are. */
 bool scheduler_cannot_finish (const scheduled_job_t *job, int64_t now_ms);
 
-/* cancellations.c: sends a message of KIND (SCHEDULER_CANCEL or SCHEDULER_RELEASE) about BATCH to
- * its owner, and sends all messages again that are due and not confirmed yet. */
-void cancellations_add (scheduler_t *scheduler,
-                        const job_batch_t *batch,
-                        scheduler_action_kind_t kind,
-                        int64_t now_ms,
-                        GArray *actions);
+/* cancellations.c: tell the owner of BATCH to end it because of REASON, or that it belongs to
+ * another owner now. */
+void cancellations_cancel (scheduler_t *scheduler,
+                           const job_batch_t *batch,
+                           stop_reason_t reason,
+                           int64_t now_ms,
+                           GArray *actions);
+void cancellations_release (scheduler_t *scheduler,
+                            const job_batch_t *batch,
+                            int64_t now_ms,
+                            GArray *actions);
+/* Sends all messages again that are due and not confirmed yet. */
 void cancellations_resend (scheduler_t *scheduler, int64_t now_ms, GArray *actions);
 
 /* job_end.c: owners confirm a cancellation within this time; a job does not wait longer for it. */
@@ -273,9 +280,10 @@
                            int64_t now_ms,
                            GArray *actions);
 
-/* job_end.c: tells the owners of JOB to end its batches. */
+/* job_end.c: tells the owners of JOB to end its batches because of REASON. */
 void scheduler_cancel_batches (scheduler_t *scheduler,
                                scheduled_job_t *job,
+                               stop_reason_t reason,
                                int64_t now_ms,
                                GArray *actions);
 
@@ -330,6 +338,9 @@
  * data centre that is out of reach now, and may have run there. */
 void unannounced_limit_deadline (const scheduler_t *scheduler, scheduled_job_t *job);
 
+/* unannounced.c: the number of data centres that are out of reach. */
+int32_t unannounced_count_unreached (const scheduler_t *scheduler);
+
 /* unannounced.c: appends SCHEDULER_GOES_ON once JOB is so old that its runs would have ended if
  * they had to. */
 void
@@ -343,6 +354,13 @@
 bool
 cold_start_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
 
+/* cold_start.c: appends SCHEDULER_STARTS if JOB, which starts, rests on what is known of a young
+ * process or a cut. */
+void cold_start_log (scheduler_t *scheduler,
+                     const scheduled_job_t *job,
+                     int64_t now_ms,
+                     GArray *actions);
+
 /* cold_start.c: whether no run can go on that only earlier processes knew of. */
 bool cold_start_is_over (scheduler_t *scheduler, int64_t now_ms);
 
--- a/lib/scheduler/unannounced.c
+++ b/lib/scheduler/unannounced.c
@@ -132,9 +132,8 @@
   job->may_have_run = true;
 }
 
-/* The number of data centres that are out of reach. */
-static int32_t
-count_unreached (const scheduler_t *scheduler)
+int32_t
+unannounced_count_unreached (const scheduler_t *scheduler)
 {
   int32_t count = 0;
 
@@ -157,5 +156,5 @@
   action->age_ms = now_ms - received_ms;
   action->announced_ms = job->announced ? job->announced_at_ms - received_ms : -1;
   action->confirmed_ms = MIN (scheduler->confirmed_at_ms, now_ms) - received_ms;
-  action->unreached = count_unreached (scheduler);
+  action->unreached = unannounced_count_unreached (scheduler);
 }
--- a/lib/wire/frame.c
+++ b/lib/wire/frame.c
@@ -208,6 +208,12 @@
   return reader->type;
 }
 
+bool
+frame_has_more (const frame_reader_t *reader)
+{
+  return !reader->failed && reader->remaining_elements > 0;
+}
+
 int64_t
 frame_get_int (frame_reader_t *reader)
 {
--- a/lib/wire/frame.h
+++ b/lib/wire/frame.h
@@ -98,6 +98,9 @@
 /* Returns the type number of the frame. */
 int frame_type (const frame_reader_t *reader);
 
+/* Whether there is a field that was not read: a later version may have added some. */
+bool frame_has_more (const frame_reader_t *reader);
+
 /* Read the next field. */
 int64_t frame_get_int (frame_reader_t *reader);
 /* Fails the reader if the value is outside of [MIN, MAX]. */
--- a/tests/test_event.c
+++ b/tests/test_event.c
@@ -164,6 +164,38 @@
   g_free (text);
 }
 
+/* Lines about orders have a limit of their own: no others displace them, nor they any others. */
+static void
+test_order_lines (void)
+{
+  static const struct
+  {
+    event_t many;
+    event_t one;
+  } order_cases[] = {
+    { EVENT_ORDER_UNANSWERED, EVENT_STOP_ORDERED },
+    { EVENT_LOG_LOST, EVENT_STOP_ORDERED },
+    { EVENT_STOP_ORDERED, EVENT_ORDER_UNANSWERED },
+    { EVENT_STOP_ORDERED, EVENT_TASK_STARTED },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (order_cases); i++)
+    {
+      const event_row_t *one = event_row (order_cases[i].one);
+      int64_t dropped_before = event_dropped_count ();
+      clock_sleep_ms (1100);
+      capture ();
+      for (int k = 0; k < 1000; k++)
+        write_event (event_row (order_cases[i].many));
+      write_event (one);
+      clock_sleep_ms (1100);
+      char *text = release ();
+      CU_ASSERT_TRUE (event_dropped_count () > dropped_before);
+      CU_ASSERT_PTR_NOT_NULL (strstr (text, one->name));
+      g_free (text);
+    }
+}
+
 /* If standard output is not read, lines are dropped, but writing must not block. */
 static void
 test_blocked_reader (void)
@@ -253,6 +285,7 @@
   { "every event of the table", test_table },
   { "documentation of events", test_documentation },
   { "rate limits", test_rate_limits },
+  { "lines about orders", test_order_lines },
   { "standard output that is not read", test_blocked_reader },
   { "causes named by explain", test_explain },
 };
--- a/tests/test_executor.c
+++ b/tests/test_executor.c
@@ -171,8 +171,9 @@
         answer_poll (&scenario, 0, NULL, 0);
         if (k == G_N_ELEMENTS (ends))
           {
-            CU_ASSERT_EQUAL (executor_cancel (scenario.executor, "h1", 2, 10, scenario.actions),
-                             never_started_cases[i].never_started);
+            CU_ASSERT_EQUAL (
+                executor_cancel (scenario.executor, "h1", 2, STOP_UNKNOWN, 10, scenario.actions),
+                never_started_cases[i].never_started);
             scenario_end (&scenario);
             continue;
           }
@@ -403,7 +404,7 @@
   CU_ASSERT_EQUAL (load.backlog_core_ms[1], 0);
   CU_ASSERT_EQUAL (load.max_free_milli, 0);
   CU_ASSERT_TRUE (load.next_free_ms > 0);
-  executor_cancel (scenario.executor, "h1", 2, 2, scenario.actions);
+  executor_cancel (scenario.executor, "h1", 2, STOP_UNKNOWN, 2, scenario.actions);
   load = load_report_at (&scenario, 2);
   CU_ASSERT_EQUAL (load.backlog_core_ms[0], 0);
   CU_ASSERT_EQUAL (load.late_core_ms[0], 0);
--- a/tests/test_executor_capacity.c
+++ b/tests/test_executor_capacity.c
@@ -96,7 +96,7 @@
   run_round_at (&scenario, 1);
   executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_OK, 5, 2,
                            scenario.actions);
-  executor_cancel (scenario.executor, "h1", 2, 3, scenario.actions);
+  executor_cancel (scenario.executor, "h1", 2, STOP_UNKNOWN, 3, scenario.actions);
   scenario.now_ms = 3;
   add_endpoint (&scenario, 0, "r1", 1000);
   submit_jobs (&scenario, 10, 1);
--- a/tests/test_executor_deadlines.c
+++ b/tests/test_executor_deadlines.c
@@ -184,7 +184,7 @@
       executor_submit (scenario.executor, &a, 1);
       executor_submit (scenario.executor, &b, 2);
       run_round_at (&scenario, 450);
-      executor_cancel (scenario.executor, "h1", 1, 490, scenario.actions);
+      executor_cancel (scenario.executor, "h1", 1, STOP_UNKNOWN, 490, scenario.actions);
       executor_release (scenario.executor, "h1", 1, 490);
       executor_start_answered (scenario.executor, scenario.start_serial, EXECUTOR_LEASE_EXPIRED,
                                500, 500, scenario.actions);
--- a/tests/test_executor_leases.c
+++ b/tests/test_executor_leases.c
@@ -201,7 +201,7 @@
   answer_poll_of_instance (scenario, 1);
   executor_stop_answered (scenario->executor, stop_serial, EXECUTOR_OK, 106, 102,
                           scenario->actions);
-  executor_cancel (scenario->executor, "h1", 1, 102, scenario->actions);
+  executor_cancel (scenario->executor, "h1", 1, STOP_UNKNOWN, 102, scenario->actions);
   run_round_at (scenario, 103);
   answer_poll_of_instance (scenario, 1);
   run_round_at (scenario, 104);
--- a/tests/test_executor_losses.c
+++ b/tests/test_executor_losses.c
@@ -391,7 +391,8 @@
       restart_endpoint_at (&scenario, 50);
       CU_ASSERT_STRING_EQUAL (scenario.start_endpoint, "e1");
       confirm_starts (&scenario);
-      executor_cancel (scenario.executor, batch.coordinator, batch.batch, 90, scenario.actions);
+      executor_cancel (scenario.executor, batch.coordinator, batch.batch, STOP_UNKNOWN, 90,
+                       scenario.actions);
       run_round_at (&scenario, 100);
       CU_ASSERT_STRING_EQUAL (scenario.stop_task, "j.0.0.0");
       executor_stop_answered (scenario.executor, last_action (&scenario, EXECUTOR_STOP)->serial,
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -480,9 +480,9 @@
   reply->batch_number = message->batch_number;
   for (int i = 0; i < SIM_DATA_CENTRES; i++)
     if (host->owned_shards[i].executor != NULL)
-      reply->not_run |=
-          executor_cancel (host->owned_shards[i].executor, message->from->name,
-                           message->batch_number, host->sim->now_ms, host->executor_actions);
+      reply->not_run |= executor_cancel (host->owned_shards[i].executor, message->from->name,
+                                         message->batch_number, STOP_UNKNOWN, host->sim->now_ms,
+                                         host->executor_actions);
   send_message (reply);
 }
 
