A host that is cut off alone claims no shard while others' silence can't show

Cause: that host does not own its data centre's endpoints when the cut begins. It loses the owner after 450 ms and claims them 20 ms later, as it takes most hosts to be alive: those of other data centres until they have been silent for 780 ms, those with rare heartbeats for 3 s. At a deployment's size most hosts have rare heartbeats, so that each strong host that is cut off alone claims its data centre, shuts the true owner out by a higher token, claims again for 3 s, and stops what runs there as `unclaimed`.

Class: what is believed without recent evidence. A decision that shuts others out needs evidence from after the event that it answers.

Change: the majority for a claim counts hosts with frequent heartbeats only, and of these the ones that were heard within 350 ms, less than the silence after which an owner of the same data centre is lost (450 ms less a heartbeat, and 20 ms). Likewise for a claim that is superseded, a takeover, and the word of a sole owner.

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -555,7 +555,8 @@
   int64_t lost_at_ms = cluster_lost_at_ms (site->cluster, holder);
   bool alone = cluster_lost_hosts (site->cluster) <= 1;
 
-  if (owned == NULL || lost_at_ms == INT64_MAX || !cluster_is_sole_owner (site->cluster, shard)
+  if (owned == NULL || lost_at_ms == INT64_MAX
+      || !cluster_is_sole_owner (site->cluster, shard, clock_boot_ms ())
       || executor_may_run_job (owned->executor, job, lost_at_ms, alone, clock_boot_ms ()))
     return false;
   *token = owned->token;
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -27,6 +27,9 @@
 #define ECHO_RETRANSMIT_PERCENT 80
 /* A host whose connection broke is lost unless it is heard again within this time. */
 #define RECONNECT_GRACE_MS 120
+/* A heartbeat that is frequent arrives within this time.  A host of the same data centre counts as
+ * lost, and its shard is claimed, only after a longer silence. */
+#define RECENTLY_HEARD_MS (HEARTBEAT_REMOTE_MS + 100)
 /* Hosts that have all been up for no longer than this are taken to have started together. */
 #define RECENT_START_MS 5000
 
@@ -386,6 +389,28 @@
   return count;
 }
 
+cluster_count_t
+cluster_count_recent (const cluster_t *cluster, const char *data_centre, int64_t now_ms)
+{
+  cluster_count_t count = { 0 };
+  GHashTableIter iter;
+  void *value = NULL;
+
+  if (data_centre == NULL || strcmp (cluster->data_centre, data_centre) == 0)
+    count = (cluster_count_t){ 1, 1 };
+  g_hash_table_iter_init (&iter, cluster->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const peer_t *peer = value;
+      if (peer->interval_ms > HEARTBEAT_REMOTE_MS
+          || (data_centre != NULL && strcmp (peer->data_centre, data_centre) != 0))
+        continue;
+      count.known++;
+      count.alive += peer->alive && now_ms - peer->heartbeat_at_ms <= RECENTLY_HEARD_MS;
+    }
+  return count;
+}
+
 /* --- periodic step --- */
 
 void
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -200,7 +200,7 @@
 /* Whether this host owns SHARD so that no other host can go on owning it: it is in the shard's data
  * centre, hears a majority, and no endpoint is known to obey a higher token.  An owner that can't
  * be heard yields once an endpoint refuses its token. */
-bool cluster_is_sole_owner (const cluster_t *cluster, const char *shard);
+bool cluster_is_sole_owner (const cluster_t *cluster, const char *shard, int64_t now_ms);
 
 /* A host claims an unowned shard of another data centre only if it can reach the shard's
  * endpoints.  cluster_shard_reached () records that one of them has answered;
--- a/lib/cluster/shard_claims.c
+++ b/lib/cluster/shard_claims.c
@@ -250,12 +250,13 @@
  * likely to be cut off itself than to be the only survivor, and its claim would only supersede
  * that of the owner that the others follow.  For a shard of its own data centre (LOCAL) a
  * majority of the hosts of that data centre is enough, so that an isolated data centre keeps an
- * owner. */
+ * owner.  Hosts whose heartbeats are rare don't count: they are taken to be alive long after this
+ * host may have been cut off from them. */
 static bool
-hears_majority (const cluster_t *cluster, bool local)
+hears_majority (const cluster_t *cluster, bool local, int64_t now_ms)
 {
-  cluster_count_t here = cluster_count (cluster, cluster->data_centre);
-  cluster_count_t all = cluster_count (cluster, NULL);
+  cluster_count_t here = cluster_count_recent (cluster, cluster->data_centre, now_ms);
+  cluster_count_t all = cluster_count_recent (cluster, NULL, now_ms);
 
   return (local && 2 * here.alive > here.known) || 2 * all.alive > all.known;
 }
@@ -292,7 +293,7 @@
     }
   if (best != cluster->host || now_ms - shard->vacant_since_ms < wait_ms)
     return;
-  if (!hears_majority (cluster, local) || (!local && !is_reachable (shard, now_ms)))
+  if (!hears_majority (cluster, local, now_ms) || (!local && !is_reachable (shard, now_ms)))
     return;
   claim_shard (cluster, shard, now_ms, wall_ms, "nobody owns it", actions);
 }
@@ -311,7 +312,7 @@
          && now_ms - cluster->observing_since_ms > STABLE_AFTER_MS
          && now_ms >= shard->no_claim_until_ms
          && best_candidate (cluster, shard, true) == cluster->host
-         && hears_majority (cluster, true);
+         && hears_majority (cluster, true, now_ms);
 }
 
 static bool
@@ -394,7 +395,7 @@
 
   if (!shard->owned)
     return;
-  if (hears_majority (cluster, local))
+  if (hears_majority (cluster, local, now_ms))
     {
       if (shard->reclaim_at_ms == 0)
         shard->reclaim_at_ms = shard->claimed_at_ms + reclaim_delay_ms (shard);
@@ -407,12 +408,13 @@
 }
 
 bool
-cluster_is_sole_owner (const cluster_t *cluster, const char *name)
+cluster_is_sole_owner (const cluster_t *cluster, const char *name, int64_t now_ms)
 {
   const shard_t *shard = g_hash_table_lookup (cluster->shards, g_intern_string (name));
 
   return shard != NULL && shard->owned && shard->reclaim_at_ms == 0
-         && strcmp (cluster->data_centre, shard->name) == 0 && hears_majority (cluster, true);
+         && strcmp (cluster->data_centre, shard->name) == 0
+         && hears_majority (cluster, true, now_ms);
 }
 
 void
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -106,6 +106,12 @@
 /* Counts the hosts of DATA_CENTRE (NULL: of all), this one included. */
 cluster_count_t cluster_count (const cluster_t *cluster, const char *data_centre);
 
+/* The same for those whose heartbeats are frequent, or were when they were lost.  Of these, hosts
+ * are alive that were heard so short a time ago that a cut since the last heartbeat of a host that
+ * was just lost would show. */
+cluster_count_t
+cluster_count_recent (const cluster_t *cluster, const char *data_centre, int64_t now_ms);
+
 /* The latest time before which PEER has certainly received what this host sent to it. */
 int64_t cluster_peer_told_at_ms (const cluster_t *cluster, const peer_t *peer, int64_t now_ms);
 
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -649,11 +649,11 @@
       if (ownership == ANOTHER_HAS_HIGHER_CLAIM)
         receive_owner_heartbeat (&fixture, "h2", "x", 250, fixture.token + 1);
       advance_to (&fixture, fixture.now_ms + STEP_MS);
-      bool sole = cluster_is_sole_owner (fixture.cluster, "x");
+      bool sole = cluster_is_sole_owner (fixture.cluster, "x", fixture.now_ms);
       CU_ASSERT_EQUAL (sole, owner_cases[i].sole);
       if (sole != owner_cases[i].sole)
         printf ("  %s: %d\n", owner_cases[i].name, sole);
-      CU_ASSERT_FALSE (cluster_is_sole_owner (fixture.cluster, "y"));
+      CU_ASSERT_FALSE (cluster_is_sole_owner (fixture.cluster, "y", fixture.now_ms));
       tear_down (&fixture);
     }
 }
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -457,7 +457,7 @@
   bool alone = cluster_lost_hosts (host->cluster) <= 1;
 
   if (owned->executor != NULL && lost_at_ms != INT64_MAX
-      && cluster_is_sole_owner (host->cluster, message->shard)
+      && cluster_is_sole_owner (host->cluster, message->shard, host->sim->now_ms)
       && !executor_may_run_job (owned->executor, message->job, lost_at_ms, alone,
                                 host->sim->now_ms))
     send_runs_message (MESSAGE_RUNS_OVER, host, message->from, message->job, message->holder,
