The lease of a cancelled run ends before its job may be sent again

An owner went on renewing the lease of an endpoint for 250 ms after a run should have stopped, so that it could live for 1,280 ms after the cancellation reached the owner; the job's caller sends it again 1,300 ms after the answer, which the cancellation may follow by some 100 ms.

Class: a bound between two processes that was kept by messages that have to arrive. It is kept by the owner's leases now: no lease under which a run of a cancelled batch lives lasts beyond 1,150 ms after the cancellation (1,250 ms after the owner itself has given the run up). A stop that arrives shortens nothing for other runs: leases are full for the first 120 ms.

Evidence: test_executor_leases "the lease of an endpoint with runs of a cancelled job": before, the run could live until 1,779 ms where its job could be sent again at 1,700; 62 of 62 asserts now.

--- a/lib/executor/batch.c
+++ b/lib/executor/batch.c
@@ -4,6 +4,7 @@
  * new batch.  A cancelled batch is removed at once; those of its tasks whose run is not over stay
  * without a batch.
  */
+#include "executor/leases.h"
 #include "executor/table.h"
 
 #include <string.h>
@@ -11,6 +12,8 @@
 /* A heartbeat may be under way for this long, and a resubmitted job starts no sooner than it
  * arrives. */
 #define RESUBMIT_MARGIN_MS 50
+/* A cancellation may be under way for this long after its job was answered. */
+#define CANCEL_DELAY_MAX_MS 100
 
 static char *
 task_name (const char *job, int32_t step, int32_t index)
@@ -186,6 +189,7 @@
           if (actions != NULL && task->state != TASK_STOPPING)
             log_event (executor, actions, EXECUTOR_LOG_ABORTED, task->endpoint, task, now_ms);
           task_request_stop (task, reason, now_ms);
+          limit_lease (task, lease_limit_ms (executor, now_ms - CANCEL_DELAY_MAX_MS));
           task_leave_batch (executor, task);
         }
     }
@@ -277,8 +281,7 @@
 limit_leases (const executor_t *executor, const batch_t *batch, int64_t last_heard_at_ms)
 {
   for (guint i = 0; i < batch->tasks->len; i++)
-    ((task_t *) batch->tasks->pdata[i])->lease_limit_ms =
-        lease_limit_ms (executor, last_heard_at_ms);
+    limit_lease (batch->tasks->pdata[i], lease_limit_ms (executor, last_heard_at_ms));
 }
 
 void
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -340,7 +340,9 @@
  * accepted the batch. */
 void executor_submit (executor_t *executor, const executor_batch_t *batch, int64_t now_ms);
 
-/* Cancels the tasks of a batch because of REASON.  Returns true if none of them can have started.
+/* Cancels the tasks of a batch because of REASON.  Their runs are stopped, and have ended by their
+ * leases before the job may be submitted again, even if the stops are lost.  Returns true if none
+ * of them can have started.
  */
 bool executor_cancel (executor_t *executor,
                       const char *coordinator,
--- a/lib/executor/leases.c
+++ b/lib/executor/leases.c
@@ -44,6 +44,13 @@
   return lease_ms + lease_ms * EXECUTOR_CLOCK_SLACK_PERCENT / 100;
 }
 
+void
+limit_lease (task_t *task, int64_t until_ms)
+{
+  if (task->lease_limit_ms == 0 || until_ms < task->lease_limit_ms)
+    task->lease_limit_ms = until_ms;
+}
+
 /* Latest end of a lease under which the run of TASK lives. */
 static int64_t
 lease_limit_of (const executor_t *executor, const task_t *task)
--- a/lib/executor/leases.h
+++ b/lib/executor/leases.h
@@ -3,7 +3,8 @@
  * All runs on an endpoint live under one lease, which each order may renew.  It is granted as a
  * time on the endpoint's clock, which may be slow, and reckoned here on the boot clock: once the
  * lease has ended by this host's reckoning, no run is alive there.  No lease outlasts the time at
- * which the caller of a run under it may submit its job again because the coordinator was lost.
+ * which the caller of a run under it may submit its job again because the coordinator was lost, or
+ * has ended the job.
  *
  * Durations and times are milliseconds.  Not thread-safe.
  */
@@ -25,6 +26,9 @@
 /* Longest time for which a lease of LEASE_MS may last on an endpoint's clock. */
 int64_t longest_lease_ms (int64_t lease_ms);
 
+/* No lease under which TASK runs lasts beyond UNTIL_MS, now that it has left its batch. */
+void limit_lease (task_t *task, int64_t until_ms);
+
 /* Length of the next lease of ENDPOINT; 0 if there must be none. */
 int64_t next_lease_ms (const executor_t *executor, const endpoint_t *endpoint, int64_t now_ms);
 
--- a/lib/executor/poll.c
+++ b/lib/executor/poll.c
@@ -4,6 +4,7 @@
  */
 #include "executor/answer.h"
 #include "executor/instance.h"
+#include "executor/leases.h"
 #include "executor/progress.h"
 #include "executor/table.h"
 
@@ -215,6 +216,7 @@
   log_event (executor, actions, EXECUTOR_LOG_ABORTED, task->endpoint, task, now_ms);
   notify_coordinator (executor, actions, EXECUTOR_OVERDUE, task, "cannot meet its deadline");
   task_request_stop (task, STOP_OVERDUE, now_ms);
+  limit_lease (task, lease_limit_ms (executor, now_ms));
   task_leave_batch (executor, task);
 }
 
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -54,7 +54,8 @@
   const char *stop_coordinator;    /* STOPPING: for whom it ran; interned, or NULL */
   int64_t stop_sent_at_ms;
   bool stop_confirmed;
-  int64_t lease_limit_ms; /* no lease lasts longer; 0 unless its coordinator is gone */
+  int64_t lease_limit_ms; /* no lease lasts longer; 0 unless its coordinator is gone or has
+                             cancelled it */
   bool misses_objective;  /* would miss its objective on every endpoint */
   bool runs_alone;        /* nothing else starts on its endpoint while it runs */
   bool moved;             /* it has been stopped to be restarted on a faster endpoint */
--- a/tests/test_executor_leases.c
+++ b/tests/test_executor_leases.c
@@ -385,9 +385,64 @@
     }
 }
 
+/* A job that its coordinator has ended may be sent again RESUBMIT_MS after its answer.  Its
+ * cancellation is under way for up to CANCEL_DELAY_MS; no run may be alive then, even if the stops
+ * are lost while polls pass. */
+#define CANCEL_DELAY_MS 100
+#define CANCELLED_MS 500
+
+static const struct
+{
+  const char *name;
+  bool answers_polls;
+} cancelled_cases[] = {
+  { "stops are lost, polls pass", true },
+  { "the endpoint is silent", false },
+};
+
+static void
+test_lease_of_cancelled_job (void)
+{
+  static const poll_active_t run = { TASK, 1, 10 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cancelled_cases); i++)
+    {
+      int64_t until_ms = 0;
+      executor_batch_t batch = batch_of ("j", 1);
+      scenario_t scenario;
+
+      batch.estimate_ms = 5000;
+      scenario_begin_idle (&scenario, 1000);
+      executor_submit (scenario.executor, &batch, 1);
+      run_round_at (&scenario, 1);
+      confirm_starts (&scenario);
+      for (int64_t now_ms = 10; now_ms < 2000; now_ms += 10)
+        {
+          executor_coordinator_heard (scenario.executor, "h1", now_ms);
+          if (now_ms == CANCELLED_MS)
+            executor_cancel (scenario.executor, "h1", 1, STOP_CALLER_LEFT, now_ms,
+                             scenario.actions);
+          run_round_at (&scenario, now_ms);
+          for (guint k = 0; k < scenario.actions->len; k++)
+            until_ms = MAX (
+                until_ms,
+                g_array_index (scenario.actions, executor_action_t, k).lease_until_endpoint_ms);
+          if (now_ms < CANCELLED_MS || cancelled_cases[i].answers_polls)
+            answer_poll (&scenario, 0, &run, 1);
+        }
+      /* The clock of the endpoint shows 5 ms more, and may be slow. */
+      int64_t end_ms = until_ms - 5 + LEASE_MS * EXECUTOR_CLOCK_SLACK_PERCENT / 100;
+      CU_ASSERT_TRUE (end_ms < CANCELLED_MS - CANCEL_DELAY_MS + RESUBMIT_MS);
+      if (end_ms >= CANCELLED_MS - CANCEL_DELAY_MS + RESUBMIT_MS)
+        printf ("  %s: until %d\n", cancelled_cases[i].name, (int) end_ms);
+      scenario_end (&scenario);
+    }
+}
+
 static const unit_test_t tests[] = {
   { "a batch is released while a start is on its way", test_released_while_start_on_its_way },
   { "the lease of a silent coordinator", test_lease_of_silent_coordinator },
+  { "the lease of an endpoint with runs of a cancelled job", test_lease_of_cancelled_job },
   { "a start refused for a later attempt", test_start_refused_for_later_attempt },
   { "a late order after a restart", test_late_order_after_restart },
   { "a lease on a slow clock", test_lease_on_slow_clock },
