--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -115,6 +115,7 @@
 {
   static const char *const cold_starts[] = {
     [COLD_START_NONE] = "none",
+    [COLD_START_TOLD] = "told",
     [COLD_START_SURVEYED] = "surveyed",
     [COLD_START_LEASES_ENDED] = "leases_ended",
   };
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -388,6 +388,7 @@
   { JOB_MSG_RUNS_OVER, repeats_read_runs_over },
   { JOB_MSG_TOLD, repeats_read_told },
   { JOB_MSG_TOLD_ACK, repeats_read_told_ack },
+  { JOB_MSG_ALL_TOLD, repeats_read_all_told },
   { CLUSTER_MSG_HEARTBEAT, read_heartbeat },
   { CLUSTER_MSG_CONFIG_REQUEST, read_config_request },
   { CLUSTER_MSG_CONFIG, read_config },
--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -147,12 +147,10 @@
   return cluster_is_hub (site->cluster) && is_local (site, connection);
 }
 
-/* DATA maps interned names of hosts to their statuses.  A host that runs the job stops for none of
- * these, as its own announcement may have crossed them. */
+/* DATA maps interned names of hosts to their statuses. */
 static void
-add_known_job (const char *id, const char *host, int64_t deadline_at_ms, void *data)
+add_known_job (const char *host, const job_status_t *status, void *data)
 {
-  const job_status_t status = { id, JOB_STATUS_WAITING, deadline_at_ms };
   GArray *statuses = g_hash_table_lookup (data, host);
 
   if (statuses == NULL)
@@ -160,10 +158,11 @@
       statuses = new_statuses ();
       g_hash_table_insert (data, (void *) host, statuses);
     }
-  g_array_append_val (statuses, status);
+  g_array_append_vals (statuses, status, 1);
 }
 
-/* Tells HOST the jobs of others: it may have missed their announcements, which come once. */
+/* Tells HOST the jobs of others, and those of an earlier process of its own: it may have missed
+ * their announcements, which come once. */
 static void
 send_known_jobs (site_t *site, const char *host)
 {
@@ -172,12 +171,13 @@
   void *origin = NULL;
   void *statuses = NULL;
 
-  scheduler_foreach_remote (site->scheduler, clock_boot_ms (), add_known_job, by_origin);
+  scheduler_foreach_remote (site->scheduler, host, clock_boot_ms (), add_known_job, by_origin);
   g_hash_table_iter_init (&iter, by_origin);
   while (g_hash_table_iter_next (&iter, &origin, &statuses))
-    if (origin != host && origin != site->host)
-      send_statuses (site, host, origin, false, statuses);
+    send_statuses (site, host, origin, false, statuses);
   g_hash_table_unref (by_origin);
+  if (scheduler_is_warm (site->scheduler, clock_boot_ms ()))
+    peers_send (site, host, job_msg_all_told ());
 }
 
 void
@@ -313,10 +313,9 @@
   (void) host;
   if (job_msg_read_statuses (reader, now_ms, &origin, &relay, statuses) == 0)
     {
-      bool is_own = strcmp (origin, site->host) == 0;
       if (relay)
         relay_statuses (site, origin, statuses);
-      for (guint i = 0; i < statuses->len && !is_own; i++)
+      for (guint i = 0; i < statuses->len; i++)
         scheduler_job_told (site->scheduler, origin, &g_array_index (statuses, job_status_t, i),
                             now_ms, site->scheduler_actions);
       site_run_scheduler_actions (site);
@@ -357,6 +356,14 @@
     cluster_confirmed (site->cluster, host, clock_ms, clock_boot_ms ());
 }
 
+void
+repeats_read_all_told (site_t *site, const char *host, frame_reader_t *reader)
+{
+  (void) host;
+  (void) reader;
+  scheduler_all_told (site->scheduler);
+}
+
 void
 repeats_read_query (site_t *site, const char *host, frame_reader_t *reader)
 {
--- a/lib/scheduler/cold_start.c
+++ b/lib/scheduler/cold_start.c
@@ -2,9 +2,10 @@
  *
  * What earlier processes knew of open jobs may be lost with them: if all hosts were killed at once,
  * nobody is left to tell that a job runs, while endpoints go on with it until its lease ends.  A
- * request that arrives now may be the repeated one of such a job.  It therefore waits until the
- * owners of all shards have said that no run from before their claims goes on, or until the last
- * lease that a process before this one can have granted has certainly ended.
+ * request that arrives now may be the repeated one of such a job.  It therefore waits until a hub
+ * of this data centre that has been up for longer has told all jobs that it knows, until the owners
+ * of all shards have said that no run from before their claims goes on, or until the last lease
+ * that a process before this one can have granted has certainly ended.
  */
 #include "scheduler/state.h"
 
@@ -25,6 +26,21 @@
   shard->surveyed_token = MAX (shard->surveyed_token, token);
 }
 
+void
+scheduler_all_told (scheduler_t *scheduler)
+{
+  if (scheduler->cold_until_ms == 0)
+    return;
+  scheduler->cold_start = COLD_START_TOLD;
+  scheduler->cold_until_ms = 0;
+}
+
+bool
+scheduler_is_warm (scheduler_t *scheduler, int64_t now_ms)
+{
+  return cold_start_is_over (scheduler, now_ms);
+}
+
 static bool
 all_are_surveyed (const scheduler_t *scheduler)
 {
--- a/lib/scheduler/job_status_msg.c
+++ b/lib/scheduler/job_status_msg.c
@@ -89,6 +89,12 @@
   return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
 }
 
+GBytes *
+job_msg_all_told (void)
+{
+  return frame_finish (frame_begin (JOB_MSG_ALL_TOLD));
+}
+
 GBytes *
 job_msg_query (const char *id)
 {
--- a/lib/scheduler/job_status_msg.h
+++ b/lib/scheduler/job_status_msg.h
@@ -18,7 +18,9 @@
   JOB_MSG_RUNS_QUERY, /* asks an owner for runs of a job whose host is not heard */
   JOB_MSG_RUNS_OVER,  /* says that there are none */
   JOB_MSG_TOLD,       /* ends announcements; a relay confirms them */
-  JOB_MSG_TOLD_ACK    /* confirms all that came before JOB_MSG_TOLD */
+  JOB_MSG_TOLD_ACK,   /* confirms all that came before JOB_MSG_TOLD */
+  JOB_MSG_ALL_TOLD    /* the sender, a hub that is not in its cold start, has told all jobs that it
+                         knows */
 } job_status_msg_t;
 
 /* Most statuses in a message, and most messages passed on in one. */
@@ -46,6 +48,9 @@
                           void (*read) (frame_reader_t *message, void *data),
                           void *data);
 
+/* JOB_MSG_ALL_TOLD, which has no fields. */
+GBytes *job_msg_all_told (void);
+
 GBytes *job_msg_query (const char *id);
 /* The caller frees *ID. */
 int job_msg_read_query (frame_reader_t *reader, char **id);
--- a/lib/scheduler/remote_jobs.c
+++ b/lib/scheduler/remote_jobs.c
@@ -201,10 +201,10 @@
 }
 
 void
-remote_jobs_foreach_open (
+remote_jobs_foreach (
     const remote_jobs_t *jobs,
     int64_t now_ms,
-    void (*function) (const char *id, const char *host, int64_t deadline_at_ms, void *data),
+    void (*function) (const char *id, const remote_job_t *job, int64_t deadline_at_ms, void *data),
     void *data)
 {
   GHashTableIter iter;
@@ -214,8 +214,8 @@
   g_hash_table_iter_init (&iter, jobs->by_id);
   while (g_hash_table_iter_next (&iter, &id, &value))
     for (const entry_t *entry = value; entry != NULL; entry = entry->next)
-      if (entry->job.over_at_ms == INT64_MAX && now_ms < entry->job.expires_at_ms)
-        function (id, entry->job.host, entry->job.expires_at_ms - UNTOLD_END_MS, data);
+      if (now_ms < entry->job.over_at_ms && now_ms < entry->job.expires_at_ms)
+        function (id, &entry->job, entry->job.expires_at_ms - UNTOLD_END_MS, data);
 }
 
 /* The lower, the more likely it is that the host of JOB runs it. */
--- a/lib/scheduler/remote_jobs.h
+++ b/lib/scheduler/remote_jobs.h
@@ -75,12 +75,12 @@
 /* The process of HOST that had jobs is gone; all its runs have ended by OVER_AT_MS. */
 void remote_jobs_host_restarted (remote_jobs_t *jobs, const char *host, int64_t over_at_ms);
 
-/* Calls FUNCTION for each job that is open, as far as is known, with its id, its host and the time
- * until which somebody waits for it there. */
-void remote_jobs_foreach_open (
+/* Calls FUNCTION for each entry of a job whose runs may go on, with its id; an open one gets no
+ * answer there after DEADLINE_AT_MS. */
+void remote_jobs_foreach (
     const remote_jobs_t *jobs,
     int64_t now_ms,
-    void (*function) (const char *id, const char *host, int64_t deadline_at_ms, void *data),
+    void (*function) (const char *id, const remote_job_t *job, int64_t deadline_at_ms, void *data),
     void *data);
 
 /* Returns the entry of the job with ID of a host that runs it, or whose runs may go on at NOW_MS;
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -341,6 +341,20 @@
                      now_ms, actions);
 }
 
+/* Another host tells what it has heard of a job of this one.  An earlier process of this host may
+ * have run it, if this one is young. */
+static void
+told_of_earlier_process (scheduler_t *scheduler, const job_status_t *status, int64_t now_ms)
+{
+  int64_t over_at_ms =
+      MIN (status->until_ms, scheduler->started_at_ms + scheduler_runs_end_ms (scheduler));
+
+  if (status->kind == JOB_STATUS_STOPPED && now_ms < over_at_ms
+      && !g_hash_table_contains (scheduler->jobs_by_id, status->id))
+    remote_jobs_ended (scheduler->remote_jobs, status->id, scheduler->host,
+                       JOB_EVIDENCE_HOST_RESTARTED, over_at_ms, now_ms);
+}
+
 void
 scheduler_job_told (scheduler_t *scheduler,
                     const char *host,
@@ -354,9 +368,11 @@
     [JOB_STATUS_CANCELLED] = SCHEDULER_CANCELLED,
   };
 
-  if (scheduler->resubmit_ms == 0 || g_intern_string (host) == scheduler->host)
+  if (scheduler->resubmit_ms == 0)
     return;
-  if (status->kind == JOB_STATUS_OPEN || status->kind == JOB_STATUS_WAITING)
+  if (g_intern_string (host) == scheduler->host)
+    told_of_earlier_process (scheduler, status, now_ms);
+  else if (status->kind == JOB_STATUS_OPEN || status->kind == JOB_STATUS_WAITING)
     told_open (scheduler, host, status, now_ms, actions);
   else if (status->kind == JOB_STATUS_STOPPED)
     remote_jobs_ended (scheduler->remote_jobs, status->id, host, JOB_EVIDENCE_TOLD,
@@ -531,14 +547,43 @@
     }
 }
 
+typedef struct
+{
+  const scheduler_t *scheduler;
+  const char *receiver; /* interned */
+  int64_t now_ms;
+  void (*function) (const char *host, const job_status_t *status, void *data);
+  void *data;
+} remote_walk_t;
+
+/* A host that runs the job stops for none of these, as its own announcement may have crossed them.
+ */
+static void
+tell_remote (const char *id, const remote_job_t *job, int64_t deadline_at_ms, void *data)
+{
+  const remote_walk_t *walk = data;
+  job_status_t status = { id, JOB_STATUS_WAITING, deadline_at_ms };
+
+  if (job->over_at_ms != INT64_MAX)
+    status = (job_status_t){ id, JOB_STATUS_STOPPED, job->over_at_ms };
+  else if (job->host == walk->receiver)
+    status = (job_status_t){ id, JOB_STATUS_STOPPED,
+                             walk->now_ms + scheduler_runs_end_ms (walk->scheduler) };
+  walk->function (job->host, &status, walk->data);
+}
+
 void
-scheduler_foreach_remote (
-    const scheduler_t *scheduler,
-    int64_t now_ms,
-    void (*function) (const char *id, const char *host, int64_t deadline_at_ms, void *data),
-    void *data)
+scheduler_foreach_remote (const scheduler_t *scheduler,
+                          const char *receiver,
+                          int64_t now_ms,
+                          void (*function) (const char *host,
+                                            const job_status_t *status,
+                                            void *data),
+                          void *data)
 {
-  remote_jobs_foreach_open (scheduler->remote_jobs, now_ms, function, data);
+  remote_walk_t walk = { scheduler, g_intern_string (receiver), now_ms, function, data };
+
+  remote_jobs_foreach (scheduler->remote_jobs, now_ms, tell_remote, &walk);
 }
 
 void
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -121,6 +121,7 @@
 typedef enum
 {
   COLD_START_NONE,        /* there was none */
+  COLD_START_TOLD,        /* a hub that is older has told all jobs that it knows */
   COLD_START_SURVEYED,    /* the owners of all shards have found no such run */
   COLD_START_LEASES_ENDED /* all leases of earlier processes have ended */
 } cold_start_t;
@@ -212,7 +213,8 @@
  * unless others wait for it, here or at another host.  No-op if the request is unknown. */
 void scheduler_abandon (scheduler_t *scheduler, uint64_t number, int64_t now_ms, GArray *actions);
 
-/* HOST tells the status of one of its jobs. */
+/* HOST, or another one for it, tells the status of one of its jobs.  HOST may be this one, of which
+ * a process before this one may have run the job. */
 void scheduler_job_told (scheduler_t *scheduler,
                          const char *host,
                          const job_status_t *status,
@@ -232,13 +234,16 @@
  * valid until the next call. */
 void scheduler_collect_statuses (scheduler_t *scheduler, int64_t now_ms, GArray *statuses);
 
-/* Calls FUNCTION for each job that is known to be open at another host, for a host that may not
- * have been told. */
-void scheduler_foreach_remote (
-    const scheduler_t *scheduler,
-    int64_t now_ms,
-    void (*function) (const char *id, const char *host, int64_t deadline_at_ms, void *data),
-    void *data);
+/* Calls FUNCTION for each job whose runs may go on for another host, as far as is known, with that
+ * host, for RECEIVER, which may not have been told.  What RECEIVER itself had is told as stopped,
+ * for the case that its process has just started. */
+void scheduler_foreach_remote (const scheduler_t *scheduler,
+                               const char *receiver,
+                               int64_t now_ms,
+                               void (*function) (const char *host,
+                                                 const job_status_t *status,
+                                                 void *data),
+                               void *data);
 
 /* Appends the jobs that other hosts were told and that are open, for a host that may not know. */
 void scheduler_append_open (const scheduler_t *scheduler, GArray *statuses);
@@ -275,6 +280,12 @@
 /* All racks of the directory have been named since the start of this process. */
 void scheduler_set_shards_listed (scheduler_t *scheduler);
 
+/* A hub of this data centre whose own cold start is over has told all jobs that it knows. */
+void scheduler_all_told (scheduler_t *scheduler);
+
+/* Whether the cold start of this host is over, so that it knows what its data centre was told. */
+bool scheduler_is_warm (scheduler_t *scheduler, int64_t now_ms);
+
 /* The owner of SHARD under the claim with TOKEN has found no run there that goes on from before
  * that claim (executor_is_surveyed ()).  SHARD need not be known. */
 void scheduler_set_surveyed (scheduler_t *scheduler, const char *shard, int64_t token);
--- a/tests/test_job_cold_start.c
+++ b/tests/test_job_cold_start.c
@@ -11,6 +11,8 @@
 #define RESUBMIT_MS 1300
 #define STARTED_MS 10000
 #define COLD_MS 1080
+/* Runs of an earlier process have ended so long after the start of this one. */
+#define RUNS_END_MS RESUBMIT_MS
 #define STEP_MS 5
 #define NEVER INT64_MAX
 #define TOKEN 1
@@ -25,18 +27,78 @@
   int64_t surveyed_ms[2]; /* each shard, by its first owner */
   int64_t changes_ms;     /* another host owns the second shard from then on */
   int64_t resurveyed_ms;  /* and has surveyed it */
+  int64_t all_told_ms;    /* a hub that is older has told all jobs that it knows */
+  bool is_known;          /* one of these was at an earlier process of this host */
   int64_t starts_from_ms;
   int64_t starts_by_ms;
 } cases[] = {
-  { "surveyed before it came", 300, 100, { 200, 250 }, NEVER, NEVER, 300, 300 },
-  { "surveyed later", 100, 50, { 200, 250 }, NEVER, NEVER, 250, 260 },
-  { "one shard is not", 100, 50, { 200, NEVER }, NEVER, NEVER, COLD_MS, COLD_MS + 10 },
-  { "none is", 100, 50, { NEVER, NEVER }, NEVER, NEVER, COLD_MS, COLD_MS + 10 },
-  { "not all shards are known", 100, NEVER, { 200, 250 }, NEVER, NEVER, COLD_MS, COLD_MS + 10 },
-  { "known later", 100, 600, { 200, 250 }, NEVER, NEVER, 600, 610 },
-  { "its leases have ended", 1090, NEVER, { NEVER, NEVER }, NEVER, NEVER, 1090, 1090 },
-  { "another owner claims it", 100, 50, { 400, 250 }, 300, 500, 500, 510 },
-  { "another owner, not surveyed", 100, 50, { 400, 250 }, 300, NEVER, COLD_MS, COLD_MS + 10 },
+  { "surveyed before it came", 300, 100, { 200, 250 }, NEVER, NEVER, NEVER, false, 300, 300 },
+  { "surveyed later", 100, 50, { 200, 250 }, NEVER, NEVER, NEVER, false, 250, 260 },
+  { "one shard is not",
+    100,
+    50,
+    { 200, NEVER },
+    NEVER,
+    NEVER,
+    NEVER,
+    false,
+    COLD_MS,
+    COLD_MS + 10 },
+  { "none is", 100, 50, { NEVER, NEVER }, NEVER, NEVER, NEVER, false, COLD_MS, COLD_MS + 10 },
+  { "not all shards are known",
+    100,
+    NEVER,
+    { 200, 250 },
+    NEVER,
+    NEVER,
+    NEVER,
+    false,
+    COLD_MS,
+    COLD_MS + 10 },
+  { "known later", 100, 600, { 200, 250 }, NEVER, NEVER, NEVER, false, 600, 610 },
+  { "its leases have ended",
+    1090,
+    NEVER,
+    { NEVER, NEVER },
+    NEVER,
+    NEVER,
+    NEVER,
+    false,
+    1090,
+    1090 },
+  { "another owner claims it", 100, 50, { 400, 250 }, 300, 500, NEVER, false, 500, 510 },
+  { "another owner, not surveyed",
+    100,
+    50,
+    { 400, 250 },
+    300,
+    NEVER,
+    NEVER,
+    false,
+    COLD_MS,
+    COLD_MS + 10 },
+  { "an older hub has told all", 100, NEVER, { NEVER, NEVER }, NEVER, NEVER, 50, false, 100, 100 },
+  { "told later", 100, NEVER, { NEVER, NEVER }, NEVER, NEVER, 300, false, 300, 310 },
+  { "told of the job",
+    100,
+    NEVER,
+    { NEVER, NEVER },
+    NEVER,
+    NEVER,
+    50,
+    true,
+    RUNS_END_MS,
+    RUNS_END_MS + 10 },
+  { "told of the job, surveyed",
+    100,
+    50,
+    { 60, 60 },
+    NEVER,
+    NEVER,
+    50,
+    true,
+    RUNS_END_MS,
+    RUNS_END_MS + 10 },
 };
 
 static int
@@ -107,6 +169,7 @@
 tell (scheduler_t *scheduler, size_t row, int64_t after_ms, GArray *actions)
 {
   static const char *const shards[] = { "y", "z" };
+  const job_status_t stopped = { ID, JOB_STATUS_STOPPED, STARTED_MS + 5000 };
 
   if (after_ms == cases[row].listed_ms)
     scheduler_set_shards_listed (scheduler);
@@ -115,6 +178,10 @@
       scheduler_set_surveyed (scheduler, shards[i], TOKEN);
   if (after_ms == cases[row].changes_ms)
     own (scheduler, "z", "hw", LATER_TOKEN, actions);
+  if (after_ms == cases[row].all_told_ms && cases[row].is_known)
+    scheduler_job_told (scheduler, "ha", &stopped, STARTED_MS + after_ms, actions);
+  if (after_ms == cases[row].all_told_ms)
+    scheduler_all_told (scheduler);
   if (after_ms == cases[row].resurveyed_ms)
     scheduler_set_surveyed (scheduler, "z", LATER_TOKEN);
 }
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -138,12 +138,11 @@
 } known_jobs_t;
 
 static void
-tell_known_job (const char *id, const char *origin, int64_t deadline_at_ms, void *data)
+tell_known_job (const char *origin, const job_status_t *status, void *data)
 {
   const known_jobs_t *known = data;
-  const job_status_t status = { id, JOB_STATUS_WAITING, deadline_at_ms };
 
-  send_job_status (known->from, known->to, host_named (known->from->sim, origin), false, &status);
+  send_job_status (known->from, known->to, host_named (known->from->sim, origin), false, status);
 }
 
 /* HOST tells TO, a host of its data centre that it hears again, the jobs of others. */
@@ -153,7 +152,7 @@
   known_jobs_t known = { host, to };
 
   if (host->data_centre == to->data_centre)
-    scheduler_foreach_remote (host->scheduler, host->sim->now_ms, tell_known_job, &known);
+    scheduler_foreach_remote (host->scheduler, to->name, host->sim->now_ms, tell_known_job, &known);
 }
 
 static void
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -533,8 +533,6 @@
 {
   simulation_t *sim = host->sim;
 
-  if (message->origin == host)
-    return;
   trace (sim, message->job, "%s is told by %s that %s has it: %d", host->name, message->from->name,
          message->origin->name, (int) message->job_status.kind);
   for (int i = 0; message->relay && i < SIM_HOSTS; i++)
