A host whose heartbeats are rare counts for a majority for a short time after each

Cause: cluster_count_recent () left such hosts out, so that a few hubs that are lost outvote all of them.

Class: evidence that is there was not used. A host that was heard 350 ms ago has been heard since the owner that is lost now, whatever its interval. A host that is cut off alone has heard nobody for 450 ms when it loses the owner, so that it counts none of them.

--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -402,11 +402,12 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const peer_t *peer = value;
-      if (peer->interval_ms > HEARTBEAT_REMOTE_MS
+      bool recent = peer->alive && now_ms - peer->heartbeat_at_ms <= RECENTLY_HEARD_MS;
+      if ((peer->interval_ms > HEARTBEAT_REMOTE_MS && !recent)
           || (data_centre != NULL && strcmp (peer->data_centre, data_centre) != 0))
         continue;
       count.known++;
-      count.alive += peer->alive && now_ms - peer->heartbeat_at_ms <= RECENTLY_HEARD_MS;
+      count.alive += recent;
     }
   return count;
 }
--- a/lib/cluster/shard_claims.c
+++ b/lib/cluster/shard_claims.c
@@ -250,8 +250,8 @@
  * likely to be cut off itself than to be the only survivor, and its claim would only supersede
  * that of the owner that the others follow.  For a shard of its own data centre (LOCAL) a
  * majority of the hosts of that data centre is enough, so that an isolated data centre keeps an
- * owner.  Hosts whose heartbeats are rare don't count: they are taken to be alive long after this
- * host may have been cut off from them. */
+ * owner.  Hosts whose heartbeats are rare count only for a short time after each: they are taken to
+ * be alive long after this host may have been cut off from them. */
 static bool
 hears_majority (const cluster_t *cluster, bool local, int64_t now_ms)
 {
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -108,7 +108,7 @@
 
 /* The same for those whose heartbeats are frequent, or were when they were lost.  Of these, hosts
  * are alive that were heard so short a time ago that a cut since the last heartbeat of a host that
- * was just lost would show. */
+ * was just lost would show.  A host whose heartbeats are rare counts for so long after each. */
 cluster_count_t
 cluster_count_recent (const cluster_t *cluster, const char *data_centre, int64_t now_ms);
 
