A heartbeat of an earlier process of a host is ignored

Cause: cluster_receive_heartbeat () took any other incarnation for a later one.

Class: evidence older than the event that it answers.

test_cluster_earlier_process: 6 of 8 asserts before, 8 of 8 now; test_cluster 531 of 531, test_cluster_reach 54 of 54.

--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -239,6 +239,15 @@
   action->started_at_ms = peer->started_at_ms;
 }
 
+/* Whether HEARTBEAT comes from a process that ended before the one of PEER began: it was held up on
+ * another connection.  Ages are compared, as clocks may have been set back. */
+static bool
+is_of_earlier_process (const peer_t *peer, const cluster_heartbeat_t *heartbeat, int64_t now_ms)
+{
+  return peer->incarnation != heartbeat->incarnation
+         && now_ms - heartbeat->uptime_ms < peer->started_at_ms;
+}
+
 void
 cluster_receive_heartbeat (cluster_t *cluster,
                            const cluster_heartbeat_t *heartbeat,
@@ -248,7 +257,7 @@
   const char *host = g_intern_string (heartbeat->host);
   peer_t *peer = g_hash_table_lookup (cluster->peers, host);
 
-  if (host == cluster->host)
+  if (host == cluster->host || (peer != NULL && is_of_earlier_process (peer, heartbeat, now_ms)))
     return;
   if (peer == NULL)
     {
