An announcement that is not confirmed is sent again with each question for it

Cause: the question (TOLD) was repeated, the announcement was not, so that a hub that becomes a relay between the two confirms what it has not passed on.

Class: a confirmation taken for more than its sender has done.

Change: a job that is not confirmed is announced again every 200 ms, before the question on the same connection. A job is confirmed within a round trip as a rule, before the next 200 ms; only in a cut it is sent about four times.

--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -493,14 +493,19 @@
 }
 
 /* Whether JOB should be announced: its caller may soon send it again.  One that was stopped for a
- * later request is announced by the host of that. */
+ * later request is announced by the host of that.  As long as a data centre has not confirmed it,
+ * it is announced again: those that were to pass it on there may be lost, and the hub that confirms
+ * in their place has to pass it on as well. */
 static bool
 is_due (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
 {
   int64_t due_at_ms = job->request.received_at_ms + scheduler->resubmit_ms * ANNOUNCE_PERCENT / 100;
 
-  return (!job->announced || job->announce_again) && !job->yielded
-         && (job->was_sent || job->waits_since_ms != 0) && now_ms >= due_at_ms;
+  bool is_untold =
+      !job->announced || job->announce_again || !unannounced_is_confirmed (scheduler, job);
+
+  return is_untold && !job->yielded && (job->was_sent || job->waits_since_ms != 0)
+         && now_ms >= due_at_ms;
 }
 
 void
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -334,6 +334,9 @@
 bool
 unannounced_must_end (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms);
 
+/* unannounced.c: whether all other data centres have confirmed that they were told of JOB. */
+bool unannounced_is_confirmed (const scheduler_t *scheduler, const scheduled_job_t *job);
+
 /* unannounced.c: the new JOB, or one that has waited, must end before it may be sent again to a
  * data centre that is out of reach now, and may have run there. */
 void unannounced_limit_deadline (const scheduler_t *scheduler, scheduled_job_t *job);
--- a/lib/scheduler/unannounced.c
+++ b/lib/scheduler/unannounced.c
@@ -66,9 +66,8 @@
     }
 }
 
-/* Whether all other data centres have confirmed that they were told of JOB. */
-static bool
-is_confirmed (const scheduler_t *scheduler, const scheduled_job_t *job)
+bool
+unannounced_is_confirmed (const scheduler_t *scheduler, const scheduled_job_t *job)
 {
   return job->confirmed || scheduler->confirmed_at_ms == INT64_MAX;
 }
@@ -83,7 +82,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const scheduled_job_t *job = value;
-      if (job->announced && !is_confirmed (scheduler, job))
+      if (job->announced && !unannounced_is_confirmed (scheduler, job))
         return true;
     }
   return false;
@@ -116,7 +115,7 @@
 unannounced_must_end (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
 {
   return scheduler->resubmit_ms != 0 && job->was_sent && now_ms >= end_by_ms (scheduler, job)
-         && !is_confirmed (scheduler, job);
+         && !unannounced_is_confirmed (scheduler, job);
 }
 
 void
