A cold start lasts until leases of the host that was killed last have ended

It now lasts a lease after the start of the latest process that is heard meanwhile, unless a survey or a hub ends it.

A heartbeat of an earlier process is ignored only while the later one is alive, and the start of a process is the earliest that its heartbeats tell: one that was held up makes a process seem younger than it is, and the next process would have been ignored for good.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -107,6 +107,7 @@
           event_add_text ("host", action->host);
           event_end ();
         }
+      scheduler_host_found (site->scheduler, action->started_at_ms);
       peers_send_heartbeat (site, action->host);
       peers_send_hosts (site, action->host);
       peers_send_directory (site, action->host);
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -239,15 +239,27 @@
   action->started_at_ms = peer->started_at_ms;
 }
 
-/* Whether HEARTBEAT comes from a process that ended before the one of PEER began: it was held up on
- * another connection.  Ages are compared, as clocks may have been set back. */
+/* Whether HEARTBEAT comes from a process that ended before the one of PEER, which is alive, began:
+ * it was held up on another connection.  Ages are compared, as clocks may have been set back. */
 static bool
 is_of_earlier_process (const peer_t *peer, const cluster_heartbeat_t *heartbeat, int64_t now_ms)
 {
-  return peer->incarnation != heartbeat->incarnation
+  return peer->alive && peer->incarnation != heartbeat->incarnation
          && now_ms - heartbeat->uptime_ms < peer->started_at_ms;
 }
 
+/* When the sender of HEARTBEAT has started, at the latest.  The less it was held up, the better it
+ * tells that. */
+static int64_t
+started_at_ms (const peer_t *peer, const cluster_heartbeat_t *heartbeat, int64_t now_ms)
+{
+  int64_t started_ms = now_ms - heartbeat->uptime_ms;
+
+  return peer->incarnation == heartbeat->incarnation && peer->started_at_ms != 0
+             ? MIN (peer->started_at_ms, started_ms)
+             : started_ms;
+}
+
 void
 cluster_receive_heartbeat (cluster_t *cluster,
                            const cluster_heartbeat_t *heartbeat,
@@ -272,6 +284,7 @@
   bool restarted = peer->incarnation != heartbeat->incarnation;
   if (peer->alive && restarted)
     mark_lost (cluster, peer, "it has started anew", now_ms, actions);
+  peer->started_at_ms = started_at_ms (peer, heartbeat, now_ms);
   peer->incarnation = heartbeat->incarnation;
   peer->ready = heartbeat->ready;
   peer->leaving = heartbeat->leaving;
@@ -279,7 +292,6 @@
   peer->follows_directory = heartbeat->follows_directory;
   set_clocks (cluster, peer, heartbeat, now_ms);
   peer->interval_ms = heartbeat->interval_ms;
-  peer->started_at_ms = now_ms - heartbeat->uptime_ms;
   if (restarted)
     add_restarted (peer, actions);
   peer->config_version = heartbeat->config_version;
@@ -300,7 +312,9 @@
       cluster->ranking_due_ms = 0;
       peer->alive = true;
       peer->alive_since_ms = now_ms;
-      cluster_add_action (actions, CLUSTER_HOST_FOUND, NULL)->host = host;
+      cluster_action_t *found = cluster_add_action (actions, CLUSTER_HOST_FOUND, NULL);
+      found->host = host;
+      found->started_at_ms = peer->started_at_ms;
     }
   if (peer->send_epoch == heartbeat->expected_epoch)
     return;
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -85,7 +85,7 @@
   int64_t token;
   int64_t last_heard_at_ms; /* CLUSTER_HOST_LOST only */
   int64_t alive_at_ms;      /* CLUSTER_HOST_LOST only: as cluster_alive_at_ms () before the loss */
-  int64_t started_at_ms;    /* CLUSTER_HOST_RESTARTED only */
+  int64_t started_at_ms;    /* CLUSTER_HOST_RESTARTED, CLUSTER_HOST_FOUND: of its process */
   const char *reason; /* static string; CLUSTER_CLAIMED, CLUSTER_YIELDED and CLUSTER_HOST_LOST */
 } cluster_action_t;
 
--- a/lib/scheduler/cold_start.c
+++ b/lib/scheduler/cold_start.c
@@ -41,6 +41,14 @@
   return cold_start_is_over (scheduler, now_ms);
 }
 
+void
+scheduler_host_found (scheduler_t *scheduler, int64_t started_at_ms)
+{
+  if (scheduler->cold_until_ms != 0)
+    scheduler->cold_until_ms =
+        MAX (scheduler->cold_until_ms, started_at_ms + scheduler->cold_for_ms);
+}
+
 static bool
 all_are_surveyed (const scheduler_t *scheduler)
 {
--- a/lib/scheduler/owners.c
+++ b/lib/scheduler/owners.c
@@ -288,6 +288,7 @@
 {
   remote_jobs_host_restarted (scheduler->remote_jobs, host,
                               started_at_ms + scheduler_runs_end_ms (scheduler));
+  scheduler_host_found (scheduler, started_at_ms);
 }
 
 void
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -84,6 +84,7 @@
   scheduler->resubmit_ms = options->resubmit_ms;
   scheduler->started_at_ms = options->started_at_ms;
   scheduler->cold_until_ms = options->cold_until_ms;
+  scheduler->cold_for_ms = options->cold_until_ms - options->started_at_ms;
   scheduler->size_history = size_history_new ();
   scheduler->answer_strings = g_string_chunk_new (STRING_CHUNK_BYTES);
   scheduler->cancellations = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -343,6 +343,10 @@
  * before REACHED_AT_MS. */
 int32_t scheduler_count_untold (const scheduler_t *scheduler, int64_t reached_at_ms);
 
+/* A process of another host is heard that was started at STARTED_AT_MS.  One before it may have
+ * granted leases until then. */
+void scheduler_host_found (scheduler_t *scheduler, int64_t started_at_ms);
+
 /* Another process of HOST is heard, which was started at STARTED_AT_MS: the one before has ended.
  */
 void scheduler_host_restarted (scheduler_t *scheduler, const char *host, int64_t started_at_ms);
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -164,6 +164,7 @@
   int64_t resubmit_ms;         /* as in scheduler_options_t */
   int64_t started_at_ms;       /* as in scheduler_options_t */
   int64_t cold_until_ms;       /* as in scheduler_options_t; 0 once it is over */
+  int64_t cold_for_ms;         /* from the start of a process to that time */
   cold_start_t cold_start;     /* how the cold start has ended; COLD_START_NONE before */
   bool shards_listed;          /* as in scheduler_set_shards_listed () */
   size_history_t *size_history;
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -460,6 +460,7 @@
           run_scheduler_actions (host);
           break;
         case CLUSTER_HOST_FOUND:
+          scheduler_host_found (host->scheduler, action.started_at_ms);
           send_heartbeat (host, host_named (sim, action.host));
           /* The connection to a host that was lost is replaced, and both tell their jobs on it. */
           announce_jobs (host, host_named (sim, action.host));
