--- a/tests/deployment/day.c
+++ b/tests/deployment/day.c
@@ -10,11 +10,16 @@
   int32_t until_percent;
   int32_t least_ms; /* how long it lasts */
   int32_t most_ms;
-  int32_t targets; /* in series, one after the other */
+  int32_t targets; /* in series, one after the other; HOSTS_PERCENT: of all hosts */
   int32_t apart_ms;
 } day_row_t;
 
-static const day_row_t rows[] = {
+#define HOSTS_PERCENT(percent) (-(percent))
+/* As many as the sites cut off, one by one or from the log. */
+#define A_THIRD HOSTS_PERCENT (35)
+#define ALL_HOSTS HOSTS_PERCENT (100)
+
+static const day_row_t mixed_rows[] = {
   { PLAN_CUT_ZONE, 50, 25, 60, 5000, 6000, 1, 0 },
   { PLAN_BREAK_ZONE, 50, 25, 60, 5000, 6000, 1, 0 },
   { PLAN_LOG_DOWN, 50, 5, 80, 3000, 5000, 1, 0 },
@@ -30,6 +35,78 @@
   { PLAN_KILL_ALL, 60, 85, 95, 300, 1000, 1, 0 },
 };
 
+/* Hosts are back before the leases of their predecessors have lapsed. */
+static const day_row_t short_kills_rows[] = {
+  { PLAN_KILL_ALL, 100, 8, 10, 300, 450, 1, 0 },  { PLAN_KILL_ALL, 100, 20, 22, 300, 450, 1, 0 },
+  { PLAN_KILL_ALL, 100, 32, 34, 300, 450, 1, 0 }, { PLAN_KILL_ALL, 100, 44, 46, 300, 450, 1, 0 },
+  { PLAN_KILL_ALL, 100, 56, 58, 300, 450, 1, 0 }, { PLAN_KILL_ALL, 100, 68, 70, 300, 450, 1, 0 },
+  { PLAN_KILL_ALL, 100, 80, 82, 300, 450, 1, 0 }, { PLAN_KILL_ALL, 100, 92, 94, 300, 450, 1, 0 },
+};
+
+/* All hosts lose power; kills and starts are spread, as on real machines. */
+static const day_row_t spread_kills_rows[] = {
+  { PLAN_KILL_HOST, 100, 8, 12, 980, 1000, ALL_HOSTS, 3 },
+  { PLAN_KILL_HOST, 100, 24, 28, 980, 1000, ALL_HOSTS, 10 },
+  { PLAN_KILL_HOST, 100, 40, 44, 980, 1000, ALL_HOSTS, 10 },
+  { PLAN_KILL_HOST, 100, 56, 60, 980, 1000, ALL_HOSTS, 20 },
+  { PLAN_KILL_HOST, 100, 72, 76, 980, 1000, ALL_HOSTS, 20 },
+  { PLAN_KILL_HOST, 100, 88, 92, 980, 1000, ALL_HOSTS, 10 },
+  { PLAN_CALLERS_LEAVE, 60, 5, 80, 4000, 6000, 1, 0 },
+};
+
+static const day_row_t cuts_one_by_one_rows[] = {
+  { PLAN_CUT_HOST, 100, 8, 10, 11500, 12000, A_THIRD, 0 },
+  { PLAN_CUT_HOST, 100, 40, 42, 11500, 12000, A_THIRD, 0 },
+  { PLAN_CUT_HOST, 100, 72, 74, 11500, 12000, A_THIRD, 0 },
+  { PLAN_CALLERS_LEAVE, 100, 13, 15, 5300, 6000, 1, 0 },
+  { PLAN_CALLERS_LEAVE, 100, 45, 47, 5300, 6000, 1, 0 },
+  { PLAN_CALLERS_LEAVE, 100, 77, 79, 5300, 6000, 1, 0 },
+};
+
+/* For a day of 60 s, in which 30 hosts are stopped. */
+static const day_row_t stops_in_turn_rows[] = {
+  { PLAN_STOP_HOST, 100, 1, 2, 1000, 1500, ALL_HOSTS, 2000 },
+  { PLAN_LOG_DOWN, 100, 50, 52, 4600, 4600, 1, 0 },
+  { PLAN_CUT_ZONE, 100, 54, 60, 5900, 6400, 1, 0 },
+  { PLAN_KILL_ALL, 100, 97, 98, 1000, 1000, 1, 0 },
+};
+
+static const day_row_t log_turns_away_rows[] = {
+  { PLAN_BREAK_LOG, 100, 6, 10, 9000, 9000, A_THIRD, 0 },
+  { PLAN_BREAK_LOG, 100, 42, 44, 7000, 7000, 1, 0 },
+  { PLAN_CUT_ZONE, 100, 78, 82, 5900, 6000, 1, 0 },
+  { PLAN_KILL_ALL, 100, 95, 97, 980, 1000, 1, 0 },
+};
+
+/* The log is down and callers leave while hosts are lost that have just accepted jobs. */
+static const day_row_t lost_after_accepting_rows[] = {
+  { PLAN_CALLERS_LEAVE, 100, 40, 42, 6000, 6000, 1, 0 },
+  { PLAN_LOG_DOWN, 100, 42, 43, 4200, 4200, 1, 0 },
+  { PLAN_KILL_HOST, 100, 43, 45, 2000, 2000, 3, 1100 },
+  { PLAN_CUT_ZONE, 100, 78, 82, 5300, 5300, 1, 0 },
+  { PLAN_KILL_ALL, 100, 95, 97, 1000, 1000, 1, 0 },
+};
+
+typedef struct
+{
+  const char *name;
+  const day_row_t *rows;
+  size_t count;
+  bool even; /* all hosts are as likely, and none is drawn twice in one row */
+} day_t;
+
+#define ROWS(rows) rows, G_N_ELEMENTS (rows)
+
+static const day_t days[] = {
+  { DAY_DEFAULT, ROWS (mixed_rows), false },
+  { "short-kills", ROWS (short_kills_rows), true },
+  { "spread-kills", ROWS (spread_kills_rows), true },
+  { "cuts-one-by-one", ROWS (cuts_one_by_one_rows), true },
+  { "stops-in-turn", ROWS (stops_in_turn_rows), true },
+  { "log-turns-away", ROWS (log_turns_away_rows), true },
+  { "lost-after-accepting", ROWS (lost_after_accepting_rows), true },
+};
+
 /* Owners and hubs are among the first two hosts of each data centre. */
 #define STRONG_IN_ZONE 2
 
@@ -60,7 +137,7 @@
 }
 
 static int32_t
-draw_target (GRand *random, plan_kind_t kind, const plan_options_t *options)
+draw_target (GRand *random, plan_kind_t kind, bool even, const plan_options_t *options)
 {
   switch (kind)
     {
@@ -68,25 +145,49 @@
     case PLAN_PAUSE_HOST:
     case PLAN_STOP_HOST:
     case PLAN_CUT_HOST:
-      return draw_host (random, options);
+    case PLAN_BREAK_LOG:
+      return even ? g_rand_int_range (random, 0, options->hosts) : draw_host (random, options);
     default:
       return g_rand_int_range (random, 0, targets_of (kind, options));
     }
 }
 
+static int32_t
+count_targets (const day_row_t *row, int32_t hosts)
+{
+  return row->targets < 0 ? hosts * -row->targets / 100 : row->targets;
+}
+
+static bool
+is_among (const GArray *faults, guint first, int32_t target)
+{
+  for (guint i = first; i < faults->len; i++)
+    if (g_array_index (faults, plan_fault_t, i).target == target)
+      return true;
+  return false;
+}
+
 static void
-add_row (GArray *day, GRand *random, const day_row_t *row, const plan_options_t *options)
+add_row (GArray *faults,
+         GRand *random,
+         const day_row_t *row,
+         bool even,
+         const plan_options_t *options)
 {
   int64_t from_ms = options->length_ms * row->from_percent / 100;
   int64_t until_ms = options->length_ms * row->until_percent / 100;
   int64_t at_ms = g_rand_int_range (random, (gint32) from_ms, (gint32) until_ms);
+  int32_t count = count_targets (row, options->hosts);
+  guint first = faults->len;
 
-  for (int32_t i = 0; i < row->targets; i++)
+  for (int32_t i = 0; i < count; i++)
     {
       plan_fault_t fault = { .kind = row->kind, .at_ms = at_ms + i * row->apart_ms };
-      fault.target = draw_target (random, row->kind, options);
+      do
+        fault.target = draw_target (random, row->kind, even, options);
+      while (even && is_among (faults, first, fault.target));
       fault.until_ms = fault.at_ms + g_rand_int_range (random, row->least_ms, row->most_ms + 1);
-      g_array_append_val (day, fault);
+      g_array_append_val (faults, fault);
     }
 }
 
@@ -99,18 +200,44 @@
   return x->at_ms > y->at_ms ? 1 : x->at_ms < y->at_ms ? -1 : 0;
 }
 
+static const day_t *
+find_day (const char *name)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (days); i++)
+    if (g_str_equal (days[i].name, name))
+      return &days[i];
+  return NULL;
+}
+
+bool
+day_exists (const char *name)
+{
+  return find_day (name) != NULL;
+}
+
+char *
+day_names (void)
+{
+  GString *names = g_string_new (NULL);
+
+  for (gsize i = 0; i < G_N_ELEMENTS (days); i++)
+    g_string_append_printf (names, "%s%s", i > 0 ? ", " : "", days[i].name);
+  return g_string_free (names, FALSE);
+}
+
 GArray *
-day_new (uint32_t seed, const plan_options_t *options)
+day_new (const char *name, uint32_t seed, const plan_options_t *options)
 {
+  const day_t *day = find_day (name);
   GRand *random = g_rand_new_with_seed (seed);
-  GArray *day = g_array_new (FALSE, FALSE, sizeof (plan_fault_t));
-
-  for (gsize i = 0; i < G_N_ELEMENTS (rows); i++)
-    if (g_rand_int_range (random, 0, 100) < rows[i].percent)
-      add_row (day, random, &rows[i], options);
-  g_array_sort (day, compare);
-  for (guint i = 0; i < day->len; i++)
-    g_array_index (day, plan_fault_t, i).number = (int32_t) i;
+  GArray *faults = g_array_new (FALSE, FALSE, sizeof (plan_fault_t));
+
+  for (gsize i = 0; i < day->count; i++)
+    if (g_rand_int_range (random, 0, 100) < day->rows[i].percent)
+      add_row (faults, random, &day->rows[i], day->even, options);
+  g_array_sort (faults, compare);
+  for (guint i = 0; i < faults->len; i++)
+    g_array_index (faults, plan_fault_t, i).number = (int32_t) i;
   g_rand_free (random);
-  return day;
+  return faults;
 }
--- a/tests/deployment/main.c
+++ b/tests/deployment/main.c
@@ -1,6 +1,7 @@
 /* main.c -- a deployment at its size, as real processes: does a task run twice at one time?
  *
  *   deployment --seed N          one day; --count N from there on
+ *   deployment --day NAME        another table of faults; --help lists them
  *   deployment --programs DIR    jaytraild and fake_site of another build
  *
  * 30 hosts with little processor in three data centres, 350 endpoints in few processes, jobs of
@@ -35,6 +36,7 @@
 typedef struct
 {
   const char *programs;
+  const char *day;
   const char *only; /* kinds of faults, joined by commas; NULL for all */
   int32_t hosts;
   int32_t endpoint_processes;
@@ -175,7 +177,7 @@
 {
   plan_options_t plan_options = { options->hosts, options->endpoint_processes, ZONES,
                                   options->length_ms };
-  GArray *day = day_new (seed, &plan_options);
+  GArray *day = day_new (options->day, seed, &plan_options);
 
   for (guint i = day->len; i-- > 0;)
     if (!is_chosen (options->only, g_array_index (day, plan_fault_t, i).kind))
@@ -232,10 +234,10 @@
   rig_watch (&rig);
   int32_t findings = book_check (rig.book, INT64_MAX);
   int32_t twice = book_print_twice (rig.book);
-  printf ("seed %u: %u faults, %d jobs, %d first requests unserved, %d sent again, %d left, %d "
+  printf ("%s, seed %u: %u faults, %d jobs, %d first requests unserved, %d sent again, %d left, %d "
           "timed out, %d broken, %d 504, %d refused, %d served, %d suspensions: %d tasks twice, %d "
           "findings\n",
-          seed, run.day->len, (int) totals.jobs, (int) totals.first_requests_unserved,
+          options->day, seed, run.day->len, (int) totals.jobs, (int) totals.first_requests_unserved,
           (int) totals.sent_again, (int) totals.left, (int) totals.timed_out, (int) totals.broken,
           (int) totals.status_504, (int) totals.refused, (int) totals.served, (int) suspensions,
           (int) twice, (int) findings);
@@ -258,6 +260,16 @@
   g_array_unref (day);
 }
 
+static void
+print_help (void **table)
+{
+  char *names = day_names ();
+
+  arg_print_glossary (stdout, table, "  %-20s %s\n");
+  printf ("days: %s\n", names);
+  g_free (names);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -274,16 +286,20 @@
   struct arg_int *silent =
       arg_int0 (NULL, "silent", "N", "of a hundred who leave, unseen by their host (0)");
   struct arg_int *speed = arg_int0 (NULL, "speed", "N", "percent of the hosts' shares (100)");
+  struct arg_str *day = arg_str0 (NULL, "day", "NAME", "table of faults (" DAY_DEFAULT ")");
   struct arg_str *only = arg_str0 (NULL, "only", "KIND,KIND", "of the faults, only these");
   struct arg_lit *unlimited = arg_lit0 (NULL, "unlimited", "hosts get all processor that they use");
   struct arg_lit *print = arg_lit0 (NULL, "print", "the faults of the day, and no run");
+  struct arg_lit *help = arg_lit0 (NULL, "help", "this text");
   struct arg_lit *keep = arg_lit0 (NULL, "keep", "logs and ledgers, also of good days");
   struct arg_end *end = arg_end (4);
-  void *table[] = { programs, seed,  count,   hosts, endpoints, callers, rate, long_jobs, leaving,
-                    silent,   speed, seconds, only,  unlimited, print,   keep, end };
+  void *table[] = { programs,  seed,    count,  hosts, endpoints, callers, rate,
+                    long_jobs, leaving, silent, speed, seconds,   day,     only,
+                    unlimited, print,   keep,   help,  end };
   int32_t failed = 0;
 
   programs->sval[0] = "build";
+  day->sval[0] = DAY_DEFAULT;
   seed->ival[0] = 1;
   count->ival[0] = 1;
   hosts->ival[0] = 30;
@@ -295,15 +311,30 @@
   leaving->ival[0] = 0;
   silent->ival[0] = 0;
   speed->ival[0] = 100;
-  if (arg_parse (argc, argv, table) > 0 || hosts->ival[0] < ZONES || hosts->ival[0] > 60
-      || endpoints->ival[0] < ZONES || endpoints->ival[0] > 20 || seconds->ival[0] < 5)
+  int32_t errors = arg_parse (argc, argv, table);
+  if (help->count > 0)
+    {
+      print_help (table);
+      arg_freetable (table, G_N_ELEMENTS (table));
+      return 0;
+    }
+  if (errors > 0 || hosts->ival[0] < ZONES || hosts->ival[0] > 60 || endpoints->ival[0] < ZONES
+      || endpoints->ival[0] > 20 || seconds->ival[0] < 5)
     {
       arg_print_errors (stderr, end, "deployment");
       arg_print_syntax (stderr, table, "\n");
       return 2;
     }
+  if (!day_exists (day->sval[0]))
+    {
+      char *names = day_names ();
+      fprintf (stderr, "deployment: there is no day %s; days are %s\n", day->sval[0], names);
+      g_free (names);
+      return 2;
+    }
   options_t options = {
     .programs = programs->sval[0],
+    .day = day->sval[0],
     .only = only->count > 0 ? only->sval[0] : NULL,
     .hosts = hosts->ival[0],
     .endpoint_processes = endpoints->ival[0],
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -226,6 +226,9 @@
     case PLAN_CUT_LOG:
       proxy_rule (rig->proxy, fault->number, PROXY_HOLD, rig->hosts[target].name, "log", 0, false);
       break;
+    case PLAN_BREAK_LOG:
+      proxy_rule (rig->proxy, fault->number, PROXY_BREAK, rig->hosts[target].name, "log", 0, false);
+      break;
     case PLAN_SLOW_CALLERS:
       proxy_rule (rig->proxy, fault->number, PROXY_SLOW, "callers", rig->hosts[target].name,
                   SLOW_BYTES, false);
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -64,6 +64,7 @@
   [PLAN_RESTART_ENDPOINTS] = { "restart endpoints from", ON_ENDPOINT, 0 },
   [PLAN_BREAK_ZONE] = { "cut data centre with resets", ON_ZONE, 0 },
   [PLAN_CALLERS_LEAVE] = { "callers leave", ON_ALL, 0 },
+  [PLAN_BREAK_LOG] = { "cut log with resets from host", ON_HOST, 0 },
 };
 
 const char *
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -55,6 +55,7 @@
   /* Only in days of a deployment (tests/deployment). */
   PLAN_BREAK_ZONE, /* a cut that resets connections */
   PLAN_CALLERS_LEAVE,
+  PLAN_BREAK_LOG, /* from one host, with resets */
   PLAN_KINDS
 } plan_kind_t;
 
