--- a/tests/deployment/main.c
+++ b/tests/deployment/main.c
@@ -59,6 +59,7 @@
   int64_t from_ms;
   int64_t watch_due_ms;
   int64_t balance_due_ms;
+  int64_t late_ms; /* at most; faults begin and end late when the rig is kept busy */
 } run_t;
 
 /* Of the shares, what a host gets. */
@@ -157,6 +158,7 @@
       int64_t now_ms = clock_boot_ms () - run->from_ms;
       step_faults (run, before_ms, now_ms);
       step_upkeep (run, clock_boot_ms ());
+      run->late_ms = MAX (run->late_ms, now_ms - before_ms);
       before_ms = now_ms;
       clock_sleep_ms (TICK_MS);
     }
@@ -241,6 +243,7 @@
           (int) totals.sent_again, (int) totals.left, (int) totals.timed_out, (int) totals.broken,
           (int) totals.status_504, (int) totals.refused, (int) totals.served, (int) suspensions,
           (int) twice, (int) findings);
+  printf ("  faults begin and end up to %d ms late\n", (int) run.late_ms);
   print_stop_times (rig.book);
   fflush (stdout);
   rig_stop (&rig, findings > 0 || options->keep);
