Lines about orders are written before the orders are sent

The lines of a round are written first now, and a line of class order makes the next flush write at once.

--- a/daemon/site_owner.c
+++ b/daemon/site_owner.c
@@ -157,11 +157,10 @@
   event_end ();
 }
 
-/* Each order to stop has a line, whatever else is logged, before it is sent. */
 static void
 log_stop (const executor_action_t *action)
 {
-  if (action->repeated || !event_begin (EVENT_STOP_ORDERED))
+  if (!event_begin (EVENT_STOP_ORDERED))
     return;
   event_add_text ("task", action->task);
   event_add_number ("attempt", action->attempt);
@@ -172,6 +171,25 @@
   event_end ();
 }
 
+/* Each order to stop has a line, whatever else is logged.  The lines are written before the orders
+ * are sent: this process may be killed between the two. */
+static void
+log_stops (const GArray *actions, int64_t now_ms)
+{
+  bool any = false;
+
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const executor_action_t *action = &g_array_index (actions, executor_action_t, i);
+      if (action->kind != EXECUTOR_STOP || action->repeated)
+        continue;
+      log_stop (action);
+      any = true;
+    }
+  if (any)
+    event_flush (now_ms);
+}
+
 static void
 log_waiting_task (const executor_action_t *action)
 {
@@ -220,6 +238,7 @@
   site_t *site = owned->site;
   GArray *losses = g_array_new (FALSE, FALSE, sizeof (crash_loss_t));
 
+  log_stops (owned->actions, now_ms);
   for (guint i = 0; i < owned->actions->len; i++)
     {
       const executor_action_t *action = &g_array_index (owned->actions, executor_action_t, i);
@@ -240,9 +259,6 @@
           g_array_append_val (losses, action->loss);
           break;
         case EXECUTOR_STOP:
-          log_stop (action);
-          run_client_send (owned->run_client, action, owned->token, now_ms);
-          break;
         case EXECUTOR_POLL:
           run_client_send (owned->run_client, action, owned->token, now_ms);
           break;
--- a/lib/base/event.c
+++ b/lib/base/event.c
@@ -257,6 +257,7 @@
 static int64_t total_dropped;
 static int64_t total_written;
 static int64_t flushed_at_ms;
+static bool has_orders; /* the buffer has lines about orders, which are not written later */
 static int64_t timestamp_s;
 static char timestamp[32];
 
@@ -334,6 +335,7 @@
       return false;
     }
   window_line_counts[row->class]++;
+  has_orders |= row->class == EVENT_CLASS_ORDER;
   total_written++;
   line_is_open = true;
   add_timestamp (clock_wall_ms ());
@@ -424,9 +426,10 @@
     return;
   if (now_ms - window_start_ms >= RATE_WINDOW_MS)
     report_dropped_lines ();
-  if (buffer->len == 0 || now_ms - flushed_at_ms < FLUSH_INTERVAL_MS)
+  if (buffer->len == 0 || (now_ms - flushed_at_ms < FLUSH_INTERVAL_MS && !has_orders))
     return;
   flushed_at_ms = now_ms;
+  has_orders = false;
   while (written < buffer->len)
     {
       struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -149,9 +149,9 @@
 /* Ends the current line. */
 void event_end (void);
 
-/* Writes buffered lines as far as possible without blocking, at most every 50 ms,
- * and reports dropped lines once a second.  Call every few milliseconds; NOW_MS is on the boot
- * clock. */
+/* Writes buffered lines as far as possible without blocking, at most every 50 ms
+ * unless there are lines about orders, and reports dropped lines once a second.  Call every few
+ * milliseconds; NOW_MS is on the boot clock. */
 void event_flush (int64_t now_ms);
 
 /* Return the number of lines added to the buffer and dropped since the process
--- a/tests/test_event.c
+++ b/tests/test_event.c
@@ -196,6 +196,34 @@
     }
 }
 
+/* A line about an order is written at once, and takes along what came before it; others wait. */
+static void
+test_order_line_written (void)
+{
+  static const struct
+  {
+    event_t event;
+    bool is_written;
+  } flush_cases[] = { { EVENT_STOP_ORDERED, true }, { EVENT_ORDER_UNANSWERED, false } };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (flush_cases); i++)
+    {
+      const event_row_t *row = event_row (flush_cases[i].event);
+      char chunk[4096] = "";
+      clock_sleep_ms (1100);
+      capture ();
+      write_event (event_row (EVENT_LOG_LOST));
+      flush_now ();
+      (void) !read (reader_fd, chunk, sizeof chunk - 1);
+      memset (chunk, 0, sizeof chunk);
+      write_event (row);
+      event_flush (0);
+      (void) !read (reader_fd, chunk, sizeof chunk - 1);
+      CU_ASSERT_EQUAL (strstr (chunk, row->name) != NULL, flush_cases[i].is_written);
+      g_free (release ());
+    }
+}
+
 /* If standard output is not read, lines are dropped, but writing must not block. */
 static void
 test_blocked_reader (void)
@@ -286,6 +314,7 @@
   { "documentation of events", test_documentation },
   { "rate limits", test_rate_limits },
   { "lines about orders", test_order_lines },
+  { "a line about an order is written at once", test_order_line_written },
   { "standard output that is not read", test_blocked_reader },
   { "causes named by explain", test_explain },
 };
