--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -252,7 +252,8 @@
 void repeats_read_told_ack (site_t *site, const char *host, frame_reader_t *reader);
 /* A connection to HOST was opened. */
 void repeats_host_connected (site_t *site, const char *host);
-/* HOST, which is interned, was lost: its data centre is told the open jobs of this host again. */
+/* HOST, which is interned, was lost: its data centre is told the open jobs of this host again, and,
+ * if it is that of this host, the jobs that this one knows. */
 void repeats_host_lost (site_t *site, const char *host);
 /* Announces jobs where that is due. */
 void repeats_tick (site_t *site, int64_t now_ms);
--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -198,6 +198,21 @@
     send_known_jobs (site, host);
 }
 
+/* HOST of this data centre was lost.  It may have confirmed announcements that it has not passed on
+ * yet; the other hubs here have received them as well. */
+static void
+pass_on_for (site_t *site, const char *host)
+{
+  GHashTableIter iter;
+  void *other = NULL;
+  void *connection = NULL;
+
+  g_hash_table_iter_init (&iter, site->connections);
+  while (g_hash_table_iter_next (&iter, &other, &connection))
+    if (other != host && passes_on (site, connection))
+      send_known_jobs (site, other);
+}
+
 void
 repeats_host_lost (site_t *site, const char *host)
 {
@@ -216,6 +231,8 @@
         send_statuses (site, other, site->host, true, statuses);
     }
   g_array_unref (statuses);
+  if (lost != NULL && strcmp (lost->data_centre, site->settings->data_centre) == 0)
+    pass_on_for (site, host);
 }
 
 /* Passes on what was collected, to the other hosts of this data centre. */
