A job that is given up is answered when its runs have had the time to stop

Cause: a data centre is cut off, and a long job that can't end by 1,150 ms is given up. The answer of 504 left at the decision, together with the cancellations; the caller's next request started the job elsewhere 13 to 50 ms later, while the endpoints were still stopping the first runs (stop_ordered `unconfirmed` and `overdue` at 36.218 to 36.228 s, the runs ended at 36.234 s, the second ones started then).

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -513,7 +513,8 @@
                                             .incarnation = site->incarnation,
                                             .resubmit_ms = settings->resubmit_after_ms,
                                             .started_at_ms = now_ms,
-                                            .cold_until_ms = cold_until_ms (settings, now_ms) };
+                                            .cold_until_ms = cold_until_ms (settings, now_ms),
+                                            .stop_ms = settings->stop_timeout_ms };
   site->scheduler = scheduler_new (&scheduler_options);
   site->job_cancellations = job_cancellations_new ();
   site->unreached = g_array_new (FALSE, FALSE, sizeof (cluster_unreached_t));
--- a/lib/scheduler/job_end.c
+++ b/lib/scheduler/job_end.c
@@ -7,6 +7,9 @@
 
 #include <string.h>
 
+/* A cancellation reaches the owner, and its order to stop the endpoint, within this time. */
+#define STOP_DELAY_MS 50
+
 void
 scheduler_remove_batches (scheduler_t *scheduler, scheduled_job_t *job)
 {
@@ -132,6 +135,27 @@
   return limit == SCHEDULER_LIMIT_OWNERS ? STOP_OWNER_LOST : STOP_DEADLINE;
 }
 
+bool
+scheduler_await_stops (const scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms)
+{
+  if (scheduler->stop_ms == 0 || job->awaits_stops || job->requests->len == 0)
+    return false;
+  job->end_pending = true;
+  job->awaits_stops = true;
+  job->confirm_by_ms = now_ms + scheduler->stop_ms + STOP_DELAY_MS;
+  return true;
+}
+
+/* Whether JOB, which ends with OUTCOME, is answered as given up while owners have runs of it. */
+static bool
+leaves_runs (const scheduled_job_t *job, scheduler_outcome_t outcome)
+{
+  bool given_up =
+      outcome == SCHEDULER_GIVEN_UP || (outcome == SCHEDULER_REFUSED && job->may_have_run);
+
+  return given_up && job->batches->len > 0;
+}
+
 void
 scheduler_end_job (scheduler_t *scheduler,
                    scheduled_job_t *job,
@@ -147,6 +171,8 @@
   job->reason = reason;
   job->limit = limit;
   scheduler_cancel_batches (scheduler, job, stop_reason_of (outcome, limit), now_ms, actions);
+  if (leaves_runs (job, outcome) && scheduler_await_stops (scheduler, job, now_ms))
+    return;
   if (outcome != SCHEDULER_REFUSED || job->may_have_run || job->batches->len == 0)
     {
       scheduler_answer_job (scheduler, job, now_ms, actions);
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -84,6 +84,7 @@
   scheduler->resubmit_ms = options->resubmit_ms;
   scheduler->started_at_ms = options->started_at_ms;
   scheduler->cold_until_ms = options->cold_until_ms;
+  scheduler->stop_ms = options->stop_ms;
   scheduler->cold_for_ms = options->cold_until_ms - options->started_at_ms;
   scheduler->size_history = size_history_new ();
   scheduler->answer_strings = g_string_chunk_new (STRING_CHUNK_BYTES);
@@ -470,7 +471,11 @@
   scheduled_job_t *job = batch->job;
   job->may_have_run |= !never_started;
   scheduler_remove_batch (scheduler, batch);
-  if (job->end_pending && (job->batches->len == 0 || job->may_have_run))
+  if (!job->end_pending || (job->may_have_run && job->awaits_stops))
+    return;
+  if (job->may_have_run && scheduler_await_stops (scheduler, job, now_ms))
+    return;
+  if (job->batches->len == 0 || job->may_have_run)
     scheduler_answer_job (scheduler, job, now_ms, actions);
 }
 
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -192,6 +192,9 @@
   int64_t started_at_ms; /* of this process */
   /* No run goes on after this time that only earlier processes knew of; 0 if there was none. */
   int64_t cold_until_ms;
+  /* The longest time that a stop takes.  A job that is given up is answered when its runs have had
+   * that time to end; 0: at once. */
+  int64_t stop_ms;
 } scheduler_options_t;
 
 scheduler_t *scheduler_new (const scheduler_options_t *options);
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -92,7 +92,8 @@
   bool was_sent;             /* some of its tasks were sent to an owner */
   bool may_have_run;
   scheduler_limit_t deadline_limit; /* what its deadline stands for */
-  bool end_pending; /* it is answered once the owners have confirmed that its batches have ended */
+  bool end_pending;  /* it is answered once the owners have confirmed that its batches have ended */
+  bool awaits_stops; /* END_PENDING: its runs are being stopped; it is answered at CONFIRM_BY_MS */
   scheduler_outcome_t outcome;
   const char *reason;
   scheduler_limit_t limit;
@@ -164,6 +165,7 @@
   int64_t resubmit_ms;         /* as in scheduler_options_t */
   int64_t started_at_ms;       /* as in scheduler_options_t */
   int64_t cold_until_ms;       /* as in scheduler_options_t; 0 once it is over */
+  int64_t stop_ms;             /* as in scheduler_options_t */
   int64_t cold_for_ms;         /* from the start of a process to that time */
   cold_start_t cold_start;     /* how the cold start has ended; COLD_START_NONE before */
   bool shards_listed;          /* as in scheduler_set_shards_listed () */
@@ -256,6 +258,11 @@
 /* Sends all messages again that are due and not confirmed yet. */
 void cancellations_resend (scheduler_t *scheduler, int64_t now_ms, GArray *actions);
 
+/* job_end.c: puts the answer of JOB, which is given up, off until its runs have had the time to
+ * stop: its caller may send it again as soon as it reads the answer.  Returns false if it may be
+ * answered at once. */
+bool scheduler_await_stops (const scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms);
+
 /* job_end.c: owners confirm a cancellation within this time; a job does not wait longer for it. */
 #define SCHEDULER_CONFIRM_TIMEOUT_MS 60
 
