Hosts of a rig are started without waiting for the disk

Cause: each start wrote the host's settings with g_file_set_contents (), which waits for the disk when the file exists. That the disk was the reason is suspected, not shown.

Change: the settings are written without a sync.

--- a/tests/soak/rig.c
+++ b/tests/soak/rig.c
@@ -96,7 +96,8 @@
       host->name, host->zone, port, port + 1, port + 2, seeds, log_port_of (rig, number), cpu_share,
       (int) host->settings);
 
-  g_file_set_contents (settings, text, -1, NULL);
+  /* Nothing waits for the disk: hosts that are killed together start together. */
+  g_file_set_contents_full (settings, text, -1, G_FILE_SET_CONTENTS_NONE, 0600, NULL);
   host->told = "";
   host->paused = false;
   host->life++;
