--- a/tests/test_stop_reasons.c
+++ b/tests/test_stop_reasons.c
@@ -93,6 +93,8 @@
       run_round_at (&scenario, 410);
       const executor_action_t *stop = find_stop (&scenario);
       CU_ASSERT_PTR_NOT_NULL_FATAL (stop);
+      if (stop == NULL)
+        return;
       CU_ASSERT_EQUAL (stop->stop_reason, cases[i].expected);
       CU_ASSERT_FALSE (stop->repeated);
       CU_ASSERT_EQUAL (g_strcmp0 (stop->coordinator, cases[i].coordinator), 0);
