One function for the end of a cold start; hosts are counted by one shape less

scheduler_is_warm () only called cold_start_is_over (), so that one name serves; no caller of cluster_count () names a data centre since claims count recent hosts, so that its parameter and the test of it are gone.

--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -392,22 +392,17 @@
 }
 
 cluster_count_t
-cluster_count (const cluster_t *cluster, const char *data_centre)
+cluster_count (const cluster_t *cluster)
 {
-  cluster_count_t count = { 0 };
+  cluster_count_t count = { 1, 1 };
   GHashTableIter iter;
   void *value = NULL;
 
-  if (data_centre == NULL || strcmp (cluster->data_centre, data_centre) == 0)
-    count = (cluster_count_t){ 1, 1 };
   g_hash_table_iter_init (&iter, cluster->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const peer_t *peer = value;
-      if (data_centre != NULL && strcmp (peer->data_centre, data_centre) != 0)
-        continue;
       count.known++;
-      count.alive += peer->alive;
+      count.alive += ((const peer_t *) value)->alive;
     }
   return count;
 }
@@ -638,7 +633,7 @@
 int32_t
 cluster_lost_hosts (const cluster_t *cluster)
 {
-  cluster_count_t all = cluster_count (cluster, NULL);
+  cluster_count_t all = cluster_count (cluster);
 
   return all.known - all.alive;
 }
@@ -646,7 +641,7 @@
 int32_t
 cluster_alive_hosts (const cluster_t *cluster)
 {
-  return cluster_count (cluster, NULL).alive;
+  return cluster_count (cluster).alive;
 }
 
 const char *
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -103,12 +103,13 @@
   int32_t known;
 } cluster_count_t;
 
-/* Counts the hosts of DATA_CENTRE (NULL: of all), this one included. */
-cluster_count_t cluster_count (const cluster_t *cluster, const char *data_centre);
+/* Counts all hosts, this one included. */
+cluster_count_t cluster_count (const cluster_t *cluster);
 
-/* The same for those whose heartbeats are frequent, or were when they were lost.  Of these, hosts
- * are alive that were heard so short a time ago that a cut since the last heartbeat of a host that
- * was just lost would show.  A host whose heartbeats are rare counts for so long after each. */
+/* The same for those of DATA_CENTRE (NULL: of all) whose heartbeats are frequent, or were when they
+ * were lost.  Of these, hosts are alive that were heard so short a time ago that a cut since the
+ * last heartbeat of a host that was just lost would show.  A host whose heartbeats are rare counts
+ * for so long after each. */
 cluster_count_t
 cluster_count_recent (const cluster_t *cluster, const char *data_centre, int64_t now_ms);
 
--- a/lib/scheduler/cold_start.c
+++ b/lib/scheduler/cold_start.c
@@ -35,12 +35,6 @@
   scheduler->cold_until_ms = 0;
 }
 
-bool
-scheduler_is_warm (scheduler_t *scheduler, int64_t now_ms)
-{
-  return cold_start_is_over (scheduler, now_ms);
-}
-
 void
 scheduler_host_found (scheduler_t *scheduler, int64_t started_at_ms)
 {
@@ -64,7 +58,7 @@
 }
 
 bool
-cold_start_is_over (scheduler_t *scheduler, int64_t now_ms)
+scheduler_is_warm (scheduler_t *scheduler, int64_t now_ms)
 {
   if (scheduler->cold_until_ms == 0)
     return true;
@@ -81,7 +75,7 @@
 bool
 cold_start_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
-  if (cold_start_is_over (scheduler, now_ms))
+  if (scheduler_is_warm (scheduler, now_ms))
     return false;
   job->waits_since_ms = now_ms;
   scheduler_action_t *action =
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -234,7 +234,7 @@
 static bool
 is_held (scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
 {
-  return !cold_start_is_over (scheduler, now_ms) || late_request_is_held (scheduler, job, now_ms);
+  return !scheduler_is_warm (scheduler, now_ms) || late_request_is_held (scheduler, job, now_ms);
 }
 
 void
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -286,7 +286,8 @@
 /* A hub of this data centre whose own cold start is over has told all jobs that it knows. */
 void scheduler_all_told (scheduler_t *scheduler);
 
-/* Whether the cold start of this host is over, so that it knows what its data centre was told. */
+/* Whether the cold start of this host is over: it knows what its data centre was told, or no run
+ * can go on that only earlier processes knew of. */
 bool scheduler_is_warm (scheduler_t *scheduler, int64_t now_ms);
 
 /* The owner of SHARD under the claim with TOKEN has found no run there that goes on from before
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -372,9 +372,6 @@
                      int64_t now_ms,
                      GArray *actions);
 
-/* cold_start.c: whether no run can go on that only earlier processes knew of. */
-bool cold_start_is_over (scheduler_t *scheduler, int64_t now_ms);
-
 /* late_requests.c: makes the new JOB wait if a cut may have held up its request.  Returns whether
  * it waits. */
 bool
