--- a/tests/test_job_cold_start.c
+++ b/tests/test_job_cold_start.c
@@ -101,22 +101,6 @@
     RUNS_END_MS + 10 },
 };
 
-static int
-take_submits (GArray *actions)
-{
-  int submits = 0;
-
-  for (guint i = 0; i < actions->len; i++)
-    {
-      const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, i);
-      if (action->task_indexes != NULL)
-        g_array_unref (action->task_indexes);
-      submits += action->kind == SCHEDULER_SUBMIT;
-    }
-  g_array_set_size (actions, 0);
-  return submits;
-}
-
 static void
 own (scheduler_t *scheduler, const char *shard, const char *host, int64_t token, GArray *actions)
 {
--- a/tests/test_job_cold_start_spread.c
+++ b/tests/test_job_cold_start_spread.c
@@ -33,22 +33,6 @@
   { "one is, after leases of before have ended", 1200, 1500, 1400, NEVER, 1200, 1200 },
 };
 
-static int
-take_submits (GArray *actions)
-{
-  int submits = 0;
-
-  for (guint i = 0; i < actions->len; i++)
-    {
-      const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, i);
-      if (action->task_indexes != NULL)
-        g_array_unref (action->task_indexes);
-      submits += action->kind == SCHEDULER_SUBMIT;
-    }
-  g_array_set_size (actions, 0);
-  return submits;
-}
-
 static scheduler_t *
 new_scheduler (GArray *actions)
 {
--- a/tests/test_job_late_requests.c
+++ b/tests/test_job_late_requests.c
@@ -53,22 +53,6 @@
   { "another host runs it, all are reached", 3000, NEVER, false, false, 0, TOLD_OPEN, 0, 0 },
 };
 
-static int
-take_submits (GArray *actions)
-{
-  int submits = 0;
-
-  for (guint i = 0; i < actions->len; i++)
-    {
-      const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, i);
-      if (action->task_indexes != NULL)
-        g_array_unref (action->task_indexes);
-      submits += action->kind == SCHEDULER_SUBMIT;
-    }
-  g_array_set_size (actions, 0);
-  return submits;
-}
-
 static void
 submit (scheduler_t *scheduler, int64_t idle_ms, GArray *actions)
 {
--- a/tests/test_scheduler_report.h
+++ b/tests/test_scheduler_report.h
@@ -1,4 +1,4 @@
-/* test_scheduler_report.h -- reports of owners to a scheduler under test */
+/* test_scheduler_report.h -- reports of owners to a scheduler under test, and what it sends */
 #ifndef TESTS_TEST_SCHEDULER_REPORT_H
 #define TESTS_TEST_SCHEDULER_REPORT_H
 
@@ -26,6 +26,23 @@
   g_array_unref (load_array);
 }
 
+/* Empties ACTIONS, and returns how many of them sent a batch. */
+static inline int
+take_submits (GArray *actions)
+{
+  int submits = 0;
+
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, i);
+      if (action->task_indexes != NULL)
+        g_array_unref (action->task_indexes);
+      submits += action->kind == SCHEDULER_SUBMIT;
+    }
+  g_array_set_size (actions, 0);
+  return submits;
+}
+
 /* Returns a scheduler of HOST that knows one shard, "z", whose owner "hx" offers four slots for
  * service "s" as of NOW_MS.  The caller frees it. */
 static inline scheduler_t *
