Hosts that are being stopped confirm jobs until they end

Callers saw (our reproduction): tasks twice, where all hosts of a data centre were told to stop and the data centre was cut off meanwhile.

Cause: hosts that said that they leave did not count among those that must confirm an announcement, and were forgotten as they fell silent, though they serve callers for 2.6 s up to the end of the grace period. A host that heard no others of their data centre needed no confirmation of it, so that its jobs went on past 1,150 ms, and a host beyond the cut that was being stopped ran them again.

Change: such hosts count, and confirm, like others. A host that ends after a graceful stop says so (CLUSTER_MSG_ENDED). A data centre of which nobody is heard any more, after hosts there were stopped, must confirm for 20 s as after a start, unless all known hosts there have said that they ended.

The ranking of a rig's hosts stands once in tests.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -296,7 +296,10 @@
   bool done = is_done (site, now_ms);
 
   if (now_ms > site->killed_at_ms - EXIT_MARGIN_MS || (done && site->listener_closed))
-    loop_stop (site->loop);
+    {
+      peers_send_ended (site);
+      loop_stop (site->loop);
+    }
   if (!done && now_ms <= site->killed_at_ms - ACCEPT_MARGIN_MS)
     return;
   ingress_stop_listening (site->ingress);
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -362,6 +362,13 @@
   g_array_unref (hosts);
 }
 
+static void
+read_ended (site_t *site, const char *host, frame_reader_t *reader)
+{
+  (void) reader;
+  cluster_host_ended (site->cluster, host);
+}
+
 static const struct
 {
   int type;
@@ -393,6 +400,7 @@
   { CLUSTER_MSG_CONFIG_REQUEST, read_config_request },
   { CLUSTER_MSG_CONFIG, read_config },
   { CLUSTER_MSG_HOSTS, read_hosts },
+  { CLUSTER_MSG_ENDED, read_ended },
   { DRAIN_MSG_SET_REQUEST, drain_read_set_request },
   { DRAIN_MSG_SET, drain_read_set },
   { DRAIN_MSG_RUNNING_TASKS, drain_read_running_tasks },
@@ -562,6 +570,17 @@
       peers_send_heartbeat (site, host);
 }
 
+void
+peers_send_ended (site_t *site)
+{
+  GHashTableIter iter;
+  void *host = NULL;
+
+  g_hash_table_iter_init (&iter, site->connections);
+  while (g_hash_table_iter_next (&iter, &host, NULL))
+    peers_send (site, host, cluster_msg_ended ());
+}
+
 /* --- known hosts --- */
 
 /* HOST had lost this host, although this host still received its heartbeats.  Frames that are sent
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -72,7 +72,7 @@
                                   options->hubs_per_data_centre);
   cluster->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_peer);
   cluster->shards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
-  cluster->data_centres = g_hash_table_new (NULL, NULL);
+  cluster->data_centres = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   cluster->sent_heartbeats = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   return cluster;
 }
@@ -316,6 +316,7 @@
       found->host = host;
       found->started_at_ms = peer->started_at_ms;
     }
+  ranking_set_ended (cluster->ranking, host, false);
   if (peer->send_epoch == heartbeat->expected_epoch)
     return;
   peer->send_epoch = heartbeat->expected_epoch;
@@ -371,6 +372,17 @@
   peer->last_heard_at_ms = MIN (peer->last_heard_at_ms, now_ms - silent_ms + RECONNECT_GRACE_MS);
 }
 
+/* PEER, which had said that it leaves, is no longer heard and will be removed.  Others of its data
+ * centre may be up, and unheard. */
+static void
+record_left (cluster_t *cluster, const peer_t *peer, int64_t now_ms)
+{
+  data_centre_t *data_centre = cluster_find_data_centre (cluster, peer->data_centre);
+
+  data_centre->left_at_ms = now_ms;
+  data_centre->reached_at_ms = MAX (data_centre->reached_at_ms, peer->told_before_loss_ms);
+}
+
 static void
 expire_silent_peers (cluster_t *cluster, int64_t now_ms, GArray *actions)
 {
@@ -387,7 +399,11 @@
       else if (peer->alive && is_outdated (cluster, peer, now_ms))
         mark_lost (cluster, peer, "its heartbeats are delayed", now_ms, actions);
       else if (!peer->alive && (silent_ms > CLUSTER_FORGET_AFTER_MS || peer->leaving))
-        g_hash_table_iter_remove (&iter);
+        {
+          if (peer->leaving)
+            record_left (cluster, peer, now_ms);
+          g_hash_table_iter_remove (&iter);
+        }
     }
 }
 
@@ -518,8 +534,7 @@
 
   g_hash_table_iter_init (&iter, cluster->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (!((const peer_t *) value)->leaving)
-      all_told_at_ms = MIN (all_told_at_ms, cluster_peer_told_at_ms (cluster, value, now_ms));
+    all_told_at_ms = MIN (all_told_at_ms, cluster_peer_told_at_ms (cluster, value, now_ms));
   return all_told_at_ms;
 }
 
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -214,20 +214,23 @@
 int64_t cluster_alive_at_ms (const cluster_t *cluster, const char *host);
 
 /* The latest time before which every host that is known has certainly received what this host sent
- * to it; hosts that said that they leave don't count.  NOW_MS if no other host is known. */
+ * to it.  NOW_MS if no other host is known. */
 int64_t cluster_told_at_ms (const cluster_t *cluster, int64_t now_ms);
 
 /* The data centres of hosts that were lost and are not forgotten, as a set of interned names: such
  * a host may be out of reach from here alone.  The caller unrefs it. */
 GHashTable *cluster_missed_data_centres (const cluster_t *cluster);
 
+/* HOST, which was being stopped, has answered all callers and its process ends. */
+void cluster_host_ended (cluster_t *cluster, const char *host);
+
 /* HOST has received all that this host sent it until CLOCK_MS, by this host's clock. */
 void cluster_confirmed (cluster_t *cluster, const char *host, int64_t clock_ms, int64_t now_ms);
 
 /* The latest time before which a host of each other data centre has confirmed to have received what
  * this host sent (cluster_confirmed ()).  INT64_MAX if no other data centre is known, or if callers
- * don't submit again.  One whose hosts are known, but were never heard, counts for some time after
- * the start. */
+ * don't submit again.  One whose hosts are known, but none of which is heard, counts for some time
+ * after the start, and after those that were heard have been stopped, unless all have ended. */
 int64_t cluster_confirmed_at_ms (const cluster_t *cluster, int64_t now_ms);
 
 /* A data centre none of whose hosts has for some time shown that messages of this host arrive. */
--- a/lib/cluster/cluster_msg.c
+++ b/lib/cluster/cluster_msg.c
@@ -82,6 +82,12 @@
   return frame_finish (frame_begin (CLUSTER_MSG_CONFIG_REQUEST));
 }
 
+GBytes *
+cluster_msg_ended (void)
+{
+  return frame_finish (frame_begin (CLUSTER_MSG_ENDED));
+}
+
 GBytes *
 cluster_msg_config (const void *data, size_t size)
 {
--- a/lib/cluster/cluster_msg.h
+++ b/lib/cluster/cluster_msg.h
@@ -14,7 +14,8 @@
   CLUSTER_MSG_HEARTBEAT = FRAME_CLUSTER_FIRST,
   CLUSTER_MSG_CONFIG_REQUEST, /* requests the configuration */
   CLUSTER_MSG_CONFIG,         /* the configuration in the form in which the platform gave it */
-  CLUSTER_MSG_HOSTS           /* hosts that the sender knows, with their addresses */
+  CLUSTER_MSG_HOSTS,          /* hosts that the sender knows, with their addresses */
+  CLUSTER_MSG_ENDED           /* the sender, which was stopped, serves no more and ends */
 } cluster_msg_t;
 
 GBytes *cluster_msg_heartbeat (const cluster_heartbeat_t *heartbeat);
@@ -22,6 +23,8 @@
 int cluster_msg_read_heartbeat (frame_reader_t *reader, cluster_heartbeat_t *heartbeat);
 
 GBytes *cluster_msg_config_request (void);
+/* CLUSTER_MSG_ENDED, which has no fields. */
+GBytes *cluster_msg_ended (void);
 GBytes *cluster_msg_config (const void *data, size_t size);
 /* *DATA points into the frame of READER. */
 int cluster_msg_read_config (frame_reader_t *reader, const void **data, size_t *size);
--- a/lib/cluster/ranking.c
+++ b/lib/cluster/ranking.c
@@ -24,6 +24,7 @@
   int32_t cpu_millicores;
   uint64_t weight; /* rendezvous hash; orders hosts of equal CPU */
   bool alive;
+  bool ended;               /* has said that its process ends */
   bool unresponsive;        /* was lost, or was selected as a hub and not heard in time */
   int64_t awaited_since_ms; /* when it was selected as a hub; 0 if it is not awaited */
   int64_t retry_at_ms;
@@ -113,6 +114,27 @@
   member->retry_at_ms = now_ms + RETRY_DELAY_MS;
 }
 
+void
+ranking_set_ended (ranking_t *ranking, const char *host, bool ended)
+{
+  member_t *member = find_member (ranking, host);
+
+  if (member != NULL)
+    member->ended = ended;
+}
+
+bool
+ranking_has_hosts (const ranking_t *ranking, const char *data_centre)
+{
+  for (guint i = 0; i < ranking->members->len; i++)
+    {
+      const member_t *member = ranking->members->pdata[i];
+      if (!member->ended && strcmp (member->data_centre, data_centre) == 0)
+        return true;
+    }
+  return false;
+}
+
 /* --- ranking --- */
 
 /* By data centre, then by CPU (most first), then by rendezvous hash, so that all hosts agree. */
--- a/lib/cluster/reach.c
+++ b/lib/cluster/reach.c
@@ -45,32 +45,42 @@
   return &g_array_index (reaches, reach_t, reaches->len - 1);
 }
 
-/* Adds the data centres of known hosts none of which was heard.  This host may have started when
- * they were cut off. */
+/* Whether hosts of DATA_CENTRE that this host does not hear may serve callers: it may have started,
+ * or the hosts that it heard may have been stopped, when the others were cut off. */
+static bool
+may_be_unheard (const cluster_t *cluster, const data_centre_t *data_centre, int64_t now_ms)
+{
+  int64_t heard_until_ms = MAX (cluster->started_at_ms, data_centre->left_at_ms);
+
+  return now_ms - heard_until_ms <= CLUSTER_FORGET_AFTER_MS
+         && ranking_has_hosts (cluster->ranking, data_centre->name);
+}
+
+/* Adds the data centres of known hosts none of which is heard, or was lost a short time ago. */
 static void
 add_unheard (const cluster_t *cluster, GArray *reaches, int64_t now_ms)
 {
   GHashTableIter iter;
-  void *data_centre = NULL;
+  void *value = NULL;
 
-  if (now_ms - cluster->started_at_ms > CLUSTER_FORGET_AFTER_MS)
-    return;
   g_hash_table_iter_init (&iter, cluster->data_centres);
-  while (g_hash_table_iter_next (&iter, &data_centre, NULL))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (strcmp (data_centre, cluster->data_centre) == 0)
+      const data_centre_t *data_centre = value;
+      if (strcmp (data_centre->name, cluster->data_centre) == 0
+          || !may_be_unheard (cluster, data_centre, now_ms))
         continue;
-      reach_t *reach = find_reach (reaches, data_centre);
+      reach_t *reach = find_reach (reaches, data_centre->name);
       if (reach->heard_at_ms != 0)
         continue;
       reach->frequent = true;
       /* Nothing was sent before the start. */
-      reach->reached_at_ms = cluster->started_at_ms;
+      reach->reached_at_ms = MAX (cluster->started_at_ms, data_centre->reached_at_ms);
     }
 }
 
-/* Returns reach_t of all data centres but this host's.  Hosts that have said that they leave don't
- * count.  The caller frees the array. */
+/* Returns reach_t of all data centres but this host's.  Hosts that have said that they leave count,
+ * as they serve callers until they end.  The caller frees the array. */
 static GArray *
 list_reaches (const cluster_t *cluster, int64_t now_ms)
 {
@@ -82,7 +92,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const peer_t *peer = value;
-      if (peer->leaving || strcmp (peer->data_centre, cluster->data_centre) == 0)
+      if (strcmp (peer->data_centre, cluster->data_centre) == 0)
         continue;
       reach_t *reach = find_reach (reaches, peer->data_centre);
       reach->reached_at_ms =
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -42,6 +42,13 @@
   GArray *claims; /* of cluster_claim_t, with interned shards; empty if not alive */
 } peer_t;
 
+typedef struct
+{
+  const char *name;      /* interned */
+  int64_t left_at_ms;    /* when a host of it was removed that had said that it leaves */
+  int64_t reached_at_ms; /* such a host has certainly received what was sent before */
+} data_centre_t;
+
 typedef struct
 {
   const char *name;    /* interned; the data centre's name */
@@ -85,7 +92,7 @@
   int64_t ranking_due_ms;
   GHashTable *peers;
   GHashTable *shards;
-  GHashTable *data_centres;    /* set of interned names: those of known hosts, heard or not */
+  GHashTable *data_centres; /* interned name -> data_centre_t: those of known hosts, heard or not */
   GHashTable *sent_heartbeats; /* interned host -> sent_heartbeat_t, the last one sent to it */
 };
 
@@ -94,6 +101,8 @@
 
 /* Returns the shard with this name, which is created if it is unknown. */
 shard_t *cluster_find_shard (cluster_t *cluster, const char *name);
+/* Returns the data centre with this name, which is added if it is unknown. */
+data_centre_t *cluster_find_data_centre (cluster_t *cluster, const char *name);
 /* Returns NULL if HOST was never heard, or has been forgotten since. */
 const peer_t *cluster_find_peer (const cluster_t *cluster, const char *host);
 
--- a/lib/cluster/topology.c
+++ b/lib/cluster/topology.c
@@ -25,6 +25,21 @@
   return false;
 }
 
+data_centre_t *
+cluster_find_data_centre (cluster_t *cluster, const char *name)
+{
+  const char *interned = g_intern_string (name);
+  data_centre_t *data_centre = g_hash_table_lookup (cluster->data_centres, interned);
+
+  if (data_centre == NULL)
+    {
+      data_centre = g_new0 (data_centre_t, 1);
+      data_centre->name = interned;
+      g_hash_table_insert (cluster->data_centres, (void *) interned, data_centre);
+    }
+  return data_centre;
+}
+
 void
 cluster_add_host (cluster_t *cluster,
                   const char *host,
@@ -32,7 +47,13 @@
                   int32_t cpu_millicores)
 {
   ranking_add_host (cluster->ranking, host, data_centre, cpu_millicores);
-  g_hash_table_add (cluster->data_centres, (void *) g_intern_string (data_centre));
+  cluster_find_data_centre (cluster, data_centre);
+}
+
+void
+cluster_host_ended (cluster_t *cluster, const char *host)
+{
+  ranking_set_ended (cluster->ranking, host, true);
 }
 
 bool
--- a/tests/resent_job.c
+++ b/tests/resent_job.c
@@ -2,7 +2,6 @@
 #include "tests/resent_job.h"
 
 #include "base/clock.h"
-#include "cluster/ranking.h"
 #include "tests/site_call.h"
 
 #define HUBS_PER_ZONE 4
@@ -66,8 +65,8 @@
   book_add (rig->book, &row);
 }
 
-void
-resent_job_find_non_hubs (const rig_t *rig, bool last, int hosts_of[RESENT_ZONES_MAX])
+ranking_t *
+resent_job_rank_hosts (const rig_t *rig)
 {
   ranking_t *ranking =
       ranking_new (rig->hosts[0].name, rig->hosts[0].zone, HOST_CPU_MILLICORES, HUBS_PER_ZONE);
@@ -78,6 +77,14 @@
       ranking_set_alive (ranking, rig->hosts[i].name, true, 0);
     }
   ranking_update (ranking, 1);
+  return ranking;
+}
+
+void
+resent_job_find_non_hubs (const rig_t *rig, bool last, int hosts_of[RESENT_ZONES_MAX])
+{
+  ranking_t *ranking = resent_job_rank_hosts (rig);
+
   for (int zone = 0; zone < rig->zones; zone++)
     hosts_of[zone] = -1;
   for (int i = 0; i < rig->hosts_count; i++)
--- a/tests/resent_job.h
+++ b/tests/resent_job.h
@@ -6,6 +6,7 @@
 #ifndef TESTS_RESENT_JOB_H
 #define TESTS_RESENT_JOB_H
 
+#include "cluster/ranking.h"
 #include "tests/soak/rig.h"
 
 #include <stdbool.h>
@@ -38,6 +39,9 @@
  */
 void resent_job_broken (rig_t *rig, int host, const resent_job_t *job);
 
+/* Returns RIG's hosts, all alive, as the hosts themselves rank them.  The caller frees it. */
+ranking_t *resent_job_rank_hosts (const rig_t *rig);
+
 /* Sets HOSTS_OF to one host of each of RIG's data centres that is no hub, the first or the last of
  * them; -1 where all are hubs. */
 void resent_job_find_non_hubs (const rig_t *rig, bool last, int hosts_of[RESENT_ZONES_MAX]);
--- a/tests/test_site_resent_past_silent_relays.c
+++ b/tests/test_site_resent_past_silent_relays.c
@@ -7,7 +7,6 @@
  */
 #include "base/clock.h"
 #include "base/hash.h"
-#include "cluster/ranking.h"
 #include "tests/resent_job.h"
 #include "tests/site_rig.h"
 #include "tests/soak/rig_private.h"
@@ -21,8 +20,6 @@
 #define HOSTS 18
 #define ENDPOINTS 12
 #define ZONES RESENT_ZONES_MAX
-#define HUBS_PER_ZONE 4
-#define HOST_CPU_MILLICORES 250
 #define RELAYS 2
 #define SETTLED_MS 3000
 #define READY_MAX_MS 5000
@@ -48,21 +45,6 @@
   int relays[RELAYS];
 } actors_t;
 
-static ranking_t *
-rank_hosts (const rig_t *rig)
-{
-  ranking_t *ranking =
-      ranking_new (rig->hosts[0].name, rig->hosts[0].zone, HOST_CPU_MILLICORES, HUBS_PER_ZONE);
-
-  for (int i = 1; i < rig->hosts_count; i++)
-    {
-      ranking_add_host (ranking, rig->hosts[i].name, rig->hosts[i].zone, HOST_CPU_MILLICORES);
-      ranking_set_alive (ranking, rig->hosts[i].name, true, 0);
-    }
-  ranking_update (ranking, 1);
-  return ranking;
-}
-
 /* Sets RELAYS to the hubs of ZONE with the greatest weights for FIRST.  Returns false if one of
  * them is likely to own the endpoints there: its silence is noticed sooner. */
 static bool
@@ -90,7 +72,7 @@
 static bool
 find_actors (const rig_t *rig, actors_t *actors)
 {
-  ranking_t *ranking = rank_hosts (rig);
+  ranking_t *ranking = resent_job_rank_hosts (rig);
   int seconds[RESENT_ZONES_MAX];
   bool found = false;
 
