A host that starts in a cut is told of the data centres beyond it

Cause: a host learns the names of others from the log and from hubs. Hubs told it of hosts that are hubs in their own view only, and a hub that is cut off takes the hosts beyond the cut to be unresponsive, so that it told of none. A host that started in a data centre that was cut off, from the log as well, knew of no other data centre: no confirmation was awaited, and its jobs went on past 1,150 ms, while hosts beyond the cut ran them again.

Change: hubs also tell of the first hosts of a data centre that counts and of which nobody is heard, and tell their hosts before they say that they have told all.

--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -644,9 +644,20 @@
   site->connect_due_ms = 0;
 }
 
+/* Whether others are told of HOST: it is a hub; or its data centre is silent, and those who have
+ * started since must know that there is one.  SILENT is that of cluster_silent_data_centres (). */
+static bool
+is_told_of (const site_t *site, const char *host, const known_host_t *known, GHashTable *silent)
+{
+  return cluster_host_is_hub (site->cluster, host)
+         || (cluster_host_is_first (site->cluster, host)
+             && g_hash_table_contains (silent, g_intern_string (known->data_centre)));
+}
+
 void
 peers_send_hosts (site_t *site, const char *host)
 {
+  GHashTable *silent = cluster_silent_data_centres (site->cluster, clock_boot_ms ());
   GArray *hosts = g_array_new (FALSE, FALSE, sizeof (cluster_host_t));
   GHashTableIter iter;
   void *key = NULL;
@@ -657,9 +668,10 @@
     {
       const known_host_t *known = value;
       cluster_host_t listed = { key, known->address, known->data_centre, known->cpu_millicores };
-      if (cluster_host_is_hub (site->cluster, key))
+      if (is_told_of (site, key, known, silent))
         g_array_append_val (hosts, listed);
     }
+  g_hash_table_unref (silent);
   if (hosts->len > 0 && cluster_is_hub (site->cluster))
     peers_send (site, host,
                 cluster_msg_hosts ((const cluster_host_t *) (void *) hosts->data, hosts->len));
--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -194,8 +194,11 @@
   if (statuses->len > 0 && !is_local (site, connection))
     peers_send (site, host, job_msg_told (JOB_MSG_TOLD, clock_boot_ms ()));
   g_array_unref (statuses);
-  if (passes_on (site, connection))
-    send_known_jobs (site, host);
+  if (!passes_on (site, connection))
+    return;
+  /* Before this host says that it has told all: who must confirm jobs. */
+  peers_send_hosts (site, host);
+  send_known_jobs (site, host);
 }
 
 /* HOST of this data centre was lost.  It may have confirmed announcements that it has not passed on
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -135,6 +135,8 @@
 /* Whether this host, or HOST, is a hub of its data centre (ranking.h). */
 bool cluster_is_hub (const cluster_t *cluster);
 bool cluster_host_is_hub (const cluster_t *cluster, const char *host);
+/* Whether HOST would be a hub if all known hosts were available. */
+bool cluster_host_is_first (const cluster_t *cluster, const char *host);
 
 /* Whether this host should follow the directory of endpoints: it owns a shard, or is one of the
  * first hosts of its data centre in the ranking.  Others know only what hubs forward to them. */
@@ -221,6 +223,10 @@
  * a host may be out of reach from here alone.  The caller unrefs it. */
 GHashTable *cluster_missed_data_centres (const cluster_t *cluster);
 
+/* The other data centres that count (cluster_confirmed_at_ms ()) and none of whose hosts is heard,
+ * as a set of interned names.  The caller unrefs it. */
+GHashTable *cluster_silent_data_centres (const cluster_t *cluster, int64_t now_ms);
+
 /* HOST, which was being stopped, has answered all callers and its process ends. */
 void cluster_host_ended (cluster_t *cluster, const char *host);
 
--- a/lib/cluster/ranking.c
+++ b/lib/cluster/ranking.c
@@ -30,6 +30,7 @@
   int64_t retry_at_ms;
   int32_t position; /* or RANKING_NO_POSITION */
   bool hub;
+  bool first; /* would be a hub if all were available */
 } member_t;
 
 struct ranking_t
@@ -179,6 +180,7 @@
 {
   const char *data_centre = NULL;
   int32_t ahead = 0;
+  int32_t index = 0; /* of the member among all of its data centre */
 
   if (!ranking->sorted)
     g_ptr_array_sort (ranking->members, compare_members);
@@ -188,8 +190,13 @@
     {
       member_t *member = ranking->members->pdata[i];
       if (member->data_centre != data_centre)
-        ahead = 0;
+        {
+          ahead = 0;
+          index = 0;
+        }
       data_centre = member->data_centre;
+      member->first = index < ranking->hubs_per_data_centre;
+      index++;
       rank_member (ranking, member, &ahead, now_ms);
       ranking->all_are_hubs &= ahead <= ranking->hubs_per_data_centre;
     }
@@ -211,6 +218,14 @@
   return member != NULL && member->hub;
 }
 
+bool
+ranking_is_first (const ranking_t *ranking, const char *host)
+{
+  const member_t *member = find_member (ranking, host);
+
+  return member != NULL && member->first;
+}
+
 bool
 ranking_all_are_hubs (const ranking_t *ranking)
 {
--- a/lib/cluster/ranking.h
+++ b/lib/cluster/ranking.h
@@ -55,6 +55,9 @@
 /* Whether HOST is a hub, or is being contacted to become one. */
 bool ranking_is_hub (const ranking_t *ranking, const char *host);
 
+/* Whether HOST would be a hub if all known hosts were available. */
+bool ranking_is_first (const ranking_t *ranking, const char *host);
+
 /* Whether all available hosts are hubs. */
 bool ranking_all_are_hubs (const ranking_t *ranking);
 
--- a/lib/cluster/reach.c
+++ b/lib/cluster/reach.c
@@ -25,6 +25,7 @@
 {
   const char *data_centre;
   int64_t reached_at_ms;
+  bool alive;    /* one of its hosts is */
   bool frequent; /* one of its hosts is */
   int64_t heard_at_ms;
   int64_t confirmed_ms; /* one of its hosts has confirmed what was sent until then */
@@ -97,6 +98,7 @@
       reach_t *reach = find_reach (reaches, peer->data_centre);
       reach->reached_at_ms =
           MAX (reach->reached_at_ms, cluster_peer_told_at_ms (cluster, peer, now_ms));
+      reach->alive |= peer->alive;
       reach->frequent |= is_frequent (peer);
       reach->heard_at_ms = MAX (reach->heard_at_ms, peer->heartbeat_at_ms);
       reach->confirmed_ms = MAX (reach->confirmed_ms, peer->confirmed_ms);
@@ -119,6 +121,22 @@
   return confirmed_at_ms;
 }
 
+GHashTable *
+cluster_silent_data_centres (const cluster_t *cluster, int64_t now_ms)
+{
+  GHashTable *silent = g_hash_table_new (NULL, NULL);
+  GArray *reaches = list_reaches (cluster, now_ms);
+
+  for (guint i = 0; i < reaches->len; i++)
+    {
+      const reach_t *reach = &g_array_index (reaches, reach_t, i);
+      if (!reach->alive)
+        g_hash_table_add (silent, (void *) g_intern_string (reach->data_centre));
+    }
+  g_array_unref (reaches);
+  return silent;
+}
+
 void
 cluster_append_unreached (const cluster_t *cluster, int64_t now_ms, GArray *unreached)
 {
--- a/lib/cluster/topology.c
+++ b/lib/cluster/topology.c
@@ -68,6 +68,12 @@
   return ranking_is_hub (cluster->ranking, host);
 }
 
+bool
+cluster_host_is_first (const cluster_t *cluster, const char *host)
+{
+  return ranking_is_first (cluster->ranking, host);
+}
+
 bool
 cluster_follows_directory (const cluster_t *cluster)
 {
--- a/tests/deployment/day.c
+++ b/tests/deployment/day.c
@@ -87,6 +87,19 @@
   { PLAN_KILL_ALL, 100, 95, 97, 1000, 1000, 1, 0 },
 };
 
+/* A data centre is cut off while a third of the hosts are being stopped, for a day of 60 s. */
+static const day_row_t stops_in_cuts_rows[] = {
+  { PLAN_STOP_HOST, 100, 14, 16, 1000, 1500, A_THIRD, 650 },
+  { PLAN_CUT_ZONE, 100, 21, 23, 5800, 6000, 1, 0 },
+  { PLAN_STOP_HOST, 100, 44, 46, 1000, 1500, A_THIRD, 650 },
+  { PLAN_BREAK_ZONE, 100, 51, 53, 5800, 6000, 1, 0 },
+  { PLAN_STOP_HOST, 100, 74, 76, 1000, 1500, A_THIRD, 650 },
+  { PLAN_CUT_ZONE, 100, 81, 83, 5800, 6000, 1, 0 },
+  { PLAN_CALLERS_LEAVE, 100, 21, 23, 5000, 6000, 1, 0 },
+  { PLAN_CALLERS_LEAVE, 100, 51, 53, 5000, 6000, 1, 0 },
+  { PLAN_CALLERS_LEAVE, 100, 81, 83, 5000, 6000, 1, 0 },
+};
+
 typedef struct
 {
   const char *name;
@@ -103,6 +116,7 @@
   { "spread-kills", ROWS (spread_kills_rows), true },
   { "cuts-one-by-one", ROWS (cuts_one_by_one_rows), true },
   { "stops-in-turn", ROWS (stops_in_turn_rows), true },
+  { "stops-in-cuts", ROWS (stops_in_cuts_rows), true },
   { "log-turns-away", ROWS (log_turns_away_rows), true },
   { "lost-after-accepting", ROWS (lost_after_accepting_rows), true },
 };
--- a/tests/resent_job.c
+++ b/tests/resent_job.c
@@ -7,11 +7,11 @@
 #define HUBS_PER_ZONE 4
 #define HOST_CPU_MILLICORES 250
 
-void
-resent_job_send_on (rig_t *rig, int host, const resent_job_t *job, int fd)
+static void
+send_on (rig_t *rig, int host, const resent_job_t *job, int32_t expected_ms, int fd)
 {
   char *spec = g_strdup_printf ("%d", job->work_ms);
-  char *body = site_job_json (job->tasks, spec, job->work_ms, "");
+  char *body = site_job_json (job->tasks, spec, expected_ms, "");
   char *target = g_strdup_printf ("/q/%016" G_GINT64_MODIFIER "x", job->id);
   const book_row_t row = { .at_ms = clock_boot_ms (),
                            .kind = BOOK_SENT,
@@ -28,15 +28,27 @@
   g_free (spec);
 }
 
+void
+resent_job_send_on (rig_t *rig, int host, const resent_job_t *job, int fd)
+{
+  send_on (rig, host, job, job->work_ms, fd);
+}
+
 int
-resent_job_send (rig_t *rig, int host, const resent_job_t *job)
+resent_job_send_expecting (rig_t *rig, int host, const resent_job_t *job, int32_t expected_ms)
 {
   int fd = site_connect (RIG_CALLER_IP, rig_caller_port (rig, host));
 
-  resent_job_send_on (rig, host, job, fd);
+  send_on (rig, host, job, expected_ms, fd);
   return fd;
 }
 
+int
+resent_job_send (rig_t *rig, int host, const resent_job_t *job)
+{
+  return resent_job_send_expecting (rig, host, job, job->work_ms);
+}
+
 void
 resent_job_answered (rig_t *rig, int host, const resent_job_t *job, int status, const char *body)
 {
--- a/tests/resent_job.h
+++ b/tests/resent_job.h
@@ -28,7 +28,10 @@
  * closes. */
 int resent_job_send (rig_t *rig, int host, const resent_job_t *job);
 
-/* The same on FD, a connection to HOST. */
+/* The same for a caller who expects each task to take EXPECTED_MS. */
+int resent_job_send_expecting (rig_t *rig, int host, const resent_job_t *job, int32_t expected_ms);
+
+/* As resent_job_send () on FD, a connection to HOST. */
 void resent_job_send_on (rig_t *rig, int host, const resent_job_t *job, int fd);
 
 /* Records that HOST has answered JOB with STATUS and BODY. */
