--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -336,7 +336,8 @@
                      int32_t cpu_millicores);
 /* Frees a known_host_t. */
 void peers_free_host (void *known);
-/* Sends HOST the hubs that this host knows, if this host is itself a hub. */
+/* Sends HOST the hubs that this host knows, and the first hosts of data centres that are silent, if
+ * this host is itself a hub. */
 void peers_send_hosts (site_t *site, const char *host);
 /* Dials the hosts to which a connection is needed and missing. */
 void peers_connect (site_t *site, int64_t now_ms);
