--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -224,6 +224,19 @@
 void owner_free_retired (site_t *site, int64_t now_ms);
 void owner_set_drained (site_t *site, const char *shard, bool drained);
 
+/* site_owner_log.c: what owners log of their shards' tasks and endpoints. */
+/* Write a line for ACTION, which an executor has decided, and count it in the metrics. */
+void owner_log_event (const executor_action_t *action);
+void owner_log_loss (const executor_action_t *action);
+void owner_log_start (const executor_action_t *action);
+/* For a task that leaves the queue without having started; nothing for other actions. */
+void owner_log_waiting_task (const executor_action_t *action);
+/* Writes a line for each order to stop among ACTIONS, executor_action_t, before the orders are
+ * sent: this process may be killed between the two. */
+void owner_log_stops (const GArray *actions, int64_t now_ms);
+/* TOKEN counts where SHARD is claimed only. */
+void owner_log_shard (event_t event, const char *shard, const char *why, int64_t token);
+
 /* site_cancel.c: cancellations of jobs, whichever host has them */
 /* Callbacks of the ingress; see ingress_ops_t. */
 void cancel_job (const char *id, int64_t answer_by_ms, void *user_data, void **handle, void *user);
