A run that is being stopped counts for anti_affinity until its end is listed

Cause: runs of a step were counted by their batches; a run whose batch was cancelled has left it.

Change: a task keeps its job and step, by which runs are counted.

--- a/lib/executor/placement.c
+++ b/lib/executor/placement.c
@@ -242,6 +242,21 @@
          || outlier_may_probe (&endpoint->outlier, true, now_ms);
 }
 
+/* Counts the runs on ENDPOINT of the step of TASK.  One that is being stopped counts until its end
+ * is listed, also if its batch was cancelled. */
+static int32_t
+count_runs_of_step (const endpoint_t *endpoint, const task_t *task)
+{
+  int32_t count = 0;
+
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      const task_t *run = endpoint->runs->pdata[i];
+      count += run->step == task->step && strcmp (run->job, task->job) == 0;
+    }
+  return count;
+}
+
 bool
 placement_may_run (const endpoint_t *endpoint, const task_t *task)
 {
@@ -252,19 +267,8 @@
   if (batch->required_label[0] != '\0' && strcmp (batch->required_label, endpoint->kind) != 0
       && strcmp (batch->required_label, endpoint->rack) != 0)
     return false;
-  if (batch->tasks_per_endpoint_max > 0)
-    {
-      int32_t runs_of_step = 0;
-      for (guint i = 0; i < endpoint->runs->len; i++)
-        {
-          const task_t *run = endpoint->runs->pdata[i];
-          runs_of_step += run->batch != NULL && run->batch->step == batch->step
-                          && strcmp (run->batch->job, batch->job) == 0;
-        }
-      if (runs_of_step >= batch->tasks_per_endpoint_max)
-        return false;
-    }
-  return true;
+  return batch->tasks_per_endpoint_max <= 0
+         || count_runs_of_step (endpoint, task) < batch->tasks_per_endpoint_max;
 }
 
 /* Cores that are left free on ENDPOINT after NEED has been allocated. */
--- a/tests/test_executor_placement.c
+++ b/tests/test_executor_placement.c
@@ -210,7 +210,65 @@
     }
 }
 
+/* The first task of a step is cancelled, with its batch, before the second one is submitted: one of
+ * the step may run on an endpoint at a time. */
+static const struct
+{
+  const char *name;
+  const char *job; /* of the second task */
+  int32_t step;
+  bool ended; /* the end of the first one is listed */
+  bool starts;
+} stopping_cases[] = {
+  { "the same step, still being stopped", "j", 0, false, false },
+  { "the same step, stopped", "j", 0, true, true },
+  { "the next step", "j", 1, false, true },
+  { "another job", "k", 0, false, true },
+};
+
+static void
+test_beside_a_stopping_run (void)
+{
+  static const poll_active_t active = { TASK, 1, 10 };
+  static const poll_ended_t ended = { 1, TASK, 1, RUN_STOPPED };
+  static const int32_t second_index = 1;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (stopping_cases); i++)
+    {
+      const listing_t listing = { .instance_ms = FIRST_INSTANCE_MS,
+                                  .active = &active,
+                                  .active_count = stopping_cases[i].ended ? 0 : 1,
+                                  .ended = &ended,
+                                  .ended_count = stopping_cases[i].ended ? 1 : 0 };
+      executor_batch_t first = batch_of ("j", 1);
+      executor_batch_t second = batch_of (stopping_cases[i].job, 2);
+      scenario_t scenario;
+
+      scenario_begin_idle (&scenario, 4000);
+      first.tasks_per_endpoint_max = 1;
+      executor_submit (scenario.executor, &first, 1);
+      run_round_at (&scenario, 1);
+      CU_ASSERT_STRING_EQUAL (scenario.start_task, TASK);
+      confirm_starts (&scenario);
+      executor_cancel (scenario.executor, "h1", 1, STOP_UNKNOWN, 2, scenario.actions);
+      run_round_at (&scenario, 2);
+      answer_with_listing (&scenario, 0, &listing, 4);
+      second.tasks_per_endpoint_max = 1;
+      second.step = stopping_cases[i].step;
+      second.indexes = &second_index;
+      executor_submit (scenario.executor, &second, 5);
+      run_round_at (&scenario, 5);
+      bool starts = last_action (&scenario, EXECUTOR_START) != NULL;
+      if (starts != stopping_cases[i].starts)
+        printf ("  %s: starts %d\n", stopping_cases[i].name, starts);
+      CU_ASSERT_EQUAL (starts, stopping_cases[i].starts);
+      scenario_end (&scenario);
+    }
+}
+
 static const unit_test_t tests[] = {
+  { "one task of a step on an endpoint, beside a run that is being stopped",
+    test_beside_a_stopping_run },
   { "duration on a cold endpoint", test_cold_endpoint },
   { "tasks start in the rack of their data", test_preferred_rack },
   { "a slow endpoint for a long task", test_slow_endpoint_for_long_task },
