A request that has waited through a cut does not start when it ends

Cause: a request that waits for a host beyond a cut starts as soon as that host is heard again and has nothing, seconds after it came. A job that runs goes on past 1,150 ms only if every other data centre has confirmed by then that it was told, as its caller may send it again from 1,300 ms on; a job that waits was not held to that. Confirmed late, it went on beside the runs of a host that had got the job again before it was told; unconfirmed, it was ended within 10 ms, beside them.

Change: a request that waits and is not confirmed when it could be sent again never starts here.

--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -172,7 +172,7 @@
 
 /* Runs JOB here, as no other host does any more.  The time for which it has waited does not count
  * towards its start.  A job that was stopped for a later request has no caller that would read the
- * answer, and is not run. */
+ * answer, and is not run; nor is one that may have been started where nobody was told of it. */
 static void
 start_waiting (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
@@ -183,6 +183,12 @@
                          actions);
       return;
     }
+  if (job->confirmed_late)
+    {
+      scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, SCHEDULER_LIMIT_UNREACHED,
+                         "a data centre was told of it late, and may run it", now_ms, actions);
+      return;
+    }
   if (job->holder != NULL)
     note (scheduler, job->request.id, scheduler->host, SCHEDULER_FOUND_OVER, job->waited_by, 0,
           actions);
@@ -242,6 +248,7 @@
 {
   const remote_job_t *remote = current_holder (scheduler, job, now_ms, actions);
 
+  unannounced_step_waiting (scheduler, job, now_ms);
   if (now_ms >= job->request.deadline_at_ms)
     scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, job->deadline_limit,
                        "another host may be running it", now_ms, actions);
@@ -440,7 +447,7 @@
 
   if (first == NULL || remote_jobs_over_at (scheduler->remote_jobs, id, host, now_ms) <= now_ms)
     return NULL;
-  if (!job->yielded && strcmp (scheduler->host, first) < 0)
+  if (!job->yielded && !job->confirmed_late && strcmp (scheduler->host, first) < 0)
     return scheduler->host;
   return first == g_intern_string (host) ? first : NULL;
 }
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -63,6 +63,7 @@
   int64_t announced_at_ms; /* ANNOUNCED: when */
   bool announce_again;     /* its announcement says that it waits, but it runs now */
   bool confirmed;          /* all other data centres have confirmed the announcement, for good */
+  bool confirmed_late;     /* it waited, and was confirmed too late, or not: it never starts */
   bool goes_on_logged;     /* SCHEDULER_GOES_ON was appended for it */
   int64_t waits_since_ms;  /* it is not run, as another host may run it; 0 if it does not wait */
   int64_t held_until_ms;   /* it waits until then, although no host is known to have it... */
@@ -345,6 +346,9 @@
 /* unannounced.c: whether all other data centres have confirmed that they were told of JOB. */
 bool unannounced_is_confirmed (const scheduler_t *scheduler, const scheduled_job_t *job);
 
+/* Sets confirmed_late of JOB, which waits, if that is so. */
+void unannounced_step_waiting (const scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms);
+
 /* unannounced.c: the new JOB, or one that has waited, must end before it may be sent again to a
  * data centre that is out of reach now, and may have run there. */
 void unannounced_limit_deadline (const scheduler_t *scheduler, scheduled_job_t *job);
--- a/lib/scheduler/unannounced.c
+++ b/lib/scheduler/unannounced.c
@@ -118,6 +118,14 @@
          && !unannounced_is_confirmed (scheduler, job);
 }
 
+void
+unannounced_step_waiting (const scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms)
+{
+  if (scheduler->resubmit_ms != 0 && now_ms >= end_by_ms (scheduler, job)
+      && !unannounced_is_confirmed (scheduler, job))
+    job->confirmed_late = true;
+}
+
 void
 unannounced_limit_deadline (const scheduler_t *scheduler, scheduled_job_t *job)
 {
--- a/tests/test_job_unannounced.c
+++ b/tests/test_job_unannounced.c
@@ -17,6 +17,7 @@
 #define NEVER INT64_MAX
 #define LONG_MS 4000
 #define SHORT_MS 300
+#define STEP_MS 10
 
 static const struct
 {
@@ -248,9 +249,70 @@
   g_array_unref (actions);
 }
 
+/* A job that has waited for another host may start only if all other data centres were told of it
+ * before its caller could send it again. */
+static const struct
+{
+  const char *name;
+  int64_t confirmed_at_ms; /* when the confirmation is read; NEVER: it is not */
+  int64_t over_at_ms;      /* when the other host's runs have ended */
+  bool starts;
+} waited_cases[] = {
+  { "confirmed in time", ANNOUNCED_AT_MS + 100, RECEIVED_MS + 3000, true },
+  { "confirmed late, as a cut ends", RECEIVED_MS + 2900, RECEIVED_MS + 3000, false },
+  { "not confirmed", NEVER, RECEIVED_MS + 3000, false },
+  { "not confirmed yet, as the other host ends soon", NEVER, RECEIVED_MS + 800, true },
+};
+
+static counts_t
+play_waited (size_t row, scheduler_t *scheduler, GArray *actions)
+{
+  const job_status_t open = { ID, JOB_STATUS_OPEN, DEADLINE_MS };
+  const job_status_t stopped = { ID, JOB_STATUS_STOPPED, waited_cases[row].over_at_ms };
+  const scheduler_job_t job = job_of (LONG_MS);
+  GArray *statuses = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+
+  scheduler_set_confirmed_at (scheduler, 1);
+  scheduler_job_told (scheduler, OTHER_HOST, &open, RECEIVED_MS, actions);
+  scheduler_submit (scheduler, &job, RECEIVED_MS, actions);
+  scheduler_collect_statuses (scheduler, ANNOUNCED_AT_MS, statuses);
+  for (int64_t now_ms = ANNOUNCED_AT_MS; now_ms <= waited_cases[row].over_at_ms + STEP_MS;
+       now_ms += STEP_MS)
+    {
+      if (now_ms == waited_cases[row].confirmed_at_ms)
+        scheduler_set_confirmed_at (scheduler, ANNOUNCED_AT_MS + 1);
+      if (now_ms == waited_cases[row].over_at_ms)
+        scheduler_job_told (scheduler, OTHER_HOST, &stopped, now_ms, actions);
+      scheduler_step (scheduler, now_ms, actions);
+    }
+  g_array_unref (statuses);
+  return take_actions (actions);
+}
+
+static void
+test_waited_unconfirmed (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (waited_cases); i++)
+    {
+      GArray *actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t));
+      scheduler_t *scheduler = new_scheduler_of ("h", RESUBMIT_MS, RECEIVED_MS, actions);
+      take_actions (actions);
+      counts_t counts = play_waited (i, scheduler, actions);
+      CU_ASSERT_EQUAL (counts.submits, waited_cases[i].starts);
+      CU_ASSERT_EQUAL (counts.answers, !waited_cases[i].starts);
+      CU_ASSERT_TRUE (counts.answers == 0 || counts.outcome == SCHEDULER_GIVEN_UP);
+      if (counts.submits != waited_cases[i].starts)
+        printf ("  %s: %d starts, %d answers\n", waited_cases[i].name, counts.submits,
+                counts.answers);
+      scheduler_free (scheduler);
+      g_array_unref (actions);
+    }
+}
+
 static const unit_test_t tests[] = {
   { "a confirmation holds", test_confirmed_for_good },
   { "a job that has waited", test_waited },
+  { "a job that has waited, and was confirmed late", test_waited_unconfirmed },
   { "jobs that a data centre can't know of", test_unannounced },
   { "jobs that come in a known cut", test_known },
 };
