A host that has just started asks other data centres for the jobs they know

Callers would see (found by reading, for the same cause elsewhere): tasks twice, where all hosts of a data centre are killed while another one is cut off.

Cause: hubs tell the jobs of others in their own data centre only. The new processes of a data centre whose hosts were all killed heard nothing of the jobs that go on beyond the cut, though a third data centre knew them, and ran them again when their cold start was over.

The answer does not end the cold start: jobs younger than their announcement are known to nobody.

--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -396,6 +396,7 @@
   { JOB_MSG_TOLD, repeats_read_told },
   { JOB_MSG_TOLD_ACK, repeats_read_told_ack },
   { JOB_MSG_ALL_TOLD, repeats_read_all_told },
+  { JOB_MSG_TELL_ALL, repeats_read_tell_all },
   { CLUSTER_MSG_HEARTBEAT, read_heartbeat },
   { CLUSTER_MSG_CONFIG_REQUEST, read_config_request },
   { CLUSTER_MSG_CONFIG, read_config },
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -262,6 +262,7 @@
 void repeats_read_runs_over (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_told (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_all_told (site_t *site, const char *host, frame_reader_t *reader);
+void repeats_read_tell_all (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_told_ack (site_t *site, const char *host, frame_reader_t *reader);
 /* A connection to HOST was opened. */
 void repeats_host_connected (site_t *site, const char *host);
--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -176,6 +176,13 @@
   while (g_hash_table_iter_next (&iter, &origin, &statuses))
     send_statuses (site, host, origin, false, statuses);
   g_hash_table_unref (by_origin);
+}
+
+/* Tells HOST, of this data centre, all jobs that this host knows, and that these are all. */
+static void
+send_all_known_jobs (site_t *site, const char *host)
+{
+  send_known_jobs (site, host);
   if (scheduler_is_warm (site->scheduler, clock_boot_ms ()))
     peers_send (site, host, job_msg_all_told ());
 }
@@ -198,7 +205,7 @@
     return;
   /* Before this host says that it has told all: who must confirm jobs. */
   peers_send_hosts (site, host);
-  send_known_jobs (site, host);
+  send_all_known_jobs (site, host);
 }
 
 /* HOST of this data centre was lost.  It may have confirmed announcements that it has not passed on
@@ -213,7 +220,7 @@
   g_hash_table_iter_init (&iter, site->connections);
   while (g_hash_table_iter_next (&iter, &other, &connection))
     if (other != host && passes_on (site, connection))
-      send_known_jobs (site, other);
+      send_all_known_jobs (site, other);
 }
 
 void
@@ -278,12 +285,37 @@
   g_hash_table_unref (missed);
 }
 
+/* Asks a hub of another data centre, another one each time, for all jobs that it knows: if all
+ * hosts of this one were killed at once, nobody here knows them.  That does not end the cold start,
+ * as young jobs are known to nobody. */
+static void
+ask_for_all (site_t *site)
+{
+  GPtrArray *hubs = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *host = NULL;
+  void *connection = NULL;
+
+  g_hash_table_iter_init (&iter, site->connections);
+  while (g_hash_table_iter_next (&iter, &host, &connection))
+    if (!is_local (site, connection) && cluster_host_is_hub (site->cluster, host))
+      g_ptr_array_add (hubs, host);
+  if (hubs->len > 0)
+    {
+      guint chosen = (guint) g_random_int_range (0, (gint) hubs->len);
+      peers_send (site, hubs->pdata[chosen], job_msg_tell_all ());
+    }
+  g_ptr_array_unref (hubs);
+}
+
 void
 repeats_tick (site_t *site, int64_t now_ms)
 {
   if (now_ms < site->announce_due_ms)
     return;
   site->announce_due_ms = now_ms + ANNOUNCE_INTERVAL_MS;
+  if (!scheduler_is_warm (site->scheduler, now_ms))
+    ask_for_all (site);
   send_relayed (site);
   GArray *statuses = new_statuses ();
   scheduler_collect_statuses (site->scheduler, now_ms, statuses);
@@ -384,6 +416,14 @@
   scheduler_all_told (site->scheduler);
 }
 
+void
+repeats_read_tell_all (site_t *site, const char *host, frame_reader_t *reader)
+{
+  (void) reader;
+  if (cluster_is_hub (site->cluster))
+    send_known_jobs (site, host);
+}
+
 void
 repeats_read_query (site_t *site, const char *host, frame_reader_t *reader)
 {
--- a/lib/scheduler/job_status_msg.c
+++ b/lib/scheduler/job_status_msg.c
@@ -95,6 +95,12 @@
   return frame_finish (frame_begin (JOB_MSG_ALL_TOLD));
 }
 
+GBytes *
+job_msg_tell_all (void)
+{
+  return frame_finish (frame_begin (JOB_MSG_TELL_ALL));
+}
+
 GBytes *
 job_msg_query (const char *id)
 {
--- a/lib/scheduler/job_status_msg.h
+++ b/lib/scheduler/job_status_msg.h
@@ -19,8 +19,9 @@
   JOB_MSG_RUNS_OVER,  /* says that there are none */
   JOB_MSG_TOLD,       /* ends announcements; a relay confirms them */
   JOB_MSG_TOLD_ACK,   /* confirms all that came before JOB_MSG_TOLD */
-  JOB_MSG_ALL_TOLD    /* the sender, a hub that is not in its cold start, has told all jobs that it
+  JOB_MSG_ALL_TOLD,   /* the sender, a hub that is not in its cold start, has told all jobs that it
                          knows */
+  JOB_MSG_TELL_ALL    /* asks a hub of another data centre for all jobs that it knows */
 } job_status_msg_t;
 
 /* Most statuses in a message, and most messages passed on in one. */
@@ -48,8 +49,9 @@
                           void (*read) (frame_reader_t *message, void *data),
                           void *data);
 
-/* JOB_MSG_ALL_TOLD, which has no fields. */
+/* JOB_MSG_ALL_TOLD and JOB_MSG_TELL_ALL, which have no fields. */
 GBytes *job_msg_all_told (void);
+GBytes *job_msg_tell_all (void);
 
 GBytes *job_msg_query (const char *id);
 /* The caller frees *ID. */
