The end of a host is sent by the function that sends to all hosts

peers_send_ended () repeated the loop of peers_send_all (), which site.c calls with the frame instead.

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -297,7 +297,7 @@
 
   if (now_ms > site->killed_at_ms - EXIT_MARGIN_MS || (done && site->listener_closed))
     {
-      peers_send_ended (site);
+      peers_send_all (site, cluster_msg_ended ());
       loop_stop (site->loop);
     }
   if (!done && now_ms <= site->killed_at_ms - ACCEPT_MARGIN_MS)
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -571,17 +571,6 @@
       peers_send_heartbeat (site, host);
 }
 
-void
-peers_send_ended (site_t *site)
-{
-  GHashTableIter iter;
-  void *host = NULL;
-
-  g_hash_table_iter_init (&iter, site->connections);
-  while (g_hash_table_iter_next (&iter, &host, NULL))
-    peers_send (site, host, cluster_msg_ended ());
-}
-
 /* --- known hosts --- */
 
 /* HOST had lost this host, although this host still received its heartbeats.  Frames that are sent
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -363,7 +363,5 @@
  * learn of without delay. */
 void peers_send_heartbeats (site_t *site, int64_t now_ms, bool at_once);
 void peers_send_heartbeat (site_t *site, const char *host);
-/* Tells all hosts that this one, which was stopped, has answered its callers and ends. */
-void peers_send_ended (site_t *site);
 
 #endif
