Runs of one step are told by their tasks' names

A task held a copy of its job and step beside its name, "JOB.0.STEP.INDEX", which job_runs.c reads already; the copy was an allocation for each task that arrives. The names are compared instead, only where anti_affinity is set.

--- a/lib/executor/batch.c
+++ b/lib/executor/batch.c
@@ -130,8 +130,6 @@
         }
       task = g_new0 (task_t, 1);
       task->name = name;
-      task->job = g_strdup (info->job);
-      task->step = info->step;
       task->index = info->indexes[i];
       task->batch = batch;
       task->attempt = info->attempt_base;
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -27,7 +27,6 @@
   task_t *task = data;
 
   g_free (task->name);
-  g_free (task->job);
   g_free (task->avoid_endpoint_id);
   g_free (task);
 }
--- a/lib/executor/placement.c
+++ b/lib/executor/placement.c
@@ -242,6 +242,15 @@
          || outlier_may_probe (&endpoint->outlier, true, now_ms);
 }
 
+/* Whether the tasks that are called A and B, "JOB.0.STEP.INDEX", are of one step. */
+static bool
+are_of_one_step (const char *a, const char *b)
+{
+  size_t length = (size_t) (strrchr (a, '.') - a);
+
+  return strncmp (a, b, length + 1) == 0 && strchr (b + length + 1, '.') == NULL;
+}
+
 /* Counts the runs on ENDPOINT of the step of TASK.  One that is being stopped counts until its end
  * is listed, also if its batch was cancelled. */
 static int32_t
@@ -250,10 +259,7 @@
   int32_t count = 0;
 
   for (guint i = 0; i < endpoint->runs->len; i++)
-    {
-      const task_t *run = endpoint->runs->pdata[i];
-      count += run->step == task->step && strcmp (run->job, task->job) == 0;
-    }
+    count += are_of_one_step (((const task_t *) endpoint->runs->pdata[i])->name, task->name);
   return count;
 }
 
--- a/lib/executor/state.h
+++ b/lib/executor/state.h
@@ -29,8 +29,6 @@
 {
   batch_t *batch; /* NULL if the batch was cancelled and only the run is left */
   char *name;
-  char *job;
-  int32_t step;
   int32_t index;
   task_state_t state;
   int32_t attempt;         /* of its present or last run */
