--- a/daemon/site.c
+++ b/daemon/site.c
@@ -478,11 +478,9 @@
 static int64_t
 cold_until_ms (const platform_settings_t *settings, int64_t now_ms)
 {
-  int64_t slack_ms = settings->lease_max_ms * EXECUTOR_CLOCK_SLACK_PERCENT / 100;
-
   if (settings->resubmit_after_ms == 0)
     return 0;
-  return now_ms + settings->lease_max_ms + slack_ms + settings->stop_timeout_ms;
+  return now_ms + executor_longest_lease_ms (settings->lease_max_ms) + settings->stop_timeout_ms;
 }
 
 int
--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -283,6 +283,8 @@
 
 /* An endpoint whose clock is slow may let a lease expire later by this percentage of its length. */
 #define EXECUTOR_CLOCK_SLACK_PERCENT 3
+/* Longest time for which a lease of LEASE_MS may last on an endpoint's clock. */
+int64_t executor_longest_lease_ms (int64_t lease_ms);
 /* How long the lease of an endpoint is still renewed after a run there should have stopped. */
 #define EXECUTOR_UNSTOPPED_MAX_MS 250
 
--- a/lib/executor/instance.c
+++ b/lib/executor/instance.c
@@ -234,6 +234,6 @@
     task_attach (kept->pdata[i], endpoint);
   if (kept->len > 0)
     endpoint->lease_end_ms =
-        MAX (lease_end_ms, now_ms + longest_lease_ms (executor->options.lease_ms));
+        MAX (lease_end_ms, now_ms + executor_longest_lease_ms (executor->options.lease_ms));
   g_ptr_array_unref (kept);
 }
--- a/lib/executor/job_runs.c
+++ b/lib/executor/job_runs.c
@@ -4,7 +4,7 @@
  * that the listing holds every run there.  A listing from before says less: another owner, which
  * this one does not hear, may have taken the endpoint over since.
  */
-#include "executor/leases.h"
+#include "executor/state.h"
 
 #include <string.h>
 
@@ -52,7 +52,8 @@
 has_outlived_leases (const executor_t *executor, const endpoint_t *endpoint, int64_t now_ms)
 {
   return endpoint->runs_known && !endpoint->fenced && endpoint->unanswered_since_ms != 0
-         && now_ms - endpoint->unanswered_since_ms > longest_lease_ms (executor->options.lease_ms);
+         && now_ms - endpoint->unanswered_since_ms
+                > executor_longest_lease_ms (executor->options.lease_ms);
 }
 
 /* Whether ENDPOINT may run a task of JOB that is not in the executor's table. */
--- a/lib/executor/leases.c
+++ b/lib/executor/leases.c
@@ -39,7 +39,7 @@
 }
 
 int64_t
-longest_lease_ms (int64_t lease_ms)
+executor_longest_lease_ms (int64_t lease_ms)
 {
   return lease_ms + lease_ms * EXECUTOR_CLOCK_SLACK_PERCENT / 100;
 }
@@ -69,7 +69,7 @@
 
   for (guint i = 0; i < endpoint->runs->len; i++)
     until_ms = MIN (until_ms, lease_limit_of (executor, endpoint->runs->pdata[i]));
-  if (until_ms - now_ms >= longest_lease_ms (executor->options.lease_ms))
+  if (until_ms - now_ms >= executor_longest_lease_ms (executor->options.lease_ms))
     return executor->options.lease_ms;
   return MAX ((until_ms - now_ms) * 100 / (100 + EXECUTOR_CLOCK_SLACK_PERCENT), 0);
 }
@@ -81,8 +81,8 @@
 
   return task->order_open_until_ms == 0
              ? end_ms
-             : MAX (end_ms,
-                    task->order_open_until_ms + longest_lease_ms (executor->options.lease_ms));
+             : MAX (end_ms, task->order_open_until_ms
+                                + executor_longest_lease_ms (executor->options.lease_ms));
 }
 
 int64_t
@@ -90,6 +90,7 @@
 {
   int64_t lease_ms = next_lease_ms (executor, endpoint, now_ms);
 
-  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, now_ms + longest_lease_ms (lease_ms));
+  endpoint->lease_end_ms =
+      MAX (endpoint->lease_end_ms, now_ms + executor_longest_lease_ms (lease_ms));
   return now_ms + endpoint->clock_offset_ms - clock_drift_ms (endpoint, now_ms) + lease_ms;
 }
--- a/lib/executor/leases.h
+++ b/lib/executor/leases.h
@@ -23,9 +23,6 @@
 /* Forgets the clock of ENDPOINT if it was read too long ago to grant leases by it. */
 void forget_old_clock (const executor_t *executor, endpoint_t *endpoint, int64_t now_ms);
 
-/* Longest time for which a lease of LEASE_MS may last on an endpoint's clock. */
-int64_t longest_lease_ms (int64_t lease_ms);
-
 /* No lease under which TASK runs lasts beyond UNTIL_MS, now that it has left its batch. */
 void limit_lease (task_t *task, int64_t until_ms);
 
--- a/lib/executor/resolve.c
+++ b/lib/executor/resolve.c
@@ -3,7 +3,6 @@
  * Such a task waits until its run is found and adopted, its end is found, every endpoint that may
  * run it is known and has been asked, or the other owner's runs have certainly ended.
  */
-#include "executor/leases.h"
 #include "executor/table.h"
 
 #include <string.h>
@@ -36,8 +35,8 @@
           crash_history_decide (executor->crashes, task->name, now_ms) != CRASH_START;
       task_attach (task, endpoint);
       /* The previous owner may have renewed the lease a moment ago. */
-      endpoint->lease_end_ms =
-          MAX (endpoint->lease_end_ms, now_ms + longest_lease_ms (executor->options.lease_ms));
+      endpoint->lease_end_ms = MAX (
+          endpoint->lease_end_ms, now_ms + executor_longest_lease_ms (executor->options.lease_ms));
       g_ptr_array_remove_index_fast (endpoint->foreign_runs, i);
       log_event (executor, actions, EXECUTOR_LOG_ADOPTED, endpoint, task, now_ms);
       return true;
