One check for jobs that no data centre has confirmed in time

unannounced_must_end () and unannounced_step_waiting () asked the same three things. test_job_unannounced 74 of 74, test_job_repeats, test_scheduler and test_scheduling_resent pass as before.

--- a/lib/scheduler/unannounced.c
+++ b/lib/scheduler/unannounced.c
@@ -111,19 +111,24 @@
   return job->request.received_at_ms + scheduler->resubmit_ms - RUNS_STOP_MS;
 }
 
+/* Whether JOB is so old that it must not run here any more, as a data centre may not know of it. */
+static bool
+is_too_old (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
+{
+  return scheduler->resubmit_ms != 0 && now_ms >= end_by_ms (scheduler, job)
+         && !unannounced_is_confirmed (scheduler, job);
+}
+
 bool
 unannounced_must_end (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
 {
-  return scheduler->resubmit_ms != 0 && job->was_sent && now_ms >= end_by_ms (scheduler, job)
-         && !unannounced_is_confirmed (scheduler, job);
+  return job->was_sent && is_too_old (scheduler, job, now_ms);
 }
 
 void
 unannounced_step_waiting (const scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms)
 {
-  if (scheduler->resubmit_ms != 0 && now_ms >= end_by_ms (scheduler, job)
-      && !unannounced_is_confirmed (scheduler, job))
-    job->confirmed_late = true;
+  job->confirmed_late |= is_too_old (scheduler, job, now_ms);
 }
 
 void
