Tests that play cuts and jobs sent again share one rig

Five programs repeated the loop over rows, the cut of a data centre's hosts and the restart of hosts: they are tests/resent_rig.c now. Rows, times, bounds and assertions stay; a restart is looked at every 5 ms, not 20, and where both hosts of a data centre are restarted both have to be ready.

--- a/Makefile
+++ b/Makefile
@@ -88,7 +88,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $(DEPLOYMENT_PARTS) $(GROUP) $(PKG_LIBS)
 # What tests use of the programs and of the soak.
-TESTED := $(call obj,tool/explain.c tests/site_call.c tests/site_rig.c tests/site_crowd.c tests/site_usage.c tests/resent_cut.c tests/resent_job.c tests/resent_non_hubs.c tests/port_block.c tests/executor_scenario.c tests/unit_runner.c \
+TESTED := $(call obj,tool/explain.c tests/site_call.c tests/site_rig.c tests/site_crowd.c tests/site_usage.c tests/resent_cut.c tests/resent_job.c tests/resent_non_hubs.c tests/resent_rig.c tests/port_block.c tests/executor_scenario.c tests/unit_runner.c \
                      $(wildcard platform/*.c) $(filter-out %/main.c,$(SOAK_SRC)))
 $(BUILD)/tests/test_%: $(BUILD)/obj/tests/test_%.o $(TESTED) $(ARCHIVES)
 	@mkdir -p $(@D)
--- a/tests/test_site_resent_from_a_host_started_in_a_cut.c
+++ b/tests/test_site_resent_from_a_host_started_in_a_cut.c
@@ -6,8 +6,8 @@
  */
 #include "base/clock.h"
 #include "tests/resent_job.h"
+#include "tests/resent_rig.h"
 #include "tests/site_rig.h"
-#include "tests/soak/rig_private.h"
 #include "tests/unit_runner.h"
 
 #include <CUnit/CUnit.h>
@@ -17,7 +17,6 @@
 #define HOSTS 6
 #define ENDPOINTS 6
 #define ZONES RESENT_ZONES_MAX
-#define CUT_RULE 1
 #define CUT_ZONE 1
 #define IN_CUT 1
 #define ALSO_IN_CUT 4
@@ -50,31 +49,9 @@
 {
   for (int zone = 0; zone < ZONES; zone++)
     if (zone != CUT_ZONE)
-      proxy_rule (rig->proxy, CUT_RULE, PROXY_HOLD, zones[CUT_ZONE], zones[zone], 0, false);
+      proxy_rule (rig->proxy, RESENT_CUT_RULE, PROXY_HOLD, zones[CUT_ZONE], zones[zone], 0, false);
   for (int i = CUT_ZONE; i < rig->hosts_count; i += rig->zones)
-    proxy_rule (rig->proxy, CUT_RULE, PROXY_HOLD, rig->hosts[i].name, "log", 0, false);
-}
-
-static void
-sleep_until (int64_t at_ms)
-{
-  clock_sleep_ms (MAX (at_ms - clock_boot_ms (), 0));
-}
-
-/* Restarts HOST.  Returns whether it is ready soon. */
-static bool
-restart (rig_t *rig, int host)
-{
-  int64_t until_ms = clock_boot_ms () + READY_MAX_MS;
-
-  rig_kill_host (rig, host, "killed");
-  do
-    {
-      clock_sleep_ms (20);
-      rig_watch (rig);
-    }
-  while (!rig_is_ready (rig, host) && clock_boot_ms () < until_ms);
-  return rig_is_ready (rig, host);
+    proxy_rule (rig->proxy, RESENT_CUT_RULE, PROXY_HOLD, rig->hosts[i].name, "log", 0, false);
 }
 
 static void
@@ -87,16 +64,16 @@
   int64_t cut_ms = clock_boot_ms ();
 
   cut (rig);
-  sleep_until (cut_ms + cases[row].killed_ms);
-  CU_ASSERT_TRUE (restart (rig, first_host));
-  sleep_until (cut_ms + cases[row].sent_ms);
+  resent_sleep_until (cut_ms + cases[row].killed_ms);
+  CU_ASSERT_TRUE (resent_restart (rig, &first_host, 1, READY_MAX_MS));
+  resent_sleep_until (cut_ms + cases[row].sent_ms);
   int first = resent_job_send_expecting (rig, first_host, &job, EXPECTED_MS);
   clock_sleep_ms (AGAIN_MS);
   resent_job_broken (rig, first_host, &job);
   int second = resent_job_send_expecting (rig, second_host, &job, EXPECTED_MS);
   site_response_t answer = site_read_response (second, clock_boot_ms () + job.caller_wait_ms);
   resent_job_answered (rig, second_host, &job, answer.status, answer.body);
-  proxy_end_rule (rig->proxy, CUT_RULE);
+  proxy_end_rule (rig->proxy, RESENT_CUT_RULE);
   book_trouble_over (rig->book, trouble, clock_boot_ms ());
   printf ("  %s: %d\n", cases[row].name, answer.status);
   close (first);
@@ -106,23 +83,7 @@
 static void
 test_started (void)
 {
-  for (size_t row = 0; row < G_N_ELEMENTS (cases); row++)
-    {
-      rig_t rig = { .programs = site_programs (),
-                    .hosts_count = HOSTS,
-                    .endpoints_count = ENDPOINTS,
-                    .zones = ZONES,
-                    .book = book_new () };
-
-      CU_ASSERT_TRUE_FATAL (rig_start (&rig));
-      clock_sleep_ms (SETTLED_MS);
-      play (&rig, row);
-      rig_watch (&rig);
-      int32_t findings = book_check (rig.book, clock_boot_ms ());
-      CU_ASSERT_EQUAL (findings, 0);
-      rig_stop (&rig, findings > 0);
-      book_free (rig.book);
-    }
+  resent_play_rows (HOSTS, ENDPOINTS, SETTLED_MS, G_N_ELEMENTS (cases), play);
 }
 
 static const unit_test_t tests[] = {
--- a/tests/test_site_resent_past_silent_relays.c
+++ b/tests/test_site_resent_past_silent_relays.c
@@ -8,8 +8,8 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "tests/resent_job.h"
+#include "tests/resent_rig.h"
 #include "tests/site_rig.h"
-#include "tests/soak/rig_private.h"
 #include "tests/unit_runner.h"
 
 #include <CUnit/CUnit.h>
@@ -19,7 +19,6 @@
 
 #define HOSTS 18
 #define ENDPOINTS 12
-#define ZONES RESENT_ZONES_MAX
 #define RELAYS 2
 #define SETTLED_MS 3000
 #define READY_MAX_MS 5000
@@ -90,25 +89,6 @@
   return found;
 }
 
-/* Restarts both hosts that take requests.  One that has owned endpoints, as any may have at the
- * start, stays connected to all. */
-static void
-restart_actors (rig_t *rig, const actors_t *actors)
-{
-  int64_t until_ms = clock_boot_ms () + READY_MAX_MS;
-  bool ready = false;
-
-  rig_kill_host (rig, actors->first, "killed");
-  rig_kill_host (rig, actors->second, "killed");
-  while (!ready && clock_boot_ms () < until_ms)
-    {
-      clock_sleep_ms (20);
-      rig_watch (rig);
-      ready = rig_is_ready (rig, actors->first) && rig_is_ready (rig, actors->second);
-    }
-  CU_ASSERT_TRUE (ready);
-}
-
 static void
 signal_relays (const rig_t *rig, const actors_t *actors, int number)
 {
@@ -144,30 +124,24 @@
   close (second);
 }
 
+/* Plays ROW when both hosts that take requests were restarted: one that has owned endpoints, as any
+ * may have at the start, stays connected to all. */
 static void
-test_relays (void)
+play_row (rig_t *rig, size_t row)
 {
-  for (size_t row = 0; row < G_N_ELEMENTS (cases); row++)
-    {
-      rig_t rig = { .programs = site_programs (),
-                    .hosts_count = HOSTS,
-                    .endpoints_count = ENDPOINTS,
-                    .zones = ZONES,
-                    .book = book_new () };
-      actors_t actors = { 0 };
+  actors_t actors = { 0 };
 
-      CU_ASSERT_TRUE_FATAL (rig_start (&rig));
-      CU_ASSERT_TRUE_FATAL (find_actors (&rig, &actors));
-      clock_sleep_ms (SETTLED_MS);
-      restart_actors (&rig, &actors);
-      clock_sleep_ms (SETTLED_MS);
-      play (&rig, &actors, row);
-      rig_watch (&rig);
-      int32_t findings = book_check (rig.book, clock_boot_ms ());
-      CU_ASSERT_EQUAL (findings, 0);
-      rig_stop (&rig, findings > 0);
-      book_free (rig.book);
-    }
+  CU_ASSERT_TRUE_FATAL (find_actors (rig, &actors));
+  const int restarted[] = { actors.first, actors.second };
+  CU_ASSERT_TRUE (resent_restart (rig, restarted, G_N_ELEMENTS (restarted), READY_MAX_MS));
+  clock_sleep_ms (SETTLED_MS);
+  play (rig, &actors, row);
+}
+
+static void
+test_relays (void)
+{
+  resent_play_rows (HOSTS, ENDPOINTS, SETTLED_MS, G_N_ELEMENTS (cases), play_row);
 }
 
 static const unit_test_t tests[] = {
--- a/tests/test_site_resent_to_a_stopping_data_centre.c
+++ b/tests/test_site_resent_to_a_stopping_data_centre.c
@@ -5,6 +5,7 @@
  */
 #include "base/clock.h"
 #include "tests/resent_job.h"
+#include "tests/resent_rig.h"
 #include "tests/site_rig.h"
 #include "tests/unit_runner.h"
 
@@ -18,7 +19,6 @@
 #define FIRST_HOST 0
 #define SECOND_HOST 1
 #define STOPPED_ZONE 1
-#define CUT_RULE 1
 #define SETTLED_MS 1000
 #define STOP_MAX_MS 10000
 /* Hosts that have started within this time ask the data centres of all known hosts. */
@@ -36,12 +36,6 @@
   { "told to stop just before the cut", 330, 400 },
 };
 
-static void
-sleep_until (int64_t at_ms)
-{
-  clock_sleep_ms (MAX (at_ms - clock_boot_ms (), 0));
-}
-
 static void
 stop_zone (rig_t *rig)
 {
@@ -49,17 +43,6 @@
     rig_begin (rig, &(plan_fault_t){ .kind = PLAN_STOP_HOST, .target = i });
 }
 
-/* Cuts the hosts of the zone that is stopped from all other hosts. */
-static void
-cut_zone (rig_t *rig)
-{
-  for (int i = STOPPED_ZONE; i < rig->hosts_count; i += rig->zones)
-    for (int k = 0; k < rig->hosts_count; k++)
-      if (k % rig->zones != STOPPED_ZONE)
-        proxy_rule (rig->proxy, CUT_RULE, PROXY_HOLD, rig->hosts[i].name, rig->hosts[k].name, 0,
-                    false);
-}
-
 static void
 play (rig_t *rig, size_t row)
 {
@@ -68,17 +51,17 @@
   int64_t first_ms = clock_boot_ms ();
   int first = resent_job_send (rig, FIRST_HOST, &job);
 
-  sleep_until (first_ms + cases[row].stop_ms);
+  resent_sleep_until (first_ms + cases[row].stop_ms);
   stop_zone (rig);
-  sleep_until (first_ms + cases[row].cut_ms);
+  resent_sleep_until (first_ms + cases[row].cut_ms);
   int32_t trouble = book_trouble (rig->book, clock_boot_ms ());
-  cut_zone (rig);
-  sleep_until (first_ms + AGAIN_MS);
+  resent_cut_hosts (rig, STOPPED_ZONE);
+  resent_sleep_until (first_ms + AGAIN_MS);
   resent_job_broken (rig, FIRST_HOST, &job);
   resent_job_send_on (rig, SECOND_HOST, &job, second);
   site_response_t answer = site_read_response (second, clock_boot_ms () + job.caller_wait_ms);
   resent_job_answered (rig, SECOND_HOST, &job, answer.status, answer.body);
-  proxy_end_rule (rig->proxy, CUT_RULE);
+  proxy_end_rule (rig->proxy, RESENT_CUT_RULE);
   book_trouble_over (rig->book, trouble, clock_boot_ms ());
   printf ("  %s: %d\n", cases[row].name, answer.status);
   close (first);
@@ -88,23 +71,7 @@
 static void
 test_stopping (void)
 {
-  for (size_t row = 0; row < G_N_ELEMENTS (cases); row++)
-    {
-      rig_t rig = { .programs = site_programs (),
-                    .hosts_count = HOSTS,
-                    .endpoints_count = ENDPOINTS,
-                    .zones = ZONES,
-                    .book = book_new () };
-
-      CU_ASSERT_TRUE_FATAL (rig_start (&rig));
-      clock_sleep_ms (OLD_MS);
-      play (&rig, row);
-      rig_watch (&rig);
-      int32_t findings = book_check (rig.book, clock_boot_ms ());
-      CU_ASSERT_EQUAL (findings, 0);
-      rig_stop (&rig, findings > 0);
-      book_free (rig.book);
-    }
+  resent_play_rows (HOSTS, ENDPOINTS, OLD_MS, G_N_ELEMENTS (cases), play);
 }
 
 /* Waits until the hosts of the zone that is stopped have ended. */
--- a/tests/test_site_resent_to_hosts_that_have_lost_all.c
+++ b/tests/test_site_resent_to_hosts_that_have_lost_all.c
@@ -6,8 +6,8 @@
  */
 #include "base/clock.h"
 #include "tests/resent_job.h"
+#include "tests/resent_rig.h"
 #include "tests/site_rig.h"
-#include "tests/soak/rig_private.h"
 #include "tests/unit_runner.h"
 
 #include <CUnit/CUnit.h>
@@ -16,12 +16,10 @@
 
 #define HOSTS 6
 #define ENDPOINTS 6
-#define ZONES RESENT_ZONES_MAX
-#define CUT_RULE 1
 #define CUT_ZONE 1
 #define FIRST_HOST 1
-#define KILLED_ZONE 0
 #define SECOND_HOST 0
+#define NEIGHBOUR 3
 #define SETTLED_MS 3000
 #define READY_MAX_MS 1300
 /* Less than the job takes, so that no host refuses it at once. */
@@ -42,39 +40,8 @@
   { "sent again when no lease from before lasts", 2600 },
 };
 
-static void
-sleep_until (int64_t at_ms)
-{
-  clock_sleep_ms (MAX (at_ms - clock_boot_ms (), 0));
-}
-
-static void
-cut (rig_t *rig)
-{
-  for (int i = CUT_ZONE; i < rig->hosts_count; i += rig->zones)
-    for (int k = 0; k < rig->hosts_count; k++)
-      if (k % rig->zones != CUT_ZONE)
-        proxy_rule (rig->proxy, CUT_RULE, PROXY_HOLD, rig->hosts[i].name, rig->hosts[k].name, 0,
-                    false);
-}
-
-/* Kills all hosts of KILLED_ZONE.  Returns whether they are up again soon. */
-static bool
-restart_zone (rig_t *rig)
-{
-  int64_t until_ms = clock_boot_ms () + READY_MAX_MS;
-  bool ready = false;
-
-  for (int i = KILLED_ZONE; i < rig->hosts_count; i += rig->zones)
-    rig_kill_host (rig, i, "killed");
-  while (!ready && clock_boot_ms () < until_ms)
-    {
-      clock_sleep_ms (5);
-      rig_watch (rig);
-      ready = rig_is_ready (rig, SECOND_HOST);
-    }
-  return ready;
-}
+/* All hosts of the data centre to which the job is sent again. */
+static const int killed[] = { SECOND_HOST, NEIGHBOUR };
 
 static void
 play (rig_t *rig, size_t row)
@@ -83,17 +50,17 @@
   int64_t first_ms = clock_boot_ms ();
   int first = resent_job_send_expecting (rig, FIRST_HOST, &job, EXPECTED_MS);
 
-  sleep_until (first_ms + CUT_MS);
+  resent_sleep_until (first_ms + CUT_MS);
   int32_t trouble = book_trouble (rig->book, clock_boot_ms ());
-  cut (rig);
+  resent_cut_hosts (rig, CUT_ZONE);
   /* Its caller has lost its channel in the cut. */
   resent_job_broken (rig, FIRST_HOST, &job);
-  sleep_until (first_ms + KILLED_MS);
-  CU_ASSERT_TRUE (restart_zone (rig));
-  sleep_until (first_ms + cases[row].again_ms);
+  resent_sleep_until (first_ms + KILLED_MS);
+  CU_ASSERT_TRUE (resent_restart (rig, killed, G_N_ELEMENTS (killed), READY_MAX_MS));
+  resent_sleep_until (first_ms + cases[row].again_ms);
   int second = resent_job_send_expecting (rig, SECOND_HOST, &job, EXPECTED_MS);
-  sleep_until (first_ms + CUT_ENDS_MS);
-  proxy_end_rule (rig->proxy, CUT_RULE);
+  resent_sleep_until (first_ms + CUT_ENDS_MS);
+  proxy_end_rule (rig->proxy, RESENT_CUT_RULE);
   site_response_t answer = site_read_response (second, clock_boot_ms () + job.caller_wait_ms);
   resent_job_answered (rig, SECOND_HOST, &job, answer.status, answer.body);
   book_trouble_over (rig->book, trouble, clock_boot_ms ());
@@ -105,23 +72,7 @@
 static void
 test_lost (void)
 {
-  for (size_t row = 0; row < G_N_ELEMENTS (cases); row++)
-    {
-      rig_t rig = { .programs = site_programs (),
-                    .hosts_count = HOSTS,
-                    .endpoints_count = ENDPOINTS,
-                    .zones = ZONES,
-                    .book = book_new () };
-
-      CU_ASSERT_TRUE_FATAL (rig_start (&rig));
-      clock_sleep_ms (SETTLED_MS);
-      play (&rig, row);
-      rig_watch (&rig);
-      int32_t findings = book_check (rig.book, clock_boot_ms ());
-      CU_ASSERT_EQUAL (findings, 0);
-      rig_stop (&rig, findings > 0);
-      book_free (rig.book);
-    }
+  resent_play_rows (HOSTS, ENDPOINTS, SETTLED_MS, G_N_ELEMENTS (cases), play);
 }
 
 static const unit_test_t tests[] = {
--- a/tests/test_site_resent_while_it_waits_in_a_cut.c
+++ b/tests/test_site_resent_while_it_waits_in_a_cut.c
@@ -4,6 +4,7 @@
  */
 #include "base/clock.h"
 #include "tests/resent_job.h"
+#include "tests/resent_rig.h"
 #include "tests/site_rig.h"
 #include "tests/soak/rig_private.h"
 #include "tests/unit_runner.h"
@@ -14,8 +15,6 @@
 
 #define HOSTS 6
 #define ENDPOINTS 6
-#define ZONES RESENT_ZONES_MAX
-#define CUT_RULE 1
 #define CUT_ZONE 1
 #define FIRST_HOST 0
 #define IN_CUT 1
@@ -47,22 +46,6 @@
   { "150 ms later", 2650 },
 };
 
-static void
-sleep_until (int64_t at_ms)
-{
-  clock_sleep_ms (MAX (at_ms - clock_boot_ms (), 0));
-}
-
-static void
-cut (rig_t *rig)
-{
-  for (int i = CUT_ZONE; i < rig->hosts_count; i += rig->zones)
-    for (int k = 0; k < rig->hosts_count; k++)
-      if (k % rig->zones != CUT_ZONE)
-        proxy_rule (rig->proxy, CUT_RULE, PROXY_HOLD, rig->hosts[i].name, rig->hosts[k].name, 0,
-                    false);
-}
-
 /* Kills both hosts of the first data centre, and starts them again.  Returns when that was. */
 static int64_t
 restart_first_zone (rig_t *rig)
@@ -87,19 +70,19 @@
   int64_t first_ms = clock_boot_ms ();
   int first = resent_job_send_expecting (rig, FIRST_HOST, &job, EXPECTED_MS);
 
-  sleep_until (first_ms + CUT_MS);
+  resent_sleep_until (first_ms + CUT_MS);
   int32_t trouble = book_trouble (rig->book, clock_boot_ms ());
-  cut (rig);
-  sleep_until (first_ms + SECOND_MS);
+  resent_cut_hosts (rig, CUT_ZONE);
+  resent_sleep_until (first_ms + SECOND_MS);
   int second = resent_job_send_expecting (rig, IN_CUT, &job, EXPECTED_MS);
-  sleep_until (first_ms + cases[row].killed_ms);
+  resent_sleep_until (first_ms + cases[row].killed_ms);
   /* Its caller leaves without a sign that the host sees. */
   resent_job_broken (rig, IN_CUT, &job);
   int64_t started_ms = restart_first_zone (rig);
-  sleep_until (started_ms + THIRD_AFTER_MS);
+  resent_sleep_until (started_ms + THIRD_AFTER_MS);
   int third = resent_job_send_expecting (rig, OUTSIDE, &job, EXPECTED_MS);
   clock_sleep_ms (CUT_ENDS_AFTER_MS);
-  proxy_end_rule (rig->proxy, CUT_RULE);
+  proxy_end_rule (rig->proxy, RESENT_CUT_RULE);
   site_response_t answer = site_read_response (third, clock_boot_ms () + job.caller_wait_ms);
   resent_job_answered (rig, OUTSIDE, &job, answer.status, answer.body);
   book_trouble_over (rig->book, trouble, clock_boot_ms ());
@@ -112,23 +95,7 @@
 static void
 test_waits (void)
 {
-  for (size_t row = 0; row < G_N_ELEMENTS (cases); row++)
-    {
-      rig_t rig = { .programs = site_programs (),
-                    .hosts_count = HOSTS,
-                    .endpoints_count = ENDPOINTS,
-                    .zones = ZONES,
-                    .book = book_new () };
-
-      CU_ASSERT_TRUE_FATAL (rig_start (&rig));
-      clock_sleep_ms (SETTLED_MS);
-      play (&rig, row);
-      rig_watch (&rig);
-      int32_t findings = book_check (rig.book, clock_boot_ms ());
-      CU_ASSERT_EQUAL (findings, 0);
-      rig_stop (&rig, findings > 0);
-      book_free (rig.book);
-    }
+  resent_play_rows (HOSTS, ENDPOINTS, SETTLED_MS, G_N_ELEMENTS (cases), play);
 }
 
 static const unit_test_t tests[] = {
