A job is registered with the hubs of its data centre before it starts

Reproduced: a host that has just taken a job is killed while its caller's channel is open; the caller tries again at another host of the data centre, which has not heard of the job, as hosts tell of a job after 390 ms; its runs start while the owners of the first ones have not lost the first host yet.

Cause: a start rested on when a caller comes again. Now a host registers each job with the hubs of its data centre that it hears and starts nothing before more than half of them have confirmed. Two majorities share a hub, which tells the second host of the first one; the request then waits as one of an announced job does. The registry is in the memory of hosts that are connected anyway, and outlives the loss of any of them (docs/design/job-registry.md: the owner of the shard as the one home was weighed, and not taken).

--- a/daemon/site.c
+++ b/daemon/site.c
@@ -399,6 +399,8 @@
   if (log_client_is_listed (site->log_client))
     scheduler_set_shards_listed (site->scheduler);
   log_client_tick (site->log_client, now_ms);
+  if (site->settings->resubmit_after_ms > 0)
+    repeats_update_registrars (site);
   scheduler_step (site->scheduler, now_ms, site->scheduler_actions);
   site_run_scheduler_actions (site);
   owner_run_rounds (site, true);
@@ -526,6 +528,8 @@
   site->directory = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, site_free_entry);
   site->removed_entries = removed_entries_new ();
   site->connections = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  site->registrars = g_hash_table_new (NULL, NULL);
+  g_hash_table_add (site->registrars, (void *) site->host);
   site->known_hosts = g_hash_table_new_full (NULL, NULL, NULL, peers_free_host);
   site->follows_directory = true;
   site->cluster_actions = g_array_new (FALSE, FALSE, sizeof (cluster_action_t));
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -107,9 +107,10 @@
   GHashTable *running_in_drained; /* interned data centre -> drain_running_t */
   GHashTable *directory;          /* endpoint id -> executor_entry_t */
   removed_entries_t *removed_entries;
-  GHashTable *connections;                /* interned host -> peer_connection_t */
-  GHashTable *known_hosts;                /* interned host -> known_host_t */
-  GArray *cluster_actions;                /* cluster_action_t that have not been carried out */
+  GHashTable *connections; /* interned host -> peer_connection_t */
+  GHashTable *known_hosts; /* interned host -> known_host_t */
+  GHashTable *registrars;  /* set of interned hosts of this data centre that answer registrations */
+  GArray *cluster_actions; /* cluster_action_t that have not been carried out */
   GArray *scheduler_actions;              /* likewise, scheduler_action_t */
   job_cancellations_t *job_cancellations; /* its waiters are cancel_waiter_t */
   crash_history_t *crashes;               /* shared by the executors of this host */
@@ -249,10 +250,12 @@
 void cancel_tick (site_t *site, int64_t now_ms);
 
 /* site_repeats.c: jobs that callers may send to more than one host */
-/* Carry out SCHEDULER_NOTE, SCHEDULER_ASK, SCHEDULER_TELL and SCHEDULER_ASK_OWNER. */
+/* Carry out SCHEDULER_NOTE, SCHEDULER_ASK, SCHEDULER_TELL, SCHEDULER_REGISTER and
+ * SCHEDULER_ASK_OWNER. */
 void repeats_log (const scheduler_action_t *action);
 void repeats_ask (site_t *site, const scheduler_action_t *action);
 void repeats_tell (site_t *site, const scheduler_action_t *action);
+void repeats_register (site_t *site, const scheduler_action_t *action);
 void repeats_ask_owner (site_t *site, const scheduler_action_t *action);
 /* Handlers of frames that HOST has sent. */
 void repeats_read_statuses (site_t *site, const char *host, frame_reader_t *reader);
@@ -263,7 +266,12 @@
 void repeats_read_told (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_all_told (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_tell_all (site_t *site, const char *host, frame_reader_t *reader);
+void repeats_read_registrar (site_t *site, const char *host, frame_reader_t *reader);
+void repeats_read_register (site_t *site, const char *host, frame_reader_t *reader);
+void repeats_read_registered (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_told_ack (site_t *site, const char *host, frame_reader_t *reader);
+/* Tells the scheduler which hosts register jobs now. */
+void repeats_update_registrars (site_t *site);
 /* A connection to HOST was opened. */
 void repeats_host_connected (site_t *site, const char *host);
 /* HOST, which is interned, was lost: its data centre is told the open jobs of this host again, and,
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -143,6 +143,7 @@
       job->holder = remote->host;
       job->asked_since_ms = now_ms;
       job->ask_at_ms = now_ms;
+      job->ask_owners_at_ms = now_ms;
     }
   if (now_ms < job->ask_at_ms || remote->host == scheduler->host)
     return;
@@ -153,6 +154,22 @@
     remote_jobs_foreach_host (scheduler->remote_jobs, question.id, now_ms, ask_other, &question);
 }
 
+/* JOB waits from now on for the host of REMOTE. */
+static void
+found_elsewhere (scheduler_t *scheduler,
+                 scheduled_job_t *job,
+                 const remote_job_t *remote,
+                 int64_t now_ms,
+                 GArray *actions)
+{
+  bool open = remote->over_at_ms == INT64_MAX;
+
+  job->may_have_run = true;
+  note (scheduler, job->request.id, remote->host,
+        open ? SCHEDULER_FOUND_OPEN : SCHEDULER_FOUND_STOPPING, remote->evidence,
+        now_ms - remote->learned_at_ms, actions);
+}
+
 bool
 repeats_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
@@ -160,12 +177,8 @@
 
   if (remote == NULL)
     return false;
-  bool open = remote->over_at_ms == INT64_MAX;
   job->waits_since_ms = now_ms;
-  job->may_have_run = true;
-  note (scheduler, job->request.id, remote->host,
-        open ? SCHEDULER_FOUND_OPEN : SCHEDULER_FOUND_STOPPING, remote->evidence,
-        now_ms - remote->learned_at_ms, actions);
+  found_elsewhere (scheduler, job, remote, now_ms, actions);
   ask (scheduler, job, remote, now_ms, actions);
   return true;
 }
@@ -196,6 +209,7 @@
     job->request.start_by_ms += now_ms - job->waits_since_ms;
   job->waits_since_ms = 0;
   job->announce_again = job->announced;
+  job->register_again = job->holder != NULL;
   scheduler_start_job (scheduler, job, now_ms, actions);
 }
 
@@ -227,6 +241,7 @@
   if (remote != NULL && remote->unheard && lost_host_runs_are_over (scheduler, job, remote, now_ms))
     {
       job->waited_by = JOB_EVIDENCE_OWNERS;
+      g_ptr_array_add (job->cleared_hosts, (void *) remote->host);
       remote_jobs_ended (scheduler->remote_jobs, id, remote->host, JOB_EVIDENCE_OWNERS, now_ms,
                          now_ms);
       return remote_jobs_find (scheduler->remote_jobs, id, now_ms);
@@ -240,7 +255,8 @@
 static bool
 is_held (scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
 {
-  return !scheduler_is_warm (scheduler, now_ms) || late_request_is_held (scheduler, job, now_ms);
+  return !job_registry_is_confirmed (scheduler, job) || !scheduler_is_warm (scheduler, now_ms)
+         || late_request_is_held (scheduler, job, now_ms);
 }
 
 void
@@ -249,6 +265,7 @@
   const remote_job_t *remote = current_holder (scheduler, job, now_ms, actions);
 
   unannounced_step_waiting (scheduler, job, now_ms);
+  job_registry_step (scheduler, job, remote != NULL, now_ms, actions);
   if (now_ms >= job->request.deadline_at_ms)
     scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, job->deadline_limit,
                        "another host may be running it", now_ms, actions);
@@ -256,6 +273,8 @@
     start_waiting (scheduler, job, now_ms, actions);
   else if (remote != NULL)
     {
+      if (job->holder == NULL)
+        found_elsewhere (scheduler, job, remote, now_ms, actions);
       ask (scheduler, job, remote, now_ms, actions);
       if (remote->unheard)
         lost_host_ask_owners (scheduler, job, remote, now_ms, actions);
@@ -284,10 +303,8 @@
   ask (scheduler, job, remote, now_ms, actions);
 }
 
-/* Whether owners may start tasks of JOB anew: an owner was lost, or has lost this host, since its
- * tasks were sent. */
-static bool
-was_moved (const scheduled_job_t *job)
+bool
+repeats_was_moved (const scheduled_job_t *job)
 {
   for (guint i = 0; i < job->batches->len; i++)
     if (((const job_batch_t *) job->batches->pdata[i])->maybe_running)
@@ -300,7 +317,7 @@
 static bool
 yields_to (const scheduler_t *scheduler, const scheduled_job_t *job, const char *host)
 {
-  return was_moved (job) || strcmp (scheduler->host, host) > 0;
+  return repeats_was_moved (job) || strcmp (scheduler->host, host) > 0;
 }
 
 static void
@@ -388,12 +405,18 @@
     told_outcome (scheduler, host, status->id, outcomes[status->kind], now_ms, actions);
 }
 
+void
+scheduler_job_unheard (scheduler_t *scheduler, const char *id, const char *host)
+{
+  remote_jobs_host_silent (scheduler->remote_jobs, id, host);
+}
+
 /* --- what this host tells --- */
 
 static job_status_t
 open_status (const scheduled_job_t *job)
 {
-  bool runs = job->waits_since_ms == 0 && !was_moved (job);
+  bool runs = job->waits_since_ms == 0 && !repeats_was_moved (job);
   job_status_kind_t kind = runs ? JOB_STATUS_OPEN : JOB_STATUS_WAITING;
 
   return (job_status_t){ job->request.id, kind, job->request.deadline_at_ms };
@@ -485,7 +508,10 @@
                   GArray *actions)
 {
   bool may_run_on = outcome == SCHEDULER_GIVEN_UP && job->was_sent && scheduler->resubmit_ms > 0;
-  int64_t runs_end_ms = may_run_on ? now_ms + scheduler->resubmit_ms : now_ms;
+  /* Runs of an earlier request here may go on, too. */
+  int64_t earlier_end_ms =
+      remote_jobs_over_at (scheduler->remote_jobs, job->request.id, scheduler->host, now_ms);
+  int64_t runs_end_ms = may_run_on ? now_ms + scheduler->resubmit_ms : MAX (now_ms, earlier_end_ms);
   job_status_t status = ended_status (job->request.id, outcome, runs_end_ms);
 
   if (may_run_on)
@@ -493,6 +519,8 @@
                        runs_end_ms, now_ms);
   for (guint i = 0; i < job->followers->len; i++)
     tell (scheduler, g_array_index (job->followers, job_follower_t, i).host, &status, actions);
+  if (!job->announced)
+    job_registry_add_end (scheduler, &status);
   if (!job->announced || scheduler->untold_ends->len >= UNTOLD_ENDS_MAX)
     return;
   status.id = g_strdup (status.id);
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -56,21 +56,26 @@
 struct scheduled_job_t
 {
   uint64_t number;
-  scheduler_job_t request; /* of its first request; its strings are copies that the job owns */
-  GPtrArray *requests;     /* job_request_t, owned by scheduler_t */
-  GArray *followers;       /* job_follower_t */
-  bool announced;          /* other hosts were told of it */
-  int64_t announced_at_ms; /* ANNOUNCED: when */
-  bool announce_again;     /* its announcement says that it waits, but it runs now */
-  bool confirmed;          /* all other data centres have confirmed the announcement, for good */
-  bool confirmed_late;     /* it waited, and was confirmed too late, or not: it never starts */
-  bool goes_on_logged;     /* SCHEDULER_GOES_ON was appended for it */
-  int64_t waits_since_ms;  /* it is not run, as another host may run it; 0 if it does not wait */
-  int64_t held_until_ms;   /* it waits until then, although no host is known to have it... */
-  int64_t told_until_ms;   /* ...and at most until then while others may not have told their jobs */
-  const char *holder;      /* it waits: the host that is asked; interned */
-  int64_t asked_since_ms;  /* HOLDER is asked since then */
-  int64_t ask_at_ms;       /* it is asked again then */
+  scheduler_job_t request;  /* of its first request; its strings are copies that the job owns */
+  GPtrArray *requests;      /* job_request_t, owned by scheduler_t */
+  GArray *followers;        /* job_follower_t */
+  bool announced;           /* other hosts were told of it */
+  int64_t announced_at_ms;  /* ANNOUNCED: when */
+  bool announce_again;      /* its announcement says that it waits, but it runs now */
+  bool confirmed;           /* all other data centres have confirmed the announcement, for good */
+  GPtrArray *confirmed_by;  /* registrars that have confirmed it; interned */
+  GPtrArray *cleared_hosts; /* not heard, and owners have said that they have no run for them;
+                               interned */
+  int64_t register_at_ms;   /* it waits, and is registered again then */
+  bool register_again;      /* it runs after it has waited, or anew: registrars should be told */
+  bool confirmed_late;      /* it waited, and was confirmed too late, or not: it never starts */
+  bool goes_on_logged;      /* SCHEDULER_GOES_ON was appended for it */
+  int64_t waits_since_ms;   /* it is not run, as another host may run it; 0 if it does not wait */
+  int64_t held_until_ms;    /* it waits until then, although no host is known to have it... */
+  int64_t told_until_ms;  /* ...and at most until then while others may not have told their jobs */
+  const char *holder;     /* it waits: the host that is asked; interned */
+  int64_t asked_since_ms; /* HOLDER is asked since then */
+  int64_t ask_at_ms;      /* it is asked again then */
   job_evidence_t waited_by; /* it waited until now because of that */
   int64_t ask_owners_at_ms; /* HOLDER is not heard: owners are asked again then */
   GArray *owner_replies;    /* owner_reply_t, one for each shard */
@@ -157,9 +162,12 @@
   GHashTable *jobs_by_id;    /* id -> scheduled_job_t */
   GHashTable *requests;      /* number -> job_request_t, owned */
   remote_jobs_t *remote_jobs;
-  int64_t told_at_ms;          /* as in scheduler_set_told_at () */
-  GArray *unreached;           /* scheduler_unreached_t */
-  int64_t confirmed_at_ms;     /* as in scheduler_set_confirmed_at () */
+  GPtrArray *registrars;        /* interned hosts; NULL if jobs are not registered */
+  GArray *registered_ends;      /* job_status_t with own ids: ends that registrars should be told */
+  GArray *told_registered_ends; /* the same, of the last call that collected them */
+  int64_t told_at_ms;           /* as in scheduler_set_told_at () */
+  GArray *unreached;            /* scheduler_unreached_t */
+  int64_t confirmed_at_ms;      /* as in scheduler_set_confirmed_at () */
   GArray *untold_ends;         /* job_status_t with own ids: ends that other hosts should be told */
   GArray *told_ends;           /* the same, of the last call of scheduler_collect_statuses () */
   int64_t expire_remote_at_ms; /* when REMOTE_JOBS is searched for expired entries next */
@@ -317,12 +325,41 @@
  * whether it waits. */
 bool repeats_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
 
+/* job_registry.c: registers the new JOB, and makes it wait until a majority of the registrars has
+ * confirmed it.  Returns whether it waits. */
+bool
+job_registry_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
+
+/* job_registry.c: whether a majority of the registrars has confirmed JOB, or had before it was
+ * sent.
+ */
+bool job_registry_is_confirmed (const scheduler_t *scheduler, const scheduled_job_t *job);
+
+/* job_registry.c: registers JOB, which waits, again if that is due: with those that have not
+ * confirmed it, or, if another host has it, with all, which may know more of that host by now. */
+void job_registry_step (scheduler_t *scheduler,
+                        scheduled_job_t *job,
+                        bool is_elsewhere,
+                        int64_t now_ms,
+                        GArray *actions);
+
+/* job_registry.c: tells the registrars once that JOB runs here although another host had it, or
+ * that its tasks start anew: they tell which other host runs it. */
+void job_registry_step_running (scheduler_t *scheduler, scheduled_job_t *job, GArray *actions);
+
+/* job_registry.c: JOB has ended with STATUS, which the registrars should be told. */
+void job_registry_add_end (scheduler_t *scheduler, const job_status_t *status);
+
 /* repeats.c: asks, goes on waiting, or starts JOB, which waits. */
 void repeats_step_waiting (scheduler_t *scheduler,
                            scheduled_job_t *job,
                            int64_t now_ms,
                            GArray *actions);
 
+/* repeats.c: whether owners may start tasks of JOB anew: an owner was lost, or has lost this host,
+ * since its tasks were sent. */
+bool repeats_was_moved (const scheduled_job_t *job);
+
 /* repeats.c: whether a caller waits for JOB, here or at another host. */
 bool repeats_is_wanted (const scheduled_job_t *job, int64_t now_ms);
 
