A confirmation counts for the request that it was asked for alone

A model that plays all orders of messages (test_job_registry_orders) found it: a caller leaves and comes again to the same host while the end of the first request is on its way; the registrar's answer to the first registration counts for the second one, which the registrar has not read yet and so can't name to another host.

--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -119,7 +119,8 @@
 void
 repeats_register (site_t *site, const scheduler_action_t *action)
 {
-  send_question (site, action->host, job_msg_register (&action->status, clock_boot_ms ()));
+  send_question (site, action->host,
+                 job_msg_register (&action->status, action->registration, clock_boot_ms ()));
 }
 
 void
@@ -515,11 +516,13 @@
   GArray *claims = g_array_new (FALSE, FALSE, sizeof (job_claim_t));
   int64_t now_ms = clock_boot_ms ();
   job_status_t status = { 0 };
+  uint64_t number = 0;
 
-  if (job_msg_read_register (reader, now_ms, &status) == 0)
+  if (job_msg_read_register (reader, now_ms, &status, &number) == 0)
     {
       bool confirmed = scheduler_register (site->scheduler, host, &status, now_ms, claims);
-      peers_send (site, host, job_msg_registered (status.id, confirmed, claims, now_ms));
+      peers_send (site, host,
+                  job_msg_registered (status.id, confirmed ? number : 0, claims, now_ms));
     }
   g_free ((char *) status.id);
   g_array_unref (claims);
@@ -530,7 +533,7 @@
 {
   GArray *claims = g_array_new (FALSE, FALSE, sizeof (job_claim_t));
   int64_t now_ms = clock_boot_ms ();
-  bool confirmed = false;
+  uint64_t confirmed = 0;
   char *id = NULL;
 
   if (job_msg_read_registered (reader, now_ms, &id, &confirmed, claims) == 0)
@@ -541,8 +544,9 @@
           claim->unheard |= is_told_of_lost (site, host, claim->host);
           scheduler_job_claimed (site->scheduler, id, claim, now_ms, site->scheduler_actions);
         }
-      if (confirmed)
-        scheduler_job_registered (site->scheduler, host, id, now_ms, site->scheduler_actions);
+      if (confirmed != 0)
+        scheduler_job_registered (site->scheduler, host, id, confirmed, now_ms,
+                                  site->scheduler_actions);
       site_run_scheduler_actions (site);
     }
   g_free (id);
--- a/lib/scheduler/job_registry.c
+++ b/lib/scheduler/job_registry.c
@@ -53,6 +53,7 @@
   action->status.id = action->job_id;
   action->status.kind = status_kind (job);
   action->status.until_ms = job->request.deadline_at_ms;
+  action->registration = job->number;
 }
 
 /* Registers JOB with all registrars but this host; with UNCONFIRMED, with those that have not
@@ -204,13 +205,14 @@
 scheduler_job_registered (scheduler_t *scheduler,
                           const char *host,
                           const char *id,
+                          uint64_t number,
                           int64_t now_ms,
                           GArray *actions)
 {
   scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
   const char *interned = g_intern_string (host);
 
-  if (job == NULL || has_confirmed (job, interned))
+  if (job == NULL || job->number != number || has_confirmed (job, interned))
     return;
   g_ptr_array_add (job->confirmed_by, (void *) interned);
   if (job->waits_since_ms != 0 && !job->end_pending && job_registry_is_confirmed (scheduler, job))
--- a/lib/scheduler/job_status_msg.c
+++ b/lib/scheduler/job_status_msg.c
@@ -151,33 +151,38 @@
 }
 
 GBytes *
-job_msg_register (const job_status_t *status, int64_t now_ms)
+job_msg_register (const job_status_t *status, uint64_t number, int64_t now_ms)
 {
   frame_writer_t *writer = frame_begin (JOB_MSG_REGISTER);
 
   frame_put_string (writer, status->id);
   frame_put_uint (writer, status->kind);
   put_time_left (writer, status->until_ms, now_ms);
+  frame_put_uint (writer, number);
   return frame_finish (writer);
 }
 
 int
-job_msg_read_register (frame_reader_t *reader, int64_t now_ms, job_status_t *status)
+job_msg_read_register (frame_reader_t *reader,
+                       int64_t now_ms,
+                       job_status_t *status,
+                       uint64_t *number)
 {
   status->id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
   status->kind = (job_status_kind_t) frame_get_range (reader, 0, JOB_STATUS_WAITING);
   status->until_ms = get_time_left (reader, now_ms);
+  *number = frame_get_uint (reader);
   return frame_ok (reader) && status->id != NULL ? 0 : ERROR_PROTOCOL;
 }
 
 GBytes *
-job_msg_registered (const char *id, bool confirmed, const GArray *claims, int64_t now_ms)
+job_msg_registered (const char *id, uint64_t confirmed, const GArray *claims, int64_t now_ms)
 {
   frame_writer_t *writer = frame_begin (JOB_MSG_REGISTERED);
   guint count = MIN (claims->len, JOB_CLAIMS_MAX);
 
   frame_put_string (writer, id);
-  frame_put_bool (writer, confirmed);
+  frame_put_uint (writer, confirmed);
   frame_put_count (writer, count);
   for (guint i = 0; i < count; i++)
     {
@@ -194,11 +199,11 @@
 job_msg_read_registered (frame_reader_t *reader,
                          int64_t now_ms,
                          char **id,
-                         bool *confirmed,
+                         uint64_t *confirmed,
                          GArray *claims)
 {
   *id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
-  *confirmed = frame_get_bool (reader);
+  *confirmed = frame_get_uint (reader);
   size_t count = frame_get_count (reader, JOB_CLAIMS_MAX);
   bool complete = *id != NULL;
 
--- a/lib/scheduler/job_status_msg.h
+++ b/lib/scheduler/job_status_msg.h
@@ -69,21 +69,26 @@
 /* The job of STATUS, of kind JOB_STATUS_OPEN or JOB_STATUS_WAITING, is registered with the
  * receiver.
  */
-GBytes *job_msg_register (const job_status_t *status, int64_t now_ms);
+GBytes *job_msg_register (const job_status_t *status, uint64_t number, int64_t now_ms);
 /* The caller frees the id of *STATUS. */
-int job_msg_read_register (frame_reader_t *reader, int64_t now_ms, job_status_t *status);
+int job_msg_read_register (frame_reader_t *reader,
+                           int64_t now_ms,
+                           job_status_t *status,
+                           uint64_t *number);
 
 /* Most other hosts that a registrar names. */
 #define JOB_CLAIMS_MAX 64
 
 /* What a registrar knows of the job with ID: CLAIMS, job_claim_t, of which JOB_CLAIMS_MAX are sent.
- * CONFIRMED: it has recorded the job and knows what its data centre was told. */
-GBytes *job_msg_registered (const char *id, bool confirmed, const GArray *claims, int64_t now_ms);
+ * CONFIRMED: the number of the registration, if the registrar has recorded the job and knows what
+ * its data centre was told; else 0. */
+GBytes *
+job_msg_registered (const char *id, uint64_t confirmed, const GArray *claims, int64_t now_ms);
 /* The caller frees *ID.  Appends claims with interned hosts. */
 int job_msg_read_registered (frame_reader_t *reader,
                              int64_t now_ms,
                              char **id,
-                             bool *confirmed,
+                             uint64_t *confirmed,
                              GArray *claims);
 
 /* Runs of the job with ID for HOLDER in SHARD.  TOKEN is that of the sender's claim on SHARD, and 0
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -138,6 +138,7 @@
   executor_batch_t batch;      /* SCHEDULER_SUBMIT; its strings belong to the scheduler */
   GArray *task_indexes;        /* SCHEDULER_SUBMIT: int32_t; the receiver of the action unrefs it */
   job_status_t status;         /* SCHEDULER_TELL, SCHEDULER_REGISTER; its id is JOB_ID */
+  uint64_t registration;       /* SCHEDULER_REGISTER: which registrars return */
   scheduler_finding_t finding; /* SCHEDULER_NOTE */
   job_evidence_t evidence;     /* SCHEDULER_NOTE: what FINDING rests on */
   int64_t age_ms;              /* SCHEDULER_NOTE; SCHEDULER_GOES_ON: since it was received */
@@ -244,11 +245,12 @@
 /* Registers all open jobs with HOST, which may have lost what it was told. */
 void scheduler_register_all (scheduler_t *scheduler, const char *host, GArray *actions);
 
-/* HOST, a registrar, has recorded the job with ID.  To be called after scheduler_job_claimed () for
- * all that it knows of others that have the job. */
+/* HOST, a registrar, has recorded the job with ID, as registration NUMBER has asked.  To be called
+ * after scheduler_job_claimed () for all that it knows of others that have the job. */
 void scheduler_job_registered (scheduler_t *scheduler,
                                const char *host,
                                const char *id,
+                               uint64_t number,
                                int64_t now_ms,
                                GArray *actions);
 
@@ -260,8 +262,8 @@
                             GArray *actions);
 
 /* HOST is about to start the job of STATUS, and registers it with this host.  Appends to CLAIMS,
- * job_claim_t with interned hosts, what is known of others that have it.  Returns whether this host
- * confirms: not before it knows what earlier processes were told. */
+ * job_claim_t with interned hosts, what is known of others that have it.  Returns the number in
+ * STATUS if this host confirms; 0 as long as it does not know what earlier processes were told. */
 bool scheduler_register (scheduler_t *scheduler,
                          const char *host,
                          const job_status_t *status,
--- a/tests/test_job_registry.c
+++ b/tests/test_job_registry.c
@@ -7,6 +7,8 @@
 #include <CUnit/CUnit.h>
 
 #define ID "00000000000000a1"
+/* Of the first job of a scheduler. */
+#define NUMBER 1
 #define RESUBMIT_MS 1300
 #define CALLER_WAIT_MS 6000
 #define RECEIVED_AT_MS 1000
@@ -91,7 +93,7 @@
       set_registrars (scheduler, event->host, actions);
       break;
     case CONFIRMS:
-      scheduler_job_registered (scheduler, event->host, ID, now_ms, actions);
+      scheduler_job_registered (scheduler, event->host, ID, NUMBER, now_ms, actions);
       break;
     case NAMES_WAITING:
       name_host (scheduler, event->host, JOB_STATUS_WAITING, DEADLINE_MS, false, now_ms, actions);
--- a/tests/test_job_registry_lost_hosts.c
+++ b/tests/test_job_registry_lost_hosts.c
@@ -74,7 +74,8 @@
     scheduler_job_claimed (from->scheduler, JOB, &g_array_index (claims, job_claim_t, i),
                            world->now_ms, from->actions);
   if (confirmed)
-    scheduler_job_registered (from->scheduler, to->name, JOB, world->now_ms, from->actions);
+    scheduler_job_registered (from->scheduler, to->name, JOB, action->registration, world->now_ms,
+                              from->actions);
   g_array_unref (claims);
 }
 
--- a/tests/test_job_registry_orders.c
+++ b/tests/test_job_registry_orders.c
@@ -94,8 +94,9 @@
 {
   kind_t kind;
   job_status_t status; /* REGISTER, TELL */
-  bool confirmed;      /* REGISTERED */
-  GArray *claims;      /* REGISTERED */
+  bool confirmed;
+  uint64_t number; /* REGISTERED */
+  GArray *claims;  /* REGISTERED */
 } message_t;
 
 typedef struct
@@ -190,7 +191,10 @@
         scheduler_runs_over (model->schedulers[host], ID, action->holder, action->shard, 1,
                              model->now_ms);
       if (action->kind == SCHEDULER_REGISTER)
-        message.kind = MESSAGE_REGISTER;
+        {
+          message.kind = MESSAGE_REGISTER;
+          message.number = action->registration;
+        }
       else if (action->kind == SCHEDULER_ASK)
         message.kind = MESSAGE_ASK;
       else if (action->kind == SCHEDULER_TELL)
@@ -319,6 +323,7 @@
   if (message->kind == MESSAGE_REGISTER)
     {
       message_t reply = { .kind = MESSAGE_REGISTERED,
+                          .number = message->number,
                           .claims = g_array_new (FALSE, FALSE, sizeof (job_claim_t)) };
       reply.confirmed =
           scheduler_register (scheduler, sender, &message->status, model->now_ms, reply.claims);
@@ -330,7 +335,8 @@
         scheduler_job_claimed (scheduler, ID, &g_array_index (message->claims, job_claim_t, i),
                                model->now_ms, model->actions[to]);
       if (message->confirmed)
-        scheduler_job_registered (scheduler, sender, ID, model->now_ms, model->actions[to]);
+        scheduler_job_registered (scheduler, sender, ID, message->number, model->now_ms,
+                                  model->actions[to]);
     }
   else if (message->kind == MESSAGE_ASK)
     scheduler_job_asked (scheduler, sender, ID, model->now_ms, model->actions[to]);
--- a/tests/test_job_repeats.c
+++ b/tests/test_job_repeats.c
@@ -8,6 +8,7 @@
 #include <CUnit/CUnit.h>
 
 #define ID "00000000000000a1"
+#define NUMBER 7
 #define RESUBMIT_MS 1300
 #define CALLER_WAIT_MS 6000
 #define LEASE_MS 1000
@@ -823,7 +824,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     {
       GBytes *frame =
-          job_msg_register (&(job_status_t){ ID, rows[i].kind, rows[i].until_ms }, 1000);
+          job_msg_register (&(job_status_t){ ID, rows[i].kind, rows[i].until_ms }, NUMBER, 1000);
       gsize size = 0;
       const char *data = (const char *) g_bytes_get_data (frame, &size) + FRAME_LENGTH_BYTES;
       size -= FRAME_LENGTH_BYTES;
@@ -831,15 +832,17 @@
         {
           frame_reader_t *reader = NULL;
           job_status_t status = { 0 };
+          uint64_t number = 0;
           if (frame_parse (data, size - cut, &reader) != 0)
             continue;
-          CU_ASSERT_EQUAL (job_msg_read_register (reader, 2000, &status) == 0,
+          CU_ASSERT_EQUAL (job_msg_read_register (reader, 2000, &status, &number) == 0,
                            cut == 0 && rows[i].read);
           if (cut == 0 && rows[i].read)
             {
               CU_ASSERT_STRING_EQUAL (status.id, ID);
               CU_ASSERT_EQUAL (status.kind, rows[i].kind);
               CU_ASSERT_EQUAL (status.until_ms, rows[i].read_until_ms);
+              CU_ASSERT_EQUAL (number, NUMBER);
             }
           g_free ((char *) status.id);
           frame_reader_free (reader);
@@ -870,16 +873,16 @@
   {
     guint claims;
     job_status_kind_t kind;
-    bool confirmed;
+    uint64_t confirmed;
     bool read;
     guint claims_read;
   } rows[] = {
-    { 0, JOB_STATUS_WAITING, true, true, 0 },
-    { 2, JOB_STATUS_WAITING, false, true, 2 },
-    { 2, JOB_STATUS_STOPPED, true, true, 2 },
-    { JOB_CLAIMS_MAX, JOB_STATUS_OPEN, true, true, JOB_CLAIMS_MAX },
-    { JOB_CLAIMS_MAX + 1, JOB_STATUS_OPEN, true, true, JOB_CLAIMS_MAX },
-    { 1, JOB_STATUS_LAST + 1, true, false, 0 },
+    { 0, JOB_STATUS_WAITING, NUMBER, true, 0 },
+    { 2, JOB_STATUS_WAITING, 0, true, 2 },
+    { 2, JOB_STATUS_STOPPED, NUMBER, true, 2 },
+    { JOB_CLAIMS_MAX, JOB_STATUS_OPEN, NUMBER, true, JOB_CLAIMS_MAX },
+    { JOB_CLAIMS_MAX + 1, JOB_STATUS_OPEN, NUMBER, true, JOB_CLAIMS_MAX },
+    { 1, JOB_STATUS_LAST + 1, NUMBER, false, 0 },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
@@ -894,7 +897,7 @@
           frame_reader_t *reader = NULL;
           GArray *read = g_array_new (FALSE, FALSE, sizeof (job_claim_t));
           char *id = NULL;
-          bool confirmed = !rows[i].confirmed;
+          uint64_t confirmed = rows[i].confirmed + 1;
           bool parsed = frame_parse (data, size - cut, &reader) == 0;
           if (parsed)
             CU_ASSERT_EQUAL (job_msg_read_registered (reader, 2000, &id, &confirmed, read) == 0,
@@ -930,12 +933,12 @@
   frame_writer_t *writer = frame_begin (JOB_MSG_REGISTERED);
   GArray *read = g_array_new (FALSE, FALSE, sizeof (job_claim_t));
   frame_reader_t *reader = NULL;
-  bool confirmed = false;
+  uint64_t confirmed = 0;
   char *id = NULL;
   gsize size = 0;
 
   frame_put_string (writer, ID);
-  frame_put_bool (writer, true);
+  frame_put_uint (writer, NUMBER);
   frame_put_count (writer, JOB_CLAIMS_MAX + 1);
   for (int i = 0; i <= JOB_CLAIMS_MAX; i++)
     {
