--- a/tests/test_job_registry_lost_hosts.c
+++ b/tests/test_job_registry_lost_hosts.c
@@ -48,7 +48,7 @@
 find_host (world_t *world, const char *name)
 {
   for (size_t i = 0; i < HOSTS; i++)
-    if (g_str_equal (world->hosts[i].name, name))
+    if (g_strcmp0 (world->hosts[i].name, name) == 0)
       return &world->hosts[i];
   return NULL;
 }
--- a/tests/test_job_repeats.c
+++ b/tests/test_job_repeats.c
@@ -904,7 +904,7 @@
                              cut == 0 && rows[i].read);
           if (cut == 0 && rows[i].read)
             {
-              CU_ASSERT_STRING_EQUAL (id, ID);
+              CU_ASSERT_EQUAL (g_strcmp0 (id, ID), 0);
               CU_ASSERT_EQUAL (confirmed, rows[i].confirmed);
               CU_ASSERT_EQUAL_FATAL (read->len, rows[i].claims_read);
             }
