A confirmation counts for 300 ms, and a host that is cut off alone has none

Confirmations now count for 300 ms from the time at which the registration was sent, less than the silence by which a host can be lost; after that all registrars are asked anew, with a new number. - A host that hears nobody is its own only registrar. It now has none unless it hears a majority of the hosts of its data centre or of all: the rule by which it may claim a shard.

test_job_registry: the row "runs of another host end" started at 320 ms with a confirmation of 20 ms; that is what must not be. Two rows replace it: no start with the old confirmation, a start with a new one.

--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -136,8 +136,9 @@
 repeats_update_registrars (site_t *site)
 {
   GPtrArray *hubs = g_ptr_array_new ();
+  int64_t now_ms = clock_boot_ms ();
 
-  cluster_append_local_hubs (site->cluster, hubs);
+  cluster_append_local_hubs (site->cluster, now_ms, hubs);
   bool any_hub = hubs->len > 0;
   for (guint i = hubs->len; i-- > 0;)
     if (!g_hash_table_contains (site->registrars, hubs->pdata[i]))
@@ -318,13 +319,13 @@
 
 /* Tells the registrars the ends of jobs that nobody else was told of. */
 static void
-tell_registered_ends (site_t *site)
+tell_registered_ends (site_t *site, int64_t now_ms)
 {
   GArray *statuses = new_statuses ();
   GPtrArray *hubs = g_ptr_array_new ();
 
   scheduler_collect_registered_ends (site->scheduler, statuses);
-  cluster_append_local_hubs (site->cluster, hubs);
+  cluster_append_local_hubs (site->cluster, now_ms, hubs);
   for (guint i = 0; i < hubs->len && statuses->len > 0; i++)
     if (hubs->pdata[i] != site->host)
       send_statuses (site, hubs->pdata[i], site->host, false, statuses);
@@ -360,14 +361,14 @@
 {
   /* The process may end at any time. */
   if (site->stopping)
-    tell_registered_ends (site);
+    tell_registered_ends (site, now_ms);
   if (now_ms < site->announce_due_ms)
     return;
   site->announce_due_ms = now_ms + ANNOUNCE_INTERVAL_MS;
   if (!scheduler_is_warm (site->scheduler, now_ms))
     ask_for_all (site);
   send_relayed (site);
-  tell_registered_ends (site);
+  tell_registered_ends (site, now_ms);
   GArray *statuses = new_statuses ();
   scheduler_collect_statuses (site->scheduler, now_ms, statuses);
   if (statuses->len > 0 || scheduler_awaits_confirmation (site->scheduler))
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -147,8 +147,9 @@
 bool cluster_host_needs_directory (const cluster_t *cluster, const char *host);
 
 /* Appends to HOSTS the hubs of this host's data centre that are heard, itself included if it is
- * one. Interned names. */
-void cluster_append_local_hubs (const cluster_t *cluster, GPtrArray *hosts);
+ * one. Interned names.  None if this host hears neither a majority of the hosts of its data centre
+ * nor one of all hosts: it is rather cut off than left. */
+void cluster_append_local_hubs (const cluster_t *cluster, int64_t now_ms, GPtrArray *hosts);
 
 /* Returns a hub that is alive and can forward a message to all hosts, or NULL if there is none. */
 const char *cluster_find_hub (const cluster_t *cluster);
--- a/lib/cluster/shard_claims.c
+++ b/lib/cluster/shard_claims.c
@@ -246,14 +246,8 @@
   cluster_add_action (actions, CLUSTER_YIELDED, reason)->shard = shard->name;
 }
 
-/* Whether this host hears a majority of the hosts that it knows.  A host that does not is more
- * likely to be cut off itself than to be the only survivor, and its claim would only supersede
- * that of the owner that the others follow.  For a shard of its own data centre (LOCAL) a
- * majority of the hosts of that data centre is enough, so that an isolated data centre keeps an
- * owner.  Hosts whose heartbeats are rare count only for a short time after each: they are taken to
- * be alive long after this host may have been cut off from them. */
-static bool
-hears_majority (const cluster_t *cluster, bool local, int64_t now_ms)
+bool
+cluster_hears_majority (const cluster_t *cluster, bool local, int64_t now_ms)
 {
   cluster_count_t here = cluster_count_recent (cluster, cluster->data_centre, now_ms);
   cluster_count_t all = cluster_count_recent (cluster, NULL, now_ms);
@@ -293,7 +287,7 @@
     }
   if (best != cluster->host || now_ms - shard->vacant_since_ms < wait_ms)
     return;
-  if (!hears_majority (cluster, local, now_ms) || (!local && !is_reachable (shard, now_ms)))
+  if (!cluster_hears_majority (cluster, local, now_ms) || (!local && !is_reachable (shard, now_ms)))
     return;
   claim_shard (cluster, shard, now_ms, wall_ms, "nobody owns it", actions);
 }
@@ -312,7 +306,7 @@
          && now_ms - cluster->observing_since_ms > STABLE_AFTER_MS
          && now_ms >= shard->no_claim_until_ms
          && best_candidate (cluster, shard, true) == cluster->host
-         && hears_majority (cluster, true, now_ms);
+         && cluster_hears_majority (cluster, true, now_ms);
 }
 
 static bool
@@ -395,7 +389,7 @@
 
   if (!shard->owned)
     return;
-  if (hears_majority (cluster, local, now_ms))
+  if (cluster_hears_majority (cluster, local, now_ms))
     {
       if (shard->reclaim_at_ms == 0)
         shard->reclaim_at_ms = shard->claimed_at_ms + reclaim_delay_ms (shard);
@@ -414,7 +408,7 @@
 
   return shard != NULL && shard->owned && shard->reclaim_at_ms == 0
          && strcmp (cluster->data_centre, shard->name) == 0
-         && hears_majority (cluster, true, now_ms);
+         && cluster_hears_majority (cluster, true, now_ms);
 }
 
 void
--- a/lib/cluster/state.h
+++ b/lib/cluster/state.h
@@ -142,6 +142,14 @@
                        GArray *actions);
 void shard_claim_yield (shard_t *shard, const char *reason, GArray *actions);
 
+/* shard_claims.c: whether this host hears a majority of the hosts that it knows.  A host that does
+ * not is more likely to be cut off itself than to be the only survivor, and its claim would only
+ * supersede that of the owner that the others follow.  For a shard of its own data centre (LOCAL) a
+ * majority of the hosts of that data centre is enough, so that an isolated data centre keeps an
+ * owner.  Hosts whose heartbeats are rare count only for a short time after each: they are taken to
+ * be alive long after this host may have been cut off from them. */
+bool cluster_hears_majority (const cluster_t *cluster, bool local, int64_t now_ms);
+
 /* topology.c: whether this host owns any shard. */
 bool cluster_owns_any_shard (const cluster_t *cluster);
 
--- a/lib/cluster/topology.c
+++ b/lib/cluster/topology.c
@@ -131,11 +131,13 @@
 }
 
 void
-cluster_append_local_hubs (const cluster_t *cluster, GPtrArray *hosts)
+cluster_append_local_hubs (const cluster_t *cluster, int64_t now_ms, GPtrArray *hosts)
 {
   GHashTableIter iter;
   void *value = NULL;
 
+  if (!cluster_hears_majority (cluster, true, now_ms))
+    return;
   if (cluster_is_hub (cluster))
     g_ptr_array_add (hosts, (void *) cluster->host);
   g_hash_table_iter_init (&iter, cluster->peers);
--- a/lib/scheduler/job_registry.c
+++ b/lib/scheduler/job_registry.c
@@ -17,6 +17,9 @@
 
 /* A registrar that has not confirmed a job is asked again after this. */
 #define REGISTER_RETRY_MS 50
+/* Confirmations count for this long after the registration was sent.  By then no host can have lost
+ * this one for its silence since, and have taken its jobs. */
+#define CONFIRMED_FOR_MS 300
 
 /* Ends that were not collected; further ones are not told, and their entries expire. */
 #define REGISTERED_ENDS_MAX 65536
@@ -53,7 +56,7 @@
   action->status.id = action->job_id;
   action->status.kind = status_kind (job);
   action->status.until_ms = job->request.deadline_at_ms;
-  action->registration = job->number;
+  action->registration = job->registration;
 }
 
 /* Registers JOB with all registrars but this host; with UNCONFIRMED, with those that have not
@@ -100,6 +103,15 @@
     }
 }
 
+/* Forgets what registrars have confirmed so far, and what they may still confirm. */
+static void
+begin_registration (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms)
+{
+  g_ptr_array_set_size (job->confirmed_by, 0);
+  job->registration = ++scheduler->last_number;
+  job->registered_since_ms = now_ms;
+}
+
 bool
 job_registry_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
@@ -107,9 +119,10 @@
     return false;
   drop_untold_end (scheduler->registered_ends, job);
   drop_untold_end (scheduler->untold_ends, job);
+  begin_registration (scheduler, job, now_ms);
   job->register_at_ms = now_ms + REGISTER_RETRY_MS;
   send_registrations (scheduler, job, true, actions);
-  if (job_registry_is_confirmed (scheduler, job))
+  if (job_registry_is_confirmed (scheduler, job, now_ms))
     return false;
   if (job->waits_since_ms == 0)
     job->waits_since_ms = now_ms;
@@ -117,10 +130,12 @@
 }
 
 bool
-job_registry_is_confirmed (const scheduler_t *scheduler, const scheduled_job_t *job)
+job_registry_is_confirmed (const scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
 {
+  bool is_recent = now_ms - job->registered_since_ms <= CONFIRMED_FOR_MS;
+
   return scheduler->registrars == NULL || job->was_sent
-         || is_confirmed_by_majority (scheduler, job);
+         || (is_recent && is_confirmed_by_majority (scheduler, job));
 }
 
 void
@@ -130,10 +145,15 @@
                    int64_t now_ms,
                    GArray *actions)
 {
-  bool confirmed = job_registry_is_confirmed (scheduler, job);
+  bool confirmed = job_registry_is_confirmed (scheduler, job, now_ms);
+
+  bool expired = now_ms - job->registered_since_ms > CONFIRMED_FOR_MS;
 
-  if (scheduler->registrars == NULL || now_ms < job->register_at_ms || (confirmed && !is_elsewhere))
+  if (scheduler->registrars == NULL || (confirmed && !is_elsewhere)
+      || (now_ms < job->register_at_ms && (is_elsewhere || !expired)))
     return;
+  if (expired)
+    begin_registration (scheduler, job, now_ms);
   job->register_at_ms = now_ms + (confirmed ? REPEATS_ASK_INTERVAL_MS : REGISTER_RETRY_MS);
   send_registrations (scheduler, job, !confirmed, actions);
 }
@@ -212,10 +232,11 @@
   scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
   const char *interned = g_intern_string (host);
 
-  if (job == NULL || job->number != number || has_confirmed (job, interned))
+  if (job == NULL || job->registration != number || has_confirmed (job, interned))
     return;
   g_ptr_array_add (job->confirmed_by, (void *) interned);
-  if (job->waits_since_ms != 0 && !job->end_pending && job_registry_is_confirmed (scheduler, job))
+  if (job->waits_since_ms != 0 && !job->end_pending
+      && job_registry_is_confirmed (scheduler, job, now_ms))
     repeats_step_waiting (scheduler, job, now_ms, actions);
 }
 
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -255,8 +255,8 @@
 static bool
 is_held (scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
 {
-  return !job_registry_is_confirmed (scheduler, job) || !scheduler_is_warm (scheduler, now_ms)
-         || late_request_is_held (scheduler, job, now_ms);
+  return !job_registry_is_confirmed (scheduler, job, now_ms)
+         || !scheduler_is_warm (scheduler, now_ms) || late_request_is_held (scheduler, job, now_ms);
 }
 
 void
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -66,12 +66,14 @@
   GPtrArray *confirmed_by;  /* registrars that have confirmed it; interned */
   GPtrArray *cleared_hosts; /* not heard, and owners have said that they have no run for them;
                                interned */
-  int64_t register_at_ms;   /* it waits, and is registered again then */
-  bool register_again;      /* it runs after it has waited, or anew: registrars should be told */
-  bool confirmed_late;      /* it waited, and was confirmed too late, or not: it never starts */
-  bool goes_on_logged;      /* SCHEDULER_GOES_ON was appended for it */
-  int64_t waits_since_ms;   /* it is not run, as another host may run it; 0 if it does not wait */
-  int64_t held_until_ms;    /* it waits until then, although no host is known to have it... */
+  uint64_t registration;    /* number of the one that counts, which registrars return */
+  int64_t registered_since_ms; /* when that was first sent */
+  int64_t register_at_ms;      /* it waits, and is registered again then */
+  bool register_again;         /* it runs after it has waited, or anew: registrars should be told */
+  bool confirmed_late;         /* it waited, and was confirmed too late, or not: it never starts */
+  bool goes_on_logged;         /* SCHEDULER_GOES_ON was appended for it */
+  int64_t waits_since_ms; /* it is not run, as another host may run it; 0 if it does not wait */
+  int64_t held_until_ms;  /* it waits until then, although no host is known to have it... */
   int64_t told_until_ms;  /* ...and at most until then while others may not have told their jobs */
   const char *holder;     /* it waits: the host that is asked; interned */
   int64_t asked_since_ms; /* HOLDER is asked since then */
@@ -333,7 +335,9 @@
 /* job_registry.c: whether a majority of the registrars has confirmed JOB, or had before it was
  * sent.
  */
-bool job_registry_is_confirmed (const scheduler_t *scheduler, const scheduled_job_t *job);
+bool job_registry_is_confirmed (const scheduler_t *scheduler,
+                                const scheduled_job_t *job,
+                                int64_t now_ms);
 
 /* job_registry.c: registers JOB, which waits, again if that is due: with those that have not
  * confirmed it, or, if another host has it, with all, which may know more of that host by now. */
--- a/lib/scheduler/timeouts.c
+++ b/lib/scheduler/timeouts.c
@@ -135,7 +135,7 @@
   job_registry_step_running (scheduler, job, actions);
   if (job->unassigned->len == 0)
     return;
-  if (!job_registry_is_confirmed (scheduler, job))
+  if (!job_registry_is_confirmed (scheduler, job, now_ms))
     {
       job->waits_since_ms = now_ms;
       return;
--- a/tests/test_job_registry.c
+++ b/tests/test_job_registry.c
@@ -7,8 +7,6 @@
 #include <CUnit/CUnit.h>
 
 #define ID "00000000000000a1"
-/* Of the first job of a scheduler. */
-#define NUMBER 1
 #define RESUBMIT_MS 1300
 #define CALLER_WAIT_MS 6000
 #define RECEIVED_AT_MS 1000
@@ -84,6 +82,17 @@
   scheduler_job_told (scheduler, host, &status, now_ms, actions);
 }
 
+/* What registrars return. */
+static uint64_t last_registration;
+
+static void
+note_registration (const GArray *actions)
+{
+  for (guint i = 0; i < actions->len; i++)
+    if (g_array_index (actions, scheduler_action_t, i).kind == SCHEDULER_REGISTER)
+      last_registration = g_array_index (actions, scheduler_action_t, i).registration;
+}
+
 static void
 play (scheduler_t *scheduler, const event_t *event, int64_t now_ms, GArray *actions)
 {
@@ -93,7 +102,7 @@
       set_registrars (scheduler, event->host, actions);
       break;
     case CONFIRMS:
-      scheduler_job_registered (scheduler, event->host, ID, NUMBER, now_ms, actions);
+      scheduler_job_registered (scheduler, event->host, ID, last_registration, now_ms, actions);
       break;
     case NAMES_WAITING:
       name_host (scheduler, event->host, JOB_STATUS_WAITING, DEADLINE_MS, false, now_ms, actions);
@@ -158,6 +167,7 @@
 {
   int count = 0;
 
+  note_registration (actions);
   for (guint i = 0; i < actions->len; i++)
     {
       const scheduler_action_t *action = &g_array_index (actions, scheduler_action_t, i);
@@ -250,6 +260,7 @@
     "p",
     { { REGISTRARS, 20, "p q" }, { CONFIRMS, 40, "p" } },
     WAITS },
+  { "a confirmation that is late", "p", { { CONFIRMS, 500, "p" } }, 500 },
   { "one joins, both confirm",
     "p",
     { { REGISTRARS, 20, "p q" }, { CONFIRMS, 40, "p" }, { CONFIRMS, 60, "q" } },
@@ -271,7 +282,14 @@
       { CONFIRMS, 20, "p" },
       { TOLD_STOPPED, 200, "g" } },
     WAITS },
-  { "runs of another host end", "p", { { NAMES_STOPPED, 20, "g" }, { CONFIRMS, 20, "p" } }, 320 },
+  { "runs of another host end, a confirmation from before",
+    "p",
+    { { NAMES_STOPPED, 20, "g" }, { CONFIRMS, 20, "p" } },
+    WAITS },
+  { "runs of another host end, a new confirmation",
+    "p",
+    { { NAMES_STOPPED, 20, "g" }, { CONFIRMS, 20, "p" }, { CONFIRMS, 400, "p" } },
+    400 },
   { "named after the first of two has confirmed",
     "p q",
     { { CONFIRMS, 20, "p" }, { NAMES_WAITING, 40, "g" }, { CONFIRMS, 40, "q" } },
@@ -331,6 +349,7 @@
           play (scheduler, &cases[row].events[i], now_ms, actions);
       if (now_ms > RECEIVED_AT_MS)
         scheduler_step (scheduler, now_ms, actions);
+      note_registration (actions);
       if (take_submits (actions) > 0 && starts_at_ms == WAITS)
         starts_at_ms = now_ms - RECEIVED_AT_MS;
     }
