--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -194,7 +194,7 @@
 {
   GPtrArray *hubs = g_ptr_array_new ();
 
-  cluster_append_local_hubs (host->cluster, hubs);
+  cluster_append_local_hubs (host->cluster, host->sim->now_ms, hubs);
   scheduler_set_registrars (host->scheduler, hubs, host->scheduler_actions);
   g_ptr_array_unref (hubs);
   run_scheduler_actions (host);
@@ -208,7 +208,7 @@
   GPtrArray *hubs = g_ptr_array_new ();
 
   scheduler_collect_registered_ends (host->scheduler, statuses);
-  cluster_append_local_hubs (host->cluster, hubs);
+  cluster_append_local_hubs (host->cluster, host->sim->now_ms, hubs);
   for (guint i = 0; i < hubs->len; i++)
     for (guint k = 0; k < statuses->len; k++)
       {
@@ -274,7 +274,7 @@
       send_job_status (host, other, host, false, &action->status);
       break;
     case SCHEDULER_REGISTER:
-      send_registration (host, other, &action->status);
+      send_registration (host, other, &action->status, action->registration);
       break;
     case SCHEDULER_ASK_OWNER:
       send_runs_message (MESSAGE_RUNS_QUERY, host, other, action->job_id, action->holder,
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -331,6 +331,7 @@
   int64_t token;                   /* of MESSAGE_RUNS_OVER */
   int64_t asked_at_ms;             /* of the last two of them */
   job_status_t job_status;         /* its id is JOB */
+  uint64_t registration;           /* MESSAGE_REGISTER, MESSAGE_REGISTERED */
   bool confirmed;                  /* MESSAGE_REGISTERED */
   GArray *claims;                  /* MESSAGE_REGISTERED: job_claim_t with interned hosts */
   crash_loss_t loss;               /* its strings belong to the message */
@@ -551,13 +552,14 @@
 
 /* FROM registers a job with TO. */
 static void
-send_registration (sim_host_t *from, sim_host_t *to, const job_status_t *status)
+send_registration (sim_host_t *from, sim_host_t *to, const job_status_t *status, uint64_t number)
 {
   sim_message_t *message = message_new (MESSAGE_REGISTER, from, to);
 
   message->job = g_strdup (status->id);
   message->job_status = *status;
   message->job_status.id = message->job;
+  message->registration = number;
   send_message (message);
 }
 
@@ -567,6 +569,7 @@
   sim_message_t *reply = message_new (MESSAGE_REGISTERED, host, message->from);
 
   reply->job = g_strdup (message->job);
+  reply->registration = message->registration;
   reply->claims = g_array_new (FALSE, FALSE, sizeof (job_claim_t));
   reply->confirmed = scheduler_register (host->scheduler, message->from->name, &message->job_status,
                                          host->sim->now_ms, reply->claims);
@@ -590,8 +593,8 @@
       scheduler_job_claimed (host->scheduler, message->job, claim, now_ms, host->scheduler_actions);
     }
   if (message->confirmed)
-    scheduler_job_registered (host->scheduler, message->from->name, message->job, now_ms,
-                              host->scheduler_actions);
+    scheduler_job_registered (host->scheduler, message->from->name, message->job,
+                              message->registration, now_ms, host->scheduler_actions);
 }
 
 static void message_arrives (simulation_t *sim, void *data);
