--- a/lib/scheduler/job_registry.c
+++ b/lib/scheduler/job_registry.c
@@ -9,7 +9,8 @@
  * runs it.
  *
  * A registrar keeps what it is told among the jobs of other hosts (remote_jobs.h).  One that joins
- * is told all open jobs.
+ * is told all open jobs.  A confirmation that comes late says nothing any more: the others may have
+ * lost this host since, and taken the job.
  */
 #include "scheduler/state.h"
 
@@ -20,7 +21,6 @@
 /* Confirmations count for this long after the registration was sent.  By then no host can have lost
  * this one for its silence since, and have taken its jobs. */
 #define CONFIRMED_FOR_MS 300
-
 /* Ends that were not collected; further ones are not told, and their entries expire. */
 #define REGISTERED_ENDS_MAX 65536
 
@@ -146,7 +146,6 @@
                    GArray *actions)
 {
   bool confirmed = job_registry_is_confirmed (scheduler, job, now_ms);
-
   bool expired = now_ms - job->registered_since_ms > CONFIRMED_FOR_MS;
 
   if (scheduler->registrars == NULL || (confirmed && !is_elsewhere)
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -238,8 +238,9 @@
                           GArray *actions);
 
 /* The registrars of this host's jobs are HOSTS, names, from now on (job_registry.c): the hubs of
- * its data centre that it hears, itself included if it is one.  From the first call on,
- * no job starts that less than half of them have confirmed.  NULL: jobs are not registered. */
+ * its data centre that it hears, itself included if it is one.  No job starts that no majority of
+ * them has confirmed, so that none starts while there are none.  NULL, as before the first call:
+ * jobs are not registered. */
 void scheduler_set_registrars (scheduler_t *scheduler, const GPtrArray *hosts, GArray *actions);
 
 /* Registers all open jobs with HOST, which may have lost what it was told. */
@@ -262,8 +263,8 @@
                             GArray *actions);
 
 /* HOST is about to start the job of STATUS, and registers it with this host.  Appends to CLAIMS,
- * job_claim_t with interned hosts, what is known of others that have it.  Returns the number in
- * STATUS if this host confirms; 0 as long as it does not know what earlier processes were told. */
+ * job_claim_t with interned hosts, what is known of others that have it.  Returns whether this host
+ * confirms: not before it knows what earlier processes were told. */
 bool scheduler_register (scheduler_t *scheduler,
                          const char *host,
                          const job_status_t *status,
