--- a/daemon/site.c
+++ b/daemon/site.c
@@ -399,6 +399,8 @@
   if (log_client_is_listed (site->log_client))
     scheduler_set_shards_listed (site->scheduler);
   log_client_tick (site->log_client, now_ms);
+  if (site->settings->resubmit_after_ms > 0)
+    repeats_update_registrars (site);
   scheduler_step (site->scheduler, now_ms, site->scheduler_actions);
   site_run_scheduler_actions (site);
   owner_run_rounds (site, true);
--- a/daemon/site_jobs.c
+++ b/daemon/site_jobs.c
@@ -193,6 +193,9 @@
     case SCHEDULER_TELL:
       repeats_tell (site, action);
       break;
+    case SCHEDULER_REGISTER:
+      repeats_register (site, action);
+      break;
     case SCHEDULER_ASK_OWNER:
       repeats_ask_owner (site, action);
       break;
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -249,10 +249,12 @@
 void cancel_tick (site_t *site, int64_t now_ms);
 
 /* site_repeats.c: jobs that callers may send to more than one host */
-/* Carry out SCHEDULER_NOTE, SCHEDULER_ASK, SCHEDULER_TELL and SCHEDULER_ASK_OWNER. */
+/* Carry out SCHEDULER_NOTE, SCHEDULER_ASK, SCHEDULER_TELL, SCHEDULER_REGISTER and
+ * SCHEDULER_ASK_OWNER. */
 void repeats_log (const scheduler_action_t *action);
 void repeats_ask (site_t *site, const scheduler_action_t *action);
 void repeats_tell (site_t *site, const scheduler_action_t *action);
+void repeats_register (site_t *site, const scheduler_action_t *action);
 void repeats_ask_owner (site_t *site, const scheduler_action_t *action);
 /* Handlers of frames that HOST has sent. */
 void repeats_read_statuses (site_t *site, const char *host, frame_reader_t *reader);
@@ -263,7 +265,11 @@
 void repeats_read_told (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_all_told (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_tell_all (site_t *site, const char *host, frame_reader_t *reader);
+void repeats_read_register (site_t *site, const char *host, frame_reader_t *reader);
+void repeats_read_registered (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_told_ack (site_t *site, const char *host, frame_reader_t *reader);
+/* Tells the scheduler which hosts register jobs now. */
+void repeats_update_registrars (site_t *site);
 /* A connection to HOST was opened. */
 void repeats_host_connected (site_t *site, const char *host);
 /* HOST, which is interned, was lost: its data centre is told the open jobs of this host again, and,
--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -114,6 +114,12 @@
                          runs.asked_at_ms);
 }
 
+void
+repeats_register (site_t *site, const scheduler_action_t *action)
+{
+  send_question (site, action->host, job_msg_register (&action->status, clock_boot_ms ()));
+}
+
 void
 repeats_tell (site_t *site, const scheduler_action_t *action)
 {
@@ -121,6 +127,17 @@
               job_msg_statuses (site->host, false, &action->status, 1, clock_boot_ms ()));
 }
 
+void
+repeats_update_registrars (site_t *site)
+{
+  GPtrArray *hubs = g_ptr_array_new ();
+
+  cluster_append_local_hubs (site->cluster, hubs);
+  scheduler_set_registrars (site->scheduler, hubs, site->scheduler_actions);
+  g_ptr_array_unref (hubs);
+  site_run_scheduler_actions (site);
+}
+
 /* Whether CONNECTION leads to a host of this data centre. */
 static bool
 is_local (const site_t *site, const peer_connection_t *connection)
@@ -201,6 +218,8 @@
   if (statuses->len > 0 && !is_local (site, connection))
     peers_send (site, host, job_msg_told (JOB_MSG_TOLD, clock_boot_ms ()));
   g_array_unref (statuses);
+  scheduler_register_all (site->scheduler, host, site->scheduler_actions);
+  site_run_scheduler_actions (site);
   if (!passes_on (site, connection))
     return;
   /* Before this host says that it has told all: who must confirm jobs. */
@@ -285,6 +304,22 @@
   g_hash_table_unref (missed);
 }
 
+/* Tells the registrars the ends of jobs that nobody else was told of. */
+static void
+tell_registered_ends (site_t *site)
+{
+  GArray *statuses = new_statuses ();
+  GPtrArray *hubs = g_ptr_array_new ();
+
+  scheduler_collect_registered_ends (site->scheduler, statuses);
+  cluster_append_local_hubs (site->cluster, hubs);
+  for (guint i = 0; i < hubs->len && statuses->len > 0; i++)
+    if (hubs->pdata[i] != site->host)
+      send_statuses (site, hubs->pdata[i], site->host, false, statuses);
+  g_ptr_array_unref (hubs);
+  g_array_unref (statuses);
+}
+
 /* Asks a hub of another data centre, another one each time, for all jobs that it knows: if all
  * hosts of this one were killed at once, nobody here knows them.  That does not end the cold start,
  * as young jobs are known to nobody. */
@@ -317,6 +352,7 @@
   if (!scheduler_is_warm (site->scheduler, now_ms))
     ask_for_all (site);
   send_relayed (site);
+  tell_registered_ends (site);
   GArray *statuses = new_statuses ();
   scheduler_collect_statuses (site->scheduler, now_ms, statuses);
   if (statuses->len > 0 || scheduler_awaits_confirmation (site->scheduler))
@@ -437,6 +473,43 @@
   g_free (id);
 }
 
+void
+repeats_read_register (site_t *site, const char *host, frame_reader_t *reader)
+{
+  GArray *claims = g_array_new (FALSE, FALSE, sizeof (job_claim_t));
+  int64_t now_ms = clock_boot_ms ();
+  job_status_t status = { 0 };
+
+  if (job_msg_read_register (reader, now_ms, &status) == 0)
+    {
+      bool confirmed = scheduler_register (site->scheduler, host, &status, now_ms, claims);
+      peers_send (site, host, job_msg_registered (status.id, confirmed, claims, now_ms));
+    }
+  g_free ((char *) status.id);
+  g_array_unref (claims);
+}
+
+void
+repeats_read_registered (site_t *site, const char *host, frame_reader_t *reader)
+{
+  GArray *claims = g_array_new (FALSE, FALSE, sizeof (job_claim_t));
+  int64_t now_ms = clock_boot_ms ();
+  bool confirmed = false;
+  char *id = NULL;
+
+  if (job_msg_read_registered (reader, now_ms, &id, &confirmed, claims) == 0)
+    {
+      for (guint i = 0; i < claims->len; i++)
+        scheduler_job_claimed (site->scheduler, id, &g_array_index (claims, job_claim_t, i),
+                               now_ms);
+      if (confirmed)
+        scheduler_job_registered (site->scheduler, host, id, now_ms, site->scheduler_actions);
+      site_run_scheduler_actions (site);
+    }
+  g_free (id);
+  g_array_unref (claims);
+}
+
 void
 repeats_read_runs_query (site_t *site, const char *host, frame_reader_t *reader)
 {
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -146,6 +146,10 @@
  * data centre that does not follow the directory itself but may have to take over the shard. */
 bool cluster_host_needs_directory (const cluster_t *cluster, const char *host);
 
+/* Appends to HOSTS the hubs of this host's data centre that are heard, itself included if it is
+ * one. Interned names. */
+void cluster_append_local_hubs (const cluster_t *cluster, GPtrArray *hosts);
+
 /* Returns a hub that is alive and can forward a message to all hosts, or NULL if there is none. */
 const char *cluster_find_hub (const cluster_t *cluster);
 
--- a/lib/cluster/topology.c
+++ b/lib/cluster/topology.c
@@ -130,6 +130,24 @@
          && strcmp (peer->data_centre, cluster->data_centre) == 0;
 }
 
+void
+cluster_append_local_hubs (const cluster_t *cluster, GPtrArray *hosts)
+{
+  GHashTableIter iter;
+  void *value = NULL;
+
+  if (cluster_is_hub (cluster))
+    g_ptr_array_add (hosts, (void *) cluster->host);
+  g_hash_table_iter_init (&iter, cluster->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const peer_t *peer = value;
+      if (peer->alive && strcmp (peer->data_centre, cluster->data_centre) == 0
+          && ranking_is_hub (cluster->ranking, peer->host))
+        g_ptr_array_add (hosts, (void *) peer->host);
+    }
+}
+
 const char *
 cluster_find_hub (const cluster_t *cluster)
 {
--- /dev/null
+++ b/lib/scheduler/job_registry.c
@@ -0,0 +1,267 @@
+/* job_registry.c -- a job is known to its data centre before its first task starts
+ *
+ * A caller without an answer sends its job again at a time of its own choice, and nearly always to
+ * a host of the same data centre.  A host therefore registers each job with the registrars, the
+ * hubs of its data centre that it hears, and starts nothing of it before more than half of them
+ * have confirmed.  Any two majorities have a registrar in common, which tells the second host of
+ * the first one; the request then waits like that of any job that another host has (repeats.c).
+ * Two hosts that register one job at the same time are both told, and the one with the least name
+ * runs it.
+ *
+ * A registrar keeps what it is told among the jobs of other hosts (remote_jobs.h).  One that joins
+ * is told all open jobs.
+ */
+#include "scheduler/state.h"
+
+/* A registrar that has not confirmed a job is asked again after this. */
+#define REGISTER_RETRY_MS 50
+
+/* Ends that were not collected; further ones are not told, and their entries expire. */
+#define REGISTERED_ENDS_MAX 65536
+
+static bool
+is_registrar (const scheduler_t *scheduler, const char *host)
+{
+  return scheduler->registrars != NULL && g_ptr_array_find (scheduler->registrars, host, NULL);
+}
+
+static bool
+has_confirmed (const scheduled_job_t *job, const char *host)
+{
+  return g_ptr_array_find (job->confirmed_by, host, NULL);
+}
+
+static void
+send_registration (scheduler_t *scheduler,
+                   const scheduled_job_t *job,
+                   const char *host,
+                   GArray *actions)
+{
+  scheduler_action_t *action =
+      repeats_add_action (scheduler, SCHEDULER_REGISTER, host, job->request.id, actions);
+
+  action->status.id = action->job_id;
+  action->status.kind = JOB_STATUS_WAITING;
+  action->status.until_ms = job->request.deadline_at_ms;
+}
+
+/* Registers JOB with all registrars but this host; with UNCONFIRMED, with those that have not
+ * confirmed it. */
+static void
+send_registrations (scheduler_t *scheduler,
+                    const scheduled_job_t *job,
+                    bool unconfirmed,
+                    GArray *actions)
+{
+  for (guint i = 0; i < scheduler->registrars->len; i++)
+    {
+      const char *host = scheduler->registrars->pdata[i];
+      if (host != scheduler->host && !(unconfirmed && has_confirmed (job, host)))
+        send_registration (scheduler, job, host, actions);
+    }
+}
+
+/* This host itself may be one of the registrars. */
+static bool
+is_confirmed_by_majority (const scheduler_t *scheduler, const scheduled_job_t *job)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < scheduler->registrars->len; i++)
+    {
+      const char *host = scheduler->registrars->pdata[i];
+      count += host == scheduler->host || has_confirmed (job, host);
+    }
+  return 2 * count > scheduler->registrars->len;
+}
+
+bool
+job_registry_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
+{
+  if (scheduler->registrars == NULL)
+    return false;
+  job->register_at_ms = now_ms + REGISTER_RETRY_MS;
+  send_registrations (scheduler, job, true, actions);
+  if (job_registry_is_confirmed (scheduler, job))
+    return false;
+  if (job->waits_since_ms == 0)
+    job->waits_since_ms = now_ms;
+  return true;
+}
+
+bool
+job_registry_is_confirmed (const scheduler_t *scheduler, scheduled_job_t *job)
+{
+  job->registered |= scheduler->registrars == NULL || is_confirmed_by_majority (scheduler, job);
+  return job->registered;
+}
+
+void
+job_registry_step (scheduler_t *scheduler,
+                   scheduled_job_t *job,
+                   bool is_elsewhere,
+                   int64_t now_ms,
+                   GArray *actions)
+{
+  if (scheduler->registrars == NULL || now_ms < job->register_at_ms
+      || (job->registered && !is_elsewhere))
+    return;
+  job->register_at_ms = now_ms + (job->registered ? REPEATS_ASK_INTERVAL_MS : REGISTER_RETRY_MS);
+  send_registrations (scheduler, job, !job->registered, actions);
+}
+
+/* --- the hosts that register jobs --- */
+
+void
+scheduler_register_all (scheduler_t *scheduler, const char *host, GArray *actions)
+{
+  const char *interned = g_intern_string (host);
+  GHashTableIter iter;
+  void *job = NULL;
+
+  if (interned == scheduler->host || !is_registrar (scheduler, interned))
+    return;
+  g_hash_table_iter_init (&iter, scheduler->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &job))
+    send_registration (scheduler, job, interned, actions);
+}
+
+void
+scheduler_set_registrars (scheduler_t *scheduler, const GPtrArray *hosts, GArray *actions)
+{
+  GPtrArray *before = scheduler->registrars;
+
+  scheduler->registrars = g_ptr_array_new ();
+  for (guint i = 0; i < hosts->len; i++)
+    g_ptr_array_add (scheduler->registrars, (void *) g_intern_string (hosts->pdata[i]));
+  for (guint i = 0; i < scheduler->registrars->len; i++)
+    if (before == NULL || !g_ptr_array_find (before, scheduler->registrars->pdata[i], NULL))
+      scheduler_register_all (scheduler, scheduler->registrars->pdata[i], actions);
+  if (before != NULL)
+    g_ptr_array_unref (before);
+}
+
+void
+job_registry_add_end (scheduler_t *scheduler, const job_status_t *status)
+{
+  job_status_t end = *status;
+
+  if (scheduler->registrars == NULL || scheduler->registered_ends->len >= REGISTERED_ENDS_MAX)
+    return;
+  end.id = g_strdup (status->id);
+  end.kind = JOB_STATUS_STOPPED;
+  g_array_append_val (scheduler->registered_ends, end);
+}
+
+void
+scheduler_collect_registered_ends (scheduler_t *scheduler, GArray *statuses)
+{
+  GArray *ends = scheduler->registered_ends;
+
+  job_statuses_clear (scheduler->told_registered_ends);
+  scheduler->registered_ends = scheduler->told_registered_ends;
+  scheduler->told_registered_ends = ends;
+  g_array_append_vals (statuses, ends->data, ends->len);
+}
+
+void
+scheduler_job_registered (scheduler_t *scheduler,
+                          const char *host,
+                          const char *id,
+                          int64_t now_ms,
+                          GArray *actions)
+{
+  scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
+  const char *interned = g_intern_string (host);
+
+  if (job == NULL || has_confirmed (job, interned))
+    return;
+  g_ptr_array_add (job->confirmed_by, (void *) interned);
+  if (job->waits_since_ms != 0 && !job->end_pending && job_registry_is_confirmed (scheduler, job))
+    repeats_step_waiting (scheduler, job, now_ms, actions);
+}
+
+/* --- a registrar --- */
+
+/* Whether HOST, which is heard, is known to have the job with ID.  Its entry then stays as it is:
+ * it may hold more than a registration, and the time from which replies of owners count. */
+static bool
+is_known_open (const scheduler_t *scheduler, const char *id, const char *host, int64_t now_ms)
+{
+  const remote_job_t *remote = remote_jobs_find_host (scheduler->remote_jobs, id, host, now_ms);
+
+  return remote != NULL && remote->over_at_ms == INT64_MAX && !remote->unheard;
+}
+
+typedef struct
+{
+  const char *registering; /* interned */
+  int64_t now_ms;
+  GArray *claims;
+} claims_walk_t;
+
+static void
+add_claim (const remote_job_t *remote, void *data)
+{
+  const claims_walk_t *walk = data;
+  job_claim_t claim = { .host = remote->host,
+                        .kind = JOB_STATUS_WAITING,
+                        .until_ms = remote->expires_at_ms,
+                        .unheard = remote->unheard };
+
+  if (remote->host == walk->registering || remote->over_at_ms <= walk->now_ms)
+    return;
+  if (remote->over_at_ms != INT64_MAX)
+    {
+      claim.kind = JOB_STATUS_STOPPED;
+      claim.until_ms = remote->over_at_ms;
+    }
+  g_array_append_val (walk->claims, claim);
+}
+
+bool
+scheduler_register (scheduler_t *scheduler,
+                    const char *host,
+                    const job_status_t *status,
+                    int64_t now_ms,
+                    GArray *claims)
+{
+  claims_walk_t walk = { g_intern_string (host), now_ms, claims };
+  const scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, status->id);
+
+  if (job != NULL)
+    {
+      const job_claim_t own = { .host = scheduler->host,
+                                .kind = JOB_STATUS_WAITING,
+                                .until_ms = job->request.deadline_at_ms };
+      g_array_append_val (claims, own);
+    }
+  remote_jobs_foreach_host (scheduler->remote_jobs, status->id, now_ms, add_claim, &walk);
+  if (!is_known_open (scheduler, status->id, host, now_ms))
+    (void) remote_jobs_open (scheduler->remote_jobs, status->id, host, false, status->until_ms,
+                             now_ms);
+  return scheduler_is_warm (scheduler, now_ms);
+}
+
+void
+scheduler_job_claimed (scheduler_t *scheduler,
+                       const char *id,
+                       const job_claim_t *claim,
+                       int64_t now_ms)
+{
+  const scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
+  const remote_job_t *known =
+      remote_jobs_find_host (scheduler->remote_jobs, id, claim->host, now_ms);
+
+  /* Of a job that runs here, the other host is told when it registers it. */
+  if (job == NULL || job->waits_since_ms == 0 || g_intern_string (claim->host) == scheduler->host)
+    return;
+  if (claim->kind == JOB_STATUS_STOPPED)
+    remote_jobs_ended (scheduler->remote_jobs, id, claim->host, JOB_EVIDENCE_TOLD, claim->until_ms,
+                       now_ms);
+  else if (known == NULL || known->over_at_ms != INT64_MAX)
+    (void) remote_jobs_open (scheduler->remote_jobs, id, claim->host, false, claim->until_ms,
+                             now_ms);
+  if (claim->unheard)
+    remote_jobs_host_silent (scheduler->remote_jobs, id, claim->host);
+}
--- a/lib/scheduler/job_status.h
+++ b/lib/scheduler/job_status.h
@@ -6,6 +6,7 @@
 #define SCHEDULER_JOB_STATUS_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 typedef enum
@@ -26,6 +27,15 @@
   int64_t until_ms; /* 0 for the last three kinds */
 } job_status_t;
 
+/* What a registrar knows of a job that another host registers (job_registry.c): HOST has it too. */
+typedef struct
+{
+  const char *host;
+  job_status_kind_t kind; /* JOB_STATUS_WAITING or JOB_STATUS_STOPPED */
+  int64_t until_ms;       /* as in job_status_t */
+  bool unheard;           /* the registrar does not hear HOST */
+} job_claim_t;
+
 /* What a host rests on when it says until when the runs of a job elsewhere may go on. */
 typedef enum
 {
--- a/lib/scheduler/job_status_msg.c
+++ b/lib/scheduler/job_status_msg.c
@@ -6,6 +6,18 @@
 /* No caller waits for longer. */
 #define TIME_MAX_MS 3600000
 
+static void
+put_time_left (frame_writer_t *writer, int64_t until_ms, int64_t now_ms)
+{
+  frame_put_int (writer, CLAMP (until_ms - now_ms, 0, TIME_MAX_MS));
+}
+
+static int64_t
+get_time_left (frame_reader_t *reader, int64_t now_ms)
+{
+  return now_ms + frame_get_range (reader, 0, TIME_MAX_MS);
+}
+
 GBytes *
 job_msg_statuses (const char *host,
                   bool relay,
@@ -20,10 +32,9 @@
   frame_put_count (writer, count);
   for (size_t i = 0; i < count; i++)
     {
-      int64_t left_ms = MAX (statuses[i].until_ms - now_ms, 0);
       frame_put_string (writer, statuses[i].id);
       frame_put_uint (writer, statuses[i].kind);
-      frame_put_int (writer, MIN (left_ms, TIME_MAX_MS));
+      put_time_left (writer, statuses[i].until_ms, now_ms);
     }
   return frame_finish (writer);
 }
@@ -45,7 +56,7 @@
       job_status_t status = { 0 };
       status.id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
       status.kind = (job_status_kind_t) frame_get_range (reader, 0, JOB_STATUS_LAST);
-      status.until_ms = now_ms + frame_get_range (reader, 0, TIME_MAX_MS);
+      status.until_ms = get_time_left (reader, now_ms);
       complete &= status.id != NULL;
       g_array_append_val (statuses, status);
     }
@@ -133,6 +144,74 @@
   return frame_ok (reader) ? 0 : ERROR_PROTOCOL;
 }
 
+GBytes *
+job_msg_register (const job_status_t *status, int64_t now_ms)
+{
+  frame_writer_t *writer = frame_begin (JOB_MSG_REGISTER);
+
+  frame_put_string (writer, status->id);
+  put_time_left (writer, status->until_ms, now_ms);
+  return frame_finish (writer);
+}
+
+int
+job_msg_read_register (frame_reader_t *reader, int64_t now_ms, job_status_t *status)
+{
+  status->id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  status->kind = JOB_STATUS_WAITING;
+  status->until_ms = get_time_left (reader, now_ms);
+  return frame_ok (reader) && status->id != NULL ? 0 : ERROR_PROTOCOL;
+}
+
+GBytes *
+job_msg_registered (const char *id, bool confirmed, const GArray *claims, int64_t now_ms)
+{
+  frame_writer_t *writer = frame_begin (JOB_MSG_REGISTERED);
+  guint count = MIN (claims->len, JOB_CLAIMS_MAX);
+
+  frame_put_string (writer, id);
+  frame_put_bool (writer, confirmed);
+  frame_put_count (writer, count);
+  for (guint i = 0; i < count; i++)
+    {
+      const job_claim_t *claim = &g_array_index (claims, job_claim_t, i);
+      frame_put_string (writer, claim->host);
+      frame_put_uint (writer, claim->kind);
+      put_time_left (writer, claim->until_ms, now_ms);
+      frame_put_bool (writer, claim->unheard);
+    }
+  return frame_finish (writer);
+}
+
+int
+job_msg_read_registered (frame_reader_t *reader,
+                         int64_t now_ms,
+                         char **id,
+                         bool *confirmed,
+                         GArray *claims)
+{
+  *id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+  *confirmed = frame_get_bool (reader);
+  size_t count = frame_get_count (reader, JOB_CLAIMS_MAX);
+  bool complete = *id != NULL;
+
+  for (size_t i = 0; i < count && frame_ok (reader); i++)
+    {
+      job_claim_t claim = { 0 };
+      char *host = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
+      claim.kind = (job_status_kind_t) frame_get_range (reader, 0, JOB_STATUS_LAST);
+      claim.until_ms = get_time_left (reader, now_ms);
+      claim.unheard = frame_get_bool (reader);
+      complete &= host != NULL;
+      if (host != NULL)
+        claim.host = g_intern_string (host);
+      g_free (host);
+      if (claim.host != NULL)
+        g_array_append_val (claims, claim);
+    }
+  return frame_ok (reader) && complete ? 0 : ERROR_PROTOCOL;
+}
+
 GBytes *
 job_msg_runs (job_status_msg_t type, const job_runs_t *runs)
 {
--- a/lib/scheduler/job_status_msg.h
+++ b/lib/scheduler/job_status_msg.h
@@ -21,7 +21,9 @@
   JOB_MSG_TOLD_ACK,   /* confirms all that came before JOB_MSG_TOLD */
   JOB_MSG_ALL_TOLD,   /* the sender, a hub that is not in its cold start, has told all jobs that it
                          knows */
-  JOB_MSG_TELL_ALL    /* asks a hub of another data centre for all jobs that it knows */
+  JOB_MSG_TELL_ALL,   /* asks a hub of another data centre for all jobs that it knows */
+  JOB_MSG_REGISTER,   /* the sender is about to start a job */
+  JOB_MSG_REGISTERED  /* answers that: who else has the job */
 } job_status_msg_t;
 
 /* Most statuses in a message, and most messages passed on in one. */
@@ -62,6 +64,24 @@
 GBytes *job_msg_told (job_status_msg_t type, int64_t clock_ms);
 int job_msg_read_told (frame_reader_t *reader, int64_t *clock_ms);
 
+/* The job of STATUS, whose kind is not sent, is registered with the receiver. */
+GBytes *job_msg_register (const job_status_t *status, int64_t now_ms);
+/* The caller frees the id of *STATUS. */
+int job_msg_read_register (frame_reader_t *reader, int64_t now_ms, job_status_t *status);
+
+/* Most other hosts that a registrar names. */
+#define JOB_CLAIMS_MAX 64
+
+/* What a registrar knows of the job with ID: CLAIMS, job_claim_t, of which JOB_CLAIMS_MAX are sent.
+ * CONFIRMED: it has recorded the job and knows what its data centre was told. */
+GBytes *job_msg_registered (const char *id, bool confirmed, const GArray *claims, int64_t now_ms);
+/* The caller frees *ID.  Appends claims with interned hosts. */
+int job_msg_read_registered (frame_reader_t *reader,
+                             int64_t now_ms,
+                             char **id,
+                             bool *confirmed,
+                             GArray *claims);
+
 /* Runs of the job with ID for HOLDER in SHARD.  TOKEN is that of the sender's claim on SHARD, and 0
  * in a query. */
 typedef struct
--- a/lib/scheduler/remote_jobs.c
+++ b/lib/scheduler/remote_jobs.c
@@ -239,6 +239,14 @@
   return found;
 }
 
+const remote_job_t *
+remote_jobs_find_host (const remote_jobs_t *jobs, const char *id, const char *host, int64_t now_ms)
+{
+  const entry_t *entry = find_entry (jobs, id, g_intern_string (host));
+
+  return entry != NULL && now_ms < entry->job.expires_at_ms ? &entry->job : NULL;
+}
+
 void
 remote_jobs_foreach_host (const remote_jobs_t *jobs,
                           const char *id,
@@ -278,9 +286,9 @@
 int64_t
 remote_jobs_over_at (const remote_jobs_t *jobs, const char *id, const char *host, int64_t now_ms)
 {
-  const entry_t *entry = find_entry (jobs, id, g_intern_string (host));
+  const remote_job_t *job = remote_jobs_find_host (jobs, id, host, now_ms);
 
-  return entry != NULL && now_ms < entry->job.expires_at_ms ? entry->job.over_at_ms : now_ms;
+  return job != NULL ? job->over_at_ms : now_ms;
 }
 
 /* Whether all entries have expired. */
--- a/lib/scheduler/remote_jobs.h
+++ b/lib/scheduler/remote_jobs.h
@@ -88,6 +88,11 @@
  * NULL if there is none.  Valid until the next call. */
 const remote_job_t *remote_jobs_find (const remote_jobs_t *jobs, const char *id, int64_t now_ms);
 
+/* Returns the entry of the job with ID of HOST; NULL if there is none.  Valid until the next call.
+ */
+const remote_job_t *
+remote_jobs_find_host (const remote_jobs_t *jobs, const char *id, const char *host, int64_t now_ms);
+
 /* Calls FUNCTION for each entry of the job with ID. */
 void remote_jobs_foreach_host (const remote_jobs_t *jobs,
                                const char *id,
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -153,6 +153,22 @@
     remote_jobs_foreach_host (scheduler->remote_jobs, question.id, now_ms, ask_other, &question);
 }
 
+/* JOB waits from now on for the host of REMOTE. */
+static void
+found_elsewhere (scheduler_t *scheduler,
+                 scheduled_job_t *job,
+                 const remote_job_t *remote,
+                 int64_t now_ms,
+                 GArray *actions)
+{
+  bool open = remote->over_at_ms == INT64_MAX;
+
+  job->may_have_run = true;
+  note (scheduler, job->request.id, remote->host,
+        open ? SCHEDULER_FOUND_OPEN : SCHEDULER_FOUND_STOPPING, remote->evidence,
+        now_ms - remote->learned_at_ms, actions);
+}
+
 bool
 repeats_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
@@ -160,12 +176,8 @@
 
   if (remote == NULL)
     return false;
-  bool open = remote->over_at_ms == INT64_MAX;
   job->waits_since_ms = now_ms;
-  job->may_have_run = true;
-  note (scheduler, job->request.id, remote->host,
-        open ? SCHEDULER_FOUND_OPEN : SCHEDULER_FOUND_STOPPING, remote->evidence,
-        now_ms - remote->learned_at_ms, actions);
+  found_elsewhere (scheduler, job, remote, now_ms, actions);
   ask (scheduler, job, remote, now_ms, actions);
   return true;
 }
@@ -238,9 +250,10 @@
 
 /* Whether JOB must not start yet although no host is known to have it. */
 static bool
-is_held (scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
+is_held (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms)
 {
-  return !scheduler_is_warm (scheduler, now_ms) || late_request_is_held (scheduler, job, now_ms);
+  return !job_registry_is_confirmed (scheduler, job) || !scheduler_is_warm (scheduler, now_ms)
+         || late_request_is_held (scheduler, job, now_ms);
 }
 
 void
@@ -249,6 +262,7 @@
   const remote_job_t *remote = current_holder (scheduler, job, now_ms, actions);
 
   unannounced_step_waiting (scheduler, job, now_ms);
+  job_registry_step (scheduler, job, remote != NULL, now_ms, actions);
   if (now_ms >= job->request.deadline_at_ms)
     scheduler_end_job (scheduler, job, SCHEDULER_GIVEN_UP, job->deadline_limit,
                        "another host may be running it", now_ms, actions);
@@ -256,6 +270,8 @@
     start_waiting (scheduler, job, now_ms, actions);
   else if (remote != NULL)
     {
+      if (job->holder == NULL)
+        found_elsewhere (scheduler, job, remote, now_ms, actions);
       ask (scheduler, job, remote, now_ms, actions);
       if (remote->unheard)
         lost_host_ask_owners (scheduler, job, remote, now_ms, actions);
@@ -493,6 +509,8 @@
                        runs_end_ms, now_ms);
   for (guint i = 0; i < job->followers->len; i++)
     tell (scheduler, g_array_index (job->followers, job_follower_t, i).host, &status, actions);
+  if (!job->announced)
+    job_registry_add_end (scheduler, &status);
   if (!job->announced || scheduler->untold_ends->len >= UNTOLD_ENDS_MAX)
     return;
   status.id = g_strdup (status.id);
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -41,6 +41,7 @@
   g_ptr_array_unref (job->batches);
   g_ptr_array_unref (job->requests);
   g_array_unref (job->followers);
+  g_ptr_array_unref (job->confirmed_by);
   g_array_unref (job->owner_replies);
   g_free (job);
 }
@@ -79,6 +80,8 @@
   scheduler->remote_jobs = remote_jobs_new ();
   scheduler->untold_ends = g_array_new (FALSE, FALSE, sizeof (job_status_t));
   scheduler->told_ends = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+  scheduler->registered_ends = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+  scheduler->told_registered_ends = g_array_new (FALSE, FALSE, sizeof (job_status_t));
   scheduler->unreached = g_array_new (FALSE, FALSE, sizeof (scheduler_unreached_t));
   scheduler->confirmed_at_ms = INT64_MAX;
   scheduler->resubmit_ms = options->resubmit_ms;
@@ -115,6 +118,11 @@
   job_statuses_clear (scheduler->told_ends);
   g_array_unref (scheduler->untold_ends);
   g_array_unref (scheduler->told_ends);
+  job_statuses_clear (scheduler->registered_ends);
+  job_statuses_clear (scheduler->told_registered_ends);
+  g_array_unref (scheduler->registered_ends);
+  g_array_unref (scheduler->told_registered_ends);
+  g_clear_pointer (&scheduler->registrars, g_ptr_array_unref);
   g_array_unref (scheduler->unreached);
   size_history_free (scheduler->size_history);
   g_string_chunk_free (scheduler->answer_strings);
@@ -245,6 +253,7 @@
   job->batches = g_ptr_array_new ();
   job->requests = g_ptr_array_new ();
   job->followers = g_array_new (FALSE, FALSE, sizeof (job_follower_t));
+  job->confirmed_by = g_ptr_array_new ();
   job->owner_replies = g_array_new (FALSE, FALSE, sizeof (owner_reply_t));
   g_hash_table_insert (scheduler->jobs, &job->number, job);
   g_hash_table_insert (scheduler->jobs_by_id, (void *) job->request.id, job);
@@ -282,8 +291,9 @@
   uint64_t number = repeats_add_request (scheduler, job, info->user_data);
 
   if (!repeats_wait (scheduler, job, now_ms, actions)
-      && !cold_start_wait (scheduler, job, now_ms, actions)
-      && !late_request_wait (scheduler, job, now_ms, actions))
+      && !cold_start_wait (scheduler, job, now_ms, actions))
+    (void) late_request_wait (scheduler, job, now_ms, actions);
+  if (!job_registry_wait (scheduler, job, now_ms, actions) && job->waits_since_ms == 0)
     scheduler_start_job (scheduler, job, now_ms, actions);
   return number;
 }
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -94,6 +94,7 @@
   SCHEDULER_ANSWER,    /* answer the caller of a job */
   SCHEDULER_ASK,       /* ask HOST for the status of job JOB_ID */
   SCHEDULER_TELL,      /* tell HOST the STATUS of job JOB_ID */
+  SCHEDULER_REGISTER,  /* register job JOB_ID, of which STATUS tells, with HOST */
   SCHEDULER_ASK_OWNER, /* ask HOST whether it has runs of job JOB_ID for HOLDER in SHARD */
   SCHEDULER_NOTE,      /* log FINDING: job JOB_ID was found at HOST, as told AGE_MS ago */
   SCHEDULER_GOES_ON,   /* log that job JOB_ID goes on although it may be sent again */
@@ -136,7 +137,7 @@
   stop_reason_t stop_reason;   /* SCHEDULER_CANCEL */
   executor_batch_t batch;      /* SCHEDULER_SUBMIT; its strings belong to the scheduler */
   GArray *task_indexes;        /* SCHEDULER_SUBMIT: int32_t; the receiver of the action unrefs it */
-  job_status_t status;         /* SCHEDULER_TELL; its id is JOB_ID */
+  job_status_t status;         /* SCHEDULER_TELL, SCHEDULER_REGISTER; its id is JOB_ID */
   scheduler_finding_t finding; /* SCHEDULER_NOTE */
   job_evidence_t evidence;     /* SCHEDULER_NOTE: what FINDING rests on */
   int64_t age_ms;              /* SCHEDULER_NOTE; SCHEDULER_GOES_ON: since it was received */
@@ -232,6 +233,41 @@
                           int64_t now_ms,
                           GArray *actions);
 
+/* The registrars of this host's jobs are HOSTS, names, from now on (job_registry.c): the hubs of
+ * its data centre that it hears, itself included if it is one.  From the first call on, no job
+ * starts that less than half of them have confirmed. */
+void scheduler_set_registrars (scheduler_t *scheduler, const GPtrArray *hosts, GArray *actions);
+
+/* Registers all open jobs with HOST, which may have lost what it was told. */
+void scheduler_register_all (scheduler_t *scheduler, const char *host, GArray *actions);
+
+/* HOST, a registrar, has recorded the job with ID.  To be called after scheduler_job_claimed () for
+ * all that it knows of others that have the job. */
+void scheduler_job_registered (scheduler_t *scheduler,
+                               const char *host,
+                               const char *id,
+                               int64_t now_ms,
+                               GArray *actions);
+
+/* A registrar knows of another host that has the job with ID, which is registered with it. */
+void scheduler_job_claimed (scheduler_t *scheduler,
+                            const char *id,
+                            const job_claim_t *claim,
+                            int64_t now_ms);
+
+/* HOST is about to start the job of STATUS, and registers it with this host.  Appends to CLAIMS,
+ * job_claim_t with interned hosts, what is known of others that have it.  Returns whether this host
+ * confirms: not before it knows what earlier processes were told. */
+bool scheduler_register (scheduler_t *scheduler,
+                         const char *host,
+                         const job_status_t *status,
+                         int64_t now_ms,
+                         GArray *claims);
+
+/* Appends to STATUSES, job_status_t, the ends of jobs that only registrars know of, since the last
+ * call.  Their ids are valid until the next call. */
+void scheduler_collect_registered_ends (scheduler_t *scheduler, GArray *statuses);
+
 /* Appends to STATUSES, job_status_t, what other hosts should be told since the last call: jobs that
  * have been open for long enough to be sent again elsewhere, and the ends of these.  Their ids are
  * valid until the next call. */
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -63,6 +63,9 @@
   int64_t announced_at_ms; /* ANNOUNCED: when */
   bool announce_again;     /* its announcement says that it waits, but it runs now */
   bool confirmed;          /* all other data centres have confirmed the announcement, for good */
+  GPtrArray *confirmed_by; /* registrars that have confirmed it; interned */
+  bool registered;         /* a majority of them has, at some time */
+  int64_t register_at_ms;  /* it is registered again then */
   bool confirmed_late;     /* it waited, and was confirmed too late, or not: it never starts */
   bool goes_on_logged;     /* SCHEDULER_GOES_ON was appended for it */
   int64_t waits_since_ms;  /* it is not run, as another host may run it; 0 if it does not wait */
@@ -157,9 +160,12 @@
   GHashTable *jobs_by_id;    /* id -> scheduled_job_t */
   GHashTable *requests;      /* number -> job_request_t, owned */
   remote_jobs_t *remote_jobs;
-  int64_t told_at_ms;          /* as in scheduler_set_told_at () */
-  GArray *unreached;           /* scheduler_unreached_t */
-  int64_t confirmed_at_ms;     /* as in scheduler_set_confirmed_at () */
+  GPtrArray *registrars;        /* interned hosts; NULL if jobs are not registered */
+  GArray *registered_ends;      /* job_status_t with own ids: ends that registrars should be told */
+  GArray *told_registered_ends; /* the same, of the last call that collected them */
+  int64_t told_at_ms;           /* as in scheduler_set_told_at () */
+  GArray *unreached;            /* scheduler_unreached_t */
+  int64_t confirmed_at_ms;      /* as in scheduler_set_confirmed_at () */
   GArray *untold_ends;         /* job_status_t with own ids: ends that other hosts should be told */
   GArray *told_ends;           /* the same, of the last call of scheduler_collect_statuses () */
   int64_t expire_remote_at_ms; /* when REMOTE_JOBS is searched for expired entries next */
@@ -317,6 +323,25 @@
  * whether it waits. */
 bool repeats_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
 
+/* job_registry.c: registers the new JOB, and makes it wait until a majority of the registrars has
+ * confirmed it.  Returns whether it waits. */
+bool
+job_registry_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
+
+/* job_registry.c: whether a majority of the registrars has confirmed JOB. */
+bool job_registry_is_confirmed (const scheduler_t *scheduler, scheduled_job_t *job);
+
+/* job_registry.c: registers JOB, which waits, again if that is due: with those that have not
+ * confirmed it, or, if another host has it, with all, which may know more of that host by now. */
+void job_registry_step (scheduler_t *scheduler,
+                        scheduled_job_t *job,
+                        bool is_elsewhere,
+                        int64_t now_ms,
+                        GArray *actions);
+
+/* job_registry.c: JOB has ended with STATUS, which the registrars should be told. */
+void job_registry_add_end (scheduler_t *scheduler, const job_status_t *status);
+
 /* repeats.c: asks, goes on waiting, or starts JOB, which waits. */
 void repeats_step_waiting (scheduler_t *scheduler,
                            scheduled_job_t *job,
--- a/lib/wire/frame.h
+++ b/lib/wire/frame.h
@@ -60,7 +60,7 @@
   FRAME_DRAIN_LAST = 179,
   /* 180..189: jobs between coordinators */
   FRAME_SCHEDULER_FIRST = 180,
-  FRAME_SCHEDULER_LAST = 189,
+  FRAME_SCHEDULER_LAST = 199,
   FRAME_TYPE_MAX = 255
 } frame_type_t;
 
