--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -500,8 +500,8 @@
   if (job_msg_read_registered (reader, now_ms, &id, &confirmed, claims) == 0)
     {
       for (guint i = 0; i < claims->len; i++)
-        scheduler_job_claimed (site->scheduler, id, &g_array_index (claims, job_claim_t, i),
-                               now_ms);
+        scheduler_job_claimed (site->scheduler, id, &g_array_index (claims, job_claim_t, i), now_ms,
+                               site->scheduler_actions);
       if (confirmed)
         scheduler_job_registered (site->scheduler, host, id, now_ms, site->scheduler_actions);
       site_run_scheduler_actions (site);
--- a/lib/scheduler/job_registry.c
+++ b/lib/scheduler/job_registry.c
@@ -31,6 +31,14 @@
   return g_ptr_array_find (job->confirmed_by, host, NULL);
 }
 
+static job_status_kind_t
+status_kind (const scheduled_job_t *job)
+{
+  bool runs = job->was_sent && job->waits_since_ms == 0 && !repeats_was_moved (job);
+
+  return runs ? JOB_STATUS_OPEN : JOB_STATUS_WAITING;
+}
+
 static void
 send_registration (scheduler_t *scheduler,
                    const scheduled_job_t *job,
@@ -41,7 +49,7 @@
       repeats_add_action (scheduler, SCHEDULER_REGISTER, host, job->request.id, actions);
 
   action->status.id = action->job_id;
-  action->status.kind = JOB_STATUS_WAITING;
+  action->status.kind = status_kind (job);
   action->status.until_ms = job->request.deadline_at_ms;
 }
 
@@ -110,6 +118,15 @@
   send_registrations (scheduler, job, !job->registered, actions);
 }
 
+void
+job_registry_step_running (scheduler_t *scheduler, scheduled_job_t *job, GArray *actions)
+{
+  if (scheduler->registrars == NULL || !job->register_again || !job->was_sent)
+    return;
+  job->register_again = false;
+  send_registrations (scheduler, job, false, actions);
+}
+
 /* --- the hosts that register jobs --- */
 
 void
@@ -211,6 +228,8 @@
 
   if (remote->host == walk->registering || remote->over_at_ms <= walk->now_ms)
     return;
+  if (remote->runs)
+    claim.kind = JOB_STATUS_OPEN;
   if (remote->over_at_ms != INT64_MAX)
     {
       claim.kind = JOB_STATUS_STOPPED;
@@ -228,40 +247,53 @@
 {
   claims_walk_t walk = { g_intern_string (host), now_ms, claims };
   const scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, status->id);
+  bool runs = status->kind == JOB_STATUS_OPEN;
 
   if (job != NULL)
     {
       const job_claim_t own = { .host = scheduler->host,
-                                .kind = JOB_STATUS_WAITING,
+                                .kind = status_kind (job),
                                 .until_ms = job->request.deadline_at_ms };
       g_array_append_val (claims, own);
     }
   remote_jobs_foreach_host (scheduler->remote_jobs, status->id, now_ms, add_claim, &walk);
-  if (!is_known_open (scheduler, status->id, host, now_ms))
-    (void) remote_jobs_open (scheduler->remote_jobs, status->id, host, false, status->until_ms,
+  if (runs || !is_known_open (scheduler, status->id, host, now_ms))
+    (void) remote_jobs_open (scheduler->remote_jobs, status->id, host, runs, status->until_ms,
                              now_ms);
   return scheduler_is_warm (scheduler, now_ms);
 }
 
-void
-scheduler_job_claimed (scheduler_t *scheduler,
-                       const char *id,
-                       const job_claim_t *claim,
-                       int64_t now_ms)
+/* The host of CLAIM has the job with ID, which waits here. */
+static void
+learn_claim (scheduler_t *scheduler, const char *id, const job_claim_t *claim, int64_t now_ms)
 {
-  const scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
   const remote_job_t *known =
       remote_jobs_find_host (scheduler->remote_jobs, id, claim->host, now_ms);
 
-  /* Of a job that runs here, the other host is told when it registers it. */
-  if (job == NULL || job->waits_since_ms == 0 || g_intern_string (claim->host) == scheduler->host)
-    return;
   if (claim->kind == JOB_STATUS_STOPPED)
     remote_jobs_ended (scheduler->remote_jobs, id, claim->host, JOB_EVIDENCE_TOLD, claim->until_ms,
                        now_ms);
   else if (known == NULL || known->over_at_ms != INT64_MAX)
-    (void) remote_jobs_open (scheduler->remote_jobs, id, claim->host, false, claim->until_ms,
-                             now_ms);
+    (void) remote_jobs_open (scheduler->remote_jobs, id, claim->host,
+                             claim->kind == JOB_STATUS_OPEN, claim->until_ms, now_ms);
   if (claim->unheard)
     remote_jobs_host_silent (scheduler->remote_jobs, id, claim->host);
 }
+
+void
+scheduler_job_claimed (scheduler_t *scheduler,
+                       const char *id,
+                       const job_claim_t *claim,
+                       int64_t now_ms,
+                       GArray *actions)
+{
+  const scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
+  const job_status_t status = { id, claim->kind, claim->until_ms };
+
+  if (job == NULL || g_intern_string (claim->host) == scheduler->host)
+    return;
+  if (job->waits_since_ms != 0)
+    learn_claim (scheduler, id, claim, now_ms);
+  else if (claim->kind == JOB_STATUS_OPEN)
+    scheduler_job_told (scheduler, claim->host, &status, now_ms, actions);
+}
--- a/lib/scheduler/job_status_msg.c
+++ b/lib/scheduler/job_status_msg.c
@@ -150,6 +150,7 @@
   frame_writer_t *writer = frame_begin (JOB_MSG_REGISTER);
 
   frame_put_string (writer, status->id);
+  frame_put_uint (writer, status->kind);
   put_time_left (writer, status->until_ms, now_ms);
   return frame_finish (writer);
 }
@@ -158,7 +159,7 @@
 job_msg_read_register (frame_reader_t *reader, int64_t now_ms, job_status_t *status)
 {
   status->id = frame_get_string (reader, FRAME_NAME_MAX_BYTES);
-  status->kind = JOB_STATUS_WAITING;
+  status->kind = (job_status_kind_t) frame_get_range (reader, 0, JOB_STATUS_WAITING);
   status->until_ms = get_time_left (reader, now_ms);
   return frame_ok (reader) && status->id != NULL ? 0 : ERROR_PROTOCOL;
 }
--- a/lib/scheduler/job_status_msg.h
+++ b/lib/scheduler/job_status_msg.h
@@ -22,7 +22,7 @@
   JOB_MSG_ALL_TOLD,   /* the sender, a hub that is not in its cold start, has told all jobs that it
                          knows */
   JOB_MSG_TELL_ALL,   /* asks a hub of another data centre for all jobs that it knows */
-  JOB_MSG_REGISTER,   /* the sender is about to start a job */
+  JOB_MSG_REGISTER,   /* registers a job, which the sender is about to start or runs */
   JOB_MSG_REGISTERED  /* answers that: who else has the job */
 } job_status_msg_t;
 
@@ -64,7 +64,9 @@
 GBytes *job_msg_told (job_status_msg_t type, int64_t clock_ms);
 int job_msg_read_told (frame_reader_t *reader, int64_t *clock_ms);
 
-/* The job of STATUS, whose kind is not sent, is registered with the receiver. */
+/* The job of STATUS, of kind JOB_STATUS_OPEN or JOB_STATUS_WAITING, is registered with the
+ * receiver.
+ */
 GBytes *job_msg_register (const job_status_t *status, int64_t now_ms);
 /* The caller frees the id of *STATUS. */
 int job_msg_read_register (frame_reader_t *reader, int64_t now_ms, job_status_t *status);
--- a/lib/scheduler/owners.c
+++ b/lib/scheduler/owners.c
@@ -123,6 +123,7 @@
 
   job->handovers++;
   job->may_have_run = true;
+  job->register_again = true;
   job_batch_t *new_batch = assign_new_batch (scheduler, job, shard);
   new_batch->maybe_running = true;
   new_batch->wait_until_ms = now_ms + OWNER_DROP_TIMEOUT_MS + run_end_after_drop_ms (scheduler);
@@ -245,6 +246,7 @@
       job_batch_t *batch = batches->pdata[i];
       batch->job->handovers++;
       batch->job->may_have_run = true;
+      batch->job->register_again = true;
       batch->maybe_running = true;
       batch->wait_until_ms = now_ms + run_end_after_drop_ms (scheduler);
       assign_send_batch (batch->job, batch, actions);
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -208,6 +208,7 @@
     job->request.start_by_ms += now_ms - job->waits_since_ms;
   job->waits_since_ms = 0;
   job->announce_again = job->announced;
+  job->register_again = job->holder != NULL;
   scheduler_start_job (scheduler, job, now_ms, actions);
 }
 
@@ -300,10 +301,8 @@
   ask (scheduler, job, remote, now_ms, actions);
 }
 
-/* Whether owners may start tasks of JOB anew: an owner was lost, or has lost this host, since its
- * tasks were sent. */
-static bool
-was_moved (const scheduled_job_t *job)
+bool
+repeats_was_moved (const scheduled_job_t *job)
 {
   for (guint i = 0; i < job->batches->len; i++)
     if (((const job_batch_t *) job->batches->pdata[i])->maybe_running)
@@ -316,7 +315,7 @@
 static bool
 yields_to (const scheduler_t *scheduler, const scheduled_job_t *job, const char *host)
 {
-  return was_moved (job) || strcmp (scheduler->host, host) > 0;
+  return repeats_was_moved (job) || strcmp (scheduler->host, host) > 0;
 }
 
 static void
@@ -409,7 +408,7 @@
 static job_status_t
 open_status (const scheduled_job_t *job)
 {
-  bool runs = job->waits_since_ms == 0 && !was_moved (job);
+  bool runs = job->waits_since_ms == 0 && !repeats_was_moved (job);
   job_status_kind_t kind = runs ? JOB_STATUS_OPEN : JOB_STATUS_WAITING;
 
   return (job_status_t){ job->request.id, kind, job->request.deadline_at_ms };
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -253,7 +253,8 @@
 void scheduler_job_claimed (scheduler_t *scheduler,
                             const char *id,
                             const job_claim_t *claim,
-                            int64_t now_ms);
+                            int64_t now_ms,
+                            GArray *actions);
 
 /* HOST is about to start the job of STATUS, and registers it with this host.  Appends to CLAIMS,
  * job_claim_t with interned hosts, what is known of others that have it.  Returns whether this host
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -65,7 +65,8 @@
   bool confirmed;          /* all other data centres have confirmed the announcement, for good */
   GPtrArray *confirmed_by; /* registrars that have confirmed it; interned */
   bool registered;         /* a majority of them has, at some time */
-  int64_t register_at_ms;  /* it is registered again then */
+  int64_t register_at_ms;  /* it waits, and is registered again then */
+  bool register_again;     /* it runs after it has waited, or anew: registrars should be told */
   bool confirmed_late;     /* it waited, and was confirmed too late, or not: it never starts */
   bool goes_on_logged;     /* SCHEDULER_GOES_ON was appended for it */
   int64_t waits_since_ms;  /* it is not run, as another host may run it; 0 if it does not wait */
@@ -339,6 +340,10 @@
                         int64_t now_ms,
                         GArray *actions);
 
+/* job_registry.c: tells the registrars once that JOB runs here although another host had it, or
+ * that its tasks start anew: they tell which other host runs it. */
+void job_registry_step_running (scheduler_t *scheduler, scheduled_job_t *job, GArray *actions);
+
 /* job_registry.c: JOB has ended with STATUS, which the registrars should be told. */
 void job_registry_add_end (scheduler_t *scheduler, const job_status_t *status);
 
@@ -348,6 +353,10 @@
                            int64_t now_ms,
                            GArray *actions);
 
+/* repeats.c: whether owners may start tasks of JOB anew: an owner was lost, or has lost this host,
+ * since its tasks were sent. */
+bool repeats_was_moved (const scheduled_job_t *job);
+
 /* repeats.c: whether a caller waits for JOB, here or at another host. */
 bool repeats_is_wanted (const scheduled_job_t *job, int64_t now_ms);
 
--- a/lib/scheduler/timeouts.c
+++ b/lib/scheduler/timeouts.c
@@ -132,6 +132,7 @@
       return;
     }
   unannounced_log (scheduler, job, now_ms, actions);
+  job_registry_step_running (scheduler, job, actions);
   if (job->unassigned->len == 0)
     return;
   if (job->request.start_by_ms != 0 && now_ms >= job->request.start_by_ms
