--- a/lib/scheduler/job_registry.c
+++ b/lib/scheduler/job_registry.c
@@ -13,6 +13,8 @@
  */
 #include "scheduler/state.h"
 
+#include <string.h>
+
 /* A registrar that has not confirmed a job is asked again after this. */
 #define REGISTER_RETRY_MS 50
 
@@ -83,11 +85,27 @@
   return 2 * count > scheduler->registrars->len;
 }
 
+/* The end of an earlier request of JOB here must not be told after JOB is registered. */
+static void
+drop_untold_end (GArray *ends, const scheduled_job_t *job)
+{
+  for (guint i = ends->len; i-- > 0;)
+    {
+      const job_status_t *end = &g_array_index (ends, job_status_t, i);
+      if (strcmp (end->id, job->request.id) != 0)
+        continue;
+      g_free ((char *) end->id);
+      g_array_remove_index (ends, i);
+    }
+}
+
 bool
 job_registry_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions)
 {
   if (scheduler->registrars == NULL)
     return false;
+  drop_untold_end (scheduler->registered_ends, job);
+  drop_untold_end (scheduler->untold_ends, job);
   job->register_at_ms = now_ms + REGISTER_RETRY_MS;
   send_registrations (scheduler, job, true, actions);
   if (job_registry_is_confirmed (scheduler, job))
@@ -98,10 +116,10 @@
 }
 
 bool
-job_registry_is_confirmed (const scheduler_t *scheduler, scheduled_job_t *job)
+job_registry_is_confirmed (const scheduler_t *scheduler, const scheduled_job_t *job)
 {
-  job->registered |= scheduler->registrars == NULL || is_confirmed_by_majority (scheduler, job);
-  return job->registered;
+  return scheduler->registrars == NULL || job->was_sent
+         || is_confirmed_by_majority (scheduler, job);
 }
 
 void
@@ -111,11 +129,12 @@
                    int64_t now_ms,
                    GArray *actions)
 {
-  if (scheduler->registrars == NULL || now_ms < job->register_at_ms
-      || (job->registered && !is_elsewhere))
+  bool confirmed = job_registry_is_confirmed (scheduler, job);
+
+  if (scheduler->registrars == NULL || now_ms < job->register_at_ms || (confirmed && !is_elsewhere))
     return;
-  job->register_at_ms = now_ms + (job->registered ? REPEATS_ASK_INTERVAL_MS : REGISTER_RETRY_MS);
-  send_registrations (scheduler, job, !job->registered, actions);
+  job->register_at_ms = now_ms + (confirmed ? REPEATS_ASK_INTERVAL_MS : REGISTER_RETRY_MS);
+  send_registrations (scheduler, job, !confirmed, actions);
 }
 
 void
@@ -263,10 +282,14 @@
   return scheduler_is_warm (scheduler, now_ms);
 }
 
-/* The host of CLAIM has the job with ID, which waits here. */
+/* The host of CLAIM has JOB, which waits here. */
 static void
-learn_claim (scheduler_t *scheduler, const char *id, const job_claim_t *claim, int64_t now_ms)
+learn_claim (scheduler_t *scheduler,
+             const scheduled_job_t *job,
+             const job_claim_t *claim,
+             int64_t now_ms)
 {
+  const char *id = job->request.id;
   const remote_job_t *known =
       remote_jobs_find_host (scheduler->remote_jobs, id, claim->host, now_ms);
 
@@ -280,6 +303,15 @@
     remote_jobs_host_silent (scheduler->remote_jobs, id, claim->host);
 }
 
+/* Whether owners have told this host that no run of JOB is left for the host of CLAIM, which the
+ * registrar has lost.  The registrar can't know that. */
+static bool
+is_cleared (const scheduled_job_t *job, const job_claim_t *claim)
+{
+  return claim->unheard && claim->kind != JOB_STATUS_STOPPED
+         && g_ptr_array_find (job->cleared_hosts, g_intern_string (claim->host), NULL);
+}
+
 void
 scheduler_job_claimed (scheduler_t *scheduler,
                        const char *id,
@@ -290,10 +322,10 @@
   const scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
   const job_status_t status = { id, claim->kind, claim->until_ms };
 
-  if (job == NULL || g_intern_string (claim->host) == scheduler->host)
+  if (job == NULL || g_intern_string (claim->host) == scheduler->host || is_cleared (job, claim))
     return;
   if (job->waits_since_ms != 0)
-    learn_claim (scheduler, id, claim, now_ms);
-  else if (claim->kind == JOB_STATUS_OPEN)
+    learn_claim (scheduler, job, claim, now_ms);
+  else if (claim->kind == JOB_STATUS_OPEN || !job->was_sent)
     scheduler_job_told (scheduler, claim->host, &status, now_ms, actions);
 }
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -143,6 +143,7 @@
       job->holder = remote->host;
       job->asked_since_ms = now_ms;
       job->ask_at_ms = now_ms;
+      job->ask_owners_at_ms = now_ms;
     }
   if (now_ms < job->ask_at_ms || remote->host == scheduler->host)
     return;
@@ -240,6 +241,7 @@
   if (remote != NULL && remote->unheard && lost_host_runs_are_over (scheduler, job, remote, now_ms))
     {
       job->waited_by = JOB_EVIDENCE_OWNERS;
+      g_ptr_array_add (job->cleared_hosts, (void *) remote->host);
       remote_jobs_ended (scheduler->remote_jobs, id, remote->host, JOB_EVIDENCE_OWNERS, now_ms,
                          now_ms);
       return remote_jobs_find (scheduler->remote_jobs, id, now_ms);
@@ -251,7 +253,7 @@
 
 /* Whether JOB must not start yet although no host is known to have it. */
 static bool
-is_held (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms)
+is_held (scheduler_t *scheduler, const scheduled_job_t *job, int64_t now_ms)
 {
   return !job_registry_is_confirmed (scheduler, job) || !scheduler_is_warm (scheduler, now_ms)
          || late_request_is_held (scheduler, job, now_ms);
@@ -500,7 +502,10 @@
                   GArray *actions)
 {
   bool may_run_on = outcome == SCHEDULER_GIVEN_UP && job->was_sent && scheduler->resubmit_ms > 0;
-  int64_t runs_end_ms = may_run_on ? now_ms + scheduler->resubmit_ms : now_ms;
+  /* Runs of an earlier request here may go on, too. */
+  int64_t earlier_end_ms =
+      remote_jobs_over_at (scheduler->remote_jobs, job->request.id, scheduler->host, now_ms);
+  int64_t runs_end_ms = may_run_on ? now_ms + scheduler->resubmit_ms : MAX (now_ms, earlier_end_ms);
   job_status_t status = ended_status (job->request.id, outcome, runs_end_ms);
 
   if (may_run_on)
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -42,6 +42,7 @@
   g_ptr_array_unref (job->requests);
   g_array_unref (job->followers);
   g_ptr_array_unref (job->confirmed_by);
+  g_ptr_array_unref (job->cleared_hosts);
   g_array_unref (job->owner_replies);
   g_free (job);
 }
@@ -254,6 +255,7 @@
   job->requests = g_ptr_array_new ();
   job->followers = g_array_new (FALSE, FALSE, sizeof (job_follower_t));
   job->confirmed_by = g_ptr_array_new ();
+  job->cleared_hosts = g_ptr_array_new ();
   job->owner_replies = g_array_new (FALSE, FALSE, sizeof (owner_reply_t));
   g_hash_table_insert (scheduler->jobs, &job->number, job);
   g_hash_table_insert (scheduler->jobs_by_id, (void *) job->request.id, job);
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -56,25 +56,26 @@
 struct scheduled_job_t
 {
   uint64_t number;
-  scheduler_job_t request; /* of its first request; its strings are copies that the job owns */
-  GPtrArray *requests;     /* job_request_t, owned by scheduler_t */
-  GArray *followers;       /* job_follower_t */
-  bool announced;          /* other hosts were told of it */
-  int64_t announced_at_ms; /* ANNOUNCED: when */
-  bool announce_again;     /* its announcement says that it waits, but it runs now */
-  bool confirmed;          /* all other data centres have confirmed the announcement, for good */
-  GPtrArray *confirmed_by; /* registrars that have confirmed it; interned */
-  bool registered;         /* a majority of them has, at some time */
-  int64_t register_at_ms;  /* it waits, and is registered again then */
-  bool register_again;     /* it runs after it has waited, or anew: registrars should be told */
-  bool confirmed_late;     /* it waited, and was confirmed too late, or not: it never starts */
-  bool goes_on_logged;     /* SCHEDULER_GOES_ON was appended for it */
-  int64_t waits_since_ms;  /* it is not run, as another host may run it; 0 if it does not wait */
-  int64_t held_until_ms;   /* it waits until then, although no host is known to have it... */
-  int64_t told_until_ms;   /* ...and at most until then while others may not have told their jobs */
-  const char *holder;      /* it waits: the host that is asked; interned */
-  int64_t asked_since_ms;  /* HOLDER is asked since then */
-  int64_t ask_at_ms;       /* it is asked again then */
+  scheduler_job_t request;  /* of its first request; its strings are copies that the job owns */
+  GPtrArray *requests;      /* job_request_t, owned by scheduler_t */
+  GArray *followers;        /* job_follower_t */
+  bool announced;           /* other hosts were told of it */
+  int64_t announced_at_ms;  /* ANNOUNCED: when */
+  bool announce_again;      /* its announcement says that it waits, but it runs now */
+  bool confirmed;           /* all other data centres have confirmed the announcement, for good */
+  GPtrArray *confirmed_by;  /* registrars that have confirmed it; interned */
+  GPtrArray *cleared_hosts; /* not heard, and owners have said that they have no run for them;
+                               interned */
+  int64_t register_at_ms;   /* it waits, and is registered again then */
+  bool register_again;      /* it runs after it has waited, or anew: registrars should be told */
+  bool confirmed_late;      /* it waited, and was confirmed too late, or not: it never starts */
+  bool goes_on_logged;      /* SCHEDULER_GOES_ON was appended for it */
+  int64_t waits_since_ms;   /* it is not run, as another host may run it; 0 if it does not wait */
+  int64_t held_until_ms;    /* it waits until then, although no host is known to have it... */
+  int64_t told_until_ms;  /* ...and at most until then while others may not have told their jobs */
+  const char *holder;     /* it waits: the host that is asked; interned */
+  int64_t asked_since_ms; /* HOLDER is asked since then */
+  int64_t ask_at_ms;      /* it is asked again then */
   job_evidence_t waited_by; /* it waited until now because of that */
   int64_t ask_owners_at_ms; /* HOLDER is not heard: owners are asked again then */
   GArray *owner_replies;    /* owner_reply_t, one for each shard */
@@ -329,8 +330,10 @@
 bool
 job_registry_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
 
-/* job_registry.c: whether a majority of the registrars has confirmed JOB. */
-bool job_registry_is_confirmed (const scheduler_t *scheduler, scheduled_job_t *job);
+/* job_registry.c: whether a majority of the registrars has confirmed JOB, or had before it was
+ * sent.
+ */
+bool job_registry_is_confirmed (const scheduler_t *scheduler, const scheduled_job_t *job);
 
 /* job_registry.c: registers JOB, which waits, again if that is due: with those that have not
  * confirmed it, or, if another host has it, with all, which may know more of that host by now. */
--- a/lib/scheduler/timeouts.c
+++ b/lib/scheduler/timeouts.c
@@ -135,6 +135,11 @@
   job_registry_step_running (scheduler, job, actions);
   if (job->unassigned->len == 0)
     return;
+  if (!job_registry_is_confirmed (scheduler, job))
+    {
+      job->waits_since_ms = now_ms;
+      return;
+    }
   if (job->request.start_by_ms != 0 && now_ms >= job->request.start_by_ms
       && start_limit_passed (scheduler, job, now_ms, actions))
     return;
