--- a/daemon/site.c
+++ b/daemon/site.c
@@ -528,6 +528,8 @@
   site->directory = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, site_free_entry);
   site->removed_entries = removed_entries_new ();
   site->connections = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  site->registrars = g_hash_table_new (NULL, NULL);
+  g_hash_table_add (site->registrars, (void *) site->host);
   site->known_hosts = g_hash_table_new_full (NULL, NULL, NULL, peers_free_host);
   site->follows_directory = true;
   site->cluster_actions = g_array_new (FALSE, FALSE, sizeof (cluster_action_t));
--- a/daemon/site_peers.c
+++ b/daemon/site_peers.c
@@ -397,6 +397,7 @@
   { JOB_MSG_TOLD_ACK, repeats_read_told_ack },
   { JOB_MSG_ALL_TOLD, repeats_read_all_told },
   { JOB_MSG_TELL_ALL, repeats_read_tell_all },
+  { JOB_MSG_REGISTRAR, repeats_read_registrar },
   { JOB_MSG_REGISTER, repeats_read_register },
   { JOB_MSG_REGISTERED, repeats_read_registered },
   { CLUSTER_MSG_HEARTBEAT, read_heartbeat },
--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -107,9 +107,10 @@
   GHashTable *running_in_drained; /* interned data centre -> drain_running_t */
   GHashTable *directory;          /* endpoint id -> executor_entry_t */
   removed_entries_t *removed_entries;
-  GHashTable *connections;                /* interned host -> peer_connection_t */
-  GHashTable *known_hosts;                /* interned host -> known_host_t */
-  GArray *cluster_actions;                /* cluster_action_t that have not been carried out */
+  GHashTable *connections; /* interned host -> peer_connection_t */
+  GHashTable *known_hosts; /* interned host -> known_host_t */
+  GHashTable *registrars;  /* set of interned hosts of this data centre that answer registrations */
+  GArray *cluster_actions; /* cluster_action_t that have not been carried out */
   GArray *scheduler_actions;              /* likewise, scheduler_action_t */
   job_cancellations_t *job_cancellations; /* its waiters are cancel_waiter_t */
   crash_history_t *crashes;               /* shared by the executors of this host */
@@ -265,6 +266,7 @@
 void repeats_read_told (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_all_told (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_tell_all (site_t *site, const char *host, frame_reader_t *reader);
+void repeats_read_registrar (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_register (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_registered (site_t *site, const char *host, frame_reader_t *reader);
 void repeats_read_told_ack (site_t *site, const char *host, frame_reader_t *reader);
--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -18,6 +18,8 @@
 #define ANNOUNCE_INTERVAL_MS 200
 /* So many hubs of a data centre pass an announcement on: one of them may just have been lost. */
 #define RELAYS_PER_DATA_CENTRE 2
+/* Most hosts that are remembered to answer registrations. */
+#define REGISTRARS_MAX 4096
 
 static const char *const finding_names[] = {
   [SCHEDULER_FOUND_COLD] = "cold_start",       [SCHEDULER_FOUND_LATE] = "may_be_late",
@@ -127,13 +129,20 @@
               job_msg_statuses (site->host, false, &action->status, 1, clock_boot_ms ()));
 }
 
+/* Hosts of earlier versions don't answer registrations.  Where all hubs that are heard are such
+ * hosts, jobs start as they do there. */
 void
 repeats_update_registrars (site_t *site)
 {
   GPtrArray *hubs = g_ptr_array_new ();
 
   cluster_append_local_hubs (site->cluster, hubs);
-  scheduler_set_registrars (site->scheduler, hubs, site->scheduler_actions);
+  bool any_hub = hubs->len > 0;
+  for (guint i = hubs->len; i-- > 0;)
+    if (!g_hash_table_contains (site->registrars, hubs->pdata[i]))
+      g_ptr_array_remove_index_fast (hubs, i);
+  bool none_registers = any_hub && hubs->len == 0;
+  scheduler_set_registrars (site->scheduler, none_registers ? NULL : hubs, site->scheduler_actions);
   g_ptr_array_unref (hubs);
   site_run_scheduler_actions (site);
 }
@@ -218,6 +227,8 @@
   if (statuses->len > 0 && !is_local (site, connection))
     peers_send (site, host, job_msg_told (JOB_MSG_TOLD, clock_boot_ms ()));
   g_array_unref (statuses);
+  if (is_local (site, connection))
+    peers_send (site, host, job_msg_registrar ());
   scheduler_register_all (site->scheduler, host, site->scheduler_actions);
   site_run_scheduler_actions (site);
   if (!passes_on (site, connection))
@@ -346,6 +357,9 @@
 void
 repeats_tick (site_t *site, int64_t now_ms)
 {
+  /* The process may end at any time. */
+  if (site->stopping)
+    tell_registered_ends (site);
   if (now_ms < site->announce_due_ms)
     return;
   site->announce_due_ms = now_ms + ANNOUNCE_INTERVAL_MS;
@@ -390,6 +404,16 @@
     g_ptr_array_add (site->relayed, statuses_frame (origin, false, statuses, 0));
 }
 
+/* Whether this host has lost ORIGIN, of which HOST (NULL: a relay) tells. */
+static bool
+is_told_of_lost (const site_t *site, const char *host, const char *origin)
+{
+  int64_t lost_at_ms = cluster_lost_at_ms (site->cluster, origin);
+  bool by_itself = host != NULL && strcmp (host, origin) == 0;
+
+  return !by_itself && lost_at_ms != 0 && lost_at_ms != INT64_MAX;
+}
+
 void
 repeats_read_statuses (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -398,14 +422,18 @@
   bool relay = false;
   int64_t now_ms = clock_boot_ms ();
 
-  (void) host;
   if (job_msg_read_statuses (reader, now_ms, &origin, &relay, statuses) == 0)
     {
       if (relay)
         relay_statuses (site, origin, statuses);
+      bool lost = is_told_of_lost (site, host, origin);
       for (guint i = 0; i < statuses->len; i++)
-        scheduler_job_told (site->scheduler, origin, &g_array_index (statuses, job_status_t, i),
-                            now_ms, site->scheduler_actions);
+        {
+          const job_status_t *status = &g_array_index (statuses, job_status_t, i);
+          scheduler_job_told (site->scheduler, origin, status, now_ms, site->scheduler_actions);
+          if (lost)
+            scheduler_job_unheard (site->scheduler, status->id, origin);
+        }
       site_run_scheduler_actions (site);
     }
   job_statuses_clear (statuses);
@@ -473,6 +501,14 @@
   g_free (id);
 }
 
+void
+repeats_read_registrar (site_t *site, const char *host, frame_reader_t *reader)
+{
+  (void) reader;
+  if (g_hash_table_size (site->registrars) < REGISTRARS_MAX)
+    g_hash_table_add (site->registrars, (void *) g_intern_string (host));
+}
+
 void
 repeats_read_register (site_t *site, const char *host, frame_reader_t *reader)
 {
@@ -500,8 +536,11 @@
   if (job_msg_read_registered (reader, now_ms, &id, &confirmed, claims) == 0)
     {
       for (guint i = 0; i < claims->len; i++)
-        scheduler_job_claimed (site->scheduler, id, &g_array_index (claims, job_claim_t, i), now_ms,
-                               site->scheduler_actions);
+        {
+          job_claim_t *claim = &g_array_index (claims, job_claim_t, i);
+          claim->unheard |= is_told_of_lost (site, host, claim->host);
+          scheduler_job_claimed (site->scheduler, id, claim, now_ms, site->scheduler_actions);
+        }
       if (confirmed)
         scheduler_job_registered (site->scheduler, host, id, now_ms, site->scheduler_actions);
       site_run_scheduler_actions (site);
--- a/lib/executor/answer.c
+++ b/lib/executor/answer.c
@@ -6,6 +6,8 @@
 
 #include <string.h>
 
+/* More than all owners of a job number under one coordinator. */
+#define ATTEMPTS_SKIPPED 32768
 /* An endpoint that has refused a task for lack of resources gets no more tasks for this time. */
 #define FULL_BACKOFF_MS 20
 /* An endpoint that reports itself as unhealthy gets no task for this time. */
@@ -217,6 +219,16 @@
   return answer != EXECUTOR_NO_ANSWER && answer != EXECUTOR_INSTANCE_GONE;
 }
 
+/* The endpoint has had a higher attempt of TASK than its present one: of a request of the job that
+ * another coordinator had.  The next one is higher by more than owners number under one
+ * coordinator, and different from all of theirs. */
+static void
+skip_attempts (task_t *task)
+{
+  if (task->highest_attempt < INT32_MAX - 2 * ATTEMPTS_SKIPPED)
+    task->highest_attempt += ATTEMPTS_SKIPPED;
+}
+
 void
 executor_start_answered (executor_t *executor,
                          uint64_t serial,
@@ -291,6 +303,7 @@
       /* That attempt may be alive; the next poll shows it. */
       if (task->state == TASK_STARTING)
         {
+          skip_attempts (task);
           task->state = TASK_START_UNCONFIRMED;
           endpoint->poll_due_at_ms = now_ms;
         }
--- a/lib/scheduler/job_registry.c
+++ b/lib/scheduler/job_registry.c
@@ -167,10 +167,10 @@
 {
   GPtrArray *before = scheduler->registrars;
 
-  scheduler->registrars = g_ptr_array_new ();
-  for (guint i = 0; i < hosts->len; i++)
+  scheduler->registrars = hosts != NULL ? g_ptr_array_new () : NULL;
+  for (guint i = 0; hosts != NULL && i < hosts->len; i++)
     g_ptr_array_add (scheduler->registrars, (void *) g_intern_string (hosts->pdata[i]));
-  for (guint i = 0; i < scheduler->registrars->len; i++)
+  for (guint i = 0; hosts != NULL && i < hosts->len; i++)
     if (before == NULL || !g_ptr_array_find (before, scheduler->registrars->pdata[i], NULL))
       scheduler_register_all (scheduler, scheduler->registrars->pdata[i], actions);
   if (before != NULL)
@@ -245,7 +245,9 @@
                         .until_ms = remote->expires_at_ms,
                         .unheard = remote->unheard };
 
-  if (remote->host == walk->registering || remote->over_at_ms <= walk->now_ms)
+  bool is_own_request = remote->host == walk->registering && remote->over_at_ms == INT64_MAX;
+
+  if (is_own_request || remote->over_at_ms <= walk->now_ms)
     return;
   if (remote->runs)
     claim.kind = JOB_STATUS_OPEN;
@@ -322,10 +324,13 @@
   const scheduled_job_t *job = g_hash_table_lookup (scheduler->jobs_by_id, id);
   const job_status_t status = { id, claim->kind, claim->until_ms };
 
-  if (job == NULL || g_intern_string (claim->host) == scheduler->host || is_cleared (job, claim))
+  /* An earlier process of this host may have run the job. */
+  bool is_own = g_intern_string (claim->host) == scheduler->host;
+
+  if (job == NULL || is_cleared (job, claim) || (is_own && claim->kind != JOB_STATUS_STOPPED))
     return;
   if (job->waits_since_ms != 0)
     learn_claim (scheduler, job, claim, now_ms);
-  else if (claim->kind == JOB_STATUS_OPEN || !job->was_sent)
+  else if (!is_own && (claim->kind == JOB_STATUS_OPEN || !job->was_sent))
     scheduler_job_told (scheduler, claim->host, &status, now_ms, actions);
 }
--- a/lib/scheduler/job_status_msg.c
+++ b/lib/scheduler/job_status_msg.c
@@ -112,6 +112,12 @@
   return frame_finish (frame_begin (JOB_MSG_TELL_ALL));
 }
 
+GBytes *
+job_msg_registrar (void)
+{
+  return frame_finish (frame_begin (JOB_MSG_REGISTRAR));
+}
+
 GBytes *
 job_msg_query (const char *id)
 {
--- a/lib/scheduler/job_status_msg.h
+++ b/lib/scheduler/job_status_msg.h
@@ -23,6 +23,7 @@
                          knows */
   JOB_MSG_TELL_ALL,   /* asks a hub of another data centre for all jobs that it knows */
   JOB_MSG_REGISTER,   /* registers a job, which the sender is about to start or runs */
+  JOB_MSG_REGISTRAR,  /* the sender answers JOB_MSG_REGISTER; earlier versions don't */
   JOB_MSG_REGISTERED  /* answers that: who else has the job */
 } job_status_msg_t;
 
@@ -51,9 +52,10 @@
                           void (*read) (frame_reader_t *message, void *data),
                           void *data);
 
-/* JOB_MSG_ALL_TOLD and JOB_MSG_TELL_ALL, which have no fields. */
+/* JOB_MSG_ALL_TOLD, JOB_MSG_TELL_ALL and JOB_MSG_REGISTRAR, which have no fields. */
 GBytes *job_msg_all_told (void);
 GBytes *job_msg_tell_all (void);
+GBytes *job_msg_registrar (void);
 
 GBytes *job_msg_query (const char *id);
 /* The caller frees *ID. */
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -405,6 +405,12 @@
     told_outcome (scheduler, host, status->id, outcomes[status->kind], now_ms, actions);
 }
 
+void
+scheduler_job_unheard (scheduler_t *scheduler, const char *id, const char *host)
+{
+  remote_jobs_host_silent (scheduler->remote_jobs, id, host);
+}
+
 /* --- what this host tells --- */
 
 static job_status_t
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -225,6 +225,9 @@
                          int64_t now_ms,
                          GArray *actions);
 
+/* HOST, of which another one has told that it has the job with ID, is not heard here. */
+void scheduler_job_unheard (scheduler_t *scheduler, const char *id, const char *host);
+
 /* HOST, at which a caller waits for the job with ID, asks for its status.  While it goes on asking,
  * the job is not ended for want of a caller at this host. */
 void scheduler_job_asked (scheduler_t *scheduler,
@@ -234,8 +237,8 @@
                           GArray *actions);
 
 /* The registrars of this host's jobs are HOSTS, names, from now on (job_registry.c): the hubs of
- * its data centre that it hears, itself included if it is one.  From the first call on, no job
- * starts that less than half of them have confirmed. */
+ * its data centre that it hears, itself included if it is one.  From the first call on,
+ * no job starts that less than half of them have confirmed.  NULL: jobs are not registered. */
 void scheduler_set_registrars (scheduler_t *scheduler, const GPtrArray *hosts, GArray *actions);
 
 /* Registers all open jobs with HOST, which may have lost what it was told. */
--- a/lib/wire/frame.h
+++ b/lib/wire/frame.h
@@ -58,7 +58,7 @@
   /* 170..179: drains of data centres */
   FRAME_DRAIN_FIRST = 170,
   FRAME_DRAIN_LAST = 179,
-  /* 180..189: jobs between coordinators */
+  /* 180..199: jobs between coordinators */
   FRAME_SCHEDULER_FIRST = 180,
   FRAME_SCHEDULER_LAST = 199,
   FRAME_TYPE_MAX = 255
--- a/tests/test_executor_leases.c
+++ b/tests/test_executor_leases.c
@@ -116,6 +116,7 @@
       executor_batch_t batch = batch_of ("j", 1);
       scenario_t scenario;
       bool started_again = false;
+      int32_t next_attempt = 0;
 
       scenario_begin (&scenario);
       add_endpoint (&scenario, 0, "r1", 1000);
@@ -133,6 +134,8 @@
         {
           run_round_at (&scenario, now_ms);
           started_again |= has_action (&scenario, EXECUTOR_START);
+          const executor_action_t *start = last_action (&scenario, EXECUTOR_START);
+          next_attempt = start != NULL ? start->attempt : next_attempt;
           const executor_action_t *stop = last_action (&scenario, EXECUTOR_STOP);
           uint64_t stop_serial = stop != NULL ? stop->serial : 0;
           answer_poll (&scenario, refusing, row, old_attempt_cases[i].count);
@@ -143,6 +146,8 @@
       if (started_again != old_attempt_cases[i].starts_again)
         printf ("  %s\n", old_attempt_cases[i].name);
       CU_ASSERT_EQUAL (started_again, old_attempt_cases[i].starts_again);
+      /* The endpoint refuses every attempt up to that one. */
+      CU_ASSERT_TRUE (!started_again || next_attempt > row->attempt);
       scenario_end (&scenario);
     }
 }
--- a/tests/test_job_registry_lost_hosts.c
+++ b/tests/test_job_registry_lost_hosts.c
@@ -1,5 +1,5 @@
-/* test_job_registry_lost_hosts.c -- what becomes of a job that hosts of one data centre register, where
- * hosts are lost, and where it is sent again at any time
+/* test_job_registry_lost_hosts.c -- what becomes of a job that hosts of one data centre register,
+ * where hosts are lost, and where it is sent again at any time
  *
  * Schedulers of four hosts, all of them registrars, that reach each other at once.  One owner,
  * which no host is, has all endpoints; runs go on until they are cancelled or their host was
@@ -316,6 +316,57 @@
 
 /* --- cases --- */
 
+typedef struct
+{
+  world_t *world;
+  host_t *to;
+} relay_t;
+
+static void
+tell_known (const char *host, const job_status_t *status, void *data)
+{
+  const relay_t *relay = data;
+
+  scheduler_job_told (relay->to->scheduler, host, status, relay->world->now_ms, relay->to->actions);
+  /* As the daemon does. */
+  if (find_host (relay->world, host)->lost)
+    scheduler_job_unheard (relay->to->scheduler, status->id, host);
+}
+
+/* Registrars that lose a host tell the others all jobs that they know. */
+static void
+pass_on (world_t *world)
+{
+  for (size_t i = 1; i < HOSTS; i++)
+    for (size_t j = 1; j < HOSTS; j++)
+      {
+        const host_t *from = &world->hosts[i];
+        relay_t relay = { world, &world->hosts[j] };
+        if (i != j && from->killed_at_ms == 0 && relay.to->killed_at_ms == 0)
+          scheduler_foreach_remote (from->scheduler, relay.to->name, world->now_ms, tell_known,
+                                    &relay);
+      }
+  settle (world);
+}
+
+/* Owners know that the runs have ended 230 ms after the kill. */
+static void
+test_relayed_after_the_loss (void)
+{
+  world_t *world = new_world ();
+  int64_t start_ms = world->now_ms;
+
+  send_job (world, "a", CALLER_WAIT_MS);
+  run_until (world, start_ms + 80);
+  kill_host (world, "a");
+  run_until (world, start_ms + 230);
+  pass_on (world);
+  send_job (world, "b", CALLER_WAIT_MS);
+  run_until (world, start_ms + 900);
+  check_serves (world, "b");
+  free_world (world);
+}
+
 static void
 test_after_an_announced_job (void)
 {
@@ -479,14 +530,55 @@
   free_world (world);
 }
 
+/* A host is started anew 300 ms after it was killed, and is sent its job again before a hub has
+ * told it what the process before had.  Its runs may go on for a lease. */
+static void
+test_sent_to_the_restarted_host (void)
+{
+  const scheduler_options_t options = { .host = "a",
+                                        .data_centre = "z",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .resubmit_ms = RESUBMIT_MS,
+                                        .started_at_ms = 10380,
+                                        .cold_until_ms = 10380 + 1080 };
+  world_t *world = new_world ();
+  int64_t start_ms = world->now_ms;
+  host_t *host = find_host (world, "a");
+
+  send_job (world, "a", CALLER_WAIT_MS);
+  run_until (world, start_ms + 80);
+  kill_host (world, "a");
+  run_until (world, start_ms + 380);
+  scheduler_free (host->scheduler);
+  host->scheduler = scheduler_new (&options);
+  host->killed_at_ms = 0;
+  host->lost = false;
+  scheduler_set_owner (host->scheduler, SHARD, OWNER, 1, 0, host->actions);
+  set_offers (world, "a", 4);
+  set_registrars (world, "a", "b", "c");
+  for (size_t i = 1; i < HOSTS; i++)
+    scheduler_host_restarted (world->hosts[i].scheduler, "a", options.started_at_ms);
+  send_job (world, "a", CALLER_WAIT_MS);
+  relay_t relay = { world, host };
+  scheduler_foreach_remote (find_host (world, "b")->scheduler, "a", world->now_ms, tell_known,
+                            &relay);
+  scheduler_all_told (host->scheduler);
+  run_until (world, start_ms + 600);
+  CU_ASSERT_FALSE (host->runs);
+  free_world (world);
+}
+
 static const unit_test_t tests[] = {
   { "a job whose announced host was killed is not served", test_after_an_announced_job },
   { "a job that two killed hosts had is not served", test_after_two_lost_hosts },
+  { "a lost host counts as heard once it is relayed", test_relayed_after_the_loss },
   { "two hosts wait for one that was killed, and neither serves", test_two_wait_for_a_lost_host },
   { "an end that is told late undoes a registration", test_end_that_is_told_late },
   { "a refusal that is told late undoes a registration", test_refused_and_sent_again },
   { "a request that ends unsent hides runs of the one before", test_left_twice },
   { "a host that registered a job alone starts it beside another one", test_registered_alone },
+  { "a restarted host starts its job beside its earlier runs", test_sent_to_the_restarted_host },
 };
 
 int
