Review of the registration: a lost host that is relayed counts as heard

What: one more case. Why: hubs that lose a host pass on the jobs that they know, those of the lost host included, and remote_jobs_open () then takes the host for one that is heard, so that a request waits 1,300 ms before the owners are asked.

--- a/tests/test_job_registry_review.c
+++ b/tests/test_job_registry_review.c
@@ -316,6 +316,54 @@
 
 /* --- cases --- */
 
+typedef struct
+{
+  world_t *world;
+  host_t *to;
+} relay_t;
+
+static void
+tell_known (const char *host, const job_status_t *status, void *data)
+{
+  const relay_t *relay = data;
+
+  scheduler_job_told (relay->to->scheduler, host, status, relay->world->now_ms, relay->to->actions);
+}
+
+/* Registrars that lose a host tell the others all jobs that they know. */
+static void
+pass_on (world_t *world)
+{
+  for (size_t i = 1; i < HOSTS; i++)
+    for (size_t j = 1; j < HOSTS; j++)
+      {
+        const host_t *from = &world->hosts[i];
+        relay_t relay = { world, &world->hosts[j] };
+        if (i != j && from->killed_at_ms == 0 && relay.to->killed_at_ms == 0)
+          scheduler_foreach_remote (from->scheduler, relay.to->name, world->now_ms, tell_known,
+                                    &relay);
+      }
+  settle (world);
+}
+
+/* Owners know that the runs have ended 230 ms after the kill. */
+static void
+test_relayed_after_the_loss (void)
+{
+  world_t *world = new_world ();
+  int64_t start_ms = world->now_ms;
+
+  send_job (world, "a", CALLER_WAIT_MS);
+  run_until (world, start_ms + 80);
+  kill_host (world, "a");
+  run_until (world, start_ms + 230);
+  pass_on (world);
+  send_job (world, "b", CALLER_WAIT_MS);
+  run_until (world, start_ms + 900);
+  check_serves (world, "b");
+  free_world (world);
+}
+
 static void
 test_after_an_announced_job (void)
 {
@@ -482,6 +530,7 @@
 static const unit_test_t tests[] = {
   { "a job whose announced host was killed is not served", test_after_an_announced_job },
   { "a job that two killed hosts had is not served", test_after_two_lost_hosts },
+  { "a lost host counts as heard once it is relayed", test_relayed_after_the_loss },
   { "two hosts wait for one that was killed, and neither serves", test_two_wait_for_a_lost_host },
   { "an end that is told late undoes a registration", test_end_that_is_told_late },
   { "a refusal that is told late undoes a registration", test_refused_and_sent_again },
