Review of the registration: a job sent to its own host, restarted

What: one more case. Why: a host that is started anew 300 ms after its end, and is sent its job before a hub has told it, drops what the hub tells (told_of_earlier_process ()), and registrars don't name the registering host's own earlier process, so that it starts while runs may go on for a lease.

--- a/tests/test_job_registry_review.c
+++ b/tests/test_job_registry_review.c
@@ -527,6 +527,45 @@
   free_world (world);
 }
 
+/* A host is started anew 300 ms after it was killed, and is sent its job again before a hub has
+ * told it what the process before had.  Its runs may go on for a lease. */
+static void
+test_sent_to_the_restarted_host (void)
+{
+  const scheduler_options_t options = { .host = "a",
+                                        .data_centre = "z",
+                                        .lease_ms = 1000,
+                                        .remote_factor = 1.0,
+                                        .resubmit_ms = RESUBMIT_MS,
+                                        .started_at_ms = 10380,
+                                        .cold_until_ms = 10380 + 1080 };
+  world_t *world = new_world ();
+  int64_t start_ms = world->now_ms;
+  host_t *host = find_host (world, "a");
+
+  send_job (world, "a", CALLER_WAIT_MS);
+  run_until (world, start_ms + 80);
+  kill_host (world, "a");
+  run_until (world, start_ms + 380);
+  scheduler_free (host->scheduler);
+  host->scheduler = scheduler_new (&options);
+  host->killed_at_ms = 0;
+  host->lost = false;
+  scheduler_set_owner (host->scheduler, SHARD, OWNER, 1, 0, host->actions);
+  set_offers (world, "a", 4);
+  set_registrars (world, "a", "b", "c");
+  for (size_t i = 1; i < HOSTS; i++)
+    scheduler_host_restarted (world->hosts[i].scheduler, "a", options.started_at_ms);
+  send_job (world, "a", CALLER_WAIT_MS);
+  relay_t relay = { world, host };
+  scheduler_foreach_remote (find_host (world, "b")->scheduler, "a", world->now_ms, tell_known,
+                            &relay);
+  scheduler_all_told (host->scheduler);
+  run_until (world, start_ms + 600);
+  CU_ASSERT_FALSE (host->runs);
+  free_world (world);
+}
+
 static const unit_test_t tests[] = {
   { "a job whose announced host was killed is not served", test_after_an_announced_job },
   { "a job that two killed hosts had is not served", test_after_two_lost_hosts },
@@ -536,6 +575,7 @@
   { "a refusal that is told late undoes a registration", test_refused_and_sent_again },
   { "a request that ends unsent hides runs of the one before", test_left_twice },
   { "a host that registered a job alone starts it beside another one", test_registered_alone },
+  { "a restarted host starts its job beside its earlier runs", test_sent_to_the_restarted_host },
 };
 
 int
