Tests of the messages that register a job

What: round trips, frames that are cut off at each byte, kinds out of range, times that are over or too long, more hosts than a registrar may name.

--- a/tests/test_job_repeats.c
+++ b/tests/test_job_repeats.c
@@ -803,6 +803,158 @@
   g_bytes_unref (frame);
 }
 
+/* The registration of a job: a message that was cut off, or of a job that has ended, is refused. */
+static void
+test_register_message (void)
+{
+  static const struct
+  {
+    job_status_kind_t kind;
+    int64_t until_ms;
+    bool read;
+    int64_t read_until_ms; /* read at 2,000, written at 1,000 */
+  } rows[] = {
+    { JOB_STATUS_OPEN, 5000, true, 6000 },   { JOB_STATUS_WAITING, 5000, true, 6000 },
+    { JOB_STATUS_WAITING, 500, true, 2000 }, { JOB_STATUS_WAITING, INT64_MAX, true, 3602000 },
+    { JOB_STATUS_STOPPED, 5000, false, 0 },  { JOB_STATUS_CANCELLED, 5000, false, 0 },
+    { JOB_STATUS_LAST + 1, 5000, false, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      GBytes *frame =
+          job_msg_register (&(job_status_t){ ID, rows[i].kind, rows[i].until_ms }, 1000);
+      gsize size = 0;
+      const char *data = (const char *) g_bytes_get_data (frame, &size) + FRAME_LENGTH_BYTES;
+      size -= FRAME_LENGTH_BYTES;
+      for (gsize cut = 0; cut < size; cut++)
+        {
+          frame_reader_t *reader = NULL;
+          job_status_t status = { 0 };
+          if (frame_parse (data, size - cut, &reader) != 0)
+            continue;
+          CU_ASSERT_EQUAL (job_msg_read_register (reader, 2000, &status) == 0,
+                           cut == 0 && rows[i].read);
+          if (cut == 0 && rows[i].read)
+            {
+              CU_ASSERT_STRING_EQUAL (status.id, ID);
+              CU_ASSERT_EQUAL (status.kind, rows[i].kind);
+              CU_ASSERT_EQUAL (status.until_ms, rows[i].read_until_ms);
+            }
+          g_free ((char *) status.id);
+          frame_reader_free (reader);
+        }
+      g_bytes_unref (frame);
+    }
+}
+
+static GArray *
+new_claims (guint count, job_status_kind_t kind)
+{
+  GArray *claims = g_array_new (FALSE, FALSE, sizeof (job_claim_t));
+
+  for (guint i = 0; i < count; i++)
+    {
+      const job_claim_t claim = { i % 2 == 0 ? "g" : "i", kind, 5000 + (int64_t) i, i % 2 != 0 };
+      g_array_append_val (claims, claim);
+    }
+  return claims;
+}
+
+/* What a registrar answers: a message that was cut off, or with an unknown kind, is refused.  No
+ * more than JOB_CLAIMS_MAX hosts are named. */
+static void
+test_registered_message (void)
+{
+  static const struct
+  {
+    guint claims;
+    job_status_kind_t kind;
+    bool confirmed;
+    bool read;
+    guint claims_read;
+  } rows[] = {
+    { 0, JOB_STATUS_WAITING, true, true, 0 },
+    { 2, JOB_STATUS_WAITING, false, true, 2 },
+    { 2, JOB_STATUS_STOPPED, true, true, 2 },
+    { JOB_CLAIMS_MAX, JOB_STATUS_OPEN, true, true, JOB_CLAIMS_MAX },
+    { JOB_CLAIMS_MAX + 1, JOB_STATUS_OPEN, true, true, JOB_CLAIMS_MAX },
+    { 1, JOB_STATUS_LAST + 1, true, false, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      GArray *claims = new_claims (rows[i].claims, rows[i].kind);
+      GBytes *frame = job_msg_registered (ID, rows[i].confirmed, claims, 1000);
+      gsize size = 0;
+      const char *data = (const char *) g_bytes_get_data (frame, &size) + FRAME_LENGTH_BYTES;
+      size -= FRAME_LENGTH_BYTES;
+      for (gsize cut = 0; cut < size; cut++)
+        {
+          frame_reader_t *reader = NULL;
+          GArray *read = g_array_new (FALSE, FALSE, sizeof (job_claim_t));
+          char *id = NULL;
+          bool confirmed = !rows[i].confirmed;
+          bool parsed = frame_parse (data, size - cut, &reader) == 0;
+          if (parsed)
+            CU_ASSERT_EQUAL (job_msg_read_registered (reader, 2000, &id, &confirmed, read) == 0,
+                             cut == 0 && rows[i].read);
+          if (cut == 0 && rows[i].read)
+            {
+              CU_ASSERT_STRING_EQUAL (id, ID);
+              CU_ASSERT_EQUAL (confirmed, rows[i].confirmed);
+              CU_ASSERT_EQUAL_FATAL (read->len, rows[i].claims_read);
+            }
+          for (guint k = 0; cut == 0 && rows[i].read && k < read->len; k++)
+            {
+              const job_claim_t *claim = &g_array_index (read, job_claim_t, k);
+              CU_ASSERT_STRING_EQUAL (claim->host, k % 2 == 0 ? "g" : "i");
+              CU_ASSERT_EQUAL (claim->kind, rows[i].kind);
+              CU_ASSERT_EQUAL (claim->until_ms, 6000 + k);
+              CU_ASSERT_EQUAL (claim->unheard, k % 2 != 0);
+            }
+          g_array_unref (read);
+          g_free (id);
+          if (parsed)
+            frame_reader_free (reader);
+        }
+      g_bytes_unref (frame);
+      g_array_unref (claims);
+    }
+}
+
+/* A registrar that names more hosts than it may is refused. */
+static void
+test_too_many_claims (void)
+{
+  frame_writer_t *writer = frame_begin (JOB_MSG_REGISTERED);
+  GArray *read = g_array_new (FALSE, FALSE, sizeof (job_claim_t));
+  frame_reader_t *reader = NULL;
+  bool confirmed = false;
+  char *id = NULL;
+  gsize size = 0;
+
+  frame_put_string (writer, ID);
+  frame_put_bool (writer, true);
+  frame_put_count (writer, JOB_CLAIMS_MAX + 1);
+  for (int i = 0; i <= JOB_CLAIMS_MAX; i++)
+    {
+      frame_put_string (writer, "g");
+      frame_put_uint (writer, JOB_STATUS_WAITING);
+      frame_put_int (writer, 100);
+      frame_put_bool (writer, false);
+    }
+  GBytes *frame = frame_finish (writer);
+  const char *data = (const char *) g_bytes_get_data (frame, &size) + FRAME_LENGTH_BYTES;
+  CU_ASSERT_EQUAL_FATAL (frame_parse (data, size - FRAME_LENGTH_BYTES, &reader), 0);
+  CU_ASSERT_NOT_EQUAL (job_msg_read_registered (reader, 2000, &id, &confirmed, read), 0);
+  CU_ASSERT_EQUAL (read->len, 0);
+  g_free (id);
+  g_array_unref (read);
+  frame_reader_free (reader);
+  g_bytes_unref (frame);
+}
+
 static const unit_test_t tests[] = {
   { "a request of a job that another host may have", test_request },
   { "a job that another host asks for", test_followed },
@@ -815,6 +967,9 @@
   { "hosts that have a job that runs here", test_known_while_it_runs },
   { "messages", test_message },
   { "a message about runs at an owner", test_runs_message },
+  { "the registration of a job", test_register_message },
+  { "what a registrar answers", test_registered_message },
+  { "a registrar that names too many hosts", test_too_many_claims },
 };
 
 int
