The scheduling simulation registers jobs

Only where callers' channels break, as a host that does not expect repeated requests registers nothing: other simulations draw as before.

--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -186,6 +186,50 @@
   g_array_unref (statuses);
 }
 
+static void run_scheduler_actions (sim_host_t *host);
+
+/* Tells the scheduler which hosts register jobs now. */
+static void
+update_registrars (sim_host_t *host)
+{
+  GPtrArray *hubs = g_ptr_array_new ();
+
+  cluster_append_local_hubs (host->cluster, hubs);
+  scheduler_set_registrars (host->scheduler, hubs, host->scheduler_actions);
+  g_ptr_array_unref (hubs);
+  run_scheduler_actions (host);
+}
+
+/* Tells the registrars the ends of jobs that nobody else was told of. */
+static void
+tell_registered_ends (sim_host_t *host)
+{
+  GArray *statuses = g_array_new (FALSE, FALSE, sizeof (job_status_t));
+  GPtrArray *hubs = g_ptr_array_new ();
+
+  scheduler_collect_registered_ends (host->scheduler, statuses);
+  cluster_append_local_hubs (host->cluster, hubs);
+  for (guint i = 0; i < hubs->len; i++)
+    for (guint k = 0; k < statuses->len; k++)
+      {
+        sim_host_t *hub = host_named (host->sim, hubs->pdata[i]);
+        if (hub != host)
+          send_job_status (host, hub, host, false, &g_array_index (statuses, job_status_t, k));
+      }
+  g_ptr_array_unref (hubs);
+  g_array_unref (statuses);
+}
+
+/* A connection of HOST to TO was opened, or replaced. */
+static void
+register_jobs_again (sim_host_t *host, const sim_host_t *to)
+{
+  if (!is_up (host))
+    return;
+  scheduler_register_all (host->scheduler, to->name, host->scheduler_actions);
+  run_scheduler_actions (host);
+}
+
 /* Tells the open jobs again to the hosts to which statuses were lost, and which are reached again:
  * a connection delivers all that was sent on it, in order, or is replaced by one on which all open
  * jobs are told.  A confirmation therefore never overtakes what it confirms. */
@@ -197,6 +241,7 @@
       {
         host->has_lost_statuses[i] = false;
         announce_jobs (host, &host->sim->hosts[i]);
+        register_jobs_again (host, &host->sim->hosts[i]);
       }
 }
 
@@ -228,6 +273,9 @@
     case SCHEDULER_TELL:
       send_job_status (host, other, host, false, &action->status);
       break;
+    case SCHEDULER_REGISTER:
+      send_registration (host, other, &action->status);
+      break;
     case SCHEDULER_ASK_OWNER:
       send_runs_message (MESSAGE_RUNS_QUERY, host, other, action->job_id, action->holder,
                          action->shard, 0, host->sim->now_ms);
@@ -465,8 +513,10 @@
           /* The connection to a host that was lost is replaced, and both tell their jobs on it. */
           announce_jobs (host, host_named (sim, action.host));
           tell_known_jobs (host, host_named (sim, action.host));
+          register_jobs_again (host, host_named (sim, action.host));
           if (is_up (host_named (sim, action.host)))
             announce_jobs (host_named (sim, action.host), host);
+          register_jobs_again (host_named (sim, action.host), host);
           break;
         default:
           break;
@@ -713,6 +763,8 @@
   run_scheduler_actions (peer);
   announce_jobs (host, peer);
   announce_jobs (peer, host);
+  register_jobs_again (host, peer);
+  register_jobs_again (peer, host);
 }
 
 /* Restores the connections of HOST after a one-way cut. */
@@ -780,10 +832,13 @@
   refresh_host (host);
   if (sim->now_ms % REACH_INTERVAL_MS == 0)
     check_reach (host);
+  if (sim->options->broken_channels > 0)
+    update_registrars (host);
   scheduler_step (host->scheduler, sim->now_ms, host->scheduler_actions);
   if (sim->now_ms % ANNOUNCE_INTERVAL_MS == 0)
     {
       repeat_lost_statuses (host);
+      tell_registered_ends (host);
       announce_jobs (host, NULL);
     }
   run_all_actions (host);
--- a/tests/test_scheduling_network.h
+++ b/tests/test_scheduling_network.h
@@ -303,6 +303,8 @@
   MESSAGE_RUNS_OVER,
   MESSAGE_TOLD,
   MESSAGE_TOLD_ACK,
+  MESSAGE_REGISTER,
+  MESSAGE_REGISTERED,
   MESSAGE_OFFERS,
   MESSAGE_HEARTBEAT
 } message_kind_t;
@@ -321,13 +323,16 @@
   GArray *task_indexes; /* of BATCH */
   uint64_t batch_number;
   int32_t task_index;
-  char *job;                       /* of MESSAGE_JOB_STATUS to MESSAGE_RUNS_OVER */
+  char *job;                       /* of MESSAGE_JOB_STATUS to MESSAGE_RUNS_OVER,
+                                      MESSAGE_REGISTER and MESSAGE_REGISTERED */
   const sim_host_t *origin;        /* MESSAGE_JOB_STATUS: the host that has the job */
   bool relay;                      /* MESSAGE_JOB_STATUS: the receiver passes it on */
   const char *holder;              /* of the last two of them */
   int64_t token;                   /* of MESSAGE_RUNS_OVER */
   int64_t asked_at_ms;             /* of the last two of them */
   job_status_t job_status;         /* its id is JOB */
+  bool confirmed;                  /* MESSAGE_REGISTERED */
+  GArray *claims;                  /* MESSAGE_REGISTERED: job_claim_t with interned hosts */
   crash_loss_t loss;               /* its strings belong to the message */
   executor_action_kind_t task_end; /* how the task has ended */
   bool not_run;                    /* none of the tasks of the batch has run */
@@ -370,6 +375,8 @@
     g_array_unref (message->offers);
   if (message->loads != NULL)
     g_array_unref (message->loads);
+  if (message->claims != NULL)
+    g_array_unref (message->claims);
   cluster_heartbeat_clear (&message->heartbeat);
   g_free (message);
 }
@@ -542,6 +549,51 @@
                       host->scheduler_actions);
 }
 
+/* FROM registers a job with TO. */
+static void
+send_registration (sim_host_t *from, sim_host_t *to, const job_status_t *status)
+{
+  sim_message_t *message = message_new (MESSAGE_REGISTER, from, to);
+
+  message->job = g_strdup (status->id);
+  message->job_status = *status;
+  message->job_status.id = message->job;
+  send_message (message);
+}
+
+static void
+receive_registration (sim_host_t *host, const sim_message_t *message)
+{
+  sim_message_t *reply = message_new (MESSAGE_REGISTERED, host, message->from);
+
+  reply->job = g_strdup (message->job);
+  reply->claims = g_array_new (FALSE, FALSE, sizeof (job_claim_t));
+  reply->confirmed = scheduler_register (host->scheduler, message->from->name, &message->job_status,
+                                         host->sim->now_ms, reply->claims);
+  trace (host->sim, message->job, "%s registers it with %s: %d, %s, %d others", message->from->name,
+         host->name, (int) message->job_status.kind, reply->confirmed ? "confirmed" : "cold",
+         (int) reply->claims->len);
+  send_message (reply);
+}
+
+static void
+receive_registered (sim_host_t *host, const sim_message_t *message)
+{
+  int64_t now_ms = host->sim->now_ms;
+
+  for (guint i = 0; i < message->claims->len; i++)
+    {
+      const job_claim_t *claim = &g_array_index (message->claims, job_claim_t, i);
+      trace (host->sim, message->job, "%s is told by %s that %s has it: %d%s", host->name,
+             message->from->name, claim->host, (int) claim->kind,
+             claim->unheard ? ", unheard" : "");
+      scheduler_job_claimed (host->scheduler, message->job, claim, now_ms, host->scheduler_actions);
+    }
+  if (message->confirmed)
+    scheduler_job_registered (host->scheduler, message->from->name, message->job, now_ms,
+                              host->scheduler_actions);
+}
+
 static void message_arrives (simulation_t *sim, void *data);
 
 /* When the cuts between two hosts end that last now. */
@@ -642,6 +694,12 @@
         case MESSAGE_TOLD_ACK:
           cluster_confirmed (host->cluster, message->from->name, message->asked_at_ms, sim->now_ms);
           break;
+        case MESSAGE_REGISTER:
+          receive_registration (host, message);
+          break;
+        case MESSAGE_REGISTERED:
+          receive_registered (host, message);
+          break;
         case MESSAGE_OFFERS:
           scheduler_set_report (
               host->scheduler, message->shard, message->from->name,
@@ -660,7 +718,7 @@
         }
       run_all_actions (host);
     }
-  else if (message->kind == MESSAGE_JOB_STATUS)
+  else if (message->kind == MESSAGE_JOB_STATUS || message->kind == MESSAGE_REGISTER)
     {
       trace (sim, message->job, "%s is not told of it by %s", host->name, message->from->name);
       message->from->has_lost_statuses[host->index] = true;
@@ -678,6 +736,7 @@
     [MESSAGE_JOB_STATUS] = REPORT_BYTES,  [MESSAGE_JOB_QUERY] = REPORT_BYTES,
     [MESSAGE_RUNS_QUERY] = REPORT_BYTES,  [MESSAGE_RUNS_OVER] = REPORT_BYTES,
     [MESSAGE_TOLD] = REPORT_BYTES,        [MESSAGE_TOLD_ACK] = REPORT_BYTES,
+    [MESSAGE_REGISTER] = REPORT_BYTES,    [MESSAGE_REGISTERED] = REPORT_BYTES,
     [MESSAGE_OFFERS] = OFFERS_BYTES,      [MESSAGE_HEARTBEAT] = HEARTBEAT_BYTES,
   };
 
