A test: a confirmation of a registrar that is late

The registrar's answer to the first host stays on its way until the registrar, the owners and the second host have lost the first one, and the second one has started the job. Then it arrives, and the first host starts it too.

--- a/tests/test_job_registry_orders.c
+++ b/tests/test_job_registry_orders.c
@@ -589,8 +589,36 @@
     }
 }
 
+#define CHANNEL(from, to) ((from) *HOSTS_MAX + (to))
+
+/* The confirmation for the first host is on its way until the second one, as the first one is not
+ * heard and no owner has a run for it, has started the job. */
+static void
+test_late_confirmation (void)
+{
+  static const model_row_t row = { "late", { "h", "i", "r" }, 2, "r", 0, NO_FAULT };
+  model_t *model = model_new (&row);
+
+  play (model, SUBMIT_EVENT (0));
+  play (model, CHANNEL (0, 2));
+  play (model, LOSS_EVENT (2));
+  play (model, LOSS_EVENT (1));
+  play (model, SUBMIT_EVENT (1));
+  play (model, CHANNEL (1, 2));
+  play (model, CHANNEL (2, 1));
+  model->owners_reply = true;
+  for (int64_t end_ms = model->now_ms + OWNERS_REPLY_MS; model->now_ms < end_ms;)
+    pass_time (model, STEP_MS);
+  CU_ASSERT_EQUAL (model->runs_end_ms[1], INT64_MAX);
+  CU_ASSERT_EQUAL (model->runs_end_ms[0], 0);
+  play (model, CHANNEL (2, 0));
+  CU_ASSERT_EQUAL (model->runs_end_ms[0], 0);
+  model_free (model);
+}
+
 static const unit_test_t tests[] = {
   { "two hosts register a job, in all orders of messages", test_orders },
+  { "a confirmation that is late", test_late_confirmation },
 };
 
 /* With an argument: plays the rows whose names begin with it. */
