Simulated callers that come again early, in the same data centre

What: an option, early_callers: a caller whose channel breaks, or whose host ends, comes again after a drawn 0 to 1,300 ms to a host of the same data centre, to another data centre only after 1,300 ms. Six rows in test_scheduling_resent, five in test_scheduling_resent_cuts. Rows of before draw as before.

--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -739,8 +739,7 @@
       sim_job_t *job = sim->jobs->pdata[i];
       if (job->closed || job->host_index != host->index)
         continue;
-      job->host_index = -1;
-      job->resubmit_at_ms = sim->now_ms + SIM_RESUBMIT_MS;
+      come_again (sim, job);
     }
   for (int i = 0; i < SIM_DATA_CENTRES; i++)
     g_clear_pointer (&host->owned_shards[i].executor, executor_free);
--- a/tests/test_scheduling_resent.c
+++ b/tests/test_scheduling_resent.c
@@ -15,6 +15,18 @@
     10,
     { RESENT_OPTIONS, .lost_answers = 30, .late_answers = 30 },
     60 },
+  { "early callers", 20, { EARLY_OPTIONS }, 90 },
+  { "early callers while hosts crash", 20, { EARLY_OPTIONS, .host_crashes = 40 }, 60 },
+  { "early callers while hosts crash at different times",
+    20,
+    { EARLY_OPTIONS, .host_crashes = 40, .staggered_faults = true },
+    60 },
+  { "early callers while hosts are suspended", 10, { EARLY_OPTIONS, .host_freezes = 40 }, 60 },
+  { "early callers while hosts are stopped", 10, { EARLY_OPTIONS, .terminations = 40 }, 60 },
+  { "early callers while orders are late and answers are lost",
+    10,
+    { EARLY_OPTIONS, .lost_answers = 30, .late_answers = 30 },
+    60 },
 };
 
 static void
--- a/tests/test_scheduling_resent.h
+++ b/tests/test_scheduling_resent.h
@@ -13,6 +13,9 @@
 /* In addition, 300 of a thousand channels break. */
 #define RESENT_OPTIONS RESENT_JOBS, .broken_channels = 300
 
+/* In addition, callers come again early. */
+#define EARLY_OPTIONS RESENT_OPTIONS, .early_callers = true
+
 static inline void
 check_resent (const simulation_case_t *cases, size_t case_count)
 {
--- a/tests/test_scheduling_resent_cuts.c
+++ b/tests/test_scheduling_resent_cuts.c
@@ -33,6 +33,17 @@
     { RESENT_OPTIONS, .host_cuts = 40, .data_centre_cuts = 20, .link_cuts = 5,
       .cuts_delay_messages = true },
     60 },
+  { "early callers while data centres are cut off",
+    10,
+    { EARLY_OPTIONS, .data_centre_cuts = 40 },
+    60 },
+  { "early callers while hosts are cut off", 10, { EARLY_OPTIONS, .host_cuts = 40 }, 60 },
+  { "early callers while pairs of hosts are cut", 10, { EARLY_OPTIONS, .link_cuts = 15 }, 60 },
+  { "early callers behind slow links", 10, { EARLY_OPTIONS, .slow_links = 60 }, 60 },
+  { "early callers while data centres are cut and hosts crash",
+    10,
+    { EARLY_OPTIONS, .data_centre_cuts = 40, .host_crashes = 30, .staggered_faults = true },
+    60 },
 };
 
 static void
--- a/tests/test_scheduling_run.h
+++ b/tests/test_scheduling_run.h
@@ -9,19 +9,46 @@
 
 /* --- callers --- */
 
-/* Submits JOB to a random host, or tries again after 200 ms if that host accepts no jobs. */
+static bool
+accepts_jobs (const simulation_t *sim, const sim_host_t *host)
+{
+  return is_up (host) && host->frozen_until_ms <= sim->now_ms && host->leaving_since_ms == 0;
+}
+
+/* Draws a host that accepts jobs in the data centre to which JOB was sent last.  NULL if there is
+ * none, or if callers don't come again early. */
+static sim_host_t *
+draw_local_host (simulation_t *sim, const sim_job_t *job)
+{
+  sim_host_t *local[SIM_HOSTS];
+  int count = 0;
+
+  for (int i = 0; i < SIM_HOSTS; i++)
+    if (sim->options->early_callers && sim->hosts[i].data_centre == job->data_centre
+        && accepts_jobs (sim, &sim->hosts[i]))
+      local[count++] = &sim->hosts[i];
+  return count > 0 ? local[random_below (sim, count)] : NULL;
+}
+
+/* Submits JOB to a host, or tries again after 200 ms if that host accepts no jobs.  Callers that
+ * come again early go to another data centre only SIM_RESUBMIT_MS after their channel broke. */
 static void
 send_job (simulation_t *sim, sim_job_t *job)
 {
-  sim_host_t *host = &sim->hosts[random_below (sim, SIM_HOSTS)];
+  sim_host_t *host = draw_local_host (sim, job);
+  bool is_early = sim->options->early_callers && job->data_centre >= 0
+                  && sim->now_ms < job->broken_at_ms + SIM_RESUBMIT_MS;
 
-  if (!is_up (host) || host->frozen_until_ms > sim->now_ms || host->leaving_since_ms != 0)
+  if (host == NULL && !is_early)
+    host = &sim->hosts[random_below (sim, SIM_HOSTS)];
+  if (host == NULL || !accepts_jobs (sim, host))
     {
       job->resubmit_at_ms = sim->now_ms + 200;
       return;
     }
   trace (sim, job->id, "is submitted to %s", host->name);
   job->host_index = host->index;
+  job->data_centre = host->data_centre;
   job->incarnation = host->incarnation;
   job->starts_since_sent = 0;
   job->submitted_at_ms = sim->now_ms;
@@ -141,6 +168,7 @@
   job->wait_ms = caller_wait_ms (sim, job);
   job->deadline_at_ms = sim->now_ms + job->wait_ms;
   job->host_index = -1;
+  job->data_centre = -1;
   job->near_data_centre =
       random_chance (sim, sim->options->jobs_near_data) ? random_below (sim, SIM_DATA_CENTRES) : -1;
   job->leaves_at_ms = random_chance (sim, sim->options->leaving_callers)
@@ -200,8 +228,7 @@
   stale->number = job->job_number;
   stale->close_seen_at_ms =
       random_below (sim, 2) == 0 ? 0 : sim->now_ms + 1 + random_below (sim, CLOSE_DELAY_MAX_MS);
-  job->host_index = -1;
-  job->resubmit_at_ms = sim->now_ms + SIM_RESUBMIT_MS;
+  come_again (sim, job);
   job->deadline_at_ms = job->resubmit_at_ms + SECOND_WAIT_MS;
   if (job->breaks < BREAKS_MAX && random_chance (sim, sim->options->second_breaks))
     job->breaks_at_ms = job->resubmit_at_ms + random_below (sim, BREAK_MAX_MS);
--- a/tests/test_scheduling_simulation.h
+++ b/tests/test_scheduling_simulation.h
@@ -67,6 +67,9 @@
   int leaving_callers;          /* per job: its caller disconnects early */
   int broken_channels;          /* per job: its channel breaks, which its host sees late or never,
                                    and its caller sends it again SIM_RESUBMIT_MS later */
+  bool early_callers;           /* callers whose channel breaks, or whose host ends, come again to
+                                   the same data centre 0 to SIM_RESUBMIT_MS later, to another
+                                   one not before that, if no host there accepts jobs */
   int second_breaks;            /* per broken channel: that of the second request breaks too */
   int host_crashes;             /* per host */
   bool staggered_faults;        /* the faults of hosts come at different times within a second */
--- a/tests/test_scheduling_state.h
+++ b/tests/test_scheduling_state.h
@@ -198,6 +198,8 @@
   uint64_t incarnation; /* of that host */
   uint64_t job_number;  /* of the job at that host */
   int64_t resubmit_at_ms;
+  int64_t broken_at_ms; /* its channel has broken then */
+  int data_centre;      /* of the host that it was sent to last; -1 before */
   int64_t leaves_at_ms;
   int64_t breaks_at_ms; /* its channel breaks then */
   int breaks;           /* that it has seen */
@@ -274,6 +276,18 @@
 }
 
 static void run_all_actions (sim_host_t *host);
+static int random_below (simulation_t *sim, int limit);
+
+/* The channel of JOB breaks: its caller sends it again. */
+static void
+come_again (simulation_t *sim, sim_job_t *job)
+{
+  job->host_index = -1;
+  job->broken_at_ms = sim->now_ms;
+  job->resubmit_at_ms =
+      sim->now_ms
+      + (sim->options->early_callers ? random_below (sim, SIM_RESUBMIT_MS) : SIM_RESUBMIT_MS);
+}
 
 /* Returns a random number from 0 to LIMIT - 1. */
 static int
