The deployment rig kills hosts that have just taken work, and owners

Each such kill prints its host, or that it strikes nobody.

The summary counts jobs that were never served.

test_soak: 6 of 6, with a test of which host took work last.

--- a/tests/deployment/callers.c
+++ b/tests/deployment/callers.c
@@ -162,8 +162,8 @@
   return -1;
 }
 
-/* Connects to any other host than EXCEPT, or the usual one of the data centre if that is -1.
- * Returns false if none is in rotation. */
+/* Connects to any other host than EXCEPT, or the usual one of the data centre if that is -1; with
+ * again_max_ms to another one of the data centre.  Returns false if none is in rotation. */
 static bool
 connect_somewhere (caller_t *caller, int32_t except)
 {
@@ -174,7 +174,8 @@
   if (caller->fd >= 0 && except < 0)
     return true;
   hang_up (caller);
-  caller->host = find_ready (caller, except < 0 ? caller->zone : -1, from, except);
+  bool stays = except < 0 || caller->callers->options.again_max_ms >= 0;
+  caller->host = find_ready (caller, stays ? caller->zone : -1, from, except);
   if (caller->host < 0)
     caller->host = find_ready (caller, -1, from, except);
   if (caller->host < 0)
@@ -262,6 +263,14 @@
   return answer.status == 0 || answer.status == 502 || answer.status == 504;
 }
 
+static void
+wait_again (caller_t *caller)
+{
+  int32_t most_ms = caller->callers->options.again_max_ms;
+
+  clock_sleep_ms (most_ms < 0 ? RESEND_MS : g_rand_int_range (caller->random, 0, most_ms + 1));
+}
+
 static void
 do_job (caller_t *caller)
 {
@@ -274,7 +283,7 @@
   for (int32_t sends = 0; sends < SENDS_MAX && again; sends++)
     {
       if (sends > 0)
-        clock_sleep_ms (RESEND_MS);
+        wait_again (caller);
       if (!connect_until_stopped (caller, except))
         return;
       caller->totals.sent_again += sends > 0;
@@ -282,6 +291,7 @@
       caller->totals.first_requests_unserved += again && sends == 0;
       except = caller->host;
     }
+  caller->totals.never_served += again;
 }
 
 static void
@@ -299,6 +309,7 @@
   totals->status_504 += more->status_504;
   totals->refused += more->refused;
   totals->served += more->served;
+  totals->never_served += more->never_served;
   g_mutex_unlock (&callers->lock);
 }
 
--- a/tests/deployment/callers.h
+++ b/tests/deployment/callers.h
@@ -3,8 +3,8 @@
  * Each caller is a thread with a data centre of its own.  Its connections go to one host there, by
  * a hash, or to the next one that is in rotation; where the data centre has none, to any that is. A
  * job without a whole answer, because of a broken connection, a 502, a 504 or the caller's own
- * time-out, is sent again RESEND_MS later, to any other host.  All that is sent and answered is in
- * the rig's book.
+ * time-out, is sent again RESEND_MS later, to any other host.  With AGAIN_MAX_MS it is sent again
+ * sooner, in the caller's data centre.  All that is sent and answered is in the rig's book.
  */
 #ifndef DEPLOYMENT_CALLERS_H
 #define DEPLOYMENT_CALLERS_H
@@ -24,6 +24,7 @@
   double jobs_per_s;      /* of all together, while hosts answer in time */
   int32_t long_percent;   /* of the jobs: the kind that takes longest */
   int32_t silent_percent; /* of those who leave early, unseen by their host */
+  int32_t again_max_ms;   /* a job is sent again after 0 to so many; negative: after RESEND_MS */
 } deployment_callers_options_t;
 
 /* What became of requests; any thread may read them. */
@@ -38,6 +39,7 @@
   int32_t status_504;
   int32_t refused;
   int32_t served;
+  int32_t never_served; /* jobs whose last request went unserved as well */
 } deployment_callers_totals_t;
 
 deployment_callers_t *deployment_callers_start (rig_t *rig,
--- a/tests/deployment/day.c
+++ b/tests/deployment/day.c
@@ -87,6 +87,22 @@
   { PLAN_KILL_ALL, 100, 95, 97, 1000, 1000, 1, 0 },
 };
 
+/* As lost-after-accepting, three times, with the hosts that do most as targets. */
+static const day_row_t takers_and_owners_rows[] = {
+  { PLAN_CALLERS_LEAVE, 100, 6, 8, 6000, 6000, 1, 0 },
+  { PLAN_LOG_DOWN, 100, 8, 9, 4200, 4200, 1, 0 },
+  { PLAN_KILL_TAKER, 100, 9, 11, 2000, 2000, 3, 1100 },
+  { PLAN_CALLERS_LEAVE, 100, 32, 34, 6000, 6000, 1, 0 },
+  { PLAN_LOG_DOWN, 100, 34, 35, 4200, 4200, 1, 0 },
+  { PLAN_KILL_OWNER, 100, 35, 37, 2000, 2000, 3, 1100 },
+  { PLAN_CALLERS_LEAVE, 100, 58, 60, 6000, 6000, 1, 0 },
+  { PLAN_LOG_DOWN, 100, 60, 61, 4200, 4200, 1, 0 },
+  { PLAN_KILL_TAKER, 100, 61, 63, 2000, 2000, 3, 1100 },
+  { PLAN_KILL_OWNER, 100, 62, 64, 2000, 2000, 2, 1300 },
+  { PLAN_CUT_ZONE, 100, 80, 82, 5300, 5300, 1, 0 },
+  { PLAN_KILL_ALL, 100, 95, 97, 1000, 1000, 1, 0 },
+};
+
 /* A data centre is cut off while a third of the hosts are being stopped, for a day of 60 s. */
 static const day_row_t stops_in_cuts_rows[] = {
   { PLAN_STOP_HOST, 100, 14, 16, 1000, 1500, A_THIRD, 650 },
@@ -119,6 +135,7 @@
   { "stops-in-cuts", ROWS (stops_in_cuts_rows), true },
   { "log-turns-away", ROWS (log_turns_away_rows), true },
   { "lost-after-accepting", ROWS (lost_after_accepting_rows), true },
+  { "takers-and-owners", ROWS (takers_and_owners_rows), true },
 };
 
 /* Owners and hubs are among the first two hosts of each data centre. */
@@ -160,6 +177,7 @@
     case PLAN_STOP_HOST:
     case PLAN_CUT_HOST:
     case PLAN_BREAK_LOG:
+    case PLAN_KILL_OWNER:
       return even ? g_rand_int_range (random, 0, options->hosts) : draw_host (random, options);
     default:
       return g_rand_int_range (random, 0, targets_of (kind, options));
@@ -199,7 +217,7 @@
       plan_fault_t fault = { .kind = row->kind, .at_ms = at_ms + i * row->apart_ms };
       do
         fault.target = draw_target (random, row->kind, even, options);
-      while (even && is_among (faults, first, fault.target));
+      while (even && row->kind != PLAN_KILL_TAKER && is_among (faults, first, fault.target));
       fault.until_ms = fault.at_ms + g_rand_int_range (random, row->least_ms, row->most_ms + 1);
       g_array_append_val (faults, fault);
     }
--- a/tests/deployment/main.c
+++ b/tests/deployment/main.c
@@ -15,6 +15,7 @@
 #include "tests/deployment/callers.h"
 #include "tests/deployment/day.h"
 #include "tests/deployment/throttle.h"
+#include "tests/site_call.h"
 
 #include <argtable2.h>
 #include <signal.h>
@@ -34,6 +35,7 @@
 #define LEAVE_PERCENT 35
 /* Rules of the cut between a data centre and the log; above those of the plan. */
 #define LOG_RULE 10000
+#define OWNED "jaytrail_shards_owned "
 
 typedef struct
 {
@@ -47,6 +49,7 @@
   int32_t long_percent;
   int32_t leaving_percent; /* when no fault makes callers leave */
   int32_t silent_percent;
+  int32_t again_max_ms;
   int64_t length_ms;
   bool throttled;
   bool keep;
@@ -60,6 +63,8 @@
   int32_t leaving_percent;
   int64_t from_ms;
   int64_t watch_due_ms;
+  bool aims_at_owners;                 /* set before the balancer starts */
+  atomic_bool owns[CALLERS_HOSTS_MAX]; /* a shard */
   atomic_bool is_over;
   int64_t late_ms; /* at most; faults begin and end late when the rig is kept busy */
 } run_t;
@@ -102,14 +107,50 @@
     deployment_callers_set_leaving (run->callers, begins ? LEAVE_PERCENT : run->leaving_percent);
 }
 
+/* -1 if no host that runs owns a shard. */
+static int32_t
+find_owner (run_t *run, int32_t from)
+{
+  for (int32_t i = 0; i < run->rig->hosts_count; i++)
+    {
+      int32_t host = (from + i) % run->rig->hosts_count;
+      if (run->rig->hosts[host].pid != 0 && atomic_load (&run->owns[host]))
+        return host;
+    }
+  return -1;
+}
+
+/* Names the host of a fault that strikes one by what it does at this moment; where there is none
+ * it strikes nobody. */
+static void
+aim (run_t *run, plan_fault_t *fault, int64_t now_ms)
+{
+  bool taker = fault->kind == PLAN_KILL_TAKER;
+
+  if (!taker && fault->kind != PLAN_KILL_OWNER)
+    return;
+  rig_watch (run->rig);
+  int32_t host = taker ? book_last_taker (run->rig->book) : find_owner (run, fault->target);
+  bool strikes = host >= 0 && run->rig->hosts[host].pid != 0;
+  printf ("  %d.%03d s: %s: %s\n", (int) (now_ms / MS_PER_S), (int) (now_ms % MS_PER_S),
+          plan_name (fault->kind), strikes ? run->rig->hosts[host].name : "strikes nobody");
+  /* Processes that are started inherit the buffer. */
+  fflush (stdout);
+  if (!strikes)
+    return;
+  fault->kind = PLAN_KILL_HOST;
+  fault->target = host;
+}
+
 static void
 step_faults (run_t *run, int64_t before_ms, int64_t now_ms)
 {
   for (guint i = 0; i < run->day->len; i++)
     {
-      const plan_fault_t *fault = &g_array_index (run->day, plan_fault_t, i);
+      plan_fault_t *fault = &g_array_index (run->day, plan_fault_t, i);
       if (fault->at_ms > before_ms && fault->at_ms <= now_ms)
         {
+          aim (run, fault, now_ms);
           rig_begin (run->rig, fault);
           cut_log (run, fault, true);
           change_leaving (run, fault, true);
@@ -134,6 +175,15 @@
   run->watch_due_ms = now_ms + WATCH_EVERY_MS;
 }
 
+static bool
+owns_shard (const rig_t *rig, int32_t host)
+{
+  site_response_t page = site_call (rig_caller_port (rig, host) + 1, "GET", "/metrics", "");
+  const char *line = strstr (page.body, OWNED);
+
+  return page.status == 200 && line != NULL && atoi (line + strlen (OWNED)) > 0;
+}
+
 /* On a thread of its own: a host may take seconds to answer, and faults don't wait for it. */
 static void *
 balance (void *data)
@@ -143,7 +193,12 @@
   while (!atomic_load (&run->is_over))
     {
       for (int32_t i = 0; i < run->rig->hosts_count && !atomic_load (&run->is_over); i++)
-        deployment_callers_set_ready (run->callers, i, rig_is_ready (run->rig, i));
+        {
+          bool ready = rig_is_ready (run->rig, i);
+          deployment_callers_set_ready (run->callers, i, ready);
+          if (run->aims_at_owners)
+            atomic_store (&run->owns[i], ready && owns_shard (run->rig, i));
+        }
       clock_sleep_ms (BALANCE_EVERY_MS);
     }
   return NULL;
@@ -200,6 +255,15 @@
   return day;
 }
 
+static bool
+has_kind (const GArray *day, plan_kind_t kind)
+{
+  for (guint i = 0; i < day->len; i++)
+    if (g_array_index (day, plan_fault_t, i).kind == kind)
+      return true;
+  return false;
+}
+
 /* The caller may send its job again RESEND_MS after its request ended. */
 static void
 print_stop_times (book_t *book)
@@ -231,8 +295,13 @@
   run_t run = { .rig = &rig,
                 .day = make_day (seed, options),
                 .leaving_percent = options->leaving_percent };
-  deployment_callers_options_t caller_options = { seed, options->callers, options->jobs_per_s,
-                                                  options->long_percent, options->silent_percent };
+  run.aims_at_owners = has_kind (run.day, PLAN_KILL_OWNER);
+  deployment_callers_options_t caller_options = { seed,
+                                                  options->callers,
+                                                  options->jobs_per_s,
+                                                  options->long_percent,
+                                                  options->silent_percent,
+                                                  options->again_max_ms };
 
   /* Checks that hold only without a fault are left out. */
   book_trouble (rig.book, 0);
@@ -250,12 +319,12 @@
   int32_t findings = book_check (rig.book, INT64_MAX);
   int32_t twice = book_print_twice (rig.book);
   printf ("%s, seed %u: %u faults, %d jobs, %d first requests unserved, %d sent again, %d left, %d "
-          "timed out, %d broken, %d 504, %d refused, %d served, %d suspensions: %d tasks twice, %d "
-          "findings\n",
+          "timed out, %d broken, %d 504, %d refused, %d served, %d jobs never served, %d "
+          "suspensions: %d tasks twice, %d findings\n",
           options->day, seed, run.day->len, (int) totals.jobs, (int) totals.first_requests_unserved,
           (int) totals.sent_again, (int) totals.left, (int) totals.timed_out, (int) totals.broken,
-          (int) totals.status_504, (int) totals.refused, (int) totals.served, (int) suspensions,
-          (int) twice, (int) findings);
+          (int) totals.status_504, (int) totals.refused, (int) totals.served,
+          (int) totals.never_served, (int) suspensions, (int) twice, (int) findings);
   printf ("  faults begin and end up to %d ms late\n", (int) run.late_ms);
   print_stop_times (rig.book);
   fflush (stdout);
@@ -301,6 +370,10 @@
   struct arg_int *leaving = arg_int0 (NULL, "leaving", "N", "of a hundred jobs left early (0)");
   struct arg_int *silent =
       arg_int0 (NULL, "silent", "N", "of a hundred who leave, unseen by their host (0)");
+  struct arg_int *again_max =
+      arg_int0 (NULL, "again-max-ms", "N",
+                "jobs are sent again after 0 to N ms, in the caller's data centre; callers promise "
+                "more: " G_STRINGIFY (RESEND_MS) " ms, the default, to any host");
   struct arg_int *speed = arg_int0 (NULL, "speed", "N", "percent of the hosts' shares (100)");
   struct arg_str *day = arg_str0 (NULL, "day", "NAME", "table of faults (" DAY_DEFAULT ")");
   struct arg_str *only = arg_str0 (NULL, "only", "KIND,KIND", "of the faults, only these");
@@ -309,9 +382,9 @@
   struct arg_lit *help = arg_lit0 (NULL, "help", "this text");
   struct arg_lit *keep = arg_lit0 (NULL, "keep", "logs and ledgers, also of good days");
   struct arg_end *end = arg_end (4);
-  void *table[] = { programs,  seed,    count,  hosts, endpoints, callers, rate,
-                    long_jobs, leaving, silent, speed, seconds,   day,     only,
-                    unlimited, print,   keep,   help,  end };
+  void *table[] = { programs,  seed,      count,  hosts, endpoints, callers,   rate,
+                    long_jobs, leaving,   silent, speed, seconds,   again_max, day,
+                    only,      unlimited, print,  keep,  help,      end };
   int32_t failed = 0;
 
   programs->sval[0] = "build";
@@ -326,6 +399,7 @@
   long_jobs->ival[0] = 5;
   leaving->ival[0] = 0;
   silent->ival[0] = 0;
+  again_max->ival[0] = -1;
   speed->ival[0] = 100;
   int32_t errors = arg_parse (argc, argv, table);
   if (help->count > 0)
@@ -335,7 +409,8 @@
       return 0;
     }
   if (errors > 0 || hosts->ival[0] < ZONES || hosts->ival[0] > 60 || endpoints->ival[0] < ZONES
-      || endpoints->ival[0] > 20 || seconds->ival[0] < 5)
+      || endpoints->ival[0] > 20 || seconds->ival[0] < 5
+      || (again_max->count > 0 && again_max->ival[0] < 0))
     {
       arg_print_errors (stderr, end, "deployment");
       arg_print_syntax (stderr, table, "\n");
@@ -359,6 +434,7 @@
     .long_percent = long_jobs->ival[0],
     .leaving_percent = leaving->ival[0],
     .silent_percent = silent->ival[0],
+    .again_max_ms = again_max->ival[0],
     .length_ms = (int64_t) seconds->ival[0] * MS_PER_S,
     .throttled = unlimited->count == 0,
     .keep = keep->count > 0,
--- a/tests/soak/book.c
+++ b/tests/soak/book.c
@@ -113,6 +113,38 @@
   json_object_put (object);
 }
 
+/* The index of the row of the last start; -1: none.  Under the lock. */
+static int64_t
+find_last_start (const GArray *rows)
+{
+  int64_t last = -1;
+
+  for (guint i = 0; i < rows->len; i++)
+    if (g_array_index (rows, book_row_t, i).kind == BOOK_START
+        && (last < 0
+            || g_array_index (rows, book_row_t, i).at_ms
+                   >= g_array_index (rows, book_row_t, last).at_ms))
+      last = i;
+  return last;
+}
+
+int32_t
+book_last_taker (book_t *book)
+{
+  int32_t host = -1;
+
+  g_mutex_lock (&book->lock);
+  int64_t start = find_last_start (book->rows);
+  for (guint i = 0; start >= 0 && i < book->rows->len; i++)
+    {
+      const book_row_t *row = &g_array_index (book->rows, book_row_t, i);
+      if (row->kind == BOOK_SENT && row->job == g_array_index (book->rows, book_row_t, start).job)
+        host = row->host;
+    }
+  g_mutex_unlock (&book->lock);
+  return host;
+}
+
 book_totals_t
 book_totals (book_t *book)
 {
--- a/tests/soak/book.h
+++ b/tests/soak/book.h
@@ -67,6 +67,10 @@
  * printed to standard output. */
 int32_t book_check (book_t *book, int64_t until_ms);
 
+/* The host to which the job of the last start was sent, the last time that it was; -1: none.  It
+ * knows of a start once book_ledger () has read it.  Any thread. */
+int32_t book_last_taker (book_t *book);
+
 /* What there was, for the summary. */
 typedef struct
 {
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -279,6 +279,8 @@
       restart_endpoints (rig, fault);
       break;
     case PLAN_CALLERS_LEAVE:
+    case PLAN_KILL_TAKER: /* tests/deployment/ makes them PLAN_KILL_HOST when it knows the host */
+    case PLAN_KILL_OWNER:
     case PLAN_KINDS:
     default:
       break;
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -65,6 +65,8 @@
   [PLAN_BREAK_ZONE] = { "cut data centre with resets", ON_ZONE, 0 },
   [PLAN_CALLERS_LEAVE] = { "callers leave", ON_ALL, 0 },
   [PLAN_BREAK_LOG] = { "cut log with resets from host", ON_HOST, 0 },
+  [PLAN_KILL_TAKER] = { "kill host that has just taken work", ON_ALL, 0 },
+  [PLAN_KILL_OWNER] = { "kill owner", ON_HOST, 0 },
 };
 
 const char *
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -55,7 +55,9 @@
   /* Only in days of a deployment (tests/deployment). */
   PLAN_BREAK_ZONE, /* a cut that resets connections */
   PLAN_CALLERS_LEAVE,
-  PLAN_BREAK_LOG, /* from one host, with resets */
+  PLAN_BREAK_LOG,  /* from one host, with resets */
+  PLAN_KILL_TAKER, /* the host whose job started a task last */
+  PLAN_KILL_OWNER, /* a host that owns a shard, the first from the target on */
   PLAN_KINDS
 } plan_kind_t;
 
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -261,6 +261,29 @@
   book_free (book);
 }
 
+static void
+test_last_taker (void)
+{
+  static const book_row_t rows[] = {
+    SENT (10, 1),
+    START (12, 0, 1, 1),
+    { .at_ms = 20, .kind = BOOK_SENT, .job = JOB, .host = 4, .number = 2, .text = "20" },
+    { .at_ms = 30, .kind = BOOK_SENT, .job = JOB + 1, .host = 5, .number = 3, .text = "20" },
+    { .at_ms = 31, .kind = BOOK_START, .job = JOB + 1, .attempt = 1, .text = "20" },
+    START (11, 1, 1, 2),
+  };
+  static const int32_t takers[] = { -1, 0, 4, 4, 5, 5 };
+  book_t *book = book_new ();
+
+  CU_ASSERT_EQUAL (book_last_taker (book), -1);
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      book_add (book, &rows[i]);
+      CU_ASSERT_EQUAL (book_last_taker (book), takers[i]);
+    }
+  book_free (book);
+}
+
 /* Of two requests without an answer the runs of one go on; the other one's caller left unseen. */
 static void
 test_stop_times (void)
@@ -452,6 +475,7 @@
 static const unit_test_t tests[] = {
   { "checks on doctored books", test_books },
   { "a ledger's line", test_ledger },
+  { "the host that took work last", test_last_taker },
   { "how long runs go on", test_stop_times },
   { "plans", test_plan },
   { "the proxy", test_proxy },
