An owner that took over without the log tells what has ended

Cause: a second request of a job whose host was lost waits for the word of the owners. executor_may_run_job () gave it only after a read of the directory since the claim, so that an owner that takes a shard over while the log answers 503 gave none until the log was back.

Endpoints that the new owner does not know can only have runs of the owner before, and contested_until_ms is when those leases have ended; tasks that may be running rest on it already (resolve.c).

The new row of test_job_runs fails without the change.

--- a/lib/executor/executor.h
+++ b/lib/executor/executor.h
@@ -366,9 +366,10 @@
 /* Whether a run of the job with id JOB, whose coordinator was lost at LOST_AT_MS, may be alive on
  * an endpoint of the shard, or may start there by an order that was sent.  False rests on listings
  * of all endpoints that were asked for a short time ago.  Where they are missing, the next round
- * asks for them.  ALONE: no other host is lost, so that a silent endpoint is rather down than cut
- * off with that coordinator; it counts as clear once its leases have ended, if this owner has held
- * it since before the loss. */
+ * asks for them.  Endpoints that this owner does not know yet count as clear once the leases from
+ * the owner before it have ended.  ALONE: no other host is lost, so that a silent endpoint is
+ * rather down than cut off with that coordinator; it counts as clear once its leases have ended, if
+ * this owner has held it since before the loss. */
 bool executor_may_run_job (executor_t *executor,
                            const char *job,
                            int64_t lost_at_ms,
--- a/lib/executor/job_runs.c
+++ b/lib/executor/job_runs.c
@@ -3,6 +3,10 @@
  * An endpoint that lists its runs under the token in force obeys no other owner at that time, so
  * that the listing holds every run there.  A listing from before says less: another owner, which
  * this one does not hear, may have taken the endpoint over since.
+ *
+ * An endpoint that this owner does not know may have runs of the owner before.  They are excluded
+ * by a read of the directory, or once the leases from that owner have ended, as the log may be away
+ * for longer.
  */
 #include "executor/state.h"
 
@@ -80,8 +84,9 @@
                       int64_t now_ms)
 {
   bool silence_counts = alone && executor->token_since_ms < lost_at_ms;
-  bool may_run = !discovery_covers (&executor->discovery, executor->token_since_ms, now_ms)
-                 || has_task (executor, job) || now_ms < executor->unlisted_until_ms;
+  bool covers = discovery_covers (&executor->discovery, executor->token_since_ms, now_ms)
+                || now_ms >= executor->contested_until_ms;
+  bool may_run = !covers || has_task (executor, job) || now_ms < executor->unlisted_until_ms;
   GHashTableIter iter;
   void *value = NULL;
 
--- a/tests/test_job_runs.c
+++ b/tests/test_job_runs.c
@@ -4,6 +4,10 @@
 
 #include <CUnit/CUnit.h>
 
+#define CLAIMED_AT_MS 500
+/* For this long after a claim the owner before may go on and renew leases. */
+#define CONTEST_MS 1000
+
 typedef enum
 {
   NOT_POLLED,
@@ -226,7 +230,49 @@
     }
 }
 
+/* The log is away, so that a new owner reads no directory; endpoints that it does not know may have
+ * runs of the owner before until their leases have ended.  An endpoint that it knows is asked. */
+static void
+test_without_the_log (void)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t at_ms;
+    bool answers;
+    bool may_run;
+  } rows[] = {
+    { "leases may last", CLAIMED_AT_MS + CONTEST_MS + LEASE_MS - 1, true, true },
+    { "leases have ended", CLAIMED_AT_MS + CONTEST_MS + LEASE_MS, true, false },
+    { "an endpoint is silent", CLAIMED_AT_MS + CONTEST_MS + LEASE_MS, false, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      scenario_t scenario;
+      scenario_begin_idle (&scenario, 4000);
+      executor_set_token (scenario.executor, 2, CLAIMED_AT_MS);
+      executor_set_directory_read (scenario.executor, CLAIMED_AT_MS - 1);
+      run_round_at (&scenario, CLAIMED_AT_MS + 1);
+      answer_with_runs (&scenario, NULL);
+      executor_may_run_job (scenario.executor, "j", CLAIMED_AT_MS, false, rows[i].at_ms - 10);
+      run_round_at (&scenario, rows[i].at_ms - 5);
+      CU_ASSERT_TRUE (has_action (&scenario, EXECUTOR_POLL));
+      if (rows[i].answers)
+        answer_poll (&scenario, 0, NULL, 0);
+      else
+        lose_last_poll (&scenario, 0, rows[i].at_ms - 1);
+      bool may_run =
+          executor_may_run_job (scenario.executor, "j", CLAIMED_AT_MS, false, rows[i].at_ms);
+      CU_ASSERT_EQUAL (may_run, rows[i].may_run);
+      if (may_run != rows[i].may_run)
+        printf ("  %s: %d\n", rows[i].name, may_run);
+      scenario_end (&scenario);
+    }
+}
+
 static const unit_test_t tests[] = {
+  { "a new owner without the log", test_without_the_log },
   { "whether a run of a job may be alive", test_runs },
   { "a listing that is too old", test_asks_again },
   { "an endpoint that is silent and removed", test_silent_endpoint_removed },
