Registry: where fewer than three hubs are heard, one of another data centre confirms

Cause: two hosts of a data centre of two that lose each other alone, while both hear all others, each had itself as its only registrar, so that each confirmed to itself what the other one ran. Class: majorities of sets that differ, and have nobody in common.

Change: where one or two hubs of a data centre of several hosts are heard, a hub of another data centre, chosen by rendezvous hash, is a registrar too. Two hosts then need one of each other and the witness; one that has lost the other needs the witness, which knows what the other one has registered. In quiet times the two confirm to each other and nobody waits for the witness. Hosts tell all others, not only those of their data centre, that they answer registrations; earlier versions ignore that frame, as before.

--- a/daemon/site_private.h
+++ b/daemon/site_private.h
@@ -107,10 +107,10 @@
   GHashTable *running_in_drained; /* interned data centre -> drain_running_t */
   GHashTable *directory;          /* endpoint id -> executor_entry_t */
   removed_entries_t *removed_entries;
-  GHashTable *connections; /* interned host -> peer_connection_t */
-  GHashTable *known_hosts; /* interned host -> known_host_t */
-  GHashTable *registrars;  /* set of interned hosts of this data centre that answer registrations */
-  GArray *cluster_actions; /* cluster_action_t that have not been carried out */
+  GHashTable *connections;                /* interned host -> peer_connection_t */
+  GHashTable *known_hosts;                /* interned host -> known_host_t */
+  GHashTable *registrars;                 /* set of interned hosts that answer registrations */
+  GArray *cluster_actions;                /* cluster_action_t that have not been carried out */
   GArray *scheduler_actions;              /* likewise, scheduler_action_t */
   job_cancellations_t *job_cancellations; /* its waiters are cancel_waiter_t */
   crash_history_t *crashes;               /* shared by the executors of this host */
--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -130,22 +130,23 @@
               job_msg_statuses (site->host, false, &action->status, 1, clock_boot_ms ()));
 }
 
-/* Hosts of earlier versions don't answer registrations.  Where all hubs that are heard are such
- * hosts, jobs start as they do there. */
+/* Hosts of earlier versions don't answer registrations.  Where all that are heard and would be
+ * registrars are such hosts, jobs start as they do there. */
 void
 repeats_update_registrars (site_t *site)
 {
-  GPtrArray *hubs = g_ptr_array_new ();
+  GPtrArray *hosts = g_ptr_array_new ();
   int64_t now_ms = clock_boot_ms ();
 
-  cluster_append_local_hubs (site->cluster, now_ms, hubs);
-  bool any_hub = hubs->len > 0;
-  for (guint i = hubs->len; i-- > 0;)
-    if (!g_hash_table_contains (site->registrars, hubs->pdata[i]))
-      g_ptr_array_remove_index_fast (hubs, i);
-  bool none_registers = any_hub && hubs->len == 0;
-  scheduler_set_registrars (site->scheduler, none_registers ? NULL : hubs, site->scheduler_actions);
-  g_ptr_array_unref (hubs);
+  cluster_append_registrars (site->cluster, now_ms, hosts);
+  bool any_host = hosts->len > 0;
+  for (guint i = hosts->len; i-- > 0;)
+    if (!g_hash_table_contains (site->registrars, hosts->pdata[i]))
+      g_ptr_array_remove_index_fast (hosts, i);
+  bool none_registers = any_host && hosts->len == 0;
+  scheduler_set_registrars (site->scheduler, none_registers ? NULL : hosts,
+                            site->scheduler_actions);
+  g_ptr_array_unref (hosts);
   site_run_scheduler_actions (site);
 }
 
@@ -229,8 +230,7 @@
   if (statuses->len > 0 && !is_local (site, connection))
     peers_send (site, host, job_msg_told (JOB_MSG_TOLD, clock_boot_ms ()));
   g_array_unref (statuses);
-  if (is_local (site, connection))
-    peers_send (site, host, job_msg_registrar ());
+  peers_send (site, host, job_msg_registrar ());
   scheduler_register_all (site->scheduler, host, site->scheduler_actions);
   site_run_scheduler_actions (site);
   if (!passes_on (site, connection))
@@ -322,14 +322,14 @@
 tell_registered_ends (site_t *site, int64_t now_ms)
 {
   GArray *statuses = new_statuses ();
-  GPtrArray *hubs = g_ptr_array_new ();
+  GPtrArray *registrars = g_ptr_array_new ();
 
   scheduler_collect_registered_ends (site->scheduler, statuses);
-  cluster_append_local_hubs (site->cluster, now_ms, hubs);
-  for (guint i = 0; i < hubs->len && statuses->len > 0; i++)
-    if (hubs->pdata[i] != site->host)
-      send_statuses (site, hubs->pdata[i], site->host, false, statuses);
-  g_ptr_array_unref (hubs);
+  cluster_append_registrars (site->cluster, now_ms, registrars);
+  for (guint i = 0; i < registrars->len && statuses->len > 0; i++)
+    if (registrars->pdata[i] != site->host)
+      send_statuses (site, registrars->pdata[i], site->host, false, statuses);
+  g_ptr_array_unref (registrars);
   g_array_unref (statuses);
 }
 
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -146,10 +146,12 @@
  * data centre that does not follow the directory itself but may have to take over the shard. */
 bool cluster_host_needs_directory (const cluster_t *cluster, const char *host);
 
-/* Appends to HOSTS the hubs of this host's data centre that are heard, itself included if it is
- * one. Interned names.  None if this host hears neither a majority of the hosts of its data centre
- * nor one of all hosts: it is rather cut off than left. */
-void cluster_append_local_hubs (const cluster_t *cluster, int64_t now_ms, GPtrArray *hosts);
+/* Appends to HOSTS the registrars of this host's jobs (lib/scheduler/job_registry.c): the hubs of
+ * its data centre that are heard, itself included if it is one, and, where these are one or two of
+ * a data centre of more than one host, a hub of another data centre.  Interned names.  None if this
+ * host hears neither a majority of the hosts of its data centre nor one of all hosts: it is rather
+ * cut off than left. */
+void cluster_append_registrars (const cluster_t *cluster, int64_t now_ms, GPtrArray *hosts);
 
 /* Returns a hub that is alive and can forward a message to all hosts, or NULL if there is none. */
 const char *cluster_find_hub (const cluster_t *cluster);
--- a/lib/cluster/ranking.c
+++ b/lib/cluster/ranking.c
@@ -124,16 +124,17 @@
     member->ended = ended;
 }
 
-bool
-ranking_has_hosts (const ranking_t *ranking, const char *data_centre)
+int32_t
+ranking_count_hosts (const ranking_t *ranking, const char *data_centre)
 {
+  int32_t count = 0;
+
   for (guint i = 0; i < ranking->members->len; i++)
     {
       const member_t *member = ranking->members->pdata[i];
-      if (!member->ended && strcmp (member->data_centre, data_centre) == 0)
-        return true;
+      count += !member->ended && strcmp (member->data_centre, data_centre) == 0;
     }
-  return false;
+  return count;
 }
 
 /* --- ranking --- */
--- a/lib/cluster/ranking.h
+++ b/lib/cluster/ranking.h
@@ -40,9 +40,9 @@
 /* Records whether HOST has said that its process ends.  Has no effect if HOST is unknown. */
 void ranking_set_ended (ranking_t *ranking, const char *host, bool ended);
 
-/* Whether a known host of DATA_CENTRE, which need not be alive, has not said that its process ends.
- */
-bool ranking_has_hosts (const ranking_t *ranking, const char *data_centre);
+/* The number of known hosts of DATA_CENTRE, which need not be alive, that have not said that their
+ * processes end. */
+int32_t ranking_count_hosts (const ranking_t *ranking, const char *data_centre);
 
 /* Recomputes positions and hubs.  Call every few hundred milliseconds, and when a host was added,
  * became alive or was lost; the functions below return the state of the last call. */
--- a/lib/cluster/reach.c
+++ b/lib/cluster/reach.c
@@ -54,7 +54,7 @@
   int64_t heard_until_ms = MAX (cluster->started_at_ms, data_centre->left_at_ms);
 
   return now_ms - heard_until_ms <= CLUSTER_FORGET_AFTER_MS
-         && ranking_has_hosts (cluster->ranking, data_centre->name);
+         && ranking_count_hosts (cluster->ranking, data_centre->name) > 0;
 }
 
 /* Adds the data centres of known hosts none of which is heard, or was lost a short time ago. */
