Owner: an owner without the log waits for the longest leases of the one before

Read, not seen by callers: an owner that took over without the log said that nothing runs CONTEST_MAX_MS and lease_ms after its claim. A lease lasts up to 3% longer on a slow clock, so that a run could go on for 30 ms more.

Change: executor_longest_lease_ms (), as elsewhere. test_job_runs, "leases have ended" asserted the earlier time; "leases may last" now asks at the last millisecond of the longest lease (fails before), and the others after it.

--- a/lib/executor/endpoints.c
+++ b/lib/executor/endpoints.c
@@ -272,7 +272,8 @@
   executor->token = token;
   executor->token_since_ms = now_ms;
   executor->directory_wanted = false;
-  executor->contested_until_ms = now_ms + CONTEST_MAX_MS + executor->options.lease_ms;
+  executor->contested_until_ms =
+      now_ms + CONTEST_MAX_MS + executor_longest_lease_ms (executor->options.lease_ms);
   while (executor->queue.length > 0)
     {
       task_t *task = g_queue_peek_head (&executor->queue);
--- a/tests/test_job_runs.c
+++ b/tests/test_job_runs.c
@@ -7,6 +7,8 @@
 #define CLAIMED_AT_MS 500
 /* For this long after a claim the owner before may go on and renew leases. */
 #define CONTEST_MS 1000
+/* By then the last of its leases have ended, also on slow clocks. */
+#define OVER_AT_MS (CLAIMED_AT_MS + CONTEST_MS + executor_longest_lease_ms (LEASE_MS))
 
 typedef enum
 {
@@ -235,16 +237,16 @@
 static void
 test_without_the_log (void)
 {
-  static const struct
+  const struct
   {
     const char *name;
     int64_t at_ms;
     bool answers;
     bool may_run;
   } rows[] = {
-    { "leases may last", CLAIMED_AT_MS + CONTEST_MS + LEASE_MS - 1, true, true },
-    { "leases have ended", CLAIMED_AT_MS + CONTEST_MS + LEASE_MS, true, false },
-    { "an endpoint is silent", CLAIMED_AT_MS + CONTEST_MS + LEASE_MS, false, true },
+    { "leases may last", OVER_AT_MS - 1, true, true },
+    { "leases have ended", OVER_AT_MS, true, false },
+    { "an endpoint is silent", OVER_AT_MS, false, true },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
