--- a/tests/test_job_answered_after_stops.c
+++ b/tests/test_job_answered_after_stops.c
@@ -2,6 +2,7 @@
  * have had the time to stop, since its caller may send it again at once
  */
 #include "scheduler/scheduler.h"
+#include "tests/test_scheduler_job.h"
 #include "tests/test_scheduler_report.h"
 #include "tests/unit_runner.h"
 
@@ -87,20 +88,10 @@
                                         .stop_ms = cases[row].stop_ms };
   const executor_offer_t offer = { "s", 4, 4, 1.0 };
   const executor_load_t load = { .service = "s", .cores_milli = 4000 };
-  const scheduler_job_t job = { .id = ID,
-                                .spec = "work",
-                                .service = "s",
-                                .tasks = 2,
-                                .need = { 1000, 10, 0 },
-                                .estimate_ms = 900,
-                                .stretch_factor = 3,
-                                .target_ms = 60,
-                                .received_at_ms = RECEIVED_MS,
-                                .deadline_at_ms = RECEIVED_MS + 9000,
-                                .attempts_max = 3,
-                                .label = "",
-                                .preferred_rack = "" };
+  scheduler_job_t job = test_job (ID, RECEIVED_MS, 9000);
 
+  job.tasks = 2;
+  job.estimate_ms = 900;
   *play = (play_t){ .scheduler = scheduler_new (&options),
                     .actions = g_array_new (FALSE, FALSE, sizeof (scheduler_action_t)) };
   scheduler_set_owner (play->scheduler, "z", "hx", 1, RECEIVED_MS, play->actions);
--- a/tests/test_job_cold_start_spread.c
+++ b/tests/test_job_cold_start_spread.c
@@ -2,6 +2,7 @@
  * have granted may end later than the longest lease after the start of this process
  */
 #include "scheduler/scheduler.h"
+#include "tests/test_scheduler_job.h"
 #include "tests/test_scheduler_report.h"
 #include "tests/unit_runner.h"
 
@@ -56,20 +57,10 @@
 static void
 submit (scheduler_t *scheduler, int64_t now_ms, GArray *actions)
 {
-  const scheduler_job_t job = { .id = "00000000000000a1",
-                                .spec = "work",
-                                .service = "s",
-                                .tasks = 2,
-                                .need = { 1000, 10, 0 },
-                                .estimate_ms = 900,
-                                .stretch_factor = 3,
-                                .target_ms = 60,
-                                .received_at_ms = now_ms,
-                                .deadline_at_ms = now_ms + 9000,
-                                .attempts_max = 3,
-                                .label = "",
-                                .preferred_rack = "" };
+  scheduler_job_t job = test_job ("00000000000000a1", now_ms, 9000);
 
+  job.tasks = 2;
+  job.estimate_ms = 900;
   scheduler_submit (scheduler, &job, now_ms, actions);
 }
 
--- a/tests/test_job_late_requests.c
+++ b/tests/test_job_late_requests.c
@@ -1,6 +1,7 @@
 /* test_job_late_requests.c -- a request that a cut may have held up must not start its job before
  * other hosts could tell that they run it */
 #include "scheduler/scheduler.h"
+#include "tests/test_scheduler_job.h"
 #include "tests/test_scheduler_report.h"
 #include "tests/unit_runner.h"
 
@@ -56,21 +57,10 @@
 static void
 submit (scheduler_t *scheduler, int64_t idle_ms, GArray *actions)
 {
-  const scheduler_job_t job = { .id = ID,
-                                .spec = "work",
-                                .service = "s",
-                                .tasks = 2,
-                                .need = { 1000, 10, 0 },
-                                .estimate_ms = 100, /* short enough for a cut */
-                                .stretch_factor = 3,
-                                .target_ms = 60,
-                                .received_at_ms = RECEIVED_MS,
-                                .idle_ms = idle_ms,
-                                .deadline_at_ms = DEADLINE_MS,
-                                .attempts_max = 3,
-                                .label = "",
-                                .preferred_rack = "" };
+  scheduler_job_t job = test_job (ID, RECEIVED_MS, DEADLINE_MS - RECEIVED_MS);
 
+  job.tasks = 2;
+  job.idle_ms = idle_ms;
   scheduler_submit (scheduler, &job, RECEIVED_MS, actions);
 }
 
--- a/tests/test_job_registry_lost_hosts.c
+++ b/tests/test_job_registry_lost_hosts.c
@@ -6,6 +6,7 @@
  * killed.
  */
 #include "scheduler/scheduler.h"
+#include "tests/test_scheduler_job.h"
 #include "tests/test_scheduler_report.h"
 #include "tests/unit_runner.h"
 
@@ -220,19 +221,7 @@
 send_job (world_t *world, const char *name, int64_t wait_ms)
 {
   host_t *host = find_host (world, name);
-  const scheduler_job_t job = { .id = JOB,
-                                .spec = "work",
-                                .service = "s",
-                                .tasks = 1,
-                                .need = { 1000, 10, 0 },
-                                .estimate_ms = 100,
-                                .stretch_factor = 3,
-                                .target_ms = 60,
-                                .received_at_ms = world->now_ms,
-                                .deadline_at_ms = world->now_ms + wait_ms,
-                                .attempts_max = 3,
-                                .label = "",
-                                .preferred_rack = "" };
+  const scheduler_job_t job = test_job (JOB, world->now_ms, wait_ms);
 
   host->answered = false;
   host->request = scheduler_submit (host->scheduler, &job, world->now_ms, host->actions);
--- a/tests/test_job_registry_orders.c
+++ b/tests/test_job_registry_orders.c
@@ -5,6 +5,7 @@
  * they were sent; all orders of deliveries to one host are played, but only one of those that
  * differ in the order of deliveries to different hosts (sleep sets). */
 #include "scheduler/scheduler.h"
+#include "tests/test_scheduler_job.h"
 #include "tests/test_scheduler_report.h"
 #include "tests/unit_runner.h"
 
@@ -258,21 +259,9 @@
 static void
 submit (model_t *model, int host)
 {
-  const scheduler_job_t job = { .id = ID,
-                                .spec = "work",
-                                .service = "s",
-                                .tasks = 1,
-                                .need = { 1000, 10, 0 },
-                                .estimate_ms = 100,
-                                .stretch_factor = 3,
-                                .target_ms = 60,
-                                .received_at_ms = model->now_ms,
-                                .deadline_at_ms = model->now_ms + CALLER_WAIT_MS,
-                                .attempts_max = 3,
-                                .label = "",
-                                .preferred_rack = "",
-                                .user_data = model };
+  scheduler_job_t job = test_job (ID, model->now_ms, CALLER_WAIT_MS);
 
+  job.user_data = model;
   model->submitted[host] = true;
   uint64_t number =
       scheduler_submit (model->schedulers[host], &job, model->now_ms, model->actions[host]);
--- a/tests/test_job_repeats.c
+++ b/tests/test_job_repeats.c
@@ -2,6 +2,7 @@
  * wait for a host that has lost it */
 #include "scheduler/job_status_msg.h"
 #include "scheduler/scheduler.h"
+#include "tests/test_scheduler_job.h"
 #include "tests/test_scheduler_report.h"
 #include "tests/unit_runner.h"
 
@@ -129,21 +130,9 @@
 static uint64_t
 submit (scheduler_t *scheduler, int64_t now_ms, GArray *actions)
 {
-  const scheduler_job_t job = { .id = ID,
-                                .spec = "work",
-                                .service = "s",
-                                .tasks = 1,
-                                .need = { 1000, 10, 0 },
-                                .estimate_ms = 100,
-                                .stretch_factor = 3,
-                                .target_ms = 60,
-                                .received_at_ms = now_ms,
-                                .deadline_at_ms = now_ms + CALLER_WAIT_MS,
-                                .attempts_max = 3,
-                                .label = "",
-                                .preferred_rack = "",
-                                .user_data = scheduler };
+  scheduler_job_t job = test_job (ID, now_ms, CALLER_WAIT_MS);
 
+  job.user_data = scheduler;
   return scheduler_submit (scheduler, &job, now_ms, actions);
 }
 
--- a/tests/test_job_restarts.c
+++ b/tests/test_job_restarts.c
@@ -1,6 +1,7 @@
 /* test_job_restarts.c -- tasks of a job must not start anew at its first host once another host,
  * which was not told of it, may have taken it */
 #include "scheduler/scheduler.h"
+#include "tests/test_scheduler_job.h"
 #include "tests/test_scheduler_report.h"
 #include "tests/unit_runner.h"
 
@@ -71,20 +72,10 @@
 static void
 submit (scheduler_t *scheduler, GArray *actions)
 {
-  const scheduler_job_t job = { .id = ID,
-                                .spec = "work",
-                                .service = "s",
-                                .tasks = 2,
-                                .need = { 1000, 10, 0 },
-                                .estimate_ms = 100,
-                                .stretch_factor = 3,
-                                .target_ms = 60,
-                                .deadline_at_ms = DEADLINE_MS,
-                                .attempts_max = 3,
-                                .label = "",
-                                .preferred_rack = "",
-                                .user_data = scheduler };
+  scheduler_job_t job = test_job (ID, 0, DEADLINE_MS);
 
+  job.tasks = 2;
+  job.user_data = scheduler;
   scheduler_submit (scheduler, &job, 0, actions);
 }
 
--- a/tests/test_repeated_jobs.c
+++ b/tests/test_repeated_jobs.c
@@ -1,6 +1,7 @@
 /* test_repeated_jobs.c -- a job that was cancelled or answered must not start again when its
  * request is repeated; one that was refused must run */
 #include "scheduler/scheduler.h"
+#include "tests/test_scheduler_job.h"
 #include "tests/test_scheduler_report.h"
 #include "tests/unit_runner.h"
 
@@ -46,19 +47,7 @@
 static int64_t
 submit (scheduler_t *scheduler, int64_t now_ms, GArray *actions)
 {
-  const scheduler_job_t job = { .id = "00000000000000a1",
-                                .spec = "work",
-                                .service = "s",
-                                .tasks = 1,
-                                .need = { 1000, 10, 0 },
-                                .estimate_ms = 100,
-                                .stretch_factor = 3,
-                                .target_ms = 60,
-                                .received_at_ms = now_ms,
-                                .deadline_at_ms = now_ms + CALLER_WAIT_MS,
-                                .attempts_max = 3,
-                                .label = "",
-                                .preferred_rack = "" };
+  const scheduler_job_t job = test_job ("00000000000000a1", now_ms, CALLER_WAIT_MS);
 
   return (int64_t) scheduler_submit (scheduler, &job, now_ms, actions);
 }
--- a/tests/test_report_timing.c
+++ b/tests/test_report_timing.c
@@ -3,6 +3,7 @@
  */
 #include "scheduler/report_timing.h"
 #include "scheduler/scheduler.h"
+#include "tests/test_scheduler_job.h"
 #include "tests/test_scheduler_report.h"
 #include "tests/unit_runner.h"
 
@@ -91,20 +92,9 @@
   char id[16];
 
   g_snprintf (id, sizeof id, "j%d", ++jobs);
-  const scheduler_job_t job = { .id = id,
-                                .spec = "work",
-                                .service = "s",
-                                .tasks = 1,
-                                .need = { 1000, 10, 0 },
-                                .estimate_ms = 60,
-                                .stretch_factor = 3,
-                                .target_ms = 60,
-                                .received_at_ms = now_ms,
-                                .deadline_at_ms = now_ms + 1500,
-                                .attempts_max = 3,
-                                .label = "",
-                                .preferred_rack = "" };
+  scheduler_job_t job = test_job (id, now_ms, 1500);
 
+  job.estimate_ms = 60;
   scheduler_submit (scheduler, &job, now_ms, actions);
 }
 
