--- a/tests/system/rig.c
+++ b/tests/system/rig.c
@@ -595,9 +595,11 @@
 {
   const reply_t *reply = call_wait (submission->call);
   return rig_expect (rig, reply->error == 0 && reply->status == 200,
-                     "%s at %s: no complete answer but error %d, status %d, %.300s",
+                     "%s at %s: no complete answer but error %d, status %d, %.300s; sent at "
+                     "%" G_GINT64_FORMAT " ms, %d starts by now",
                      submission->job->key, submission->host->id, reply->error, reply->status,
-                     reply->text != NULL ? reply->text : "");
+                     reply->text != NULL ? reply->text : "", reply->begun_at_ms,
+                     (int) check_count_starts (rig, submission->job->key));
 }
 
 void
