--- a/lib/base/event.h
+++ b/lib/base/event.h
@@ -11,7 +11,7 @@
  *     }
  *
  * Writing never blocks.  Lines that the reader of standard output has not yet
- * taken are kept in a bounded buffer; if the buffer is full, further lines are
+ * taken are kept in bounded buffers; if its buffer is full, a further line is
  * dropped.  The number of lines per second is limited as well, with a lower
  * limit for routine events.  Dropped lines are counted and reported by
  * EVENT_LINES_LEFT_OUT.
