Registry: the only host that has started starts jobs

Cause: a host that misses others needs the witness, and without one that is heard it had no registrars.

--- a/lib/cluster/registrars.c
+++ b/lib/cluster/registrars.c
@@ -132,17 +132,11 @@
         const char *witness,
         cluster_registrars_t *registrars)
 {
-  bool is_majority = 2 * local->heard > local->known;
   bool none_is_missing = local->heard == local->known;
 
   registrars->quorum = local_quorum (cluster, local, registrars->hosts->len);
-  if (none_is_missing || (is_majority && witness == NULL))
+  if (none_is_missing || witness == NULL)
     return;
-  if (witness == NULL)
-    {
-      g_ptr_array_set_size (registrars->hosts, 0);
-      return;
-    }
   g_ptr_array_add (registrars->hosts, (void *) witness);
   registrars->required = witness;
   registrars->quorum++;
--- a/tests/test_cluster_registrars.c
+++ b/tests/test_cluster_registrars.c
@@ -47,6 +47,7 @@
   { "the other half", "h2", "h3@x h4@y h5@y", "h0@x h1@x", "", "", "3 h2 h3 +h5" },
   { "five hosts, two are lost", "h0", "h1@x h2@x h5@y", "h3@x h4@x", "", "", "4 h0 h1 h2 +h5" },
   { "the data centre is cut off", "h0", "h1@x", "h2@y h3@y", "", "", "2 h0 h1" },
+  { "the only one that has started", "h0", "", "", "h1@x h2@y h3@y", "", "1 h0" },
   { "cut off alone", "h0", "", "h1@x h2@y h3@y", "", "", "0" },
 };
 
