Registry: one source of the registrars, and no work for a set that did not change

Read, no behaviour meant to change. The set of registrars was built anew and interned on each tick of 5 ms though it rarely changes: an equal one is left as it is. Ends were sent by a second search of the cluster, and the rule that they wait for a registrar stood in the daemon and in the simulation: both ask the scheduler now. status_kind () repeated open_status () of repeats.c. The witness's hash was computed for hosts that can't be it. Comments said majority where a quorum is meant, and left out a kind of claim.

--- a/daemon/site_repeats.c
+++ b/daemon/site_repeats.c
@@ -312,20 +312,17 @@
   g_hash_table_unref (missed);
 }
 
-/* Tells the registrars the ends of jobs that nobody else was told of, once there are any. */
+/* Tells the registrars the ends of jobs that nobody else was told of. */
 static void
-tell_registered_ends (site_t *site, int64_t now_ms)
+tell_registered_ends (site_t *site)
 {
+  const GPtrArray *registrars = scheduler_registrars (site->scheduler);
   GArray *statuses = new_statuses ();
-  cluster_registrars_t registrars;
 
-  cluster_find_registrars (site->cluster, site->registrars, now_ms, &registrars);
-  if (registrars.hosts->len > 0)
-    scheduler_collect_registered_ends (site->scheduler, statuses);
-  for (guint i = 0; i < registrars.hosts->len && statuses->len > 0; i++)
-    if (registrars.hosts->pdata[i] != site->host)
-      send_statuses (site, registrars.hosts->pdata[i], site->host, false, statuses);
-  cluster_registrars_clear (&registrars);
+  scheduler_collect_registered_ends (site->scheduler, statuses);
+  for (guint i = 0; statuses->len > 0 && i < registrars->len; i++)
+    if (registrars->pdata[i] != site->host)
+      send_statuses (site, registrars->pdata[i], site->host, false, statuses);
   g_array_unref (statuses);
 }
 
@@ -357,14 +354,14 @@
 {
   /* The process may end at any time. */
   if (site->stopping)
-    tell_registered_ends (site, now_ms);
+    tell_registered_ends (site);
   if (now_ms < site->announce_due_ms)
     return;
   site->announce_due_ms = now_ms + ANNOUNCE_INTERVAL_MS;
   if (!scheduler_is_warm (site->scheduler, now_ms))
     ask_for_all (site);
   send_relayed (site);
-  tell_registered_ends (site, now_ms);
+  tell_registered_ends (site);
   GArray *statuses = new_statuses ();
   scheduler_collect_statuses (site->scheduler, now_ms, statuses);
   if (statuses->len > 0 || scheduler_awaits_confirmation (site->scheduler))
--- a/lib/cluster/registrars.c
+++ b/lib/cluster/registrars.c
@@ -91,9 +91,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const peer_t *peer = value;
-      uint64_t weight = hash_rendezvous (cluster->data_centre, peer->host);
       if (!peer->alive || is_local (cluster, peer) || !may_register (registering, peer->host)
-          || !ranking_is_hub (cluster->ranking, peer->host) || weight < witness_weight)
+          || !ranking_is_hub (cluster->ranking, peer->host))
+        continue;
+      uint64_t weight = hash_rendezvous (cluster->data_centre, peer->host);
+      if (weight < witness_weight)
         continue;
       witness = peer->host;
       witness_weight = weight;
--- a/lib/scheduler/job_registry.c
+++ b/lib/scheduler/job_registry.c
@@ -37,14 +37,11 @@
   return g_ptr_array_find (job->confirmed_by, host, NULL);
 }
 
-/* As open_status () in repeats.c, but that a job that is new does not run, though it may not wait
- * yet. */
+/* A job that is new does not run, though it may not wait yet. */
 static job_status_kind_t
 status_kind (const scheduled_job_t *job)
 {
-  bool runs = job->was_sent && job->waits_since_ms == 0 && !repeats_was_moved (job);
-
-  return runs ? JOB_STATUS_OPEN : JOB_STATUS_WAITING;
+  return job->was_sent ? repeats_open_kind (job) : JOB_STATUS_WAITING;
 }
 
 static void
@@ -191,11 +188,29 @@
     send_registration (scheduler, job, interned, actions);
 }
 
+/* Whether the registrars are HOSTS, in that order. */
+static bool
+are_registrars (const scheduler_t *scheduler, const GPtrArray *hosts)
+{
+  const GPtrArray *registrars = scheduler->registrars;
+
+  if (registrars == NULL || hosts == NULL)
+    return registrars == hosts;
+  if (registrars->len != hosts->len)
+    return false;
+  for (guint i = 0; i < hosts->len; i++)
+    if (strcmp (registrars->pdata[i], hosts->pdata[i]) != 0)
+      return false;
+  return true;
+}
+
 void
 scheduler_set_registrars (scheduler_t *scheduler, const GPtrArray *hosts, GArray *actions)
 {
   GPtrArray *before = scheduler->registrars;
 
+  if (are_registrars (scheduler, hosts))
+    return;
   scheduler->registrars = hosts != NULL ? g_ptr_array_new () : NULL;
   for (guint i = 0; hosts != NULL && i < hosts->len; i++)
     g_ptr_array_add (scheduler->registrars, (void *) g_intern_string (hosts->pdata[i]));
@@ -225,11 +240,19 @@
   g_array_append_val (scheduler->registered_ends, end);
 }
 
+const GPtrArray *
+scheduler_registrars (const scheduler_t *scheduler)
+{
+  return scheduler->registrars;
+}
+
 void
 scheduler_collect_registered_ends (scheduler_t *scheduler, GArray *statuses)
 {
   GArray *ends = scheduler->registered_ends;
 
+  if (scheduler->registrars == NULL || scheduler->registrars->len == 0)
+    return;
   job_statuses_clear (scheduler->told_registered_ends);
   scheduler->registered_ends = scheduler->told_registered_ends;
   scheduler->told_registered_ends = ends;
--- a/lib/scheduler/job_status.h
+++ b/lib/scheduler/job_status.h
@@ -31,7 +31,7 @@
 typedef struct
 {
   const char *host;
-  job_status_kind_t kind; /* JOB_STATUS_WAITING or JOB_STATUS_STOPPED */
+  job_status_kind_t kind; /* JOB_STATUS_OPEN, JOB_STATUS_WAITING or JOB_STATUS_STOPPED */
   int64_t until_ms;       /* as in job_status_t */
   bool unheard;           /* the registrar does not hear HOST */
 } job_claim_t;
--- a/lib/scheduler/repeats.c
+++ b/lib/scheduler/repeats.c
@@ -303,8 +303,10 @@
   ask (scheduler, job, remote, now_ms, actions);
 }
 
-bool
-repeats_was_moved (const scheduled_job_t *job)
+/* Whether owners may start tasks of JOB anew: an owner was lost, or has lost this host, since its
+ * tasks were sent. */
+static bool
+was_moved (const scheduled_job_t *job)
 {
   for (guint i = 0; i < job->batches->len; i++)
     if (((const job_batch_t *) job->batches->pdata[i])->maybe_running)
@@ -317,7 +319,7 @@
 static bool
 yields_to (const scheduler_t *scheduler, const scheduled_job_t *job, const char *host)
 {
-  return repeats_was_moved (job) || strcmp (scheduler->host, host) > 0;
+  return was_moved (job) || strcmp (scheduler->host, host) > 0;
 }
 
 static void
@@ -413,13 +415,18 @@
 
 /* --- what this host tells --- */
 
+job_status_kind_t
+repeats_open_kind (const scheduled_job_t *job)
+{
+  bool runs = job->waits_since_ms == 0 && !was_moved (job);
+
+  return runs ? JOB_STATUS_OPEN : JOB_STATUS_WAITING;
+}
+
 static job_status_t
 open_status (const scheduled_job_t *job)
 {
-  bool runs = job->waits_since_ms == 0 && !repeats_was_moved (job);
-  job_status_kind_t kind = runs ? JOB_STATUS_OPEN : JOB_STATUS_WAITING;
-
-  return (job_status_t){ job->request.id, kind, job->request.deadline_at_ms };
+  return (job_status_t){ job->request.id, repeats_open_kind (job), job->request.deadline_at_ms };
 }
 
 /* The status of a job that has ended with OUTCOME; its runs, if any, end by RUNS_END_MS. */
--- a/lib/scheduler/scheduler.h
+++ b/lib/scheduler/scheduler.h
@@ -275,8 +275,12 @@
                          int64_t now_ms,
                          GArray *claims);
 
+/* The present registrars, interned names; NULL if jobs are not registered.  Valid until they are
+ * set anew. */
+const GPtrArray *scheduler_registrars (const scheduler_t *scheduler);
+
 /* Appends to STATUSES, job_status_t, the ends of jobs that only registrars know of, since the last
- * call.  Their ids are valid until the next call. */
+ * call; they wait while there are no registrars.  Their ids are valid until the next call. */
 void scheduler_collect_registered_ends (scheduler_t *scheduler, GArray *statuses);
 
 /* Appends to STATUSES, job_status_t, what other hosts should be told since the last call: jobs that
--- a/lib/scheduler/state.h
+++ b/lib/scheduler/state.h
@@ -329,13 +329,12 @@
  * whether it waits. */
 bool repeats_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
 
-/* job_registry.c: registers the new JOB, and makes it wait until a majority of the registrars has
+/* job_registry.c: registers the new JOB, and makes it wait until a quorum of the registrars has
  * confirmed it.  Returns whether it waits. */
 bool
 job_registry_wait (scheduler_t *scheduler, scheduled_job_t *job, int64_t now_ms, GArray *actions);
 
-/* job_registry.c: whether a majority of the registrars has confirmed JOB, or had before it was
- * sent.
+/* job_registry.c: whether a quorum of the registrars has confirmed JOB, or had before it was sent.
  */
 bool job_registry_is_confirmed (const scheduler_t *scheduler,
                                 const scheduled_job_t *job,
@@ -363,9 +362,9 @@
                            int64_t now_ms,
                            GArray *actions);
 
-/* repeats.c: whether owners may start tasks of JOB anew: an owner was lost, or has lost this host,
- * since its tasks were sent. */
-bool repeats_was_moved (const scheduled_job_t *job);
+/* repeats.c: JOB_STATUS_OPEN if JOB, which is open, runs, and owners may start none of its tasks
+ * anew; else JOB_STATUS_WAITING. */
+job_status_kind_t repeats_open_kind (const scheduled_job_t *job);
 
 /* repeats.c: whether a caller waits for JOB, here or at another host. */
 bool repeats_is_wanted (const scheduled_job_t *job, int64_t now_ms);
--- a/tests/test_scheduling_host.h
+++ b/tests/test_scheduling_host.h
@@ -205,21 +205,18 @@
 static void
 tell_registered_ends (sim_host_t *host)
 {
+  const GPtrArray *registrars = scheduler_registrars (host->scheduler);
   GArray *statuses = g_array_new (FALSE, FALSE, sizeof (job_status_t));
-  cluster_registrars_t registrars;
 
-  cluster_find_registrars (host->cluster, NULL, host->sim->now_ms, &registrars);
-  if (registrars.hosts->len > 0)
-    scheduler_collect_registered_ends (host->scheduler, statuses);
-  for (guint i = 0; i < registrars.hosts->len; i++)
+  scheduler_collect_registered_ends (host->scheduler, statuses);
+  for (guint i = 0; statuses->len > 0 && i < registrars->len; i++)
     for (guint k = 0; k < statuses->len; k++)
       {
-        sim_host_t *registrar = host_named (host->sim, registrars.hosts->pdata[i]);
+        sim_host_t *registrar = host_named (host->sim, registrars->pdata[i]);
         if (registrar != host)
           send_job_status (host, registrar, host, false,
                            &g_array_index (statuses, job_status_t, k));
       }
-  cluster_registrars_clear (&registrars);
   g_array_unref (statuses);
 }
 
